--- /dev/null
+++ b/Makefile
@@ -0,0 +1,119 @@
+# siskinlink: `make demo` shows the main job, `make check` runs every test.
+
+B ?= build
+CC = gcc
+CXX = g++
+PACKAGES = glib-2.0 gio-2.0 json-glib-1.0 libsoup-3.0 libzmq popt libsodium
+APT_PACKAGES = gcc g++ make pkg-config curl jq \
+	libglib2.0-dev libjson-glib-dev libsoup-3.0-dev libzmq3-dev \
+	libpopt-dev liblog4c-dev libsodium-dev libtomlplusplus-dev \
+	libgtest-dev spin gnuplot-nox clang clang-format clang-tidy \
+	libclang-rt-14-dev
+
+WARNINGS = -Wall -Wextra -Werror
+OPTIMIZE ?= -O2 -g
+ifeq ($(SANITIZE),1)
+SANITIZERS = -fsanitize=address,undefined -fno-sanitize-recover=all
+OPTIMIZE = -O1 -g -fno-omit-frame-pointer
+endif
+PACKAGE_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null \
+	| sed 's/-I/-isystem /g')
+PACKAGE_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -llog4c -lm
+COMMON = $(WARNINGS) $(OPTIMIZE) $(SANITIZERS) -I. $(PACKAGE_CFLAGS) -MMD -MP
+ALL_CFLAGS = -std=gnu11 -Wmissing-prototypes $(COMMON) $(CFLAGS)
+ALL_CXXFLAGS = -std=c++17 -Wno-missing-field-initializers $(COMMON) $(CXXFLAGS)
+ALL_LDFLAGS = $(SANITIZERS) $(LDFLAGS)
+
+PROGRAM_SOURCES = $(wildcard daemons/siskinlink*.c fakes/fake_*.c \
+	bench/*_bench.c)
+PROGRAMS = $(patsubst %.c,$(B)/bin/%,$(notdir $(PROGRAM_SOURCES)))
+PURE_SOURCES = $(wildcard core/*.c codec/*.c)
+LIBRARY_SOURCES = $(PURE_SOURCES) $(wildcard adapters/*.c adapters/*.cc) \
+	$(filter-out $(PROGRAM_SOURCES),$(wildcard daemons/*.c))
+FAKE_SOURCES = $(filter-out $(PROGRAM_SOURCES),$(wildcard fakes/*.c bench/*.c))
+TEST_SOURCES = $(wildcard tests/*.cc)
+
+objects = $(patsubst %,$(B)/%.o,$(basename $(1)))
+LIBRARY = $(B)/libsiskinlink.a
+FAKES = $(B)/libfakes.a
+TESTS = $(B)/bin/tests
+
+.PHONY: all demo check unit bench format format-check tidy pure install-deps \
+	clean
+.SECONDARY:
+
+all: $(PROGRAMS)
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) -c -o $@ $<
+
+$(B)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(ALL_CXXFLAGS) -c -o $@ $<
+
+$(LIBRARY): $(call objects,$(LIBRARY_SOURCES))
+	@rm -f $@
+	ar rcs $@ $^
+
+$(FAKES): $(call objects,$(FAKE_SOURCES))
+	@rm -f $@
+	ar rcs $@ $^
+
+vpath %.c daemons fakes bench
+$(B)/bin/%: $(B)/daemons/%.o $(LIBRARY)
+	@mkdir -p $(@D)
+	$(CXX) $(ALL_LDFLAGS) -o $@ $^ $(PACKAGE_LIBS)
+
+$(B)/bin/%: $(B)/fakes/%.o $(FAKES) $(LIBRARY)
+	@mkdir -p $(@D)
+	$(CXX) $(ALL_LDFLAGS) -o $@ $^ $(PACKAGE_LIBS)
+
+$(B)/bin/%: $(B)/bench/%.o $(FAKES) $(LIBRARY)
+	@mkdir -p $(@D)
+	$(CXX) $(ALL_LDFLAGS) -o $@ $^ $(PACKAGE_LIBS)
+
+$(TESTS): $(call objects,$(TEST_SOURCES)) $(FAKES) $(LIBRARY)
+	@mkdir -p $(@D)
+	$(CXX) $(ALL_LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PACKAGE_LIBS)
+
+# Every test. The scripted runs read their scripts from tests/scripts.
+check: unit pure
+
+unit: $(TESTS) $(PROGRAMS)
+	SISKINLINK_BIN=$(abspath $(B)/bin) $(TESTS) $(TEST_ARGS)
+
+# The core has no clock, socket, thread or source of randomness.
+pure: $(LIBRARY)
+	tests/pure.sh $(call objects,$(PURE_SOURCES))
+
+demo: install-deps
+	$(MAKE) all
+	./demo.sh $(abspath $(B)/bin)
+
+# Skipped where everything is already there.
+install-deps:
+	@dpkg -s $(APT_PACKAGES) >/dev/null 2>&1 || \
+		{ apt-get update && apt-get install -y $(APT_PACKAGES); }
+
+bench: $(PROGRAMS)
+	$(B)/bin/policy_bench $(BENCH_ARGS)
+
+FORMATTED = $(wildcard */*.c */*.h */*.cc)
+format:
+	clang-format -i $(FORMATTED)
+
+format-check:
+	clang-format --dry-run -Werror $(FORMATTED)
+
+TIDY_SOURCES = $(PURE_SOURCES) $(wildcard adapters/*.c daemons/*.c fakes/*.c \
+	bench/*.c)
+tidy:
+	printf '%s\n' $(TIDY_SOURCES) | xargs -P 12 -n 4 sh -c \
+		'clang-tidy --quiet "$$@" -- -std=gnu11 -I. $(PACKAGE_CFLAGS)' tidy
+
+clean:
+	rm -rf build
+
+-include $(patsubst %.o,%.d,$(call objects,$(LIBRARY_SOURCES) \
+	$(FAKE_SOURCES) $(PROGRAM_SOURCES) $(TEST_SOURCES)))
--- /dev/null
+++ b/adapters/kv_client.h
@@ -0,0 +1,38 @@
+#ifndef ADAPTERS_KV_CLIENT_H
+#define ADAPTERS_KV_CLIENT_H
+
+#include "adapters/log.h"
+#include "core/counters.h"
+#include "core/error.h"
+#include "ports/action.h"
+#include "ports/sink.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * The platform's key-value service by its JSON gateway (etcd v3). Carries
+ * ACTION_KV and ACTION_KV_WATCH out; delivers EVENT_KV exactly once for each
+ * ACTION_KV, and EVENT_KV_WATCH for each state of a watched key it learns. A
+ * broken watch is opened again after reading the key, with backoff and jitter.
+ */
+struct kv_client_options {
+	const char *address;
+	int64_t max_value_bytes;
+	uint64_t seed; /* jitter */
+	struct log *log;
+	struct counters *counters;
+};
+
+struct kv_client;
+
+struct kv_client *kv_client_create(const struct kv_client_options *options,
+				   const struct event_sink *sink);
+void kv_client_destroy(struct kv_client *client);
+void kv_client_apply(struct kv_client *client, const struct action *action);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/adapters/log.h
@@ -0,0 +1,30 @@
+#ifndef ADAPTERS_LOG_H
+#define ADAPTERS_LOG_H
+
+#include "core/error.h"
+#include "ports/action.h"
+
+#include <glib.h>
+#include <stdbool.h>
+
+G_BEGIN_DECLS
+
+/*
+ * One line of key=value pairs for each event, by log4c, on standard error.
+ * Values with spaces, quotes or control characters are quoted and escaped, so
+ * that no caller's input forges a line or a field.
+ */
+struct log;
+
+struct log *log_create(const char *node_name, enum log_level least);
+void log_destroy(struct log *log);
+void log_write(struct log *log, enum log_level level, const char *event,
+	       ...) G_GNUC_NULL_TERMINATED;
+void log_write_action(struct log *log, const struct action_log *action);
+void log_write_error(struct log *log, enum log_level level, const char *event,
+		     const struct error *error);
+char *log_format(const char *event, const GPtrArray *fields);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/adapters/settings.h
@@ -0,0 +1,39 @@
+#ifndef ADAPTERS_SETTINGS_H
+#define ADAPTERS_SETTINGS_H
+
+#include "core/error.h"
+#include "core/node.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * A node's settings file: TOML, a unit in each key that has one, every key
+ * checked. Strings are owned by the settings; node.* point into them.
+ */
+struct settings {
+	struct node_options node; /* incarnation and seed are not set here */
+	char *kv_address;
+	char *vm_list_address; /* "" for none */
+	char *operator_key;    /* "" closes the operators' API */
+	char *log_level;       /* "info", "warn" or "error" */
+	int64_t vm_list_poll_ms;
+	int64_t max_header_bytes;
+	int64_t max_body_bytes;	     /* of a caller's request */
+	int64_t max_answer_bytes;    /* of a plain endpoint's answer */
+	int64_t stream_buffer_bytes; /* held for a slow caller */
+	int64_t max_connections;
+	int64_t max_peer_record_bytes;
+	int64_t connect_timeout_ms;
+};
+
+struct settings *settings_load(const char *path, struct error *error);
+void settings_destroy(struct settings *settings);
+void settings_print_help(void); /* every key, unit, range and default */
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/codec/config_json.h
@@ -0,0 +1,22 @@
+#ifndef CODEC_CONFIG_JSON_H
+#define CODEC_CONFIG_JSON_H
+
+#include "core/config.h"
+#include "core/error.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * The configuration as the JSON document kept in the key-value service.
+ * Formatting is canonical: equal configurations give equal bytes.
+ */
+struct config *config_json_parse(GBytes *document, int64_t revision,
+				 struct error *error);
+GBytes *config_json_format(const struct config *config);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/core/action.c
@@ -0,0 +1,151 @@
+#include "ports/action.h"
+
+#include <stdarg.h>
+
+struct action_list {
+	GArray *actions;
+};
+
+static const char *const type_names[ACTION_TYPES] = {
+	[ACTION_CALL_ANSWER] = "call_answer",
+	[ACTION_CALL_REFUSE] = "call_refuse",
+	[ACTION_CALL_BEGIN] = "call_begin",
+	[ACTION_CALL_CHUNK] = "call_chunk",
+	[ACTION_CALL_END] = "call_end",
+	[ACTION_ATTEMPT_SEND] = "attempt_send",
+	[ACTION_ATTEMPT_RESUME] = "attempt_resume",
+	[ACTION_ATTEMPT_CANCEL] = "attempt_cancel",
+	[ACTION_ATTEMPT_FLOW] = "attempt_flow",
+	[ACTION_POLL_LOAD] = "poll_load",
+	[ACTION_PEER_SEND] = "peer_send",
+	[ACTION_KV] = "kv",
+	[ACTION_KV_WATCH] = "kv_watch",
+	[ACTION_LOG] = "log",
+	[ACTION_STOPPED] = "stopped",
+};
+
+static void action_clear(gpointer data)
+{
+	struct action *action = data;
+
+	switch (action->type) {
+	case ACTION_CALL_ANSWER:
+		g_free(action->answer.content_type);
+		g_clear_pointer(&action->answer.body, g_bytes_unref);
+		break;
+	case ACTION_CALL_REFUSE:
+		g_free(action->refuse.detail);
+		break;
+	case ACTION_CALL_CHUNK:
+		g_free(action->chunk.event_id);
+		g_clear_pointer(&action->chunk.data, g_bytes_unref);
+		break;
+	case ACTION_CALL_END:
+		g_free(action->end.finish_reason);
+		break;
+	case ACTION_ATTEMPT_SEND:
+		g_free(action->send.endpoint);
+		request_unref(action->send.request);
+		break;
+	case ACTION_ATTEMPT_RESUME:
+		g_free(action->resume.endpoint);
+		g_free(action->resume.generation);
+		break;
+	case ACTION_POLL_LOAD:
+		g_free(action->poll_load.endpoint);
+		break;
+	case ACTION_PEER_SEND:
+		g_free(action->peer_send.peer_address);
+		peer_message_destroy(action->peer_send.message);
+		break;
+	case ACTION_KV:
+		kv_request_clear(&action->kv);
+		break;
+	case ACTION_KV_WATCH:
+		g_free(action->kv_watch);
+		break;
+	case ACTION_LOG:
+		g_clear_pointer(&action->log.fields, g_ptr_array_unref);
+		break;
+	case ACTION_CALL_BEGIN:
+	case ACTION_ATTEMPT_CANCEL:
+	case ACTION_ATTEMPT_FLOW:
+	case ACTION_STOPPED:
+	case ACTION_TYPES:
+		break;
+	}
+}
+
+/* An empty list. */
+struct action_list *action_list_create(void)
+{
+	struct action_list *list = g_new0(struct action_list, 1);
+
+	list->actions = g_array_new(FALSE, TRUE, sizeof(struct action));
+	g_array_set_clear_func(list->actions, action_clear);
+	return list;
+}
+
+/* Frees the list and the actions left in it; NULL is allowed. */
+void action_list_destroy(struct action_list *list)
+{
+	if (!list)
+		return;
+	g_array_unref(list->actions);
+	g_free(list);
+}
+
+/* How many actions the list holds. */
+size_t action_list_count(const struct action_list *list)
+{
+	return list->actions->len;
+}
+
+/* The action at i; valid until the next one is added. */
+struct action *action_list_get(struct action_list *list, size_t i)
+{
+	return &g_array_index(list->actions, struct action, i);
+}
+
+/* Frees all actions and keeps the list for the next step. */
+void action_list_clear(struct action_list *list)
+{
+	g_array_set_size(list->actions, 0);
+}
+
+/* Appends an action with all fields zero; valid until the next one. */
+struct action *action_list_add(struct action_list *list, enum action_type type)
+{
+	struct action *action;
+
+	g_array_set_size(list->actions, list->actions->len + 1);
+	action = action_list_get(list, list->actions->len - 1);
+	action->type = type;
+	return action;
+}
+
+/*
+ * Appends a log line: pairs of key and value, both strings, ended by NULL. A
+ * NULL value ends the list early, so pass "" for an empty one.
+ */
+void action_list_log(struct action_list *list, enum log_level level,
+		     const char *event, ...)
+{
+	struct action *action = action_list_add(list, ACTION_LOG);
+	const char *word;
+	va_list args;
+
+	action->log.level = level;
+	action->log.event = event;
+	action->log.fields = g_ptr_array_new_with_free_func(g_free);
+	va_start(args, event);
+	while ((word = va_arg(args, const char *)))
+		g_ptr_array_add(action->log.fields, g_strdup(word));
+	va_end(args);
+}
+
+/* Name of a type, as in scripted tests. */
+const char *action_type_name(enum action_type type)
+{
+	return type < ACTION_TYPES ? type_names[type] : "unknown";
+}
--- /dev/null
+++ b/core/config.c
@@ -0,0 +1,178 @@
+#include "core/config.h"
+
+#include <string.h>
+
+static void config_endpoint_destroy(gpointer data)
+{
+	struct config_endpoint *endpoint = data;
+
+	g_free(endpoint->address);
+	g_free(endpoint->failure_domain);
+	g_free(endpoint->region);
+	g_free(endpoint);
+}
+
+static void config_service_destroy(gpointer data)
+{
+	struct config_service *service = data;
+
+	g_free(service->name);
+	g_ptr_array_unref(service->endpoints);
+	g_free(service);
+}
+
+static void config_organisation_destroy(gpointer data)
+{
+	struct config_organisation *organisation = data;
+
+	g_free(organisation->name);
+	g_free(organisation->key_sha256);
+	g_free(organisation);
+}
+
+static void config_free_members(gpointer data)
+{
+	struct config *config = data;
+
+	g_free(config->plan_id);
+	g_free(config->confirmed_by);
+	g_ptr_array_unref(config->services);
+	g_ptr_array_unref(config->organisations);
+}
+
+/* An empty configuration of revision 0, with one reference. */
+struct config *config_create(void)
+{
+	struct config *config = g_rc_box_new0(struct config);
+
+	config->plan_id = g_strdup("");
+	config->confirmed_by = g_strdup("");
+	config->services =
+		g_ptr_array_new_with_free_func(config_service_destroy);
+	config->organisations =
+		g_ptr_array_new_with_free_func(config_organisation_destroy);
+	return config;
+}
+
+/* Takes another reference and returns the same configuration. */
+struct config *config_ref(struct config *config)
+{
+	return g_rc_box_acquire(config);
+}
+
+/* Drops a reference; NULL is allowed. */
+void config_unref(struct config *config)
+{
+	if (config)
+		g_rc_box_release_full(config, config_free_members);
+}
+
+/* Appends a service without endpoints; owned by the configuration. */
+struct config_service *config_add_service(struct config *config,
+					  const char *name,
+					  enum service_kind kind)
+{
+	struct config_service *service = g_new0(struct config_service, 1);
+
+	service->name = g_strdup(name);
+	service->kind = kind;
+	service->endpoints =
+		g_ptr_array_new_with_free_func(config_endpoint_destroy);
+	g_ptr_array_add(config->services, service);
+	return service;
+}
+
+/* Appends an endpoint with eight slots; owned by the service. */
+struct config_endpoint *
+config_service_add_endpoint(struct config_service *service, const char *address)
+{
+	struct config_endpoint *endpoint = g_new0(struct config_endpoint, 1);
+
+	endpoint->address = g_strdup(address);
+	endpoint->failure_domain = g_strdup("");
+	endpoint->region = g_strdup("");
+	endpoint->slots = 8;
+	g_ptr_array_add(service->endpoints, endpoint);
+	return endpoint;
+}
+
+/* Appends an organisation without limits; owned by the configuration. */
+struct config_organisation *config_add_organisation(struct config *config,
+						    const char *name)
+{
+	struct config_organisation *organisation =
+		g_new0(struct config_organisation, 1);
+
+	organisation->name = g_strdup(name);
+	organisation->key_sha256 = g_strdup("");
+	organisation->weight = 1;
+	g_ptr_array_add(config->organisations, organisation);
+	return organisation;
+}
+
+/* The service of this name, or NULL. */
+const struct config_service *config_find_service(const struct config *config,
+						 const char *name)
+{
+	for (guint i = 0; i < config->services->len; i++) {
+		const struct config_service *service =
+			g_ptr_array_index(config->services, i);
+
+		if (strcmp(service->name, name) == 0)
+			return service;
+	}
+	return NULL;
+}
+
+/* The service's endpoint at this address, or NULL. */
+const struct config_endpoint *
+config_service_find_endpoint(const struct config_service *service,
+			     const char *address)
+{
+	for (guint i = 0; i < service->endpoints->len; i++) {
+		const struct config_endpoint *endpoint =
+			g_ptr_array_index(service->endpoints, i);
+
+		if (strcmp(endpoint->address, address) == 0)
+			return endpoint;
+	}
+	return NULL;
+}
+
+/* The organisation of this name, or NULL. */
+const struct config_organisation *
+config_find_organisation(const struct config *config, const char *name)
+{
+	for (guint i = 0; i < config->organisations->len; i++) {
+		const struct config_organisation *organisation =
+			g_ptr_array_index(config->organisations, i);
+
+		if (strcmp(organisation->name, name) == 0)
+			return organisation;
+	}
+	return NULL;
+}
+
+/*
+ * The organisation whose key this is, or NULL. Only digests are compared, so
+ * how far two of them agree tells a caller nothing about the key itself.
+ */
+const struct config_organisation *config_find_key(const struct config *config,
+						  const char *bearer)
+{
+	const struct config_organisation *found = NULL;
+	char *digest;
+
+	if (!bearer)
+		return NULL;
+	digest = g_compute_checksum_for_string(G_CHECKSUM_SHA256, bearer, -1);
+	for (guint i = 0; i < config->organisations->len; i++) {
+		const struct config_organisation *organisation =
+			g_ptr_array_index(config->organisations, i);
+
+		if (strcmp(organisation->key_sha256, digest) == 0)
+			found = organisation;
+	}
+	g_free(digest);
+	return found;
+}
--- /dev/null
+++ b/core/config.h
@@ -0,0 +1,75 @@
+#ifndef CORE_CONFIG_H
+#define CORE_CONFIG_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * The configuration that operators confirm: one document under one key of
+ * the key-value service. Immutable once built and shared by reference count.
+ */
+
+enum service_kind { SERVICE_GENERATION, SERVICE_PLAIN };
+
+struct config_endpoint {
+	char *address; /* host:port */
+	char *failure_domain;
+	char *region;
+	int64_t capacity_tokens; /* engines; 0: taken from the load report */
+	int32_t slots;		 /* plain endpoints: calls at once */
+	bool checks_fence;	 /* refuses orders with an old number */
+	bool leaving;
+};
+
+struct config_service {
+	char *name; /* the model's name for engines */
+	enum service_kind kind;
+	GPtrArray *endpoints; /* struct config_endpoint */
+};
+
+struct config_organisation {
+	char *name;
+	char *key_sha256; /* hex digest of the bearer key */
+	int32_t priority; /* 0 lowest to 9 */
+	int32_t weight;	  /* share of waiting room, at least 1 */
+	int32_t requests_per_s;
+	int64_t concurrent_tokens;
+};
+
+struct config {
+	int64_t revision; /* revision of the key; 0 before it is stored */
+	char *plan_id;	  /* plan whose confirmation wrote it */
+	char *confirmed_by;
+	GPtrArray *services;	  /* struct config_service */
+	GPtrArray *organisations; /* struct config_organisation */
+};
+
+struct config *config_create(void);
+struct config *config_ref(struct config *config);
+void config_unref(struct config *config);
+
+struct config_service *config_add_service(struct config *config,
+					  const char *name,
+					  enum service_kind kind);
+struct config_endpoint *
+config_service_add_endpoint(struct config_service *service,
+			    const char *address);
+struct config_organisation *config_add_organisation(struct config *config,
+						    const char *name);
+
+const struct config_service *config_find_service(const struct config *config,
+						 const char *name);
+const struct config_endpoint *
+config_service_find_endpoint(const struct config_service *service,
+			     const char *address);
+const struct config_organisation *
+config_find_organisation(const struct config *config, const char *name);
+const struct config_organisation *config_find_key(const struct config *config,
+						  const char *bearer);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/core/counters.c
@@ -0,0 +1,60 @@
+#include "core/counters.h"
+
+struct counter_description {
+	const char *name;
+	const char *help;
+};
+
+static const struct counter_description descriptions[COUNTER_COUNT] = {
+	[COUNTER_CALLS] = {"calls", "calls received from callers"},
+	[COUNTER_CALLS_WHOLE] = {"calls_whole", "calls answered whole"},
+	[COUNTER_CALLS_BROKEN] = {"calls_broken",
+				  "streams ended by a typed error"},
+	[COUNTER_CALLS_GONE] = {"calls_gone", "callers that closed early"},
+	[COUNTER_CALLS_RESUMED] = {"calls_resumed", "streams resumed"},
+	[COUNTER_REFUSED] = {"refused", "calls refused"},
+	[COUNTER_REPLAYED] = {"replayed",
+			      "repeated ids answered by the first outcome"},
+	[COUNTER_ATTEMPTS] = {"attempts", "requests sent to endpoints"},
+	[COUNTER_ATTEMPTS_FAILED] = {"attempts_failed", "attempts that failed"},
+	[COUNTER_RETRIES] = {"retries", "attempts after the first"},
+	[COUNTER_CHUNKS] = {"chunks", "chunks passed on to callers"},
+	[COUNTER_CHUNKS_DROPPED] = {"chunks_dropped",
+				    "late, doubled or crossed chunks dropped"},
+	[COUNTER_TOKENS] = {"tokens", "tokens passed on to callers"},
+	[COUNTER_QUARANTINED] = {"quarantined",
+				 "requests refused as crashing endpoints"},
+	[COUNTER_PEER_SENT] = {"peer_sent", "records sent to nodes"},
+	[COUNTER_PEER_RECEIVED] = {"peer_received", "records from nodes"},
+	[COUNTER_PEER_BYTES_SENT] = {"peer_bytes_sent", "bytes sent to nodes"},
+	[COUNTER_PEER_REJECTED] = {"peer_rejected",
+				   "malformed records from nodes"},
+	[COUNTER_KV_CALLS] = {"kv_calls", "key-value service calls"},
+	[COUNTER_KV_LOST] = {"kv_lost", "key-value answers lost"},
+	[COUNTER_KV_FAILED] = {"kv_failed", "key-value calls not applied"},
+	[COUNTER_LOAD_REPORTS] = {"load_reports", "load reports taken"},
+	[COUNTER_LOAD_REJECTED] = {"load_rejected", "load reports refused"},
+	[COUNTER_CONFIG_APPLIED] = {"config_applied", "configurations applied"},
+	[COUNTER_CONFIG_REJECTED] = {"config_rejected",
+				     "configurations older or malformed"},
+	[COUNTER_EVENTS_UNKNOWN] = {"events_unknown",
+				    "events for requests not known here"},
+};
+
+/* Adds n to a counter. */
+void counters_add(struct counters *counters, enum counter id, uint64_t n)
+{
+	counters->value[id] += n;
+}
+
+/* Name of a counter, as in the dump. */
+const char *counter_name(enum counter id)
+{
+	return descriptions[id].name;
+}
+
+/* One line on what a counter counts. */
+const char *counter_help(enum counter id)
+{
+	return descriptions[id].help;
+}
--- /dev/null
+++ b/core/counters.h
@@ -0,0 +1,54 @@
+#ifndef CORE_COUNTERS_H
+#define CORE_COUNTERS_H
+
+#include <glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * Counters of one process. The table in counters.c names each for the dump
+ * and for /metrics; adding a counter is a line here and a line there.
+ */
+
+enum counter {
+	COUNTER_CALLS,
+	COUNTER_CALLS_WHOLE,
+	COUNTER_CALLS_BROKEN,
+	COUNTER_CALLS_GONE,
+	COUNTER_CALLS_RESUMED,
+	COUNTER_REFUSED,
+	COUNTER_REPLAYED,
+	COUNTER_ATTEMPTS,
+	COUNTER_ATTEMPTS_FAILED,
+	COUNTER_RETRIES,
+	COUNTER_CHUNKS,
+	COUNTER_CHUNKS_DROPPED,
+	COUNTER_TOKENS,
+	COUNTER_QUARANTINED,
+	COUNTER_PEER_SENT,
+	COUNTER_PEER_RECEIVED,
+	COUNTER_PEER_BYTES_SENT,
+	COUNTER_PEER_REJECTED,
+	COUNTER_KV_CALLS,
+	COUNTER_KV_LOST,
+	COUNTER_KV_FAILED,
+	COUNTER_LOAD_REPORTS,
+	COUNTER_LOAD_REJECTED,
+	COUNTER_CONFIG_APPLIED,
+	COUNTER_CONFIG_REJECTED,
+	COUNTER_EVENTS_UNKNOWN,
+	COUNTER_COUNT
+};
+
+struct counters {
+	uint64_t value[COUNTER_COUNT];
+};
+
+void counters_add(struct counters *counters, enum counter id, uint64_t n);
+const char *counter_name(enum counter id);
+const char *counter_help(enum counter id);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/core/peer_message.c
@@ -0,0 +1,154 @@
+#include "ports/peer_message.h"
+
+static const char *const type_names[PEER_MESSAGE_TYPES] = {
+	[PEER_PING] = "ping",	      [PEER_ACK] = "ack",
+	[PEER_PROBE] = "probe",	      [PEER_PLACE] = "place",
+	[PEER_PLACED] = "placed",     [PEER_REFUSED] = "refused",
+	[PEER_PROGRESS] = "progress", [PEER_RELEASE] = "release",
+	[PEER_CONFIG] = "config",     [PEER_CONFIG_ASK] = "config_ask",
+	[PEER_LEAVING] = "leaving",   [PEER_QUARANTINE] = "quarantine",
+};
+
+static void member_free(gpointer data)
+{
+	member_destroy(data);
+}
+
+static void peer_holding_free(gpointer data)
+{
+	struct peer_holding *holding = data;
+
+	g_free(holding->service);
+	g_free(holding->endpoint);
+	g_free(holding->organisation);
+	g_free(holding);
+}
+
+/* A message of this type with empty lists where the type has lists. */
+struct peer_message *peer_message_create(enum peer_message_type type)
+{
+	struct peer_message *message = g_new0(struct peer_message, 1);
+
+	message->type = type;
+	switch (type) {
+	case PEER_PING:
+	case PEER_ACK:
+	case PEER_PROBE:
+		message->probe.members = member_list_create();
+		break;
+	case PEER_PROGRESS:
+		message->progress.holdings =
+			g_ptr_array_new_with_free_func(peer_holding_free);
+		break;
+	case PEER_LEAVING:
+		message->leaving.endpoints =
+			g_ptr_array_new_with_free_func(g_free);
+		break;
+	case PEER_PLACE:
+	case PEER_PLACED:
+	case PEER_REFUSED:
+	case PEER_RELEASE:
+	case PEER_CONFIG:
+	case PEER_CONFIG_ASK:
+	case PEER_QUARANTINE:
+	case PEER_MESSAGE_TYPES:
+		break;
+	}
+	return message;
+}
+
+static void peer_message_free_payload(struct peer_message *message)
+{
+	switch (message->type) {
+	case PEER_PING:
+	case PEER_ACK:
+	case PEER_PROBE:
+		g_free(message->probe.subject);
+		g_ptr_array_unref(message->probe.members);
+		break;
+	case PEER_PLACE:
+		g_free(message->place.service);
+		g_free(message->place.organisation);
+		break;
+	case PEER_PLACED:
+		g_free(message->placed.endpoint);
+		break;
+	case PEER_PROGRESS:
+		g_ptr_array_unref(message->progress.holdings);
+		break;
+	case PEER_CONFIG:
+	case PEER_CONFIG_ASK:
+		if (message->config.document)
+			g_bytes_unref(message->config.document);
+		break;
+	case PEER_LEAVING:
+		g_ptr_array_unref(message->leaving.endpoints);
+		break;
+	case PEER_QUARANTINE:
+		g_free(message->quarantine.endpoint);
+		break;
+	case PEER_REFUSED:
+	case PEER_RELEASE:
+	case PEER_MESSAGE_TYPES:
+		break;
+	}
+}
+
+/* Frees a message and all it holds; NULL is allowed. */
+void peer_message_destroy(struct peer_message *message)
+{
+	if (!message)
+		return;
+	peer_message_free_payload(message);
+	g_free(message->from);
+	g_free(message->from_address);
+	g_free(message);
+}
+
+/* Name of a type, as in logs. */
+const char *peer_message_type_name(enum peer_message_type type)
+{
+	return type < PEER_MESSAGE_TYPES ? type_names[type] : "unknown";
+}
+
+/* A deep copy. */
+struct member *member_copy(const struct member *member)
+{
+	struct member *copy = g_new0(struct member, 1);
+
+	*copy = *member;
+	copy->name = g_strdup(member->name);
+	copy->http_address = g_strdup(member->http_address);
+	copy->peer_address = g_strdup(member->peer_address);
+	copy->region = g_strdup(member->region);
+	copy->failure_domain = g_strdup(member->failure_domain);
+	return copy;
+}
+
+/* Frees a member; NULL is allowed. */
+void member_destroy(struct member *member)
+{
+	if (!member)
+		return;
+	g_free(member->name);
+	g_free(member->http_address);
+	g_free(member->peer_address);
+	g_free(member->region);
+	g_free(member->failure_domain);
+	g_free(member);
+}
+
+/* An empty list that owns its members. */
+GPtrArray *member_list_create(void)
+{
+	return g_ptr_array_new_with_free_func(member_free);
+}
+
+/* Appends an empty holding, owned by the message. */
+struct peer_holding *peer_progress_add(struct peer_progress *progress)
+{
+	struct peer_holding *holding = g_new0(struct peer_holding, 1);
+
+	g_ptr_array_add(progress->holdings, holding);
+	return holding;
+}
--- /dev/null
+++ b/core/plan.h
@@ -0,0 +1,40 @@
+#ifndef CORE_PLAN_H
+#define CORE_PLAN_H
+
+#include "core/config.h"
+#include "core/error.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * An intent turned into a plan: what would change, what that would break, and
+ * the document that confirming it writes. Bound to the revision it was made
+ * on; nothing changes until it is confirmed.
+ *
+ * An intent is a JSON object with any of "services", "organisations",
+ * "remove_services" and "remove_organisations"; named items replace those of
+ * the same name whole. See docs/API.md.
+ */
+struct plan {
+	char *id;
+	char *operator_name;
+	int64_t base_revision;
+	int64_t created_us;
+	GPtrArray *differences; /* char *: one line each */
+	GPtrArray *warnings;	/* char *: what would break */
+	struct config *result;	/* carries the plan's id */
+	GBytes *document;	/* the result as stored */
+};
+
+struct plan *plan_create(const struct config *base, GBytes *intent,
+			 const char *id, const char *operator_name,
+			 int64_t now_us, struct error *error);
+void plan_destroy(struct plan *plan);
+GBytes *plan_format_json(const struct plan *plan);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/fakes/engine_model.h
@@ -0,0 +1,105 @@
+#ifndef FAKES_ENGINE_MODEL_H
+#define FAKES_ENGINE_MODEL_H
+
+#include "ports/load_report.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * A model engine in virtual time: continuous batching in steps, a memory
+ * counted in tokens, preemption by recompute when it is full, priorities, a
+ * prefix cache, resume and cancel, a lagging load report, crash and stall,
+ * and orders with or without a fencing check. Pure: time comes with each
+ * call. The fake engine's daemon and the benches are shells around it.
+ */
+struct engine_model_options {
+	int64_t capacity_tokens;
+	int32_t max_batch;
+	int64_t step_base_us;	       /* a decode step with an empty batch */
+	int64_t step_per_request_us;   /* added for each request decoded */
+	int64_t step_per_kilotoken_us; /* added per 1,000 tokens held */
+	int64_t prefill_tokens_per_s;
+	int64_t prefill_chunk_tokens; /* prompt tokens read in one step */
+	int64_t prefix_cache_tokens;
+	int64_t load_lag_us;
+	bool checks_fence;
+	uint64_t seed;
+};
+
+struct engine_model_request {
+	uint64_t id; /* chosen by the shell, unique */
+	int64_t prompt_tokens;
+	int64_t output_tokens; /* true length */
+	int32_t priority;      /* higher first; lowest is preempted first */
+	uint64_t prefix_hash;
+	int64_t prefix_tokens;
+};
+
+enum engine_output_type {
+	ENGINE_TOKENS, /* token_count tokens from first_token on */
+	ENGINE_DONE,
+	ENGINE_PREEMPTED, /* will be recomputed: the shell sends nothing */
+	ENGINE_FAILED	  /* crash: the generation is gone */
+};
+
+struct engine_output {
+	enum engine_output_type type;
+	uint64_t id;
+	int64_t first_token;
+	int64_t token_count;
+	int64_t at_us;
+};
+
+struct engine_totals {
+	int64_t preemptions;
+	int64_t recomputed_tokens;
+	int64_t decoded_tokens;
+	int64_t steps;
+	int64_t started; /* requests that ran: their first token was made */
+};
+
+enum engine_order_outcome { ENGINE_ORDER_DONE, ENGINE_ORDER_STALE };
+
+struct engine_model;
+
+void engine_model_options_default(struct engine_model_options *options);
+struct engine_model *
+engine_model_create(const struct engine_model_options *options);
+void engine_model_destroy(struct engine_model *engine);
+
+bool engine_model_submit(struct engine_model *engine,
+			 const struct engine_model_request *request,
+			 int64_t now_us); /* false: crashed or leaving */
+bool engine_model_cancel(struct engine_model *engine, uint64_t id,
+			 int64_t now_us);
+int64_t engine_model_token_count(const struct engine_model *engine,
+				 uint64_t id); /* made so far; -1: unknown */
+
+/* Runs to now_us and appends struct engine_output in order of time. */
+void engine_model_step(struct engine_model *engine, int64_t now_us,
+		       GArray *outputs);
+int64_t engine_model_next_due_us(const struct engine_model *engine);
+
+void engine_model_crash(struct engine_model *engine, int64_t now_us,
+			GArray *outputs);
+void engine_model_restart(struct engine_model *engine, int64_t now_us);
+void engine_model_stall(struct engine_model *engine, int64_t until_us);
+void engine_model_set_leaving(struct engine_model *engine, bool leaving);
+void engine_model_set_slowdown(struct engine_model *engine, double factor);
+
+/* The load as it was load_lag_us ago. */
+void engine_model_report(const struct engine_model *engine, int64_t now_us,
+			 struct load_report *report);
+enum engine_order_outcome engine_model_order(struct engine_model *engine,
+					     int64_t fence, const char *target);
+const char *engine_model_target(const struct engine_model *engine);
+const struct engine_totals *
+engine_model_totals(const struct engine_model *engine);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/ports/peer_message.h
@@ -0,0 +1,159 @@
+#ifndef PORTS_PEER_MESSAGE_H
+#define PORTS_PEER_MESSAGE_H
+
+#include "ports/refusal.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * Records between nodes. Each carries its sender; a record is a hint or a
+ * statement of the sender about itself, and none is ever needed for safety.
+ */
+
+enum peer_message_type {
+	PEER_PING, /* probe; answered by PEER_ACK of that number */
+	PEER_ACK,
+	PEER_PROBE,	 /* please ping subject for me */
+	PEER_PLACE,	 /* entry node asks the home for an endpoint */
+	PEER_PLACED,	 /* home grants room on an endpoint */
+	PEER_REFUSED,	 /* home refuses */
+	PEER_PROGRESS,	 /* entry node: tokens so far, also who is held */
+	PEER_RELEASE,	 /* entry node: a grant has ended */
+	PEER_CONFIG,	 /* a configuration document and its revision */
+	PEER_CONFIG_ASK, /* send me yours if it is newer */
+	PEER_LEAVING,	 /* these endpoints take no new work */
+	PEER_QUARANTINE, /* fingerprint seen at a crash of an endpoint */
+	PEER_MESSAGE_TYPES
+};
+
+enum member_state {
+	MEMBER_LIVE,
+	MEMBER_SUSPECT,
+	MEMBER_LEAVING, /* draining: no new work */
+	MEMBER_DEAD
+};
+
+/* A node as others know it. */
+struct member {
+	char *name;
+	uint64_t incarnation; /* random at each start of the process */
+	uint64_t version;     /* raised by the member itself on each change */
+	enum member_state state;
+	char *http_address;
+	char *peer_address;
+	char *region;
+	char *failure_domain;
+	int64_t config_revision;
+};
+
+struct peer_place {
+	uint64_t ticket;
+	char *service;
+	char *organisation;
+	int32_t priority;
+	int64_t prompt_tokens;
+	int64_t max_tokens;
+	int64_t deadline_in_us; /* from now; 0: none */
+	uint64_t prefix_hash;
+	uint64_t avoid_hash; /* endpoint that just failed it; 0: none */
+	int64_t true_tokens; /* benches only */
+};
+
+struct peer_placed {
+	uint64_t ticket;
+	char *endpoint;
+};
+
+struct peer_refused {
+	uint64_t ticket;
+	enum refusal refusal;
+	int64_t retry_after_us;
+};
+
+enum release_outcome {
+	RELEASE_WHOLE,
+	RELEASE_CANCELLED,
+	RELEASE_NOT_SENT,
+	RELEASE_FAILED, /* endpoint failed or stalled while it ran */
+	RELEASE_LOST	/* endpoint could not be reached at all */
+};
+
+struct peer_release {
+	uint64_t ticket;
+	enum release_outcome outcome;
+	int64_t tokens;
+	int64_t duration_us;
+};
+
+/* One grant that the sender holds, with all a new home needs to know. */
+struct peer_holding {
+	uint64_t ticket;
+	char *service;
+	char *endpoint;
+	char *organisation;
+	int64_t prompt_tokens;
+	int64_t max_tokens;
+	int64_t tokens;
+	int64_t true_tokens; /* benches only */
+};
+
+struct peer_progress {
+	bool complete;	     /* the sender holds nothing else of this home */
+	GPtrArray *holdings; /* struct peer_holding */
+};
+
+struct peer_config {
+	int64_t revision;
+	GBytes *document;
+};
+
+struct peer_leaving {
+	GPtrArray *endpoints; /* char * */
+};
+
+struct peer_quarantine {
+	uint64_t fingerprint;
+	char *endpoint;
+};
+
+struct peer_probe {
+	uint64_t number;
+	char *subject;	    /* peer address to be probed; "" for ping and ack */
+	GPtrArray *members; /* struct member: what is being spread */
+};
+
+struct peer_message {
+	enum peer_message_type type;
+	char *from;	    /* name of the sending node */
+	char *from_address; /* its peer address */
+	uint64_t incarnation;
+	union {
+		struct peer_probe probe; /* PING, ACK, PROBE */
+		struct peer_place place;
+		struct peer_placed placed;
+		struct peer_refused refused;
+		struct peer_progress progress;
+		struct peer_release release;
+		struct peer_config config; /* CONFIG, CONFIG_ASK */
+		struct peer_leaving leaving;
+		struct peer_quarantine quarantine;
+	};
+};
+
+struct peer_message *peer_message_create(enum peer_message_type type);
+void peer_message_destroy(struct peer_message *message);
+const char *peer_message_type_name(enum peer_message_type type);
+
+struct member *member_copy(const struct member *member);
+void member_destroy(struct member *member);
+GPtrArray *member_list_create(void); /* owns struct member */
+
+struct peer_holding *peer_progress_add(struct peer_progress *progress);
+
+G_END_DECLS
+
+#endif
