--- a/tests/pure.sh
+++ b/tests/pure.sh
@@ -10,7 +10,7 @@
 forbidden="$forbidden|g_file_.*|soup_.*|zmq_.*|log4c_.*|getenv|g_getenv"
 bad=$(nm --undefined-only "$@" | awk '$1 == "U" { print $2 }' | sed 's/@.*//' |
 	sort -u | grep -xE "$forbidden")
-globals=$(objdump -t "$@" | awk '$(NF-2) ~ /^\.(data|bss|tbss|tdata)(\.|$)/ &&
+globals=$(objdump -t "$@" | awk 'NF > 3 && $(NF-2) ~ /^\.(data|bss|tbss|tdata)(\.|$)/ &&
 	$(NF-2) !~ /^\.data\.rel\.ro/ && $NF !~ /^[.*_]/ { print $NF }' | sort -u)
 if [ -n "$bad" ]; then
 	echo "pure objects call: $bad"
