--- /dev/null
+++ b/core/event_id.h
@@ -0,0 +1,30 @@
+#ifndef CORE_EVENT_ID_H
+#define CORE_EVENT_ID_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * The id of an event in a caller's stream: which endpoint, which generation,
+ * how many tokens have come. Signed with a key that all nodes share and bound
+ * to the organisation, so any node can resume from it and nobody else's or a
+ * made-up one is taken.
+ */
+struct event_id {
+	char endpoint[64];
+	char generation[96];
+	int64_t token_count;
+};
+
+bool event_id_is_token(const char *text, size_t max_length);
+char *event_id_format(const struct event_id *id, const char *organisation,
+		      const char *key);
+bool event_id_parse(struct event_id *id, const char *text,
+		    const char *organisation, const char *key);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/core/home.c
@@ -0,0 +1,89 @@
+#include "core/home.h"
+
+#include <string.h>
+
+#define FNV_OFFSET 14695981039346656037ull
+#define FNV_PRIME 1099511628211ull
+
+static uint64_t hash_text(uint64_t hash, const char *text)
+{
+	for (; *text; text++)
+		hash = (hash ^ (unsigned char)*text) * FNV_PRIME;
+	return (hash ^ 0xff) * FNV_PRIME;
+}
+
+/* FNV-1a alone keeps the order of similar names; this spreads its bits. */
+static uint64_t hash_finish(uint64_t hash)
+{
+	hash ^= hash >> 33;
+	hash *= 0xff51afd7ed558ccdull;
+	hash ^= hash >> 33;
+	hash *= 0xc4ceb9fe1a85ec53ull;
+	return hash ^ (hash >> 33);
+}
+
+/* A 64-bit hash of two texts and a number, the same on every node. */
+uint64_t home_hash(const char *a, const char *b, uint64_t c)
+{
+	uint64_t hash = hash_text(hash_text(FNV_OFFSET, a), b);
+
+	return hash_finish(hash ^ (c * FNV_PRIME));
+}
+
+/* How many shards a service of so many endpoints has; at least one. */
+uint32_t home_shard_count(uint32_t endpoint_count, int32_t endpoints_per_shard)
+{
+	uint32_t size = (uint32_t)MAX(endpoints_per_shard, 1);
+
+	return MAX((endpoint_count + size - 1) / size, 1);
+}
+
+/* The shard an endpoint belongs to. */
+uint32_t home_shard_of(const char *endpoint, uint32_t shard_count)
+{
+	return (uint32_t)(home_hash(endpoint, "", 0) % shard_count);
+}
+
+static bool member_is_eligible(const struct member *member, const char *region)
+{
+	if (member->state != MEMBER_LIVE && member->state != MEMBER_SUSPECT)
+		return false;
+	return !region || strcmp(member->region, region) == 0;
+}
+
+static const struct member *home_best(const struct membership *membership,
+				      const char *region, const char *service,
+				      uint32_t shard)
+{
+	const struct member *best = NULL;
+	uint64_t best_hash = 0;
+
+	for (size_t i = 0; i < membership_count(membership); i++) {
+		const struct member *member = membership_get(membership, i);
+		uint64_t hash;
+
+		if (!member_is_eligible(member, region))
+			continue;
+		hash = home_hash(member->name, service, shard);
+		if (!best || hash > best_hash) {
+			best = member;
+			best_hash = hash;
+		}
+	}
+	return best;
+}
+
+/*
+ * The home of a shard: a live node of the region, else of any region. A
+ * suspected node stays home until it is known to be gone, so that one lost
+ * probe moves no shard. NULL when no node is eligible.
+ */
+const struct member *home_find(const struct membership *membership,
+			       const char *region, const char *service,
+			       uint32_t shard)
+{
+	const struct member *best =
+		home_best(membership, region, service, shard);
+
+	return best ? best : home_best(membership, NULL, service, shard);
+}
--- /dev/null
+++ b/core/home.h
@@ -0,0 +1,26 @@
+#ifndef CORE_HOME_H
+#define CORE_HOME_H
+
+#include "core/membership.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * Which node is home of a shard. Engines of a service in a region are split
+ * into shards of bounded size; the home of each is chosen by rendezvous
+ * hashing, so a node that comes or goes moves only its own share of shards.
+ */
+
+uint64_t home_hash(const char *a, const char *b, uint64_t c);
+uint32_t home_shard_count(uint32_t endpoint_count, int32_t endpoints_per_shard);
+uint32_t home_shard_of(const char *endpoint, uint32_t shard_count);
+const struct member *home_find(const struct membership *membership,
+			       const char *region, const char *service,
+			       uint32_t shard);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/core/outcome_store.c
@@ -0,0 +1,156 @@
+#include "core/outcome_store.h"
+
+struct outcome_store {
+	GHashTable *by_key; /* char * to struct outcome */
+	GQueue *by_age;	    /* struct outcome, oldest first */
+	int32_t max_outcomes;
+	int32_t max_bytes;
+};
+
+static void outcome_chunk_clear(gpointer data)
+{
+	struct outcome_chunk *chunk = data;
+
+	g_bytes_unref(chunk->data);
+}
+
+static void outcome_destroy(gpointer data)
+{
+	struct outcome *outcome = data;
+
+	g_free(outcome->key);
+	g_array_unref(outcome->waiting);
+	g_free(outcome->content_type);
+	g_clear_pointer(&outcome->body, g_bytes_unref);
+	g_free(outcome->endpoint);
+	g_free(outcome->generation);
+	g_free(outcome->finish_reason);
+	g_array_unref(outcome->chunks);
+	g_free(outcome);
+}
+
+/* A store bounded in outcomes and in the bytes kept of each. */
+struct outcome_store *outcome_store_create(int32_t max_outcomes,
+					   int32_t max_bytes)
+{
+	struct outcome_store *store = g_new0(struct outcome_store, 1);
+
+	store->by_key = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      outcome_destroy);
+	store->by_age = g_queue_new();
+	store->max_outcomes = max_outcomes;
+	store->max_bytes = max_bytes;
+	return store;
+}
+
+/* Frees the store and all outcomes; NULL is allowed. */
+void outcome_store_destroy(struct outcome_store *store)
+{
+	if (!store)
+		return;
+	g_queue_free(store->by_age);
+	g_hash_table_destroy(store->by_key);
+	g_free(store);
+}
+
+/* The outcome of this key, or NULL. */
+struct outcome *outcome_store_find(struct outcome_store *store, const char *key)
+{
+	return g_hash_table_lookup(store->by_key, key);
+}
+
+/*
+ * Adds an outcome in state OUTCOME_NOT_RUN. NULL when the store is full: the
+ * caller must refuse the request, because forgetting an older id to make room
+ * would let that one run a second time.
+ */
+struct outcome *outcome_store_add(struct outcome_store *store, const char *key,
+				  int64_t expires_us)
+{
+	struct outcome *outcome;
+
+	if (g_hash_table_size(store->by_key) >= (guint)store->max_outcomes)
+		return NULL;
+	outcome = g_new0(struct outcome, 1);
+	outcome->key = g_strdup(key);
+	outcome->expires_us = expires_us;
+	outcome->waiting = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	outcome->chunks =
+		g_array_new(FALSE, FALSE, sizeof(struct outcome_chunk));
+	g_array_set_clear_func(outcome->chunks, outcome_chunk_clear);
+	g_hash_table_insert(store->by_key, outcome->key, outcome);
+	g_queue_push_tail(store->by_age, outcome);
+	return outcome;
+}
+
+static bool outcome_is_busy(const struct outcome *outcome)
+{
+	return outcome->state == OUTCOME_RUNNING ||
+	       outcome->state == OUTCOME_CLAIMING;
+}
+
+/* Forgets what has expired and is not running; oldest first, so cheap. */
+void outcome_store_expire(struct outcome_store *store, int64_t now_us)
+{
+	guint count = g_queue_get_length(store->by_age);
+
+	for (guint i = 0; i < count; i++) {
+		struct outcome *outcome = g_queue_peek_head(store->by_age);
+
+		if (outcome->expires_us > now_us)
+			return;
+		g_queue_pop_head(store->by_age);
+		if (outcome_is_busy(outcome)) {
+			g_queue_push_tail(store->by_age, outcome);
+			continue;
+		}
+		g_hash_table_remove(store->by_key, outcome->key);
+	}
+}
+
+/* How many outcomes are kept. */
+size_t outcome_store_count(const struct outcome_store *store)
+{
+	return g_hash_table_size(store->by_key);
+}
+
+/* Keeps a plain answer, without its body when that is over the bound. */
+void outcome_set_answer(struct outcome_store *store, struct outcome *outcome,
+			int32_t status, const char *content_type, GBytes *body)
+{
+	outcome->status = status;
+	outcome->content_type = g_strdup(content_type);
+	outcome->bytes = (int64_t)g_bytes_get_size(body);
+	outcome->truncated = outcome->bytes > store->max_bytes;
+	if (!outcome->truncated)
+		outcome->body = g_bytes_ref(body);
+}
+
+/* Keeps a chunk of a stream, or drops all once over the bound. */
+void outcome_add_chunk(struct outcome_store *store, struct outcome *outcome,
+		       GBytes *data, int64_t token_count)
+{
+	struct outcome_chunk chunk = {
+		.data = data,
+		.token_count = token_count,
+	};
+
+	if (outcome->truncated)
+		return;
+	outcome->bytes += (int64_t)g_bytes_get_size(data);
+	if (outcome->bytes > store->max_bytes) {
+		outcome->truncated = true;
+		g_array_set_size(outcome->chunks, 0);
+		return;
+	}
+	g_bytes_ref(data);
+	g_array_append_val(outcome->chunks, chunk);
+}
+
+/* Forgets the chunks of an attempt that delivered nothing. */
+void outcome_clear_chunks(struct outcome *outcome)
+{
+	g_array_set_size(outcome->chunks, 0);
+	outcome->bytes = 0;
+	outcome->truncated = false;
+}
--- a/core/refusal.c
+++ b/core/refusal.c
@@ -44,6 +44,9 @@
 				     "be run again"},
 	[REFUSAL_ID_EXPIRED] = {409, RUN_UNKNOWN, "id_expired",
 				"the id is older than ids are remembered"},
+	[REFUSAL_ALREADY_RUN] = {409, RUN_YES, "already_run",
+				 "the request ran whole; its answer is no "
+				 "longer kept"},
 	[REFUSAL_KEY_REUSED] = {422, RUN_NO, "key_reused",
 				"the id was used with another body"},
 	[REFUSAL_QUARANTINED] = {503, RUN_NO, "quarantined",
--- /dev/null
+++ b/core/request_id.h
@@ -0,0 +1,28 @@
+#ifndef CORE_REQUEST_ID_H
+#define CORE_REQUEST_ID_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * A request id that a caller made from the prefix it got with the answer of
+ * GET /v1/nodes: issuer, its incarnation, the time of issue on the issuer's
+ * clock, and the caller's own part. Only that incarnation of the issuer ever
+ * sends a request of this id to an endpoint.
+ */
+struct request_id {
+	char issuer[64];
+	uint64_t incarnation;
+	int64_t issued_us;
+};
+
+char *request_id_format_prefix(const char *issuer, uint64_t incarnation,
+			       int64_t issued_us);
+bool request_id_parse(struct request_id *id, const char *text);
+
+G_END_DECLS
+
+#endif
--- a/ports/refusal.h
+++ b/ports/refusal.h
@@ -34,7 +34,8 @@
 	REFUSAL_UNKNOWN_OUTCOME, /* this id may have run; it will not run again
 				  */
 	REFUSAL_ID_EXPIRED,	 /* issued longer ago than ids are remembered */
-	REFUSAL_KEY_REUSED,	 /* same id, another body */
+	REFUSAL_ALREADY_RUN, /* ran whole; its outcome is not kept any more */
+	REFUSAL_KEY_REUSED,  /* same id, another body */
 	REFUSAL_QUARANTINED,
 	REFUSAL_BAD_EVENT_ID,	 /* forged, or another organisation's */
 	REFUSAL_GENERATION_GONE, /* cannot be resumed: a resend starts anew */
