--- /dev/null
+++ b/adapters/endpoint_attempt.c
@@ -0,0 +1,472 @@
+#include "adapters/endpoint_attempt.h"
+
+#include "adapters/endpoint_request.h"
+#include "adapters/engine_event.h"
+#include "adapters/http_exchange.h"
+#include "adapters/sse_reader.h"
+
+#include <string.h>
+
+#define EVENT_BYTES_MAX 262144
+#define STATUS_TOO_MANY_REQUESTS 429
+
+struct endpoint_attempt {
+	const struct endpoint_attempt_owner *owner;
+	uint64_t number;
+	char *endpoint;
+	struct http_exchange *exchange;
+	bool resume;
+	bool whole;	   /* the answer is collected; else it is a stream */
+	bool cancelled;	   /* only waits to learn what to cancel */
+	bool closed;	   /* delivers nothing more */
+	int32_t use_count; /* callbacks that still need it */
+	guint late_source;
+	int32_t status;
+	char *content_type;
+	GByteArray *body;	   /* of a whole answer */
+	struct sse_reader *reader; /* of a stream */
+	char *generation;	   /* "" until the engine named it */
+	int64_t next_token;
+	int64_t total_tokens; /* -1: not said */
+	char *finish_reason;
+};
+
+static void attempt_free(struct endpoint_attempt *attempt)
+{
+	sse_reader_destroy(attempt->reader);
+	g_byte_array_unref(attempt->body);
+	g_free(attempt->endpoint);
+	g_free(attempt->content_type);
+	g_free(attempt->generation);
+	g_free(attempt->finish_reason);
+	g_free(attempt);
+}
+
+static void attempt_use(struct endpoint_attempt *attempt)
+{
+	attempt->use_count++;
+}
+
+/* The core may end an attempt from inside one of its deliveries. */
+static void attempt_unuse(struct endpoint_attempt *attempt)
+{
+	if (--attempt->use_count == 0 && attempt->closed)
+		attempt_free(attempt);
+}
+
+/* Closes the connection; nothing more is delivered. NULL is allowed. */
+void endpoint_attempt_destroy(struct endpoint_attempt *attempt)
+{
+	if (!attempt || attempt->closed)
+		return;
+	attempt_use(attempt);
+	attempt->closed = true;
+	http_exchange_cancel(attempt->exchange);
+	if (attempt->late_source)
+		g_source_remove(attempt->late_source);
+	attempt_unuse(attempt);
+}
+
+static void attempt_deliver(struct endpoint_attempt *attempt,
+			    const struct event *event)
+{
+	const struct event_sink *sink = attempt->owner->sink;
+
+	if (!attempt->closed && !attempt->cancelled)
+		sink->deliver(sink->data, event);
+}
+
+/* The last event; the owner destroys the attempt. */
+static void attempt_end(struct endpoint_attempt *attempt,
+			const struct event *event)
+{
+	if (attempt->closed)
+		return;
+	attempt_deliver(attempt, event);
+	if (!attempt->closed)
+		attempt->owner->ended(attempt->owner->data, attempt->number);
+}
+
+static void attempt_fail(struct endpoint_attempt *attempt,
+			 enum attempt_stage stage, const struct error *error)
+{
+	struct event event = {.type = EVENT_ATTEMPT_FAILED};
+
+	event.failed.attempt = attempt->number;
+	event.failed.stage = stage;
+	event.failed.error = *error;
+	attempt_end(attempt, &event);
+}
+
+static void attempt_fail_sent(struct endpoint_attempt *attempt,
+			      enum error_code code, const char *text)
+{
+	struct error error;
+
+	error_set(&error, code, "endpoint.read", attempt->endpoint, "%s", text);
+	attempt_fail(attempt, ATTEMPT_SENT, &error);
+}
+
+static void attempt_tell_started(struct endpoint_attempt *attempt)
+{
+	struct event event = {.type = EVENT_ATTEMPT_STARTED};
+
+	event.started.attempt = attempt->number;
+	event.started.generation = attempt->generation;
+	attempt_deliver(attempt, &event);
+}
+
+static void attempt_tell_chunk(struct endpoint_attempt *attempt,
+			       const struct sse_event *sse,
+			       const struct engine_event *engine)
+{
+	struct event event = {.type = EVENT_ATTEMPT_CHUNK};
+
+	event.chunk.attempt = attempt->number;
+	event.chunk.first_token = engine->first_token;
+	event.chunk.token_count = engine->token_count;
+	event.chunk.data = g_bytes_new(sse->data, sse->data_length);
+	attempt_deliver(attempt, &event);
+	g_bytes_unref(event.chunk.data);
+}
+
+static void attempt_tell_done(struct endpoint_attempt *attempt)
+{
+	struct event event = {.type = EVENT_ATTEMPT_DONE};
+
+	event.done.attempt = attempt->number;
+	event.done.token_count = attempt->total_tokens;
+	event.done.finish_reason =
+		attempt->finish_reason ? attempt->finish_reason : "stop";
+	attempt_end(attempt, &event);
+}
+
+static void attempt_take_event(struct endpoint_attempt *attempt,
+			       const struct sse_event *sse,
+			       const struct engine_event *engine)
+{
+	if (engine->total_tokens >= 0)
+		attempt->total_tokens = engine->total_tokens;
+	if (*engine->finish_reason) {
+		g_free(attempt->finish_reason);
+		attempt->finish_reason = g_strdup(engine->finish_reason);
+	}
+	if (engine->token_count == 0)
+		return;
+	attempt->next_token = engine->first_token + engine->token_count;
+	attempt_tell_chunk(attempt, sse, engine);
+}
+
+static bool attempt_on_event(void *data, const struct sse_event *sse)
+{
+	struct endpoint_attempt *attempt = data;
+	struct engine_event engine;
+	struct error error;
+
+	if (!engine_event_read(sse, attempt->generation, attempt->next_token,
+			       &engine, &error))
+		attempt_fail(attempt, ATTEMPT_SENT, &error);
+	else if (engine.done)
+		attempt_tell_done(attempt);
+	else if (engine.crossed)
+		counters_add(attempt->owner->counters, COUNTER_CHUNKS_DROPPED,
+			     1);
+	else
+		attempt_take_event(attempt, sse, &engine);
+	return !attempt->closed;
+}
+
+static void attempt_feed_stream(struct endpoint_attempt *attempt,
+				const char *bytes, size_t length)
+{
+	struct error error;
+
+	if (!sse_reader_feed(attempt->reader, bytes, length, &error))
+		attempt_fail(attempt, ATTEMPT_SENT, &error);
+}
+
+static void attempt_feed_whole(struct endpoint_attempt *attempt,
+			       const char *bytes, size_t length)
+{
+	if ((int64_t)(attempt->body->len + length) >
+	    attempt->owner->max_answer_bytes)
+		attempt_fail_sent(attempt, ERROR_TOO_LARGE,
+				  "the answer is over the limit");
+	else
+		g_byte_array_append(attempt->body, (const guint8 *)bytes,
+				    (guint)length);
+}
+
+static void attempt_on_bytes(void *data, const char *bytes, size_t length)
+{
+	struct endpoint_attempt *attempt = data;
+
+	attempt_use(attempt);
+	if (attempt->whole)
+		attempt_feed_whole(attempt, bytes, length);
+	else
+		attempt_feed_stream(attempt, bytes, length);
+	attempt_unuse(attempt);
+}
+
+/* The caller has gone before the engine named the generation. */
+static void attempt_cancel_late(struct endpoint_attempt *attempt)
+{
+	const struct endpoint_attempt_owner *owner = attempt->owner;
+
+	if (*attempt->generation)
+		owner->cancel_generation(owner->data, attempt->endpoint,
+					 attempt->generation);
+	owner->ended(owner->data, attempt->number);
+}
+
+static void attempt_fail_status(struct endpoint_attempt *attempt)
+{
+	bool busy = attempt->status == STATUS_TOO_MANY_REQUESTS ||
+		    attempt->status == SOUP_STATUS_SERVICE_UNAVAILABLE;
+	bool gone = attempt->status == SOUP_STATUS_NOT_FOUND ||
+		    attempt->status == SOUP_STATUS_GONE;
+	enum attempt_stage stage = ATTEMPT_SENT;
+	struct error error;
+
+	if (attempt->resume && gone)
+		stage = ATTEMPT_GONE;
+	else if (!attempt->resume && busy)
+		stage = ATTEMPT_REFUSED;
+	error_set(&error, ERROR_REFUSED, "endpoint.status", attempt->endpoint,
+		  "status %d", attempt->status);
+	attempt_fail(attempt, stage, &error);
+}
+
+/* A request that the engine finds malformed is the caller's to mend. */
+static bool status_is_callers(int32_t status)
+{
+	return status >= 400 && status < 500 &&
+	       status != STATUS_TOO_MANY_REQUESTS;
+}
+
+static void attempt_start_stream(struct endpoint_attempt *attempt,
+				 const char *generation)
+{
+	bool known = *attempt->generation != '\0';
+
+	if (generation && !engine_generation_valid(generation)) {
+		attempt_fail_sent(attempt, ERROR_INVALID,
+				  "X-Generation is malformed");
+		return;
+	}
+	if (known && generation &&
+	    !g_str_equal(generation, attempt->generation)) {
+		attempt_fail_sent(attempt, ERROR_INVALID,
+				  "another generation was resumed");
+		return;
+	}
+	if (!known && generation) {
+		g_free(attempt->generation);
+		attempt->generation = g_strdup(generation);
+	}
+	if (attempt->cancelled)
+		attempt_cancel_late(attempt);
+	else
+		attempt_tell_started(attempt);
+}
+
+static void attempt_read_stream_headers(struct endpoint_attempt *attempt,
+					SoupMessageHeaders *headers)
+{
+	if (attempt->status != SOUP_STATUS_OK) {
+		attempt->whole = !attempt->resume && !attempt->cancelled &&
+				 status_is_callers(attempt->status);
+		if (!attempt->whole)
+			attempt_fail_status(attempt);
+		return;
+	}
+	if (g_strcmp0(attempt->content_type, "text/event-stream") != 0) {
+		attempt_fail_sent(attempt, ERROR_INVALID,
+				  "the engine did not answer by a stream");
+		return;
+	}
+	attempt_start_stream(
+		attempt, soup_message_headers_get_one(headers, "X-Generation"));
+}
+
+static void attempt_on_headers(void *data, SoupMessage *message)
+{
+	struct endpoint_attempt *attempt = data;
+	SoupMessageHeaders *headers =
+		soup_message_get_response_headers(message);
+
+	attempt_use(attempt);
+	attempt->status = (int32_t)soup_message_get_status(message);
+	if (attempt->whole) {
+		attempt->content_type = g_strdup(
+			soup_message_headers_get_one(headers, "Content-Type"));
+	} else {
+		attempt->content_type = g_strdup(
+			soup_message_headers_get_content_type(headers, NULL));
+		attempt_read_stream_headers(attempt, headers);
+	}
+	attempt_unuse(attempt);
+}
+
+static void attempt_tell_answer(struct endpoint_attempt *attempt)
+{
+	struct event event = {.type = EVENT_ATTEMPT_ANSWER};
+
+	event.answer.attempt = attempt->number;
+	event.answer.status = attempt->status;
+	event.answer.content_type = attempt->content_type;
+	event.answer.body =
+		g_bytes_new(attempt->body->data, attempt->body->len);
+	attempt_end(attempt, &event);
+	g_bytes_unref(event.answer.body);
+}
+
+static void attempt_on_ended(void *data, const struct error *error)
+{
+	struct endpoint_attempt *attempt = data;
+	bool sent = http_exchange_may_have_left(attempt->exchange);
+
+	attempt_use(attempt);
+	if (error)
+		attempt_fail(attempt, sent ? ATTEMPT_SENT : ATTEMPT_NOT_SENT,
+			     error);
+	else if (attempt->whole)
+		attempt_tell_answer(attempt);
+	else
+		attempt_fail_sent(attempt, ERROR_CLOSED,
+				  "the stream ended before its end");
+	attempt_unuse(attempt);
+}
+
+static gboolean attempt_no_uri(gpointer data)
+{
+	struct endpoint_attempt *attempt = data;
+	struct error error;
+
+	attempt->late_source = 0;
+	error_set(&error, ERROR_INVALID, "endpoint.send", attempt->endpoint,
+		  "address and path make no URI");
+	attempt_use(attempt);
+	attempt_fail(attempt, ATTEMPT_NOT_SENT, &error);
+	attempt_unuse(attempt);
+	return G_SOURCE_REMOVE;
+}
+
+static struct endpoint_attempt *
+attempt_create(const struct endpoint_attempt_owner *owner, uint64_t number,
+	       const char *endpoint)
+{
+	struct endpoint_attempt *attempt = g_new0(struct endpoint_attempt, 1);
+
+	attempt->owner = owner;
+	attempt->number = number;
+	attempt->endpoint = g_strdup(endpoint);
+	attempt->generation = g_strdup("");
+	attempt->total_tokens = -1;
+	attempt->body = g_byte_array_new();
+	attempt->reader =
+		sse_reader_create(EVENT_BYTES_MAX, attempt_on_event, attempt);
+	return attempt;
+}
+
+static void attempt_start(struct endpoint_attempt *attempt,
+			  SoupMessage *message, int64_t timeout_us)
+{
+	const struct endpoint_attempt_owner *owner = attempt->owner;
+	struct http_exchange_options options = {
+		.session = owner->session,
+		.message = message,
+		.step = "endpoint.exchange",
+		.peer = attempt->endpoint,
+		.connect_timeout_ms = owner->connect_timeout_ms,
+		.answer_timeout_us = timeout_us,
+		.headers = attempt_on_headers,
+		.bytes = attempt_on_bytes,
+		.ended = attempt_on_ended,
+		.data = attempt,
+	};
+
+	if (!message) {
+		attempt->late_source = g_idle_add_full(
+			G_PRIORITY_DEFAULT, attempt_no_uri, attempt, NULL);
+		return;
+	}
+	attempt->exchange = http_exchange_start(&options);
+	g_object_unref(message);
+}
+
+/* Sends a request; the owner outlives the attempt. */
+struct endpoint_attempt *
+endpoint_attempt_send(const struct endpoint_attempt_owner *owner,
+		      const struct action_attempt_send *send)
+{
+	struct endpoint_attempt *attempt =
+		attempt_create(owner, send->attempt, send->endpoint);
+
+	attempt->whole = send->to_node || send->request->kind == REQUEST_PLAIN;
+	attempt_start(attempt, endpoint_request_send(send, owner->node_name),
+		      send->timeout_us);
+	return attempt;
+}
+
+/* Attaches to a generation after next_token. */
+struct endpoint_attempt *
+endpoint_attempt_resume(const struct endpoint_attempt_owner *owner,
+			const struct action_attempt_resume *resume)
+{
+	struct endpoint_attempt *attempt =
+		attempt_create(owner, resume->attempt, resume->endpoint);
+
+	attempt->resume = true;
+	attempt->next_token = resume->next_token;
+	g_free(attempt->generation);
+	attempt->generation = g_strdup(resume->generation);
+	attempt_start(attempt, endpoint_request_resume(resume), 0);
+	return attempt;
+}
+
+static gboolean attempt_cancel_timeout(gpointer data)
+{
+	struct endpoint_attempt *attempt = data;
+
+	attempt->late_source = 0;
+	attempt->owner->ended(attempt->owner->data, attempt->number);
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * Delivers nothing more. True where the attempt may be destroyed now. False
+ * while the engine has the request and has not named the generation: closing
+ * then would leave it generating for nobody until its hold ends, so the
+ * attempt waits a bounded time for the name, cancels and ends.
+ */
+bool endpoint_attempt_cancel(struct endpoint_attempt *attempt,
+			     bool keep_running)
+{
+	const struct endpoint_attempt_owner *owner = attempt->owner;
+
+	if (attempt->cancelled)
+		return false;
+	if (keep_running || attempt->whole)
+		return true;
+	if (*attempt->generation) {
+		owner->cancel_generation(owner->data, attempt->endpoint,
+					 attempt->generation);
+		return true;
+	}
+	if (!attempt->exchange ||
+	    !http_exchange_may_have_left(attempt->exchange) || attempt->status)
+		return true;
+	attempt->cancelled = true;
+	attempt->late_source = g_timeout_add((guint)owner->cancel_timeout_ms,
+					     attempt_cancel_timeout, attempt);
+	return false;
+}
+
+/* Stops or goes on reading. */
+void endpoint_attempt_pause(struct endpoint_attempt *attempt, bool pause)
+{
+	if (attempt->exchange)
+		http_exchange_pause(attempt->exchange, pause);
+}
--- a/adapters/endpoint_client.h
+++ b/adapters/endpoint_client.h
@@ -18,6 +18,7 @@
  * EVENT_LOAD.
  */
 struct endpoint_client_options {
+	const char *node_name; /* who forwards, told to other nodes */
 	int64_t max_answer_bytes;
 	int64_t connect_timeout_ms;
 	int64_t load_timeout_ms;
--- /dev/null
+++ b/adapters/engine_event.c
@@ -0,0 +1,179 @@
+#include "adapters/engine_event.h"
+
+#include "codec/json_limit.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+#define EVENT_TOKENS_MAX 1000000
+#define TOTAL_TOKENS_MAX INT64_C(1000000000000)
+
+static bool event_fail(struct error *error, const char *what)
+{
+	error_set(error, ERROR_INVALID, "engine.event", NULL, "%s", what);
+	return false;
+}
+
+/* A handle is put into paths, headers and event ids: letters, digits, -_. */
+bool engine_generation_valid(const char *generation)
+{
+	size_t length = strlen(generation);
+
+	if (!length || length > GENERATION_BYTES_MAX)
+		return false;
+	for (size_t i = 0; i < length; i++) {
+		if (!g_ascii_isalnum(generation[i]) &&
+		    !strchr("-_.", generation[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool object_read_count(JsonObject *object, const char *name,
+			      int64_t most, int64_t *out)
+{
+	JsonNode *node = json_object_get_member(object, name);
+
+	if (!node || JSON_NODE_HOLDS_NULL(node))
+		return true;
+	if (!JSON_NODE_HOLDS_VALUE(node) ||
+	    json_node_get_value_type(node) != G_TYPE_INT64)
+		return false;
+	*out = json_node_get_int(node);
+	return *out >= 0 && *out <= most;
+}
+
+static const char *object_read_text(JsonObject *object, const char *name)
+{
+	JsonNode *node = json_object_get_member(object, name);
+
+	if (!node || !JSON_NODE_HOLDS_VALUE(node) ||
+	    json_node_get_value_type(node) != G_TYPE_STRING)
+		return NULL;
+	return json_node_get_string(node);
+}
+
+static JsonObject *array_read_object(JsonNode *node)
+{
+	JsonNode *first;
+
+	if (!node || !JSON_NODE_HOLDS_ARRAY(node) ||
+	    json_array_get_length(json_node_get_array(node)) == 0)
+		return NULL;
+	first = json_array_get_element(json_node_get_array(node), 0);
+	return JSON_NODE_HOLDS_OBJECT(first) ? json_node_get_object(first)
+					     : NULL;
+}
+
+static bool choice_has_text(JsonObject *choice)
+{
+	const char *text = object_read_text(choice, "text");
+	JsonNode *delta = json_object_get_member(choice, "delta");
+
+	if (delta && JSON_NODE_HOLDS_OBJECT(delta))
+		text = object_read_text(json_node_get_object(delta), "content");
+	return text && *text;
+}
+
+static bool event_read_usage(struct engine_event *event, JsonObject *root,
+			     struct error *error)
+{
+	JsonNode *usage = json_object_get_member(root, "usage");
+
+	if (!usage || JSON_NODE_HOLDS_NULL(usage))
+		return true;
+	if (!JSON_NODE_HOLDS_OBJECT(usage) ||
+	    !object_read_count(json_node_get_object(usage), "completion_tokens",
+			       TOTAL_TOKENS_MAX, &event->total_tokens))
+		return event_fail(error, "its usage is malformed");
+	return true;
+}
+
+/* An event without "tokens" carries one, unless it only tells the end. */
+static bool event_read_object(struct engine_event *event, JsonNode *node,
+			      struct error *error)
+{
+	JsonObject *root;
+	JsonObject *choice;
+	const char *reason;
+	bool has_text;
+
+	if (!node || !JSON_NODE_HOLDS_OBJECT(node))
+		return event_fail(error, "its data is not a JSON object");
+	root = json_node_get_object(node);
+	choice = array_read_object(json_object_get_member(root, "choices"));
+	has_text = choice && choice_has_text(choice);
+	reason = choice ? object_read_text(choice, "finish_reason") : NULL;
+	if (reason)
+		g_strlcpy(event->finish_reason, reason,
+			  sizeof(event->finish_reason));
+	event->token_count = reason && !has_text ? 0 : 1;
+	if (!choice)
+		event->token_count = 0;
+	if (!object_read_count(root, "tokens", EVENT_TOKENS_MAX,
+			       &event->token_count))
+		return event_fail(error, "its token count is malformed");
+	return event_read_usage(event, root, error);
+}
+
+static bool event_read_data(struct engine_event *event,
+			    const struct sse_event *sse, struct error *error)
+{
+	JsonParser *parser;
+	bool ok;
+
+	if (!json_depth_within(sse->data, sse->data_length, JSON_DEPTH_MAX))
+		return event_fail(error, "its data nests too deep");
+	parser = json_parser_new_immutable();
+	ok = json_parser_load_from_data(parser, sse->data,
+					(gssize)sse->data_length, NULL);
+	ok = ok ? event_read_object(event, json_parser_get_root(parser), error)
+		: event_fail(error, "its data is not JSON");
+	g_object_unref(parser);
+	return ok;
+}
+
+/*
+ * The id is ID:END. One of another generation marks the event as crossed:
+ * passed on, it would put two runs into one answer.
+ */
+static bool event_read_id(struct engine_event *event, const char *id,
+			  const char *generation, struct error *error)
+{
+	const char *colon = strrchr(id, ':');
+	gint64 end = 0;
+
+	if (!colon || !g_ascii_string_to_signed(colon + 1, 10, 0,
+						TOTAL_TOKENS_MAX, &end, NULL))
+		return event_fail(error, "its id is malformed");
+	event->crossed = strncmp(id, generation, (size_t)(colon - id)) != 0 ||
+			 generation[colon - id] != '\0';
+	event->first_token = end - event->token_count;
+	if (event->first_token < 0)
+		return event_fail(error, "it has more tokens than its id says");
+	return true;
+}
+
+/*
+ * Reads one event of the stream of this generation, where next_token is the
+ * offset that an event without an id starts at. False with ERROR_INVALID.
+ */
+bool engine_event_read(const struct sse_event *sse, const char *generation,
+		       int64_t next_token, struct engine_event *event,
+		       struct error *error)
+{
+	memset(event, 0, sizeof(*event));
+	event->total_tokens = -1;
+	event->first_token = next_token;
+	if (g_str_equal(sse->type, "error"))
+		return event_fail(error, "the engine ended by an error");
+	if (g_str_equal(sse->data, "[DONE]")) {
+		event->done = true;
+		return true;
+	}
+	if (!event_read_data(event, sse, error))
+		return false;
+	if (!*sse->id)
+		return true;
+	return event_read_id(event, sse->id, generation, error);
+}
--- /dev/null
+++ b/adapters/http_body.h
@@ -0,0 +1,21 @@
+#ifndef ADAPTERS_HTTP_BODY_H
+#define ADAPTERS_HTTP_BODY_H
+
+#include "core/error.h"
+#include "ports/request.h"
+
+#include <glib.h>
+#include <stdbool.h>
+
+G_BEGIN_DECLS
+
+/*
+ * The JSON body of /v1/completions and /v1/chat/completions: what a node has
+ * to know of it. The body itself is passed on verbatim.
+ */
+bool http_body_read(struct request *request, struct error *error);
+uint64_t http_body_hash(const char *text, size_t length);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/adapters/http_call.h
@@ -0,0 +1,48 @@
+#ifndef ADAPTERS_HTTP_CALL_H
+#define ADAPTERS_HTTP_CALL_H
+
+#include "adapters/http_answer.h"
+#include "ports/action.h"
+
+#include <glib.h>
+#include <libsoup/soup.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * One caller's open exchange. It ends exactly once: by a whole answer, by a
+ * refusal, by the end of its stream, or because the caller has gone.
+ */
+struct http_call_options {
+	uint64_t number;
+	SoupServerMessage *message;
+	bool stream; /* answer as server-sent events */
+	bool chat;
+	int64_t stream_buffer_bytes;
+	int64_t collect_bytes;
+	void (*gone)(void *data, uint64_t number);
+	void (*flow)(void *data, uint64_t number, bool full);
+	void *data;
+};
+
+struct http_call;
+
+struct http_call *http_call_create(const struct http_call_options *options);
+void http_call_destroy(struct http_call *call);
+
+/* True where the action ended the call: it is then to be destroyed. */
+bool http_call_answer(struct http_call *call,
+		      const struct action_call_answer *answer);
+bool http_call_refuse(struct http_call *call,
+		      const struct action_call_refuse *refuse);
+void http_call_begin(struct http_call *call);
+bool http_call_chunk(struct http_call *call,
+		     const struct action_call_chunk *chunk);
+bool http_call_end(struct http_call *call, const struct action_call_end *end);
+int64_t http_call_pending_bytes(const struct http_call *call);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/adapters/http_exchange.c
@@ -0,0 +1,301 @@
+#include "adapters/http_exchange.h"
+
+#define READ_BYTES 8192
+#define CONNECTIONS_MAX 100000
+#define IDLE_CLOSE_S 30
+#define US_PER_MS 1000
+
+struct http_exchange {
+	SoupSession *session;
+	SoupMessage *message;
+	GCancellable *cancellable;
+	GInputStream *input; /* NULL before the headers */
+	const char *step;
+	char *peer;
+	void (*headers)(void *data, SoupMessage *message);
+	void (*bytes)(void *data, const char *bytes, size_t length);
+	void (*ended)(void *data, const struct error *error);
+	void *data;
+	gulong starting_handler;
+	guint connect_source;
+	guint answer_source;
+	bool may_have_left;
+	bool paused;
+	bool closed;	   /* no more callbacks */
+	int32_t use_count; /* operations and callbacks that still need it */
+	char buffer[READ_BYTES];
+};
+
+static void exchange_clear_timers(struct http_exchange *exchange)
+{
+	if (exchange->connect_source)
+		g_source_remove(exchange->connect_source);
+	if (exchange->answer_source)
+		g_source_remove(exchange->answer_source);
+	exchange->connect_source = 0;
+	exchange->answer_source = 0;
+}
+
+static void exchange_free(struct http_exchange *exchange)
+{
+	g_signal_handler_disconnect(exchange->message,
+				    exchange->starting_handler);
+	g_clear_object(&exchange->input);
+	g_object_unref(exchange->cancellable);
+	g_object_unref(exchange->message);
+	g_object_unref(exchange->session);
+	g_free(exchange->peer);
+	g_free(exchange);
+}
+
+static void exchange_use(struct http_exchange *exchange)
+{
+	exchange->use_count++;
+}
+
+static void exchange_input_closed(GObject *source, GAsyncResult *result,
+				  gpointer data)
+{
+	(void)data;
+	g_input_stream_close_finish(G_INPUT_STREAM(source), result, NULL);
+}
+
+static void exchange_unuse(struct http_exchange *exchange)
+{
+	if (--exchange->use_count > 0 || !exchange->closed)
+		return;
+	if (exchange->input)
+		g_input_stream_close_async(exchange->input, G_PRIORITY_DEFAULT,
+					   NULL, exchange_input_closed, NULL);
+	exchange_free(exchange);
+}
+
+/* Ends without a callback; the connection is closed. NULL is allowed. */
+void http_exchange_cancel(struct http_exchange *exchange)
+{
+	if (!exchange || exchange->closed)
+		return;
+	exchange_use(exchange);
+	exchange->closed = true;
+	exchange_clear_timers(exchange);
+	g_cancellable_cancel(exchange->cancellable);
+	exchange_unuse(exchange);
+}
+
+static void exchange_end(struct http_exchange *exchange,
+			 const struct error *error)
+{
+	if (exchange->closed)
+		return;
+	exchange_use(exchange);
+	exchange_clear_timers(exchange);
+	exchange->ended(exchange->data, error);
+	http_exchange_cancel(exchange);
+	exchange_unuse(exchange);
+}
+
+static enum error_code exchange_error_code(const struct http_exchange *exchange,
+					   const GError *problem)
+{
+	if (!exchange->may_have_left)
+		return ERROR_UNREACHABLE;
+	if (g_error_matches(problem, G_IO_ERROR, G_IO_ERROR_TIMED_OUT))
+		return ERROR_TIMEOUT;
+	if (problem->domain == SOUP_SESSION_ERROR)
+		return ERROR_INVALID;
+	return ERROR_CLOSED;
+}
+
+static void exchange_fail(struct http_exchange *exchange, GError *problem)
+{
+	struct error error;
+
+	error_set(&error, exchange_error_code(exchange, problem),
+		  exchange->step, exchange->peer, "%s", problem->message);
+	g_error_free(problem);
+	exchange_end(exchange, &error);
+}
+
+static void exchange_read(struct http_exchange *exchange);
+
+static void exchange_got_bytes(GObject *source, GAsyncResult *result,
+			       gpointer data)
+{
+	struct http_exchange *exchange = data;
+	GError *problem = NULL;
+	gssize got = g_input_stream_read_finish(G_INPUT_STREAM(source), result,
+						&problem);
+
+	if (exchange->closed)
+		g_clear_error(&problem);
+	else if (got < 0)
+		exchange_fail(exchange, problem);
+	else if (got == 0)
+		exchange_end(exchange, NULL);
+	else
+		exchange->bytes(exchange->data, exchange->buffer, (size_t)got);
+	if (!exchange->closed && !exchange->paused)
+		exchange_read(exchange);
+	exchange_unuse(exchange);
+}
+
+static void exchange_read(struct http_exchange *exchange)
+{
+	if (g_input_stream_has_pending(exchange->input))
+		return;
+	exchange_use(exchange);
+	g_input_stream_read_async(exchange->input, exchange->buffer,
+				  sizeof(exchange->buffer), G_PRIORITY_DEFAULT,
+				  exchange->cancellable, exchange_got_bytes,
+				  exchange);
+}
+
+/*
+ * An answer that ends when the connection does cannot be told from one that
+ * was cut short; passed on, half of it would be taken for the whole.
+ */
+static bool exchange_has_framing(struct http_exchange *exchange)
+{
+	SoupMessageHeaders *headers =
+		soup_message_get_response_headers(exchange->message);
+
+	return soup_message_headers_get_encoding(headers) != SOUP_ENCODING_EOF;
+}
+
+static void exchange_got_headers(GObject *source, GAsyncResult *result,
+				 gpointer data)
+{
+	struct http_exchange *exchange = data;
+	GError *problem = NULL;
+	struct error error;
+
+	exchange->input = soup_session_send_finish(SOUP_SESSION(source), result,
+						   &problem);
+	if (exchange->closed) {
+		g_clear_error(&problem);
+	} else if (!exchange->input) {
+		exchange_fail(exchange, problem);
+	} else if (!exchange_has_framing(exchange)) {
+		error_set(&error, ERROR_INVALID, exchange->step, exchange->peer,
+			  "the answer has neither a length nor chunks");
+		exchange_end(exchange, &error);
+	} else {
+		exchange->headers(exchange->data, exchange->message);
+	}
+	if (!exchange->closed && !exchange->paused)
+		exchange_read(exchange);
+	exchange_unuse(exchange);
+}
+
+/*
+ * Emitted before the first byte of the request is written: what fails earlier
+ * was certainly not sent.
+ */
+static void exchange_starting(SoupMessage *message, gpointer data)
+{
+	struct http_exchange *exchange = data;
+
+	(void)message;
+	exchange->may_have_left = true;
+	if (exchange->connect_source)
+		g_source_remove(exchange->connect_source);
+	exchange->connect_source = 0;
+}
+
+static gboolean exchange_connect_late(gpointer data)
+{
+	struct http_exchange *exchange = data;
+	struct error error;
+
+	exchange->connect_source = 0;
+	error_set(&error, ERROR_UNREACHABLE, exchange->step, exchange->peer,
+		  "no connection in time");
+	exchange_end(exchange, &error);
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean exchange_answer_late(gpointer data)
+{
+	struct http_exchange *exchange = data;
+	struct error error;
+
+	exchange->answer_source = 0;
+	error_set(&error,
+		  exchange->may_have_left ? ERROR_TIMEOUT : ERROR_UNREACHABLE,
+		  exchange->step, exchange->peer, "no whole answer in time");
+	exchange_end(exchange, &error);
+	return G_SOURCE_REMOVE;
+}
+
+static void exchange_start_timers(struct http_exchange *exchange,
+				  const struct http_exchange_options *options)
+{
+	if (options->connect_timeout_ms > 0)
+		exchange->connect_source =
+			g_timeout_add((guint)options->connect_timeout_ms,
+				      exchange_connect_late, exchange);
+	if (options->answer_timeout_us > 0)
+		exchange->answer_source = g_timeout_add(
+			(guint)(options->answer_timeout_us / US_PER_MS + 1),
+			exchange_answer_late, exchange);
+}
+
+/* Sends the message; no callback comes before the loop runs again. */
+struct http_exchange *
+http_exchange_start(const struct http_exchange_options *options)
+{
+	struct http_exchange *exchange = g_new0(struct http_exchange, 1);
+
+	exchange->session = g_object_ref(options->session);
+	exchange->message = g_object_ref(options->message);
+	exchange->cancellable = g_cancellable_new();
+	exchange->step = options->step;
+	exchange->peer = g_strdup(options->peer);
+	exchange->headers = options->headers;
+	exchange->bytes = options->bytes;
+	exchange->ended = options->ended;
+	exchange->data = options->data;
+	exchange->starting_handler =
+		g_signal_connect(exchange->message, "starting",
+				 G_CALLBACK(exchange_starting), exchange);
+	exchange_start_timers(exchange, options);
+	exchange_use(exchange);
+	soup_session_send_async(exchange->session, exchange->message,
+				G_PRIORITY_DEFAULT, exchange->cancellable,
+				exchange_got_headers, exchange);
+	return exchange;
+}
+
+/*
+ * Stops or goes on reading. While paused the socket's buffer fills and the
+ * peer is held up by it; one piece that is already read still arrives.
+ */
+void http_exchange_pause(struct http_exchange *exchange, bool pause)
+{
+	exchange->paused = pause;
+	if (!pause && exchange->input && !exchange->closed)
+		exchange_read(exchange);
+}
+
+/* False: no byte of the request can have reached the peer. */
+bool http_exchange_may_have_left(const struct http_exchange *exchange)
+{
+	return exchange->may_have_left;
+}
+
+/*
+ * A session without proxies, cookies, authentication and decoding: the peers
+ * are named by IP number and their bytes are passed on as they are.
+ */
+SoupSession *http_exchange_session_create(void)
+{
+	SoupSession *session = soup_session_new_with_options(
+		"max-conns", CONNECTIONS_MAX, "max-conns-per-host",
+		CONNECTIONS_MAX, "idle-timeout", IDLE_CLOSE_S, "timeout", 0,
+		"user-agent", "siskinlink", NULL);
+
+	soup_session_set_proxy_resolver(session, NULL);
+	soup_session_remove_feature_by_type(session, SOUP_TYPE_AUTH_MANAGER);
+	soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
+	return session;
+}
--- /dev/null
+++ b/adapters/http_exchange.h
@@ -0,0 +1,45 @@
+#ifndef ADAPTERS_HTTP_EXCHANGE_H
+#define ADAPTERS_HTTP_EXCHANGE_H
+
+#include "core/error.h"
+
+#include <glib.h>
+#include <libsoup/soup.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * One request to a peer and its answer, read piece by piece. The callbacks
+ * come from the loop: headers once, bytes for each piece, ended once; none
+ * after ended or after http_exchange_cancel, which may be called from inside
+ * them. The handle is invalid after either.
+ */
+struct http_exchange;
+
+struct http_exchange_options {
+	SoupSession *session;
+	SoupMessage *message; /* referenced */
+	const char *step;     /* static; for errors */
+	const char *peer;
+	int64_t connect_timeout_ms; /* until the request starts to leave */
+	int64_t answer_timeout_us;  /* until ended; 0: none */
+	void (*headers)(void *data, SoupMessage *message);
+	void (*bytes)(void *data, const char *bytes, size_t length);
+	void (*ended)(void *data, const struct error *error); /* NULL: whole */
+	void *data;
+};
+
+struct http_exchange *
+http_exchange_start(const struct http_exchange_options *options);
+void http_exchange_cancel(struct http_exchange *exchange);
+void http_exchange_pause(struct http_exchange *exchange, bool pause);
+bool http_exchange_may_have_left(const struct http_exchange *exchange);
+
+SoupSession *http_exchange_session_create(void);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/adapters/http_listener.c
@@ -0,0 +1,296 @@
+#include "adapters/http_listener.h"
+
+#include "adapters/http_answer.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define LISTEN_BACKLOG 512
+#define IDLE_CLOSE_US 60000000
+#define SWEEP_S 5
+#define REFUSED_MAX 64 /* refused connections that still drain */
+#define REFUSED_DRAIN_BYTES 65536
+#define REFUSED_TIMEOUT_S 1
+#define CONNECTION_KEY "siskinlink-connection"
+
+/* Lives as long as its socket. */
+struct connection {
+	struct http_listener *listener; /* NULL once that is gone */
+	GSocket *socket;		/* not referenced */
+	int32_t exchange_count;
+	int64_t moved_at_us;
+};
+
+struct http_listener {
+	GSocketService *service;
+	char *address;
+	int64_t max_connections;
+	int32_t send_buffer_bytes;
+	void (*accept)(void *data, GSocketConnection *connection);
+	void *data;
+	GHashTable *connections; /* struct connection, as a set */
+	GHashTable *refused;	 /* GSocketConnection, as a set */
+	guint sweep_source;
+};
+
+static void connection_free(gpointer data)
+{
+	struct connection *connection = data;
+
+	if (connection->listener)
+		g_hash_table_remove(connection->listener->connections,
+				    connection);
+	g_free(connection);
+}
+
+static void listener_add(struct http_listener *listener, GSocket *socket)
+{
+	struct connection *connection = g_new0(struct connection, 1);
+
+	connection->listener = listener;
+	connection->socket = socket;
+	connection->moved_at_us = g_get_monotonic_time();
+	g_hash_table_add(listener->connections, connection);
+	g_object_set_data_full(G_OBJECT(socket), CONNECTION_KEY, connection,
+			       connection_free);
+}
+
+static void refused_drained(GObject *source, GAsyncResult *result,
+			    gpointer data)
+{
+	GSocketConnection *connection = data;
+	GHashTable *refused =
+		g_object_get_data(G_OBJECT(connection), CONNECTION_KEY);
+
+	g_input_stream_skip_finish(G_INPUT_STREAM(source), result, NULL);
+	if (refused)
+		g_hash_table_remove(refused, connection);
+	g_object_unref(connection);
+}
+
+/*
+ * Answers by a refusal. What the caller sent is read once before the socket
+ * is closed: closing on unread bytes resets the connection, and the caller
+ * would see that in place of the answer.
+ */
+static void listener_refuse(struct http_listener *listener,
+			    GSocketConnection *connection)
+{
+	GSocket *socket = g_socket_connection_get_socket(connection);
+	char *raw;
+
+	if (g_hash_table_size(listener->refused) >= REFUSED_MAX)
+		return;
+	raw = http_problem_raw(&http_problem_connections);
+	g_socket_set_blocking(socket, FALSE);
+	g_socket_set_timeout(socket, REFUSED_TIMEOUT_S);
+	g_socket_send(socket, raw, strlen(raw), NULL, NULL);
+	g_socket_shutdown(socket, FALSE, TRUE, NULL);
+	g_free(raw);
+	g_hash_table_add(listener->refused, connection);
+	g_object_set_data(G_OBJECT(connection), CONNECTION_KEY,
+			  listener->refused);
+	g_input_stream_skip_async(
+		g_io_stream_get_input_stream(G_IO_STREAM(connection)),
+		REFUSED_DRAIN_BYTES, G_PRIORITY_DEFAULT, NULL, refused_drained,
+		g_object_ref(connection));
+}
+
+static gboolean listener_incoming(GSocketService *service,
+				  GSocketConnection *connection,
+				  GObject *source, gpointer data)
+{
+	struct http_listener *listener = data;
+	GSocket *socket = g_socket_connection_get_socket(connection);
+
+	(void)service;
+	(void)source;
+	if (g_hash_table_size(listener->connections) >=
+	    listener->max_connections) {
+		listener_refuse(listener, connection);
+		return TRUE;
+	}
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	if (listener->send_buffer_bytes > 0)
+		g_socket_set_option(socket, SOL_SOCKET, SO_SNDBUF,
+				    listener->send_buffer_bytes, NULL);
+	listener_add(listener, socket);
+	listener->accept(listener->data, connection);
+	return TRUE;
+}
+
+/*
+ * Closes connections on which nothing moved for a minute. Without this a
+ * caller that opens connections and sends nothing, or a header byte by byte,
+ * takes all of them for good.
+ */
+static gboolean listener_sweep(gpointer data)
+{
+	struct http_listener *listener = data;
+	int64_t now_us = g_get_monotonic_time();
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, listener->connections);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct connection *connection = key;
+
+		if (connection->exchange_count == 0 &&
+		    now_us - connection->moved_at_us > IDLE_CLOSE_US)
+			g_socket_shutdown(connection->socket, TRUE, TRUE, NULL);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+static GSocketAddress *address_parse(const char *address, struct error *error)
+{
+	const char *colon = strrchr(address, ':');
+	GSocketAddress *parsed = NULL;
+	guint64 port = 0;
+	char *host;
+
+	if (colon && g_ascii_string_to_unsigned(colon + 1, 10, 0, G_MAXUINT16,
+						&port, NULL)) {
+		host = g_strndup(address, (gsize)(colon - address));
+		parsed = g_inet_socket_address_new_from_string(host,
+							       (guint)port);
+		g_free(host);
+	}
+	if (!parsed)
+		error_set(error, ERROR_INVALID, "http.listen", address,
+			  "expected an IP number and a port");
+	return parsed;
+}
+
+static char *address_format(GSocketAddress *address)
+{
+	GInetSocketAddress *inet = G_INET_SOCKET_ADDRESS(address);
+	char *host = g_inet_address_to_string(
+		g_inet_socket_address_get_address(inet));
+	char *text = g_strdup_printf("%s:%u", host,
+				     g_inet_socket_address_get_port(inet));
+
+	g_free(host);
+	return text;
+}
+
+static bool listener_bind(struct http_listener *listener, const char *address,
+			  struct error *error)
+{
+	GSocketAddress *wanted = address_parse(address, error);
+	GSocketAddress *effective = NULL;
+	GError *problem = NULL;
+
+	if (!wanted)
+		return false;
+	g_socket_listener_set_backlog(G_SOCKET_LISTENER(listener->service),
+				      LISTEN_BACKLOG);
+	if (!g_socket_listener_add_address(G_SOCKET_LISTENER(listener->service),
+					   wanted, G_SOCKET_TYPE_STREAM,
+					   G_SOCKET_PROTOCOL_TCP, NULL,
+					   &effective, &problem)) {
+		error_set(error, ERROR_INTERNAL, "http.listen", address, "%s",
+			  problem->message);
+		g_error_free(problem);
+		g_object_unref(wanted);
+		return false;
+	}
+	listener->address = address_format(effective);
+	g_object_unref(effective);
+	g_object_unref(wanted);
+	return true;
+}
+
+/* Listens at once; NULL with the reason where the address cannot be had. */
+struct http_listener *
+http_listener_create(const struct http_listener_options *options,
+		     struct error *error)
+{
+	struct http_listener *listener = g_new0(struct http_listener, 1);
+
+	listener->service = g_socket_service_new();
+	listener->max_connections = options->max_connections;
+	listener->send_buffer_bytes = options->send_buffer_bytes;
+	listener->accept = options->accept;
+	listener->data = options->data;
+	listener->connections = g_hash_table_new(NULL, NULL);
+	listener->refused = g_hash_table_new(NULL, NULL);
+	if (!listener_bind(listener, options->address, error)) {
+		http_listener_destroy(listener);
+		return NULL;
+	}
+	g_signal_connect(listener->service, "incoming",
+			 G_CALLBACK(listener_incoming), listener);
+	listener->sweep_source =
+		g_timeout_add_seconds(SWEEP_S, listener_sweep, listener);
+	g_socket_service_start(listener->service);
+	return listener;
+}
+
+static void listener_forget(struct http_listener *listener)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, listener->connections);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		((struct connection *)key)->listener = NULL;
+	g_hash_table_iter_init(&iter, listener->refused);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_object_set_data(key, CONNECTION_KEY, NULL);
+	g_hash_table_unref(listener->connections);
+	g_hash_table_unref(listener->refused);
+}
+
+/* Stops listening; open connections are left to their owner. NULL allowed. */
+void http_listener_destroy(struct http_listener *listener)
+{
+	if (!listener)
+		return;
+	if (listener->sweep_source)
+		g_source_remove(listener->sweep_source);
+	g_signal_handlers_disconnect_by_data(listener->service, listener);
+	g_socket_service_stop(listener->service);
+	g_socket_listener_close(G_SOCKET_LISTENER(listener->service));
+	g_object_unref(listener->service);
+	listener_forget(listener);
+	g_free(listener->address);
+	g_free(listener);
+}
+
+/* host:port with the port that was taken. */
+const char *http_listener_address(const struct http_listener *listener)
+{
+	return listener->address;
+}
+
+static void connection_move(GSocket *socket, int32_t exchanges)
+{
+	struct connection *connection =
+		g_object_get_data(G_OBJECT(socket), CONNECTION_KEY);
+
+	if (!connection)
+		return;
+	connection->exchange_count += exchanges;
+	connection->moved_at_us = g_get_monotonic_time();
+}
+
+/* An exchange starts: the connection stays open until it has ended. */
+void http_listener_begin(GSocket *socket)
+{
+	connection_move(socket, 1);
+}
+
+/* Bytes have come: the connection is not idle. */
+void http_listener_touch(GSocket *socket)
+{
+	connection_move(socket, 0);
+}
+
+/* An exchange has ended; the connection may be closed when it stays idle. */
+void http_listener_end(GSocket *socket)
+{
+	connection_move(socket, -1);
+}
--- /dev/null
+++ b/adapters/http_listener.h
@@ -0,0 +1,39 @@
+#ifndef ADAPTERS_HTTP_LISTENER_H
+#define ADAPTERS_HTTP_LISTENER_H
+
+#include "core/error.h"
+
+#include <gio/gio.h>
+#include <glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * The listening socket, with a bound on its connections: one above the bound
+ * is answered by a refusal and closed, and one that stays idle is closed.
+ */
+struct http_listener_options {
+	const char *address; /* host:port; port 0 takes a free one */
+	int64_t max_connections;
+	int32_t send_buffer_bytes; /* kernel's buffer of one connection */
+	void (*accept)(void *data, GSocketConnection *connection);
+	void *data;
+};
+
+struct http_listener;
+
+struct http_listener *
+http_listener_create(const struct http_listener_options *options,
+		     struct error *error);
+void http_listener_destroy(struct http_listener *listener);
+const char *http_listener_address(const struct http_listener *listener);
+
+/* An exchange on this socket starts, moves or ends; busy ones stay open. */
+void http_listener_begin(GSocket *socket);
+void http_listener_touch(GSocket *socket);
+void http_listener_end(GSocket *socket);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/adapters/http_request.h
@@ -0,0 +1,23 @@
+#ifndef ADAPTERS_HTTP_REQUEST_H
+#define ADAPTERS_HTTP_REQUEST_H
+
+#include "core/error.h"
+#include "ports/request.h"
+
+#include <glib.h>
+#include <libsoup/soup.h>
+
+G_BEGIN_DECLS
+
+/* Turns a caller's HTTP request into a struct request, every header checked. */
+struct request *http_request_read_generation(SoupServerMessage *message,
+					     struct error *error);
+struct request *http_request_read_plain(SoupServerMessage *message,
+					struct error *error);
+int64_t http_request_header_bytes(SoupServerMessage *message);
+const char *http_request_bearer(SoupServerMessage *message);
+const char *http_request_operator(SoupServerMessage *message);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/adapters/http_server.c
@@ -0,0 +1,593 @@
+#include "adapters/http_server.h"
+
+#include "adapters/http_answer.h"
+#include "adapters/http_call.h"
+#include "adapters/http_listener.h"
+#include "adapters/http_request.h"
+
+#include <libsoup/soup.h>
+#include <sodium.h>
+#include <string.h>
+
+#define PLAN_PREFIX "/admin/v1/plans/"
+#define CONFIRM_SUFFIX "/confirm"
+#define COLLECT_BYTES_MIN 1048576
+#define UPLOAD_KEY "siskinlink-upload"
+
+struct http_server {
+	SoupServer *soup;
+	struct http_listener *listener;
+	struct event_sink sink;
+	struct counters *counters;
+	char *operator_key;
+	int64_t max_header_bytes;
+	int64_t max_body_bytes;
+	int64_t stream_buffer_bytes;
+	uint64_t last_call;
+	size_t open_exchanges; /* from headers read to answer written */
+	GHashTable *calls;     /* uint64_t -> struct http_call */
+	GArray *gone;	       /* uint64_t: to be told from the loop */
+	guint gone_source;
+};
+
+/* Size of a request's body as it comes in. */
+struct upload {
+	struct http_server *server;
+	int64_t bytes;
+};
+
+static void server_deliver(struct http_server *server,
+			   const struct event *event)
+{
+	server->sink.deliver(server->sink.data, event);
+}
+
+static void server_refuse(struct http_server *server,
+			  SoupServerMessage *message,
+			  const struct http_problem *problem)
+{
+	counters_add(server->counters, COUNTER_REFUSED, 1);
+	http_answer_problem(message, problem);
+}
+
+static void server_refuse_error(struct http_server *server,
+				SoupServerMessage *message,
+				const struct error *error)
+{
+	struct http_problem problem =
+		http_problem_of(REFUSAL_BAD_REQUEST, RUN_NO, 0, error->detail);
+
+	server_refuse(server, message, &problem);
+}
+
+static void server_call_gone(void *data, uint64_t number)
+{
+	struct http_server *server = data;
+	struct event event = {.type = EVENT_CALL_GONE, .call_gone = number};
+
+	if (g_hash_table_remove(server->calls, &number))
+		server_deliver(server, &event);
+}
+
+static void server_call_flow(void *data, uint64_t number, bool full)
+{
+	struct http_server *server = data;
+	struct event event = {.type = EVENT_CALL_FLOW};
+
+	event.call_flow.call = number;
+	event.call_flow.full = full;
+	server_deliver(server, &event);
+}
+
+static uint64_t server_open_call(struct http_server *server,
+				 SoupServerMessage *message, bool stream,
+				 bool chat)
+{
+	struct http_call_options options = {
+		.number = ++server->last_call,
+		.message = message,
+		.stream = stream,
+		.chat = chat,
+		.stream_buffer_bytes = server->stream_buffer_bytes,
+		.collect_bytes = MAX(server->max_body_bytes, COLLECT_BYTES_MIN),
+		.gone = server_call_gone,
+		.flow = server_call_flow,
+		.data = server,
+	};
+	uint64_t *key = g_new(uint64_t, 1);
+
+	*key = options.number;
+	g_hash_table_insert(server->calls, key, http_call_create(&options));
+	return options.number;
+}
+
+static void server_deliver_call(struct http_server *server,
+				SoupServerMessage *message,
+				struct request *request, bool chat)
+{
+	struct event event = {.type = EVENT_CALL};
+
+	event.call.request = request;
+	event.call.call =
+		server_open_call(server, message, request->stream, chat);
+	server_deliver(server, &event);
+	request_unref(request);
+}
+
+static void server_deliver_query(struct http_server *server,
+				 SoupServerMessage *message,
+				 enum query_type type, const char *plan_id,
+				 GBytes *body)
+{
+	const char *name = http_request_operator(message);
+	struct event event = {.type = EVENT_QUERY};
+
+	event.query.type = type;
+	event.query.operator_name = name ? name : "";
+	event.query.plan_id = plan_id;
+	event.query.body = body;
+	event.query.call = server_open_call(server, message, false, false);
+	server_deliver(server, &event);
+}
+
+static void server_on_generation(struct http_server *server,
+				 SoupServerMessage *message)
+{
+	const char *path = g_uri_get_path(soup_server_message_get_uri(message));
+	bool chat = strstr(path, "/chat/") != NULL;
+	struct error error;
+	struct request *request = http_request_read_generation(message, &error);
+
+	if (!request)
+		server_refuse_error(server, message, &error);
+	else
+		server_deliver_call(server, message, request, chat);
+}
+
+static void server_on_plain(struct http_server *server,
+			    SoupServerMessage *message)
+{
+	struct error error;
+	struct request *request = http_request_read_plain(message, &error);
+
+	if (!request)
+		server_refuse_error(server, message, &error);
+	else
+		server_deliver_call(server, message, request, false);
+}
+
+static void server_on_nodes(struct http_server *server,
+			    SoupServerMessage *message)
+{
+	server_deliver_query(server, message, QUERY_NODES, NULL, NULL);
+}
+
+static void server_on_dump(struct http_server *server,
+			   SoupServerMessage *message)
+{
+	server_deliver_query(server, message, QUERY_DUMP, NULL, NULL);
+}
+
+static void server_on_show(struct http_server *server,
+			   SoupServerMessage *message)
+{
+	server_deliver_query(server, message, QUERY_SHOW, NULL, NULL);
+}
+
+static void server_on_history(struct http_server *server,
+			      SoupServerMessage *message)
+{
+	server_deliver_query(server, message, QUERY_HISTORY, NULL, NULL);
+}
+
+static void server_on_plan(struct http_server *server,
+			   SoupServerMessage *message)
+{
+	GBytes *body = soup_message_body_flatten(
+		soup_server_message_get_request_body(message));
+
+	if (http_request_operator(message))
+		server_deliver_query(server, message, QUERY_PLAN, NULL, body);
+	else
+		server_refuse(server, message, &http_problem_operator_name);
+	g_bytes_unref(body);
+}
+
+static void server_on_confirm(struct http_server *server,
+			      SoupServerMessage *message)
+{
+	const char *path = g_uri_get_path(soup_server_message_get_uri(message));
+	const char *start = path + strlen(PLAN_PREFIX);
+	char *id;
+
+	if (!g_str_has_suffix(start, CONFIRM_SUFFIX)) {
+		server_refuse(server, message, &http_problem_not_found);
+		return;
+	}
+	if (!http_request_operator(message)) {
+		server_refuse(server, message, &http_problem_operator_name);
+		return;
+	}
+	id = g_strndup(start, strlen(start) - strlen(CONFIRM_SUFFIX));
+	server_deliver_query(server, message, QUERY_CONFIRM, id, NULL);
+	g_free(id);
+}
+
+static void server_on_metrics(struct http_server *server,
+			      SoupServerMessage *message)
+{
+	GString *text = g_string_new(NULL);
+	GBytes *body;
+
+	for (int i = 0; i < COUNTER_COUNT; i++) {
+		const char *name = counter_name(i);
+
+		g_string_append_printf(text,
+				       "# HELP siskinlink_%s_total %s\n"
+				       "# TYPE siskinlink_%s_total counter\n"
+				       "siskinlink_%s_total %" G_GUINT64_FORMAT
+				       "\n",
+				       name, counter_help(i), name, name,
+				       server->counters->value[i]);
+	}
+	body = g_string_free_to_bytes(text);
+	http_answer_bytes(message, SOUP_STATUS_OK, "text/plain; version=0.0.4",
+			  body);
+	g_bytes_unref(body);
+}
+
+struct route {
+	const char *method; /* NULL: any */
+	const char *path;   /* a prefix where it ends with a slash */
+	bool for_operators;
+	void (*run)(struct http_server *server, SoupServerMessage *message);
+};
+
+static const struct route routes[] = {
+	{"POST", "/v1/completions", false, server_on_generation},
+	{"POST", "/v1/chat/completions", false, server_on_generation},
+	{NULL, "/svc/", false, server_on_plain},
+	{"GET", "/v1/nodes", false, server_on_nodes},
+	{"GET", "/metrics", false, server_on_metrics},
+	{"GET", "/admin/v1/dump", true, server_on_dump},
+	{"GET", "/admin/v1/config", true, server_on_show},
+	{"GET", "/admin/v1/history", true, server_on_history},
+	{"POST", "/admin/v1/plans", true, server_on_plan},
+	{"POST", PLAN_PREFIX, true, server_on_confirm},
+};
+
+static const struct route *route_find(const char *path)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+		const struct route *route = &routes[i];
+
+		if (g_str_has_suffix(route->path, "/")
+			    ? g_str_has_prefix(path, route->path)
+			    : g_str_equal(path, route->path))
+			return route;
+	}
+	return NULL;
+}
+
+/* Digests are compared, so that neither content nor length shows in time. */
+static bool key_matches(const char *key, const char *given)
+{
+	unsigned char a[crypto_hash_sha256_BYTES];
+	unsigned char b[crypto_hash_sha256_BYTES];
+
+	crypto_hash_sha256(a, (const unsigned char *)key, strlen(key));
+	crypto_hash_sha256(b, (const unsigned char *)given, strlen(given));
+	return sodium_memcmp(a, b, sizeof(a)) == 0;
+}
+
+static const struct http_problem *
+server_check_operator(const struct http_server *server,
+		      SoupServerMessage *message)
+{
+	const char *given = http_request_bearer(message);
+
+	if (!*server->operator_key)
+		return &http_problem_operators_closed;
+	if (!given || !key_matches(server->operator_key, given))
+		return &http_problem_operator_key;
+	return NULL;
+}
+
+static const struct http_problem *
+server_check_route(const struct http_server *server, SoupServerMessage *message,
+		   const struct route *route)
+{
+	if (!route)
+		return &http_problem_not_found;
+	if (route->method &&
+	    !g_str_equal(route->method,
+			 soup_server_message_get_method(message)))
+		return &http_problem_method;
+	if (route->for_operators)
+		return server_check_operator(server, message);
+	return NULL;
+}
+
+static void server_handle(SoupServer *soup, SoupServerMessage *message,
+			  const char *path, GHashTable *query, gpointer data)
+{
+	struct http_server *server = data;
+	GUri *uri = soup_server_message_get_uri(message);
+	const struct route *route = route_find(g_uri_get_path(uri));
+	const struct http_problem *problem =
+		server_check_route(server, message, route);
+
+	(void)soup;
+	(void)path;
+	(void)query;
+	if (problem)
+		server_refuse(server, message, problem);
+	else
+		route->run(server, message);
+}
+
+static void upload_refuse(struct upload *upload, SoupServerMessage *message,
+			  const struct http_problem *problem)
+{
+	SoupMessageBody *body = soup_server_message_get_request_body(message);
+
+	soup_message_body_set_accumulate(body, FALSE);
+	soup_message_body_truncate(body);
+	soup_message_headers_replace(
+		soup_server_message_get_response_headers(message), "Connection",
+		"close");
+	server_refuse(upload->server, message, problem);
+}
+
+/*
+ * A body over the limit is read on without being kept, so that the caller
+ * sees the answer and not a reset; one that goes on for as long again is cut.
+ */
+static void upload_got_chunk(SoupServerMessage *message, GBytes *chunk,
+			     gpointer data)
+{
+	struct upload *upload = data;
+	int64_t most = upload->server->max_body_bytes;
+	GSocket *socket = soup_server_message_get_socket(message);
+	struct http_problem problem =
+		http_problem_of(REFUSAL_TOO_LARGE, RUN_NO, 0, "the body");
+
+	upload->bytes += (int64_t)g_bytes_get_size(chunk);
+	if (socket)
+		http_listener_touch(socket);
+	if (upload->bytes <= most)
+		return;
+	if (!soup_server_message_get_status(message))
+		upload_refuse(upload, message, &problem);
+	if (socket && upload->bytes > 2 * most)
+		g_socket_shutdown(socket, TRUE, TRUE, NULL);
+}
+
+static void upload_finished(SoupServerMessage *message, gpointer data)
+{
+	struct upload *upload = data;
+	GSocket *socket = soup_server_message_get_socket(message);
+
+	upload->server->open_exchanges--;
+	if (socket)
+		http_listener_end(socket);
+}
+
+/* Headers are read: limits first, before any byte of the body is kept. */
+static void server_handle_early(SoupServer *soup, SoupServerMessage *message,
+				const char *path, GHashTable *query,
+				gpointer data)
+{
+	struct http_server *server = data;
+	SoupMessageHeaders *headers =
+		soup_server_message_get_request_headers(message);
+	struct upload *upload = g_new0(struct upload, 1);
+	GSocket *socket = soup_server_message_get_socket(message);
+	struct http_problem problem =
+		http_problem_of(REFUSAL_TOO_LARGE, RUN_NO, 0, "the body");
+
+	(void)soup;
+	(void)path;
+	(void)query;
+	upload->server = server;
+	g_object_set_data_full(G_OBJECT(message), UPLOAD_KEY, upload, g_free);
+	g_signal_connect(message, "got-chunk", G_CALLBACK(upload_got_chunk),
+			 upload);
+	g_signal_connect(message, "finished", G_CALLBACK(upload_finished),
+			 upload);
+	server->open_exchanges++;
+	if (socket)
+		http_listener_begin(socket);
+	if (http_request_header_bytes(message) > server->max_header_bytes)
+		upload_refuse(upload, message, &http_problem_header);
+	else if (soup_message_headers_get_encoding(headers) ==
+			 SOUP_ENCODING_CONTENT_LENGTH &&
+		 soup_message_headers_get_content_length(headers) >
+			 server->max_body_bytes)
+		upload_refuse(upload, message, &problem);
+}
+
+static void server_accept(void *data, GSocketConnection *connection)
+{
+	struct http_server *server = data;
+
+	soup_server_accept_iostream(server->soup, G_IO_STREAM(connection), NULL,
+				    NULL, NULL);
+}
+
+/* Listens at once; NULL with the reason where the address cannot be had. */
+struct http_server *
+http_server_create(const struct http_server_options *options,
+		   const struct event_sink *sink, struct error *error)
+{
+	struct http_server *server = g_new0(struct http_server, 1);
+	struct http_listener_options listener = {
+		.address = options->address,
+		.max_connections = options->max_connections,
+		.send_buffer_bytes =
+			(int32_t)MIN(options->stream_buffer_bytes, G_MAXINT32),
+		.accept = server_accept,
+		.data = server,
+	};
+
+	server->sink = *sink;
+	server->counters = options->counters;
+	server->operator_key =
+		g_strdup(options->operator_key ? options->operator_key : "");
+	server->max_header_bytes = options->max_header_bytes;
+	server->max_body_bytes = options->max_body_bytes;
+	server->stream_buffer_bytes = options->stream_buffer_bytes;
+	server->calls =
+		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+				      (GDestroyNotify)http_call_destroy);
+	server->gone = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	server->soup = soup_server_new("server-header", "siskinlink", NULL);
+	soup_server_add_early_handler(server->soup, NULL, server_handle_early,
+				      server, NULL);
+	soup_server_add_handler(server->soup, NULL, server_handle, server,
+				NULL);
+	server->listener = http_listener_create(&listener, error);
+	if (!server->listener) {
+		http_server_destroy(server);
+		return NULL;
+	}
+	return server;
+}
+
+/* Closes all connections and tells nobody. NULL is allowed. */
+void http_server_destroy(struct http_server *server)
+{
+	if (!server)
+		return;
+	g_hash_table_unref(server->calls);
+	http_listener_destroy(server->listener);
+	soup_server_disconnect(server->soup);
+	g_object_unref(server->soup);
+	if (server->gone_source)
+		g_source_remove(server->gone_source);
+	g_array_unref(server->gone);
+	g_free(server->operator_key);
+	g_free(server);
+}
+
+/* host:port with the port that was taken. */
+const char *http_server_address(const struct http_server *server)
+{
+	return http_listener_address(server->listener);
+}
+
+/* Exchanges whose answer is not yet written whole to its socket. */
+size_t http_server_open_exchanges(const struct http_server *server)
+{
+	return server->open_exchanges;
+}
+
+static gboolean server_tell_gone(gpointer data)
+{
+	struct http_server *server = data;
+	GArray *gone = server->gone;
+
+	server->gone = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	server->gone_source = 0;
+	for (guint i = 0; i < gone->len; i++) {
+		struct event event = {.type = EVENT_CALL_GONE};
+
+		event.call_gone = g_array_index(gone, uint64_t, i);
+		server_deliver(server, &event);
+	}
+	g_array_unref(gone);
+	return G_SOURCE_REMOVE;
+}
+
+/* The call ended here and not by the core, which is told from the loop. */
+static void server_defer_gone(struct http_server *server, uint64_t number)
+{
+	g_array_append_val(server->gone, number);
+	if (!server->gone_source)
+		server->gone_source = g_idle_add_full(
+			G_PRIORITY_DEFAULT, server_tell_gone, server, NULL);
+}
+
+static struct http_call *server_find(struct http_server *server,
+				     uint64_t number)
+{
+	struct http_call *call = g_hash_table_lookup(server->calls, &number);
+
+	if (!call)
+		counters_add(server->counters, COUNTER_EVENTS_UNKNOWN, 1);
+	return call;
+}
+
+static void server_close_call(struct http_server *server, uint64_t number)
+{
+	g_hash_table_remove(server->calls, &number);
+}
+
+static void server_apply_answer(struct http_server *server,
+				const struct action *action)
+{
+	struct http_call *call = server_find(server, action->answer.call);
+
+	if (call && http_call_answer(call, &action->answer))
+		server_close_call(server, action->answer.call);
+}
+
+static void server_apply_refuse(struct http_server *server,
+				const struct action *action)
+{
+	struct http_call *call = server_find(server, action->refuse.call);
+
+	if (call && http_call_refuse(call, &action->refuse))
+		server_close_call(server, action->refuse.call);
+}
+
+static void server_apply_begin(struct http_server *server,
+			       const struct action *action)
+{
+	struct http_call *call = server_find(server, action->call_begin);
+
+	if (call)
+		http_call_begin(call);
+}
+
+static void server_apply_chunk(struct http_server *server,
+			       const struct action *action)
+{
+	uint64_t number = action->chunk.call;
+	struct http_call *call = server_find(server, number);
+
+	if (call && http_call_chunk(call, &action->chunk)) {
+		server_close_call(server, number);
+		server_defer_gone(server, number);
+	}
+}
+
+static void server_apply_end(struct http_server *server,
+			     const struct action *action)
+{
+	struct http_call *call = server_find(server, action->end.call);
+
+	if (call && http_call_end(call, &action->end))
+		server_close_call(server, action->end.call);
+}
+
+typedef void (*apply_function)(struct http_server *server,
+			       const struct action *action);
+
+static const apply_function apply_functions[ACTION_TYPES] = {
+	[ACTION_CALL_ANSWER] = server_apply_answer,
+	[ACTION_CALL_REFUSE] = server_apply_refuse,
+	[ACTION_CALL_BEGIN] = server_apply_begin,
+	[ACTION_CALL_CHUNK] = server_apply_chunk,
+	[ACTION_CALL_END] = server_apply_end,
+};
+
+/*
+ * Carries one ACTION_CALL_* out; others are left alone. An action for a call
+ * that is not open here is counted and has no effect.
+ */
+void http_server_apply(struct http_server *server, const struct action *action)
+{
+	if (action->type < ACTION_TYPES && apply_functions[action->type])
+		apply_functions[action->type](server, action);
+}
--- /dev/null
+++ b/adapters/load_text.h
@@ -0,0 +1,19 @@
+#ifndef ADAPTERS_LOAD_TEXT_H
+#define ADAPTERS_LOAD_TEXT_H
+
+#include "core/error.h"
+#include "ports/load_report.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+G_BEGIN_DECLS
+
+/* An endpoint's load in Prometheus text, names as in docs/PROTOCOLS.md. */
+bool load_text_parse(const char *text, size_t length,
+		     struct load_report *report, struct error *error);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/daemons/node_loop.c
@@ -0,0 +1,374 @@
+#include "daemons/node_loop.h"
+
+#include "adapters/endpoint_client.h"
+#include "adapters/http_server.h"
+#include "adapters/kv_client.h"
+#include "adapters/log.h"
+#include "adapters/peer_link.h"
+#include "adapters/vm_list_client.h"
+#include "core/node.h"
+
+#include <glib-unix.h>
+#include <json-glib/json-glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <sys/random.h>
+
+#define LOAD_TIMEOUT_MS 1000
+#define VM_LIST_TIMEOUT_MS 2000
+#define FLUSH_CHECK_MS 10
+#define FLUSH_US 10000000 /* for answers that their callers still read */
+#define EXIT_CUT 1
+
+struct node_loop {
+	GMainLoop *main;
+	struct node *node;
+	struct log *log;
+	struct http_server *http;
+	struct endpoint_client *endpoints;
+	struct kv_client *kv;
+	struct peer_link *peers;
+	struct vm_list_client *vm_list;
+	struct action_list *actions;
+	GSource *timer;
+	bool stepping;
+	bool stopping; /* a first SIGTERM has come */
+	int64_t flush_until_us;
+	guint flush_source;
+	guint signal_sources[3];
+	int exit_status;
+};
+
+static void apply_http(struct node_loop *loop, const struct action *action)
+{
+	http_server_apply(loop->http, action);
+}
+
+static void apply_endpoint(struct node_loop *loop, const struct action *action)
+{
+	endpoint_client_apply(loop->endpoints, action);
+}
+
+static void apply_peer(struct node_loop *loop, const struct action *action)
+{
+	peer_link_apply(loop->peers, action);
+}
+
+static void apply_kv(struct node_loop *loop, const struct action *action)
+{
+	kv_client_apply(loop->kv, action);
+}
+
+static void apply_log(struct node_loop *loop, const struct action *action)
+{
+	log_write_action(loop->log, &action->log);
+}
+
+static gboolean loop_flush(gpointer data)
+{
+	struct node_loop *loop = data;
+
+	if (http_server_open_exchanges(loop->http) > 0 &&
+	    g_get_monotonic_time() < loop->flush_until_us)
+		return G_SOURCE_CONTINUE;
+	loop->flush_source = 0;
+	g_main_loop_quit(loop->main);
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * The core is done, but the last bytes of an answer may still wait for their
+ * socket: ending now would cut them off.
+ */
+static void apply_stopped(struct node_loop *loop, const struct action *action)
+{
+	(void)action;
+	if (loop->flush_source)
+		return;
+	loop->flush_until_us = g_get_monotonic_time() + FLUSH_US;
+	loop->flush_source = g_timeout_add(FLUSH_CHECK_MS, loop_flush, loop);
+}
+
+typedef void (*apply_function)(struct node_loop *loop,
+			       const struct action *action);
+
+static const apply_function apply_functions[ACTION_TYPES] = {
+	[ACTION_CALL_ANSWER] = apply_http,
+	[ACTION_CALL_REFUSE] = apply_http,
+	[ACTION_CALL_BEGIN] = apply_http,
+	[ACTION_CALL_CHUNK] = apply_http,
+	[ACTION_CALL_END] = apply_http,
+	[ACTION_ATTEMPT_SEND] = apply_endpoint,
+	[ACTION_ATTEMPT_RESUME] = apply_endpoint,
+	[ACTION_ATTEMPT_CANCEL] = apply_endpoint,
+	[ACTION_ATTEMPT_FLOW] = apply_endpoint,
+	[ACTION_POLL_LOAD] = apply_endpoint,
+	[ACTION_PEER_SEND] = apply_peer,
+	[ACTION_KV] = apply_kv,
+	[ACTION_KV_WATCH] = apply_kv,
+	[ACTION_LOG] = apply_log,
+	[ACTION_STOPPED] = apply_stopped,
+};
+
+static void loop_apply(struct node_loop *loop)
+{
+	for (size_t i = 0; i < action_list_count(loop->actions); i++) {
+		const struct action *action = action_list_get(loop->actions, i);
+
+		apply_functions[action->type](loop, action);
+	}
+	action_list_clear(loop->actions);
+}
+
+/*
+ * One step of the core and all it asks for. An adapter that delivered from
+ * inside its apply function would change the list that is being carried out.
+ */
+static void loop_step(struct node_loop *loop, const struct event *event)
+{
+	g_assert(!loop->stepping);
+	loop->stepping = true;
+	node_step(loop->node, g_get_monotonic_time(), event, loop->actions);
+	loop_apply(loop);
+	loop->stepping = false;
+	g_source_set_ready_time(loop->timer, node_next_due_us(loop->node));
+}
+
+static void loop_deliver(void *data, const struct event *event)
+{
+	loop_step(data, event);
+}
+
+static gboolean loop_timer(GSource *source, GSourceFunc callback, gpointer data)
+{
+	struct event event = {.type = EVENT_TIMER};
+
+	(void)source;
+	(void)callback;
+	loop_step(data, &event);
+	return G_SOURCE_CONTINUE;
+}
+
+static GSourceFuncs timer_functions = {
+	.dispatch = loop_timer,
+};
+
+static gboolean loop_on_term(gpointer data)
+{
+	struct node_loop *loop = data;
+	struct event event = {.type = EVENT_SHUTDOWN};
+
+	if (loop->stopping) {
+		loop->exit_status = EXIT_CUT;
+		g_main_loop_quit(loop->main);
+		return G_SOURCE_CONTINUE;
+	}
+	loop->stopping = true;
+	loop_step(loop, &event);
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean loop_on_dump(gpointer data)
+{
+	struct node_loop *loop = data;
+	GVariant *dump = g_variant_ref_sink(
+		node_dump(loop->node, g_get_monotonic_time()));
+	char *json = json_gvariant_serialize_data(dump, NULL);
+
+	fprintf(stderr, "%s\n", json);
+	g_free(json);
+	g_variant_unref(dump);
+	return G_SOURCE_CONTINUE;
+}
+
+static enum log_level level_of(const char *name)
+{
+	if (g_str_equal(name, "error"))
+		return LOG_LEVEL_ERROR;
+	if (g_str_equal(name, "warn"))
+		return LOG_LEVEL_WARN;
+	return LOG_LEVEL_INFO;
+}
+
+static bool random_read(uint64_t *number, struct error *error)
+{
+	if (getrandom(number, sizeof(*number), 0) == sizeof(*number))
+		return true;
+	error_set(error, ERROR_INTERNAL, "loop.random", NULL,
+		  "the system gives no random numbers");
+	return false;
+}
+
+static bool loop_create_node(struct node_loop *loop,
+			     const struct settings *settings,
+			     struct error *error)
+{
+	struct node_options options = settings->node;
+
+	if (!random_read(&options.incarnation, error) ||
+	    !random_read(&options.seed, error))
+		return false;
+	loop->node = node_create(&options);
+	return true;
+}
+
+static bool loop_create_http(struct node_loop *loop,
+			     const struct settings *settings,
+			     const struct event_sink *sink, struct error *error)
+{
+	struct http_server_options options = {
+		.address = settings->node.http_address,
+		.operator_key = settings->operator_key,
+		.max_header_bytes = settings->max_header_bytes,
+		.max_body_bytes = settings->max_body_bytes,
+		.stream_buffer_bytes = settings->stream_buffer_bytes,
+		.max_connections = settings->max_connections,
+		.log = loop->log,
+		.counters = node_counters(loop->node),
+	};
+
+	loop->http = http_server_create(&options, sink, error);
+	return loop->http != NULL;
+}
+
+static bool loop_create_peers(struct node_loop *loop,
+			      const struct settings *settings,
+			      const struct event_sink *sink,
+			      struct error *error)
+{
+	struct peer_link_options options = {
+		.address = settings->node.peer_address,
+		.max_record_bytes = settings->max_peer_record_bytes,
+		.log = loop->log,
+		.counters = node_counters(loop->node),
+	};
+
+	loop->peers = peer_link_create(&options, sink, error);
+	return loop->peers != NULL;
+}
+
+static void loop_create_endpoints(struct node_loop *loop,
+				  const struct settings *settings,
+				  const struct event_sink *sink)
+{
+	struct endpoint_client_options options = {
+		.node_name = settings->node.name,
+		.max_answer_bytes = settings->max_answer_bytes,
+		.connect_timeout_ms = settings->connect_timeout_ms,
+		.load_timeout_ms = LOAD_TIMEOUT_MS,
+		.log = loop->log,
+		.counters = node_counters(loop->node),
+	};
+
+	loop->endpoints = endpoint_client_create(&options, sink);
+}
+
+static bool loop_create_platform(struct node_loop *loop,
+				 const struct settings *settings,
+				 const struct event_sink *sink,
+				 struct error *error)
+{
+	struct kv_client_options kv = {
+		.address = settings->kv_address,
+		.max_value_bytes = settings->max_answer_bytes,
+		.log = loop->log,
+		.counters = node_counters(loop->node),
+	};
+	struct vm_list_client_options vm_list = {
+		.address = settings->vm_list_address,
+		.poll_ms = settings->vm_list_poll_ms,
+		.timeout_ms = VM_LIST_TIMEOUT_MS,
+		.log = loop->log,
+	};
+
+	if (!random_read(&kv.seed, error))
+		return false;
+	loop->kv = kv_client_create(&kv, sink);
+	if (*settings->vm_list_address)
+		loop->vm_list = vm_list_client_create(&vm_list, sink);
+	return true;
+}
+
+static void loop_watch_signals(struct node_loop *loop)
+{
+	loop->signal_sources[0] =
+		g_unix_signal_add(SIGTERM, loop_on_term, loop);
+	loop->signal_sources[1] = g_unix_signal_add(SIGINT, loop_on_term, loop);
+	loop->signal_sources[2] =
+		g_unix_signal_add(SIGUSR1, loop_on_dump, loop);
+}
+
+static void loop_create_timer(struct node_loop *loop)
+{
+	loop->timer = g_source_new(&timer_functions, sizeof(GSource));
+	g_source_set_callback(loop->timer, NULL, loop, NULL);
+	g_source_attach(loop->timer, NULL);
+}
+
+/* Takes the addresses of the settings; NULL with the reason if it cannot. */
+struct node_loop *node_loop_create(const struct settings *settings,
+				   struct error *error)
+{
+	struct node_loop *loop = g_new0(struct node_loop, 1);
+	struct event_sink sink = {.deliver = loop_deliver, .data = loop};
+
+	loop->main = g_main_loop_new(NULL, FALSE);
+	loop->actions = action_list_create();
+	loop->log =
+		log_create(settings->node.name, level_of(settings->log_level));
+	loop_create_timer(loop);
+	if (!loop_create_node(loop, settings, error) ||
+	    !loop_create_http(loop, settings, &sink, error) ||
+	    !loop_create_peers(loop, settings, &sink, error) ||
+	    !loop_create_platform(loop, settings, &sink, error)) {
+		node_loop_destroy(loop);
+		return NULL;
+	}
+	loop_create_endpoints(loop, settings, &sink);
+	return loop;
+}
+
+/* Frees the node and closes its connections. NULL is allowed. */
+void node_loop_destroy(struct node_loop *loop)
+{
+	if (!loop)
+		return;
+	for (size_t i = 0; i < G_N_ELEMENTS(loop->signal_sources); i++) {
+		if (loop->signal_sources[i])
+			g_source_remove(loop->signal_sources[i]);
+	}
+	if (loop->flush_source)
+		g_source_remove(loop->flush_source);
+	vm_list_client_destroy(loop->vm_list);
+	kv_client_destroy(loop->kv);
+	endpoint_client_destroy(loop->endpoints);
+	peer_link_destroy(loop->peers);
+	http_server_destroy(loop->http);
+	node_destroy(loop->node);
+	g_source_destroy(loop->timer);
+	g_source_unref(loop->timer);
+	log_destroy(loop->log);
+	action_list_destroy(loop->actions);
+	g_main_loop_unref(loop->main);
+	g_free(loop);
+}
+
+static void loop_start(struct node_loop *loop)
+{
+	loop->stepping = true;
+	node_start(loop->node, g_get_monotonic_time(), loop->actions);
+	loop_apply(loop);
+	loop->stepping = false;
+	g_source_set_ready_time(loop->timer, node_next_due_us(loop->node));
+}
+
+/* Runs until the node has drained; the exit status of the process. */
+int node_loop_run(struct node_loop *loop)
+{
+	loop_watch_signals(loop);
+	loop_start(loop);
+	printf("listening %s\n", http_server_address(loop->http));
+	fflush(stdout);
+	g_main_loop_run(loop->main);
+	return loop->exit_status;
+}
--- /dev/null
+++ b/daemons/version.h
@@ -0,0 +1,6 @@
+#ifndef DAEMONS_VERSION_H
+#define DAEMONS_VERSION_H
+
+#define SISKINLINK_VERSION "0.1.0"
+
+#endif
