Configuration and intents as strict JSON

The documents come from the key-value service and from operators, so every member is checked and an error names its place and what was expected there. Names, endpoint addresses and organisations' keys occur once. core/config.h gains config_check() and the history of confirmations.

--- /dev/null
+++ b/codec/json_reader.c
@@ -0,0 +1,279 @@
+#include "codec/json_reader.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+enum { MAX_DEPTH = 32 };
+
+/*
+ * The parser recurses for each level and also reads comments and other
+ * extensions. Deep nesting would overflow the stack and end the process, so
+ * the depth is counted first; that count is right only where nothing outside
+ * of strings but plain JSON is let through.
+ */
+static const char *json_reader_scan(const char *text, size_t size)
+{
+	int depth = 0;
+	bool quoted = false;
+
+	for (size_t i = 0; i < size; i++) {
+		char c = text[i];
+
+		if (c == '\0')
+			return "no NUL byte";
+		if (quoted) {
+			if (c == '\\')
+				i++;
+			else if (c == '"')
+				quoted = false;
+			continue;
+		}
+		if (c == '"')
+			quoted = true;
+		else if (c == '{' || c == '[')
+			depth++;
+		else if (c == '}' || c == ']')
+			depth--;
+		else if (!strchr(" \t\r\n,:+-.eE0123456789truefalsn", c))
+			return "plain JSON";
+		if (depth > MAX_DEPTH)
+			return "at most 32 levels";
+	}
+	return quoted || depth != 0 ? "a whole JSON text" : NULL;
+}
+
+struct member_counts {
+	GHashTable *counts; /* JsonObject * to members parsed so far */
+	bool doubled;
+};
+
+static void on_object_member(JsonParser *parser, JsonObject *object,
+			     const char *name, gpointer data)
+{
+	struct member_counts *members = data;
+	gpointer count = g_hash_table_lookup(members->counts, object);
+
+	(void)parser;
+	(void)name;
+	g_hash_table_insert(members->counts, object,
+			    GSIZE_TO_POINTER(GPOINTER_TO_SIZE(count) + 1));
+}
+
+static void on_object_end(JsonParser *parser, JsonObject *object, gpointer data)
+{
+	struct member_counts *members = data;
+	gpointer count = g_hash_table_lookup(members->counts, object);
+
+	(void)parser;
+	if (GPOINTER_TO_SIZE(count) != json_object_get_size(object))
+		members->doubled = true;
+	g_hash_table_remove(members->counts, object);
+}
+
+/*
+ * The parser keeps the last of two members with one name, so that a reviewer
+ * of the text and the process could see different values. Counting the members
+ * of each object against what it holds in the end finds them.
+ */
+static JsonNode *json_reader_load(const char *text, size_t size,
+				  const char *step, struct error *error)
+{
+	struct member_counts members = {g_hash_table_new(NULL, NULL), false};
+	JsonParser *parser = json_parser_new_immutable();
+	GError *cause = NULL;
+	JsonNode *root = NULL;
+
+	g_signal_connect(parser, "object-member", G_CALLBACK(on_object_member),
+			 &members);
+	g_signal_connect(parser, "object-end", G_CALLBACK(on_object_end),
+			 &members);
+	if (!json_parser_load_from_data(parser, text, (gssize)size, &cause)) {
+		error_set(error, ERROR_INVALID, step, "", "not JSON: %s",
+			  cause->message);
+		g_error_free(cause);
+	} else if (members.doubled) {
+		error_set(error, ERROR_INVALID, step, "",
+			  "an object has two members of one name");
+	} else {
+		root = json_parser_steal_root(parser);
+		if (!root)
+			error_set(error, ERROR_INVALID, step, "",
+				  "expected a JSON text, got nothing");
+	}
+	g_object_unref(parser);
+	g_hash_table_unref(members.counts);
+	return root;
+}
+
+/*
+ * Parses a JSON text of at most max_bytes. Returns a node to free with
+ * json_node_unref(), or NULL: ERROR_TOO_LARGE, or ERROR_INVALID for text that
+ * is not JSON, too deep, or has an object with two members of one name.
+ */
+JsonNode *json_reader_parse(GBytes *document, size_t max_bytes,
+			    const char *step, struct error *error)
+{
+	size_t size = 0;
+	const char *text = g_bytes_get_data(document, &size);
+	const char *expected;
+
+	if (size > max_bytes) {
+		error_set(error, ERROR_TOO_LARGE, step, "",
+			  "%zu bytes, at most %zu allowed", size, max_bytes);
+		return NULL;
+	}
+	if (size == 0 || !g_utf8_validate(text, (gssize)size, NULL)) {
+		error_set(error, ERROR_INVALID, step, "",
+			  "expected JSON in UTF-8");
+		return NULL;
+	}
+	expected = json_reader_scan(text, size);
+	if (expected) {
+		error_set(error, ERROR_INVALID, step, "", "expected %s",
+			  expected);
+		return NULL;
+	}
+	return json_reader_load(text, size, step, error);
+}
+
+/*
+ * Starts to read an object. The place, such as "services[2].", stands before
+ * the member's name in errors. Returns false if the node is no object; the
+ * node must outlive the fields.
+ */
+bool json_fields_begin(struct json_fields *fields, JsonNode *node,
+		       const char *step, struct error *error,
+		       const char *place_format, ...)
+{
+	va_list args;
+
+	memset(fields, 0, sizeof(*fields));
+	fields->step = step;
+	fields->error = error;
+	va_start(args, place_format);
+	g_vsnprintf(fields->place, sizeof(fields->place), place_format, args);
+	va_end(args);
+	if (!JSON_NODE_HOLDS_OBJECT(node)) {
+		json_fields_fail(fields, "", "an object");
+		return false;
+	}
+	fields->object = json_node_get_object(node);
+	return true;
+}
+
+/* Notes a mistake unless there was one before; name "" is the object itself. */
+void json_fields_fail(struct json_fields *fields, const char *name,
+		      const char *expected)
+{
+	if (fields->failed)
+		return;
+	fields->failed = true;
+	error_set(fields->error, ERROR_INVALID, fields->step, "",
+		  "%s%s: expected %s", fields->place, name, expected);
+}
+
+/* Fails for a member that is not in names, a list ended by NULL. */
+void json_fields_allow(struct json_fields *fields, const char *const *names)
+{
+	GList *members;
+
+	if (fields->failed)
+		return;
+	members = json_object_get_members(fields->object);
+	for (GList *l = members; l; l = l->next) {
+		const char *name = l->data;
+		char *shown;
+
+		if (g_strv_contains(names, name))
+			continue;
+		shown = g_strescape(name, NULL);
+		if (strlen(shown) > 48)
+			shown[48] = '\0';
+		json_fields_fail(fields, shown, "no such key");
+		g_free(shown);
+		break;
+	}
+	g_list_free(members);
+}
+
+/* Whether the object has this member. */
+bool json_fields_has(const struct json_fields *fields, const char *name)
+{
+	return !fields->failed && json_object_has_member(fields->object, name);
+}
+
+static JsonNode *json_fields_get(struct json_fields *fields, const char *name)
+{
+	return json_fields_has(fields, name)
+		       ? json_object_get_member(fields->object, name)
+		       : NULL;
+}
+
+/*
+ * A string of min_bytes to max_bytes; an absent one is "" if min_bytes is 0
+ * and else a mistake. Never NULL. Valid as long as the object.
+ */
+const char *json_fields_string(struct json_fields *fields, const char *name,
+			       size_t min_bytes, size_t max_bytes)
+{
+	JsonNode *node = json_fields_get(fields, name);
+	const char *value = "";
+	char expected[64];
+
+	if (node && json_node_get_value_type(node) == G_TYPE_STRING)
+		value = json_node_get_string(node);
+	else if (node)
+		json_fields_fail(fields, name, "a string");
+	if (strlen(value) >= min_bytes && strlen(value) <= max_bytes)
+		return value;
+	g_snprintf(expected, sizeof(expected),
+		   "a string of %zu to %zu characters", min_bytes, max_bytes);
+	json_fields_fail(fields, name, expected);
+	return "";
+}
+
+/* A whole number from min to max; absent if there is none. */
+int64_t json_fields_int(struct json_fields *fields, const char *name,
+			int64_t min, int64_t max, int64_t absent)
+{
+	JsonNode *node = json_fields_get(fields, name);
+	char expected[96];
+
+	if (!node)
+		return absent;
+	if (json_node_get_value_type(node) == G_TYPE_INT64 &&
+	    json_node_get_int(node) >= min && json_node_get_int(node) <= max)
+		return json_node_get_int(node);
+	g_snprintf(expected, sizeof(expected),
+		   "a whole number from %" G_GINT64_FORMAT
+		   " to %" G_GINT64_FORMAT,
+		   min, max);
+	json_fields_fail(fields, name, expected);
+	return absent;
+}
+
+/* true or false; absent if there is none. */
+bool json_fields_bool(struct json_fields *fields, const char *name, bool absent)
+{
+	JsonNode *node = json_fields_get(fields, name);
+
+	if (!node)
+		return absent;
+	if (json_node_get_value_type(node) == G_TYPE_BOOLEAN)
+		return json_node_get_boolean(node);
+	json_fields_fail(fields, name, "true or false");
+	return absent;
+}
+
+/* An array, or NULL if there is none. Valid as long as the object. */
+JsonArray *json_fields_array(struct json_fields *fields, const char *name)
+{
+	JsonNode *node = json_fields_get(fields, name);
+
+	if (!node)
+		return NULL;
+	if (JSON_NODE_HOLDS_ARRAY(node))
+		return json_node_get_array(node);
+	json_fields_fail(fields, name, "an array");
+	return NULL;
+}
--- a/core/config.c
+++ b/core/config.c
@@ -30,6 +30,16 @@
 	g_free(organisation);
 }
 
+static void config_confirmation_destroy(gpointer data)
+{
+	struct config_confirmation *confirmation = data;
+
+	g_free(confirmation->plan_id);
+	g_free(confirmation->confirmed_by);
+	g_free(confirmation->summary);
+	g_free(confirmation);
+}
+
 static void config_free_members(gpointer data)
 {
 	struct config *config = data;
@@ -38,6 +48,7 @@
 	g_free(config->confirmed_by);
 	g_ptr_array_unref(config->services);
 	g_ptr_array_unref(config->organisations);
+	g_ptr_array_unref(config->history);
 }
 
 /* An empty configuration of revision 0, with one reference. */
@@ -51,6 +62,8 @@
 		g_ptr_array_new_with_free_func(config_service_destroy);
 	config->organisations =
 		g_ptr_array_new_with_free_func(config_organisation_destroy);
+	config->history =
+		g_ptr_array_new_with_free_func(config_confirmation_destroy);
 	return config;
 }
 
@@ -110,6 +123,113 @@
 	return organisation;
 }
 
+/*
+ * Appends who confirmed what on which revision. The oldest entries go when
+ * there are more than CONFIG_HISTORY_MAX.
+ */
+void config_add_confirmation(struct config *config, int64_t base_revision,
+			     const char *plan_id, const char *confirmed_by,
+			     const char *summary)
+{
+	struct config_confirmation *confirmation =
+		g_new0(struct config_confirmation, 1);
+
+	confirmation->base_revision = base_revision;
+	confirmation->plan_id = g_strdup(plan_id);
+	confirmation->confirmed_by = g_strdup(confirmed_by);
+	confirmation->summary = g_strdup(summary);
+	g_ptr_array_add(config->history, confirmation);
+	if (config->history->len > CONFIG_HISTORY_MAX)
+		g_ptr_array_remove_index(config->history, 0);
+}
+
+/* Adds a key to a set; if it is there already, names both of its owners. */
+static bool config_check_once(GHashTable *seen, const char *what,
+			      const char *key, const char *owner,
+			      const char *step, struct error *error)
+{
+	const char *other = g_hash_table_lookup(seen, key);
+
+	if (!other) {
+		g_hash_table_insert(seen, (gpointer)key, (gpointer)owner);
+		return true;
+	}
+	error_set(error, ERROR_INVALID, step, "",
+		  "%s: expected once, found in %s and %s", what, other, owner);
+	return false;
+}
+
+static bool config_check_services(const struct config *config, const char *step,
+				  struct error *error)
+{
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTable *addresses = g_hash_table_new(g_str_hash, g_str_equal);
+	bool ok = true;
+
+	for (guint i = 0; ok && i < config->services->len; i++) {
+		const struct config_service *service =
+			g_ptr_array_index(config->services, i);
+		char *what = g_strdup_printf("service %s", service->name);
+
+		ok = config_check_once(names, what, service->name,
+				       "\"services\"", step, error);
+		g_free(what);
+		for (guint j = 0; ok && j < service->endpoints->len; j++) {
+			const struct config_endpoint *endpoint =
+				g_ptr_array_index(service->endpoints, j);
+
+			what = g_strdup_printf("endpoint %s",
+					       endpoint->address);
+			ok = config_check_once(addresses, what,
+					       endpoint->address, service->name,
+					       step, error);
+			g_free(what);
+		}
+	}
+	g_hash_table_unref(names);
+	g_hash_table_unref(addresses);
+	return ok;
+}
+
+static bool config_check_organisations(const struct config *config,
+				       const char *step, struct error *error)
+{
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+	bool ok = true;
+
+	for (guint i = 0; ok && i < config->organisations->len; i++) {
+		const struct config_organisation *organisation =
+			g_ptr_array_index(config->organisations, i);
+		char *what =
+			g_strdup_printf("organisation %s", organisation->name);
+
+		ok = config_check_once(names, what, organisation->name,
+				       "\"organisations\"", step, error);
+		g_free(what);
+		if (ok && *organisation->key_sha256)
+			ok = config_check_once(keys, "key",
+					       organisation->key_sha256,
+					       organisation->name, step, error);
+	}
+	g_hash_table_unref(names);
+	g_hash_table_unref(keys);
+	return ok;
+}
+
+/*
+ * Checks what must hold over the whole configuration: names, endpoints and
+ * keys occur once. An endpoint of two services would be placed on by two
+ * books that know nothing of each other, and a key of two organisations would
+ * let one act as the other. ERROR_INVALID under this step names the item.
+ */
+bool config_check(const struct config *config, const char *step,
+		  struct error *error)
+{
+	return config_check_services(config, step, error) &&
+	       config_check_organisations(config, step, error);
+}
+
 /* The service of this name, or NULL. */
 const struct config_service *config_find_service(const struct config *config,
 						 const char *name)
--- a/core/config.h
+++ b/core/config.h
@@ -1,6 +1,8 @@
 #ifndef CORE_CONFIG_H
 #define CORE_CONFIG_H
 
+#include "core/error.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -39,12 +41,23 @@
 	int64_t concurrent_tokens;
 };
 
+/* One earlier confirmation, kept in the documents that came after it. */
+struct config_confirmation {
+	int64_t base_revision; /* it was confirmed on */
+	char *plan_id;
+	char *confirmed_by;
+	char *summary;
+};
+
+enum { CONFIG_HISTORY_MAX = 32 };
+
 struct config {
 	int64_t revision; /* revision of the key; 0 before it is stored */
 	char *plan_id;	  /* plan whose confirmation wrote it */
 	char *confirmed_by;
 	GPtrArray *services;	  /* struct config_service */
 	GPtrArray *organisations; /* struct config_organisation */
+	GPtrArray *history;	  /* struct config_confirmation, oldest first */
 };
 
 struct config *config_create(void);
@@ -60,6 +73,12 @@
 struct config_organisation *config_add_organisation(struct config *config,
 						    const char *name);
 
+void config_add_confirmation(struct config *config, int64_t base_revision,
+			     const char *plan_id, const char *confirmed_by,
+			     const char *summary);
+bool config_check(const struct config *config, const char *step,
+		  struct error *error);
+
 const struct config_service *config_find_service(const struct config *config,
 						 const char *name);
 const struct config_endpoint *
