Plans from intents

An intent becomes the differences, the warnings, what capacity stays and the document that confirming writes. struct plan gains what capacity stays and how long the plan is kept.

--- a/core/plan.h
+++ b/core/plan.h
@@ -18,13 +18,23 @@
  * "remove_services" and "remove_organisations"; named items replace those of
  * the same name whole. See docs/API.md.
  */
+struct plan_capacity {
+	char *service;
+	int64_t tokens_before; /* endpoints that state none count as 0 */
+	int64_t tokens_after;
+	int32_t endpoints_before; /* those that are not leaving */
+	int32_t endpoints_after;
+};
+
 struct plan {
 	char *id;
 	char *operator_name;
 	int64_t base_revision;
 	int64_t created_us;
+	int64_t keep_us;	/* stale so long after; 0: not said */
 	GPtrArray *differences; /* char *: one line each */
 	GPtrArray *warnings;	/* char *: what would break */
+	GPtrArray *capacities;	/* struct plan_capacity: what stays */
 	struct config *result;	/* carries the plan's id */
 	GBytes *document;	/* the result as stored */
 };
--- /dev/null
+++ b/tests/plan_test.cc
@@ -0,0 +1,264 @@
+#include "codec/config_json.h"
+#include "core/plan.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace
+{
+
+const char *const base_text =
+	R"({"services":[
+	{"name":"writer","kind":"generation","endpoints":[
+	 {"address":"127.0.0.1:9002","failure_domain":"b","capacity_tokens":60000},
+	 {"address":"127.0.0.1:9001","failure_domain":"a","capacity_tokens":60000}]},
+	{"name":"portal","kind":"plain","endpoints":[
+	 {"address":"127.0.0.1:9101","failure_domain":"a","slots":4},
+	 {"address":"127.0.0.1:9102","failure_domain":"b","slots":4}]}],
+	"organisations":[{"name":"atlas","key_sha256":")"
+	"0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+	R"(","priority":5,"requests_per_s":100}]})";
+
+GBytes *bytes_of(const std::string &text)
+{
+	return g_bytes_new(text.data(), text.size());
+}
+
+std::string text_of(GBytes *bytes)
+{
+	gsize size = 0;
+	const char *data = (const char *)g_bytes_get_data(bytes, &size);
+	std::string text(data, size);
+
+	g_bytes_unref(bytes);
+	return text;
+}
+
+struct config *parse(const std::string &text, struct error *error)
+{
+	GBytes *document = bytes_of(text);
+	struct config *config = config_json_parse(document, 7, error);
+
+	g_bytes_unref(document);
+	return config;
+}
+
+std::string parse_error(const std::string &text)
+{
+	struct error error = {};
+	struct config *config = parse(text, &error);
+
+	EXPECT_EQ(nullptr, config) << text;
+	config_unref(config);
+	return std::string(error_code_name(error.code)) + ": " + error.detail;
+}
+
+struct plan *plan_on(const char *base, const std::string &intent,
+		     struct error *error)
+{
+	struct config *config = parse(base, nullptr);
+	GBytes *body = bytes_of(intent);
+	struct plan *plan =
+		plan_create(config, body, "n1-7", "aicha", 0, error);
+
+	g_bytes_unref(body);
+	config_unref(config);
+	return plan;
+}
+
+std::string plan_error(const std::string &intent)
+{
+	struct error error = {};
+	struct plan *plan = plan_on(base_text, intent, &error);
+
+	EXPECT_EQ(nullptr, plan) << intent;
+	plan_destroy(plan);
+	return std::string(error_code_name(error.code)) + ": " + error.detail;
+}
+
+std::string lines(const GPtrArray *array)
+{
+	std::string text;
+
+	for (guint i = 0; i < array->len; i++)
+		text += std::string((char *)g_ptr_array_index(array, i)) + "\n";
+	return text;
+}
+
+} // namespace
+
+TEST(ConfigJson, FormatIsCanonical)
+{
+	struct config *config = parse(base_text, nullptr);
+	std::string once = text_of(config_json_format(config));
+	struct config *again = parse(once, nullptr);
+
+	ASSERT_NE(nullptr, again);
+	EXPECT_EQ(7, again->revision);
+	EXPECT_EQ(once, text_of(config_json_format(again)));
+	EXPECT_LT(once.find("127.0.0.1:9001"), once.find("127.0.0.1:9002"));
+	EXPECT_LT(once.find("portal"), once.find("writer"));
+	config_unref(config);
+	config_unref(again);
+}
+
+TEST(ConfigJson, NamesThePlaceOfAMistake)
+{
+	const struct {
+		const char *text;
+		const char *error;
+	} cases[] = {
+		{"", "invalid: expected JSON in UTF-8"},
+		{"[]", "invalid: : expected an object"},
+		{"{\"services\":{}}", "invalid: services: expected an array"},
+		{"{\"sevices\":[]}", "invalid: sevices: expected no such key"},
+		{"{\"services\":[],\"services\":[]}",
+		 "invalid: an object has two members of one name"},
+		{"/* */{}", "invalid: expected plain JSON"},
+		{R"({"services":[{"name":"a","kind":"x"}]})",
+		 "invalid: services[0].kind: expected \"generation\" or "
+		 "\"plain\""},
+		{R"({"services":[{"name":"a b","kind":"plain"}]})",
+		 "invalid: services[0].name: expected letters, digits and . _ "
+		 ": / @ + - only"},
+		{R"({"services":[{"name":"a","kind":"plain","endpoints":[
+		 {"address":"127.0.0.1:09001"}]}]})",
+		 "invalid: services[0].endpoints[0].address: expected "
+		 "HOST:PORT"},
+		{R"({"services":[{"name":"a","kind":"plain","endpoints":[
+		 {"address":"127.0.0.1:9001","slots":0}]}]})",
+		 "invalid: services[0].endpoints[0].slots: expected a whole "
+		 "number from 1 to 100000"},
+		{R"({"services":[{"name":"a","kind":"plain","endpoints":[
+		 {"address":"127.0.0.1:9001"},{"address":"127.0.0.1:9001"}]}]})",
+		 "invalid: endpoint 127.0.0.1:9001: expected once, found in a "
+		 "and a"},
+		{R"({"organisations":[{"name":"a","priority":1.5}]})",
+		 "invalid: organisations[0].priority: expected a whole number "
+		 "from 0 to 9"},
+		{R"({"organisations":[{"name":"a","priority":99999999999999999999}]})",
+		 "invalid: organisations[0].priority: expected a whole number "
+		 "from 0 to 9"},
+		{R"({"organisations":[{"name":"a","key":"clear-text"}]})",
+		 "invalid: organisations[0].key: expected no such key"},
+		{R"({"organisations":[{"name":"a"},{"name":"a"}]})",
+		 "invalid: organisation a: expected once, found in "
+		 "\"organisations\" and \"organisations\""},
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(c.error, parse_error(c.text)) << c.text;
+}
+
+/*
+ * A document nested a million levels deep, or of more than a megabyte, comes
+ * from a broken service or an attacker. The caller sees an error; the parser,
+ * which recurses, is never given the text, so that the stack holds.
+ */
+TEST(ConfigJson, RefusesDeepAndLargeDocuments)
+{
+	EXPECT_EQ("invalid: expected at most 32 levels",
+		  parse_error(std::string(1000000, '[')));
+	EXPECT_EQ("too_large: 1048577 bytes, at most 1048576 allowed",
+		  parse_error(std::string((1 << 20) + 1, ' ')));
+}
+
+TEST(Plan, ListsDifferencesAndWarnings)
+{
+	struct error error = {};
+	struct plan *plan = plan_on(
+		base_text,
+		R"({"services":[{"name":"writer","kind":"generation","endpoints":[
+		 {"address":"127.0.0.1:9001","failure_domain":"a",
+		  "capacity_tokens":50000}]}],
+		"organisations":[{"name":"atlas","priority":6,
+		 "requests_per_s":50,"key":"a-new-secret"}],
+		"remove_services":["portal"]})",
+		&error);
+
+	ASSERT_NE(nullptr, plan) << error.detail;
+	EXPECT_EQ("change endpoint 127.0.0.1:9001 of writer: capacity_tokens "
+		  "60000 -> 50000\n"
+		  "remove endpoint 127.0.0.1:9002 from writer\n"
+		  "remove service portal: 2 endpoints\n"
+		  "change organisation atlas: key replaced, priority 5 -> 6, "
+		  "requests_per_s 100 -> 50\n",
+		  lines(plan->differences));
+	EXPECT_EQ("service writer has every endpoint in one failure domain\n"
+		  "failure domain b has no endpoint of service writer left\n"
+		  "service writer loses 70000 of 120000 tokens of capacity\n"
+		  "service portal is removed: its requests are refused\n"
+		  "organisation atlas: requests_per_s falls from 100 to 50\n"
+		  "organisation atlas: requests with its old key are refused\n",
+		  lines(plan->warnings));
+	plan_destroy(plan);
+}
+
+TEST(Plan, ResultCarriesPlanAndHistoryAndNoSecretShows)
+{
+	struct plan *plan = plan_on(base_text,
+				    R"({"organisations":[{"name":"kgotso",
+				    "key":"very-secret-key"}]})",
+				    nullptr);
+	char *digest = g_compute_checksum_for_string(G_CHECKSUM_SHA256,
+						     "very-secret-key", -1);
+	std::string shown = text_of(plan_format_json(plan));
+	struct error error = {};
+	struct config *result = config_json_parse(plan->document, 8, &error);
+
+	ASSERT_NE(nullptr, result) << error.detail;
+	EXPECT_STREQ("n1-7", result->plan_id);
+	ASSERT_EQ(1u, result->history->len);
+	EXPECT_STREQ("kgotso",
+		     config_find_key(result, "very-secret-key")->name);
+	EXPECT_EQ(std::string::npos, shown.find("very-secret-key"));
+	EXPECT_EQ(std::string::npos, shown.find(digest));
+	EXPECT_EQ("{\"plan_id\":\"n1-7\",\"operator\":\"aicha\","
+		  "\"base_revision\":7,\"differences\":[\"add organisation "
+		  "kgotso: priority 0, weight 1, requests_per_s 0, "
+		  "concurrent_tokens 0\"],\"warnings\":[],\"capacity\":["
+		  "{\"service\":\"writer\",\"endpoints_before\":2,"
+		  "\"endpoints_after\":2,\"tokens_before\":120000,"
+		  "\"tokens_after\":120000},{\"service\":\"portal\","
+		  "\"endpoints_before\":2,\"endpoints_after\":2,"
+		  "\"tokens_before\":0,\"tokens_after\":0}]}",
+		  shown);
+	g_free(digest);
+	config_unref(result);
+	plan_destroy(plan);
+}
+
+TEST(Plan, KeepsTheKeyOfAnOrganisationThatGivesNone)
+{
+	struct plan *plan =
+		plan_on(base_text,
+			R"({"organisations":[{"name":"atlas","priority":1}]})",
+			nullptr);
+
+	EXPECT_EQ("change organisation atlas: priority 5 -> 1, requests_per_s "
+		  "100 -> 0\n",
+		  lines(plan->differences));
+	plan_destroy(plan);
+}
+
+TEST(Plan, RefusesNonsense)
+{
+	EXPECT_EQ("invalid: service: expected no such key",
+		  plan_error(R"({"service":[]})"));
+	EXPECT_EQ("invalid: remove_services[0]: expected the name of a service "
+		  "that is there and not also in \"services\"",
+		  plan_error(R"({"remove_services":["nobody"]})"));
+	EXPECT_EQ("invalid: organisation new: expected \"key_sha256\" or "
+		  "\"key\"",
+		  plan_error(R"({"organisations":[{"name":"new"}]})"));
+	EXPECT_EQ("invalid: endpoint 127.0.0.1:9101: expected once, found in "
+		  "portal and other",
+		  plan_error(R"({"services":[{"name":"other","kind":"plain",
+			"endpoints":[{"address":"127.0.0.1:9101"}]}]})"));
+	EXPECT_EQ("invalid: key: expected once, found in atlas and new",
+		  plan_error(
+			  R"({"organisations":[{"name":"new","key_sha256":)"
+			  R"("0123456789abcdef0123456789abcdef0123456789abcdef)"
+			  R"(0123456789abcdef"}]})"));
+}
