--- /dev/null
+++ b/fakes/kv_model.c
@@ -0,0 +1,451 @@
+#include "fakes/kv_model.h"
+
+#include <string.h>
+
+enum { HISTORY_MAX = 4096, FIRST_LEASE = 1000 };
+
+struct kv_lease {
+	int64_t id;
+	int64_t ttl_s;
+	int64_t expires_us;
+};
+
+struct kv_item {
+	struct kv_change state;
+	int64_t lease;
+};
+
+struct kv_model {
+	GTree *items;		/* key to struct kv_item */
+	GHashTable *leases;	/* id to struct kv_lease */
+	GQueue history;		/* struct kv_change */
+	uint64_t history_first; /* position of the oldest one */
+	int64_t revision;
+	int64_t oldest_revision;
+	bool writing; /* the revision of this transaction is taken */
+	int64_t next_lease;
+};
+
+static void change_clear(struct kv_change *change)
+{
+	g_free(change->key);
+	g_clear_pointer(&change->value, g_bytes_unref);
+}
+
+static void change_destroy(gpointer data)
+{
+	change_clear(data);
+	g_free(data);
+}
+
+static void item_destroy(gpointer data)
+{
+	struct kv_item *item = data;
+
+	change_clear(&item->state);
+	g_free(item);
+}
+
+static gint compare_keys(gconstpointer a, gconstpointer b, gpointer data)
+{
+	(void)data;
+	return strcmp(a, b);
+}
+
+/* An empty service at revision 1, as etcd starts. */
+struct kv_model *kv_model_create(void)
+{
+	struct kv_model *model = g_new0(struct kv_model, 1);
+
+	model->items = g_tree_new_full(compare_keys, NULL, NULL, item_destroy);
+	model->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					      g_free);
+	g_queue_init(&model->history);
+	model->revision = 1;
+	model->oldest_revision = 1;
+	model->next_lease = FIRST_LEASE;
+	return model;
+}
+
+/* Frees the service; NULL is allowed. */
+void kv_model_destroy(struct kv_model *model)
+{
+	if (!model)
+		return;
+	g_tree_unref(model->items);
+	g_hash_table_unref(model->leases);
+	g_queue_clear_full(&model->history, change_destroy);
+	g_free(model);
+}
+
+/* The revision of the latest write. */
+int64_t kv_model_revision(const struct kv_model *model)
+{
+	return model->revision;
+}
+
+/* The oldest revision that a watch may start from. */
+int64_t kv_model_oldest_revision(const struct kv_model *model)
+{
+	return model->oldest_revision;
+}
+
+static void trim_history(struct kv_model *model)
+{
+	while (g_queue_get_length(&model->history) > HISTORY_MAX) {
+		struct kv_change *change = g_queue_pop_head(&model->history);
+
+		model->oldest_revision = change->mod_revision + 1;
+		model->history_first++;
+		change_destroy(change);
+	}
+}
+
+static void add_history(struct kv_model *model, const struct kv_change *state)
+{
+	struct kv_change *change = g_new0(struct kv_change, 1);
+
+	*change = *state;
+	change->key = g_strdup(state->key);
+	change->value = state->value ? g_bytes_ref(state->value) : NULL;
+	g_queue_push_tail(&model->history, change);
+	trim_history(model);
+}
+
+/* Starts a transaction: its writes share one revision, the next one. */
+void kv_model_begin(struct kv_model *model)
+{
+	model->writing = false;
+}
+
+static int64_t take_revision(struct kv_model *model)
+{
+	if (!model->writing)
+		model->revision++;
+	model->writing = true;
+	return model->revision;
+}
+
+/* Whether a key stands where the comparison says; an absent key is at 0. */
+bool kv_model_compare(const struct kv_model *model,
+		      const struct kv_compare *compare)
+{
+	const struct kv_item *item = g_tree_lookup(model->items, compare->key);
+
+	if (!item)
+		return compare->equals == 0;
+	switch (compare->target) {
+	case KV_COMPARE_CREATE:
+		return item->state.create_revision == compare->equals;
+	case KV_COMPARE_MOD:
+		return item->state.mod_revision == compare->equals;
+	case KV_COMPARE_VERSION:
+		return item->state.version == compare->equals;
+	}
+	return false;
+}
+
+/* Writes a key, bound to a lease if that is not 0; false: no such lease. */
+bool kv_model_put(struct kv_model *model, const char *key, GBytes *value,
+		  int64_t lease)
+{
+	struct kv_item *item;
+
+	if (lease && !g_hash_table_contains(model->leases, &lease))
+		return false;
+	item = g_tree_lookup(model->items, key);
+	if (!item) {
+		item = g_new0(struct kv_item, 1);
+		item->state.key = g_strdup(key);
+		item->state.create_revision =
+			model->revision + (model->writing ? 0 : 1);
+		g_tree_insert(model->items, item->state.key, item);
+	}
+	g_clear_pointer(&item->state.value, g_bytes_unref);
+	item->state.value = g_bytes_ref(value);
+	item->state.mod_revision = take_revision(model);
+	item->state.version++;
+	item->lease = lease;
+	add_history(model, &item->state);
+	return true;
+}
+
+static bool in_range(const char *name, const char *key, const char *range_end)
+{
+	if (!*range_end)
+		return strcmp(name, key) == 0;
+	return strcmp(name, key) >= 0 && strcmp(name, range_end) < 0;
+}
+
+struct item_search {
+	const char *key;
+	const char *range_end;
+	int64_t lease; /* 0: any */
+	GPtrArray *found;
+};
+
+static gboolean search_item(gpointer key, gpointer value, gpointer data)
+{
+	struct item_search *search = data;
+	struct kv_item *item = value;
+
+	if (search->lease ? item->lease == search->lease
+			  : in_range(key, search->key, search->range_end))
+		g_ptr_array_add(search->found, item);
+	return FALSE;
+}
+
+static GPtrArray *find_items(const struct kv_model *model, const char *key,
+			     const char *range_end, int64_t lease)
+{
+	struct item_search search = {key, range_end, lease, g_ptr_array_new()};
+
+	if (!lease && !*range_end) {
+		struct kv_item *item = g_tree_lookup(model->items, key);
+
+		if (item)
+			g_ptr_array_add(search.found, item);
+	} else {
+		g_tree_foreach(model->items, search_item, &search);
+	}
+	return search.found;
+}
+
+static void delete_items(struct kv_model *model, const GPtrArray *items)
+{
+	for (guint i = 0; i < items->len; i++) {
+		struct kv_item *item = g_ptr_array_index(items, i);
+		struct kv_change change = {.key = item->state.key};
+
+		change.mod_revision = take_revision(model);
+		add_history(model, &change);
+		g_tree_remove(model->items, item->state.key);
+	}
+}
+
+/* Deletes a key or range and returns how many keys there were. */
+int64_t kv_model_delete(struct kv_model *model, const char *key,
+			const char *range_end)
+{
+	GPtrArray *items = find_items(model, key, range_end, 0);
+	int64_t count = items->len;
+
+	delete_items(model, items);
+	g_ptr_array_unref(items);
+	return count;
+}
+
+/*
+ * Appends struct kv_entry in order of key. range_end as in etcd: "" for the
+ * one key, else all keys from key on and before range_end.
+ */
+void kv_model_range(const struct kv_model *model, const char *key,
+		    const char *range_end, GPtrArray *entries)
+{
+	GPtrArray *items = find_items(model, key, range_end, 0);
+
+	for (guint i = 0; i < items->len; i++) {
+		const struct kv_item *item = g_ptr_array_index(items, i);
+
+		kv_entries_add(entries, item->state.key, item->state.value,
+			       item->state.create_revision,
+			       item->state.mod_revision);
+	}
+	g_ptr_array_unref(items);
+}
+
+/* Grants a lease of ttl_s seconds and returns its id. */
+int64_t kv_model_lease_grant(struct kv_model *model, int64_t ttl_s,
+			     int64_t now_us)
+{
+	struct kv_lease *lease = g_new0(struct kv_lease, 1);
+
+	lease->id = model->next_lease++;
+	lease->ttl_s = ttl_s;
+	lease->expires_us = now_us + ttl_s * G_USEC_PER_SEC;
+	g_hash_table_insert(model->leases, &lease->id, lease);
+	return lease->id;
+}
+
+/* Renews a lease and returns its time to live in seconds, 0 if it is gone. */
+int64_t kv_model_lease_keepalive(struct kv_model *model, int64_t id,
+				 int64_t now_us)
+{
+	struct kv_lease *lease = g_hash_table_lookup(model->leases, &id);
+
+	if (!lease)
+		return 0;
+	lease->expires_us = now_us + lease->ttl_s * G_USEC_PER_SEC;
+	return lease->ttl_s;
+}
+
+/* Ends a lease and deletes its keys in one revision; false: no such lease. */
+bool kv_model_lease_revoke(struct kv_model *model, int64_t id)
+{
+	GPtrArray *items;
+
+	if (!g_hash_table_remove(model->leases, &id))
+		return false;
+	items = find_items(model, "", "", id);
+	kv_model_begin(model);
+	delete_items(model, items);
+	g_ptr_array_unref(items);
+	return true;
+}
+
+static gint compare_ids(gconstpointer a, gconstpointer b)
+{
+	const int64_t *left = a;
+	const int64_t *right = b;
+
+	return *left < *right ? -1 : *left > *right;
+}
+
+/* Ends the leases that ran out, in order of their ids. */
+void kv_model_step(struct kv_model *model, int64_t now_us)
+{
+	GArray *due = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, model->leases);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct kv_lease *lease = value;
+
+		if (lease->expires_us <= now_us)
+			g_array_append_val(due, lease->id);
+	}
+	g_array_sort(due, compare_ids);
+	for (guint i = 0; i < due->len; i++)
+		kv_model_lease_revoke(model, g_array_index(due, int64_t, i));
+	g_array_unref(due);
+}
+
+/* When the next lease runs out; INT64_MAX: none. */
+int64_t kv_model_next_due_us(const struct kv_model *model)
+{
+	int64_t due_us = INT64_MAX;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, model->leases);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct kv_lease *lease = value;
+
+		due_us = MIN(due_us, lease->expires_us);
+	}
+	return due_us;
+}
+
+/*
+ * The next change of a key or range with a revision of at least from, or NULL.
+ * position starts at 0 and is moved past what was returned, so that a watch
+ * goes on from it after later writes. The change is valid until the next
+ * write.
+ */
+const struct kv_change *kv_model_next_change(const struct kv_model *model,
+					     const char *key,
+					     const char *range_end,
+					     int64_t from, uint64_t *position)
+{
+	uint64_t length = g_queue_get_length((GQueue *)&model->history);
+	uint64_t index = *position > model->history_first
+				 ? *position - model->history_first
+				 : 0;
+
+	for (GList *l = g_queue_peek_nth_link((GQueue *)&model->history,
+					      (guint)index);
+	     l; l = l->next, index++) {
+		const struct kv_change *change = l->data;
+
+		if (change->mod_revision < from ||
+		    !in_range(change->key, key, range_end))
+			continue;
+		*position = model->history_first + index + 1;
+		return change;
+	}
+	*position = model->history_first + length;
+	return NULL;
+}
+
+static void answer_write(struct kv_model *model,
+			 const struct kv_request *request,
+			 struct kv_answer *answer)
+{
+	struct kv_compare compare = {KV_COMPARE_MOD, request->key,
+				     request->expected_revision};
+	bool written;
+
+	if (!kv_model_compare(model, &compare)) {
+		answer->outcome = KV_CONFLICT;
+		answer->entries = kv_entries_create();
+		kv_model_range(model, request->key, "", answer->entries);
+		return;
+	}
+	kv_model_begin(model);
+	if (request->op == KV_CAS)
+		written = kv_model_put(model, request->key, request->value,
+				       request->lease);
+	else
+		written = kv_model_delete(model, request->key, "") > 0;
+	answer->outcome = written ? KV_OK : KV_NOT_FOUND;
+}
+
+static void answer_read(const struct kv_model *model,
+			const struct kv_request *request,
+			struct kv_answer *answer)
+{
+	char *range_end = g_strdup("");
+
+	if (request->op == KV_LIST && *request->key) {
+		g_free(range_end);
+		range_end = g_strdup(request->key);
+		range_end[strlen(range_end) - 1]++;
+	}
+	answer->entries = kv_entries_create();
+	kv_model_range(model, request->key, range_end, answer->entries);
+	if (request->op == KV_GET && answer->entries->len == 0)
+		answer->outcome = KV_NOT_FOUND;
+	g_free(range_end);
+}
+
+/*
+ * Answers one request as the adapter would. For drivers without a network;
+ * the answer is cleared by the caller.
+ */
+void kv_model_answer(struct kv_model *model, const struct kv_request *request,
+		     int64_t now_us, struct kv_answer *answer)
+{
+	kv_model_step(model, now_us);
+	memset(answer, 0, sizeof(*answer));
+	answer->id = request->id;
+	answer->op = request->op;
+	answer->outcome = KV_OK;
+	switch (request->op) {
+	case KV_GET:
+	case KV_LIST:
+		answer_read(model, request, answer);
+		break;
+	case KV_CAS:
+	case KV_DELETE:
+		answer_write(model, request, answer);
+		break;
+	case KV_LEASE_GRANT:
+		answer->lease =
+			kv_model_lease_grant(model, request->ttl_s, now_us);
+		answer->ttl_s = request->ttl_s;
+		break;
+	case KV_LEASE_KEEPALIVE:
+		answer->lease = request->lease;
+		answer->ttl_s =
+			kv_model_lease_keepalive(model, request->lease, now_us);
+		if (answer->ttl_s == 0)
+			answer->outcome = KV_NOT_FOUND;
+		break;
+	case KV_LEASE_REVOKE:
+		if (!kv_model_lease_revoke(model, request->lease))
+			answer->outcome = KV_NOT_FOUND;
+		break;
+	}
+	answer->revision = model->revision;
+}
