--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,8 @@
 ALL_CXXFLAGS = -std=c++17 -Wno-missing-field-initializers $(COMMON) $(CXXFLAGS)
 ALL_LDFLAGS = $(SANITIZERS) $(LDFLAGS)
 
-PROGRAM_SOURCES = $(wildcard daemons/siskinlink*.c fakes/fake_*.c \
-	bench/*_bench.c)
+PROGRAM_SOURCES = $(filter-out fakes/fake_server.c, \
+	$(wildcard daemons/siskinlink*.c fakes/fake_*.c bench/*_bench.c))
 PROGRAMS = $(patsubst %.c,$(B)/bin/%,$(notdir $(PROGRAM_SOURCES)))
 PURE_SOURCES = $(wildcard core/*.c codec/*.c)
 LIBRARY_SOURCES = $(PURE_SOURCES) $(wildcard adapters/*.c adapters/*.cc) \
