--- /dev/null
+++ b/codec/variant_json.h
@@ -0,0 +1,13 @@
+#ifndef CODEC_VARIANT_JSON_H
+#define CODEC_VARIANT_JSON_H
+
+#include <glib.h>
+
+G_BEGIN_DECLS
+
+/* JSON text of a variant, as dumps and answers are written. */
+GBytes *variant_json_format(GVariant *variant);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/core/node.c
@@ -0,0 +1,485 @@
+#include "core/node_state.h"
+
+#include <string.h>
+
+#define MS_US 1000
+#define MAX_TIMERS_PER_STEP 100000
+
+/* Sets every tunable to its default; names and addresses stay unset. */
+void node_options_default(struct node_options *options)
+{
+	memset(options, 0, sizeof(*options));
+	options->placement = NODE_PLACEMENT_HOME;
+	options->policy = PLACEMENT_PEAK;
+	options->heartbeat_us = 200 * MS_US;
+	options->suspect_us = 1000 * MS_US;
+	options->load_poll_us = 500 * MS_US;
+	options->progress_us = 250 * MS_US;
+	options->answer_keep_us = 5 * G_USEC_PER_SEC;
+	options->id_memory_us = 600 * G_USEC_PER_SEC;
+	options->first_token_timeout_us = 60 * G_USEC_PER_SEC;
+	options->stall_timeout_us = 10 * G_USEC_PER_SEC;
+	options->plain_timeout_us = 30 * G_USEC_PER_SEC;
+	options->kv_timeout_us = 2 * G_USEC_PER_SEC;
+	options->drain_timeout_us = 0;
+	options->isolation_us = 15 * G_USEC_PER_SEC;
+	options->max_calls = 10000;
+	options->max_waiting = 2000;
+	options->max_outcomes = 100000;
+	options->max_outcome_bytes = 65536;
+	options->retry_percent = 10;
+	options->max_attempts = 4;
+	options->engines_per_shard = 64;
+}
+
+static void call_free(gpointer data)
+{
+	call_destroy(data);
+}
+
+static void placement_free(gpointer data)
+{
+	placement_destroy(data);
+}
+
+static struct membership *
+node_create_membership(const struct node_options *options,
+		       const char *const *seeds)
+{
+	struct member self = {
+		.name = (char *)options->name,
+		.incarnation = options->incarnation,
+		.version = 1,
+		.state = MEMBER_LIVE,
+		.http_address = (char *)options->http_address,
+		.peer_address = (char *)options->peer_address,
+		.region = (char *)options->region,
+		.failure_domain = (char *)options->failure_domain,
+	};
+	struct membership_options membership = {
+		.self = &self,
+		.seeds = seeds,
+		.heartbeat_us = options->heartbeat_us,
+		.suspect_us = options->suspect_us,
+		.seed = options->seed,
+	};
+
+	return membership_create(&membership);
+}
+
+static void node_copy_options(struct node *node,
+			      const struct node_options *options)
+{
+	struct node_options *copy = &node->options;
+	static const char *const no_seeds[] = {NULL};
+
+	*copy = *options;
+	copy->name = g_strdup(options->name);
+	copy->region = g_strdup(options->region ? options->region : "");
+	copy->failure_domain = g_strdup(
+		options->failure_domain ? options->failure_domain : "");
+	copy->http_address = g_strdup(options->http_address);
+	copy->peer_address = g_strdup(options->peer_address);
+	copy->event_key = g_strdup(options->event_key);
+	node->seeds = g_strdupv(
+		(char **)(options->seeds ? options->seeds : no_seeds));
+	copy->seeds = (const char *const *)node->seeds;
+}
+
+static void node_create_tables(struct node *node)
+{
+	node->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					    call_free);
+	node->tickets = g_hash_table_new(g_int64_hash, g_int64_equal);
+	node->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
+	node->claims = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, g_free);
+	node->timers = timer_heap_create();
+	node->outcomes = outcome_store_create(node->options.max_outcomes,
+					      node->options.max_outcome_bytes);
+	node->shards = g_ptr_array_new_with_free_func(shard_destroy);
+	node->home_tickets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						   NULL, home_ticket_destroy);
+	node->shares = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     placement_free);
+	node->leaving =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+/* A node that has not started yet; the options are copied. */
+struct node *node_create(const struct node_options *options)
+{
+	struct node *node = g_new0(struct node, 1);
+
+	node_copy_options(node, options);
+	node->random = g_rand_new_with_seed((guint32)options->seed);
+	node->next_attempt = 1;
+	node->next_kv_id = 1;
+	node->membership =
+		node_create_membership(&node->options, node->options.seeds);
+	node_create_tables(node);
+	return node;
+}
+
+static void node_free_options(struct node *node)
+{
+	g_free((char *)node->options.name);
+	g_free((char *)node->options.region);
+	g_free((char *)node->options.failure_domain);
+	g_free((char *)node->options.http_address);
+	g_free((char *)node->options.peer_address);
+	g_free((char *)node->options.event_key);
+	g_strfreev(node->seeds);
+}
+
+/* Frees a node and all it holds; NULL is allowed. */
+void node_destroy(struct node *node)
+{
+	if (!node)
+		return;
+	g_hash_table_destroy(node->claims);
+	g_hash_table_destroy(node->attempts);
+	g_hash_table_destroy(node->tickets);
+	g_hash_table_destroy(node->calls);
+	g_hash_table_destroy(node->home_tickets);
+	g_hash_table_destroy(node->shares);
+	g_hash_table_destroy(node->leaving);
+	g_ptr_array_unref(node->shards);
+	outcome_store_destroy(node->outcomes);
+	timer_heap_destroy(node->timers);
+	membership_destroy(node->membership);
+	config_unref(node->config);
+	g_clear_pointer(&node->config_document, g_bytes_unref);
+	g_rand_free(node->random);
+	node_free_options(node);
+	g_free(node);
+}
+
+/* A message from this node. */
+struct peer_message *node_message_create(const struct node *node,
+					 enum peer_message_type type)
+{
+	struct peer_message *message = peer_message_create(type);
+
+	message->from = g_strdup(node->options.name);
+	message->from_address = g_strdup(node->options.peer_address);
+	message->incarnation = node->options.incarnation;
+	return message;
+}
+
+/* Sends a message and takes it over. */
+void node_send(struct node *node, const char *peer_address,
+	       struct peer_message *message)
+{
+	struct action *action =
+		action_list_add(node->actions, ACTION_PEER_SEND);
+
+	action->peer_send.peer_address = g_strdup(peer_address);
+	action->peer_send.message = message;
+	counters_add(&node->counters, COUNTER_PEER_SENT, 1);
+}
+
+/*
+ * Asks the key-value service and returns the number its answer will carry.
+ * For a lease grant, expected_revision is its time to live in seconds.
+ */
+uint64_t node_kv_send(struct node *node, enum kv_op op, const char *key,
+		      GBytes *value, int64_t expected_revision, int64_t lease)
+{
+	struct action *action = action_list_add(node->actions, ACTION_KV);
+
+	action->kv.id = node->next_kv_id++;
+	action->kv.op = op;
+	action->kv.key = g_strdup(key);
+	action->kv.value = value ? g_bytes_ref(value) : NULL;
+	if (op == KV_LEASE_GRANT)
+		action->kv.ttl_s = expected_revision;
+	else
+		action->kv.expected_revision = expected_revision;
+	action->kv.lease = lease;
+	action->kv.timeout_us = node->options.kv_timeout_us;
+	counters_add(&node->counters, COUNTER_KV_CALLS, 1);
+	return action->kv.id;
+}
+
+/* Logs an event with one field besides those of the call. */
+void node_log(struct node *node, enum log_level level, const char *event,
+	      const struct call *call, const char *key, const char *value)
+{
+	char id[32];
+
+	if (!call) {
+		action_list_log(node->actions, level, event, key, value, NULL);
+		return;
+	}
+	g_snprintf(id, sizeof(id), "%" G_GUINT64_FORMAT, call->id);
+	action_list_log(node->actions, level, event, "request", id,
+			"organisation", call->organisation, key, value, NULL);
+}
+
+/* Begins the node's life: reads the configuration and finds its peers. */
+void node_start(struct node *node, int64_t now_us, struct action_list *actions)
+{
+	node->now_us = now_us;
+	node->actions = actions;
+	node->started_us = now_us;
+	node->next_progress_us = now_us + node->options.progress_us;
+	node->next_poll_us = now_us;
+	node->next_announce_us = now_us;
+	membership_step(node->membership, now_us, actions);
+	node->epoch_seen = membership_epoch(node->membership);
+	node_config_start(node);
+	node_config_step(node);
+	node->actions = NULL;
+}
+
+static void node_receive_probe(struct node *node,
+			       const struct peer_message *message)
+{
+	membership_receive(node->membership, message, node->now_us,
+			   node->actions);
+	node_config_check_members(node, message);
+}
+
+static void node_receive_peer(struct node *node,
+			      const struct peer_message *message)
+{
+	counters_add(&node->counters, COUNTER_PEER_RECEIVED, 1);
+	switch (message->type) {
+	case PEER_PING:
+	case PEER_ACK:
+	case PEER_PROBE:
+		node_receive_probe(node, message);
+		break;
+	case PEER_PLACE:
+		if (node->config)
+			node_home_place(node, message);
+		break;
+	case PEER_PLACED:
+		node_place_placed(node, message->placed.ticket,
+				  message->placed.endpoint);
+		break;
+	case PEER_REFUSED:
+		node_place_refused(node, message->refused.ticket,
+				   message->refused.refusal,
+				   message->refused.retry_after_us);
+		break;
+	case PEER_PROGRESS:
+		node_home_progress(node, message);
+		break;
+	case PEER_RELEASE:
+		node_home_release(node, message->release.ticket,
+				  message->release.outcome,
+				  message->release.tokens);
+		break;
+	case PEER_CONFIG:
+	case PEER_CONFIG_ASK:
+		node_config_peer(node, message);
+		break;
+	case PEER_LEAVING:
+		node_home_peer_leaving(node, &message->leaving);
+		break;
+	case PEER_QUARANTINE:
+	case PEER_MESSAGE_TYPES:
+		break;
+	}
+}
+
+static void node_receive_kv(struct node *node, const struct kv_answer *answer)
+{
+	if (answer->outcome == KV_ANSWER_LOST)
+		counters_add(&node->counters, COUNTER_KV_LOST, 1);
+	else if (answer->outcome == KV_NOT_APPLIED)
+		counters_add(&node->counters, COUNTER_KV_FAILED, 1);
+	else
+		node->kv_heard_us = node->now_us;
+	if (!node_config_kv(node, answer) && !node_id_kv(node, answer))
+		counters_add(&node->counters, COUNTER_EVENTS_UNKNOWN, 1);
+}
+
+static void node_begin_drain(struct node *node)
+{
+	if (node->draining)
+		return;
+	node->draining = true;
+	node->drain_started_us = node->now_us;
+	membership_set_state(node->membership, MEMBER_LEAVING);
+	node_log(node, LOG_LEVEL_INFO, "drain", NULL, "node",
+		 node->options.name);
+}
+
+static void node_dispatch(struct node *node, const struct event *event)
+{
+	switch (event->type) {
+	case EVENT_TIMER:
+	case EVENT_TYPES:
+		break;
+	case EVENT_CALL:
+		node_call_receive(node, &event->call);
+		break;
+	case EVENT_CALL_GONE:
+		node_call_gone(node, event->call_gone);
+		break;
+	case EVENT_CALL_FLOW:
+		node_call_flow(node, &event->call_flow);
+		break;
+	case EVENT_QUERY:
+		node_query_receive(node, &event->query);
+		break;
+	case EVENT_ATTEMPT_STARTED:
+		node_attempt_started(node, &event->started);
+		break;
+	case EVENT_ATTEMPT_CHUNK:
+		node_attempt_chunk(node, &event->chunk);
+		break;
+	case EVENT_ATTEMPT_DONE:
+		node_attempt_done(node, &event->done);
+		break;
+	case EVENT_ATTEMPT_ANSWER:
+		node_attempt_answer(node, &event->answer);
+		break;
+	case EVENT_ATTEMPT_FAILED:
+		node_attempt_failed(node, &event->failed);
+		break;
+	case EVENT_LOAD:
+		node_home_load(node, &event->load);
+		break;
+	case EVENT_PEER:
+		node_receive_peer(node, event->peer);
+		break;
+	case EVENT_KV:
+		node_receive_kv(node, event->kv);
+		break;
+	case EVENT_KV_WATCH:
+		node_config_watch(node, &event->kv_watch);
+		break;
+	case EVENT_VM_LIST:
+		node_home_vm_list(node, &event->vm_list);
+		break;
+	case EVENT_SHUTDOWN:
+		node_begin_drain(node);
+		break;
+	}
+}
+
+static void node_wake_calls(struct node *node)
+{
+	uint64_t id;
+
+	for (int32_t i = 0; i < MAX_TIMERS_PER_STEP; i++) {
+		struct call *call;
+
+		if (!timer_heap_pop(node->timers, node->now_us, &id))
+			return;
+		call = g_hash_table_lookup(node->calls, &id);
+		if (call)
+			node_call_wake(node, call);
+	}
+}
+
+/* Takes back the words of peers on leaving endpoints that ran out. */
+static void node_expire_leaving(struct node *node)
+{
+	GPtrArray *expired = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, node->leaving);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct leaving_mark *mark = value;
+
+		if ((mark->sources & LEAVING_PEER) &&
+		    mark->peer_until_us <= node->now_us)
+			g_ptr_array_add(expired, g_strdup(key));
+	}
+	for (guint i = 0; i < expired->len; i++)
+		node_home_set_leaving(node, g_ptr_array_index(expired, i),
+				      LEAVING_PEER, false);
+	g_ptr_array_unref(expired);
+}
+
+static void node_check_drained(struct node *node)
+{
+	int64_t quiet_us =
+		node->drain_started_us + node->options.answer_keep_us;
+
+	if (!node->draining || node->stopped || node->now_us <= quiet_us)
+		return;
+	if (g_hash_table_size(node->calls) > 0 &&
+	    (node->options.drain_timeout_us == 0 ||
+	     node->now_us <
+		     node->drain_started_us + node->options.drain_timeout_us))
+		return;
+	node->stopped = true;
+	action_list_add(node->actions, ACTION_STOPPED);
+}
+
+static void node_run_periodic(struct node *node)
+{
+	if (node->now_us >= node->next_poll_us) {
+		node->next_poll_us = node->now_us + node->options.load_poll_us;
+		node_home_poll(node);
+		node_expire_leaving(node);
+	}
+	if (node->now_us >= node->next_progress_us) {
+		node->next_progress_us =
+			node->now_us + node->options.progress_us;
+		node_place_progress(node);
+	}
+	if (node->now_us >= node->next_announce_us)
+		node_home_announce_leaving(node);
+}
+
+static void node_check_members(struct node *node)
+{
+	uint64_t epoch = membership_epoch(node->membership);
+
+	if (epoch == node->epoch_seen)
+		return;
+	node->epoch_seen = epoch;
+	node_home_membership_changed(node);
+}
+
+/*
+ * Takes one event and appends what is to be done. now_us never falls; the
+ * actions are to be carried out in order before the next step.
+ */
+void node_step(struct node *node, int64_t now_us, const struct event *event,
+	       struct action_list *actions)
+{
+	node->now_us = MAX(now_us, node->now_us);
+	node->actions = actions;
+	node_dispatch(node, event);
+	node_wake_calls(node);
+	membership_step(node->membership, node->now_us, actions);
+	node_check_members(node);
+	node_config_step(node);
+	node_run_periodic(node);
+	node_home_step(node);
+	node_place_step_shares(node);
+	node_check_drained(node);
+	node->actions = NULL;
+}
+
+/* When the node wants an EVENT_TIMER next, in us. */
+int64_t node_next_due_us(const struct node *node)
+{
+	int64_t due_us = timer_heap_next_due_us(node->timers);
+	GHashTableIter iter;
+	gpointer share;
+
+	due_us = MIN(due_us, membership_next_due_us(node->membership));
+	due_us = MIN(due_us, node->next_poll_us);
+	due_us = MIN(due_us, node->next_progress_us);
+	due_us = MIN(due_us, node_home_next_due_us(node));
+	g_hash_table_iter_init(&iter, node->shares);
+	while (g_hash_table_iter_next(&iter, NULL, &share))
+		due_us = MIN(due_us, placement_next_due_us(share));
+	return due_us;
+}
+
+/* The node's counters; adapters of the same process add to them too. */
+struct counters *node_counters(struct node *node)
+{
+	return &node->counters;
+}
--- /dev/null
+++ b/core/node_attempt.c
@@ -0,0 +1,336 @@
+#include "core/node_state.h"
+
+#include "core/event_id.h"
+
+#include <string.h>
+
+/*
+ * What endpoints answer. A request is run again only while nothing of it was
+ * delivered and it either certainly did not run or may run twice; once a token
+ * has gone to the caller, the same generation is attached to again or the
+ * stream ends with a typed error.
+ */
+
+#define COME_BACK_US 1000000
+#define MAX_GENERATION_LENGTH 95
+#define MAX_CHUNK_TOKENS 1000000
+#define MAX_REATTACHES 4
+#define BACKOFF_FIRST_US 20000
+#define BACKOFF_LARGEST_US 2000000
+
+static struct call *node_find_attempt(struct node *node, uint64_t attempt)
+{
+	struct call *call = g_hash_table_lookup(node->attempts, &attempt);
+
+	if (!call)
+		counters_add(&node->counters, COUNTER_EVENTS_UNKNOWN, 1);
+	return call;
+}
+
+static void call_new_attempt(struct node *node, struct call *call)
+{
+	call->attempt = node->next_attempt++;
+	g_hash_table_insert(node->attempts, &call->attempt, call);
+}
+
+static void call_end_attempt(struct node *node, struct call *call)
+{
+	if (call->attempt)
+		g_hash_table_remove(node->attempts, &call->attempt);
+	call->attempt = 0;
+}
+
+/* Sends a call to the endpoint it was granted. */
+void node_attempt_send(struct node *node, struct call *call)
+{
+	struct action *action;
+
+	call_new_attempt(node, call);
+	call->attempts++;
+	call_set_generation(call, NULL);
+	node_id_dispatched(call);
+	node_call_set_state(node, call, CALL_SENT);
+	counters_add(&node->counters, COUNTER_ATTEMPTS, 1);
+	if (call->attempts > 1)
+		counters_add(&node->counters, COUNTER_RETRIES, 1);
+	action = action_list_add(node->actions, ACTION_ATTEMPT_SEND);
+	action->send.attempt = call->attempt;
+	action->send.call = call->id;
+	action->send.endpoint = g_strdup(call->endpoint);
+	action->send.request = request_ref(call->request);
+	action->send.priority = call->priority;
+	if (call->kind == SERVICE_PLAIN)
+		action->send.timeout_us = node->options.plain_timeout_us;
+	node_log(node, LOG_LEVEL_INFO, "attempt_send", call, "endpoint",
+		 call->endpoint);
+}
+
+/* Attaches to the call's generation behind the tokens it already has. */
+void node_attempt_resume(struct node *node, struct call *call)
+{
+	struct action *action;
+
+	call_new_attempt(node, call);
+	call->last_heard_us = node->now_us;
+	node_call_set_state(node, call, CALL_STREAMING);
+	action = action_list_add(node->actions, ACTION_ATTEMPT_RESUME);
+	action->resume.attempt = call->attempt;
+	action->resume.call = call->id;
+	action->resume.endpoint = g_strdup(call->endpoint);
+	action->resume.generation = g_strdup(call->generation);
+	action->resume.next_token = call->next_token;
+	node_log(node, LOG_LEVEL_INFO, "attempt_resume", call, "endpoint",
+		 call->endpoint);
+}
+
+/* Lets an attempt go; with keep_running its generation goes on for a while. */
+void node_attempt_cancel(struct node *node, struct call *call,
+			 bool keep_running)
+{
+	struct action *action;
+
+	if (!call->attempt)
+		return;
+	action = action_list_add(node->actions, ACTION_ATTEMPT_CANCEL);
+	action->cancel.attempt = call->attempt;
+	action->cancel.keep_running = keep_running;
+	call_end_attempt(node, call);
+}
+
+static int64_t node_backoff_us(struct node *node, int32_t tries)
+{
+	int64_t longest = BACKOFF_FIRST_US << MIN(MAX(tries, 1), 16);
+
+	/* Full jitter: callers failed by one endpoint do not return in step. */
+	longest = MIN(longest, BACKOFF_LARGEST_US);
+	return g_rand_int_range(node->random, BACKOFF_FIRST_US / 2,
+				(gint32)longest);
+}
+
+/* Tries again elsewhere after a pause, or gives the final answer now. */
+void node_attempt_retry(struct node *node, struct call *call)
+{
+	enum run run = call->maybe_run ? RUN_UNKNOWN : RUN_NO;
+
+	if (call->caller_gone && !call->request->non_idempotent) {
+		node_call_refuse(node, call, REFUSAL_ENDPOINT_FAILED, run, 0);
+		return;
+	}
+	if (call->attempts >= node->options.max_attempts) {
+		node_call_refuse(node, call,
+				 call->maybe_run ? REFUSAL_ENDPOINT_FAILED
+						 : REFUSAL_NO_ENDPOINT,
+				 run, COME_BACK_US);
+		return;
+	}
+	if (call->outcome) {
+		outcome_clear_chunks(call->outcome);
+		call->outcome->state = OUTCOME_PENDING;
+	}
+	call->retry_us = node->now_us + node_backoff_us(node, call->attempts);
+	node_call_set_state(node, call, CALL_BACKOFF);
+}
+
+static void call_reattach(struct node *node, struct call *call)
+{
+	call_end_attempt(node, call);
+	if (call->reattaches >= MAX_REATTACHES) {
+		node_place_release(node, call, RELEASE_FAILED);
+		node_call_refuse(node, call, REFUSAL_ENDPOINT_FAILED, RUN_YES,
+				 COME_BACK_US);
+		return;
+	}
+	call->reattaches++;
+	call->retry_us = node->now_us + node_backoff_us(node, call->reattaches);
+	node_call_set_state(node, call, CALL_REATTACH);
+}
+
+/* The endpoint may be running it, or may have; nothing was delivered. */
+static void call_failed_unseen(struct node *node, struct call *call,
+			       enum refusal refusal)
+{
+	call->maybe_run = true;
+	node_place_release(node, call, RELEASE_FAILED);
+	if (call->request->non_idempotent) {
+		node_call_refuse(node, call, refusal, RUN_UNKNOWN, 0);
+		return;
+	}
+	call->avoid_hash = home_hash(call->endpoint, "", 0);
+	node_attempt_retry(node, call);
+}
+
+static void call_failed_not_run(struct node *node, struct call *call,
+				enum attempt_stage stage)
+{
+	node_place_release(node, call,
+			   stage == ATTEMPT_NOT_SENT ? RELEASE_LOST
+						     : RELEASE_NOT_SENT);
+	call->avoid_hash = home_hash(call->endpoint, "", 0);
+	node_attempt_retry(node, call);
+}
+
+/* Whether the caller, or its remembered outcome, has part of an answer. */
+static bool call_has_tokens(const struct call *call)
+{
+	return call->state == CALL_STREAMING || call->state == CALL_REATTACH;
+}
+
+/* An attempt ended without a whole answer. */
+void node_attempt_failed(struct node *node,
+			 const struct event_attempt_failed *event)
+{
+	struct call *call = node_find_attempt(node, event->attempt);
+
+	if (!call)
+		return;
+	counters_add(&node->counters, COUNTER_ATTEMPTS_FAILED, 1);
+	node_log(node, LOG_LEVEL_WARN, "attempt_failed", call, "detail",
+		 event->error.detail);
+	call_end_attempt(node, call);
+	if (call->state == CALL_FORWARDED) {
+		node_call_refuse(node, call, REFUSAL_UNKNOWN_OUTCOME,
+				 RUN_UNKNOWN, COME_BACK_US);
+		return;
+	}
+	if (call_has_tokens(call) && event->stage == ATTEMPT_GONE) {
+		node_place_release(node, call, RELEASE_FAILED);
+		node_call_refuse(node, call, REFUSAL_GENERATION_GONE, RUN_YES,
+				 COME_BACK_US);
+		return;
+	}
+	if (call_has_tokens(call)) {
+		call_reattach(node, call);
+		return;
+	}
+	switch (event->stage) {
+	case ATTEMPT_NOT_SENT:
+	case ATTEMPT_REFUSED:
+		call_failed_not_run(node, call, event->stage);
+		break;
+	case ATTEMPT_GONE:
+	case ATTEMPT_SENT:
+		call_failed_unseen(node, call, REFUSAL_ENDPOINT_FAILED);
+		break;
+	}
+}
+
+/* An endpoint was silent for too long. */
+void node_attempt_timeout(struct node *node, struct call *call)
+{
+	node_log(node, LOG_LEVEL_WARN, "attempt_timeout", call, "state",
+		 call_state_name(call->state));
+	counters_add(&node->counters, COUNTER_ATTEMPTS_FAILED, 1);
+	if (call->state == CALL_FORWARDED) {
+		node_attempt_cancel(node, call, false);
+		node_call_refuse(node, call, REFUSAL_UNKNOWN_OUTCOME,
+				 RUN_UNKNOWN, COME_BACK_US);
+		return;
+	}
+	if (call->state == CALL_STREAMING) {
+		node_attempt_cancel(node, call, true);
+		call_reattach(node, call);
+		return;
+	}
+	node_attempt_cancel(node, call, false);
+	call_failed_unseen(node, call, REFUSAL_ENDPOINT_TIMEOUT);
+}
+
+/* The engine has named the generation. */
+void node_attempt_started(struct node *node,
+			  const struct event_attempt_started *event)
+{
+	struct call *call = node_find_attempt(node, event->attempt);
+
+	if (!call)
+		return;
+	if (!event_id_is_token(event->generation, MAX_GENERATION_LENGTH) ||
+	    (call->generation &&
+	     strcmp(call->generation, event->generation) != 0)) {
+		/* An answer that cannot be resumed, or another generation's. */
+		node_attempt_cancel(node, call, false);
+		if (call_has_tokens(call))
+			call_reattach(node, call);
+		else
+			call_failed_unseen(node, call, REFUSAL_ENDPOINT_FAILED);
+		return;
+	}
+	if (!call->generation)
+		call_set_generation(call, event->generation);
+}
+
+static bool chunk_is_sane(const struct call *call,
+			  const struct event_attempt_chunk *event)
+{
+	return call->generation && event->token_count >= 0 &&
+	       event->token_count <= MAX_CHUNK_TOKENS &&
+	       event->first_token >= 0;
+}
+
+/*
+ * Tokens from an engine. Only the chunk that follows the last one is passed
+ * on: an earlier one was delivered already, and behind a gap the caller would
+ * get an answer with a hole, so the generation is attached to again.
+ */
+void node_attempt_chunk(struct node *node,
+			const struct event_attempt_chunk *event)
+{
+	struct call *call = node_find_attempt(node, event->attempt);
+
+	if (!call)
+		return;
+	call->last_heard_us = node->now_us;
+	if (!chunk_is_sane(call, event) ||
+	    event->first_token < call->next_token) {
+		counters_add(&node->counters, COUNTER_CHUNKS_DROPPED, 1);
+		return;
+	}
+	if (event->first_token > call->next_token) {
+		counters_add(&node->counters, COUNTER_CHUNKS_DROPPED, 1);
+		node_attempt_cancel(node, call, true);
+		if (call_has_tokens(call))
+			call_reattach(node, call);
+		else
+			call_failed_unseen(node, call, REFUSAL_ENDPOINT_FAILED);
+		return;
+	}
+	call->reattaches = 0;
+	if (call->state == CALL_SENT)
+		node_call_set_state(node, call, CALL_STREAMING);
+	node_call_chunk(node, call, event->data, event->token_count);
+}
+
+/* The engine says that the generation is whole. */
+void node_attempt_done(struct node *node,
+		       const struct event_attempt_done *event)
+{
+	struct call *call = node_find_attempt(node, event->attempt);
+
+	if (!call)
+		return;
+	call_end_attempt(node, call);
+	if (!call->generation || (event->token_count >= 0 &&
+				  event->token_count != call->next_token)) {
+		/* Its count and ours differ: something was lost on the way. */
+		if (call_has_tokens(call))
+			call_reattach(node, call);
+		else
+			call_failed_unseen(node, call, REFUSAL_ENDPOINT_FAILED);
+		return;
+	}
+	node_place_release(node, call, RELEASE_WHOLE);
+	node_call_end(node, call, REFUSAL_NONE, event->finish_reason);
+}
+
+/* A plain endpoint's, or another node's, whole answer. */
+void node_attempt_answer(struct node *node,
+			 const struct event_attempt_answer *event)
+{
+	struct call *call = node_find_attempt(node, event->attempt);
+
+	if (!call)
+		return;
+	call_end_attempt(node, call);
+	node_place_release(node, call, RELEASE_WHOLE);
+	node_call_answer(node, call, event->status, event->content_type,
+			 event->body);
+}
--- /dev/null
+++ b/core/node_config.c
@@ -0,0 +1,239 @@
+#include "core/node_state.h"
+
+#include "codec/config_json.h"
+
+#include <string.h>
+
+/*
+ * The configuration in force. It comes from the key-value service or from
+ * peers; only a higher revision is ever taken, so a late answer, a delayed
+ * watch or a peer that lags cannot bring an older one back.
+ */
+
+#define CONFIG_KEY "/siskinlink/config"
+#define CONFIG_READ_US (60 * G_USEC_PER_SEC)
+#define CONFIG_RETRY_US G_USEC_PER_SEC
+#define CONFIG_WATCHERS 3
+#define CONFIG_ANNOUNCE_FANOUT 3
+
+/* Revision of the configuration in force; 0 before the first. */
+int64_t node_config_revision(const struct node *node)
+{
+	return node->config ? node->config->revision : 0;
+}
+
+static void node_send_config_ask(struct node *node, const char *peer_address)
+{
+	struct peer_message *message =
+		node_message_create(node, PEER_CONFIG_ASK);
+
+	message->config.revision = node_config_revision(node);
+	node_send(node, peer_address, message);
+}
+
+/*
+ * Tells a few random members which revision is here. Who lacks it asks for it
+ * and tells others in turn; who has a newer one sends that.
+ */
+static void node_announce_config(struct node *node)
+{
+	size_t count = membership_count(node->membership);
+
+	if (count < 2)
+		return;
+	for (int32_t i = 0; i < CONFIG_ANNOUNCE_FANOUT; i++) {
+		const struct member *member =
+			membership_get(node->membership,
+				       (size_t)g_rand_int_range(node->random, 0,
+								(gint32)count));
+
+		if (strcmp(member->name, node->options.name) != 0)
+			node_send_config_ask(node, member->peer_address);
+	}
+}
+
+static void node_apply_config_leaving(struct node *node)
+{
+	for (guint i = 0; i < node->config->services->len; i++) {
+		const struct config_service *service =
+			g_ptr_array_index(node->config->services, i);
+
+		for (guint k = 0; k < service->endpoints->len; k++) {
+			const struct config_endpoint *endpoint =
+				g_ptr_array_index(service->endpoints, k);
+
+			node_home_set_leaving(node, endpoint->address,
+					      LEAVING_CONFIG,
+					      endpoint->leaving);
+		}
+	}
+}
+
+static void node_adopt_config(struct node *node, GBytes *document,
+			      int64_t revision, const char *source)
+{
+	struct config *config;
+	struct error error;
+	char *text;
+
+	if (revision <= node_config_revision(node))
+		return;
+	error_clear(&error);
+	config = config_json_parse(document, revision, &error);
+	if (!config) {
+		counters_add(&node->counters, COUNTER_CONFIG_REJECTED, 1);
+		node_log(node, LOG_LEVEL_ERROR, "config_rejected", NULL,
+			 "detail", error.detail);
+		return;
+	}
+	config_unref(node->config);
+	g_clear_pointer(&node->config_document, g_bytes_unref);
+	node->config = config;
+	node->config_document = g_bytes_ref(document);
+	counters_add(&node->counters, COUNTER_CONFIG_APPLIED, 1);
+	membership_set_config_revision(node->membership, revision);
+	node_home_rebuild(node);
+	node_apply_config_leaving(node);
+	node_place_reset_shares(node);
+	node_place_rehome(node);
+	node_announce_config(node);
+	text = g_strdup_printf("%" G_GINT64_FORMAT " from %s", revision,
+			       source);
+	node_log(node, LOG_LEVEL_INFO, "config_applied", NULL, "revision",
+		 text);
+	g_free(text);
+}
+
+static void node_read_config(struct node *node)
+{
+	if (node->config_kv_id)
+		return;
+	node->config_kv_id = node_kv_send(node, KV_GET, CONFIG_KEY, NULL, 0, 0);
+}
+
+/* Reads the configuration for the first time. */
+void node_config_start(struct node *node)
+{
+	node->config_read_us = node->now_us;
+	node_read_config(node);
+	for (char **seed = node->seeds; *seed; seed++)
+		node_send_config_ask(node, *seed);
+}
+
+/* Whether this node is one of the few of its region that watch the key. */
+static bool node_is_watcher(const struct node *node)
+{
+	uint64_t own = home_hash(node->options.name, "watch", 0);
+	int32_t ahead = 0;
+
+	for (size_t i = 0; i < membership_count(node->membership); i++) {
+		const struct member *member =
+			membership_get(node->membership, i);
+
+		if (strcmp(member->region, node->options.region) == 0 &&
+		    member->state != MEMBER_LEAVING &&
+		    home_hash(member->name, "watch", 0) > own)
+			ahead++;
+	}
+	return ahead < CONFIG_WATCHERS;
+}
+
+/* Keeps the watch going, and reads now and then what it may have missed. */
+void node_config_step(struct node *node)
+{
+	int64_t interval_us = node->config ? CONFIG_READ_US : CONFIG_RETRY_US;
+
+	if (!node->watching && node_is_watcher(node)) {
+		node->watching = true;
+		action_list_add(node->actions, ACTION_KV_WATCH)->kv_watch =
+			g_strdup(CONFIG_KEY);
+	}
+	if (node->now_us < node->config_read_us + interval_us)
+		return;
+	node->config_read_us = node->now_us;
+	node_read_config(node);
+	if (!node->config)
+		node_announce_config(node);
+}
+
+/* Takes the answer to reading the key; false when it is another's answer. */
+bool node_config_kv(struct node *node, const struct kv_answer *answer)
+{
+	const struct kv_entry *entry;
+
+	if (answer->id != node->config_kv_id)
+		return false;
+	node->config_kv_id = 0;
+	if (answer->outcome != KV_OK || !answer->entries ||
+	    answer->entries->len == 0)
+		return true;
+	entry = g_ptr_array_index(answer->entries, 0);
+	node_adopt_config(node, entry->value, entry->mod_revision, "read");
+	return true;
+}
+
+/* The watched key changed. */
+void node_config_watch(struct node *node, const struct event_kv_watch *event)
+{
+	node->kv_heard_us = node->now_us;
+	if (!event->value || strcmp(event->key, CONFIG_KEY) != 0)
+		return;
+	node_adopt_config(node, event->value, event->mod_revision, "watch");
+}
+
+static void node_send_config(struct node *node, const char *peer_address)
+{
+	struct peer_message *message = node_message_create(node, PEER_CONFIG);
+
+	message->config.revision = node_config_revision(node);
+	message->config.document = g_bytes_ref(node->config_document);
+	node_send(node, peer_address, message);
+}
+
+/* A peer names its revision, or sends its configuration. */
+void node_config_peer(struct node *node, const struct peer_message *message)
+{
+	int64_t own = node_config_revision(node);
+
+	if (message->type == PEER_CONFIG) {
+		if (message->config.document)
+			node_adopt_config(node, message->config.document,
+					  message->config.revision, "peer");
+		return;
+	}
+	if (own > message->config.revision)
+		node_send_config(node, message->from_address);
+	else if (own < message->config.revision)
+		node_send_config_ask(node, message->from_address);
+}
+
+/*
+ * Probes carry each member's revision: a node that missed an announcement
+ * learns from the next probe that it is behind.
+ */
+void node_config_check_members(struct node *node,
+			       const struct peer_message *message)
+{
+	for (guint i = 0; i < message->probe.members->len; i++) {
+		const struct member *member =
+			g_ptr_array_index(message->probe.members, i);
+
+		if (strcmp(member->name, message->from) == 0 &&
+		    member->config_revision > node_config_revision(node))
+			node_send_config_ask(node, message->from_address);
+	}
+}
+
+/*
+ * Whether this node may hold an old configuration without knowing: for too
+ * long it has heard neither the key-value service nor most of its peers. It
+ * then takes no new work, since its organisations and endpoints may be gone.
+ */
+bool node_config_is_isolated(const struct node *node)
+{
+	int64_t heard_us = MAX(node->kv_heard_us,
+			       membership_quorum_heard_us(node->membership));
+
+	heard_us = MAX(heard_us, node->started_us);
+	return node->now_us - heard_us > node->options.isolation_us;
+}
--- /dev/null
+++ b/core/node_state.h
@@ -0,0 +1,225 @@
+#ifndef CORE_NODE_STATE_H
+#define CORE_NODE_STATE_H
+
+#include "core/call.h"
+#include "core/home.h"
+#include "core/membership.h"
+#include "core/node.h"
+#include "core/outcome_store.h"
+#include "core/timer_heap.h"
+
+#include <glib.h>
+
+G_BEGIN_DECLS
+
+/*
+ * The node's state and the functions its parts call in one another. Private
+ * to core/node*.c:
+ *
+ *   node.c          life, dispatch of events, dump
+ *   node_call.c     callers: checks, refusals, streams, timers
+ *   node_id.c       request ids: repeated, claimed, forwarded
+ *   node_place.c    entry node's side of getting an endpoint
+ *   node_attempt.c  what endpoints answer; retries
+ *   node_home.c     home's side: shards, grants, load
+ *   node_config.c   configuration: key-value service, peers
+ *   node_query.c    GET /v1/nodes, show, plan, confirm
+ */
+
+/* A shard of a service's endpoints, for which this node is home or asks. */
+struct shard {
+	char *service;
+	uint32_t index;
+	char *home;	       /* name of its home, NULL when there is none */
+	bool is_home;	       /* this node */
+	bool dirty;	       /* something a decision depends on has changed */
+	int64_t grant_from_us; /* new home: nothing is granted before */
+	GHashTable *awaited;   /* names whose holdings have not come yet */
+	struct placement *placement; /* home only */
+	GPtrArray *endpoints;	     /* char *: addresses */
+	enum service_kind kind;
+};
+
+/* A ticket that this node, as home, has queued or granted. */
+struct home_ticket {
+	uint64_t ticket;
+	uint64_t incarnation; /* of the asker */
+	char *asker;	      /* its name */
+	char *asker_address;  /* its peer address; NULL: this node itself */
+	struct shard *shard;
+	char *endpoint; /* NULL while queued */
+};
+
+struct node {
+	struct node_options options;
+	char **seeds;
+	struct counters counters;
+	GRand *random;
+	uint64_t next_attempt;
+	uint64_t next_ticket;
+	uint64_t next_kv_id;
+	int64_t now_us;
+	struct action_list *actions; /* of the step being made */
+
+	struct config *config; /* NULL before the first */
+	GBytes *config_document;
+	int64_t kv_heard_us; /* last answer of the key-value service */
+	int64_t started_us;
+	uint64_t config_kv_id; /* reading the configuration; 0: not */
+	int64_t config_read_us;
+	bool watching;
+
+	struct membership *membership;
+	uint64_t epoch_seen;
+	bool draining;
+	bool stopped;
+	int64_t drain_started_us;
+
+	GHashTable *calls;	   /* id to struct call */
+	GHashTable *tickets;	   /* ticket to struct call */
+	GHashTable *attempts;	   /* attempt to struct call */
+	GHashTable *claims;	   /* key-value request id to call id */
+	struct timer_heap *timers; /* call ids */
+	struct outcome_store *outcomes;
+	int64_t claim_lease;
+	int64_t claim_lease_us; /* when it was granted */
+	uint64_t claim_lease_kv_id;
+
+	GPtrArray *shards;	  /* struct shard */
+	GHashTable *home_tickets; /* ticket to struct home_ticket */
+	GHashTable *shares;  /* service name to struct placement: no home */
+	GHashTable *leaving; /* endpoint to struct leaving_mark */
+	int64_t next_announce_us; /* of endpoints that leave */
+	int64_t next_poll_us;
+	int64_t next_progress_us;
+};
+
+/* Which of the ways has marked an endpoint as leaving; any one is enough. */
+enum leaving_source {
+	LEAVING_CONFIG = 1,
+	LEAVING_VM_LIST = 2,
+	LEAVING_LOAD = 4,
+	LEAVING_PEER = 8
+};
+
+struct leaving_mark {
+	uint32_t sources;      /* bits of enum leaving_source */
+	int64_t peer_until_us; /* a peer's word counts until then */
+};
+
+/* node_call.c */
+void node_call_receive(struct node *node, const struct event_call *event);
+void node_call_gone(struct node *node, uint64_t id);
+void node_call_flow(struct node *node, const struct event_call_flow *event);
+void node_call_wake(struct node *node, struct call *call);
+void node_call_arm(struct node *node, struct call *call);
+void node_call_set_state(struct node *node, struct call *call,
+			 enum call_state state);
+void node_call_refuse(struct node *node, struct call *call,
+		      enum refusal refusal, enum run run,
+		      int64_t retry_after_us);
+void node_call_chunk(struct node *node, struct call *call, GBytes *data,
+		     int64_t token_count);
+void node_call_end(struct node *node, struct call *call, enum refusal refusal,
+		   const char *finish_reason);
+void node_call_answer(struct node *node, struct call *call, int32_t status,
+		      const char *content_type, GBytes *body);
+void node_call_drop(struct node *node, struct call *call);
+void node_refuse(struct node *node, uint64_t call, enum refusal refusal,
+		 enum run run, int64_t retry_after_us, const char *detail);
+
+/* node_id.c */
+bool node_id_receive(struct node *node, struct call *call);
+bool node_id_kv(struct node *node, const struct kv_answer *answer);
+void node_id_settle(struct node *node, struct call *call);
+void node_id_dispatched(struct call *call);
+
+/* node_place.c */
+void node_place_call(struct node *node, struct call *call);
+void node_place_wake(struct node *node, struct call *call);
+void node_place_withdraw(struct node *node, struct call *call);
+void node_place_release(struct node *node, struct call *call,
+			enum release_outcome outcome);
+void node_place_placed(struct node *node, uint64_t ticket,
+		       const char *endpoint);
+void node_place_refused(struct node *node, uint64_t ticket,
+			enum refusal refusal, int64_t retry_after_us);
+void node_place_rehome(struct node *node);
+void node_place_progress(struct node *node);
+void node_place_step_shares(struct node *node);
+void node_place_resize_shares(struct node *node);
+void node_place_reset_shares(struct node *node);
+void node_place_fill(struct node *node, const struct call *call,
+		     struct placement_request *request);
+
+/* node_attempt.c */
+void node_attempt_send(struct node *node, struct call *call);
+void node_attempt_resume(struct node *node, struct call *call);
+void node_attempt_started(struct node *node,
+			  const struct event_attempt_started *event);
+void node_attempt_chunk(struct node *node,
+			const struct event_attempt_chunk *event);
+void node_attempt_done(struct node *node,
+		       const struct event_attempt_done *event);
+void node_attempt_answer(struct node *node,
+			 const struct event_attempt_answer *event);
+void node_attempt_failed(struct node *node,
+			 const struct event_attempt_failed *event);
+void node_attempt_timeout(struct node *node, struct call *call);
+void node_attempt_cancel(struct node *node, struct call *call,
+			 bool keep_running);
+void node_attempt_retry(struct node *node, struct call *call);
+
+/* node_home.c */
+void node_home_rebuild(struct node *node);
+void node_home_membership_changed(struct node *node);
+void node_home_place(struct node *node, const struct peer_message *message);
+void node_home_submit(struct node *node, struct shard *shard,
+		      const struct placement_request *request,
+		      const struct peer_message *from);
+void node_home_release(struct node *node, uint64_t ticket,
+		       enum release_outcome outcome, int64_t tokens);
+void node_home_progress(struct node *node, const struct peer_message *message);
+void node_home_step(struct node *node);
+void node_home_poll(struct node *node);
+void node_home_load(struct node *node, const struct event_load *event);
+int64_t node_home_next_due_us(const struct node *node);
+void node_home_set_leaving(struct node *node, const char *endpoint,
+			   enum leaving_source source, bool leaving);
+void node_home_vm_list(struct node *node, const struct event_vm_list *event);
+void node_home_announce_leaving(struct node *node);
+void node_home_peer_leaving(struct node *node,
+			    const struct peer_leaving *leaving);
+struct shard *node_shard_find(struct node *node, const char *service,
+			      uint32_t index);
+struct shard *node_shard_pick(struct node *node, const char *service);
+void shard_destroy(gpointer data);
+void home_ticket_destroy(gpointer data);
+
+/* node_config.c */
+void node_config_start(struct node *node);
+void node_config_step(struct node *node);
+bool node_config_kv(struct node *node, const struct kv_answer *answer);
+void node_config_watch(struct node *node, const struct event_kv_watch *event);
+void node_config_peer(struct node *node, const struct peer_message *message);
+void node_config_check_members(struct node *node,
+			       const struct peer_message *message);
+bool node_config_is_isolated(const struct node *node);
+int64_t node_config_revision(const struct node *node);
+
+/* node_query.c */
+void node_query_receive(struct node *node, const struct event_query *event);
+
+/* node.c */
+struct peer_message *node_message_create(const struct node *node,
+					 enum peer_message_type type);
+void node_send(struct node *node, const char *peer_address,
+	       struct peer_message *message);
+uint64_t node_kv_send(struct node *node, enum kv_op op, const char *key,
+		      GBytes *value, int64_t expected_revision, int64_t lease);
+void node_log(struct node *node, enum log_level level, const char *event,
+	      const struct call *call, const char *key, const char *value);
+
+G_END_DECLS
+
+#endif
--- a/core/outcome_store.c
+++ b/core/outcome_store.c
@@ -86,7 +86,7 @@
 static bool outcome_is_busy(const struct outcome *outcome)
 {
 	return outcome->state == OUTCOME_RUNNING ||
-	       outcome->state == OUTCOME_CLAIMING;
+	       outcome->state == OUTCOME_PENDING;
 }
 
 /* Forgets what has expired and is not running; oldest first, so cheap. */
--- a/core/outcome_store.h
+++ b/core/outcome_store.h
@@ -16,9 +16,9 @@
  */
 
 enum outcome_state {
-	OUTCOME_NOT_RUN,  /* nothing was sent to an endpoint: may run */
-	OUTCOME_CLAIMING, /* waiting for the key-value service */
-	OUTCOME_RUNNING,  /* may be at an endpoint */
+	OUTCOME_NOT_RUN, /* nothing was sent to an endpoint: may run */
+	OUTCOME_PENDING, /* a call has taken it up; nothing was sent yet */
+	OUTCOME_RUNNING, /* may be at an endpoint */
 	OUTCOME_WHOLE,
 	OUTCOME_UNKNOWN /* was sent; what became of it is not known */
 };
--- a/core/placement.h
+++ b/core/placement.h
@@ -18,6 +18,8 @@
  * shard for all nodes, and by a node alone for its share when it has no home.
  */
 
+#define PLACEMENT_STEP_US 28000 /* wanted between tokens */
+
 enum placement_policy {
 	PLACEMENT_NAIVE, /* fewest outstanding requests, no admission */
 	PLACEMENT_PEAK,	 /* admission by estimated future peak */
