--- a/adapters/engine_event.c
+++ b/adapters/engine_event.c
@@ -1,6 +1,7 @@
 #include "adapters/engine_event.h"
 
-#include "codec/json_limit.h"
+#include "codec/json_reader.h"
+#include "core/event_id.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -14,19 +15,10 @@
 	return false;
 }
 
-/* A handle is put into paths, headers and event ids: letters, digits, -_. */
+/* A handle is put into paths, headers and event ids: see event_id.h. */
 bool engine_generation_valid(const char *generation)
 {
-	size_t length = strlen(generation);
-
-	if (!length || length > GENERATION_BYTES_MAX)
-		return false;
-	for (size_t i = 0; i < length; i++) {
-		if (!g_ascii_isalnum(generation[i]) &&
-		    !strchr("-_.", generation[i]))
-			return false;
-	}
-	return true;
+	return event_id_is_token(generation, GENERATION_BYTES_MAX);
 }
 
 static bool object_read_count(JsonObject *object, const char *name,
@@ -98,7 +90,7 @@
 	const char *reason;
 	bool has_text;
 
-	if (!node || !JSON_NODE_HOLDS_OBJECT(node))
+	if (!JSON_NODE_HOLDS_OBJECT(node))
 		return event_fail(error, "its data is not a JSON object");
 	root = json_node_get_object(node);
 	choice = array_read_object(json_object_get_member(root, "choices"));
@@ -119,17 +111,13 @@
 static bool event_read_data(struct engine_event *event,
 			    const struct sse_event *sse, struct error *error)
 {
-	JsonParser *parser;
-	bool ok;
-
-	if (!json_depth_within(sse->data, sse->data_length, JSON_DEPTH_MAX))
-		return event_fail(error, "its data nests too deep");
-	parser = json_parser_new_immutable();
-	ok = json_parser_load_from_data(parser, sse->data,
-					(gssize)sse->data_length, NULL);
-	ok = ok ? event_read_object(event, json_parser_get_root(parser), error)
-		: event_fail(error, "its data is not JSON");
-	g_object_unref(parser);
+	GBytes *data = g_bytes_new_static(sse->data, sse->data_length);
+	JsonNode *root = json_reader_parse(data, sse->data_length,
+					   "engine.event", error);
+	bool ok = root && event_read_object(event, root, error);
+
+	g_clear_pointer(&root, json_node_unref);
+	g_bytes_unref(data);
 	return ok;
 }
 
--- a/adapters/engine_event.h
+++ b/adapters/engine_event.h
@@ -21,7 +21,7 @@
 };
 
 /* Longest handle of a generation that is taken from an engine. */
-#define GENERATION_BYTES_MAX 128
+#define GENERATION_BYTES_MAX 95
 
 bool engine_event_read(const struct sse_event *sse, const char *generation,
 		       int64_t next_token, struct engine_event *event,
--- a/adapters/http_body.c
+++ b/adapters/http_body.c
@@ -1,6 +1,6 @@
 #include "adapters/http_body.h"
 
-#include "codec/json_limit.h"
+#include "codec/json_reader.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -210,7 +210,7 @@
 {
 	JsonObject *body;
 
-	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
+	if (!JSON_NODE_HOLDS_OBJECT(root))
 		return body_fail(error, "the body must be a JSON object");
 	body = json_node_get_object(root);
 	return body_read_model(request, body, error) &&
@@ -225,25 +225,11 @@
  */
 bool http_body_read(struct request *request, struct error *error)
 {
-	gsize length = 0;
-	const char *text = g_bytes_get_data(request->body, &length);
-	JsonParser *parser;
-	GError *problem = NULL;
-	bool ok;
+	JsonNode *root = json_reader_parse(request->body,
+					   g_bytes_get_size(request->body),
+					   "http.body", error);
+	bool ok = root && body_read_object(request, root, error);
 
-	if (!length)
-		return body_fail(error, "the body must be a JSON object");
-	if (!json_depth_within(text, length, JSON_DEPTH_MAX))
-		return body_fail(error, "the body nests too deep");
-	parser = json_parser_new_immutable();
-	if (json_parser_load_from_data(parser, text, (gssize)length,
-				       &problem)) {
-		ok = body_read_object(request, json_parser_get_root(parser),
-				      error);
-	} else {
-		ok = body_fail(error, "the body is not JSON");
-		g_error_free(problem);
-	}
-	g_object_unref(parser);
+	g_clear_pointer(&root, json_node_unref);
 	return ok;
 }
--- a/adapters/http_collect.c
+++ b/adapters/http_collect.c
@@ -1,6 +1,6 @@
 #include "adapters/http_collect.h"
 
-#include "codec/json_limit.h"
+#include "codec/json_reader.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -87,7 +87,7 @@
 	JsonNode *node;
 	JsonArray *choices;
 
-	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
+	if (!JSON_NODE_HOLDS_OBJECT(root))
 		return false;
 	node = json_object_get_member(json_node_get_object(root), "choices");
 	if (!node)
@@ -106,17 +106,12 @@
 /* Adds one chunk. False where it is malformed or the buffer is full. */
 bool http_collect_add(struct http_collect *collect, GBytes *data)
 {
-	gsize length = 0;
-	const char *text = g_bytes_get_data(data, &length);
-	JsonParser *parser;
-	bool ok;
+	struct error error;
+	JsonNode *root = json_reader_parse(data, g_bytes_get_size(data),
+					   "http.collect", &error);
+	bool ok = root && collect_add_root(collect, root);
 
-	if (!length || !json_depth_within(text, length, JSON_DEPTH_MAX))
-		return false;
-	parser = json_parser_new_immutable();
-	ok = json_parser_load_from_data(parser, text, (gssize)length, NULL) &&
-	     collect_add_root(collect, json_parser_get_root(parser));
-	g_object_unref(parser);
+	g_clear_pointer(&root, json_node_unref);
 	return ok;
 }
 
