--- a/core/node.c
+++ b/core/node.c
@@ -86,6 +86,18 @@
 	copy->seeds = (const char *const *)node->seeds;
 }
 
+static void node_create_limits(struct node *node)
+{
+	struct retry_budget_options retries;
+	struct quarantine_options quarantine;
+
+	retry_budget_options_default(&retries);
+	retries.percent = node->options.retry_percent;
+	node->retries = retry_budget_create(&retries);
+	quarantine_options_default(&quarantine);
+	node->quarantine = quarantine_create(&quarantine);
+}
+
 static void node_create_tables(struct node *node)
 {
 	node->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -118,6 +130,7 @@
 	node->membership =
 		node_create_membership(&node->options, node->options.seeds);
 	node_create_tables(node);
+	node_create_limits(node);
 	return node;
 }
 
@@ -146,6 +159,8 @@
 	g_hash_table_destroy(node->leaving);
 	g_ptr_array_unref(node->shards);
 	outcome_store_destroy(node->outcomes);
+	retry_budget_destroy(node->retries);
+	quarantine_destroy(node->quarantine);
 	timer_heap_destroy(node->timers);
 	membership_destroy(node->membership);
 	config_unref(node->config);
@@ -280,6 +295,8 @@
 		node_home_peer_leaving(node, &message->leaving);
 		break;
 	case PEER_QUARANTINE:
+		node_attempt_peer_crash(node, &message->quarantine);
+		break;
 	case PEER_MESSAGE_TYPES:
 		break;
 	}
--- a/core/node_attempt.c
+++ b/core/node_attempt.c
@@ -15,8 +15,6 @@
 #define MAX_GENERATION_LENGTH 95
 #define MAX_CHUNK_TOKENS 1000000
 #define MAX_REATTACHES 4
-#define BACKOFF_FIRST_US 20000
-#define BACKOFF_LARGEST_US 2000000
 
 static struct call *node_find_attempt(struct node *node, uint64_t attempt)
 {
@@ -47,6 +45,8 @@
 
 	call_new_attempt(node, call);
 	call->attempts++;
+	if (call->attempts == 1)
+		retry_budget_count_first(node->retries);
 	call_set_generation(call, NULL);
 	node_id_dispatched(call);
 	node_call_set_state(node, call, CALL_SENT);
@@ -97,14 +97,48 @@
 	call_end_attempt(node, call);
 }
 
-static int64_t node_backoff_us(struct node *node, int32_t tries)
+/*
+ * A request that was in flight at crashes of two endpoints is not given a
+ * third: it would take the engines down one after another.
+ */
+bool node_attempt_is_quarantined(struct node *node, struct call *call)
+{
+	int64_t until_us = quarantine_until_us(node->quarantine,
+					       call->fingerprint, node->now_us);
+
+	if (!until_us)
+		return false;
+	counters_add(&node->counters, COUNTER_QUARANTINED, 1);
+	node_call_refuse(node, call, REFUSAL_QUARANTINED,
+			 call->maybe_run ? RUN_UNKNOWN : RUN_NO,
+			 until_us - node->now_us);
+	return true;
+}
+
+static void node_report_crash(struct node *node, const struct call *call)
 {
-	int64_t longest = BACKOFF_FIRST_US << MIN(MAX(tries, 1), 16);
+	quarantine_report_crash(node->quarantine, call->fingerprint,
+				call->endpoint, node->now_us);
+	for (size_t i = 0; i < membership_count(node->membership); i++) {
+		const struct member *member =
+			membership_get(node->membership, i);
+		struct peer_message *message;
+
+		if (strcmp(member->name, node->options.name) == 0)
+			continue;
+		message = node_message_create(node, PEER_QUARANTINE);
+		message->quarantine.fingerprint = call->fingerprint;
+		message->quarantine.endpoint = g_strdup(call->endpoint);
+		node_send(node, member->peer_address, message);
+	}
+}
 
-	/* Full jitter: callers failed by one endpoint do not return in step. */
-	longest = MIN(longest, BACKOFF_LARGEST_US);
-	return g_rand_int_range(node->random, BACKOFF_FIRST_US / 2,
-				(gint32)longest);
+/* Another node saw a request in flight when an endpoint failed. */
+void node_attempt_peer_crash(struct node *node,
+			     const struct peer_quarantine *report)
+{
+	quarantine_report_crash(node->quarantine, report->fingerprint,
+				report->endpoint, node->now_us);
 }
 
 /* Tries again elsewhere after a pause, or gives the final answer now. */
@@ -127,7 +161,9 @@
 		outcome_clear_chunks(call->outcome);
 		call->outcome->state = OUTCOME_PENDING;
 	}
-	call->retry_us = node->now_us + node_backoff_us(node, call->attempts);
+	call->retry_us = node->now_us + retry_budget_delay_us(node->retries,
+							      call->attempts,
+							      node->random);
 	node_call_set_state(node, call, CALL_BACKOFF);
 }
 
@@ -141,7 +177,9 @@
 		return;
 	}
 	call->reattaches++;
-	call->retry_us = node->now_us + node_backoff_us(node, call->reattaches);
+	call->retry_us = node->now_us + retry_budget_delay_us(node->retries,
+							      call->reattaches,
+							      node->random);
 	node_call_set_state(node, call, CALL_REATTACH);
 }
 
@@ -192,6 +230,8 @@
 				 RUN_UNKNOWN, COME_BACK_US);
 		return;
 	}
+	if (event->stage == ATTEMPT_SENT)
+		node_report_crash(node, call);
 	if (call_has_tokens(call) && event->stage == ATTEMPT_GONE) {
 		node_place_release(node, call, RELEASE_FAILED);
 		node_call_refuse(node, call, REFUSAL_GENERATION_GONE, RUN_YES,
--- a/core/node_id.c
+++ b/core/node_id.c
@@ -17,7 +17,7 @@
 #define COME_BACK_US 1000000
 #define CLAIM_PREFIX "/siskinlink/claims/"
 #define CLAIM_TTL_S 86400
-#define CLAIM_LEASE_RENEW_US (3600 * G_USEC_PER_SEC)
+#define CLAIM_LEASE_RENEW_US (3600ll * G_USEC_PER_SEC)
 
 static char *outcome_key(const struct call *call)
 {
--- a/core/node_state.h
+++ b/core/node_state.h
@@ -6,6 +6,8 @@
 #include "core/membership.h"
 #include "core/node.h"
 #include "core/outcome_store.h"
+#include "core/quarantine.h"
+#include "core/retry_budget.h"
 #include "core/timer_heap.h"
 
 #include <glib.h>
@@ -81,6 +83,8 @@
 	GHashTable *claims;	   /* key-value request id to call id */
 	struct timer_heap *timers; /* call ids */
 	struct outcome_store *outcomes;
+	struct retry_budget *retries;
+	struct quarantine *quarantine;
 	int64_t claim_lease;
 	int64_t claim_lease_us; /* when it was granted */
 	uint64_t claim_lease_kv_id;
@@ -168,7 +172,10 @@
 void node_attempt_timeout(struct node *node, struct call *call);
 void node_attempt_cancel(struct node *node, struct call *call,
 			 bool keep_running);
+bool node_attempt_is_quarantined(struct node *node, struct call *call);
 void node_attempt_retry(struct node *node, struct call *call);
+void node_attempt_peer_crash(struct node *node,
+			     const struct peer_quarantine *report);
 
 /* node_home.c */
 void node_home_rebuild(struct node *node);
