--- a/fakes/fake_server.c
+++ b/fakes/fake_server.c
@@ -332,6 +332,19 @@
 					 SOUP_MEMORY_COPY, text, strlen(text));
 }
 
+/* Answers in Prometheus text. */
+void fake_message_answer_metrics(SoupServerMessage *message,
+				 const struct fake_metric *metrics,
+				 size_t count)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+
+	for (size_t i = 0; i < count; i++)
+		g_string_append_printf(text, "%s %" G_GINT64_FORMAT "\n",
+				       metrics[i].name, metrics[i].value);
+	fake_message_answer_text(message, 200, text->str);
+}
+
 /* A header of the request; NULL: not sent. */
 const char *fake_message_header(SoupServerMessage *message, const char *name)
 {
--- a/fakes/fake_server.h
+++ b/fakes/fake_server.h
@@ -26,6 +26,11 @@
 	void *value;
 };
 
+struct fake_metric {
+	const char *name;
+	int64_t value;
+};
+
 typedef void (*fake_server_handler)(void *data, SoupServerMessage *message,
 				    const char *path);
 typedef void (*fake_server_callback)(void *data);
@@ -48,6 +53,9 @@
 			      JsonBuilder *builder);
 void fake_message_answer_text(SoupServerMessage *message, unsigned status,
 			      const char *text);
+void fake_message_answer_metrics(SoupServerMessage *message,
+				 const struct fake_metric *metrics,
+				 size_t count);
 const char *fake_message_header(SoupServerMessage *message, const char *name);
 GSource *fake_message_on_close(SoupServerMessage *message,
 			       fake_server_callback closed, void *data);
