--- a/fakes/fake_server.c
+++ b/fakes/fake_server.c
@@ -258,6 +258,12 @@
 	return 0;
 }
 
+/* Where it listens, as host:port; for tests that run it in their own loop. */
+const char *fake_server_address(const struct fake_server *server)
+{
+	return server->address;
+}
+
 static gboolean link_restored(gpointer data)
 {
 	struct fake_server *server = data;
--- a/fakes/fake_server.h
+++ b/fakes/fake_server.h
@@ -39,6 +39,7 @@
 			   const struct fake_mode *modes, size_t count,
 			   fake_server_callback changed, void *data);
 int fake_server_run(struct fake_server *server);
+const char *fake_server_address(const struct fake_server *server);
 
 void fake_server_stall_link(struct fake_server *server, int64_t stall_ms);
 bool fake_server_link_stalled(const struct fake_server *server);
--- /dev/null
+++ b/fakes/kv_server.c
@@ -0,0 +1,354 @@
+#include "fakes/kv_server.h"
+
+#include "fakes/kv_gateway.h"
+
+#include <string.h>
+
+enum { MODE_COUNT = 7 };
+
+struct kv_server {
+	struct fake_server *frame;
+	struct kv_model *model;
+	struct kv_server_modes modes;
+	struct fake_mode switches[MODE_COUNT];
+	uint64_t counts[KV_CALLS];
+	GPtrArray *watchers; /* struct watcher */
+	GPtrArray *held;     /* SoupServerMessage that get no answer */
+	GHashTable *timers;  /* GSource * of answers and changes still due */
+	guint lease_timer;
+};
+
+struct watcher {
+	struct kv_server *server;
+	SoupServerMessage *message;
+	struct kv_gateway_watch watch;
+	GSource *close_source;
+};
+
+static void watcher_destroy(gpointer data)
+{
+	struct watcher *watcher = data;
+
+	g_source_destroy(watcher->close_source);
+	g_source_unref(watcher->close_source);
+	kv_gateway_watch_clear(&watcher->watch);
+	g_object_unref(watcher->message);
+	g_free(watcher);
+}
+
+static void on_watch_closed(void *data)
+{
+	struct watcher *watcher = data;
+
+	g_ptr_array_remove(watcher->server->watchers, watcher);
+}
+
+static void watcher_send(struct watcher *watcher, char *line)
+{
+	SoupMessageBody *body =
+		soup_server_message_get_response_body(watcher->message);
+
+	soup_message_body_append_take(body, (guchar *)line, strlen(line));
+	soup_server_message_unpause(watcher->message);
+}
+
+static void watcher_pump(struct watcher *watcher)
+{
+	char *line;
+
+	while ((line = kv_gateway_watch_next(watcher->server->model,
+					     &watcher->watch)))
+		watcher_send(watcher, line);
+}
+
+static void pump_all(struct kv_server *server)
+{
+	if (server->modes.stall)
+		return;
+	for (guint i = 0; i < server->watchers->len; i++)
+		watcher_pump(g_ptr_array_index(server->watchers, i));
+}
+
+static void end_watches(struct kv_server *server)
+{
+	for (guint i = 0; i < server->watchers->len; i++) {
+		struct watcher *watcher =
+			g_ptr_array_index(server->watchers, i);
+
+		soup_message_body_complete(
+			soup_server_message_get_response_body(
+				watcher->message));
+		soup_server_message_unpause(watcher->message);
+	}
+	g_ptr_array_set_size(server->watchers, 0);
+}
+
+struct delayed {
+	struct kv_server *server;
+	GSource *source;
+	SoupServerMessage *message; /* NULL: pump the watches */
+};
+
+static void delayed_free(gpointer data)
+{
+	struct delayed *delayed = data;
+
+	g_clear_object(&delayed->message);
+	g_free(delayed);
+}
+
+static gboolean run_delayed(gpointer data)
+{
+	struct delayed *delayed = data;
+	struct kv_server *server = delayed->server;
+
+	if (delayed->message)
+		soup_server_message_unpause(delayed->message);
+	else
+		pump_all(server);
+	g_hash_table_remove(server->timers, delayed->source);
+	return G_SOURCE_REMOVE;
+}
+
+static void destroy_source(gpointer data)
+{
+	g_source_destroy(data);
+	g_source_unref(data);
+}
+
+static void delay(struct kv_server *server, int64_t delay_ms,
+		  SoupServerMessage *message)
+{
+	struct delayed *delayed = g_new0(struct delayed, 1);
+
+	delayed->server = server;
+	delayed->source = g_timeout_source_new((guint)delay_ms);
+	delayed->message = message ? g_object_ref(message) : NULL;
+	g_source_set_callback(delayed->source, run_delayed, delayed,
+			      delayed_free);
+	g_source_attach(delayed->source, NULL);
+	g_hash_table_add(server->timers, delayed->source);
+}
+
+static gboolean expire_leases(gpointer data)
+{
+	struct kv_server *server = data;
+
+	server->lease_timer = 0;
+	kv_server_changed(server);
+	return G_SOURCE_REMOVE;
+}
+
+static void schedule_leases(struct kv_server *server)
+{
+	int64_t due_us = kv_model_next_due_us(server->model);
+	int64_t now_us = g_get_monotonic_time();
+
+	if (server->lease_timer)
+		g_source_remove(server->lease_timer);
+	server->lease_timer = 0;
+	if (due_us != INT64_MAX)
+		server->lease_timer =
+			g_timeout_add(MAX(due_us - now_us, 0) / 1000 + 1,
+				      expire_leases, server);
+}
+
+/* Brings watches and leases up to date after the model changed. */
+void kv_server_changed(struct kv_server *server)
+{
+	kv_model_step(server->model, g_get_monotonic_time());
+	schedule_leases(server);
+	if (server->modes.watch_delay_ms > 0)
+		delay(server, server->modes.watch_delay_ms, NULL);
+	else
+		pump_all(server);
+}
+
+static void on_mode_changed(void *data)
+{
+	struct kv_server *server = data;
+
+	if (server->modes.lapse_lease)
+		kv_model_lease_revoke(server->model, server->modes.lapse_lease);
+	server->modes.lapse_lease = 0;
+	if (server->modes.down || server->modes.close_watches)
+		end_watches(server);
+	server->modes.close_watches = false;
+	kv_server_changed(server);
+}
+
+static void close_connection(SoupServerMessage *message)
+{
+	GIOStream *stream = soup_server_message_steal_connection(message);
+
+	g_io_stream_close(stream, NULL, NULL);
+	g_object_unref(stream);
+}
+
+static void handle_watch(struct kv_server *server, SoupServerMessage *message,
+			 JsonObject *body)
+{
+	struct kv_gateway_watch watch;
+	struct watcher *watcher;
+	bool compacted;
+	char *line;
+
+	if (!kv_gateway_watch_begin(server->model, body, &watch)) {
+		fake_message_answer_text(message, 400, "no create_request\n");
+		return;
+	}
+	line = kv_gateway_watch_created(server->model, &watch, &compacted);
+	if (compacted) {
+		kv_gateway_watch_clear(&watch);
+		fake_message_answer_text(message, 200, line);
+		g_free(line);
+		return;
+	}
+	watcher = g_new0(struct watcher, 1);
+	watcher->server = server;
+	watcher->message = g_object_ref(message);
+	watcher->watch = watch;
+	watcher->close_source =
+		fake_message_on_close(message, on_watch_closed, watcher);
+	g_ptr_array_add(server->watchers, watcher);
+	soup_server_message_set_status(message, 200, NULL);
+	soup_message_headers_set_encoding(
+		soup_server_message_get_response_headers(message),
+		SOUP_ENCODING_CHUNKED);
+	soup_message_body_set_accumulate(
+		soup_server_message_get_response_body(message), FALSE);
+	watcher_send(watcher, line);
+	if (server->modes.watch_delay_ms == 0)
+		watcher_pump(watcher);
+}
+
+static void handle_call(struct kv_server *server, SoupServerMessage *message,
+			enum kv_call call, JsonObject *body)
+{
+	JsonBuilder *answer = json_builder_new();
+	unsigned status = kv_gateway_answer(server->model, call, body,
+					    g_get_monotonic_time(), answer);
+
+	fake_message_answer_json(message, status, answer);
+	if (!kv_call_writes(call))
+		return;
+	if (server->modes.lose_answers > 0) {
+		server->modes.lose_answers--;
+		close_connection(message);
+	}
+	kv_server_changed(server);
+}
+
+static void handle_v3(void *data, SoupServerMessage *message, const char *path)
+{
+	struct kv_server *server = data;
+	enum kv_call call;
+	JsonObject *body;
+
+	if (!kv_gateway_find_call(path, &call)) {
+		fake_message_answer_text(message, 404, "no such path\n");
+		return;
+	}
+	server->counts[call]++;
+	if (server->modes.stall) {
+		soup_server_message_pause(message);
+		g_ptr_array_add(server->held, g_object_ref(message));
+		return;
+	}
+	if (server->modes.down) {
+		fake_message_answer_text(message, 503, "{\"code\":14}\n");
+		return;
+	}
+	body = fake_message_read_json(message);
+	if (!body)
+		return;
+	if (call == KV_CALL_WATCH)
+		handle_watch(server, message, body);
+	else
+		handle_call(server, message, call, body);
+	json_object_unref(body);
+	if (server->modes.slow_ms > 0 && call != KV_CALL_WATCH) {
+		soup_server_message_pause(message);
+		delay(server, server->modes.slow_ms, message);
+	}
+}
+
+static void handle_calls(void *data, SoupServerMessage *message,
+			 const char *path)
+{
+	struct kv_server *server = data;
+	JsonBuilder *builder = json_builder_new();
+
+	(void)path;
+	json_builder_begin_object(builder);
+	for (int i = 0; i < KV_CALLS; i++) {
+		json_builder_set_member_name(builder,
+					     kv_call_name((enum kv_call)i));
+		json_builder_add_int_value(builder, (gint64)server->counts[i]);
+	}
+	json_builder_set_member_name(builder, "open_watches");
+	json_builder_add_int_value(builder, server->watchers->len);
+	json_builder_end_object(builder);
+	fake_message_answer_json(message, 200, builder);
+}
+
+static void set_switches(struct kv_server *server)
+{
+	struct kv_server_modes *modes = &server->modes;
+	const struct fake_mode switches[MODE_COUNT] = {
+		{"down", FAKE_MODE_BOOL, &modes->down},
+		{"stall", FAKE_MODE_BOOL, &modes->stall},
+		{"slow_ms", FAKE_MODE_INT, &modes->slow_ms},
+		{"lose_answers", FAKE_MODE_INT, &modes->lose_answers},
+		{"lapse_lease", FAKE_MODE_INT, &modes->lapse_lease},
+		{"watch_delay_ms", FAKE_MODE_INT, &modes->watch_delay_ms},
+		{"close_watches", FAKE_MODE_BOOL, &modes->close_watches},
+	};
+
+	memcpy(server->switches, switches, sizeof(switches));
+	fake_server_set_modes(server->frame, server->switches, MODE_COUNT,
+			      on_mode_changed, server);
+}
+
+/* Serves an empty key-value service within the frame. */
+struct kv_server *kv_server_create(struct fake_server *frame)
+{
+	struct kv_server *server = g_new0(struct kv_server, 1);
+
+	server->frame = frame;
+	server->model = kv_model_create();
+	server->watchers = g_ptr_array_new_with_free_func(watcher_destroy);
+	server->held = g_ptr_array_new_with_free_func(g_object_unref);
+	server->timers =
+		g_hash_table_new_full(NULL, NULL, destroy_source, NULL);
+	set_switches(server);
+	fake_server_add_handler(frame, "/v3", handle_v3, server);
+	fake_server_add_handler(frame, "/fake/calls", handle_calls, server);
+	return server;
+}
+
+/* Frees the service, not the frame, which must not serve any more after. */
+void kv_server_destroy(struct kv_server *server)
+{
+	if (!server)
+		return;
+	if (server->lease_timer)
+		g_source_remove(server->lease_timer);
+	g_hash_table_unref(server->timers);
+	g_ptr_array_unref(server->watchers);
+	g_ptr_array_unref(server->held);
+	kv_model_destroy(server->model);
+	g_free(server);
+}
+
+/* The model that is served. */
+struct kv_model *kv_server_model(struct kv_server *server)
+{
+	return server->model;
+}
+
+/* The switches; call kv_server_changed() after setting them. */
+struct kv_server_modes *kv_server_modes(struct kv_server *server)
+{
+	return &server->modes;
+}
