Settings from TOML by one table of keys

Each key has its type, range, default and help in one table that drives reading, checking and help. Errors are one line with file, key and what was expected. Some malformed files reach an assertion of toml++, which aborted the process; it is thrown and reported as a parse error instead.

--- /dev/null
+++ b/adapters/toml_reader.h
@@ -0,0 +1,42 @@
+#ifndef ADAPTERS_TOML_READER_H
+#define ADAPTERS_TOML_READER_H
+
+#include "core/error.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * TOML as a flat list of keys, in the order of the file, and TOML as JSON.
+ * The parser is toml++; none of its exceptions leaves this module.
+ */
+
+enum toml_type {
+	TOML_SECTION, /* the section itself; key is "" */
+	TOML_STRING,
+	TOML_INTEGER,
+	TOML_BOOLEAN,
+	TOML_STRING_LIST,
+	TOML_OTHER /* a type that settings have no use for */
+};
+
+struct toml_entry {
+	char *section; /* "" above the first section */
+	char *key;
+	int32_t line;
+	enum toml_type type;
+	char *string;
+	char **strings; /* NULL-terminated */
+	int64_t integer;
+	bool boolean;
+};
+
+GPtrArray *toml_reader_load(const char *path, struct error *error);
+char *toml_reader_to_json(const char *text, struct error *error);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/settings_test.cc
@@ -0,0 +1,175 @@
+#include "adapters/settings.h"
+#include "adapters/toml_reader.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <glib/gstdio.h>
+#include <string>
+
+static const char minimal[] = "[node]\n"
+			      "name = \"n1\"\n"
+			      "region = \"r1\"\n"
+			      "failure_domain = \"d1\"\n"
+			      "http_address = \"127.0.0.1:8080\"\n"
+			      "peer_address = \"127.0.0.1:8090\"\n"
+			      "[keys]\n"
+			      "event_key = \"0123456789abcdef\"\n"
+			      "[platform]\n"
+			      "kv_address = \"127.0.0.1:2379\"\n";
+
+static struct settings *load(const std::string &text, struct error *error)
+{
+	char *path = nullptr;
+	int file = g_file_open_tmp("settings-XXXXXX.toml", &path, nullptr);
+
+	g_close(file, nullptr);
+	g_file_set_contents(path, text.data(), (gssize)text.size(), nullptr);
+	error_clear(error);
+	struct settings *settings = settings_load(path, error);
+	g_unlink(path);
+	g_free(path);
+	return settings;
+}
+
+static std::string failure(const std::string &text)
+{
+	struct error error;
+	struct settings *settings = load(text, &error);
+
+	EXPECT_EQ(nullptr, settings);
+	settings_destroy(settings);
+	EXPECT_STREQ("settings.load", error.step);
+	EXPECT_NE('\0', error.peer[0]);
+	EXPECT_EQ(nullptr, strchr(error.detail, '\n'));
+	return error.detail;
+}
+
+static std::string with(const std::string &old_text,
+			const std::string &new_text)
+{
+	std::string text = minimal;
+
+	text.replace(text.find(old_text), old_text.size(), new_text);
+	return text;
+}
+
+TEST(Settings, TakesDefaultsAndScalesUnits)
+{
+	struct error error;
+	struct settings *settings = load(
+		std::string(minimal) +
+			"kv_timeout_ms = 250\n[times]\nanswer_keep_s = 7\n"
+			"[policy]\nplacement = \"shares\"\nmax_attempts = 2\n",
+		&error);
+
+	ASSERT_NE(nullptr, settings) << error.detail;
+	EXPECT_STREQ("n1", settings->node.name);
+	EXPECT_EQ(250000, settings->node.kv_timeout_us);
+	EXPECT_EQ(7000000, settings->node.answer_keep_us);
+	EXPECT_EQ(NODE_PLACEMENT_SHARES, settings->node.placement);
+	EXPECT_EQ(PLACEMENT_PEAK, settings->node.policy);
+	EXPECT_EQ(2, settings->node.max_attempts);
+	EXPECT_EQ(nullptr, settings->node.seeds[0]);
+	EXPECT_STREQ("", settings->operator_key);
+	EXPECT_STREQ("", settings->vm_list_address);
+	EXPECT_STREQ("info", settings->log_level);
+	settings_destroy(settings);
+}
+
+TEST(Settings, TakesTheExampleFile)
+{
+	struct error error;
+	struct settings *settings =
+		settings_load("config/siskinlinkd.example.toml", &error);
+
+	ASSERT_NE(nullptr, settings) << error.detail;
+	EXPECT_STREQ("127.0.0.1:8092", settings->node.seeds[2]);
+	settings_destroy(settings);
+}
+
+TEST(Settings, NamesKeyAndExpectationOfWhatItRefuses)
+{
+	EXPECT_EQ("line 11: unknown key colour in [platform], expected one "
+		  "that --help lists",
+		  failure(std::string(minimal) + "colour = 1\n"));
+	EXPECT_EQ("line 11: unknown section [extra], expected one of [node], "
+		  "[keys], [platform], [policy], [limits], [times], [log]",
+		  failure(std::string(minimal) + "[extra]\n"));
+	EXPECT_EQ("line 11: unknown section [times.deep], expected one of "
+		  "[node], [keys], [platform], [policy], [limits], [times], "
+		  "[log]",
+		  failure(std::string(minimal) + "[times.deep]\na = 1\n"));
+	EXPECT_EQ("line 12: [times] heartbeat_ms: wrong type, expected an "
+		  "integer from 50 to 60000",
+		  failure(std::string(minimal) +
+			  "[times]\nheartbeat_ms = \"1s\"\n"));
+	EXPECT_EQ("line 12: [times] heartbeat_ms: out of range, expected an "
+		  "integer from 50 to 60000",
+		  failure(std::string(minimal) + "[times]\nheartbeat_ms=9\n"));
+	EXPECT_EQ("[node] name: missing, expected 1 to 63 letters, digits, "
+		  "'_', '.' or '-'",
+		  failure(with("name = \"n1\"\n", "")));
+	EXPECT_EQ("line 12: [log] level: unknown value, expected one of "
+		  "\"info\", \"warn\", \"error\"",
+		  failure(std::string(minimal) + "[log]\nlevel = \"all\"\n"));
+	EXPECT_EQ("line 5: [node] http_address: out of range, expected "
+		  "IP:PORT with a port from 1 to 65535",
+		  failure(with("127.0.0.1:8080", "localhost:8080")));
+}
+
+TEST(Settings, RefusesDuplicateAddresses)
+{
+	EXPECT_EQ("peer_address: duplicate address 127.0.0.1:8080, expected "
+		  "one other than http_address",
+		  failure(with("127.0.0.1:8090", "127.0.0.1:8080")));
+	EXPECT_EQ("kv_address: duplicate address 127.0.0.1:8090, expected one "
+		  "other than peer_address",
+		  failure(with("127.0.0.1:2379", "127.0.0.1:8090")));
+	EXPECT_EQ("line 7: [node] seeds: duplicate address, expected a list of "
+		  "at most 64 IP:PORT",
+		  failure(with("[keys]", "seeds = [\"[::1]:1\", \"[::1]:1\"]\n"
+					 "[keys]")));
+}
+
+/*
+ * An operator mistypes a secret; the error goes to the log and to a ticket.
+ * It must name the key, never the value.
+ */
+TEST(Settings, NeverShowsASecret)
+{
+	std::string text = failure(with("0123456789abcdef", "hunter2"));
+
+	EXPECT_EQ("line 8: [keys] event_key: out of range, expected a string "
+		  "of 16 to 256 bytes",
+		  text);
+}
+
+TEST(Settings, RefusesWhatIsNotTomlOnOneLine)
+{
+	EXPECT_EQ(0u, failure("[node\nname").find("line 1: not TOML"));
+	EXPECT_EQ(0u, failure(std::string(minimal) + "kv_address = 1\n")
+			      .find("line 11: not TOML"));
+	failure(std::string("\0\xff\xfe", 3));
+	failure(std::string(100000, '['));
+	failure(std::string(2 << 20, ' '));
+	struct error error;
+	EXPECT_EQ(nullptr, settings_load("/nonexistent.toml", &error));
+	EXPECT_EQ(ERROR_UNREACHABLE, error.code);
+}
+
+TEST(TomlReader, TurnsTomlIntoJson)
+{
+	struct error error;
+	char *json = toml_reader_to_json(
+		"[[services]]\nname = \"a\"\nslots = 3\n", &error);
+
+	ASSERT_NE(nullptr, json);
+	std::string text(json);
+	g_free(json);
+	text.erase(std::remove_if(text.begin(), text.end(), isspace),
+		   text.end());
+	EXPECT_EQ("{\"services\":[{\"name\":\"a\",\"slots\":3}]}", text);
+	EXPECT_EQ(nullptr, toml_reader_to_json("= 3", &error));
+	EXPECT_EQ(ERROR_INVALID, error.code);
+}
