--- /dev/null
+++ b/codec/peer_codec.c
@@ -0,0 +1,781 @@
+#include "codec/peer_codec.h"
+
+#include <string.h>
+
+/*
+ * A record is eight bytes of head, then the body as GVariant:
+ *
+ *     'S' 'K' 'L' version type 0 0 0
+ *
+ * The head's size keeps the body aligned. Each body starts with the sender's
+ * incarnation; fields of fixed size go first so that GVariant pads little,
+ * then the sender's name and address, then the rest.
+ */
+#define STEP "peer.decode"
+#define VERSION 1
+#define HEAD_BYTES 8
+#define MAX_DOCUMENT_BYTES (1 << 20)
+#define MAX_RECORD_BYTES (MAX_DOCUMENT_BYTES + 4096)
+#define MAX_TEXT_BYTES 64
+#define MAX_MEMBERS 64
+#define MAX_ENDPOINTS 4096
+#define MAX_HOLDINGS 16384
+#define MAX_TOKENS ((int64_t)1 << 31)
+#define MAX_DURATION_US ((int64_t)1 << 52)
+#define MAX_VERSION ((uint64_t)1 << 62)
+#define MAX_PRIORITY 9
+
+#define MEMBER_FORMAT "(tttysssss)"
+
+static const uint8_t magic[] = {'S', 'K', 'L', VERSION};
+
+static const char *const body_formats[PEER_MESSAGE_TYPES] = {
+	[PEER_PING] = "(ttsssa" MEMBER_FORMAT ")",
+	[PEER_ACK] = "(ttsssa" MEMBER_FORMAT ")",
+	[PEER_PROBE] = "(ttsssa" MEMBER_FORMAT ")",
+	[PEER_PLACE] = "(ttttxuuyssss)",
+	[PEER_PLACED] = "(ttsss)",
+	[PEER_REFUSED] = "(ttxyss)",
+	[PEER_PROGRESS] = "(ttbssasatauaqaqaqauauau)",
+	[PEER_RELEASE] = "(ttxuyss)",
+	[PEER_CONFIG] = "(txssay)",
+	[PEER_CONFIG_ASK] = "(txssay)",
+	[PEER_LEAVING] = "(tssas)",
+	[PEER_QUARANTINE] = "(ttsss)",
+};
+
+static const char *text_or_empty(const char *text)
+{
+	return text ? text : "";
+}
+
+static guint32 clamp_tokens(int64_t tokens)
+{
+	return (guint32)CLAMP(tokens, 0, MAX_TOKENS);
+}
+
+static GVariant *encode_members(const GPtrArray *members)
+{
+	GVariantBuilder builder;
+
+	g_variant_builder_init(&builder, G_VARIANT_TYPE("a" MEMBER_FORMAT));
+	for (guint i = 0; i < members->len; i++) {
+		const struct member *member = g_ptr_array_index(members, i);
+
+		g_variant_builder_add(
+			&builder, MEMBER_FORMAT, member->incarnation,
+			member->version, (guint64)member->config_revision,
+			(guchar)member->state, text_or_empty(member->name),
+			text_or_empty(member->http_address),
+			text_or_empty(member->peer_address),
+			text_or_empty(member->region),
+			text_or_empty(member->failure_domain));
+	}
+	return g_variant_builder_end(&builder);
+}
+
+/*
+ * Holdings go in columns: a node with 800 streams reports all of them every
+ * few seconds, so names are sent once in a table, numbers in four bytes, and a
+ * column that is all zero not at all. Index 0 is the empty name.
+ */
+struct columns {
+	GPtrArray *names; /* not owned */
+	GHashTable *index;
+	GArray *tickets;    /* uint64_t */
+	GArray *offsets;    /* uint32_t, from the base ticket */
+	GArray *places[3];  /* uint16_t: service, endpoint, organisation */
+	GArray *numbers[3]; /* uint32_t: prompt, max, tokens */
+	uint64_t base;
+};
+
+static uint16_t columns_index(struct columns *columns, const char *name)
+{
+	gpointer found;
+
+	if (!name || !*name)
+		return 0;
+	found = g_hash_table_lookup(columns->index, name);
+	if (found)
+		return (uint16_t)GPOINTER_TO_UINT(found);
+	g_ptr_array_add(columns->names, (gpointer)name);
+	g_hash_table_insert(columns->index, (gpointer)name,
+			    GUINT_TO_POINTER(columns->names->len));
+	return (uint16_t)columns->names->len;
+}
+
+static void columns_init(struct columns *columns)
+{
+	columns->names = g_ptr_array_new();
+	columns->index = g_hash_table_new(g_str_hash, g_str_equal);
+	columns->tickets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	columns->offsets = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	for (int i = 0; i < 3; i++) {
+		columns->places[i] =
+			g_array_new(FALSE, FALSE, sizeof(uint16_t));
+		columns->numbers[i] =
+			g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	}
+}
+
+static void columns_clear(struct columns *columns)
+{
+	g_ptr_array_unref(columns->names);
+	g_hash_table_unref(columns->index);
+	g_array_unref(columns->tickets);
+	g_array_unref(columns->offsets);
+	for (int i = 0; i < 3; i++) {
+		g_array_unref(columns->places[i]);
+		g_array_unref(columns->numbers[i]);
+	}
+}
+
+static void columns_add(struct columns *columns,
+			const struct peer_holding *holding)
+{
+	uint16_t places[] = {columns_index(columns, holding->service),
+			     columns_index(columns, holding->endpoint),
+			     columns_index(columns, holding->organisation)};
+	uint32_t numbers[] = {clamp_tokens(holding->prompt_tokens),
+			      clamp_tokens(holding->max_tokens),
+			      clamp_tokens(holding->tokens)};
+
+	g_array_append_val(columns->tickets, holding->ticket);
+	for (int i = 0; i < 3; i++) {
+		g_array_append_val(columns->places[i], places[i]);
+		g_array_append_val(columns->numbers[i], numbers[i]);
+	}
+}
+
+/* Tickets as offsets from the least one, where four bytes are enough. */
+static void columns_pack_tickets(struct columns *columns)
+{
+	const uint64_t *tickets = (const uint64_t *)columns->tickets->data;
+	uint64_t least = UINT64_MAX, most = 0;
+
+	for (guint i = 0; i < columns->tickets->len; i++) {
+		least = MIN(least, tickets[i]);
+		most = MAX(most, tickets[i]);
+	}
+	if (columns->tickets->len == 0 || most - least > UINT32_MAX)
+		return;
+	columns->base = least;
+	for (guint i = 0; i < columns->tickets->len; i++) {
+		uint32_t offset = (uint32_t)(tickets[i] - least);
+
+		g_array_append_val(columns->offsets, offset);
+	}
+	g_array_set_size(columns->tickets, 0);
+}
+
+static GVariant *column_to_variant(const GArray *column, const char *type)
+{
+	gsize size = g_array_get_element_size((GArray *)column);
+	const char *data = column->data;
+	gsize length = 0;
+
+	for (gsize i = 0; i < column->len * size; i++) {
+		if (data[i])
+			length = column->len;
+	}
+	return g_variant_new_fixed_array(G_VARIANT_TYPE(type), data, length,
+					 size);
+}
+
+static GVariant *encode_progress(const struct peer_message *message)
+{
+	const struct peer_progress *progress = &message->progress;
+	guint count = MIN(progress->holdings->len, MAX_HOLDINGS);
+	bool complete = progress->complete && count == progress->holdings->len;
+	struct columns columns = {0};
+	GVariant *body;
+
+	columns_init(&columns);
+	for (guint i = 0; i < count; i++)
+		columns_add(&columns, g_ptr_array_index(progress->holdings, i));
+	columns_pack_tickets(&columns);
+	body = g_variant_new(
+		"(ttbss@as@at@au@aq@aq@aq@au@au@au)", message->incarnation,
+		columns.base, (gboolean)complete, text_or_empty(message->from),
+		text_or_empty(message->from_address),
+		g_variant_new_strv((const char *const *)columns.names->pdata,
+				   columns.names->len),
+		g_variant_new_fixed_array(G_VARIANT_TYPE_UINT64,
+					  columns.tickets->data,
+					  columns.tickets->len, 8),
+		g_variant_new_fixed_array(G_VARIANT_TYPE_UINT32,
+					  columns.offsets->data,
+					  columns.offsets->len, 4),
+		column_to_variant(columns.places[0], "q"),
+		column_to_variant(columns.places[1], "q"),
+		column_to_variant(columns.places[2], "q"),
+		column_to_variant(columns.numbers[0], "u"),
+		column_to_variant(columns.numbers[1], "u"),
+		column_to_variant(columns.numbers[2], "u"));
+	columns_clear(&columns);
+	return body;
+}
+
+static GVariant *encode_place(const struct peer_message *message)
+{
+	const struct peer_place *place = &message->place;
+
+	return g_variant_new(body_formats[PEER_PLACE], message->incarnation,
+			     place->ticket, place->prefix_hash,
+			     place->avoid_hash, place->deadline_in_us,
+			     clamp_tokens(place->prompt_tokens),
+			     clamp_tokens(place->max_tokens),
+			     (guchar)CLAMP(place->priority, 0, MAX_PRIORITY),
+			     text_or_empty(message->from),
+			     text_or_empty(message->from_address),
+			     text_or_empty(place->service),
+			     text_or_empty(place->organisation));
+}
+
+static GVariant *encode_config(const struct peer_message *message)
+{
+	GBytes *document = message->config.document;
+	GVariant *bytes;
+
+	if (document)
+		bytes = g_variant_new_from_bytes(G_VARIANT_TYPE_BYTESTRING,
+						 document, TRUE);
+	else
+		bytes = g_variant_new_fixed_array(G_VARIANT_TYPE_BYTE, NULL, 0,
+						  1);
+	return g_variant_new("(txss@ay)", message->incarnation,
+			     message->config.revision,
+			     text_or_empty(message->from),
+			     text_or_empty(message->from_address), bytes);
+}
+
+static GVariant *encode_body(const struct peer_message *message)
+{
+	const char *format = body_formats[message->type];
+	const char *from = text_or_empty(message->from);
+	const char *address = text_or_empty(message->from_address);
+	uint64_t incarnation = message->incarnation;
+	const GPtrArray *endpoints;
+
+	switch (message->type) {
+	case PEER_PING:
+	case PEER_ACK:
+	case PEER_PROBE:
+		return g_variant_new("(ttsss@a" MEMBER_FORMAT ")", incarnation,
+				     message->probe.number, from, address,
+				     text_or_empty(message->probe.subject),
+				     encode_members(message->probe.members));
+	case PEER_PLACE:
+		return encode_place(message);
+	case PEER_PLACED:
+		return g_variant_new(format, incarnation,
+				     message->placed.ticket, from, address,
+				     text_or_empty(message->placed.endpoint));
+	case PEER_REFUSED:
+		return g_variant_new(
+			format, incarnation, message->refused.ticket,
+			message->refused.retry_after_us,
+			(guchar)message->refused.refusal, from, address);
+	case PEER_PROGRESS:
+		return encode_progress(message);
+	case PEER_RELEASE:
+		return g_variant_new(
+			format, incarnation, message->release.ticket,
+			message->release.duration_us,
+			clamp_tokens(message->release.tokens),
+			(guchar)message->release.outcome, from, address);
+	case PEER_CONFIG:
+	case PEER_CONFIG_ASK:
+		return encode_config(message);
+	case PEER_LEAVING:
+		endpoints = message->leaving.endpoints;
+		return g_variant_new(
+			"(tss@as)", incarnation, from, address,
+			g_variant_new_strv(
+				(const char *const *)endpoints->pdata,
+				endpoints->len));
+	case PEER_QUARANTINE:
+		return g_variant_new(
+			format, incarnation, message->quarantine.fingerprint,
+			from, address,
+			text_or_empty(message->quarantine.endpoint));
+	case PEER_MESSAGE_TYPES:
+		break;
+	}
+	return NULL;
+}
+
+static GVariant *to_little_endian(GVariant *body)
+{
+#if G_BYTE_ORDER == G_BIG_ENDIAN
+	GVariant *swapped = g_variant_byteswap(body);
+
+	g_variant_unref(body);
+	return swapped;
+#else
+	return body;
+#endif
+}
+
+/*
+ * The record of a message. Numbers are cut to the range a reader accepts,
+ * texts are not: a reader refuses texts over 64 bytes. true_tokens stays
+ * behind; it exists in benches only.
+ */
+GBytes *peer_codec_encode(const struct peer_message *message)
+{
+	GVariant *body = g_variant_ref_sink(encode_body(message));
+	uint8_t *record;
+	gsize size;
+
+	body = to_little_endian(body);
+	size = g_variant_get_size(body);
+	record = g_malloc0(HEAD_BYTES + size);
+	memcpy(record, magic, sizeof(magic));
+	record[sizeof(magic)] = (uint8_t)message->type;
+	g_variant_store(body, record + HEAD_BYTES);
+	g_variant_unref(body);
+	return g_bytes_new_take(record, HEAD_BYTES + size);
+}
+
+static bool decode_fail(struct error *error, enum error_code code,
+			const char *peer, const char *what)
+{
+	error_set(error, code, STEP, peer, "%s", what);
+	return false;
+}
+
+static bool check(struct error *error, const char *peer, bool legal,
+		  const char *what)
+{
+	return legal || decode_fail(error, ERROR_INVALID, peer, what);
+}
+
+/* Texts end up in logs, dumps and connects: short, and no control bytes. */
+static bool text_is_legal(const char *text, bool may_be_empty)
+{
+	size_t length = strlen(text);
+
+	if (length > MAX_TEXT_BYTES || (length == 0 && !may_be_empty))
+		return false;
+	for (const char *p = text; *p; p++) {
+		if (g_ascii_iscntrl(*p))
+			return false;
+	}
+	return true;
+}
+
+static bool decode_members(GVariant *list, struct peer_message *message,
+			   struct error *error)
+{
+	gsize count = g_variant_n_children(list);
+
+	if (!check(error, message->from, count <= MAX_MEMBERS,
+		   "too many members"))
+		return false;
+	for (gsize i = 0; i < count; i++) {
+		struct member *member = g_new0(struct member, 1);
+		guint64 revision;
+		guchar state;
+
+		g_ptr_array_add(message->probe.members, member);
+		g_variant_get_child(
+			list, i, MEMBER_FORMAT, &member->incarnation,
+			&member->version, &revision, &state, &member->name,
+			&member->http_address, &member->peer_address,
+			&member->region, &member->failure_domain);
+		member->config_revision = (int64_t)revision;
+		member->state = (enum member_state)state;
+		if (!check(error, message->from,
+			   state <= MEMBER_DEAD && member->incarnation != 0 &&
+				   member->version <= MAX_VERSION &&
+				   member->config_revision >= 0,
+			   "member out of range") ||
+		    !check(error, message->from,
+			   text_is_legal(member->name, false) &&
+				   text_is_legal(member->http_address, true) &&
+				   text_is_legal(member->peer_address, false) &&
+				   text_is_legal(member->region, true) &&
+				   text_is_legal(member->failure_domain, true),
+			   "text of a member out of range"))
+			return false;
+	}
+	return true;
+}
+
+static bool decode_probe(GVariant *body, struct peer_message *message,
+			 struct error *error)
+{
+	GVariant *members;
+	bool valid;
+
+	g_variant_get_child(body, 1, "t", &message->probe.number);
+	g_variant_get_child(body, 4, "s", &message->probe.subject);
+	if (!check(error, message->from,
+		   text_is_legal(message->probe.subject,
+				 message->type != PEER_PROBE),
+		   "subject out of range"))
+		return false;
+	members = g_variant_get_child_value(body, 5);
+	valid = decode_members(members, message, error);
+	g_variant_unref(members);
+	return valid;
+}
+
+static bool decode_place(GVariant *body, struct peer_message *message,
+			 struct error *error)
+{
+	struct peer_place *place = &message->place;
+	guint32 prompt_tokens, max_tokens;
+	guchar priority;
+
+	g_variant_get(body, "(ttttxuuy&s&sss)", NULL, &place->ticket,
+		      &place->prefix_hash, &place->avoid_hash,
+		      &place->deadline_in_us, &prompt_tokens, &max_tokens,
+		      &priority, NULL, NULL, &place->service,
+		      &place->organisation);
+	place->prompt_tokens = prompt_tokens;
+	place->max_tokens = max_tokens;
+	place->priority = priority;
+	return check(error, message->from,
+		     place->deadline_in_us >= 0 &&
+			     place->deadline_in_us <= MAX_DURATION_US &&
+			     prompt_tokens <= MAX_TOKENS &&
+			     max_tokens <= MAX_TOKENS &&
+			     priority <= MAX_PRIORITY,
+		     "placement out of range") &&
+	       check(error, message->from,
+		     text_is_legal(place->service, false) &&
+			     text_is_legal(place->organisation, true),
+		     "text of a placement out of range");
+}
+
+static bool decode_placed(GVariant *body, struct peer_message *message,
+			  struct error *error)
+{
+	g_variant_get_child(body, 1, "t", &message->placed.ticket);
+	g_variant_get_child(body, 4, "s", &message->placed.endpoint);
+	return check(error, message->from,
+		     text_is_legal(message->placed.endpoint, false),
+		     "endpoint out of range");
+}
+
+static bool decode_refused(GVariant *body, struct peer_message *message,
+			   struct error *error)
+{
+	struct peer_refused *refused = &message->refused;
+	guchar refusal;
+
+	g_variant_get_child(body, 1, "t", &refused->ticket);
+	g_variant_get_child(body, 2, "x", &refused->retry_after_us);
+	g_variant_get_child(body, 3, "y", &refusal);
+	refused->refusal = (enum refusal)refusal;
+	return check(error, message->from,
+		     refusal > REFUSAL_NONE && refusal < REFUSAL_COUNT &&
+			     refused->retry_after_us >= 0 &&
+			     refused->retry_after_us <= MAX_DURATION_US,
+		     "refusal out of range");
+}
+
+static bool decode_release(GVariant *body, struct peer_message *message,
+			   struct error *error)
+{
+	struct peer_release *release = &message->release;
+	guint32 tokens;
+	guchar outcome;
+
+	g_variant_get_child(body, 1, "t", &release->ticket);
+	g_variant_get_child(body, 2, "x", &release->duration_us);
+	g_variant_get_child(body, 3, "u", &tokens);
+	g_variant_get_child(body, 4, "y", &outcome);
+	release->tokens = tokens;
+	release->outcome = (enum release_outcome)outcome;
+	return check(error, message->from,
+		     outcome <= RELEASE_LOST && tokens <= MAX_TOKENS &&
+			     release->duration_us >= 0 &&
+			     release->duration_us <= MAX_DURATION_US,
+		     "release out of range");
+}
+
+static bool decode_config(GVariant *body, struct peer_message *message,
+			  struct error *error)
+{
+	struct peer_config *config = &message->config;
+	GVariant *bytes = g_variant_get_child_value(body, 4);
+	gsize size = g_variant_get_size(bytes);
+
+	g_variant_get_child(body, 1, "x", &config->revision);
+	if (size)
+		config->document = g_variant_get_data_as_bytes(bytes);
+	g_variant_unref(bytes);
+	return check(error, message->from,
+		     config->revision >= 0 && size <= MAX_DOCUMENT_BYTES &&
+			     (size > 0) == (message->type == PEER_CONFIG),
+		     "configuration out of range");
+}
+
+static bool decode_leaving(GVariant *body, struct peer_message *message,
+			   struct error *error)
+{
+	GVariant *list = g_variant_get_child_value(body, 3);
+	gsize count = g_variant_n_children(list);
+	bool valid = check(error, message->from, count <= MAX_ENDPOINTS,
+			   "too many endpoints");
+
+	for (gsize i = 0; valid && i < count; i++) {
+		char *endpoint;
+
+		g_variant_get_child(list, i, "s", &endpoint);
+		g_ptr_array_add(message->leaving.endpoints, endpoint);
+		valid = check(error, message->from,
+			      text_is_legal(endpoint, false),
+			      "endpoint out of range");
+	}
+	g_variant_unref(list);
+	return valid;
+}
+
+static bool decode_quarantine(GVariant *body, struct peer_message *message,
+			      struct error *error)
+{
+	g_variant_get_child(body, 1, "t", &message->quarantine.fingerprint);
+	g_variant_get_child(body, 4, "s", &message->quarantine.endpoint);
+	return check(error, message->from,
+		     text_is_legal(message->quarantine.endpoint, true),
+		     "endpoint out of range");
+}
+
+#define PROGRESS_COLUMNS 14
+
+struct progress_body {
+	GVariant *child[PROGRESS_COLUMNS]; /* from names on */
+	uint64_t base;
+	gsize count; /* holdings */
+	const char **names;
+	gsize name_count;
+	const guint64 *tickets;
+	const guint32 *offsets;
+	const guint16 *places[3];
+	const guint32 *numbers[3];
+};
+
+static void progress_body_clear(struct progress_body *progress)
+{
+	for (int i = 0; i < PROGRESS_COLUMNS; i++) {
+		if (progress->child[i])
+			g_variant_unref(progress->child[i]);
+	}
+	g_free(progress->names);
+}
+
+/* A column is whole or empty; an empty one stands for zeros. */
+static bool progress_body_column(const struct progress_body *progress, int i,
+				 gsize size, const void *data)
+{
+	const void **column = (const void **)data;
+	gsize length;
+
+	*column = g_variant_get_fixed_array(progress->child[i], &length, size);
+	if (length == 0)
+		*column = NULL;
+	return length == 0 || length == progress->count;
+}
+
+static bool progress_body_names(struct progress_body *progress)
+{
+	progress->names =
+		g_variant_get_strv(progress->child[5], &progress->name_count);
+	if (progress->name_count > G_MAXUINT16)
+		return false;
+	for (gsize i = 0; i < progress->name_count; i++) {
+		if (!text_is_legal(progress->names[i], false))
+			return false;
+	}
+	return true;
+}
+
+static bool progress_body_read(struct progress_body *progress, GVariant *body)
+{
+	bool valid;
+
+	g_variant_get_child(body, 1, "t", &progress->base);
+	for (int i = 5; i < PROGRESS_COLUMNS; i++)
+		progress->child[i] = g_variant_get_child_value(body, i);
+	progress->count = g_variant_n_children(progress->child[6]) +
+			  g_variant_n_children(progress->child[7]);
+	valid = progress->count <= MAX_HOLDINGS &&
+		progress_body_names(progress) &&
+		progress_body_column(progress, 6, 8, &progress->tickets) &&
+		progress_body_column(progress, 7, 4, &progress->offsets);
+	for (int i = 0; valid && i < 3; i++)
+		valid = progress_body_column(progress, 8 + i, 2,
+					     &progress->places[i]) &&
+			progress_body_column(progress, 11 + i, 4,
+					     &progress->numbers[i]);
+	return valid;
+}
+
+static int64_t progress_body_number(const struct progress_body *progress,
+				    int column, gsize i)
+{
+	const guint32 *numbers = progress->numbers[column];
+
+	return numbers ? numbers[i] : 0;
+}
+
+/* A new text, or NULL where the index points outside the table. */
+static char *progress_body_name(const struct progress_body *progress,
+				int column, gsize i)
+{
+	const guint16 *places = progress->places[column];
+	guint16 index = places ? places[i] : 0;
+
+	if (index == 0)
+		return g_strdup("");
+	if (index > progress->name_count)
+		return NULL;
+	return g_strdup(progress->names[index - 1]);
+}
+
+static bool progress_body_add(const struct progress_body *progress, gsize i,
+			      struct peer_progress *result)
+{
+	struct peer_holding *holding = peer_progress_add(result);
+
+	if (progress->tickets)
+		holding->ticket = progress->tickets[i];
+	else
+		holding->ticket = progress->base + progress->offsets[i];
+	holding->service = progress_body_name(progress, 0, i);
+	holding->endpoint = progress_body_name(progress, 1, i);
+	holding->organisation = progress_body_name(progress, 2, i);
+	holding->prompt_tokens = progress_body_number(progress, 0, i);
+	holding->max_tokens = progress_body_number(progress, 1, i);
+	holding->tokens = progress_body_number(progress, 2, i);
+	return holding->service && holding->endpoint && holding->organisation &&
+	       holding->prompt_tokens <= MAX_TOKENS &&
+	       holding->max_tokens <= MAX_TOKENS &&
+	       holding->tokens <= MAX_TOKENS;
+}
+
+static bool decode_progress(GVariant *body, struct peer_message *message,
+			    struct error *error)
+{
+	struct progress_body progress = {0};
+	gboolean complete;
+	bool valid;
+
+	g_variant_get_child(body, 2, "b", &complete);
+	message->progress.complete = complete;
+	valid = progress_body_read(&progress, body);
+	for (gsize i = 0; valid && i < progress.count; i++)
+		valid = progress_body_add(&progress, i, &message->progress);
+	progress_body_clear(&progress);
+	return check(error, message->from, valid, "progress out of range");
+}
+
+static bool decode_payload(GVariant *body, struct peer_message *message,
+			   struct error *error)
+{
+	switch (message->type) {
+	case PEER_PING:
+	case PEER_ACK:
+	case PEER_PROBE:
+		return decode_probe(body, message, error);
+	case PEER_PLACE:
+		return decode_place(body, message, error);
+	case PEER_PLACED:
+		return decode_placed(body, message, error);
+	case PEER_REFUSED:
+		return decode_refused(body, message, error);
+	case PEER_PROGRESS:
+		return decode_progress(body, message, error);
+	case PEER_RELEASE:
+		return decode_release(body, message, error);
+	case PEER_CONFIG:
+	case PEER_CONFIG_ASK:
+		return decode_config(body, message, error);
+	case PEER_LEAVING:
+		return decode_leaving(body, message, error);
+	case PEER_QUARANTINE:
+		return decode_quarantine(body, message, error);
+	case PEER_MESSAGE_TYPES:
+		break;
+	}
+	return false;
+}
+
+/* Where the sender's name stands; its address follows. */
+static gsize sender_position(enum peer_message_type type)
+{
+	return (gsize)(strchr(body_formats[type], 's') - body_formats[type]) -
+	       1;
+}
+
+static bool decode_sender(GVariant *body, struct peer_message *message,
+			  struct error *error)
+{
+	gsize position = sender_position(message->type);
+
+	g_variant_get_child(body, 0, "t", &message->incarnation);
+	g_variant_get_child(body, position, "s", &message->from);
+	g_variant_get_child(body, position + 1, "s", &message->from_address);
+	return check(error, "",
+		     text_is_legal(message->from, false) &&
+			     text_is_legal(message->from_address, false) &&
+			     message->incarnation != 0,
+		     "sender out of range");
+}
+
+static bool check_head(GBytes *record, struct error *error)
+{
+	static const uint8_t zeros[3];
+	gsize size;
+	const uint8_t *data = g_bytes_get_data(record, &size);
+
+	if (size > MAX_RECORD_BYTES)
+		return decode_fail(error, ERROR_TOO_LARGE, "",
+				   "record too large");
+	if (size < HEAD_BYTES)
+		return decode_fail(error, ERROR_INVALID, "",
+				   "record too short");
+	if (memcmp(data, magic, sizeof(magic)) != 0)
+		return decode_fail(error, ERROR_INVALID, "",
+				   "unknown magic or version");
+	return check(error, "",
+		     data[4] < PEER_MESSAGE_TYPES &&
+			     memcmp(data + 5, zeros, sizeof(zeros)) == 0,
+		     "unknown type");
+}
+
+/*
+ * The message in a record, or NULL and an error: ERROR_TOO_LARGE or
+ * ERROR_INVALID, with the sender's name as peer where it could be read.
+ * Nothing of the record is used before all of it was found in normal form.
+ */
+struct peer_message *peer_codec_decode(GBytes *record, struct error *error)
+{
+	struct peer_message *message = NULL;
+	enum peer_message_type type;
+	GBytes *bytes;
+	GVariant *body;
+
+	if (!check_head(record, error))
+		return NULL;
+	type = ((const uint8_t *)g_bytes_get_data(record, NULL))[4];
+	bytes = g_bytes_new_from_bytes(record, HEAD_BYTES,
+				       g_bytes_get_size(record) - HEAD_BYTES);
+	body = g_variant_ref_sink(g_variant_new_from_bytes(
+		G_VARIANT_TYPE(body_formats[type]), bytes, FALSE));
+	g_bytes_unref(bytes);
+	if (check(error, "", g_variant_is_normal_form(body),
+		  "record not in normal form")) {
+		body = to_little_endian(body);
+		message = peer_message_create(type);
+		if (!decode_sender(body, message, error) ||
+		    !decode_payload(body, message, error))
+			g_clear_pointer(&message, peer_message_destroy);
+	}
+	g_variant_unref(body);
+	return message;
+}
--- /dev/null
+++ b/tests/peer_codec_test.cc
@@ -0,0 +1,334 @@
+#include "codec/peer_codec.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstring>
+#include <string>
+#include <vector>
+
+static struct member *make_member(int i)
+{
+	struct member *member = g_new0(struct member, 1);
+
+	member->name = g_strdup_printf("entry-%d", i);
+	member->incarnation = 0x1234567890abcdefu + (uint64_t)i;
+	member->version = 7;
+	member->state = MEMBER_SUSPECT;
+	member->http_address = g_strdup_printf("10.1.2.%d:8080", i);
+	member->peer_address = g_strdup_printf("10.1.2.%d:8090", i);
+	member->region = g_strdup("casablanca");
+	member->failure_domain = g_strdup("casablanca-a");
+	member->config_revision = 4711;
+	return member;
+}
+
+static void add_holdings(struct peer_message *message, int count, bool full)
+{
+	for (int i = 0; i < count; i++) {
+		struct peer_holding *holding =
+			peer_progress_add(&message->progress);
+
+		holding->ticket = (1ull << 40) + (uint64_t)i * 3;
+		holding->tokens = 1000 + i;
+		holding->service = g_strdup(full ? "report-writer" : "");
+		holding->organisation =
+			g_strdup_printf(full ? "organisation-%d" : "", i % 40);
+		holding->endpoint =
+			g_strdup_printf(full ? "10.2.0.%d:9000" : "", i % 32);
+		holding->prompt_tokens = full ? 500 : 0;
+		holding->max_tokens = full ? 4096 : 0;
+	}
+}
+
+static void fill_text_message(struct peer_message *message)
+{
+	switch (message->type) {
+	case PEER_PLACE:
+		message->place.service = g_strdup("report-writer");
+		message->place.organisation = g_strdup("atlas");
+		message->place.ticket = 99;
+		message->place.priority = 9;
+		message->place.prompt_tokens = 1200;
+		message->place.deadline_in_us = 60000000;
+		message->place.prefix_hash = UINT64_MAX;
+		break;
+	case PEER_PLACED:
+		message->placed.ticket = 99;
+		message->placed.endpoint = g_strdup("10.2.0.1:9000");
+		break;
+	case PEER_CONFIG:
+		message->config.document = g_bytes_new("{}", 2);
+		message->config.revision = 12;
+		break;
+	case PEER_CONFIG_ASK:
+		message->config.revision = 12;
+		break;
+	case PEER_LEAVING:
+		g_ptr_array_add(message->leaving.endpoints,
+				g_strdup("10.2.0.1:9000"));
+		break;
+	case PEER_QUARANTINE:
+		message->quarantine.fingerprint = 5;
+		message->quarantine.endpoint = g_strdup("10.2.0.1:9000");
+		break;
+	default:
+		break;
+	}
+}
+
+static struct peer_message *make_message(enum peer_message_type type)
+{
+	struct peer_message *message = peer_message_create(type);
+
+	message->from = g_strdup("entry-1");
+	message->from_address = g_strdup("10.1.2.1:8090");
+	message->incarnation = 0xfedcba9876543210u;
+	fill_text_message(message);
+	switch (type) {
+	case PEER_PING:
+	case PEER_ACK:
+	case PEER_PROBE:
+		message->probe.number = 42;
+		message->probe.subject =
+			g_strdup(type == PEER_PROBE ? "10.1.2.9:8090" : "");
+		for (int i = 0; i < 3; i++)
+			g_ptr_array_add(message->probe.members, make_member(i));
+		break;
+	case PEER_REFUSED:
+		message->refused.ticket = 99;
+		message->refused.refusal = REFUSAL_QUEUE_FULL;
+		message->refused.retry_after_us = 2500000;
+		break;
+	case PEER_PROGRESS:
+		message->progress.complete = true;
+		add_holdings(message, 5, true);
+		break;
+	case PEER_RELEASE:
+		message->release.ticket = 99;
+		message->release.outcome = RELEASE_LOST;
+		message->release.tokens = 321;
+		message->release.duration_us = 12345678;
+		break;
+	default:
+		break;
+	}
+	return message;
+}
+
+static struct peer_message *decode(const std::vector<uint8_t> &bytes,
+				   struct error *error)
+{
+	GBytes *record = g_bytes_new(bytes.data(), bytes.size());
+	struct peer_message *message;
+
+	error_clear(error);
+	message = peer_codec_decode(record, error);
+	g_bytes_unref(record);
+	return message;
+}
+
+static std::vector<uint8_t> encode(const struct peer_message *message)
+{
+	GBytes *record = peer_codec_encode(message);
+	gsize size;
+	const uint8_t *data =
+		static_cast<const uint8_t *>(g_bytes_get_data(record, &size));
+	std::vector<uint8_t> bytes(data, data + size);
+
+	g_bytes_unref(record);
+	return bytes;
+}
+
+static std::vector<uint8_t> encode_type(int type)
+{
+	struct peer_message *message =
+		make_message(static_cast<enum peer_message_type>(type));
+	std::vector<uint8_t> bytes = encode(message);
+
+	peer_message_destroy(message);
+	return bytes;
+}
+
+/* Equal bytes after a second pass: nothing was lost or changed in the first. */
+TEST(PeerCodec, RoundTripsEveryType)
+{
+	for (int type = 0; type < PEER_MESSAGE_TYPES; type++) {
+		std::vector<uint8_t> bytes = encode_type(type);
+		struct error error;
+		struct peer_message *message = decode(bytes, &error);
+
+		ASSERT_NE(nullptr, message) << type << " " << error.detail;
+		EXPECT_EQ(type, message->type);
+		EXPECT_STREQ("entry-1", message->from);
+		EXPECT_STREQ("10.1.2.1:8090", message->from_address);
+		EXPECT_EQ(0xfedcba9876543210u, message->incarnation);
+		EXPECT_EQ(bytes, encode(message));
+		printf("%-12s %4zu bytes\n",
+		       peer_message_type_name(message->type), bytes.size());
+		peer_message_destroy(message);
+	}
+}
+
+TEST(PeerCodec, KeepsFieldsApart)
+{
+	struct error error;
+	struct peer_message *message =
+		decode(encode_type(PEER_PROGRESS), &error);
+	struct peer_holding *holding = static_cast<struct peer_holding *>(
+		g_ptr_array_index(message->progress.holdings, 4));
+
+	EXPECT_TRUE(message->progress.complete);
+	EXPECT_EQ((1ull << 40) + 12, holding->ticket);
+	EXPECT_STREQ("report-writer", holding->service);
+	EXPECT_STREQ("10.2.0.4:9000", holding->endpoint);
+	EXPECT_STREQ("organisation-4", holding->organisation);
+	EXPECT_EQ(500, holding->prompt_tokens);
+	EXPECT_EQ(4096, holding->max_tokens);
+	EXPECT_EQ(1004, holding->tokens);
+	peer_message_destroy(message);
+
+	message = decode(encode_type(PEER_PING), &error);
+	struct member *member = static_cast<struct member *>(
+		g_ptr_array_index(message->probe.members, 2));
+	EXPECT_EQ(3u, message->probe.members->len);
+	EXPECT_STREQ("entry-2", member->name);
+	EXPECT_STREQ("10.1.2.2:8080", member->http_address);
+	EXPECT_STREQ("10.1.2.2:8090", member->peer_address);
+	EXPECT_EQ(MEMBER_SUSPECT, member->state);
+	EXPECT_EQ(4711, member->config_revision);
+	peer_message_destroy(message);
+
+	message = decode(encode_type(PEER_RELEASE), &error);
+	EXPECT_EQ(RELEASE_LOST, message->release.outcome);
+	EXPECT_EQ(321, message->release.tokens);
+	EXPECT_EQ(12345678, message->release.duration_us);
+	peer_message_destroy(message);
+}
+
+TEST(PeerCodec, TakesTicketsFarApart)
+{
+	struct peer_message *message = peer_message_create(PEER_PROGRESS);
+	struct error error;
+
+	message->from = g_strdup("n");
+	message->from_address = g_strdup("10.0.0.1:1");
+	message->incarnation = 1;
+	peer_progress_add(&message->progress)->ticket = UINT64_MAX;
+	peer_progress_add(&message->progress)->ticket = 3;
+	struct peer_message *copy = decode(encode(message), &error);
+	ASSERT_NE(nullptr, copy) << error.detail;
+	EXPECT_EQ(UINT64_MAX, static_cast<struct peer_holding *>(
+				      copy->progress.holdings->pdata[0])
+				      ->ticket);
+	EXPECT_EQ(3u, static_cast<struct peer_holding *>(
+			      copy->progress.holdings->pdata[1])
+			      ->ticket);
+	peer_message_destroy(copy);
+	peer_message_destroy(message);
+}
+
+/* What a node sends at the planned size: 800 streams at once. */
+TEST(PeerCodec, ProgressOfManyHoldingsIsCompact)
+{
+	for (bool full : {false, true}) {
+		struct peer_message *message = make_message(PEER_PROGRESS);
+
+		g_ptr_array_set_size(message->progress.holdings, 0);
+		add_holdings(message, 800, full);
+		size_t size = encode(message).size();
+		printf("800 holdings %s: %zu bytes, %.1f each\n",
+		       full ? "whole" : "tokens only", size, size / 800.0);
+		EXPECT_LT(size, full ? 800u * 26 : 800u * 9);
+		peer_message_destroy(message);
+	}
+}
+
+TEST(PeerCodec, RefusesEveryTruncation)
+{
+	for (int type = 0; type < PEER_MESSAGE_TYPES; type++) {
+		std::vector<uint8_t> bytes = encode_type(type);
+
+		for (size_t size = 0; size < bytes.size(); size++) {
+			std::vector<uint8_t> cut(bytes.begin(),
+						 bytes.begin() + size);
+			struct error error;
+			struct peer_message *message = decode(cut, &error);
+
+			ASSERT_EQ(nullptr, message) << type << " " << size;
+			EXPECT_NE(ERROR_NONE, error.code);
+			EXPECT_STREQ("peer.decode", error.step);
+		}
+	}
+}
+
+/* A flipped byte is refused or gives a message within every bound. */
+TEST(PeerCodec, SurvivesFlippedBytes)
+{
+	GRand *random = g_rand_new_with_seed(7);
+
+	for (int type = 0; type < PEER_MESSAGE_TYPES; type++) {
+		const std::vector<uint8_t> bytes = encode_type(type);
+
+		for (size_t i = 0; i < bytes.size() * 16; i++) {
+			std::vector<uint8_t> bad = bytes;
+			struct error error;
+
+			bad[i % bad.size()] ^=
+				(uint8_t)g_rand_int_range(random, 1, 256);
+			struct peer_message *message = decode(bad, &error);
+			if (!message)
+				continue;
+			EXPECT_LE(strlen(message->from), 64u);
+			std::vector<uint8_t> again = encode(message);
+			peer_message_destroy(message);
+			message = decode(again, &error);
+			ASSERT_NE(nullptr, message) << error.detail;
+			EXPECT_EQ(again, encode(message));
+			peer_message_destroy(message);
+		}
+	}
+	g_rand_free(random);
+}
+
+TEST(PeerCodec, RefusesWhatIsTooLongOrOutOfRange)
+{
+	struct peer_message *message = make_message(PEER_PLACE);
+	struct error error;
+
+	g_free(message->place.organisation);
+	message->place.organisation = g_strnfill(65, 'x');
+	EXPECT_EQ(nullptr, decode(encode(message), &error));
+	EXPECT_STREQ("text of a placement out of range", error.detail);
+	EXPECT_STREQ("entry-1", error.peer);
+	message->place.organisation[3] = '\n';
+	message->place.organisation[9] = '\0';
+	EXPECT_EQ(nullptr, decode(encode(message), &error));
+	message->place.organisation[3] = 'x';
+	message->place.deadline_in_us = -1;
+	EXPECT_EQ(nullptr, decode(encode(message), &error));
+	EXPECT_STREQ("placement out of range", error.detail);
+	peer_message_destroy(message);
+
+	message = make_message(PEER_REFUSED);
+	message->refused.refusal = REFUSAL_COUNT;
+	EXPECT_EQ(nullptr, decode(encode(message), &error));
+	peer_message_destroy(message);
+
+	message = make_message(PEER_PING);
+	for (int i = 0; i < 100; i++)
+		g_ptr_array_add(message->probe.members, make_member(i));
+	EXPECT_EQ(nullptr, decode(encode(message), &error));
+	EXPECT_STREQ("too many members", error.detail);
+	peer_message_destroy(message);
+
+	EXPECT_EQ(nullptr, decode(std::vector<uint8_t>(3 << 20, 0), &error));
+	EXPECT_EQ(ERROR_TOO_LARGE, error.code);
+	std::vector<uint8_t> bytes = encode_type(PEER_PING);
+	bytes[3] = 2;
+	EXPECT_EQ(nullptr, decode(bytes, &error));
+	EXPECT_STREQ("unknown magic or version", error.detail);
+	bytes = encode_type(PEER_PING);
+	bytes.push_back(0);
+	EXPECT_EQ(nullptr, decode(bytes, &error));
+}
