--- a/fakes/fake_server.h
+++ b/fakes/fake_server.h
@@ -26,6 +26,11 @@
 	void *value;
 };
 
+struct fake_metric {
+	const char *name;
+	int64_t value;
+};
+
 typedef void (*fake_server_handler)(void *data, SoupServerMessage *message,
 				    const char *path);
 typedef void (*fake_server_callback)(void *data);
@@ -39,6 +44,7 @@
 			   const struct fake_mode *modes, size_t count,
 			   fake_server_callback changed, void *data);
 int fake_server_run(struct fake_server *server);
+const char *fake_server_address(const struct fake_server *server);
 
 void fake_server_stall_link(struct fake_server *server, int64_t stall_ms);
 bool fake_server_link_stalled(const struct fake_server *server);
@@ -48,6 +54,9 @@
 			      JsonBuilder *builder);
 void fake_message_answer_text(SoupServerMessage *message, unsigned status,
 			      const char *text);
+void fake_message_answer_metrics(SoupServerMessage *message,
+				 const struct fake_metric *metrics,
+				 size_t count);
 const char *fake_message_header(SoupServerMessage *message, const char *name);
 GSource *fake_message_on_close(SoupServerMessage *message,
 			       fake_server_callback closed, void *data);
