--- /dev/null
+++ b/bench/world.h
@@ -0,0 +1,146 @@
+#ifndef BENCH_WORLD_H
+#define BENCH_WORLD_H
+
+#include "core/config.h"
+#include "core/node.h"
+#include "fakes/engine_model.h"
+#include "ports/action.h"
+#include "ports/event.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * Drives nodes in one process and in virtual time: turns their actions into
+ * effects on model engines, plain endpoints, a key-value service and one
+ * another, and the effects into events. The same seed gives the same run.
+ *
+ * Nodes and endpoints are numbered from 0; engines come before plain
+ * endpoints. A link joins two parties, see world_party_*.
+ *
+ * A generation is as long as the mark [[tokens=N]] in its request's body says,
+ * or of a length drawn from the body. [[poison]] in a body crashes the endpoint
+ * that runs it.
+ */
+struct world_options {
+	uint64_t seed;
+	int32_t node_count;
+	int32_t engine_count;
+	int32_t plain_count;
+	struct node_options node; /* names, addresses and seeds are set here */
+	struct engine_model_options engine;
+	int64_t client_delay_us; /* each delay varies between half and twice */
+	int64_t peer_delay_us;
+	int64_t endpoint_delay_us;
+	int64_t kv_delay_us;
+	int64_t chunk_us; /* tokens made within it come as one chunk; 0: each */
+	int64_t hold_us;  /* a generation's life without a reader */
+	int64_t plain_us; /* a plain endpoint's time for a call */
+	int64_t restart_us; /* from an endpoint's crash to its return; 0: never
+			     */
+	int64_t connect_timeout_us;
+	int64_t vm_list_lag_us;
+	int32_t prefix_percent; /* of a prompt that its prefix hash covers */
+	int32_t peer_drop_permille; /* of peer messages */
+	int32_t peer_double_permille;
+	int32_t chunk_drop_permille; /* of an engine's chunks */
+	int32_t chunk_double_permille;
+	int32_t chunk_cross_permille; /* overtaken by the next */
+};
+
+/* One run of a request at an endpoint, from its arrival there. */
+struct world_run {
+	uint64_t number; /* from 1 on */
+	int32_t endpoint;
+	int32_t node;  /* that sent it */
+	uint64_t call; /* of that node: as world_call named it, or forwarded */
+	struct request *request;
+	int64_t at_us;
+	int64_t tokens; /* made */
+	int64_t output_tokens;
+	bool finished;
+	char generation[32]; /* "" for plain endpoints */
+};
+
+struct world;
+
+/* What the user of the world is told; any may be NULL. */
+struct world_listener {
+	/* ACTION_CALL_* as it reaches the caller. */
+	void (*answered)(void *data, uint64_t call,
+			 const struct action *action);
+	/* The connection broke, or (connected false) there was none. */
+	void (*broken)(void *data, uint64_t call, bool connected);
+	/* What an engine made, at the time it made it. */
+	void (*engine_output)(void *data, const struct world_run *run,
+			      const struct engine_output *output);
+	void (*logged)(void *data, int32_t node, const struct action_log *log);
+	void *data;
+};
+
+struct world_kv_mode {
+	bool refused;		/* no connection: certainly not applied */
+	bool silent;		/* takes requests, does nothing */
+	int64_t extra_delay_us; /* each way */
+	int32_t lose_percent;	/* of answers, after it was applied */
+};
+
+typedef void (*world_callback)(struct world *world, void *data);
+
+void world_options_default(struct world_options *options);
+struct world *world_create(const struct world_options *options,
+			   const struct world_listener *listener);
+void world_destroy(struct world *world);
+void world_run_until(struct world *world, int64_t until_us);
+int64_t world_now_us(const struct world *world);
+void world_at(struct world *world, int64_t at_us, world_callback callback,
+	      void *data);
+
+struct config *world_create_config(const struct world *world);
+struct config_organisation *world_add_organisation(struct config *config,
+						   const char *name);
+void world_put_config(struct world *world, const struct config *config);
+
+uint64_t world_call(struct world *world, int32_t node, struct request *request);
+uint64_t world_query(struct world *world, int32_t node, enum query_type type,
+		     const char *operator_name, const char *plan_id,
+		     GBytes *body);
+void world_close_call(struct world *world, uint64_t call);
+void world_set_call_flow(struct world *world, uint64_t call, bool full);
+
+void world_kill_node(struct world *world, int32_t node);
+void world_start_node(struct world *world, int32_t node);
+void world_pause_node(struct world *world, int32_t node, int64_t until_us);
+void world_drain_node(struct world *world, int32_t node);
+bool world_node_alive(const struct world *world, int32_t node);
+uint64_t world_node_incarnation(const struct world *world, int32_t node);
+struct node *world_node(struct world *world, int32_t node);
+
+void world_crash_endpoint(struct world *world, int32_t endpoint);
+void world_restart_endpoint(struct world *world, int32_t endpoint);
+void world_stall_endpoint(struct world *world, int32_t endpoint,
+			  int64_t until_us);
+void world_set_slowdown(struct world *world, int32_t engine, double factor);
+void world_set_leaving(struct world *world, int32_t endpoint, bool in_report,
+		       bool in_vm_list);
+bool world_endpoint_alive(const struct world *world, int32_t endpoint);
+struct engine_model *world_engine(struct world *world, int32_t engine);
+const char *world_endpoint_address(const struct world *world, int32_t endpoint);
+
+void world_set_kv_mode(struct world *world, const struct world_kv_mode *mode);
+int64_t world_kv_calls(const struct world *world);
+
+int32_t world_party_node(const struct world *world, int32_t node);
+int32_t world_party_endpoint(const struct world *world, int32_t endpoint);
+int32_t world_party_kv(const struct world *world);
+void world_cut_link(struct world *world, int32_t from, int32_t to, bool cut);
+
+/* struct world_run *, in order of arrival. */
+const GPtrArray *world_runs(const struct world *world);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/bench/world_state.h
@@ -0,0 +1,179 @@
+#ifndef BENCH_WORLD_STATE_H
+#define BENCH_WORLD_STATE_H
+
+#include "bench/event_queue.h"
+#include "bench/world.h"
+#include "fakes/kv_model.h"
+
+G_BEGIN_DECLS
+
+/*
+ * The world's state and the functions its parts call in one another. Private
+ * to bench/world*.c:
+ *
+ *   world.c           life, the loop, links, configuration
+ *   world_node.c      nodes: their life, steps and actions
+ *   world_call.c      callers
+ *   world_attempt.c   connections from nodes to endpoints and nodes
+ *   world_endpoint.c  model engines and plain endpoints
+ *   world_kv.c        key-value service
+ */
+
+#define NOT_BOUND (-1)
+
+struct world_node {
+	struct node *node; /* NULL: dead */
+	char *name;
+	char *http_address;
+	char *peer_address;
+	uint64_t incarnation;
+	bool paused;
+	int64_t wake_us;      /* of the wake-up in the queue */
+	GQueue held;	      /* struct queued, while paused */
+	GHashTable *attempts; /* number: struct world_attempt */
+};
+
+/* A caller's connection to a node. */
+struct world_caller {
+	uint64_t call;
+	int32_t node;
+	uint64_t incarnation;
+	struct world_attempt *origin; /* forwarded by another node, or NULL */
+	GString *forwarded;	      /* what a forwarded stream carried */
+	GQueue answers;		      /* struct action_list, one action each */
+};
+
+struct world_endpoint {
+	char *address;
+	bool is_engine;
+	bool alive;
+	bool leaving;	 /* in its load report */
+	bool leaving_vm; /* in the VM list */
+	int64_t stalled_until_us;
+	struct engine_model *model; /* engines */
+	int64_t wake_us;	    /* of the wake-up in the queue */
+	GPtrArray *open;	    /* plain: struct world_attempt served */
+};
+
+/* A generation at an engine; it outlives its reader for hold_us. */
+struct world_stream {
+	struct world_run *run;
+	struct world_attempt *reader; /* NULL: none */
+	int64_t sent;		      /* tokens given to the reader */
+	bool flush_queued;
+	uint64_t reader_epoch; /* raised when the reader changes */
+};
+
+/* A node's connection to an endpoint or to another node. */
+struct world_attempt {
+	int32_t node;
+	uint64_t number;
+	int32_t endpoint;  /* NOT_BOUND: another node */
+	int32_t peer_node; /* when the endpoint is one */
+	uint64_t call;	   /* of the sending node */
+	uint64_t forwarded_call;
+	int32_t priority;
+	struct request *request; /* NULL: resume */
+	char *generation;	 /* resume */
+	int64_t next_token;
+	bool let_go; /* by the node: it hears nothing more */
+	bool keep_running;
+	bool ended;  /* by the other side: its last event is on its way */
+	bool paused; /* the node does not read */
+	struct world_stream *stream;
+	GQueue events; /* struct attempt_event on their way to the node */
+};
+
+struct world {
+	struct world_options options;
+	struct world_listener listener;
+	struct event_queue *queue;
+	GRand *random;
+	int64_t now_us;
+	struct action_list *actions;
+
+	struct world_node *nodes;
+	struct world_endpoint *endpoints;
+	int32_t endpoint_count;
+	int32_t party_count;
+	bool *cut; /* party_count squared: from, to */
+
+	uint64_t next_call;
+	GHashTable *callers; /* call: struct world_caller */
+	GPtrArray *runs;
+	GHashTable *streams; /* number of the run: struct world_stream */
+	GArray *outputs;
+
+	struct kv_model *kv;
+	struct world_kv_mode kv_mode;
+	GPtrArray *watches; /* struct world_watch */
+	int64_t kv_calls;
+};
+
+/* world.c */
+void world_post(struct world *world, int64_t at_us, event_callback run,
+		void *data, GDestroyNotify destroy);
+void world_post_node(struct world *world, int64_t at_us, int32_t node,
+		     event_callback run, void *data, GDestroyNotify destroy);
+int64_t world_delay_us(struct world *world, int64_t mean_us);
+bool world_chance(struct world *world, int32_t permille);
+bool world_link_cut(const struct world *world, int32_t from, int32_t to);
+
+/* world_node.c */
+void world_nodes_create(struct world *world);
+void world_nodes_destroy(struct world *world);
+void world_node_step(struct world *world, int32_t node,
+		     const struct event *event);
+void world_node_vm_list(struct world *world, int32_t node);
+
+/* world_call.c */
+uint64_t world_forward(struct world *world, struct world_attempt *attempt);
+void world_caller_answer(struct world *world, struct action *action);
+void world_break_callers(struct world *world, int32_t node);
+void world_caller_destroy(gpointer data);
+void world_caller_close(struct world *world, uint64_t call);
+
+/* world_attempt.c */
+struct world_attempt *world_attempt_ref(struct world_attempt *attempt);
+void world_attempt_unref(gpointer data);
+void world_attempt_send(struct world *world, int32_t node,
+			const struct action_attempt_send *send);
+void world_attempt_resume(struct world *world, int32_t node,
+			  const struct action_attempt_resume *resume);
+void world_attempt_cancel(struct world *world, int32_t node,
+			  const struct action_attempt_cancel *cancel);
+void world_attempt_flow(struct world *world, int32_t node,
+			const struct action_attempt_flow *flow);
+void world_attempt_started(struct world *world, struct world_attempt *attempt,
+			   const char *generation);
+void world_attempt_chunk(struct world *world, struct world_attempt *attempt,
+			 int64_t first, int64_t count);
+void world_attempt_done(struct world *world, struct world_attempt *attempt,
+			int64_t token_count);
+void world_attempt_answer(struct world *world, struct world_attempt *attempt,
+			  int32_t status, const char *content_type,
+			  GBytes *body);
+void world_attempt_fail(struct world *world, struct world_attempt *attempt,
+			enum attempt_stage stage, int64_t delay_us);
+void world_attempts_drop(struct world *world, int32_t node);
+
+/* world_endpoint.c */
+void world_endpoints_create(struct world *world);
+void world_endpoints_destroy(struct world *world);
+void world_endpoint_take(struct world *world, struct world_attempt *attempt);
+void world_endpoint_resume(struct world *world, struct world_attempt *attempt);
+void world_endpoint_let_go(struct world *world, struct world_attempt *attempt);
+void world_endpoint_flush(struct world *world, struct world_stream *stream);
+void world_poll_load(struct world *world, int32_t node, const char *address);
+int32_t world_find_endpoint(const struct world *world, const char *address);
+
+/* world_kv.c */
+void world_kv_send(struct world *world, int32_t node,
+		   struct kv_request *request);
+void world_kv_watch(struct world *world, int32_t node, const char *key);
+void world_kv_notify(struct world *world);
+void world_watch_destroy(gpointer data);
+
+G_END_DECLS
+
+#endif
