Clients of the key-value service and the VM list

A write that was sent and not answered is KV_ANSWER_LOST; KV_NOT_APPLIED is said only where it is certain. kv_client_options gains watch_check_ms.

--- /dev/null
+++ b/adapters/http_call.c
@@ -0,0 +1,228 @@
+#include "adapters/http_call.h"
+
+#include <string.h>
+
+enum { READ_BYTES = 64 * 1024 };
+
+struct http_call {
+	SoupMessage *message;
+	GCancellable *cancellable;
+	GInputStream *input;
+	GByteArray *body;
+	GSource *timer;
+	size_t max_answer_bytes;
+	const char *step;
+	char *peer;
+	bool sent;
+	bool timed_out;
+	bool cancelled; /* nobody waits: free when the library lets go */
+	http_call_done done;
+	void *data;
+};
+
+static void http_call_stop_timer(struct http_call *call)
+{
+	if (!call->timer)
+		return;
+	g_source_destroy(call->timer);
+	g_clear_pointer(&call->timer, g_source_unref);
+}
+
+static void http_call_free(struct http_call *call)
+{
+	http_call_stop_timer(call);
+	if (call->message)
+		g_signal_handlers_disconnect_by_data(call->message, call);
+	g_clear_object(&call->message);
+	g_clear_object(&call->cancellable);
+	g_clear_object(&call->input);
+	g_byte_array_unref(call->body);
+	g_free(call->peer);
+	g_free(call);
+}
+
+/* The call is over before the callback runs, so that it may start another. */
+static void http_call_finish(struct http_call *call, struct http_result *result)
+{
+	http_call_done done = call->done;
+	void *data = call->data;
+	bool cancelled = call->cancelled;
+
+	result->sent = call->sent;
+	http_call_free(call);
+	if (!cancelled)
+		done(data, result);
+}
+
+static void http_call_fail(struct http_call *call, enum error_code code,
+			   const char *detail)
+{
+	struct http_result result = {0};
+
+	if (call->timed_out)
+		code = ERROR_TIMEOUT;
+	else if (code == ERROR_CLOSED && !call->sent)
+		code = ERROR_UNREACHABLE;
+	error_set(&result.error, code, call->step, call->peer, "%s",
+		  call->timed_out ? "no whole answer in time" : detail);
+	http_call_finish(call, &result);
+}
+
+static void http_call_succeed(struct http_call *call)
+{
+	struct http_result result = {0};
+	GBytes *body = g_bytes_new(call->body->data, call->body->len);
+
+	result.status = (int32_t)soup_message_get_status(call->message);
+	result.body = body;
+	http_call_finish(call, &result);
+	g_bytes_unref(body);
+}
+
+static void http_call_read(struct http_call *call);
+
+static void on_read(GObject *source, GAsyncResult *result, gpointer data)
+{
+	struct http_call *call = data;
+	GError *cause = NULL;
+	GBytes *bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(source),
+							 result, &cause);
+	size_t size;
+
+	if (!bytes) {
+		http_call_fail(call, ERROR_CLOSED, cause->message);
+		g_error_free(cause);
+		return;
+	}
+	size = g_bytes_get_size(bytes);
+	if (size == 0) {
+		http_call_succeed(call);
+	} else if (call->body->len + size > call->max_answer_bytes) {
+		http_call_fail(call, ERROR_TOO_LARGE, "answer over the limit");
+	} else {
+		g_byte_array_append(call->body, g_bytes_get_data(bytes, NULL),
+				    (guint)size);
+		http_call_read(call);
+	}
+	g_bytes_unref(bytes);
+}
+
+static void http_call_read(struct http_call *call)
+{
+	g_input_stream_read_bytes_async(call->input, READ_BYTES,
+					G_PRIORITY_DEFAULT, call->cancellable,
+					on_read, call);
+}
+
+static void on_headers(GObject *source, GAsyncResult *result, gpointer data)
+{
+	struct http_call *call = data;
+	GError *cause = NULL;
+
+	call->input =
+		soup_session_send_finish(SOUP_SESSION(source), result, &cause);
+	if (call->input) {
+		http_call_read(call);
+		return;
+	}
+	http_call_fail(call, ERROR_CLOSED, cause->message);
+	g_error_free(cause);
+}
+
+static void on_starting(SoupMessage *message, gpointer data)
+{
+	struct http_call *call = data;
+
+	(void)message;
+	call->sent = true;
+}
+
+static gboolean on_timeout(gpointer data)
+{
+	struct http_call *call = data;
+
+	call->timed_out = true;
+	g_cancellable_cancel(call->cancellable);
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean on_refused(gpointer data)
+{
+	struct http_call *call = data;
+
+	http_call_fail(call, ERROR_INVALID,
+		       call->message ? "request over the limit"
+				     : "not an address");
+	return G_SOURCE_REMOVE;
+}
+
+static void http_call_attach(struct http_call *call, GSource *source,
+			     GSourceFunc run)
+{
+	call->timer = source;
+	g_source_set_callback(source, run, call, NULL);
+	g_source_attach(source, g_main_context_get_thread_default());
+}
+
+/* The message for a spec, or NULL if its URL is none. */
+SoupMessage *http_call_create_message(const struct http_call_spec *spec)
+{
+	SoupMessage *message = soup_message_new(spec->method, spec->url);
+
+	if (!message)
+		return NULL;
+	soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
+	if (spec->fresh_connection)
+		soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+	if (spec->body)
+		soup_message_set_request_body_from_bytes(
+			message, "application/json", spec->body);
+	return message;
+}
+
+/*
+ * Starts a request; done is called once, never from inside this function,
+ * unless the call is cancelled before. fresh_connection is for requests that
+ * must not be sent twice: on a kept connection that the server has just closed
+ * the library may send a request again by itself, and a write that was applied
+ * the first time would then be answered as a conflict with itself. On a
+ * connection of its own a request is sent once.
+ */
+struct http_call *http_call_start(SoupSession *session,
+				  const struct http_call_spec *spec,
+				  http_call_done done, void *data)
+{
+	struct http_call *call = g_new0(struct http_call, 1);
+
+	call->message = http_call_create_message(spec);
+	call->cancellable = g_cancellable_new();
+	call->body = g_byte_array_new();
+	call->max_answer_bytes = spec->max_answer_bytes;
+	call->step = spec->step;
+	call->peer = g_strdup(spec->peer);
+	call->done = done;
+	call->data = data;
+	if (!call->message || (spec->body && g_bytes_get_size(spec->body) >
+						     spec->max_request_bytes)) {
+		http_call_attach(call, g_idle_source_new(), on_refused);
+		return call;
+	}
+	g_signal_connect(call->message, "starting", G_CALLBACK(on_starting),
+			 call);
+	http_call_attach(
+		call,
+		g_timeout_source_new((guint)MAX(spec->timeout_us / 1000, 1)),
+		on_timeout);
+	soup_session_send_async(session, call->message, G_PRIORITY_DEFAULT,
+				call->cancellable, on_headers, call);
+	return call;
+}
+
+/* Lets go of a call; done is not called any more. NULL is allowed. */
+void http_call_cancel(struct http_call *call)
+{
+	if (!call)
+		return;
+	call->cancelled = true;
+	g_cancellable_cancel(call->cancellable);
+}
--- /dev/null
+++ b/adapters/kv_client.c
@@ -0,0 +1,241 @@
+#include "adapters/kv_client.h"
+
+#include "adapters/http_call.h"
+#include "adapters/kv_watch.h"
+#include "codec/etcd_json.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+enum {
+	MAX_CONNECTIONS = 64,
+	ENVELOPE_BYTES = 64 * 1024,
+	DEFAULT_CHECK_MS = 10000
+};
+
+struct kv_client {
+	SoupSession *session;
+	char *address;
+	size_t max_value_bytes;
+	int64_t watch_check_ms;
+	uint64_t seed;
+	struct log *log;
+	struct counters *counters;
+	struct event_sink sink;
+	GHashTable *calls;  /* struct kv_call, a set */
+	GPtrArray *watches; /* struct kv_watch */
+};
+
+struct kv_call {
+	struct kv_client *client;
+	struct kv_request request; /* without key and value */
+	struct http_call *http;
+};
+
+static void kv_call_destroy(gpointer data)
+{
+	struct kv_call *call = data;
+
+	http_call_cancel(call->http);
+	g_free(call);
+}
+
+static void count(struct kv_client *client, enum counter id)
+{
+	if (client->counters)
+		counters_add(client->counters, id, 1);
+}
+
+/* An entry in base64 takes 4/3 of its bytes; a list may hold many small ones.
+ */
+static size_t max_answer_bytes(const struct kv_client *client)
+{
+	return 2 * client->max_value_bytes + ENVELOPE_BYTES;
+}
+
+static bool op_writes(enum kv_op op)
+{
+	return op != KV_GET && op != KV_LIST;
+}
+
+static bool op_uses_lease(const struct kv_request *request)
+{
+	return request->lease != 0;
+}
+
+/*
+ * What a failed call means. Wrongly taking a write for not applied would let
+ * its caller write again or report a refusal for a change that is in force, so
+ * KV_NOT_APPLIED is said only where the write cannot have reached the log:
+ * no request was started on a connection, or the gateway answered that it is
+ * malformed (400), not allowed (401, 403) or that the service takes no more
+ * proposals (429, sent before one is made). A 404 names a lease that is gone,
+ * which the service checks before it writes. All else, such as 503 and 504,
+ * may come after the proposal was made.
+ */
+static enum kv_outcome kv_outcome_of_failure(const struct kv_request *request,
+					     const struct http_result *result)
+{
+	if (!result->sent)
+		return KV_NOT_APPLIED;
+	switch (result->status) {
+	case SOUP_STATUS_BAD_REQUEST:
+	case SOUP_STATUS_UNAUTHORIZED:
+	case SOUP_STATUS_FORBIDDEN:
+	case 429:
+		return KV_NOT_APPLIED;
+	case SOUP_STATUS_NOT_FOUND:
+		return op_uses_lease(request) ? KV_NOT_FOUND : KV_ANSWER_LOST;
+	default:
+		return KV_ANSWER_LOST;
+	}
+}
+
+static void kv_call_read_failure(struct kv_call *call,
+				 const struct http_result *result,
+				 struct error *error, struct kv_answer *answer)
+{
+	struct kv_client *client = call->client;
+
+	if (result->status && error->code == ERROR_NONE)
+		error_set(error, ERROR_REFUSED, "kv.call", client->address,
+			  "status %d", result->status);
+	g_strlcpy(error->peer, client->address, sizeof(error->peer));
+	memset(answer, 0, sizeof(*answer));
+	answer->id = call->request.id;
+	answer->op = call->request.op;
+	answer->outcome = kv_outcome_of_failure(&call->request, result);
+	if (answer->outcome == KV_NOT_FOUND)
+		return;
+	count(client, COUNTER_KV_FAILED);
+	if (answer->outcome == KV_ANSWER_LOST && op_writes(answer->op))
+		count(client, COUNTER_KV_LOST);
+	if (client->log)
+		log_write_error(client->log, LOG_LEVEL_WARN, "kv_call_failed",
+				error);
+}
+
+static void on_call_done(void *data, const struct http_result *result)
+{
+	struct kv_call *call = data;
+	struct kv_client *client = call->client;
+	struct error error = result->error;
+	struct event event = {.type = EVENT_KV};
+	struct kv_answer answer;
+
+	call->http = NULL;
+	if (result->status != SOUP_STATUS_OK ||
+	    !etcd_json_parse_answer(&call->request, result->body,
+				    max_answer_bytes(client), &answer, &error))
+		kv_call_read_failure(call, result, &error, &answer);
+	g_hash_table_remove(client->calls, call);
+	event.kv = &answer;
+	client->sink.deliver(client->sink.data, &event);
+	kv_answer_clear(&answer);
+}
+
+static void kv_client_call(struct kv_client *client,
+			   const struct kv_request *request)
+{
+	struct kv_call *call = g_new0(struct kv_call, 1);
+	char *url = g_strdup_printf("http://%s%s", client->address,
+				    etcd_json_path(request->op));
+	GBytes *body = etcd_json_format_request(request);
+	struct http_call_spec spec = {
+		.method = "POST",
+		.url = url,
+		.body = body,
+		.fresh_connection = op_writes(request->op),
+		.max_request_bytes = max_answer_bytes(client),
+		.max_answer_bytes = max_answer_bytes(client),
+		.timeout_us = request->timeout_us,
+		.step = "kv.call",
+		.peer = client->address,
+	};
+
+	count(client, COUNTER_KV_CALLS);
+	call->client = client;
+	call->request = *request;
+	call->request.key = NULL;
+	call->request.value = NULL;
+	call->http =
+		http_call_start(client->session, &spec, on_call_done, call);
+	g_hash_table_add(client->calls, call);
+	g_bytes_unref(body);
+	g_free(url);
+}
+
+static void kv_client_watch(struct kv_client *client, const char *key)
+{
+	struct kv_watch_options options = {
+		.session = client->session,
+		.address = client->address,
+		.key = key,
+		.max_answer_bytes = max_answer_bytes(client),
+		.check_ms = client->watch_check_ms,
+		.seed = client->seed + client->watches->len,
+		.log = client->log,
+		.counters = client->counters,
+	};
+
+	for (guint i = 0; i < client->watches->len; i++) {
+		if (strcmp(kv_watch_key(g_ptr_array_index(client->watches, i)),
+			   key) == 0)
+			return;
+	}
+	g_ptr_array_add(client->watches,
+			kv_watch_create(&options, &client->sink));
+}
+
+/* A client that has not connected yet; options and sink are copied. */
+struct kv_client *kv_client_create(const struct kv_client_options *options,
+				   const struct event_sink *sink)
+{
+	struct kv_client *client = g_new0(struct kv_client, 1);
+
+	client->session = soup_session_new_with_options(
+		"max-conns", MAX_CONNECTIONS, "max-conns-per-host",
+		MAX_CONNECTIONS, NULL);
+	client->address = g_strdup(options->address);
+	client->max_value_bytes = (size_t)options->max_value_bytes;
+	client->watch_check_ms = options->watch_check_ms
+					 ? options->watch_check_ms
+					 : DEFAULT_CHECK_MS;
+	client->seed = options->seed;
+	client->log = options->log;
+	client->counters = options->counters;
+	client->sink = *sink;
+	client->calls =
+		g_hash_table_new_full(NULL, NULL, kv_call_destroy, NULL);
+	client->watches = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)kv_watch_destroy);
+	return client;
+}
+
+/* Gives up all calls and watches without delivering them; NULL is allowed. */
+void kv_client_destroy(struct kv_client *client)
+{
+	if (!client)
+		return;
+	g_hash_table_unref(client->calls);
+	g_ptr_array_unref(client->watches);
+	soup_session_abort(client->session);
+	g_object_unref(client->session);
+	g_free(client->address);
+	g_free(client);
+}
+
+/* Carries out ACTION_KV and ACTION_KV_WATCH; other types are not for it. */
+void kv_client_apply(struct kv_client *client, const struct action *action)
+{
+	switch (action->type) {
+	case ACTION_KV:
+		kv_client_call(client, &action->kv);
+		break;
+	case ACTION_KV_WATCH:
+		kv_client_watch(client, action->kv_watch);
+		break;
+	default:
+		break;
+	}
+}
--- a/adapters/kv_client.h
+++ b/adapters/kv_client.h
@@ -21,7 +21,8 @@
 struct kv_client_options {
 	const char *address;
 	int64_t max_value_bytes;
-	uint64_t seed; /* jitter */
+	int64_t watch_check_ms; /* a watched key is read so often; 0: 10 s */
+	uint64_t seed;		/* jitter */
 	struct log *log;
 	struct counters *counters;
 };
--- /dev/null
+++ b/adapters/kv_watch.h
@@ -0,0 +1,40 @@
+#ifndef ADAPTERS_KV_WATCH_H
+#define ADAPTERS_KV_WATCH_H
+
+#include "adapters/log.h"
+#include "core/counters.h"
+#include "ports/sink.h"
+
+#include <glib.h>
+#include <libsoup/soup.h>
+#include <stddef.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * One watched key: read, then watched from there on, read again whenever the
+ * stream breaks and now and then while it stands. What is delivered never goes
+ * back to an older revision.
+ */
+struct kv_watch_options {
+	SoupSession *session;
+	const char *address;
+	const char *key;
+	size_t max_answer_bytes;
+	int64_t check_ms;
+	uint64_t seed;
+	struct log *log;	   /* may be NULL */
+	struct counters *counters; /* may be NULL */
+};
+
+struct kv_watch;
+
+struct kv_watch *kv_watch_create(const struct kv_watch_options *options,
+				 const struct event_sink *sink);
+void kv_watch_destroy(struct kv_watch *watch);
+const char *kv_watch_key(const struct kv_watch *watch);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/codec/vm_list_json.h
@@ -0,0 +1,17 @@
+#ifndef CODEC_VM_LIST_JSON_H
+#define CODEC_VM_LIST_JSON_H
+
+#include "core/error.h"
+#include "ports/event.h"
+
+#include <glib.h>
+#include <stddef.h>
+
+G_BEGIN_DECLS
+
+/* An array of struct vm that owns its addresses, or NULL with an error. */
+GArray *vm_list_json_parse(GBytes *body, size_t max_bytes, struct error *error);
+
+G_END_DECLS
+
+#endif
