--- a/adapters/http_call.h
+++ b/adapters/http_request.h
@@ -1,5 +1,5 @@
-#ifndef ADAPTERS_HTTP_CALL_H
-#define ADAPTERS_HTTP_CALL_H
+#ifndef ADAPTERS_HTTP_REQUEST_H
+#define ADAPTERS_HTTP_REQUEST_H
 
 #include "core/error.h"
 
@@ -15,7 +15,7 @@
  * One HTTP request with a bounded answer and a time-out, on the loop. Says
  * whether a byte may have left, which decides what a failure may be called.
  */
-struct http_call_spec {
+struct http_request_spec {
 	const char *method;
 	const char *url;
 	GBytes *body; /* JSON; NULL: none */
@@ -34,16 +34,16 @@
 	struct error error;
 };
 
-typedef void (*http_call_done)(void *data, const struct http_result *result);
+typedef void (*http_request_done)(void *data, const struct http_result *result);
 
-struct http_call;
+struct http_request;
 
-struct http_call *http_call_start(SoupSession *session,
-				  const struct http_call_spec *spec,
-				  http_call_done done, void *data);
-void http_call_cancel(struct http_call *call);
+struct http_request *http_request_start(SoupSession *session,
+					const struct http_request_spec *spec,
+					http_request_done done, void *data);
+void http_request_cancel(struct http_request *request);
 
-SoupMessage *http_call_create_message(const struct http_call_spec *spec);
+SoupMessage *http_request_create_message(const struct http_request_spec *spec);
 
 G_END_DECLS
 
--- a/adapters/kv_client.c
+++ b/adapters/kv_client.c
@@ -1,6 +1,6 @@
 #include "adapters/kv_client.h"
 
-#include "adapters/http_call.h"
+#include "adapters/http_request.h"
 #include "adapters/kv_watch.h"
 #include "codec/etcd_json.h"
 
@@ -29,14 +29,14 @@
 struct kv_call {
 	struct kv_client *client;
 	struct kv_request request; /* without key and value */
-	struct http_call *http;
+	struct http_request *http;
 };
 
 static void kv_call_destroy(gpointer data)
 {
 	struct kv_call *call = data;
 
-	http_call_cancel(call->http);
+	http_request_cancel(call->http);
 	g_free(call);
 }
 
@@ -141,7 +141,7 @@
 	char *url = g_strdup_printf("http://%s%s", client->address,
 				    etcd_json_path(request->op));
 	GBytes *body = etcd_json_format_request(request);
-	struct http_call_spec spec = {
+	struct http_request_spec spec = {
 		.method = "POST",
 		.url = url,
 		.body = body,
@@ -159,7 +159,7 @@
 	call->request.key = NULL;
 	call->request.value = NULL;
 	call->http =
-		http_call_start(client->session, &spec, on_call_done, call);
+		http_request_start(client->session, &spec, on_call_done, call);
 	g_hash_table_add(client->calls, call);
 	g_bytes_unref(body);
 	g_free(url);
--- a/adapters/kv_watch.c
+++ b/adapters/kv_watch.c
@@ -1,6 +1,6 @@
 #include "adapters/kv_watch.h"
 
-#include "adapters/http_call.h"
+#include "adapters/http_request.h"
 #include "codec/etcd_json.h"
 
 #include <string.h>
@@ -33,7 +33,7 @@
 	struct counters *counters;
 	struct event_sink sink;
 
-	struct http_call *read;
+	struct http_request *read;
 	struct kv_stream *stream;
 	GSource *retry;
 	GSource *check;
@@ -283,11 +283,11 @@
 	struct kv_stream *stream = g_new0(struct kv_stream, 1);
 	char *url = g_strdup_printf("http://%s/v3/watch", watch->address);
 	GBytes *body = etcd_json_format_watch(watch->key, start_revision);
-	struct http_call_spec spec = {.method = "POST",
-				      .url = url,
-				      .body = body,
-				      .fresh_connection = true};
-	SoupMessage *message = http_call_create_message(&spec);
+	struct http_request_spec spec = {.method = "POST",
+					 .url = url,
+					 .body = body,
+					 .fresh_connection = true};
+	SoupMessage *message = http_request_create_message(&spec);
 
 	count(watch, COUNTER_KV_CALLS);
 	stream->watch = watch;
@@ -355,7 +355,7 @@
 	char *url = g_strdup_printf("http://%s%s", watch->address,
 				    etcd_json_path(KV_GET));
 	GBytes *body = etcd_json_format_request(&request);
-	struct http_call_spec spec = {
+	struct http_request_spec spec = {
 		.method = "POST",
 		.url = url,
 		.body = body,
@@ -368,7 +368,7 @@
 
 	count(watch, COUNTER_KV_CALLS);
 	watch->read =
-		http_call_start(watch->session, &spec, on_watch_read, watch);
+		http_request_start(watch->session, &spec, on_watch_read, watch);
 	g_bytes_unref(body);
 	g_free(url);
 }
@@ -428,7 +428,7 @@
 {
 	if (!watch)
 		return;
-	http_call_cancel(watch->read);
+	http_request_cancel(watch->read);
 	kv_watch_drop_stream(watch);
 	clear_source(&watch->retry);
 	clear_source(&watch->check);
--- /dev/null
+++ b/tests/kv_client_test.cc
@@ -0,0 +1,509 @@
+#include "adapters/kv_client.h"
+#include "adapters/vm_list_client.h"
+#include "fakes/kv_server.h"
+#include "fakes/vm_list_server.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace {
+
+struct answer {
+	uint64_t id;
+	enum kv_outcome outcome;
+	int64_t revision;
+	int64_t lease;
+	std::string value; /* of the first entry */
+	int64_t mod_revision;
+};
+
+struct change {
+	int64_t revision;
+	std::string value;
+};
+
+std::string text_of(GBytes *bytes)
+{
+	gsize size = 0;
+	const char *data;
+
+	if (!bytes)
+		return "(none)";
+	data = (const char *)g_bytes_get_data(bytes, &size);
+	return data ? std::string(data, size) : "";
+}
+
+/* Answers every path below /v3 with whatever it is told to. */
+struct raw_answer {
+	unsigned status;
+	std::string text;
+};
+
+void handle_raw(void *data, SoupServerMessage *message, const char *path)
+{
+	struct raw_answer *raw = (struct raw_answer *)data;
+
+	(void)path;
+	fake_message_answer_text(message, raw->status, raw->text.c_str());
+}
+
+class KvClient : public ::testing::Test {
+      protected:
+	struct fake_server *frame = nullptr;
+	struct kv_server *server = nullptr;
+	struct kv_client *client = nullptr;
+	struct counters counters = {};
+	struct event_sink sink = {deliver, this};
+	std::vector<answer> answers;
+	std::vector<change> changes;
+	bool in_apply = false;
+	uint64_t last_id = 0;
+
+	void SetUp() override
+	{
+		struct poptOption options[] = {POPT_TABLEEND};
+		const char *argv[] = {"fake_kv", nullptr};
+
+		frame = fake_server_create(1, argv, options);
+		ASSERT_NE(nullptr, frame);
+	}
+
+	void TearDown() override
+	{
+		kv_client_destroy(client);
+		settle();
+		fake_server_destroy(frame);
+		kv_server_destroy(server);
+		settle();
+	}
+
+	/* Lets cancelled calls return, so that nothing is left of them. */
+	static void settle()
+	{
+		for (int i = 0; i < 1000; i++)
+			g_main_context_iteration(nullptr, FALSE);
+	}
+
+	void start(int64_t max_value_bytes = 1 << 20, int64_t check_ms = 0)
+	{
+		struct kv_client_options options = {};
+
+		options.address = fake_server_address(frame);
+		options.max_value_bytes = max_value_bytes;
+		options.watch_check_ms = check_ms;
+		options.seed = 1;
+		options.counters = &counters;
+		client = kv_client_create(&options, &sink);
+	}
+
+	void start_with_service(int64_t check_ms = 0)
+	{
+		server = kv_server_create(frame);
+		start(1 << 20, check_ms);
+	}
+
+	static void deliver(void *data, const struct event *event)
+	{
+		KvClient *test = (KvClient *)data;
+
+		EXPECT_FALSE(test->in_apply);
+		if (event->type == EVENT_KV_WATCH) {
+			test->changes.push_back(
+				{event->kv_watch.mod_revision,
+				 text_of(event->kv_watch.value)});
+			return;
+		}
+		ASSERT_EQ(EVENT_KV, event->type);
+		answer a = {event->kv->id,	 event->kv->outcome,
+			    event->kv->revision, event->kv->lease,
+			    "",			 0};
+		if (event->kv->entries && event->kv->entries->len) {
+			const struct kv_entry *entry =
+				(const struct kv_entry *)g_ptr_array_index(
+					event->kv->entries, 0);
+
+			a.value = text_of(entry->value);
+			a.mod_revision = entry->mod_revision;
+		}
+		test->answers.push_back(a);
+	}
+
+	/* A bound far above what any of these takes, so that none hangs. */
+	static bool run_until(const std::function<bool()> &done)
+	{
+		gint64 end_us = g_get_monotonic_time() + 20 * G_USEC_PER_SEC;
+
+		while (!done()) {
+			if (g_get_monotonic_time() > end_us)
+				return false;
+			if (!g_main_context_iteration(nullptr, FALSE))
+				g_usleep(200);
+		}
+		return true;
+	}
+
+	void apply(struct action *action)
+	{
+		in_apply = true;
+		kv_client_apply(client, action);
+		in_apply = false;
+	}
+
+	uint64_t send(enum kv_op op, const char *value = nullptr,
+		      int64_t expected_revision = 0, int64_t lease = 0,
+		      int64_t timeout_us = 5 * G_USEC_PER_SEC)
+	{
+		struct action action = {};
+
+		action.type = ACTION_KV;
+		action.kv.id = ++last_id;
+		action.kv.op = op;
+		action.kv.key = g_strdup("/siskinlink/config");
+		action.kv.value = value ? g_bytes_new(value, strlen(value))
+					: nullptr;
+		action.kv.expected_revision = expected_revision;
+		action.kv.lease = lease;
+		action.kv.ttl_s = 1;
+		action.kv.timeout_us = timeout_us;
+		apply(&action);
+		kv_request_clear(&action.kv);
+		return last_id;
+	}
+
+	answer call(enum kv_op op, const char *value = nullptr,
+		    int64_t expected_revision = 0, int64_t lease = 0,
+		    int64_t timeout_us = 5 * G_USEC_PER_SEC)
+	{
+		size_t before = answers.size();
+		uint64_t id = send(op, value, expected_revision, lease,
+				   timeout_us);
+
+		EXPECT_TRUE(run_until([&] { return answers.size() > before; }));
+		if (answers.size() != before + 1)
+			return {};
+		EXPECT_EQ(id, answers.back().id);
+		return answers.back();
+	}
+
+	void watch()
+	{
+		struct action action = {};
+
+		action.type = ACTION_KV_WATCH;
+		action.kv_watch = (char *)"/siskinlink/config";
+		apply(&action);
+	}
+
+	bool saw(const std::string &value)
+	{
+		return run_until([&] {
+			return !changes.empty() &&
+			       changes.back().value == value;
+		});
+	}
+
+	void expect_rising()
+	{
+		for (size_t i = 1; i < changes.size(); i++)
+			EXPECT_LT(changes[i - 1].revision, changes[i].revision);
+	}
+
+	int64_t put(const char *value)
+	{
+		struct kv_model *model = kv_server_model(server);
+		GBytes *bytes = g_bytes_new(value, strlen(value));
+
+		kv_model_begin(model);
+		kv_model_put(model, "/siskinlink/config", bytes, 0);
+		g_bytes_unref(bytes);
+		kv_server_changed(server);
+		return kv_model_revision(model);
+	}
+};
+
+} // namespace
+
+TEST_F(KvClient, CreatesReplacesAndDeletes)
+{
+	start_with_service();
+	EXPECT_EQ(KV_NOT_FOUND, call(KV_GET).outcome);
+	EXPECT_EQ(KV_OK, call(KV_CAS, "one", 0).outcome);
+	EXPECT_EQ("one", call(KV_GET).value);
+	EXPECT_EQ(KV_OK, call(KV_CAS, "two", 2).outcome);
+	EXPECT_EQ("two", call(KV_LIST).value);
+	EXPECT_EQ(KV_CONFLICT, call(KV_DELETE, nullptr, 2).outcome);
+	EXPECT_EQ(KV_OK, call(KV_DELETE, nullptr, 3).outcome);
+	EXPECT_EQ(KV_NOT_FOUND, call(KV_GET).outcome);
+}
+
+TEST_F(KvClient, ConflictAnswersWithWhatIsThere)
+{
+	start_with_service();
+	call(KV_CAS, "theirs", 0);
+	answer lost = call(KV_CAS, "mine", 0);
+
+	EXPECT_EQ(KV_CONFLICT, lost.outcome);
+	EXPECT_EQ("theirs", lost.value);
+	EXPECT_EQ(2, lost.mod_revision);
+}
+
+/*
+ * The service applies a write and the connection closes before its answer. The
+ * caller sees "answer lost", neither success nor failure, and learns from a
+ * read that its value stands. The call before leaves a connection to reuse: on
+ * that one the library could send the write again, so the count must be one.
+ */
+TEST_F(KvClient, AnswerLostAfterApplyingIsNotSentAgain)
+{
+	struct kv_model *model;
+
+	start_with_service();
+	model = kv_server_model(server);
+	call(KV_GET);
+	kv_server_modes(server)->lose_answers = 1;
+	EXPECT_EQ(KV_ANSWER_LOST, call(KV_CAS, "mine", 0).outcome);
+	EXPECT_EQ(2, kv_model_revision(model));
+	EXPECT_EQ("mine", call(KV_GET).value);
+	EXPECT_EQ(1u, counters.value[COUNTER_KV_LOST]);
+	EXPECT_EQ(3u, counters.value[COUNTER_KV_CALLS]);
+}
+
+/*
+ * The service is down: it refuses the connection, or its gateway answers 503.
+ * Only the first is certain not to have been applied; behind a gateway the
+ * write may have been proposed before it gave up.
+ */
+TEST_F(KvClient, DownIsNotAppliedOnlyIfNothingWasSent)
+{
+	start_with_service();
+	kv_server_modes(server)->down = true;
+	EXPECT_EQ(KV_ANSWER_LOST, call(KV_CAS, "mine", 0).outcome);
+	fake_server_destroy(frame);
+	kv_server_destroy(server);
+	server = nullptr;
+	EXPECT_EQ(KV_NOT_APPLIED, call(KV_CAS, "mine", 0).outcome);
+	SetUp();
+}
+
+/*
+ * The service takes the request and never answers. The caller is told after
+ * its time-out, and that the write may be applied.
+ */
+TEST_F(KvClient, StalledServiceTimesOut)
+{
+	start_with_service();
+	kv_server_modes(server)->stall = true;
+	EXPECT_EQ(KV_ANSWER_LOST,
+		  call(KV_CAS, "mine", 0, 0, 50 * 1000).outcome);
+	EXPECT_EQ(KV_ANSWER_LOST,
+		  call(KV_GET, nullptr, 0, 0, 50 * 1000).outcome);
+}
+
+/*
+ * A lease lapses while its holder is paused. Renewing it and writing under it
+ * must then say so, or the holder would go on as if it held the lease.
+ */
+TEST_F(KvClient, LapsedLeaseIsNotFound)
+{
+	start_with_service();
+	answer granted = call(KV_LEASE_GRANT);
+
+	ASSERT_EQ(KV_OK, granted.outcome);
+	EXPECT_EQ(KV_OK,
+		  call(KV_LEASE_KEEPALIVE, nullptr, 0, granted.lease).outcome);
+	EXPECT_EQ(KV_OK, call(KV_CAS, "held", 0, granted.lease).outcome);
+	kv_model_step(kv_server_model(server),
+		      g_get_monotonic_time() + 2 * G_USEC_PER_SEC);
+	EXPECT_EQ(KV_NOT_FOUND, call(KV_GET).outcome);
+	EXPECT_EQ(KV_NOT_FOUND,
+		  call(KV_LEASE_KEEPALIVE, nullptr, 0, granted.lease).outcome);
+	EXPECT_EQ(KV_NOT_FOUND, call(KV_CAS, "late", 0, granted.lease).outcome);
+	EXPECT_EQ(KV_NOT_FOUND,
+		  call(KV_LEASE_REVOKE, nullptr, 0, granted.lease).outcome);
+}
+
+/*
+ * The gateway answers with what is no answer: cut off, of wrong types, with
+ * bad base64, or without end. A write is then in doubt, a read has failed, and
+ * nothing of the text reaches the core.
+ */
+TEST_F(KvClient, MalformedAnswersAreErrors)
+{
+	static const char *const texts[] = {
+		"",
+		"{",
+		"[]",
+		"{}",
+		"{\"header\":{\"revision\":7}}",
+		"{\"header\":{\"revision\":\"-7\"}}",
+		"{\"header\":{\"revision\":\"7\"},\"kvs\":{}}",
+		"{\"header\":{\"revision\":\"7\"},\"kvs\":[{\"key\":\"*\"}]}",
+		"{\"header\":{\"revision\":\"7\"},\"kvs\":[{\"key\":\"AA==\","
+		"\"create_revision\":\"1\",\"mod_revision\":\"1\"}]}",
+		"{\"header\":{\"revision\":\"7\"},\"kvs\":[{\"key\":\"L2E=\","
+		"\"create_revision\":\"3\",\"mod_revision\":\"2\"}]}",
+	};
+	struct raw_answer raw = {200, ""};
+
+	fake_server_add_handler(frame, "/v3", handle_raw, &raw);
+	start(1000);
+	for (const char *text : texts) {
+		raw.text = text;
+		EXPECT_EQ(KV_ANSWER_LOST, call(KV_GET).outcome) << text;
+		EXPECT_EQ(KV_ANSWER_LOST, call(KV_CAS, "x").outcome) << text;
+	}
+	raw.text = std::string(1 << 20, ' ');
+	EXPECT_EQ(KV_ANSWER_LOST, call(KV_GET).outcome);
+	EXPECT_EQ(KV_NOT_APPLIED,
+		  call(KV_CAS, std::string(1 << 20, 'x').c_str()).outcome);
+}
+
+TEST_F(KvClient, StatusDecidesWhatAWriteMayHaveDone)
+{
+	static const struct {
+		unsigned status;
+		enum kv_outcome outcome;
+	} cases[] = {{400, KV_NOT_APPLIED}, {401, KV_NOT_APPLIED},
+		     {404, KV_ANSWER_LOST}, {429, KV_NOT_APPLIED},
+		     {500, KV_ANSWER_LOST}, {503, KV_ANSWER_LOST},
+		     {504, KV_ANSWER_LOST}, {301, KV_ANSWER_LOST}};
+	struct raw_answer raw = {200, "{}"};
+
+	fake_server_add_handler(frame, "/v3", handle_raw, &raw);
+	start();
+	for (const auto &c : cases) {
+		raw.status = c.status;
+		EXPECT_EQ(c.outcome, call(KV_CAS, "x").outcome) << c.status;
+	}
+}
+
+TEST_F(KvClient, WatchShowsEachState)
+{
+	start_with_service();
+	watch();
+	EXPECT_TRUE(saw("(none)"));
+	put("one");
+	EXPECT_TRUE(saw("one"));
+	put("two");
+	EXPECT_TRUE(saw("two"));
+	kv_model_begin(kv_server_model(server));
+	kv_model_delete(kv_server_model(server), "/siskinlink/config", "");
+	kv_server_changed(server);
+	EXPECT_TRUE(saw("(none)"));
+	expect_rising();
+}
+
+/*
+ * The watch's connection breaks, again and again, and the service is away for
+ * a while during which the key changes. The node sees the newest state in the
+ * end and never an older one after a newer one.
+ */
+TEST_F(KvClient, WatchSurvivesBrokenConnections)
+{
+	int64_t revision = 0;
+
+	start_with_service();
+	revision = put("0");
+	watch();
+	EXPECT_TRUE(saw("0"));
+	for (int i = 1; i <= 3; i++) {
+		kv_server_modes(server)->down = true;
+		kv_server_modes(server)->close_watches = true;
+		fake_server_modes_changed(frame);
+		revision = put(std::to_string(i).c_str());
+		settle();
+		kv_server_modes(server)->down = false;
+		EXPECT_TRUE(saw(std::to_string(i)));
+	}
+	EXPECT_EQ(revision, changes.back().revision);
+	expect_rising();
+}
+
+/*
+ * The watch stalls without closing: its stream shows no change for an hour.
+ * The regular read of the key finds the new state, and the stream is replaced.
+ */
+TEST_F(KvClient, StalledWatchIsNoticed)
+{
+	start_with_service(100);
+	put("old");
+	watch();
+	EXPECT_TRUE(saw("old"));
+	kv_server_modes(server)->watch_delay_ms = 3600 * 1000;
+	put("new");
+	EXPECT_TRUE(saw("new"));
+	expect_rising();
+}
+
+/*
+ * The service comes back from an old copy, with the key at an earlier revision
+ * than was delivered. The node must not revert to it.
+ */
+TEST_F(KvClient, WatchNeverGoesBack)
+{
+	struct raw_answer raw = {200, ""};
+	uint64_t calls;
+
+	fake_server_add_handler(frame, "/v3", handle_raw, &raw);
+	raw.text = "{\"header\":{\"revision\":\"9\"},\"kvs\":[{\"key\":"
+		   "\"L3Npc2tpbmxpbmsvY29uZmln\",\"create_revision\":\"2\","
+		   "\"mod_revision\":\"8\",\"value\":\"bmV3\"}]}";
+	start(1000, 50);
+	watch();
+	EXPECT_TRUE(saw("new"));
+	raw.text = "{\"header\":{\"revision\":\"5\"},\"kvs\":[{\"key\":"
+		   "\"L3Npc2tpbmxpbmsvY29uZmln\",\"create_revision\":\"2\","
+		   "\"mod_revision\":\"4\",\"value\":\"b2xk\"}]}";
+	calls = counters.value[COUNTER_KV_CALLS];
+	EXPECT_TRUE(run_until([&] {
+		return counters.value[COUNTER_KV_CALLS] > calls + 4;
+	}));
+	EXPECT_EQ(1u, changes.size());
+}
+
+namespace {
+
+struct vm_lists {
+	std::vector<std::string> seen;
+};
+
+void deliver_vms(void *data, const struct event *event)
+{
+	std::string text;
+
+	ASSERT_EQ(EVENT_VM_LIST, event->type);
+	for (size_t i = 0; i < event->vm_list.vm_count; i++) {
+		text += event->vm_list.vms[i].address;
+		text += event->vm_list.vms[i].leaving ? " leaving;" : " live;";
+	}
+	((struct vm_lists *)data)->seen.push_back(text);
+}
+
+} // namespace
+
+TEST_F(KvClient, VmListDeliversWellFormedLists)
+{
+	struct raw_answer raw = {200, "{\"vms\":[{\"address\":\"127.0.0.1:1\","
+				      "\"state\":\"gone\"}]}"};
+	struct vm_lists lists;
+	struct event_sink vm_sink = {deliver_vms, &lists};
+	struct vm_list_client_options options = {fake_server_address(frame), 10,
+						 1000, nullptr};
+	struct vm_list_client *vms;
+
+	fake_server_add_handler(frame, "/v1/vms", handle_raw, &raw);
+	vms = vm_list_client_create(&options, &vm_sink);
+	for (int i = 0; i < 50; i++) {
+		g_main_context_iteration(nullptr, FALSE);
+		g_usleep(1000);
+	}
+	EXPECT_TRUE(lists.seen.empty());
+	raw.text = "{\"vms\":[{\"address\":\"127.0.0.1:1\",\"state\":\"live\"},"
+		   "{\"address\":\"127.0.0.1:2\",\"state\":\"leaving\"}]}";
+	EXPECT_TRUE(run_until([&] { return !lists.seen.empty(); }));
+	EXPECT_EQ("127.0.0.1:1 live;127.0.0.1:2 leaving;", lists.seen.back());
+	vm_list_client_destroy(vms);
+}
