--- a/adapters/http_request.c
+++ b/adapters/bounded_request.c
@@ -1,10 +1,10 @@
-#include "adapters/http_request.h"
+#include "adapters/bounded_request.h"
 
 #include <string.h>
 
 enum { READ_BYTES = 64 * 1024 };
 
-struct http_request {
+struct bounded_request {
 	SoupMessage *message;
 	GCancellable *cancellable;
 	GInputStream *input;
@@ -16,11 +16,11 @@
 	bool sent;
 	bool timed_out;
 	bool cancelled; /* nobody waits: free when the library lets go */
-	http_request_done done;
+	bounded_request_done done;
 	void *data;
 };
 
-static void http_request_stop_timer(struct http_request *call)
+static void bounded_request_stop_timer(struct bounded_request *call)
 {
 	if (!call->timer)
 		return;
@@ -28,9 +28,9 @@
 	g_clear_pointer(&call->timer, g_source_unref);
 }
 
-static void http_request_free(struct http_request *call)
+static void bounded_request_free(struct bounded_request *call)
 {
-	http_request_stop_timer(call);
+	bounded_request_stop_timer(call);
 	if (call->message)
 		g_signal_handlers_disconnect_by_data(call->message, call);
 	g_clear_object(&call->message);
@@ -42,23 +42,23 @@
 }
 
 /* The call is over before the callback runs, so that it may start another. */
-static void http_request_finish(struct http_request *call,
-				struct http_result *result)
+static void bounded_request_finish(struct bounded_request *call,
+				   struct bounded_result *result)
 {
-	http_request_done done = call->done;
+	bounded_request_done done = call->done;
 	void *data = call->data;
 	bool cancelled = call->cancelled;
 
 	result->sent = call->sent;
-	http_request_free(call);
+	bounded_request_free(call);
 	if (!cancelled)
 		done(data, result);
 }
 
-static void http_request_fail(struct http_request *call, enum error_code code,
-			      const char *detail)
+static void bounded_request_fail(struct bounded_request *call,
+				 enum error_code code, const char *detail)
 {
-	struct http_result result = {0};
+	struct bounded_result result = {0};
 
 	if (call->timed_out)
 		code = ERROR_TIMEOUT;
@@ -66,50 +66,50 @@
 		code = ERROR_UNREACHABLE;
 	error_set(&result.error, code, call->step, call->peer, "%s",
 		  call->timed_out ? "no whole answer in time" : detail);
-	http_request_finish(call, &result);
+	bounded_request_finish(call, &result);
 }
 
-static void http_request_succeed(struct http_request *call)
+static void bounded_request_succeed(struct bounded_request *call)
 {
-	struct http_result result = {0};
+	struct bounded_result result = {0};
 	GBytes *body = g_bytes_new(call->body->data, call->body->len);
 
 	result.status = (int32_t)soup_message_get_status(call->message);
 	result.body = body;
-	http_request_finish(call, &result);
+	bounded_request_finish(call, &result);
 	g_bytes_unref(body);
 }
 
-static void http_request_read(struct http_request *call);
+static void bounded_request_read(struct bounded_request *call);
 
 static void on_read(GObject *source, GAsyncResult *result, gpointer data)
 {
-	struct http_request *call = data;
+	struct bounded_request *call = data;
 	GError *cause = NULL;
 	GBytes *bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(source),
 							 result, &cause);
 	size_t size;
 
 	if (!bytes) {
-		http_request_fail(call, ERROR_CLOSED, cause->message);
+		bounded_request_fail(call, ERROR_CLOSED, cause->message);
 		g_error_free(cause);
 		return;
 	}
 	size = g_bytes_get_size(bytes);
 	if (size == 0) {
-		http_request_succeed(call);
+		bounded_request_succeed(call);
 	} else if (call->body->len + size > call->max_answer_bytes) {
-		http_request_fail(call, ERROR_TOO_LARGE,
-				  "answer over the limit");
+		bounded_request_fail(call, ERROR_TOO_LARGE,
+				     "answer over the limit");
 	} else {
 		g_byte_array_append(call->body, g_bytes_get_data(bytes, NULL),
 				    (guint)size);
-		http_request_read(call);
+		bounded_request_read(call);
 	}
 	g_bytes_unref(bytes);
 }
 
-static void http_request_read(struct http_request *call)
+static void bounded_request_read(struct bounded_request *call)
 {
 	g_input_stream_read_bytes_async(call->input, READ_BYTES,
 					G_PRIORITY_DEFAULT, call->cancellable,
@@ -118,22 +118,22 @@
 
 static void on_headers(GObject *source, GAsyncResult *result, gpointer data)
 {
-	struct http_request *call = data;
+	struct bounded_request *call = data;
 	GError *cause = NULL;
 
 	call->input =
 		soup_session_send_finish(SOUP_SESSION(source), result, &cause);
 	if (call->input) {
-		http_request_read(call);
+		bounded_request_read(call);
 		return;
 	}
-	http_request_fail(call, ERROR_CLOSED, cause->message);
+	bounded_request_fail(call, ERROR_CLOSED, cause->message);
 	g_error_free(cause);
 }
 
 static void on_starting(SoupMessage *message, gpointer data)
 {
-	struct http_request *call = data;
+	struct bounded_request *call = data;
 
 	(void)message;
 	call->sent = true;
@@ -141,7 +141,7 @@
 
 static gboolean on_timeout(gpointer data)
 {
-	struct http_request *call = data;
+	struct bounded_request *call = data;
 
 	call->timed_out = true;
 	g_cancellable_cancel(call->cancellable);
@@ -150,16 +150,16 @@
 
 static gboolean on_refused(gpointer data)
 {
-	struct http_request *call = data;
+	struct bounded_request *call = data;
 
-	http_request_fail(call, ERROR_INVALID,
-			  call->message ? "request over the limit"
-					: "not an address");
+	bounded_request_fail(call, ERROR_INVALID,
+			     call->message ? "request over the limit"
+					   : "not an address");
 	return G_SOURCE_REMOVE;
 }
 
-static void http_request_attach(struct http_request *call, GSource *source,
-				GSourceFunc run)
+static void bounded_request_attach(struct bounded_request *call,
+				   GSource *source, GSourceFunc run)
 {
 	call->timer = source;
 	g_source_set_callback(source, run, call, NULL);
@@ -167,7 +167,8 @@
 }
 
 /* The message for a spec, or NULL if its URL is none. */
-SoupMessage *http_request_create_message(const struct http_request_spec *spec)
+SoupMessage *
+bounded_request_create_message(const struct bounded_request_spec *spec)
 {
 	SoupMessage *message = soup_message_new(spec->method, spec->url);
 
@@ -190,13 +191,14 @@
  * the first time would then be answered as a conflict with itself. On a
  * connection of its own a request is sent once.
  */
-struct http_request *http_request_start(SoupSession *session,
-					const struct http_request_spec *spec,
-					http_request_done done, void *data)
+struct bounded_request *
+bounded_request_start(SoupSession *session,
+		      const struct bounded_request_spec *spec,
+		      bounded_request_done done, void *data)
 {
-	struct http_request *call = g_new0(struct http_request, 1);
+	struct bounded_request *call = g_new0(struct bounded_request, 1);
 
-	call->message = http_request_create_message(spec);
+	call->message = bounded_request_create_message(spec);
 	call->cancellable = g_cancellable_new();
 	call->body = g_byte_array_new();
 	call->max_answer_bytes = spec->max_answer_bytes;
@@ -206,12 +208,12 @@
 	call->data = data;
 	if (!call->message || (spec->body && g_bytes_get_size(spec->body) >
 						     spec->max_request_bytes)) {
-		http_request_attach(call, g_idle_source_new(), on_refused);
+		bounded_request_attach(call, g_idle_source_new(), on_refused);
 		return call;
 	}
 	g_signal_connect(call->message, "starting", G_CALLBACK(on_starting),
 			 call);
-	http_request_attach(
+	bounded_request_attach(
 		call,
 		g_timeout_source_new((guint)MAX(spec->timeout_us / 1000, 1)),
 		on_timeout);
@@ -221,7 +223,7 @@
 }
 
 /* Lets go of a call; done is not called any more. NULL is allowed. */
-void http_request_cancel(struct http_request *call)
+void bounded_request_cancel(struct bounded_request *call)
 {
 	if (!call)
 		return;
--- a/adapters/http_request.h
+++ b/adapters/bounded_request.h
@@ -1,5 +1,5 @@
-#ifndef ADAPTERS_HTTP_REQUEST_H
-#define ADAPTERS_HTTP_REQUEST_H
+#ifndef ADAPTERS_BOUNDED_REQUEST_H
+#define ADAPTERS_BOUNDED_REQUEST_H
 
 #include "core/error.h"
 
@@ -15,7 +15,7 @@
  * One HTTP request with a bounded answer and a time-out, on the loop. Says
  * whether a byte may have left, which decides what a failure may be called.
  */
-struct http_request_spec {
+struct bounded_request_spec {
 	const char *method;
 	const char *url;
 	GBytes *body; /* JSON; NULL: none */
@@ -27,23 +27,26 @@
 	const char *peer;
 };
 
-struct http_result {
+struct bounded_result {
 	bool sent;	/* the server may have seen the request */
 	int32_t status; /* 0: no whole answer came, see error */
 	GBytes *body;	/* NULL when status is 0 */
 	struct error error;
 };
 
-typedef void (*http_request_done)(void *data, const struct http_result *result);
+typedef void (*bounded_request_done)(void *data,
+				     const struct bounded_result *result);
 
-struct http_request;
+struct bounded_request;
 
-struct http_request *http_request_start(SoupSession *session,
-					const struct http_request_spec *spec,
-					http_request_done done, void *data);
-void http_request_cancel(struct http_request *request);
+struct bounded_request *
+bounded_request_start(SoupSession *session,
+		      const struct bounded_request_spec *spec,
+		      bounded_request_done done, void *data);
+void bounded_request_cancel(struct bounded_request *request);
 
-SoupMessage *http_request_create_message(const struct http_request_spec *spec);
+SoupMessage *
+bounded_request_create_message(const struct bounded_request_spec *spec);
 
 G_END_DECLS
 
--- a/adapters/kv_client.c
+++ b/adapters/kv_client.c
@@ -1,6 +1,6 @@
 #include "adapters/kv_client.h"
 
-#include "adapters/http_request.h"
+#include "adapters/bounded_request.h"
 #include "adapters/kv_watch.h"
 #include "codec/etcd_json.h"
 
@@ -29,14 +29,14 @@
 struct kv_call {
 	struct kv_client *client;
 	struct kv_request request; /* without key and value */
-	struct http_request *http;
+	struct bounded_request *http;
 };
 
 static void kv_call_destroy(gpointer data)
 {
 	struct kv_call *call = data;
 
-	http_request_cancel(call->http);
+	bounded_request_cancel(call->http);
 	g_free(call);
 }
 
@@ -73,8 +73,9 @@
  * which the service checks before it writes. All else, such as 503 and 504,
  * may come after the proposal was made.
  */
-static enum kv_outcome kv_outcome_of_failure(const struct kv_request *request,
-					     const struct http_result *result)
+static enum kv_outcome
+kv_outcome_of_failure(const struct kv_request *request,
+		      const struct bounded_result *result)
 {
 	if (!result->sent)
 		return KV_NOT_APPLIED;
@@ -92,7 +93,7 @@
 }
 
 static void kv_call_read_failure(struct kv_call *call,
-				 const struct http_result *result,
+				 const struct bounded_result *result,
 				 struct error *error, struct kv_answer *answer)
 {
 	struct kv_client *client = call->client;
@@ -115,7 +116,7 @@
 				error);
 }
 
-static void on_call_done(void *data, const struct http_result *result)
+static void on_call_done(void *data, const struct bounded_result *result)
 {
 	struct kv_call *call = data;
 	struct kv_client *client = call->client;
@@ -141,7 +142,7 @@
 	char *url = g_strdup_printf("http://%s%s", client->address,
 				    etcd_json_path(request->op));
 	GBytes *body = etcd_json_format_request(request);
-	struct http_request_spec spec = {
+	struct bounded_request_spec spec = {
 		.method = "POST",
 		.url = url,
 		.body = body,
@@ -158,8 +159,8 @@
 	call->request = *request;
 	call->request.key = NULL;
 	call->request.value = NULL;
-	call->http =
-		http_request_start(client->session, &spec, on_call_done, call);
+	call->http = bounded_request_start(client->session, &spec, on_call_done,
+					   call);
 	g_hash_table_add(client->calls, call);
 	g_bytes_unref(body);
 	g_free(url);
--- a/adapters/kv_watch.c
+++ b/adapters/kv_watch.c
@@ -1,6 +1,6 @@
 #include "adapters/kv_watch.h"
 
-#include "adapters/http_request.h"
+#include "adapters/bounded_request.h"
 #include "codec/etcd_json.h"
 
 #include <string.h>
@@ -33,7 +33,7 @@
 	struct counters *counters;
 	struct event_sink sink;
 
-	struct http_request *read;
+	struct bounded_request *read;
 	struct kv_stream *stream;
 	GSource *retry;
 	GSource *check;
@@ -283,11 +283,11 @@
 	struct kv_stream *stream = g_new0(struct kv_stream, 1);
 	char *url = g_strdup_printf("http://%s/v3/watch", watch->address);
 	GBytes *body = etcd_json_format_watch(watch->key, start_revision);
-	struct http_request_spec spec = {.method = "POST",
-					 .url = url,
-					 .body = body,
-					 .fresh_connection = true};
-	SoupMessage *message = http_request_create_message(&spec);
+	struct bounded_request_spec spec = {.method = "POST",
+					    .url = url,
+					    .body = body,
+					    .fresh_connection = true};
+	SoupMessage *message = bounded_request_create_message(&spec);
 
 	count(watch, COUNTER_KV_CALLS);
 	stream->watch = watch;
@@ -326,7 +326,7 @@
 	kv_watch_open(watch, revision + 1);
 }
 
-static void on_watch_read(void *data, const struct http_result *result)
+static void on_watch_read(void *data, const struct bounded_result *result)
 {
 	struct kv_watch *watch = data;
 	struct kv_request request = {.op = KV_GET};
@@ -355,7 +355,7 @@
 	char *url = g_strdup_printf("http://%s%s", watch->address,
 				    etcd_json_path(KV_GET));
 	GBytes *body = etcd_json_format_request(&request);
-	struct http_request_spec spec = {
+	struct bounded_request_spec spec = {
 		.method = "POST",
 		.url = url,
 		.body = body,
@@ -367,8 +367,8 @@
 	};
 
 	count(watch, COUNTER_KV_CALLS);
-	watch->read =
-		http_request_start(watch->session, &spec, on_watch_read, watch);
+	watch->read = bounded_request_start(watch->session, &spec,
+					    on_watch_read, watch);
 	g_bytes_unref(body);
 	g_free(url);
 }
@@ -428,7 +428,7 @@
 {
 	if (!watch)
 		return;
-	http_request_cancel(watch->read);
+	bounded_request_cancel(watch->read);
 	kv_watch_drop_stream(watch);
 	clear_source(&watch->retry);
 	clear_source(&watch->check);
--- a/adapters/vm_list_client.c
+++ b/adapters/vm_list_client.c
@@ -1,6 +1,6 @@
 #include "adapters/vm_list_client.h"
 
-#include "adapters/http_request.h"
+#include "adapters/bounded_request.h"
 #include "codec/vm_list_json.h"
 
 #include <libsoup/soup.h>
@@ -14,7 +14,7 @@
 	int64_t timeout_ms;
 	struct log *log;
 	struct event_sink sink;
-	struct http_request *call;
+	struct bounded_request *call;
 	GSource *timer;
 	bool failing; /* logged already */
 };
@@ -56,7 +56,7 @@
 	client->failing = true;
 }
 
-static void on_list(void *data, const struct http_result *result)
+static void on_list(void *data, const struct bounded_result *result)
 {
 	struct vm_list_client *client = data;
 	struct event event = {.type = EVENT_VM_LIST};
@@ -87,7 +87,7 @@
 static void vm_list_client_poll(struct vm_list_client *client)
 {
 	char *url = g_strdup_printf("http://%s/v1/vms", client->address);
-	struct http_request_spec spec = {
+	struct bounded_request_spec spec = {
 		.method = "GET",
 		.url = url,
 		.max_answer_bytes = MAX_LIST_BYTES,
@@ -97,7 +97,7 @@
 	};
 
 	client->call =
-		http_request_start(client->session, &spec, on_list, client);
+		bounded_request_start(client->session, &spec, on_list, client);
 	g_free(url);
 }
 
@@ -124,7 +124,7 @@
 	if (!client)
 		return;
 	clear_timer(client);
-	http_request_cancel(client->call);
+	bounded_request_cancel(client->call);
 	soup_session_abort(client->session);
 	g_object_unref(client->session);
 	g_free(client->address);
