--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -31,6 +31,7 @@
 	struct vm_list_client *vm_list;
 	struct action_list *actions;
 	GSource *timer;
+	int64_t clock_offset_us; /* the core's time less the monotonic clock */
 	bool stepping;
 	bool stopping; /* a first SIGTERM has come */
 	int64_t flush_until_us;
@@ -120,6 +121,25 @@
 	action_list_clear(loop->actions);
 }
 
+/*
+ * The core's time starts at the wall clock and then runs with the monotonic
+ * one: ids carry it from node to node, and a clock that is set back must not
+ * make it fall.
+ */
+static int64_t loop_now_us(const struct node_loop *loop)
+{
+	return g_get_monotonic_time() + loop->clock_offset_us;
+}
+
+static void loop_set_timer(struct node_loop *loop)
+{
+	int64_t due_us = node_next_due_us(loop->node);
+
+	g_source_set_ready_time(
+		loop->timer,
+		due_us == INT64_MAX ? -1 : due_us - loop->clock_offset_us);
+}
+
 /*
  * One step of the core and all it asks for. An adapter that delivered from
  * inside its apply function would change the list that is being carried out.
@@ -128,10 +148,10 @@
 {
 	g_assert(!loop->stepping);
 	loop->stepping = true;
-	node_step(loop->node, g_get_monotonic_time(), event, loop->actions);
+	node_step(loop->node, loop_now_us(loop), event, loop->actions);
 	loop_apply(loop);
 	loop->stepping = false;
-	g_source_set_ready_time(loop->timer, node_next_due_us(loop->node));
+	loop_set_timer(loop);
 }
 
 static void loop_deliver(void *data, const struct event *event)
@@ -171,8 +191,8 @@
 static gboolean loop_on_dump(gpointer data)
 {
 	struct node_loop *loop = data;
-	GVariant *dump = g_variant_ref_sink(
-		node_dump(loop->node, g_get_monotonic_time()));
+	GVariant *dump =
+		g_variant_ref_sink(node_dump(loop->node, loop_now_us(loop)));
 	char *json = json_gvariant_serialize_data(dump, NULL);
 
 	fprintf(stderr, "%s\n", json);
@@ -313,6 +333,7 @@
 	struct event_sink sink = {.deliver = loop_deliver, .data = loop};
 
 	loop->main = g_main_loop_new(NULL, FALSE);
+	loop->clock_offset_us = g_get_real_time() - g_get_monotonic_time();
 	loop->actions = action_list_create();
 	loop->log =
 		log_create(settings->node.name, level_of(settings->log_level));
@@ -356,10 +377,10 @@
 static void loop_start(struct node_loop *loop)
 {
 	loop->stepping = true;
-	node_start(loop->node, g_get_monotonic_time(), loop->actions);
+	node_start(loop->node, loop_now_us(loop), loop->actions);
 	loop_apply(loop);
 	loop->stepping = false;
-	g_source_set_ready_time(loop->timer, node_next_due_us(loop->node));
+	loop_set_timer(loop);
 }
 
 /* Runs until the node has drained; the exit status of the process. */
