--- a/fakes/kv_server.c
+++ b/fakes/kv_server.c
@@ -153,28 +153,28 @@
 				      expire_leases, server);
 }
 
-/* Brings watches and leases up to date after the model changed. */
+/* Applies the switches, then brings leases and watches up to date. */
 void kv_server_changed(struct kv_server *server)
 {
+	struct kv_server_modes *modes = &server->modes;
+
+	if (modes->lapse_lease)
+		kv_model_lease_revoke(server->model, modes->lapse_lease);
+	modes->lapse_lease = 0;
+	if (modes->down || modes->close_watches)
+		end_watches(server);
+	modes->close_watches = false;
 	kv_model_step(server->model, g_get_monotonic_time());
 	schedule_leases(server);
-	if (server->modes.watch_delay_ms > 0)
-		delay(server, server->modes.watch_delay_ms, NULL);
+	if (modes->watch_delay_ms > 0)
+		delay(server, modes->watch_delay_ms, NULL);
 	else
 		pump_all(server);
 }
 
 static void on_mode_changed(void *data)
 {
-	struct kv_server *server = data;
-
-	if (server->modes.lapse_lease)
-		kv_model_lease_revoke(server->model, server->modes.lapse_lease);
-	server->modes.lapse_lease = 0;
-	if (server->modes.down || server->modes.close_watches)
-		end_watches(server);
-	server->modes.close_watches = false;
-	kv_server_changed(server);
+	kv_server_changed(data);
 }
 
 static void close_connection(SoupServerMessage *message)
--- a/tests/kv_client_test.cc
+++ b/tests/kv_client_test.cc
@@ -9,7 +9,8 @@
 #include <string>
 #include <vector>
 
-namespace {
+namespace
+{
 
 struct answer {
 	uint64_t id;
@@ -50,7 +51,8 @@
 	fake_message_answer_text(message, raw->status, raw->text.c_str());
 }
 
-class KvClient : public ::testing::Test {
+class KvClient : public ::testing::Test
+{
       protected:
 	struct fake_server *frame = nullptr;
 	struct kv_server *server = nullptr;
@@ -117,9 +119,12 @@
 			return;
 		}
 		ASSERT_EQ(EVENT_KV, event->type);
-		answer a = {event->kv->id,	 event->kv->outcome,
-			    event->kv->revision, event->kv->lease,
-			    "",			 0};
+		answer a = {event->kv->id,
+			    event->kv->outcome,
+			    event->kv->revision,
+			    event->kv->lease,
+			    "",
+			    0};
 		if (event->kv->entries && event->kv->entries->len) {
 			const struct kv_entry *entry =
 				(const struct kv_entry *)g_ptr_array_index(
@@ -162,8 +167,8 @@
 		action.kv.id = ++last_id;
 		action.kv.op = op;
 		action.kv.key = g_strdup("/siskinlink/config");
-		action.kv.value = value ? g_bytes_new(value, strlen(value))
-					: nullptr;
+		action.kv.value =
+			value ? g_bytes_new(value, strlen(value)) : nullptr;
 		action.kv.expected_revision = expected_revision;
 		action.kv.lease = lease;
 		action.kv.ttl_s = 1;
@@ -178,8 +183,8 @@
 		    int64_t timeout_us = 5 * G_USEC_PER_SEC)
 	{
 		size_t before = answers.size();
-		uint64_t id = send(op, value, expected_revision, lease,
-				   timeout_us);
+		uint64_t id =
+			send(op, value, expected_revision, lease, timeout_us);
 
 		EXPECT_TRUE(run_until([&] { return answers.size() > before; }));
 		if (answers.size() != before + 1)
@@ -412,7 +417,6 @@
 	for (int i = 1; i <= 3; i++) {
 		kv_server_modes(server)->down = true;
 		kv_server_modes(server)->close_watches = true;
-		fake_server_modes_changed(frame);
 		revision = put(std::to_string(i).c_str());
 		settle();
 		kv_server_modes(server)->down = false;
@@ -458,13 +462,13 @@
 		   "\"L3Npc2tpbmxpbmsvY29uZmln\",\"create_revision\":\"2\","
 		   "\"mod_revision\":\"4\",\"value\":\"b2xk\"}]}";
 	calls = counters.value[COUNTER_KV_CALLS];
-	EXPECT_TRUE(run_until([&] {
-		return counters.value[COUNTER_KV_CALLS] > calls + 4;
-	}));
+	EXPECT_TRUE(run_until(
+		[&] { return counters.value[COUNTER_KV_CALLS] > calls + 4; }));
 	EXPECT_EQ(1u, changes.size());
 }
 
-namespace {
+namespace
+{
 
 struct vm_lists {
 	std::vector<std::string> seen;
