--- /dev/null
+++ b/tests/node_script.h
@@ -0,0 +1,27 @@
+#ifndef TESTS_NODE_SCRIPT_H
+#define TESTS_NODE_SCRIPT_H
+
+#include <string>
+
+/*
+ * Runs a script of events against nodes in one process and returns the script
+ * with what each line brought about behind it. Lines of a script:
+ *
+ *   node NAME [KEY=NUMBER ...]      a node; n1's peers are all nodes named
+ *   config [revision=N] [leaving=ADDRESS] [without=ADDRESS]
+ *   call NAME N KIND [KEY=VALUE ...]    KIND: generation, plain, resume
+ *   gone NAME N | full NAME N | ready NAME N
+ *   started NAME A GENERATION | chunk NAME A FIRST COUNT
+ *   done NAME A COUNT | answer NAME A STATUS TEXT
+ *   failed NAME A not_sent|refused|gone|sent
+ *   load NAME ENDPOINT USED [leaving] | vms NAME ENDPOINT live|leaving
+ *   kv NAME ok|conflict|not_found|not_applied|lost   to the oldest open call
+ *   nodes NAME N | shutdown NAME | kill NAME | cut NAME | join NAME | wait MS
+ *
+ * "kill" ends a node at once; "cut" drops all its records to and from peers.
+ * Records between nodes arrive at once. Behind "->" stand the actions a
+ * caller, an endpoint or the key-value service would see.
+ */
+std::string node_script_run(const std::string &script);
+
+#endif
