Organisations' limits, shared between nodes by demand

Ways weighed: an equal part per node (refuses half of an organisation whose callers use one node), a write per request to the key-value service (38,000 a second against several hundred), a count at one home per request (a hop more for each). Chosen: the home divides the limit max-min fair by reported demand, one small record a second for each active organisation.

--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -20,6 +20,8 @@
 #define MAX_MEMBERS 64
 #define MAX_ENDPOINTS 4096
 #define MAX_HOLDINGS 16384
+#define MAX_LIMITS 4096
+#define MAX_LIMIT ((int64_t)1 << 52)
 #define MAX_TOKENS ((int64_t)1 << 31)
 #define MAX_DURATION_US ((int64_t)1 << 52)
 #define MAX_VERSION ((uint64_t)1 << 62)
@@ -42,6 +44,8 @@
 	[PEER_CONFIG_ASK] = "(txssay)",
 	[PEER_LEAVING] = "(tssas)",
 	[PEER_QUARANTINE] = "(ttsss)",
+	[PEER_LIMIT_REPORT] = "(tssa(xxs))",
+	[PEER_LIMIT_SHARE] = "(tssa(xxs))",
 };
 
 static const char *text_or_empty(const char *text)
@@ -249,6 +253,25 @@
 			     text_or_empty(message->from_address), bytes);
 }
 
+static GVariant *encode_limits(const struct peer_message *message)
+{
+	const GPtrArray *limits = message->limits.limits;
+	GVariantBuilder builder;
+
+	g_variant_builder_init(&builder, G_VARIANT_TYPE("a(xxs)"));
+	for (guint i = 0; i < limits->len; i++) {
+		const struct peer_limit *limit = g_ptr_array_index(limits, i);
+
+		g_variant_builder_add(&builder, "(xxs)", limit->rate_per_ks,
+				      limit->tokens,
+				      text_or_empty(limit->organisation));
+	}
+	return g_variant_new("(tss@a(xxs))", message->incarnation,
+			     text_or_empty(message->from),
+			     text_or_empty(message->from_address),
+			     g_variant_builder_end(&builder));
+}
+
 static GVariant *encode_body(const struct peer_message *message)
 {
 	const char *format = body_formats[message->type];
@@ -299,6 +322,9 @@
 			format, incarnation, message->quarantine.fingerprint,
 			from, address,
 			text_or_empty(message->quarantine.endpoint));
+	case PEER_LIMIT_REPORT:
+	case PEER_LIMIT_SHARE:
+		return encode_limits(message);
 	case PEER_MESSAGE_TYPES:
 		break;
 	}
@@ -545,6 +571,33 @@
 		     "endpoint out of range");
 }
 
+static bool limit_is_legal(const struct peer_limit *limit)
+{
+	return limit->rate_per_ks >= 0 && limit->rate_per_ks <= MAX_LIMIT &&
+	       limit->tokens >= 0 && limit->tokens <= MAX_LIMIT &&
+	       text_is_legal(limit->organisation, false);
+}
+
+static bool decode_limits(GVariant *body, struct peer_message *message,
+			  struct error *error)
+{
+	GVariant *list = g_variant_get_child_value(body, 3);
+	gsize count = g_variant_n_children(list);
+	bool valid = check(error, message->from, count <= MAX_LIMITS,
+			   "too many limits");
+
+	for (gsize i = 0; valid && i < count; i++) {
+		struct peer_limit *limit = peer_limits_add(&message->limits);
+
+		g_variant_get_child(list, i, "(xxs)", &limit->rate_per_ks,
+				    &limit->tokens, &limit->organisation);
+		valid = check(error, message->from, limit_is_legal(limit),
+			      "limit out of range");
+	}
+	g_variant_unref(list);
+	return valid;
+}
+
 #define PROGRESS_COLUMNS 14
 
 struct progress_body {
@@ -699,6 +752,9 @@
 		return decode_leaving(body, message, error);
 	case PEER_QUARANTINE:
 		return decode_quarantine(body, message, error);
+	case PEER_LIMIT_REPORT:
+	case PEER_LIMIT_SHARE:
+		return decode_limits(body, message, error);
 	case PEER_MESSAGE_TYPES:
 		break;
 	}
--- a/core/call.h
+++ b/core/call.h
@@ -32,6 +32,7 @@
 	char *organisation;
 	int32_t priority;
 	int32_t weight;
+	int64_t counted_tokens; /* against the organisation's limit */
 	uint64_t fingerprint;
 	struct outcome *outcome; /* owned by the store; NULL without an id */
 	bool caller_gone; /* non-idempotent: goes on to learn the outcome */
--- a/core/node.c
+++ b/core/node.c
@@ -96,6 +96,7 @@
 	node->retries = retry_budget_create(&retries);
 	quarantine_options_default(&quarantine);
 	node->quarantine = quarantine_create(&quarantine);
+	node->limits = organisation_limits_create();
 }
 
 static void node_create_tables(struct node *node)
@@ -161,6 +162,7 @@
 	outcome_store_destroy(node->outcomes);
 	retry_budget_destroy(node->retries);
 	quarantine_destroy(node->quarantine);
+	organisation_limits_destroy(node->limits);
 	timer_heap_destroy(node->timers);
 	membership_destroy(node->membership);
 	config_unref(node->config);
@@ -241,6 +243,7 @@
 	node->next_progress_us = now_us + node->options.progress_us;
 	node->next_poll_us = now_us;
 	node->next_announce_us = now_us;
+	node->next_limits_us = now_us;
 	membership_step(node->membership, now_us, actions);
 	node->epoch_seen = membership_epoch(node->membership);
 	node_config_start(node);
@@ -297,6 +300,10 @@
 	case PEER_QUARANTINE:
 		node_attempt_peer_crash(node, &message->quarantine);
 		break;
+	case PEER_LIMIT_REPORT:
+	case PEER_LIMIT_SHARE:
+		node_limits_receive(node, message);
+		break;
 	case PEER_MESSAGE_TYPES:
 		break;
 	}
@@ -443,6 +450,8 @@
 			node->now_us + node->options.progress_us;
 		node_place_progress(node);
 	}
+	if (node->now_us >= node->next_limits_us)
+		node_limits_report(node);
 	if (node->now_us >= node->next_announce_us)
 		node_home_announce_leaving(node);
 }
--- a/core/node_call.c
+++ b/core/node_call.c
@@ -167,7 +167,7 @@
 		return;
 	}
 	if (!node_attempt_is_quarantined(node, call) &&
-	    node_id_receive(node, call))
+	    node_limits_admit(node, call) && node_id_receive(node, call))
 		node_place_call(node, call);
 }
 
@@ -268,6 +268,7 @@
 	if (call->attempt)
 		node_attempt_cancel(node, call, false);
 	node_place_withdraw(node, call);
+	node_limits_release(node, call);
 	g_hash_table_remove(node->calls, &call->id);
 }
 
@@ -349,6 +350,7 @@
 				  token_count);
 	counters_add(&node->counters, COUNTER_CHUNKS, 1);
 	counters_add(&node->counters, COUNTER_TOKENS, (uint64_t)token_count);
+	node_limits_add_tokens(node, call, token_count);
 	if (call->caller_gone)
 		return;
 	g_strlcpy(id.endpoint, call->endpoint, sizeof(id.endpoint));
--- /dev/null
+++ b/core/node_limits.c
@@ -0,0 +1,177 @@
+#include "core/node_state.h"
+
+#include <string.h>
+
+/*
+ * Organisations' limits between nodes: what this node wants of each goes to
+ * the organisation's home, and the share that comes back is what it admits by.
+ */
+
+#define LIMITS_REPORT_US (1 * G_USEC_PER_SEC)
+
+static const struct member *organisation_home(const struct node *node,
+					      const char *organisation)
+{
+	return home_find(node->membership, node->options.region, organisation,
+			 0);
+}
+
+/* Counts the call against its organisation's limits, or refuses it. */
+bool node_limits_admit(struct node *node, struct call *call)
+{
+	const struct config_organisation *organisation =
+		config_find_organisation(node->config, call->organisation);
+	int64_t tokens = call->request->prompt_tokens;
+	int64_t retry_after_us = 0;
+	enum refusal refusal;
+
+	refusal = organisation_limits_admit(node->limits, organisation, tokens,
+					    membership_count(node->membership),
+					    node->now_us, &retry_after_us);
+	if (refusal == REFUSAL_NONE) {
+		call->counted_tokens = tokens;
+		return true;
+	}
+	node_call_refuse(node, call, refusal, RUN_NO, retry_after_us);
+	return false;
+}
+
+/* Counts tokens that came. */
+void node_limits_add_tokens(struct node *node, struct call *call,
+			    int64_t tokens)
+{
+	if (!call->counted_tokens)
+		return;
+	call->counted_tokens += tokens;
+	organisation_limits_add_tokens(node->limits, call->organisation,
+				       tokens);
+}
+
+/* The call has ended: its tokens no longer count. */
+void node_limits_release(struct node *node, struct call *call)
+{
+	if (!call->counted_tokens)
+		return;
+	organisation_limits_add_tokens(node->limits, call->organisation,
+				       -call->counted_tokens);
+	call->counted_tokens = 0;
+}
+
+static void limit_free_name(struct peer_limit *limit)
+{
+	g_free(limit->organisation);
+}
+
+static void node_divide_own(struct node *node,
+			    const struct config_organisation *organisation,
+			    const struct peer_limit *report)
+{
+	struct peer_limit share = {0};
+
+	organisation_limits_divide(node->limits, organisation,
+				   node->options.name, report, node->now_us,
+				   &share);
+	organisation_limits_take_share(node->limits, &share, node->now_us);
+	limit_free_name(&share);
+}
+
+static struct peer_message *report_for(struct node *node, GHashTable *reports,
+				       const struct member *home)
+{
+	struct peer_message *message =
+		g_hash_table_lookup(reports, home->peer_address);
+
+	if (message)
+		return message;
+	message = node_message_create(node, PEER_LIMIT_REPORT);
+	g_hash_table_insert(reports, g_strdup(home->peer_address), message);
+	return message;
+}
+
+static bool organisation_is_limited(const struct config_organisation *found)
+{
+	return found &&
+	       (found->requests_per_s > 0 || found->concurrent_tokens > 0);
+}
+
+static void node_report_organisation(struct node *node, GHashTable *reports,
+				     const char *name)
+{
+	const struct config_organisation *organisation =
+		config_find_organisation(node->config, name);
+	const struct member *home = organisation_home(node, name);
+	struct peer_limit report = {0};
+
+	if (!organisation_is_limited(organisation) || !home)
+		return;
+	organisation_limits_report(node->limits, name, node->now_us, &report);
+	if (strcmp(home->name, node->options.name) == 0) {
+		node_divide_own(node, organisation, &report);
+		limit_free_name(&report);
+		return;
+	}
+	*peer_limits_add(&report_for(node, reports, home)->limits) = report;
+}
+
+/* Reports to the homes of the organisations that are active here. */
+void node_limits_report(struct node *node)
+{
+	GPtrArray *names = organisation_limits_active(node->limits);
+	GHashTable *reports =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GList *addresses;
+
+	for (guint i = 0; node->config && i < names->len; i++)
+		node_report_organisation(node, reports,
+					 g_ptr_array_index(names, i));
+	addresses = g_list_sort(g_hash_table_get_keys(reports),
+				(GCompareFunc)strcmp);
+	for (GList *item = addresses; item; item = item->next)
+		node_send(node, item->data,
+			  g_hash_table_lookup(reports, item->data));
+	g_list_free(addresses);
+	g_hash_table_destroy(reports);
+	g_ptr_array_unref(names);
+	node->next_limits_us = node->now_us + LIMITS_REPORT_US;
+}
+
+static void node_answer_report(struct node *node,
+			       const struct peer_message *message)
+{
+	struct peer_message *answer =
+		node_message_create(node, PEER_LIMIT_SHARE);
+
+	for (guint i = 0; i < message->limits.limits->len; i++) {
+		const struct peer_limit *report =
+			g_ptr_array_index(message->limits.limits, i);
+		const struct config_organisation *organisation =
+			config_find_organisation(node->config,
+						 report->organisation);
+
+		if (organisation)
+			organisation_limits_divide(
+				node->limits, organisation, message->from,
+				report, node->now_us,
+				peer_limits_add(&answer->limits));
+	}
+	node_send(node, message->from_address, answer);
+}
+
+/* A node's report, or the share this node was given. */
+void node_limits_receive(struct node *node, const struct peer_message *message)
+{
+	if (!node->config)
+		return;
+	if (message->type == PEER_LIMIT_REPORT) {
+		node_answer_report(node, message);
+		return;
+	}
+	for (guint i = 0; i < message->limits.limits->len; i++) {
+		const struct peer_limit *share =
+			g_ptr_array_index(message->limits.limits, i);
+
+		if (config_find_organisation(node->config, share->organisation))
+			organisation_limits_take_share(node->limits, share,
+						       node->now_us);
+	}
+}
--- a/core/node_state.h
+++ b/core/node_state.h
@@ -5,6 +5,7 @@
 #include "core/home.h"
 #include "core/membership.h"
 #include "core/node.h"
+#include "core/organisation_limits.h"
 #include "core/outcome_store.h"
 #include "core/quarantine.h"
 #include "core/retry_budget.h"
@@ -25,6 +26,7 @@
  *   node_attempt.c  what endpoints answer; retries
  *   node_home.c     home's side: shards, grants, load
  *   node_config.c   configuration: key-value service, peers
+ *   node_limits.c   organisations' limits, shared between nodes
  *   node_query.c    GET /v1/nodes, show, plan, confirm
  */
 
@@ -85,6 +87,8 @@
 	struct outcome_store *outcomes;
 	struct retry_budget *retries;
 	struct quarantine *quarantine;
+	struct organisation_limits *limits;
+	int64_t next_limits_us;
 	int64_t claim_lease;
 	int64_t claim_lease_us; /* when it was granted */
 	uint64_t claim_lease_kv_id;
@@ -214,6 +218,14 @@
 bool node_config_is_isolated(const struct node *node);
 int64_t node_config_revision(const struct node *node);
 
+/* node_limits.c */
+bool node_limits_admit(struct node *node, struct call *call);
+void node_limits_add_tokens(struct node *node, struct call *call,
+			    int64_t tokens);
+void node_limits_release(struct node *node, struct call *call);
+void node_limits_report(struct node *node);
+void node_limits_receive(struct node *node, const struct peer_message *message);
+
 /* node_query.c */
 void node_query_receive(struct node *node, const struct event_query *event);
 
--- /dev/null
+++ b/core/organisation_limits.h
@@ -0,0 +1,51 @@
+#ifndef CORE_ORGANISATION_LIMITS_H
+#define CORE_ORGANISATION_LIMITS_H
+
+#include "core/config.h"
+#include "ports/peer_message.h"
+#include "ports/refusal.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * Limits of organisations, shared between nodes without a write per request.
+ * Each organisation has a home node. Entry nodes report now and then what is
+ * wanted of them; the home divides the limit by that, max-min fair, and each
+ * node then admits by its share alone. Without a fresh share a node admits an
+ * equal part, so a lost home neither stops an organisation nor frees it.
+ */
+struct organisation_limits;
+
+struct organisation_limits *organisation_limits_create(void);
+void organisation_limits_destroy(struct organisation_limits *limits);
+
+/* The entry node's side. */
+enum refusal
+organisation_limits_admit(struct organisation_limits *limits,
+			  const struct config_organisation *organisation,
+			  int64_t tokens, size_t node_count, int64_t now_us,
+			  int64_t *retry_after_us);
+void organisation_limits_add_tokens(struct organisation_limits *limits,
+				    const char *organisation, int64_t tokens);
+void organisation_limits_report(struct organisation_limits *limits,
+				const char *organisation, int64_t now_us,
+				struct peer_limit *report);
+GPtrArray *organisation_limits_active(struct organisation_limits *limits);
+void organisation_limits_take_share(struct organisation_limits *limits,
+				    const struct peer_limit *share,
+				    int64_t now_us);
+
+/* The home's side. */
+void organisation_limits_divide(struct organisation_limits *limits,
+				const struct config_organisation *organisation,
+				const char *node,
+				const struct peer_limit *report, int64_t now_us,
+				struct peer_limit *share);
+
+G_END_DECLS
+
+#endif
--- a/core/peer_message.c
+++ b/core/peer_message.c
@@ -24,6 +24,14 @@
 	g_free(holding);
 }
 
+static void peer_limit_free(gpointer data)
+{
+	struct peer_limit *limit = data;
+
+	g_free(limit->organisation);
+	g_free(limit);
+}
+
 /* A message of this type with empty lists where the type has lists. */
 struct peer_message *peer_message_create(enum peer_message_type type)
 {
@@ -44,6 +52,11 @@
 		message->leaving.endpoints =
 			g_ptr_array_new_with_free_func(g_free);
 		break;
+	case PEER_LIMIT_REPORT:
+	case PEER_LIMIT_SHARE:
+		message->limits.limits =
+			g_ptr_array_new_with_free_func(peer_limit_free);
+		break;
 	case PEER_PLACE:
 	case PEER_PLACED:
 	case PEER_REFUSED:
@@ -87,6 +100,10 @@
 	case PEER_QUARANTINE:
 		g_free(message->quarantine.endpoint);
 		break;
+	case PEER_LIMIT_REPORT:
+	case PEER_LIMIT_SHARE:
+		g_ptr_array_unref(message->limits.limits);
+		break;
 	case PEER_REFUSED:
 	case PEER_RELEASE:
 	case PEER_MESSAGE_TYPES:
@@ -152,3 +169,12 @@
 	g_ptr_array_add(progress->holdings, holding);
 	return holding;
 }
+
+/* Appends an empty limit, owned by the message. */
+struct peer_limit *peer_limits_add(struct peer_limits *limits)
+{
+	struct peer_limit *limit = g_new0(struct peer_limit, 1);
+
+	g_ptr_array_add(limits->limits, limit);
+	return limit;
+}
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -17,16 +17,18 @@
 enum peer_message_type {
 	PEER_PING, /* probe; answered by PEER_ACK of that number */
 	PEER_ACK,
-	PEER_PROBE,	 /* please ping subject for me */
-	PEER_PLACE,	 /* entry node asks the home for an endpoint */
-	PEER_PLACED,	 /* home grants room on an endpoint */
-	PEER_REFUSED,	 /* home refuses */
-	PEER_PROGRESS,	 /* entry node: tokens so far, also who is held */
-	PEER_RELEASE,	 /* entry node: a grant has ended */
-	PEER_CONFIG,	 /* a configuration document and its revision */
-	PEER_CONFIG_ASK, /* send me yours if it is newer */
-	PEER_LEAVING,	 /* these endpoints take no new work */
-	PEER_QUARANTINE, /* fingerprint seen at a crash of an endpoint */
+	PEER_PROBE,	   /* please ping subject for me */
+	PEER_PLACE,	   /* entry node asks the home for an endpoint */
+	PEER_PLACED,	   /* home grants room on an endpoint */
+	PEER_REFUSED,	   /* home refuses */
+	PEER_PROGRESS,	   /* entry node: tokens so far, also who is held */
+	PEER_RELEASE,	   /* entry node: a grant has ended */
+	PEER_CONFIG,	   /* a configuration document and its revision */
+	PEER_CONFIG_ASK,   /* send me yours if it is newer */
+	PEER_LEAVING,	   /* these endpoints take no new work */
+	PEER_QUARANTINE,   /* fingerprint seen at a crash of an endpoint */
+	PEER_LIMIT_REPORT, /* what is wanted of organisations\' limits */
+	PEER_LIMIT_SHARE,  /* the receiver\'s shares of them */
 	PEER_MESSAGE_TYPES
 };
 
@@ -120,6 +122,17 @@
 	char *endpoint;
 };
 
+/* Part of an organisation's limits: wanted, or granted. */
+struct peer_limit {
+	char *organisation;
+	int64_t rate_per_ks; /* requests in 1,000 s */
+	int64_t tokens;	     /* at once */
+};
+
+struct peer_limits {
+	GPtrArray *limits; /* struct peer_limit */
+};
+
 struct peer_probe {
 	uint64_t number;
 	char *subject;	    /* peer address to be probed; "" for ping and ack */
@@ -141,6 +154,7 @@
 		struct peer_config config; /* CONFIG, CONFIG_ASK */
 		struct peer_leaving leaving;
 		struct peer_quarantine quarantine;
+		struct peer_limits limits; /* LIMIT_REPORT, LIMIT_SHARE */
 	};
 };
 
@@ -153,6 +167,7 @@
 GPtrArray *member_list_create(void); /* owns struct member */
 
 struct peer_holding *peer_progress_add(struct peer_progress *progress);
+struct peer_limit *peer_limits_add(struct peer_limits *limits);
 
 G_END_DECLS
 
--- a/tests/node_script.cc
+++ b/tests/node_script.cc
@@ -43,11 +43,11 @@
 
 class script
 {
-public:
+      public:
 	std::string run(const std::string &text);
 	~script();
 
-private:
+      private:
 	int64_t now_us = start_us;
 	std::map<std::string, std::unique_ptr<script_node>> nodes;
 	std::deque<record> records;
@@ -107,8 +107,7 @@
 {
 	auto item = found.find(key);
 
-	return g_strdup(item == found.end() ? otherwise :
-					      item->second.c_str());
+	return g_strdup(item == found.end() ? otherwise : item->second.c_str());
 }
 
 void script::add_node(std::istringstream &in)
@@ -199,10 +198,10 @@
 
 	in >> id >> kind;
 	words found = read_words(in);
-	struct request *request = request_create(
-		kind == "plain"	 ? REQUEST_PLAIN :
-		kind == "resume" ? REQUEST_RESUME :
-				   REQUEST_GENERATION);
+	struct request *request =
+		request_create(kind == "plain"	  ? REQUEST_PLAIN
+			       : kind == "resume" ? REQUEST_RESUME
+						  : REQUEST_GENERATION);
 	std::string body = found.count("body") ? found["body"] : "body";
 
 	g_bytes_unref(request->body);
@@ -252,9 +251,9 @@
 	node.kv_open.pop_front();
 	std::string key = node.kv_keys[answer.id];
 
-	answer.op = key.empty()			 ? KV_LEASE_GRANT :
-		    node.kv_values.count(answer.id) ? KV_CAS :
-						      KV_GET;
+	answer.op = key.empty()			      ? KV_LEASE_GRANT
+		    : node.kv_values.count(answer.id) ? KV_CAS
+						      : KV_GET;
 	answer.outcome = outcomes.at(outcome);
 	answer.lease = 77;
 	auto found = stored.find(key);
@@ -265,8 +264,7 @@
 
 		stored[key] = {std::string((const char *)data, size)};
 	} else if (found != stored.end() && answer.op != KV_LEASE_GRANT &&
-		   (answer.outcome == KV_OK ||
-		    answer.outcome == KV_CONFLICT)) {
+		   (answer.outcome == KV_OK || answer.outcome == KV_CONFLICT)) {
 		const std::string &value = found->second[0];
 		GBytes *bytes = g_bytes_new(value.data(), value.size());
 
@@ -335,8 +333,7 @@
 		event.chunk.attempt = attempt;
 		in >> event.chunk.first_token >> event.chunk.token_count;
 		word = "t" + std::to_string(event.chunk.first_token);
-		event.chunk.data = data =
-			g_bytes_new(word.data(), word.size());
+		event.chunk.data = data = g_bytes_new(word.data(), word.size());
 	} else if (verb == "done") {
 		event.type = EVENT_ATTEMPT_DONE;
 		event.done.attempt = attempt;
@@ -537,8 +534,8 @@
 		break;
 	case ACTION_CALL_END:
 		to << "end " << action.end.call << " "
-		   << (action.end.refusal ? refusal_code(action.end.refusal) :
-					    "whole")
+		   << (action.end.refusal ? refusal_code(action.end.refusal)
+					  : "whole")
 		   << " run=" << run_name(action.end.run)
 		   << " tokens=" << action.end.token_count;
 		break;
@@ -566,14 +563,13 @@
 		    strcmp(action.kv.key, "/siskinlink/config") == 0)
 			return;
 		node.kv_open.push_back(action.kv.id);
-		node.kv_keys[action.kv.id] =
-			action.kv.key ? action.kv.key : "";
+		node.kv_keys[action.kv.id] = action.kv.key ? action.kv.key : "";
 		if (action.kv.value)
 			node.kv_values[action.kv.id] =
 				g_bytes_ref(action.kv.value);
-		to << (action.kv.op == KV_CAS ? "kv create" :
-		       action.kv.op == KV_GET ? "kv read" :
-						"kv lease");
+		to << (action.kv.op == KV_CAS	? "kv create"
+		       : action.kv.op == KV_GET ? "kv read"
+						: "kv lease");
 		break;
 	case ACTION_STOPPED:
 		to << "stopped";
--- a/tests/node_script_test.cc
+++ b/tests/node_script_test.cc
@@ -49,8 +49,7 @@
 	EXPECT_EQ(expected.str(), seen);
 }
 
-INSTANTIATE_TEST_SUITE_P(Scripts, NodeScript,
-			 testing::ValuesIn(script_names()),
+INSTANTIATE_TEST_SUITE_P(Scripts, NodeScript, testing::ValuesIn(script_names()),
 			 [](const testing::TestParamInfo<std::string> &info) {
 				 return info.param;
 			 });
--- /dev/null
+++ b/tests/organisation_limits_test.cc
@@ -0,0 +1,137 @@
+#include "core/organisation_limits.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace
+{
+
+constexpr int64_t second_us = 1000000;
+
+class OrganisationLimits : public testing::Test
+{
+      protected:
+	struct config *config = config_create();
+	struct config_organisation *atlas =
+		config_add_organisation(config, "atlas");
+	struct organisation_limits *node[2] = {organisation_limits_create(),
+					       organisation_limits_create()};
+	struct organisation_limits *home = organisation_limits_create();
+	int64_t now_us = 100 * second_us;
+
+	~OrganisationLimits() override
+	{
+		organisation_limits_destroy(node[0]);
+		organisation_limits_destroy(node[1]);
+		organisation_limits_destroy(home);
+		config_unref(config);
+	}
+
+	/* Sends count requests over a second; how many were admitted. */
+	int ask(int i, int count)
+	{
+		int admitted = 0;
+		int64_t retry_after_us = 0;
+
+		for (int k = 0; k < count; k++)
+			admitted += organisation_limits_admit(
+					    node[i], atlas, 10, 2,
+					    now_us + k * second_us / count,
+					    &retry_after_us) == REFUSAL_NONE;
+		return admitted;
+	}
+
+	void report(int i)
+	{
+		struct peer_limit report = {};
+		struct peer_limit share = {};
+		std::string name = "entry-" + std::to_string(i);
+
+		organisation_limits_report(node[i], "atlas", now_us, &report);
+		organisation_limits_divide(home, atlas, name.c_str(), &report,
+					   now_us, &share);
+		organisation_limits_take_share(node[i], &share, now_us);
+		g_free(report.organisation);
+		g_free(share.organisation);
+	}
+};
+
+/*
+ * All of an organisation's callers use one node. Dividing its limit equally
+ * would refuse half of what it may send; dividing by what is wanted does not,
+ * and its sum over the nodes stays at the limit.
+ */
+TEST_F(OrganisationLimits, FollowsWhereTheRequestsCome)
+{
+	atlas->requests_per_s = 100;
+	for (int i = 0; i < 10; i++) {
+		ask(0, 90);
+		ask(1, 2);
+		now_us += second_us;
+		report(0);
+		report(1);
+	}
+	int first = ask(0, 400);
+	int second = ask(1, 2);
+
+	EXPECT_GE(first, 85);
+	EXPECT_EQ(2, second);
+	EXPECT_LE(first + second, 110);
+}
+
+/*
+ * The home of the organisation is gone: its word gets old, and each node
+ * falls back to an equal part. The organisation is neither stopped nor freed.
+ */
+TEST_F(OrganisationLimits, FallsBackToAnEqualPart)
+{
+	atlas->requests_per_s = 100;
+	ask(0, 400);
+	now_us += second_us;
+	report(0);
+	now_us += 60 * second_us;
+	ask(0, 200);
+	now_us += second_us;
+	EXPECT_NEAR(50, ask(0, 400), 2);
+}
+
+/* A refusal says when the next request would be admitted. */
+TEST_F(OrganisationLimits, SaysWhenToComeBack)
+{
+	int64_t retry_after_us = 0;
+
+	atlas->requests_per_s = 2;
+	ASSERT_EQ(REFUSAL_NONE,
+		  organisation_limits_admit(node[0], atlas, 1, 2, now_us,
+					    &retry_after_us));
+	EXPECT_EQ(REFUSAL_RATE_LIMIT,
+		  organisation_limits_admit(node[0], atlas, 1, 2, now_us,
+					    &retry_after_us));
+	EXPECT_EQ(second_us, retry_after_us);
+	EXPECT_EQ(REFUSAL_NONE,
+		  organisation_limits_admit(node[0], atlas, 1, 2,
+					    now_us + retry_after_us,
+					    &retry_after_us));
+}
+
+/* Tokens made count too, and are free again when their request has ended. */
+TEST_F(OrganisationLimits, CountsTokensHeld)
+{
+	int64_t retry_after_us = 0;
+
+	atlas->concurrent_tokens = 200;
+	ASSERT_EQ(REFUSAL_NONE,
+		  organisation_limits_admit(node[0], atlas, 50, 2, now_us,
+					    &retry_after_us));
+	organisation_limits_add_tokens(node[0], "atlas", 45);
+	EXPECT_EQ(REFUSAL_TOKEN_LIMIT,
+		  organisation_limits_admit(node[0], atlas, 10, 2, now_us,
+					    &retry_after_us));
+	organisation_limits_add_tokens(node[0], "atlas", -95);
+	EXPECT_EQ(REFUSAL_NONE,
+		  organisation_limits_admit(node[0], atlas, 10, 2, now_us,
+					    &retry_after_us));
+}
+
+} /* namespace */
