--- /dev/null
+++ b/bench/measure.h
@@ -0,0 +1,101 @@
+#ifndef BENCH_MEASURE_H
+#define BENCH_MEASURE_H
+
+#include "bench/histogram.h"
+#include "bench/workload.h"
+#include "ports/refusal.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/* What became of one request, kept from its arrival to its end. */
+enum flow_end { FLOW_OPEN, FLOW_WHOLE, FLOW_REFUSED, FLOW_BROKEN };
+
+struct flow {
+	const struct workload_item *item;
+	enum flow_end end;
+	enum refusal refusal;
+	int32_t attempts;
+	int64_t placed_us; /* first time; 0: never */
+	int64_t first_us;  /* first token */
+	int64_t last_us;
+	int64_t stall_us; /* in gaps, beyond what a gap may take */
+	int64_t tokens;
+};
+
+/* One run's measures. */
+struct measure {
+	int64_t from_us; /* requests that arrive in this window count */
+	int64_t until_us;
+	struct histogram intervals;
+	struct histogram first_token;
+	struct histogram stall;
+	struct histogram wait[WORKLOAD_KINDS];
+	int64_t requests[WORKLOAD_KINDS];
+	int64_t in_time[WORKLOAD_KINDS];
+	int64_t whole;
+	int64_t broken;
+	int64_t refused[REFUSAL_COUNT];
+	int64_t attempts;
+	int64_t good_tokens;
+	int64_t organisation_requests[WORKLOAD_ORGANISATIONS];
+	int64_t organisation_in_time[WORKLOAD_ORGANISATIONS];
+	GArray *seconds; /* struct measure_second, by time of arrival */
+	int64_t preemptions;
+	int64_t recomputed_tokens;
+	int64_t engine_requests;
+	int64_t decisions;
+	double decision_us; /* sum of processor time */
+};
+
+struct measure_second {
+	int64_t requests;
+	int64_t in_time;
+};
+
+/* The figures that are printed, one a column. */
+enum figure {
+	FIGURE_REQUESTS,
+	FIGURE_STALL_MEAN_MS,
+	FIGURE_STALL_P99_MS,
+	FIGURE_PREEMPTIONS_PER_1000,
+	FIGURE_RECOMPUTED_PER_1000,
+	FIGURE_INTERVAL_P50_MS,
+	FIGURE_INTERVAL_P95_MS,
+	FIGURE_INTERVAL_P99_MS,
+	FIGURE_INTERVAL_P999_MS,
+	FIGURE_FIRST_P95_MS,
+	FIGURE_IN_TIME_PERCENT,
+	FIGURE_REPORT_IN_TIME_PERCENT,
+	FIGURE_CHECK_IN_TIME_PERCENT,
+	FIGURE_PLAIN_IN_TIME_PERCENT,
+	FIGURE_GOOD_TOKENS_PER_S,
+	FIGURE_REFUSED_PERCENT,
+	FIGURE_BROKEN_PER_1000,
+	FIGURE_FAIRNESS,
+	FIGURE_CHECK_WAIT_P99_MS,
+	FIGURE_PLAIN_WAIT_P99_MS,
+	FIGURE_REPORT_WAIT_P99_MS,
+	FIGURE_ATTEMPTS,
+	FIGURE_BEFORE_FAULT_PERCENT,
+	FIGURE_AFTER_FAULT_PERCENT,
+	FIGURE_OTHERS_IN_TIME_PERCENT,
+	FIGURE_DECISION_US,
+	FIGURES
+};
+
+void measure_init(struct measure *measure, int64_t from_us, int64_t until_us);
+void measure_clear(struct measure *measure);
+void measure_tokens(struct measure *measure, struct flow *flow, int64_t count,
+		    int64_t at_us);
+void measure_flow(struct measure *measure, const struct flow *flow);
+void measure_figures(const struct measure *measure, int64_t fault_us,
+		     double figures[FIGURES]);
+const char *figure_name(enum figure figure);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/bench/scenario.h
@@ -0,0 +1,64 @@
+#ifndef BENCH_SCENARIO_H
+#define BENCH_SCENARIO_H
+
+#include "bench/measure.h"
+#include "bench/workload.h"
+#include "core/placement.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/* A workload with what goes wrong in it, and the policies compared on it. */
+enum bench_policy {
+	BENCH_NAIVE,
+	BENCH_SHARES,
+	BENCH_PREVIOUS,
+	BENCH_PROJECT,
+	BENCH_ORACLE,
+	BENCH_POLICIES
+};
+
+enum fault {
+	FAULT_NONE,
+	FAULT_CRASH,	  /* an engine crashes and restarts a minute later */
+	FAULT_RECLAIM,	  /* two engines leave at short notice */
+	FAULT_STALL,	  /* an engine makes no tokens for 20 s */
+	FAULT_SLOW,	  /* an engine takes four times as long */
+	FAULT_LATE_LOAD,  /* load reports come 5 s late */
+	FAULT_LYING_LOAD, /* reports are negative, absurd or of an empty engine
+			   */
+	FAULT_NODE_LOST,  /* an entry node dies */
+	FAULT_HOME_LOST,  /* the home of the engines dies */
+	FAULT_KV_OUTAGE,  /* the key-value service is down for a minute */
+	FAULTS
+};
+
+struct scenario {
+	const char *name;
+	const char *text;
+	double load;
+	double burst;
+	double shift; /* of lengths in mid-run; 0: none */
+	bool shift_keeps_load;
+	double flood; /* of the first organisation's rate; 0: none */
+	enum fault fault;
+};
+
+#define SCENARIO_MID_US (150 * G_USEC_PER_SEC)
+#define SCENARIO_WARM_US (30 * G_USEC_PER_SEC)
+#define SCENARIO_END_US (300 * G_USEC_PER_SEC)
+#define SCENARIO_DRAIN_US (200 * G_USEC_PER_SEC)
+
+extern const struct scenario scenarios[];
+size_t scenario_count(void);
+const struct scenario *scenario_find(const char *name);
+void scenario_workload(const struct scenario *scenario, uint64_t seed,
+		       struct workload_options *options);
+void scenario_previous(struct placement_options *options);
+const char *bench_policy_name(enum bench_policy policy);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/bench/workload.h
@@ -0,0 +1,60 @@
+#ifndef BENCH_WORKLOAD_H
+#define BENCH_WORKLOAD_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * Requests shaped as those of report and brief writers: long drafts with
+ * heavy-tailed lengths, short checks, and plain calls, from ten organisations
+ * of which three are large. The same seed gives the same requests.
+ */
+#define WORKLOAD_ORGANISATIONS 10
+#define WORKLOAD_LARGE 3
+
+enum workload_kind {
+	WORKLOAD_REPORT,
+	WORKLOAD_CHECK,
+	WORKLOAD_PLAIN,
+	WORKLOAD_KINDS
+};
+
+struct workload_options {
+	double load; /* of what the engines' memory holds */
+	int32_t engines;
+	int64_t capacity_tokens;
+	int32_t plain_slots; /* over all plain endpoints */
+	int64_t duration_us;
+	double burst;	     /* rate while a deadline is near; 1: no bursts */
+	int64_t shift_at_us; /* 0: never */
+	double shift;	     /* lengths of reports from then on */
+	double shift_rate;   /* requests from then on */
+	int64_t flood_at_us; /* 0: never */
+	double flood;	     /* requests of the first organisation then */
+	uint64_t seed;
+};
+
+struct workload_item {
+	int64_t at_us;
+	enum workload_kind kind;
+	int32_t organisation;
+	int32_t priority;
+	int64_t prompt_tokens;
+	int64_t output_tokens; /* plain calls: how long it takes, in us */
+	int64_t deadline_us;   /* from its arrival */
+	uint64_t prefix_hash;
+	int64_t prefix_tokens;
+};
+
+void workload_options_default(struct workload_options *options);
+GArray *workload_generate(const struct workload_options *options);
+double workload_shift_rate(double shift);
+int32_t workload_weight(int32_t organisation);
+const char *workload_organisation(int32_t organisation);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/core/endpoint_book.h
@@ -0,0 +1,104 @@
+#ifndef CORE_ENDPOINT_BOOK_H
+#define CORE_ENDPOINT_BOOK_H
+
+#include "core/admission.h"
+#include "core/endpoint_health.h"
+#include "core/length_estimate.h"
+#include "core/pace.h"
+#include "core/wait_queue.h"
+#include "ports/load_report.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * What one endpoint holds by the grants given for it, what that will need,
+ * and what it says of itself. Its word counts only where it is worse than the
+ * book: a report is late, and may be wrong.
+ */
+struct endpoint_book;
+
+/* A request known to a placement: waiting, or placed on an endpoint. */
+struct placed_call {
+	struct queue_entry entry; /* first: the queue hands it back */
+	uint64_t ticket;
+	int64_t prompt_tokens;
+	int64_t max_tokens;
+	int64_t true_tokens;
+	int64_t deadline_us;
+	uint64_t prefix_hash;
+	uint64_t avoid_hash;
+	int64_t concurrent_tokens; /* limit of its organisation */
+	struct length_class *class;
+
+	struct endpoint_book *book; /* NULL while it waits */
+	int64_t placed_us;
+	int64_t made;	 /* tokens, as last reported */
+	int64_t counted; /* of them in the length estimate */
+	int64_t progress_us;
+	double charged; /* tokens its organisation was charged */
+	struct admission_demand demand;
+	int64_t demand_made;
+	int64_t demand_us;
+};
+
+struct endpoint_book {
+	char *address;
+	uint64_t hash;
+	int64_t capacity_tokens;
+	bool capacity_configured;
+	int32_t slots;
+	bool leaving;
+	bool reported_leaving;
+	GPtrArray *calls; /* struct placed_call */
+	struct admission_load load;
+	int64_t refreshed_us;
+	int64_t unread_tokens;	/* prompts placed that made nothing yet */
+	int64_t foreign_tokens; /* held for others, by its reports */
+	int64_t foreign_low;
+	int32_t foreign_reports;
+	struct pace pace;
+	double interval_us;  /* between tokens, lately */
+	int64_t progress_us; /* last sign of any tokens */
+	struct endpoint_health health;
+	uint64_t reserved_for; /* ticket that waits for room here; 0: none */
+	struct load_report report; /* last one taken */
+	int64_t report_us;	   /* when it came; 0: never */
+	GHashTable *prefixes;	   /* hashes that may be cached */
+	GQueue prefix_order;
+};
+
+enum report_verdict { REPORT_TAKEN, REPORT_OLDER, REPORT_ABSURD };
+
+struct endpoint_book *endpoint_book_create(const char *address, int64_t step_us,
+					   int64_t now_us);
+void endpoint_book_destroy(struct endpoint_book *book);
+void endpoint_book_add(struct endpoint_book *book, struct placed_call *call,
+		       int64_t now_us);
+void endpoint_book_remove(struct endpoint_book *book, struct placed_call *call);
+void endpoint_book_progress(struct endpoint_book *book,
+			    struct placed_call *call, int64_t tokens,
+			    int64_t now_us);
+void endpoint_book_refresh(struct endpoint_book *book, int64_t now_us);
+double endpoint_book_peak(const struct endpoint_book *book,
+			  const struct placed_call *extra,
+			  const struct admission_margin *margin);
+double endpoint_book_known_peak(const struct endpoint_book *book,
+				const struct placed_call *extra,
+				int64_t now_us);
+enum report_verdict endpoint_book_report(struct endpoint_book *book,
+					 const struct load_report *report,
+					 int64_t now_us, int64_t *preempted);
+void endpoint_book_prefix(struct endpoint_book *book, uint64_t prefix_hash,
+			  bool cached);
+bool endpoint_book_has_prefix(const struct endpoint_book *book,
+			      uint64_t prefix_hash);
+int64_t endpoint_book_made(const struct endpoint_book *book,
+			   const struct placed_call *call, int64_t now_us);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/core/length_estimate.c
@@ -0,0 +1,275 @@
+#include "core/length_estimate.h"
+
+/* One bin a token up to here, then four an octave. */
+#define SINGLE_BINS 8
+#define BINS_PER_OCTAVE 4
+#define PROMPT_SIZES 20
+#define PRIOR_HAZARD 0.08
+#define PRIOR_WEIGHT 4
+#define REBUILD_AFTER 16 /* observations */
+#define HAZARD_MAX 0.999
+#define SURVIVAL_MIN 1e-12F
+
+struct length_class {
+	struct length_estimate *estimate;
+	struct length_class *parent; /* NULL: the root */
+	float reached[LENGTH_BINS];
+	float ended[LENGTH_BINS];
+	struct length_curve curve;
+	uint64_t curve_version;
+};
+
+struct length_estimate {
+	struct length_estimate_options options;
+	struct length_class root;
+	struct length_class prompt_sizes[PROMPT_SIZES];
+	GHashTable *classes; /* char *organisation/size -> length_class */
+	uint64_t version;    /* observations so far */
+	double shift_ended;
+	double shift_expected;
+};
+
+/* Memories chosen on the policy bench, see docs/POLICY.md. */
+void length_estimate_options_default(struct length_estimate_options *options)
+{
+	options->memory = 64;
+	options->parent = 6;
+	options->shift_memory = 40;
+	options->max_classes = 4096;
+}
+
+static int32_t floor_log2(int64_t n)
+{
+	return 63 - __builtin_clzll((uint64_t)n);
+}
+
+static int32_t length_bin(int64_t n)
+{
+	int32_t octave;
+
+	if (n < SINGLE_BINS)
+		return (int32_t)MAX(n, 0);
+	if (n > LENGTH_LONGEST)
+		return LENGTH_BINS - 1;
+	octave = floor_log2(n);
+	return SINGLE_BINS + (octave - 3) * BINS_PER_OCTAVE +
+	       (int32_t)((n >> (octave - 2)) & 3);
+}
+
+static int64_t length_bin_start(int32_t bin)
+{
+	int32_t octave;
+
+	if (bin < SINGLE_BINS)
+		return bin;
+	octave = 3 + (bin - SINGLE_BINS) / BINS_PER_OCTAVE;
+	return (int64_t)(4 + (bin - SINGLE_BINS) % BINS_PER_OCTAVE)
+	       << (octave - 2);
+}
+
+static void length_class_init(struct length_class *class,
+			      struct length_estimate *estimate,
+			      struct length_class *parent)
+{
+	class->estimate = estimate;
+	class->parent = parent;
+	class->curve_version = UINT64_MAX;
+}
+
+/* An estimate that knows nothing yet. The options are copied. */
+struct length_estimate *
+length_estimate_create(const struct length_estimate_options *options)
+{
+	struct length_estimate *estimate = g_new0(struct length_estimate, 1);
+
+	estimate->options = *options;
+	estimate->classes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	length_class_init(&estimate->root, estimate, NULL);
+	for (int32_t i = 0; i < PROMPT_SIZES; i++)
+		length_class_init(&estimate->prompt_sizes[i], estimate,
+				  &estimate->root);
+	return estimate;
+}
+
+/* Frees the estimate and all its classes; NULL is allowed. */
+void length_estimate_destroy(struct length_estimate *estimate)
+{
+	if (!estimate)
+		return;
+	g_hash_table_unref(estimate->classes);
+	g_free(estimate);
+}
+
+/*
+ * The class of an organisation's prompts of this size, by octaves. Created
+ * when new, up to the bound; then the size's own class over all
+ * organisations serves.
+ */
+struct length_class *length_estimate_class(struct length_estimate *estimate,
+					   const char *organisation,
+					   int64_t prompt_tokens)
+{
+	int32_t size = MIN(floor_log2(MAX(prompt_tokens, 1)), PROMPT_SIZES - 1);
+	struct length_class *class;
+	char key[160];
+
+	g_snprintf(key, sizeof(key), "%d/%s", size, organisation);
+	class = g_hash_table_lookup(estimate->classes, key);
+	if (class)
+		return class;
+	if (g_hash_table_size(estimate->classes) >=
+	    (guint)estimate->options.max_classes)
+		return &estimate->prompt_sizes[size];
+	class = g_new0(struct length_class, 1);
+	length_class_init(class, estimate, &estimate->prompt_sizes[size]);
+	g_hash_table_insert(estimate->classes, g_strdup(key), class);
+	return class;
+}
+
+/* Classes kept, for the dump. */
+size_t length_estimate_class_count(const struct length_estimate *estimate)
+{
+	return g_hash_table_size(estimate->classes);
+}
+
+/* Below 1: answers end later than the bins say. */
+double length_estimate_shift(const struct length_estimate *estimate)
+{
+	double weight = estimate->options.shift_memory;
+
+	return (estimate->shift_ended + weight) /
+	       (estimate->shift_expected + weight);
+}
+
+/* Deviation of the shift's logarithm, from the ends it was judged by. */
+double length_estimate_shift_deviation(const struct length_estimate *estimate)
+{
+	double known = estimate->shift_ended + estimate->options.shift_memory;
+
+	return known > 0 ? 1 / __builtin_sqrt(known) : 1;
+}
+
+static double length_class_hazard(const struct length_class *class, int32_t bin)
+{
+	double hazard = PRIOR_HAZARD;
+	double weight = PRIOR_WEIGHT;
+
+	if (class->parent) {
+		hazard = length_class_hazard(class->parent, bin);
+		weight = class->estimate->options.parent;
+	}
+	return (class->ended[bin] + weight * hazard) /
+	       (class->reached[bin] + weight);
+}
+
+static void length_estimate_count_shift(struct length_estimate *estimate,
+					double expected, double ended)
+{
+	double keep =
+		1 - (expected + ended) / (2 * estimate->options.shift_memory);
+
+	keep = MAX(keep, 0);
+	estimate->shift_expected = estimate->shift_expected * keep + expected;
+	estimate->shift_ended = estimate->shift_ended * keep + ended;
+}
+
+static void length_class_count_bin(struct length_class *class, int32_t bin,
+				   bool ended)
+{
+	struct length_estimate *estimate = class->estimate;
+	float keep = (float)(1 - 1 / estimate->options.memory);
+	double hazard = length_class_hazard(class, bin);
+
+	length_estimate_count_shift(estimate, ended ? hazard / 2 : hazard,
+				    ended ? 1 : 0);
+	for (; class; class = class->parent) {
+		class->reached[bin] = class->reached[bin] * keep + 1;
+		class->ended[bin] = class->ended[bin] * keep + (ended ? 1 : 0);
+	}
+	estimate->version++;
+}
+
+/*
+ * Counts that a running answer went from so many tokens to so many. Each
+ * token is to be counted once; a range that goes back is ignored.
+ */
+void length_class_count_progress(struct length_class *class, int64_t from,
+				 int64_t to)
+{
+	int32_t last = length_bin(to);
+
+	for (int32_t bin = length_bin(from); bin < last; bin++)
+		length_class_count_bin(class, bin, false);
+}
+
+/* Counts that an answer, last counted at from, ended by itself at length. */
+void length_class_count_end(struct length_class *class, int64_t from,
+			    int64_t length)
+{
+	length_class_count_progress(class, from, length);
+	length_class_count_bin(class, length_bin(MAX(from, length)), true);
+}
+
+/* A shift scales the odds of ending, so that a hazard stays under 1. */
+static void length_class_rebuild(struct length_class *class)
+{
+	double shift = length_estimate_shift(class->estimate);
+	float survival = 1;
+
+	for (int32_t bin = 0; bin < LENGTH_BINS; bin++) {
+		double hazard = length_class_hazard(class, bin);
+
+		hazard = shift * hazard / (1 + (shift - 1) * hazard);
+		class->curve.survival[bin] = survival;
+		survival *= (float)(1 - MIN(hazard, HAZARD_MAX));
+		survival = MAX(survival, SURVIVAL_MIN);
+	}
+	class->curve.survival[LENGTH_BINS] = survival;
+	class->curve_version = class->estimate->version;
+}
+
+/* The chances by length; valid until the class is next asked or told. */
+const struct length_curve *length_class_curve(struct length_class *class)
+{
+	if (class->curve_version == UINT64_MAX ||
+	    class->estimate->version - class->curve_version >= REBUILD_AFTER)
+		length_class_rebuild(class);
+	return &class->curve;
+}
+
+/* Chance that an answer gets longer than n tokens. */
+double length_curve_survival(const struct length_curve *curve, int64_t n)
+{
+	int32_t bin = length_bin(n);
+	int64_t start = length_bin_start(bin);
+	int64_t width = length_bin_start(bin + 1) - start;
+	double part = (double)(MIN(n, LENGTH_LONGEST) - start) / (double)width;
+
+	return curve->survival[bin] +
+	       (curve->survival[bin + 1] - curve->survival[bin]) * part;
+}
+
+/* Tokens still to come, on average; max_tokens 0: no bound. */
+double length_curve_mean_left(const struct length_curve *curve, int64_t made,
+			      int64_t max_tokens)
+{
+	double now = length_curve_survival(curve, made);
+	double left = 0;
+	int64_t from = made;
+
+	if (max_tokens <= 0)
+		max_tokens = LENGTH_LONGEST;
+	for (int32_t bin = length_bin(made); bin < LENGTH_BINS; bin++) {
+		int64_t to = MIN(length_bin_start(bin + 1), max_tokens);
+
+		if (to <= from)
+			break;
+		left += (double)(to - from) *
+			(length_curve_survival(curve, from) +
+			 length_curve_survival(curve, to)) /
+			2;
+		from = to;
+	}
+	return left / MAX(now, 1e-9);
+}
--- a/core/placement.c
+++ b/core/placement.c
@@ -1,371 +1,553 @@
-#include "core/placement.h"
+#include "core/placement_state.h"
 
-#include <string.h>
+#include "core/home.h"
 
-/* Length expected of an answer before any was seen. */
-#define DEFAULT_OUTPUT_TOKENS 400
-#define RETRY_AFTER_US (2 * G_USEC_PER_SEC)
+#define DEFAULT_DEVIATIONS 2.5
+#define DEFAULT_SHARED 0.1
+#define DEFAULT_LEAST_CHANCE 0.5
+#define DEFAULT_STEP_US 28000
+#define DEFAULT_MAX_WAITING 1024
 
-struct endpoint {
-	char *address;
-	int64_t capacity_tokens;
-	int32_t slots;
-	int32_t running;
-	int64_t expected_tokens; /* of all it holds, at their ends */
-	bool leaving;
-};
+/* Learned margin: up by a preemption, slowly down with each placement. */
+#define MARGIN_START 2.5
+#define MARGIN_UP 0.05
+#define MARGIN_MOST 4.0
 
-struct call {
-	uint64_t ticket;
-	int64_t prompt_tokens;
-	int64_t expected_tokens;
-	int64_t deadline_us;
-	uint64_t avoid_hash;
-	struct endpoint *endpoint; /* NULL while it waits */
-};
+#define SHORT_DIVISOR 100 /* short: under this part of an engine's memory */
+#define PATIENCE_US (60 * G_USEC_PER_SEC) /* of a request without deadline */
+#define PLAIN_START_US 100000.0
+#define PLAIN_FADE 0.95
+#define HELD_FADE 0.99
 
-struct placement {
-	struct placement_options options;
-	GHashTable *endpoints; /* address -> struct endpoint */
-	GHashTable *calls;     /* ticket -> struct call */
-	GQueue waiting;	       /* struct call, oldest first */
-	int32_t divisor;
-};
-
-static void endpoint_destroy(gpointer data)
+static void placement_set_defaults(struct placement_options *options)
 {
-	struct endpoint *endpoint = data;
-
-	g_free(endpoint->address);
-	g_free(endpoint);
+	if (options->step_us <= 0)
+		options->step_us = DEFAULT_STEP_US;
+	if (options->max_waiting <= 0)
+		options->max_waiting = DEFAULT_MAX_WAITING;
+	if (options->shared == 0)
+		options->shared = DEFAULT_SHARED;
+	if (options->least_chance == 0)
+		options->least_chance = DEFAULT_LEAST_CHANCE;
+	if (options->deviations == 0)
+		options->deviations = DEFAULT_DEVIATIONS;
 }
 
 /* An empty placement. The options are copied. */
 struct placement *placement_create(const struct placement_options *options)
 {
 	struct placement *placement = g_new0(struct placement, 1);
+	struct length_estimate_options lengths;
 
 	placement->options = *options;
-	placement->divisor = 1;
-	placement->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal,
-						     NULL, endpoint_destroy);
+	placement_set_defaults(&placement->options);
+	placement->deviations = placement->options.deviations > 0
+					? placement->options.deviations
+					: MARGIN_START;
+	length_estimate_options_default(&lengths);
+	placement->lengths = length_estimate_create(&lengths);
+	placement->queue = wait_queue_create();
 	placement->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 NULL, g_free);
-	g_queue_init(&placement->waiting);
+	placement->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	placement->books = g_ptr_array_new();
+	placement->submitted = g_ptr_array_new();
+	placement->rand = g_rand_new_with_seed((guint32)options->seed);
+	placement->divisor = 1;
+	placement->plain_us = PLAIN_START_US;
+	placement->interval_us = placement->options.step_us;
 	return placement;
 }
 
-/* Frees the placement; NULL is allowed. */
+/* Frees the placement and all it holds; NULL is allowed. */
 void placement_destroy(struct placement *placement)
 {
 	if (!placement)
 		return;
-	g_queue_clear(&placement->waiting);
+	for (guint i = 0; i < placement->books->len; i++)
+		endpoint_book_destroy(g_ptr_array_index(placement->books, i));
+	g_ptr_array_unref(placement->books);
+	g_ptr_array_unref(placement->submitted);
+	g_hash_table_unref(placement->by_address);
 	g_hash_table_unref(placement->calls);
-	g_hash_table_unref(placement->endpoints);
+	wait_queue_destroy(placement->queue);
+	length_estimate_destroy(placement->lengths);
+	g_rand_free(placement->rand);
 	g_free(placement);
 }
 
+static struct endpoint_book *placement_find(struct placement *placement,
+					    const char *address)
+{
+	struct endpoint_book *book =
+		g_hash_table_lookup(placement->by_address, address);
+
+	if (!book)
+		placement->counts.unknown++;
+	return book;
+}
+
+static struct placed_call *placement_find_call(struct placement *placement,
+					       uint64_t ticket)
+{
+	struct placed_call *call =
+		g_hash_table_lookup(placement->calls, &ticket);
+
+	if (!call)
+		placement->counts.unknown++;
+	return call;
+}
+
 /* Adds an endpoint or takes over its new settings. */
 void placement_set_endpoint(struct placement *placement,
 			    const struct config_endpoint *endpoint,
-			    G_GNUC_UNUSED int64_t now_us)
+			    int64_t now_us)
 {
-	struct endpoint *known =
-		g_hash_table_lookup(placement->endpoints, endpoint->address);
-
-	if (!known) {
-		known = g_new0(struct endpoint, 1);
-		known->address = g_strdup(endpoint->address);
-		g_hash_table_insert(placement->endpoints, known->address,
-				    known);
+	struct endpoint_book *book =
+		g_hash_table_lookup(placement->by_address, endpoint->address);
+
+	if (!book) {
+		book = endpoint_book_create(endpoint->address,
+					    placement->options.step_us, now_us);
+		book->hash = home_hash(endpoint->address, "", 0);
+		g_ptr_array_add(placement->books, book);
+		g_hash_table_insert(placement->by_address, book->address, book);
 	}
-	if (endpoint->capacity_tokens > 0)
-		known->capacity_tokens = endpoint->capacity_tokens;
-	known->slots = endpoint->slots;
-	known->leaving = endpoint->leaving;
+	book->capacity_configured = endpoint->capacity_tokens > 0;
+	if (book->capacity_configured)
+		book->capacity_tokens = endpoint->capacity_tokens;
+	book->slots = endpoint->slots;
+	book->leaving = endpoint->leaving;
+	placement->recheck = true;
 }
 
-static void placement_forget(struct placement *placement, struct call *call)
+/* Takes a call out of queue or book and frees it. */
+void placement_forget(struct placement *placement, struct placed_call *call)
 {
-	if (call->endpoint) {
-		call->endpoint->running--;
-		call->endpoint->expected_tokens -=
-			call->prompt_tokens + call->expected_tokens;
-	} else {
-		g_queue_remove(&placement->waiting, call);
+	struct queue_organisation *organisation = call->entry.organisation;
+
+	if (call->book) {
+		struct endpoint_book *book = call->book;
+
+		endpoint_book_remove(book, call);
+		organisation->held_tokens -= call->charged;
+	}
+	wait_queue_remove(placement->queue, &call->entry);
+	g_ptr_array_remove(placement->submitted, call);
+	for (guint i = 0; i < placement->books->len; i++) {
+		struct endpoint_book *book =
+			g_ptr_array_index(placement->books, i);
+
+		if (book->reserved_for == call->ticket)
+			book->reserved_for = 0;
 	}
 	g_hash_table_remove(placement->calls, &call->ticket);
+	placement->recheck = true;
 }
 
 /* Removes an endpoint and forgets what it held. */
 void placement_remove_endpoint(struct placement *placement, const char *address,
 			       G_GNUC_UNUSED int64_t now_us)
 {
-	struct endpoint *endpoint =
-		g_hash_table_lookup(placement->endpoints, address);
-	GHashTableIter iter;
-	gpointer value;
+	struct endpoint_book *book = placement_find(placement, address);
 
-	if (!endpoint)
+	if (!book)
 		return;
-	g_hash_table_iter_init(&iter, placement->calls);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct call *call = value;
-
-		if (call->endpoint == endpoint)
-			g_hash_table_iter_remove(&iter);
-	}
-	g_hash_table_remove(placement->endpoints, address);
+	while (book->calls->len > 0)
+		placement_forget(placement, g_ptr_array_index(book->calls, 0));
+	g_hash_table_remove(placement->by_address, address);
+	g_ptr_array_remove(placement->books, book);
+	endpoint_book_destroy(book);
 }
 
 /* A leaving endpoint keeps what it holds and gets nothing new. */
 void placement_set_leaving(struct placement *placement, const char *address,
 			   bool leaving)
 {
-	struct endpoint *endpoint =
-		g_hash_table_lookup(placement->endpoints, address);
+	struct endpoint_book *book = placement_find(placement, address);
 
-	if (endpoint)
-		endpoint->leaving = leaving;
+	if (book)
+		book->leaving = leaving;
+	placement->recheck = true;
 }
 
 /* Without a home each of divisor nodes uses that part of every endpoint. */
 void placement_set_share(struct placement *placement, int32_t divisor)
 {
 	placement->divisor = MAX(divisor, 1);
+	placement->recheck = true;
+}
+
+/* The margin follows what preemptions cost: see docs/POLICY.md. */
+static void placement_learn_margin(struct placement *placement,
+				   int64_t preempted)
+{
+	if (placement->options.deviations > 0)
+		return;
+	placement->deviations =
+		MIN(placement->deviations + MARGIN_UP * (double)preempted,
+		    MARGIN_MOST);
 }
 
-/* Takes an endpoint's own report. */
+/*
+ * Takes an endpoint's own report. Older and absurd ones are counted and
+ * ignored; what is taken never makes an endpoint look emptier than the book.
+ */
 void placement_report_load(struct placement *placement, const char *address,
-			   const struct load_report *report,
-			   G_GNUC_UNUSED int64_t now_us)
+			   const struct load_report *report, int64_t now_us)
 {
-	struct endpoint *endpoint =
-		g_hash_table_lookup(placement->endpoints, address);
+	struct endpoint_book *book = placement_find(placement, address);
+	int64_t preempted;
 
-	if (!endpoint)
+	if (!book)
 		return;
-	if (endpoint->capacity_tokens == 0 && report->tokens_capacity > 0)
-		endpoint->capacity_tokens = report->tokens_capacity;
-	if (report->leaving)
-		endpoint->leaving = true;
+	endpoint_health_report_poll(&book->health, true, now_us);
+	placement->recheck = true;
+	switch (endpoint_book_report(book, report, now_us, &preempted)) {
+	case REPORT_TAKEN:
+		placement->counts.reports_taken++;
+		placement_learn_margin(placement, preempted);
+		break;
+	case REPORT_OLDER:
+		placement->counts.reports_older++;
+		break;
+	case REPORT_ABSURD:
+		placement->counts.reports_absurd++;
+		break;
+	}
 }
 
 /* The endpoint gave no report. */
-void placement_report_unreachable(G_GNUC_UNUSED struct placement *placement,
-				  G_GNUC_UNUSED const char *address,
-				  G_GNUC_UNUSED int64_t now_us)
+void placement_report_unreachable(struct placement *placement,
+				  const char *address, int64_t now_us)
+{
+	struct endpoint_book *book = placement_find(placement, address);
+
+	if (!book)
+		return;
+	endpoint_health_report_poll(&book->health, false, now_us);
+}
+
+static double placed_call_cost(const struct placement *placement,
+			       const struct placed_call *call)
+{
+	if (placement->options.kind == SERVICE_PLAIN)
+		return 1;
+	return (double)call->prompt_tokens +
+	       length_curve_mean_left(length_class_curve(call->class),
+				      call->made, call->max_tokens);
+}
+
+static int64_t placement_largest(const struct placement *placement)
 {
+	int64_t largest = 0;
+
+	for (guint i = 0; i < placement->books->len; i++) {
+		const struct endpoint_book *book =
+			g_ptr_array_index(placement->books, i);
+
+		largest = MAX(largest, book->capacity_tokens);
+	}
+	return largest / placement->divisor;
 }
 
-static struct call *placement_add(struct placement *placement,
-				  const struct placement_request *request)
+static void placed_call_set_order(const struct placement *placement,
+				  struct placed_call *call, int64_t now_us)
 {
-	struct call *call;
-	int64_t expected = DEFAULT_OUTPUT_TOKENS;
+	struct queue_entry *entry = &call->entry;
+	double left = entry->tokens - (double)call->prompt_tokens;
+
+	entry->arrival_us = now_us;
+	entry->lane = QUEUE_SHORT;
+	entry->start_by_us = now_us + PATIENCE_US;
+	if (placement->options.kind == SERVICE_PLAIN) {
+		if (call->deadline_us > 0)
+			entry->start_by_us = call->deadline_us -
+					     (int64_t)placement->plain_us;
+		return;
+	}
+	if (call->deadline_us > 0)
+		entry->start_by_us =
+			call->deadline_us -
+			(int64_t)(left * (double)placement->options.step_us /
+				  2);
+	if (entry->tokens * SHORT_DIVISOR >
+	    (double)placement_largest(placement))
+		entry->lane = QUEUE_LONG;
+}
+
+static struct placed_call *
+placement_add(struct placement *placement,
+	      const struct placement_request *request, int64_t made,
+	      int64_t now_us)
+{
+	const char *name = request->organisation ? request->organisation : "";
+	struct placed_call *call;
 
 	if (g_hash_table_contains(placement->calls, &request->ticket))
 		return NULL;
-	call = g_new0(struct call, 1);
-	if (placement->options.policy == PLACEMENT_ORACLE &&
-	    request->true_tokens > 0)
-		expected = request->true_tokens;
-	if (request->max_tokens > 0)
-		expected = MIN(expected, request->max_tokens);
+	call = g_new0(struct placed_call, 1);
 	call->ticket = request->ticket;
-	call->prompt_tokens = MAX(request->prompt_tokens, 1);
-	call->expected_tokens = expected;
+	call->prompt_tokens = CLAMP(request->prompt_tokens, 1, LENGTH_LONGEST);
+	call->max_tokens = MAX(request->max_tokens, 0);
+	call->true_tokens = request->true_tokens;
 	call->deadline_us = request->deadline_us;
+	call->prefix_hash = request->prefix_hash;
 	call->avoid_hash = request->avoid_hash;
+	call->concurrent_tokens = request->concurrent_tokens;
+	call->made = CLAMP(made, 0, LENGTH_LONGEST);
+	call->counted = call->made;
+	call->class = length_estimate_class(placement->lengths, name,
+					    call->prompt_tokens);
+	call->entry.organisation = wait_queue_organisation(
+		placement->queue, name, request->weight);
+	call->entry.priority = CLAMP(request->priority, 0, 9);
+	call->entry.tokens = placed_call_cost(placement, call);
+	admission_demand_fill(&call->demand, length_class_curve(call->class),
+			      call->prompt_tokens, call->made,
+			      call->max_tokens);
+	call->demand_made = call->made;
+	call->demand_us = now_us;
 	g_hash_table_insert(placement->calls, &call->ticket, call);
 	return call;
 }
 
-/* Puts a request in the queue; the next step decides on it. */
+/*
+ * Puts a request in the queue; the next step decides on it. A ticket that is
+ * known already is ignored.
+ */
 void placement_submit(struct placement *placement,
-		      const struct placement_request *request,
-		      G_GNUC_UNUSED int64_t now_us)
+		      const struct placement_request *request, int64_t now_us)
 {
-	struct call *call = placement_add(placement, request);
+	struct placed_call *call = placement_add(placement, request, 0, now_us);
 
-	if (call)
-		g_queue_push_tail(&placement->waiting, call);
+	if (!call)
+		return;
+	placed_call_set_order(placement, call, now_us);
+	wait_queue_push(placement->queue, &call->entry);
+	g_ptr_array_add(placement->submitted, call);
+	placement->recheck = true;
 }
 
 /* Takes a request out of the queue; unknown tickets are ignored. */
 void placement_withdraw(struct placement *placement, uint64_t ticket,
 			G_GNUC_UNUSED int64_t now_us)
 {
-	struct call *call = g_hash_table_lookup(placement->calls, &ticket);
+	struct placed_call *call = placement_find_call(placement, ticket);
 
-	if (call && !call->endpoint)
+	if (call && !call->book)
 		placement_forget(placement, call);
 }
 
-static void placement_put(struct call *call, struct endpoint *endpoint)
+/* Books a call that is not in the queue on an endpoint. */
+void placement_put(struct placement *placement, struct placed_call *call,
+		   struct endpoint_book *book, int64_t now_us)
 {
-	call->endpoint = endpoint;
-	endpoint->running++;
-	endpoint->expected_tokens +=
-		call->prompt_tokens + call->expected_tokens;
+	struct queue_organisation *organisation = call->entry.organisation;
+
+	call->charged = call->entry.tokens;
+	organisation->held_tokens += call->charged;
+	endpoint_book_add(book, call, now_us);
+	endpoint_health_count_placed(&book->health);
+	wait_queue_charge(placement->queue, organisation, call->charged, true);
 }
 
 /* Books a grant that was made elsewhere: by an earlier home, or on a share. */
 void placement_hold(struct placement *placement,
 		    const struct placement_request *request,
-		    const char *address, G_GNUC_UNUSED int64_t tokens,
-		    G_GNUC_UNUSED int64_t now_us)
+		    const char *address, int64_t tokens, int64_t now_us)
 {
-	struct endpoint *endpoint =
-		g_hash_table_lookup(placement->endpoints, address);
-	struct call *call;
+	struct endpoint_book *book = placement_find(placement, address);
+	struct placed_call *call;
 
-	if (!endpoint)
+	if (!book)
+		return;
+	call = g_hash_table_lookup(placement->calls, &request->ticket);
+	if (call && call->book == book)
 		return;
-	call = placement_add(placement, request);
 	if (call)
-		placement_put(call, endpoint);
+		placement_forget(placement, call);
+	call = placement_add(placement, request, tokens, now_us);
+	placement_put(placement, call, book, now_us);
+}
+
+static void placement_count_tokens(struct placed_call *call, int64_t tokens)
+{
+	if (tokens > call->counted) {
+		length_class_count_progress(call->class, call->counted, tokens);
+		call->counted = tokens;
+	}
 }
 
 /* Notes how many tokens a placed request has made. */
 void placement_progress(struct placement *placement, uint64_t ticket,
-			int64_t tokens, G_GNUC_UNUSED int64_t now_us)
+			int64_t tokens, int64_t now_us)
 {
-	struct call *call = g_hash_table_lookup(placement->calls, &ticket);
+	struct placed_call *call = placement_find_call(placement, ticket);
 
-	if (!call || !call->endpoint || tokens <= call->expected_tokens)
+	if (!call || !call->book || tokens <= call->made ||
+	    tokens > LENGTH_LONGEST)
 		return;
-	call->endpoint->expected_tokens += tokens - call->expected_tokens;
-	call->expected_tokens = tokens;
+	endpoint_book_progress(call->book, call, tokens, now_us);
+	endpoint_health_report_success(&call->book->health, now_us);
+	placement_count_tokens(call, tokens);
 }
 
-/* Ends a grant; unknown tickets are ignored. */
-void placement_release(struct placement *placement, uint64_t ticket,
-		       G_GNUC_UNUSED enum release_outcome outcome,
-		       G_GNUC_UNUSED int64_t tokens,
-		       G_GNUC_UNUSED int64_t now_us)
+static void placement_learn_length(struct placed_call *call,
+				   enum release_outcome outcome, int64_t tokens)
 {
-	struct call *call = g_hash_table_lookup(placement->calls, &ticket);
+	bool cut = call->max_tokens > 0 && tokens >= call->max_tokens;
 
-	if (call)
-		placement_forget(placement, call);
+	tokens = MIN(tokens, LENGTH_LONGEST);
+	if (outcome == RELEASE_WHOLE && !cut && tokens > 0)
+		length_class_count_end(call->class, call->counted, tokens);
+	else
+		placement_count_tokens(call, tokens);
 }
 
-/* A hint that an endpoint holds a prompt's prefix, or no longer does. */
-void placement_prefix_cached(G_GNUC_UNUSED struct placement *placement,
-			     G_GNUC_UNUSED const char *address,
-			     G_GNUC_UNUSED uint64_t prefix_hash,
-			     G_GNUC_UNUSED bool cached)
+static void placement_learn_health(struct placement *placement,
+				   struct endpoint_book *book,
+				   enum release_outcome outcome, int64_t now_us)
 {
+	switch (outcome) {
+	case RELEASE_WHOLE:
+		endpoint_health_report_success(&book->health, now_us);
+		break;
+	case RELEASE_FAILED:
+	case RELEASE_LOST:
+		if (endpoint_health_report_failure(&book->health))
+			placement_suspect(placement, book, now_us);
+		break;
+	case RELEASE_CANCELLED:
+	case RELEASE_NOT_SENT:
+		break;
+	}
 }
 
-static bool endpoint_has_room(const struct placement *placement,
-			      const struct endpoint *endpoint,
-			      const struct call *call)
+/* What ends, and how long it held its place, weighed by its size. */
+static void placement_learn_drain(struct placement *placement,
+				  const struct placed_call *call, double used,
+				  int64_t now_us)
 {
-	int64_t need = call->prompt_tokens + call->expected_tokens;
+	double held_s =
+		(double)(now_us - call->placed_us) / (double)G_USEC_PER_SEC;
 
-	if (placement->options.policy == PLACEMENT_NAIVE)
-		return true;
-	if (placement->options.kind == SERVICE_PLAIN)
-		return endpoint->slots <= 0 ||
-		       endpoint->running <
-			       MAX(endpoint->slots / placement->divisor, 1);
-	if (endpoint->running == 0)
-		return true;
-	return endpoint->expected_tokens + need <=
-	       endpoint->capacity_tokens / placement->divisor;
-}
-
-static struct endpoint *placement_choose(const struct placement *placement,
-					 const struct call *call)
-{
-	struct endpoint *best = NULL;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, placement->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct endpoint *endpoint = value;
-
-		if (endpoint->leaving ||
-		    !endpoint_has_room(placement, endpoint, call))
-			continue;
-		if (!best || endpoint->running < best->running ||
-		    (endpoint->running == best->running &&
-		     strcmp(endpoint->address, best->address) < 0))
-			best = endpoint;
-	}
-	return best;
+	placement->drained += used;
+	placement->used_memory = placement->used_memory * HELD_FADE + used;
+	placement->held_memory =
+		placement->held_memory * HELD_FADE + used * held_s;
 }
 
-static void placement_decide(struct placement *placement, struct call *call,
-			     int64_t now_us, GArray *decisions)
+static void placement_learn_plain(struct placement *placement,
+				  const struct placed_call *call,
+				  int64_t now_us)
 {
-	struct placement_decision decision = {.ticket = call->ticket};
-	struct endpoint *endpoint = placement_choose(placement, call);
+	placement->plain_us =
+		placement->plain_us * PLAIN_FADE +
+		(double)(now_us - call->placed_us) * (1 - PLAIN_FADE);
+}
 
-	if (endpoint) {
-		decision.verdict = PLACEMENT_PLACED;
-		decision.endpoint = endpoint->address;
-		g_queue_remove(&placement->waiting, call);
-		placement_put(call, endpoint);
-		g_array_append_val(decisions, decision);
+/* Ends a grant; unknown tickets are ignored, one that waits is withdrawn. */
+void placement_release(struct placement *placement, uint64_t ticket,
+		       enum release_outcome outcome, int64_t tokens,
+		       int64_t now_us)
+{
+	struct placed_call *call = placement_find_call(placement, ticket);
+	struct endpoint_book *book;
+	double used = 1;
+
+	if (!call)
 		return;
-	}
-	decision.verdict = PLACEMENT_REFUSED;
-	decision.retry_after_us = RETRY_AFTER_US;
-	if (call->deadline_us > 0 && call->deadline_us <= now_us)
-		decision.refusal = REFUSAL_DEADLINE;
-	else if (g_queue_get_length(&placement->waiting) >
-		 (guint)placement->options.max_waiting)
-		decision.refusal = REFUSAL_QUEUE_FULL;
-	else
+	book = call->book;
+	if (!book) {
+		placement_forget(placement, call);
 		return;
+	}
+	tokens = MAX(tokens, call->made);
+	if (placement->options.kind == SERVICE_GENERATION) {
+		used = (double)(call->prompt_tokens + tokens);
+		placement_learn_length(call, outcome, tokens);
+	} else if (outcome == RELEASE_WHOLE) {
+		placement_learn_plain(placement, call, now_us);
+	}
+	wait_queue_charge(placement->queue, call->entry.organisation,
+			  used - call->charged, false);
+	placement_learn_drain(placement, call, used, now_us);
+	placement_learn_health(placement, book, outcome, now_us);
 	placement_forget(placement, call);
-	g_array_append_val(decisions, decision);
 }
 
-/* Appends struct placement_decision for all that can be decided now. */
-void placement_step(struct placement *placement, int64_t now_us,
-		    GArray *decisions)
+/* A hint that an endpoint holds a prompt's prefix, or no longer does. */
+void placement_prefix_cached(struct placement *placement, const char *address,
+			     uint64_t prefix_hash, bool cached)
 {
-	GList *item = placement->waiting.head;
+	struct endpoint_book *book = placement_find(placement, address);
 
-	while (item) {
-		GList *next = item->next;
+	if (book)
+		endpoint_book_prefix(book, prefix_hash, cached);
+}
 
-		placement_decide(placement, item->data, now_us, decisions);
-		item = next;
-	}
+/* What was counted since the start. */
+const struct placement_counts *
+placement_counts(const struct placement *placement)
+{
+	return &placement->counts;
 }
 
-/* When to step again though nothing happens; INT64_MAX: not needed. */
-int64_t placement_next_due_us(const struct placement *placement)
+/* Requests that wait. */
+uint32_t placement_waiting(const struct placement *placement)
 {
-	int64_t due = INT64_MAX;
+	return wait_queue_length(placement->queue);
+}
 
-	for (GList *item = placement->waiting.head; item; item = item->next) {
-		const struct call *call = item->data;
+static void dump_book(GVariantBuilder *list, const struct endpoint_book *book)
+{
+	GVariantDict dict;
 
-		if (call->deadline_us > 0)
-			due = MIN(due, call->deadline_us);
-	}
-	return due;
+	g_variant_dict_init(&dict, NULL);
+	g_variant_dict_insert(&dict, "address", "s", book->address);
+	g_variant_dict_insert(&dict, "calls", "u", book->calls->len);
+	g_variant_dict_insert(&dict, "tokens", "x",
+			      (int64_t)book->load.mean[0]);
+	g_variant_dict_insert(&dict, "foreign_tokens", "x",
+			      book->foreign_tokens);
+	g_variant_dict_insert(&dict, "capacity_tokens", "x",
+			      book->capacity_tokens);
+	g_variant_dict_insert(&dict, "interval_us", "x",
+			      (int64_t)book->interval_us);
+	g_variant_dict_insert(&dict, "leaving", "b",
+			      book->leaving || book->reported_leaving);
+	g_variant_dict_insert(&dict, "health", "s",
+			      health_state_name(book->health.state));
+	g_variant_builder_add_value(list, g_variant_dict_end(&dict));
 }
 
 /* What the placement holds, for the dump of a node. */
 GVariant *placement_dump(const struct placement *placement,
 			 G_GNUC_UNUSED int64_t now_us)
 {
+	const struct placement_counts *counts = &placement->counts;
+	GVariantBuilder list;
 	GVariantDict dict;
 
+	g_variant_builder_init(&list, G_VARIANT_TYPE("aa{sv}"));
+	for (guint i = 0; i < placement->books->len; i++)
+		dump_book(&list, g_ptr_array_index(placement->books, i));
 	g_variant_dict_init(&dict, NULL);
-	g_variant_dict_insert(
-		&dict, "waiting", "u",
-		g_queue_get_length((GQueue *)&placement->waiting));
-	g_variant_dict_insert(&dict, "endpoints", "u",
-			      g_hash_table_size(placement->endpoints));
+	g_variant_dict_insert(&dict, "waiting", "u",
+			      placement_waiting(placement));
+	g_variant_dict_insert(&dict, "placed", "t", counts->placed);
+	g_variant_dict_insert(&dict, "refused", "t", counts->refused);
+	g_variant_dict_insert(&dict, "put_aside", "t", counts->put_aside);
+	g_variant_dict_insert(&dict, "reports_older", "t",
+			      counts->reports_older);
+	g_variant_dict_insert(&dict, "reports_absurd", "t",
+			      counts->reports_absurd);
+	g_variant_dict_insert(&dict, "unknown", "t", counts->unknown);
+	g_variant_dict_insert(&dict, "deviations", "d", placement->deviations);
+	g_variant_dict_insert(&dict, "length_shift", "d",
+			      length_estimate_shift(placement->lengths));
+	g_variant_dict_insert_value(&dict, "endpoints",
+				    g_variant_builder_end(&list));
 	return g_variant_dict_end(&dict);
 }
--- a/core/placement.h
+++ b/core/placement.h
@@ -30,6 +30,11 @@
 	uint64_t seed;
 	int32_t max_waiting;
 	int64_t step_us; /* token interval an engine may reach; 28,000 */
+
+	/* Zero: the default, chosen on the policy bench. */
+	double deviations;   /* kept free; negative: by preemptions seen */
+	double shared;	     /* deviation of the common factor of lengths */
+	double least_chance; /* of meeting a deadline, to be let in */
 };
 
 struct placement_request {
@@ -43,6 +48,7 @@
 	uint64_t prefix_hash;
 	uint64_t avoid_hash;
 	int64_t true_tokens;
+	int64_t concurrent_tokens; /* organisation's limit here; 0: none */
 };
 
 enum placement_verdict { PLACEMENT_PLACED, PLACEMENT_REFUSED };
@@ -88,6 +94,20 @@
 void placement_prefix_cached(struct placement *placement, const char *address,
 			     uint64_t prefix_hash, bool cached);
 
+/* What was counted, for tests, benches and the dump. */
+struct placement_counts {
+	uint64_t placed;
+	uint64_t refused;
+	uint64_t reports_taken;
+	uint64_t reports_older;
+	uint64_t reports_absurd;
+	uint64_t unknown; /* tickets and addresses not known here */
+	uint64_t put_aside;
+};
+
+const struct placement_counts *
+placement_counts(const struct placement *placement);
+uint32_t placement_waiting(const struct placement *placement);
 void placement_step(struct placement *placement, int64_t now_us,
 		    GArray *decisions);
 int64_t placement_next_due_us(const struct placement *placement);
--- /dev/null
+++ b/core/wait_queue.h
@@ -0,0 +1,64 @@
+#ifndef CORE_WAIT_QUEUE_H
+#define CORE_WAIT_QUEUE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * Requests that wait, by organisation. Within one the order is by the latest
+ * useful start; between organisations by priority, which rises with waiting,
+ * then by tokens taken so far per weight (start-time fair queueing, Goyal et
+ * al., 1997). Short requests have a lane of their own, so that they are not
+ * held up behind long ones that do not fit.
+ */
+enum queue_lane { QUEUE_SHORT, QUEUE_LONG, QUEUE_LANES };
+
+struct queue_organisation {
+	char *name;
+	int32_t weight;
+	double taken; /* tokens per weight: virtual time */
+	GSequence *lanes[QUEUE_LANES];
+	uint32_t waiting;
+	double waiting_tokens;
+	double held_tokens; /* of what was placed and has not ended */
+};
+
+/* Embedded in what waits. */
+struct queue_entry {
+	struct queue_organisation *organisation;
+	enum queue_lane lane;
+	int32_t priority;
+	int64_t arrival_us;
+	int64_t start_by_us; /* latest useful start */
+	double tokens;	     /* expected cost */
+	GSequenceIter *iter; /* NULL: not in the queue */
+};
+
+struct wait_queue;
+
+struct wait_queue *wait_queue_create(void);
+void wait_queue_destroy(struct wait_queue *queue);
+struct queue_organisation *wait_queue_organisation(struct wait_queue *queue,
+						   const char *name,
+						   int32_t weight);
+void wait_queue_push(struct wait_queue *queue, struct queue_entry *entry);
+void wait_queue_remove(struct wait_queue *queue, struct queue_entry *entry);
+void wait_queue_charge(struct wait_queue *queue,
+		       struct queue_organisation *organisation, double tokens,
+		       bool served);
+uint32_t wait_queue_heads(struct wait_queue *queue, enum queue_lane lane,
+			  int64_t now_us, struct queue_entry **heads,
+			  uint32_t max_heads);
+struct queue_entry *wait_queue_excess(const struct wait_queue *queue);
+double wait_queue_ahead(const struct wait_queue *queue,
+			const struct queue_entry *entry);
+uint32_t wait_queue_length(const struct wait_queue *queue);
+void wait_queue_foreach(struct wait_queue *queue, GFunc visit, gpointer data);
+GPtrArray *wait_queue_organisations(struct wait_queue *queue);
+
+G_END_DECLS
+
+#endif
