--- a/bench/world.c
+++ b/bench/world.c
@@ -42,7 +42,8 @@
 	world->endpoint_count = options->engine_count + options->plain_count;
 	world->party_count = options->node_count + world->endpoint_count + 1;
 	world->cut = g_new0(bool, world->party_count * world->party_count);
-	world->next_call = 1;
+	world->roots = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+	g_array_set_size(world->roots, 1);
 	world->callers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, world_caller_destroy);
 	world->kv = kv_model_create();
@@ -60,6 +61,7 @@
 	event_queue_destroy(world->queue);
 	world_nodes_destroy(world);
 	g_hash_table_unref(world->callers);
+	g_array_unref(world->roots);
 	world_endpoints_destroy(world);
 	g_ptr_array_unref(world->watches);
 	kv_model_destroy(world->kv);
--- a/bench/world.h
+++ b/bench/world.h
@@ -56,7 +56,7 @@
 	uint64_t number; /* from 1 on */
 	int32_t endpoint;
 	int32_t node;  /* that sent it */
-	uint64_t call; /* of that node: as world_call named it, or forwarded */
+	uint64_t call; /* as world_call named it */
 	struct request *request;
 	int64_t at_us;
 	int64_t tokens; /* made */
--- a/bench/world_call.c
+++ b/bench/world_call.c
@@ -51,7 +51,8 @@
 {
 	struct world_caller *caller = g_new0(struct world_caller, 1);
 
-	caller->call = world->next_call++;
+	caller->call = world->roots->len;
+	g_array_append_val(world->roots, caller->call);
 	caller->node = node;
 	caller->incarnation = world->nodes[node].incarnation;
 	g_queue_init(&caller->answers);
@@ -232,6 +233,8 @@
 	request->prefix_hash = from->prefix_hash;
 	request->true_tokens = from->true_tokens;
 	caller->origin = world_attempt_ref(attempt);
+	g_array_index(world->roots, uint64_t, caller->call) =
+		g_array_index(world->roots, uint64_t, attempt->call);
 	delivery->type = EVENT_CALL;
 	delivery->request = request;
 	caller_connect(world, caller, delivery);
--- a/bench/world_endpoint.c
+++ b/bench/world_endpoint.c
@@ -201,7 +201,7 @@
 	run->number = world->runs->len + 1;
 	run->endpoint = attempt->endpoint;
 	run->node = attempt->node;
-	run->call = attempt->call;
+	run->call = g_array_index(world->roots, uint64_t, attempt->call);
 	run->request = request_ref(attempt->request);
 	run->at_us = world->now_us;
 	g_ptr_array_add(world->runs, run);
@@ -495,9 +495,13 @@
 	struct world_endpoint *endpoint = &world->endpoints[index];
 
 	endpoint->leaving = in_report;
-	endpoint->leaving_vm = in_vm_list;
+	endpoint->leaving_vm_us =
+		in_vm_list ? world->now_us + world->options.vm_list_lag_us
+			   : INT64_MAX;
 	for (int32_t i = 0; i < world->options.node_count; i++)
-		world_node_vm_list(world, i);
+		world_node_vm_list(world, i,
+				   world->now_us +
+					   world->options.vm_list_lag_us);
 }
 
 bool world_endpoint_alive(const struct world *world, int32_t index)
@@ -552,6 +556,7 @@
 		endpoint->is_engine = i < world->options.engine_count;
 		endpoint->alive = true;
 		endpoint->wake_us = INT64_MAX;
+		endpoint->leaving_vm_us = INT64_MAX;
 		endpoint->open =
 			g_ptr_array_new_with_free_func(world_attempt_unref);
 		engine.seed = world->options.seed * 1000 + i;
--- a/bench/world_node.c
+++ b/bench/world_node.c
@@ -207,7 +207,10 @@
 	node->node = node_create(&options);
 	node_start(node->node, world->now_us, world->actions);
 	node_apply_all(world, index, world->actions);
-	world_node_vm_list(world, index);
+	world_node_vm_list(
+		world, index,
+		world->now_us +
+			world_delay_us(world, world->options.kv_delay_us));
 }
 
 static void held_destroy(gpointer data)
@@ -309,7 +312,8 @@
 
 	for (int32_t i = 0; i < world->endpoint_count; i++) {
 		vms[i].address = world->endpoints[i].address;
-		vms[i].leaving = world->endpoints[i].leaving_vm;
+		vms[i].leaving =
+			world->endpoints[i].leaving_vm_us <= world->now_us;
 	}
 	event.vm_list.vms = vms;
 	event.vm_list.vm_count = (size_t)world->endpoint_count;
@@ -317,13 +321,12 @@
 	g_free(vms);
 }
 
-/* Tells a node the VM list, late. */
-void world_node_vm_list(struct world *world, int32_t index)
+/* Has a node read the VM list at this time. */
+void world_node_vm_list(struct world *world, int32_t index, int64_t at_us)
 {
 	if (world->nodes[index].node)
-		world_post_node(
-			world, world->now_us + world->options.vm_list_lag_us,
-			index, vm_list_arrive, &world->nodes[index], NULL);
+		world_post_node(world, at_us, index, vm_list_arrive,
+				&world->nodes[index], NULL);
 }
 
 /* Names, addresses and a first process for each node. */
--- a/bench/world_state.h
+++ b/bench/world_state.h
@@ -47,8 +47,8 @@
 	char *address;
 	bool is_engine;
 	bool alive;
-	bool leaving;	 /* in its load report */
-	bool leaving_vm; /* in the VM list */
+	bool leaving;	       /* in its load report */
+	int64_t leaving_vm_us; /* from when on the VM list says so */
 	int64_t stalled_until_us;
 	struct engine_model *model; /* engines */
 	int64_t wake_us;	    /* of the wake-up in the queue */
@@ -98,7 +98,7 @@
 	int32_t party_count;
 	bool *cut; /* party_count squared: from, to */
 
-	uint64_t next_call;
+	GArray *roots; /* uint64_t by call: the caller's own, if forwarded */
 	GHashTable *callers; /* call: struct world_caller */
 	GPtrArray *runs;
 	GHashTable *streams; /* number of the run: struct world_stream */
@@ -124,7 +124,7 @@
 void world_nodes_destroy(struct world *world);
 void world_node_step(struct world *world, int32_t node,
 		     const struct event *event);
-void world_node_vm_list(struct world *world, int32_t node);
+void world_node_vm_list(struct world *world, int32_t node, int64_t at_us);
 
 /* world_call.c */
 uint64_t world_forward(struct world *world, struct world_attempt *attempt);
