--- a/adapters/peer_link.c
+++ b/adapters/peer_link.c
@@ -100,7 +100,6 @@
 	struct error error;
 	GBytes *record;
 
-	counters_add(link->options.counters, COUNTER_PEER_RECEIVED, 1);
 	if ((int64_t)zmq_msg_size(frame) > link->options.max_record_bytes) {
 		error_set(&error, ERROR_TOO_LARGE, STEP_RECEIVE, peer,
 			  "record of %zu bytes", zmq_msg_size(frame));
@@ -149,7 +148,6 @@
 	identity_only = !zmq_msg_more(&frame) ||
 			zmq_msg_recv(&frame, link->router, ZMQ_DONTWAIT) < 0;
 	if (identity_only || zmq_msg_more(&frame)) {
-		counters_add(link->options.counters, COUNTER_PEER_RECEIVED, 1);
 		error_set(&error, ERROR_INVALID, STEP_RECEIVE,
 			  zmq_msg_gets(&frame, "Peer-Address"),
 			  "not one frame");
@@ -398,7 +396,6 @@
 	record = peer_codec_encode(send->message);
 	data = g_bytes_get_data(record, &size);
 	if (zmq_send(outlet->socket, data, size, ZMQ_DONTWAIT) >= 0) {
-		counters_add(link->options.counters, COUNTER_PEER_SENT, 1);
 		counters_add(link->options.counters, COUNTER_PEER_BYTES_SENT,
 			     size);
 		outlet->full = false;
--- /dev/null
+++ b/core/member_table.h
@@ -0,0 +1,71 @@
+#ifndef CORE_MEMBER_TABLE_H
+#define CORE_MEMBER_TABLE_H
+
+#include "ports/peer_message.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * The members a node knows, itself included: all of its own region, and a
+ * bounded number of each other region. Keeps what is still to be spread and
+ * which incarnations have been replaced.
+ */
+
+#define MEMBER_TABLE_PER_REGION 6
+
+/* What is known of one node, and how. */
+struct peer {
+	struct member *member;
+	int64_t added_us;
+	int64_t changed_us; /* when it got its state */
+	uint64_t change;    /* number of its last change, rising */
+	int32_t spread_left;
+	bool accused; /* this node itself got no answer */
+	bool local;   /* the state is this node's own opinion, not spread */
+	bool left;    /* it said itself that it leaves */
+};
+
+struct member_table;
+
+struct member_table *member_table_create(const struct member *self);
+void member_table_destroy(struct member_table *table);
+
+struct peer *member_table_self(const struct member_table *table);
+struct peer *member_table_find(const struct member_table *table,
+			       const char *name);
+struct peer *member_table_find_address(const struct member_table *table,
+				       const char *peer_address);
+struct peer *member_table_add(struct member_table *table,
+			      const struct member *member, int64_t now_us);
+void member_table_remove(struct member_table *table, struct peer *peer);
+void member_table_replace(struct member_table *table, struct peer *peer,
+			  const struct member *member, int64_t now_us);
+void member_table_set_state(struct member_table *table, struct peer *peer,
+			    enum member_state state, int64_t now_us);
+void member_table_spread(struct member_table *table, struct peer *peer);
+
+void member_table_supersede(struct member_table *table, uint64_t incarnation,
+			    int64_t until_us);
+bool member_table_is_superseded(const struct member_table *table,
+				uint64_t incarnation);
+void member_table_forget(struct member_table *table, int64_t before_us,
+			 int64_t now_us);
+
+/* All but the dead, sorted by name; struct member, not owned. */
+const GPtrArray *member_table_view(const struct member_table *table);
+/* All, in no order; struct peer, not owned. */
+const GPtrArray *member_table_all(const struct member_table *table);
+bool member_table_is_near(const struct member_table *table,
+			  const struct peer *peer);
+uint64_t member_table_epoch(const struct member_table *table);
+
+void member_table_collect_changes(struct member_table *table, size_t max,
+				  GPtrArray *members);
+
+G_END_DECLS
+
+#endif
