--- a/adapters/http_call.c
+++ b/adapters/http_call.c
@@ -1,6 +1,7 @@
 #include "adapters/http_call.h"
 
 #include "adapters/http_collect.h"
+#include "adapters/http_listener.h"
 #include "adapters/http_stream.h"
 
 #include <string.h>
@@ -35,6 +36,17 @@
 	call->flow(call->data, call->number, full);
 }
 
+/* Lets libsoup find the closed socket, so that it drops the message. */
+static void call_abandon(struct http_call *call)
+{
+	if (!call->begun)
+		soup_server_message_set_status(
+			call->message, SOUP_STATUS_INTERNAL_SERVER_ERROR, NULL);
+	soup_message_body_complete(
+		soup_server_message_get_response_body(call->message));
+	soup_server_message_unpause(call->message);
+}
+
 /*
  * libsoup does not look at the socket of a paused message, so a caller that
  * closes while it waits would go unnoticed and its request would run on. An
@@ -63,13 +75,14 @@
 	if (got > 0)
 		return G_SOURCE_REMOVE;
 	g_socket_shutdown(socket, TRUE, TRUE, NULL);
+	call_abandon(call);
 	call->gone(call->data, call->number);
 	return G_SOURCE_REMOVE;
 }
 
 static void call_watch_socket(struct http_call *call)
 {
-	GSocket *socket = soup_server_message_get_socket(call->message);
+	GSocket *socket = http_listener_socket(call->message);
 
 	if (!socket)
 		return;
--- a/adapters/http_listener.c
+++ b/adapters/http_listener.c
@@ -15,10 +15,15 @@
 #define REFUSED_TIMEOUT_S 1
 #define CONNECTION_KEY "siskinlink-connection"
 
-/* Lives as long as its socket. */
+/*
+ * Lives as long as its socket. libsoup names the socket of a message only
+ * where it accepted the connection itself, but it hands back the very address
+ * it was given: the connection is found by that.
+ */
 struct connection {
 	struct http_listener *listener; /* NULL once that is gone */
 	GSocket *socket;		/* not referenced */
+	GSocketAddress *remote;
 	int32_t exchange_count;
 	int64_t moved_at_us;
 };
@@ -28,7 +33,8 @@
 	char *address;
 	int64_t max_connections;
 	int32_t send_buffer_bytes;
-	void (*accept)(void *data, GSocketConnection *connection);
+	void (*accept)(void *data, GSocketConnection *connection,
+		       GSocketAddress *local, GSocketAddress *remote);
 	void *data;
 	GHashTable *connections; /* struct connection, as a set */
 	GHashTable *refused;	 /* GSocketConnection, as a set */
@@ -42,15 +48,29 @@
 	if (connection->listener)
 		g_hash_table_remove(connection->listener->connections,
 				    connection);
+	g_object_set_data(G_OBJECT(connection->remote), CONNECTION_KEY, NULL);
+	g_object_unref(connection->remote);
 	g_free(connection);
 }
 
-static void listener_add(struct http_listener *listener, GSocket *socket)
+static GSocketAddress *address_copy(GSocketAddress *address)
+{
+	GInetSocketAddress *inet = G_INET_SOCKET_ADDRESS(address);
+
+	return g_inet_socket_address_new(
+		g_inet_socket_address_get_address(inet),
+		g_inet_socket_address_get_port(inet));
+}
+
+static void listener_add(struct http_listener *listener, GSocket *socket,
+			 GSocketAddress *remote)
 {
 	struct connection *connection = g_new0(struct connection, 1);
 
 	connection->listener = listener;
 	connection->socket = socket;
+	connection->remote = g_object_ref(remote);
+	g_object_set_data(G_OBJECT(remote), CONNECTION_KEY, connection);
 	connection->moved_at_us = g_get_monotonic_time();
 	g_hash_table_add(listener->connections, connection);
 	g_object_set_data_full(G_OBJECT(socket), CONNECTION_KEY, connection,
@@ -98,6 +118,25 @@
 		g_object_ref(connection));
 }
 
+static void listener_take(struct http_listener *listener,
+			  GSocketConnection *connection)
+{
+	GSocket *socket = g_socket_connection_get_socket(connection);
+	GSocketAddress *local = g_socket_get_local_address(socket, NULL);
+	GSocketAddress *peer = g_socket_get_remote_address(socket, NULL);
+	GSocketAddress *remote;
+
+	/* A connection that is gone already has no addresses any more. */
+	if (local && peer) {
+		remote = address_copy(peer);
+		listener_add(listener, socket, remote);
+		listener->accept(listener->data, connection, local, remote);
+		g_object_unref(remote);
+	}
+	g_clear_object(&local);
+	g_clear_object(&peer);
+}
+
 static gboolean listener_incoming(GSocketService *service,
 				  GSocketConnection *connection,
 				  GObject *source, gpointer data)
@@ -116,8 +155,7 @@
 	if (listener->send_buffer_bytes > 0)
 		g_socket_set_option(socket, SOL_SOCKET, SO_SNDBUF,
 				    listener->send_buffer_bytes, NULL);
-	listener_add(listener, socket);
-	listener->accept(listener->data, connection);
+	listener_take(listener, connection);
 	return TRUE;
 }
 
@@ -266,10 +304,18 @@
 	return listener->address;
 }
 
-static void connection_move(GSocket *socket, int32_t exchanges)
+static struct connection *connection_of(SoupServerMessage *message)
+{
+	GSocketAddress *remote =
+		soup_server_message_get_remote_address(message);
+
+	return remote ? g_object_get_data(G_OBJECT(remote), CONNECTION_KEY)
+		      : NULL;
+}
+
+static void connection_move(SoupServerMessage *message, int32_t exchanges)
 {
-	struct connection *connection =
-		g_object_get_data(G_OBJECT(socket), CONNECTION_KEY);
+	struct connection *connection = connection_of(message);
 
 	if (!connection)
 		return;
@@ -278,19 +324,27 @@
 }
 
 /* An exchange starts: the connection stays open until it has ended. */
-void http_listener_begin(GSocket *socket)
+void http_listener_begin(SoupServerMessage *message)
 {
-	connection_move(socket, 1);
+	connection_move(message, 1);
 }
 
 /* Bytes have come: the connection is not idle. */
-void http_listener_touch(GSocket *socket)
+void http_listener_touch(SoupServerMessage *message)
 {
-	connection_move(socket, 0);
+	connection_move(message, 0);
 }
 
 /* An exchange has ended; the connection may be closed when it stays idle. */
-void http_listener_end(GSocket *socket)
+void http_listener_end(SoupServerMessage *message)
 {
-	connection_move(socket, -1);
+	connection_move(message, -1);
+}
+
+/* The socket that a message came by; NULL where it is closed. */
+GSocket *http_listener_socket(SoupServerMessage *message)
+{
+	struct connection *connection = connection_of(message);
+
+	return connection ? connection->socket : NULL;
 }
--- a/adapters/http_listener.h
+++ b/adapters/http_listener.h
@@ -5,6 +5,7 @@
 
 #include <gio/gio.h>
 #include <glib.h>
+#include <libsoup/soup.h>
 #include <stdint.h>
 
 G_BEGIN_DECLS
@@ -17,7 +18,8 @@
 	const char *address; /* host:port; port 0 takes a free one */
 	int64_t max_connections;
 	int32_t send_buffer_bytes; /* kernel's buffer of one connection */
-	void (*accept)(void *data, GSocketConnection *connection);
+	void (*accept)(void *data, GSocketConnection *connection,
+		       GSocketAddress *local, GSocketAddress *remote);
 	void *data;
 };
 
@@ -29,10 +31,14 @@
 void http_listener_destroy(struct http_listener *listener);
 const char *http_listener_address(const struct http_listener *listener);
 
-/* An exchange on this socket starts, moves or ends; busy ones stay open. */
-void http_listener_begin(GSocket *socket);
-void http_listener_touch(GSocket *socket);
-void http_listener_end(GSocket *socket);
+/*
+ * An exchange starts, moves or ends on the connection that its message came
+ * by; one with open exchanges is not closed as idle.
+ */
+void http_listener_begin(SoupServerMessage *message);
+void http_listener_touch(SoupServerMessage *message);
+void http_listener_end(SoupServerMessage *message);
+GSocket *http_listener_socket(SoupServerMessage *message);
 
 G_END_DECLS
 
--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -333,9 +333,6 @@
 
 	soup_message_body_set_accumulate(body, FALSE);
 	soup_message_body_truncate(body);
-	soup_message_headers_replace(
-		soup_server_message_get_response_headers(message), "Connection",
-		"close");
 	server_refuse(upload->server, message, problem);
 }
 
@@ -348,13 +345,12 @@
 {
 	struct upload *upload = data;
 	int64_t most = upload->server->max_body_bytes;
-	GSocket *socket = soup_server_message_get_socket(message);
+	GSocket *socket = http_listener_socket(message);
 	struct http_problem problem =
 		http_problem_of(REFUSAL_TOO_LARGE, RUN_NO, 0, "the body");
 
 	upload->bytes += (int64_t)g_bytes_get_size(chunk);
-	if (socket)
-		http_listener_touch(socket);
+	http_listener_touch(message);
 	if (upload->bytes <= most)
 		return;
 	if (!soup_server_message_get_status(message))
@@ -366,11 +362,23 @@
 static void upload_finished(SoupServerMessage *message, gpointer data)
 {
 	struct upload *upload = data;
-	GSocket *socket = soup_server_message_get_socket(message);
 
 	upload->server->open_exchanges--;
-	if (socket)
-		http_listener_end(socket);
+	http_listener_end(message);
+}
+
+/*
+ * One exchange for each connection. libsoup's server keeps the socket of an
+ * idle connection for good after its caller has closed it, so that the
+ * connections allowed would run out. Said in the answer, the caller does not
+ * send its next request into a connection that is about to close, where it
+ * could not tell whether the request ran.
+ */
+static void message_close_after(SoupServerMessage *message)
+{
+	soup_message_headers_replace(
+		soup_server_message_get_response_headers(message), "Connection",
+		"close");
 }
 
 /* Headers are read: limits first, before any byte of the body is kept. */
@@ -382,7 +390,6 @@
 	SoupMessageHeaders *headers =
 		soup_server_message_get_request_headers(message);
 	struct upload *upload = g_new0(struct upload, 1);
-	GSocket *socket = soup_server_message_get_socket(message);
 	struct http_problem problem =
 		http_problem_of(REFUSAL_TOO_LARGE, RUN_NO, 0, "the body");
 
@@ -396,8 +403,8 @@
 	g_signal_connect(message, "finished", G_CALLBACK(upload_finished),
 			 upload);
 	server->open_exchanges++;
-	if (socket)
-		http_listener_begin(socket);
+	http_listener_begin(message);
+	message_close_after(message);
 	if (http_request_header_bytes(message) > server->max_header_bytes)
 		upload_refuse(upload, message, &http_problem_header);
 	else if (soup_message_headers_get_encoding(headers) ==
@@ -407,12 +414,13 @@
 		upload_refuse(upload, message, &problem);
 }
 
-static void server_accept(void *data, GSocketConnection *connection)
+static void server_accept(void *data, GSocketConnection *connection,
+			  GSocketAddress *local, GSocketAddress *remote)
 {
 	struct http_server *server = data;
 
-	soup_server_accept_iostream(server->soup, G_IO_STREAM(connection), NULL,
-				    NULL, NULL);
+	soup_server_accept_iostream(server->soup, G_IO_STREAM(connection),
+				    local, remote, NULL);
 }
 
 /* Listens at once; NULL with the reason where the address cannot be had. */
@@ -441,7 +449,8 @@
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 				      (GDestroyNotify)http_call_destroy);
 	server->gone = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	server->soup = soup_server_new("server-header", "siskinlink", NULL);
+	server->soup = soup_server_new("server-header", "siskinlink",
+				       "raw-paths", TRUE, NULL);
 	soup_server_add_early_handler(server->soup, NULL, server_handle_early,
 				      server, NULL);
 	soup_server_add_handler(server->soup, NULL, server_handle, server,
