--- /dev/null
+++ b/bench/membership_bench.c
@@ -0,0 +1,209 @@
+#include "bench/member_network.h"
+
+#include <math.h>
+#include <popt.h>
+#include <stdio.h>
+#include <time.h>
+
+#define SECOND_US G_USEC_PER_SEC
+#define LIMIT_US (60 * SECOND_US)
+
+struct figures {
+	double join_s;	 /* all started at once until all know each other */
+	double detect_s; /* a node ends until one calls it dead */
+	double spread_s; /* until all of its region do */
+	double leave_s; /* a node says it leaves until all of its region know */
+	double replace_s;   /* a new incarnation until all of its region know */
+	double bytes_per_s; /* sent by a node, idle */
+	double messages_per_s;
+	double cpu_percent; /* of one core, per node, with its codec */
+	double false_deaths;
+};
+
+static double process_seconds(void)
+{
+	struct timespec time;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+	return (double)time.tv_sec + (double)time.tv_nsec / 1e9;
+}
+
+static uint32_t count_knowing(const struct member_network *network,
+			      const struct member_network_options *options,
+			      uint32_t node, enum member_state state)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = node % options->regions; i < options->nodes;
+	     i += options->regions) {
+		if (i != node && member_network_knows(network, i, node, state))
+			count++;
+	}
+	return count;
+}
+
+/* Seconds until so many nodes of its region know the node in this state. */
+static double run_until_known(struct member_network *network,
+			      const struct member_network_options *options,
+			      uint32_t node, enum member_state state,
+			      uint32_t wanted)
+{
+	int64_t start_us = member_network_now_us(network);
+	int64_t now_us = start_us;
+
+	while (now_us < start_us + LIMIT_US &&
+	       count_knowing(network, options, node, state) < wanted) {
+		now_us += 10000;
+		member_network_run(network, now_us);
+	}
+	return (double)(now_us - start_us) / SECOND_US;
+}
+
+static double run_until_converged(struct member_network *network)
+{
+	int64_t start_us = member_network_now_us(network);
+	int64_t now_us = start_us;
+
+	while (now_us < start_us + LIMIT_US &&
+	       !member_network_has_converged(network)) {
+		now_us += 50000;
+		member_network_run(network, now_us);
+	}
+	return (double)(now_us - start_us) / SECOND_US;
+}
+
+static void measure_idle(struct member_network *network,
+			 const struct member_network_options *options,
+			 struct figures *figures)
+{
+	const struct member_network_totals *totals =
+		member_network_totals(network);
+	int64_t seconds = 20;
+	struct member_network_totals before = *totals;
+	double start = process_seconds();
+	double node_seconds = (double)seconds * options->nodes;
+
+	member_network_run(network, member_network_now_us(network) +
+					    seconds * SECOND_US);
+	figures->cpu_percent = 100 * (process_seconds() - start) / node_seconds;
+	figures->bytes_per_s =
+		(double)(totals->bytes - before.bytes) / node_seconds;
+	figures->messages_per_s =
+		(double)(totals->messages - before.messages) / node_seconds;
+}
+
+static void measure(const struct member_network_options *options,
+		    struct figures *figures)
+{
+	struct member_network *network = member_network_create(options);
+	uint32_t others =
+		(options->nodes + options->regions - 1) / options->regions - 1;
+	uint32_t victim = options->nodes - options->regions;
+
+	for (uint32_t i = 0; i < options->nodes; i++)
+		member_network_start(network, i);
+	figures->join_s = run_until_converged(network);
+	member_network_run(network,
+			   member_network_now_us(network) + 10 * SECOND_US);
+	measure_idle(network, options, figures);
+	member_network_stop(network, victim);
+	figures->detect_s =
+		run_until_known(network, options, victim, MEMBER_DEAD, 1);
+	figures->spread_s =
+		figures->detect_s +
+		run_until_known(network, options, victim, MEMBER_DEAD, others);
+	member_network_start(network, victim);
+	figures->replace_s =
+		run_until_known(network, options, victim, MEMBER_LIVE, others);
+	member_network_leave(network, victim);
+	figures->leave_s = run_until_known(network, options, victim,
+					   MEMBER_LEAVING, others);
+	figures->false_deaths =
+		(double)member_network_totals(network)->false_deaths;
+	member_network_destroy(network);
+}
+
+static void print_row(const struct member_network_options *options,
+		      const struct figures *figures)
+{
+	printf("%6u %8u %8.2f %8.2f %8.2f %8.2f %8.2f %9.0f %7.1f %8.4f "
+	       "%6.0f\n",
+	       options->nodes, options->regions, figures->join_s,
+	       figures->detect_s, figures->spread_s, figures->replace_s,
+	       figures->leave_s, figures->bytes_per_s, figures->messages_per_s,
+	       figures->cpu_percent, figures->false_deaths);
+}
+
+/* Least squares of y over x: what one more node of the region costs. */
+static void print_slope(const char *name, const double *x, const double *y,
+			int count)
+{
+	double sx = 0, sy = 0, sxx = 0, sxy = 0, slope;
+
+	for (int i = 0; i < count; i++) {
+		sx += x[i];
+		sy += y[i];
+		sxx += x[i] * x[i];
+		sxy += x[i] * y[i];
+	}
+	slope = (count * sxy - sx * sy) / (count * sxx - sx * sx);
+	printf("%s: %.4f + %.6f per %s\n", name, (sy - slope * sx) / count,
+	       slope, "unit");
+}
+
+static const struct {
+	uint32_t nodes;
+	uint32_t regions;
+} sizes[] = {{8, 1},  {16, 1}, {24, 1},	 {48, 1},
+	     {96, 1}, {96, 2}, {240, 5}, {480, 10}};
+
+int main(int argc, char **argv)
+{
+	struct member_network_options options;
+	double loss = 0;
+	int seed = 1, heartbeat_ms = 200;
+	struct poptOption table[] = {
+		{"loss", 0, POPT_ARG_DOUBLE, &loss, 0, "chance of loss", "P"},
+		{"seed", 0, POPT_ARG_INT, &seed, 0, "random seed", "N"},
+		{"heartbeat-ms", 0, POPT_ARG_INT, &heartbeat_ms, 0,
+		 "between probes; suspicion is five times that", "MS"},
+		POPT_AUTOHELP POPT_TABLEEND};
+	poptContext context =
+		poptGetContext(NULL, argc, (const char **)argv, table, 0);
+	double region_size[G_N_ELEMENTS(sizes)], bytes[G_N_ELEMENTS(sizes)];
+	double spread[G_N_ELEMENTS(sizes)], log_size[G_N_ELEMENTS(sizes)];
+	int rows = G_N_ELEMENTS(sizes);
+
+	if (poptGetNextOpt(context) != -1) {
+		poptPrintUsage(context, stderr, 0);
+		return 2;
+	}
+	poptFreeContext(context);
+	member_network_options_default(&options);
+	options.loss = loss;
+	options.seed = (uint32_t)seed;
+	options.heartbeat_us = heartbeat_ms * 1000;
+	options.suspect_us = 5 * options.heartbeat_us;
+	printf("heartbeat %d ms, suspicion %d ms, loss %.2f; times in s\n",
+	       heartbeat_ms, 5 * heartbeat_ms, loss);
+	printf("%6s %8s %8s %8s %8s %8s %8s %9s %7s %8s %6s\n", "nodes",
+	       "regions", "join", "detect", "spread", "replace", "leave",
+	       "bytes/s", "msg/s", "cpu%", "false");
+	for (int i = 0; i < rows; i++) {
+		struct figures figures = {0};
+
+		options.nodes = sizes[i].nodes;
+		options.regions = sizes[i].regions;
+		measure(&options, &figures);
+		print_row(&options, &figures);
+		region_size[i] = (double)options.nodes / options.regions;
+		log_size[i] = log2(region_size[i]);
+		bytes[i] = figures.bytes_per_s;
+		spread[i] = figures.spread_s;
+	}
+	print_slope("bytes/s over nodes of the region", region_size, bytes,
+		    rows);
+	print_slope("spread s over log2 of nodes of the region", log_size,
+		    spread, rows);
+	return 0;
+}
--- a/core/member_table.c
+++ b/core/member_table.c
@@ -145,25 +145,36 @@
 	return oldest;
 }
 
-static bool member_table_has_room(struct member_table *table,
-				  const struct member *member)
+/* Whether fewer than enough members of a region other than the own one live. */
+bool member_table_wants(const struct member_table *table, const char *region)
+{
+	guint count = 0;
+
+	if (strcmp(region, table->self->member->region) == 0)
+		return true;
+	for (guint i = 0; i < table->all->len; i++) {
+		const struct peer *peer = g_ptr_array_index(table->all, i);
+
+		count += peer->member->state != MEMBER_DEAD &&
+			 strcmp(peer->member->region, region) == 0;
+	}
+	return count < MEMBER_TABLE_PER_REGION;
+}
+
+/* Keeps the table bounded whatever is heard; the oldest dead make room. */
+static bool member_table_make_room(struct member_table *table,
+				   const struct member *member)
 {
 	bool near = strcmp(member->region, table->self->member->region) == 0;
-	guint total = 0, same_region = 0;
 	struct peer *oldest;
+	guint count = 0;
 
 	for (guint i = 0; i < table->all->len; i++) {
 		const struct peer *peer = g_ptr_array_index(table->all, i);
 
-		if (member_table_is_near(table, peer) == near)
-			total++;
-		if (peer->member->state != MEMBER_DEAD &&
-		    strcmp(peer->member->region, member->region) == 0)
-			same_region++;
+		count += member_table_is_near(table, peer) == near;
 	}
-	if (!near && same_region >= MEMBER_TABLE_PER_REGION)
-		return false;
-	if (total < (near ? MAX_NEAR : MAX_FAR))
+	if (count < (near ? MAX_NEAR : MAX_FAR))
 		return true;
 	oldest = member_table_oldest_dead(table, near);
 	if (oldest)
@@ -178,7 +189,8 @@
 struct peer *member_table_add(struct member_table *table,
 			      const struct member *member, int64_t now_us)
 {
-	if (!member_table_has_room(table, member))
+	if (!member_table_wants(table, member->region) ||
+	    !member_table_make_room(table, member))
 		return NULL;
 	return member_table_insert(table, member, now_us);
 }
@@ -305,6 +317,19 @@
 	return table->epoch;
 }
 
+/* How many records are still to be spread. */
+size_t member_table_count_changes(const struct member_table *table)
+{
+	size_t count = 0;
+
+	for (guint i = 0; i < table->all->len; i++) {
+		const struct peer *peer = g_ptr_array_index(table->all, i);
+
+		count += peer != table->self && peer->spread_left > 0;
+	}
+	return count;
+}
+
 static bool peer_goes_before(const struct peer *a, const struct peer *b)
 {
 	if (a->spread_left != b->spread_left)
--- a/core/member_table.h
+++ b/core/member_table.h
@@ -39,6 +39,7 @@
 			       const char *name);
 struct peer *member_table_find_address(const struct member_table *table,
 				       const char *peer_address);
+bool member_table_wants(const struct member_table *table, const char *region);
 struct peer *member_table_add(struct member_table *table,
 			      const struct member *member, int64_t now_us);
 void member_table_remove(struct member_table *table, struct peer *peer);
@@ -63,6 +64,7 @@
 			  const struct peer *peer);
 uint64_t member_table_epoch(const struct member_table *table);
 
+size_t member_table_count_changes(const struct member_table *table);
 void member_table_collect_changes(struct member_table *table, size_t max,
 				  GPtrArray *members);
 
--- a/core/membership.c
+++ b/core/membership.c
@@ -5,7 +5,8 @@
 #include <string.h>
 
 #define GOSSIP_MEMBERS 6
-#define GOSSIP_FAR 2 /* of these, where a receiver knows little */
+#define GOSSIP_BURST 15 /* where much has changed at once */
+#define GOSSIP_FAR 2	/* of these, where a receiver knows little */
 #define MAX_GOSSIP_TAKEN 32
 #define HELPERS 3
 #define FAR_PROBE_ONE_IN 8
@@ -215,13 +216,16 @@
 				  const struct peer *to, GPtrArray *members)
 {
 	size_t extra = membership_extra_count(membership, to);
+	size_t backlog = member_table_count_changes(membership->table);
 	const char *except = to ? to->member->name : NULL;
 	GPtrArray *picked = g_ptr_array_new();
 
 	if (to && !peer_is_answering(to))
 		member_list_add(members, to);
-	member_table_collect_changes(membership->table, GOSSIP_MEMBERS,
-				     members);
+	member_table_collect_changes(
+		membership->table,
+		backlog > 2 * GOSSIP_MEMBERS ? GOSSIP_BURST : GOSSIP_MEMBERS,
+		members);
 	if (members->len + GOSSIP_FAR < extra)
 		membership_pick(membership, extra - members->len - GOSSIP_FAR,
 				true, except, picked);
@@ -424,10 +428,14 @@
 static void membership_log_dead(struct membership *membership,
 				const struct peer *peer, const char *by)
 {
+	char incarnation[24];
+
+	g_snprintf(incarnation, sizeof(incarnation),
+		   "%016" G_GINT64_MODIFIER "x", peer->member->incarnation);
 	action_list_log(membership->actions, LOG_LEVEL_WARN, "member_dead",
-			"member", peer->member->name, "address",
-			peer->member->peer_address, "region",
-			peer->member->region, "by", by, NULL);
+			"member", peer->member->name, "incarnation",
+			incarnation, "address", peer->member->peer_address,
+			"region", peer->member->region, "by", by, NULL);
 }
 
 static void membership_check_suspects(struct membership *membership)
@@ -918,6 +926,17 @@
 	}
 }
 
+/*
+ * Members of another region that were lost may have been replaced by others
+ * meanwhile; all of them coming back would be too many.
+ */
+static bool membership_wants_back(const struct membership *membership,
+				  const struct peer *peer)
+{
+	return peer->member->state != MEMBER_DEAD ||
+	       member_table_wants(membership->table, peer->member->region);
+}
+
 /* The sender's record of itself in its message, or NULL. */
 static const struct member *
 membership_self_record(const struct peer_message *message)
@@ -950,7 +969,7 @@
 	*replaced = member_table_is_superseded(membership->table,
 					       message->incarnation) &&
 		    peer && peer->member->state != MEMBER_DEAD;
-	if (*replaced)
+	if (*replaced || (peer && !membership_wants_back(membership, peer)))
 		return NULL;
 	if (!peer)
 		return record ? membership_meet(membership, record) : NULL;
@@ -1042,6 +1061,8 @@
 		membership_hear_of_unknown(membership, record);
 		return;
 	}
+	if (!membership_wants_back(membership, peer))
+		return;
 	if (peer->member->incarnation != record->incarnation ||
 	    (peer->local && !accusing && peer->member->state == MEMBER_DEAD)) {
 		if (record->state != MEMBER_DEAD)
