--- a/core/placement_choose.c
+++ b/core/placement_choose.c
@@ -1,5 +1,7 @@
 #include "core/placement_state.h"
 
+#include <math.h>
+
 /*
  * Which endpoint takes a request, and which are kept out of the choice: those
  * that leave, cannot be reached, or were put aside.
@@ -163,12 +165,16 @@
 	       placement->options.step_us;
 }
 
+/*
+ * On a share of an engine the margin shrinks with its root: what the shares
+ * hold together varies by less than the sum of their deviations.
+ */
 static double placement_peak(const struct placement *placement,
 			     const struct endpoint_book *book,
 			     const struct placed_call *call, int64_t now_us)
 {
 	struct admission_margin margin = {
-		.deviations = placement->deviations,
+		.deviations = placement->deviations / sqrt(placement->divisor),
 		.shared = placement->options.shared,
 	};
 
