--- a/bench/direct.c
+++ b/bench/direct.c
@@ -65,11 +65,11 @@
 	int64_t now_us;
 };
 
-static double thread_us(void)
+static double clock_us(void)
 {
 	struct timespec time;
 
-	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+	clock_gettime(CLOCK_MONOTONIC, &time);
 	return (double)time.tv_sec * 1e6 + (double)time.tv_nsec / 1e3;
 }
 
@@ -184,13 +184,13 @@
 		.avoid_hash = call->avoid_hash,
 		.true_tokens = item->output_tokens,
 	};
-	double from_us = thread_us();
+	double from_us = clock_us();
 
 	call->flow.attempts++;
 	request.ticket = call_ticket(direct, call);
 	placement_submit(call_placement(direct, call), &request,
 			 direct->now_us);
-	direct->measure.decision_us += thread_us() - from_us;
+	direct->measure.decision_us += clock_us() - from_us;
 	direct->measure.decisions++;
 }
 
@@ -234,13 +234,13 @@
 static void direct_release(struct direct *direct, struct direct_call *call,
 			   enum release_outcome outcome)
 {
-	double from_us = thread_us();
+	double from_us = clock_us();
 
 	call->live = false;
 	placement_release(call_placement(direct, call),
 			  call_ticket(direct, call), outcome, call->flow.tokens,
 			  direct->now_us);
-	direct->measure.decision_us += thread_us() - from_us;
+	direct->measure.decision_us += clock_us() - from_us;
 }
 
 static void direct_send(struct direct *direct, struct direct_call *call,
@@ -320,12 +320,12 @@
 static void direct_step_placement(struct direct *direct,
 				  struct placement *placement)
 {
-	double from_us = thread_us();
+	double from_us = clock_us();
 	GArray *decisions;
 
 	g_array_set_size(direct->decisions, 0);
 	placement_step(placement, direct->now_us, direct->decisions);
-	direct->measure.decision_us += thread_us() - from_us;
+	direct->measure.decision_us += clock_us() - from_us;
 	if (direct->decisions->len == 0)
 		return;
 	decisions = direct->decisions;
@@ -389,7 +389,7 @@
 /* An eighth of the nodes' calls each time: nodes do not report in step. */
 static void direct_report_progress(struct direct *direct)
 {
-	double from_us = thread_us();
+	double from_us = clock_us();
 
 	for (guint i = 0; i < direct->live->len;) {
 		guint index = g_array_index(direct->live, guint, i);
@@ -405,7 +405,7 @@
 					   call->flow.tokens, direct->now_us);
 		i++;
 	}
-	direct->measure.decision_us += thread_us() - from_us;
+	direct->measure.decision_us += clock_us() - from_us;
 	direct->progress_node = (direct->progress_node + 1) % NODES;
 	direct->next_progress_us += PROGRESS_US / NODES;
 }
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -41,9 +41,9 @@
 	double load;
 	double burst;
 	double shift; /* of lengths in mid-run; 0: none */
-	bool shift_keeps_load;
 	double flood; /* of the first organisation's rate; 0: none */
 	enum fault fault;
+	bool shift_keeps_load;
 };
 
 #define SCENARIO_MID_US (150 * G_USEC_PER_SEC)
--- a/bench/workload.c
+++ b/bench/workload.c
@@ -2,7 +2,8 @@
 
 #include <math.h>
 
-#define NOMINAL_INTERVAL_US 18000.0
+/* Between tokens of an engine that is full and reads no prompt. */
+#define NOMINAL_INTERVAL_US 14400.0
 #define NOMINAL_PREFILL_US 80.0
 #define LONGEST_TOKENS 8192
 #define SAMPLES 20000
@@ -99,6 +100,7 @@
 {
 	const struct shape *shape = &shapes[item->kind];
 	double median = shape->output_median;
+	int32_t template;
 
 	if (item->kind == WORKLOAD_REPORT)
 		median *= verbosity[item->organisation] * shift;
@@ -111,9 +113,10 @@
 	if (item->kind == WORKLOAD_PLAIN)
 		return;
 	item->output_tokens = CLAMP(item->output_tokens, 1, LONGEST_TOKENS);
-	item->prefix_hash = (uint64_t)(1 + item->organisation * TEMPLATES * 2 +
-				       item->kind * TEMPLATES +
-				       g_rand_int_range(rand, 0, TEMPLATES));
+	template = 1 + item->organisation *TEMPLATES * 2 +
+		   (int32_t)item->kind *TEMPLATES +
+		   g_rand_int_range(rand, 0, TEMPLATES);
+	item->prefix_hash = (uint64_t) template;
 	item->prefix_tokens = MIN(TEMPLATE_TOKENS, item->prompt_tokens / 2);
 }
 
