--- a/bench/measure.c
+++ b/bench/measure.c
@@ -26,6 +26,7 @@
 	[FIGURE_REFUSED_PERCENT] = "refused_pct",
 	[FIGURE_BROKEN_PER_1000] = "broken_per_1000",
 	[FIGURE_FAIRNESS] = "fairness",
+	[FIGURE_CHECK_FIRST_P99_MS] = "check_first_p99_ms",
 	[FIGURE_CHECK_WAIT_P99_MS] = "check_wait_p99_ms",
 	[FIGURE_PLAIN_WAIT_P99_MS] = "plain_wait_p99_ms",
 	[FIGURE_REPORT_WAIT_P99_MS] = "report_wait_p99_ms",
@@ -112,6 +113,9 @@
 	histogram_add(&measure->first_token,
 		      flow->first_us - flow->item->at_us);
 	histogram_add(&measure->stall, flow->stall_us);
+	if (flow->item->kind == WORKLOAD_CHECK)
+		histogram_add(&measure->check_first,
+			      flow->first_us - flow->item->at_us);
 }
 
 /* Counts a request that has ended, or is still open when the run ends. */
@@ -248,6 +252,8 @@
 		histogram_quantile(&measure->intervals, 0.999) / 1000;
 	figures[FIGURE_FIRST_P95_MS] =
 		histogram_quantile(&measure->first_token, 0.95) / 1000;
+	figures[FIGURE_CHECK_FIRST_P99_MS] =
+		histogram_quantile(&measure->check_first, 0.99) / 1000;
 	figures[FIGURE_GOOD_TOKENS_PER_S] =
 		(double)measure->good_tokens / window_s;
 	for (int32_t kind = 0; kind < WORKLOAD_KINDS; kind++)
--- a/bench/measure.h
+++ b/bench/measure.h
@@ -32,6 +32,7 @@
 	int64_t until_us;
 	struct histogram intervals;
 	struct histogram first_token;
+	struct histogram check_first;
 	struct histogram stall;
 	struct histogram wait[WORKLOAD_KINDS];
 	int64_t requests[WORKLOAD_KINDS];
@@ -76,6 +77,7 @@
 	FIGURE_REFUSED_PERCENT,
 	FIGURE_BROKEN_PER_1000,
 	FIGURE_FAIRNESS,
+	FIGURE_CHECK_FIRST_P99_MS,
 	FIGURE_CHECK_WAIT_P99_MS,
 	FIGURE_PLAIN_WAIT_P99_MS,
 	FIGURE_REPORT_WAIT_P99_MS,
--- a/bench/policy_bench.c
+++ b/bench/policy_bench.c
@@ -1,5 +1,6 @@
 #include "bench/direct.h"
 #include "bench/measure.h"
+#include "bench/nodes.h"
 #include "bench/scenario.h"
 
 #include <popt.h>
@@ -22,6 +23,7 @@
 	int seeds;
 	int seed_from;
 	int threads;
+	int direct;
 	char *policy;
 	char *workload;
 	char *csv;
@@ -41,6 +43,7 @@
 	FIGURE_GOOD_TOKENS_PER_S,
 	FIGURE_REFUSED_PERCENT,
 	FIGURE_FAIRNESS,
+	FIGURE_CHECK_FIRST_P99_MS,
 	FIGURE_CHECK_WAIT_P99_MS,
 	FIGURE_PLAIN_WAIT_P99_MS,
 	FIGURE_REPORT_WAIT_P99_MS,
@@ -62,6 +65,7 @@
 	[FIGURE_GOOD_TOKENS_PER_S] = "goodput",
 	[FIGURE_REFUSED_PERCENT] = "refused",
 	[FIGURE_FAIRNESS] = "fair",
+	[FIGURE_CHECK_FIRST_P99_MS] = "chk_f99",
 	[FIGURE_CHECK_WAIT_P99_MS] = "chk_w99",
 	[FIGURE_PLAIN_WAIT_P99_MS] = "pln_w99",
 	[FIGURE_REPORT_WAIT_P99_MS] = "rep_w99",
@@ -82,10 +86,15 @@
 	return found;
 }
 
-static void run_one(gpointer data, G_GNUC_UNUSED gpointer user)
+static void run_one(gpointer data, gpointer user)
 {
+	const struct bench_options *options = user;
 	struct bench_run *run = data;
 
+	if (!options->direct) {
+		nodes_run(run->scenario, run->policy, run->seed, run->figures);
+		return;
+	}
 	direct_run(run->scenario, run->policy, run->seed, run->figures);
 }
 
@@ -117,8 +126,8 @@
 
 static void bench_execute(const struct bench_options *options, GArray *runs)
 {
-	GThreadPool *pool =
-		g_thread_pool_new(run_one, NULL, options->threads, TRUE, NULL);
+	GThreadPool *pool = g_thread_pool_new(run_one, (gpointer)options,
+					      options->threads, TRUE, NULL);
 
 	for (guint i = 0; i < runs->len; i++)
 		g_thread_pool_push(
@@ -230,6 +239,8 @@
 		 "first seed", "N"},
 		{"threads", 0, POPT_ARG_INT, &options->threads, 0,
 		 "runs at once", "N"},
+		{"direct", 0, POPT_ARG_NONE, &options->direct, 0,
+		 "the placement alone, without nodes around it", NULL},
 		{"policy", 0, POPT_ARG_STRING, &options->policy, 0,
 		 "only these: naive,shares,previous,project,oracle", "LIST"},
 		{"workload", 0, POPT_ARG_STRING, &options->workload, 0,
