Confirming plans with a settled outcome

A confirmation is one compare-and-swap at the plan's base. When its answer is lost the same is written again: only one of the writes finds the base, and the conflict shows in the document's history whether the plan took effect, which a read before a late write could not tell.

The history keeps the last 32 confirmations inside the document, so that who confirmed what needs no second write. The key-value client no longer counts the calls that the core counts.

--- a/adapters/bounded_request.c
+++ b/adapters/bounded_request.c
@@ -185,11 +185,11 @@
 
 /*
  * Starts a request; done is called once, never from inside this function,
- * unless the call is cancelled before. fresh_connection is for requests that
- * must not be sent twice: on a kept connection that the server has just closed
- * the library may send a request again by itself, and a write that was applied
- * the first time would then be answered as a conflict with itself. On a
- * connection of its own a request is sent once.
+ * unless the request is cancelled before. fresh_connection is for writes. On a
+ * kept connection a write can be sent just as the server closes it, and is
+ * then in doubt although nothing is wrong; and where the server is gone, only
+ * a refused connection proves that nothing was sent. The library sends again
+ * by itself only what it holds to be idempotent, which a POST is not.
  */
 struct bounded_request *
 bounded_request_start(SoupSession *session,
--- a/adapters/kv_client.c
+++ b/adapters/kv_client.c
@@ -40,12 +40,6 @@
 	g_free(call);
 }
 
-static void count(struct kv_client *client, enum counter id)
-{
-	if (client->counters)
-		counters_add(client->counters, id, 1);
-}
-
 /* An entry in base64 takes 4/3 of its bytes; a list may hold many small ones.
  */
 static size_t max_answer_bytes(const struct kv_client *client)
@@ -108,9 +102,6 @@
 	answer->outcome = kv_outcome_of_failure(&call->request, result);
 	if (answer->outcome == KV_NOT_FOUND)
 		return;
-	count(client, COUNTER_KV_FAILED);
-	if (answer->outcome == KV_ANSWER_LOST && op_writes(answer->op))
-		count(client, COUNTER_KV_LOST);
 	if (client->log)
 		log_write_error(client->log, LOG_LEVEL_WARN, "kv_call_failed",
 				error);
@@ -154,7 +145,6 @@
 		.peer = client->address,
 	};
 
-	count(client, COUNTER_KV_CALLS);
 	call->client = client;
 	call->request = *request;
 	call->request.key = NULL;
--- a/adapters/kv_client.h
+++ b/adapters/kv_client.h
@@ -24,7 +24,7 @@
 	int64_t watch_check_ms; /* a watched key is read so often; 0: 10 s */
 	uint64_t seed;		/* jitter */
 	struct log *log;
-	struct counters *counters;
+	struct counters *counters; /* of watches; the core counts its calls */
 };
 
 struct kv_client;
--- a/codec/config_json.c
+++ b/codec/config_json.c
@@ -212,9 +212,12 @@
 			      struct error *error)
 {
 	static const char *const names[] = {"base_revision", "plan_id",
-					    "confirmed_by", "summary", NULL};
+					    "confirmed_by",  "confirmed_s",
+					    "summary",	     NULL};
+	struct config_confirmation *confirmation;
 	struct json_fields fields;
 	int64_t base_revision;
+	int64_t confirmed_s;
 	const char *plan_id;
 	const char *confirmed_by;
 	const char *summary;
@@ -225,14 +228,16 @@
 	json_fields_allow(&fields, names);
 	base_revision =
 		json_fields_int(&fields, "base_revision", 0, G_MAXINT64, 0);
+	confirmed_s = json_fields_int(&fields, "confirmed_s", 0, G_MAXINT64, 0);
 	plan_id = json_fields_string(&fields, "plan_id", 0, MAX_NAME_BYTES);
 	confirmed_by =
 		json_fields_string(&fields, "confirmed_by", 0, MAX_NAME_BYTES);
 	summary = json_fields_string(&fields, "summary", 0, MAX_SUMMARY_BYTES);
 	if (fields.failed)
 		return false;
-	config_add_confirmation(config, base_revision, plan_id, confirmed_by,
-				summary);
+	confirmation = config_add_confirmation(config, base_revision, plan_id,
+					       confirmed_by, summary);
+	confirmation->confirmed_s = confirmed_s;
 	return true;
 }
 
@@ -497,6 +502,7 @@
 			0);
 		add_string(builder, "plan_id", confirmation->plan_id);
 		add_string(builder, "confirmed_by", confirmation->confirmed_by);
+		add_int(builder, "confirmed_s", confirmation->confirmed_s, 0);
 		add_string(builder, "summary", confirmation->summary);
 		json_builder_end_object(builder);
 	}
--- a/core/config.c
+++ b/core/config.c
@@ -127,9 +127,11 @@
  * Appends who confirmed what on which revision. The oldest entries go when
  * there are more than CONFIG_HISTORY_MAX.
  */
-void config_add_confirmation(struct config *config, int64_t base_revision,
-			     const char *plan_id, const char *confirmed_by,
-			     const char *summary)
+struct config_confirmation *config_add_confirmation(struct config *config,
+						    int64_t base_revision,
+						    const char *plan_id,
+						    const char *confirmed_by,
+						    const char *summary)
 {
 	struct config_confirmation *confirmation =
 		g_new0(struct config_confirmation, 1);
@@ -141,6 +143,54 @@
 	g_ptr_array_add(config->history, confirmation);
 	if (config->history->len > CONFIG_HISTORY_MAX)
 		g_ptr_array_remove_index(config->history, 0);
+	return confirmation;
+}
+
+/*
+ * The revision that confirmation i of the history led to: the next one was
+ * confirmed on it.
+ */
+int64_t config_confirmation_revision(const struct config *config, guint i)
+{
+	const struct config_confirmation *next;
+
+	if (i + 1 >= config->history->len)
+		return config->revision;
+	next = g_ptr_array_index(config->history, i + 1);
+	return next->base_revision;
+}
+
+/*
+ * Whether a plan made on base_revision took effect, and at which revision.
+ * Each confirmation is a compare-and-swap at its base, so a plan that the
+ * history of a later document leaves out never will. Unknown where the
+ * document is not later, or where its history no longer reaches that far back.
+ */
+enum plan_effect config_find_plan(const struct config *config,
+				  const char *plan_id, int64_t base_revision,
+				  int64_t *revision)
+{
+	const struct config_confirmation *oldest = NULL;
+
+	if (!config)
+		return PLAN_EFFECT_UNKNOWN;
+	for (guint i = 0; i < config->history->len; i++) {
+		const struct config_confirmation *confirmation =
+			g_ptr_array_index(config->history, i);
+
+		if (!oldest)
+			oldest = confirmation;
+		if (strcmp(confirmation->plan_id, plan_id) != 0)
+			continue;
+		*revision = config_confirmation_revision(config, i);
+		return PLAN_EFFECT_YES;
+	}
+	if (base_revision < 0 || config->revision <= base_revision)
+		return PLAN_EFFECT_UNKNOWN;
+	if (config->history->len < CONFIG_HISTORY_MAX ||
+	    oldest->base_revision <= base_revision)
+		return PLAN_EFFECT_NO;
+	return PLAN_EFFECT_UNKNOWN;
 }
 
 /* Adds a key to a set; if it is there already, names both of its owners. */
--- a/core/config.h
+++ b/core/config.h
@@ -46,9 +46,13 @@
 	int64_t base_revision; /* it was confirmed on */
 	char *plan_id;
 	char *confirmed_by;
+	int64_t confirmed_s; /* by the confirming node's clock */
 	char *summary;
 };
 
+/* Whether a plan took effect, as far as a configuration can tell. */
+enum plan_effect { PLAN_EFFECT_UNKNOWN, PLAN_EFFECT_NO, PLAN_EFFECT_YES };
+
 enum { CONFIG_HISTORY_MAX = 32 };
 
 struct config {
@@ -73,9 +77,15 @@
 struct config_organisation *config_add_organisation(struct config *config,
 						    const char *name);
 
-void config_add_confirmation(struct config *config, int64_t base_revision,
-			     const char *plan_id, const char *confirmed_by,
-			     const char *summary);
+struct config_confirmation *config_add_confirmation(struct config *config,
+						    int64_t base_revision,
+						    const char *plan_id,
+						    const char *confirmed_by,
+						    const char *summary);
+enum plan_effect config_find_plan(const struct config *config,
+				  const char *plan_id, int64_t base_revision,
+				  int64_t *revision);
+int64_t config_confirmation_revision(const struct config *config, guint i);
 bool config_check(const struct config *config, const char *step,
 		  struct error *error);
 
--- a/core/plan.c
+++ b/core/plan.c
@@ -563,27 +563,56 @@
 }
 
 /* The result carries its own confirmation as the last of the history. */
-static void plan_sign_result(struct plan *plan, const struct config *base)
+static void plan_add_history(struct plan *plan, const struct config *base)
 {
 	char *summary = plan_summarise(plan);
 
 	g_free(plan->result->plan_id);
-	g_free(plan->result->confirmed_by);
 	plan->result->plan_id = g_strdup(plan->id);
-	plan->result->confirmed_by = g_strdup(plan->operator_name);
 	for (guint i = 0; i < base->history->len; i++) {
 		const struct config_confirmation *earlier =
 			g_ptr_array_index(base->history, i);
 
 		config_add_confirmation(plan->result, earlier->base_revision,
 					earlier->plan_id, earlier->confirmed_by,
-					earlier->summary);
+					earlier->summary)
+			->confirmed_s = earlier->confirmed_s;
 	}
 	config_add_confirmation(plan->result, base->revision, plan->id,
 				plan->operator_name, summary);
 	g_free(summary);
 }
 
+/* Makes the document say who confirms it and when. */
+void plan_sign(struct plan *plan, const char *confirmed_by, int64_t now_us)
+{
+	GPtrArray *history = plan->result->history;
+	struct config_confirmation *own =
+		g_ptr_array_index(history, history->len - 1);
+
+	g_free(plan->result->confirmed_by);
+	g_free(own->confirmed_by);
+	plan->result->confirmed_by = g_strdup(confirmed_by);
+	own->confirmed_by = g_strdup(confirmed_by);
+	own->confirmed_s = now_us / G_USEC_PER_SEC;
+	g_clear_pointer(&plan->document, g_bytes_unref);
+	plan->document = config_json_format(plan->result);
+}
+
+/*
+ * Reads the document as every node will. One that they refuse, such as one
+ * over the size that the service holds, must fail here: once written, it would
+ * keep all nodes at the configuration before it.
+ */
+static bool plan_check_document(const struct plan *plan, struct error *error)
+{
+	struct config *config = config_json_parse(
+		plan->document, plan->base_revision + 1, error);
+
+	config_unref(config);
+	return config != NULL;
+}
+
 static bool plan_merge(struct plan *plan, const struct config *base,
 		       const struct intent *intent, struct error *error)
 {
@@ -596,14 +625,9 @@
 	add_service_differences(plan, base);
 	add_organisation_differences(plan, base);
 	add_warnings(plan, base);
-	plan_sign_result(plan, base);
-	plan->document = config_json_format(plan->result);
-	if (g_bytes_get_size(plan->document) <= CONFIG_JSON_MAX_BYTES)
-		return true;
-	error_set(error, ERROR_TOO_LARGE, "plan.create", "",
-		  "the configuration would have %zu bytes, at most %d allowed",
-		  g_bytes_get_size(plan->document), CONFIG_JSON_MAX_BYTES);
-	return false;
+	plan_add_history(plan, base);
+	plan_sign(plan, plan->operator_name, plan->created_us);
+	return plan_check_document(plan, error);
 }
 
 /*
--- a/core/plan.h
+++ b/core/plan.h
@@ -43,6 +43,7 @@
 			 const char *id, const char *operator_name,
 			 int64_t now_us, struct error *error);
 void plan_destroy(struct plan *plan);
+void plan_sign(struct plan *plan, const char *confirmed_by, int64_t now_us);
 GBytes *plan_format_json(const struct plan *plan);
 
 G_END_DECLS
--- /dev/null
+++ b/core/plan_answer.h
@@ -0,0 +1,49 @@
+#ifndef CORE_PLAN_ANSWER_H
+#define CORE_PLAN_ANSWER_H
+
+#include "core/config.h"
+#include "core/error.h"
+#include "ports/action.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/* What operators are told of plans and confirmations, in JSON. */
+
+enum plan_answer_code {
+	PLAN_ANSWER_DONE,
+	PLAN_ANSWER_CONFLICT,	  /* another plan was confirmed on its base */
+	PLAN_ANSWER_STALE,	  /* kept too long before it was confirmed */
+	PLAN_ANSWER_UNKNOWN_PLAN, /* not, or not any more, at this node */
+	PLAN_ANSWER_ELSEWHERE,	  /* made by another node */
+	PLAN_ANSWER_UNREACHABLE,  /* nothing was written: confirm again */
+	PLAN_ANSWER_IN_DOUBT,	  /* written or not: ask again */
+	PLAN_ANSWER_BUSY	  /* too many confirmers wait for it */
+};
+
+struct plan_answer {
+	enum plan_answer_code code;
+	enum plan_effect effect;
+	const char *plan_id;
+	const char *node;	  /* elsewhere: who made it */
+	const char *confirmed_by; /* done */
+	int64_t revision;	  /* done */
+	int64_t current_revision; /* else, of the configuration; 0: unknown */
+	int64_t retry_after_us;
+};
+
+void plan_answer_send(const struct plan_answer *answer, uint64_t call,
+		      struct action_list *actions);
+void plan_answer_send_json(uint64_t call, int32_t status, GBytes *body,
+			   struct action_list *actions);
+void plan_answer_send_error(uint64_t call, const struct error *error,
+			    struct action_list *actions);
+GBytes *plan_answer_format_history(const struct config *config);
+const char *plan_effect_name(enum plan_effect effect);
+const char *plan_answer_code_name(enum plan_answer_code code);
+
+G_END_DECLS
+
+#endif
--- a/fakes/kv_server.c
+++ b/fakes/kv_server.c
@@ -1,7 +1,5 @@
 #include "fakes/kv_server.h"
 
-#include "fakes/kv_gateway.h"
-
 #include <string.h>
 
 enum { MODE_COUNT = 7 };
@@ -352,3 +350,9 @@
 {
 	return &server->modes;
 }
+
+/* How often a call has come, answered or not. */
+uint64_t kv_server_count(const struct kv_server *server, enum kv_call call)
+{
+	return server->counts[call];
+}
--- a/fakes/kv_server.h
+++ b/fakes/kv_server.h
@@ -2,6 +2,7 @@
 #define FAKES_KV_SERVER_H
 
 #include "fakes/fake_server.h"
+#include "fakes/kv_gateway.h"
 #include "fakes/kv_model.h"
 
 #include <glib.h>
@@ -30,6 +31,7 @@
 void kv_server_destroy(struct kv_server *server);
 struct kv_model *kv_server_model(struct kv_server *server);
 struct kv_server_modes *kv_server_modes(struct kv_server *server);
+uint64_t kv_server_count(const struct kv_server *server, enum kv_call call);
 void kv_server_changed(struct kv_server *server);
 
 G_END_DECLS
--- a/tests/kv_client_test.cc
+++ b/tests/kv_client_test.cc
@@ -258,8 +258,8 @@
 /*
  * The service applies a write and the connection closes before its answer. The
  * caller sees "answer lost", neither success nor failure, and learns from a
- * read that its value stands. The call before leaves a connection to reuse: on
- * that one the library could send the write again, so the count must be one.
+ * read that its value stands. Were the write sent again below, it would be
+ * answered as a conflict with itself, so the service must see it once.
  */
 TEST_F(KvClient, AnswerLostAfterApplyingIsNotSentAgain)
 {
@@ -272,8 +272,7 @@
 	EXPECT_EQ(KV_ANSWER_LOST, call(KV_CAS, "mine", 0).outcome);
 	EXPECT_EQ(2, kv_model_revision(model));
 	EXPECT_EQ("mine", call(KV_GET).value);
-	EXPECT_EQ(1u, counters.value[COUNTER_KV_LOST]);
-	EXPECT_EQ(3u, counters.value[COUNTER_KV_CALLS]);
+	EXPECT_EQ(1u, kv_server_count(server, KV_CALL_TXN));
 }
 
 /*
