--- a/tests/node_script.cc
+++ b/tests/node_script.cc
@@ -43,11 +43,11 @@
 
 class script
 {
-public:
+      public:
 	std::string run(const std::string &text);
 	~script();
 
-private:
+      private:
 	int64_t now_us = start_us;
 	std::map<std::string, std::unique_ptr<script_node>> nodes;
 	std::deque<record> records;
@@ -65,6 +65,7 @@
 	void set_config(std::istringstream &in);
 	void send_call(script_node &node, std::istringstream &in);
 	void answer_kv(script_node &node, const std::string &outcome);
+	void show_home(script_node &node, const std::string &service);
 	void report_load(script_node &node, std::istringstream &in);
 	void report_vms(script_node &node, std::istringstream &in);
 	void wait(int64_t us);
@@ -107,8 +108,7 @@
 {
 	auto item = found.find(key);
 
-	return g_strdup(item == found.end() ? otherwise :
-					      item->second.c_str());
+	return g_strdup(item == found.end() ? otherwise : item->second.c_str());
 }
 
 void script::add_node(std::istringstream &in)
@@ -199,10 +199,10 @@
 
 	in >> id >> kind;
 	words found = read_words(in);
-	struct request *request = request_create(
-		kind == "plain"	 ? REQUEST_PLAIN :
-		kind == "resume" ? REQUEST_RESUME :
-				   REQUEST_GENERATION);
+	struct request *request =
+		request_create(kind == "plain"	  ? REQUEST_PLAIN
+			       : kind == "resume" ? REQUEST_RESUME
+						  : REQUEST_GENERATION);
 	std::string body = found.count("body") ? found["body"] : "body";
 
 	g_bytes_unref(request->body);
@@ -240,6 +240,7 @@
 		{"not_found", KV_NOT_FOUND},
 		{"not_applied", KV_NOT_APPLIED},
 		{"lost", KV_ANSWER_LOST},
+		{"applied_lost", KV_ANSWER_LOST},
 	};
 	struct kv_answer answer = {};
 	struct event event = {};
@@ -252,21 +253,21 @@
 	node.kv_open.pop_front();
 	std::string key = node.kv_keys[answer.id];
 
-	answer.op = key.empty()			 ? KV_LEASE_GRANT :
-		    node.kv_values.count(answer.id) ? KV_CAS :
-						      KV_GET;
+	answer.op = key.empty()			      ? KV_LEASE_GRANT
+		    : node.kv_values.count(answer.id) ? KV_CAS
+						      : KV_GET;
 	answer.outcome = outcomes.at(outcome);
 	answer.lease = 77;
 	auto found = stored.find(key);
-	if (answer.op == KV_CAS && answer.outcome == KV_OK) {
+	if (answer.op == KV_CAS &&
+	    (outcome == "ok" || outcome == "applied_lost")) {
 		gsize size = 0;
 		const void *data =
 			g_bytes_get_data(node.kv_values[answer.id], &size);
 
 		stored[key] = {std::string((const char *)data, size)};
 	} else if (found != stored.end() && answer.op != KV_LEASE_GRANT &&
-		   (answer.outcome == KV_OK ||
-		    answer.outcome == KV_CONFLICT)) {
+		   (answer.outcome == KV_OK || answer.outcome == KV_CONFLICT)) {
 		const std::string &value = found->second[0];
 		GBytes *bytes = g_bytes_new(value.data(), value.size());
 
@@ -311,6 +312,26 @@
 	step(node, event);
 }
 
+void script::show_home(script_node &node, const std::string &service)
+{
+	GVariant *dump = g_variant_ref_sink(node_dump(node.node, now_us));
+	GVariant *shards = g_variant_lookup_value(dump, "shards", nullptr);
+
+	for (gsize i = 0; i < g_variant_n_children(shards); i++) {
+		GVariant *shard = g_variant_get_child_value(shards, i);
+		const char *name = nullptr;
+		const char *home = nullptr;
+
+		g_variant_lookup(shard, "service", "&s", &name);
+		g_variant_lookup(shard, "home", "&s", &home);
+		if (service == name)
+			out << "  -> " << home << "\n";
+		g_variant_unref(shard);
+	}
+	g_variant_unref(shards);
+	g_variant_unref(dump);
+}
+
 bool script::answer_attempt(const std::string &verb, script_node &node,
 			    std::istringstream &in)
 {
@@ -335,8 +356,7 @@
 		event.chunk.attempt = attempt;
 		in >> event.chunk.first_token >> event.chunk.token_count;
 		word = "t" + std::to_string(event.chunk.first_token);
-		event.chunk.data = data =
-			g_bytes_new(word.data(), word.size());
+		event.chunk.data = data = g_bytes_new(word.data(), word.size());
 	} else if (verb == "done") {
 		event.type = EVENT_ATTEMPT_DONE;
 		event.done.attempt = attempt;
@@ -391,6 +411,9 @@
 
 	if (verb == "call") {
 		send_call(node, in);
+	} else if (verb == "home") {
+		in >> name;
+		show_home(node, name);
 	} else if (verb == "kv") {
 		in >> name;
 		answer_kv(node, name);
@@ -537,8 +560,8 @@
 		break;
 	case ACTION_CALL_END:
 		to << "end " << action.end.call << " "
-		   << (action.end.refusal ? refusal_code(action.end.refusal) :
-					    "whole")
+		   << (action.end.refusal ? refusal_code(action.end.refusal)
+					  : "whole")
 		   << " run=" << run_name(action.end.run)
 		   << " tokens=" << action.end.token_count;
 		break;
@@ -566,14 +589,13 @@
 		    strcmp(action.kv.key, "/siskinlink/config") == 0)
 			return;
 		node.kv_open.push_back(action.kv.id);
-		node.kv_keys[action.kv.id] =
-			action.kv.key ? action.kv.key : "";
+		node.kv_keys[action.kv.id] = action.kv.key ? action.kv.key : "";
 		if (action.kv.value)
 			node.kv_values[action.kv.id] =
 				g_bytes_ref(action.kv.value);
-		to << (action.kv.op == KV_CAS ? "kv create" :
-		       action.kv.op == KV_GET ? "kv read" :
-						"kv lease");
+		to << (action.kv.op == KV_CAS	? "kv create"
+		       : action.kv.op == KV_GET ? "kv read"
+						: "kv lease");
 		break;
 	case ACTION_STOPPED:
 		to << "stopped";
