Placement: a returning endpoint gets another trial when the last told nothing

Cause: a request let through on trial that was cancelled, or withdrawn with its node, counted neither as success nor as failure, and the round was used up. The endpoint stayed in return for ever; a service with one endpoint left its callers waiting without end (found by the differential test).

Change: an endpoint that holds nothing while its round is used up starts the round again.

--- a/core/endpoint_health.c
+++ b/core/endpoint_health.c
@@ -86,6 +86,17 @@
 	return health->polls_lost >= LOST_POLLS;
 }
 
+/*
+ * Nothing is left at the endpoint and the round is used up: its requests ended
+ * by their callers' doing and told nothing. Without another round the endpoint
+ * would never get work again, and its callers would wait for ever.
+ */
+void endpoint_health_report_idle(struct endpoint_health *health)
+{
+	if (health->state == HEALTH_RETURNING && health->trial_left == 0)
+		health->trial_left = health->trial;
+}
+
 /* Whether one request more may go there now. */
 bool endpoint_health_allows(const struct endpoint_health *health)
 {
--- a/core/endpoint_health.h
+++ b/core/endpoint_health.h
@@ -34,6 +34,7 @@
 				 int64_t now_us);
 void endpoint_health_put_aside(struct endpoint_health *health, int64_t now_us);
 void endpoint_health_step(struct endpoint_health *health, int64_t now_us);
+void endpoint_health_report_idle(struct endpoint_health *health);
 bool endpoint_health_is_unreachable(const struct endpoint_health *health);
 bool endpoint_health_allows(const struct endpoint_health *health);
 void endpoint_health_count_placed(struct endpoint_health *health);
--- a/core/placement_choose.c
+++ b/core/placement_choose.c
@@ -133,6 +133,8 @@
 			g_ptr_array_index(placement->books, i);
 
 		endpoint_health_step(&book->health, now_us);
+		if (!book->calls->len)
+			endpoint_health_report_idle(&book->health);
 		if (compare && book->health.state == HEALTH_GOOD &&
 		    book_is_outlier(book, median_us, now_us))
 			placement_suspect(placement, book, now_us);
