Node: a call that waited at a former home is placed again

Cause: a home that stops being home drops its tickets, but calls waiting there were placed again only when that node had died. Ending a call while walking the list of calls could also free one still in the list; the walk goes by number now.

Change: a waiting call remembers its shard and is placed again whenever that shard's home is another node.

--- a/core/node_place.c
+++ b/core/node_place.c
@@ -159,6 +159,7 @@
 		return;
 	}
 	call_new_ticket(node, call);
+	call->shard = shard->index;
 	if (node->options.placement == NODE_PLACEMENT_SHARES || !shard->home)
 		call_place_by_share(node, call);
 	else
@@ -341,30 +342,66 @@
 	shard->dirty = true;
 }
 
+/*
+ * Whether a call waits at a node that is not home of its shard now. One that
+ * stopped being home has dropped its tickets, this node's own included, and
+ * nobody would ever answer.
+ */
+static bool call_waits_at_former_home(struct node *node,
+				      const struct call *call)
+{
+	const struct shard *shard;
+
+	if (call->state != CALL_PLACING || !call->home || !*call->home)
+		return false;
+	shard = node_shard_find(node, call->request->service, call->shard);
+	return !shard || g_strcmp0(shard->home, call->home) != 0;
+}
+
+static void call_rehome(struct node *node, struct call *call)
+{
+	struct shard *shard = call_shard(node, call);
+
+	if (call_waits_at_former_home(node, call)) {
+		node_place_withdraw(node, call);
+		node_place_call(node, call);
+		return;
+	}
+	if (!call_holds_endpoint(call) || !shard || !shard->home ||
+	    !*call->home || strcmp(shard->home, call->home) == 0)
+		return;
+	g_free(call->home);
+	call->home = g_strdup(shard->home);
+	if (shard->is_home)
+		call_hold_at_self(node, call, shard);
+}
+
+/* Numbers of the open calls: a call that ends may end others with it. */
+static GArray *node_call_ids(const struct node *node)
+{
+	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer id;
+
+	g_hash_table_iter_init(&iter, node->calls);
+	while (g_hash_table_iter_next(&iter, &id, NULL))
+		g_array_append_vals(ids, id, 1);
+	return ids;
+}
+
 /* Calls that wait at, or hold room of, a home that is home no more. */
 void node_place_rehome(struct node *node)
 {
-	GList *calls = g_hash_table_get_values(node->calls);
+	GArray *ids = node_call_ids(node);
 
-	for (GList *item = calls; item; item = item->next) {
-		struct call *call = item->data;
-		struct shard *shard = call_shard(node, call);
+	for (guint i = 0; i < ids->len; i++) {
+		struct call *call = g_hash_table_lookup(
+			node->calls, &g_array_index(ids, uint64_t, i));
 
-		if (call->state == CALL_PLACING && call->home && *call->home &&
-		    !node_find_home(node, call->home)) {
-			node_place_withdraw(node, call);
-			node_place_call(node, call);
-			continue;
-		}
-		if (!call_holds_endpoint(call) || !shard || !shard->home ||
-		    !*call->home || strcmp(shard->home, call->home) == 0)
-			continue;
-		g_free(call->home);
-		call->home = g_strdup(shard->home);
-		if (shard->is_home)
-			call_hold_at_self(node, call, shard);
+		if (call)
+			call_rehome(node, call);
 	}
-	g_list_free(calls);
+	g_array_unref(ids);
 	node->next_progress_us = node->now_us;
 }
 
@@ -380,32 +417,38 @@
 			share, (int32_t)membership_count(node->membership));
 }
 
+static void call_enter_share(struct node *node, struct call *call)
+{
+	struct placement_request request;
+
+	if (!call->home || *call->home)
+		return;
+	if (call->state == CALL_PLACING) {
+		node_place_call(node, call);
+		return;
+	}
+	if (!call_holds_endpoint(call) ||
+	    !service_has_endpoint(node, call->request->service, call->endpoint))
+		return;
+	node_place_fill(node, call, &request);
+	placement_hold(node_share(node, call->request->service), &request,
+		       call->endpoint, call->next_token, node->now_us);
+}
+
 /* Makes the shares anew after a change of the endpoints. */
 void node_place_reset_shares(struct node *node)
 {
-	GList *calls = g_hash_table_get_values(node->calls);
+	GArray *ids = node_call_ids(node);
 
 	g_hash_table_remove_all(node->shares);
-	for (GList *item = calls; item; item = item->next) {
-		struct call *call = item->data;
-		struct placement_request request;
+	for (guint i = 0; i < ids->len; i++) {
+		struct call *call = g_hash_table_lookup(
+			node->calls, &g_array_index(ids, uint64_t, i));
 
-		if (!call->home || *call->home)
-			continue;
-		if (call->state == CALL_PLACING) {
-			node_place_call(node, call);
-			continue;
-		}
-		if (!call_holds_endpoint(call) ||
-		    !service_has_endpoint(node, call->request->service,
-					  call->endpoint))
-			continue;
-		node_place_fill(node, call, &request);
-		placement_hold(node_share(node, call->request->service),
-			       &request, call->endpoint, call->next_token,
-			       node->now_us);
+		if (call)
+			call_enter_share(node, call);
 	}
-	g_list_free(calls);
+	g_array_unref(ids);
 }
 
 static void progress_add_call(struct peer_progress *progress,
