--- a/core/placement_step.c
+++ b/core/placement_step.c
@@ -21,6 +21,7 @@
 	struct placement *placement;
 	int64_t now_us;
 	GArray *decisions;
+	bool can_serve; /* an endpoint is left that takes new work */
 };
 
 static struct placed_call *entry_call(struct queue_entry *entry)
@@ -186,11 +187,6 @@
 		step_refuse(step, call, REFUSAL_NO_ENDPOINT, wait_us);
 }
 
-static void step_judge_waiting(gpointer data, gpointer user)
-{
-	step_judge(user, entry_call(data), 0);
-}
-
 static bool placement_can_serve(const struct placement *placement)
 {
 	for (guint i = 0; i < placement->books->len; i++) {
@@ -203,6 +199,20 @@
 	return false;
 }
 
+/*
+ * A waiting request may see its last endpoint leave; then no wait helps it.
+ */
+static void step_judge_waiting(gpointer data, gpointer user)
+{
+	struct step *step = user;
+
+	if (step->can_serve)
+		step_judge(step, entry_call(data), 0);
+	else
+		step_refuse(step, entry_call(data), REFUSAL_NO_ENDPOINT,
+			    NO_ENDPOINT_RETRY_US);
+}
+
 static bool placement_could_hold(const struct placement *placement,
 				 const struct placed_call *call)
 {
@@ -312,6 +322,7 @@
 	placement->drain_us = step->now_us;
 	placement->interval_us = placement_interval_us(placement);
 	placement_watch_endpoints(placement, step->now_us);
+	step->can_serve = placement_can_serve(placement);
 	wait_queue_foreach(placement->queue, step_judge_waiting, step);
 	placement->recheck = true;
 }
--- a/tests/endpoint_return_test.cc
+++ b/tests/endpoint_return_test.cc
@@ -53,3 +53,50 @@
 	g_array_unref(decisions);
 	config_unref(config);
 }
+
+/*
+ * A caller waits for a slot of the only endpoint, and then that endpoint is
+ * said to leave. No wait would help: the caller is told so within a second.
+ */
+TEST(EndpointReturn, AWaitingRequestIsRefusedWhenItsLastEndpointLeaves)
+{
+	struct placement_options options = {};
+	struct config *config = config_create();
+	struct config_service *service =
+		config_add_service(config, "portal", SERVICE_PLAIN);
+	struct config_endpoint *endpoint =
+		config_service_add_endpoint(service, "10.0.0.2:1");
+	GArray *decisions =
+		g_array_new(FALSE, FALSE, sizeof(struct placement_decision));
+	struct placement *placement;
+
+	endpoint->slots = 1;
+	options.policy = PLACEMENT_PEAK;
+	options.kind = SERVICE_PLAIN;
+	options.max_waiting = 10;
+	options.step_us = 28000;
+	placement = placement_create(&options);
+	placement_set_endpoint(placement, endpoint, 0);
+	for (uint64_t ticket = 1; ticket <= 2; ticket++) {
+		struct placement_request request = {};
+
+		request.ticket = ticket;
+		request.organisation = "atlas";
+		request.weight = 1;
+		request.prompt_tokens = 1;
+		placement_submit(placement, &request, 0);
+	}
+	placement_step(placement, 1, decisions);
+	ASSERT_EQ(1u, decisions->len);
+	placement_set_leaving(placement, "10.0.0.2:1", true);
+	g_array_set_size(decisions, 0);
+	placement_step(placement, G_USEC_PER_SEC, decisions);
+	ASSERT_EQ(1u, decisions->len);
+	const auto &decision =
+		g_array_index(decisions, struct placement_decision, 0);
+	EXPECT_EQ(PLACEMENT_REFUSED, decision.verdict);
+	EXPECT_EQ(REFUSAL_NO_ENDPOINT, decision.refusal);
+	placement_destroy(placement);
+	g_array_unref(decisions);
+	config_unref(config);
+}
