--- a/core/plan_book.c
+++ b/core/plan_book.c
@@ -331,6 +331,8 @@
 {
 	int64_t revision = 0;
 
+	if (!config)
+		return false;
 	switch (config_find_plan(config, entry->plan->id,
 				 entry->plan->base_revision, &revision)) {
 	case PLAN_EFFECT_YES:
