Length estimate by template as well; short requests use half the margin

Cause: a check with a long prompt was judged by the reports of its size and waited with them: first token of checks 3,883 ms p99 at 100% load against 126 at 60%. Ruled out: memory margin alone (half of it for short ones: 3,899 ms).

--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -47,7 +47,7 @@
 };
 
 #define SCENARIO_MID_US (150 * G_USEC_PER_SEC)
-#define SCENARIO_WARM_US (30 * G_USEC_PER_SEC)
+#define SCENARIO_WARM_US (60 * G_USEC_PER_SEC)
 #define SCENARIO_END_US (300 * G_USEC_PER_SEC)
 #define SCENARIO_DRAIN_US (200 * G_USEC_PER_SEC)
 
--- a/core/length_estimate.c
+++ b/core/length_estimate.c
@@ -17,13 +17,17 @@
 	float ended[LENGTH_BINS];
 	struct length_curve curve;
 	uint64_t curve_version;
+	char *key;     /* NULL: one of the estimate's own */
+	int32_t users; /* calls and children */
+	GList unused;  /* in the estimate's queue while nobody uses it */
 };
 
 struct length_estimate {
 	struct length_estimate_options options;
 	struct length_class root;
 	struct length_class prompt_sizes[PROMPT_SIZES];
-	GHashTable *classes; /* char *organisation/size -> length_class */
+	GHashTable *classes; /* key -> struct length_class */
+	GQueue unused;	     /* struct length_class, longest unused first */
 	uint64_t version;    /* observations so far */
 	double shift_ended;
 	double shift_expected;
@@ -33,7 +37,7 @@
 void length_estimate_options_default(struct length_estimate_options *options)
 {
 	options->memory = 64;
-	options->parent = 6;
+	options->parent = 2;
 	options->shift_memory = 40;
 	options->max_classes = 4096;
 }
@@ -74,6 +78,15 @@
 	class->estimate = estimate;
 	class->parent = parent;
 	class->curve_version = UINT64_MAX;
+	class->unused.data = class;
+}
+
+static void length_class_free(gpointer data)
+{
+	struct length_class *class = data;
+
+	g_free(class->key);
+	g_free(class);
 }
 
 /* An estimate that knows nothing yet. The options are copied. */
@@ -83,8 +96,9 @@
 	struct length_estimate *estimate = g_new0(struct length_estimate, 1);
 
 	estimate->options = *options;
-	estimate->classes =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	estimate->classes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						  length_class_free);
+	g_queue_init(&estimate->unused);
 	length_class_init(&estimate->root, estimate, NULL);
 	for (int32_t i = 0; i < PROMPT_SIZES; i++)
 		length_class_init(&estimate->prompt_sizes[i], estimate,
@@ -101,29 +115,84 @@
 	g_free(estimate);
 }
 
+static struct length_class *length_class_use(struct length_class *class)
+{
+	if (class->key && class->users == 0)
+		g_queue_unlink(&class->estimate->unused, &class->unused);
+	class->users++;
+	return class;
+}
+
+/* Gives a class back. What it learned is kept until its place is needed. */
+void length_class_unref(struct length_class *class)
+{
+	if (--class->users == 0 && class->key)
+		g_queue_push_tail_link(&class->estimate->unused,
+				       &class->unused);
+}
+
+/*
+ * Makes room for one class more: callers choose their prompts, so that the
+ * number of classes would be theirs to grow.
+ */
+static void length_estimate_evict(struct length_estimate *estimate)
+{
+	while (g_hash_table_size(estimate->classes) >=
+	       (guint)estimate->options.max_classes) {
+		GList *link = g_queue_pop_head_link(&estimate->unused);
+		struct length_class *class;
+
+		if (!link)
+			return;
+		class = link->data;
+		length_class_unref(class->parent);
+		g_hash_table_remove(estimate->classes, class->key);
+	}
+}
+
+static struct length_class *
+length_estimate_get(struct length_estimate *estimate, const char *key,
+		    struct length_class *parent)
+{
+	struct length_class *class =
+		g_hash_table_lookup(estimate->classes, key);
+
+	if (class)
+		return length_class_use(class);
+	length_class_use(parent);
+	length_estimate_evict(estimate);
+	class = g_new0(struct length_class, 1);
+	length_class_init(class, estimate, parent);
+	class->key = g_strdup(key);
+	class->users = 1;
+	g_hash_table_insert(estimate->classes, class->key, class);
+	return class;
+}
+
 /*
- * The class of an organisation's prompts of this size, by octaves. Created
- * when new, up to the bound; then the size's own class over all
- * organisations serves.
+ * The class of an organisation's prompts of this size, by octaves, and, where
+ * there is a prefix, of its prompts that begin with it. To be given back with
+ * length_class_unref.
  */
 struct length_class *length_estimate_class(struct length_estimate *estimate,
 					   const char *organisation,
-					   int64_t prompt_tokens)
+					   int64_t prompt_tokens,
+					   uint64_t prefix_hash)
 {
 	int32_t size = MIN(floor_log2(MAX(prompt_tokens, 1)), PROMPT_SIZES - 1);
+	struct length_class *by_size;
 	struct length_class *class;
 	char key[160];
 
 	g_snprintf(key, sizeof(key), "%d/%s", size, organisation);
-	class = g_hash_table_lookup(estimate->classes, key);
-	if (class)
-		return class;
-	if (g_hash_table_size(estimate->classes) >=
-	    (guint)estimate->options.max_classes)
-		return &estimate->prompt_sizes[size];
-	class = g_new0(struct length_class, 1);
-	length_class_init(class, estimate, &estimate->prompt_sizes[size]);
-	g_hash_table_insert(estimate->classes, g_strdup(key), class);
+	by_size = length_estimate_get(estimate, key,
+				      &estimate->prompt_sizes[size]);
+	if (!prefix_hash)
+		return by_size;
+	g_snprintf(key, sizeof(key), "p%" G_GINT64_MODIFIER "x/%s", prefix_hash,
+		   organisation);
+	class = length_estimate_get(estimate, key, by_size);
+	length_class_unref(by_size);
 	return class;
 }
 
--- a/core/length_estimate.h
+++ b/core/length_estimate.h
@@ -8,13 +8,14 @@
 G_BEGIN_DECLS
 
 /*
- * How long answers get, by organisation and size of prompt. Lengths fall into
- * bins that widen with the length; each bin keeps how many answers reached it
- * and how many ended in it, with old ones fading. Their ratio is the hazard
- * of ending there, and from the hazards follows the chance that an answer
- * goes on, given what it has made (Kaplan and Meier, 1958). An answer counts
- * in each bin as it passes, so what still runs is in the estimate before it
- * ends: a longer mix shows as soon as answers outlive the old one.
+ * How long answers get, by organisation, size of prompt and its first part,
+ * which tells one template from another. Lengths fall into bins that widen
+ * with the length; each bin keeps how many answers reached it and how many
+ * ended in it, with old ones fading. Their ratio is the hazard of ending
+ * there, and from the hazards follows the chance that an answer goes on, given
+ * what it has made (Kaplan and Meier, 1958). An answer counts in each bin as
+ * it passes, so what still runs is in the estimate before it ends: a longer
+ * mix shows as soon as answers outlive the old one.
  */
 #define LENGTH_BINS 72
 #define LENGTH_LONGEST 524287
@@ -23,11 +24,11 @@
 	double memory;	     /* answers a bin remembers */
 	double parent;	     /* answers that the parent's hazard weighs */
 	double shift_memory; /* ends by which a shift of all is judged */
-	int32_t max_classes; /* further ones share their prompt size's */
+	int32_t max_classes; /* the longest unused goes first */
 };
 
 struct length_estimate;
-struct length_class; /* lives as long as its estimate */
+struct length_class; /* counted by reference; its estimate must outlive it */
 
 void length_estimate_options_default(struct length_estimate_options *options);
 struct length_estimate *
@@ -35,7 +36,9 @@
 void length_estimate_destroy(struct length_estimate *estimate);
 struct length_class *length_estimate_class(struct length_estimate *estimate,
 					   const char *organisation,
-					   int64_t prompt_tokens);
+					   int64_t prompt_tokens,
+					   uint64_t prefix_hash);
+void length_class_unref(struct length_class *class);
 size_t length_estimate_class_count(const struct length_estimate *estimate);
 
 /* Factor by which all answers now end sooner or later, and its deviation. */
--- a/core/placement.c
+++ b/core/placement.c
@@ -19,6 +19,14 @@
 #define PLAIN_FADE 0.95
 #define HELD_FADE 0.99
 
+static void placed_call_free(gpointer data)
+{
+	struct placed_call *call = data;
+
+	length_class_unref(call->class);
+	g_free(call);
+}
+
 static void placement_set_defaults(struct placement_options *options)
 {
 	if (options->step_us <= 0)
@@ -48,7 +56,7 @@
 	placement->lengths = length_estimate_create(&lengths);
 	placement->queue = wait_queue_create();
 	placement->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						 NULL, g_free);
+						 NULL, placed_call_free);
 	placement->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	placement->books = g_ptr_array_new();
 	placement->submitted = g_ptr_array_new();
@@ -297,8 +305,9 @@
 	call->concurrent_tokens = request->concurrent_tokens;
 	call->made = CLAMP(made, 0, LENGTH_LONGEST);
 	call->counted = call->made;
-	call->class = length_estimate_class(placement->lengths, name,
-					    call->prompt_tokens);
+	call->class =
+		length_estimate_class(placement->lengths, name,
+				      call->prompt_tokens, call->prefix_hash);
 	call->entry.organisation = wait_queue_organisation(
 		placement->queue, name, request->weight);
 	call->entry.priority = CLAMP(request->priority, 0, 9);
--- a/core/placement_choose.c
+++ b/core/placement_choose.c
@@ -17,7 +17,8 @@
 #define WATERMARK 0.99 /* engines keep a hundredth free for what runs */
 #define SMALLEST_BATCH 4
 #define SHORT_BATCH_DIVISOR 8 /* part of a batch kept for short requests */
-#define SCAN_ALL 64	      /* endpoints; of more, so many are drawn */
+#define SHORT_MARGIN 0.5
+#define SCAN_ALL 64 /* endpoints; of more, so many are drawn */
 #define ASIDE_DIVISOR 3
 #define STALL_US (3 * G_USEC_PER_SEC)
 #define SLOW_FACTOR 3.0
@@ -180,6 +181,8 @@
 
 	if (placement->options.policy == PLACEMENT_ORACLE)
 		return endpoint_book_known_peak(book, call, now_us);
+	if (call->entry.lane == QUEUE_SHORT)
+		margin.deviations *= SHORT_MARGIN;
 	return endpoint_book_peak(book, call, &margin);
 }
 
