--- a/core/node.c
+++ b/core/node.c
@@ -99,6 +99,20 @@
 	node->limits = organisation_limits_create();
 }
 
+static void node_create_plans(struct node *node)
+{
+	struct plan_book_options options;
+
+	plan_book_options_default(&options);
+	options.node_name = node->options.name;
+	options.incarnation = node->options.incarnation;
+	options.seed = node->options.seed;
+	options.next_kv_id = &node->next_kv_id;
+	options.counters = &node->counters;
+	options.kv_timeout_us = node->options.kv_timeout_us;
+	node->plans = plan_book_create(&options);
+}
+
 static void node_create_tables(struct node *node)
 {
 	node->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -132,6 +146,7 @@
 		node_create_membership(&node->options, node->options.seeds);
 	node_create_tables(node);
 	node_create_limits(node);
+	node_create_plans(node);
 	return node;
 }
 
@@ -163,6 +178,7 @@
 	retry_budget_destroy(node->retries);
 	quarantine_destroy(node->quarantine);
 	organisation_limits_destroy(node->limits);
+	plan_book_destroy(node->plans);
 	timer_heap_destroy(node->timers);
 	membership_destroy(node->membership);
 	config_unref(node->config);
@@ -317,7 +333,8 @@
 		counters_add(&node->counters, COUNTER_KV_FAILED, 1);
 	else
 		node->kv_heard_us = node->now_us;
-	if (!node_config_kv(node, answer) && !node_id_kv(node, answer))
+	if (!node_config_kv(node, answer) && !node_id_kv(node, answer) &&
+	    !plan_book_kv(node->plans, answer, node->now_us, node->actions))
 		counters_add(&node->counters, COUNTER_EVENTS_UNKNOWN, 1);
 }
 
@@ -480,6 +497,7 @@
 	membership_step(node->membership, node->now_us, actions);
 	node_check_members(node);
 	node_config_step(node);
+	plan_book_step(node->plans, node->now_us, actions);
 	node_run_periodic(node);
 	node_home_step(node);
 	node_place_step_shares(node);
@@ -498,6 +516,7 @@
 	due_us = MIN(due_us, node->next_poll_us);
 	due_us = MIN(due_us, node->next_progress_us);
 	due_us = MIN(due_us, node_home_next_due_us(node));
+	due_us = MIN(due_us, plan_book_next_due_us(node->plans));
 	g_hash_table_iter_init(&iter, node->shares);
 	while (g_hash_table_iter_next(&iter, NULL, &share))
 		due_us = MIN(due_us, placement_next_due_us(share));
--- a/core/node_query.c
+++ b/core/node_query.c
@@ -87,10 +87,17 @@
 		query_show(node, event->call);
 		break;
 	case QUERY_PLAN:
+		plan_book_plan(node->plans, event->call, event->body,
+			       event->operator_name, node->config, node->now_us,
+			       node->actions);
+		break;
 	case QUERY_CONFIRM:
+		plan_book_confirm(node->plans, event->call, event->plan_id,
+				  event->operator_name, node->config,
+				  node->now_us, node->actions);
+		break;
 	case QUERY_HISTORY:
-		node_refuse(node, event->call, REFUSAL_BAD_REQUEST, RUN_NO, 0,
-			    NULL);
+		plan_book_history(event->call, node->config, node->actions);
 		break;
 	}
 }
--- a/core/node_state.h
+++ b/core/node_state.h
@@ -7,6 +7,7 @@
 #include "core/node.h"
 #include "core/organisation_limits.h"
 #include "core/outcome_store.h"
+#include "core/plan_book.h"
 #include "core/quarantine.h"
 #include "core/retry_budget.h"
 #include "core/timer_heap.h"
@@ -88,6 +89,7 @@
 	struct retry_budget *retries;
 	struct quarantine *quarantine;
 	struct organisation_limits *limits;
+	struct plan_book *plans;
 	int64_t next_limits_us;
 	int64_t claim_lease;
 	int64_t claim_lease_us; /* when it was granted */
