--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -482,7 +482,7 @@
 	g_variant_get_child(body, 1, "t", &message->placed.ticket);
 	g_variant_get_child(body, 4, "s", &message->placed.endpoint);
 	return check(error, message->from,
-		     text_is_legal(message->placed.endpoint, false),
+		     text_is_legal(message->placed.endpoint, true),
 		     "endpoint out of range");
 }
 
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -67,7 +67,7 @@
 
 struct peer_placed {
 	uint64_t ticket;
-	char *endpoint;
+	char *endpoint; /* "": queued at the home, not granted yet */
 };
 
 struct peer_refused {
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -332,3 +332,29 @@
 	bytes.push_back(0);
 	EXPECT_EQ(nullptr, decode(bytes, &error));
 }
+
+/*
+ * A home that has queued a request says so by an empty endpoint. Were that
+ * refused on reading, the asker would think the home silent and go by its own
+ * share, past the home's queue.
+ */
+TEST(PeerCodec, TakesAnEmptyEndpointAsQueued)
+{
+	struct peer_message *message = peer_message_create(PEER_PLACED);
+	struct peer_message *decoded;
+	struct error error = {};
+	GBytes *record;
+
+	message->from = g_strdup("entry-1");
+	message->from_address = g_strdup("10.1.2.1:8090");
+	message->incarnation = 1;
+	message->placed.ticket = 7;
+	message->placed.endpoint = g_strdup("");
+	record = peer_codec_encode(message);
+	decoded = peer_codec_decode(record, &error);
+	ASSERT_NE(nullptr, decoded) << error.detail;
+	EXPECT_STREQ("", decoded->placed.endpoint);
+	peer_message_destroy(decoded);
+	peer_message_destroy(message);
+	g_bytes_unref(record);
+}
