siskinlinkctl

One table of commands. A confirmation whose answer is lost after the connection stood, or whose effect the node does not state, exits with 4 and is never reported as refused; without a connection nothing was sent, which is 3.

--- a/adapters/settings.c
+++ b/adapters/settings.c
@@ -142,8 +142,8 @@
 	{"times", "id_memory_s", SETTING_S, false, FIELD(node.id_memory_us), 1,
 	 86400, NULL, "outcomes of request ids are remembered"},
 	{"times", "drain_timeout_s", SETTING_S, false,
-	 FIELD(node.drain_timeout_us), 1, 86400, NULL,
-	 "streams may take to end when stopping"},
+	 FIELD(node.drain_timeout_us), 0, 86400, NULL,
+	 "streams may take to end when stopping; 0: no bound"},
 	{"times", "isolation_s", SETTING_S, false, FIELD(node.isolation_us), 1,
 	 3600, NULL, "without the service and most nodes: no new work"},
 
@@ -408,7 +408,7 @@
 	if (!setting || !*entry->key) {
 		error_set(error, ERROR_INVALID, STEP, path,
 			  "line %d: unknown key %.40s in [%s], expected one "
-			  "that --help lists",
+			  "that --help-settings lists",
 			  entry->line, entry->key, entry->section);
 		return false;
 	}
--- /dev/null
+++ b/daemons/ctl_client.c
@@ -0,0 +1,113 @@
+#include "daemons/ctl_client.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+#define STEP "ctl.call"
+#define MAX_ANSWER_BYTES ((gsize)64 << 20)
+
+/* Bytes of the request may have left once a connection stands. */
+static void ctl_client_on_network(SoupMessage *message,
+				  GSocketClientEvent event,
+				  GIOStream *connection, gpointer data)
+{
+	(void)message;
+	(void)connection;
+	if (event == G_SOCKET_CLIENT_COMPLETE)
+		*(bool *)data = true;
+}
+
+static SoupMessage *ctl_client_message(const struct ctl_call *call)
+{
+	char *uri = g_strdup_printf("http://%s%s", call->address, call->path);
+	SoupMessage *message = soup_message_new(call->method, uri);
+	SoupMessageHeaders *headers;
+
+	g_free(uri);
+	if (!message)
+		return NULL;
+	headers = soup_message_get_request_headers(message);
+	if (call->key) {
+		char *bearer = g_strdup_printf("Bearer %s", call->key);
+
+		soup_message_headers_replace(headers, "Authorization", bearer);
+		g_free(bearer);
+	}
+	if (call->operator_name)
+		soup_message_headers_replace(headers, "X-Operator",
+					     call->operator_name);
+	if (call->body) {
+		GBytes *body = g_bytes_new(call->body, strlen(call->body));
+
+		soup_message_set_request_body_from_bytes(
+			message, "application/json", body);
+		g_bytes_unref(body);
+	}
+	return message;
+}
+
+static bool ctl_client_read(SoupSession *session, SoupMessage *message,
+			    struct ctl_answer *answer, GError **failure)
+{
+	GInputStream *stream =
+		soup_session_send(session, message, NULL, failure);
+	char *body;
+	gsize size = 0;
+
+	if (!stream)
+		return false;
+	body = g_malloc(MAX_ANSWER_BYTES + 1);
+	if (!g_input_stream_read_all(stream, body, MAX_ANSWER_BYTES, &size,
+				     NULL, failure)) {
+		g_object_unref(stream);
+		g_free(body);
+		return false;
+	}
+	g_object_unref(stream);
+	body[size] = '\0';
+	answer->body = g_realloc(body, size + 1);
+	answer->status = (int32_t)soup_message_get_status(message);
+	return true;
+}
+
+/*
+ * Calls a node and waits for its whole answer, whatever its status. Returns
+ * false and an error where there is none; answer->sent then says whether the
+ * node may have got the call. ERROR_INVALID: the address is none.
+ */
+bool ctl_client_call(const struct ctl_call *call, struct ctl_answer *answer,
+		     struct error *error)
+{
+	SoupMessage *message = ctl_client_message(call);
+	SoupSession *session;
+	GError *failure = NULL;
+	bool done;
+
+	*answer = (struct ctl_answer){0};
+	if (!message) {
+		error_set(error, ERROR_INVALID, STEP, call->address,
+			  "not an address, expected HOST:PORT");
+		return false;
+	}
+	session = soup_session_new_with_options("timeout", call->timeout_s,
+						"proxy-resolver", NULL, NULL);
+	soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
+	g_signal_connect(message, "network-event",
+			 G_CALLBACK(ctl_client_on_network), &answer->sent);
+	done = ctl_client_read(session, message, answer, &failure);
+	if (!done) {
+		error_set(error,
+			  answer->sent ? ERROR_CLOSED : ERROR_UNREACHABLE, STEP,
+			  call->address, "%s", failure->message);
+		g_error_free(failure);
+	}
+	g_object_unref(message);
+	g_object_unref(session);
+	return done;
+}
+
+/* Frees what an answer holds. */
+void ctl_answer_clear(struct ctl_answer *answer)
+{
+	g_clear_pointer(&answer->body, g_free);
+}
--- /dev/null
+++ b/daemons/ctl_command.c
@@ -0,0 +1,292 @@
+#include "daemons/ctl_command.h"
+
+#include <string.h>
+
+/*
+ * What a node sends goes to an operator's terminal: control characters in a
+ * name must not become commands to it.
+ */
+static void print_text(FILE *out, const char *text)
+{
+	for (const char *p = text ? text : ""; *p; p++)
+		fputc(g_ascii_iscntrl(*p) ? '?' : *p, out);
+}
+
+static const char *get_string(JsonObject *object, const char *name)
+{
+	const char *text =
+		json_object_get_string_member_with_default(object, name, "");
+
+	return text ? text : "";
+}
+
+static gint64 get_int(JsonObject *object, const char *name)
+{
+	return json_object_get_int_member_with_default(object, name, 0);
+}
+
+/* The array of this name, or NULL. */
+static JsonArray *get_array(JsonObject *object, const char *name)
+{
+	JsonNode *node = json_object_get_member(object, name);
+
+	return node && JSON_NODE_HOLDS_ARRAY(node) ? json_node_get_array(node)
+						   : NULL;
+}
+
+/* The object at i of an array, or NULL. */
+static JsonObject *get_element(JsonArray *array, guint i)
+{
+	JsonNode *node = json_array_get_element(array, i);
+
+	return JSON_NODE_HOLDS_OBJECT(node) ? json_node_get_object(node) : NULL;
+}
+
+static void print_field(FILE *out, const char *text, int width)
+{
+	int length = (int)strlen(text);
+
+	print_text(out, text);
+	fprintf(out, "%*s", MAX(width - length, 1), "");
+}
+
+static void print_nodes(JsonObject *answer, FILE *out)
+{
+	JsonArray *nodes = get_array(answer, "nodes");
+
+	for (guint i = 0; nodes && i < json_array_get_length(nodes); i++) {
+		JsonObject *node = get_element(nodes, i);
+
+		if (!node)
+			continue;
+		print_field(out, get_string(node, "name"), 24);
+		print_field(out, get_string(node, "address"), 24);
+		print_text(out, get_string(node, "failure_domain"));
+		fputc('\n', out);
+	}
+	fprintf(out, "keep for %" G_GINT64_FORMAT " s\n",
+		get_int(answer, "keep_s"));
+}
+
+static void print_lines(JsonObject *answer, const char *name,
+			const char *prefix, FILE *out)
+{
+	JsonArray *lines = get_array(answer, name);
+
+	for (guint i = 0; lines && i < json_array_get_length(lines); i++) {
+		fputs(prefix, out);
+		print_text(out, json_array_get_string_element(lines, i));
+		fputc('\n', out);
+	}
+}
+
+static void print_plan(JsonObject *answer, FILE *out)
+{
+	fputs("plan ", out);
+	print_text(out, get_string(answer, "plan_id"));
+	fprintf(out,
+		"\non revision %" G_GINT64_FORMAT
+		", stale after %" G_GINT64_FORMAT " s\n",
+		get_int(answer, "base_revision"),
+		get_int(answer, "stale_after_s"));
+	print_lines(answer, "differences", "  ", out);
+	print_lines(answer, "warnings", "  warning: ", out);
+	fputs("nothing has changed; to put it in force: siskinlinkctl confirm ",
+	      out);
+	print_text(out, get_string(answer, "plan_id"));
+	fputc('\n', out);
+}
+
+static void print_confirmation(JsonObject *answer, FILE *out)
+{
+	fputs("plan ", out);
+	print_text(out, get_string(answer, "plan_id"));
+	fprintf(out, " is in force as revision %" G_GINT64_FORMAT "\n",
+		get_int(answer, "revision"));
+}
+
+static void print_history(JsonObject *answer, FILE *out)
+{
+	JsonArray *history = get_array(answer, "history");
+
+	for (guint i = 0; history && i < json_array_get_length(history); i++) {
+		JsonObject *entry = get_element(history, i);
+		GDateTime *time;
+		char *text;
+
+		if (!entry)
+			continue;
+		time = g_date_time_new_from_unix_utc(
+			get_int(entry, "confirmed_s"));
+		text = time ? g_date_time_format(time, "%Y-%m-%dT%H:%M:%SZ")
+			    : g_strdup("?");
+		fprintf(out, "%-8" G_GINT64_FORMAT " %s  ",
+			get_int(entry, "revision"), text);
+		print_field(out, get_string(entry, "confirmed_by"), 16);
+		print_field(out, get_string(entry, "plan_id"), 32);
+		print_text(out, get_string(entry, "summary"));
+		fputc('\n', out);
+		g_free(text);
+		g_clear_pointer(&time, g_date_time_unref);
+	}
+}
+
+static const struct ctl_command commands[] = {
+	{.name = "nodes",
+	 .method = "GET",
+	 .path = "/v1/nodes",
+	 .print = print_nodes,
+	 .help = "the nodes that callers may use"},
+	{.name = "dump",
+	 .method = "GET",
+	 .path = "/admin/v1/dump",
+	 .needs_key = true,
+	 .help = "state and counters of a node, in JSON"},
+	{.name = "plan",
+	 .argument = "FILE",
+	 .method = "POST",
+	 .path = "/admin/v1/plans",
+	 .reads_file = true,
+	 .needs_key = true,
+	 .needs_operator = true,
+	 .print = print_plan,
+	 .help = "what an intent in TOML or JSON would change; \"-\" reads "
+		 "standard input"},
+	{.name = "confirm",
+	 .argument = "PLAN_ID",
+	 .method = "POST",
+	 .path = "/admin/v1/plans/%s/confirm",
+	 .needs_key = true,
+	 .needs_operator = true,
+	 .may_change = true,
+	 .print = print_confirmation,
+	 .help = "puts a plan in force; after exit status 4 ask again"},
+	{.name = "show",
+	 .method = "GET",
+	 .path = "/admin/v1/config",
+	 .needs_key = true,
+	 .help = "the configuration in force, in JSON"},
+	{.name = "history",
+	 .method = "GET",
+	 .path = "/admin/v1/history",
+	 .needs_key = true,
+	 .print = print_history,
+	 .help = "who confirmed what"},
+};
+
+/* The command of this name, or NULL. */
+const struct ctl_command *ctl_command_find(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (strcmp(commands[i].name, name) == 0)
+			return &commands[i];
+	}
+	return NULL;
+}
+
+/* One line for each command. */
+void ctl_command_print_list(FILE *out)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
+		fprintf(out, "  %-8s %-8s %s\n", commands[i].name,
+			commands[i].argument ? commands[i].argument : "",
+			commands[i].help);
+}
+
+/* The path to ask for, with the argument escaped; the caller frees it. */
+char *ctl_command_path(const struct ctl_command *command, const char *argument)
+{
+	const char *mark = strstr(command->path, "%s");
+	char *escaped, *path;
+
+	if (!mark)
+		return g_strdup(command->path);
+	escaped = g_uri_escape_string(argument, NULL, FALSE);
+	path = g_strdup_printf("%.*s%s%s", (int)(mark - command->path),
+			       command->path, escaped, mark + 2);
+	g_free(escaped);
+	return path;
+}
+
+/* The answer as an object, with a parser to be freed; NULL: it is none. */
+static JsonObject *parse_object(const char *body, JsonParser **parser)
+{
+	JsonNode *root;
+
+	*parser = json_parser_new();
+	if (!json_parser_load_from_data(*parser, body, -1, NULL))
+		return NULL;
+	root = json_parser_get_root(*parser);
+	return root && JSON_NODE_HOLDS_OBJECT(root) ? json_node_get_object(root)
+						    : NULL;
+}
+
+/* Shows an answer: for people where the command can, else as JSON. */
+void ctl_command_print(const struct ctl_command *command, const char *body,
+		       bool json, FILE *out)
+{
+	JsonParser *parser;
+	JsonObject *answer = parse_object(body, &parser);
+
+	if (json || !answer) {
+		fprintf(out, "%s\n", body);
+	} else if (command->print) {
+		command->print(answer, out);
+	} else {
+		char *text = json_to_string(json_parser_get_root(parser), TRUE);
+
+		fprintf(out, "%s\n", text);
+		g_free(text);
+	}
+	g_object_unref(parser);
+}
+
+/*
+ * The exit status for an answer. A change whose effect the node itself does
+ * not know, or does not state, is unknown and never counted as refused.
+ */
+enum ctl_exit ctl_command_judge(const struct ctl_command *command, int status,
+				const char *body)
+{
+	JsonParser *parser;
+	JsonObject *answer = parse_object(body, &parser);
+	enum ctl_exit result = status == 200 ? CTL_OK : CTL_REFUSED;
+	const char *effect = "";
+
+	if (answer && command->may_change)
+		effect = get_string(answer, "took_effect");
+	if (strcmp(effect, "unknown") == 0)
+		result = CTL_UNKNOWN;
+	else if (strcmp(effect, "no") == 0)
+		result = CTL_REFUSED;
+	else if (command->may_change && (!answer || !*effect) &&
+		 (status == 200 || status >= 500))
+		result = CTL_UNKNOWN;
+	g_object_unref(parser);
+	return result;
+}
+
+/* One line on why a node refused; the caller frees it. */
+char *ctl_command_refusal(int status, const char *body)
+{
+	JsonParser *parser;
+	JsonObject *answer = parse_object(body, &parser);
+	JsonNode *node =
+		answer ? json_object_get_member(answer, "error") : NULL;
+	char *text;
+
+	if (node && JSON_NODE_HOLDS_OBJECT(node)) {
+		JsonObject *error = json_node_get_object(node);
+
+		text = g_strdup_printf("%s: %s", get_string(error, "code"),
+				       get_string(error, "message"));
+	} else {
+		text = g_strdup_printf("HTTP status %d", status);
+	}
+	for (char *p = text; *p; p++) {
+		if (g_ascii_iscntrl(*p))
+			*p = '?';
+	}
+	g_object_unref(parser);
+	return text;
+}
--- /dev/null
+++ b/tests/ctl_test.cc
@@ -0,0 +1,156 @@
+#include "daemons/ctl_command.h"
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+struct Outcome {
+	int status;
+	std::string out;
+	std::string err;
+};
+
+/* Runs siskinlinkctl with these words and no key in the environment. */
+static Outcome ctl(const std::vector<std::string> &words, const char *key)
+{
+	const char *folder = getenv("SISKINLINK_BIN");
+	std::string program =
+		std::string(folder ? folder : "build/bin") + "/siskinlinkctl";
+	std::vector<char *> args = {(char *)program.c_str()};
+	char **environment = g_get_environ();
+	char *out = nullptr, *err = nullptr;
+	GError *failure = nullptr;
+	int status = -1;
+
+	for (const std::string &word : words)
+		args.push_back((char *)word.c_str());
+	args.push_back(nullptr);
+	if (key)
+		environment = g_environ_setenv(
+			environment, "SISKINLINK_OPERATOR_KEY", key, TRUE);
+	else
+		environment = g_environ_unsetenv(environment,
+						 "SISKINLINK_OPERATOR_KEY");
+	g_spawn_sync(nullptr, args.data(), environment, G_SPAWN_DEFAULT,
+		     nullptr, nullptr, &out, &err, &status, &failure);
+	EXPECT_EQ(nullptr, failure);
+	Outcome outcome = {WEXITSTATUS(status), out ? out : "", err ? err : ""};
+	g_strfreev(environment);
+	g_free(out);
+	g_free(err);
+	return outcome;
+}
+
+TEST(Ctl, NamesTheRightUse)
+{
+	EXPECT_EQ("siskinlinkctl: a command is missing; --help lists them\n",
+		  ctl({}, nullptr).err);
+	EXPECT_EQ(CTL_USAGE, ctl({}, nullptr).status);
+	EXPECT_EQ("siskinlinkctl: unknown command drop; --help lists the "
+		  "commands\n",
+		  ctl({"drop"}, nullptr).err);
+	EXPECT_EQ("siskinlinkctl: an argument is missing; use: siskinlinkctl "
+		  "--operator NAME confirm PLAN_ID\n",
+		  ctl({"confirm"}, "k").err);
+	EXPECT_EQ("siskinlinkctl: too many arguments; use: siskinlinkctl "
+		  "nodes\n",
+		  ctl({"nodes", "x"}, nullptr).err);
+	EXPECT_EQ("siskinlinkctl: --operator is needed; use: siskinlinkctl "
+		  "--operator NAME confirm PLAN_ID\n",
+		  ctl({"confirm", "p"}, "k").err);
+	EXPECT_EQ("siskinlinkctl: show needs the operator key: set --key-file "
+		  "FILE or SISKINLINK_OPERATOR_KEY\n",
+		  ctl({"show"}, nullptr).err);
+	EXPECT_EQ("siskinlinkctl: --node goes with dump only; use --address "
+		  "for nodes\n",
+		  ctl({"--node", "127.0.0.1:1", "nodes"}, nullptr).err);
+	EXPECT_EQ(CTL_USAGE, ctl({"--colour", "nodes"}, nullptr).status);
+	EXPECT_EQ(CTL_USAGE,
+		  ctl({"--timeout-s", "0", "nodes"}, nullptr).status);
+	EXPECT_EQ(CTL_USAGE,
+		  ctl({"-o", "a", "plan", "/nonexistent"}, "k").status);
+	EXPECT_EQ(CTL_OK, ctl({"--help"}, nullptr).status);
+}
+
+/* A listening socket that answers nothing; its address. */
+static int listen_silently(std::string *address)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in name = {};
+	socklen_t size = sizeof(name);
+
+	name.sin_family = AF_INET;
+	name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (struct sockaddr *)&name, sizeof(name));
+	listen(fd, 8);
+	getsockname(fd, (struct sockaddr *)&name, &size);
+	*address = "127.0.0.1:" + std::to_string(ntohs(name.sin_port));
+	return fd;
+}
+
+/*
+ * The node takes the confirmation and falls silent. The operator must not be
+ * told that it failed: it may be in force. Where no connection stood, nothing
+ * was sent, and a question that changes nothing is only unanswered.
+ */
+TEST(Ctl, TellsALostAnswerFromANodeNotReached)
+{
+	std::string address;
+	int fd = listen_silently(&address);
+	Outcome lost =
+		ctl({"-a", address, "-t", "1", "-o", "amina", "confirm", "p1"},
+		    "k");
+
+	EXPECT_EQ(CTL_UNKNOWN, lost.status);
+	EXPECT_NE(std::string::npos,
+		  lost.err.find("whether it took effect is not known"));
+	EXPECT_EQ(CTL_UNREACHABLE,
+		  ctl({"-a", address, "-t", "1", "show"}, "k").status);
+	close(fd);
+	EXPECT_EQ(CTL_UNREACHABLE, ctl({"-a", address, "-t", "1", "-o", "amina",
+					"confirm", "p1"},
+				       "k")
+					   .status);
+}
+
+TEST(Ctl, JudgesAnswersOfAConfirmation)
+{
+	const struct ctl_command *confirm = ctl_command_find("confirm");
+	const struct ctl_command *show = ctl_command_find("show");
+
+	EXPECT_EQ(CTL_OK,
+		  ctl_command_judge(confirm, 200, "{\"took_effect\":\"yes\"}"));
+	EXPECT_EQ(CTL_REFUSED,
+		  ctl_command_judge(confirm, 409, "{\"took_effect\":\"no\"}"));
+	EXPECT_EQ(CTL_UNKNOWN,
+		  ctl_command_judge(confirm, 504,
+				    "{\"took_effect\":\"unknown\"}"));
+	EXPECT_EQ(CTL_UNKNOWN, ctl_command_judge(confirm, 502, "<html>"));
+	EXPECT_EQ(CTL_UNKNOWN, ctl_command_judge(confirm, 200, "{"));
+	EXPECT_EQ(CTL_REFUSED, ctl_command_judge(confirm, 401, "{}"));
+	EXPECT_EQ(CTL_REFUSED, ctl_command_judge(show, 503, "{}"));
+	EXPECT_EQ(CTL_OK, ctl_command_judge(show, 200, "[1]"));
+}
+
+TEST(Ctl, EscapesPlanIdsAndRefusals)
+{
+	char *path = ctl_command_path(ctl_command_find("confirm"), "a/b c");
+	char *text = ctl_command_refusal(
+		409,
+		"{\"error\":{\"code\":\"x\",\"message\":\"a\\u001b[2J\"}}");
+
+	EXPECT_STREQ("/admin/v1/plans/a%2Fb%20c/confirm", path);
+	EXPECT_STREQ("x: a?[2J", text);
+	g_free(path);
+	g_free(text);
+	text = ctl_command_refusal(500, "{\"error\":{\"code\":7}}");
+	EXPECT_STREQ(": ", text);
+	g_free(text);
+}
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -517,12 +517,15 @@
 	EXPECT_EQ(epoch, membership_epoch(membership));
 	/* What may be a new incarnation is asked itself. */
 	bool asked = false;
+	std::string address =
+		membership_find(membership,
+				member_network_name(network.network, 3))
+			->peer_address;
 	for (size_t i = 0; i < action_list_count(actions); i++) {
 		struct action *action = action_list_get(actions, i);
 
 		asked |= action->type == ACTION_PEER_SEND &&
-			 strcmp(action->peer_send.peer_address,
-				copy_of(3)->peer_address) == 0;
+			 address == action->peer_send.peer_address;
 	}
 	EXPECT_TRUE(asked);
 }
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -91,7 +91,7 @@
 TEST(Settings, NamesKeyAndExpectationOfWhatItRefuses)
 {
 	EXPECT_EQ("line 11: unknown key colour in [platform], expected one "
-		  "that --help lists",
+		  "that --help-settings lists",
 		  failure(std::string(minimal) + "colour = 1\n"));
 	EXPECT_EQ("line 11: unknown section [extra], expected one of [node], "
 		  "[keys], [platform], [policy], [limits], [times], [log]",
