Endpoint client: whole answers only, tests on loopback

The length is now counted, and a chunked answer is refused unless it is another node's stream with its last event.

--- a/adapters/endpoint_attempt.c
+++ b/adapters/endpoint_attempt.c
@@ -16,6 +16,8 @@
 	char *endpoint;
 	struct http_exchange *exchange;
 	bool resume;
+	bool to_node;
+	bool chunked;
 	bool whole;	   /* the answer is collected; else it is a stream */
 	bool cancelled;	   /* only waits to learn what to cancel */
 	bool closed;	   /* delivers nothing more */
@@ -290,6 +292,52 @@
 		attempt, soup_message_headers_get_one(headers, "X-Generation"));
 }
 
+/* Where the last event of a text that ends by an empty line starts. */
+static const char *last_event(const GByteArray *text)
+{
+	const char *start = (const char *)text->data;
+	size_t at = text->len;
+
+	if (at < 2 || memcmp(start + at - 2, "\n\n", 2) != 0)
+		return NULL;
+	for (at -= 2; at > 1; at--) {
+		if (memcmp(start + at - 2, "\n\n", 2) == 0)
+			return start + at;
+	}
+	return start;
+}
+
+static bool event_starts_with(const GByteArray *text, const char *event,
+			      const char *prefix)
+{
+	size_t left = (size_t)((const char *)text->data + text->len - event);
+
+	return left >= strlen(prefix) &&
+	       memcmp(event, prefix, strlen(prefix)) == 0;
+}
+
+static bool stream_is_whole(const GByteArray *text)
+{
+	const char *event = last_event(text);
+
+	return event && (event_starts_with(text, event, "data: [DONE]\n") ||
+			 event_starts_with(text, event, "event: error\n"));
+}
+
+/*
+ * libsoup does not tell a chunked answer that was cut between two chunks from
+ * a whole one, so only a length counts. Another node's stream has none: it is
+ * whole if it ends by [DONE], or by the error that stands in its place.
+ */
+static bool attempt_answer_is_whole(const struct endpoint_attempt *attempt)
+{
+	if (!attempt->chunked)
+		return true;
+	return attempt->to_node && attempt->content_type &&
+	       g_str_equal(attempt->content_type, "text/event-stream") &&
+	       stream_is_whole(attempt->body);
+}
+
 static void attempt_on_headers(void *data, SoupMessage *message)
 {
 	struct endpoint_attempt *attempt = data;
@@ -298,6 +346,8 @@
 
 	attempt_use(attempt);
 	attempt->status = (int32_t)soup_message_get_status(message);
+	attempt->chunked = soup_message_headers_get_encoding(headers) ==
+			   SOUP_ENCODING_CHUNKED;
 	if (attempt->whole) {
 		attempt->content_type = g_strdup(
 			soup_message_headers_get_one(headers, "Content-Type"));
@@ -331,8 +381,11 @@
 	if (error)
 		attempt_fail(attempt, sent ? ATTEMPT_SENT : ATTEMPT_NOT_SENT,
 			     error);
-	else if (attempt->whole)
+	else if (attempt->whole && attempt_answer_is_whole(attempt))
 		attempt_tell_answer(attempt);
+	else if (attempt->whole)
+		attempt_fail_sent(attempt, ERROR_INVALID,
+				  "the answer has no Content-Length");
 	else
 		attempt_fail_sent(attempt, ERROR_CLOSED,
 				  "the stream ended before its end");
@@ -404,6 +457,7 @@
 	struct endpoint_attempt *attempt =
 		attempt_create(owner, send->attempt, send->endpoint);
 
+	attempt->to_node = send->to_node;
 	attempt->whole = send->to_node || send->request->kind == REQUEST_PLAIN;
 	attempt_start(attempt, endpoint_request_send(send, owner->node_name),
 		      send->timeout_us);
--- a/adapters/http_exchange.c
+++ b/adapters/http_exchange.c
@@ -22,6 +22,7 @@
 	bool may_have_left;
 	bool paused;
 	bool closed;	   /* no more callbacks */
+	int64_t got_bytes; /* of the answer's body */
 	int32_t use_count; /* operations and callbacks that still need it */
 	char buffer[READ_BYTES];
 };
@@ -118,6 +119,45 @@
 
 static void exchange_read(struct http_exchange *exchange);
 
+static bool exchange_has_body(const struct http_exchange *exchange)
+{
+	SoupStatus status = soup_message_get_status(exchange->message);
+
+	return status != SOUP_STATUS_NO_CONTENT &&
+	       status != SOUP_STATUS_NOT_MODIFIED &&
+	       !g_str_equal(soup_message_get_method(exchange->message), "HEAD");
+}
+
+/*
+ * libsoup forgives an answer that is shorter than its Content-Length where
+ * the connection was to be closed anyway; passed on, half of an answer would
+ * be taken for the whole.
+ */
+static bool exchange_is_short(const struct http_exchange *exchange)
+{
+	SoupMessageHeaders *headers =
+		soup_message_get_response_headers(exchange->message);
+
+	return exchange_has_body(exchange) &&
+	       soup_message_headers_get_encoding(headers) ==
+		       SOUP_ENCODING_CONTENT_LENGTH &&
+	       exchange->got_bytes <
+		       soup_message_headers_get_content_length(headers);
+}
+
+static void exchange_got_end(struct http_exchange *exchange)
+{
+	struct error error;
+
+	if (!exchange_is_short(exchange)) {
+		exchange_end(exchange, NULL);
+		return;
+	}
+	error_set(&error, ERROR_CLOSED, exchange->step, exchange->peer,
+		  "the answer is shorter than its length");
+	exchange_end(exchange, &error);
+}
+
 static void exchange_got_bytes(GObject *source, GAsyncResult *result,
 			       gpointer data)
 {
@@ -126,14 +166,16 @@
 	gssize got = g_input_stream_read_finish(G_INPUT_STREAM(source), result,
 						&problem);
 
-	if (exchange->closed)
+	if (exchange->closed) {
 		g_clear_error(&problem);
-	else if (got < 0)
+	} else if (got < 0) {
 		exchange_fail(exchange, problem);
-	else if (got == 0)
-		exchange_end(exchange, NULL);
-	else
+	} else if (got == 0) {
+		exchange_got_end(exchange);
+	} else {
+		exchange->got_bytes += got;
 		exchange->bytes(exchange->data, exchange->buffer, (size_t)got);
+	}
 	if (!exchange->closed && !exchange->paused)
 		exchange_read(exchange);
 	exchange_unuse(exchange);
@@ -159,7 +201,8 @@
 	SoupMessageHeaders *headers =
 		soup_message_get_response_headers(exchange->message);
 
-	return soup_message_headers_get_encoding(headers) != SOUP_ENCODING_EOF;
+	return !exchange_has_body(exchange) ||
+	       soup_message_headers_get_encoding(headers) != SOUP_ENCODING_EOF;
 }
 
 static void exchange_got_headers(GObject *source, GAsyncResult *result,
--- /dev/null
+++ b/tests/endpoint_client_test.cc
@@ -0,0 +1,558 @@
+#include "adapters/endpoint_client.h"
+#include "tests/loopback.h"
+
+#include <memory>
+
+#define ANSWER_BYTES 20000
+
+class EndpointClient : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		struct endpoint_client_options options = {};
+		struct event_sink sink = recorder.sink();
+
+		options.node_name = "n1";
+		options.max_answer_bytes = ANSWER_BYTES;
+		options.connect_timeout_ms = 5000;
+		options.load_timeout_ms = 5000;
+		options.counters = &counters;
+		client = endpoint_client_create(&options, &sink);
+		endpoint = listener.address();
+	}
+
+	void TearDown() override
+	{
+		endpoint_client_destroy(client);
+		run_idle();
+		request_unref(request);
+	}
+
+	struct request *make(enum request_kind kind, const char *method,
+			     const char *path, const char *body)
+	{
+		request_unref(request);
+		request = request_create(kind);
+		request->method = g_strdup(method);
+		request->path = g_strdup(path);
+		request->service = g_strdup("s");
+		request->content_type = g_strdup("application/json");
+		g_bytes_unref(request->body);
+		request->body = g_bytes_new(body, strlen(body));
+		return request;
+	}
+
+	void send(uint64_t attempt, struct request *to_send,
+		  bool to_node = false, int64_t timeout_us = 0)
+	{
+		struct action action = {.type = ACTION_ATTEMPT_SEND};
+
+		action.send.attempt = attempt;
+		action.send.endpoint = (char *)endpoint.c_str();
+		action.send.request = to_send;
+		action.send.priority = 4;
+		action.send.to_node = to_node;
+		action.send.timeout_us = timeout_us;
+		endpoint_client_apply(client, &action);
+	}
+
+	void send_generation(uint64_t attempt)
+	{
+		send(attempt, make(REQUEST_GENERATION, "POST",
+				   "/v1/completions", "{\"model\":\"m\"}"));
+	}
+
+	void resume(uint64_t attempt, int64_t next_token)
+	{
+		struct action action = {.type = ACTION_ATTEMPT_RESUME};
+
+		action.resume.attempt = attempt;
+		action.resume.endpoint = (char *)endpoint.c_str();
+		action.resume.generation = (char *)"g1";
+		action.resume.next_token = next_token;
+		endpoint_client_apply(client, &action);
+	}
+
+	void cancel(uint64_t attempt, bool keep_running)
+	{
+		struct action action = {.type = ACTION_ATTEMPT_CANCEL};
+
+		action.cancel.attempt = attempt;
+		action.cancel.keep_running = keep_running;
+		endpoint_client_apply(client, &action);
+	}
+
+	void flow(uint64_t attempt, bool pause)
+	{
+		struct action action = {.type = ACTION_ATTEMPT_FLOW};
+
+		action.flow.attempt = attempt;
+		action.flow.pause = pause;
+		endpoint_client_apply(client, &action);
+	}
+
+	void poll()
+	{
+		struct action action = {.type = ACTION_POLL_LOAD};
+
+		action.poll_load.endpoint = (char *)endpoint.c_str();
+		endpoint_client_apply(client, &action);
+	}
+
+	std::unique_ptr<Connection> accept(const std::string &until)
+	{
+		std::unique_ptr<Connection> peer(listener.accept());
+
+		EXPECT_TRUE(peer->wait_for(until)) << peer->input;
+		return peer;
+	}
+
+	static std::string chunk(const std::string &text)
+	{
+		char size[32];
+
+		g_snprintf(size, sizeof(size), "%zx\r\n", text.size());
+		return size + text + "\r\n";
+	}
+
+	static std::string stream_head(const char *generation)
+	{
+		return std::string("HTTP/1.1 200 OK\r\nContent-Type: "
+				   "text/event-stream\r\nX-Generation: ") +
+		       generation + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+	}
+
+	static std::string event(const std::string &id, const char *text)
+	{
+		return chunk("id: " + id +
+			     "\ndata: {\"choices\":[{\"index\":0,\"text\":\"" +
+			     text + "\"}],\"tokens\":1}\n\n");
+	}
+
+	static std::string whole(int status, const std::string &body)
+	{
+		return "HTTP/1.1 " + std::to_string(status) +
+		       " X\r\nContent-Type: text/plain\r\nContent-Length: " +
+		       std::to_string(body.size()) + "\r\n\r\n" + body;
+	}
+
+	static std::string stream_end()
+	{
+		return chunk("data: {\"choices\":[{\"index\":0,\"text\":\"\","
+			     "\"finish_reason\":\"stop\"}],\"usage\":{"
+			     "\"completion_tokens\":2}}\n\n"
+			     "data: [DONE]\n\n") +
+		       "0\r\n\r\n";
+	}
+
+	void expect_failed(enum attempt_stage stage)
+	{
+		ASSERT_TRUE(recorder.wait(EVENT_ATTEMPT_FAILED));
+		EXPECT_EQ(stage, recorder.last(EVENT_ATTEMPT_FAILED)->stage)
+			<< recorder.last(EVENT_ATTEMPT_FAILED)->text;
+		run_idle();
+		EXPECT_EQ(1u, recorder.count(EVENT_ATTEMPT_FAILED));
+		EXPECT_EQ(EVENT_ATTEMPT_FAILED, recorder.events.back().type);
+	}
+
+	Recorder recorder;
+	Listener listener;
+	struct counters counters = {};
+	struct endpoint_client *client = nullptr;
+	struct request *request = nullptr;
+	std::string endpoint;
+};
+
+TEST_F(EndpointClient, StreamsAGeneration)
+{
+	send_generation(1);
+	auto peer = accept("{\"model\":\"m\"}");
+	EXPECT_EQ(0u, peer->input.find("POST /v1/completions HTTP/1.1"));
+	EXPECT_NE(std::string::npos,
+		  peer->input.find("Accept: text/event-stream\r\n"));
+	EXPECT_NE(std::string::npos, peer->input.find("X-Request-Id: 1\r\n"));
+	EXPECT_NE(std::string::npos, peer->input.find("X-Priority: 4\r\n"));
+	EXPECT_EQ(std::string::npos, peer->input.find("Authorization"));
+	peer->send(stream_head("g1") + event("g1:1", "a") + event("g1:2", "b") +
+		   stream_end());
+	ASSERT_TRUE(recorder.wait(EVENT_ATTEMPT_DONE));
+	ASSERT_EQ(4u, recorder.events.size());
+	EXPECT_EQ(EVENT_ATTEMPT_STARTED, recorder.events[0].type);
+	EXPECT_EQ("g1", recorder.events[0].text);
+	EXPECT_EQ(0, recorder.events[1].first_token);
+	EXPECT_EQ(1, recorder.events[2].first_token);
+	EXPECT_EQ("{\"choices\":[{\"index\":0,\"text\":\"b\"}],\"tokens\":1}",
+		  recorder.events[2].text);
+	EXPECT_EQ(2, recorder.events[3].token_count);
+	EXPECT_EQ("stop", recorder.events[3].name);
+	EXPECT_TRUE(peer->wait_closed());
+}
+
+/* Nobody listens: the caller may be told "not run" and another be asked. */
+TEST_F(EndpointClient, SaysNotSentWhereNothingListens)
+{
+	listener.close();
+	send_generation(1);
+	expect_failed(ATTEMPT_NOT_SENT);
+}
+
+TEST_F(EndpointClient, SaysNotSentForAnAddressThatIsNone)
+{
+	endpoint = "not an address";
+	send_generation(1);
+	EXPECT_EQ(0u, recorder.events.size());
+	expect_failed(ATTEMPT_NOT_SENT);
+}
+
+/*
+ * The engine takes the request and closes without a word. It may have run it,
+ * so this is never "not sent"; nor is the request sent again by itself.
+ */
+TEST_F(EndpointClient, SaysSentOnceTheRequestMayHaveLeft)
+{
+	send(1, make(REQUEST_PLAIN, "PUT", "/x", "body"));
+	auto peer = accept("body");
+	peer->close();
+	expect_failed(ATTEMPT_SENT);
+	EXPECT_EQ(nullptr, g_socket_accept(listener.socket, nullptr, nullptr));
+}
+
+TEST_F(EndpointClient, SaysRefusedForABusyEngineOnly)
+{
+	send_generation(1);
+	accept("}")->send(whole(503, "busy"));
+	expect_failed(ATTEMPT_REFUSED);
+	recorder.events.clear();
+	send_generation(2);
+	accept("}")->send(whole(500, "oops"));
+	expect_failed(ATTEMPT_SENT);
+}
+
+TEST_F(EndpointClient, PassesOnWhatTheEngineFindsMalformed)
+{
+	send_generation(1);
+	auto peer = accept("}");
+	peer->send(whole(422, "bad prompt"));
+	ASSERT_TRUE(recorder.wait(EVENT_ATTEMPT_ANSWER));
+	EXPECT_EQ(422, recorder.events[0].status);
+	EXPECT_EQ("bad prompt", recorder.events[0].text);
+}
+
+/*
+ * The engine dies in mid-stream: what came is delivered, then one failure. A
+ * stream that ends without [DONE] is not whole, however tidily it closes.
+ */
+TEST_F(EndpointClient, FailsAStreamThatIsCut)
+{
+	send_generation(1);
+	auto peer = accept("}");
+	peer->send(stream_head("g1") + event("g1:1", "a"));
+	ASSERT_TRUE(recorder.wait(EVENT_ATTEMPT_CHUNK));
+	peer->close();
+	expect_failed(ATTEMPT_SENT);
+
+	recorder.events.clear();
+	send_generation(2);
+	auto tidy = accept("}");
+	tidy->send(stream_head("g2") + event("g2:1", "a") + "0\r\n\r\n");
+	expect_failed(ATTEMPT_SENT);
+	EXPECT_EQ(0u, recorder.count(EVENT_ATTEMPT_DONE));
+}
+
+struct garbage {
+	const char *name;
+	std::string bytes;
+};
+
+TEST_F(EndpointClient, FailsOnGarbage)
+{
+	const garbage cases[] = {
+		{"not HTTP", "hello\r\n\r\n"},
+		{"not a stream", whole(200, "{}")},
+		{"bad handle", stream_head("g 1/..")},
+		{"bad data", stream_head("g1") + chunk("data: {{\n\n")},
+		{"bad id", stream_head("g1") + event("g1", "a")},
+		{"large event",
+		 stream_head("g1") +
+			 chunk("data: " + std::string(300000, 'x'))},
+		{"error event",
+		 stream_head("g1") + chunk("event: error\ndata: {}\n\n")},
+		{"no framing",
+		 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"},
+	};
+	uint64_t attempt = 0;
+
+	for (const garbage &bad : cases) {
+		SCOPED_TRACE(bad.name);
+		recorder.events.clear();
+		send_generation(++attempt);
+		auto peer = accept("}");
+		peer->send(bad.bytes);
+		ASSERT_TRUE(run_until([&] {
+			peer->read();
+			return recorder.count(EVENT_ATTEMPT_FAILED) > 0;
+		}));
+		expect_failed(ATTEMPT_SENT);
+		EXPECT_EQ(0u, recorder.count(EVENT_ATTEMPT_CHUNK));
+	}
+}
+
+/*
+ * An engine mixes another generation's event into the stream. It is counted
+ * and dropped; passed on, the caller's answer would be of two runs.
+ */
+TEST_F(EndpointClient, DropsAnotherGenerationsEvents)
+{
+	send_generation(1);
+	auto peer = accept("}");
+	peer->send(stream_head("g1") + event("g1:1", "a") +
+		   event("g9:2", "crossed") + event("g1:2", "b") +
+		   stream_end());
+	ASSERT_TRUE(recorder.wait(EVENT_ATTEMPT_DONE));
+	EXPECT_EQ(2u, recorder.count(EVENT_ATTEMPT_CHUNK));
+	EXPECT_EQ(1u, counters.value[COUNTER_CHUNKS_DROPPED]);
+}
+
+TEST_F(EndpointClient, ResumesAfterATokenAndSaysWhenItIsGone)
+{
+	resume(1, 5);
+	auto peer = accept("\r\n\r\n");
+	EXPECT_EQ(0u, peer->input.find("GET /v1/generations/g1 HTTP/1.1"));
+	EXPECT_NE(std::string::npos,
+		  peer->input.find("Last-Event-ID: g1:5\r\n"));
+	peer->send(stream_head("g1") + event("g1:6", "f"));
+	ASSERT_TRUE(recorder.wait(EVENT_ATTEMPT_CHUNK));
+	EXPECT_EQ(5, recorder.last(EVENT_ATTEMPT_CHUNK)->first_token);
+	cancel(1, true);
+
+	recorder.events.clear();
+	resume(2, 5);
+	accept("\r\n\r\n")->send(whole(404, "gone"));
+	expect_failed(ATTEMPT_GONE);
+	recorder.events.clear();
+	resume(3, 5);
+	accept("\r\n\r\n")->send(stream_head("g2"));
+	expect_failed(ATTEMPT_SENT);
+}
+
+/*
+ * The caller is gone: nothing more is delivered, the connection is closed, and
+ * the engine is told to free the generation's memory.
+ */
+TEST_F(EndpointClient, CancelsTheGeneration)
+{
+	send_generation(1);
+	auto peer = accept("}");
+	peer->send(stream_head("g1") + event("g1:1", "a"));
+	ASSERT_TRUE(recorder.wait(EVENT_ATTEMPT_CHUNK));
+	cancel(1, false);
+	peer->send(event("g1:2", "late"));
+	auto control = accept("\r\n\r\n");
+	EXPECT_EQ(0u, control->input.find("DELETE /v1/generations/g1 "));
+	control->send(whole(200, ""));
+	EXPECT_TRUE(peer->wait_closed());
+	run_idle();
+	EXPECT_EQ(2u, recorder.events.size());
+}
+
+/* The caller is gone before the engine has named the generation. */
+TEST_F(EndpointClient, CancelsAGenerationThatIsNamedLate)
+{
+	send_generation(1);
+	auto peer = accept("}");
+	cancel(1, false);
+	run_idle();
+	EXPECT_FALSE(peer->closed);
+	peer->send(stream_head("g7") + event("g7:1", "a"));
+	auto control = accept("\r\n\r\n");
+	EXPECT_EQ(0u, control->input.find("DELETE /v1/generations/g7 "));
+	EXPECT_TRUE(peer->wait_closed());
+	EXPECT_EQ(0u, recorder.events.size());
+}
+
+TEST_F(EndpointClient, LetsGoOfAGenerationThatIsToRunOn)
+{
+	send_generation(1);
+	auto peer = accept("}");
+	peer->send(stream_head("g1") + event("g1:1", "a"));
+	ASSERT_TRUE(recorder.wait(EVENT_ATTEMPT_CHUNK));
+	cancel(1, true);
+	EXPECT_TRUE(peer->wait_closed());
+	run_idle();
+	EXPECT_EQ(nullptr, g_socket_accept(listener.socket, nullptr, nullptr));
+	EXPECT_EQ(2u, recorder.events.size());
+}
+
+/*
+ * The core pauses an attempt and another is cancelled from inside a delivery:
+ * the rest of what was read is not delivered for the cancelled one.
+ */
+TEST_F(EndpointClient, StopsInsideADelivery)
+{
+	recorder.on_event = [&](const recorded &r) {
+		if (r.type == EVENT_ATTEMPT_CHUNK)
+			cancel(r.number, true);
+	};
+	send_generation(1);
+	auto peer = accept("}");
+	peer->send(stream_head("g1") + event("g1:1", "a") + event("g1:2", "b") +
+		   stream_end());
+	EXPECT_TRUE(peer->wait_closed());
+	run_idle();
+	EXPECT_EQ(1u, recorder.count(EVENT_ATTEMPT_CHUNK));
+	EXPECT_EQ(0u, recorder.count(EVENT_ATTEMPT_DONE));
+}
+
+/*
+ * A slow caller: the attempt is paused. What the engine goes on sending stays
+ * in the sockets, so that the engine is held up; after it, all arrives.
+ */
+TEST_F(EndpointClient, HoldsAnEngineUpWhilePaused)
+{
+	std::string text(1000, 't');
+	size_t sent = 0;
+	size_t before;
+
+	send_generation(1);
+	auto peer = accept("}");
+	peer->send(stream_head("g1"));
+	ASSERT_TRUE(recorder.wait(EVENT_ATTEMPT_STARTED));
+	flow(1, true);
+	run_idle();
+	while (peer->unsent.empty() && sent < 100000) {
+		sent++;
+		peer->send(event("g1:" + std::to_string(sent), text.c_str()));
+	}
+	EXPECT_FALSE(peer->unsent.empty());
+	run_idle();
+	before = recorder.count(EVENT_ATTEMPT_CHUNK);
+	EXPECT_LE(before, 10u);
+	flow(1, false);
+	EXPECT_TRUE(run_until([&] {
+		peer->read();
+		return recorder.count(EVENT_ATTEMPT_CHUNK) == sent;
+	}));
+}
+
+TEST_F(EndpointClient, PassesAPlainAnswerWhateverItsStatus)
+{
+	send(1, make(REQUEST_PLAIN, "DELETE", "/a%2Fb?x=1", ""));
+	auto peer = accept("\r\n\r\n");
+	EXPECT_EQ(0u, peer->input.find("DELETE /a%2Fb?x=1 HTTP/1.1"));
+	peer->send(whole(503, "closed today"));
+	ASSERT_TRUE(recorder.wait(EVENT_ATTEMPT_ANSWER));
+	EXPECT_EQ(503, recorder.events[0].status);
+	EXPECT_EQ("closed today", recorder.events[0].text);
+	EXPECT_EQ("text/plain", recorder.events[0].name);
+}
+
+/*
+ * The endpoint dies in the middle of its answer, between two chunks of it, or
+ * says nothing in time; or the answer is over the limit. It ran the call, and
+ * the caller must not get the part that came as the whole.
+ */
+TEST_F(EndpointClient, FailsAnAnswerThatIsNotWhole)
+{
+	const char *heads[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"4\r\nhalf\r\n",
+		"HTTP/1.1 200 OK\r\n\r\nhalf",
+	};
+	uint64_t attempt = 0;
+
+	for (const char *head : heads) {
+		SCOPED_TRACE(head);
+		recorder.events.clear();
+		send(++attempt, make(REQUEST_PLAIN, "GET", "/", ""));
+		auto cut = accept("\r\n\r\n");
+		cut->send(head);
+		run_idle();
+		cut->close();
+		expect_failed(ATTEMPT_SENT);
+	}
+	recorder.events.clear();
+	send(8, make(REQUEST_PLAIN, "GET", "/", ""));
+	auto large = accept("\r\n\r\n");
+	large->send(whole(200, std::string(ANSWER_BYTES + 1, 'x')));
+	expect_failed(ATTEMPT_SENT);
+	recorder.events.clear();
+	send(9, make(REQUEST_PLAIN, "GET", "/", ""), false, 50000);
+	auto silent = accept("\r\n\r\n");
+	expect_failed(ATTEMPT_SENT);
+}
+
+TEST_F(EndpointClient, MarksWhatItForwardsToANode)
+{
+	struct request *r = make(REQUEST_PLAIN, "POST", "/orders?x", "{}");
+
+	r->bearer = g_strdup("key");
+	r->organisation = g_strdup("kgotso");
+	r->idempotency_key = g_strdup("id-1");
+	r->non_idempotent = true;
+	r->deadline_in_us = 2500000;
+	send(1, r, true);
+	auto peer = accept("{}");
+	for (const char *line :
+	     {"POST /svc/s/orders?x HTTP/1.1\r\n",
+	      "Authorization: Bearer key\r\n", "X-Organisation: kgotso\r\n",
+	      "Idempotency-Key: id-1\r\n", "X-Non-Idempotent: true\r\n",
+	      "X-Deadline-Ms: 2500\r\n", "X-Siskinlink-Forwarded: n1\r\n"})
+		EXPECT_NE(std::string::npos, peer->input.find(line)) << line;
+	peer->send(whole(200, "done"));
+	ASSERT_TRUE(recorder.wait(EVENT_ATTEMPT_ANSWER));
+}
+
+/* A node's stream has no length: it is whole if its last event says so. */
+TEST_F(EndpointClient, TellsANodesWholeStreamFromACutOne)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-"
+				 "stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+	send(1, make(REQUEST_GENERATION, "POST", "/v1/completions", "{}"),
+	     true);
+	accept("{}")->send(head + chunk("data: {}\n\ndata: [DONE]\n\n") +
+			   "0\r\n\r\n");
+	ASSERT_TRUE(recorder.wait(EVENT_ATTEMPT_ANSWER));
+	recorder.events.clear();
+	send(2, make(REQUEST_GENERATION, "POST", "/v1/completions", "{}"),
+	     true);
+	accept("{}")->send(head + chunk("data: {}\n\n"));
+	expect_failed(ATTEMPT_SENT);
+}
+
+TEST_F(EndpointClient, FollowsNoRedirect)
+{
+	send(1, make(REQUEST_PLAIN, "POST", "/", "{}"));
+	auto peer = accept("{}");
+	peer->send("HTTP/1.1 307 X\r\nLocation: http://" + endpoint +
+		   "/other\r\nContent-Length: 0\r\n\r\n");
+	ASSERT_TRUE(recorder.wait(EVENT_ATTEMPT_ANSWER));
+	EXPECT_EQ(307, recorder.events[0].status);
+	EXPECT_EQ(nullptr, g_socket_accept(listener.socket, nullptr, nullptr));
+}
+
+TEST_F(EndpointClient, ReportsLoadOrThatThereIsNone)
+{
+	poll();
+	auto peer = accept("\r\n\r\n");
+	EXPECT_EQ(0u, peer->input.find("GET /metrics HTTP/1.1"));
+	peer->send(whole(200, "engine_requests_running 3\n"));
+	ASSERT_TRUE(recorder.wait(EVENT_LOAD));
+	EXPECT_TRUE(recorder.events[0].flag);
+	EXPECT_EQ(endpoint, recorder.events[0].name);
+	EXPECT_EQ(3, recorder.events[0].report.running);
+	peer->input.clear();
+	poll();
+	ASSERT_TRUE(peer->wait_for("GET /metrics"));
+	peer->send(whole(200, "engine_requests_running -3\n"));
+	ASSERT_TRUE(recorder.wait(EVENT_LOAD, 2));
+	EXPECT_FALSE(recorder.events[1].flag);
+	EXPECT_EQ(1u, counters.value[COUNTER_LOAD_REJECTED]);
+	peer->close();
+	listener.close();
+	poll();
+	ASSERT_TRUE(recorder.wait(EVENT_LOAD, 3));
+	EXPECT_FALSE(recorder.events[2].flag);
+}
