--- a/adapters/http_exchange.c
+++ b/adapters/http_exchange.c
@@ -23,7 +23,6 @@
 	bool paused;
 	bool closed;	   /* no more callbacks */
 	int64_t got_bytes; /* of the answer's body */
-	int32_t use_count; /* operations and callbacks that still need it */
 	char buffer[READ_BYTES];
 };
 
@@ -37,38 +36,46 @@
 	exchange->answer_source = 0;
 }
 
-static void exchange_free(struct http_exchange *exchange)
+static void exchange_input_closed(GObject *source, GAsyncResult *result,
+				  gpointer data)
+{
+	(void)data;
+	g_input_stream_close_finish(G_INPUT_STREAM(source), result, NULL);
+}
+
+static void exchange_free_members(gpointer data)
 {
+	struct http_exchange *exchange = data;
+
 	g_signal_handler_disconnect(exchange->message,
 				    exchange->starting_handler);
+	if (exchange->input)
+		g_input_stream_close_async(exchange->input, G_PRIORITY_DEFAULT,
+					   NULL, exchange_input_closed, NULL);
 	g_clear_object(&exchange->input);
 	g_object_unref(exchange->cancellable);
 	g_object_unref(exchange->message);
 	g_object_unref(exchange->session);
 	g_free(exchange->peer);
-	g_free(exchange);
 }
 
-static void exchange_use(struct http_exchange *exchange)
+/* Held while open, by each pending operation and by each callback. */
+static void exchange_ref(struct http_exchange *exchange)
 {
-	exchange->use_count++;
+	g_rc_box_acquire(exchange);
 }
 
-static void exchange_input_closed(GObject *source, GAsyncResult *result,
-				  gpointer data)
+static void exchange_unref(struct http_exchange *exchange)
 {
-	(void)data;
-	g_input_stream_close_finish(G_INPUT_STREAM(source), result, NULL);
+	g_rc_box_release_full(exchange, exchange_free_members);
 }
 
-static void exchange_unuse(struct http_exchange *exchange)
+static void exchange_close(struct http_exchange *exchange)
 {
-	if (--exchange->use_count > 0 || !exchange->closed)
-		return;
-	if (exchange->input)
-		g_input_stream_close_async(exchange->input, G_PRIORITY_DEFAULT,
-					   NULL, exchange_input_closed, NULL);
-	exchange_free(exchange);
+	exchange->closed = true;
+	exchange_clear_timers(exchange);
+	g_cancellable_cancel(exchange->cancellable);
+	exchange_unref(exchange);
 }
 
 /* Ends without a callback; the connection is closed. NULL is allowed. */
@@ -76,11 +83,7 @@
 {
 	if (!exchange || exchange->closed)
 		return;
-	exchange_use(exchange);
-	exchange->closed = true;
-	exchange_clear_timers(exchange);
-	g_cancellable_cancel(exchange->cancellable);
-	exchange_unuse(exchange);
+	exchange_close(exchange);
 }
 
 static void exchange_end(struct http_exchange *exchange,
@@ -88,11 +91,10 @@
 {
 	if (exchange->closed)
 		return;
-	exchange_use(exchange);
-	exchange_clear_timers(exchange);
+	exchange_ref(exchange);
+	exchange_close(exchange);
 	exchange->ended(exchange->data, error);
-	http_exchange_cancel(exchange);
-	exchange_unuse(exchange);
+	exchange_unref(exchange);
 }
 
 static enum error_code exchange_error_code(const struct http_exchange *exchange,
@@ -178,14 +180,14 @@
 	}
 	if (!exchange->closed && !exchange->paused)
 		exchange_read(exchange);
-	exchange_unuse(exchange);
+	exchange_unref(exchange);
 }
 
 static void exchange_read(struct http_exchange *exchange)
 {
 	if (g_input_stream_has_pending(exchange->input))
 		return;
-	exchange_use(exchange);
+	exchange_ref(exchange);
 	g_input_stream_read_async(exchange->input, exchange->buffer,
 				  sizeof(exchange->buffer), G_PRIORITY_DEFAULT,
 				  exchange->cancellable, exchange_got_bytes,
@@ -227,7 +229,7 @@
 	}
 	if (!exchange->closed && !exchange->paused)
 		exchange_read(exchange);
-	exchange_unuse(exchange);
+	exchange_unref(exchange);
 }
 
 /*
@@ -287,7 +289,7 @@
 struct http_exchange *
 http_exchange_start(const struct http_exchange_options *options)
 {
-	struct http_exchange *exchange = g_new0(struct http_exchange, 1);
+	struct http_exchange *exchange = g_rc_box_new0(struct http_exchange);
 
 	exchange->session = g_object_ref(options->session);
 	exchange->message = g_object_ref(options->message);
@@ -302,7 +304,7 @@
 		g_signal_connect(exchange->message, "starting",
 				 G_CALLBACK(exchange_starting), exchange);
 	exchange_start_timers(exchange, options);
-	exchange_use(exchange);
+	exchange_ref(exchange);
 	soup_session_send_async(exchange->session, exchange->message,
 				G_PRIORITY_DEFAULT, exchange->cancellable,
 				exchange_got_headers, exchange);
