--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,13 @@
 SANITIZERS = -fsanitize=address,undefined -fno-sanitize-recover=all
 OPTIMIZE = -O1 -g -fno-omit-frame-pointer
 endif
+ifeq ($(FUZZ),1)
+CC = clang
+CXX = clang++
+SANITIZERS = -fsanitize=fuzzer-no-link,address,undefined \
+	-fno-sanitize-recover=all
+OPTIMIZE = -O1 -g -fno-omit-frame-pointer
+endif
 PACKAGE_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null \
 	| sed 's/-I/-isystem /g')
 PACKAGE_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -llog4c -lm
@@ -39,7 +46,7 @@
 TESTS = $(B)/bin/tests
 
 .PHONY: all demo check unit bench format format-check tidy pure install-deps \
-	clean
+	clean fuzz-short fuzz-run
 .SECONDARY:
 
 all: $(PROGRAMS)
@@ -96,6 +103,20 @@
 	@dpkg -s $(APT_PACKAGES) >/dev/null 2>&1 || \
 		{ apt-get update && apt-get install -y $(APT_PACKAGES); }
 
+# Parsers of what arrives from outside: a target each, built by clang's fuzzer
+# into build/fuzz. fuzz-short repeats the same runs each time.
+FUZZ_RUNS ?= 20000
+FUZZ_TARGETS = $(patsubst fuzz/%.c,$(B)/bin/%,$(wildcard fuzz/*_fuzz.c))
+fuzz-short:
+	$(MAKE) FUZZ=1 B=build/fuzz fuzz-run
+
+fuzz-run: $(FUZZ_TARGETS)
+	fuzz/run.sh $(FUZZ_RUNS) $^
+
+$(B)/bin/%_fuzz: $(B)/fuzz/%_fuzz.o $(LIBRARY)
+	@mkdir -p $(@D)
+	$(CXX) $(ALL_LDFLAGS) -fsanitize=fuzzer -o $@ $^ $(PACKAGE_LIBS)
+
 bench: $(PROGRAMS)
 	$(B)/bin/policy_bench $(BENCH_ARGS)
 
@@ -116,4 +137,5 @@
 	rm -rf build
 
 -include $(patsubst %.o,%.d,$(call objects,$(LIBRARY_SOURCES) \
-	$(FAKE_SOURCES) $(PROGRAM_SOURCES) $(TEST_SOURCES)))
+	$(FAKE_SOURCES) $(PROGRAM_SOURCES) $(TEST_SOURCES) \
+	$(wildcard fuzz/*.c)))
