Rollouts under a lease with fencing numbers

holder.c holds a key under a lease and knows until when it may act; rollout.c takes endpoints through drain, order and read-back in batches of one failure domain. Failures and the end are stored; what runs where is read back.

--- /dev/null
+++ b/codec/rollout_json.c
@@ -0,0 +1,118 @@
+#include "codec/rollout_json.h"
+
+#include "codec/json_reader.h"
+
+#include <string.h>
+
+enum { MAX_BYTES = 1 << 20, MAX_REASON_BYTES = 256 };
+
+static const char *const phase_names[] = {
+	[ROLLOUT_RUNNING] = "running",
+	[ROLLOUT_DONE] = "done",
+	[ROLLOUT_STOPPED] = "stopped",
+};
+
+/* Name of a phase, as it is stored. */
+const char *rollout_phase_name(enum rollout_phase phase)
+{
+	return phase_names[phase];
+}
+
+/* A rollout that runs and has had no failure. */
+void rollout_state_init(struct rollout_state *state)
+{
+	state->phase = ROLLOUT_RUNNING;
+	state->failed = g_ptr_array_new_with_free_func(g_free);
+	state->reason = g_strdup("");
+}
+
+/* Frees what a state holds, not the struct itself. */
+void rollout_state_clear(struct rollout_state *state)
+{
+	g_clear_pointer(&state->failed, g_ptr_array_unref);
+	g_clear_pointer(&state->reason, g_free);
+}
+
+static void read_phase(struct json_fields *fields, struct rollout_state *state)
+{
+	const char *name = json_fields_string(fields, "phase", 1, 16);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(phase_names); i++) {
+		if (strcmp(name, phase_names[i]) == 0) {
+			state->phase = (enum rollout_phase)i;
+			return;
+		}
+	}
+	json_fields_fail(fields, "phase", "running, done or stopped");
+}
+
+static void read_failed(struct json_fields *fields, struct rollout_state *state)
+{
+	JsonArray *array = json_fields_array(fields, "failed");
+
+	for (guint i = 0; array && i < json_array_get_length(array); i++) {
+		JsonNode *node = json_array_get_element(array, i);
+
+		if (json_node_get_value_type(node) != G_TYPE_STRING) {
+			json_fields_fail(fields, "failed", "addresses");
+			return;
+		}
+		g_ptr_array_add(state->failed,
+				g_strdup(json_node_get_string(node)));
+	}
+}
+
+/* Reads a state that is to be cleared; false: ERROR_INVALID and all empty. */
+bool rollout_json_parse(GBytes *document, struct rollout_state *state,
+			struct error *error)
+{
+	static const char *const names[] = {"phase", "failed", "reason", NULL};
+	JsonNode *root =
+		json_reader_parse(document, MAX_BYTES, "rollout.parse", error);
+	struct json_fields fields;
+	bool ok = root && json_fields_begin(&fields, root, "rollout.parse",
+					    error, "%s", "");
+
+	rollout_state_init(state);
+	if (ok) {
+		json_fields_allow(&fields, names);
+		read_phase(&fields, state);
+		read_failed(&fields, state);
+		g_free(state->reason);
+		state->reason = g_strdup(json_fields_string(
+			&fields, "reason", 0, MAX_REASON_BYTES));
+		ok = !fields.failed;
+	}
+	g_clear_pointer(&root, json_node_unref);
+	if (!ok) {
+		rollout_state_clear(state);
+		rollout_state_init(state);
+	}
+	return ok;
+}
+
+/* The state as stored. */
+GBytes *rollout_json_format(const struct rollout_state *state)
+{
+	JsonBuilder *builder = json_builder_new();
+	JsonNode *root;
+	char *text;
+
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "phase");
+	json_builder_add_string_value(builder, phase_names[state->phase]);
+	json_builder_set_member_name(builder, "failed");
+	json_builder_begin_array(builder);
+	for (guint i = 0; i < state->failed->len; i++)
+		json_builder_add_string_value(
+			builder, g_ptr_array_index(state->failed, i));
+	json_builder_end_array(builder);
+	json_builder_set_member_name(builder, "reason");
+	json_builder_add_string_value(builder, state->reason);
+	json_builder_end_object(builder);
+	root = json_builder_get_root(builder);
+	text = json_to_string(root, FALSE);
+	json_node_unref(root);
+	g_object_unref(builder);
+	return g_bytes_new_take(text, strlen(text));
+}
--- /dev/null
+++ b/codec/rollout_json.h
@@ -0,0 +1,31 @@
+#ifndef CODEC_ROLLOUT_JSON_H
+#define CODEC_ROLLOUT_JSON_H
+
+#include "core/error.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/* What of a rollout outlives its holder, as kept in the key-value service. */
+
+enum rollout_phase { ROLLOUT_RUNNING, ROLLOUT_DONE, ROLLOUT_STOPPED };
+
+struct rollout_state {
+	enum rollout_phase phase;
+	GPtrArray *failed; /* char *: addresses, each an error */
+	char *reason;	   /* why it stopped, else "" */
+};
+
+void rollout_state_init(struct rollout_state *state);
+void rollout_state_clear(struct rollout_state *state);
+bool rollout_json_parse(GBytes *document, struct rollout_state *state,
+			struct error *error);
+GBytes *rollout_json_format(const struct rollout_state *state);
+const char *rollout_phase_name(enum rollout_phase phase);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/core/holder.c
@@ -0,0 +1,318 @@
+#include "core/holder.h"
+
+#include "core/counters.h"
+
+#include <string.h>
+
+enum { RETRY_US = 1 * G_USEC_PER_SEC, RENEWALS_PER_TTL = 3 };
+
+enum holder_state {
+	HOLDER_IDLE,
+	HOLDER_READING, /* is the key free? */
+	HOLDER_GRANTING,
+	HOLDER_CLAIMING,
+	HOLDER_HOLDING
+};
+
+struct holder {
+	struct holder_options options;
+	char *key;
+	char *name;
+	GRand *random;
+	enum holder_state state;
+	bool wanted;
+	uint64_t kv_id;	 /* in flight; 0: none */
+	int64_t sent_us; /* of the call in flight */
+	int64_t due_us;	 /* next call, when none is in flight */
+	int64_t lease;
+	int64_t lease_until_us; /* by this clock, and early rather than late */
+	int64_t fence;
+};
+
+/* A holder that does not want the key yet; options are copied. */
+struct holder *holder_create(const struct holder_options *options)
+{
+	struct holder *holder = g_new0(struct holder, 1);
+
+	holder->options = *options;
+	holder->key = g_strdup(options->key);
+	holder->name = g_strdup(options->name);
+	holder->random = g_rand_new_with_seed((guint32)options->seed);
+	holder->due_us = INT64_MIN;
+	return holder;
+}
+
+/* Lets the lease lapse by itself; NULL is allowed. */
+void holder_destroy(struct holder *holder)
+{
+	if (!holder)
+		return;
+	g_rand_free(holder->random);
+	g_free(holder->key);
+	g_free(holder->name);
+	g_free(holder);
+}
+
+/* Whether to try for the key; one that is held is kept until it is dropped. */
+void holder_set_wanted(struct holder *holder, bool wanted)
+{
+	holder->wanted = wanted;
+}
+
+static struct kv_request *holder_send(struct holder *holder, enum kv_op op,
+				      int64_t now_us,
+				      struct action_list *actions)
+{
+	struct action *action = action_list_add(actions, ACTION_KV);
+
+	holder->kv_id = (*holder->options.next_kv_id)++;
+	holder->sent_us = now_us;
+	action->kv.id = holder->kv_id;
+	action->kv.op = op;
+	action->kv.timeout_us = holder->options.kv_timeout_us;
+	if (holder->options.counters)
+		counters_add(holder->options.counters, COUNTER_KV_CALLS, 1);
+	return &action->kv;
+}
+
+static int64_t ttl_us(const struct holder *holder)
+{
+	return holder->options.ttl_s * G_USEC_PER_SEC;
+}
+
+static void holder_retry(struct holder *holder, int64_t now_us,
+			 int64_t delay_us)
+{
+	holder->due_us =
+		now_us + delay_us / 2 +
+		(int64_t)(g_rand_double(holder->random) * (double)delay_us / 2);
+}
+
+/* The key is not held, or not known to be: try again after a while. */
+static void holder_rest(struct holder *holder, int64_t now_us, int64_t delay_us)
+{
+	holder->state = HOLDER_IDLE;
+	holder->fence = 0;
+	holder->lease = 0;
+	holder_retry(holder, now_us, delay_us);
+}
+
+/* Stops holding: an endpoint has met a higher fencing number. */
+void holder_drop(struct holder *holder, int64_t now_us)
+{
+	holder->kv_id = 0;
+	holder_rest(holder, now_us, ttl_us(holder));
+}
+
+/* The key's value: one for each claim, so that a lost answer can be told. */
+static GBytes *claim_value(const struct holder *holder)
+{
+	char *text = g_strdup_printf("%s:%" G_GINT64_FORMAT, holder->name,
+				     holder->lease);
+
+	return g_bytes_new_take(text, strlen(text));
+}
+
+static void send_claim(struct holder *holder, int64_t now_us,
+		       struct action_list *actions)
+{
+	struct kv_request *request =
+		holder_send(holder, KV_CAS, now_us, actions);
+
+	holder->state = HOLDER_CLAIMING;
+	request->key = g_strdup(holder->key);
+	request->value = claim_value(holder);
+	request->lease = holder->lease;
+}
+
+static void send_next(struct holder *holder, int64_t now_us,
+		      struct action_list *actions)
+{
+	switch (holder->state) {
+	case HOLDER_IDLE:
+	case HOLDER_READING:
+		holder->state = HOLDER_READING;
+		holder_send(holder, KV_GET, now_us, actions)->key =
+			g_strdup(holder->key);
+		break;
+	case HOLDER_GRANTING:
+		holder_send(holder, KV_LEASE_GRANT, now_us, actions)->ttl_s =
+			holder->options.ttl_s;
+		break;
+	case HOLDER_CLAIMING:
+		send_claim(holder, now_us, actions);
+		break;
+	case HOLDER_HOLDING:
+		holder_send(holder, KV_LEASE_KEEPALIVE, now_us, actions)
+			->lease = holder->lease;
+		break;
+	}
+}
+
+/* Makes the next call when it is due: a claim, or a renewal of the lease. */
+void holder_step(struct holder *holder, int64_t now_us,
+		 struct action_list *actions)
+{
+	if (holder->kv_id || now_us < holder->due_us)
+		return;
+	if (holder->state == HOLDER_IDLE && !holder->wanted)
+		return;
+	send_next(holder, now_us, actions);
+}
+
+/* When holder_step() has something to do; INT64_MAX: nothing. */
+int64_t holder_next_due_us(const struct holder *holder)
+{
+	if (holder->kv_id || (holder->state == HOLDER_IDLE && !holder->wanted))
+		return INT64_MAX;
+	return holder->due_us;
+}
+
+/*
+ * While another holds the key this costs one read per time to live and
+ * candidate, no write.
+ */
+static void on_read(struct holder *holder, const struct kv_answer *answer,
+		    int64_t now_us, struct action_list *actions)
+{
+	if (answer->outcome == KV_NOT_FOUND) {
+		holder->state = HOLDER_GRANTING;
+		send_next(holder, now_us, actions);
+		return;
+	}
+	holder_rest(holder, now_us,
+		    answer->outcome == KV_OK ? ttl_us(holder) : RETRY_US);
+}
+
+/* Counted from before it was asked for, so never longer than the service's. */
+static void extend_lease(struct holder *holder, int64_t granted_s)
+{
+	holder->lease_until_us =
+		holder->sent_us +
+		MIN(granted_s, holder->options.ttl_s) * G_USEC_PER_SEC;
+}
+
+static void on_granted(struct holder *holder, const struct kv_answer *answer,
+		       int64_t now_us, struct action_list *actions)
+{
+	if (answer->outcome != KV_OK) {
+		holder_rest(holder, now_us, RETRY_US);
+		return;
+	}
+	holder->lease = answer->lease;
+	extend_lease(holder, answer->ttl_s);
+	send_claim(holder, now_us, actions);
+}
+
+static void hold(struct holder *holder, int64_t fence, int64_t now_us)
+{
+	holder->state = HOLDER_HOLDING;
+	holder->fence = fence;
+	holder->due_us = now_us + ttl_us(holder) / RENEWALS_PER_TTL;
+}
+
+/* The key as this claim wrote it, whose answer was lost; or NULL. */
+static const struct kv_entry *find_own_claim(const struct holder *holder,
+					     const struct kv_answer *answer)
+{
+	const struct kv_entry *entry;
+	GBytes *value;
+	bool own;
+
+	if (!answer->entries || answer->entries->len == 0)
+		return NULL;
+	entry = g_ptr_array_index(answer->entries, 0);
+	value = claim_value(holder);
+	own = g_bytes_equal(value, entry->value);
+	g_bytes_unref(value);
+	return own ? entry : NULL;
+}
+
+static void on_claimed(struct holder *holder, const struct kv_answer *answer,
+		       int64_t now_us)
+{
+	const struct kv_entry *own;
+
+	switch (answer->outcome) {
+	case KV_OK:
+		hold(holder, answer->revision, now_us);
+		break;
+	case KV_CONFLICT:
+		own = find_own_claim(holder, answer);
+		if (own)
+			hold(holder, own->create_revision, now_us);
+		else
+			holder_rest(holder, now_us, ttl_us(holder));
+		break;
+	case KV_NOT_FOUND:
+		holder_rest(holder, now_us, RETRY_US);
+		break;
+	case KV_NOT_APPLIED:
+	case KV_ANSWER_LOST:
+		holder->due_us = now_us + RETRY_US;
+		break;
+	}
+}
+
+/*
+ * A renewal that is answered shows that the lease has not lapsed and that the
+ * key is still this holder's, also where this clock had counted it as over in
+ * an outage. One that is not found has lapsed, and another may hold the key.
+ */
+static void on_renewed(struct holder *holder, const struct kv_answer *answer,
+		       int64_t now_us)
+{
+	if (answer->outcome == KV_NOT_FOUND) {
+		holder_rest(holder, now_us, RETRY_US);
+	} else if (answer->outcome == KV_OK) {
+		extend_lease(holder, answer->ttl_s);
+		holder->due_us = now_us + ttl_us(holder) / RENEWALS_PER_TTL;
+	} else {
+		holder->due_us = now_us + RETRY_US;
+	}
+}
+
+/* Takes the answer to one of the holder's calls; false: it is another's. */
+bool holder_kv(struct holder *holder, const struct kv_answer *answer,
+	       int64_t now_us, struct action_list *actions)
+{
+	if (!holder->kv_id || answer->id != holder->kv_id)
+		return false;
+	holder->kv_id = 0;
+	switch (holder->state) {
+	case HOLDER_IDLE:
+		break;
+	case HOLDER_READING:
+		on_read(holder, answer, now_us, actions);
+		break;
+	case HOLDER_GRANTING:
+		on_granted(holder, answer, now_us, actions);
+		break;
+	case HOLDER_CLAIMING:
+		on_claimed(holder, answer, now_us);
+		break;
+	case HOLDER_HOLDING:
+		on_renewed(holder, answer, now_us);
+		break;
+	}
+	return true;
+}
+
+/* The fencing number to put into each order; 0: the key is not held. */
+int64_t holder_fence(const struct holder *holder)
+{
+	return holder->state == HOLDER_HOLDING ? holder->fence : 0;
+}
+
+/*
+ * Whether an act of this duration, started now, is over a margin before the
+ * lease can lapse. A holder that was paused and goes on in here finds its
+ * lease over by its own clock, before it has heard from the service.
+ */
+bool holder_may_act(const struct holder *holder, int64_t now_us,
+		    int64_t duration_us)
+{
+	return holder_fence(holder) != 0 &&
+	       now_us + duration_us + holder->options.margin_us <=
+		       holder->lease_until_us;
+}
--- /dev/null
+++ b/core/holder.h
@@ -0,0 +1,46 @@
+#ifndef CORE_HOLDER_H
+#define CORE_HOLDER_H
+
+#include "ports/action.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * One node at a time holds a key of the key-value service under a lease. The
+ * fencing number is the revision that created the key, so each holder's is
+ * above all earlier ones'. A holder acts only while its lease, counted on its
+ * own clock from before it was asked for, lasts a margin longer than the act.
+ */
+struct holder_options {
+	const char *key;
+	const char *name;     /* of this process, never used by an earlier */
+	uint64_t seed;	      /* jitter */
+	uint64_t *next_kv_id; /* shared with the node's other calls */
+	struct counters *counters; /* may be NULL */
+	int64_t ttl_s;
+	int64_t margin_us; /* for clocks that run at different speeds */
+	int64_t kv_timeout_us;
+};
+
+struct holder;
+
+struct holder *holder_create(const struct holder_options *options);
+void holder_destroy(struct holder *holder);
+void holder_set_wanted(struct holder *holder, bool wanted);
+void holder_step(struct holder *holder, int64_t now_us,
+		 struct action_list *actions);
+int64_t holder_next_due_us(const struct holder *holder);
+bool holder_kv(struct holder *holder, const struct kv_answer *answer,
+	       int64_t now_us, struct action_list *actions);
+int64_t holder_fence(const struct holder *holder); /* 0: does not hold */
+bool holder_may_act(const struct holder *holder, int64_t now_us,
+		    int64_t duration_us);
+void holder_drop(struct holder *holder, int64_t now_us);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/core/rollout_endpoint.c
@@ -0,0 +1,285 @@
+#include "core/rollout_internal.h"
+
+#include <string.h>
+
+/* Enters a state, whose first read is due at once. */
+void rollout_endpoint_set_state(struct rollout_endpoint *endpoint,
+				enum endpoint_state state, int64_t now_us)
+{
+	endpoint->state = state;
+	endpoint->since_us = now_us;
+	endpoint->read_us = now_us;
+	endpoint->idle = false;
+}
+
+/* Has no new work sent to an endpoint. */
+void rollout_take_out(const struct rollout *rollout,
+		      struct rollout_endpoint *endpoint, GArray *effects)
+{
+	if (endpoint->out_of_use)
+		return;
+	endpoint->out_of_use = true;
+	rollout_add_effect(rollout, effects, ROLLOUT_TAKE_OUT, endpoint);
+}
+
+/* Puts an endpoint that was taken out into use again. */
+void rollout_put_in(const struct rollout *rollout,
+		    struct rollout_endpoint *endpoint, GArray *effects)
+{
+	if (!endpoint->out_of_use)
+		return;
+	endpoint->out_of_use = false;
+	rollout_add_effect(rollout, effects, ROLLOUT_PUT_IN, endpoint);
+}
+
+/*
+ * A failure is stored before the next batch, so that the limit holds over
+ * holders. The endpoint stays out of use: what it runs is in doubt.
+ */
+static void rollout_fail_endpoint(struct rollout *rollout,
+				  struct rollout_endpoint *endpoint,
+				  const char *what, int64_t now_us)
+{
+	char *reason;
+
+	rollout_endpoint_set_state(endpoint, ENDPOINT_FAILED, now_us);
+	if (!g_ptr_array_find_with_equal_func(rollout->state.failed,
+					      endpoint->address, g_str_equal,
+					      NULL))
+		g_ptr_array_add(rollout->state.failed,
+				g_strdup(endpoint->address));
+	rollout->dirty = true;
+	if (rollout->state.phase != ROLLOUT_RUNNING ||
+	    (int32_t)rollout->state.failed->len <=
+		    rollout->options.max_failures)
+		return;
+	reason = g_strdup_printf("%u endpoints failed, at most %d allowed; "
+				 "the last, %s, %s",
+				 rollout->state.failed->len,
+				 rollout->options.max_failures,
+				 endpoint->address, what);
+	rollout_stop(rollout, reason);
+	g_free(reason);
+}
+
+/*
+ * An order is sent only while the lease outlasts it. To an endpoint that does
+ * not check the number, the holder before may have sent its last order just
+ * as its lease ended: the first order waits until that one must have arrived.
+ */
+static bool may_order(const struct rollout *rollout,
+		      const struct rollout_endpoint *endpoint, int64_t now_us)
+{
+	if (now_us < rollout->next_order_us ||
+	    !holder_may_act(rollout->holder, now_us,
+			    rollout->options.order_timeout_us))
+		return false;
+	return endpoint->checks_fence ||
+	       now_us >= rollout->held_since_us +
+				 rollout->options.order_timeout_us;
+}
+
+static void send_order(struct rollout *rollout,
+		       struct rollout_endpoint *endpoint, int64_t now_us,
+		       GArray *effects)
+{
+	endpoint->orders++;
+	rollout_endpoint_set_state(endpoint, ENDPOINT_ORDERED, now_us);
+	rollout->next_order_us = now_us + rollout->options.order_interval_us;
+	rollout_add_effect(rollout, effects, ROLLOUT_ORDER, endpoint);
+}
+
+static void read_if_due(struct rollout *rollout,
+			struct rollout_endpoint *endpoint, int64_t now_us,
+			GArray *effects)
+{
+	if (now_us < endpoint->read_us)
+		return;
+	endpoint->read_us = now_us + rollout->options.read_interval_us;
+	rollout_add_effect(rollout, effects, ROLLOUT_READ, endpoint);
+}
+
+static void step_draining(struct rollout *rollout,
+			  struct rollout_endpoint *endpoint, int64_t now_us,
+			  GArray *effects)
+{
+	if (endpoint->idle) {
+		if (may_order(rollout, endpoint, now_us))
+			send_order(rollout, endpoint, now_us, effects);
+	} else if (now_us - endpoint->since_us >=
+		   rollout->options.drain_timeout_us) {
+		rollout_put_in(rollout, endpoint, effects);
+		rollout_fail_endpoint(rollout, endpoint,
+				      "did not finish its requests", now_us);
+	} else {
+		read_if_due(rollout, endpoint, now_us, effects);
+	}
+}
+
+/* Does what one endpoint's state asks for now. */
+void rollout_endpoint_step(struct rollout *rollout,
+			   struct rollout_endpoint *endpoint, int64_t now_us,
+			   GArray *effects)
+{
+	int64_t waited_us = now_us - endpoint->since_us;
+
+	switch (endpoint->state) {
+	case ENDPOINT_UNREAD:
+		if (waited_us >= ROLLOUT_READS_UNTIL_LOST *
+					 rollout->options.read_interval_us)
+			rollout_fail_endpoint(rollout, endpoint,
+					      "cannot be reached", now_us);
+		else
+			read_if_due(rollout, endpoint, now_us, effects);
+		break;
+	case ENDPOINT_DRAINING:
+		step_draining(rollout, endpoint, now_us, effects);
+		break;
+	case ENDPOINT_ORDERED:
+		if (waited_us >= 2 * rollout->options.order_timeout_us)
+			rollout_endpoint_set_state(endpoint, ENDPOINT_LOADING,
+						   now_us);
+		break;
+	case ENDPOINT_LOADING:
+		if (waited_us >= rollout->options.load_timeout_us)
+			rollout_fail_endpoint(rollout, endpoint,
+					      "did not reach the target",
+					      now_us);
+		else
+			read_if_due(rollout, endpoint, now_us, effects);
+		break;
+	case ENDPOINT_READY:
+		rollout_put_in(rollout, endpoint, effects);
+		break;
+	case ENDPOINT_FAILED:
+		rollout_take_out(rollout, endpoint, effects);
+		break;
+	case ENDPOINT_WAITING:
+		break;
+	}
+}
+
+/*
+ * When an order may go out; INT64_MAX if it could have and the lease does not
+ * last: the renewal's answer brings the next step.
+ */
+static int64_t order_due_us(const struct rollout *rollout,
+			    const struct rollout_endpoint *endpoint)
+{
+	int64_t due_us = rollout->next_order_us;
+
+	if (!endpoint->checks_fence)
+		due_us = MAX(due_us, rollout->held_since_us +
+					     rollout->options.order_timeout_us);
+	return due_us <= rollout->stepped_us ? INT64_MAX : due_us;
+}
+
+/* When an endpoint has something to do; INT64_MAX: when more is told. */
+int64_t rollout_endpoint_due_us(const struct rollout *rollout,
+				const struct rollout_endpoint *endpoint)
+{
+	switch (endpoint->state) {
+	case ENDPOINT_DRAINING:
+		return endpoint->idle ? order_due_us(rollout, endpoint)
+				      : endpoint->read_us;
+	case ENDPOINT_ORDERED:
+		return endpoint->since_us +
+		       2 * rollout->options.order_timeout_us;
+	case ENDPOINT_UNREAD:
+	case ENDPOINT_LOADING:
+		return endpoint->read_us;
+	case ENDPOINT_WAITING:
+	case ENDPOINT_READY:
+	case ENDPOINT_FAILED:
+		break;
+	}
+	return INT64_MAX;
+}
+
+static bool is_ordering(const struct rollout_endpoint *endpoint)
+{
+	return endpoint->state == ENDPOINT_ORDERED ||
+	       endpoint->state == ENDPOINT_LOADING;
+}
+
+/*
+ * The target is not there although it was ordered: the order was lost, or an
+ * earlier holder's late one came after it. It is ordered again, a few times.
+ */
+static void read_other_target(struct rollout *rollout,
+			      struct rollout_endpoint *endpoint,
+			      const struct rollout_reading *reading,
+			      int64_t now_us)
+{
+	switch (endpoint->state) {
+	case ENDPOINT_DRAINING:
+		endpoint->idle = reading->requests_running == 0;
+		break;
+	case ENDPOINT_LOADING:
+		if (reading->loading ||
+		    now_us - endpoint->since_us <
+			    2 * rollout->options.order_timeout_us)
+			break;
+		if (endpoint->orders >= ROLLOUT_MAX_ORDERS) {
+			rollout_fail_endpoint(rollout, endpoint,
+					      "does not keep the target",
+					      now_us);
+			break;
+		}
+		rollout_endpoint_set_state(endpoint, ENDPOINT_DRAINING, now_us);
+		break;
+	case ENDPOINT_UNREAD:
+	case ENDPOINT_READY:
+		rollout_endpoint_set_state(endpoint, ENDPOINT_WAITING, now_us);
+		if (rollout->state.phase == ROLLOUT_DONE)
+			rollout->state.phase = ROLLOUT_RUNNING;
+		break;
+	case ENDPOINT_WAITING:
+	case ENDPOINT_ORDERED:
+	case ENDPOINT_FAILED:
+		break;
+	}
+}
+
+/* What an endpoint that was read has said of itself. */
+void rollout_read_answered(struct rollout *rollout, const char *address,
+			   const struct rollout_reading *reading,
+			   int64_t now_us)
+{
+	struct rollout_endpoint *endpoint = rollout_find(rollout, address);
+
+	if (!endpoint || !reading->target || !rollout->fence)
+		return;
+	if (strcmp(reading->target, rollout->target) != 0) {
+		read_other_target(rollout, endpoint, reading, now_us);
+		return;
+	}
+	if (endpoint->state != ENDPOINT_FAILED &&
+	    endpoint->state != ENDPOINT_READY)
+		rollout_endpoint_set_state(endpoint, ENDPOINT_READY, now_us);
+}
+
+/* What became of an order; where that is not known, reading back tells. */
+void rollout_order_answered(struct rollout *rollout, const char *address,
+			    enum rollout_order_outcome outcome, int64_t now_us)
+{
+	struct rollout_endpoint *endpoint = rollout_find(rollout, address);
+
+	if (!endpoint || !is_ordering(endpoint) || !rollout->fence)
+		return;
+	switch (outcome) {
+	case ROLLOUT_ORDER_TAKEN:
+	case ROLLOUT_ORDER_LOST:
+		if (endpoint->state == ENDPOINT_ORDERED)
+			rollout_endpoint_set_state(endpoint, ENDPOINT_LOADING,
+						   now_us);
+		break;
+	case ROLLOUT_ORDER_REFUSED:
+		rollout_fail_endpoint(rollout, endpoint, "refused the order",
+				      now_us);
+		break;
+	case ROLLOUT_ORDER_STALE:
+		holder_drop(rollout->holder, now_us);
+		break;
+	}
+}
