--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -496,6 +496,7 @@
 	n->kv_loses = true;
 	n->lose_orders = true;
 	ASSERT_TRUE(w.run_until([&] { return holder_fence(n->holder) != 0; }));
+	EXPECT_EQ(2, holder_fence(n->holder));
 	n->kv_loses = true;
 	ASSERT_TRUE(w.run_until([&] { return is_done(n); }));
 	EXPECT_TRUE(w.all_run("v2"));
