--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -223,8 +223,11 @@
 {
 	if (!alive || paused)
 		return;
-	/* Each step may make the next one due; it must come to rest. */
-	for (int i = 0; i < 100 && due_us() <= w->now_us; i++) {
+	/*
+	 * As in a node, a step may come before it is due. Each may make the
+	 * next one due; it must come to rest.
+	 */
+	for (int i = 0; i == 0 || (i < 100 && due_us() <= w->now_us); i++) {
 		struct action_list *actions = action_list_create();
 		GArray *effects = g_array_new(FALSE, FALSE,
 					      sizeof(struct rollout_effect));
