--- a/adapters/kv_client.c
+++ b/adapters/kv_client.c
@@ -65,7 +65,8 @@
  * malformed (400), not allowed (401, 403) or that the service takes no more
  * proposals (429, sent before one is made). A 404 names a lease that is gone,
  * which the service checks before it writes. All else, such as 503 and 504,
- * may come after the proposal was made.
+ * may come after the proposal was made. A read of an earlier revision is
+ * answered by 400 where that is not kept any more.
  */
 static enum kv_outcome
 kv_outcome_of_failure(const struct kv_request *request,
@@ -75,6 +76,7 @@
 		return KV_NOT_APPLIED;
 	switch (result->status) {
 	case SOUP_STATUS_BAD_REQUEST:
+		return request->read_revision ? KV_NOT_FOUND : KV_NOT_APPLIED;
 	case SOUP_STATUS_UNAUTHORIZED:
 	case SOUP_STATUS_FORBIDDEN:
 	case 429:
--- a/codec/etcd_json.c
+++ b/codec/etcd_json.c
@@ -93,6 +93,8 @@
 static void add_range(JsonBuilder *builder, const struct kv_request *request)
 {
 	add_key(builder, "key", request->key);
+	if (request->read_revision)
+		add_int64(builder, "revision", request->read_revision);
 	if (request->op == KV_LIST) {
 		char *end = etcd_json_range_end(request->key);
 
--- a/core/plan.h
+++ b/core/plan.h
@@ -42,6 +42,10 @@
 struct plan *plan_create(const struct config *base, GBytes *intent,
 			 const char *id, const char *operator_name,
 			 int64_t now_us, struct error *error);
+struct plan *plan_create_rollback(const struct config *base,
+				  const struct config *earlier, const char *id,
+				  const char *operator_name, int64_t now_us,
+				  struct error *error);
 void plan_destroy(struct plan *plan);
 void plan_sign(struct plan *plan, const char *confirmed_by, int64_t now_us);
 GBytes *plan_format_json(const struct plan *plan);
--- /dev/null
+++ b/core/plan_describe.h
@@ -0,0 +1,13 @@
+#ifndef CORE_PLAN_DESCRIBE_H
+#define CORE_PLAN_DESCRIBE_H
+
+#include "core/plan.h"
+
+G_BEGIN_DECLS
+
+/* What a plan changes and what that would break, in lines for operators. */
+void plan_describe(struct plan *plan, const struct config *base);
+
+G_END_DECLS
+
+#endif
--- a/fakes/kv_gateway.c
+++ b/fakes/kv_gateway.c
@@ -147,31 +147,60 @@
 	json_builder_end_object(builder);
 }
 
-static void answer_range(const struct kv_model *model, JsonObject *body,
-			 JsonBuilder *builder)
+static unsigned answer_error(JsonBuilder *builder, unsigned status, int code,
+			     const char *message)
+{
+	json_builder_reset(builder);
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "error");
+	json_builder_add_string_value(builder, message);
+	json_builder_set_member_name(builder, "code");
+	json_builder_add_int_value(builder, code);
+	json_builder_set_member_name(builder, "message");
+	json_builder_add_string_value(builder, message);
+	json_builder_end_object(builder);
+	return status;
+}
+
+static void add_entries(JsonBuilder *builder, const GPtrArray *entries)
+{
+	if (entries->len == 0)
+		return;
+	json_builder_set_member_name(builder, "kvs");
+	json_builder_begin_array(builder);
+	for (guint i = 0; i < entries->len; i++) {
+		const struct kv_entry *entry = g_ptr_array_index(entries, i);
+
+		add_kv(builder, entry->key, entry->value,
+		       entry->create_revision, entry->mod_revision);
+	}
+	json_builder_end_array(builder);
+	add_int64(builder, "count", entries->len);
+}
+
+static unsigned answer_range(const struct kv_model *model, JsonObject *body,
+			     JsonBuilder *builder)
 {
 	GPtrArray *entries = kv_entries_create();
 	char *key = get_key(body, "key");
 	char *range_end = get_key(body, "range_end");
+	int64_t revision = get_int64(body, "revision");
+	unsigned status = 200;
 
-	kv_model_range(model, key, range_end, entries);
-	add_header(builder, model);
-	if (entries->len) {
-		json_builder_set_member_name(builder, "kvs");
-		json_builder_begin_array(builder);
-		for (guint i = 0; i < entries->len; i++) {
-			const struct kv_entry *entry =
-				g_ptr_array_index(entries, i);
-
-			add_kv(builder, entry->key, entry->value,
-			       entry->create_revision, entry->mod_revision);
-		}
-		json_builder_end_array(builder);
-		add_int64(builder, "count", entries->len);
+	if (!revision)
+		kv_model_range(model, key, range_end, entries);
+	else if (!kv_model_get_at(model, key, revision, entries))
+		status = answer_error(builder, 400, 11,
+				      "etcdserver: mvcc: required revision has "
+				      "been compacted");
+	if (status == 200) {
+		add_header(builder, model);
+		add_entries(builder, entries);
 	}
 	g_free(key);
 	g_free(range_end);
 	g_ptr_array_unref(entries);
+	return status;
 }
 
 static bool compare_holds(const struct kv_model *model, JsonObject *body)
@@ -268,21 +297,6 @@
 	return true;
 }
 
-static unsigned answer_error(JsonBuilder *builder, unsigned status, int code,
-			     const char *message)
-{
-	json_builder_reset(builder);
-	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "error");
-	json_builder_add_string_value(builder, message);
-	json_builder_set_member_name(builder, "code");
-	json_builder_add_int_value(builder, code);
-	json_builder_set_member_name(builder, "message");
-	json_builder_add_string_value(builder, message);
-	json_builder_end_object(builder);
-	return status;
-}
-
 static unsigned answer_txn(struct kv_model *model, JsonObject *body,
 			   JsonBuilder *builder)
 {
@@ -350,7 +364,7 @@
 	json_builder_begin_object(builder);
 	switch (call) {
 	case KV_CALL_RANGE:
-		answer_range(model, body, builder);
+		status = answer_range(model, body, builder);
 		break;
 	case KV_CALL_TXN:
 		status = answer_txn(model, body, builder);
--- a/fakes/kv_model.c
+++ b/fakes/kv_model.c
@@ -254,6 +254,34 @@
 	g_ptr_array_unref(items);
 }
 
+/*
+ * Appends the entry of a key as it was at a revision; false: that is older
+ * than what is kept, or yet to come.
+ */
+bool kv_model_get_at(const struct kv_model *model, const char *key,
+		     int64_t revision, GPtrArray *entries)
+{
+	const struct kv_item *item = g_tree_lookup(model->items, key);
+	const struct kv_change *found = NULL;
+
+	if (revision < model->oldest_revision || revision > model->revision)
+		return false;
+	for (GList *l = g_queue_peek_head_link((GQueue *)&model->history); l;
+	     l = l->next) {
+		const struct kv_change *change = l->data;
+
+		if (change->mod_revision <= revision &&
+		    strcmp(change->key, key) == 0)
+			found = change;
+	}
+	if (!found && item && item->state.mod_revision <= revision)
+		found = &item->state;
+	if (found && found->value)
+		kv_entries_add(entries, key, found->value,
+			       found->create_revision, found->mod_revision);
+	return true;
+}
+
 /* Grants a lease of ttl_s seconds and returns its id. */
 int64_t kv_model_lease_grant(struct kv_model *model, int64_t ttl_s,
 			     int64_t now_us)
@@ -403,7 +431,11 @@
 		range_end[strlen(range_end) - 1]++;
 	}
 	answer->entries = kv_entries_create();
-	kv_model_range(model, request->key, range_end, answer->entries);
+	if (request->read_revision)
+		kv_model_get_at(model, request->key, request->read_revision,
+				answer->entries);
+	else
+		kv_model_range(model, request->key, range_end, answer->entries);
 	if (request->op == KV_GET && answer->entries->len == 0)
 		answer->outcome = KV_NOT_FOUND;
 	g_free(range_end);
--- a/fakes/kv_model.h
+++ b/fakes/kv_model.h
@@ -55,6 +55,8 @@
 			const char *range_end);
 void kv_model_range(const struct kv_model *model, const char *key,
 		    const char *range_end, GPtrArray *entries);
+bool kv_model_get_at(const struct kv_model *model, const char *key,
+		     int64_t revision, GPtrArray *entries);
 
 int64_t kv_model_lease_grant(struct kv_model *model, int64_t ttl_s,
 			     int64_t now_us);
--- a/ports/kv.h
+++ b/ports/kv.h
@@ -39,6 +39,7 @@
 	int64_t lease;		   /* 0: none */
 	int64_t ttl_s;		   /* lease grant */
 	int64_t timeout_us;
+	int64_t read_revision; /* get: as it was then; 0: now */
 };
 
 struct kv_entry {
