Rollback as a new plan

{"rollback_to": REVISION} reads the document of that revision, which the key-value service keeps for a while, and plans its services and organisations on the revision in force. kv_request gains read_revision. The confirmation of one plan moves into plan_entry.c, which had grown inside the book; the name of who plans is checked like that of who confirms.

--- a/codec/config_json.c
+++ b/codec/config_json.c
@@ -11,7 +11,8 @@
 	MAX_KEY_BYTES = 256,
 	MAX_SLOTS = 100000,
 	MAX_WEIGHT = 1000000,
-	DEFAULT_SLOTS = 8
+	DEFAULT_SLOTS = 8,
+	MAX_ROLLBACK_BYTES = 256
 };
 
 #define MAX_TOKENS INT64_C(1000000000000)
@@ -371,6 +372,29 @@
 	return intent;
 }
 
+/*
+ * Whether an intent asks to go back to the configuration of a revision:
+ * {"rollback_to": N}, which stands alone.
+ */
+bool intent_json_parse_rollback(GBytes *document, int64_t *revision)
+{
+	static const char *const names[] = {"rollback_to", NULL};
+	JsonNode *root = json_reader_parse(document, MAX_ROLLBACK_BYTES,
+					   "intent.parse", NULL);
+	struct json_fields fields;
+	bool ok = root && json_fields_begin(&fields, root, "intent.parse", NULL,
+					    "%s", "");
+
+	if (ok) {
+		json_fields_allow(&fields, names);
+		*revision = json_fields_int(&fields, "rollback_to", 1,
+					    G_MAXINT64, 0);
+		ok = !fields.failed && *revision != 0;
+	}
+	g_clear_pointer(&root, json_node_unref);
+	return ok;
+}
+
 /* Frees an intent; NULL is allowed. */
 void intent_destroy(struct intent *intent)
 {
--- a/codec/config_json.h
+++ b/codec/config_json.h
@@ -30,6 +30,7 @@
 };
 
 struct intent *intent_json_parse(GBytes *document, struct error *error);
+bool intent_json_parse_rollback(GBytes *document, int64_t *revision);
 void intent_destroy(struct intent *intent);
 
 G_END_DECLS
--- a/core/plan.c
+++ b/core/plan.c
@@ -311,6 +311,10 @@
 	struct plan *plan = plan_begin(base, id, operator_name, now_us);
 
 	plan_copy(plan, earlier);
+	g_ptr_array_add(plan->differences,
+			g_strdup_printf("roll back to the configuration of "
+					"revision %" G_GINT64_FORMAT,
+					earlier->revision));
 	if (!plan_finish(plan, base, error))
 		g_clear_pointer(&plan, plan_destroy);
 	return plan;
--- a/core/plan_answer.c
+++ b/core/plan_answer.c
@@ -129,6 +129,18 @@
 			      take_text(builder), actions);
 }
 
+static int32_t error_status(const struct error *error)
+{
+	switch (error->code) {
+	case ERROR_TOO_LARGE:
+		return 413;
+	case ERROR_UNREACHABLE:
+		return 503;
+	default:
+		return 400;
+	}
+}
+
 /* Answers an intent that cannot be made into a plan. */
 void plan_answer_send_error(uint64_t call, const struct error *error,
 			    struct action_list *actions)
@@ -138,8 +150,8 @@
 	json_builder_begin_object(builder);
 	add_error(builder, error_code_name(error->code), error->detail, 0);
 	json_builder_end_object(builder);
-	plan_answer_send_json(call, error->code == ERROR_TOO_LARGE ? 413 : 400,
-			      take_text(builder), actions);
+	plan_answer_send_json(call, error_status(error), take_text(builder),
+			      actions);
 }
 
 static void add_confirmation(JsonBuilder *builder, const struct config *config,
--- a/core/plan_book.c
+++ b/core/plan_book.c
@@ -2,40 +2,19 @@
 
 #include "codec/config_json.h"
 #include "core/counters.h"
-#include "core/plan.h"
-#include "core/plan_answer.h"
+#include "core/plan_entry.h"
 
 #include <string.h>
 
-#define CONFIG_KEY "/siskinlink/config"
+enum { MAX_OPERATOR_BYTES = 64, MAX_ROLLBACKS = 8 };
 
-enum {
-	FIRST_RESEND_US = 200 * 1000,
-	LAST_RESEND_US = 2 * G_USEC_PER_SEC,
-	MAX_RESENDS = 8,
-	MAX_WAITING = 16,
-	MAX_OPERATOR_BYTES = 64
-};
-
-enum plan_state {
-	PLAN_OPEN,
-	PLAN_CONFIRMING,
-	PLAN_IN_DOUBT, /* a write may have been applied; nobody waits */
-	PLAN_TOOK_EFFECT,
-	PLAN_REJECTED /* can never take effect */
-};
-
-struct book_plan {
-	struct plan *plan;
-	enum plan_state state;
-	GArray *waiting; /* uint64_t: calls to answer */
-	bool doubt;	 /* a write was sent and not answered */
-	uint64_t kv_id;	 /* write in flight; 0: none */
-	int resends;
-	int64_t resend_us;   /* next write; INT64_MAX: none */
-	int64_t deadline_us; /* of who waits; INT64_MAX: nobody */
-	int64_t revision;    /* took effect at */
-	int64_t current_revision;
+/* An earlier configuration is being read for a rollback. */
+struct rollback {
+	uint64_t call;
+	uint64_t kv_id;
+	char *operator_name;
+	struct config *base;
+	int64_t revision;
 };
 
 struct plan_book {
@@ -43,16 +22,17 @@
 	struct plan_book_options options;
 	GRand *random;
 	uint64_t next_plan;
-	GPtrArray *plans; /* struct book_plan, oldest first */
+	GPtrArray *plans;     /* struct plan_entry, oldest first */
+	GPtrArray *rollbacks; /* struct rollback */
 };
 
-static void book_plan_destroy(gpointer data)
+static void rollback_destroy(gpointer data)
 {
-	struct book_plan *entry = data;
+	struct rollback *rollback = data;
 
-	plan_destroy(entry->plan);
-	g_array_unref(entry->waiting);
-	g_free(entry);
+	g_free(rollback->operator_name);
+	config_unref(rollback->base);
+	g_free(rollback);
 }
 
 /* Five minutes to confirm, and at most 32 plans or 8 MB of them. */
@@ -77,7 +57,9 @@
 	book->options.node_name = book->node_name;
 	book->random = g_rand_new_with_seed((guint32)options->seed);
 	book->next_plan = 1;
-	book->plans = g_ptr_array_new_with_free_func(book_plan_destroy);
+	book->plans = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)plan_entry_destroy);
+	book->rollbacks = g_ptr_array_new_with_free_func(rollback_destroy);
 	return book;
 }
 
@@ -87,6 +69,7 @@
 	if (!book)
 		return;
 	g_ptr_array_unref(book->plans);
+	g_ptr_array_unref(book->rollbacks);
 	g_rand_free(book->random);
 	g_free(book->node_name);
 	g_free(book);
@@ -98,11 +81,11 @@
 	return book->plans->len;
 }
 
-static struct book_plan *plan_book_find(const struct plan_book *book,
-					const char *plan_id)
+static struct plan_entry *plan_book_find(const struct plan_book *book,
+					 const char *plan_id)
 {
 	for (guint i = 0; i < book->plans->len; i++) {
-		struct book_plan *entry = g_ptr_array_index(book->plans, i);
+		struct plan_entry *entry = g_ptr_array_index(book->plans, i);
 
 		if (strcmp(entry->plan->id, plan_id) == 0)
 			return entry;
@@ -115,7 +98,7 @@
 	int64_t bytes = 0;
 
 	for (guint i = 0; i < book->plans->len; i++) {
-		const struct book_plan *entry =
+		const struct plan_entry *entry =
 			g_ptr_array_index(book->plans, i);
 
 		bytes += (int64_t)g_bytes_get_size(entry->plan->document);
@@ -133,7 +116,7 @@
 	guint i = 0;
 
 	while (plan_book_is_over(book) && i + 1 < book->plans->len) {
-		const struct book_plan *entry =
+		const struct plan_entry *entry =
 			g_ptr_array_index(book->plans, i);
 
 		if (entry->state == PLAN_CONFIRMING)
@@ -167,6 +150,130 @@
 	return false;
 }
 
+static char *create_plan_id(const struct plan_book *book,
+			    const struct config *base)
+{
+	return g_strdup_printf("%s:%016" G_GINT64_MODIFIER
+			       "x:%" G_GUINT64_FORMAT ":%" G_GINT64_FORMAT,
+			       book->node_name, book->options.incarnation,
+			       book->next_plan, base ? base->revision : 0);
+}
+
+/* Keeps a plan and answers with it, or with why there is none. */
+static void plan_book_add(struct plan_book *book, uint64_t call,
+			  struct plan *plan, const struct error *error,
+			  struct action_list *actions)
+{
+	if (!plan) {
+		plan_answer_send_error(call, error, actions);
+		return;
+	}
+	book->next_plan++;
+	plan->keep_us = book->options.keep_us;
+	g_ptr_array_add(book->plans,
+			plan_entry_create(plan, &book->options, book->random));
+	plan_book_trim(book);
+	action_list_log(actions, LOG_LEVEL_INFO, "plan_made", "plan", plan->id,
+			"operator", plan->operator_name, NULL);
+	plan_answer_send_json(call, 200, plan_format_json(plan), actions);
+}
+
+/*
+ * The key-value service keeps earlier revisions for a while, so a rollback
+ * reads the old document there instead of each node keeping some.
+ */
+static void begin_rollback(struct plan_book *book, uint64_t call,
+			   int64_t revision, const char *operator_name,
+			   const struct config *base,
+			   struct action_list *actions)
+{
+	struct rollback *rollback;
+	struct action *action;
+	struct error error;
+
+	if (!base || revision >= base->revision ||
+	    book->rollbacks->len >= MAX_ROLLBACKS) {
+		error_set(&error, ERROR_INVALID, "plan.rollback", "",
+			  "rollback_to: expected a revision before the one in "
+			  "force, and at most %d at once",
+			  MAX_ROLLBACKS);
+		plan_answer_send_error(call, &error, actions);
+		return;
+	}
+	rollback = g_new0(struct rollback, 1);
+	rollback->call = call;
+	rollback->kv_id = (*book->options.next_kv_id)++;
+	rollback->operator_name = g_strdup(operator_name);
+	rollback->base = config_ref((struct config *)base);
+	rollback->revision = revision;
+	g_ptr_array_add(book->rollbacks, rollback);
+	action = action_list_add(actions, ACTION_KV);
+	action->kv.id = rollback->kv_id;
+	action->kv.op = KV_GET;
+	action->kv.key = g_strdup(PLAN_BOOK_CONFIG_KEY);
+	action->kv.read_revision = revision;
+	action->kv.timeout_us = book->options.kv_timeout_us;
+	if (book->options.counters)
+		counters_add(book->options.counters, COUNTER_KV_CALLS, 1);
+}
+
+static struct plan *create_rollback_plan(struct plan_book *book,
+					 const struct rollback *rollback,
+					 const struct kv_answer *answer,
+					 int64_t now_us, struct error *error)
+{
+	const struct kv_entry *entry;
+	struct config *earlier;
+	struct plan *plan;
+	char *id;
+
+	if (answer->outcome != KV_OK || !answer->entries ||
+	    answer->entries->len == 0) {
+		error_set(error,
+			  answer->outcome == KV_OK ||
+					  answer->outcome == KV_NOT_FOUND
+				  ? ERROR_INVALID
+				  : ERROR_UNREACHABLE,
+			  "plan.rollback", "",
+			  "the key-value service has no configuration of "
+			  "revision %" G_GINT64_FORMAT " for it: %s",
+			  rollback->revision, kv_outcome_name(answer->outcome));
+		return NULL;
+	}
+	entry = g_ptr_array_index(answer->entries, 0);
+	earlier = config_json_parse(entry->value, entry->mod_revision, error);
+	if (!earlier)
+		return NULL;
+	id = create_plan_id(book, rollback->base);
+	plan = plan_create_rollback(rollback->base, earlier, id,
+				    rollback->operator_name, now_us, error);
+	g_free(id);
+	config_unref(earlier);
+	return plan;
+}
+
+static bool finish_rollback(struct plan_book *book,
+			    const struct kv_answer *answer, int64_t now_us,
+			    struct action_list *actions)
+{
+	for (guint i = 0; i < book->rollbacks->len; i++) {
+		struct rollback *rollback =
+			g_ptr_array_index(book->rollbacks, i);
+		struct error error;
+		struct plan *plan;
+
+		if (rollback->kv_id != answer->id)
+			continue;
+		error_clear(&error);
+		plan = create_rollback_plan(book, rollback, answer, now_us,
+					    &error);
+		plan_book_add(book, rollback->call, plan, &error, actions);
+		g_ptr_array_remove_index(book->rollbacks, i);
+		return true;
+	}
+	return false;
+}
+
 /*
  * Turns an intent into a plan on base, NULL being no configuration yet, and
  * answers the call with it or with what is wrong with the intent.
@@ -175,33 +282,23 @@
 		    const char *operator_name, const struct config *base,
 		    int64_t now_us, struct action_list *actions)
 {
-	char *id = g_strdup_printf("%s:%016" G_GINT64_MODIFIER
-				   "x:%" G_GUINT64_FORMAT ":%" G_GINT64_FORMAT,
-				   book->node_name, book->options.incarnation,
-				   book->next_plan, base ? base->revision : 0);
+	int64_t revision = 0;
 	struct error error;
-	struct book_plan *entry;
 	struct plan *plan;
+	char *id;
 
+	if (!check_operator(call, operator_name, actions))
+		return;
+	if (intent_json_parse_rollback(intent, &revision)) {
+		begin_rollback(book, call, revision, operator_name, base,
+			       actions);
+		return;
+	}
 	error_clear(&error);
+	id = create_plan_id(book, base);
 	plan = plan_create(base, intent, id, operator_name, now_us, &error);
 	g_free(id);
-	if (!plan) {
-		plan_answer_send_error(call, &error, actions);
-		return;
-	}
-	book->next_plan++;
-	plan->keep_us = book->options.keep_us;
-	entry = g_new0(struct book_plan, 1);
-	entry->plan = plan;
-	entry->waiting = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	entry->resend_us = INT64_MAX;
-	entry->deadline_us = INT64_MAX;
-	g_ptr_array_add(book->plans, entry);
-	plan_book_trim(book);
-	action_list_log(actions, LOG_LEVEL_INFO, "plan_made", "plan", plan->id,
-			"operator", operator_name, NULL);
-	plan_answer_send_json(call, 200, plan_format_json(plan), actions);
+	plan_book_add(book, call, plan, &error, actions);
 }
 
 /* A plan's id is NODE:INCARNATION:NUMBER:BASE_REVISION. */
@@ -255,175 +352,6 @@
 	g_free(node_name);
 }
 
-static enum plan_effect book_plan_effect(const struct book_plan *entry)
-{
-	switch (entry->state) {
-	case PLAN_TOOK_EFFECT:
-		return PLAN_EFFECT_YES;
-	case PLAN_REJECTED:
-	case PLAN_OPEN:
-		return PLAN_EFFECT_NO;
-	case PLAN_CONFIRMING:
-	case PLAN_IN_DOUBT:
-		break;
-	}
-	return PLAN_EFFECT_UNKNOWN;
-}
-
-static void answer_call(const struct book_plan *entry, uint64_t call,
-			enum plan_answer_code code, struct action_list *actions)
-{
-	struct plan_answer answer = {
-		.code = code,
-		.effect = book_plan_effect(entry),
-		.plan_id = entry->plan->id,
-		.confirmed_by = entry->plan->result->confirmed_by,
-		.revision = entry->revision,
-		.current_revision = entry->current_revision,
-	};
-
-	if (code == PLAN_ANSWER_UNREACHABLE || code == PLAN_ANSWER_IN_DOUBT ||
-	    code == PLAN_ANSWER_BUSY)
-		answer.retry_after_us = LAST_RESEND_US;
-	plan_answer_send(&answer, call, actions);
-}
-
-/* Answers all who wait for a plan; its state says whether it took effect. */
-static void answer_waiting(struct book_plan *entry, enum plan_answer_code code,
-			   struct action_list *actions)
-{
-	for (guint i = 0; i < entry->waiting->len; i++)
-		answer_call(entry, g_array_index(entry->waiting, uint64_t, i),
-			    code, actions);
-	g_array_set_size(entry->waiting, 0);
-	entry->deadline_us = INT64_MAX;
-	entry->resend_us = INT64_MAX;
-	action_list_log(actions,
-			entry->state == PLAN_TOOK_EFFECT ? LOG_LEVEL_INFO
-							 : LOG_LEVEL_WARN,
-			"plan_confirm_answered", "plan", entry->plan->id,
-			"operator", entry->plan->result->confirmed_by,
-			"took_effect",
-			plan_effect_name(book_plan_effect(entry)), "code",
-			plan_answer_code_name(code), NULL);
-}
-
-static void settle_yes(struct book_plan *entry, int64_t revision,
-		       struct action_list *actions)
-{
-	entry->state = PLAN_TOOK_EFFECT;
-	entry->revision = revision;
-	answer_waiting(entry, PLAN_ANSWER_DONE, actions);
-}
-
-static void settle_no(struct book_plan *entry, int64_t current_revision,
-		      struct action_list *actions)
-{
-	entry->state = PLAN_REJECTED;
-	entry->current_revision = current_revision;
-	answer_waiting(entry, PLAN_ANSWER_CONFLICT, actions);
-}
-
-/* Settles a plan by a configuration, if that can tell. */
-static bool settle_by_config(struct book_plan *entry,
-			     const struct config *config,
-			     struct action_list *actions)
-{
-	int64_t revision = 0;
-
-	if (!config)
-		return false;
-	switch (config_find_plan(config, entry->plan->id,
-				 entry->plan->base_revision, &revision)) {
-	case PLAN_EFFECT_YES:
-		settle_yes(entry, revision, actions);
-		return true;
-	case PLAN_EFFECT_NO:
-		settle_no(entry, config->revision, actions);
-		return true;
-	case PLAN_EFFECT_UNKNOWN:
-		break;
-	}
-	return false;
-}
-
-static void send_write(struct plan_book *book, struct book_plan *entry,
-		       struct action_list *actions)
-{
-	struct action *action = action_list_add(actions, ACTION_KV);
-
-	entry->kv_id = (*book->options.next_kv_id)++;
-	entry->resend_us = INT64_MAX;
-	action->kv.id = entry->kv_id;
-	action->kv.op = KV_CAS;
-	action->kv.key = g_strdup(CONFIG_KEY);
-	action->kv.value = g_bytes_ref(entry->plan->document);
-	action->kv.expected_revision = entry->plan->base_revision;
-	action->kv.timeout_us = book->options.kv_timeout_us;
-	if (book->options.counters)
-		counters_add(book->options.counters, COUNTER_KV_CALLS, 1);
-}
-
-static void start_confirming(struct plan_book *book, struct book_plan *entry,
-			     uint64_t call, int64_t now_us,
-			     struct action_list *actions)
-{
-	entry->state = PLAN_CONFIRMING;
-	entry->resends = 0;
-	entry->deadline_us = now_us + book->options.settle_us;
-	g_array_append_val(entry->waiting, call);
-	if (!entry->kv_id)
-		send_write(book, entry, actions);
-}
-
-static void join_confirming(struct plan_book *book, struct book_plan *entry,
-			    uint64_t call, int64_t now_us,
-			    struct action_list *actions)
-{
-	if (entry->waiting->len >= MAX_WAITING)
-		answer_call(entry, call, PLAN_ANSWER_BUSY, actions);
-	else if (entry->waiting->len == 0)
-		start_confirming(book, entry, call, now_us, actions);
-	else
-		g_array_append_val(entry->waiting, call);
-}
-
-/*
- * An open plan is confirmed once: signed with who confirms it, then written.
- * One whose base has passed is refused without a write, and settled plans
- * answer the same for ever.
- */
-static void confirm_entry(struct plan_book *book, struct book_plan *entry,
-			  uint64_t call, const char *operator_name,
-			  int64_t now_us, struct action_list *actions)
-{
-	switch (entry->state) {
-	case PLAN_OPEN:
-		if (now_us - entry->plan->created_us > book->options.keep_us) {
-			answer_call(entry, call, PLAN_ANSWER_STALE, actions);
-			return;
-		}
-		plan_sign(entry->plan, operator_name, now_us);
-		action_list_log(actions, LOG_LEVEL_INFO, "plan_confirm", "plan",
-				entry->plan->id, "operator", operator_name,
-				NULL);
-		start_confirming(book, entry, call, now_us, actions);
-		break;
-	case PLAN_IN_DOUBT:
-		start_confirming(book, entry, call, now_us, actions);
-		break;
-	case PLAN_CONFIRMING:
-		join_confirming(book, entry, call, now_us, actions);
-		break;
-	case PLAN_TOOK_EFFECT:
-		answer_call(entry, call, PLAN_ANSWER_DONE, actions);
-		break;
-	case PLAN_REJECTED:
-		answer_call(entry, call, PLAN_ANSWER_CONFLICT, actions);
-		break;
-	}
-}
-
 /*
  * Confirms a plan, once however often and by whomever it is asked. in_force is
  * the configuration in force at this node, or NULL; it settles what it can
@@ -434,7 +362,7 @@
 		       const struct config *in_force, int64_t now_us,
 		       struct action_list *actions)
 {
-	struct book_plan *entry = plan_book_find(book, plan_id);
+	struct plan_entry *entry = plan_book_find(book, plan_id);
 
 	if (!check_operator(call, operator_name, actions))
 		return;
@@ -442,9 +370,8 @@
 		answer_missing(book, call, plan_id, in_force, actions);
 		return;
 	}
-	if (entry->state != PLAN_TOOK_EFFECT && entry->state != PLAN_REJECTED)
-		settle_by_config(entry, in_force, actions);
-	confirm_entry(book, entry, call, operator_name, now_us, actions);
+	plan_entry_confirm(entry, call, operator_name, in_force, now_us,
+			   actions);
 }
 
 /* Answers a call with the confirmations that the configuration remembers. */
@@ -455,108 +382,22 @@
 			      actions);
 }
 
-/* Nobody waits any more: the next confirmer goes on from here. */
-static void stop_confirming(struct book_plan *entry)
-{
-	entry->state = entry->doubt ? PLAN_IN_DOUBT : PLAN_OPEN;
-	entry->resend_us = INT64_MAX;
-}
-
-/* Who waits is told at the deadline what is known then. */
-static void give_up(struct book_plan *entry, struct action_list *actions)
-{
-	if (!entry->kv_id)
-		stop_confirming(entry);
-	answer_waiting(entry,
-		       entry->state == PLAN_OPEN ? PLAN_ANSWER_UNREACHABLE
-						 : PLAN_ANSWER_IN_DOUBT,
-		       actions);
-}
-
-/*
- * Writes the same again after a while. That is safe, as only one of the writes
- * finds the base revision, and it settles what a read would not: a write whose
- * answer was lost may still be on its way when the read is answered.
- */
-static void schedule_resend(struct plan_book *book, struct book_plan *entry,
-			    int64_t now_us)
-{
-	int64_t limit_us =
-		MIN((int64_t)FIRST_RESEND_US << entry->resends, LAST_RESEND_US);
-
-	if (entry->waiting->len == 0) {
-		stop_confirming(entry);
-		return;
-	}
-	entry->resends = MIN(entry->resends + 1, MAX_RESENDS);
-	entry->resend_us =
-		now_us + g_rand_int_range(book->random, (gint32)(limit_us / 2),
-					  (gint32)limit_us + 1);
-}
-
-/*
- * The key is no longer at the plan's base. If no earlier write was in doubt
- * this one was certainly not applied; else the document tells, and if it
- * cannot, the plan stays in doubt.
- */
-static void settle_conflict(struct book_plan *entry,
-			    const struct kv_answer *answer,
-			    struct action_list *actions)
-{
-	const struct kv_entry *found =
-		answer->entries && answer->entries->len
-			? g_ptr_array_index(answer->entries, 0)
-			: NULL;
-	struct config *config = NULL;
-
-	entry->current_revision = found ? found->mod_revision : 0;
-	if (!entry->doubt) {
-		settle_no(entry, entry->current_revision, actions);
-		return;
-	}
-	if (found)
-		config = config_json_parse(found->value, found->mod_revision,
-					   NULL);
-	if (!settle_by_config(entry, config, actions)) {
-		stop_confirming(entry);
-		answer_waiting(entry, PLAN_ANSWER_IN_DOUBT, actions);
-	}
-	config_unref(config);
-}
-
-/* Takes the answer to one of the book's writes; false: it is another's. */
+/* Takes the answer to one of the book's calls; false: it is another's. */
 bool plan_book_kv(struct plan_book *book, const struct kv_answer *answer,
 		  int64_t now_us, struct action_list *actions)
 {
-	struct book_plan *entry = NULL;
+	struct plan_entry *entry = NULL;
 
 	for (guint i = 0; i < book->plans->len; i++) {
-		struct book_plan *candidate = g_ptr_array_index(book->plans, i);
+		struct plan_entry *candidate =
+			g_ptr_array_index(book->plans, i);
 
 		if (candidate->kv_id && candidate->kv_id == answer->id)
 			entry = candidate;
 	}
 	if (!entry)
-		return false;
-	entry->kv_id = 0;
-	if (entry->state == PLAN_TOOK_EFFECT || entry->state == PLAN_REJECTED)
-		return true;
-	switch (answer->outcome) {
-	case KV_OK:
-		settle_yes(entry, answer->revision, actions);
-		break;
-	case KV_CONFLICT:
-		settle_conflict(entry, answer, actions);
-		break;
-	case KV_ANSWER_LOST:
-		entry->doubt = true;
-		schedule_resend(book, entry, now_us);
-		break;
-	case KV_NOT_FOUND:
-	case KV_NOT_APPLIED:
-		schedule_resend(book, entry, now_us);
-		break;
-	}
+		return finish_rollback(book, answer, now_us, actions);
+	plan_entry_kv(entry, answer, now_us, actions);
 	return true;
 }
 
@@ -564,14 +405,9 @@
 void plan_book_step(struct plan_book *book, int64_t now_us,
 		    struct action_list *actions)
 {
-	for (guint i = 0; i < book->plans->len; i++) {
-		struct book_plan *entry = g_ptr_array_index(book->plans, i);
-
-		if (now_us >= entry->deadline_us)
-			give_up(entry, actions);
-		else if (now_us >= entry->resend_us)
-			send_write(book, entry, actions);
-	}
+	for (guint i = 0; i < book->plans->len; i++)
+		plan_entry_step(g_ptr_array_index(book->plans, i), now_us,
+				actions);
 }
 
 /* When plan_book_step() has something to do; INT64_MAX: nothing. */
@@ -580,11 +416,10 @@
 	int64_t due_us = INT64_MAX;
 
 	for (guint i = 0; i < book->plans->len; i++) {
-		const struct book_plan *entry =
-			g_ptr_array_index(book->plans, i);
+		int64_t plan_due_us = plan_entry_next_due_us(
+			g_ptr_array_index(book->plans, i));
 
-		due_us = MIN(due_us, entry->resend_us);
-		due_us = MIN(due_us, entry->deadline_us);
+		due_us = MIN(due_us, plan_due_us);
 	}
 	return due_us;
 }
--- a/core/plan_book.h
+++ b/core/plan_book.h
@@ -10,6 +10,8 @@
 
 G_BEGIN_DECLS
 
+#define PLAN_BOOK_CONFIG_KEY "/siskinlink/config"
+
 /*
  * The plans made at this node, and their confirmation: one compare-and-swap of
  * the configuration's key at the revision the plan was made on. Each answer
--- /dev/null
+++ b/core/plan_entry.h
@@ -0,0 +1,54 @@
+#ifndef CORE_PLAN_ENTRY_H
+#define CORE_PLAN_ENTRY_H
+
+#include "core/plan.h"
+#include "core/plan_answer.h"
+#include "core/plan_book.h"
+
+G_BEGIN_DECLS
+
+/*
+ * One plan of the book on its way to a settled outcome. Private to
+ * core/plan_book.c and core/plan_entry.c.
+ */
+
+enum plan_state {
+	PLAN_OPEN,
+	PLAN_CONFIRMING,
+	PLAN_IN_DOUBT, /* a write may have been applied; nobody waits */
+	PLAN_TOOK_EFFECT,
+	PLAN_REJECTED /* can never take effect */
+};
+
+struct plan_entry {
+	struct plan *plan;
+	const struct plan_book_options *options; /* the book's */
+	GRand *random;
+	enum plan_state state;
+	GArray *waiting; /* uint64_t: calls to answer */
+	bool doubt;	 /* a write was sent and not answered */
+	uint64_t kv_id;	 /* write in flight; 0: none */
+	int resends;
+	int64_t resend_us;   /* next write; INT64_MAX: none */
+	int64_t deadline_us; /* of who waits; INT64_MAX: nobody */
+	int64_t revision;    /* took effect at */
+	int64_t current_revision;
+};
+
+struct plan_entry *plan_entry_create(struct plan *plan,
+				     const struct plan_book_options *options,
+				     GRand *random);
+void plan_entry_destroy(struct plan_entry *entry);
+void plan_entry_confirm(struct plan_entry *entry, uint64_t call,
+			const char *operator_name,
+			const struct config *in_force, int64_t now_us,
+			struct action_list *actions);
+void plan_entry_kv(struct plan_entry *entry, const struct kv_answer *answer,
+		   int64_t now_us, struct action_list *actions);
+void plan_entry_step(struct plan_entry *entry, int64_t now_us,
+		     struct action_list *actions);
+int64_t plan_entry_next_due_us(const struct plan_entry *entry);
+
+G_END_DECLS
+
+#endif
--- a/tests/kv_client_test.cc
+++ b/tests/kv_client_test.cc
@@ -244,6 +244,29 @@
 	EXPECT_EQ(KV_NOT_FOUND, call(KV_GET).outcome);
 }
 
+TEST_F(KvClient, ReadsEarlierRevisions)
+{
+	struct action action = {};
+
+	start_with_service();
+	call(KV_CAS, "one", 0);
+	call(KV_CAS, "two", 2);
+	action.type = ACTION_KV;
+	action.kv.op = KV_GET;
+	action.kv.key = (char *)"/siskinlink/config";
+	action.kv.timeout_us = 5 * G_USEC_PER_SEC;
+	for (int64_t revision : {2, 3, 99}) {
+		action.kv.read_revision = revision;
+		apply(&action);
+		EXPECT_TRUE(run_until([&] {
+			return (int64_t)answers.size() >= MIN(revision + 1, 5);
+		}));
+	}
+	EXPECT_EQ("one", answers[2].value);
+	EXPECT_EQ("two", answers[3].value);
+	EXPECT_EQ(KV_NOT_FOUND, answers[4].outcome);
+}
+
 TEST_F(KvClient, ConflictAnswersWithWhatIsThere)
 {
 	start_with_service();
--- a/tests/plan_book_test.cc
+++ b/tests/plan_book_test.cc
@@ -72,9 +72,12 @@
 
 	std::string plan(const char *service)
 	{
-		std::string intent =
-			std::string("{\"services\":[{\"name\":\"") + service +
-			"\",\"kind\":\"plain\"}]}";
+		return plan_intent(std::string("{\"services\":[{\"name\":\"") +
+				   service + "\",\"kind\":\"plain\"}]}");
+	}
+
+	std::string plan_intent(const std::string &intent)
+	{
 		GBytes *body = g_bytes_new(intent.data(), intent.size());
 
 		plan_book_plan(book, ++call, body, "aicha", config, now_us,
@@ -521,6 +524,50 @@
 	EXPECT_EQ(0u, n1.confirm(first).find("404 "));
 }
 
+TEST_F(PlanBook, RollbackIsANewPlan)
+{
+	std::string first = n1.plan("a");
+	std::string second;
+	std::string back;
+
+	n1.confirm(first);
+	n1.learn();
+	second = n1.plan("b");
+	n1.confirm(second);
+	n1.learn();
+	back = n1.plan_intent("{\"rollback_to\":2}");
+	EXPECT_NE(std::string::npos,
+		  n1.bodies.back().find(
+			  "\"differences\":[\"roll back to the configuration "
+			  "of revision 2\",\"remove service b: 0 endpoints\"]"))
+		<< n1.bodies.back();
+	EXPECT_EQ(done(back, 4), n1.confirm(back));
+	n1.learn();
+	EXPECT_EQ(1u, n1.config->services->len);
+	EXPECT_EQ(3u, n1.config->history->len);
+}
+
+/* What is not kept any more, or not there yet, is an error and no plan. */
+TEST_F(PlanBook, RollbackToWhatIsNotThere)
+{
+	n1.confirm(n1.plan("a"));
+	n1.learn();
+	n1.plan_intent("{\"rollback_to\":2}");
+	EXPECT_EQ(0u, n1.bodies.back().find("400 ")) << n1.bodies.back();
+	n1.plan_intent("{\"rollback_to\":1}");
+	EXPECT_EQ("400 {\"error\":{\"code\":\"invalid\",\"message\":\"the "
+		  "key-value service has no configuration of revision 1 for "
+		  "it: not_found\"}}",
+		  n1.bodies.back());
+	n1.service = REFUSES;
+	n1.plan_intent("{\"rollback_to\":1}");
+	EXPECT_EQ(0u, n1.bodies.back().find("503 ")) << n1.bodies.back();
+	n1.plan_intent("{\"rollback_to\":1,\"services\":[]}");
+	EXPECT_EQ("400 {\"error\":{\"code\":\"invalid\",\"message\":"
+		  "\"rollback_to: expected no such key\"}}",
+		  n1.bodies.back());
+}
+
 TEST_F(PlanBook, OperatorNamesAreChecked)
 {
 	std::string id = n1.plan("a");
