Margin learned from preemptions, wider while answers outlast the estimate

Change: deviations rise by 0.1 with each preemption reported and fall so that one in two thousand placements keeps them; the common factor is 0.3, and more by three times what ends fall short of those expected.

--- a/bench/scenario.c
+++ b/bench/scenario.c
@@ -79,7 +79,9 @@
 /* What the last accepted change replaced. */
 void scenario_previous(struct placement_options *options)
 {
-	options->shared = 1e-9;
+	options->deviations = 2.5;
+	options->shared = 0.1;
+	options->shared_by_shift = 1e-9;
 }
 
 /* Name of a policy, as on the command line. */
--- a/core/placement.c
+++ b/core/placement.c
@@ -2,15 +2,14 @@
 
 #include "core/home.h"
 
-#define DEFAULT_DEVIATIONS 2.5
-#define DEFAULT_SHARED 0.1
+#define DEFAULT_SHARED 0.3
+#define DEFAULT_SHARED_BY_SHIFT 3.0
 #define DEFAULT_LEAST_CHANCE 0.5
 #define DEFAULT_STEP_US 28000
 #define DEFAULT_MAX_WAITING 1024
 
-/* Learned margin: up by a preemption, slowly down with each placement. */
 #define MARGIN_START 2.5
-#define MARGIN_UP 0.05
+#define MARGIN_UP 0.1 /* by each preemption; down: see placement_step.c */
 #define MARGIN_MOST 4.0
 
 #define SHORT_DIVISOR 100 /* short: under this part of an engine's memory */
@@ -37,8 +36,8 @@
 		options->shared = DEFAULT_SHARED;
 	if (options->least_chance == 0)
 		options->least_chance = DEFAULT_LEAST_CHANCE;
-	if (options->deviations == 0)
-		options->deviations = DEFAULT_DEVIATIONS;
+	if (options->shared_by_shift == 0)
+		options->shared_by_shift = DEFAULT_SHARED_BY_SHIFT;
 }
 
 /* An empty placement. The options are copied. */
--- a/core/placement.h
+++ b/core/placement.h
@@ -34,9 +34,10 @@
 	int64_t step_us; /* token interval an engine may reach; 28,000 */
 
 	/* Zero: the default, chosen on the policy bench. */
-	double deviations;   /* kept free; negative: by preemptions seen */
-	double shared;	     /* deviation of the common factor of lengths */
-	double least_chance; /* of meeting a deadline, to be let in */
+	double deviations; /* kept free; default: learned from preemptions */
+	double shared;	   /* deviation of the common factor of lengths */
+	double shared_by_shift; /* more, as answers outlast their estimate */
+	double least_chance;	/* of meeting a deadline, to be let in */
 };
 
 struct placement_request {
--- a/core/placement_choose.c
+++ b/core/placement_choose.c
@@ -166,6 +166,19 @@
 	       placement->options.step_us;
 }
 
+/*
+ * How far all lengths may be misjudged at once. While answers outlast the
+ * estimate a shift may be under way, and what it has yet to learn is added:
+ * each request admitted too early in these seconds is one preempted later.
+ */
+static double placement_shared(const struct placement *placement)
+{
+	double late = 1 - length_estimate_shift(placement->lengths);
+
+	return placement->options.shared +
+	       placement->options.shared_by_shift * MAX(late, 0);
+}
+
 /*
  * On a share of an engine the margin shrinks with its root: what the shares
  * hold together varies by less than the sum of their deviations.
@@ -176,7 +189,7 @@
 {
 	struct admission_margin margin = {
 		.deviations = placement->deviations / sqrt(placement->divisor),
-		.shared = placement->options.shared,
+		.shared = placement_shared(placement),
 	};
 
 	if (placement->options.policy == PLACEMENT_ORACLE)
--- a/core/placement_step.c
+++ b/core/placement_step.c
@@ -14,7 +14,7 @@
 #define RETRY_LEAST_US G_USEC_PER_SEC
 #define RETRY_MOST_US (120 * G_USEC_PER_SEC)
 #define NO_ENDPOINT_RETRY_US (2 * G_USEC_PER_SEC)
-#define MARGIN_DOWN 0.00005 /* one preemption in a thousand keeps it */
+#define MARGIN_DOWN 0.00005 /* one preemption in two thousand keeps it */
 #define MARGIN_LEAST 1.0
 
 struct step {
@@ -78,7 +78,7 @@
 		book->reserved_for = 0;
 	placement_put(placement, call, book, step->now_us);
 	placement->counts.placed++;
-	if (placement->options.deviations < 0)
+	if (placement->options.deviations <= 0)
 		placement->deviations =
 			MAX(placement->deviations - MARGIN_DOWN, MARGIN_LEAST);
 	g_array_append_val(step->decisions, decision);
