--- a/core/endpoint_book.c
+++ b/core/endpoint_book.c
@@ -22,6 +22,7 @@
 	struct endpoint_book *book = g_new0(struct endpoint_book, 1);
 
 	book->address = g_strdup(address);
+	book->sharers = 1;
 	book->calls = g_ptr_array_new();
 	book->prefixes =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, NULL);
@@ -101,8 +102,8 @@
 {
 	if (tokens < OBSERVED_TOKENS)
 		return;
-	pace_observe(&book->pace, (int32_t)book->calls->len, tokens,
-		     elapsed_us);
+	pace_observe(&book->pace, (int32_t)book->calls->len * book->sharers,
+		     tokens, elapsed_us);
 	book->interval_us =
 		book->interval_us * INTERVAL_FADE +
 		(double)elapsed_us / (double)tokens * (1 - INTERVAL_FADE);
--- a/core/endpoint_book.h
+++ b/core/endpoint_book.h
@@ -51,6 +51,7 @@
 	int64_t capacity_tokens;
 	bool capacity_configured;
 	int32_t slots;
+	int32_t sharers; /* nodes that each hold as much there */
 	bool leaving;
 	bool reported_leaving;
 	GPtrArray *calls; /* struct placed_call */
--- a/core/placement.c
+++ b/core/placement.c
@@ -117,6 +117,7 @@
 		book = endpoint_book_create(endpoint->address,
 					    placement->options.step_us, now_us);
 		book->hash = home_hash(endpoint->address, "", 0);
+		book->sharers = placement->divisor;
 		g_ptr_array_add(placement->books, book);
 		g_hash_table_insert(placement->by_address, book->address, book);
 	}
@@ -182,6 +183,12 @@
 void placement_set_share(struct placement *placement, int32_t divisor)
 {
 	placement->divisor = MAX(divisor, 1);
+	for (guint i = 0; i < placement->books->len; i++) {
+		struct endpoint_book *book =
+			g_ptr_array_index(placement->books, i);
+
+		book->sharers = placement->divisor;
+	}
 	placement->recheck = true;
 }
 
--- a/core/placement_choose.c
+++ b/core/placement_choose.c
@@ -156,7 +156,7 @@
 			   const struct endpoint_book *book,
 			   const struct placed_call *call)
 {
-	int32_t batch = (int32_t)book->calls->len * placement->divisor + 1;
+	int32_t batch = (int32_t)book->calls->len * book->sharers + 1;
 
 	if (batch <= SMALLEST_BATCH)
 		return true;
