Shares: no foreign memory where nodes share; short requests avoid prompts being read

Cause: a node on its share counted what the others hold as taken from its own part, so that it placed one request per engine; and a check was placed on the emptiest engine even when a long prompt was being read there. Change: foreign memory counts only at a home; unread prompts weigh four times as much for short requests.

--- a/core/endpoint_book.c
+++ b/core/endpoint_book.c
@@ -212,14 +212,15 @@
 /*
  * Memory held for others: by a second home, or by nodes on their shares. A
  * report is older than the book, so one that shows more than the book may
- * only show what has just ended; the least of several is what stays.
+ * only show what has just ended; the least of several is what stays. Where
+ * nodes share on purpose, each has its part of the capacity already.
  */
 static void endpoint_book_learn_foreign(struct endpoint_book *book,
 					int64_t tokens_used)
 {
 	int64_t more = tokens_used - (int64_t)book->load.mean[0];
 
-	if (tokens_used < 0)
+	if (tokens_used < 0 || book->sharers > 1)
 		return;
 	if (book->foreign_reports == 0)
 		book->foreign_low = more;
--- a/core/placement_choose.c
+++ b/core/placement_choose.c
@@ -10,6 +10,8 @@
 /* Prompts wait for each other on an engine: so many cost as much as being full.
  */
 #define UNREAD_TOKENS_FULL 40000.0
+#define SHORT_UNREAD 4.0 /* a short answer is mostly its wait for the prompt   \
+			  */
 #define PREFIX_BONUS 0.1
 #define PREFIX_PROMPT_TOKENS 2000.0
 #define FAILURE_COST 0.1
@@ -202,9 +204,11 @@
 static double book_cost(const struct endpoint_book *book,
 			const struct placed_call *call, double fullness)
 {
-	double cost = fullness +
-		      (double)book->unread_tokens / UNREAD_TOKENS_FULL +
-		      FAILURE_COST * book->health.failures;
+	double unread = (double)book->unread_tokens / UNREAD_TOKENS_FULL;
+	double cost = fullness + FAILURE_COST * book->health.failures;
+
+	cost += call->entry.lane == QUEUE_SHORT ? SHORT_UNREAD * unread
+						: unread;
 
 	if (endpoint_book_has_prefix(book, call->prefix_hash))
 		cost -= PREFIX_BONUS *
