--- a/core/placement_choose.c
+++ b/core/placement_choose.c
@@ -10,8 +10,8 @@
 /* Prompts wait for each other on an engine: so many cost as much as being full.
  */
 #define UNREAD_TOKENS_FULL 40000.0
-#define SHORT_UNREAD 4.0 /* a short answer is mostly its wait for the prompt   \
-			  */
+/* A short answer takes mostly its wait for the prompts before it. */
+#define SHORT_UNREAD 10.0
 #define PREFIX_BONUS 0.1
 #define PREFIX_PROMPT_TOKENS 2000.0
 #define FAILURE_COST 0.1
