Node: after standing still it first hears, then sends

Change: a gap between steps of more than a second, or four reports, starts half a second in which grants are handed back and asked for again. The driver in bench/ no longer takes a mark of leaving back when it is set twice.

--- a/bench/world_endpoint.c
+++ b/bench/world_endpoint.c
@@ -496,7 +496,8 @@
 
 	endpoint->leaving = in_report;
 	endpoint->leaving_vm_us =
-		in_vm_list ? world->now_us + world->options.vm_list_lag_us
+		in_vm_list ? MIN(endpoint->leaving_vm_us,
+				 world->now_us + world->options.vm_list_lag_us)
 			   : INT64_MAX;
 	for (int32_t i = 0; i < world->options.node_count; i++)
 		world_node_vm_list(world, i,
--- a/core/call.h
+++ b/core/call.h
@@ -51,6 +51,7 @@
 	char *home;	   /* name of the home asked; "" for the local share */
 	bool home_heard;   /* the home has said that it queued the ticket */
 	int64_t placed_us; /* when the grant came */
+	uint32_t shard;	   /* whose home was asked */
 
 	uint64_t attempt; /* 0: none */
 	int32_t attempts;
--- a/core/node.c
+++ b/core/node.c
@@ -4,6 +4,8 @@
 
 #define MS_US 1000
 #define MAX_TIMERS_PER_STEP 100000
+#define PAUSE_US G_USEC_PER_SEC
+#define SETTLE_US (500 * MS_US)
 
 /* Sets every tunable to its default; names and addresses stay unset. */
 void node_options_default(struct node_options *options)
@@ -483,6 +485,28 @@
 	node_home_membership_changed(node);
 }
 
+/*
+ * The node's timers let it step several times a second, so a longer gap means
+ * that the process stood still. What it knows is as old as that: it would send
+ * new work to an endpoint that has left meanwhile. It first takes in what has
+ * come, and hears its peers and endpoints, for half a second.
+ */
+static void node_advance(struct node *node, int64_t now_us)
+{
+	int64_t longest_us = MAX(PAUSE_US, 4 * node->options.progress_us);
+	char gap_ms[32];
+
+	if (node->now_us && now_us - node->now_us > longest_us) {
+		node->settled_us = now_us + SETTLE_US;
+		node->next_poll_us = now_us;
+		g_snprintf(gap_ms, sizeof(gap_ms), "%" G_GINT64_FORMAT,
+			   (now_us - node->now_us) / MS_US);
+		node_log(node, LOG_LEVEL_WARN, "node_stood_still", NULL, "ms",
+			 gap_ms);
+	}
+	node->now_us = MAX(now_us, node->now_us);
+}
+
 /*
  * Takes one event and appends what is to be done. now_us never falls; the
  * actions are to be carried out in order before the next step.
@@ -490,8 +514,8 @@
 void node_step(struct node *node, int64_t now_us, const struct event *event,
 	       struct action_list *actions)
 {
-	node->now_us = MAX(now_us, node->now_us);
 	node->actions = actions;
+	node_advance(node, now_us);
 	node_dispatch(node, event);
 	node_wake_calls(node);
 	membership_step(node->membership, node->now_us, actions);
--- a/core/node_place.c
+++ b/core/node_place.c
@@ -297,6 +297,13 @@
 		node_attempt_retry(node, call);
 		return;
 	}
+	if (node->now_us < node->settled_us) {
+		call_set_endpoint(call, endpoint);
+		node_place_release(node, call, RELEASE_NOT_SENT);
+		call->retry_us = node->settled_us;
+		node_call_set_state(node, call, CALL_BACKOFF);
+		return;
+	}
 	if (g_hash_table_contains(node->leaving, endpoint)) {
 		call_set_endpoint(call, endpoint);
 		call->avoid_hash = home_hash(endpoint, "", 0);
--- a/core/node_state.h
+++ b/core/node_state.h
@@ -64,6 +64,7 @@
 	uint64_t next_ticket;
 	uint64_t next_kv_id;
 	int64_t now_us;
+	int64_t settled_us; /* after a pause: nothing is dispatched before */
 	struct action_list *actions; /* of the step being made */
 
 	struct config *config; /* NULL before the first */
