--- a/core/placement_step.c
+++ b/core/placement_step.c
@@ -14,7 +14,7 @@
 #define RETRY_LEAST_US G_USEC_PER_SEC
 #define RETRY_MOST_US (120 * G_USEC_PER_SEC)
 #define NO_ENDPOINT_RETRY_US (2 * G_USEC_PER_SEC)
-#define MARGIN_DOWN 0.00005 /* one preemption in a thousand keeps it */
+#define MARGIN_DOWN 0.00005 /* one preemption in two thousand keeps it */
 #define MARGIN_LEAST 1.0
 
 struct step {
@@ -79,7 +79,7 @@
 		book->reserved_for = 0;
 	placement_put(placement, call, book, step->now_us);
 	placement->counts.placed++;
-	if (placement->options.deviations < 0)
+	if (placement->options.deviations <= 0)
 		placement->deviations =
 			MAX(placement->deviations - MARGIN_DOWN, MARGIN_LEAST);
 	g_array_append_val(step->decisions, decision);
@@ -88,7 +88,8 @@
 /*
  * A long request that waited while smaller ones went by gets the emptiest
  * endpoint kept for it: otherwise each bit of room that comes free is taken
- * before it adds up to what it needs.
+ * before it adds up to what it needs. One endpoint at a time: with one kept
+ * for each organisation's head the engines stood half empty before a queue.
  */
 static void step_reserve(struct step *step, const struct placed_call *call)
 {
@@ -101,10 +102,9 @@
 		struct endpoint_book *book =
 			g_ptr_array_index(placement->books, i);
 
-		if (book->reserved_for == call->ticket)
+		if (book->reserved_for != 0)
 			return;
-		if (book->reserved_for == 0 &&
-		    placement_may_serve(placement, book) &&
+		if (placement_may_serve(placement, book) &&
 		    (!best || book->load.mean[0] < best->load.mean[0]))
 			best = book;
 	}
