Control between nodes: brief reports, senders by incarnation, shards by name

Ruled out: fewer fields per grant alone (18,923 bytes/s of the whole). Change: reports carry ticket and tokens, in full only after a change of homes and every eighth time; the more is held, the rarer they come (250 ms to 2 s, homes reckon with each engine's pace in between); limits go by a hash of the name every 1 to 5 s; frequent records leave out the sender's name and address, which the receiver knows by the incarnation. Shards are found by service name and hash instead of a walk over all.

--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -21,7 +21,7 @@
 #define MAX_ENDPOINTS 4096
 #define MAX_HOLDINGS 16384
 #define MAX_LIMITS 4096
-#define MAX_LIMIT ((int64_t)1 << 52)
+#define MAX_LIMIT UINT32_MAX
 #define MAX_TOKENS ((int64_t)1 << 31)
 #define MAX_DURATION_US ((int64_t)1 << 52)
 #define MAX_VERSION ((uint64_t)1 << 62)
@@ -44,8 +44,8 @@
 	[PEER_CONFIG_ASK] = "(txssay)",
 	[PEER_LEAVING] = "(tssas)",
 	[PEER_QUARANTINE] = "(ttsss)",
-	[PEER_LIMIT_REPORT] = "(tssa(xxs))",
-	[PEER_LIMIT_SHARE] = "(tssa(xxs))",
+	[PEER_LIMIT_REPORT] = "(tssa(uuu))",
+	[PEER_LIMIT_SHARE] = "(tssa(uuu))",
 };
 
 static const char *text_or_empty(const char *text)
@@ -258,15 +258,16 @@
 	const GPtrArray *limits = message->limits.limits;
 	GVariantBuilder builder;
 
-	g_variant_builder_init(&builder, G_VARIANT_TYPE("a(xxs)"));
+	g_variant_builder_init(&builder, G_VARIANT_TYPE("a(uuu)"));
 	for (guint i = 0; i < limits->len; i++) {
 		const struct peer_limit *limit = g_ptr_array_index(limits, i);
 
-		g_variant_builder_add(&builder, "(xxs)", limit->rate_per_ks,
-				      limit->tokens,
-				      text_or_empty(limit->organisation));
+		g_variant_builder_add(
+			&builder, "(uuu)", limit->organisation_hash,
+			(guint32)CLAMP(limit->rate_per_ks, 0, MAX_LIMIT),
+			(guint32)CLAMP(limit->tokens, 0, MAX_LIMIT));
 	}
-	return g_variant_new("(tss@a(xxs))", message->incarnation,
+	return g_variant_new("(tss@a(uuu))", message->incarnation,
 			     text_or_empty(message->from),
 			     text_or_empty(message->from_address),
 			     g_variant_builder_end(&builder));
@@ -571,13 +572,6 @@
 		     "endpoint out of range");
 }
 
-static bool limit_is_legal(const struct peer_limit *limit)
-{
-	return limit->rate_per_ks >= 0 && limit->rate_per_ks <= MAX_LIMIT &&
-	       limit->tokens >= 0 && limit->tokens <= MAX_LIMIT &&
-	       text_is_legal(limit->organisation, false);
-}
-
 static bool decode_limits(GVariant *body, struct peer_message *message,
 			  struct error *error)
 {
@@ -588,11 +582,12 @@
 
 	for (gsize i = 0; valid && i < count; i++) {
 		struct peer_limit *limit = peer_limits_add(&message->limits);
+		guint32 rate_per_ks, tokens;
 
-		g_variant_get_child(list, i, "(xxs)", &limit->rate_per_ks,
-				    &limit->tokens, &limit->organisation);
-		valid = check(error, message->from, limit_is_legal(limit),
-			      "limit out of range");
+		g_variant_get_child(list, i, "(uuu)", &limit->organisation_hash,
+				    &rate_per_ks, &tokens);
+		limit->rate_per_ks = rate_per_ks;
+		limit->tokens = tokens;
 	}
 	g_variant_unref(list);
 	return valid;
@@ -768,6 +763,18 @@
 	       1;
 }
 
+/* Frequent records leave the sender's name and address out, both or none. */
+static bool sender_is_legal(const struct peer_message *message)
+{
+	if (message->incarnation == 0)
+		return false;
+	if (!*message->from && !*message->from_address)
+		return message->type != PEER_PING &&
+		       message->type != PEER_ACK && message->type != PEER_PROBE;
+	return text_is_legal(message->from, false) &&
+	       text_is_legal(message->from_address, false);
+}
+
 static bool decode_sender(GVariant *body, struct peer_message *message,
 			  struct error *error)
 {
@@ -776,10 +783,7 @@
 	g_variant_get_child(body, 0, "t", &message->incarnation);
 	g_variant_get_child(body, position, "s", &message->from);
 	g_variant_get_child(body, position + 1, "s", &message->from_address);
-	return check(error, "",
-		     text_is_legal(message->from, false) &&
-			     text_is_legal(message->from_address, false) &&
-			     message->incarnation != 0,
+	return check(error, "", sender_is_legal(message),
 		     "sender out of range");
 }
 
--- a/core/node.c
+++ b/core/node.c
@@ -4,6 +4,8 @@
 
 #define MS_US 1000
 #define MAX_TIMERS_PER_STEP 100000
+#define PROGRESS_PER_HELD_US 2500
+#define PROGRESS_LONGEST_US (2 * G_USEC_PER_SEC)
 #define PAUSE_US G_USEC_PER_SEC
 #define SETTLE_US (500 * MS_US)
 
@@ -127,6 +129,8 @@
 	node->outcomes = outcome_store_create(node->options.max_outcomes,
 					      node->options.max_outcome_bytes);
 	node->shards = g_ptr_array_new_with_free_func(shard_destroy);
+	node->service_shards = g_hash_table_new_full(
+		g_str_hash, g_str_equal, g_free, shard_list_destroy);
 	node->home_tickets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						   NULL, home_ticket_destroy);
 	node->shares = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -175,6 +179,7 @@
 	g_hash_table_destroy(node->home_tickets);
 	g_hash_table_destroy(node->shares);
 	g_hash_table_destroy(node->leaving);
+	g_hash_table_destroy(node->service_shards);
 	g_ptr_array_unref(node->shards);
 	outcome_store_destroy(node->outcomes);
 	retry_budget_destroy(node->retries);
@@ -190,15 +195,37 @@
 	g_free(node);
 }
 
+/*
+ * Records that go out for each request, or name all that is held, leave out
+ * the sender's name and address: the receiver knows them by the incarnation.
+ */
+static bool peer_message_is_frequent(enum peer_message_type type)
+{
+	switch (type) {
+	case PEER_PLACE:
+	case PEER_PLACED:
+	case PEER_REFUSED:
+	case PEER_PROGRESS:
+	case PEER_RELEASE:
+	case PEER_LIMIT_REPORT:
+	case PEER_LIMIT_SHARE:
+		return true;
+	default:
+		return false;
+	}
+}
+
 /* A message from this node. */
 struct peer_message *node_message_create(const struct node *node,
 					 enum peer_message_type type)
 {
 	struct peer_message *message = peer_message_create(type);
 
+	message->incarnation = node->options.incarnation;
+	if (peer_message_is_frequent(type))
+		return message;
 	message->from = g_strdup(node->options.name);
 	message->from_address = g_strdup(node->options.peer_address);
-	message->incarnation = node->options.incarnation;
 	return message;
 }
 
@@ -277,10 +304,22 @@
 	node_config_check_members(node, message);
 }
 
-static void node_receive_peer(struct node *node,
-			      const struct peer_message *message)
+static const struct member *node_find_sender(const struct node *node,
+					     const struct peer_message *message)
+{
+	for (size_t i = 0; i < membership_count(node->membership); i++) {
+		const struct member *member =
+			membership_get(node->membership, i);
+
+		if (member->incarnation == message->incarnation)
+			return member;
+	}
+	return NULL;
+}
+
+static void node_take_peer(struct node *node,
+			   const struct peer_message *message)
 {
-	counters_add(&node->counters, COUNTER_PEER_RECEIVED, 1);
 	switch (message->type) {
 	case PEER_PING:
 	case PEER_ACK:
@@ -327,6 +366,28 @@
 	}
 }
 
+static void node_receive_peer(struct node *node,
+			      const struct peer_message *message)
+{
+	struct peer_message known = *message;
+	const struct member *sender;
+
+	counters_add(&node->counters, COUNTER_PEER_RECEIVED, 1);
+	if (message->from && *message->from) {
+		node_take_peer(node, message);
+		return;
+	}
+	sender = node_find_sender(node, message);
+	if (!sender) {
+		/* Not heard of yet, or replaced: its asks are repeated. */
+		counters_add(&node->counters, COUNTER_EVENTS_UNKNOWN, 1);
+		return;
+	}
+	known.from = sender->name;
+	known.from_address = sender->peer_address;
+	node_take_peer(node, &known);
+}
+
 static void node_receive_kv(struct node *node, const struct kv_answer *answer)
 {
 	if (answer->outcome == KV_ANSWER_LOST)
@@ -457,6 +518,18 @@
 	action_list_add(node->actions, ACTION_STOPPED);
 }
 
+/*
+ * The more a node holds, the rarer it reports: a report grows with what is
+ * held, and homes reckon with the pace of each engine in between.
+ */
+static int64_t node_progress_interval_us(const struct node *node)
+{
+	int64_t held = g_hash_table_size(node->tickets);
+
+	return CLAMP(held * PROGRESS_PER_HELD_US, node->options.progress_us,
+		     MAX(PROGRESS_LONGEST_US, node->options.progress_us));
+}
+
 static void node_run_periodic(struct node *node)
 {
 	if (node->now_us >= node->next_poll_us) {
@@ -466,7 +539,7 @@
 	}
 	if (node->now_us >= node->next_progress_us) {
 		node->next_progress_us =
-			node->now_us + node->options.progress_us;
+			node->now_us + node_progress_interval_us(node);
 		node_place_progress(node);
 	}
 	if (node->now_us >= node->next_limits_us)
--- a/core/node_home.c
+++ b/core/node_home.c
@@ -27,6 +27,12 @@
 	g_free(shard);
 }
 
+/* Frees a list of shards, not the shards. */
+void shard_list_destroy(gpointer data)
+{
+	g_ptr_array_unref(data);
+}
+
 /* Frees a ticket. */
 void home_ticket_destroy(gpointer data)
 {
@@ -42,27 +48,40 @@
 struct shard *node_shard_find(struct node *node, const char *service,
 			      uint32_t index)
 {
-	for (guint i = 0; i < node->shards->len; i++) {
-		struct shard *shard = g_ptr_array_index(node->shards, i);
+	GPtrArray *shards = g_hash_table_lookup(node->service_shards, service);
 
-		if (shard->index == index &&
-		    strcmp(shard->service, service) == 0)
-			return shard;
-	}
-	return NULL;
+	if (!shards || index >= shards->len)
+		return NULL;
+	return g_ptr_array_index(shards, index);
+}
+
+/* The shard that this endpoint of the service is in, or NULL. */
+struct shard *node_shard_of_endpoint(struct node *node, const char *service,
+				     const char *endpoint)
+{
+	GPtrArray *shards = g_hash_table_lookup(node->service_shards, service);
+	struct shard *shard;
+
+	if (!shards)
+		return NULL;
+	shard = g_ptr_array_index(shards, home_shard_of(endpoint, shards->len));
+	if (!g_ptr_array_find_with_equal_func(shard->endpoints, endpoint,
+					      g_str_equal, NULL))
+		return NULL;
+	return shard;
 }
 
 /* A shard of the service to ask for an endpoint; NULL when it has none. */
 struct shard *node_shard_pick(struct node *node, const char *service)
 {
+	GPtrArray *shards = g_hash_table_lookup(node->service_shards, service);
 	struct shard *picked = NULL;
 	int32_t seen = 0;
 
-	for (guint i = 0; i < node->shards->len; i++) {
-		struct shard *shard = g_ptr_array_index(node->shards, i);
+	for (guint i = 0; shards && i < shards->len; i++) {
+		struct shard *shard = g_ptr_array_index(shards, i);
 
-		if (strcmp(shard->service, service) != 0 ||
-		    shard->endpoints->len == 0)
+		if (shard->endpoints->len == 0)
 			continue;
 		seen++;
 		if (seen == 1 || g_rand_int_range(node->random, 0, seen) == 0)
@@ -203,8 +222,10 @@
 }
 
 static void node_rebuild_service(struct node *node, GPtrArray *shards,
+				 GHashTable *by_service,
 				 const struct config_service *service)
 {
+	GPtrArray *own = g_ptr_array_new();
 	uint32_t count = home_shard_count(service->endpoints->len,
 					  node->options.engines_per_shard);
 
@@ -218,18 +239,22 @@
 		shard_set_home(node, shard);
 		shard_set_endpoints(node, shard, service, count);
 		g_ptr_array_add(shards, shard);
+		g_ptr_array_add(own, shard);
 	}
+	g_hash_table_insert(by_service, g_strdup(service->name), own);
 }
 
 /* Makes the shards anew from the configuration and the members. */
 void node_home_rebuild(struct node *node)
 {
 	GPtrArray *shards = g_ptr_array_new();
+	GHashTable *by_service = g_hash_table_new_full(
+		g_str_hash, g_str_equal, g_free, shard_list_destroy);
 
 	g_ptr_array_set_free_func(node->shards, NULL);
 	for (guint i = 0; node->config && i < node->config->services->len; i++)
 		node_rebuild_service(
-			node, shards,
+			node, shards, by_service,
 			g_ptr_array_index(node->config->services, i));
 	for (guint i = 0; i < node->shards->len; i++) {
 		struct shard *shard = g_ptr_array_index(node->shards, i);
@@ -240,6 +265,8 @@
 	g_ptr_array_unref(node->shards);
 	g_ptr_array_set_free_func(shards, shard_destroy);
 	node->shards = shards;
+	g_hash_table_destroy(node->service_shards);
+	node->service_shards = by_service;
 }
 
 static bool member_is_awaited_no_more(const struct node *node, const char *name)
@@ -269,19 +296,18 @@
 static struct shard *node_home_shard(struct node *node, const char *service,
 				     uint64_t ticket)
 {
+	GPtrArray *shards = g_hash_table_lookup(node->service_shards, service);
 	struct shard *picked = NULL;
 	uint64_t best = 0;
 
-	for (guint i = 0; i < node->shards->len; i++) {
-		struct shard *shard = g_ptr_array_index(node->shards, i);
+	for (guint i = 0; shards && i < shards->len; i++) {
+		struct shard *shard = g_ptr_array_index(shards, i);
 		uint64_t hash = home_hash("", "", ticket ^ shard->index);
 
-		if (!shard->is_home || strcmp(shard->service, service) != 0)
+		if (!shard->is_home || (picked && hash <= best))
 			continue;
-		if (!picked || hash > best) {
-			picked = shard;
-			best = hash;
-		}
+		picked = shard;
+		best = hash;
 	}
 	return picked;
 }
@@ -404,29 +430,14 @@
 	g_hash_table_remove(node->home_tickets, &number);
 }
 
-static struct shard *node_home_shard_of_endpoint(struct node *node,
-						 const char *service,
-						 const char *endpoint)
-{
-	for (guint i = 0; i < node->shards->len; i++) {
-		struct shard *shard = g_ptr_array_index(node->shards, i);
-
-		if (shard->is_home && strcmp(shard->service, service) == 0 &&
-		    g_ptr_array_find_with_equal_func(shard->endpoints, endpoint,
-						     g_str_equal, NULL))
-			return shard;
-	}
-	return NULL;
-}
-
 static void node_home_take_holding(struct node *node,
 				   const struct peer_holding *holding,
 				   const struct peer_message *message)
 {
 	const struct config_organisation *organisation =
 		config_find_organisation(node->config, holding->organisation);
-	struct shard *shard = node_home_shard_of_endpoint(
-		node, holding->service, holding->endpoint);
+	struct shard *shard = node_shard_of_endpoint(node, holding->service,
+						     holding->endpoint);
 	struct home_ticket *ticket;
 	struct placement_request request = {
 		.ticket = holding->ticket,
@@ -437,7 +448,7 @@
 		.true_tokens = holding->true_tokens,
 	};
 
-	if (!shard)
+	if (!shard || !shard->is_home)
 		return;
 	ticket = home_ticket_create(node, shard, holding->ticket, message);
 	ticket->endpoint = g_strdup(holding->endpoint);
@@ -453,14 +464,13 @@
 	struct home_ticket *ticket =
 		g_hash_table_lookup(node->home_tickets, &holding->ticket);
 
-	if (!*holding->endpoint)
-		return; /* still waits here, or asks again by itself */
 	if (!ticket) {
-		node_home_take_holding(node, holding, message);
+		if (*holding->endpoint)
+			node_home_take_holding(node, holding, message);
 		return;
 	}
 	if (!ticket->endpoint)
-		return;
+		return; /* waits here still */
 	placement_progress(ticket->shard->placement, holding->ticket,
 			   holding->tokens, node->now_us);
 }
--- a/core/node_limits.c
+++ b/core/node_limits.c
@@ -7,7 +7,9 @@
  * the organisation's home, and the share that comes back is what it admits by.
  */
 
-#define LIMITS_REPORT_US (1 * G_USEC_PER_SEC)
+#define LIMITS_REPORT_US G_USEC_PER_SEC
+#define LIMITS_LONGEST_US (5 * G_USEC_PER_SEC)
+#define LIMITS_PER_ORGANISATION_US 25000
 
 static const struct member *organisation_home(const struct node *node,
 					      const char *organisation)
@@ -57,9 +59,23 @@
 	call->counted_tokens = 0;
 }
 
-static void limit_free_name(struct peer_limit *limit)
+static uint32_t organisation_hash(const char *name)
 {
-	g_free(limit->organisation);
+	return (uint32_t)home_hash("organisation", name, 0);
+}
+
+/* NULL for an organisation that is not, or not yet, in the configuration. */
+static const struct config_organisation *
+node_find_organisation(const struct node *node, uint32_t hash)
+{
+	for (guint i = 0; i < node->config->organisations->len; i++) {
+		const struct config_organisation *organisation =
+			g_ptr_array_index(node->config->organisations, i);
+
+		if (organisation_hash(organisation->name) == hash)
+			return organisation;
+	}
+	return NULL;
 }
 
 static void node_divide_own(struct node *node,
@@ -71,8 +87,8 @@
 	organisation_limits_divide(node->limits, organisation,
 				   node->options.name, report, node->now_us,
 				   &share);
-	organisation_limits_take_share(node->limits, &share, node->now_us);
-	limit_free_name(&share);
+	organisation_limits_take_share(node->limits, organisation->name, &share,
+				       node->now_us);
 }
 
 static struct peer_message *report_for(struct node *node, GHashTable *reports,
@@ -107,9 +123,9 @@
 	organisation_limits_report(node->limits, name, node->now_us, &report);
 	if (strcmp(home->name, node->options.name) == 0) {
 		node_divide_own(node, organisation, &report);
-		limit_free_name(&report);
 		return;
 	}
+	report.organisation_hash = organisation_hash(name);
 	*peer_limits_add(&report_for(node, reports, home)->limits) = report;
 }
 
@@ -131,8 +147,11 @@
 			  g_hash_table_lookup(reports, item->data));
 	g_list_free(addresses);
 	g_hash_table_destroy(reports);
+	node->next_limits_us =
+		node->now_us +
+		CLAMP((int64_t)names->len * LIMITS_PER_ORGANISATION_US,
+		      LIMITS_REPORT_US, LIMITS_LONGEST_US);
 	g_ptr_array_unref(names);
-	node->next_limits_us = node->now_us + LIMITS_REPORT_US;
 }
 
 static void node_answer_report(struct node *node,
@@ -145,14 +164,16 @@
 		const struct peer_limit *report =
 			g_ptr_array_index(message->limits.limits, i);
 		const struct config_organisation *organisation =
-			config_find_organisation(node->config,
-						 report->organisation);
-
-		if (organisation)
-			organisation_limits_divide(
-				node->limits, organisation, message->from,
-				report, node->now_us,
-				peer_limits_add(&answer->limits));
+			node_find_organisation(node, report->organisation_hash);
+		struct peer_limit *share;
+
+		if (!organisation)
+			continue;
+		share = peer_limits_add(&answer->limits);
+		share->organisation_hash = report->organisation_hash;
+		organisation_limits_divide(node->limits, organisation,
+					   message->from, report, node->now_us,
+					   share);
 	}
 	node_send(node, message->from_address, answer);
 }
@@ -169,9 +190,12 @@
 	for (guint i = 0; i < message->limits.limits->len; i++) {
 		const struct peer_limit *share =
 			g_ptr_array_index(message->limits.limits, i);
+		const struct config_organisation *organisation =
+			node_find_organisation(node, share->organisation_hash);
 
-		if (config_find_organisation(node->config, share->organisation))
-			organisation_limits_take_share(node->limits, share,
-						       node->now_us);
+		if (organisation)
+			organisation_limits_take_share(node->limits,
+						       organisation->name,
+						       share, node->now_us);
 	}
 }
--- a/core/node_place.c
+++ b/core/node_place.c
@@ -9,6 +9,8 @@
  */
 
 #define COME_BACK_US 1000000
+#define PROGRESS_FULL_EVERY 8
+#define PROGRESS_FULL_AFTER_CHANGE 3
 
 static uint64_t node_new_ticket(struct node *node)
 {
@@ -222,16 +224,8 @@
 {
 	if (!call->endpoint)
 		return NULL;
-	for (guint i = 0; i < node->shards->len; i++) {
-		struct shard *shard = g_ptr_array_index(node->shards, i);
-
-		if (strcmp(shard->service, call->request->service) == 0 &&
-		    g_ptr_array_find_with_equal_func(shard->endpoints,
-						     call->endpoint,
-						     g_str_equal, NULL))
-			return shard;
-	}
-	return NULL;
+	return node_shard_of_endpoint(node, call->request->service,
+				      call->endpoint);
 }
 
 /* Gives back what the call's ticket holds, at home and in the own share. */
@@ -410,6 +404,7 @@
 	}
 	g_array_unref(ids);
 	node->next_progress_us = node->now_us;
+	node->progress_full = PROGRESS_FULL_AFTER_CHANGE;
 }
 
 /* The number of nodes changed, and with it what each may fill by itself. */
@@ -458,19 +453,30 @@
 	g_array_unref(ids);
 }
 
+/*
+ * A home that granted a ticket knows all of it but its progress, so most
+ * reports carry no more. Some come in full: a new home knows nothing yet.
+ */
 static void progress_add_call(struct peer_progress *progress,
-			      const struct call *call)
+			      const struct call *call, bool full)
 {
 	struct peer_holding *holding = peer_progress_add(progress);
+	bool granted_by_home = call->home && *call->home;
 
 	holding->ticket = call->ticket;
+	holding->tokens = call->next_token;
+	if (!full && granted_by_home) {
+		holding->service = g_strdup("");
+		holding->endpoint = g_strdup("");
+		holding->organisation = g_strdup("");
+		return;
+	}
 	holding->service = g_strdup(call->request->service);
 	holding->endpoint =
 		g_strdup(call_holds_endpoint(call) ? call->endpoint : "");
 	holding->organisation = g_strdup(call->organisation);
 	holding->prompt_tokens = call->request->prompt_tokens;
 	holding->max_tokens = call->request->max_tokens;
-	holding->tokens = call->next_token;
 	holding->true_tokens = call->request->true_tokens;
 }
 
@@ -518,6 +524,16 @@
 	g_list_free(names);
 }
 
+static bool node_progress_is_full(struct node *node)
+{
+	if (node->progress_full > 0) {
+		node->progress_full--;
+		return true;
+	}
+	node->progress_count++;
+	return node->progress_count % PROGRESS_FULL_EVERY == 0;
+}
+
 /* Tells every home what this node holds and waits for there. */
 void node_place_progress(struct node *node)
 {
@@ -525,6 +541,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	GHashTableIter iter;
 	gpointer value;
+	bool full = node_progress_is_full(node);
 
 	for (guint i = 0; i < node->shards->len; i++) {
 		const struct shard *shard = g_ptr_array_index(node->shards, i);
@@ -543,7 +560,7 @@
 		if (!home_is_self(node, home))
 			progress_add_call(
 				&progress_for(node, homes, home)->progress,
-				call);
+				call, full);
 		else if (shard && shard->placement)
 			placement_progress(shard->placement, call->ticket,
 					   call->next_token, node->now_us);
--- a/core/node_state.h
+++ b/core/node_state.h
@@ -96,13 +96,16 @@
 	int64_t claim_lease_us; /* when it was granted */
 	uint64_t claim_lease_kv_id;
 
-	GPtrArray *shards;	  /* struct shard */
-	GHashTable *home_tickets; /* ticket to struct home_ticket */
+	GPtrArray *shards;	    /* struct shard */
+	GHashTable *service_shards; /* name to GPtrArray of them, by index */
+	GHashTable *home_tickets;   /* ticket to struct home_ticket */
 	GHashTable *shares;  /* service name to struct placement: no home */
 	GHashTable *leaving; /* endpoint to struct leaving_mark */
 	int64_t next_announce_us; /* of endpoints that leave */
 	int64_t next_poll_us;
 	int64_t next_progress_us;
+	int32_t progress_count;
+	int32_t progress_full; /* so many reports to come in full */
 };
 
 /* Which of the ways has marked an endpoint as leaving; any one is enough. */
@@ -207,7 +210,10 @@
 struct shard *node_shard_find(struct node *node, const char *service,
 			      uint32_t index);
 struct shard *node_shard_pick(struct node *node, const char *service);
+struct shard *node_shard_of_endpoint(struct node *node, const char *service,
+				     const char *endpoint);
 void shard_destroy(gpointer data);
+void shard_list_destroy(gpointer data);
 void home_ticket_destroy(gpointer data);
 
 /* node_config.c */
--- a/core/organisation_limits.c
+++ b/core/organisation_limits.c
@@ -1,7 +1,7 @@
 #include "core/organisation_limits.h"
 
-#define SHARE_LIFE_US (5 * G_USEC_PER_SEC)
-#define REPORT_LIFE_US (5 * G_USEC_PER_SEC)
+#define SHARE_LIFE_US (15 * G_USEC_PER_SEC)
+#define REPORT_LIFE_US (15 * G_USEC_PER_SEC)
 #define RETRY_LEAST_US 100000
 #define TOKENS_RETRY_US 1000000
 #define DEMAND_WEIGHT 0.5 /* of the newest interval */
@@ -183,7 +183,6 @@
 	use->demand += (asked - use->demand) * DEMAND_WEIGHT;
 	use->asked = 0;
 	use->reported_us = now_us;
-	report->organisation = g_strdup(organisation);
 	report->rate_per_ks = (int64_t)(use->demand * 1000);
 	report->tokens = use->tokens;
 	use->reported_idle = report->rate_per_ks == 0 && use->tokens == 0;
@@ -214,10 +213,11 @@
 
 /* Takes the share that the home has worked out for this node. */
 void organisation_limits_take_share(struct organisation_limits *limits,
+				    const char *organisation,
 				    const struct peer_limit *share,
 				    int64_t now_us)
 {
-	struct organisation_use *use = limits_use(limits, share->organisation);
+	struct organisation_use *use = limits_use(limits, organisation);
 
 	use->share_rate = (double)MAX(share->rate_per_ks, 0) / 1000;
 	use->share_tokens = MAX(share->tokens, 0);
@@ -318,7 +318,6 @@
 	demand->tokens = (double)MAX(report->tokens, 0);
 	demand->heard_us = now_us;
 	demands_forget_silent(demands, now_us);
-	share->organisation = g_strdup(organisation->name);
 	wants = demands_wants(demands, false);
 	share->rate_per_ks =
 		(int64_t)(1000 * divide_fairly(organisation->requests_per_s,
--- a/core/organisation_limits.h
+++ b/core/organisation_limits.h
@@ -36,6 +36,7 @@
 				struct peer_limit *report);
 GPtrArray *organisation_limits_active(struct organisation_limits *limits);
 void organisation_limits_take_share(struct organisation_limits *limits,
+				    const char *organisation,
 				    const struct peer_limit *share,
 				    int64_t now_us);
 
--- a/core/peer_message.c
+++ b/core/peer_message.c
@@ -1,12 +1,20 @@
 #include "ports/peer_message.h"
 
 static const char *const type_names[PEER_MESSAGE_TYPES] = {
-	[PEER_PING] = "ping",	      [PEER_ACK] = "ack",
-	[PEER_PROBE] = "probe",	      [PEER_PLACE] = "place",
-	[PEER_PLACED] = "placed",     [PEER_REFUSED] = "refused",
-	[PEER_PROGRESS] = "progress", [PEER_RELEASE] = "release",
-	[PEER_CONFIG] = "config",     [PEER_CONFIG_ASK] = "config_ask",
-	[PEER_LEAVING] = "leaving",   [PEER_QUARANTINE] = "quarantine",
+	[PEER_PING] = "ping",
+	[PEER_ACK] = "ack",
+	[PEER_PROBE] = "probe",
+	[PEER_PLACE] = "place",
+	[PEER_PLACED] = "placed",
+	[PEER_REFUSED] = "refused",
+	[PEER_PROGRESS] = "progress",
+	[PEER_RELEASE] = "release",
+	[PEER_CONFIG] = "config",
+	[PEER_CONFIG_ASK] = "config_ask",
+	[PEER_LEAVING] = "leaving",
+	[PEER_QUARANTINE] = "quarantine",
+	[PEER_LIMIT_REPORT] = "limit_report",
+	[PEER_LIMIT_SHARE] = "limit_share",
 };
 
 static void member_free(gpointer data)
@@ -24,14 +32,6 @@
 	g_free(holding);
 }
 
-static void peer_limit_free(gpointer data)
-{
-	struct peer_limit *limit = data;
-
-	g_free(limit->organisation);
-	g_free(limit);
-}
-
 /* A message of this type with empty lists where the type has lists. */
 struct peer_message *peer_message_create(enum peer_message_type type)
 {
@@ -54,8 +54,7 @@
 		break;
 	case PEER_LIMIT_REPORT:
 	case PEER_LIMIT_SHARE:
-		message->limits.limits =
-			g_ptr_array_new_with_free_func(peer_limit_free);
+		message->limits.limits = g_ptr_array_new_with_free_func(g_free);
 		break;
 	case PEER_PLACE:
 	case PEER_PLACED:
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -124,9 +124,9 @@
 
 /* Part of an organisation's limits: wanted, or granted. */
 struct peer_limit {
-	char *organisation;
-	int64_t rate_per_ks; /* requests in 1,000 s */
-	int64_t tokens;	     /* at once */
+	uint32_t organisation_hash; /* home_hash of its name, low bits */
+	int64_t rate_per_ks;	    /* requests in 1,000 s */
+	int64_t tokens;		    /* at once */
 };
 
 struct peer_limits {
@@ -141,8 +141,8 @@
 
 struct peer_message {
 	enum peer_message_type type;
-	char *from;	    /* name of the sending node */
-	char *from_address; /* its peer address */
+	char *from;	    /* name of the sending node; "": by incarnation */
+	char *from_address; /* its peer address; "": by incarnation */
 	uint64_t incarnation;
 	union {
 		struct peer_probe probe; /* PING, ACK, PROBE */
