--- a/core/node_place.c
+++ b/core/node_place.c
@@ -546,7 +546,8 @@
 	for (guint i = 0; i < node->shards->len; i++) {
 		const struct shard *shard = g_ptr_array_index(node->shards, i);
 
-		if (shard->home && !shard->is_home)
+		/* A home of which nothing is held hears so now and then. */
+		if (full && shard->home && !shard->is_home)
 			progress_for(node, homes, shard->home);
 	}
 	g_hash_table_iter_init(&iter, node->calls);
