--- a/core/endpoint_book.c
+++ b/core/endpoint_book.c
@@ -67,7 +67,7 @@
 {
 	call->demand_made = endpoint_book_made(book, call, now_us);
 	call->demand_us = now_us;
-	admission_demand_fill(&call->demand, length_class_curve(call->class),
+	admission_demand_fill(&call->demand, length_class_curve(call->cls),
 			      call->prompt_tokens, call->demand_made,
 			      call->max_tokens);
 }
--- a/core/endpoint_book.h
+++ b/core/endpoint_book.h
@@ -32,7 +32,7 @@
 	uint64_t prefix_hash;
 	uint64_t avoid_hash;
 	int64_t concurrent_tokens; /* limit of its organisation */
-	struct length_class *class;
+	struct length_class *cls;
 
 	struct endpoint_book *book; /* NULL while it waits */
 	int64_t placed_us;
--- a/core/endpoint_health.c
+++ b/core/endpoint_health.c
@@ -1,6 +1,8 @@
 #include "core/endpoint_health.h"
 
 #define FADE 0.8
+#define FADED 0.05
+#define STEP_FADE 0.97	   /* five steps a second: half in five seconds */
 #define FAILURES_ASIDE 1.5 /* a second one before the first has faded */
 #define FIRST_ASIDE_US (2 * G_USEC_PER_SEC)
 #define LONGEST_ASIDE_US (60 * G_USEC_PER_SEC)
@@ -73,9 +75,15 @@
 	health->aside_us = MIN(2 * health->aside_us, LONGEST_ASIDE_US);
 }
 
-/* Starts the return when the time aside is over. */
+/*
+ * Starts the return when the time aside is over. Failures fade with time as
+ * well: an endpoint that is avoided for them gets no chance to succeed.
+ */
 void endpoint_health_step(struct endpoint_health *health, int64_t now_us)
 {
+	health->failures *= STEP_FADE;
+	if (health->failures < FADED)
+		health->failures = 0;
 	if (health->state == HEALTH_ASIDE && now_us >= health->until_us)
 		endpoint_health_return(health);
 }
--- a/core/length_estimate.c
+++ b/core/length_estimate.c
@@ -4,7 +4,9 @@
 #define SINGLE_BINS 8
 #define BINS_PER_OCTAVE 4
 #define PROMPT_SIZES 20
-#define PRIOR_HAZARD 0.08
+/* Before anything is known: few end at once, half at each doubling later. */
+#define PRIOR_HAZARD_SINGLE 0.01
+#define PRIOR_HAZARD 0.16
 #define PRIOR_WEIGHT 4
 #define REBUILD_AFTER 16 /* observations */
 #define HAZARD_MAX 0.999
@@ -71,22 +73,22 @@
 	       << (octave - 2);
 }
 
-static void length_class_init(struct length_class *class,
+static void length_class_init(struct length_class *cls,
 			      struct length_estimate *estimate,
 			      struct length_class *parent)
 {
-	class->estimate = estimate;
-	class->parent = parent;
-	class->curve_version = UINT64_MAX;
-	class->unused.data = class;
+	cls->estimate = estimate;
+	cls->parent = parent;
+	cls->curve_version = UINT64_MAX;
+	cls->unused.data = cls;
 }
 
 static void length_class_free(gpointer data)
 {
-	struct length_class *class = data;
+	struct length_class *cls = data;
 
-	g_free(class->key);
-	g_free(class);
+	g_free(cls->key);
+	g_free(cls);
 }
 
 /* An estimate that knows nothing yet. The options are copied. */
@@ -115,20 +117,19 @@
 	g_free(estimate);
 }
 
-static struct length_class *length_class_use(struct length_class *class)
+static struct length_class *length_class_use(struct length_class *cls)
 {
-	if (class->key && class->users == 0)
-		g_queue_unlink(&class->estimate->unused, &class->unused);
-	class->users++;
-	return class;
+	if (cls->key && cls->users == 0)
+		g_queue_unlink(&cls->estimate->unused, &cls->unused);
+	cls->users++;
+	return cls;
 }
 
 /* Gives a class back. What it learned is kept until its place is needed. */
-void length_class_unref(struct length_class *class)
+void length_class_unref(struct length_class *cls)
 {
-	if (--class->users == 0 && class->key)
-		g_queue_push_tail_link(&class->estimate->unused,
-				       &class->unused);
+	if (--cls->users == 0 && cls->key)
+		g_queue_push_tail_link(&cls->estimate->unused, &cls->unused);
 }
 
 /*
@@ -140,13 +141,13 @@
 	while (g_hash_table_size(estimate->classes) >=
 	       (guint)estimate->options.max_classes) {
 		GList *link = g_queue_pop_head_link(&estimate->unused);
-		struct length_class *class;
+		struct length_class *cls;
 
 		if (!link)
 			return;
-		class = link->data;
-		length_class_unref(class->parent);
-		g_hash_table_remove(estimate->classes, class->key);
+		cls = link->data;
+		length_class_unref(cls->parent);
+		g_hash_table_remove(estimate->classes, cls->key);
 	}
 }
 
@@ -154,19 +155,18 @@
 length_estimate_get(struct length_estimate *estimate, const char *key,
 		    struct length_class *parent)
 {
-	struct length_class *class =
-		g_hash_table_lookup(estimate->classes, key);
+	struct length_class *cls = g_hash_table_lookup(estimate->classes, key);
 
-	if (class)
-		return length_class_use(class);
+	if (cls)
+		return length_class_use(cls);
 	length_class_use(parent);
 	length_estimate_evict(estimate);
-	class = g_new0(struct length_class, 1);
-	length_class_init(class, estimate, parent);
-	class->key = g_strdup(key);
-	class->users = 1;
-	g_hash_table_insert(estimate->classes, class->key, class);
-	return class;
+	cls = g_new0(struct length_class, 1);
+	length_class_init(cls, estimate, parent);
+	cls->key = g_strdup(key);
+	cls->users = 1;
+	g_hash_table_insert(estimate->classes, cls->key, cls);
+	return cls;
 }
 
 /*
@@ -181,7 +181,7 @@
 {
 	int32_t size = MIN(floor_log2(MAX(prompt_tokens, 1)), PROMPT_SIZES - 1);
 	struct length_class *by_size;
-	struct length_class *class;
+	struct length_class *cls;
 	char key[160];
 
 	g_snprintf(key, sizeof(key), "%d/%s", size, organisation);
@@ -191,9 +191,9 @@
 		return by_size;
 	g_snprintf(key, sizeof(key), "p%" G_GINT64_MODIFIER "x/%s", prefix_hash,
 		   organisation);
-	class = length_estimate_get(estimate, key, by_size);
+	cls = length_estimate_get(estimate, key, by_size);
 	length_class_unref(by_size);
-	return class;
+	return cls;
 }
 
 /* Classes kept, for the dump. */
@@ -219,17 +219,17 @@
 	return known > 0 ? 1 / __builtin_sqrt(known) : 1;
 }
 
-static double length_class_hazard(const struct length_class *class, int32_t bin)
+static double length_class_hazard(const struct length_class *cls, int32_t bin)
 {
-	double hazard = PRIOR_HAZARD;
+	double hazard = bin < SINGLE_BINS ? PRIOR_HAZARD_SINGLE : PRIOR_HAZARD;
 	double weight = PRIOR_WEIGHT;
 
-	if (class->parent) {
-		hazard = length_class_hazard(class->parent, bin);
-		weight = class->estimate->options.parent;
+	if (cls->parent) {
+		hazard = length_class_hazard(cls->parent, bin);
+		weight = cls->estimate->options.parent;
 	}
-	return (class->ended[bin] + weight * hazard) /
-	       (class->reached[bin] + weight);
+	return (cls->ended[bin] + weight * hazard) /
+	       (cls->reached[bin] + weight);
 }
 
 static void length_estimate_count_shift(struct length_estimate *estimate,
@@ -243,18 +243,18 @@
 	estimate->shift_ended = estimate->shift_ended * keep + ended;
 }
 
-static void length_class_count_bin(struct length_class *class, int32_t bin,
+static void length_class_count_bin(struct length_class *cls, int32_t bin,
 				   bool ended)
 {
-	struct length_estimate *estimate = class->estimate;
+	struct length_estimate *estimate = cls->estimate;
 	float keep = (float)(1 - 1 / estimate->options.memory);
-	double hazard = length_class_hazard(class, bin);
+	double hazard = length_class_hazard(cls, bin);
 
 	length_estimate_count_shift(estimate, ended ? hazard / 2 : hazard,
 				    ended ? 1 : 0);
-	for (; class; class = class->parent) {
-		class->reached[bin] = class->reached[bin] * keep + 1;
-		class->ended[bin] = class->ended[bin] * keep + (ended ? 1 : 0);
+	for (; cls; cls = cls->parent) {
+		cls->reached[bin] = cls->reached[bin] * keep + 1;
+		cls->ended[bin] = cls->ended[bin] * keep + (ended ? 1 : 0);
 	}
 	estimate->version++;
 }
@@ -263,48 +263,48 @@
  * Counts that a running answer went from so many tokens to so many. Each
  * token is to be counted once; a range that goes back is ignored.
  */
-void length_class_count_progress(struct length_class *class, int64_t from,
+void length_class_count_progress(struct length_class *cls, int64_t from,
 				 int64_t to)
 {
 	int32_t last = length_bin(to);
 
 	for (int32_t bin = length_bin(from); bin < last; bin++)
-		length_class_count_bin(class, bin, false);
+		length_class_count_bin(cls, bin, false);
 }
 
 /* Counts that an answer, last counted at from, ended by itself at length. */
-void length_class_count_end(struct length_class *class, int64_t from,
+void length_class_count_end(struct length_class *cls, int64_t from,
 			    int64_t length)
 {
-	length_class_count_progress(class, from, length);
-	length_class_count_bin(class, length_bin(MAX(from, length)), true);
+	length_class_count_progress(cls, from, length);
+	length_class_count_bin(cls, length_bin(MAX(from, length)), true);
 }
 
 /* A shift scales the odds of ending, so that a hazard stays under 1. */
-static void length_class_rebuild(struct length_class *class)
+static void length_class_rebuild(struct length_class *cls)
 {
-	double shift = length_estimate_shift(class->estimate);
+	double shift = length_estimate_shift(cls->estimate);
 	float survival = 1;
 
 	for (int32_t bin = 0; bin < LENGTH_BINS; bin++) {
-		double hazard = length_class_hazard(class, bin);
+		double hazard = length_class_hazard(cls, bin);
 
 		hazard = shift * hazard / (1 + (shift - 1) * hazard);
-		class->curve.survival[bin] = survival;
+		cls->curve.survival[bin] = survival;
 		survival *= (float)(1 - MIN(hazard, HAZARD_MAX));
 		survival = MAX(survival, SURVIVAL_MIN);
 	}
-	class->curve.survival[LENGTH_BINS] = survival;
-	class->curve_version = class->estimate->version;
+	cls->curve.survival[LENGTH_BINS] = survival;
+	cls->curve_version = cls->estimate->version;
 }
 
 /* The chances by length; valid until the class is next asked or told. */
-const struct length_curve *length_class_curve(struct length_class *class)
+const struct length_curve *length_class_curve(struct length_class *cls)
 {
-	if (class->curve_version == UINT64_MAX ||
-	    class->estimate->version - class->curve_version >= REBUILD_AFTER)
-		length_class_rebuild(class);
-	return &class->curve;
+	if (cls->curve_version == UINT64_MAX ||
+	    cls->estimate->version - cls->curve_version >= REBUILD_AFTER)
+		length_class_rebuild(cls);
+	return &cls->curve;
 }
 
 /* Chance that an answer gets longer than n tokens. */
--- a/core/length_estimate.h
+++ b/core/length_estimate.h
@@ -38,23 +38,23 @@
 					   const char *organisation,
 					   int64_t prompt_tokens,
 					   uint64_t prefix_hash);
-void length_class_unref(struct length_class *class);
+void length_class_unref(struct length_class *cls);
 size_t length_estimate_class_count(const struct length_estimate *estimate);
 
 /* Factor by which all answers now end sooner or later, and its deviation. */
 double length_estimate_shift(const struct length_estimate *estimate);
 double length_estimate_shift_deviation(const struct length_estimate *estimate);
 
-void length_class_count_progress(struct length_class *class, int64_t from,
+void length_class_count_progress(struct length_class *cls, int64_t from,
 				 int64_t to);
-void length_class_count_end(struct length_class *class, int64_t from,
+void length_class_count_end(struct length_class *cls, int64_t from,
 			    int64_t length);
 
 /* Chance that an answer gets longer than n; declines with n. */
 struct length_curve {
 	float survival[LENGTH_BINS + 1]; /* at the start of each bin */
 };
-const struct length_curve *length_class_curve(struct length_class *class);
+const struct length_curve *length_class_curve(struct length_class *cls);
 double length_curve_survival(const struct length_curve *curve, int64_t n);
 double length_curve_mean_left(const struct length_curve *curve, int64_t made,
 			      int64_t max_tokens);
--- a/core/placement.c
+++ b/core/placement.c
@@ -22,7 +22,7 @@
 {
 	struct placed_call *call = data;
 
-	length_class_unref(call->class);
+	length_class_unref(call->cls);
 	g_free(call);
 }
 
@@ -248,8 +248,8 @@
 	if (placement->options.kind == SERVICE_PLAIN)
 		return 1;
 	return (double)call->prompt_tokens +
-	       length_curve_mean_left(length_class_curve(call->class),
-				      call->made, call->max_tokens);
+	       length_curve_mean_left(length_class_curve(call->cls), call->made,
+				      call->max_tokens);
 }
 
 static int64_t placement_largest(const struct placement *placement)
@@ -311,14 +311,14 @@
 	call->concurrent_tokens = request->concurrent_tokens;
 	call->made = CLAMP(made, 0, LENGTH_LONGEST);
 	call->counted = call->made;
-	call->class =
+	call->cls =
 		length_estimate_class(placement->lengths, name,
 				      call->prompt_tokens, call->prefix_hash);
 	call->entry.organisation = wait_queue_organisation(
 		placement->queue, name, request->weight);
 	call->entry.priority = CLAMP(request->priority, 0, 9);
 	call->entry.tokens = placed_call_cost(placement, call);
-	admission_demand_fill(&call->demand, length_class_curve(call->class),
+	admission_demand_fill(&call->demand, length_class_curve(call->cls),
 			      call->prompt_tokens, call->made,
 			      call->max_tokens);
 	call->demand_made = call->made;
@@ -389,7 +389,7 @@
 static void placement_count_tokens(struct placed_call *call, int64_t tokens)
 {
 	if (tokens > call->counted) {
-		length_class_count_progress(call->class, call->counted, tokens);
+		length_class_count_progress(call->cls, call->counted, tokens);
 		call->counted = tokens;
 	}
 }
@@ -415,7 +415,7 @@
 
 	tokens = MIN(tokens, LENGTH_LONGEST);
 	if (outcome == RELEASE_WHOLE && !cut && tokens > 0)
-		length_class_count_end(call->class, call->counted, tokens);
+		length_class_count_end(call->cls, call->counted, tokens);
 	else
 		placement_count_tokens(call, tokens);
 }
--- a/core/placement_choose.c
+++ b/core/placement_choose.c
@@ -7,8 +7,7 @@
  * that leave, cannot be reached, or were put aside.
  */
 
-/* Prompts wait for each other on an engine: so many cost as much as being full.
- */
+/* Prompts wait for each other: so many cost as much as a full engine. */
 #define UNREAD_TOKENS_FULL 40000.0
 /* A short answer takes mostly its wait for the prompts before it. */
 #define SHORT_UNREAD 10.0
--- a/core/placement_step.c
+++ b/core/placement_step.c
@@ -163,8 +163,7 @@
 		return tokens >= call->true_tokens ? 1 : 0;
 	if (call->max_tokens > 0 && tokens >= call->max_tokens)
 		return 1;
-	return 1 -
-	       length_curve_survival(length_class_curve(call->class), tokens);
+	return 1 - length_curve_survival(length_class_curve(call->cls), tokens);
 }
 
 /*
