Shares learn the progress of their calls; margin narrows only on fresh reports

Cause: a node on its share was never told how far its own calls had come and counted each as just begun; and without load reports, which only homes ask for, its margin narrowed with each placement though no preemption could show. Change: entry nodes tell their share as they tell homes; placements narrow the margin only where a report of the last 5 s counts preemptions.

--- a/bench/measure.c
+++ b/bench/measure.c
@@ -24,6 +24,11 @@
 	[FIGURE_PLAIN_IN_TIME_PERCENT] = "plain_in_time_pct",
 	[FIGURE_GOOD_TOKENS_PER_S] = "goodput_tokens_per_s",
 	[FIGURE_REFUSED_PERCENT] = "refused_pct",
+	[FIGURE_REFUSED_DEADLINE] = "refused_deadline",
+	[FIGURE_REFUSED_QUEUE_FULL] = "refused_queue_full",
+	[FIGURE_REFUSED_NO_ENDPOINT] = "refused_no_endpoint",
+	[FIGURE_REFUSED_FAILED] = "refused_endpoint_failed",
+	[FIGURE_REFUSED_OTHER] = "refused_other",
 	[FIGURE_BROKEN_PER_1000] = "broken_per_1000",
 	[FIGURE_FAIRNESS] = "fairness",
 	[FIGURE_CHECK_FIRST_P99_MS] = "check_first_p99_ms",
@@ -200,6 +205,23 @@
 	return best > 0 ? worst / best : 0;
 }
 
+static enum figure refusal_figure(enum refusal refusal)
+{
+	switch (refusal) {
+	case REFUSAL_DEADLINE:
+		return FIGURE_REFUSED_DEADLINE;
+	case REFUSAL_QUEUE_FULL:
+		return FIGURE_REFUSED_QUEUE_FULL;
+	case REFUSAL_NO_ENDPOINT:
+		return FIGURE_REFUSED_NO_ENDPOINT;
+	case REFUSAL_ENDPOINT_FAILED:
+	case REFUSAL_ENDPOINT_TIMEOUT:
+		return FIGURE_REFUSED_FAILED;
+	default:
+		return FIGURE_REFUSED_OTHER;
+	}
+}
+
 static void figures_shares(const struct measure *measure,
 			   double figures[FIGURES])
 {
@@ -207,8 +229,10 @@
 	int64_t refused = 0;
 	int64_t in_time = 0;
 
-	for (int32_t i = 0; i < REFUSAL_COUNT; i++)
+	for (int32_t i = 0; i < REFUSAL_COUNT; i++) {
 		refused += measure->refused[i];
+		figures[refusal_figure(i)] += (double)measure->refused[i];
+	}
 	for (int32_t kind = 0; kind < WORKLOAD_KINDS; kind++) {
 		in_time += measure->in_time[kind];
 		figures[FIGURE_REPORT_IN_TIME_PERCENT + kind] = percent(
--- a/bench/policy_bench.c
+++ b/bench/policy_bench.c
@@ -49,6 +49,12 @@
 	FIGURE_REPORT_WAIT_P99_MS,
 	FIGURE_ATTEMPTS,
 	FIGURE_DECISION_US,
+	FIGURE_REFUSED_DEADLINE,
+	FIGURE_REFUSED_QUEUE_FULL,
+	FIGURE_REFUSED_NO_ENDPOINT,
+	FIGURE_REFUSED_FAILED,
+	FIGURE_REFUSED_OTHER,
+	FIGURE_BROKEN_PER_1000,
 };
 
 static const char *const headings[FIGURES] = {
@@ -71,6 +77,12 @@
 	[FIGURE_REPORT_WAIT_P99_MS] = "rep_w99",
 	[FIGURE_ATTEMPTS] = "attempt",
 	[FIGURE_DECISION_US] = "us/dec",
+	[FIGURE_REFUSED_DEADLINE] = "r_dead",
+	[FIGURE_REFUSED_QUEUE_FULL] = "r_queue",
+	[FIGURE_REFUSED_NO_ENDPOINT] = "r_noend",
+	[FIGURE_REFUSED_FAILED] = "r_fail",
+	[FIGURE_REFUSED_OTHER] = "r_other",
+	[FIGURE_BROKEN_PER_1000] = "broken",
 };
 
 static bool list_has(const char *list, const char *name)
--- a/core/node_place.c
+++ b/core/node_place.c
@@ -518,6 +518,20 @@
 	g_list_free(names);
 }
 
+/*
+ * Tells the own share what a call placed by it has made. Without it the share
+ * goes on counting each call as just begun, and overfills the engines.
+ */
+static void share_progress(struct node *node, const struct call *call)
+{
+	struct placement *share =
+		g_hash_table_lookup(node->shares, call->request->service);
+
+	if (share && call->ticket && call->home && !*call->home)
+		placement_progress(share, call->ticket, call->next_token,
+				   node->now_us);
+}
+
 /* Tells every home what this node holds and waits for there. */
 void node_place_progress(struct node *node)
 {
@@ -538,6 +552,7 @@
 		const char *home = call_progress_home(node, call);
 		struct shard *shard = call_shard(node, call);
 
+		share_progress(node, call);
 		if (!home)
 			continue;
 		if (!home_is_self(node, home))
--- a/core/placement_step.c
+++ b/core/placement_step.c
@@ -16,6 +16,7 @@
 #define NO_ENDPOINT_RETRY_US (2 * G_USEC_PER_SEC)
 #define MARGIN_DOWN 0.00005 /* one preemption in two thousand keeps it */
 #define MARGIN_LEAST 1.0
+#define REPORT_FRESH_US (5 * G_USEC_PER_SEC)
 
 struct step {
 	struct placement *placement;
@@ -64,6 +65,23 @@
 	g_array_append_val(step->decisions, decision);
 }
 
+/*
+ * Each placement without a preemption narrows the margin a little. Only where
+ * the endpoint's reports come and count them: silence is no sign of room.
+ */
+static void step_narrow_margin(struct step *step,
+			       const struct endpoint_book *book)
+{
+	struct placement *placement = step->placement;
+
+	if (placement->options.deviations > 0 || book->report_us == 0 ||
+	    book->report.preemptions_total < 0 ||
+	    step->now_us - book->report_us > REPORT_FRESH_US)
+		return;
+	placement->deviations =
+		MAX(placement->deviations - MARGIN_DOWN, MARGIN_LEAST);
+}
+
 static void step_place(struct step *step, struct placed_call *call,
 		       struct endpoint_book *book)
 {
@@ -79,9 +97,7 @@
 		book->reserved_for = 0;
 	placement_put(placement, call, book, step->now_us);
 	placement->counts.placed++;
-	if (placement->options.deviations <= 0)
-		placement->deviations =
-			MAX(placement->deviations - MARGIN_DOWN, MARGIN_LEAST);
+	step_narrow_margin(step, book);
 	g_array_append_val(step->decisions, decision);
 }
 
