Nodes learn lengths also while others are home

Cause: a new home knew no lengths; it refused checks as unlikely to be in time and so never learned better. Change: one estimate per service and node, shared by its placements, and fed by its own callers' answers while another node is home.

--- a/core/node.c
+++ b/core/node.c
@@ -1,4 +1,5 @@
 #include "core/node_state.h"
+#include "core/length_estimate.h"
 
 #include <string.h>
 
@@ -41,6 +42,11 @@
 	call_destroy(data);
 }
 
+static void lengths_free(gpointer data)
+{
+	length_estimate_destroy(data);
+}
+
 static void placement_free(gpointer data)
 {
 	placement_destroy(data);
@@ -133,6 +139,8 @@
 		g_str_hash, g_str_equal, g_free, shard_list_destroy);
 	node->home_tickets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						   NULL, home_ticket_destroy);
+	node->lengths = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      lengths_free);
 	node->shares = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     placement_free);
 	node->leaving =
@@ -181,6 +189,7 @@
 	g_hash_table_destroy(node->leaving);
 	g_hash_table_destroy(node->service_shards);
 	g_ptr_array_unref(node->shards);
+	g_hash_table_destroy(node->lengths);
 	outcome_store_destroy(node->outcomes);
 	retry_budget_destroy(node->retries);
 	quarantine_destroy(node->quarantine);
--- a/core/node_home.c
+++ b/core/node_home.c
@@ -149,6 +149,7 @@
 				  shard->index ^ node->options.seed),
 		.max_waiting = node->options.max_waiting,
 		.step_us = PLACEMENT_STEP_US,
+		.lengths = node_lengths(node, shard->service),
 	};
 
 	shard->is_home = true;
--- a/core/node_place.c
+++ b/core/node_place.c
@@ -1,4 +1,5 @@
 #include "core/node_state.h"
+#include "core/length_estimate.h"
 
 #include <string.h>
 
@@ -84,6 +85,40 @@
 	}
 }
 
+/*
+ * What this node knows of the lengths of a service's answers. It learns from
+ * its own callers' answers also while others are home, because a new home
+ * that knew nothing would refuse as late what it cannot judge.
+ */
+struct length_estimate *node_lengths(struct node *node, const char *service)
+{
+	struct length_estimate *lengths =
+		g_hash_table_lookup(node->lengths, service);
+	struct length_estimate_options options;
+
+	if (lengths)
+		return lengths;
+	length_estimate_options_default(&options);
+	lengths = length_estimate_create(&options);
+	g_hash_table_insert(node->lengths, g_strdup(service), lengths);
+	return lengths;
+}
+
+static void node_learn_length(struct node *node, const struct call *call,
+			      enum release_outcome outcome)
+{
+	const struct request *request = call->request;
+	bool cut = request->max_tokens > 0 &&
+		   call->next_token >= request->max_tokens;
+
+	if (call->kind != SERVICE_GENERATION || call->next_token <= 0)
+		return;
+	length_estimate_count_answer(node_lengths(node, request->service),
+				     call->organisation, request->prompt_tokens,
+				     request->prefix_hash, call->next_token,
+				     outcome == RELEASE_WHOLE && !cut);
+}
+
 /* This node's own share of a service's endpoints, made when first needed. */
 static struct placement *node_share(struct node *node, const char *name)
 {
@@ -96,6 +131,7 @@
 		.seed = home_hash(node->options.name, name, node->options.seed),
 		.max_waiting = node->options.max_waiting,
 		.step_us = PLACEMENT_STEP_US,
+		.lengths = node_lengths(node, name),
 	};
 
 	if (share)
@@ -246,6 +282,8 @@
 		placement_withdraw(share, call->ticket, node->now_us);
 	if (!*home && shard && shard->home)
 		home = shard->home;
+	if (*home && call->home && *call->home && !home_is_self(node, home))
+		node_learn_length(node, call, outcome);
 	if (*home)
 		node_send_release(node, home, call->ticket, outcome,
 				  call->next_token,
--- a/core/node_state.h
+++ b/core/node_state.h
@@ -100,6 +100,7 @@
 	GHashTable *service_shards; /* name to GPtrArray of them, by index */
 	GHashTable *home_tickets;   /* ticket to struct home_ticket */
 	GHashTable *shares;  /* service name to struct placement: no home */
+	GHashTable *lengths; /* service name to struct length_estimate */
 	GHashTable *leaving; /* endpoint to struct leaving_mark */
 	int64_t next_announce_us; /* of endpoints that leave */
 	int64_t next_poll_us;
@@ -160,6 +161,7 @@
 			enum refusal refusal, int64_t retry_after_us);
 void node_place_rehome(struct node *node);
 void node_place_progress(struct node *node);
+struct length_estimate *node_lengths(struct node *node, const char *service);
 void node_place_step_shares(struct node *node);
 void node_place_resize_shares(struct node *node);
 void node_place_reset_shares(struct node *node);
--- a/core/placement.c
+++ b/core/placement.c
@@ -52,7 +52,9 @@
 					? placement->options.deviations
 					: MARGIN_START;
 	length_estimate_options_default(&lengths);
-	placement->lengths = length_estimate_create(&lengths);
+	placement->lengths = options->lengths
+				     ? options->lengths
+				     : length_estimate_create(&lengths);
 	placement->queue = wait_queue_create();
 	placement->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 NULL, placed_call_free);
@@ -78,7 +80,8 @@
 	g_hash_table_unref(placement->by_address);
 	g_hash_table_unref(placement->calls);
 	wait_queue_destroy(placement->queue);
-	length_estimate_destroy(placement->lengths);
+	if (!placement->options.lengths)
+		length_estimate_destroy(placement->lengths);
 	g_rand_free(placement->rand);
 	g_free(placement);
 }
--- a/core/placement.h
+++ b/core/placement.h
@@ -26,6 +26,8 @@
 	PLACEMENT_ORACLE /* the same with true lengths known */
 };
 
+struct length_estimate;
+
 struct placement_options {
 	enum placement_policy policy;
 	enum service_kind kind;
@@ -33,6 +35,9 @@
 	int32_t max_waiting;
 	int64_t step_us; /* token interval an engine may reach; 28,000 */
 
+	/* Shared with other placements, and outlives them; NULL: its own. */
+	struct length_estimate *lengths;
+
 	/* Zero: the default, chosen on the policy bench. */
 	double deviations; /* kept free; default: learned from preemptions */
 	double shared;	   /* deviation of the common factor of lengths */
