--- a/adapters/endpoint_attempt.c
+++ b/adapters/endpoint_attempt.c
@@ -18,6 +18,7 @@
 	bool resume;
 	bool to_node;
 	bool chunked;
+	bool replayed;
 	bool whole;	   /* the answer is collected; else it is a stream */
 	bool cancelled;	   /* only waits to learn what to cancel */
 	bool closed;	   /* delivers nothing more */
@@ -346,6 +347,9 @@
 
 	attempt_use(attempt);
 	attempt->status = (int32_t)soup_message_get_status(message);
+	attempt->replayed =
+		attempt->to_node &&
+		soup_message_headers_get_one(headers, "Idempotent-Replayed");
 	attempt->chunked = soup_message_headers_get_encoding(headers) ==
 			   SOUP_ENCODING_CHUNKED;
 	if (attempt->whole) {
@@ -366,6 +370,7 @@
 	event.answer.attempt = attempt->number;
 	event.answer.status = attempt->status;
 	event.answer.content_type = attempt->content_type;
+	event.answer.replayed = attempt->replayed;
 	event.answer.body =
 		g_bytes_new(attempt->body->data, attempt->body->len);
 	attempt_end(attempt, &event);
--- a/adapters/http_listener.c
+++ b/adapters/http_listener.c
@@ -10,6 +10,9 @@
 #define LISTEN_BACKLOG 512
 #define IDLE_CLOSE_US 60000000
 #define SWEEP_S 5
+#define SILENT_CLOSE_MS 60000
+#define PROBE_AFTER_S 20
+#define PROBE_EVERY_S 10
 #define REFUSED_MAX 64 /* refused connections that still drain */
 #define REFUSED_DRAIN_BYTES 65536
 #define REFUSED_TIMEOUT_S 1
@@ -137,6 +140,28 @@
 	g_clear_object(&peer);
 }
 
+/*
+ * A caller whose link stalls without closing, or who reads nothing for so
+ * long, would hold its connection and its generation's memory for good. The
+ * kernel ends the connection when nothing sent was taken in that time, or a
+ * waiting caller answers no probe; a slow reader takes something and stays.
+ */
+static void listener_set_options(const struct http_listener *listener,
+				 GSocket *socket)
+{
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+			    SILENT_CLOSE_MS, NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, PROBE_AFTER_S,
+			    NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, PROBE_EVERY_S,
+			    NULL);
+	g_socket_set_keepalive(socket, TRUE);
+	if (listener->send_buffer_bytes > 0)
+		g_socket_set_option(socket, SOL_SOCKET, SO_SNDBUF,
+				    listener->send_buffer_bytes, NULL);
+}
+
 static gboolean listener_incoming(GSocketService *service,
 				  GSocketConnection *connection,
 				  GObject *source, gpointer data)
@@ -151,10 +176,7 @@
 		listener_refuse(listener, connection);
 		return TRUE;
 	}
-	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-	if (listener->send_buffer_bytes > 0)
-		g_socket_set_option(socket, SOL_SOCKET, SO_SNDBUF,
-				    listener->send_buffer_bytes, NULL);
+	listener_set_options(listener, socket);
 	listener_take(listener, connection);
 	return TRUE;
 }
--- a/core/node_attempt.c
+++ b/core/node_attempt.c
@@ -371,6 +371,5 @@
 		return;
 	call_end_attempt(node, call);
 	node_place_release(node, call, RELEASE_WHOLE);
-	node_call_answer(node, call, event->status, event->content_type,
-			 event->body);
+	node_call_answer(node, call, event);
 }
--- a/core/node_call.c
+++ b/core/node_call.c
@@ -391,22 +391,24 @@
 }
 
 /* Gives the caller a plain endpoint's whole answer. */
-void node_call_answer(struct node *node, struct call *call, int32_t status,
-		      const char *content_type, GBytes *body)
+void node_call_answer(struct node *node, struct call *call,
+		      const struct event_attempt_answer *answer)
 {
 	struct action *action;
 
 	if (call->outcome && call->state != CALL_FORWARDED) {
-		outcome_set_answer(node->outcomes, call->outcome, status,
-				   content_type, body);
+		outcome_set_answer(node->outcomes, call->outcome,
+				   answer->status, answer->content_type,
+				   answer->body);
 		call->outcome->state = OUTCOME_WHOLE;
 	}
 	if (!call->caller_gone) {
 		action = action_list_add(node->actions, ACTION_CALL_ANSWER);
 		action->answer.call = call->id;
-		action->answer.status = status;
-		action->answer.content_type = g_strdup(content_type);
-		action->answer.body = g_bytes_ref(body);
+		action->answer.status = answer->status;
+		action->answer.content_type = g_strdup(answer->content_type);
+		action->answer.body = g_bytes_ref(answer->body);
+		action->answer.replayed = answer->replayed;
 	}
 	counters_add(&node->counters, COUNTER_CALLS_WHOLE, 1);
 	node_log(node, LOG_LEVEL_INFO, "call_end", call, "finish", "answer");
--- a/core/node_state.h
+++ b/core/node_state.h
@@ -133,8 +133,8 @@
 		     int64_t token_count);
 void node_call_end(struct node *node, struct call *call, enum refusal refusal,
 		   const char *finish_reason);
-void node_call_answer(struct node *node, struct call *call, int32_t status,
-		      const char *content_type, GBytes *body);
+void node_call_answer(struct node *node, struct call *call,
+		      const struct event_attempt_answer *answer);
 void node_call_drop(struct node *node, struct call *call);
 void node_refuse(struct node *node, uint64_t call, enum refusal refusal,
 		 enum run run, int64_t retry_after_us, const char *detail);
--- a/ports/event.h
+++ b/ports/event.h
@@ -93,6 +93,7 @@
 	int32_t status;
 	const char *content_type;
 	GBytes *body;
+	bool replayed; /* a node's first outcome of a repeated id */
 };
 
 enum attempt_stage {
--- a/tests/endpoint_client_test.cc
+++ b/tests/endpoint_client_test.cc
@@ -500,8 +500,10 @@
 	      "Idempotency-Key: id-1\r\n", "X-Non-Idempotent: true\r\n",
 	      "X-Deadline-Ms: 2500\r\n", "X-Siskinlink-Forwarded: n1\r\n"})
 		EXPECT_NE(std::string::npos, peer->input.find(line)) << line;
-	peer->send(whole(200, "done"));
+	peer->send("HTTP/1.1 200 OK\r\nIdempotent-Replayed: true\r\n"
+		   "Content-Length: 4\r\n\r\ndone");
 	ASSERT_TRUE(recorder.wait(EVENT_ATTEMPT_ANSWER));
+	EXPECT_TRUE(recorder.events[0].flag);
 }
 
 /* A node's stream has no length: it is whole if its last event says so. */
--- a/tests/loopback.cc
+++ b/tests/loopback.cc
@@ -66,6 +66,7 @@
 	case EVENT_ATTEMPT_ANSWER:
 		r.number = event->answer.attempt;
 		r.status = event->answer.status;
+		r.flag = event->answer.replayed;
 		r.name = text_of(event->answer.content_type);
 		r.text = text_of(event->answer.body);
 		break;
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -19,7 +19,7 @@
 struct recorded {
 	enum event_type type;
 	uint64_t number; /* call or attempt */
-	bool flag;	 /* full, reached */
+	bool flag;	 /* full, reached, replayed */
 	int64_t first_token;
 	int64_t token_count;
 	int32_t status;
