--- a/adapters/kv_client.c
+++ b/adapters/kv_client.c
@@ -20,6 +20,7 @@
 	int64_t watch_check_ms;
 	uint64_t seed;
 	struct log *log;
+	bool failing; /* logged already */
 	struct counters *counters;
 	struct event_sink sink;
 	GHashTable *calls;  /* struct kv_call, a set */
@@ -88,6 +89,24 @@
 	}
 }
 
+/* A long outage is one line in the log, not one for each call. */
+static void kv_client_log_failure(struct kv_client *client,
+				  const struct error *error)
+{
+	if (client->log && !client->failing)
+		log_write_error(client->log, LOG_LEVEL_WARN, "kv_call_failed",
+				error);
+	client->failing = true;
+}
+
+static void kv_client_log_success(struct kv_client *client)
+{
+	if (client->log && client->failing)
+		log_write(client->log, LOG_LEVEL_INFO, "kv_call_works", "peer",
+			  client->address, NULL);
+	client->failing = false;
+}
+
 static void kv_call_read_failure(struct kv_call *call,
 				 const struct bounded_result *result,
 				 struct error *error, struct kv_answer *answer)
@@ -104,9 +123,7 @@
 	answer->outcome = kv_outcome_of_failure(&call->request, result);
 	if (answer->outcome == KV_NOT_FOUND)
 		return;
-	if (client->log)
-		log_write_error(client->log, LOG_LEVEL_WARN, "kv_call_failed",
-				error);
+	kv_client_log_failure(client, error);
 }
 
 static void on_call_done(void *data, const struct bounded_result *result)
@@ -122,6 +139,8 @@
 	    !etcd_json_parse_answer(&call->request, result->body,
 				    max_answer_bytes(client), &answer, &error))
 		kv_call_read_failure(call, result, &error, &answer);
+	else
+		kv_client_log_success(client);
 	g_hash_table_remove(client->calls, call);
 	event.kv = &answer;
 	client->sink.deliver(client->sink.data, &event);
