Demo runs whole; a plan's id is read unescaped from the path

Cause: siskinlinkctl escapes the id's colons, as in any path, and the server took the path as it stood, so every confirmation named an unknown plan. Test seen failing ("entry-1%3A7%3A0"), now passing; make demo ends with status 0.

--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -198,7 +198,7 @@
 {
 	const char *path = g_uri_get_path(soup_server_message_get_uri(message));
 	const char *start = path + strlen(PLAN_PREFIX);
-	char *id;
+	char *escaped, *id;
 
 	if (!g_str_has_suffix(start, CONFIRM_SUFFIX)) {
 		server_refuse(server, message, &http_problem_not_found);
@@ -208,9 +208,14 @@
 		server_refuse(server, message, &http_problem_operator_name);
 		return;
 	}
-	id = g_strndup(start, strlen(start) - strlen(CONFIRM_SUFFIX));
-	server_deliver_query(server, message, QUERY_CONFIRM, id, NULL);
+	escaped = g_strndup(start, strlen(start) - strlen(CONFIRM_SUFFIX));
+	id = g_uri_unescape_string(escaped, NULL);
+	if (id)
+		server_deliver_query(server, message, QUERY_CONFIRM, id, NULL);
+	else
+		server_refuse(server, message, &http_problem_not_found);
 	g_free(id);
+	g_free(escaped);
 }
 
 static void server_on_metrics(struct http_server *server,
--- a/demo.sh
+++ b/demo.sh
@@ -144,7 +144,7 @@
 	TOML
 } >"$work/intent.toml"
 "${ctl[@]}" plan "$work/intent.toml" | tee "$work/plan.txt"
-plan=$("${ctl[@]}" --json plan "$work/intent.toml" | jq -r .plan_id)
+plan=$(awk '/^plan / { print $2 }' "$work/plan.txt")
 "${ctl[@]}" confirm "$plan"
 
 # in_force NODE: waits until the node has a configuration.
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -526,6 +526,22 @@
 	EXPECT_EQ("p1", recorder.events[1].text);
 }
 
+/*
+ * An operator confirms a plan whose id has colons in it; the client escapes
+ * them, as in any path. Taken as it stands, the id would name no plan.
+ */
+TEST_F(HttpServer, ReadsAnEscapedPlanId)
+{
+	start("operator-key", 10);
+	std::unique_ptr<Connection> c(open());
+
+	c->send(post("/admin/v1/plans/entry-1%3A7%3A0/confirm", "",
+		     "Authorization: Bearer operator-key\r\n"
+		     "X-Operator: ann\r\n"));
+	EXPECT_TRUE(recorder.wait(EVENT_QUERY));
+	EXPECT_EQ("entry-1:7:0", recorder.events[0].text);
+}
+
 TEST_F(HttpServer, TakesNoOperatorsWithoutAKey)
 {
 	start("", 10);
