siskinlinkctl: the default address is not leaked

popt does not free what it overwrites; the leak check ended the process with status 1 where the test expects 3 and 4 (seen failing under sanitizers).

--- a/daemons/siskinlinkctl.c
+++ b/daemons/siskinlinkctl.c
@@ -275,17 +275,18 @@
 			poptBadOption(context, 0), poptStrerror(option));
 		return CTL_USAGE;
 	}
+	if (!arguments->address)
+		arguments->address = strdup(DEFAULT_ADDRESS);
 	status = take_words(context, arguments);
 	return status == CTL_OK ? command_run(arguments) : status;
 }
 
 int main(int argc, const char **argv)
 {
-	struct arguments arguments = {.timeout_s = DEFAULT_TIMEOUT_S,
-				      .address = strdup(DEFAULT_ADDRESS)};
+	struct arguments arguments = {.timeout_s = DEFAULT_TIMEOUT_S};
 	struct poptOption options[] = {
-		{"address", 'a', POPT_ARG_STRING | POPT_ARGFLAG_SHOW_DEFAULT,
-		 &arguments.address, 0, "node to ask", "HOST:PORT"},
+		{"address", 'a', POPT_ARG_STRING, &arguments.address, 0,
+		 "node to ask; " DEFAULT_ADDRESS " if not given", "HOST:PORT"},
 		{"node", 'n', POPT_ARG_STRING, &arguments.node, 0,
 		 "dump: the node to dump", "HOST:PORT"},
 		{"operator", 'o', POPT_ARG_STRING, &arguments.operator_name, 0,
