Node: calls are walked by number, oldest first

Cause: when the lease for claims could not be had, the node walked a list of its calls and refused them; refusing one also ends those that wait for the same outcome, and the walk then read freed memory (seen: the differential test under the address sanitizer, core/node_id.c:403). Ruled out: a fault of the sanitized build; the plain build read the same. Change: one visitor for all such walks, by number; a call says itself that it awaits a lease instead of a search through all claims.

--- a/core/call.h
+++ b/core/call.h
@@ -35,6 +35,7 @@
 	int64_t counted_tokens; /* against the organisation's limit */
 	uint64_t fingerprint;
 	struct outcome *outcome; /* owned by the store; NULL without an id */
+	bool awaits_lease;	 /* its claim waits for a lease to hang on */
 	bool caller_gone; /* non-idempotent: goes on to learn the outcome */
 	bool begun;	  /* the caller's stream has started */
 	bool paused;	  /* the caller reads too slowly */
--- a/core/node_call.c
+++ b/core/node_call.c
@@ -262,6 +262,40 @@
 	}
 }
 
+static gint compare_ids(gconstpointer a, gconstpointer b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/*
+ * Visits all calls, oldest first. Ending one may end others that wait for the
+ * same outcome, so the walk goes by number and skips those that are gone by
+ * then.
+ */
+void node_call_each(struct node *node,
+		    void (*visit)(struct node *node, struct call *call))
+{
+	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer id;
+
+	g_hash_table_iter_init(&iter, node->calls);
+	while (g_hash_table_iter_next(&iter, &id, NULL))
+		g_array_append_vals(ids, id, 1);
+	g_array_sort(ids, compare_ids);
+	for (guint i = 0; i < ids->len; i++) {
+		struct call *call = g_hash_table_lookup(
+			node->calls, &g_array_index(ids, uint64_t, i));
+
+		if (call)
+			visit(node, call);
+	}
+	g_array_unref(ids);
+}
+
 /* Forgets a call; whatever it holds is let go. */
 void node_call_drop(struct node *node, struct call *call)
 {
--- a/core/node_id.c
+++ b/core/node_id.c
@@ -278,6 +278,7 @@
 		call_send_claim(node, call);
 		return;
 	}
+	call->awaits_lease = true;
 	if (!node->claim_lease_kv_id)
 		node->claim_lease_kv_id = node_kv_send(
 			node, KV_LEASE_GRANT, NULL, NULL, CLAIM_TTL_S, 0);
@@ -394,43 +395,31 @@
 	g_free(key);
 }
 
-static bool call_waits_for_lease(const struct node *node,
-				 const struct call *call)
+static void call_lease_granted(struct node *node, struct call *call)
 {
-	GHashTableIter iter;
-	gpointer id;
+	if (!call->awaits_lease)
+		return;
+	call->awaits_lease = false;
+	call_send_claim(node, call);
+}
 
-	if (call->state != CALL_CLAIMING)
-		return false;
-	g_hash_table_iter_init(&iter, node->claims);
-	while (g_hash_table_iter_next(&iter, NULL, &id)) {
-		if (*(uint64_t *)id == call->id)
-			return false;
-	}
-	return true;
+static void call_lease_failed(struct node *node, struct call *call)
+{
+	if (call->awaits_lease)
+		call_claim_failed(node, call);
 }
 
 static void node_claim_lease_granted(struct node *node,
 				     const struct kv_answer *answer)
 {
-	GList *calls = g_hash_table_get_values(node->calls);
-
 	node->claim_lease_kv_id = 0;
-	if (answer->outcome == KV_OK) {
-		node->claim_lease = answer->lease;
-		node->claim_lease_us = node->now_us;
-	}
-	for (GList *item = calls; item; item = item->next) {
-		struct call *call = item->data;
-
-		if (!call_waits_for_lease(node, call))
-			continue;
-		if (answer->outcome == KV_OK)
-			call_send_claim(node, call);
-		else
-			call_claim_failed(node, call);
+	if (answer->outcome != KV_OK) {
+		node_call_each(node, call_lease_failed);
+		return;
 	}
-	g_list_free(calls);
+	node->claim_lease = answer->lease;
+	node->claim_lease_us = node->now_us;
+	node_call_each(node, call_lease_granted);
 }
 
 /* Takes the answers to claims; false when the answer is not one. */
--- a/core/node_place.c
+++ b/core/node_place.c
@@ -415,32 +415,10 @@
 		call_hold_at_self(node, call, shard);
 }
 
-/* Numbers of the open calls: a call that ends may end others with it. */
-static GArray *node_call_ids(const struct node *node)
-{
-	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	GHashTableIter iter;
-	gpointer id;
-
-	g_hash_table_iter_init(&iter, node->calls);
-	while (g_hash_table_iter_next(&iter, &id, NULL))
-		g_array_append_vals(ids, id, 1);
-	return ids;
-}
-
 /* Calls that wait at, or hold room of, a home that is home no more. */
 void node_place_rehome(struct node *node)
 {
-	GArray *ids = node_call_ids(node);
-
-	for (guint i = 0; i < ids->len; i++) {
-		struct call *call = g_hash_table_lookup(
-			node->calls, &g_array_index(ids, uint64_t, i));
-
-		if (call)
-			call_rehome(node, call);
-	}
-	g_array_unref(ids);
+	node_call_each(node, call_rehome);
 	node->next_progress_us = node->now_us;
 	node->progress_full = PROGRESS_FULL_AFTER_CHANGE;
 }
@@ -478,17 +456,8 @@
 /* Makes the shares anew after a change of the endpoints. */
 void node_place_reset_shares(struct node *node)
 {
-	GArray *ids = node_call_ids(node);
-
 	g_hash_table_remove_all(node->shares);
-	for (guint i = 0; i < ids->len; i++) {
-		struct call *call = g_hash_table_lookup(
-			node->calls, &g_array_index(ids, uint64_t, i));
-
-		if (call)
-			call_enter_share(node, call);
-	}
-	g_array_unref(ids);
+	node_call_each(node, call_enter_share);
 }
 
 /*
--- a/core/node_state.h
+++ b/core/node_state.h
@@ -140,6 +140,8 @@
 void node_call_answer(struct node *node, struct call *call,
 		      const struct event_attempt_answer *answer);
 void node_call_drop(struct node *node, struct call *call);
+void node_call_each(struct node *node,
+		    void (*visit)(struct node *node, struct call *call));
 void node_refuse(struct node *node, uint64_t call, enum refusal refusal,
 		 enum run run, int64_t retry_after_us, const char *detail);
 
