--- a/bench/world.c
+++ b/bench/world.c
@@ -240,8 +240,11 @@
 	return organisation;
 }
 
-/* Writes a configuration as if an operator's confirmation had. */
-void world_put_config(struct world *world, const struct config *config)
+/*
+ * Writes a configuration as if an operator's confirmation had, and returns its
+ * revision.
+ */
+int64_t world_put_config(struct world *world, const struct config *config)
 {
 	GBytes *document = config_json_format(config);
 
@@ -249,6 +252,7 @@
 	kv_model_put(world->kv, CONFIG_KEY, document, 0);
 	g_bytes_unref(document);
 	world_kv_notify(world);
+	return kv_model_revision(world->kv);
 }
 
 const GPtrArray *world_runs(const struct world *world)
--- a/bench/world.h
+++ b/bench/world.h
@@ -102,7 +102,7 @@
 struct config *world_create_config(const struct world *world);
 struct config_organisation *world_add_organisation(struct config *config,
 						   const char *name);
-void world_put_config(struct world *world, const struct config *config);
+int64_t world_put_config(struct world *world, const struct config *config);
 
 uint64_t world_call(struct world *world, int32_t node, struct request *request);
 uint64_t world_query(struct world *world, int32_t node, enum query_type type,
--- a/core/node.c
+++ b/core/node.c
@@ -448,6 +448,9 @@
 
 	if (!node->draining || node->stopped || node->now_us <= quiet_us)
 		return;
+	/* Callers that came while it stood still have not been answered yet. */
+	if (node->now_us < node->settled_us)
+		return;
 	if (g_hash_table_size(node->calls) > 0 &&
 	    (node->options.drain_timeout_us == 0 ||
 	     node->now_us <
--- a/tests/world_test.cc
+++ b/tests/world_test.cc
@@ -25,6 +25,9 @@
 		options.plain_count = plain;
 		options.plain_us = plain_us;
 		listener.data = this;
+		listener.broken = [](void *data, uint64_t call, bool) {
+			static_cast<World *>(data)->outcome[call] = "broken";
+		};
 		listener.answered = [](void *data, uint64_t call,
 				       const struct action *action) {
 			static_cast<World *>(data)->Answered(call, action);
@@ -150,3 +153,24 @@
 		outcome.clear();
 	}
 }
+
+/*
+ * A draining node stands still until after it would have stopped, and requests
+ * come in meanwhile. When it goes on it has no call open and its time is over;
+ * it must still answer what has come, if only by a refusal.
+ */
+TEST_F(World, ADrainingNodeThatStoodStillAnswersWhatHasCome)
+{
+	std::vector<uint64_t> calls;
+
+	Create(1, 64, 20000);
+	world_drain_node(world, 1);
+	world_run_until(world, world_now_us(world) + kSecond);
+	world_pause_node(world, 1, world_now_us(world) + 10 * kSecond);
+	for (int i = 0; i < 5; i++)
+		calls.push_back(Call(1));
+	world_run_until(world, world_now_us(world) + 30 * kSecond);
+	EXPECT_FALSE(world_node_alive(world, 1));
+	for (uint64_t call : calls)
+		EXPECT_EQ("draining", outcome[call]);
+}
