--- a/core/endpoint_book.h
+++ b/core/endpoint_book.h
@@ -32,7 +32,7 @@
 	uint64_t prefix_hash;
 	uint64_t avoid_hash;
 	int64_t concurrent_tokens; /* limit of its organisation */
-	struct length_class *class;
+	struct length_class *cls;
 
 	struct endpoint_book *book; /* NULL while it waits */
 	int64_t placed_us;
@@ -51,6 +51,7 @@
 	int64_t capacity_tokens;
 	bool capacity_configured;
 	int32_t slots;
+	int32_t sharers; /* nodes that each hold as much there */
 	bool leaving;
 	bool reported_leaving;
 	GPtrArray *calls; /* struct placed_call */
--- a/core/placement_step.c
+++ b/core/placement_step.c
@@ -14,8 +14,9 @@
 #define RETRY_LEAST_US G_USEC_PER_SEC
 #define RETRY_MOST_US (120 * G_USEC_PER_SEC)
 #define NO_ENDPOINT_RETRY_US (2 * G_USEC_PER_SEC)
-#define MARGIN_DOWN 0.00005 /* one preemption in a thousand keeps it */
+#define MARGIN_DOWN 0.00005 /* one preemption in two thousand keeps it */
 #define MARGIN_LEAST 1.0
+#define REPORT_FRESH_US (5 * G_USEC_PER_SEC)
 
 struct step {
 	struct placement *placement;
@@ -64,6 +65,23 @@
 	g_array_append_val(step->decisions, decision);
 }
 
+/*
+ * Each placement without a preemption narrows the margin a little. Only where
+ * the endpoint's reports come and count them: silence is no sign of room.
+ */
+static void step_narrow_margin(struct step *step,
+			       const struct endpoint_book *book)
+{
+	struct placement *placement = step->placement;
+
+	if (placement->options.deviations > 0 || book->report_us == 0 ||
+	    book->report.preemptions_total < 0 ||
+	    step->now_us - book->report_us > REPORT_FRESH_US)
+		return;
+	placement->deviations =
+		MAX(placement->deviations - MARGIN_DOWN, MARGIN_LEAST);
+}
+
 static void step_place(struct step *step, struct placed_call *call,
 		       struct endpoint_book *book)
 {
@@ -79,16 +97,15 @@
 		book->reserved_for = 0;
 	placement_put(placement, call, book, step->now_us);
 	placement->counts.placed++;
-	if (placement->options.deviations < 0)
-		placement->deviations =
-			MAX(placement->deviations - MARGIN_DOWN, MARGIN_LEAST);
+	step_narrow_margin(step, book);
 	g_array_append_val(step->decisions, decision);
 }
 
 /*
  * A long request that waited while smaller ones went by gets the emptiest
  * endpoint kept for it: otherwise each bit of room that comes free is taken
- * before it adds up to what it needs.
+ * before it adds up to what it needs. One endpoint at a time: with one kept
+ * for each organisation's head the engines stood half empty before a queue.
  */
 static void step_reserve(struct step *step, const struct placed_call *call)
 {
@@ -101,10 +118,9 @@
 		struct endpoint_book *book =
 			g_ptr_array_index(placement->books, i);
 
-		if (book->reserved_for == call->ticket)
+		if (book->reserved_for != 0)
 			return;
-		if (book->reserved_for == 0 &&
-		    placement_may_serve(placement, book) &&
+		if (placement_may_serve(placement, book) &&
 		    (!best || book->load.mean[0] < best->load.mean[0]))
 			best = book;
 	}
@@ -164,8 +180,7 @@
 		return tokens >= call->true_tokens ? 1 : 0;
 	if (call->max_tokens > 0 && tokens >= call->max_tokens)
 		return 1;
-	return 1 -
-	       length_curve_survival(length_class_curve(call->class), tokens);
+	return 1 - length_curve_survival(length_class_curve(call->cls), tokens);
 }
 
 /*
