A node's share holds what its calls got through homes

Cause: when a home was lost, nodes went by their shares, and these took the engines for empty: each filled its part a second time. Change: a grant of a home is booked in the own share as well, told its progress and released with the call; the share learns the lengths, in place of a count at each call's end.

--- a/core/length_estimate.c
+++ b/core/length_estimate.c
@@ -280,25 +280,6 @@
 	length_class_count_bin(cls, length_bin(MAX(from, length)), true);
 }
 
-/*
- * Counts an answer that was followed elsewhere, from its start. ended: by
- * itself; else it was cut off at that length, and might have gone on.
- */
-void length_estimate_count_answer(struct length_estimate *estimate,
-				  const char *organisation,
-				  int64_t prompt_tokens, uint64_t prefix_hash,
-				  int64_t tokens, bool ended)
-{
-	struct length_class *cls = length_estimate_class(
-		estimate, organisation, prompt_tokens, prefix_hash);
-
-	if (ended)
-		length_class_count_end(cls, 0, tokens);
-	else
-		length_class_count_progress(cls, 0, tokens);
-	length_class_unref(cls);
-}
-
 /* A shift scales the odds of ending, so that a hazard stays under 1. */
 static void length_class_rebuild(struct length_class *cls)
 {
--- a/core/length_estimate.h
+++ b/core/length_estimate.h
@@ -38,10 +38,6 @@
 					   const char *organisation,
 					   int64_t prompt_tokens,
 					   uint64_t prefix_hash);
-void length_estimate_count_answer(struct length_estimate *estimate,
-				  const char *organisation,
-				  int64_t prompt_tokens, uint64_t prefix_hash,
-				  int64_t tokens, bool ended);
 void length_class_unref(struct length_class *cls);
 size_t length_estimate_class_count(const struct length_estimate *estimate);
 
--- a/core/node_place.c
+++ b/core/node_place.c
@@ -87,8 +87,8 @@
 
 /*
  * What this node knows of the lengths of a service's answers. It learns from
- * its own callers' answers also while others are home, because a new home
- * that knew nothing would refuse as late what it cannot judge.
+ * its own callers' answers also while others are home, by its share, because
+ * a new home that knew nothing would refuse as late what it cannot judge.
  */
 struct length_estimate *node_lengths(struct node *node, const char *service)
 {
@@ -104,21 +104,6 @@
 	return lengths;
 }
 
-static void node_learn_length(struct node *node, const struct call *call,
-			      enum release_outcome outcome)
-{
-	const struct request *request = call->request;
-	bool cut = request->max_tokens > 0 &&
-		   call->next_token >= request->max_tokens;
-
-	if (call->kind != SERVICE_GENERATION || call->next_token <= 0)
-		return;
-	length_estimate_count_answer(node_lengths(node, request->service),
-				     call->organisation, request->prompt_tokens,
-				     request->prefix_hash, call->next_token,
-				     outcome == RELEASE_WHOLE && !cut);
-}
-
 /* This node's own share of a service's endpoints, made when first needed. */
 static struct placement *node_share(struct node *node, const char *name)
 {
@@ -282,8 +267,6 @@
 		placement_withdraw(share, call->ticket, node->now_us);
 	if (!*home && shard && shard->home)
 		home = shard->home;
-	if (*home && call->home && *call->home && !home_is_self(node, home))
-		node_learn_length(node, call, outcome);
 	if (*home)
 		node_send_release(node, home, call->ticket, outcome,
 				  call->next_token,
@@ -307,6 +290,20 @@
 	return found && config_service_find_endpoint(found, endpoint);
 }
 
+/*
+ * Books a home's grant in the own share too. When the home is lost the share
+ * takes over at once; if it took the engines for empty, its part of them would
+ * be filled a second time, and what runs there preempted.
+ */
+static void share_hold(struct node *node, const struct call *call)
+{
+	struct placement_request request = {0};
+
+	node_place_fill(node, call, &request);
+	placement_hold(node_share(node, call->request->service), &request,
+		       call->endpoint, call->next_token, node->now_us);
+}
+
 /*
  * A grant. One that is late or doubled is only counted: its ticket was given
  * back when the call went elsewhere, and if that word was lost, the next
@@ -345,6 +342,8 @@
 	}
 	call_set_endpoint(call, endpoint);
 	call->placed_us = node->now_us;
+	if (*call->home && !home_is_self(node, call->home))
+		share_hold(node, call);
 	node_attempt_send(node, call);
 }
 
@@ -459,20 +458,15 @@
 
 static void call_enter_share(struct node *node, struct call *call)
 {
-	struct placement_request request;
-
-	if (!call->home || *call->home)
+	if (!call->home || home_is_self(node, call->home))
 		return;
-	if (call->state == CALL_PLACING) {
+	if (call->state == CALL_PLACING && !*call->home) {
 		node_place_call(node, call);
 		return;
 	}
-	if (!call_holds_endpoint(call) ||
-	    !service_has_endpoint(node, call->request->service, call->endpoint))
-		return;
-	node_place_fill(node, call, &request);
-	placement_hold(node_share(node, call->request->service), &request,
-		       call->endpoint, call->next_token, node->now_us);
+	if (call_holds_endpoint(call) &&
+	    service_has_endpoint(node, call->request->service, call->endpoint))
+		share_hold(node, call);
 }
 
 /* Makes the shares anew after a change of the endpoints. */
@@ -563,15 +557,16 @@
 }
 
 /*
- * Tells the own share what a call placed by it has made. Without it the share
- * goes on counting each call as just begun, and overfills the engines.
+ * Tells the own share what a call has made. Without it the share goes on
+ * counting each call as just begun, and overfills the engines.
  */
 static void share_progress(struct node *node, const struct call *call)
 {
 	struct placement *share =
 		g_hash_table_lookup(node->shares, call->request->service);
 
-	if (share && call->ticket && call->home && !*call->home)
+	if (share && call->ticket && call->home &&
+	    !home_is_self(node, call->home))
 		placement_progress(share, call->ticket, call->next_token,
 				   node->now_us);
 }
