--- a/bench/direct.c
+++ b/bench/direct.c
@@ -519,6 +519,7 @@
 	case FAULT_LYING_LOAD:
 	case FAULT_NODE_LOST:
 	case FAULT_HOME_LOST:
+	case FAULT_HOME_PAUSED:
 	case FAULT_KV_OUTAGE:
 	case FAULTS:
 		break;
--- a/bench/nodes.c
+++ b/bench/nodes.c
@@ -15,6 +15,7 @@
 #define NOTICE_US (10 * G_USEC_PER_SEC)
 #define FAULT_US (60 * G_USEC_PER_SEC)
 #define STALL_US (20 * G_USEC_PER_SEC)
+#define PAUSE_US (15 * G_USEC_PER_SEC)
 #define SLOWDOWN 4.0
 #define LATE_US (5 * G_USEC_PER_SEC)
 
@@ -37,7 +38,7 @@
 	GRand *rand;
 	struct measure measure;
 	guint next_item;
-	bool draining; /* engines that leave, at a reclaim */
+	int32_t lost; /* node that is started again later */
 };
 
 static const char *const portal_path = "/status";
@@ -225,7 +226,7 @@
 
 static void fault_ends(struct world *world, void *data)
 {
-	const struct nodes *nodes = data;
+	struct nodes *nodes = data;
 	const struct world_kv_mode working = {0};
 
 	switch (nodes->scenario->fault) {
@@ -239,6 +240,9 @@
 	case FAULT_SLOW:
 		world_set_slowdown(world, 0, 1);
 		break;
+	case FAULT_HOME_LOST:
+		world_start_node(world, nodes->lost);
+		break;
 	case FAULT_KV_OUTAGE:
 		world_set_kv_mode(world, &working);
 		break;
@@ -249,7 +253,7 @@
 
 static void fault_begins(struct world *world, void *data)
 {
-	const struct nodes *nodes = data;
+	struct nodes *nodes = data;
 	const struct world_kv_mode down = {.refused = true};
 	int64_t now_us = world_now_us(world);
 	int32_t home = nodes_home(nodes);
@@ -272,8 +276,12 @@
 		world_kill_node(world, (home + 1) % NODES);
 		break;
 	case FAULT_HOME_LOST:
+		nodes->lost = home;
 		world_kill_node(world, home);
 		break;
+	case FAULT_HOME_PAUSED:
+		world_pause_node(world, home, now_us + PAUSE_US);
+		break;
 	case FAULT_KV_OUTAGE:
 		world_set_kv_mode(world, &down);
 		break;
--- a/bench/scenario.c
+++ b/bench/scenario.c
@@ -30,6 +30,8 @@
 	 .fault = FAULT_NODE_LOST},
 	{"home_lost", "100%, the home of the engines dies", .load = 1.0,
 	 .fault = FAULT_HOME_LOST},
+	{"home_paused", "100%, the home stands still for 15 s", .load = 1.0,
+	 .fault = FAULT_HOME_PAUSED},
 	{"kv_outage", "100%, the key-value service is down", .load = 1.0,
 	 .fault = FAULT_KV_OUTAGE},
 };
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -22,16 +22,17 @@
 
 enum fault {
 	FAULT_NONE,
-	FAULT_CRASH,	  /* an engine crashes and restarts a minute later */
-	FAULT_RECLAIM,	  /* two engines leave at short notice */
-	FAULT_STALL,	  /* an engine makes no tokens for 20 s */
-	FAULT_SLOW,	  /* an engine takes four times as long */
-	FAULT_LATE_LOAD,  /* load reports come 5 s late */
-	FAULT_LYING_LOAD, /* reports are negative, absurd or of an empty engine
-			   */
-	FAULT_NODE_LOST,  /* an entry node dies */
-	FAULT_HOME_LOST,  /* the home of the engines dies */
-	FAULT_KV_OUTAGE,  /* the key-value service is down for a minute */
+	FAULT_CRASH,	   /* an engine crashes and restarts a minute later */
+	FAULT_RECLAIM,	   /* two engines leave at short notice */
+	FAULT_STALL,	   /* an engine makes no tokens for 20 s */
+	FAULT_SLOW,	   /* an engine takes four times as long */
+	FAULT_LATE_LOAD,   /* load reports come 5 s late */
+	FAULT_LYING_LOAD,  /* reports are negative, absurd or of an empty engine
+			    */
+	FAULT_NODE_LOST,   /* an entry node dies */
+	FAULT_HOME_LOST,   /* the home of the engines dies, and returns */
+	FAULT_HOME_PAUSED, /* it stands still for 15 s, then goes on */
+	FAULT_KV_OUTAGE,   /* the key-value service is down for a minute */
 	FAULTS
 };
 
--- a/core/length_estimate.c
+++ b/core/length_estimate.c
@@ -8,6 +8,7 @@
 #define PRIOR_HAZARD_SINGLE 0.01
 #define PRIOR_HAZARD 0.16
 #define PRIOR_WEIGHT 4
+#define KNOWN_ANSWERS 4
 #define REBUILD_AFTER 16 /* observations */
 #define HAZARD_MAX 0.999
 #define SURVIVAL_MIN 1e-12F
@@ -243,6 +244,15 @@
 	estimate->shift_ended = estimate->shift_ended * keep + ended;
 }
 
+/*
+ * How far the class is known from its own answers rather than its parents'.
+ * Answers count here from their first token on.
+ */
+double length_class_known(const struct length_class *cls)
+{
+	return cls->reached[1] / (cls->reached[1] + KNOWN_ANSWERS);
+}
+
 static void length_class_count_bin(struct length_class *cls, int32_t bin,
 				   bool ended)
 {
--- a/core/length_estimate.h
+++ b/core/length_estimate.h
@@ -39,6 +39,9 @@
 					   int64_t prompt_tokens,
 					   uint64_t prefix_hash);
 void length_class_unref(struct length_class *cls);
+
+/* From 0, nothing was seen of this class itself, towards 1. */
+double length_class_known(const struct length_class *cls);
 size_t length_estimate_class_count(const struct length_estimate *estimate);
 
 /* Factor by which all answers now end sooner or later, and its deviation. */
--- a/core/placement_step.c
+++ b/core/placement_step.c
@@ -163,7 +163,11 @@
 	return false;
 }
 
-/* Chance that a request is whole by its deadline if it starts then. */
+/*
+ * Chance that a request is whole by its deadline if it starts then. What is
+ * not known to be too long gets the benefit: a class of which all requests
+ * were refused as too long would never be seen to be short.
+ */
 double placement_chance(struct placement *placement, struct placed_call *call,
 			int64_t start_us)
 {
@@ -180,7 +184,9 @@
 		return tokens >= call->true_tokens ? 1 : 0;
 	if (call->max_tokens > 0 && tokens >= call->max_tokens)
 		return 1;
-	return 1 - length_curve_survival(length_class_curve(call->cls), tokens);
+	return 1 - length_class_known(call->cls) *
+			   length_curve_survival(length_class_curve(call->cls),
+						 tokens);
 }
 
 /*
