Endpoints to which a prefix was sent count as holding it

Cause: cache events come late and with gaps, or not at all; the placement itself knows which prompts it sent where. Change: a placement notes the prefix, of the last 256 on each endpoint.

--- a/core/endpoint_book.c
+++ b/core/endpoint_book.c
@@ -9,7 +9,7 @@
 #define PROJECT_MAX_TOKENS 256
 #define INTERVAL_FADE 0.98
 #define OBSERVED_TOKENS 4
-#define PREFIXES 4096
+#define PREFIXES 256
 #define FOREIGN_REPORTS 4
 #define MAX_CAPACITY_TOKENS ((int64_t)1 << 40)
 #define ABSURD_FACTOR 4
@@ -285,8 +285,13 @@
 		g_free(kept);
 		return;
 	}
-	if (link || !cached)
+	if (!cached)
 		return;
+	if (link) {
+		g_queue_unlink(&book->prefix_order, link);
+		g_queue_push_tail_link(&book->prefix_order, link);
+		return;
+	}
 	if (g_queue_get_length(&book->prefix_order) >= PREFIXES)
 		endpoint_book_forget_prefix(book);
 	kept = g_new(uint64_t, 1);
--- a/core/placement.c
+++ b/core/placement.c
@@ -367,6 +367,7 @@
 	organisation->held_tokens += call->charged;
 	endpoint_book_add(book, call, now_us);
 	endpoint_health_count_placed(&book->health);
+	endpoint_book_prefix(book, call->prefix_hash, true);
 	wait_queue_charge(placement->queue, organisation, call->charged, true);
 }
 
