One reserved endpoint and the largest memory kept in the placement

Cause: each release and each submit looked through all endpoints; and a share judged what is short by its part of an engine, so that no check was.

--- a/core/endpoint_book.h
+++ b/core/endpoint_book.h
@@ -65,7 +65,6 @@
 	double interval_us;  /* between tokens, lately */
 	int64_t progress_us; /* last sign of any tokens */
 	struct endpoint_health health;
-	uint64_t reserved_for; /* ticket that waits for room here; 0: none */
 	struct load_report report; /* last one taken */
 	int64_t report_us;	   /* when it came; 0: never */
 	GHashTable *prefixes;	   /* hashes that may be cached */
--- a/core/placement.c
+++ b/core/placement.c
@@ -127,6 +127,8 @@
 	book->capacity_configured = endpoint->capacity_tokens > 0;
 	if (book->capacity_configured)
 		book->capacity_tokens = endpoint->capacity_tokens;
+	placement->largest_tokens =
+		MAX(placement->largest_tokens, book->capacity_tokens);
 	book->slots = endpoint->slots;
 	book->leaving = endpoint->leaving;
 	placement->recheck = true;
@@ -145,13 +147,8 @@
 	}
 	wait_queue_remove(placement->queue, &call->entry);
 	g_ptr_array_remove(placement->submitted, call);
-	for (guint i = 0; i < placement->books->len; i++) {
-		struct endpoint_book *book =
-			g_ptr_array_index(placement->books, i);
-
-		if (book->reserved_for == call->ticket)
-			book->reserved_for = 0;
-	}
+	if (placement->reserved_for == call->ticket)
+		placement->reserved = NULL;
 	g_hash_table_remove(placement->calls, &call->ticket);
 	placement->recheck = true;
 }
@@ -166,6 +163,8 @@
 		return;
 	while (book->calls->len > 0)
 		placement_forget(placement, g_ptr_array_index(book->calls, 0));
+	if (placement->reserved == book)
+		placement->reserved = NULL;
 	g_hash_table_remove(placement->by_address, address);
 	g_ptr_array_remove(placement->books, book);
 	endpoint_book_destroy(book);
@@ -223,6 +222,8 @@
 	switch (endpoint_book_report(book, report, now_us, &preempted)) {
 	case REPORT_TAKEN:
 		placement->counts.reports_taken++;
+		placement->largest_tokens =
+			MAX(placement->largest_tokens, book->capacity_tokens);
 		placement_learn_margin(placement, preempted);
 		break;
 	case REPORT_OLDER:
@@ -255,19 +256,6 @@
 				      call->max_tokens);
 }
 
-static int64_t placement_largest(const struct placement *placement)
-{
-	int64_t largest = 0;
-
-	for (guint i = 0; i < placement->books->len; i++) {
-		const struct endpoint_book *book =
-			g_ptr_array_index(placement->books, i);
-
-		largest = MAX(largest, book->capacity_tokens);
-	}
-	return largest / placement->divisor;
-}
-
 static void placed_call_set_order(const struct placement *placement,
 				  struct placed_call *call, int64_t now_us)
 {
@@ -288,8 +276,7 @@
 			call->deadline_us -
 			(int64_t)(left * (double)placement->options.step_us /
 				  2);
-	if (entry->tokens * SHORT_DIVISOR >
-	    (double)placement_largest(placement))
+	if (entry->tokens * SHORT_DIVISOR > (double)placement->largest_tokens)
 		entry->lane = QUEUE_LONG;
 }
 
--- a/core/placement_choose.c
+++ b/core/placement_choose.c
@@ -240,8 +240,8 @@
 	}
 	if (!batch_has_room(placement, book, call) || capacity <= 0)
 		return G_MAXDOUBLE;
-	if (call->entry.lane == QUEUE_LONG && book->reserved_for != 0 &&
-	    book->reserved_for != call->ticket)
+	if (call->entry.lane == QUEUE_LONG && placement->reserved == book &&
+	    placement->reserved_for != call->ticket)
 		return G_MAXDOUBLE;
 	endpoint_book_refresh(book, now_us);
 	peak = placement_peak(placement, book, call, now_us);
--- a/core/placement_state.h
+++ b/core/placement_state.h
@@ -23,7 +23,10 @@
 	GPtrArray *submitted; /* struct placed_call, since the last step */
 	GRand *rand;
 	int32_t divisor;
-	double deviations;    /* learned margin */
+	int64_t largest_tokens;		/* of any endpoint's memory */
+	struct endpoint_book *reserved; /* kept for a waiting request */
+	uint64_t reserved_for;		/* its ticket */
+	double deviations;		/* learned margin */
 	double drained_per_s; /* tokens or plain calls that end, lately */
 	double drained;	      /* since drain_us */
 	int64_t drain_us;
--- a/core/placement_step.c
+++ b/core/placement_step.c
@@ -93,8 +93,8 @@
 	};
 
 	wait_queue_remove(placement->queue, &call->entry);
-	if (book->reserved_for == call->ticket)
-		book->reserved_for = 0;
+	if (placement->reserved_for == call->ticket)
+		placement->reserved = NULL;
 	placement_put(placement, call, book, step->now_us);
 	placement->counts.placed++;
 	step_narrow_margin(step, book);
@@ -112,20 +112,19 @@
 	struct placement *placement = step->placement;
 	struct endpoint_book *best = NULL;
 
-	if (step->now_us - call->entry.arrival_us < RESERVE_AFTER_US)
+	if (placement->reserved ||
+	    step->now_us - call->entry.arrival_us < RESERVE_AFTER_US)
 		return;
 	for (guint i = 0; i < placement->books->len; i++) {
 		struct endpoint_book *book =
 			g_ptr_array_index(placement->books, i);
 
-		if (book->reserved_for != 0)
-			return;
 		if (placement_may_serve(placement, book) &&
 		    (!best || book->load.mean[0] < best->load.mean[0]))
 			best = book;
 	}
-	if (best)
-		best->reserved_for = call->ticket;
+	placement->reserved = best;
+	placement->reserved_for = call->ticket;
 }
 
 static bool organisation_has_room(const struct placed_call *call)
