--- a/bench/policy_bench.c
+++ b/bench/policy_bench.c
@@ -2,6 +2,7 @@
 #include "bench/measure.h"
 #include "bench/nodes.h"
 #include "bench/scenario.h"
+#include "bench/slope.h"
 
 #include <popt.h>
 #include <stdio.h>
@@ -24,6 +25,7 @@
 	int seed_from;
 	int threads;
 	int direct;
+	int slope;
 	char *policy;
 	char *workload;
 	char *csv;
@@ -253,6 +255,8 @@
 		 "runs at once", "N"},
 		{"direct", 0, POPT_ARG_NONE, &options->direct, 0,
 		 "the placement alone, without nodes around it", NULL},
+		{"slope", 0, POPT_ARG_NONE, &options->slope, 0,
+		 "only the time per decision by number of engines", NULL},
 		{"policy", 0, POPT_ARG_STRING, &options->policy, 0,
 		 "only these: naive,shares,previous,project,oracle", "LIST"},
 		{"workload", 0, POPT_ARG_STRING, &options->workload, 0,
@@ -281,6 +285,10 @@
 
 	if (rc != 0)
 		return rc;
+	if (options.slope) {
+		slope_print();
+		return 0;
+	}
 	runs = bench_plan(&options);
 	bench_execute(&options, runs);
 	bench_print(&options, runs);
--- /dev/null
+++ b/tests/policy_test.cc
@@ -0,0 +1,103 @@
+#include "bench/direct.h"
+#include "bench/scenario.h"
+#include "core/admission.h"
+#include "core/pace.h"
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+
+static void run(const char *workload, enum bench_policy policy, uint64_t seed,
+		double figures[FIGURES])
+{
+	direct_run(scenario_find(workload), policy, seed, figures);
+	figures[FIGURE_DECISION_US] = 0; /* the only one in real time */
+}
+
+/*
+ * Reports get three times as long in mid-run at full load. Naive placement
+ * fills the engines' memory and preempts; the project's must keep far clear of
+ * that without serving less. Margins are wide: figures are in docs/POLICY.md.
+ */
+TEST(Policy, KeepsClearOfPreemptionsWhenLengthsShift)
+{
+	double naive[FIGURES], project[FIGURES];
+
+	run("shift", BENCH_NAIVE, 1, naive);
+	run("shift", BENCH_PROJECT, 1, project);
+	EXPECT_GT(naive[FIGURE_PREEMPTIONS_PER_1000], 30);
+	EXPECT_LT(project[FIGURE_PREEMPTIONS_PER_1000],
+		  naive[FIGURE_PREEMPTIONS_PER_1000] / 10);
+	EXPECT_LT(project[FIGURE_STALL_P99_MS],
+		  naive[FIGURE_STALL_P99_MS] / 10);
+	EXPECT_GT(project[FIGURE_IN_TIME_PERCENT],
+		  naive[FIGURE_IN_TIME_PERCENT]);
+	EXPECT_GT(project[FIGURE_GOOD_TOKENS_PER_S],
+		  naive[FIGURE_GOOD_TOKENS_PER_S] * 0.95);
+	EXPECT_LT(project[FIGURE_CHECK_FIRST_P99_MS], 500);
+}
+
+TEST(Policy, SameSeedGivesTheSameRun)
+{
+	double first[FIGURES], second[FIGURES];
+
+	run("load60", BENCH_PROJECT, 2, first);
+	run("load60", BENCH_PROJECT, 2, second);
+	EXPECT_EQ(0, memcmp(first, second, sizeof(first)));
+	EXPECT_EQ(100, first[FIGURE_IN_TIME_PERCENT]);
+}
+
+TEST(Admission, KnownPeakIsJustBeforeAnEnd)
+{
+	GArray *known =
+		g_array_new(FALSE, FALSE, sizeof(struct admission_known));
+	const struct admission_known items[] = {{100, 10}, {50, 100}, {10, 60}};
+
+	g_array_append_vals(known, items, 3);
+	EXPECT_EQ(190, admission_known_peak(known));
+	g_array_unref(known);
+}
+
+/* Requests that share their misjudgement need more room than independent. */
+TEST(Admission, ACommonFactorWidensTheMargin)
+{
+	struct length_estimate_options options;
+	struct length_estimate *estimate;
+	struct length_class *cls;
+	struct admission_demand demand;
+	struct admission_load load = {};
+	struct admission_margin alone = {2, 0}, common = {2, 0.3};
+
+	length_estimate_options_default(&options);
+	estimate = length_estimate_create(&options);
+	cls = length_estimate_class(estimate, "a", 100, 0);
+	for (int i = 1; i < 500; i++)
+		length_class_count_end(cls, 0, i);
+	admission_demand_fill(&demand, length_class_curve(cls), 100, 0, 0);
+	for (int i = 0; i < 50; i++)
+		admission_load_add(&load, &demand);
+	EXPECT_GT(admission_peak(&load, &demand, &alone), 51 * 100);
+	EXPECT_GT(admission_peak(&load, &demand, &common),
+		  1.02 * admission_peak(&load, &demand, &alone));
+	for (int i = 0; i < 50; i++)
+		admission_load_remove(&load, &demand);
+	EXPECT_NEAR(0, load.mean[0], 1);
+	length_class_unref(cls);
+	length_estimate_destroy(estimate);
+}
+
+TEST(Pace, LearnsHowTheIntervalGrowsWithTheBatch)
+{
+	struct pace pace;
+
+	pace_init(&pace, 28000);
+	for (int i = 0; i < 2000; i++) {
+		int32_t batch = 10 + i % 50;
+
+		pace_observe(&pace, batch, 20, 20 * (8000 + 100 * batch));
+	}
+	EXPECT_NEAR(8000 + 100 * 50, pace_interval_us(&pace, 50), 600);
+	EXPECT_NEAR(8000 + 100 * 100, pace_interval_us(&pace, 100), 2500);
+	pace_observe(&pace, -1, -5, 0);
+	EXPECT_GT(pace_interval_us(&pace, 1), 0);
+}
