--- a/bench/plot.gp
+++ b/bench/plot.gp
@@ -18,11 +18,11 @@
 
 set datafile separator ','
 set datafile missing NaN
-set terminal svg size 1200,1500
+set terminal svg size 1200,1800
 set output picture
 set multiplot layout words(figures),1
 set xrange [0.5:words(workloads) + 0.9]
-set xtics rotate by -20
+set xtics rotate by -20 noenhanced
 set for [i = 1:words(workloads)] xtics add (word(workloads, i) i)
 set key outside
 set grid ytics
@@ -32,7 +32,7 @@
 	set title figure noenhanced
 	plot for [p = 1:words(policies)] runs \
 		using (strcol(2) eq word(policies, p) ? \
-			position(strcol(1)) + 0.14 * p - 0.1 : NaN):figure \
-		with points pointtype p pointsize 0.5 title word(policies, p)
+			position(strcol(1)) + 0.14 * p - 0.1 : NaN):(column(figure)) \
+		with points pointtype p pointsize 0.8 title word(policies, p)
 }
 unset multiplot
