--- a/bench/world_node.c
+++ b/bench/world_node.c
@@ -163,6 +163,9 @@
 			world->listener.logged(world->listener.data, index,
 					       &action->log);
 		break;
+	case ACTION_ORDER:
+	case ACTION_READ_ORDER:
+		break; /* no workload has a rollout */
 	case ACTION_STOPPED:
 		node_stopped(world, index);
 		break;
--- a/codec/config_json.c
+++ b/codec/config_json.c
@@ -11,7 +11,9 @@
 	MAX_KEY_BYTES = 256,
 	MAX_SLOTS = 100000,
 	MAX_WEIGHT = 1000000,
+	MAX_PARALLEL = 1000,
 	DEFAULT_SLOTS = 8,
+	DEFAULT_READY_PERCENT = 50,
 	MAX_ROLLBACK_BYTES = 256
 };
 
@@ -209,6 +211,45 @@
 	return !fields.failed;
 }
 
+static bool read_rollout(struct config *config, JsonNode *node, guint i,
+			 bool is_intent, struct error *error)
+{
+	static const char *const names[] = {"name",
+					    "service",
+					    "target",
+					    "max_parallel",
+					    "min_ready_percent",
+					    "max_failures",
+					    NULL};
+	static const char *const stored_names[] = {"name",
+						   "service",
+						   "target",
+						   "max_parallel",
+						   "min_ready_percent",
+						   "max_failures",
+						   "id",
+						   NULL};
+	struct config_rollout *rollout;
+	struct json_fields fields;
+
+	if (!json_fields_begin(&fields, node, "config.parse", error,
+			       "rollouts[%u].", i))
+		return false;
+	json_fields_allow(&fields, is_intent ? names : stored_names);
+	rollout = config_add_rollout(config, read_name(&fields, "name", 1));
+	replace_string(&rollout->service, read_name(&fields, "service", 1));
+	replace_string(&rollout->target, read_name(&fields, "target", 1));
+	replace_string(&rollout->id,
+		       json_fields_string(&fields, "id", 0, MAX_NAME_BYTES));
+	rollout->max_parallel = (int32_t)json_fields_int(
+		&fields, "max_parallel", 1, MAX_PARALLEL, 1);
+	rollout->min_ready_percent = (int32_t)json_fields_int(
+		&fields, "min_ready_percent", 0, 100, DEFAULT_READY_PERCENT);
+	rollout->max_failures = (int32_t)json_fields_int(
+		&fields, "max_failures", 0, MAX_PARALLEL, 0);
+	return !fields.failed;
+}
+
 static bool read_confirmation(struct config *config, JsonNode *node, guint i,
 			      struct error *error)
 {
@@ -248,6 +289,7 @@
 {
 	JsonArray *services = json_fields_array(fields, "services");
 	JsonArray *organisations = json_fields_array(fields, "organisations");
+	JsonArray *rollouts = json_fields_array(fields, "rollouts");
 
 	if (fields->failed)
 		return false;
@@ -264,15 +306,22 @@
 				       i, is_intent, error))
 			return false;
 	}
-	return config_check(config, "config.parse", error);
+	for (guint i = 0; rollouts && i < json_array_get_length(rollouts);
+	     i++) {
+		if (!read_rollout(config, json_array_get_element(rollouts, i),
+				  i, is_intent, error))
+			return false;
+	}
+	return is_intent ? config_check_names(config, "intent.parse", error)
+			 : config_check(config, "config.parse", error);
 }
 
 static bool read_document(struct config *config, JsonNode *root,
 			  struct error *error)
 {
-	static const char *const names[] = {"plan_id",	"confirmed_by",
-					    "services", "organisations",
-					    "history",	NULL};
+	static const char *const names[] = {
+		"plan_id",  "confirmed_by", "services", "organisations",
+		"rollouts", "history",	    NULL};
 	struct json_fields fields;
 	JsonArray *history;
 
@@ -342,9 +391,13 @@
  */
 struct intent *intent_json_parse(GBytes *document, struct error *error)
 {
-	static const char *const names[] = {"services", "organisations",
+	static const char *const names[] = {"services",
+					    "organisations",
 					    "remove_services",
-					    "remove_organisations", NULL};
+					    "remove_organisations",
+					    "rollouts",
+					    "remove_rollouts",
+					    NULL};
 	JsonNode *root = json_reader_parse(document, CONFIG_JSON_MAX_BYTES,
 					   "intent.parse", error);
 	struct intent *intent;
@@ -357,6 +410,7 @@
 	intent->items = config_create();
 	intent->remove_services = g_ptr_array_new_with_free_func(g_free);
 	intent->remove_organisations = g_ptr_array_new_with_free_func(g_free);
+	intent->remove_rollouts = g_ptr_array_new_with_free_func(g_free);
 	ok = json_fields_begin(&fields, root, "intent.parse", error, "%s", "");
 	if (ok)
 		json_fields_allow(&fields, names);
@@ -365,6 +419,8 @@
 			   "remove_services") &&
 	     read_removals(intent->remove_organisations, &fields,
 			   "remove_organisations") &&
+	     read_removals(intent->remove_rollouts, &fields,
+			   "remove_rollouts") &&
 	     read_items(intent->items, &fields, true, error);
 	json_node_unref(root);
 	if (!ok)
@@ -403,6 +459,7 @@
 	config_unref(intent->items);
 	g_ptr_array_unref(intent->remove_services);
 	g_ptr_array_unref(intent->remove_organisations);
+	g_ptr_array_unref(intent->remove_rollouts);
 	g_free(intent);
 }
 
@@ -513,6 +570,39 @@
 	json_builder_end_object(builder);
 }
 
+static gint compare_rollouts(gconstpointer a, gconstpointer b)
+{
+	const struct config_rollout *const *left = a;
+	const struct config_rollout *const *right = b;
+
+	return strcmp((*left)->name, (*right)->name);
+}
+
+static void add_rollouts(JsonBuilder *builder, const GPtrArray *items)
+{
+	GPtrArray *rollouts = sorted_view(items, compare_rollouts);
+
+	json_builder_set_member_name(builder, "rollouts");
+	json_builder_begin_array(builder);
+	for (guint i = 0; i < rollouts->len; i++) {
+		const struct config_rollout *rollout =
+			g_ptr_array_index(rollouts, i);
+
+		json_builder_begin_object(builder);
+		add_string(builder, "name", rollout->name);
+		add_string(builder, "service", rollout->service);
+		add_string(builder, "target", rollout->target);
+		add_string(builder, "id", rollout->id);
+		add_int(builder, "max_parallel", rollout->max_parallel, 1);
+		add_int(builder, "min_ready_percent",
+			rollout->min_ready_percent, DEFAULT_READY_PERCENT);
+		add_int(builder, "max_failures", rollout->max_failures, 0);
+		json_builder_end_object(builder);
+	}
+	json_builder_end_array(builder);
+	g_ptr_array_unref(rollouts);
+}
+
 static void add_history(JsonBuilder *builder, const GPtrArray *history)
 {
 	json_builder_set_member_name(builder, "history");
@@ -552,6 +642,7 @@
 	for (guint i = 0; i < organisations->len; i++)
 		add_organisation(builder, g_ptr_array_index(organisations, i));
 	json_builder_end_array(builder);
+	add_rollouts(builder, config->rollouts);
 	add_history(builder, config->history);
 	json_builder_end_object(builder);
 	g_ptr_array_unref(services);
--- a/codec/config_json.h
+++ b/codec/config_json.h
@@ -27,6 +27,7 @@
 	struct config *items;
 	GPtrArray *remove_services;	 /* char * */
 	GPtrArray *remove_organisations; /* char * */
+	GPtrArray *remove_rollouts;	 /* char * */
 };
 
 struct intent *intent_json_parse(GBytes *document, struct error *error);
--- /dev/null
+++ b/codec/order_json.c
@@ -0,0 +1,63 @@
+#include "codec/order_json.h"
+
+#include "codec/json_reader.h"
+
+#include <string.h>
+
+enum { MAX_STATE_BYTES = 16 * 1024, MAX_TARGET_BYTES = 256 };
+
+/* The body of an order. */
+GBytes *order_json_format(int64_t fence, const char *target)
+{
+	JsonBuilder *builder = json_builder_new();
+	JsonNode *root;
+	char *text;
+
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "fence");
+	json_builder_add_int_value(builder, fence);
+	json_builder_set_member_name(builder, "target");
+	json_builder_add_string_value(builder, target);
+	json_builder_end_object(builder);
+	root = json_builder_get_root(builder);
+	text = json_to_string(root, FALSE);
+	json_node_unref(root);
+	g_object_unref(builder);
+	return g_bytes_new_take(text, strlen(text));
+}
+
+/*
+ * Reads what an engine says of itself. Returns false with ERROR_INVALID or
+ * ERROR_TOO_LARGE and an empty state. Members that are not known are passed
+ * over. An engine that does not count its requests is taken to be busy: an
+ * order would cut what it does not count.
+ */
+bool order_json_parse_state(GBytes *body, struct order_state *state,
+			    struct error *error)
+{
+	JsonNode *root =
+		json_reader_parse(body, MAX_STATE_BYTES, "order.parse", error);
+	struct json_fields fields;
+	bool ok = root && json_fields_begin(&fields, root, "order.parse", error,
+					    "%s", "");
+
+	memset(state, 0, sizeof(*state));
+	if (ok) {
+		state->target = g_strdup(json_fields_string(
+			&fields, "target", 0, MAX_TARGET_BYTES));
+		state->loading = json_fields_bool(&fields, "loading", false);
+		state->requests_running = json_fields_int(
+			&fields, "requests_running", 0, G_MAXINT32, 1);
+		ok = !fields.failed;
+	}
+	g_clear_pointer(&root, json_node_unref);
+	if (!ok)
+		order_state_clear(state);
+	return ok;
+}
+
+/* Frees what a state holds, not the struct itself. */
+void order_state_clear(struct order_state *state)
+{
+	g_clear_pointer(&state->target, g_free);
+}
--- /dev/null
+++ b/codec/order_json.h
@@ -0,0 +1,27 @@
+#ifndef CODEC_ORDER_JSON_H
+#define CODEC_ORDER_JSON_H
+
+#include "core/error.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/* Orders to engines and what they say of their target; docs/PROTOCOLS.md. */
+
+struct order_state {
+	char *target;
+	bool loading;
+	int64_t requests_running;
+};
+
+GBytes *order_json_format(int64_t fence, const char *target);
+bool order_json_parse_state(GBytes *body, struct order_state *state,
+			    struct error *error);
+void order_state_clear(struct order_state *state);
+
+G_END_DECLS
+
+#endif
--- a/core/action.c
+++ b/core/action.c
@@ -17,6 +17,8 @@
 	[ACTION_ATTEMPT_CANCEL] = "attempt_cancel",
 	[ACTION_ATTEMPT_FLOW] = "attempt_flow",
 	[ACTION_POLL_LOAD] = "poll_load",
+	[ACTION_ORDER] = "order",
+	[ACTION_READ_ORDER] = "read_order",
 	[ACTION_PEER_SEND] = "peer_send",
 	[ACTION_KV] = "kv",
 	[ACTION_KV_WATCH] = "kv_watch",
@@ -54,6 +56,13 @@
 	case ACTION_POLL_LOAD:
 		g_free(action->poll_load.endpoint);
 		break;
+	case ACTION_ORDER:
+		g_free(action->order.endpoint);
+		g_free(action->order.target);
+		break;
+	case ACTION_READ_ORDER:
+		g_free(action->read_order.endpoint);
+		break;
 	case ACTION_PEER_SEND:
 		g_free(action->peer_send.peer_address);
 		peer_message_destroy(action->peer_send.message);
--- a/core/config.c
+++ b/core/config.c
@@ -30,6 +30,17 @@
 	g_free(organisation);
 }
 
+static void config_rollout_destroy(gpointer data)
+{
+	struct config_rollout *rollout = data;
+
+	g_free(rollout->name);
+	g_free(rollout->service);
+	g_free(rollout->target);
+	g_free(rollout->id);
+	g_free(rollout);
+}
+
 static void config_confirmation_destroy(gpointer data)
 {
 	struct config_confirmation *confirmation = data;
@@ -48,6 +59,7 @@
 	g_free(config->confirmed_by);
 	g_ptr_array_unref(config->services);
 	g_ptr_array_unref(config->organisations);
+	g_ptr_array_unref(config->rollouts);
 	g_ptr_array_unref(config->history);
 }
 
@@ -62,6 +74,8 @@
 		g_ptr_array_new_with_free_func(config_service_destroy);
 	config->organisations =
 		g_ptr_array_new_with_free_func(config_organisation_destroy);
+	config->rollouts =
+		g_ptr_array_new_with_free_func(config_rollout_destroy);
 	config->history =
 		g_ptr_array_new_with_free_func(config_confirmation_destroy);
 	return config;
@@ -123,6 +137,39 @@
 	return organisation;
 }
 
+/*
+ * Appends a rollout of one endpoint at a time, with half of them in use, that
+ * stops at the first failure; owned by the configuration.
+ */
+struct config_rollout *config_add_rollout(struct config *config,
+					  const char *name)
+{
+	struct config_rollout *rollout = g_new0(struct config_rollout, 1);
+
+	rollout->name = g_strdup(name);
+	rollout->service = g_strdup("");
+	rollout->target = g_strdup("");
+	rollout->id = g_strdup("");
+	rollout->max_parallel = 1;
+	rollout->min_ready_percent = 50;
+	g_ptr_array_add(config->rollouts, rollout);
+	return rollout;
+}
+
+/* The rollout of this name, or NULL. */
+const struct config_rollout *config_find_rollout(const struct config *config,
+						 const char *name)
+{
+	for (guint i = 0; i < config->rollouts->len; i++) {
+		const struct config_rollout *rollout =
+			g_ptr_array_index(config->rollouts, i);
+
+		if (strcmp(rollout->name, name) == 0)
+			return rollout;
+	}
+	return NULL;
+}
+
 /*
  * Appends who confirmed what on which revision. The oldest entries go when
  * there are more than CONFIG_HISTORY_MAX.
@@ -267,17 +314,69 @@
 	return ok;
 }
 
+/* Two rollouts of one service would each order its engines back. */
+static bool config_check_rollout_names(const struct config *config,
+				       const char *step, struct error *error)
+{
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTable *services = g_hash_table_new(g_str_hash, g_str_equal);
+	bool ok = true;
+
+	for (guint i = 0; ok && i < config->rollouts->len; i++) {
+		const struct config_rollout *rollout =
+			g_ptr_array_index(config->rollouts, i);
+
+		ok = config_check_once(names, "rollout", rollout->name,
+				       rollout->name, step, error) &&
+		     config_check_once(services, "service of a rollout",
+				       rollout->service, rollout->name, step,
+				       error);
+	}
+	g_hash_table_unref(names);
+	g_hash_table_unref(services);
+	return ok;
+}
+
+static bool config_check_rollout_services(const struct config *config,
+					  const char *step, struct error *error)
+{
+	for (guint i = 0; i < config->rollouts->len; i++) {
+		const struct config_rollout *rollout =
+			g_ptr_array_index(config->rollouts, i);
+		const struct config_service *service =
+			config_find_service(config, rollout->service);
+
+		if (service && service->kind == SERVICE_GENERATION)
+			continue;
+		error_set(error, ERROR_INVALID, step, "",
+			  "rollout %s: expected a service of kind generation, "
+			  "found none named %s",
+			  rollout->name, rollout->service);
+		return false;
+	}
+	return true;
+}
+
 /*
- * Checks what must hold over the whole configuration: names, endpoints and
- * keys occur once. An endpoint of two services would be placed on by two
- * books that know nothing of each other, and a key of two organisations would
- * let one act as the other. ERROR_INVALID under this step names the item.
+ * Checks that names, endpoints and keys occur once. An endpoint of two
+ * services would be placed on by two books that know nothing of each other,
+ * and a key of two organisations would let one act as the other. ERROR_INVALID
+ * under this step names the item.
  */
+bool config_check_names(const struct config *config, const char *step,
+			struct error *error)
+{
+	return config_check_services(config, step, error) &&
+	       config_check_organisations(config, step, error) &&
+	       config_check_rollout_names(config, step, error);
+}
+
+/* Checks what must hold over a whole configuration; errors as above. */
 bool config_check(const struct config *config, const char *step,
 		  struct error *error)
 {
-	return config_check_services(config, step, error) &&
-	       config_check_organisations(config, step, error);
+	return config_check_names(config, step, error) &&
+	       config_check_rollout_services(config, step, error);
 }
 
 /* The service of this name, or NULL. */
--- a/core/config.h
+++ b/core/config.h
@@ -41,6 +41,17 @@
 	int64_t concurrent_tokens;
 };
 
+/* A target that the engines of a service are to be brought to. */
+struct config_rollout {
+	char *name;
+	char *service;
+	char *target;		   /* model, adapter, version or role */
+	char *id;		   /* plan that set it so */
+	int32_t max_parallel;	   /* endpoints out of use at once */
+	int32_t min_ready_percent; /* of the service's, always in use */
+	int32_t max_failures;	   /* stops above */
+};
+
 /* One earlier confirmation, kept in the documents that came after it. */
 struct config_confirmation {
 	int64_t base_revision; /* it was confirmed on */
@@ -61,6 +72,7 @@
 	char *confirmed_by;
 	GPtrArray *services;	  /* struct config_service */
 	GPtrArray *organisations; /* struct config_organisation */
+	GPtrArray *rollouts;	  /* struct config_rollout */
 	GPtrArray *history;	  /* struct config_confirmation, oldest first */
 };
 
@@ -77,6 +89,10 @@
 struct config_organisation *config_add_organisation(struct config *config,
 						    const char *name);
 
+struct config_rollout *config_add_rollout(struct config *config,
+					  const char *name);
+const struct config_rollout *config_find_rollout(const struct config *config,
+						 const char *name);
 struct config_confirmation *config_add_confirmation(struct config *config,
 						    int64_t base_revision,
 						    const char *plan_id,
@@ -88,6 +104,8 @@
 int64_t config_confirmation_revision(const struct config *config, guint i);
 bool config_check(const struct config *config, const char *step,
 		  struct error *error);
+bool config_check_names(const struct config *config, const char *step,
+			struct error *error);
 
 const struct config_service *config_find_service(const struct config *config,
 						 const char *name);
--- a/core/holder.c
+++ b/core/holder.c
@@ -53,7 +53,7 @@
 	g_free(holder);
 }
 
-/* Whether to try for the key; one that is held is kept until it is dropped. */
+/* Whether to try for the key and keep it; else it is given up. */
 void holder_set_wanted(struct holder *holder, bool wanted)
 {
 	holder->wanted = wanted;
@@ -149,13 +149,31 @@
 	}
 }
 
+/*
+ * Gives the key up, so that another can have it at once. The fence is gone
+ * before the call is sent: nothing is ordered under it any more.
+ */
+static void holder_release(struct holder *holder, int64_t now_us,
+			   struct action_list *actions)
+{
+	int64_t lease = holder->lease;
+
+	holder_rest(holder, now_us, RETRY_US);
+	holder_send(holder, KV_LEASE_REVOKE, now_us, actions)->lease = lease;
+}
+
 /* Makes the next call when it is due: a claim, or a renewal of the lease. */
 void holder_step(struct holder *holder, int64_t now_us,
 		 struct action_list *actions)
 {
-	if (holder->kv_id || now_us < holder->due_us)
+	if (holder->kv_id)
 		return;
-	if (holder->state == HOLDER_IDLE && !holder->wanted)
+	if (!holder->wanted) {
+		if (holder->state == HOLDER_HOLDING)
+			holder_release(holder, now_us, actions);
+		return;
+	}
+	if (now_us < holder->due_us)
 		return;
 	send_next(holder, now_us, actions);
 }
@@ -163,8 +181,10 @@
 /* When holder_step() has something to do; INT64_MAX: nothing. */
 int64_t holder_next_due_us(const struct holder *holder)
 {
-	if (holder->kv_id || (holder->state == HOLDER_IDLE && !holder->wanted))
+	if (holder->kv_id)
 		return INT64_MAX;
+	if (!holder->wanted)
+		return holder->state == HOLDER_HOLDING ? INT64_MIN : INT64_MAX;
 	return holder->due_us;
 }
 
--- a/core/node.c
+++ b/core/node.c
@@ -153,6 +153,7 @@
 	node_create_tables(node);
 	node_create_limits(node);
 	node_create_plans(node);
+	node_rollout_create(node);
 	return node;
 }
 
@@ -186,6 +187,7 @@
 	quarantine_destroy(node->quarantine);
 	organisation_limits_destroy(node->limits);
 	plan_book_destroy(node->plans);
+	node_rollout_destroy(node);
 	timer_heap_destroy(node->timers);
 	membership_destroy(node->membership);
 	config_unref(node->config);
@@ -397,7 +399,8 @@
 	else
 		node->kv_heard_us = node->now_us;
 	if (!node_config_kv(node, answer) && !node_id_kv(node, answer) &&
-	    !plan_book_kv(node->plans, answer, node->now_us, node->actions))
+	    !plan_book_kv(node->plans, answer, node->now_us, node->actions) &&
+	    !node_rollout_kv(node, answer))
 		counters_add(&node->counters, COUNTER_EVENTS_UNKNOWN, 1);
 }
 
@@ -448,6 +451,12 @@
 	case EVENT_LOAD:
 		node_home_load(node, &event->load);
 		break;
+	case EVENT_ORDER:
+		node_rollout_order(node, &event->order);
+		break;
+	case EVENT_ORDER_STATE:
+		node_rollout_order_state(node, &event->order_state);
+		break;
 	case EVENT_PEER:
 		node_receive_peer(node, event->peer);
 		break;
@@ -595,6 +604,7 @@
 	node_check_members(node);
 	node_config_step(node);
 	plan_book_step(node->plans, node->now_us, actions);
+	node_rollout_step(node);
 	node_run_periodic(node);
 	node_home_step(node);
 	node_place_step_shares(node);
@@ -614,6 +624,7 @@
 	due_us = MIN(due_us, node->next_progress_us);
 	due_us = MIN(due_us, node_home_next_due_us(node));
 	due_us = MIN(due_us, plan_book_next_due_us(node->plans));
+	due_us = MIN(due_us, node_rollout_next_due_us(node));
 	g_hash_table_iter_init(&iter, node->shares);
 	while (g_hash_table_iter_next(&iter, NULL, &share))
 		due_us = MIN(due_us, placement_next_due_us(share));
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -94,6 +94,7 @@
 	membership_set_config_revision(node->membership, revision);
 	node_home_rebuild(node);
 	node_apply_config_leaving(node);
+	node_rollout_config_changed(node);
 	node_place_reset_shares(node);
 	node_place_rehome(node);
 	node_announce_config(node);
@@ -121,7 +122,7 @@
 }
 
 /* Whether this node is one of the few of its region that watch the key. */
-static bool node_is_watcher(const struct node *node)
+bool node_config_is_watcher(const struct node *node)
 {
 	uint64_t own = home_hash(node->options.name, "watch", 0);
 	int32_t ahead = 0;
@@ -143,7 +144,7 @@
 {
 	int64_t interval_us = node->config ? CONFIG_READ_US : CONFIG_RETRY_US;
 
-	if (!node->watching && node_is_watcher(node)) {
+	if (!node->watching && node_config_is_watcher(node)) {
 		node->watching = true;
 		action_list_add(node->actions, ACTION_KV_WATCH)->kv_watch =
 			g_strdup(CONFIG_KEY);
--- a/core/node_dump.c
+++ b/core/node_dump.c
@@ -138,6 +138,8 @@
 	g_variant_builder_add(&dump, "{sv}", "shards",
 			      dump_shards(node, now_us));
 	g_variant_builder_add(&dump, "{sv}", "leaving", dump_leaving(node));
+	g_variant_builder_add(&dump, "{sv}", "rollouts",
+			      node_rollout_dump(node));
 	g_variant_builder_add(&dump, "{sv}", "counters", dump_counters(node));
 	return g_variant_builder_end(&dump);
 }
--- a/core/node_home.c
+++ b/core/node_home.c
@@ -11,7 +11,6 @@
 
 #define REBUILD_PATIENCE_US 1000000
 #define ANNOUNCE_US (10 * G_USEC_PER_SEC)
-#define PEER_LEAVING_US (30 * G_USEC_PER_SEC)
 #define MAX_DECISION_ROUNDS 4
 
 /* Frees a shard. */
@@ -711,7 +710,7 @@
 /* Repeats to the other nodes which endpoints leave. */
 void node_home_announce_leaving(struct node *node)
 {
-	const uint32_t own = LEAVING_VM_LIST | LEAVING_LOAD;
+	const uint32_t own = LEAVING_VM_LIST | LEAVING_LOAD | LEAVING_ROLLOUT;
 
 	for (size_t i = 0; i < membership_count(node->membership); i++) {
 		const struct member *member =
--- a/core/node_state.h
+++ b/core/node_state.h
@@ -2,6 +2,7 @@
 #define CORE_NODE_STATE_H
 
 #include "core/call.h"
+#include "core/holder.h"
 #include "core/home.h"
 #include "core/membership.h"
 #include "core/node.h"
@@ -28,6 +29,7 @@
  *   node_home.c     home's side: shards, grants, load
  *   node_config.c   configuration: key-value service, peers
  *   node_limits.c   organisations' limits, shared between nodes
+ *   node_rollout.c  rollouts under a lease
  *   node_query.c    GET /v1/nodes, show, plan, confirm
  */
 
@@ -91,6 +93,8 @@
 	struct quarantine *quarantine;
 	struct organisation_limits *limits;
 	struct plan_book *plans;
+	struct holder *rollout_holder;
+	GPtrArray *rollouts; /* struct node_rollout */
 	int64_t next_limits_us;
 	int64_t claim_lease;
 	int64_t claim_lease_us; /* when it was granted */
@@ -108,12 +112,16 @@
 	int32_t progress_full; /* so many reports to come in full */
 };
 
+/* A peer's word that an endpoint leaves holds so long. */
+#define PEER_LEAVING_US (30 * G_USEC_PER_SEC)
+
 /* Which of the ways has marked an endpoint as leaving; any one is enough. */
 enum leaving_source {
 	LEAVING_CONFIG = 1,
 	LEAVING_VM_LIST = 2,
 	LEAVING_LOAD = 4,
-	LEAVING_PEER = 8
+	LEAVING_PEER = 8,
+	LEAVING_ROLLOUT = 16
 };
 
 struct leaving_mark {
@@ -216,7 +224,20 @@
 void shard_list_destroy(gpointer data);
 void home_ticket_destroy(gpointer data);
 
+/* node_rollout.c */
+void node_rollout_create(struct node *node);
+void node_rollout_destroy(struct node *node);
+void node_rollout_config_changed(struct node *node);
+void node_rollout_step(struct node *node);
+int64_t node_rollout_next_due_us(const struct node *node);
+bool node_rollout_kv(struct node *node, const struct kv_answer *answer);
+void node_rollout_order(struct node *node, const struct event_order *event);
+void node_rollout_order_state(struct node *node,
+			      const struct event_order_state *event);
+GVariant *node_rollout_dump(const struct node *node);
+
 /* node_config.c */
+bool node_config_is_watcher(const struct node *node);
 void node_config_start(struct node *node);
 void node_config_step(struct node *node);
 bool node_config_kv(struct node *node, const struct kv_answer *answer);
--- a/core/plan.c
+++ b/core/plan.c
@@ -2,6 +2,7 @@
 
 #include "codec/config_json.h"
 #include "core/plan_describe.h"
+#include "core/plan_rollout.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -91,7 +92,7 @@
 			  i);
 		return false;
 	}
-	return true;
+	return plan_check_rollout_removals(base, intent, error);
 }
 
 static void merge_services(struct config *result, const struct config *base,
@@ -234,11 +235,13 @@
 	if (!check_removals(base, intent, error))
 		return false;
 	merge_services(plan->result, base, intent);
+	plan_merge_rollouts(plan, base, intent);
 	return merge_organisations(plan->result, base, intent, error) &&
 	       config_check(plan->result, "plan.create", error);
 }
 
-static void plan_copy(struct plan *plan, const struct config *earlier)
+static void plan_copy(struct plan *plan, const struct config *base,
+		      const struct config *earlier)
 {
 	for (guint i = 0; i < earlier->services->len; i++)
 		copy_service(plan->result,
@@ -246,6 +249,7 @@
 	for (guint i = 0; i < earlier->organisations->len; i++)
 		copy_organisation(plan->result,
 				  g_ptr_array_index(earlier->organisations, i));
+	plan_copy_rollouts(plan, base, earlier);
 }
 
 static bool plan_finish(struct plan *plan, const struct config *base,
@@ -310,7 +314,7 @@
 {
 	struct plan *plan = plan_begin(base, id, operator_name, now_us);
 
-	plan_copy(plan, earlier);
+	plan_copy(plan, base, earlier);
 	g_ptr_array_add(plan->differences,
 			g_strdup_printf("roll back to the configuration of "
 					"revision %" G_GINT64_FORMAT,
--- a/core/plan_describe.c
+++ b/core/plan_describe.c
@@ -1,11 +1,11 @@
 #include "core/plan_describe.h"
 
-#include <string.h>
+#include "core/plan_rollout.h"
 
-static void add_line(GPtrArray *lines, const char *format, ...)
-	G_GNUC_PRINTF(2, 3);
+#include <string.h>
 
-static void add_line(GPtrArray *lines, const char *format, ...)
+/* Appends a line of text. */
+void plan_add_line(GPtrArray *lines, const char *format, ...)
 {
 	va_list args;
 
@@ -67,19 +67,20 @@
 			after->checks_fence);
 	add_bool_change(changes, "leaving", before->leaving, after->leaving);
 	if (changes->len)
-		add_line(plan->differences, "change endpoint %s of %s: %s",
-			 after->address, service, changes->str);
+		plan_add_line(plan->differences, "change endpoint %s of %s: %s",
+			      after->address, service, changes->str);
 	g_string_free(changes, TRUE);
 }
 
 static void add_endpoint_line(struct plan *plan, const char *service,
 			      const struct config_endpoint *endpoint)
 {
-	add_line(plan->differences,
-		 "add endpoint %s to %s: failure_domain %s, region %s%s",
-		 endpoint->address, service, or_none(endpoint->failure_domain),
-		 or_none(endpoint->region),
-		 endpoint->leaving ? ", leaving" : "");
+	plan_add_line(plan->differences,
+		      "add endpoint %s to %s: failure_domain %s, region %s%s",
+		      endpoint->address, service,
+		      or_none(endpoint->failure_domain),
+		      or_none(endpoint->region),
+		      endpoint->leaving ? ", leaving" : "");
 }
 
 /* Endpoints by address; a service may have thousands of them. */
@@ -104,9 +105,9 @@
 	GHashTable *index = index_endpoints(after);
 
 	if (before->kind != after->kind)
-		add_line(plan->differences, "change service %s: kind %s -> %s",
-			 after->name, kind_name(before->kind),
-			 kind_name(after->kind));
+		plan_add_line(plan->differences,
+			      "change service %s: kind %s -> %s", after->name,
+			      kind_name(before->kind), kind_name(after->kind));
 	for (guint i = 0; i < after->endpoints->len; i++) {
 		const struct config_endpoint *endpoint =
 			g_ptr_array_index(after->endpoints, i);
@@ -123,9 +124,9 @@
 			g_ptr_array_index(before->endpoints, i);
 
 		if (!g_hash_table_contains(index, endpoint->address))
-			add_line(plan->differences,
-				 "remove endpoint %s from %s",
-				 endpoint->address, after->name);
+			plan_add_line(plan->differences,
+				      "remove endpoint %s from %s",
+				      endpoint->address, after->name);
 	}
 	g_hash_table_unref(old_index);
 	g_hash_table_unref(index);
@@ -146,8 +147,8 @@
 	add_int_change(changes, "concurrent_tokens", before->concurrent_tokens,
 		       after->concurrent_tokens);
 	if (changes->len)
-		add_line(plan->differences, "change organisation %s: %s",
-			 after->name, changes->str);
+		plan_add_line(plan->differences, "change organisation %s: %s",
+			      after->name, changes->str);
 	g_string_free(changes, TRUE);
 }
 
@@ -166,9 +167,10 @@
 			compare_services(plan, before, service);
 			continue;
 		}
-		add_line(plan->differences, "add service %s: %s, %u endpoints",
-			 service->name, kind_name(service->kind),
-			 service->endpoints->len);
+		plan_add_line(plan->differences,
+			      "add service %s: %s, %u endpoints", service->name,
+			      kind_name(service->kind),
+			      service->endpoints->len);
 		for (guint j = 0; j < service->endpoints->len; j++)
 			add_endpoint_line(
 				plan, service->name,
@@ -179,9 +181,9 @@
 			g_ptr_array_index(base->services, i);
 
 		if (!config_find_service(plan->result, service->name))
-			add_line(plan->differences,
-				 "remove service %s: %u endpoints",
-				 service->name, service->endpoints->len);
+			plan_add_line(plan->differences,
+				      "remove service %s: %u endpoints",
+				      service->name, service->endpoints->len);
 	}
 }
 
@@ -199,22 +201,24 @@
 		if (before)
 			compare_organisation(plan, before, organisation);
 		else
-			add_line(plan->differences,
-				 "add organisation %s: priority %d, weight %d, "
-				 "requests_per_s %d, concurrent_tokens "
-				 "%" G_GINT64_FORMAT,
-				 organisation->name, organisation->priority,
-				 organisation->weight,
-				 organisation->requests_per_s,
-				 organisation->concurrent_tokens);
+			plan_add_line(
+				plan->differences,
+				"add organisation %s: priority %d, weight %d, "
+				"requests_per_s %d, concurrent_tokens "
+				"%" G_GINT64_FORMAT,
+				organisation->name, organisation->priority,
+				organisation->weight,
+				organisation->requests_per_s,
+				organisation->concurrent_tokens);
 	}
 	for (guint i = 0; i < base->organisations->len; i++) {
 		const struct config_organisation *organisation =
 			g_ptr_array_index(base->organisations, i);
 
 		if (!config_find_organisation(plan->result, organisation->name))
-			add_line(plan->differences, "remove organisation %s",
-				 organisation->name);
+			plan_add_line(plan->differences,
+				      "remove organisation %s",
+				      organisation->name);
 	}
 }
 
@@ -277,10 +281,11 @@
 
 	for (GList *l = domains; l; l = l->next) {
 		if (!g_hash_table_contains(after, l->data))
-			add_line(plan->warnings,
-				 "failure domain %s has no endpoint of service "
-				 "%s left",
-				 or_none(l->data), name);
+			plan_add_line(
+				plan->warnings,
+				"failure domain %s has no endpoint of service "
+				"%s left",
+				or_none(l->data), name);
 	}
 	g_list_free(domains);
 }
@@ -295,25 +300,27 @@
 	GHashTable *domains = count_domains(after);
 
 	if (!after)
-		add_line(plan->warnings,
-			 "service %s is removed: its requests are refused",
-			 name);
+		plan_add_line(plan->warnings,
+			      "service %s is removed: its requests are refused",
+			      name);
 	else if (capacity->endpoints_after == 0)
-		add_line(plan->warnings,
-			 "service %s has no endpoint that takes new work",
-			 name);
+		plan_add_line(plan->warnings,
+			      "service %s has no endpoint that takes new work",
+			      name);
 	else if (g_hash_table_size(domains) == 1)
-		add_line(plan->warnings,
-			 "service %s has every endpoint in one failure domain",
-			 name);
+		plan_add_line(
+			plan->warnings,
+			"service %s has every endpoint in one failure domain",
+			name);
 	if (capacity->endpoints_after > 0)
 		warn_of_emptied_domains(plan, name, old_domains, domains);
 	if (capacity->tokens_after < capacity->tokens_before)
-		add_line(plan->warnings,
-			 "service %s loses %" G_GINT64_FORMAT
-			 " of %" G_GINT64_FORMAT " tokens of capacity",
-			 name, capacity->tokens_before - capacity->tokens_after,
-			 capacity->tokens_before);
+		plan_add_line(plan->warnings,
+			      "service %s loses %" G_GINT64_FORMAT
+			      " of %" G_GINT64_FORMAT " tokens of capacity",
+			      name,
+			      capacity->tokens_before - capacity->tokens_after,
+			      capacity->tokens_before);
 	g_hash_table_unref(old_domains);
 	g_hash_table_unref(domains);
 }
@@ -330,15 +337,15 @@
 	if (!limit_falls(before, after))
 		return;
 	if (before == 0)
-		add_line(plan->warnings,
-			 "organisation %s: %s falls from no limit to "
-			 "%" G_GINT64_FORMAT,
-			 organisation, limit, after);
+		plan_add_line(plan->warnings,
+			      "organisation %s: %s falls from no limit to "
+			      "%" G_GINT64_FORMAT,
+			      organisation, limit, after);
 	else
-		add_line(plan->warnings,
-			 "organisation %s: %s falls from %" G_GINT64_FORMAT
-			 " to %" G_GINT64_FORMAT,
-			 organisation, limit, before, after);
+		plan_add_line(plan->warnings,
+			      "organisation %s: %s falls from %" G_GINT64_FORMAT
+			      " to %" G_GINT64_FORMAT,
+			      organisation, limit, before, after);
 }
 
 static void warn_of_organisation(struct plan *plan,
@@ -348,9 +355,10 @@
 		config_find_organisation(plan->result, before->name);
 
 	if (!after) {
-		add_line(plan->warnings,
-			 "organisation %s is removed: its requests are refused",
-			 before->name);
+		plan_add_line(
+			plan->warnings,
+			"organisation %s is removed: its requests are refused",
+			before->name);
 		return;
 	}
 	warn_of_limit(plan, before->name, "requests_per_s",
@@ -358,10 +366,10 @@
 	warn_of_limit(plan, before->name, "concurrent_tokens",
 		      before->concurrent_tokens, after->concurrent_tokens);
 	if (strcmp(before->key_sha256, after->key_sha256) != 0)
-		add_line(plan->warnings,
-			 "organisation %s: requests with its old key are "
-			 "refused",
-			 before->name);
+		plan_add_line(plan->warnings,
+			      "organisation %s: requests with its old key are "
+			      "refused",
+			      before->name);
 }
 
 static void add_warnings(struct plan *plan, const struct config *base)
@@ -385,7 +393,7 @@
 		warn_of_organisation(plan,
 				     g_ptr_array_index(base->organisations, i));
 	if (plan->differences->len == 0)
-		add_line(plan->warnings, "nothing changes");
+		plan_add_line(plan->warnings, "nothing changes");
 }
 
 /*
@@ -396,5 +404,6 @@
 {
 	add_service_differences(plan, base);
 	add_organisation_differences(plan, base);
+	plan_describe_rollouts(plan, base);
 	add_warnings(plan, base);
 }
--- a/core/plan_describe.h
+++ b/core/plan_describe.h
@@ -6,6 +6,8 @@
 G_BEGIN_DECLS
 
 /* What a plan changes and what that would break, in lines for operators. */
+void plan_add_line(GPtrArray *lines, const char *format, ...)
+	G_GNUC_PRINTF(2, 3);
 void plan_describe(struct plan *plan, const struct config *base);
 
 G_END_DECLS
--- /dev/null
+++ b/core/plan_rollout.h
@@ -0,0 +1,21 @@
+#ifndef CORE_PLAN_ROLLOUT_H
+#define CORE_PLAN_ROLLOUT_H
+
+#include "codec/config_json.h"
+#include "core/plan.h"
+
+G_BEGIN_DECLS
+
+/* The rollouts of a plan: which there will be, and what each will touch. */
+bool plan_check_rollout_removals(const struct config *base,
+				 const struct intent *intent,
+				 struct error *error);
+void plan_merge_rollouts(struct plan *plan, const struct config *base,
+			 const struct intent *intent);
+void plan_copy_rollouts(struct plan *plan, const struct config *base,
+			const struct config *earlier);
+void plan_describe_rollouts(struct plan *plan, const struct config *base);
+
+G_END_DECLS
+
+#endif
--- a/core/rollout.c
+++ b/core/rollout.c
@@ -31,6 +31,8 @@
 	options->order_timeout_us = 2 * G_USEC_PER_SEC;
 	options->order_interval_us = 1 * G_USEC_PER_SEC;
 	options->read_interval_us = 1 * G_USEC_PER_SEC;
+	options->settle_us = 5 * G_USEC_PER_SEC;
+	options->return_us = 30 * G_USEC_PER_SEC;
 	options->drain_timeout_us = 1800 * G_USEC_PER_SEC;
 	options->load_timeout_us = 600 * G_USEC_PER_SEC;
 	options->verify_interval_us = 1 * G_USEC_PER_SEC;
@@ -84,6 +86,24 @@
 	return rollout->state.phase;
 }
 
+/* The id it was created with. */
+const char *rollout_id(const struct rollout *rollout)
+{
+	return rollout->id;
+}
+
+/* What the endpoints are to run. */
+const char *rollout_target(const struct rollout *rollout)
+{
+	return rollout->target;
+}
+
+/* How long an order may be on its way. */
+int64_t rollout_order_timeout_us(const struct rollout *rollout)
+{
+	return rollout->options.order_timeout_us;
+}
+
 /* Why it has stopped, else "". */
 const char *rollout_reason(const struct rollout *rollout)
 {
@@ -141,7 +161,20 @@
 	int32_t in_use;
 };
 
-static struct rollout_counts count_endpoints(const struct rollout *rollout)
+/*
+ * Other nodes go on sparing an endpoint for a while after it was put in, since
+ * the word that it left is repeated and may outlive the word that it is back.
+ * It counts as out of use until then, or batch after batch would pile up there
+ * until no endpoint of the service was used.
+ */
+static bool is_returning(const struct rollout_endpoint *endpoint,
+			 int64_t now_us)
+{
+	return now_us < endpoint->returned_us;
+}
+
+static struct rollout_counts count_endpoints(const struct rollout *rollout,
+					     int64_t now_us)
 {
 	struct rollout_counts counts = {0};
 
@@ -162,10 +195,14 @@
 			counts.in_progress++;
 			break;
 		case ENDPOINT_READY:
+			counts.in_progress += is_returning(endpoint, now_us);
+			break;
 		case ENDPOINT_FAILED:
 			break;
 		}
-		if (!endpoint->out_of_use && endpoint->state != ENDPOINT_FAILED)
+		if (!endpoint->out_of_use &&
+		    endpoint->state != ENDPOINT_FAILED &&
+		    !is_returning(endpoint, now_us))
 			counts.in_use++;
 	}
 	return counts;
@@ -206,11 +243,11 @@
 /* A batch is begun when the one before is over and its failures are stored. */
 static void step_batch(struct rollout *rollout, int64_t now_us, GArray *effects)
 {
-	struct rollout_counts counts = count_endpoints(rollout);
+	struct rollout_counts counts = count_endpoints(rollout, now_us);
 	int32_t room = batch_room(rollout, &counts);
 
 	if (counts.unread || counts.in_progress || rollout->dirty ||
-	    rollout->kv_id)
+	    rollout->kv_id || now_us < rollout->begin_us)
 		return;
 	if (counts.waiting == 0) {
 		rollout->state.phase = ROLLOUT_DONE;
@@ -245,8 +282,11 @@
 	}
 }
 
-/* Nothing that this node took out stays out once another may hold the key. */
-static void let_go(struct rollout *rollout, int64_t now_us, GArray *effects)
+/*
+ * Puts into use again what this node took out and forgets what it knew:
+ * another may hold the key now, or the rollout is to end.
+ */
+void rollout_let_go(struct rollout *rollout, int64_t now_us, GArray *effects)
 {
 	for (guint i = 0; i < rollout->endpoints->len; i++) {
 		struct rollout_endpoint *endpoint = rollout_get(rollout, i);
@@ -299,7 +339,7 @@
 
 	rollout->stepped_us = now_us;
 	if (rollout->fence && rollout->fence != fence)
-		let_go(rollout, now_us, effects);
+		rollout_let_go(rollout, now_us, effects);
 	if (!fence)
 		return;
 	if (!rollout->fence) {
@@ -329,6 +369,8 @@
 		due_us = rollout->kv_due_us;
 	if (!rollout->loaded)
 		return due_us;
+	if (rollout->begin_us > rollout->stepped_us)
+		due_us = MIN(due_us, rollout->begin_us);
 	for (guint i = 0; i < rollout->endpoints->len; i++)
 		due_us = MIN(due_us, rollout_endpoint_due_us(
 					     rollout, rollout_get(rollout, i)));
--- a/core/rollout.h
+++ b/core/rollout.h
@@ -4,6 +4,7 @@
 #include "codec/rollout_json.h"
 #include "core/holder.h"
 #include "ports/action.h"
+#include "ports/event.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -44,6 +45,8 @@
 	int64_t order_timeout_us;  /* longest way of an order */
 	int64_t order_interval_us; /* between orders: the weight store */
 	int64_t read_interval_us;
+	int64_t settle_us; /* from taking out until all nodes know */
+	int64_t return_us; /* from putting in until all nodes know */
 	int64_t drain_timeout_us;
 	int64_t load_timeout_us;
 	int64_t verify_interval_us; /* after the end, one endpoint each */
@@ -62,20 +65,6 @@
 	int64_t fence;
 };
 
-enum rollout_order_outcome {
-	ROLLOUT_ORDER_TAKEN,
-	ROLLOUT_ORDER_STALE,   /* it has seen a higher fencing number */
-	ROLLOUT_ORDER_REFUSED, /* it cannot */
-	ROLLOUT_ORDER_LOST     /* sent and not answered */
-};
-
-/* What an endpoint says of itself. */
-struct rollout_reading {
-	const char *target; /* NULL: it did not answer */
-	bool loading;	    /* works on an order it has taken */
-	int64_t requests_running;
-};
-
 struct rollout;
 
 void rollout_options_default(struct rollout_options *options);
@@ -85,16 +74,19 @@
 
 void rollout_step(struct rollout *rollout, int64_t now_us,
 		  struct action_list *actions, GArray *effects);
+void rollout_let_go(struct rollout *rollout, int64_t now_us, GArray *effects);
 int64_t rollout_next_due_us(const struct rollout *rollout);
 bool rollout_kv(struct rollout *rollout, const struct kv_answer *answer,
 		int64_t now_us);
-void rollout_read_answered(struct rollout *rollout, const char *address,
-			   const struct rollout_reading *reading,
-			   int64_t now_us);
-void rollout_order_answered(struct rollout *rollout, const char *address,
-			    enum rollout_order_outcome outcome, int64_t now_us);
+void rollout_order_state(struct rollout *rollout,
+			 const struct event_order_state *state, int64_t now_us);
+void rollout_order(struct rollout *rollout, const struct event_order *order,
+		   int64_t now_us);
 
 enum rollout_phase rollout_phase(const struct rollout *rollout);
+const char *rollout_id(const struct rollout *rollout);
+const char *rollout_target(const struct rollout *rollout);
+int64_t rollout_order_timeout_us(const struct rollout *rollout);
 const char *rollout_reason(const struct rollout *rollout);
 GBytes *rollout_format_json(const struct rollout *rollout);
 
--- a/core/rollout_endpoint.c
+++ b/core/rollout_endpoint.c
@@ -29,6 +29,8 @@
 	if (!endpoint->out_of_use)
 		return;
 	endpoint->out_of_use = false;
+	endpoint->returned_us =
+		rollout->stepped_us + rollout->options.return_us;
 	rollout_add_effect(rollout, effects, ROLLOUT_PUT_IN, endpoint);
 }
 
@@ -193,6 +195,8 @@
 	case ENDPOINT_FAILED:
 		break;
 	}
+	if (endpoint->returned_us > rollout->stepped_us)
+		return endpoint->returned_us;
 	return INT64_MAX;
 }
 
@@ -208,12 +212,14 @@
  */
 static void read_other_target(struct rollout *rollout,
 			      struct rollout_endpoint *endpoint,
-			      const struct rollout_reading *reading,
+			      const struct event_order_state *reading,
 			      int64_t now_us)
 {
 	switch (endpoint->state) {
 	case ENDPOINT_DRAINING:
-		endpoint->idle = reading->requests_running == 0;
+		endpoint->idle = reading->requests_running == 0 &&
+				 now_us - endpoint->since_us >=
+					 rollout->options.settle_us;
 		break;
 	case ENDPOINT_LOADING:
 		if (reading->loading ||
@@ -242,11 +248,12 @@
 }
 
 /* What an endpoint that was read has said of itself. */
-void rollout_read_answered(struct rollout *rollout, const char *address,
-			   const struct rollout_reading *reading,
-			   int64_t now_us)
+void rollout_order_state(struct rollout *rollout,
+			 const struct event_order_state *reading,
+			 int64_t now_us)
 {
-	struct rollout_endpoint *endpoint = rollout_find(rollout, address);
+	struct rollout_endpoint *endpoint =
+		rollout_find(rollout, reading->endpoint);
 
 	if (!endpoint || !reading->target || !rollout->fence)
 		return;
@@ -260,25 +267,26 @@
 }
 
 /* What became of an order; where that is not known, reading back tells. */
-void rollout_order_answered(struct rollout *rollout, const char *address,
-			    enum rollout_order_outcome outcome, int64_t now_us)
+void rollout_order(struct rollout *rollout, const struct event_order *order,
+		   int64_t now_us)
 {
-	struct rollout_endpoint *endpoint = rollout_find(rollout, address);
+	struct rollout_endpoint *endpoint =
+		rollout_find(rollout, order->endpoint);
 
 	if (!endpoint || !is_ordering(endpoint) || !rollout->fence)
 		return;
-	switch (outcome) {
-	case ROLLOUT_ORDER_TAKEN:
-	case ROLLOUT_ORDER_LOST:
+	switch (order->outcome) {
+	case ORDER_TAKEN:
+	case ORDER_LOST:
 		if (endpoint->state == ENDPOINT_ORDERED)
 			rollout_endpoint_set_state(endpoint, ENDPOINT_LOADING,
 						   now_us);
 		break;
-	case ROLLOUT_ORDER_REFUSED:
+	case ORDER_REFUSED:
 		rollout_fail_endpoint(rollout, endpoint, "refused the order",
 				      now_us);
 		break;
-	case ROLLOUT_ORDER_STALE:
+	case ORDER_STALE:
 		holder_drop(rollout->holder, now_us);
 		break;
 	}
--- a/core/rollout_internal.h
+++ b/core/rollout_internal.h
@@ -40,6 +40,7 @@
 	int64_t read_us;  /* next read */
 	bool idle;	  /* drained: may be ordered */
 	bool out_of_use;
+	int64_t returned_us; /* until then some nodes may still spare it */
 	int orders;
 };
 
@@ -54,6 +55,7 @@
 	int64_t stepped_us; /* last rollout_step() */
 	int64_t fence;	    /* under which the fields below hold; 0: none */
 	int64_t held_since_us;
+	int64_t begin_us; /* no batch before */
 	int64_t next_order_us;
 	int64_t next_verify_us;
 	size_t next_verify;
--- a/core/rollout_store.c
+++ b/core/rollout_store.c
@@ -76,6 +76,10 @@
 	rollout_state_clear(&stored);
 }
 
+/*
+ * Where there is a stored state, an earlier holder may have taken endpoints
+ * out, and its word may still be about: no batch begins before it has ended.
+ */
 static void on_loaded(struct rollout *rollout, const struct kv_answer *answer,
 		      int64_t now_us)
 {
@@ -86,6 +90,8 @@
 		rollout->dirty = true;
 	} else if (answer->outcome == KV_OK && answer->entries &&
 		   answer->entries->len) {
+		if (!rollout->loaded)
+			rollout->begin_us = now_us + rollout->options.return_us;
 		rollout->loaded = true;
 		rollout->stale = false;
 		merge_stored(rollout, g_ptr_array_index(answer->entries, 0),
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -4,6 +4,7 @@
 #include "adapters/http_server.h"
 #include "adapters/kv_client.h"
 #include "adapters/log.h"
+#include "adapters/order_client.h"
 #include "adapters/peer_link.h"
 #include "adapters/vm_list_client.h"
 #include "core/node.h"
@@ -26,6 +27,7 @@
 	struct log *log;
 	struct http_server *http;
 	struct endpoint_client *endpoints;
+	struct order_client *orders;
 	struct kv_client *kv;
 	struct peer_link *peers;
 	struct vm_list_client *vm_list;
@@ -60,6 +62,11 @@
 	kv_client_apply(loop->kv, action);
 }
 
+static void apply_order(struct node_loop *loop, const struct action *action)
+{
+	order_client_apply(loop->orders, action);
+}
+
 static void apply_log(struct node_loop *loop, const struct action *action)
 {
 	log_write_action(loop->log, &action->log);
@@ -104,6 +111,8 @@
 	[ACTION_ATTEMPT_CANCEL] = apply_endpoint,
 	[ACTION_ATTEMPT_FLOW] = apply_endpoint,
 	[ACTION_POLL_LOAD] = apply_endpoint,
+	[ACTION_ORDER] = apply_order,
+	[ACTION_READ_ORDER] = apply_order,
 	[ACTION_PEER_SEND] = apply_peer,
 	[ACTION_KV] = apply_kv,
 	[ACTION_KV_WATCH] = apply_kv,
@@ -281,6 +290,7 @@
 	};
 
 	loop->endpoints = endpoint_client_create(&options, sink);
+	loop->orders = order_client_create(loop->log, sink);
 }
 
 static bool loop_create_platform(struct node_loop *loop,
@@ -363,6 +373,7 @@
 	vm_list_client_destroy(loop->vm_list);
 	kv_client_destroy(loop->kv);
 	endpoint_client_destroy(loop->endpoints);
+	order_client_destroy(loop->orders);
 	peer_link_destroy(loop->peers);
 	http_server_destroy(loop->http);
 	node_destroy(loop->node);
--- a/fakes/fake_engine.c
+++ b/fakes/fake_engine.c
@@ -395,6 +395,24 @@
 	fake_message_answer_json(message, 200, builder);
 }
 
+/* Generations that an order would cut: still made, or not yet read out. */
+static int64_t engine_count_running(const struct fake_engine *engine)
+{
+	int64_t count = 0;
+	GHashTableIter i;
+	gpointer value;
+
+	g_hash_table_iter_init(&i, engine->streams);
+	while (g_hash_table_iter_next(&i, NULL, &value)) {
+		const struct engine_stream *stream = value;
+
+		count += stream->state == ENGINE_STREAM_WAITING ||
+			 stream->state == ENGINE_STREAM_RUNNING ||
+			 (stream->reader && !stream->ended);
+	}
+	return count;
+}
+
 static void answer_target(const struct fake_engine *engine,
 			  SoupServerMessage *message, unsigned status)
 {
@@ -404,6 +422,8 @@
 	json_builder_set_member_name(builder, "target");
 	json_builder_add_string_value(builder,
 				      engine_model_target(engine->model));
+	json_builder_set_member_name(builder, "requests_running");
+	json_builder_add_int_value(builder, engine_count_running(engine));
 	json_builder_end_object(builder);
 	fake_message_answer_json(message, status, builder);
 }
--- a/ports/action.h
+++ b/ports/action.h
@@ -28,6 +28,8 @@
 	ACTION_ATTEMPT_CANCEL,
 	ACTION_ATTEMPT_FLOW, /* stop or go on reading */
 	ACTION_POLL_LOAD,    /* ask an endpoint for its load */
+	ACTION_ORDER,	     /* give an engine a target */
+	ACTION_READ_ORDER,   /* ask an engine for its target */
 	ACTION_PEER_SEND,
 	ACTION_KV,
 	ACTION_KV_WATCH, /* watch this key from now on */
@@ -99,6 +101,18 @@
 	char *endpoint;
 };
 
+struct action_order {
+	char *endpoint;
+	int64_t fence; /* number of the holder's lease */
+	char *target;
+	int64_t timeout_us;
+};
+
+struct action_read_order {
+	char *endpoint;
+	int64_t timeout_us;
+};
+
 struct action_peer_send {
 	char *peer_address;
 	struct peer_message *message;
@@ -125,6 +139,8 @@
 		struct action_attempt_cancel cancel;
 		struct action_attempt_flow flow;
 		struct action_poll_load poll_load;
+		struct action_order order;
+		struct action_read_order read_order;
 		struct action_peer_send peer_send;
 		struct kv_request kv;
 		char *kv_watch; /* key */
--- a/ports/event.h
+++ b/ports/event.h
@@ -35,6 +35,8 @@
 	EVENT_ATTEMPT_ANSWER, /* plain endpoint's whole answer */
 	EVENT_ATTEMPT_FAILED,
 	EVENT_LOAD,
+	EVENT_ORDER,	   /* what became of an order */
+	EVENT_ORDER_STATE, /* what an engine says of its target */
 	EVENT_PEER,
 	EVENT_KV,
 	EVENT_KV_WATCH,
@@ -114,6 +116,25 @@
 	struct load_report report;
 };
 
+enum order_outcome {
+	ORDER_TAKEN,
+	ORDER_STALE,   /* the engine has seen a higher fencing number */
+	ORDER_REFUSED, /* the engine cannot */
+	ORDER_LOST     /* not sent, or sent and not answered */
+};
+
+struct event_order {
+	const char *endpoint;
+	enum order_outcome outcome;
+};
+
+struct event_order_state {
+	const char *endpoint;
+	const char *target;	  /* NULL: it did not answer */
+	bool loading;		  /* works on an order it has taken */
+	int64_t requests_running; /* as it counts itself, without a lag */
+};
+
 struct event_kv_watch {
 	const char *key;
 	int64_t mod_revision;
@@ -143,6 +164,8 @@
 		struct event_attempt_answer answer;
 		struct event_attempt_failed failed;
 		struct event_load load;
+		struct event_order order;
+		struct event_order_state order_state;
 		const struct peer_message *peer;
 		const struct kv_answer *kv;
 		struct event_kv_watch kv_watch;
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -119,14 +119,14 @@
 		run_until([] { return false; }, us);
 	}
 
-	enum rollout_order_outcome take(const order &o)
+	enum order_outcome take(const order &o)
 	{
 		engine &e = engines[o.address];
 
 		if (e.dead)
-			return ROLLOUT_ORDER_LOST;
+			return ORDER_LOST;
 		if (e.checks_fence && o.fence < e.fence)
-			return ROLLOUT_ORDER_STALE;
+			return ORDER_STALE;
 		e.fence = std::max(e.fence, o.fence);
 		e.orders++;
 		e.ordered_busy += now_us < e.busy_until_us;
@@ -135,7 +135,7 @@
 			e.loading = o.target;
 			e.ready_us = now_us + LOAD_US;
 		}
-		return ROLLOUT_ORDER_TAKEN;
+		return ORDER_TAKEN;
 	}
 
 	bool all_run(const std::string &target) const
@@ -147,19 +147,36 @@
 		return true;
 	}
 
+	/* Endpoints that some node spares; words of them last 30 s. */
 	int out_of_use() const
 	{
 		int count = 0;
 
-		for (const auto &o : out)
-			count += o.second > 0;
+		for (const auto &o : out) {
+			auto spared = spared_until.find(o.first);
+
+			count +=
+				o.second > 0 || (spared != spared_until.end() &&
+						 spared->second > now_us);
+		}
 		return count;
 	}
 
+	/* What a node that is gone has said is repeated no more. */
+	void forget_words()
+	{
+		for (auto &o : out) {
+			if (o.second > 0)
+				spared_until[o.first] = now_us + 30 * SECOND;
+			o.second = 0;
+		}
+	}
+
 	struct kv_model *model;
 	int64_t now_us = 1000 * SECOND;
 	std::map<std::string, engine> engines;
 	std::map<std::string, int> out; /* nodes that took it out */
+	std::map<std::string, int64_t> spared_until;
 	std::vector<node *> nodes;
 	std::string transcript;
 	int max_out = 2;
@@ -275,21 +292,23 @@
 
 void node::send(const order &o)
 {
-	enum rollout_order_outcome outcome = w->take(o);
+	enum order_outcome outcome = w->take(o);
 
 	if (lose_orders)
-		outcome = ROLLOUT_ORDER_LOST;
-	rollout_order_answered(rollout, o.address.c_str(), outcome, w->now_us);
+		outcome = ORDER_LOST;
+	struct event_order event = {o.address.c_str(), outcome};
+
+	rollout_order(rollout, &event, w->now_us);
 }
 
 void node::read(const char *address)
 {
 	const engine &e = w->engines[address];
-	struct rollout_reading reading = {e.dead ? nullptr : e.target.c_str(),
-					  !e.loading.empty(),
-					  w->now_us < e.busy_until_us};
+	struct event_order_state state = {
+		address, e.dead ? nullptr : e.target.c_str(),
+		!e.loading.empty(), w->now_us < e.busy_until_us};
 
-	rollout_read_answered(rollout, address, &reading, w->now_us);
+	rollout_order_state(rollout, &state, w->now_us);
 }
 
 void node::serve(GArray *effects)
@@ -309,6 +328,8 @@
 			break;
 		case ROLLOUT_PUT_IN:
 			w->out[effect->address]--;
+			w->spared_until[effect->address] =
+				w->now_us + 30 * SECOND;
 			break;
 		case ROLLOUT_READ:
 			read(effect->address);
@@ -338,6 +359,7 @@
 
 	ASSERT_TRUE(w.run_until([&] { return is_done(n); }));
 	EXPECT_TRUE(w.all_run("v2"));
+	w.run(30 * SECOND);
 	EXPECT_EQ(0, w.out_of_use());
 	EXPECT_EQ("out e0:1\nout e2:1\norder e0:1\norder e2:1\nin e0:1\n"
 		  "in e2:1\nout e4:1\nout e6:1\norder e4:1\norder e6:1\n"
@@ -375,17 +397,18 @@
  */
 TEST(Rollout, NewHolderGoesOnWhereverTheOldOneDied)
 {
-	for (int64_t at_us = 0; at_us < 40 * SECOND; at_us += SECOND) {
+	for (int64_t at_us = 0; at_us < 200 * SECOND; at_us += 2 * SECOND) {
 		world w;
 		node *first = w.add("n1");
 		node *second;
 
 		w.run(at_us);
 		first->alive = false;
-		w.out.clear(); /* its word ends with it */
+		w.forget_words();
 		second = w.add("n2");
 		ASSERT_TRUE(w.run_until([&] { return is_done(second); }));
 		EXPECT_TRUE(w.all_run("v2")) << at_us;
+		w.run(30 * SECOND);
 		EXPECT_EQ(0, w.out_of_use());
 		for (const auto &e : w.engines)
 			EXPECT_LE(e.second.orders, 2) << e.first << at_us;
@@ -403,17 +426,17 @@
 	world w;
 	node *paused = w.add("n1", "v2");
 	node *holder;
+	struct event_order refused = {"e0:1", ORDER_STALE};
 
 	paused->hold_orders = true;
 	ASSERT_TRUE(w.run_until([&] { return !paused->late.empty(); }));
 	ASSERT_EQ("e0:1", paused->late[0].address);
 	paused->paused = true;
-	w.out.clear();
+	w.forget_words();
 	holder = w.add("n2", "v3");
 	ASSERT_TRUE(w.run_until([&] { return is_done(holder); }));
-	EXPECT_EQ(ROLLOUT_ORDER_STALE, w.take(paused->late[0]));
-	rollout_order_answered(paused->rollout, "e0:1", ROLLOUT_ORDER_STALE,
-			       w.now_us);
+	EXPECT_EQ(ORDER_STALE, w.take(paused->late[0]));
+	rollout_order(paused->rollout, &refused, w.now_us);
 	EXPECT_EQ(0, holder_fence(paused->holder));
 	w.run(60 * SECOND);
 	EXPECT_TRUE(w.all_run("v3"));
@@ -431,7 +454,7 @@
 	order late = {"e5:1", "v2", 1};
 
 	ASSERT_TRUE(w.run_until([&] { return is_done(holder); }));
-	EXPECT_EQ(ROLLOUT_ORDER_TAKEN, w.take(late));
+	EXPECT_EQ(ORDER_TAKEN, w.take(late));
 	w.run(LOAD_US + SECOND);
 	ASSERT_TRUE(w.run_until(
 		[&] { return is_done(holder) && w.all_run("v3"); }));
@@ -529,7 +552,7 @@
 	EXPECT_EQ("v1", w.engines["e1:1"].target);
 	w.run(60 * SECOND);
 	n->alive = false;
-	w.out.clear();
+	w.forget_words();
 	next = w.add("n2");
 	before = w.transcript;
 	ASSERT_TRUE(w.run_until([&] {
