--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -262,3 +262,73 @@
 			  R"("0123456789abcdef0123456789abcdef0123456789abcdef)"
 			  R"(0123456789abcdef"}]})"));
 }
+
+TEST(Plan, RolloutShowsItsBatches)
+{
+	struct error error = {};
+	struct plan *plan =
+		plan_on(base_text,
+			R"({"rollouts":[{"name":"v2","service":"writer",
+		"target":"draft-v2","max_parallel":2}]})",
+			&error);
+
+	ASSERT_NE(nullptr, plan) << error.detail;
+	EXPECT_EQ("add rollout v2: service writer, target draft-v2, "
+		  "max_parallel 2, min_ready_percent 50, max_failures 0\n"
+		  "rollout v2: batch 1: 127.0.0.1:9001 in failure domain a\n"
+		  "rollout v2: batch 2: 127.0.0.1:9002 in failure domain b\n",
+		  lines(plan->differences));
+	EXPECT_EQ(
+		"rollout v2 leaves 1 of 2 endpoints of service writer in use "
+		"while it runs\n"
+		"rollout v2: 2 endpoints do not check fencing numbers; a late "
+		"order there is corrected after it ran\n",
+		lines(plan->warnings));
+	EXPECT_STREQ("n1-7", config_find_rollout(plan->result, "v2")->id);
+	plan_destroy(plan);
+}
+
+TEST(Plan, RolloutThatStaysKeepsItsId)
+{
+	const char *const rollout =
+		R"({"name":"v2","service":"w","target":"t"})";
+	std::string base =
+		std::string(
+			R"({"services":[{"name":"w","kind":"generation"}],)") +
+		R"("rollouts":[{"name":"v2","service":"w","target":"t",)" +
+		R"("id":"old"}]})";
+	std::string same = std::string("{\"rollouts\":[") + rollout + "]}";
+	struct plan *kept = plan_on(base.c_str(), same, nullptr);
+	struct plan *changed = plan_on(
+		base.c_str(),
+		R"({"rollouts":[{"name":"v2","service":"w","target":"u"}]})",
+		nullptr);
+	struct plan *removed =
+		plan_on(base.c_str(), R"({"remove_rollouts":["v2"]})", nullptr);
+
+	EXPECT_STREQ("old", config_find_rollout(kept->result, "v2")->id);
+	EXPECT_STREQ("n1-7", config_find_rollout(changed->result, "v2")->id);
+	EXPECT_EQ("remove rollout v2\n", lines(removed->differences));
+	plan_destroy(kept);
+	plan_destroy(changed);
+	plan_destroy(removed);
+}
+
+TEST(Plan, RefusesRolloutsThatCannotBe)
+{
+	EXPECT_EQ("invalid: rollout v2: expected a service of kind generation, "
+		  "found none named portal",
+		  plan_error(R"({"rollouts":[{"name":"v2","service":"portal",
+			"target":"t"}]})"));
+	EXPECT_EQ("invalid: service of a rollout: expected once, found in v2 "
+		  "and v3",
+		  plan_error(R"({"rollouts":[
+			{"name":"v2","service":"writer","target":"t"},
+			{"name":"v3","service":"writer","target":"u"}]})"));
+	EXPECT_EQ("invalid: rollouts[0].id: expected no such key",
+		  plan_error(R"({"rollouts":[{"name":"v2","service":"writer",
+			"target":"t","id":"x"}]})"));
+	EXPECT_EQ("invalid: remove_rollouts[0]: expected the name of a rollout "
+		  "that is there and not also in \"rollouts\"",
+		  plan_error(R"({"remove_rollouts":["v2"]})"));
+}
