--- a/core/node_state.h
+++ b/core/node_state.h
@@ -104,6 +104,7 @@
 	GHashTable *service_shards; /* name to GPtrArray of them, by index */
 	GHashTable *home_tickets;   /* ticket to struct home_ticket */
 	GHashTable *shares;  /* service name to struct placement: no home */
+	GHashTable *lengths; /* service name to struct length_estimate */
 	GHashTable *leaving; /* endpoint to struct leaving_mark */
 	int64_t next_announce_us; /* of endpoints that leave */
 	int64_t next_poll_us;
@@ -144,8 +145,8 @@
 		     int64_t token_count);
 void node_call_end(struct node *node, struct call *call, enum refusal refusal,
 		   const char *finish_reason);
-void node_call_answer(struct node *node, struct call *call, int32_t status,
-		      const char *content_type, GBytes *body);
+void node_call_answer(struct node *node, struct call *call,
+		      const struct event_attempt_answer *answer);
 void node_call_drop(struct node *node, struct call *call);
 void node_refuse(struct node *node, uint64_t call, enum refusal refusal,
 		 enum run run, int64_t retry_after_us, const char *detail);
@@ -168,6 +169,7 @@
 			enum refusal refusal, int64_t retry_after_us);
 void node_place_rehome(struct node *node);
 void node_place_progress(struct node *node);
+struct length_estimate *node_lengths(struct node *node, const char *service);
 void node_place_step_shares(struct node *node);
 void node_place_resize_shares(struct node *node);
 void node_place_reset_shares(struct node *node);
