--- a/core/node_place.c
+++ b/core/node_place.c
@@ -1,4 +1,5 @@
 #include "core/node_state.h"
+#include "core/length_estimate.h"
 
 #include <string.h>
 
@@ -9,6 +10,8 @@
  */
 
 #define COME_BACK_US 1000000
+#define PROGRESS_FULL_EVERY 8
+#define PROGRESS_FULL_AFTER_CHANGE 3
 
 static uint64_t node_new_ticket(struct node *node)
 {
@@ -82,6 +85,40 @@
 	}
 }
 
+/*
+ * What this node knows of the lengths of a service's answers. It learns from
+ * its own callers' answers also while others are home, because a new home
+ * that knew nothing would refuse as late what it cannot judge.
+ */
+struct length_estimate *node_lengths(struct node *node, const char *service)
+{
+	struct length_estimate *lengths =
+		g_hash_table_lookup(node->lengths, service);
+	struct length_estimate_options options;
+
+	if (lengths)
+		return lengths;
+	length_estimate_options_default(&options);
+	lengths = length_estimate_create(&options);
+	g_hash_table_insert(node->lengths, g_strdup(service), lengths);
+	return lengths;
+}
+
+static void node_learn_length(struct node *node, const struct call *call,
+			      enum release_outcome outcome)
+{
+	const struct request *request = call->request;
+	bool cut = request->max_tokens > 0 &&
+		   call->next_token >= request->max_tokens;
+
+	if (call->kind != SERVICE_GENERATION || call->next_token <= 0)
+		return;
+	length_estimate_count_answer(node_lengths(node, request->service),
+				     call->organisation, request->prompt_tokens,
+				     request->prefix_hash, call->next_token,
+				     outcome == RELEASE_WHOLE && !cut);
+}
+
 /* This node's own share of a service's endpoints, made when first needed. */
 static struct placement *node_share(struct node *node, const char *name)
 {
@@ -94,6 +131,7 @@
 		.seed = home_hash(node->options.name, name, node->options.seed),
 		.max_waiting = node->options.max_waiting,
 		.step_us = PLACEMENT_STEP_US,
+		.lengths = node_lengths(node, name),
 	};
 
 	if (share)
@@ -222,16 +260,8 @@
 {
 	if (!call->endpoint)
 		return NULL;
-	for (guint i = 0; i < node->shards->len; i++) {
-		struct shard *shard = g_ptr_array_index(node->shards, i);
-
-		if (strcmp(shard->service, call->request->service) == 0 &&
-		    g_ptr_array_find_with_equal_func(shard->endpoints,
-						     call->endpoint,
-						     g_str_equal, NULL))
-			return shard;
-	}
-	return NULL;
+	return node_shard_of_endpoint(node, call->request->service,
+				      call->endpoint);
 }
 
 /* Gives back what the call's ticket holds, at home and in the own share. */
@@ -252,6 +282,8 @@
 		placement_withdraw(share, call->ticket, node->now_us);
 	if (!*home && shard && shard->home)
 		home = shard->home;
+	if (*home && call->home && *call->home && !home_is_self(node, home))
+		node_learn_length(node, call, outcome);
 	if (*home)
 		node_send_release(node, home, call->ticket, outcome,
 				  call->next_token,
@@ -297,6 +329,13 @@
 		node_attempt_retry(node, call);
 		return;
 	}
+	if (node->now_us < node->settled_us) {
+		call_set_endpoint(call, endpoint);
+		node_place_release(node, call, RELEASE_NOT_SENT);
+		call->retry_us = node->settled_us;
+		node_call_set_state(node, call, CALL_BACKOFF);
+		return;
+	}
 	if (g_hash_table_contains(node->leaving, endpoint)) {
 		call_set_endpoint(call, endpoint);
 		call->avoid_hash = home_hash(endpoint, "", 0);
@@ -403,6 +442,7 @@
 	}
 	g_array_unref(ids);
 	node->next_progress_us = node->now_us;
+	node->progress_full = PROGRESS_FULL_AFTER_CHANGE;
 }
 
 /* The number of nodes changed, and with it what each may fill by itself. */
@@ -451,19 +491,30 @@
 	g_array_unref(ids);
 }
 
+/*
+ * A home that granted a ticket knows all of it but its progress, so most
+ * reports carry no more. Some come in full: a new home knows nothing yet.
+ */
 static void progress_add_call(struct peer_progress *progress,
-			      const struct call *call)
+			      const struct call *call, bool full)
 {
 	struct peer_holding *holding = peer_progress_add(progress);
+	bool granted_by_home = call->home && *call->home;
 
 	holding->ticket = call->ticket;
+	holding->tokens = call->next_token;
+	if (!full && granted_by_home) {
+		holding->service = g_strdup("");
+		holding->endpoint = g_strdup("");
+		holding->organisation = g_strdup("");
+		return;
+	}
 	holding->service = g_strdup(call->request->service);
 	holding->endpoint =
 		g_strdup(call_holds_endpoint(call) ? call->endpoint : "");
 	holding->organisation = g_strdup(call->organisation);
 	holding->prompt_tokens = call->request->prompt_tokens;
 	holding->max_tokens = call->request->max_tokens;
-	holding->tokens = call->next_token;
 	holding->true_tokens = call->request->true_tokens;
 }
 
@@ -511,6 +562,30 @@
 	g_list_free(names);
 }
 
+/*
+ * Tells the own share what a call placed by it has made. Without it the share
+ * goes on counting each call as just begun, and overfills the engines.
+ */
+static void share_progress(struct node *node, const struct call *call)
+{
+	struct placement *share =
+		g_hash_table_lookup(node->shares, call->request->service);
+
+	if (share && call->ticket && call->home && !*call->home)
+		placement_progress(share, call->ticket, call->next_token,
+				   node->now_us);
+}
+
+static bool node_progress_is_full(struct node *node)
+{
+	if (node->progress_full > 0) {
+		node->progress_full--;
+		return true;
+	}
+	node->progress_count++;
+	return node->progress_count % PROGRESS_FULL_EVERY == 0;
+}
+
 /* Tells every home what this node holds and waits for there. */
 void node_place_progress(struct node *node)
 {
@@ -518,11 +593,13 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	GHashTableIter iter;
 	gpointer value;
+	bool full = node_progress_is_full(node);
 
 	for (guint i = 0; i < node->shards->len; i++) {
 		const struct shard *shard = g_ptr_array_index(node->shards, i);
 
-		if (shard->home && !shard->is_home)
+		/* A home of which nothing is held hears so now and then. */
+		if (full && shard->home && !shard->is_home)
 			progress_for(node, homes, shard->home);
 	}
 	g_hash_table_iter_init(&iter, node->calls);
@@ -531,12 +608,13 @@
 		const char *home = call_progress_home(node, call);
 		struct shard *shard = call_shard(node, call);
 
+		share_progress(node, call);
 		if (!home)
 			continue;
 		if (!home_is_self(node, home))
 			progress_add_call(
 				&progress_for(node, homes, home)->progress,
-				call);
+				call, full);
 		else if (shard && shard->placement)
 			placement_progress(shard->placement, call->ticket,
 					   call->next_token, node->now_us);
--- a/core/placement_choose.c
+++ b/core/placement_choose.c
@@ -7,9 +7,10 @@
  * that leave, cannot be reached, or were put aside.
  */
 
-/* Prompts wait for each other on an engine: so many cost as much as being full.
- */
+/* Prompts wait for each other: so many cost as much as a full engine. */
 #define UNREAD_TOKENS_FULL 40000.0
+/* A short answer takes mostly its wait for the prompts before it. */
+#define SHORT_UNREAD 10.0
 #define PREFIX_BONUS 0.1
 #define PREFIX_PROMPT_TOKENS 2000.0
 #define FAILURE_COST 0.1
@@ -158,7 +159,7 @@
 			   const struct endpoint_book *book,
 			   const struct placed_call *call)
 {
-	int32_t batch = (int32_t)book->calls->len * placement->divisor + 1;
+	int32_t batch = (int32_t)book->calls->len * book->sharers + 1;
 
 	if (batch <= SMALLEST_BATCH)
 		return true;
@@ -168,6 +169,19 @@
 	       placement->options.step_us;
 }
 
+/*
+ * How far all lengths may be misjudged at once. While answers outlast the
+ * estimate a shift may be under way, and what it has yet to learn is added:
+ * each request admitted too early in these seconds is one preempted later.
+ */
+static double placement_shared(const struct placement *placement)
+{
+	double late = 1 - length_estimate_shift(placement->lengths);
+
+	return placement->options.shared +
+	       placement->options.shared_by_shift * MAX(late, 0);
+}
+
 /*
  * On a share of an engine the margin shrinks with its root: what the shares
  * hold together varies by less than the sum of their deviations.
@@ -178,7 +192,7 @@
 {
 	struct admission_margin margin = {
 		.deviations = placement->deviations / sqrt(placement->divisor),
-		.shared = placement->options.shared,
+		.shared = placement_shared(placement),
 	};
 
 	if (placement->options.policy == PLACEMENT_ORACLE)
@@ -191,9 +205,11 @@
 static double book_cost(const struct endpoint_book *book,
 			const struct placed_call *call, double fullness)
 {
-	double cost = fullness +
-		      (double)book->unread_tokens / UNREAD_TOKENS_FULL +
-		      FAILURE_COST * book->health.failures;
+	double unread = (double)book->unread_tokens / UNREAD_TOKENS_FULL;
+	double cost = fullness + FAILURE_COST * book->health.failures;
+
+	cost += call->entry.lane == QUEUE_SHORT ? SHORT_UNREAD * unread
+						: unread;
 
 	if (endpoint_book_has_prefix(book, call->prefix_hash))
 		cost -= PREFIX_BONUS *
