--- a/adapters/http_request.c
+++ b/adapters/http_request.c
@@ -131,8 +131,8 @@
 }
 
 /*
- * A generation, or the rest of one where Last-Event-ID is given: then the body
- * may be empty, and the answer is a stream, since only streams carry ids.
+ * A generation, or the rest of one where Last-Event-ID is given: the body is
+ * the same, and the answer is a stream, since only streams carry ids.
  * NULL with ERROR_INVALID where header or body is malformed.
  */
 struct request *http_request_read_generation(SoupServerMessage *message,
@@ -145,12 +145,8 @@
 		return NULL;
 	request->path =
 		g_strdup(g_uri_get_path(soup_server_message_get_uri(message)));
-	if (request->last_event_id) {
+	if (request->last_event_id)
 		request->kind = REQUEST_RESUME;
-		request->stream = true;
-		if (g_bytes_get_size(request->body) == 0)
-			return request;
-	}
 	if (!http_body_read(request, error)) {
 		request_unref(request);
 		return NULL;
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -298,7 +298,8 @@
 	std::unique_ptr<Connection> c(open());
 	const struct request *r;
 
-	c->send(post("/v1/completions", "", "Last-Event-ID: abc.def\r\n"));
+	c->send(post("/v1/completions", "{\"model\":\"m\",\"prompt\":\"p\"}",
+		     "Last-Event-ID: abc.def\r\n"));
 	wait_call();
 	r = recorder.last(EVENT_CALL)->request;
 	EXPECT_EQ(REQUEST_RESUME, r->kind);
@@ -320,6 +321,8 @@
 	const bad_request cases[] = {
 		{post("/v1/completions", "{"), "400", "bad_request"},
 		{post("/v1/completions", "[]"), "400", "bad_request"},
+		{post("/v1/completions", "", "Last-Event-ID: a\r\n"), "400",
+		 "bad_request"},
 		{post("/v1/completions", deep), "400", "bad_request"},
 		{post("/v1/completions", "{\"model\":\"m\"}"), "400",
 		 "bad_request"},
