--- a/Makefile
+++ b/Makefile
@@ -45,8 +45,8 @@
 FAKES = $(B)/libfakes.a
 TESTS = $(B)/bin/tests
 
-.PHONY: all demo check unit bench format format-check tidy pure install-deps \
-	clean fuzz-short fuzz-run
+.PHONY: all demo check unit bench format format-check tidy pure spec \
+	install-deps clean fuzz-short fuzz-run
 .SECONDARY:
 
 all: $(PROGRAMS)
@@ -85,7 +85,7 @@
 	$(CXX) $(ALL_LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PACKAGE_LIBS)
 
 # Every test. The scripted runs read their scripts from tests/scripts.
-check: unit pure
+check: unit pure $(if $(filter 1,$(SANITIZE)),,spec)
 
 unit: $(TESTS) $(PROGRAMS)
 	SISKINLINK_BIN=$(abspath $(B)/bin) $(TESTS) $(TEST_ARGS)
@@ -94,6 +94,10 @@
 pure: $(LIBRARY)
 	tests/pure.sh $(call objects,$(PURE_SOURCES))
 
+# The models, and that each of their safeguards is needed.
+spec:
+	spec/run.sh $(abspath $(B)/spec)
+
 demo: install-deps
 	$(MAKE) all
 	./demo.sh $(abspath $(B)/bin)
