--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -13,12 +13,15 @@
 #include <signal.h>
 #include <stdio.h>
 #include <sys/random.h>
+#include <sys/resource.h>
 
 #define LOAD_TIMEOUT_MS 1000
 #define VM_LIST_TIMEOUT_MS 2000
 #define FLUSH_CHECK_MS 10
 #define FLUSH_US 10000000 /* for answers that their callers still read */
 #define EXIT_CUT 1
+#define FILES_PER_CONNECTION 2 /* the caller's and its endpoint's */
+#define FILES_BESIDE 256       /* peers, platform, load polls */
 
 struct node_loop {
 	GMainLoop *main;
@@ -219,6 +222,32 @@
 	return false;
 }
 
+/*
+ * Out of descriptors, the listener would fail on each connection and try again
+ * at once, and calls that are running would fail for want of a connection to
+ * their endpoint. The limit on connections holds before that.
+ */
+static bool loop_allow_files(const struct settings *settings,
+			     struct error *error)
+{
+	int64_t needed =
+		settings->max_connections * FILES_PER_CONNECTION + FILES_BESIDE;
+	struct rlimit limit = {0};
+
+	getrlimit(RLIMIT_NOFILE, &limit);
+	if ((int64_t)limit.rlim_cur >= needed)
+		return true;
+	limit.rlim_cur = MIN(limit.rlim_max, (rlim_t)needed);
+	if (setrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+	    (int64_t)limit.rlim_cur >= needed)
+		return true;
+	error_set(error, ERROR_INVALID, "loop.files", NULL,
+		  "limits.max_connections needs %" G_GINT64_FORMAT
+		  " open files, the process may have %" G_GINT64_FORMAT,
+		  needed, (int64_t)limit.rlim_max);
+	return false;
+}
+
 static bool loop_create_node(struct node_loop *loop,
 			     const struct settings *settings,
 			     struct error *error)
@@ -338,7 +367,8 @@
 	loop->log =
 		log_create(settings->node.name, level_of(settings->log_level));
 	loop_create_timer(loop);
-	if (!loop_create_node(loop, settings, error) ||
+	if (!loop_allow_files(settings, error) ||
+	    !loop_create_node(loop, settings, error) ||
 	    !loop_create_http(loop, settings, &sink, error) ||
 	    !loop_create_peers(loop, settings, &sink, error) ||
 	    !loop_create_platform(loop, settings, &sink, error)) {
--- /dev/null
+++ b/tests/siskinlinkd_test.cc
@@ -0,0 +1,228 @@
+#include "tests/loopback.h"
+
+#include <glib-unix.h>
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <memory>
+
+/* siskinlinkd in a process of its own, ended when the test ends. */
+class Daemon
+{
+      public:
+	explicit Daemon(const std::vector<std::string> &words,
+			GSpawnChildSetupFunc setup = nullptr)
+	{
+		const char *folder = getenv("SISKINLINK_BIN");
+		std::string program =
+			std::string(folder ? folder : "build/bin") +
+			"/siskinlinkd";
+		std::vector<char *> args = {(char *)program.c_str()};
+		GError *failure = nullptr;
+
+		for (const std::string &word : words)
+			args.push_back((char *)word.c_str());
+		args.push_back(nullptr);
+		g_spawn_async_with_pipes(nullptr, args.data(), nullptr,
+					 G_SPAWN_DO_NOT_REAP_CHILD, setup,
+					 nullptr, &pid, nullptr, &out_fd,
+					 &err_fd, &failure);
+		EXPECT_EQ(nullptr, failure);
+		g_unix_set_fd_nonblocking(out_fd, TRUE, nullptr);
+		g_unix_set_fd_nonblocking(err_fd, TRUE, nullptr);
+	}
+
+	~Daemon()
+	{
+		if (!ended) {
+			kill(pid, SIGKILL);
+			waitpid(pid, &status, 0);
+		}
+		close(out_fd);
+		close(err_fd);
+	}
+
+	void read()
+	{
+		take(out_fd, out);
+		take(err_fd, err);
+		if (!ended && waitpid(pid, &status, WNOHANG) == pid) {
+			ended = true;
+			take(out_fd, out);
+			take(err_fd, err);
+		}
+	}
+
+	bool wait_for(const std::string &text, const std::string &part)
+	{
+		return run_until([&] {
+			read();
+			return text.find(part) != std::string::npos;
+		});
+	}
+
+	int wait_end()
+	{
+		EXPECT_TRUE(run_until([&] {
+			read();
+			return ended;
+		}));
+		return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+	}
+
+	static void take(int fd, std::string &text)
+	{
+		char buffer[4096];
+		ssize_t got;
+
+		while ((got = ::read(fd, buffer, sizeof(buffer))) > 0)
+			text.append(buffer, (size_t)got);
+	}
+
+	GPid pid = 0;
+	int out_fd = -1, err_fd = -1;
+	int status = 0;
+	bool ended = false;
+	std::string out, err;
+};
+
+class Siskinlinkd : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		char *name = nullptr;
+		int fd = g_file_open_tmp("siskinlinkd-XXXXXX.toml", &name,
+					 nullptr);
+
+		ASSERT_GE(fd, 0);
+		close(fd);
+		file = name;
+		g_free(name);
+		http = free_address();
+	}
+
+	void TearDown() override
+	{
+		unlink(file.c_str());
+	}
+
+	/* Free when it was asked for: nothing else here takes ports. */
+	static std::string free_address()
+	{
+		return Listener().address();
+	}
+
+	void write(const std::string &more)
+	{
+		std::string text = "[node]\nname = \"n1\"\nregion = \"r\"\n"
+				   "failure_domain = \"d\"\nhttp_address = \"" +
+				   http + "\"\npeer_address = \"" +
+				   free_address() +
+				   "\"\n[keys]\nevent_key = \"0123456789abcdef"
+				   "\"\n[platform]\nkv_address = \"" +
+				   free_address() + "\"\n" + more;
+
+		ASSERT_TRUE(g_file_set_contents(file.c_str(), text.data(),
+						(gssize)text.size(), nullptr));
+	}
+
+	std::string file, http;
+};
+
+TEST_F(Siskinlinkd, NamesWhatIsWrongWithItsUse)
+{
+	const struct {
+		std::vector<std::string> words;
+		int status;
+		const char *text;
+	} uses[] = {
+		{{}, 2, "--config FILE is needed"},
+		{{"--colour"}, 2, "--colour"},
+		{{"--config", "a", "b"}, 2, "unexpected argument: b"},
+		{{"--config", "/nonexistent"}, 2, "/nonexistent"},
+		{{"--version"}, 0, "siskinlinkd 0.1.0\n"},
+		{{"--help"}, 0, "--check-config"},
+		{{"--help-settings"}, 0, "stream_buffer_bytes"},
+	};
+
+	for (const auto &use : uses) {
+		Daemon daemon(use.words);
+
+		EXPECT_EQ(use.status, daemon.wait_end());
+		EXPECT_NE(std::string::npos,
+			  (daemon.out + daemon.err).find(use.text))
+			<< daemon.out << daemon.err;
+		EXPECT_EQ(use.status == 0, daemon.err.empty());
+	}
+}
+
+static void allow_few_files(gpointer)
+{
+	struct rlimit few = {512, 512};
+
+	setrlimit(RLIMIT_NOFILE, &few);
+}
+
+TEST_F(Siskinlinkd, ChecksItsSettingsAndStartsNothing)
+{
+	write("");
+	Daemon good({"--config", file, "--check-config"});
+	EXPECT_EQ(0, good.wait_end());
+	EXPECT_EQ("", good.out + good.err);
+	write("[limits]\nmax_connection = 5\n");
+	Daemon bad({"--config", file});
+	EXPECT_EQ(2, bad.wait_end());
+	EXPECT_EQ("", bad.out);
+	EXPECT_NE(std::string::npos, bad.err.find("max_connection"));
+	EXPECT_NE(std::string::npos, bad.err.find(file));
+	EXPECT_EQ(bad.err.size() - 1, bad.err.find('\n'));
+	write("");
+	Daemon hungry({"--config", file}, allow_few_files);
+	EXPECT_EQ(1, hungry.wait_end());
+	EXPECT_NE(std::string::npos, hungry.err.find("open files"));
+}
+
+TEST_F(Siskinlinkd, SaysThatItsAddressIsTaken)
+{
+	Listener taken;
+
+	http = taken.address();
+	write("");
+	Daemon daemon({"--config", file});
+	EXPECT_EQ(1, daemon.wait_end());
+	EXPECT_NE(std::string::npos,
+		  daemon.err.find("http.listen: " + http + ": "))
+		<< daemon.err;
+}
+
+/*
+ * The platform is down when the node starts. It serves what needs no
+ * configuration, tells its state on SIGUSR1, and ends by itself with status 0
+ * once SIGTERM has told it to drain; a second SIGTERM ends it at once.
+ */
+TEST_F(Siskinlinkd, RunsTellsItsStateAndDrains)
+{
+	write("[times]\nanswer_keep_s = 1\n");
+	Daemon daemon({"--config", file});
+	ASSERT_TRUE(daemon.wait_for(daemon.out, "\n")) << daemon.err;
+	EXPECT_EQ("listening " + http + "\n", daemon.out);
+	std::unique_ptr<Connection> c(Connection::open(http));
+	c->send("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+	EXPECT_TRUE(c->wait_for("siskinlink_calls_total 0"));
+	kill(daemon.pid, SIGUSR1);
+	EXPECT_TRUE(daemon.wait_for(daemon.err, "\"config_revision\":0"));
+	kill(daemon.pid, SIGTERM);
+	EXPECT_EQ(0, daemon.wait_end());
+
+	write("[times]\nanswer_keep_s = 600\n");
+	Daemon slow({"--config", file});
+	ASSERT_TRUE(slow.wait_for(slow.out, "\n")) << slow.err;
+	kill(slow.pid, SIGTERM);
+	ASSERT_TRUE(slow.wait_for(slow.err, "event=drain"));
+	kill(slow.pid, SIGTERM);
+	EXPECT_EQ(1, slow.wait_end());
+}
