--- /dev/null
+++ b/bench/overhead.sh
@@ -0,0 +1,195 @@
+#!/usr/bin/env bash
+# overhead.sh BIN: what a node costs beside the engine itself, on fakes over
+# loopback, all in one run: start-up time, resident memory idle and for each
+# open stream, delay added to each token, processor time for each token.
+set -euo pipefail
+
+bin=$1
+work=$(mktemp -d)
+pids=()
+engines=()
+starts=${STARTS:-20}
+streams=${STREAMS:-400}
+operator_key=bench-operator-key-0001
+key=bench-organisation-key-0001
+
+finish() {
+	local status=$?
+
+	trap - EXIT
+	for pid in "${pids[@]}"; do
+		kill -TERM "$pid" 2>/dev/null || true
+	done
+	for pid in "${pids[@]}"; do
+		wait "$pid" 2>/dev/null || true
+	done
+	[ "$status" -eq 0 ] || tail -n 20 "$work"/*.log >&2
+	rm -rf "$work"
+	exit "$status"
+}
+trap finish EXIT
+
+# start NAME PROGRAM ARGUMENTS...: sets started and address.
+start() {
+	local name=$1
+
+	shift
+	"$@" >"$work/$name.out" 2>"$work/$name.log" &
+	started=$!
+	pids+=("$started")
+	for _ in $(seq 1000); do
+		address=$(awk '/^listening / { print $2; exit }' \
+			"$work/$name.out")
+		[ -z "$address" ] || return 0
+		kill -0 "$started" 2>/dev/null || break
+		sleep 0.01
+	done
+	echo "$name did not start" >&2
+	return 1
+}
+
+# start_us PROGRAM ARGUMENTS...: median time to the line "listening".
+start_us() {
+	local begun
+
+	for _ in $(seq "$starts"); do
+		begun=${EPOCHREALTIME/./}
+		coproc child { exec "$@" 2>/dev/null; }
+		read -r _ <&"${child[0]}"
+		echo $((${EPOCHREALTIME/./} - begun))
+		kill -KILL "$child_PID"
+		wait "$child_PID" 2>/dev/null || true
+	done | sort -n | awk '{ v[NR] = $1 } END { print v[int((NR + 1) / 2)] }'
+}
+
+resident_kb() {
+	awk '/^VmRSS/ { print $2 }' "/proc/$1/status"
+}
+
+cpu_ms() {
+	awk -v hz="$(getconf CLK_TCK)" '{ print ($14 + $15) * 1000 / hz }' \
+		"/proc/$1/stat"
+}
+
+# value FILE NAME: a figure that stream_bench printed.
+value() {
+	tr ' ' '\n' <"$1" | awk -F= -v name="$2" '$1 == name { print $2 }'
+}
+
+ratio() {
+	awk -v a="$1" -v b="$2" 'BEGIN { printf "%.2f", b ? a / b : 0 }'
+}
+
+free_port() {
+	local port
+
+	for _ in $(seq 100); do
+		port=$((20000 + RANDOM % 12000))
+		if ! (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+			echo "$port"
+			return 0
+		fi
+	done
+	return 1
+}
+
+start kv "$bin/fake_kv" --address 127.0.0.1:0
+kv=$address
+for i in $(seq 8); do
+	start "engine$i" "$bin/fake_engine" --address 127.0.0.1:0 \
+		--capacity-tokens 1000000
+	engines+=("$address")
+done
+node=127.0.0.1:$(free_port)
+cat >"$work/node.toml" <<-TOML
+	[node]
+	name = "bench"
+	region = "bench"
+	failure_domain = "bench-a"
+	http_address = "$node"
+	peer_address = "127.0.0.1:$(free_port)"
+	[keys]
+	event_key = "bench-event-key-00001"
+	operator_key = "$operator_key"
+	[platform]
+	kv_address = "$kv"
+	[times]
+	answer_keep_s = 1
+TOML
+
+node_start_us=$(start_us "$bin/siskinlinkd" --config "$work/node.toml")
+fake_start_us=$(start_us "$bin/fake_kv" --address 127.0.0.1:0)
+
+start node "$bin/siskinlinkd" --config "$work/node.toml"
+node_pid=$started
+{
+	cat <<-TOML
+		[[organisations]]
+		name = "bench"
+		key = "$key"
+		priority = 5
+		[[services]]
+		name = "report-writer"
+		kind = "generation"
+	TOML
+	for engine in "${engines[@]}"; do
+		cat <<-TOML
+			[[services.endpoints]]
+			address = "$engine"
+			failure_domain = "bench-a"
+			region = "bench"
+			capacity_tokens = 1000000
+		TOML
+	done
+} >"$work/intent.toml"
+export SISKINLINK_OPERATOR_KEY=$operator_key
+ctl=("$bin/siskinlinkctl" --address "$node" --operator bench)
+plan=$("${ctl[@]}" --json plan "$work/intent.toml" | jq -r .plan_id)
+"${ctl[@]}" confirm "$plan" >/dev/null
+sleep 2
+
+bench=("$bin/stream_bench" --key "$key" --model report-writer
+	--direct "${engines[0]}")
+idle_kb=$(resident_kb "$node_pid")
+"${bench[@]}" --via "${engines[0]}" --direct-streams 1 --via-streams 1 \
+	--tokens 500 >"$work/noise.txt"
+# The node may choose any engine: the pairs come from the one it chose.
+"${bench[@]}" --via "$node" --direct-streams 1 --via-streams 1 \
+	--tokens 500 >"$work/pair.txt"
+warm_kb=$(resident_kb "$node_pid")
+cpu_before_ms=$(cpu_ms "$node_pid")
+"${bench[@]}" --via "$node" --via-streams "$streams" --tokens 300 \
+	>"$work/many.txt" &
+many=$!
+sleep 2
+open=$(curl -s -H "Authorization: Bearer $operator_key" \
+	"http://$node/admin/v1/dump" | jq .calls.streaming)
+many_kb=$(resident_kb "$node_pid")
+wait "$many"
+cpu_used_ms=$(awk -v a="$cpu_before_ms" -v b="$(cpu_ms "$node_pid")" \
+	'BEGIN { print b - a }')
+tokens=$((streams * 300))
+
+figure() {
+	printf '%-38s %12s %s\n' "$@"
+}
+figure "start-up of a node" "$node_start_us" "us, median of $starts"
+figure "  to that of the bare fake" \
+	"$(ratio "$node_start_us" "$fake_start_us")" "times"
+figure "resident, idle node" "$((idle_kb * 1024))" "bytes"
+figure "resident for each open stream" \
+	"$(((many_kb - warm_kb) * 1024 / open))" "bytes, $open open"
+for name in first_p50_us gap_p50_us gap_p99_us; do
+	direct=$(value "$work/pair.txt" "direct_$name")
+	via=$(value "$work/pair.txt" "via_$name")
+	figure "$name through the node / direct" "$via / $direct" \
+		"= $(ratio "$via" "$direct")"
+done
+for p in p50 p95 p99; do
+	noise=$(value "$work/noise.txt" "added_${p}_us")
+	added=$(value "$work/pair.txt" "added_${p}_us")
+	figure "a token's delay, $p: node / none" "$added / $noise" "us"
+done
+figure "processor time for each token" \
+	"$(ratio "$((${cpu_used_ms%.*} * 1000))" "$tokens")" \
+	"us, $tokens tokens in $streams streams"
--- a/fakes/fake_server.c
+++ b/fakes/fake_server.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define LISTEN_BACKLOG 512
+
 struct fake_server {
 	SoupServer *soup;
 	GMainLoop *loop;
@@ -26,6 +28,21 @@
 	void *data;
 };
 
+/*
+ * libsoup listens with a backlog of 10. Of 50 nodes' calls at once the kernel
+ * drops the rest, and each comes again a second later.
+ */
+static void fake_server_widen_backlog(struct fake_server *server)
+{
+	GSList *sockets = soup_server_get_listeners(server->soup);
+
+	for (GSList *item = sockets; item; item = item->next) {
+		g_socket_set_listen_backlog(item->data, LISTEN_BACKLOG);
+		g_socket_listen(item->data, NULL);
+	}
+	g_slist_free(sockets);
+}
+
 /*
  * Parses "host:port" and listens there; port 0 takes a free one, which the
  * address then names. Returns false with a line on standard error.
@@ -51,6 +68,7 @@
 		fprintf(stderr, "%s: %s\n", text, error->message);
 		return false;
 	}
+	fake_server_widen_backlog(server);
 	uris = soup_server_get_uris(server->soup);
 	server->address =
 		g_strdup_printf("%s:%d", copy, g_uri_get_port(uris->data));
