--- a/demo.sh
+++ b/demo.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 
 bin=$1
-work=$(mktemp -d)
+work=$(mktemp -d -t siskinlink-demo.XXXXXX)
 pids=()
 operator_key=demo-operator-key-0001
 organisation_key=demo-organisation-key-0001
@@ -34,6 +34,7 @@
 	local name=$1
 
 	shift
+	: >"$work/$name.out"
 	"$@" >"$work/$name.out" 2>"$work/$name.log" &
 	pids+=($!)
 	started=$!
