--- a/tests/differential_script.cc
+++ b/tests/differential_script.cc
@@ -83,10 +83,11 @@
 	void At(int64_t at_us, std::function<void()> action);
 	void Violation(uint64_t call, const std::string &text);
 	void Say(const std::string &text);
+	void Logged(int node, const struct action_log &log);
 	void SayDump(int node);
 
 	void Configure();
-	void WatchConfigs();
+	void CheckConfigs();
 	int64_t ConfigRevision(int node);
 	void PlanCalls();
 	void PlanFaults();
@@ -133,7 +134,6 @@
 	std::map<int, int64_t> leaving_since_;			 /* endpoint */
 	std::set<uint64_t> killed_;		/* incarnations */
 	std::map<uint64_t, int64_t> revisions_; /* incarnation: last seen */
-	int64_t configured_us_ = 0;
 	int64_t newest_revision_ = 0;
 	std::vector<std::string> prefixes_; /* by node */
 	uint64_t nodes_query_ = 0;
@@ -178,18 +178,10 @@
 	listener.broken = [](void *data, uint64_t call, bool connected) {
 		static_cast<Script *>(data)->Broken(call, connected);
 	};
-	if (verbose_) {
-		listener.logged = [](void *data, int32_t node,
-				     const struct action_log *log) {
-			std::string line =
-				"n" + std::to_string(node) + " " + log->event;
-			for (guint i = 0; i < log->fields->len; i++)
-				line += std::string(i % 2 ? "=" : " ") +
-					static_cast<char *>(
-						log->fields->pdata[i]);
-			static_cast<Script *>(data)->Say(line);
-		};
-	}
+	listener.logged = [](void *data, int32_t node,
+			     const struct action_log *log) {
+		static_cast<Script *>(data)->Logged(node, *log);
+	};
 	world_ = world_create(&options_, &listener);
 	prefixes_.resize(options_.node_count);
 	Configure();
@@ -210,7 +202,6 @@
 		world_add_organisation(config, name);
 	world_add_organisation(config, extra.c_str());
 	newest_revision_ = world_put_config(world_, config);
-	configured_us_ = world_now_us(world_);
 	config_unref(config);
 }
 
@@ -225,29 +216,15 @@
 	return revision;
 }
 
-/* No process ever goes back; well after the faults all have the newest. */
-void Script::WatchConfigs()
+/* Well after the faults every node has the newest configuration. */
+void Script::CheckConfigs()
 {
-	int64_t since_us = std::max(configured_us_, faults_ ? kHealedUs : 0);
-	bool settled = world_now_us(world_) > since_us + kConfigPatienceUs;
-
 	for (int i = 0; i < options_.node_count; i++) {
-		if (!world_node_alive(world_, i))
-			continue;
-		int64_t revision = ConfigRevision(i);
-		int64_t &last = revisions_[world_node_incarnation(world_, i)];
-
-		if (revision < last)
-			Violation(0, "n" + std::to_string(i) +
-					     " went back from revision " +
-					     std::to_string(last));
-		if (settled && revision != newest_revision_)
+		if (world_node_alive(world_, i) &&
+		    ConfigRevision(i) != newest_revision_)
 			Violation(0, "n" + std::to_string(i) +
 					     " has not the newest revision");
-		last = std::max(last, revision);
 	}
-	if (!settled)
-		At(world_now_us(world_) + kSecond, [this] { WatchConfigs(); });
 }
 
 void Script::At(int64_t at_us, std::function<void()> action)
@@ -272,10 +249,33 @@
 
 void Script::Say(const std::string &text)
 {
-	if (verbose_)
+	if (verbose_ && world_)
 		printf("%12.6f %s\n", world_now_us(world_) / 1e6, text.c_str());
 }
 
+/* No process ever takes an older configuration than it has. */
+void Script::Logged(int node, const struct action_log &log)
+{
+	std::string line = "n" + std::to_string(node) + " " + log.event;
+
+	if (strcmp(log.event, "config_applied") == 0) {
+		int64_t &last =
+			revisions_[world_node_incarnation(world_, node)];
+		int64_t revision =
+			std::stoll(static_cast<char *>(log.fields->pdata[1]));
+
+		if (revision <= last)
+			Violation(0, "n" + std::to_string(node) +
+					     " went back from revision " +
+					     std::to_string(last));
+		last = revision;
+	}
+	for (guint i = 0; verbose_ && i < log.fields->len; i++)
+		line += std::string(i % 2 ? "=" : " ") +
+			static_cast<char *>(log.fields->pdata[i]);
+	Say(line);
+}
+
 void Script::SayDump(int node)
 {
 	GVariant *dump;
@@ -829,8 +829,7 @@
 	int64_t count = Pick(20, 80);
 
 	At(kFirstCallUs / 2, [this] { AskNodes(); });
-	At(kFirstCallUs / 2, [this] { WatchConfigs(); });
-	for (int64_t i = Pick(0, 3); i > 0; i--)
+	for (int64_t i = Pick(0, 6); i > 0; i--)
 		At(Pick(kFirstCallUs, kLastCallUs), [this] { Configure(); });
 	for (int64_t i = 0; i < count; i++)
 		At(Pick(kFirstCallUs, kLastCallUs), [this] { Issue(); });
@@ -885,6 +884,7 @@
 DifferentialResult Script::Run()
 {
 	PlanCalls();
+	At(kHealedUs + kConfigPatienceUs, [this] { CheckConfigs(); });
 	if (faults_)
 		PlanFaults();
 	world_run_until(world_, kEndUs);
