--- a/core/placement.c
+++ b/core/placement.c
@@ -276,7 +276,15 @@
 			call->deadline_us -
 			(int64_t)(left * (double)placement->options.step_us /
 				  2);
-	if (entry->tokens * SHORT_DIVISOR > (double)placement->largest_tokens)
+	/*
+	 * What is not known to be long goes with the short ones. After a home
+	 * is lost the next one knows nothing yet; checks that waited with the
+	 * reports would run into their deadlines, and so be learned too late.
+	 */
+	if (((double)call->prompt_tokens +
+	     left * length_class_known(call->cls)) *
+		    SHORT_DIVISOR >
+	    (double)placement->largest_tokens)
 		entry->lane = QUEUE_LONG;
 }
 
