Prior of lengths with hazards that rise

Cause: a new home that knew no lengths took what ran on its engines to go on for thousands of tokens, and placed nothing for eight seconds. Change: the hazard of a bin not seen yet rises with its length.

--- a/core/length_estimate.c
+++ b/core/length_estimate.c
@@ -4,9 +4,14 @@
 #define SINGLE_BINS 8
 #define BINS_PER_OCTAVE 4
 #define PROMPT_SIZES 20
-/* Before anything is known: few end at once, half at each doubling later. */
+/*
+ * Before anything is known: few end at once, more with each doubling. With a
+ * hazard that stays the same per doubling what is left would grow without
+ * end, and a new home would take the engines it knows nothing of for full.
+ */
 #define PRIOR_HAZARD_SINGLE 0.01
-#define PRIOR_HAZARD 0.16
+#define PRIOR_HAZARD_RISE 0.012 /* with each bin after those */
+#define PRIOR_HAZARD_MOST 0.5
 #define PRIOR_WEIGHT 4
 #define KNOWN_ANSWERS 4
 #define REBUILD_AFTER 16 /* observations */
@@ -220,9 +225,17 @@
 	return known > 0 ? 1 / __builtin_sqrt(known) : 1;
 }
 
+static double length_prior_hazard(int32_t bin)
+{
+	if (bin < SINGLE_BINS)
+		return PRIOR_HAZARD_SINGLE;
+	return MIN(PRIOR_HAZARD_RISE * (bin - SINGLE_BINS + 1),
+		   PRIOR_HAZARD_MOST);
+}
+
 static double length_class_hazard(const struct length_class *cls, int32_t bin)
 {
-	double hazard = bin < SINGLE_BINS ? PRIOR_HAZARD_SINGLE : PRIOR_HAZARD;
+	double hazard = length_prior_hazard(bin);
 	double weight = PRIOR_WEIGHT;
 
 	if (cls->parent) {
