--- a/core/placement_choose.c
+++ b/core/placement_choose.c
@@ -19,6 +19,7 @@
 #define SMALLEST_BATCH 4
 #define SHORT_BATCH_DIVISOR 8 /* part of a batch kept for short requests */
 #define SHORT_MARGIN 0.5
+#define SHARE_MARGIN 1.7
 #define SCAN_ALL 64 /* endpoints; of more, so many are drawn */
 #define ASIDE_DIVISOR 3
 #define STALL_US (3 * G_USEC_PER_SEC)
@@ -184,14 +185,23 @@
 
 /*
  * On a share of an engine the margin shrinks with its root: what the shares
- * hold together varies by less than the sum of their deviations.
+ * hold together varies by less than the sum of their deviations. It stays
+ * wider than for independent ones, since a share may be overdrawn by what its
+ * node got through the home before.
  */
+static double placement_deviations(const struct placement *placement)
+{
+	if (placement->divisor <= 1)
+		return placement->deviations;
+	return SHARE_MARGIN * placement->deviations / sqrt(placement->divisor);
+}
+
 static double placement_peak(const struct placement *placement,
 			     const struct endpoint_book *book,
 			     const struct placed_call *call, int64_t now_us)
 {
 	struct admission_margin margin = {
-		.deviations = placement->deviations / sqrt(placement->divisor),
+		.deviations = placement_deviations(placement),
 		.shared = placement_shared(placement),
 	};
 
