--- a/core/node_call.c
+++ b/core/node_call.c
@@ -262,6 +262,40 @@
 	}
 }
 
+static gint compare_ids(gconstpointer a, gconstpointer b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/*
+ * Visits all calls, oldest first. Ending one may end others that wait for the
+ * same outcome, so the walk goes by number and skips those that are gone by
+ * then.
+ */
+void node_call_each(struct node *node,
+		    void (*visit)(struct node *node, struct call *call))
+{
+	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer id;
+
+	g_hash_table_iter_init(&iter, node->calls);
+	while (g_hash_table_iter_next(&iter, &id, NULL))
+		g_array_append_vals(ids, id, 1);
+	g_array_sort(ids, compare_ids);
+	for (guint i = 0; i < ids->len; i++) {
+		struct call *call = g_hash_table_lookup(
+			node->calls, &g_array_index(ids, uint64_t, i));
+
+		if (call)
+			visit(node, call);
+	}
+	g_array_unref(ids);
+}
+
 /* Forgets a call; whatever it holds is let go. */
 void node_call_drop(struct node *node, struct call *call)
 {
@@ -391,22 +425,24 @@
 }
 
 /* Gives the caller a plain endpoint's whole answer. */
-void node_call_answer(struct node *node, struct call *call, int32_t status,
-		      const char *content_type, GBytes *body)
+void node_call_answer(struct node *node, struct call *call,
+		      const struct event_attempt_answer *answer)
 {
 	struct action *action;
 
 	if (call->outcome && call->state != CALL_FORWARDED) {
-		outcome_set_answer(node->outcomes, call->outcome, status,
-				   content_type, body);
+		outcome_set_answer(node->outcomes, call->outcome,
+				   answer->status, answer->content_type,
+				   answer->body);
 		call->outcome->state = OUTCOME_WHOLE;
 	}
 	if (!call->caller_gone) {
 		action = action_list_add(node->actions, ACTION_CALL_ANSWER);
 		action->answer.call = call->id;
-		action->answer.status = status;
-		action->answer.content_type = g_strdup(content_type);
-		action->answer.body = g_bytes_ref(body);
+		action->answer.status = answer->status;
+		action->answer.content_type = g_strdup(answer->content_type);
+		action->answer.body = g_bytes_ref(answer->body);
+		action->answer.replayed = answer->replayed;
 	}
 	counters_add(&node->counters, COUNTER_CALLS_WHOLE, 1);
 	node_log(node, LOG_LEVEL_INFO, "call_end", call, "finish", "answer");
