--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -387,3 +387,155 @@
 	step();
 	EXPECT_EQ(REFUSAL_NO_ENDPOINT, refused[ticket]);
 }
+
+/*
+ * Nodes without a home share each engine, so its report shows what the others
+ * hold. Counted against the own part it would leave each node one request.
+ */
+TEST_F(Placement, AShareIsNotFilledByTheOtherNodes)
+{
+	struct load_report report = {1, 10, 0, 12000, 20000, 0, false};
+
+	start(SERVICE_GENERATION, 1);
+	placement_set_share(placement, 4);
+	for (int i = 0; i < 10; i++) {
+		report.reported_at_us++;
+		placement_report_load(placement, name(0).c_str(), &report, now);
+	}
+	for (int i = 0; i < 20; i++)
+		submit("a", 200);
+	step();
+	EXPECT_GE(placed.size(), 8u);
+}
+
+/* At the home the same report means a second home, or nodes on shares. */
+TEST_F(Placement, LeavesRoomForWhatOthersHold)
+{
+	struct load_report report = {1, 10, 0, 18000, 20000, 0, false};
+
+	start(SERVICE_GENERATION, 1);
+	for (int i = 0; i < 10; i++) {
+		report.reported_at_us++;
+		placement_report_load(placement, name(0).c_str(), &report, now);
+	}
+	for (int i = 0; i < 20; i++)
+		submit("a", 1000);
+	step();
+	EXPECT_EQ(1u, placed.size());
+}
+
+/*
+ * Checks come while the engines are full of reports and more wait. A check is
+ * placed at once; held up behind reports it would miss its deadline.
+ */
+TEST_F(Placement, ChecksPassWaitingReports)
+{
+	uint64_t check;
+
+	start(SERVICE_GENERATION, 2);
+	for (int i = 0; i < 100; i++) {
+		uint64_t ticket = submit("a", 80);
+
+		step();
+		release(ticket, RELEASE_WHOLE, 20);
+		ticket = submit("a", 2000);
+		step();
+		release(ticket, RELEASE_WHOLE, 800);
+		now += SECOND / 10;
+	}
+	for (int i = 0; i < 40; i++)
+		submit("a", 2000);
+	step();
+	EXPECT_GT(placement_waiting(placement), 20u);
+	check = submit("a", 80, now + 5 * SECOND);
+	step();
+	EXPECT_EQ(1u, placed.count(check));
+}
+
+/*
+ * A service's first requests have short deadlines. Nothing is known of their
+ * lengths; refused as too long they would never be seen to be short.
+ */
+TEST_F(Placement, RefusesNothingAsTooLongBeforeItIsKnown)
+{
+	uint64_t ticket;
+
+	start(SERVICE_GENERATION, 1);
+	for (int i = 0; i < 9; i++)
+		submit("a", 2000);
+	step();
+	ticket = submit("b", 2000, now + 2 * SECOND);
+	step();
+	EXPECT_EQ(0u, refused.count(ticket));
+	now += 3 * SECOND;
+	step();
+	EXPECT_EQ(REFUSAL_DEADLINE, refused[ticket]);
+}
+
+static double deviations(struct placement *placement)
+{
+	GVariant *dump = g_variant_ref_sink(placement_dump(placement, SECOND));
+	double value = 0;
+
+	g_variant_lookup(dump, "deviations", "d", &value);
+	g_variant_unref(dump);
+	return value;
+}
+
+/*
+ * The margin narrows with each placement and widens with each preemption that
+ * engines report. When reports stop, preemptions can't show, and a margin that
+ * went on narrowing would fill the engines unseen.
+ */
+TEST_F(Placement, NarrowsItsMarginOnlyWhileReportsCome)
+{
+	struct load_report report = {1, 0, 0, 0, 20000, 0, false};
+	double before, narrowed;
+
+	start(SERVICE_GENERATION, 1);
+	before = deviations(placement);
+	for (int i = 0; i < 100; i++) {
+		release(submit("a", 100), RELEASE_WHOLE, 10);
+		submit("a", 100);
+		step();
+		release(next_ticket - 1, RELEASE_WHOLE, 10);
+	}
+	EXPECT_EQ(before, deviations(placement));
+	placement_report_load(placement, name(0).c_str(), &report, now);
+	for (int i = 0; i < 100; i++) {
+		submit("a", 100);
+		step();
+		release(next_ticket - 1, RELEASE_WHOLE, 10);
+	}
+	narrowed = deviations(placement);
+	EXPECT_LT(narrowed, before);
+	report.reported_at_us++;
+	report.preemptions_total = 3;
+	placement_report_load(placement, name(0).c_str(), &report, now);
+	EXPECT_NEAR(narrowed + 0.3, deviations(placement), 1e-9);
+}
+
+/* A priority passes what came before it, but waiting counts as well. */
+TEST_F(Placement, ServesPriorityFirstAndAgesTheRest)
+{
+	uint64_t low, high, late_high;
+
+	start(SERVICE_PLAIN, 1);
+	submit("x", 1);
+	submit("x", 1);
+	step();
+	low = submit("a", 1);
+	priority = 3;
+	high = submit("b", 1);
+	step();
+	release(1, RELEASE_WHOLE, 0);
+	step();
+	EXPECT_EQ(1u, placed.count(high));
+	EXPECT_EQ(0u, placed.count(low));
+	now += 45 * SECOND;
+	late_high = submit("c", 1);
+	release(2, RELEASE_WHOLE, 0);
+	step();
+	EXPECT_EQ(1u, placed.count(low));
+	EXPECT_EQ(0u, placed.count(late_high));
+}
