--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -432,7 +432,7 @@
 {
 	uint64_t check;
 
-	start(SERVICE_GENERATION, 2);
+	start(SERVICE_GENERATION, 1);
 	for (int i = 0; i < 100; i++) {
 		uint64_t ticket = submit("a", 80);
 
@@ -447,6 +447,8 @@
 		submit("a", 2000);
 	step();
 	EXPECT_GT(placement_waiting(placement), 20u);
+	now += 3 * SECOND;
+	step();
 	check = submit("a", 80, now + 5 * SECOND);
 	step();
 	EXPECT_EQ(1u, placed.count(check));
@@ -464,7 +466,7 @@
 	for (int i = 0; i < 9; i++)
 		submit("a", 2000);
 	step();
-	ticket = submit("b", 2000, now + 2 * SECOND);
+	ticket = submit("b", 2000, now + SECOND / 2);
 	step();
 	EXPECT_EQ(0u, refused.count(ticket));
 	now += 3 * SECOND;
