--- a/codec/json_reader.c
+++ b/codec/json_reader.c
@@ -75,18 +75,27 @@
  * of the text and the process could see different values. Counting the members
  * of each object against what it holds in the end finds them.
  */
+static void json_reader_watch_members(JsonParser *parser,
+				      struct member_counts *members)
+{
+	members->counts = g_hash_table_new(NULL, NULL);
+	g_signal_connect(parser, "object-member", G_CALLBACK(on_object_member),
+			 members);
+	g_signal_connect(parser, "object-end", G_CALLBACK(on_object_end),
+			 members);
+}
+
 static JsonNode *json_reader_load(const char *text, size_t size,
-				  const char *step, struct error *error)
+				  bool members_once, const char *step,
+				  struct error *error)
 {
-	struct member_counts members = {g_hash_table_new(NULL, NULL), false};
+	struct member_counts members = {NULL, false};
 	JsonParser *parser = json_parser_new_immutable();
 	GError *cause = NULL;
 	JsonNode *root = NULL;
 
-	g_signal_connect(parser, "object-member", G_CALLBACK(on_object_member),
-			 &members);
-	g_signal_connect(parser, "object-end", G_CALLBACK(on_object_end),
-			 &members);
+	if (members_once)
+		json_reader_watch_members(parser, &members);
 	if (!json_parser_load_from_data(parser, text, (gssize)size, &cause)) {
 		error_set(error, ERROR_INVALID, step, "", "not JSON: %s",
 			  cause->message);
@@ -101,17 +110,13 @@
 				  "expected a JSON text, got nothing");
 	}
 	g_object_unref(parser);
-	g_hash_table_unref(members.counts);
+	g_clear_pointer(&members.counts, g_hash_table_unref);
 	return root;
 }
 
-/*
- * Parses a JSON text of at most max_bytes. Returns a node to free with
- * json_node_unref(), or NULL: ERROR_TOO_LARGE, or ERROR_INVALID for text that
- * is not JSON, too deep, or has an object with two members of one name.
- */
-JsonNode *json_reader_parse(GBytes *document, size_t max_bytes,
-			    const char *step, struct error *error)
+static JsonNode *json_reader_check(GBytes *document, size_t max_bytes,
+				   bool members_once, const char *step,
+				   struct error *error)
 {
 	size_t size = 0;
 	const char *text = g_bytes_get_data(document, &size);
@@ -133,7 +138,29 @@
 			  expected);
 		return NULL;
 	}
-	return json_reader_load(text, size, step, error);
+	return json_reader_load(text, size, members_once, step, error);
+}
+
+/*
+ * Parses a JSON text of at most max_bytes. Returns a node to free with
+ * json_node_unref(), or NULL: ERROR_TOO_LARGE, or ERROR_INVALID for text that
+ * is not JSON, too deep, or has an object with two members of one name.
+ */
+JsonNode *json_reader_parse(GBytes *document, size_t max_bytes,
+			    const char *step, struct error *error)
+{
+	return json_reader_check(document, max_bytes, true, step, error);
+}
+
+/*
+ * The same, but of two members of one name the last counts: for the many small
+ * texts of a stream, in less than half the time, where no other reader's view
+ * of the text matters.
+ */
+JsonNode *json_reader_parse_event(GBytes *document, size_t max_bytes,
+				  const char *step, struct error *error)
+{
+	return json_reader_check(document, max_bytes, false, step, error);
 }
 
 /*
