--- a/core/length_estimate.c
+++ b/core/length_estimate.c
@@ -8,6 +8,7 @@
 #define PRIOR_HAZARD_SINGLE 0.01
 #define PRIOR_HAZARD 0.16
 #define PRIOR_WEIGHT 4
+#define KNOWN_ANSWERS 4
 #define REBUILD_AFTER 16 /* observations */
 #define HAZARD_MAX 0.999
 #define SURVIVAL_MIN 1e-12F
@@ -243,6 +244,15 @@
 	estimate->shift_ended = estimate->shift_ended * keep + ended;
 }
 
+/*
+ * How far the class is known from its own answers rather than its parents'.
+ * Answers count here from their first token on.
+ */
+double length_class_known(const struct length_class *cls)
+{
+	return cls->reached[1] / (cls->reached[1] + KNOWN_ANSWERS);
+}
+
 static void length_class_count_bin(struct length_class *cls, int32_t bin,
 				   bool ended)
 {
@@ -280,25 +290,6 @@
 	length_class_count_bin(cls, length_bin(MAX(from, length)), true);
 }
 
-/*
- * Counts an answer that was followed elsewhere, from its start. ended: by
- * itself; else it was cut off at that length, and might have gone on.
- */
-void length_estimate_count_answer(struct length_estimate *estimate,
-				  const char *organisation,
-				  int64_t prompt_tokens, uint64_t prefix_hash,
-				  int64_t tokens, bool ended)
-{
-	struct length_class *cls = length_estimate_class(
-		estimate, organisation, prompt_tokens, prefix_hash);
-
-	if (ended)
-		length_class_count_end(cls, 0, tokens);
-	else
-		length_class_count_progress(cls, 0, tokens);
-	length_class_unref(cls);
-}
-
 /* A shift scales the odds of ending, so that a hazard stays under 1. */
 static void length_class_rebuild(struct length_class *cls)
 {
