--- a/adapters/http_exchange.c
+++ b/adapters/http_exchange.c
@@ -1,6 +1,6 @@
 #include "adapters/http_exchange.h"
 
-#define READ_BYTES 8192
+#define READ_BYTES 4096
 #define CONNECTIONS_MAX 100000
 #define IDLE_CLOSE_S 30
 #define US_PER_MS 1000
--- a/bench/overhead.sh
+++ b/bench/overhead.sh
@@ -164,6 +164,10 @@
 	--tokens 500 >"$work/noise.txt"
 "${bench[@]}" --model one-engine --via "$node" --direct-streams 1 --via-streams 1 \
 	--tokens 500 >"$work/pair.txt"
+"${bench[@]}" --model one-engine --via "$node" --direct-streams 1 \
+	--tokens 2 --rounds 100 >"$work/first-direct.txt"
+"${bench[@]}" --model one-engine --via "$node" --via-streams 1 \
+	--tokens 2 --rounds 100 >"$work/first-via.txt"
 warm_kb=$(resident_kb "$node_pid")
 cpu_before_ms=$(cpu_ms "$node_pid")
 "${bench[@]}" --model report-writer --via "$node" \
@@ -188,12 +192,20 @@
 figure "resident, idle node" "$((idle_kb * 1024))" "bytes"
 figure "resident for each open stream" \
 	"$(((many_kb - warm_kb) * 1024 / open))" "bytes, $open open"
-for name in first_p50_us gap_p50_us gap_p99_us; do
-	direct=$(value "$work/pair.txt" "direct_$name")
-	via=$(value "$work/pair.txt" "via_$name")
-	figure "$name through the node / direct" "$via / $direct" \
-		"= $(ratio "$via" "$direct")"
-done
+# compare NAME DIRECT_FILE VIA_FILE TEXT
+compare() {
+	local direct via
+
+	direct=$(value "$2" "direct_$1")
+	via=$(value "$3" "via_$1")
+	figure "$4" "$via / $direct" "us = $(ratio "$via" "$direct")"
+}
+compare first_p50_us "$work/first-direct.txt" "$work/first-via.txt" \
+	"first token p50, node / direct"
+compare gap_p50_us "$work/pair.txt" "$work/pair.txt" \
+	"between tokens p50, node / direct"
+compare gap_p99_us "$work/pair.txt" "$work/pair.txt" \
+	"between tokens p99, node / direct"
 for p in p50 p95 p99; do
 	noise=$(value "$work/noise.txt" "added_${p}_us")
 	added=$(value "$work/pair.txt" "added_${p}_us")
--- a/bench/stream_bench.c
+++ b/bench/stream_bench.c
@@ -26,6 +26,7 @@
 	int direct_streams;
 	int via_streams;
 	int tokens;
+	int rounds; /* one after the other */
 };
 
 struct bench;
@@ -257,6 +258,18 @@
 			    g_ptr_array_index(bench->via, 0));
 }
 
+static void bench_run_round(struct bench *bench)
+{
+	const struct options *options = bench->options;
+
+	for (int i = 0; i < options->direct_streams; i++)
+		bench_add(bench, bench->direct, options->direct);
+	for (int i = 0; i < options->via_streams; i++)
+		bench_add(bench, bench->via, options->via);
+	if (bench->open > 0)
+		g_main_loop_run(bench->loop);
+}
+
 static int bench_run(const struct options *options)
 {
 	struct bench bench = {
@@ -267,12 +280,8 @@
 		.via = g_ptr_array_new_with_free_func(stream_free),
 	};
 
-	for (int i = 0; i < options->direct_streams; i++)
-		bench_add(&bench, bench.direct, options->direct);
-	for (int i = 0; i < options->via_streams; i++)
-		bench_add(&bench, bench.via, options->via);
-	if (bench.open > 0)
-		g_main_loop_run(bench.loop);
+	for (int i = 0; i < options->rounds; i++)
+		bench_run_round(&bench);
 	bench_print(&bench);
 	g_ptr_array_unref(bench.direct);
 	g_ptr_array_unref(bench.via);
@@ -283,7 +292,7 @@
 
 int main(int argc, const char **argv)
 {
-	struct options options = {.tokens = 100};
+	struct options options = {.tokens = 100, .rounds = 1};
 	struct poptOption table[] = {
 		{"direct", 0, POPT_ARG_STRING, &options.direct, 0, "the engine",
 		 "IP:PORT"},
@@ -299,6 +308,8 @@
 		 "NAME"},
 		{"tokens", 0, POPT_ARG_INT, &options.tokens, 0,
 		 "of each stream", "N"},
+		{"rounds", 0, POPT_ARG_INT, &options.rounds, 0,
+		 "the same so many times, one after the other", "N"},
 		POPT_AUTOHELP POPT_TABLEEND};
 	poptContext context =
 		poptGetContext("stream_bench", argc, argv, table, 0);
