--- a/bench/overhead.sh
+++ b/bench/overhead.sh
@@ -80,6 +80,18 @@
 	awk -v a="$1" -v b="$2" 'BEGIN { printf "%.2f", b ? a / b : 0 }'
 }
 
+endpoints() {
+	for address in "$@"; do
+		cat <<-TOML
+			[[services.endpoints]]
+			address = "$address"
+			failure_domain = "bench-a"
+			region = "bench"
+			capacity_tokens = 1000000
+		TOML
+	done
+}
+
 free_port() {
 	local port
 
@@ -95,7 +107,7 @@
 
 start kv "$bin/fake_kv" --address 127.0.0.1:0
 kv=$address
-for i in $(seq 8); do
+for i in $(seq 9); do
 	start "engine$i" "$bin/fake_engine" --address 127.0.0.1:0 \
 		--capacity-tokens 1000000
 	engines+=("$address")
@@ -132,15 +144,13 @@
 		name = "report-writer"
 		kind = "generation"
 	TOML
-	for engine in "${engines[@]}"; do
-		cat <<-TOML
-			[[services.endpoints]]
-			address = "$engine"
-			failure_domain = "bench-a"
-			region = "bench"
-			capacity_tokens = 1000000
-		TOML
-	done
+	endpoints "${engines[@]:1}"
+	cat <<-TOML
+		[[services]]
+		name = "one-engine"
+		kind = "generation"
+	TOML
+	endpoints "${engines[0]}"
 } >"$work/intent.toml"
 export SISKINLINK_OPERATOR_KEY=$operator_key
 ctl=("$bin/siskinlinkctl" --address "$node" --operator bench)
@@ -148,17 +158,20 @@
 "${ctl[@]}" confirm "$plan" >/dev/null
 sleep 2
 
-bench=("$bin/stream_bench" --key "$key" --model report-writer
-	--direct "${engines[0]}")
+bench=("$bin/stream_bench" --key "$key" --direct "${engines[0]}")
 idle_kb=$(resident_kb "$node_pid")
-"${bench[@]}" --via "${engines[0]}" --direct-streams 1 --via-streams 1 \
+"${bench[@]}" --model one-engine --via "${engines[0]}" --direct-streams 1 --via-streams 1 \
 	--tokens 500 >"$work/noise.txt"
-# The node may choose any engine: the pairs come from the one it chose.
-"${bench[@]}" --via "$node" --direct-streams 1 --via-streams 1 \
+"${bench[@]}" --model one-engine --via "$node" --direct-streams 1 --via-streams 1 \
 	--tokens 500 >"$work/pair.txt"
+"${bench[@]}" --model one-engine --via "$node" --direct-streams 1 \
+	--tokens 2 --rounds 100 >"$work/first-direct.txt"
+"${bench[@]}" --model one-engine --via "$node" --via-streams 1 \
+	--tokens 2 --rounds 100 >"$work/first-via.txt"
 warm_kb=$(resident_kb "$node_pid")
 cpu_before_ms=$(cpu_ms "$node_pid")
-"${bench[@]}" --via "$node" --via-streams "$streams" --tokens 300 \
+"${bench[@]}" --model report-writer --via "$node" \
+	--via-streams "$streams" --tokens 300 \
 	>"$work/many.txt" &
 many=$!
 sleep 2
@@ -179,12 +192,20 @@
 figure "resident, idle node" "$((idle_kb * 1024))" "bytes"
 figure "resident for each open stream" \
 	"$(((many_kb - warm_kb) * 1024 / open))" "bytes, $open open"
-for name in first_p50_us gap_p50_us gap_p99_us; do
-	direct=$(value "$work/pair.txt" "direct_$name")
-	via=$(value "$work/pair.txt" "via_$name")
-	figure "$name through the node / direct" "$via / $direct" \
-		"= $(ratio "$via" "$direct")"
-done
+# compare NAME DIRECT_FILE VIA_FILE TEXT
+compare() {
+	local direct via
+
+	direct=$(value "$2" "direct_$1")
+	via=$(value "$3" "via_$1")
+	figure "$4" "$via / $direct" "us = $(ratio "$via" "$direct")"
+}
+compare first_p50_us "$work/first-direct.txt" "$work/first-via.txt" \
+	"first token p50, node / direct"
+compare gap_p50_us "$work/pair.txt" "$work/pair.txt" \
+	"between tokens p50, node / direct"
+compare gap_p99_us "$work/pair.txt" "$work/pair.txt" \
+	"between tokens p99, node / direct"
 for p in p50 p95 p99; do
 	noise=$(value "$work/noise.txt" "added_${p}_us")
 	added=$(value "$work/pair.txt" "added_${p}_us")
