Claims: a failed lease grant walks the open calls by number

Ending one call can end another that is still in the list: the address sanitizer found the second one read after it was freed, in a run of the differential test.

--- a/core/node_id.c
+++ b/core/node_id.c
@@ -410,27 +410,44 @@
 	return true;
 }
 
+/* Numbers of the open calls: ending one may end others, and frees them. */
+static GArray *list_call_ids(const struct node *node)
+{
+	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, node->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct call *call = value;
+
+		g_array_append_val(ids, call->id);
+	}
+	return ids;
+}
+
 static void node_claim_lease_granted(struct node *node,
 				     const struct kv_answer *answer)
 {
-	GList *calls = g_hash_table_get_values(node->calls);
+	GArray *ids = list_call_ids(node);
 
 	node->claim_lease_kv_id = 0;
 	if (answer->outcome == KV_OK) {
 		node->claim_lease = answer->lease;
 		node->claim_lease_us = node->now_us;
 	}
-	for (GList *item = calls; item; item = item->next) {
-		struct call *call = item->data;
+	for (guint i = 0; i < ids->len; i++) {
+		struct call *call = g_hash_table_lookup(
+			node->calls, &g_array_index(ids, uint64_t, i));
 
-		if (!call_waits_for_lease(node, call))
+		if (!call || !call_waits_for_lease(node, call))
 			continue;
 		if (answer->outcome == KV_OK)
 			call_send_claim(node, call);
 		else
 			call_claim_failed(node, call);
 	}
-	g_list_free(calls);
+	g_array_unref(ids);
 }
 
 /* Takes the answers to claims; false when the answer is not one. */
