--- a/Makefile
+++ b/Makefile
@@ -85,7 +85,7 @@
 	$(CXX) $(ALL_LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PACKAGE_LIBS)
 
 # Every test. The scripted runs read their scripts from tests/scripts.
-check: unit pure $(if $(filter 1,$(SANITIZE)),,spec)
+check: unit pure api faults $(if $(filter 1,$(SANITIZE)),,spec)
 
 unit: $(TESTS) $(PROGRAMS)
 	SISKINLINK_BIN=$(abspath $(B)/bin) $(TESTS) $(TEST_ARGS)
@@ -95,6 +95,13 @@
 soak: $(TESTS)
 	SEEDS=$(SEEDS) $(TESTS) --gtest_filter='Differential.*'
 
+# The curl lines of docs/API.md, and faults of whole processes.
+api: $(PROGRAMS)
+	tests/api.sh $(abspath $(B)/bin)
+
+faults: $(PROGRAMS)
+	tests/faults.sh $(abspath $(B)/bin)
+
 # The core has no clock, socket, thread or source of randomness.
 pure: $(LIBRARY)
 	tests/pure.sh $(call objects,$(PURE_SOURCES))
--- /dev/null
+++ b/tests/processes.sh
@@ -0,0 +1,178 @@
+# Sourced by the demo and by tests that need whole processes: starts programs
+# on loopback, waits for their address, and ends them by pid.
+# The sourcing script sets `bin` first.
+
+work=$(mktemp -d -t siskinlink.XXXXXX)
+pids=()
+node_pids=()
+https=()
+peers=()
+engines=()
+operator_key=test-operator-key-0001
+organisation_key=test-organisation-key-0001
+domains=(a b c)
+extra_times=
+
+finish() {
+	local status=$?
+
+	trap - EXIT
+	for pid in "${pids[@]}"; do
+		kill -TERM "$pid" 2>/dev/null || true
+	done
+	for pid in "${pids[@]}"; do
+		wait "$pid" 2>/dev/null || true
+	done
+	[ "$status" -eq 0 ] || tail -n 20 "$work"/*.log >&2
+	rm -rf "$work"
+	exit "$status"
+}
+trap finish EXIT
+
+# start NAME PROGRAM ARGUMENTS...: starts it; sets address and started.
+start() {
+	local name=$1
+
+	shift
+	: >"$work/$name.out"
+	"$@" >"$work/$name.out" 2>"$work/$name.log" &
+	pids+=($!)
+	started=$!
+	for _ in $(seq 300); do
+		address=$(awk '/^listening / { print $2; exit }' \
+			"$work/$name.out")
+		[ -z "$address" ] || return 0
+		kill -0 "$started" 2>/dev/null || break
+		sleep 0.1
+	done
+	echo "$name did not start" >&2
+	return 1
+}
+
+# A port nobody listens on now; the node that takes it says so if it is lost.
+free_port() {
+	local port
+
+	for _ in $(seq 100); do
+		port=$((20000 + RANDOM % 12000))
+		if ! (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+			echo "$port"
+			return 0
+		fi
+	done
+	return 1
+}
+
+# The platform, three engines and a plain service.
+start_fakes() {
+	start kv "$bin/fake_kv" --address 127.0.0.1:0
+	kv=$address
+	start vms "$bin/fake_vm_list" --address 127.0.0.1:0
+	vms=$address
+	for i in 1 2 3; do
+		start "engine$i" "$bin/fake_engine" --address 127.0.0.1:0
+		engines+=("$address")
+	done
+	start service "$bin/fake_service" --address 127.0.0.1:0
+	service=$address
+}
+
+# write_settings I: the settings file of node I.
+write_settings() {
+	cat >"$work/n$1.toml" <<-TOML
+		[node]
+		name = "entry-$1"
+		region = "casablanca"
+		failure_domain = "casablanca-${domains[$1]}"
+		http_address = "${https[$1]}"
+		peer_address = "${peers[$1]}"
+		seeds = ["${peers[0]}", "${peers[1]}", "${peers[2]}"]
+		[keys]
+		event_key = "test-event-key-000001"
+		operator_key = "$operator_key"
+		[platform]
+		kv_address = "$kv"
+		vm_list_address = "$vms"
+		[times]
+		answer_keep_s = 2
+		$extra_times
+	TOML
+}
+
+# start_node I: starts node I, or starts it again.
+start_node() {
+	start "n$1" "$bin/siskinlinkd" --config "$work/n$1.toml"
+	node_pids[$1]=$started
+}
+
+# Three nodes, each in a failure domain of its own.
+start_nodes() {
+	for _ in 0 1 2; do
+		peers+=("127.0.0.1:$(free_port)")
+		https+=("127.0.0.1:$(free_port)")
+	done
+	for i in 0 1 2; do
+		write_settings "$i"
+		"$bin/siskinlinkd" --config "$work/n$i.toml" --check-config
+		start_node "$i"
+	done
+}
+
+# An intent with all the fakes, as an operator would write it.
+write_intent() {
+	cat <<-TOML
+		[[organisations]]
+		name = "atlas"
+		key = "$organisation_key"
+		priority = 5
+
+		[[services]]
+		name = "report-writer"
+		kind = "generation"
+	TOML
+	for i in 0 1 2; do
+		cat <<-TOML
+			[[services.endpoints]]
+			address = "${engines[$i]}"
+			failure_domain = "casablanca-${domains[$i]}"
+			region = "casablanca"
+			capacity_tokens = 60000
+		TOML
+	done
+	cat <<-TOML
+		[[services]]
+		name = "portal"
+		kind = "plain"
+		[[services.endpoints]]
+		address = "$service"
+		failure_domain = "casablanca-a"
+		region = "casablanca"
+	TOML
+}
+
+# configure: plans and confirms an intent with all the fakes.
+configure() {
+	local plan
+
+	export SISKINLINK_OPERATOR_KEY=$operator_key
+	ctl=("$bin/siskinlinkctl" --address "${https[0]}" --operator tests)
+	write_intent >"$work/intent.toml"
+	plan=$("${ctl[@]}" plan "$work/intent.toml" |
+		awk '/^plan / { print $2 }')
+	"${ctl[@]}" confirm "$plan" >/dev/null
+	for address in "${https[@]}"; do
+		in_force "$address"
+	done
+}
+
+# in_force NODE: waits until the node has a configuration; sets revision.
+in_force() {
+	for _ in $(seq 300); do
+		revision=$(curl -s -H "Authorization: Bearer $operator_key" \
+			"http://$1/admin/v1/dump" | jq .config_revision)
+		[ "${revision:-0}" = 0 ] || return 0
+		sleep 0.1
+	done
+	echo "no configuration at $1" >&2
+	return 1
+}
