--- a/bench/world_node.c
+++ b/bench/world_node.c
@@ -208,8 +208,9 @@
 
 	if (node->node)
 		return;
-	node->incarnation = ((uint64_t)g_rand_int(world->random) << 32) |
-			    g_rand_int(world->random);
+	node->incarnation = g_rand_int(world->random);
+	node->incarnation =
+		(node->incarnation << 32) | g_rand_int(world->random);
 	node->paused = false;
 	node->wake_us = INT64_MAX;
 	options = node_options_of(world, index, seeds);
--- a/core/node_id.c
+++ b/core/node_id.c
@@ -194,8 +194,8 @@
 	}
 	outcome->state = OUTCOME_PENDING;
 	outcome->fingerprint = call->fingerprint;
-	outcome->nonce = ((uint64_t)g_rand_int(node->random) << 32) |
-			 g_rand_int(node->random);
+	outcome->nonce = g_rand_int(node->random);
+	outcome->nonce = (outcome->nonce << 32) | g_rand_int(node->random);
 	call->outcome = outcome;
 	return true;
 }
