A repeated id whose first call has not ended is told run=unknown

Change: in_progress says run=unknown. The differential test now also kills failure domains and all nodes at once, and has deadlines, priorities and slow callers; nodes in the driver read the VM list at intervals.

--- a/bench/world.c
+++ b/bench/world.c
@@ -24,6 +24,7 @@
 	options->plain_us = 20000;
 	options->connect_timeout_us = G_USEC_PER_SEC;
 	options->vm_list_lag_us = 2 * G_USEC_PER_SEC;
+	options->vm_list_poll_us = G_USEC_PER_SEC;
 	options->prefix_percent = 50;
 }
 
--- a/bench/world_endpoint.c
+++ b/bench/world_endpoint.c
@@ -499,10 +499,6 @@
 		in_vm_list ? MIN(endpoint->leaving_vm_us,
 				 world->now_us + world->options.vm_list_lag_us)
 			   : INT64_MAX;
-	for (int32_t i = 0; i < world->options.node_count; i++)
-		world_node_vm_list(world, i,
-				   world->now_us +
-					   world->options.vm_list_lag_us);
 }
 
 bool world_endpoint_alive(const struct world *world, int32_t index)
--- a/bench/world_node.c
+++ b/bench/world_node.c
@@ -199,6 +199,27 @@
 	node_apply_all(world, index, world->actions);
 }
 
+/* The node reads the VM list, as it was a while ago, and will again. */
+static void node_read_vm_list(struct world *world, void *data)
+{
+	struct world_node *node = data;
+	int32_t index = (int32_t)(node - world->nodes);
+	struct vm *vms = g_new0(struct vm, world->endpoint_count);
+	struct event event = {.type = EVENT_VM_LIST};
+
+	for (int32_t i = 0; i < world->endpoint_count; i++) {
+		vms[i].address = world->endpoints[i].address;
+		vms[i].leaving =
+			world->endpoints[i].leaving_vm_us <= world->now_us;
+	}
+	event.vm_list.vms = vms;
+	event.vm_list.vm_count = (size_t)world->endpoint_count;
+	world_post_node(world, world->now_us + world->options.vm_list_poll_us,
+			index, node_read_vm_list, node, NULL);
+	world_node_step(world, index, &event);
+	g_free(vms);
+}
+
 /* Starts a dead node's process anew: same name, another incarnation. */
 void world_start_node(struct world *world, int32_t index)
 {
@@ -217,10 +238,11 @@
 	node->node = node_create(&options);
 	node_start(node->node, world->now_us, world->actions);
 	node_apply_all(world, index, world->actions);
-	world_node_vm_list(
-		world, index,
+	world_post_node(
+		world,
 		world->now_us +
-			world_delay_us(world, world->options.kv_delay_us));
+			world_delay_us(world, world->options.kv_delay_us),
+		index, node_read_vm_list, node, NULL);
 }
 
 static void held_destroy(gpointer data)
@@ -314,31 +336,6 @@
 	return world->nodes[index].node;
 }
 
-static void vm_list_arrive(struct world *world, void *data)
-{
-	const struct world_node *node = data;
-	struct vm *vms = g_new0(struct vm, world->endpoint_count);
-	struct event event = {.type = EVENT_VM_LIST};
-
-	for (int32_t i = 0; i < world->endpoint_count; i++) {
-		vms[i].address = world->endpoints[i].address;
-		vms[i].leaving =
-			world->endpoints[i].leaving_vm_us <= world->now_us;
-	}
-	event.vm_list.vms = vms;
-	event.vm_list.vm_count = (size_t)world->endpoint_count;
-	world_node_step(world, (int32_t)(node - world->nodes), &event);
-	g_free(vms);
-}
-
-/* Has a node read the VM list at this time. */
-void world_node_vm_list(struct world *world, int32_t index, int64_t at_us)
-{
-	if (world->nodes[index].node)
-		world_post_node(world, at_us, index, vm_list_arrive,
-				&world->nodes[index], NULL);
-}
-
 /* Names, addresses and a first process for each node. */
 void world_nodes_create(struct world *world)
 {
--- a/bench/world_state.h
+++ b/bench/world_state.h
@@ -124,7 +124,6 @@
 void world_nodes_destroy(struct world *world);
 void world_node_step(struct world *world, int32_t node,
 		     const struct event *event);
-void world_node_vm_list(struct world *world, int32_t node, int64_t at_us);
 
 /* world_call.c */
 uint64_t world_forward(struct world *world, struct world_attempt *attempt);
--- a/core/node_call.c
+++ b/core/node_call.c
@@ -254,7 +254,8 @@
 		node_attempt_timeout(node, call);
 		break;
 	case CALL_JOINED:
-		node_call_refuse(node, call, REFUSAL_IN_PROGRESS, RUN_YES,
+		/* The first of its id may run, or still wait for a place. */
+		node_call_refuse(node, call, REFUSAL_IN_PROGRESS, RUN_UNKNOWN,
 				 COME_BACK_US);
 		break;
 	case CALL_CLAIMING:
--- a/core/refusal.c
+++ b/core/refusal.c
@@ -37,8 +37,8 @@
 	[REFUSAL_KEY_REQUIRED] = {400, RUN_NO, "key_required",
 				  "a non-idempotent request needs an "
 				  "Idempotency-Key"},
-	[REFUSAL_IN_PROGRESS] = {409, RUN_YES, "in_progress",
-				 "a request with this id is running"},
+	[REFUSAL_IN_PROGRESS] = {409, RUN_UNKNOWN, "in_progress",
+				 "a request with this id has not ended"},
 	[REFUSAL_UNKNOWN_OUTCOME] = {409, RUN_UNKNOWN, "unknown_outcome",
 				     "the request may have run; it will not "
 				     "be run again"},
--- a/tests/differential_script.cc
+++ b/tests/differential_script.cc
@@ -35,6 +35,7 @@
 	std::string key;
 	std::string body;
 	int64_t tokens = 0;
+	int64_t deadline_us = 0;
 	int sends = 0;
 	bool reuses_key = false; /* of another body */
 	NaiveService::Outcome expected;
@@ -92,6 +93,8 @@
 	void PlanCalls();
 	void PlanFaults();
 	void PlanFault(int64_t at_us);
+	void PlanKill(int64_t at_us, int node, int64_t for_us);
+	void SlowCaller(int64_t for_us);
 	void AskNodes();
 
 	std::shared_ptr<Intent> MakeIntent();
@@ -344,6 +347,8 @@
 	if (faults_ && Chance(2))
 		intent->body += " [[poison]]";
 	intent->non_idempotent = Chance(50);
+	if (faults_ && Chance(20))
+		intent->deadline_us = Pick(100 * kMs, 10 * kSecond);
 	return intent;
 }
 
@@ -405,6 +410,8 @@
 	g_bytes_unref(request->body);
 	request->body = g_bytes_new(intent.body.data(), intent.body.size());
 	request->prompt_tokens = 20;
+	request->priority = static_cast<int32_t>(intent.body.size() % 10);
+	request->deadline_in_us = intent.deadline_us;
 	return request;
 }
 
@@ -718,6 +725,34 @@
 
 /* --- faults --- */
 
+void Script::PlanKill(int64_t at_us, int node, int64_t for_us)
+{
+	At(at_us, [this, node] {
+		Say("kill n" + std::to_string(node));
+		killed_.insert(world_node_incarnation(world_, node));
+		world_kill_node(world_, node);
+	});
+	At(at_us + for_us, [this, node] {
+		Say("start n" + std::to_string(node));
+		world_start_node(world_, node);
+	});
+}
+
+/* All open streams' callers stop reading for a while. */
+void Script::SlowCaller(int64_t for_us)
+{
+	for (const auto &[id, call] : calls_) {
+		uint64_t slow = id;
+
+		if (call.ended || call.intent->kind == REQUEST_PLAIN)
+			continue;
+		Say("slow " + std::to_string(id));
+		world_set_call_flow(world_, slow, true);
+		At(world_now_us(world_) + for_us,
+		   [this, slow] { world_set_call_flow(world_, slow, false); });
+	}
+}
+
 void Script::PlanFault(int64_t at_us)
 {
 	int64_t for_us = Pick(200 * kMs, 8 * kSecond);
@@ -727,17 +762,20 @@
 	int32_t b = static_cast<int32_t>(Pick(0, world_party_kv(world_)));
 	struct world_kv_mode mode = {};
 
-	switch (Pick(0, 9)) {
+	switch (Pick(0, 12)) {
 	case 0:
-		At(at_us, [this, node] {
-			Say("kill n" + std::to_string(node));
-			killed_.insert(world_node_incarnation(world_, node));
-			world_kill_node(world_, node);
-		});
-		At(at_us + for_us, [this, node] {
-			Say("start n" + std::to_string(node));
-			world_start_node(world_, node);
-		});
+		PlanKill(at_us, node, for_us);
+		break;
+	case 10: /* a failure domain */
+		for (int i = node % 2; i < options_.node_count; i += 2)
+			PlanKill(at_us, i, for_us);
+		break;
+	case 11: /* all start at once */
+		for (int i = 0; i < options_.node_count; i++)
+			PlanKill(at_us, i, for_us);
+		break;
+	case 12:
+		At(at_us, [this, for_us] { SlowCaller(for_us); });
 		break;
 	case 1:
 	case 2:
