--- a/core/node.c
+++ b/core/node.c
@@ -9,6 +9,7 @@
 #define PROGRESS_LONGEST_US (2 * G_USEC_PER_SEC)
 #define PAUSE_US G_USEC_PER_SEC
 #define SETTLE_US (500 * MS_US)
+#define STEP_SLACK_US (50 * MS_US)
 
 /* Sets every tunable to its default; names and addresses stay unset. */
 void node_options_default(struct node_options *options)
@@ -527,8 +528,11 @@
 
 	if (!node->draining || node->stopped || node->now_us <= quiet_us)
 		return;
-	/* Callers that came while it stood still have not been answered yet. */
-	if (node->now_us < node->settled_us)
+	/*
+	 * Callers that came while it stood still, if only for a moment, have
+	 * not been answered yet.
+	 */
+	if (node->now_us < MAX(node->settled_us, node->caught_up_us))
 		return;
 	if (g_hash_table_size(node->calls) > 0 &&
 	    (node->options.drain_timeout_us == 0 ||
@@ -590,6 +594,8 @@
 	int64_t longest_us = MAX(PAUSE_US, 4 * node->options.progress_us);
 	char gap_ms[32];
 
+	if (now_us - node->now_us > node->options.progress_us + STEP_SLACK_US)
+		node->caught_up_us = now_us + STEP_SLACK_US;
 	if (node->now_us && now_us - node->now_us > longest_us) {
 		node->settled_us = now_us + SETTLE_US;
 		node->next_poll_us = now_us;
--- a/core/node_state.h
+++ b/core/node_state.h
@@ -66,7 +66,8 @@
 	uint64_t next_ticket;
 	uint64_t next_kv_id;
 	int64_t now_us;
-	int64_t settled_us; /* after a pause: nothing is dispatched before */
+	int64_t settled_us;   /* after a pause: nothing is dispatched before */
+	int64_t caught_up_us; /* after any late step: drained not before */
 	struct action_list *actions; /* of the step being made */
 
 	struct config *config; /* NULL before the first */
