Failures fade by time, unknown memory is used a little, unused limit removed

Cause: failures faded once per look, however long ago the last one was; an engine with no configured and no reported memory got nothing on a share, where no report comes; the limit of tokens per organisation in a placement was used by nobody, since nodes share these limits by organisation_limits. Change: half-life of 5 s; four calls on an engine of unknown memory; field concurrent_tokens of struct placement_request removed; standing still counts from 4 s, since progress may come every 2 s.

--- a/bench/direct.c
+++ b/bench/direct.c
@@ -14,6 +14,8 @@
 #define NODES 8
 #define PROGRESS_US (200 * 1000)
 #define POLL_US (500 * 1000)
+#define CACHE_US (2 * G_USEC_PER_SEC)
+#define CACHE_LOST 3
 #define MAX_ATTEMPTS 3
 #define NAIVE_ATTEMPTS 10
 #define NOTICE_US (10 * G_USEC_PER_SEC)
@@ -44,6 +46,8 @@
 	struct engine_model *engines[ENGINES];
 	bool crashed[ENGINES];
 	char *engine_names[ENGINES];
+	int64_t cache_seen[ENGINES]; /* events handed on */
+	int64_t cache_next[ENGINES]; /* to be handed on at the next look */
 	char *plain_names[PLAIN_ENDPOINTS];
 	int32_t plain_running[PLAIN_ENDPOINTS];
 	struct placement *placements[NODES]; /* one where there is a home */
@@ -59,6 +63,7 @@
 	guint next_item;
 	int64_t next_progress_us;
 	int64_t next_poll_us;
+	int64_t next_cache_us;
 	int64_t next_fault_us;
 	int32_t fault_stage;
 	int32_t progress_node;
@@ -454,6 +459,37 @@
 	direct->next_poll_us += POLL_US;
 }
 
+/*
+ * Cache events as engines publish them: two seconds late, a third of them
+ * lost.
+ */
+static void direct_read_cache(struct direct *direct, int32_t engine)
+{
+	GArray *events =
+		g_array_new(FALSE, FALSE, sizeof(struct engine_cache_event));
+	int64_t newest = direct->cache_next[engine];
+
+	engine_model_cache_events(direct->engines[engine],
+				  direct->cache_seen[engine], events);
+	for (guint i = 0; i < events->len; i++) {
+		const struct engine_cache_event *event =
+			&g_array_index(events, struct engine_cache_event, i);
+
+		newest = event->number;
+		if (event->number > direct->cache_next[engine] ||
+		    event->number % CACHE_LOST == 0)
+			continue;
+		for (int32_t n = 0; n < direct->placement_count; n++)
+			placement_prefix_cached(direct->placements[n],
+						direct->engine_names[engine],
+						event->prefix_hash,
+						event->stored);
+	}
+	direct->cache_seen[engine] = direct->cache_next[engine];
+	direct->cache_next[engine] = newest;
+	g_array_unref(events);
+}
+
 static void direct_set_leaving(struct direct *direct, bool leaving)
 {
 	for (int32_t i = 0; i < 2; i++) {
@@ -571,7 +607,7 @@
 {
 	int64_t due = MIN(direct->next_progress_us, direct->next_poll_us);
 
-	due = MIN(due, direct->next_fault_us);
+	due = MIN(due, MIN(direct->next_cache_us, direct->next_fault_us));
 	if (direct->next_item < direct->items->len)
 		due = MIN(due,
 			  g_array_index(direct->items, struct workload_item,
@@ -604,6 +640,11 @@
 		direct_report_progress(direct);
 	if (direct->now_us >= direct->next_poll_us)
 		direct_poll(direct);
+	if (direct->now_us >= direct->next_cache_us) {
+		for (int32_t i = 0; i < ENGINES; i++)
+			direct_read_cache(direct, i);
+		direct->next_cache_us += CACHE_US;
+	}
 	direct_step_placements(direct);
 }
 
--- a/core/endpoint_book.h
+++ b/core/endpoint_book.h
@@ -31,7 +31,6 @@
 	int64_t deadline_us;
 	uint64_t prefix_hash;
 	uint64_t avoid_hash;
-	int64_t concurrent_tokens; /* limit of its organisation */
 	struct length_class *cls;
 
 	struct endpoint_book *book; /* NULL while it waits */
--- a/core/endpoint_health.c
+++ b/core/endpoint_health.c
@@ -1,8 +1,10 @@
 #include "core/endpoint_health.h"
 
+#include <math.h>
+
 #define FADE 0.8
 #define FADED 0.05
-#define STEP_FADE 0.97	   /* five steps a second: half in five seconds */
+#define HALF_LIFE_US (5.0 * G_USEC_PER_SEC)
 #define FAILURES_ASIDE 1.5 /* a second one before the first has faded */
 #define FIRST_ASIDE_US (2 * G_USEC_PER_SEC)
 #define LONGEST_ASIDE_US (60 * G_USEC_PER_SEC)
@@ -81,9 +83,11 @@
  */
 void endpoint_health_step(struct endpoint_health *health, int64_t now_us)
 {
-	health->failures *= STEP_FADE;
+	health->failures *=
+		exp2(-(double)(now_us - health->faded_us) / HALF_LIFE_US);
 	if (health->failures < FADED)
 		health->failures = 0;
+	health->faded_us = now_us;
 	if (health->state == HEALTH_ASIDE && now_us >= health->until_us)
 		endpoint_health_return(health);
 }
--- a/core/endpoint_health.h
+++ b/core/endpoint_health.h
@@ -17,7 +17,8 @@
 
 struct endpoint_health {
 	enum health_state state;
-	double failures; /* fading count */
+	double failures;  /* fading count */
+	int64_t faded_us; /* until when it has faded */
 	int64_t until_us;
 	int64_t aside_us; /* for how long next time */
 	int64_t relapse_before_us;
--- a/core/placement.c
+++ b/core/placement.c
@@ -137,14 +137,8 @@
 /* Takes a call out of queue or book and frees it. */
 void placement_forget(struct placement *placement, struct placed_call *call)
 {
-	struct queue_organisation *organisation = call->entry.organisation;
-
-	if (call->book) {
-		struct endpoint_book *book = call->book;
-
-		endpoint_book_remove(book, call);
-		organisation->held_tokens -= call->charged;
-	}
+	if (call->book)
+		endpoint_book_remove(call->book, call);
 	wait_queue_remove(placement->queue, &call->entry);
 	g_ptr_array_remove(placement->submitted, call);
 	if (placement->reserved_for == call->ticket)
@@ -306,7 +300,6 @@
 	call->deadline_us = request->deadline_us;
 	call->prefix_hash = request->prefix_hash;
 	call->avoid_hash = request->avoid_hash;
-	call->concurrent_tokens = request->concurrent_tokens;
 	call->made = CLAMP(made, 0, LENGTH_LONGEST);
 	call->counted = call->made;
 	call->cls =
@@ -359,7 +352,6 @@
 	struct queue_organisation *organisation = call->entry.organisation;
 
 	call->charged = call->entry.tokens;
-	organisation->held_tokens += call->charged;
 	endpoint_book_add(book, call, now_us);
 	endpoint_health_count_placed(&book->health);
 	endpoint_book_prefix(book, call->prefix_hash, true);
--- a/core/placement.h
+++ b/core/placement.h
@@ -56,7 +56,6 @@
 	uint64_t prefix_hash;
 	uint64_t avoid_hash;
 	int64_t true_tokens;
-	int64_t concurrent_tokens; /* organisation's limit here; 0: none */
 };
 
 enum placement_verdict { PLACEMENT_PLACED, PLACEMENT_REFUSED };
--- a/core/placement_choose.c
+++ b/core/placement_choose.c
@@ -22,7 +22,7 @@
 #define SHARE_MARGIN 1.7
 #define SCAN_ALL 64 /* endpoints; of more, so many are drawn */
 #define ASIDE_DIVISOR 3
-#define STALL_US (3 * G_USEC_PER_SEC)
+#define STALL_US (4 * G_USEC_PER_SEC) /* progress may come every 2 s */
 #define SLOW_FACTOR 3.0
 #define WATCH_LEAST 3
 
@@ -230,7 +230,19 @@
 	return cost;
 }
 
-/* Cost of placing a call there; negative infinity never; HUGE_VAL: no room. */
+/*
+ * An engine whose memory nobody told yet takes a few calls: its first load
+ * report will say, but a node on its share asks for none.
+ */
+static double unknown_cost(const struct endpoint_book *book,
+			   const struct placed_call *call)
+{
+	if (book->calls->len >= SMALLEST_BATCH)
+		return G_MAXDOUBLE;
+	return book_cost(book, call, book->calls->len);
+}
+
+/* Cost of placing a call there; G_MAXDOUBLE: it has no room. */
 static double placement_cost(const struct placement *placement,
 			     struct endpoint_book *book,
 			     const struct placed_call *call, int64_t now_us)
@@ -248,8 +260,10 @@
 				 (double)book->calls->len /
 					 MAX(book->slots, 1));
 	}
-	if (!batch_has_room(placement, book, call) || capacity <= 0)
+	if (!batch_has_room(placement, book, call))
 		return G_MAXDOUBLE;
+	if (capacity <= 0)
+		return unknown_cost(book, call);
 	if (call->entry.lane == QUEUE_LONG && placement->reserved == book &&
 	    placement->reserved_for != call->ticket)
 		return G_MAXDOUBLE;
--- a/core/placement_step.c
+++ b/core/placement_step.c
@@ -127,16 +127,6 @@
 	placement->reserved_for = call->ticket;
 }
 
-static bool organisation_has_room(const struct placed_call *call)
-{
-	const struct queue_organisation *organisation =
-		call->entry.organisation;
-
-	return call->concurrent_tokens <= 0 || organisation->held_tokens <= 0 ||
-	       organisation->held_tokens + call->entry.tokens <=
-		       (double)call->concurrent_tokens;
-}
-
 /* Places the first of a lane's heads that fits somewhere; false: none did. */
 static bool step_place_one(struct step *step, enum queue_lane lane)
 {
@@ -149,8 +139,6 @@
 		struct placed_call *call = entry_call(heads[i]);
 		struct endpoint_book *book;
 
-		if (!organisation_has_room(call))
-			continue;
 		book = placement_choose(placement, call, step->now_us);
 		if (book) {
 			step_place(step, call, book);
--- a/core/wait_queue.h
+++ b/core/wait_queue.h
@@ -23,7 +23,6 @@
 	GSequence *lanes[QUEUE_LANES];
 	uint32_t waiting;
 	double waiting_tokens;
-	double held_tokens; /* of what was placed and has not ended */
 };
 
 /* Embedded in what waits. */
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -541,3 +541,26 @@
 	EXPECT_EQ(1u, placed.count(low));
 	EXPECT_EQ(0u, placed.count(late_high));
 }
+
+/*
+ * An engine's memory is neither configured nor reported yet. It gets a few
+ * calls: with none a node on its share, which asks for no report, would never
+ * use it; with no bound it would be filled blindly.
+ */
+TEST_F(Placement, UsesAnEngineOfUnknownMemoryALittle)
+{
+	struct config_endpoint endpoint = {};
+	std::string address = "u:1";
+	struct load_report report = {1, 0, 0, 0, 20000, 0, false};
+
+	start(SERVICE_GENERATION, 0);
+	endpoint.address = (char *)address.c_str();
+	placement_set_endpoint(placement, &endpoint, now);
+	for (int i = 0; i < 10; i++)
+		submit("a", 100);
+	step();
+	EXPECT_EQ(4u, placed.size());
+	placement_report_load(placement, address.c_str(), &report, now);
+	step();
+	EXPECT_EQ(10u, placed.size());
+}
