Waiting requests are judged by what is known now; absurd preemption counts

Cause: a request that waited was admitted by the lengths known when it came, also after a shift; and one engine whose counter of preemptions leaps could widen the margin on all. Change: what a waiting request is expected to need is filled anew each second; a count above what the engine can have preempted leaves the margin alone.

--- a/core/placement.c
+++ b/core/placement.c
@@ -11,7 +11,9 @@
 #define MARGIN_START 2.5
 #define MARGIN_UP 0.1 /* by each preemption; down: see placement_step.c */
 #define MARGIN_MOST 4.0
+#define PREEMPTED_SPARE 16 /* requests that ended since the last report */
 
+#define REFILL_US G_USEC_PER_SEC
 #define SHORT_DIVISOR 100 /* short: under this part of an engine's memory */
 #define PATIENCE_US (60 * G_USEC_PER_SEC) /* of a request without deadline */
 #define PLAIN_START_US 100000.0
@@ -188,7 +190,11 @@
 	placement->recheck = true;
 }
 
-/* The margin follows what preemptions cost: see docs/POLICY.md. */
+/*
+ * The margin follows what preemptions cost: see docs/POLICY.md. More of them
+ * at once than an engine runs requests are a wrong counter, and would narrow
+ * the use of all engines for one that lies.
+ */
 static void placement_learn_margin(struct placement *placement,
 				   int64_t preempted)
 {
@@ -218,7 +224,9 @@
 		placement->counts.reports_taken++;
 		placement->largest_tokens =
 			MAX(placement->largest_tokens, book->capacity_tokens);
-		placement_learn_margin(placement, preempted);
+		if (preempted <=
+		    2 * (int64_t)book->calls->len + PREEMPTED_SPARE)
+			placement_learn_margin(placement, preempted);
 		break;
 	case REPORT_OLDER:
 		placement->counts.reports_older++;
@@ -282,6 +290,25 @@
 		entry->lane = QUEUE_LONG;
 }
 
+static void placed_call_fill(struct placed_call *call, int64_t now_us)
+{
+	admission_demand_fill(&call->demand, length_class_curve(call->cls),
+			      call->prompt_tokens, call->made,
+			      call->max_tokens);
+	call->demand_made = call->made;
+	call->demand_us = now_us;
+}
+
+/*
+ * Brings what a waiting call is expected to need up to date: one that came
+ * before a shift of lengths would be let in by what was known then.
+ */
+void placement_refill(struct placed_call *call, int64_t now_us)
+{
+	if (now_us - call->demand_us > REFILL_US)
+		placed_call_fill(call, now_us);
+}
+
 static struct placed_call *
 placement_add(struct placement *placement,
 	      const struct placement_request *request, int64_t made,
@@ -309,11 +336,7 @@
 		placement->queue, name, request->weight);
 	call->entry.priority = CLAMP(request->priority, 0, 9);
 	call->entry.tokens = placed_call_cost(placement, call);
-	admission_demand_fill(&call->demand, length_class_curve(call->cls),
-			      call->prompt_tokens, call->made,
-			      call->max_tokens);
-	call->demand_made = call->made;
-	call->demand_us = now_us;
+	placed_call_fill(call, now_us);
 	g_hash_table_insert(placement->calls, &call->ticket, call);
 	return call;
 }
--- a/core/placement_state.h
+++ b/core/placement_state.h
@@ -39,6 +39,7 @@
 };
 
 void placement_forget(struct placement *placement, struct placed_call *call);
+void placement_refill(struct placed_call *call, int64_t now_us);
 void placement_put(struct placement *placement, struct placed_call *call,
 		   struct endpoint_book *book, int64_t now_us);
 struct endpoint_book *placement_choose(struct placement *placement,
--- a/core/placement_step.c
+++ b/core/placement_step.c
@@ -139,6 +139,7 @@
 		struct placed_call *call = entry_call(heads[i]);
 		struct endpoint_book *book;
 
+		placement_refill(call, step->now_us);
 		book = placement_choose(placement, call, step->now_us);
 		if (book) {
 			step_place(step, call, book);
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -515,6 +515,10 @@
 	report.preemptions_total = 3;
 	placement_report_load(placement, name(0).c_str(), &report, now);
 	EXPECT_NEAR(narrowed + 0.3, deviations(placement), 1e-9);
+	report.reported_at_us++;
+	report.preemptions_total = 3000000;
+	placement_report_load(placement, name(0).c_str(), &report, now);
+	EXPECT_NEAR(narrowed + 0.3, deviations(placement), 1e-9);
 }
 
 /* A priority passes what came before it, but waiting counts as well. */
