--- a/adapters/endpoint_client.c
+++ b/adapters/endpoint_client.c
@@ -16,9 +16,11 @@
 	char *node_name;
 	SoupSession *control_session; /* reuses its connections */
 	int64_t load_timeout_ms;
+	struct log *log; /* NULL: none */
 	struct counters *counters;
 	GHashTable *attempts; /* uint64_t -> struct endpoint_attempt */
 	GHashTable *controls; /* struct control, as a set */
+	GHashTable *lying;    /* endpoints whose last report was refused */
 };
 
 /* A load poll, or the cancelling of a generation. */
@@ -59,20 +61,42 @@
 				    (guint)length);
 }
 
+/* Polled many times a minute, an endpoint gets one line, not one each time. */
+static void client_reject_load(struct endpoint_client *client,
+			       const char *endpoint, const struct error *error)
+{
+	counters_add(client->counters, COUNTER_LOAD_REJECTED, 1);
+	if (!g_hash_table_add(client->lying, g_strdup(endpoint)) ||
+	    !client->log)
+		return;
+	log_write(client->log, LOG_LEVEL_WARN, "load_rejected", "endpoint",
+		  endpoint, "step", error->step, "detail", error->detail, NULL);
+}
+
+static bool control_read_load(struct control *control,
+			      struct load_report *report)
+{
+	struct endpoint_client *client = control->client;
+	struct error error;
+
+	if (!load_text_parse((const char *)control->body->data,
+			     control->body->len, report, &error)) {
+		client_reject_load(client, control->endpoint, &error);
+		return false;
+	}
+	g_hash_table_remove(client->lying, control->endpoint);
+	return true;
+}
+
 static void control_tell_load(struct control *control, bool whole)
 {
 	struct endpoint_client *client = control->client;
 	struct event event = {.type = EVENT_LOAD};
 
 	event.load.endpoint = control->endpoint;
-	if (whole && control->ok) {
-		event.load.reached = load_text_parse(
-			(const char *)control->body->data, control->body->len,
-			&event.load.report, NULL);
-		if (!event.load.reached)
-			counters_add(client->counters, COUNTER_LOAD_REJECTED,
-				     1);
-	}
+	if (whole && control->ok)
+		event.load.reached =
+			control_read_load(control, &event.load.report);
 	client->sink.deliver(client->sink.data, &event);
 }
 
@@ -142,12 +166,15 @@
 		g_strdup(options->node_name ? options->node_name : "node");
 	client->control_session = http_exchange_session_create();
 	client->load_timeout_ms = options->load_timeout_ms;
+	client->log = options->log;
 	client->counters = options->counters;
 	client->attempts =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 				      (GDestroyNotify)endpoint_attempt_destroy);
 	client->controls =
 		g_hash_table_new_full(NULL, NULL, control_free, NULL);
+	client->lying =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	owner->session = http_exchange_session_create();
 	owner->sink = &client->sink;
 	owner->counters = options->counters;
@@ -168,6 +195,7 @@
 		return;
 	g_hash_table_unref(client->attempts);
 	g_hash_table_unref(client->controls);
+	g_hash_table_unref(client->lying);
 	g_object_unref(client->owner.session);
 	g_object_unref(client->control_session);
 	g_free(client->node_name);
--- a/adapters/http_listener.c
+++ b/adapters/http_listener.c
@@ -8,8 +8,9 @@
 #include <sys/socket.h>
 
 #define LISTEN_BACKLOG 512
-#define IDLE_CLOSE_US 60000000
-#define SWEEP_S 5
+#define SWEEPS_PER_IDLE 8
+#define IDLES_PER_UPLOAD 10 /* a request may take so many to arrive */
+#define US_PER_MS 1000
 #define SILENT_CLOSE_MS 60000
 #define PROBE_AFTER_S 20
 #define PROBE_EVERY_S 10
@@ -27,7 +28,8 @@
 	struct http_listener *listener; /* NULL once that is gone */
 	GSocket *socket;		/* not referenced */
 	GSocketAddress *remote;
-	int32_t exchange_count;
+	int32_t call_count;
+	int64_t accepted_at_us;
 	int64_t moved_at_us;
 };
 
@@ -35,6 +37,7 @@
 	GSocketService *service;
 	char *address;
 	int64_t max_connections;
+	int64_t idle_close_us;
 	int32_t send_buffer_bytes;
 	void (*accept)(void *data, GSocketConnection *connection,
 		       GSocketAddress *local, GSocketAddress *remote);
@@ -74,7 +77,8 @@
 	connection->socket = socket;
 	connection->remote = g_object_ref(remote);
 	g_object_set_data(G_OBJECT(remote), CONNECTION_KEY, connection);
-	connection->moved_at_us = g_get_monotonic_time();
+	connection->accepted_at_us = g_get_monotonic_time();
+	connection->moved_at_us = connection->accepted_at_us;
 	g_hash_table_add(listener->connections, connection);
 	g_object_set_data_full(G_OBJECT(socket), CONNECTION_KEY, connection,
 			       connection_free);
@@ -181,10 +185,20 @@
 	return TRUE;
 }
 
+static bool connection_is_idle(const struct connection *connection,
+			       int64_t idle_us, int64_t now_us)
+{
+	if (connection->call_count > 0)
+		return false;
+	return now_us - connection->moved_at_us > idle_us ||
+	       now_us - connection->accepted_at_us > idle_us * IDLES_PER_UPLOAD;
+}
+
 /*
- * Closes connections on which nothing moved for a minute. Without this a
- * caller that opens connections and sends nothing, or a header byte by byte,
- * takes all of them for good.
+ * Closes connections without a call on which nothing moved for a while, or
+ * whose request takes too long to arrive. Without this a caller that opens
+ * connections and sends nothing, or a request byte by byte, takes all of them
+ * for good.
  */
 static gboolean listener_sweep(gpointer data)
 {
@@ -195,10 +209,10 @@
 
 	g_hash_table_iter_init(&iter, listener->connections);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		struct connection *connection = key;
+		const struct connection *connection = key;
 
-		if (connection->exchange_count == 0 &&
-		    now_us - connection->moved_at_us > IDLE_CLOSE_US)
+		if (connection_is_idle(connection, listener->idle_close_us,
+				       now_us))
 			g_socket_shutdown(connection->socket, TRUE, TRUE, NULL);
 	}
 	return G_SOURCE_CONTINUE;
@@ -272,6 +286,7 @@
 
 	listener->service = g_socket_service_new();
 	listener->max_connections = options->max_connections;
+	listener->idle_close_us = options->idle_close_ms * US_PER_MS;
 	listener->send_buffer_bytes = options->send_buffer_bytes;
 	listener->accept = options->accept;
 	listener->data = options->data;
@@ -284,7 +299,8 @@
 	g_signal_connect(listener->service, "incoming",
 			 G_CALLBACK(listener_incoming), listener);
 	listener->sweep_source =
-		g_timeout_add_seconds(SWEEP_S, listener_sweep, listener);
+		g_timeout_add((guint)(options->idle_close_ms / SWEEPS_PER_IDLE),
+			      listener_sweep, listener);
 	g_socket_service_start(listener->service);
 	return listener;
 }
@@ -335,17 +351,17 @@
 		      : NULL;
 }
 
-static void connection_move(SoupServerMessage *message, int32_t exchanges)
+static void connection_move(SoupServerMessage *message, int32_t calls)
 {
 	struct connection *connection = connection_of(message);
 
 	if (!connection)
 		return;
-	connection->exchange_count += exchanges;
+	connection->call_count += calls;
 	connection->moved_at_us = g_get_monotonic_time();
 }
 
-/* An exchange starts: the connection stays open until it has ended. */
+/* A call starts: the connection stays open until it has ended. */
 void http_listener_begin(SoupServerMessage *message)
 {
 	connection_move(message, 1);
@@ -357,7 +373,7 @@
 	connection_move(message, 0);
 }
 
-/* An exchange has ended; the connection may be closed when it stays idle. */
+/* A call has ended; the connection may be closed when it stays idle. */
 void http_listener_end(SoupServerMessage *message)
 {
 	connection_move(message, -1);
--- a/adapters/http_listener.h
+++ b/adapters/http_listener.h
@@ -17,6 +17,7 @@
 struct http_listener_options {
 	const char *address; /* host:port; port 0 takes a free one */
 	int64_t max_connections;
+	int64_t idle_close_ms;	   /* nothing moved for so long */
 	int32_t send_buffer_bytes; /* kernel's buffer of one connection */
 	void (*accept)(void *data, GSocketConnection *connection,
 		       GSocketAddress *local, GSocketAddress *remote);
@@ -32,8 +33,8 @@
 const char *http_listener_address(const struct http_listener *listener);
 
 /*
- * An exchange starts, moves or ends on the connection that its message came
- * by; one with open exchanges is not closed as idle.
+ * A call starts, a request moves or a call ends on the connection that its
+ * message came by; one with a call is not closed as idle.
  */
 void http_listener_begin(SoupServerMessage *message);
 void http_listener_touch(SoupServerMessage *message);
--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -12,19 +12,21 @@
 #define PLAN_PREFIX "/admin/v1/plans/"
 #define CONFIRM_SUFFIX "/confirm"
 #define COLLECT_BYTES_MIN 1048576
+#define IDLE_CLOSE_MS 60000
 #define UPLOAD_KEY "siskinlink-upload"
 
 struct http_server {
 	SoupServer *soup;
 	struct http_listener *listener;
 	struct event_sink sink;
+	struct log *log; /* NULL: none */
 	struct counters *counters;
 	char *operator_key;
 	int64_t max_header_bytes;
 	int64_t max_body_bytes;
 	int64_t stream_buffer_bytes;
 	uint64_t last_call;
-	size_t open_exchanges; /* from headers read to answer written */
+	size_t open_exchanges; /* from request read to answer written */
 	GHashTable *calls;     /* uint64_t -> struct http_call */
 	GArray *gone;	       /* uint64_t: to be told from the loop */
 	guint gone_source;
@@ -42,10 +44,24 @@
 	server->sink.deliver(server->sink.data, event);
 }
 
+static void server_log_refusal(struct http_server *server,
+			       SoupServerMessage *message,
+			       const struct http_problem *problem)
+{
+	const char *peer = soup_server_message_get_remote_host(message);
+
+	if (server->log)
+		log_write(server->log, LOG_LEVEL_INFO, "http_refused", "peer",
+			  peer ? peer : "", "reason", problem->code, "detail",
+			  problem->detail ? problem->detail : problem->message,
+			  NULL);
+}
+
 static void server_refuse(struct http_server *server,
 			  SoupServerMessage *message,
 			  const struct http_problem *problem)
 {
+	server_log_refusal(server, message, problem);
 	counters_add(server->counters, COUNTER_REFUSED, 1);
 	http_answer_problem(message, problem);
 }
@@ -313,6 +329,23 @@
 	return NULL;
 }
 
+static void exchange_finished(SoupServerMessage *message, gpointer data)
+{
+	struct http_server *server = data;
+
+	server->open_exchanges--;
+	http_listener_end(message);
+}
+
+static void server_begin_exchange(struct http_server *server,
+				  SoupServerMessage *message)
+{
+	g_signal_connect(message, "finished", G_CALLBACK(exchange_finished),
+			 server);
+	server->open_exchanges++;
+	http_listener_begin(message);
+}
+
 static void server_handle(SoupServer *soup, SoupServerMessage *message,
 			  const char *path, GHashTable *query, gpointer data)
 {
@@ -325,6 +358,7 @@
 	(void)soup;
 	(void)path;
 	(void)query;
+	server_begin_exchange(server, message);
 	if (problem)
 		server_refuse(server, message, problem);
 	else
@@ -364,14 +398,6 @@
 		g_socket_shutdown(socket, TRUE, TRUE, NULL);
 }
 
-static void upload_finished(SoupServerMessage *message, gpointer data)
-{
-	struct upload *upload = data;
-
-	upload->server->open_exchanges--;
-	http_listener_end(message);
-}
-
 /*
  * One exchange for each connection. libsoup's server keeps the socket of an
  * idle connection for good after its caller has closed it, so that the
@@ -405,10 +431,6 @@
 	g_object_set_data_full(G_OBJECT(message), UPLOAD_KEY, upload, g_free);
 	g_signal_connect(message, "got-chunk", G_CALLBACK(upload_got_chunk),
 			 upload);
-	g_signal_connect(message, "finished", G_CALLBACK(upload_finished),
-			 upload);
-	server->open_exchanges++;
-	http_listener_begin(message);
 	message_close_after(message);
 	if (http_request_header_bytes(message) > server->max_header_bytes)
 		upload_refuse(upload, message, &http_problem_header);
@@ -437,6 +459,7 @@
 	struct http_listener_options listener = {
 		.address = options->address,
 		.max_connections = options->max_connections,
+		.idle_close_ms = IDLE_CLOSE_MS,
 		.send_buffer_bytes =
 			(int32_t)MIN(options->stream_buffer_bytes, G_MAXINT32),
 		.accept = server_accept,
@@ -444,6 +467,7 @@
 	};
 
 	server->sink = *sink;
+	server->log = options->log;
 	server->counters = options->counters;
 	server->operator_key =
 		g_strdup(options->operator_key ? options->operator_key : "");
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -1,3 +1,4 @@
+#include "adapters/http_listener.h"
 #include "adapters/http_server.h"
 #include "tests/loopback.h"
 
@@ -555,3 +556,39 @@
 	EXPECT_TRUE(c->wait_for("forbidden"));
 	EXPECT_EQ(0u, recorder.events.size());
 }
+
+/*
+ * Callers open connections and send nothing, or go on sending a request that
+ * never ends. Each is closed after a while; otherwise they would take all the
+ * connections for good.
+ */
+TEST(HttpListener, ClosesConnectionsThatBringNoCall)
+{
+	struct http_listener_options options = {};
+	struct http_listener *listener;
+	std::vector<GSocketConnection *> accepted;
+	struct error error;
+
+	options.address = "127.0.0.1:0";
+	options.max_connections = 2;
+	options.idle_close_ms = 40;
+	options.data = &accepted;
+	options.accept = [](void *data, GSocketConnection *connection,
+			    GSocketAddress *, GSocketAddress *) {
+		((std::vector<GSocketConnection *> *)data)
+			->push_back(
+				(GSocketConnection *)g_object_ref(connection));
+	};
+	listener = http_listener_create(&options, &error);
+	ASSERT_NE(nullptr, listener) << error.detail;
+	std::unique_ptr<Connection> silent(
+		Connection::open(http_listener_address(listener)));
+	EXPECT_TRUE(silent->wait_closed());
+	ASSERT_EQ(1u, accepted.size());
+	g_object_unref(accepted[0]);
+	std::unique_ptr<Connection> next(
+		Connection::open(http_listener_address(listener)));
+	EXPECT_TRUE(run_until([&] { return accepted.size() == 2; }));
+	g_object_unref(accepted[1]);
+	http_listener_destroy(listener);
+}
