--- a/adapters/endpoint_attempt.c
+++ b/adapters/endpoint_attempt.c
@@ -19,10 +19,9 @@
 	bool to_node;
 	bool chunked;
 	bool replayed;
-	bool whole;	   /* the answer is collected; else it is a stream */
-	bool cancelled;	   /* only waits to learn what to cancel */
-	bool closed;	   /* delivers nothing more */
-	int32_t use_count; /* callbacks that still need it */
+	bool whole;	/* the answer is collected; else it is a stream */
+	bool cancelled; /* only waits to learn what to cancel */
+	bool closed;	/* delivers nothing more */
 	guint late_source;
 	int32_t status;
 	char *content_type;
@@ -34,27 +33,27 @@
 	char *finish_reason;
 };
 
-static void attempt_free(struct endpoint_attempt *attempt)
+static void attempt_free_members(gpointer data)
 {
+	struct endpoint_attempt *attempt = data;
+
 	sse_reader_destroy(attempt->reader);
 	g_byte_array_unref(attempt->body);
 	g_free(attempt->endpoint);
 	g_free(attempt->content_type);
 	g_free(attempt->generation);
 	g_free(attempt->finish_reason);
-	g_free(attempt);
 }
 
-static void attempt_use(struct endpoint_attempt *attempt)
+/* Held while open and by each callback: the core may end it inside one. */
+static void attempt_ref(struct endpoint_attempt *attempt)
 {
-	attempt->use_count++;
+	g_rc_box_acquire(attempt);
 }
 
-/* The core may end an attempt from inside one of its deliveries. */
-static void attempt_unuse(struct endpoint_attempt *attempt)
+static void attempt_unref(struct endpoint_attempt *attempt)
 {
-	if (--attempt->use_count == 0 && attempt->closed)
-		attempt_free(attempt);
+	g_rc_box_release_full(attempt, attempt_free_members);
 }
 
 /* Closes the connection; nothing more is delivered. NULL is allowed. */
@@ -62,12 +61,11 @@
 {
 	if (!attempt || attempt->closed)
 		return;
-	attempt_use(attempt);
 	attempt->closed = true;
 	http_exchange_cancel(attempt->exchange);
 	if (attempt->late_source)
 		g_source_remove(attempt->late_source);
-	attempt_unuse(attempt);
+	attempt_unref(attempt);
 }
 
 static void attempt_deliver(struct endpoint_attempt *attempt,
@@ -154,7 +152,7 @@
 		g_free(attempt->finish_reason);
 		attempt->finish_reason = g_strdup(engine->finish_reason);
 	}
-	if (engine->token_count == 0)
+	if (engine->token_count == 0 && !engine->has_text)
 		return;
 	attempt->next_token = engine->first_token + engine->token_count;
 	attempt_tell_chunk(attempt, sse, engine);
@@ -204,12 +202,12 @@
 {
 	struct endpoint_attempt *attempt = data;
 
-	attempt_use(attempt);
+	attempt_ref(attempt);
 	if (attempt->whole)
 		attempt_feed_whole(attempt, bytes, length);
 	else
 		attempt_feed_stream(attempt, bytes, length);
-	attempt_unuse(attempt);
+	attempt_unref(attempt);
 }
 
 /* The caller has gone before the engine named the generation. */
@@ -345,7 +343,7 @@
 	SoupMessageHeaders *headers =
 		soup_message_get_response_headers(message);
 
-	attempt_use(attempt);
+	attempt_ref(attempt);
 	attempt->status = (int32_t)soup_message_get_status(message);
 	attempt->replayed =
 		attempt->to_node &&
@@ -360,7 +358,7 @@
 			soup_message_headers_get_content_type(headers, NULL));
 		attempt_read_stream_headers(attempt, headers);
 	}
-	attempt_unuse(attempt);
+	attempt_unref(attempt);
 }
 
 static void attempt_tell_answer(struct endpoint_attempt *attempt)
@@ -382,7 +380,7 @@
 	struct endpoint_attempt *attempt = data;
 	bool sent = http_exchange_may_have_left(attempt->exchange);
 
-	attempt_use(attempt);
+	attempt_ref(attempt);
 	if (error)
 		attempt_fail(attempt, sent ? ATTEMPT_SENT : ATTEMPT_NOT_SENT,
 			     error);
@@ -394,7 +392,7 @@
 	else
 		attempt_fail_sent(attempt, ERROR_CLOSED,
 				  "the stream ended before its end");
-	attempt_unuse(attempt);
+	attempt_unref(attempt);
 }
 
 static gboolean attempt_no_uri(gpointer data)
@@ -405,9 +403,9 @@
 	attempt->late_source = 0;
 	error_set(&error, ERROR_INVALID, "endpoint.send", attempt->endpoint,
 		  "address and path make no URI");
-	attempt_use(attempt);
+	attempt_ref(attempt);
 	attempt_fail(attempt, ATTEMPT_NOT_SENT, &error);
-	attempt_unuse(attempt);
+	attempt_unref(attempt);
 	return G_SOURCE_REMOVE;
 }
 
@@ -415,7 +413,8 @@
 attempt_create(const struct endpoint_attempt_owner *owner, uint64_t number,
 	       const char *endpoint)
 {
-	struct endpoint_attempt *attempt = g_new0(struct endpoint_attempt, 1);
+	struct endpoint_attempt *attempt =
+		g_rc_box_new0(struct endpoint_attempt);
 
 	attempt->owner = owner;
 	attempt->number = number;
--- a/adapters/engine_event.c
+++ b/adapters/engine_event.c
@@ -95,6 +95,7 @@
 	root = json_node_get_object(node);
 	choice = array_read_object(json_object_get_member(root, "choices"));
 	has_text = choice && choice_has_text(choice);
+	event->has_text = has_text;
 	reason = choice ? object_read_text(choice, "finish_reason") : NULL;
 	if (reason)
 		g_strlcpy(event->finish_reason, reason,
--- a/adapters/engine_event.h
+++ b/adapters/engine_event.h
@@ -12,10 +12,11 @@
 
 /* What one event of an engine's stream says, checked. */
 struct engine_event {
-	bool done;		/* [DONE] */
+	bool done; /* [DONE] */
+	bool has_text;
 	bool crossed;		/* belongs to another generation */
 	int64_t first_token;	/* of this event's tokens */
-	int64_t token_count;	/* in this event; 0: it carries no text */
+	int64_t token_count;	/* in this event */
 	int64_t total_tokens;	/* of the usage; -1: not said */
 	char finish_reason[32]; /* "": not finished */
 };
--- a/adapters/http_answer.c
+++ b/adapters/http_answer.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #define STATUS_HEADER_TOO_LARGE 431
-#define CONNECTIONS_RETRY_US 1000000
+#define BUSY_RETRY_US 1000000
 #define US_PER_MS 1000
 #define US_PER_S 1000000
 
@@ -30,7 +30,14 @@
 	"the node has as many connections as it takes",
 	NULL,
 	RUN_NO,
-	CONNECTIONS_RETRY_US};
+	BUSY_RETRY_US};
+const struct http_problem http_problem_bodies = {
+	503,
+	"too_many_bytes",
+	"the node holds as many bytes of requests as it takes",
+	NULL,
+	RUN_NO,
+	BUSY_RETRY_US};
 const struct http_problem http_problem_operator_key = {
 	401, "unauthorized", "the operator key is wrong", NULL, RUN_NO, 0};
 const struct http_problem http_problem_operators_closed = {
--- a/adapters/http_answer.h
+++ b/adapters/http_answer.h
@@ -28,6 +28,7 @@
 extern const struct http_problem http_problem_method;
 extern const struct http_problem http_problem_header;
 extern const struct http_problem http_problem_connections;
+extern const struct http_problem http_problem_bodies;
 extern const struct http_problem http_problem_operator_key;
 extern const struct http_problem http_problem_operators_closed;
 extern const struct http_problem http_problem_operator_name;
--- a/adapters/http_request.c
+++ b/adapters/http_request.c
@@ -1,6 +1,7 @@
 #include "adapters/http_request.h"
 
 #include "adapters/http_body.h"
+#include "adapters/http_upload.h"
 
 #include <string.h>
 
@@ -125,8 +126,7 @@
 		return NULL;
 	}
 	g_bytes_unref(request->body);
-	request->body = soup_message_body_flatten(
-		soup_server_message_get_request_body(message));
+	request->body = http_uploads_take(message);
 	return request;
 }
 
--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -4,6 +4,7 @@
 #include "adapters/http_call.h"
 #include "adapters/http_listener.h"
 #include "adapters/http_request.h"
+#include "adapters/http_upload.h"
 
 #include <libsoup/soup.h>
 #include <sodium.h>
@@ -13,16 +14,15 @@
 #define CONFIRM_SUFFIX "/confirm"
 #define COLLECT_BYTES_MIN 1048576
 #define IDLE_CLOSE_MS 60000
-#define UPLOAD_KEY "siskinlink-upload"
 
 struct http_server {
 	SoupServer *soup;
 	struct http_listener *listener;
+	struct http_uploads *uploads;
 	struct event_sink sink;
 	struct log *log; /* NULL: none */
 	struct counters *counters;
 	char *operator_key;
-	int64_t max_header_bytes;
 	int64_t max_body_bytes;
 	int64_t stream_buffer_bytes;
 	uint64_t last_call;
@@ -32,12 +32,6 @@
 	guint gone_source;
 };
 
-/* Size of a request's body as it comes in. */
-struct upload {
-	struct http_server *server;
-	int64_t bytes;
-};
-
 static void server_deliver(struct http_server *server,
 			   const struct event *event)
 {
@@ -199,8 +193,7 @@
 static void server_on_plan(struct http_server *server,
 			   SoupServerMessage *message)
 {
-	GBytes *body = soup_message_body_flatten(
-		soup_server_message_get_request_body(message));
+	GBytes *body = http_uploads_take(message);
 
 	if (http_request_operator(message))
 		server_deliver_query(server, message, QUERY_PLAN, NULL, body);
@@ -365,39 +358,6 @@
 		route->run(server, message);
 }
 
-static void upload_refuse(struct upload *upload, SoupServerMessage *message,
-			  const struct http_problem *problem)
-{
-	SoupMessageBody *body = soup_server_message_get_request_body(message);
-
-	soup_message_body_set_accumulate(body, FALSE);
-	soup_message_body_truncate(body);
-	server_refuse(upload->server, message, problem);
-}
-
-/*
- * A body over the limit is read on without being kept, so that the caller
- * sees the answer and not a reset; one that goes on for as long again is cut.
- */
-static void upload_got_chunk(SoupServerMessage *message, GBytes *chunk,
-			     gpointer data)
-{
-	struct upload *upload = data;
-	int64_t most = upload->server->max_body_bytes;
-	GSocket *socket = http_listener_socket(message);
-	struct http_problem problem =
-		http_problem_of(REFUSAL_TOO_LARGE, RUN_NO, 0, "the body");
-
-	upload->bytes += (int64_t)g_bytes_get_size(chunk);
-	http_listener_touch(message);
-	if (upload->bytes <= most)
-		return;
-	if (!soup_server_message_get_status(message))
-		upload_refuse(upload, message, &problem);
-	if (socket && upload->bytes > 2 * most)
-		g_socket_shutdown(socket, TRUE, TRUE, NULL);
-}
-
 /*
  * One exchange for each connection. libsoup's server keeps the socket of an
  * idle connection for good after its caller has closed it, so that the
@@ -412,33 +372,23 @@
 		"close");
 }
 
-/* Headers are read: limits first, before any byte of the body is kept. */
 static void server_handle_early(SoupServer *soup, SoupServerMessage *message,
 				const char *path, GHashTable *query,
 				gpointer data)
 {
 	struct http_server *server = data;
-	SoupMessageHeaders *headers =
-		soup_server_message_get_request_headers(message);
-	struct upload *upload = g_new0(struct upload, 1);
-	struct http_problem problem =
-		http_problem_of(REFUSAL_TOO_LARGE, RUN_NO, 0, "the body");
 
 	(void)soup;
 	(void)path;
 	(void)query;
-	upload->server = server;
-	g_object_set_data_full(G_OBJECT(message), UPLOAD_KEY, upload, g_free);
-	g_signal_connect(message, "got-chunk", G_CALLBACK(upload_got_chunk),
-			 upload);
 	message_close_after(message);
-	if (http_request_header_bytes(message) > server->max_header_bytes)
-		upload_refuse(upload, message, &http_problem_header);
-	else if (soup_message_headers_get_encoding(headers) ==
-			 SOUP_ENCODING_CONTENT_LENGTH &&
-		 soup_message_headers_get_content_length(headers) >
-			 server->max_body_bytes)
-		upload_refuse(upload, message, &problem);
+	http_uploads_watch(server->uploads, message);
+}
+
+static void server_refuse_upload(void *data, SoupServerMessage *message,
+				 const struct http_problem *problem)
+{
+	server_refuse(data, message, problem);
 }
 
 static void server_accept(void *data, GSocketConnection *connection,
@@ -465,18 +415,24 @@
 		.accept = server_accept,
 		.data = server,
 	};
+	struct http_uploads_options uploads = {
+		.max_header_bytes = options->max_header_bytes,
+		.max_body_bytes = options->max_body_bytes,
+		.refuse = server_refuse_upload,
+		.data = server,
+	};
 
 	server->sink = *sink;
 	server->log = options->log;
 	server->counters = options->counters;
 	server->operator_key =
 		g_strdup(options->operator_key ? options->operator_key : "");
-	server->max_header_bytes = options->max_header_bytes;
 	server->max_body_bytes = options->max_body_bytes;
 	server->stream_buffer_bytes = options->stream_buffer_bytes;
 	server->calls =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 				      (GDestroyNotify)http_call_destroy);
+	server->uploads = http_uploads_create(&uploads);
 	server->gone = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	server->soup = soup_server_new("server-header", "siskinlink",
 				       "raw-paths", TRUE, NULL);
@@ -501,6 +457,7 @@
 	http_listener_destroy(server->listener);
 	soup_server_disconnect(server->soup);
 	g_object_unref(server->soup);
+	http_uploads_destroy(server->uploads);
 	if (server->gone_source)
 		g_source_remove(server->gone_source);
 	g_array_unref(server->gone);
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -24,7 +24,8 @@
 		run_idle();
 	}
 
-	void start(const char *operator_key, int64_t connections)
+	void start(const char *operator_key, int64_t connections,
+		   int64_t body_bytes = BODY_BYTES)
 	{
 		struct http_server_options options = {};
 		struct event_sink sink = recorder.sink();
@@ -34,7 +35,7 @@
 		options.address = "127.0.0.1:0";
 		options.operator_key = operator_key;
 		options.max_header_bytes = HEADER_BYTES;
-		options.max_body_bytes = BODY_BYTES;
+		options.max_body_bytes = body_bytes;
 		options.stream_buffer_bytes = BUFFER_BYTES;
 		options.max_connections = connections;
 		options.counters = &counters;
@@ -382,6 +383,41 @@
 	EXPECT_EQ(0u, recorder.events.size());
 }
 
+/*
+ * Many callers send large bodies at once and none of them ends. Together they
+ * are refused at the bound, and the node's memory is given back.
+ */
+TEST_F(HttpServer, BoundsTheBodiesThatArriveTogether)
+{
+	const size_t body = 3 * 1024 * 1024;
+	std::vector<std::unique_ptr<Connection>> callers;
+	std::string half = "POST /svc/s/ HTTP/1.1\r\nHost: h\r\n"
+			   "Content-Length: 8000000\r\n\r\n" +
+			   std::string(body, 'x');
+
+	start("", 100, 8000000);
+	for (int i = 0; i < 30; i++) {
+		callers.emplace_back(open());
+		callers.back()->send(half);
+	}
+	EXPECT_TRUE(run_until([&] {
+		for (auto &c : callers)
+			c->read();
+		return counters.value[COUNTER_REFUSED] > 0;
+	}));
+	callers.clear();
+	run_idle();
+	std::unique_ptr<Connection> c(open());
+	c->send("POST /svc/s/ HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+		std::to_string(body) + "\r\n\r\n" + std::string(body, 'x'));
+	EXPECT_TRUE(run_until([&] {
+		c->read();
+		return recorder.count(EVENT_CALL) == 1;
+	}));
+	EXPECT_EQ(body,
+		  g_bytes_get_size(recorder.last(EVENT_CALL)->request->body));
+}
+
 TEST_F(HttpServer, RefusesConnectionsOverTheLimit)
 {
 	start("", 2);
