--- a/adapters/endpoint_attempt.c
+++ b/adapters/endpoint_attempt.c
@@ -2,7 +2,6 @@
 
 #include "adapters/endpoint_request.h"
 #include "adapters/engine_event.h"
-#include "adapters/http_exchange.h"
 #include "adapters/sse_reader.h"
 
 #include <string.h>
@@ -432,7 +431,7 @@
 {
 	const struct endpoint_attempt_owner *owner = attempt->owner;
 	struct http_exchange_options options = {
-		.session = owner->session,
+		.session = http_sessions_next(owner->sessions),
 		.message = message,
 		.step = "endpoint.exchange",
 		.peer = attempt->endpoint,
--- a/adapters/endpoint_attempt.h
+++ b/adapters/endpoint_attempt.h
@@ -1,6 +1,7 @@
 #ifndef ADAPTERS_ENDPOINT_ATTEMPT_H
 #define ADAPTERS_ENDPOINT_ATTEMPT_H
 
+#include "adapters/http_exchange.h"
 #include "core/counters.h"
 #include "ports/action.h"
 #include "ports/sink.h"
@@ -19,7 +20,7 @@
 struct endpoint_attempt;
 
 struct endpoint_attempt_owner {
-	SoupSession *session;
+	struct http_sessions *sessions;
 	const struct event_sink *sink;
 	struct counters *counters;
 	const char *node_name;
--- a/adapters/http_exchange.c
+++ b/adapters/http_exchange.c
@@ -4,6 +4,7 @@
 #define CONNECTIONS_MAX 100000
 #define IDLE_CLOSE_S 30
 #define US_PER_MS 1000
+#define SESSIONS 128
 
 struct http_exchange {
 	SoupSession *session;
@@ -344,3 +345,40 @@
 	soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
 	return session;
 }
+
+/*
+ * A session goes through all its messages whenever one of them starts or ends,
+ * open streams included. With one session for all, a node with a thousand
+ * streams would spend its time on that and connect to nobody for seconds.
+ */
+struct http_sessions {
+	SoupSession *sessions[SESSIONS];
+	uint32_t next;
+};
+
+/* A set of sessions, none of them made before it is used. */
+struct http_sessions *http_sessions_create(void)
+{
+	return g_new0(struct http_sessions, 1);
+}
+
+/* Lets the sessions go; exchanges keep theirs. NULL is allowed. */
+void http_sessions_destroy(struct http_sessions *sessions)
+{
+	if (!sessions)
+		return;
+	for (size_t i = 0; i < SESSIONS; i++)
+		g_clear_object(&sessions->sessions[i]);
+	g_free(sessions);
+}
+
+/* The session for the next exchange; owned by the set. */
+SoupSession *http_sessions_next(struct http_sessions *sessions)
+{
+	SoupSession **session = &sessions->sessions[sessions->next];
+
+	sessions->next = (sessions->next + 1) % SESSIONS;
+	if (!*session)
+		*session = http_exchange_session_create();
+	return *session;
+}
--- a/adapters/http_exchange.h
+++ b/adapters/http_exchange.h
@@ -40,6 +40,13 @@
 
 SoupSession *http_exchange_session_create(void);
 
+/* Sessions that share the exchanges among them: see the source. */
+struct http_sessions;
+
+struct http_sessions *http_sessions_create(void);
+void http_sessions_destroy(struct http_sessions *sessions);
+SoupSession *http_sessions_next(struct http_sessions *sessions);
+
 G_END_DECLS
 
 #endif
--- a/bench/overhead.sh
+++ b/bench/overhead.sh
@@ -34,6 +34,7 @@
 	local name=$1
 
 	shift
+	: >"$work/$name.out"
 	"$@" >"$work/$name.out" 2>"$work/$name.log" &
 	started=$!
 	pids+=("$started")
--- a/bench/stream_bench.c
+++ b/bench/stream_bench.c
@@ -42,7 +42,7 @@
 
 struct bench {
 	const struct options *options;
-	SoupSession *session;
+	struct http_sessions *sessions;
 	GMainLoop *loop;
 	GPtrArray *direct; /* struct stream */
 	GPtrArray *via;
@@ -123,7 +123,7 @@
 	struct stream *stream = g_new0(struct stream, 1);
 	SoupMessage *message = stream_message(bench->options, address);
 	struct http_exchange_options options = {
-		.session = bench->session,
+		.session = http_sessions_next(bench->sessions),
 		.message = message,
 		.step = "bench",
 		.peer = address,
@@ -274,7 +274,7 @@
 {
 	struct bench bench = {
 		.options = options,
-		.session = http_exchange_session_create(),
+		.sessions = http_sessions_create(),
 		.loop = g_main_loop_new(NULL, FALSE),
 		.direct = g_ptr_array_new_with_free_func(stream_free),
 		.via = g_ptr_array_new_with_free_func(stream_free),
@@ -286,7 +286,7 @@
 	g_ptr_array_unref(bench.direct);
 	g_ptr_array_unref(bench.via);
 	g_main_loop_unref(bench.loop);
-	g_object_unref(bench.session);
+	http_sessions_destroy(bench.sessions);
 	return bench.broken ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
--- a/fakes/fake_server.c
+++ b/fakes/fake_server.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define LISTEN_BACKLOG 512
 
@@ -36,10 +37,8 @@
 {
 	GSList *sockets = soup_server_get_listeners(server->soup);
 
-	for (GSList *item = sockets; item; item = item->next) {
-		g_socket_set_listen_backlog(item->data, LISTEN_BACKLOG);
-		g_socket_listen(item->data, NULL);
-	}
+	for (GSList *item = sockets; item; item = item->next)
+		listen(g_socket_get_fd(item->data), LISTEN_BACKLOG);
 	g_slist_free(sockets);
 }
 
