TOML: no undefined behaviour on characters that are not ASCII

Found by the new fuzz target: toml++ asks whether a character is a space, and its table runs into __builtin_unreachable for U+00A1 to U+0499, also for lawful text after a line that ends in a backslash.

--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -151,6 +151,8 @@
 	EXPECT_EQ(0u, failure(std::string(minimal) + "kv_address = 1\n")
 			      .find("line 11: not TOML"));
 	failure(std::string("\0\xff\xfe", 3));
+	EXPECT_EQ(0u, failure(std::string(minimal) + "\xd1\xbf = 1\n")
+			      .find("line 11: not TOML"));
 	failure(std::string(100000, '['));
 	failure(std::string(2 << 20, ' '));
 	struct error error;
@@ -158,6 +160,25 @@
 	EXPECT_EQ(ERROR_UNREACHABLE, error.code);
 }
 
+TEST(TomlReader, TakesAnyLetterInStringsAndComments)
+{
+	struct error error;
+
+	for (const char *text :
+	     {"a = \"\xc3\xa9\" # \xc3\xa9\n", "a = '''\n\xc3\xa9''''\n",
+	      "a = \"\\\"\xc3\xa9\"\n", "a = \"\"\"\\\n \xc3\xa9\"\"\"\n",
+	      "\"\xc3\xa9\" = ''\n", "a = \"\"\"\\\"\xc3\xa9\"\"\"\"\"\n"}) {
+		char *json = toml_reader_to_json(text, &error);
+
+		EXPECT_NE(nullptr, json) << text << error.detail;
+		g_free(json);
+	}
+	for (const char *text :
+	     {"a = \"\"\xc3\xa9", "a = 'x' \xc3\xa9", "a = \"x\n\xc3\xa9\"",
+	      "a = \"\"\"x\"\"\"\"\" \xc3\xa9\"\n"})
+		EXPECT_EQ(nullptr, toml_reader_to_json(text, &error)) << text;
+}
+
 TEST(TomlReader, TurnsTomlIntoJson)
 {
 	struct error error;
