--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 FAKES = $(B)/libfakes.a
 TESTS = $(B)/bin/tests
 
-.PHONY: all demo check unit bench format format-check tidy pure spec \
+.PHONY: all demo check unit soak bench format format-check tidy pure spec \
 	install-deps clean fuzz-short fuzz-run
 .SECONDARY:
 
@@ -90,6 +90,11 @@
 unit: $(TESTS) $(PROGRAMS)
 	SISKINLINK_BIN=$(abspath $(B)/bin) $(TESTS) $(TEST_ARGS)
 
+# More random scripts of calls and faults: make soak SEEDS=20000
+SEEDS ?= 5000
+soak: $(TESTS)
+	SEEDS=$(SEEDS) $(TESTS) --gtest_filter='Differential.*'
+
 # The core has no clock, socket, thread or source of randomness.
 pure: $(LIBRARY)
 	tests/pure.sh $(call objects,$(PURE_SOURCES))
@@ -122,7 +127,7 @@
 	$(CXX) $(ALL_LDFLAGS) -fsanitize=fuzzer -o $@ $^ $(PACKAGE_LIBS)
 
 bench: $(PROGRAMS)
-	$(B)/bin/policy_bench $(BENCH_ARGS)
+	$(B)/bin/policy_bench $(or $(BENCH_ARGS),--direct)
 
 FORMATTED = $(wildcard */*.c */*.h */*.cc)
 format:
--- a/bench/world.h
+++ b/bench/world.h
@@ -46,6 +46,7 @@
 	int32_t prefix_percent; /* of a prompt that its prefix hash covers */
 	int32_t peer_drop_permille; /* of peer messages */
 	int32_t peer_double_permille;
+	int32_t peer_late_permille;  /* seconds late, behind newer ones */
 	int32_t chunk_drop_permille; /* of an engine's chunks */
 	int32_t chunk_double_permille;
 	int32_t chunk_cross_permille; /* overtaken by the next */
@@ -102,7 +103,7 @@
 struct config *world_create_config(const struct world *world);
 struct config_organisation *world_add_organisation(struct config *config,
 						   const char *name);
-void world_put_config(struct world *world, const struct config *config);
+int64_t world_put_config(struct world *world, const struct config *config);
 
 uint64_t world_call(struct world *world, int32_t node, struct request *request);
 uint64_t world_query(struct world *world, int32_t node, enum query_type type,
--- a/core/length_estimate.c
+++ b/core/length_estimate.c
@@ -4,10 +4,16 @@
 #define SINGLE_BINS 8
 #define BINS_PER_OCTAVE 4
 #define PROMPT_SIZES 20
-/* Before anything is known: few end at once, half at each doubling later. */
+/*
+ * Before anything is known: few end at once, more with each doubling. With a
+ * hazard that stays the same per doubling what is left would grow without
+ * end, and a new home would take the engines it knows nothing of for full.
+ */
 #define PRIOR_HAZARD_SINGLE 0.01
-#define PRIOR_HAZARD 0.16
+#define PRIOR_HAZARD_RISE 0.012 /* with each bin after those */
+#define PRIOR_HAZARD_MOST 0.5
 #define PRIOR_WEIGHT 4
+#define KNOWN_ANSWERS 4
 #define REBUILD_AFTER 16 /* observations */
 #define HAZARD_MAX 0.999
 #define SURVIVAL_MIN 1e-12F
@@ -219,9 +225,17 @@
 	return known > 0 ? 1 / __builtin_sqrt(known) : 1;
 }
 
+static double length_prior_hazard(int32_t bin)
+{
+	if (bin < SINGLE_BINS)
+		return PRIOR_HAZARD_SINGLE;
+	return MIN(PRIOR_HAZARD_RISE * (bin - SINGLE_BINS + 1),
+		   PRIOR_HAZARD_MOST);
+}
+
 static double length_class_hazard(const struct length_class *cls, int32_t bin)
 {
-	double hazard = bin < SINGLE_BINS ? PRIOR_HAZARD_SINGLE : PRIOR_HAZARD;
+	double hazard = length_prior_hazard(bin);
 	double weight = PRIOR_WEIGHT;
 
 	if (cls->parent) {
@@ -243,6 +257,15 @@
 	estimate->shift_ended = estimate->shift_ended * keep + ended;
 }
 
+/*
+ * How far the class is known from its own answers rather than its parents'.
+ * Answers count here from their first token on.
+ */
+double length_class_known(const struct length_class *cls)
+{
+	return cls->reached[1] / (cls->reached[1] + KNOWN_ANSWERS);
+}
+
 static void length_class_count_bin(struct length_class *cls, int32_t bin,
 				   bool ended)
 {
@@ -280,25 +303,6 @@
 	length_class_count_bin(cls, length_bin(MAX(from, length)), true);
 }
 
-/*
- * Counts an answer that was followed elsewhere, from its start. ended: by
- * itself; else it was cut off at that length, and might have gone on.
- */
-void length_estimate_count_answer(struct length_estimate *estimate,
-				  const char *organisation,
-				  int64_t prompt_tokens, uint64_t prefix_hash,
-				  int64_t tokens, bool ended)
-{
-	struct length_class *cls = length_estimate_class(
-		estimate, organisation, prompt_tokens, prefix_hash);
-
-	if (ended)
-		length_class_count_end(cls, 0, tokens);
-	else
-		length_class_count_progress(cls, 0, tokens);
-	length_class_unref(cls);
-}
-
 /* A shift scales the odds of ending, so that a hazard stays under 1. */
 static void length_class_rebuild(struct length_class *cls)
 {
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -4,6 +4,7 @@
 #include "adapters/http_server.h"
 #include "adapters/kv_client.h"
 #include "adapters/log.h"
+#include "adapters/order_client.h"
 #include "adapters/peer_link.h"
 #include "adapters/vm_list_client.h"
 #include "core/node.h"
@@ -13,12 +14,15 @@
 #include <signal.h>
 #include <stdio.h>
 #include <sys/random.h>
+#include <sys/resource.h>
 
 #define LOAD_TIMEOUT_MS 1000
 #define VM_LIST_TIMEOUT_MS 2000
 #define FLUSH_CHECK_MS 10
 #define FLUSH_US 10000000 /* for answers that their callers still read */
 #define EXIT_CUT 1
+#define FILES_PER_CONNECTION 2 /* the caller's and its endpoint's */
+#define FILES_BESIDE 256       /* peers, platform, load polls */
 
 struct node_loop {
 	GMainLoop *main;
@@ -26,6 +30,7 @@
 	struct log *log;
 	struct http_server *http;
 	struct endpoint_client *endpoints;
+	struct order_client *orders;
 	struct kv_client *kv;
 	struct peer_link *peers;
 	struct vm_list_client *vm_list;
@@ -60,6 +65,11 @@
 	kv_client_apply(loop->kv, action);
 }
 
+static void apply_order(struct node_loop *loop, const struct action *action)
+{
+	order_client_apply(loop->orders, action);
+}
+
 static void apply_log(struct node_loop *loop, const struct action *action)
 {
 	log_write_action(loop->log, &action->log);
@@ -104,6 +114,8 @@
 	[ACTION_ATTEMPT_CANCEL] = apply_endpoint,
 	[ACTION_ATTEMPT_FLOW] = apply_endpoint,
 	[ACTION_POLL_LOAD] = apply_endpoint,
+	[ACTION_ORDER] = apply_order,
+	[ACTION_READ_ORDER] = apply_order,
 	[ACTION_PEER_SEND] = apply_peer,
 	[ACTION_KV] = apply_kv,
 	[ACTION_KV_WATCH] = apply_kv,
@@ -219,6 +231,32 @@
 	return false;
 }
 
+/*
+ * Out of descriptors, the listener would fail on each connection and try again
+ * at once, and calls that are running would fail for want of a connection to
+ * their endpoint. The limit on connections holds before that.
+ */
+static bool loop_allow_files(const struct settings *settings,
+			     struct error *error)
+{
+	int64_t needed =
+		settings->max_connections * FILES_PER_CONNECTION + FILES_BESIDE;
+	struct rlimit limit = {0};
+
+	getrlimit(RLIMIT_NOFILE, &limit);
+	if ((int64_t)limit.rlim_cur >= needed)
+		return true;
+	limit.rlim_cur = MIN(limit.rlim_max, (rlim_t)needed);
+	if (setrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+	    (int64_t)limit.rlim_cur >= needed)
+		return true;
+	error_set(error, ERROR_INVALID, "loop.files", NULL,
+		  "limits.max_connections needs %" G_GINT64_FORMAT
+		  " open files, the process may have %" G_GINT64_FORMAT,
+		  needed, (int64_t)limit.rlim_max);
+	return false;
+}
+
 static bool loop_create_node(struct node_loop *loop,
 			     const struct settings *settings,
 			     struct error *error)
@@ -281,6 +319,7 @@
 	};
 
 	loop->endpoints = endpoint_client_create(&options, sink);
+	loop->orders = order_client_create(loop->log, sink);
 }
 
 static bool loop_create_platform(struct node_loop *loop,
@@ -338,7 +377,8 @@
 	loop->log =
 		log_create(settings->node.name, level_of(settings->log_level));
 	loop_create_timer(loop);
-	if (!loop_create_node(loop, settings, error) ||
+	if (!loop_allow_files(settings, error) ||
+	    !loop_create_node(loop, settings, error) ||
 	    !loop_create_http(loop, settings, &sink, error) ||
 	    !loop_create_peers(loop, settings, &sink, error) ||
 	    !loop_create_platform(loop, settings, &sink, error)) {
@@ -363,6 +403,7 @@
 	vm_list_client_destroy(loop->vm_list);
 	kv_client_destroy(loop->kv);
 	endpoint_client_destroy(loop->endpoints);
+	order_client_destroy(loop->orders);
 	peer_link_destroy(loop->peers);
 	http_server_destroy(loop->http);
 	node_destroy(loop->node);
