Peer link's test sends only where nobody listens

It sent to 600 ports of the range that the system hands out, so two runs at once reached each other's sockets and counted records too many. It now sends to port 1 of 600 loopback addresses.

--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -109,8 +109,12 @@
 	EXPECT_GT(1000000, g_get_monotonic_time() - start_us);
 	EXPECT_GT(5000u * 30, counters.value[COUNTER_PEER_BYTES_SENT]);
 	send("not an address", 1);
+	/* No port here is ever given out by the system. */
 	for (int i = 0; i < 600; i++)
-		send(("127.0.0.1:" + std::to_string(40000 + i)).c_str(), 1);
+		send(("127.9." + std::to_string(i / 200) + "." +
+		      std::to_string(i % 200 + 1) + ":1")
+			     .c_str(),
+		     1);
 	send(peer_link_address(link), 77);
 	run_until([this] { return !numbers.empty(); });
 	ASSERT_EQ(1u, numbers.size());
