--- /dev/null
+++ b/core/membership_receive.c
@@ -0,0 +1,175 @@
+#include "core/membership_state.h"
+
+#include <string.h>
+
+#define MAX_GOSSIP_TAKEN 32
+#define MAX_RELAYS 64
+#define MAX_VERSION ((uint64_t)1 << 62)
+
+static bool member_is_sane(const struct member *member)
+{
+	return member && member->name && *member->name &&
+	       member->peer_address && *member->peer_address &&
+	       member->http_address && member->region &&
+	       member->failure_domain && member->incarnation != 0 &&
+	       member->version < MAX_VERSION && member->state >= MEMBER_LIVE &&
+	       member->state <= MEMBER_DEAD && member->config_revision >= 0;
+}
+
+static bool peer_message_is_sane(const struct peer_message *message)
+{
+	if (message->type != PEER_PING && message->type != PEER_ACK &&
+	    message->type != PEER_PROBE)
+		return false;
+	if (!message->from || !*message->from || !message->from_address ||
+	    !*message->from_address || message->incarnation == 0 ||
+	    message->probe.members->len > MAX_GOSSIP_TAKEN)
+		return false;
+	if (message->type == PEER_PROBE &&
+	    (!message->probe.subject || !*message->probe.subject))
+		return false;
+	for (guint i = 0; i < message->probe.members->len; i++) {
+		if (!member_is_sane(
+			    g_ptr_array_index(message->probe.members, i)))
+			return false;
+	}
+	return true;
+}
+
+/* Nonsense is dropped and logged, at most one line in a heartbeat. */
+static void membership_reject(struct membership *membership,
+			      const struct peer_message *message)
+{
+	if (membership->logged_us &&
+	    membership->now_us <
+		    membership->logged_us + membership->heartbeat_us)
+		return;
+	membership->logged_us = membership->now_us;
+	action_list_log(
+		membership->actions, LOG_LEVEL_WARN, "member_message_rejected",
+		"type", peer_message_type_name(message->type), "from",
+		message->from ? message->from : "", "address",
+		message->from_address ? message->from_address : "", NULL);
+}
+
+/* Answers a ping; the own record where it is asked for or has changed. */
+static void membership_answer(struct membership *membership,
+			      const struct peer_message *message,
+			      const struct peer *sender)
+{
+	struct peer *self = member_table_self(membership->table);
+	struct peer_message *ack = membership_message(
+		membership, PEER_ACK, message->probe.number, "");
+	bool introduce = message->probe.subject && *message->probe.subject;
+
+	if (introduce || !sender || self->spread_left > 0 ||
+	    membership_peer_is_new(membership, sender)) {
+		member_list_add(ack->probe.members, self);
+		self->spread_left = MAX(self->spread_left - 1, 0);
+	}
+	membership_add_gossip(membership, sender, ack->probe.members);
+	membership_send(membership, message->from_address, ack);
+}
+
+/* Probes for another node; only where a member is known to be. */
+static void membership_relay(struct membership *membership,
+			     const struct peer_message *message)
+{
+	const struct peer *subject = member_table_find_address(
+		membership->table, message->probe.subject);
+	struct probe *probe;
+	guint relays = 0;
+
+	for (guint i = 0; i < membership->probes->len; i++) {
+		const struct probe *other =
+			g_ptr_array_index(membership->probes, i);
+
+		relays += other->kind == PROBE_RELAY;
+	}
+	if (!subject || relays >= MAX_RELAYS)
+		return;
+	probe = membership_add_probe(membership, PROBE_RELAY,
+				     message->probe.subject);
+	probe->asker = g_strdup(message->from_address);
+	probe->asker_number = message->probe.number;
+	membership_ping(membership, probe->address, probe->number, true);
+}
+
+/* Passes an answer on, with what the subject said of itself. */
+static void membership_answer_relay(struct membership *membership,
+				    const struct probe *probe)
+{
+	struct peer_message *ack = membership_message(
+		membership, PEER_ACK, probe->asker_number, probe->address);
+
+	member_list_add(
+		ack->probe.members,
+		member_table_find_address(membership->table, probe->address));
+	membership_send(membership, probe->asker, ack);
+}
+
+static void membership_take_ack(struct membership *membership,
+				const struct peer_message *message,
+				const struct peer *sender)
+{
+	struct probe *probe =
+		membership_find_probe(membership, message->probe.number);
+
+	if (sender && membership_has_quorum(membership) &&
+	    (member_table_is_near(membership->table, sender) ||
+	     membership_is_alone_near(membership)))
+		membership->quorum_us = membership->now_us;
+	if (!probe)
+		return;
+	if (probe->kind == PROBE_RELAY)
+		membership_answer_relay(membership, probe);
+	g_ptr_array_remove_fast(membership->probes, probe);
+}
+
+static void membership_take(struct membership *membership,
+			    const struct peer_message *message)
+{
+	const struct member *own = membership_own(membership);
+	const struct peer *sender;
+	bool replaced;
+
+	if (strcmp(message->from, own->name) == 0)
+		return;
+	membership->received_us = membership->now_us;
+	sender = membership_hear(membership, message, &replaced);
+	if (replaced)
+		return;
+	for (guint i = 0; i < message->probe.members->len; i++) {
+		const struct member *record =
+			g_ptr_array_index(message->probe.members, i);
+
+		if (strcmp(record->name, own->name) == 0)
+			membership_hear_of_self(membership, record);
+		else if (strcmp(record->name, message->from) != 0)
+			membership_hear_of(membership, sender, record);
+	}
+	if (message->type == PEER_PING)
+		membership_answer(membership, message, sender);
+	else if (message->type == PEER_PROBE)
+		membership_relay(membership, message);
+	else
+		membership_take_ack(membership, message, sender);
+}
+
+/*
+ * Takes a PING, ACK or PROBE and appends the answers. Anything malformed and
+ * any other type is dropped with a log line.
+ */
+void membership_receive(struct membership *membership,
+			const struct peer_message *message, int64_t now_us,
+			struct action_list *actions)
+{
+	membership->now_us = MAX(membership->now_us, now_us);
+	membership->actions = actions;
+	if (peer_message_is_sane(message))
+		membership_take(membership, message);
+	else
+		membership_reject(membership, message);
+	membership_schedule(membership);
+	membership->actions = NULL;
+}
--- /dev/null
+++ b/core/membership_state.h
@@ -0,0 +1,132 @@
+#ifndef CORE_MEMBERSHIP_STATE_H
+#define CORE_MEMBERSHIP_STATE_H
+
+#include "core/member_table.h"
+#include "core/membership.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * What the parts of the membership share. membership.c: the life of it and
+ * what is due when. membership_probe.c: who is asked, and what silence means.
+ * membership_gossip.c: what rides on the messages. membership_hear.c: what is
+ * believed of what others say. membership_receive.c: messages.
+ */
+
+#define MEMBERSHIP_FORGET_US (900 * G_USEC_PER_SEC)
+#define MEMBERSHIP_REJOIN_HEARTBEATS 25
+
+enum probe_kind {
+	PROBE_MEMBER,  /* no answer: the member is suspected */
+	PROBE_ADDRESS, /* who answers there, if anybody */
+	PROBE_RELAY    /* for another node */
+};
+
+struct probe {
+	uint64_t number;
+	enum probe_kind kind;
+	uint64_t incarnation; /* member: the one that was asked */
+	char *name;	      /* member */
+	char *address;
+	char *asker; /* relay: peer address */
+	uint64_t asker_number;
+	int64_t sent_us;
+	int64_t indirect_us; /* ask helpers then; INT64_MAX: asked */
+	int64_t fail_us;
+};
+
+struct membership {
+	struct member_table *table;
+	char **seeds;
+	int64_t heartbeat_us;
+	int64_t suspect_us;
+	GRand *random;
+	GPtrArray *probes; /* struct probe */
+	GPtrArray *round;  /* char *: names still to be probed, at the end */
+	uint64_t next_number;
+	int64_t now_us;
+	int64_t next_heartbeat_us;
+	int64_t next_due_us;
+	int64_t next_join_us;
+	int64_t received_us; /* any record from another node */
+	int64_t quorum_us;
+	int64_t logged_us;
+	uint32_t heartbeats;
+	uint32_t joins;
+	int32_t rejoins_left;
+	int32_t verifies_left;
+	bool started;
+	bool announce;
+	struct action_list *actions; /* of the step that runs */
+};
+
+/* Whom to pick from: the own region, all others, or one of them. */
+struct pick {
+	size_t max;
+	bool near;
+	const char *region; /* NULL: any other */
+	const char *except; /* a name, or NULL */
+};
+
+/* membership_gossip.c */
+struct member *membership_own(const struct membership *membership);
+bool membership_is_self(const struct membership *membership,
+			const struct peer *peer);
+bool peer_is_answering(const struct peer *peer);
+void membership_pick(struct membership *membership, const struct pick *pick,
+		     GPtrArray *picked);
+void member_list_add(GPtrArray *members, const struct peer *peer);
+bool membership_peer_is_new(const struct membership *membership,
+			    const struct peer *peer);
+void membership_add_gossip(struct membership *membership, const struct peer *to,
+			   GPtrArray *members);
+struct peer_message *membership_message(const struct membership *membership,
+					enum peer_message_type type,
+					uint64_t number, const char *subject);
+void membership_send(struct membership *membership, const char *address,
+		     struct peer_message *message);
+void membership_ping(struct membership *membership, const char *address,
+		     uint64_t number, bool introduce);
+void membership_announce(struct membership *membership);
+
+/* membership_probe.c */
+struct probe *membership_add_probe(struct membership *membership,
+				   enum probe_kind kind, const char *address);
+void membership_probe_address(struct membership *membership,
+			      const char *address);
+void membership_probe(struct membership *membership, const struct peer *peer);
+struct probe *membership_find_probe(const struct membership *membership,
+				    uint64_t number);
+void membership_check_probes(struct membership *membership);
+int64_t membership_patience_us(const struct membership *membership,
+			       const struct peer *peer);
+void membership_log_dead(struct membership *membership, const struct peer *peer,
+			 const char *by);
+void membership_check_suspects(struct membership *membership);
+void membership_confirm_suspects(struct membership *membership);
+struct peer *membership_next_target(struct membership *membership);
+void membership_join(struct membership *membership);
+void membership_rejoin(struct membership *membership);
+
+/* membership_hear.c */
+struct peer *membership_hear(struct membership *membership,
+			     const struct peer_message *message,
+			     bool *replaced);
+void membership_hear_of_self(struct membership *membership,
+			     const struct member *record);
+void membership_hear_of(struct membership *membership,
+			const struct peer *sender, const struct member *record);
+
+/* membership.c */
+bool membership_has_quorum(const struct membership *membership);
+bool membership_is_alone_near(const struct membership *membership);
+void membership_schedule(struct membership *membership);
+void membership_raise(struct membership *membership, uint64_t above);
+
+G_END_DECLS
+
+#endif
