--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -1,5 +1,8 @@
 #include "codec/peer_codec.h"
 
+#include "codec/peer_field.h"
+#include "codec/peer_holdings.h"
+
 #include <string.h>
 
 /*
@@ -16,13 +19,10 @@
 #define HEAD_BYTES 8
 #define MAX_DOCUMENT_BYTES (1 << 20)
 #define MAX_RECORD_BYTES (MAX_DOCUMENT_BYTES + 4096)
-#define MAX_TEXT_BYTES 64
 #define MAX_MEMBERS 64
 #define MAX_ENDPOINTS 4096
-#define MAX_HOLDINGS 16384
 #define MAX_LIMITS 4096
 #define MAX_LIMIT UINT32_MAX
-#define MAX_TOKENS ((int64_t)1 << 31)
 #define MAX_DURATION_US ((int64_t)1 << 52)
 #define MAX_VERSION ((uint64_t)1 << 62)
 #define MAX_PRIORITY 9
@@ -38,7 +38,7 @@
 	[PEER_PLACE] = "(ttttxuuyssss)",
 	[PEER_PLACED] = "(ttsss)",
 	[PEER_REFUSED] = "(ttxyss)",
-	[PEER_PROGRESS] = "(ttbssasatauaqaqaqauauau)",
+	[PEER_PROGRESS] = PEER_HOLDINGS_FORMAT,
 	[PEER_RELEASE] = "(ttxuyss)",
 	[PEER_CONFIG] = "(txssay)",
 	[PEER_CONFIG_ASK] = "(txssay)",
@@ -48,16 +48,6 @@
 	[PEER_LIMIT_SHARE] = "(tssa(uuu))",
 };
 
-static const char *text_or_empty(const char *text)
-{
-	return text ? text : "";
-}
-
-static guint32 clamp_tokens(int64_t tokens)
-{
-	return (guint32)CLAMP(tokens, 0, MAX_TOKENS);
-}
-
 static GVariant *encode_members(const GPtrArray *members)
 {
 	GVariantBuilder builder;
@@ -69,157 +59,15 @@
 		g_variant_builder_add(
 			&builder, MEMBER_FORMAT, member->incarnation,
 			member->version, (guint64)member->config_revision,
-			(guchar)member->state, text_or_empty(member->name),
-			text_or_empty(member->http_address),
-			text_or_empty(member->peer_address),
-			text_or_empty(member->region),
-			text_or_empty(member->failure_domain));
+			(guchar)member->state, peer_field_text(member->name),
+			peer_field_text(member->http_address),
+			peer_field_text(member->peer_address),
+			peer_field_text(member->region),
+			peer_field_text(member->failure_domain));
 	}
 	return g_variant_builder_end(&builder);
 }
 
-/*
- * Holdings go in columns: a node with 800 streams reports all of them every
- * few seconds, so names are sent once in a table, numbers in four bytes, and a
- * column that is all zero not at all. Index 0 is the empty name.
- */
-struct columns {
-	GPtrArray *names; /* not owned */
-	GHashTable *index;
-	GArray *tickets;    /* uint64_t */
-	GArray *offsets;    /* uint32_t, from the base ticket */
-	GArray *places[3];  /* uint16_t: service, endpoint, organisation */
-	GArray *numbers[3]; /* uint32_t: prompt, max, tokens */
-	uint64_t base;
-};
-
-static uint16_t columns_index(struct columns *columns, const char *name)
-{
-	gpointer found;
-
-	if (!name || !*name)
-		return 0;
-	found = g_hash_table_lookup(columns->index, name);
-	if (found)
-		return (uint16_t)GPOINTER_TO_UINT(found);
-	g_ptr_array_add(columns->names, (gpointer)name);
-	g_hash_table_insert(columns->index, (gpointer)name,
-			    GUINT_TO_POINTER(columns->names->len));
-	return (uint16_t)columns->names->len;
-}
-
-static void columns_init(struct columns *columns)
-{
-	columns->names = g_ptr_array_new();
-	columns->index = g_hash_table_new(g_str_hash, g_str_equal);
-	columns->tickets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	columns->offsets = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	for (int i = 0; i < 3; i++) {
-		columns->places[i] =
-			g_array_new(FALSE, FALSE, sizeof(uint16_t));
-		columns->numbers[i] =
-			g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	}
-}
-
-static void columns_clear(struct columns *columns)
-{
-	g_ptr_array_unref(columns->names);
-	g_hash_table_unref(columns->index);
-	g_array_unref(columns->tickets);
-	g_array_unref(columns->offsets);
-	for (int i = 0; i < 3; i++) {
-		g_array_unref(columns->places[i]);
-		g_array_unref(columns->numbers[i]);
-	}
-}
-
-static void columns_add(struct columns *columns,
-			const struct peer_holding *holding)
-{
-	uint16_t places[] = {columns_index(columns, holding->service),
-			     columns_index(columns, holding->endpoint),
-			     columns_index(columns, holding->organisation)};
-	uint32_t numbers[] = {clamp_tokens(holding->prompt_tokens),
-			      clamp_tokens(holding->max_tokens),
-			      clamp_tokens(holding->tokens)};
-
-	g_array_append_val(columns->tickets, holding->ticket);
-	for (int i = 0; i < 3; i++) {
-		g_array_append_val(columns->places[i], places[i]);
-		g_array_append_val(columns->numbers[i], numbers[i]);
-	}
-}
-
-/* Tickets as offsets from the least one, where four bytes are enough. */
-static void columns_pack_tickets(struct columns *columns)
-{
-	const uint64_t *tickets = (const uint64_t *)columns->tickets->data;
-	uint64_t least = UINT64_MAX, most = 0;
-
-	for (guint i = 0; i < columns->tickets->len; i++) {
-		least = MIN(least, tickets[i]);
-		most = MAX(most, tickets[i]);
-	}
-	if (columns->tickets->len == 0 || most - least > UINT32_MAX)
-		return;
-	columns->base = least;
-	for (guint i = 0; i < columns->tickets->len; i++) {
-		uint32_t offset = (uint32_t)(tickets[i] - least);
-
-		g_array_append_val(columns->offsets, offset);
-	}
-	g_array_set_size(columns->tickets, 0);
-}
-
-static GVariant *column_to_variant(const GArray *column, const char *type)
-{
-	gsize size = g_array_get_element_size((GArray *)column);
-	const char *data = column->data;
-	gsize length = 0;
-
-	for (gsize i = 0; i < column->len * size; i++) {
-		if (data[i])
-			length = column->len;
-	}
-	return g_variant_new_fixed_array(G_VARIANT_TYPE(type), data, length,
-					 size);
-}
-
-static GVariant *encode_progress(const struct peer_message *message)
-{
-	const struct peer_progress *progress = &message->progress;
-	guint count = MIN(progress->holdings->len, MAX_HOLDINGS);
-	bool complete = progress->complete && count == progress->holdings->len;
-	struct columns columns = {0};
-	GVariant *body;
-
-	columns_init(&columns);
-	for (guint i = 0; i < count; i++)
-		columns_add(&columns, g_ptr_array_index(progress->holdings, i));
-	columns_pack_tickets(&columns);
-	body = g_variant_new(
-		"(ttbss@as@at@au@aq@aq@aq@au@au@au)", message->incarnation,
-		columns.base, (gboolean)complete, text_or_empty(message->from),
-		text_or_empty(message->from_address),
-		g_variant_new_strv((const char *const *)columns.names->pdata,
-				   columns.names->len),
-		g_variant_new_fixed_array(G_VARIANT_TYPE_UINT64,
-					  columns.tickets->data,
-					  columns.tickets->len, 8),
-		g_variant_new_fixed_array(G_VARIANT_TYPE_UINT32,
-					  columns.offsets->data,
-					  columns.offsets->len, 4),
-		column_to_variant(columns.places[0], "q"),
-		column_to_variant(columns.places[1], "q"),
-		column_to_variant(columns.places[2], "q"),
-		column_to_variant(columns.numbers[0], "u"),
-		column_to_variant(columns.numbers[1], "u"),
-		column_to_variant(columns.numbers[2], "u"));
-	columns_clear(&columns);
-	return body;
-}
-
 static GVariant *encode_place(const struct peer_message *message)
 {
 	const struct peer_place *place = &message->place;
@@ -227,13 +75,13 @@
 	return g_variant_new(body_formats[PEER_PLACE], message->incarnation,
 			     place->ticket, place->prefix_hash,
 			     place->avoid_hash, place->deadline_in_us,
-			     clamp_tokens(place->prompt_tokens),
-			     clamp_tokens(place->max_tokens),
+			     peer_field_tokens(place->prompt_tokens),
+			     peer_field_tokens(place->max_tokens),
 			     (guchar)CLAMP(place->priority, 0, MAX_PRIORITY),
-			     text_or_empty(message->from),
-			     text_or_empty(message->from_address),
-			     text_or_empty(place->service),
-			     text_or_empty(place->organisation));
+			     peer_field_text(message->from),
+			     peer_field_text(message->from_address),
+			     peer_field_text(place->service),
+			     peer_field_text(place->organisation));
 }
 
 static GVariant *encode_config(const struct peer_message *message)
@@ -249,8 +97,8 @@
 						  1);
 	return g_variant_new("(txss@ay)", message->incarnation,
 			     message->config.revision,
-			     text_or_empty(message->from),
-			     text_or_empty(message->from_address), bytes);
+			     peer_field_text(message->from),
+			     peer_field_text(message->from_address), bytes);
 }
 
 static GVariant *encode_limits(const struct peer_message *message)
@@ -268,16 +116,16 @@
 			(guint32)CLAMP(limit->tokens, 0, MAX_LIMIT));
 	}
 	return g_variant_new("(tss@a(uuu))", message->incarnation,
-			     text_or_empty(message->from),
-			     text_or_empty(message->from_address),
+			     peer_field_text(message->from),
+			     peer_field_text(message->from_address),
 			     g_variant_builder_end(&builder));
 }
 
 static GVariant *encode_body(const struct peer_message *message)
 {
 	const char *format = body_formats[message->type];
-	const char *from = text_or_empty(message->from);
-	const char *address = text_or_empty(message->from_address);
+	const char *from = peer_field_text(message->from);
+	const char *address = peer_field_text(message->from_address);
 	uint64_t incarnation = message->incarnation;
 	const GPtrArray *endpoints;
 
@@ -287,26 +135,26 @@
 	case PEER_PROBE:
 		return g_variant_new("(ttsss@a" MEMBER_FORMAT ")", incarnation,
 				     message->probe.number, from, address,
-				     text_or_empty(message->probe.subject),
+				     peer_field_text(message->probe.subject),
 				     encode_members(message->probe.members));
 	case PEER_PLACE:
 		return encode_place(message);
 	case PEER_PLACED:
 		return g_variant_new(format, incarnation,
 				     message->placed.ticket, from, address,
-				     text_or_empty(message->placed.endpoint));
+				     peer_field_text(message->placed.endpoint));
 	case PEER_REFUSED:
 		return g_variant_new(
 			format, incarnation, message->refused.ticket,
 			message->refused.retry_after_us,
 			(guchar)message->refused.refusal, from, address);
 	case PEER_PROGRESS:
-		return encode_progress(message);
+		return peer_holdings_encode(message);
 	case PEER_RELEASE:
 		return g_variant_new(
 			format, incarnation, message->release.ticket,
 			message->release.duration_us,
-			clamp_tokens(message->release.tokens),
+			peer_field_tokens(message->release.tokens),
 			(guchar)message->release.outcome, from, address);
 	case PEER_CONFIG:
 	case PEER_CONFIG_ASK:
@@ -322,7 +170,7 @@
 		return g_variant_new(
 			format, incarnation, message->quarantine.fingerprint,
 			from, address,
-			text_or_empty(message->quarantine.endpoint));
+			peer_field_text(message->quarantine.endpoint));
 	case PEER_LIMIT_REPORT:
 	case PEER_LIMIT_SHARE:
 		return encode_limits(message);
@@ -378,20 +226,6 @@
 	return legal || decode_fail(error, ERROR_INVALID, peer, what);
 }
 
-/* Texts end up in logs, dumps and connects: short, and no control bytes. */
-static bool text_is_legal(const char *text, bool may_be_empty)
-{
-	size_t length = strlen(text);
-
-	if (length > MAX_TEXT_BYTES || (length == 0 && !may_be_empty))
-		return false;
-	for (const char *p = text; *p; p++) {
-		if (g_ascii_iscntrl(*p))
-			return false;
-	}
-	return true;
-}
-
 static bool decode_members(GVariant *list, struct peer_message *message,
 			   struct error *error)
 {
@@ -419,11 +253,15 @@
 				   member->config_revision >= 0,
 			   "member out of range") ||
 		    !check(error, message->from,
-			   text_is_legal(member->name, false) &&
-				   text_is_legal(member->http_address, true) &&
-				   text_is_legal(member->peer_address, false) &&
-				   text_is_legal(member->region, true) &&
-				   text_is_legal(member->failure_domain, true),
+			   peer_field_text_is_legal(member->name, false) &&
+				   peer_field_text_is_legal(
+					   member->http_address, true) &&
+				   peer_field_text_is_legal(
+					   member->peer_address, false) &&
+				   peer_field_text_is_legal(member->region,
+							    true) &&
+				   peer_field_text_is_legal(
+					   member->failure_domain, true),
 			   "text of a member out of range"))
 			return false;
 	}
@@ -439,8 +277,8 @@
 	g_variant_get_child(body, 1, "t", &message->probe.number);
 	g_variant_get_child(body, 4, "s", &message->probe.subject);
 	if (!check(error, message->from,
-		   text_is_legal(message->probe.subject,
-				 message->type != PEER_PROBE),
+		   peer_field_text_is_legal(message->probe.subject,
+					    message->type != PEER_PROBE),
 		   "subject out of range"))
 		return false;
 	members = g_variant_get_child_value(body, 5);
@@ -467,13 +305,14 @@
 	return check(error, message->from,
 		     place->deadline_in_us >= 0 &&
 			     place->deadline_in_us <= MAX_DURATION_US &&
-			     prompt_tokens <= MAX_TOKENS &&
-			     max_tokens <= MAX_TOKENS &&
+			     prompt_tokens <= PEER_FIELD_MAX_TOKENS &&
+			     max_tokens <= PEER_FIELD_MAX_TOKENS &&
 			     priority <= MAX_PRIORITY,
 		     "placement out of range") &&
 	       check(error, message->from,
-		     text_is_legal(place->service, false) &&
-			     text_is_legal(place->organisation, true),
+		     peer_field_text_is_legal(place->service, false) &&
+			     peer_field_text_is_legal(place->organisation,
+						      true),
 		     "text of a placement out of range");
 }
 
@@ -483,7 +322,7 @@
 	g_variant_get_child(body, 1, "t", &message->placed.ticket);
 	g_variant_get_child(body, 4, "s", &message->placed.endpoint);
 	return check(error, message->from,
-		     text_is_legal(message->placed.endpoint, true),
+		     peer_field_text_is_legal(message->placed.endpoint, true),
 		     "endpoint out of range");
 }
 
@@ -518,7 +357,8 @@
 	release->tokens = tokens;
 	release->outcome = (enum release_outcome)outcome;
 	return check(error, message->from,
-		     outcome <= RELEASE_LOST && tokens <= MAX_TOKENS &&
+		     outcome <= RELEASE_LOST &&
+			     tokens <= PEER_FIELD_MAX_TOKENS &&
 			     release->duration_us >= 0 &&
 			     release->duration_us <= MAX_DURATION_US,
 		     "release out of range");
@@ -555,7 +395,7 @@
 		g_variant_get_child(list, i, "s", &endpoint);
 		g_ptr_array_add(message->leaving.endpoints, endpoint);
 		valid = check(error, message->from,
-			      text_is_legal(endpoint, false),
+			      peer_field_text_is_legal(endpoint, false),
 			      "endpoint out of range");
 	}
 	g_variant_unref(list);
@@ -567,9 +407,10 @@
 {
 	g_variant_get_child(body, 1, "t", &message->quarantine.fingerprint);
 	g_variant_get_child(body, 4, "s", &message->quarantine.endpoint);
-	return check(error, message->from,
-		     text_is_legal(message->quarantine.endpoint, true),
-		     "endpoint out of range");
+	return check(
+		error, message->from,
+		peer_field_text_is_legal(message->quarantine.endpoint, true),
+		"endpoint out of range");
 }
 
 static bool decode_limits(GVariant *body, struct peer_message *message,
@@ -593,135 +434,6 @@
 	return valid;
 }
 
-#define PROGRESS_COLUMNS 14
-
-struct progress_body {
-	GVariant *child[PROGRESS_COLUMNS]; /* from names on */
-	uint64_t base;
-	gsize count; /* holdings */
-	const char **names;
-	gsize name_count;
-	const guint64 *tickets;
-	const guint32 *offsets;
-	const guint16 *places[3];
-	const guint32 *numbers[3];
-};
-
-static void progress_body_clear(struct progress_body *progress)
-{
-	for (int i = 0; i < PROGRESS_COLUMNS; i++) {
-		if (progress->child[i])
-			g_variant_unref(progress->child[i]);
-	}
-	g_free(progress->names);
-}
-
-/* A column is whole or empty; an empty one stands for zeros. */
-static bool progress_body_column(const struct progress_body *progress, int i,
-				 gsize size, const void *data)
-{
-	const void **column = (const void **)data;
-	gsize length;
-
-	*column = g_variant_get_fixed_array(progress->child[i], &length, size);
-	if (length == 0)
-		*column = NULL;
-	return length == 0 || length == progress->count;
-}
-
-static bool progress_body_names(struct progress_body *progress)
-{
-	progress->names =
-		g_variant_get_strv(progress->child[5], &progress->name_count);
-	if (progress->name_count > G_MAXUINT16)
-		return false;
-	for (gsize i = 0; i < progress->name_count; i++) {
-		if (!text_is_legal(progress->names[i], false))
-			return false;
-	}
-	return true;
-}
-
-static bool progress_body_read(struct progress_body *progress, GVariant *body)
-{
-	bool valid;
-
-	g_variant_get_child(body, 1, "t", &progress->base);
-	for (int i = 5; i < PROGRESS_COLUMNS; i++)
-		progress->child[i] = g_variant_get_child_value(body, i);
-	progress->count = g_variant_n_children(progress->child[6]) +
-			  g_variant_n_children(progress->child[7]);
-	valid = progress->count <= MAX_HOLDINGS &&
-		progress_body_names(progress) &&
-		progress_body_column(progress, 6, 8, &progress->tickets) &&
-		progress_body_column(progress, 7, 4, &progress->offsets);
-	for (int i = 0; valid && i < 3; i++)
-		valid = progress_body_column(progress, 8 + i, 2,
-					     &progress->places[i]) &&
-			progress_body_column(progress, 11 + i, 4,
-					     &progress->numbers[i]);
-	return valid;
-}
-
-static int64_t progress_body_number(const struct progress_body *progress,
-				    int column, gsize i)
-{
-	const guint32 *numbers = progress->numbers[column];
-
-	return numbers ? numbers[i] : 0;
-}
-
-/* A new text, or NULL where the index points outside the table. */
-static char *progress_body_name(const struct progress_body *progress,
-				int column, gsize i)
-{
-	const guint16 *places = progress->places[column];
-	guint16 index = places ? places[i] : 0;
-
-	if (index == 0)
-		return g_strdup("");
-	if (index > progress->name_count)
-		return NULL;
-	return g_strdup(progress->names[index - 1]);
-}
-
-static bool progress_body_add(const struct progress_body *progress, gsize i,
-			      struct peer_progress *result)
-{
-	struct peer_holding *holding = peer_progress_add(result);
-
-	if (progress->tickets)
-		holding->ticket = progress->tickets[i];
-	else
-		holding->ticket = progress->base + progress->offsets[i];
-	holding->service = progress_body_name(progress, 0, i);
-	holding->endpoint = progress_body_name(progress, 1, i);
-	holding->organisation = progress_body_name(progress, 2, i);
-	holding->prompt_tokens = progress_body_number(progress, 0, i);
-	holding->max_tokens = progress_body_number(progress, 1, i);
-	holding->tokens = progress_body_number(progress, 2, i);
-	return holding->service && holding->endpoint && holding->organisation &&
-	       holding->prompt_tokens <= MAX_TOKENS &&
-	       holding->max_tokens <= MAX_TOKENS &&
-	       holding->tokens <= MAX_TOKENS;
-}
-
-static bool decode_progress(GVariant *body, struct peer_message *message,
-			    struct error *error)
-{
-	struct progress_body progress = {0};
-	gboolean complete;
-	bool valid;
-
-	g_variant_get_child(body, 2, "b", &complete);
-	message->progress.complete = complete;
-	valid = progress_body_read(&progress, body);
-	for (gsize i = 0; valid && i < progress.count; i++)
-		valid = progress_body_add(&progress, i, &message->progress);
-	progress_body_clear(&progress);
-	return check(error, message->from, valid, "progress out of range");
-}
-
 static bool decode_payload(GVariant *body, struct peer_message *message,
 			   struct error *error)
 {
@@ -737,7 +449,9 @@
 	case PEER_REFUSED:
 		return decode_refused(body, message, error);
 	case PEER_PROGRESS:
-		return decode_progress(body, message, error);
+		return check(error, message->from,
+			     peer_holdings_decode(body, &message->progress),
+			     "progress out of range");
 	case PEER_RELEASE:
 		return decode_release(body, message, error);
 	case PEER_CONFIG:
@@ -771,8 +485,8 @@
 	if (!*message->from && !*message->from_address)
 		return message->type != PEER_PING &&
 		       message->type != PEER_ACK && message->type != PEER_PROBE;
-	return text_is_legal(message->from, false) &&
-	       text_is_legal(message->from_address, false);
+	return peer_field_text_is_legal(message->from, false) &&
+	       peer_field_text_is_legal(message->from_address, false);
 }
 
 static bool decode_sender(GVariant *body, struct peer_message *message,
--- /dev/null
+++ b/codec/peer_holdings.h
@@ -0,0 +1,20 @@
+#ifndef CODEC_PEER_HOLDINGS_H
+#define CODEC_PEER_HOLDINGS_H
+
+#include "ports/peer_message.h"
+
+#include <glib.h>
+#include <stdbool.h>
+
+G_BEGIN_DECLS
+
+/* The body of PEER_PROGRESS: what a node holds, in columns. */
+
+#define PEER_HOLDINGS_FORMAT "(ttbssasatauaqaqaqauauau)"
+
+GVariant *peer_holdings_encode(const struct peer_message *message);
+bool peer_holdings_decode(GVariant *body, struct peer_progress *result);
+
+G_END_DECLS
+
+#endif
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -104,6 +104,17 @@
 		message->progress.complete = true;
 		add_holdings(message, 5, true);
 		break;
+	case PEER_LIMIT_REPORT:
+	case PEER_LIMIT_SHARE:
+		for (uint32_t i = 1; i <= 3; i++) {
+			struct peer_limit *limit =
+				peer_limits_add(&message->limits);
+
+			limit->organisation_hash = i * 0x11111111u;
+			limit->rate_per_ks = i * 1000;
+			limit->tokens = UINT32_MAX - i;
+		}
+		break;
 	case PEER_RELEASE:
 		message->release.ticket = 99;
 		message->release.outcome = RELEASE_LOST;
@@ -199,6 +210,15 @@
 	EXPECT_EQ(4711, member->config_revision);
 	peer_message_destroy(message);
 
+	message = decode(encode_type(PEER_LIMIT_SHARE), &error);
+	struct peer_limit *limit = static_cast<struct peer_limit *>(
+		g_ptr_array_index(message->limits.limits, 1));
+	EXPECT_EQ(3u, message->limits.limits->len);
+	EXPECT_EQ(0x22222222u, limit->organisation_hash);
+	EXPECT_EQ(2000, limit->rate_per_ks);
+	EXPECT_EQ((int64_t)UINT32_MAX - 2, limit->tokens);
+	peer_message_destroy(message);
+
 	message = decode(encode_type(PEER_RELEASE), &error);
 	EXPECT_EQ(RELEASE_LOST, message->release.outcome);
 	EXPECT_EQ(321, message->release.tokens);
