--- a/tests/faults.sh
+++ b/tests/faults.sh
@@ -77,10 +77,11 @@
 	awk '/^id: / { id = $2 } END { print id }' "$1"
 }
 
-# Texts of all events of a stream, one a line: "GENERATION.OFFSET ".
-texts() {
+# Tokens of all events of the streams, one a line: GENERATION.OFFSET.
+tokens_of() {
 	sed -n 's/^data: //p' "$@" | grep -v '^\[DONE\]' |
-		jq -r 'select(.choices) | .choices[0].text' | grep . || true
+		jq -r 'select(.choices) | .choices[0].text' |
+		tr ' ' '\n' | grep . || true
 }
 
 # is_whole TOKENS FILE...: each token once, in order, of one generation.
@@ -88,8 +89,8 @@
 	local tokens=$1
 
 	shift
-	[ "$(texts "$@" | cut -d. -f1 | sort -u | wc -l)" = 1 ] &&
-		[ "$(texts "$@" | cut -d. -f2 | tr -d ' ')" = \
+	[ "$(tokens_of "$@" | cut -d. -f1 | sort -u | wc -l)" = 1 ] &&
+		[ "$(tokens_of "$@" | cut -d. -f2)" = \
 			"$(seq 0 $((tokens - 1)))" ] &&
 		grep -q '^data: \[DONE\]' "${@: -1}"
 }
@@ -97,7 +98,7 @@
 whole_once() {
 	is_whole "$@" && return
 	fail "not each token once, in order, of one generation, to the end:" \
-		"$(texts "${@:2}" | wc -l) tokens," \
+		"$(tokens_of "${@:2}" | wc -l) tokens," \
 		"$(tail -n 2 "${@: -1}" | tr '\n' ' ')"
 }
 
@@ -233,16 +234,14 @@
 	stream "${https[0]}" 2000 "$work/first" &
 	reader=$!
 	until_true has_events "$work/first" 20
-	for engine in "${engines[@]}"; do
-		mode "$engine" '{"crash":true}'
-	done
+	kill -KILL "${engine_pids[@]}"
 	wait "$reader" || true
-	for engine in "${engines[@]}"; do
-		mode "$engine" '{"crash":false}'
+	for i in 0 1 2; do
+		start_engine "$i"
 	done
 	grep -q '^event: error' "$work/first" || fail "no typed end"
 	! grep -q '^data: \[DONE\]' "$work/first" || fail "ended as if whole"
-	[ "$(texts "$work/first" | cut -d. -f1 | sort -u | wc -l)" = 1 ] ||
+	[ "$(tokens_of "$work/first" | cut -d. -f1 | sort -u | wc -l)" = 1 ] ||
 		fail "tokens of more than one generation"
 	until_true report_comes_whole || fail "no whole report afterwards"
 }
--- a/tests/processes.sh
+++ b/tests/processes.sh
@@ -8,6 +8,7 @@
 https=()
 peers=()
 engines=()
+engine_pids=()
 operator_key=test-operator-key-0001
 organisation_key=test-organisation-key-0001
 domains=(a b c)
@@ -63,15 +64,22 @@
 	return 1
 }
 
+# start_engine I: starts engine I, or starts it again at its address.
+start_engine() {
+	start "engine$1" "$bin/fake_engine" --address "${engines[$1]}"
+	engines[$1]=$address
+	engine_pids[$1]=$started
+}
+
 # The platform, three engines and a plain service.
 start_fakes() {
 	start kv "$bin/fake_kv" --address 127.0.0.1:0
 	kv=$address
 	start vms "$bin/fake_vm_list" --address 127.0.0.1:0
 	vms=$address
-	for i in 1 2 3; do
-		start "engine$i" "$bin/fake_engine" --address 127.0.0.1:0
-		engines+=("$address")
+	for i in 0 1 2; do
+		engines[$i]=127.0.0.1:0
+		start_engine "$i"
 	done
 	start service "$bin/fake_service" --address 127.0.0.1:0
 	service=$address
