--- a/core/node_place.c
+++ b/core/node_place.c
@@ -319,6 +319,7 @@
 	}
 	if (!*endpoint) {
 		call->home_heard = true;
+		node_call_set_state(node, call, CALL_PLACING);
 		return;
 	}
 	if (!service_has_endpoint(node, call->request->service, endpoint)) {
