An engine's plain answer teaches no length and is no part of a stream

Cause: an engine's 4xx comes as a whole answer; the node released it as a whole generation of 0 tokens, and behind tokens already delivered it would have answered the caller a second time.

--- a/core/config.c
+++ b/core/config.c
@@ -387,7 +387,7 @@
 		const struct config_service *service =
 			g_ptr_array_index(config->services, i);
 
-		if (strcmp(service->name, name) == 0)
+		if (g_strcmp0(service->name, name) == 0)
 			return service;
 	}
 	return NULL;
--- a/core/node_attempt.c
+++ b/core/node_attempt.c
@@ -361,7 +361,10 @@
 	node_call_end(node, call, REFUSAL_NONE, event->finish_reason);
 }
 
-/* A plain endpoint's, or another node's, whole answer. */
+/*
+ * A plain endpoint's, or another node's, whole answer; from an engine the
+ * refusal of a request that it cannot read, which tells nothing of lengths.
+ */
 void node_attempt_answer(struct node *node,
 			 const struct event_attempt_answer *event)
 {
@@ -369,7 +372,13 @@
 
 	if (!call)
 		return;
+	if (call_has_tokens(call)) {
+		call_reattach(node, call);
+		return;
+	}
 	call_end_attempt(node, call);
-	node_place_release(node, call, RELEASE_WHOLE);
+	node_place_release(node, call,
+			   call->kind == SERVICE_PLAIN ? RELEASE_WHOLE
+						       : RELEASE_CANCELLED);
 	node_call_answer(node, call, event);
 }
--- a/core/node_call.c
+++ b/core/node_call.c
@@ -4,7 +4,7 @@
 
 #include <string.h>
 
-#define PLACE_PATIENCE_US 600000 /* without a word from the home */
+#define PLACE_PATIENCE_US 600000	     /* without a word from the home */
 #define PLACE_REPEAT_US (5 * G_USEC_PER_SEC) /* once it is known to queue */
 #define COME_BACK_US 1000000
 
