Previous margin as a policy, so that whole nodes can run it; attempts by counters

Change: PLACEMENT_FIXED, a margin of 2.5 deviations and a common factor of 0.1 that does not learn; attempts come from the nodes' counters.

--- a/bench/direct.c
+++ b/bench/direct.c
@@ -85,8 +85,9 @@
 		return PLACEMENT_NAIVE;
 	case BENCH_ORACLE:
 		return PLACEMENT_ORACLE;
-	case BENCH_SHARES:
 	case BENCH_PREVIOUS:
+		return PLACEMENT_FIXED;
+	case BENCH_SHARES:
 	case BENCH_PROJECT:
 	case BENCH_POLICIES:
 		break;
@@ -105,8 +106,6 @@
 		.step_us = 28000,
 	};
 
-	if (direct->policy == BENCH_PREVIOUS)
-		scenario_previous(&options);
 	return placement_create(&options);
 }
 
--- a/bench/measure.c
+++ b/bench/measure.c
@@ -129,6 +129,7 @@
 	enum workload_kind kind = flow->item->kind;
 	bool in_time = flow_in_time(flow);
 
+	measure->all_requests++;
 	if (!measure_wants(measure, flow))
 		return;
 	measure->requests[kind]++;
@@ -244,6 +245,9 @@
 	figures[FIGURE_BROKEN_PER_1000] =
 		10 * percent(measure->broken, requests);
 	figures[FIGURE_ATTEMPTS] = percent(measure->attempts, requests) / 100;
+	if (measure->sent > 0)
+		figures[FIGURE_ATTEMPTS] =
+			(double)measure->sent / (double)measure->all_requests;
 	figures[FIGURE_FAIRNESS] = measure_fairness(measure);
 	figures[FIGURE_OTHERS_IN_TIME_PERCENT] = measure_others(measure);
 }
--- a/bench/measure.h
+++ b/bench/measure.h
@@ -41,6 +41,8 @@
 	int64_t broken;
 	int64_t refused[REFUSAL_COUNT];
 	int64_t attempts;
+	int64_t sent; /* attempts by the nodes' counters; 0: not counted */
+	int64_t all_requests;
 	int64_t good_tokens;
 	int64_t organisation_requests[WORKLOAD_ORGANISATIONS];
 	int64_t organisation_in_time[WORKLOAD_ORGANISATIONS];
--- a/bench/nodes.c
+++ b/bench/nodes.c
@@ -329,8 +329,9 @@
 		return PLACEMENT_NAIVE;
 	case BENCH_ORACLE:
 		return PLACEMENT_ORACLE;
-	case BENCH_SHARES:
 	case BENCH_PREVIOUS:
+		return PLACEMENT_FIXED;
+	case BENCH_SHARES:
 	case BENCH_PROJECT:
 	case BENCH_POLICIES:
 		break;
@@ -408,6 +409,14 @@
 		if (caller->flow.attempts++ == 0)
 			caller->flow.placed_us = run->at_us - START_US;
 	}
+	for (int32_t i = 0; i < NODES; i++) {
+		struct node *node = world_node(nodes->world, i);
+
+		if (node)
+			nodes->measure.sent +=
+				(int64_t)node_counters(node)
+					->value[COUNTER_ATTEMPTS];
+	}
 	for (int32_t i = 0; i < ENGINES; i++) {
 		const struct engine_totals *totals =
 			engine_model_totals(world_engine(nodes->world, i));
--- a/bench/scenario.c
+++ b/bench/scenario.c
@@ -78,14 +78,6 @@
 	}
 }
 
-/* What the last accepted change replaced. */
-void scenario_previous(struct placement_options *options)
-{
-	options->deviations = 2.5;
-	options->shared = 0.1;
-	options->shared_by_shift = 1e-9;
-}
-
 /* Name of a policy, as on the command line. */
 const char *bench_policy_name(enum bench_policy policy)
 {
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -3,7 +3,6 @@
 
 #include "bench/measure.h"
 #include "bench/workload.h"
-#include "core/placement.h"
 
 #include <glib.h>
 #include <stdint.h>
@@ -57,7 +56,6 @@
 const struct scenario *scenario_find(const char *name);
 void scenario_workload(const struct scenario *scenario, uint64_t seed,
 		       struct workload_options *options);
-void scenario_previous(struct placement_options *options);
 const char *bench_policy_name(enum bench_policy policy);
 
 G_END_DECLS
--- a/core/placement.c
+++ b/core/placement.c
@@ -2,6 +2,9 @@
 
 #include "core/home.h"
 
+#define FIXED_DEVIATIONS 2.5
+#define FIXED_SHARED 0.1
+#define NO_SHARED_BY_SHIFT 1e-9
 #define DEFAULT_SHARED 0.3
 #define DEFAULT_SHARED_BY_SHIFT 3.0
 #define DEFAULT_LEAST_CHANCE 0.5
@@ -30,6 +33,11 @@
 
 static void placement_set_defaults(struct placement_options *options)
 {
+	if (options->policy == PLACEMENT_FIXED) {
+		options->deviations = FIXED_DEVIATIONS;
+		options->shared = FIXED_SHARED;
+		options->shared_by_shift = NO_SHARED_BY_SHIFT;
+	}
 	if (options->step_us <= 0)
 		options->step_us = DEFAULT_STEP_US;
 	if (options->max_waiting <= 0)
--- a/core/placement.h
+++ b/core/placement.h
@@ -21,9 +21,10 @@
 #define PLACEMENT_STEP_US 28000 /* wanted between tokens */
 
 enum placement_policy {
-	PLACEMENT_NAIVE, /* fewest outstanding requests, no admission */
-	PLACEMENT_PEAK,	 /* admission by estimated future peak */
-	PLACEMENT_ORACLE /* the same with true lengths known */
+	PLACEMENT_NAIVE,  /* fewest outstanding requests, no admission */
+	PLACEMENT_PEAK,	  /* admission by estimated future peak */
+	PLACEMENT_ORACLE, /* the same with true lengths known */
+	PLACEMENT_FIXED	  /* as PEAK, with a margin that does not learn */
 };
 
 struct length_estimate;
