--- a/spec/orders.pml
+++ b/spec/orders.pml
@@ -126,7 +126,7 @@
 active proctype end_state()
 {
 	timeout ->
-	assert(key_holder == 0 || (target[0] == 2 && target[1] == 2))
+	assert(target[0] == 2 && target[1] == 2)
 }
 
 init
