--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 TESTS = $(B)/bin/tests
 
 .PHONY: all demo check unit soak bench format format-check tidy pure spec \
-	install-deps clean fuzz-short fuzz-run
+	mutants install-deps clean fuzz-short fuzz-run
 .SECONDARY:
 
 all: $(PROGRAMS)
@@ -85,7 +85,7 @@
 	$(CXX) $(ALL_LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PACKAGE_LIBS)
 
 # Every test. The scripted runs read their scripts from tests/scripts.
-check: unit pure api faults $(if $(filter 1,$(SANITIZE)),,spec)
+check: unit pure api faults $(if $(filter 1,$(SANITIZE)),,spec mutants)
 
 unit: $(TESTS) $(PROGRAMS)
 	SISKINLINK_BIN=$(abspath $(B)/bin) $(TESTS) $(TEST_ARGS)
@@ -110,6 +110,10 @@
 spec:
 	spec/run.sh $(abspath $(B)/spec)
 
+# Each safeguard in turn left out: the tests named for it must fail then.
+mutants: $(TESTS)
+	tests/mutants.sh $(abspath $(B))
+
 demo: install-deps
 	$(MAKE) all
 	./demo.sh $(abspath $(B)/bin)
--- a/tests/node_script.cc
+++ b/tests/node_script.cc
@@ -185,8 +185,10 @@
 	event.kv_watch.key = "/siskinlink/config";
 	event.kv_watch.mod_revision = number(found, "revision", 1);
 	event.kv_watch.value = document;
-	for (auto &item : nodes)
-		step(*item.second, event);
+	for (auto &item : nodes) {
+		if (!item.second->cut)
+			step(*item.second, event);
+	}
 	g_bytes_unref(document);
 	config_unref(config);
 }
