A request that crashed two engines is not retried on a third

The quarantine was asked only when a request came in, not before a retry: the request that had just taken down its second engine was sent to a third. The caller is told "quarantined, run unknown".

--- a/core/node_attempt.c
+++ b/core/node_attempt.c
@@ -146,6 +146,8 @@
 {
 	enum run run = call->maybe_run ? RUN_UNKNOWN : RUN_NO;
 
+	if (node_attempt_is_quarantined(node, call))
+		return;
 	if (call->caller_gone && !call->request->non_idempotent) {
 		node_call_refuse(node, call, REFUSAL_ENDPOINT_FAILED, run, 0);
 		return;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -68,7 +68,8 @@
 		case $code in
 		0) report "$1" "NOT found out by $filter" && status=1 ;;
 		124) report "$1" "tests did not end" && status=1 ;;
-		*) report "$1" "found out" ;;
+		1) report "$1" "found out" ;;
+		*) report "$1" "tests ended with status $code" && status=1 ;;
 		esac
 	fi
 	cp -p "$file" "$work/$file"
