--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -75,6 +75,19 @@
 		return true;
 	}
 
+	bool any_suspect()
+	{
+		for (uint32_t i = 0; i < options.nodes; i++) {
+			for (uint32_t k = 0; k < options.nodes; k++) {
+				if (i != k &&
+				    member_network_knows(network, i, k,
+							 MEMBER_SUSPECT))
+					return true;
+			}
+		}
+		return false;
+	}
+
 	void cut_both(uint32_t a, uint32_t b, bool cut)
 	{
 		member_network_cut(network, a, b, cut);
@@ -194,6 +207,21 @@
 	EXPECT_EQ(0u, network.totals()->deaths);
 }
 
+/*
+ * The link between two nodes is cut both ways. Neither hears the other, but
+ * the helpers of their probes do: neither is even suspected.
+ */
+TEST(Membership, SuspectsNobodyBehindOneCutLink)
+{
+	Network network(8);
+
+	network.settle();
+	network.cut_both(1, 2, true);
+	EXPECT_GE(network.run_until([&] { return network.any_suspect(); }, 60),
+		  60);
+	EXPECT_TRUE(network.converged());
+}
+
 /*
  * A node hears nothing more, but is heard. Its probes seem to fail at every
  * peer; if it told others, they would call each other dead. Only the deaf node
