Retries take from their budget

The budget earned a share of each first attempt, but nothing ever took from it: every call was retried up to its own limit, so an outage of the engines multiplied their load by max_attempts. A retry now takes one, and a call that finds none is answered at once.

--- a/core/node_attempt.c
+++ b/core/node_attempt.c
@@ -152,7 +152,8 @@
 		node_call_refuse(node, call, REFUSAL_ENDPOINT_FAILED, run, 0);
 		return;
 	}
-	if (call->attempts >= node->options.max_attempts) {
+	if (call->attempts >= node->options.max_attempts ||
+	    (call->attempts > 0 && !retry_budget_take(node->retries))) {
 		node_call_refuse(node, call,
 				 call->maybe_run ? REFUSAL_ENDPOINT_FAILED
 						 : REFUSAL_NO_ENDPOINT,
