--- a/core/node_attempt.c
+++ b/core/node_attempt.c
@@ -146,11 +146,14 @@
 {
 	enum run run = call->maybe_run ? RUN_UNKNOWN : RUN_NO;
 
+	if (node_attempt_is_quarantined(node, call))
+		return;
 	if (call->caller_gone && !call->request->non_idempotent) {
 		node_call_refuse(node, call, REFUSAL_ENDPOINT_FAILED, run, 0);
 		return;
 	}
-	if (call->attempts >= node->options.max_attempts) {
+	if (call->attempts >= node->options.max_attempts ||
+	    (call->attempts > 0 && !retry_budget_take(node->retries))) {
 		node_call_refuse(node, call,
 				 call->maybe_run ? REFUSAL_ENDPOINT_FAILED
 						 : REFUSAL_NO_ENDPOINT,
