"Not run" is said of an id only by the node that may run it

Cause: an id that had run at one node was refused by another (queue full, draining, key-value service down) with run=no. Ruled out: naming it "run of this send" in the page; the users ask that a request called not run was not run. Change: without an id, or at the issuer or the holder of the claim, the node knows and says so; elsewhere it says unknown. A RUNNING id is unknown too, and another body by the same id is another request.

--- a/core/node_call.c
+++ b/core/node_call.c
@@ -23,14 +23,15 @@
 	counters_add(&node->counters, COUNTER_REFUSED, 1);
 }
 
-static void call_refuse_at_once(struct node *node, uint64_t id,
-				enum refusal refusal)
+static void node_refuse_at_once(struct node *node,
+				const struct event_call *event,
+				enum refusal refusal, enum run run)
 {
 	int64_t retry_after_us = 0;
 
 	if (refusal_status(refusal) == 503 || refusal_status(refusal) == 429)
 		retry_after_us = COME_BACK_US;
-	node_refuse(node, id, refusal, RUN_NO, retry_after_us, NULL);
+	node_refuse(node, event->call, refusal, run, retry_after_us, NULL);
 	node_log(node, LOG_LEVEL_INFO, "call_refused", NULL, "reason",
 		 refusal_code(refusal));
 }
@@ -80,7 +81,8 @@
 	return REFUSAL_NONE;
 }
 
-static uint64_t request_fingerprint(const struct request *request)
+/* A hash of what an endpoint would get: another body is another request. */
+uint64_t node_fingerprint(const struct request *request)
 {
 	gsize size;
 	const char *data = g_bytes_get_data(request->body, &size);
@@ -133,7 +135,7 @@
 			? MIN(event->request->priority, organisation->priority)
 			: organisation->priority;
 	call->kind = service->kind;
-	call->fingerprint = request_fingerprint(event->request);
+	call->fingerprint = node_fingerprint(event->request);
 	g_hash_table_insert(node->calls, &call->id, call);
 	return call;
 }
@@ -141,24 +143,29 @@
 /* Takes a caller's request: checks, its id, then an endpoint for it. */
 void node_call_receive(struct node *node, const struct event_call *event)
 {
-	const struct config_organisation *organisation;
+	const struct config_organisation *organisation = NULL;
 	const struct config_service *service;
 	struct call *call;
 	enum refusal refusal;
 
 	counters_add(&node->counters, COUNTER_CALLS, 1);
 	refusal = node_check_ready(node);
+	if (node->config)
+		organisation =
+			config_find_key(node->config, event->request->bearer);
 	if (refusal != REFUSAL_NONE) {
-		call_refuse_at_once(node, event->call, refusal);
+		node_refuse_at_once(
+			node, event, refusal,
+			node_id_run(node, event->request,
+				    organisation ? organisation->name : NULL));
 		return;
 	}
-	organisation = config_find_key(node->config, event->request->bearer);
 	service = config_find_service(node->config, event->request->service);
 	refusal = request_check_organisation(event->request, organisation);
 	if (refusal == REFUSAL_NONE)
 		refusal = request_check(event->request, service);
 	if (refusal != REFUSAL_NONE) {
-		call_refuse_at_once(node, event->call, refusal);
+		node_refuse_at_once(node, event, refusal, RUN_NO);
 		return;
 	}
 	call = call_open(node, event, organisation, service);
@@ -335,6 +342,15 @@
 	if (call->outcome && call->state != CALL_JOINED)
 		call->outcome->state =
 			may_run ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN;
+	if (call->outcome && run != RUN_NO)
+		call->outcome->maybe_run = true;
+}
+
+/* A request refused for what it is, not for what this node can do now. */
+static bool refusal_is_about_request(enum refusal refusal)
+{
+	return refusal == REFUSAL_BAD_REQUEST ||
+	       refusal == REFUSAL_BAD_EVENT_ID;
 }
 
 /*
@@ -346,6 +362,8 @@
 		      int64_t retry_after_us)
 {
 	call_note_refusal(call, run);
+	if (run == RUN_NO && !refusal_is_about_request(refusal))
+		run = node_id_run(node, call->request, call->organisation);
 	if (call->begun) {
 		counters_add(&node->counters, COUNTER_CALLS_BROKEN, 1);
 		call_emit_end(node, call, refusal, run, retry_after_us, "");
--- a/core/node_id.c
+++ b/core/node_id.c
@@ -19,10 +19,66 @@
 #define CLAIM_TTL_S 86400
 #define CLAIM_LEASE_RENEW_US (3600ll * G_USEC_PER_SEC)
 
-static char *outcome_key(const struct call *call)
+static char *outcome_key(const char *organisation, const char *id)
 {
-	return g_strconcat(call->organisation, "\n",
-			   call->request->idempotency_key, NULL);
+	return g_strconcat(organisation, "\n", id, NULL);
+}
+
+/* Whether this process is the only one that may ever run the id. */
+static bool node_answers_for(const struct node *node, const char *text,
+			     const struct outcome *outcome)
+{
+	struct request_id id;
+
+	if (!request_id_parse(&id, text))
+		return outcome && outcome->claimed;
+	return strcmp(id.issuer, node->options.name) == 0 &&
+	       id.incarnation == node->options.incarnation &&
+	       id.issued_us + node->options.id_memory_us > node->now_us;
+}
+
+static enum run outcome_run(const struct outcome *outcome)
+{
+	if (!outcome)
+		return RUN_NO;
+	switch (outcome->state) {
+	case OUTCOME_WHOLE:
+		return RUN_YES;
+	case OUTCOME_RUNNING: /* sent: it may not have begun */
+	case OUTCOME_UNKNOWN:
+		return RUN_UNKNOWN;
+	case OUTCOME_NOT_RUN:
+	case OUTCOME_PENDING:
+		break;
+	}
+	return outcome->maybe_run ? RUN_UNKNOWN : RUN_NO;
+}
+
+/*
+ * What a refusal may say of a request that this node has not sent. The caller
+ * may have sent the same id before, to another node, where it ran; "not run"
+ * would then be false. It is said only without an id, or by the one process
+ * that may run the id and knows that it did not.
+ */
+enum run node_id_run(const struct node *node, const struct request *request,
+		     const char *organisation)
+{
+	const char *id = request->idempotency_key;
+	const struct outcome *outcome;
+	char *key;
+
+	if (!id)
+		return RUN_NO;
+	if (!organisation)
+		return RUN_UNKNOWN;
+	key = outcome_key(organisation, id);
+	outcome = outcome_store_find(node->outcomes, key);
+	g_free(key);
+	if (!node_answers_for(node, id, outcome))
+		return RUN_UNKNOWN;
+	if (outcome && outcome->fingerprint != node_fingerprint(request))
+		return RUN_NO; /* what ran by this id is another request */
+	return outcome_run(outcome);
 }
 
 static void call_replay_stream(struct node *node, struct call *call,
@@ -176,7 +232,8 @@
 /* Finds or makes the outcome of an id this node may answer for. */
 static bool call_enter(struct node *node, struct call *call, int64_t expires_us)
 {
-	char *key = outcome_key(call);
+	char *key =
+		outcome_key(call->organisation, call->request->idempotency_key);
 	struct outcome *outcome;
 
 	outcome_store_expire(node->outcomes, node->now_us);
--- a/core/node_state.h
+++ b/core/node_state.h
@@ -132,6 +132,7 @@
 };
 
 /* node_call.c */
+uint64_t node_fingerprint(const struct request *request);
 void node_call_receive(struct node *node, const struct event_call *event);
 void node_call_gone(struct node *node, uint64_t id);
 void node_call_flow(struct node *node, const struct event_call_flow *event);
@@ -159,6 +160,8 @@
 bool node_id_kv(struct node *node, const struct kv_answer *answer);
 void node_id_settle(struct node *node, struct call *call);
 void node_id_dispatched(struct call *call);
+enum run node_id_run(const struct node *node, const struct request *request,
+		     const char *organisation);
 
 /* node_place.c */
 void node_place_call(struct node *node, struct call *call);
--- a/core/outcome_store.h
+++ b/core/outcome_store.h
@@ -34,6 +34,7 @@
 	uint64_t fingerprint; /* of service, path and body */
 	uint64_t nonce;	      /* of the claim, where one is needed */
 	bool claimed;
+	bool maybe_run; /* some run of it was begun, or may have been */
 	int64_t expires_us;
 	GArray *waiting; /* uint64_t calls that want the same outcome */
 
