Fakes: the wider backlog takes effect; ports are checked

A port above 65535 was cut to 16 bits.

Change: the socket is made, bound and listening before libsoup gets it; the port is read with its range.

--- a/fakes/fake_server.c
+++ b/fakes/fake_server.c
@@ -33,13 +33,19 @@
  * libsoup listens with a backlog of 10. Of 50 nodes' calls at once the kernel
  * drops the rest, and each comes again a second later.
  */
-static void fake_server_widen_backlog(struct fake_server *server)
+static bool fake_server_bind(struct fake_server *server,
+			     GSocketAddress *address, GError **error)
 {
-	GSList *sockets = soup_server_get_listeners(server->soup);
+	g_autoptr(GSocket) socket = g_socket_new(
+		g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
+		G_SOCKET_PROTOCOL_TCP, error);
 
-	for (GSList *item = sockets; item; item = item->next)
-		listen(g_socket_get_fd(item->data), LISTEN_BACKLOG);
-	g_slist_free(sockets);
+	if (!socket)
+		return false;
+	g_socket_set_listen_backlog(socket, LISTEN_BACKLOG);
+	return g_socket_bind(socket, address, TRUE, error) &&
+	       g_socket_listen(socket, error) &&
+	       soup_server_listen_socket(server->soup, socket, 0, error);
 }
 
 /*
@@ -50,24 +56,25 @@
 {
 	g_autofree char *copy = g_strdup(text);
 	char *colon = strrchr(copy, ':');
+	guint64 port = 0;
 	g_autoptr(GSocketAddress) address = NULL;
 	g_autoptr(GError) error = NULL;
 	GSList *uris;
 
-	if (colon) {
+	if (colon && g_ascii_string_to_unsigned(colon + 1, 10, 0, G_MAXUINT16,
+						&port, NULL)) {
 		*colon = '\0';
-		address = g_inet_socket_address_new_from_string(
-			copy, g_ascii_strtoull(colon + 1, NULL, 10));
+		address = g_inet_socket_address_new_from_string(copy,
+								(guint)port);
 	}
 	if (!address) {
 		fprintf(stderr, "%s: expected IP:PORT\n", text);
 		return false;
 	}
-	if (!soup_server_listen(server->soup, address, 0, &error)) {
+	if (!fake_server_bind(server, address, &error)) {
 		fprintf(stderr, "%s: %s\n", text, error->message);
 		return false;
 	}
-	fake_server_widen_backlog(server);
 	uris = soup_server_get_uris(server->soup);
 	server->address =
 		g_strdup_printf("%s:%d", copy, g_uri_get_port(uris->data));
