--- a/core/node.c
+++ b/core/node.c
@@ -364,7 +364,7 @@
 		node_config_peer(node, message);
 		break;
 	case PEER_LEAVING:
-		node_home_peer_leaving(node, &message->leaving);
+		node_leaving_peer(node, &message->leaving);
 		break;
 	case PEER_QUARANTINE:
 		node_attempt_peer_crash(node, &message->quarantine);
@@ -477,7 +477,7 @@
 		node_config_watch(node, &event->kv_watch);
 		break;
 	case EVENT_VM_LIST:
-		node_home_vm_list(node, &event->vm_list);
+		node_leaving_vm_list(node, &event->vm_list);
 		break;
 	case EVENT_SHUTDOWN:
 		node_begin_drain(node);
@@ -500,27 +500,6 @@
 	}
 }
 
-/* Takes back the words of peers on leaving endpoints that ran out. */
-static void node_expire_leaving(struct node *node)
-{
-	GPtrArray *expired = g_ptr_array_new_with_free_func(g_free);
-	GHashTableIter iter;
-	gpointer key, value;
-
-	g_hash_table_iter_init(&iter, node->leaving);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const struct leaving_mark *mark = value;
-
-		if ((mark->sources & LEAVING_PEER) &&
-		    mark->peer_until_us <= node->now_us)
-			g_ptr_array_add(expired, g_strdup(key));
-	}
-	for (guint i = 0; i < expired->len; i++)
-		node_home_set_leaving(node, g_ptr_array_index(expired, i),
-				      LEAVING_PEER, false);
-	g_ptr_array_unref(expired);
-}
-
 static void node_check_drained(struct node *node)
 {
 	int64_t quiet_us =
@@ -560,7 +539,7 @@
 	if (node->now_us >= node->next_poll_us) {
 		node->next_poll_us = node->now_us + node->options.load_poll_us;
 		node_home_poll(node);
-		node_expire_leaving(node);
+		node_leaving_expire(node);
 	}
 	if (node->now_us >= node->next_progress_us) {
 		node->next_progress_us =
@@ -570,7 +549,7 @@
 	if (node->now_us >= node->next_limits_us)
 		node_limits_report(node);
 	if (node->now_us >= node->next_announce_us)
-		node_home_announce_leaving(node);
+		node_leaving_announce(node);
 }
 
 static void node_check_members(struct node *node)
@@ -580,7 +559,7 @@
 	if (epoch == node->epoch_seen)
 		return;
 	node->epoch_seen = epoch;
-	node_home_membership_changed(node);
+	node_shard_members_changed(node);
 }
 
 /*
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -62,9 +62,8 @@
 			const struct config_endpoint *endpoint =
 				g_ptr_array_index(service->endpoints, k);
 
-			node_home_set_leaving(node, endpoint->address,
-					      LEAVING_CONFIG,
-					      endpoint->leaving);
+			node_leaving_set(node, endpoint->address,
+					 LEAVING_CONFIG, endpoint->leaving);
 		}
 	}
 }
@@ -92,7 +91,7 @@
 	node->config_document = g_bytes_ref(document);
 	counters_add(&node->counters, COUNTER_CONFIG_APPLIED, 1);
 	membership_set_config_revision(node->membership, revision);
-	node_home_rebuild(node);
+	node_shard_rebuild(node);
 	node_apply_config_leaving(node);
 	node_rollout_config_changed(node);
 	node_place_reset_shares(node);
--- a/core/node_rollout.c
+++ b/core/node_rollout.c
@@ -92,12 +92,12 @@
 
 		switch (effect->type) {
 		case ROLLOUT_TAKE_OUT:
-			node_home_set_leaving(node, effect->address,
-					      LEAVING_ROLLOUT, true);
+			node_leaving_set(node, effect->address, LEAVING_ROLLOUT,
+					 true);
 			break;
 		case ROLLOUT_PUT_IN:
-			node_home_set_leaving(node, effect->address,
-					      LEAVING_ROLLOUT, false);
+			node_leaving_set(node, effect->address, LEAVING_ROLLOUT,
+					 false);
 			break;
 		case ROLLOUT_READ:
 			add_read(node, effect->address);
--- a/core/node_state.h
+++ b/core/node_state.h
@@ -26,7 +26,9 @@
  *   node_id.c       request ids: repeated, claimed, forwarded
  *   node_place.c    entry node's side of getting an endpoint
  *   node_attempt.c  what endpoints answer; retries
- *   node_home.c     home's side: shards, grants, load
+ *   node_shard.c    shards of endpoints and their homes
+ *   node_home.c     home's side: grants, load
+ *   node_leaving.c  endpoints that leave
  *   node_config.c   configuration: key-value service, peers
  *   node_limits.c   organisations' limits, shared between nodes
  *   node_rollout.c  rollouts under a lease
@@ -203,9 +205,18 @@
 void node_attempt_peer_crash(struct node *node,
 			     const struct peer_quarantine *report);
 
+/* node_shard.c */
+void node_shard_rebuild(struct node *node);
+void node_shard_members_changed(struct node *node);
+struct shard *node_shard_find(struct node *node, const char *service,
+			      uint32_t index);
+struct shard *node_shard_pick(struct node *node, const char *service);
+struct shard *node_shard_of_endpoint(struct node *node, const char *service,
+				     const char *endpoint);
+void shard_destroy(gpointer data);
+void shard_list_destroy(gpointer data);
+
 /* node_home.c */
-void node_home_rebuild(struct node *node);
-void node_home_membership_changed(struct node *node);
 void node_home_place(struct node *node, const struct peer_message *message);
 void node_home_submit(struct node *node, struct shard *shard,
 		      const struct placement_request *request,
@@ -217,21 +228,16 @@
 void node_home_poll(struct node *node);
 void node_home_load(struct node *node, const struct event_load *event);
 int64_t node_home_next_due_us(const struct node *node);
-void node_home_set_leaving(struct node *node, const char *endpoint,
-			   enum leaving_source source, bool leaving);
-void node_home_vm_list(struct node *node, const struct event_vm_list *event);
-void node_home_announce_leaving(struct node *node);
-void node_home_peer_leaving(struct node *node,
-			    const struct peer_leaving *leaving);
-struct shard *node_shard_find(struct node *node, const char *service,
-			      uint32_t index);
-struct shard *node_shard_pick(struct node *node, const char *service);
-struct shard *node_shard_of_endpoint(struct node *node, const char *service,
-				     const char *endpoint);
-void shard_destroy(gpointer data);
-void shard_list_destroy(gpointer data);
 void home_ticket_destroy(gpointer data);
 
+/* node_leaving.c */
+void node_leaving_set(struct node *node, const char *endpoint,
+		      enum leaving_source source, bool leaving);
+void node_leaving_vm_list(struct node *node, const struct event_vm_list *event);
+void node_leaving_peer(struct node *node, const struct peer_leaving *leaving);
+void node_leaving_announce(struct node *node);
+void node_leaving_expire(struct node *node);
+
 /* node_rollout.c */
 void node_rollout_create(struct node *node);
 void node_rollout_destroy(struct node *node);
