--- a/core/node_state.h
+++ b/core/node_state.h
@@ -21,7 +21,9 @@
  * The node's state and the functions its parts call in one another. Private
  * to core/node*.c:
  *
- *   node.c          life, dispatch of events, dump
+ *   node_create.c   options, making and freeing
+ *   node.c          life, dispatch of events
+ *   node_dump.c     the state dump
  *   node_call.c     callers: checks, refusals, streams, timers
  *   node_id.c       request ids: repeated, claimed, forwarded
  *   node_place.c    entry node's side of getting an endpoint
