--- a/bench/direct.c
+++ b/bench/direct.c
@@ -78,28 +78,11 @@
 	return (double)time.tv_sec * 1e6 + (double)time.tv_nsec / 1e3;
 }
 
-static enum placement_policy direct_placement_policy(enum bench_policy policy)
-{
-	switch (policy) {
-	case BENCH_NAIVE:
-		return PLACEMENT_NAIVE;
-	case BENCH_ORACLE:
-		return PLACEMENT_ORACLE;
-	case BENCH_PREVIOUS:
-		return PLACEMENT_FIXED;
-	case BENCH_SHARES:
-	case BENCH_PROJECT:
-	case BENCH_POLICIES:
-		break;
-	}
-	return PLACEMENT_PEAK;
-}
-
 static struct placement *direct_placement(const struct direct *direct,
 					  enum service_kind kind, uint64_t seed)
 {
 	struct placement_options options = {
-		.policy = direct_placement_policy(direct->policy),
+		.policy = bench_policy_placement(direct->policy),
 		.kind = kind,
 		.seed = seed,
 		.max_waiting = 2000,
--- a/bench/nodes.c
+++ b/bench/nodes.c
@@ -322,23 +322,6 @@
 	config_unref(config);
 }
 
-static enum placement_policy nodes_policy(enum bench_policy policy)
-{
-	switch (policy) {
-	case BENCH_NAIVE:
-		return PLACEMENT_NAIVE;
-	case BENCH_ORACLE:
-		return PLACEMENT_ORACLE;
-	case BENCH_PREVIOUS:
-		return PLACEMENT_FIXED;
-	case BENCH_SHARES:
-	case BENCH_PROJECT:
-	case BENCH_POLICIES:
-		break;
-	}
-	return PLACEMENT_PEAK;
-}
-
 static void nodes_create_world(struct nodes *nodes, enum bench_policy policy,
 			       uint64_t seed)
 {
@@ -357,7 +340,7 @@
 	options.plain_count = PLAIN_ENDPOINTS;
 	options.plain_us = PLAIN_US;
 	options.chunk_us = CHUNK_US;
-	options.node.policy = nodes_policy(policy);
+	options.node.policy = bench_policy_placement(policy);
 	if (policy == BENCH_NAIVE)
 		options.node.retry_percent = 1000;
 	if (policy == BENCH_SHARES)
--- a/bench/scenario.c
+++ b/bench/scenario.c
@@ -83,3 +83,21 @@
 {
 	return policy_names[policy];
 }
+
+/* The placement that a policy of the bench runs on. */
+enum placement_policy bench_policy_placement(enum bench_policy policy)
+{
+	switch (policy) {
+	case BENCH_NAIVE:
+		return PLACEMENT_NAIVE;
+	case BENCH_ORACLE:
+		return PLACEMENT_ORACLE;
+	case BENCH_PREVIOUS:
+		return PLACEMENT_FIXED;
+	case BENCH_SHARES:
+	case BENCH_PROJECT:
+	case BENCH_POLICIES:
+		break;
+	}
+	return PLACEMENT_PEAK;
+}
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -4,6 +4,8 @@
 #include "bench/measure.h"
 #include "bench/workload.h"
 
+#include "core/placement.h"
+
 #include <glib.h>
 #include <stdint.h>
 
@@ -58,6 +60,8 @@
 		       struct workload_options *options);
 const char *bench_policy_name(enum bench_policy policy);
 
+enum placement_policy bench_policy_placement(enum bench_policy policy);
+
 G_END_DECLS
 
 #endif
