Core: a folder for each subject; nothing in core includes codec

Cause: core/ held 60 files side by side, and seven of them included codec, which includes core. A newcomer could not name the room of a promise.

Change: moves and includes only. core/ has base, message, node, membership, placement, plan, rollout, config, once, stream, limit and json; the checked forms of the configuration and of rollouts stand beside what they describe.

Ruled out: moving codec under core whole: the etcd, peer and VM list formats belong to one adapter each.

After: 256 tests pass as before, 66 pure objects checked.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 PROGRAM_SOURCES = $(filter-out fakes/fake_server.c, \
 	$(wildcard daemons/siskinlink*.c fakes/fake_*.c bench/*_bench.c))
 PROGRAMS = $(patsubst %.c,$(B)/bin/%,$(notdir $(PROGRAM_SOURCES)))
-PURE_SOURCES = $(wildcard core/*.c codec/*.c)
+PURE_SOURCES = $(wildcard core/*/*.c codec/*.c)
 LIBRARY_SOURCES = $(PURE_SOURCES) $(wildcard adapters/*.c adapters/*.cc) \
 	$(filter-out $(PROGRAM_SOURCES),$(wildcard daemons/*.c))
 FAKE_SOURCES = $(filter-out $(PROGRAM_SOURCES),$(wildcard fakes/*.c bench/*.c))
@@ -140,7 +140,7 @@
 bench: $(PROGRAMS)
 	$(B)/bin/policy_bench $(or $(BENCH_ARGS),--direct)
 
-FORMATTED = $(wildcard */*.c */*.h */*.cc)
+FORMATTED = $(wildcard */*.c */*.h */*.cc core/*/*.c core/*/*.h)
 format:
 	clang-format -i $(FORMATTED)
 
--- a/adapters/bounded_request.h
+++ b/adapters/bounded_request.h
@@ -1,7 +1,7 @@
 #ifndef ADAPTERS_BOUNDED_REQUEST_H
 #define ADAPTERS_BOUNDED_REQUEST_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 
 #include <glib.h>
 #include <libsoup/soup.h>
--- a/adapters/endpoint_attempt.h
+++ b/adapters/endpoint_attempt.h
@@ -2,7 +2,7 @@
 #define ADAPTERS_ENDPOINT_ATTEMPT_H
 
 #include "adapters/http_exchange.h"
-#include "core/counters.h"
+#include "core/base/counters.h"
 #include "ports/action.h"
 #include "ports/sink.h"
 
--- a/adapters/endpoint_client.h
+++ b/adapters/endpoint_client.h
@@ -2,8 +2,8 @@
 #define ADAPTERS_ENDPOINT_CLIENT_H
 
 #include "adapters/log.h"
-#include "core/counters.h"
-#include "core/error.h"
+#include "core/base/counters.h"
+#include "core/base/error.h"
 #include "ports/action.h"
 #include "ports/sink.h"
 
--- a/adapters/engine_event.c
+++ b/adapters/engine_event.c
@@ -1,7 +1,7 @@
 #include "adapters/engine_event.h"
 
-#include "codec/json_reader.h"
-#include "core/event_id.h"
+#include "core/json/json_reader.h"
+#include "core/stream/event_id.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
--- a/adapters/engine_event.h
+++ b/adapters/engine_event.h
@@ -2,7 +2,7 @@
 #define ADAPTERS_ENGINE_EVENT_H
 
 #include "adapters/sse_reader.h"
-#include "core/error.h"
+#include "core/base/error.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/adapters/http_body.h
+++ b/adapters/http_body.h
@@ -1,7 +1,7 @@
 #ifndef ADAPTERS_HTTP_BODY_H
 #define ADAPTERS_HTTP_BODY_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 #include "ports/request.h"
 
 #include <glib.h>
--- a/adapters/http_collect.c
+++ b/adapters/http_collect.c
@@ -1,6 +1,6 @@
 #include "adapters/http_collect.h"
 
-#include "codec/json_reader.h"
+#include "core/json/json_reader.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
--- a/adapters/http_exchange.h
+++ b/adapters/http_exchange.h
@@ -1,7 +1,7 @@
 #ifndef ADAPTERS_HTTP_EXCHANGE_H
 #define ADAPTERS_HTTP_EXCHANGE_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 
 #include <glib.h>
 #include <libsoup/soup.h>
--- a/adapters/http_listener.h
+++ b/adapters/http_listener.h
@@ -1,7 +1,7 @@
 #ifndef ADAPTERS_HTTP_LISTENER_H
 #define ADAPTERS_HTTP_LISTENER_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 
 #include <gio/gio.h>
 #include <glib.h>
--- a/adapters/kv_watch.h
+++ b/adapters/kv_watch.h
@@ -2,7 +2,7 @@
 #define ADAPTERS_KV_WATCH_H
 
 #include "adapters/log.h"
-#include "core/counters.h"
+#include "core/base/counters.h"
 #include "ports/sink.h"
 
 #include <glib.h>
--- a/adapters/load_text.h
+++ b/adapters/load_text.h
@@ -1,7 +1,7 @@
 #ifndef ADAPTERS_LOAD_TEXT_H
 #define ADAPTERS_LOAD_TEXT_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 #include "ports/load_report.h"
 
 #include <glib.h>
--- a/adapters/log.h
+++ b/adapters/log.h
@@ -1,7 +1,7 @@
 #ifndef ADAPTERS_LOG_H
 #define ADAPTERS_LOG_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 #include "ports/action.h"
 
 #include <glib.h>
--- a/adapters/settings.h
+++ b/adapters/settings.h
@@ -1,8 +1,8 @@
 #ifndef ADAPTERS_SETTINGS_H
 #define ADAPTERS_SETTINGS_H
 
-#include "core/error.h"
-#include "core/node.h"
+#include "core/base/error.h"
+#include "core/node/node.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/adapters/sse_reader.h
+++ b/adapters/sse_reader.h
@@ -1,7 +1,7 @@
 #ifndef ADAPTERS_SSE_READER_H
 #define ADAPTERS_SSE_READER_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/adapters/vm_list_client.h
+++ b/adapters/vm_list_client.h
@@ -2,7 +2,7 @@
 #define ADAPTERS_VM_LIST_CLIENT_H
 
 #include "adapters/log.h"
-#include "core/error.h"
+#include "core/base/error.h"
 #include "ports/sink.h"
 
 #include <glib.h>
--- a/bench/direct.c
+++ b/bench/direct.c
@@ -1,7 +1,7 @@
 #include "bench/direct.h"
-#include "core/home.h"
-#include "core/placement.h"
-#include "core/retry_budget.h"
+#include "core/placement/home.h"
+#include "core/placement/placement.h"
+#include "core/limit/retry_budget.h"
 #include "fakes/engine_model.h"
 
 #include <stdio.h>
--- a/bench/member_network.c
+++ b/bench/member_network.c
@@ -1,7 +1,7 @@
 #include "bench/member_network.h"
 
 #include "codec/peer_codec.h"
-#include "core/timer_heap.h"
+#include "core/base/timer_heap.h"
 
 #include <string.h>
 
--- a/bench/member_network.h
+++ b/bench/member_network.h
@@ -1,7 +1,7 @@
 #ifndef BENCH_MEMBER_NETWORK_H
 #define BENCH_MEMBER_NETWORK_H
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/bench/nodes.c
+++ b/bench/nodes.c
@@ -1,6 +1,6 @@
 #include "bench/nodes.h"
 #include "bench/world.h"
-#include "core/home.h"
+#include "core/placement/home.h"
 
 #include <string.h>
 
--- a/bench/region.c
+++ b/bench/region.c
@@ -1,8 +1,8 @@
 #include "bench/region.h"
 
-#include "codec/config_json.h"
+#include "core/config/config_json.h"
 #include "codec/peer_codec.h"
-#include "core/node.h"
+#include "core/node/node.h"
 
 #include <malloc.h>
 #include <math.h>
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -4,7 +4,7 @@
 #include "bench/measure.h"
 #include "bench/workload.h"
 
-#include "core/placement.h"
+#include "core/placement/placement.h"
 
 #include <glib.h>
 #include <stdint.h>
--- a/bench/slope.c
+++ b/bench/slope.c
@@ -1,6 +1,6 @@
 #include "bench/slope.h"
 #include "bench/workload.h"
-#include "core/placement.h"
+#include "core/placement/placement.h"
 
 #include <stdio.h>
 #include <time.h>
--- a/bench/world.c
+++ b/bench/world.c
@@ -1,6 +1,6 @@
 #include "bench/world_state.h"
 
-#include "codec/config_json.h"
+#include "core/config/config_json.h"
 
 #include <string.h>
 
--- a/bench/world.h
+++ b/bench/world.h
@@ -1,8 +1,8 @@
 #ifndef BENCH_WORLD_H
 #define BENCH_WORLD_H
 
-#include "core/config.h"
-#include "core/node.h"
+#include "core/config/config.h"
+#include "core/node/node.h"
 #include "fakes/engine_model.h"
 #include "ports/action.h"
 #include "ports/event.h"
--- a/codec/etcd_json.c
+++ b/codec/etcd_json.c
@@ -1,6 +1,6 @@
 #include "codec/etcd_json.h"
 
-#include "codec/json_reader.h"
+#include "core/json/json_reader.h"
 
 #include <string.h>
 
--- a/codec/etcd_json.h
+++ b/codec/etcd_json.h
@@ -1,7 +1,7 @@
 #ifndef CODEC_ETCD_JSON_H
 #define CODEC_ETCD_JSON_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 #include "ports/kv.h"
 
 #include <glib.h>
--- a/codec/order_json.h
+++ b/codec/order_json.h
@@ -1,7 +1,7 @@
 #ifndef CODEC_ORDER_JSON_H
 #define CODEC_ORDER_JSON_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/codec/peer_codec.h
+++ b/codec/peer_codec.h
@@ -1,7 +1,7 @@
 #ifndef CODEC_PEER_CODEC_H
 #define CODEC_PEER_CODEC_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 #include "ports/peer_message.h"
 
 #include <glib.h>
--- a/codec/vm_list_json.h
+++ b/codec/vm_list_json.h
@@ -1,7 +1,7 @@
 #ifndef CODEC_VM_LIST_JSON_H
 #define CODEC_VM_LIST_JSON_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 #include "ports/event.h"
 
 #include <glib.h>
--- a/core/counters.c
+++ b/core/base/counters.c
@@ -1,4 +1,4 @@
-#include "core/counters.h"
+#include "core/base/counters.h"
 
 struct counter_description {
 	const char *name;
--- a/core/counters.h
+++ b/core/base/counters.h
@@ -1,5 +1,5 @@
-#ifndef CORE_COUNTERS_H
-#define CORE_COUNTERS_H
+#ifndef CORE_BASE_COUNTERS_H
+#define CORE_BASE_COUNTERS_H
 
 #include <glib.h>
 #include <stdint.h>
--- a/core/error.c
+++ b/core/base/error.c
@@ -1,4 +1,4 @@
-#include "core/error.h"
+#include "core/base/error.h"
 
 #include <stdarg.h>
 
--- a/core/error.h
+++ b/core/base/error.h
@@ -1,5 +1,5 @@
-#ifndef CORE_ERROR_H
-#define CORE_ERROR_H
+#ifndef CORE_BASE_ERROR_H
+#define CORE_BASE_ERROR_H
 
 #include <glib.h>
 
--- a/core/timer_heap.c
+++ b/core/base/timer_heap.c
@@ -1,4 +1,4 @@
-#include "core/timer_heap.h"
+#include "core/base/timer_heap.h"
 
 struct timer_entry {
 	int64_t due_us;
--- a/core/timer_heap.h
+++ b/core/base/timer_heap.h
@@ -1,5 +1,5 @@
-#ifndef CORE_TIMER_HEAP_H
-#define CORE_TIMER_HEAP_H
+#ifndef CORE_BASE_TIMER_HEAP_H
+#define CORE_BASE_TIMER_HEAP_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/core/config.c
+++ b/core/config/config.c
@@ -1,4 +1,4 @@
-#include "core/config.h"
+#include "core/config/config.h"
 
 #include <string.h>
 
--- a/core/config.h
+++ b/core/config/config.h
@@ -1,7 +1,7 @@
-#ifndef CORE_CONFIG_H
-#define CORE_CONFIG_H
+#ifndef CORE_CONFIG_CONFIG_H
+#define CORE_CONFIG_CONFIG_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/codec/config_json.c
+++ b/core/config/config_json.c
@@ -1,6 +1,6 @@
-#include "codec/config_json.h"
+#include "core/config/config_json.h"
 
-#include "codec/json_reader.h"
+#include "core/json/json_reader.h"
 
 #include <string.h>
 
--- a/codec/config_json.h
+++ b/core/config/config_json.h
@@ -1,8 +1,8 @@
-#ifndef CODEC_CONFIG_JSON_H
-#define CODEC_CONFIG_JSON_H
+#ifndef CORE_CONFIG_CONFIG_JSON_H
+#define CORE_CONFIG_CONFIG_JSON_H
 
-#include "core/config.h"
-#include "core/error.h"
+#include "core/config/config.h"
+#include "core/base/error.h"
 
 #include <glib.h>
 #include <stdint.h>
--- a/codec/json_reader.c
+++ b/core/json/json_reader.c
@@ -1,4 +1,4 @@
-#include "codec/json_reader.h"
+#include "core/json/json_reader.h"
 
 #include <stdarg.h>
 #include <string.h>
--- a/codec/json_reader.h
+++ b/core/json/json_reader.h
@@ -1,7 +1,7 @@
-#ifndef CODEC_JSON_READER_H
-#define CODEC_JSON_READER_H
+#ifndef CORE_JSON_JSON_READER_H
+#define CORE_JSON_JSON_READER_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 
 #include <glib.h>
 #include <json-glib/json-glib.h>
--- a/codec/variant_json.c
+++ b/core/json/variant_json.c
@@ -1,4 +1,4 @@
-#include "codec/variant_json.h"
+#include "core/json/variant_json.h"
 
 #include <json-glib/json-glib.h>
 
--- a/codec/variant_json.h
+++ b/core/json/variant_json.h
@@ -1,5 +1,5 @@
-#ifndef CODEC_VARIANT_JSON_H
-#define CODEC_VARIANT_JSON_H
+#ifndef CORE_JSON_VARIANT_JSON_H
+#define CORE_JSON_VARIANT_JSON_H
 
 #include <glib.h>
 
--- a/core/organisation_limits.c
+++ b/core/limit/organisation_limits.c
@@ -1,4 +1,4 @@
-#include "core/organisation_limits.h"
+#include "core/limit/organisation_limits.h"
 
 #define SHARE_LIFE_US (15 * G_USEC_PER_SEC)
 #define REPORT_LIFE_US (15 * G_USEC_PER_SEC)
--- a/core/organisation_limits.h
+++ b/core/limit/organisation_limits.h
@@ -1,7 +1,7 @@
-#ifndef CORE_ORGANISATION_LIMITS_H
-#define CORE_ORGANISATION_LIMITS_H
+#ifndef CORE_LIMIT_ORGANISATION_LIMITS_H
+#define CORE_LIMIT_ORGANISATION_LIMITS_H
 
-#include "core/config.h"
+#include "core/config/config.h"
 #include "ports/peer_message.h"
 #include "ports/refusal.h"
 
--- a/core/quarantine.c
+++ b/core/limit/quarantine.c
@@ -1,4 +1,4 @@
-#include "core/quarantine.h"
+#include "core/limit/quarantine.h"
 
 #include <string.h>
 
--- a/core/quarantine.h
+++ b/core/limit/quarantine.h
@@ -1,5 +1,5 @@
-#ifndef CORE_QUARANTINE_H
-#define CORE_QUARANTINE_H
+#ifndef CORE_LIMIT_QUARANTINE_H
+#define CORE_LIMIT_QUARANTINE_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/core/retry_budget.c
+++ b/core/limit/retry_budget.c
@@ -1,4 +1,4 @@
-#include "core/retry_budget.h"
+#include "core/limit/retry_budget.h"
 
 /* Stock is counted in hundredths of a retry: a percent per first attempt. */
 #define RETRY_COST 100
--- a/core/retry_budget.h
+++ b/core/limit/retry_budget.h
@@ -1,5 +1,5 @@
-#ifndef CORE_RETRY_BUDGET_H
-#define CORE_RETRY_BUDGET_H
+#ifndef CORE_LIMIT_RETRY_BUDGET_H
+#define CORE_LIMIT_RETRY_BUDGET_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/core/member_table.c
+++ b/core/membership/member_table.c
@@ -1,4 +1,4 @@
-#include "core/member_table.h"
+#include "core/membership/member_table.h"
 
 #include <math.h>
 #include <string.h>
--- a/core/member_table.h
+++ b/core/membership/member_table.h
@@ -1,5 +1,5 @@
-#ifndef CORE_MEMBER_TABLE_H
-#define CORE_MEMBER_TABLE_H
+#ifndef CORE_MEMBERSHIP_MEMBER_TABLE_H
+#define CORE_MEMBERSHIP_MEMBER_TABLE_H
 
 #include "ports/peer_message.h"
 
--- a/core/membership.c
+++ b/core/membership/membership.c
@@ -1,4 +1,4 @@
-#include "core/membership_state.h"
+#include "core/membership/membership_state.h"
 
 #define MAX_VERIFIES 4
 
--- a/core/membership.h
+++ b/core/membership/membership.h
@@ -1,5 +1,5 @@
-#ifndef CORE_MEMBERSHIP_H
-#define CORE_MEMBERSHIP_H
+#ifndef CORE_MEMBERSHIP_MEMBERSHIP_H
+#define CORE_MEMBERSHIP_MEMBERSHIP_H
 
 #include "ports/action.h"
 #include "ports/peer_message.h"
--- a/core/membership_probe.c
+++ b/core/membership/membership_probe.c
@@ -1,4 +1,4 @@
-#include "core/membership_state.h"
+#include "core/membership/membership_state.h"
 
 #define HELPERS 3
 #define FAR_PROBE_ONE_IN 8
--- a/core/membership_state.h
+++ b/core/membership/membership_state.h
@@ -1,8 +1,8 @@
-#ifndef CORE_MEMBERSHIP_STATE_H
-#define CORE_MEMBERSHIP_STATE_H
+#ifndef CORE_MEMBERSHIP_MEMBERSHIP_STATE_H
+#define CORE_MEMBERSHIP_MEMBERSHIP_STATE_H
 
-#include "core/member_table.h"
-#include "core/membership.h"
+#include "core/membership/member_table.h"
+#include "core/membership/membership.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/core/call.c
+++ b/core/node/call.c
@@ -1,4 +1,4 @@
-#include "core/call.h"
+#include "core/node/call.h"
 
 static const char *const state_names[] = {
 	[CALL_CLAIMING] = "claiming", [CALL_JOINED] = "joined",
--- a/core/call.h
+++ b/core/node/call.h
@@ -1,8 +1,8 @@
-#ifndef CORE_CALL_H
-#define CORE_CALL_H
+#ifndef CORE_NODE_CALL_H
+#define CORE_NODE_CALL_H
 
-#include "core/config.h"
-#include "core/outcome_store.h"
+#include "core/config/config.h"
+#include "core/once/outcome_store.h"
 #include "ports/request.h"
 
 #include <glib.h>
--- a/core/node.h
+++ b/core/node/node.h
@@ -1,8 +1,8 @@
-#ifndef CORE_NODE_H
-#define CORE_NODE_H
+#ifndef CORE_NODE_NODE_H
+#define CORE_NODE_NODE_H
 
-#include "core/counters.h"
-#include "core/placement.h"
+#include "core/base/counters.h"
+#include "core/placement/placement.h"
 #include "ports/action.h"
 #include "ports/event.h"
 
--- a/core/node_call.c
+++ b/core/node/node_call.c
@@ -1,6 +1,6 @@
-#include "core/node_state.h"
+#include "core/node/node_state.h"
 
-#include "core/event_id.h"
+#include "core/stream/event_id.h"
 
 #include <string.h>
 
--- a/core/node_config.c
+++ b/core/node/node_config.c
@@ -1,6 +1,6 @@
-#include "core/node_state.h"
+#include "core/node/node_state.h"
 
-#include "codec/config_json.h"
+#include "core/config/config_json.h"
 
 #include <string.h>
 
--- a/core/node_dump.c
+++ b/core/node/node_dump.c
@@ -1,4 +1,4 @@
-#include "core/node_state.h"
+#include "core/node/node_state.h"
 
 /* The state dump: what an operator needs to see what the node does. */
 
--- a/core/node_leaving.c
+++ b/core/node/node_leaving.c
@@ -1,4 +1,4 @@
-#include "core/node_state.h"
+#include "core/node/node_state.h"
 
 #include <string.h>
 
--- a/core/node_place.c
+++ b/core/node/node_place.c
@@ -1,5 +1,5 @@
-#include "core/node_state.h"
-#include "core/length_estimate.h"
+#include "core/node/node_state.h"
+#include "core/placement/length_estimate.h"
 
 #include <string.h>
 
--- a/core/node_query.c
+++ b/core/node/node_query.c
@@ -1,7 +1,7 @@
-#include "core/node_state.h"
+#include "core/node/node_state.h"
 
-#include "codec/variant_json.h"
-#include "core/request_id.h"
+#include "core/json/variant_json.h"
+#include "core/once/request_id.h"
 
 #include <string.h>
 
--- a/core/node_rollout.c
+++ b/core/node/node_rollout.c
@@ -1,6 +1,6 @@
-#include "core/node_state.h"
+#include "core/node/node_state.h"
 
-#include "core/rollout.h"
+#include "core/rollout/rollout.h"
 
 #include <string.h>
 
--- a/core/node_state.h
+++ b/core/node/node_state.h
@@ -1,17 +1,17 @@
-#ifndef CORE_NODE_STATE_H
-#define CORE_NODE_STATE_H
+#ifndef CORE_NODE_NODE_STATE_H
+#define CORE_NODE_NODE_STATE_H
 
-#include "core/call.h"
-#include "core/holder.h"
-#include "core/home.h"
-#include "core/membership.h"
-#include "core/node.h"
-#include "core/organisation_limits.h"
-#include "core/outcome_store.h"
-#include "core/plan_book.h"
-#include "core/quarantine.h"
-#include "core/retry_budget.h"
-#include "core/timer_heap.h"
+#include "core/node/call.h"
+#include "core/rollout/holder.h"
+#include "core/placement/home.h"
+#include "core/membership/membership.h"
+#include "core/node/node.h"
+#include "core/limit/organisation_limits.h"
+#include "core/once/outcome_store.h"
+#include "core/plan/plan_book.h"
+#include "core/limit/quarantine.h"
+#include "core/limit/retry_budget.h"
+#include "core/base/timer_heap.h"
 
 #include <glib.h>
 
@@ -19,7 +19,7 @@
 
 /*
  * The node's state and the functions its parts call in one another. Private
- * to core/node*.c:
+ * to core/node/:
  *
  *   node_create.c   options, making and freeing
  *   node.c          life, dispatch of events
--- a/core/outcome_store.c
+++ b/core/once/outcome_store.c
@@ -1,4 +1,4 @@
-#include "core/outcome_store.h"
+#include "core/once/outcome_store.h"
 
 struct outcome_store {
 	GHashTable *by_key; /* char * to struct outcome */
--- a/core/outcome_store.h
+++ b/core/once/outcome_store.h
@@ -1,5 +1,5 @@
-#ifndef CORE_OUTCOME_STORE_H
-#define CORE_OUTCOME_STORE_H
+#ifndef CORE_ONCE_OUTCOME_STORE_H
+#define CORE_ONCE_OUTCOME_STORE_H
 
 #include "ports/refusal.h"
 
--- a/core/request_id.c
+++ b/core/once/request_id.c
@@ -1,4 +1,4 @@
-#include "core/request_id.h"
+#include "core/once/request_id.h"
 
 #include <string.h>
 
--- a/core/request_id.h
+++ b/core/once/request_id.h
@@ -1,5 +1,5 @@
-#ifndef CORE_REQUEST_ID_H
-#define CORE_REQUEST_ID_H
+#ifndef CORE_ONCE_REQUEST_ID_H
+#define CORE_ONCE_REQUEST_ID_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/core/admission.c
+++ b/core/placement/admission.c
@@ -1,4 +1,4 @@
-#include "core/admission.h"
+#include "core/placement/admission.h"
 
 #include <math.h>
 
--- a/core/admission.h
+++ b/core/placement/admission.h
@@ -1,7 +1,7 @@
-#ifndef CORE_ADMISSION_H
-#define CORE_ADMISSION_H
+#ifndef CORE_PLACEMENT_ADMISSION_H
+#define CORE_PLACEMENT_ADMISSION_H
 
-#include "core/length_estimate.h"
+#include "core/placement/length_estimate.h"
 
 #include <glib.h>
 #include <stdint.h>
--- a/core/endpoint_book.c
+++ b/core/placement/endpoint_book.c
@@ -1,4 +1,4 @@
-#include "core/endpoint_book.h"
+#include "core/placement/endpoint_book.h"
 
 /* How old what is summed up may get. */
 #define REFRESH_US (200 * 1000)
--- a/core/endpoint_book.h
+++ b/core/placement/endpoint_book.h
@@ -1,11 +1,11 @@
-#ifndef CORE_ENDPOINT_BOOK_H
-#define CORE_ENDPOINT_BOOK_H
+#ifndef CORE_PLACEMENT_ENDPOINT_BOOK_H
+#define CORE_PLACEMENT_ENDPOINT_BOOK_H
 
-#include "core/admission.h"
-#include "core/endpoint_health.h"
-#include "core/length_estimate.h"
-#include "core/pace.h"
-#include "core/wait_queue.h"
+#include "core/placement/admission.h"
+#include "core/placement/endpoint_health.h"
+#include "core/placement/length_estimate.h"
+#include "core/placement/pace.h"
+#include "core/placement/wait_queue.h"
 #include "ports/load_report.h"
 
 #include <glib.h>
--- a/core/endpoint_health.c
+++ b/core/placement/endpoint_health.c
@@ -1,4 +1,4 @@
-#include "core/endpoint_health.h"
+#include "core/placement/endpoint_health.h"
 
 #include <math.h>
 
--- a/core/endpoint_health.h
+++ b/core/placement/endpoint_health.h
@@ -1,5 +1,5 @@
-#ifndef CORE_ENDPOINT_HEALTH_H
-#define CORE_ENDPOINT_HEALTH_H
+#ifndef CORE_PLACEMENT_ENDPOINT_HEALTH_H
+#define CORE_PLACEMENT_ENDPOINT_HEALTH_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/core/home.c
+++ b/core/placement/home.c
@@ -1,4 +1,4 @@
-#include "core/home.h"
+#include "core/placement/home.h"
 
 #include <string.h>
 
--- a/core/home.h
+++ b/core/placement/home.h
@@ -1,7 +1,7 @@
-#ifndef CORE_HOME_H
-#define CORE_HOME_H
+#ifndef CORE_PLACEMENT_HOME_H
+#define CORE_PLACEMENT_HOME_H
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 #include <glib.h>
 #include <stdint.h>
--- a/core/length_estimate.c
+++ b/core/placement/length_estimate.c
@@ -1,4 +1,4 @@
-#include "core/length_estimate.h"
+#include "core/placement/length_estimate.h"
 
 /* One bin a token up to here, then four an octave. */
 #define SINGLE_BINS 8
--- a/core/length_estimate.h
+++ b/core/placement/length_estimate.h
@@ -1,5 +1,5 @@
-#ifndef CORE_LENGTH_ESTIMATE_H
-#define CORE_LENGTH_ESTIMATE_H
+#ifndef CORE_PLACEMENT_LENGTH_ESTIMATE_H
+#define CORE_PLACEMENT_LENGTH_ESTIMATE_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/core/pace.c
+++ b/core/placement/pace.c
@@ -1,4 +1,4 @@
-#include "core/pace.h"
+#include "core/placement/pace.h"
 
 #define MEMORY_TOKENS 20000.0
 #define PRIOR_TOKENS 200.0
--- a/core/pace.h
+++ b/core/placement/pace.h
@@ -1,5 +1,5 @@
-#ifndef CORE_PACE_H
-#define CORE_PACE_H
+#ifndef CORE_PLACEMENT_PACE_H
+#define CORE_PLACEMENT_PACE_H
 
 #include <glib.h>
 #include <stdint.h>
--- a/core/placement.c
+++ b/core/placement/placement.c
@@ -1,6 +1,6 @@
-#include "core/placement_state.h"
+#include "core/placement/placement_state.h"
 
-#include "core/home.h"
+#include "core/placement/home.h"
 
 #define FIXED_DEVIATIONS 2.5
 #define FIXED_SHARED 0.1
--- a/core/placement.h
+++ b/core/placement/placement.h
@@ -1,7 +1,7 @@
-#ifndef CORE_PLACEMENT_H
-#define CORE_PLACEMENT_H
+#ifndef CORE_PLACEMENT_PLACEMENT_H
+#define CORE_PLACEMENT_PLACEMENT_H
 
-#include "core/config.h"
+#include "core/config/config.h"
 #include "ports/load_report.h"
 #include "ports/peer_message.h"
 #include "ports/refusal.h"
--- a/core/placement_choose.c
+++ b/core/placement/placement_choose.c
@@ -1,4 +1,4 @@
-#include "core/placement_state.h"
+#include "core/placement/placement_state.h"
 
 #include <math.h>
 
--- a/core/placement_state.h
+++ b/core/placement/placement_state.h
@@ -1,10 +1,10 @@
-#ifndef CORE_PLACEMENT_STATE_H
-#define CORE_PLACEMENT_STATE_H
+#ifndef CORE_PLACEMENT_PLACEMENT_STATE_H
+#define CORE_PLACEMENT_PLACEMENT_STATE_H
 
-#include "core/endpoint_book.h"
-#include "core/length_estimate.h"
-#include "core/placement.h"
-#include "core/wait_queue.h"
+#include "core/placement/endpoint_book.h"
+#include "core/placement/length_estimate.h"
+#include "core/placement/placement.h"
+#include "core/placement/wait_queue.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/core/placement_step.c
+++ b/core/placement/placement_step.c
@@ -1,4 +1,4 @@
-#include "core/placement_state.h"
+#include "core/placement/placement_state.h"
 
 /*
  * One step of a placement: who of those that wait goes where now, and who is
--- a/core/wait_queue.c
+++ b/core/placement/wait_queue.c
@@ -1,4 +1,4 @@
-#include "core/wait_queue.h"
+#include "core/placement/wait_queue.h"
 
 /* Waiting so long is worth one level of priority. */
 #define AGEING_US (10 * G_USEC_PER_SEC)
--- a/core/wait_queue.h
+++ b/core/placement/wait_queue.h
@@ -1,5 +1,5 @@
-#ifndef CORE_WAIT_QUEUE_H
-#define CORE_WAIT_QUEUE_H
+#ifndef CORE_PLACEMENT_WAIT_QUEUE_H
+#define CORE_PLACEMENT_WAIT_QUEUE_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/core/plan.c
+++ b/core/plan/plan.c
@@ -1,8 +1,8 @@
-#include "core/plan.h"
+#include "core/plan/plan.h"
 
-#include "codec/config_json.h"
-#include "core/plan_describe.h"
-#include "core/plan_rollout.h"
+#include "core/config/config_json.h"
+#include "core/plan/plan_describe.h"
+#include "core/plan/plan_rollout.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
--- a/core/plan.h
+++ b/core/plan/plan.h
@@ -1,8 +1,8 @@
-#ifndef CORE_PLAN_H
-#define CORE_PLAN_H
+#ifndef CORE_PLAN_PLAN_H
+#define CORE_PLAN_PLAN_H
 
-#include "core/config.h"
-#include "core/error.h"
+#include "core/config/config.h"
+#include "core/base/error.h"
 
 #include <glib.h>
 #include <stdint.h>
--- a/core/plan_answer.c
+++ b/core/plan/plan_answer.c
@@ -1,4 +1,4 @@
-#include "core/plan_answer.h"
+#include "core/plan/plan_answer.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
--- a/core/plan_answer.h
+++ b/core/plan/plan_answer.h
@@ -1,8 +1,8 @@
-#ifndef CORE_PLAN_ANSWER_H
-#define CORE_PLAN_ANSWER_H
+#ifndef CORE_PLAN_PLAN_ANSWER_H
+#define CORE_PLAN_PLAN_ANSWER_H
 
-#include "core/config.h"
-#include "core/error.h"
+#include "core/config/config.h"
+#include "core/base/error.h"
 #include "ports/action.h"
 
 #include <glib.h>
--- a/core/plan_book.c
+++ b/core/plan/plan_book.c
@@ -1,8 +1,8 @@
-#include "core/plan_book.h"
+#include "core/plan/plan_book.h"
 
-#include "codec/config_json.h"
-#include "core/counters.h"
-#include "core/plan_entry.h"
+#include "core/config/config_json.h"
+#include "core/base/counters.h"
+#include "core/plan/plan_entry.h"
 
 #include <string.h>
 
--- a/core/plan_book.h
+++ b/core/plan/plan_book.h
@@ -1,7 +1,7 @@
-#ifndef CORE_PLAN_BOOK_H
-#define CORE_PLAN_BOOK_H
+#ifndef CORE_PLAN_PLAN_BOOK_H
+#define CORE_PLAN_PLAN_BOOK_H
 
-#include "core/config.h"
+#include "core/config/config.h"
 #include "ports/action.h"
 
 #include <glib.h>
--- a/core/plan_describe.c
+++ b/core/plan/plan_describe.c
@@ -1,6 +1,6 @@
-#include "core/plan_describe.h"
+#include "core/plan/plan_describe.h"
 
-#include "core/plan_rollout.h"
+#include "core/plan/plan_rollout.h"
 
 #include <string.h>
 
--- a/core/plan_describe.h
+++ b/core/plan/plan_describe.h
@@ -1,7 +1,7 @@
-#ifndef CORE_PLAN_DESCRIBE_H
-#define CORE_PLAN_DESCRIBE_H
+#ifndef CORE_PLAN_PLAN_DESCRIBE_H
+#define CORE_PLAN_PLAN_DESCRIBE_H
 
-#include "core/plan.h"
+#include "core/plan/plan.h"
 
 G_BEGIN_DECLS
 
--- a/core/plan_entry.c
+++ b/core/plan/plan_entry.c
@@ -1,7 +1,7 @@
-#include "core/plan_entry.h"
+#include "core/plan/plan_entry.h"
 
-#include "codec/config_json.h"
-#include "core/counters.h"
+#include "core/config/config_json.h"
+#include "core/base/counters.h"
 
 enum {
 	FIRST_RESEND_US = 200 * 1000,
--- a/core/plan_entry.h
+++ b/core/plan/plan_entry.h
@@ -1,15 +1,15 @@
-#ifndef CORE_PLAN_ENTRY_H
-#define CORE_PLAN_ENTRY_H
+#ifndef CORE_PLAN_PLAN_ENTRY_H
+#define CORE_PLAN_PLAN_ENTRY_H
 
-#include "core/plan.h"
-#include "core/plan_answer.h"
-#include "core/plan_book.h"
+#include "core/plan/plan.h"
+#include "core/plan/plan_answer.h"
+#include "core/plan/plan_book.h"
 
 G_BEGIN_DECLS
 
 /*
  * One plan of the book on its way to a settled outcome. Private to
- * core/plan_book.c and core/plan_entry.c.
+ * core/plan/plan_book.c and core/plan/plan_entry.c.
  */
 
 enum plan_state {
--- a/core/plan_rollout.h
+++ b/core/plan/plan_rollout.h
@@ -1,8 +1,8 @@
-#ifndef CORE_PLAN_ROLLOUT_H
-#define CORE_PLAN_ROLLOUT_H
+#ifndef CORE_PLAN_PLAN_ROLLOUT_H
+#define CORE_PLAN_PLAN_ROLLOUT_H
 
-#include "codec/config_json.h"
-#include "core/plan.h"
+#include "core/config/config_json.h"
+#include "core/plan/plan.h"
 
 G_BEGIN_DECLS
 
--- a/core/holder.c
+++ b/core/rollout/holder.c
@@ -1,6 +1,6 @@
-#include "core/holder.h"
+#include "core/rollout/holder.h"
 
-#include "core/counters.h"
+#include "core/base/counters.h"
 
 #include <string.h>
 
--- a/core/holder.h
+++ b/core/rollout/holder.h
@@ -1,5 +1,5 @@
-#ifndef CORE_HOLDER_H
-#define CORE_HOLDER_H
+#ifndef CORE_ROLLOUT_HOLDER_H
+#define CORE_ROLLOUT_HOLDER_H
 
 #include "ports/action.h"
 
--- a/core/rollout.c
+++ b/core/rollout/rollout.c
@@ -1,4 +1,4 @@
-#include "core/rollout_internal.h"
+#include "core/rollout/rollout_internal.h"
 
 #include <string.h>
 
--- a/core/rollout.h
+++ b/core/rollout/rollout.h
@@ -1,8 +1,8 @@
-#ifndef CORE_ROLLOUT_H
-#define CORE_ROLLOUT_H
+#ifndef CORE_ROLLOUT_ROLLOUT_H
+#define CORE_ROLLOUT_ROLLOUT_H
 
-#include "codec/rollout_json.h"
-#include "core/holder.h"
+#include "core/rollout/rollout_json.h"
+#include "core/rollout/holder.h"
 #include "ports/action.h"
 #include "ports/event.h"
 
--- a/core/rollout_internal.h
+++ b/core/rollout/rollout_internal.h
@@ -1,13 +1,13 @@
-#ifndef CORE_ROLLOUT_INTERNAL_H
-#define CORE_ROLLOUT_INTERNAL_H
+#ifndef CORE_ROLLOUT_ROLLOUT_INTERNAL_H
+#define CORE_ROLLOUT_ROLLOUT_INTERNAL_H
 
-#include "core/rollout.h"
+#include "core/rollout/rollout.h"
 
 G_BEGIN_DECLS
 
 /*
  * The rollout's state and the functions its parts call in one another. Private
- * to core/rollout*.c:
+ * to core/rollout/:
  *
  *   rollout.c           life, batches, checks after the end
  *   rollout_endpoint.c  one endpoint: drained, ordered, read back
--- a/codec/rollout_json.c
+++ b/core/rollout/rollout_json.c
@@ -1,6 +1,6 @@
-#include "codec/rollout_json.h"
+#include "core/rollout/rollout_json.h"
 
-#include "codec/json_reader.h"
+#include "core/json/json_reader.h"
 
 #include <string.h>
 
--- a/codec/rollout_json.h
+++ b/core/rollout/rollout_json.h
@@ -1,7 +1,7 @@
-#ifndef CODEC_ROLLOUT_JSON_H
-#define CODEC_ROLLOUT_JSON_H
+#ifndef CORE_ROLLOUT_ROLLOUT_JSON_H
+#define CORE_ROLLOUT_ROLLOUT_JSON_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/core/rollout_store.c
+++ b/core/rollout/rollout_store.c
@@ -1,6 +1,6 @@
-#include "core/rollout_internal.h"
+#include "core/rollout/rollout_internal.h"
 
-#include "core/counters.h"
+#include "core/base/counters.h"
 
 #include <string.h>
 
--- a/core/event_id.c
+++ b/core/stream/event_id.c
@@ -1,4 +1,4 @@
-#include "core/event_id.h"
+#include "core/stream/event_id.h"
 
 #include <string.h>
 
--- a/core/event_id.h
+++ b/core/stream/event_id.h
@@ -1,5 +1,5 @@
-#ifndef CORE_EVENT_ID_H
-#define CORE_EVENT_ID_H
+#ifndef CORE_STREAM_EVENT_ID_H
+#define CORE_STREAM_EVENT_ID_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/daemons/ctl_client.h
+++ b/daemons/ctl_client.h
@@ -1,7 +1,7 @@
 #ifndef DAEMONS_CTL_CLIENT_H
 #define DAEMONS_CTL_CLIENT_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -7,7 +7,7 @@
 #include "adapters/order_client.h"
 #include "adapters/peer_link.h"
 #include "adapters/vm_list_client.h"
-#include "core/node.h"
+#include "core/node/node.h"
 
 #include <glib-unix.h>
 #include <json-glib/json-glib.h>
--- a/daemons/node_loop.h
+++ b/daemons/node_loop.h
@@ -2,7 +2,7 @@
 #define DAEMONS_NODE_LOOP_H
 
 #include "adapters/settings.h"
-#include "core/error.h"
+#include "core/base/error.h"
 
 #include <glib.h>
 
--- a/daemons/siskinlinkctl.c
+++ b/daemons/siskinlinkctl.c
@@ -1,5 +1,5 @@
 #include "adapters/toml_reader.h"
-#include "core/error.h"
+#include "core/base/error.h"
 #include "daemons/ctl_client.h"
 #include "daemons/ctl_command.h"
 #include "daemons/version.h"
--- a/ports/event.h
+++ b/ports/event.h
@@ -1,7 +1,7 @@
 #ifndef PORTS_EVENT_H
 #define PORTS_EVENT_H
 
-#include "core/error.h"
+#include "core/base/error.h"
 #include "ports/kv.h"
 #include "ports/load_report.h"
 #include "ports/peer_message.h"
--- a/ports/refusal.h
+++ b/ports/refusal.h
@@ -8,8 +8,8 @@
 
 /*
  * Why a call got no whole answer, and what the caller may conclude. The table
- * in core/refusal.c gives each its HTTP status, its code in the JSON body and
- * its default "run" value.
+ * in core/message/refusal.c gives each its HTTP status, its code in the JSON
+ * body and its default "run" value.
  */
 
 enum run { RUN_NO, RUN_YES, RUN_UNKNOWN };
--- a/spec/plans.pml
+++ b/spec/plans.pml
@@ -1,6 +1,6 @@
 /*
- * How a plan is confirmed (core/plan_entry.c) and a configuration taken over
- * (core/node_config.c).
+ * How a plan is confirmed (core/plan/plan_entry.c) and a configuration taken over
+ * (core/node/node_config.c).
  *
  * PLANS operators plan on whatever revision they see and confirm; each
  * confirmation is one compare-and-swap at the plan's base, written again with
--- a/tests/endpoint_return_test.cc
+++ b/tests/endpoint_return_test.cc
@@ -1,4 +1,4 @@
-#include "core/placement.h"
+#include "core/placement/placement.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/length_estimate_test.cc
+++ b/tests/length_estimate_test.cc
@@ -1,4 +1,4 @@
-#include "core/length_estimate.h"
+#include "core/placement/length_estimate.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -1,7 +1,7 @@
 #ifndef TESTS_LOOPBACK_H
 #define TESTS_LOOPBACK_H
 
-#include "core/counters.h"
+#include "core/base/counters.h"
 #include "ports/sink.h"
 
 #include <gio/gio.h>
--- a/tests/node_script.cc
+++ b/tests/node_script.cc
@@ -1,7 +1,7 @@
 #include "tests/node_script.h"
 
-#include "codec/config_json.h"
-#include "core/node.h"
+#include "core/config/config_json.h"
+#include "core/node/node.h"
 
 #include <cstring>
 #include <deque>
--- a/tests/operating_page_test.cc
+++ b/tests/operating_page_test.cc
@@ -1,5 +1,5 @@
 #include "adapters/settings.h"
-#include "core/counters.h"
+#include "core/base/counters.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/organisation_limits_test.cc
+++ b/tests/organisation_limits_test.cc
@@ -1,4 +1,4 @@
-#include "core/organisation_limits.h"
+#include "core/limit/organisation_limits.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -1,5 +1,5 @@
-#include "core/placement.h"
-#include "core/home.h"
+#include "core/placement/placement.h"
+#include "core/placement/home.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/plan_book_test.cc
+++ b/tests/plan_book_test.cc
@@ -1,5 +1,5 @@
-#include "codec/config_json.h"
-#include "core/plan_book.h"
+#include "core/config/config_json.h"
+#include "core/plan/plan_book.h"
 #include "fakes/kv_model.h"
 
 #include <gtest/gtest.h>
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -1,5 +1,5 @@
-#include "codec/config_json.h"
-#include "core/plan.h"
+#include "core/config/config_json.h"
+#include "core/plan/plan.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -1,7 +1,7 @@
 #include "bench/direct.h"
 #include "bench/scenario.h"
-#include "core/admission.h"
-#include "core/pace.h"
+#include "core/placement/admission.h"
+#include "core/placement/pace.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/retry_budget_test.cc
+++ b/tests/retry_budget_test.cc
@@ -1,4 +1,4 @@
-#include "core/retry_budget.h"
+#include "core/limit/retry_budget.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -1,4 +1,4 @@
-#include "core/rollout.h"
+#include "core/rollout/rollout.h"
 #include "fakes/kv_model.h"
 
 #include <gtest/gtest.h>
