--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 APT_PACKAGES = gcc g++ make pkg-config curl jq \
 	libglib2.0-dev libjson-glib-dev libsoup-3.0-dev libzmq3-dev \
 	libpopt-dev liblog4c-dev libsodium-dev libtomlplusplus-dev \
+	libhttp-parser-dev \
 	libgtest-dev spin gnuplot-nox clang clang-format clang-tidy \
 	libclang-rt-14-dev
 
@@ -25,7 +26,7 @@
 endif
 PACKAGE_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null \
 	| sed 's/-I/-isystem /g')
-PACKAGE_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -llog4c -lm
+PACKAGE_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -llog4c -lhttp_parser -lm
 COMMON = $(WARNINGS) $(OPTIMIZE) $(SANITIZERS) -I. $(PACKAGE_CFLAGS) -MMD -MP
 ALL_CFLAGS = -std=gnu11 -Wmissing-prototypes $(COMMON) $(CFLAGS)
 ALL_CXXFLAGS = -std=c++17 -Wno-missing-field-initializers $(COMMON) $(CXXFLAGS)
@@ -36,6 +37,7 @@
 PROGRAMS = $(patsubst %.c,$(B)/bin/%,$(notdir $(PROGRAM_SOURCES)))
 PURE_SOURCES = $(wildcard core/*/*.c codec/*.c)
 LIBRARY_SOURCES = $(PURE_SOURCES) $(wildcard adapters/*.c adapters/*.cc) \
+	$(wildcard adapters/*/*.c platform/*.c) \
 	$(filter-out $(PROGRAM_SOURCES),$(wildcard daemons/*.c))
 FAKE_SOURCES = $(filter-out $(PROGRAM_SOURCES),$(wildcard fakes/*.c bench/*.c))
 TEST_SOURCES = $(wildcard tests/*.cc)
@@ -140,14 +142,16 @@
 bench: $(PROGRAMS)
 	$(B)/bin/policy_bench $(or $(BENCH_ARGS),--direct)
 
-FORMATTED = $(wildcard */*.c */*.h */*.cc core/*/*.c core/*/*.h)
+FORMATTED = $(wildcard */*.c */*.h */*.cc core/*/*.c core/*/*.h adapters/*/*.c \
+	adapters/*/*.h)
 format:
 	clang-format -i $(FORMATTED)
 
 format-check:
 	clang-format --dry-run -Werror $(FORMATTED)
 
-TIDY_SOURCES = $(PURE_SOURCES) $(wildcard adapters/*.c daemons/*.c fakes/*.c \
+TIDY_SOURCES = $(PURE_SOURCES) $(wildcard adapters/*.c adapters/*/*.c \
+	platform/*.c daemons/*.c fakes/*.c \
 	bench/*.c)
 tidy:
 	printf '%s\n' $(TIDY_SOURCES) | xargs -P 12 -n 4 sh -c \
--- /dev/null
+++ b/adapters/gateway/caller.c
@@ -0,0 +1,447 @@
+#include "adapters/gateway/caller.h"
+
+#include "adapters/gateway/http_reader.h"
+#include "adapters/gateway/tcp_stream.h"
+
+#include <string.h>
+#include <unistd.h>
+
+/* Read ahead of the request being answered; then the caller has to wait. */
+#define MAX_AHEAD_BYTES 65536
+
+/* Until a configuration says otherwise. */
+#define DEFAULT_HEADER_BYTES 16384
+#define DEFAULT_BODY_BYTES (1 << 20)
+#define DEFAULT_HEADER_TIMEOUT_US (5 * G_USEC_PER_SEC)
+#define DEFAULT_IDLE_TIMEOUT_US (30 * G_USEC_PER_SEC)
+
+struct caller_set {
+	struct caller_handler handler;
+	struct caller_limits limits;
+	GHashTable *callers; /* set of struct caller */
+	size_t max_callers;
+	size_t busy;
+	int64_t now_us;
+	bool is_draining;
+};
+
+struct caller {
+	struct caller_set *set;
+	struct tcp_stream *stream; /* NULL: over */
+	struct http_reader *reader;
+	GByteArray *ahead; /* bytes behind the request being answered */
+	GByteArray *body;
+	void *request; /* the handler's */
+	bool is_busy;  /* a request was handed over and isn't answered */
+	bool must_close;
+	bool has_sent; /* a part of the present answer */
+	bool is_parsing;
+	bool is_refused;
+	int64_t begun_us;  /* of the request being read; 0: none */
+	int64_t active_us; /* last byte, or end of the last answer */
+};
+
+static const struct {
+	int32_t status;
+	const char *text;
+} status_texts[] = {
+	{200, "OK"},
+	{400, "Bad Request"},
+	{401, "Unauthorized"},
+	{404, "Not Found"},
+	{408, "Request Timeout"},
+	{413, "Content Too Large"},
+	{431, "Request Header Fields Too Large"},
+	{502, "Bad Gateway"},
+	{503, "Service Unavailable"},
+	{504, "Gateway Timeout"},
+};
+
+/* The reason phrase of a status; "Status" for one that isn't ours. */
+const char *http_status_text(int32_t status)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(status_texts); i++) {
+		if (status_texts[i].status == status)
+			return status_texts[i].text;
+	}
+	return "Status";
+}
+
+static void caller_free(gpointer data)
+{
+	struct caller *caller = data;
+
+	tcp_stream_destroy(caller->stream);
+	http_reader_destroy(caller->reader);
+	g_byte_array_unref(caller->ahead);
+	g_byte_array_unref(caller->body);
+}
+
+static void caller_release(gpointer data)
+{
+	g_rc_box_release_full(data, caller_free);
+}
+
+/* Takes the connection out; its request hears of it if one waits. */
+static void caller_drop(struct caller *caller)
+{
+	struct caller_set *set = caller->set;
+	void *request = g_steal_pointer(&caller->request);
+
+	if (caller->is_busy) {
+		caller->is_busy = false;
+		set->busy--;
+		if (request && set->handler.gone)
+			set->handler.gone(set->handler.data, request);
+	}
+	tcp_stream_destroy(g_steal_pointer(&caller->stream));
+	g_hash_table_remove(set->callers, caller);
+}
+
+/* Sends what waits and closes. */
+static void caller_finish(struct caller *caller)
+{
+	tcp_stream_finish(g_steal_pointer(&caller->stream));
+	g_hash_table_remove(caller->set->callers, caller);
+}
+
+static void caller_append_head(const struct caller *caller, int32_t status,
+			       const char *fields, GString *out)
+{
+	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n%s", status,
+			       http_status_text(status), fields ? fields : "");
+	if (caller->must_close || caller->set->is_draining)
+		g_string_append(out, "Connection: close\r\n");
+}
+
+/*
+ * Refuses what can't be read as a request. Where the next one begins is not
+ * known then, so the connection ends.
+ */
+static void caller_refuse(struct caller *caller, int32_t status)
+{
+	GString *out = g_string_new(NULL);
+
+	caller->is_refused = true;
+	caller->must_close = true;
+	caller_append_head(caller, status, "Content-Length: 0\r\n", out);
+	g_string_append(out, "\r\n");
+	tcp_stream_write(caller->stream, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+static bool on_head(void *data, const struct http_head *head)
+{
+	static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	struct caller *caller = data;
+	int64_t most = caller->set->limits.body_bytes;
+
+	g_byte_array_set_size(caller->body, 0);
+	if (head->content_length > most) {
+		caller_refuse(caller, 413);
+		return true;
+	}
+	if (http_head_has_token(head, "Expect", "100-continue"))
+		tcp_stream_write(caller->stream, go_on, sizeof(go_on) - 1);
+	return true;
+}
+
+static void on_body(void *data, const char *bytes, size_t size)
+{
+	struct caller *caller = data;
+
+	if (caller->is_refused)
+		return;
+	if ((int64_t)(caller->body->len + size) >
+	    caller->set->limits.body_bytes) {
+		caller_refuse(caller, 413);
+		return;
+	}
+	g_byte_array_append(caller->body, (const guint8 *)bytes, (guint)size);
+}
+
+static const struct http_reader_events reader_events = {
+	.head = on_head,
+	.body = on_body,
+};
+
+static void caller_hand_over(struct caller *caller)
+{
+	struct caller_set *set = caller->set;
+	GByteArray *body = caller->body;
+
+	caller->body = g_byte_array_new();
+	caller->is_busy = true;
+	caller->has_sent = false;
+	caller->begun_us = 0;
+	caller->must_close = http_reader_must_close(caller->reader);
+	set->busy++;
+	set->handler.request(set->handler.data, caller,
+			     http_reader_take_head(caller->reader), body);
+}
+
+/*
+ * Reads requests from the bytes at hand, one at a time. Answers may come from
+ * inside, and then the next request is read by this loop, not by another one
+ * inside it.
+ */
+static void caller_parse(struct caller *caller)
+{
+	if (caller->is_parsing)
+		return;
+	caller->is_parsing = true;
+	g_rc_box_acquire(caller);
+	while (caller->stream && !caller->is_busy && !caller->is_refused &&
+	       caller->ahead->len > 0) {
+		size_t taken = 0;
+		enum http_reader_result result;
+
+		if (!caller->begun_us)
+			caller->begun_us = caller->set->now_us;
+		result = http_reader_feed(caller->reader,
+					  (const char *)caller->ahead->data,
+					  caller->ahead->len, &taken);
+		g_byte_array_remove_range(
+			caller->ahead, 0,
+			(guint)MIN(taken, caller->ahead->len));
+		if (caller->is_refused)
+			break;
+		if (result == HTTP_READER_COMPLETE)
+			caller_hand_over(caller);
+		else if (result == HTTP_READER_TOO_LARGE)
+			caller_refuse(caller, 431);
+		else if (result == HTTP_READER_BAD)
+			caller_refuse(caller, 400);
+	}
+	caller->is_parsing = false;
+	if (caller->stream && caller->is_refused)
+		caller_finish(caller);
+	else if (caller->stream)
+		tcp_stream_set_reading(caller->stream,
+				       caller->ahead->len < MAX_AHEAD_BYTES);
+	caller_release(caller);
+}
+
+static void on_received(void *data, const char *bytes, size_t size)
+{
+	struct caller *caller = data;
+
+	caller->active_us = caller->set->now_us;
+	g_byte_array_append(caller->ahead, (const guint8 *)bytes, (guint)size);
+	caller_parse(caller);
+}
+
+/* A caller that closes has left: nobody would read the answer. */
+static void on_ended(void *data)
+{
+	caller_drop(data);
+}
+
+static void on_failed(void *data, const struct error *error)
+{
+	(void)error;
+	caller_drop(data);
+}
+
+static void on_drained(void *data)
+{
+	struct caller *caller = data;
+	const struct caller_handler *handler = &caller->set->handler;
+
+	if (caller->request && handler->drained)
+		handler->drained(handler->data, caller->request);
+}
+
+static const struct tcp_stream_events stream_events = {
+	.received = on_received,
+	.ended = on_ended,
+	.failed = on_failed,
+	.drained = on_drained,
+};
+
+/* A set without callers; at most so many are served at once. */
+struct caller_set *caller_set_create(const struct caller_handler *handler,
+				     size_t max_callers)
+{
+	struct caller_set *set = g_new0(struct caller_set, 1);
+
+	set->handler = *handler;
+	set->max_callers = max_callers;
+	set->limits = (struct caller_limits){
+		.header_bytes = DEFAULT_HEADER_BYTES,
+		.body_bytes = DEFAULT_BODY_BYTES,
+		.header_timeout_us = DEFAULT_HEADER_TIMEOUT_US,
+		.idle_timeout_us = DEFAULT_IDLE_TIMEOUT_US,
+	};
+	set->callers = g_hash_table_new_full(NULL, NULL, caller_release, NULL);
+	return set;
+}
+
+/* Closes all connections; the handler hears nothing. NULL is allowed. */
+void caller_set_destroy(struct caller_set *set)
+{
+	if (!set)
+		return;
+	set->handler.gone = NULL;
+	g_hash_table_unref(set->callers);
+	g_free(set);
+}
+
+/* What callers may send from now on. */
+void caller_set_limits(struct caller_set *set,
+		       const struct caller_limits *limits)
+{
+	set->limits = *limits;
+}
+
+/* Serves an accepted connection. Over the limit it is closed at once. */
+void caller_set_accept(struct caller_set *set, int fd, int64_t now_us)
+{
+	struct caller *caller;
+
+	if (g_hash_table_size(set->callers) >= set->max_callers) {
+		close(fd);
+		return;
+	}
+	caller = g_rc_box_new0(struct caller);
+	caller->set = set;
+	caller->ahead = g_byte_array_new();
+	caller->body = g_byte_array_new();
+	caller->active_us = now_us;
+	caller->reader = http_reader_create(HTTP_READER_REQUESTS,
+					    (size_t)set->limits.header_bytes,
+					    &reader_events, caller);
+	caller->stream = tcp_stream_adopt(fd, &stream_events, caller);
+	g_hash_table_add(set->callers, caller);
+}
+
+static void caller_step(struct caller *caller, int64_t now_us)
+{
+	const struct caller_limits *limits = &caller->set->limits;
+
+	if (caller->is_busy)
+		return;
+	if (caller->begun_us &&
+	    now_us - caller->begun_us > limits->header_timeout_us &&
+	    (!http_reader_has_head(caller->reader) ||
+	     now_us - caller->active_us > limits->header_timeout_us)) {
+		caller_refuse(caller, 408);
+		caller_finish(caller);
+		return;
+	}
+	if (!caller->begun_us &&
+	    now_us - caller->active_us > limits->idle_timeout_us)
+		caller_finish(caller);
+}
+
+/* Ends connections that are idle or slow for too long. */
+void caller_set_step(struct caller_set *set, int64_t now_us)
+{
+	GPtrArray *callers = g_ptr_array_new_with_free_func(caller_release);
+	GHashTableIter iter;
+	gpointer caller;
+
+	set->now_us = now_us;
+	g_hash_table_iter_init(&iter, set->callers);
+	while (g_hash_table_iter_next(&iter, &caller, NULL))
+		g_ptr_array_add(callers, g_rc_box_acquire(caller));
+	for (guint i = 0; i < callers->len; i++)
+		caller_step(g_ptr_array_index(callers, i), now_us);
+	g_ptr_array_unref(callers);
+}
+
+/* From now on each answer is the last of its connection. */
+void caller_set_drain(struct caller_set *set)
+{
+	set->is_draining = true;
+}
+
+/* Closes connections on which no request is being read or answered. */
+void caller_set_close_idle(struct caller_set *set)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, set->callers);
+	while (g_hash_table_iter_next(&iter, &value, NULL)) {
+		struct caller *caller = value;
+
+		if (caller->is_busy || caller->begun_us)
+			continue;
+		tcp_stream_finish(g_steal_pointer(&caller->stream));
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+/* Requests that wait for their answer. */
+size_t caller_set_busy_count(const struct caller_set *set)
+{
+	return set->busy;
+}
+
+/* The handler's own of the request that is being answered. */
+void caller_set_request(struct caller *caller, void *request)
+{
+	caller->request = request;
+}
+
+/* A whole answer of ours; fields are lines that end with CR LF, or NULL. */
+void caller_answer(struct caller *caller, int32_t status, const char *fields,
+		   const char *body, size_t body_size)
+{
+	GString *out = g_string_new(NULL);
+
+	caller_append_head(caller, status, fields, out);
+	g_string_append_printf(out, "Content-Length: %zu\r\n\r\n", body_size);
+	g_string_append_len(out, body, (gssize)body_size);
+	caller_send(caller, out->str, out->len);
+	g_string_free(out, TRUE);
+	caller_end(caller, false);
+}
+
+/* Bytes of the answer, head included, as they are. */
+void caller_send(struct caller *caller, const char *bytes, size_t size)
+{
+	if (!caller->stream)
+		return;
+	caller->has_sent = true;
+	tcp_stream_write(caller->stream, bytes, size);
+}
+
+/* The answer is whole. The connection goes on unless it must close. */
+void caller_end(struct caller *caller, bool must_close)
+{
+	struct caller_set *set = caller->set;
+
+	caller->request = NULL;
+	caller->is_busy = false;
+	set->busy--;
+	caller->active_us = set->now_us;
+	if (must_close || caller->must_close || set->is_draining) {
+		caller_finish(caller);
+		return;
+	}
+	caller_parse(caller);
+}
+
+/*
+ * Cuts the answer off: without its last bytes, so that nobody takes it for a
+ * whole one.
+ */
+void caller_break(struct caller *caller)
+{
+	caller->request = NULL;
+	caller_drop(caller);
+}
+
+/* Whether the connection ends with the present answer. */
+bool caller_will_close(const struct caller *caller)
+{
+	return caller->must_close || caller->set->is_draining;
+}
+
+/* Bytes that the caller has not taken yet. */
+size_t caller_waiting_bytes(const struct caller *caller)
+{
+	return caller->stream ? tcp_stream_waiting_bytes(caller->stream) : 0;
+}
--- /dev/null
+++ b/adapters/gateway/endpoint_pool.c
@@ -0,0 +1,120 @@
+#include "adapters/gateway/endpoint_pool.h"
+
+#include <string.h>
+
+/* Idle connections kept to all endpoints; a node needs a few to each. */
+#define MAX_IDLE 64
+
+struct idle {
+	struct endpoint_pool *pool;
+	char *address;
+	struct tcp_stream *stream;
+	int64_t until_us;
+};
+
+struct endpoint_pool {
+	GPtrArray *idle; /* owns struct idle; the latest used last */
+};
+
+static void idle_destroy(gpointer data)
+{
+	struct idle *idle = data;
+
+	tcp_stream_destroy(idle->stream);
+	g_free(idle->address);
+	g_free(idle);
+}
+
+static void idle_drop(struct idle *idle)
+{
+	g_ptr_array_remove(idle->pool->idle, idle);
+}
+
+/* No request waits: whatever comes now is an answer to nobody. */
+static void on_received(void *data, const char *bytes, size_t size)
+{
+	(void)bytes;
+	(void)size;
+	idle_drop(data);
+}
+
+static void on_ended(void *data)
+{
+	idle_drop(data);
+}
+
+static void on_failed(void *data, const struct error *error)
+{
+	(void)error;
+	idle_drop(data);
+}
+
+static const struct tcp_stream_events idle_events = {
+	.received = on_received,
+	.ended = on_ended,
+	.failed = on_failed,
+};
+
+/* A pool without connections. */
+struct endpoint_pool *endpoint_pool_create(void)
+{
+	struct endpoint_pool *pool = g_new0(struct endpoint_pool, 1);
+
+	pool->idle = g_ptr_array_new_with_free_func(idle_destroy);
+	return pool;
+}
+
+/* Closes all connections; NULL is allowed. */
+void endpoint_pool_destroy(struct endpoint_pool *pool)
+{
+	if (!pool)
+		return;
+	g_ptr_array_unref(pool->idle);
+	g_free(pool);
+}
+
+/* The connection to the address that was used last; NULL: none is left. */
+struct tcp_stream *endpoint_pool_take(struct endpoint_pool *pool,
+				      const char *address, int64_t now_us)
+{
+	for (guint i = pool->idle->len; i-- > 0;) {
+		struct idle *idle = g_ptr_array_index(pool->idle, i);
+		struct tcp_stream *stream = idle->stream;
+
+		if (now_us >= idle->until_us ||
+		    strcmp(idle->address, address) != 0)
+			continue;
+		idle->stream = NULL;
+		g_ptr_array_remove_index(pool->idle, i);
+		return stream;
+	}
+	return NULL;
+}
+
+/* Keeps a connection until it is taken or its time is over. */
+void endpoint_pool_give(struct endpoint_pool *pool, const char *address,
+			struct tcp_stream *stream, int64_t until_us)
+{
+	struct idle *idle = g_new0(struct idle, 1);
+
+	idle->pool = pool;
+	idle->address = g_strdup(address);
+	idle->stream = stream;
+	idle->until_us = until_us;
+	tcp_stream_set_owner(stream, &idle_events, idle);
+	tcp_stream_set_reading(stream, true);
+	g_ptr_array_add(pool->idle, idle);
+	if (pool->idle->len > MAX_IDLE)
+		g_ptr_array_remove_index(pool->idle, 0);
+}
+
+/* Closes connections whose time is over. */
+void endpoint_pool_step(struct endpoint_pool *pool, int64_t now_us)
+{
+	for (guint i = pool->idle->len; i-- > 0;) {
+		const struct idle *idle = g_ptr_array_index(pool->idle, i);
+
+		if (now_us >= idle->until_us)
+			g_ptr_array_remove_index(pool->idle, i);
+	}
+}
--- /dev/null
+++ b/adapters/gateway/gateway_peers.c
@@ -0,0 +1,285 @@
+#include "adapters/gateway/gateway_state.h"
+
+#include <string.h>
+
+/*
+ * What the gateways of all nodes tell one another: what each holds on which
+ * endpoint, which configuration is in force there, whether it takes work, and
+ * news of endpoints. All of it is state, not change: a record that is lost is
+ * made good by the next one.
+ */
+
+/* A placement is known everywhere before the next one is likely to come. */
+#define STANDING_US (250 * 1000)
+#define STANDING_SOON_US (40 * 1000)
+
+/* Four standings missed: callers are not sent there any more. */
+#define SILENT_US (1200 * 1000)
+
+/* What a silent node held is forgotten: its requests have ended with it. */
+#define FORGET_US (3 * G_USEC_PER_SEC)
+
+/* Each so many standings one member gets all endpoints, for what was lost. */
+#define FULL_EVERY 4
+
+/* Addresses in one answer to a caller. */
+#define MAX_ADDRESSES 64
+
+/* Frees what is known of another node. */
+void gateway_peer_destroy(gpointer data)
+{
+	g_free(((struct gateway_peer *)data)->address);
+	g_free(data);
+}
+
+/* Live nodes, this one included; at least 1. */
+size_t gateway_node_count(const struct gateway *gateway)
+{
+	return MAX(membership_count(gateway->host.members(gateway->host.data)),
+		   1);
+}
+
+static void add_held(struct gateway *gateway, struct peer_standing *standing)
+{
+	const GPtrArray *endpoints = registry_endpoints(gateway->registry);
+
+	for (guint i = 0; i < endpoints->len; i++) {
+		const struct endpoint *endpoint =
+			g_ptr_array_index(endpoints, i);
+		const struct held *own = &endpoint->own;
+		struct peer_held *held;
+
+		if (own->requests == 0 && own->copies == 0)
+			continue;
+		held = peer_standing_add(standing, endpoint->said->id);
+		held->requests = own->requests;
+		held->copies = own->copies;
+		held->tokens = own->tokens;
+	}
+}
+
+/* A doubt stays here: told on it would read as a removal. */
+static void add_registration(struct peer_standing *standing,
+			     const struct endpoint *endpoint)
+{
+	struct registration *said;
+
+	if (endpoint->presence == PRESENCE_DOUBTED)
+		return;
+	said = registration_copy(endpoint->said);
+	said->is_removed = endpoint->presence == PRESENCE_GONE;
+	g_ptr_array_add(standing->registrations, said);
+}
+
+static void add_registrations(struct gateway *gateway,
+			      struct peer_standing *standing)
+{
+	const GPtrArray *endpoints = registry_endpoints(gateway->registry);
+
+	for (guint i = 0; i < endpoints->len; i++)
+		add_registration(standing, g_ptr_array_index(endpoints, i));
+}
+
+static struct peer_message *standing_create(struct gateway *gateway)
+{
+	struct peer_message *message =
+		gateway->host.message(gateway->host.data, PEER_STANDING);
+	struct peer_standing *standing = &message->standing;
+
+	standing->table_version = gateway_table_version(gateway);
+	standing->takes_work = gateway_takes_work(gateway);
+	standing->callers_address = g_strdup(gateway->options.address);
+	add_held(gateway, standing);
+	return message;
+}
+
+static bool member_is_other(const struct gateway *gateway,
+			    const struct member *member)
+{
+	return strcmp(member->name, gateway->options.node_name) != 0;
+}
+
+/* All members get it, also suspected ones: they may only be slow. */
+static void send_all(struct gateway *gateway, const char *endpoint_id,
+		     size_t full_at)
+{
+	const struct membership *members =
+		gateway->host.members(gateway->host.data);
+
+	for (size_t i = 0; i < membership_count(members); i++) {
+		const struct member *member = membership_get(members, i);
+		struct peer_message *message;
+
+		if (!member_is_other(gateway, member))
+			continue;
+		message = standing_create(gateway);
+		if (endpoint_id)
+			add_registration(
+				&message->standing,
+				registry_find(gateway->registry, endpoint_id));
+		else if (i == full_at)
+			add_registrations(gateway, &message->standing);
+		gateway->host.send(gateway->host.data, member->peer_address,
+				   message);
+	}
+}
+
+/* Tells all nodes at once what has become of an endpoint. */
+void gateway_peers_tell(struct gateway *gateway, const char *endpoint_id)
+{
+	send_all(gateway, endpoint_id, SIZE_MAX);
+}
+
+/* Tells the others regularly, sooner when something was placed. */
+void gateway_peers_step(struct gateway *gateway)
+{
+	size_t count = gateway_node_count(gateway);
+	size_t full_at = SIZE_MAX;
+
+	registry_forget_silent(gateway->registry, gateway->now_us - FORGET_US);
+	if (gateway->held_changed) {
+		gateway->held_changed = false;
+		gateway->next_standing_us =
+			MIN(gateway->next_standing_us,
+			    gateway->now_us + STANDING_SOON_US);
+	}
+	if (gateway->now_us < gateway->next_standing_us)
+		return;
+	gateway->next_standing_us = gateway->now_us + STANDING_US;
+	if (gateway->standings++ % FULL_EVERY == 0)
+		full_at = (size_t)g_rand_int_range(gateway->random, 0,
+						   (gint32)count);
+	send_all(gateway, NULL, full_at);
+}
+
+/* Where callers may connect: the nodes that take work, this one first. */
+GPtrArray *gateway_addresses(struct gateway *gateway)
+{
+	GPtrArray *addresses = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	if (gateway_takes_work(gateway))
+		g_ptr_array_add(addresses, (gpointer)gateway->options.address);
+	g_hash_table_iter_init(&iter, gateway->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gateway_peer *peer = value;
+
+		if (peer->takes_work && addresses->len < MAX_ADDRESSES &&
+		    gateway->now_us - peer->heard_us < SILENT_US)
+			g_ptr_array_add(addresses, peer->address);
+	}
+	return addresses;
+}
+
+static void send_routes(struct gateway *gateway, const char *peer_address)
+{
+	struct peer_message *message =
+		gateway->host.message(gateway->host.data, PEER_ROUTES);
+
+	message->config.revision = gateway_table_version(gateway);
+	message->config.document = g_bytes_ref(gateway->document);
+	gateway->host.send(gateway->host.data, peer_address, message);
+}
+
+static struct gateway_peer *peer_take(struct gateway *gateway,
+				      const struct peer_message *message)
+{
+	struct gateway_peer *peer =
+		g_hash_table_lookup(gateway->peers, message->from);
+
+	if (!peer) {
+		peer = g_new0(struct gateway_peer, 1);
+		g_hash_table_insert(gateway->peers, g_strdup(message->from),
+				    peer);
+	}
+	peer->incarnation = message->incarnation;
+	peer->heard_us = gateway->now_us;
+	peer->table_version = message->standing.table_version;
+	peer->takes_work = message->standing.takes_work;
+	g_free(peer->address);
+	peer->address = g_strdup(message->standing.callers_address);
+	return peer;
+}
+
+static void take_held(struct gateway *gateway,
+		      const struct peer_message *message)
+{
+	GHashTable *by_id =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+
+	for (guint i = 0; i < message->standing.held->len; i++) {
+		const struct peer_held *said =
+			g_ptr_array_index(message->standing.held, i);
+		struct held *held = g_new0(struct held, 1);
+
+		held->requests = said->requests;
+		held->copies = said->copies;
+		held->tokens = said->tokens;
+		g_hash_table_replace(by_id, g_strdup(said->endpoint), held);
+	}
+	registry_take_held(gateway->registry, message->from,
+			   message->incarnation, by_id, gateway->now_us);
+}
+
+/*
+ * An endpoint that a peer has seen leave leaves here too, also while this
+ * node can't reach the store. A removal that may be a lapse is doubted as if
+ * the store itself had said it.
+ */
+static void take_registrations(struct gateway *gateway,
+			       const struct peer_message *message)
+{
+	const GPtrArray *list = message->standing.registrations;
+
+	for (guint i = 0; i < list->len; i++) {
+		const struct registration *said = g_ptr_array_index(list, i);
+		bool changed = registry_take(gateway->registry, said, false,
+					     gateway->now_us);
+
+		if (changed)
+			log_write(gateway->log, LOG_LEVEL_INFO, "endpoint",
+				  "endpoint", said->id, "state",
+				  said->is_removed   ? "gone"
+				  : said->is_leaving ? "leaving"
+						     : "ready",
+				  "source", message->from, NULL);
+	}
+}
+
+static void take_routes(struct gateway *gateway,
+			const struct peer_message *message)
+{
+	struct route_table *table;
+
+	if (message->config.revision <= gateway_table_version(gateway))
+		return;
+	table = gateway->host.decode(gateway->host.store_data,
+				     message->config.document);
+	if (!table)
+		return;
+	gateway_take_table(gateway, table, message->config.document);
+	route_table_unref(table);
+}
+
+/* What another node's gateway says; other records are not its own. */
+void gateway_take_peer(struct gateway *gateway,
+		       const struct peer_message *message)
+{
+	const struct gateway_peer *peer;
+
+	gateway->now_us = gateway_now_us();
+	if (message->type == PEER_ROUTES) {
+		take_routes(gateway, message);
+		return;
+	}
+	if (message->type != PEER_STANDING || !*message->from)
+		return;
+	peer = peer_take(gateway, message);
+	take_held(gateway, message);
+	take_registrations(gateway, message);
+	if (peer->table_version < gateway_table_version(gateway))
+		send_routes(gateway, message->from_address);
+	else if (peer->table_version > gateway_table_version(gateway))
+		gateway->host.read_store(gateway->host.store_data);
+}
--- /dev/null
+++ b/adapters/gateway/gateway_state.h
@@ -0,0 +1,87 @@
+#ifndef ADAPTERS_GATEWAY_GATEWAY_STATE_H
+#define ADAPTERS_GATEWAY_GATEWAY_STATE_H
+
+#include "adapters/gateway/caller.h"
+#include "adapters/gateway/endpoint_pool.h"
+#include "adapters/gateway/gateway.h"
+#include "core/limit/retry_budget.h"
+
+#include <glib.h>
+
+G_BEGIN_DECLS
+
+/*
+ * The gateway's state, shared by its parts:
+ *
+ *   gateway.c         life, listeners, what the store says
+ *   gateway_peers.c   what nodes tell one another
+ *   exchange.c        one request of a caller
+ *   exchange_answer.c what its endpoint answers
+ *   exchange_move.c   its generation moves to another engine
+ */
+struct gateway {
+	struct gateway_options options;
+	struct gateway_host host;
+	const struct dialect *dialect;
+	struct log *log;
+	GRand *random;
+
+	struct route_table *table; /* NULL before the first */
+	GBytes *document;
+	struct registry *registry;
+	bool store_is_reached;
+	int64_t store_changed_us; /* since when it is, or isn't */
+
+	struct endpoint_pool *pool;
+	struct caller_set *callers;
+	struct caller_set *askers; /* about the nodes: ready, addresses */
+	struct listener *listeners[3];
+	GHashTable *exchanges; /* set of struct exchange */
+	GHashTable *budgets;   /* service to struct retry_budget */
+	guint tick;
+	int64_t now_us;
+	int64_t drain_since_us; /* 0: not */
+	bool is_stopped;
+
+	GHashTable *peers; /* name to struct gateway_peer */
+	int64_t next_standing_us;
+	bool held_changed;
+	uint32_t standings;
+};
+
+/* Another node, as it says of itself. */
+struct gateway_peer {
+	uint64_t incarnation;
+	int64_t heard_us;
+	int64_t table_version;
+	bool takes_work;
+	char *address; /* for callers */
+};
+
+/* gateway.c */
+bool gateway_takes_work(const struct gateway *gateway);
+bool gateway_is_current(const struct gateway *gateway);
+struct retry_budget *gateway_budget(struct gateway *gateway,
+				    const char *service);
+int64_t gateway_table_version(const struct gateway *gateway);
+
+/* gateway_peers.c */
+GPtrArray *gateway_addresses(struct gateway *gateway);
+void gateway_peers_step(struct gateway *gateway);
+void gateway_peers_tell(struct gateway *gateway, const char *endpoint_id);
+void gateway_peer_destroy(gpointer data);
+size_t gateway_node_count(const struct gateway *gateway);
+
+/* exchange.c */
+struct exchange;
+
+void exchange_begin(struct gateway *gateway, struct caller *caller,
+		    struct http_head *head, GByteArray *body);
+void exchange_step(struct exchange *exchange);
+void exchange_caller_gone(struct exchange *exchange);
+void exchange_caller_drained(struct exchange *exchange);
+void exchange_destroy(gpointer data);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/adapters/gateway/http_head.c
@@ -0,0 +1,142 @@
+#include "adapters/gateway/http_head.h"
+
+#include <string.h>
+
+/* Fields that speak of one connection and are never passed on (RFC 9110). */
+static const char *const hop_fields[] = {
+	"connection",	  "keep-alive",	       "proxy-connection", "te",
+	"trailer",	  "transfer-encoding", "upgrade",	   "expect",
+	"content-length", /* rendered anew with the body */
+};
+
+static void field_clear(gpointer data)
+{
+	struct http_field *field = data;
+
+	g_free(field->name);
+	g_free(field->value);
+}
+
+/* An empty head. */
+struct http_head *http_head_create(void)
+{
+	struct http_head *head = g_new0(struct http_head, 1);
+
+	head->fields = g_array_new(FALSE, FALSE, sizeof(struct http_field));
+	g_array_set_clear_func(head->fields, field_clear);
+	head->content_length = -1;
+	return head;
+}
+
+/* Frees a head; NULL is allowed. */
+void http_head_destroy(struct http_head *head)
+{
+	if (!head)
+		return;
+	g_array_unref(head->fields);
+	g_free(head->method);
+	g_free(head->target);
+	g_free(head->reason);
+	g_free(head);
+}
+
+/* Appends a field; both texts are copied. */
+void http_head_add(struct http_head *head, const char *name, size_t name_size,
+		   const char *value, size_t value_size)
+{
+	struct http_field field = {.name = g_strndup(name, name_size),
+				   .value = g_strndup(value, value_size)};
+
+	g_array_append_val(head->fields, field);
+}
+
+/* The first field of that name, whatever its case; NULL without one. */
+const char *http_head_get(const struct http_head *head, const char *name)
+{
+	for (guint i = 0; i < head->fields->len; i++) {
+		const struct http_field *field =
+			&g_array_index(head->fields, struct http_field, i);
+
+		if (g_ascii_strcasecmp(field->name, name) == 0)
+			return field->value;
+	}
+	return NULL;
+}
+
+/* How many fields have that name. */
+size_t http_head_count(const struct http_head *head, const char *name)
+{
+	size_t count = 0;
+
+	for (guint i = 0; i < head->fields->len; i++) {
+		const struct http_field *field =
+			&g_array_index(head->fields, struct http_field, i);
+
+		count += g_ascii_strcasecmp(field->name, name) == 0;
+	}
+	return count;
+}
+
+static bool list_has_token(const char *list, const char *token)
+{
+	char **words = g_strsplit(list, ",", -1);
+	bool found = false;
+
+	for (char **word = words; *word && !found; word++)
+		found = g_ascii_strcasecmp(g_strstrip(*word), token) == 0;
+	g_strfreev(words);
+	return found;
+}
+
+/* Whether a field of that name lists the token. */
+bool http_head_has_token(const struct http_head *head, const char *name,
+			 const char *token)
+{
+	for (guint i = 0; i < head->fields->len; i++) {
+		const struct http_field *field =
+			&g_array_index(head->fields, struct http_field, i);
+
+		if (g_ascii_strcasecmp(field->name, name) == 0 &&
+		    list_has_token(field->value, token))
+			return true;
+	}
+	return false;
+}
+
+/* Whether the field concerns this connection only. */
+bool http_head_is_hop_field(const struct http_head *head, const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(hop_fields); i++) {
+		if (g_ascii_strcasecmp(hop_fields[i], name) == 0)
+			return true;
+	}
+	return http_head_has_token(head, "Connection", name);
+}
+
+static bool name_is_listed(const char *name, const char *const *list)
+{
+	for (; list && *list; list++) {
+		if (g_ascii_strcasecmp(*list, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Writes the fields that go to the next hop as lines, but those left out, a
+ * list of names that ends with NULL.
+ */
+void http_head_append_end_to_end(const struct http_head *head,
+				 const char *const *left_out, GString *out)
+{
+	for (guint i = 0; i < head->fields->len; i++) {
+		const struct http_field *field =
+			&g_array_index(head->fields, struct http_field, i);
+
+		if (http_head_is_hop_field(head, field->name) ||
+		    name_is_listed(field->name, left_out))
+			continue;
+		g_string_append_printf(out, "%s: %s\r\n", field->name,
+				       field->value);
+	}
+}
--- /dev/null
+++ b/adapters/gateway/http_reader.c
@@ -0,0 +1,312 @@
+#include "adapters/gateway/http_reader.h"
+
+#include <http_parser.h>
+#include <string.h>
+
+struct http_reader {
+	http_parser parser;
+	const struct http_reader_events *events;
+	void *data;
+	size_t max_head_bytes;
+	struct http_head *head;
+	GString *target;
+	GString *name;
+	GString *value;
+	bool in_value;
+	bool begun;
+	bool has_head;
+	bool complete;
+	bool rejected; /* by a callback of ours */
+	bool too_large;
+	bool must_close;
+	size_t head_bytes;
+};
+
+static int reader_reject(struct http_reader *reader)
+{
+	reader->rejected = true;
+	return -1;
+}
+
+static int reader_count(struct http_reader *reader, size_t size)
+{
+	reader->head_bytes += size;
+	if (reader->head_bytes <= reader->max_head_bytes)
+		return 0;
+	reader->too_large = true;
+	return -1;
+}
+
+static int on_begin(http_parser *parser)
+{
+	struct http_reader *reader = parser->data;
+
+	http_head_destroy(reader->head);
+	reader->head = http_head_create();
+	g_string_truncate(reader->target, 0);
+	g_string_truncate(reader->name, 0);
+	g_string_truncate(reader->value, 0);
+	reader->in_value = false;
+	reader->begun = true;
+	reader->has_head = false;
+	reader->complete = false;
+	reader->head_bytes = 0;
+	return 0;
+}
+
+static int on_target(http_parser *parser, const char *at, size_t size)
+{
+	struct http_reader *reader = parser->data;
+
+	g_string_append_len(reader->target, at, (gssize)size);
+	return reader_count(reader, size);
+}
+
+static int on_reason(http_parser *parser, const char *at, size_t size)
+{
+	return on_target(parser, at, size);
+}
+
+static bool name_is_token(const GString *name)
+{
+	for (gsize i = 0; i < name->len; i++) {
+		if (!g_ascii_isalnum(name->str[i]) &&
+		    !strchr("!#$%&'*+-.^_`|~", name->str[i]))
+			return false;
+	}
+	return name->len > 0;
+}
+
+static bool value_is_clean(const GString *value)
+{
+	for (gsize i = 0; i < value->len; i++) {
+		unsigned char c = (unsigned char)value->str[i];
+
+		if ((c < ' ' && c != '\t') || c == 0x7f)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * A name with a space before its colon, or a value with a line break in it,
+ * is read one way here and another way behind: a second request would hide
+ * in the first. Such a message ends the connection.
+ */
+static int reader_push_field(struct http_reader *reader)
+{
+	if (!reader->in_value)
+		return 0;
+	reader->in_value = false;
+	if (!name_is_token(reader->name) || !value_is_clean(reader->value))
+		return reader_reject(reader);
+	http_head_add(reader->head, reader->name->str, reader->name->len,
+		      reader->value->str, reader->value->len);
+	g_string_truncate(reader->name, 0);
+	g_string_truncate(reader->value, 0);
+	return 0;
+}
+
+static int on_name(http_parser *parser, const char *at, size_t size)
+{
+	struct http_reader *reader = parser->data;
+
+	if (reader_push_field(reader))
+		return -1;
+	g_string_append_len(reader->name, at, (gssize)size);
+	return reader_count(reader, size);
+}
+
+static int on_value(http_parser *parser, const char *at, size_t size)
+{
+	struct http_reader *reader = parser->data;
+
+	reader->in_value = true;
+	g_string_append_len(reader->value, at, (gssize)size);
+	return reader_count(reader, size + 4);
+}
+
+/* One length, or chunks, and nothing that could be read as both. */
+static bool reader_framing_is_clear(const struct http_reader *reader)
+{
+	const struct http_head *head = reader->head;
+	size_t lengths = http_head_count(head, "Content-Length");
+	size_t codings = http_head_count(head, "Transfer-Encoding");
+
+	if (lengths > 1 || codings > 1 || (lengths && codings))
+		return false;
+	if (codings &&
+	    g_ascii_strcasecmp(http_head_get(head, "Transfer-Encoding"),
+			       "chunked") != 0)
+		return false;
+	return true;
+}
+
+static bool reader_is_request(const struct http_reader *reader)
+{
+	return reader->parser.type == HTTP_REQUEST;
+}
+
+static bool reader_request_is_clear(const struct http_reader *reader)
+{
+	const struct http_head *head = reader->head;
+
+	return http_head_count(head, "Host") == 1 && head->target[0] == '/' &&
+	       reader->parser.method != HTTP_CONNECT &&
+	       !(head->is_chunked && reader->parser.http_minor == 0);
+}
+
+static int on_head(http_parser *parser)
+{
+	struct http_reader *reader = parser->data;
+	struct http_head *head = reader->head;
+
+	if (reader_push_field(reader))
+		return -1;
+	head->is_chunked = http_head_count(head, "Transfer-Encoding") > 0;
+	head->content_length = parser->content_length == (uint64_t)-1
+				       ? -1
+				       : (int64_t)parser->content_length;
+	head->keeps_alive = http_should_keep_alive(parser);
+	if (reader_is_request(reader)) {
+		head->method = g_strdup(http_method_str(parser->method));
+		head->target = g_strdup(reader->target->str);
+	} else {
+		head->status = parser->status_code;
+		head->reason = g_strdup(reader->target->str);
+	}
+	if (!reader_framing_is_clear(reader))
+		return reader_reject(reader);
+	if (reader_is_request(reader) && !reader_request_is_clear(reader))
+		return reader_reject(reader);
+	reader->must_close = !head->keeps_alive || parser->upgrade;
+	reader->has_head = true;
+	return reader->events->head(reader->data, head) ? 0 : 1;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t size)
+{
+	struct http_reader *reader = parser->data;
+
+	reader->events->body(reader->data, at, size);
+	return 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+	struct http_reader *reader = parser->data;
+
+	reader->complete = true;
+	reader->begun = false;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_begin,
+	.on_url = on_target,
+	.on_status = on_reason,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+/* A reader for one connection. The events must outlive it. */
+struct http_reader *http_reader_create(enum http_reader_kind kind,
+				       size_t max_head_bytes,
+				       const struct http_reader_events *events,
+				       void *data)
+{
+	struct http_reader *reader = g_new0(struct http_reader, 1);
+
+	http_parser_init(&reader->parser, kind == HTTP_READER_REQUESTS
+						  ? HTTP_REQUEST
+						  : HTTP_RESPONSE);
+	reader->parser.data = reader;
+	reader->events = events;
+	reader->data = data;
+	reader->max_head_bytes = max_head_bytes;
+	reader->target = g_string_new(NULL);
+	reader->name = g_string_new(NULL);
+	reader->value = g_string_new(NULL);
+	return reader;
+}
+
+/* Frees a reader; NULL is allowed. */
+void http_reader_destroy(struct http_reader *reader)
+{
+	if (!reader)
+		return;
+	http_head_destroy(reader->head);
+	g_string_free(reader->target, TRUE);
+	g_string_free(reader->name, TRUE);
+	g_string_free(reader->value, TRUE);
+	g_free(reader);
+}
+
+static enum http_reader_result reader_result(const struct http_reader *reader)
+{
+	if (reader->too_large)
+		return HTTP_READER_TOO_LARGE;
+	if (reader->complete)
+		return HTTP_READER_COMPLETE;
+	if (reader->rejected || HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK)
+		return HTTP_READER_BAD;
+	return HTTP_READER_MORE;
+}
+
+/*
+ * Reads bytes up to the end of a message at most; taken says how many. After
+ * HTTP_READER_COMPLETE the next call begins another message.
+ */
+enum http_reader_result http_reader_feed(struct http_reader *reader,
+					 const char *bytes, size_t size,
+					 size_t *taken)
+{
+	if (reader->complete) {
+		reader->complete = false;
+		http_parser_pause(&reader->parser, 0);
+	}
+	*taken = http_parser_execute(&reader->parser, &parser_settings, bytes,
+				     size);
+	return reader_result(reader);
+}
+
+/*
+ * The peer sends nothing more: the end of a message without a length, and a
+ * broken message otherwise.
+ */
+enum http_reader_result http_reader_end(struct http_reader *reader)
+{
+	size_t taken;
+
+	if (!reader->begun)
+		return HTTP_READER_BAD;
+	return http_reader_feed(reader, NULL, 0, &taken);
+}
+
+/* Whether a message has begun and is not whole yet. */
+bool http_reader_has_begun(const struct http_reader *reader)
+{
+	return reader->begun;
+}
+
+/* Whether the head of the message that has begun is there. */
+bool http_reader_has_head(const struct http_reader *reader)
+{
+	return reader->has_head;
+}
+
+/* Whether the connection ends with the message last read. */
+bool http_reader_must_close(const struct http_reader *reader)
+{
+	return reader->must_close;
+}
+
+/* Hands the head of the message last read over; the caller frees it. */
+struct http_head *http_reader_take_head(struct http_reader *reader)
+{
+	return g_steal_pointer(&reader->head);
+}
--- /dev/null
+++ b/adapters/gateway/store_follower.c
@@ -0,0 +1,365 @@
+#include "adapters/gateway/store_follower.h"
+
+#include "adapters/gateway/attempt.h"
+
+#include <string.h>
+
+/*
+ * Each watch is a call that is paid for, so it waits long; a store that went
+ * silent is found by keep-alive probes within three seconds, and by this
+ * margin at the latest.
+ */
+#define WATCH_MS 10000
+#define WATCH_MARGIN_MS 1500
+#define LIST_TIMEOUT_MS 1500
+
+/* Between two tries; all nodes would otherwise come back at once. */
+#define FIRST_PAUSE_MS 80
+#define LONGEST_PAUSE_MS 700
+
+/* A peer that knows more may say so often. */
+#define POKE_US (300 * 1000)
+
+#define STATUS_OK 200
+#define STATUS_GONE 410
+
+enum follower_state { FOLLOWER_PAUSING, FOLLOWER_LISTING, FOLLOWER_WATCHING };
+
+struct store_follower {
+	struct store_follower_options options;
+	struct store_follower_events events;
+	char *address;
+	char *prefix;
+	GRand *random;
+	enum follower_state state;
+	struct attempt *attempt;
+	struct endpoint_pool *pool;
+	GByteArray *body;
+	int32_t status;
+	struct store_page list; /* pages read so far */
+	char *list_after;
+	int64_t revision; /* known up to here; 0: nothing is */
+	int64_t poked_us;
+	int32_t failures; /* in a row */
+	guint timer;
+	bool is_reached;
+	uint64_t call_count;
+};
+
+static void item_free(gpointer data)
+{
+	struct store_item *item = data;
+
+	g_free(item->key);
+	if (item->value)
+		g_bytes_unref(item->value);
+	g_free(item);
+}
+
+/* An empty page; store_page_clear frees what is put in. */
+void store_page_init(struct store_page *page)
+{
+	page->items = g_ptr_array_new_with_free_func(item_free);
+	page->revision = 0;
+	page->has_more = false;
+}
+
+/* Frees what the page holds. */
+void store_page_clear(struct store_page *page)
+{
+	g_clear_pointer(&page->items, g_ptr_array_unref);
+}
+
+/* Appends an item to be filled in. */
+struct store_item *store_page_add(struct store_page *page)
+{
+	struct store_item *item = g_new0(struct store_item, 1);
+
+	g_ptr_array_add(page->items, item);
+	return item;
+}
+
+static void follower_go_on(struct store_follower *follower);
+
+static void follower_stop_call(struct store_follower *follower)
+{
+	attempt_destroy(g_steal_pointer(&follower->attempt));
+	if (follower->timer)
+		g_source_remove(follower->timer);
+	follower->timer = 0;
+}
+
+static void follower_set_reached(struct store_follower *follower, bool reached)
+{
+	if (follower->is_reached == reached)
+		return;
+	follower->is_reached = reached;
+	follower->events.reached(follower->events.data, reached);
+}
+
+static gboolean on_pause_over(gpointer data)
+{
+	struct store_follower *follower = data;
+
+	follower->timer = 0;
+	follower_go_on(follower);
+	return G_SOURCE_REMOVE;
+}
+
+/* The pause doubles with each failure, half of it by chance. */
+static void follower_pause(struct store_follower *follower)
+{
+	int32_t longest = FIRST_PAUSE_MS << MIN(follower->failures, 4);
+
+	longest = MIN(longest, LONGEST_PAUSE_MS);
+	follower->state = FOLLOWER_PAUSING;
+	follower->timer = g_timeout_add(
+		(guint)g_rand_int_range(follower->random, longest / 2, longest),
+		on_pause_over, follower);
+}
+
+static void follower_fail(struct store_follower *follower, const char *detail)
+{
+	char failures[16];
+
+	follower_stop_call(follower);
+	if (follower->failures == 0) {
+		g_snprintf(failures, sizeof(failures), "%d", follower->status);
+		log_write(follower->options.log, LOG_LEVEL_WARN,
+			  "store_call_failed", "prefix", follower->prefix,
+			  "status", failures, "detail", detail, NULL);
+	}
+	follower->failures++;
+	follower_set_reached(follower, false);
+	follower_pause(follower);
+}
+
+static gboolean on_timeout(gpointer data)
+{
+	struct store_follower *follower = data;
+
+	follower->timer = 0;
+	follower_fail(follower, "timeout");
+	return G_SOURCE_REMOVE;
+}
+
+static void on_head(void *data, const struct http_head *head)
+{
+	((struct store_follower *)data)->status = head->status;
+}
+
+static void on_body(void *data, const char *bytes, size_t size)
+{
+	struct store_follower *follower = data;
+
+	g_byte_array_append(follower->body, (const guint8 *)bytes, (guint)size);
+}
+
+static void follower_forget_list(struct store_follower *follower)
+{
+	store_page_clear(&follower->list);
+	store_page_init(&follower->list);
+	g_clear_pointer(&follower->list_after, g_free);
+}
+
+/*
+ * One page. Pages are no snapshot: the revision of the first one is kept, and
+ * what changed while the others were read comes again with the watch.
+ */
+static void follower_take_list(struct store_follower *follower,
+			       struct store_page *page)
+{
+	const struct store_item *last;
+
+	if (follower->list.revision == 0)
+		follower->list.revision = page->revision;
+	while (page->items->len > 0)
+		g_ptr_array_add(follower->list.items,
+				g_ptr_array_steal_index(page->items, 0));
+	if (page->has_more && follower->list.items->len > 0) {
+		last = g_ptr_array_index(follower->list.items,
+					 follower->list.items->len - 1);
+		g_free(follower->list_after);
+		follower->list_after = g_strdup(last->key);
+		return;
+	}
+	follower->revision = follower->list.revision;
+	follower_set_reached(follower, true);
+	follower->events.listed(follower->events.data, &follower->list);
+	follower_forget_list(follower);
+}
+
+static bool follower_read(struct store_follower *follower, GBytes *body,
+			  struct error *error)
+{
+	const struct store_dialect *dialect = follower->options.dialect;
+	struct store_page page;
+	bool is_read;
+
+	store_page_init(&page);
+	if (follower->state == FOLLOWER_LISTING) {
+		is_read = dialect->read_list(body, &page, error);
+		if (is_read)
+			follower_take_list(follower, &page);
+	} else {
+		is_read = dialect->read_watch(body, &page, error);
+		if (is_read) {
+			follower->revision =
+				MAX(follower->revision, page.revision);
+			follower_set_reached(follower, true);
+			follower->events.changed(follower->events.data, &page);
+		}
+	}
+	store_page_clear(&page);
+	return is_read;
+}
+
+static void on_whole(void *data)
+{
+	struct store_follower *follower = data;
+	struct error error = {.detail = ""};
+	GBytes *body;
+	bool is_read;
+
+	if (follower->status == STATUS_GONE) {
+		/* Its history is shorter than our pause: read all anew. */
+		follower->revision = 0;
+		follower_forget_list(follower);
+		follower_stop_call(follower);
+		follower_go_on(follower);
+		return;
+	}
+	if (follower->status != STATUS_OK) {
+		follower_fail(follower, "refused");
+		return;
+	}
+	attempt_keep_connection(follower->attempt, follower->pool, INT64_MAX);
+	body = g_bytes_new(follower->body->data, follower->body->len);
+	is_read = follower_read(follower, body, &error);
+	g_bytes_unref(body);
+	if (!is_read) {
+		follower_fail(follower, error.detail);
+		return;
+	}
+	follower->failures = 0;
+	follower_stop_call(follower);
+	follower_go_on(follower);
+}
+
+static void on_failed(void *data, const struct error *error)
+{
+	struct store_follower *follower = data;
+
+	follower->status = 0;
+	follower_fail(follower, error->detail);
+}
+
+static const struct attempt_events attempt_events = {
+	.head = on_head,
+	.body = on_body,
+	.whole = on_whole,
+	.failed = on_failed,
+};
+
+static void follower_write(struct store_follower *follower, GString *out)
+{
+	const struct store_dialect *dialect = follower->options.dialect;
+
+	if (follower->state == FOLLOWER_LISTING)
+		dialect->write_list(follower->address, follower->prefix,
+				    follower->list_after, out);
+	else
+		dialect->write_watch(follower->address, follower->prefix,
+				     follower->revision, WATCH_MS, out);
+}
+
+static void follower_go_on(struct store_follower *follower)
+{
+	struct attempt_options options = {
+		.address = follower->address,
+		.pool = follower->failures ? NULL : follower->pool,
+		.request = g_string_new(NULL),
+	};
+	struct error error;
+	guint timeout_ms;
+
+	follower->state =
+		follower->revision == 0 ? FOLLOWER_LISTING : FOLLOWER_WATCHING;
+	timeout_ms = follower->state == FOLLOWER_LISTING
+			     ? LIST_TIMEOUT_MS
+			     : WATCH_MS + WATCH_MARGIN_MS;
+	follower->status = 0;
+	g_byte_array_set_size(follower->body, 0);
+	follower_write(follower, options.request);
+	follower->call_count++;
+	follower->attempt =
+		attempt_start(&options, &attempt_events, follower, &error);
+	if (follower->attempt)
+		follower->timer =
+			g_timeout_add(timeout_ms, on_timeout, follower);
+	else
+		follower_fail(follower, error.detail);
+}
+
+/* Begins to read and to watch; the store may be away. */
+struct store_follower *
+store_follower_create(const struct store_follower_options *options,
+		      const struct store_follower_events *events)
+{
+	struct store_follower *follower = g_new0(struct store_follower, 1);
+
+	follower->options = *options;
+	follower->events = *events;
+	follower->address = g_strdup(options->address);
+	follower->prefix = g_strdup(options->prefix);
+	follower->random = g_rand_new_with_seed((guint32)options->seed);
+	follower->body = g_byte_array_new();
+	follower->pool = endpoint_pool_create();
+	store_page_init(&follower->list);
+	follower_go_on(follower);
+	return follower;
+}
+
+/* Stops following; NULL is allowed. */
+void store_follower_destroy(struct store_follower *follower)
+{
+	if (!follower)
+		return;
+	follower_stop_call(follower);
+	endpoint_pool_destroy(follower->pool);
+	store_page_clear(&follower->list);
+	g_free(follower->list_after);
+	g_byte_array_unref(follower->body);
+	g_rand_free(follower->random);
+	g_free(follower->address);
+	g_free(follower->prefix);
+	g_free(follower);
+}
+
+/*
+ * Something newer is known to be there: asks again on a new connection, since
+ * the present one may have gone silent without a word.
+ */
+void store_follower_poke(struct store_follower *follower)
+{
+	int64_t now_us = g_get_monotonic_time();
+
+	if (follower->state == FOLLOWER_PAUSING ||
+	    now_us - follower->poked_us < POKE_US)
+		return;
+	follower->poked_us = now_us;
+	follower_stop_call(follower);
+	follower_go_on(follower);
+}
+
+/* Whether the last call was answered. */
+bool store_follower_is_reached(const struct store_follower *follower)
+{
+	return follower->is_reached;
+}
+
+/* Calls made so far, each of which the platform counts. */
+uint64_t store_follower_call_count(const struct store_follower *follower)
+{
+	return follower->call_count;
+}
--- /dev/null
+++ b/adapters/gateway/tcp_stream.h
@@ -0,0 +1,50 @@
+#ifndef ADAPTERS_GATEWAY_TCP_STREAM_H
+#define ADAPTERS_GATEWAY_TCP_STREAM_H
+
+#include "core/base/error.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * A TCP connection on the thread's main loop. Never blocks: what the peer does
+ * not take waits in memory, and its size tells the owner when to stop reading
+ * elsewhere. A connection that goes silent is found by keep-alive probes.
+ */
+struct tcp_stream;
+
+struct tcp_stream_events {
+	void (*opened)(void *data); /* connections made by connect only */
+	void (*received)(void *data, const char *bytes, size_t size);
+	void (*ended)(void *data); /* the peer sends nothing more */
+	void (*failed)(void *data, const struct error *error);
+	void (*drained)(void *data); /* nothing waits to be sent any more */
+};
+
+struct tcp_stream *tcp_stream_connect(const char *address,
+				      const struct tcp_stream_events *events,
+				      void *data, struct error *error);
+struct tcp_stream *
+tcp_stream_adopt(int fd, const struct tcp_stream_events *events, void *data);
+void tcp_stream_set_owner(struct tcp_stream *stream,
+			  const struct tcp_stream_events *events, void *data);
+void tcp_stream_destroy(struct tcp_stream *stream);
+void tcp_stream_finish(struct tcp_stream *stream);
+
+void tcp_stream_write(struct tcp_stream *stream, const char *bytes,
+		      size_t size);
+size_t tcp_stream_waiting_bytes(const struct tcp_stream *stream);
+bool tcp_stream_has_sent(const struct tcp_stream *stream);
+void tcp_stream_set_reading(struct tcp_stream *stream, bool reading);
+
+int tcp_listen(const char *address, struct error *error);
+bool tcp_address_parse(const char *address, char *host, size_t host_size,
+		       uint16_t *port);
+
+G_END_DECLS
+
+#endif
--- a/adapters/settings.c
+++ b/adapters/settings.c
@@ -19,15 +19,23 @@
 	SETTING_CHOICE,
 	SETTING_INT32,
 	SETTING_INT64,
-	SETTING_MS, /* kept in microseconds */
-	SETTING_S   /* kept in microseconds */
+	SETTING_MS,   /* kept in microseconds */
+	SETTING_S,    /* kept in microseconds */
+	SETTING_RATIO /* kept in hundredths */
+};
+
+enum setting_need {
+	NEED_NOT,
+	NEED_ALWAYS,
+	NEED_WITHOUT_GATEWAY, /* a gateway has the platform's store instead */
+	NEED_WITH_GATEWAY
 };
 
 struct setting {
 	const char *section;
 	const char *key;
 	enum setting_type type;
-	bool required;
+	enum setting_need need;
 	size_t offset;
 	int64_t min; /* numbers: value; secrets: length */
 	int64_t max;
@@ -46,108 +54,145 @@
 #define FIELD(name) offsetof(struct settings, name)
 
 static const struct setting table[] = {
-	{"node", "name", SETTING_NAME, true, FIELD(node.name), 0, 0, NULL,
-	 "unique among the nodes"},
-	{"node", "region", SETTING_NAME, true, FIELD(node.region), 0, 0, NULL,
-	 "region the VM is in"},
-	{"node", "failure_domain", SETTING_NAME, true,
+	{"node", "name", SETTING_NAME, NEED_ALWAYS, FIELD(node.name), 0, 0,
+	 NULL, "unique among the nodes"},
+	{"node", "region", SETTING_NAME, NEED_ALWAYS, FIELD(node.region), 0, 0,
+	 NULL, "region the VM is in"},
+	{"node", "failure_domain", SETTING_NAME, NEED_ALWAYS,
 	 FIELD(node.failure_domain), 0, 0, NULL, "failure domain the VM is in"},
-	{"node", "http_address", SETTING_ADDRESS, true,
+	{"node", "http_address", SETTING_ADDRESS, NEED_ALWAYS,
 	 FIELD(node.http_address), 0, 0, NULL,
 	 "where callers and operators connect"},
-	{"node", "peer_address", SETTING_ADDRESS, true,
+	{"node", "peer_address", SETTING_ADDRESS, NEED_ALWAYS,
 	 FIELD(node.peer_address), 0, 0, NULL, "where other nodes connect"},
-	{"node", "seeds", SETTING_ADDRESS_LIST, false, FIELD(node.seeds), 0,
+	{"node", "seeds", SETTING_ADDRESS_LIST, NEED_NOT, FIELD(node.seeds), 0,
 	 MAX_SEEDS, NULL, "peer addresses to join by; own one allowed"},
 
-	{"keys", "event_key", SETTING_SECRET, true, FIELD(node.event_key), 16,
-	 MAX_SECRET_BYTES, NULL, "signs event ids; the same on all nodes"},
-	{"keys", "operator_key", SETTING_SECRET, false, FIELD(operator_key), 16,
-	 MAX_SECRET_BYTES, NULL, "opens the operators' API; none closes it"},
+	{"keys", "event_key", SETTING_SECRET, NEED_WITHOUT_GATEWAY,
+	 FIELD(node.event_key), 16, MAX_SECRET_BYTES, NULL,
+	 "signs event ids; the same on all nodes"},
+	{"keys", "operator_key", SETTING_SECRET, NEED_NOT, FIELD(operator_key),
+	 16, MAX_SECRET_BYTES, NULL,
+	 "opens the operators' API; none closes it"},
 
-	{"platform", "kv_address", SETTING_ADDRESS, true, FIELD(kv_address), 0,
-	 0, NULL, "key-value service"},
-	{"platform", "vm_list_address", SETTING_ADDRESS, false,
+	{"platform", "kv_address", SETTING_ADDRESS, NEED_WITHOUT_GATEWAY,
+	 FIELD(kv_address), 0, 0, NULL, "key-value service"},
+	{"platform", "vm_list_address", SETTING_ADDRESS, NEED_NOT,
 	 FIELD(vm_list_address), 0, 0, NULL,
 	 "VM list; none: endpoints leave by report only"},
-	{"platform", "vm_list_poll_ms", SETTING_INT64, false,
+	{"platform", "vm_list_poll_ms", SETTING_INT64, NEED_NOT,
 	 FIELD(vm_list_poll_ms), 100, 60000, NULL,
 	 "between reads of the VM list"},
-	{"platform", "kv_timeout_ms", SETTING_MS, false,
+	{"platform", "kv_timeout_ms", SETTING_MS, NEED_NOT,
 	 FIELD(node.kv_timeout_us), 50, 60000, NULL,
 	 "one call to the key-value service"},
 
-	{"policy", "placement", SETTING_CHOICE, false, FIELD(node.placement), 0,
-	 0, placement_choices, "who counts an engine: its home node, or each"},
-	{"policy", "policy", SETTING_CHOICE, false, FIELD(node.policy), 0, 0,
+	{"gateway", "address", SETTING_ADDRESS, NEED_NOT,
+	 FIELD(gateway.address), 0, 0, NULL,
+	 "callers' requests by routes; none: no gateway"},
+	{"gateway", "ready_address", SETTING_ADDRESS, NEED_NOT,
+	 FIELD(gateway.ready_address), 0, 0, NULL,
+	 "answers whether the node takes work"},
+	{"gateway", "directory_address", SETTING_ADDRESS, NEED_NOT,
+	 FIELD(gateway.directory_address), 0, 0, NULL,
+	 "answers which nodes take work"},
+	{"gateway", "store_address", SETTING_ADDRESS, NEED_WITH_GATEWAY,
+	 FIELD(gateway.store_address), 0, 0, NULL,
+	 "the platform's metadata store"},
+	{"gateway", "drain_s", SETTING_S, NEED_NOT, FIELD(gateway.drain_us), 1,
+	 3600, NULL, "from SIGTERM to the end of the process"},
+	{"gateway", "address_keep_s", SETTING_S, NEED_NOT,
+	 FIELD(gateway.address_keep_us), 1, 60, NULL,
+	 "callers keep an answer of the directory"},
+	{"gateway", "retry_ratio", SETTING_RATIO, NEED_NOT,
+	 FIELD(gateway.retry_percent), 0, 1, NULL,
+	 "sends beyond the first, as a share of requests"},
+	{"gateway", "retry_extra", SETTING_INT64, NEED_NOT,
+	 FIELD(gateway.retry_extra), 0, 1000000, NULL,
+	 "and so many more in a window, of all nodes together"},
+	{"gateway", "retry_window_s", SETTING_S, NEED_NOT,
+	 FIELD(gateway.retry_window_us), 1, 3600, NULL,
+	 "window in which retries are counted"},
+
+	{"policy", "placement", SETTING_CHOICE, NEED_NOT, FIELD(node.placement),
+	 0, 0, placement_choices,
+	 "who counts an engine: its home node, or each"},
+	{"policy", "policy", SETTING_CHOICE, NEED_NOT, FIELD(node.policy), 0, 0,
 	 policy_choices, "admission to engines"},
-	{"policy", "engines_per_shard", SETTING_INT32, false,
+	{"policy", "engines_per_shard", SETTING_INT32, NEED_NOT,
 	 FIELD(node.engines_per_shard), 1, 4096, NULL,
 	 "engines that share one home node"},
-	{"policy", "max_attempts", SETTING_INT32, false,
+	{"policy", "max_attempts", SETTING_INT32, NEED_NOT,
 	 FIELD(node.max_attempts), 1, 10, NULL,
 	 "endpoints tried for one request"},
-	{"policy", "retry_percent", SETTING_INT32, false,
+	{"policy", "retry_percent", SETTING_INT32, NEED_NOT,
 	 FIELD(node.retry_percent), 0, 100, NULL,
 	 "retries as a share of first attempts"},
 
-	{"limits", "max_calls", SETTING_INT32, false, FIELD(node.max_calls), 1,
-	 1000000, NULL, "open calls"},
-	{"limits", "max_waiting", SETTING_INT32, false, FIELD(node.max_waiting),
-	 1, 1000000, NULL, "calls waiting for an endpoint"},
-	{"limits", "max_outcomes", SETTING_INT32, false,
+	{"limits", "max_calls", SETTING_INT32, NEED_NOT, FIELD(node.max_calls),
+	 1, 1000000, NULL, "open calls"},
+	{"limits", "max_waiting", SETTING_INT32, NEED_NOT,
+	 FIELD(node.max_waiting), 1, 1000000, NULL,
+	 "calls waiting for an endpoint"},
+	{"limits", "max_outcomes", SETTING_INT32, NEED_NOT,
 	 FIELD(node.max_outcomes), 1, 10000000, NULL, "request ids remembered"},
-	{"limits", "max_outcome_bytes", SETTING_INT32, false,
+	{"limits", "max_outcome_bytes", SETTING_INT32, NEED_NOT,
 	 FIELD(node.max_outcome_bytes), 0, 1 << 24, NULL,
 	 "kept of one outcome"},
-	{"limits", "max_connections", SETTING_INT64, false,
+	{"limits", "max_connections", SETTING_INT64, NEED_NOT,
 	 FIELD(max_connections), 1, 1000000, NULL,
 	 "open connections of callers"},
-	{"limits", "max_header_bytes", SETTING_INT64, false,
+	{"limits", "max_open_files", SETTING_INT64, NEED_NOT,
+	 FIELD(max_open_files), 0, 10000000, NULL,
+	 "fewer connections are taken if these don't suffice; 0: no bound"},
+	{"limits", "max_header_bytes", SETTING_INT64, NEED_NOT,
 	 FIELD(max_header_bytes), 1024, 1 << 20, NULL, "headers of a request"},
-	{"limits", "max_body_bytes", SETTING_INT64, false,
+	{"limits", "max_body_bytes", SETTING_INT64, NEED_NOT,
 	 FIELD(max_body_bytes), 1024, 1 << 30, NULL, "body of a request"},
-	{"limits", "max_answer_bytes", SETTING_INT64, false,
+	{"limits", "max_answer_bytes", SETTING_INT64, NEED_NOT,
 	 FIELD(max_answer_bytes), 1024, 1 << 30, NULL,
 	 "answer of a plain endpoint"},
-	{"limits", "stream_buffer_bytes", SETTING_INT64, false,
+	{"limits", "stream_buffer_bytes", SETTING_INT64, NEED_NOT,
 	 FIELD(stream_buffer_bytes), 4096, 1 << 26, NULL,
 	 "held for a slow caller of a stream"},
-	{"limits", "max_peer_record_bytes", SETTING_INT64, false,
+	{"limits", "max_peer_record_bytes", SETTING_INT64, NEED_NOT,
 	 FIELD(max_peer_record_bytes), 4096, 1 << 24, NULL,
 	 "one record from another node"},
 
-	{"times", "heartbeat_ms", SETTING_MS, false, FIELD(node.heartbeat_us),
-	 50, 60000, NULL, "between probes of a random node"},
-	{"times", "suspect_ms", SETTING_MS, false, FIELD(node.suspect_us), 100,
-	 600000, NULL, "from no answer to dead"},
-	{"times", "load_poll_ms", SETTING_MS, false, FIELD(node.load_poll_us),
-	 50, 60000, NULL, "between reads of an endpoint's load"},
-	{"times", "progress_ms", SETTING_MS, false, FIELD(node.progress_us), 50,
-	 60000, NULL, "between reports to a home node"},
-	{"times", "connect_timeout_ms", SETTING_INT64, false,
+	{"times", "heartbeat_ms", SETTING_MS, NEED_NOT,
+	 FIELD(node.heartbeat_us), 50, 60000, NULL,
+	 "between probes of a random node"},
+	{"times", "suspect_ms", SETTING_MS, NEED_NOT, FIELD(node.suspect_us),
+	 100, 600000, NULL, "from no answer to dead"},
+	{"times", "load_poll_ms", SETTING_MS, NEED_NOT,
+	 FIELD(node.load_poll_us), 50, 60000, NULL,
+	 "between reads of an endpoint's load"},
+	{"times", "progress_ms", SETTING_MS, NEED_NOT, FIELD(node.progress_us),
+	 50, 60000, NULL, "between reports to a home node"},
+	{"times", "connect_timeout_ms", SETTING_INT64, NEED_NOT,
 	 FIELD(connect_timeout_ms), 10, 60000, NULL,
 	 "connecting to an endpoint"},
-	{"times", "first_token_timeout_ms", SETTING_MS, false,
+	{"times", "first_token_timeout_ms", SETTING_MS, NEED_NOT,
 	 FIELD(node.first_token_timeout_us), 100, 3600000, NULL,
 	 "from sending to the first token"},
-	{"times", "stall_timeout_ms", SETTING_MS, false,
+	{"times", "stall_timeout_ms", SETTING_MS, NEED_NOT,
 	 FIELD(node.stall_timeout_us), 100, 3600000, NULL,
 	 "between chunks of a stream"},
-	{"times", "plain_timeout_ms", SETTING_MS, false,
+	{"times", "plain_timeout_ms", SETTING_MS, NEED_NOT,
 	 FIELD(node.plain_timeout_us), 100, 3600000, NULL,
 	 "a plain endpoint's whole answer"},
-	{"times", "answer_keep_s", SETTING_S, false, FIELD(node.answer_keep_us),
-	 1, 3600, NULL, "life of an answer of /v1/nodes"},
-	{"times", "id_memory_s", SETTING_S, false, FIELD(node.id_memory_us), 1,
-	 86400, NULL, "outcomes of request ids are remembered"},
-	{"times", "drain_timeout_s", SETTING_S, false,
+	{"times", "answer_keep_s", SETTING_S, NEED_NOT,
+	 FIELD(node.answer_keep_us), 1, 3600, NULL,
+	 "life of an answer of /v1/nodes"},
+	{"times", "id_memory_s", SETTING_S, NEED_NOT, FIELD(node.id_memory_us),
+	 1, 86400, NULL, "outcomes of request ids are remembered"},
+	{"times", "drain_timeout_s", SETTING_S, NEED_NOT,
 	 FIELD(node.drain_timeout_us), 0, 86400, NULL,
 	 "streams may take to end when stopping; 0: no bound"},
-	{"times", "isolation_s", SETTING_S, false, FIELD(node.isolation_us), 1,
-	 3600, NULL, "without the service and most nodes: no new work"},
+	{"times", "isolation_s", SETTING_S, NEED_NOT, FIELD(node.isolation_us),
+	 1, 3600, NULL, "without the service and most nodes: no new work"},
 
-	{"log", "level", SETTING_CHOICE, false, FIELD(log_level), 0, 0,
+	{"log", "level", SETTING_CHOICE, NEED_NOT, FIELD(log_level), 0, 0,
 	 level_choices, "least level written"},
 };
 
@@ -186,6 +231,14 @@
 	return *(int64_t *)field / setting_scale(setting);
 }
 
+static char *setting_ratio_text(const struct setting *setting,
+				struct settings *settings)
+{
+	return g_strdup_printf(
+		"%.2f",
+		(double)*(int64_t *)setting_field(setting, settings) / 100);
+}
+
 static void setting_set_number(const struct setting *setting,
 			       struct settings *settings, int64_t value)
 {
@@ -287,6 +340,9 @@
 		text = g_strdup_printf("one of \"%s\"", choices);
 		g_free(choices);
 		return text;
+	case SETTING_RATIO:
+		return g_strdup_printf("a number from %d to %d",
+				       (int)setting->min, (int)setting->max);
 	default:
 		return g_strdup_printf("an integer from %" G_GINT64_FORMAT
 				       " to %" G_GINT64_FORMAT,
@@ -389,6 +445,25 @@
 	return true;
 }
 
+static bool settings_take_ratio(struct settings *settings, const char *path,
+				const struct setting *setting,
+				const struct toml_entry *entry,
+				struct error *error)
+{
+	double real = entry->real;
+
+	if (entry->type == TOML_INTEGER)
+		real = (double)entry->integer;
+	else if (entry->type != TOML_FLOAT)
+		return settings_fail(error, path, entry, setting, "wrong type");
+	if (!(real >= (double)setting->min && real <= (double)setting->max))
+		return settings_fail(error, path, entry, setting,
+				     "out of range");
+	*(int64_t *)setting_field(setting, settings) =
+		(int64_t)(real * 100 + 0.5);
+	return true;
+}
+
 static bool settings_take(struct settings *settings, const char *path,
 			  const struct toml_entry *entry, struct error *error)
 {
@@ -397,8 +472,8 @@
 	if (!setting) {
 		error_set(error, ERROR_INVALID, STEP, path,
 			  "line %d: unknown section [%.40s], expected one of "
-			  "[node], [keys], [platform], [policy], [limits], "
-			  "[times], [log]",
+			  "[node], [keys], [platform], [gateway], [policy], "
+			  "[limits], [times], [log]",
 			  entry->line, entry->section);
 		return false;
 	}
@@ -430,6 +505,25 @@
 	case SETTING_S:
 		return settings_take_number(settings, path, setting, entry,
 					    error);
+	case SETTING_RATIO:
+		return settings_take_ratio(settings, path, setting, entry,
+					   error);
+	}
+	return false;
+}
+
+static bool setting_is_needed(const struct setting *setting,
+			      const struct settings *settings)
+{
+	switch (setting->need) {
+	case NEED_NOT:
+		return false;
+	case NEED_ALWAYS:
+		return true;
+	case NEED_WITHOUT_GATEWAY:
+		return !*settings->gateway.address;
+	case NEED_WITH_GATEWAY:
+		return *settings->gateway.address;
 	}
 	return false;
 }
@@ -441,7 +535,7 @@
 		const struct setting *setting = &table[i];
 		char *expectation;
 
-		if (!setting->required ||
+		if (!setting_is_needed(setting, settings) ||
 		    **(char **)setting_field(setting, settings))
 			continue;
 		expectation = setting_expectation(setting);
@@ -469,7 +563,8 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(used); i++) {
 		for (size_t j = 0; j < MIN(i, 2); j++) {
-			if (strcmp(used[i].address, used[j].address) != 0)
+			if (!*used[i].address ||
+			    strcmp(used[i].address, used[j].address) != 0)
 				continue;
 			error_set(error, ERROR_INVALID, STEP, path,
 				  "%s: duplicate address %s, expected one "
@@ -511,6 +606,11 @@
 	settings->max_connections = 4096;
 	settings->max_peer_record_bytes = 2 << 20;
 	settings->connect_timeout_ms = 1000;
+	settings->gateway.drain_us = 8 * G_USEC_PER_SEC;
+	settings->gateway.address_keep_us = 2 * G_USEC_PER_SEC;
+	settings->gateway.retry_percent = 20;
+	settings->gateway.retry_extra = 50;
+	settings->gateway.retry_window_us = 10 * G_USEC_PER_SEC;
 	return settings;
 }
 
@@ -568,8 +668,16 @@
 static char *setting_default(const struct setting *setting,
 			     struct settings *settings)
 {
-	if (setting->required)
+	switch (setting->need) {
+	case NEED_ALWAYS:
 		return g_strdup("required");
+	case NEED_WITHOUT_GATEWAY:
+		return g_strdup("required without a gateway");
+	case NEED_WITH_GATEWAY:
+		return g_strdup("required with a gateway");
+	case NEED_NOT:
+		break;
+	}
 	if (setting->choices == level_choices)
 		return g_strdup(settings->log_level);
 	if (setting->type == SETTING_CHOICE)
@@ -579,6 +687,8 @@
 		return g_strdup("[]");
 	if (setting_is_text(setting))
 		return g_strdup("none");
+	if (setting->type == SETTING_RATIO)
+		return setting_ratio_text(setting, settings);
 	return g_strdup_printf("%" G_GINT64_FORMAT,
 			       setting_get_number(setting, settings));
 }
--- a/adapters/settings.h
+++ b/adapters/settings.h
@@ -14,7 +14,20 @@
  * A node's settings file: TOML, a unit in each key that has one, every key
  * checked. Strings are owned by the settings; node.* point into them.
  */
+struct gateway_settings {
+	char *address;		 /* callers' requests; "": no gateway */
+	char *ready_address;	 /* "" for none */
+	char *directory_address; /* "" for none */
+	char *store_address;	 /* the platform's metadata store */
+	int64_t drain_us;	 /* from SIGTERM to SIGKILL */
+	int64_t address_keep_us;
+	int64_t retry_percent;
+	int64_t retry_extra;
+	int64_t retry_window_us;
+};
+
 struct settings {
+	struct gateway_settings gateway;
 	struct node_options node; /* incarnation and seed are not set here */
 	char *kv_address;
 	char *vm_list_address; /* "" for none */
@@ -26,6 +39,7 @@
 	int64_t max_answer_bytes;    /* of a plain endpoint's answer */
 	int64_t stream_buffer_bytes; /* held for a slow caller */
 	int64_t max_connections;
+	int64_t max_open_files; /* 0: as the system allows */
 	int64_t max_peer_record_bytes;
 	int64_t connect_timeout_ms;
 };
--- a/adapters/settings_toml.cc
+++ b/adapters/settings_toml.cc
@@ -99,6 +99,9 @@
 	} else if (const auto *integer = node.as_integer()) {
 		entry->type = TOML_INTEGER;
 		entry->integer = integer->get();
+	} else if (const auto *real = node.as_floating_point()) {
+		entry->type = TOML_FLOAT;
+		entry->real = real->get();
 	} else if (const auto *boolean = node.as_boolean()) {
 		entry->type = TOML_BOOLEAN;
 		entry->boolean = boolean->get();
--- a/adapters/toml_reader.h
+++ b/adapters/toml_reader.h
@@ -18,6 +18,7 @@
 	TOML_SECTION, /* the section itself; key is "" */
 	TOML_STRING,
 	TOML_INTEGER,
+	TOML_FLOAT,
 	TOML_BOOLEAN,
 	TOML_STRING_LIST,
 	TOML_OTHER /* a type that settings have no use for */
@@ -31,6 +32,7 @@
 	char *string;
 	char **strings; /* NULL-terminated */
 	int64_t integer;
+	double real;
 	bool boolean;
 };
 
--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -2,6 +2,7 @@
 
 #include "codec/peer_field.h"
 #include "codec/peer_holdings.h"
+#include "codec/peer_standing.h"
 
 #include <string.h>
 
@@ -46,6 +47,8 @@
 	[PEER_QUARANTINE] = "(ttsss)",
 	[PEER_LIMIT_REPORT] = "(tssa(uuu))",
 	[PEER_LIMIT_SHARE] = "(tssa(uuu))",
+	[PEER_STANDING] = PEER_STANDING_FORMAT,
+	[PEER_ROUTES] = "(txssay)",
 };
 
 static GVariant *encode_members(const GPtrArray *members)
@@ -158,7 +161,10 @@
 			(guchar)message->release.outcome, from, address);
 	case PEER_CONFIG:
 	case PEER_CONFIG_ASK:
+	case PEER_ROUTES:
 		return encode_config(message);
+	case PEER_STANDING:
+		return peer_standing_encode(message);
 	case PEER_LEAVING:
 		endpoints = message->leaving.endpoints;
 		return g_variant_new(
@@ -377,7 +383,7 @@
 	g_variant_unref(bytes);
 	return check(error, message->from,
 		     config->revision >= 0 && size <= MAX_DOCUMENT_BYTES &&
-			     (size > 0) == (message->type == PEER_CONFIG),
+			     (size > 0) == (message->type != PEER_CONFIG_ASK),
 		     "configuration out of range");
 }
 
@@ -456,7 +462,12 @@
 		return decode_release(body, message, error);
 	case PEER_CONFIG:
 	case PEER_CONFIG_ASK:
+	case PEER_ROUTES:
 		return decode_config(body, message, error);
+	case PEER_STANDING:
+		return check(error, message->from,
+			     peer_standing_decode(body, &message->standing),
+			     "standing out of range");
 	case PEER_LEAVING:
 		return decode_leaving(body, message, error);
 	case PEER_QUARANTINE:
--- /dev/null
+++ b/codec/peer_standing.c
@@ -0,0 +1,147 @@
+#include "codec/peer_standing.h"
+
+#include "codec/peer_field.h"
+
+#define MAX_HELD 16384
+#define MAX_REGISTRATIONS 16384
+#define MAX_REQUESTS 1000000
+#define CHILD_HELD 6
+#define CHILD_REGISTRATIONS 7
+
+static GVariant *encode_held(const GPtrArray *list)
+{
+	GVariantBuilder builder;
+
+	g_variant_builder_init(&builder, G_VARIANT_TYPE("a" PEER_HELD_FORMAT));
+	for (guint i = 0; i < list->len; i++) {
+		const struct peer_held *held = g_ptr_array_index(list, i);
+
+		g_variant_builder_add(
+			&builder, PEER_HELD_FORMAT,
+			peer_field_text(held->endpoint),
+			(guint32)CLAMP(held->requests, 0, MAX_REQUESTS),
+			(guint32)CLAMP(held->copies, 0, MAX_REQUESTS),
+			peer_field_tokens(held->tokens));
+	}
+	return g_variant_builder_end(&builder);
+}
+
+static GVariant *encode_registrations(const GPtrArray *list)
+{
+	GVariantBuilder builder;
+
+	g_variant_builder_init(&builder,
+			       G_VARIANT_TYPE("a" PEER_REGISTRATION_FORMAT));
+	for (guint i = 0; i < list->len; i++) {
+		const struct registration *said = g_ptr_array_index(list, i);
+
+		g_variant_builder_add(
+			&builder, PEER_REGISTRATION_FORMAT,
+			peer_field_text(said->id),
+			peer_field_text(said->service),
+			peer_field_text(said->address),
+			peer_field_text(said->failure_domain), said->started_ms,
+			said->warmup_left_us, said->revision,
+			(guint32)CLAMP(said->slots, 0, MAX_REQUESTS),
+			(guchar)said->is_leaving, (guchar)said->is_removed);
+	}
+	return g_variant_builder_end(&builder);
+}
+
+/* The record's body; texts over 64 bytes make the reader refuse it. */
+GVariant *peer_standing_encode(const struct peer_message *message)
+{
+	const struct peer_standing *standing = &message->standing;
+
+	return g_variant_new(
+		"(txbsss@a" PEER_HELD_FORMAT "@a" PEER_REGISTRATION_FORMAT ")",
+		message->incarnation, standing->table_version,
+		(gboolean)standing->takes_work, peer_field_text(message->from),
+		peer_field_text(message->from_address),
+		peer_field_text(standing->callers_address),
+		encode_held(standing->held),
+		encode_registrations(standing->registrations));
+}
+
+static bool decode_held(GVariant *list, struct peer_standing *standing)
+{
+	gsize count = g_variant_n_children(list);
+
+	if (count > MAX_HELD)
+		return false;
+	for (gsize i = 0; i < count; i++) {
+		const char *id;
+		guint32 requests, copies, tokens;
+		struct peer_held *held;
+
+		g_variant_get_child(list, i, "(&suuu)", &id, &requests, &copies,
+				    &tokens);
+		if (!peer_field_text_is_legal(id, false) ||
+		    requests > MAX_REQUESTS || copies > MAX_REQUESTS)
+			return false;
+		held = peer_standing_add(standing, id);
+		held->requests = (int32_t)requests;
+		held->copies = (int32_t)copies;
+		held->tokens = tokens;
+	}
+	return true;
+}
+
+static bool registration_is_legal(const struct registration *said)
+{
+	return peer_field_text_is_legal(said->id, false) &&
+	       peer_field_text_is_legal(said->service, said->is_removed) &&
+	       peer_field_text_is_legal(said->address, said->is_removed) &&
+	       peer_field_text_is_legal(said->failure_domain, true) &&
+	       said->revision >= 0 && said->started_ms >= 0 &&
+	       said->warmup_left_us >= 0 && said->slots >= 0 &&
+	       said->slots <= MAX_REQUESTS;
+}
+
+static bool decode_registrations(GVariant *list, struct peer_standing *standing)
+{
+	gsize count = g_variant_n_children(list);
+
+	if (count > MAX_REGISTRATIONS)
+		return false;
+	for (gsize i = 0; i < count; i++) {
+		struct registration *said = g_new0(struct registration, 1);
+		guint32 slots;
+		guchar is_leaving, is_removed;
+
+		g_variant_get_child(list, i, PEER_REGISTRATION_FORMAT,
+				    &said->id, &said->service, &said->address,
+				    &said->failure_domain, &said->started_ms,
+				    &said->warmup_left_us, &said->revision,
+				    &slots, &is_leaving, &is_removed);
+		said->slots = (int32_t)MIN(slots, (guint32)INT32_MAX);
+		said->is_leaving = is_leaving;
+		said->is_removed = is_removed;
+		g_ptr_array_add(standing->registrations, said);
+		if (!registration_is_legal(said))
+			return false;
+	}
+	return true;
+}
+
+/* Fills the standing in; false if a value is out of its range. */
+bool peer_standing_decode(GVariant *body, struct peer_standing *standing)
+{
+	GVariant *held = g_variant_get_child_value(body, CHILD_HELD);
+	GVariant *registrations =
+		g_variant_get_child_value(body, CHILD_REGISTRATIONS);
+	gboolean takes_work;
+	bool valid;
+
+	g_variant_get_child(body, 1, "x", &standing->table_version);
+	g_variant_get_child(body, 2, "b", &takes_work);
+	g_variant_get_child(body, 5, "s", &standing->callers_address);
+	standing->takes_work = takes_work;
+	valid = standing->table_version >= -1 &&
+		peer_field_text_is_legal(standing->callers_address, true) &&
+		decode_held(held, standing) &&
+		decode_registrations(registrations, standing);
+	g_variant_unref(held);
+	g_variant_unref(registrations);
+	return valid;
+}
--- a/core/base/counters.c
+++ b/core/base/counters.c
@@ -39,6 +39,24 @@
 				     "configurations older or malformed"},
 	[COUNTER_EVENTS_UNKNOWN] = {"events_unknown",
 				    "events for requests not known here"},
+	[COUNTER_GATEWAY_REQUESTS] = {"gateway_requests",
+				      "requests passed on by routes"},
+	[COUNTER_GATEWAY_WHOLE] = {"gateway_whole", "of these, answered whole"},
+	[COUNTER_GATEWAY_REFUSED] = {"gateway_refused",
+				     "of these, answered by the node itself"},
+	[COUNTER_GATEWAY_BROKEN] =
+		{"gateway_broken",
+		 "of these, cut off after their answer had begun"},
+	[COUNTER_GATEWAY_GONE] = {"gateway_gone",
+				  "of these, left by their callers"},
+	[COUNTER_GATEWAY_TAKE_OVERS] =
+		{"gateway_take_overs",
+		 "generations continued from a copy on another engine"},
+	[COUNTER_GATEWAY_MOVES] =
+		{"gateway_moves",
+		 "generations moved off an engine that leaves"},
+	[COUNTER_GATEWAY_TABLES] = {"gateway_tables",
+				    "versions of the routes taken"},
 };
 
 /* Adds n to a counter. */
--- /dev/null
+++ b/core/gateway/endpoint_choice.c
@@ -0,0 +1,157 @@
+#include "core/gateway/endpoint_choice.h"
+
+#include <string.h>
+
+/*
+ * How full an engine may be planned. Memory is counted at each generation's
+ * expected end, and few end at the same moment, so a plan of 1.05 fills about
+ * nine tenths. A backup is given up before it costs a generation its room.
+ */
+#define PLANNED_FILL 1.05
+#define BACKUP_FILL 0.85
+
+/*
+ * Weights of the score, in parts of a full engine. A busy slot slows each
+ * token by 0.12 ms of about 10, memory decides about preemption: slots count
+ * half. The other failure domain costs a few ms on the way, a cold endpoint
+ * answers slower for some seconds.
+ */
+#define SLOT_WEIGHT 0.5
+#define FAR_WEIGHT 0.04
+#define COLD_WEIGHT 0.3
+#define ERROR_WEIGHT 3.0
+
+/*
+ * Nodes that decide in the same moment see the same numbers. The draw spreads
+ * them over endpoints that are about equal.
+ */
+#define DRAW_WEIGHT 0.05
+
+static bool is_avoided(const struct endpoint_wish *wish,
+		       const struct endpoint *endpoint)
+{
+	for (guint i = 0; wish->avoid && i < wish->avoid->len; i++) {
+		if (strcmp(g_ptr_array_index(wish->avoid, i),
+			   endpoint->said->id) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool is_candidate(const struct endpoint_wish *wish,
+			 const struct endpoint *endpoint)
+{
+	return endpoint_is_usable(endpoint) &&
+	       strcmp(endpoint->said->service, wish->service) == 0 &&
+	       !is_avoided(wish, endpoint);
+}
+
+static bool is_sound(const struct endpoint_wish *wish,
+		     const struct endpoint *endpoint)
+{
+	return endpoint_health_allows(&endpoint->health) &&
+	       endpoint->full_until_us <= wish->now_us;
+}
+
+static double slots_of(const struct endpoint_wish *wish,
+		       const struct endpoint *endpoint)
+{
+	int32_t slots = endpoint->said->slots;
+
+	if (slots == 0 && wish->engine)
+		slots = wish->engine->slots;
+	return MAX(slots, 1);
+}
+
+static double slot_load(const struct endpoint_wish *wish,
+			const struct endpoint *endpoint)
+{
+	return (endpoint->own.requests + endpoint->others.requests) /
+	       slots_of(wish, endpoint);
+}
+
+static double memory_load(const struct endpoint_wish *wish,
+			  const struct endpoint *endpoint)
+{
+	if (!wish->engine || wish->engine->memory_tokens == 0)
+		return 0;
+	return (double)(endpoint->own.tokens + endpoint->others.tokens +
+			wish->tokens) /
+	       (double)wish->engine->memory_tokens;
+}
+
+static double endpoint_score(const struct endpoint_wish *wish,
+			     const struct endpoint *endpoint, guint i)
+{
+	double score = memory_load(wish, endpoint) +
+		       SLOT_WEIGHT * slot_load(wish, endpoint);
+	double draw = wish->draw * (double)(i + 1);
+
+	if (g_strcmp0(endpoint->said->failure_domain, wish->failure_domain))
+		score += FAR_WEIGHT;
+	if (endpoint->warm_us > wish->now_us)
+		score += COLD_WEIGHT;
+	score += ERROR_WEIGHT * endpoint->error_share;
+	return score + DRAW_WEIGHT * (draw - (double)(int64_t)draw);
+}
+
+static bool has_room(const struct endpoint_wish *wish,
+		     const struct endpoint *endpoint, double fill)
+{
+	if (!wish->engine || wish->engine->slots == 0)
+		return true;
+	return memory_load(wish, endpoint) <= fill &&
+	       slot_load(wish, endpoint) < 1;
+}
+
+static struct endpoint *choose(const struct registry *registry,
+			       const struct endpoint_wish *wish, bool sound,
+			       double fill)
+{
+	const GPtrArray *endpoints = registry_endpoints(registry);
+	struct endpoint *best = NULL;
+	double best_score = 0;
+
+	for (guint i = 0; i < endpoints->len; i++) {
+		struct endpoint *endpoint = g_ptr_array_index(endpoints, i);
+		double score;
+
+		if (!is_candidate(wish, endpoint) ||
+		    (sound && !is_sound(wish, endpoint)) ||
+		    !has_room(wish, endpoint, fill))
+			continue;
+		score = endpoint_score(wish, endpoint, i);
+		if (!best || score < best_score) {
+			best = endpoint;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+/*
+ * The endpoint with the most room; NULL: none has any. A plain service whose
+ * endpoints all look bad is tried nevertheless: they may have recovered, and a
+ * refusal would be certain.
+ */
+struct endpoint *endpoint_choose(const struct registry *registry,
+				 const struct endpoint_wish *wish)
+{
+	struct endpoint *endpoint = choose(registry, wish, true, PLANNED_FILL);
+
+	if (endpoint || (wish->engine && wish->engine->slots > 0))
+		return endpoint;
+	return choose(registry, wish, false, PLANNED_FILL);
+}
+
+/*
+ * An engine with room to spare for a copy of the generation; NULL: none. The
+ * avoided ids hold the engine that runs it.
+ */
+struct endpoint *endpoint_choose_backup(const struct registry *registry,
+					const struct endpoint_wish *wish)
+{
+	if (!wish->engine || !wish->engine->can_back_up)
+		return NULL;
+	return choose(registry, wish, true, BACKUP_FILL);
+}
--- /dev/null
+++ b/core/gateway/recovery.c
@@ -0,0 +1,85 @@
+#include "core/gateway/recovery.h"
+
+/*
+ * Sends in all, also those that endpoints refused without running them: each
+ * draws on the budget, and what three endpoints turn away the fourth would.
+ */
+#define MAX_SENDS 3
+
+static const char *const result_names[] = {
+	[RESULT_NOT_SENT] = "not_sent", [RESULT_NOT_RUN] = "not_run",
+	[RESULT_ERROR] = "error",	[RESULT_SLOW] = "slow",
+	[RESULT_BROKEN] = "broken",	[RESULT_NO_COPY] = "no_copy",
+};
+
+static const char *const recovery_names[] = {
+	[RECOVERY_SEND_AGAIN] = "send_again",
+	[RECOVERY_TAKE_OVER] = "take_over",
+	[RECOVERY_PASS_ON] = "pass_on",
+	[RECOVERY_REFUSE] = "refuse",
+	[RECOVERY_FAIL] = "fail",
+	[RECOVERY_BREAK] = "break",
+};
+
+static bool may_send_again(const struct recovery_input *input)
+{
+	return input->budget_left && input->sends < MAX_SENDS;
+}
+
+static bool may_run_again(const struct recovery_input *input)
+{
+	return may_send_again(input) && input->kind == ROUTE_IDEMPOTENT &&
+	       input->runs < input->max_attempts;
+}
+
+static enum recovery decide_unanswered(const struct recovery_input *input)
+{
+	switch (input->result) {
+	case RESULT_NOT_SENT:
+	case RESULT_NOT_RUN:
+		if (may_send_again(input) &&
+		    (input->runs == 0 || may_run_again(input)))
+			return RECOVERY_SEND_AGAIN;
+		return input->runs == 0 ? RECOVERY_REFUSE : RECOVERY_FAIL;
+	case RESULT_ERROR:
+		return may_run_again(input) ? RECOVERY_SEND_AGAIN
+					    : RECOVERY_PASS_ON;
+	case RESULT_SLOW:
+	case RESULT_BROKEN:
+		if (input->kind == ROUTE_STREAM && input->copy_is_ready &&
+		    input->budget_left)
+			return RECOVERY_TAKE_OVER;
+		return may_run_again(input) ? RECOVERY_SEND_AGAIN
+					    : RECOVERY_FAIL;
+	case RESULT_NO_COPY:
+		return RECOVERY_FAIL;
+	}
+	return RECOVERY_FAIL;
+}
+
+/*
+ * What to do next. A stream that has begun is only ever continued from a copy
+ * of its own memory: a new run would write other text after the part that the
+ * caller has, and nobody could tell where they were joined.
+ */
+enum recovery recovery_decide(const struct recovery_input *input)
+{
+	if (!input->answer_begun)
+		return decide_unanswered(input);
+	if (input->kind == ROUTE_STREAM && input->copy_is_ready &&
+	    input->budget_left && input->result != RESULT_NO_COPY)
+		return RECOVERY_TAKE_OVER;
+	return RECOVERY_BREAK;
+}
+
+/* Name of a result, for logs. */
+const char *attempt_result_name(enum attempt_result result)
+{
+	return result_names[result];
+}
+
+/* Name of a decision, for logs. */
+const char *recovery_name(enum recovery recovery)
+{
+	return recovery_names[recovery];
+}
--- /dev/null
+++ b/core/gateway/registry.c
@@ -0,0 +1,353 @@
+#include "core/gateway/registry.h"
+
+#include <string.h>
+
+/* Peers and answers of the store are late by seconds, not by a minute. */
+#define REMEMBER_GONE_US (60 * G_USEC_PER_SEC)
+
+/* About the last ten answers count. */
+#define ERROR_FADE 0.1
+
+/* What one other node holds. */
+struct holder_node {
+	uint64_t incarnation;
+	int64_t heard_us;
+	GHashTable *held; /* endpoint id to struct held */
+};
+
+struct registry {
+	GHashTable *by_id;    /* id to struct endpoint */
+	GPtrArray *endpoints; /* owns struct endpoint */
+	GHashTable *nodes;    /* name to struct holder_node */
+	int64_t revision;
+};
+
+static void endpoint_destroy(gpointer data)
+{
+	struct endpoint *endpoint = data;
+
+	registration_destroy(endpoint->said);
+	g_free(endpoint);
+}
+
+static void holder_node_destroy(gpointer data)
+{
+	struct holder_node *node = data;
+
+	g_hash_table_unref(node->held);
+	g_free(node);
+}
+
+/* A registry that knows nothing. */
+struct registry *registry_create(void)
+{
+	struct registry *registry = g_new0(struct registry, 1);
+
+	registry->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	registry->endpoints = g_ptr_array_new_with_free_func(endpoint_destroy);
+	registry->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						holder_node_destroy);
+	return registry;
+}
+
+/* Frees a registry; NULL is allowed. */
+void registry_destroy(struct registry *registry)
+{
+	if (!registry)
+		return;
+	g_hash_table_unref(registry->by_id);
+	g_ptr_array_unref(registry->endpoints);
+	g_hash_table_unref(registry->nodes);
+	g_free(registry);
+}
+
+/* The endpoint of that id, also when it is gone; NULL: never heard of. */
+struct endpoint *registry_find(struct registry *registry, const char *id)
+{
+	return g_hash_table_lookup(registry->by_id, id);
+}
+
+/* All endpoints, struct endpoint, also those that are gone. */
+const GPtrArray *registry_endpoints(const struct registry *registry)
+{
+	return registry->endpoints;
+}
+
+/* The newest revision heard of. */
+int64_t registry_revision(const struct registry *registry)
+{
+	return registry->revision;
+}
+
+/* Whether it may get new work, as far as its entry says. */
+bool endpoint_is_usable(const struct endpoint *endpoint)
+{
+	return endpoint->presence == PRESENCE_READY ||
+	       endpoint->presence == PRESENCE_DOUBTED;
+}
+
+/* Endpoints of the service that may get new work. */
+size_t registry_ready_count(const struct registry *registry,
+			    const char *service)
+{
+	size_t count = 0;
+
+	for (guint i = 0; i < registry->endpoints->len; i++) {
+		const struct endpoint *endpoint =
+			g_ptr_array_index(registry->endpoints, i);
+
+		count += endpoint_is_usable(endpoint) &&
+			 strcmp(endpoint->said->service, service) == 0;
+	}
+	return count;
+}
+
+/*
+ * Counts an answer by the endpoint's own status. Some kinds of request fail
+ * now and then at every endpoint, so errors only shift requests towards the
+ * endpoints with fewer of them; none is put aside for them.
+ */
+void endpoint_count_answer(struct endpoint *endpoint, bool is_error)
+{
+	endpoint->error_share +=
+		ERROR_FADE * (is_error - endpoint->error_share);
+}
+
+static void held_add(struct held *to, const struct held *held, int32_t sign)
+{
+	to->requests += sign * held->requests;
+	to->copies += sign * held->copies;
+	to->tokens += sign * held->tokens;
+}
+
+static void endpoint_set_presence(struct endpoint *endpoint,
+				  enum endpoint_presence presence,
+				  int64_t now_us)
+{
+	if (endpoint->presence == presence)
+		return;
+	endpoint->presence = presence;
+	endpoint->since_us = now_us;
+}
+
+static struct endpoint *registry_add(struct registry *registry,
+				     const struct registration *news,
+				     int64_t now_us)
+{
+	struct endpoint *endpoint = g_new0(struct endpoint, 1);
+	GHashTableIter iter;
+	gpointer node;
+
+	endpoint->said = registration_copy(news);
+	endpoint->since_us = now_us;
+	endpoint->known_us = now_us;
+	endpoint->warm_us = now_us + news->warmup_left_us;
+	endpoint_health_init(&endpoint->health);
+	g_ptr_array_add(registry->endpoints, endpoint);
+	g_hash_table_insert(registry->by_id, endpoint->said->id, endpoint);
+	g_hash_table_iter_init(&iter, registry->nodes);
+	while (g_hash_table_iter_next(&iter, NULL, &node)) {
+		const struct held *held = g_hash_table_lookup(
+			((struct holder_node *)node)->held, endpoint->said->id);
+
+		if (held)
+			held_add(&endpoint->others, held, 1);
+	}
+	return endpoint;
+}
+
+static void endpoint_replace_said(struct registry *registry,
+				  struct endpoint *endpoint,
+				  const struct registration *news)
+{
+	g_hash_table_steal(registry->by_id, endpoint->said->id);
+	registration_destroy(endpoint->said);
+	endpoint->said = registration_copy(news);
+	g_hash_table_insert(registry->by_id, endpoint->said->id, endpoint);
+}
+
+/*
+ * An endpoint may start again under its old id. It then remembers nothing, so
+ * what failed there before says nothing of it, and it is warm only later.
+ */
+static void endpoint_restart(struct endpoint *endpoint,
+			     const struct registration *news, int64_t now_us)
+{
+	endpoint_health_init(&endpoint->health);
+	endpoint->known_us = now_us;
+	endpoint->full_until_us = 0;
+	endpoint->warm_us = now_us + news->warmup_left_us;
+}
+
+static bool registry_take_removal(struct endpoint *endpoint, bool is_doubtful,
+				  int64_t now_us)
+{
+	enum endpoint_presence was = endpoint->presence;
+
+	if (was == PRESENCE_GONE || was == PRESENCE_LEAVING)
+		endpoint_set_presence(endpoint, PRESENCE_GONE, now_us);
+	else
+		endpoint_set_presence(
+			endpoint,
+			is_doubtful ? PRESENCE_DOUBTED : PRESENCE_GONE, now_us);
+	return endpoint->presence != was;
+}
+
+/*
+ * Takes what a store or a peer says of one endpoint, unless something newer is
+ * known. A removal is doubtful where the entry may have lapsed because the
+ * store was away: the endpoint is used on until registry_step gives up on it.
+ */
+bool registry_take(struct registry *registry, const struct registration *news,
+		   bool is_doubtful, int64_t now_us)
+{
+	struct endpoint *endpoint = registry_find(registry, news->id);
+	enum endpoint_presence was;
+
+	registry->revision = MAX(registry->revision, news->revision);
+	if (endpoint && news->revision <= endpoint->said->revision)
+		return false;
+	if (news->is_removed) {
+		if (!endpoint)
+			return false;
+		endpoint->said->revision = news->revision;
+		return registry_take_removal(endpoint, is_doubtful, now_us);
+	}
+	if (!endpoint) {
+		endpoint = registry_add(registry, news, now_us);
+		endpoint_set_presence(endpoint,
+				      news->is_leaving ? PRESENCE_LEAVING
+						       : PRESENCE_READY,
+				      now_us);
+		return true;
+	}
+	was = endpoint->presence;
+	if (news->started_ms > endpoint->said->started_ms)
+		endpoint_restart(endpoint, news, now_us);
+	endpoint_replace_said(registry, endpoint, news);
+	endpoint_set_presence(
+		endpoint, news->is_leaving ? PRESENCE_LEAVING : PRESENCE_READY,
+		now_us);
+	return endpoint->presence != was;
+}
+
+static bool list_has_id(const GPtrArray *list, const char *id)
+{
+	for (guint i = 0; i < list->len; i++) {
+		const struct registration *said = g_ptr_array_index(list, i);
+
+		if (strcmp(said->id, id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Takes a whole reading of the store as of a revision: what isn't in it was
+ * removed, unless it is newer. Ids that changed are added to changed.
+ */
+void registry_take_all(struct registry *registry, const GPtrArray *list,
+		       int64_t revision, bool is_doubtful, int64_t now_us,
+		       GPtrArray *changed)
+{
+	for (guint i = 0; i < list->len; i++) {
+		const struct registration *said = g_ptr_array_index(list, i);
+
+		if (registry_take(registry, said, false, now_us))
+			g_ptr_array_add(changed, g_strdup(said->id));
+	}
+	for (guint i = 0; i < registry->endpoints->len; i++) {
+		struct endpoint *endpoint =
+			g_ptr_array_index(registry->endpoints, i);
+
+		if (endpoint->said->revision > revision ||
+		    endpoint->presence == PRESENCE_GONE ||
+		    list_has_id(list, endpoint->said->id))
+			continue;
+		endpoint->said->revision = revision;
+		if (registry_take_removal(endpoint, is_doubtful, now_us))
+			g_ptr_array_add(changed, g_strdup(endpoint->said->id));
+	}
+	registry->revision = MAX(registry->revision, revision);
+}
+
+/*
+ * Gives up on endpoints that have been doubted since before the time given,
+ * and forgets those long gone.
+ */
+void registry_step(struct registry *registry, int64_t doubted_before_us,
+		   int64_t now_us, GPtrArray *changed)
+{
+	for (guint i = registry->endpoints->len; i-- > 0;) {
+		struct endpoint *endpoint =
+			g_ptr_array_index(registry->endpoints, i);
+
+		if (endpoint->presence == PRESENCE_DOUBTED &&
+		    endpoint->since_us <= doubted_before_us) {
+			endpoint_set_presence(endpoint, PRESENCE_GONE, now_us);
+			g_ptr_array_add(changed, g_strdup(endpoint->said->id));
+		}
+		if (endpoint->presence == PRESENCE_GONE &&
+		    endpoint->own.requests == 0 && endpoint->own.copies == 0 &&
+		    now_us - endpoint->since_us > REMEMBER_GONE_US) {
+			g_hash_table_remove(registry->by_id,
+					    endpoint->said->id);
+			g_ptr_array_remove_index(registry->endpoints, i);
+		}
+	}
+}
+
+static void registry_add_node_held(struct registry *registry,
+				   const struct holder_node *node, int32_t sign)
+{
+	GHashTableIter iter;
+	gpointer id, held;
+
+	g_hash_table_iter_init(&iter, node->held);
+	while (g_hash_table_iter_next(&iter, &id, &held)) {
+		struct endpoint *endpoint = registry_find(registry, id);
+
+		if (endpoint)
+			held_add(&endpoint->others, held, sign);
+	}
+}
+
+/*
+ * Another node says what it holds, all of it: endpoint id to struct held,
+ * which the registry takes over.
+ */
+void registry_take_held(struct registry *registry, const char *name,
+			uint64_t incarnation, GHashTable *held_by_id,
+			int64_t now_us)
+{
+	struct holder_node *node = g_hash_table_lookup(registry->nodes, name);
+
+	if (node) {
+		registry_add_node_held(registry, node, -1);
+		g_hash_table_unref(node->held);
+	} else {
+		node = g_new0(struct holder_node, 1);
+		g_hash_table_insert(registry->nodes, g_strdup(name), node);
+	}
+	node->incarnation = incarnation;
+	node->heard_us = now_us;
+	node->held = held_by_id;
+	registry_add_node_held(registry, node, 1);
+}
+
+/* Nodes not heard of since then hold nothing any more. */
+void registry_forget_silent(struct registry *registry, int64_t before_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, registry->nodes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct holder_node *node = value;
+
+		if (node->heard_us >= before_us)
+			continue;
+		registry_add_node_held(registry, node, -1);
+		g_hash_table_iter_remove(&iter);
+	}
+}
--- a/core/message/peer_message.c
+++ b/core/message/peer_message.c
@@ -15,6 +15,8 @@
 	[PEER_QUARANTINE] = "quarantine",
 	[PEER_LIMIT_REPORT] = "limit_report",
 	[PEER_LIMIT_SHARE] = "limit_share",
+	[PEER_STANDING] = "standing",
+	[PEER_ROUTES] = "routes",
 };
 
 static void member_free(gpointer data)
@@ -32,6 +34,12 @@
 	g_free(holding);
 }
 
+static void peer_held_free(gpointer data)
+{
+	g_free(((struct peer_held *)data)->endpoint);
+	g_free(data);
+}
+
 /* A message of this type with empty lists where the type has lists. */
 struct peer_message *peer_message_create(enum peer_message_type type)
 {
@@ -56,12 +64,18 @@
 	case PEER_LIMIT_SHARE:
 		message->limits.limits = g_ptr_array_new_with_free_func(g_free);
 		break;
+	case PEER_STANDING:
+		message->standing.held =
+			g_ptr_array_new_with_free_func(peer_held_free);
+		message->standing.registrations = registration_list_create();
+		break;
 	case PEER_PLACE:
 	case PEER_PLACED:
 	case PEER_REFUSED:
 	case PEER_RELEASE:
 	case PEER_CONFIG:
 	case PEER_CONFIG_ASK:
+	case PEER_ROUTES:
 	case PEER_QUARANTINE:
 	case PEER_MESSAGE_TYPES:
 		break;
@@ -88,8 +102,14 @@
 	case PEER_PROGRESS:
 		g_ptr_array_unref(message->progress.holdings);
 		break;
+	case PEER_STANDING:
+		g_free(message->standing.callers_address);
+		g_ptr_array_unref(message->standing.held);
+		g_ptr_array_unref(message->standing.registrations);
+		break;
 	case PEER_CONFIG:
 	case PEER_CONFIG_ASK:
+	case PEER_ROUTES:
 		if (message->config.document)
 			g_bytes_unref(message->config.document);
 		break;
@@ -169,6 +189,17 @@
 	return holding;
 }
 
+/* Adds an endpoint on which the sender holds nothing yet. */
+struct peer_held *peer_standing_add(struct peer_standing *standing,
+				    const char *endpoint)
+{
+	struct peer_held *held = g_new0(struct peer_held, 1);
+
+	held->endpoint = g_strdup(endpoint);
+	g_ptr_array_add(standing->held, held);
+	return held;
+}
+
 /* Appends an empty limit, owned by the message. */
 struct peer_limit *peer_limits_add(struct peer_limits *limits)
 {
--- a/core/node/node.c
+++ b/core/node/node.c
@@ -95,6 +95,18 @@
 			"organisation", call->organisation, key, value, NULL);
 }
 
+/* The nodes that this one knows of. */
+const struct membership *node_members(const struct node *node)
+{
+	return node->membership;
+}
+
+/* Tells the other nodes that this one takes no new work. */
+void node_set_leaving(struct node *node)
+{
+	membership_set_state(node->membership, MEMBER_LEAVING);
+}
+
 /* Begins the node's life: reads the configuration and finds its peers. */
 void node_start(struct node *node, int64_t now_us, struct action_list *actions)
 {
@@ -177,6 +189,8 @@
 	case PEER_LIMIT_SHARE:
 		node_limits_receive(node, message);
 		break;
+	case PEER_STANDING:
+	case PEER_ROUTES: /* the gateway's */
 	case PEER_MESSAGE_TYPES:
 		break;
 	}
--- a/core/node/node.h
+++ b/core/node/node.h
@@ -2,6 +2,7 @@
 #define CORE_NODE_NODE_H
 
 #include "core/base/counters.h"
+#include "core/membership/membership.h"
 #include "core/placement/placement.h"
 #include "ports/action.h"
 #include "ports/event.h"
@@ -67,6 +68,10 @@
 	       struct action_list *actions);
 int64_t node_next_due_us(const struct node *node);
 struct counters *node_counters(struct node *node);
+const struct membership *node_members(const struct node *node);
+struct peer_message *node_message_create(const struct node *node,
+					 enum peer_message_type type);
+void node_set_leaving(struct node *node);
 GVariant *node_dump(const struct node *node, int64_t now_us);
 
 G_END_DECLS
--- a/core/node/node_state.h
+++ b/core/node/node_state.h
@@ -276,8 +276,6 @@
 void node_query_receive(struct node *node, const struct event_query *event);
 
 /* node.c */
-struct peer_message *node_message_create(const struct node *node,
-					 enum peer_message_type type);
 void node_send(struct node *node, const char *peer_address,
 	       struct peer_message *message);
 uint64_t node_kv_send(struct node *node, enum kv_op op, const char *key,
--- /dev/null
+++ b/daemons/gateway_wiring.c
@@ -0,0 +1,201 @@
+#include "daemons/gateway_wiring.h"
+
+#include "adapters/gateway/gateway.h"
+#include "adapters/gateway/store_follower.h"
+#include "platform/platform.h"
+
+struct gateway_wiring {
+	struct gateway *gateway;
+	struct store_follower *document;
+	struct store_follower *entries;
+	struct log *log;
+};
+
+static struct route_table *wiring_decode(void *data, GBytes *document)
+{
+	struct gateway_wiring *wiring = data;
+	struct route_table *table;
+	struct error error;
+
+	table = platform_read_document(document, &error);
+	if (!table)
+		log_write_error(wiring->log, LOG_LEVEL_ERROR, "routes_rejected",
+				&error);
+	return table;
+}
+
+static void on_document_page(void *data, const struct store_page *page)
+{
+	struct gateway_wiring *wiring = data;
+
+	for (guint i = 0; i < page->items->len; i++) {
+		const struct store_item *item =
+			g_ptr_array_index(page->items, i);
+		struct route_table *table;
+
+		if (!item->value || !platform_is_document(item->key))
+			continue;
+		table = wiring_decode(wiring, item->value);
+		if (!table)
+			continue;
+		gateway_take_table(wiring->gateway, table, item->value);
+		route_table_unref(table);
+	}
+}
+
+static GPtrArray *read_entries(const struct store_page *page)
+{
+	GPtrArray *list = registration_list_create();
+
+	for (guint i = 0; i < page->items->len; i++) {
+		struct registration *said =
+			platform_read_entry(g_ptr_array_index(page->items, i));
+
+		if (said)
+			g_ptr_array_add(list, said);
+	}
+	return list;
+}
+
+static void on_entries_listed(void *data, const struct store_page *page)
+{
+	struct gateway_wiring *wiring = data;
+	GPtrArray *list = read_entries(page);
+
+	gateway_take_registrations(wiring->gateway, list, page->revision);
+	g_ptr_array_unref(list);
+}
+
+static void on_entries_changed(void *data, const struct store_page *page)
+{
+	struct gateway_wiring *wiring = data;
+	GPtrArray *list = read_entries(page);
+
+	gateway_take_changes(wiring->gateway, list);
+	g_ptr_array_unref(list);
+}
+
+static void on_reached(void *data, bool is_reached)
+{
+	struct gateway_wiring *wiring = data;
+
+	(void)is_reached;
+	if (!wiring->document || !wiring->entries)
+		return;
+	gateway_take_store(wiring->gateway,
+			   store_follower_is_reached(wiring->document) &&
+				   store_follower_is_reached(wiring->entries));
+}
+
+static void wiring_read_store(void *data)
+{
+	struct gateway_wiring *wiring = data;
+
+	if (wiring->document)
+		store_follower_poke(wiring->document);
+}
+
+static bool wiring_create_gateway(struct gateway_wiring *wiring,
+				  const struct gateway_wiring_options *options,
+				  struct error *error)
+{
+	const struct settings *settings = options->settings;
+	const struct gateway_options gateway = {
+		.node_name = settings->node.name,
+		.failure_domain = settings->node.failure_domain,
+		.address = settings->gateway.address,
+		.ready_address = settings->gateway.ready_address,
+		.directory_address = settings->gateway.directory_address,
+		.max_connections = options->max_connections,
+		.drain_us = settings->gateway.drain_us,
+		.address_keep_us = settings->gateway.address_keep_us,
+		.retry_percent = settings->gateway.retry_percent,
+		.retry_extra = settings->gateway.retry_extra,
+		.retry_window_us = settings->gateway.retry_window_us,
+		.seed = options->seed,
+		.log = options->log,
+		.counters = options->counters,
+		.dialect = &platform_dialect,
+	};
+	const struct gateway_host host = {
+		.send = options->send,
+		.message = options->message,
+		.members = options->members,
+		.decode = wiring_decode,
+		.read_store = wiring_read_store,
+		.stopped = options->stopped,
+		.data = options->data,
+		.store_data = wiring,
+	};
+
+	wiring->gateway = gateway_create(&gateway, &host, error);
+	return wiring->gateway != NULL;
+}
+
+static struct store_follower *
+wiring_follow(struct gateway_wiring *wiring,
+	      const struct gateway_wiring_options *options, const char *prefix,
+	      void (*listed)(void *, const struct store_page *),
+	      void (*changed)(void *, const struct store_page *))
+{
+	const struct store_follower_options follower = {
+		.address = options->settings->gateway.store_address,
+		.prefix = prefix,
+		.dialect = &platform_store_dialect,
+		.log = options->log,
+		.seed = options->seed,
+	};
+	const struct store_follower_events events = {
+		.listed = listed,
+		.changed = changed,
+		.reached = on_reached,
+		.data = wiring,
+	};
+
+	return store_follower_create(&follower, &events);
+}
+
+/* Opens the gateway and begins to follow the store; NULL and an error. */
+struct gateway_wiring *
+gateway_wiring_create(const struct gateway_wiring_options *options,
+		      struct error *error)
+{
+	struct gateway_wiring *wiring = g_new0(struct gateway_wiring, 1);
+
+	wiring->log = options->log;
+	if (!wiring_create_gateway(wiring, options, error)) {
+		g_free(wiring);
+		return NULL;
+	}
+	wiring->document =
+		wiring_follow(wiring, options, platform_document_prefix,
+			      on_document_page, on_document_page);
+	wiring->entries =
+		wiring_follow(wiring, options, platform_entries_prefix,
+			      on_entries_listed, on_entries_changed);
+	return wiring;
+}
+
+/* Closes everything; NULL is allowed. */
+void gateway_wiring_destroy(struct gateway_wiring *wiring)
+{
+	if (!wiring)
+		return;
+	store_follower_destroy(wiring->document);
+	store_follower_destroy(wiring->entries);
+	gateway_destroy(wiring->gateway);
+	g_free(wiring);
+}
+
+/* A record of another node's gateway. */
+void gateway_wiring_take_peer(struct gateway_wiring *wiring,
+			      const struct peer_message *message)
+{
+	gateway_take_peer(wiring->gateway, message);
+}
+
+/* Begins to stop; the stopped callback says when it is done. */
+void gateway_wiring_drain(struct gateway_wiring *wiring)
+{
+	gateway_drain(wiring->gateway);
+}
--- /dev/null
+++ b/daemons/gateway_wiring.h
@@ -0,0 +1,44 @@
+#ifndef DAEMONS_GATEWAY_WIRING_H
+#define DAEMONS_GATEWAY_WIRING_H
+
+#include "adapters/log.h"
+#include "adapters/settings.h"
+#include "core/base/counters.h"
+#include "core/base/error.h"
+#include "core/membership/membership.h"
+#include "ports/peer_message.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/* The gateway, with the platform on one side and the node on the other. */
+struct gateway_wiring_options {
+	const struct settings *settings;
+	int64_t max_connections;
+	uint64_t seed;
+	struct log *log;
+	struct counters *counters;
+	const struct membership *(*members)(void *data);
+	struct peer_message *(*message)(void *data,
+					enum peer_message_type type);
+	void (*send)(void *data, const char *peer_address,
+		     struct peer_message *message);
+	void (*stopped)(void *data);
+	void *data;
+};
+
+struct gateway_wiring;
+
+struct gateway_wiring *
+gateway_wiring_create(const struct gateway_wiring_options *options,
+		      struct error *error);
+void gateway_wiring_destroy(struct gateway_wiring *wiring);
+void gateway_wiring_take_peer(struct gateway_wiring *wiring,
+			      const struct peer_message *message);
+void gateway_wiring_drain(struct gateway_wiring *wiring);
+
+G_END_DECLS
+
+#endif
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -8,6 +8,7 @@
 #include "adapters/peer_link.h"
 #include "adapters/vm_list_client.h"
 #include "core/node/node.h"
+#include "daemons/gateway_wiring.h"
 
 #include <glib-unix.h>
 #include <json-glib/json-glib.h>
@@ -34,6 +35,7 @@
 	struct kv_client *kv;
 	struct peer_link *peers;
 	struct vm_list_client *vm_list;
+	struct gateway_wiring *gateway; /* NULL: none */
 	struct action_list *actions;
 	GSource *timer;
 	int64_t clock_offset_us; /* the core's time less the monotonic clock */
@@ -60,8 +62,11 @@
 	peer_link_apply(loop->peers, action);
 }
 
+/* Without the service its answers never come, which the node is used to. */
 static void apply_kv(struct node_loop *loop, const struct action *action)
 {
+	if (!loop->kv)
+		return;
 	kv_client_apply(loop->kv, action);
 }
 
@@ -166,9 +171,23 @@
 	loop_set_timer(loop);
 }
 
+static bool event_is_gateway(const struct event *event)
+{
+	return event->type == EVENT_PEER &&
+	       (event->peer->type == PEER_STANDING ||
+		event->peer->type == PEER_ROUTES);
+}
+
 static void loop_deliver(void *data, const struct event *event)
 {
-	loop_step(data, event);
+	struct node_loop *loop = data;
+
+	if (event_is_gateway(event)) {
+		if (loop->gateway)
+			gateway_wiring_take_peer(loop->gateway, event->peer);
+		return;
+	}
+	loop_step(loop, event);
 }
 
 static gboolean loop_timer(GSource *source, GSourceFunc callback, gpointer data)
@@ -196,10 +215,21 @@
 		return G_SOURCE_CONTINUE;
 	}
 	loop->stopping = true;
+	if (loop->gateway) {
+		node_set_leaving(loop->node);
+		gateway_wiring_drain(loop->gateway);
+		return G_SOURCE_CONTINUE;
+	}
 	loop_step(loop, &event);
 	return G_SOURCE_CONTINUE;
 }
 
+/* The gateway has answered all it could: the node behind it may end. */
+static void loop_gateway_stopped(void *data)
+{
+	g_main_loop_quit(((struct node_loop *)data)->main);
+}
+
 static gboolean loop_on_dump(gpointer data)
 {
 	struct node_loop *loop = data;
@@ -231,6 +261,17 @@
 	return false;
 }
 
+/* Connections of callers: fewer where the files allowed don't suffice. */
+static int64_t loop_max_connections(const struct settings *settings)
+{
+	int64_t files = settings->max_open_files - 2 * FILES_BESIDE;
+
+	if (settings->max_open_files == 0)
+		return settings->max_connections;
+	return CLAMP(files / FILES_PER_CONNECTION, 1,
+		     settings->max_connections);
+}
+
 /*
  * Out of descriptors, the listener would fail on each connection and try again
  * at once, and calls that are running would fail for want of a connection to
@@ -239,8 +280,8 @@
 static bool loop_allow_files(const struct settings *settings,
 			     struct error *error)
 {
-	int64_t needed =
-		settings->max_connections * FILES_PER_CONNECTION + FILES_BESIDE;
+	int64_t needed = loop_max_connections(settings) * FILES_PER_CONNECTION +
+			 FILES_BESIDE;
 	struct rlimit limit = {0};
 
 	getrlimit(RLIMIT_NOFILE, &limit);
@@ -263,9 +304,17 @@
 {
 	struct node_options options = settings->node;
 
+	char key[2 * sizeof(uint64_t) + 1];
+
 	if (!random_read(&options.incarnation, error) ||
 	    !random_read(&options.seed, error))
 		return false;
+	if (!*options.event_key) {
+		/* Streams of the node's own interface resume here only then. */
+		g_snprintf(key, sizeof(key), "%016" G_GINT64_MODIFIER "x",
+			   options.seed);
+		options.event_key = key;
+	}
 	loop->node = node_create(&options);
 	return true;
 }
@@ -280,7 +329,7 @@
 		.max_header_bytes = settings->max_header_bytes,
 		.max_body_bytes = settings->max_body_bytes,
 		.stream_buffer_bytes = settings->stream_buffer_bytes,
-		.max_connections = settings->max_connections,
+		.max_connections = loop_max_connections(settings),
 		.log = loop->log,
 		.counters = node_counters(loop->node),
 	};
@@ -340,6 +389,8 @@
 		.log = loop->log,
 	};
 
+	if (!*settings->kv_address)
+		return true;
 	if (!random_read(&kv.seed, error))
 		return false;
 	loop->kv = kv_client_create(&kv, sink);
@@ -348,6 +399,53 @@
 	return true;
 }
 
+static const struct membership *loop_members(void *data)
+{
+	return node_members(((struct node_loop *)data)->node);
+}
+
+static struct peer_message *loop_message(void *data,
+					 enum peer_message_type type)
+{
+	return node_message_create(((struct node_loop *)data)->node, type);
+}
+
+static void loop_send(void *data, const char *peer_address,
+		      struct peer_message *message)
+{
+	struct node_loop *loop = data;
+	struct action action = {.type = ACTION_PEER_SEND};
+
+	action.peer_send.peer_address = (char *)peer_address;
+	action.peer_send.message = message;
+	peer_link_apply(loop->peers, &action);
+	peer_message_destroy(message);
+}
+
+static bool loop_create_gateway(struct node_loop *loop,
+				const struct settings *settings,
+				struct error *error)
+{
+	struct gateway_wiring_options options = {
+		.settings = settings,
+		.max_connections = loop_max_connections(settings),
+		.log = loop->log,
+		.counters = node_counters(loop->node),
+		.members = loop_members,
+		.message = loop_message,
+		.send = loop_send,
+		.stopped = loop_gateway_stopped,
+		.data = loop,
+	};
+
+	if (!*settings->gateway.address)
+		return true;
+	if (!random_read(&options.seed, error))
+		return false;
+	loop->gateway = gateway_wiring_create(&options, error);
+	return loop->gateway != NULL;
+}
+
 static void loop_watch_signals(struct node_loop *loop)
 {
 	loop->signal_sources[0] =
@@ -381,7 +479,8 @@
 	    !loop_create_node(loop, settings, error) ||
 	    !loop_create_http(loop, settings, &sink, error) ||
 	    !loop_create_peers(loop, settings, &sink, error) ||
-	    !loop_create_platform(loop, settings, &sink, error)) {
+	    !loop_create_platform(loop, settings, &sink, error) ||
+	    !loop_create_gateway(loop, settings, error)) {
 		node_loop_destroy(loop);
 		return NULL;
 	}
@@ -400,6 +499,7 @@
 	}
 	if (loop->flush_source)
 		g_source_remove(loop->flush_source);
+	gateway_wiring_destroy(loop->gateway);
 	vm_list_client_destroy(loop->vm_list);
 	kv_client_destroy(loop->kv);
 	endpoint_client_destroy(loop->endpoints);
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -2,6 +2,7 @@
 #define PORTS_PEER_MESSAGE_H
 
 #include "ports/refusal.h"
+#include "ports/registration.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -29,6 +30,8 @@
 	PEER_QUARANTINE,   /* fingerprint seen at a crash of an endpoint */
 	PEER_LIMIT_REPORT, /* what is wanted of organisations\' limits */
 	PEER_LIMIT_SHARE,  /* the receiver\'s shares of them */
+	PEER_STANDING,	   /* gateway: what it holds, endpoints' news */
+	PEER_ROUTES,	   /* gateway: its configuration document */
 	PEER_MESSAGE_TYPES
 };
 
@@ -139,6 +142,22 @@
 	GPtrArray *members; /* struct member: what is being spread */
 };
 
+/* What the sender's gateway holds on an endpoint. */
+struct peer_held {
+	char *endpoint; /* id of one start of it */
+	int32_t requests;
+	int32_t copies; /* backups of generations kept there */
+	int64_t tokens;
+};
+
+struct peer_standing {
+	int64_t table_version; /* of its routes; -1: none yet */
+	bool takes_work;
+	char *callers_address;
+	GPtrArray *held;	  /* struct peer_held: all of it */
+	GPtrArray *registrations; /* struct registration: some */
+};
+
 struct peer_message {
 	enum peer_message_type type;
 	char *from;	    /* name of the sending node; "": by incarnation */
@@ -151,7 +170,8 @@
 		struct peer_refused refused;
 		struct peer_progress progress;
 		struct peer_release release;
-		struct peer_config config; /* CONFIG, CONFIG_ASK */
+		struct peer_config config; /* CONFIG, CONFIG_ASK, ROUTES */
+		struct peer_standing standing;
 		struct peer_leaving leaving;
 		struct peer_quarantine quarantine;
 		struct peer_limits limits; /* LIMIT_REPORT, LIMIT_SHARE */
@@ -167,6 +187,8 @@
 GPtrArray *member_list_create(void); /* owns struct member */
 
 struct peer_holding *peer_progress_add(struct peer_progress *progress);
+struct peer_held *peer_standing_add(struct peer_standing *standing,
+				    const char *endpoint);
 struct peer_limit *peer_limits_add(struct peer_limits *limits);
 
 G_END_DECLS
--- a/tests/operating_page_test.cc
+++ b/tests/operations_page_test.cc
@@ -9,7 +9,7 @@
 
 static std::string read_page()
 {
-	std::ifstream file("docs/OPERATING.md");
+	std::ifstream file("docs/OPERATIONS.md");
 	std::stringstream text;
 
 	text << file.rdbuf();
@@ -17,7 +17,7 @@
 }
 
 /* The page's list is the output of siskinlinkd --help-settings, pasted. */
-TEST(OperatingPage, ListsEverySettingAsItIs)
+TEST(OperationsPage, ListsEverySettingAsItIs)
 {
 	std::string page = read_page();
 	std::string line;
@@ -29,7 +29,7 @@
 		EXPECT_NE(std::string::npos, page.find(line)) << line;
 }
 
-TEST(OperatingPage, ListsEveryCounter)
+TEST(OperationsPage, ListsEveryCounter)
 {
 	std::string page = read_page();
 
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -58,6 +58,7 @@
 		message->placed.endpoint = g_strdup("10.2.0.1:9000");
 		break;
 	case PEER_CONFIG:
+	case PEER_ROUTES:
 		message->config.document = g_bytes_new("{}", 2);
 		message->config.revision = 12;
 		break;
@@ -77,6 +78,29 @@
 	}
 }
 
+static void fill_standing(struct peer_standing *standing)
+{
+	struct registration *said = g_new0(struct registration, 1);
+	struct peer_held *held = peer_standing_add(standing, "i-7f3a91c2");
+
+	held->requests = 3;
+	held->copies = 2;
+	held->tokens = 12345;
+	standing->table_version = 17;
+	standing->takes_work = true;
+	standing->callers_address = g_strdup("10.1.2.1:8740");
+	said->id = g_strdup("i-7f3a91c2");
+	said->service = g_strdup("report-writer");
+	said->address = g_strdup("10.2.0.1:9000");
+	said->failure_domain = g_strdup("casablanca-a");
+	said->started_ms = 1780000000000;
+	said->warmup_left_us = 400000;
+	said->revision = 812;
+	said->slots = 24;
+	said->is_leaving = true;
+	g_ptr_array_add(standing->registrations, said);
+}
+
 static struct peer_message *make_message(enum peer_message_type type)
 {
 	struct peer_message *message = peer_message_create(type);
@@ -104,6 +128,9 @@
 		message->progress.complete = true;
 		add_holdings(message, 5, true);
 		break;
+	case PEER_STANDING:
+		fill_standing(&message->standing);
+		break;
 	case PEER_LIMIT_REPORT:
 	case PEER_LIMIT_SHARE:
 		for (uint32_t i = 1; i <= 3; i++) {
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -94,11 +94,12 @@
 		  "that --help-settings lists",
 		  failure(std::string(minimal) + "colour = 1\n"));
 	EXPECT_EQ("line 11: unknown section [extra], expected one of [node], "
-		  "[keys], [platform], [policy], [limits], [times], [log]",
+		  "[keys], [platform], [gateway], [policy], [limits], "
+		  "[times], [log]",
 		  failure(std::string(minimal) + "[extra]\n"));
 	EXPECT_EQ("line 11: unknown section [times.deep], expected one of "
-		  "[node], [keys], [platform], [policy], [limits], [times], "
-		  "[log]",
+		  "[node], [keys], [platform], [gateway], [policy], "
+		  "[limits], [times], [log]",
 		  failure(std::string(minimal) + "[times.deep]\na = 1\n"));
 	EXPECT_EQ("line 12: [times] heartbeat_ms: wrong type, expected an "
 		  "integer from 50 to 60000",
