Generations leave an engine by the way that its link allows

Cause: at notice all generations of a full engine copied their memory at once; on one link, twice as long between failure domains, they waited for one another until the engine was gone. Backups took the room that moves and new requests needed. Change: copies go to the same failure domain first, another target is asked where one has no room, what ends in time is not moved, backups are kept up to 0.65 of an engine's memory; a node that has just started is told all endpoints by its peers.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -12,6 +12,15 @@
 /* A copy of 3,500 tokens takes 0.2 s, twice that between failure domains. */
 #define MOVE_TIMEOUT_US (2 * G_USEC_PER_SEC)
 
+/*
+ * A copy to another failure domain takes twice as long, on a link on which all
+ * generations of an engine leave within a second and a half.
+ */
+#define FAR_COPY_WEIGHT 0.3
+
+/* What an engine under notice still makes, in tokens. */
+#define LAST_TOKENS 110
+
 /* Engines asked for room before the end is waited for. */
 #define MAX_TARGETS 4
 
@@ -41,10 +50,17 @@
 
 static void move_fail(struct exchange *exchange, const char *reason)
 {
+	const struct endpoint *target = registry_find(
+		exchange->gateway->registry, exchange->move.target_id);
+	char held[24] = "";
+
+	if (target)
+		g_snprintf(held, sizeof(held), "%" G_GINT64_FORMAT,
+			   target->own.tokens + target->others.tokens);
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "move_failed",
 		  "request", exchange->asked.id, "from",
 		  exchange->leg->endpoint_id, "to", exchange->move.target_id,
-		  "reason", reason, NULL);
+		  "held_tokens", held, "reason", reason, NULL);
 	g_ptr_array_add(exchange->tried, g_strdup(exchange->move.target_id));
 	exchange_move_clear(exchange);
 	if (++exchange->move.failures >= MAX_TARGETS)
@@ -146,11 +162,21 @@
 		move_fail(exchange, error.detail);
 }
 
+/* Moving what ends in time would only keep the others waiting. */
+static bool ends_in_time(const struct exchange *exchange)
+{
+	int64_t made = exchange->event_count *
+		       exchange->service->engine.tokens_per_event;
+
+	return made < exchange->expected_tokens &&
+	       exchange->expected_tokens - made < LAST_TOKENS;
+}
+
 static bool move_is_wanted(const struct exchange *exchange)
 {
 	const struct endpoint *endpoint = leg_endpoint(exchange->leg);
 
-	return exchange->move.state == MOVE_NONE &&
+	return !ends_in_time(exchange) && exchange->move.state == MOVE_NONE &&
 	       exchange->service->engine.can_move && exchange->leg->heard_us &&
 	       endpoint && !endpoint_is_usable(endpoint);
 }
@@ -171,6 +197,8 @@
 		return;
 	exchange_wish(exchange, &wish);
 	wish.avoid_also = exchange->leg->endpoint_id;
+	wish.failure_domain = leg_endpoint(exchange->leg)->said->failure_domain;
+	wish.far_weight = FAR_COPY_WEIGHT;
 	target = endpoint_choose_rescue(gateway->registry, &wish);
 	if (!target)
 		return;
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -213,6 +213,7 @@
 		  "request", exchange->asked.id, "to",
 		  exchange->next->endpoint_id, "reason", reason, NULL);
 	exchange->copy_failed = true;
+	g_ptr_array_add(exchange->tried, g_strdup(exchange->next->endpoint_id));
 	leg_destroy(g_steal_pointer(&exchange->next));
 }
 
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -54,7 +54,8 @@
 /* Whether callers should be sent here. */
 bool gateway_takes_work(const struct gateway *gateway)
 {
-	return gateway->table && !gateway->drain_since_us;
+	return gateway->table && !gateway->drain_since_us &&
+	       registry_has_usable(gateway->registry);
 }
 
 /* Whether a newer configuration would have reached this node. */
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -183,12 +183,26 @@
 	gateway->host.send(gateway->host.data, peer_address, message);
 }
 
+/* A node that has just started knows no endpoint, and may not reach the store.
+ */
+static void send_registrations(struct gateway *gateway,
+			       const char *peer_address)
+{
+	struct peer_message *message = standing_create(gateway);
+
+	add_registrations(gateway, &message->standing);
+	gateway->host.send(gateway->host.data, peer_address, message);
+}
+
 static struct gateway_peer *peer_take(struct gateway *gateway,
 				      const struct peer_message *message)
 {
 	struct gateway_peer *peer =
 		g_hash_table_lookup(gateway->peers, message->from);
 
+	if (!peer || peer->incarnation != message->incarnation)
+		send_registrations(gateway, message->from_address);
+
 	if (!peer) {
 		peer = g_new0(struct gateway_peer, 1);
 		g_hash_table_insert(gateway->peers, g_strdup(message->from),
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -10,7 +10,7 @@
  */
 #define PLANNED_FILL 0.95
 #define CROWDED_FILL 1.1
-#define BACKUP_FILL 0.85
+#define BACKUP_FILL 0.65
 
 /* A generation that would be lost otherwise may crowd an engine. */
 #define RESCUE_FILL 1.5
@@ -101,7 +101,7 @@
 	double draw = wish->draw * (double)(i + 1);
 
 	if (g_strcmp0(endpoint->said->failure_domain, wish->failure_domain))
-		score += FAR_WEIGHT;
+		score += MAX(wish->far_weight, FAR_WEIGHT);
 	if (endpoint->warm_us > wish->now_us)
 		score += COLD_WEIGHT;
 	score += ERROR_WEIGHT * endpoint->error_share;
--- a/core/gateway/endpoint_choice.h
+++ b/core/gateway/endpoint_choice.h
@@ -18,7 +18,8 @@
 struct endpoint_wish {
 	const char *service;
 	const struct engine_ability *engine; /* slots 0: a plain service */
-	const char *failure_domain;	     /* of this node */
+	const char *failure_domain;	     /* to be near to */
+	double far_weight;		     /* of another one; 0: little */
 	const GPtrArray *avoid;		     /* char *: ids, or NULL */
 	const char *avoid_also;		     /* one more id, or NULL */
 	int64_t tokens; /* in memory at the expected end; 0: plain */
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -92,6 +92,17 @@
 	return endpoint->own.unread_tokens + endpoint->others.unread_tokens > 0;
 }
 
+/* Whether any endpoint at all may get new work. */
+bool registry_has_usable(const struct registry *registry)
+{
+	for (guint i = 0; i < registry->endpoints->len; i++) {
+		if (endpoint_is_usable(
+			    g_ptr_array_index(registry->endpoints, i)))
+			return true;
+	}
+	return false;
+}
+
 /* Endpoints of the service that may get new work. */
 size_t registry_ready_count(const struct registry *registry,
 			    const char *service)
