Moves wait before they are tried again; engines are crowded less

Cause: a run that is preempted can't be copied (404), and four tries were over within 100 ms; engines planned to 1.1 of their memory preempted. Change: 120 ms between two tries, six of them; crowded up to 1.05.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -21,8 +21,14 @@
 /* What an engine under notice still makes, in tokens. */
 #define LAST_TOKENS 110
 
+/*
+ * Between two tries: a run that is preempted can't be copied, and what has no
+ * room now may have some when a generation there has ended.
+ */
+#define TRY_AGAIN_US (120 * 1000)
+
 /* Engines asked for room before the end is waited for. */
-#define MAX_TARGETS 4
+#define MAX_TARGETS 6
 
 #define STATUS_OK 200
 
@@ -52,17 +58,20 @@
 {
 	const struct endpoint *target = registry_find(
 		exchange->gateway->registry, exchange->move.target_id);
-	char held[24] = "";
+	char held[24] = "", status[16];
 
 	if (target)
 		g_snprintf(held, sizeof(held), "%" G_GINT64_FORMAT,
 			   target->own.tokens + target->others.tokens);
+	g_snprintf(status, sizeof(status), "%d", exchange->move.status);
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "move_failed",
 		  "request", exchange->asked.id, "from",
 		  exchange->leg->endpoint_id, "to", exchange->move.target_id,
-		  "held_tokens", held, "reason", reason, NULL);
+		  "held_tokens", held, "status", status, "reason", reason,
+		  NULL);
 	g_ptr_array_add(exchange->tried, g_strdup(exchange->move.target_id));
 	exchange_move_clear(exchange);
+	exchange->move.since_us = exchange->gateway->now_us;
 	if (++exchange->move.failures >= MAX_TARGETS)
 		exchange->move.state = MOVE_FAILED;
 }
@@ -193,7 +202,8 @@
 		move_fail(exchange, "timeout");
 		return;
 	}
-	if (!move_is_wanted(exchange))
+	if (!move_is_wanted(exchange) ||
+	    gateway->now_us - move->since_us < TRY_AGAIN_US)
 		return;
 	exchange_wish(exchange, &wish);
 	wish.avoid_also = exchange->leg->endpoint_id;
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -9,7 +9,7 @@
  * the alternative, up to the size at which engines preempt.
  */
 #define PLANNED_FILL 0.95
-#define CROWDED_FILL 1.1
+#define CROWDED_FILL 1.05
 #define BACKUP_FILL 0.65
 
 /* A generation that would be lost otherwise may crowd an engine. */
