Log on standard output, never waiting for its reader; start, stop and reload

Cause: lines were written to standard error by a blocking write: a reader that stops would stop the node. A change of settings needed a restart. Change: a bounded buffer before a pipe that does not block, lines beyond it dropped and counted; a line at start, stop and reload; SIGHUP and a changed file are taken over where a running process can, a bad file changes nothing. Ruled out: a writing thread (one loop, one thread is the house's rule).

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -64,6 +64,14 @@
 	return gateway->store_is_reached;
 }
 
+/* What a node may save up of the fixed number of retries. */
+static int32_t gateway_budget_burst(const struct gateway *gateway)
+{
+	double all = (1 - REFILL_SHARE) * (double)gateway->options.retry_extra;
+
+	return MAX((int32_t)(all / (double)gateway_node_count(gateway)), 1);
+}
+
 /*
  * The retries of a service. All nodes together may send so many beyond the
  * first of each request: a share of the requests in a window, which each node
@@ -80,10 +88,7 @@
 		return budget;
 	retry_budget_options_default(&options);
 	options.percent = (int32_t)gateway->options.retry_percent;
-	options.burst = (int32_t)((1 - REFILL_SHARE) *
-				  (double)gateway->options.retry_extra /
-				  (double)gateway_node_count(gateway));
-	options.burst = MAX(options.burst, 1);
+	options.burst = gateway_budget_burst(gateway);
 	budget = retry_budget_create(&options);
 	g_hash_table_insert(gateway->budgets, g_strdup(service), budget);
 	return budget;
@@ -355,6 +360,24 @@
 	g_free(gateway);
 }
 
+/* Times and retries as the settings have them now. */
+void gateway_set_limits(struct gateway *gateway, int64_t drain_us,
+			int64_t address_keep_us, int64_t retry_percent,
+			int64_t retry_extra)
+{
+	GHashTableIter iter;
+	gpointer budget;
+
+	gateway->options.drain_us = drain_us;
+	gateway->options.address_keep_us = address_keep_us;
+	gateway->options.retry_percent = retry_percent;
+	gateway->options.retry_extra = retry_extra;
+	g_hash_table_iter_init(&iter, gateway->budgets);
+	while (g_hash_table_iter_next(&iter, NULL, &budget))
+		retry_budget_resize(budget, (int32_t)retry_percent,
+				    gateway_budget_burst(gateway));
+}
+
 /*
  * Begins to stop: callers are sent elsewhere, those that still come are
  * served until shortly before the end, and streams that would outlast it are
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -60,6 +60,9 @@
 			       struct error *error);
 void gateway_destroy(struct gateway *gateway);
 void gateway_drain(struct gateway *gateway);
+void gateway_set_limits(struct gateway *gateway, int64_t drain_us,
+			int64_t address_keep_us, int64_t retry_percent,
+			int64_t retry_extra);
 
 /* What the store says. */
 void gateway_take_table(struct gateway *gateway, struct route_table *table,
--- a/adapters/log.c
+++ b/adapters/log.c
@@ -1,20 +1,27 @@
 #include "adapters/log.h"
 
+#include "adapters/log_output.h"
+
 #include <log4c.h>
 #include <log4c/layout.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define MAX_VALUE_BYTES 512
 #define MAX_LINE_BYTES 4096
 
+/* About 1,500 lines: some minutes of a node, or a second of a bad one. */
+#define MAX_KEPT_BYTES (256 * 1024)
+
 struct log {
 	char *node_name;
 	enum log_level least;
 	log4c_category_t *category;
 	log4c_appender_t *appender;
 	log4c_layout_t *layout;
+	struct log_output *output;
 };
 
 static const struct {
@@ -32,8 +39,9 @@
 {
 	const char *line = event->evt_rendered_msg;
 
-	(void)appender;
-	return fwrite(line, 1, strlen(line), stderr) > 0 ? 0 : -1;
+	log_output_write(log4c_appender_get_udata(appender), line,
+			 strlen(line));
+	return 0;
 }
 
 /* The message is the whole line already. */
@@ -45,7 +53,7 @@
 }
 
 static const log4c_appender_type_t appender_type = {
-	.name = "siskinlink_stderr",
+	.name = "siskinlink_stdout",
 	.append = log_append,
 };
 
@@ -155,7 +163,7 @@
 }
 
 /*
- * A log that writes lines of at least this level to standard error. log4c
+ * A log that writes lines of at least this level to standard output. log4c
  * would read a file for its settings; everything is set here instead, so no
  * file can redirect a node's log.
  */
@@ -168,7 +176,9 @@
 	log->layout = log4c_layout_new("siskinlink");
 	log4c_layout_set_type(log->layout, &layout_type);
 	log->appender = log4c_appender_new("siskinlink");
+	log->output = log_output_create(STDOUT_FILENO, MAX_KEPT_BYTES);
 	log4c_appender_set_type(log->appender, &appender_type);
+	log4c_appender_set_udata(log->appender, log->output);
 	log4c_appender_set_layout(log->appender, log->layout);
 	log->category = log4c_category_new("siskinlink");
 	log4c_category_set_additivity(log->category, 0);
@@ -185,10 +195,18 @@
 	log4c_category_delete(log->category);
 	log4c_appender_delete(log->appender);
 	log4c_layout_delete(log->layout);
+	log_output_destroy(log->output);
 	g_free(log->node_name);
 	g_free(log);
 }
 
+/* Lines below this level are left out from now on. */
+void log_set_level(struct log *log, enum log_level least)
+{
+	log->least = least;
+	log4c_category_set_priority(log->category, levels[least].priority);
+}
+
 static void log_write_fields(struct log *log, enum log_level level,
 			     const char *event, const GPtrArray *fields)
 {
--- a/core/limit/retry_budget.c
+++ b/core/limit/retry_budget.c
@@ -52,6 +52,18 @@
 		MIN(budget->stock + (int64_t)retries * RETRY_COST, most);
 }
 
+/*
+ * Other limits from now on. What is in stock stays, up to the new burst: a
+ * change of settings must not hand out retries that were used already.
+ */
+void retry_budget_resize(struct retry_budget *budget, int32_t percent,
+			 int32_t burst)
+{
+	budget->options.percent = percent;
+	budget->options.burst = burst;
+	budget->stock = MIN(budget->stock, (int64_t)burst * RETRY_COST);
+}
+
 /*
  * Takes one retry. False: none is left, and the call must end.
  *
--- a/core/limit/retry_budget.h
+++ b/core/limit/retry_budget.h
@@ -28,6 +28,8 @@
 
 void retry_budget_count_first(struct retry_budget *budget);
 void retry_budget_add(struct retry_budget *budget, int32_t retries);
+void retry_budget_resize(struct retry_budget *budget, int32_t percent,
+			 int32_t burst);
 bool retry_budget_take(struct retry_budget *budget);
 int64_t retry_budget_delay_us(const struct retry_budget *budget,
 			      int32_t retries, GRand *rand);
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -194,6 +194,15 @@
 	gateway_take_peer(wiring->gateway, message);
 }
 
+/* Takes over what a running gateway can change: times and retries. */
+void gateway_wiring_reload(struct gateway_wiring *wiring,
+			   const struct gateway_settings *settings)
+{
+	gateway_set_limits(wiring->gateway, settings->drain_us,
+			   settings->address_keep_us, settings->retry_percent,
+			   settings->retry_extra);
+}
+
 /* Begins to stop; the stopped callback says when it is done. */
 void gateway_wiring_drain(struct gateway_wiring *wiring)
 {
--- a/daemons/gateway_wiring.h
+++ b/daemons/gateway_wiring.h
@@ -37,6 +37,8 @@
 void gateway_wiring_destroy(struct gateway_wiring *wiring);
 void gateway_wiring_take_peer(struct gateway_wiring *wiring,
 			      const struct peer_message *message);
+void gateway_wiring_reload(struct gateway_wiring *wiring,
+			   const struct gateway_settings *settings);
 void gateway_wiring_drain(struct gateway_wiring *wiring);
 
 G_END_DECLS
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -9,6 +9,7 @@
 #include "adapters/vm_list_client.h"
 #include "core/node/node.h"
 #include "daemons/gateway_wiring.h"
+#include "daemons/version.h"
 
 #include <glib-unix.h>
 #include <json-glib/json-glib.h>
@@ -16,12 +17,14 @@
 #include <stdio.h>
 #include <sys/random.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 
 #define LOAD_TIMEOUT_MS 1000
 #define VM_LIST_TIMEOUT_MS 2000
 #define FLUSH_CHECK_MS 10
 #define FLUSH_US 10000000 /* for answers that their callers still read */
 #define EXIT_CUT 1
+#define FILE_CHECK_S 2
 #define FILES_PER_CONNECTION 2 /* the caller's and its endpoint's */
 #define FILES_BESIDE 256       /* peers, platform, load polls */
 
@@ -43,7 +46,10 @@
 	bool stopping; /* a first SIGTERM has come */
 	int64_t flush_until_us;
 	guint flush_source;
-	guint signal_sources[3];
+	guint signal_sources[4];
+	char *config_path;
+	int64_t config_changed_us;
+	guint file_source;
 	int exit_status;
 };
 
@@ -252,6 +258,58 @@
 	return LOG_LEVEL_INFO;
 }
 
+/* When the file was last written; 0 if it isn't there. */
+static int64_t file_changed_us(const char *path)
+{
+	struct stat status;
+
+	if (stat(path, &status) != 0)
+		return 0;
+	return (int64_t)status.st_mtim.tv_sec * G_USEC_PER_SEC +
+	       status.st_mtim.tv_nsec / 1000;
+}
+
+/*
+ * The settings may change under a running process. What can be taken over
+ * without a restart is; a file that can't be used changes nothing.
+ */
+static void loop_reload(struct node_loop *loop)
+{
+	struct error error;
+	struct settings *settings = settings_load(loop->config_path, &error);
+
+	if (!settings) {
+		log_write_error(loop->log, LOG_LEVEL_ERROR, "reload_rejected",
+				&error);
+		return;
+	}
+	log_set_level(loop->log, level_of(settings->log_level));
+	if (loop->gateway)
+		gateway_wiring_reload(loop->gateway, &settings->gateway);
+	log_write(loop->log, LOG_LEVEL_INFO, "reload", "file",
+		  loop->config_path, NULL);
+	settings_destroy(settings);
+}
+
+static gboolean loop_on_reload(gpointer data)
+{
+	loop_reload(data);
+	return G_SOURCE_CONTINUE;
+}
+
+/* The file may change without a signal as well. */
+static gboolean loop_check_file(gpointer data)
+{
+	struct node_loop *loop = data;
+	int64_t changed_us = file_changed_us(loop->config_path);
+
+	if (changed_us == loop->config_changed_us)
+		return G_SOURCE_CONTINUE;
+	loop->config_changed_us = changed_us;
+	loop_reload(loop);
+	return G_SOURCE_CONTINUE;
+}
+
 static bool random_read(uint64_t *number, struct error *error)
 {
 	if (getrandom(number, sizeof(*number), 0) == sizeof(*number))
@@ -453,6 +511,8 @@
 	loop->signal_sources[1] = g_unix_signal_add(SIGINT, loop_on_term, loop);
 	loop->signal_sources[2] =
 		g_unix_signal_add(SIGUSR1, loop_on_dump, loop);
+	loop->signal_sources[3] =
+		g_unix_signal_add(SIGHUP, loop_on_reload, loop);
 }
 
 static void loop_create_timer(struct node_loop *loop)
@@ -464,12 +524,14 @@
 
 /* Takes the addresses of the settings; NULL with the reason if it cannot. */
 struct node_loop *node_loop_create(const struct settings *settings,
-				   struct error *error)
+				   const char *config_path, struct error *error)
 {
 	struct node_loop *loop = g_new0(struct node_loop, 1);
 	struct event_sink sink = {.deliver = loop_deliver, .data = loop};
 
 	loop->main = g_main_loop_new(NULL, FALSE);
+	loop->config_path = g_strdup(config_path);
+	loop->config_changed_us = file_changed_us(config_path);
 	loop->clock_offset_us = g_get_real_time() - g_get_monotonic_time();
 	loop->actions = action_list_create();
 	loop->log =
@@ -499,6 +561,9 @@
 	}
 	if (loop->flush_source)
 		g_source_remove(loop->flush_source);
+	if (loop->file_source)
+		g_source_remove(loop->file_source);
+	g_free(loop->config_path);
 	gateway_wiring_destroy(loop->gateway);
 	vm_list_client_destroy(loop->vm_list);
 	kv_client_destroy(loop->kv);
@@ -528,9 +593,17 @@
 int node_loop_run(struct node_loop *loop)
 {
 	loop_watch_signals(loop);
-	loop_start(loop);
+	loop->file_source =
+		g_timeout_add_seconds(FILE_CHECK_S, loop_check_file, loop);
 	printf("listening %s\n", http_server_address(loop->http));
 	fflush(stdout);
+	log_write(loop->log, LOG_LEVEL_INFO, "start", "address",
+		  http_server_address(loop->http), "gateway",
+		  loop->gateway ? "yes" : "no", "version", SISKINLINK_VERSION,
+		  NULL);
+	loop_start(loop);
 	g_main_loop_run(loop->main);
+	log_write(loop->log, LOG_LEVEL_INFO, "stop", "status",
+		  loop->exit_status ? "cut" : "drained", NULL);
 	return loop->exit_status;
 }
--- a/daemons/siskinlinkd.c
+++ b/daemons/siskinlinkd.c
@@ -43,7 +43,7 @@
 		return EXIT_USAGE;
 	}
 	if (!arguments->check_config) {
-		loop = node_loop_create(settings, &error);
+		loop = node_loop_create(settings, arguments->config, &error);
 		if (loop) {
 			status = node_loop_run(loop);
 		} else {
