--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 FAKES = $(B)/libfakes.a
 TESTS = $(B)/bin/tests
 
-.PHONY: all demo check unit soak bench format format-check tidy pure spec \
+.PHONY: all demo check unit gateway faults api soak bench format format-check tidy pure spec \
 	mutants install-deps clean fuzz-short fuzz-run
 .SECONDARY:
 
@@ -87,7 +87,7 @@
 	$(CXX) $(ALL_LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PACKAGE_LIBS)
 
 # Every test. The scripted runs read their scripts from tests/scripts.
-check: unit pure api faults $(if $(filter 1,$(SANITIZE)),,spec mutants)
+check: unit pure api faults gateway $(if $(filter 1,$(SANITIZE)),,spec mutants)
 
 unit: $(TESTS) $(PROGRAMS)
 	SISKINLINK_BIN=$(abspath $(B)/bin) $(TESTS) $(TEST_ARGS)
@@ -104,6 +104,10 @@
 faults: $(PROGRAMS)
 	tests/faults.sh $(abspath $(B)/bin)
 
+# The gateway as whole processes, before stand-ins of the platform.
+gateway: $(PROGRAMS)
+	tests/gateway.sh $(abspath $(B)/bin)
+
 # The core has no clock, socket, thread or source of randomness.
 pure: $(LIBRARY)
 	tests/pure.sh $(call objects,$(PURE_SOURCES))
--- /dev/null
+++ b/fakes/fake_backend.c
@@ -0,0 +1,245 @@
+#include "fakes/fake_server.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/*
+ * A stand-in for the platform's engines, plain and generating. Event I of a
+ * generation is a function of the request's id, so that any engine can go on
+ * with it and a test sees what is missing or doubled. What it was told and how
+ * often it ran a request is told by GET /fake/state; the faults are switches.
+ */
+#define FIELD(name) "X-Siskinlink-" name
+
+struct backend {
+	char *id;
+	int plain;
+	int64_t events;	 /* of a generation */
+	int64_t pace_ms; /* between two */
+	bool full;	 /* runs nothing: 503 */
+	bool failing;	 /* its own 500 */
+	bool no_copy;	 /* has no memory to go on from */
+	bool no_room;	 /* for a copy of another engine's run */
+	bool unframed;	 /* answers without a length */
+	int64_t runs;
+	int64_t taken_over;
+	int64_t left; /* callers that closed early */
+	int64_t moves;
+	char *tenant; /* of the last request */
+	char *deadline;
+	bool saw_key;
+};
+
+struct generation {
+	struct backend *backend;
+	SoupServerMessage *message;
+	char *id;
+	int64_t next;
+	guint timer;
+};
+
+static void generation_end(struct generation *generation)
+{
+	if (generation->timer)
+		g_source_remove(generation->timer);
+	g_object_unref(generation->message);
+	g_free(generation->id);
+	g_free(generation);
+}
+
+static gboolean generation_step(gpointer data)
+{
+	struct generation *generation = data;
+	SoupMessageBody *body =
+		soup_server_message_get_response_body(generation->message);
+	char event[160];
+
+	if (generation->next < generation->backend->events) {
+		g_snprintf(event, sizeof(event),
+			   "id: %" G_GINT64_FORMAT
+			   "\ndata: {\"text\":\"%s.%" G_GINT64_FORMAT "\"}\n\n",
+			   generation->next, generation->id, generation->next);
+		soup_message_body_append(body, SOUP_MEMORY_COPY, event,
+					 strlen(event));
+		generation->next++;
+		soup_server_message_unpause(generation->message);
+		return G_SOURCE_CONTINUE;
+	}
+	soup_message_body_complete(body);
+	soup_server_message_unpause(generation->message);
+	generation->timer = 0;
+	return G_SOURCE_REMOVE;
+}
+
+static void on_finished(SoupServerMessage *message, gpointer data)
+{
+	struct generation *generation = data;
+
+	(void)message;
+	if (generation->next < generation->backend->events)
+		generation->backend->left++;
+	generation_end(generation);
+}
+
+static void generate(struct backend *backend, SoupServerMessage *message,
+		     const char *id)
+{
+	struct generation *generation = g_new0(struct generation, 1);
+	const char *last = fake_message_header(message, "Last-Event-Id");
+	SoupMessageHeaders *headers =
+		soup_server_message_get_response_headers(message);
+
+	generation->backend = backend;
+	generation->message = g_object_ref(message);
+	generation->id = g_strdup(id);
+	if (last)
+		generation->next = g_ascii_strtoll(last, NULL, 10) + 1;
+	soup_message_headers_set_encoding(
+		headers,
+		backend->unframed ? SOUP_ENCODING_EOF : SOUP_ENCODING_CHUNKED);
+	soup_message_headers_replace(headers, "Content-Type",
+				     "text/event-stream");
+	soup_message_body_set_accumulate(
+		soup_server_message_get_response_body(message), FALSE);
+	soup_server_message_set_status(message, 200, NULL);
+	soup_server_message_pause(message);
+	g_signal_connect(message, "finished", G_CALLBACK(on_finished),
+			 generation);
+	generation->timer = g_timeout_add((guint)backend->pace_ms,
+					  generation_step, generation);
+}
+
+static void answer_not_run(SoupServerMessage *message, unsigned status)
+{
+	soup_message_headers_replace(
+		soup_server_message_get_response_headers(message),
+		FIELD("Not-Executed"), "1");
+	fake_message_answer_text(message, status, "");
+}
+
+/* What the request says beside its path; false when it isn't run here. */
+static bool backend_accepts(struct backend *backend, SoupServerMessage *message)
+{
+	const char *expected =
+		fake_message_header(message, FIELD("Expect-Instance"));
+	const char *from = fake_message_header(message, "Kv-From");
+
+	if (expected && strcmp(expected, backend->id) != 0)
+		answer_not_run(message, 421);
+	else if (backend->full || (from && backend->no_copy))
+		answer_not_run(message, 503);
+	else
+		return true;
+	return false;
+}
+
+static void note(char **to, SoupServerMessage *message, const char *name)
+{
+	const char *value = fake_message_header(message, name);
+
+	g_free(*to);
+	*to = g_strdup(value ? value : "");
+}
+
+static void on_request(void *data, SoupServerMessage *message, const char *path)
+{
+	struct backend *backend = data;
+	const char *id = fake_message_header(message, FIELD("Request-Id"));
+	SoupMessageHeaders *headers =
+		soup_server_message_get_response_headers(message);
+	char text[256];
+
+	if (!id) {
+		answer_not_run(message, 400);
+		return;
+	}
+	soup_message_headers_replace(headers, FIELD("Request-Id"), id);
+	if (!backend_accepts(backend, message))
+		return;
+	note(&backend->tenant, message, FIELD("Tenant"));
+	note(&backend->deadline, message, FIELD("Deadline-Ms"));
+	backend->saw_key |=
+		fake_message_header(message, "Authorization") != NULL;
+	soup_message_headers_replace(headers, FIELD("Engine-Stamp"),
+				     backend->id);
+	if (fake_message_header(message, "Kv-From"))
+		backend->taken_over++;
+	else
+		backend->runs++;
+	if (backend->failing) {
+		fake_message_answer_text(message, 500, "failed");
+	} else if (backend->plain) {
+		g_snprintf(text, sizeof(text), "%s %s %s", backend->id, id,
+			   path);
+		fake_message_answer_text(message, 200, text);
+	} else {
+		generate(backend, message, id);
+	}
+}
+
+static void on_move(void *data, SoupServerMessage *message, const char *path)
+{
+	struct backend *backend = data;
+
+	(void)path;
+	backend->moves++;
+	if (backend->no_room)
+		fake_message_answer_text(message, 503, "no room");
+	else
+		fake_message_answer_text(message, 200,
+					 "{\"handle\":\"h1\",\"created\":1}");
+}
+
+static void on_state(void *data, SoupServerMessage *message, const char *path)
+{
+	struct backend *backend = data;
+	char *text = g_strdup_printf(
+		"{\"runs\":%" G_GINT64_FORMAT
+		",\"taken_over\":%" G_GINT64_FORMAT
+		",\"left\":%" G_GINT64_FORMAT ",\"moves\":%" G_GINT64_FORMAT
+		",\"tenant\":\"%s\",\"deadline\":\"%s\",\"saw_key\":%s}",
+		backend->runs, backend->taken_over, backend->left,
+		backend->moves, backend->tenant ? backend->tenant : "",
+		backend->deadline ? backend->deadline : "",
+		backend->saw_key ? "true" : "false");
+
+	(void)path;
+	fake_message_answer_text(message, 200, text);
+	g_free(text);
+}
+
+int main(int argc, const char **argv)
+{
+	struct backend backend = {.events = 60, .pace_ms = 20};
+	char *id = NULL;
+	struct poptOption options[] = {
+		{"id", 0, POPT_ARG_STRING, &id, 0, "of this start", "ID"},
+		{"plain", 0, POPT_ARG_NONE, &backend.plain, 0,
+		 "answers at once, no stream", NULL},
+		POPT_TABLEEND};
+	struct fake_server *server = fake_server_create(argc, argv, options);
+	const struct fake_mode modes[] = {
+		{"events", FAKE_MODE_INT, &backend.events},
+		{"pace_ms", FAKE_MODE_INT, &backend.pace_ms},
+		{"full", FAKE_MODE_BOOL, &backend.full},
+		{"failing", FAKE_MODE_BOOL, &backend.failing},
+		{"no_copy", FAKE_MODE_BOOL, &backend.no_copy},
+		{"no_room", FAKE_MODE_BOOL, &backend.no_room},
+		{"unframed", FAKE_MODE_BOOL, &backend.unframed},
+	};
+	int status;
+
+	if (!server)
+		return 2;
+	backend.id = id ? id : g_strdup("i-0");
+	fake_server_add_handler(server, "/v1/kv-move", on_move, &backend);
+	fake_server_add_handler(server, "/fake/state", on_state, &backend);
+	fake_server_add_handler(server, "/", on_request, &backend);
+	fake_server_set_modes(server, modes, G_N_ELEMENTS(modes), NULL, NULL);
+	status = fake_server_run(server);
+	fake_server_destroy(server);
+	g_free(backend.id);
+	g_free(backend.tenant);
+	g_free(backend.deadline);
+	return status;
+}
--- /dev/null
+++ b/tests/gateway.sh
@@ -0,0 +1,442 @@
+#!/usr/bin/env bash
+# The gateway as whole processes on loopback: two nodes, the platform's store,
+# three model engines and two plain ones, all stand-ins. Each case opens with
+# what the caller sees, what happens in order, and why. Judged by what callers
+# got and by what the engines say that they ran.
+#
+#     tests/gateway.sh BIN [CASE...]
+set -eu
+bin=$(cd "$1" && pwd)
+shift
+cd "$(dirname "$0")/.."
+. tests/processes.sh
+
+host=reports.example
+key=caller-key-0001
+fronts=()
+readies=()
+directories=()
+backends=()
+backend_pids=()
+version=1
+passed=0
+failed=0
+failures=0
+
+fail() {
+	echo "    $*"
+	failures=$((failures + 1))
+}
+
+until_true() {
+	for _ in $(seq 300); do
+		! "$@" 2>/dev/null || return 0
+		sleep 0.1
+	done
+	return 1
+}
+
+put() { # KEY VALUE
+	jq -n --arg key "$1" --arg value "$2" '{key: $key, value: $value}' |
+		curl -sf -X POST --data @- "http://$store/fake/put" >/dev/null
+}
+
+mode() { # ADDRESS JSON
+	curl -sf -X POST --data "$2" "http://$1/fake/mode" >/dev/null
+}
+
+state() { # ENGINE FIELD
+	curl -s "http://${backends[$1]}/fake/state" | jq -r ".$2"
+}
+
+entry() { # ENGINE SERVICE STATE
+	put "servers/i-$1" "$(jq -nc --arg s "$2" --arg a "${backends[$1]}" \
+		--arg st "$3" '{service: $s, address: $a, zone: "z",
+		version: "v1", slots: 24, state: $st, warmup_left_ms: 0,
+		sequence: 1, born: 1780000000000}')"
+}
+
+document() { # KEYS...
+	version=$((version + 1))
+	put op/config "$(jq -nc --argjson v "$version" --args '{version: $v,
+		routes: [
+		{name: "report", host: "'$host'", path_prefix: "/report/",
+		kind: "streaming", timeout_ms: 20000, slo_ms: 1800, priority: 0,
+		service: "engines", max_attempts: 1, gap_target_ms: 180},
+		{name: "lookup", host: "'$host'", path_prefix: "/lookup/",
+		kind: "safe", timeout_ms: 1500, slo_ms: 150, priority: 2,
+		service: "portal", max_attempts: 2},
+		{name: "export", host: "'$host'", path_prefix: "/lookup/export/",
+		kind: "unsafe", timeout_ms: 1500, slo_ms: 150, priority: 2,
+		service: "portal", max_attempts: 1}],
+		services: [{name: "engines", engine: {slots: 24,
+		kv_cache_tokens: 34000, stride: 4, migrations: true,
+		backups: true, handle_ttl_s: 5}}, {name: "portal"}],
+		limits: {header_bytes: 4096, max_body_bytes: 65536,
+		header_timeout_ms: 800, idle_timeout_ms: 15000},
+		tenants: [{name: "atlas", keys: $ARGS.positional}]}' "$@")"
+}
+
+start_backend() { # ENGINE SERVICE [OPTIONS]
+	local i=$1 service=$2
+
+	shift 2
+	start "backend$i" "$bin/fake_backend" --address 127.0.0.1:0 \
+		--id "i-$i" "$@"
+	backends[$i]=$address
+	backend_pids[$i]=$started
+	entry "$i" "$service" ready
+}
+
+write_node() { # NODE
+	cat >"$work/g$1.toml" <<-TOML
+		[node]
+		name = "entry-$1"
+		region = "casablanca"
+		failure_domain = "z"
+		http_address = "${https[$1]}"
+		peer_address = "${peers[$1]}"
+		seeds = ["${peers[0]}", "${peers[1]}"]
+		[gateway]
+		address = "${fronts[$1]}"
+		ready_address = "${readies[$1]}"
+		directory_address = "${directories[$1]}"
+		store_address = "$store"
+		drain_s = 4
+		retry_ratio = 0.2
+		retry_extra = 60
+	TOML
+}
+
+start_gateway() { # NODE
+	start "g$1" "$bin/siskinlinkd" --config "$work/g$1.toml"
+	node_pids[$1]=$started
+	until_true is_ready "$1" || fail "node $1 does not become ready"
+}
+
+is_ready() {
+	[ "$(curl -s -o /dev/null -w '%{http_code}' \
+		"http://${readies[$1]}/v1/ready")" = 200 ]
+}
+
+# ask NODE PATH [CURL OPTIONS]: prints status and body of one request.
+ask() {
+	local node=$1 path=$2
+
+	shift 2
+	curl -s -m 20 -w '%{http_code}' -H "Host: $host" \
+		-H "X-Siskinlink-Request-Id: r-$RANDOM$RANDOM" \
+		-H "Authorization: Bearer $key" "$@" \
+		"http://${fronts[$node]}$path"
+}
+
+# report NODE FILE ID: a streamed report into a file.
+report() {
+	curl -s -m 20 -N -X POST -H "Host: $host" \
+		-H "X-Siskinlink-Request-Id: $3" \
+		-H "X-Siskinlink-Token-Count: 1000,400" \
+		-H "Authorization: Bearer $key" --data text \
+		"http://${fronts[$1]}/report/a" >"$2"
+}
+
+has_events() {
+	[ "$(grep -c '^id: ' "$1")" -ge "$2" ]
+}
+
+# Each event once, in order, of one generation, to the end.
+whole() { # FILE ID EVENTS
+	[ "$(sed -n 's/^data: {"text":"\(.*\)"}/\1/p' "$1")" = \
+		"$(seq -f "$2.%.0f" 0 $(($3 - 1)))" ] ||
+		fail "$2: $(grep -c '^id: ' "$1") events, not $3 once in order"
+}
+
+# engine_of ID: the engine on which the log last placed the request.
+engine_of() {
+	grep -h "request=$1" "$work"/g*.out | grep -E 'request_placed|taken_over' |
+		tail -n 1 | sed -E 's/.*( endpoint| to)=i-([0-9]+).*/\2/'
+}
+
+# A caller gets the engine's bytes. The engine is told whose request it is and
+# how long it may take, never the caller's key, whatever the caller claims.
+case_passes_requests_on() {
+	out=$(ask 0 "/lookup/a?b=c" -H "X-Siskinlink-Tenant: other")
+	case $out in
+	i-[34]" r-"*" /lookup/a200") ;;
+	*) fail "answered $out" ;;
+	esac
+	seen="$(state 3 tenant)$(state 4 tenant)"
+	[ "${seen#*atlas}" != "$seen" ] || fail "the engines saw $seen"
+	[ "$(state 3 saw_key)$(state 4 saw_key)" = falsefalse ] ||
+		fail "an engine saw the key"
+}
+
+refused() { # STATUS OUTPUT
+	[ "${2: -3}" = "$1" ] || fail "answered $2, not $1"
+}
+
+# What can't be served is refused with the status that says why, and nothing
+# reaches an engine.
+case_refuses() {
+	before=$(($(state 3 runs) + $(state 4 runs)))
+	refused 404 "$(ask 0 /nowhere/)"
+	refused 401 "$(key=unknown ask 0 /lookup/a)"
+	refused 413 "$(ask 0 /lookup/a --data-binary "@$work/large")"
+	refused 431 "$(ask 0 /lookup/a -H "Long: $(printf '%05000d' 0)")"
+	refused 400 "$(curl -s -w '%{http_code}' -H "Host: $host" \
+		-H "Authorization: Bearer $key" "http://${fronts[0]}/lookup/a")"
+	[ $(($(state 3 runs) + $(state 4 runs))) = "$before" ] ||
+		fail "an engine ran a refused request"
+}
+
+# A caller hides a second request in the body of its first by naming two
+# lengths. Whoever read the other one would run the hidden request; it is
+# refused, and the connection ends.
+case_refuses_ambiguous_framing() {
+	exec 3<>"/dev/tcp/${fronts[0]%:*}/${fronts[0]#*:}"
+	printf 'POST /lookup/export/x HTTP/1.1\r\nHost: %s\r\nX-Siskinlink-Request-Id: s1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /lookup/hidden HTTP/1.1\r\nHost: %s\r\nX-Siskinlink-Request-Id: s2\r\n\r\n' \
+		"$host" "$host" >&3
+	answer=$(timeout 5 cat <&3 | tr -d '\r')
+	exec 3>&-
+	[ "$(grep -c '^HTTP/1.1' <<<"$answer")" = 1 ] &&
+		grep -q '^HTTP/1.1 400' <<<"$answer" || fail "answered $answer"
+}
+
+# One endpoint of a plain service answers with its own 500. An idempotent
+# request is tried once at the other one; one that may run once is not, and
+# its caller gets the endpoint's own answer.
+case_retries_only_what_may_run_again() {
+	mode "${backends[3]}" '{"failing": true}'
+	for _ in 1 2 3 4 5 6; do
+		out=$(ask 0 /lookup/a)
+		[ "${out: -3}" = 200 ] || fail "an idempotent request got $out"
+	done
+	before=$(($(state 3 runs) + $(state 4 runs)))
+	for _ in 1 2 3 4; do
+		ask 1 /lookup/export/a -X POST >/dev/null
+	done
+	[ $(($(state 3 runs) + $(state 4 runs) - before)) = 4 ] ||
+		fail "four requests that may run once ran otherwise"
+	mode "${backends[3]}" '{"failing": false}'
+}
+
+# The engine is killed in the middle of a report. The request goes on at the
+# engine that holds the copy of its memory: each event once, in order.
+case_goes_on_after_a_crash() {
+	report 0 "$work/crash" crash-1 &
+	reader=$!
+	until_true has_events "$work/crash" 10
+	victim=$(engine_of crash-1)
+	kill -KILL "${backend_pids[$victim]}"
+	wait "$reader" || fail "the stream was cut"
+	whole "$work/crash" crash-1 60
+	start_backend "$victim" engines
+}
+
+# The engine says that it leaves. New reports go elsewhere within the second,
+# and the running one changes its engine before the old one ends: no event is
+# missing or doubled.
+case_leaves_an_engine_under_notice() {
+	report 0 "$work/leave" leave-1 &
+	reader=$!
+	until_true has_events "$work/leave" 5
+	victim=$(engine_of leave-1)
+	entry "$victim" engines draining
+	wait "$reader" || fail "the stream was cut"
+	whole "$work/leave" leave-1 60
+	[ "$(engine_of leave-1)" != "$victim" ] || fail "it stayed"
+	before=$(state "$victim" runs)
+	report 1 "$work/new" "new-$RANDOM"
+	[ "$(state "$victim" runs)" = "$before" ] || fail "it got new work"
+	entry "$victim" engines ready
+}
+
+# The copy that should be there is not, when the engine leaves. The engine that
+# has the run goes on with it until another one has been given a copy.
+case_survives_a_missing_copy() {
+	for i in 0 1 2; do
+		mode "${backends[$i]}" '{"no_copy": true, "events": 150}'
+	done
+	report 0 "$work/copy" copy-1 &
+	reader=$!
+	until_true has_events "$work/copy" 5
+	victim=$(engine_of copy-1)
+	entry "$victim" engines draining
+	wait "$reader" || fail "the stream was cut"
+	whole "$work/copy" copy-1 150
+	for i in 0 1 2; do
+		mode "${backends[$i]}" '{"no_copy": false, "events": 60}'
+	done
+	entry "$victim" engines ready
+}
+
+# All engines are full and say that they did not run the request. The caller
+# gets 503, which promises the same, and a time to come back.
+case_refuses_when_full() {
+	for i in 0 1 2; do
+		mode "${backends[$i]}" '{"full": true}'
+	done
+	out=$(ask 0 /report/a -X POST -H "X-Siskinlink-Token-Count: 10,10" \
+		-D "$work/full")
+	[ "${out: -3}" = 503 ] || fail "answered $out"
+	grep -qi '^retry-after: 0\.' "$work/full" || fail "no time to come back"
+	for i in 0 1 2; do
+		mode "${backends[$i]}" '{"full": false}'
+	done
+	sleep 0.3
+}
+
+# The caller closes in the middle of a report. Its engine is told within half a
+# second and stops.
+case_tells_the_engine_that_the_caller_left() {
+	before=$(($(state 0 left) + $(state 1 left) + $(state 2 left)))
+	report 0 "$work/left" left-1 &
+	reader=$!
+	until_true has_events "$work/left" 5
+	kill -TERM $(pgrep -P "$reader")
+	wait "$reader" || true
+	engines_know() {
+		[ $(($(state 0 left) + $(state 1 left) + $(state 2 left))) \
+			-gt "$before" ]
+	}
+	until_true engines_know || fail "no engine heard of it"
+}
+
+# The store is away. What was known is used on; a change made meanwhile is in
+# force once it is back, and a key that was taken away is refused.
+case_serves_while_the_store_is_away() {
+	mode "$store" '{"down": true}'
+	out=$(ask 0 /lookup/a)
+	[ "${out: -3}" = 200 ] || fail "refused while the store is away: $out"
+	document "$key" other-key-0002
+	mode "$store" '{"down": false}'
+	other_works() {
+		[ "$(key=other-key-0002 ask 1 /lookup/a | tail -c 3)" = 200 ]
+	}
+	until_true other_works || fail "the change is not in force"
+}
+
+# The store has forgotten its history while a key was taken away. Both nodes
+# read everything anew, and an older document does not come back.
+case_reads_anew_after_lost_history() {
+	mode "$store" '{"forget": true}'
+	document "$key"
+	other_fails() {
+		[ "$(key=other-key-0002 ask 0 /lookup/a | tail -c 3)" = 401 ]
+	}
+	until_true other_fails || fail "the old key still works"
+	put op/config '{"version": 1, "routes": [], "services": [],
+		"limits": {"header_bytes": 1, "max_body_bytes": 1}}'
+	sleep 0.3
+	out=$(ask 0 /lookup/a)
+	[ "${out: -3}" = 200 ] || fail "went back to an older document: $out"
+}
+
+# Entries that can't be used name no endpoint; the others still serve.
+case_ignores_entries_it_cannot_use() {
+	put servers/i-8 'not json'
+	put servers/i-9 '{"service": "portal", "address": 7}'
+	sleep 0.3
+	for _ in 1 2 3 4; do
+		out=$(ask 0 /lookup/a)
+		[ "${out: -3}" = 200 ] || fail "answered $out"
+	done
+}
+
+# The reader of a node's log stops reading. The node serves on: lines beyond
+# what it keeps are dropped and counted.
+case_never_waits_for_the_log() {
+	mkfifo "$work/pipe"
+	sed -E 's/^(address|ready_address|directory_address) = .*/\1 = "127.0.0.1:PORT\1"/' \
+		"$work/g1.toml" >"$work/piped.toml"
+	for each in address ready_address directory_address; do
+		sed -i "s/PORT$each/$(free_port)/" "$work/piped.toml"
+	done
+	sed -i "s/^http_address.*/http_address = \"127.0.0.1:$(free_port)\"/;
+		s/^peer_address.*/peer_address = \"127.0.0.1:$(free_port)\"/;
+		s/^name.*/name = \"entry-9\"/" "$work/piped.toml"
+	sleep 60 <"$work/pipe" &
+	pids+=($!)
+	"$bin/siskinlinkd" --config "$work/piped.toml" >"$work/pipe" \
+		2>"$work/piped.log" &
+	pids+=($!)
+	piped=$!
+	fronts[9]=$(sed -n 's/^address = "\(.*\)"/\1/p' "$work/piped.toml")
+	readies[9]=$(sed -n 's/^ready_address = "\(.*\)"/\1/p' "$work/piped.toml")
+	until_true is_ready 9 || fail "it does not become ready"
+	for _ in $(seq 20); do
+		seq 60 | xargs -P 8 -I{} curl -s -o /dev/null \
+			-H "Host: $host" -H "X-Siskinlink-Request-Id: l{}" \
+			"http://${fronts[9]}/nowhere/$(printf '%0400d' 0)"
+	done
+	out=$(ask 9 /lookup/a)
+	[ "${out: -3}" = 200 ] || fail "stopped serving: $out"
+	kill -TERM "$piped"
+}
+
+# A node is told to stop while it streams a report of a second and a half. It is
+# out of the directory at once, takes requests of callers with older answers,
+# ends the report whole, and ends by itself with status 0.
+case_drains() {
+	report 1 "$work/drain" drain-1 &
+	reader=$!
+	until_true has_events "$work/drain" 5
+	kill -TERM "${node_pids[1]}"
+	gone() {
+		! curl -s "http://${directories[0]}/v1/resolve?name=$host" |
+			grep -q "${fronts[1]}"
+	}
+	until_true gone || fail "callers are still sent there"
+	! is_ready 1 || fail "it says that it is ready"
+	out=$(ask 1 /lookup/a)
+	[ "${out: -3}" = 200 ] || fail "a late caller got $out"
+	wait "$reader" || fail "the stream was cut"
+	whole "$work/drain" drain-1 60
+	wait "${node_pids[1]}" || fail "ended with status $?"
+	start_gateway 1
+}
+
+# All nodes are killed at once and start again: with nothing on disk they serve
+# within two seconds of their start.
+case_starts_cold() {
+	kill -KILL "${node_pids[@]}"
+	wait "${node_pids[@]}" || true
+	start_gateway 0
+	start_gateway 1
+	out=$(ask 0 /lookup/a)
+	[ "${out: -3}" = 200 ] || fail "answered $out"
+}
+
+start store "$bin/fake_store" --address 127.0.0.1:0
+store=$address
+document "$key"
+for i in 0 1 2; do
+	start_backend "$i" engines
+done
+start_backend 3 portal --plain
+start_backend 4 portal --plain
+for i in 0 1; do
+	for list in https peers fronts readies directories; do
+		eval "$list+=(127.0.0.1:$(free_port))"
+	done
+done
+head -c 100000 /dev/zero >"$work/large"
+for i in 0 1; do
+	write_node "$i"
+	"$bin/siskinlinkd" --config "$work/g$i.toml" --check-config
+	start_gateway "$i"
+done
+
+[ $# -gt 0 ] || set -- $(declare -F | sed -n 's/^declare -f case_//p')
+for name; do
+	failures=0
+	"case_$name"
+	if [ "$failures" = 0 ]; then
+		echo "gateway: $name: passed"
+		passed=$((passed + 1))
+	else
+		echo "gateway: $name: FAILED"
+		failed=$((failed + 1))
+	fi
+done
+echo "$passed passed, $failed failed"
+[ "$failed" = 0 ]
--- /dev/null
+++ b/tests/http_reader_test.cc
@@ -0,0 +1,195 @@
+#include "adapters/gateway/event_scanner.h"
+#include "adapters/gateway/http_reader.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+struct Read {
+	std::string log;
+};
+
+static bool take_head(void *data, const struct http_head *head)
+{
+	auto *read = static_cast<Read *>(data);
+
+	read->log += head->method
+			     ? std::string(head->method) + " " + head->target
+			     : std::to_string(head->status);
+	read->log += head->is_chunked
+			     ? " chunked"
+			     : " " + std::to_string(head->content_length);
+	return true;
+}
+
+static void take_body(void *data, const char *bytes, size_t size)
+{
+	static_cast<Read *>(data)->log += " [" + std::string(bytes, size) + "]";
+}
+
+static const struct http_reader_events events = {take_head, take_body};
+
+/* What is read of the bytes, given in pieces of that size. */
+static std::string read(enum http_reader_kind kind, const std::string &bytes,
+			size_t piece, bool ends = false)
+{
+	static const char *const results[] = {"", " complete;", " bad",
+					      " too_large"};
+	Read read;
+	struct http_reader *reader =
+		http_reader_create(kind, 512, &events, &read);
+	enum http_reader_result result = HTTP_READER_MORE;
+
+	for (size_t at = 0;
+	     at < bytes.size() && result <= HTTP_READER_COMPLETE;) {
+		size_t taken;
+
+		result = http_reader_feed(reader, bytes.data() + at,
+					  std::min(piece, bytes.size() - at),
+					  &taken);
+		read.log += results[result];
+		at += taken;
+	}
+	if (ends)
+		read.log +=
+			std::string(" end") + results[http_reader_end(reader)];
+	http_reader_destroy(reader);
+	return read.log;
+}
+
+static std::string read_requests(const std::string &bytes, size_t piece = 1000)
+{
+	return read(HTTP_READER_REQUESTS, bytes, piece);
+}
+
+TEST(HttpReader, ReadsOneMessageAfterAnother)
+{
+	EXPECT_EQ("GET /a -1 complete;POST /b 3 [xyz] complete;",
+		  read_requests("GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+				"POST /b HTTP/1.1\r\nHost: h\r\n"
+				"Content-Length: 3\r\n\r\nxyz"));
+	EXPECT_EQ("POST /b chunked [x] [y] complete;",
+		  read_requests("POST /b HTTP/1.1\r\nHost: h\r\n"
+				"Transfer-Encoding: chunked\r\n\r\n"
+				"1\r\nx\r\n1\r\ny\r\n0\r\n\r\n"));
+}
+
+TEST(HttpReader, ReadsTheSameHoweverTheBytesCome)
+{
+	std::string bytes = "GET /a HTTP/1.1\r\nHost: h\r\nX: y\r\n\r\n"
+			    "GET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+
+	for (size_t piece = 1; piece < bytes.size(); piece++)
+		EXPECT_EQ("GET /a -1 complete;GET /b -1 complete;",
+			  read_requests(bytes, piece))
+			<< piece;
+}
+
+/*
+ * Two readers could take each of these for different messages: a caller would
+ * get a request of its own run inside another one's.
+ */
+TEST(HttpReader, RefusesWhatCanBeReadInTwoWays)
+{
+	const std::vector<std::string> fields = {
+		"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+		"Content-Length: 3\r\nContent-Length: 3\r\n",
+		"Content-Length: 3, 3\r\n",
+		"Content-Length: +3\r\n",
+		"Transfer-Encoding: chunked, identity\r\n",
+		"Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+		"Transfer-Encoding : chunked\r\n",
+		"Bad Name: x\r\n",
+		"Host: again\r\n",
+		"X: a\x01"
+		"b\r\n",
+	};
+
+	for (const std::string &field : fields) {
+		std::string log = read_requests(
+			"POST / HTTP/1.1\r\nHost: h\r\n" + field + "\r\nxyz");
+
+		EXPECT_NE(std::string::npos, log.find("bad")) << field << log;
+	}
+	EXPECT_NE(std::string::npos,
+		  read_requests("GET / HTTP/1.1\r\n\r\n").find("bad"));
+	EXPECT_NE(std::string::npos,
+		  read_requests("GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n")
+			  .find("bad"));
+}
+
+TEST(HttpReader, BoundsTheHead)
+{
+	EXPECT_NE(std::string::npos,
+		  read_requests("GET / HTTP/1.1\r\nHost: h\r\nX: " +
+				std::string(600, 'x') + "\r\n\r\n")
+			  .find("too_large"));
+}
+
+/*
+ * An answer without a length ends with its connection; one with a length that
+ * ends before it is broken, and must never look whole.
+ */
+TEST(HttpReader, TellsAnAnswersEndFromACut)
+{
+	EXPECT_EQ("200 -1 [abc] end complete;",
+		  read(HTTP_READER_ANSWERS, "HTTP/1.1 200 OK\r\n\r\nabc", 1000,
+		       true));
+	EXPECT_EQ("200 5 [abc] end bad",
+		  read(HTTP_READER_ANSWERS,
+		       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", 1000,
+		       true));
+	EXPECT_EQ("200 chunked [abc] end bad",
+		  read(HTTP_READER_ANSWERS,
+		       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		       "3\r\nabc\r\n",
+		       1000, true));
+}
+
+static bool collect(void *data, const char *, size_t size, int64_t id)
+{
+	*static_cast<std::string *>(data) +=
+		std::to_string(id) + ":" + std::to_string(size) + " ";
+	return id != 99;
+}
+
+/*
+ * An engine breaks off in the middle of an event, and another goes on with the
+ * next whole one: the part must never reach the caller.
+ */
+TEST(EventScanner, FindsWholeEventsOnly)
+{
+	const std::string stream = "id: 0\ndata: a\n\n"
+				   ": note\n\n"
+				   "x-version: 3\nid:1\r\ndata: b\r\n\r\n"
+				   "id: 2\ndata: cut";
+
+	for (size_t piece = 1; piece <= stream.size(); piece++) {
+		std::string found;
+		struct event_scanner *scanner =
+			event_scanner_create(collect, &found);
+
+		for (size_t at = 0; at < stream.size(); at += piece)
+			EXPECT_TRUE(event_scanner_feed(
+				scanner, stream.data() + at,
+				std::min(piece, stream.size() - at)));
+		EXPECT_EQ("0:15 -1:8 1:30 ", found) << piece;
+		EXPECT_FALSE(event_scanner_is_between(scanner));
+		event_scanner_reset(scanner);
+		EXPECT_TRUE(event_scanner_is_between(scanner));
+		EXPECT_FALSE(event_scanner_feed(scanner, "id: 99\n\n", 8));
+		event_scanner_destroy(scanner);
+	}
+}
+
+TEST(EventScanner, BoundsAnEventWithoutEnd)
+{
+	std::string found, part(1 << 19, 'x');
+	struct event_scanner *scanner = event_scanner_create(collect, &found);
+
+	EXPECT_TRUE(event_scanner_feed(scanner, part.data(), part.size()));
+	EXPECT_TRUE(event_scanner_feed(scanner, part.data(), part.size()));
+	EXPECT_FALSE(event_scanner_feed(scanner, part.data(), part.size()));
+	event_scanner_destroy(scanner);
+}
--- /dev/null
+++ b/tests/platform_test.cc
@@ -0,0 +1,234 @@
+#include "platform/platform.h"
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+
+static GBytes *bytes_of(const std::string &text)
+{
+	return g_bytes_new(text.data(), text.size());
+}
+
+static struct registration *read_entry(const std::string &value,
+				       const char *key = "servers/i-1")
+{
+	struct store_item item = {};
+	struct registration *said;
+
+	item.key = const_cast<char *>(key);
+	item.value = bytes_of(value);
+	item.revision = 9;
+	said = platform_read_entry(&item);
+	g_bytes_unref(item.value);
+	return said;
+}
+
+static const char entry[] =
+	"{\"service\":\"s\",\"address\":\"10.0.0.1:8080\",\"zone\":\"z\","
+	"\"version\":\"v1\",\"slots\":24,\"state\":\"ready\","
+	"\"warmup_left_ms\":250,\"sequence\":4,\"born\":1780000000000,"
+	"\"more\":[]}";
+
+TEST(Platform, ReadsAnEntry)
+{
+	struct registration *said = read_entry(entry);
+
+	ASSERT_NE(nullptr, said);
+	EXPECT_FALSE(said->is_removed);
+	EXPECT_STREQ("i-1", said->id);
+	EXPECT_STREQ("10.0.0.1:8080", said->address);
+	EXPECT_EQ(1780000000000, said->started_ms);
+	EXPECT_EQ(250000, said->warmup_left_us);
+	EXPECT_EQ(9, said->revision);
+	registration_destroy(said);
+}
+
+/*
+ * Another writer puts entries that can't be used. Each names no endpoint, and
+ * none keeps the others from being read.
+ */
+TEST(Platform, ReadsAnUnusableEntryAsNone)
+{
+	const std::string good = entry;
+	std::string bad[] = {
+		"",
+		"null",
+		"[]",
+		"{",
+		"\xff\xfe",
+		good.substr(0, 40),
+		std::string(good).replace(good.find("\"10."), 15, "7"),
+		std::string(good).replace(good.find("\"10."), 15, "\"host:1\""),
+		std::string(good).replace(good.find("ready"), 5, "other"),
+		std::string(good).replace(good.find("24"), 2, "\"x\""),
+		std::string(good).replace(good.find("24"), 2, "0"),
+		std::string(good).replace(good.find("version"), 7, "versiom"),
+	};
+
+	for (const std::string &value : bad) {
+		struct registration *said = read_entry(value);
+
+		ASSERT_NE(nullptr, said) << value;
+		EXPECT_TRUE(said->is_removed) << value;
+		registration_destroy(said);
+	}
+	EXPECT_EQ(nullptr, read_entry(entry, "servers/"));
+	EXPECT_EQ(nullptr, read_entry(entry, "other/i-1"));
+}
+
+static struct route_table *read_document(const std::string &text)
+{
+	GBytes *document = bytes_of(text);
+	struct error error;
+	struct route_table *table = platform_read_document(document, &error);
+
+	g_bytes_unref(document);
+	return table;
+}
+
+TEST(Platform, ReadsTheConfiguration)
+{
+	struct route_table *table = read_document(
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+		"\"path_prefix\":\"/a/\",\"kind\":\"streaming\","
+		"\"timeout_ms\":39000,\"slo_ms\":1800,\"priority\":1,"
+		"\"traffic_split\":[{\"service\":\"s\",\"weight\":90},"
+		"{\"service\":\"t\",\"weight\":10}],\"max_attempts\":1,"
+		"\"gap_target_ms\":180}],\"services\":[{\"name\":\"s\","
+		"\"max_conns\":272,\"engine\":{\"slots\":24,"
+		"\"kv_cache_tokens\":34292,\"backups\":true,\"stride\":4}}],"
+		"\"limits\":{\"header_bytes\":16384,\"max_body_bytes\":100,"
+		"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+		"\"tenants\":[{\"name\":\"atlas\",\"keys\":[\"k\",7],"
+		"\"priority\":2}]}");
+	const struct route *route;
+	const struct route_service *service;
+
+	ASSERT_NE(nullptr, table);
+	EXPECT_EQ(7, route_table_version(table));
+	EXPECT_TRUE(route_table_requires_keys(table));
+	EXPECT_EQ(3000000, route_table_limits(table)->header_timeout_us);
+	route = route_table_find(table, "h", "/a/b");
+	ASSERT_NE(nullptr, route);
+	EXPECT_EQ(ROUTE_STREAM, route->kind);
+	EXPECT_EQ(39000000, route->timeout_us);
+	EXPECT_EQ(2u, route->targets->len);
+	service = route_table_find_service(table, "s");
+	ASSERT_NE(nullptr, service);
+	EXPECT_EQ(34292, service->engine.memory_tokens);
+	EXPECT_TRUE(service->engine.can_back_up);
+	EXPECT_FALSE(service->engine.can_move);
+	EXPECT_EQ(2, route_table_find_organisation(table, "k")->priority);
+	route_table_unref(table);
+	EXPECT_EQ(nullptr, read_document(""));
+	EXPECT_EQ(nullptr, read_document("{\"version\":8}"));
+	EXPECT_EQ(nullptr, read_document("{\"version\":8,\"limits\":{},"
+					 "\"routes\":[{}]}"));
+}
+
+static struct http_head *caller_head(const char *id)
+{
+	struct http_head *head = http_head_create();
+	const char *fields[][2] = {
+		{"Host", "h"},
+		{"X-Siskinlink-Request-Id", id},
+		{"X-Siskinlink-Token-Count", "1460, 80"},
+		{"X-Siskinlink-Deadline-Ms", "39000"},
+		{"X-Siskinlink-Tenant", "forged"},
+		{"X-Siskinlink-Hold", "h1"},
+		{"Kv-From", "10.0.0.9:1/x"},
+		{"Authorization", "Bearer secret"},
+		{"Connection", "close, X-Private"},
+		{"X-Private", "1"},
+		{"Accept", "a"},
+	};
+
+	head->method = g_strdup("POST");
+	head->target = g_strdup("/a/b?c");
+	for (const auto &field : fields)
+		http_head_add(head, field[0], strlen(field[0]), field[1],
+			      strlen(field[1]));
+	return head;
+}
+
+TEST(Platform, ReadsACallersRequest)
+{
+	struct http_head *head = caller_head("9c41");
+	struct caller_request request;
+	struct error error;
+
+	ASSERT_TRUE(platform_dialect.read_request(head, &request, &error));
+	EXPECT_STREQ("9c41", request.id);
+	EXPECT_STREQ("secret", request.key);
+	EXPECT_EQ(1460, request.prompt_tokens);
+	EXPECT_EQ(80, request.max_tokens);
+	EXPECT_EQ(39000000, request.patience_us);
+	http_head_destroy(head);
+	head = caller_head("");
+	EXPECT_FALSE(platform_dialect.read_request(head, &request, &error));
+	http_head_destroy(head);
+}
+
+/* Nothing that is the system's to set reaches an engine as a caller sent it. */
+TEST(Platform, WritesWhatAnEngineIsTold)
+{
+	struct http_head *head = caller_head("9c41");
+	struct endpoint_request to = {};
+	GByteArray *body = g_byte_array_new();
+	GString *out = g_string_new(nullptr);
+
+	g_byte_array_append(body, (const guint8 *)"xyz", 3);
+	to.endpoint_id = "i-1";
+	to.organisation = "atlas";
+	to.drops_key = true;
+	to.patience_us = 1500000;
+	to.is_generation = true;
+	to.backup_address = "10.0.0.2:8080";
+	to.copy_address = "10.0.0.3:8080";
+	to.copy_name = "9c41";
+	to.after_event = 17;
+	platform_dialect.write_request(head, &to, body, out);
+	EXPECT_STREQ("POST /a/b?c HTTP/1.1\r\n"
+		     "Host: h\r\n"
+		     "X-Siskinlink-Request-Id: 9c41\r\n"
+		     "X-Siskinlink-Token-Count: 1460, 80\r\n"
+		     "Accept: a\r\n"
+		     "X-Siskinlink-Deadline-Ms: 1500\r\n"
+		     "X-Siskinlink-Expect-Instance: i-1\r\n"
+		     "X-Siskinlink-Tenant: atlas\r\n"
+		     "X-Siskinlink-Request-Priority: 0\r\n"
+		     "X-Siskinlink-Kv-Backup: 10.0.0.2:8080\r\n"
+		     "Kv-From: 10.0.0.3:8080/9c41\r\n"
+		     "Last-Event-Id: 17\r\n"
+		     "Connection: close\r\n"
+		     "Content-Length: 3\r\n\r\nxyz",
+		     out->str);
+	http_head_destroy(head);
+	g_byte_array_unref(body);
+	g_string_free(out, TRUE);
+}
+
+TEST(Platform, ReadsPagesOfTheStore)
+{
+	GBytes *body = bytes_of(
+		"{\"events\":[{\"key\":\"a\",\"value\":\"aGk=\","
+		"\"revision\":5,\"lease\":0},{\"key\":\"b\",\"revision\":6,"
+		"\"deleted\":true}],\"as_of\":6}");
+	struct store_page page;
+	struct error error;
+
+	store_page_init(&page);
+	EXPECT_FALSE(platform_store_dialect.read_list(body, &page, &error));
+	ASSERT_TRUE(platform_store_dialect.read_watch(body, &page, &error));
+	EXPECT_EQ(6, page.revision);
+	ASSERT_EQ(2u, page.items->len);
+	auto *first = (struct store_item *)g_ptr_array_index(page.items, 0);
+	auto *second = (struct store_item *)g_ptr_array_index(page.items, 1);
+	EXPECT_EQ("hi", std::string((const char *)g_bytes_get_data(first->value,
+								   nullptr),
+				    g_bytes_get_size(first->value)));
+	EXPECT_EQ(nullptr, second->value);
+	store_page_clear(&page);
+	g_bytes_unref(body);
+}
--- /dev/null
+++ b/tests/registry_test.cc
@@ -0,0 +1,188 @@
+#include "core/gateway/registry.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+static constexpr int64_t second_us = 1000000;
+
+class Registry : public testing::Test
+{
+      protected:
+	struct registry *registry = registry_create();
+	int64_t now_us = second_us;
+
+	~Registry() override
+	{
+		registry_destroy(registry);
+	}
+
+	static struct registration *say(const char *id, int64_t revision,
+					bool leaving = false,
+					int64_t started_ms = 0)
+	{
+		struct registration *said = g_new0(struct registration, 1);
+
+		said->id = g_strdup(id);
+		said->service = g_strdup("engines");
+		said->address = g_strdup("10.0.0.1:9000");
+		said->failure_domain = g_strdup("a");
+		said->slots = 24;
+		said->revision = revision;
+		said->is_leaving = leaving;
+		said->started_ms = started_ms;
+		return said;
+	}
+
+	bool take(struct registration *said, bool doubtful = false)
+	{
+		bool changed = registry_take(registry, said, doubtful, now_us);
+
+		registration_destroy(said);
+		return changed;
+	}
+
+	bool remove(const char *id, int64_t revision, bool doubtful = false)
+	{
+		struct registration *said = g_new0(struct registration, 1);
+
+		said->id = g_strdup(id);
+		said->revision = revision;
+		said->is_removed = true;
+		return take(said, doubtful);
+	}
+
+	enum endpoint_presence presence(const char *id)
+	{
+		return registry_find(registry, id)->presence;
+	}
+
+	void step(int64_t doubted_before_us)
+	{
+		GPtrArray *changed = g_ptr_array_new_with_free_func(g_free);
+
+		registry_step(registry, doubted_before_us, now_us, changed);
+		g_ptr_array_unref(changed);
+	}
+};
+
+/*
+ * An endpoint leaves, and a peer that lags still says that it is ready. The
+ * older word must not bring it back: it would get work that it cannot end.
+ */
+TEST_F(Registry, NeverGoesBackToOlderNews)
+{
+	EXPECT_TRUE(take(say("e1", 4)));
+	EXPECT_TRUE(take(say("e1", 6, true)));
+	EXPECT_FALSE(take(say("e1", 5)));
+	EXPECT_EQ(PRESENCE_LEAVING, presence("e1"));
+	EXPECT_TRUE(remove("e1", 7));
+	EXPECT_FALSE(take(say("e1", 6)));
+	EXPECT_EQ(PRESENCE_GONE, presence("e1"));
+}
+
+/*
+ * The store was away and the leases of its writers ran out; the endpoints
+ * serve on. Callers must not be refused until they have registered again, and
+ * one that does not come back is given up.
+ */
+TEST_F(Registry, KeepsUsingWhatMayOnlyHaveLapsed)
+{
+	take(say("e1", 4));
+	take(say("e2", 5));
+	EXPECT_TRUE(remove("e1", 8, true));
+	EXPECT_TRUE(remove("e2", 9, true));
+	EXPECT_EQ(2u, registry_ready_count(registry, "engines"));
+	EXPECT_TRUE(take(say("e1", 10)));
+	step(now_us - 1);
+	EXPECT_EQ(PRESENCE_DOUBTED, presence("e2"));
+	step(now_us);
+	EXPECT_EQ(PRESENCE_GONE, presence("e2"));
+	EXPECT_EQ(PRESENCE_READY, presence("e1"));
+}
+
+/* A peer that watched without a break knows that the entry did not lapse. */
+TEST_F(Registry, BelievesAPeerThatHasNoDoubt)
+{
+	take(say("e1", 4));
+	remove("e1", 8, true);
+	EXPECT_EQ(PRESENCE_DOUBTED, presence("e1"));
+	EXPECT_TRUE(remove("e1", 8));
+	EXPECT_EQ(PRESENCE_GONE, presence("e1"));
+}
+
+/* What is missing in a whole reading was removed, unless it is newer. */
+TEST_F(Registry, TakesAWholeReading)
+{
+	GPtrArray *list = registration_list_create();
+	GPtrArray *changed = g_ptr_array_new_with_free_func(g_free);
+
+	take(say("old", 4));
+	take(say("newer", 20));
+	g_ptr_array_add(list, say("found", 9));
+	registry_take_all(registry, list, 10, false, now_us, changed);
+	EXPECT_EQ(2u, changed->len);
+	EXPECT_EQ(PRESENCE_GONE, presence("old"));
+	EXPECT_EQ(PRESENCE_READY, presence("newer"));
+	EXPECT_EQ(PRESENCE_READY, presence("found"));
+	g_ptr_array_unref(list);
+	g_ptr_array_unref(changed);
+}
+
+/*
+ * An engine starts again under its old id. What failed at its earlier life
+ * says nothing of it.
+ */
+TEST_F(Registry, ForgetsTheFailuresOfAnEarlierStart)
+{
+	struct endpoint *endpoint;
+
+	take(say("e1", 4, false, 1000));
+	endpoint = registry_find(registry, "e1");
+	endpoint_health_put_aside(&endpoint->health, now_us);
+	take(say("e1", 5, false, 1000));
+	EXPECT_FALSE(endpoint_health_allows(&endpoint->health));
+	take(say("e1", 6, false, 2000));
+	EXPECT_TRUE(endpoint_health_allows(&endpoint->health));
+}
+
+/*
+ * Another node reports all that it holds each time; the last word counts, and
+ * a node that fell silent holds nothing any more.
+ */
+TEST_F(Registry, AddsUpWhatOtherNodesHold)
+{
+	auto report = [&](const char *node, int32_t requests) {
+		GHashTable *held = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, g_free);
+		struct held *one = g_new0(struct held, 1);
+
+		one->requests = requests;
+		one->tokens = requests * 100;
+		g_hash_table_insert(held, g_strdup("e1"), one);
+		registry_take_held(registry, node, 1, held, now_us);
+	};
+
+	report("n1", 3);
+	take(say("e1", 4));
+	report("n2", 4);
+	EXPECT_EQ(7, registry_find(registry, "e1")->others.requests);
+	now_us += second_us;
+	report("n1", 1);
+	EXPECT_EQ(5, registry_find(registry, "e1")->others.requests);
+	registry_forget_silent(registry, now_us);
+	EXPECT_EQ(1, registry_find(registry, "e1")->others.requests);
+	EXPECT_EQ(100, registry_find(registry, "e1")->others.tokens);
+}
+
+/* Gone endpoints are remembered for a minute and then forgotten. */
+TEST_F(Registry, ForgetsTheLongGone)
+{
+	take(say("e1", 4));
+	remove("e1", 5);
+	now_us += 61 * second_us;
+	step(INT64_MIN);
+	EXPECT_EQ(nullptr, registry_find(registry, "e1"));
+	EXPECT_EQ(0u, registry_endpoints(registry)->len);
+}
--- /dev/null
+++ b/tests/route_table_test.cc
@@ -0,0 +1,79 @@
+#include "core/gateway/route_table.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+class RouteTable : public testing::Test
+{
+      protected:
+	struct route_table *table = route_table_create(7);
+
+	~RouteTable() override
+	{
+		route_table_unref(table);
+	}
+
+	struct route *add(const char *name, const char *host, const char *path)
+	{
+		return route_table_add_route(table, name, host, path);
+	}
+
+	std::string find(const char *host, const char *target)
+	{
+		const struct route *route =
+			route_table_find(table, host, target);
+
+		return route ? route->name : "none";
+	}
+};
+
+TEST_F(RouteTable, TakesTheLongestPrefixOfTheHost)
+{
+	add("all", "a.example", "/");
+	add("reports", "a.example", "/reports/");
+	add("drafts", "a.example", "/reports/drafts/");
+	add("other", "b.example", "/reports/");
+	EXPECT_EQ("drafts", find("a.example", "/reports/drafts/1?x=/y"));
+	EXPECT_EQ("reports", find("A.Example:8080", "/reports/1"));
+	EXPECT_EQ("all", find("a.example", "/reports"));
+	EXPECT_EQ("other", find("b.example", "/reports/drafts/1"));
+	EXPECT_EQ("none", find("b.example", "/"));
+	EXPECT_EQ("none", find("c.example", "/reports/"));
+}
+
+/* What stands behind the question mark is no part of the path. */
+TEST_F(RouteTable, DoesNotLookForPrefixesInTheQuery)
+{
+	add("deep", "a.example", "/a/b/");
+	add("flat", "a.example", "/a");
+	EXPECT_EQ("flat", find("a.example", "/a?/a/b/"));
+	EXPECT_EQ("none", find("a.example", "/?/a/b/"));
+}
+
+TEST_F(RouteTable, SplitsRequestsByWeight)
+{
+	struct route *route = add("split", "a.example", "/");
+
+	EXPECT_EQ(nullptr, route_pick_service(route, 0.5));
+	route_add_target(route, "old", 90);
+	route_add_target(route, "new", 10);
+	EXPECT_STREQ("old", route_pick_service(route, 0));
+	EXPECT_STREQ("old", route_pick_service(route, 0.899));
+	EXPECT_STREQ("new", route_pick_service(route, 0.9));
+	EXPECT_STREQ("new", route_pick_service(route, 0.999));
+}
+
+TEST_F(RouteTable, KnowsWhoseKeyItIs)
+{
+	struct route_organisation *atlas =
+		route_table_add_organisation(table, "atlas");
+
+	EXPECT_FALSE(route_table_requires_keys(table));
+	route_table_require_keys(table);
+	route_table_add_key(table, "k1", atlas);
+	route_table_add_key(table, "k2", atlas);
+	EXPECT_EQ(atlas, route_table_find_organisation(table, "k2"));
+	EXPECT_EQ(nullptr, route_table_find_organisation(table, "k"));
+	EXPECT_TRUE(route_table_requires_keys(table));
+}
