Engines are asked for their notice while the store is away

Cause: while the store is away or silent no notice of a leaving engine comes; its generations were cut off without one. Change: two nodes ask the store each second for a key that is not there, by a stale read at a tenth of the price, and the standings tell the others; while it is away each node reads the reports of engines that run something of it, and takes their word that they leave.

--- a/adapters/gateway/dialect.h
+++ b/adapters/gateway/dialect.h
@@ -67,6 +67,8 @@
 	void (*write_move)(const char *address, const char *id,
 			   const char *target, GString *out);
 	bool (*read_move)(GBytes *body, struct move_answer *answer);
+	void (*write_report)(const char *address, GString *out);
+	bool (*read_report_leaves)(GBytes *body);
 	/* The answer to a question about the nodes themselves; NULL: 404. */
 	GBytes *(*write_addresses)(const GPtrArray *addresses, int64_t keep_us);
 	bool (*is_ready_question)(const struct http_head *head);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -193,10 +193,11 @@
 static void gateway_step_registry(struct gateway *gateway)
 {
 	GPtrArray *changed = g_ptr_array_new_with_free_func(g_free);
-	bool is_settled =
-		gateway->store_is_reached &&
-		gateway->now_us - gateway->store_changed_us >= LAPSE_US;
+	bool is_settled;
 
+	if (gateway_store_is_away(gateway))
+		gateway->store_doubted_us = gateway->now_us;
+	is_settled = gateway->now_us - gateway->store_doubted_us >= LAPSE_US;
 	/* Nothing is given up on while the store can't be asked. */
 	registry_step(gateway->registry,
 		      is_settled ? gateway->now_us - LAPSE_US : INT64_MIN,
@@ -257,6 +258,10 @@
 	caller_set_step(gateway->askers, gateway->now_us);
 	endpoint_pool_step(gateway->pool, gateway->now_us);
 	gateway_step_registry(gateway);
+	if (gateway_store_is_away(gateway))
+		report_poll_step(gateway->reports,
+				 registry_endpoints(gateway->registry),
+				 gateway->now_us);
 	gateway_peers_step(gateway);
 	gateway_step_drain(gateway);
 	return G_SOURCE_CONTINUE;
@@ -285,6 +290,35 @@
 	return true;
 }
 
+static void gateway_log_endpoint(struct gateway *gateway, const char *id,
+				 const char *source)
+{
+	static const char *const names[] = {
+		[PRESENCE_READY] = "ready",
+		[PRESENCE_DOUBTED] = "doubted",
+		[PRESENCE_LEAVING] = "leaving",
+		[PRESENCE_GONE] = "gone",
+	};
+	const struct endpoint *endpoint = registry_find(gateway->registry, id);
+	char revision[24];
+
+	g_snprintf(revision, sizeof(revision), "%" G_GINT64_FORMAT,
+		   endpoint->said->revision);
+	log_write(gateway->log, LOG_LEVEL_INFO, "endpoint", "endpoint", id,
+		  "service", endpoint->said->service, "address",
+		  endpoint->said->address, "state", names[endpoint->presence],
+		  "revision", revision, "source", source, NULL);
+}
+
+static void on_report_leaves(void *data, const char *endpoint_id)
+{
+	struct gateway *gateway = data;
+
+	if (registry_mark_leaving(gateway->registry, endpoint_id,
+				  gateway->now_us))
+		gateway_log_endpoint(gateway, endpoint_id, "its report");
+}
+
 static void budget_destroy(gpointer data)
 {
 	retry_budget_destroy(data);
@@ -320,6 +354,8 @@
 	gateway->refilled_us = gateway->now_us;
 	gateway->registry = registry_create();
 	gateway->pool = endpoint_pool_create();
+	gateway->reports =
+		report_poll_create(gateway->dialect, on_report_leaves, gateway);
 	gateway->callers =
 		caller_set_create(&requests, (size_t)options->max_connections);
 	gateway->askers = caller_set_create(&questions, MAX_ASKERS);
@@ -350,6 +386,7 @@
 	caller_set_destroy(gateway->callers);
 	caller_set_destroy(gateway->askers);
 	endpoint_pool_destroy(gateway->pool);
+	report_poll_destroy(gateway->reports);
 	g_hash_table_unref(gateway->budgets);
 	g_hash_table_unref(gateway->peers);
 	registry_destroy(gateway->registry);
@@ -421,31 +458,11 @@
 		  version, "routes", routes, NULL);
 }
 
-static void gateway_log_endpoint(struct gateway *gateway, const char *id,
-				 const char *source)
-{
-	static const char *const names[] = {
-		[PRESENCE_READY] = "ready",
-		[PRESENCE_DOUBTED] = "doubted",
-		[PRESENCE_LEAVING] = "leaving",
-		[PRESENCE_GONE] = "gone",
-	};
-	const struct endpoint *endpoint = registry_find(gateway->registry, id);
-	char revision[24];
-
-	g_snprintf(revision, sizeof(revision), "%" G_GINT64_FORMAT,
-		   endpoint->said->revision);
-	log_write(gateway->log, LOG_LEVEL_INFO, "endpoint", "endpoint", id,
-		  "service", endpoint->said->service, "address",
-		  endpoint->said->address, "state", names[endpoint->presence],
-		  "revision", revision, "source", source, NULL);
-}
-
 /* Whether entries that are missing may only have lapsed with the store. */
 static bool gateway_doubts_removals(const struct gateway *gateway)
 {
-	return !gateway->store_is_reached ||
-	       gateway->now_us - gateway->store_changed_us < LAPSE_US;
+	return gateway_store_is_away(gateway) ||
+	       gateway->now_us - gateway->store_doubted_us < LAPSE_US;
 }
 
 /*
@@ -511,7 +528,7 @@
 	if (gateway->store_is_reached == is_reached)
 		return;
 	gateway->store_is_reached = is_reached;
-	gateway->store_changed_us = gateway_now_us();
+	gateway->store_doubted_us = gateway_now_us();
 	log_write(gateway->log, LOG_LEVEL_INFO,
 		  is_reached ? "store_reached" : "store_lost", NULL);
 }
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -50,6 +50,7 @@
 	void *data;
 	struct route_table *(*decode)(void *store_data, GBytes *document);
 	void (*read_store)(void *store_data); /* something newer is known of */
+	void (*watch_closely)(void *store_data, bool closely);
 	void *store_data;
 };
 
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -22,6 +22,9 @@
 /* Each so many standings one member gets all endpoints, for what was lost. */
 #define FULL_EVERY 4
 
+/* Nodes that ask the store in short turns, the first by name. */
+#define SENTINELS 2
+
 /* Addresses in one answer to a caller. */
 #define MAX_ADDRESSES 64
 
@@ -89,6 +92,7 @@
 
 	standing->table_version = gateway_table_version(gateway);
 	standing->takes_work = gateway_takes_work(gateway);
+	standing->reaches_store = gateway->store_is_reached;
 	standing->callers_address = g_strdup(gateway->options.address);
 	add_held(gateway, standing);
 	return message;
@@ -131,6 +135,55 @@
 	send_all(gateway, endpoint_id, SIZE_MAX);
 }
 
+/* Members come sorted by name, so all nodes name the same ones. */
+static bool member_is_sentinel(const struct gateway *gateway, const char *name)
+{
+	const struct membership *members =
+		gateway->host.members(gateway->host.data);
+	size_t most = MIN(membership_count(members), SENTINELS);
+
+	for (size_t i = 0; i < most; i++) {
+		if (strcmp(membership_get(members, i)->name, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether the store may be away: this node can't reach it, or one of those
+ * that ask it often can't. While it is away no notice of a leaving engine
+ * comes, and generations would be cut off without one.
+ */
+bool gateway_store_is_away(const struct gateway *gateway)
+{
+	GHashTableIter iter;
+	gpointer name, value;
+
+	if (!gateway->store_is_reached)
+		return true;
+	g_hash_table_iter_init(&iter, gateway->peers);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const struct gateway_peer *peer = value;
+
+		if (!peer->reaches_store && peer->table_version >= 0 &&
+		    gateway->now_us - peer->heard_us < SILENT_US &&
+		    member_is_sentinel(gateway, name))
+			return true;
+	}
+	return false;
+}
+
+static void step_sentinel(struct gateway *gateway)
+{
+	bool is_sentinel =
+		member_is_sentinel(gateway, gateway->options.node_name);
+
+	if (gateway->is_sentinel == is_sentinel)
+		return;
+	gateway->is_sentinel = is_sentinel;
+	gateway->host.watch_closely(gateway->host.store_data, is_sentinel);
+}
+
 /* Tells the others regularly, sooner when something was placed. */
 void gateway_peers_step(struct gateway *gateway)
 {
@@ -147,6 +200,7 @@
 	if (gateway->now_us < gateway->next_standing_us)
 		return;
 	gateway->next_standing_us = gateway->now_us + STANDING_US;
+	step_sentinel(gateway);
 	if (gateway->standings++ % FULL_EVERY == 0)
 		full_at = (size_t)g_rand_int_range(gateway->random, 0,
 						   (gint32)count);
@@ -212,6 +266,7 @@
 	peer->heard_us = gateway->now_us;
 	peer->table_version = message->standing.table_version;
 	peer->takes_work = message->standing.takes_work;
+	peer->reaches_store = message->standing.reaches_store;
 	g_free(peer->address);
 	peer->address = g_strdup(message->standing.callers_address);
 	return peer;
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -4,6 +4,7 @@
 #include "adapters/gateway/caller.h"
 #include "adapters/gateway/endpoint_pool.h"
 #include "adapters/gateway/gateway.h"
+#include "adapters/gateway/report_poll.h"
 #include "core/limit/retry_budget.h"
 
 #include <glib.h>
@@ -32,9 +33,11 @@
 	GBytes *document;
 	struct registry *registry;
 	bool store_is_reached;
-	int64_t store_changed_us; /* since when it is, or isn't */
+	int64_t store_doubted_us; /* last time that it may have been away */
+	bool is_sentinel;	  /* asks the store in short turns */
 
 	struct endpoint_pool *pool;
+	struct report_poll *reports;
 	struct caller_set *callers;
 	struct caller_set *askers; /* about the nodes: ready, addresses */
 	struct listener *listeners[3];
@@ -60,6 +63,7 @@
 	int64_t heard_us;
 	int64_t table_version;
 	bool takes_work;
+	bool reaches_store;
 	char *address; /* for callers */
 };
 
@@ -72,6 +76,7 @@
 
 /* gateway_peers.c */
 GPtrArray *gateway_addresses(struct gateway *gateway);
+bool gateway_store_is_away(const struct gateway *gateway);
 void gateway_peers_step(struct gateway *gateway);
 void gateway_peers_tell(struct gateway *gateway, const char *endpoint_id);
 void gateway_peer_destroy(gpointer data);
--- a/adapters/gateway/store_follower.c
+++ b/adapters/gateway/store_follower.c
@@ -5,12 +5,15 @@
 #include <string.h>
 
 /*
- * Each watch is a call that is paid for, so it waits long; a store that went
- * silent is found by keep-alive probes within three seconds, and by this
- * margin at the latest.
+ * Each watch is a call that is paid for, so it waits long; the store answers
+ * one that has nothing to tell after ten seconds at the earliest. Until then a
+ * store that went away is not seen: a few nodes ask it each second for what
+ * costs least, and tell the others.
  */
-#define WATCH_MS 10000
+#define WATCH_MS 20000
 #define WATCH_MARGIN_MS 1500
+#define PROBE_MS 1000
+#define PROBE_TIMEOUT_US (800 * 1000)
 #define LIST_TIMEOUT_MS 1500
 
 /*
@@ -27,6 +30,7 @@
 #define POKE_US (300 * 1000)
 
 #define STATUS_OK 200
+#define STATUS_MISSING 404
 #define STATUS_GONE 410
 
 enum follower_state { FOLLOWER_PAUSING, FOLLOWER_LISTING, FOLLOWER_WATCHING };
@@ -49,6 +53,10 @@
 	int32_t failures; /* in a row */
 	guint timer;
 	bool is_reached;
+	struct attempt *probe; /* of the store, while it is watched closely */
+	int64_t probed_us;
+	guint probe_timer;
+	bool probe_answered;
 	uint64_t call_count;
 };
 
@@ -140,6 +148,69 @@
 	follower_pause(follower);
 }
 
+static void on_probe_head(void *data, const struct http_head *head)
+{
+	struct store_follower *follower = data;
+
+	follower->probe_answered =
+		head->status == STATUS_OK || head->status == STATUS_MISSING;
+}
+
+static void on_probe_body(void *data, const char *bytes, size_t size)
+{
+	(void)data;
+	(void)bytes;
+	(void)size;
+}
+
+static void probe_over(struct store_follower *follower, const char *problem)
+{
+	attempt_destroy(g_steal_pointer(&follower->probe));
+	if (problem && follower->is_reached)
+		follower_fail(follower, problem);
+}
+
+static void on_probe_whole(void *data)
+{
+	struct store_follower *follower = data;
+
+	probe_over(follower, follower->probe_answered ? NULL : "probe refused");
+}
+
+static void on_probe_failed(void *data, const struct error *error)
+{
+	probe_over(data, error->detail);
+}
+
+static const struct attempt_events probe_events = {
+	.head = on_probe_head,
+	.body = on_probe_body,
+	.whole = on_probe_whole,
+	.failed = on_probe_failed,
+};
+
+/* Each probe has a connection of its own: an old one may be dead by itself. */
+static gboolean on_probe_due(gpointer data)
+{
+	struct store_follower *follower = data;
+	struct attempt_options options = {.address = follower->address};
+	struct error error;
+
+	if (follower->probe &&
+	    g_get_monotonic_time() - follower->probed_us > PROBE_TIMEOUT_US)
+		probe_over(follower, "probe timeout");
+	if (follower->probe || !follower->is_reached)
+		return G_SOURCE_CONTINUE;
+	options.request = g_string_new(NULL);
+	follower->options.dialect->write_probe(follower->address,
+					       options.request);
+	follower->probed_us = g_get_monotonic_time();
+	follower->probe_answered = false;
+	follower->probe =
+		attempt_start(&options, &probe_events, follower, &error);
+	return G_SOURCE_CONTINUE;
+}
+
 static gboolean on_timeout(gpointer data)
 {
 	struct store_follower *follower = data;
@@ -267,6 +338,13 @@
 	.failed = on_failed,
 };
 
+static int64_t follower_wait_ms(const struct store_follower *follower)
+{
+	if (!follower->is_reached)
+		return CHECK_MS;
+	return WATCH_MS;
+}
+
 static void follower_write(struct store_follower *follower, GString *out)
 {
 	const struct store_dialect *dialect = follower->options.dialect;
@@ -292,9 +370,10 @@
 
 	follower->state =
 		follower->revision == 0 ? FOLLOWER_LISTING : FOLLOWER_WATCHING;
-	timeout_ms = follower->state == FOLLOWER_LISTING
-			     ? LIST_TIMEOUT_MS
-			     : WATCH_MS + WATCH_MARGIN_MS;
+	timeout_ms =
+		follower->state == FOLLOWER_LISTING
+			? LIST_TIMEOUT_MS
+			: (guint)follower_wait_ms(follower) + WATCH_MARGIN_MS;
 	follower->status = 0;
 	g_byte_array_set_size(follower->body, 0);
 	follower_write(follower, options.request);
@@ -332,6 +411,7 @@
 {
 	if (!follower)
 		return;
+	store_follower_watch_closely(follower, false);
 	follower_stop_call(follower);
 	endpoint_pool_destroy(follower->pool);
 	store_page_clear(&follower->list);
@@ -343,6 +423,19 @@
 	g_free(follower);
 }
 
+/* Whether to ask each second if the store is still there. */
+void store_follower_watch_closely(struct store_follower *follower, bool closely)
+{
+	if (closely && !follower->probe_timer)
+		follower->probe_timer =
+			g_timeout_add(PROBE_MS, on_probe_due, follower);
+	if (closely || !follower->probe_timer)
+		return;
+	g_source_remove(follower->probe_timer);
+	follower->probe_timer = 0;
+	attempt_destroy(g_steal_pointer(&follower->probe));
+}
+
 /*
  * Something newer is known to be there: asks again on a new connection, since
  * the present one may have gone silent without a word.
--- a/adapters/gateway/store_follower.h
+++ b/adapters/gateway/store_follower.h
@@ -38,6 +38,7 @@
 	void (*write_watch)(const char *address, const char *prefix,
 			    int64_t after_revision, int64_t wait_ms,
 			    GString *out);
+	void (*write_probe)(const char *address, GString *out);
 	bool (*read_list)(GBytes *body, struct store_page *page,
 			  struct error *error);
 	bool (*read_watch)(GBytes *body, struct store_page *page,
@@ -65,6 +66,8 @@
 store_follower_create(const struct store_follower_options *options,
 		      const struct store_follower_events *events);
 void store_follower_destroy(struct store_follower *follower);
+void store_follower_watch_closely(struct store_follower *follower,
+				  bool closely);
 void store_follower_poke(struct store_follower *follower);
 bool store_follower_is_reached(const struct store_follower *follower);
 uint64_t store_follower_call_count(const struct store_follower *follower);
--- a/codec/peer_standing.c
+++ b/codec/peer_standing.c
@@ -5,8 +5,9 @@
 #define MAX_HELD 16384
 #define MAX_REGISTRATIONS 16384
 #define MAX_REQUESTS 1000000
-#define CHILD_HELD 6
-#define CHILD_REGISTRATIONS 7
+#define CHILD_ADDRESS 6
+#define CHILD_HELD 7
+#define CHILD_REGISTRATIONS 8
 
 static GVariant *encode_held(const GPtrArray *list)
 {
@@ -54,14 +55,16 @@
 {
 	const struct peer_standing *standing = &message->standing;
 
-	return g_variant_new(
-		"(txbsss@a" PEER_HELD_FORMAT "@a" PEER_REGISTRATION_FORMAT ")",
-		message->incarnation, standing->table_version,
-		(gboolean)standing->takes_work, peer_field_text(message->from),
-		peer_field_text(message->from_address),
-		peer_field_text(standing->callers_address),
-		encode_held(standing->held),
-		encode_registrations(standing->registrations));
+	return g_variant_new("(txbbsss@a" PEER_HELD_FORMAT
+			     "@a" PEER_REGISTRATION_FORMAT ")",
+			     message->incarnation, standing->table_version,
+			     (gboolean)standing->takes_work,
+			     (gboolean)standing->reaches_store,
+			     peer_field_text(message->from),
+			     peer_field_text(message->from_address),
+			     peer_field_text(standing->callers_address),
+			     encode_held(standing->held),
+			     encode_registrations(standing->registrations));
 }
 
 static bool decode_held(GVariant *list, struct peer_standing *standing)
@@ -132,13 +135,16 @@
 	GVariant *held = g_variant_get_child_value(body, CHILD_HELD);
 	GVariant *registrations =
 		g_variant_get_child_value(body, CHILD_REGISTRATIONS);
-	gboolean takes_work;
+	gboolean takes_work, reaches_store;
 	bool valid;
 
 	g_variant_get_child(body, 1, "x", &standing->table_version);
 	g_variant_get_child(body, 2, "b", &takes_work);
-	g_variant_get_child(body, 5, "s", &standing->callers_address);
+	g_variant_get_child(body, 3, "b", &reaches_store);
+	g_variant_get_child(body, CHILD_ADDRESS, "s",
+			    &standing->callers_address);
 	standing->takes_work = takes_work;
+	standing->reaches_store = reaches_store;
 	valid = standing->table_version >= -1 &&
 		peer_field_text_is_legal(standing->callers_address, true) &&
 		decode_held(held, standing) &&
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -259,6 +259,21 @@
 	return endpoint->presence != was;
 }
 
+/*
+ * The endpoint itself says that it leaves. The next news of the store goes
+ * before that. True: this was not known.
+ */
+bool registry_mark_leaving(struct registry *registry, const char *id,
+			   int64_t now_us)
+{
+	struct endpoint *endpoint = registry_find(registry, id);
+
+	if (!endpoint || !endpoint_is_usable(endpoint))
+		return false;
+	endpoint_set_presence(endpoint, PRESENCE_LEAVING, now_us);
+	return true;
+}
+
 static bool list_has_id(const GPtrArray *list, const char *id)
 {
 	for (guint i = 0; i < list->len; i++) {
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -59,6 +59,9 @@
 void registry_step(struct registry *registry, int64_t doubted_before_us,
 		   int64_t now_us, GPtrArray *changed);
 
+bool registry_mark_leaving(struct registry *registry, const char *id,
+			   int64_t now_us);
+
 struct endpoint *registry_find(struct registry *registry, const char *id);
 const GPtrArray *registry_endpoints(const struct registry *registry);
 int64_t registry_revision(const struct registry *registry);
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -95,6 +95,14 @@
 		store_follower_poke(wiring->document);
 }
 
+static void wiring_watch_closely(void *data, bool closely)
+{
+	struct gateway_wiring *wiring = data;
+
+	if (wiring->entries)
+		store_follower_watch_closely(wiring->entries, closely);
+}
+
 static bool wiring_create_gateway(struct gateway_wiring *wiring,
 				  const struct gateway_wiring_options *options,
 				  struct error *error)
@@ -123,6 +131,7 @@
 		.members = options->members,
 		.decode = wiring_decode,
 		.read_store = wiring_read_store,
+		.watch_closely = wiring_watch_closely,
 		.stopped = options->stopped,
 		.data = options->data,
 		.store_data = wiring,
--- a/fakes/fake_store.c
+++ b/fakes/fake_store.c
@@ -245,6 +245,14 @@
 		watch->timer = g_timeout_add(wait_ms, watch_over, watch);
 }
 
+/* Keys are read one by one only to ask whether the store is there. */
+static void on_key(void *data, SoupServerMessage *message, const char *path)
+{
+	(void)path;
+	if (!store_fails(data, message))
+		fake_message_answer_text(message, 404, "no such key");
+}
+
 static void on_put(void *data, SoupServerMessage *message, const char *path)
 {
 	struct store *store = data;
@@ -317,6 +325,7 @@
 		return 2;
 	store.changes = g_ptr_array_new_with_free_func(item_free);
 	store.watches = g_ptr_array_new_with_free_func(watch_free);
+	fake_server_add_handler(server, "/v1/kv-key", on_key, &store);
 	fake_server_add_handler(server, "/v1/kv-range", on_range, &store);
 	fake_server_add_handler(server, "/v1/kv-watch", on_watch, &store);
 	fake_server_add_handler(server, "/fake/put", on_put, &store);
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -154,6 +154,7 @@
 struct peer_standing {
 	int64_t table_version; /* of its routes; -1: none yet */
 	bool takes_work;
+	bool reaches_store;
 	char *callers_address;
 	GPtrArray *held;	  /* struct peer_held: all of it */
 	GPtrArray *registrations; /* struct registration: some */
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -89,6 +89,7 @@
 	held->unread_tokens = 3000;
 	standing->table_version = 17;
 	standing->takes_work = true;
+	standing->reaches_store = true;
 	standing->callers_address = g_strdup("10.1.2.1:8740");
 	said->id = g_strdup("i-7f3a91c2");
 	said->service = g_strdup("report-writer");
