--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -294,6 +294,42 @@
 	exchange->deadline_us = exchange->begun_us + patience_us;
 }
 
+/* The same caller, path and body: the request itself, whatever its id. */
+static uint64_t exchange_fingerprint(const struct exchange *exchange)
+{
+	GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
+	uint8_t digest[32];
+	gsize size = sizeof(digest);
+	uint64_t fingerprint;
+
+	if (exchange->organisation)
+		g_checksum_update(checksum,
+				  (const guchar *)exchange->organisation->name,
+				  -1);
+	g_checksum_update(checksum, (const guchar *)exchange->head->target, -1);
+	g_checksum_update(checksum, exchange->body->data,
+			  (gssize)exchange->body->len);
+	g_checksum_get_digest(checksum, digest, &size);
+	g_checksum_free(checksum);
+	memcpy(&fingerprint, digest, sizeof(fingerprint));
+	return fingerprint;
+}
+
+/* False when the request crashed engines before, and has been refused. */
+static bool exchange_check_quarantine(struct exchange *exchange)
+{
+	struct gateway *gateway = exchange->gateway;
+
+	if (!exchange_is_generation(exchange))
+		return true;
+	exchange->fingerprint = exchange_fingerprint(exchange);
+	if (quarantine_until_us(gateway->quarantine, exchange->fingerprint,
+				gateway->now_us) == 0)
+		return true;
+	exchange_refuse(exchange, 503, -1, "quarantined");
+	return false;
+}
+
 static bool exchange_plan(struct exchange *exchange)
 {
 	struct gateway *gateway = exchange->gateway;
@@ -312,7 +348,7 @@
 						     exchange->service_name);
 	exchange->expected_tokens = exchange_expect_tokens(exchange);
 	exchange_set_deadline(exchange);
-	return true;
+	return exchange_check_quarantine(exchange);
 }
 
 /* Answers a caller's request; head and body are its own from now on. */
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -322,6 +322,20 @@
 		      exchange->answer_body->len);
 }
 
+static void exchange_count_times(const struct exchange *exchange)
+{
+	struct counters *counters = exchange->gateway->options.counters;
+
+	if (exchange->event_count == 0) {
+		counters_time(counters, LATENCY_PLAIN,
+			      exchange->gateway->now_us - exchange->begun_us);
+		return;
+	}
+	counters_time(counters, LATENCY_FIRST_EVENT,
+		      exchange->first_event_us - exchange->begun_us);
+	counters_time(counters, LATENCY_PAUSE, exchange->longest_pause_us);
+}
+
 static void on_whole(void *data)
 {
 	struct leg *leg = data;
@@ -337,6 +351,10 @@
 	if (endpoint)
 		endpoint_health_report_success(&endpoint->health,
 					       exchange->gateway->now_us);
+	exchange_count_times(exchange);
+	if (exchange_is_generation(exchange))
+		quarantine_report_whole(exchange->gateway->quarantine,
+					exchange->fingerprint);
 	exchange_keep_connection(exchange);
 	if (!exchange->answer_begun)
 		exchange_send_held(exchange);
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -39,6 +39,9 @@
  */
 #define OVERLAP_US (250 * 1000)
 
+/* Engines that may break off a run before it is given up. */
+#define MAX_CRASHES 3
+
 static bool backup_is_ready(const struct exchange *exchange)
 {
 	const struct endpoint *backup =
@@ -47,6 +50,27 @@
 	return backup && endpoint_is_usable(backup);
 }
 
+/*
+ * A request may crash every engine that begins to run it, and each take-over
+ * would hand it to the next. It is counted at the engines that broke off
+ * without a notice, told to all nodes, and refused when it comes again after
+ * two of them; the run itself gets no fourth engine.
+ */
+static void count_crash(struct exchange *exchange, enum attempt_result result)
+{
+	struct gateway *gateway = exchange->gateway;
+	const struct endpoint *endpoint = leg_endpoint(exchange->leg);
+
+	if (result != RESULT_BROKEN || !exchange_is_generation(exchange) ||
+	    !endpoint || !endpoint_is_usable(endpoint))
+		return;
+	exchange->crashes++;
+	quarantine_report_crash(gateway->quarantine, exchange->fingerprint,
+				exchange->leg->endpoint_id, gateway->now_us);
+	gateway_peers_tell_crash(gateway, exchange->fingerprint,
+				 exchange->leg->endpoint_id);
+}
+
 static void count_failure(struct exchange *exchange, enum attempt_result result)
 {
 	struct endpoint *endpoint = leg_endpoint(exchange->leg);
@@ -93,8 +117,11 @@
 		.kind = exchange->route->kind,
 		.result = result,
 		.answer_begun = exchange->answer_begun,
-		.copy_is_ready = backup_is_ready(exchange),
-		.budget_left = retry_budget_left(budget) > 0,
+		.copy_is_ready =
+			backup_is_ready(exchange) &&
+			exchange->crashes<MAX_CRASHES,
+					  .budget_left =
+						  retry_budget_left(budget)> 0,
 		.runs = exchange->runs,
 		.sends = exchange->sends,
 		.max_attempts = exchange->route->max_attempts,
@@ -155,6 +182,7 @@
 	if (!exchange->leg->has_answered &&
 	    (result == RESULT_BROKEN || result == RESULT_SLOW))
 		exchange->runs++;
+	count_crash(exchange, result);
 	recovery = decide(exchange, result, detail);
 	count_failure(exchange, result);
 	switch (recovery) {
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -83,7 +83,9 @@
 	int32_t runs;
 	int32_t sends;
 	int32_t take_overs;
-	bool copy_failed; /* the backup engine had no copy */
+	bool copy_failed;     /* the backup engine had no copy */
+	int32_t crashes;      /* engines that broke off while they ran it */
+	uint64_t fingerprint; /* the same for a request sent again */
 
 	struct endpoint_answer said;
 	int32_t status;
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -334,6 +334,7 @@
 			       struct error *error)
 {
 	struct gateway *gateway = g_new0(struct gateway, 1);
+	struct quarantine_options quarantine;
 	const struct caller_handler requests = {
 		.request = on_request,
 		.gone = on_gone,
@@ -353,6 +354,8 @@
 	gateway->now_us = gateway_now_us();
 	gateway->refilled_us = gateway->now_us;
 	gateway->registry = registry_create();
+	quarantine_options_default(&quarantine);
+	gateway->quarantine = quarantine_create(&quarantine);
 	gateway->pool = endpoint_pool_create();
 	gateway->reports =
 		report_poll_create(gateway->dialect, on_report_leaves, gateway);
@@ -389,6 +392,7 @@
 	report_poll_destroy(gateway->reports);
 	g_hash_table_unref(gateway->budgets);
 	g_hash_table_unref(gateway->peers);
+	quarantine_destroy(gateway->quarantine);
 	registry_destroy(gateway->registry);
 	route_table_unref(gateway->table);
 	if (gateway->document)
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -73,7 +73,7 @@
 				int64_t revision);
 void gateway_take_store(struct gateway *gateway, bool is_reached);
 
-/* What other nodes say: PEER_STANDING and PEER_ROUTES. */
+/* What other nodes say: PEER_STANDING, PEER_ROUTES and PEER_QUARANTINE. */
 void gateway_take_peer(struct gateway *gateway,
 		       const struct peer_message *message);
 
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -135,6 +135,31 @@
 	send_all(gateway, endpoint_id, SIZE_MAX);
 }
 
+/*
+ * A request was running when its engine crashed. The others hear of it at
+ * once: the caller sends it again, to any node.
+ */
+void gateway_peers_tell_crash(struct gateway *gateway, uint64_t fingerprint,
+			      const char *endpoint_id)
+{
+	const struct membership *members =
+		gateway->host.members(gateway->host.data);
+
+	for (size_t i = 0; i < membership_count(members); i++) {
+		const struct member *member = membership_get(members, i);
+		struct peer_message *message;
+
+		if (!member_is_other(gateway, member))
+			continue;
+		message = gateway->host.message(gateway->host.data,
+						PEER_QUARANTINE);
+		message->quarantine.fingerprint = fingerprint;
+		message->quarantine.endpoint = g_strdup(endpoint_id);
+		gateway->host.send(gateway->host.data, member->peer_address,
+				   message);
+	}
+}
+
 /* Members come sorted by name, so all nodes name the same ones. */
 static bool member_is_sentinel(const struct gateway *gateway, const char *name)
 {
@@ -344,6 +369,12 @@
 		take_routes(gateway, message);
 		return;
 	}
+	if (message->type == PEER_QUARANTINE) {
+		quarantine_report_crash(
+			gateway->quarantine, message->quarantine.fingerprint,
+			message->quarantine.endpoint, gateway->now_us);
+		return;
+	}
 	if (message->type != PEER_STANDING || !*message->from)
 		return;
 	peer = peer_take(gateway, message);
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -5,6 +5,7 @@
 #include "adapters/gateway/endpoint_pool.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/report_poll.h"
+#include "core/limit/quarantine.h"
 #include "core/limit/retry_budget.h"
 
 #include <glib.h>
@@ -41,9 +42,10 @@
 	struct caller_set *callers;
 	struct caller_set *askers; /* about the nodes: ready, addresses */
 	struct listener *listeners[3];
-	GHashTable *exchanges; /* set of struct exchange */
-	GHashTable *budgets;   /* service to struct retry_budget */
-	double refill;	       /* of each budget, not yet a whole retry */
+	GHashTable *exchanges;	       /* set of struct exchange */
+	GHashTable *budgets;	       /* service to struct retry_budget */
+	struct quarantine *quarantine; /* requests that crash engines */
+	double refill; /* of each budget, not yet a whole retry */
 	int64_t refilled_us;
 	guint tick;
 	int64_t tick_us; /* of the last one */
@@ -78,6 +80,8 @@
 GPtrArray *gateway_addresses(struct gateway *gateway);
 bool gateway_store_is_away(const struct gateway *gateway);
 void gateway_peers_step(struct gateway *gateway);
+void gateway_peers_tell_crash(struct gateway *gateway, uint64_t fingerprint,
+			      const char *endpoint_id);
 void gateway_peers_tell(struct gateway *gateway, const char *endpoint_id);
 void gateway_peer_destroy(gpointer data);
 size_t gateway_node_count(const struct gateway *gateway);
--- a/core/base/counters.c
+++ b/core/base/counters.c
@@ -76,3 +76,48 @@
 {
 	return descriptions[id].help;
 }
+
+/* From a plain call of a few ms to a deadline of 39 s. */
+static const int64_t bounds_us[LATENCY_BUCKETS - 1] = {
+	5000,	10000,	25000,	 50000,	  100000,   180000,
+	400000, 800000, 1800000, 5000000, 20000000,
+};
+
+static const struct counter_description latencies[LATENCY_COUNT] = {
+	[LATENCY_PLAIN] = {"gateway_plain",
+			   "from a request to its whole answer"},
+	[LATENCY_FIRST_EVENT] = {"gateway_first_event",
+				 "from a request to its first event"},
+	[LATENCY_PAUSE] = {"gateway_longest_pause",
+			   "longest pause between two events of a stream"},
+};
+
+/* Counts a time in its bucket. */
+void counters_time(struct counters *counters, enum latency id, int64_t us)
+{
+	struct latency_histogram *histogram = &counters->latency[id];
+	int bucket = 0;
+
+	while (bucket < LATENCY_BUCKETS - 1 && us > bounds_us[bucket])
+		bucket++;
+	histogram->bucket[bucket]++;
+	histogram->sum_us += (uint64_t)MAX(us, 0);
+}
+
+/* Name of a histogram, as at /metrics. */
+const char *latency_name(enum latency id)
+{
+	return latencies[id].name;
+}
+
+/* One line on what a histogram shows. */
+const char *latency_help(enum latency id)
+{
+	return latencies[id].help;
+}
+
+/* Upper bound of a bucket in us; -1 for the last one, which has none. */
+int64_t latency_bound_us(int bucket)
+{
+	return bucket < LATENCY_BUCKETS - 1 ? bounds_us[bucket] : -1;
+}
--- a/core/base/counters.h
+++ b/core/base/counters.h
@@ -49,14 +49,35 @@
 	COUNTER_COUNT
 };
 
+/* Times of one process, in buckets with fixed upper bounds. */
+enum latency {
+	LATENCY_PLAIN,	     /* gateway: whole answer of a plain endpoint */
+	LATENCY_FIRST_EVENT, /* gateway: a stream's first event */
+	LATENCY_PAUSE,	     /* gateway: the longest pause of a stream */
+	LATENCY_COUNT
+};
+
+#define LATENCY_BUCKETS 12 /* the last one has no bound */
+
+struct latency_histogram {
+	uint64_t bucket[LATENCY_BUCKETS];
+	uint64_t sum_us;
+};
+
 struct counters {
 	uint64_t value[COUNTER_COUNT];
+	struct latency_histogram latency[LATENCY_COUNT];
 };
 
 void counters_add(struct counters *counters, enum counter id, uint64_t n);
 const char *counter_name(enum counter id);
 const char *counter_help(enum counter id);
 
+void counters_time(struct counters *counters, enum latency id, int64_t us);
+const char *latency_name(enum latency id);
+const char *latency_help(enum latency id);
+int64_t latency_bound_us(int bucket); /* -1: none */
+
 G_END_DECLS
 
 #endif
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -181,16 +181,16 @@
 {
 	return event->type == EVENT_PEER &&
 	       (event->peer->type == PEER_STANDING ||
-		event->peer->type == PEER_ROUTES);
+		event->peer->type == PEER_ROUTES ||
+		event->peer->type == PEER_QUARANTINE);
 }
 
 static void loop_deliver(void *data, const struct event *event)
 {
 	struct node_loop *loop = data;
 
-	if (event_is_gateway(event)) {
-		if (loop->gateway)
-			gateway_wiring_take_peer(loop->gateway, event->peer);
+	if (loop->gateway && event_is_gateway(event)) {
+		gateway_wiring_take_peer(loop->gateway, event->peer);
 		return;
 	}
 	loop_step(loop, event);
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -301,6 +301,52 @@
 	until_true engines_know || fail "no engine heard of it"
 }
 
+# line REQUEST EVENT: the log line of any node on that request.
+line() {
+	grep -h "event=$2 " "$work"/g*.out | grep "request=$1 " | tail -n 1
+}
+
+# Three requests fail. From its id alone the log leads to the cause of each, the
+# way docs/OPERATIONS.md goes: the end's reason, the attempts, what was believed.
+case_explains_failures() {
+	for i in 0 1 2; do
+		mode "${backends[$i]}" '{"full": true}'
+	done
+	report 0 "$work/why" why-full
+	line why-full request_end | grep -q 'outcome=refused reason=not_run' ||
+		fail "no reason: $(line why-full request_end)"
+	line why-full attempt_failed | grep -q 'result=not_run' ||
+		fail "no attempt: $(line why-full attempt_failed)"
+	for i in 0 1 2; do
+		mode "${backends[$i]}" '{"full": false, "no_copy": true}'
+	done
+	sleep 0.3
+	report 0 "$work/why" why-cut &
+	reader=$!
+	until_true has_events "$work/why" 5
+	victim=$(engine_of why-cut)
+	kill -KILL "${backend_pids[$victim]}"
+	wait "$reader" || true
+	line why-cut request_end | grep -q 'outcome=broken reason=no_copy' ||
+		fail "no reason: $(line why-cut request_end)"
+	line why-cut request_placed | grep -q "endpoint=i-$victim " ||
+		fail "no placement: $(line why-cut request_placed)"
+	for i in 0 1 2; do
+		[ "$i" = "$victim" ] ||
+			mode "${backends[$i]}" '{"no_copy": false}'
+	done
+	start_backend "$victim" engines
+	mode "$store" '{"down": true}'
+	store_lost() {
+		grep -q 'event=store_lost' "$work/g0.out"
+	}
+	until_true store_lost || fail "the loss of the store is not logged"
+	refused 503 "$(key=unknown ask 0 /lookup/a)"
+	grep -q 'outcome=refused reason=stale' "$work/g0.out" ||
+		fail "the refusal is not explained"
+	mode "$store" '{"down": false}'
+}
+
 # The store is away. What was known is used on; a change made meanwhile is in
 # force once it is back, and a key that was taken away is refused.
 case_serves_while_the_store_is_away() {
