--- a/adapters/gateway/http_reader.c
+++ b/adapters/gateway/http_reader.c
@@ -67,52 +67,22 @@
 	return on_target(parser, at, size);
 }
 
-static bool name_is_token(const GString *name)
-{
-	for (gsize i = 0; i < name->len; i++) {
-		if (!g_ascii_isalnum(name->str[i]) &&
-		    !strchr("!#$%&'*+-.^_`|~", name->str[i]))
-			return false;
-	}
-	return name->len > 0;
-}
-
-static bool value_is_clean(const GString *value)
-{
-	for (gsize i = 0; i < value->len; i++) {
-		unsigned char c = (unsigned char)value->str[i];
-
-		if ((c < ' ' && c != '\t') || c == 0x7f)
-			return false;
-	}
-	return true;
-}
-
-/*
- * A name with a space before its colon, or a value with a line break in it,
- * is read one way here and another way behind: a second request would hide
- * in the first. Such a message ends the connection.
- */
-static int reader_push_field(struct http_reader *reader)
+static void reader_push_field(struct http_reader *reader)
 {
 	if (!reader->in_value)
-		return 0;
+		return;
 	reader->in_value = false;
-	if (!name_is_token(reader->name) || !value_is_clean(reader->value))
-		return reader_reject(reader);
 	http_head_add(reader->head, reader->name->str, reader->name->len,
 		      reader->value->str, reader->value->len);
 	g_string_truncate(reader->name, 0);
 	g_string_truncate(reader->value, 0);
-	return 0;
 }
 
 static int on_name(http_parser *parser, const char *at, size_t size)
 {
 	struct http_reader *reader = parser->data;
 
-	if (reader_push_field(reader))
-		return -1;
+	reader_push_field(reader);
 	g_string_append_len(reader->name, at, (gssize)size);
 	return reader_count(reader, size);
 }
@@ -126,27 +96,17 @@
 	return reader_count(reader, size + 4);
 }
 
-/* One length, or chunks, and nothing that could be read as both. */
-static bool reader_framing_is_clear(const struct http_reader *reader)
-{
-	const struct http_head *head = reader->head;
-	size_t lengths = http_head_count(head, "Content-Length");
-	size_t codings = http_head_count(head, "Transfer-Encoding");
-
-	if (lengths > 1 || codings > 1 || (lengths && codings))
-		return false;
-	if (codings &&
-	    g_ascii_strcasecmp(http_head_get(head, "Transfer-Encoding"),
-			       "chunked") != 0)
-		return false;
-	return true;
-}
-
 static bool reader_is_request(const struct http_reader *reader)
 {
 	return reader->parser.type == HTTP_REQUEST;
 }
 
+/*
+ * The parser refuses lengths and codings that contradict one another, and
+ * names and values with bytes that don't belong there. What is left to refuse
+ * is what would be read as another request behind: two hosts, or none, or a
+ * target that names one.
+ */
 static bool reader_request_is_clear(const struct http_reader *reader)
 {
 	const struct http_head *head = reader->head;
@@ -161,8 +121,7 @@
 	struct http_reader *reader = parser->data;
 	struct http_head *head = reader->head;
 
-	if (reader_push_field(reader))
-		return -1;
+	reader_push_field(reader);
 	head->is_chunked = http_head_count(head, "Transfer-Encoding") > 0;
 	head->content_length = parser->content_length == (uint64_t)-1
 				       ? -1
@@ -175,8 +134,6 @@
 		head->status = parser->status_code;
 		head->reason = g_strdup(reader->target->str);
 	}
-	if (!reader_framing_is_clear(reader))
-		return reader_reject(reader);
 	if (reader_is_request(reader) && !reader_request_is_clear(reader))
 		return reader_reject(reader);
 	reader->must_close = !head->keeps_alive || parser->upgrade;
