Two nodes follow the endpoints' entries and tell the others

Change: the two nodes that ask the store each second follow the entries; the others rest while they hear one of them that reaches the store, and follow by themselves 0.8 s after they hear none, or while they know no endpoint.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -353,6 +353,7 @@
 	gateway->random = g_rand_new_with_seed((guint32)options->seed);
 	gateway->now_us = gateway_now_us();
 	gateway->refilled_us = gateway->now_us;
+	gateway->follows_entries = true;
 	gateway->registry = registry_create();
 	quarantine_options_default(&quarantine);
 	gateway->quarantine = quarantine_create(&quarantine);
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -50,7 +50,8 @@
 	void *data;
 	struct route_table *(*decode)(void *store_data, GBytes *document);
 	void (*read_store)(void *store_data); /* something newer is known of */
-	void (*watch_closely)(void *store_data, bool closely);
+	/* Follow the endpoints' entries, and ask each second for the store. */
+	void (*follow)(void *store_data, bool active, bool closely);
 	void *store_data;
 };
 
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -16,6 +16,9 @@
 /* Four standings missed: callers are not sent there any more. */
 #define SILENT_US (1200 * 1000)
 
+/* Three standings missed: its word on endpoints is not waited for. */
+#define SENTINEL_SILENT_US (800 * 1000)
+
 /* What a silent node held is forgotten: its requests have ended with it. */
 #define FORGET_US (3 * G_USEC_PER_SEC)
 
@@ -198,15 +201,43 @@
 	return false;
 }
 
+/* Whether a node that follows the entries was heard a moment ago. */
+static bool hears_sentinel(const struct gateway *gateway)
+{
+	GHashTableIter iter;
+	gpointer name, value;
+
+	g_hash_table_iter_init(&iter, gateway->peers);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const struct gateway_peer *peer = value;
+
+		if (peer->reaches_store &&
+		    gateway->now_us - peer->heard_us < SENTINEL_SILENT_US &&
+		    member_is_sentinel(gateway, name))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * A few nodes follow the entries of endpoints and tell the others what changes;
+ * each watch that returns is a call that is paid for, and with all nodes
+ * watching it would be paid for as often as there are nodes. A node that hears
+ * none of them, or that has just started, follows the entries itself.
+ */
 static void step_sentinel(struct gateway *gateway)
 {
 	bool is_sentinel =
 		member_is_sentinel(gateway, gateway->options.node_name);
+	bool follows = is_sentinel || !hears_sentinel(gateway) ||
+		       !registry_has_usable(gateway->registry);
 
-	if (gateway->is_sentinel == is_sentinel)
+	if (gateway->is_sentinel == is_sentinel &&
+	    gateway->follows_entries == follows)
 		return;
 	gateway->is_sentinel = is_sentinel;
-	gateway->host.watch_closely(gateway->host.store_data, is_sentinel);
+	gateway->follows_entries = follows;
+	gateway->host.follow(gateway->host.store_data, follows, is_sentinel);
 }
 
 /* Tells the others regularly, sooner when something was placed. */
@@ -216,6 +247,7 @@
 	size_t full_at = SIZE_MAX;
 
 	registry_forget_silent(gateway->registry, gateway->now_us - FORGET_US);
+	step_sentinel(gateway);
 	if (gateway->held_changed) {
 		gateway->held_changed = false;
 		gateway->next_standing_us =
@@ -225,7 +257,6 @@
 	if (gateway->now_us < gateway->next_standing_us)
 		return;
 	gateway->next_standing_us = gateway->now_us + STANDING_US;
-	step_sentinel(gateway);
 	if (gateway->standings++ % FULL_EVERY == 0)
 		full_at = (size_t)g_rand_int_range(gateway->random, 0,
 						   (gint32)count);
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -36,6 +36,7 @@
 	bool store_is_reached;
 	int64_t store_doubted_us; /* last time that it may have been away */
 	bool is_sentinel;	  /* asks the store in short turns */
+	bool follows_entries;	  /* by itself, not by a sentinel's word */
 
 	struct endpoint_pool *pool;
 	struct report_poll *reports;
--- a/adapters/gateway/store_follower.c
+++ b/adapters/gateway/store_follower.c
@@ -33,7 +33,12 @@
 #define STATUS_MISSING 404
 #define STATUS_GONE 410
 
-enum follower_state { FOLLOWER_PAUSING, FOLLOWER_LISTING, FOLLOWER_WATCHING };
+enum follower_state {
+	FOLLOWER_PAUSING,
+	FOLLOWER_LISTING,
+	FOLLOWER_WATCHING,
+	FOLLOWER_RESTING /* somebody else follows and tells us */
+};
 
 struct store_follower {
 	struct store_follower_options options;
@@ -423,6 +428,23 @@
 	g_free(follower);
 }
 
+/*
+ * Rests, or goes on from the revision last known. What changed in between is
+ * told by the next watch, or read anew if the store has forgotten it.
+ */
+void store_follower_set_active(struct store_follower *follower, bool active)
+{
+	if (active == (follower->state != FOLLOWER_RESTING))
+		return;
+	if (active) {
+		follower_go_on(follower);
+		return;
+	}
+	follower_stop_call(follower);
+	follower->state = FOLLOWER_RESTING;
+	follower->failures = 0;
+}
+
 /* Whether to ask each second if the store is still there. */
 void store_follower_watch_closely(struct store_follower *follower, bool closely)
 {
@@ -445,6 +467,7 @@
 	int64_t now_us = g_get_monotonic_time();
 
 	if (follower->state == FOLLOWER_PAUSING ||
+	    follower->state == FOLLOWER_RESTING ||
 	    now_us - follower->poked_us < POKE_US)
 		return;
 	follower->poked_us = now_us;
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -9,6 +9,7 @@
 	struct store_follower *document;
 	struct store_follower *entries;
 	struct log *log;
+	bool follows_entries; /* else by other nodes' word */
 };
 
 static struct route_table *wiring_decode(void *data, GBytes *document)
@@ -82,9 +83,11 @@
 	(void)is_reached;
 	if (!wiring->document || !wiring->entries)
 		return;
-	gateway_take_store(wiring->gateway,
-			   store_follower_is_reached(wiring->document) &&
-				   store_follower_is_reached(wiring->entries));
+	gateway_take_store(
+		wiring->gateway,
+		store_follower_is_reached(wiring->document) &&
+			(!wiring->follows_entries ||
+			 store_follower_is_reached(wiring->entries)));
 }
 
 static void wiring_read_store(void *data)
@@ -95,12 +98,16 @@
 		store_follower_poke(wiring->document);
 }
 
-static void wiring_watch_closely(void *data, bool closely)
+static void wiring_follow_entries(void *data, bool active, bool closely)
 {
 	struct gateway_wiring *wiring = data;
 
-	if (wiring->entries)
-		store_follower_watch_closely(wiring->entries, closely);
+	if (!wiring->entries)
+		return;
+	wiring->follows_entries = active;
+	store_follower_set_active(wiring->entries, active);
+	store_follower_watch_closely(wiring->entries, closely);
+	on_reached(wiring, true);
 }
 
 static bool wiring_create_gateway(struct gateway_wiring *wiring,
@@ -131,7 +138,7 @@
 		.members = options->members,
 		.decode = wiring_decode,
 		.read_store = wiring_read_store,
-		.watch_closely = wiring_watch_closely,
+		.follow = wiring_follow_entries,
 		.stopped = options->stopped,
 		.data = options->data,
 		.store_data = wiring,
@@ -172,6 +179,7 @@
 	struct gateway_wiring *wiring = g_new0(struct gateway_wiring, 1);
 
 	wiring->log = options->log;
+	wiring->follows_entries = true;
 	if (!wiring_create_gateway(wiring, options, error)) {
 		g_free(wiring);
 		return NULL;
