--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -14,6 +14,9 @@
 /* The process ends so long before it would be killed. */
 #define DRAIN_MARGIN_US (300 * 1000)
 
+/* Nodes that are reckoned with before they are known. */
+#define LEAST_NODES 6
+
 /* Of the fixed number of retries; the rest may be saved up. */
 #define REFILL_SHARE 0.35
 
@@ -55,12 +58,44 @@
 	return gateway->store_is_reached;
 }
 
+/*
+ * By how many nodes the fixed number of retries is divided: the most that were
+ * seen, for nodes cut from one another must not each take the part of all, and
+ * a few until they are known, for after a start they aren't.
+ */
+static int64_t gateway_budget_nodes(const struct gateway *gateway)
+{
+	return (int64_t)MAX(gateway->most_nodes, LEAST_NODES);
+}
+
 /* What a node may save up of the fixed number of retries. */
 static int32_t gateway_budget_burst(const struct gateway *gateway)
 {
 	double all = (1 - REFILL_SHARE) * (double)gateway->options.retry_extra;
 
-	return MAX((int32_t)(all / (double)gateway_node_count(gateway)), 1);
+	return MAX((int32_t)(all / (double)gateway_budget_nodes(gateway)), 1);
+}
+
+static void gateway_resize_budgets(struct gateway *gateway)
+{
+	GHashTableIter iter;
+	gpointer budget;
+
+	g_hash_table_iter_init(&iter, gateway->budgets);
+	while (g_hash_table_iter_next(&iter, NULL, &budget))
+		retry_budget_resize(budget,
+				    (int32_t)gateway->options.retry_percent,
+				    gateway_budget_burst(gateway));
+}
+
+static void gateway_count_nodes(struct gateway *gateway)
+{
+	size_t nodes = gateway_node_count(gateway);
+
+	if (nodes <= gateway->most_nodes)
+		return;
+	gateway->most_nodes = nodes;
+	gateway_resize_budgets(gateway);
 }
 
 /*
@@ -91,7 +126,7 @@
  */
 static void gateway_refill_budgets(struct gateway *gateway)
 {
-	int64_t nodes = (int64_t)gateway_node_count(gateway);
+	int64_t nodes = gateway_budget_nodes(gateway);
 	double per_us = REFILL_SHARE * (double)gateway->options.retry_extra /
 			(double)(nodes * gateway->options.retry_window_us);
 	GHashTableIter iter;
@@ -226,6 +261,7 @@
 		gateway_excuse_exchanges(gateway, stood_us);
 	gateway->now_us = gateway_now_us();
 	gateway->tick_us = gateway->now_us;
+	gateway_count_nodes(gateway);
 	gateway_refill_budgets(gateway);
 	gateway_step_exchanges(gateway);
 	caller_set_step(gateway->callers, gateway->now_us);
@@ -361,17 +397,11 @@
 			int64_t address_keep_us, int64_t retry_percent,
 			int64_t retry_extra)
 {
-	GHashTableIter iter;
-	gpointer budget;
-
 	gateway->options.drain_us = drain_us;
 	gateway->options.address_keep_us = address_keep_us;
 	gateway->options.retry_percent = retry_percent;
 	gateway->options.retry_extra = retry_extra;
-	g_hash_table_iter_init(&iter, gateway->budgets);
-	while (g_hash_table_iter_next(&iter, NULL, &budget))
-		retry_budget_resize(budget, (int32_t)retry_percent,
-				    gateway_budget_burst(gateway));
+	gateway_resize_budgets(gateway);
 }
 
 /*
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -47,6 +47,7 @@
 	GHashTable *exchanges;	       /* set of struct exchange */
 	GHashTable *budgets;	       /* service to struct retry_budget */
 	struct quarantine *quarantine; /* requests that crash engines */
+	size_t most_nodes;	       /* seen at once */
 	double refill; /* of each budget, not yet a whole retry */
 	int64_t refilled_us;
 	guint tick;
