A successor that takes no connection does not end the run; room counted by what a run has made

Cause: read as a newcomer: 250 ms after a successor was asked the old engine was let go, also where the successor had not even taken the connection, as one that is dark; and a move looked for room for a run as if it had made nothing. Change: such a successor is dropped and the run goes on; one function counts a run's room from what it has made.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -150,9 +150,7 @@
 		.engine = exchange->service ? &exchange->service->engine : NULL,
 		.failure_domain = gateway->options.failure_domain,
 		.avoid = exchange->tried,
-		.tokens = exchange_is_generation(exchange)
-				  ? exchange_held_tokens(exchange, 0)
-				  : 0,
+		.tokens = exchange_held_tokens(exchange),
 		.now_us = gateway->now_us,
 		.draw = g_rand_double(gateway->random),
 	};
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -97,13 +97,8 @@
 /* The room it holds grows with what the generation has made. */
 static void exchange_plan_again(struct exchange *exchange)
 {
-	int32_t stride = exchange->service->engine.tokens_per_event;
-
 	if (exchange->event_count % PLAN_EVERY_EVENTS == 0)
-		leg_plan_tokens(
-			exchange->leg,
-			exchange_held_tokens(exchange,
-					     exchange->event_count * stride));
+		leg_plan_tokens(exchange->leg, exchange_held_tokens(exchange));
 }
 
 static void exchange_count_event(struct exchange *exchange)
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -292,15 +292,29 @@
 	       (left_us > LEAVE_FROM_US && !endpoint_reads_prompts(backup));
 }
 
+/*
+ * An engine that took the request but has not answered may work on it, so the
+ * other one is let go. One that took not even the connection does not.
+ */
+static void step_next(struct exchange *exchange)
+{
+	const struct leg *next = exchange->next;
+
+	if (exchange->gateway->now_us - next->sent_us <= OVERLAP_US)
+		return;
+	if (attempt_is_connected(next->attempt))
+		exchange_promote_next(exchange);
+	else
+		exchange_drop_next(exchange, "connection not established");
+}
+
 static void step_generation(struct exchange *exchange)
 {
 	struct leg *leg = exchange->leg;
 	struct endpoint *backup = leg_backup(leg);
 
 	if (exchange->next) {
-		if (exchange->gateway->now_us - exchange->next->sent_us >
-		    OVERLAP_US)
-			exchange_promote_next(exchange);
+		step_next(exchange);
 		return;
 	}
 	if (!backup_is_ready(exchange) || exchange->copy_failed ||
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -111,7 +111,7 @@
 struct endpoint *leg_backup(const struct leg *leg);
 void leg_prompt_read(struct leg *leg);
 void leg_plan_tokens(struct leg *leg, int64_t tokens);
-int64_t exchange_held_tokens(const struct exchange *exchange, int64_t made);
+int64_t exchange_held_tokens(const struct exchange *exchange);
 
 /* exchange.c */
 void exchange_refuse(struct exchange *exchange, int32_t status,
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -65,18 +65,20 @@
 }
 
 /*
- * What a generation is counted with that has made so many tokens: what it has,
- * and what it will make before the next look at most. Counting each at its
- * expected end instead holds a third of the memory free for nothing, since
- * generations are at all stages at once.
+ * What a generation is counted with: what it has, and what it will make before
+ * the next look at most; 0 for other requests. Counting each at its expected
+ * end instead holds a third of the memory free for nothing, since generations
+ * are at all stages at once.
  */
-int64_t exchange_held_tokens(const struct exchange *exchange, int64_t made)
+int64_t exchange_held_tokens(const struct exchange *exchange)
 {
-	int64_t left = MAX(exchange->expected_tokens - made, LEAST_LEFT_TOKENS);
+	int64_t made, left;
 
-	if (exchange->asked.prompt_tokens == 0 &&
-	    exchange->expected_tokens == 0)
+	if (!exchange_is_generation(exchange))
 		return 0;
+	made = exchange->event_count *
+	       exchange->service->engine.tokens_per_event;
+	left = MAX(exchange->expected_tokens - made, LEAST_LEFT_TOKENS);
 	return exchange->asked.prompt_tokens + made + MIN(left, AHEAD_TOKENS);
 }
 
@@ -99,12 +101,6 @@
 	leg->backup_address = g_strdup(backup->said->address);
 }
 
-static int32_t exchange_tokens_per_event(const struct exchange *exchange)
-{
-	return exchange->service ? exchange->service->engine.tokens_per_event
-				 : 0;
-}
-
 /* A leg of the exchange at the endpoint, counted there from now on. */
 struct leg *leg_create(struct exchange *exchange, struct endpoint *endpoint,
 		       const char *copy_address)
@@ -114,9 +110,7 @@
 	leg->exchange = exchange;
 	leg->endpoint_id = g_strdup(endpoint->said->id);
 	leg->endpoint_address = g_strdup(endpoint->said->address);
-	leg->tokens = exchange_held_tokens(
-		exchange,
-		exchange->event_count * exchange_tokens_per_event(exchange));
+	leg->tokens = exchange_held_tokens(exchange);
 	leg->sent_us = exchange->gateway->now_us;
 	leg->goes_on = copy_address != NULL;
 	if (!copy_address)
