An endpoint that was put aside comes back by itself

Cause: found by reading the whole change: the time aside was only looked at when the endpoint failed again, so one refused connection put an engine aside for as long as another had room. Change: each step of the registry looks after the time aside; an endpoint that nothing is left at gets its next trial. Conclusion: kept for engines that live longer; no gain claimed on these sites.

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -108,20 +108,23 @@
 		  "detail", detail, NULL);
 }
 
+static bool may_take_over(const struct exchange *exchange)
+{
+	return backup_is_ready(exchange) && exchange->crashes < MAX_CRASHES;
+}
+
 static enum recovery decide(const struct exchange *exchange,
 			    enum attempt_result result, const char *detail)
 {
 	struct retry_budget *budget =
 		gateway_budget(exchange->gateway, exchange->service_name);
+	bool budget_left = retry_budget_left(budget) > 0;
 	struct recovery_input input = {
 		.kind = exchange->route->kind,
 		.result = result,
 		.answer_begun = exchange->answer_begun,
-		.copy_is_ready =
-			backup_is_ready(exchange) &&
-			exchange->crashes<MAX_CRASHES,
-					  .budget_left =
-						  retry_budget_left(budget)> 0,
+		.copy_is_ready = may_take_over(exchange),
+		.budget_left = budget_left,
 		.runs = exchange->runs,
 		.sends = exchange->sends,
 		.max_attempts = exchange->route->max_attempts,
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -315,9 +315,17 @@
 	registry->revision = MAX(registry->revision, revision);
 }
 
+static void endpoint_step_health(struct endpoint *endpoint, int64_t now_us)
+{
+	endpoint_health_step(&endpoint->health, now_us);
+	if (endpoint->own.requests == 0)
+		endpoint_health_report_idle(&endpoint->health);
+}
+
 /*
- * Gives up on endpoints that have been doubted since before the time given,
- * and forgets those long gone.
+ * Brings endpoints back that were put aside long enough, gives up on those
+ * that have been doubted since before the time given, and forgets those long
+ * gone.
  */
 void registry_step(struct registry *registry, int64_t doubted_before_us,
 		   int64_t now_us, GPtrArray *changed)
@@ -326,6 +334,7 @@
 		struct endpoint *endpoint =
 			g_ptr_array_index(registry->endpoints, i);
 
+		endpoint_step_health(endpoint, now_us);
 		if (endpoint->presence == PRESENCE_DOUBTED &&
 		    endpoint->since_us <= doubted_before_us) {
 			endpoint_set_presence(endpoint, PRESENCE_GONE, now_us);
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -201,3 +201,26 @@
 	EXPECT_EQ(nullptr, registry_find(registry, "e1"));
 	EXPECT_EQ(0u, registry_endpoints(registry)->len);
 }
+
+/*
+ * An engine refused a connection once and was put aside for two seconds. It
+ * must get requests again after that, one at first, also if nobody ever tries
+ * it in between; left aside for good, each such moment would cost an engine.
+ */
+TEST_F(Registry, BringsBackWhatWasPutAside)
+{
+	struct endpoint *endpoint;
+
+	take(say("e1", 4));
+	endpoint = registry_find(registry, "e1");
+	endpoint_health_put_aside(&endpoint->health, now_us);
+	step(INT64_MIN);
+	EXPECT_FALSE(endpoint_health_allows(&endpoint->health));
+	now_us += 3 * second_us;
+	step(INT64_MIN);
+	EXPECT_TRUE(endpoint_health_allows(&endpoint->health));
+	endpoint_health_count_placed(&endpoint->health);
+	EXPECT_FALSE(endpoint_health_allows(&endpoint->health));
+	step(INT64_MIN);
+	EXPECT_TRUE(endpoint_health_allows(&endpoint->health));
+}
