A planned change of engines waits for a retry in the budget

Cause: a run that left an engine under notice took a retry without asking whether one was left: in a storm of notices the arrivals beyond the first could exceed the budget.

--- a/adapters/gateway/caller.h
+++ b/adapters/gateway/caller.h
@@ -28,7 +28,7 @@
 	void *data;
 };
 
-/* What a connection that is over is taken out of. */
+/* The connections of callers that one handler serves. */
 struct caller_set;
 
 struct caller_set *caller_set_create(const struct caller_handler *handler,
--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -85,6 +85,9 @@
 
 	if (!target || !endpoint_is_usable(target)) {
 		move_fail(exchange, "no_target");
+	} else if (retry_budget_left(gateway_budget(
+			   gateway, exchange->service_name)) == 0) {
+		move_fail(exchange, "no_retry_left");
 	} else {
 		counters_add(gateway->options.counters, COUNTER_GATEWAY_MOVES,
 			     1);
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -212,7 +212,8 @@
 
 /*
  * Asks another engine to go on with a run while its own still does. The old
- * leg is let go when the new one answers.
+ * leg is let go when the new one answers. Without a retry in the budget the
+ * run stays where it is, and the next step asks again.
  */
 void exchange_hand_over(struct exchange *exchange, struct endpoint *to,
 			const char *copy_address, const char *copy_name,
@@ -220,9 +221,10 @@
 {
 	struct error error;
 
+	if (!retry_budget_take(
+		    gateway_budget(exchange->gateway, exchange->service_name)))
+		return;
 	log_take_over(exchange, to->said->id, reason);
-	retry_budget_take(
-		gateway_budget(exchange->gateway, exchange->service_name));
 	exchange->next = leg_create(exchange, to, copy_address);
 	if (!leg_send(exchange->next, copy_address, copy_name, &error))
 		exchange_drop_next(exchange, error.detail);
