--- a/bench/world.h
+++ b/bench/world.h
@@ -44,6 +44,7 @@
 	int64_t connect_timeout_us;
 	int64_t vm_list_lag_us;
 	int64_t vm_list_poll_us;
+	bool seeds_are_gone;	/* nobody is at the addresses of the settings */
 	int32_t prefix_percent; /* of a prompt that its prefix hash covers */
 	int32_t peer_drop_permille; /* of peer messages */
 	int32_t peer_double_permille;
--- a/bench/world_node.c
+++ b/bench/world_node.c
@@ -8,6 +8,8 @@
 #define SMALLEST_WAKE_US                                                       \
 	100 /* a node that is always due still lets time pass */
 
+static const char gone_address[] = "10.0.9.9:7000";
+
 static struct node_options node_options_of(struct world *world, int32_t index,
 					   const char **seeds)
 {
@@ -16,7 +18,9 @@
 	int32_t count = MIN(SEED_NODES, world->options.node_count);
 
 	for (int32_t i = 0; i < count; i++)
-		seeds[i] = world->nodes[i].peer_address;
+		seeds[i] = world->options.seeds_are_gone
+				   ? gone_address
+				   : world->nodes[i].peer_address;
 	seeds[count] = NULL;
 	options.name = node->name;
 	if (!options.region)
--- a/codec/etcd_json.c
+++ b/codec/etcd_json.c
@@ -95,6 +95,10 @@
 	add_key(builder, "key", request->key);
 	if (request->read_revision)
 		add_int64(builder, "revision", request->read_revision);
+	if (request->allow_stale) {
+		json_builder_set_member_name(builder, "serializable");
+		json_builder_add_boolean_value(builder, TRUE);
+	}
 	if (request->op == KV_LIST) {
 		char *end = etcd_json_range_end(request->key);
 
--- a/core/rollout/holder.c
+++ b/core/lease/holder.c
@@ -1,4 +1,4 @@
-#include "core/rollout/holder.h"
+#include "core/lease/holder.h"
 
 #include "core/base/counters.h"
 
@@ -128,10 +128,13 @@
 static void send_next(struct holder *holder, int64_t now_us,
 		      struct action_list *actions)
 {
+	if (holder->state == HOLDER_IDLE)
+		holder->state = holder->options.is_alone ? HOLDER_GRANTING
+							 : HOLDER_READING;
 	switch (holder->state) {
 	case HOLDER_IDLE:
+		break;
 	case HOLDER_READING:
-		holder->state = HOLDER_READING;
 		holder_send(holder, KV_GET, now_us, actions)->key =
 			g_strdup(holder->key);
 		break;
--- a/core/rollout/holder.h
+++ b/core/lease/holder.h
@@ -1,5 +1,5 @@
-#ifndef CORE_ROLLOUT_HOLDER_H
-#define CORE_ROLLOUT_HOLDER_H
+#ifndef CORE_LEASE_HOLDER_H
+#define CORE_LEASE_HOLDER_H
 
 #include "ports/action.h"
 
@@ -18,6 +18,7 @@
 struct holder_options {
 	const char *key;
 	const char *name;     /* of this process, never used by an earlier */
+	bool is_alone;	      /* nobody else claims the key: not read first */
 	uint64_t seed;	      /* jitter */
 	uint64_t *next_kv_id; /* shared with the node's other calls */
 	struct counters *counters; /* may be NULL */
--- a/core/membership/membership.h
+++ b/core/membership/membership.h
@@ -35,6 +35,8 @@
 void membership_receive(struct membership *membership,
 			const struct peer_message *message, int64_t now_us,
 			struct action_list *actions);
+void membership_ask(struct membership *membership, const char *address,
+		    int64_t now_us, struct action_list *actions);
 void membership_set_state(struct membership *membership,
 			  enum member_state state);
 void membership_set_config_revision(struct membership *membership,
--- a/core/membership/membership_probe.c
+++ b/core/membership/membership_probe.c
@@ -309,6 +309,19 @@
 	g_ptr_array_unref(addresses);
 }
 
+/* Asks who is at an address, unless a live member is known there. */
+void membership_ask(struct membership *membership, const char *address,
+		    int64_t now_us, struct action_list *actions)
+{
+	if (!membership_is_lost_address(membership, address))
+		return;
+	membership->now_us = MAX(membership->now_us, now_us);
+	membership->actions = actions;
+	membership_probe_address(membership, address);
+	membership_schedule(membership);
+	membership->actions = NULL;
+}
+
 /* Alone: asks seeds and lost members, ever more slowly, never in step. */
 void membership_join(struct membership *membership)
 {
--- a/core/node/node.c
+++ b/core/node/node.c
@@ -57,6 +57,18 @@
 	counters_add(&node->counters, COUNTER_PEER_SENT, 1);
 }
 
+/* A request to the key-value service, to be filled in; its id is set. */
+struct kv_request *node_kv_request(struct node *node, enum kv_op op)
+{
+	struct action *action = action_list_add(node->actions, ACTION_KV);
+
+	action->kv.id = node->next_kv_id++;
+	action->kv.op = op;
+	action->kv.timeout_us = node->options.kv_timeout_us;
+	counters_add(&node->counters, COUNTER_KV_CALLS, 1);
+	return &action->kv;
+}
+
 /*
  * Asks the key-value service and returns the number its answer will carry.
  * For a lease grant, expected_revision is its time to live in seconds.
@@ -64,20 +76,16 @@
 uint64_t node_kv_send(struct node *node, enum kv_op op, const char *key,
 		      GBytes *value, int64_t expected_revision, int64_t lease)
 {
-	struct action *action = action_list_add(node->actions, ACTION_KV);
+	struct kv_request *request = node_kv_request(node, op);
 
-	action->kv.id = node->next_kv_id++;
-	action->kv.op = op;
-	action->kv.key = g_strdup(key);
-	action->kv.value = value ? g_bytes_ref(value) : NULL;
+	request->key = g_strdup(key);
+	request->value = value ? g_bytes_ref(value) : NULL;
 	if (op == KV_LEASE_GRANT)
-		action->kv.ttl_s = expected_revision;
+		request->ttl_s = expected_revision;
 	else
-		action->kv.expected_revision = expected_revision;
-	action->kv.lease = lease;
-	action->kv.timeout_us = node->options.kv_timeout_us;
-	counters_add(&node->counters, COUNTER_KV_CALLS, 1);
-	return action->kv.id;
+		request->expected_revision = expected_revision;
+	request->lease = lease;
+	return request->id;
 }
 
 /* Logs an event with one field besides those of the call. */
@@ -121,6 +129,7 @@
 	node->epoch_seen = membership_epoch(node->membership);
 	node_config_start(node);
 	node_config_step(node);
+	node_discovery_start(node);
 	node->actions = NULL;
 }
 
@@ -228,7 +237,7 @@
 		node->kv_heard_us = node->now_us;
 	if (!node_config_kv(node, answer) && !node_id_kv(node, answer) &&
 	    !plan_book_kv(node->plans, answer, node->now_us, node->actions) &&
-	    !node_rollout_kv(node, answer))
+	    !node_rollout_kv(node, answer) && !node_discovery_kv(node, answer))
 		counters_add(&node->counters, COUNTER_EVENTS_UNKNOWN, 1);
 }
 
@@ -420,6 +429,7 @@
 	node_config_step(node);
 	plan_book_step(node->plans, node->now_us, actions);
 	node_rollout_step(node);
+	node_discovery_step(node);
 	node_run_periodic(node);
 	node_home_step(node);
 	node_place_step_shares(node);
@@ -440,6 +450,7 @@
 	due_us = MIN(due_us, node_home_next_due_us(node));
 	due_us = MIN(due_us, plan_book_next_due_us(node->plans));
 	due_us = MIN(due_us, node_rollout_next_due_us(node));
+	due_us = MIN(due_us, node_discovery_next_due_us(node));
 	g_hash_table_iter_init(&iter, node->shares);
 	while (g_hash_table_iter_next(&iter, NULL, &share))
 		due_us = MIN(due_us, placement_next_due_us(share));
--- a/core/node/node.h
+++ b/core/node/node.h
@@ -34,6 +34,7 @@
 	uint64_t incarnation;	  /* random, never used by an earlier start */
 	uint64_t seed;
 	const char *event_key; /* secret shared by nodes; signs event ids */
+	bool discovers_nodes;  /* also by the key-value service */
 	enum node_placement placement;
 	enum placement_policy policy;
 
--- a/core/node/node_config.c
+++ b/core/node/node_config.c
@@ -14,6 +14,12 @@
 #define CONFIG_READ_US (60 * G_USEC_PER_SEC)
 #define CONFIG_RETRY_US G_USEC_PER_SEC
 #define CONFIG_WATCHERS 3
+
+/*
+ * Until the others are known each node would count itself among the few that
+ * watch. Seeds answer within some heartbeats; the first read needs no watch.
+ */
+#define CONFIG_WATCH_AFTER_US (2 * G_USEC_PER_SEC)
 #define CONFIG_ANNOUNCE_FANOUT 3
 
 /* Revision of the configuration in force; 0 before the first. */
@@ -141,9 +147,13 @@
 /* Keeps the watch going, and reads now and then what it may have missed. */
 void node_config_step(struct node *node)
 {
-	int64_t interval_us = node->config ? CONFIG_READ_US : CONFIG_RETRY_US;
+	int64_t interval_us = node->config || node->config_is_absent
+				      ? CONFIG_READ_US
+				      : CONFIG_RETRY_US;
 
-	if (!node->watching && node_config_is_watcher(node)) {
+	if (!node->watching &&
+	    node->now_us >= node->started_us + CONFIG_WATCH_AFTER_US &&
+	    node_config_is_watcher(node)) {
 		node->watching = true;
 		action_list_add(node->actions, ACTION_KV_WATCH)->kv_watch =
 			g_strdup(CONFIG_KEY);
@@ -164,6 +174,7 @@
 	if (answer->id != node->config_kv_id)
 		return false;
 	node->config_kv_id = 0;
+	node->config_is_absent = answer->outcome == KV_NOT_FOUND;
 	if (answer->outcome != KV_OK || !answer->entries ||
 	    answer->entries->len == 0)
 		return true;
--- a/core/node/node_create.c
+++ b/core/node/node_create.c
@@ -160,6 +160,7 @@
 	node_create_limits(node);
 	node_create_plans(node);
 	node_rollout_create(node);
+	node_discovery_create(node);
 	return node;
 }
 
@@ -179,6 +180,7 @@
 {
 	if (!node)
 		return;
+	holder_destroy(node->own_entry);
 	g_hash_table_destroy(node->claims);
 	g_hash_table_destroy(node->attempts);
 	g_hash_table_destroy(node->tickets);
--- /dev/null
+++ b/core/node/node_discovery.c
@@ -0,0 +1,175 @@
+#include "core/node/node_state.h"
+
+#include <string.h>
+
+/*
+ * The second way to the other nodes, beside the seeds: each node keeps its
+ * peer address in the key-value service under a lease, and reads what the
+ * others have written there.
+ *
+ * Without it a node whose seeds are all gone stays alone: it takes requests,
+ * but counts retries, leaving endpoints and what others hold by itself, and
+ * callers that ask it learn of no other node. An address that is out of date
+ * costs one unanswered question; whoever answers is a member by its own word.
+ */
+#define NODES_PREFIX "/siskinlink/nodes/"
+
+/* A node that is gone stays listed so long; renewed three times in it. */
+#define NODE_LEASE_S 30
+
+/*
+ * Nodes that start together write over so long. Each makes two writes, so 480
+ * of them take 192 a second, half of what the service allows.
+ */
+#define REGISTER_SPREAD_US (5 * G_USEC_PER_SEC)
+
+/* Seeds that live answer within a few heartbeats; asked for after that. */
+#define FIRST_LIST_US G_USEC_PER_SEC
+#define ALONE_LIST_US (2 * G_USEC_PER_SEC)
+#define LONGEST_ALONE_LIST_US (16 * G_USEC_PER_SEC)
+
+/*
+ * Groups that started from different seeds find each other in this time. 480
+ * nodes make 16 reads a second of the cheapest kind.
+ */
+#define LIST_US (30 * G_USEC_PER_SEC)
+
+static int64_t spread_us(struct node *node, int64_t longest_us)
+{
+	return (int64_t)(g_rand_double(node->random) * (double)longest_us);
+}
+
+static bool node_is_staying(const struct node *node)
+{
+	enum member_state state = membership_self(node->membership)->state;
+
+	return state != MEMBER_LEAVING && state != MEMBER_DEAD;
+}
+
+/* Prepares this node's own entry; nothing is sent before its time. */
+void node_discovery_create(struct node *node)
+{
+	char *key =
+		g_strdup_printf(NODES_PREFIX "%s-%016" G_GINT64_MODIFIER "x",
+				node->options.name, node->options.incarnation);
+	const struct holder_options options = {
+		.key = key,
+		.name = node->options.peer_address,
+		.is_alone = true,
+		.seed = node->options.seed,
+		.next_kv_id = &node->next_kv_id,
+		.counters = &node->counters,
+		.ttl_s = NODE_LEASE_S,
+		.kv_timeout_us = node->options.kv_timeout_us,
+	};
+
+	node->own_entry = holder_create(&options);
+	g_free(key);
+}
+
+/* Sets when to write the own entry and when to read the others' first. */
+void node_discovery_start(struct node *node)
+{
+	if (!node->options.discovers_nodes)
+		return;
+	node->register_us = node->now_us + spread_us(node, REGISTER_SPREAD_US);
+	node->next_list_us =
+		node->now_us + FIRST_LIST_US + spread_us(node, FIRST_LIST_US);
+}
+
+static bool node_is_alone(const struct node *node)
+{
+	return membership_count(node->membership) <= 1;
+}
+
+/* A node that is alone asks soon again, then more and more rarely. */
+static int64_t next_list_delay_us(struct node *node)
+{
+	int64_t delay_us = LIST_US;
+
+	if (node_is_alone(node))
+		delay_us = MIN(ALONE_LIST_US << MIN(node->alone_lists, 8),
+			       LONGEST_ALONE_LIST_US);
+	node->alone_lists = node_is_alone(node) ? node->alone_lists + 1 : 0;
+	return delay_us / 2 + spread_us(node, delay_us / 2);
+}
+
+static void node_list(struct node *node)
+{
+	struct kv_request *request;
+
+	node->next_list_us = node->now_us + next_list_delay_us(node);
+	if (node->list_kv_id)
+		return;
+	request = node_kv_request(node, KV_LIST);
+	request->key = g_strdup(NODES_PREFIX);
+	request->allow_stale = true;
+	node->list_kv_id = request->id;
+}
+
+static void log_registered(struct node *node)
+{
+	bool is_registered = holder_fence(node->own_entry) != 0;
+
+	if (node->is_registered == is_registered)
+		return;
+	node->is_registered = is_registered;
+	node_log(node, LOG_LEVEL_INFO,
+		 is_registered ? "node_registered" : "node_unregistered", NULL,
+		 "address", node->options.peer_address);
+}
+
+/* Keeps the own entry while the node takes work, and reads the others'. */
+void node_discovery_step(struct node *node)
+{
+	bool stays = node_is_staying(node);
+
+	if (!node->options.discovers_nodes)
+		return;
+	holder_set_wanted(node->own_entry,
+			  stays && node->now_us >= node->register_us);
+	holder_step(node->own_entry, node->now_us, node->actions);
+	log_registered(node);
+	if (stays && node->now_us >= node->next_list_us)
+		node_list(node);
+}
+
+/* When node_discovery_step() has something to do, in us. */
+int64_t node_discovery_next_due_us(const struct node *node)
+{
+	int64_t due_us;
+
+	if (!node->options.discovers_nodes)
+		return INT64_MAX;
+	due_us = MAX(holder_next_due_us(node->own_entry), node->register_us);
+	return node_is_staying(node) ? MIN(due_us, node->next_list_us) : due_us;
+}
+
+/* An entry reads ADDRESS:LEASE, as the holder of a key writes it. */
+static void take_entry(struct node *node, const struct kv_entry *entry)
+{
+	gsize size;
+	const char *bytes = g_bytes_get_data(entry->value, &size);
+	char *address = g_strndup(bytes ? bytes : "", size);
+	char *lease = strrchr(address, ':');
+
+	if (lease)
+		*lease = '\0';
+	if (lease && strcmp(address, node->options.peer_address) != 0)
+		membership_ask(node->membership, address, node->now_us,
+			       node->actions);
+	g_free(address);
+}
+
+/* Takes an answer of the key-value service; false: it is another's. */
+bool node_discovery_kv(struct node *node, const struct kv_answer *answer)
+{
+	if (holder_kv(node->own_entry, answer, node->now_us, node->actions))
+		return true;
+	if (!node->list_kv_id || answer->id != node->list_kv_id)
+		return false;
+	node->list_kv_id = 0;
+	for (guint i = 0; answer->entries && i < answer->entries->len; i++)
+		take_entry(node, g_ptr_array_index(answer->entries, i));
+	return true;
+}
--- a/core/node/node_id.c
+++ b/core/node/node_id.c
@@ -469,11 +469,30 @@
 		call_claim_failed(node, call);
 }
 
+/*
+ * A service may cut a lease to the longest it has. Claims that vanish within
+ * the day would let a key's request run a second time; so none is made, and
+ * its callers are refused.
+ */
+static bool claim_lease_is_long_enough(struct node *node,
+				       const struct kv_answer *answer)
+{
+	char ttl_s[24];
+
+	if (answer->ttl_s >= CLAIM_TTL_S)
+		return true;
+	g_snprintf(ttl_s, sizeof(ttl_s), "%" G_GINT64_FORMAT, answer->ttl_s);
+	node_log(node, LOG_LEVEL_ERROR, "claim_lease_too_short", NULL,
+		 "granted_s", ttl_s);
+	return false;
+}
+
 static void node_claim_lease_granted(struct node *node,
 				     const struct kv_answer *answer)
 {
 	node->claim_lease_kv_id = 0;
-	if (answer->outcome != KV_OK) {
+	if (answer->outcome != KV_OK ||
+	    !claim_lease_is_long_enough(node, answer)) {
 		node_call_each(node, call_lease_failed);
 		return;
 	}
--- a/core/node/node_state.h
+++ b/core/node/node_state.h
@@ -2,7 +2,7 @@
 #define CORE_NODE_NODE_STATE_H
 
 #include "core/node/call.h"
-#include "core/rollout/holder.h"
+#include "core/lease/holder.h"
 #include "core/placement/home.h"
 #include "core/membership/membership.h"
 #include "core/node/node.h"
@@ -32,6 +32,7 @@
  *   node_home.c     home's side: grants, load
  *   node_leaving.c  endpoints that leave
  *   node_config.c   configuration: key-value service, peers
+ *   node_discovery.c  other nodes by the key-value service
  *   node_limits.c   organisations' limits, shared between nodes
  *   node_rollout.c  rollouts under a lease
  *   node_query.c    GET /v1/nodes, show, plan, confirm
@@ -80,10 +81,17 @@
 	int64_t started_us;
 	uint64_t config_kv_id; /* reading the configuration; 0: not */
 	int64_t config_read_us;
+	bool config_is_absent; /* none was written yet; watchers will tell */
 	bool watching;
 
 	struct membership *membership;
 	uint64_t epoch_seen;
+	struct holder *own_entry; /* this node's, for others to find it */
+	int64_t register_us;
+	int64_t next_list_us;
+	uint64_t list_kv_id; /* reading the others' entries; 0: not */
+	uint32_t alone_lists;
+	bool is_registered; /* as last logged */
 	bool draining;
 	bool stopped;
 	int64_t drain_started_us;
@@ -240,6 +248,13 @@
 void node_leaving_announce(struct node *node);
 void node_leaving_expire(struct node *node);
 
+/* node_discovery.c */
+void node_discovery_create(struct node *node);
+void node_discovery_start(struct node *node);
+void node_discovery_step(struct node *node);
+int64_t node_discovery_next_due_us(const struct node *node);
+bool node_discovery_kv(struct node *node, const struct kv_answer *answer);
+
 /* node_rollout.c */
 void node_rollout_create(struct node *node);
 void node_rollout_destroy(struct node *node);
@@ -278,6 +293,7 @@
 /* node.c */
 void node_send(struct node *node, const char *peer_address,
 	       struct peer_message *message);
+struct kv_request *node_kv_request(struct node *node, enum kv_op op);
 uint64_t node_kv_send(struct node *node, enum kv_op op, const char *key,
 		      GBytes *value, int64_t expected_revision, int64_t lease);
 void node_log(struct node *node, enum log_level level, const char *event,
--- a/core/rollout/rollout.h
+++ b/core/rollout/rollout.h
@@ -2,7 +2,7 @@
 #define CORE_ROLLOUT_ROLLOUT_H
 
 #include "core/rollout/rollout_json.h"
-#include "core/rollout/holder.h"
+#include "core/lease/holder.h"
 #include "ports/action.h"
 #include "ports/event.h"
 
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -193,6 +193,22 @@
 	return wiring;
 }
 
+/* The key-value service of a node that has the platform's store for it. */
+struct store_calls *gateway_wiring_open_store(const struct settings *settings,
+					      struct log *log, uint64_t seed,
+					      const struct event_sink *sink)
+{
+	const struct store_calls_options options = {
+		.address = settings->gateway.store_address,
+		.dialect = &platform_kv_dialect,
+		.watch_dialect = &platform_store_dialect,
+		.seed = seed,
+		.log = log,
+	};
+
+	return store_calls_create(&options, sink);
+}
+
 /* Closes everything; NULL is allowed. */
 void gateway_wiring_destroy(struct gateway_wiring *wiring)
 {
--- a/daemons/gateway_wiring.h
+++ b/daemons/gateway_wiring.h
@@ -1,6 +1,7 @@
 #ifndef DAEMONS_GATEWAY_WIRING_H
 #define DAEMONS_GATEWAY_WIRING_H
 
+#include "adapters/gateway/store_calls.h"
 #include "adapters/log.h"
 #include "adapters/settings.h"
 #include "core/base/counters.h"
@@ -34,6 +35,9 @@
 struct gateway_wiring *
 gateway_wiring_create(const struct gateway_wiring_options *options,
 		      struct error *error);
+struct store_calls *gateway_wiring_open_store(const struct settings *settings,
+					      struct log *log, uint64_t seed,
+					      const struct event_sink *sink);
 void gateway_wiring_destroy(struct gateway_wiring *wiring);
 void gateway_wiring_take_peer(struct gateway_wiring *wiring,
 			      const struct peer_message *message);
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -1,6 +1,7 @@
 #include "daemons/node_loop.h"
 
 #include "adapters/endpoint_client.h"
+#include "adapters/gateway/store_calls.h"
 #include "adapters/http_server.h"
 #include "adapters/kv_client.h"
 #include "adapters/log.h"
@@ -35,7 +36,8 @@
 	struct http_server *http;
 	struct endpoint_client *endpoints;
 	struct order_client *orders;
-	struct kv_client *kv;
+	struct kv_client *kv;	   /* NULL: none of its own */
+	struct store_calls *store; /* the platform's instead; NULL: none */
 	struct peer_link *peers;
 	struct vm_list_client *vm_list;
 	struct gateway_wiring *gateway; /* NULL: none */
@@ -71,9 +73,10 @@
 /* Without the service its answers never come, which the node is used to. */
 static void apply_kv(struct node_loop *loop, const struct action *action)
 {
-	if (!loop->kv)
-		return;
-	kv_client_apply(loop->kv, action);
+	if (loop->kv)
+		kv_client_apply(loop->kv, action);
+	else if (loop->store)
+		store_calls_apply(loop->store, action);
 }
 
 static void apply_order(struct node_loop *loop, const struct action *action)
@@ -373,6 +376,8 @@
 			   options.seed);
 		options.event_key = key;
 	}
+	options.discovers_nodes = *settings->kv_address ||
+				  *settings->gateway.store_address;
 	loop->node = node_create(&options);
 	return true;
 }
@@ -447,11 +452,13 @@
 		.log = loop->log,
 	};
 
-	if (!*settings->kv_address)
-		return true;
 	if (!random_read(&kv.seed, error))
 		return false;
-	loop->kv = kv_client_create(&kv, sink);
+	if (*settings->kv_address)
+		loop->kv = kv_client_create(&kv, sink);
+	else if (*settings->gateway.store_address)
+		loop->store = gateway_wiring_open_store(settings, loop->log,
+							kv.seed, sink);
 	if (*settings->vm_list_address)
 		loop->vm_list = vm_list_client_create(&vm_list, sink);
 	return true;
@@ -567,6 +574,7 @@
 	gateway_wiring_destroy(loop->gateway);
 	vm_list_client_destroy(loop->vm_list);
 	kv_client_destroy(loop->kv);
+	store_calls_destroy(loop->store);
 	endpoint_client_destroy(loop->endpoints);
 	order_client_destroy(loop->orders);
 	peer_link_destroy(loop->peers);
--- /dev/null
+++ b/fakes/platform_store.c
@@ -0,0 +1,675 @@
+#include "fakes/platform_store.h"
+
+#include <string.h>
+
+#define PAGE_ITEMS 500
+#define LONGEST_WAIT_MS 30000
+#define SHORTEST_LEASE_MS 1000
+#define LONGEST_LEASE_MS 600000
+#define MODES 6
+
+struct item {
+	char *key;
+	char *value; /* base64; NULL: deleted */
+	int64_t revision;
+	int64_t created;
+	int64_t lease; /* 0: none */
+};
+
+struct lease {
+	struct platform_store *store;
+	int64_t id;
+	int64_t ttl_ms;
+	guint timer;
+};
+
+struct watch {
+	struct platform_store *store;
+	SoupServerMessage *message;
+	char *prefix;
+	int64_t after;
+	guint timer;
+};
+
+struct platform_store {
+	GPtrArray *changes; /* struct item, oldest first */
+	GPtrArray *watches; /* struct watch */
+	GHashTable *leases; /* id to struct lease */
+	int64_t next_lease;
+	int64_t revision;
+	int64_t oldest; /* watches from before this get 410 */
+	int64_t calls;
+	bool down;    /* 503 to all */
+	bool silent;  /* takes calls and answers none */
+	bool forget;  /* once: the history is dropped */
+	bool lose;    /* changes are made and not answered */
+	bool hold;    /* once: a change is held back, and not answered */
+	bool release; /* once: what is held back is made, if it still can be */
+	GPtrArray *held; /* JsonObject */
+	struct fake_mode modes[MODES];
+};
+
+static void item_free(gpointer data)
+{
+	struct item *item = data;
+
+	g_free(item->key);
+	g_free(item->value);
+	g_free(item);
+}
+
+static void add_fields(JsonBuilder *builder, const struct item *item)
+{
+	json_builder_set_member_name(builder, "key");
+	json_builder_add_string_value(builder, item->key);
+	json_builder_set_member_name(builder, "revision");
+	json_builder_add_int_value(builder, item->revision);
+	if (!item->value) {
+		json_builder_set_member_name(builder, "deleted");
+		json_builder_add_boolean_value(builder, TRUE);
+		return;
+	}
+	json_builder_set_member_name(builder, "value");
+	json_builder_add_string_value(builder, item->value);
+	json_builder_set_member_name(builder, "created");
+	json_builder_add_int_value(builder, item->created);
+	json_builder_set_member_name(builder, "lease");
+	json_builder_add_int_value(builder, item->lease);
+}
+
+static void add_item(JsonBuilder *builder, const struct item *item)
+{
+	json_builder_begin_object(builder);
+	add_fields(builder, item);
+	json_builder_end_object(builder);
+}
+
+static JsonBuilder *page_begin(const char *list)
+{
+	JsonBuilder *builder = json_builder_new();
+
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, list);
+	json_builder_begin_array(builder);
+	return builder;
+}
+
+static void page_send(const struct platform_store *store,
+		      SoupServerMessage *message, JsonBuilder *builder,
+		      bool has_more)
+{
+	json_builder_end_array(builder);
+	json_builder_set_member_name(builder, "as_of");
+	json_builder_add_int_value(builder, store->revision);
+	json_builder_set_member_name(builder, "has_more");
+	json_builder_add_boolean_value(builder, has_more);
+	json_builder_end_object(builder);
+	fake_message_answer_json(message, 200, builder);
+}
+
+static int64_t count_after(const struct platform_store *store,
+			   const char *prefix, int64_t after)
+{
+	int64_t count = 0;
+
+	for (guint i = 0; i < store->changes->len; i++) {
+		const struct item *item = g_ptr_array_index(store->changes, i);
+
+		count += item->revision > after &&
+			 g_str_has_prefix(item->key, prefix);
+	}
+	return count;
+}
+
+static void watch_free(gpointer data)
+{
+	struct watch *watch = data;
+
+	if (watch->timer)
+		g_source_remove(watch->timer);
+	g_object_unref(watch->message);
+	g_free(watch->prefix);
+	g_free(watch);
+}
+
+static void watch_answer(struct watch *watch)
+{
+	struct platform_store *store = watch->store;
+	JsonBuilder *builder = page_begin("events");
+
+	for (guint i = 0; i < store->changes->len; i++) {
+		const struct item *item = g_ptr_array_index(store->changes, i);
+
+		if (item->revision > watch->after &&
+		    g_str_has_prefix(item->key, watch->prefix))
+			add_item(builder, item);
+	}
+	page_send(store, watch->message, builder, false);
+	soup_server_message_unpause(watch->message);
+	g_ptr_array_remove(store->watches, watch);
+}
+
+static gboolean watch_over(gpointer data)
+{
+	struct watch *watch = data;
+
+	watch->timer = 0;
+	watch_answer(watch);
+	return G_SOURCE_REMOVE;
+}
+
+static const struct item *latest(const struct platform_store *store,
+				 const char *key)
+{
+	for (guint i = store->changes->len; i-- > 0;) {
+		const struct item *item = g_ptr_array_index(store->changes, i);
+
+		if (strcmp(item->key, key) == 0)
+			return item;
+	}
+	return NULL;
+}
+
+static void store_write(struct platform_store *store, const char *key,
+			char *value, int64_t lease)
+{
+	const struct item *before = latest(store, key);
+	struct item *item = g_new0(struct item, 1);
+
+	item->key = g_strdup(key);
+	item->value = value;
+	item->lease = lease;
+	item->revision = ++store->revision;
+	item->created =
+		before && before->value ? before->created : item->revision;
+	g_ptr_array_add(store->changes, item);
+	if (store->down || store->silent)
+		return;
+	for (guint i = store->watches->len; i-- > 0;) {
+		struct watch *watch = g_ptr_array_index(store->watches, i);
+
+		if (count_after(store, watch->prefix, watch->after) > 0)
+			watch_answer(watch);
+	}
+}
+
+static GHashTable *query_of(SoupServerMessage *message)
+{
+	const char *query =
+		g_uri_get_query(soup_server_message_get_uri(message));
+
+	return soup_form_decode(query ? query : "");
+}
+
+static const char *query_text(GHashTable *query, const char *name)
+{
+	const char *text = g_hash_table_lookup(query, name);
+
+	return text ? text : "";
+}
+
+/* True when the call has been dealt with by a fault. */
+static bool store_fails(struct platform_store *store,
+			SoupServerMessage *message)
+{
+	store->calls++;
+	if (store->silent)
+		soup_server_message_pause(message);
+	else if (store->down)
+		fake_message_answer_text(message, 503, "down");
+	return store->silent || store->down;
+}
+
+static void on_range(void *data, SoupServerMessage *message, const char *path)
+{
+	struct platform_store *store = data;
+	g_autoptr(GHashTable) query = query_of(message);
+	const char *prefix = query_text(query, "path_prefix");
+	const char *after = query_text(query, "after");
+	JsonBuilder *builder;
+	int64_t count = 0;
+
+	(void)path;
+	if (store_fails(store, message))
+		return;
+	builder = page_begin("items");
+	for (guint i = 0; i < store->changes->len; i++) {
+		const struct item *item = g_ptr_array_index(store->changes, i);
+
+		if (!item->value || latest(store, item->key) != item ||
+		    !g_str_has_prefix(item->key, prefix) ||
+		    strcmp(item->key, after) <= 0 || count == PAGE_ITEMS)
+			continue;
+		add_item(builder, item);
+		count++;
+	}
+	page_send(store, message, builder, count == PAGE_ITEMS);
+}
+
+static void on_watch(void *data, SoupServerMessage *message, const char *path)
+{
+	struct platform_store *store = data;
+	g_autoptr(GHashTable) query = query_of(message);
+	guint wait_ms = (guint)MIN(
+		g_ascii_strtoull(query_text(query, "wait_ms"), NULL, 10),
+		LONGEST_WAIT_MS);
+	struct watch *watch;
+
+	(void)path;
+	if (store_fails(store, message))
+		return;
+	watch = g_new0(struct watch, 1);
+	watch->store = store;
+	watch->message = g_object_ref(message);
+	watch->prefix = g_strdup(query_text(query, "path_prefix"));
+	watch->after =
+		(int64_t)g_ascii_strtoll(query_text(query, "after"), NULL, 10);
+	if (watch->after < store->oldest) {
+		fake_message_answer_text(message, 410, "history is gone");
+		watch_free(watch);
+		return;
+	}
+	soup_server_message_pause(message);
+	g_ptr_array_add(store->watches, watch);
+	if (count_after(store, watch->prefix, watch->after) > 0)
+		watch_answer(watch);
+	else
+		watch->timer = g_timeout_add(wait_ms, watch_over, watch);
+}
+
+static void on_key(void *data, SoupServerMessage *message, const char *path)
+{
+	struct platform_store *store = data;
+	g_autoptr(GHashTable) query = query_of(message);
+	const struct item *item;
+	JsonBuilder *builder;
+
+	(void)path;
+	if (store_fails(store, message))
+		return;
+	item = latest(store, query_text(query, "key"));
+	if (!item || !item->value) {
+		fake_message_answer_text(message, 404, "no such key");
+		return;
+	}
+	builder = json_builder_new();
+	json_builder_begin_object(builder);
+	add_fields(builder, item);
+	json_builder_set_member_name(builder, "as_of");
+	json_builder_add_int_value(builder, store->revision);
+	json_builder_end_object(builder);
+	fake_message_answer_json(message, 200, builder);
+}
+
+static int64_t revision_of(const struct platform_store *store, const char *key)
+{
+	const struct item *item = latest(store, key);
+
+	return item && item->value ? item->revision : 0;
+}
+
+static bool condition_holds(const struct platform_store *store,
+			    JsonArray *expected)
+{
+	for (guint i = 0; i < json_array_get_length(expected); i++) {
+		JsonObject *row = json_array_get_object_element(expected, i);
+
+		if (revision_of(store,
+				json_object_get_string_member(row, "key")) !=
+		    json_object_get_int_member(row, "revision"))
+			return false;
+	}
+	return true;
+}
+
+static bool leases_live(const struct platform_store *store, JsonArray *writes)
+{
+	for (guint i = 0; i < json_array_get_length(writes); i++) {
+		JsonObject *row = json_array_get_object_element(writes, i);
+		int64_t lease = json_object_get_int_member_with_default(
+			row, "lease", 0);
+
+		if (lease && !g_hash_table_contains(store->leases, &lease))
+			return false;
+	}
+	return true;
+}
+
+static JsonArray *array_of(JsonObject *object, const char *name)
+{
+	return json_object_has_member(object, name)
+		       ? json_object_get_array_member(object, name)
+		       : NULL;
+}
+
+/* Makes a change, all of it or nothing; the status of its answer. */
+static unsigned store_change(struct platform_store *store, JsonObject *change)
+{
+	JsonArray *expected = array_of(change, "expected");
+	JsonArray *writes = array_of(change, "writes");
+	JsonArray *removed = array_of(change, "remove");
+
+	if (writes && !leases_live(store, writes))
+		return 404;
+	if (expected && !condition_holds(store, expected))
+		return 412;
+	for (guint i = 0; writes && i < json_array_get_length(writes); i++) {
+		JsonObject *row = json_array_get_object_element(writes, i);
+
+		store_write(
+			store, json_object_get_string_member(row, "key"),
+			g_strdup(json_object_get_string_member(row, "value")),
+			json_object_get_int_member_with_default(row, "lease",
+								0));
+	}
+	for (guint i = 0; removed && i < json_array_get_length(removed); i++)
+		store_write(store, json_array_get_string_element(removed, i),
+			    NULL, 0);
+	return 200;
+}
+
+static void send_conflict(const struct platform_store *store,
+			  SoupServerMessage *message, JsonArray *expected)
+{
+	JsonBuilder *builder = page_begin("items");
+
+	for (guint i = 0; i < json_array_get_length(expected); i++) {
+		JsonObject *row = json_array_get_object_element(expected, i);
+		const struct item *item = latest(
+			store, json_object_get_string_member(row, "key"));
+
+		if (item)
+			add_item(builder, item);
+	}
+	json_builder_end_array(builder);
+	json_builder_end_object(builder);
+	fake_message_answer_json(message, 412, builder);
+}
+
+static void send_number(SoupServerMessage *message, const char *name,
+			int64_t number, const char *other, int64_t other_number)
+{
+	JsonBuilder *builder = json_builder_new();
+
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, name);
+	json_builder_add_int_value(builder, number);
+	if (other) {
+		json_builder_set_member_name(builder, other);
+		json_builder_add_int_value(builder, other_number);
+	}
+	json_builder_end_object(builder);
+	fake_message_answer_json(message, 200, builder);
+}
+
+/* True when the change goes without an answer: made, or held back. */
+static bool change_goes_unanswered(struct platform_store *store,
+				   SoupServerMessage *message,
+				   JsonObject *change)
+{
+	if (!store->lose && !store->hold)
+		return false;
+	soup_server_message_pause(message);
+	if (store->hold)
+		g_ptr_array_add(store->held, json_object_ref(change));
+	else
+		store_change(store, change);
+	store->hold = false;
+	return true;
+}
+
+static void release_held(struct platform_store *store)
+{
+	for (guint i = 0; i < store->held->len; i++)
+		store_change(store, g_ptr_array_index(store->held, i));
+	g_ptr_array_set_size(store->held, 0);
+}
+
+static void on_txn(void *data, SoupServerMessage *message, const char *path)
+{
+	struct platform_store *store = data;
+	JsonObject *change;
+	unsigned status;
+
+	(void)path;
+	if (store_fails(store, message))
+		return;
+	change = fake_message_read_json(message);
+	if (!change) {
+		fake_message_answer_text(message, 400, "no change");
+		return;
+	}
+	if (!change_goes_unanswered(store, message, change)) {
+		status = store_change(store, change);
+		if (status == 200)
+			send_number(message, "revision", store->revision, NULL,
+				    0);
+		else if (status == 412)
+			send_conflict(store, message,
+				      array_of(change, "expected"));
+		else
+			fake_message_answer_text(message, status, "no lease");
+	}
+	json_object_unref(change);
+}
+
+static void lease_free(gpointer data)
+{
+	struct lease *lease = data;
+
+	if (lease->timer)
+		g_source_remove(lease->timer);
+	g_free(lease);
+}
+
+static bool item_is_of(const struct platform_store *store,
+		       const struct item *item, int64_t lease)
+{
+	return item->value && item->lease == lease &&
+	       latest(store, item->key) == item;
+}
+
+/* The lease is over: its keys go with it. */
+static void lease_end(struct platform_store *store, int64_t id)
+{
+	guint count = store->changes->len;
+
+	g_hash_table_remove(store->leases, &id);
+	for (guint i = 0; i < count; i++) {
+		const struct item *item = g_ptr_array_index(store->changes, i);
+
+		if (item_is_of(store, item, id))
+			store_write(store, item->key, NULL, 0);
+	}
+}
+
+static gboolean on_lease_over(gpointer data)
+{
+	struct lease *lease = data;
+
+	lease->timer = 0;
+	lease_end(lease->store, lease->id);
+	return G_SOURCE_REMOVE;
+}
+
+static void lease_renew(struct lease *lease)
+{
+	if (lease->timer)
+		g_source_remove(lease->timer);
+	lease->timer =
+		g_timeout_add((guint)lease->ttl_ms, on_lease_over, lease);
+}
+
+static void on_lease(void *data, SoupServerMessage *message, const char *path)
+{
+	struct platform_store *store = data;
+	JsonObject *object;
+	struct lease *lease;
+	int64_t ttl_ms;
+
+	(void)path;
+	if (store_fails(store, message))
+		return;
+	object = fake_message_read_json(message);
+	ttl_ms = object ? json_object_get_int_member_with_default(object,
+								  "ttl_ms", 0)
+			: 0;
+	g_clear_pointer(&object, json_object_unref);
+	if (ttl_ms <= 0 || ttl_ms > LONGEST_LEASE_MS) {
+		fake_message_answer_text(message, 400, "ttl_ms");
+		return;
+	}
+	lease = g_new0(struct lease, 1);
+	lease->store = store;
+	lease->id = ++store->next_lease;
+	lease->ttl_ms = MAX(ttl_ms, SHORTEST_LEASE_MS);
+	g_hash_table_insert(store->leases, &lease->id, lease);
+	lease_renew(lease);
+	send_number(message, "lease", lease->id, "ttl_ms", lease->ttl_ms);
+}
+
+/* The lease that the end of the path names; NULL: it is over. */
+static struct lease *lease_of(const struct platform_store *store,
+			      const char *path)
+{
+	int64_t id = g_ascii_strtoll(strrchr(path, '/') + 1, NULL, 10);
+
+	return g_hash_table_lookup(store->leases, &id);
+}
+
+static void on_keep(void *data, SoupServerMessage *message, const char *path)
+{
+	struct platform_store *store = data;
+	struct lease *lease;
+
+	if (store_fails(store, message))
+		return;
+	lease = lease_of(store, path);
+	if (!lease) {
+		fake_message_answer_text(message, 404, "no lease");
+		return;
+	}
+	lease_renew(lease);
+	send_number(message, "ttl_ms", lease->ttl_ms, NULL, 0);
+}
+
+static void on_lease_end(void *data, SoupServerMessage *message,
+			 const char *path)
+{
+	struct platform_store *store = data;
+	const struct lease *lease;
+
+	if (store_fails(store, message))
+		return;
+	lease = lease_of(store, path);
+	if (lease)
+		lease_end(store, lease->id);
+	fake_message_answer_text(message, lease ? 200 : 404, "");
+}
+
+static void on_put(void *data, SoupServerMessage *message, const char *path)
+{
+	struct platform_store *store = data;
+	JsonObject *object = fake_message_read_json(message);
+	const char *value;
+
+	if (!object || !json_object_has_member(object, "key")) {
+		fake_message_answer_text(message, 400, "key and value");
+		return;
+	}
+	value = json_object_get_string_member_with_default(object, "value",
+							   NULL);
+	store_write(
+		store, json_object_get_string_member(object, "key"),
+		value && g_str_has_suffix(path, "/put")
+			? g_base64_encode((const guchar *)value, strlen(value))
+			: NULL,
+		0);
+	json_object_unref(object);
+	fake_message_answer_text(message, 200, "written");
+}
+
+static void on_calls(void *data, SoupServerMessage *message, const char *path)
+{
+	const struct platform_store *store = data;
+	char text[24];
+
+	(void)path;
+	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, store->calls);
+	fake_message_answer_text(message, 200, text);
+}
+
+/* Ends the watches that wait, as a store does that goes away or forgets. */
+static void cut_watches(struct platform_store *store, unsigned status)
+{
+	while (store->watches->len > 0) {
+		struct watch *watch = g_ptr_array_index(store->watches, 0);
+
+		fake_message_answer_text(watch->message, status, "cut");
+		soup_server_message_unpause(watch->message);
+		g_ptr_array_remove(store->watches, watch);
+	}
+}
+
+static void on_switch(void *data)
+{
+	struct platform_store *store = data;
+
+	if (store->down)
+		cut_watches(store, 503);
+	if (store->release)
+		release_held(store);
+	store->release = false;
+	if (!store->forget)
+		return;
+	store->forget = false;
+	store->oldest = store->revision;
+	cut_watches(store, 410);
+}
+
+/* The store on a server of its own; its faults are switches. */
+struct platform_store *platform_store_create(struct fake_server *server)
+{
+	struct platform_store *store = g_new0(struct platform_store, 1);
+	const struct fake_mode modes[MODES] = {
+		{"down", FAKE_MODE_BOOL, &store->down},
+		{"silent", FAKE_MODE_BOOL, &store->silent},
+		{"forget", FAKE_MODE_BOOL, &store->forget},
+		{"lose", FAKE_MODE_BOOL, &store->lose},
+		{"hold", FAKE_MODE_BOOL, &store->hold},
+		{"release", FAKE_MODE_BOOL, &store->release},
+	};
+
+	store->changes = g_ptr_array_new_with_free_func(item_free);
+	store->watches = g_ptr_array_new_with_free_func(watch_free);
+	store->held = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)json_object_unref);
+	store->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					      lease_free);
+	fake_server_add_handler(server, "/v1/kv-key", on_key, store);
+	fake_server_add_handler(server, "/v1/kv-range", on_range, store);
+	fake_server_add_handler(server, "/v1/kv-watch", on_watch, store);
+	fake_server_add_handler(server, "/v1/kv-txn", on_txn, store);
+	fake_server_add_handler(server, "/v1/kv-lease", on_lease, store);
+	fake_server_add_handler(server, "/v1/kv-keep", on_keep, store);
+	fake_server_add_handler(server, "/v1/kv-lease-end", on_lease_end,
+				store);
+	fake_server_add_handler(server, "/fake/put", on_put, store);
+	fake_server_add_handler(server, "/fake/delete", on_put, store);
+	fake_server_add_handler(server, "/fake/calls", on_calls, store);
+	memcpy(store->modes, modes, sizeof(modes));
+	fake_server_set_modes(server, store->modes, MODES, on_switch, store);
+	return store;
+}
+
+/* Call it when the server is gone; NULL is allowed. */
+void platform_store_destroy(struct platform_store *store)
+{
+	if (!store)
+		return;
+	g_ptr_array_unref(store->watches);
+	g_ptr_array_unref(store->changes);
+	g_ptr_array_unref(store->held);
+	g_hash_table_unref(store->leases);
+	g_free(store);
+}
--- a/ports/kv.h
+++ b/ports/kv.h
@@ -2,6 +2,7 @@
 #define PORTS_KV_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 G_BEGIN_DECLS
@@ -40,6 +41,7 @@
 	int64_t ttl_s;		   /* lease grant */
 	int64_t timeout_us;
 	int64_t read_revision; /* get: as it was then; 0: now */
+	bool allow_stale;      /* a read may be seconds old, and costs less */
 };
 
 struct kv_entry {
--- a/spec/orders.pml
+++ b/spec/orders.pml
@@ -1,5 +1,5 @@
 /*
- * How orders reach an engine (core/rollout/holder.c, core/rollout/rollout.c).
+ * How orders reach an engine (core/lease/holder.c, core/rollout/rollout.c).
  *
  * Two nodes want the key that lets its holder give orders; it hangs on a
  * lease. A holder may be paused after it looked at its lease, which then
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -96,7 +96,7 @@
 		failure_domain = "z"
 		http_address = "${https[$1]}"
 		peer_address = "${peers[$1]}"
-		seeds = ["${peers[0]}", "${peers[1]}"]
+		seeds = [${seeds:-"\"${peers[0]}\", \"${peers[1]}\""}]
 		[gateway]
 		address = "${fronts[$1]}"
 		ready_address = "${readies[$1]}"
@@ -458,6 +458,26 @@
 	[ "${out: -3}" = 200 ] || fail "answered $out"
 }
 
+# Both nodes start with seeds that are out of date: nobody answers there. They
+# find each other by their entries in the store, and callers that ask one of
+# them learn of both.
+case_finds_nodes_by_the_store() {
+	kill -KILL "${node_pids[@]}"
+	wait "${node_pids[@]}" || true
+	seeds="\"127.0.0.1:$(free_port)\""
+	for i in 0 1; do
+		write_node "$i"
+		start_gateway "$i"
+	done
+	seeds=
+	knows() { # NODE OTHER
+		curl -s "http://${directories[$1]}/v1/resolve?name=$host" |
+			grep -q "${fronts[$2]}"
+	}
+	until_true knows 0 1 || fail "node 0 does not know node 1"
+	until_true knows 1 0 || fail "node 1 does not know node 0"
+}
+
 start store "$bin/fake_store" --address 127.0.0.1:0
 store=$address
 document "$key"
--- a/tests/node_script.cc
+++ b/tests/node_script.cc
@@ -243,6 +243,7 @@
 		{"not_applied", KV_NOT_APPLIED},
 		{"lost", KV_ANSWER_LOST},
 		{"applied_lost", KV_ANSWER_LOST},
+		{"short_lease", KV_OK},
 	};
 	struct kv_answer answer = {};
 	struct event event = {};
@@ -260,6 +261,7 @@
 						      : KV_GET;
 	answer.outcome = outcomes.at(outcome);
 	answer.lease = 77;
+	answer.ttl_s = outcome == "short_lease" ? 600 : 86400;
 	auto found = stored.find(key);
 	if (answer.op == KV_CAS &&
 	    (outcome == "ok" || outcome == "applied_lost")) {
--- /dev/null
+++ b/tests/store_calls_test.cc
@@ -0,0 +1,352 @@
+#include "adapters/gateway/store_calls.h"
+#include "fakes/platform_store.h"
+#include "platform/platform.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+struct answer {
+	uint64_t id;
+	enum kv_outcome outcome;
+	int64_t revision;
+	int64_t lease;
+	int64_t ttl_s;
+	std::string value; /* of the first entry */
+	int64_t mod_revision;
+	size_t count;
+};
+
+struct change {
+	int64_t revision;
+	std::string value;
+};
+
+std::string text_of(GBytes *bytes)
+{
+	gsize size = 0;
+	const char *data =
+		bytes ? (const char *)g_bytes_get_data(bytes, &size) : nullptr;
+
+	return data ? std::string(data, size) : "(none)";
+}
+
+const char key[] = "/siskinlink/config";
+const int64_t patience_us = 5 * G_USEC_PER_SEC;
+const int64_t short_patience_us = 200 * 1000;
+
+class StoreCalls : public ::testing::Test
+{
+      protected:
+	struct fake_server *server = nullptr;
+	struct platform_store *store = nullptr;
+	struct store_calls *calls = nullptr;
+	struct log *log = nullptr;
+	std::vector<answer> answers;
+	std::vector<change> changes;
+	uint64_t last_id = 0;
+
+	void SetUp() override
+	{
+		struct poptOption options[] = {POPT_TABLEEND};
+		const char *argv[] = {"fake_store", nullptr};
+		struct event_sink sink = {deliver, this};
+		struct store_calls_options made = {};
+
+		server = fake_server_create(1, argv, options);
+		ASSERT_NE(nullptr, server);
+		store = platform_store_create(server);
+		log = log_create("test", LOG_LEVEL_ERROR);
+		made.address = fake_server_address(server);
+		made.dialect = &platform_kv_dialect;
+		made.watch_dialect = &platform_store_dialect;
+		made.seed = 1;
+		made.log = log;
+		calls = store_calls_create(&made, &sink);
+	}
+
+	void TearDown() override
+	{
+		store_calls_destroy(calls);
+		settle();
+		fake_server_destroy(server);
+		settle();
+		platform_store_destroy(store);
+		log_destroy(log);
+	}
+
+	static void settle()
+	{
+		for (int i = 0; i < 1000; i++)
+			g_main_context_iteration(nullptr, FALSE);
+	}
+
+	static void deliver(void *data, const struct event *event)
+	{
+		StoreCalls *test = (StoreCalls *)data;
+		answer a = {};
+
+		if (event->type == EVENT_KV_WATCH) {
+			test->changes.push_back(
+				{event->kv_watch.mod_revision,
+				 text_of(event->kv_watch.value)});
+			return;
+		}
+		ASSERT_EQ(EVENT_KV, event->type);
+		a.id = event->kv->id;
+		a.outcome = event->kv->outcome;
+		a.revision = event->kv->revision;
+		a.lease = event->kv->lease;
+		a.ttl_s = event->kv->ttl_s;
+		if (event->kv->entries && event->kv->entries->len) {
+			const struct kv_entry *entry =
+				(const struct kv_entry *)g_ptr_array_index(
+					event->kv->entries, 0);
+
+			a.value = text_of(entry->value);
+			a.mod_revision = entry->mod_revision;
+			a.count = event->kv->entries->len;
+		}
+		test->answers.push_back(a);
+	}
+
+	/* A bound far above what any of these takes, so that none hangs. */
+	static bool run_until(const std::function<bool()> &done)
+	{
+		gint64 end_us = g_get_monotonic_time() + 20 * G_USEC_PER_SEC;
+
+		while (!done()) {
+			if (g_get_monotonic_time() > end_us)
+				return false;
+			if (!g_main_context_iteration(nullptr, FALSE))
+				g_usleep(200);
+		}
+		return true;
+	}
+
+	answer ask(struct kv_request request, int64_t timeout_us = patience_us)
+	{
+		struct action action = {};
+		size_t before = answers.size();
+
+		action.type = ACTION_KV;
+		action.kv = request;
+		action.kv.id = ++last_id;
+		action.kv.timeout_us = timeout_us;
+		store_calls_apply(calls, &action);
+		EXPECT_TRUE(run_until([&] { return answers.size() > before; }));
+		if (answers.size() != before + 1)
+			return {};
+		EXPECT_EQ(last_id, answers.back().id);
+		return answers.back();
+	}
+
+	answer get(int64_t read_revision = 0)
+	{
+		struct kv_request request = {};
+
+		request.op = KV_GET;
+		request.key = (char *)key;
+		request.read_revision = read_revision;
+		return ask(request);
+	}
+
+	answer put(const char *value, int64_t expected, int64_t lease = 0,
+		   int64_t timeout_us = patience_us)
+	{
+		struct kv_request request = {};
+		GBytes *bytes = g_bytes_new(value, strlen(value));
+
+		request.op = KV_CAS;
+		request.key = (char *)key;
+		request.value = bytes;
+		request.expected_revision = expected;
+		request.lease = lease;
+		answer a = ask(request, timeout_us);
+		g_bytes_unref(bytes);
+		return a;
+	}
+
+	answer lease_call(enum kv_op op, int64_t lease, int64_t ttl_s = 0)
+	{
+		struct kv_request request = {};
+
+		request.op = op;
+		request.lease = lease;
+		request.ttl_s = ttl_s;
+		return ask(request);
+	}
+
+	answer remove(int64_t expected)
+	{
+		struct kv_request request = {};
+
+		request.op = KV_DELETE;
+		request.key = (char *)key;
+		request.expected_revision = expected;
+		return ask(request);
+	}
+
+	/* Switches are set by a call, as tests of whole processes do. */
+	void mode(const std::string &json)
+	{
+		SoupSession *session = soup_session_new();
+		std::string url = std::string("http://") +
+				  fake_server_address(server) + "/fake/mode";
+		SoupMessage *message = soup_message_new("POST", url.c_str());
+		GBytes *body = g_bytes_new(json.data(), json.size());
+		bool done = false;
+
+		soup_message_set_request_body_from_bytes(
+			message, "application/json", body);
+		soup_session_send_and_read_async(
+			session, message, G_PRIORITY_DEFAULT, nullptr,
+			[](GObject *source, GAsyncResult *result,
+			   gpointer data) {
+				g_autoptr(GBytes) answer =
+					soup_session_send_and_read_finish(
+						SOUP_SESSION(source), result,
+						nullptr);
+
+				*(bool *)data = answer != nullptr;
+			},
+			&done);
+		EXPECT_TRUE(run_until([&] { return done; }));
+		g_bytes_unref(body);
+		g_object_unref(message);
+		g_object_unref(session);
+	}
+};
+
+} // namespace
+
+TEST_F(StoreCalls, CreatesReplacesAndDeletes)
+{
+	EXPECT_EQ(KV_NOT_FOUND, get().outcome);
+	EXPECT_EQ(KV_OK, put("one", 0).outcome);
+	EXPECT_EQ("one", get().value);
+	answer conflict = put("other", 0);
+	EXPECT_EQ(KV_CONFLICT, conflict.outcome);
+	EXPECT_EQ("one", conflict.value);
+	EXPECT_EQ(KV_OK, put("two", conflict.mod_revision).outcome);
+	EXPECT_EQ(KV_CONFLICT, remove(conflict.mod_revision).outcome);
+	EXPECT_EQ(KV_OK, remove(get().mod_revision).outcome);
+	EXPECT_EQ(KV_NOT_FOUND, get().outcome);
+}
+
+TEST_F(StoreCalls, ListsWhatIsBelowAPrefix)
+{
+	struct kv_request request = {};
+
+	request.op = KV_LIST;
+	request.key = (char *)"/siskinlink/";
+	request.allow_stale = true;
+	EXPECT_EQ(0u, ask(request).count);
+	put("one", 0);
+	answer list = ask(request);
+	EXPECT_EQ(1u, list.count);
+	EXPECT_EQ("one", list.value);
+}
+
+TEST_F(StoreCalls, AKeyGoesWithItsLease)
+{
+	answer granted = lease_call(KV_LEASE_GRANT, 0, 30);
+
+	EXPECT_EQ(KV_OK, granted.outcome);
+	EXPECT_EQ(30, granted.ttl_s);
+	EXPECT_EQ(KV_OK, put("one", 0, granted.lease).outcome);
+	EXPECT_EQ(KV_OK, lease_call(KV_LEASE_KEEPALIVE, granted.lease).outcome);
+	EXPECT_EQ(KV_OK, lease_call(KV_LEASE_REVOKE, granted.lease).outcome);
+	EXPECT_EQ(KV_NOT_FOUND, get().outcome);
+	EXPECT_EQ(KV_NOT_FOUND,
+		  lease_call(KV_LEASE_KEEPALIVE, granted.lease).outcome);
+	EXPECT_EQ(KV_NOT_FOUND, put("two", 0, granted.lease).outcome);
+}
+
+TEST_F(StoreCalls, ALeaseIsCutToTheLongestTheStoreHas)
+{
+	EXPECT_EQ(600, lease_call(KV_LEASE_GRANT, 0, 86400).ttl_s);
+}
+
+/*
+ * A change is made and its answer lost. Its sender can't know; it sends the
+ * same condition again and is shown its own value, so the change stands once.
+ */
+TEST_F(StoreCalls, ALostAnswerIsSettledBySendingItAgain)
+{
+	mode("{\"lose\": true}");
+	EXPECT_EQ(KV_ANSWER_LOST, put("mine", 0, 0, short_patience_us).outcome);
+	mode("{\"lose\": false}");
+	answer again = put("mine", 0);
+	EXPECT_EQ(KV_CONFLICT, again.outcome);
+	EXPECT_EQ("mine", again.value);
+}
+
+/*
+ * A change is neither answered nor made at first; the store makes it later.
+ * The one sent again in between comes first, so the late one finds its
+ * condition gone: the newer state stays.
+ */
+TEST_F(StoreCalls, ALateChangeFindsItsConditionGone)
+{
+	mode("{\"hold\": true}");
+	EXPECT_EQ(KV_ANSWER_LOST,
+		  put("first", 0, 0, short_patience_us).outcome);
+	EXPECT_EQ(KV_OK, put("first", 0).outcome);
+	EXPECT_EQ(KV_OK, put("second", get().mod_revision).outcome);
+	mode("{\"release\": true}");
+	EXPECT_EQ("second", get().value);
+}
+
+TEST_F(StoreCalls, ARefusalMeansThatNothingWasDone)
+{
+	mode("{\"down\": true}");
+	EXPECT_EQ(KV_NOT_APPLIED, put("one", 0).outcome);
+	mode("{\"down\": false}");
+	EXPECT_EQ(KV_NOT_FOUND, get().outcome);
+}
+
+TEST_F(StoreCalls, SilenceIsNoRefusal)
+{
+	struct kv_request request = {};
+
+	request.op = KV_GET;
+	request.key = (char *)key;
+	mode("{\"silent\": true}");
+	EXPECT_EQ(KV_ANSWER_LOST, ask(request, short_patience_us).outcome);
+}
+
+TEST_F(StoreCalls, AnEarlierRevisionIsReadOnlyWhereItStillStands)
+{
+	int64_t first = put("one", 0).revision;
+
+	EXPECT_EQ("one", get(first).value);
+	EXPECT_EQ(KV_OK, put("two", first).outcome);
+	EXPECT_EQ(KV_NOT_FOUND, get(first).outcome);
+}
+
+TEST_F(StoreCalls, WatchesAKeyWithoutGoingBack)
+{
+	struct action action = {};
+
+	put("one", 0);
+	action.type = ACTION_KV_WATCH;
+	action.kv_watch = (char *)key;
+	store_calls_apply(calls, &action);
+	EXPECT_TRUE(run_until([&] { return changes.size() == 1; }));
+	put("two", get().mod_revision);
+	EXPECT_TRUE(run_until([&] { return changes.size() == 2; }));
+	mode("{\"forget\": true}");
+	put("three", get().mod_revision);
+	EXPECT_TRUE(run_until([&] {
+		return !changes.empty() && changes.back().value == "three";
+	}));
+	EXPECT_EQ(3u, changes.size());
+	EXPECT_EQ("one", changes[0].value);
+	EXPECT_EQ("two", changes[1].value);
+}
