--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -376,8 +376,8 @@
 			   options.seed);
 		options.event_key = key;
 	}
-	options.discovers_nodes = *settings->kv_address ||
-				  *settings->gateway.store_address;
+	options.discovers_nodes =
+		*settings->kv_address || *settings->gateway.store_address;
 	loop->node = node_create(&options);
 	return true;
 }
