--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -69,9 +69,9 @@
 	struct caller_request asked;
 	struct route_table *table;
 	const struct route *route;
-	const struct route_organisation *organisation;
+	const struct config_organisation *organisation;
 	const char *service_name;
-	const struct route_service *service; /* NULL: not described */
+	const struct config_service *service; /* NULL: not described */
 	int64_t begun_us;
 	int64_t deadline_us;
 	int64_t expected_tokens; /* of the answer; 0: no generation */
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -48,7 +48,8 @@
 	const struct membership *(*members)(void *data);
 	void (*stopped)(void *data);
 	void *data;
-	struct route_table *(*decode)(void *store_data, GBytes *document);
+	struct route_table *(*decode)(void *store_data, GBytes *document,
+				      int64_t revision);
 	void (*read_store)(void *store_data); /* something newer is known of */
 	/* Follow the endpoints' entries, and ask each second for the store. */
 	void (*follow)(void *store_data, bool active, bool closely);
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -407,7 +407,8 @@
 	if (message->config.revision <= gateway_table_version(gateway))
 		return;
 	table = gateway->host.decode(gateway->host.store_data,
-				     message->config.document);
+				     message->config.document,
+				     message->config.revision);
 	if (!table)
 		return;
 	gateway_take_table(gateway, table, message->config.document);
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -146,8 +146,9 @@
 
 	if (leg->goes_on)
 		return 0;
-	if (exchange->organisation && exchange->organisation->priority >= 0)
-		return MIN(exchange->organisation->priority, 9);
+	if (exchange->organisation &&
+	    exchange->organisation->route_priority >= 0)
+		return MIN(exchange->organisation->route_priority, 9);
 	return CLAMP(exchange->route->priority, 0, 9);
 }
 
--- a/adapters/settings.c
+++ b/adapters/settings.c
@@ -27,8 +27,8 @@
 enum setting_need {
 	NEED_NOT,
 	NEED_ALWAYS,
-	NEED_WITHOUT_GATEWAY, /* a gateway has the platform's store instead */
-	NEED_WITH_GATEWAY
+	NEED_WITHOUT_GATEWAY,
+	NEED_WITHOUT_STORE /* a gateway may have the platform's store */
 };
 
 struct setting {
@@ -75,7 +75,7 @@
 	 16, MAX_SECRET_BYTES, NULL,
 	 "opens the operators' API; none closes it"},
 
-	{"platform", "kv_address", SETTING_ADDRESS, NEED_WITHOUT_GATEWAY,
+	{"platform", "kv_address", SETTING_ADDRESS, NEED_WITHOUT_STORE,
 	 FIELD(kv_address), 0, 0, NULL, "key-value service"},
 	{"platform", "vm_list_address", SETTING_ADDRESS, NEED_NOT,
 	 FIELD(vm_list_address), 0, 0, NULL,
@@ -96,9 +96,9 @@
 	{"gateway", "directory_address", SETTING_ADDRESS, NEED_NOT,
 	 FIELD(gateway.directory_address), 0, 0, NULL,
 	 "answers which nodes take work"},
-	{"gateway", "store_address", SETTING_ADDRESS, NEED_WITH_GATEWAY,
+	{"gateway", "store_address", SETTING_ADDRESS, NEED_NOT,
 	 FIELD(gateway.store_address), 0, 0, NULL,
-	 "the platform's metadata store"},
+	 "the platform's metadata store; none: own configuration"},
 	{"gateway", "drain_s", SETTING_S, NEED_NOT, FIELD(gateway.drain_us), 1,
 	 3600, NULL, "from SIGTERM to the end of the process"},
 	{"gateway", "address_keep_s", SETTING_S, NEED_NOT,
@@ -522,8 +522,9 @@
 		return true;
 	case NEED_WITHOUT_GATEWAY:
 		return !*settings->gateway.address;
-	case NEED_WITH_GATEWAY:
-		return *settings->gateway.address;
+	case NEED_WITHOUT_STORE:
+		return !*settings->gateway.address ||
+		       !*settings->gateway.store_address;
 	}
 	return false;
 }
@@ -673,8 +674,8 @@
 		return g_strdup("required");
 	case NEED_WITHOUT_GATEWAY:
 		return g_strdup("required without a gateway");
-	case NEED_WITH_GATEWAY:
-		return g_strdup("required with a gateway");
+	case NEED_WITHOUT_STORE:
+		return g_strdup("required without gateway.store_address");
 	case NEED_NOT:
 		break;
 	}
--- a/bench/world_node.c
+++ b/bench/world_node.c
@@ -179,6 +179,7 @@
 	case ACTION_STOPPED:
 		node_stopped(world, index);
 		break;
+	case ACTION_CONFIG: /* for a gateway, which worlds have none of */
 	case ACTION_TYPES:
 		break;
 	}
--- a/core/config/config.c
+++ b/core/config/config.c
@@ -27,6 +27,7 @@
 
 	g_free(organisation->name);
 	g_free(organisation->key_sha256);
+	g_ptr_array_unref(organisation->more_keys);
 	g_free(organisation);
 }
 
@@ -60,9 +61,24 @@
 	g_ptr_array_unref(config->services);
 	g_ptr_array_unref(config->organisations);
 	g_ptr_array_unref(config->rollouts);
+	g_ptr_array_unref(config->routes);
 	g_ptr_array_unref(config->history);
 }
 
+/* The kind as it stands in documents, intents and plans. */
+const char *service_kind_name(enum service_kind kind)
+{
+	return kind == SERVICE_GENERATION ? "generation" : "plain";
+}
+
+/* As large as common clients send, and as patient as they are slow. */
+const struct caller_limits caller_limits_default = {
+	.header_bytes = 16384,
+	.body_bytes = 1 << 20,
+	.header_timeout_us = 5 * G_USEC_PER_SEC,
+	.idle_timeout_us = 60 * G_USEC_PER_SEC,
+};
+
 /* An empty configuration of revision 0, with one reference. */
 struct config *config_create(void)
 {
@@ -76,6 +92,10 @@
 		g_ptr_array_new_with_free_func(config_organisation_destroy);
 	config->rollouts =
 		g_ptr_array_new_with_free_func(config_rollout_destroy);
+	config->routes =
+		g_ptr_array_new_with_free_func((GDestroyNotify)route_destroy);
+	config->callers = caller_limits_default;
+	config->requires_keys = true;
 	config->history =
 		g_ptr_array_new_with_free_func(config_confirmation_destroy);
 	return config;
@@ -103,6 +123,7 @@
 
 	service->name = g_strdup(name);
 	service->kind = kind;
+	service->engine.tokens_per_event = 1;
 	service->endpoints =
 		g_ptr_array_new_with_free_func(config_endpoint_destroy);
 	g_ptr_array_add(config->services, service);
@@ -132,6 +153,8 @@
 
 	organisation->name = g_strdup(name);
 	organisation->key_sha256 = g_strdup("");
+	organisation->more_keys = g_ptr_array_new_with_free_func(g_free);
+	organisation->route_priority = -1;
 	organisation->weight = 1;
 	g_ptr_array_add(config->organisations, organisation);
 	return organisation;
@@ -156,6 +179,39 @@
 	return rollout;
 }
 
+/* Appends a route without targets; owned by the configuration. */
+struct route *config_add_route(struct config *config, const char *name,
+			       const char *host, const char *path_prefix)
+{
+	struct route *route = route_create(name, host, path_prefix);
+
+	g_ptr_array_add(config->routes, route);
+	return route;
+}
+
+/* The route of this name, or NULL. */
+const struct route *config_find_route(const struct config *config,
+				      const char *name)
+{
+	for (guint i = 0; i < config->routes->len; i++) {
+		const struct route *route =
+			g_ptr_array_index(config->routes, i);
+
+		if (strcmp(route->name, name) == 0)
+			return route;
+	}
+	return NULL;
+}
+
+/* Requests with this key are the organisation's too; only a digest is kept. */
+void config_organisation_add_key(struct config_organisation *organisation,
+				 const char *key)
+{
+	g_ptr_array_add(
+		organisation->more_keys,
+		g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1));
+}
+
 /* The rollout of this name, or NULL. */
 const struct config_rollout *config_find_rollout(const struct config *config,
 						 const char *name)
@@ -240,145 +296,6 @@
 	return PLAN_EFFECT_UNKNOWN;
 }
 
-/* Adds a key to a set; if it is there already, names both of its owners. */
-static bool config_check_once(GHashTable *seen, const char *what,
-			      const char *key, const char *owner,
-			      const char *step, struct error *error)
-{
-	const char *other = g_hash_table_lookup(seen, key);
-
-	if (!other) {
-		g_hash_table_insert(seen, (gpointer)key, (gpointer)owner);
-		return true;
-	}
-	error_set(error, ERROR_INVALID, step, "",
-		  "%s: expected once, found in %s and %s", what, other, owner);
-	return false;
-}
-
-static bool config_check_services(const struct config *config, const char *step,
-				  struct error *error)
-{
-	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTable *addresses = g_hash_table_new(g_str_hash, g_str_equal);
-	bool ok = true;
-
-	for (guint i = 0; ok && i < config->services->len; i++) {
-		const struct config_service *service =
-			g_ptr_array_index(config->services, i);
-		char *what = g_strdup_printf("service %s", service->name);
-
-		ok = config_check_once(names, what, service->name,
-				       "\"services\"", step, error);
-		g_free(what);
-		for (guint j = 0; ok && j < service->endpoints->len; j++) {
-			const struct config_endpoint *endpoint =
-				g_ptr_array_index(service->endpoints, j);
-
-			what = g_strdup_printf("endpoint %s",
-					       endpoint->address);
-			ok = config_check_once(addresses, what,
-					       endpoint->address, service->name,
-					       step, error);
-			g_free(what);
-		}
-	}
-	g_hash_table_unref(names);
-	g_hash_table_unref(addresses);
-	return ok;
-}
-
-static bool config_check_organisations(const struct config *config,
-				       const char *step, struct error *error)
-{
-	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
-	bool ok = true;
-
-	for (guint i = 0; ok && i < config->organisations->len; i++) {
-		const struct config_organisation *organisation =
-			g_ptr_array_index(config->organisations, i);
-		char *what =
-			g_strdup_printf("organisation %s", organisation->name);
-
-		ok = config_check_once(names, what, organisation->name,
-				       "\"organisations\"", step, error);
-		g_free(what);
-		if (ok && *organisation->key_sha256)
-			ok = config_check_once(keys, "key",
-					       organisation->key_sha256,
-					       organisation->name, step, error);
-	}
-	g_hash_table_unref(names);
-	g_hash_table_unref(keys);
-	return ok;
-}
-
-/* Two rollouts of one service would each order its engines back. */
-static bool config_check_rollout_names(const struct config *config,
-				       const char *step, struct error *error)
-{
-	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTable *services = g_hash_table_new(g_str_hash, g_str_equal);
-	bool ok = true;
-
-	for (guint i = 0; ok && i < config->rollouts->len; i++) {
-		const struct config_rollout *rollout =
-			g_ptr_array_index(config->rollouts, i);
-
-		ok = config_check_once(names, "rollout", rollout->name,
-				       rollout->name, step, error) &&
-		     config_check_once(services, "service of a rollout",
-				       rollout->service, rollout->name, step,
-				       error);
-	}
-	g_hash_table_unref(names);
-	g_hash_table_unref(services);
-	return ok;
-}
-
-static bool config_check_rollout_services(const struct config *config,
-					  const char *step, struct error *error)
-{
-	for (guint i = 0; i < config->rollouts->len; i++) {
-		const struct config_rollout *rollout =
-			g_ptr_array_index(config->rollouts, i);
-		const struct config_service *service =
-			config_find_service(config, rollout->service);
-
-		if (service && service->kind == SERVICE_GENERATION)
-			continue;
-		error_set(error, ERROR_INVALID, step, "",
-			  "rollout %s: expected a service of kind generation, "
-			  "found none named %s",
-			  rollout->name, rollout->service);
-		return false;
-	}
-	return true;
-}
-
-/*
- * Checks that names, endpoints and keys occur once. An endpoint of two
- * services would be placed on by two books that know nothing of each other,
- * and a key of two organisations would let one act as the other. ERROR_INVALID
- * under this step names the item.
- */
-bool config_check_names(const struct config *config, const char *step,
-			struct error *error)
-{
-	return config_check_services(config, step, error) &&
-	       config_check_organisations(config, step, error) &&
-	       config_check_rollout_names(config, step, error);
-}
-
-/* Checks what must hold over a whole configuration; errors as above. */
-bool config_check(const struct config *config, const char *step,
-		  struct error *error)
-{
-	return config_check_names(config, step, error) &&
-	       config_check_rollout_services(config, step, error);
-}
-
 /* The service of this name, or NULL. */
 const struct config_service *config_find_service(const struct config *config,
 						 const char *name)
@@ -439,7 +356,9 @@
 		const struct config_organisation *organisation =
 			g_ptr_array_index(config->organisations, i);
 
-		if (strcmp(organisation->key_sha256, digest) == 0)
+		if (strcmp(organisation->key_sha256, digest) == 0 ||
+		    g_ptr_array_find_with_equal_func(organisation->more_keys,
+						     digest, g_str_equal, NULL))
 			found = organisation;
 	}
 	g_free(digest);
--- a/core/config/config.h
+++ b/core/config/config.h
@@ -2,6 +2,7 @@
 #define CORE_CONFIG_CONFIG_H
 
 #include "core/base/error.h"
+#include "core/config/route.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -26,19 +27,41 @@
 	bool leaving;
 };
 
+/* What a service's engines can do for a gateway; slots 0: a plain service. */
+struct engine_ability {
+	int32_t slots;
+	int64_t memory_tokens;
+	int32_t tokens_per_event; /* of a stream */
+	int64_t copy_keep_us;	  /* a copy of a generation is kept so long */
+	bool can_move;
+	bool can_back_up;
+};
+
 struct config_service {
 	char *name; /* the model's name for engines */
 	enum service_kind kind;
-	GPtrArray *endpoints; /* struct config_endpoint */
+	GPtrArray *endpoints;	 /* struct config_endpoint */
+	int32_t max_connections; /* to one endpoint, from all nodes; 0: any */
+	struct engine_ability engine;
 };
 
 struct config_organisation {
 	char *name;
-	char *key_sha256; /* hex digest of the bearer key */
-	int32_t priority; /* 0 lowest to 9 */
-	int32_t weight;	  /* share of waiting room, at least 1 */
+	char *key_sha256;     /* hex digest of the bearer key */
+	GPtrArray *more_keys; /* char *: digests that count as well */
+	int32_t priority;     /* 0 lowest to 9 */
+	int32_t weight;	      /* share of waiting room, at least 1 */
 	int32_t requests_per_s;
 	int64_t concurrent_tokens;
+	int32_t route_priority; /* 0 is the most urgent; -1: the route's */
+};
+
+/* What callers of routes may send, and how long they may take. */
+struct caller_limits {
+	int64_t header_bytes;
+	int64_t body_bytes;
+	int64_t header_timeout_us;
+	int64_t idle_timeout_us;
 };
 
 /* A target that the engines of a service are to be brought to. */
@@ -66,6 +89,8 @@
 
 enum { CONFIG_HISTORY_MAX = 32 };
 
+extern const struct caller_limits caller_limits_default;
+
 struct config {
 	int64_t revision; /* revision of the key; 0 before it is stored */
 	char *plan_id;	  /* plan whose confirmation wrote it */
@@ -73,9 +98,14 @@
 	GPtrArray *services;	  /* struct config_service */
 	GPtrArray *organisations; /* struct config_organisation */
 	GPtrArray *rollouts;	  /* struct config_rollout */
-	GPtrArray *history;	  /* struct config_confirmation, oldest first */
+	GPtrArray *routes;	  /* struct route */
+	struct caller_limits callers;
+	bool requires_keys; /* on routes that aren't public */
+	GPtrArray *history; /* struct config_confirmation, oldest first */
 };
 
+const char *service_kind_name(enum service_kind kind);
+
 struct config *config_create(void);
 struct config *config_ref(struct config *config);
 void config_unref(struct config *config);
@@ -91,6 +121,12 @@
 
 struct config_rollout *config_add_rollout(struct config *config,
 					  const char *name);
+struct route *config_add_route(struct config *config, const char *name,
+			       const char *host, const char *path_prefix);
+const struct route *config_find_route(const struct config *config,
+				      const char *name);
+void config_organisation_add_key(struct config_organisation *organisation,
+				 const char *key);
 const struct config_rollout *config_find_rollout(const struct config *config,
 						 const char *name);
 struct config_confirmation *config_add_confirmation(struct config *config,
@@ -102,11 +138,6 @@
 				  const char *plan_id, int64_t base_revision,
 				  int64_t *revision);
 int64_t config_confirmation_revision(const struct config *config, guint i);
-bool config_check(const struct config *config, const char *step,
-		  struct error *error);
-bool config_check_names(const struct config *config, const char *step,
-			struct error *error);
-
 const struct config_service *config_find_service(const struct config *config,
 						 const char *name);
 const struct config_endpoint *
--- /dev/null
+++ b/core/config/route.c
@@ -0,0 +1,147 @@
+#include "core/config/route.h"
+
+#include <string.h>
+
+static void target_clear(gpointer data)
+{
+	g_free(((struct route_target *)data)->service);
+}
+
+/* A route without targets; hosts are kept in small letters. */
+struct route *route_create(const char *name, const char *host,
+			   const char *path_prefix)
+{
+	struct route *route = g_new0(struct route, 1);
+
+	route->name = g_strdup(name);
+	route->host = g_ascii_strdown(host, -1);
+	route->path_prefix = g_strdup(path_prefix);
+	route->max_attempts = 1;
+	route->targets = g_array_new(FALSE, FALSE, sizeof(struct route_target));
+	g_array_set_clear_func(route->targets, target_clear);
+	return route;
+}
+
+/* Another one with the same content. */
+struct route *route_copy(const struct route *other)
+{
+	struct route *route =
+		route_create(other->name, other->host, other->path_prefix);
+
+	route->kind = other->kind;
+	route->is_public = other->is_public;
+	route->priority = other->priority;
+	route->max_attempts = other->max_attempts;
+	route->timeout_us = other->timeout_us;
+	route->first_answer_us = other->first_answer_us;
+	route->longest_pause_us = other->longest_pause_us;
+	for (guint i = 0; i < other->targets->len; i++) {
+		const struct route_target *target =
+			&g_array_index(other->targets, struct route_target, i);
+
+		route_add_target(route, target->service, target->weight);
+	}
+	return route;
+}
+
+/* Frees a route; NULL is allowed. */
+void route_destroy(struct route *route)
+{
+	if (!route)
+		return;
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->path_prefix);
+	g_array_unref(route->targets);
+	g_free(route);
+}
+
+/* Adds a service to which the route sends a share of its requests. */
+void route_add_target(struct route *route, const char *service, int32_t weight)
+{
+	struct route_target target = {.service = g_strdup(service),
+				      .weight = weight};
+
+	g_array_append_val(route->targets, target);
+}
+
+/* A service of the route by weight; draw is from 0 up to 1. NULL: none. */
+const char *route_pick_service(const struct route *route, double draw)
+{
+	int64_t total = 0;
+	double at;
+
+	for (guint i = 0; i < route->targets->len; i++)
+		total += g_array_index(route->targets, struct route_target, i)
+				 .weight;
+	at = draw * (double)total;
+	for (guint i = 0; i < route->targets->len; i++) {
+		const struct route_target *target =
+			&g_array_index(route->targets, struct route_target, i);
+
+		at -= target->weight;
+		if (at < 0)
+			return target->service;
+	}
+	return NULL;
+}
+
+static bool targets_are_equal(const GArray *a, const GArray *b)
+{
+	if (a->len != b->len)
+		return false;
+	for (guint i = 0; i < a->len; i++) {
+		const struct route_target *left =
+			&g_array_index(a, struct route_target, i);
+		const struct route_target *right =
+			&g_array_index(b, struct route_target, i);
+
+		if (left->weight != right->weight ||
+		    strcmp(left->service, right->service) != 0)
+			return false;
+	}
+	return true;
+}
+
+/* Whether two routes treat requests alike; their names may differ. */
+bool route_is_equal(const struct route *a, const struct route *b)
+{
+	return strcmp(a->host, b->host) == 0 &&
+	       strcmp(a->path_prefix, b->path_prefix) == 0 &&
+	       a->kind == b->kind && a->is_public == b->is_public &&
+	       a->priority == b->priority &&
+	       a->max_attempts == b->max_attempts &&
+	       a->timeout_us == b->timeout_us &&
+	       a->first_answer_us == b->first_answer_us &&
+	       a->longest_pause_us == b->longest_pause_us &&
+	       targets_are_equal(a->targets, b->targets);
+}
+
+/* The kind as it stands in documents and intents. */
+const char *route_kind_name(enum route_kind kind)
+{
+	switch (kind) {
+	case ROUTE_IDEMPOTENT:
+		return "idempotent";
+	case ROUTE_ONCE:
+		return "once";
+	case ROUTE_STREAM:
+		return "stream";
+	}
+	return "";
+}
+
+/* The services with their weights, as "old 90, new 10"; freed by g_free. */
+char *route_describe_targets(const struct route *route)
+{
+	GString *text = g_string_new(NULL);
+
+	for (guint i = 0; i < route->targets->len; i++) {
+		const struct route_target *target =
+			&g_array_index(route->targets, struct route_target, i);
+
+		g_string_append_printf(text, "%s%s %d", i ? ", " : "",
+				       target->service, target->weight);
+	}
+	return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/core/config/route.h
@@ -0,0 +1,49 @@
+#ifndef CORE_CONFIG_ROUTE_H
+#define CORE_CONFIG_ROUTE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/* Which requests go to which services, and what they may cost. */
+
+enum route_kind {
+	ROUTE_IDEMPOTENT, /* may run more than once */
+	ROUTE_ONCE,	  /* at most once */
+	ROUTE_STREAM	  /* at most once; answered event by event */
+};
+
+struct route_target {
+	char *service;
+	int32_t weight;
+};
+
+struct route {
+	char *name;
+	char *host;	   /* in small letters */
+	char *path_prefix; /* begins and ends with a slash */
+	enum route_kind kind;
+	bool is_public;	      /* needs no key */
+	int32_t priority;     /* 0 is the most urgent */
+	int32_t max_attempts; /* endpoints that may run one request */
+	int64_t timeout_us;
+	int64_t first_answer_us;  /* on time up to here; 0: not said */
+	int64_t longest_pause_us; /* between events; 0: not said */
+	GArray *targets;	  /* struct route_target */
+};
+
+struct route *route_create(const char *name, const char *host,
+			   const char *path_prefix);
+struct route *route_copy(const struct route *other);
+void route_destroy(struct route *route);
+void route_add_target(struct route *route, const char *service, int32_t weight);
+const char *route_pick_service(const struct route *route, double draw);
+bool route_is_equal(const struct route *a, const struct route *b);
+const char *route_kind_name(enum route_kind kind);
+char *route_describe_targets(const struct route *route);
+
+G_END_DECLS
+
+#endif
--- a/core/gateway/route_table.c
+++ b/core/gateway/route_table.c
@@ -4,60 +4,79 @@
 
 struct route_table {
 	gatomicrefcount references;
-	int64_t version;
-	bool requires_keys;
-	struct caller_limits limits;
-	GHashTable *hosts;	  /* host to GPtrArray of struct route */
-	GPtrArray *routes;	  /* owns struct route */
-	GHashTable *services;	  /* name to struct route_service */
-	GPtrArray *organisations; /* owns struct route_organisation */
-	GHashTable *keys;	  /* key to struct route_organisation */
+	struct config *config;
+	GHashTable *hosts;    /* host to GPtrArray of struct route */
+	GHashTable *services; /* name to struct config_service */
+	GHashTable *keys;     /* digest to struct config_organisation */
 };
 
-static void target_clear(gpointer data)
+static gint compare_prefix_length(gconstpointer a, gconstpointer b)
 {
-	g_free(((struct route_target *)data)->service);
+	const struct route *one = *(const struct route *const *)a;
+	const struct route *other = *(const struct route *const *)b;
+	size_t one_size = strlen(one->path_prefix);
+	size_t other_size = strlen(other->path_prefix);
+
+	return one_size < other_size ? 1 : one_size > other_size ? -1 : 0;
 }
 
-static void route_destroy(gpointer data)
+static void add_route(struct route_table *table, struct route *route)
 {
-	struct route *route = data;
+	GPtrArray *of_host = g_hash_table_lookup(table->hosts, route->host);
 
-	g_free(route->name);
-	g_free(route->host);
-	g_free(route->path_prefix);
-	g_array_unref(route->targets);
-	g_free(route);
+	if (!of_host) {
+		of_host = g_ptr_array_new();
+		g_hash_table_insert(table->hosts, route->host, of_host);
+	}
+	g_ptr_array_add(of_host, route);
 }
 
-static void service_destroy(gpointer data)
+static void sort_routes(struct route_table *table)
 {
-	g_free(((struct route_service *)data)->name);
-	g_free(data);
+	GHashTableIter iter;
+	gpointer of_host;
+
+	g_hash_table_iter_init(&iter, table->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &of_host))
+		g_ptr_array_sort(of_host, compare_prefix_length);
 }
 
-static void organisation_destroy(gpointer data)
+static void add_organisation(struct route_table *table,
+			     struct config_organisation *organisation)
 {
-	g_free(((struct route_organisation *)data)->name);
-	g_free(data);
+	if (*organisation->key_sha256)
+		g_hash_table_insert(table->keys, organisation->key_sha256,
+				    organisation);
+	for (guint i = 0; i < organisation->more_keys->len; i++)
+		g_hash_table_insert(
+			table->keys,
+			g_ptr_array_index(organisation->more_keys, i),
+			organisation);
 }
 
-/* An empty table of that version, held once. */
-struct route_table *route_table_create(int64_t version)
+/* The table of a configuration, held once; it holds the configuration. */
+struct route_table *route_table_create(struct config *config)
 {
 	struct route_table *table = g_new0(struct route_table, 1);
 
 	g_atomic_ref_count_init(&table->references);
-	table->version = version;
-	table->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	table->config = config_ref(config);
+	table->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     (GDestroyNotify)g_ptr_array_unref);
-	table->routes = g_ptr_array_new_with_free_func(route_destroy);
-	table->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-						service_destroy);
-	table->organisations =
-		g_ptr_array_new_with_free_func(organisation_destroy);
-	table->keys =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	table->services = g_hash_table_new(g_str_hash, g_str_equal);
+	table->keys = g_hash_table_new(g_str_hash, g_str_equal);
+	for (guint i = 0; i < config->routes->len; i++)
+		add_route(table, g_ptr_array_index(config->routes, i));
+	sort_routes(table);
+	for (guint i = 0; i < config->services->len; i++) {
+		struct config_service *service =
+			g_ptr_array_index(config->services, i);
+
+		g_hash_table_insert(table->services, service->name, service);
+	}
+	for (guint i = 0; i < config->organisations->len; i++)
+		add_organisation(table,
+				 g_ptr_array_index(config->organisations, i));
 	return table;
 }
 
@@ -74,118 +93,34 @@
 	if (!table || !g_atomic_ref_count_dec(&table->references))
 		return;
 	g_hash_table_unref(table->hosts);
-	g_ptr_array_unref(table->routes);
 	g_hash_table_unref(table->services);
 	g_hash_table_unref(table->keys);
-	g_ptr_array_unref(table->organisations);
+	config_unref(table->config);
 	g_free(table);
 }
 
-static gint compare_prefix_length(gconstpointer a, gconstpointer b)
-{
-	const struct route *one = *(const struct route *const *)a;
-	const struct route *other = *(const struct route *const *)b;
-	size_t one_size = strlen(one->path_prefix);
-	size_t other_size = strlen(other->path_prefix);
-
-	return one_size < other_size ? 1 : one_size > other_size ? -1 : 0;
-}
-
-/* Adds a route; the caller fills in the rest. Hosts are kept in small letters.
- */
-struct route *route_table_add_route(struct route_table *table, const char *name,
-				    const char *host, const char *path_prefix)
-{
-	struct route *route = g_new0(struct route, 1);
-	GPtrArray *of_host;
-
-	route->name = g_strdup(name);
-	route->host = g_ascii_strdown(host, -1);
-	route->path_prefix = g_strdup(path_prefix);
-	route->max_attempts = 1;
-	route->targets = g_array_new(FALSE, FALSE, sizeof(struct route_target));
-	g_array_set_clear_func(route->targets, target_clear);
-	g_ptr_array_add(table->routes, route);
-	of_host = g_hash_table_lookup(table->hosts, route->host);
-	if (!of_host) {
-		of_host = g_ptr_array_new();
-		g_hash_table_insert(table->hosts, g_strdup(route->host),
-				    of_host);
-	}
-	g_ptr_array_add(of_host, route);
-	g_ptr_array_sort(of_host, compare_prefix_length);
-	return route;
-}
-
-/* Adds a service to which the route sends a share of its requests. */
-void route_add_target(struct route *route, const char *service, int32_t weight)
-{
-	struct route_target target = {.service = g_strdup(service),
-				      .weight = weight};
-
-	g_array_append_val(route->targets, target);
-}
-
-/* Adds a service, plain until its engine says otherwise. */
-struct route_service *route_table_add_service(struct route_table *table,
-					      const char *name)
-{
-	struct route_service *service = g_new0(struct route_service, 1);
-
-	service->name = g_strdup(name);
-	g_hash_table_replace(table->services, service->name, service);
-	return service;
-}
-
-/* Adds an organisation without keys. */
-struct route_organisation *
-route_table_add_organisation(struct route_table *table, const char *name)
-{
-	struct route_organisation *organisation =
-		g_new0(struct route_organisation, 1);
-
-	organisation->name = g_strdup(name);
-	organisation->priority = -1;
-	g_ptr_array_add(table->organisations, organisation);
-	return organisation;
-}
-
-/* Requests with this key are the organisation's. */
-void route_table_add_key(struct route_table *table, const char *key,
-			 const struct route_organisation *organisation)
-{
-	g_hash_table_replace(table->keys, g_strdup(key),
-			     (gpointer)organisation);
-}
-
-/* What callers may send, to be filled in. */
-struct caller_limits *route_table_limits(struct route_table *table)
-{
-	return &table->limits;
-}
-
-/* From now on requests on routes that aren't public need a key. */
-void route_table_require_keys(struct route_table *table)
-{
-	table->requires_keys = true;
-}
-
-/* The configuration's version. */
+/* The configuration's revision. */
 int64_t route_table_version(const struct route_table *table)
 {
-	return table->version;
+	return table->config->revision;
 }
 
 /* Whether routes that aren't public need a key. */
 bool route_table_requires_keys(const struct route_table *table)
 {
-	return table->requires_keys;
+	return table->config->requires_keys;
 }
 
 /* How many routes there are, for logs. */
 size_t route_table_route_count(const struct route_table *table)
 {
-	return table->routes->len;
+	return table->config->routes->len;
+}
+
+/* What callers may send. */
+const struct caller_limits *route_table_limits(const struct route_table *table)
+{
+	return &table->config->callers;
 }
 
 static char *host_without_port(const char *host)
@@ -222,36 +157,21 @@
 }
 
 /* The service of that name; NULL: none. */
-const struct route_service *
+const struct config_service *
 route_table_find_service(const struct route_table *table, const char *name)
 {
 	return g_hash_table_lookup(table->services, name);
 }
 
-/* Whose key it is; NULL: nobody's. */
-const struct route_organisation *
+/* Whose key it is; NULL: nobody's. Keys are known by their digests only. */
+const struct config_organisation *
 route_table_find_organisation(const struct route_table *table, const char *key)
 {
-	return g_hash_table_lookup(table->keys, key);
-}
-
-/* A service of the route by weight; draw is from 0 up to 1. NULL: none. */
-const char *route_pick_service(const struct route *route, double draw)
-{
-	int64_t total = 0;
-	double at;
+	char *digest =
+		g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
+	const struct config_organisation *organisation =
+		g_hash_table_lookup(table->keys, digest);
 
-	for (guint i = 0; i < route->targets->len; i++)
-		total += g_array_index(route->targets, struct route_target, i)
-				 .weight;
-	at = draw * (double)total;
-	for (guint i = 0; i < route->targets->len; i++) {
-		const struct route_target *target =
-			&g_array_index(route->targets, struct route_target, i);
-
-		at -= target->weight;
-		if (at < 0)
-			return target->service;
-	}
-	return NULL;
+	g_free(digest);
+	return organisation;
 }
--- /dev/null
+++ b/core/json/json_writer.h
@@ -0,0 +1,20 @@
+#ifndef CORE_JSON_JSON_WRITER_H
+#define CORE_JSON_JSON_WRITER_H
+
+#include <glib.h>
+#include <json-glib/json-glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/* Members of JSON objects that are left out where they say nothing. */
+void json_writer_string(JsonBuilder *builder, const char *name,
+			const char *value);
+void json_writer_int(JsonBuilder *builder, const char *name, int64_t value,
+		     int64_t absent);
+void json_writer_true(JsonBuilder *builder, const char *name, bool value);
+
+G_END_DECLS
+
+#endif
--- a/core/message/action.c
+++ b/core/message/action.c
@@ -22,6 +22,7 @@
 	[ACTION_PEER_SEND] = "peer_send",
 	[ACTION_KV] = "kv",
 	[ACTION_KV_WATCH] = "kv_watch",
+	[ACTION_CONFIG] = "config",
 	[ACTION_LOG] = "log",
 	[ACTION_STOPPED] = "stopped",
 };
@@ -73,6 +74,9 @@
 	case ACTION_KV_WATCH:
 		g_free(action->kv_watch);
 		break;
+	case ACTION_CONFIG:
+		g_clear_pointer(&action->config.document, g_bytes_unref);
+		break;
 	case ACTION_LOG:
 		g_clear_pointer(&action->log.fields, g_ptr_array_unref);
 		break;
--- a/core/node/node_config.c
+++ b/core/node/node_config.c
@@ -74,6 +74,15 @@
 	}
 }
 
+/* For those of the same process that act by the configuration too. */
+static void node_tell_config(struct node *node)
+{
+	struct action *action = action_list_add(node->actions, ACTION_CONFIG);
+
+	action->config.revision = node_config_revision(node);
+	action->config.document = g_bytes_ref(node->config_document);
+}
+
 static void node_adopt_config(struct node *node, GBytes *document,
 			      int64_t revision, const char *source)
 {
@@ -103,6 +112,7 @@
 	node_place_reset_shares(node);
 	node_place_rehome(node);
 	node_announce_config(node);
+	node_tell_config(node);
 	text = g_strdup_printf("%" G_GINT64_FORMAT " from %s", revision,
 			       source);
 	node_log(node, LOG_LEVEL_INFO, "config_applied", NULL, "revision",
--- a/core/plan/plan.c
+++ b/core/plan/plan.c
@@ -1,8 +1,11 @@
 #include "core/plan/plan.h"
 
+#include "core/config/config_check.h"
 #include "core/config/config_json.h"
+#include "core/config/intent_json.h"
 #include "core/plan/plan_describe.h"
 #include "core/plan/plan_rollout.h"
+#include "core/plan/plan_route.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -37,6 +40,8 @@
 	struct config_service *service =
 		config_add_service(config, from->name, from->kind);
 
+	service->max_connections = from->max_connections;
+	service->engine = from->engine;
 	for (guint i = 0; i < from->endpoints->len; i++)
 		copy_endpoint(service, g_ptr_array_index(from->endpoints, i));
 }
@@ -53,6 +58,11 @@
 	organisation->weight = from->weight;
 	organisation->requests_per_s = from->requests_per_s;
 	organisation->concurrent_tokens = from->concurrent_tokens;
+	organisation->route_priority = from->route_priority;
+	for (guint i = 0; i < from->more_keys->len; i++)
+		g_ptr_array_add(
+			organisation->more_keys,
+			g_strdup(g_ptr_array_index(from->more_keys, i)));
 	return organisation;
 }
 
@@ -92,7 +102,8 @@
 			  i);
 		return false;
 	}
-	return plan_check_rollout_removals(base, intent, error);
+	return plan_check_rollout_removals(base, intent, error) &&
+	       plan_check_route_removals(base, intent, error);
 }
 
 static void merge_services(struct config *result, const struct config *base,
@@ -236,6 +247,7 @@
 		return false;
 	merge_services(plan->result, base, intent);
 	plan_merge_rollouts(plan, base, intent);
+	plan_merge_routes(plan, base, intent);
 	return merge_organisations(plan->result, base, intent, error) &&
 	       config_check(plan->result, "plan.create", error);
 }
@@ -250,6 +262,7 @@
 		copy_organisation(plan->result,
 				  g_ptr_array_index(earlier->organisations, i));
 	plan_copy_rollouts(plan, base, earlier);
+	plan_copy_routes(plan, earlier);
 }
 
 static bool plan_finish(struct plan *plan, const struct config *base,
@@ -303,8 +316,8 @@
 }
 
 /*
- * A plan that brings back the services and organisations of an earlier
- * configuration, their keys included. It is a change like any other: the
+ * A plan that brings back the services, organisations, rollouts and routes of
+ * an earlier configuration, keys included. It is a change like any other: the
  * history goes on from base. Errors as of plan_create().
  */
 struct plan *plan_create_rollback(const struct config *base,
--- a/core/plan/plan_book.c
+++ b/core/plan/plan_book.c
@@ -1,6 +1,7 @@
 #include "core/plan/plan_book.h"
 
 #include "core/config/config_json.h"
+#include "core/config/intent_json.h"
 #include "core/base/counters.h"
 #include "core/plan/plan_entry.h"
 
--- a/core/plan/plan_describe.c
+++ b/core/plan/plan_describe.c
@@ -1,6 +1,7 @@
 #include "core/plan/plan_describe.h"
 
 #include "core/plan/plan_rollout.h"
+#include "core/plan/plan_route.h"
 
 #include <string.h>
 
@@ -14,19 +15,14 @@
 	va_end(args);
 }
 
-static const char *kind_name(enum service_kind kind)
-{
-	return kind == SERVICE_GENERATION ? "generation" : "plain";
-}
-
 static const char *or_none(const char *text)
 {
 	return *text ? text : "none";
 }
 
-/* Collects what changed of one item, as "capacity_tokens 0 -> 60000, ...". */
-static void add_int_change(GString *changes, const char *name, int64_t before,
-			   int64_t after)
+/* Collects a change of one item, as "capacity_tokens 0 -> 60000, ...". */
+void plan_add_int_change(GString *changes, const char *name, int64_t before,
+			 int64_t after)
 {
 	if (before != after)
 		g_string_append_printf(
@@ -35,8 +31,9 @@
 			changes->len ? ", " : "", name, before, after);
 }
 
-static void add_string_change(GString *changes, const char *name,
-			      const char *before, const char *after)
+/* The same of a text. */
+void plan_add_string_change(GString *changes, const char *name,
+			    const char *before, const char *after)
 {
 	if (strcmp(before, after) != 0)
 		g_string_append_printf(changes, "%s%s %s -> %s",
@@ -44,11 +41,12 @@
 				       or_none(before), or_none(after));
 }
 
-static void add_bool_change(GString *changes, const char *name, bool before,
-			    bool after)
+/* The same of yes or no. */
+void plan_add_bool_change(GString *changes, const char *name, bool before,
+			  bool after)
 {
-	add_string_change(changes, name, before ? "yes" : "no",
-			  after ? "yes" : "no");
+	plan_add_string_change(changes, name, before ? "yes" : "no",
+			       after ? "yes" : "no");
 }
 
 static void compare_endpoint(struct plan *plan, const char *service,
@@ -57,15 +55,17 @@
 {
 	GString *changes = g_string_new(NULL);
 
-	add_string_change(changes, "failure_domain", before->failure_domain,
-			  after->failure_domain);
-	add_string_change(changes, "region", before->region, after->region);
-	add_int_change(changes, "capacity_tokens", before->capacity_tokens,
-		       after->capacity_tokens);
-	add_int_change(changes, "slots", before->slots, after->slots);
-	add_bool_change(changes, "checks_fence", before->checks_fence,
-			after->checks_fence);
-	add_bool_change(changes, "leaving", before->leaving, after->leaving);
+	plan_add_string_change(changes, "failure_domain",
+			       before->failure_domain, after->failure_domain);
+	plan_add_string_change(changes, "region", before->region,
+			       after->region);
+	plan_add_int_change(changes, "capacity_tokens", before->capacity_tokens,
+			    after->capacity_tokens);
+	plan_add_int_change(changes, "slots", before->slots, after->slots);
+	plan_add_bool_change(changes, "checks_fence", before->checks_fence,
+			     after->checks_fence);
+	plan_add_bool_change(changes, "leaving", before->leaving,
+			     after->leaving);
 	if (changes->len)
 		plan_add_line(plan->differences, "change endpoint %s of %s: %s",
 			      after->address, service, changes->str);
@@ -97,6 +97,35 @@
 	return index;
 }
 
+static void compare_service(struct plan *plan,
+			    const struct config_service *before,
+			    const struct config_service *after)
+{
+	const struct engine_ability *old = &before->engine;
+	const struct engine_ability *engine = &after->engine;
+	GString *changes = g_string_new(NULL);
+
+	plan_add_string_change(changes, "kind", service_kind_name(before->kind),
+			       service_kind_name(after->kind));
+	plan_add_int_change(changes, "max_connections", before->max_connections,
+			    after->max_connections);
+	plan_add_int_change(changes, "engine_slots", old->slots, engine->slots);
+	plan_add_int_change(changes, "engine_memory_tokens", old->memory_tokens,
+			    engine->memory_tokens);
+	plan_add_int_change(changes, "tokens_per_event", old->tokens_per_event,
+			    engine->tokens_per_event);
+	plan_add_int_change(changes, "copy_keep_ms", old->copy_keep_us / 1000,
+			    engine->copy_keep_us / 1000);
+	plan_add_bool_change(changes, "can_move", old->can_move,
+			     engine->can_move);
+	plan_add_bool_change(changes, "can_back_up", old->can_back_up,
+			     engine->can_back_up);
+	if (changes->len)
+		plan_add_line(plan->differences, "change service %s: %s",
+			      after->name, changes->str);
+	g_string_free(changes, TRUE);
+}
+
 static void compare_services(struct plan *plan,
 			     const struct config_service *before,
 			     const struct config_service *after)
@@ -104,10 +133,7 @@
 	GHashTable *old_index = index_endpoints(before);
 	GHashTable *index = index_endpoints(after);
 
-	if (before->kind != after->kind)
-		plan_add_line(plan->differences,
-			      "change service %s: kind %s -> %s", after->name,
-			      kind_name(before->kind), kind_name(after->kind));
+	compare_service(plan, before, after);
 	for (guint i = 0; i < after->endpoints->len; i++) {
 		const struct config_endpoint *endpoint =
 			g_ptr_array_index(after->endpoints, i);
@@ -132,6 +158,18 @@
 	g_hash_table_unref(index);
 }
 
+static bool keys_are_equal(const GPtrArray *a, const GPtrArray *b)
+{
+	if (a->len != b->len)
+		return false;
+	for (guint i = 0; i < a->len; i++) {
+		if (strcmp(g_ptr_array_index(a, i), g_ptr_array_index(b, i)) !=
+		    0)
+			return false;
+	}
+	return true;
+}
+
 static void compare_organisation(struct plan *plan,
 				 const struct config_organisation *before,
 				 const struct config_organisation *after)
@@ -140,12 +178,19 @@
 
 	if (strcmp(before->key_sha256, after->key_sha256) != 0)
 		g_string_append(changes, "key replaced");
-	add_int_change(changes, "priority", before->priority, after->priority);
-	add_int_change(changes, "weight", before->weight, after->weight);
-	add_int_change(changes, "requests_per_s", before->requests_per_s,
-		       after->requests_per_s);
-	add_int_change(changes, "concurrent_tokens", before->concurrent_tokens,
-		       after->concurrent_tokens);
+	plan_add_int_change(changes, "priority", before->priority,
+			    after->priority);
+	plan_add_int_change(changes, "weight", before->weight, after->weight);
+	plan_add_int_change(changes, "requests_per_s", before->requests_per_s,
+			    after->requests_per_s);
+	plan_add_int_change(changes, "concurrent_tokens",
+			    before->concurrent_tokens,
+			    after->concurrent_tokens);
+	plan_add_int_change(changes, "route_priority", before->route_priority,
+			    after->route_priority);
+	if (!keys_are_equal(before->more_keys, after->more_keys))
+		g_string_append_printf(changes, "%smore keys replaced",
+				       changes->len ? ", " : "");
 	if (changes->len)
 		plan_add_line(plan->differences, "change organisation %s: %s",
 			      after->name, changes->str);
@@ -169,7 +214,7 @@
 		}
 		plan_add_line(plan->differences,
 			      "add service %s: %s, %u endpoints", service->name,
-			      kind_name(service->kind),
+			      service_kind_name(service->kind),
 			      service->endpoints->len);
 		for (guint j = 0; j < service->endpoints->len; j++)
 			add_endpoint_line(
@@ -365,7 +410,8 @@
 		      before->requests_per_s, after->requests_per_s);
 	warn_of_limit(plan, before->name, "concurrent_tokens",
 		      before->concurrent_tokens, after->concurrent_tokens);
-	if (strcmp(before->key_sha256, after->key_sha256) != 0)
+	if (strcmp(before->key_sha256, after->key_sha256) != 0 ||
+	    !keys_are_equal(before->more_keys, after->more_keys))
 		plan_add_line(plan->warnings,
 			      "organisation %s: requests with its old key are "
 			      "refused",
@@ -405,5 +451,6 @@
 	add_service_differences(plan, base);
 	add_organisation_differences(plan, base);
 	plan_describe_rollouts(plan, base);
+	plan_describe_routes(plan, base);
 	add_warnings(plan, base);
 }
--- a/core/plan/plan_describe.h
+++ b/core/plan/plan_describe.h
@@ -8,6 +8,12 @@
 /* What a plan changes and what that would break, in lines for operators. */
 void plan_add_line(GPtrArray *lines, const char *format, ...)
 	G_GNUC_PRINTF(2, 3);
+void plan_add_int_change(GString *changes, const char *name, int64_t before,
+			 int64_t after);
+void plan_add_string_change(GString *changes, const char *name,
+			    const char *before, const char *after);
+void plan_add_bool_change(GString *changes, const char *name, bool before,
+			  bool after);
 void plan_describe(struct plan *plan, const struct config *base);
 
 G_END_DECLS
--- a/core/plan/plan_rollout.h
+++ b/core/plan/plan_rollout.h
@@ -1,7 +1,7 @@
 #ifndef CORE_PLAN_PLAN_ROLLOUT_H
 #define CORE_PLAN_PLAN_ROLLOUT_H
 
-#include "core/config/config_json.h"
+#include "core/config/intent_json.h"
 #include "core/plan/plan.h"
 
 G_BEGIN_DECLS
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -2,6 +2,8 @@
 
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/store_follower.h"
+#include "core/config/config_json.h"
+#include "core/gateway/route_table.h"
 #include "platform/platform.h"
 
 struct gateway_wiring {
@@ -9,19 +11,29 @@
 	struct store_follower *document;
 	struct store_follower *entries;
 	struct log *log;
+	bool has_store;	      /* else the product's own configuration */
 	bool follows_entries; /* else by other nodes' word */
 };
 
-static struct route_table *wiring_decode(void *data, GBytes *document)
+/* The platform's operators write theirs; else it is the product's own. */
+static struct route_table *wiring_decode(void *data, GBytes *document,
+					 int64_t revision)
 {
 	struct gateway_wiring *wiring = data;
 	struct route_table *table;
+	struct config *config;
 	struct error error;
 
-	table = platform_read_document(document, &error);
-	if (!table)
+	config = wiring->has_store
+			 ? platform_read_document(document, &error)
+			 : config_json_parse(document, revision, &error);
+	if (!config) {
 		log_write_error(wiring->log, LOG_LEVEL_ERROR, "routes_rejected",
 				&error);
+		return NULL;
+	}
+	table = route_table_create(config);
+	config_unref(config);
 	return table;
 }
 
@@ -36,7 +48,7 @@
 
 		if (!item->value || !platform_is_document(item->key))
 			continue;
-		table = wiring_decode(wiring, item->value);
+		table = wiring_decode(wiring, item->value, item->revision);
 		if (!table)
 			continue;
 		gateway_take_table(wiring->gateway, table, item->value);
@@ -179,11 +191,16 @@
 	struct gateway_wiring *wiring = g_new0(struct gateway_wiring, 1);
 
 	wiring->log = options->log;
+	wiring->has_store = *options->settings->gateway.store_address;
 	wiring->follows_entries = true;
 	if (!wiring_create_gateway(wiring, options, error)) {
 		g_free(wiring);
 		return NULL;
 	}
+	if (!wiring->has_store) {
+		gateway_take_store(wiring->gateway, true);
+		return wiring;
+	}
 	wiring->document =
 		wiring_follow(wiring, options, platform_document_prefix,
 			      on_document_page, on_document_page);
@@ -220,6 +237,62 @@
 	g_free(wiring);
 }
 
+/* Endpoints of the own configuration are known by their addresses. */
+static GPtrArray *endpoints_of(const struct config *config)
+{
+	GPtrArray *list = registration_list_create();
+
+	for (guint i = 0; i < config->services->len; i++) {
+		const struct config_service *service =
+			g_ptr_array_index(config->services, i);
+
+		for (guint k = 0; k < service->endpoints->len; k++) {
+			const struct config_endpoint *endpoint =
+				g_ptr_array_index(service->endpoints, k);
+			struct registration *said =
+				g_new0(struct registration, 1);
+
+			said->id = g_strdup(endpoint->address);
+			said->service = g_strdup(service->name);
+			said->address = g_strdup(endpoint->address);
+			said->failure_domain =
+				g_strdup(endpoint->failure_domain);
+			said->revision = config->revision;
+			said->slots = service->engine.slots
+					      ? service->engine.slots
+					      : endpoint->slots;
+			said->is_leaving = endpoint->leaving;
+			g_ptr_array_add(list, said);
+		}
+	}
+	return list;
+}
+
+/*
+ * The product's own configuration is in force: its routes and endpoints are
+ * the gateway's, unless it takes both from the platform.
+ */
+void gateway_wiring_take_config(struct gateway_wiring *wiring,
+				const struct action_config *action)
+{
+	struct config *config;
+	struct route_table *table;
+	GPtrArray *list;
+
+	if (wiring->has_store)
+		return;
+	config = config_json_parse(action->document, action->revision, NULL);
+	if (!config)
+		return; /* the node has said why when it read it */
+	table = route_table_create(config);
+	list = endpoints_of(config);
+	gateway_take_table(wiring->gateway, table, action->document);
+	gateway_take_registrations(wiring->gateway, list, config->revision);
+	g_ptr_array_unref(list);
+	route_table_unref(table);
+	config_unref(config);
+}
+
 /* A record of another node's gateway. */
 void gateway_wiring_take_peer(struct gateway_wiring *wiring,
 			      const struct peer_message *message)
--- a/daemons/gateway_wiring.h
+++ b/daemons/gateway_wiring.h
@@ -39,6 +39,8 @@
 					      struct log *log, uint64_t seed,
 					      const struct event_sink *sink);
 void gateway_wiring_destroy(struct gateway_wiring *wiring);
+void gateway_wiring_take_config(struct gateway_wiring *wiring,
+				const struct action_config *action);
 void gateway_wiring_take_peer(struct gateway_wiring *wiring,
 			      const struct peer_message *message);
 void gateway_wiring_reload(struct gateway_wiring *wiring,
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -79,6 +79,12 @@
 		store_calls_apply(loop->store, action);
 }
 
+static void apply_config(struct node_loop *loop, const struct action *action)
+{
+	if (loop->gateway)
+		gateway_wiring_take_config(loop->gateway, &action->config);
+}
+
 static void apply_order(struct node_loop *loop, const struct action *action)
 {
 	order_client_apply(loop->orders, action);
@@ -133,6 +139,7 @@
 	[ACTION_PEER_SEND] = apply_peer,
 	[ACTION_KV] = apply_kv,
 	[ACTION_KV_WATCH] = apply_kv,
+	[ACTION_CONFIG] = apply_config,
 	[ACTION_LOG] = apply_log,
 	[ACTION_STOPPED] = apply_stopped,
 };
--- a/fuzz/platform_fuzz.c
+++ b/fuzz/platform_fuzz.c
@@ -43,11 +43,11 @@
 {
 	GBytes *bytes = g_bytes_new(data, size);
 	struct error error;
-	struct route_table *table = platform_read_document(bytes, &error);
+	struct config *config = platform_read_document(bytes, &error);
 
-	if (table && route_table_version(table) < 0)
+	if (config && config->revision < 0)
 		abort();
-	route_table_unref(table);
+	config_unref(config);
 	read_page(bytes);
 	read_entry(bytes);
 	read_answers(bytes);
--- a/ports/action.h
+++ b/ports/action.h
@@ -33,6 +33,7 @@
 	ACTION_PEER_SEND,
 	ACTION_KV,
 	ACTION_KV_WATCH, /* watch this key from now on */
+	ACTION_CONFIG,	 /* this configuration is in force here */
 	ACTION_LOG,
 	ACTION_STOPPED, /* drained: the process may end */
 	ACTION_TYPES
@@ -118,6 +119,11 @@
 	struct peer_message *message;
 };
 
+struct action_config {
+	int64_t revision;
+	GBytes *document;
+};
+
 enum log_level { LOG_LEVEL_INFO, LOG_LEVEL_WARN, LOG_LEVEL_ERROR };
 
 struct action_log {
@@ -144,6 +150,7 @@
 		struct action_peer_send peer_send;
 		struct kv_request kv;
 		char *kv_watch; /* key */
+		struct action_config config;
 		struct action_log log;
 	};
 };
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -478,6 +478,89 @@
 	until_true knows 1 0 || fail "node 1 does not know node 0"
 }
 
+confirm() { # INTENT
+	local plan
+
+	plan=$("$bin/siskinlinkctl" --address "${https[2]}" --operator tests \
+		plan "$1" | tee "$work/plan.txt" | awk '/^plan / { print $2 }')
+	"$bin/siskinlinkctl" --address "${https[2]}" --operator tests \
+		confirm "$plan" >/dev/null
+}
+
+answers() { # NODE PATH STATUS
+	local out
+
+	out=$(ask "$1" "$2")
+	[ "${out: -3}" = "$3" ]
+}
+
+# A node without the platform's store takes routes, keys and endpoints from the
+# configuration that operators plan and confirm. A route that is removed by a
+# confirmed plan is gone for callers; before its confirmation nothing changes.
+case_follows_confirmed_plans() {
+	local portal
+
+	export SISKINLINK_OPERATOR_KEY=$operator_key
+	start kv "$bin/fake_kv" --address 127.0.0.1:0
+	for list in https peers fronts readies directories; do
+		eval "$list+=(127.0.0.1:$(free_port))"
+	done
+	portal=127.0.0.1:$(free_port)
+	cat >"$work/g2.toml" <<-TOML
+		[node]
+		name = "entry-2"
+		region = "casablanca"
+		failure_domain = "z"
+		http_address = "${https[2]}"
+		peer_address = "${peers[2]}"
+		[keys]
+		event_key = "test-event-key-000001"
+		operator_key = "$operator_key"
+		[platform]
+		kv_address = "$address"
+		[gateway]
+		address = "${fronts[2]}"
+		ready_address = "${readies[2]}"
+		directory_address = "${directories[2]}"
+	TOML
+	start backend5 "$bin/fake_backend" --address "$portal" --id "$portal" \
+		--plain
+	start g2 "$bin/siskinlinkd" --config "$work/g2.toml"
+	cat >"$work/routes.toml" <<-TOML
+		[[organisations]]
+		name = "atlas"
+		key = "$key"
+		[[services]]
+		name = "portal"
+		kind = "plain"
+		[[services.endpoints]]
+		address = "$portal"
+		[[routes]]
+		name = "lookup"
+		host = "$host"
+		path_prefix = "/lookup/"
+		kind = "idempotent"
+		timeout_ms = 1500
+		[[routes.targets]]
+		service = "portal"
+	TOML
+	is_ready 2 && fail "ready without a configuration"
+	confirm "$work/routes.toml"
+	grep -q "add route lookup: $host/lookup/, idempotent" "$work/plan.txt" ||
+		fail "the plan doesn't show the route"
+	until_true answers 2 /lookup/a 200 || fail "the route isn't served"
+	answers 2 /other/a 404 || fail "another path is served"
+	out=$(ask 2 /lookup/a -H "Authorization: Bearer nobody")
+	[ "${out: -3}" = 200 ] && fail "a key that nobody holds is taken"
+	echo 'remove_routes = ["lookup"]' >"$work/remove.toml"
+	"$bin/siskinlinkctl" --address "${https[2]}" --operator tests plan \
+		"$work/remove.toml" | grep -q "remove route lookup" ||
+		fail "the plan doesn't show the removal"
+	answers 2 /lookup/a 200 || fail "a plan alone changed something"
+	confirm "$work/remove.toml"
+	until_true answers 2 /lookup/a 404 || fail "the route is still served"
+}
+
 start store "$bin/fake_store" --address 127.0.0.1:0
 store=$address
 document "$key"
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -332,3 +332,160 @@
 		  "that is there and not also in \"rollouts\"",
 		  plan_error(R"({"remove_rollouts":["v2"]})"));
 }
+
+static const char *const routes_base =
+	R"({"services":[{"name":"old","kind":"plain","endpoints":[
+	 {"address":"127.0.0.1:9101","failure_domain":"a"},
+	 {"address":"127.0.0.1:9102","failure_domain":"b"}]},
+	{"name":"new","kind":"plain","endpoints":[
+	 {"address":"127.0.0.1:9201","failure_domain":"a"},
+	 {"address":"127.0.0.1:9202","failure_domain":"b"}]}],
+	"routes":[{"name":"lookup","host":"Reports.example",
+	 "path_prefix":"/lookup/","kind":"once","timeout_ms":2500,
+	 "targets":[{"service":"old"}]}]})";
+
+static std::string route_plan_error(const std::string &intent)
+{
+	struct error error = {};
+	struct plan *plan = plan_on(routes_base, intent, &error);
+
+	EXPECT_EQ(nullptr, plan) << intent;
+	plan_destroy(plan);
+	return error.detail;
+}
+
+TEST(PlanRoutes, ShowsWhatChangesForCallers)
+{
+	struct error error = {};
+	struct plan *plan =
+		plan_on(routes_base,
+			R"({"routes":[{"name":"lookup","host":"reports.example",
+		 "path_prefix":"/lookup/","kind":"idempotent","public":true,
+		 "max_attempts":2,"timeout_ms":1500,"targets":[
+		 {"service":"old","weight":90},{"service":"new","weight":10}]},
+		 {"name":"draft","host":"reports.example","path_prefix":"/d/",
+		 "kind":"stream","priority":1,"targets":[{"service":"new"}]}],
+		 "callers":{"body_bytes":65536}})",
+			&error);
+
+	ASSERT_NE(nullptr, plan) << error.detail;
+	EXPECT_EQ("change route lookup: kind once -> idempotent, public no -> "
+		  "yes, max_attempts 1 -> 2, timeout_ms 2500 -> 1500, targets "
+		  "old 1 -> old 90, new 10\n"
+		  "add route draft: reports.example/d/, stream, priority 1, "
+		  "timeout_ms 30000, to new 1\n"
+		  "change callers: body_bytes 1048576 -> 65536\n",
+		  lines(plan->differences));
+	EXPECT_EQ("route lookup: its requests may run more than once\n"
+		  "route lookup: its requests need no key any more\n"
+		  "route lookup: requests that run longer than 1500 ms are cut "
+		  "off\n",
+		  lines(plan->warnings));
+	plan_destroy(plan);
+}
+
+TEST(PlanRoutes, KeepsWhatTheIntentLeavesOut)
+{
+	struct error error = {};
+	struct plan *plan = plan_on(
+		routes_base, R"({"services":[{"name":"more","kind":"plain"}]})",
+		&error);
+	struct config *result;
+
+	ASSERT_NE(nullptr, plan) << error.detail;
+	result = config_json_parse(plan->document, 8, &error);
+	ASSERT_NE(nullptr, result) << error.detail;
+	EXPECT_EQ(2500000, config_find_route(result, "lookup")->timeout_us);
+	EXPECT_STREQ("reports.example",
+		     config_find_route(result, "lookup")->host);
+	config_unref(result);
+	plan_destroy(plan);
+}
+
+TEST(PlanRoutes, WarnsOfARouteThatGoes)
+{
+	struct error error = {};
+	struct plan *plan =
+		plan_on(routes_base, R"({"remove_routes":["lookup"]})", &error);
+
+	ASSERT_NE(nullptr, plan) << error.detail;
+	EXPECT_EQ("remove route lookup\n", lines(plan->differences));
+	EXPECT_EQ("route lookup is removed: requests for "
+		  "reports.example/lookup/ are refused or taken by another "
+		  "route\n",
+		  lines(plan->warnings));
+	plan_destroy(plan);
+}
+
+TEST(PlanRoutes, RefusesWhatWouldMisleadRequests)
+{
+	const std::string route =
+		R"({"routes":[{"name":"a","host":"h","path_prefix":"/a/",
+		 "kind":"once","targets":[{"service":"old"}])";
+
+	EXPECT_EQ("remove_routes[0]: expected the name of a route that is "
+		  "there and not also in \"routes\"",
+		  route_plan_error(R"({"remove_routes":["none"]})"));
+	EXPECT_EQ("route a: expected a service, found none named gone",
+		  route_plan_error(R"({"routes":[{"name":"a","host":"h",
+		 "path_prefix":"/a/","kind":"once",
+		 "targets":[{"service":"gone"}]}]})"));
+	EXPECT_EQ("host and path_prefix: expected once, found in a and b",
+		  route_plan_error(route +
+				   R"(},{"name":"b","host":"H",
+		 "path_prefix":"/a/","kind":"once",
+		 "targets":[{"service":"old"}]}]})"));
+	EXPECT_EQ("routes[0].timeout_ms: expected a whole number from 10 to "
+		  "3600000",
+		  route_plan_error(route + R"(,"timeout_ms":0}]})"));
+	EXPECT_EQ("routes[0].path_prefix: expected a path that begins and ends "
+		  "with a slash",
+		  route_plan_error(R"({"routes":[{"name":"a","host":"h",
+		 "path_prefix":"/a","kind":"once",
+		 "targets":[{"service":"old"}]}]})"));
+	EXPECT_EQ("routes[0].targets: expected a weight above 0",
+		  route_plan_error(R"({"routes":[{"name":"a","host":"h",
+		 "path_prefix":"/a/","kind":"once",
+		 "targets":[{"service":"old","weight":0}]}]})"));
+	EXPECT_EQ("routes[0].targets: expected at least one service",
+		  route_plan_error(R"({"routes":[{"name":"a","host":"h",
+		 "path_prefix":"/a/","kind":"once"}]})"));
+	EXPECT_EQ("callers.header_bytes: expected a whole number from 256 to "
+		  "1048576",
+		  route_plan_error(R"({"callers":{"header_bytes":1}})"));
+}
+
+TEST(PlanRoutes, AServiceThatARouteNeedsStays)
+{
+	EXPECT_EQ("route lookup: expected a service, found none named old",
+		  route_plan_error(R"({"remove_services":["old"]})"));
+}
+
+TEST(PlanRoutes, RoutesAndKeysSurviveTheDocument)
+{
+	const std::string digest(64, 'a');
+	const std::string text =
+		std::string(routes_base)
+			.substr(0, std::string(routes_base).size() - 1) +
+		R"(,"callers":{"idle_timeout_ms":15000},
+		"organisations":[{"name":"atlas","more_keys_sha256":[")" +
+		digest + R"("],"route_priority":2}]})";
+	struct config *config = parse(text, nullptr);
+	struct config *again;
+	GBytes *once;
+
+	ASSERT_NE(nullptr, config);
+	once = config_json_format(config);
+	again = config_json_parse(once, 7, nullptr);
+	ASSERT_NE(nullptr, again);
+	EXPECT_EQ(text_of(g_bytes_ref(once)),
+		  text_of(config_json_format(again)));
+	EXPECT_TRUE(route_is_equal(config_find_route(config, "lookup"),
+				   config_find_route(again, "lookup")));
+	EXPECT_EQ(15000000, again->callers.idle_timeout_us);
+	EXPECT_EQ(2, config_find_organisation(again, "atlas")->route_priority);
+	EXPECT_EQ(1u, config_find_organisation(again, "atlas")->more_keys->len);
+	g_bytes_unref(once);
+	config_unref(config);
+	config_unref(again);
+}
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1,3 +1,4 @@
+#include "core/gateway/route_table.h"
 #include "platform/platform.h"
 
 #include <gtest/gtest.h>
@@ -81,8 +82,11 @@
 {
 	GBytes *document = bytes_of(text);
 	struct error error;
-	struct route_table *table = platform_read_document(document, &error);
+	struct config *config = platform_read_document(document, &error);
+	struct route_table *table =
+		config ? route_table_create(config) : nullptr;
 
+	config_unref(config);
 	g_bytes_unref(document);
 	return table;
 }
@@ -103,7 +107,7 @@
 		"\"tenants\":[{\"name\":\"atlas\",\"keys\":[\"k\",7],"
 		"\"priority\":2}]}");
 	const struct route *route;
-	const struct route_service *service;
+	const struct config_service *service;
 
 	ASSERT_NE(nullptr, table);
 	EXPECT_EQ(7, route_table_version(table));
@@ -119,7 +123,7 @@
 	EXPECT_EQ(34292, service->engine.memory_tokens);
 	EXPECT_TRUE(service->engine.can_back_up);
 	EXPECT_FALSE(service->engine.can_move);
-	EXPECT_EQ(2, route_table_find_organisation(table, "k")->priority);
+	EXPECT_EQ(2, route_table_find_organisation(table, "k")->route_priority);
 	route_table_unref(table);
 	EXPECT_EQ(nullptr, read_document(""));
 	EXPECT_EQ(nullptr, read_document("{\"version\":8}"));
--- a/tests/route_table_test.cc
+++ b/tests/route_table_test.cc
@@ -7,20 +7,24 @@
 class RouteTable : public testing::Test
 {
       protected:
-	struct route_table *table = route_table_create(7);
+	struct config *config = config_create();
+	struct route_table *table = nullptr;
 
 	~RouteTable() override
 	{
 		route_table_unref(table);
+		config_unref(config);
 	}
 
 	struct route *add(const char *name, const char *host, const char *path)
 	{
-		return route_table_add_route(table, name, host, path);
+		return config_add_route(config, name, host, path);
 	}
 
 	std::string find(const char *host, const char *target)
 	{
+		if (!table)
+			table = route_table_create(config);
 		const struct route *route =
 			route_table_find(table, host, target);
 
@@ -66,14 +70,34 @@
 
 TEST_F(RouteTable, KnowsWhoseKeyItIs)
 {
-	struct route_organisation *atlas =
-		route_table_add_organisation(table, "atlas");
+	struct config_organisation *atlas =
+		config_add_organisation(config, "atlas");
 
-	EXPECT_FALSE(route_table_requires_keys(table));
-	route_table_require_keys(table);
-	route_table_add_key(table, "k1", atlas);
-	route_table_add_key(table, "k2", atlas);
+	config_organisation_add_key(atlas, "k1");
+	config_organisation_add_key(atlas, "k2");
+	table = route_table_create(config);
 	EXPECT_EQ(atlas, route_table_find_organisation(table, "k2"));
 	EXPECT_EQ(nullptr, route_table_find_organisation(table, "k"));
 	EXPECT_TRUE(route_table_requires_keys(table));
 }
+
+TEST_F(RouteTable, KnowsAConfirmedKeyByItsDigest)
+{
+	struct config_organisation *atlas =
+		config_add_organisation(config, "atlas");
+
+	g_free(atlas->key_sha256);
+	atlas->key_sha256 =
+		g_compute_checksum_for_string(G_CHECKSUM_SHA256, "k1", -1);
+	table = route_table_create(config);
+	EXPECT_EQ(atlas, route_table_find_organisation(table, "k1"));
+}
+
+TEST_F(RouteTable, NeedsNoKeysWhereNoneAreGiven)
+{
+	config->requires_keys = false;
+	config->revision = 9;
+	table = route_table_create(config);
+	EXPECT_FALSE(route_table_requires_keys(table));
+	EXPECT_EQ(9, route_table_version(table));
+}
