A copied run changes its engine at a moment without prompts, and is copied once

Eight broke: a copy that took over 0.3 s was made again, behind all others on the link, and the engine ended before it was done, although a whole copy stood at the other engine. Three paused over 180 ms: the other engine was reading prompts when it was asked to go on.

Change: one copy; when it is whole the run waits for a moment at which the other engine reads no prompt, until 1.2 s after the notice, as backups do.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -33,11 +33,6 @@
 
 #define STATUS_OK 200
 
-/* A copy that took longer is made again: by then the run has made more. */
-#define MOVE_AGAIN_US (300 * 1000)
-
-static void move_send(struct exchange *exchange);
-
 /*
  * Room at the target is counted from the start: the generations of one engine
  * leave together, and would all choose the same target otherwise, to wait for
@@ -99,6 +94,21 @@
 	g_free(source);
 }
 
+/* Behind a prompt that the other engine reads the run would wait for it. */
+static void move_step_copied(struct exchange *exchange)
+{
+	const struct endpoint *target = registry_find(
+		exchange->gateway->registry, exchange->move.target_id);
+	char *handle;
+
+	if (target && endpoint_is_usable(target) &&
+	    !leg_may_change(exchange->leg, target))
+		return;
+	handle = g_steal_pointer(&exchange->move.handle);
+	move_go_on(exchange, handle);
+	g_free(handle);
+}
+
 static void on_head(void *data, const struct http_head *head)
 {
 	((struct exchange *)data)->move.status = head->status;
@@ -112,11 +122,14 @@
 			    (guint)size);
 }
 
-static bool move_took_long(const struct exchange *exchange)
+static void move_take_copy(struct exchange *exchange, char *handle)
 {
-	return exchange->move.state == MOVE_COPYING &&
-	       exchange->gateway->now_us - exchange->move.since_us >
-		       MOVE_AGAIN_US;
+	struct move *move = &exchange->move;
+
+	attempt_destroy(g_steal_pointer(&move->call));
+	move->state = MOVE_COPIED;
+	move->handle = handle;
+	move_step_copied(exchange);
 }
 
 static void on_whole(void *data)
@@ -129,13 +142,10 @@
 	exchange->gateway->now_us = gateway_now_us();
 	if (exchange->move.status != STATUS_OK)
 		move_fail(exchange, "refused");
-	else if (move_took_long(exchange))
-		move_send(exchange);
 	else if (exchange->gateway->dialect->read_move(body, &answer))
-		move_go_on(exchange, answer.handle);
+		move_take_copy(exchange, answer.handle);
 	else
 		move_fail(exchange, "unreadable");
-	g_free(answer.handle);
 	g_bytes_unref(body);
 }
 
@@ -151,6 +161,18 @@
 	.failed = on_failed,
 };
 
+static void log_begun(const struct exchange *exchange)
+{
+	char tokens[24];
+
+	g_snprintf(tokens, sizeof(tokens), "%" G_GINT64_FORMAT,
+		   exchange->move.tokens);
+	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "move_begun",
+		  "request", exchange->asked.id, "from",
+		  exchange->leg->endpoint_id, "to", exchange->move.target_id,
+		  "tokens", tokens, NULL);
+}
+
 static void move_send(struct exchange *exchange)
 {
 	struct gateway *gateway = exchange->gateway;
@@ -165,11 +187,11 @@
 	gateway->dialect->write_move(options.address, exchange->asked.id,
 				     move->target_address, options.request);
 	attempt_destroy(g_steal_pointer(&move->call));
-	move->state =
-		move->state == MOVE_NONE ? MOVE_COPYING : MOVE_COPYING_AGAIN;
+	move->state = MOVE_COPYING;
 	move->since_us = gateway->now_us;
 	move->status = 0;
 	g_byte_array_set_size(move->body, 0);
+	log_begun(exchange);
 	move->call = attempt_start(&options, &move_events, exchange, &error);
 	if (!move->call)
 		move_fail(exchange, error.detail);
@@ -202,6 +224,10 @@
 	struct endpoint_wish wish;
 	struct endpoint *target;
 
+	if (move->state == MOVE_COPIED) {
+		move_step_copied(exchange);
+		return;
+	}
 	if (move->call && gateway->now_us - move->since_us > MOVE_TIMEOUT_US) {
 		move_fail(exchange, "timeout");
 		return;
@@ -235,6 +261,7 @@
 	g_clear_pointer(&move->body, g_byte_array_unref);
 	g_clear_pointer(&move->target_id, g_free);
 	g_clear_pointer(&move->target_address, g_free);
+	g_clear_pointer(&move->handle, g_free);
 	move->state = MOVE_NONE;
 	move->tokens = 0;
 }
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -284,17 +284,28 @@
 		       SLOW_AIMS * (double)route->first_answer_us;
 }
 
-static bool leg_should_leave(const struct leg *leg,
-			     const struct endpoint *backup)
+/* Since its engine's notice; 0: there is none. */
+static int64_t leg_under_notice_us(const struct leg *leg)
 {
 	const struct endpoint *endpoint = leg_endpoint(leg);
-	int64_t left_us;
 
-	if (!endpoint || endpoint_is_usable(endpoint) || !leg->heard_us)
-		return false;
-	left_us = leg->exchange->gateway->now_us - endpoint->since_us;
-	return left_us > LEAVE_UNTIL_US ||
-	       (left_us > LEAVE_FROM_US && !endpoint_reads_prompts(backup));
+	if (!endpoint || endpoint_is_usable(endpoint))
+		return 0;
+	return MAX(leg->exchange->gateway->now_us - endpoint->since_us, 1);
+}
+
+/* Whether a run may go on elsewhere now, or must, since time is running out. */
+bool leg_may_change(const struct leg *leg, const struct endpoint *to)
+{
+	return leg_under_notice_us(leg) > LEAVE_UNTIL_US ||
+	       !endpoint_reads_prompts(to);
+}
+
+static bool leg_should_leave(const struct leg *leg,
+			     const struct endpoint *backup)
+{
+	return leg->heard_us && leg_under_notice_us(leg) > LEAVE_FROM_US &&
+	       leg_may_change(leg, backup);
 }
 
 /*
@@ -323,7 +334,7 @@
 		return;
 	}
 	if (!backup_is_ready(exchange) || exchange->copy_failed ||
-	    exchange->move.call) {
+	    exchange->move.target_id) {
 		exchange_move_step(exchange);
 		return;
 	}
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -44,7 +44,7 @@
 enum move_state {
 	MOVE_NONE,
 	MOVE_COPYING,
-	MOVE_COPYING_AGAIN, /* what is new since the first copy */
+	MOVE_COPIED, /* the copy waits for a moment without prompts */
 	MOVE_FAILED
 };
 
@@ -56,6 +56,7 @@
 	int64_t since_us;
 	char *target_id;
 	char *target_address;
+	char *handle; /* names the copy, once it is whole */
 	int64_t tokens;	  /* counted at the target */
 	int32_t failures; /* targets that had no room */
 };
@@ -126,6 +127,7 @@
 /* exchange_recover.c */
 void exchange_fail_leg(struct exchange *exchange, enum attempt_result result,
 		       const char *detail);
+bool leg_may_change(const struct leg *leg, const struct endpoint *to);
 void exchange_hand_over(struct exchange *exchange, struct endpoint *to,
 			const char *copy_address, const char *copy_name,
 			const char *reason);
