When a generation changes its engine is decided by a module without network

Cause: the decision was spread over three functions of the exchange, with their timers; no test could play it without processes. One gap showed in reading: a run whose whole copy stood at another engine was lost when its own engine went while the copy waited, since only backups were looked at then; and a backup known to be missing was asked again.

Change: core/gateway/evacuation decides from what is known at a moment; the exchange carries out. A lost engine's run goes on from a whole copy first.

Tests: 16 scenes with expected output in tests/evacuation, 20,000 random scenes (overlap under 400 ms, nothing lost that a copy stood ready for), four mutants, 18 gateway cases.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -10,27 +10,12 @@
  * one run each of the same quiet day.
  */
 
-/* A copy of 3,500 tokens takes 0.2 s, twice that between failure domains. */
-#define MOVE_TIMEOUT_US (2 * G_USEC_PER_SEC)
-
 /*
  * A copy to another failure domain takes twice as long, on a link on which all
  * generations of an engine leave within a second and a half.
  */
 #define FAR_COPY_WEIGHT 0.3
 
-/* What an engine under notice still makes, in tokens. */
-#define LAST_TOKENS 110
-
-/*
- * Between two tries: a run that is preempted can't be copied, and what has no
- * room now may have some when a generation there has ended.
- */
-#define TRY_AGAIN_US (120 * 1000)
-
-/* Engines asked for room before the end is waited for. */
-#define MAX_TARGETS 6
-
 #define STATUS_OK 200
 
 /*
@@ -50,7 +35,8 @@
 	exchange->gateway->held_changed = true;
 }
 
-static void move_fail(struct exchange *exchange, const char *reason)
+/* Gives a copy up; the next step looks for another target. */
+void exchange_move_fail(struct exchange *exchange, const char *reason)
 {
 	const struct endpoint *target = registry_find(
 		exchange->gateway->registry, exchange->move.target_id);
@@ -68,44 +54,33 @@
 	g_ptr_array_add(exchange->tried, g_strdup(exchange->move.target_id));
 	exchange_move_clear(exchange);
 	exchange->move.since_us = exchange->gateway->now_us;
-	if (++exchange->move.failures >= MAX_TARGETS)
-		exchange->move.state = MOVE_FAILED;
+	exchange->move.failures++;
 }
 
-static void move_go_on(struct exchange *exchange, const char *handle)
+/* The engine that has the whole copy and still serves; NULL: none. */
+struct endpoint *exchange_move_target(const struct exchange *exchange)
 {
-	struct gateway *gateway = exchange->gateway;
-	struct endpoint *target =
-		registry_find(gateway->registry, exchange->move.target_id);
-	char *source = g_strdup(exchange->leg->endpoint_address);
+	struct endpoint *target = NULL;
 
-	if (!target || !endpoint_is_usable(target)) {
-		move_fail(exchange, "no_target");
-	} else if (retry_budget_left(gateway_budget(
-			   gateway, exchange->service_name)) == 0) {
-		move_fail(exchange, "no_retry_left");
-	} else {
-		counters_add(gateway->options.counters, COUNTER_GATEWAY_MOVES,
-			     1);
-		exchange_move_clear(exchange);
-		exchange->move.state = MOVE_FAILED; /* once for each engine */
-		exchange_hand_over(exchange, target, source, handle, "copied");
-	}
-	g_free(source);
+	if (exchange->move.state == COPY_WHOLE)
+		target = registry_find(exchange->gateway->registry,
+				       exchange->move.target_id);
+	return target && endpoint_is_usable(target) ? target : NULL;
 }
 
-/* Behind a prompt that the other engine reads the run would wait for it. */
-static void move_step_copied(struct exchange *exchange)
+/* Asks the engine that has the whole copy to go on with the run. */
+void exchange_move_go_on(struct exchange *exchange)
 {
-	const struct endpoint *target = registry_find(
-		exchange->gateway->registry, exchange->move.target_id);
-	char *handle;
+	struct endpoint *target = exchange_move_target(exchange);
+	char *source = g_strdup(exchange->leg->endpoint_address);
+	char *handle = g_steal_pointer(&exchange->move.handle);
 
-	if (target && endpoint_is_usable(target) &&
-	    !leg_may_change(exchange->leg, target))
-		return;
-	handle = g_steal_pointer(&exchange->move.handle);
-	move_go_on(exchange, handle);
+	counters_add(exchange->gateway->options.counters, COUNTER_GATEWAY_MOVES,
+		     1);
+	exchange_move_clear(exchange);
+	exchange->move.state = COPY_GIVEN_UP; /* once for each engine */
+	exchange_hand_over(exchange, target, source, handle, "copied");
+	g_free(source);
 	g_free(handle);
 }
 
@@ -127,9 +102,8 @@
 	struct move *move = &exchange->move;
 
 	attempt_destroy(g_steal_pointer(&move->call));
-	move->state = MOVE_COPIED;
+	move->state = COPY_WHOLE;
 	move->handle = handle;
-	move_step_copied(exchange);
 }
 
 static void on_whole(void *data)
@@ -141,17 +115,17 @@
 
 	exchange->gateway->now_us = gateway_now_us();
 	if (exchange->move.status != STATUS_OK)
-		move_fail(exchange, "refused");
+		exchange_move_fail(exchange, "refused");
 	else if (exchange->gateway->dialect->read_move(body, &answer))
 		move_take_copy(exchange, answer.handle);
 	else
-		move_fail(exchange, "unreadable");
+		exchange_move_fail(exchange, "unreadable");
 	g_bytes_unref(body);
 }
 
 static void on_failed(void *data, const struct error *error)
 {
-	move_fail(data, error->detail);
+	exchange_move_fail(data, error->detail);
 }
 
 static const struct attempt_events move_events = {
@@ -187,54 +161,24 @@
 	gateway->dialect->write_move(options.address, exchange->asked.id,
 				     move->target_address, options.request);
 	attempt_destroy(g_steal_pointer(&move->call));
-	move->state = MOVE_COPYING;
+	move->state = COPY_UNDER_WAY;
 	move->since_us = gateway->now_us;
 	move->status = 0;
 	g_byte_array_set_size(move->body, 0);
 	log_begun(exchange);
 	move->call = attempt_start(&options, &move_events, exchange, &error);
 	if (!move->call)
-		move_fail(exchange, error.detail);
+		exchange_move_fail(exchange, error.detail);
 }
 
-/* Moving what ends in time would only keep the others waiting. */
-static bool ends_in_time(const struct exchange *exchange)
-{
-	int64_t made = exchange->event_count *
-		       exchange->service->engine.tokens_per_event;
-
-	return made < exchange->expected_tokens &&
-	       exchange->expected_tokens - made < LAST_TOKENS;
-}
-
-static bool move_is_wanted(const struct exchange *exchange)
-{
-	const struct endpoint *endpoint = leg_endpoint(exchange->leg);
-
-	return !ends_in_time(exchange) && exchange->move.state == MOVE_NONE &&
-	       exchange->service->engine.can_move && exchange->leg->heard_us &&
-	       endpoint && !endpoint_is_usable(endpoint);
-}
-
-/* Begins to move a generation whose engine leaves, or gives a move up. */
-void exchange_move_step(struct exchange *exchange)
+/* Has the engine copy the generation to another one, if any has room. */
+void exchange_move_begin(struct exchange *exchange)
 {
 	struct gateway *gateway = exchange->gateway;
 	struct move *move = &exchange->move;
 	struct endpoint_wish wish;
 	struct endpoint *target;
 
-	if (move->state == MOVE_COPIED) {
-		move_step_copied(exchange);
-		return;
-	}
-	if (move->call && gateway->now_us - move->since_us > MOVE_TIMEOUT_US) {
-		move_fail(exchange, "timeout");
-		return;
-	}
-	if (!move_is_wanted(exchange) ||
-	    gateway->now_us - move->since_us < TRY_AGAIN_US)
-		return;
 	exchange_wish(exchange, &wish);
 	wish.avoid_also = exchange->leg->endpoint_id;
 	wish.failure_domain = leg_endpoint(exchange->leg)->said->failure_domain;
@@ -262,6 +206,6 @@
 	g_clear_pointer(&move->target_id, g_free);
 	g_clear_pointer(&move->target_address, g_free);
 	g_clear_pointer(&move->handle, g_free);
-	move->state = MOVE_NONE;
+	move->state = COPY_NONE;
 	move->tokens = 0;
 }
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -9,45 +9,46 @@
 /* An endpoint in reach takes a connection within a few ms. */
 #define CONNECT_TIMEOUT_US (600 * 1000)
 
-/*
- * An engine that made events and has gone silent for so long is given up for
- * one that holds a copy: five times the pause that callers notice, above any
- * pause that another request's prompt causes.
- */
-#define SILENT_US (900 * 1000)
-
-/* Before its first event an engine reads the prompt, behind others' prompts. */
-#define FIRST_EVENT_US (4 * G_USEC_PER_SEC)
-
 /* An idempotent request that waits so many times its aim goes elsewhere. */
 #define SLOW_AIMS 2.5
 
-/*
- * An engine under notice ends 1.5 s after it at the earliest. A generation
- * leaves it between these two, at a moment at which the other engine has no
- * prompt to read, behind which the run would wait for up to half a second.
- * What ends before needs no second engine.
- */
-#define LEAVE_FROM_US (500 * 1000)
-#define LEAVE_UNTIL_US (1200 * 1000)
-
-/*
- * Two engines may work on one run for 400 ms while it changes between them.
- * The old one goes on until the new one has answered, so that the caller sees
- * no pause and nothing is lost if the copy is missing; this is when it is let
- * go at the latest, with time for the close to reach it.
- */
-#define OVERLAP_US (250 * 1000)
-
 /* Engines that may break off a run before it is given up. */
 #define MAX_CRASHES 3
 
-static bool backup_is_ready(const struct exchange *exchange)
+static bool has_backup(const struct exchange *exchange)
+{
+	const struct endpoint *backup = leg_backup(exchange->leg);
+
+	return backup && endpoint_is_usable(backup) && !exchange->copy_failed;
+}
+
+/* Where a run can go on whose engine is lost. */
+struct copy_place {
+	struct endpoint *endpoint; /* NULL: nowhere */
+	char *address;		   /* as the copy is named, with handle */
+	char *handle;
+};
+
+static void copy_place_clear(struct copy_place *place)
 {
-	const struct endpoint *backup =
-		exchange->leg ? leg_backup(exchange->leg) : NULL;
+	g_free(place->address);
+	g_free(place->handle);
+}
 
-	return backup && endpoint_is_usable(backup);
+static struct copy_place find_copy(const struct exchange *exchange)
+{
+	struct copy_place place = {exchange_move_target(exchange), NULL, NULL};
+	struct endpoint *backup = leg_backup(exchange->leg);
+
+	if (place.endpoint) {
+		place.address = g_strdup(exchange->leg->endpoint_address);
+		place.handle = g_strdup(exchange->move.handle);
+	} else if (has_backup(exchange)) {
+		place.endpoint = backup;
+		place.address = g_strdup(backup->said->address);
+		place.handle = g_strdup(exchange->asked.id);
+	}
+	return place;
 }
 
 /*
@@ -110,7 +111,8 @@
 
 static bool may_take_over(const struct exchange *exchange)
 {
-	return backup_is_ready(exchange) && exchange->crashes < MAX_CRASHES;
+	return exchange->crashes < MAX_CRASHES &&
+	       (exchange_move_target(exchange) || has_backup(exchange));
 }
 
 static enum recovery decide(const struct exchange *exchange,
@@ -145,30 +147,37 @@
 	leg_destroy(g_steal_pointer(&exchange->leg));
 }
 
-static void log_take_over(const struct exchange *exchange, const char *to,
-			  const char *reason)
+static void log_take_over(const struct exchange *exchange,
+			  const struct endpoint *to, const char *reason)
 {
+	char unread[24], held[24];
+
+	g_snprintf(unread, sizeof(unread), "%" G_GINT64_FORMAT,
+		   to->own.unread_tokens + to->others.unread_tokens);
+	g_snprintf(held, sizeof(held), "%" G_GINT64_FORMAT,
+		   to->own.tokens + to->others.tokens);
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "run_taken_over",
 		  "request", exchange->asked.id, "from",
-		  exchange->leg->endpoint_id, "to", to, "reason", reason, NULL);
+		  exchange->leg->endpoint_id, "to", to->said->id, "reason",
+		  reason, "held_tokens", held, "unread_tokens", unread, NULL);
 	counters_add(exchange->gateway->options.counters,
 		     COUNTER_GATEWAY_TAKE_OVERS, 1);
 }
 
-/* Continues a run whose engine is lost from the copy at the backup engine. */
+/* Continues a run whose engine is lost from the copy of it. */
 static void take_over(struct exchange *exchange, const char *reason)
 {
-	struct endpoint *backup = leg_backup(exchange->leg);
+	struct copy_place place = find_copy(exchange);
 	struct error error;
 
-	log_take_over(exchange, backup->said->id, reason);
+	log_take_over(exchange, place.endpoint, reason);
 	drop_leg(exchange);
 	exchange->take_overs++;
 	exchange->copy_failed = false;
-	exchange->leg = leg_create(exchange, backup, backup->said->address);
-	if (!leg_send(exchange->leg, backup->said->address, exchange->asked.id,
-		      &error))
+	exchange->leg = leg_create(exchange, place.endpoint, place.address);
+	if (!leg_send(exchange->leg, place.address, place.handle, &error))
 		exchange_fail_leg(exchange, RESULT_NOT_SENT, error.detail);
+	copy_place_clear(&place);
 }
 
 /* The serving leg gave no whole answer: goes on, or ends the request. */
@@ -224,7 +233,7 @@
 	if (!retry_budget_take(
 		    gateway_budget(exchange->gateway, exchange->service_name)))
 		return;
-	log_take_over(exchange, to->said->id, reason);
+	log_take_over(exchange, to, reason);
 	exchange->next = leg_create(exchange, to, copy_address);
 	if (!leg_send(exchange->next, copy_address, copy_name, &error))
 		exchange_drop_next(exchange, error.detail);
@@ -262,15 +271,6 @@
 		exchange_refuse(exchange, may_run ? 504 : 503, -1, "deadline");
 }
 
-static bool leg_is_silent(const struct leg *leg)
-{
-	int64_t now_us = leg->exchange->gateway->now_us;
-
-	if (leg->heard_us)
-		return now_us - leg->heard_us > SILENT_US;
-	return now_us - leg->sent_us > FIRST_EVENT_US;
-}
-
 static bool leg_is_slow(const struct leg *leg)
 {
 	const struct exchange *exchange = leg->exchange;
@@ -294,55 +294,90 @@
 	return MAX(leg->exchange->gateway->now_us - endpoint->since_us, 1);
 }
 
-/* Whether a run may go on elsewhere now, or must, since time is running out. */
-bool leg_may_change(const struct leg *leg, const struct endpoint *to)
+static void read_asked(const struct exchange *exchange,
+		       struct evacuation_input *input)
 {
-	return leg_under_notice_us(leg) > LEAVE_UNTIL_US ||
-	       !endpoint_reads_prompts(to);
+	const struct leg *next = exchange->next;
+
+	if (!next)
+		return;
+	input->is_asked = true;
+	input->asked_is_connected = attempt_is_connected(next->attempt);
+	input->asked_us = exchange->gateway->now_us - next->sent_us;
 }
 
-static bool leg_should_leave(const struct leg *leg,
-			     const struct endpoint *backup)
+static void read_copy(const struct exchange *exchange,
+		      struct evacuation_input *input)
 {
-	return leg->heard_us && leg_under_notice_us(leg) > LEAVE_FROM_US &&
-	       leg_may_change(leg, backup);
+	const struct endpoint *target = exchange_move_target(exchange);
+
+	input->can_copy = exchange->service->engine.can_move;
+	input->copy = exchange->move.state;
+	input->copy_failures = exchange->move.failures;
+	input->copy_us = exchange->gateway->now_us - exchange->move.since_us;
+	input->target_serves = target != NULL;
+	input->target_reads_prompts = target && endpoint_reads_prompts(target);
 }
 
-/*
- * An engine that took the request but has not answered may work on it, so the
- * other one is let go. One that took not even the connection does not.
- */
-static void step_next(struct exchange *exchange)
+static struct evacuation_input read_input(const struct exchange *exchange)
 {
-	const struct leg *next = exchange->next;
+	const struct leg *leg = exchange->leg;
+	const struct endpoint *backup = leg_backup(leg);
+	int64_t heard_us = leg->heard_us ? leg->heard_us : leg->sent_us;
+	struct evacuation_input input = {
+		.under_notice_us = leg_under_notice_us(leg),
+		.silent_us = exchange->gateway->now_us - heard_us,
+		.has_begun = leg->heard_us != 0,
+		.ends_in_time = evacuation_ends_in_time(
+			exchange->event_count *
+				exchange->service->engine.tokens_per_event,
+			exchange->expected_tokens),
+		.budget_left =
+			retry_budget_left(gateway_budget(
+				exchange->gateway, exchange->service_name)) > 0,
+		.has_backup = has_backup(exchange),
+		.backup_reads_prompts =
+			backup && endpoint_reads_prompts(backup),
+	};
 
-	if (exchange->gateway->now_us - next->sent_us <= OVERLAP_US)
-		return;
-	if (attempt_is_connected(next->attempt))
-		exchange_promote_next(exchange);
-	else
-		exchange_drop_next(exchange, "connection not established");
+	read_copy(exchange, &input);
+	read_asked(exchange, &input);
+	return input;
 }
 
 static void step_generation(struct exchange *exchange)
 {
-	struct leg *leg = exchange->leg;
-	struct endpoint *backup = leg_backup(leg);
+	const struct evacuation_input input = read_input(exchange);
+	struct endpoint *backup = leg_backup(exchange->leg);
 
-	if (exchange->next) {
-		step_next(exchange);
-		return;
-	}
-	if (!backup_is_ready(exchange) || exchange->copy_failed ||
-	    exchange->move.target_id) {
-		exchange_move_step(exchange);
-		return;
-	}
-	if (leg_should_leave(leg, backup))
+	switch (evacuation_decide(&input)) {
+	case EVACUATION_STAY:
+		break;
+	case EVACUATION_BEGIN_COPY:
+		exchange_move_begin(exchange);
+		break;
+	case EVACUATION_DROP_COPY:
+		exchange_move_fail(exchange, input.copy == COPY_WHOLE
+						     ? "no_target"
+						     : "timeout");
+		break;
+	case EVACUATION_ASK_COPY:
+		exchange_move_go_on(exchange);
+		break;
+	case EVACUATION_ASK_BACKUP:
 		exchange_hand_over(exchange, backup, backup->said->address,
 				   exchange->asked.id, "leaving");
-	else if (leg_is_silent(leg))
+		break;
+	case EVACUATION_LET_OLD_GO:
+		exchange_promote_next(exchange);
+		break;
+	case EVACUATION_DROP_ASKED:
+		exchange_drop_next(exchange, "connection not established");
+		break;
+	case EVACUATION_GIVE_UP:
 		exchange_fail_leg(exchange, RESULT_SLOW, "silent");
+		break;
+	}
 }
 
 /* Looks after the time: deadlines, silence, engines that leave. */
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -5,6 +5,7 @@
 #include "adapters/gateway/event_scanner.h"
 #include "adapters/gateway/gateway_state.h"
 #include "core/gateway/endpoint_choice.h"
+#include "core/gateway/evacuation.h"
 #include "core/gateway/recovery.h"
 
 #include <glib.h>
@@ -40,23 +41,15 @@
 	bool has_gone_on;  /* took a run over and has made an event */
 };
 
-/* How far a copy for a change of engines has got. */
-enum move_state {
-	MOVE_NONE,
-	MOVE_COPYING,
-	MOVE_COPIED, /* the copy waits for a moment without prompts */
-	MOVE_FAILED
-};
-
 struct move {
-	enum move_state state;
+	enum evacuation_copy state;
 	struct attempt *call;
 	GByteArray *body;
 	int32_t status;
 	int64_t since_us;
 	char *target_id;
 	char *target_address;
-	char *handle; /* names the copy, once it is whole */
+	char *handle;	  /* names the copy, once it is whole */
 	int64_t tokens;	  /* counted at the target */
 	int32_t failures; /* targets that had no room */
 };
@@ -127,7 +120,6 @@
 /* exchange_recover.c */
 void exchange_fail_leg(struct exchange *exchange, enum attempt_result result,
 		       const char *detail);
-bool leg_may_change(const struct leg *leg, const struct endpoint *to);
 void exchange_hand_over(struct exchange *exchange, struct endpoint *to,
 			const char *copy_address, const char *copy_name,
 			const char *reason);
@@ -139,7 +131,10 @@
 bool exchange_on_event(void *data, const char *bytes, size_t size, int64_t id);
 
 /* exchange_move.c */
-void exchange_move_step(struct exchange *exchange);
+void exchange_move_begin(struct exchange *exchange);
+void exchange_move_go_on(struct exchange *exchange);
+void exchange_move_fail(struct exchange *exchange, const char *reason);
+struct endpoint *exchange_move_target(const struct exchange *exchange);
 void exchange_move_clear(struct exchange *exchange);
 
 G_END_DECLS
--- /dev/null
+++ b/tests/evacuation_script.cc
@@ -0,0 +1,300 @@
+#include "tests/evacuation_script.h"
+
+#include "core/gateway/evacuation.h"
+
+#include <algorithm>
+#include <map>
+#include <sstream>
+
+namespace
+{
+
+constexpr int64_t kStep = 10;
+constexpr int64_t kEvent = 30;
+constexpr int64_t kFrom = -300;
+constexpr int64_t kUntil = 4000;
+constexpr int64_t kRefused = 5; /* a refusal is back after so long */
+constexpr int64_t kMs = 1000;
+
+class Run
+{
+      public:
+	explicit Run(const struct evacuation_scene &with) : scene(with)
+	{
+	}
+
+	struct evacuation_result Play()
+	{
+		for (now = kFrom; now < kUntil && !over; now += kStep)
+			Step();
+		result.is_whole = !is_broken && (!is_old || has_ended);
+		return result;
+	}
+
+      private:
+	const struct evacuation_scene &scene;
+	struct evacuation_result result;
+	int64_t now = kFrom;
+	bool over = false;
+	bool is_broken = false;
+	bool has_ended = false; /* by itself */
+	bool is_old = true;	/* its first engine still has it */
+	int32_t failures = 0;	/* copies that came to nothing */
+	bool backup_failed = false;
+	enum evacuation_copy copy = COPY_NONE;
+	int64_t copy_from = kFrom - 1000;
+	int32_t refusals = 0;
+	bool is_asked = false;
+	bool asked_backup = false;
+	int64_t asked_at = 0;
+	int64_t heard = kFrom; /* last event that the caller got */
+	int64_t old_made = kFrom;
+
+	void Say(const std::string &what)
+	{
+		result.log.push_back("  " + std::to_string(now) + " " + what);
+	}
+
+	bool HasBackup() const
+	{
+		return scene.has_backup && !backup_failed;
+	}
+
+	bool TargetServes() const
+	{
+		return scene.target_gone < 0 || now < scene.target_gone ||
+		       failures > scene.refusals;
+	}
+
+	bool ReadsPrompts() const
+	{
+		return now < scene.prompts_until;
+	}
+
+	bool OldWorks() const
+	{
+		return is_old && now < scene.end;
+	}
+
+	void Heard()
+	{
+		result.longest_pause =
+			std::max(result.longest_pause, now - heard);
+		heard = now;
+	}
+
+	void OldMakesEvents()
+	{
+		bool is_silent = scene.silent >= 0 && now >= scene.silent;
+
+		if (!OldWorks() || is_silent || now - old_made < kEvent)
+			return;
+		old_made = now;
+		Heard();
+	}
+
+	void DropCopy()
+	{
+		failures++;
+		copy = COPY_NONE;
+		copy_from = now;
+	}
+
+	void CopyGoesOn()
+	{
+		if (copy != COPY_UNDER_WAY || !OldWorks())
+			return;
+		if (scene.copy < 0 || refusals < scene.refusals) {
+			if (now - copy_from < kRefused)
+				return;
+			refusals++;
+			DropCopy();
+			Say("copy refused");
+		} else if (now - copy_from >= scene.copy) {
+			copy = COPY_WHOLE;
+			Say("copy whole");
+		}
+	}
+
+	void Ask(bool backup)
+	{
+		is_asked = true;
+		asked_backup = backup;
+		asked_at = now;
+	}
+
+	/* The engine that was asked answers, or has no copy. */
+	void AskedAnswers()
+	{
+		if (!is_asked || !scene.connects)
+			return;
+		if (asked_backup && scene.backup_is_missing) {
+			if (now - asked_at < kRefused)
+				return;
+			is_asked = false;
+			backup_failed = true;
+			Say("no copy");
+			if (!OldWorks())
+				Lose();
+			return;
+		}
+		if (OldWorks())
+			result.longest_overlap = std::max(
+				result.longest_overlap, now - asked_at);
+		if (now - asked_at < scene.answer)
+			return;
+		Say("goes on");
+		Heard();
+		is_old = false;
+		over = true;
+	}
+
+	void Lose()
+	{
+		is_broken = true;
+		over = true;
+		Say("broken");
+	}
+
+	/* Its engine is gone: the run goes on from a copy, or is lost. */
+	void OldEnds()
+	{
+		bool stands = copy == COPY_WHOLE && TargetServes();
+
+		if (!is_old || now < scene.end || is_asked || over)
+			return;
+		result.had_copy =
+			stands || (HasBackup() && !scene.backup_is_missing);
+		if (!scene.has_budget || !(stands || HasBackup())) {
+			Lose();
+			return;
+		}
+		Say(stands ? "engine gone, asks copy"
+			   : "engine gone, asks backup");
+		Ask(!stands);
+	}
+
+	struct evacuation_input Input() const
+	{
+		struct evacuation_input input = {};
+
+		input.under_notice_us =
+			scene.has_notice && now > 0 ? now * kMs : 0;
+		input.silent_us = (now - heard) * kMs;
+		input.has_begun = true;
+		input.ends_in_time = scene.ends_in_time;
+		input.budget_left = scene.has_budget;
+		input.has_backup = HasBackup();
+		input.backup_reads_prompts = ReadsPrompts();
+		input.can_copy = true;
+		input.copy = copy;
+		input.copy_failures = failures;
+		input.copy_us = (now - copy_from) * kMs;
+		input.target_serves = TargetServes();
+		input.target_reads_prompts = ReadsPrompts();
+		input.is_asked = is_asked;
+		input.asked_is_connected = scene.connects;
+		input.asked_us = (now - asked_at) * kMs;
+		return input;
+	}
+
+	void Decide()
+	{
+		struct evacuation_input input = Input();
+		enum evacuation evacuation = evacuation_decide(&input);
+
+		if (over || !OldWorks() || evacuation == EVACUATION_STAY)
+			return;
+		Say(evacuation_name(evacuation));
+		switch (evacuation) {
+		case EVACUATION_STAY:
+			break;
+		case EVACUATION_BEGIN_COPY:
+			copy = COPY_UNDER_WAY;
+			copy_from = now;
+			break;
+		case EVACUATION_DROP_COPY:
+			DropCopy();
+			break;
+		case EVACUATION_ASK_COPY:
+			copy = COPY_GIVEN_UP;
+			Ask(false);
+			break;
+		case EVACUATION_ASK_BACKUP:
+			Ask(true);
+			break;
+		case EVACUATION_LET_OLD_GO:
+			is_old = false;
+			break;
+		case EVACUATION_DROP_ASKED:
+			is_asked = false;
+			backup_failed = backup_failed || asked_backup;
+			break;
+		case EVACUATION_GIVE_UP:
+			is_old = false;
+			Ask(true);
+			break;
+		}
+	}
+
+	void Step()
+	{
+		OldMakesEvents();
+		if (OldWorks() && scene.run_ends >= 0 &&
+		    now >= scene.run_ends) {
+			has_ended = over = true;
+			Say("ends");
+			return;
+		}
+		CopyGoesOn();
+		AskedAnswers();
+		OldEnds();
+		Decide();
+	}
+};
+
+} /* namespace */
+
+/* Reads "name value" lines; false: one names nothing. */
+bool evacuation_scene_read(const std::string &text,
+			   struct evacuation_scene *scene)
+{
+	const std::map<std::string, int64_t *> times = {
+		{"end", &scene->end},
+		{"silent", &scene->silent},
+		{"prompts_until", &scene->prompts_until},
+		{"copy", &scene->copy},
+		{"target_gone", &scene->target_gone},
+		{"answer", &scene->answer},
+		{"run_ends", &scene->run_ends},
+	};
+	const std::map<std::string, bool *> flags = {
+		{"notice", &scene->has_notice},
+		{"backup", &scene->has_backup},
+		{"backup_is_missing", &scene->backup_is_missing},
+		{"connects", &scene->connects},
+		{"budget", &scene->has_budget},
+		{"ends_in_time", &scene->ends_in_time},
+	};
+	std::istringstream in(text);
+	std::string name;
+	int64_t value;
+
+	while (in >> name >> value) {
+		if (name == "refusals")
+			scene->refusals = (int32_t)value;
+		else if (times.count(name))
+			*times.at(name) = value;
+		else if (flags.count(name))
+			*flags.at(name) = value != 0;
+		else
+			return false;
+	}
+	return in.eof();
+}
+
+/* Plays the scene to its end. */
+struct evacuation_result evacuation_run(const struct evacuation_scene &scene)
+{
+	return Run(scene).Play();
+}
