Retries of all nodes hold across restarts, in a module of their own

Cause: each process began with a full stock of retries. Nodes that use theirs up, are killed and start again send twice what all may send in a window: in a test of seven nodes with three restarts 112 beyond their share, where 54 are allowed.

Change: core/limit/shared_budgets holds what the gateway had between sockets: a node's part of the fixed number, divided by the most nodes seen. What a budget has at first is what came back since its process began. Tests of whole processes start nodes and need retries at once: their settings allow more.

Tests: SharedBudgets (7: cuts, restarts, services, reloads), two mutants.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -14,12 +14,6 @@
 /* The process ends so long before it would be killed. */
 #define DRAIN_MARGIN_US (300 * 1000)
 
-/* Nodes that are reckoned with before they are known. */
-#define LEAST_NODES 6
-
-/* Of the fixed number of retries; the rest may be saved up. */
-#define REFILL_SHARE 0.35
-
 /* Ticks later than this are a pause of the process, not a busy moment. */
 #define STOOD_STILL_US (250 * 1000)
 
@@ -58,89 +52,11 @@
 	return gateway->store_is_reached;
 }
 
-/*
- * By how many nodes the fixed number of retries is divided: the most that were
- * seen, for nodes cut from one another must not each take the part of all, and
- * a few until they are known, for after a start they aren't.
- */
-static int64_t gateway_budget_nodes(const struct gateway *gateway)
-{
-	return (int64_t)MAX(gateway->most_nodes, LEAST_NODES);
-}
-
-/* What a node may save up of the fixed number of retries. */
-static int32_t gateway_budget_burst(const struct gateway *gateway)
-{
-	double all = (1 - REFILL_SHARE) * (double)gateway->options.retry_extra;
-
-	return MAX((int32_t)(all / (double)gateway_budget_nodes(gateway)), 1);
-}
-
-static void gateway_resize_budgets(struct gateway *gateway)
-{
-	GHashTableIter iter;
-	gpointer budget;
-
-	g_hash_table_iter_init(&iter, gateway->budgets);
-	while (g_hash_table_iter_next(&iter, NULL, &budget))
-		retry_budget_resize(budget,
-				    (int32_t)gateway->options.retry_percent,
-				    gateway_budget_burst(gateway));
-}
-
-static void gateway_count_nodes(struct gateway *gateway)
-{
-	size_t nodes = gateway_node_count(gateway);
-
-	if (nodes <= gateway->most_nodes)
-		return;
-	gateway->most_nodes = nodes;
-	gateway_resize_budgets(gateway);
-}
-
-/*
- * The retries of a service. All nodes together may send so many beyond the
- * first of each request: a share of the requests in a window, which each node
- * counts for itself, and a fixed number, of which each takes an equal part.
- */
+/* The retries of a service that this node may send. */
 struct retry_budget *gateway_budget(struct gateway *gateway,
 				    const char *service)
 {
-	struct retry_budget *budget =
-		g_hash_table_lookup(gateway->budgets, service);
-	struct retry_budget_options options;
-
-	if (budget)
-		return budget;
-	retry_budget_options_default(&options);
-	options.percent = (int32_t)gateway->options.retry_percent;
-	options.burst = gateway_budget_burst(gateway);
-	budget = retry_budget_create(&options);
-	g_hash_table_insert(gateway->budgets, g_strdup(service), budget);
-	return budget;
-}
-
-/*
- * The fixed number of retries comes back over the window; what a node may
- * save up and what comes back in a window are together its part of it.
- */
-static void gateway_refill_budgets(struct gateway *gateway)
-{
-	int64_t nodes = gateway_budget_nodes(gateway);
-	double per_us = REFILL_SHARE * (double)gateway->options.retry_extra /
-			(double)(nodes * gateway->options.retry_window_us);
-	GHashTableIter iter;
-	gpointer budget;
-
-	gateway->refill +=
-		per_us * (double)(gateway->now_us - gateway->refilled_us);
-	gateway->refilled_us = gateway->now_us;
-	if (gateway->refill < 1)
-		return;
-	gateway->refill -= 1;
-	g_hash_table_iter_init(&iter, gateway->budgets);
-	while (g_hash_table_iter_next(&iter, NULL, &budget))
-		retry_budget_add(budget, 1);
+	return shared_budgets_get(gateway->budgets, service);
 }
 
 static void on_request(void *data, struct caller *caller,
@@ -261,8 +177,8 @@
 		gateway_excuse_exchanges(gateway, stood_us);
 	gateway->now_us = gateway_now_us();
 	gateway->tick_us = gateway->now_us;
-	gateway_count_nodes(gateway);
-	gateway_refill_budgets(gateway);
+	shared_budgets_step(gateway->budgets, gateway_node_count(gateway),
+			    gateway->now_us);
 	gateway_step_exchanges(gateway);
 	caller_set_step(gateway->callers, gateway->now_us);
 	caller_set_step(gateway->askers, gateway->now_us);
@@ -309,11 +225,6 @@
 		gateway_log_endpoint(gateway, endpoint_id, "its report");
 }
 
-static void budget_destroy(gpointer data)
-{
-	retry_budget_destroy(data);
-}
-
 /*
  * Begins to listen and to look after the time on the thread's main loop. Until
  * the first configuration every request is refused with a time to come back.
@@ -324,6 +235,11 @@
 			       struct error *error)
 {
 	struct gateway *gateway = g_new0(struct gateway, 1);
+	const struct shared_budgets_options budgets = {
+		.percent = (int32_t)options->retry_percent,
+		.extra = options->retry_extra,
+		.window_us = options->retry_window_us,
+	};
 	struct quarantine_options quarantine;
 	const struct caller_handler requests = {
 		.request = on_request,
@@ -342,7 +258,6 @@
 	gateway->log = options->log;
 	gateway->random = g_rand_new_with_seed((guint32)options->seed);
 	gateway->now_us = gateway_now_us();
-	gateway->refilled_us = gateway->now_us;
 	gateway->follows_entries = true;
 	gateway->registry = registry_create();
 	quarantine_options_default(&quarantine);
@@ -355,8 +270,7 @@
 	gateway->askers = caller_set_create(&questions, MAX_ASKERS);
 	gateway->exchanges =
 		g_hash_table_new_full(NULL, NULL, exchange_destroy, NULL);
-	gateway->budgets = g_hash_table_new_full(g_str_hash, g_str_equal,
-						 g_free, budget_destroy);
+	gateway->budgets = shared_budgets_create(&budgets, gateway->now_us);
 	gateway->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       gateway_peer_destroy);
 	if (!gateway_listen(gateway, error)) {
@@ -381,7 +295,7 @@
 	caller_set_destroy(gateway->askers);
 	endpoint_pool_destroy(gateway->pool);
 	report_poll_destroy(gateway->reports);
-	g_hash_table_unref(gateway->budgets);
+	shared_budgets_destroy(gateway->budgets);
 	g_hash_table_unref(gateway->peers);
 	quarantine_destroy(gateway->quarantine);
 	registry_destroy(gateway->registry);
@@ -401,7 +315,8 @@
 	gateway->options.address_keep_us = address_keep_us;
 	gateway->options.retry_percent = retry_percent;
 	gateway->options.retry_extra = retry_extra;
-	gateway_resize_budgets(gateway);
+	shared_budgets_set_limits(gateway->budgets, (int32_t)retry_percent,
+				  retry_extra);
 }
 
 /*
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -6,7 +6,7 @@
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/report_poll.h"
 #include "core/limit/quarantine.h"
-#include "core/limit/retry_budget.h"
+#include "core/limit/shared_budgets.h"
 
 #include <glib.h>
 
@@ -44,12 +44,9 @@
 	struct caller_set *callers;
 	struct caller_set *askers; /* about the nodes: ready, addresses */
 	struct listener *listeners[3];
-	GHashTable *exchanges;	       /* set of struct exchange */
-	GHashTable *budgets;	       /* service to struct retry_budget */
+	GHashTable *exchanges; /* set of struct exchange */
+	struct shared_budgets *budgets;
 	struct quarantine *quarantine; /* requests that crash engines */
-	size_t most_nodes;	       /* seen at once */
-	double refill; /* of each budget, not yet a whole retry */
-	int64_t refilled_us;
 	guint tick;
 	int64_t tick_us; /* of the last one */
 	int64_t now_us;
--- a/core/limit/retry_budget.c
+++ b/core/limit/retry_budget.c
@@ -14,18 +14,21 @@
 {
 	options->percent = 10;
 	options->burst = 10;
+	options->first_stock = -1;
 	options->base_us = 50 * 1000;
 	options->max_us = 2 * G_USEC_PER_SEC;
 }
 
-/* A budget with its burst in stock, so that a node may retry from the start. */
+/* A budget with its first stock, by default all that may be saved up. */
 struct retry_budget *
 retry_budget_create(const struct retry_budget_options *options)
 {
 	struct retry_budget *budget = g_new0(struct retry_budget, 1);
+	int32_t stock = options->first_stock < 0 ? options->burst
+						 : options->first_stock;
 
 	budget->options = *options;
-	budget->stock = (int64_t)options->burst * RETRY_COST;
+	budget->stock = (int64_t)stock * RETRY_COST;
 	return budget;
 }
 
--- a/core/limit/retry_budget.h
+++ b/core/limit/retry_budget.h
@@ -13,9 +13,10 @@
  * waits before, drawn at random so that retries do not come in step.
  */
 struct retry_budget_options {
-	int32_t percent; /* retries as a share of first attempts */
-	int32_t burst;	 /* retries saved up at most; also the first stock */
-	int64_t base_us; /* mean wait grows from half of this */
+	int32_t percent;     /* retries as a share of first attempts */
+	int32_t burst;	     /* retries saved up at most */
+	int32_t first_stock; /* -1: as many as may be saved up */
+	int64_t base_us;     /* mean wait grows from half of this */
 	int64_t max_us;
 };
 
