Tests: what crashes engines is held on all nodes; the store is asked at once after a failure

The gateway's quarantine had no case of whole processes, and that the first watch after a failure waits for nothing had no test. Without the record that tells crashes to the other nodes the case fails (answered 200); without the short watch the unit fails (mutant store_asks_at_once). Both test classes of the store share one fixture.

--- a/fakes/platform_store.c
+++ b/fakes/platform_store.c
@@ -39,10 +39,11 @@
 	int64_t revision;
 	int64_t oldest; /* watches from before this get 410 */
 	int64_t calls;
-	bool down;    /* 503 to all */
-	bool silent;  /* takes calls and answers none */
-	bool forget;  /* once: the history is dropped */
-	bool lose;    /* changes are made and not answered */
+	int64_t last_wait_ms; /* of the last watch */
+	bool down;	      /* 503 to all */
+	bool silent;	      /* takes calls and answers none */
+	bool forget;	      /* once: the history is dropped */
+	bool lose;	      /* changes are made and not answered */
 	bool hold;    /* once: a change is held back, and not answered */
 	bool release; /* once: what is held back is made, if it still can be */
 	GPtrArray *held; /* JsonObject */
@@ -256,6 +257,7 @@
 	struct watch *watch;
 
 	(void)path;
+	store->last_wait_ms = wait_ms;
 	if (store_fails(store, message))
 		return;
 	watch = g_new0(struct watch, 1);
@@ -673,3 +675,17 @@
 	g_hash_table_unref(store->leases);
 	g_free(store);
 }
+
+/* Writes a key without a lease, as the operator and the engines do. */
+void platform_store_put(struct platform_store *store, const char *key,
+			const char *value)
+{
+	store_write(store, key,
+		    g_base64_encode((const guchar *)value, strlen(value)), 0);
+}
+
+/* How long the last watch was to wait, also one that was refused. */
+int64_t platform_store_last_wait_ms(const struct platform_store *store)
+{
+	return store->last_wait_ms;
+}
--- a/fakes/platform_store.h
+++ b/fakes/platform_store.h
@@ -17,6 +17,9 @@
 
 struct platform_store *platform_store_create(struct fake_server *server);
 void platform_store_destroy(struct platform_store *store);
+void platform_store_put(struct platform_store *store, const char *key,
+			const char *value);
+int64_t platform_store_last_wait_ms(const struct platform_store *store);
 
 G_END_DECLS
 
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -478,6 +478,51 @@
 	until_true knows 1 0 || fail "node 1 does not know node 0"
 }
 
+# poison NODE FILE ID: a report whose text is always the same; prints the status.
+poison() {
+	curl -s -m 20 -N -X POST -o "$2" -w '%{http_code}' -H "Host: $host" \
+		-H "X-Siskinlink-Request-Id: $3" \
+		-H "X-Siskinlink-Token-Count: 1000,400" \
+		-H "Authorization: Bearer $key" --data "the same text" \
+		"http://${fronts[$1]}/report/a"
+}
+
+runs() {
+	for i in 0 1 2; do
+		state "$i" runs
+	done
+}
+
+# A report crashes its engine, and the one that goes on with it. Its caller
+# sends it again, to another node: that one has heard of both crashes and
+# refuses it, and no further engine is taken down by it.
+case_holds_what_crashes_engines() {
+	local first second before
+
+	poison 0 "$work/poison" poison-1 >"$work/poison.status" &
+	reader=$!
+	streams "$work/poison" 5
+	first=$(engine_of poison-1)
+	kill -KILL "${backend_pids[$first]}"
+	moved() {
+		second=$(engine_of poison-1)
+		[ -n "$second" ] && [ "$second" != "$first" ]
+	}
+	until_true moved || fail "no engine went on with it"
+	kill -KILL "${backend_pids[$second]}"
+	wait "$reader" || true
+	start_backend "$first" engines
+	start_backend "$second" engines
+	before=$(runs)
+	out=$(poison 1 "$work/again" poison-2)
+	[ "$out" = 503 ] || fail "sent again it was answered $out"
+	line poison-2 request_end | grep -q 'reason=quarantined' ||
+		fail "no reason: $(line poison-2 request_end)"
+	[ "$(runs)" = "$before" ] || fail "another engine ran it"
+	out=$(report 1 "$work/other" "other-$RANDOM" && echo whole)
+	[ "$out" = whole ] || fail "another report was held as well"
+}
+
 confirm() { # INTENT
 	local plan
 
--- a/tests/store_calls_test.cc
+++ b/tests/store_calls_test.cc
@@ -1,10 +1,7 @@
 #include "adapters/gateway/store_calls.h"
-#include "fakes/platform_store.h"
 #include "platform/platform.h"
+#include "tests/store_fixture.h"
 
-#include <gtest/gtest.h>
-
-#include <functional>
 #include <string>
 #include <vector>
 
@@ -40,28 +37,20 @@
 const int64_t patience_us = 5 * G_USEC_PER_SEC;
 const int64_t short_patience_us = 200 * 1000;
 
-class StoreCalls : public ::testing::Test
+class StoreCalls : public StoreFixture
 {
       protected:
-	struct fake_server *server = nullptr;
-	struct platform_store *store = nullptr;
 	struct store_calls *calls = nullptr;
-	struct log *log = nullptr;
 	std::vector<answer> answers;
 	std::vector<change> changes;
 	uint64_t last_id = 0;
 
 	void SetUp() override
 	{
-		struct poptOption options[] = {POPT_TABLEEND};
-		const char *argv[] = {"fake_store", nullptr};
 		struct event_sink sink = {deliver, this};
 		struct store_calls_options made = {};
 
-		server = fake_server_create(1, argv, options);
-		ASSERT_NE(nullptr, server);
-		store = platform_store_create(server);
-		log = log_create("test", LOG_LEVEL_ERROR);
+		StartStore();
 		made.address = fake_server_address(server);
 		made.dialect = &platform_kv_dialect;
 		made.watch_dialect = &platform_store_dialect;
@@ -73,17 +62,7 @@
 	void TearDown() override
 	{
 		store_calls_destroy(calls);
-		settle();
-		fake_server_destroy(server);
-		settle();
-		platform_store_destroy(store);
-		log_destroy(log);
-	}
-
-	static void settle()
-	{
-		for (int i = 0; i < 1000; i++)
-			g_main_context_iteration(nullptr, FALSE);
+		StopStore();
 	}
 
 	static void deliver(void *data, const struct event *event)
@@ -115,20 +94,6 @@
 		test->answers.push_back(a);
 	}
 
-	/* A bound far above what any of these takes, so that none hangs. */
-	static bool run_until(const std::function<bool()> &done)
-	{
-		gint64 end_us = g_get_monotonic_time() + 20 * G_USEC_PER_SEC;
-
-		while (!done()) {
-			if (g_get_monotonic_time() > end_us)
-				return false;
-			if (!g_main_context_iteration(nullptr, FALSE))
-				g_usleep(200);
-		}
-		return true;
-	}
-
 	answer ask(struct kv_request request, int64_t timeout_us = patience_us)
 	{
 		struct action action = {};
@@ -191,36 +156,6 @@
 		request.expected_revision = expected;
 		return ask(request);
 	}
-
-	/* Switches are set by a call, as tests of whole processes do. */
-	void mode(const std::string &json)
-	{
-		SoupSession *session = soup_session_new();
-		std::string url = std::string("http://") +
-				  fake_server_address(server) + "/fake/mode";
-		SoupMessage *message = soup_message_new("POST", url.c_str());
-		GBytes *body = g_bytes_new(json.data(), json.size());
-		bool done = false;
-
-		soup_message_set_request_body_from_bytes(
-			message, "application/json", body);
-		soup_session_send_and_read_async(
-			session, message, G_PRIORITY_DEFAULT, nullptr,
-			[](GObject *source, GAsyncResult *result,
-			   gpointer data) {
-				g_autoptr(GBytes) answer =
-					soup_session_send_and_read_finish(
-						SOUP_SESSION(source), result,
-						nullptr);
-
-				*(bool *)data = answer != nullptr;
-			},
-			&done);
-		EXPECT_TRUE(run_until([&] { return done; }));
-		g_bytes_unref(body);
-		g_object_unref(message);
-		g_object_unref(session);
-	}
 };
 
 } // namespace
--- /dev/null
+++ b/tests/store_fixture.h
@@ -0,0 +1,92 @@
+#ifndef TESTS_STORE_FIXTURE_H
+#define TESTS_STORE_FIXTURE_H
+
+#include "adapters/log.h"
+#include "fakes/platform_store.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+
+/* The stand-in of the platform's store in the test's own process. */
+class StoreFixture : public ::testing::Test
+{
+      protected:
+	struct fake_server *server = nullptr;
+	struct platform_store *store = nullptr;
+	struct log *log = nullptr;
+
+	void StartStore()
+	{
+		struct poptOption options[] = {POPT_TABLEEND};
+		const char *argv[] = {"fake_store", nullptr};
+
+		server = fake_server_create(1, argv, options);
+		ASSERT_NE(nullptr, server);
+		store = platform_store_create(server);
+		log = log_create("test", LOG_LEVEL_ERROR);
+	}
+
+	void StopStore()
+	{
+		settle();
+		fake_server_destroy(server);
+		settle();
+		platform_store_destroy(store);
+		log_destroy(log);
+	}
+
+	/* Lets cancelled calls return, so that nothing is left of them. */
+	static void settle()
+	{
+		for (int i = 0; i < 1000; i++)
+			g_main_context_iteration(nullptr, FALSE);
+	}
+
+	/* A bound far above what any of these takes, so that none hangs. */
+	static bool run_until(const std::function<bool()> &done)
+	{
+		gint64 end_us = g_get_monotonic_time() + 30 * G_USEC_PER_SEC;
+
+		while (!done()) {
+			if (g_get_monotonic_time() > end_us)
+				return false;
+			if (!g_main_context_iteration(nullptr, FALSE))
+				g_usleep(200);
+		}
+		return true;
+	}
+
+	/* Switches are set by a call, as tests of whole processes do. */
+	void mode(const std::string &json)
+	{
+		SoupSession *session = soup_session_new();
+		std::string url = std::string("http://") +
+				  fake_server_address(server) + "/fake/mode";
+		SoupMessage *message = soup_message_new("POST", url.c_str());
+		GBytes *body = g_bytes_new(json.data(), json.size());
+		bool done = false;
+
+		soup_message_set_request_body_from_bytes(
+			message, "application/json", body);
+		soup_session_send_and_read_async(
+			session, message, G_PRIORITY_DEFAULT, nullptr,
+			[](GObject *source, GAsyncResult *result,
+			   gpointer data) {
+				g_autoptr(GBytes) answer =
+					soup_session_send_and_read_finish(
+						SOUP_SESSION(source), result,
+						nullptr);
+
+				*(bool *)data = answer != nullptr;
+			},
+			&done);
+		EXPECT_TRUE(run_until([&] { return done; }));
+		g_bytes_unref(body);
+		g_object_unref(message);
+		g_object_unref(session);
+	}
+};
+
+#endif
--- /dev/null
+++ b/tests/store_follower_test.cc
@@ -0,0 +1,141 @@
+#include "adapters/gateway/store_follower.h"
+#include "platform/platform.h"
+#include "tests/store_fixture.h"
+
+#include <map>
+#include <string>
+
+namespace
+{
+
+class StoreFollower : public StoreFixture
+{
+      protected:
+	struct store_follower *follower = nullptr;
+	std::map<std::string, std::string> known;
+	int lists = 0;
+	int changes = 0;
+	int reached = 0; /* how often it was reached again */
+	bool is_reached = false;
+	int64_t wait_ms_when_reached = -1;
+
+	void SetUp() override
+	{
+		struct store_follower_options made = {};
+		struct store_follower_events events = {on_listed, on_changed,
+						       on_reached, this};
+
+		StartStore();
+		platform_store_put(store, "servers/a", "one");
+		platform_store_put(store, "other/a", "not followed");
+		made.address = fake_server_address(server);
+		made.prefix = "servers/";
+		made.dialect = &platform_store_dialect;
+		made.log = log;
+		made.seed = 1;
+		follower = store_follower_create(&made, &events);
+		ASSERT_TRUE(run_until([&] { return lists == 1; }));
+	}
+
+	void TearDown() override
+	{
+		store_follower_destroy(follower);
+		StopStore();
+	}
+
+	void take(const struct store_page *page)
+	{
+		for (guint i = 0; i < page->items->len; i++) {
+			const struct store_item *item =
+				(const struct store_item *)g_ptr_array_index(
+					page->items, i);
+			gsize size = 0;
+			const char *bytes =
+				item->value ? (const char *)g_bytes_get_data(
+						      item->value, &size)
+					    : "";
+
+			known[item->key] = std::string(bytes, size);
+		}
+	}
+
+	static void on_listed(void *data, const struct store_page *page)
+	{
+		StoreFollower *test = (StoreFollower *)data;
+
+		test->lists++;
+		test->take(page);
+	}
+
+	static void on_changed(void *data, const struct store_page *page)
+	{
+		StoreFollower *test = (StoreFollower *)data;
+
+		test->changes += page->items->len > 0;
+		test->take(page);
+	}
+
+	static void on_reached(void *data, bool reached_now)
+	{
+		StoreFollower *test = (StoreFollower *)data;
+
+		test->is_reached = reached_now;
+		if (!reached_now)
+			return;
+		test->reached++;
+		test->wait_ms_when_reached =
+			platform_store_last_wait_ms(test->store);
+	}
+};
+
+} // namespace
+
+TEST_F(StoreFollower, ListsOnceThenWatches)
+{
+	EXPECT_EQ("one", known["servers/a"]);
+	EXPECT_EQ(0u, known.count("other/a"));
+	platform_store_put(store, "servers/b", "two");
+	EXPECT_TRUE(run_until([&] { return known.count("servers/b") > 0; }));
+	EXPECT_EQ(1, lists);
+}
+
+/*
+ * The store is away for a moment. A watch that waits long would be answered
+ * after many seconds if nothing changes, and until then the node would doubt
+ * what it knows and refuse what may be new: the first one after a failure is
+ * answered at once.
+ */
+TEST_F(StoreFollower, AsksAtOnceAfterAFailure)
+{
+	mode("{\"down\": true}");
+	EXPECT_TRUE(run_until([&] { return !is_reached; }));
+	mode("{\"down\": false}");
+	EXPECT_TRUE(run_until([&] { return is_reached; }));
+	EXPECT_EQ(1, wait_ms_when_reached);
+	EXPECT_EQ(1, lists);
+	EXPECT_EQ(2, reached);
+}
+
+/* What changed while it rested is told when it goes on. */
+TEST_F(StoreFollower, CatchesUpAfterARest)
+{
+	store_follower_set_active(follower, false);
+	platform_store_put(store, "servers/a", "newer");
+	settle();
+	EXPECT_EQ("one", known["servers/a"]);
+	store_follower_set_active(follower, true);
+	EXPECT_TRUE(run_until([&] { return known["servers/a"] == "newer"; }));
+}
+
+/* The store has forgotten what changed since: all is read anew. */
+TEST_F(StoreFollower, ReadsAnewWhereTheHistoryIsGone)
+{
+	store_follower_set_active(follower, false);
+	platform_store_put(store, "servers/a", "newer");
+	platform_store_put(store, "servers/c", "three");
+	mode("{\"forget\": true}");
+	store_follower_set_active(follower, true);
+	EXPECT_TRUE(run_until([&] { return lists == 2; }));
+	EXPECT_EQ("newer", known["servers/a"]);
+	EXPECT_EQ("three", known["servers/c"]);
+}
