--- a/adapters/settings.h
+++ b/adapters/settings.h
@@ -44,9 +44,9 @@
 	int64_t connect_timeout_ms;
 };
 
+struct settings *settings_create(void);
 struct settings *settings_load(const char *path, struct error *error);
 void settings_destroy(struct settings *settings);
-void settings_print_help(void); /* every key, unit, range and default */
 
 G_END_DECLS
 
--- /dev/null
+++ b/adapters/settings_help.h
@@ -0,0 +1,12 @@
+#ifndef ADAPTERS_SETTINGS_HELP_H
+#define ADAPTERS_SETTINGS_HELP_H
+
+#include <glib.h>
+
+G_BEGIN_DECLS
+
+void settings_print_help(void); /* every key, unit, range and default */
+
+G_END_DECLS
+
+#endif
--- a/daemons/siskinlinkd.c
+++ b/daemons/siskinlinkd.c
@@ -1,4 +1,5 @@
 #include "adapters/settings.h"
+#include "adapters/settings_help.h"
 #include "daemons/node_loop.h"
 #include "daemons/version.h"
 
--- a/tests/operations_page_test.cc
+++ b/tests/operations_page_test.cc
@@ -1,4 +1,5 @@
 #include "adapters/settings.h"
+#include "adapters/settings_help.h"
 #include "core/base/counters.h"
 
 #include <gtest/gtest.h>
