--- a/Makefile
+++ b/Makefile
@@ -152,6 +152,7 @@
 
 bench: $(PROGRAMS)
 	$(B)/bin/policy_bench $(or $(BENCH_ARGS),--direct)
+	$(B)/bin/evacuation_bench
 
 FORMATTED = $(wildcard */*.c */*.h */*.cc core/*/*.c core/*/*.h adapters/*/*.c \
 	adapters/*/*.h)
