The log names the engine that has the copy, also where it is no backup

Found by reading: where a run goes on from a copy made at the notice, the field copy of attempt_failed was no text, and the line ended there: budget, sends, ms and detail were left out.

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -89,6 +89,16 @@
 		endpoint_health_put_aside(&endpoint->health, now_us);
 }
 
+/* Id of the engine from which the run could go on, for the log. */
+static const char *copy_engine_id(const struct exchange *exchange)
+{
+	const struct endpoint *target = exchange_move_target(exchange);
+
+	if (target)
+		return target->said->id;
+	return has_backup(exchange) ? exchange->leg->backup_id : "";
+}
+
 static void log_failure(const struct exchange *exchange,
 			const struct recovery_input *input,
 			enum recovery recovery, const char *detail)
@@ -104,9 +114,9 @@
 		  "result", attempt_result_name(input->result), "decision",
 		  recovery_name(recovery), "begun",
 		  input->answer_begun ? "yes" : "no", "copy",
-		  input->copy_is_ready ? leg->backup_id : "", "budget",
-		  input->budget_left ? "yes" : "no", "sends", sends, "ms", ms,
-		  "detail", detail, NULL);
+		  input->copy_is_ready ? copy_engine_id(exchange) : "",
+		  "budget", input->budget_left ? "yes" : "no", "sends", sends,
+		  "ms", ms, "detail", detail, NULL);
 }
 
 static bool may_take_over(const struct exchange *exchange)
