--- a/fuzz/platform_fuzz.c
+++ b/fuzz/platform_fuzz.c
@@ -38,6 +38,27 @@
 	platform_dialect.read_report_leaves(bytes);
 }
 
+/* Each operation's answer, by each status that means something. */
+static void read_calls(GBytes *bytes)
+{
+	static const int32_t statuses[] = {200, 404, 412, 429, 500};
+
+	for (int op = KV_GET; op <= KV_LEASE_REVOKE; op++)
+		for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+			const struct kv_request request = {
+				.op = (enum kv_op)op};
+			struct kv_answer answer = {0};
+			struct error error;
+
+			if (!platform_kv_dialect.read_call(&request,
+							   statuses[i], bytes,
+							   &answer, &error) &&
+			    answer.outcome != KV_ANSWER_LOST)
+				abort();
+			kv_answer_clear(&answer);
+		}
+}
+
 /* All that the store, its writers and the engines may send. */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
@@ -51,6 +72,7 @@
 	read_page(bytes);
 	read_entry(bytes);
 	read_answers(bytes);
+	read_calls(bytes);
 	g_bytes_unref(bytes);
 	return 0;
 }
