--- a/adapters/settings_help.c
+++ b/adapters/settings_help.c
@@ -26,7 +26,7 @@
 	case NEED_NOT:
 		break;
 	}
-	if (setting_keeps_text(setting) && setting->choices)
+	if (setting->type == SETTING_CHOICE && setting_keeps_text(setting))
 		return g_strdup(settings->log_level);
 	if (setting->type == SETTING_CHOICE)
 		return g_strdup(setting->choices[*(int *)setting_field(
