--- a/codec/etcd_json.c
+++ b/codec/etcd_json.c
@@ -1,6 +1,7 @@
 #include "codec/etcd_json.h"
 
 #include "core/json/json_reader.h"
+#include "core/json/json_writer.h"
 
 #include <string.h>
 
@@ -64,13 +65,6 @@
 	json_builder_add_string_value(builder, text);
 }
 
-static void add_string(JsonBuilder *builder, const char *name,
-		       const char *value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_string_value(builder, value);
-}
-
 static void begin_list(JsonBuilder *builder, const char *name)
 {
 	json_builder_set_member_name(builder, name);
@@ -113,8 +107,8 @@
 
 	begin_list(builder, "compare");
 	add_key(builder, "key", request->key);
-	add_string(builder, "result", "EQUAL");
-	add_string(builder, "target", create ? "CREATE" : "MOD");
+	json_writer_text(builder, "result", "EQUAL");
+	json_writer_text(builder, "target", create ? "CREATE" : "MOD");
 	add_int64(builder, create ? "create_revision" : "mod_revision",
 		  request->expected_revision);
 	end_list(builder);
@@ -146,16 +140,6 @@
 	end_list(builder);
 }
 
-static GBytes *take_text(JsonBuilder *builder)
-{
-	JsonNode *root = json_builder_get_root(builder);
-	char *text = json_to_string(root, FALSE);
-
-	json_node_unref(root);
-	g_object_unref(builder);
-	return g_bytes_new_take(text, strlen(text));
-}
-
 /* The body that asks the gateway for this. */
 GBytes *etcd_json_format_request(const struct kv_request *request)
 {
@@ -180,7 +164,7 @@
 		break;
 	}
 	json_builder_end_object(builder);
-	return take_text(builder);
+	return json_writer_take(builder);
 }
 
 /* The body that watches one key from a revision on. */
@@ -194,7 +178,7 @@
 	add_int64(builder, "start_revision", start_revision);
 	json_builder_end_object(builder);
 	json_builder_end_object(builder);
-	return take_text(builder);
+	return json_writer_take(builder);
 }
 
 /* Decodes base64 strictly; the library's decoder skips what is not. */
--- a/codec/order_json.c
+++ b/codec/order_json.c
@@ -1,6 +1,7 @@
 #include "codec/order_json.h"
 
 #include "core/json/json_reader.h"
+#include "core/json/json_writer.h"
 
 #include <string.h>
 
@@ -10,20 +11,12 @@
 GBytes *order_json_format(int64_t fence, const char *target)
 {
 	JsonBuilder *builder = json_builder_new();
-	JsonNode *root;
-	char *text;
 
 	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "fence");
-	json_builder_add_int_value(builder, fence);
-	json_builder_set_member_name(builder, "target");
-	json_builder_add_string_value(builder, target);
+	json_writer_number(builder, "fence", fence);
+	json_writer_text(builder, "target", target);
 	json_builder_end_object(builder);
-	root = json_builder_get_root(builder);
-	text = json_to_string(root, FALSE);
-	json_node_unref(root);
-	g_object_unref(builder);
-	return g_bytes_new_take(text, strlen(text));
+	return json_writer_take(builder);
 }
 
 /*
--- a/core/config/config_format.c
+++ b/core/config/config_format.c
@@ -6,9 +6,36 @@
 
 #include <string.h>
 
-static void add_endpoint(JsonBuilder *builder,
-			 const struct config_endpoint *endpoint)
+/* Services, endpoints, routes and the like begin with what names them. */
+static gint compare_names(gconstpointer a, gconstpointer b)
 {
+	const char *const *const *left = a;
+	const char *const *const *right = b;
+
+	return strcmp(**left, **right);
+}
+
+/* Appends an array of items, sorted by what names them. */
+void config_format_list(JsonBuilder *builder, const char *name,
+			const GPtrArray *items, config_format_item add)
+{
+	GPtrArray *sorted = g_ptr_array_sized_new(items->len);
+
+	for (guint i = 0; i < items->len; i++)
+		g_ptr_array_add(sorted, g_ptr_array_index(items, i));
+	g_ptr_array_sort(sorted, compare_names);
+	json_builder_set_member_name(builder, name);
+	json_builder_begin_array(builder);
+	for (guint i = 0; i < sorted->len; i++)
+		add(builder, g_ptr_array_index(sorted, i));
+	json_builder_end_array(builder);
+	g_ptr_array_unref(sorted);
+}
+
+static void add_endpoint(JsonBuilder *builder, gconstpointer item)
+{
+	const struct config_endpoint *endpoint = item;
+
 	json_builder_begin_object(builder);
 	json_writer_string(builder, "address", endpoint->address);
 	json_writer_string(builder, "failure_domain", endpoint->failure_domain);
@@ -22,41 +49,6 @@
 	json_builder_end_object(builder);
 }
 
-static gint compare_endpoints(gconstpointer a, gconstpointer b)
-{
-	const struct config_endpoint *const *left = a;
-	const struct config_endpoint *const *right = b;
-
-	return strcmp((*left)->address, (*right)->address);
-}
-
-static gint compare_services(gconstpointer a, gconstpointer b)
-{
-	const struct config_service *const *left = a;
-	const struct config_service *const *right = b;
-
-	return strcmp((*left)->name, (*right)->name);
-}
-
-static gint compare_organisations(gconstpointer a, gconstpointer b)
-{
-	const struct config_organisation *const *left = a;
-	const struct config_organisation *const *right = b;
-
-	return strcmp((*left)->name, (*right)->name);
-}
-
-/* A sorted view of items that others own. */
-static GPtrArray *sorted_view(const GPtrArray *items, GCompareFunc compare)
-{
-	GPtrArray *view = g_ptr_array_sized_new(items->len);
-
-	for (guint i = 0; i < items->len; i++)
-		g_ptr_array_add(view, g_ptr_array_index(items, i));
-	g_ptr_array_sort(view, compare);
-	return view;
-}
-
 static void format_ability(JsonBuilder *builder,
 			   const struct config_service *service)
 {
@@ -75,23 +67,17 @@
 	json_writer_true(builder, "can_back_up", engine->can_back_up);
 }
 
-static void add_service(JsonBuilder *builder,
-			const struct config_service *service)
+static void add_service(JsonBuilder *builder, gconstpointer item)
 {
-	GPtrArray *endpoints =
-		sorted_view(service->endpoints, compare_endpoints);
+	const struct config_service *service = item;
 
 	json_builder_begin_object(builder);
 	json_writer_string(builder, "name", service->name);
 	json_writer_string(builder, "kind", service_kind_name(service->kind));
 	format_ability(builder, service);
-	json_builder_set_member_name(builder, "endpoints");
-	json_builder_begin_array(builder);
-	for (guint i = 0; i < endpoints->len; i++)
-		add_endpoint(builder, g_ptr_array_index(endpoints, i));
-	json_builder_end_array(builder);
+	config_format_list(builder, "endpoints", service->endpoints,
+			   add_endpoint);
 	json_builder_end_object(builder);
-	g_ptr_array_unref(endpoints);
 }
 
 static void format_more_keys(JsonBuilder *builder, const GPtrArray *keys)
@@ -106,9 +92,10 @@
 	json_builder_end_array(builder);
 }
 
-static void add_organisation(JsonBuilder *builder,
-			     const struct config_organisation *organisation)
+static void add_organisation(JsonBuilder *builder, gconstpointer item)
 {
+	const struct config_organisation *organisation = item;
+
 	json_builder_begin_object(builder);
 	json_writer_string(builder, "name", organisation->name);
 	json_writer_string(builder, "key_sha256", organisation->key_sha256);
@@ -124,40 +111,21 @@
 	json_builder_end_object(builder);
 }
 
-static gint compare_rollouts(gconstpointer a, gconstpointer b)
-{
-	const struct config_rollout *const *left = a;
-	const struct config_rollout *const *right = b;
-
-	return strcmp((*left)->name, (*right)->name);
-}
-
-static void add_rollouts(JsonBuilder *builder, const GPtrArray *items)
+static void add_rollout(JsonBuilder *builder, gconstpointer item)
 {
-	GPtrArray *rollouts = sorted_view(items, compare_rollouts);
-
-	json_builder_set_member_name(builder, "rollouts");
-	json_builder_begin_array(builder);
-	for (guint i = 0; i < rollouts->len; i++) {
-		const struct config_rollout *rollout =
-			g_ptr_array_index(rollouts, i);
+	const struct config_rollout *rollout = item;
 
-		json_builder_begin_object(builder);
-		json_writer_string(builder, "name", rollout->name);
-		json_writer_string(builder, "service", rollout->service);
-		json_writer_string(builder, "target", rollout->target);
-		json_writer_string(builder, "id", rollout->id);
-		json_writer_int(builder, "max_parallel", rollout->max_parallel,
-				1);
-		json_writer_int(builder, "min_ready_percent",
-				rollout->min_ready_percent,
-				CONFIG_DEFAULT_READY_PERCENT);
-		json_writer_int(builder, "max_failures", rollout->max_failures,
-				0);
-		json_builder_end_object(builder);
-	}
-	json_builder_end_array(builder);
-	g_ptr_array_unref(rollouts);
+	json_builder_begin_object(builder);
+	json_writer_string(builder, "name", rollout->name);
+	json_writer_string(builder, "service", rollout->service);
+	json_writer_string(builder, "target", rollout->target);
+	json_writer_string(builder, "id", rollout->id);
+	json_writer_int(builder, "max_parallel", rollout->max_parallel, 1);
+	json_writer_int(builder, "min_ready_percent",
+			rollout->min_ready_percent,
+			CONFIG_DEFAULT_READY_PERCENT);
+	json_writer_int(builder, "max_failures", rollout->max_failures, 0);
+	json_builder_end_object(builder);
 }
 
 static void add_history(JsonBuilder *builder, const GPtrArray *history)
@@ -185,30 +153,17 @@
 /* Appends the document; its items are sorted by name. */
 void config_format(JsonBuilder *builder, const struct config *config)
 {
-	GPtrArray *services = sorted_view(config->services, compare_services);
-	GPtrArray *organisations =
-		sorted_view(config->organisations, compare_organisations);
-
 	json_builder_begin_object(builder);
 	json_writer_string(builder, "plan_id", config->plan_id);
 	json_writer_string(builder, "confirmed_by", config->confirmed_by);
-	json_builder_set_member_name(builder, "services");
-	json_builder_begin_array(builder);
-	for (guint i = 0; i < services->len; i++)
-		add_service(builder, g_ptr_array_index(services, i));
-	json_builder_end_array(builder);
-	json_builder_set_member_name(builder, "organisations");
-	json_builder_begin_array(builder);
-	for (guint i = 0; i < organisations->len; i++)
-		add_organisation(builder, g_ptr_array_index(organisations, i));
-	json_builder_end_array(builder);
-	add_rollouts(builder, config->rollouts);
+	config_format_list(builder, "services", config->services, add_service);
+	config_format_list(builder, "organisations", config->organisations,
+			   add_organisation);
+	config_format_list(builder, "rollouts", config->rollouts, add_rollout);
 	route_json_format(builder, config->routes);
 	if (memcmp(&config->callers, &caller_limits_default,
 		   sizeof(config->callers)) != 0)
 		caller_limits_json_format(builder, &config->callers);
 	add_history(builder, config->history);
 	json_builder_end_object(builder);
-	g_ptr_array_unref(services);
-	g_ptr_array_unref(organisations);
 }
--- a/core/config/config_format.h
+++ b/core/config/config_format.h
@@ -7,6 +7,10 @@
 
 G_BEGIN_DECLS
 
+typedef void (*config_format_item)(JsonBuilder *builder, gconstpointer item);
+
+void config_format_list(JsonBuilder *builder, const char *name,
+			const GPtrArray *items, config_format_item add);
 void config_format(JsonBuilder *builder, const struct config *config);
 
 G_END_DECLS
--- a/core/config/config_json.c
+++ b/core/config/config_json.c
@@ -2,6 +2,7 @@
 
 #include "core/config/config_format.h"
 #include "core/config/config_read.h"
+#include "core/json/json_writer.h"
 
 #include <string.h>
 
@@ -107,13 +108,7 @@
 GBytes *config_json_format(const struct config *config)
 {
 	JsonBuilder *builder = json_builder_new();
-	JsonNode *root;
-	char *text;
 
 	config_format(builder, config);
-	root = json_builder_get_root(builder);
-	text = json_to_string(root, FALSE);
-	json_node_unref(root);
-	g_object_unref(builder);
-	return g_bytes_new_take(text, strlen(text));
+	return json_writer_take(builder);
 }
--- a/core/config/route_json.c
+++ b/core/config/route_json.c
@@ -1,5 +1,6 @@
 #include "core/config/route_json.h"
 
+#include "core/config/config_format.h"
 #include "core/config/config_read.h"
 #include "core/json/json_writer.h"
 
@@ -132,14 +133,6 @@
 	return !fields.failed && read_targets(route, &fields, i, error);
 }
 
-static gint compare_routes(gconstpointer a, gconstpointer b)
-{
-	const struct route *const *left = a;
-	const struct route *const *right = b;
-
-	return strcmp((*left)->name, (*right)->name);
-}
-
 static void format_targets(JsonBuilder *builder, const struct route *route)
 {
 	json_builder_set_member_name(builder, "targets");
@@ -156,8 +149,10 @@
 	json_builder_end_array(builder);
 }
 
-static void format_route(JsonBuilder *builder, const struct route *route)
+static void format_route(JsonBuilder *builder, gconstpointer item)
 {
+	const struct route *route = item;
+
 	json_builder_begin_object(builder);
 	json_writer_string(builder, "name", route->name);
 	json_writer_string(builder, "host", route->host);
@@ -179,19 +174,8 @@
 /* Appends the member "routes", by name; nothing where there are none. */
 void route_json_format(JsonBuilder *builder, const GPtrArray *routes)
 {
-	GPtrArray *sorted = g_ptr_array_sized_new(routes->len);
-
-	for (guint i = 0; i < routes->len; i++)
-		g_ptr_array_add(sorted, g_ptr_array_index(routes, i));
-	g_ptr_array_sort(sorted, compare_routes);
-	if (sorted->len > 0) {
-		json_builder_set_member_name(builder, "routes");
-		json_builder_begin_array(builder);
-		for (guint i = 0; i < sorted->len; i++)
-			format_route(builder, g_ptr_array_index(sorted, i));
-		json_builder_end_array(builder);
-	}
-	g_ptr_array_unref(sorted);
+	if (routes->len > 0)
+		config_format_list(builder, "routes", routes, format_route);
 }
 
 /* Reads callers' limits; what is left out stays as it is. */
--- a/core/json/json_writer.h
+++ b/core/json/json_writer.h
@@ -8,12 +8,18 @@
 
 G_BEGIN_DECLS
 
-/* Members of JSON objects that are left out where they say nothing. */
+/* Members of JSON objects. */
+void json_writer_text(JsonBuilder *builder, const char *name,
+		      const char *value);
+void json_writer_number(JsonBuilder *builder, const char *name, int64_t value);
+
+/* The same, left out where they say nothing. */
 void json_writer_string(JsonBuilder *builder, const char *name,
 			const char *value);
 void json_writer_int(JsonBuilder *builder, const char *name, int64_t value,
 		     int64_t absent);
 void json_writer_true(JsonBuilder *builder, const char *name, bool value);
+GBytes *json_writer_take(JsonBuilder *builder);
 
 G_END_DECLS
 
--- a/core/plan/plan.c
+++ b/core/plan/plan.c
@@ -6,6 +6,7 @@
 #include "core/plan/plan_describe.h"
 #include "core/plan/plan_rollout.h"
 #include "core/plan/plan_route.h"
+#include "core/json/json_writer.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -71,39 +72,69 @@
 	return g_ptr_array_find_with_equal_func(names, name, g_str_equal, NULL);
 }
 
+static bool has_service(const struct config *config, const char *name)
+{
+	return config_find_service(config, name) != NULL;
+}
+
+static bool has_organisation(const struct config *config, const char *name)
+{
+	return config_find_organisation(config, name) != NULL;
+}
+
+static bool has_rollout(const struct config *config, const char *name)
+{
+	return config_find_rollout(config, name) != NULL;
+}
+
+static bool has_route(const struct config *config, const char *name)
+{
+	return config_find_route(config, name) != NULL;
+}
+
+/* The names of one kind that an intent removes. */
+struct removals {
+	const GPtrArray *names; /* char * */
+	const char *what;	/* with its article */
+	const char *list;	/* of the intent */
+	bool (*has)(const struct config *config, const char *name);
+};
+
+static bool removal_fails(const struct removals *removals, guint i,
+			  struct error *error)
+{
+	error_set(error, ERROR_INVALID, "plan.create", "",
+		  "remove_%s[%u]: expected the name of %s that is there and "
+		  "not also in \"%s\"",
+		  removals->list, i, removals->what, removals->list);
+	return false;
+}
+
 /* A removal must name what is there and not also be replaced. */
 static bool check_removals(const struct config *base,
 			   const struct intent *intent, struct error *error)
 {
-	for (guint i = 0; i < intent->remove_services->len; i++) {
-		const char *name =
-			g_ptr_array_index(intent->remove_services, i);
-
-		if (config_find_service(base, name) &&
-		    !config_find_service(intent->items, name))
-			continue;
-		error_set(error, ERROR_INVALID, "plan.create", "",
-			  "remove_services[%u]: expected the name of a service "
-			  "that is there and not also in \"services\"",
-			  i);
-		return false;
-	}
-	for (guint i = 0; i < intent->remove_organisations->len; i++) {
-		const char *name =
-			g_ptr_array_index(intent->remove_organisations, i);
-
-		if (config_find_organisation(base, name) &&
-		    !config_find_organisation(intent->items, name))
-			continue;
-		error_set(error, ERROR_INVALID, "plan.create", "",
-			  "remove_organisations[%u]: expected the name of an "
-			  "organisation that is there and not also in "
-			  "\"organisations\"",
-			  i);
-		return false;
+	const struct removals kinds[] = {
+		{intent->remove_services, "a service", "services", has_service},
+		{intent->remove_organisations, "an organisation",
+		 "organisations", has_organisation},
+		{intent->remove_rollouts, "a rollout", "rollouts", has_rollout},
+		{intent->remove_routes, "a route", "routes", has_route},
+	};
+
+	for (size_t kind = 0; kind < G_N_ELEMENTS(kinds); kind++) {
+		const struct removals *removals = &kinds[kind];
+
+		for (guint i = 0; i < removals->names->len; i++) {
+			const char *name =
+				g_ptr_array_index(removals->names, i);
+
+			if (!removals->has(base, name) ||
+			    removals->has(intent->items, name))
+				return removal_fails(removals, i, error);
+		}
 	}
-	return plan_check_rollout_removals(base, intent, error) &&
-	       plan_check_route_removals(base, intent, error);
+	return true;
 }
 
 static void merge_services(struct config *result, const struct config *base,
@@ -352,19 +383,6 @@
 	g_free(plan);
 }
 
-static void add_int(JsonBuilder *builder, const char *name, int64_t value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_int_value(builder, value);
-}
-
-static void add_string(JsonBuilder *builder, const char *name,
-		       const char *value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_string_value(builder, value);
-}
-
 static void add_lines(JsonBuilder *builder, const char *name,
 		      const GPtrArray *lines)
 {
@@ -385,12 +403,15 @@
 			g_ptr_array_index(capacities, i);
 
 		json_builder_begin_object(builder);
-		add_string(builder, "service", capacity->service);
-		add_int(builder, "endpoints_before",
-			capacity->endpoints_before);
-		add_int(builder, "endpoints_after", capacity->endpoints_after);
-		add_int(builder, "tokens_before", capacity->tokens_before);
-		add_int(builder, "tokens_after", capacity->tokens_after);
+		json_writer_text(builder, "service", capacity->service);
+		json_writer_number(builder, "endpoints_before",
+				   capacity->endpoints_before);
+		json_writer_number(builder, "endpoints_after",
+				   capacity->endpoints_after);
+		json_writer_number(builder, "tokens_before",
+				   capacity->tokens_before);
+		json_writer_number(builder, "tokens_after",
+				   capacity->tokens_after);
 		json_builder_end_object(builder);
 	}
 	json_builder_end_array(builder);
@@ -400,23 +421,17 @@
 GBytes *plan_format_json(const struct plan *plan)
 {
 	JsonBuilder *builder = json_builder_new();
-	JsonNode *root;
-	char *text;
 
 	json_builder_begin_object(builder);
-	add_string(builder, "plan_id", plan->id);
-	add_string(builder, "operator", plan->operator_name);
-	add_int(builder, "base_revision", plan->base_revision);
+	json_writer_text(builder, "plan_id", plan->id);
+	json_writer_text(builder, "operator", plan->operator_name);
+	json_writer_number(builder, "base_revision", plan->base_revision);
 	if (plan->keep_us > 0)
-		add_int(builder, "stale_after_s",
-			plan->keep_us / G_USEC_PER_SEC);
+		json_writer_number(builder, "stale_after_s",
+				   plan->keep_us / G_USEC_PER_SEC);
 	add_lines(builder, "differences", plan->differences);
 	add_lines(builder, "warnings", plan->warnings);
 	add_capacities(builder, plan->capacities);
 	json_builder_end_object(builder);
-	root = json_builder_get_root(builder);
-	text = json_to_string(root, FALSE);
-	json_node_unref(root);
-	g_object_unref(builder);
-	return g_bytes_new_take(text, strlen(text));
+	return json_writer_take(builder);
 }
--- a/core/plan/plan_answer.c
+++ b/core/plan/plan_answer.c
@@ -1,4 +1,5 @@
 #include "core/plan/plan_answer.h"
+#include "core/json/json_writer.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -53,38 +54,16 @@
 	return answers[code].code;
 }
 
-static void add_string(JsonBuilder *builder, const char *name,
-		       const char *value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_string_value(builder, value);
-}
-
-static void add_int(JsonBuilder *builder, const char *name, int64_t value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_int_value(builder, value);
-}
-
-static GBytes *take_text(JsonBuilder *builder)
-{
-	JsonNode *root = json_builder_get_root(builder);
-	char *text = json_to_string(root, FALSE);
-
-	json_node_unref(root);
-	g_object_unref(builder);
-	return g_bytes_new_take(text, strlen(text));
-}
-
 static void add_error(JsonBuilder *builder, const char *code,
 		      const char *message, int64_t retry_after_us)
 {
 	json_builder_set_member_name(builder, "error");
 	json_builder_begin_object(builder);
-	add_string(builder, "code", code);
-	add_string(builder, "message", message);
+	json_writer_text(builder, "code", code);
+	json_writer_text(builder, "message", message);
 	if (retry_after_us > 0)
-		add_int(builder, "retry_after_ms", retry_after_us / 1000);
+		json_writer_number(builder, "retry_after_ms",
+				   retry_after_us / 1000);
 	json_builder_end_object(builder);
 }
 
@@ -107,26 +86,27 @@
 	JsonBuilder *builder = json_builder_new();
 
 	json_builder_begin_object(builder);
-	add_string(builder, "plan_id", answer->plan_id);
-	add_string(builder, "took_effect", plan_effect_name(answer->effect));
+	json_writer_text(builder, "plan_id", answer->plan_id);
+	json_writer_text(builder, "took_effect",
+			 plan_effect_name(answer->effect));
 	if (answer->node)
-		add_string(builder, "node", answer->node);
+		json_writer_text(builder, "node", answer->node);
 	if (answer->code == PLAN_ANSWER_DONE) {
-		add_int(builder, "revision", answer->revision);
+		json_writer_number(builder, "revision", answer->revision);
 		if (answer->confirmed_by)
-			add_string(builder, "confirmed_by",
-				   answer->confirmed_by);
+			json_writer_text(builder, "confirmed_by",
+					 answer->confirmed_by);
 	} else {
 		if (answer->current_revision)
-			add_int(builder, "current_revision",
-				answer->current_revision);
+			json_writer_number(builder, "current_revision",
+					   answer->current_revision);
 		add_error(builder, answers[answer->code].code,
 			  answers[answer->code].message,
 			  answer->retry_after_us);
 	}
 	json_builder_end_object(builder);
 	plan_answer_send_json(call, answers[answer->code].status,
-			      take_text(builder), actions);
+			      json_writer_take(builder), actions);
 }
 
 static int32_t error_status(const struct error *error)
@@ -150,8 +130,8 @@
 	json_builder_begin_object(builder);
 	add_error(builder, error_code_name(error->code), error->detail, 0);
 	json_builder_end_object(builder);
-	plan_answer_send_json(call, error_status(error), take_text(builder),
-			      actions);
+	plan_answer_send_json(call, error_status(error),
+			      json_writer_take(builder), actions);
 }
 
 static void add_confirmation(JsonBuilder *builder, const struct config *config,
@@ -161,12 +141,14 @@
 		g_ptr_array_index(config->history, i);
 
 	json_builder_begin_object(builder);
-	add_int(builder, "revision", config_confirmation_revision(config, i));
-	add_int(builder, "base_revision", confirmation->base_revision);
-	add_string(builder, "plan_id", confirmation->plan_id);
-	add_string(builder, "confirmed_by", confirmation->confirmed_by);
-	add_int(builder, "confirmed_s", confirmation->confirmed_s);
-	add_string(builder, "summary", confirmation->summary);
+	json_writer_number(builder, "revision",
+			   config_confirmation_revision(config, i));
+	json_writer_number(builder, "base_revision",
+			   confirmation->base_revision);
+	json_writer_text(builder, "plan_id", confirmation->plan_id);
+	json_writer_text(builder, "confirmed_by", confirmation->confirmed_by);
+	json_writer_number(builder, "confirmed_s", confirmation->confirmed_s);
+	json_writer_text(builder, "summary", confirmation->summary);
 	json_builder_end_object(builder);
 }
 
@@ -182,5 +164,5 @@
 		add_confirmation(builder, config, i - 1);
 	json_builder_end_array(builder);
 	json_builder_end_object(builder);
-	return take_text(builder);
+	return json_writer_take(builder);
 }
--- a/core/plan/plan_rollout.c
+++ b/core/plan/plan_rollout.c
@@ -6,27 +6,6 @@
 
 enum { MAX_BATCH_LINES = 40 };
 
-/* A removal must name a rollout that is there and not also be replaced. */
-bool plan_check_rollout_removals(const struct config *base,
-				 const struct intent *intent,
-				 struct error *error)
-{
-	for (guint i = 0; i < intent->remove_rollouts->len; i++) {
-		const char *name =
-			g_ptr_array_index(intent->remove_rollouts, i);
-
-		if (config_find_rollout(base, name) &&
-		    !config_find_rollout(intent->items, name))
-			continue;
-		error_set(error, ERROR_INVALID, "plan.create", "",
-			  "remove_rollouts[%u]: expected the name of a rollout "
-			  "that is there and not also in \"rollouts\"",
-			  i);
-		return false;
-	}
-	return true;
-}
-
 static bool rollouts_are_equal(const struct config_rollout *a,
 			       const struct config_rollout *b)
 {
--- a/core/plan/plan_rollout.h
+++ b/core/plan/plan_rollout.h
@@ -7,9 +7,6 @@
 G_BEGIN_DECLS
 
 /* The rollouts of a plan: which there will be, and what each will touch. */
-bool plan_check_rollout_removals(const struct config *base,
-				 const struct intent *intent,
-				 struct error *error);
 void plan_merge_rollouts(struct plan *plan, const struct config *base,
 			 const struct intent *intent);
 void plan_copy_rollouts(struct plan *plan, const struct config *base,
--- a/core/plan/plan_route.c
+++ b/core/plan/plan_route.c
@@ -6,25 +6,6 @@
 
 #define US_PER_MS 1000
 
-/* A removal must name a route that is there and not also be replaced. */
-bool plan_check_route_removals(const struct config *base,
-			       const struct intent *intent, struct error *error)
-{
-	for (guint i = 0; i < intent->remove_routes->len; i++) {
-		const char *name = g_ptr_array_index(intent->remove_routes, i);
-
-		if (config_find_route(base, name) &&
-		    !config_find_route(intent->items, name))
-			continue;
-		error_set(error, ERROR_INVALID, "plan.create", "",
-			  "remove_routes[%u]: expected the name of a route "
-			  "that is there and not also in \"routes\"",
-			  i);
-		return false;
-	}
-	return true;
-}
-
 static void copy_route(struct plan *plan, const struct route *route)
 {
 	g_ptr_array_add(plan->result->routes, route_copy(route));
--- a/core/plan/plan_route.h
+++ b/core/plan/plan_route.h
@@ -7,9 +7,6 @@
 G_BEGIN_DECLS
 
 /* The routes of a plan: which there will be, and what changes for callers. */
-bool plan_check_route_removals(const struct config *base,
-			       const struct intent *intent,
-			       struct error *error);
 void plan_merge_routes(struct plan *plan, const struct config *base,
 		       const struct intent *intent);
 void plan_copy_routes(struct plan *plan, const struct config *earlier);
--- a/core/rollout/rollout_json.c
+++ b/core/rollout/rollout_json.c
@@ -1,6 +1,7 @@
 #include "core/rollout/rollout_json.h"
 
 #include "core/json/json_reader.h"
+#include "core/json/json_writer.h"
 
 #include <string.h>
 
@@ -95,24 +96,16 @@
 GBytes *rollout_json_format(const struct rollout_state *state)
 {
 	JsonBuilder *builder = json_builder_new();
-	JsonNode *root;
-	char *text;
 
 	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "phase");
-	json_builder_add_string_value(builder, phase_names[state->phase]);
+	json_writer_text(builder, "phase", phase_names[state->phase]);
 	json_builder_set_member_name(builder, "failed");
 	json_builder_begin_array(builder);
 	for (guint i = 0; i < state->failed->len; i++)
 		json_builder_add_string_value(
 			builder, g_ptr_array_index(state->failed, i));
 	json_builder_end_array(builder);
-	json_builder_set_member_name(builder, "reason");
-	json_builder_add_string_value(builder, state->reason);
+	json_writer_text(builder, "reason", state->reason);
 	json_builder_end_object(builder);
-	root = json_builder_get_root(builder);
-	text = json_to_string(root, FALSE);
-	json_node_unref(root);
-	g_object_unref(builder);
-	return g_bytes_new_take(text, strlen(text));
+	return json_writer_take(builder);
 }
