--- a/bench/fleet_engine.c
+++ b/bench/fleet_engine.c
@@ -2,10 +2,10 @@
 
 /*
  * Figures of the users' sheets: a step takes 7 ms and more, 14 prompt tokens
- * are read in a ms. What each running generation adds, and how much of a
- * prompt is read between two tokens, is set so that a lone report makes a token
- * in 7 ms and one of eight in about 8, and a prompt of 3,000 tokens beside
- * others is read in about 0.4 s, as seen from outside.
+ * are read in a ms. What a running generation adds to a step, and how much of a
+ * prompt is read in one, is set to what callers saw on quiet days: events of
+ * four tokens up to 61 ms apart while prompts are read, a first event after
+ * 0.45 s (half of the reports).
  */
 #define STEP_US 7000
 #define STEP_PER_RUN_US 120
