--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -1,59 +1,17 @@
-#include "daemons/node_loop.h"
-
-#include "adapters/endpoint_client.h"
-#include "adapters/gateway/store_calls.h"
-#include "adapters/http_server.h"
-#include "adapters/kv_client.h"
-#include "adapters/log.h"
-#include "adapters/order_client.h"
-#include "adapters/peer_link.h"
-#include "adapters/vm_list_client.h"
-#include "core/node/node.h"
-#include "daemons/gateway_wiring.h"
+#include "daemons/node_loop_state.h"
+
 #include "daemons/version.h"
 
 #include <glib-unix.h>
 #include <json-glib/json-glib.h>
 #include <signal.h>
 #include <stdio.h>
-#include <sys/random.h>
-#include <sys/resource.h>
 #include <sys/stat.h>
 
-#define LOAD_TIMEOUT_MS 1000
-#define VM_LIST_TIMEOUT_MS 2000
 #define FLUSH_CHECK_MS 10
 #define FLUSH_US 10000000 /* for answers that their callers still read */
 #define EXIT_CUT 1
 #define FILE_CHECK_S 2
-#define FILES_PER_CONNECTION 2 /* the caller's and its endpoint's */
-#define FILES_BESIDE 256       /* peers, platform, load polls */
-
-struct node_loop {
-	GMainLoop *main;
-	struct node *node;
-	struct log *log;
-	struct http_server *http;
-	struct endpoint_client *endpoints;
-	struct order_client *orders;
-	struct kv_client *kv;	   /* NULL: none of its own */
-	struct store_calls *store; /* the platform's instead; NULL: none */
-	struct peer_link *peers;
-	struct vm_list_client *vm_list;
-	struct gateway_wiring *gateway; /* NULL: none */
-	struct action_list *actions;
-	GSource *timer;
-	int64_t clock_offset_us; /* the core's time less the monotonic clock */
-	bool stepping;
-	bool stopping; /* a first SIGTERM has come */
-	int64_t flush_until_us;
-	guint flush_source;
-	guint signal_sources[4];
-	char *config_path;
-	int64_t config_changed_us;
-	guint file_source;
-	int exit_status;
-};
 
 static void apply_http(struct node_loop *loop, const struct action *action)
 {
@@ -195,7 +153,8 @@
 		event->peer->type == PEER_QUARANTINE);
 }
 
-static void loop_deliver(void *data, const struct event *event)
+/* What an adapter has to tell: to the gateway, or a step of the core. */
+void node_loop_deliver(void *data, const struct event *event)
 {
 	struct node_loop *loop = data;
 
@@ -220,6 +179,14 @@
 	.dispatch = loop_timer,
 };
 
+/* What wakes the core when something of its is due. */
+void node_loop_create_timer(struct node_loop *loop)
+{
+	loop->timer = g_source_new(&timer_functions, sizeof(GSource));
+	g_source_set_callback(loop->timer, NULL, loop, NULL);
+	g_source_attach(loop->timer, NULL);
+}
+
 static gboolean loop_on_term(gpointer data)
 {
 	struct node_loop *loop = data;
@@ -241,7 +208,7 @@
 }
 
 /* The gateway has answered all it could: the node behind it may end. */
-static void loop_gateway_stopped(void *data)
+void node_loop_gateway_stopped(void *data)
 {
 	g_main_loop_quit(((struct node_loop *)data)->main);
 }
@@ -259,7 +226,8 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static enum log_level level_of(const char *name)
+/* The level that the settings name. */
+enum log_level node_loop_level(const char *name)
 {
 	if (g_str_equal(name, "error"))
 		return LOG_LEVEL_ERROR;
@@ -269,7 +237,7 @@
 }
 
 /* When the file was last written; 0 if it isn't there. */
-static int64_t file_changed_us(const char *path)
+int64_t node_loop_file_changed_us(const char *path)
 {
 	struct stat status;
 
@@ -293,7 +261,7 @@
 				&error);
 		return;
 	}
-	log_set_level(loop->log, level_of(settings->log_level));
+	log_set_level(loop->log, node_loop_level(settings->log_level));
 	if (loop->gateway)
 		gateway_wiring_reload(loop->gateway, &settings->gateway);
 	log_write(loop->log, LOG_LEVEL_INFO, "reload", "file",
@@ -311,7 +279,7 @@
 static gboolean loop_check_file(gpointer data)
 {
 	struct node_loop *loop = data;
-	int64_t changed_us = file_changed_us(loop->config_path);
+	int64_t changed_us = node_loop_file_changed_us(loop->config_path);
 
 	if (changed_us == loop->config_changed_us)
 		return G_SOURCE_CONTINUE;
@@ -320,204 +288,6 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static bool random_read(uint64_t *number, struct error *error)
-{
-	if (getrandom(number, sizeof(*number), 0) == sizeof(*number))
-		return true;
-	error_set(error, ERROR_INTERNAL, "loop.random", NULL,
-		  "the system gives no random numbers");
-	return false;
-}
-
-/* Connections of callers: fewer where the files allowed don't suffice. */
-static int64_t loop_max_connections(const struct settings *settings)
-{
-	int64_t files = settings->max_open_files - 2 * FILES_BESIDE;
-
-	if (settings->max_open_files == 0)
-		return settings->max_connections;
-	return CLAMP(files / FILES_PER_CONNECTION, 1,
-		     settings->max_connections);
-}
-
-/*
- * Out of descriptors, the listener would fail on each connection and try again
- * at once, and calls that are running would fail for want of a connection to
- * their endpoint. The limit on connections holds before that.
- */
-static bool loop_allow_files(const struct settings *settings,
-			     struct error *error)
-{
-	int64_t needed = loop_max_connections(settings) * FILES_PER_CONNECTION +
-			 FILES_BESIDE;
-	struct rlimit limit = {0};
-
-	getrlimit(RLIMIT_NOFILE, &limit);
-	if ((int64_t)limit.rlim_cur >= needed)
-		return true;
-	limit.rlim_cur = MIN(limit.rlim_max, (rlim_t)needed);
-	if (setrlimit(RLIMIT_NOFILE, &limit) == 0 &&
-	    (int64_t)limit.rlim_cur >= needed)
-		return true;
-	error_set(error, ERROR_INVALID, "loop.files", NULL,
-		  "limits.max_connections needs %" G_GINT64_FORMAT
-		  " open files, the process may have %" G_GINT64_FORMAT,
-		  needed, (int64_t)limit.rlim_max);
-	return false;
-}
-
-static bool loop_create_node(struct node_loop *loop,
-			     const struct settings *settings,
-			     struct error *error)
-{
-	struct node_options options = settings->node;
-
-	char key[2 * sizeof(uint64_t) + 1];
-
-	if (!random_read(&options.incarnation, error) ||
-	    !random_read(&options.seed, error))
-		return false;
-	if (!*options.event_key) {
-		/* Streams of the node's own interface resume here only then. */
-		g_snprintf(key, sizeof(key), "%016" G_GINT64_MODIFIER "x",
-			   options.seed);
-		options.event_key = key;
-	}
-	options.discovers_nodes =
-		*settings->kv_address || *settings->gateway.store_address;
-	loop->node = node_create(&options);
-	return true;
-}
-
-static bool loop_create_http(struct node_loop *loop,
-			     const struct settings *settings,
-			     const struct event_sink *sink, struct error *error)
-{
-	struct http_server_options options = {
-		.address = settings->node.http_address,
-		.operator_key = settings->operator_key,
-		.max_header_bytes = settings->max_header_bytes,
-		.max_body_bytes = settings->max_body_bytes,
-		.stream_buffer_bytes = settings->stream_buffer_bytes,
-		.max_connections = loop_max_connections(settings),
-		.log = loop->log,
-		.counters = node_counters(loop->node),
-	};
-
-	loop->http = http_server_create(&options, sink, error);
-	return loop->http != NULL;
-}
-
-static bool loop_create_peers(struct node_loop *loop,
-			      const struct settings *settings,
-			      const struct event_sink *sink,
-			      struct error *error)
-{
-	struct peer_link_options options = {
-		.address = settings->node.peer_address,
-		.max_record_bytes = settings->max_peer_record_bytes,
-		.log = loop->log,
-		.counters = node_counters(loop->node),
-	};
-
-	loop->peers = peer_link_create(&options, sink, error);
-	return loop->peers != NULL;
-}
-
-static void loop_create_endpoints(struct node_loop *loop,
-				  const struct settings *settings,
-				  const struct event_sink *sink)
-{
-	struct endpoint_client_options options = {
-		.node_name = settings->node.name,
-		.max_answer_bytes = settings->max_answer_bytes,
-		.connect_timeout_ms = settings->connect_timeout_ms,
-		.load_timeout_ms = LOAD_TIMEOUT_MS,
-		.log = loop->log,
-		.counters = node_counters(loop->node),
-	};
-
-	loop->endpoints = endpoint_client_create(&options, sink);
-	loop->orders = order_client_create(loop->log, sink);
-}
-
-static bool loop_create_platform(struct node_loop *loop,
-				 const struct settings *settings,
-				 const struct event_sink *sink,
-				 struct error *error)
-{
-	struct kv_client_options kv = {
-		.address = settings->kv_address,
-		.max_value_bytes = settings->max_answer_bytes,
-		.log = loop->log,
-		.counters = node_counters(loop->node),
-	};
-	struct vm_list_client_options vm_list = {
-		.address = settings->vm_list_address,
-		.poll_ms = settings->vm_list_poll_ms,
-		.timeout_ms = VM_LIST_TIMEOUT_MS,
-		.log = loop->log,
-	};
-
-	if (!random_read(&kv.seed, error))
-		return false;
-	if (*settings->kv_address)
-		loop->kv = kv_client_create(&kv, sink);
-	else if (*settings->gateway.store_address)
-		loop->store = gateway_wiring_open_store(settings, loop->log,
-							kv.seed, sink);
-	if (*settings->vm_list_address)
-		loop->vm_list = vm_list_client_create(&vm_list, sink);
-	return true;
-}
-
-static const struct membership *loop_members(void *data)
-{
-	return node_members(((struct node_loop *)data)->node);
-}
-
-static struct peer_message *loop_message(void *data,
-					 enum peer_message_type type)
-{
-	return node_message_create(((struct node_loop *)data)->node, type);
-}
-
-static void loop_send(void *data, const char *peer_address,
-		      struct peer_message *message)
-{
-	struct node_loop *loop = data;
-	struct action action = {.type = ACTION_PEER_SEND};
-
-	action.peer_send.peer_address = (char *)peer_address;
-	action.peer_send.message = message;
-	peer_link_apply(loop->peers, &action);
-	peer_message_destroy(message);
-}
-
-static bool loop_create_gateway(struct node_loop *loop,
-				const struct settings *settings,
-				struct error *error)
-{
-	struct gateway_wiring_options options = {
-		.settings = settings,
-		.max_connections = loop_max_connections(settings),
-		.log = loop->log,
-		.counters = node_counters(loop->node),
-		.members = loop_members,
-		.message = loop_message,
-		.send = loop_send,
-		.stopped = loop_gateway_stopped,
-		.data = loop,
-	};
-
-	if (!*settings->gateway.address)
-		return true;
-	if (!random_read(&options.seed, error))
-		return false;
-	loop->gateway = gateway_wiring_create(&options, error);
-	return loop->gateway != NULL;
-}
-
 static void loop_watch_signals(struct node_loop *loop)
 {
 	loop->signal_sources[0] =
@@ -529,72 +299,6 @@
 		g_unix_signal_add(SIGHUP, loop_on_reload, loop);
 }
 
-static void loop_create_timer(struct node_loop *loop)
-{
-	loop->timer = g_source_new(&timer_functions, sizeof(GSource));
-	g_source_set_callback(loop->timer, NULL, loop, NULL);
-	g_source_attach(loop->timer, NULL);
-}
-
-/* Takes the addresses of the settings; NULL with the reason if it cannot. */
-struct node_loop *node_loop_create(const struct settings *settings,
-				   const char *config_path, struct error *error)
-{
-	struct node_loop *loop = g_new0(struct node_loop, 1);
-	struct event_sink sink = {.deliver = loop_deliver, .data = loop};
-
-	loop->main = g_main_loop_new(NULL, FALSE);
-	loop->config_path = g_strdup(config_path);
-	loop->config_changed_us = file_changed_us(config_path);
-	loop->clock_offset_us = g_get_real_time() - g_get_monotonic_time();
-	loop->actions = action_list_create();
-	loop->log =
-		log_create(settings->node.name, level_of(settings->log_level));
-	loop_create_timer(loop);
-	if (!loop_allow_files(settings, error) ||
-	    !loop_create_node(loop, settings, error) ||
-	    !loop_create_http(loop, settings, &sink, error) ||
-	    !loop_create_peers(loop, settings, &sink, error) ||
-	    !loop_create_platform(loop, settings, &sink, error) ||
-	    !loop_create_gateway(loop, settings, error)) {
-		node_loop_destroy(loop);
-		return NULL;
-	}
-	loop_create_endpoints(loop, settings, &sink);
-	return loop;
-}
-
-/* Frees the node and closes its connections. NULL is allowed. */
-void node_loop_destroy(struct node_loop *loop)
-{
-	if (!loop)
-		return;
-	for (size_t i = 0; i < G_N_ELEMENTS(loop->signal_sources); i++) {
-		if (loop->signal_sources[i])
-			g_source_remove(loop->signal_sources[i]);
-	}
-	if (loop->flush_source)
-		g_source_remove(loop->flush_source);
-	if (loop->file_source)
-		g_source_remove(loop->file_source);
-	g_free(loop->config_path);
-	gateway_wiring_destroy(loop->gateway);
-	vm_list_client_destroy(loop->vm_list);
-	kv_client_destroy(loop->kv);
-	store_calls_destroy(loop->store);
-	endpoint_client_destroy(loop->endpoints);
-	order_client_destroy(loop->orders);
-	peer_link_destroy(loop->peers);
-	http_server_destroy(loop->http);
-	node_destroy(loop->node);
-	g_source_destroy(loop->timer);
-	g_source_unref(loop->timer);
-	log_destroy(loop->log);
-	action_list_destroy(loop->actions);
-	g_main_loop_unref(loop->main);
-	g_free(loop);
-}
-
 static void loop_start(struct node_loop *loop)
 {
 	loop->stepping = true;
