--- a/core/node/node.c
+++ b/core/node/node.c
@@ -371,7 +371,7 @@
 	if (node->now_us >= node->next_progress_us) {
 		node->next_progress_us =
 			node->now_us + node_progress_interval_us(node);
-		node_place_progress(node);
+		node_progress_send(node);
 	}
 	if (node->now_us >= node->next_limits_us)
 		node_limits_report(node);
@@ -432,7 +432,7 @@
 	node_discovery_step(node);
 	node_run_periodic(node);
 	node_home_step(node);
-	node_place_step_shares(node);
+	node_share_step(node);
 	node_check_drained(node);
 	node->actions = NULL;
 }
--- a/core/node/node_config.c
+++ b/core/node/node_config.c
@@ -109,7 +109,7 @@
 	node_shard_rebuild(node);
 	node_apply_config_leaving(node);
 	node_rollout_config_changed(node);
-	node_place_reset_shares(node);
+	node_share_reset(node);
 	node_place_rehome(node);
 	node_announce_config(node);
 	node_tell_config(node);
--- a/core/node/node_place.c
+++ b/core/node/node_place.c
@@ -4,13 +4,11 @@
 #include <string.h>
 
 /*
- * The entry node's side of getting an endpoint: asks the home of a shard, goes
- * on by its own share of each endpoint when no home answers, and tells homes
- * what it holds so that a new one can be built from that.
+ * The entry node's side of getting an endpoint: asks the home of a shard, and
+ * goes on by its own share of each endpoint when no home answers.
  */
 
 #define COME_BACK_US 1000000
-#define PROGRESS_FULL_EVERY 8
 #define PROGRESS_FULL_AFTER_CHANGE 3
 
 static uint64_t node_new_ticket(struct node *node)
@@ -22,13 +20,14 @@
 	return (high << 32) | node->next_ticket;
 }
 
-static bool home_is_self(const struct node *node, const char *home)
+/* Whether this node is the home of that name. */
+bool node_is_home(const struct node *node, const char *home)
 {
 	return strcmp(home, node->options.name) == 0;
 }
 
-static const struct member *node_find_home(const struct node *node,
-					   const char *home)
+/* The home as a member; NULL: it is not known. */
+const struct member *node_find_home(const struct node *node, const char *home)
 {
 	return *home ? membership_find(node->membership, home) : NULL;
 }
@@ -71,20 +70,6 @@
 	node_send(node, home->peer_address, message);
 }
 
-static void share_set_endpoints(struct node *node, struct placement *share,
-				const struct config_service *service)
-{
-	for (guint i = 0; i < service->endpoints->len; i++) {
-		const struct config_endpoint *endpoint =
-			g_ptr_array_index(service->endpoints, i);
-
-		placement_set_endpoint(share, endpoint, node->now_us);
-		placement_set_leaving(share, endpoint->address,
-				      g_hash_table_contains(node->leaving,
-							    endpoint->address));
-	}
-}
-
 /*
  * What this node knows of the lengths of a service's answers. It learns from
  * its own callers' answers also while others are home, by its share, because
@@ -104,42 +89,6 @@
 	return lengths;
 }
 
-/* This node's own share of a service's endpoints, made when first needed. */
-static struct placement *node_share(struct node *node, const char *name)
-{
-	const struct config_service *service =
-		config_find_service(node->config, name);
-	struct placement *share = g_hash_table_lookup(node->shares, name);
-	struct placement_options options = {
-		.policy = node->options.policy,
-		.kind = service->kind,
-		.seed = home_hash(node->options.name, name, node->options.seed),
-		.max_waiting = node->options.max_waiting,
-		.step_us = PLACEMENT_STEP_US,
-		.lengths = node_lengths(node, name),
-	};
-
-	if (share)
-		return share;
-	share = placement_create(&options);
-	share_set_endpoints(node, share, service);
-	placement_set_share(share, (int32_t)membership_count(node->membership));
-	g_hash_table_insert(node->shares, g_strdup(name), share);
-	return share;
-}
-
-static void call_place_by_share(struct node *node, struct call *call)
-{
-	struct placement_request request;
-
-	g_free(call->home);
-	call->home = g_strdup("");
-	node_call_set_state(node, call, CALL_PLACING);
-	node_place_fill(node, call, &request);
-	placement_submit(node_share(node, call->request->service), &request,
-			 node->now_us);
-}
-
 static void call_place_by_home(struct node *node, struct call *call,
 			       struct shard *shard)
 {
@@ -184,7 +133,7 @@
 	call_new_ticket(node, call);
 	call->shard = shard->index;
 	if (node->options.placement == NODE_PLACEMENT_SHARES || !shard->home)
-		call_place_by_share(node, call);
+		node_share_place(node, call);
 	else
 		call_place_by_home(node, call, shard);
 }
@@ -202,7 +151,7 @@
 	}
 	home = node_find_home(node, call->home);
 	if (*call->home && (!home || !call->home_heard) &&
-	    !home_is_self(node, call->home)) {
+	    !node_is_home(node, call->home)) {
 		/*
 		 * The home is silent: paused, cut off or just gone. Waiting for
 		 * the membership to say so would cost the caller seconds; a
@@ -210,10 +159,10 @@
 		 */
 		node_place_withdraw(node, call);
 		call_new_ticket(node, call);
-		call_place_by_share(node, call);
+		node_share_place(node, call);
 		return;
 	}
-	if (home && !home_is_self(node, call->home)) {
+	if (home && !node_is_home(node, call->home)) {
 		call->home_heard = false;
 		node_send_place(node, call, home);
 	}
@@ -227,7 +176,7 @@
 	const struct member *member = node_find_home(node, home);
 	struct peer_message *message;
 
-	if (home_is_self(node, home)) {
+	if (node_is_home(node, home)) {
 		node_home_release(node, ticket, outcome, tokens);
 		return;
 	}
@@ -241,7 +190,8 @@
 	node_send(node, member->peer_address, message);
 }
 
-static struct shard *call_shard(struct node *node, const struct call *call)
+/* The shard whose home gives the call its place; NULL: none. */
+struct shard *node_call_shard(struct node *node, const struct call *call)
 {
 	if (!call->endpoint)
 		return NULL;
@@ -255,7 +205,7 @@
 {
 	struct placement *share =
 		g_hash_table_lookup(node->shares, call->request->service);
-	const struct shard *shard = call_shard(node, call);
+	const struct shard *shard = node_call_shard(node, call);
 	const char *home = call->home ? call->home : "";
 
 	if (!call->ticket)
@@ -281,8 +231,9 @@
 	node_place_release(node, call, RELEASE_CANCELLED);
 }
 
-static bool service_has_endpoint(const struct node *node, const char *service,
-				 const char *endpoint)
+/* Whether the configuration gives the service this endpoint. */
+bool node_service_has(const struct node *node, const char *service,
+		      const char *endpoint)
 {
 	const struct config_service *found =
 		config_find_service(node->config, service);
@@ -290,20 +241,6 @@
 	return found && config_service_find_endpoint(found, endpoint);
 }
 
-/*
- * Books a home's grant in the own share too. When the home is lost the share
- * takes over at once; if it took the engines for empty, its part of them would
- * be filled a second time, and what runs there preempted.
- */
-static void share_hold(struct node *node, const struct call *call)
-{
-	struct placement_request request = {0};
-
-	node_place_fill(node, call, &request);
-	placement_hold(node_share(node, call->request->service), &request,
-		       call->endpoint, call->next_token, node->now_us);
-}
-
 /*
  * A grant. One that is late or doubled is only counted: its ticket was given
  * back when the call went elsewhere, and if that word was lost, the next
@@ -322,7 +259,7 @@
 		node_call_set_state(node, call, CALL_PLACING);
 		return;
 	}
-	if (!service_has_endpoint(node, call->request->service, endpoint)) {
+	if (!node_service_has(node, call->request->service, endpoint)) {
 		node_place_withdraw(node, call);
 		node_attempt_retry(node, call);
 		return;
@@ -343,8 +280,8 @@
 	}
 	call_set_endpoint(call, endpoint);
 	call->placed_us = node->now_us;
-	if (*call->home && !home_is_self(node, call->home))
-		share_hold(node, call);
+	if (*call->home && !node_is_home(node, call->home))
+		node_share_hold(node, call);
 	node_attempt_send(node, call);
 }
 
@@ -363,7 +300,8 @@
 			 retry_after_us);
 }
 
-static bool call_holds_endpoint(const struct call *call)
+/* Whether the call has a place at an endpoint. */
+bool node_call_is_placed(const struct call *call)
 {
 	return call->ticket && call->endpoint &&
 	       (call->state == CALL_SENT || call->state == CALL_STREAMING ||
@@ -399,14 +337,14 @@
 
 static void call_rehome(struct node *node, struct call *call)
 {
-	struct shard *shard = call_shard(node, call);
+	struct shard *shard = node_call_shard(node, call);
 
 	if (call_waits_at_former_home(node, call)) {
 		node_place_withdraw(node, call);
 		node_place_call(node, call);
 		return;
 	}
-	if (!call_holds_endpoint(call) || !shard || !shard->home ||
+	if (!node_call_is_placed(call) || !shard || !shard->home ||
 	    !*call->home || strcmp(shard->home, call->home) == 0)
 		return;
 	g_free(call->home);
@@ -422,204 +360,3 @@
 	node->next_progress_us = node->now_us;
 	node->progress_full = PROGRESS_FULL_AFTER_CHANGE;
 }
-
-/* The number of nodes changed, and with it what each may fill by itself. */
-void node_place_resize_shares(struct node *node)
-{
-	GHashTableIter iter;
-	gpointer share;
-
-	g_hash_table_iter_init(&iter, node->shares);
-	while (g_hash_table_iter_next(&iter, NULL, &share))
-		placement_set_share(
-			share, (int32_t)membership_count(node->membership));
-}
-
-static void call_enter_share(struct node *node, struct call *call)
-{
-	if (!call->home || home_is_self(node, call->home))
-		return;
-	if (call->state == CALL_PLACING && !*call->home) {
-		node_place_call(node, call);
-		return;
-	}
-	if (call_holds_endpoint(call) &&
-	    service_has_endpoint(node, call->request->service, call->endpoint))
-		share_hold(node, call);
-}
-
-/* Makes the shares anew after a change of the endpoints. */
-void node_place_reset_shares(struct node *node)
-{
-	g_hash_table_remove_all(node->shares);
-	node_call_each(node, call_enter_share);
-}
-
-/*
- * A home that granted a ticket knows all of it but its progress, so most
- * reports carry no more. Some come in full: a new home knows nothing yet.
- */
-static void progress_add_call(struct peer_progress *progress,
-			      const struct call *call, bool full)
-{
-	struct peer_holding *holding = peer_progress_add(progress);
-	bool granted_by_home = call->home && *call->home;
-
-	holding->ticket = call->ticket;
-	holding->tokens = call->next_token;
-	if (!full && granted_by_home) {
-		holding->service = g_strdup("");
-		holding->endpoint = g_strdup("");
-		holding->organisation = g_strdup("");
-		return;
-	}
-	holding->service = g_strdup(call->request->service);
-	holding->endpoint =
-		g_strdup(call_holds_endpoint(call) ? call->endpoint : "");
-	holding->organisation = g_strdup(call->organisation);
-	holding->prompt_tokens = call->request->prompt_tokens;
-	holding->max_tokens = call->request->max_tokens;
-	holding->true_tokens = call->request->true_tokens;
-}
-
-static const char *call_progress_home(struct node *node,
-				      const struct call *call)
-{
-	const struct shard *shard;
-
-	if (!call->ticket)
-		return NULL;
-	if (call->home && *call->home)
-		return call->home;
-	shard = call_holds_endpoint(call) ? call_shard(node, call) : NULL;
-	return shard ? shard->home : NULL;
-}
-
-static struct peer_message *progress_for(struct node *node, GHashTable *homes,
-					 const char *home)
-{
-	struct peer_message *message = g_hash_table_lookup(homes, home);
-
-	if (message)
-		return message;
-	message = node_message_create(node, PEER_PROGRESS);
-	message->progress.complete = true;
-	g_hash_table_insert(homes, g_strdup(home), message);
-	return message;
-}
-
-static void progress_send_all(struct node *node, GHashTable *homes)
-{
-	GList *names =
-		g_list_sort(g_hash_table_get_keys(homes), (GCompareFunc)strcmp);
-
-	for (GList *item = names; item; item = item->next) {
-		struct peer_message *message =
-			g_hash_table_lookup(homes, item->data);
-		const struct member *member = node_find_home(node, item->data);
-
-		if (member)
-			node_send(node, member->peer_address, message);
-		else
-			peer_message_destroy(message);
-	}
-	g_list_free(names);
-}
-
-/*
- * Tells the own share what a call has made. Without it the share goes on
- * counting each call as just begun, and overfills the engines.
- */
-static void share_progress(struct node *node, const struct call *call)
-{
-	struct placement *share =
-		g_hash_table_lookup(node->shares, call->request->service);
-
-	if (share && call->ticket && call->home &&
-	    !home_is_self(node, call->home))
-		placement_progress(share, call->ticket, call->next_token,
-				   node->now_us);
-}
-
-static bool node_progress_is_full(struct node *node)
-{
-	if (node->progress_full > 0) {
-		node->progress_full--;
-		return true;
-	}
-	node->progress_count++;
-	return node->progress_count % PROGRESS_FULL_EVERY == 0;
-}
-
-/* Tells every home what this node holds and waits for there. */
-void node_place_progress(struct node *node)
-{
-	GHashTable *homes =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	GHashTableIter iter;
-	gpointer value;
-	bool full = node_progress_is_full(node);
-
-	for (guint i = 0; i < node->shards->len; i++) {
-		const struct shard *shard = g_ptr_array_index(node->shards, i);
-
-		/* A home of which nothing is held hears so now and then. */
-		if (full && shard->home && !shard->is_home)
-			progress_for(node, homes, shard->home);
-	}
-	g_hash_table_iter_init(&iter, node->calls);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct call *call = value;
-		const char *home = call_progress_home(node, call);
-		struct shard *shard = call_shard(node, call);
-
-		share_progress(node, call);
-		if (!home)
-			continue;
-		if (!home_is_self(node, home))
-			progress_add_call(
-				&progress_for(node, homes, home)->progress,
-				call, full);
-		else if (shard && shard->placement)
-			placement_progress(shard->placement, call->ticket,
-					   call->next_token, node->now_us);
-	}
-	progress_send_all(node, homes);
-	g_hash_table_destroy(homes);
-}
-
-static void share_decide(struct node *node, struct placement *share)
-{
-	GArray *decisions =
-		g_array_new(FALSE, FALSE, sizeof(struct placement_decision));
-
-	placement_step(share, node->now_us, decisions);
-	for (guint i = 0; i < decisions->len; i++) {
-		struct placement_decision *decision =
-			&g_array_index(decisions, struct placement_decision, i);
-		char *endpoint;
-
-		if (decision->verdict == PLACEMENT_REFUSED) {
-			node_place_refused(node, decision->ticket,
-					   decision->refusal,
-					   decision->retry_after_us);
-			continue;
-		}
-		endpoint = g_strdup(decision->endpoint);
-		node_place_placed(node, decision->ticket, endpoint);
-		g_free(endpoint);
-	}
-	g_array_unref(decisions);
-}
-
-/* Lets the node's own shares decide. */
-void node_place_step_shares(struct node *node)
-{
-	GList *names = g_list_sort(g_hash_table_get_keys(node->shares),
-				   (GCompareFunc)strcmp);
-
-	for (GList *item = names; item; item = item->next)
-		share_decide(node,
-			     g_hash_table_lookup(node->shares, item->data));
-	g_list_free(names);
-}
--- /dev/null
+++ b/core/node/node_progress.c
@@ -0,0 +1,128 @@
+#include "core/node/node_state.h"
+
+#include <string.h>
+
+/*
+ * Reports to homes of what this node holds on their engines, from which a new
+ * home is built.
+ */
+
+#define PROGRESS_FULL_EVERY 8
+
+/*
+ * A home that granted a ticket knows all of it but its progress, so most
+ * reports carry no more. Some come in full: a new home knows nothing yet.
+ */
+static void progress_add_call(struct peer_progress *progress,
+			      const struct call *call, bool full)
+{
+	struct peer_holding *holding = peer_progress_add(progress);
+	bool granted_by_home = call->home && *call->home;
+
+	holding->ticket = call->ticket;
+	holding->tokens = call->next_token;
+	if (!full && granted_by_home) {
+		holding->service = g_strdup("");
+		holding->endpoint = g_strdup("");
+		holding->organisation = g_strdup("");
+		return;
+	}
+	holding->service = g_strdup(call->request->service);
+	holding->endpoint =
+		g_strdup(node_call_is_placed(call) ? call->endpoint : "");
+	holding->organisation = g_strdup(call->organisation);
+	holding->prompt_tokens = call->request->prompt_tokens;
+	holding->max_tokens = call->request->max_tokens;
+	holding->true_tokens = call->request->true_tokens;
+}
+
+static const char *call_progress_home(struct node *node,
+				      const struct call *call)
+{
+	const struct shard *shard;
+
+	if (!call->ticket)
+		return NULL;
+	if (call->home && *call->home)
+		return call->home;
+	shard = node_call_is_placed(call) ? node_call_shard(node, call) : NULL;
+	return shard ? shard->home : NULL;
+}
+
+static struct peer_message *progress_for(struct node *node, GHashTable *homes,
+					 const char *home)
+{
+	struct peer_message *message = g_hash_table_lookup(homes, home);
+
+	if (message)
+		return message;
+	message = node_message_create(node, PEER_PROGRESS);
+	message->progress.complete = true;
+	g_hash_table_insert(homes, g_strdup(home), message);
+	return message;
+}
+
+static void progress_send_all(struct node *node, GHashTable *homes)
+{
+	GList *names =
+		g_list_sort(g_hash_table_get_keys(homes), (GCompareFunc)strcmp);
+
+	for (GList *item = names; item; item = item->next) {
+		struct peer_message *message =
+			g_hash_table_lookup(homes, item->data);
+		const struct member *member = node_find_home(node, item->data);
+
+		if (member)
+			node_send(node, member->peer_address, message);
+		else
+			peer_message_destroy(message);
+	}
+	g_list_free(names);
+}
+
+static bool node_progress_is_full(struct node *node)
+{
+	if (node->progress_full > 0) {
+		node->progress_full--;
+		return true;
+	}
+	node->progress_count++;
+	return node->progress_count % PROGRESS_FULL_EVERY == 0;
+}
+
+/* Tells every home what this node holds and waits for there. */
+void node_progress_send(struct node *node)
+{
+	GHashTable *homes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GHashTableIter iter;
+	gpointer value;
+	bool full = node_progress_is_full(node);
+
+	for (guint i = 0; i < node->shards->len; i++) {
+		const struct shard *shard = g_ptr_array_index(node->shards, i);
+
+		/* A home of which nothing is held hears so now and then. */
+		if (full && shard->home && !shard->is_home)
+			progress_for(node, homes, shard->home);
+	}
+	g_hash_table_iter_init(&iter, node->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct call *call = value;
+		const char *home = call_progress_home(node, call);
+		struct shard *shard = node_call_shard(node, call);
+
+		node_share_progress(node, call);
+		if (!home)
+			continue;
+		if (!node_is_home(node, home))
+			progress_add_call(
+				&progress_for(node, homes, home)->progress,
+				call, full);
+		else if (shard && shard->placement)
+			placement_progress(shard->placement, call->ticket,
+					   call->next_token, node->now_us);
+	}
+	progress_send_all(node, homes);
+	g_hash_table_destroy(homes);
+}
--- a/core/node/node_shard.c
+++ b/core/node/node_shard.c
@@ -263,7 +263,7 @@
 void node_shard_members_changed(struct node *node)
 {
 	node_shard_rebuild(node);
-	node_place_resize_shares(node);
+	node_share_resize(node);
 	for (guint i = 0; i < node->shards->len; i++) {
 		struct shard *shard = g_ptr_array_index(node->shards, i);
 		GHashTableIter iter;
--- a/core/node/node_state.h
+++ b/core/node/node_state.h
@@ -27,6 +27,8 @@
  *   node_call.c     callers: checks, refusals, streams, timers
  *   node_id.c       request ids: repeated, claimed, forwarded
  *   node_place.c    entry node's side of getting an endpoint
+ *   node_share.c    its own shares, where there is no home
+ *   node_progress.c what it tells homes of what it holds
  *   node_attempt.c  what endpoints answer; retries
  *   node_shard.c    shards of endpoints and their homes
  *   node_home.c     home's side: grants, load
@@ -186,13 +188,26 @@
 void node_place_refused(struct node *node, uint64_t ticket,
 			enum refusal refusal, int64_t retry_after_us);
 void node_place_rehome(struct node *node);
-void node_place_progress(struct node *node);
 struct length_estimate *node_lengths(struct node *node, const char *service);
-void node_place_step_shares(struct node *node);
-void node_place_resize_shares(struct node *node);
-void node_place_reset_shares(struct node *node);
 void node_place_fill(struct node *node, const struct call *call,
 		     struct placement_request *request);
+bool node_is_home(const struct node *node, const char *home);
+const struct member *node_find_home(const struct node *node, const char *home);
+struct shard *node_call_shard(struct node *node, const struct call *call);
+bool node_service_has(const struct node *node, const char *service,
+		      const char *endpoint);
+bool node_call_is_placed(const struct call *call);
+
+/* node_share.c */
+void node_share_place(struct node *node, struct call *call);
+void node_share_hold(struct node *node, const struct call *call);
+void node_share_progress(struct node *node, const struct call *call);
+void node_share_resize(struct node *node);
+void node_share_reset(struct node *node);
+void node_share_step(struct node *node);
+
+/* node_progress.c */
+void node_progress_send(struct node *node);
 
 /* node_attempt.c */
 void node_attempt_send(struct node *node, struct call *call);
