--- a/bench/region.c
+++ b/bench/region.c
@@ -1,7 +1,7 @@
-#include "bench/region.h"
+#include "bench/region_state.h"
 
-#include "core/config/config_json.h"
 #include "codec/peer_codec.h"
+#include "core/config/config_json.h"
 #include "core/node/node.h"
 
 #include <malloc.h>
@@ -10,59 +10,9 @@
 #include <string.h>
 #include <time.h>
 
-#define CONFIG_KEY "/siskinlink/config"
 #define SPREAD_LIMIT_US (60 * G_USEC_PER_SEC)
 #define REVISION_FIRST 2
 
-/* What is still to happen; earliest first, then first queued first. */
-struct item {
-	int64_t at_us;
-	uint64_t order;
-	int32_t node;
-	struct event event;
-	struct peer_message *message; /* owned; EVENT_PEER */
-	char *text;		      /* owned; load's endpoint, generation */
-	GBytes *data;		      /* owned; chunks, watched values */
-	struct kv_answer kv;	      /* owned; EVENT_KV */
-};
-
-/* One generation at an engine that only answers. */
-struct flow {
-	int32_t node;
-	uint64_t attempt;
-	int64_t made;
-};
-
-struct region {
-	struct region_options options;
-	struct node **nodes;
-	struct action_list *actions;
-	GHashTable *by_peer; /* peer address to node number + 1 */
-	GPtrArray *heap;     /* struct item, a binary heap */
-	GHashTable *flows;   /* node and attempt to struct flow */
-	uint64_t order;
-	uint64_t next_call;
-	int64_t now_us;
-	GRand *random;
-	GBytes *chunk;
-	GBytes *document;
-	int64_t revision;
-	bool *watching;
-	int64_t *next_arrival_us;
-
-	int64_t measure_from_us;
-	uint64_t control_ns;
-	uint64_t data_ns;
-	uint64_t grant_ns;
-	uint64_t grants;
-	uint64_t records;
-	uint64_t bytes;
-	uint64_t bytes_by_type[16];
-	uint64_t kv_calls;
-	uint64_t polls;
-	uint64_t calls;
-};
-
 /* The letter's ratios, of one region: 1/10 of each of its numbers. */
 void region_options_default(struct region_options *options)
 {
@@ -80,76 +30,6 @@
 	options->seed = 1;
 }
 
-static bool item_before(const struct item *a, const struct item *b)
-{
-	if (a->at_us != b->at_us)
-		return a->at_us < b->at_us;
-	return a->order < b->order;
-}
-
-static void heap_push(struct region *region, struct item *item)
-{
-	GPtrArray *heap = region->heap;
-	guint i = heap->len;
-
-	item->order = region->order++;
-	g_ptr_array_add(heap, item);
-	while (i > 0 && item_before(item, heap->pdata[(i - 1) / 2])) {
-		heap->pdata[i] = heap->pdata[(i - 1) / 2];
-		i = (i - 1) / 2;
-	}
-	heap->pdata[i] = item;
-}
-
-static struct item *heap_pop(struct region *region)
-{
-	GPtrArray *heap = region->heap;
-	struct item *top = heap->pdata[0];
-	struct item *last = g_ptr_array_steal_index(heap, heap->len - 1);
-	guint i = 0;
-
-	if (top == last)
-		return top;
-	for (;;) {
-		guint child = 2 * i + 1;
-
-		if (child >= heap->len)
-			break;
-		if (child + 1 < heap->len &&
-		    item_before(heap->pdata[child + 1], heap->pdata[child]))
-			child++;
-		if (!item_before(heap->pdata[child], last))
-			break;
-		heap->pdata[i] = heap->pdata[child];
-		i = child;
-	}
-	heap->pdata[i] = last;
-	return top;
-}
-
-static void item_destroy(gpointer data)
-{
-	struct item *item = data;
-
-	peer_message_destroy(item->message);
-	g_free(item->text);
-	if (item->data)
-		g_bytes_unref(item->data);
-	kv_answer_clear(&item->kv);
-	g_free(item);
-}
-
-static struct item *item_create(int32_t node, int64_t at_us,
-				enum event_type type)
-{
-	struct item *item = g_new0(struct item, 1);
-
-	item->node = node;
-	item->at_us = at_us;
-	item->event.type = type;
-	return item;
-}
-
 static uint64_t thread_ns(void)
 {
 	struct timespec time;
@@ -175,169 +55,6 @@
 	}
 }
 
-static void region_queue_chunk(struct region *region, const struct flow *flow,
-			       int64_t tokens)
-{
-	struct item *item = item_create(
-		flow->node, region->now_us + tokens * region->options.token_us,
-		EVENT_ATTEMPT_CHUNK);
-
-	item->event.chunk.attempt = flow->attempt;
-	item->event.chunk.first_token = flow->made;
-	item->event.chunk.token_count = tokens;
-	item->data = g_bytes_ref(region->chunk);
-	item->event.chunk.data = item->data;
-	heap_push(region, item);
-}
-
-static uint64_t flow_key(int32_t node, uint64_t attempt)
-{
-	return ((uint64_t)node << 48) | attempt;
-}
-
-static void region_flow_next(struct region *region, struct flow *flow)
-{
-	int64_t left = region->options.output_tokens - flow->made;
-	uint64_t key = flow_key(flow->node, flow->attempt);
-	struct item *item;
-
-	if (left > 0) {
-		region_queue_chunk(region, flow,
-				   MIN(left, region->options.chunk_tokens));
-		return;
-	}
-	item = item_create(flow->node, region->now_us, EVENT_ATTEMPT_DONE);
-	item->event.done.attempt = flow->attempt;
-	item->event.done.token_count = flow->made;
-	item->event.done.finish_reason = "stop";
-	heap_push(region, item);
-	g_hash_table_remove(region->flows, &key);
-}
-
-static void region_send(struct region *region, int32_t node,
-			const struct action_attempt_send *send)
-{
-	struct flow *flow = g_new0(struct flow, 1);
-	uint64_t key = flow_key(node, send->attempt);
-	struct item *item =
-		item_create(node, region->now_us, EVENT_ATTEMPT_STARTED);
-
-	flow->node = node;
-	flow->attempt = send->attempt;
-	g_hash_table_insert(region->flows, g_memdup2(&key, sizeof(key)), flow);
-	item->event.started.attempt = send->attempt;
-	item->text = g_strdup_printf("g%" G_GUINT64_FORMAT, send->attempt);
-	item->event.started.generation = item->text;
-	heap_push(region, item);
-	region_queue_chunk(region, flow, 1);
-}
-
-static void region_send_record(struct region *region, int32_t from,
-			       struct action_peer_send *send)
-{
-	gpointer to = g_hash_table_lookup(region->by_peer, send->peer_address);
-	GBytes *record = peer_codec_encode(send->message);
-	struct item *item;
-
-	(void)from;
-	region->records++;
-	region->bytes += g_bytes_get_size(record);
-	region->bytes_by_type[send->message->type] += g_bytes_get_size(record);
-	if (to) {
-		item = item_create(GPOINTER_TO_INT(to) - 1,
-				   region->now_us + region->options.delay_us,
-				   EVENT_PEER);
-		item->data = record;
-		heap_push(region, item);
-		return;
-	}
-	g_bytes_unref(record);
-}
-
-static void region_answer_kv(struct region *region, int32_t node,
-			     const struct kv_request *request)
-{
-	struct item *item = item_create(
-		node, region->now_us + region->options.delay_us, EVENT_KV);
-
-	region->kv_calls++;
-	item->kv.id = request->id;
-	item->kv.op = request->op;
-	item->kv.outcome = KV_OK;
-	item->kv.lease = 1;
-	if (request->op == KV_GET && region->document) {
-		item->kv.entries = kv_entries_create();
-		kv_entries_add(item->kv.entries, request->key, region->document,
-			       region->revision, region->revision);
-	}
-	heap_push(region, item);
-}
-
-static void region_answer_poll(struct region *region, int32_t node,
-			       const char *endpoint)
-{
-	struct item *item = item_create(
-		node, region->now_us + region->options.delay_us, EVENT_LOAD);
-	struct load_report *report = &item->event.load.report;
-
-	region->polls++;
-	item->text = g_strdup(endpoint);
-	item->event.load.endpoint = item->text;
-	item->event.load.reached = true;
-	*report = (struct load_report){
-		.reported_at_us = region->now_us,
-		.running = -1,
-		.waiting = -1,
-		.tokens_used = -1,
-		.tokens_capacity = region->options.capacity_tokens,
-		.preemptions_total = -1,
-	};
-	heap_push(region, item);
-}
-
-static void region_send_watch(struct region *region, int32_t node)
-{
-	struct item *item =
-		item_create(node, region->now_us + region->options.delay_us,
-			    EVENT_KV_WATCH);
-
-	item->data = g_bytes_ref(region->document);
-	item->event.kv_watch.key = CONFIG_KEY;
-	item->event.kv_watch.mod_revision = region->revision;
-	item->event.kv_watch.value = item->data;
-	heap_push(region, item);
-}
-
-static void region_apply(struct region *region, int32_t node)
-{
-	for (size_t i = 0; i < action_list_count(region->actions); i++) {
-		struct action *action = action_list_get(region->actions, i);
-
-		switch (action->type) {
-		case ACTION_PEER_SEND:
-			region_send_record(region, node, &action->peer_send);
-			break;
-		case ACTION_ATTEMPT_SEND:
-			region_send(region, node, &action->send);
-			break;
-		case ACTION_KV:
-			region_answer_kv(region, node, &action->kv);
-			break;
-		case ACTION_KV_WATCH:
-			region->watching[node] = true;
-			region_send_watch(region, node);
-			break;
-		case ACTION_POLL_LOAD:
-			region_answer_poll(region, node,
-					   action->poll_load.endpoint);
-			break;
-		default:
-			break;
-		}
-	}
-	action_list_clear(region->actions);
-}
-
 /*
  * The time of a step counts as control unless a caller or an engine caused
  * it; encoding and decoding of records count with the step they belong to.
@@ -382,7 +99,7 @@
 	region_step(region, item->node, &item->event);
 	if (item->event.type != EVENT_ATTEMPT_CHUNK)
 		return;
-	key = flow_key(item->node, item->event.chunk.attempt);
+	key = region_flow_key(item->node, item->event.chunk.attempt);
 	flow = g_hash_table_lookup(region->flows, &key);
 	if (!flow)
 		return;
@@ -458,10 +175,10 @@
 		if (MIN(at_us, first ? first->at_us : INT64_MAX) > until_us)
 			break;
 		if (first && first->at_us <= at_us) {
-			item = heap_pop(region);
+			item = region_queue_pop(region);
 			region->now_us = MAX(region->now_us, item->at_us);
 			region_deliver(region, item);
-			item_destroy(item);
+			region_item_destroy(item);
 			continue;
 		}
 		region->now_us = MAX(region->now_us, at_us);
@@ -557,7 +274,7 @@
 	region->actions = action_list_create();
 	region->by_peer =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	region->heap = g_ptr_array_new_with_free_func(item_destroy);
+	region->heap = g_ptr_array_new_with_free_func(region_item_destroy);
 	region->flows = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					      g_free, g_free);
 	region->now_us = G_USEC_PER_SEC;
--- /dev/null
+++ b/bench/region_state.h
@@ -0,0 +1,85 @@
+#ifndef BENCH_REGION_STATE_H
+#define BENCH_REGION_STATE_H
+
+#include "bench/region.h"
+#include "core/node/node.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * What the parts of the region share. region.c: its life, and what is measured.
+ * region_queue.c: what is still to happen. region_answer.c: how engines, the
+ * key-value service and the other nodes answer.
+ */
+
+#define CONFIG_KEY "/siskinlink/config"
+
+/* What is still to happen; earliest first, then first queued first. */
+struct item {
+	int64_t at_us;
+	uint64_t order;
+	int32_t node;
+	struct event event;
+	struct peer_message *message; /* owned; EVENT_PEER */
+	char *text;		      /* owned; load's endpoint, generation */
+	GBytes *data;		      /* owned; chunks, watched values */
+	struct kv_answer kv;	      /* owned; EVENT_KV */
+};
+
+/* One generation at an engine that only answers. */
+struct flow {
+	int32_t node;
+	uint64_t attempt;
+	int64_t made;
+};
+
+struct region {
+	struct region_options options;
+	struct node **nodes;
+	struct action_list *actions;
+	GHashTable *by_peer; /* peer address to node number + 1 */
+	GPtrArray *heap;     /* struct item, a binary heap */
+	GHashTable *flows;   /* node and attempt to struct flow */
+	uint64_t order;
+	uint64_t next_call;
+	int64_t now_us;
+	GRand *random;
+	GBytes *chunk;
+	GBytes *document;
+	int64_t revision;
+	bool *watching;
+	int64_t *next_arrival_us;
+
+	int64_t measure_from_us;
+	uint64_t control_ns;
+	uint64_t data_ns;
+	uint64_t grant_ns;
+	uint64_t grants;
+	uint64_t records;
+	uint64_t bytes;
+	uint64_t bytes_by_type[16];
+	uint64_t kv_calls;
+	uint64_t polls;
+	uint64_t calls;
+};
+
+/* region_queue.c */
+struct item *region_item_create(int32_t node, int64_t at_us,
+				enum event_type type);
+void region_item_destroy(gpointer data);
+void region_queue_push(struct region *region, struct item *item);
+struct item *region_queue_pop(struct region *region);
+
+/* region_answer.c */
+uint64_t region_flow_key(int32_t node, uint64_t attempt);
+void region_flow_next(struct region *region, struct flow *flow);
+void region_send_watch(struct region *region, int32_t node);
+void region_apply(struct region *region, int32_t node);
+
+G_END_DECLS
+
+#endif
