--- /dev/null
+++ b/bench/direct_call.c
@@ -0,0 +1,221 @@
+#include "bench/direct_state.h"
+
+#define MAX_ATTEMPTS 3
+#define NAIVE_ATTEMPTS 10
+
+/* Who decides for a node: the home, or the node itself. */
+struct placement *direct_placement(const struct direct *direct,
+				   enum service_kind kind, uint64_t seed)
+{
+	struct placement_options options = {
+		.policy = bench_policy_placement(direct->policy),
+		.kind = kind,
+		.seed = seed,
+		.max_waiting = 2000,
+		.step_us = 28000,
+	};
+
+	return placement_create(&options);
+}
+
+/* Who decides on this call. */
+struct placement *direct_call_placement(const struct direct *direct,
+					const struct direct_call *call)
+{
+	if (call->flow.item->kind == WORKLOAD_PLAIN)
+		return direct->plain_placement;
+	return direct->placements[call->node % direct->placement_count];
+}
+
+/* Names the call and the attempt at it. */
+uint64_t direct_call_ticket(const struct direct *direct,
+			    const struct direct_call *call)
+{
+	return ((uint64_t)(call - direct->calls + 1) << ATTEMPT_BITS) |
+	       (uint64_t)call->flow.attempts;
+}
+
+/* The call of a ticket; NULL: that attempt is over. */
+struct direct_call *direct_find(const struct direct *direct, uint64_t ticket)
+{
+	return &direct->calls[(ticket >> ATTEMPT_BITS) - 1];
+}
+
+/* Asks for an endpoint. */
+void direct_submit(struct direct *direct, struct direct_call *call)
+{
+	const struct workload_item *item = call->flow.item;
+	struct placement_request request = {
+		.organisation = workload_organisation(item->organisation),
+		.weight = workload_weight(item->organisation),
+		.priority = item->priority,
+		.prompt_tokens = item->prompt_tokens,
+		.deadline_us = item->at_us + item->deadline_us,
+		.prefix_hash = item->prefix_hash,
+		.avoid_hash = call->avoid_hash,
+		.true_tokens = item->output_tokens,
+	};
+	double from_us = direct_clock_us();
+
+	call->flow.attempts++;
+	request.ticket = direct_call_ticket(direct, call);
+	placement_submit(direct_call_placement(direct, call), &request,
+			 direct->now_us);
+	direct->measure.decision_us += direct_clock_us() - from_us;
+	direct->measure.decisions++;
+}
+
+/* The call is over. */
+void direct_end(struct direct *direct, struct direct_call *call,
+		enum flow_end end)
+{
+	call->flow.end = end;
+	measure_flow(&direct->measure, &call->flow);
+}
+
+static void direct_wait(struct direct *direct, struct direct_call *call)
+{
+	guint index = (guint)(call - direct->calls);
+
+	g_array_append_val(direct->waiting, index);
+}
+
+static bool direct_may_retry(struct direct *direct,
+			     const struct direct_call *call)
+{
+	if (direct->policy == BENCH_NAIVE)
+		return call->flow.attempts < NAIVE_ATTEMPTS;
+	return call->flow.attempts < MAX_ATTEMPTS &&
+	       retry_budget_take(direct->budget);
+}
+
+/* Tries again after a while, or gives up. */
+void direct_retry(struct direct *direct, struct direct_call *call)
+{
+	if (!direct_may_retry(direct, call)) {
+		call->flow.refusal = REFUSAL_ENDPOINT_FAILED;
+		direct_end(direct, call, FLOW_REFUSED);
+		return;
+	}
+	call->retry_us = direct->now_us + 1;
+	if (direct->policy != BENCH_NAIVE)
+		call->retry_us += retry_budget_delay_us(
+			direct->budget, call->flow.attempts - 1, direct->rand);
+	direct_wait(direct, call);
+}
+
+/* Gives back what the call has at its endpoint. */
+void direct_release(struct direct *direct, struct direct_call *call,
+		    enum release_outcome outcome)
+{
+	double from_us = direct_clock_us();
+
+	call->live = false;
+	placement_release(direct_call_placement(direct, call),
+			  direct_call_ticket(direct, call), outcome,
+			  call->flow.tokens, direct->now_us);
+	direct->measure.decision_us += direct_clock_us() - from_us;
+}
+
+static void direct_send(struct direct *direct, struct direct_call *call,
+			int32_t engine)
+{
+	const struct workload_item *item = call->flow.item;
+	struct engine_model_request request = {
+		.id = direct_call_ticket(direct, call),
+		.prompt_tokens = item->prompt_tokens,
+		.output_tokens = item->output_tokens,
+		.priority = item->priority,
+		.prefix_hash = item->prefix_hash,
+		.prefix_tokens = item->prefix_tokens,
+	};
+	guint index = (guint)(call - direct->calls);
+
+	call->engine = engine;
+	if (!direct->crashed[engine] &&
+	    engine_model_submit(direct->engines[engine], &request,
+				direct->now_us)) {
+		if (!call->live)
+			g_array_append_val(direct->live, index);
+		call->live = true;
+		return;
+	}
+	call->avoid_hash = home_hash(direct->engine_names[engine], "", 0);
+	direct_release(direct, call, RELEASE_LOST);
+	direct_retry(direct, call);
+}
+
+/* Beyond its slots a plain endpoint serves all, as much more slowly. */
+static void direct_send_plain(struct direct *direct, struct direct_call *call,
+			      int32_t plain)
+{
+	int64_t takes_us = call->flow.item->output_tokens;
+	int32_t running = ++direct->plain_running[plain];
+
+	call->plain = plain;
+	if (running > PLAIN_SLOTS)
+		takes_us = takes_us * running / PLAIN_SLOTS;
+	call->plain_done_us = direct->now_us + takes_us;
+	call->live = true;
+	direct_wait(direct, call);
+}
+
+static int32_t direct_index(char *const *names, int32_t count, const char *name)
+{
+	for (int32_t i = 0; i < count; i++)
+		if (strcmp(names[i], name) == 0)
+			return i;
+	return -1;
+}
+
+static void direct_decided(struct direct *direct,
+			   const struct placement_decision *decision)
+{
+	struct direct_call *call = direct_find(direct, decision->ticket);
+
+	if (decision->verdict == PLACEMENT_REFUSED) {
+		call->flow.refusal = decision->refusal;
+		direct_end(direct, call, FLOW_REFUSED);
+		return;
+	}
+	if (call->flow.placed_us == 0)
+		call->flow.placed_us = direct->now_us;
+	if (call->flow.item->kind == WORKLOAD_PLAIN)
+		direct_send_plain(direct, call,
+				  direct_index(direct->plain_names,
+					       PLAIN_ENDPOINTS,
+					       decision->endpoint));
+	else
+		direct_send(direct, call,
+			    direct_index(direct->engine_names, ENGINES,
+					 decision->endpoint));
+}
+
+static void direct_step_placement(struct direct *direct,
+				  struct placement *placement)
+{
+	double from_us = direct_clock_us();
+	GArray *decisions;
+
+	g_array_set_size(direct->decisions, 0);
+	placement_step(placement, direct->now_us, direct->decisions);
+	direct->measure.decision_us += direct_clock_us() - from_us;
+	if (direct->decisions->len == 0)
+		return;
+	decisions = direct->decisions;
+	direct->decisions =
+		g_array_new(FALSE, FALSE, sizeof(struct placement_decision));
+	for (guint i = 0; i < decisions->len; i++)
+		direct_decided(direct,
+			       &g_array_index(decisions,
+					      struct placement_decision, i));
+	g_array_unref(decisions);
+}
+
+/* All decisions that are due. */
+void direct_step_placements(struct direct *direct)
+{
+	for (int32_t n = 0; n < direct->placement_count; n++)
+		direct_step_placement(direct, direct->placements[n]);
+	direct_step_placement(direct, direct->plain_placement);
+}
