--- a/fakes/platform_store.c
+++ b/fakes/platform_store.c
@@ -1,27 +1,9 @@
-#include "fakes/platform_store.h"
+#include "fakes/platform_store_state.h"
 
 #include <string.h>
 
 #define PAGE_ITEMS 500
 #define LONGEST_WAIT_MS 30000
-#define SHORTEST_LEASE_MS 1000
-#define LONGEST_LEASE_MS 600000
-#define MODES 6
-
-struct item {
-	char *key;
-	char *value; /* base64; NULL: deleted */
-	int64_t revision;
-	int64_t created;
-	int64_t lease; /* 0: none */
-};
-
-struct lease {
-	struct platform_store *store;
-	int64_t id;
-	int64_t ttl_ms;
-	guint timer;
-};
 
 struct watch {
 	struct platform_store *store;
@@ -31,25 +13,6 @@
 	guint timer;
 };
 
-struct platform_store {
-	GPtrArray *changes; /* struct item, oldest first */
-	GPtrArray *watches; /* struct watch */
-	GHashTable *leases; /* id to struct lease */
-	int64_t next_lease;
-	int64_t revision;
-	int64_t oldest; /* watches from before this get 410 */
-	int64_t calls;
-	int64_t last_wait_ms; /* of the last watch */
-	bool down;	      /* 503 to all */
-	bool silent;	      /* takes calls and answers none */
-	bool forget;	      /* once: the history is dropped */
-	bool lose;	      /* changes are made and not answered */
-	bool hold;    /* once: a change is held back, and not answered */
-	bool release; /* once: what is held back is made, if it still can be */
-	GPtrArray *held; /* JsonObject */
-	struct fake_mode modes[MODES];
-};
-
 static void item_free(gpointer data)
 {
 	struct item *item = data;
@@ -78,14 +41,16 @@
 	json_builder_add_int_value(builder, item->lease);
 }
 
-static void add_item(JsonBuilder *builder, const struct item *item)
+/* An item in a list. */
+void platform_store_add_item(JsonBuilder *builder, const struct item *item)
 {
 	json_builder_begin_object(builder);
 	add_fields(builder, item);
 	json_builder_end_object(builder);
 }
 
-static JsonBuilder *page_begin(const char *list)
+/* A page, to be filled with items. */
+JsonBuilder *platform_store_page_begin(const char *list)
 {
 	JsonBuilder *builder = json_builder_new();
 
@@ -136,14 +101,14 @@
 static void watch_answer(struct watch *watch)
 {
 	struct platform_store *store = watch->store;
-	JsonBuilder *builder = page_begin("events");
+	JsonBuilder *builder = platform_store_page_begin("events");
 
 	for (guint i = 0; i < store->changes->len; i++) {
 		const struct item *item = g_ptr_array_index(store->changes, i);
 
 		if (item->revision > watch->after &&
 		    g_str_has_prefix(item->key, watch->prefix))
-			add_item(builder, item);
+			platform_store_add_item(builder, item);
 	}
 	page_send(store, watch->message, builder, false);
 	soup_server_message_unpause(watch->message);
@@ -159,8 +124,9 @@
 	return G_SOURCE_REMOVE;
 }
 
-static const struct item *latest(const struct platform_store *store,
-				 const char *key)
+/* The last change of a key; NULL: it was never written. */
+const struct item *platform_store_latest(const struct platform_store *store,
+					 const char *key)
 {
 	for (guint i = store->changes->len; i-- > 0;) {
 		const struct item *item = g_ptr_array_index(store->changes, i);
@@ -171,10 +137,11 @@
 	return NULL;
 }
 
-static void store_write(struct platform_store *store, const char *key,
-			char *value, int64_t lease)
+/* Writes or deletes a key and answers the watches that wait for it. */
+void platform_store_write(struct platform_store *store, const char *key,
+			  char *value, int64_t lease)
 {
-	const struct item *before = latest(store, key);
+	const struct item *before = platform_store_latest(store, key);
 	struct item *item = g_new0(struct item, 1);
 
 	item->key = g_strdup(key);
@@ -210,8 +177,8 @@
 }
 
 /* True when the call has been dealt with by a fault. */
-static bool store_fails(struct platform_store *store,
-			SoupServerMessage *message)
+bool platform_store_fails(struct platform_store *store,
+			  SoupServerMessage *message)
 {
 	store->calls++;
 	if (store->silent)
@@ -231,17 +198,18 @@
 	int64_t count = 0;
 
 	(void)path;
-	if (store_fails(store, message))
+	if (platform_store_fails(store, message))
 		return;
-	builder = page_begin("items");
+	builder = platform_store_page_begin("items");
 	for (guint i = 0; i < store->changes->len; i++) {
 		const struct item *item = g_ptr_array_index(store->changes, i);
 
-		if (!item->value || latest(store, item->key) != item ||
+		if (!item->value ||
+		    platform_store_latest(store, item->key) != item ||
 		    !g_str_has_prefix(item->key, prefix) ||
 		    strcmp(item->key, after) <= 0 || count == PAGE_ITEMS)
 			continue;
-		add_item(builder, item);
+		platform_store_add_item(builder, item);
 		count++;
 	}
 	page_send(store, message, builder, count == PAGE_ITEMS);
@@ -258,7 +226,7 @@
 
 	(void)path;
 	store->last_wait_ms = wait_ms;
-	if (store_fails(store, message))
+	if (platform_store_fails(store, message))
 		return;
 	watch = g_new0(struct watch, 1);
 	watch->store = store;
@@ -287,9 +255,9 @@
 	JsonBuilder *builder;
 
 	(void)path;
-	if (store_fails(store, message))
+	if (platform_store_fails(store, message))
 		return;
-	item = latest(store, query_text(query, "key"));
+	item = platform_store_latest(store, query_text(query, "key"));
 	if (!item || !item->value) {
 		fake_message_answer_text(message, 404, "no such key");
 		return;
@@ -303,272 +271,6 @@
 	fake_message_answer_json(message, 200, builder);
 }
 
-static int64_t revision_of(const struct platform_store *store, const char *key)
-{
-	const struct item *item = latest(store, key);
-
-	return item && item->value ? item->revision : 0;
-}
-
-static bool condition_holds(const struct platform_store *store,
-			    JsonArray *expected)
-{
-	for (guint i = 0; i < json_array_get_length(expected); i++) {
-		JsonObject *row = json_array_get_object_element(expected, i);
-
-		if (revision_of(store,
-				json_object_get_string_member(row, "key")) !=
-		    json_object_get_int_member(row, "revision"))
-			return false;
-	}
-	return true;
-}
-
-static bool leases_live(const struct platform_store *store, JsonArray *writes)
-{
-	for (guint i = 0; i < json_array_get_length(writes); i++) {
-		JsonObject *row = json_array_get_object_element(writes, i);
-		int64_t lease = json_object_get_int_member_with_default(
-			row, "lease", 0);
-
-		if (lease && !g_hash_table_contains(store->leases, &lease))
-			return false;
-	}
-	return true;
-}
-
-static JsonArray *array_of(JsonObject *object, const char *name)
-{
-	return json_object_has_member(object, name)
-		       ? json_object_get_array_member(object, name)
-		       : NULL;
-}
-
-/* Makes a change, all of it or nothing; the status of its answer. */
-static unsigned store_change(struct platform_store *store, JsonObject *change)
-{
-	JsonArray *expected = array_of(change, "expected");
-	JsonArray *writes = array_of(change, "writes");
-	JsonArray *removed = array_of(change, "remove");
-
-	if (writes && !leases_live(store, writes))
-		return 404;
-	if (expected && !condition_holds(store, expected))
-		return 412;
-	for (guint i = 0; writes && i < json_array_get_length(writes); i++) {
-		JsonObject *row = json_array_get_object_element(writes, i);
-
-		store_write(
-			store, json_object_get_string_member(row, "key"),
-			g_strdup(json_object_get_string_member(row, "value")),
-			json_object_get_int_member_with_default(row, "lease",
-								0));
-	}
-	for (guint i = 0; removed && i < json_array_get_length(removed); i++)
-		store_write(store, json_array_get_string_element(removed, i),
-			    NULL, 0);
-	return 200;
-}
-
-static void send_conflict(const struct platform_store *store,
-			  SoupServerMessage *message, JsonArray *expected)
-{
-	JsonBuilder *builder = page_begin("items");
-
-	for (guint i = 0; i < json_array_get_length(expected); i++) {
-		JsonObject *row = json_array_get_object_element(expected, i);
-		const struct item *item = latest(
-			store, json_object_get_string_member(row, "key"));
-
-		if (item)
-			add_item(builder, item);
-	}
-	json_builder_end_array(builder);
-	json_builder_end_object(builder);
-	fake_message_answer_json(message, 412, builder);
-}
-
-static void send_number(SoupServerMessage *message, const char *name,
-			int64_t number, const char *other, int64_t other_number)
-{
-	JsonBuilder *builder = json_builder_new();
-
-	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, name);
-	json_builder_add_int_value(builder, number);
-	if (other) {
-		json_builder_set_member_name(builder, other);
-		json_builder_add_int_value(builder, other_number);
-	}
-	json_builder_end_object(builder);
-	fake_message_answer_json(message, 200, builder);
-}
-
-/* True when the change goes without an answer: made, or held back. */
-static bool change_goes_unanswered(struct platform_store *store,
-				   SoupServerMessage *message,
-				   JsonObject *change)
-{
-	if (!store->lose && !store->hold)
-		return false;
-	soup_server_message_pause(message);
-	if (store->hold)
-		g_ptr_array_add(store->held, json_object_ref(change));
-	else
-		store_change(store, change);
-	store->hold = false;
-	return true;
-}
-
-static void release_held(struct platform_store *store)
-{
-	for (guint i = 0; i < store->held->len; i++)
-		store_change(store, g_ptr_array_index(store->held, i));
-	g_ptr_array_set_size(store->held, 0);
-}
-
-static void on_txn(void *data, SoupServerMessage *message, const char *path)
-{
-	struct platform_store *store = data;
-	JsonObject *change;
-	unsigned status;
-
-	(void)path;
-	if (store_fails(store, message))
-		return;
-	change = fake_message_read_json(message);
-	if (!change) {
-		fake_message_answer_text(message, 400, "no change");
-		return;
-	}
-	if (!change_goes_unanswered(store, message, change)) {
-		status = store_change(store, change);
-		if (status == 200)
-			send_number(message, "revision", store->revision, NULL,
-				    0);
-		else if (status == 412)
-			send_conflict(store, message,
-				      array_of(change, "expected"));
-		else
-			fake_message_answer_text(message, status, "no lease");
-	}
-	json_object_unref(change);
-}
-
-static void lease_free(gpointer data)
-{
-	struct lease *lease = data;
-
-	if (lease->timer)
-		g_source_remove(lease->timer);
-	g_free(lease);
-}
-
-static bool item_is_of(const struct platform_store *store,
-		       const struct item *item, int64_t lease)
-{
-	return item->value && item->lease == lease &&
-	       latest(store, item->key) == item;
-}
-
-/* The lease is over: its keys go with it. */
-static void lease_end(struct platform_store *store, int64_t id)
-{
-	guint count = store->changes->len;
-
-	g_hash_table_remove(store->leases, &id);
-	for (guint i = 0; i < count; i++) {
-		const struct item *item = g_ptr_array_index(store->changes, i);
-
-		if (item_is_of(store, item, id))
-			store_write(store, item->key, NULL, 0);
-	}
-}
-
-static gboolean on_lease_over(gpointer data)
-{
-	struct lease *lease = data;
-
-	lease->timer = 0;
-	lease_end(lease->store, lease->id);
-	return G_SOURCE_REMOVE;
-}
-
-static void lease_renew(struct lease *lease)
-{
-	if (lease->timer)
-		g_source_remove(lease->timer);
-	lease->timer =
-		g_timeout_add((guint)lease->ttl_ms, on_lease_over, lease);
-}
-
-static void on_lease(void *data, SoupServerMessage *message, const char *path)
-{
-	struct platform_store *store = data;
-	JsonObject *object;
-	struct lease *lease;
-	int64_t ttl_ms;
-
-	(void)path;
-	if (store_fails(store, message))
-		return;
-	object = fake_message_read_json(message);
-	ttl_ms = object ? json_object_get_int_member_with_default(object,
-								  "ttl_ms", 0)
-			: 0;
-	g_clear_pointer(&object, json_object_unref);
-	if (ttl_ms <= 0 || ttl_ms > LONGEST_LEASE_MS) {
-		fake_message_answer_text(message, 400, "ttl_ms");
-		return;
-	}
-	lease = g_new0(struct lease, 1);
-	lease->store = store;
-	lease->id = ++store->next_lease;
-	lease->ttl_ms = MAX(ttl_ms, SHORTEST_LEASE_MS);
-	g_hash_table_insert(store->leases, &lease->id, lease);
-	lease_renew(lease);
-	send_number(message, "lease", lease->id, "ttl_ms", lease->ttl_ms);
-}
-
-/* The lease that the end of the path names; NULL: it is over. */
-static struct lease *lease_of(const struct platform_store *store,
-			      const char *path)
-{
-	int64_t id = g_ascii_strtoll(strrchr(path, '/') + 1, NULL, 10);
-
-	return g_hash_table_lookup(store->leases, &id);
-}
-
-static void on_keep(void *data, SoupServerMessage *message, const char *path)
-{
-	struct platform_store *store = data;
-	struct lease *lease;
-
-	if (store_fails(store, message))
-		return;
-	lease = lease_of(store, path);
-	if (!lease) {
-		fake_message_answer_text(message, 404, "no lease");
-		return;
-	}
-	lease_renew(lease);
-	send_number(message, "ttl_ms", lease->ttl_ms, NULL, 0);
-}
-
-static void on_lease_end(void *data, SoupServerMessage *message,
-			 const char *path)
-{
-	struct platform_store *store = data;
-	const struct lease *lease;
-
-	if (store_fails(store, message))
-		return;
-	lease = lease_of(store, path);
-	if (lease)
-		lease_end(store, lease->id);
-	fake_message_answer_text(message, lease ? 200 : 404, "");
-}
-
 static void on_put(void *data, SoupServerMessage *message, const char *path)
 {
 	struct platform_store *store = data;
@@ -581,7 +283,7 @@
 	}
 	value = json_object_get_string_member_with_default(object, "value",
 							   NULL);
-	store_write(
+	platform_store_write(
 		store, json_object_get_string_member(object, "key"),
 		value && g_str_has_suffix(path, "/put")
 			? g_base64_encode((const guchar *)value, strlen(value))
@@ -620,7 +322,7 @@
 	if (store->down)
 		cut_watches(store, 503);
 	if (store->release)
-		release_held(store);
+		platform_store_release(store);
 	store->release = false;
 	if (!store->forget)
 		return;
@@ -647,15 +349,18 @@
 	store->held = g_ptr_array_new_with_free_func(
 		(GDestroyNotify)json_object_unref);
 	store->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					      lease_free);
+					      platform_store_lease_free);
 	fake_server_add_handler(server, "/v1/kv-key", on_key, store);
 	fake_server_add_handler(server, "/v1/kv-range", on_range, store);
 	fake_server_add_handler(server, "/v1/kv-watch", on_watch, store);
-	fake_server_add_handler(server, "/v1/kv-txn", on_txn, store);
-	fake_server_add_handler(server, "/v1/kv-lease", on_lease, store);
-	fake_server_add_handler(server, "/v1/kv-keep", on_keep, store);
-	fake_server_add_handler(server, "/v1/kv-lease-end", on_lease_end,
+	fake_server_add_handler(server, "/v1/kv-txn", platform_store_on_txn,
+				store);
+	fake_server_add_handler(server, "/v1/kv-lease", platform_store_on_lease,
+				store);
+	fake_server_add_handler(server, "/v1/kv-keep", platform_store_on_keep,
 				store);
+	fake_server_add_handler(server, "/v1/kv-lease-end",
+				platform_store_on_lease_end, store);
 	fake_server_add_handler(server, "/fake/put", on_put, store);
 	fake_server_add_handler(server, "/fake/delete", on_put, store);
 	fake_server_add_handler(server, "/fake/calls", on_calls, store);
@@ -680,8 +385,9 @@
 void platform_store_put(struct platform_store *store, const char *key,
 			const char *value)
 {
-	store_write(store, key,
-		    g_base64_encode((const guchar *)value, strlen(value)), 0);
+	platform_store_write(
+		store, key,
+		g_base64_encode((const guchar *)value, strlen(value)), 0);
 }
 
 /* How long the last watch was to wait, also one that was refused. */
--- a/tests/faults.sh
+++ b/tests/faults.sh
@@ -60,19 +60,6 @@
 		jq "[.[] | select(.body_sha256 == \"$digest\")] | length"
 }
 
-# until_true COMMAND...: polls, half a minute at most.
-until_true() {
-	for _ in $(seq 300); do
-		! "$@" 2>/dev/null || return 0
-		sleep 0.1
-	done
-	return 1
-}
-
-has_events() {
-	[ "$(grep -c '^id: ' "$1")" -ge "$2" ]
-}
-
 last_id() {
 	awk '/^id: / { id = $2 } END { print id }' "$1"
 }
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -28,14 +28,6 @@
 	failures=$((failures + 1))
 }
 
-until_true() {
-	for _ in $(seq 300); do
-		! "$@" 2>/dev/null || return 0
-		sleep 0.1
-	done
-	return 1
-}
-
 # save_up RETRIES: waits until a node has so many in stock, whatever was used
 # before. 35% of 60 come back in 10 s, a sixth of them to each node.
 save_up() {
@@ -146,10 +138,6 @@
 		"http://${fronts[$1]}/report/a" >"$2"
 }
 
-has_events() {
-	[ "$(grep -c '^id: ' "$1")" -ge "$2" ]
-}
-
 # streams FILE EVENTS: waits until so many have come.
 streams() {
 	until_true has_events "$1" "$2" || fail "no stream in $1: $(head -c 300 "$1")"
--- a/tests/processes.sh
+++ b/tests/processes.sh
@@ -160,6 +160,19 @@
 	TOML
 }
 
+# until_true COMMAND...: polls, half a minute at most.
+until_true() {
+	for _ in $(seq 300); do
+		! "$@" 2>/dev/null || return 0
+		sleep 0.1
+	done
+	return 1
+}
+
+has_events() {
+	[ "$(grep -c '^id: ' "$1")" -ge "$2" ]
+}
+
 # configure: plans and confirms an intent with all the fakes.
 configure() {
 	local plan
