A lost run's move is decided in readable lines, and its place is asserted

Cause: the formatter took 'crashes < MAX_CRASHES, ... >' for a template and broke the field over three lines; and the analyzer, which no longer sees the copy's place chosen beside its use, could not tell that a take-over has one. Change: two named conditions; an assertion where the place is used.

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -185,15 +185,14 @@
 {
 	struct retry_budget *budget =
 		gateway_budget(exchange->gateway, exchange->service_name);
+	bool may_move = exchange->crashes < MAX_CRASHES;
+	bool has_budget = retry_budget_left(budget) > 0;
 	struct recovery_input input = {
 		.kind = exchange->route->kind,
 		.result = result,
 		.answer_begun = exchange->answer_begun,
-		.copy_is_ready =
-			place->endpoint &&
-			exchange->crashes<MAX_CRASHES,
-					  .budget_left =
-						  retry_budget_left(budget)> 0,
+		.copy_is_ready = may_move && place->endpoint,
+		.budget_left = has_budget,
 		.runs = exchange->runs,
 		.sends = exchange->sends,
 		.max_attempts = exchange->route->max_attempts,
@@ -273,6 +272,7 @@
 		exchange_send_new(exchange);
 		break;
 	case RECOVERY_TAKE_OVER:
+		g_assert(place.endpoint); /* decided only with a ready copy */
 		take_over(exchange, &place, attempt_result_name(result));
 		break;
 	case RECOVERY_REFUSE:
