--- a/adapters/gateway/report_poll.c
+++ b/adapters/gateway/report_poll.c
@@ -123,13 +123,15 @@
 	question->attempt =
 		attempt_start(&options, &question_events, question, &error);
 	question->is_over = !question->attempt;
-	g_hash_table_replace(poll->questions, question->endpoint_id, question);
+	g_hash_table_insert(poll->questions, question->endpoint_id, question);
 }
 
-static bool question_is_due(const struct question *question, int64_t now_us)
+static gboolean question_is_done(gpointer id, gpointer value, gpointer data)
 {
-	int64_t age_us = now_us - question->asked_us;
+	const struct question *question = value;
+	int64_t age_us = *(const int64_t *)data - question->asked_us;
 
+	(void)id;
 	return age_us > TIMEOUT_US || (question->is_over && age_us > POLL_US);
 }
 
@@ -137,14 +139,13 @@
 void report_poll_step(struct report_poll *poll, const GPtrArray *endpoints,
 		      int64_t now_us)
 {
+	g_hash_table_foreach_remove(poll->questions, question_is_done, &now_us);
 	for (guint i = 0; i < endpoints->len; i++) {
 		const struct endpoint *endpoint =
 			g_ptr_array_index(endpoints, i);
-		const struct question *question = g_hash_table_lookup(
-			poll->questions, endpoint->said->id);
 
 		if (endpoint->own.tokens > 0 && endpoint_is_usable(endpoint) &&
-		    (!question || question_is_due(question, now_us)))
+		    !g_hash_table_contains(poll->questions, endpoint->said->id))
 			poll_ask(poll, endpoint, now_us);
 	}
 }
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -56,14 +56,21 @@
 	}
 }
 
-static GPtrArray *read_entries(const struct store_page *page)
+/* What can't be read names no endpoint; without a line nobody knew why. */
+static GPtrArray *read_entries(const struct gateway_wiring *wiring,
+			       const struct store_page *page)
 {
 	GPtrArray *list = registration_list_create();
 
 	for (guint i = 0; i < page->items->len; i++) {
-		struct registration *said =
-			platform_read_entry(g_ptr_array_index(page->items, i));
+		const struct store_item *item =
+			g_ptr_array_index(page->items, i);
+		struct registration *said = platform_read_entry(item);
 
+		if (item->value && (!said || said->is_removed))
+			log_write(wiring->log, LOG_LEVEL_WARN, "entry_rejected",
+				  "endpoint", said ? said->id : "", "key",
+				  item->key, NULL);
 		if (said)
 			g_ptr_array_add(list, said);
 	}
@@ -73,7 +80,7 @@
 static void on_entries_listed(void *data, const struct store_page *page)
 {
 	struct gateway_wiring *wiring = data;
-	GPtrArray *list = read_entries(page);
+	GPtrArray *list = read_entries(wiring, page);
 
 	gateway_take_registrations(wiring->gateway, list, page->revision);
 	g_ptr_array_unref(list);
@@ -82,17 +89,14 @@
 static void on_entries_changed(void *data, const struct store_page *page)
 {
 	struct gateway_wiring *wiring = data;
-	GPtrArray *list = read_entries(page);
+	GPtrArray *list = read_entries(wiring, page);
 
 	gateway_take_changes(wiring->gateway, list);
 	g_ptr_array_unref(list);
 }
 
-static void on_reached(void *data, bool is_reached)
+static void wiring_tell_reached(struct gateway_wiring *wiring)
 {
-	struct gateway_wiring *wiring = data;
-
-	(void)is_reached;
 	if (!wiring->document || !wiring->entries)
 		return;
 	gateway_take_store(
@@ -102,6 +106,12 @@
 			 store_follower_is_reached(wiring->entries)));
 }
 
+static void on_reached(void *data, bool is_reached)
+{
+	(void)is_reached; /* of one of the two */
+	wiring_tell_reached(data);
+}
+
 static void wiring_read_store(void *data)
 {
 	struct gateway_wiring *wiring = data;
@@ -119,7 +129,7 @@
 	wiring->follows_entries = active;
 	store_follower_set_active(wiring->entries, active);
 	store_follower_watch_closely(wiring->entries, closely);
-	on_reached(wiring, true);
+	wiring_tell_reached(wiring);
 }
 
 static bool wiring_create_gateway(struct gateway_wiring *wiring,
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -113,6 +113,11 @@
 	until_true is_ready "$1" || fail "node $1 does not become ready"
 }
 
+# TEXT in the log of the first node.
+logged() {
+	grep -q "$1" "$work/g0.out"
+}
+
 is_ready() {
 	[ "$(curl -s -o /dev/null -w '%{http_code}' \
 		"http://${readies[$1]}/v1/ready")" = 200 ]
@@ -342,10 +347,7 @@
 	done
 	start_backend "$victim" engines
 	mode "$store" '{"down": true}'
-	store_lost() {
-		grep -q 'event=store_lost' "$work/g0.out"
-	}
-	until_true store_lost || fail "the loss of the store is not logged"
+	until_true logged event=store_lost || fail "the loss of the store is not logged"
 	refused 503 "$(key=unknown ask 0 /lookup/a)"
 	grep -q 'outcome=refused reason=stale' "$work/g0.out" ||
 		fail "the refusal is not explained"
@@ -382,11 +384,15 @@
 	[ "${out: -3}" = 200 ] || fail "went back to an older document: $out"
 }
 
-# Entries that can't be used name no endpoint; the others still serve.
+# Entries that can't be used name no endpoint, and the log says so; the others
+# still serve.
 case_ignores_entries_it_cannot_use() {
 	put servers/i-8 'not json'
 	put servers/i-9 '{"service": "portal", "address": 7}'
-	sleep 0.3
+	for id in i-8 i-9; do
+		until_true logged "event=entry_rejected endpoint=$id" ||
+			fail "$id is not logged"
+	done
 	for _ in 1 2 3 4; do
 		out=$(ask 0 /lookup/a)
 		[ "${out: -3}" = 200 ] || fail "answered $out"
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -2,6 +2,7 @@
 #include "platform/platform.h"
 
 #include <gtest/gtest.h>
+#include <json-glib/json-glib.h>
 
 #include <cstring>
 #include <string>
@@ -131,6 +132,31 @@
 					 "\"routes\":[{}]}"));
 }
 
+/* An operator's mistake is found by where it stands. */
+TEST(Platform, SaysWhatItCannotReadInAConfiguration)
+{
+	const char *const cases[][2] = {
+		{"[]", "no object with a version"},
+		{"{\"version\":8}", "limits missing"},
+		{"{\"version\":8,\"limits\":{},\"routes\":[{}]}",
+		 "routes[0] can't be read"},
+		{"{\"version\":8,\"limits\":{},\"services\":"
+		 "[{\"name\":\"s\"},{}]}",
+		 "services[1] can't be read"},
+		{"{\"version\":8,\"limits\":{},\"tenants\":[7]}",
+		 "tenants[0] can't be read"},
+	};
+
+	for (const auto &wrong : cases) {
+		GBytes *document = bytes_of(wrong[0]);
+		struct error error = {};
+
+		EXPECT_EQ(nullptr, platform_read_document(document, &error));
+		EXPECT_STREQ(wrong[1], error.detail);
+		g_bytes_unref(document);
+	}
+}
+
 static struct http_head *caller_head(const char *id)
 {
 	struct http_head *head = http_head_create();
@@ -213,6 +239,31 @@
 	g_string_free(out, TRUE);
 }
 
+/*
+ * A caller's id may hold any visible character. An engine that leaves must
+ * still be asked for the copy of that run, and only for the one meant.
+ */
+TEST(Platform, WritesAMoveOfAnyId)
+{
+	const char id[] = "a\"b\\c\",\"target\":\"d";
+	GString *out = g_string_new(nullptr);
+	JsonParser *parser = json_parser_new();
+	const char *body;
+	JsonObject *object;
+
+	platform_dialect.write_move("10.0.0.1:1", id, "10.0.0.2:2", out);
+	body = strstr(out->str, "\r\n\r\n");
+	ASSERT_NE(nullptr, body);
+	ASSERT_TRUE(json_parser_load_from_data(parser, body, -1, nullptr));
+	object = json_node_get_object(json_parser_get_root(parser));
+	EXPECT_STREQ(id, json_object_get_string_member(object, "id"));
+	EXPECT_STREQ("10.0.0.2:2",
+		     json_object_get_string_member(object, "target"));
+	EXPECT_FALSE(json_object_get_boolean_member(object, "last"));
+	g_object_unref(parser);
+	g_string_free(out, TRUE);
+}
+
 TEST(Platform, ReadsPagesOfTheStore)
 {
 	GBytes *body = bytes_of(
