How a gateway stops is decided by a module without network, and tested for it

Cause: that a stop cuts nothing that can end, and that no older configuration comes back, had cases of whole processes and no mutant: leaving the safeguard out was noticed by luck of the moment, if at all.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -1,14 +1,11 @@
 #include "adapters/gateway/exchange_state.h"
+#include "core/gateway/drain.h"
 
 #include <string.h>
 
 /* A generation is planned with this share of its maximum without a guess. */
 #define UNKNOWN_LENGTH_SHARE 0.5
 
-/* New streams would be cut when the process ends. */
-#define DRAIN_STREAMS_US (2500 * 1000)
-#define DRAIN_LAST_US (1200 * 1000)
-
 static int64_t elapsed_ms(const struct exchange *exchange, int64_t since_us)
 {
 	return since_us ? (exchange->gateway->now_us - since_us) / 1000 : -1;
@@ -212,17 +209,14 @@
 		exchange_refuse(exchange, 503, RETRY_SOON_US, "no_room");
 }
 
-static bool exchange_must_not_begin(const struct exchange *exchange)
+static bool exchange_may_begin(const struct exchange *exchange)
 {
 	const struct gateway *gateway = exchange->gateway;
-	int64_t drained_us = gateway->now_us - gateway->drain_since_us;
 
-	if (!gateway->drain_since_us)
-		return false;
-	if (exchange->route->kind == ROUTE_STREAM &&
-	    drained_us > DRAIN_STREAMS_US)
-		return true;
-	return drained_us > gateway->options.drain_us - DRAIN_LAST_US;
+	return !gateway->drain_since_us ||
+	       drain_may_begin(exchange->route->kind,
+			       gateway->now_us - gateway->drain_since_us,
+			       gateway->options.drain_us);
 }
 
 /* Who sends: false when the request has been refused. */
@@ -332,7 +326,7 @@
 {
 	struct gateway *gateway = exchange->gateway;
 
-	if (exchange_must_not_begin(exchange)) {
+	if (!exchange_may_begin(exchange)) {
 		exchange_refuse(exchange, 503, RETRY_SOON_US, "draining");
 		return false;
 	}
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -2,18 +2,13 @@
 
 #include "adapters/gateway/gateway_state.h"
 #include "adapters/gateway/listener.h"
+#include "core/gateway/drain.h"
 
 #include <time.h>
 
 /* How exact timeouts are; a wake-up costs about 10 us of processor time. */
 #define TICK_MS 25
 
-/* Idle connections close so long before the end of a drain. */
-#define CLOSE_IDLE_US G_USEC_PER_SEC
-
-/* The process ends so long before it would be killed. */
-#define DRAIN_MARGIN_US (300 * 1000)
-
 /* Ticks later than this are a pause of the process, not a busy moment. */
 #define STOOD_STILL_US (250 * 1000)
 
@@ -140,17 +135,16 @@
 
 static void gateway_step_drain(struct gateway *gateway)
 {
-	int64_t left_us;
+	enum drain_step step;
 
 	if (!gateway->drain_since_us || gateway->is_stopped)
 		return;
-	left_us = gateway->drain_since_us + gateway->options.drain_us -
-		  gateway->now_us;
-	if (left_us < CLOSE_IDLE_US)
+	step = drain_decide(gateway->now_us - gateway->drain_since_us,
+			    gateway->options.drain_us,
+			    caller_set_busy_count(gateway->callers));
+	if (step != DRAIN_SERVE)
 		caller_set_close_idle(gateway->callers);
-	if (left_us < DRAIN_MARGIN_US ||
-	    (left_us < CLOSE_IDLE_US &&
-	     caller_set_busy_count(gateway->callers) == 0))
+	if (step == DRAIN_END)
 		gateway_stop(gateway);
 }
 
--- /dev/null
+++ b/tests/drain_test.cc
@@ -0,0 +1,50 @@
+#include "core/gateway/drain.h"
+
+#include <gtest/gtest.h>
+
+static const int64_t MS = 1000;
+static const int64_t LONGEST = 8000 * MS;
+
+/*
+ * A node is told to stop. Callers that hold its address still come: they are
+ * served as long as their answer ends before the process does.
+ */
+TEST(Drain, BeginsWhatEndsInTime)
+{
+	for (enum route_kind kind :
+	     {ROUTE_IDEMPOTENT, ROUTE_ONCE, ROUTE_STREAM})
+		EXPECT_TRUE(drain_may_begin(kind, 2500 * MS, LONGEST));
+	EXPECT_FALSE(drain_may_begin(ROUTE_STREAM, 2501 * MS, LONGEST));
+	for (enum route_kind kind : {ROUTE_IDEMPOTENT, ROUTE_ONCE}) {
+		EXPECT_TRUE(drain_may_begin(kind, 6800 * MS, LONGEST));
+		EXPECT_FALSE(drain_may_begin(kind, 6801 * MS, LONGEST));
+	}
+}
+
+/* A request that is being answered is waited for as long as there is time. */
+TEST(Drain, WaitsForWhatIsBeingAnswered)
+{
+	EXPECT_EQ(DRAIN_SERVE, drain_decide(0, LONGEST, 0));
+	EXPECT_EQ(DRAIN_SERVE, drain_decide(7000 * MS, LONGEST, 0));
+	EXPECT_EQ(DRAIN_END, drain_decide(7001 * MS, LONGEST, 0));
+	EXPECT_EQ(DRAIN_CLOSE_IDLE, drain_decide(7001 * MS, LONGEST, 1));
+	EXPECT_EQ(DRAIN_CLOSE_IDLE, drain_decide(7700 * MS, LONGEST, 1));
+	EXPECT_EQ(DRAIN_END, drain_decide(7701 * MS, LONGEST, 1));
+}
+
+/* Times in between, none of which may begin what the end would cut. */
+TEST(Drain, BeginsNothingOnceIdleConnectionsClose)
+{
+	for (int64_t longest = 1000 * MS; longest <= 30000 * MS;
+	     longest += 500 * MS) {
+		for (int64_t drained = 0; drained <= longest;
+		     drained += 50 * MS) {
+			if (drain_decide(drained, longest, 1) == DRAIN_SERVE)
+				continue;
+			for (enum route_kind kind :
+			     {ROUTE_IDEMPOTENT, ROUTE_ONCE, ROUTE_STREAM})
+				EXPECT_FALSE(drain_may_begin(kind, drained,
+							     longest));
+		}
+	}
+}
