--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -218,6 +218,7 @@
 	struct endpoint *endpoint = leg_endpoint(leg);
 
 	leg->has_answered = true;
+	leg->status = head->status;
 	exchange->gateway->now_us = gateway_now_us();
 	exchange->gateway->dialect->read_answer(head, &exchange->said);
 	if (exchange->said.did_not_run) {
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -160,14 +160,25 @@
 		endpoint_health_put_aside(&endpoint->health, now_us);
 }
 
+/* How long its engine has made events; -1: none yet, so no copy of them. */
+static int64_t leg_run_ms(const struct leg *leg)
+{
+	if (!leg->begun_us)
+		return -1;
+	return (leg->exchange->gateway->now_us - leg->begun_us) / 1000;
+}
+
 static void log_failure(const struct exchange *exchange,
 			const struct recovery_input *input, const char *copy_id,
 			enum recovery recovery, const char *detail)
 {
 	const struct leg *leg = exchange->leg;
-	char sends[16], ms[24];
+	char sends[16], status[16], ms[24], run_ms[24];
 
 	g_snprintf(sends, sizeof(sends), "%d", input->sends);
+	g_snprintf(status, sizeof(status), "%d", leg->status);
+	g_snprintf(run_ms, sizeof(run_ms), "%" G_GINT64_FORMAT,
+		   leg_run_ms(leg));
 	g_snprintf(ms, sizeof(ms), "%" G_GINT64_FORMAT,
 		   (exchange->gateway->now_us - leg->sent_us) / 1000);
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "attempt_failed",
@@ -175,8 +186,8 @@
 		  "result", attempt_result_name(input->result), "decision",
 		  recovery_name(recovery), "begun",
 		  input->answer_begun ? "yes" : "no", "copy", copy_id, "budget",
-		  input->budget_left ? "yes" : "no", "sends", sends, "ms", ms,
-		  "detail", detail, NULL);
+		  input->budget_left ? "yes" : "no", "sends", sends, "status",
+		  status, "ms", ms, "run_ms", run_ms, "detail", detail, NULL);
 }
 
 static enum recovery decide(const struct exchange *exchange,
@@ -218,8 +229,10 @@
 static void log_take_over(const struct exchange *exchange,
 			  const struct endpoint *to, const char *reason)
 {
-	char unread[24], held[24];
+	char unread[24], held[24], run_ms[24];
 
+	g_snprintf(run_ms, sizeof(run_ms), "%" G_GINT64_FORMAT,
+		   leg_run_ms(exchange->leg));
 	g_snprintf(unread, sizeof(unread), "%" G_GINT64_FORMAT,
 		   to->own.unread_tokens + to->others.unread_tokens);
 	g_snprintf(held, sizeof(held), "%" G_GINT64_FORMAT,
@@ -227,7 +240,8 @@
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "run_taken_over",
 		  "request", exchange->asked.id, "from",
 		  exchange->leg->endpoint_id, "to", to->said->id, "reason",
-		  reason, "held_tokens", held, "unread_tokens", unread, NULL);
+		  reason, "run_ms", run_ms, "held_tokens", held,
+		  "unread_tokens", unread, NULL);
 	counters_add(exchange->gateway->options.counters,
 		     COUNTER_GATEWAY_TAKE_OVERS, 1);
 }
