--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1,3 +1,4 @@
+#include "adapters/gateway/http_head.h"
 #include "core/gateway/route_table.h"
 #include "platform/platform.h"
 
@@ -287,3 +288,23 @@
 	store_page_clear(&page);
 	g_bytes_unref(body);
 }
+
+/*
+ * A service that has run a request may answer 421 for reasons of its own. Taken
+ * for "did not run", a request that may run once is sent to the next endpoint
+ * and runs there, too. Only the endpoint's explicit word counts.
+ */
+TEST(Platform, ReadsNotRunOnlyFromTheWordForIt)
+{
+	static const char word[] = "X-Siskinlink-Not-Executed";
+	struct http_head *head = http_head_create();
+	struct endpoint_answer said = {};
+
+	head->status = 421;
+	platform_dialect.read_answer(head, &said);
+	EXPECT_FALSE(said.did_not_run);
+	http_head_add(head, word, strlen(word), "1", 1);
+	platform_dialect.read_answer(head, &said);
+	EXPECT_TRUE(said.did_not_run);
+	http_head_destroy(head);
+}
