What a node tells the others has a bound

Nodes with an eighth of a core were busy with telling alone (0.1234 of 0.12 cores used), found one another dead (15,162 times in the first 12 s), answered no directory call (3,152 of 3,889 failed) and took no connection (4,581); callers came back and kept it going. Change: a pure module paces it, 150 records a second at most, whatever changes; times after which a node counts as silent follow from the period.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -253,6 +253,7 @@
 	gateway->random = g_rand_new_with_seed((guint32)options->seed);
 	gateway->now_us = gateway_now_us();
 	gateway->follows_entries = true;
+	standing_pace_init(&gateway->pace, gateway->now_us);
 	gateway->registry = registry_create();
 	quarantine_options_default(&quarantine);
 	gateway->quarantine = quarantine_create(&quarantine);
@@ -325,6 +326,5 @@
 	gateway->now_us = gateway_now_us();
 	gateway->drain_since_us = gateway->now_us;
 	caller_set_drain(gateway->callers);
-	gateway->next_standing_us = 0;
-	gateway_peers_step(gateway);
+	gateway_peers_tell_drain(gateway);
 }
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -9,18 +9,14 @@
  * made good by the next one.
  */
 
-/* A placement is known everywhere before the next one is likely to come. */
-#define STANDING_US (250 * 1000)
-#define STANDING_SOON_US (40 * 1000)
+/* Standings missed: callers are not sent there any more. */
+#define SILENT_PERIODS 5
 
-/* Four standings missed: callers are not sent there any more. */
-#define SILENT_US (1200 * 1000)
-
-/* Three standings missed: its word on endpoints is not waited for. */
-#define SENTINEL_SILENT_US (800 * 1000)
+/* Standings missed: its word on endpoints is not waited for. */
+#define SENTINEL_SILENT_PERIODS 3
 
 /* What a silent node held is forgotten: its requests have ended with it. */
-#define FORGET_US (3 * G_USEC_PER_SEC)
+#define FORGET_PERIODS 12
 
 /* Each so many standings one member gets all endpoints, for what was lost. */
 #define FULL_EVERY 4
@@ -38,6 +34,19 @@
 	g_free(data);
 }
 
+static int64_t periods_us(const struct gateway *gateway, int64_t periods)
+{
+	return periods *
+	       standing_pace_period_us(gateway_node_count(gateway) - 1);
+}
+
+/* Whether the node was heard within so many standings. */
+static bool peer_is_heard(const struct gateway *gateway,
+			  const struct gateway_peer *peer, int64_t periods)
+{
+	return gateway->now_us - peer->heard_us < periods_us(gateway, periods);
+}
+
 /* Live nodes, this one included; at least 1. */
 size_t gateway_node_count(const struct gateway *gateway)
 {
@@ -219,7 +228,7 @@
 		const struct gateway_peer *peer = value;
 
 		if (!peer->reaches_store && peer->table_version >= 0 &&
-		    gateway->now_us - peer->heard_us < SILENT_US &&
+		    peer_is_heard(gateway, peer, SILENT_PERIODS) &&
 		    member_is_sentinel(gateway, name))
 			return true;
 	}
@@ -237,7 +246,7 @@
 		const struct gateway_peer *peer = value;
 
 		if (peer->reaches_store &&
-		    gateway->now_us - peer->heard_us < SENTINEL_SILENT_US &&
+		    peer_is_heard(gateway, peer, SENTINEL_SILENT_PERIODS) &&
 		    member_is_sentinel(gateway, name))
 			return true;
 	}
@@ -265,29 +274,39 @@
 	gateway->host.follow(gateway->host.store_data, follows, is_sentinel);
 }
 
-/* Tells the others regularly, sooner when something was placed. */
-void gateway_peers_step(struct gateway *gateway)
+static void tell_all(struct gateway *gateway)
 {
-	size_t count = gateway_node_count(gateway);
 	size_t full_at = SIZE_MAX;
 
-	registry_forget_silent(gateway->registry, gateway->now_us - FORGET_US);
-	step_sentinel(gateway);
-	if (gateway->held_changed) {
-		gateway->held_changed = false;
-		gateway->next_standing_us =
-			MIN(gateway->next_standing_us,
-			    gateway->now_us + STANDING_SOON_US);
-	}
-	if (gateway->now_us < gateway->next_standing_us)
-		return;
-	gateway->next_standing_us = gateway->now_us + STANDING_US;
 	if (gateway->standings++ % FULL_EVERY == 0)
-		full_at = (size_t)g_rand_int_range(gateway->random, 0,
-						   (gint32)count);
+		full_at = (size_t)g_rand_int_range(
+			gateway->random, 0,
+			(gint32)gateway_node_count(gateway));
 	send_each(gateway, create_regular, &full_at);
 }
 
+/* Tells the others regularly, sooner when something was placed. */
+void gateway_peers_step(struct gateway *gateway)
+{
+	size_t others = gateway_node_count(gateway) - 1;
+	bool changed = gateway->held_changed;
+
+	registry_forget_silent(gateway->registry,
+			       gateway->now_us -
+				       periods_us(gateway, FORGET_PERIODS));
+	step_sentinel(gateway);
+	gateway->held_changed = false;
+	if (standing_pace_is_due(&gateway->pace, others, changed,
+				 gateway->now_us))
+		tell_all(gateway);
+}
+
+/* This node takes no work any more: callers must not be sent here. */
+void gateway_peers_tell_drain(struct gateway *gateway)
+{
+	tell_all(gateway);
+}
+
 /* Where callers may connect: the nodes that take work, this one first. */
 GPtrArray *gateway_addresses(struct gateway *gateway)
 {
@@ -302,7 +321,7 @@
 		const struct gateway_peer *peer = value;
 
 		if (peer->takes_work && addresses->len < MAX_ADDRESSES &&
-		    gateway->now_us - peer->heard_us < SILENT_US)
+		    peer_is_heard(gateway, peer, SILENT_PERIODS))
 			g_ptr_array_add(addresses, peer->address);
 	}
 	return addresses;
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -5,6 +5,7 @@
 #include "adapters/gateway/endpoint_pool.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/report_poll.h"
+#include "core/gateway/standing_pace.h"
 #include "core/limit/quarantine.h"
 #include "core/limit/shared_budgets.h"
 
@@ -54,8 +55,8 @@
 	bool is_stopped;
 
 	GHashTable *peers; /* name to struct gateway_peer */
-	int64_t next_standing_us;
-	bool held_changed;
+	struct standing_pace pace;
+	bool held_changed; /* or the configuration: the others should know */
 	uint32_t standings;
 };
 
@@ -85,6 +86,7 @@
 GPtrArray *gateway_addresses(struct gateway *gateway);
 bool gateway_store_is_away(const struct gateway *gateway);
 void gateway_peers_step(struct gateway *gateway);
+void gateway_peers_tell_drain(struct gateway *gateway);
 void gateway_peers_tell_crash(struct gateway *gateway, uint64_t fingerprint,
 			      const char *endpoint_id);
 void gateway_peers_tell(struct gateway *gateway, const char *endpoint_id);
--- a/adapters/gateway/gateway_store.c
+++ b/adapters/gateway/gateway_store.c
@@ -70,7 +70,7 @@
 		g_bytes_unref(gateway->document);
 	gateway->document = g_bytes_ref(document);
 	caller_set_limits(gateway->callers, route_table_limits(table));
-	gateway->next_standing_us = 0;
+	gateway->held_changed = true;
 	counters_add(gateway->options.counters, COUNTER_GATEWAY_TABLES, 1);
 	g_snprintf(version, sizeof(version), "%" G_GINT64_FORMAT,
 		   route_table_version(table));
--- /dev/null
+++ b/tests/standing_pace_test.cc
@@ -0,0 +1,57 @@
+#include "core/gateway/standing_pace.h"
+
+#include <gtest/gtest.h>
+
+static constexpr int64_t kTickUs = 25000;
+
+/* Records sent in so many seconds with a change at every tick, or none. */
+static size_t records(size_t others, int64_t seconds, bool changed)
+{
+	struct standing_pace pace;
+	size_t sent = 0;
+
+	standing_pace_init(&pace, 0);
+	for (int64_t now = 0; now < seconds * G_USEC_PER_SEC; now += kTickUs) {
+		if (standing_pace_is_due(&pace, others, changed, now))
+			sent += others;
+	}
+	return sent;
+}
+
+/* Few nodes hear of each change within 65 ms, and four times a second else. */
+TEST(StandingPace, TellsFewNodesSoon)
+{
+	struct standing_pace pace;
+
+	EXPECT_LE(4 * 6 * 10u, records(6, 10, false));
+	standing_pace_init(&pace, 0);
+	EXPECT_TRUE(standing_pace_is_due(&pace, 6, false, 0));
+	EXPECT_FALSE(standing_pace_is_due(&pace, 6, true, kTickUs));
+	EXPECT_FALSE(standing_pace_is_due(&pace, 6, false, 2 * kTickUs));
+	EXPECT_TRUE(standing_pace_is_due(&pace, 6, false, 3 * kTickUs));
+}
+
+/*
+ * In an overload something changes at every moment. Nodes that told all others
+ * each time spent their processors on it, passed on late what engines made, and
+ * did not recover. What a node sends has a bound, whatever changes.
+ */
+TEST(StandingPace, HasABoundWhateverChanges)
+{
+	for (size_t others : {6, 24, 87, 299, 479})
+		EXPECT_GE(150 * 10 + 150 + others, records(others, 10, true))
+			<< others;
+}
+
+/* All are told within a period, however many there are. */
+TEST(StandingPace, ComesRoundToAllOfThem)
+{
+	for (size_t others : {6, 87, 299, 479}) {
+		int64_t seconds = 30;
+		size_t rounds = records(others, seconds, false) / others;
+		int64_t periods = seconds * G_USEC_PER_SEC /
+				  (standing_pace_period_us(others) + kTickUs);
+
+		EXPECT_LE((size_t)periods, rounds) << others;
+	}
+}
