Few of many nodes answer one whose configuration is behind

With changes each few hundred ms a late node got 87 documents for each of its standings, kept its link and processor busy with them and stayed late: 2.763 GB between failure domains in 40 s. Change: a pure module decides. A peer that reaches the store is left to its own watch for 0.6 s; then, or without the store, three of those that hear it answer.

--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -337,6 +337,24 @@
 	gateway->host.send(gateway->host.data, peer_address, message);
 }
 
+/* Helps a peer whose configuration is older than this node's. */
+static void help_behind(struct gateway *gateway, struct gateway_peer *peer,
+			const char *peer_address)
+{
+	struct table_relay_input input;
+
+	if (!peer->behind_us)
+		peer->behind_us = gateway->now_us;
+	input = (struct table_relay_input){
+		.behind_us = gateway->now_us - peer->behind_us,
+		.reaches_store = peer->reaches_store,
+		.others = gateway_node_count(gateway) - 1,
+		.draw = g_rand_double(gateway->random),
+	};
+	if (table_relay_is_wanted(&input))
+		send_routes(gateway, peer_address);
+}
+
 /*
  * A node that has just started knows no endpoint, and may not reach the store.
  */
@@ -418,7 +436,7 @@
 void gateway_take_peer(struct gateway *gateway,
 		       const struct peer_message *message)
 {
-	const struct gateway_peer *peer;
+	struct gateway_peer *peer;
 
 	gateway->now_us = gateway_now_us();
 	if (message->type == PEER_ROUTES) {
@@ -438,8 +456,11 @@
 			   message->incarnation, message->standing.held,
 			   gateway->now_us);
 	take_registrations(gateway, message);
-	if (peer->table_version < gateway_table_version(gateway))
-		send_routes(gateway, message->from_address);
-	else if (peer->table_version > gateway_table_version(gateway))
+	if (peer->table_version < gateway_table_version(gateway)) {
+		help_behind(gateway, peer, message->from_address);
+		return;
+	}
+	peer->behind_us = 0;
+	if (peer->table_version > gateway_table_version(gateway))
 		gateway->host.read_store(gateway->host.store_data);
 }
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -6,6 +6,7 @@
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/report_poll.h"
 #include "core/gateway/standing_pace.h"
+#include "core/gateway/table_relay.h"
 #include "core/limit/quarantine.h"
 #include "core/limit/shared_budgets.h"
 
@@ -65,6 +66,7 @@
 	uint64_t incarnation;
 	int64_t heard_us;
 	int64_t table_version;
+	int64_t behind_us; /* since then its table is older; 0: it is not */
 	bool takes_work;
 	bool reaches_store;
 	char *address; /* for callers */
