One node chooses the engines of generations for all

Cause of late first events with many nodes: each chose by what the others had held half a second ago, so several sent their prompts to one engine unseen. Ruled out: engines that have just started (0.6 s against 0.9), long queues that were known of, memory (the same p50 from 0 to 18,000 tokens held). Change: with 16 nodes or more the home of a service, by rendezvous among its region's members, chooses engine and backup and counts its choice until the asking node has told of it (a pure module); nodes tell the home of changes each 0.1 s. A home that doesn't answer in 0.1 s is passed by for 2.7 s, and each node chooses by itself as before.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -29,6 +29,8 @@
 {
 	struct exchange *exchange = data;
 
+	exchange_forget_home(exchange);
+	g_free(exchange->chosen_backup);
 	exchange_drop_legs(exchange);
 	http_head_destroy(exchange->head);
 	g_byte_array_unref(exchange->body);
@@ -156,12 +158,9 @@
 static void exchange_log_placed(const struct exchange *exchange,
 				const struct endpoint *endpoint)
 {
-	const int64_t values[] = {
-		exchange->leg->tokens,
-		endpoint->own.requests + endpoint->others.requests,
-		endpoint->own.copies + endpoint->others.copies,
-		endpoint->own.tokens + endpoint->others.tokens,
-		endpoint->own.unread_tokens + endpoint->others.unread_tokens};
+	const struct held held = endpoint_held(endpoint);
+	const int64_t values[] = {exchange->leg->tokens, held.requests,
+				  held.copies, held.tokens, held.unread_tokens};
 	char numbers[G_N_ELEMENTS(values)][24];
 
 	for (size_t i = 0; i < G_N_ELEMENTS(values); i++)
@@ -187,15 +186,11 @@
 		exchange_fail_leg(exchange, RESULT_NOT_SENT, error.detail);
 }
 
-/* Sends the request to the best endpoint, or refuses it if there is none. */
-void exchange_send_new(struct exchange *exchange)
+/* Sends the request to the endpoint; NULL: none has room, so it is refused. */
+void exchange_place(struct exchange *exchange, struct endpoint *endpoint)
 {
 	struct gateway *gateway = exchange->gateway;
-	struct endpoint_wish wish;
-	struct endpoint *endpoint;
 
-	exchange_wish(exchange, &wish);
-	endpoint = endpoint_choose(gateway->registry, &wish);
 	if (endpoint) {
 		exchange_send(exchange, endpoint);
 		return;
@@ -209,6 +204,23 @@
 		exchange_refuse(exchange, 503, RETRY_SOON_US, "no_room");
 }
 
+/* Sends the request to the endpoint that this node thinks best. */
+void exchange_choose(struct exchange *exchange)
+{
+	struct endpoint_wish wish;
+
+	exchange_wish(exchange, &wish);
+	exchange_place(exchange,
+		       endpoint_choose(exchange->gateway->registry, &wish));
+}
+
+/* Sends the request to an endpoint, of the home's choice or of its own. */
+void exchange_send_new(struct exchange *exchange)
+{
+	if (!exchange_ask_home(exchange))
+		exchange_choose(exchange);
+}
+
 static bool exchange_may_begin(const struct exchange *exchange)
 {
 	const struct gateway *gateway = exchange->gateway;
--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -44,7 +44,7 @@
 
 	if (target)
 		g_snprintf(held, sizeof(held), "%" G_GINT64_FORMAT,
-			   target->own.tokens + target->others.tokens);
+			   endpoint_held(target).tokens);
 	g_snprintf(status, sizeof(status), "%d", exchange->move.status);
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "move_failed",
 		  "request", exchange->asked.id, "from",
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -229,14 +229,14 @@
 static void log_take_over(const struct exchange *exchange,
 			  const struct endpoint *to, const char *reason)
 {
+	const struct held all = endpoint_held(to);
 	char unread[24], held[24], run_ms[24];
 
 	g_snprintf(run_ms, sizeof(run_ms), "%" G_GINT64_FORMAT,
 		   leg_run_ms(exchange->leg));
 	g_snprintf(unread, sizeof(unread), "%" G_GINT64_FORMAT,
-		   to->own.unread_tokens + to->others.unread_tokens);
-	g_snprintf(held, sizeof(held), "%" G_GINT64_FORMAT,
-		   to->own.tokens + to->others.tokens);
+		   all.unread_tokens);
+	g_snprintf(held, sizeof(held), "%" G_GINT64_FORMAT, all.tokens);
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "run_taken_over",
 		  "request", exchange->asked.id, "from",
 		  exchange->leg->endpoint_id, "to", to->said->id, "reason",
@@ -346,9 +346,9 @@
 
 static void time_out(struct exchange *exchange)
 {
+	const struct leg *leg = exchange->leg;
 	bool may_run = exchange->runs > 0 ||
-		       (exchange->leg->attempt &&
-			attempt_has_sent(exchange->leg->attempt));
+		       (leg && leg->attempt && attempt_has_sent(leg->attempt));
 
 	if (exchange->answer_begun)
 		exchange_break(exchange, "deadline");
@@ -414,6 +414,10 @@
 		time_out(exchange);
 		return;
 	}
+	if (!leg) {
+		exchange_step_asking(exchange);
+		return;
+	}
 	if (!attempt_is_connected(leg->attempt) &&
 	    gateway->now_us - leg->sent_us > CONNECT_TIMEOUT_US) {
 		exchange_fail_leg(exchange, RESULT_NOT_SENT,
@@ -433,6 +437,7 @@
 {
 	struct leg *legs[] = {exchange->leg, exchange->next};
 
+	exchange->asked_home_us += stood_us;
 	for (size_t i = 0; i < G_N_ELEMENTS(legs); i++) {
 		if (!legs[i])
 			continue;
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -72,6 +72,10 @@
 	int64_t deadline_us;
 	int64_t expected_tokens; /* of the answer; 0: no generation */
 
+	uint64_t question;     /* to the home, for an engine; 0: none */
+	int64_t asked_home_us; /* when it was asked */
+	char *chosen_backup;   /* the home's word for the next leg */
+
 	struct leg *leg;  /* NULL between two */
 	struct leg *next; /* asked to go on while leg still does, or NULL */
 	struct move move;
@@ -118,6 +122,14 @@
 bool exchange_is_generation(const struct exchange *exchange);
 void exchange_wish(const struct exchange *exchange, struct endpoint_wish *wish);
 void exchange_send_new(struct exchange *exchange);
+void exchange_choose(struct exchange *exchange);
+void exchange_place(struct exchange *exchange, struct endpoint *endpoint);
+bool exchange_wants_backup(const struct exchange *exchange);
+
+/* gateway_home.c */
+bool exchange_ask_home(struct exchange *exchange);
+void exchange_forget_home(struct exchange *exchange);
+void exchange_step_asking(struct exchange *exchange);
 
 /* exchange_recover.c */
 void exchange_fail_leg(struct exchange *exchange, enum attempt_result result,
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -182,6 +182,7 @@
 		report_poll_step(gateway->reports,
 				 registry_endpoints(gateway->registry),
 				 gateway->now_us);
+	gateway_home_step(gateway);
 	gateway_peers_step(gateway);
 	gateway_step_drain(gateway);
 	return G_SOURCE_CONTINUE;
@@ -263,6 +264,8 @@
 	gateway->callers =
 		caller_set_create(&requests, (size_t)options->max_connections);
 	gateway->askers = caller_set_create(&questions, MAX_ASKERS);
+	gateway->grants = engine_grants_create(gateway->registry);
+	gateway->asking = g_hash_table_new(g_int64_hash, g_int64_equal);
 	gateway->exchanges =
 		g_hash_table_new_full(NULL, NULL, exchange_destroy, NULL);
 	gateway->budgets = shared_budgets_create(&budgets, gateway->now_us);
@@ -293,6 +296,9 @@
 	shared_budgets_destroy(gateway->budgets);
 	g_hash_table_unref(gateway->peers);
 	quarantine_destroy(gateway->quarantine);
+	engine_grants_destroy(gateway->grants);
+	g_hash_table_unref(gateway->asking);
+	g_free(gateway->home_address);
 	registry_destroy(gateway->registry);
 	route_table_unref(gateway->table);
 	if (gateway->document)
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -33,6 +33,7 @@
 	int64_t retry_percent;	 /* sends beyond the first, of requests */
 	int64_t retry_extra;	 /* and so many more in a window, all nodes */
 	int64_t retry_window_us;
+	int64_t home_from_nodes; /* one chooses engines for all */
 	uint64_t seed;
 	struct log *log;
 	struct counters *counters;
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -96,13 +96,15 @@
 		add_registration(standing, g_ptr_array_index(endpoints, i));
 }
 
-static struct peer_message *standing_create(struct gateway *gateway)
+/* What this node holds and knows, without news of endpoints. */
+struct peer_message *gateway_standing_create(struct gateway *gateway)
 {
 	struct peer_message *message =
 		gateway->host.message(gateway->host.data, PEER_STANDING);
 	struct peer_standing *standing = &message->standing;
 
 	standing->table_version = gateway_table_version(gateway);
+	standing->answered = gateway_home_answered(gateway);
 	standing->takes_work = gateway_takes_work(gateway);
 	standing->reaches_store = gateway->store_is_reached;
 	standing->callers_address = g_strdup(gateway->options.address);
@@ -116,8 +118,9 @@
 	return strcmp(member->name, gateway->options.node_name) != 0;
 }
 
-static void send_one(struct gateway *gateway, const char *peer_address,
-		     struct peer_message *message)
+/* Sends one node a message, which is its own then. */
+void gateway_send(struct gateway *gateway, const char *peer_address,
+		  struct peer_message *message)
 {
 	GPtrArray *addresses = g_ptr_array_new();
 
@@ -146,7 +149,7 @@
 /* Tells all nodes at once what has become of an endpoint. */
 void gateway_peers_tell(struct gateway *gateway, const char *endpoint_id)
 {
-	struct peer_message *message = standing_create(gateway);
+	struct peer_message *message = gateway_standing_create(gateway);
 
 	add_registration(&message->standing,
 			 registry_find(gateway->registry, endpoint_id));
@@ -251,10 +254,10 @@
 static void send_registrations(struct gateway *gateway,
 			       const char *peer_address)
 {
-	struct peer_message *message = standing_create(gateway);
+	struct peer_message *message = gateway_standing_create(gateway);
 
 	add_registrations(gateway, &message->standing);
-	send_one(gateway, peer_address, message);
+	gateway_send(gateway, peer_address, message);
 }
 
 /* Any one member gets all endpoints, for what was lost on the way. */
@@ -276,7 +279,7 @@
 
 static void tell_all(struct gateway *gateway)
 {
-	send_all(gateway, standing_create(gateway));
+	send_all(gateway, gateway_standing_create(gateway));
 	if (gateway->standings++ % FULL_EVERY == 0)
 		tell_one_all_endpoints(gateway);
 }
@@ -330,7 +333,7 @@
 
 	message->config.revision = gateway_table_version(gateway);
 	message->config.document = g_bytes_ref(gateway->document);
-	send_one(gateway, peer_address, message);
+	gateway_send(gateway, peer_address, message);
 }
 
 /* Helps a peer whose configuration is older than this node's. */
@@ -433,9 +436,21 @@
 			message->quarantine.endpoint, gateway->now_us);
 		return;
 	}
-	if (message->type != PEER_STANDING || !*message->from)
+	if (!*message->from)
+		return;
+	if (message->type == PEER_CHOOSE) {
+		gateway_home_take_question(gateway, message);
+		return;
+	}
+	if (message->type == PEER_CHOSEN) {
+		gateway_home_take_answer(gateway, message);
+		return;
+	}
+	if (message->type != PEER_STANDING)
 		return;
 	peer = peer_take(gateway, message);
+	engine_grants_told(gateway->grants, message->from,
+			   message->standing.answered);
 	registry_take_held(gateway->registry, message->from,
 			   message->incarnation, message->standing.held,
 			   gateway->now_us);
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -5,6 +5,7 @@
 #include "adapters/gateway/endpoint_pool.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/report_poll.h"
+#include "core/gateway/engine_grants.h"
 #include "core/gateway/standing_pace.h"
 #include "core/gateway/table_relay.h"
 #include "core/limit/quarantine.h"
@@ -20,6 +21,7 @@
  *   gateway.c          life, listeners, budgets
  *   gateway_store.c    what the store says
  *   gateway_peers.c    what nodes tell one another
+ *   gateway_home.c     one node chooses engines for all
  *   exchange.c         one request of a caller
  *   leg.c              the request at one endpoint
  *   exchange_answer.c  what its endpoint answers
@@ -59,6 +61,15 @@
 	struct standing_pace pace;
 	bool held_changed; /* or the configuration: the others should know */
 	uint32_t standings;
+
+	/* Engines chosen by a home, for others if it is this node. */
+	struct engine_grants *grants;
+	GHashTable *asking; /* number of a question to struct exchange */
+	uint64_t questions; /* asked so far */
+	char *home_address; /* last asked; NULL: none yet */
+	int64_t home_passed_until_us; /* it did not answer */
+	int64_t home_told_us;
+	bool home_untold; /* something changed since */
 };
 
 /* Another node, as it says of itself. */
@@ -95,6 +106,18 @@
 void gateway_peer_destroy(gpointer data);
 size_t gateway_node_count(const struct gateway *gateway);
 
+void gateway_send(struct gateway *gateway, const char *peer_address,
+		  struct peer_message *message);
+struct peer_message *gateway_standing_create(struct gateway *gateway);
+
+/* gateway_home.c */
+uint64_t gateway_home_answered(const struct gateway *gateway);
+void gateway_home_step(struct gateway *gateway);
+void gateway_home_take_question(struct gateway *gateway,
+				const struct peer_message *message);
+void gateway_home_take_answer(struct gateway *gateway,
+			      const struct peer_message *message);
+
 /* exchange.c */
 struct exchange;
 
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -41,6 +41,7 @@
 		backup->own.tokens += sign * leg->tokens;
 	}
 	leg->exchange->gateway->held_changed = true;
+	leg->exchange->gateway->home_untold = true;
 }
 
 /* The prompt has been read at the endpoint. */
@@ -56,12 +57,15 @@
 /* The generation now holds so many tokens; others hear of it in their time. */
 void leg_plan_tokens(struct leg *leg, int64_t tokens)
 {
-	bool was_changed = leg->exchange->gateway->held_changed;
+	struct gateway *gateway = leg->exchange->gateway;
+	bool was_changed = gateway->held_changed;
+	bool was_untold = gateway->home_untold;
 
 	leg_count(leg, -1);
 	leg->tokens = tokens;
 	leg_count(leg, 1);
-	leg->exchange->gateway->held_changed = was_changed;
+	gateway->held_changed = was_changed;
+	gateway->home_untold = was_untold;
 }
 
 /*
@@ -82,19 +86,45 @@
 	return exchange->asked.prompt_tokens + made + MIN(left, AHEAD_TOKENS);
 }
 
+/* Whether a copy of the run would be of use. */
+bool exchange_wants_backup(const struct exchange *exchange)
+{
+	return exchange_is_generation(exchange) &&
+	       exchange->expected_tokens >= BACKUP_FROM_TOKENS;
+}
+
+/* The engine that the home chose for it, where this node knows no better. */
+static struct endpoint *leg_find_chosen(const struct leg *leg)
+{
+	const struct exchange *exchange = leg->exchange;
+	struct endpoint *backup = registry_find(exchange->gateway->registry,
+						exchange->chosen_backup);
+
+	return backup && endpoint_is_usable(backup) ? backup : NULL;
+}
+
+static struct endpoint *leg_pick_backup(const struct leg *leg)
+{
+	struct exchange *exchange = leg->exchange;
+	struct endpoint_wish wish;
+
+	if (exchange->chosen_backup)
+		return leg_find_chosen(leg);
+	exchange_wish(exchange, &wish);
+	wish.avoid_also = leg->endpoint_id;
+	return endpoint_choose_backup(exchange->gateway->registry, &wish);
+}
+
 /* Picks the engine that keeps a copy while the leg's endpoint runs it. */
 static void leg_choose_backup(struct leg *leg)
 {
 	struct exchange *exchange = leg->exchange;
-	struct endpoint_wish wish;
 	struct endpoint *backup;
 
-	if (!exchange_is_generation(exchange) ||
-	    exchange->expected_tokens < BACKUP_FROM_TOKENS)
+	if (!exchange_wants_backup(exchange))
 		return;
-	exchange_wish(exchange, &wish);
-	wish.avoid_also = leg->endpoint_id;
-	backup = endpoint_choose_backup(exchange->gateway->registry, &wish);
+	backup = leg_pick_backup(leg);
+	g_clear_pointer(&exchange->chosen_backup, g_free);
 	if (!backup)
 		return;
 	leg->backup_id = g_strdup(backup->said->id);
--- a/adapters/settings.c
+++ b/adapters/settings.c
@@ -6,6 +6,12 @@
 #include <gio/gio.h>
 #include <string.h>
 
+/*
+ * Fewer nodes hear of one another's placements within 0.1 s, by the bound on
+ * standings, and choose engines by themselves without asking.
+ */
+#define HOME_FROM_NODES 16
+
 #define STEP "settings.load"
 #define MAX_NAME_BYTES 64
 
@@ -315,6 +321,7 @@
 	settings->gateway.address_keep_us = 2 * G_USEC_PER_SEC;
 	settings->gateway.retry_percent = 20;
 	settings->gateway.retry_extra = 50;
+	settings->gateway.home_from_nodes = HOME_FROM_NODES;
 	settings->gateway.retry_window_us = 10 * G_USEC_PER_SEC;
 	return settings;
 }
--- a/adapters/settings.h
+++ b/adapters/settings.h
@@ -23,6 +23,7 @@
 	int64_t address_keep_us;
 	int64_t retry_percent;
 	int64_t retry_extra;
+	int64_t home_from_nodes;
 	int64_t retry_window_us;
 };
 
--- a/bench/region.h
+++ b/bench/region.h
@@ -1,6 +1,7 @@
 #ifndef BENCH_REGION_H
 #define BENCH_REGION_H
 
+#include "ports/peer_message.h"
 #include <glib.h>
 #include <stdint.h>
 
@@ -37,7 +38,7 @@
 	double calls_per_s;
 	double open_calls; /* at the end */
 	double grant_us;   /* processor time to decide on one request, home's */
-	double bytes_by_type[16];
+	double bytes_by_type[PEER_MESSAGE_TYPES];
 };
 
 struct region;
--- /dev/null
+++ b/codec/peer_choose.c
@@ -0,0 +1,90 @@
+#include "codec/peer_choose.h"
+
+#include "codec/peer_field.h"
+
+/* Engines that a request was tried at before; each try takes a retry. */
+#define MAX_AVOIDED 16
+
+#define CHILD_AVOID 9
+
+/* The record's body; engines to avoid beyond the bound are left out. */
+GVariant *peer_choose_encode(const struct peer_message *message)
+{
+	const struct peer_choose *choose = &message->choose;
+	gssize count = (gssize)MIN(choose->avoid->len, MAX_AVOIDED);
+
+	return g_variant_new(
+		"(ttuuyssss@as)", message->incarnation, choose->number,
+		peer_field_tokens(choose->tokens),
+		peer_field_tokens(choose->prompt_tokens),
+		(guchar)choose->wants_backup, peer_field_text(message->from),
+		peer_field_text(message->from_address),
+		peer_field_text(choose->service),
+		peer_field_text(choose->failure_domain),
+		g_variant_new_strv((const char *const *)choose->avoid->pdata,
+				   count));
+}
+
+static bool decode_avoid(GVariant *list, GPtrArray *avoid)
+{
+	gsize count = g_variant_n_children(list);
+
+	if (count > MAX_AVOIDED)
+		return false;
+	for (gsize i = 0; i < count; i++) {
+		char *id;
+
+		g_variant_get_child(list, i, "s", &id);
+		g_ptr_array_add(avoid, id);
+		if (!peer_field_text_is_legal(id, false))
+			return false;
+	}
+	return true;
+}
+
+/* Fills the question in; false if a value is out of its range. */
+bool peer_choose_decode(GVariant *body, struct peer_choose *choose)
+{
+	GVariant *avoid = g_variant_get_child_value(body, CHILD_AVOID);
+	guint32 tokens, prompt_tokens;
+	guchar wants_backup;
+	bool valid;
+
+	g_variant_get_child(body, 1, "t", &choose->number);
+	g_variant_get_child(body, 2, "u", &tokens);
+	g_variant_get_child(body, 3, "u", &prompt_tokens);
+	g_variant_get_child(body, 4, "y", &wants_backup);
+	g_variant_get_child(body, 7, "s", &choose->service);
+	g_variant_get_child(body, 8, "s", &choose->failure_domain);
+	choose->tokens = tokens;
+	choose->prompt_tokens = prompt_tokens;
+	choose->wants_backup = wants_backup;
+	valid = wants_backup <= 1 && tokens <= PEER_FIELD_MAX_TOKENS &&
+		prompt_tokens <= PEER_FIELD_MAX_TOKENS &&
+		peer_field_text_is_legal(choose->service, false) &&
+		peer_field_text_is_legal(choose->failure_domain, true) &&
+		decode_avoid(avoid, choose->avoid);
+	g_variant_unref(avoid);
+	return valid;
+}
+
+/* The record's body; texts over 64 bytes make the reader refuse it. */
+GVariant *peer_chosen_encode(const struct peer_message *message)
+{
+	return g_variant_new(PEER_CHOSEN_FORMAT, message->incarnation,
+			     message->chosen.number,
+			     peer_field_text(message->from),
+			     peer_field_text(message->from_address),
+			     peer_field_text(message->chosen.endpoint),
+			     peer_field_text(message->chosen.backup));
+}
+
+/* Fills the answer in; false if a value is out of its range. */
+bool peer_chosen_decode(GVariant *body, struct peer_chosen *chosen)
+{
+	g_variant_get_child(body, 1, "t", &chosen->number);
+	g_variant_get_child(body, 4, "s", &chosen->endpoint);
+	g_variant_get_child(body, 5, "s", &chosen->backup);
+	return peer_field_text_is_legal(chosen->endpoint, true) &&
+	       peer_field_text_is_legal(chosen->backup, true);
+}
--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -2,6 +2,7 @@
 
 #include "codec/peer_field.h"
 #include "codec/peer_holdings.h"
+#include "codec/peer_choose.h"
 #include "codec/peer_standing.h"
 
 #include <string.h>
@@ -49,6 +50,8 @@
 	[PEER_LIMIT_SHARE] = "(tssa(uuu))",
 	[PEER_STANDING] = PEER_STANDING_FORMAT,
 	[PEER_ROUTES] = "(txssay)",
+	[PEER_CHOOSE] = PEER_CHOOSE_FORMAT,
+	[PEER_CHOSEN] = PEER_CHOSEN_FORMAT,
 };
 
 static GVariant *encode_members(const GPtrArray *members)
@@ -165,6 +168,10 @@
 		return encode_config(message);
 	case PEER_STANDING:
 		return peer_standing_encode(message);
+	case PEER_CHOOSE:
+		return peer_choose_encode(message);
+	case PEER_CHOSEN:
+		return peer_chosen_encode(message);
 	case PEER_LEAVING:
 		endpoints = message->leaving.endpoints;
 		return g_variant_new(
@@ -468,6 +475,14 @@
 		return check(error, message->from,
 			     peer_standing_decode(body, &message->standing),
 			     "standing out of range");
+	case PEER_CHOOSE:
+		return check(error, message->from,
+			     peer_choose_decode(body, &message->choose),
+			     "question for an engine out of range");
+	case PEER_CHOSEN:
+		return check(error, message->from,
+			     peer_chosen_decode(body, &message->chosen),
+			     "chosen engine out of range");
 	case PEER_LEAVING:
 		return decode_leaving(body, message, error);
 	case PEER_QUARANTINE:
--- a/codec/peer_standing.c
+++ b/codec/peer_standing.c
@@ -5,9 +5,9 @@
 #define MAX_HELD 16384
 #define MAX_REGISTRATIONS 16384
 #define MAX_REQUESTS 1000000
-#define CHILD_ADDRESS 6
-#define CHILD_HELD 7
-#define CHILD_REGISTRATIONS 8
+#define CHILD_ADDRESS 7
+#define CHILD_HELD 8
+#define CHILD_REGISTRATIONS 9
 
 static GVariant *encode_held(const GPtrArray *list)
 {
@@ -55,10 +55,10 @@
 {
 	const struct peer_standing *standing = &message->standing;
 
-	return g_variant_new("(txbbsss@a" PEER_HELD_FORMAT
+	return g_variant_new("(txtbbsss@a" PEER_HELD_FORMAT
 			     "@a" PEER_REGISTRATION_FORMAT ")",
 			     message->incarnation, standing->table_version,
-			     (gboolean)standing->takes_work,
+			     standing->answered, (gboolean)standing->takes_work,
 			     (gboolean)standing->reaches_store,
 			     peer_field_text(message->from),
 			     peer_field_text(message->from_address),
@@ -139,8 +139,9 @@
 	bool valid;
 
 	g_variant_get_child(body, 1, "x", &standing->table_version);
-	g_variant_get_child(body, 2, "b", &takes_work);
-	g_variant_get_child(body, 3, "b", &reaches_store);
+	g_variant_get_child(body, 2, "t", &standing->answered);
+	g_variant_get_child(body, 3, "b", &takes_work);
+	g_variant_get_child(body, 4, "b", &reaches_store);
 	g_variant_get_child(body, CHILD_ADDRESS, "s",
 			    &standing->callers_address);
 	standing->takes_work = takes_work;
--- a/codec/peer_standing.h
+++ b/codec/peer_standing.h
@@ -12,7 +12,7 @@
 #define PEER_HELD_FORMAT "(suuuu)"
 #define PEER_REGISTRATION_FORMAT "(ssssxxxuyy)"
 #define PEER_STANDING_FORMAT                                                   \
-	"(txbbsssa" PEER_HELD_FORMAT "a" PEER_REGISTRATION_FORMAT ")"
+	"(txtbbsssa" PEER_HELD_FORMAT "a" PEER_REGISTRATION_FORMAT ")"
 
 GVariant *peer_standing_encode(const struct peer_message *message);
 bool peer_standing_decode(GVariant *body, struct peer_standing *standing);
--- a/core/base/counters.c
+++ b/core/base/counters.c
@@ -49,6 +49,11 @@
 		 "of these, cut off after their answer had begun"},
 	[COUNTER_GATEWAY_GONE] = {"gateway_gone",
 				  "of these, left by their callers"},
+	[COUNTER_GATEWAY_HOME_ASKED] =
+		{"gateway_home_asked",
+		 "generations whose engine another node was asked for"},
+	[COUNTER_GATEWAY_HOME_SILENT] = {"gateway_home_silent",
+					 "of these, not answered in time"},
 	[COUNTER_GATEWAY_TAKE_OVERS] =
 		{"gateway_take_overs",
 		 "generations continued from a copy on another engine"},
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -78,8 +78,7 @@
 static double slot_load(const struct endpoint_wish *wish,
 			const struct endpoint *endpoint)
 {
-	return (endpoint->own.requests + endpoint->others.requests) /
-	       slots_of(wish, endpoint);
+	return endpoint_held(endpoint).requests / slots_of(wish, endpoint);
 }
 
 static double memory_load(const struct endpoint_wish *wish,
@@ -87,8 +86,7 @@
 {
 	if (!wish->engine || wish->engine->memory_tokens == 0)
 		return 0;
-	return (double)(endpoint->own.tokens + endpoint->others.tokens +
-			wish->tokens) /
+	return (double)(endpoint_held(endpoint).tokens + wish->tokens) /
 	       (double)wish->engine->memory_tokens;
 }
 
@@ -104,8 +102,7 @@
 	if (endpoint->warm_us > wish->now_us)
 		score += COLD_WEIGHT;
 	score += ERROR_WEIGHT * endpoint->error_share;
-	score += (double)(endpoint->own.unread_tokens +
-			  endpoint->others.unread_tokens) /
+	score += (double)endpoint_held(endpoint).unread_tokens /
 		 UNREAD_FULL_TOKENS;
 	return score + DRAW_WEIGHT * (draw - (double)(int64_t)draw);
 }
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -81,10 +81,28 @@
 	       endpoint->presence == PRESENCE_DOUBTED;
 }
 
+static void held_add(struct held *to, const struct held *held, int32_t sign)
+{
+	to->requests += sign * held->requests;
+	to->copies += sign * held->copies;
+	to->tokens += sign * held->tokens;
+	to->unread_tokens += sign * held->unread_tokens;
+}
+
+/* What all nodes have there, as far as this one knows. */
+struct held endpoint_held(const struct endpoint *endpoint)
+{
+	struct held held = endpoint->own;
+
+	held_add(&held, &endpoint->others, 1);
+	held_add(&held, &endpoint->granted, 1);
+	return held;
+}
+
 /* Whether requests that any node has sent there have no answer yet. */
 bool endpoint_reads_prompts(const struct endpoint *endpoint)
 {
-	return endpoint->own.unread_tokens + endpoint->others.unread_tokens > 0;
+	return endpoint_held(endpoint).unread_tokens > 0;
 }
 
 /* Whether any endpoint at all may get new work. */
@@ -125,14 +143,6 @@
 		ERROR_FADE * (is_error - endpoint->error_share);
 }
 
-static void held_add(struct held *to, const struct held *held, int32_t sign)
-{
-	to->requests += sign * held->requests;
-	to->copies += sign * held->copies;
-	to->tokens += sign * held->tokens;
-	to->unread_tokens += sign * held->unread_tokens;
-}
-
 static void endpoint_set_presence(struct endpoint *endpoint,
 				  enum endpoint_presence presence,
 				  int64_t now_us)
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -39,7 +39,8 @@
 	int64_t known_us; /* since when this start of it is known */
 	int64_t warm_us;  /* slow until then */
 	struct held own;
-	struct held others; /* by all other nodes */
+	struct held others;  /* by all other nodes, as they said */
+	struct held granted; /* by this node to others that have not said so */
 	struct endpoint_health health;
 	int64_t full_until_us; /* it refused for want of room */
 	double error_share;    /* of its last answers, fading */
@@ -72,6 +73,7 @@
 			uint64_t incarnation, const GPtrArray *held,
 			int64_t now_us);
 void registry_forget_silent(struct registry *registry, int64_t before_us);
+struct held endpoint_held(const struct endpoint *endpoint);
 bool endpoint_is_usable(const struct endpoint *endpoint);
 bool endpoint_reads_prompts(const struct endpoint *endpoint);
 void endpoint_count_answer(struct endpoint *endpoint, bool is_error);
--- a/core/message/peer_message.c
+++ b/core/message/peer_message.c
@@ -17,6 +17,8 @@
 	[PEER_LIMIT_SHARE] = "limit_share",
 	[PEER_STANDING] = "standing",
 	[PEER_ROUTES] = "routes",
+	[PEER_CHOOSE] = "choose",
+	[PEER_CHOSEN] = "chosen",
 };
 
 static void member_free(gpointer data)
@@ -69,6 +71,10 @@
 			g_ptr_array_new_with_free_func(peer_held_free);
 		message->standing.registrations = registration_list_create();
 		break;
+	case PEER_CHOOSE:
+		message->choose.avoid = g_ptr_array_new_with_free_func(g_free);
+		break;
+	case PEER_CHOSEN:
 	case PEER_PLACE:
 	case PEER_PLACED:
 	case PEER_REFUSED:
@@ -107,6 +113,15 @@
 		g_ptr_array_unref(message->standing.held);
 		g_ptr_array_unref(message->standing.registrations);
 		break;
+	case PEER_CHOOSE:
+		g_free(message->choose.service);
+		g_free(message->choose.failure_domain);
+		g_ptr_array_unref(message->choose.avoid);
+		break;
+	case PEER_CHOSEN:
+		g_free(message->chosen.endpoint);
+		g_free(message->chosen.backup);
+		break;
 	case PEER_CONFIG:
 	case PEER_CONFIG_ASK:
 	case PEER_ROUTES:
--- a/core/node/node.c
+++ b/core/node/node.c
@@ -199,7 +199,9 @@
 		node_limits_receive(node, message);
 		break;
 	case PEER_STANDING:
-	case PEER_ROUTES: /* the gateway's */
+	case PEER_ROUTES:
+	case PEER_CHOOSE:
+	case PEER_CHOSEN: /* the gateway's */
 	case PEER_MESSAGE_TYPES:
 		break;
 	}
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -32,6 +32,8 @@
 	PEER_LIMIT_SHARE,  /* the receiver\'s shares of them */
 	PEER_STANDING,	   /* gateway: what it holds, endpoints' news */
 	PEER_ROUTES,	   /* gateway: its configuration document */
+	PEER_CHOOSE,	   /* gateway: asks its home for an engine */
+	PEER_CHOSEN,	   /* the home's answer */
 	PEER_MESSAGE_TYPES
 };
 
@@ -153,6 +155,7 @@
 
 struct peer_standing {
 	int64_t table_version; /* of its routes; -1: none yet */
+	uint64_t answered; /* its questions up to this one are in held */
 	bool takes_work;
 	bool reaches_store;
 	char *callers_address;
@@ -160,6 +163,23 @@
 	GPtrArray *registrations; /* struct registration: some */
 };
 
+/* A generation that is to be placed. */
+struct peer_choose {
+	uint64_t number; /* rising, of the sender */
+	char *service;
+	char *failure_domain; /* of the sender */
+	int64_t tokens;	      /* in memory at the expected end */
+	int64_t prompt_tokens;
+	bool wants_backup;
+	GPtrArray *avoid; /* char *: ids of endpoints */
+};
+
+struct peer_chosen {
+	uint64_t number;
+	char *endpoint; /* id; "": none has room */
+	char *backup;	/* id; "": none */
+};
+
 struct peer_message {
 	enum peer_message_type type;
 	char *from;	    /* name of the sending node; "": by incarnation */
@@ -174,6 +194,8 @@
 		struct peer_release release;
 		struct peer_config config; /* CONFIG, CONFIG_ASK, ROUTES */
 		struct peer_standing standing;
+		struct peer_choose choose;
+		struct peer_chosen chosen;
 		struct peer_leaving leaving;
 		struct peer_quarantine quarantine;
 		struct peer_limits limits; /* LIMIT_REPORT, LIMIT_SHARE */
--- /dev/null
+++ b/tests/engine_grants_test.cc
@@ -0,0 +1,149 @@
+#include "core/gateway/endpoint_choice.h"
+#include "core/gateway/engine_grants.h"
+#include "ports/peer_message.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace
+{
+
+constexpr int kEngines = 8;
+constexpr int64_t kPromptTokens = 3000;
+
+class EngineGrants : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		registry = registry_create();
+		grants = engine_grants_create(registry);
+		for (int i = 0; i < kEngines; i++)
+			Register("i-" + std::to_string(i));
+	}
+
+	void TearDown() override
+	{
+		engine_grants_destroy(grants);
+		registry_destroy(registry);
+	}
+
+	void Register(const std::string &id)
+	{
+		struct registration *said = g_new0(struct registration, 1);
+
+		said->id = g_strdup(id.c_str());
+		said->service = g_strdup("engines");
+		said->address = g_strdup("10.0.0.1:8000");
+		said->failure_domain = g_strdup("a");
+		said->slots = 24;
+		said->revision = ++revision;
+		registry_take(registry, said, false, 0);
+		registration_destroy(said);
+	}
+
+	/* One generation placed; the engine that it was granted. */
+	std::string Grant(const char *node, uint64_t number)
+	{
+		struct engine_ability engine = {};
+		struct endpoint_wish wish = {};
+		struct engine_grant grant = {};
+		struct endpoint *endpoint;
+
+		engine.slots = 24;
+		engine.memory_tokens = 34000;
+		wish.service = "engines";
+		wish.engine = &engine;
+		wish.failure_domain = "a";
+		wish.tokens = kPromptTokens + 400;
+		wish.now_us = now_us;
+		wish.draw = 0.3;
+		endpoint = endpoint_choose(registry, &wish);
+		grant.node = node;
+		grant.number = number;
+		grant.endpoint_id = endpoint->said->id;
+		grant.tokens = wish.tokens;
+		grant.prompt_tokens = kPromptTokens;
+		engine_grants_add(grants, &grant, now_us);
+		return endpoint->said->id;
+	}
+
+	int64_t Unread(const std::string &id)
+	{
+		return endpoint_held(registry_find(registry, id.c_str()))
+			.unread_tokens;
+	}
+
+	void Tell(const char *node, uint64_t answered, const std::string &id)
+	{
+		struct peer_message *message =
+			peer_message_create(PEER_STANDING);
+		struct peer_held *held =
+			peer_standing_add(&message->standing, id.c_str());
+
+		held->requests = 1;
+		held->tokens = kPromptTokens + 400;
+		held->unread_tokens = kPromptTokens;
+		engine_grants_told(grants, node, answered);
+		registry_take_held(registry, node, 1, message->standing.held,
+				   now_us);
+		peer_message_destroy(message);
+	}
+
+	struct registry *registry;
+	struct engine_grants *grants;
+	int64_t now_us = 0;
+	int64_t revision = 0;
+};
+
+/*
+ * Eight nodes get a report each in the same moment. Choosing for themselves,
+ * from the same old news, they send all prompts to the same engine, and the
+ * last caller has its first event after seven other prompts. The home counts
+ * what it has just granted: each goes to an engine of its own.
+ */
+TEST_F(EngineGrants, SpreadsWhatComesAtOnce)
+{
+	for (int i = 0; i < kEngines; i++)
+		Grant(("entry-" + std::to_string(i)).c_str(), 1);
+	for (int i = 0; i < kEngines; i++)
+		EXPECT_EQ(kPromptTokens, Unread("i-" + std::to_string(i)));
+}
+
+/* A node's own word replaces what it was granted; it isn't counted twice. */
+TEST_F(EngineGrants, CountsAGrantOnce)
+{
+	std::string id = Grant("entry-1", 1);
+
+	EXPECT_EQ(kPromptTokens, Unread(id));
+	Tell("entry-1", 1, id);
+	EXPECT_EQ(kPromptTokens, Unread(id));
+}
+
+/*
+ * The node's standing left before the answer reached it, and does not hold the
+ * run yet. Dropped at that word, the grant would be missing for half a second.
+ */
+TEST_F(EngineGrants, KeepsAGrantThatItsNodeCannotHaveTold)
+{
+	std::string id = Grant("entry-1", 2);
+
+	engine_grants_told(grants, "entry-1", 1);
+	EXPECT_EQ(kPromptTokens, Unread(id));
+	engine_grants_told(grants, "entry-2", 2);
+	EXPECT_EQ(kPromptTokens, Unread(id));
+}
+
+/* The node that asked was killed: its grant holds no room for good. */
+TEST_F(EngineGrants, ForgetsWhatNobodyTellsOf)
+{
+	std::string id = Grant("entry-1", 1);
+
+	now_us = 2 * G_USEC_PER_SEC;
+	engine_grants_step(grants, now_us);
+	EXPECT_EQ(0, Unread(id));
+	EXPECT_EQ(0, registry_find(registry, id.c_str())->granted.tokens);
+}
+
+} /* namespace */
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -103,6 +103,7 @@
 		drain_s = 4
 		retry_ratio = 0.2
 		retry_extra = 60
+		home_from_nodes = ${home_from_nodes:-16}
 	TOML
 }
 
@@ -566,6 +567,55 @@
 	echo "$sum"
 }
 
+counter() { # NODE NAME
+	curl -s "http://${https[$1]}/metrics" | awk -v n="$2" '$1 ~ n {print $2}'
+}
+
+# With so many nodes that one chooses engines for all, reports are placed by its
+# word, also when they come at once. It is killed: the other one chooses by
+# itself, and no caller notices.
+case_places_by_the_word_of_a_home() {
+	local asks asked=0
+
+	home_from_nodes=2
+	for i in 0 1; do
+		kill -KILL "${node_pids[$i]}"
+		write_node "$i"
+		start_gateway "$i"
+	done
+	knows_both() {
+		curl -s "http://${directories[0]}/v1/resolve?name=$host" |
+			grep -q "${fronts[1]}"
+	}
+	until_true knows_both || fail "the nodes do not find each other"
+	asks=()
+	for i in 0 1; do
+		for k in 1 2 3; do
+			report "$i" "$work/home-$i-$k" "home-$i-$k" &
+			asks+=($!)
+		done
+	done
+	wait "${asks[@]}" || fail "a stream was cut"
+	for i in 0 1; do
+		for k in 1 2 3; do
+			whole "$work/home-$i-$k" "home-$i-$k" 60
+		done
+		asked=$((asked + $(counter "$i" gateway_home_asked)))
+	done
+	[ "$asked" = 3 ] || fail "$asked reports were asked for, not 3"
+	home=0
+	[ "$(counter 0 gateway_home_asked)" = 0 ] || home=1
+	kill -KILL "${node_pids[$home]}"
+	report $((1 - home)) "$work/alone" alone-1 || fail "not served alone"
+	whole "$work/alone" alone-1 60
+	home_from_nodes=16
+	for i in 0 1; do
+		kill -KILL "${node_pids[$i]}" 2>/dev/null || true
+		write_node "$i"
+		start_gateway "$i"
+	done
+}
+
 # The engine says that it leaves and copies the run to another one, which reads
 # a prompt: the copy waits. The engine is killed in that moment. The run goes on
 # from the copy, and the log says from where.
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -69,6 +69,20 @@
 		g_ptr_array_add(message->leaving.endpoints,
 				g_strdup("10.2.0.1:9000"));
 		break;
+	case PEER_CHOOSE:
+		message->choose.number = 7;
+		message->choose.service = g_strdup("report-writer");
+		message->choose.failure_domain = g_strdup("casablanca-a");
+		message->choose.tokens = 3400;
+		message->choose.prompt_tokens = 3000;
+		message->choose.wants_backup = true;
+		g_ptr_array_add(message->choose.avoid, g_strdup("i-1"));
+		break;
+	case PEER_CHOSEN:
+		message->chosen.number = 7;
+		message->chosen.endpoint = g_strdup("i-7f3a91c2");
+		message->chosen.backup = g_strdup("");
+		break;
 	case PEER_QUARANTINE:
 		message->quarantine.fingerprint = 5;
 		message->quarantine.endpoint = g_strdup("10.2.0.1:9000");
@@ -88,6 +102,7 @@
 	held->tokens = 12345;
 	held->unread_tokens = 3000;
 	standing->table_version = 17;
+	standing->answered = 4;
 	standing->takes_work = true;
 	standing->reaches_store = true;
 	standing->callers_address = g_strdup("10.1.2.1:8740");
