--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -155,7 +155,7 @@
 
 struct peer_standing {
 	int64_t table_version; /* of its routes; -1: none yet */
-	uint64_t answered; /* its questions up to this one are in held */
+	uint64_t answered;     /* its questions up to this one are in held */
 	bool takes_work;
 	bool reaches_store;
 	char *callers_address;
