Failing: a request that crashes its engine behind a queue is handed on

A report that waits 1.5 s behind others' prompts and then crashes its engine reaches three engines, as it did after a few ms before: where no event has come a backup counts as there a second after the request was sent, and the wait in the queue counts as well.

--- a/fakes/fake_backend.c
+++ b/fakes/fake_backend.c
@@ -15,14 +15,15 @@
 struct backend {
 	char *id;
 	int plain;
-	int64_t events;	 /* of a generation */
-	int64_t pace_ms; /* between two */
-	bool full;	 /* runs nothing: 503 */
-	bool failing;	 /* its own 500 */
-	bool no_copy;	 /* has no memory to go on from */
-	bool no_room;	 /* for a copy of another engine's run */
-	bool unframed;	 /* answers without a length */
-	bool crashing;	 /* each request resets its connection at once */
+	int64_t events;		/* of a generation */
+	int64_t pace_ms;	/* between two */
+	bool full;		/* runs nothing: 503 */
+	bool failing;		/* its own 500 */
+	bool no_copy;		/* has no memory to go on from */
+	bool no_room;		/* for a copy of another engine's run */
+	bool unframed;		/* answers without a length */
+	bool crashing;		/* each request resets its connection */
+	int64_t crash_after_ms; /* since it came, as after a wait in a queue */
 	int64_t runs;
 	int64_t taken_over;
 	int64_t left; /* callers that closed early */
@@ -125,6 +126,23 @@
 	g_object_unref(stream);
 }
 
+static gboolean crash_late(gpointer data)
+{
+	reset_connection(data);
+	return G_SOURCE_REMOVE;
+}
+
+static void crash(const struct backend *backend, SoupServerMessage *message)
+{
+	if (backend->crash_after_ms == 0) {
+		reset_connection(message);
+		return;
+	}
+	soup_server_message_pause(message);
+	g_timeout_add_full(G_PRIORITY_DEFAULT, (guint)backend->crash_after_ms,
+			   crash_late, g_object_ref(message), g_object_unref);
+}
+
 static void answer_not_run(SoupServerMessage *message, unsigned status)
 {
 	soup_message_headers_replace(
@@ -183,7 +201,7 @@
 	else
 		backend->runs++;
 	if (backend->crashing) {
-		reset_connection(message);
+		crash(backend, message);
 	} else if (backend->failing) {
 		fake_message_answer_text(message, 500, "failed");
 	} else if (backend->plain) {
@@ -245,6 +263,7 @@
 		{"no_room", FAKE_MODE_BOOL, &backend.no_room},
 		{"unframed", FAKE_MODE_BOOL, &backend.unframed},
 		{"crashing", FAKE_MODE_BOOL, &backend.crashing},
+		{"crash_after_ms", FAKE_MODE_INT, &backend.crash_after_ms},
 	};
 	int status;
 
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -534,25 +534,38 @@
 # can have been copied yet: asked to go on it would begin, and the report would
 # run twice. The caller gets 502 at once, and no other engine is asked.
 case_runs_once_what_crashes_at_once() {
+	runs_once_what_crashes_after 0 at-once-1
+}
+
+# The same, but the engine comes to the report only after 1.5 s, behind others'
+# prompts. It was in reach all the while and made no event: there is as little
+# to go on from as after a few ms, however long the report has waited.
+case_runs_once_what_crashes_behind_a_queue() {
+	runs_once_what_crashes_after 1500 behind-1
+}
+
+runs_once_what_crashes_after() { # MS ID
 	local out asked
 
 	save_up 2
 	for i in 0 1 2; do
-		mode "${backends[$i]}" '{"crashing": true}'
+		mode "${backends[$i]}" \
+			"{\"crashing\": true, \"crash_after_ms\": $1}"
 	done
 	asked=$(asked_engines)
-	out=$(curl -s -m 20 -N -X POST -o "$work/at-once" -w '%{http_code}' \
-		-H "Host: $host" -H "X-Siskinlink-Request-Id: at-once-1" \
+	out=$(curl -s -m 20 -N -X POST -o "$work/$2" -w '%{http_code}' \
+		-H "Host: $host" -H "X-Siskinlink-Request-Id: $2" \
 		-H "X-Siskinlink-Token-Count: 1000,400" \
-		-H "Authorization: Bearer $key" --data "crashes at once" \
+		-H "Authorization: Bearer $key" --data "crashes as $2" \
 		"http://${fronts[0]}/report/a")
 	[ "$out" = 502 ] || fail "it was answered $out"
 	[ "$(asked_engines)" = $((asked + 1)) ] ||
 		fail "$(($(asked_engines) - asked)) engines were asked to run it"
-	line at-once-1 attempt_failed | grep -q 'run_ms=-1' ||
-		fail "not explained: $(line at-once-1 attempt_failed)"
+	line "$2" attempt_failed | grep -q 'run_ms=-1' ||
+		fail "not explained: $(line "$2" attempt_failed)"
 	for i in 0 1 2; do
-		mode "${backends[$i]}" '{"crashing": false}'
+		mode "${backends[$i]}" \
+			'{"crashing": false, "crash_after_ms": 0}'
 	done
 }
 
