A run is not handed on from an engine that was in reach and made no event

Cause: where no event has come a backup counted as there 1 s after the request was sent. Ruled out that silence alone is enough: only behind a link that is cut may events have been made that have not come. Change: an engine whose connection was reset or closed, or that answered what is no answer, was in reach; without an event it has copied none. A connection that timed out, or found its host unreachable, is told apart (ERROR_TIMEOUT) and treated as before, as is silence.

--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -372,6 +372,7 @@
 			attempt_has_sent(leg->attempt);
 
 	exchange->gateway->now_us = gateway_now_us();
+	leg->is_out_of_reach = error->code == ERROR_TIMEOUT;
 	if (leg == exchange->next)
 		exchange_drop_next(exchange, error->detail);
 	else
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -97,7 +97,8 @@
 	g_free(place->handle);
 }
 
-static struct copy_place find_copy(const struct exchange *exchange)
+static struct copy_place find_copy(const struct exchange *exchange,
+				   enum attempt_result result)
 {
 	struct copy_place place = {NULL, NULL, NULL};
 	struct evacuation_input input;
@@ -105,6 +106,8 @@
 	if (!exchange_is_generation(exchange))
 		return place;
 	input = read_input(exchange);
+	input.broke_off =
+		result == RESULT_BROKEN && !exchange->leg->is_out_of_reach;
 	switch (evacuation_source(&input)) {
 	case EVACUATION_FROM_COPY:
 		place.endpoint = exchange_move_target(exchange);
@@ -277,7 +280,7 @@
 	    (result == RESULT_BROKEN || result == RESULT_SLOW))
 		exchange->runs++;
 	count_crash(exchange, result);
-	place = find_copy(exchange);
+	place = find_copy(exchange, result);
 	recovery = decide(exchange, &place, result, detail);
 	count_failure(exchange, result);
 	switch (recovery) {
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -35,12 +35,13 @@
 	int64_t tokens;		      /* counted at both engines */
 	int64_t unread_tokens;	      /* of the prompt */
 	int64_t sent_us;
-	int64_t begun_us;  /* first event; 0: none */
-	int64_t heard_us;  /* last event; 0: none */
-	int32_t status;	   /* the endpoint's; 0: none has come */
-	bool goes_on;	   /* takes a run over */
-	bool has_answered; /* its head has come */
-	bool has_gone_on;  /* took a run over and has made an event */
+	int64_t begun_us;     /* first event; 0: none */
+	int64_t heard_us;     /* last event; 0: none */
+	int32_t status;	      /* the endpoint's; 0: none has come */
+	bool goes_on;	      /* takes a run over */
+	bool has_answered;    /* its head has come */
+	bool has_gone_on;     /* took a run over and has made an event */
+	bool is_out_of_reach; /* its connection timed out */
 };
 
 struct move {
--- a/adapters/gateway/tcp_stream.c
+++ b/adapters/gateway/tcp_stream.c
@@ -125,6 +125,21 @@
 	g_source_unref(&stream->source);
 }
 
+/* Whether the peer's host was out of reach, rather than ending it. */
+static bool errno_is_silence(int number)
+{
+	return number == ETIMEDOUT || number == EHOSTUNREACH ||
+	       number == ENETUNREACH;
+}
+
+static enum error_code stream_error_code(const struct tcp_stream *stream,
+					 int number)
+{
+	if (!stream->has_sent)
+		return ERROR_UNREACHABLE;
+	return errno_is_silence(number) ? ERROR_TIMEOUT : ERROR_CLOSED;
+}
+
 static void stream_fail(struct tcp_stream *stream, const char *step, int number)
 {
 	struct error error;
@@ -134,8 +149,8 @@
 		return;
 	}
 	stream_close(stream);
-	error_set(&error, stream->has_sent ? ERROR_CLOSED : ERROR_UNREACHABLE,
-		  step, stream->peer, "%s", g_strerror(number));
+	error_set(&error, stream_error_code(stream, number), step, stream->peer,
+		  "%s", g_strerror(number));
 	if (stream->events)
 		stream->events->failed(stream->data, &error);
 }
--- a/core/gateway/evacuation.c
+++ b/core/gateway/evacuation.c
@@ -43,7 +43,7 @@
  * backup, and an engine asked to go on from nothing may begin: a request that
  * crashes its engine within a few ms ran at the next one as well, and a third
  * was asked. After its first event: none of 23 stood within 0.3 s. Where no
- * event has come, as behind a cut link, it may have made some unseen: a prompt
+ * event has come behind a cut link, it may have made some unseen: a prompt
  * of 3,000 tokens is read in 0.43 s, and the copy follows in another 0.6. Of
  * four runs lost without an event two went on, both after 3 s, and neither of
  * the others, after 0.2 and 3.6 s (8 days of crashes and cuts).
@@ -157,7 +157,9 @@
 /*
  * An engine that is named for a backup is not yet a copy. This is what at most
  * once rests on when an engine is lost; the other engine's word that it has no
- * copy is not relied on.
+ * copy is not relied on. What an engine makes comes before the end of its
+ * connection: one that was in reach and made no event has copied none, however
+ * long the run waited there behind others' prompts.
  */
 static bool backup_may_stand(const struct evacuation_input *input)
 {
@@ -165,7 +167,7 @@
 		return false;
 	if (input->has_begun)
 		return input->begun_us >= BACKUP_FIRST_US;
-	return input->silent_us >= BACKUP_UNSEEN_US;
+	return !input->broke_off && input->silent_us >= BACKUP_UNSEEN_US;
 }
 
 static enum evacuation decide_backup(const struct evacuation_input *input)
--- a/tests/evacuation_script.cc
+++ b/tests/evacuation_script.cc
@@ -171,6 +171,7 @@
 	{
 		struct evacuation_input input = Input();
 
+		input.broke_off = scene.silent < 0;
 		if (!is_old || now < scene.end || is_asked || over)
 			return;
 		result.had_copy = BackupStands() ||
--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -117,7 +117,8 @@
  * The engine is lost behind a cut link, which shows after seconds of silence.
  * No event has come, but it may have made some and copied them: the backup is
  * asked, and the run goes on. After a few ms there is nothing to go on from,
- * and the engine that is asked would begin the run anew.
+ * and the engine that is asked would begin the run anew; nor is there when the
+ * engine was in reach all the while and broke off without an event.
  */
 TEST(Evacuation, BelievesInABackupOnceItMayStand)
 {
@@ -128,6 +129,8 @@
 	EXPECT_EQ(EVACUATION_FROM_NOTHING, evacuation_source(&input));
 	input.silent_us = 3000000;
 	EXPECT_EQ(EVACUATION_FROM_BACKUP, evacuation_source(&input));
+	input.broke_off = true;
+	EXPECT_EQ(EVACUATION_FROM_NOTHING, evacuation_source(&input));
 	input.has_begun = true;
 	input.begun_us = 8000;
 	input.silent_us = 8000;
