Failing: a backup that is gone is asked, and a promise that nobody made passed on

An engine that keeps a run's backup starts again under its old id: it is asked to go on all the same. An engine answers 408, 421, 429 or 503 after a run, without the word that it did not run: the status reaches the caller, for whom it promises just that.

--- a/fakes/fake_backend.c
+++ b/fakes/fake_backend.c
@@ -24,6 +24,7 @@
 	bool unframed;		/* answers without a length */
 	bool crashing;		/* each request resets its connection */
 	int64_t crash_after_ms; /* since it came, as after a wait in a queue */
+	int64_t own_status;	/* answers by it after a run, unsaid; 0: none */
 	int64_t runs;
 	int64_t taken_over;
 	int64_t left; /* callers that closed early */
@@ -202,6 +203,9 @@
 		backend->runs++;
 	if (backend->crashing) {
 		crash(backend, message);
+	} else if (backend->own_status) {
+		fake_message_answer_text(message, (guint)backend->own_status,
+					 "failed");
 	} else if (backend->failing) {
 		fake_message_answer_text(message, 500, "failed");
 	} else if (backend->plain) {
@@ -264,6 +268,7 @@
 		{"unframed", FAKE_MODE_BOOL, &backend.unframed},
 		{"crashing", FAKE_MODE_BOOL, &backend.crashing},
 		{"crash_after_ms", FAKE_MODE_INT, &backend.crash_after_ms},
+		{"own_status", FAKE_MODE_INT, &backend.own_status},
 	};
 	int status;
 
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -47,11 +47,13 @@
 	curl -s "http://${backends[$1]}/fake/state" | jq -r ".$2"
 }
 
+born=1780000000000 # of the engines that register
+
 entry() { # ENGINE SERVICE STATE
 	put "servers/i-$1" "$(jq -nc --arg s "$2" --arg a "${backends[$1]}" \
-		--arg st "$3" '{service: $s, address: $a, zone: "z",
+		--arg st "$3" --argjson born "$born" '{service: $s, address: $a, zone: "z",
 		version: "v1", slots: 24, state: $st, warmup_left_ms: 0,
-		sequence: 1, born: 1780000000000}')"
+		sequence: 1, born: $born}')"
 }
 
 document() { # KEYS...
@@ -569,6 +571,52 @@
 	done
 }
 
+# A report runs, and the engine that keeps its backup starts again under its
+# old id and registers: it knows nothing of before. Then the report's engine is
+# killed. There is nothing to go on from; an engine that is asked all the same
+# would have to say so, or would begin. The stream is cut, and nobody is asked.
+case_asks_no_backup_that_started_again() {
+	local victim backup
+
+	save_up 1
+	report 0 "$work/anew" anew-1 &
+	reader=$!
+	streams "$work/anew" 5
+	victim=$(engine_of anew-1)
+	backup=$(line anew-1 request_placed | sed -E 's/.* backup=i-([0-9]+).*/\1/')
+	kill -KILL "${backend_pids[$backup]}"
+	born=1780000009000
+	start_backend "$backup" engines
+	streams "$work/anew" 40
+	kill -KILL "${backend_pids[$victim]}"
+	wait "$reader" && fail "the stream ended as if whole"
+	[ "$(state "$backup" taken_over)" = 0 ] ||
+		fail "it was asked: $(line anew-1 run_taken_over)"
+	start_backend "$victim" engines
+}
+
+# An engine answers by a status that promises callers that nothing ran, without
+# the word for it: it may have run. Passed on, the status would have the caller
+# send its request again, to run a second time. It gets 502, which promises
+# nothing, and the request ran once.
+case_promises_only_what_the_endpoint_said() {
+	local out before status
+
+	for status in 408 421 429 503; do
+		for i in 3 4; do
+			mode "${backends[$i]}" "{\"own_status\": $status}"
+		done
+		before=$(($(state 3 runs) + $(state 4 runs)))
+		out=$(ask 0 /lookup/export/a -X POST)
+		refused 502 "$out"
+		[ $(($(state 3 runs) + $(state 4 runs) - before)) = 1 ] ||
+			fail "$status: it did not run once"
+	done
+	for i in 3 4; do
+		mode "${backends[$i]}" '{"own_status": 0}'
+	done
+}
+
 # Requests that reached an engine to be run or to be gone on with, in all.
 asked_engines() {
 	local sum=0
