An engine that started again under its id keeps no copies

Cause: a backup, and the target of a whole copy, were looked up by the engine's id alone. One that starts again under its id registers as usable, and counted as the keeper of what the start before it held; only its own word that it had nothing stood against a second run. Ruled out that its entry always goes in between: it is written anew with a later start. Change: a run remembers which start of the engine was named, by the moment since when it is known; another start has no copy (endpoint_keeps_since).

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -60,12 +60,15 @@
 /* The engine that has the whole copy and still serves; NULL: none. */
 struct endpoint *exchange_move_target(const struct exchange *exchange)
 {
+	const struct move *move = &exchange->move;
 	struct endpoint *target = NULL;
 
-	if (exchange->move.state == COPY_WHOLE)
+	if (move->state == COPY_WHOLE)
 		target = registry_find(exchange->gateway->registry,
-				       exchange->move.target_id);
-	return target && endpoint_is_usable(target) ? target : NULL;
+				       move->target_id);
+	return target && endpoint_keeps_since(target, move->target_known_us)
+		       ? target
+		       : NULL;
 }
 
 /* Asks the engine that has the whole copy to go on with the run. */
@@ -191,6 +194,7 @@
 		return;
 	move->target_id = g_strdup(target->said->id);
 	move->target_address = g_strdup(target->said->address);
+	move->target_known_us = target->known_us;
 	move->body = g_byte_array_new();
 	move->tokens = exchange->leg->tokens;
 	move_count(exchange, 1);
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -17,9 +17,11 @@
 
 static bool has_backup(const struct exchange *exchange)
 {
-	const struct endpoint *backup = leg_backup(exchange->leg);
+	const struct leg *leg = exchange->leg;
+	const struct endpoint *backup = leg_backup(leg);
 
-	return backup && endpoint_is_usable(backup) && !exchange->copy_failed;
+	return backup && endpoint_keeps_since(backup, leg->backup_known_us) &&
+	       !exchange->copy_failed;
 }
 
 /* Since its engine's notice; 0: there is none. */
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -31,6 +31,7 @@
 	char *endpoint_address;
 	char *backup_id; /* engine that keeps a copy, or NULL */
 	char *backup_address;
+	int64_t backup_known_us;      /* which start of that engine was asked */
 	struct event_scanner *events; /* NULL: no event stream */
 	int64_t tokens;		      /* counted at both engines */
 	int64_t unread_tokens;	      /* of the prompt */
@@ -52,9 +53,10 @@
 	int64_t since_us;
 	char *target_id;
 	char *target_address;
-	char *handle;	  /* names the copy, once it is whole */
-	int64_t tokens;	  /* counted at the target */
-	int32_t failures; /* targets that had no room */
+	int64_t target_known_us; /* which start of that engine */
+	char *handle;		 /* names the copy, once it is whole */
+	int64_t tokens;		 /* counted at the target */
+	int32_t failures;	 /* targets that had no room */
 };
 
 /* One request of a caller, from its last byte to the end of its answer. */
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -99,6 +99,7 @@
 		return;
 	leg->backup_id = g_strdup(backup->said->id);
 	leg->backup_address = g_strdup(backup->said->address);
+	leg->backup_known_us = backup->known_us;
 }
 
 /* A leg of the exchange at the endpoint, counted there from now on. */
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -81,6 +81,16 @@
 	       endpoint->presence == PRESENCE_DOUBTED;
 }
 
+/*
+ * Whether it serves and is still the start of it that was known since known_us:
+ * one that started again under its id has lost the copies that it kept. Asked
+ * to go on from one it would have to say so, or would begin the run anew.
+ */
+bool endpoint_keeps_since(const struct endpoint *endpoint, int64_t known_us)
+{
+	return endpoint_is_usable(endpoint) && endpoint->known_us == known_us;
+}
+
 /* Whether requests that any node has sent there have no answer yet. */
 bool endpoint_reads_prompts(const struct endpoint *endpoint)
 {
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -73,6 +73,7 @@
 			int64_t now_us);
 void registry_forget_silent(struct registry *registry, int64_t before_us);
 bool endpoint_is_usable(const struct endpoint *endpoint);
+bool endpoint_keeps_since(const struct endpoint *endpoint, int64_t known_us);
 bool endpoint_reads_prompts(const struct endpoint *endpoint);
 void endpoint_count_answer(struct endpoint *endpoint, bool is_error);
 
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -68,6 +68,28 @@
 	}
 };
 
+/*
+ * An engine keeps a copy of a run, says other things of itself, and then starts
+ * again under its id: the copy is gone, though the engine is there. Whoever
+ * asked it to go on would have the run begin a second time.
+ */
+TEST_F(Registry, KnowsThatAnEngineThatStartedAgainKeptNothing)
+{
+	const struct endpoint *engine;
+	int64_t known_us;
+
+	take(say("e1", 5, false, 100));
+	engine = registry_find(registry, "e1");
+	known_us = engine->known_us;
+	now_us += second_us;
+	take(say("e1", 6, false, 100));
+	EXPECT_TRUE(endpoint_keeps_since(engine, known_us));
+	now_us += second_us;
+	take(say("e1", 7, false, 200));
+	EXPECT_TRUE(endpoint_is_usable(engine));
+	EXPECT_FALSE(endpoint_keeps_since(engine, known_us));
+}
+
 /*
  * An endpoint leaves, and a peer that lags still says that it is ready. The
  * older word must not bring it back: it would get work that it cannot end.
