A promise that the endpoint did not make is not passed on

Cause: an endpoint's own 408, 421, 429 or 503 without the word that it did not run was taken for run, rightly, and yet passed on. To callers these statuses promise that the request has not run and never will: they send it again, and it runs twice, by way of the caller instead of the gateway. Since a 421 without the word no longer counts as not run, it went that way, too. Change: for a request that may run once such an answer becomes 502, which promises nothing; one that is idempotent keeps the endpoint's answer.

--- a/adapters/gateway/dialect.h
+++ b/adapters/gateway/dialect.h
@@ -44,6 +44,7 @@
 /* What an endpoint's answer says beside status and body. */
 struct endpoint_answer {
 	bool did_not_run;
+	bool promises_not_run; /* to callers, by its status alone */
 	bool is_own; /* written by an endpoint, not by something before it */
 	bool is_event_stream;
 	int64_t keep_alive_us; /* the connection may be idle so long; -1 */
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -193,6 +193,16 @@
 	return false;
 }
 
+/*
+ * The endpoint may have run it, and its status would promise the caller that it
+ * did not: the caller would send it again, to run twice.
+ */
+static bool exchange_promises_too_much(const struct exchange *exchange)
+{
+	return exchange->said.promises_not_run &&
+	       exchange->route->kind != ROUTE_IDEMPOTENT;
+}
+
 /*
  * A run that was taken over goes on; its first head has been passed on. The
  * engine that had it before is let go now at the latest.
@@ -238,6 +248,11 @@
 				  "not an endpoint's answer");
 		return;
 	}
+	if (exchange_promises_too_much(exchange)) {
+		exchange_fail_leg(exchange, RESULT_ERROR,
+				  "a promise without the word for it");
+		return;
+	}
 	if (head->status >= STATUS_ERROR && !exchange_keeps_error(exchange))
 		return;
 	if (endpoint)
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -308,3 +308,26 @@
 	EXPECT_TRUE(said.did_not_run);
 	http_head_destroy(head);
 }
+
+/*
+ * A status that tells callers that nothing ran, from an endpoint that may have
+ * run: passed on, it has the caller send its request again. It is told apart
+ * from the endpoint's word, which comes in a field of its own.
+ */
+TEST(Platform, KnowsWhichStatusesPromiseThatNothingRan)
+{
+	struct endpoint_answer said = {};
+
+	for (int32_t status : {200, 400, 404, 408, 421, 429, 500, 503, 504}) {
+		struct http_head *head = http_head_create();
+
+		head->status = status;
+		platform_dialect.read_answer(head, &said);
+		EXPECT_EQ(status == 408 || status == 421 || status == 429 ||
+				  status == 503,
+			  said.promises_not_run)
+			<< status;
+		EXPECT_FALSE(said.did_not_run) << status;
+		http_head_destroy(head);
+	}
+}
