--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -17,9 +17,11 @@
 
 static bool has_backup(const struct exchange *exchange)
 {
-	const struct endpoint *backup = leg_backup(exchange->leg);
+	const struct leg *leg = exchange->leg;
+	const struct endpoint *backup = leg_backup(leg);
 
-	return backup && endpoint_is_usable(backup) && !exchange->copy_failed;
+	return backup && endpoint_keeps_since(backup, leg->backup_known_us) &&
+	       !exchange->copy_failed;
 }
 
 /* Since its engine's notice; 0: there is none. */
@@ -97,7 +99,8 @@
 	g_free(place->handle);
 }
 
-static struct copy_place find_copy(const struct exchange *exchange)
+static struct copy_place find_copy(const struct exchange *exchange,
+				   enum attempt_result result)
 {
 	struct copy_place place = {NULL, NULL, NULL};
 	struct evacuation_input input;
@@ -105,6 +108,8 @@
 	if (!exchange_is_generation(exchange))
 		return place;
 	input = read_input(exchange);
+	input.broke_off =
+		result == RESULT_BROKEN && !exchange->leg->is_out_of_reach;
 	switch (evacuation_source(&input)) {
 	case EVACUATION_FROM_COPY:
 		place.endpoint = exchange_move_target(exchange);
@@ -277,7 +282,7 @@
 	    (result == RESULT_BROKEN || result == RESULT_SLOW))
 		exchange->runs++;
 	count_crash(exchange, result);
-	place = find_copy(exchange);
+	place = find_copy(exchange, result);
 	recovery = decide(exchange, &place, result, detail);
 	count_failure(exchange, result);
 	switch (recovery) {
