What an engine never got it has copied nowhere

A run that was never sent to an engine, for want of a connection, has no copy from there either, however long that took: only silence and a connection that timed out leave open what was made. Ruled out that it happened: the connection is given up after 0.6 s and a backup believed in after 1 s; the two constants alone kept them apart.

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -109,7 +109,7 @@
 		return place;
 	input = read_input(exchange);
 	input.broke_off =
-		result == RESULT_BROKEN && !exchange->leg->is_out_of_reach;
+		result != RESULT_SLOW && !exchange->leg->is_out_of_reach;
 	switch (evacuation_source(&input)) {
 	case EVACUATION_FROM_COPY:
 		place.endpoint = exchange_move_target(exchange);
--- a/core/gateway/evacuation.h
+++ b/core/gateway/evacuation.h
@@ -30,7 +30,7 @@
 	int64_t begun_us;  /* since its first event at this engine */
 	bool ends_in_time; /* before its engine does, as expected */
 	bool budget_left;  /* another engine may be asked */
-	bool broke_off;	   /* it is lost, and was in reach until then */
+	bool broke_off;	   /* lost, but not behind a link that is cut */
 
 	bool has_backup; /* at an engine that serves, not known to be missing */
 	bool backup_reads_prompts;
