Name held endpoints in a standing by key, in one array

A standing comes from each node several times a second, and writing and reading one grew by 2 us an endpoint named: each was a GVariant of its own with a text, an allocation, and an entry of a new hash table.

Ruled out: the sender's numbering of endpoints (needs a table at each reader that can be out of step); a narrower array of 32-bit keys (saves 4 of 24 bytes and makes collisions likely at thousands of endpoints).

Now an endpoint is a 64-bit hash of its id and four 32-bit counts, the list is written and read in one piece, and the registry keeps what a node holds as an array and finds endpoints by key. Should two ids share a key, the one known first gets what others hold on both; only the hint by which engines are chosen is wrong then.

--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -66,7 +66,7 @@
 
 		if (own->requests == 0 && own->copies == 0)
 			continue;
-		held = peer_standing_add(standing, endpoint->said->id);
+		held = peer_standing_add(standing, endpoint->key);
 		held->requests = own->requests;
 		held->copies = own->copies;
 		held->tokens = own->tokens;
--- a/codec/peer_standing.h
+++ b/codec/peer_standing.h
@@ -9,7 +9,7 @@
 G_BEGIN_DECLS
 
 /* The body of PEER_STANDING. */
-#define PEER_HELD_FORMAT "(suuuu)"
+#define PEER_HELD_FORMAT "(tuuuu)"
 #define PEER_REGISTRATION_FORMAT "(ssssxxxuyy)"
 #define PEER_STANDING_FORMAT                                                   \
 	"(txtbbsssa" PEER_HELD_FORMAT "a" PEER_REGISTRATION_FORMAT ")"
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -1,6 +1,6 @@
 #include "core/gateway/registry.h"
 
-#include "ports/peer_message.h"
+#include "core/gateway/registry_state.h"
 
 #include <string.h>
 
@@ -10,19 +10,6 @@
 /* About the last ten answers count. */
 #define ERROR_FADE 0.1
 
-/* What one other node holds. */
-struct holder_node {
-	uint64_t incarnation;
-	int64_t heard_us;
-	GHashTable *held; /* endpoint id to struct held */
-};
-
-struct registry {
-	GHashTable *by_id;    /* id to struct endpoint */
-	GPtrArray *endpoints; /* owns struct endpoint */
-	GHashTable *nodes;    /* name to struct holder_node */
-};
-
 static void endpoint_destroy(gpointer data)
 {
 	struct endpoint *endpoint = data;
@@ -31,23 +18,15 @@
 	g_free(endpoint);
 }
 
-static void holder_node_destroy(gpointer data)
-{
-	struct holder_node *node = data;
-
-	g_hash_table_unref(node->held);
-	g_free(node);
-}
-
 /* A registry that knows nothing. */
 struct registry *registry_create(void)
 {
 	struct registry *registry = g_new0(struct registry, 1);
 
 	registry->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	registry->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
 	registry->endpoints = g_ptr_array_new_with_free_func(endpoint_destroy);
-	registry->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-						holder_node_destroy);
+	registry->nodes = holder_nodes_create();
 	return registry;
 }
 
@@ -57,6 +36,7 @@
 	if (!registry)
 		return;
 	g_hash_table_unref(registry->by_id);
+	g_hash_table_unref(registry->by_key);
 	g_ptr_array_unref(registry->endpoints);
 	g_hash_table_unref(registry->nodes);
 	g_free(registry);
@@ -168,9 +148,8 @@
 				     int64_t now_us)
 {
 	struct endpoint *endpoint = g_new0(struct endpoint, 1);
-	GHashTableIter iter;
-	gpointer node;
 
+	endpoint->key = endpoint_key(news->id);
 	endpoint->said = registration_copy(news);
 	endpoint->since_us = now_us;
 	endpoint->known_us = now_us;
@@ -178,14 +157,7 @@
 	endpoint_health_init(&endpoint->health);
 	g_ptr_array_add(registry->endpoints, endpoint);
 	g_hash_table_insert(registry->by_id, endpoint->said->id, endpoint);
-	g_hash_table_iter_init(&iter, registry->nodes);
-	while (g_hash_table_iter_next(&iter, NULL, &node)) {
-		const struct held *held = g_hash_table_lookup(
-			((struct holder_node *)node)->held, endpoint->said->id);
-
-		if (held)
-			held_add(&endpoint->others, held, 1);
-	}
+	registry_add_key(registry, endpoint);
 	return endpoint;
 }
 
@@ -328,6 +300,18 @@
 		endpoint_health_report_idle(&endpoint->health);
 }
 
+/* Its key may stand for another endpoint. */
+static void registry_remove(struct registry *registry, guint index)
+{
+	struct endpoint *endpoint =
+		g_ptr_array_index(registry->endpoints, index);
+
+	g_hash_table_remove(registry->by_id, endpoint->said->id);
+	if (g_hash_table_lookup(registry->by_key, &endpoint->key) == endpoint)
+		g_hash_table_remove(registry->by_key, &endpoint->key);
+	g_ptr_array_remove_index(registry->endpoints, index);
+}
+
 /*
  * Brings endpoints back that were put aside long enough, gives up on those
  * that have been doubted since before the time given, and forgets those long
@@ -348,80 +332,7 @@
 		}
 		if (endpoint->presence == PRESENCE_GONE &&
 		    endpoint->own.requests == 0 && endpoint->own.copies == 0 &&
-		    now_us - endpoint->since_us > REMEMBER_GONE_US) {
-			g_hash_table_remove(registry->by_id,
-					    endpoint->said->id);
-			g_ptr_array_remove_index(registry->endpoints, i);
-		}
-	}
-}
-
-static void registry_add_node_held(struct registry *registry,
-				   const struct holder_node *node, int32_t sign)
-{
-	GHashTableIter iter;
-	gpointer id, held;
-
-	g_hash_table_iter_init(&iter, node->held);
-	while (g_hash_table_iter_next(&iter, &id, &held)) {
-		struct endpoint *endpoint = registry_find(registry, id);
-
-		if (endpoint)
-			held_add(&endpoint->others, held, sign);
-	}
-}
-
-static GHashTable *held_by_endpoint(const GPtrArray *list)
-{
-	GHashTable *by_id =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-
-	for (guint i = 0; i < list->len; i++) {
-		const struct peer_held *said = g_ptr_array_index(list, i);
-		struct held *held = g_new0(struct held, 1);
-
-		held->requests = said->requests;
-		held->copies = said->copies;
-		held->tokens = said->tokens;
-		held->unread_tokens = said->unread_tokens;
-		g_hash_table_replace(by_id, g_strdup(said->endpoint), held);
-	}
-	return by_id;
-}
-
-/* Another node says what it holds: a list of struct peer_held, all of it. */
-void registry_take_held(struct registry *registry, const char *name,
-			uint64_t incarnation, const GPtrArray *held,
-			int64_t now_us)
-{
-	struct holder_node *node = g_hash_table_lookup(registry->nodes, name);
-
-	if (node) {
-		registry_add_node_held(registry, node, -1);
-		g_hash_table_unref(node->held);
-	} else {
-		node = g_new0(struct holder_node, 1);
-		g_hash_table_insert(registry->nodes, g_strdup(name), node);
-	}
-	node->incarnation = incarnation;
-	node->heard_us = now_us;
-	node->held = held_by_endpoint(held);
-	registry_add_node_held(registry, node, 1);
-}
-
-/* Nodes not heard of since then hold nothing any more. */
-void registry_forget_silent(struct registry *registry, int64_t before_us)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, registry->nodes);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct holder_node *node = value;
-
-		if (node->heard_us >= before_us)
-			continue;
-		registry_add_node_held(registry, node, -1);
-		g_hash_table_iter_remove(&iter);
+		    now_us - endpoint->since_us > REMEMBER_GONE_US)
+			registry_remove(registry, i);
 	}
 }
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -33,6 +33,7 @@
 };
 
 struct endpoint {
+	uint64_t key; /* by which other nodes name it */
 	struct registration *said;
 	enum endpoint_presence presence;
 	int64_t since_us; /* of the presence */
@@ -63,6 +64,7 @@
 bool registry_mark_leaving(struct registry *registry, const char *id,
 			   int64_t now_us);
 
+uint64_t endpoint_key(const char *id);
 struct endpoint *registry_find(struct registry *registry, const char *id);
 const GPtrArray *registry_endpoints(const struct registry *registry);
 bool registry_has_usable(const struct registry *registry);
@@ -70,7 +72,7 @@
 			    const char *service);
 
 void registry_take_held(struct registry *registry, const char *node,
-			uint64_t incarnation, const GPtrArray *held,
+			uint64_t incarnation, const GArray *held,
 			int64_t now_us);
 void registry_forget_silent(struct registry *registry, int64_t before_us);
 struct held endpoint_held(const struct endpoint *endpoint);
--- /dev/null
+++ b/core/gateway/registry_state.h
@@ -0,0 +1,18 @@
+#ifndef CORE_GATEWAY_REGISTRY_STATE_H
+#define CORE_GATEWAY_REGISTRY_STATE_H
+
+#include "core/gateway/registry.h"
+
+/* Private to the registry: its endpoints, and what other nodes hold on them. */
+
+struct registry {
+	GHashTable *by_id;    /* id to struct endpoint */
+	GHashTable *by_key;   /* endpoint_key to struct endpoint */
+	GPtrArray *endpoints; /* owns struct endpoint */
+	GHashTable *nodes;    /* name to struct holder_node */
+};
+
+GHashTable *holder_nodes_create(void);
+void registry_add_key(struct registry *registry, struct endpoint *endpoint);
+
+#endif
--- a/core/message/peer_message.c
+++ b/core/message/peer_message.c
@@ -36,12 +36,6 @@
 	g_free(holding);
 }
 
-static void peer_held_free(gpointer data)
-{
-	g_free(((struct peer_held *)data)->endpoint);
-	g_free(data);
-}
-
 /* A message of this type with empty lists where the type has lists. */
 struct peer_message *peer_message_create(enum peer_message_type type)
 {
@@ -68,7 +62,7 @@
 		break;
 	case PEER_STANDING:
 		message->standing.held =
-			g_ptr_array_new_with_free_func(peer_held_free);
+			g_array_new(FALSE, TRUE, sizeof(struct peer_held));
 		message->standing.registrations = registration_list_create();
 		break;
 	case PEER_CHOOSE:
@@ -110,7 +104,7 @@
 		break;
 	case PEER_STANDING:
 		g_free(message->standing.callers_address);
-		g_ptr_array_unref(message->standing.held);
+		g_array_unref(message->standing.held);
 		g_ptr_array_unref(message->standing.registrations);
 		break;
 	case PEER_CHOOSE:
@@ -204,14 +198,19 @@
 	return holding;
 }
 
-/* Adds an endpoint on which the sender holds nothing yet. */
+/*
+ * Adds an endpoint on which the sender holds nothing yet; to be filled in
+ * before the next is added.
+ */
 struct peer_held *peer_standing_add(struct peer_standing *standing,
-				    const char *endpoint)
+				    uint64_t endpoint_key)
 {
-	struct peer_held *held = g_new0(struct peer_held, 1);
+	struct peer_held *held;
 
-	held->endpoint = g_strdup(endpoint);
-	g_ptr_array_add(standing->held, held);
+	g_array_set_size(standing->held, standing->held->len + 1);
+	held = &g_array_index(standing->held, struct peer_held,
+			      standing->held->len - 1);
+	held->endpoint_key = endpoint_key;
 	return held;
 }
 
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -146,7 +146,7 @@
 
 /* What the sender's gateway holds on an endpoint. */
 struct peer_held {
-	char *endpoint; /* id of one start of it */
+	uint64_t endpoint_key; /* stands for the id of one start of it */
 	int32_t requests;
 	int32_t copies; /* backups of generations kept there */
 	int64_t tokens;
@@ -159,7 +159,7 @@
 	bool takes_work;
 	bool reaches_store;
 	char *callers_address;
-	GPtrArray *held;	  /* struct peer_held: all of it */
+	GArray *held;		  /* struct peer_held: all of it */
 	GPtrArray *registrations; /* struct registration: some */
 };
 
@@ -212,7 +212,7 @@
 
 struct peer_holding *peer_progress_add(struct peer_progress *progress);
 struct peer_held *peer_standing_add(struct peer_standing *standing,
-				    const char *endpoint);
+				    uint64_t endpoint_key);
 struct peer_limit *peer_limits_add(struct peer_limits *limits);
 
 G_END_DECLS
