The soak's folder has its build rules

Objects of tests/soak go into a library of their own, so that tests can use them without the program. Formatting and clang-tidy take the folder in.

--- a/Makefile
+++ b/Makefile
@@ -41,17 +41,21 @@
 	$(filter-out $(PROGRAM_SOURCES),$(wildcard daemons/*.c))
 FAKE_SOURCES = $(filter-out $(PROGRAM_SOURCES),$(wildcard fakes/*.c bench/*.c))
 TEST_SOURCES = $(wildcard tests/*.cc)
+SOAK_MAIN = $(wildcard tests/soak/soak_main.c)
+SOAK_SOURCES = $(filter-out $(SOAK_MAIN),$(wildcard tests/soak/*.c))
 
 objects = $(patsubst %,$(B)/%.o,$(basename $(1)))
 LIBRARY = $(B)/libsiskinlink.a
 FAKES = $(B)/libfakes.a
+SOAK = $(B)/libsoak.a
+SOAK_PROGRAM = $(if $(SOAK_MAIN),$(B)/bin/soak)
 TESTS = $(B)/bin/tests
 
 .PHONY: all demo demo-platform check unit gateway faults api soak bench format format-check tidy pure spec \
 	mutants install-deps clean fuzz-short fuzz-run
 .SECONDARY:
 
-all: $(PROGRAMS)
+all: $(PROGRAMS) $(SOAK_PROGRAM)
 
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
@@ -69,6 +73,10 @@
 	@rm -f $@
 	ar rcs $@ $^
 
+$(SOAK): $(call objects,$(SOAK_SOURCES))
+	@rm -f $@
+	ar rcs $@ $^
+
 vpath %.c daemons fakes bench
 $(B)/bin/%: $(B)/daemons/%.o $(LIBRARY)
 	@mkdir -p $(@D)
@@ -82,7 +90,11 @@
 	@mkdir -p $(@D)
 	$(CXX) $(ALL_LDFLAGS) -o $@ $^ $(PACKAGE_LIBS)
 
-$(TESTS): $(call objects,$(TEST_SOURCES)) $(FAKES) $(LIBRARY)
+$(B)/bin/soak: $(B)/tests/soak/soak_main.o $(SOAK) $(FAKES) $(LIBRARY)
+	@mkdir -p $(@D)
+	$(CXX) $(ALL_LDFLAGS) -o $@ $^ $(PACKAGE_LIBS)
+
+$(TESTS): $(call objects,$(TEST_SOURCES)) $(SOAK) $(FAKES) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(CXX) $(ALL_LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PACKAGE_LIBS)
 
@@ -162,7 +174,7 @@
 	$(B)/bin/evacuation_bench
 
 FORMATTED = $(wildcard */*.c */*.h */*.cc core/*/*.c core/*/*.h adapters/*/*.c \
-	adapters/*/*.h)
+	adapters/*/*.h tests/*/*.c tests/*/*.h)
 format:
 	clang-format -i $(FORMATTED)
 
@@ -171,7 +183,7 @@
 
 TIDY_SOURCES = $(PURE_SOURCES) $(wildcard adapters/*.c adapters/*/*.c \
 	platform/*.c daemons/*.c fakes/*.c \
-	bench/*.c)
+	bench/*.c tests/soak/*.c)
 tidy:
 	printf '%s\n' $(TIDY_SOURCES) | xargs -P 12 -n 4 sh -c \
 		'clang-tidy --quiet "$$@" -- -std=gnu11 -I. $(PACKAGE_CFLAGS)' tidy
@@ -181,4 +193,5 @@
 
 -include $(patsubst %.o,%.d,$(call objects,$(LIBRARY_SOURCES) \
 	$(FAKE_SOURCES) $(PROGRAM_SOURCES) $(TEST_SOURCES) \
+	$(SOAK_SOURCES) $(SOAK_MAIN) \
 	$(wildcard fuzz/*.c)))
