A proxy between two parties puts faults on their link

For faults from outside the processes: a loopback proxy in the caller's own loop delays, resets, cuts one way or both, silences, trickles, holds answers back or adds one nobody asked for.

--- /dev/null
+++ b/tests/soak/soak_connection.c
@@ -0,0 +1,401 @@
+#include "tests/soak/soak_connection.h"
+
+#include "tests/soak/soak_pipe.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* What belongs to no request, yet reads like an answer to the next one. */
+#define STRAY_ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+
+#define READ_BYTES 16384
+
+enum { CLIENT, TARGET, SIDES };
+
+struct side {
+	GSocket *socket;
+	gpointer tag; /* in the source; NULL: not polled */
+	GIOCondition polled;
+	struct soak_pipe *sent; /* what this side has sent */
+	int64_t next_byte_us;	/* a trickle's, towards this side */
+	bool shut;		/* it has been told that the other one ended */
+	bool failed;		/* nothing can be sent to it any more */
+};
+
+struct soak_connection {
+	GSource *source;
+	struct side sides[SIDES];
+	const struct soak_link *link;
+	bool connecting;
+	bool silent;	      /* for good */
+	bool answered;	      /* the last bytes that passed went back */
+	int64_t last_sent_us; /* when they did */
+	soak_connection_ended ended;
+	void *data;
+};
+
+struct connection_source {
+	GSource base;
+	struct soak_connection *connection;
+};
+
+/* Closes it so that its peer gets a reset. */
+void soak_socket_reset(GSocket *socket)
+{
+	struct linger linger = {1, 0};
+
+	setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &linger,
+		   sizeof(linger));
+	g_socket_close(socket, NULL);
+}
+
+static bool link_holds(const struct soak_connection *connection, int from)
+{
+	if (connection->silent)
+		return true;
+	return from == CLIENT ? soak_link_holds_forward(connection->link)
+			      : soak_link_holds_back(connection->link);
+}
+
+static int64_t arrival_us(const struct soak_connection *connection,
+			  int64_t now_us)
+{
+	if (connection->link->kind == SOAK_LINK_DELAY)
+		return now_us + connection->link->delay_us;
+	return now_us;
+}
+
+/*
+ * The side is gone: nothing more reaches it, and the other one is told so as
+ * soon as the link lets it.
+ */
+static void side_fail(struct soak_connection *connection, int from,
+		      int64_t now_us)
+{
+	struct side *side = &connection->sides[from];
+
+	side->failed = true;
+	soak_pipe_discard(connection->sides[1 - from].sent);
+	soak_pipe_set_end(side->sent, SOAK_PIPE_RESET,
+			  arrival_us(connection, now_us));
+}
+
+/* Takes in what a side has sent, as far as there is room. */
+static void side_read(struct soak_connection *connection, int from,
+		      int64_t now_us)
+{
+	struct side *side = &connection->sides[from];
+	char bytes[READ_BYTES];
+	size_t room = MIN(soak_pipe_room(side->sent), sizeof(bytes));
+	g_autoptr(GError) error = NULL;
+	gssize got;
+
+	if (room == 0 || soak_pipe_get_end(side->sent) != SOAK_PIPE_OPEN)
+		return;
+	got = g_socket_receive(side->socket, bytes, room, NULL, &error);
+	if (got > 0 && !connection->sides[1 - from].failed) {
+		soak_pipe_add(side->sent, bytes, (size_t)got,
+			      arrival_us(connection, now_us));
+		if (from == CLIENT)
+			connection->answered = false;
+	} else if (got == 0) {
+		soak_pipe_set_end(side->sent, SOAK_PIPE_CLOSED,
+				  arrival_us(connection, now_us));
+	} else if (got < 0 &&
+		   !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+		side_fail(connection, from, now_us);
+}
+
+/* Sends one piece on to a side; false: it takes no more now. */
+static bool side_write(struct soak_connection *connection, int to,
+		       int64_t now_us)
+{
+	struct side *side = &connection->sides[to];
+	struct soak_pipe *pipe = connection->sides[1 - to].sent;
+	bool trickles = connection->link->kind == SOAK_LINK_TRICKLE;
+	g_autoptr(GError) error = NULL;
+	const char *bytes;
+	size_t size;
+	gssize sent;
+
+	bytes = soak_pipe_peek(pipe, &size);
+	if (!bytes || soak_pipe_due_us(pipe) > now_us ||
+	    (trickles && side->next_byte_us > now_us))
+		return false;
+	sent = g_socket_send(side->socket, bytes, trickles ? 1 : size, NULL,
+			     &error);
+	if (sent > 0) {
+		soak_pipe_drop(pipe, (size_t)sent);
+		side->next_byte_us = now_us + connection->link->delay_us;
+		connection->answered = to == CLIENT;
+		connection->last_sent_us = now_us;
+		return true;
+	}
+	if (!g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+		side_fail(connection, to, now_us);
+	return false;
+}
+
+/* Tells a side, behind the last bytes, how the other one ended. */
+static void side_end(struct soak_connection *connection, int to, int64_t now_us)
+{
+	struct side *side = &connection->sides[to];
+	const struct soak_pipe *pipe = connection->sides[1 - to].sent;
+
+	if (side->shut || !soak_pipe_is_empty(pipe) ||
+	    soak_pipe_due_us(pipe) > now_us)
+		return;
+	side->shut = true;
+	if (soak_pipe_get_end(pipe) == SOAK_PIPE_RESET)
+		soak_socket_reset(side->socket);
+	else if (!side->failed)
+		g_socket_shutdown(side->socket, FALSE, TRUE, NULL);
+}
+
+static void pass_on(struct soak_connection *connection, int from,
+		    int64_t now_us)
+{
+	if (link_holds(connection, from))
+		return;
+	if (connection->connecting && from == CLIENT)
+		return;
+	while (side_write(connection, 1 - from, now_us))
+		continue;
+	side_end(connection, 1 - from, now_us);
+}
+
+static int64_t stray_due_us(const struct soak_connection *connection)
+{
+	if (connection->link->kind != SOAK_LINK_EXTRA ||
+	    !connection->answered ||
+	    soak_pipe_get_end(connection->sides[TARGET].sent) != SOAK_PIPE_OPEN)
+		return INT64_MAX;
+	return connection->last_sent_us + connection->link->delay_us;
+}
+
+static void add_stray(struct soak_connection *connection, int64_t now_us)
+{
+	if (stray_due_us(connection) > now_us)
+		return;
+	soak_pipe_add(connection->sides[TARGET].sent, STRAY_ANSWER,
+		      strlen(STRAY_ANSWER), now_us);
+	pass_on(connection, TARGET, now_us);
+	connection->answered = false;
+}
+
+static void finish_connect(struct soak_connection *connection, int64_t now_us)
+{
+	struct side *target = &connection->sides[TARGET];
+
+	if (!(g_socket_condition_check(target->socket,
+				       G_IO_OUT | G_IO_ERR | G_IO_HUP)))
+		return;
+	connection->connecting = false;
+	if (!g_socket_check_connect_result(target->socket, NULL))
+		side_fail(connection, TARGET, now_us);
+}
+
+/* Whether a side need not be told anything more. */
+static bool side_is_over(const struct soak_connection *connection, int i)
+{
+	const struct side *side = &connection->sides[i];
+
+	return connection->silent
+		       ? soak_pipe_get_end(side->sent) != SOAK_PIPE_OPEN
+		       : side->shut || g_socket_is_closed(side->socket);
+}
+
+static bool connection_is_over(const struct soak_connection *connection)
+{
+	if (side_is_over(connection, CLIENT) &&
+	    side_is_over(connection, TARGET))
+		return true;
+	/* One side is gone and the other has been reset for it. */
+	return g_socket_is_closed(connection->sides[CLIENT].socket) ||
+	       g_socket_is_closed(connection->sides[TARGET].socket);
+}
+
+static GIOCondition wanted(const struct soak_connection *connection, int i,
+			   int64_t now_us)
+{
+	const struct side *side = &connection->sides[i];
+	const struct soak_pipe *pipe = connection->sides[1 - i].sent;
+	GIOCondition condition = 0;
+
+	if (connection->connecting && i == TARGET)
+		return G_IO_OUT;
+	if (soak_pipe_room(side->sent) > 0 &&
+	    soak_pipe_get_end(side->sent) == SOAK_PIPE_OPEN)
+		condition |= G_IO_IN;
+	if (!link_holds(connection, 1 - i) && !side->failed &&
+	    connection->link->kind != SOAK_LINK_TRICKLE &&
+	    !soak_pipe_is_empty(pipe) && soak_pipe_due_us(pipe) <= now_us)
+		condition |= G_IO_OUT;
+	return condition;
+}
+
+/* A socket that wants nothing isn't polled: its hang-up would come again. */
+static void poll_side(struct soak_connection *connection, int i, int64_t now_us)
+{
+	struct side *side = &connection->sides[i];
+	GIOCondition condition = wanted(connection, i, now_us);
+
+	if (side->tag && condition == side->polled)
+		return;
+	if (side->tag)
+		g_source_remove_unix_fd(connection->source, side->tag);
+	side->tag = NULL;
+	side->polled = condition;
+	if (condition)
+		side->tag = g_source_add_unix_fd(connection->source,
+						 g_socket_get_fd(side->socket),
+						 condition);
+}
+
+/* When the next held byte towards a side may leave. */
+static int64_t side_due_us(const struct soak_connection *connection, int to,
+			   int64_t now_us)
+{
+	const struct side *side = &connection->sides[to];
+	int64_t due_us = soak_pipe_due_us(connection->sides[1 - to].sent);
+
+	if (link_holds(connection, 1 - to) || side->shut ||
+	    (connection->connecting && to == TARGET))
+		return INT64_MAX;
+	if (connection->link->kind == SOAK_LINK_TRICKLE && due_us <= now_us)
+		return side->next_byte_us;
+	return due_us <= now_us ? INT64_MAX : due_us; /* else by polling */
+}
+
+static void wait_for_next(struct soak_connection *connection, int64_t now_us)
+{
+	int64_t due_us = stray_due_us(connection);
+
+	for (int i = 0; i < SIDES; i++) {
+		poll_side(connection, i, now_us);
+		due_us = MIN(due_us, side_due_us(connection, i, now_us));
+	}
+	g_source_set_ready_time(connection->source,
+				due_us == INT64_MAX ? -1 : due_us);
+}
+
+static gboolean connection_dispatch(GSource *source,
+				    GSourceFunc callback G_GNUC_UNUSED,
+				    gpointer data G_GNUC_UNUSED)
+{
+	struct soak_connection *connection =
+		((struct connection_source *)source)->connection;
+	int64_t now_us = g_get_monotonic_time();
+
+	if (connection->connecting)
+		finish_connect(connection, now_us);
+	side_read(connection, CLIENT, now_us);
+	if (!connection->connecting)
+		side_read(connection, TARGET, now_us);
+	pass_on(connection, CLIENT, now_us);
+	pass_on(connection, TARGET, now_us);
+	add_stray(connection, now_us);
+	if (connection_is_over(connection))
+		connection->ended(connection->data, connection);
+	else
+		wait_for_next(connection, now_us);
+	return G_SOURCE_CONTINUE;
+}
+
+static GSourceFuncs source_functions = {.dispatch = connection_dispatch};
+
+/*
+ * Starts to connect. A refusal may come at once or when the socket is polled;
+ * the client then gets a reset, as from a host without such a listener.
+ */
+static void start_connect(struct soak_connection *connection,
+			  GSocketAddress *target)
+{
+	g_autoptr(GError) error = NULL;
+
+	if (g_socket_connect(connection->sides[TARGET].socket, target, NULL,
+			     &error))
+		return;
+	if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING))
+		connection->connecting = true;
+	else
+		side_fail(connection, TARGET, g_get_monotonic_time());
+}
+
+static void side_open(struct side *side, GSocket *socket)
+{
+	side->socket = socket;
+	side->sent = soak_pipe_create();
+	g_socket_set_blocking(socket, FALSE);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+}
+
+/*
+ * Connects to the target, and takes the client's socket over; NULL, with a
+ * reset for the client: this process has no socket left. The connection reads
+ * the link whenever it has something to do.
+ */
+struct soak_connection *soak_connection_create(GSocket *client,
+					       GSocketAddress *target,
+					       const struct soak_link *link,
+					       soak_connection_ended ended,
+					       void *data)
+{
+	struct soak_connection *connection;
+	GSocket *socket =
+		g_socket_new(g_socket_address_get_family(target),
+			     G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+
+	if (!socket) {
+		soak_socket_reset(client);
+		g_object_unref(client);
+		return NULL;
+	}
+	connection = g_new0(struct soak_connection, 1);
+	connection->link = link;
+	connection->ended = ended;
+	connection->data = data;
+	side_open(&connection->sides[CLIENT], client);
+	side_open(&connection->sides[TARGET], socket);
+	connection->source = g_source_new(&source_functions,
+					  sizeof(struct connection_source));
+	((struct connection_source *)connection->source)->connection =
+		connection;
+	start_connect(connection, target);
+	g_source_set_ready_time(connection->source, 0);
+	g_source_attach(connection->source, NULL);
+	return connection;
+}
+
+/* Closes both sides; NULL is allowed. */
+void soak_connection_destroy(struct soak_connection *connection)
+{
+	if (!connection)
+		return;
+	g_source_destroy(connection->source);
+	g_source_unref(connection->source);
+	for (int i = 0; i < SIDES; i++) {
+		g_socket_close(connection->sides[i].socket, NULL);
+		g_object_unref(connection->sides[i].socket);
+		soak_pipe_destroy(connection->sides[i].sent);
+	}
+	g_free(connection);
+}
+
+/* Call it when the link has another kind or delay. */
+void soak_connection_link_changed(struct soak_connection *connection)
+{
+	if (connection->link->kind == SOAK_LINK_SILENT)
+		connection->silent = true;
+	g_source_set_ready_time(connection->source, 0);
+}
+
+/* Resets both sides at once, and destroys it. */
+void soak_connection_reset(struct soak_connection *connection)
+{
+	for (int i = 0; i < SIDES; i++)
+		soak_socket_reset(connection->sides[i].socket);
+	soak_connection_destroy(connection);
+}
--- /dev/null
+++ b/tests/soak/soak_link.c
@@ -0,0 +1,50 @@
+#include "tests/soak/soak_link.h"
+
+#include <string.h>
+
+static const struct {
+	const char *name;
+	bool holds_forward;
+	bool holds_back;
+} kinds[SOAK_LINK_KINDS] = {
+	[SOAK_LINK_SOUND] = {"sound", false, false},
+	[SOAK_LINK_DELAY] = {"delay", false, false},
+	[SOAK_LINK_RESET] = {"reset", false, false},
+	[SOAK_LINK_CUT_FORWARD] = {"cut_forward", true, false},
+	[SOAK_LINK_CUT_BACK] = {"cut_back", false, true},
+	[SOAK_LINK_CUT_BOTH] = {"cut_both", true, true},
+	[SOAK_LINK_SILENT] = {"silent", false, false},
+	[SOAK_LINK_TRICKLE] = {"trickle", false, false},
+	[SOAK_LINK_EXTRA] = {"extra", false, false},
+	[SOAK_LINK_HOLD] = {"hold", false, true},
+};
+
+/* As schedules and logs spell it. */
+const char *soak_link_kind_name(enum soak_link_kind kind)
+{
+	return kinds[kind].name;
+}
+
+/* False: no kind has this name. */
+bool soak_link_kind_parse(const char *name, enum soak_link_kind *kind)
+{
+	for (int i = 0; i < SOAK_LINK_KINDS; i++) {
+		if (strcmp(kinds[i].name, name) != 0)
+			continue;
+		*kind = (enum soak_link_kind)i;
+		return true;
+	}
+	return false;
+}
+
+/* Whether nothing passes from the connecting party on, nor new connections. */
+bool soak_link_holds_forward(const struct soak_link *link)
+{
+	return kinds[link->kind].holds_forward;
+}
+
+/* Whether nothing comes back. */
+bool soak_link_holds_back(const struct soak_link *link)
+{
+	return kinds[link->kind].holds_back;
+}
--- /dev/null
+++ b/tests/soak/soak_proxy.c
@@ -0,0 +1,184 @@
+#include "tests/soak/soak_proxy.h"
+
+#include "tests/soak/soak_connection.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* A node opens hundreds of connections at once after a pause. */
+#define LISTEN_BACKLOG 512
+
+struct soak_proxy {
+	GSocket *listener;
+	GSource *accept; /* NULL: accepts nothing */
+	char *address;
+	GSocketAddress *target;
+	struct soak_link link;
+	GPtrArray *connections; /* struct soak_connection */
+};
+
+/* IP:PORT; NULL: it isn't. */
+static GSocketAddress *address_parse(const char *text)
+{
+	g_autofree char *host = g_strdup(text);
+	char *colon = strrchr(host, ':');
+	guint64 port;
+
+	if (!colon || !g_ascii_string_to_unsigned(colon + 1, 10, 1, G_MAXUINT16,
+						  &port, NULL))
+		return NULL;
+	*colon = '\0';
+	return g_inet_socket_address_new_from_string(host, (guint)port);
+}
+
+static void on_ended(void *data, struct soak_connection *connection)
+{
+	struct soak_proxy *proxy = data;
+
+	g_ptr_array_remove_fast(proxy->connections, connection);
+	soak_connection_destroy(connection);
+}
+
+static gboolean on_connection(GSocket *listener,
+			      GIOCondition condition G_GNUC_UNUSED,
+			      gpointer data)
+{
+	struct soak_proxy *proxy = data;
+	g_autoptr(GError) error = NULL;
+	GSocket *client = g_socket_accept(listener, NULL, &error);
+	struct soak_connection *connection;
+
+	if (!client) {
+		fprintf(stderr, "proxy %s: accept: %s\n", proxy->address,
+			error->message);
+		return G_SOURCE_CONTINUE;
+	}
+	if (proxy->link.kind == SOAK_LINK_RESET) {
+		soak_socket_reset(client);
+		g_object_unref(client);
+		return G_SOURCE_CONTINUE;
+	}
+	connection = soak_connection_create(client, proxy->target, &proxy->link,
+					    on_ended, proxy);
+	if (connection)
+		g_ptr_array_add(proxy->connections, connection);
+	else
+		fprintf(stderr, "proxy %s: no socket left\n", proxy->address);
+	return G_SOURCE_CONTINUE;
+}
+
+static void proxy_stop_accepting(struct soak_proxy *proxy)
+{
+	if (!proxy->accept)
+		return;
+	g_source_destroy(proxy->accept);
+	g_clear_pointer(&proxy->accept, g_source_unref);
+}
+
+static void proxy_start_accepting(struct soak_proxy *proxy)
+{
+	if (proxy->accept)
+		return;
+	proxy->accept = g_socket_create_source(proxy->listener, G_IO_IN, NULL);
+	g_source_set_callback(proxy->accept, G_SOURCE_FUNC(on_connection),
+			      proxy, NULL);
+	g_source_attach(proxy->accept, NULL);
+}
+
+static char *proxy_listen(GSocket *listener, GError **error)
+{
+	g_autoptr(GSocketAddress) any =
+		g_inet_socket_address_new_from_string("127.0.0.1", 0);
+	g_autoptr(GSocketAddress) bound = NULL;
+
+	g_socket_set_listen_backlog(listener, LISTEN_BACKLOG);
+	g_socket_set_blocking(listener, FALSE);
+	if (!g_socket_bind(listener, any, TRUE, error) ||
+	    !g_socket_listen(listener, error))
+		return NULL;
+	bound = g_socket_get_local_address(listener, error);
+	if (!bound)
+		return NULL;
+	return g_strdup_printf(
+		"127.0.0.1:%u",
+		g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)));
+}
+
+/* Listens on a free port of 127.0.0.1; NULL: the error says why. */
+struct soak_proxy *soak_proxy_create(const char *target, struct error *error)
+{
+	struct soak_proxy *proxy = g_new0(struct soak_proxy, 1);
+	g_autoptr(GError) reason = NULL;
+
+	proxy->connections = g_ptr_array_new();
+	proxy->target = address_parse(target);
+	proxy->listener =
+		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+			     G_SOCKET_PROTOCOL_TCP, &reason);
+	if (proxy->listener)
+		proxy->address = proxy_listen(proxy->listener, &reason);
+	if (!proxy->target || !proxy->address) {
+		error_set(error, ERROR_INVALID, "proxy.create", target, "%s",
+			  reason ? reason->message : "expected IP:PORT");
+		soak_proxy_destroy(proxy);
+		return NULL;
+	}
+	proxy_start_accepting(proxy);
+	return proxy;
+}
+
+/* Closes all connections; NULL is allowed. */
+void soak_proxy_destroy(struct soak_proxy *proxy)
+{
+	if (!proxy)
+		return;
+	proxy_stop_accepting(proxy);
+	for (guint i = 0; i < proxy->connections->len; i++)
+		soak_connection_destroy(proxy->connections->pdata[i]);
+	g_ptr_array_unref(proxy->connections);
+	g_clear_object(&proxy->listener);
+	g_clear_object(&proxy->target);
+	g_free(proxy->address);
+	g_free(proxy);
+}
+
+/* Where the proxy listens, as IP:PORT. */
+const char *soak_proxy_address(const struct soak_proxy *proxy)
+{
+	return proxy->address;
+}
+
+/* Where new connections go, as IP:PORT; those that are open stay. */
+void soak_proxy_set_target(struct soak_proxy *proxy, const char *target)
+{
+	GSocketAddress *address = address_parse(target);
+
+	if (!address) {
+		fprintf(stderr, "proxy %s: no address: %s\n", proxy->address,
+			target);
+		return;
+	}
+	g_object_unref(proxy->target);
+	proxy->target = address;
+}
+
+static void proxy_reset_all(struct soak_proxy *proxy)
+{
+	while (proxy->connections->len > 0)
+		soak_connection_reset(
+			g_ptr_array_remove_index_fast(proxy->connections, 0));
+}
+
+/* Gives the link another fault, or none. */
+void soak_proxy_set(struct soak_proxy *proxy, const struct soak_link *link)
+{
+	proxy->link = *link;
+	if (link->kind == SOAK_LINK_RESET)
+		proxy_reset_all(proxy);
+	for (guint i = 0; i < proxy->connections->len; i++)
+		soak_connection_link_changed(proxy->connections->pdata[i]);
+	if (soak_link_holds_forward(link))
+		proxy_stop_accepting(proxy);
+	else
+		proxy_start_accepting(proxy);
+}
--- /dev/null
+++ b/tests/soak_proxy_test.cc
@@ -0,0 +1,287 @@
+#include "tests/soak/soak_proxy.h"
+
+#include "tests/loopback.h"
+
+#include <memory>
+
+/* Two parties and the proxy between them, each on a free port. */
+class SoakProxy : public ::testing::Test
+{
+      protected:
+	static constexpr int64_t SOON_US = 2000;
+	Listener listener;
+	struct soak_proxy *proxy = nullptr;
+	std::unique_ptr<Connection> client;
+	std::unique_ptr<Connection> target;
+
+	void SetUp() override
+	{
+		struct error error = {};
+
+		proxy = soak_proxy_create(listener.address().c_str(), &error);
+		ASSERT_NE(nullptr, proxy) << error.detail;
+	}
+
+	void TearDown() override
+	{
+		soak_proxy_destroy(proxy);
+	}
+
+	void set(enum soak_link_kind kind, int64_t delay_us = 0)
+	{
+		struct soak_link link = {kind, delay_us};
+
+		soak_proxy_set(proxy, &link);
+	}
+
+	void connect()
+	{
+		client.reset(Connection::open(soak_proxy_address(proxy)));
+		target.reset(listener.accept());
+	}
+
+	/* Both ways, so that the connection stands at the proxy. */
+	void talk()
+	{
+		client->send("ping");
+		EXPECT_TRUE(target->wait_for("ping"));
+		target->send("pong");
+		EXPECT_TRUE(client->wait_for("pong"));
+	}
+
+	void expect_nothing(Connection &at, const std::string &before)
+	{
+		run_idle();
+		at.read();
+		EXPECT_EQ(before, at.input);
+		EXPECT_FALSE(at.closed);
+	}
+};
+
+TEST(SoakLink, KindsAreFoundByTheirNames)
+{
+	enum soak_link_kind kind;
+
+	for (int i = 0; i < SOAK_LINK_KINDS; i++) {
+		const char *name = soak_link_kind_name((enum soak_link_kind)i);
+
+		ASSERT_TRUE(soak_link_kind_parse(name, &kind)) << name;
+		EXPECT_EQ(i, kind);
+	}
+	EXPECT_FALSE(soak_link_kind_parse("broken", &kind));
+}
+
+TEST(SoakProxyCreate, SaysWhyATargetIsNone)
+{
+	struct error error = {};
+
+	EXPECT_EQ(nullptr, soak_proxy_create("nowhere", &error));
+	EXPECT_EQ(ERROR_INVALID, error.code);
+}
+
+TEST_F(SoakProxy, PassesBytesAndTheEndOfEachSideOn)
+{
+	connect();
+	talk();
+	g_socket_shutdown(client->socket, FALSE, TRUE, nullptr);
+	EXPECT_TRUE(target->wait_closed());
+	target->send("after");
+	EXPECT_TRUE(client->wait_for("after"));
+	target->close();
+	EXPECT_TRUE(client->wait_closed());
+}
+
+TEST_F(SoakProxy, PassesMoreThanItHolds)
+{
+	const std::string bytes(1 << 20, 'x');
+
+	connect();
+	client->send(bytes + "end");
+	EXPECT_TRUE(run_until([&] {
+		client->read();
+		target->read();
+		return target->input.size() == bytes.size() + 3;
+	}));
+	EXPECT_EQ(bytes + "end", target->input);
+}
+
+TEST_F(SoakProxy, PassesAResetOn)
+{
+	connect();
+	talk();
+	target->reset();
+	EXPECT_TRUE(client->wait_closed());
+}
+
+/*
+ * The process behind the proxy is gone: who connects is reset, as the host
+ * does; started again elsewhere, it is found at the same address.
+ */
+TEST_F(SoakProxy, FollowsATargetThatIsStartedElsewhere)
+{
+	Listener other;
+
+	listener.close();
+	client.reset(Connection::open(soak_proxy_address(proxy)));
+	EXPECT_TRUE(client->wait_closed());
+	soak_proxy_set_target(proxy, other.address().c_str());
+	client.reset(Connection::open(soak_proxy_address(proxy)));
+	target.reset(other.accept());
+	talk();
+}
+
+TEST_F(SoakProxy, DelaysBytesAndKeepsTheirOrder)
+{
+	int64_t sent_us;
+
+	connect();
+	talk();
+	set(SOAK_LINK_DELAY, 20 * SOON_US);
+	sent_us = g_get_monotonic_time();
+	client->send("slow.");
+	run_until([&] { return g_get_monotonic_time() > sent_us + SOON_US; });
+	set(SOAK_LINK_SOUND);
+	client->send("fast.");
+	EXPECT_TRUE(target->wait_for("slow.fast."));
+	EXPECT_GE(g_get_monotonic_time(), sent_us + 20 * SOON_US);
+}
+
+TEST_F(SoakProxy, ResetsOpenConnectionsAndNewOnesWhileItLasts)
+{
+	connect();
+	talk();
+	set(SOAK_LINK_RESET);
+	EXPECT_TRUE(client->wait_closed());
+	EXPECT_TRUE(target->wait_closed());
+	client.reset(Connection::open(soak_proxy_address(proxy)));
+	EXPECT_TRUE(client->wait_closed());
+	set(SOAK_LINK_SOUND);
+	connect();
+	talk();
+}
+
+/* What was sent during the cut comes when it is over, ends as well. */
+TEST_F(SoakProxy, HoldsTheWayThereWhileItIsCut)
+{
+	connect();
+	talk();
+	set(SOAK_LINK_CUT_FORWARD);
+	client->send("held");
+	target->send("back");
+	EXPECT_TRUE(client->wait_for("back"));
+	client->close();
+	expect_nothing(*target, "ping");
+	set(SOAK_LINK_SOUND);
+	EXPECT_TRUE(target->wait_for("held"));
+	EXPECT_TRUE(target->wait_closed());
+}
+
+TEST_F(SoakProxy, TakesNoConnectionWhileTheWayThereIsCut)
+{
+	GSocket *accepted;
+
+	set(SOAK_LINK_CUT_BOTH);
+	client.reset(Connection::open(soak_proxy_address(proxy)));
+	client->send("ping");
+	run_idle();
+	accepted = g_socket_accept(listener.socket, nullptr, nullptr);
+	EXPECT_EQ(nullptr, accepted);
+	set(SOAK_LINK_SOUND);
+	target.reset(listener.accept());
+	EXPECT_TRUE(target->wait_for("ping"));
+}
+
+TEST_F(SoakProxy, HoldsTheWayBackWhileItIsCut)
+{
+	connect();
+	talk();
+	set(SOAK_LINK_CUT_BACK);
+	client->send("there");
+	EXPECT_TRUE(target->wait_for("there"));
+	target->send("held");
+	target->reset();
+	expect_nothing(*client, "pong");
+	set(SOAK_LINK_SOUND);
+	EXPECT_TRUE(client->wait_closed());
+}
+
+TEST_F(SoakProxy, HoldsBothWaysWhileBothAreCut)
+{
+	connect();
+	talk();
+	set(SOAK_LINK_CUT_BOTH);
+	client->send("there");
+	target->send("back");
+	expect_nothing(*client, "pong");
+	expect_nothing(*target, "ping");
+	set(SOAK_LINK_SOUND);
+	EXPECT_TRUE(target->wait_for("there"));
+	EXPECT_TRUE(client->wait_for("back"));
+}
+
+TEST_F(SoakProxy, HoldsAnswersAndReleasesThem)
+{
+	connect();
+	talk();
+	set(SOAK_LINK_HOLD);
+	client->send("there");
+	EXPECT_TRUE(target->wait_for("there"));
+	target->send("late");
+	expect_nothing(*client, "pong");
+	set(SOAK_LINK_SOUND);
+	EXPECT_TRUE(client->wait_for("late"));
+}
+
+/*
+ * A party whose host has vanished: its connections say nothing ever again and
+ * don't end either, also when the network is well; new ones work.
+ */
+TEST_F(SoakProxy, LeavesSilentConnectionsSilent)
+{
+	std::unique_ptr<Connection> old_client;
+	std::unique_ptr<Connection> old_target;
+
+	connect();
+	talk();
+	set(SOAK_LINK_SILENT);
+	old_client = std::move(client);
+	old_target = std::move(target);
+	connect();
+	talk();
+	set(SOAK_LINK_SOUND);
+	old_client->send("lost");
+	old_target->close();
+	expect_nothing(*old_client, "pong");
+	talk();
+}
+
+TEST_F(SoakProxy, PassesAByteAtATime)
+{
+	std::vector<size_t> sizes;
+
+	connect();
+	talk();
+	set(SOAK_LINK_TRICKLE, SOON_US);
+	client->send("bytes");
+	EXPECT_TRUE(run_until([&] {
+		target->read();
+		if (sizes.empty() || sizes.back() != target->input.size())
+			sizes.push_back(target->input.size());
+		return target->input == "pingbytes";
+	}));
+	EXPECT_GT(sizes.size(), 2u);
+}
+
+/* The engine's answer is complete; what follows belongs to no request. */
+TEST_F(SoakProxy, AddsAnAnswerThatNobodyAskedFor)
+{
+	connect();
+	set(SOAK_LINK_EXTRA, SOON_US);
+	talk();
+	EXPECT_TRUE(client->wait_for("stray"));
+	EXPECT_EQ(0u, client->input.find("pongHTTP/1.1 200 OK\r\n"));
+	expect_nothing(*client, client->input);
+	client->send("again");
+	expect_nothing(*client, client->input);
+	EXPECT_TRUE(target->wait_for("again"));
+}
