--- /dev/null
+++ b/fakes/backend_journal.c
@@ -0,0 +1,64 @@
+#include "fakes/backend_journal.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define JOURNAL_MODE 0644
+
+struct backend_journal {
+	int fd;
+	char *engine;
+};
+
+static const char *const event_names[] = {
+	[BACKEND_ARRIVAL] = "arrival", [BACKEND_RUN] = "run",
+	[BACKEND_GO_ON] = "go_on",     [BACKEND_END] = "end",
+	[BACKEND_LEFT] = "left",       [BACKEND_REFUSAL] = "refusal",
+};
+
+/* Goes on with the file; NULL after a line on standard error. */
+struct backend_journal *backend_journal_create(const char *path,
+					       const char *engine)
+{
+	int fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+		      JOURNAL_MODE);
+	struct backend_journal *journal;
+
+	if (fd < 0) {
+		fprintf(stderr, "%s: %s\n", path, strerror(errno));
+		return NULL;
+	}
+	journal = g_new0(struct backend_journal, 1);
+	journal->fd = fd;
+	journal->engine = g_strdup(engine);
+	return journal;
+}
+
+/* NULL is allowed. */
+void backend_journal_destroy(struct backend_journal *journal)
+{
+	if (!journal)
+		return;
+	close(journal->fd);
+	g_free(journal->engine);
+	g_free(journal);
+}
+
+/* One write for a line, so that none is cut; NULL: none is kept. */
+void backend_journal_write(struct backend_journal *journal,
+			   enum backend_event event, const char *request,
+			   bool from_copy)
+{
+	g_autofree char *line = NULL;
+
+	if (!journal)
+		return;
+	line = g_strdup_printf("%" G_GINT64_FORMAT " %s %s %s %d\n",
+			       g_get_monotonic_time(), event_names[event],
+			       request, journal->engine, from_copy);
+	if (write(journal->fd, line, strlen(line)) != (ssize_t)strlen(line))
+		fprintf(stderr, "journal: %s\n", strerror(errno));
+}
--- /dev/null
+++ b/fakes/backend_run.c
@@ -0,0 +1,268 @@
+#include "fakes/backend_state.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+/* A backup is begun so long after the first event, and then kept up to date. */
+#define BACKUP_BEGIN_MS 300
+#define BACKUP_PAUSE_MS 200
+/* A request with this text in its body crashes whoever begins to run it. */
+#define POISON "[[poison]]"
+
+static void crash(const char *reason, const char *request)
+{
+	fprintf(stderr, "crash: %s, request %s\n", reason, request);
+	_exit(CRASH_STATUS);
+}
+
+static void run_note(const struct backend_run *run, enum backend_event event)
+{
+	backend_journal_write(run->backend->journal, event, run->id,
+			      run->from_copy);
+}
+
+static void run_stop_watch(struct backend_run *run)
+{
+	if (!run->close_watch)
+		return;
+	g_source_destroy(run->close_watch);
+	g_clear_pointer(&run->close_watch, g_source_unref);
+}
+
+static void run_end(struct backend_run *run)
+{
+	run_stop_watch(run);
+	if (run->timer)
+		g_source_remove(run->timer);
+	if (run->copy_timer)
+		g_source_remove(run->copy_timer);
+	g_ptr_array_remove_fast(run->backend->runs, run);
+	g_object_unref(run->message);
+	g_free(run->id);
+	g_free(run->path);
+	g_free(run->backup);
+	g_free(run);
+}
+
+static void on_finished(SoupServerMessage *message G_GNUC_UNUSED, gpointer data)
+{
+	struct backend_run *run = data;
+
+	if (!run->answered) {
+		run->backend->left++;
+		run_note(run, BACKEND_LEFT);
+	}
+	run_end(run);
+}
+
+/* Nothing has been sent yet: libsoup would hear of it at the first write. */
+static void on_closed(void *data)
+{
+	struct backend_run *run = data;
+
+	run_stop_watch(run);
+	if (run->timer)
+		g_source_remove(run->timer);
+	run->timer = 0;
+	fake_message_answer_text(run->message, 500, "left");
+	soup_server_message_unpause(run->message);
+}
+
+/* Has step called after the delay, unless the caller closes before. */
+static void run_wait(struct backend_run *run, GSourceFunc step)
+{
+	soup_server_message_pause(run->message);
+	run->close_watch = fake_message_on_close(run->message, on_closed, run);
+	run->timer =
+		g_timeout_add((guint)run->backend->answer_delay_ms, step, run);
+}
+
+static gboolean copy_step(gpointer data)
+{
+	struct backend_run *run = data;
+
+	backend_copy_send(run->backend->sender, run->backup, run->id, run->id,
+			  run->next, NULL, NULL);
+	run->copy_timer = g_timeout_add(BACKUP_PAUSE_MS, copy_step, run);
+	return G_SOURCE_REMOVE;
+}
+
+/* The answer is whole; what becomes of it on the way is not known here. */
+static void run_complete(struct backend_run *run)
+{
+	run->answered = true;
+	run_note(run, BACKEND_END);
+	if (!run->copy_timer)
+		return;
+	g_source_remove(run->copy_timer);
+	run->copy_timer = 0;
+	backend_copy_send_end(run->backend->sender, run->backup, run->id);
+}
+
+static void send_event(struct backend_run *run)
+{
+	char event[160];
+
+	g_snprintf(event, sizeof(event),
+		   "id: %" G_GINT64_FORMAT
+		   "\ndata: {\"text\":\"%s.%" G_GINT64_FORMAT "\"}\n\n",
+		   run->next, run->id, run->next);
+	soup_message_body_append(
+		soup_server_message_get_response_body(run->message),
+		SOUP_MEMORY_COPY, event, strlen(event));
+	soup_server_message_unpause(run->message);
+	run->next++;
+	run->made++;
+}
+
+static gboolean generation_step(gpointer data)
+{
+	struct backend_run *run = data;
+	const struct backend *backend = run->backend;
+
+	if (backend->crash_after && run->made >= backend->crash_after)
+		crash("after events", run->id);
+	if (run->next < backend->events) {
+		send_event(run);
+		if (run->made == 1 && run->backup && backend->real_copies)
+			run->copy_timer =
+				g_timeout_add(BACKUP_BEGIN_MS, copy_step, run);
+		return G_SOURCE_CONTINUE;
+	}
+	run_complete(run);
+	soup_message_body_complete(
+		soup_server_message_get_response_body(run->message));
+	soup_server_message_unpause(run->message);
+	run->timer = 0;
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean generation_first(gpointer data)
+{
+	struct backend_run *run = data;
+
+	run_stop_watch(run);
+	run->timer = g_timeout_add((guint)run->backend->pace_ms,
+				   generation_step, run);
+	return G_SOURCE_REMOVE;
+}
+
+static void run_generate(struct backend_run *run)
+{
+	const char *last = fake_message_header(run->message, "Last-Event-Id");
+	SoupMessageHeaders *headers =
+		soup_server_message_get_response_headers(run->message);
+
+	if (last)
+		run->next = g_ascii_strtoll(last, NULL, 10) + 1;
+	soup_message_headers_set_encoding(
+		headers, run->backend->unframed ? SOUP_ENCODING_EOF
+						: SOUP_ENCODING_CHUNKED);
+	soup_message_headers_replace(headers, "Content-Type",
+				     "text/event-stream");
+	soup_message_body_set_accumulate(
+		soup_server_message_get_response_body(run->message), FALSE);
+	soup_server_message_set_status(run->message, 200, NULL);
+	if (run->backend->answer_delay_ms > 0) {
+		run_wait(run, generation_first);
+		return;
+	}
+	soup_server_message_pause(run->message);
+	generation_first(run);
+}
+
+/* A share of the requests, the same ones at each engine. */
+static bool fails(const struct backend *backend, const char *id)
+{
+	return backend->failing ||
+	       g_str_hash(id) % 100 < (guint64)backend->error_percent;
+}
+
+static void answer(struct backend_run *run)
+{
+	const struct backend *backend = run->backend;
+	char text[256];
+
+	run_complete(run);
+	if (backend->crash_before_answer)
+		crash("before the answer", run->id);
+	if (fails(backend, run->id)) {
+		fake_message_answer_text(run->message, 500, "failed");
+		return;
+	}
+	g_snprintf(text, sizeof(text), "%s %s %s", backend->id, run->id,
+		   run->path);
+	fake_message_answer_text(run->message, 200, text);
+}
+
+static gboolean answer_later(gpointer data)
+{
+	struct backend_run *run = data;
+
+	run_stop_watch(run);
+	run->timer = 0;
+	answer(run);
+	soup_server_message_unpause(run->message);
+	return G_SOURCE_REMOVE;
+}
+
+static void run_answer(struct backend_run *run)
+{
+	if (run->backend->answer_delay_ms > 0)
+		run_wait(run, answer_later);
+	else
+		answer(run);
+}
+
+static bool is_poison(SoupServerMessage *message)
+{
+	g_autoptr(GBytes) body = soup_message_body_flatten(
+		soup_server_message_get_request_body(message));
+	gsize size;
+	const char *text = g_bytes_get_data(body, &size);
+
+	return text && g_strstr_len(text, (gssize)size, POISON);
+}
+
+/* Runs a request, or goes on with another engine's run of it. */
+void backend_run_begin(struct backend *backend, SoupServerMessage *message,
+		       const char *id, const char *path)
+{
+	struct backend_run *run = g_new0(struct backend_run, 1);
+
+	run->backend = backend;
+	run->message = g_object_ref(message);
+	run->id = g_strdup(id);
+	run->path = g_strdup(path);
+	run->backup =
+		g_strdup(fake_message_header(message, FIELD("Kv-Backup")));
+	run->from_copy = fake_message_header(message, "Kv-From") != NULL;
+	g_ptr_array_add(backend->runs, run);
+	if (run->from_copy)
+		backend->taken_over++;
+	else
+		backend->run_count++;
+	run_note(run, run->from_copy ? BACKEND_GO_ON : BACKEND_RUN);
+	if (is_poison(message))
+		crash("poison", id);
+	g_signal_connect(message, "finished", G_CALLBACK(on_finished), run);
+	if (backend->plain || fails(backend, id))
+		run_answer(run);
+	else
+		run_generate(run);
+}
+
+/* The run of a request that is at work here; NULL: none. */
+const struct backend_run *backend_run_find(const struct backend *backend,
+					   const char *id)
+{
+	for (guint i = 0; i < backend->runs->len; i++) {
+		const struct backend_run *run =
+			g_ptr_array_index(backend->runs, i);
+
+		if (!run->answered && strcmp(run->id, id) == 0)
+			return run;
+	}
+	return NULL;
+}
--- a/fakes/fake_backend.c
+++ b/fakes/fake_backend.c
@@ -1,129 +1,16 @@
-#include "fakes/fake_server.h"
+#include "fakes/backend_state.h"
 
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
+#include <unistd.h>
 
 /*
  * A stand-in for the platform's engines, plain and generating. Event I of a
  * generation is a function of the request's id, so that any engine can go on
  * with it and a test sees what is missing or doubled. What it was told and how
- * often it ran a request is told by GET /fake/state; the faults are switches.
+ * often it ran a request is told by GET /fake/state, and by the journal beyond
+ * its end; the faults are switches.
  */
-#define FIELD(name) "X-Siskinlink-" name
-
-struct backend {
-	char *id;
-	int plain;
-	int64_t events;	 /* of a generation */
-	int64_t pace_ms; /* between two */
-	bool full;	 /* runs nothing: 503 */
-	bool failing;	 /* its own 500 */
-	bool no_copy;	 /* has no memory to go on from */
-	bool no_room;	 /* for a copy of another engine's run */
-	bool unframed;	 /* answers without a length */
-	bool crashing;	 /* each request resets its connection at once */
-	int64_t runs;
-	int64_t taken_over;
-	int64_t left; /* callers that closed early */
-	int64_t moves;
-	char *tenant; /* of the last request */
-	char *deadline;
-	bool saw_key;
-};
-
-struct generation {
-	struct backend *backend;
-	SoupServerMessage *message;
-	char *id;
-	int64_t next;
-	guint timer;
-};
-
-static void generation_end(struct generation *generation)
-{
-	if (generation->timer)
-		g_source_remove(generation->timer);
-	g_object_unref(generation->message);
-	g_free(generation->id);
-	g_free(generation);
-}
-
-static gboolean generation_step(gpointer data)
-{
-	struct generation *generation = data;
-	SoupMessageBody *body =
-		soup_server_message_get_response_body(generation->message);
-	char event[160];
-
-	if (generation->next < generation->backend->events) {
-		g_snprintf(event, sizeof(event),
-			   "id: %" G_GINT64_FORMAT
-			   "\ndata: {\"text\":\"%s.%" G_GINT64_FORMAT "\"}\n\n",
-			   generation->next, generation->id, generation->next);
-		soup_message_body_append(body, SOUP_MEMORY_COPY, event,
-					 strlen(event));
-		generation->next++;
-		soup_server_message_unpause(generation->message);
-		return G_SOURCE_CONTINUE;
-	}
-	soup_message_body_complete(body);
-	soup_server_message_unpause(generation->message);
-	generation->timer = 0;
-	return G_SOURCE_REMOVE;
-}
-
-static void on_finished(SoupServerMessage *message, gpointer data)
-{
-	struct generation *generation = data;
-
-	(void)message;
-	if (generation->next < generation->backend->events)
-		generation->backend->left++;
-	generation_end(generation);
-}
-
-static void generate(struct backend *backend, SoupServerMessage *message,
-		     const char *id)
-{
-	struct generation *generation = g_new0(struct generation, 1);
-	const char *last = fake_message_header(message, "Last-Event-Id");
-	SoupMessageHeaders *headers =
-		soup_server_message_get_response_headers(message);
-
-	generation->backend = backend;
-	generation->message = g_object_ref(message);
-	generation->id = g_strdup(id);
-	if (last)
-		generation->next = g_ascii_strtoll(last, NULL, 10) + 1;
-	soup_message_headers_set_encoding(
-		headers,
-		backend->unframed ? SOUP_ENCODING_EOF : SOUP_ENCODING_CHUNKED);
-	soup_message_headers_replace(headers, "Content-Type",
-				     "text/event-stream");
-	soup_message_body_set_accumulate(
-		soup_server_message_get_response_body(message), FALSE);
-	soup_server_message_set_status(message, 200, NULL);
-	soup_server_message_pause(message);
-	g_signal_connect(message, "finished", G_CALLBACK(on_finished),
-			 generation);
-	generation->timer = g_timeout_add((guint)backend->pace_ms,
-					  generation_step, generation);
-}
-
-/* As the engine's host does when its process is gone. */
-static void reset_connection(SoupServerMessage *message)
-{
-	GSocket *socket = soup_server_message_get_socket(message);
-	struct linger linger = {1, 0};
-	GIOStream *stream;
-
-	setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &linger,
-		   sizeof(linger));
-	stream = soup_server_message_steal_connection(message);
-	g_io_stream_close(stream, NULL, NULL);
-	g_object_unref(stream);
-}
 
 static void answer_not_run(SoupServerMessage *message, unsigned status)
 {
@@ -133,8 +20,21 @@
 	fake_message_answer_text(message, status, "");
 }
 
+/* Whether there is a copy to go on from, named IP:PORT/NAME. */
+static bool has_copy(struct backend *backend, const char *from, const char *id)
+{
+	const char *slash = strchr(from, '/');
+
+	if (backend->no_copy)
+		return false;
+	if (!backend->real_copies)
+		return true;
+	return slash && backend_copies_use(backend->copies, slash + 1, id);
+}
+
 /* What the request says beside its path; false when it isn't run here. */
-static bool backend_accepts(struct backend *backend, SoupServerMessage *message)
+static bool backend_accepts(struct backend *backend, SoupServerMessage *message,
+			    const char *id)
 {
 	const char *expected =
 		fake_message_header(message, FIELD("Expect-Instance"));
@@ -142,7 +42,9 @@
 
 	if (expected && strcmp(expected, backend->id) != 0)
 		answer_not_run(message, 421);
-	else if (backend->full || (from && backend->no_copy))
+	else if (backend->shed_silently)
+		fake_message_answer_text(message, 503, "shed");
+	else if (backend->full || (from && !has_copy(backend, from, id)))
 		answer_not_run(message, 503);
 	else
 		return true;
@@ -157,42 +59,121 @@
 	*to = g_strdup(value ? value : "");
 }
 
+static void note_request(struct backend *backend, SoupServerMessage *message)
+{
+	note(&backend->tenant, message, FIELD("Tenant"));
+	note(&backend->deadline, message, FIELD("Deadline-Ms"));
+	backend->saw_key |=
+		fake_message_header(message, "Authorization") != NULL;
+}
+
+/* Runs it only as far as anybody can tell from the journal. */
+static void run_and_reset(struct backend *backend, SoupServerMessage *message,
+			  const char *id, bool from_copy)
+{
+	backend_journal_write(backend->journal,
+			      from_copy ? BACKEND_GO_ON : BACKEND_RUN, id,
+			      from_copy);
+	if (from_copy)
+		backend->taken_over++;
+	else
+		backend->run_count++;
+	fake_message_reset(message);
+}
+
 static void on_request(void *data, SoupServerMessage *message, const char *path)
 {
 	struct backend *backend = data;
 	const char *id = fake_message_header(message, FIELD("Request-Id"));
+	bool from_copy = fake_message_header(message, "Kv-From") != NULL;
 	SoupMessageHeaders *headers =
 		soup_server_message_get_response_headers(message);
-	char text[256];
 
+	backend_journal_write(backend->journal, BACKEND_ARRIVAL, id ? id : "-",
+			      from_copy);
 	if (!id) {
 		answer_not_run(message, 400);
 		return;
 	}
+	if (backend->mute) {
+		soup_server_message_pause(message);
+		return;
+	}
 	soup_message_headers_replace(headers, FIELD("Request-Id"), id);
-	if (!backend_accepts(backend, message))
+	if (!backend_accepts(backend, message, id)) {
+		backend_journal_write(backend->journal, BACKEND_REFUSAL, id,
+				      from_copy);
 		return;
-	note(&backend->tenant, message, FIELD("Tenant"));
-	note(&backend->deadline, message, FIELD("Deadline-Ms"));
-	backend->saw_key |=
-		fake_message_header(message, "Authorization") != NULL;
+	}
+	note_request(backend, message);
 	soup_message_headers_replace(headers, FIELD("Engine-Stamp"),
 				     backend->id);
-	if (fake_message_header(message, "Kv-From"))
-		backend->taken_over++;
+	if (backend->leaves_at_us)
+		soup_message_headers_replace(headers, "Connection", "close");
+	if (backend->crashing)
+		run_and_reset(backend, message, id, from_copy);
 	else
-		backend->runs++;
-	if (backend->crashing) {
-		reset_connection(message);
-	} else if (backend->failing) {
-		fake_message_answer_text(message, 500, "failed");
-	} else if (backend->plain) {
-		g_snprintf(text, sizeof(text), "%s %s %s", backend->id, id,
-			   path);
-		fake_message_answer_text(message, 200, text);
+		backend_run_begin(backend, message, id, path);
+}
+
+/* A copy for another engine that the caller waits for. */
+struct move {
+	SoupServerMessage *message;
+	char *handle;
+	int64_t created;
+};
+
+static void answer_move(SoupServerMessage *message, const char *handle,
+			int64_t created)
+{
+	g_autofree char *text = g_strdup_printf(
+		"{\"handle\":\"%s\",\"created\":%" G_GINT64_FORMAT "}", handle,
+		created);
+
+	fake_message_answer_text(message, 200, text);
+}
+
+static void on_copied(void *data, bool is_there)
+{
+	struct move *move = data;
+
+	if (is_there)
+		answer_move(move->message, move->handle, move->created);
+	else
+		fake_message_answer_text(move->message, 503, "no room");
+	soup_server_message_unpause(move->message);
+	g_object_unref(move->message);
+	g_free(move->handle);
+	g_free(move);
+}
+
+static void move_run(struct backend *backend, SoupServerMessage *message)
+{
+	JsonObject *object = fake_message_read_json(message);
+	const struct backend_run *run;
+	const char *target;
+	struct move *move;
+
+	if (!object)
+		return;
+	run = backend_run_find(
+		backend,
+		json_object_get_string_member_with_default(object, "id", ""));
+	target = json_object_get_string_member_with_default(object, "target",
+							    "");
+	if (run) {
+		move = g_new0(struct move, 1);
+		move->message = g_object_ref(message);
+		move->handle = g_strdup_printf("%s-h%" G_GINT64_FORMAT,
+					       backend->id, backend->moves);
+		move->created = run->next;
+		soup_server_message_pause(message);
+		backend_copy_send(backend->sender, target, move->handle,
+				  run->id, run->next, on_copied, move);
 	} else {
-		generate(backend, message, id);
+		fake_message_answer_text(message, 404, "no such run");
 	}
+	json_object_unref(object);
 }
 
 static void on_move(void *data, SoupServerMessage *message, const char *path)
@@ -201,37 +182,104 @@
 
 	(void)path;
 	backend->moves++;
-	if (backend->no_room)
+	if (backend->mute)
+		soup_server_message_pause(message);
+	else if (backend->no_room)
+		fake_message_answer_text(message, 503, "no room");
+	else if (backend->real_copies)
+		move_run(backend, message);
+	else
+		answer_move(message, "h1", 1);
+}
+
+static void on_copy(void *data, SoupServerMessage *message, const char *path)
+{
+	const struct backend *backend = data;
+
+	(void)path;
+	if (backend->no_room || backend->no_copy)
 		fake_message_answer_text(message, 503, "no room");
 	else
-		fake_message_answer_text(message, 200,
-					 "{\"handle\":\"h1\",\"created\":1}");
+		backend_copies_receive(backend->copies, message);
+}
+
+static void on_report(void *data, SoupServerMessage *message, const char *path)
+{
+	const struct backend *backend = data;
+
+	(void)path;
+	if (backend->mute)
+		soup_server_message_pause(message);
+	else
+		backend_report_answer(backend, message);
 }
 
 static void on_state(void *data, SoupServerMessage *message, const char *path)
+{
+	(void)path;
+	backend_state_answer(data, message);
+}
+
+static gboolean on_left(gpointer data)
+{
+	const struct backend *backend = data;
+
+	fprintf(stderr, "left, %u runs at work\n", backend->runs->len);
+	_exit(0);
+}
+
+static void on_switch(void *data)
 {
 	struct backend *backend = data;
-	char *text = g_strdup_printf(
-		"{\"runs\":%" G_GINT64_FORMAT
-		",\"taken_over\":%" G_GINT64_FORMAT
-		",\"left\":%" G_GINT64_FORMAT ",\"moves\":%" G_GINT64_FORMAT
-		",\"tenant\":\"%s\",\"deadline\":\"%s\",\"saw_key\":%s}",
-		backend->runs, backend->taken_over, backend->left,
-		backend->moves, backend->tenant ? backend->tenant : "",
-		backend->deadline ? backend->deadline : "",
-		backend->saw_key ? "true" : "false");
 
-	(void)path;
-	fake_message_answer_text(message, 200, text);
-	g_free(text);
+	if (backend->leave_ms <= 0 || backend->leaves_at_us)
+		return;
+	backend->leaves_at_us =
+		g_get_monotonic_time() + backend->leave_ms * 1000;
+	g_timeout_add((guint)backend->leave_ms, on_left, backend);
+}
+
+static void backend_serve(struct backend *backend, struct fake_server *server)
+{
+	fake_server_add_handler(server, "/v1/kv-move", on_move, backend);
+	fake_server_add_handler(server, "/v1/report", on_report, backend);
+	fake_server_add_handler(server, "/fake/copy", on_copy, backend);
+	fake_server_add_handler(server, "/fake/state", on_state, backend);
+	fake_server_add_handler(server, "/", on_request, backend);
+}
+
+static bool backend_init(struct backend *backend, char *id, const char *journal)
+{
+	backend->id = id ? id : g_strdup("i-0");
+	backend->copies = backend_copies_create();
+	backend->sender = backend_copy_sender_create();
+	backend->runs = g_ptr_array_new();
+	if (journal)
+		backend->journal = backend_journal_create(journal, backend->id);
+	return !journal || backend->journal;
+}
+
+/* Call it when the server is gone, and its messages with it. */
+static void backend_clear(struct backend *backend)
+{
+	backend_copy_sender_destroy(backend->sender);
+	backend_copies_destroy(backend->copies);
+	backend_journal_destroy(backend->journal);
+	g_ptr_array_unref(backend->runs);
+	g_free(backend->id);
+	g_free(backend->tenant);
+	g_free(backend->deadline);
 }
 
 int main(int argc, const char **argv)
 {
 	struct backend backend = {.events = 60, .pace_ms = 20};
 	char *id = NULL;
+	char *journal = NULL;
 	struct poptOption options[] = {
 		{"id", 0, POPT_ARG_STRING, &id, 0, "of this start", "ID"},
+		{"journal", 0, POPT_ARG_STRING, &journal, 0,
+		 "appends what it does", "FILE"},
 		{"plain", 0, POPT_ARG_NONE, &backend.plain, 0,
 		 "answers at once, no stream", NULL},
 		POPT_TABLEEND};
@@ -245,20 +293,28 @@
 		{"no_room", FAKE_MODE_BOOL, &backend.no_room},
 		{"unframed", FAKE_MODE_BOOL, &backend.unframed},
 		{"crashing", FAKE_MODE_BOOL, &backend.crashing},
+		{"crash_after", FAKE_MODE_INT, &backend.crash_after},
+		{"crash_before_answer", FAKE_MODE_BOOL,
+		 &backend.crash_before_answer},
+		{"shed_silently", FAKE_MODE_BOOL, &backend.shed_silently},
+		{"error_percent", FAKE_MODE_INT, &backend.error_percent},
+		{"mute", FAKE_MODE_BOOL, &backend.mute},
+		{"answer_delay_ms", FAKE_MODE_INT, &backend.answer_delay_ms},
+		{"real_copies", FAKE_MODE_BOOL, &backend.real_copies},
+		{"leave_ms", FAKE_MODE_INT, &backend.leave_ms},
 	};
-	int status;
+	int status = 2;
 
 	if (!server)
-		return 2;
-	backend.id = id ? id : g_strdup("i-0");
-	fake_server_add_handler(server, "/v1/kv-move", on_move, &backend);
-	fake_server_add_handler(server, "/fake/state", on_state, &backend);
-	fake_server_add_handler(server, "/", on_request, &backend);
-	fake_server_set_modes(server, modes, G_N_ELEMENTS(modes), NULL, NULL);
-	status = fake_server_run(server);
+		return status;
+	if (backend_init(&backend, id, journal)) {
+		backend_serve(&backend, server);
+		fake_server_set_modes(server, modes, G_N_ELEMENTS(modes),
+				      on_switch, &backend);
+		status = fake_server_run(server);
+	}
 	fake_server_destroy(server);
-	g_free(backend.id);
-	g_free(backend.tenant);
-	g_free(backend.deadline);
+	backend_clear(&backend);
+	g_free(journal);
 	return status;
 }
--- a/fakes/fake_server.c
+++ b/fakes/fake_server.c
@@ -382,6 +382,20 @@
 		soup_server_message_get_request_headers(message), name);
 }
 
+/* Resets its connection, as a host does when the process there is gone. */
+void fake_message_reset(SoupServerMessage *message)
+{
+	GSocket *socket = soup_server_message_get_socket(message);
+	struct linger linger = {1, 0};
+	GIOStream *stream;
+
+	setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &linger,
+		   sizeof(linger));
+	stream = soup_server_message_steal_connection(message);
+	g_io_stream_close(stream, NULL, NULL);
+	g_object_unref(stream);
+}
+
 struct close_watch {
 	fake_server_callback closed;
 	void *data;
