A proxy connects from an address of its own

What it leads to can then refuse some callers and serve the others: all connections of one machine come from 127.0.0.1 otherwise. The address is made of the proxy's port.

--- a/tests/soak/soak_connection.c
+++ b/tests/soak/soak_connection.c
@@ -1,11 +1,9 @@
 #include "tests/soak/soak_connection.h"
 
 #include "tests/soak/soak_pipe.h"
+#include "tests/soak/soak_socket.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
 
 /* What belongs to no request, yet reads like an answer to the next one. */
 #define STRAY_ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
@@ -41,16 +39,6 @@
 	struct soak_connection *connection;
 };
 
-/* Closes it so that its peer gets a reset. */
-void soak_socket_reset(GSocket *socket)
-{
-	struct linger linger = {1, 0};
-
-	setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &linger,
-		   sizeof(linger));
-	g_socket_close(socket, NULL);
-}
-
 static bool link_holds(const struct soak_connection *connection, int from)
 {
 	if (connection->silent)
@@ -328,25 +316,21 @@
 {
 	side->socket = socket;
 	side->sent = soak_pipe_create();
-	g_socket_set_blocking(socket, FALSE);
-	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	soak_socket_hurry(socket);
 }
 
 /*
- * Connects to the target, and takes the client's socket over; NULL, with a
- * reset for the client: this process has no socket left. The connection reads
- * the link whenever it has something to do.
+ * Connects from source to the target, and takes the client's socket over; NULL,
+ * with a reset for the client: this process has no socket left. The connection
+ * reads the link whenever it has something to do.
  */
-struct soak_connection *soak_connection_create(GSocket *client,
-					       GSocketAddress *target,
-					       const struct soak_link *link,
-					       soak_connection_ended ended,
-					       void *data)
+struct soak_connection *
+soak_connection_create(GSocket *client, GSocketAddress *source,
+		       GSocketAddress *target, const struct soak_link *link,
+		       soak_connection_ended ended, void *data)
 {
 	struct soak_connection *connection;
-	GSocket *socket =
-		g_socket_new(g_socket_address_get_family(target),
-			     G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+	GSocket *socket = soak_socket_open(source);
 
 	if (!socket) {
 		soak_socket_reset(client);
--- a/tests/soak/soak_connection.h
+++ b/tests/soak/soak_connection.h
@@ -15,14 +15,12 @@
 typedef void (*soak_connection_ended)(void *data,
 				      struct soak_connection *connection);
 
-struct soak_connection *soak_connection_create(GSocket *client,
-					       GSocketAddress *target,
-					       const struct soak_link *link,
-					       soak_connection_ended ended,
-					       void *data);
+struct soak_connection *
+soak_connection_create(GSocket *client, GSocketAddress *source,
+		       GSocketAddress *target, const struct soak_link *link,
+		       soak_connection_ended ended, void *data);
 void soak_connection_destroy(struct soak_connection *connection);
 void soak_connection_link_changed(struct soak_connection *connection);
 void soak_connection_reset(struct soak_connection *connection);
-void soak_socket_reset(GSocket *socket);
 
 #endif
--- a/tests/soak/soak_proxy.c
+++ b/tests/soak/soak_proxy.c
@@ -1,6 +1,7 @@
 #include "tests/soak/soak_proxy.h"
 
 #include "tests/soak/soak_connection.h"
+#include "tests/soak/soak_socket.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -12,6 +13,8 @@
 	GSocket *listener;
 	GSource *accept; /* NULL: accepts nothing */
 	char *address;
+	char *source_text;
+	GSocketAddress *source; /* of its connections to the target */
 	GSocketAddress *target;
 	struct soak_link link;
 	GPtrArray *connections; /* struct soak_connection */
@@ -58,12 +61,11 @@
 		g_object_unref(client);
 		return G_SOURCE_CONTINUE;
 	}
-	connection = soak_connection_create(client, proxy->target, &proxy->link,
-					    on_ended, proxy);
+	connection =
+		soak_connection_create(client, proxy->source, proxy->target,
+				       &proxy->link, on_ended, proxy);
 	if (connection)
 		g_ptr_array_add(proxy->connections, connection);
-	else
-		fprintf(stderr, "proxy %s: no socket left\n", proxy->address);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -85,23 +87,41 @@
 	g_source_attach(proxy->accept, NULL);
 }
 
-static char *proxy_listen(GSocket *listener, GError **error)
+/*
+ * The party behind the proxy can tell callers apart by their addresses: each
+ * proxy connects from an address of its own, made of its port.
+ */
+static void proxy_name(struct soak_proxy *proxy, guint16 port)
+{
+	proxy->address = g_strdup_printf("127.0.0.1:%u", port);
+	proxy->source_text =
+		g_strdup_printf("127.1.%u.%u", port >> 8, port & 0xff);
+	proxy->source =
+		g_inet_socket_address_new_from_string(proxy->source_text, 0);
+}
+
+static bool proxy_listen(struct soak_proxy *proxy, GError **error)
 {
 	g_autoptr(GSocketAddress) any =
 		g_inet_socket_address_new_from_string("127.0.0.1", 0);
 	g_autoptr(GSocketAddress) bound = NULL;
 
-	g_socket_set_listen_backlog(listener, LISTEN_BACKLOG);
-	g_socket_set_blocking(listener, FALSE);
-	if (!g_socket_bind(listener, any, TRUE, error) ||
-	    !g_socket_listen(listener, error))
-		return NULL;
-	bound = g_socket_get_local_address(listener, error);
+	proxy->listener =
+		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+			     G_SOCKET_PROTOCOL_TCP, error);
+	if (!proxy->listener)
+		return false;
+	g_socket_set_listen_backlog(proxy->listener, LISTEN_BACKLOG);
+	g_socket_set_blocking(proxy->listener, FALSE);
+	if (!g_socket_bind(proxy->listener, any, TRUE, error) ||
+	    !g_socket_listen(proxy->listener, error))
+		return false;
+	bound = g_socket_get_local_address(proxy->listener, error);
 	if (!bound)
-		return NULL;
-	return g_strdup_printf(
-		"127.0.0.1:%u",
-		g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)));
+		return false;
+	proxy_name(proxy, g_inet_socket_address_get_port(
+				  G_INET_SOCKET_ADDRESS(bound)));
+	return true;
 }
 
 /* Listens on a free port of 127.0.0.1; NULL: the error says why. */
@@ -112,12 +132,7 @@
 
 	proxy->connections = g_ptr_array_new();
 	proxy->target = address_parse(target);
-	proxy->listener =
-		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-			     G_SOCKET_PROTOCOL_TCP, &reason);
-	if (proxy->listener)
-		proxy->address = proxy_listen(proxy->listener, &reason);
-	if (!proxy->target || !proxy->address) {
+	if (!proxy->target || !proxy_listen(proxy, &reason)) {
 		error_set(error, ERROR_INVALID, "proxy.create", target, "%s",
 			  reason ? reason->message : "expected IP:PORT");
 		soak_proxy_destroy(proxy);
@@ -137,7 +152,9 @@
 		soak_connection_destroy(proxy->connections->pdata[i]);
 	g_ptr_array_unref(proxy->connections);
 	g_clear_object(&proxy->listener);
+	g_clear_object(&proxy->source);
 	g_clear_object(&proxy->target);
+	g_free(proxy->source_text);
 	g_free(proxy->address);
 	g_free(proxy);
 }
@@ -148,6 +165,12 @@
 	return proxy->address;
 }
 
+/* The IP address that the target sees the proxy's connections come from. */
+const char *soak_proxy_source(const struct soak_proxy *proxy)
+{
+	return proxy->source_text;
+}
+
 /* Where new connections go, as IP:PORT; those that are open stay. */
 void soak_proxy_set_target(struct soak_proxy *proxy, const char *target)
 {
--- a/tests/soak/soak_proxy.h
+++ b/tests/soak/soak_proxy.h
@@ -18,6 +18,7 @@
 struct soak_proxy *soak_proxy_create(const char *target, struct error *error);
 void soak_proxy_destroy(struct soak_proxy *proxy);
 const char *soak_proxy_address(const struct soak_proxy *proxy);
+const char *soak_proxy_source(const struct soak_proxy *proxy);
 void soak_proxy_set_target(struct soak_proxy *proxy, const char *target);
 void soak_proxy_set(struct soak_proxy *proxy, const struct soak_link *link);
 
--- /dev/null
+++ b/tests/soak/soak_socket.c
@@ -0,0 +1,38 @@
+#include "tests/soak/soak_socket.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <sys/socket.h>
+
+/* A socket that connects from source; NULL after a line on standard error. */
+GSocket *soak_socket_open(GSocketAddress *source)
+{
+	g_autoptr(GError) error = NULL;
+	GSocket *socket = g_socket_new(g_socket_address_get_family(source),
+				       G_SOCKET_TYPE_STREAM,
+				       G_SOCKET_PROTOCOL_TCP, &error);
+
+	if (socket && g_socket_bind(socket, source, FALSE, &error))
+		return socket;
+	fprintf(stderr, "proxy: no socket: %s\n", error->message);
+	g_clear_object(&socket);
+	return NULL;
+}
+
+/* It never blocks, and small writes leave at once: a trickle is one. */
+void soak_socket_hurry(GSocket *socket)
+{
+	g_socket_set_blocking(socket, FALSE);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+}
+
+/* Closes it so that its peer gets a reset. */
+void soak_socket_reset(GSocket *socket)
+{
+	struct linger linger = {1, 0};
+
+	setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &linger,
+		   sizeof(linger));
+	g_socket_close(socket, NULL);
+}
--- /dev/null
+++ b/tests/soak/soak_socket.h
@@ -0,0 +1,15 @@
+#ifndef TESTS_SOAK_SOAK_SOCKET_H
+#define TESTS_SOAK_SOAK_SOCKET_H
+
+#include <gio/gio.h>
+
+G_BEGIN_DECLS
+
+/* What the proxy needs of sockets beyond GIO. */
+GSocket *soak_socket_open(GSocketAddress *source);
+void soak_socket_hurry(GSocket *socket);
+void soak_socket_reset(GSocket *socket);
+
+G_END_DECLS
+
+#endif
--- a/tests/soak_proxy_test.cc
+++ b/tests/soak_proxy_test.cc
@@ -91,6 +91,20 @@
 	EXPECT_TRUE(client->wait_closed());
 }
 
+/* So that a party can refuse some of its callers and serve the others. */
+TEST_F(SoakProxy, ConnectsFromAnAddressOfItsOwn)
+{
+	g_autoptr(GSocketAddress) from = nullptr;
+	g_autofree char *text = nullptr;
+
+	connect();
+	from = g_socket_get_remote_address(target->socket, nullptr);
+	text = g_inet_address_to_string(
+		g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(from)));
+	EXPECT_STREQ(soak_proxy_source(proxy), text);
+	EXPECT_EQ(0u, std::string(text).find("127.1."));
+}
+
 TEST_F(SoakProxy, PassesMoreThanItHolds)
 {
 	const std::string bytes(1 << 20, 'x');
