The stand-in for the store is slow, stale, and refuses some callers

Its faults met all callers alike. Now it can turn some away by their addresses (503, 429, a reset or no answer, their waiting watches with them) and serve the others, deal with each call later, tell reads that allow it what was so some time ago, and lose all leases and the engines' entries at once or let leases stand while it is down.

--- a/fakes/platform_store.c
+++ b/fakes/platform_store.c
@@ -5,14 +5,6 @@
 #define PAGE_ITEMS 500
 #define LONGEST_WAIT_MS 30000
 
-struct watch {
-	struct platform_store *store;
-	SoupServerMessage *message;
-	char *prefix;
-	int64_t after;
-	guint timer;
-};
-
 static void item_free(gpointer data)
 {
 	struct item *item = data;
@@ -60,13 +52,12 @@
 	return builder;
 }
 
-static void page_send(const struct platform_store *store,
-		      SoupServerMessage *message, JsonBuilder *builder,
-		      bool has_more)
+static void page_send(SoupServerMessage *message, JsonBuilder *builder,
+		      int64_t as_of, bool has_more)
 {
 	json_builder_end_array(builder);
 	json_builder_set_member_name(builder, "as_of");
-	json_builder_add_int_value(builder, store->revision);
+	json_builder_add_int_value(builder, as_of);
 	json_builder_set_member_name(builder, "has_more");
 	json_builder_add_boolean_value(builder, has_more);
 	json_builder_end_object(builder);
@@ -110,7 +101,7 @@
 		    g_str_has_prefix(item->key, watch->prefix))
 			platform_store_add_item(builder, item);
 	}
-	page_send(store, watch->message, builder, false);
+	page_send(watch->message, builder, store->revision, false);
 	soup_server_message_unpause(watch->message);
 	g_ptr_array_remove(store->watches, watch);
 }
@@ -124,19 +115,26 @@
 	return G_SOURCE_REMOVE;
 }
 
-/* The last change of a key; NULL: it was never written. */
-const struct item *platform_store_latest(const struct platform_store *store,
-					 const char *key)
+/* The last change of a key up to a revision; NULL: there was none. */
+static const struct item *latest_at(const struct platform_store *store,
+				    const char *key, int64_t revision)
 {
 	for (guint i = store->changes->len; i-- > 0;) {
 		const struct item *item = g_ptr_array_index(store->changes, i);
 
-		if (strcmp(item->key, key) == 0)
+		if (item->revision <= revision && strcmp(item->key, key) == 0)
 			return item;
 	}
 	return NULL;
 }
 
+/* The last change of a key; NULL: it was never written. */
+const struct item *platform_store_latest(const struct platform_store *store,
+					 const char *key)
+{
+	return latest_at(store, key, store->revision);
+}
+
 /* Writes or deletes a key and answers the watches that wait for it. */
 void platform_store_write(struct platform_store *store, const char *key,
 			  char *value, int64_t lease)
@@ -147,6 +145,7 @@
 	item->key = g_strdup(key);
 	item->value = value;
 	item->lease = lease;
+	item->at_us = g_get_monotonic_time();
 	item->revision = ++store->revision;
 	item->created =
 		before && before->value ? before->created : item->revision;
@@ -176,16 +175,11 @@
 	return text ? text : "";
 }
 
-/* True when the call has been dealt with by a fault. */
-bool platform_store_fails(struct platform_store *store,
-			  SoupServerMessage *message)
+/* The revision that a read sees. */
+static int64_t read_view(const struct platform_store *store, GHashTable *query)
 {
-	store->calls++;
-	if (store->silent)
-		soup_server_message_pause(message);
-	else if (store->down)
-		fake_message_answer_text(message, 503, "down");
-	return store->silent || store->down;
+	return platform_store_view(
+		store, strcmp(query_text(query, "allow_stale"), "1") == 0);
 }
 
 static void on_range(void *data, SoupServerMessage *message, const char *path)
@@ -194,6 +188,7 @@
 	g_autoptr(GHashTable) query = query_of(message);
 	const char *prefix = query_text(query, "path_prefix");
 	const char *after = query_text(query, "after");
+	int64_t view = read_view(store, query);
 	JsonBuilder *builder;
 	int64_t count = 0;
 
@@ -204,15 +199,14 @@
 	for (guint i = 0; i < store->changes->len; i++) {
 		const struct item *item = g_ptr_array_index(store->changes, i);
 
-		if (!item->value ||
-		    platform_store_latest(store, item->key) != item ||
+		if (!item->value || latest_at(store, item->key, view) != item ||
 		    !g_str_has_prefix(item->key, prefix) ||
 		    strcmp(item->key, after) <= 0 || count == PAGE_ITEMS)
 			continue;
 		platform_store_add_item(builder, item);
 		count++;
 	}
-	page_send(store, message, builder, count == PAGE_ITEMS);
+	page_send(message, builder, view, count == PAGE_ITEMS);
 }
 
 static void on_watch(void *data, SoupServerMessage *message, const char *path)
@@ -251,13 +245,14 @@
 {
 	struct platform_store *store = data;
 	g_autoptr(GHashTable) query = query_of(message);
+	int64_t view = read_view(store, query);
 	const struct item *item;
 	JsonBuilder *builder;
 
 	(void)path;
 	if (platform_store_fails(store, message))
 		return;
-	item = platform_store_latest(store, query_text(query, "key"));
+	item = latest_at(store, query_text(query, "key"), view);
 	if (!item || !item->value) {
 		fake_message_answer_text(message, 404, "no such key");
 		return;
@@ -266,7 +261,7 @@
 	json_builder_begin_object(builder);
 	add_fields(builder, item);
 	json_builder_set_member_name(builder, "as_of");
-	json_builder_add_int_value(builder, store->revision);
+	json_builder_add_int_value(builder, view);
 	json_builder_end_object(builder);
 	fake_message_answer_json(message, 200, builder);
 }
@@ -304,7 +299,7 @@
 }
 
 /* Ends the watches that wait, as a store does that goes away or forgets. */
-static void cut_watches(struct platform_store *store, unsigned status)
+void platform_store_cut_watches(struct platform_store *store, unsigned status)
 {
 	while (store->watches->len > 0) {
 		struct watch *watch = g_ptr_array_index(store->watches, 0);
@@ -315,34 +310,24 @@
 	}
 }
 
-static void on_switch(void *data)
+/* Deletes the keys that begin so. */
+void platform_store_remove_all(struct platform_store *store, const char *prefix)
 {
-	struct platform_store *store = data;
+	guint count = store->changes->len;
 
-	if (store->down)
-		cut_watches(store, 503);
-	if (store->release)
-		platform_store_release(store);
-	store->release = false;
-	if (!store->forget)
-		return;
-	store->forget = false;
-	store->oldest = store->revision;
-	cut_watches(store, 410);
+	for (guint i = 0; i < count; i++) {
+		const struct item *item = g_ptr_array_index(store->changes, i);
+
+		if (item->value && g_str_has_prefix(item->key, prefix) &&
+		    platform_store_latest(store, item->key) == item)
+			platform_store_write(store, item->key, NULL, 0);
+	}
 }
 
 /* The store on a server of its own; its faults are switches. */
 struct platform_store *platform_store_create(struct fake_server *server)
 {
 	struct platform_store *store = g_new0(struct platform_store, 1);
-	const struct fake_mode modes[MODES] = {
-		{"down", FAKE_MODE_BOOL, &store->down},
-		{"silent", FAKE_MODE_BOOL, &store->silent},
-		{"forget", FAKE_MODE_BOOL, &store->forget},
-		{"lose", FAKE_MODE_BOOL, &store->lose},
-		{"hold", FAKE_MODE_BOOL, &store->hold},
-		{"release", FAKE_MODE_BOOL, &store->release},
-	};
 
 	store->changes = g_ptr_array_new_with_free_func(item_free);
 	store->watches = g_ptr_array_new_with_free_func(watch_free);
@@ -350,22 +335,23 @@
 		(GDestroyNotify)json_object_unref);
 	store->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					      platform_store_lease_free);
-	fake_server_add_handler(server, "/v1/kv-key", on_key, store);
-	fake_server_add_handler(server, "/v1/kv-range", on_range, store);
-	fake_server_add_handler(server, "/v1/kv-watch", on_watch, store);
-	fake_server_add_handler(server, "/v1/kv-txn", platform_store_on_txn,
-				store);
-	fake_server_add_handler(server, "/v1/kv-lease", platform_store_on_lease,
-				store);
-	fake_server_add_handler(server, "/v1/kv-keep", platform_store_on_keep,
-				store);
-	fake_server_add_handler(server, "/v1/kv-lease-end",
-				platform_store_on_lease_end, store);
+	store->late = g_ptr_array_new_with_free_func(platform_store_late_free);
+	store->calls_served = g_ptr_array_new_with_free_func(g_free);
+	platform_store_serve(store, server, "/v1/kv-key", on_key);
+	platform_store_serve(store, server, "/v1/kv-range", on_range);
+	platform_store_serve(store, server, "/v1/kv-watch", on_watch);
+	platform_store_serve(store, server, "/v1/kv-txn",
+			     platform_store_on_txn);
+	platform_store_serve(store, server, "/v1/kv-lease",
+			     platform_store_on_lease);
+	platform_store_serve(store, server, "/v1/kv-keep",
+			     platform_store_on_keep);
+	platform_store_serve(store, server, "/v1/kv-lease-end",
+			     platform_store_on_lease_end);
 	fake_server_add_handler(server, "/fake/put", on_put, store);
 	fake_server_add_handler(server, "/fake/delete", on_put, store);
 	fake_server_add_handler(server, "/fake/calls", on_calls, store);
-	memcpy(store->modes, modes, sizeof(modes));
-	fake_server_set_modes(server, store->modes, MODES, on_switch, store);
+	platform_store_add_switches(store, server);
 	return store;
 }
 
@@ -378,6 +364,10 @@
 	g_ptr_array_unref(store->changes);
 	g_ptr_array_unref(store->held);
 	g_hash_table_unref(store->leases);
+	g_ptr_array_unref(store->late);
+	g_ptr_array_unref(store->calls_served);
+	g_free(store->refused);
+	g_free(store->refusal);
 	g_free(store);
 }
 
--- a/fakes/platform_store_change.c
+++ b/fakes/platform_store_change.c
@@ -196,11 +196,26 @@
 {
 	struct lease *lease = data;
 
+	if (lease->store->down && lease->store->pause)
+		return G_SOURCE_CONTINUE;
 	lease->timer = 0;
 	lease_end(lease->store, lease->id);
 	return G_SOURCE_REMOVE;
 }
 
+/* All leases are over at once. */
+void platform_store_end_leases(struct platform_store *store)
+{
+	GHashTableIter i;
+	gpointer id;
+
+	while (g_hash_table_size(store->leases) > 0) {
+		g_hash_table_iter_init(&i, store->leases);
+		g_hash_table_iter_next(&i, &id, NULL);
+		lease_end(store, *(int64_t *)id);
+	}
+}
+
 static void lease_renew(struct lease *lease)
 {
 	if (lease->timer)
