--- a/tests/engine_grants_test.cc
+++ b/tests/engine_grants_test.cc
@@ -79,8 +79,8 @@
 	{
 		struct peer_message *message =
 			peer_message_create(PEER_STANDING);
-		struct peer_held *held =
-			peer_standing_add(&message->standing, id.c_str());
+		struct peer_held *held = peer_standing_add(
+			&message->standing, endpoint_key(id.c_str()));
 
 		held->requests = 1;
 		held->tokens = kPromptTokens + 400;
