Claims and outcomes of request ids each in a file of their own

Cause: node_id.c had grown to 570 lines with three subjects. Change: node_claim.c claims plain keys in the key-value service, node_outcome.c answers repeated ids, node_id.c (202 lines) says who may run an id. Waiting for an answer to a claim stood twice and is one function now; the time after which a refused caller may come back stood in four files and is one constant with its grounds.

--- a/core/node/node.c
+++ b/core/node/node.c
@@ -237,7 +237,7 @@
 		counters_add(&node->counters, COUNTER_KV_FAILED, 1);
 	else
 		node->kv_heard_us = node->now_us;
-	if (!node_config_kv(node, answer) && !node_id_kv(node, answer) &&
+	if (!node_config_kv(node, answer) && !node_claim_kv(node, answer) &&
 	    !plan_book_kv(node->plans, answer, node->now_us, node->actions) &&
 	    !node_rollout_kv(node, answer) && !node_discovery_kv(node, answer))
 		counters_add(&node->counters, COUNTER_EVENTS_UNKNOWN, 1);
--- a/core/node/node_attempt.c
+++ b/core/node/node_attempt.c
@@ -11,7 +11,6 @@
  * stream ends with a typed error.
  */
 
-#define COME_BACK_US 1000000
 #define MAX_GENERATION_LENGTH 95
 #define MAX_CHUNK_TOKENS 1000000
 #define MAX_REATTACHES 4
@@ -157,7 +156,7 @@
 		node_call_refuse(node, call,
 				 call->maybe_run ? REFUSAL_ENDPOINT_FAILED
 						 : REFUSAL_NO_ENDPOINT,
-				 run, COME_BACK_US);
+				 run, NODE_RETRY_AFTER_US);
 		return;
 	}
 	if (call->outcome) {
@@ -176,7 +175,7 @@
 	if (call->reattaches >= MAX_REATTACHES) {
 		node_place_release(node, call, RELEASE_FAILED);
 		node_call_refuse(node, call, REFUSAL_ENDPOINT_FAILED, RUN_YES,
-				 COME_BACK_US);
+				 NODE_RETRY_AFTER_US);
 		return;
 	}
 	call->reattaches++;
@@ -230,7 +229,7 @@
 	call_end_attempt(node, call);
 	if (call->state == CALL_FORWARDED) {
 		node_call_refuse(node, call, REFUSAL_UNKNOWN_OUTCOME,
-				 RUN_UNKNOWN, COME_BACK_US);
+				 RUN_UNKNOWN, NODE_RETRY_AFTER_US);
 		return;
 	}
 	if (event->stage == ATTEMPT_SENT)
@@ -238,7 +237,7 @@
 	if (call_has_tokens(call) && event->stage == ATTEMPT_GONE) {
 		node_place_release(node, call, RELEASE_FAILED);
 		node_call_refuse(node, call, REFUSAL_GENERATION_GONE, RUN_YES,
-				 COME_BACK_US);
+				 NODE_RETRY_AFTER_US);
 		return;
 	}
 	if (call_has_tokens(call)) {
@@ -266,7 +265,7 @@
 	if (call->state == CALL_FORWARDED) {
 		node_attempt_cancel(node, call, false);
 		node_call_refuse(node, call, REFUSAL_UNKNOWN_OUTCOME,
-				 RUN_UNKNOWN, COME_BACK_US);
+				 RUN_UNKNOWN, NODE_RETRY_AFTER_US);
 		return;
 	}
 	if (call->state == CALL_STREAMING) {
--- a/core/node/node_call.c
+++ b/core/node/node_call.c
@@ -6,7 +6,6 @@
 
 #define PLACE_PATIENCE_US 600000	     /* without a word from the home */
 #define PLACE_REPEAT_US (5 * G_USEC_PER_SEC) /* once it is known to queue */
-#define COME_BACK_US 1000000
 
 /* Answers a caller that has no call of its own. */
 void node_refuse(struct node *node, uint64_t call, enum refusal refusal,
@@ -30,7 +29,7 @@
 	int64_t retry_after_us = 0;
 
 	if (refusal_status(refusal) == 503 || refusal_status(refusal) == 429)
-		retry_after_us = COME_BACK_US;
+		retry_after_us = NODE_RETRY_AFTER_US;
 	node_refuse(node, event->call, refusal, run, retry_after_us, NULL);
 	node_log(node, LOG_LEVEL_INFO, "call_refused", NULL, "reason",
 		 refusal_code(refusal));
@@ -263,7 +262,7 @@
 	case CALL_JOINED:
 		/* The first of its id may run, or still wait for a place. */
 		node_call_refuse(node, call, REFUSAL_IN_PROGRESS, RUN_UNKNOWN,
-				 COME_BACK_US);
+				 NODE_RETRY_AFTER_US);
 		break;
 	case CALL_CLAIMING:
 		break;
@@ -372,7 +371,7 @@
 	}
 	node_log(node, LOG_LEVEL_INFO, "call_refused", call, "reason",
 		 refusal_code(refusal));
-	node_id_settle(node, call);
+	node_outcome_settle(node, call);
 	node_call_drop(node, call);
 }
 
@@ -439,7 +438,7 @@
 	counters_add(&node->counters, COUNTER_CALLS_WHOLE, 1);
 	node_log(node, LOG_LEVEL_INFO, "call_end", call, "finish",
 		 finish_reason);
-	node_id_settle(node, call);
+	node_outcome_settle(node, call);
 	node_call_drop(node, call);
 }
 
@@ -465,7 +464,7 @@
 	}
 	counters_add(&node->counters, COUNTER_CALLS_WHOLE, 1);
 	node_log(node, LOG_LEVEL_INFO, "call_end", call, "finish", "answer");
-	node_id_settle(node, call);
+	node_outcome_settle(node, call);
 	node_call_drop(node, call);
 }
 
@@ -497,7 +496,7 @@
 		call->outcome->state = OUTCOME_NOT_RUN;
 	if (call->attempt && call->begun)
 		node_attempt_cancel(node, call, true);
-	node_id_settle(node, call);
+	node_outcome_settle(node, call);
 	node_call_drop(node, call);
 }
 
--- /dev/null
+++ b/core/node/node_outcome.c
@@ -0,0 +1,162 @@
+#include "core/node/node_state.h"
+
+#include "core/stream/event_id.h"
+
+/*
+ * What a repeated id is answered: the first run's outcome, at once where it
+ * is known, otherwise when it is.
+ */
+
+static void call_replay_stream(struct node *node, struct call *call,
+			       const struct outcome *outcome)
+{
+	struct action *action;
+	struct event_id id;
+
+	g_strlcpy(id.endpoint, outcome->endpoint, sizeof(id.endpoint));
+	g_strlcpy(id.generation, outcome->generation, sizeof(id.generation));
+	id.token_count = 0;
+	action_list_add(node->actions, ACTION_CALL_BEGIN)->call_begin =
+		call->id;
+	for (guint i = 0; i < outcome->chunks->len; i++) {
+		const struct outcome_chunk *chunk = &g_array_index(
+			outcome->chunks, struct outcome_chunk, i);
+
+		id.token_count += chunk->token_count;
+		action = action_list_add(node->actions, ACTION_CALL_CHUNK);
+		action->chunk.call = call->id;
+		action->chunk.event_id = event_id_format(
+			&id, call->organisation, node->options.event_key);
+		action->chunk.data = g_bytes_ref(chunk->data);
+	}
+	action = action_list_add(node->actions, ACTION_CALL_END);
+	action->end.call = call->id;
+	action->end.run = RUN_YES;
+	action->end.token_count = id.token_count;
+	action->end.finish_reason = g_strdup(outcome->finish_reason);
+}
+
+static void call_replay_answer(struct node *node, struct call *call,
+			       const struct outcome *outcome)
+{
+	struct action *action =
+		action_list_add(node->actions, ACTION_CALL_ANSWER);
+
+	action->answer.call = call->id;
+	action->answer.status = outcome->status;
+	action->answer.content_type = g_strdup(outcome->content_type);
+	action->answer.body = g_bytes_ref(outcome->body);
+	action->answer.replayed = true;
+}
+
+/* Gives a repeated id the first outcome; the call is gone afterwards. */
+static void call_replay(struct node *node, struct call *call,
+			const struct outcome *outcome)
+{
+	call->outcome = NULL;
+	if (outcome->truncated) {
+		node_call_refuse(node, call, REFUSAL_ALREADY_RUN, RUN_YES, 0);
+		return;
+	}
+	counters_add(&node->counters, COUNTER_REPLAYED, 1);
+	node_log(node, LOG_LEVEL_INFO, "call_replayed", call, "id",
+		 call->request->idempotency_key);
+	if (outcome->status)
+		call_replay_answer(node, call, outcome);
+	else
+		call_replay_stream(node, call, outcome);
+	node_call_drop(node, call);
+}
+
+static void call_join(struct node *node, struct call *call,
+		      struct outcome *outcome)
+{
+	call->outcome = outcome;
+	g_array_append_val(outcome->waiting, call->id);
+	node_call_set_state(node, call, CALL_JOINED);
+}
+
+/*
+ * Refuses this call alone: without its outcome, node_call_refuse has nothing
+ * to settle for those that wait for the same id.
+ */
+void node_outcome_refuse(struct node *node, struct call *call,
+			 enum refusal refusal, enum run run,
+			 int64_t retry_after_us)
+{
+	call->outcome = NULL;
+	node_call_refuse(node, call, refusal, run, retry_after_us);
+}
+
+/* An id seen before. True when the call may go on to an endpoint. */
+bool node_outcome_repeat(struct node *node, struct call *call,
+			 struct outcome *outcome)
+{
+	/* Nothing ran here by this id yet: whose body it is, is still open. */
+	if (outcome->state == OUTCOME_NOT_RUN)
+		outcome->fingerprint = call->fingerprint;
+	if (outcome->fingerprint != call->fingerprint) {
+		node_outcome_refuse(node, call, REFUSAL_KEY_REUSED, RUN_NO, 0);
+		return false;
+	}
+	switch (outcome->state) {
+	case OUTCOME_NOT_RUN:
+		outcome->state = OUTCOME_PENDING;
+		outcome_clear_chunks(outcome);
+		call->outcome = outcome;
+		return true;
+	case OUTCOME_PENDING:
+	case OUTCOME_RUNNING:
+		call_join(node, call, outcome);
+		return false;
+	case OUTCOME_WHOLE:
+		call_replay(node, call, outcome);
+		return false;
+	case OUTCOME_UNKNOWN:
+		node_outcome_refuse(node, call, REFUSAL_UNKNOWN_OUTCOME,
+				    RUN_UNKNOWN, 0);
+		return false;
+	}
+	return false;
+}
+
+static void node_settle_waiting(struct node *node, struct call *call,
+				struct outcome *outcome)
+{
+	switch (outcome->state) {
+	case OUTCOME_WHOLE:
+		call_replay(node, call, outcome);
+		break;
+	case OUTCOME_NOT_RUN:
+		node_outcome_refuse(node, call, REFUSAL_NO_ENDPOINT, RUN_NO,
+				    NODE_RETRY_AFTER_US);
+		break;
+	case OUTCOME_PENDING:
+	case OUTCOME_RUNNING:
+	case OUTCOME_UNKNOWN:
+		node_outcome_refuse(node, call, REFUSAL_UNKNOWN_OUTCOME,
+				    RUN_UNKNOWN, 0);
+		break;
+	}
+}
+
+/* Answers the calls that waited for the outcome of this one's id. */
+void node_outcome_settle(struct node *node, struct call *call)
+{
+	struct outcome *outcome = call->outcome;
+	GArray *waiting;
+
+	if (!outcome || call->state == CALL_JOINED)
+		return;
+	call->outcome = NULL;
+	waiting = outcome->waiting;
+	outcome->waiting = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	for (guint i = 0; i < waiting->len; i++) {
+		struct call *other = g_hash_table_lookup(
+			node->calls, &g_array_index(waiting, uint64_t, i));
+
+		if (other && other->state == CALL_JOINED)
+			node_settle_waiting(node, other, outcome);
+	}
+	g_array_unref(waiting);
+}
--- a/core/node/node_place.c
+++ b/core/node/node_place.c
@@ -8,7 +8,6 @@
  * goes on by its own share of each endpoint when no home answers.
  */
 
-#define COME_BACK_US 1000000
 #define PROGRESS_FULL_AFTER_CHANGE 3
 
 static uint64_t node_new_ticket(struct node *node)
@@ -127,7 +126,7 @@
 	if (!shard) {
 		node_call_refuse(node, call, REFUSAL_NO_ENDPOINT,
 				 call->maybe_run ? RUN_UNKNOWN : RUN_NO,
-				 COME_BACK_US);
+				 NODE_RETRY_AFTER_US);
 		return;
 	}
 	call_new_ticket(node, call);
@@ -146,7 +145,7 @@
 	if (call->deadline_us && call->deadline_us <= node->now_us) {
 		node_call_refuse(node, call, REFUSAL_DEADLINE,
 				 call->maybe_run ? RUN_UNKNOWN : RUN_NO,
-				 COME_BACK_US);
+				 NODE_RETRY_AFTER_US);
 		return;
 	}
 	home = node_find_home(node, call->home);
--- a/core/node/node_state.h
+++ b/core/node/node_state.h
@@ -25,7 +25,9 @@
  *   node.c          life, dispatch of events
  *   node_dump.c     the state dump
  *   node_call.c     callers: checks, refusals, streams, timers
- *   node_id.c       request ids: repeated, claimed, forwarded
+ *   node_id.c       request ids: who may run them, forwarded
+ *   node_claim.c    plain keys, claimed in the key-value service
+ *   node_outcome.c  what a repeated id is answered
  *   node_place.c    entry node's side of getting an endpoint
  *   node_share.c    its own shares, where there is no home
  *   node_progress.c what it tells homes of what it holds
@@ -128,6 +130,12 @@
 	int32_t progress_full; /* so many reports to come in full */
 };
 
+/*
+ * When a caller may come again after a refusal that passes: by then a new
+ * home grants, which waits for holdings a second at most (node_shard.c).
+ */
+#define NODE_RETRY_AFTER_US G_USEC_PER_SEC
+
 /* A peer's word that an endpoint leaves holds so long. */
 #define PEER_LEAVING_US (30 * G_USEC_PER_SEC)
 
@@ -171,11 +179,26 @@
 
 /* node_id.c */
 bool node_id_receive(struct node *node, struct call *call);
-bool node_id_kv(struct node *node, const struct kv_answer *answer);
-void node_id_settle(struct node *node, struct call *call);
+void node_id_forward(struct node *node, struct call *call,
+		     const struct member *member);
 void node_id_dispatched(struct call *call);
 enum run node_id_run(const struct node *node, const struct request *request,
 		     const char *organisation);
+const struct member *node_find_incarnation(const struct node *node,
+					   const char *name,
+					   uint64_t incarnation);
+
+/* node_claim.c */
+void node_claim_send(struct node *node, struct call *call);
+bool node_claim_kv(struct node *node, const struct kv_answer *answer);
+
+/* node_outcome.c */
+bool node_outcome_repeat(struct node *node, struct call *call,
+			 struct outcome *outcome);
+void node_outcome_settle(struct node *node, struct call *call);
+void node_outcome_refuse(struct node *node, struct call *call,
+			 enum refusal refusal, enum run run,
+			 int64_t retry_after_us);
 
 /* node_place.c */
 void node_place_call(struct node *node, struct call *call);
--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -1,5 +1,6 @@
 /*
- * How a non-idempotent request runs at most once (core/node/node_id.c).
+ * How a non-idempotent request runs at most once (core/node/node_id.c,
+ * node_claim.c).
  *
  * One request id, sent up to SENDS times to either of two nodes. The id is
  * either issued (it names node 0 and its first incarnation: only that process
