--- a/core/placement/placement.h
+++ b/core/placement/placement.h
@@ -34,7 +34,7 @@
 	enum service_kind kind;
 	uint64_t seed;
 	int32_t max_waiting;
-	int64_t step_us; /* token interval an engine may reach; 28,000 */
+	int64_t step_us; /* token interval an engine may reach */
 
 	/* Shared with other placements, and outlives them; NULL: its own. */
 	struct length_estimate *lengths;
--- /dev/null
+++ b/core/placement/placement_release.c
@@ -0,0 +1,115 @@
+#include "core/placement/placement_state.h"
+
+/*
+ * What is learned of placed requests: while they make tokens, and when they
+ * end.
+ */
+
+#define PLAIN_FADE 0.95 /* by each plain call: a memory of 20 */
+#define HELD_FADE 0.99	/* by each request that ends: a memory of 100 */
+
+static void placement_count_tokens(struct placed_call *call, int64_t tokens)
+{
+	if (tokens > call->counted) {
+		length_class_count_progress(call->cls, call->counted, tokens);
+		call->counted = tokens;
+	}
+}
+
+/* Notes how many tokens a placed request has made. */
+void placement_progress(struct placement *placement, uint64_t ticket,
+			int64_t tokens, int64_t now_us)
+{
+	struct placed_call *call = placement_find_call(placement, ticket);
+
+	if (!call || !call->book || tokens <= call->made ||
+	    tokens > LENGTH_LONGEST)
+		return;
+	endpoint_book_progress(call->book, call, tokens, now_us);
+	endpoint_health_report_success(&call->book->health, now_us);
+	placement_count_tokens(call, tokens);
+}
+
+static void placement_learn_length(struct placed_call *call,
+				   enum release_outcome outcome, int64_t tokens)
+{
+	bool cut = call->max_tokens > 0 && tokens >= call->max_tokens;
+
+	tokens = MIN(tokens, LENGTH_LONGEST);
+	if (outcome == RELEASE_WHOLE && !cut && tokens > 0)
+		length_class_count_end(call->cls, call->counted, tokens);
+	else
+		placement_count_tokens(call, tokens);
+}
+
+static void placement_learn_health(struct placement *placement,
+				   struct endpoint_book *book,
+				   enum release_outcome outcome, int64_t now_us)
+{
+	switch (outcome) {
+	case RELEASE_WHOLE:
+		endpoint_health_report_success(&book->health, now_us);
+		break;
+	case RELEASE_FAILED:
+	case RELEASE_LOST:
+		if (endpoint_health_report_failure(&book->health))
+			placement_suspect(placement, book, now_us);
+		break;
+	case RELEASE_CANCELLED:
+	case RELEASE_NOT_SENT:
+		break;
+	}
+}
+
+/* What ends, and how long it held its place, weighed by its size. */
+static void placement_learn_drain(struct placement *placement,
+				  const struct placed_call *call, double used,
+				  int64_t now_us)
+{
+	double held_s =
+		(double)(now_us - call->placed_us) / (double)G_USEC_PER_SEC;
+
+	placement->drained += used;
+	placement->used_memory = placement->used_memory * HELD_FADE + used;
+	placement->held_memory =
+		placement->held_memory * HELD_FADE + used * held_s;
+}
+
+static void placement_learn_plain(struct placement *placement,
+				  const struct placed_call *call,
+				  int64_t now_us)
+{
+	placement->plain_us =
+		placement->plain_us * PLAIN_FADE +
+		(double)(now_us - call->placed_us) * (1 - PLAIN_FADE);
+}
+
+/* Ends a grant; unknown tickets are ignored, one that waits is withdrawn. */
+void placement_release(struct placement *placement, uint64_t ticket,
+		       enum release_outcome outcome, int64_t tokens,
+		       int64_t now_us)
+{
+	struct placed_call *call = placement_find_call(placement, ticket);
+	struct endpoint_book *book;
+	double used = 1;
+
+	if (!call)
+		return;
+	book = call->book;
+	if (!book) {
+		placement_forget(placement, call);
+		return;
+	}
+	tokens = MAX(tokens, call->made);
+	if (placement->options.kind == SERVICE_GENERATION) {
+		used = (double)(call->prompt_tokens + tokens);
+		placement_learn_length(call, outcome, tokens);
+	} else if (outcome == RELEASE_WHOLE) {
+		placement_learn_plain(placement, call, now_us);
+	}
+	wait_queue_charge(placement->queue, call->entry.organisation,
+			  used - call->charged, false);
+	placement_learn_drain(placement, call, used, now_us);
+	placement_learn_health(placement, book, outcome, now_us);
+	placement_forget(placement, call);
+}
--- a/core/placement/placement_state.h
+++ b/core/placement/placement_state.h
@@ -38,6 +38,10 @@
 	struct placement_counts counts;
 };
 
+struct endpoint_book *placement_find_endpoint(struct placement *placement,
+					      const char *address);
+struct placed_call *placement_find_call(struct placement *placement,
+					uint64_t ticket);
 void placement_forget(struct placement *placement, struct placed_call *call);
 void placement_refill(struct placed_call *call, int64_t now_us);
 void placement_put(struct placement *placement, struct placed_call *call,
