--- a/fakes/engine_model.h
+++ b/fakes/engine_model.h
@@ -1,6 +1,7 @@
 #ifndef FAKES_ENGINE_MODEL_H
 #define FAKES_ENGINE_MODEL_H
 
+#include "fakes/prefix_cache.h"
 #include "ports/load_report.h"
 
 #include <glib.h>
@@ -62,13 +63,6 @@
 	int64_t started; /* requests that ran: their first token was made */
 };
 
-/* A prefix entered the cache or fell out of it. Old events are forgotten. */
-struct engine_cache_event {
-	int64_t number; /* from 1 on, without gaps */
-	uint64_t prefix_hash;
-	bool stored;
-};
-
 enum engine_order_outcome { ENGINE_ORDER_DONE, ENGINE_ORDER_STALE };
 
 struct engine_model;
@@ -98,7 +92,6 @@
 void engine_model_set_leaving(struct engine_model *engine, bool leaving);
 void engine_model_set_slowdown(struct engine_model *engine, double factor);
 
-/* The load as it was load_lag_us ago. */
 void engine_model_report(const struct engine_model *engine, int64_t now_us,
 			 struct load_report *report);
 void engine_model_cache_events(const struct engine_model *engine, int64_t after,
