Watches and fields of the key-value gateway's JSON in a file each

Unwrapping a streamed result stood twice, and the stand-in of the service wrote its members by copies of the same two functions: one of each is left. No behaviour changes.

--- a/adapters/kv_watch.c
+++ b/adapters/kv_watch.c
@@ -2,6 +2,7 @@
 
 #include "adapters/bounded_request.h"
 #include "codec/etcd_json.h"
+#include "codec/etcd_watch.h"
 
 #include <string.h>
 
@@ -153,7 +154,7 @@
 	struct etcd_watch_message message;
 	bool canceled;
 
-	if (!etcd_json_parse_watch(line, max_bytes, &message, error))
+	if (!etcd_watch_message_parse(line, max_bytes, &message, error))
 		return false;
 	clear_source(&stream->watch->open_timer);
 	for (guint i = 0; stream->watch && i < message.changes->len; i++) {
@@ -282,7 +283,7 @@
 {
 	struct kv_stream *stream = g_new0(struct kv_stream, 1);
 	char *url = g_strdup_printf("http://%s/v3/watch", watch->address);
-	GBytes *body = etcd_json_format_watch(watch->key, start_revision);
+	GBytes *body = etcd_watch_format(watch->key, start_revision);
 	struct bounded_request_spec spec = {.method = "POST",
 					    .url = url,
 					    .body = body,
--- a/fakes/kv_gateway.c
+++ b/fakes/kv_gateway.c
@@ -1,6 +1,6 @@
 #include "fakes/kv_gateway.h"
 
-#include "codec/etcd_json.h"
+#include "codec/etcd_field.h"
 
 #include <string.h>
 
@@ -55,7 +55,7 @@
 {
 	GBytes *bytes;
 
-	if (!etcd_json_decode(get_string(object, name), &bytes))
+	if (!etcd_field_decode(get_string(object, name), &bytes))
 		bytes = g_bytes_new_static("", 0);
 	return bytes;
 }
@@ -103,33 +103,14 @@
 	return JSON_NODE_HOLDS_OBJECT(node) ? json_node_get_object(node) : NULL;
 }
 
-static void add_int64(JsonBuilder *builder, const char *name, int64_t value)
-{
-	char text[32];
-
-	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, value);
-	json_builder_set_member_name(builder, name);
-	json_builder_add_string_value(builder, text);
-}
-
-static void add_base64(JsonBuilder *builder, const char *name, const void *data,
-		       size_t size)
-{
-	char *text = g_base64_encode(data, size);
-
-	json_builder_set_member_name(builder, name);
-	json_builder_add_string_value(builder, text);
-	g_free(text);
-}
-
 static void add_header(JsonBuilder *builder, const struct kv_model *model)
 {
 	json_builder_set_member_name(builder, "header");
 	json_builder_begin_object(builder);
-	add_int64(builder, "cluster_id", 1);
-	add_int64(builder, "member_id", 1);
-	add_int64(builder, "revision", kv_model_revision(model));
-	add_int64(builder, "raft_term", 1);
+	etcd_field_add_int64(builder, "cluster_id", 1);
+	etcd_field_add_int64(builder, "member_id", 1);
+	etcd_field_add_int64(builder, "revision", kv_model_revision(model));
+	etcd_field_add_int64(builder, "raft_term", 1);
 	json_builder_end_object(builder);
 }
 
@@ -137,13 +118,15 @@
 		   int64_t create_revision, int64_t mod_revision)
 {
 	json_builder_begin_object(builder);
-	add_base64(builder, "key", key, strlen(key));
+	etcd_field_add_bytes(builder, "key", key, strlen(key));
 	if (create_revision)
-		add_int64(builder, "create_revision", create_revision);
-	add_int64(builder, "mod_revision", mod_revision);
+		etcd_field_add_int64(builder, "create_revision",
+				     create_revision);
+	etcd_field_add_int64(builder, "mod_revision", mod_revision);
 	if (value && g_bytes_get_size(value))
-		add_base64(builder, "value", g_bytes_get_data(value, NULL),
-			   g_bytes_get_size(value));
+		etcd_field_add_bytes(builder, "value",
+				     g_bytes_get_data(value, NULL),
+				     g_bytes_get_size(value));
 	json_builder_end_object(builder);
 }
 
@@ -175,7 +158,7 @@
 		       entry->create_revision, entry->mod_revision);
 	}
 	json_builder_end_array(builder);
-	add_int64(builder, "count", entries->len);
+	etcd_field_add_int64(builder, "count", entries->len);
 }
 
 static unsigned answer_range(const struct kv_model *model, JsonObject *body,
@@ -261,7 +244,7 @@
 
 	add_header(builder, model);
 	if (deleted)
-		add_int64(builder, "deleted", deleted);
+		etcd_field_add_int64(builder, "deleted", deleted);
 	g_free(key);
 	g_free(range_end);
 }
@@ -331,8 +314,9 @@
 	int64_t ttl_s = MAX(get_int64(body, "TTL"), 1);
 
 	add_header(builder, model);
-	add_int64(builder, "ID", kv_model_lease_grant(model, ttl_s, now_us));
-	add_int64(builder, "TTL", ttl_s);
+	etcd_field_add_int64(builder, "ID",
+			     kv_model_lease_grant(model, ttl_s, now_us));
+	etcd_field_add_int64(builder, "TTL", ttl_s);
 }
 
 static void answer_keepalive(struct kv_model *model, JsonObject *body,
@@ -344,9 +328,9 @@
 	json_builder_set_member_name(builder, "result");
 	json_builder_begin_object(builder);
 	add_header(builder, model);
-	add_int64(builder, "ID", lease);
+	etcd_field_add_int64(builder, "ID", lease);
 	if (ttl_s)
-		add_int64(builder, "TTL", ttl_s);
+		etcd_field_add_int64(builder, "TTL", ttl_s);
 	json_builder_end_object(builder);
 }
 
@@ -462,7 +446,7 @@
 	if (*compacted) {
 		json_builder_set_member_name(builder, "canceled");
 		json_builder_add_boolean_value(builder, TRUE);
-		add_int64(builder, "compact_revision", oldest);
+		etcd_field_add_int64(builder, "compact_revision", oldest);
 	}
 	return end_line(builder);
 }
--- a/fuzz/etcd_json_fuzz.c
+++ b/fuzz/etcd_json_fuzz.c
@@ -1,4 +1,5 @@
 #include "codec/etcd_json.h"
+#include "codec/etcd_watch.h"
 #include "codec/vm_list_json.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
@@ -21,7 +22,7 @@
 					   &error))
 			kv_answer_clear(&answer);
 	}
-	if (etcd_json_parse_watch(body, MAX_BYTES, &message, &error))
+	if (etcd_watch_message_parse(body, MAX_BYTES, &message, &error))
 		etcd_watch_message_clear(&message);
 	vms = vm_list_json_parse(body, MAX_BYTES, &error);
 	if (vms)
