The paths of the HTTP interface in a file of their own

Cause: http_server.c had grown to 576 lines: the server's life, its calls and each path's handler. Change: http_route.c has the table of paths, who may ask for them and what they lead to; http_server.c keeps exchanges and calls. No behaviour changes.

--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -3,38 +3,16 @@
 #include "adapters/http_answer.h"
 #include "adapters/http_call.h"
 #include "adapters/http_listener.h"
-#include "adapters/http_metrics.h"
-#include "adapters/http_request.h"
+#include "adapters/http_route.h"
+#include "adapters/http_server_state.h"
 #include "adapters/http_upload.h"
 
-#include <libsoup/soup.h>
-#include <sodium.h>
-#include <string.h>
-
-#define PLAN_PREFIX "/admin/v1/plans/"
-#define CONFIRM_SUFFIX "/confirm"
+/* An answer that is collected may be so long, however small requests are. */
 #define COLLECT_BYTES_MIN 1048576
-#define IDLE_CLOSE_MS 60000
-
-struct http_server {
-	SoupServer *soup;
-	struct http_listener *listener;
-	struct http_uploads *uploads;
-	struct event_sink sink;
-	struct log *log; /* NULL: none */
-	struct counters *counters;
-	char *operator_key;
-	int64_t max_body_bytes;
-	int64_t stream_buffer_bytes;
-	uint64_t last_call;
-	size_t open_exchanges; /* from request read to answer written */
-	GHashTable *calls;     /* uint64_t -> struct http_call */
-	GArray *gone;	       /* uint64_t: to be told from the loop */
-	guint gone_source;
-};
+#define IDLE_CLOSE_MS 60000 /* without a byte either way */
 
-static void server_deliver(struct http_server *server,
-			   const struct event *event)
+/* Hands an event to the node. */
+void http_server_deliver(struct http_server *server, const struct event *event)
 {
 	server->sink.deliver(server->sink.data, event);
 }
@@ -52,32 +30,22 @@
 			  NULL);
 }
 
-static void server_refuse(struct http_server *server,
-			  SoupServerMessage *message,
-			  const struct http_problem *problem)
+/* Answers a request that the node never hears of. */
+void http_server_refuse(struct http_server *server, SoupServerMessage *message,
+			const struct http_problem *problem)
 {
 	server_log_refusal(server, message, problem);
 	counters_add(server->counters, COUNTER_REFUSED, 1);
 	http_answer_problem(message, problem);
 }
 
-static void server_refuse_error(struct http_server *server,
-				SoupServerMessage *message,
-				const struct error *error)
-{
-	struct http_problem problem =
-		http_problem_of(REFUSAL_BAD_REQUEST, RUN_NO, 0, error->detail);
-
-	server_refuse(server, message, &problem);
-}
-
 static void server_call_gone(void *data, uint64_t number)
 {
 	struct http_server *server = data;
 	struct event event = {.type = EVENT_CALL_GONE, .call_gone = number};
 
 	if (g_hash_table_remove(server->calls, &number))
-		server_deliver(server, &event);
+		http_server_deliver(server, &event);
 }
 
 static void server_call_flow(void *data, uint64_t number, bool full)
@@ -87,12 +55,13 @@
 
 	event.call_flow.call = number;
 	event.call_flow.full = full;
-	server_deliver(server, &event);
+	http_server_deliver(server, &event);
 }
 
-static uint64_t server_open_call(struct http_server *server,
-				 SoupServerMessage *message, bool stream,
-				 bool chat)
+/* A number for an exchange that the node will answer. */
+uint64_t http_server_open_call(struct http_server *server,
+			       SoupServerMessage *message, bool stream,
+			       bool chat)
 {
 	struct http_call_options options = {
 		.number = ++server->last_call,
@@ -112,204 +81,6 @@
 	return options.number;
 }
 
-static void server_deliver_call(struct http_server *server,
-				SoupServerMessage *message,
-				struct request *request, bool chat)
-{
-	struct event event = {.type = EVENT_CALL};
-
-	event.call.request = request;
-	event.call.call =
-		server_open_call(server, message, request->stream, chat);
-	server_deliver(server, &event);
-	request_unref(request);
-}
-
-static void server_deliver_query(struct http_server *server,
-				 SoupServerMessage *message,
-				 enum query_type type, const char *plan_id,
-				 GBytes *body)
-{
-	const char *name = http_request_operator(message);
-	struct event event = {.type = EVENT_QUERY};
-
-	event.query.type = type;
-	event.query.operator_name = name ? name : "";
-	event.query.plan_id = plan_id;
-	event.query.body = body;
-	event.query.call = server_open_call(server, message, false, false);
-	server_deliver(server, &event);
-}
-
-static void server_on_generation(struct http_server *server,
-				 SoupServerMessage *message)
-{
-	const char *path = g_uri_get_path(soup_server_message_get_uri(message));
-	bool chat = strstr(path, "/chat/") != NULL;
-	struct error error;
-	struct request *request = http_request_read_generation(message, &error);
-
-	if (!request)
-		server_refuse_error(server, message, &error);
-	else
-		server_deliver_call(server, message, request, chat);
-}
-
-static void server_on_plain(struct http_server *server,
-			    SoupServerMessage *message)
-{
-	struct error error;
-	struct request *request = http_request_read_plain(message, &error);
-
-	if (!request)
-		server_refuse_error(server, message, &error);
-	else
-		server_deliver_call(server, message, request, false);
-}
-
-static void server_on_nodes(struct http_server *server,
-			    SoupServerMessage *message)
-{
-	server_deliver_query(server, message, QUERY_NODES, NULL, NULL);
-}
-
-static void server_on_dump(struct http_server *server,
-			   SoupServerMessage *message)
-{
-	server_deliver_query(server, message, QUERY_DUMP, NULL, NULL);
-}
-
-static void server_on_show(struct http_server *server,
-			   SoupServerMessage *message)
-{
-	server_deliver_query(server, message, QUERY_SHOW, NULL, NULL);
-}
-
-static void server_on_history(struct http_server *server,
-			      SoupServerMessage *message)
-{
-	server_deliver_query(server, message, QUERY_HISTORY, NULL, NULL);
-}
-
-static void server_on_plan(struct http_server *server,
-			   SoupServerMessage *message)
-{
-	GBytes *body = http_uploads_take(message);
-
-	if (http_request_operator(message))
-		server_deliver_query(server, message, QUERY_PLAN, NULL, body);
-	else
-		server_refuse(server, message, &http_problem_operator_name);
-	g_bytes_unref(body);
-}
-
-static void server_on_confirm(struct http_server *server,
-			      SoupServerMessage *message)
-{
-	const char *path = g_uri_get_path(soup_server_message_get_uri(message));
-	const char *start = path + strlen(PLAN_PREFIX);
-	char *escaped, *id;
-
-	if (!g_str_has_suffix(start, CONFIRM_SUFFIX)) {
-		server_refuse(server, message, &http_problem_not_found);
-		return;
-	}
-	if (!http_request_operator(message)) {
-		server_refuse(server, message, &http_problem_operator_name);
-		return;
-	}
-	escaped = g_strndup(start, strlen(start) - strlen(CONFIRM_SUFFIX));
-	id = g_uri_unescape_string(escaped, NULL);
-	if (id)
-		server_deliver_query(server, message, QUERY_CONFIRM, id, NULL);
-	else
-		server_refuse(server, message, &http_problem_not_found);
-	g_free(id);
-	g_free(escaped);
-}
-
-static void server_on_metrics(struct http_server *server,
-			      SoupServerMessage *message)
-{
-	GBytes *body = http_metrics_text(server->counters);
-
-	http_answer_bytes(message, SOUP_STATUS_OK, "text/plain; version=0.0.4",
-			  body);
-	g_bytes_unref(body);
-}
-
-struct route {
-	const char *method; /* NULL: any */
-	const char *path;   /* a prefix where it ends with a slash */
-	bool for_operators;
-	void (*run)(struct http_server *server, SoupServerMessage *message);
-};
-
-static const struct route routes[] = {
-	{"POST", "/v1/completions", false, server_on_generation},
-	{"POST", "/v1/chat/completions", false, server_on_generation},
-	{NULL, "/svc/", false, server_on_plain},
-	{"GET", "/v1/nodes", false, server_on_nodes},
-	{"GET", "/metrics", false, server_on_metrics},
-	{"GET", "/admin/v1/dump", true, server_on_dump},
-	{"GET", "/admin/v1/config", true, server_on_show},
-	{"GET", "/admin/v1/history", true, server_on_history},
-	{"POST", "/admin/v1/plans", true, server_on_plan},
-	{"POST", PLAN_PREFIX, true, server_on_confirm},
-};
-
-static const struct route *route_find(const char *path)
-{
-	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
-		const struct route *route = &routes[i];
-
-		if (g_str_has_suffix(route->path, "/")
-			    ? g_str_has_prefix(path, route->path)
-			    : g_str_equal(path, route->path))
-			return route;
-	}
-	return NULL;
-}
-
-/* Digests are compared, so that neither content nor length shows in time. */
-static bool key_matches(const char *key, const char *given)
-{
-	unsigned char a[crypto_hash_sha256_BYTES];
-	unsigned char b[crypto_hash_sha256_BYTES];
-
-	crypto_hash_sha256(a, (const unsigned char *)key, strlen(key));
-	crypto_hash_sha256(b, (const unsigned char *)given, strlen(given));
-	return sodium_memcmp(a, b, sizeof(a)) == 0;
-}
-
-static const struct http_problem *
-server_check_operator(const struct http_server *server,
-		      SoupServerMessage *message)
-{
-	const char *given = http_request_bearer(message);
-
-	if (!*server->operator_key)
-		return &http_problem_operators_closed;
-	if (!given || !key_matches(server->operator_key, given))
-		return &http_problem_operator_key;
-	return NULL;
-}
-
-static const struct http_problem *
-server_check_route(const struct http_server *server, SoupServerMessage *message,
-		   const struct route *route)
-{
-	if (!route)
-		return &http_problem_not_found;
-	if (route->method &&
-	    !g_str_equal(route->method,
-			 soup_server_message_get_method(message)))
-		return &http_problem_method;
-	if (route->for_operators)
-		return server_check_operator(server, message);
-	return NULL;
-}
-
 static void exchange_finished(SoupServerMessage *message, gpointer data)
 {
 	struct http_server *server = data;
@@ -331,19 +102,12 @@
 			  const char *path, GHashTable *query, gpointer data)
 {
 	struct http_server *server = data;
-	GUri *uri = soup_server_message_get_uri(message);
-	const struct route *route = route_find(g_uri_get_path(uri));
-	const struct http_problem *problem =
-		server_check_route(server, message, route);
 
 	(void)soup;
 	(void)path;
 	(void)query;
 	server_begin_exchange(server, message);
-	if (problem)
-		server_refuse(server, message, problem);
-	else
-		route->run(server, message);
+	http_route_run(server, message);
 }
 
 /*
@@ -376,7 +140,7 @@
 static void server_refuse_upload(void *data, SoupServerMessage *message,
 				 const struct http_problem *problem)
 {
-	server_refuse(data, message, problem);
+	http_server_refuse(data, message, problem);
 }
 
 static void server_accept(void *data, GSocketConnection *connection,
@@ -476,7 +240,7 @@
 		struct event event = {.type = EVENT_CALL_GONE};
 
 		event.call_gone = g_array_index(gone, uint64_t, i);
-		server_deliver(server, &event);
+		http_server_deliver(server, &event);
 	}
 	g_array_unref(gone);
 	return G_SOURCE_REMOVE;
