--- a/bench/world_attempt.c
+++ b/bench/world_attempt.c
@@ -250,9 +250,9 @@
 	if (attempt->request)
 		world_endpoint_take(world, attempt);
 	else
-		world_endpoint_resume(world, attempt);
+		world_stream_resume(world, attempt);
 	if (attempt->let_go)
-		world_endpoint_let_go(world, attempt);
+		world_stream_let_go(world, attempt);
 }
 
 static void attempt_post_arrival(struct world *world,
@@ -308,7 +308,7 @@
 	if (attempt->endpoint == NOT_BOUND)
 		world_caller_close(world, attempt->forwarded_call);
 	else
-		world_endpoint_let_go(world, attempt);
+		world_stream_let_go(world, attempt);
 }
 
 static void attempt_let_go(struct world *world, struct world_attempt *attempt,
@@ -346,7 +346,7 @@
 		return;
 	attempt->paused = flow->pause;
 	if (attempt->stream && !flow->pause)
-		world_endpoint_flush(world, attempt->stream);
+		world_stream_flush(world, attempt->stream);
 }
 
 /* The node's process is gone: its connections close. */
--- a/bench/world_state.h
+++ b/bench/world_state.h
@@ -16,6 +16,8 @@
  *   world_call.c      callers
  *   world_attempt.c   connections from nodes to endpoints and nodes
  *   world_endpoint.c  model engines and plain endpoints
+ *   world_stream.c    generations at engines and their readers
+ *   world_load.c      load that homes ask endpoints for
  *   world_kv.c        key-value service
  */
 
@@ -160,11 +162,24 @@
 void world_endpoints_create(struct world *world);
 void world_endpoints_destroy(struct world *world);
 void world_endpoint_take(struct world *world, struct world_attempt *attempt);
-void world_endpoint_resume(struct world *world, struct world_attempt *attempt);
-void world_endpoint_let_go(struct world *world, struct world_attempt *attempt);
-void world_endpoint_flush(struct world *world, struct world_stream *stream);
-void world_poll_load(struct world *world, int32_t node, const char *address);
 int32_t world_find_endpoint(const struct world *world, const char *address);
+void world_engine_run(struct world *world, int32_t index);
+void world_engine_queue_wake(struct world *world,
+			     struct world_endpoint *engine);
+
+/* world_stream.c */
+struct world_stream *world_find_stream(struct world *world, uint64_t number);
+void world_stream_attach(struct world *world, struct world_stream *stream,
+			 struct world_attempt *attempt);
+void world_stream_resume(struct world *world, struct world_attempt *attempt);
+void world_stream_let_go(struct world *world, struct world_attempt *attempt);
+void world_stream_flush(struct world *world, struct world_stream *stream);
+void world_stream_queue_flush(struct world *world, struct world_stream *stream);
+void world_streams_drop(struct world *world, int32_t endpoint);
+void world_stream_destroy(gpointer data);
+
+/* world_load.c */
+void world_poll_load(struct world *world, int32_t node, const char *address);
 
 /* world_kv.c */
 void world_kv_send(struct world *world, int32_t node,
