--- /dev/null
+++ b/fakes/engine_runs.h
@@ -0,0 +1,28 @@
+#ifndef FAKES_ENGINE_RUNS_H
+#define FAKES_ENGINE_RUNS_H
+
+#include "fakes/engine_stream.h"
+
+#include <glib.h>
+#include <json-glib/json-glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/* A run as GET /fake/runs lists it; it outlives its generation. */
+struct engine_run {
+	char *request_id;
+	char *prompt_head;
+	char *generation;
+	int64_t tokens;
+	enum engine_stream_state state;
+};
+
+GPtrArray *engine_runs_create(void);
+struct engine_run *engine_runs_add(GPtrArray *runs, const char *request_id,
+				   const char *prompt, uint64_t seed);
+JsonBuilder *engine_runs_describe(const GPtrArray *runs);
+
+G_END_DECLS
+
+#endif
--- a/fakes/fake_engine.c
+++ b/fakes/fake_engine.c
@@ -1,64 +1,17 @@
-#include "fakes/engine_model.h"
-#include "fakes/engine_stream.h"
+#include "fakes/engine_completion.h"
 #include "fakes/engine_text.h"
-#include "fakes/fake_server.h"
+#include "fakes/fake_engine_state.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define BYTES_PER_TOKEN 4
-#define PREFIX_BYTES 256
-#define PROMPT_HEAD_BYTES 64
-#define DEFAULT_PRIORITY 5
-#define DEFAULT_MAX_TOKENS 16384
-
-/* A run as GET /fake/runs lists it; it outlives its generation. */
-struct run {
-	char *request_id;
-	char *prompt_head;
-	char *generation;
-	int64_t tokens;
-	enum engine_stream_state state;
-};
-
-struct fake_engine {
-	struct fake_server *server;
-	struct engine_model *model;
-	struct engine_model_options options;
-	double time_scale;
-	int64_t started_us;
-	GSource *timer;
-	GArray *outputs;
-	GPtrArray *runs;     /* struct run; id - 1 is the index */
-	GHashTable *streams; /* id: struct engine_stream */
-
-	bool crash;
-	bool leaving;
-	bool refuse;
-	int64_t stall_ms;
-	int64_t stall_link_ms;
-	char *crash_on;
-};
-
-/* A completion as the caller asked for it. */
-struct completion {
-	GString *prompt;
-	int64_t max_tokens;
-	bool chat;
-};
-
-static void run_destroy(gpointer data)
-{
-	struct run *run = data;
-
-	g_free(run->request_id);
-	g_free(run->prompt_head);
-	g_free(run->generation);
-	g_free(run);
-}
+#define BYTES_PER_TOKEN 4  /* of a prompt, about as in English text */
+#define PREFIX_BYTES 256   /* of a prompt, shared with others if equal */
+#define DEFAULT_PRIORITY 5 /* without X-Priority */
 
-static int64_t engine_now_us(const struct fake_engine *engine)
+/* The model's time. */
+int64_t fake_engine_now_us(const struct fake_engine *engine)
 {
 	return (g_get_monotonic_time() - engine->started_us) *
 	       engine->time_scale;
@@ -74,7 +27,8 @@
 			     struct engine_stream *stream,
 			     enum engine_stream_state state)
 {
-	struct run *run = g_ptr_array_index(engine->runs, stream->id - 1);
+	struct engine_run *run =
+		g_ptr_array_index(engine->runs, stream->id - 1);
 
 	stream->state = state;
 	run->state = state;
@@ -109,7 +63,7 @@
 {
 	int64_t due_us;
 
-	engine_model_step(engine->model, engine_now_us(engine),
+	engine_model_step(engine->model, fake_engine_now_us(engine),
 			  engine->outputs);
 	for (guint i = 0; i < engine->outputs->len; i++)
 		engine_take_output(engine,
@@ -143,66 +97,14 @@
 {
 	struct fake_engine *engine = data;
 
-	engine_model_cancel(engine->model, stream->id, engine_now_us(engine));
+	engine_model_cancel(engine->model, stream->id,
+			    fake_engine_now_us(engine));
 	if (stream->state != ENGINE_STREAM_DONE)
 		engine_set_state(engine, stream, ENGINE_STREAM_CANCELLED);
 	g_hash_table_remove(engine->streams, &stream->id);
 	engine_pump(engine);
 }
 
-static void prompt_add(GString *prompt, JsonNode *node)
-{
-	if (node && JSON_NODE_HOLDS_VALUE(node) &&
-	    json_node_get_value_type(node) == G_TYPE_STRING)
-		g_string_append(prompt, json_node_get_string(node));
-}
-
-static void prompt_add_messages(GString *prompt, JsonNode *node)
-{
-	JsonArray *messages;
-
-	if (!node || !JSON_NODE_HOLDS_ARRAY(node))
-		return;
-	messages = json_node_get_array(node);
-	for (guint i = 0; i < json_array_get_length(messages); i++) {
-		JsonNode *message = json_array_get_element(messages, i);
-
-		if (JSON_NODE_HOLDS_OBJECT(message))
-			prompt_add(prompt,
-				   json_object_get_member(
-					   json_node_get_object(message),
-					   "content"));
-	}
-}
-
-static bool completion_read(struct completion *completion, const char *path,
-			    JsonObject *body)
-{
-	completion->chat = strstr(path, "/chat/") != NULL;
-	completion->prompt = g_string_new(NULL);
-	prompt_add(completion->prompt, json_object_get_member(body, "prompt"));
-	prompt_add_messages(completion->prompt,
-			    json_object_get_member(body, "messages"));
-	completion->max_tokens = json_object_get_int_member_with_default(
-		body, "max_tokens", DEFAULT_MAX_TOKENS);
-	return completion->prompt->len && completion->max_tokens > 0;
-}
-
-static struct run *engine_add_run(struct fake_engine *engine, const char *id,
-				  const char *prompt)
-{
-	struct run *run = g_new0(struct run, 1);
-	g_autofree char *head = g_strndup(prompt, PROMPT_HEAD_BYTES);
-
-	run->request_id = g_strdup(id ? id : "");
-	run->prompt_head = g_utf8_make_valid(head, -1);
-	run->generation = g_strdup_printf("g%u-%" G_GINT64_MODIFIER "x",
-					  engine->runs->len + 1,
-					  engine->options.seed & 0xffffffff);
-	g_ptr_array_add(engine->runs, run);
-	return run;
-}
-
 static int64_t header_int(SoupServerMessage *message, const char *name,
 			  int64_t fallback)
 {
@@ -213,7 +115,8 @@
 
 static bool engine_submit(struct fake_engine *engine,
 			  SoupServerMessage *message,
-			  const struct completion *completion, int64_t tokens)
+			  const struct engine_completion *completion,
+			  int64_t tokens)
 {
 	const GString *prompt = completion->prompt;
 	size_t prefix = MIN(prompt->len, PREFIX_BYTES);
@@ -227,18 +130,18 @@
 	};
 
 	return engine_model_submit(engine->model, &request,
-				   engine_now_us(engine));
+				   fake_engine_now_us(engine));
 }
 
 /* Runs a completion and streams it, or answers 503: not run. */
 static void engine_complete(struct fake_engine *engine,
 			    SoupServerMessage *message,
-			    const struct completion *completion)
+			    const struct engine_completion *completion)
 {
 	int64_t tokens = engine_text_output_tokens(completion->prompt->str,
 						   engine->options.seed);
 	struct engine_stream *stream;
-	const struct run *run;
+	const struct engine_run *run;
 
 	if (engine->crash_on && *engine->crash_on &&
 	    strstr(completion->prompt->str, engine->crash_on))
@@ -249,9 +152,9 @@
 		fake_message_answer_text(message, 503, "not run\n");
 		return;
 	}
-	run = engine_add_run(engine,
-			     fake_message_header(message, "X-Request-Id"),
-			     completion->prompt->str);
+	run = engine_runs_add(engine->runs,
+			      fake_message_header(message, "X-Request-Id"),
+			      completion->prompt->str, engine->options.seed);
 	stream = engine_stream_create(engine->runs->len, run->generation);
 	stream->chat = completion->chat;
 	stream->cut = tokens > completion->max_tokens;
@@ -266,16 +169,16 @@
 static void handle_completion(void *data, SoupServerMessage *message,
 			      const char *path)
 {
-	struct completion completion = {0};
+	struct engine_completion completion = {0};
 	JsonObject *body = fake_message_read_json(message);
 
 	if (!body)
 		return;
-	if (completion_read(&completion, path, body))
+	if (engine_completion_read(&completion, path, body))
 		engine_complete(data, message, &completion);
 	else
 		fake_message_answer_text(message, 400, "no prompt\n");
-	g_string_free(completion.prompt, TRUE);
+	engine_completion_clear(&completion);
 	json_object_unref(body);
 }
 
@@ -339,150 +242,14 @@
 	engine_stream_attach(stream, message, offset);
 }
 
-static void handle_metrics(void *data, SoupServerMessage *message,
-			   const char *path G_GNUC_UNUSED)
-{
-	struct fake_engine *engine = data;
-	struct load_report load;
-
-	engine_model_report(engine->model, engine_now_us(engine), &load);
-
-	const struct fake_metric metrics[] = {
-		{"engine_requests_running", load.running},
-		{"engine_requests_waiting", load.waiting},
-		{"engine_tokens_used", load.tokens_used},
-		{"engine_tokens_capacity", load.tokens_capacity},
-		{"engine_preemptions_total", load.preemptions_total},
-		{"engine_report_time_us", load.reported_at_us},
-		{"engine_leaving", engine->leaving},
-	};
-
-	fake_message_answer_metrics(message, metrics, G_N_ELEMENTS(metrics));
-}
-
-/* GET /v1/cache_events?after=N */
-static void handle_cache_events(void *data, SoupServerMessage *message,
-				const char *path G_GNUC_UNUSED)
-{
-	struct fake_engine *engine = data;
-	const char *query =
-		g_uri_get_query(soup_server_message_get_uri(message));
-	int64_t after = 0;
-	g_autoptr(GArray) events =
-		g_array_new(FALSE, FALSE, sizeof(struct engine_cache_event));
-	JsonBuilder *builder = json_builder_new();
-
-	if (query && g_str_has_prefix(query, "after="))
-		after = g_ascii_strtoll(query + strlen("after="), NULL, 10);
-	engine_model_cache_events(engine->model, after, events);
-	json_builder_begin_array(builder);
-	for (guint i = 0; i < events->len; i++) {
-		const struct engine_cache_event *event =
-			&g_array_index(events, struct engine_cache_event, i);
-		g_autofree char *hash = g_strdup_printf(
-			"%016" G_GINT64_MODIFIER "x", event->prefix_hash);
-
-		json_builder_begin_object(builder);
-		json_builder_set_member_name(builder, "number");
-		json_builder_add_int_value(builder, event->number);
-		json_builder_set_member_name(builder, "prefix_hash");
-		json_builder_add_string_value(builder, hash);
-		json_builder_set_member_name(builder, "stored");
-		json_builder_add_boolean_value(builder, event->stored);
-		json_builder_end_object(builder);
-	}
-	json_builder_end_array(builder);
-	fake_message_answer_json(message, 200, builder);
-}
-
-/* Generations that an order would cut: still made, or not yet read out. */
-static int64_t engine_count_running(const struct fake_engine *engine)
-{
-	int64_t count = 0;
-	GHashTableIter i;
-	gpointer value;
-
-	g_hash_table_iter_init(&i, engine->streams);
-	while (g_hash_table_iter_next(&i, NULL, &value)) {
-		const struct engine_stream *stream = value;
-
-		count += stream->state == ENGINE_STREAM_WAITING ||
-			 stream->state == ENGINE_STREAM_RUNNING ||
-			 (stream->reader && !stream->ended);
-	}
-	return count;
-}
-
-static void answer_target(const struct fake_engine *engine,
-			  SoupServerMessage *message, unsigned status)
-{
-	JsonBuilder *builder = json_builder_new();
-
-	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "target");
-	json_builder_add_string_value(builder,
-				      engine_model_target(engine->model));
-	json_builder_set_member_name(builder, "requests_running");
-	json_builder_add_int_value(builder, engine_count_running(engine));
-	json_builder_end_object(builder);
-	fake_message_answer_json(message, status, builder);
-}
-
-/* GET reads the target back, POST sets it; 409 for an old fencing number. */
-static void handle_orders(void *data, SoupServerMessage *message,
-			  const char *path G_GNUC_UNUSED)
-{
-	struct fake_engine *engine = data;
-	enum engine_order_outcome outcome;
-	const char *target;
-	JsonObject *body;
-
-	if (strcmp(soup_server_message_get_method(message), "GET") == 0) {
-		answer_target(engine, message, 200);
-		return;
-	}
-	body = fake_message_read_json(message);
-	if (!body)
-		return;
-	target = json_object_get_string_member_with_default(body, "target", "");
-	outcome = engine_model_order(
-		engine->model,
-		json_object_get_int_member_with_default(body, "fence", 0),
-		target);
-	answer_target(engine, message,
-		      outcome == ENGINE_ORDER_STALE ? 409 : 200);
-	json_object_unref(body);
-}
-
-static void add_run(JsonBuilder *builder, const struct run *run)
-{
-	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "request_id");
-	json_builder_add_string_value(builder, run->request_id);
-	json_builder_set_member_name(builder, "prompt_head");
-	json_builder_add_string_value(builder, run->prompt_head);
-	json_builder_set_member_name(builder, "generation");
-	json_builder_add_string_value(builder, run->generation);
-	json_builder_set_member_name(builder, "tokens");
-	json_builder_add_int_value(builder, run->tokens);
-	json_builder_set_member_name(builder, "state");
-	json_builder_add_string_value(builder,
-				      engine_stream_state_name(run->state));
-	json_builder_end_object(builder);
-}
-
 /* GET /fake/runs: all requests this process took, in order. */
 static void handle_runs(void *data, SoupServerMessage *message,
 			const char *path G_GNUC_UNUSED)
 {
-	struct fake_engine *engine = data;
-	JsonBuilder *builder = json_builder_new();
+	const struct fake_engine *engine = data;
 
-	json_builder_begin_array(builder);
-	for (guint i = 0; i < engine->runs->len; i++)
-		add_run(builder, g_ptr_array_index(engine->runs, i));
-	json_builder_end_array(builder);
-	fake_message_answer_json(message, 200, builder);
+	fake_message_answer_json(message, 200,
+				 engine_runs_describe(engine->runs));
 }
 
 static void modes_changed(void *data)
@@ -495,7 +262,7 @@
 		abort();
 	engine_model_set_leaving(engine->model, engine->leaving);
 	engine_model_stall(engine->model,
-			   engine_now_us(engine) +
+			   fake_engine_now_us(engine) +
 				   (int64_t)(engine->stall_ms * 1000 *
 					     engine->time_scale));
 	engine->stall_ms = 0;
@@ -524,9 +291,9 @@
 		{"/v1/completions", handle_completion},
 		{"/v1/chat/completions", handle_completion},
 		{"/v1/generations", handle_generation},
-		{"/v1/cache_events", handle_cache_events},
-		{"/v1/orders", handle_orders},
-		{"/metrics", handle_metrics},
+		{"/v1/cache_events", fake_engine_cache_events},
+		{"/v1/orders", fake_engine_orders},
+		{"/metrics", fake_engine_metrics},
 		{"/fake/runs", handle_runs},
 	};
 
@@ -552,7 +319,7 @@
 	engine->model = engine_model_create(&engine->options);
 	engine->outputs =
 		g_array_new(FALSE, FALSE, sizeof(struct engine_output));
-	engine->runs = g_ptr_array_new_with_free_func(run_destroy);
+	engine->runs = engine_runs_create();
 	engine->streams = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						NULL, stream_destroy);
 	engine->started_us = g_get_monotonic_time();
