JSON members are written and leniently read in one place

Cause: a member that is a list or an object was begun by the same two lines in 24 places, what a builder holds was turned into text in five, and the product's command line, the platform's folder and a stand-in each had their own functions for a list or an object that may be missing. Change: json_writer has the first two, json_member the third; the answers of the HTTP interface use json_writer like the rest. No behaviour changes.

--- a/adapters/http_answer.c
+++ b/adapters/http_answer.c
@@ -1,5 +1,7 @@
 #include "adapters/http_answer.h"
 
+#include "core/json/json_writer.h"
+
 #include <json-glib/json-glib.h>
 #include <string.h>
 
@@ -62,13 +64,6 @@
 	return problem;
 }
 
-static void builder_add_string(JsonBuilder *builder, const char *name,
-			       const char *value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_string_value(builder, value);
-}
-
 static char *problem_message(const struct http_problem *problem)
 {
 	char *valid;
@@ -87,29 +82,21 @@
 {
 	JsonBuilder *builder = json_builder_new_immutable();
 	char *message = problem_message(problem);
-	JsonNode *root;
-	char *text;
 
 	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "error");
-	json_builder_begin_object(builder);
-	builder_add_string(builder, "code", problem->code);
-	builder_add_string(builder, "message", message);
-	builder_add_string(builder, "run", run_name(problem->run));
+	json_writer_begin_object(builder, "error");
+	json_writer_text(builder, "code", problem->code);
+	json_writer_text(builder, "message", message);
+	json_writer_text(builder, "run", run_name(problem->run));
 	if (problem->retry_after_us > 0) {
-		json_builder_set_member_name(builder, "retry_after_ms");
-		json_builder_add_int_value(
-			builder,
-			(problem->retry_after_us + US_PER_MS - 1) / US_PER_MS);
+		json_writer_number(builder, "retry_after_ms",
+				   (problem->retry_after_us + US_PER_MS - 1) /
+					   US_PER_MS);
 	}
 	json_builder_end_object(builder);
 	json_builder_end_object(builder);
-	root = json_builder_get_root(builder);
-	text = json_to_string(root, FALSE);
-	json_node_unref(root);
-	g_object_unref(builder);
 	g_free(message);
-	return text;
+	return json_writer_take_text(builder);
 }
 
 /* Rounded up: a caller that comes back a moment early is refused again. */
--- a/adapters/http_collect.c
+++ b/adapters/http_collect.c
@@ -1,6 +1,7 @@
 #include "adapters/http_collect.h"
 
 #include "core/json/json_reader.h"
+#include "core/json/json_writer.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -119,23 +120,17 @@
 			       const char *text, const char *finish_reason)
 {
 	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "index");
-	json_builder_add_int_value(builder, index);
+	json_writer_number(builder, "index", index);
 	if (chat) {
-		json_builder_set_member_name(builder, "message");
-		json_builder_begin_object(builder);
-		json_builder_set_member_name(builder, "role");
-		json_builder_add_string_value(builder, "assistant");
-		json_builder_set_member_name(builder, "content");
-		json_builder_add_string_value(builder, text);
+		json_writer_begin_object(builder, "message");
+		json_writer_text(builder, "role", "assistant");
+		json_writer_text(builder, "content", text);
 		json_builder_end_object(builder);
 	} else {
-		json_builder_set_member_name(builder, "text");
-		json_builder_add_string_value(builder, text);
+		json_writer_text(builder, "text", text);
 	}
-	json_builder_set_member_name(builder, "finish_reason");
-	json_builder_add_string_value(builder,
-				      finish_reason ? finish_reason : "stop");
+	json_writer_text(builder, "finish_reason",
+			 finish_reason ? finish_reason : "stop");
 	json_builder_end_object(builder);
 }
 
@@ -145,17 +140,12 @@
 {
 	JsonBuilder *builder = json_builder_new_immutable();
 	char *id = g_strdup_printf("%" G_GUINT64_FORMAT, call);
-	JsonNode *root;
-	char *text;
 
 	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "id");
-	json_builder_add_string_value(builder, id);
-	json_builder_set_member_name(builder, "object");
-	json_builder_add_string_value(
-		builder, collect->chat ? "chat.completion" : "text_completion");
-	json_builder_set_member_name(builder, "choices");
-	json_builder_begin_array(builder);
+	json_writer_text(builder, "id", id);
+	json_writer_text(builder, "object",
+			 collect->chat ? "chat.completion" : "text_completion");
+	json_writer_begin_array(builder, "choices");
 	for (guint i = 0; i < MAX(collect->choice_count, 1); i++)
 		builder_add_choice(builder, collect->chat, i,
 				   i < collect->choice_count
@@ -163,16 +153,10 @@
 					   : "",
 				   finish_reason);
 	json_builder_end_array(builder);
-	json_builder_set_member_name(builder, "usage");
-	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "completion_tokens");
-	json_builder_add_int_value(builder, token_count);
+	json_writer_begin_object(builder, "usage");
+	json_writer_number(builder, "completion_tokens", token_count);
 	json_builder_end_object(builder);
 	json_builder_end_object(builder);
-	root = json_builder_get_root(builder);
-	text = json_to_string(root, FALSE);
-	json_node_unref(root);
-	g_object_unref(builder);
 	g_free(id);
-	return g_bytes_new_take(text, strlen(text));
+	return json_writer_take(builder);
 }
--- a/codec/etcd_field.c
+++ b/codec/etcd_field.c
@@ -30,13 +30,6 @@
 	json_writer_text(builder, name, text);
 }
 
-/* Begins an object as a member; the caller ends it. */
-void etcd_field_begin_object(JsonBuilder *builder, const char *name)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_begin_object(builder);
-}
-
 /* Decodes base64 strictly; the library's decoder skips what is not. */
 bool etcd_field_decode(const char *base64, GBytes **bytes)
 {
--- a/codec/etcd_field.h
+++ b/codec/etcd_field.h
@@ -26,7 +26,6 @@
 			const char *key);
 void etcd_field_add_int64(JsonBuilder *builder, const char *name,
 			  int64_t value);
-void etcd_field_begin_object(JsonBuilder *builder, const char *name);
 
 bool etcd_field_decode(const char *base64, GBytes **bytes);
 int64_t etcd_field_int64(struct json_fields *fields, const char *name);
--- a/codec/etcd_json.c
+++ b/codec/etcd_json.c
@@ -42,8 +42,7 @@
 
 static void begin_list(JsonBuilder *builder, const char *name)
 {
-	json_builder_set_member_name(builder, name);
-	json_builder_begin_array(builder);
+	json_writer_begin_array(builder, name);
 	json_builder_begin_object(builder);
 }
 
@@ -93,8 +92,8 @@
 
 	add_compare(builder, request);
 	begin_list(builder, "success");
-	etcd_field_begin_object(builder,
-				put ? "request_put" : "request_delete_range");
+	json_writer_begin_object(builder,
+				 put ? "request_put" : "request_delete_range");
 	etcd_field_add_key(builder, "key", request->key);
 	if (put) {
 		const void *data = g_bytes_get_data(request->value, &size);
@@ -106,7 +105,7 @@
 	json_builder_end_object(builder);
 	end_list(builder);
 	begin_list(builder, "failure");
-	etcd_field_begin_object(builder, "request_range");
+	json_writer_begin_object(builder, "request_range");
 	etcd_field_add_key(builder, "key", request->key);
 	json_builder_end_object(builder);
 	end_list(builder);
--- a/codec/etcd_watch.c
+++ b/codec/etcd_watch.c
@@ -11,7 +11,7 @@
 	JsonBuilder *builder = json_builder_new();
 
 	json_builder_begin_object(builder);
-	etcd_field_begin_object(builder, "create_request");
+	json_writer_begin_object(builder, "create_request");
 	etcd_field_add_key(builder, "key", key);
 	etcd_field_add_int64(builder, "start_revision", start_revision);
 	json_builder_end_object(builder);
--- a/core/config/config_format.c
+++ b/core/config/config_format.c
@@ -24,8 +24,7 @@
 	for (guint i = 0; i < items->len; i++)
 		g_ptr_array_add(sorted, g_ptr_array_index(items, i));
 	g_ptr_array_sort(sorted, compare_names);
-	json_builder_set_member_name(builder, name);
-	json_builder_begin_array(builder);
+	json_writer_begin_array(builder, name);
 	for (guint i = 0; i < sorted->len; i++)
 		add(builder, g_ptr_array_index(sorted, i));
 	json_builder_end_array(builder);
@@ -84,8 +83,7 @@
 {
 	if (keys->len == 0)
 		return;
-	json_builder_set_member_name(builder, "more_keys_sha256");
-	json_builder_begin_array(builder);
+	json_writer_begin_array(builder, "more_keys_sha256");
 	for (guint i = 0; i < keys->len; i++)
 		json_builder_add_string_value(builder,
 					      g_ptr_array_index(keys, i));
@@ -130,8 +128,7 @@
 
 static void add_history(JsonBuilder *builder, const GPtrArray *history)
 {
-	json_builder_set_member_name(builder, "history");
-	json_builder_begin_array(builder);
+	json_writer_begin_array(builder, "history");
 	for (guint i = 0; i < history->len; i++) {
 		const struct config_confirmation *confirmation =
 			g_ptr_array_index(history, i);
--- a/core/config/route_json.c
+++ b/core/config/route_json.c
@@ -135,8 +135,7 @@
 
 static void format_targets(JsonBuilder *builder, const struct route *route)
 {
-	json_builder_set_member_name(builder, "targets");
-	json_builder_begin_array(builder);
+	json_writer_begin_array(builder, "targets");
 	for (guint i = 0; i < route->targets->len; i++) {
 		const struct route_target *target =
 			&g_array_index(route->targets, struct route_target, i);
@@ -208,8 +207,7 @@
 void caller_limits_json_format(JsonBuilder *builder,
 			       const struct caller_limits *limits)
 {
-	json_builder_set_member_name(builder, "callers");
-	json_builder_begin_object(builder);
+	json_writer_begin_object(builder, "callers");
 	json_writer_int(builder, "header_bytes", limits->header_bytes, -1);
 	json_writer_int(builder, "body_bytes", limits->body_bytes, -1);
 	json_writer_int(builder, "header_timeout_ms",
--- a/core/json/json_writer.c
+++ b/core/json/json_writer.c
@@ -41,13 +41,35 @@
 	json_builder_add_boolean_value(builder, TRUE);
 }
 
+/* Begins a list as a member. */
+void json_writer_begin_array(JsonBuilder *builder, const char *name)
+{
+	json_builder_set_member_name(builder, name);
+	json_builder_begin_array(builder);
+}
+
+/* Begins an object as a member. */
+void json_writer_begin_object(JsonBuilder *builder, const char *name)
+{
+	json_builder_set_member_name(builder, name);
+	json_builder_begin_object(builder);
+}
+
 /* What was built, without white space; the builder is gone then. */
-GBytes *json_writer_take(JsonBuilder *builder)
+char *json_writer_take_text(JsonBuilder *builder)
 {
 	JsonNode *root = json_builder_get_root(builder);
 	char *text = json_to_string(root, FALSE);
 
 	json_node_unref(root);
 	g_object_unref(builder);
+	return text;
+}
+
+/* The same as bytes. */
+GBytes *json_writer_take(JsonBuilder *builder)
+{
+	char *text = json_writer_take_text(builder);
+
 	return g_bytes_new_take(text, strlen(text));
 }
--- a/core/json/json_writer.h
+++ b/core/json/json_writer.h
@@ -19,7 +19,13 @@
 void json_writer_int(JsonBuilder *builder, const char *name, int64_t value,
 		     int64_t absent);
 void json_writer_true(JsonBuilder *builder, const char *name, bool value);
+
+/* Lists and objects as members; the caller ends them. */
+void json_writer_begin_array(JsonBuilder *builder, const char *name);
+void json_writer_begin_object(JsonBuilder *builder, const char *name);
+
 GBytes *json_writer_take(JsonBuilder *builder);
+char *json_writer_take_text(JsonBuilder *builder);
 
 G_END_DECLS
 
--- a/core/plan/plan.c
+++ b/core/plan/plan.c
@@ -386,8 +386,7 @@
 static void add_lines(JsonBuilder *builder, const char *name,
 		      const GPtrArray *lines)
 {
-	json_builder_set_member_name(builder, name);
-	json_builder_begin_array(builder);
+	json_writer_begin_array(builder, name);
 	for (guint i = 0; i < lines->len; i++)
 		json_builder_add_string_value(builder,
 					      g_ptr_array_index(lines, i));
@@ -396,8 +395,7 @@
 
 static void add_capacities(JsonBuilder *builder, const GPtrArray *capacities)
 {
-	json_builder_set_member_name(builder, "capacity");
-	json_builder_begin_array(builder);
+	json_writer_begin_array(builder, "capacity");
 	for (guint i = 0; i < capacities->len; i++) {
 		const struct plan_capacity *capacity =
 			g_ptr_array_index(capacities, i);
--- a/core/plan/plan_answer.c
+++ b/core/plan/plan_answer.c
@@ -57,8 +57,7 @@
 static void add_error(JsonBuilder *builder, const char *code,
 		      const char *message, int64_t retry_after_us)
 {
-	json_builder_set_member_name(builder, "error");
-	json_builder_begin_object(builder);
+	json_writer_begin_object(builder, "error");
 	json_writer_text(builder, "code", code);
 	json_writer_text(builder, "message", message);
 	if (retry_after_us > 0)
@@ -158,8 +157,7 @@
 	JsonBuilder *builder = json_builder_new();
 
 	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "history");
-	json_builder_begin_array(builder);
+	json_writer_begin_array(builder, "history");
 	for (guint i = config ? config->history->len : 0; i > 0; i--)
 		add_confirmation(builder, config, i - 1);
 	json_builder_end_array(builder);
--- a/core/rollout/rollout_json.c
+++ b/core/rollout/rollout_json.c
@@ -99,8 +99,7 @@
 
 	json_builder_begin_object(builder);
 	json_writer_text(builder, "phase", phase_names[state->phase]);
-	json_builder_set_member_name(builder, "failed");
-	json_builder_begin_array(builder);
+	json_writer_begin_array(builder, "failed");
 	for (guint i = 0; i < state->failed->len; i++)
 		json_builder_add_string_value(
 			builder, g_ptr_array_index(state->failed, i));
--- a/daemons/ctl_command.c
+++ b/daemons/ctl_command.c
@@ -1,5 +1,7 @@
 #include "daemons/ctl_command.h"
 
+#include "core/json/json_member.h"
+
 #include <string.h>
 
 /*
@@ -25,23 +27,6 @@
 	return json_object_get_int_member_with_default(object, name, 0);
 }
 
-/* The array of this name, or NULL. */
-static JsonArray *get_array(JsonObject *object, const char *name)
-{
-	JsonNode *node = json_object_get_member(object, name);
-
-	return node && JSON_NODE_HOLDS_ARRAY(node) ? json_node_get_array(node)
-						   : NULL;
-}
-
-/* The object at i of an array, or NULL. */
-static JsonObject *get_element(JsonArray *array, guint i)
-{
-	JsonNode *node = json_array_get_element(array, i);
-
-	return JSON_NODE_HOLDS_OBJECT(node) ? json_node_get_object(node) : NULL;
-}
-
 static void print_field(FILE *out, const char *text, int width)
 {
 	int length = (int)strlen(text);
@@ -52,10 +37,10 @@
 
 static void print_nodes(JsonObject *answer, FILE *out)
 {
-	JsonArray *nodes = get_array(answer, "nodes");
+	JsonArray *nodes = json_member_array(answer, "nodes");
 
 	for (guint i = 0; nodes && i < json_array_get_length(nodes); i++) {
-		JsonObject *node = get_element(nodes, i);
+		JsonObject *node = json_element_object(nodes, i);
 
 		if (!node)
 			continue;
@@ -71,7 +56,7 @@
 static void print_lines(JsonObject *answer, const char *name,
 			const char *prefix, FILE *out)
 {
-	JsonArray *lines = get_array(answer, name);
+	JsonArray *lines = json_member_array(answer, name);
 
 	for (guint i = 0; lines && i < json_array_get_length(lines); i++) {
 		fputs(prefix, out);
@@ -107,10 +92,10 @@
 
 static void print_history(JsonObject *answer, FILE *out)
 {
-	JsonArray *history = get_array(answer, "history");
+	JsonArray *history = json_member_array(answer, "history");
 
 	for (guint i = 0; history && i < json_array_get_length(history); i++) {
-		JsonObject *entry = get_element(history, i);
+		JsonObject *entry = json_element_object(history, i);
 		GDateTime *time;
 		char *text;
 
--- a/fakes/fake_server.c
+++ b/fakes/fake_server.c
@@ -1,5 +1,7 @@
 #include "fakes/fake_server.h"
 
+#include "core/json/json_writer.h"
+
 #include <errno.h>
 #include <glib-unix.h>
 #include <stdio.h>
@@ -343,14 +345,11 @@
 void fake_message_answer_json(SoupServerMessage *message, unsigned status,
 			      JsonBuilder *builder)
 {
-	JsonNode *root = json_builder_get_root(builder);
-	char *text = json_to_string(root, FALSE);
+	char *text = json_writer_take_text(builder);
 
 	soup_server_message_set_status(message, status, NULL);
 	soup_server_message_set_response(message, "application/json",
 					 SOUP_MEMORY_TAKE, text, strlen(text));
-	json_node_unref(root);
-	g_object_unref(builder);
 }
 
 /* Answers with a copy of the text. */
--- a/fakes/fake_service.c
+++ b/fakes/fake_service.c
@@ -1,3 +1,4 @@
+#include "core/json/json_writer.h"
 #include "fakes/fake_server.h"
 
 #include <string.h>
@@ -64,12 +65,9 @@
 		    const char *path, const char *count_name)
 {
 	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "path");
-	json_builder_add_string_value(builder, path);
-	json_builder_set_member_name(builder, count_name);
-	json_builder_add_int_value(builder, run->runs);
-	json_builder_set_member_name(builder, "body_sha256");
-	json_builder_add_string_value(builder, run->body_sha256);
+	json_writer_text(builder, "path", path);
+	json_writer_number(builder, count_name, run->runs);
+	json_writer_text(builder, "body_sha256", run->body_sha256);
 	json_builder_end_object(builder);
 }
 
--- a/fakes/kv_gateway.c
+++ b/fakes/kv_gateway.c
@@ -1,6 +1,8 @@
 #include "fakes/kv_gateway.h"
 
 #include "codec/etcd_field.h"
+#include "core/json/json_member.h"
+#include "core/json/json_writer.h"
 
 #include <string.h>
 
@@ -80,33 +82,9 @@
 	return g_ascii_strtoll(get_string(object, name), NULL, 10);
 }
 
-static JsonObject *get_object(JsonObject *object, const char *name)
-{
-	JsonNode *node = json_object_get_member(object, name);
-
-	return node && JSON_NODE_HOLDS_OBJECT(node) ? json_node_get_object(node)
-						    : NULL;
-}
-
-static JsonArray *get_array(JsonObject *object, const char *name)
-{
-	JsonNode *node = json_object_get_member(object, name);
-
-	return node && JSON_NODE_HOLDS_ARRAY(node) ? json_node_get_array(node)
-						   : NULL;
-}
-
-static JsonObject *get_element(JsonArray *array, guint i)
-{
-	JsonNode *node = json_array_get_element(array, i);
-
-	return JSON_NODE_HOLDS_OBJECT(node) ? json_node_get_object(node) : NULL;
-}
-
 static void add_header(JsonBuilder *builder, const struct kv_model *model)
 {
-	json_builder_set_member_name(builder, "header");
-	json_builder_begin_object(builder);
+	json_writer_begin_object(builder, "header");
 	etcd_field_add_int64(builder, "cluster_id", 1);
 	etcd_field_add_int64(builder, "member_id", 1);
 	etcd_field_add_int64(builder, "revision", kv_model_revision(model));
@@ -135,12 +113,9 @@
 {
 	json_builder_reset(builder);
 	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "error");
-	json_builder_add_string_value(builder, message);
-	json_builder_set_member_name(builder, "code");
-	json_builder_add_int_value(builder, code);
-	json_builder_set_member_name(builder, "message");
-	json_builder_add_string_value(builder, message);
+	json_writer_text(builder, "error", message);
+	json_writer_number(builder, "code", code);
+	json_writer_text(builder, "message", message);
 	json_builder_end_object(builder);
 	return status;
 }
@@ -149,8 +124,7 @@
 {
 	if (entries->len == 0)
 		return;
-	json_builder_set_member_name(builder, "kvs");
-	json_builder_begin_array(builder);
+	json_writer_begin_array(builder, "kvs");
 	for (guint i = 0; i < entries->len; i++) {
 		const struct kv_entry *entry = g_ptr_array_index(entries, i);
 
@@ -213,10 +187,10 @@
 
 static bool all_compares_hold(const struct kv_model *model, JsonObject *body)
 {
-	JsonArray *array = get_array(body, "compare");
+	JsonArray *array = json_member_array(body, "compare");
 
 	for (guint i = 0; array && i < json_array_get_length(array); i++) {
-		JsonObject *compare = get_element(array, i);
+		JsonObject *compare = json_element_object(array, i);
 
 		if (compare && !compare_holds(model, compare))
 			return false;
@@ -253,26 +227,24 @@
 static bool run_operation(struct kv_model *model, JsonObject *operation,
 			  JsonBuilder *builder)
 {
-	JsonObject *put = get_object(operation, "request_put");
-	JsonObject *range = get_object(operation, "request_range");
-	JsonObject *delete = get_object(operation, "request_delete_range");
+	JsonObject *put = json_member_object(operation, "request_put");
+	JsonObject *range = json_member_object(operation, "request_range");
+	JsonObject *delete =
+		json_member_object(operation, "request_delete_range");
 
 	json_builder_begin_object(builder);
 	if (put) {
 		if (!run_put(model, put))
 			return false;
-		json_builder_set_member_name(builder, "response_put");
-		json_builder_begin_object(builder);
+		json_writer_begin_object(builder, "response_put");
 		add_header(builder, model);
 		json_builder_end_object(builder);
 	} else if (range) {
-		json_builder_set_member_name(builder, "response_range");
-		json_builder_begin_object(builder);
+		json_writer_begin_object(builder, "response_range");
 		answer_range(model, range, builder);
 		json_builder_end_object(builder);
 	} else if (delete) {
-		json_builder_set_member_name(builder, "response_delete_range");
-		json_builder_begin_object(builder);
+		json_writer_begin_object(builder, "response_delete_range");
 		run_delete(model, delete, builder);
 		json_builder_end_object(builder);
 	}
@@ -285,18 +257,17 @@
 {
 	bool succeeded = all_compares_hold(model, body);
 	JsonArray *operations =
-		get_array(body, succeeded ? "success" : "failure");
+		json_member_array(body, succeeded ? "success" : "failure");
 
 	if (succeeded) {
 		json_builder_set_member_name(builder, "succeeded");
 		json_builder_add_boolean_value(builder, TRUE);
 	}
 	kv_model_begin(model);
-	json_builder_set_member_name(builder, "responses");
-	json_builder_begin_array(builder);
+	json_writer_begin_array(builder, "responses");
 	for (guint i = 0; operations && i < json_array_get_length(operations);
 	     i++) {
-		JsonObject *operation = get_element(operations, i);
+		JsonObject *operation = json_element_object(operations, i);
 
 		if (operation && !run_operation(model, operation, builder))
 			return answer_error(
@@ -325,8 +296,7 @@
 	int64_t lease = get_int64(body, "ID");
 	int64_t ttl_s = kv_model_lease_keepalive(model, lease, now_us);
 
-	json_builder_set_member_name(builder, "result");
-	json_builder_begin_object(builder);
+	json_writer_begin_object(builder, "result");
 	add_header(builder, model);
 	etcd_field_add_int64(builder, "ID", lease);
 	if (ttl_s)
@@ -381,7 +351,7 @@
 bool kv_gateway_watch_begin(const struct kv_model *model, JsonObject *body,
 			    struct kv_gateway_watch *watch)
 {
-	JsonObject *create = get_object(body, "create_request");
+	JsonObject *create = json_member_object(body, "create_request");
 
 	memset(watch, 0, sizeof(*watch));
 	if (!create)
@@ -406,26 +376,21 @@
 	JsonBuilder *builder = json_builder_new();
 
 	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "result");
-	json_builder_begin_object(builder);
+	json_writer_begin_object(builder, "result");
 	add_header(builder, model);
 	return builder;
 }
 
 static char *end_line(JsonBuilder *builder)
 {
-	JsonNode *root;
 	char *text;
 	char *line;
 
 	json_builder_end_object(builder);
 	json_builder_end_object(builder);
-	root = json_builder_get_root(builder);
-	text = json_to_string(root, FALSE);
+	text = json_writer_take_text(builder);
 	line = g_strconcat(text, "\n", NULL);
 	g_free(text);
-	json_node_unref(root);
-	g_object_unref(builder);
 	return line;
 }
 
@@ -463,12 +428,10 @@
 	if (!change)
 		return NULL;
 	builder = begin_line(model);
-	json_builder_set_member_name(builder, "events");
-	json_builder_begin_array(builder);
+	json_writer_begin_array(builder, "events");
 	json_builder_begin_object(builder);
 	if (!change->value) {
-		json_builder_set_member_name(builder, "type");
-		json_builder_add_string_value(builder, "DELETE");
+		json_writer_text(builder, "type", "DELETE");
 	}
 	json_builder_set_member_name(builder, "kv");
 	add_kv(builder, change->key, change->value, change->create_revision,
--- a/fakes/kv_server.c
+++ b/fakes/kv_server.c
@@ -1,5 +1,7 @@
 #include "fakes/kv_server.h"
 
+#include "core/json/json_writer.h"
+
 #include <string.h>
 
 enum { MODE_COUNT = 7 };
@@ -284,8 +286,7 @@
 					     kv_call_name((enum kv_call)i));
 		json_builder_add_int_value(builder, (gint64)server->counts[i]);
 	}
-	json_builder_set_member_name(builder, "open_watches");
-	json_builder_add_int_value(builder, server->watchers->len);
+	json_writer_number(builder, "open_watches", server->watchers->len);
 	json_builder_end_object(builder);
 	fake_message_answer_json(message, 200, builder);
 }
