The overhead bench starts its programs by the tests' functions

Cause: starting a program, waiting for its address, free ports and the clean end stood twice. Change: overhead.sh sources tests/processes.sh. Start-up time is measured beside these functions, so the longer pause between looks changes no figure.

--- a/bench/overhead.sh
+++ b/bench/overhead.sh
@@ -5,49 +5,10 @@
 set -euo pipefail
 
 bin=$1
-work=$(mktemp -d)
-pids=()
-engines=()
+source "$(dirname "$0")/../tests/processes.sh"
+
 starts=${STARTS:-20}
 streams=${STREAMS:-400}
-operator_key=bench-operator-key-0001
-key=bench-organisation-key-0001
-
-finish() {
-	local status=$?
-
-	trap - EXIT
-	for pid in "${pids[@]}"; do
-		kill -TERM "$pid" 2>/dev/null || true
-	done
-	for pid in "${pids[@]}"; do
-		wait "$pid" 2>/dev/null || true
-	done
-	[ "$status" -eq 0 ] || tail -n 20 "$work"/*.log >&2
-	rm -rf "$work"
-	exit "$status"
-}
-trap finish EXIT
-
-# start NAME PROGRAM ARGUMENTS...: sets started and address.
-start() {
-	local name=$1
-
-	shift
-	: >"$work/$name.out"
-	"$@" >"$work/$name.out" 2>"$work/$name.log" &
-	started=$!
-	pids+=("$started")
-	for _ in $(seq 1000); do
-		address=$(awk '/^listening / { print $2; exit }' \
-			"$work/$name.out")
-		[ -z "$address" ] || return 0
-		kill -0 "$started" 2>/dev/null || break
-		sleep 0.01
-	done
-	echo "$name did not start" >&2
-	return 1
-}
 
 # start_us PROGRAM ARGUMENTS...: median time to the line "listening".
 start_us() {
@@ -93,19 +54,6 @@
 	done
 }
 
-free_port() {
-	local port
-
-	for _ in $(seq 100); do
-		port=$((20000 + RANDOM % 12000))
-		if ! (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
-			echo "$port"
-			return 0
-		fi
-	done
-	return 1
-}
-
 start kv "$bin/fake_kv" --address 127.0.0.1:0
 kv=$address
 for i in $(seq 9); do
@@ -139,7 +87,7 @@
 	cat <<-TOML
 		[[organisations]]
 		name = "bench"
-		key = "$key"
+		key = "$organisation_key"
 		priority = 5
 		[[services]]
 		name = "report-writer"
@@ -159,7 +107,7 @@
 "${ctl[@]}" confirm "$plan" >/dev/null
 sleep 2
 
-bench=("$bin/stream_bench" --key "$key" --direct "${engines[0]}")
+bench=("$bin/stream_bench" --key "$organisation_key" --direct "${engines[0]}")
 idle_kb=$(resident_kb "$node_pid")
 "${bench[@]}" --model one-engine --via "${engines[0]}" --direct-streams 1 --via-streams 1 \
 	--tokens 500 >"$work/noise.txt"
