--- a/core/node/node_state.h
+++ b/core/node/node_state.h
@@ -24,7 +24,8 @@
  *   node_create.c   options, making and freeing
  *   node.c          life, dispatch of events
  *   node_dump.c     the state dump
- *   node_call.c     callers: checks, refusals, streams, timers
+ *   node_call.c     callers: checks, timers, what they do
+ *   node_reply.c    what callers are given
  *   node_id.c       request ids: who may run them, forwarded
  *   node_claim.c    plain keys, claimed in the key-value service
  *   node_outcome.c  what a repeated id is answered
@@ -162,6 +163,13 @@
 void node_call_arm(struct node *node, struct call *call);
 void node_call_set_state(struct node *node, struct call *call,
 			 enum call_state state);
+void node_call_drop(struct node *node, struct call *call);
+void node_call_each(struct node *node,
+		    void (*visit)(struct node *node, struct call *call));
+
+/* node_reply.c */
+void node_refuse(struct node *node, uint64_t call, enum refusal refusal,
+		 enum run run, int64_t retry_after_us, const char *detail);
 void node_call_refuse(struct node *node, struct call *call,
 		      enum refusal refusal, enum run run,
 		      int64_t retry_after_us);
@@ -171,11 +179,6 @@
 		   const char *finish_reason);
 void node_call_answer(struct node *node, struct call *call,
 		      const struct event_attempt_answer *answer);
-void node_call_drop(struct node *node, struct call *call);
-void node_call_each(struct node *node,
-		    void (*visit)(struct node *node, struct call *call));
-void node_refuse(struct node *node, uint64_t call, enum refusal refusal,
-		 enum run run, int64_t retry_after_us, const char *detail);
 
 /* node_id.c */
 bool node_id_receive(struct node *node, struct call *call);
