--- a/adapters/endpoint_attempt.c
+++ b/adapters/endpoint_attempt.c
@@ -1,37 +1,13 @@
 #include "adapters/endpoint_attempt.h"
 
+#include "adapters/endpoint_attempt_state.h"
 #include "adapters/endpoint_request.h"
-#include "adapters/engine_event.h"
-#include "adapters/sse_reader.h"
 
 #include <string.h>
 
-#define EVENT_BYTES_MAX 262144
+#define EVENT_BYTES_MAX 262144 /* one event of an engine */
 #define STATUS_TOO_MANY_REQUESTS 429
 
-struct endpoint_attempt {
-	const struct endpoint_attempt_owner *owner;
-	uint64_t number;
-	char *endpoint;
-	struct http_exchange *exchange;
-	bool resume;
-	bool to_node;
-	bool chunked;
-	bool replayed;
-	bool whole;	/* the answer is collected; else it is a stream */
-	bool cancelled; /* only waits to learn what to cancel */
-	bool closed;	/* delivers nothing more */
-	guint late_source;
-	int32_t status;
-	char *content_type;
-	GByteArray *body;	   /* of a whole answer */
-	struct sse_reader *reader; /* of a stream */
-	char *generation;	   /* "" until the engine named it */
-	int64_t next_token;
-	int64_t total_tokens; /* -1: not said */
-	char *finish_reason;
-};
-
 static void attempt_free_members(gpointer data)
 {
 	struct endpoint_attempt *attempt = data;
@@ -67,80 +43,6 @@
 	attempt_unref(attempt);
 }
 
-static void attempt_deliver(struct endpoint_attempt *attempt,
-			    const struct event *event)
-{
-	const struct event_sink *sink = attempt->owner->sink;
-
-	if (!attempt->closed && !attempt->cancelled)
-		sink->deliver(sink->data, event);
-}
-
-/* The last event; the owner destroys the attempt. */
-static void attempt_end(struct endpoint_attempt *attempt,
-			const struct event *event)
-{
-	if (attempt->closed)
-		return;
-	attempt_deliver(attempt, event);
-	if (!attempt->closed)
-		attempt->owner->ended(attempt->owner->data, attempt->number);
-}
-
-static void attempt_fail(struct endpoint_attempt *attempt,
-			 enum attempt_stage stage, const struct error *error)
-{
-	struct event event = {.type = EVENT_ATTEMPT_FAILED};
-
-	event.failed.attempt = attempt->number;
-	event.failed.stage = stage;
-	event.failed.error = *error;
-	attempt_end(attempt, &event);
-}
-
-static void attempt_fail_sent(struct endpoint_attempt *attempt,
-			      enum error_code code, const char *text)
-{
-	struct error error;
-
-	error_set(&error, code, "endpoint.read", attempt->endpoint, "%s", text);
-	attempt_fail(attempt, ATTEMPT_SENT, &error);
-}
-
-static void attempt_tell_started(struct endpoint_attempt *attempt)
-{
-	struct event event = {.type = EVENT_ATTEMPT_STARTED};
-
-	event.started.attempt = attempt->number;
-	event.started.generation = attempt->generation;
-	attempt_deliver(attempt, &event);
-}
-
-static void attempt_tell_chunk(struct endpoint_attempt *attempt,
-			       const struct sse_event *sse,
-			       const struct engine_event *engine)
-{
-	struct event event = {.type = EVENT_ATTEMPT_CHUNK};
-
-	event.chunk.attempt = attempt->number;
-	event.chunk.first_token = engine->first_token;
-	event.chunk.token_count = engine->token_count;
-	event.chunk.data = g_bytes_new(sse->data, sse->data_length);
-	attempt_deliver(attempt, &event);
-	g_bytes_unref(event.chunk.data);
-}
-
-static void attempt_tell_done(struct endpoint_attempt *attempt)
-{
-	struct event event = {.type = EVENT_ATTEMPT_DONE};
-
-	event.done.attempt = attempt->number;
-	event.done.token_count = attempt->total_tokens;
-	event.done.finish_reason =
-		attempt->finish_reason ? attempt->finish_reason : "stop";
-	attempt_end(attempt, &event);
-}
-
 static void attempt_take_event(struct endpoint_attempt *attempt,
 			       const struct sse_event *sse,
 			       const struct engine_event *engine)
@@ -154,7 +56,7 @@
 	if (engine->token_count == 0 && !engine->has_text)
 		return;
 	attempt->next_token = engine->first_token + engine->token_count;
-	attempt_tell_chunk(attempt, sse, engine);
+	endpoint_attempt_tell_chunk(attempt, sse, engine);
 }
 
 static bool attempt_on_event(void *data, const struct sse_event *sse)
@@ -165,9 +67,9 @@
 
 	if (!engine_event_read(sse, attempt->generation, attempt->next_token,
 			       &engine, &error))
-		attempt_fail(attempt, ATTEMPT_SENT, &error);
+		endpoint_attempt_fail(attempt, ATTEMPT_SENT, &error);
 	else if (engine.done)
-		attempt_tell_done(attempt);
+		endpoint_attempt_tell_done(attempt);
 	else if (engine.crossed)
 		counters_add(attempt->owner->counters, COUNTER_CHUNKS_DROPPED,
 			     1);
@@ -182,7 +84,7 @@
 	struct error error;
 
 	if (!sse_reader_feed(attempt->reader, bytes, length, &error))
-		attempt_fail(attempt, ATTEMPT_SENT, &error);
+		endpoint_attempt_fail(attempt, ATTEMPT_SENT, &error);
 }
 
 static void attempt_feed_whole(struct endpoint_attempt *attempt,
@@ -190,8 +92,8 @@
 {
 	if ((int64_t)(attempt->body->len + length) >
 	    attempt->owner->max_answer_bytes)
-		attempt_fail_sent(attempt, ERROR_TOO_LARGE,
-				  "the answer is over the limit");
+		endpoint_attempt_fail_sent(attempt, ERROR_TOO_LARGE,
+					   "the answer is over the limit");
 	else
 		g_byte_array_append(attempt->body, (const guint8 *)bytes,
 				    (guint)length);
@@ -235,7 +137,7 @@
 		stage = ATTEMPT_REFUSED;
 	error_set(&error, ERROR_REFUSED, "endpoint.status", attempt->endpoint,
 		  "status %d", attempt->status);
-	attempt_fail(attempt, stage, &error);
+	endpoint_attempt_fail(attempt, stage, &error);
 }
 
 /* A request that the engine finds malformed is the caller's to mend. */
@@ -251,14 +153,14 @@
 	bool known = *attempt->generation != '\0';
 
 	if (generation && !engine_generation_valid(generation)) {
-		attempt_fail_sent(attempt, ERROR_INVALID,
-				  "X-Generation is malformed");
+		endpoint_attempt_fail_sent(attempt, ERROR_INVALID,
+					   "X-Generation is malformed");
 		return;
 	}
 	if (known && generation &&
 	    !g_str_equal(generation, attempt->generation)) {
-		attempt_fail_sent(attempt, ERROR_INVALID,
-				  "another generation was resumed");
+		endpoint_attempt_fail_sent(attempt, ERROR_INVALID,
+					   "another generation was resumed");
 		return;
 	}
 	if (!known && generation) {
@@ -268,7 +170,7 @@
 	if (attempt->cancelled)
 		attempt_cancel_late(attempt);
 	else
-		attempt_tell_started(attempt);
+		endpoint_attempt_tell_started(attempt);
 }
 
 static void attempt_read_stream_headers(struct endpoint_attempt *attempt,
@@ -282,46 +184,15 @@
 		return;
 	}
 	if (g_strcmp0(attempt->content_type, "text/event-stream") != 0) {
-		attempt_fail_sent(attempt, ERROR_INVALID,
-				  "the engine did not answer by a stream");
+		endpoint_attempt_fail_sent(
+			attempt, ERROR_INVALID,
+			"the engine did not answer by a stream");
 		return;
 	}
 	attempt_start_stream(
 		attempt, soup_message_headers_get_one(headers, "X-Generation"));
 }
 
-/* Where the last event of a text that ends by an empty line starts. */
-static const char *last_event(const GByteArray *text)
-{
-	const char *start = (const char *)text->data;
-	size_t at = text->len;
-
-	if (at < 2 || memcmp(start + at - 2, "\n\n", 2) != 0)
-		return NULL;
-	for (at -= 2; at > 1; at--) {
-		if (memcmp(start + at - 2, "\n\n", 2) == 0)
-			return start + at;
-	}
-	return start;
-}
-
-static bool event_starts_with(const GByteArray *text, const char *event,
-			      const char *prefix)
-{
-	size_t left = (size_t)((const char *)text->data + text->len - event);
-
-	return left >= strlen(prefix) &&
-	       memcmp(event, prefix, strlen(prefix)) == 0;
-}
-
-static bool stream_is_whole(const GByteArray *text)
-{
-	const char *event = last_event(text);
-
-	return event && (event_starts_with(text, event, "data: [DONE]\n") ||
-			 event_starts_with(text, event, "event: error\n"));
-}
-
 /*
  * libsoup does not tell a chunked answer that was cut between two chunks from
  * a whole one, so only a length counts. Another node's stream has none: it is
@@ -333,7 +204,7 @@
 		return true;
 	return attempt->to_node && attempt->content_type &&
 	       g_str_equal(attempt->content_type, "text/event-stream") &&
-	       stream_is_whole(attempt->body);
+	       engine_stream_is_whole(attempt->body);
 }
 
 static void attempt_on_headers(void *data, SoupMessage *message)
@@ -360,20 +231,6 @@
 	attempt_unref(attempt);
 }
 
-static void attempt_tell_answer(struct endpoint_attempt *attempt)
-{
-	struct event event = {.type = EVENT_ATTEMPT_ANSWER};
-
-	event.answer.attempt = attempt->number;
-	event.answer.status = attempt->status;
-	event.answer.content_type = attempt->content_type;
-	event.answer.replayed = attempt->replayed;
-	event.answer.body =
-		g_bytes_new(attempt->body->data, attempt->body->len);
-	attempt_end(attempt, &event);
-	g_bytes_unref(event.answer.body);
-}
-
 static void attempt_on_ended(void *data, const struct error *error)
 {
 	struct endpoint_attempt *attempt = data;
@@ -381,16 +238,16 @@
 
 	attempt_ref(attempt);
 	if (error)
-		attempt_fail(attempt, sent ? ATTEMPT_SENT : ATTEMPT_NOT_SENT,
-			     error);
+		endpoint_attempt_fail(
+			attempt, sent ? ATTEMPT_SENT : ATTEMPT_NOT_SENT, error);
 	else if (attempt->whole && attempt_answer_is_whole(attempt))
-		attempt_tell_answer(attempt);
+		endpoint_attempt_tell_answer(attempt);
 	else if (attempt->whole)
-		attempt_fail_sent(attempt, ERROR_INVALID,
-				  "the answer has no Content-Length");
+		endpoint_attempt_fail_sent(attempt, ERROR_INVALID,
+					   "the answer has no Content-Length");
 	else
-		attempt_fail_sent(attempt, ERROR_CLOSED,
-				  "the stream ended before its end");
+		endpoint_attempt_fail_sent(attempt, ERROR_CLOSED,
+					   "the stream ended before its end");
 	attempt_unref(attempt);
 }
 
@@ -403,7 +260,7 @@
 	error_set(&error, ERROR_INVALID, "endpoint.send", attempt->endpoint,
 		  "address and path make no URI");
 	attempt_ref(attempt);
-	attempt_fail(attempt, ATTEMPT_NOT_SENT, &error);
+	endpoint_attempt_fail(attempt, ATTEMPT_NOT_SENT, &error);
 	attempt_unref(attempt);
 	return G_SOURCE_REMOVE;
 }
--- a/adapters/engine_event.c
+++ b/adapters/engine_event.c
@@ -166,3 +166,39 @@
 		return true;
 	return event_read_id(event, sse->id, generation, error);
 }
+
+/* Where the last event of a text that ends by an empty line starts. */
+static const char *last_event(const GByteArray *text)
+{
+	const char *start = (const char *)text->data;
+	size_t at = text->len;
+
+	if (at < 2 || memcmp(start + at - 2, "\n\n", 2) != 0)
+		return NULL;
+	for (at -= 2; at > 1; at--) {
+		if (memcmp(start + at - 2, "\n\n", 2) == 0)
+			return start + at;
+	}
+	return start;
+}
+
+static bool event_starts_with(const GByteArray *text, const char *event,
+			      const char *prefix)
+{
+	size_t left = (size_t)((const char *)text->data + text->len - event);
+
+	return left >= strlen(prefix) &&
+	       memcmp(event, prefix, strlen(prefix)) == 0;
+}
+
+/*
+ * Whether the text of a stream has come to its end: its last event is [DONE],
+ * or the error that stands in its place.
+ */
+bool engine_stream_is_whole(const GByteArray *text)
+{
+	const char *event = last_event(text);
+
+	return event && (event_starts_with(text, event, "data: [DONE]\n") ||
+			 event_starts_with(text, event, "event: error\n"));
+}
--- a/adapters/engine_event.h
+++ b/adapters/engine_event.h
@@ -28,6 +28,7 @@
 		       int64_t next_token, struct engine_event *event,
 		       struct error *error);
 bool engine_generation_valid(const char *generation);
+bool engine_stream_is_whole(const GByteArray *text);
 
 G_END_DECLS
 
