Failed try: a generation waits up to half a second for room

Tried: a pure module that lets a generation ask again each 0.1 s for half a second. Conclusion: what finds no room after a wait takes it from what comes then.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -186,30 +186,7 @@
 		exchange_fail_leg(exchange, RESULT_NOT_SENT, error.detail);
 }
 
-/*
- * Where a home knows of all placements, that there is no room is so, and not
- * only believed; whether to wait for it can be decided.
- */
-static bool exchange_waits_for_room(struct exchange *exchange)
-{
-	struct gateway *gateway = exchange->gateway;
-	int64_t waited_us = gateway->now_us - exchange->begun_us;
-	int64_t left_us = exchange->deadline_us - gateway->now_us;
-
-	if (!exchange_is_generation(exchange) || exchange->sends > 0 ||
-	    !gateway_has_home(gateway) ||
-	    registry_ready_count(gateway->registry, exchange->service_name) ==
-		    0 ||
-	    room_wait_decide(waited_us, left_us) == ROOM_WAIT_REFUSE)
-		return false;
-	exchange->ask_again_us = gateway->now_us + ROOM_WAIT_PAUSE_US;
-	return true;
-}
-
-/*
- * Sends the request to the endpoint; NULL: none has room, so it waits a little
- * or is refused.
- */
+/* Sends the request to the endpoint; NULL: none has room, so it is refused. */
 void exchange_place(struct exchange *exchange, struct endpoint *endpoint)
 {
 	struct gateway *gateway = exchange->gateway;
@@ -218,8 +195,6 @@
 		exchange_send(exchange, endpoint);
 		return;
 	}
-	if (exchange_waits_for_room(exchange))
-		return;
 	if (exchange->runs > 0)
 		exchange_refuse(exchange, 502, -1, "no_other_endpoint");
 	else if (registry_ready_count(gateway->registry,
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -7,7 +7,6 @@
 #include "core/gateway/endpoint_choice.h"
 #include "core/gateway/evacuation.h"
 #include "core/gateway/recovery.h"
-#include "core/gateway/room_wait.h"
 
 #include <glib.h>
 
@@ -78,7 +77,6 @@
 
 	uint64_t question;     /* to the home, for an engine; 0: none */
 	int64_t asked_home_us; /* when it was asked */
-	int64_t ask_again_us;  /* for room, while there is no leg */
 	char *chosen_backup;   /* the home's word for the next leg */
 
 	struct leg *leg;  /* NULL between two */
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -23,13 +23,6 @@
 /* Between two standings to the home: prompts are read in 0.2 to 0.4 s. */
 #define TELL_HOME_US (100 * 1000)
 
-/* Whether there are enough nodes for one to choose for all. */
-bool gateway_has_home(const struct gateway *gateway)
-{
-	return (int64_t)gateway_node_count(gateway) >=
-	       gateway->options.home_from_nodes;
-}
-
 /* The home of the service; NULL: this node, or too few nodes for one. */
 static const struct member *find_home(const struct gateway *gateway,
 				      const char *service)
@@ -38,7 +31,8 @@
 		gateway->host.members(gateway->host.data);
 	const struct member *home;
 
-	if (!gateway_has_home(gateway))
+	if ((int64_t)membership_count(members) <
+	    gateway->options.home_from_nodes)
 		return NULL;
 	home = home_find(members, membership_self(members)->region, service, 0);
 	if (!home || strcmp(home->name, gateway->options.node_name) == 0)
@@ -105,16 +99,11 @@
 	exchange->question = 0;
 }
 
-/* While there is no leg: there was no room, or the home may be silent. */
+/* While there is no leg: the home may be silent. */
 void exchange_step_asking(struct exchange *exchange)
 {
 	struct gateway *gateway = exchange->gateway;
 
-	if (!exchange->question) {
-		if (gateway->now_us >= exchange->ask_again_us)
-			exchange_send_new(exchange);
-		return;
-	}
 	if (gateway->now_us - exchange->asked_home_us <= ANSWER_US)
 		return;
 	if (gateway->home_passed_until_us < gateway->now_us)
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -111,7 +111,6 @@
 struct peer_message *gateway_standing_create(struct gateway *gateway);
 
 /* gateway_home.c */
-bool gateway_has_home(const struct gateway *gateway);
 uint64_t gateway_home_answered(const struct gateway *gateway);
 void gateway_home_step(struct gateway *gateway);
 void gateway_home_take_question(struct gateway *gateway,
