Two cases of the gateway have runs that outlast their steps

Each failed once beside other suites ("it stayed", "no copy is made"): a run of 60 events, 1.2 s, ended by itself before the script had done its steps, as a kept log shows for the second; the first left none, that it is the same is likely. Runs of 300 and 600 events; what is demanded stays.

--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -146,6 +146,14 @@
 		"http://${fronts[$1]}/report/a" >"$2"
 }
 
+# events N: of each generation that an engine begins from now on. A case whose
+# steps take time needs runs that do not end before them, whatever else is busy.
+events() {
+	for i in 0 1 2; do
+		mode "${backends[$i]}" "{\"events\": $1}"
+	done
+}
+
 # streams FILE EVENTS: waits until so many have come.
 streams() {
 	until_true has_events "$1" "$2" || fail "no stream in $1: $(head -c 300 "$1")"
@@ -247,13 +255,15 @@
 # missing or doubled.
 case_leaves_an_engine_under_notice() {
 	save_up 1
+	events 300
 	report 0 "$work/leave" leave-1 &
 	reader=$!
 	streams "$work/leave" 5
 	victim=$(engine_of leave-1)
 	entry "$victim" engines draining
 	wait "$reader" || fail "the stream was cut"
-	whole "$work/leave" leave-1 60
+	whole "$work/leave" leave-1 300
+	events 60
 	[ "$(engine_of leave-1)" != "$victim" ] || fail "it stayed"
 	before=$(state "$victim" runs)
 	report 1 "$work/new" "new-$RANDOM"
@@ -688,6 +698,7 @@
 # from the copy, and the log says from where.
 case_goes_on_from_a_waiting_copy() {
 	save_up 2
+	events 600
 	believed() { # ENGINE STATE
 		grep -h "event=endpoint endpoint=i-$1 " "$work/g0.out" |
 			tail -n 1 | grep -q "state=$2"
@@ -715,11 +726,12 @@
 	until_true copied || fail "no copy is made"
 	kill -KILL "${backend_pids[0]}"
 	wait "$reader" || fail "the stream was cut"
-	whole "$work/waiting" waiting-1 60
+	whole "$work/waiting" waiting-1 600
 	line waiting-1 attempt_failed |
 		grep -q "decision=take_over .* copy=i-1 .* detail=" ||
 		fail "not explained: $(line waiting-1 attempt_failed)"
 	start_backend 0 engines
+	events 60
 	entry 2 engines ready
 }
 
