A run counts as begun with its first whole event

Cause: bytes of a part of an event, or of a comment, set the moment from which a backup may stand. The cases of changing engines pass.

--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -124,6 +124,9 @@
 	struct leg *leg = data;
 	struct exchange *exchange = leg->exchange;
 
+	/* A comment or a part of an event is no run yet: it has no copy. */
+	if (!leg->begun_us)
+		leg->begun_us = exchange->gateway->now_us;
 	if (id >= 0 && exchange->last_event >= 0) {
 		if (id <= exchange->last_event)
 			return true;
@@ -266,8 +269,6 @@
 
 	exchange->gateway->now_us = gateway_now_us();
 	leg->heard_us = exchange->gateway->now_us;
-	if (!leg->begun_us)
-		leg->begun_us = leg->heard_us;
 	if (event_scanner_feed(leg->events, bytes, size))
 		return;
 	if (leg == exchange->next)
