--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -59,8 +59,9 @@
 
 	GHashTable *peers; /* name to struct gateway_peer */
 	struct standing_pace pace;
-	bool held_changed; /* or the configuration: the others should know */
 	uint32_t standings;
+	bool held_changed; /* or the configuration: the others should know */
+	bool home_untold;  /* something changed since the home was told */
 
 	/* Engines chosen by a home, for others if it is this node. */
 	struct engine_grants *grants;
@@ -69,7 +70,6 @@
 	char *home_address; /* last asked; NULL: none yet */
 	int64_t home_passed_until_us; /* it did not answer */
 	int64_t home_told_us;
-	bool home_untold; /* something changed since */
 };
 
 /* Another node, as it says of itself. */
