--- a/fakes/backend_run.c
+++ b/fakes/backend_run.c
@@ -121,7 +121,8 @@
 	struct backend_run *run = data;
 	const struct backend *backend = run->backend;
 
-	if (backend->crash_after && run->made >= backend->crash_after)
+	if (backend->crash_after_events &&
+	    run->made >= backend->crash_after_events)
 		crash("after events", run->id);
 	if (run->next < backend->events) {
 		send_event(run);
--- a/fakes/backend_state.h
+++ b/fakes/backend_state.h
@@ -28,10 +28,10 @@
 	struct backend_copy_sender *sender;
 	GPtrArray *runs; /* struct backend_run, what is at work */
 
-	int64_t events;		/* of a generation */
-	int64_t pace_ms;	/* between two */
-	int64_t crash_after;	/* events of a run, then the process ends */
-	int64_t error_percent;	/* its own 500 for so many requests */
+	int64_t events;		    /* of a generation */
+	int64_t pace_ms;	    /* between two */
+	int64_t crash_after_events; /* of a run, then the process ends */
+	int64_t error_percent;	    /* its own 500 for so many requests */
 	int64_t crash_after_ms; /* where crashing, as after a wait in a queue */
 	int64_t own_status;	/* answers by it after a run; 0: none */
 	int64_t answer_delay_ms; /* before an answer or its first event */
--- a/tests/fake_backend_test.cc
+++ b/tests/fake_backend_test.cc
@@ -200,7 +200,7 @@
 	Backend engine(folder, "i-1");
 	std::string answer;
 
-	engine.mode("{\"pace_ms\": 2, \"crash_after\": 3}");
+	engine.mode("{\"pace_ms\": 2, \"crash_after_events\": 3}");
 	answer = Backend::whole(engine.ask("r-1"));
 	EXPECT_TRUE(has(answer, "r-1.2")) << answer;
 	EXPECT_FALSE(has(answer, "r-1.3")) << answer;
