--- a/fakes/fake_backend.c
+++ b/fakes/fake_backend.c
@@ -1,5 +1,6 @@
 #include "fakes/fake_server.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -14,6 +15,8 @@
 
 struct backend {
 	char *id;
+	char *journal_path; /* NULL: none is kept */
+	FILE *journal;
 	int plain;
 	int64_t events;	 /* of a generation */
 	int64_t pace_ms; /* between two */
@@ -40,6 +43,31 @@
 	guint timer;
 };
 
+/*
+ * One line for what happens to a request, written at once: a process that is
+ * killed leaves a journal of all that it did. The time is that of
+ * CLOCK_MONOTONIC, which all processes of a machine share.
+ */
+static void backend_note(const struct backend *backend, const char *event,
+			 const char *request, bool from_copy)
+{
+	if (!backend->journal)
+		return;
+	fprintf(backend->journal, "%" PRId64 " %s %s %s %d\n",
+		g_get_monotonic_time(), event, request, backend->id, from_copy);
+	fflush(backend->journal);
+}
+
+static bool backend_open_journal(struct backend *backend)
+{
+	if (!backend->journal_path)
+		return true;
+	backend->journal = fopen(backend->journal_path, "a");
+	if (!backend->journal)
+		perror(backend->journal_path);
+	return backend->journal != NULL;
+}
+
 static void generation_end(struct generation *generation)
 {
 	if (generation->timer)
@@ -80,6 +108,7 @@
 	(void)message;
 	if (generation->next < generation->backend->events)
 		generation->backend->left++;
+	backend_note(generation->backend, "end", generation->id, false);
 	generation_end(generation);
 }
 
@@ -164,12 +193,15 @@
 	SoupMessageHeaders *headers =
 		soup_server_message_get_response_headers(message);
 	char text[256];
+	bool from_copy;
 
 	if (!id) {
 		answer_not_run(message, 400);
 		return;
 	}
 	soup_message_headers_replace(headers, FIELD("Request-Id"), id);
+	from_copy = fake_message_header(message, "Kv-From") != NULL;
+	backend_note(backend, "arrived", id, from_copy);
 	if (!backend_accepts(backend, message))
 		return;
 	note(&backend->tenant, message, FIELD("Tenant"));
@@ -178,10 +210,11 @@
 		fake_message_header(message, "Authorization") != NULL;
 	soup_message_headers_replace(headers, FIELD("Engine-Stamp"),
 				     backend->id);
-	if (fake_message_header(message, "Kv-From"))
+	if (from_copy)
 		backend->taken_over++;
 	else
 		backend->runs++;
+	backend_note(backend, from_copy ? "go_on" : "run", id, from_copy);
 	if (backend->crashing) {
 		reset_connection(message);
 	} else if (backend->failing) {
@@ -234,6 +267,8 @@
 		{"id", 0, POPT_ARG_STRING, &id, 0, "of this start", "ID"},
 		{"plain", 0, POPT_ARG_NONE, &backend.plain, 0,
 		 "answers at once, no stream", NULL},
+		{"journal", 0, POPT_ARG_STRING, &backend.journal_path, 0,
+		 "a line for what happens to each request", "FILE"},
 		POPT_TABLEEND};
 	struct fake_server *server = fake_server_create(argc, argv, options);
 	const struct fake_mode modes[] = {
@@ -251,12 +286,16 @@
 	if (!server)
 		return 2;
 	backend.id = id ? id : g_strdup("i-0");
+	if (!backend_open_journal(&backend))
+		return 2;
 	fake_server_add_handler(server, "/v1/kv-move", on_move, &backend);
 	fake_server_add_handler(server, "/fake/state", on_state, &backend);
 	fake_server_add_handler(server, "/", on_request, &backend);
 	fake_server_set_modes(server, modes, G_N_ELEMENTS(modes), NULL, NULL);
 	status = fake_server_run(server);
 	fake_server_destroy(server);
+	g_clear_pointer(&backend.journal, fclose);
+	g_free(backend.journal_path);
 	g_free(backend.id);
 	g_free(backend.tenant);
 	g_free(backend.deadline);
