--- a/fakes/fake_backend.c
+++ b/fakes/fake_backend.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 /*
  * A stand-in for the platform's engines, plain and generating. Event I of a
@@ -140,6 +141,17 @@
 					  generation_step, generation);
 }
 
+/* A request to such a path crashes whoever runs it, a moment later. */
+#define CRASHING_PATH "/poison"
+#define CRASH_MS 200
+#define CRASH_STATUS 9
+
+static gboolean crash(gpointer data)
+{
+	(void)data;
+	_exit(CRASH_STATUS);
+}
+
 /* As the engine's host does when its process is gone. */
 static void reset_connection(SoupServerMessage *message)
 {
@@ -215,6 +227,8 @@
 	else
 		backend->runs++;
 	backend_note(backend, from_copy ? "go_on" : "run", id, from_copy);
+	if (g_str_has_suffix(path, CRASHING_PATH))
+		g_timeout_add(CRASH_MS, crash, NULL);
 	if (backend->crashing) {
 		reset_connection(message);
 	} else if (backend->failing) {
@@ -267,6 +281,10 @@
 		{"id", 0, POPT_ARG_STRING, &id, 0, "of this start", "ID"},
 		{"plain", 0, POPT_ARG_NONE, &backend.plain, 0,
 		 "answers at once, no stream", NULL},
+		{"events", 0, POPT_ARG_LONG, &backend.events, 0,
+		 "of a generation", "COUNT"},
+		{"pace-ms", 0, POPT_ARG_LONG, &backend.pace_ms, 0,
+		 "between two of them", "MS"},
 		{"journal", 0, POPT_ARG_STRING, &backend.journal_path, 0,
 		 "a line for what happens to each request", "FILE"},
 		POPT_TABLEEND};
--- /dev/null
+++ b/tests/soak/soak_caller.c
@@ -0,0 +1,373 @@
+#include "tests/soak/soak_caller.h"
+#include "tests/soak/soak_directory.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define MS_US G_TIME_SPAN_MILLISECOND
+/* As the pages give them: time for a connection, and for an answer. */
+#define CONNECT_US G_TIME_SPAN_SECOND
+#define PLAIN_DEADLINE_US (2500 * MS_US)
+#define STREAM_DEADLINE_US (15 * G_TIME_SPAN_SECOND)
+/* A caller whose deadline has passed looks once more before it leaves. */
+#define LAST_LOOK_US (250 * MS_US)
+#define RETRIES 1
+/* Callers that don't wait as they are told retry at once and more often. */
+#define INSISTENT_RETRIES 4
+#define PROBE_EVERY_US (150 * MS_US)
+#define POISON_ATTEMPTS 5
+#define POISON_EVERY_US (300 * MS_US)
+/* A configuration's route is removed by the second one after it. */
+#define VERSIONS_OF_ROUTE 2
+
+enum habit {
+	HABIT_NEW,     /* a connection for each request */
+	HABIT_KEEPS,   /* one connection until it ends */
+	HABIT_STALE,   /* an old answer of the directory */
+	HABIT_LEAVES,  /* in the middle of what it asked for */
+	HABIT_INSISTS, /* at once and often */
+	HABIT_ONE_KEY, /* one path only */
+	HABITS
+};
+
+struct caller {
+	const struct soak_schedule *schedule;
+	struct soak_view *view;
+	GThread *thread;
+	GRand *random;
+	struct soak_directory *directory;
+	struct soak_connection *kept;
+	char *kept_front;
+	GPtrArray *attempts;
+	int32_t number;
+	int32_t sent;
+	enum habit habit;
+};
+
+struct soak_callers {
+	const struct soak_schedule *schedule;
+	struct soak_view *view;
+	GPtrArray *list; /* struct caller */
+};
+
+static struct caller *caller_create(struct soak_callers *callers)
+{
+	struct caller *caller = g_new0(struct caller, 1);
+	guint32 seeds[2];
+
+	caller->schedule = callers->schedule;
+	caller->view = callers->view;
+	caller->number = (int32_t)callers->list->len;
+	caller->habit = (enum habit)(caller->number % HABITS);
+	seeds[0] = callers->schedule->seed;
+	seeds[1] = (guint32)caller->number;
+	caller->random = g_rand_new_with_seed_array(seeds, 2);
+	caller->directory = soak_directory_create(callers->view, caller->random,
+						  caller->habit == HABIT_STALE);
+	caller->attempts = g_ptr_array_new();
+	g_ptr_array_add(callers->list, caller);
+	return caller;
+}
+
+static void caller_destroy(struct caller *caller)
+{
+	soak_connection_destroy(caller->kept);
+	soak_directory_destroy(caller->directory);
+	g_free(caller->kept_front);
+	g_rand_free(caller->random);
+	g_ptr_array_unref(caller->attempts);
+	g_free(caller);
+}
+
+static char *request_text(const struct soak_attempt *attempt)
+{
+	bool streams = attempt->kind == SOAK_KIND_STREAM ||
+		       attempt->kind == SOAK_KIND_POISON;
+	/* The same text each time: what crashes engines is known by it. */
+	const char *body =
+		attempt->kind == SOAK_KIND_POISON ? "crash" : attempt->id;
+	bool has_body = attempt->kind != SOAK_KIND_IDEMPOTENT &&
+			attempt->kind != SOAK_KIND_PROBE;
+	int64_t left_us = attempt->deadline_us - g_get_monotonic_time();
+
+	return g_strdup_printf(
+		"%s %s HTTP/1.1\r\nHost: " SOAK_HOST "\r\n"
+		"Authorization: Bearer " SOAK_KEY "\r\n"
+		"X-Siskinlink-Request-Id: %s\r\n"
+		"X-Siskinlink-Deadline-Ms: %" PRId64 "\r\n"
+		"%sContent-Length: %" G_GSIZE_FORMAT "\r\n\r\n%s",
+		has_body ? "POST" : "GET", attempt->path, attempt->id,
+		MAX(left_us / MS_US, 1),
+		streams ? "X-Siskinlink-Token-Count: 300,200\r\n" : "",
+		has_body ? strlen(body) : 0, has_body ? body : "");
+}
+
+/* A connection to the front, kept if the caller keeps one there. */
+static struct soak_connection *caller_connect(struct caller *caller,
+					      const char *front)
+{
+	struct error error = {0};
+
+	if (caller->kept && strcmp(caller->kept_front, front) == 0 &&
+	    soak_connection_is_sound(caller->kept))
+		return g_steal_pointer(&caller->kept);
+	return soak_connection_create(
+		front, g_get_monotonic_time() + CONNECT_US, &error);
+}
+
+static void caller_put_back(struct caller *caller, const char *front,
+			    struct soak_connection *connection)
+{
+	if (caller->habit != HABIT_KEEPS ||
+	    !soak_connection_is_sound(connection)) {
+		soak_connection_destroy(connection);
+		return;
+	}
+	soak_connection_destroy(caller->kept);
+	g_free(caller->kept_front);
+	caller->kept = connection;
+	caller->kept_front = g_strdup(front);
+}
+
+/* How long and how much a caller that leaves early reads. */
+static void caller_choose_leaving(struct caller *caller, int64_t *until_us,
+				  int64_t *leave_bytes)
+{
+	*leave_bytes = 0;
+	if (caller->habit != HABIT_LEAVES || g_rand_boolean(caller->random))
+		return;
+	if (g_rand_boolean(caller->random))
+		*leave_bytes = g_rand_int_range(caller->random, 1, 2000);
+	else
+		*until_us = g_get_monotonic_time() +
+			    g_rand_int_range(caller->random, 5, 500) * MS_US;
+}
+
+/* Sends one attempt and reads what comes of it. */
+static struct soak_attempt *caller_attempt(struct caller *caller,
+					   enum soak_kind kind,
+					   const char *path, const char *front,
+					   int64_t deadline_us)
+{
+	g_autofree char *id =
+		g_strdup_printf("s%u-%d-%d", caller->schedule->seed,
+				caller->number, caller->sent++);
+	struct soak_attempt *attempt =
+		soak_attempt_create(kind, id, path, front);
+	int64_t until_us = deadline_us + LAST_LOOK_US;
+	struct soak_connection *connection = caller_connect(caller, front);
+	struct error error = {0};
+	int64_t leave_bytes;
+
+	g_ptr_array_add(caller->attempts, attempt);
+	attempt->deadline_us = deadline_us;
+	if (connection) {
+		g_autofree char *text = request_text(attempt);
+
+		caller_choose_leaving(caller, &until_us, &leave_bytes);
+		attempt->end = SOAK_END_RESET;
+		if (soak_connection_send(connection, text, until_us, &error)) {
+			attempt->sent_us = g_get_monotonic_time();
+			attempt->end = soak_connection_read(
+				connection, attempt->answer, until_us,
+				leave_bytes);
+		}
+		caller_put_back(caller, front, connection);
+	}
+	attempt->ended_us = g_get_monotonic_time();
+	return attempt;
+}
+
+static bool is_promise(int32_t status)
+{
+	return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+static bool may_retry(const struct soak_attempt *attempt)
+{
+	int32_t status = attempt->answer->status;
+
+	if (attempt->end == SOAK_END_REFUSED)
+		return true;
+	if (attempt->end == SOAK_END_WHOLE && is_promise(status))
+		return true;
+	if (attempt->end == SOAK_END_LEFT ||
+	    attempt->kind != SOAK_KIND_IDEMPOTENT)
+		return false;
+	return attempt->end != SOAK_END_WHOLE || status >= 500;
+}
+
+static void caller_wait_to_retry(struct caller *caller,
+				 const struct soak_attempt *attempt)
+{
+	int64_t left_us = attempt->deadline_us - g_get_monotonic_time();
+	int64_t wait_us = MAX(attempt->answer->retry_after_us, 0);
+
+	if (caller->habit != HABIT_INSISTS && left_us > 0)
+		g_usleep((gulong)MIN(wait_us, left_us / 3));
+}
+
+static void caller_send(struct caller *caller, enum soak_kind kind,
+			const char *path)
+{
+	int64_t deadline_us = g_get_monotonic_time() +
+			      (kind == SOAK_KIND_STREAM ? STREAM_DEADLINE_US
+							: PLAIN_DEADLINE_US);
+	int retries =
+		caller->habit == HABIT_INSISTS ? INSISTENT_RETRIES : RETRIES;
+
+	for (int i = 0; i <= retries; i++) {
+		g_autofree char *front =
+			caller->kept && caller->kept_front
+				? g_strdup(caller->kept_front)
+				: soak_directory_choose(caller->directory);
+		const struct soak_attempt *attempt;
+
+		if (!front || g_get_monotonic_time() >= deadline_us)
+			return;
+		attempt =
+			caller_attempt(caller, kind, path, front, deadline_us);
+		if (attempt->end == SOAK_END_REFUSED ||
+		    attempt->end == SOAK_END_RESET)
+			soak_directory_note_failed(caller->directory, front);
+		if (!may_retry(attempt))
+			return;
+		caller_wait_to_retry(caller, attempt);
+	}
+}
+
+static void caller_send_any(struct caller *caller)
+{
+	static const struct {
+		enum soak_kind kind;
+		const char *prefix;
+		int percent;
+	} mix[] = {
+		{SOAK_KIND_STREAM, "/report/", 25},
+		{SOAK_KIND_ONCE, "/export/", 40},
+		{SOAK_KIND_IDEMPOTENT, "/lookup/", 35},
+	};
+	int32_t draw = g_rand_int_range(caller->random, 0, 100);
+	int32_t key = caller->habit == HABIT_ONE_KEY
+			      ? 0
+			      : g_rand_int_range(caller->random, 1, 1000);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(mix); i++) {
+		g_autofree char *path =
+			g_strdup_printf("%s%d", mix[i].prefix, key);
+
+		if (draw < mix[i].percent) {
+			caller_send(caller, mix[i].kind, path);
+			return;
+		}
+		draw -= mix[i].percent;
+	}
+}
+
+static gpointer caller_run(gpointer data)
+{
+	struct caller *caller = data;
+
+	while (soak_view_has_load(caller->view)) {
+		caller_send_any(caller);
+		g_usleep((gulong)(g_rand_int_range(caller->random, 20, 200) *
+				  MS_US));
+	}
+	return NULL;
+}
+
+/*
+ * Asks one node for the route that the newest configuration added, then for
+ * the one that it removed.
+ */
+static gpointer prober_run(gpointer data)
+{
+	struct caller *caller = data;
+	int32_t node = caller->number;
+
+	for (int32_t i = 0; soak_view_goes_on(caller->view); i++) {
+		int32_t newest = soak_view_version(caller->view);
+		int32_t version = i % 2 ? newest - VERSIONS_OF_ROUTE : newest;
+		g_autofree char *front = soak_view_front(caller->view, node);
+		g_autofree char *path = g_strdup_printf("/p%d/%d", version, i);
+		struct soak_attempt *attempt;
+
+		if (version >= 0) {
+			attempt = caller_attempt(
+				caller, SOAK_KIND_PROBE, path, front,
+				g_get_monotonic_time() + PLAIN_DEADLINE_US);
+			attempt->version = version;
+			if (attempt->answer->status == 200)
+				soak_view_note_served(caller->view, node);
+		}
+		g_usleep(PROBE_EVERY_US);
+	}
+	return NULL;
+}
+
+/* A request that crashes who runs it comes again, at any node. */
+static gpointer poison_run(gpointer data)
+{
+	struct caller *caller = data;
+
+	for (int i = 0; i < POISON_ATTEMPTS; i++) {
+		g_autofree char *front =
+			soak_directory_choose(caller->directory);
+
+		if (front)
+			caller_attempt(caller, SOAK_KIND_POISON,
+				       "/report/poison", front,
+				       g_get_monotonic_time() +
+					       STREAM_DEADLINE_US);
+		g_usleep(POISON_EVERY_US);
+	}
+	return NULL;
+}
+
+/* Starts a prober for each node, and the callers of the schedule. */
+struct soak_callers *soak_callers_create(const struct soak_schedule *schedule,
+					 struct soak_view *view)
+{
+	struct soak_callers *callers = g_new0(struct soak_callers, 1);
+
+	callers->schedule = schedule;
+	callers->view = view;
+	callers->list = g_ptr_array_new();
+	for (int32_t i = 0; i < schedule->nodes + schedule->callers; i++) {
+		struct caller *caller = caller_create(callers);
+		bool is_prober = i < schedule->nodes;
+
+		if (is_prober)
+			caller->habit = HABIT_NEW;
+		caller->thread = g_thread_new(
+			is_prober ? "prober" : "caller",
+			is_prober ? prober_run : caller_run, caller);
+	}
+	return callers;
+}
+
+/* One more caller, whose request crashes the engines that run it. */
+void soak_callers_send_poison(struct soak_callers *callers)
+{
+	struct caller *caller = caller_create(callers);
+
+	caller->habit = HABIT_NEW;
+	caller->thread = g_thread_new("poison", poison_run, caller);
+}
+
+/* Waits for all of them, hands over what they got, and frees them. */
+void soak_callers_finish(struct soak_callers *callers,
+			 struct soak_evidence *evidence)
+{
+	for (guint i = 0; i < callers->list->len; i++) {
+		struct caller *caller = g_ptr_array_index(callers->list, i);
+
+		g_thread_join(caller->thread);
+		for (guint j = 0; j < caller->attempts->len; j++)
+			g_ptr_array_add(evidence->attempts,
+					g_ptr_array_index(caller->attempts, j));
+		caller_destroy(caller);
+	}
+	g_ptr_array_unref(callers->list);
+	g_free(callers);
+}
--- /dev/null
+++ b/tests/soak/soak_caller.h
@@ -0,0 +1,28 @@
+#ifndef TESTS_SOAK_SOAK_CALLER_H
+#define TESTS_SOAK_SOAK_CALLER_H
+
+#include "tests/soak/soak_evidence.h"
+#include "tests/soak/soak_schedule.h"
+#include "tests/soak/soak_view.h"
+
+#include <glib.h>
+
+G_BEGIN_DECLS
+
+/*
+ * The callers of a run: each a thread that asks the directory where to
+ * connect, sends requests of all kinds, and retries as callers do. Beside
+ * them a prober for each node asks for the routes that the newest versions of
+ * the configuration added and removed.
+ */
+struct soak_callers;
+
+struct soak_callers *soak_callers_create(const struct soak_schedule *schedule,
+					 struct soak_view *view);
+void soak_callers_send_poison(struct soak_callers *callers);
+void soak_callers_finish(struct soak_callers *callers,
+			 struct soak_evidence *evidence);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_evidence.c
@@ -0,0 +1,195 @@
+#include "tests/soak/soak_evidence.h"
+
+#include <errno.h>
+#include <string.h>
+
+#define STEP_JOURNAL "soak.journal"
+#define JOURNAL_FIELDS 5
+
+/* For records and logs. */
+const char *soak_kind_name(enum soak_kind kind)
+{
+	static const char *const names[SOAK_KINDS] = {
+		[SOAK_KIND_IDEMPOTENT] = "idempotent",
+		[SOAK_KIND_ONCE] = "once",
+		[SOAK_KIND_STREAM] = "stream",
+		[SOAK_KIND_PROBE] = "probe",
+		[SOAK_KIND_POISON] = "poison",
+	};
+
+	return names[kind];
+}
+
+/* An attempt that begins now. */
+struct soak_attempt *soak_attempt_create(enum soak_kind kind, const char *id,
+					 const char *path, const char *front)
+{
+	struct soak_attempt *attempt = g_new0(struct soak_attempt, 1);
+
+	attempt->kind = kind;
+	attempt->id = g_strdup(id);
+	attempt->path = g_strdup(path);
+	attempt->front = g_strdup(front);
+	attempt->begun_us = g_get_monotonic_time();
+	attempt->answer = soak_answer_create();
+	attempt->end = SOAK_END_REFUSED;
+	return attempt;
+}
+
+/* Frees it; NULL is allowed. */
+void soak_attempt_destroy(gpointer data)
+{
+	struct soak_attempt *attempt = data;
+
+	if (!attempt)
+		return;
+	g_free(attempt->id);
+	g_free(attempt->path);
+	g_free(attempt->front);
+	soak_answer_destroy(attempt->answer);
+	g_free(attempt);
+}
+
+static void entry_destroy(gpointer data)
+{
+	struct soak_entry *entry = data;
+
+	g_free(entry->request);
+	g_free(entry->engine);
+	g_free(entry);
+}
+
+static void life_destroy(gpointer data)
+{
+	struct soak_life *life = data;
+
+	g_free(life->front);
+	g_free(life->engine);
+	g_free(life->log_path);
+	g_free(life);
+}
+
+static void leaving_clear(gpointer data)
+{
+	struct soak_leaving *leaving = data;
+
+	g_free(leaving->engine);
+}
+
+/* Nothing has happened yet. */
+struct soak_evidence *soak_evidence_create(void)
+{
+	struct soak_evidence *evidence = g_new0(struct soak_evidence, 1);
+
+	evidence->attempts =
+		g_ptr_array_new_with_free_func(soak_attempt_destroy);
+	evidence->entries = g_ptr_array_new_with_free_func(entry_destroy);
+	evidence->lives = g_ptr_array_new_with_free_func(life_destroy);
+	evidence->failures = g_ptr_array_new_with_free_func(g_free);
+	evidence->disturbances =
+		g_array_new(FALSE, TRUE, sizeof(struct soak_disturbance));
+	evidence->versions =
+		g_array_new(FALSE, TRUE, sizeof(struct soak_version));
+	evidence->leavings =
+		g_array_new(FALSE, TRUE, sizeof(struct soak_leaving));
+	g_array_set_clear_func(evidence->leavings, leaving_clear);
+	evidence->unix_offset_us = g_get_real_time() - g_get_monotonic_time();
+	return evidence;
+}
+
+/* NULL is allowed. */
+void soak_evidence_destroy(struct soak_evidence *evidence)
+{
+	if (!evidence)
+		return;
+	g_ptr_array_unref(evidence->attempts);
+	g_ptr_array_unref(evidence->entries);
+	g_ptr_array_unref(evidence->lives);
+	g_ptr_array_unref(evidence->failures);
+	g_array_unref(evidence->disturbances);
+	g_array_unref(evidence->versions);
+	g_array_unref(evidence->leavings);
+	g_free(evidence);
+}
+
+static struct soak_entry *entry_parse(const char *line)
+{
+	g_auto(GStrv) fields = g_strsplit(line, " ", JOURNAL_FIELDS);
+	struct soak_entry *entry;
+
+	if (g_strv_length(fields) != JOURNAL_FIELDS)
+		return NULL;
+	entry = g_new0(struct soak_entry, 1);
+	entry->at_us = g_ascii_strtoll(fields[0], NULL, 10);
+	g_strlcpy(entry->event, fields[1], sizeof(entry->event));
+	entry->request = g_strdup(fields[2]);
+	entry->engine = g_strdup(fields[3]);
+	entry->from_copy = fields[4][0] == '1';
+	return entry;
+}
+
+/* Adds an engine's journal. A line cut by the engine's end is no line. */
+bool soak_evidence_read_journal(struct soak_evidence *evidence,
+				const char *path, struct error *error)
+{
+	g_autofree char *text = NULL;
+	g_autoptr(GError) failure = NULL;
+	g_auto(GStrv) lines = NULL;
+	guint count;
+
+	if (!g_file_get_contents(path, &text, NULL, &failure)) {
+		error_set(error, ERROR_INTERNAL, STEP_JOURNAL, NULL, "%s",
+			  failure->message);
+		return false;
+	}
+	lines = g_strsplit(text, "\n", -1);
+	count = g_strv_length(lines);
+	for (guint i = 0; i + 1 < count; i++) {
+		struct soak_entry *entry = entry_parse(lines[i]);
+
+		if (entry)
+			g_ptr_array_add(evidence->entries, entry);
+	}
+	return true;
+}
+
+static int entry_order(gconstpointer a, gconstpointer b)
+{
+	const struct soak_entry *one = *(struct soak_entry *const *)a;
+	const struct soak_entry *other = *(struct soak_entry *const *)b;
+
+	return (one->at_us > other->at_us) - (one->at_us < other->at_us);
+}
+
+static int attempt_order(gconstpointer a, gconstpointer b)
+{
+	const struct soak_attempt *one = *(struct soak_attempt *const *)a;
+	const struct soak_attempt *other = *(struct soak_attempt *const *)b;
+
+	return (one->begun_us > other->begun_us) -
+	       (one->begun_us < other->begun_us);
+}
+
+/* Puts what came from many files and callers in the order of time. */
+void soak_evidence_sort(struct soak_evidence *evidence)
+{
+	g_ptr_array_sort(evidence->entries, entry_order);
+	g_ptr_array_sort(evidence->attempts, attempt_order);
+}
+
+/* The node that listened there then; NULL: none did. */
+const struct soak_life *
+soak_evidence_life_at(const struct soak_evidence *evidence, const char *front,
+		      int64_t at_us)
+{
+	for (guint i = evidence->lives->len; i-- > 0;) {
+		const struct soak_life *life =
+			g_ptr_array_index(evidence->lives, i);
+
+		if (life->front && strcmp(life->front, front) == 0 &&
+		    life->from_us <= at_us &&
+		    (!life->to_us || at_us <= life->to_us))
+			return life;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/tests/soak/soak_evidence.h
@@ -0,0 +1,122 @@
+#ifndef TESTS_SOAK_SOAK_EVIDENCE_H
+#define TESTS_SOAK_SOAK_EVIDENCE_H
+
+#include "tests/soak/soak_http.h"
+#include "tests/soak/soak_schedule.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * What a run leaves behind: what callers sent and got, what engines wrote into
+ * their journals, and what the soak itself did and when. All times are those
+ * of CLOCK_MONOTONIC, in microseconds.
+ */
+
+#define SOAK_HOST "reports.example"
+#define SOAK_KEY "caller-key-0001"
+
+enum soak_kind {
+	SOAK_KIND_IDEMPOTENT,
+	SOAK_KIND_ONCE,
+	SOAK_KIND_STREAM,
+	SOAK_KIND_PROBE, /* of a route that a version added or removed */
+	SOAK_KIND_POISON,
+	SOAK_KINDS
+};
+
+/* One attempt of a caller, with an id of its own. */
+struct soak_attempt {
+	char *id;
+	enum soak_kind kind;
+	char *path;
+	char *front; /* the address it was sent to */
+	int64_t begun_us;
+	int64_t sent_us; /* its last byte; 0: not sent whole */
+	int64_t ended_us;
+	int64_t deadline_us;
+	enum soak_end end;
+	struct soak_answer *answer;
+	int32_t version; /* of a probe: the one that added its route */
+};
+
+/* A line of an engine's journal. */
+struct soak_entry {
+	int64_t at_us;
+	char event[16];
+	char *request;
+	char *engine;
+	bool from_copy;
+};
+
+/* A start of a process until its end. */
+struct soak_life {
+	char name[32];
+	char *front;  /* of a node; NULL: an engine */
+	char *engine; /* id of an engine; NULL: a node */
+	int64_t from_us;
+	int64_t to_us;	 /* 0: until the end of the run */
+	int64_t term_us; /* 0: none was sent */
+	bool was_killed; /* by the soak */
+	int status;	 /* once it has ended */
+	int64_t most_resident_bytes;
+	int64_t most_open_files;
+	int64_t log_bytes;
+	char *log_path;
+};
+
+/* A fault while it lasted, or an operator's work. */
+struct soak_disturbance {
+	enum soak_fault_kind kind;
+	char who[32]; /* name of a process, "store", "nodes", "operator" */
+	int64_t from_us;
+	int64_t to_us; /* 0: until the end of the run */
+};
+
+/* A configuration, from its sending to the store's word for it. */
+struct soak_version {
+	int32_t index;
+	int64_t sent_us;
+	int64_t acked_us;
+};
+
+/* An engine's leaving, as the store accepted it. */
+struct soak_leaving {
+	char *engine;
+	int64_t acked_us;
+};
+
+struct soak_evidence {
+	int64_t begun_us;
+	int64_t load_end_us;
+	int64_t ended_us;
+	int64_t unix_offset_us; /* added to a time gives the Unix time */
+	GPtrArray *attempts;	/* struct soak_attempt */
+	GPtrArray *entries;	/* struct soak_entry, by time */
+	GPtrArray *lives;	/* struct soak_life */
+	GArray *disturbances;	/* struct soak_disturbance */
+	GArray *versions;	/* struct soak_version */
+	GArray *leavings;	/* struct soak_leaving */
+	GPtrArray *failures;	/* char *: what the soak itself saw */
+};
+
+struct soak_evidence *soak_evidence_create(void);
+void soak_evidence_destroy(struct soak_evidence *evidence);
+bool soak_evidence_read_journal(struct soak_evidence *evidence,
+				const char *path, struct error *error);
+void soak_evidence_sort(struct soak_evidence *evidence);
+const struct soak_life *
+soak_evidence_life_at(const struct soak_evidence *evidence, const char *front,
+		      int64_t at_us);
+const char *soak_kind_name(enum soak_kind kind);
+
+struct soak_attempt *soak_attempt_create(enum soak_kind kind, const char *id,
+					 const char *path, const char *front);
+void soak_attempt_destroy(gpointer attempt);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_fault.c
@@ -0,0 +1,315 @@
+#include "tests/soak/soak_fleet.h"
+#include "tests/soak/soak_fleet_state.h"
+#include "tests/soak/soak_platform.h"
+
+#include <signal.h>
+#include <string.h>
+
+/*
+ * What each kind of fault does to its target, and how it ends. A target that
+ * does not run, or that another fault has already, is left alone.
+ */
+
+#define STORM_VERSIONS 5
+/* A stop's grace on the pages, and what a busy machine may need beyond it. */
+#define GRACE_US (8 * G_TIME_SPAN_SECOND)
+#define END_SLACK_US G_TIME_SPAN_SECOND
+/* A killed engine's entry goes after three of its heartbeats of a second. */
+#define SILENT_ENTRY_US (3 * G_TIME_SPAN_SECOND)
+/* Entries that lapsed with the store are back within two of its return. */
+#define LAPSED_US G_TIME_SPAN_SECOND
+/* SIGHUP finds one of two lives of the directory's answers. */
+#define KEEP_S 2
+#define OTHER_KEEP_S 3
+
+typedef void (*member_action)(struct soak_fleet *fleet,
+			      struct soak_member *member);
+
+static void member_kill(struct soak_fleet *fleet, struct soak_member *member)
+{
+	(void)fleet;
+	soak_member_kill(member);
+	member->start_us = 0;
+}
+
+static void node_rename(struct soak_fleet *fleet, struct soak_member *member)
+{
+	member_kill(fleet, member);
+	member->comes_renamed = true;
+}
+
+static void member_pause(struct soak_fleet *fleet, struct soak_member *member)
+{
+	(void)fleet;
+	if (!member->life || member->is_paused)
+		return;
+	member->is_paused = true;
+	soak_process_signal(member->process, SIGSTOP);
+}
+
+static void member_continue(struct soak_fleet *fleet,
+			    struct soak_member *member)
+{
+	(void)fleet;
+	if (!member->is_paused)
+		return;
+	member->is_paused = false;
+	soak_process_signal(member->process, SIGCONT);
+	if (member->end_by_us)
+		member->end_by_us =
+			g_get_monotonic_time() + GRACE_US + END_SLACK_US;
+}
+
+static void node_term(struct soak_fleet *fleet, struct soak_member *member)
+{
+	(void)fleet;
+	if (!member->life || member->life->term_us)
+		return;
+	member->life->term_us = g_get_monotonic_time();
+	member->end_by_us = member->life->term_us + GRACE_US + END_SLACK_US;
+	soak_process_signal(member->process, SIGTERM);
+}
+
+/* It starts again as soon as it has ended. */
+static void member_return(struct soak_fleet *fleet, struct soak_member *member)
+{
+	member->start_us = g_get_monotonic_time();
+	soak_fleet_start_member(fleet, member);
+}
+
+static void node_hup(struct soak_fleet *fleet, struct soak_member *member)
+{
+	if (!member->life)
+		return;
+	soak_fleet_write_settings(fleet, member, OTHER_KEEP_S);
+	soak_process_signal(member->process, SIGHUP);
+}
+
+static void node_hup_back(struct soak_fleet *fleet, struct soak_member *member)
+{
+	if (!member->life)
+		return;
+	soak_fleet_write_settings(fleet, member, KEEP_S);
+	soak_process_signal(member->process, SIGHUP);
+}
+
+static void drop_silent(struct soak_fleet *fleet, struct soak_member *member)
+{
+	if (!member->life)
+		soak_fleet_unregister(fleet, member);
+}
+
+static void endpoint_kill(struct soak_fleet *fleet, struct soak_member *member)
+{
+	if (!member->life)
+		return;
+	member_kill(fleet, member);
+	soak_fleet_do_later(fleet, SILENT_ENTRY_US, drop_silent, member);
+}
+
+static void endpoint_replace(struct soak_fleet *fleet,
+			     struct soak_member *member)
+{
+	endpoint_kill(fleet, member);
+	member->comes_renamed = true;
+}
+
+static void note_leaving(struct soak_fleet *fleet, struct soak_member *member)
+{
+	struct soak_leaving row = {.engine = g_strdup(member->id)};
+
+	row.acked_us = g_get_monotonic_time();
+	g_array_append_val(fleet->evidence->leavings, row);
+}
+
+static void endpoint_leave(struct soak_fleet *fleet, struct soak_member *member)
+{
+	if (!member->life || member->is_leaving || member->is_paused)
+		return;
+	member->is_leaving = true;
+	soak_fleet_register(fleet, member);
+	note_leaving(fleet, member);
+}
+
+static void endpoint_vanish(struct soak_fleet *fleet,
+			    struct soak_member *member)
+{
+	if (!member->life || member->is_leaving || member->is_paused)
+		return;
+	member->is_leaving = true;
+	soak_fleet_unregister(fleet, member);
+	note_leaving(fleet, member);
+}
+
+/* It has left; another one takes its place. */
+static void endpoint_succeed(struct soak_fleet *fleet,
+			     struct soak_member *member)
+{
+	if (!member->is_leaving)
+		return;
+	soak_member_kill(member);
+	soak_fleet_start_member(fleet, member);
+}
+
+static void member_mode(struct soak_fleet *fleet, struct soak_member *member,
+			const char *json)
+{
+	struct error error = {0};
+
+	if (!member->life || member->is_paused)
+		return;
+	if (!soak_platform_mode(member->address, json, &error))
+		soak_fleet_note_failure(fleet, "%s: %s: %s", member->name, json,
+					error.detail);
+}
+
+static void all_do(struct soak_fleet *fleet, member_action action)
+{
+	for (guint i = 0; i < fleet->nodes->len; i++)
+		action(fleet, g_ptr_array_index(fleet->nodes, i));
+}
+
+static void store_mode(struct soak_fleet *fleet, const char *json)
+{
+	struct error error = {0};
+
+	if (!soak_platform_mode(fleet->store_address, json, &error))
+		soak_fleet_note_failure(fleet, "store: %s: %s", json,
+					error.detail);
+}
+
+static void entries_lapse(struct soak_fleet *fleet)
+{
+	for (guint i = 0; i < fleet->endpoints->len; i++)
+		soak_fleet_unregister(fleet,
+				      g_ptr_array_index(fleet->endpoints, i));
+}
+
+static void entry_return(struct soak_fleet *fleet, struct soak_member *member)
+{
+	if (!member->is_leaving)
+		soak_fleet_register(fleet, member);
+}
+
+static void entries_return(struct soak_fleet *fleet)
+{
+	for (guint i = 0; i < fleet->endpoints->len; i++)
+		soak_fleet_do_later(fleet, LAPSED_US, entry_return,
+				    g_ptr_array_index(fleet->endpoints, i));
+}
+
+static const struct {
+	member_action begin;
+	member_action end;
+	const char *mode; /* of a stand-in while it lasts, if not NULL */
+	const char *calm; /* and after it */
+} actions[SOAK_FAULT_KINDS] = {
+	[SOAK_NODE_KILL] = {member_kill, member_return, NULL, NULL},
+	[SOAK_NODE_RENAME] = {node_rename, member_return, NULL, NULL},
+	[SOAK_NODE_PAUSE_SHORT] = {member_pause, member_continue, NULL, NULL},
+	[SOAK_NODE_PAUSE_LONG] = {member_pause, member_continue, NULL, NULL},
+	[SOAK_NODE_TERM] = {node_term, member_return, NULL, NULL},
+	[SOAK_NODE_HUP] = {node_hup, node_hup_back, NULL, NULL},
+	[SOAK_NODE_KILL_ALL] = {member_kill, member_return, NULL, NULL},
+	[SOAK_ENGINE_KILL] = {endpoint_kill, member_return, NULL, NULL},
+	[SOAK_ENGINE_REPLACE] = {endpoint_replace, member_return, NULL, NULL},
+	[SOAK_ENGINE_PAUSE] = {member_pause, member_continue, NULL, NULL},
+	[SOAK_ENGINE_LEAVE] = {endpoint_leave, endpoint_succeed, NULL, NULL},
+	[SOAK_ENGINE_VANISH] = {endpoint_vanish, endpoint_succeed, NULL, NULL},
+	[SOAK_ENGINE_FULL] = {NULL, NULL, "{\"full\":true}",
+			      "{\"full\":false}"},
+	[SOAK_ENGINE_RESET] = {NULL, NULL, "{\"crashing\":true}",
+			       "{\"crashing\":false}"},
+	[SOAK_ENGINE_NO_COPY] = {NULL, NULL, "{\"no_copy\":true}",
+				 "{\"no_copy\":false}"},
+	[SOAK_ENGINE_NO_ROOM] = {NULL, NULL, "{\"no_room\":true}",
+				 "{\"no_room\":false}"},
+	[SOAK_PLAIN_KILL] = {endpoint_kill, member_return, NULL, NULL},
+	[SOAK_PLAIN_FAIL] = {NULL, NULL, "{\"failing\":true}",
+			     "{\"failing\":false}"},
+	[SOAK_PLAIN_PAUSE] = {member_pause, member_continue, NULL, NULL},
+	[SOAK_PLAIN_LEAVE] = {endpoint_leave, endpoint_succeed, NULL, NULL},
+	[SOAK_STORE_DOWN] = {NULL, NULL, "{\"down\":true}", "{\"down\":false}"},
+	[SOAK_STORE_SILENT] = {NULL, NULL, "{\"silent\":true}",
+			       "{\"silent\":false}"},
+	[SOAK_STORE_LOSE] = {NULL, NULL, "{\"lose\":true}", "{\"lose\":false}"},
+	[SOAK_STORE_FORGET] = {NULL, NULL, "{\"forget\":true}", NULL},
+	[SOAK_STORE_LAPSE] = {NULL, NULL, "{\"down\":true}",
+			      "{\"down\":false}"},
+};
+
+static struct soak_member *target_of(struct soak_fleet *fleet,
+				     const struct soak_fault *fault)
+{
+	switch (soak_fault_type_at(fault->kind)->target) {
+	case SOAK_TARGET_NODE:
+		return g_ptr_array_index(fleet->nodes, fault->target);
+	case SOAK_TARGET_ENGINE:
+		return g_ptr_array_index(fleet->endpoints, fault->target);
+	case SOAK_TARGET_PLAIN:
+		return g_ptr_array_index(fleet->endpoints,
+					 fleet->schedule->engines +
+						 fault->target);
+	default:
+		return NULL;
+	}
+}
+
+static const char *who_of(struct soak_fleet *fleet,
+			  const struct soak_fault *fault)
+{
+	const struct soak_member *member = target_of(fleet, fault);
+
+	if (member)
+		return member->name;
+	switch (soak_fault_type_at(fault->kind)->target) {
+	case SOAK_TARGET_ALL_NODES:
+		return "nodes";
+	case SOAK_TARGET_STORE:
+		return "store";
+	default:
+		return "operator";
+	}
+}
+
+static void fault_apply(struct soak_fleet *fleet,
+			const struct soak_fault *fault, member_action action,
+			const char *mode)
+{
+	struct soak_member *member = target_of(fleet, fault);
+	enum soak_target target = soak_fault_type_at(fault->kind)->target;
+
+	if (member && action)
+		action(fleet, member);
+	else if (member && mode)
+		member_mode(fleet, member, mode);
+	else if (target == SOAK_TARGET_ALL_NODES)
+		all_do(fleet, action);
+	else if (target == SOAK_TARGET_STORE && mode)
+		store_mode(fleet, mode);
+}
+
+/* Brings a fault in. */
+void soak_fleet_begin(struct soak_fleet *fleet, const struct soak_fault *fault)
+{
+	soak_fleet_disturb(fleet, fault->kind, who_of(fleet, fault));
+	fault_apply(fleet, fault, actions[fault->kind].begin,
+		    actions[fault->kind].mode);
+	if (fault->kind == SOAK_STORE_LAPSE)
+		entries_lapse(fleet);
+	if (fault->kind == SOAK_CONFIG)
+		soak_fleet_configure(fleet);
+	for (int i = 0; fault->kind == SOAK_CONFIG_STORM && i < STORM_VERSIONS;
+	     i++)
+		soak_fleet_configure(fleet);
+}
+
+/* Takes it back. */
+void soak_fleet_end(struct soak_fleet *fleet, const struct soak_fault *fault)
+{
+	fault_apply(fleet, fault, actions[fault->kind].end,
+		    actions[fault->kind].calm);
+	if (fault->kind == SOAK_STORE_LAPSE)
+		entries_return(fleet);
+	soak_fleet_calm(fleet, fault->kind, who_of(fleet, fault));
+}
--- /dev/null
+++ b/tests/soak/soak_fleet.h
@@ -0,0 +1,39 @@
+#ifndef TESTS_SOAK_SOAK_FLEET_H
+#define TESTS_SOAK_SOAK_FLEET_H
+
+#include "core/base/error.h"
+#include "tests/soak/soak_evidence.h"
+#include "tests/soak/soak_schedule.h"
+#include "tests/soak/soak_view.h"
+
+#include <glib.h>
+#include <stdbool.h>
+
+G_BEGIN_DECLS
+
+/*
+ * All processes of a run: the stand-ins of the platform, and the nodes. Faults
+ * are brought in and taken back here; everything is noted in the evidence.
+ */
+struct soak_fleet;
+
+struct soak_fleet_paths {
+	const char *programs; /* folder */
+	const char *folder;   /* for logs, settings and journals */
+};
+
+struct soak_fleet *soak_fleet_create(const struct soak_schedule *schedule,
+				     const struct soak_fleet_paths *paths,
+				     struct soak_view *view,
+				     struct soak_evidence *evidence);
+void soak_fleet_destroy(struct soak_fleet *fleet);
+bool soak_fleet_start(struct soak_fleet *fleet, struct error *error);
+void soak_fleet_begin(struct soak_fleet *fleet, const struct soak_fault *fault);
+void soak_fleet_end(struct soak_fleet *fleet, const struct soak_fault *fault);
+void soak_fleet_tick(struct soak_fleet *fleet);
+bool soak_fleet_is_whole(const struct soak_fleet *fleet);
+void soak_fleet_stop(struct soak_fleet *fleet);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_fleet_state.h
@@ -0,0 +1,59 @@
+#ifndef TESTS_SOAK_SOAK_FLEET_STATE_H
+#define TESTS_SOAK_SOAK_FLEET_STATE_H
+
+#include "tests/soak/soak_fleet.h"
+#include "tests/soak/soak_member.h"
+
+#include <gio/gio.h>
+
+G_BEGIN_DECLS
+
+/* What soak_fleet.c and soak_fault.c share. */
+
+/* Something to be done to a member later. */
+struct soak_later {
+	int64_t at_us;
+	void (*run)(struct soak_fleet *fleet, struct soak_member *member);
+	struct soak_member *member;
+	char id[32]; /* it is dropped if the member has another id by then */
+};
+
+struct soak_fleet {
+	const struct soak_schedule *schedule;
+	struct soak_fleet_paths paths;
+	struct soak_view *view;
+	struct soak_evidence *evidence;
+	GSocket *lock; /* holds the range of addresses */
+	int32_t range;
+	int32_t last_host;
+	int32_t renames;
+	struct soak_process *store;
+	char store_address[48];
+	GPtrArray *nodes;     /* struct soak_member */
+	GPtrArray *endpoints; /* struct soak_member: engines, then plain ones */
+	GArray *later;	      /* struct soak_later */
+	int32_t version;      /* of the configuration */
+	int64_t sampled_us;
+};
+
+void soak_fleet_note_failure(struct soak_fleet *fleet, const char *format, ...)
+	G_GNUC_PRINTF(2, 3);
+void soak_fleet_disturb(struct soak_fleet *fleet, enum soak_fault_kind kind,
+			const char *who);
+void soak_fleet_calm(struct soak_fleet *fleet, enum soak_fault_kind kind,
+		     const char *who);
+void soak_fleet_do_later(struct soak_fleet *fleet, int64_t after_us,
+			 void (*run)(struct soak_fleet *, struct soak_member *),
+			 struct soak_member *member);
+bool soak_fleet_write_settings(struct soak_fleet *fleet,
+			       const struct soak_member *node, int32_t keep_s);
+void soak_fleet_register(struct soak_fleet *fleet, struct soak_member *member);
+void soak_fleet_unregister(struct soak_fleet *fleet,
+			   struct soak_member *member);
+void soak_fleet_configure(struct soak_fleet *fleet);
+void soak_fleet_start_member(struct soak_fleet *fleet,
+			     struct soak_member *member);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_main.c
@@ -0,0 +1,313 @@
+#include "tests/soak/soak_judge.h"
+#include "tests/soak/soak_report.h"
+#include "tests/soak/soak_run.h"
+
+#include <glib/gstdio.h>
+#include <inttypes.h>
+#include <popt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STEP_OPTIONS "soak.options"
+#define DEFAULT_SECONDS 12
+#define MOST_SEEDS 100000
+#define STATUS_FIND 1
+#define STATUS_USE 2
+
+struct options {
+	char *seeds;
+	char *only;
+	char *folder;
+	char *programs;
+	int seconds;
+	int nodes;
+	int lists;
+	int shows;
+	int keeps;
+	uint32_t first;
+	uint32_t last;
+	bool has_only;
+	bool has_no_faults;
+	enum soak_fault_kind kind;
+	struct soak_sizes sizes;
+};
+
+static volatile sig_atomic_t interrupted;
+
+static void on_signal(int number)
+{
+	(void)number;
+	interrupted = 1;
+}
+
+static bool seeds_parse(struct options *options, struct error *error)
+{
+	const char *text = options->seeds ? options->seeds : "1";
+	char *end;
+	guint64 first = g_ascii_strtoull(text, &end, 10);
+	guint64 last = first;
+
+	if (end != text && *end == '-') {
+		text = end + 1;
+		last = g_ascii_strtoull(text, &end, 10);
+	}
+	if (end == text || *end || first > last || last > G_MAXUINT32 ||
+	    last - first >= MOST_SEEDS) {
+		error_set(error, ERROR_INVALID, STEP_OPTIONS, NULL,
+			  "--seeds %s: expected N or A-B, rising, from 0 to "
+			  "%u, at most %d of them",
+			  options->seeds, G_MAXUINT32, MOST_SEEDS);
+		return false;
+	}
+	options->first = (uint32_t)first;
+	options->last = (uint32_t)last;
+	return true;
+}
+
+static bool only_parse(struct options *options, struct error *error)
+{
+	if (!options->only)
+		return true;
+	if (strcmp(options->only, "none") == 0) {
+		options->has_no_faults = true;
+		return true;
+	}
+	options->has_only =
+		soak_fault_kind_parse(options->only, &options->kind);
+	if (!options->has_only)
+		error_set(error, ERROR_INVALID, STEP_OPTIONS, NULL,
+			  "--only %s: expected \"none\" or a kind of --list",
+			  options->only);
+	return options->has_only;
+}
+
+static bool programs_check(const struct options *options, struct error *error)
+{
+	static const char *const names[] = {"siskinlinkd", "fake_store",
+					    "fake_backend"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		g_autofree char *path =
+			g_build_filename(options->programs, names[i], NULL);
+
+		if (g_file_test(path, G_FILE_TEST_IS_EXECUTABLE))
+			continue;
+		error_set(error, ERROR_INVALID, STEP_OPTIONS, NULL,
+			  "--programs %s: no program %s there",
+			  options->programs, names[i]);
+		return false;
+	}
+	return true;
+}
+
+static bool folder_check(const struct options *options, struct error *error)
+{
+	if (g_mkdir_with_parents(options->folder, 0755) == 0)
+		return true;
+	error_set(error, ERROR_INVALID, STEP_OPTIONS, NULL,
+		  "--folder %s: can't be made", options->folder);
+	return false;
+}
+
+static bool options_check(struct options *options, struct error *error)
+{
+	options->sizes.nodes = options->nodes;
+	options->sizes.load_ms = options->seconds * 1000LL;
+	return seeds_parse(options, error) && only_parse(options, error) &&
+	       soak_sizes_check(&options->sizes, error) &&
+	       programs_check(options, error) && folder_check(options, error);
+}
+
+static void list_kinds(void)
+{
+	for (int i = 0; i < SOAK_FAULT_KINDS; i++) {
+		const struct soak_fault_type *type =
+			soak_fault_type_at((enum soak_fault_kind)i);
+
+		printf("%-18s %s\n", type->name, type->says);
+	}
+}
+
+static struct soak_schedule *schedule_of(const struct options *options,
+					 uint32_t seed)
+{
+	struct soak_schedule *schedule =
+		soak_schedule_create(seed, &options->sizes);
+
+	if (options->has_no_faults)
+		soak_schedule_keep_none(schedule);
+	if (options->has_only)
+		soak_schedule_keep_kind(schedule, options->kind);
+	return schedule;
+}
+
+static void print_repeat(const struct options *options, uint32_t seed,
+			 const char *folder)
+{
+	printf("repeat with: soak --programs %s --seeds %u --seconds %d",
+	       options->programs, seed, options->seconds);
+	if (options->only)
+		printf(" --only %s", options->only);
+	if (options->nodes)
+		printf(" --nodes %d", options->nodes);
+	printf("\nall logs by time: %s/merged.log\n", folder);
+}
+
+static void folder_remove(const char *folder)
+{
+	g_autoptr(GDir) dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		g_autofree char *path = g_build_filename(folder, name, NULL);
+
+		g_remove(path);
+	}
+	g_rmdir(folder);
+}
+
+/* Judges a run; true when it is clean, and its logs are dropped then. */
+static bool judge_run(const struct options *options,
+		      const struct soak_schedule *schedule,
+		      const struct soak_evidence *evidence, const char *folder)
+{
+	g_autoptr(GPtrArray) finds = soak_judge(schedule, evidence);
+	g_autofree char *merged = g_build_filename(folder, "merged.log", NULL);
+	struct error error = {0};
+
+	soak_report_print(schedule, evidence, finds);
+	if (finds->len == 0 && !options->keeps) {
+		folder_remove(folder);
+		return true;
+	}
+	if (!soak_report_write_merged(evidence, merged, &error))
+		fprintf(stderr, "soak: %s\n", error.detail);
+	print_repeat(options, schedule->seed, folder);
+	fflush(stdout);
+	return finds->len == 0;
+}
+
+static int run_seed(const struct options *options, uint32_t seed)
+{
+	struct soak_schedule *schedule = schedule_of(options, seed);
+	g_autofree char *plan = soak_schedule_print(schedule);
+	g_autofree char *name = g_strdup_printf(
+		"%s-%u", options->only ? options->only : "mixed", seed);
+	g_autofree char *folder = g_build_filename(options->folder, name, NULL);
+	struct soak_fleet_paths paths = {options->programs, folder};
+	struct soak_evidence *evidence;
+	struct error error = {0};
+	int status = STATUS_FIND;
+
+	if (options->shows)
+		fputs(plan, stdout);
+	folder_remove(folder);
+	g_mkdir_with_parents(folder, 0755);
+	evidence = soak_run(schedule, &paths, &interrupted, &error);
+	if (interrupted)
+		fprintf(stderr, "soak: seed %u: interrupted\n", seed);
+	else if (!evidence)
+		fprintf(stderr, "soak: seed %u: %s %s: %s\n", seed, error.step,
+			error.peer, error.detail);
+	else if (judge_run(options, schedule, evidence, folder))
+		status = 0;
+	soak_evidence_destroy(evidence);
+	soak_schedule_destroy(schedule);
+	return status;
+}
+
+static int run_seeds(const struct options *options)
+{
+	int32_t clean = 0;
+	int32_t with_finds = 0;
+
+	for (uint64_t seed = options->first;
+	     seed <= options->last && !interrupted; seed++) {
+		if (run_seed(options, (uint32_t)seed) == 0)
+			clean++;
+		else
+			with_finds++;
+	}
+	printf("soak: %d seeds clean, %d with finds\n", clean, with_finds);
+	return with_finds ? STATUS_FIND : 0;
+}
+
+static bool options_parse(struct options *options, int argc, const char **argv)
+{
+	struct poptOption table[] = {
+		{"seed", 0, POPT_ARG_STRING, &options->seeds, 0, "one run",
+		 "N"},
+		{"seeds", 0, POPT_ARG_STRING, &options->seeds, 0,
+		 "a run for each", "A-B"},
+		{"only", 0, POPT_ARG_STRING, &options->only, 0,
+		 "faults of one kind; none: no faults", "KIND"},
+		{"seconds", 0, POPT_ARG_INT, &options->seconds, 0,
+		 "of load in each run", "S"},
+		{"nodes", 0, POPT_ARG_INT, &options->nodes, 0,
+		 "instead of the seed's 3 to 9", "COUNT"},
+		{"folder", 0, POPT_ARG_STRING, &options->folder, 0,
+		 "for logs; those of clean runs are dropped", "FOLDER"},
+		{"programs", 0, POPT_ARG_STRING, &options->programs, 0,
+		 "where the programs are", "FOLDER"},
+		{"list", 0, POPT_ARG_NONE, &options->lists, 0,
+		 "the kinds of faults", NULL},
+		{"show", 0, POPT_ARG_NONE, &options->shows, 0,
+		 "each run's faults before it", NULL},
+		{"keep", 0, POPT_ARG_NONE, &options->keeps, 0,
+		 "the logs of clean runs as well", NULL},
+		POPT_AUTOHELP POPT_TABLEEND};
+	poptContext context = poptGetContext(NULL, argc, argv, table, 0);
+	int rc;
+
+	while ((rc = poptGetNextOpt(context)) > 0)
+		continue;
+	if (rc < -1)
+		fprintf(stderr, "soak: %s: %s\n", poptBadOption(context, 0),
+			poptStrerror(rc));
+	else if (poptPeekArg(context))
+		fprintf(stderr, "soak: %s: unexpected argument\n",
+			poptPeekArg(context));
+	else
+		rc = 0;
+	poptFreeContext(context);
+	return rc == 0;
+}
+
+static int soak(struct options *options)
+{
+	struct sigaction action = {.sa_handler = on_signal};
+	struct error error = {0};
+
+	if (options->lists) {
+		list_kinds();
+		return 0;
+	}
+	if (!options_check(options, &error)) {
+		fprintf(stderr, "soak: %s\n", error.detail);
+		return STATUS_USE;
+	}
+	sigaction(SIGINT, &action, NULL);
+	sigaction(SIGTERM, &action, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	return run_seeds(options);
+}
+
+int main(int argc, const char **argv)
+{
+	struct options options = {.seconds = DEFAULT_SECONDS};
+	int status = STATUS_USE;
+
+	if (options_parse(&options, argc, argv)) {
+		if (!options.programs)
+			options.programs = strdup("build/bin");
+		if (!options.folder)
+			options.folder = strdup("build/soak");
+		status = soak(&options);
+	}
+	free(options.seeds);
+	free(options.only);
+	free(options.folder);
+	free(options.programs);
+	return status;
+}
--- /dev/null
+++ b/tests/soak/soak_member.c
@@ -0,0 +1,117 @@
+#include "tests/soak/soak_member.h"
+
+#include <signal.h>
+
+#define FRONT_PORT 8740
+#define ENGINE_PORT 8080
+
+static const char *const role_names[] = {
+	[SOAK_ROLE_NODE] = "node",
+	[SOAK_ROLE_ENGINE] = "engine",
+	[SOAK_ROLE_PLAIN] = "plain",
+};
+
+/* It has no address yet and does not run. */
+struct soak_member *soak_member_create(enum soak_role role, int32_t index,
+				       const char *folder)
+{
+	struct soak_member *member = g_new0(struct soak_member, 1);
+
+	member->role = role;
+	member->index = index;
+	g_snprintf(member->name, sizeof(member->name), "%s%d", role_names[role],
+		   index);
+	member->process = soak_process_create(folder, member->name);
+	return member;
+}
+
+/* Kills its process; NULL is allowed. */
+void soak_member_destroy(gpointer data)
+{
+	struct soak_member *member = data;
+
+	if (!member)
+		return;
+	soak_process_destroy(member->process);
+	g_free(member);
+}
+
+/* A new address, and for an endpoint a new id, from its next start on. */
+void soak_member_rename(struct soak_member *member, int32_t generation,
+			const char *ip)
+{
+	g_strlcpy(member->ip, ip, sizeof(member->ip));
+	g_snprintf(member->id, sizeof(member->id), "i-%s%d-%d",
+		   member->role == SOAK_ROLE_NODE ? "n" : "e", member->index,
+		   generation);
+	if (member->role == SOAK_ROLE_PLAIN)
+		member->id[2] = 'p';
+	g_snprintf(member->address, sizeof(member->address), "%s:%d", ip,
+		   member->role == SOAK_ROLE_NODE ? FRONT_PORT : ENGINE_PORT);
+	member->is_leaving = false;
+	member->comes_renamed = false;
+}
+
+/* Starts its process and opens the record of this life. */
+bool soak_member_begin_life(struct soak_member *member, const char *const *argv,
+			    struct soak_evidence *evidence, struct error *error)
+{
+	struct soak_life *life;
+
+	if (!soak_process_start(member->process, argv, error))
+		return false;
+	life = g_new0(struct soak_life, 1);
+	g_strlcpy(life->name, member->name, sizeof(life->name));
+	if (member->role == SOAK_ROLE_NODE)
+		life->front = g_strdup(member->address);
+	else
+		life->engine = g_strdup(member->id);
+	life->from_us = g_get_monotonic_time();
+	life->log_path = g_strdup(soak_process_log_path(member->process));
+	g_ptr_array_add(evidence->lives, life);
+	member->life = life;
+	member->born_ms = g_get_real_time() / 1000;
+	member->start_us = 0;
+	member->end_by_us = 0;
+	member->is_paused = false;
+	return true;
+}
+
+/* Closes the record if the process has ended; true when it just has. */
+bool soak_member_end_life(struct soak_member *member)
+{
+	struct soak_life *life = member->life;
+
+	if (!life || soak_process_is_running(member->process))
+		return false;
+	life->to_us = g_get_monotonic_time();
+	life->status = soak_process_status(member->process);
+	life->log_bytes = soak_process_log_bytes(member->process);
+	member->life = NULL;
+	member->end_by_us = 0;
+	return true;
+}
+
+/* Kills it at once; also one that is paused. */
+void soak_member_kill(struct soak_member *member)
+{
+	if (!member->life)
+		return;
+	member->life->was_killed = true;
+	soak_process_kill(member->process);
+	soak_member_end_life(member);
+}
+
+/* Notes what it uses now, if that is the most so far. */
+void soak_member_sample(struct soak_member *member)
+{
+	struct soak_life *life = member->life;
+
+	if (!life)
+		return;
+	life->most_resident_bytes =
+		MAX(life->most_resident_bytes,
+		    soak_process_resident_bytes(member->process));
+	life->most_open_files = MAX(life->most_open_files,
+				    soak_process_open_files(member->process));
+}
--- /dev/null
+++ b/tests/soak/soak_member.h
@@ -0,0 +1,50 @@
+#ifndef TESTS_SOAK_SOAK_MEMBER_H
+#define TESTS_SOAK_SOAK_MEMBER_H
+
+#include "tests/soak/soak_evidence.h"
+#include "tests/soak/soak_process.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * A node or an endpoint of a run: its process, its names and addresses, and
+ * the record of its lives. What a node believes of it is no part of this.
+ */
+enum soak_role { SOAK_ROLE_NODE, SOAK_ROLE_ENGINE, SOAK_ROLE_PLAIN };
+
+struct soak_member {
+	enum soak_role role;
+	int32_t index;
+	char name[32];
+	char ip[32];
+	char id[32];	  /* of an endpoint */
+	char address[48]; /* front of a node, address of an endpoint */
+	struct soak_process *process;
+	struct soak_life *life; /* NULL: it does not run */
+	bool is_paused;
+	bool is_leaving;    /* an endpoint's entry says so, or is gone */
+	bool comes_renamed; /* at its next start */
+	int64_t born_ms;
+	int64_t start_us;  /* when it is to start again; 0: not */
+	int64_t end_by_us; /* after SIGTERM it must be gone by then; 0: none */
+};
+
+struct soak_member *soak_member_create(enum soak_role role, int32_t index,
+				       const char *folder);
+void soak_member_destroy(gpointer member);
+void soak_member_rename(struct soak_member *member, int32_t generation,
+			const char *ip);
+bool soak_member_begin_life(struct soak_member *member, const char *const *argv,
+			    struct soak_evidence *evidence,
+			    struct error *error);
+bool soak_member_end_life(struct soak_member *member);
+void soak_member_kill(struct soak_member *member);
+void soak_member_sample(struct soak_member *member);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_platform.h
@@ -0,0 +1,27 @@
+#ifndef TESTS_SOAK_SOAK_PLATFORM_H
+#define TESTS_SOAK_SOAK_PLATFORM_H
+
+#include "core/base/error.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/* What the operator, the engines and the soak write to the stand-ins. */
+
+bool soak_platform_put(const char *store, const char *key, const char *value,
+		       struct error *error);
+bool soak_platform_delete(const char *store, const char *key,
+			  struct error *error);
+bool soak_platform_mode(const char *address, const char *json,
+			struct error *error);
+char *soak_platform_entry(const char *service, const char *address,
+			  bool is_leaving, int64_t born_ms);
+char *soak_platform_document(int32_t index);
+char *soak_platform_route(int32_t index);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_report.h
@@ -0,0 +1,20 @@
+#ifndef TESTS_SOAK_SOAK_REPORT_H
+#define TESTS_SOAK_SOAK_REPORT_H
+
+#include "core/base/error.h"
+#include "tests/soak/soak_judge.h"
+
+#include <stdbool.h>
+
+G_BEGIN_DECLS
+
+/* What a run tells its reader: a line, the finds, and all logs as one. */
+void soak_report_print(const struct soak_schedule *schedule,
+		       const struct soak_evidence *evidence,
+		       const GPtrArray *finds);
+bool soak_report_write_merged(const struct soak_evidence *evidence,
+			      const char *path, struct error *error);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_schedule.c
@@ -0,0 +1,276 @@
+#include "tests/soak/soak_schedule.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <unistd.h>
+
+#define STEP_SIZES "soak.sizes"
+/* A machine's memory in the smaller of the two deployments. */
+#define NODE_BYTES (110LL << 20)
+/* Half of the machine and a few hundred processes are what a run may take. */
+#define MOST_PROCESSES 300
+#define OTHER_PROCESSES 12
+#define LEAST_LOAD_MS 5000
+#define MOST_LOAD_MS 600000
+/* The first streams are under way before anything goes wrong. */
+#define FIRST_FAULT_MS 1000
+/* Of the load's time, so that some of it comes after the last fault. */
+#define FAULTS_PERCENT 75
+/* One series of faults of one kind begins in about so many ms of load. */
+#define MS_PER_SERIES 2500
+#define MOST_IN_SERIES 4
+
+/*
+ * Pauses are shorter and longer than the second after which a silent node is
+ * held for dead. A stop is given the eight seconds of the pages.
+ */
+static const struct soak_fault_type types[SOAK_FAULT_KINDS] = {
+	[SOAK_NODE_KILL] = {"node_kill", SOAK_TARGET_NODE, 100, 3000, false,
+			    "a node is killed and starts again"},
+	[SOAK_NODE_RENAME] = {"node_rename", SOAK_TARGET_NODE, 100, 3000, false,
+			      "a node is killed; one of another name and "
+			      "address starts"},
+	[SOAK_NODE_PAUSE_SHORT] = {"node_pause_short", SOAK_TARGET_NODE, 100,
+				   800, false, "a node stands still"},
+	[SOAK_NODE_PAUSE_LONG] = {"node_pause_long", SOAK_TARGET_NODE, 1500,
+				  5000, false,
+				  "a node stands still until others hold it "
+				  "for dead"},
+	[SOAK_NODE_TERM] = {"node_term", SOAK_TARGET_NODE, 1000, 4000, true,
+			    "a busy node is told to stop; it starts again"},
+	[SOAK_NODE_HUP] = {"node_hup", SOAK_TARGET_NODE, 100, 1000, true,
+			   "a node's settings change"},
+	[SOAK_NODE_KILL_ALL] = {"node_kill_all", SOAK_TARGET_ALL_NODES, 100,
+				1500, false,
+				"all nodes are killed and start again"},
+	[SOAK_ENGINE_KILL] = {"engine_kill", SOAK_TARGET_ENGINE, 500, 5000,
+			      false, "an engine is killed; it comes back"},
+	[SOAK_ENGINE_REPLACE] = {"engine_replace", SOAK_TARGET_ENGINE, 500,
+				 5000, false,
+				 "an engine is killed; another one comes"},
+	[SOAK_ENGINE_PAUSE] = {"engine_pause", SOAK_TARGET_ENGINE, 300, 3000,
+			       false, "an engine stands still"},
+	[SOAK_ENGINE_LEAVE] = {"engine_leave", SOAK_TARGET_ENGINE, 3000, 5000,
+			       true, "an engine says that it leaves, and does"},
+	[SOAK_ENGINE_VANISH] = {"engine_vanish", SOAK_TARGET_ENGINE, 3000, 5000,
+				true, "an engine's entry goes before it does"},
+	[SOAK_ENGINE_FULL] = {"engine_full", SOAK_TARGET_ENGINE, 300, 3000,
+			      false, "an engine turns requests away"},
+	[SOAK_ENGINE_RESET] = {"engine_reset", SOAK_TARGET_ENGINE, 300, 2000,
+			       false, "an engine resets what it begins"},
+	[SOAK_ENGINE_NO_COPY] = {"engine_no_copy", SOAK_TARGET_ENGINE, 500,
+				 4000, false, "an engine has lost its copies"},
+	[SOAK_ENGINE_NO_ROOM] = {"engine_no_room", SOAK_TARGET_ENGINE, 500,
+				 4000, false,
+				 "an engine has no room for copies"},
+	[SOAK_PLAIN_KILL] = {"plain_kill", SOAK_TARGET_PLAIN, 300, 3000, false,
+			     "a plain endpoint is killed; it comes back"},
+	[SOAK_PLAIN_FAIL] = {"plain_fail", SOAK_TARGET_PLAIN, 300, 3000, false,
+			     "a plain endpoint answers 500"},
+	[SOAK_PLAIN_PAUSE] = {"plain_pause", SOAK_TARGET_PLAIN, 300, 3000,
+			      false, "a plain endpoint stands still"},
+	[SOAK_PLAIN_LEAVE] = {"plain_leave", SOAK_TARGET_PLAIN, 3000, 5000,
+			      true, "a plain endpoint leaves, another comes"},
+	[SOAK_STORE_DOWN] = {"store_down", SOAK_TARGET_STORE, 300, 5000, false,
+			     "the store refuses all calls"},
+	[SOAK_STORE_SILENT] = {"store_silent", SOAK_TARGET_STORE, 300, 5000,
+			       false, "the store answers nothing"},
+	[SOAK_STORE_LOSE] = {"store_lose", SOAK_TARGET_STORE, 300, 3000, false,
+			     "answers of the store are lost"},
+	[SOAK_STORE_FORGET] = {"store_forget", SOAK_TARGET_STORE, 100, 100,
+			       false, "the store forgets its history"},
+	[SOAK_STORE_LAPSE] = {"store_lapse", SOAK_TARGET_STORE, 1000, 4000,
+			      false,
+			      "the store is away, and engines' entries are "
+			      "back only a second after it"},
+	[SOAK_CONFIG] = {"config", SOAK_TARGET_OPERATOR, 100, 100, true,
+			 "a new configuration"},
+	[SOAK_CONFIG_STORM] = {"config_storm", SOAK_TARGET_OPERATOR, 100, 100,
+			       true, "five configurations at once"},
+	[SOAK_POISON] = {"poison", SOAK_TARGET_CALLER, 100, 100, false,
+			 "a request that crashes the engines that run it"},
+};
+
+/* The row of a kind. */
+const struct soak_fault_type *soak_fault_type_at(enum soak_fault_kind kind)
+{
+	return &types[kind];
+}
+
+/* False for a name that no kind has. */
+bool soak_fault_kind_parse(const char *name, enum soak_fault_kind *kind)
+{
+	for (int i = 0; i < SOAK_FAULT_KINDS; i++) {
+		if (strcmp(types[i].name, name) != 0)
+			continue;
+		*kind = (enum soak_fault_kind)i;
+		return true;
+	}
+	return false;
+}
+
+static int64_t most_nodes(void)
+{
+	int64_t memory_bytes =
+		(int64_t)sysconf(_SC_PHYS_PAGES) * sysconf(_SC_PAGESIZE);
+
+	return MIN(memory_bytes / 2 / NODE_BYTES - OTHER_PROCESSES,
+		   MOST_PROCESSES - OTHER_PROCESSES);
+}
+
+/* False, with the value and its range, for what this machine can't bear. */
+bool soak_sizes_check(const struct soak_sizes *sizes, struct error *error)
+{
+	if (sizes->nodes != 0 &&
+	    (sizes->nodes < 1 || sizes->nodes > most_nodes())) {
+		error_set(error, ERROR_INVALID, STEP_SIZES, NULL,
+			  "--nodes %d: expected 1 to %" PRId64
+			  " on this machine",
+			  sizes->nodes, most_nodes());
+		return false;
+	}
+	if (sizes->load_ms < LEAST_LOAD_MS || sizes->load_ms > MOST_LOAD_MS) {
+		error_set(error, ERROR_INVALID, STEP_SIZES, NULL,
+			  "--seconds %" PRId64 ": expected %d to %d",
+			  sizes->load_ms / 1000, LEAST_LOAD_MS / 1000,
+			  MOST_LOAD_MS / 1000);
+		return false;
+	}
+	return true;
+}
+
+static int32_t targets_of(const struct soak_schedule *schedule,
+			  enum soak_target target)
+{
+	switch (target) {
+	case SOAK_TARGET_NODE:
+		return schedule->nodes;
+	case SOAK_TARGET_ENGINE:
+		return schedule->engines;
+	case SOAK_TARGET_PLAIN:
+		return schedule->plains;
+	default:
+		return 1;
+	}
+}
+
+static int fault_order(gconstpointer a, gconstpointer b)
+{
+	const struct soak_fault *one = a;
+	const struct soak_fault *other = b;
+
+	return (one->at_ms > other->at_ms) - (one->at_ms < other->at_ms);
+}
+
+/* Some faults of one kind, on one target after the other. */
+static void schedule_add_series(struct soak_schedule *schedule, GRand *random,
+				enum soak_fault_kind kind)
+{
+	const struct soak_fault_type *type = &types[kind];
+	int32_t targets = targets_of(schedule, type->target);
+	int32_t count = g_rand_int_range(random, 1, MOST_IN_SERIES + 1);
+	int32_t first = g_rand_int_range(random, 0, targets);
+	int64_t last_ms = schedule->load_ms * FAULTS_PERCENT / 100;
+	int64_t at_ms =
+		g_rand_int_range(random, FIRST_FAULT_MS, (gint32)last_ms);
+	int64_t every_ms = g_rand_int_range(random, 50, 1500);
+
+	for (int32_t i = 0; i < count && at_ms < last_ms; i++) {
+		struct soak_fault fault = {
+			.kind = kind,
+			.target = (first + i) % targets,
+			.at_ms = at_ms,
+			.for_ms = g_rand_int_range(
+				random, (gint32)type->for_min_ms,
+				(gint32)type->for_max_ms + 1),
+		};
+
+		g_array_append_val(schedule->faults, fault);
+		at_ms += every_ms;
+	}
+}
+
+static int32_t series_of(const struct soak_schedule *schedule)
+{
+	return (int32_t)(schedule->load_ms / MS_PER_SERIES);
+}
+
+/* The run of a seed: the same on each machine, and with the same sizes. */
+struct soak_schedule *soak_schedule_create(uint32_t seed,
+					   const struct soak_sizes *sizes)
+{
+	struct soak_schedule *schedule = g_new0(struct soak_schedule, 1);
+	GRand *random = g_rand_new_with_seed(seed);
+
+	schedule->seed = seed;
+	schedule->nodes = g_rand_int_range(random, 3, 10);
+	schedule->engines = g_rand_int_range(random, 3, 7);
+	schedule->plains = 2;
+	schedule->callers = g_rand_int_range(random, 12, 31);
+	schedule->events = g_rand_int_range(random, 30, 120);
+	schedule->pace_ms = g_rand_int_range(random, 15, 35);
+	schedule->load_ms = sizes->load_ms;
+	if (sizes->nodes)
+		schedule->nodes = sizes->nodes;
+	schedule->faults = g_array_new(FALSE, TRUE, sizeof(struct soak_fault));
+	for (int32_t i = 0; i < series_of(schedule); i++)
+		schedule_add_series(schedule, random,
+				    (enum soak_fault_kind)g_rand_int_range(
+					    random, 0, SOAK_FAULT_KINDS));
+	g_array_sort(schedule->faults, fault_order);
+	g_rand_free(random);
+	return schedule;
+}
+
+/* NULL is allowed. */
+void soak_schedule_destroy(struct soak_schedule *schedule)
+{
+	if (!schedule)
+		return;
+	g_array_unref(schedule->faults);
+	g_free(schedule);
+}
+
+/* A run without faults: it must be clean. */
+void soak_schedule_keep_none(struct soak_schedule *schedule)
+{
+	g_array_set_size(schedule->faults, 0);
+}
+
+/* The same sizes and load, with as many faults, all of one kind. */
+void soak_schedule_keep_kind(struct soak_schedule *schedule,
+			     enum soak_fault_kind kind)
+{
+	GRand *random = g_rand_new_with_seed(schedule->seed);
+
+	g_array_set_size(schedule->faults, 0);
+	for (int32_t i = 0; i < series_of(schedule); i++)
+		schedule_add_series(schedule, random, kind);
+	g_array_sort(schedule->faults, fault_order);
+	g_rand_free(random);
+}
+
+/* A line for the sizes and one for each fault; the caller frees it. */
+char *soak_schedule_print(const struct soak_schedule *schedule)
+{
+	GString *text = g_string_new(NULL);
+
+	g_string_append_printf(text,
+			       "seed %u: %d nodes, %d engines, %d plain "
+			       "endpoints, %d callers, streams of %" PRId64
+			       " events, one in %" PRId64 " ms\n",
+			       schedule->seed, schedule->nodes,
+			       schedule->engines, schedule->plains,
+			       schedule->callers, schedule->events,
+			       schedule->pace_ms);
+	for (guint i = 0; i < schedule->faults->len; i++) {
+		const struct soak_fault *fault =
+			&g_array_index(schedule->faults, struct soak_fault, i);
+
+		g_string_append_printf(
+			text, "%6" PRId64 " ms %-17s %d for %" PRId64 " ms\n",
+			fault->at_ms, types[fault->kind].name, fault->target,
+			fault->for_ms);
+	}
+	return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/tests/soak/soak_schedule.h
@@ -0,0 +1,103 @@
+#ifndef TESTS_SOAK_SOAK_SCHEDULE_H
+#define TESTS_SOAK_SOAK_SCHEDULE_H
+
+#include "core/base/error.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/* What a run of one seed is: sizes, load, and faults with their times. */
+
+enum soak_target {
+	SOAK_TARGET_NODE,
+	SOAK_TARGET_ALL_NODES,
+	SOAK_TARGET_ENGINE, /* that generates */
+	SOAK_TARGET_PLAIN,  /* one that answers at once */
+	SOAK_TARGET_STORE,
+	SOAK_TARGET_OPERATOR,
+	SOAK_TARGET_CALLER,
+};
+
+enum soak_fault_kind {
+	SOAK_NODE_KILL,
+	SOAK_NODE_RENAME,
+	SOAK_NODE_PAUSE_SHORT,
+	SOAK_NODE_PAUSE_LONG,
+	SOAK_NODE_TERM,
+	SOAK_NODE_HUP,
+	SOAK_NODE_KILL_ALL,
+	SOAK_ENGINE_KILL,
+	SOAK_ENGINE_REPLACE,
+	SOAK_ENGINE_PAUSE,
+	SOAK_ENGINE_LEAVE,
+	SOAK_ENGINE_VANISH,
+	SOAK_ENGINE_FULL,
+	SOAK_ENGINE_RESET,
+	SOAK_ENGINE_NO_COPY,
+	SOAK_ENGINE_NO_ROOM,
+	SOAK_PLAIN_KILL,
+	SOAK_PLAIN_FAIL,
+	SOAK_PLAIN_PAUSE,
+	SOAK_PLAIN_LEAVE,
+	SOAK_STORE_DOWN,
+	SOAK_STORE_SILENT,
+	SOAK_STORE_LOSE,
+	SOAK_STORE_FORGET,
+	SOAK_STORE_LAPSE,
+	SOAK_CONFIG,
+	SOAK_CONFIG_STORM,
+	SOAK_POISON,
+	SOAK_FAULT_KINDS
+};
+
+struct soak_fault_type {
+	const char *name;
+	enum soak_target target;
+	int64_t for_min_ms; /* how long it lasts */
+	int64_t for_max_ms;
+	bool is_planned; /* work that must cost no caller anything */
+	const char *says;
+};
+
+struct soak_fault {
+	enum soak_fault_kind kind;
+	int32_t target; /* index among its kind of target */
+	int64_t at_ms;	/* from the start of the load */
+	int64_t for_ms;
+};
+
+struct soak_sizes {
+	int32_t nodes; /* 0: from the seed */
+	int64_t load_ms;
+};
+
+struct soak_schedule {
+	uint32_t seed;
+	int32_t nodes;
+	int32_t engines;
+	int32_t plains;
+	int32_t callers;
+	int64_t events; /* of a stream */
+	int64_t pace_ms;
+	int64_t load_ms;
+	GArray *faults; /* struct soak_fault, by time */
+};
+
+const struct soak_fault_type *soak_fault_type_at(enum soak_fault_kind kind);
+bool soak_fault_kind_parse(const char *name, enum soak_fault_kind *kind);
+bool soak_sizes_check(const struct soak_sizes *sizes, struct error *error);
+
+struct soak_schedule *soak_schedule_create(uint32_t seed,
+					   const struct soak_sizes *sizes);
+void soak_schedule_destroy(struct soak_schedule *schedule);
+void soak_schedule_keep_none(struct soak_schedule *schedule);
+void soak_schedule_keep_kind(struct soak_schedule *schedule,
+			     enum soak_fault_kind kind);
+char *soak_schedule_print(const struct soak_schedule *schedule);
+
+G_END_DECLS
+
+#endif
