--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -171,6 +171,9 @@
 			attempt->end = soak_connection_read(
 				connection, attempt->answer, until_us,
 				leave_bytes);
+			if (attempt->end == SOAK_END_TIMEOUT &&
+			    until_us < deadline_us)
+				attempt->end = SOAK_END_LEFT;
 		}
 		caller_put_back(caller, front, connection);
 	}
