--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -17,7 +17,7 @@
 /* Of the load's time, so that some of it comes after the last fault. */
 #define FAULTS_PERCENT 75
 /* One series of faults of one kind begins in about so many ms of load. */
-#define MS_PER_SERIES 2500
+#define MS_PER_SERIES 1500
 #define MOST_IN_SERIES 4
 
 /*
