--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -14,6 +14,8 @@
 #define CRASHED_AWAY_US (2 * G_TIME_SPAN_SECOND)
 /* From an engine's start until it has registered itself. */
 #define REGISTER_US (200 * MS_US)
+/* A plain endpoint's work, so that faults meet it: the sheets say 30 ms. */
+#define PLAIN_WORK_MS "30"
 #define SAMPLE_US (500 * MS_US)
 #define TERM_WAIT_US (10 * G_TIME_SPAN_SECOND)
 /* Ranges 127.N.0.0 that runs at the same time choose from. */
