--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -15,6 +15,8 @@
 /* Callers that don't wait as they are told retry at once and more often. */
 #define INSISTENT_RETRIES 4
 #define PROBE_EVERY_US (150 * MS_US)
+/* In a body: the stand-in for engines crashes on it. */
+#define POISON "[[poison]]"
 #define POISON_ATTEMPTS 5
 #define POISON_EVERY_US (300 * MS_US)
 /* A configuration's route is removed by the second one after it. */
@@ -85,7 +87,7 @@
 		       attempt->kind == SOAK_KIND_POISON;
 	/* The same text each time: what crashes engines is known by it. */
 	const char *body =
-		attempt->kind == SOAK_KIND_POISON ? "crash" : attempt->id;
+		attempt->kind == SOAK_KIND_POISON ? POISON : attempt->id;
 	bool has_body = attempt->kind != SOAK_KIND_IDEMPOTENT &&
 			attempt->kind != SOAK_KIND_PROBE;
 	int64_t left_us = attempt->deadline_us - g_get_monotonic_time();
