The soak harms links by proxies

Links of nodes to the store, of callers to nodes and of nodes to endpoints are delayed, cut, reset, silenced, trickled and given answers that nobody asked for.

--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -198,11 +198,17 @@
 				    g_ptr_array_index(fleet->endpoints, i));
 }
 
+/* A byte each so often, and what a slow link takes. */
+#define TRICKLE_US (2 * G_TIME_SPAN_MILLISECOND)
+#define DELAY_US (300 * G_TIME_SPAN_MILLISECOND)
+#define REST_US (50 * G_TIME_SPAN_MILLISECOND)
+
 static const struct {
 	member_action begin;
 	member_action end;
-	const char *mode; /* of a stand-in while it lasts, if not NULL */
-	const char *calm; /* and after it */
+	const char *mode;      /* of a stand-in while it lasts, if not NULL */
+	const char *calm;      /* and after it */
+	struct soak_link link; /* of a way while it lasts */
 } actions[SOAK_FAULT_KINDS] = {
 	[SOAK_NODE_KILL] = {member_kill, member_return, NULL, NULL},
 	[SOAK_NODE_RENAME] = {node_rename, member_return, NULL, NULL},
@@ -236,6 +242,23 @@
 	[SOAK_STORE_FORGET] = {NULL, NULL, "{\"forget\":true}", NULL},
 	[SOAK_STORE_LAPSE] = {NULL, NULL, "{\"down\":true}",
 			      "{\"down\":false}"},
+	[SOAK_STORE_LINK_CUT] = {.link = {SOAK_LINK_CUT_BOTH, 0}},
+	[SOAK_STORE_LINK_RESET] = {.link = {SOAK_LINK_RESET, 0}},
+	[SOAK_STORE_LINK_SILENT] = {.link = {SOAK_LINK_SILENT, 0}},
+	[SOAK_STORE_LINK_DELAY] = {.link = {SOAK_LINK_DELAY, DELAY_US}},
+	[SOAK_STORE_LINK_HOLD] = {.link = {SOAK_LINK_HOLD, 0}},
+	[SOAK_CALLER_LINK_RESET] = {.link = {SOAK_LINK_RESET, 0}},
+	[SOAK_CALLER_LINK_CUT] = {.link = {SOAK_LINK_CUT_BOTH, 0}},
+	[SOAK_CALLER_LINK_DELAY] = {.link = {SOAK_LINK_DELAY, DELAY_US}},
+	[SOAK_ENGINE_LINK_RESET] = {.link = {SOAK_LINK_RESET, 0}},
+	[SOAK_ENGINE_LINK_CUT] = {.link = {SOAK_LINK_CUT_BOTH, 0}},
+	[SOAK_ENGINE_LINK_CUT_BACK] = {.link = {SOAK_LINK_CUT_BACK, 0}},
+	[SOAK_ENGINE_LINK_SILENT] = {.link = {SOAK_LINK_SILENT, 0}},
+	[SOAK_ENGINE_LINK_DELAY] = {.link = {SOAK_LINK_DELAY, DELAY_US}},
+	[SOAK_PLAIN_LINK_RESET] = {.link = {SOAK_LINK_RESET, 0}},
+	[SOAK_PLAIN_LINK_CUT_BACK] = {.link = {SOAK_LINK_CUT_BACK, 0}},
+	[SOAK_PLAIN_LINK_TRICKLE] = {.link = {SOAK_LINK_TRICKLE, TRICKLE_US}},
+	[SOAK_PLAIN_LINK_EXTRA] = {.link = {SOAK_LINK_EXTRA, REST_US}},
 };
 
 static struct soak_member *target_of(struct soak_fleet *fleet,
@@ -289,12 +312,31 @@
 		store_mode(fleet, mode);
 }
 
+/* The way that a fault of a link harms; NULL: it harms none. */
+static struct soak_proxy *way_of(struct soak_fleet *fleet,
+				 const struct soak_fault *fault)
+{
+	const struct soak_member *member = target_of(fleet, fault);
+
+	if (!soak_fault_type_at(fault->kind)->is_link || !member)
+		return NULL;
+	return soak_fault_type_at(fault->kind)->is_to_store ? member->store_way
+							    : member->way;
+}
+
+static void way_set(struct soak_proxy *way, const struct soak_link *link)
+{
+	if (way)
+		soak_proxy_set(way, link);
+}
+
 /* Brings a fault in. */
 void soak_fleet_begin(struct soak_fleet *fleet, const struct soak_fault *fault)
 {
 	soak_fleet_disturb(fleet, fault->kind, who_of(fleet, fault));
 	fault_apply(fleet, fault, actions[fault->kind].begin,
 		    actions[fault->kind].mode);
+	way_set(way_of(fleet, fault), &actions[fault->kind].link);
 	if (fault->kind == SOAK_STORE_LAPSE)
 		entries_lapse(fleet);
 	if (fault->kind == SOAK_CONFIG)
@@ -307,8 +349,11 @@
 /* Takes it back. */
 void soak_fleet_end(struct soak_fleet *fleet, const struct soak_fault *fault)
 {
+	static const struct soak_link sound = {SOAK_LINK_SOUND, 0};
+
 	fault_apply(fleet, fault, actions[fault->kind].end,
 		    actions[fault->kind].calm);
+	way_set(way_of(fleet, fault), &sound);
 	if (fault->kind == SOAK_STORE_LAPSE)
 		entries_return(fleet);
 	soak_fleet_calm(fleet, fault->kind, who_of(fleet, fault));
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -30,6 +30,7 @@
 bool soak_fleet_start(struct soak_fleet *fleet, struct error *error);
 void soak_fleet_begin(struct soak_fleet *fleet, const struct soak_fault *fault);
 void soak_fleet_end(struct soak_fleet *fleet, const struct soak_fault *fault);
+void soak_fleet_wait(int64_t for_us);
 void soak_fleet_tick(struct soak_fleet *fleet);
 bool soak_fleet_is_whole(const struct soak_fleet *fleet);
 void soak_fleet_stop(struct soak_fleet *fleet);
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -50,6 +50,23 @@
 	SOAK_CONFIG,
 	SOAK_CONFIG_STORM,
 	SOAK_POISON,
+	SOAK_STORE_LINK_CUT,
+	SOAK_STORE_LINK_RESET,
+	SOAK_STORE_LINK_SILENT,
+	SOAK_STORE_LINK_DELAY,
+	SOAK_STORE_LINK_HOLD,
+	SOAK_CALLER_LINK_RESET,
+	SOAK_CALLER_LINK_CUT,
+	SOAK_CALLER_LINK_DELAY,
+	SOAK_ENGINE_LINK_RESET,
+	SOAK_ENGINE_LINK_CUT,
+	SOAK_ENGINE_LINK_CUT_BACK,
+	SOAK_ENGINE_LINK_SILENT,
+	SOAK_ENGINE_LINK_DELAY,
+	SOAK_PLAIN_LINK_RESET,
+	SOAK_PLAIN_LINK_CUT_BACK,
+	SOAK_PLAIN_LINK_TRICKLE,
+	SOAK_PLAIN_LINK_EXTRA,
 	SOAK_FAULT_KINDS
 };
 
@@ -60,6 +77,8 @@
 	int64_t for_max_ms;
 	bool is_planned; /* work that must cost no caller anything */
 	const char *says;
+	bool is_link;	  /* between the target and who connects to it */
+	bool is_to_store; /* or between the target and the store */
 };
 
 struct soak_fault {
@@ -96,6 +115,8 @@
 void soak_schedule_keep_none(struct soak_schedule *schedule);
 void soak_schedule_keep_kind(struct soak_schedule *schedule,
 			     enum soak_fault_kind kind);
+bool soak_schedule_has_links(const struct soak_schedule *schedule,
+			     enum soak_target target, bool to_store);
 char *soak_schedule_print(const struct soak_schedule *schedule);
 
 G_END_DECLS
