Connecting through a cut link hangs

The kernel completes connections that nobody accepts: a party behind a cut got its connection and then silence, which is another failure. The listener is held by a queue of one that is full with a connection of our own, so that the kernel drops what asks for more; it asks again after a second, as through a network that is cut. Ruled out: closing the listener, which refuses. The test that let the connection come about and only looked for nothing passed on is replaced by one that sees the connecting party hang.

--- a/tests/soak/soak_proxy.c
+++ b/tests/soak/soak_proxy.c
@@ -1,17 +1,14 @@
 #include "tests/soak/soak_proxy.h"
 
 #include "tests/soak/soak_connection.h"
+#include "tests/soak/soak_listener.h"
 #include "tests/soak/soak_socket.h"
 
 #include <stdio.h>
 #include <string.h>
 
-/* A node opens hundreds of connections at once after a pause. */
-#define LISTEN_BACKLOG 512
-
 struct soak_proxy {
-	GSocket *listener;
-	GSource *accept; /* NULL: accepts nothing */
+	struct soak_listener *listener;
 	char *address;
 	char *source_text;
 	GSocketAddress *source; /* of its connections to the target */
@@ -42,49 +39,21 @@
 	soak_connection_destroy(connection);
 }
 
-static gboolean on_connection(GSocket *listener,
-			      GIOCondition condition G_GNUC_UNUSED,
-			      gpointer data)
+static void on_accepted(void *data, GSocket *client)
 {
 	struct soak_proxy *proxy = data;
-	g_autoptr(GError) error = NULL;
-	GSocket *client = g_socket_accept(listener, NULL, &error);
 	struct soak_connection *connection;
 
-	if (!client) {
-		fprintf(stderr, "proxy %s: accept: %s\n", proxy->address,
-			error->message);
-		return G_SOURCE_CONTINUE;
-	}
 	if (proxy->link.kind == SOAK_LINK_RESET) {
 		soak_socket_reset(client);
 		g_object_unref(client);
-		return G_SOURCE_CONTINUE;
+		return;
 	}
 	connection =
 		soak_connection_create(client, proxy->source, proxy->target,
 				       &proxy->link, on_ended, proxy);
 	if (connection)
 		g_ptr_array_add(proxy->connections, connection);
-	return G_SOURCE_CONTINUE;
-}
-
-static void proxy_stop_accepting(struct soak_proxy *proxy)
-{
-	if (!proxy->accept)
-		return;
-	g_source_destroy(proxy->accept);
-	g_clear_pointer(&proxy->accept, g_source_unref);
-}
-
-static void proxy_start_accepting(struct soak_proxy *proxy)
-{
-	if (proxy->accept)
-		return;
-	proxy->accept = g_socket_create_source(proxy->listener, G_IO_IN, NULL);
-	g_source_set_callback(proxy->accept, G_SOURCE_FUNC(on_connection),
-			      proxy, NULL);
-	g_source_attach(proxy->accept, NULL);
 }
 
 /*
@@ -100,30 +69,6 @@
 		g_inet_socket_address_new_from_string(proxy->source_text, 0);
 }
 
-static bool proxy_listen(struct soak_proxy *proxy, GError **error)
-{
-	g_autoptr(GSocketAddress) any =
-		g_inet_socket_address_new_from_string("127.0.0.1", 0);
-	g_autoptr(GSocketAddress) bound = NULL;
-
-	proxy->listener =
-		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-			     G_SOCKET_PROTOCOL_TCP, error);
-	if (!proxy->listener)
-		return false;
-	g_socket_set_listen_backlog(proxy->listener, LISTEN_BACKLOG);
-	g_socket_set_blocking(proxy->listener, FALSE);
-	if (!g_socket_bind(proxy->listener, any, TRUE, error) ||
-	    !g_socket_listen(proxy->listener, error))
-		return false;
-	bound = g_socket_get_local_address(proxy->listener, error);
-	if (!bound)
-		return false;
-	proxy_name(proxy, g_inet_socket_address_get_port(
-				  G_INET_SOCKET_ADDRESS(bound)));
-	return true;
-}
-
 /* Listens on a free port of 127.0.0.1; NULL: the error says why. */
 struct soak_proxy *soak_proxy_create(const char *target, struct error *error)
 {
@@ -132,13 +77,14 @@
 
 	proxy->connections = g_ptr_array_new();
 	proxy->target = address_parse(target);
-	if (!proxy->target || !proxy_listen(proxy, &reason)) {
+	proxy->listener = soak_listener_create(on_accepted, proxy, &reason);
+	if (!proxy->target || !proxy->listener) {
 		error_set(error, ERROR_INVALID, "proxy.create", target, "%s",
 			  reason ? reason->message : "expected IP:PORT");
 		soak_proxy_destroy(proxy);
 		return NULL;
 	}
-	proxy_start_accepting(proxy);
+	proxy_name(proxy, soak_listener_port(proxy->listener));
 	return proxy;
 }
 
@@ -147,11 +93,10 @@
 {
 	if (!proxy)
 		return;
-	proxy_stop_accepting(proxy);
+	soak_listener_destroy(proxy->listener);
 	for (guint i = 0; i < proxy->connections->len; i++)
 		soak_connection_destroy(proxy->connections->pdata[i]);
 	g_ptr_array_unref(proxy->connections);
-	g_clear_object(&proxy->listener);
 	g_clear_object(&proxy->source);
 	g_clear_object(&proxy->target);
 	g_free(proxy->source_text);
@@ -201,7 +146,7 @@
 	for (guint i = 0; i < proxy->connections->len; i++)
 		soak_connection_link_changed(proxy->connections->pdata[i]);
 	if (soak_link_holds_forward(link))
-		proxy_stop_accepting(proxy);
+		soak_listener_hold(proxy->listener);
 	else
-		proxy_start_accepting(proxy);
+		soak_listener_resume(proxy->listener);
 }
--- a/tests/soak_proxy_test.cc
+++ b/tests/soak_proxy_test.cc
@@ -190,19 +190,71 @@
 	EXPECT_TRUE(target->wait_closed());
 }
 
-TEST_F(SoakProxy, TakesNoConnectionWhileTheWayThereIsCut)
+/*
+ * Connecting hangs as in a network that is cut: neither done nor refused. The
+ * first second after, the kernel asks again, and it is done.
+ */
+TEST_F(SoakProxy, LetsConnectingHangWhileTheWayThereIsCut)
 {
-	GSocket *accepted;
+	std::string address = soak_proxy_address(proxy);
+	g_autoptr(GSocketAddress) to = g_inet_socket_address_new_from_string(
+		"127.0.0.1",
+		(guint)std::stoi(address.substr(address.rfind(':') + 1)));
+	g_autoptr(GError) error = nullptr;
+	GSocket *socket =
+		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+			     G_SOCKET_PROTOCOL_TCP, nullptr);
 
 	set(SOAK_LINK_CUT_BOTH);
-	client.reset(Connection::open(soak_proxy_address(proxy)));
-	client->send("ping");
+	client.reset(new Connection(socket));
+	EXPECT_FALSE(g_socket_connect(socket, to, nullptr, &error));
+	EXPECT_TRUE(g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING));
 	run_idle();
-	accepted = g_socket_accept(listener.socket, nullptr, nullptr);
-	EXPECT_EQ(nullptr, accepted);
+	EXPECT_EQ(0, g_socket_condition_check(
+			     socket, (GIOCondition)(G_IO_OUT | G_IO_HUP)));
+	EXPECT_EQ(nullptr, g_socket_accept(listener.socket, nullptr, nullptr));
 	set(SOAK_LINK_SOUND);
+	EXPECT_TRUE(run_until([&] {
+		return g_socket_condition_check(socket, G_IO_OUT) != 0;
+	}));
+	EXPECT_TRUE(g_socket_check_connect_result(socket, nullptr));
 	target.reset(listener.accept());
-	EXPECT_TRUE(target->wait_for("ping"));
+	talk();
+	EXPECT_EQ(nullptr, g_socket_accept(listener.socket, nullptr, nullptr));
+}
+
+/* A link that is cut and healed often takes connections each time. */
+TEST_F(SoakProxy, TakesConnectionsBetweenCuts)
+{
+	for (int i = 0; i < 5; i++) {
+		set(SOAK_LINK_CUT_FORWARD);
+		set(i % 2 ? SOAK_LINK_CUT_BOTH : SOAK_LINK_CUT_FORWARD);
+		run_idle();
+		set(SOAK_LINK_SOUND);
+		set(SOAK_LINK_CUT_FORWARD);
+		set(SOAK_LINK_SOUND);
+		connect();
+		talk();
+	}
+	run_idle();
+	EXPECT_EQ(nullptr, g_socket_accept(listener.socket, nullptr, nullptr));
+}
+
+/* What a cut holds back costs no turns of the loop. */
+TEST_F(SoakProxy, RestsWhileBothSidesHaveEndedBehindACut)
+{
+	connect();
+	talk();
+	set(SOAK_LINK_CUT_BACK);
+	g_socket_shutdown(client->socket, FALSE, TRUE, nullptr);
+	EXPECT_TRUE(target->wait_closed());
+	target->send("held");
+	target->close();
+	run_idle();
+	EXPECT_FALSE(g_main_context_pending(nullptr));
+	set(SOAK_LINK_SOUND);
+	EXPECT_TRUE(client->wait_for("held"));
+	EXPECT_TRUE(client->wait_closed());
 }
 
 TEST_F(SoakProxy, HoldsTheWayBackWhileItIsCut)
