A proxy passes a reset on behind a close

The node's close had gone through the proxy as a half close; the reset with which the node's kernel answers the next bytes was then dropped, since the pipe had its end already. A connection without a proxy resets the engine.

--- a/tests/soak/soak_connection.c
+++ b/tests/soak/soak_connection.c
@@ -19,6 +19,7 @@
 	struct soak_pipe *sent; /* what this side has sent */
 	int64_t next_byte_us;	/* a trickle's, towards this side */
 	bool shut;		/* it has been told that the other one ended */
+	bool reset;		/* by a reset */
 	bool failed;		/* nothing can be sent to it any more */
 };
 
@@ -126,17 +127,31 @@
 	return false;
 }
 
+/*
+ * One that was told of a close is told again of a reset: a party that closed
+ * and is still sent to answers with one, and the sender stops by it.
+ */
+static bool side_knows_end(const struct soak_connection *connection, int to)
+{
+	const struct side *side = &connection->sides[to];
+	const struct soak_pipe *pipe = connection->sides[1 - to].sent;
+
+	return side->reset ||
+	       (side->shut && soak_pipe_get_end(pipe) != SOAK_PIPE_RESET);
+}
+
 /* Tells a side, behind the last bytes, how the other one ended. */
 static void side_end(struct soak_connection *connection, int to, int64_t now_us)
 {
 	struct side *side = &connection->sides[to];
 	const struct soak_pipe *pipe = connection->sides[1 - to].sent;
 
-	if (side->shut || !soak_pipe_is_empty(pipe) ||
+	if (side_knows_end(connection, to) || !soak_pipe_is_empty(pipe) ||
 	    soak_pipe_due_us(pipe) > now_us)
 		return;
 	side->shut = true;
-	if (soak_pipe_get_end(pipe) == SOAK_PIPE_RESET)
+	side->reset = soak_pipe_get_end(pipe) == SOAK_PIPE_RESET;
+	if (side->reset)
 		soak_socket_reset(side->socket);
 	else if (!side->failed)
 		g_socket_shutdown(side->socket, FALSE, TRUE, NULL);
@@ -249,7 +264,7 @@
 	const struct side *side = &connection->sides[to];
 	int64_t due_us = soak_pipe_due_us(connection->sides[1 - to].sent);
 
-	if (link_holds(connection, 1 - to) || side->shut ||
+	if (link_holds(connection, 1 - to) || side_knows_end(connection, to) ||
 	    (connection->connecting && to == TARGET))
 		return INT64_MAX;
 	if (connection->link->kind == SOAK_LINK_TRICKLE && due_us <= now_us)
--- a/tests/soak/soak_pipe.c
+++ b/tests/soak/soak_pipe.c
@@ -68,11 +68,15 @@
 	pipe->held_bytes += size;
 }
 
-/* The sender has ended; the first word of it holds. */
+/*
+ * The sender has ended; the first word of it holds, but one that had closed may
+ * turn out to be gone.
+ */
 void soak_pipe_set_end(struct soak_pipe *pipe, enum soak_pipe_end end,
 		       int64_t due_us)
 {
-	if (pipe->end != SOAK_PIPE_OPEN)
+	if (pipe->end == SOAK_PIPE_RESET ||
+	    (pipe->end == SOAK_PIPE_CLOSED && end != SOAK_PIPE_RESET))
 		return;
 	pipe->end = end;
 	pipe->end_due_us = MAX(pipe->last_due_us, due_us);
