--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,8 @@
 SOAK_PROGRAM = $(if $(SOAK_MAIN),$(B)/bin/soak)
 TESTS = $(B)/bin/tests
 
-.PHONY: all demo demo-platform check unit gateway faults api soak bench format format-check tidy pure spec \
+.PHONY: all demo demo-platform check unit gateway faults api soak \
+	soak-processes bench format format-check tidy pure spec \
 	mutants install-deps clean fuzz-short fuzz-run
 .SECONDARY:
 
@@ -116,6 +117,12 @@
 soak: $(TESTS)
 	SEEDS=$(SEEDS) $(TESTS) --gtest_filter='*Differential.*'
 
+# The real programs with faults from outside: make soak-processes SEEDS=1-50
+SOAK_SEEDS = $(if $(filter file,$(origin SEEDS)),1-3,$(SEEDS))
+soak-processes: $(PROGRAMS) $(SOAK_PROGRAM)
+	$(SOAK_PROGRAM) --programs $(abspath $(B)/bin) \
+		--folder $(abspath $(B)/soak) --seeds $(SOAK_SEEDS) $(SOAK_ARGS)
+
 # The curl lines of docs/API.md, and faults of whole processes.
 api: $(PROGRAMS)
 	tests/api.sh $(abspath $(B)/bin)
--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -120,7 +120,7 @@
 	g_autofree char *via = soak_view_way_to(caller->view, front);
 	struct error error = {0};
 
-	if (caller->kept && strcmp(caller->kept_front, front) == 0 &&
+	if (caller->kept && g_strcmp0(caller->kept_front, front) == 0 &&
 	    soak_session_is_sound(caller->kept))
 		return g_steal_pointer(&caller->kept);
 	return soak_session_create(via, g_get_monotonic_time() + CONNECT_US,
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -178,13 +178,6 @@
 					error.detail);
 }
 
-static void entries_lapse(struct soak_fleet *fleet)
-{
-	for (guint i = 0; i < fleet->endpoints->len; i++)
-		soak_fleet_unregister(fleet,
-				      g_ptr_array_index(fleet->endpoints, i));
-}
-
 static void entry_return(struct soak_fleet *fleet, struct soak_member *member)
 {
 	if (!member->is_leaving)
@@ -240,8 +233,12 @@
 			       "{\"silent\":false}"},
 	[SOAK_STORE_LOSE] = {NULL, NULL, "{\"lose\":true}", "{\"lose\":false}"},
 	[SOAK_STORE_FORGET] = {NULL, NULL, "{\"forget\":true}", NULL},
-	[SOAK_STORE_LAPSE] = {NULL, NULL, "{\"down\":true}",
+	[SOAK_STORE_LAPSE] = {NULL, NULL, "{\"down\":true,\"lapse\":true}",
 			      "{\"down\":false}"},
+	[SOAK_STORE_SLOW] = {NULL, NULL, "{\"slow_ms\":1500}",
+			     "{\"slow_ms\":0}"},
+	[SOAK_STORE_STALE] = {NULL, NULL, "{\"stale_ms\":2000}",
+			      "{\"stale_ms\":0}"},
 	[SOAK_STORE_LINK_CUT] = {.link = {SOAK_LINK_CUT_BOTH, 0}},
 	[SOAK_STORE_LINK_RESET] = {.link = {SOAK_LINK_RESET, 0}},
 	[SOAK_STORE_LINK_SILENT] = {.link = {SOAK_LINK_SILENT, 0}},
@@ -306,7 +303,7 @@
 		action(fleet, member);
 	else if (member && mode)
 		member_mode(fleet, member, mode);
-	else if (target == SOAK_TARGET_ALL_NODES)
+	else if (target == SOAK_TARGET_ALL_NODES && action)
 		all_do(fleet, action);
 	else if (target == SOAK_TARGET_STORE && mode)
 		store_mode(fleet, mode);
@@ -330,6 +327,16 @@
 		soak_proxy_set(way, link);
 }
 
+/* The store knows a node by where its connections come from. */
+static void store_refuse(struct soak_fleet *fleet, const struct soak_proxy *way)
+{
+	g_autofree char *json =
+		g_strdup_printf("{\"refused\":\"%s\",\"refusal\":\"reset\"}",
+				soak_proxy_source(way));
+
+	store_mode(fleet, json);
+}
+
 /* Brings a fault in. */
 void soak_fleet_begin(struct soak_fleet *fleet, const struct soak_fault *fault)
 {
@@ -337,8 +344,8 @@
 	fault_apply(fleet, fault, actions[fault->kind].begin,
 		    actions[fault->kind].mode);
 	way_set(way_of(fleet, fault), &actions[fault->kind].link);
-	if (fault->kind == SOAK_STORE_LAPSE)
-		entries_lapse(fleet);
+	if (fault->kind == SOAK_STORE_REFUSES)
+		store_refuse(fleet, way_of(fleet, fault));
 	if (fault->kind == SOAK_CONFIG)
 		soak_fleet_configure(fleet);
 	for (int i = 0; fault->kind == SOAK_CONFIG_STORM && i < STORM_VERSIONS;
@@ -354,6 +361,8 @@
 	fault_apply(fleet, fault, actions[fault->kind].end,
 		    actions[fault->kind].calm);
 	way_set(way_of(fleet, fault), &sound);
+	if (fault->kind == SOAK_STORE_REFUSES)
+		store_mode(fleet, "{\"refused\":\"\"}");
 	if (fault->kind == SOAK_STORE_LAPSE)
 		entries_return(fleet);
 	soak_fleet_calm(fleet, fault->kind, who_of(fleet, fault));
--- a/tests/soak_proxy_test.cc
+++ b/tests/soak_proxy_test.cc
@@ -127,6 +127,26 @@
 	EXPECT_TRUE(client->wait_closed());
 }
 
+/*
+ * The client closes in the middle of what the target sends. The target hears
+ * of the close and goes on, as one does that still has to answer; the client's
+ * host answers its next bytes with a reset, by which it stops.
+ */
+TEST_F(SoakProxy, PassesAResetOnBehindAClose)
+{
+	connect();
+	talk();
+	client->close();
+	EXPECT_TRUE(target->wait_closed());
+	EXPECT_TRUE(run_until([&] {
+		g_autoptr(GError) error = nullptr;
+
+		g_socket_send(target->socket, "more", 4, nullptr, &error);
+		return error && !g_error_matches(error, G_IO_ERROR,
+						 G_IO_ERROR_WOULD_BLOCK);
+	}));
+}
+
 /*
  * The process behind the proxy is gone: who connects is reset, as the host
  * does; started again elsewhere, it is found at the same address.
