--- a/tests/soak/soak_judge_times.c
+++ b/tests/soak/soak_judge_times.c
@@ -7,8 +7,12 @@
 
 #define DRAIN_US (2000 * SOAK_MS_US) /* drain_ms */
 #define GRACE_US (8000 * SOAK_MS_US) /* grace_s */
-/* An engine that is at work in the last sixth of the grace may be cut. */
+/*
+ * What an engine is still at work on in the last sixth of the grace may be
+ * cut, if it was sent within the first seconds.
+ */
 #define GRACE_USED_US (GRACE_US * 5 / 6)
+#define EARLY_SENT_US (3000 * SOAK_MS_US)
 #define LOSS_SLACK_US (200 * SOAK_MS_US) /* loss_slack_ms */
 /* Requests that are still unanswered half a second past their timeout. */
 #define PLAIN_TIMEOUT_US (1500 * SOAK_MS_US)
@@ -120,10 +124,19 @@
 					    LOSS_SLACK_US + SOAK_SCHEDULING_US);
 }
 
+/* Whether the grace was not long enough for it. */
+static bool ran_out_of_grace(const struct soak_attempt *attempt,
+			     const struct soak_life *life)
+{
+	return attempt->sent_us <= life->term_us + EARLY_SENT_US &&
+	       attempt->ended_us >
+		       life->term_us + GRACE_USED_US - SOAK_SCHEDULING_US;
+}
+
 static void judge_stop(struct soak_judge *judge, const struct soak_life *life)
 {
 	const GPtrArray *attempts = judge->evidence->attempts;
-	int64_t until_us = life->term_us + GRACE_USED_US - SOAK_SCHEDULING_US;
+	int64_t until_us = life->term_us + GRACE_US + G_TIME_SPAN_SECOND;
 
 	for (guint i = 0; i < attempts->len; i++) {
 		const struct soak_attempt *attempt =
@@ -134,6 +147,7 @@
 		    attempt->ended_us < life->term_us ||
 		    attempt->ended_us > until_us || !is_cut(attempt) ||
 		    !was_read(judge, attempt) ||
+		    ran_out_of_grace(attempt, life) ||
 		    has_excuse(judge, attempt, life))
 			continue;
 		soak_judge_find(judge, attempt->id, attempt->ended_us,
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -27,9 +27,8 @@
 	int keeps;
 	uint32_t first;
 	uint32_t last;
-	bool has_only;
 	bool has_no_faults;
-	enum soak_fault_kind kind;
+	GArray *kinds; /* enum soak_fault_kind; empty: all */
 	struct soak_sizes sizes;
 };
 
@@ -67,19 +66,27 @@
 
 static bool only_parse(struct options *options, struct error *error)
 {
+	g_auto(GStrv) names = NULL;
+	enum soak_fault_kind kind;
+
 	if (!options->only)
 		return true;
 	if (strcmp(options->only, "none") == 0) {
 		options->has_no_faults = true;
 		return true;
 	}
-	options->has_only =
-		soak_fault_kind_parse(options->only, &options->kind);
-	if (!options->has_only)
-		error_set(error, ERROR_INVALID, STEP_OPTIONS, NULL,
-			  "--only %s: expected \"none\" or a kind of --list",
-			  options->only);
-	return options->has_only;
+	names = g_strsplit(options->only, ",", -1);
+	for (guint i = 0; names[i]; i++) {
+		if (!soak_fault_kind_parse(names[i], &kind)) {
+			error_set(error, ERROR_INVALID, STEP_OPTIONS, NULL,
+				  "--only %s: expected \"none\" or kinds of "
+				  "--list, with commas",
+				  names[i]);
+			return false;
+		}
+		g_array_append_val(options->kinds, kind);
+	}
+	return true;
 }
 
 static bool programs_check(const struct options *options, struct error *error)
@@ -137,8 +144,8 @@
 
 	if (options->has_no_faults)
 		soak_schedule_keep_none(schedule);
-	if (options->has_only)
-		soak_schedule_keep_kind(schedule, options->kind);
+	if (options->kinds->len > 0)
+		soak_schedule_keep_kinds(schedule, options->kinds);
 	return schedule;
 }
 
@@ -241,7 +248,7 @@
 		{"seeds", 0, POPT_ARG_STRING, &options->seeds, 0,
 		 "a run for each", "A-B"},
 		{"only", 0, POPT_ARG_STRING, &options->only, 0,
-		 "faults of one kind; none: no faults", "KIND"},
+		 "faults of these kinds; none: no faults", "KIND[,KIND]"},
 		{"seconds", 0, POPT_ARG_INT, &options->seconds, 0,
 		 "of load in each run", "S"},
 		{"nodes", 0, POPT_ARG_INT, &options->nodes, 0,
@@ -298,6 +305,7 @@
 	struct options options = {.seconds = DEFAULT_SECONDS};
 	int status = STATUS_USE;
 
+	options.kinds = g_array_new(FALSE, FALSE, sizeof(enum soak_fault_kind));
 	if (options_parse(&options, argc, argv)) {
 		if (!options.programs)
 			options.programs = strdup("build/bin");
@@ -305,6 +313,7 @@
 			options.folder = strdup("build/soak");
 		status = soak(&options);
 	}
+	g_array_unref(options.kinds);
 	free(options.seeds);
 	free(options.only);
 	free(options.folder);
--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -76,6 +76,13 @@
 				 4000, false,
 				 "an engine has no room for copies", false,
 				 false},
+	[SOAK_ENGINE_SLOW] = {"engine_slow", SOAK_TARGET_ENGINE, 500, 4000,
+			      true,
+			      "an engine begins after a second and a half",
+			      false, false},
+	[SOAK_PLAIN_SLOW] = {"plain_slow", SOAK_TARGET_PLAIN, 500, 4000, true,
+			     "a plain endpoint works for two seconds", false,
+			     false},
 	[SOAK_PLAIN_KILL] = {"plain_kill", SOAK_TARGET_PLAIN, 300, 3000, false,
 			     "a plain endpoint is killed; it comes back", false,
 			     false},
@@ -299,7 +306,7 @@
 	schedule->engines = g_rand_int_range(random, 3, 7);
 	schedule->plains = 2;
 	schedule->callers = g_rand_int_range(random, 12, 31);
-	schedule->events = g_rand_int_range(random, 30, 120);
+	schedule->events = g_rand_int_range(random, 30, 200);
 	schedule->pace_ms = g_rand_int_range(random, 15, 35);
 	schedule->load_ms = sizes->load_ms;
 	if (sizes->nodes)
@@ -329,15 +336,17 @@
 	g_array_set_size(schedule->faults, 0);
 }
 
-/* The same sizes and load, with as many faults, all of one kind. */
-void soak_schedule_keep_kind(struct soak_schedule *schedule,
-			     enum soak_fault_kind kind)
+/* The same sizes and load, with as many faults, all of these kinds. */
+void soak_schedule_keep_kinds(struct soak_schedule *schedule,
+			      const GArray *kinds)
 {
 	GRand *random = g_rand_new_with_seed(schedule->seed);
 
 	g_array_set_size(schedule->faults, 0);
 	for (int32_t i = 0; i < series_of(schedule); i++)
-		schedule_add_series(schedule, random, kind);
+		schedule_add_series(schedule, random,
+				    g_array_index(kinds, enum soak_fault_kind,
+						  i % kinds->len));
 	g_array_sort(schedule->faults, fault_order);
 	g_rand_free(random);
 }
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -38,9 +38,11 @@
 	SOAK_ENGINE_RESET,
 	SOAK_ENGINE_NO_COPY,
 	SOAK_ENGINE_NO_ROOM,
+	SOAK_ENGINE_SLOW,
 	SOAK_PLAIN_KILL,
 	SOAK_PLAIN_FAIL,
 	SOAK_PLAIN_PAUSE,
+	SOAK_PLAIN_SLOW,
 	SOAK_PLAIN_LEAVE,
 	SOAK_STORE_DOWN,
 	SOAK_STORE_SILENT,
@@ -116,8 +118,8 @@
 					   const struct soak_sizes *sizes);
 void soak_schedule_destroy(struct soak_schedule *schedule);
 void soak_schedule_keep_none(struct soak_schedule *schedule);
-void soak_schedule_keep_kind(struct soak_schedule *schedule,
-			     enum soak_fault_kind kind);
+void soak_schedule_keep_kinds(struct soak_schedule *schedule,
+			      const GArray *kinds);
 bool soak_schedule_has_links(const struct soak_schedule *schedule,
 			     enum soak_target target, bool to_store);
 char *soak_schedule_print(const struct soak_schedule *schedule);
