--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -17,9 +17,11 @@
 
 static bool has_backup(const struct exchange *exchange)
 {
-	const struct endpoint *backup = leg_backup(exchange->leg);
+	const struct leg *leg = exchange->leg;
+	const struct endpoint *backup = leg_backup(leg);
 
-	return backup && endpoint_is_usable(backup) && !exchange->copy_failed;
+	return backup && endpoint_keeps_since(backup, leg->backup_known_us) &&
+	       !exchange->copy_failed;
 }
 
 /* Since its engine's notice; 0: there is none. */
@@ -97,7 +99,8 @@
 	g_free(place->handle);
 }
 
-static struct copy_place find_copy(const struct exchange *exchange)
+static struct copy_place find_copy(const struct exchange *exchange,
+				   enum attempt_result result)
 {
 	struct copy_place place = {NULL, NULL, NULL};
 	struct evacuation_input input;
@@ -105,6 +108,8 @@
 	if (!exchange_is_generation(exchange))
 		return place;
 	input = read_input(exchange);
+	input.broke_off =
+		result != RESULT_SLOW && !exchange->leg->is_out_of_reach;
 	switch (evacuation_source(&input)) {
 	case EVACUATION_FROM_COPY:
 		place.endpoint = exchange_move_target(exchange);
@@ -229,14 +234,14 @@
 static void log_take_over(const struct exchange *exchange,
 			  const struct endpoint *to, const char *reason)
 {
+	const struct held all = endpoint_held(to);
 	char unread[24], held[24], run_ms[24];
 
 	g_snprintf(run_ms, sizeof(run_ms), "%" G_GINT64_FORMAT,
 		   leg_run_ms(exchange->leg));
 	g_snprintf(unread, sizeof(unread), "%" G_GINT64_FORMAT,
-		   to->own.unread_tokens + to->others.unread_tokens);
-	g_snprintf(held, sizeof(held), "%" G_GINT64_FORMAT,
-		   to->own.tokens + to->others.tokens);
+		   all.unread_tokens);
+	g_snprintf(held, sizeof(held), "%" G_GINT64_FORMAT, all.tokens);
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "run_taken_over",
 		  "request", exchange->asked.id, "from",
 		  exchange->leg->endpoint_id, "to", to->said->id, "reason",
@@ -277,7 +282,7 @@
 	    (result == RESULT_BROKEN || result == RESULT_SLOW))
 		exchange->runs++;
 	count_crash(exchange, result);
-	place = find_copy(exchange);
+	place = find_copy(exchange, result);
 	recovery = decide(exchange, &place, result, detail);
 	count_failure(exchange, result);
 	switch (recovery) {
@@ -346,9 +351,9 @@
 
 static void time_out(struct exchange *exchange)
 {
+	const struct leg *leg = exchange->leg;
 	bool may_run = exchange->runs > 0 ||
-		       (exchange->leg->attempt &&
-			attempt_has_sent(exchange->leg->attempt));
+		       (leg && leg->attempt && attempt_has_sent(leg->attempt));
 
 	if (exchange->answer_begun)
 		exchange_break(exchange, "deadline");
@@ -414,6 +419,10 @@
 		time_out(exchange);
 		return;
 	}
+	if (!leg) {
+		exchange_step_asking(exchange);
+		return;
+	}
 	if (!attempt_is_connected(leg->attempt) &&
 	    gateway->now_us - leg->sent_us > CONNECT_TIMEOUT_US) {
 		exchange_fail_leg(exchange, RESULT_NOT_SENT,
@@ -433,6 +442,7 @@
 {
 	struct leg *legs[] = {exchange->leg, exchange->next};
 
+	exchange->asked_home_us += stood_us;
 	for (size_t i = 0; i < G_N_ELEMENTS(legs); i++) {
 		if (!legs[i])
 			continue;
--- a/core/gateway/evacuation.c
+++ b/core/gateway/evacuation.c
@@ -9,12 +9,6 @@
  */
 #define SILENT_US (900 * MS_US)
 
-/*
- * Before its first event an engine reads the prompt, behind others' prompts: in
- * silence it is given up only after this.
- */
-#define FIRST_EVENT_US (4 * G_USEC_PER_SEC)
-
 /*
  * An engine under notice ends 1.5 s after it at the earliest. A run with a
  * backup leaves between these two; what ends before the first needs no other
@@ -43,7 +37,7 @@
  * backup, and an engine asked to go on from nothing may begin: a request that
  * crashes its engine within a few ms ran at the next one as well, and a third
  * was asked. After its first event: none of 23 stood within 0.3 s. Where no
- * event has come, as behind a cut link, it may have made some unseen: a prompt
+ * event has come behind a cut link, it may have made some unseen: a prompt
  * of 3,000 tokens is read in 0.43 s, and the copy follows in another 0.6. Of
  * four runs lost without an event two went on, both after 3 s, and neither of
  * the others, after 0.2 and 3.6 s (8 days of crashes and cuts).
@@ -133,10 +127,16 @@
 	return EVACUATION_STAY;
 }
 
+/*
+ * Before its first event an engine reads the prompt, behind others' prompts,
+ * for however long. While its connection stands nothing of a run can be
+ * elsewhere that has not come here: of 55 runs given up after 4 s without an
+ * event none had a copy. A cut link shows by the connection, which times out
+ * after 3 s.
+ */
 static bool is_silent(const struct evacuation_input *input)
 {
-	return input->silent_us >
-	       (input->has_begun ? SILENT_US : FIRST_EVENT_US);
+	return input->has_begun && input->silent_us > SILENT_US;
 }
 
 static bool may_ask_backup(const struct evacuation_input *input)
@@ -157,7 +157,9 @@
 /*
  * An engine that is named for a backup is not yet a copy. This is what at most
  * once rests on when an engine is lost; the other engine's word that it has no
- * copy is not relied on.
+ * copy is not relied on. What an engine makes comes before the end of its
+ * connection: one that was in reach and made no event has copied none, however
+ * long the run waited there behind others' prompts.
  */
 static bool backup_may_stand(const struct evacuation_input *input)
 {
@@ -165,7 +167,7 @@
 		return false;
 	if (input->has_begun)
 		return input->begun_us >= BACKUP_FIRST_US;
-	return input->silent_us >= BACKUP_UNSEEN_US;
+	return !input->broke_off && input->silent_us >= BACKUP_UNSEEN_US;
 }
 
 static enum evacuation decide_backup(const struct evacuation_input *input)
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -33,13 +33,15 @@
 };
 
 struct endpoint {
+	uint64_t key; /* by which other nodes name it */
 	struct registration *said;
 	enum endpoint_presence presence;
 	int64_t since_us; /* of the presence */
 	int64_t known_us; /* since when this start of it is known */
 	int64_t warm_us;  /* slow until then */
 	struct held own;
-	struct held others; /* by all other nodes */
+	struct held others;  /* by all other nodes, as they said */
+	struct held granted; /* by this node to others that have not said so */
 	struct endpoint_health health;
 	int64_t full_until_us; /* it refused for want of room */
 	double error_share;    /* of its last answers, fading */
@@ -62,6 +64,7 @@
 bool registry_mark_leaving(struct registry *registry, const char *id,
 			   int64_t now_us);
 
+uint64_t endpoint_key(const char *id);
 struct endpoint *registry_find(struct registry *registry, const char *id);
 const GPtrArray *registry_endpoints(const struct registry *registry);
 bool registry_has_usable(const struct registry *registry);
@@ -69,10 +72,12 @@
 			    const char *service);
 
 void registry_take_held(struct registry *registry, const char *node,
-			uint64_t incarnation, const GPtrArray *held,
+			uint64_t incarnation, const GArray *held,
 			int64_t now_us);
 void registry_forget_silent(struct registry *registry, int64_t before_us);
+struct held endpoint_held(const struct endpoint *endpoint);
 bool endpoint_is_usable(const struct endpoint *endpoint);
+bool endpoint_keeps_since(const struct endpoint *endpoint, int64_t known_us);
 bool endpoint_reads_prompts(const struct endpoint *endpoint);
 void endpoint_count_answer(struct endpoint *endpoint, bool is_error);
 
--- a/core/node/node.c
+++ b/core/node/node.c
@@ -199,7 +199,9 @@
 		node_limits_receive(node, message);
 		break;
 	case PEER_STANDING:
-	case PEER_ROUTES: /* the gateway's */
+	case PEER_ROUTES:
+	case PEER_CHOOSE:
+	case PEER_CHOSEN: /* the gateway's */
 	case PEER_MESSAGE_TYPES:
 		break;
 	}
@@ -235,7 +237,7 @@
 		counters_add(&node->counters, COUNTER_KV_FAILED, 1);
 	else
 		node->kv_heard_us = node->now_us;
-	if (!node_config_kv(node, answer) && !node_id_kv(node, answer) &&
+	if (!node_config_kv(node, answer) && !node_claim_kv(node, answer) &&
 	    !plan_book_kv(node->plans, answer, node->now_us, node->actions) &&
 	    !node_rollout_kv(node, answer) && !node_discovery_kv(node, answer))
 		counters_add(&node->counters, COUNTER_EVENTS_UNKNOWN, 1);
--- a/fakes/backend_run.c
+++ b/fakes/backend_run.c
@@ -187,8 +187,11 @@
 	run_complete(run);
 	if (backend->crash_before_answer)
 		crash("before the answer", run->id);
-	if (fails(backend, run->id)) {
-		fake_message_answer_text(run->message, 500, "failed");
+	if (backend->own_status || fails(backend, run->id)) {
+		fake_message_answer_text(
+			run->message,
+			backend->own_status ? (guint)backend->own_status : 500,
+			"failed");
 		return;
 	}
 	g_snprintf(text, sizeof(text), "%s %s %s", backend->id, run->id,
@@ -247,7 +250,7 @@
 	if (is_poison(message))
 		crash("poison", id);
 	g_signal_connect(message, "finished", G_CALLBACK(on_finished), run);
-	if (backend->plain || fails(backend, id))
+	if (backend->plain || backend->own_status || fails(backend, id))
 		run_answer(run);
 	else
 		run_generate(run);
--- a/fakes/fake_backend.c
+++ b/fakes/fake_backend.c
@@ -67,6 +67,12 @@
 		fake_message_header(message, "Authorization") != NULL;
 }
 
+static gboolean reset_late(gpointer data)
+{
+	fake_message_reset(data);
+	return G_SOURCE_REMOVE;
+}
+
 /* Runs it only as far as anybody can tell from the journal. */
 static void run_and_reset(struct backend *backend, SoupServerMessage *message,
 			  const char *id, bool from_copy)
@@ -78,7 +84,13 @@
 		backend->taken_over++;
 	else
 		backend->run_count++;
-	fake_message_reset(message);
+	if (backend->crash_after_ms == 0) {
+		fake_message_reset(message);
+		return;
+	}
+	soup_server_message_pause(message);
+	g_timeout_add_full(G_PRIORITY_DEFAULT, (guint)backend->crash_after_ms,
+			   reset_late, g_object_ref(message), g_object_unref);
 }
 
 static void on_request(void *data, SoupServerMessage *message, const char *path)
@@ -305,6 +317,8 @@
 		{"crash_after", FAKE_MODE_INT, &backend.crash_after},
 		{"crash_before_answer", FAKE_MODE_BOOL,
 		 &backend.crash_before_answer},
+		{"crash_after_ms", FAKE_MODE_INT, &backend.crash_after_ms},
+		{"own_status", FAKE_MODE_INT, &backend.own_status},
 		{"shed_silently", FAKE_MODE_BOOL, &backend.shed_silently},
 		{"error_percent", FAKE_MODE_INT, &backend.error_percent},
 		{"mute", FAKE_MODE_BOOL, &backend.mute},
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -32,6 +32,8 @@
 	PEER_LIMIT_SHARE,  /* the receiver\'s shares of them */
 	PEER_STANDING,	   /* gateway: what it holds, endpoints' news */
 	PEER_ROUTES,	   /* gateway: its configuration document */
+	PEER_CHOOSE,	   /* gateway: asks its home for an engine */
+	PEER_CHOSEN,	   /* the home's answer */
 	PEER_MESSAGE_TYPES
 };
 
@@ -144,7 +146,7 @@
 
 /* What the sender's gateway holds on an endpoint. */
 struct peer_held {
-	char *endpoint; /* id of one start of it */
+	uint64_t endpoint_key; /* stands for the id of one start of it */
 	int32_t requests;
 	int32_t copies; /* backups of generations kept there */
 	int64_t tokens;
@@ -153,13 +155,31 @@
 
 struct peer_standing {
 	int64_t table_version; /* of its routes; -1: none yet */
+	uint64_t answered;     /* its questions up to this one are in held */
 	bool takes_work;
 	bool reaches_store;
 	char *callers_address;
-	GPtrArray *held;	  /* struct peer_held: all of it */
+	GArray *held;		  /* struct peer_held: all of it */
 	GPtrArray *registrations; /* struct registration: some */
 };
 
+/* A generation that is to be placed. */
+struct peer_choose {
+	uint64_t number; /* rising, of the sender */
+	char *service;
+	char *failure_domain; /* of the sender */
+	int64_t tokens;	      /* in memory at the expected end */
+	int64_t prompt_tokens;
+	bool wants_backup;
+	GPtrArray *avoid; /* char *: ids of endpoints */
+};
+
+struct peer_chosen {
+	uint64_t number;
+	char *endpoint; /* id; "": none has room */
+	char *backup;	/* id; "": none */
+};
+
 struct peer_message {
 	enum peer_message_type type;
 	char *from;	    /* name of the sending node; "": by incarnation */
@@ -174,6 +194,8 @@
 		struct peer_release release;
 		struct peer_config config; /* CONFIG, CONFIG_ASK, ROUTES */
 		struct peer_standing standing;
+		struct peer_choose choose;
+		struct peer_chosen chosen;
 		struct peer_leaving leaving;
 		struct peer_quarantine quarantine;
 		struct peer_limits limits; /* LIMIT_REPORT, LIMIT_SHARE */
@@ -190,7 +212,7 @@
 
 struct peer_holding *peer_progress_add(struct peer_progress *progress);
 struct peer_held *peer_standing_add(struct peer_standing *standing,
-				    const char *endpoint);
+				    uint64_t endpoint_key);
 struct peer_limit *peer_limits_add(struct peer_limits *limits);
 
 G_END_DECLS
