--- a/fakes/fake_backend.c
+++ b/fakes/fake_backend.c
@@ -288,10 +288,19 @@
 	struct backend backend = {.events = 60, .pace_ms = 20};
 	char *id = NULL;
 	char *journal = NULL;
+	int real_copies = 0;
 	struct poptOption options[] = {
 		{"id", 0, POPT_ARG_STRING, &id, 0, "of this start", "ID"},
 		{"journal", 0, POPT_ARG_STRING, &journal, 0,
 		 "appends what it does", "FILE"},
+		{"events", 0, POPT_ARG_LONG, &backend.events, 0,
+		 "of a generation", "COUNT"},
+		{"pace-ms", 0, POPT_ARG_LONG, &backend.pace_ms, 0,
+		 "between two of them", "MS"},
+		{"answer-delay-ms", 0, POPT_ARG_LONG, &backend.answer_delay_ms,
+		 0, "before an answer or its first event", "MS"},
+		{"real-copies", 0, POPT_ARG_NONE, &real_copies, 0,
+		 "goes on only from what has arrived", NULL},
 		{"plain", 0, POPT_ARG_NONE, &backend.plain, 0,
 		 "answers at once, no stream", NULL},
 		POPT_TABLEEND};
@@ -322,6 +331,7 @@
 
 	if (!server)
 		return status;
+	backend.real_copies = real_copies != 0;
 	if (backend_init(&backend, id, journal)) {
 		backend_serve(&backend, server);
 		fake_server_set_modes(server, modes, G_N_ELEMENTS(modes),
