--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -14,6 +14,7 @@
 #define MOST_SEEDS 100000
 #define STATUS_FIND 1
 #define STATUS_USE 2
+#define STATUS_NOT_RUN 3
 
 struct options {
 	char *seeds;
@@ -205,7 +206,7 @@
 	struct soak_fleet_paths paths = {options->programs, folder};
 	struct soak_evidence *evidence;
 	struct error error = {0};
-	int status = STATUS_FIND;
+	int status = STATUS_NOT_RUN;
 
 	if (options->shows)
 		fputs(plan, stdout);
@@ -217,8 +218,10 @@
 	else if (!evidence)
 		fprintf(stderr, "soak: seed %u: %s %s: %s\n", seed, error.step,
 			error.peer, error.detail);
-	else if (judge_run(options, schedule, evidence, folder))
-		status = 0;
+	else
+		status = judge_run(options, schedule, evidence, folder)
+				 ? 0
+				 : STATUS_FIND;
 	soak_evidence_destroy(evidence);
 	soak_schedule_destroy(schedule);
 	return status;
@@ -226,18 +229,16 @@
 
 static int run_seeds(const struct options *options)
 {
-	int32_t clean = 0;
-	int32_t with_finds = 0;
+	int32_t counts[STATUS_NOT_RUN + 1] = {0};
 
 	for (uint64_t seed = options->first;
-	     seed <= options->last && !interrupted; seed++) {
-		if (run_seed(options, (uint32_t)seed) == 0)
-			clean++;
-		else
-			with_finds++;
-	}
-	printf("soak: %d seeds clean, %d with finds\n", clean, with_finds);
-	return with_finds ? STATUS_FIND : 0;
+	     seed <= options->last && !interrupted; seed++)
+		counts[run_seed(options, (uint32_t)seed)]++;
+	printf("soak: %d seeds clean, %d with finds, %d not run\n", counts[0],
+	       counts[STATUS_FIND], counts[STATUS_NOT_RUN]);
+	if (counts[STATUS_FIND])
+		return STATUS_FIND;
+	return counts[STATUS_NOT_RUN] ? STATUS_NOT_RUN : 0;
 }
 
 static bool options_parse(struct options *options, int argc, const char **argv)
