The soak ends a fault also at an endpoint that stands still

Ruled out: the product, which passed the endpoints' own errors on and tried the other one. Change: such switches wait until the process goes on.

--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -47,14 +47,45 @@
 	soak_process_signal(member->process, SIGSTOP);
 }
 
+/*
+ * Sets switches of an endpoint. One that stands still gets them when it goes
+ * on: left out, the end of a fault never came, and the endpoint failed for
+ * good.
+ */
+static void member_mode(struct soak_fleet *fleet, struct soak_member *member,
+			const char *json)
+{
+	struct error error = {0};
+
+	if (!member->life)
+		return;
+	if (member->is_paused) {
+		g_ptr_array_add(member->waiting_modes, g_strdup(json));
+		return;
+	}
+	if (!soak_platform_mode(member->address, json, &error))
+		soak_fleet_note_failure(fleet, "%s: %s: %s", member->name, json,
+					error.detail);
+}
+
+static void set_waiting_modes(struct soak_fleet *fleet,
+			      struct soak_member *member)
+{
+	g_autoptr(GPtrArray) modes = member->waiting_modes;
+
+	member->waiting_modes = g_ptr_array_new_with_free_func(g_free);
+	for (guint i = 0; i < modes->len; i++)
+		member_mode(fleet, member, g_ptr_array_index(modes, i));
+}
+
 static void member_continue(struct soak_fleet *fleet,
 			    struct soak_member *member)
 {
-	(void)fleet;
 	if (!member->is_paused)
 		return;
 	member->is_paused = false;
 	soak_process_signal(member->process, SIGCONT);
+	set_waiting_modes(fleet, member);
 	if (member->end_by_us)
 		member->end_by_us =
 			g_get_monotonic_time() + GRACE_US + END_SLACK_US;
@@ -151,18 +182,6 @@
 	soak_fleet_start_member(fleet, member);
 }
 
-static void member_mode(struct soak_fleet *fleet, struct soak_member *member,
-			const char *json)
-{
-	struct error error = {0};
-
-	if (!member->life || member->is_paused)
-		return;
-	if (!soak_platform_mode(member->address, json, &error))
-		soak_fleet_note_failure(fleet, "%s: %s: %s", member->name, json,
-					error.detail);
-}
-
 static void all_do(struct soak_fleet *fleet, member_action action)
 {
 	for (guint i = 0; i < fleet->nodes->len; i++)
--- a/tests/soak/soak_member.c
+++ b/tests/soak/soak_member.c
@@ -22,6 +22,7 @@
 	g_snprintf(member->name, sizeof(member->name), "%s%d", role_names[role],
 		   index);
 	member->process = soak_process_create(folder, member->name);
+	member->waiting_modes = g_ptr_array_new_with_free_func(g_free);
 	return member;
 }
 
@@ -33,6 +34,7 @@
 	if (!member)
 		return;
 	soak_process_destroy(member->process);
+	g_ptr_array_unref(member->waiting_modes);
 	soak_proxy_destroy(member->way);
 	soak_proxy_destroy(member->store_way);
 	g_free(member);
@@ -90,6 +92,7 @@
 	member->start_us = 0;
 	member->end_by_us = 0;
 	member->is_paused = false;
+	g_ptr_array_set_size(member->waiting_modes, 0);
 	return true;
 }
 
--- a/tests/soak/soak_member.h
+++ b/tests/soak/soak_member.h
@@ -29,8 +29,9 @@
 	struct soak_process *process;
 	struct soak_life *life; /* NULL: it does not run */
 	bool is_paused;
-	bool is_leaving;    /* an endpoint's entry says so, or is gone */
-	bool comes_renamed; /* at its next start */
+	bool is_leaving;	  /* an endpoint's entry says so, or is gone */
+	bool comes_renamed;	  /* at its next start */
+	GPtrArray *waiting_modes; /* char *: switches for when it goes on */
 	int64_t born_ms;
 	int64_t start_us;  /* when it is to start again; 0: not */
 	int64_t end_by_us; /* after SIGTERM it must be gone by then; 0: none */
