--- a/tests/soak/soak_evidence.c
+++ b/tests/soak/soak_evidence.c
@@ -86,8 +86,8 @@
 	evidence->entries = g_ptr_array_new_with_free_func(entry_destroy);
 	evidence->lives = g_ptr_array_new_with_free_func(life_destroy);
 	evidence->failures = g_ptr_array_new_with_free_func(g_free);
-	evidence->disturbances =
-		g_array_new(FALSE, TRUE, sizeof(struct soak_disturbance));
+	evidence->disruptions =
+		g_array_new(FALSE, TRUE, sizeof(struct soak_disruption));
 	evidence->versions =
 		g_array_new(FALSE, TRUE, sizeof(struct soak_version));
 	evidence->leavings =
@@ -106,7 +106,7 @@
 	g_ptr_array_unref(evidence->entries);
 	g_ptr_array_unref(evidence->lives);
 	g_ptr_array_unref(evidence->failures);
-	g_array_unref(evidence->disturbances);
+	g_array_unref(evidence->disruptions);
 	g_array_unref(evidence->versions);
 	g_array_unref(evidence->leavings);
 	g_free(evidence);
--- a/tests/soak/soak_evidence.h
+++ b/tests/soak/soak_evidence.h
@@ -69,7 +69,7 @@
 };
 
 /* A fault while it lasted, or an operator's work. */
-struct soak_disturbance {
+struct soak_disruption {
 	enum soak_fault_kind kind;
 	char who[32]; /* name of a process, "store", "nodes", "operator" */
 	int64_t from_us;
@@ -97,7 +97,7 @@
 	GPtrArray *attempts;	/* struct soak_attempt */
 	GPtrArray *entries;	/* struct soak_entry, by time */
 	GPtrArray *lives;	/* struct soak_life */
-	GArray *disturbances;	/* struct soak_disturbance */
+	GArray *disruptions;	/* struct soak_disruption */
 	GArray *versions;	/* struct soak_version */
 	GArray *leavings;	/* struct soak_leaving */
 	GPtrArray *failures;	/* char *: what the soak itself saw */
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -61,22 +61,22 @@
 void soak_fleet_disturb(struct soak_fleet *fleet, enum soak_fault_kind kind,
 			const char *who)
 {
-	struct soak_disturbance row = {.kind = kind};
+	struct soak_disruption row = {.kind = kind};
 
 	g_strlcpy(row.who, who, sizeof(row.who));
 	row.from_us = g_get_monotonic_time();
-	g_array_append_val(fleet->evidence->disturbances, row);
+	g_array_append_val(fleet->evidence->disruptions, row);
 }
 
 /* It has ended; the last one of that kind there, if any. */
 void soak_fleet_calm(struct soak_fleet *fleet, enum soak_fault_kind kind,
 		     const char *who)
 {
-	GArray *rows = fleet->evidence->disturbances;
+	GArray *rows = fleet->evidence->disruptions;
 
 	for (guint i = rows->len; i-- > 0;) {
-		struct soak_disturbance *row =
-			&g_array_index(rows, struct soak_disturbance, i);
+		struct soak_disruption *row =
+			&g_array_index(rows, struct soak_disruption, i);
 
 		if (row->kind != kind || row->to_us ||
 		    strcmp(row->who, who) != 0)
--- a/tests/soak/soak_judge.c
+++ b/tests/soak/soak_judge.c
@@ -51,7 +51,7 @@
 	return g_hash_table_lookup(judge->attempt_of, request);
 }
 
-static bool is_unplanned(const struct soak_disturbance *row)
+static bool is_unplanned(const struct soak_disruption *row)
 {
 	return !soak_fault_type_at(row->kind)->is_planned;
 }
@@ -60,11 +60,11 @@
 bool soak_judge_is_disturbed(const struct soak_judge *judge, const char *who,
 			     int64_t from_us, int64_t to_us)
 {
-	const GArray *rows = judge->evidence->disturbances;
+	const GArray *rows = judge->evidence->disruptions;
 
 	for (guint i = 0; i < rows->len; i++) {
-		const struct soak_disturbance *row =
-			&g_array_index(rows, struct soak_disturbance, i);
+		const struct soak_disruption *row =
+			&g_array_index(rows, struct soak_disruption, i);
 
 		if (is_unplanned(row) && strcmp(row->who, who) == 0 &&
 		    row->from_us <= to_us &&
--- a/tests/soak/soak_report.c
+++ b/tests/soak/soak_report.c
@@ -106,9 +106,9 @@
 {
 	int64_t offset_us = evidence->unix_offset_us;
 
-	for (guint i = 0; i < evidence->disturbances->len; i++) {
-		const struct soak_disturbance *row = &g_array_index(
-			evidence->disturbances, struct soak_disturbance, i);
+	for (guint i = 0; i < evidence->disruptions->len; i++) {
+		const struct soak_disruption *row = &g_array_index(
+			evidence->disruptions, struct soak_disruption, i);
 		const char *name = soak_fault_type_at(row->kind)->name;
 
 		add_line(lines, row->from_us + offset_us,
