--- a/tests/soak/soak_judge_config.c
+++ b/tests/soak/soak_judge_config.c
@@ -55,7 +55,8 @@
 				probe->version + VERSIONS_OF_ROUTE);
 }
 
-/* A newer configuration is in force at all nodes in touch within its time. */
+/* A newer configuration is in force within its time, where the store is
+ * reached. */
 void soak_judge_config_in_force(struct soak_judge *judge)
 {
 	const GPtrArray *attempts = judge->evidence->attempts;
