--- a/tests/soak/soak_judge_config.c
+++ b/tests/soak/soak_judge_config.c
@@ -55,8 +55,7 @@
 				probe->version + VERSIONS_OF_ROUTE);
 }
 
-/* A newer configuration is in force within its time, where the store is
- * reached. */
+/* A newer configuration is in force in time where the store is reached. */
 void soak_judge_config_in_force(struct soak_judge *judge)
 {
 	const GPtrArray *attempts = judge->evidence->attempts;
