Retries of a window may be used in one moment

Cause: each node handed its part of the retries out one by one, at most two thirds of its part of the fixed number saved up.

Ruled out: that all retries of the fleet were in use (136 of some 280 in the worst window); lending by the home (a message and its loss for what a node has by itself); freeing generations from the budget, which breaks the rule in the worst case.

Change: retry_window counts first sends and retries of the last window in slots; what the requests of the window and this node's part allow may be used at once.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -379,7 +379,7 @@
 	}
 	if (!exchange_find_route(exchange) || !exchange_plan(exchange))
 		return;
-	retry_budget_count_first(
+	retry_window_count_first(
 		gateway_budget(gateway, exchange->service_name));
 	exchange_send_new(exchange);
 }
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -183,7 +183,7 @@
 		.kind = exchange->route->kind,
 		.result = RESULT_ERROR,
 		.budget_left =
-			retry_budget_left(gateway_budget(
+			retry_window_left(gateway_budget(
 				exchange->gateway, exchange->service_name)) > 0,
 		.runs = exchange->runs,
 		.sends = exchange->sends,
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -74,7 +74,7 @@
 				exchange->service->engine.tokens_per_event,
 			exchange->expected_tokens),
 		.budget_left =
-			retry_budget_left(gateway_budget(
+			retry_window_left(gateway_budget(
 				exchange->gateway, exchange->service_name)) > 0,
 		.has_backup = has_backup(exchange),
 		.backup_reads_prompts =
@@ -199,10 +199,10 @@
 			    const struct copy_place *place,
 			    enum attempt_result result, const char *detail)
 {
-	struct retry_budget *budget =
+	struct retry_window *budget =
 		gateway_budget(exchange->gateway, exchange->service_name);
 	bool may_move = exchange->crashes < MAX_CRASHES;
-	bool has_budget = retry_budget_left(budget) > 0;
+	bool has_budget = retry_window_left(budget) > 0;
 	struct recovery_input input = {
 		.kind = exchange->route->kind,
 		.result = result,
@@ -219,7 +219,7 @@
 		    input.copy_is_ready ? place->endpoint->said->id : "",
 		    recovery, detail);
 	if (recovery == RECOVERY_SEND_AGAIN || recovery == RECOVERY_TAKE_OVER)
-		retry_budget_take(budget);
+		retry_window_take(budget);
 	return recovery;
 }
 
@@ -320,7 +320,7 @@
 {
 	struct error error;
 
-	if (!retry_budget_take(
+	if (!retry_window_take(
 		    gateway_budget(exchange->gateway, exchange->service_name)))
 		return;
 	log_take_over(exchange, to, reason);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -48,7 +48,7 @@
 }
 
 /* The retries of a service that this node may send. */
-struct retry_budget *gateway_budget(struct gateway *gateway,
+struct retry_window *gateway_budget(struct gateway *gateway,
 				    const char *service)
 {
 	return shared_budgets_get(gateway->budgets, service);
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -87,7 +87,7 @@
 /* gateway.c */
 bool gateway_takes_work(const struct gateway *gateway);
 bool gateway_is_current(const struct gateway *gateway);
-struct retry_budget *gateway_budget(struct gateway *gateway,
+struct retry_window *gateway_budget(struct gateway *gateway,
 				    const char *service);
 int64_t gateway_table_version(const struct gateway *gateway);
 
--- a/core/limit/retry_budget.c
+++ b/core/limit/retry_budget.c
@@ -14,21 +14,18 @@
 {
 	options->percent = 10;
 	options->burst = 10;
-	options->first_stock = -1;
 	options->base_us = 50 * 1000;
 	options->max_us = 2 * G_USEC_PER_SEC;
 }
 
-/* A budget with its first stock, by default all that may be saved up. */
+/* A budget with all that may be saved up. */
 struct retry_budget *
 retry_budget_create(const struct retry_budget_options *options)
 {
 	struct retry_budget *budget = g_new0(struct retry_budget, 1);
-	int32_t stock = options->first_stock < 0 ? options->burst
-						 : options->first_stock;
 
 	budget->options = *options;
-	budget->stock = (int64_t)stock * RETRY_COST;
+	budget->stock = (int64_t)options->burst * RETRY_COST;
 	return budget;
 }
 
@@ -46,27 +43,6 @@
 	budget->stock = MIN(budget->stock + budget->options.percent, most);
 }
 
-/* Puts retries into the stock, up to the burst. */
-void retry_budget_add(struct retry_budget *budget, int32_t retries)
-{
-	int64_t most = (int64_t)budget->options.burst * RETRY_COST;
-
-	budget->stock =
-		MIN(budget->stock + (int64_t)retries * RETRY_COST, most);
-}
-
-/*
- * Other limits from now on. What is in stock stays, up to the new burst: a
- * change of settings must not hand out retries that were used already.
- */
-void retry_budget_resize(struct retry_budget *budget, int32_t percent,
-			 int32_t burst)
-{
-	budget->options.percent = percent;
-	budget->options.burst = burst;
-	budget->stock = MIN(budget->stock, (int64_t)burst * RETRY_COST);
-}
-
 /*
  * Takes one retry. False: none is left, and the call must end.
  *
--- a/core/limit/retry_budget.h
+++ b/core/limit/retry_budget.h
@@ -13,10 +13,9 @@
  * waits before, drawn at random so that retries do not come in step.
  */
 struct retry_budget_options {
-	int32_t percent;     /* retries as a share of first attempts */
-	int32_t burst;	     /* retries saved up at most */
-	int32_t first_stock; /* -1: as many as may be saved up */
-	int64_t base_us;     /* mean wait grows from half of this */
+	int32_t percent; /* retries as a share of first attempts */
+	int32_t burst;	 /* retries saved up at most */
+	int64_t base_us; /* mean wait grows from half of this */
 	int64_t max_us;
 };
 
@@ -28,9 +27,6 @@
 void retry_budget_destroy(struct retry_budget *budget);
 
 void retry_budget_count_first(struct retry_budget *budget);
-void retry_budget_add(struct retry_budget *budget, int32_t retries);
-void retry_budget_resize(struct retry_budget *budget, int32_t percent,
-			 int32_t burst);
 bool retry_budget_take(struct retry_budget *budget);
 int64_t retry_budget_delay_us(const struct retry_budget *budget,
 			      int32_t retries, GRand *rand);
--- a/core/limit/shared_budgets.c
+++ b/core/limit/shared_budgets.c
@@ -6,21 +6,24 @@
  */
 #define LEAST_NODES 6
 
-/* Of the fixed number of retries; the rest may be saved up. */
-#define REFILL_SHARE 0.35
+/*
+ * Of its part of the fixed number, for a process in its first window. The rest
+ * is for what the process before it may have sent in the same window: nodes
+ * that are all killed and start again would otherwise send twice what all may.
+ */
+#define FIRST_SHARE 0.25
 
 struct shared_budgets {
 	struct shared_budgets_options options;
-	GHashTable *budgets; /* service to struct retry_budget */
+	GHashTable *windows; /* service to struct retry_window */
 	size_t most_nodes;   /* seen at once */
-	double refill;	     /* of each budget, not yet a whole retry */
 	int64_t created_us;
-	int64_t refilled_us;
+	int64_t now_us;
 };
 
-static void budget_free(gpointer data)
+static void window_free(gpointer data)
 {
-	retry_budget_destroy(data);
+	retry_window_destroy(data);
 }
 
 /* Budgets of services that are not known yet; options are copied. */
@@ -33,9 +36,9 @@
 	budgets->options = *options;
 	budgets->most_nodes = LEAST_NODES;
 	budgets->created_us = now_us;
-	budgets->refilled_us = now_us;
-	budgets->budgets = g_hash_table_new_full(g_str_hash, g_str_equal,
-						 g_free, budget_free);
+	budgets->now_us = now_us;
+	budgets->windows = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, window_free);
 	return budgets;
 }
 
@@ -44,27 +47,39 @@
 {
 	if (!budgets)
 		return;
-	g_hash_table_unref(budgets->budgets);
+	g_hash_table_unref(budgets->windows);
 	g_free(budgets);
 }
 
-/* What a node may save up of the fixed number of retries. */
-static int32_t burst(const struct shared_budgets *budgets)
+/* What this node may send now in a window, of the fixed number of retries. */
+static double part(const struct shared_budgets *budgets)
 {
-	double all = (1 - REFILL_SHARE) * (double)budgets->options.extra;
+	double all = (double)budgets->options.extra;
+	int64_t age_us = budgets->now_us - budgets->created_us;
+	int64_t window_us = budgets->options.window_us;
+	double share = 1 - FIRST_SHARE;
+
+	if (age_us < window_us)
+		share = FIRST_SHARE * (double)age_us / (double)window_us;
+	return share * all / (double)budgets->most_nodes;
+}
 
-	return MAX((int32_t)(all / (double)budgets->most_nodes), 1);
+static void bring_up_to_date(const struct shared_budgets *budgets,
+			     struct retry_window *window)
+{
+	retry_window_step(window, budgets->now_us);
+	retry_window_set_limits(window, budgets->options.percent,
+				part(budgets));
 }
 
-static void resize(struct shared_budgets *budgets)
+static void bring_all_up_to_date(const struct shared_budgets *budgets)
 {
 	GHashTableIter iter;
-	gpointer budget;
+	gpointer window;
 
-	g_hash_table_iter_init(&iter, budgets->budgets);
-	while (g_hash_table_iter_next(&iter, NULL, &budget))
-		retry_budget_resize(budget, budgets->options.percent,
-				    burst(budgets));
+	g_hash_table_iter_init(&iter, budgets->windows);
+	while (g_hash_table_iter_next(&iter, NULL, &window))
+		bring_up_to_date(budgets, window);
 }
 
 /* Takes over other limits; what was used stays used. */
@@ -73,7 +88,7 @@
 {
 	budgets->options.percent = percent;
 	budgets->options.extra = extra;
-	resize(budgets);
+	bring_all_up_to_date(budgets);
 }
 
 /*
@@ -85,72 +100,29 @@
 	if (nodes <= budgets->most_nodes)
 		return;
 	budgets->most_nodes = nodes;
-	resize(budgets);
-}
-
-static double refill_per_us(const struct shared_budgets *budgets)
-{
-	return REFILL_SHARE * (double)budgets->options.extra /
-	       ((double)budgets->most_nodes *
-		(double)budgets->options.window_us);
-}
-
-/*
- * The fixed number of retries comes back over the window; what a node may
- * save up and what comes back in a window are together its part of it.
- */
-static void refill(struct shared_budgets *budgets, int64_t now_us)
-{
-	GHashTableIter iter;
-	gpointer budget;
-
-	budgets->refill += refill_per_us(budgets) *
-			   (double)(now_us - budgets->refilled_us);
-	budgets->refilled_us = now_us;
-	if (budgets->refill < 1)
-		return;
-	budgets->refill -= 1;
-	g_hash_table_iter_init(&iter, budgets->budgets);
-	while (g_hash_table_iter_next(&iter, NULL, &budget))
-		retry_budget_add(budget, 1);
 }
 
 /* nodes: that are live now, this one included. now_us never falls. */
 void shared_budgets_step(struct shared_budgets *budgets, size_t nodes,
 			 int64_t now_us)
 {
+	budgets->now_us = now_us;
 	count_nodes(budgets, nodes);
-	refill(budgets, now_us);
-}
-
-/*
- * What a budget has that nobody asked for so far: what came back since this
- * process began. With a full stock at once, nodes that are all killed and start
- * again would send twice what all may send in a window.
- */
-static int32_t first_stock(const struct shared_budgets *budgets)
-{
-	double saved = refill_per_us(budgets) *
-		       (double)(budgets->refilled_us - budgets->created_us);
-
-	return (int32_t)MIN(saved, (double)burst(budgets));
+	bring_all_up_to_date(budgets);
 }
 
 /* The retries of a service; owned by the budgets. */
-struct retry_budget *shared_budgets_get(struct shared_budgets *budgets,
+struct retry_window *shared_budgets_get(struct shared_budgets *budgets,
 					const char *service)
 {
-	struct retry_budget *budget =
-		g_hash_table_lookup(budgets->budgets, service);
-	struct retry_budget_options options;
-
-	if (budget)
-		return budget;
-	retry_budget_options_default(&options);
-	options.percent = budgets->options.percent;
-	options.burst = burst(budgets);
-	options.first_stock = first_stock(budgets);
-	budget = retry_budget_create(&options);
-	g_hash_table_insert(budgets->budgets, g_strdup(service), budget);
-	return budget;
+	struct retry_window *window =
+		g_hash_table_lookup(budgets->windows, service);
+
+	if (window)
+		return window;
+	window = retry_window_create(budgets->options.window_us,
+				     budgets->now_us);
+	bring_up_to_date(budgets, window);
+	g_hash_table_insert(budgets->windows, g_strdup(service), window);
+	return window;
 }
--- a/core/limit/shared_budgets.h
+++ b/core/limit/shared_budgets.h
@@ -1,7 +1,7 @@
 #ifndef CORE_LIMIT_SHARED_BUDGETS_H
 #define CORE_LIMIT_SHARED_BUDGETS_H
 
-#include "core/limit/retry_budget.h"
+#include "core/limit/retry_window.h"
 
 #include <glib.h>
 #include <stddef.h>
@@ -31,7 +31,7 @@
 			       int64_t extra);
 void shared_budgets_step(struct shared_budgets *budgets, size_t nodes,
 			 int64_t now_us);
-struct retry_budget *shared_budgets_get(struct shared_budgets *budgets,
+struct retry_window *shared_budgets_get(struct shared_budgets *budgets,
 					const char *service);
 
 G_END_DECLS
