Few nodes call a store that is away

Change: store_watch, pure, decides how a node watches the store. Where a sentinel is heard that waits for it too, the others try each second or two, ask for no entries, and try at once when a sentinel reaches it.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -253,7 +253,7 @@
 	gateway->log = options->log;
 	gateway->random = g_rand_new_with_seed((guint32)options->seed);
 	gateway->now_us = gateway_now_us();
-	gateway->follows_entries = true;
+	gateway->store_watch.entries = true;
 	standing_pace_init(&gateway->pace, gateway->now_us);
 	gateway->registry = registry_create();
 	quarantine_options_default(&quarantine);
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -3,6 +3,7 @@
 
 #include "adapters/gateway/dialect.h"
 #include "adapters/log.h"
+#include "core/gateway/store_watch.h"
 #include "core/base/counters.h"
 #include "core/base/error.h"
 #include "core/gateway/registry.h"
@@ -53,8 +54,7 @@
 	struct route_table *(*decode)(void *store_data, GBytes *document,
 				      int64_t revision);
 	void (*read_store)(void *store_data); /* something newer is known of */
-	/* Follow the endpoints' entries, and ask each second for the store. */
-	void (*follow)(void *store_data, bool active, bool closely);
+	void (*watch)(void *store_data, const struct store_watch *watch);
 	void *store_data;
 };
 
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -209,8 +209,9 @@
 	return false;
 }
 
-/* Whether a node that follows the entries was heard a moment ago. */
-static bool hears_sentinel(const struct gateway *gateway)
+/* Whether a sentinel was heard a moment ago that does, or does not, reach it.
+ */
+static bool hears_sentinel(const struct gateway *gateway, bool reaches_store)
 {
 	GHashTableIter iter;
 	gpointer name, value;
@@ -219,7 +220,7 @@
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const struct gateway_peer *peer = value;
 
-		if (peer->reaches_store &&
+		if (peer->reaches_store == reaches_store &&
 		    peer_is_heard(gateway, peer, SENTINEL_SILENT_PERIODS) &&
 		    member_is_sentinel(gateway, name))
 			return true;
@@ -227,25 +228,22 @@
 	return false;
 }
 
-/*
- * A few nodes follow the entries of endpoints and tell the others what changes;
- * each watch that returns is a call that is paid for, and with all nodes
- * watching it would be paid for as often as there are nodes. A node that hears
- * none of them, or that has just started, follows the entries itself.
- */
-static void step_sentinel(struct gateway *gateway)
+static void step_store_watch(struct gateway *gateway)
 {
-	bool is_sentinel =
-		member_is_sentinel(gateway, gateway->options.node_name);
-	bool follows = is_sentinel || !hears_sentinel(gateway) ||
-		       !registry_has_usable(gateway->registry);
+	const struct store_watch_input input = {
+		.is_sentinel =
+			member_is_sentinel(gateway, gateway->options.node_name),
+		.reaches_store = gateway->store_is_reached,
+		.sentinel_reaches = hears_sentinel(gateway, true),
+		.sentinel_waits = hears_sentinel(gateway, false),
+		.knows_endpoints = registry_has_usable(gateway->registry),
+	};
+	struct store_watch watch = store_watch_decide(&input);
 
-	if (gateway->is_sentinel == is_sentinel &&
-	    gateway->follows_entries == follows)
+	if (store_watch_equals(&watch, &gateway->store_watch))
 		return;
-	gateway->is_sentinel = is_sentinel;
-	gateway->follows_entries = follows;
-	gateway->host.follow(gateway->host.store_data, follows, is_sentinel);
+	gateway->store_watch = watch;
+	gateway->host.watch(gateway->host.store_data, &watch);
 }
 
 /*
@@ -293,7 +291,7 @@
 	registry_forget_silent(gateway->registry,
 			       gateway->now_us -
 				       periods_us(gateway, FORGET_PERIODS));
-	step_sentinel(gateway);
+	step_store_watch(gateway);
 	gateway->held_changed = false;
 	if (standing_pace_is_due(&gateway->pace, others, changed,
 				 gateway->now_us))
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -41,8 +41,7 @@
 	struct registry *registry;
 	bool store_is_reached;
 	struct store_doubt store_doubt;
-	bool is_sentinel;     /* asks the store in short turns */
-	bool follows_entries; /* by itself, not by a sentinel's word */
+	struct store_watch store_watch; /* as its follower was told */
 
 	struct endpoint_pool *pool;
 	struct report_poll *reports;
--- a/adapters/gateway/store_follower.c
+++ b/adapters/gateway/store_follower.c
@@ -26,6 +26,9 @@
 #define FIRST_PAUSE_MS 80
 #define LONGEST_PAUSE_MS 700
 
+/* While another node asks in short turns and tells of the store's return. */
+#define PATIENT_PAUSE_MS 2000
+
 /* A peer that knows more may say so often. */
 #define POKE_US (300 * 1000)
 
@@ -58,6 +61,7 @@
 	int32_t failures; /* in a row */
 	guint timer;
 	bool is_reached;
+	bool is_patient;
 	struct attempt *probe; /* of the store, while it is watched closely */
 	int64_t probed_us;
 	guint probe_timer;
@@ -98,6 +102,8 @@
 	int32_t longest = FIRST_PAUSE_MS << MIN(follower->failures, 4);
 
 	longest = MIN(longest, LONGEST_PAUSE_MS);
+	if (follower->is_patient && follower->failures > 1)
+		longest = PATIENT_PAUSE_MS;
 	follower->state = FOLLOWER_PAUSING;
 	follower->timer = g_timeout_add(
 		(guint)g_rand_int_range(follower->random, longest / 2, longest),
@@ -402,6 +408,23 @@
 	follower->failures = 0;
 }
 
+/*
+ * Whether another node looks out for the store while it is away. All nodes
+ * asking in short turns would ask most when the store can bear it least, and
+ * each call is paid for. Once the other one has reached it nobody waits.
+ */
+void store_follower_set_patient(struct store_follower *follower, bool patient)
+{
+	if (follower->is_patient == patient)
+		return;
+	follower->is_patient = patient;
+	if (patient || follower->state != FOLLOWER_PAUSING)
+		return;
+	follower_stop_call(follower);
+	follower->failures = 0;
+	follower_pause(follower);
+}
+
 /* Whether to ask each second if the store is still there. */
 void store_follower_watch_closely(struct store_follower *follower, bool closely)
 {
--- a/adapters/gateway/store_follower.h
+++ b/adapters/gateway/store_follower.h
@@ -52,6 +52,7 @@
 		      const struct store_follower_events *events);
 void store_follower_destroy(struct store_follower *follower);
 void store_follower_set_active(struct store_follower *follower, bool active);
+void store_follower_set_patient(struct store_follower *follower, bool patient);
 void store_follower_watch_closely(struct store_follower *follower,
 				  bool closely);
 void store_follower_poke(struct store_follower *follower);
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -11,8 +11,8 @@
 	struct store_follower *document;
 	struct store_follower *entries;
 	struct log *log;
-	bool has_store;	      /* else the product's own configuration */
-	bool follows_entries; /* else by other nodes' word */
+	bool has_store; /* else the product's own configuration */
+	bool is_told;	/* of entries, by other nodes that reach the store */
 };
 
 /* The platform's operators write theirs; else it is the product's own. */
@@ -102,7 +102,7 @@
 	gateway_take_store(
 		wiring->gateway,
 		store_follower_is_reached(wiring->document) &&
-			(!wiring->follows_entries ||
+			(wiring->is_told ||
 			 store_follower_is_reached(wiring->entries)));
 }
 
@@ -120,15 +120,18 @@
 		store_follower_poke(wiring->document);
 }
 
-static void wiring_follow_entries(void *data, bool active, bool closely)
+static void wiring_watch(void *data, const struct store_watch *watch)
 {
 	struct gateway_wiring *wiring = data;
 
 	if (!wiring->entries)
 		return;
-	wiring->follows_entries = active;
-	store_follower_set_active(wiring->entries, active);
-	store_follower_watch_closely(wiring->entries, closely);
+	/* What rests until a store is back has not reached it meanwhile. */
+	wiring->is_told = !watch->entries && !watch->patiently;
+	store_follower_set_active(wiring->entries, watch->entries);
+	store_follower_watch_closely(wiring->entries, watch->closely);
+	store_follower_set_patient(wiring->entries, watch->patiently);
+	store_follower_set_patient(wiring->document, watch->patiently);
 	wiring_tell_reached(wiring);
 }
 
@@ -161,7 +164,7 @@
 		.members = options->members,
 		.decode = wiring_decode,
 		.read_store = wiring_read_store,
-		.follow = wiring_follow_entries,
+		.watch = wiring_watch,
 		.stopped = options->stopped,
 		.data = options->data,
 		.store_data = wiring,
@@ -203,7 +206,6 @@
 
 	wiring->log = options->log;
 	wiring->has_store = *options->settings->gateway.store_address;
-	wiring->follows_entries = true;
 	if (!wiring_create_gateway(wiring, options, error)) {
 		g_free(wiring);
 		return NULL;
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -142,6 +142,27 @@
 	store_follower_destroy(close);
 }
 
+/*
+ * The store is away, and another node looks out for it. This one waits for
+ * longer between two tries, and tries at once when it is told of the return:
+ * within less than the pause that it was in.
+ */
+TEST_F(StoreFollower, WaitsPatientlyAndTriesWhenTold)
+{
+	int64_t told_us;
+
+	store_follower_set_patient(follower, true);
+	mode("{\"down\": true}");
+	EXPECT_TRUE(run_until([&] { return !is_reached; }));
+	settle();
+	settle();
+	mode("{\"down\": false}");
+	told_us = g_get_monotonic_time();
+	store_follower_set_patient(follower, false);
+	EXPECT_TRUE(run_until([&] { return is_reached; }));
+	EXPECT_LT(g_get_monotonic_time() - told_us, 900 * 1000);
+}
+
 /* What changed while it rested is told when it goes on. */
 TEST_F(StoreFollower, CatchesUpAfterARest)
 {
