New requests leave room for reports that have to move

Cause: memory is full on the larger deployment, and each 3.3 s one engine in six leaves.

Change: what runs on leaving engines is kept free on those that stay, for new requests only; and an engine is asked for room up to 12 times, which is the time that an engine under notice has.

--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -141,6 +141,45 @@
 	return best;
 }
 
+/* What its requests hold there, without the copies of others. */
+static double running_tokens(const struct endpoint *endpoint)
+{
+	const struct held held = endpoint_held(endpoint);
+
+	if (held.requests <= 0)
+		return 0;
+	return (double)held.tokens * held.requests /
+	       (held.requests + MAX(held.copies, 0));
+}
+
+/*
+ * What generations hold on engines that leave, in parts of all memory that
+ * stays. They move within a second or two, and what is given to new requests
+ * meanwhile is missing then: reports were cut off that six engines in a row had
+ * refused. A new request can come back, half a report can't.
+ */
+static double leaving_share(const struct registry *registry,
+			    const struct endpoint_wish *wish)
+{
+	const GPtrArray *endpoints = registry_endpoints(registry);
+	double leaving = 0, stays = 0;
+
+	if (!wish->engine || wish->engine->memory_tokens == 0)
+		return 0;
+	for (guint i = 0; i < endpoints->len; i++) {
+		const struct endpoint *endpoint =
+			g_ptr_array_index(endpoints, i);
+
+		if (strcmp(endpoint->said->service, wish->service) != 0)
+			continue;
+		if (endpoint_is_usable(endpoint))
+			stays += (double)wish->engine->memory_tokens;
+		else
+			leaving += running_tokens(endpoint);
+	}
+	return stays > 0 ? leaving / stays : 0;
+}
+
 /*
  * The endpoint with the most room; NULL: none has any. Where all that have
  * room look bad, one of them is tried: it may have recovered, and a refusal
@@ -158,9 +197,11 @@
 		{false, PLANNED_FILL},
 	};
 
+	double kept = leaving_share(registry, wish);
+
 	for (size_t i = 0; i < G_N_ELEMENTS(tries); i++) {
-		struct endpoint *endpoint =
-			choose(registry, wish, tries[i].sound, tries[i].fill);
+		struct endpoint *endpoint = choose(
+			registry, wish, tries[i].sound, tries[i].fill - kept);
 
 		if (endpoint)
 			return endpoint;
--- a/core/gateway/evacuation.c
+++ b/core/gateway/evacuation.c
@@ -62,8 +62,12 @@
  */
 #define COPY_AGAIN_US (120 * MS_US)
 
-/* Engines asked for room before the end is waited for. */
-#define MAX_COPIES 6
+/*
+ * Engines asked for room before the end is waited for: as many as there is time
+ * for until an engine under notice ends. Where memory is scarce most refuse,
+ * and room comes a little later.
+ */
+#define MAX_COPIES 12
 
 /* Made by an engine between its notice and its end, in tokens. */
 #define LAST_TOKENS 110
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -131,6 +131,40 @@
 	EXPECT_EQ("none", choose());
 }
 
+/*
+ * Load: one engine of four leaves with eight reports, and the others are 70%
+ * full. New requests come faster than reports move, and took the room that was
+ * left: the reports were refused by one engine after the other and cut off.
+ * While they have not moved, new requests are refused, and the reports find
+ * room; then the same room is there for new ones.
+ */
+TEST_F(EndpointChoice, KeepsRoomForReportsOfEnginesThatLeave)
+{
+	struct endpoint *leaving = add("leaving", 28000, 8);
+
+	add("one", 23800, 7);
+	add("two", 23900, 7);
+	add("three", 24000, 7);
+	EXPECT_NE("none", choose());
+	leaving->presence = PRESENCE_LEAVING;
+	EXPECT_EQ("none", choose());
+	EXPECT_NE(nullptr, endpoint_choose_rescue(registry, &wish));
+	leaving->others.tokens = 0;
+	leaving->others.requests = 0;
+	EXPECT_EQ("one", choose());
+}
+
+/* What leaves with copies of others' reports alone needs no room. */
+TEST_F(EndpointChoice, KeepsNoRoomForCopiesThatLeave)
+{
+	struct endpoint *leaving = add("leaving", 28000, 0);
+
+	leaving->presence = PRESENCE_LEAVING;
+	leaving->others.copies = 8;
+	add("one", 23800, 7);
+	EXPECT_EQ("one", choose());
+}
+
 /* A copy to another failure domain takes twice as long on the link. */
 TEST_F(EndpointChoice, PrefersTheNearEndpointForCopies)
 {
