Nodes believe one another of an engine that breaks off

Ruled out: the home's own health of endpoints (it sees only its own requests); a list of bad engines in each question to the home (each node still loses some first).

Change: the record that a run was broken off, which nodes send already for requests that crash engines, counts against the engine as well. Two nodes must agree within two seconds; it then gets nothing for two seconds, and twice as long after each relapse, for which one word is enough. A node that is cut off alone is not believed.

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -12,6 +12,9 @@
 /* An idempotent request that waits so many times its aim goes elsewhere. */
 #define SLOW_AIMS 2.5
 
+/* Among reporters, this node; the others are told apart by incarnation. */
+#define OWN_WORD 1
+
 /* Engines that may break off a run before it is given up. */
 #define MAX_CRASHES 3
 
@@ -146,6 +149,7 @@
 				exchange->leg->endpoint_id, gateway->now_us);
 	gateway_peers_tell_crash(gateway, exchange->fingerprint,
 				 exchange->leg->endpoint_id);
+	gateway_take_failure(gateway, OWN_WORD, exchange->leg->endpoint_id);
 }
 
 static void count_failure(struct exchange *exchange, enum attempt_result result)
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -156,6 +156,23 @@
 	send_all(gateway, message);
 }
 
+/* A node, this one or another, saw the endpoint break a request off. */
+void gateway_take_failure(struct gateway *gateway, uint64_t reporter,
+			  const char *endpoint_id)
+{
+	struct endpoint *endpoint =
+		registry_find(gateway->registry, endpoint_id);
+	char aside[24];
+
+	if (!endpoint ||
+	    !endpoint_word_take(&endpoint->word, reporter, gateway->now_us))
+		return;
+	g_snprintf(aside, sizeof(aside), "%" G_GINT64_FORMAT,
+		   endpoint->word.aside_us / 1000);
+	log_write(gateway->log, LOG_LEVEL_INFO, "endpoint_aside", "endpoint",
+		  endpoint_id, "for_ms", aside, NULL);
+}
+
 /*
  * A request was running when its engine crashed. The others hear of it at
  * once: the caller sends it again, to any node.
@@ -432,6 +449,8 @@
 		quarantine_report_crash(
 			gateway->quarantine, message->quarantine.fingerprint,
 			message->quarantine.endpoint, gateway->now_us);
+		gateway_take_failure(gateway, message->incarnation,
+				     message->quarantine.endpoint);
 		return;
 	}
 	if (!*message->from)
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -102,6 +102,8 @@
 void gateway_peers_tell_drain(struct gateway *gateway);
 void gateway_peers_tell_crash(struct gateway *gateway, uint64_t fingerprint,
 			      const char *endpoint_id);
+void gateway_take_failure(struct gateway *gateway, uint64_t reporter,
+			  const char *endpoint_id);
 void gateway_peers_tell(struct gateway *gateway, const char *endpoint_id);
 void gateway_peer_destroy(gpointer data);
 size_t gateway_node_count(const struct gateway *gateway);
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -65,6 +65,13 @@
 	return endpoint->full_until_us > wish->now_us;
 }
 
+static bool is_sound(const struct endpoint_wish *wish,
+		     const struct endpoint *endpoint)
+{
+	return endpoint_health_allows(&endpoint->health) &&
+	       endpoint_word_allows(&endpoint->word, wish->now_us);
+}
+
 static double slots_of(const struct endpoint_wish *wish,
 		       const struct endpoint *endpoint)
 {
@@ -129,7 +136,7 @@
 		double score;
 
 		if (!is_candidate(wish, endpoint) || is_full(wish, endpoint) ||
-		    (sound && !endpoint_health_allows(&endpoint->health)) ||
+		    (sound && !is_sound(wish, endpoint)) ||
 		    !has_room(wish, endpoint, fill))
 			continue;
 		score = endpoint_score(wish, endpoint, i);
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -179,6 +179,7 @@
 			     const struct registration *news, int64_t now_us)
 {
 	endpoint_health_init(&endpoint->health);
+	endpoint->word = (struct endpoint_word){0};
 	endpoint->known_us = now_us;
 	endpoint->full_until_us = 0;
 	endpoint->warm_us = now_us + news->warmup_left_us;
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -1,6 +1,7 @@
 #ifndef CORE_GATEWAY_REGISTRY_H
 #define CORE_GATEWAY_REGISTRY_H
 
+#include "core/gateway/endpoint_word.h"
 #include "core/placement/endpoint_health.h"
 #include "ports/registration.h"
 
@@ -42,9 +43,10 @@
 	struct held own;
 	struct held others;  /* by all other nodes, as they said */
 	struct held granted; /* by this node to others that have not said so */
-	struct endpoint_health health;
-	int64_t full_until_us; /* it refused for want of room */
-	double error_share;    /* of its last answers, fading */
+	struct endpoint_health health; /* by this node's own requests */
+	struct endpoint_word word;     /* by what all nodes say */
+	int64_t full_until_us;	       /* it refused for want of room */
+	double error_share;	       /* of its last answers, fading */
 };
 
 struct registry;
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -188,6 +188,21 @@
 	EXPECT_EQ("good", choose());
 }
 
+/*
+ * Two other nodes say that the emptiest engine breaks off what it runs. This
+ * node has lost nothing there yet, and is to lose nothing.
+ */
+TEST_F(EndpointChoice, BelievesOtherNodesOfAnEngineThatBreaksOff)
+{
+	struct endpoint *broken = add("broken", 0, 0);
+
+	add("good", 20000, 6);
+	EXPECT_EQ("broken", choose());
+	endpoint_word_take(&broken->word, 2, wish.now_us);
+	endpoint_word_take(&broken->word, 3, wish.now_us);
+	EXPECT_EQ("good", choose());
+}
+
 /*
  * A plain service of which all endpoints look bad: they may have recovered,
  * and a refusal would be certain.
