--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -3,10 +3,6 @@
 
 #include <string.h>
 
-/* Of the time to the first event, after which a caller may come back. */
-#define RETRY_LEAST_SHARE 0.3
-#define RETRY_MOST_SHARE 0.55
-
 /* A generation is planned with this share of its maximum without a guess. */
 #define UNKNOWN_LENGTH_SHARE 0.5
 
@@ -190,21 +186,6 @@
 		exchange_fail_leg(exchange, RESULT_NOT_SENT, error.detail);
 }
 
-/*
- * When a caller is told to come back whose request found no room: as late as
- * its first event can still be in time, since room comes while generations end
- * or have moved. Drawn apart, for those refused together would come together.
- */
-static int64_t room_retry_us(const struct exchange *exchange)
-{
-	double draw = g_rand_double(exchange->gateway->random);
-	double share = RETRY_LEAST_SHARE +
-		       (RETRY_MOST_SHARE - RETRY_LEAST_SHARE) * draw;
-	double aim_us = (double)exchange->route->first_answer_us;
-
-	return MAX((int64_t)(share * aim_us), RETRY_SOON_US);
-}
-
 /* Sends the request to the endpoint; NULL: none has room, so it is refused. */
 void exchange_place(struct exchange *exchange, struct endpoint *endpoint)
 {
@@ -220,8 +201,11 @@
 				      exchange->service_name) == 0)
 		exchange_refuse(exchange, 503, RETRY_LATER_US, "no_endpoint");
 	else
-		exchange_refuse(exchange, 503, room_retry_us(exchange),
-				"no_room");
+		exchange_refuse(
+			exchange, 503,
+			retry_after_full_us(exchange->route->first_answer_us,
+					    g_rand_double(gateway->random)),
+			"no_room");
 }
 
 /* Sends the request to the endpoint that this node thinks best. */
--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -5,9 +5,8 @@
  * copies its memory to another one while it runs on. When the copy is there,
  * the request goes on from it, and the other engine reads the few tokens that
  * are newer. Stopping first and copying the rest as well would need none of
- * that reading, but the second copy waits behind all others on the link: the
- * callers saw pauses of 256 to 516 ms where this way they saw 26 to 154 ms, in
- * one run each of the same quiet day.
+ * that reading, but the second copy waits behind all others on the link, and
+ * the caller for it.
  */
 
 /*
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -7,19 +7,12 @@
 #include "core/gateway/endpoint_choice.h"
 #include "core/gateway/evacuation.h"
 #include "core/gateway/recovery.h"
+#include "core/gateway/retry_after.h"
 
 #include <glib.h>
 
 G_BEGIN_DECLS
 
-/*
- * When callers are told to come back: soon where an endpoint is only full, and
- * later where the store or all endpoints are away. Outages last seconds, and a
- * caller that comes back into the same one has used its retry up.
- */
-#define RETRY_SOON_US (300 * 1000)
-#define RETRY_LATER_US (2 * G_USEC_PER_SEC)
-
 /*
  * The request at one endpoint, and what this node counts there for it: room at
  * the endpoint, and room for a copy at the backup engine.
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -11,9 +11,8 @@
  */
 
 /*
- * An answer takes one way there and back, a few ms, and the home's turn. In the
- * aim of the shortest generation, 1.5 s, this is little, and losing it costs
- * less than a prompt behind two others, 0.4 s each.
+ * An answer takes one way there and back, a few ms, and the home's turn. Losing
+ * this much costs a caller less than a prompt behind two others.
  */
 #define ANSWER_US (100 * 1000)
 
--- a/core/gateway/engine_grants.h
+++ b/core/gateway/engine_grants.h
@@ -11,10 +11,9 @@
 /*
  * What a home has granted to other nodes and they have not told of yet. Many
  * nodes that choose engines by themselves, each by what the others held half a
- * second ago, send their prompts to the same ones: of 2,700 generations a third
- * met three unread prompts or more at their engine where nodes knew of none but
- * their own, and had their first event after 2 s instead of 0.4. So one node
- * chooses for all, and counts each choice from the moment of making it.
+ * second ago, send their prompts to the same ones, and callers wait for the
+ * first event behind all of them. So one node chooses for all, and counts each
+ * choice from the moment of making it.
  *
  * Counted in the registry's endpoints, so that whoever chooses sees them.
  */
--- a/core/gateway/evacuation.c
+++ b/core/gateway/evacuation.c
@@ -18,17 +18,15 @@
 
 /*
  * Until then a run waits for a moment at which the other engine reads no
- * prompt that is known of. Of 1,437 runs asked to go on at such a moment half
- * did within 48 ms and nine in ten within 80; of 116 asked beside prompts half
- * took 169 ms and one in ten 459 or more (46 days).
+ * prompt that is known of: beside prompts it goes on so late that its caller
+ * notices the pause.
  */
 #define LEAVE_UNTIL_US (1200 * MS_US)
 
 /*
- * A backup stands so long after the run's first event: of 23 asked for within
- * 0.3 s none was there, of 26 up to 0.6 s half, of 63 up to 1 s all but four
- * (593 runs on 44 days). Asked for too early it is held for missing, and the
- * run's own engine has to copy it in what time is left.
+ * A backup mostly stands so long after the run's first event. Asked for too
+ * early it is held for missing, and the run's own engine has to copy it in what
+ * time is left.
  */
 #define BACKUP_AGE_US (600 * MS_US)
 
@@ -36,11 +34,9 @@
  * Before these nothing of a run can have reached the engine named for its
  * backup, and an engine asked to go on from nothing may begin: a request that
  * crashes its engine within a few ms ran at the next one as well, and a third
- * was asked. After its first event: none of 23 stood within 0.3 s. Where no
- * event has come behind a cut link, it may have made some unseen: a prompt
- * of 3,000 tokens is read in 0.43 s, and the copy follows in another 0.6. Of
- * four runs lost without an event two went on, both after 3 s, and neither of
- * the others, after 0.2 and 3.6 s (8 days of crashes and cuts).
+ * was asked. The first counts from its first event. The second is for a run
+ * that made none that came here, behind a cut link: its prompt has to be read
+ * and the copy to follow.
  */
 #define BACKUP_FIRST_US (300 * MS_US)
 #define BACKUP_UNSEEN_US (1000 * MS_US)
@@ -134,9 +130,8 @@
 /*
  * Before its first event an engine reads the prompt, behind others' prompts,
  * for however long. While its connection stands nothing of a run can be
- * elsewhere that has not come here: of 55 runs given up after 4 s without an
- * event none had a copy. A cut link shows by the connection, which times out
- * after 3 s.
+ * elsewhere that has not come here. A cut link shows by the connection, which
+ * times out after 3 s.
  */
 static bool is_silent(const struct evacuation_input *input)
 {
