A report moves only where there is room to spare

Allowed to crowd an engine up to 1.5 of its memory, each report that was moved made others there be preempted.

Change: a run moves to an engine that is at most 0.7 full with it.

--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -12,8 +12,12 @@
 #define CROWDED_FILL 1.05
 #define BACKUP_FILL 0.65
 
-/* A generation that would be lost otherwise may crowd an engine. */
-#define RESCUE_FILL 1.5
+/*
+ * A generation moves only where there is room to spare, also if it is lost
+ * otherwise: squeezed in elsewhere it makes that engine preempt others, whose
+ * callers then wait for a prompt to be read again.
+ */
+#define RESCUE_FILL 0.7
 
 /*
  * Weights of the score, in parts of a full engine. A busy slot slows each
