--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -3,10 +3,10 @@
 
 #include "adapters/gateway/dialect.h"
 #include "adapters/log.h"
-#include "core/gateway/store_watch.h"
 #include "core/base/counters.h"
 #include "core/base/error.h"
 #include "core/gateway/registry.h"
+#include "core/gateway/store_watch.h"
 #include "core/gateway/route_table.h"
 #include "core/membership/membership.h"
 #include "ports/peer_message.h"
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -230,8 +230,7 @@
 	return false;
 }
 
-/* Whether a sentinel was heard a moment ago that does, or does not, reach it.
- */
+/* Whether a sentinel was heard a moment ago that reaches the store, or not. */
 static bool hears_sentinel(const struct gateway *gateway, bool reaches_store)
 {
 	GHashTableIter iter;
