Other nodes are not believed that most engines break off

Two words are enough, so every engine would be aside for two seconds at every node; new requests would still be tried, but no report could move and no backup be kept. The test failed before the change.

Change: words are believed of a third of a service's endpoints at most, or of one. What a choice needs of all endpoints together (this, and the room for what leaves) is looked at once, not once a try.

Ruled out: leaving out runs whose connection timed out (an engine that went dark looks the same, and the record does not say).

--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -38,6 +38,9 @@
 #define COLD_WEIGHT 0.3
 #define ERROR_WEIGHT 3.0
 
+/* Of a service's endpoints one in so many is aside by others' word at most. */
+#define MOST_ASIDE_PART 3
+
 /*
  * Nodes that decide in the same moment see the same numbers. The draw spreads
  * them over endpoints that are about equal.
@@ -69,11 +72,81 @@
 	return endpoint->full_until_us > wish->now_us;
 }
 
+/* What the service's endpoints are like together, looked at once a choice. */
+struct survey {
+	double leaving_share; /* held where engines leave, of what stays */
+	bool words_believed;  /* other nodes', of endpoints that break off */
+};
+
+/* What its requests hold there, without the copies of others. */
+static double running_tokens(const struct endpoint *endpoint)
+{
+	const struct held held = endpoint_held(endpoint);
+
+	if (held.requests <= 0)
+		return 0;
+	return (double)held.tokens * held.requests /
+	       (held.requests + MAX(held.copies, 0));
+}
+
+/*
+ * What generations hold on engines that leave, in parts of all memory that
+ * stays. They move within a second or two, and what is given to new requests
+ * meanwhile is missing then: one engine after the other refuses them and they
+ * are cut off. A new request can come back, half a report can't.
+ */
+static double leaving_share(const struct endpoint_wish *wish, guint usable,
+			    double leaving_tokens)
+{
+	if (!wish->engine || wish->engine->memory_tokens == 0 || usable == 0)
+		return 0;
+	return leaving_tokens /
+	       ((double)usable * (double)wish->engine->memory_tokens);
+}
+
+/*
+ * Whether other nodes are believed of endpoints that break off. Many nodes that
+ * were cut off tell of all endpoints when they are back, and nothing could go
+ * anywhere; where most look broken it is the ways to them that were.
+ */
+static bool are_words_believed(guint usable, guint aside)
+{
+	return aside <= MAX(usable / MOST_ASIDE_PART, 1);
+}
+
+static struct survey survey_take(const struct registry *registry,
+				 const struct endpoint_wish *wish)
+{
+	const GPtrArray *endpoints = registry_endpoints(registry);
+	guint usable = 0, aside = 0;
+	double leaving_tokens = 0;
+
+	for (guint i = 0; i < endpoints->len; i++) {
+		const struct endpoint *endpoint =
+			g_ptr_array_index(endpoints, i);
+
+		if (strcmp(endpoint->said->service, wish->service) != 0)
+			continue;
+		if (!endpoint_is_usable(endpoint)) {
+			leaving_tokens += running_tokens(endpoint);
+			continue;
+		}
+		usable++;
+		aside += !endpoint_word_allows(&endpoint->word, wish->now_us);
+	}
+	return (struct survey){
+		.leaving_share = leaving_share(wish, usable, leaving_tokens),
+		.words_believed = are_words_believed(usable, aside),
+	};
+}
+
 static bool is_sound(const struct endpoint_wish *wish,
-		     const struct endpoint *endpoint)
+		     const struct endpoint *endpoint,
+		     const struct survey *survey)
 {
 	return endpoint_health_allows(&endpoint->health) &&
-	       endpoint_word_allows(&endpoint->word, wish->now_us);
+	       (!survey->words_believed ||
+		endpoint_word_allows(&endpoint->word, wish->now_us));
 }
 
 static double slots_of(const struct endpoint_wish *wish,
@@ -128,7 +201,8 @@
 }
 
 static struct endpoint *choose(const struct registry *registry,
-			       const struct endpoint_wish *wish, bool sound,
+			       const struct endpoint_wish *wish,
+			       const struct survey *survey, bool sound,
 			       double fill)
 {
 	const GPtrArray *endpoints = registry_endpoints(registry);
@@ -140,7 +214,7 @@
 		double score;
 
 		if (!is_candidate(wish, endpoint) || is_full(wish, endpoint) ||
-		    (sound && !is_sound(wish, endpoint)) ||
+		    (sound && !is_sound(wish, endpoint, survey)) ||
 		    !has_room(wish, endpoint, fill))
 			continue;
 		score = endpoint_score(wish, endpoint, i);
@@ -152,45 +226,6 @@
 	return best;
 }
 
-/* What its requests hold there, without the copies of others. */
-static double running_tokens(const struct endpoint *endpoint)
-{
-	const struct held held = endpoint_held(endpoint);
-
-	if (held.requests <= 0)
-		return 0;
-	return (double)held.tokens * held.requests /
-	       (held.requests + MAX(held.copies, 0));
-}
-
-/*
- * What generations hold on engines that leave, in parts of all memory that
- * stays. They move within a second or two, and what is given to new requests
- * meanwhile is missing then: reports were cut off that six engines in a row had
- * refused. A new request can come back, half a report can't.
- */
-static double leaving_share(const struct registry *registry,
-			    const struct endpoint_wish *wish)
-{
-	const GPtrArray *endpoints = registry_endpoints(registry);
-	double leaving = 0, stays = 0;
-
-	if (!wish->engine || wish->engine->memory_tokens == 0)
-		return 0;
-	for (guint i = 0; i < endpoints->len; i++) {
-		const struct endpoint *endpoint =
-			g_ptr_array_index(endpoints, i);
-
-		if (strcmp(endpoint->said->service, wish->service) != 0)
-			continue;
-		if (endpoint_is_usable(endpoint))
-			stays += (double)wish->engine->memory_tokens;
-		else
-			leaving += running_tokens(endpoint);
-	}
-	return stays > 0 ? leaving / stays : 0;
-}
-
 /*
  * The endpoint with the most room; NULL: none has any. Where all that have
  * room look bad, one of them is tried: it may have recovered, and a refusal
@@ -208,11 +243,12 @@
 		{false, PLANNED_FILL},
 	};
 
-	double kept = leaving_share(registry, wish);
+	const struct survey survey = survey_take(registry, wish);
 
 	for (size_t i = 0; i < G_N_ELEMENTS(tries); i++) {
-		struct endpoint *endpoint = choose(
-			registry, wish, tries[i].sound, tries[i].fill - kept);
+		struct endpoint *endpoint =
+			choose(registry, wish, &survey, tries[i].sound,
+			       tries[i].fill - survey.leaving_share);
 
 		if (endpoint)
 			return endpoint;
@@ -224,7 +260,9 @@
 struct endpoint *endpoint_choose_rescue(const struct registry *registry,
 					const struct endpoint_wish *wish)
 {
-	return choose(registry, wish, true, RESCUE_FILL);
+	const struct survey survey = survey_take(registry, wish);
+
+	return choose(registry, wish, &survey, true, RESCUE_FILL);
 }
 
 /*
@@ -234,7 +272,9 @@
 struct endpoint *endpoint_choose_backup(const struct registry *registry,
 					const struct endpoint_wish *wish)
 {
+	const struct survey survey = survey_take(registry, wish);
+
 	if (!wish->engine || !wish->engine->can_back_up)
 		return NULL;
-	return choose(registry, wish, true, BACKUP_FILL);
+	return choose(registry, wish, &survey, true, BACKUP_FILL);
 }
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -217,6 +217,24 @@
 	EXPECT_EQ("good", choose());
 }
 
+/*
+ * Ten nodes were cut off from everything. Back again, they tell of all that
+ * broke off meanwhile, at engine after engine. Believed, no engine would take a
+ * report whose own one leaves, or a backup, for two seconds: so many engines
+ * at once do not break, the ways to them do.
+ */
+TEST_F(EndpointChoice, DoesNotBelieveThatMostEnginesBreakOff)
+{
+	for (const char *id : {"one", "two", "three", "four"}) {
+		struct endpoint *endpoint = add(id, 9000, 3);
+
+		endpoint_word_take(&endpoint->word, 2, wish.now_us);
+		endpoint_word_take(&endpoint->word, 3, wish.now_us);
+	}
+	EXPECT_NE("none", backup());
+	EXPECT_NE(nullptr, endpoint_choose_rescue(registry, &wish));
+}
+
 /*
  * A plain service of which all endpoints look bad: they may have recovered,
  * and a refusal would be certain.
