The log says why a removal is doubted, and which reads of the store were dropped

endpoint lines carry the cause of a doubt, and its end is logged; a sentinel that says that it lost the store is logged by those who hear it. No decision is changed.

--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -71,7 +71,7 @@
 
 /* What the store says. */
 void gateway_take_table(struct gateway *gateway, struct route_table *table,
-			GBytes *document);
+			GBytes *document, const char *source);
 void gateway_take_changes(struct gateway *gateway, const GPtrArray *list);
 void gateway_take_registrations(struct gateway *gateway, const GPtrArray *list,
 				int64_t revision);
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -355,6 +355,7 @@
 
 	message->config.revision = gateway_table_version(gateway);
 	message->config.document = g_bytes_ref(gateway->document);
+	counters_add(gateway->options.counters, COUNTER_GATEWAY_TABLES_SENT, 1);
 	gateway_send(gateway, peer_address, message);
 }
 
@@ -376,6 +377,20 @@
 		send_routes(gateway, peer_address);
 }
 
+/* A line for each change: by it this node judges whether the store is away. */
+static void log_peer_store(const struct gateway *gateway,
+			   const struct gateway_peer *peer,
+			   const struct peer_message *message)
+{
+	if (peer->reaches_store == message->standing.reaches_store ||
+	    !member_is_sentinel(gateway, message->from))
+		return;
+	log_write(gateway->log, LOG_LEVEL_INFO,
+		  message->standing.reaches_store ? "sentinel_reached"
+						  : "sentinel_lost",
+		  "node", message->from, NULL);
+}
+
 static struct gateway_peer *peer_take(struct gateway *gateway,
 				      const struct peer_message *message)
 {
@@ -387,6 +402,7 @@
 
 	if (!peer) {
 		peer = g_new0(struct gateway_peer, 1);
+		peer->reaches_store = message->standing.reaches_store;
 		g_hash_table_insert(gateway->peers, g_strdup(message->from),
 				    peer);
 	}
@@ -394,6 +410,7 @@
 	peer->heard_us = gateway->now_us;
 	peer->table_version = message->standing.table_version;
 	peer->takes_work = message->standing.takes_work;
+	log_peer_store(gateway, peer, message);
 	peer->reaches_store = message->standing.reaches_store;
 	g_free(peer->address);
 	peer->address = g_strdup(message->standing.callers_address);
@@ -437,7 +454,8 @@
 				     message->config.revision);
 	if (!table)
 		return;
-	gateway_take_table(gateway, table, message->config.document);
+	gateway_take_table(gateway, table, message->config.document,
+			   message->from);
 	route_table_unref(table);
 }
 
--- a/adapters/gateway/gateway_store.c
+++ b/adapters/gateway/gateway_store.c
@@ -8,7 +8,22 @@
 /* Fewer removals at once are never taken for a lapse. */
 #define LAPSED_LEAST 3
 
-/* What is believed of an endpoint now, and who said so. */
+/* Why a removal that came now is doubted, for logs. */
+static const char *gateway_doubt_cause(const struct gateway *gateway)
+{
+	if (!gateway->store_is_reached)
+		return "store_lost";
+	if (gateway_store_is_away(gateway))
+		return "sentinel";
+	if (store_doubt_stands(&gateway->store_doubt, gateway->now_us))
+		return "settling";
+	return "many_at_once";
+}
+
+/*
+ * What is believed of an endpoint now, who said so, and why it is doubted if
+ * it is.
+ */
 void gateway_log_endpoint(struct gateway *gateway, const char *id,
 			  const char *source)
 {
@@ -19,14 +34,18 @@
 		[PRESENCE_GONE] = "gone",
 	};
 	const struct endpoint *endpoint = registry_find(gateway->registry, id);
+	const char *doubt = "";
 	char revision[24];
 
+	if (endpoint->presence == PRESENCE_DOUBTED)
+		doubt = gateway_doubt_cause(gateway);
+
 	g_snprintf(revision, sizeof(revision), "%" G_GINT64_FORMAT,
 		   endpoint->said->revision);
 	log_write(gateway->log, LOG_LEVEL_INFO, "endpoint", "endpoint", id,
 		  "service", endpoint->said->service, "address",
 		  endpoint->said->address, "state", names[endpoint->presence],
-		  "revision", revision, "source", source, NULL);
+		  "revision", revision, "source", source, "doubt", doubt, NULL);
 }
 
 /* Gives up on what did not come back, and forgets the long gone. */
@@ -40,19 +59,23 @@
 		      store_doubt_over_before_us(&gateway->store_doubt,
 						 gateway->now_us),
 		      gateway->now_us, changed);
-	for (guint i = 0; i < changed->len; i++)
-		gateway_peers_tell(gateway, g_ptr_array_index(changed, i));
+	for (guint i = 0; i < changed->len; i++) {
+		const char *id = g_ptr_array_index(changed, i);
+
+		gateway_log_endpoint(gateway, id, "end of the doubt");
+		gateway_peers_tell(gateway, id);
+	}
 	g_ptr_array_unref(changed);
 }
 
 /*
- * A configuration, from the store or a peer. Only a higher version is taken:
- * a late answer or a peer that lags can't bring an older one back.
+ * A configuration, from the store or a node of that name. Only a higher version
+ * is taken: a late answer or a peer that lags can't bring an older one back.
  */
 void gateway_take_table(struct gateway *gateway, struct route_table *table,
-			GBytes *document)
+			GBytes *document, const char *source)
 {
-	char version[24], routes[24];
+	char version[24], routes[24], bytes[24];
 
 	if (route_table_version(table) <= gateway_table_version(gateway))
 		return;
@@ -68,8 +91,10 @@
 		   route_table_version(table));
 	g_snprintf(routes, sizeof(routes), "%zu",
 		   route_table_route_count(table));
+	g_snprintf(bytes, sizeof(bytes), "%zu", g_bytes_get_size(document));
 	log_write(gateway->log, LOG_LEVEL_INFO, "routes_in_force", "version",
-		  version, "routes", routes, NULL);
+		  version, "routes", routes, "bytes", bytes, "source", source,
+		  NULL);
 }
 
 /* Whether entries that are missing may only have lapsed with the store. */
--- a/adapters/gateway/store_follower.c
+++ b/adapters/gateway/store_follower.c
@@ -58,6 +58,7 @@
 	char *list_after;
 	int64_t revision; /* known up to here; 0: nothing is */
 	int64_t poked_us;
+	int64_t begun_us; /* the call in progress */
 	int32_t failures; /* in a row */
 	guint timer;
 	bool is_reached;
@@ -112,6 +113,22 @@
 		on_pause_over, follower);
 }
 
+/* A call in progress is ended, and what had come of its answer is lost. */
+static void follower_log_dropped(const struct store_follower *follower,
+				 int64_t now_us)
+{
+	char bytes[24], waited[24];
+
+	if (follower->body->len == 0)
+		return;
+	g_snprintf(bytes, sizeof(bytes), "%u", follower->body->len);
+	g_snprintf(waited, sizeof(waited), "%" G_GINT64_FORMAT,
+		   (now_us - follower->begun_us) / 1000);
+	log_write(follower->options.log, LOG_LEVEL_INFO, "store_read_dropped",
+		  "prefix", follower->prefix, "bytes", bytes, "ms", waited,
+		  NULL);
+}
+
 static void follower_fail(struct store_follower *follower, const char *detail)
 {
 	char status[16];
@@ -346,6 +363,7 @@
 			? LIST_TIMEOUT_MS
 			: (guint)follower_wait_ms(follower) + WATCH_MARGIN_MS;
 	follower->status = 0;
+	follower->begun_us = g_get_monotonic_time();
 	g_byte_array_set_size(follower->body, 0);
 	follower_write(follower, options.request);
 	follower->attempt =
@@ -453,6 +471,7 @@
 	    now_us - follower->poked_us < POKE_US)
 		return;
 	follower->poked_us = now_us;
+	follower_log_dropped(follower, now_us);
 	follower_stop_call(follower);
 	follower_go_on(follower);
 }
--- a/core/base/counters.c
+++ b/core/base/counters.c
@@ -62,6 +62,8 @@
 		 "generations moved off an engine that leaves"},
 	[COUNTER_GATEWAY_TABLES] = {"gateway_tables",
 				    "versions of the routes taken"},
+	[COUNTER_GATEWAY_TABLES_SENT] = {"gateway_tables_sent",
+					 "whole configurations sent to nodes"},
 };
 
 /* Adds n to a counter. */
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -51,7 +51,8 @@
 		table = wiring_decode(wiring, item->value, item->revision);
 		if (!table)
 			continue;
-		gateway_take_table(wiring->gateway, table, item->value);
+		gateway_take_table(wiring->gateway, table, item->value,
+				   "store");
 		route_table_unref(table);
 	}
 }
@@ -299,7 +300,7 @@
 		return; /* the node has said why when it read it */
 	table = route_table_create(config);
 	list = endpoints_of(config);
-	gateway_take_table(wiring->gateway, table, action->document);
+	gateway_take_table(wiring->gateway, table, action->document, "plan");
 	gateway_take_registrations(wiring->gateway, list, config->revision);
 	g_ptr_array_unref(list);
 	route_table_unref(table);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -45,7 +45,7 @@
 
 		config->revision = revision;
 		table = route_table_create(config);
-		gateway_take_table(gateway, table, document);
+		gateway_take_table(gateway, table, document, "store");
 		route_table_unref(table);
 		config_unref(config);
 		g_bytes_unref(document);
