Tests that fail: a removal doubted for a peer's cut, a large configuration read anew

- Gateway.BelievesARemovalThoughASentinelLostTheStore: a node that the store tells of a removal keeps using the engine because another node says that it lost the store.
- StoreFollower.FinishesAnAnswerThatIsArriving: a read of which the first bytes have come is begun anew on another connection, at each word of a newer version.
- Gateway.SendsNoSecondCopyOfItsConfigurationUnasked: five words of a node that is behind bring it five copies of the document.

--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -4,13 +4,77 @@
 
 #include <gtest/gtest.h>
 
-/* A gateway without listeners, peers and a running loop. */
+#include <algorithm>
+#include <vector>
+
+/* A gateway n1 without listeners and a running loop; n0 is the other node. */
 class Gateway : public testing::Test
 {
       protected:
 	struct log *log = log_create("test", LOG_LEVEL_ERROR);
 	struct counters counters = {};
+	struct membership *members = nullptr;
 	struct gateway *gateway = nullptr;
+	std::vector<enum peer_message_type> sent; /* to n0 */
+
+	static void on_send(void *data, const GPtrArray *addresses,
+			    struct peer_message *message)
+	{
+		Gateway *test = (Gateway *)data;
+
+		if (addresses->len > 0)
+			test->sent.push_back(message->type);
+		peer_message_destroy(message);
+	}
+
+	static struct peer_message *on_message(void *data,
+					       enum peer_message_type type)
+	{
+		(void)data;
+		return peer_message_create(type);
+	}
+
+	static const struct membership *on_members(void *data)
+	{
+		return ((Gateway *)data)->members;
+	}
+
+	static struct member *member_create(const char *name)
+	{
+		struct member *member = g_new0(struct member, 1);
+
+		member->name = g_strdup(name);
+		member->incarnation = 1;
+		member->version = 1;
+		member->http_address = g_strdup("");
+		member->peer_address = g_strdup_printf("%s:1", name);
+		member->region = g_strdup("r");
+		member->failure_domain = g_strdup("a");
+		return member;
+	}
+
+	void JoinMembers()
+	{
+		static const char *const no_seeds[] = {nullptr};
+		struct action_list *actions = action_list_create();
+		struct peer_message *message = peer_message_create(PEER_PING);
+		struct member *self = member_create("n1");
+		struct membership_options options = {};
+
+		options.self = self;
+		options.seeds = no_seeds;
+		options.heartbeat_us = G_USEC_PER_SEC;
+		options.suspect_us = G_USEC_PER_SEC;
+		members = membership_create(&options);
+		member_destroy(self);
+		message->from = g_strdup("n0");
+		message->from_address = g_strdup("n0:1");
+		message->incarnation = 1;
+		g_ptr_array_add(message->probe.members, member_create("n0"));
+		membership_receive(members, message, 1, actions);
+		peer_message_destroy(message);
+		action_list_destroy(actions);
+	}
 
 	Gateway()
 	{
@@ -18,6 +82,11 @@
 		struct gateway_host host = {};
 		struct error error;
 
+		JoinMembers();
+		host.send = on_send;
+		host.message = on_message;
+		host.members = on_members;
+		host.data = this;
 		options.node_name = "n1";
 		options.failure_domain = "a";
 		options.address = "";
@@ -34,9 +103,49 @@
 	~Gateway() override
 	{
 		gateway_destroy(gateway);
+		membership_destroy(members);
 		log_destroy(log);
 	}
 
+	/* n0 says which configuration it has and whether it has the store. */
+	void TakeStanding(int64_t version, bool reaches_store)
+	{
+		struct peer_message *message =
+			peer_message_create(PEER_STANDING);
+
+		message->from = g_strdup("n0");
+		message->from_address = g_strdup("n0:1");
+		message->incarnation = 1;
+		message->standing.table_version = version;
+		message->standing.reaches_store = reaches_store;
+		message->standing.callers_address = g_strdup("n0:2");
+		gateway_take_peer(gateway, message);
+		peer_message_destroy(message);
+	}
+
+	/* The store tells of an endpoint: it registers, or its entry is gone.
+	 */
+	void TakeEntry(int64_t revision, bool is_removed)
+	{
+		GPtrArray *list = registration_list_create();
+		struct registration *said = g_new0(struct registration, 1);
+
+		said->id = g_strdup("e1");
+		said->service = g_strdup("engines");
+		said->address = g_strdup("127.0.0.1:1");
+		said->failure_domain = g_strdup("a");
+		said->revision = revision;
+		said->is_removed = is_removed;
+		g_ptr_array_add(list, said);
+		gateway_take_changes(gateway, list);
+		g_ptr_array_unref(list);
+	}
+
+	size_t SentCount(enum peer_message_type type) const
+	{
+		return (size_t)std::count(sent.begin(), sent.end(), type);
+	}
+
 	int64_t version_after(int64_t revision)
 	{
 		struct config *config = config_create();
@@ -67,3 +176,27 @@
 	EXPECT_EQ(6, version_after(6));
 	EXPECT_EQ(6, version_after(5));
 }
+
+/* Guards against new work on an engine that left, while a peer is cut off. */
+TEST_F(Gateway, BelievesARemovalThoughASentinelLostTheStore)
+{
+	version_after(5);
+	gateway_take_store(gateway, true);
+	gateway->store_doubt.settles_us = 0;
+	TakeEntry(1, false);
+	TakeStanding(5, true);
+	TakeStanding(5, false);
+	sent.clear();
+	TakeEntry(2, true);
+	EXPECT_FALSE(registry_has_usable(gateway->registry));
+	EXPECT_EQ(1u, SentCount(PEER_STANDING));
+}
+
+/* Guards against copies of a large configuration that fill a node's link. */
+TEST_F(Gateway, SendsNoSecondCopyOfItsConfigurationUnasked)
+{
+	version_after(5);
+	for (int i = 0; i < 5; i++)
+		TakeStanding(4, false);
+	EXPECT_LE(SentCount(PEER_ROUTES), 1u);
+}
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -2,12 +2,81 @@
 #include "platform/platform.h"
 #include "tests/store_fixture.h"
 
+#include <gio/gio.h>
+
 #include <map>
 #include <string>
 
 namespace
 {
 
+/* A store behind a slow link: of an answer only the first bytes come at once.
+ */
+class SlowStore
+{
+      public:
+	int connections = 0;
+
+	SlowStore()
+	{
+		port = g_socket_listener_add_any_inet_port(
+			G_SOCKET_LISTENER(service), nullptr, nullptr);
+		g_signal_connect(service, "incoming", G_CALLBACK(on_incoming),
+				 this);
+		g_socket_service_start(service);
+	}
+
+	~SlowStore()
+	{
+		g_socket_service_stop(service);
+		g_socket_listener_close(G_SOCKET_LISTENER(service));
+		g_clear_object(&last);
+		g_object_unref(service);
+	}
+
+	std::string address() const
+	{
+		return "127.0.0.1:" + std::to_string(port);
+	}
+
+	/* The rest of the answer on the last connection. */
+	void finish()
+	{
+		write(last, BODY.substr(SHARE));
+	}
+
+      private:
+	const std::string BODY =
+		"{\"items\":[{\"key\":\"servers/a\",\"revision\":3,"
+		"\"value\":\"b25l\"}],\"as_of\":3,\"has_more\":false}";
+	const size_t SHARE = 20;
+	GSocketService *service = g_socket_service_new();
+	GSocketConnection *last = nullptr;
+	guint16 port = 0;
+
+	static void write(GSocketConnection *connection,
+			  const std::string &text)
+	{
+		g_output_stream_write_all(
+			g_io_stream_get_output_stream(G_IO_STREAM(connection)),
+			text.data(), text.size(), nullptr, nullptr, nullptr);
+	}
+
+	static gboolean on_incoming(GSocketService *, GSocketConnection *came,
+				    GObject *, gpointer data)
+	{
+		SlowStore *store = (SlowStore *)data;
+
+		store->connections++;
+		g_set_object(&store->last, came);
+		write(came, "HTTP/1.1 200 OK\r\nContent-Length: " +
+				    std::to_string(store->BODY.size()) +
+				    "\r\n\r\n" +
+				    store->BODY.substr(0, store->SHARE));
+		return TRUE;
+	}
+};
+
 class StoreFollower : public StoreFixture
 {
       protected:
@@ -191,3 +260,25 @@
 	EXPECT_EQ("newer", known["servers/a"]);
 	EXPECT_EQ("three", known["servers/c"]);
 }
+
+/* Guards against a large configuration that is begun anew and never read. */
+TEST_F(StoreFollower, FinishesAnAnswerThatIsArriving)
+{
+	SlowStore slow;
+	std::string address = slow.address();
+	struct store_follower_events events = {on_listed, on_changed, nullptr,
+					       this};
+	struct store_follower *other;
+
+	lists = 0;
+	options.address = address.c_str();
+	other = store_follower_create(&options, &events);
+	ASSERT_TRUE(run_until([&] { return slow.connections == 1; }));
+	run_idle();
+	store_follower_poke(other);
+	run_idle();
+	EXPECT_EQ(1, slow.connections);
+	slow.finish();
+	EXPECT_TRUE(run_until([&] { return lists == 1; }));
+	store_follower_destroy(other);
+}
