An answer of the store that is arriving is read to its end

Callers saw 404 for routes that had been added, and requests served by an older configuration, seconds after a change was acknowledged: nodes on slow links were late with a configuration of half a MB.

Cause: a node that heard another one has a newer version ended its call to the store and asked anew on a new connection, every 300 ms at most, whether or not the answer was arriving; and a list was given up after 1.5 s, a watch 1.5 s after its wait, however much had come. A retry threw away the progress of what it repeated, and what it had asked for filled the link of the next try.

Ruled out: the processor (1% in the incident's metrics).

An answer that has begun and whose last bytes came within the last second is waited for, for 15 s at most; a call without bytes ends as before, so a connection that went silent is found as early.

--- a/adapters/gateway/store_follower.c
+++ b/adapters/gateway/store_follower.c
@@ -16,6 +16,14 @@
 #define PROBE_TIMEOUT_US (800 * 1000)
 #define LIST_TIMEOUT_MS 1500
 
+/*
+ * A call is given up for silence, not for the time that it takes: a document of
+ * half a MB needs seconds on a busy link, and one that is begun anew each time
+ * never arrives. None takes as long as the longest.
+ */
+#define SILENCE_MS 1000
+#define LONGEST_ANSWER_US (15 * G_USEC_PER_SEC)
+
 /*
  * The first watch after a failure answers at once: until it does, a node does
  * not know that the store is back, and doubts what it is told.
@@ -58,8 +66,10 @@
 	char *list_after;
 	int64_t revision; /* known up to here; 0: nothing is */
 	int64_t poked_us;
-	int64_t begun_us; /* the call in progress */
-	int32_t failures; /* in a row */
+	int64_t begun_us;    /* the call in progress */
+	int64_t answered_us; /* its answer began; 0: it has not */
+	int64_t received_us; /* its last bytes came */
+	int32_t failures;    /* in a row */
 	guint timer;
 	bool is_reached;
 	bool is_patient;
@@ -202,24 +212,52 @@
 	return G_SOURCE_CONTINUE;
 }
 
+static int32_t follower_silence_ms(const struct store_follower *follower)
+{
+	return follower->options.silence_ms ? follower->options.silence_ms
+					    : SILENCE_MS;
+}
+
+/* Whether the answer to the call in progress is arriving. */
+bool store_follower_is_receiving(const struct store_follower *follower)
+{
+	int64_t now_us = g_get_monotonic_time();
+
+	return follower->attempt && follower->answered_us &&
+	       now_us - follower->received_us <
+		       (int64_t)follower_silence_ms(follower) * 1000 &&
+	       now_us - follower->answered_us < LONGEST_ANSWER_US;
+}
+
 static gboolean on_timeout(gpointer data)
 {
 	struct store_follower *follower = data;
 
 	follower->timer = 0;
+	if (store_follower_is_receiving(follower)) {
+		follower->timer =
+			g_timeout_add((guint)follower_silence_ms(follower),
+				      on_timeout, follower);
+		return G_SOURCE_REMOVE;
+	}
 	follower_fail(follower, "timeout");
 	return G_SOURCE_REMOVE;
 }
 
 static void on_head(void *data, const struct http_head *head)
 {
-	((struct store_follower *)data)->status = head->status;
+	struct store_follower *follower = data;
+
+	follower->status = head->status;
+	follower->answered_us = g_get_monotonic_time();
+	follower->received_us = follower->answered_us;
 }
 
 static void on_body(void *data, const char *bytes, size_t size)
 {
 	struct store_follower *follower = data;
 
+	follower->received_us = g_get_monotonic_time();
 	g_byte_array_append(follower->body, (const guint8 *)bytes, (guint)size);
 }
 
@@ -364,6 +402,7 @@
 			: (guint)follower_wait_ms(follower) + WATCH_MARGIN_MS;
 	follower->status = 0;
 	follower->begun_us = g_get_monotonic_time();
+	follower->answered_us = 0;
 	g_byte_array_set_size(follower->body, 0);
 	follower_write(follower, options.request);
 	follower->attempt =
@@ -460,7 +499,8 @@
 
 /*
  * Something newer is known to be there: asks again on a new connection, since
- * the present one may have gone silent without a word.
+ * the present one may have gone silent without a word. An answer that arrives
+ * is read to its end.
  */
 void store_follower_poke(struct store_follower *follower)
 {
@@ -468,6 +508,7 @@
 
 	if (follower->state == FOLLOWER_PAUSING ||
 	    follower->state == FOLLOWER_RESTING ||
+	    store_follower_is_receiving(follower) ||
 	    now_us - follower->poked_us < POKE_US)
 		return;
 	follower->poked_us = now_us;
--- a/adapters/gateway/store_follower.h
+++ b/adapters/gateway/store_follower.h
@@ -37,6 +37,7 @@
 	struct log *log;
 	uint64_t seed;
 	int32_t patient_pause_ms; /* longest between two tries; 0: usual */
+	int32_t silence_ms; /* an answer that began is given up; 0: usual */
 };
 
 struct store_follower_events {
@@ -57,6 +58,7 @@
 void store_follower_watch_closely(struct store_follower *follower,
 				  bool closely);
 void store_follower_poke(struct store_follower *follower);
+bool store_follower_is_receiving(const struct store_follower *follower);
 int32_t store_follower_failures(const struct store_follower *follower);
 bool store_follower_is_reached(const struct store_follower *follower);
 
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -282,3 +282,26 @@
 	EXPECT_TRUE(run_until([&] { return lists == 1; }));
 	store_follower_destroy(other);
 }
+
+/* Guards against a read given up for the time that a slow link takes for it. */
+TEST_F(StoreFollower, ReadsAnAnswerThatOutlastsItsTimeout)
+{
+	const int64_t past_timeout_us =
+		g_get_monotonic_time() + 16 * G_USEC_PER_SEC / 10;
+	SlowStore slow;
+	std::string address = slow.address();
+	struct store_follower_events events = {on_listed, on_changed, nullptr,
+					       this};
+	struct store_follower *other;
+
+	lists = 0;
+	options.address = address.c_str();
+	options.silence_ms = 10 * 60 * 1000;
+	other = store_follower_create(&options, &events);
+	EXPECT_TRUE(run_until(
+		[&] { return g_get_monotonic_time() > past_timeout_us; }));
+	EXPECT_EQ(1, slow.connections);
+	slow.finish();
+	EXPECT_TRUE(run_until([&] { return lists == 1; }));
+	store_follower_destroy(other);
+}
