A node that is behind asks for one copy of the configuration

Callers saw 404 for routes that had been added seconds before: the links of nodes that were late with a configuration of half a MB carried copy after copy of it.

Cause: each word of a node that is behind had three of those that heard it send the whole document, whether or not the node was reading it from the store. Those who help can't know what is under way; all they saw was that the node was still behind, and that it was so because of them. In the incident nodes sent one another 19 to 21 MB/s for four seconds, 3 MB/s before.

The node that is behind decides now (core/gateway/table_fetch): nothing while an answer of the store arrives; else the watch is begun anew after 0.6 s, then one node is asked, in turn. One that lost the store asks after 0.2 s, one node at a time. Who is asked is drawn among all that have the version, and sends four copies a second at most.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -183,6 +183,7 @@
 				 registry_endpoints(gateway->registry),
 				 gateway->now_us);
 	gateway_home_step(gateway);
+	gateway_routes_step(gateway);
 	gateway_peers_step(gateway);
 	gateway_step_drain(gateway);
 	return G_SOURCE_CONTINUE;
@@ -254,6 +255,7 @@
 	gateway->random = g_rand_new_with_seed((guint32)options->seed);
 	gateway->now_us = gateway_now_us();
 	gateway->store_watch.entries = true;
+	gateway->newest_version = -1;
 	standing_pace_init(&gateway->pace, gateway->now_us);
 	gateway->registry = registry_create();
 	quarantine_options_default(&quarantine);
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -54,6 +54,7 @@
 	struct route_table *(*decode)(void *store_data, GBytes *document,
 				      int64_t revision);
 	void (*read_store)(void *store_data); /* something newer is known of */
+	bool (*is_reading)(void *store_data); /* an answer of it arrives */
 	void (*watch)(void *store_data, const struct store_watch *watch);
 	void *store_data;
 };
@@ -77,7 +78,8 @@
 				int64_t revision);
 void gateway_take_store(struct gateway *gateway, bool is_reached);
 
-/* What other nodes say: PEER_STANDING, PEER_ROUTES and PEER_QUARANTINE. */
+/* What other nodes say: PEER_STANDING, PEER_ROUTES, PEER_ROUTES_ASK and
+ * PEER_QUARANTINE. */
 void gateway_take_peer(struct gateway *gateway,
 		       const struct peer_message *message);
 
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -348,35 +348,6 @@
 	return addresses;
 }
 
-static void send_routes(struct gateway *gateway, const char *peer_address)
-{
-	struct peer_message *message =
-		gateway->host.message(gateway->host.data, PEER_ROUTES);
-
-	message->config.revision = gateway_table_version(gateway);
-	message->config.document = g_bytes_ref(gateway->document);
-	counters_add(gateway->options.counters, COUNTER_GATEWAY_TABLES_SENT, 1);
-	gateway_send(gateway, peer_address, message);
-}
-
-/* Helps a peer whose configuration is older than this node's. */
-static void help_behind(struct gateway *gateway, struct gateway_peer *peer,
-			const char *peer_address)
-{
-	struct table_relay_input input;
-
-	if (!peer->behind_us)
-		peer->behind_us = gateway->now_us;
-	input = (struct table_relay_input){
-		.behind_us = gateway->now_us - peer->behind_us,
-		.reaches_store = peer->reaches_store,
-		.others = gateway_node_count(gateway) - 1,
-		.draw = g_rand_double(gateway->random),
-	};
-	if (table_relay_is_wanted(&input))
-		send_routes(gateway, peer_address);
-}
-
 /* A line for each change: by it this node judges whether the store is away. */
 static void log_peer_store(const struct gateway *gateway,
 			   const struct gateway_peer *peer,
@@ -391,8 +362,8 @@
 		  "node", message->from, NULL);
 }
 
-static struct gateway_peer *peer_take(struct gateway *gateway,
-				      const struct peer_message *message)
+static void peer_take(struct gateway *gateway,
+		      const struct peer_message *message)
 {
 	struct gateway_peer *peer =
 		g_hash_table_lookup(gateway->peers, message->from);
@@ -414,7 +385,6 @@
 	peer->reaches_store = message->standing.reaches_store;
 	g_free(peer->address);
 	peer->address = g_strdup(message->standing.callers_address);
-	return peer;
 }
 
 /*
@@ -442,32 +412,17 @@
 	}
 }
 
-static void take_routes(struct gateway *gateway,
-			const struct peer_message *message)
-{
-	struct route_table *table;
-
-	if (message->config.revision <= gateway_table_version(gateway))
-		return;
-	table = gateway->host.decode(gateway->host.store_data,
-				     message->config.document,
-				     message->config.revision);
-	if (!table)
-		return;
-	gateway_take_table(gateway, table, message->config.document,
-			   message->from);
-	route_table_unref(table);
-}
-
 /* What another node's gateway says; other records are not its own. */
 void gateway_take_peer(struct gateway *gateway,
 		       const struct peer_message *message)
 {
-	struct gateway_peer *peer;
-
 	gateway->now_us = gateway_now_us();
 	if (message->type == PEER_ROUTES) {
-		take_routes(gateway, message);
+		gateway_routes_take(gateway, message);
+		return;
+	}
+	if (message->type == PEER_ROUTES_ASK) {
+		gateway_routes_give(gateway, message);
 		return;
 	}
 	if (message->type == PEER_QUARANTINE) {
@@ -490,18 +445,12 @@
 	}
 	if (message->type != PEER_STANDING)
 		return;
-	peer = peer_take(gateway, message);
+	peer_take(gateway, message);
 	engine_grants_told(gateway->grants, message->from,
 			   message->standing.answered);
 	registry_take_held(gateway->registry, message->from,
 			   message->incarnation, message->standing.held,
 			   gateway->now_us);
 	take_registrations(gateway, message);
-	if (peer->table_version < gateway_table_version(gateway)) {
-		help_behind(gateway, peer, message->from_address);
-		return;
-	}
-	peer->behind_us = 0;
-	if (peer->table_version > gateway_table_version(gateway))
-		gateway->host.read_store(gateway->host.store_data);
+	gateway_routes_heard(gateway, message->standing.table_version);
 }
--- /dev/null
+++ b/adapters/gateway/gateway_routes.c
@@ -0,0 +1,111 @@
+#include "adapters/gateway/gateway_state.h"
+
+/*
+ * A configuration that other nodes have and this one does not: the store is
+ * read anew, or one of them asked for its copy.
+ */
+
+/* A node says which configuration it has. */
+void gateway_routes_heard(struct gateway *gateway, int64_t version)
+{
+	gateway->newest_version = MAX(gateway->newest_version, version);
+}
+
+/* Any node that has a newer one, so that not all ask the same; NULL: none. */
+static const struct member *choose_node(const struct gateway *gateway)
+{
+	const struct membership *members =
+		gateway->host.members(gateway->host.data);
+	const struct member *chosen = NULL;
+	gint32 count = 0;
+	GHashTableIter iter;
+	gpointer name, value;
+
+	g_hash_table_iter_init(&iter, gateway->peers);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const struct gateway_peer *peer = value;
+		const struct member *member = membership_find(members, name);
+
+		if (!member ||
+		    peer->table_version <= gateway_table_version(gateway))
+			continue;
+		if (g_rand_int_range(gateway->random, 0, ++count) == 0)
+			chosen = member;
+	}
+	return chosen;
+}
+
+static void ask_node(struct gateway *gateway)
+{
+	const struct member *member = choose_node(gateway);
+	struct peer_message *message;
+
+	if (!member)
+		return;
+	message = gateway->host.message(gateway->host.data, PEER_ROUTES_ASK);
+	message->config.revision = MAX(gateway_table_version(gateway), 0);
+	log_write(gateway->log, LOG_LEVEL_INFO, "routes_asked", "node",
+		  member->name, NULL);
+	gateway_send(gateway, member->peer_address, message);
+}
+
+/* Looks after a newer configuration, if there is one. */
+void gateway_routes_step(struct gateway *gateway)
+{
+	struct table_fetch_input input;
+
+	if (gateway_table_version(gateway) >= gateway->newest_version) {
+		gateway->fetch = (struct table_fetch){0};
+		return;
+	}
+	input = (struct table_fetch_input){
+		.now_us = gateway->now_us,
+		.reaches_store = gateway->store_is_reached,
+		.is_reading =
+			gateway->host.is_reading(gateway->host.store_data),
+	};
+	switch (table_fetch_decide(&gateway->fetch, &input)) {
+	case TABLE_FETCH_WAIT:
+		break;
+	case TABLE_FETCH_READ_STORE:
+		gateway->host.read_store(gateway->host.store_data);
+		break;
+	case TABLE_FETCH_ASK_NODE:
+		ask_node(gateway);
+		break;
+	}
+}
+
+/* Another node asks for the configuration. */
+void gateway_routes_give(struct gateway *gateway,
+			 const struct peer_message *ask)
+{
+	struct peer_message *message;
+
+	if (gateway_table_version(gateway) <= ask->config.revision ||
+	    !table_offer_take(&gateway->offer, gateway->now_us))
+		return;
+	message = gateway->host.message(gateway->host.data, PEER_ROUTES);
+	message->config.revision = gateway_table_version(gateway);
+	message->config.document = g_bytes_ref(gateway->document);
+	counters_add(gateway->options.counters, COUNTER_GATEWAY_TABLES_SENT, 1);
+	gateway_send(gateway, ask->from_address, message);
+}
+
+/* Another node's configuration. */
+void gateway_routes_take(struct gateway *gateway,
+			 const struct peer_message *message)
+{
+	struct route_table *table;
+
+	if (message->config.revision <= gateway_table_version(gateway))
+		return;
+	table = gateway->host.decode(gateway->host.store_data,
+				     message->config.document,
+				     message->config.revision);
+	if (!table)
+		return;
+	gateway_take_table(gateway, table, message->config.document,
+			   message->from);
+	route_table_unref(table);
+}
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -8,7 +8,7 @@
 #include "core/gateway/engine_grants.h"
 #include "core/gateway/standing_pace.h"
 #include "core/gateway/store_doubt.h"
-#include "core/gateway/table_relay.h"
+#include "core/gateway/table_fetch.h"
 #include "core/limit/quarantine.h"
 #include "core/limit/shared_budgets.h"
 
@@ -22,6 +22,7 @@
  *   gateway.c          life, listeners, budgets
  *   gateway_store.c    what the store says
  *   gateway_peers.c    what nodes tell one another
+ *   gateway_routes.c   a configuration that other nodes have
  *   gateway_home.c     one node chooses engines for all
  *   exchange.c         one request of a caller
  *   leg.c              the request at one endpoint
@@ -38,6 +39,9 @@
 
 	struct route_table *table; /* NULL before the first */
 	GBytes *document;
+	int64_t newest_version; /* that any node has said to have; -1: none */
+	struct table_fetch fetch;
+	struct table_offer offer;
 	struct registry *registry;
 	bool store_is_reached;
 	struct store_doubt store_doubt;
@@ -77,7 +81,6 @@
 	uint64_t incarnation;
 	int64_t heard_us;
 	int64_t table_version;
-	int64_t behind_us; /* since then its table is older; 0: it is not */
 	bool takes_work;
 	bool reaches_store;
 	char *address; /* for callers */
@@ -112,6 +115,14 @@
 		  struct peer_message *message);
 struct peer_message *gateway_standing_create(struct gateway *gateway);
 
+/* gateway_routes.c */
+void gateway_routes_heard(struct gateway *gateway, int64_t version);
+void gateway_routes_step(struct gateway *gateway);
+void gateway_routes_give(struct gateway *gateway,
+			 const struct peer_message *ask);
+void gateway_routes_take(struct gateway *gateway,
+			 const struct peer_message *message);
+
 /* gateway_home.c */
 uint64_t gateway_home_answered(const struct gateway *gateway);
 void gateway_home_step(struct gateway *gateway);
--- a/bench/telling.c
+++ b/bench/telling.c
@@ -1,7 +1,7 @@
 #include "bench/telling.h"
 
 #include "core/gateway/standing_pace.h"
-#include "core/gateway/table_relay.h"
+#include "core/gateway/table_fetch.h"
 
 #include <string.h>
 
@@ -47,7 +47,10 @@
 	struct standing_pace pace;
 	int64_t version;
 	int64_t version_due_us; /* its own watch; 0: nothing new */
-	int64_t *behind_us;	/* when each peer was first behind */
+	int64_t heard_version;	/* the newest that another has */
+	size_t heard_from;
+	struct table_fetch fetch;
+	struct table_offer offer;
 	bool changed;
 	int64_t told_us; /* the last round, without the bound */
 };
@@ -131,23 +134,6 @@
 	return true;
 }
 
-static bool helps(struct telling *telling, struct telling_node *node,
-		  size_t behind)
-{
-	struct table_relay_input input = {
-		.reaches_store = true,
-		.others = telling->options->node_count - 1,
-		.draw = g_rand_double(telling->random),
-	};
-
-	if (telling->options->all_help)
-		return true;
-	if (!node->behind_us[behind])
-		node->behind_us[behind] = telling->now_us;
-	input.behind_us = telling->now_us - node->behind_us[behind];
-	return table_relay_is_wanted(&input);
-}
-
 static void send_document(struct telling *telling, struct telling_node *from,
 			  struct telling_node *to)
 {
@@ -167,10 +153,49 @@
 		return;
 	node->queued++;
 	work(telling, node, READ_US);
-	if (from->version < node->version && helps(telling, node, teller))
+	if (telling->options->all_help && from->version < node->version)
 		send_document(telling, node, from);
-	else if (from->version >= node->version)
-		node->behind_us[teller] = 0;
+	if (from->version > node->heard_version) {
+		node->heard_version = from->version;
+		node->heard_from = teller;
+	}
+}
+
+static void ask(struct telling *telling, struct telling_node *node)
+{
+	struct telling_node *other = &telling->nodes[node->heard_from];
+
+	work(telling, node, WRITE_US);
+	work(telling, other, READ_US);
+	telling->records++;
+	if (table_offer_take(&other->offer, telling->now_us))
+		send_document(telling, other, node);
+}
+
+/* A watch that is late is read anew, then another node is asked. */
+static void step_fetch(struct telling *telling, struct telling_node *node)
+{
+	struct table_fetch_input input = {
+		.now_us = telling->now_us,
+		.reaches_store = true,
+	};
+
+	if (node->version >= node->heard_version) {
+		node->fetch = (struct table_fetch){0};
+		return;
+	}
+	if (telling->options->all_help)
+		return;
+	switch (table_fetch_decide(&node->fetch, &input)) {
+	case TABLE_FETCH_WAIT:
+		break;
+	case TABLE_FETCH_READ_STORE:
+		node->version_due_us = 0;
+		break;
+	case TABLE_FETCH_ASK_NODE:
+		ask(telling, node);
+		break;
+	}
 }
 
 static void step_telling(struct telling *telling, size_t i)
@@ -243,7 +268,6 @@
 		struct telling_node *node = &telling->nodes[i];
 
 		node->share = shares[i % G_N_ELEMENTS(shares)];
-		node->behind_us = g_new0(int64_t, count);
 		node->told_us = g_rand_int_range(telling->random, 0, 250000);
 		standing_pace_init(&node->pace, node->told_us);
 	}
@@ -251,8 +275,6 @@
 
 static void telling_clear(struct telling *telling)
 {
-	for (size_t i = 0; i < telling->options->node_count; i++)
-		g_free(telling->nodes[i].behind_us);
 	g_free(telling->nodes);
 	g_rand_free(telling->random);
 }
@@ -279,6 +301,7 @@
 		step_change(&telling);
 		for (size_t i = 0; i < options->node_count; i++) {
 			step_watch(&telling, &telling.nodes[i]);
+			step_fetch(&telling, &telling.nodes[i]);
 			step_requests(&telling, &telling.nodes[i]);
 			step_telling(&telling, i);
 		}
--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -52,6 +52,7 @@
 	[PEER_ROUTES] = "(txssay)",
 	[PEER_CHOOSE] = PEER_CHOOSE_FORMAT,
 	[PEER_CHOSEN] = PEER_CHOSEN_FORMAT,
+	[PEER_ROUTES_ASK] = "(txssay)",
 };
 
 static GVariant *encode_members(const GPtrArray *members)
@@ -165,6 +166,7 @@
 	case PEER_CONFIG:
 	case PEER_CONFIG_ASK:
 	case PEER_ROUTES:
+	case PEER_ROUTES_ASK:
 		return encode_config(message);
 	case PEER_STANDING:
 		return peer_standing_encode(message);
@@ -381,6 +383,8 @@
 			  struct error *error)
 {
 	struct peer_config *config = &message->config;
+	bool is_ask = message->type == PEER_CONFIG_ASK ||
+		      message->type == PEER_ROUTES_ASK;
 	GVariant *bytes = g_variant_get_child_value(body, 4);
 	gsize size = g_variant_get_size(bytes);
 
@@ -390,7 +394,7 @@
 	g_variant_unref(bytes);
 	return check(error, message->from,
 		     config->revision >= 0 && size <= MAX_DOCUMENT_BYTES &&
-			     (size > 0) == (message->type != PEER_CONFIG_ASK),
+			     (size > 0) == !is_ask,
 		     "configuration out of range");
 }
 
@@ -470,6 +474,7 @@
 	case PEER_CONFIG:
 	case PEER_CONFIG_ASK:
 	case PEER_ROUTES:
+	case PEER_ROUTES_ASK:
 		return decode_config(body, message, error);
 	case PEER_STANDING:
 		return check(error, message->from,
--- a/core/message/peer_message.c
+++ b/core/message/peer_message.c
@@ -19,6 +19,7 @@
 	[PEER_ROUTES] = "routes",
 	[PEER_CHOOSE] = "choose",
 	[PEER_CHOSEN] = "chosen",
+	[PEER_ROUTES_ASK] = "routes_ask",
 };
 
 static void member_free(gpointer data)
@@ -76,6 +77,7 @@
 	case PEER_CONFIG:
 	case PEER_CONFIG_ASK:
 	case PEER_ROUTES:
+	case PEER_ROUTES_ASK:
 	case PEER_QUARANTINE:
 	case PEER_MESSAGE_TYPES:
 		break;
@@ -119,6 +121,7 @@
 	case PEER_CONFIG:
 	case PEER_CONFIG_ASK:
 	case PEER_ROUTES:
+	case PEER_ROUTES_ASK:
 		if (message->config.document)
 			g_bytes_unref(message->config.document);
 		break;
--- a/core/node/node.c
+++ b/core/node/node.c
@@ -200,6 +200,7 @@
 		break;
 	case PEER_STANDING:
 	case PEER_ROUTES:
+	case PEER_ROUTES_ASK:
 	case PEER_CHOOSE:
 	case PEER_CHOSEN: /* the gateway's */
 	case PEER_MESSAGE_TYPES:
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -121,6 +121,14 @@
 		store_follower_poke(wiring->document);
 }
 
+static bool wiring_is_reading(void *data)
+{
+	const struct gateway_wiring *wiring = data;
+
+	return wiring->document &&
+	       store_follower_is_receiving(wiring->document);
+}
+
 static void wiring_watch(void *data, const struct store_watch *watch)
 {
 	struct gateway_wiring *wiring = data;
@@ -165,6 +173,7 @@
 		.members = options->members,
 		.decode = wiring_decode,
 		.read_store = wiring_read_store,
+		.is_reading = wiring_is_reading,
 		.watch = wiring_watch,
 		.stopped = options->stopped,
 		.data = options->data,
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -150,6 +150,7 @@
 	return event->type == EVENT_PEER &&
 	       (event->peer->type == PEER_STANDING ||
 		event->peer->type == PEER_ROUTES ||
+		event->peer->type == PEER_ROUTES_ASK ||
 		event->peer->type == PEER_CHOOSE ||
 		event->peer->type == PEER_CHOSEN ||
 		event->peer->type == PEER_QUARANTINE);
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -34,6 +34,7 @@
 	PEER_ROUTES,	   /* gateway: its configuration document */
 	PEER_CHOOSE,	   /* gateway: asks its home for an engine */
 	PEER_CHOSEN,	   /* the home's answer */
+	PEER_ROUTES_ASK,   /* gateway: send me yours if it is newer */
 	PEER_MESSAGE_TYPES
 };
 
@@ -192,7 +193,7 @@
 		struct peer_refused refused;
 		struct peer_progress progress;
 		struct peer_release release;
-		struct peer_config config; /* CONFIG, CONFIG_ASK, ROUTES */
+		struct peer_config config; /* CONFIG, ROUTES, and to ask */
 		struct peer_standing standing;
 		struct peer_choose choose;
 		struct peer_chosen chosen;
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -53,6 +53,17 @@
 		return member;
 	}
 
+	static void on_read_store(void *data)
+	{
+		(void)data;
+	}
+
+	static bool on_is_reading(void *data)
+	{
+		(void)data;
+		return false;
+	}
+
 	void JoinMembers()
 	{
 		static const char *const no_seeds[] = {nullptr};
@@ -87,6 +98,8 @@
 		host.message = on_message;
 		host.members = on_members;
 		host.data = this;
+		host.read_store = on_read_store;
+		host.is_reading = on_is_reading;
 		options.node_name = "n1";
 		options.failure_domain = "a";
 		options.address = "";
@@ -123,6 +136,19 @@
 		peer_message_destroy(message);
 	}
 
+	/* n0 asks for a configuration newer than its own. */
+	void TakeAsk(int64_t version)
+	{
+		struct peer_message *message =
+			peer_message_create(PEER_ROUTES_ASK);
+
+		message->from = g_strdup("n0");
+		message->from_address = g_strdup("n0:1");
+		message->config.revision = version;
+		gateway_take_peer(gateway, message);
+		peer_message_destroy(message);
+	}
+
 	/* The store tells of an endpoint: it registers, or its entry is gone.
 	 */
 	void TakeEntry(int64_t revision, bool is_removed)
@@ -200,3 +226,19 @@
 		TakeStanding(4, false);
 	EXPECT_LE(SentCount(PEER_ROUTES), 1u);
 }
+
+/* Guards against a node that waits for its own store while others know more. */
+TEST_F(Gateway, AsksANodeForANewerConfigurationAndGivesItsOwn)
+{
+	TakeStanding(7, true);
+	gateway->fetch.behind_us = 1;
+	gateway_routes_step(gateway);
+	EXPECT_EQ(1u, SentCount(PEER_ROUTES_ASK));
+	gateway_routes_step(gateway);
+	EXPECT_EQ(1u, SentCount(PEER_ROUTES_ASK));
+	version_after(7);
+	TakeAsk(7);
+	EXPECT_EQ(0u, SentCount(PEER_ROUTES));
+	TakeAsk(6);
+	EXPECT_EQ(1u, SentCount(PEER_ROUTES));
+}
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -64,6 +64,7 @@
 		message->config.revision = 12;
 		break;
 	case PEER_CONFIG_ASK:
+	case PEER_ROUTES_ASK:
 		message->config.revision = 12;
 		break;
 	case PEER_LEAVING:
