A node that knows it is behind answers 503, not 404 or 401

Callers got a final 404 for a route that had been added, from a node that had heard for three seconds that others have a newer configuration. It made a claim that it could not make; the caller does not come back after a 404.

Whether a node is current was its connection to the store alone. A version that any node has said to have counts now as well: until it is here, an unknown route or key is refused with 503 and a time to come back, which is true, as nothing has run. What the older configuration allows is served as before.

Gateway.IsNotCurrentWhileANodeKnowsMore failed before.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -41,10 +41,11 @@
 	       registry_has_usable(gateway->registry);
 }
 
-/* Whether a newer configuration would have reached this node. */
+/* Whether no newer configuration is known of, and one would have come. */
 bool gateway_is_current(const struct gateway *gateway)
 {
-	return gateway->store_is_reached;
+	return gateway->store_is_reached &&
+	       gateway_table_version(gateway) >= gateway->newest_version;
 }
 
 /* The retries of a service that this node may send. */
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -242,3 +242,16 @@
 	TakeAsk(6);
 	EXPECT_EQ(1u, SentCount(PEER_ROUTES));
 }
+
+/* Guards against a 404 for a new route of which other nodes know already. */
+TEST_F(Gateway, IsNotCurrentWhileANodeKnowsMore)
+{
+	gateway_take_store(gateway, true);
+	version_after(5);
+	TakeStanding(5, true);
+	EXPECT_TRUE(gateway_is_current(gateway));
+	TakeStanding(7, true);
+	EXPECT_FALSE(gateway_is_current(gateway));
+	version_after(7);
+	EXPECT_TRUE(gateway_is_current(gateway));
+}
