A removal is doubted for what this node saw of the store, not for a peer's cut

Requests reached an engine 2.06 and 2.56 s after its removal from the store had been acknowledged (2 s allowed): new work on an engine that was leaving.

Cause: a node that had the removal from the store, by a watch that was answered 5 ms after it, doubted it because another node, one of the two that ask the store each second, said that it can't reach the store. That one was cut off by itself. The doubt lasted as long as its cut, and a doubt is told to nobody, so no node learned of the removal. A statement of a peer about its own link was taken for one about what all share.

Ruled out: a short loss of its own (doubt=settling) and many removals at once.

A node's own answers of the store go before a sentinel's word while they are fresh; a sentinel that reaches the store goes before one that does not; who takes up following the entries asks at once, and asks each second as long as it follows, so that its own answers are fresh. Only a node that has not asked of late goes by the word, and doubts for 2 s then, not until the sentinel is back. With all sentinels cut off the others follow by themselves and believe what they read.

--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -206,32 +206,26 @@
 	return false;
 }
 
-/*
- * Whether the store may be away: this node can't reach it, or one of those
- * that ask it often can't. While it is away no notice of a leaving engine
- * comes, and generations would be cut off without one.
- */
-bool gateway_store_is_away(const struct gateway *gateway)
+/* Whether a sentinel was heard a moment ago that reaches the store, or not. */
+static bool hears_sentinel(const struct gateway *gateway, bool reaches_store)
 {
 	GHashTableIter iter;
 	gpointer name, value;
 
-	if (!gateway->store_is_reached)
-		return true;
 	g_hash_table_iter_init(&iter, gateway->peers);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const struct gateway_peer *peer = value;
 
-		if (!peer->reaches_store && peer->table_version >= 0 &&
-		    peer_is_heard(gateway, peer, SILENT_PERIODS) &&
+		if (peer->reaches_store == reaches_store &&
+		    peer_is_heard(gateway, peer, SENTINEL_SILENT_PERIODS) &&
 		    member_is_sentinel(gateway, name))
 			return true;
 	}
 	return false;
 }
 
-/* Whether a sentinel was heard a moment ago that reaches the store, or not. */
-static bool hears_sentinel(const struct gateway *gateway, bool reaches_store)
+/* One that has just started and never reached the store tells nothing of it. */
+static bool hears_lost_sentinel(const struct gateway *gateway)
 {
 	GHashTableIter iter;
 	gpointer name, value;
@@ -240,14 +234,36 @@
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const struct gateway_peer *peer = value;
 
-		if (peer->reaches_store == reaches_store &&
-		    peer_is_heard(gateway, peer, SENTINEL_SILENT_PERIODS) &&
+		if (!peer->reaches_store && peer->table_version >= 0 &&
+		    peer_is_heard(gateway, peer, SILENT_PERIODS) &&
 		    member_is_sentinel(gateway, name))
 			return true;
 	}
 	return false;
 }
 
+/* What this node knows of the store, by itself and from the sentinels. */
+struct store_view gateway_store_view(const struct gateway *gateway)
+{
+	return (struct store_view){
+		.reaches_store = gateway->store_is_reached,
+		.sentinel_reaches = hears_sentinel(gateway, true),
+		.sentinel_waits = hears_lost_sentinel(gateway),
+	};
+}
+
+/*
+ * Whether the store may be away. While it is no notice of a leaving engine
+ * comes, and generations would be cut off without one.
+ */
+bool gateway_store_is_away(const struct gateway *gateway)
+{
+	struct store_view view = gateway_store_view(gateway);
+
+	return store_doubt_is_away(&gateway->store_doubt, &view,
+				   gateway->now_us);
+}
+
 static void step_store_watch(struct gateway *gateway)
 {
 	const struct store_watch_input input = {
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -100,6 +100,7 @@
 
 /* gateway_peers.c */
 GPtrArray *gateway_addresses(struct gateway *gateway);
+struct store_view gateway_store_view(const struct gateway *gateway);
 bool gateway_store_is_away(const struct gateway *gateway);
 void gateway_peers_step(struct gateway *gateway);
 void gateway_peers_tell_drain(struct gateway *gateway);
--- a/adapters/gateway/gateway_store.c
+++ b/adapters/gateway/gateway_store.c
@@ -52,9 +52,9 @@
 void gateway_step_registry(struct gateway *gateway)
 {
 	GPtrArray *changed = g_ptr_array_new_with_free_func(g_free);
+	struct store_view view = gateway_store_view(gateway);
 
-	if (gateway_store_is_away(gateway))
-		store_doubt_away(&gateway->store_doubt, gateway->now_us);
+	store_doubt_take(&gateway->store_doubt, &view, gateway->now_us);
 	registry_step(gateway->registry,
 		      store_doubt_over_before_us(&gateway->store_doubt,
 						 gateway->now_us),
@@ -124,12 +124,19 @@
 	return removed >= LAPSED_LEAST && 2 * removed >= usable;
 }
 
+/* The store answered a call, whatever it said. */
+void gateway_take_store_answer(struct gateway *gateway)
+{
+	gateway->now_us = gateway_now_us();
+	store_doubt_answered(&gateway->store_doubt, gateway->now_us);
+}
+
 /* What the store says has changed: struct registration, in their order. */
 void gateway_take_changes(struct gateway *gateway, const GPtrArray *list)
 {
 	bool is_doubtful;
 
-	gateway->now_us = gateway_now_us();
+	gateway_take_store_answer(gateway);
 	is_doubtful = gateway_doubts_removals(gateway) ||
 		      changes_look_lapsed(gateway, list);
 	for (guint i = 0; i < list->len; i++) {
@@ -149,7 +156,7 @@
 {
 	GPtrArray *changed = g_ptr_array_new_with_free_func(g_free);
 
-	gateway->now_us = gateway_now_us();
+	gateway_take_store_answer(gateway);
 	registry_take_all(gateway->registry, list, revision,
 			  gateway_doubts_removals(gateway), gateway->now_us,
 			  changed);
--- a/adapters/gateway/store_follower.c
+++ b/adapters/gateway/store_follower.c
@@ -73,6 +73,7 @@
 	guint timer;
 	bool is_reached;
 	bool is_patient;
+	bool is_unsure;	       /* that the store is reached, after a rest */
 	struct attempt *probe; /* of the store, while it is watched closely */
 	int64_t probed_us;
 	guint probe_timer;
@@ -166,6 +167,8 @@
 static void probe_over(struct store_follower *follower, const char *problem)
 {
 	attempt_destroy(g_steal_pointer(&follower->probe));
+	if (!problem && follower->events.answered)
+		follower->events.answered(follower->events.data);
 	if (problem && follower->is_reached)
 		follower_fail(follower, problem);
 }
@@ -347,6 +350,7 @@
 		return;
 	}
 	follower->failures = 0;
+	follower->is_unsure = false;
 	follower_stop_call(follower);
 	follower_go_on(follower);
 }
@@ -368,7 +372,8 @@
 
 static int64_t follower_wait_ms(const struct store_follower *follower)
 {
-	return follower->is_reached ? WATCH_MS : CHECK_MS;
+	return follower->is_reached && !follower->is_unsure ? WATCH_MS
+							    : CHECK_MS;
 }
 
 static void follower_write(const struct store_follower *follower, GString *out)
@@ -452,13 +457,15 @@
 
 /*
  * Rests, or goes on from the revision last known. What changed in between is
- * told by the next watch, or read anew if the store has forgotten it.
+ * told by the next watch, or read anew if the store has forgotten it. The
+ * watch answers at once: what this node knew of the store is old.
  */
 void store_follower_set_active(struct store_follower *follower, bool active)
 {
 	if (active == (follower->state != FOLLOWER_RESTING))
 		return;
 	if (active) {
+		follower->is_unsure = true;
 		follower_go_on(follower);
 		return;
 	}
--- a/adapters/gateway/store_follower.h
+++ b/adapters/gateway/store_follower.h
@@ -45,6 +45,7 @@
 	void (*changed)(void *data, const struct store_page *page);
 	void (*reached)(void *data, bool is_reached); /* may be NULL */
 	void *data;
+	void (*answered)(void *data); /* a probe; may be NULL */
 };
 
 struct store_follower;
--- a/core/gateway/store_doubt.c
+++ b/core/gateway/store_doubt.c
@@ -7,12 +7,15 @@
 #define LAPSE_US (2500 * 1000)
 
 /*
- * A process that has just begun saw no outage, and doubts only in case one
+ * A node that has just begun to ask saw no outage, and doubts only in case one
  * ended as it began. Its word keeps an endpoint in use that leaves, and may
  * not do so for longer than an endpoint serves after its notice.
  */
 #define FIRST_LAPSE_US (2000 * 1000)
 
+/* Longer than a probe of each second and its timeout. */
+#define FRESH_US (2000 * 1000)
+
 /* The store may be away now, or was not reached yet. */
 void store_doubt_away(struct store_doubt *doubt, int64_t now_us)
 {
@@ -27,6 +30,38 @@
 	doubt->was_reached = true;
 }
 
+/* The store answered a call of this node. */
+void store_doubt_answered(struct store_doubt *doubt, int64_t now_us)
+{
+	doubt->answered_us = now_us;
+}
+
+/*
+ * Whether the store may be away: this node can't reach it, or has not asked it
+ * of late and a sentinel lost it. A sentinel that is cut off by itself says the
+ * same as one of an outage. Believed against this node's own answers, it kept
+ * engines that left in use for as long as its cut lasted.
+ */
+bool store_doubt_is_away(const struct store_doubt *doubt,
+			 const struct store_view *view, int64_t now_us)
+{
+	if (!view->reaches_store)
+		return true;
+	return view->sentinel_waits && !view->sentinel_reaches &&
+	       now_us - doubt->answered_us >= FRESH_US;
+}
+
+/* What is known of the store now. */
+void store_doubt_take(struct store_doubt *doubt, const struct store_view *view,
+		      int64_t now_us)
+{
+	if (!view->reaches_store)
+		store_doubt_away(doubt, now_us);
+	else if (store_doubt_is_away(doubt, view, now_us))
+		doubt->settles_us =
+			MAX(doubt->settles_us, now_us + FIRST_LAPSE_US);
+}
+
 /* Whether a removal that is told now may be a lapse. */
 bool store_doubt_stands(const struct store_doubt *doubt, int64_t now_us)
 {
--- a/core/gateway/store_doubt.h
+++ b/core/gateway/store_doubt.h
@@ -13,10 +13,24 @@
  * those that live as well, and believing it would refuse everything.
  */
 struct store_doubt {
-	bool was_reached;   /* by this process, at any time */
-	int64_t settles_us; /* what is missing then is gone */
+	bool was_reached;    /* by this process, at any time */
+	int64_t settles_us;  /* what is missing then is gone */
+	int64_t answered_us; /* the last call of this node that was */
 };
 
+/* What this node and those that ask the store for all know of it. */
+struct store_view {
+	bool reaches_store; /* this node */
+	bool sentinel_reaches;
+	bool sentinel_waits; /* one says that it lost the store */
+};
+
+bool store_doubt_is_away(const struct store_doubt *doubt,
+			 const struct store_view *view, int64_t now_us);
+void store_doubt_answered(struct store_doubt *doubt, int64_t now_us);
+void store_doubt_take(struct store_doubt *doubt, const struct store_view *view,
+		      int64_t now_us);
+
 void store_doubt_away(struct store_doubt *doubt, int64_t now_us);
 void store_doubt_reached(struct store_doubt *doubt, int64_t now_us);
 bool store_doubt_stands(const struct store_doubt *doubt, int64_t now_us);
--- a/core/gateway/store_watch.c
+++ b/core/gateway/store_watch.c
@@ -13,17 +13,19 @@
 
 /*
  * What to do now. A node that hears no sentinel, or knows no endpoint, follows
- * the entries itself, but not a store that is away from all.
+ * the entries itself, but not a store that is away from all. Who follows them
+ * asks closely, to tell an outage, after which entries lapse, from removals.
  */
 struct store_watch store_watch_decide(const struct store_watch_input *input)
 {
 	bool patiently = is_looked_out_for(input);
 	bool is_told = input->sentinel_reaches || patiently;
+	bool follows =
+		input->is_sentinel || !is_told || !input->knows_endpoints;
 
 	return (struct store_watch){
-		.entries = input->is_sentinel || !is_told ||
-			   !input->knows_endpoints,
-		.closely = input->is_sentinel,
+		.entries = follows,
+		.closely = follows,
 		.patiently = patiently,
 	};
 }
--- a/core/gateway/store_watch.h
+++ b/core/gateway/store_watch.h
@@ -13,7 +13,8 @@
  */
 struct store_watch {
 	bool entries;	/* follows the endpoints' entries by itself */
-	bool closely;	/* asks each second whether the store is there */
+	bool closely;	/* asks each second whether the store is there, as it
+			   follows */
 	bool patiently; /* seldom tries again while the store is away */
 };
 
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -113,6 +113,13 @@
 	wiring_tell_reached(data);
 }
 
+static void on_answered(void *data)
+{
+	const struct gateway_wiring *wiring = data;
+
+	gateway_take_store_answer(wiring->gateway);
+}
+
 static void wiring_read_store(void *data)
 {
 	struct gateway_wiring *wiring = data;
@@ -201,6 +208,7 @@
 		.listed = listed,
 		.changed = changed,
 		.reached = on_reached,
+		.answered = on_answered,
 		.data = wiring,
 	};
 
--- a/tests/store_doubt_test.cc
+++ b/tests/store_doubt_test.cc
@@ -68,3 +68,63 @@
 	EXPECT_LE(vanished_us, store_doubt_over_before_us(
 				       &doubt, vanished_us + 5 * SECOND / 2));
 }
+
+namespace
+{
+
+/* A node whose own calls are answered, while a sentinel lost the store. */
+struct store_view CutSentinel(bool other_reaches)
+{
+	struct store_view view = {};
+
+	view.reaches_store = true;
+	view.sentinel_waits = true;
+	view.sentinel_reaches = other_reaches;
+	return view;
+}
+
+} // namespace
+
+/* Guards against a peer's cut that is taken for an outage for as long. */
+TEST(StoreDoubt, OwnAnswersGoBeforeASentinelsWord)
+{
+	struct store_view view = CutSentinel(false);
+	struct store_doubt doubt = {};
+
+	store_doubt_reached(&doubt, 0);
+	for (int64_t s = 10; s < 20; s++) {
+		store_doubt_answered(&doubt, s * SECOND);
+		store_doubt_take(&doubt, &view, s * SECOND + SECOND / 2);
+		EXPECT_FALSE(store_doubt_is_away(&doubt, &view,
+						 s * SECOND + SECOND / 2));
+		EXPECT_FALSE(
+			store_doubt_stands(&doubt, s * SECOND + SECOND / 2));
+	}
+}
+
+/* Guards against lapsed entries taken for gone by who did not ask the store. */
+TEST(StoreDoubt, WithoutOwnAnswersTheWordCounts)
+{
+	struct store_view view = CutSentinel(false);
+	struct store_doubt doubt = {};
+
+	store_doubt_reached(&doubt, 0);
+	store_doubt_answered(&doubt, 10 * SECOND);
+	store_doubt_take(&doubt, &view, 14 * SECOND);
+	EXPECT_TRUE(store_doubt_is_away(&doubt, &view, 14 * SECOND));
+	store_doubt_answered(&doubt, 14 * SECOND);
+	store_doubt_take(&doubt, &view, 14 * SECOND + 1);
+	EXPECT_TRUE(store_doubt_stands(&doubt, 15 * SECOND));
+	EXPECT_FALSE(store_doubt_stands(&doubt, 16 * SECOND));
+}
+
+/* One of the two sentinels reaches it: the others need not ask engines. */
+TEST(StoreDoubt, OneSentinelThatReachesIsEnough)
+{
+	struct store_view view = CutSentinel(true);
+	struct store_doubt doubt = {};
+
+	EXPECT_FALSE(store_doubt_is_away(&doubt, &view, 14 * SECOND));
+	view.reaches_store = false;
+	EXPECT_TRUE(store_doubt_is_away(&doubt, &view, 14 * SECOND));
+}
--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -26,6 +26,7 @@
 	EXPECT_TRUE(store_watch_decide(&one).entries);
 	EXPECT_TRUE(store_watch_decide(&one).closely);
 	EXPECT_FALSE(store_watch_decide(&other).entries);
+	EXPECT_FALSE(store_watch_decide(&other).closely);
 	EXPECT_FALSE(store_watch_decide(&other).patiently);
 }
 
@@ -68,6 +69,7 @@
 	input.sentinel_reaches = false;
 	input.sentinel_waits = true;
 	EXPECT_TRUE(store_watch_decide(&input).entries);
+	EXPECT_TRUE(store_watch_decide(&input).closely);
 	EXPECT_FALSE(store_watch_decide(&input).patiently);
 }
 
