A node asks for one copy of the product's own configuration at a time

Nothing was seen of it by callers; found by looking for the cause of the late configuration elsewhere.

A member is asked again after a second, when the copy has come or was lost; adopting a configuration ends the wait. NodeConfig.AsksForOneCopyAtATime failed before (3 asks for 3 members).

--- a/core/node/node_config.c
+++ b/core/node/node_config.c
@@ -22,6 +22,9 @@
 #define CONFIG_WATCH_AFTER_US (2 * G_USEC_PER_SEC)
 #define CONFIG_ANNOUNCE_FANOUT 3
 
+/* A copy of half a MB has come by then over 10 Mbit/s, unless it was lost. */
+#define CONFIG_COPY_US G_USEC_PER_SEC
+
 /* Revision of the configuration in force; 0 before the first. */
 int64_t node_config_revision(const struct node *node)
 {
@@ -37,6 +40,20 @@
 	node_send(node, peer_address, message);
 }
 
+/*
+ * Asks a member that named a higher revision for its copy, one at a time: all
+ * members name it, and a copy from each would fill the link that the first one
+ * comes by.
+ */
+static void node_ask_config(struct node *node, const char *peer_address)
+{
+	if (node->config_asked_us &&
+	    node->now_us - node->config_asked_us < CONFIG_COPY_US)
+		return;
+	node->config_asked_us = node->now_us;
+	node_send_config_ask(node, peer_address);
+}
+
 /*
  * Tells a few random members which revision is here. Who lacks it asks for it
  * and tells others in turn; who has a newer one sends that.
@@ -103,6 +120,7 @@
 	config_unref(node->config);
 	g_clear_pointer(&node->config_document, g_bytes_unref);
 	node->config = config;
+	node->config_asked_us = 0;
 	node->config_document = g_bytes_ref(document);
 	counters_add(&node->counters, COUNTER_CONFIG_APPLIED, 1);
 	membership_set_config_revision(node->membership, revision);
@@ -225,7 +243,7 @@
 	if (own > message->config.revision)
 		node_send_config(node, message->from_address);
 	else if (own < message->config.revision)
-		node_send_config_ask(node, message->from_address);
+		node_ask_config(node, message->from_address);
 }
 
 /*
@@ -241,7 +259,7 @@
 
 		if (strcmp(member->name, message->from) == 0 &&
 		    member->config_revision > node_config_revision(node))
-			node_send_config_ask(node, message->from_address);
+			node_ask_config(node, message->from_address);
 	}
 }
 
--- a/core/node/node_state.h
+++ b/core/node/node_state.h
@@ -86,7 +86,8 @@
 	int64_t started_us;
 	uint64_t config_kv_id; /* reading the configuration; 0: not */
 	int64_t config_read_us;
-	bool config_is_absent; /* none was written yet; watchers will tell */
+	int64_t config_asked_us; /* a member for its copy; 0: it came */
+	bool config_is_absent;	 /* none was written yet; watchers will tell */
 	bool watching;
 
 	struct membership *membership;
--- /dev/null
+++ b/tests/node_config_test.cc
@@ -0,0 +1,80 @@
+#include "core/node/node.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+/* A node without a configuration, in virtual time. */
+class NodeConfig : public testing::Test
+{
+      protected:
+	struct node *node = nullptr;
+	struct action_list *actions = action_list_create();
+	int64_t now_us = G_USEC_PER_SEC;
+
+	void SetUp() override
+	{
+		static const char *const no_seeds[] = {nullptr};
+		struct node_options options;
+
+		node_options_default(&options);
+		options.name = "n1";
+		options.region = "r";
+		options.failure_domain = "a";
+		options.http_address = "n1:80";
+		options.peer_address = "n1:1";
+		options.seeds = no_seeds;
+		options.incarnation = 1;
+		options.event_key = "event-key-000000001";
+		node = node_create(&options);
+		node_start(node, now_us, actions);
+		action_list_clear(actions);
+	}
+
+	void TearDown() override
+	{
+		node_destroy(node);
+		action_list_destroy(actions);
+	}
+
+	/* Asks for a configuration that follow when a node names its own. */
+	int AsksAfter(const char *name, int64_t revision)
+	{
+		struct peer_message *message =
+			peer_message_create(PEER_CONFIG_ASK);
+		struct event event = {};
+		int asks = 0;
+
+		event.type = EVENT_PEER;
+		event.peer = message;
+		message->from = g_strdup(name);
+		message->from_address = g_strdup_printf("%s:1", name);
+		message->incarnation = 2;
+		message->config.revision = revision;
+		node_step(node, now_us, &event, actions);
+		for (size_t i = 0; i < action_list_count(actions); i++) {
+			const struct action *action =
+				action_list_get(actions, i);
+
+			asks += action->type == ACTION_PEER_SEND &&
+				action->peer_send.message->type ==
+					PEER_CONFIG_ASK;
+		}
+		action_list_clear(actions);
+		peer_message_destroy(message);
+		return asks;
+	}
+};
+
+} // namespace
+
+/* Guards against copies of a large configuration that fill a node's link. */
+TEST_F(NodeConfig, AsksForOneCopyAtATime)
+{
+	EXPECT_EQ(1, AsksAfter("p1", 5));
+	EXPECT_EQ(0, AsksAfter("p2", 5));
+	EXPECT_EQ(0, AsksAfter("p3", 6));
+	now_us += G_USEC_PER_SEC;
+	EXPECT_EQ(1, AsksAfter("p2", 5));
+}
