--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -206,19 +206,27 @@
 	return false;
 }
 
+/* The sentinel of that index as it told of itself; NULL: none, or this node. */
+static const struct gateway_peer *sentinel_get(const struct gateway *gateway,
+					       size_t i)
+{
+	const struct membership *members =
+		gateway->host.members(gateway->host.data);
+
+	if (i >= membership_count(members))
+		return NULL;
+	return g_hash_table_lookup(gateway->peers,
+				   membership_get(members, i)->name);
+}
+
 /* Whether a sentinel was heard a moment ago that reaches the store, or not. */
 static bool hears_sentinel(const struct gateway *gateway, bool reaches_store)
 {
-	GHashTableIter iter;
-	gpointer name, value;
+	for (size_t i = 0; i < SENTINELS; i++) {
+		const struct gateway_peer *peer = sentinel_get(gateway, i);
 
-	g_hash_table_iter_init(&iter, gateway->peers);
-	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		const struct gateway_peer *peer = value;
-
-		if (peer->reaches_store == reaches_store &&
-		    peer_is_heard(gateway, peer, SENTINEL_SILENT_PERIODS) &&
-		    member_is_sentinel(gateway, name))
+		if (peer && peer->reaches_store == reaches_store &&
+		    peer_is_heard(gateway, peer, SENTINEL_SILENT_PERIODS))
 			return true;
 	}
 	return false;
@@ -227,16 +235,11 @@
 /* One that has just started and never reached the store tells nothing of it. */
 static bool hears_lost_sentinel(const struct gateway *gateway)
 {
-	GHashTableIter iter;
-	gpointer name, value;
+	for (size_t i = 0; i < SENTINELS; i++) {
+		const struct gateway_peer *peer = sentinel_get(gateway, i);
 
-	g_hash_table_iter_init(&iter, gateway->peers);
-	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		const struct gateway_peer *peer = value;
-
-		if (!peer->reaches_store && peer->table_version >= 0 &&
-		    peer_is_heard(gateway, peer, SILENT_PERIODS) &&
-		    member_is_sentinel(gateway, name))
+		if (peer && !peer->reaches_store && peer->table_version >= 0 &&
+		    peer_is_heard(gateway, peer, SILENT_PERIODS))
 			return true;
 	}
 	return false;
