Few of many nodes tell one that has just started of all endpoints

Six of those that hear a new node tell it, drawn by each for itself; with up to six others all do, as before. What is missed comes as before with the words that each node tells to one drawn node each fourth round, and a node that knows no endpoint reads the entries from the store itself. Newcomer.* shows the load.

--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -1,4 +1,5 @@
 #include "adapters/gateway/gateway_state.h"
+#include "core/gateway/newcomer.h"
 
 #include <string.h>
 
@@ -381,6 +382,14 @@
 		  "node", message->from, NULL);
 }
 
+/* A node has just started, or this one has. */
+static void greet(struct gateway *gateway, const char *peer_address)
+{
+	if (newcomer_is_told(gateway_node_count(gateway) - 1,
+			     g_rand_double(gateway->random)))
+		send_registrations(gateway, peer_address);
+}
+
 static void peer_take(struct gateway *gateway,
 		      const struct peer_message *message)
 {
@@ -388,8 +397,7 @@
 		g_hash_table_lookup(gateway->peers, message->from);
 
 	if (!peer || peer->incarnation != message->incarnation)
-		send_registrations(gateway, message->from_address);
-
+		greet(gateway, message->from_address);
 	if (!peer) {
 		peer = g_new0(struct gateway_peer, 1);
 		peer->reaches_store = message->standing.reaches_store;
