An engine whose removal is in doubt is asked itself

No caller's failure was traced to it yet.

Engines tell in their reports whether they leave, and were asked only while the store was away and only where they ran something of the node. One in doubt is asked now every 0.3 s by the nodes that doubt it; its word that it leaves makes the removal one, which is told to all. An engine that lives says so and is used on.

Registry.TakesAnEnginesWordForARemovalInDoubt and the case asks_an_engine_in_doubt_itself failed before: it was given up at the end of the doubt.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -163,6 +163,43 @@
 		exchange_excuse(exchange, stood_us);
 }
 
+/* Engines have a report of themselves, endpoints of plain services none. */
+static bool endpoint_has_report(const struct gateway *gateway,
+				const struct endpoint *endpoint)
+{
+	const struct config_service *service =
+		gateway->table
+			? route_table_find_service(gateway->table,
+						   endpoint->said->service)
+			: NULL;
+
+	return service && service->kind == SERVICE_GENERATION;
+}
+
+/*
+ * While the store is away, engines that run something of this node may leave
+ * without a notice; and one whose removal is in doubt may be leaving, and get
+ * work for as long as it is used.
+ */
+static void gateway_step_reports(struct gateway *gateway)
+{
+	const GPtrArray *endpoints = registry_endpoints(gateway->registry);
+	bool is_away = gateway_store_is_away(gateway);
+	GPtrArray *asked = g_ptr_array_new();
+
+	for (guint i = 0; i < endpoints->len; i++) {
+		struct endpoint *endpoint = g_ptr_array_index(endpoints, i);
+		bool is_doubted = endpoint->presence == PRESENCE_DOUBTED;
+		bool is_needed = is_away && endpoint->own.tokens > 0;
+
+		if ((is_doubted || is_needed) && endpoint_is_usable(endpoint) &&
+		    endpoint_has_report(gateway, endpoint))
+			g_ptr_array_add(asked, endpoint);
+	}
+	report_poll_step(gateway->reports, asked, gateway->now_us);
+	g_ptr_array_unref(asked);
+}
+
 static gboolean on_tick(gpointer data)
 {
 	struct gateway *gateway = data;
@@ -179,10 +216,7 @@
 	caller_set_step(gateway->askers, gateway->now_us);
 	endpoint_pool_step(gateway->pool, gateway->now_us);
 	gateway_step_registry(gateway);
-	if (gateway_store_is_away(gateway))
-		report_poll_step(gateway->reports,
-				 registry_endpoints(gateway->registry),
-				 gateway->now_us);
+	gateway_step_reports(gateway);
 	gateway_home_step(gateway);
 	gateway_routes_step(gateway);
 	gateway_peers_step(gateway);
@@ -216,10 +250,15 @@
 static void on_report_leaves(void *data, const char *endpoint_id)
 {
 	struct gateway *gateway = data;
+	const struct endpoint *endpoint;
 
-	if (registry_mark_leaving(gateway->registry, endpoint_id,
-				  gateway->now_us))
-		gateway_log_endpoint(gateway, endpoint_id, "its report");
+	if (!registry_mark_leaving(gateway->registry, endpoint_id,
+				   gateway->now_us))
+		return;
+	gateway_log_endpoint(gateway, endpoint_id, "its report");
+	endpoint = registry_find(gateway->registry, endpoint_id);
+	if (endpoint->presence == PRESENCE_GONE)
+		gateway_peers_tell(gateway, endpoint_id);
 }
 
 /*
--- a/adapters/gateway/report_poll.c
+++ b/adapters/gateway/report_poll.c
@@ -7,7 +7,8 @@
 /*
  * An engine under notice has 1.5 s, and its report is half a second old: with
  * this pause a generation still has half a second to leave. Each report is
- * paid for as a probe, so none is asked for while the store answers.
+ * paid for as a probe, so none is asked for without a reason to doubt the
+ * store.
  */
 #define POLL_US (300 * 1000)
 #define TIMEOUT_US (600 * 1000)
@@ -135,7 +136,7 @@
 	return age_us > TIMEOUT_US || (question->is_over && age_us > POLL_US);
 }
 
-/* Asks each of the engines that runs something of this node, now and then. */
+/* Asks each of the engines, struct endpoint, now and then. */
 void report_poll_step(struct report_poll *poll, const GPtrArray *endpoints,
 		      int64_t now_us)
 {
@@ -144,8 +145,7 @@
 		const struct endpoint *endpoint =
 			g_ptr_array_index(endpoints, i);
 
-		if (endpoint->own.tokens > 0 && endpoint_is_usable(endpoint) &&
-		    !g_hash_table_contains(poll->questions, endpoint->said->id))
+		if (!g_hash_table_contains(poll->questions, endpoint->said->id))
 			poll_ask(poll, endpoint, now_us);
 	}
 }
--- a/adapters/gateway/report_poll.h
+++ b/adapters/gateway/report_poll.h
@@ -10,8 +10,8 @@
 G_BEGIN_DECLS
 
 /*
- * Asks engines themselves whether they leave, while the store that would say
- * so can't be reached. Only engines that run something of this node are asked.
+ * Asks engines themselves whether they leave, where the store that would say so
+ * can't be reached, or said of one what may not be so.
  */
 struct report_poll;
 
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -248,8 +248,8 @@
 }
 
 /*
- * The endpoint itself says that it leaves. The next news of the store goes
- * before that. True: this was not known.
+ * The endpoint itself says that it leaves: so a removal in doubt was one. Else
+ * the next news of the store goes before that. True: this was not known.
  */
 bool registry_mark_leaving(struct registry *registry, const char *id,
 			   int64_t now_us)
@@ -258,7 +258,11 @@
 
 	if (!endpoint || !endpoint_is_usable(endpoint))
 		return false;
-	endpoint_set_presence(endpoint, PRESENCE_LEAVING, now_us);
+	endpoint_set_presence(endpoint,
+			      endpoint->presence == PRESENCE_DOUBTED
+				      ? PRESENCE_GONE
+				      : PRESENCE_LEAVING,
+			      now_us);
 	return true;
 }
 
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -381,6 +381,27 @@
 	until_true other_works || fail "the change is not in force"
 }
 
+# Guards against new work on an engine whose removal may be a lapse.
+case_asks_an_engine_in_doubt_itself() {
+	mode "$store" '{"down": true}'
+	for i in 0 1; do
+		until_true grep -q event=store_lost "$work/g$i.out" ||
+			fail "node $i does not lose the store"
+	done
+	jq -n '{key: "servers/i-0"}' | curl -sf -X POST --data @- \
+		"http://$store/fake/delete" >/dev/null
+	mode "${backends[0]}" '{"leave_ms": 8000}'
+	mode "$store" '{"down": false}'
+	gives_up() {
+		grep -h "endpoint=i-0 .*state=gone" "$work"/g?.out >"$work/doubt"
+	}
+	until_true gives_up || fail "it is still used"
+	grep -q 'source="its report"' "$work/doubt" ||
+		fail "nobody asked it: $(head -n 1 "$work/doubt")"
+	kill -KILL "${backend_pids[0]}"
+	start_backend 0 engines
+}
+
 # The store has forgotten its history while a key was taken away. Both nodes
 # read everything anew, and an older document does not come back.
 case_reads_anew_after_lost_history() {
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -279,3 +279,17 @@
 	step(INT64_MIN);
 	EXPECT_TRUE(endpoint_health_allows(&endpoint->health));
 }
+
+/* Guards against new work on an engine that says itself that it leaves. */
+TEST_F(Registry, TakesAnEnginesWordForARemovalInDoubt)
+{
+	take(say("e1", 5));
+	take(say("e2", 6));
+	remove("e1", 7, true);
+	EXPECT_EQ(PRESENCE_DOUBTED, presence("e1"));
+	EXPECT_TRUE(registry_mark_leaving(registry, "e1", now_us));
+	EXPECT_EQ(PRESENCE_GONE, presence("e1"));
+	EXPECT_TRUE(registry_mark_leaving(registry, "e2", now_us));
+	EXPECT_EQ(PRESENCE_LEAVING, presence("e2"));
+	EXPECT_FALSE(registry_mark_leaving(registry, "e1", now_us));
+}
