--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -128,6 +128,18 @@
 		}
 	}
 
+	/* One more follower, of a store that is still to answer whole. */
+	struct store_follower *FollowSlow(const SlowStore &slow)
+	{
+		std::string address = slow.address();
+		struct store_follower_events events = {on_listed, on_changed,
+						       nullptr, this};
+
+		lists = 0;
+		options.address = address.c_str();
+		return store_follower_create(&options, &events);
+	}
+
 	static void on_listed(void *data, const struct store_page *page)
 	{
 		StoreFollower *test = (StoreFollower *)data;
@@ -265,14 +277,8 @@
 TEST_F(StoreFollower, FinishesAnAnswerThatIsArriving)
 {
 	SlowStore slow;
-	std::string address = slow.address();
-	struct store_follower_events events = {on_listed, on_changed, nullptr,
-					       this};
-	struct store_follower *other;
+	struct store_follower *other = FollowSlow(slow);
 
-	lists = 0;
-	options.address = address.c_str();
-	other = store_follower_create(&options, &events);
 	ASSERT_TRUE(run_until([&] { return slow.connections == 1; }));
 	run_idle();
 	store_follower_poke(other);
@@ -289,15 +295,10 @@
 	const int64_t past_timeout_us =
 		g_get_monotonic_time() + 16 * G_USEC_PER_SEC / 10;
 	SlowStore slow;
-	std::string address = slow.address();
-	struct store_follower_events events = {on_listed, on_changed, nullptr,
-					       this};
 	struct store_follower *other;
 
-	lists = 0;
-	options.address = address.c_str();
 	options.silence_ms = 10 * 60 * 1000;
-	other = store_follower_create(&options, &events);
+	other = FollowSlow(slow);
 	EXPECT_TRUE(run_until(
 		[&] { return g_get_monotonic_time() > past_timeout_us; }));
 	EXPECT_EQ(1, slow.connections);
