--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -88,6 +88,7 @@
 	int reached = 0; /* how often it was reached again */
 	bool is_reached = false;
 	int64_t wait_ms_when_reached = -1;
+	int64_t wait_ms_of_change = -1; /* of the watch that told of it */
 
 	void SetUp() override
 	{
@@ -153,6 +154,9 @@
 		StoreFollower *test = (StoreFollower *)data;
 
 		test->changes += page->items->len > 0;
+		if (page->items->len > 0)
+			test->wait_ms_of_change =
+				platform_store_last_wait_ms(test->store);
 		test->take(page);
 	}
 
@@ -260,6 +264,20 @@
 	EXPECT_TRUE(run_until([&] { return known["servers/a"] == "newer"; }));
 }
 
+/* Guards against a node that follows anew and goes by an old view of the store.
+ */
+TEST_F(StoreFollower, AsksAtOnceAfterARest)
+{
+	platform_store_put(store, "servers/a", "newer");
+	EXPECT_TRUE(run_until([&] { return changes == 1; }));
+	EXPECT_LT(1, wait_ms_of_change);
+	store_follower_set_active(follower, false);
+	platform_store_put(store, "servers/a", "newest");
+	store_follower_set_active(follower, true);
+	EXPECT_TRUE(run_until([&] { return changes == 2; }));
+	EXPECT_EQ(1, wait_ms_of_change);
+}
+
 /* The store has forgotten what changed since: all is read anew. */
 TEST_F(StoreFollower, ReadsAnewWhereTheHistoryIsGone)
 {
