Cordons of failure domains: evacuated engines get nothing new

Cause: nothing read the operators' keys op/evacuate/ZONE, though every node follows op/.

Change: core/gateway/cordon_set keeps the cordons, ordered by their position (era and revision); the registry marks the endpoints of a cordoned domain, which then get no request, copy, backup or take-over, and go on with what they run. A cordon that a store lacks after it came back from a copy is kept until the store has settled. Nodes that the store turns away learn of it from others: at once from those that inform them, and from random nodes while it is news. A node that has just started serves nothing before the store or another node has told it all cordons; the routes that a node sends to another come with them. If all endpoints of a service are cordoned, its requests are refused at once with the reason 'cordoned'.

Weighed: a cordoned engine's generations could move away as those of a leaving engine do. They stay: the engine goes on, and a move costs memory elsewhere at the moment when a third of it is gone.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -211,7 +211,11 @@
 		exchange_refuse(exchange, 502, -1, "no_other_endpoint");
 	else if (registry_count_usable(gateway->registry,
 				       exchange->service_name) == 0)
-		exchange_refuse(exchange, 503, RETRY_LATER_US, "no_endpoint");
+		exchange_refuse(exchange, 503, RETRY_LATER_US,
+				registry_has_cordoned(gateway->registry,
+						      exchange->service_name)
+					? "cordoned"
+					: "no_endpoint");
 	else
 		exchange_refuse(
 			exchange, 503,
@@ -275,9 +279,10 @@
 {
 	struct gateway *gateway = exchange->gateway;
 
-	if (!gateway->table) {
+	if (!gateway->table || !gateway_knows_cordons(gateway)) {
 		exchange_refuse(exchange, 503, RETRY_LATER_US,
-				"no_configuration");
+				gateway->table ? "cordons_unknown"
+					       : "no_configuration");
 		return false;
 	}
 	exchange->table = route_table_ref(gateway->table);
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -36,7 +36,7 @@
 {
 	const struct endpoint *endpoint = leg_endpoint(leg);
 
-	if (!endpoint || endpoint_is_usable(endpoint))
+	if (!endpoint || !endpoint_is_leaving(endpoint))
 		return 0;
 	return MAX(leg->exchange->gateway->now_us - endpoint->since_us, 1);
 }
@@ -150,7 +150,7 @@
 	const struct endpoint *endpoint = leg_endpoint(exchange->leg);
 
 	if (result != RESULT_BROKEN || !exchange_is_generation(exchange) ||
-	    !endpoint || !endpoint_is_usable(endpoint))
+	    !endpoint || endpoint_is_leaving(endpoint))
 		return;
 	exchange->crashes++;
 	quarantine_report_crash(gateway->quarantine, exchange->fingerprint,
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -37,6 +37,7 @@
 bool gateway_accepts_requests(const struct gateway *gateway)
 {
 	return gateway->table && !gateway->drain_since_us &&
+	       gateway_knows_cordons(gateway) &&
 	       registry_has_usable(gateway->registry);
 }
 
@@ -195,7 +196,8 @@
 		bool is_doubted = endpoint->presence == PRESENCE_DOUBTED;
 		bool is_needed = is_away && endpoint->own.tokens > 0;
 
-		if ((is_doubted || is_needed) && endpoint_is_usable(endpoint) &&
+		if ((is_doubted || is_needed) &&
+		    !endpoint_is_leaving(endpoint) &&
 		    endpoint_has_report(gateway, endpoint))
 			g_ptr_array_add(asked, endpoint);
 	}
@@ -219,6 +221,7 @@
 	caller_set_step(gateway->status_callers, gateway->now_us);
 	endpoint_pool_step(gateway->pool, gateway->now_us);
 	gateway_step_registry(gateway);
+	gateway_cordons_step(gateway);
 	gateway_step_reports(gateway);
 	gateway_home_step(gateway);
 	gateway_routes_step(gateway);
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -78,6 +78,9 @@
 void gateway_store_rewound(struct gateway *gateway);
 void gateway_apply_listing(struct gateway *gateway, const GPtrArray *list,
 			   int64_t position);
+void gateway_apply_cordon(struct gateway *gateway, const struct cordon *news);
+void gateway_apply_cordon_listing(struct gateway *gateway,
+				  const GPtrArray *list, int64_t position);
 void gateway_set_store_reached(struct gateway *gateway, bool is_reached);
 void gateway_store_answered(struct gateway *gateway);
 
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -141,7 +141,7 @@
 }
 
 /* Sends to all members, also suspected ones, which may only be slow. */
-static void send_to_all(struct gateway *gateway, struct peer_message *message)
+void gateway_send_to_all(struct gateway *gateway, struct peer_message *message)
 {
 	const struct membership *members =
 		gateway->host.members(gateway->host.data);
@@ -165,7 +165,7 @@
 
 	add_registration(&message->standing,
 			 registry_find(gateway->registry, endpoint_id));
-	send_to_all(gateway, message);
+	gateway_send_to_all(gateway, message);
 }
 
 /*
@@ -201,7 +201,7 @@
 
 	message->quarantine.fingerprint = fingerprint;
 	message->quarantine.endpoint = g_strdup(endpoint_id);
-	send_to_all(gateway, message);
+	gateway_send_to_all(gateway, message);
 }
 
 /* Last announcement of a sentinel; NULL: none came, or it is this node. */
@@ -228,17 +228,25 @@
 	return false;
 }
 
+/*
+ * Whether other nodes depend on this one for news of the store: it is a
+ * sentinel, or no sentinel that reaches the store is heard.
+ */
+bool gateway_is_informer(const struct gateway *gateway)
+{
+	return sentinel_is(gateway->host.members(gateway->host.data),
+			   gateway->options.node_name) ||
+	       !sentinel_is_heard(gateway, true);
+}
+
 /*
  * Announces the endpoints (char * ids) that an answer of the store changed, in
- * few records. Other nodes depend on that only if this one is a sentinel, or if
- * none that reaches the store is heard.
+ * few records, if other nodes depend on this one for that.
  */
 void gateway_peers_announce_changes(struct gateway *gateway,
 				    const GPtrArray *ids)
 {
-	if (!sentinel_is(gateway->host.members(gateway->host.data),
-			 gateway->options.node_name) &&
-	    sentinel_is_heard(gateway, true))
+	if (!gateway_is_informer(gateway))
 		return;
 	for (guint i = 0; i < ids->len;) {
 		struct peer_message *message = gateway_create_standing(gateway);
@@ -248,7 +256,7 @@
 			add_registration(&message->standing,
 					 registry_find(gateway->registry,
 						       ids->pdata[i]));
-		send_to_all(gateway, message);
+		gateway_send_to_all(gateway, message);
 	}
 }
 
@@ -341,7 +349,7 @@
 
 static void announce_to_all(struct gateway *gateway)
 {
-	send_to_all(gateway, gateway_create_standing(gateway));
+	gateway_send_to_all(gateway, gateway_create_standing(gateway));
 	if (gateway->standings++ % STANDINGS_PER_SYNC == 0)
 		sync_random_member(gateway);
 }
@@ -410,12 +418,14 @@
 		  "node", message->from, NULL);
 }
 
-/* Sends the endpoints to a node that is heard for the first time. */
+/* Sends the state to a node that is heard for the first time. */
 static void sync_new_node(struct gateway *gateway, const char *peer_address)
 {
-	if (join_sync_is_sender(gateway_node_count(gateway) - 1,
-				g_rand_double(gateway->random)))
-		send_registrations(gateway, peer_address);
+	if (!join_sync_is_sender(gateway_node_count(gateway) - 1,
+				 g_rand_double(gateway->random)))
+		return;
+	gateway_cordons_send(gateway, peer_address);
+	send_registrations(gateway, peer_address);
 }
 
 static void peer_apply_standing(struct gateway *gateway,
@@ -482,6 +492,10 @@
 		gateway_routes_send(gateway, message);
 		return;
 	}
+	if (message->type == PEER_CORDONS) {
+		gateway_cordons_receive(gateway, message);
+		return;
+	}
 	if (message->type == PEER_QUARANTINE) {
 		quarantine_report_crash(
 			gateway->quarantine, message->quarantine.fingerprint,
--- a/adapters/gateway/gateway_routes.c
+++ b/adapters/gateway/gateway_routes.c
@@ -95,6 +95,7 @@
 	message->config.revision = gateway_table_version(gateway);
 	message->config.document = g_bytes_ref(gateway->document);
 	counters_add(gateway->options.counters, COUNTER_GATEWAY_TABLES_SENT, 1);
+	gateway_cordons_send(gateway, ask->from_address);
 	gateway_send(gateway, ask->from_address, message);
 }
 
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -23,6 +23,7 @@
  *   gateway_store.c    configuration and endpoints from the store
  *   gateway_peers.c    announcements between nodes
  *   gateway_routes.c   fetching a newer configuration from other nodes
+ *   gateway_cordons.c  failure domains that get no new requests
  *   gateway_home.c     one node chooses the engines for all nodes
  *   exchange.c         one request of a caller
  *   leg.c              the request at one endpoint
@@ -113,6 +114,8 @@
 void gateway_peers_announce_endpoint(struct gateway *gateway,
 				     const char *endpoint_id);
 void gateway_peer_destroy(gpointer data);
+bool gateway_is_informer(const struct gateway *gateway);
+void gateway_send_to_all(struct gateway *gateway, struct peer_message *message);
 size_t gateway_node_count(const struct gateway *gateway);
 
 void gateway_send(struct gateway *gateway, const char *peer_address,
@@ -127,6 +130,13 @@
 void gateway_routes_receive(struct gateway *gateway,
 			    const struct peer_message *message);
 
+/* gateway_cordons.c */
+bool gateway_knows_cordons(const struct gateway *gateway);
+void gateway_cordons_step(struct gateway *gateway);
+void gateway_cordons_send(struct gateway *gateway, const char *peer_address);
+void gateway_cordons_receive(struct gateway *gateway,
+			     const struct peer_message *message);
+
 /* gateway_home.c */
 uint64_t gateway_home_answered(const struct gateway *gateway);
 void gateway_home_step(struct gateway *gateway);
--- a/adapters/gateway/gateway_store.c
+++ b/adapters/gateway/gateway_store.c
@@ -117,14 +117,15 @@
 				 const GPtrArray *list)
 {
 	const GPtrArray *endpoints = registry_endpoints(gateway->registry);
-	guint removed = 0, usable = 0;
+	guint removed = 0, serving = 0;
 
 	for (guint i = 0; i < list->len; i++)
 		removed += ((struct registration *)g_ptr_array_index(list, i))
 				   ->is_removed;
 	for (guint i = 0; i < endpoints->len; i++)
-		usable += endpoint_is_usable(g_ptr_array_index(endpoints, i));
-	return removed >= EXPIRED_MIN && 2 * removed >= usable;
+		serving +=
+			!endpoint_is_leaving(g_ptr_array_index(endpoints, i));
+	return removed >= EXPIRED_MIN && 2 * removed >= serving;
 }
 
 /* Records that the store answered a call, whatever the answer. */
--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -3,6 +3,7 @@
 #include "codec/peer_field.h"
 #include "codec/peer_progress.h"
 #include "codec/peer_choose.h"
+#include "codec/peer_cordons.h"
 #include "codec/peer_standing.h"
 
 #include <string.h>
@@ -53,6 +54,7 @@
 	[PEER_CHOOSE] = PEER_CHOOSE_FORMAT,
 	[PEER_CHOSEN] = PEER_CHOSEN_FORMAT,
 	[PEER_ROUTES_REQUEST] = "(txssay)",
+	[PEER_CORDONS] = PEER_CORDONS_FORMAT,
 };
 
 static GVariant *encode_members(const GPtrArray *members)
@@ -174,6 +176,8 @@
 		return peer_choose_encode(message);
 	case PEER_CHOSEN:
 		return peer_chosen_encode(message);
+	case PEER_CORDONS:
+		return peer_cordons_encode(message);
 	case PEER_LEAVING:
 		endpoints = message->leaving.endpoints;
 		return g_variant_new(
@@ -490,6 +494,10 @@
 		return check(error, message->from,
 			     peer_chosen_decode(body, &message->chosen),
 			     "assigned engine out of range");
+	case PEER_CORDONS:
+		return check(error, message->from,
+			     peer_cordons_decode(body, &message->cordons),
+			     "cordon out of range");
 	case PEER_LEAVING:
 		return decode_leaving(body, message, error);
 	case PEER_QUARANTINE:
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -138,10 +138,10 @@
 		if (strcmp(endpoint->last_registration->service,
 			   criteria->service) != 0)
 			continue;
-		if (!endpoint_is_usable(endpoint)) {
+		if (endpoint_is_leaving(endpoint))
 			leaving_tokens += running_tokens(endpoint);
+		if (!endpoint_is_usable(endpoint))
 			continue;
-		}
 		usable++;
 		aside += !endpoint_suspicion_allows(&endpoint->suspicion,
 						    criteria->now_us);
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -36,6 +36,7 @@
 	registry->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
 	registry->endpoints = g_ptr_array_new_with_free_func(endpoint_destroy);
 	registry->nodes = holder_nodes_create();
+	registry->cordons = cordon_set_create();
 	return registry;
 }
 
@@ -48,6 +49,7 @@
 	g_hash_table_unref(registry->by_key);
 	g_ptr_array_unref(registry->endpoints);
 	g_hash_table_unref(registry->nodes);
+	cordon_set_destroy(registry->cordons);
 	g_free(registry);
 }
 
@@ -72,11 +74,20 @@
 	return registry->endpoints;
 }
 
-/* Whether the endpoint's entry lets it get new requests. */
+/* Whether the endpoint ends soon, or has ended. */
+bool endpoint_is_leaving(const struct endpoint *endpoint)
+{
+	return endpoint->presence == PRESENCE_LEAVING ||
+	       endpoint->presence == PRESENCE_GONE;
+}
+
+/*
+ * Whether the endpoint may get new requests. One under a cordon may not, but
+ * goes on with those that it has.
+ */
 bool endpoint_is_usable(const struct endpoint *endpoint)
 {
-	return endpoint->presence == PRESENCE_READY ||
-	       endpoint->presence == PRESENCE_DOUBTED;
+	return !endpoint_is_leaving(endpoint) && !endpoint->is_cordoned;
 }
 
 static void held_add(struct held *to, const struct held *held, int32_t sign)
@@ -175,6 +186,7 @@
 	endpoint->known_us = now_us;
 	endpoint->warm_us = now_us + update->warmup_remaining_us;
 	endpoint_health_init(&endpoint->health);
+	endpoint_update_cordon(endpoint, registry, now_us);
 	g_ptr_array_add(registry->endpoints, endpoint);
 	g_hash_table_insert(registry->by_id, endpoint->last_registration->id,
 			    endpoint);
@@ -316,6 +328,7 @@
 	    strcmp(update->address, endpoint->last_registration->address) != 0)
 		endpoint_restart(endpoint, update, now_us);
 	endpoint_replace_registration(registry, endpoint, update);
+	endpoint_update_cordon(endpoint, registry, now_us);
 	endpoint_set_presence(
 		endpoint,
 		update->is_leaving ? PRESENCE_LEAVING : PRESENCE_READY, now_us);
@@ -393,6 +406,7 @@
 		endpoint->last_registration->position = 0;
 	}
 	registry->settled_us = now_us + ERA_SETTLES_US;
+	cordon_set_rewind(registry->cordons);
 }
 
 /* Applies an update that was held back while the store settled. */
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -1,6 +1,7 @@
 #ifndef CORE_GATEWAY_REGISTRY_H
 #define CORE_GATEWAY_REGISTRY_H
 
+#include "core/gateway/cordon_set.h"
 #include "core/gateway/endpoint_suspicion.h"
 #include "core/placement/endpoint_health.h"
 #include "ports/registration.h"
@@ -47,6 +48,8 @@
 	struct held granted; /* granted by this node, unconfirmed */
 	struct endpoint_health health;	     /* by requests of this node */
 	struct endpoint_suspicion suspicion; /* by notices of all nodes */
+	bool is_cordoned;      /* its failure domain gets no new requests */
+	int64_t uncordoned_us; /* when that last ended; 0: never */
 	int64_t full_until_us; /* it refused a request for lack of room */
 	double error_share;    /* of its last answers, moving average */
 };
@@ -69,6 +72,17 @@
 bool registry_mark_leaving(struct registry *registry, const char *id,
 			   int64_t now_us);
 
+bool registry_apply_cordon(struct registry *registry, const struct cordon *news,
+			   int64_t now_us);
+void registry_apply_cordon_listing(struct registry *registry,
+				   const GPtrArray *list, int64_t position,
+				   int64_t now_us, GPtrArray *changed);
+void registry_step_cordons(struct registry *registry, int64_t now_us,
+			   GPtrArray *changed);
+struct cordon_set *registry_cordons(const struct registry *registry);
+size_t registry_count_in_domain(const struct registry *registry,
+				const char *failure_domain);
+
 uint64_t endpoint_key(const char *id);
 struct endpoint *registry_find(struct registry *registry, const char *id);
 int64_t registry_era(const struct registry *registry);
@@ -76,12 +90,15 @@
 bool registry_has_usable(const struct registry *registry);
 size_t registry_count_usable(const struct registry *registry,
 			     const char *service);
+bool registry_has_cordoned(const struct registry *registry,
+			   const char *service);
 
 void registry_set_node_held(struct registry *registry, const char *node,
 			    uint64_t incarnation, const GArray *held,
 			    int64_t now_us);
 void registry_expire_nodes(struct registry *registry, int64_t before_us);
 struct held endpoint_total_load(const struct endpoint *endpoint);
+bool endpoint_is_leaving(const struct endpoint *endpoint);
 bool endpoint_is_usable(const struct endpoint *endpoint);
 bool endpoint_is_same_start(const struct endpoint *endpoint, int64_t known_us);
 bool endpoint_has_unread_prompts(const struct endpoint *endpoint);
--- a/core/gateway/registry_state.h
+++ b/core/gateway/registry_state.h
@@ -10,12 +10,15 @@
 	GHashTable *by_key;   /* endpoint_key to struct endpoint */
 	GPtrArray *endpoints; /* owns struct endpoint */
 	GHashTable *nodes;    /* node name to struct holder_node */
-	int64_t era;	      /* of the store, the highest seen */
-	int64_t settled_us;   /* until then the store may lack entries, or
-				 hold those of endpoints that have left */
+	struct cordon_set *cordons;
+	int64_t era;	    /* of the store, the highest seen */
+	int64_t settled_us; /* until then the store may lack entries, or
+			       hold those of endpoints that have left */
 };
 
 GHashTable *holder_nodes_create(void);
 void registry_add_key(struct registry *registry, struct endpoint *endpoint);
+void endpoint_update_cordon(struct endpoint *endpoint,
+			    const struct registry *registry, int64_t now_us);
 
 #endif
--- a/core/message/peer_message.c
+++ b/core/message/peer_message.c
@@ -20,6 +20,7 @@
 	[PEER_CHOOSE] = "choose",
 	[PEER_CHOSEN] = "chosen",
 	[PEER_ROUTES_REQUEST] = "routes_ask",
+	[PEER_CORDONS] = "cordons",
 };
 
 static void member_free(gpointer data)
@@ -72,6 +73,9 @@
 	case PEER_CHOOSE:
 		message->choose.avoid = g_ptr_array_new_with_free_func(g_free);
 		break;
+	case PEER_CORDONS:
+		message->cordons.cordons = cordon_list_create();
+		break;
 	case PEER_CHOSEN:
 	case PEER_PLACE:
 	case PEER_PLACED:
@@ -131,6 +135,9 @@
 	case PEER_LEAVING:
 		g_ptr_array_unref(message->leaving.endpoints);
 		break;
+	case PEER_CORDONS:
+		g_ptr_array_unref(message->cordons.cordons);
+		break;
 	case PEER_QUARANTINE:
 		g_free(message->quarantine.endpoint);
 		break;
--- a/core/node/node.c
+++ b/core/node/node.c
@@ -212,6 +212,7 @@
 	case PEER_ROUTES:
 	case PEER_ROUTES_REQUEST:
 	case PEER_CHOOSE:
+	case PEER_CORDONS:
 	case PEER_CHOSEN: /* handled by the gateway */
 	case PEER_MESSAGE_TYPE_COUNT:
 		break;
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -41,10 +41,32 @@
 	return table;
 }
 
-static void on_document_page(void *data, const struct store_page *page)
+/* Reads the cordons of a page, struct cordon; the caller owns the list. */
+static GPtrArray *read_cordons(const struct gateway_wiring *wiring,
+			       const struct store_page *page)
 {
-	struct gateway_wiring *wiring = data;
+	GPtrArray *list = cordon_list_create();
+
+	for (guint i = 0; i < page->items->len; i++) {
+		const struct store_item *item =
+			g_ptr_array_index(page->items, i);
+		struct cordon *cordon;
+
+		if (!platform_is_cordon(item->key))
+			continue;
+		cordon = platform_read_cordon(item);
+		if (cordon)
+			g_ptr_array_add(list, cordon);
+		else
+			log_write(wiring->log, LOG_LEVEL_WARN,
+				  "cordon_rejected", "key", item->key, NULL);
+	}
+	return list;
+}
 
+static void apply_document(struct gateway_wiring *wiring,
+			   const struct store_page *page)
+{
 	for (guint i = 0; i < page->items->len; i++) {
 		const struct store_item *item =
 			g_ptr_array_index(page->items, i);
@@ -62,6 +84,27 @@
 	}
 }
 
+static void on_document_listed(void *data, const struct store_page *page)
+{
+	struct gateway_wiring *wiring = data;
+	GPtrArray *cordons = read_cordons(wiring, page);
+
+	gateway_apply_cordon_listing(wiring->gateway, cordons, page->position);
+	apply_document(wiring, page);
+	g_ptr_array_unref(cordons);
+}
+
+static void on_document_changed(void *data, const struct store_page *page)
+{
+	struct gateway_wiring *wiring = data;
+	GPtrArray *cordons = read_cordons(wiring, page);
+
+	for (guint i = 0; i < cordons->len; i++)
+		gateway_apply_cordon(wiring->gateway, cordons->pdata[i]);
+	apply_document(wiring, page);
+	g_ptr_array_unref(cordons);
+}
+
 /*
  * Reads the entries of a page. An entry that can't be read names no endpoint
  * and is logged, so that operators can see why the endpoint is not used.
@@ -256,8 +299,8 @@
 		return wiring;
 	}
 	wiring->document = wiring_create_follower(
-		wiring, options, platform_document_prefix, on_document_page,
-		on_document_page);
+		wiring, options, platform_document_prefix, on_document_listed,
+		on_document_changed);
 	wiring->entries =
 		wiring_create_follower(wiring, options, platform_entries_prefix,
 				       on_entries_listed, on_entries_changed);
@@ -337,7 +380,7 @@
 {
 	struct config *config;
 	struct route_table *table;
-	GPtrArray *list;
+	GPtrArray *list, *cordons;
 
 	if (wiring->has_store)
 		return;
@@ -346,8 +389,13 @@
 		return; /* the node logged the reason when it read it */
 	table = route_table_create(config);
 	list = list_endpoints(config);
+	cordons = cordon_list_create();
+	/* The product's own configuration has no cordons. */
+	gateway_apply_cordon_listing(wiring->gateway, cordons,
+				     config->revision);
 	gateway_apply_table(wiring->gateway, table, action->document, "plan");
 	gateway_apply_listing(wiring->gateway, list, config->revision);
+	g_ptr_array_unref(cordons);
 	g_ptr_array_unref(list);
 	route_table_unref(table);
 	config_unref(config);
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -1,6 +1,7 @@
 #ifndef PORTS_PEER_MESSAGE_H
 #define PORTS_PEER_MESSAGE_H
 
+#include "ports/cordon.h"
 #include "ports/refusal.h"
 #include "ports/registration.h"
 
@@ -35,6 +36,7 @@
 	PEER_CHOOSE,	   /* gateway: requests an engine from its home */
 	PEER_CHOSEN,	   /* home: answer to PEER_CHOOSE */
 	PEER_ROUTES_REQUEST, /* gateway: requests newer routes, if any */
+	PEER_CORDONS,	     /* gateway: failure domains under a cordon */
 	PEER_MESSAGE_TYPE_COUNT
 };
 
@@ -182,6 +184,11 @@
 	char *backup;	/* id; "": none */
 };
 
+/* All cordons that the sender knows, with those lifted lately. */
+struct peer_cordons {
+	GPtrArray *cordons; /* struct cordon */
+};
+
 struct peer_message {
 	enum peer_message_type type;
 	char *from;	    /* name of the sender; "": find it by incarnation */
@@ -198,6 +205,7 @@
 		struct peer_standing standing;
 		struct peer_choose choose;
 		struct peer_chosen chosen;
+		struct peer_cordons cordons;
 		struct peer_leaving leaving;
 		struct peer_quarantine quarantine;
 		struct peer_limits limits; /* LIMIT_REPORT, LIMIT_SHARE */
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -461,6 +461,50 @@
 	until_true is_back || fail "the endpoint stays away"
 }
 
+# A failure domain is evacuated while a report runs in it. Each node refuses new
+# requests to its endpoints at once and truthfully; the report is completed where
+# it runs. Requests are served again once the domain is taken back.
+case_sends_nothing_to_an_evacuated_domain() {
+	local out
+
+	events 300
+	report 0 "$work/cordon" cordon-1 &
+	reader=$!
+	streams "$work/cordon" 5
+	put op/evacuate/other '{}'
+	put op/evacuate/z '{}'
+	for i in 0 1; do
+		until_true grep -q "event=domain_cordoned failure_domain=z" \
+			"$work/g$i.out" || fail "node $i does not see it"
+	done
+	before=$(($(state 0 runs) + $(state 1 runs) + $(state 2 runs) +
+		$(state 3 runs) + $(state 4 runs)))
+	for i in 0 1; do
+		out=$(ask "$i" /lookup/a)
+		[ "${out: -3}" = 503 ] || fail "node $i answered $out"
+		out=$(ask "$i" /report/a -X POST)
+		[ "${out: -3}" = 503 ] || fail "node $i answered $out"
+	done
+	logged "reason=cordoned" || fail "the reason is not in the log"
+	wait "$reader" || fail "the stream was cut"
+	whole "$work/cordon" cordon-1 300
+	events 60
+	[ $(($(state 0 runs) + $(state 1 runs) + $(state 2 runs) +
+		$(state 3 runs) + $(state 4 runs))) = "$before" ] ||
+		fail "an endpoint of the domain ran a request"
+	for domain in other z; do
+		jq -n --arg key "op/evacuate/$domain" '{key: $key}' |
+			curl -sf -X POST --data @- \
+				"http://$store/fake/delete" >/dev/null
+	done
+	serves() {
+		[ "$(ask "$1" /lookup/a | tail -c 3)" = 200 ]
+	}
+	for i in 0 1; do
+		until_true serves "$i" || fail "node $i does not serve again"
+	done
+}
+
 # Invalid entries are logged and give no endpoint; the other endpoints still
 # serve.
 case_ignores_entries_it_cannot_use() {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -324,3 +324,91 @@
 	ApplyTableVersion(7);
 	EXPECT_TRUE(gateway_is_current(gateway));
 }
+
+/* A cordon of domain "a" reaches this node from the store or from n0. */
+class GatewayCordon : public Gateway
+{
+      protected:
+	void ReceiveCordon(int64_t position, bool is_lifted)
+	{
+		struct peer_message *message =
+			peer_message_create(PEER_CORDONS);
+
+		message->from = g_strdup("n0");
+		message->from_address = g_strdup("n0:1");
+		g_ptr_array_add(message->cordons.cordons,
+				cordon_create("a", position, is_lifted));
+		gateway_receive_peer(gateway, message);
+		peer_message_destroy(message);
+	}
+
+	void ListNoCordons()
+	{
+		GPtrArray *list = cordon_list_create();
+
+		gateway_apply_cordon_listing(gateway, list, 1);
+		g_ptr_array_unref(list);
+	}
+
+	void SetCordon(int64_t position, bool is_lifted)
+	{
+		struct cordon *cordon = cordon_create("a", position, is_lifted);
+
+		gateway_apply_cordon(gateway, cordon);
+		cordon_destroy(cordon);
+	}
+};
+
+/*
+ * Guards against a node that the store turns away and that goes on sending to
+ * a cordoned domain.
+ */
+TEST_F(GatewayCordon, HearsOfACordonFromAnotherNode)
+{
+	ListNoCordons();
+	ReceiveEntry(1, false);
+	ASSERT_EQ(1u, registry_count_usable(gateway->registry, "engines"));
+	ReceiveCordon(10, false);
+	EXPECT_EQ(0u, registry_count_usable(gateway->registry, "engines"));
+	ReceiveCordon(11, true);
+	EXPECT_EQ(1u, registry_count_usable(gateway->registry, "engines"));
+}
+
+/*
+ * Guards against a node that has just started, gets the routes from another one
+ * and sends to a cordoned domain before it has heard of the cordon.
+ */
+TEST_F(GatewayCordon, ServesNothingBeforeItKnowsTheCordons)
+{
+	ApplyTableVersion(5);
+	ReceiveEntry(1, false);
+	EXPECT_FALSE(gateway_accepts_requests(gateway));
+	ReceiveCordon(10, true);
+	EXPECT_TRUE(gateway_accepts_requests(gateway));
+}
+
+/* Guards against news that only the nodes which reach the store get. */
+TEST_F(GatewayCordon, PassesNewsOfTheStoreOn)
+{
+	ListNoCordons();
+	EXPECT_EQ(0u, SentCount(PEER_CORDONS));
+	SetCordon(10, false);
+	EXPECT_EQ(1u, SentCount(PEER_CORDONS));
+	SetCordon(10, false);
+	EXPECT_EQ(1u, SentCount(PEER_CORDONS)) << "no news";
+	for (int i = 0; i < 40; i++) {
+		gateway->now_us += G_USEC_PER_SEC / 2;
+		gateway_cordons_step(gateway);
+	}
+	EXPECT_GT(SentCount(PEER_CORDONS), 5u) << "repeated to random nodes";
+}
+
+/* Guards against a node without the store that asks for routes only. */
+TEST_F(GatewayCordon, SendsTheCordonsWithItsRoutes)
+{
+	ListNoCordons();
+	ApplyTableVersion(7);
+	ReceiveRoutesAsk(6);
+	EXPECT_EQ(1u, SentCount(PEER_ROUTES));
+	EXPECT_EQ(1u, SentCount(PEER_CORDONS));
+}
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -85,6 +85,12 @@
 		message->chosen.endpoint = g_strdup("i-7f3a91c2");
 		message->chosen.backup = g_strdup("");
 		break;
+	case PEER_CORDONS:
+		g_ptr_array_add(message->cordons.cordons,
+				cordon_create("casablanca-a", 812, false));
+		g_ptr_array_add(message->cordons.cordons,
+				cordon_create("casablanca-b", 813, true));
+		break;
 	case PEER_QUARANTINE:
 		message->quarantine.fingerprint = 5;
 		message->quarantine.endpoint = g_strdup("10.2.0.1:9000");
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -367,3 +367,47 @@
 		http_head_destroy(head);
 	}
 }
+
+/* The key alone counts; one without a zone names nothing. */
+TEST(Platform, ReadsAnEvacuatedZoneWhateverItsValue)
+{
+	const struct {
+		const char *key;
+		const char *value; /* NULL: deleted */
+		const char *domain;
+	} cases[] = {
+		{"op/evacuate/casa-ain", "{}", "casa-ain"},
+		{"op/evacuate/casa-ain", "", "casa-ain"},
+		{"op/evacuate/casa-ain", "\xff not json", "casa-ain"},
+		{"op/evacuate/casa-ain", nullptr, "casa-ain"},
+		{"op/evacuate/", "{}", nullptr},
+		{"op/evacuate/0123456789012345678901234567890123456789"
+		 "012345678901234567890123",
+		 "{}", nullptr},
+	};
+
+	for (const auto &row : cases) {
+		struct store_item item = {};
+		struct cordon *cordon;
+
+		item.key = (char *)row.key;
+		item.position = 7;
+		if (row.value)
+			item.value = g_bytes_new(row.value, strlen(row.value));
+		ASSERT_TRUE(platform_is_cordon(row.key));
+		cordon = platform_read_cordon(&item);
+		if (row.domain) {
+			ASSERT_NE(nullptr, cordon) << row.key;
+			EXPECT_STREQ(row.domain, cordon->failure_domain);
+			EXPECT_EQ(7, cordon->position);
+			EXPECT_EQ(row.value == nullptr, cordon->is_lifted);
+		} else {
+			EXPECT_EQ(nullptr, cordon) << row.key;
+		}
+		cordon_destroy(cordon);
+		if (item.value)
+			g_bytes_unref(item.value);
+	}
+	EXPECT_FALSE(platform_is_cordon("op/config"));
+	EXPECT_FALSE(platform_is_cordon("servers/evacuate"));
+}
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -436,3 +436,37 @@
 	EXPECT_EQ(PRESENCE_LEAVING, presence("e2"));
 	EXPECT_TRUE(apply(entry("e1", at(1, 805))));
 }
+
+/* Guards against requests to the endpoints of a cordoned failure domain. */
+TEST_F(Registry, EndpointsUnderACordonGetNothingNewAndGoOn)
+{
+	struct cordon *cordon = cordon_create("a", 10, false);
+	const struct endpoint *engine;
+	int64_t known_us;
+
+	apply(entry("e1", 5));
+	engine = registry_find(registry, "e1");
+	known_us = engine->known_us;
+	EXPECT_TRUE(registry_apply_cordon(registry, cordon, now_us));
+	EXPECT_FALSE(endpoint_is_usable(engine));
+	EXPECT_FALSE(endpoint_is_same_start(engine, known_us));
+	EXPECT_FALSE(endpoint_is_leaving(engine));
+	EXPECT_EQ(0u, registry_count_usable(registry, "engines"));
+	EXPECT_TRUE(registry_has_cordoned(registry, "engines"));
+	EXPECT_EQ(1u, registry_count_in_domain(registry, "a"));
+
+	apply(entry("e2", 11));
+	EXPECT_FALSE(endpoint_is_usable(registry_find(registry, "e2")))
+		<< "registered after the cordon";
+	apply(entry("e1", 12));
+	EXPECT_FALSE(endpoint_is_usable(engine)) << "updated after the cordon";
+
+	cordon->position = 13;
+	cordon->is_lifted = true;
+	now_us += second_us;
+	EXPECT_TRUE(registry_apply_cordon(registry, cordon, now_us));
+	EXPECT_TRUE(endpoint_is_usable(engine));
+	EXPECT_EQ(now_us, engine->uncordoned_us);
+	EXPECT_FALSE(registry_has_cordoned(registry, "engines"));
+	cordon_destroy(cordon);
+}
