Cold endpoints get no more requests than the fleet may send

Cause: warmup_per_s of a service, and warmup_excess and warmup_slack of the bounds, were read nowhere; a cold engine only had a weight in the score, and an entry that showed a running engine cold again was ignored. An engine that comes back looks empty, so that every node prefers it.

Change: core/gateway/warmup_limit divides the bound for any second: the home has the stated rate; what the excess and the slack leave, less a reserve, is shared by the nodes that choose by themselves, each by its rank, so that the shares add up. Parts of a cut fleet count the nodes that they lost for a minute, and share the bound. A node that has just started uses no cold endpoint for 3 s. Endpoints of a domain that was taken back count as cold for the time of their service. The home counts its grants; a take-over counts as a request, and a hand-over waits. What is not sent goes elsewhere or is refused. Settings warmup_excess and warmup_slack come from the bounds.

Weighed: counting only at the rate itself, without the excess, would leave nothing for nodes that the home does not answer.

Not read: the time in health answers, as no health checks are made. An engine that becomes cold at any moment is limited from its next entry on.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -164,6 +164,7 @@
 		.now_us = gateway->now_us,
 		.draw = g_rand_double(gateway->random),
 	};
+	gateway_fill_warmup(gateway, exchange->service, &criteria->warmup);
 }
 
 static void exchange_log_placed(const struct exchange *exchange,
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -97,6 +97,18 @@
 	return input;
 }
 
+/* Whether the endpoint is warm, or may get one more request while it is cold.
+ */
+static bool warmup_allows(const struct exchange *exchange,
+			  const struct endpoint *endpoint)
+{
+	struct endpoint_warmup warmup;
+
+	gateway_fill_warmup(exchange->gateway, exchange->service, &warmup);
+	return endpoint_warmup_allows(endpoint, &warmup,
+				      exchange->gateway->now_us);
+}
+
 /* The copy from which a run can continue once its engine is lost. */
 struct copy_place {
 	struct endpoint *endpoint; /* NULL: nowhere */
@@ -135,6 +147,8 @@
 	case EVACUATION_FROM_NOTHING:
 		break;
 	}
+	if (place.endpoint && !warmup_allows(exchange, place.endpoint))
+		place.endpoint = NULL;
 	return place;
 }
 
@@ -332,7 +346,8 @@
 /*
  * Asks another engine to continue a run while the current one still runs it.
  * The old leg is released when the new one answers. Without a retry in the
- * budget the run stays at its engine, and the next step asks again.
+ * budget, or while the other engine is cold and gets no more requests, the run
+ * stays at its engine, and the next step asks again.
  */
 void exchange_hand_over(struct exchange *exchange, struct endpoint *to,
 			const char *copy_address, const char *copy_name,
@@ -340,7 +355,8 @@
 {
 	struct error error;
 
-	if (!retry_window_take(
+	if (!warmup_allows(exchange, to) ||
+	    !retry_window_take(
 		    gateway_budget(exchange->gateway, exchange->service_name)))
 		return;
 	log_take_over(exchange, to, reason);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -216,6 +216,7 @@
 	gateway->tick_us = gateway->now_us;
 	shared_budgets_step(gateway->budgets, gateway_node_count(gateway),
 			    gateway->now_us);
+	gateway_update_fleet(gateway);
 	gateway_step_exchanges(gateway);
 	caller_set_step(gateway->callers, gateway->now_us);
 	caller_set_step(gateway->status_callers, gateway->now_us);
@@ -324,6 +325,7 @@
 		gateway_destroy(gateway);
 		return NULL;
 	}
+	gateway_update_fleet(gateway);
 	gateway->tick = g_timeout_add(TICK_MS, on_tick, gateway);
 	return gateway;
 }
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -35,7 +35,9 @@
 	int64_t retry_percent;	  /* resends, in % of requests */
 	int64_t retry_extra;	  /* plus these a window, all nodes */
 	int64_t retry_window_us;
-	int64_t home_from_nodes; /* fewer nodes: no home */
+	int64_t home_from_nodes;       /* fewer nodes: no home */
+	int64_t warmup_excess_percent; /* see struct warmup_bounds */
+	int64_t warmup_slack;
 	uint64_t seed;
 	struct log *log;
 	struct counters *counters;
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -42,6 +42,59 @@
 	return home;
 }
 
+/* Who chooses the endpoints of the service. */
+static enum warmup_chooser find_chooser(const struct gateway *gateway,
+					const struct config_service *service)
+{
+	const struct membership *members =
+		gateway->host.members(gateway->host.data);
+
+	if (service->engine.slots == 0 ||
+	    (int64_t)membership_count(members) <
+		    gateway->options.home_from_nodes)
+		return WARMUP_EACH_NODE;
+	return find_home(gateway, service->name) ? WARMUP_BESIDE_HOME
+						 : WARMUP_HOME;
+}
+
+/* Fills in how the service's cold endpoints are limited; NULL: not at all. */
+void gateway_fill_warmup(const struct gateway *gateway,
+			 const struct config_service *service,
+			 struct endpoint_warmup *warmup)
+{
+	*warmup = (struct endpoint_warmup){0};
+	if (!service || service->warmup_per_ks == 0)
+		return;
+	*warmup = (struct endpoint_warmup){
+		.bounds = {.rate_per_ks = service->warmup_per_ks,
+			   .excess_percent =
+				   gateway->options.warmup_excess_percent,
+			   .slack = gateway->options.warmup_slack},
+		.chooser = find_chooser(gateway, service),
+		.fleet = gateway->fleet,
+		.is_settled = warmup_peak_is_settled(&gateway->warmup_peak,
+						     gateway->now_us),
+		.cold_us = service->warmup_us,
+	};
+}
+
+/* Notes the live nodes, among which limits are divided. */
+void gateway_update_fleet(struct gateway *gateway)
+{
+	const struct membership *members =
+		gateway->host.members(gateway->host.data);
+	struct warmup_fleet fleet = {.nodes = gateway_node_count(gateway)};
+
+	for (size_t i = 0; i < membership_count(members); i++) {
+		if (strcmp(membership_get(members, i)->name,
+			   gateway->options.node_name) == 0)
+			fleet.index = i;
+	}
+	warmup_peak_update(&gateway->warmup_peak, fleet.nodes, gateway->now_us);
+	fleet.most_nodes = gateway->warmup_peak.nodes;
+	gateway->fleet = fleet;
+}
+
 static void set_home_address(struct gateway *gateway, const struct member *home)
 {
 	if (g_strcmp0(gateway->home_address, home->peer_address) == 0)
@@ -170,9 +223,13 @@
 		.now_us = gateway->now_us,
 		.draw = g_rand_double(gateway->random),
 	};
-	struct endpoint *endpoint =
-		endpoint_choose(gateway->registry, &criteria);
+	struct endpoint *endpoint;
 
+	gateway_fill_warmup(gateway, service, &criteria.warmup);
+	endpoint = endpoint_choose(gateway->registry, &criteria);
+	if (endpoint)
+		endpoint_warmup_add(endpoint, &criteria.warmup,
+				    gateway->now_us);
 	*backup = NULL;
 	if (endpoint && choose->wants_backup) {
 		criteria.avoid_id = endpoint->last_registration->id;
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -5,6 +5,7 @@
 #include "adapters/gateway/endpoint_pool.h"
 #include "adapters/gateway/gateway.h"
 #include "adapters/gateway/report_poll.h"
+#include "core/gateway/endpoint_choice.h"
 #include "core/gateway/engine_grants.h"
 #include "core/gateway/announce_pace.h"
 #include "core/gateway/store_doubt.h"
@@ -68,6 +69,9 @@
 	bool announce_pending;	    /* load or configuration; to be announced */
 	bool home_announce_pending; /* changes not yet sent to the home */
 
+	struct warmup_peak warmup_peak;
+	struct warmup_fleet fleet;
+
 	/* Engine choice by a home, which may be this node. */
 	struct engine_grants *grants;
 	GHashTable *home_requests;     /* request number to struct exchange */
@@ -138,6 +142,10 @@
 			     const struct peer_message *message);
 
 /* gateway_home.c */
+void gateway_fill_warmup(const struct gateway *gateway,
+			 const struct config_service *service,
+			 struct endpoint_warmup *warmup);
+void gateway_update_fleet(struct gateway *gateway);
 uint64_t gateway_home_answered(const struct gateway *gateway);
 void gateway_home_step(struct gateway *gateway);
 void gateway_home_receive_request(struct gateway *gateway,
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -224,6 +224,19 @@
 	return out;
 }
 
+/* Counts the request against the limit of an endpoint that is cold. */
+static void leg_count_send(const struct leg *leg)
+{
+	const struct exchange *exchange = leg->exchange;
+	struct endpoint *endpoint = leg_endpoint(leg);
+	struct endpoint_warmup warmup;
+
+	gateway_fill_warmup(exchange->gateway, exchange->service, &warmup);
+	if (endpoint)
+		endpoint_warmup_add(endpoint, &warmup,
+				    exchange->gateway->now_us);
+}
+
 /*
  * Sends the request, as a new run or as one continued from a copy of its
  * memory. Returns false and sets error if no connection could be started.
@@ -250,6 +263,7 @@
 	};
 
 	exchange->sends++;
+	leg_count_send(leg);
 	leg->attempt =
 		attempt_start(&options, &exchange_attempt_events, leg, error);
 	return leg->attempt != NULL;
--- a/adapters/setting.c
+++ b/adapters/setting.c
@@ -89,6 +89,13 @@
 	{"gateway", "home_from_nodes", SETTING_INT64, REQUIRED_NEVER,
 	 FIELD(gateway.home_from_nodes), 2, 1000000, NULL,
 	 "least number of nodes at which a home node chooses the engines"},
+	{"gateway", "warmup_excess", SETTING_RATIO, REQUIRED_NEVER,
+	 FIELD(gateway.warmup_excess_percent), 0, 100, NULL,
+	 "requests to a cold endpoint in any second, as a multiple of its "
+	 "rate"},
+	{"gateway", "warmup_slack", SETTING_INT64, REQUIRED_NEVER,
+	 FIELD(gateway.warmup_slack), 0, 1000000, NULL,
+	 "further requests to a cold endpoint in any second"},
 	{"gateway", "retry_window_s", SETTING_S, REQUIRED_NEVER,
 	 FIELD(gateway.retry_window_us), 1, 3600, NULL,
 	 "window in which requests and retries are counted"},
--- a/adapters/settings.c
+++ b/adapters/settings.c
@@ -320,6 +320,7 @@
 	settings->gateway.retry_percent = 20;
 	settings->gateway.retry_extra = 50;
 	settings->gateway.home_from_nodes = DEFAULT_HOME_FROM_NODES;
+	settings->gateway.warmup_excess_percent = 100;
 	settings->gateway.retry_window_us = 10 * G_USEC_PER_SEC;
 	return settings;
 }
--- a/adapters/settings.h
+++ b/adapters/settings.h
@@ -28,6 +28,8 @@
 	int64_t retry_percent;
 	int64_t retry_extra;
 	int64_t home_from_nodes;
+	int64_t warmup_excess_percent;
+	int64_t warmup_slack;
 	int64_t retry_window_us;
 };
 
--- a/core/config/config.h
+++ b/core/config/config.h
@@ -43,6 +43,9 @@
 	enum service_kind kind;
 	GPtrArray *endpoints;	 /* struct config_endpoint */
 	int32_t max_connections; /* per endpoint, all nodes; 0: no limit */
+	int64_t warmup_us;	 /* how long an endpoint is cold */
+	int64_t warmup_per_ks;	 /* requests per 1,000 s to a cold one, all
+				    nodes; 0: no limit */
 	struct engine_capabilities engine;
 };
 
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -217,6 +217,35 @@
 	       slot_load(criteria, endpoint) < 1;
 }
 
+/*
+ * Whether this node may send the endpoint a request, or let another node send
+ * one, now. A node that has just started does not know its share yet and uses
+ * no cold endpoint.
+ */
+bool endpoint_warmup_allows(const struct endpoint *endpoint,
+			    const struct endpoint_warmup *warmup,
+			    int64_t now_us)
+{
+	if (warmup->bounds.rate_per_ks == 0 ||
+	    !endpoint_is_cold(endpoint, warmup->cold_us, now_us))
+		return true;
+	return warmup->is_settled &&
+	       warmup_window_allows(endpoint->warmup,
+				    warmup_quota(&warmup->bounds,
+						 warmup->chooser,
+						 &warmup->fleet, endpoint->key),
+				    now_us);
+}
+
+/* Counts a request that is sent to the endpoint now, if it is cold. */
+void endpoint_warmup_add(struct endpoint *endpoint,
+			 const struct endpoint_warmup *warmup, int64_t now_us)
+{
+	if (warmup->bounds.rate_per_ks > 0 &&
+	    endpoint_is_cold(endpoint, warmup->cold_us, now_us))
+		warmup_window_add(&endpoint->warmup, now_us);
+}
+
 static struct endpoint *choose_best(const struct registry *registry,
 				    const struct endpoint_criteria *criteria,
 				    const struct summary *summary,
@@ -234,7 +263,9 @@
 		    is_full(criteria, endpoint) ||
 		    (healthy_only &&
 		     !looks_healthy(criteria, endpoint, summary)) ||
-		    !has_room(criteria, endpoint, fill))
+		    !has_room(criteria, endpoint, fill) ||
+		    !endpoint_warmup_allows(endpoint, &criteria->warmup,
+					    criteria->now_us))
 			continue;
 		score = endpoint_score(criteria, endpoint, i);
 		if (!best || score < best_score) {
--- a/core/gateway/endpoint_choice.h
+++ b/core/gateway/endpoint_choice.h
@@ -10,6 +10,21 @@
 
 G_BEGIN_DECLS
 
+/* Limits on requests to endpoints of a service that are cold. */
+struct endpoint_warmup {
+	struct warmup_bounds bounds; /* rate 0: no limit */
+	enum warmup_chooser chooser;
+	struct warmup_fleet fleet;
+	bool is_settled; /* this node knows the fleet */
+	int64_t cold_us; /* how long an endpoint of the service is cold */
+};
+
+bool endpoint_warmup_allows(const struct endpoint *endpoint,
+			    const struct endpoint_warmup *warmup,
+			    int64_t now_us);
+void endpoint_warmup_add(struct endpoint *endpoint,
+			 const struct endpoint_warmup *warmup, int64_t now_us);
+
 /*
  * Criteria for choosing the endpoint of a request, or the one that keeps a
  * backup of its generation. Each node decides by itself, from its own load and
@@ -23,6 +38,7 @@
 	const GPtrArray *avoid;	    /* char *: endpoint ids, or NULL */
 	const char *avoid_id;	    /* one more endpoint id, or NULL */
 	int64_t tokens; /* in memory at the expected end; 0: plain service */
+	struct endpoint_warmup warmup;
 	int64_t now_us;
 	double draw; /* random, in [0, 1) */
 };
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -24,6 +24,7 @@
 
 	registration_destroy(endpoint->last_registration);
 	registration_destroy(endpoint->held_back);
+	warmup_window_destroy(endpoint->warmup);
 	g_free(endpoint);
 }
 
@@ -119,6 +120,19 @@
 	return endpoint_is_usable(endpoint) && endpoint->known_us == known_us;
 }
 
+/*
+ * Whether the endpoint is still cold after a start, or may be because nothing
+ * was sent to it while its failure domain was under a cordon. cold_us is how
+ * long an endpoint of its service is cold.
+ */
+bool endpoint_is_cold(const struct endpoint *endpoint, int64_t cold_us,
+		      int64_t now_us)
+{
+	return now_us < endpoint->warm_us ||
+	       (endpoint->uncordoned_us &&
+		now_us < endpoint->uncordoned_us + cold_us);
+}
+
 /* Whether the endpoint has requests, of any node, without an answer so far. */
 bool endpoint_has_unread_prompts(const struct endpoint *endpoint)
 {
@@ -327,6 +341,9 @@
 	if (update->started_ms > endpoint->last_registration->started_ms ||
 	    strcmp(update->address, endpoint->last_registration->address) != 0)
 		endpoint_restart(endpoint, update, now_us);
+	else if (update->warmup_remaining_us > 0)
+		endpoint->warm_us = MAX(endpoint->warm_us,
+					now_us + update->warmup_remaining_us);
 	endpoint_replace_registration(registry, endpoint, update);
 	endpoint_update_cordon(endpoint, registry, now_us);
 	endpoint_set_presence(
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -281,3 +281,47 @@
 	for (const auto &count : counts)
 		EXPECT_LT(count.second, 120) << count.first;
 }
+
+/*
+ * Guards against a burst that ends a cold engine: it looks empty, so that every
+ * node would send it all its requests. Beyond the rate they go elsewhere.
+ */
+TEST_F(EndpointChoice, SendsAColdEngineNoMoreThanItsRate)
+{
+	struct endpoint *cold = add("cold", 0, 0);
+
+	add("warm", 20000, 5);
+	criteria.warmup.bounds = {4000, 150, 5};
+	criteria.warmup.chooser = WARMUP_HOME;
+	criteria.warmup.fleet = {480, 480, 0};
+	criteria.warmup.is_settled = true;
+	cold->warm_us = criteria.now_us + G_USEC_PER_SEC;
+	for (int i = 0; i < 4; i++) {
+		ASSERT_EQ("cold", choose());
+		endpoint_warmup_add(cold, &criteria.warmup, criteria.now_us);
+	}
+	EXPECT_EQ("warm", choose());
+	criteria.warmup.is_settled = false;
+	g_clear_pointer(&cold->warmup, warmup_window_destroy);
+	EXPECT_EQ("warm", choose()) << "this node has just started";
+	cold->warm_us = 0;
+	EXPECT_EQ("cold", choose()) << "warm by now";
+	criteria.warmup.cold_us = G_USEC_PER_SEC;
+	cold->uncordoned_us = criteria.now_us - 1000;
+	EXPECT_EQ("warm", choose()) << "its domain was just taken back";
+	criteria.warmup.bounds.rate_per_ks = 0;
+	EXPECT_EQ("cold", choose()) << "the service states no rate";
+}
+
+/* What waits for a cold engine alone is refused, not sent after all. */
+TEST_F(EndpointChoice, RefusesWhatOnlyAColdEngineCouldTake)
+{
+	struct endpoint *cold = add("cold", 0, 0);
+
+	criteria.warmup.bounds = {500, 100, 0};
+	criteria.warmup.chooser = WARMUP_EACH_NODE;
+	criteria.warmup.fleet = {59, 59, 58};
+	criteria.warmup.is_settled = true;
+	cold->warm_us = criteria.now_us + G_USEC_PER_SEC;
+	EXPECT_EQ("none", choose());
+}
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -411,3 +411,32 @@
 	EXPECT_FALSE(platform_is_cordon("op/config"));
 	EXPECT_FALSE(platform_is_cordon("servers/evacuate"));
 }
+
+/* A rate that is no number above 0 sets no limit; fractions count. */
+TEST(Platform, ReadsTheRateOfColdEndpoints)
+{
+	const struct {
+		const char *field;
+		int64_t per_ks;
+	} cases[] = {
+		{"\"warmup_per_s\":36.0", 36000}, {"\"warmup_per_s\":0.5", 500},
+		{"\"warmup_per_s\":4", 4000},	  {"\"warmup_per_s\":0", 0},
+		{"\"warmup_per_s\":-3", 0},	  {"\"warmup_per_s\":\"9\"", 0},
+		{"\"warmup_per_s\":1e300", 0},	  {"\"other\":9", 0},
+	};
+
+	for (const auto &row : cases) {
+		std::string text = std::string("{\"version\":1,\"limits\":{},"
+					       "\"services\":[{\"name\":\"s\","
+					       "\"cold_start_s\":1.5,") +
+				   row.field + "}]}";
+		struct route_table *table = read_document(text);
+		const struct config_service *service;
+
+		ASSERT_NE(nullptr, table) << text;
+		service = route_table_find_service(table, "s");
+		EXPECT_EQ(row.per_ks, service->warmup_per_ks) << text;
+		EXPECT_EQ(1500000, service->warmup_us);
+		route_table_unref(table);
+	}
+}
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -470,3 +470,19 @@
 	EXPECT_FALSE(registry_has_cordoned(registry, "engines"));
 	cordon_destroy(cordon);
 }
+
+/* An entry tells that its endpoint, which did not restart, is cold again. */
+TEST_F(Registry, EndpointMayBecomeColdAgain)
+{
+	const struct endpoint *engine;
+	struct registration *again = entry("e1", 6);
+
+	apply(entry("e1", 5));
+	engine = registry_find(registry, "e1");
+	EXPECT_FALSE(endpoint_is_cold(engine, second_us, now_us));
+	again->warmup_remaining_us = 2 * second_us;
+	apply(again);
+	EXPECT_TRUE(endpoint_is_cold(engine, second_us, now_us + second_us));
+	EXPECT_FALSE(
+		endpoint_is_cold(engine, second_us, now_us + 3 * second_us));
+}
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -164,6 +164,11 @@
 	EXPECT_EQ(3600000000, load_gateway("drain_s = 3600.0").drain_us);
 	EXPECT_EQ(13, load_gateway("retry_ratio = 0.13").retry_percent);
 	EXPECT_EQ(19, load_gateway("retry_ratio = 0.199").retry_percent);
+	EXPECT_EQ(150,
+		  load_gateway("warmup_excess = 1.5").warmup_excess_percent);
+	EXPECT_EQ(90,
+		  load_gateway("warmup_excess = 0.9").warmup_excess_percent);
+	EXPECT_EQ(5, load_gateway("warmup_slack = 5.0").warmup_slack);
 
 	struct settings *settings =
 		load(std::string(gateway_node) +
