Requests run only in the regions of their route and organisation

Cause: allowed_regions of routes and tenants was read nowhere, and the directory named nodes of all regions to every caller.

Change: core/gateway/region_limits decides by the regions of failure domains, which the settings give (domain_regions); an endpoint whose region is not known gets no bound request. Where route and organisation are bound, both hold, for the first choice, moves and backups alike. Such requests are placed by their own node, as the home is not told of the regions. The directory names nodes in the caller's region, and all only where it has none. Where no endpoint may get a request it is refused at once: no_endpoint_in_its_regions.

Weighed: passing a request to a node in a home region would send its body to a third machine; the node to which the caller connected sends it to the endpoint itself, which the rule allows.

--- a/adapters/gateway/dialect.h
+++ b/adapters/gateway/dialect.h
@@ -76,6 +76,8 @@
 	GBytes *(*write_addresses)(const GPtrArray *addresses, int64_t keep_us);
 	bool (*is_ready_request)(const struct http_head *head);
 	bool (*is_address_request)(const struct http_head *head);
+	/* Of an address request; NULL: not given. To be freed with g_free. */
+	char *(*read_caller_region)(const struct http_head *head);
 };
 
 G_END_DECLS
--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -161,6 +161,12 @@
 		.failure_domain = gateway->options.failure_domain,
 		.avoid = exchange->avoided_ids,
 		.tokens = exchange_held_tokens(exchange),
+		.regions = {.map = gateway->region_map,
+			    .route = exchange->route->regions,
+			    .organisation =
+				    exchange->organisation
+					    ? exchange->organisation->regions
+					    : NULL},
 		.now_us = gateway->now_us,
 		.draw = g_rand_double(gateway->random),
 	};
@@ -198,25 +204,35 @@
 		exchange_fail_leg(exchange, RESULT_NOT_SENT, error.detail);
 }
 
+/* Why no endpoint may get the request, for logs. */
+static const char *exchange_missing_reason(const struct exchange *exchange)
+{
+	struct registry *registry = exchange->gateway->registry;
+
+	if (registry_count_usable(registry, exchange->service_name) > 0)
+		return "no_endpoint_in_its_regions";
+	if (registry_has_cordoned(registry, exchange->service_name))
+		return "cordoned";
+	return "no_endpoint";
+}
+
 /* Sends the request to the endpoint; refuses it if the endpoint is NULL. */
 void exchange_send_or_refuse(struct exchange *exchange,
 			     struct endpoint *endpoint)
 {
 	struct gateway *gateway = exchange->gateway;
+	struct endpoint_criteria criteria;
 
 	if (endpoint) {
 		exchange_send(exchange, endpoint);
 		return;
 	}
+	exchange_fill_criteria(exchange, &criteria);
 	if (exchange->runs > 0)
 		exchange_refuse(exchange, 502, -1, "no_other_endpoint");
-	else if (registry_count_usable(gateway->registry,
-				       exchange->service_name) == 0)
+	else if (!endpoint_choice_exists(gateway->registry, &criteria))
 		exchange_refuse(exchange, 503, RETRY_LATER_US,
-				registry_has_cordoned(gateway->registry,
-						      exchange->service_name)
-					? "cordoned"
-					: "no_endpoint");
+				exchange_missing_reason(exchange));
 	else
 		exchange_refuse(
 			exchange, 503,
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -79,13 +79,16 @@
 	exchange_resume_reading(request);
 }
 
-static void answer_addresses(struct gateway *gateway, struct caller *caller)
+static void answer_addresses(struct gateway *gateway, struct caller *caller,
+			     const struct http_head *head)
 {
-	GPtrArray *addresses = gateway_addresses(gateway);
+	char *region = gateway->dialect->read_caller_region(head);
+	GPtrArray *addresses = gateway_addresses(gateway, region);
 	GBytes *body;
 	gsize size;
 	const char *text;
 
+	g_free(region);
 	if (addresses->len == 0) {
 		caller_answer(caller, 503, NULL, "", 0);
 		g_ptr_array_unref(addresses);
@@ -112,7 +115,7 @@
 			      gateway_accepts_requests(gateway) ? 200 : 503,
 			      NULL, "", 0);
 	else if (gateway->dialect->is_address_request(head))
-		answer_addresses(gateway, caller);
+		answer_addresses(gateway, caller, head);
 	else
 		caller_answer(caller, 404, NULL, "", 0);
 	http_head_destroy(head);
@@ -305,6 +308,7 @@
 	gateway->newest_version = -1;
 	announce_pace_init(&gateway->pace, gateway->now_us);
 	gateway->registry = registry_create();
+	gateway->region_map = region_map_create(options->domain_regions);
 	quarantine_options_default(&quarantine);
 	gateway->quarantine = quarantine_create(&quarantine);
 	gateway->pool = endpoint_pool_create();
@@ -351,6 +355,7 @@
 	g_hash_table_unref(gateway->home_requests);
 	g_free(gateway->home_address);
 	registry_destroy(gateway->registry);
+	region_map_destroy(gateway->region_map);
 	route_table_unref(gateway->table);
 	if (gateway->document)
 		g_bytes_unref(gateway->document);
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -26,9 +26,10 @@
 struct gateway_options {
 	const char *node_name;
 	const char *failure_domain;
-	const char *address;	       /* listens for requests */
-	const char *ready_address;     /* "": none */
-	const char *directory_address; /* "": none */
+	const char *const *domain_regions; /* DOMAIN=REGION; NULL: none */
+	const char *address;		   /* listens for requests */
+	const char *ready_address;	   /* "": none */
+	const char *directory_address;	   /* "": none */
 	int64_t max_connections;
 	int64_t drain_us;	  /* from SIGTERM to the end */
 	int64_t directory_ttl_us; /* callers cache the addresses */
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -124,6 +124,13 @@
 	return message;
 }
 
+/* Whether the request may run in some regions only, unknown to the home. */
+static bool exchange_is_bound(const struct exchange *exchange)
+{
+	return exchange->route->regions ||
+	       (exchange->organisation && exchange->organisation->regions);
+}
+
 /*
  * Requests an engine from the home; false if this node has to choose locally.
  */
@@ -132,7 +139,7 @@
 	struct gateway *gateway = exchange->gateway;
 	const struct member *home;
 
-	if (!exchange_is_generation(exchange) ||
+	if (!exchange_is_generation(exchange) || exchange_is_bound(exchange) ||
 	    gateway->now_us < gateway->home_skipped_until_us)
 		return false;
 	home = find_home(gateway, exchange->service_name);
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -377,29 +377,50 @@
 	announce_to_all(gateway);
 }
 
-/*
- * Addresses of the nodes that accept requests, this one first. The caller frees
- * the array; the strings belong to the gateway.
- */
-GPtrArray *gateway_addresses(struct gateway *gateway)
+/* Whether callers in the region may be sent to the member; NULL: any region. */
+static bool member_is_in(const struct member *member, const char *region)
+{
+	return member && (!region || strcmp(member->region, region) == 0);
+}
+
+/* Adds the addresses of the nodes in the region that accept requests. */
+static void add_addresses(const struct gateway *gateway, const char *region,
+			  GPtrArray *addresses)
 {
 	const struct membership *members =
 		gateway->host.members(gateway->host.data);
-	GPtrArray *addresses = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer name, value;
 
-	if (gateway_accepts_requests(gateway))
+	if (gateway_accepts_requests(gateway) &&
+	    member_is_in(membership_self(members), region))
 		g_ptr_array_add(addresses, (gpointer)gateway->options.address);
 	g_hash_table_iter_init(&iter, gateway->peers);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const struct gateway_peer *peer = value;
 
 		if (peer->accepts_requests && addresses->len < MAX_ADDRESSES &&
-		    membership_find(members, name) &&
+		    member_is_in(membership_find(members, name), region) &&
 		    peer_is_recent(gateway, peer, SILENT_PERIODS))
 			g_ptr_array_add(addresses, peer->address);
 	}
+}
+
+/*
+ * Addresses of the nodes that accept requests, this one first. Callers whose
+ * region is known are sent to nodes there: a request may be bound to regions,
+ * and its body must not reach a node in any other. Without a node in their
+ * region they get all. The caller frees the array; the strings belong to the
+ * gateway.
+ */
+GPtrArray *gateway_addresses(struct gateway *gateway, const char *region)
+{
+	GPtrArray *addresses = g_ptr_array_new();
+
+	if (region)
+		add_addresses(gateway, region, addresses);
+	if (addresses->len == 0)
+		add_addresses(gateway, NULL, addresses);
 	return addresses;
 }
 
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -69,6 +69,7 @@
 	bool announce_pending;	    /* load or configuration; to be announced */
 	bool home_announce_pending; /* changes not yet sent to the home */
 
+	struct region_map *region_map;
 	struct warmup_peak warmup_peak;
 	struct warmup_fleet fleet;
 
@@ -104,7 +105,7 @@
 void gateway_step_registry(struct gateway *gateway);
 
 /* gateway_peers.c */
-GPtrArray *gateway_addresses(struct gateway *gateway);
+GPtrArray *gateway_addresses(struct gateway *gateway, const char *region);
 struct store_view gateway_store_view(const struct gateway *gateway);
 bool gateway_store_is_away(const struct gateway *gateway);
 void gateway_peers_step(struct gateway *gateway);
--- a/adapters/setting.c
+++ b/adapters/setting.c
@@ -5,6 +5,7 @@
 
 #define MAX_SECRET_BYTES 256
 #define MAX_SEEDS 64
+#define MAX_DOMAINS 1024
 #define ROUNDING_TOLERANCE 1e-9
 
 static const char *const level_choices[] = {"info", "warn", "error", NULL};
@@ -38,6 +39,9 @@
 	 FIELD(node.seeds), 0, MAX_SEEDS, NULL,
 	 "peer addresses of nodes to join through; may include this node's "
 	 "own"},
+	{"node", "domain_regions", SETTING_PAIR_LIST, REQUIRED_NEVER,
+	 FIELD(domain_regions), 0, MAX_DOMAINS, NULL,
+	 "regions of the failure domains in which endpoints are"},
 	{"node", "peer_transport", SETTING_CHOICE, REQUIRED_NEVER,
 	 FIELD(peer_transport), 0, 0, peer_transport_choices,
 	 "transport of small records to nodes that take datagrams too"},
@@ -267,6 +271,13 @@
 	*field = g_strdup(text);
 }
 
+/* Returns true if the field is a list of strings. */
+bool setting_is_list(const struct setting *setting)
+{
+	return setting->type == SETTING_ADDRESS_LIST ||
+	       setting->type == SETTING_PAIR_LIST;
+}
+
 /*
  * Returns true if the field is a string. The log level is stored as a string,
  * the other choices as their enum value.
@@ -306,6 +317,9 @@
 	case SETTING_ADDRESS_LIST:
 		return g_strdup_printf("a list of at most %d IP:PORT",
 				       (int)setting->max);
+	case SETTING_PAIR_LIST:
+		return g_strdup_printf("a list of at most %d DOMAIN=REGION",
+				       (int)setting->max);
 	case SETTING_SECRET:
 		return g_strdup_printf("a string of %d to %d bytes",
 				       (int)setting->min, (int)setting->max);
--- a/adapters/setting.h
+++ b/adapters/setting.h
@@ -15,6 +15,7 @@
 	SETTING_NAME,
 	SETTING_ADDRESS,
 	SETTING_ADDRESS_LIST,
+	SETTING_PAIR_LIST, /* of NAME=NAME */
 	SETTING_SECRET,
 	SETTING_CHOICE,
 	SETTING_INT32,
@@ -47,6 +48,7 @@
 const struct setting *setting_at(size_t i);
 const struct setting *setting_find(const char *section, const char *key);
 void *setting_field(const struct setting *setting, struct settings *settings);
+bool setting_is_list(const struct setting *setting);
 bool setting_is_text(const struct setting *setting);
 bool setting_stores_text(const struct setting *setting);
 int64_t setting_get_number(const struct setting *setting,
--- a/adapters/settings.c
+++ b/adapters/settings.c
@@ -74,12 +74,30 @@
 	return false;
 }
 
+/* Whether the text is two names with one '=' between them. */
+static bool pair_is_valid(const char *text)
+{
+	char **names = g_strsplit(text, "=", 3);
+	bool valid = g_strv_length(names) == 2 && name_is_valid(names[0]) &&
+		     name_is_valid(names[1]);
+
+	g_strfreev(names);
+	return valid;
+}
+
+static bool item_is_valid(const struct setting *setting, const char *text)
+{
+	return setting->type == SETTING_PAIR_LIST ? pair_is_valid(text)
+						  : address_is_valid(text);
+}
+
 static bool settings_apply_list(struct settings *settings, const char *path,
 				const struct setting *setting,
 				const struct toml_entry *entry,
 				struct error *error)
 {
 	char ***field = setting_field(setting, settings);
+	bool is_pair = setting->type == SETTING_PAIR_LIST;
 
 	if (entry->type != TOML_STRING_LIST)
 		return settings_set_error(error, path, entry, setting,
@@ -88,14 +106,16 @@
 		return settings_set_error(error, path, entry, setting,
 					  "too many");
 	for (char **item = entry->strings; *item; item++) {
-		if (!address_is_valid(*item))
+		if (!item_is_valid(setting, *item))
 			return settings_set_error(error, path, entry, setting,
-						  "not an address");
+						  is_pair ? "not a pair"
+							  : "not an address");
 		for (char **other = entry->strings; other < item; other++) {
 			if (strcmp(*other, *item) == 0)
-				return settings_set_error(error, path, entry,
-							  setting,
-							  "duplicate address");
+				return settings_set_error(
+					error, path, entry, setting,
+					is_pair ? "duplicate pair"
+						: "duplicate address");
 		}
 	}
 	g_strfreev(*field);
@@ -200,6 +220,7 @@
 		return settings_apply_text(settings, path, setting, entry,
 					   error);
 	case SETTING_ADDRESS_LIST:
+	case SETTING_PAIR_LIST:
 		return settings_apply_list(settings, path, setting, entry,
 					   error);
 	case SETTING_CHOICE:
@@ -306,6 +327,7 @@
 			*field = g_strdup("");
 	}
 	settings->node.seeds = (const char *const *)g_new0(char *, 1);
+	settings->domain_regions = g_new0(char *, 1);
 	settings->log_level = g_strdup("info");
 	settings->vm_list_poll_ms = 1000;
 	settings->max_header_bytes = 16384;
@@ -369,7 +391,7 @@
 	for (size_t i = 0; i < setting_count(); i++) {
 		void *field = setting_field(setting_at(i), settings);
 
-		if (setting_at(i)->type == SETTING_ADDRESS_LIST)
+		if (setting_is_list(setting_at(i)))
 			g_strfreev(*(char ***)field);
 		else if (setting_stores_text(setting_at(i)))
 			g_free(*(char **)field);
--- a/adapters/settings.h
+++ b/adapters/settings.h
@@ -36,6 +36,7 @@
 struct settings {
 	struct gateway_settings gateway;
 	struct node_options node; /* incarnation and seed are not set here */
+	char **domain_regions;	  /* DOMAIN=REGION, NULL-terminated */
 	char *kv_address;
 	char *vm_list_address; /* "" for none */
 	char *operator_key;    /* "" disables the operators' API */
--- a/adapters/settings_help.c
+++ b/adapters/settings_help.c
@@ -31,7 +31,7 @@
 	if (setting->type == SETTING_CHOICE)
 		return g_strdup(setting->choices[*(int *)setting_field(
 			setting, settings)]);
-	if (setting->type == SETTING_ADDRESS_LIST)
+	if (setting_is_list(setting))
 		return g_strdup("[]");
 	if (setting_is_text(setting))
 		return g_strdup("none");
--- a/core/config/config.c
+++ b/core/config/config.c
@@ -25,6 +25,7 @@
 {
 	struct config_organisation *organisation = data;
 
+	g_clear_pointer(&organisation->regions, g_ptr_array_unref);
 	g_free(organisation->name);
 	g_free(organisation->key_sha256);
 	g_ptr_array_unref(organisation->more_keys);
--- a/core/config/config.h
+++ b/core/config/config.h
@@ -58,6 +58,7 @@
 	int32_t requests_per_s;
 	int64_t concurrent_tokens;
 	int32_t route_priority; /* 0 is the most urgent; -1: the route's */
+	GPtrArray *regions;	/* char *: runs only there; NULL: anywhere */
 };
 
 /* Size limits and timeouts of the requests that callers send to routes. */
--- a/core/config/route.c
+++ b/core/config/route.c
@@ -38,6 +38,8 @@
 	route->timeout_us = other->timeout_us;
 	route->first_answer_us = other->first_answer_us;
 	route->longest_pause_us = other->longest_pause_us;
+	if (other->regions)
+		route->regions = g_ptr_array_ref(other->regions);
 	for (guint i = 0; i < other->targets->len; i++) {
 		const struct route_target *target =
 			&g_array_index(other->targets, struct route_target, i);
@@ -56,6 +58,7 @@
 	g_free(route->host);
 	g_free(route->path_prefix);
 	g_array_unref(route->targets);
+	g_clear_pointer(&route->regions, g_ptr_array_unref);
 	g_free(route);
 }
 
@@ -113,6 +116,17 @@
 	return true;
 }
 
+static bool regions_are_equal(const GPtrArray *a, const GPtrArray *b)
+{
+	if (!a || !b)
+		return a == b;
+	for (guint i = 0; i < a->len && i < b->len; i++) {
+		if (strcmp(a->pdata[i], b->pdata[i]) != 0)
+			return false;
+	}
+	return a->len == b->len;
+}
+
 /* Returns whether two routes are equal in all but their names. */
 bool route_is_equal(const struct route *a, const struct route *b)
 {
@@ -124,7 +138,8 @@
 	       a->timeout_us == b->timeout_us &&
 	       a->first_answer_us == b->first_answer_us &&
 	       a->longest_pause_us == b->longest_pause_us &&
-	       targets_are_equal(a->targets, b->targets);
+	       targets_are_equal(a->targets, b->targets) &&
+	       regions_are_equal(a->regions, b->regions);
 }
 
 /* Returns the name of the kind used in documents and intents. */
--- a/core/config/route.h
+++ b/core/config/route.h
@@ -32,6 +32,7 @@
 	int64_t first_answer_us; /* until the first answer is due; 0: not set */
 	int64_t longest_pause_us; /* between two events; 0: not set */
 	GArray *targets;	  /* struct route_target */
+	GPtrArray *regions; /* char *: may run only there; NULL: anywhere */
 };
 
 struct route *route_create(const char *name, const char *host,
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -69,6 +69,9 @@
 	return endpoint_is_usable(endpoint) &&
 	       strcmp(endpoint->last_registration->service,
 		      criteria->service) == 0 &&
+	       region_limits_allow(
+		       &criteria->regions,
+		       endpoint->last_registration->failure_domain) &&
 	       !is_avoided(criteria, endpoint);
 }
 
@@ -276,6 +279,25 @@
 	return best;
 }
 
+/*
+ * Whether any endpoint of the service may get the request, with room or not.
+ * Endpoints to avoid count.
+ */
+bool endpoint_choice_exists(const struct registry *registry,
+			    const struct endpoint_criteria *criteria)
+{
+	const GPtrArray *endpoints = registry_endpoints(registry);
+	struct endpoint_criteria any = *criteria;
+
+	any.avoid = NULL;
+	any.avoid_id = NULL;
+	for (guint i = 0; i < endpoints->len; i++) {
+		if (is_candidate(&any, g_ptr_array_index(endpoints, i)))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Returns the endpoint with the best score among those with room, or NULL if
  * none has room. If all endpoints with room look unhealthy, one of them is
--- a/core/gateway/endpoint_choice.h
+++ b/core/gateway/endpoint_choice.h
@@ -1,6 +1,7 @@
 #ifndef CORE_GATEWAY_ENDPOINT_CHOICE_H
 #define CORE_GATEWAY_ENDPOINT_CHOICE_H
 
+#include "core/gateway/region_limits.h"
 #include "core/gateway/registry.h"
 #include "core/gateway/route_table.h"
 
@@ -38,11 +39,14 @@
 	const GPtrArray *avoid;	    /* char *: endpoint ids, or NULL */
 	const char *avoid_id;	    /* one more endpoint id, or NULL */
 	int64_t tokens; /* in memory at the expected end; 0: plain service */
+	struct region_limits regions;
 	struct endpoint_warmup warmup;
 	int64_t now_us;
 	double draw; /* random, in [0, 1) */
 };
 
+bool endpoint_choice_exists(const struct registry *registry,
+			    const struct endpoint_criteria *criteria);
 struct endpoint *endpoint_choose(const struct registry *registry,
 				 const struct endpoint_criteria *criteria);
 struct endpoint *
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -220,6 +220,7 @@
 	const struct gateway_options gateway = {
 		.node_name = settings->node.name,
 		.failure_domain = settings->node.failure_domain,
+		.domain_regions = (const char *const *)settings->domain_regions,
 		.address = settings->gateway.address,
 		.ready_address = settings->gateway.ready_address,
 		.directory_address = settings->gateway.directory_address,
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -325,3 +325,38 @@
 	cold->warm_us = criteria.now_us + G_USEC_PER_SEC;
 	EXPECT_EQ("none", choose());
 }
+
+/*
+ * Guards against a request that runs outside the regions to which its route or
+ * its organisation is bound, however full the endpoints there are.
+ */
+TEST_F(EndpointChoice, KeepsRequestsInTheirRegions)
+{
+	static const char *const pairs[] = {"a=casa", "b=rabat", nullptr};
+	struct region_map *map = region_map_create(pairs);
+	GPtrArray *casa = g_ptr_array_new(), *both = g_ptr_array_new();
+
+	g_ptr_array_add(casa, (gpointer) "casa");
+	g_ptr_array_add(both, (gpointer) "casa");
+	g_ptr_array_add(both, (gpointer) "rabat");
+	add("home", 30000, 8, "a");
+	add("far", 0, 0, "b");
+	add("unknown", 0, 0, "c");
+	criteria.regions.map = map;
+	EXPECT_NE("home", choose()) << "bound to no region";
+	criteria.regions.route = both;
+	EXPECT_EQ("far", choose());
+	criteria.regions.organisation = casa;
+	EXPECT_EQ("home", choose()) << "both bind";
+	EXPECT_EQ(nullptr, endpoint_choose_for_move(registry, &criteria));
+	criteria.avoid_id = "home";
+	EXPECT_EQ("none", backup());
+	EXPECT_TRUE(endpoint_choice_exists(registry, &criteria));
+	g_ptr_array_set_size(both, 0);
+	EXPECT_FALSE(endpoint_choice_exists(registry, &criteria))
+		<< "its regions have nothing in common";
+	EXPECT_EQ("none", choose());
+	g_ptr_array_unref(casa);
+	g_ptr_array_unref(both);
+	region_map_destroy(map);
+}
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -40,7 +40,8 @@
 		return ((Gateway *)data)->members;
 	}
 
-	static struct member *member_create(const char *name)
+	static struct member *member_create(const char *name,
+					    const char *region = "r")
 	{
 		struct member *member = g_new0(struct member, 1);
 
@@ -49,7 +50,7 @@
 		member->version = 1;
 		member->http_address = g_strdup("");
 		member->peer_address = g_strdup_printf("%s:1", name);
-		member->region = g_strdup("r");
+		member->region = g_strdup(region);
 		member->failure_domain = g_strdup("a");
 		return member;
 	}
@@ -80,7 +81,7 @@
 		JoinMember("n0");
 	}
 
-	void JoinMember(const char *name)
+	void JoinMember(const char *name, const char *region = "r")
 	{
 		struct action_list *actions = action_list_create();
 		struct peer_message *message = peer_message_create(PEER_PING);
@@ -88,7 +89,8 @@
 		message->from = g_strdup(name);
 		message->from_address = g_strdup_printf("%s:1", name);
 		message->incarnation = 1;
-		g_ptr_array_add(message->probe.members, member_create(name));
+		g_ptr_array_add(message->probe.members,
+				member_create(name, region));
 		membership_receive(members, message, 1, actions);
 		peer_message_destroy(message);
 		action_list_destroy(actions);
@@ -129,16 +131,24 @@
 
 	/* n0 announces its version and whether it reaches the store. */
 	void ReceiveStanding(int64_t version, bool reaches_store)
+	{
+		ReceiveStandingOf("n0", version, reaches_store);
+	}
+
+	void ReceiveStandingOf(const char *name, int64_t version,
+			       bool reaches_store = true)
 	{
 		struct peer_message *message =
 			peer_message_create(PEER_STANDING);
 
-		message->from = g_strdup("n0");
-		message->from_address = g_strdup("n0:1");
+		message->from = g_strdup(name);
+		message->from_address = g_strdup_printf("%s:1", name);
 		message->incarnation = 1;
 		message->standing.table_version = version;
 		message->standing.reaches_store = reaches_store;
-		message->standing.callers_address = g_strdup("n0:2");
+		message->standing.accepts_requests = true;
+		message->standing.callers_address =
+			g_strdup_printf("%s:2", name);
 		gateway_receive_peer(gateway, message);
 		peer_message_destroy(message);
 	}
@@ -412,3 +422,33 @@
 	EXPECT_EQ(1u, SentCount(PEER_ROUTES));
 	EXPECT_EQ(1u, SentCount(PEER_CORDONS));
 }
+
+/*
+ * Guards against callers that are sent to a region that is neither theirs nor a
+ * home of their requests.
+ */
+TEST_F(GatewayCordon, DirectsCallersToNodesInTheirRegion)
+{
+	const struct {
+		const char *region;
+		guint count;
+	} cases[] = {
+		{"r", 2},
+		{nullptr, 3},
+		{"elsewhere", 3},
+	};
+
+	ListNoCordons();
+	ApplyTableVersion(5);
+	ReceiveEntry(1, false);
+	ReceiveStanding(5, true);
+	JoinMember("far", "s");
+	ReceiveStandingOf("far", 5);
+	for (const auto &row : cases) {
+		GPtrArray *addresses = gateway_addresses(gateway, row.region);
+
+		EXPECT_EQ(row.count, addresses->len)
+			<< (row.region ? row.region : "not given");
+		g_ptr_array_unref(addresses);
+	}
+}
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -440,3 +440,52 @@
 		route_table_unref(table);
 	}
 }
+
+/* Homes of routes and of tenants; a list that can't be read allows nothing. */
+TEST(Platform, ReadsTheRegionsOfRoutesAndOrganisations)
+{
+	struct route_table *table = read_document(
+		"{\"version\":1,\"limits\":{},\"services\":[],\"routes\":["
+		"{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/a/\","
+		"\"kind\":\"safe\",\"timeout_ms\":9,"
+		"\"allowed_regions\":[\"casa\",\"rabat\"]},"
+		"{\"name\":\"s\",\"host\":\"h\",\"path_prefix\":\"/b/\","
+		"\"kind\":\"safe\",\"timeout_ms\":9,\"allowed_regions\":[]},"
+		"{\"name\":\"t\",\"host\":\"h\",\"path_prefix\":\"/c/\","
+		"\"kind\":\"safe\",\"timeout_ms\":9,\"allowed_regions\":[7]}],"
+		"\"tenants\":[{\"name\":\"atlas\",\"keys\":[\"k\"],"
+		"\"allowed_regions\":[\"rabat\"]}]}");
+
+	ASSERT_NE(nullptr, table);
+	EXPECT_EQ(2u, route_table_find(table, "h", "/a/x")->regions->len);
+	EXPECT_EQ(nullptr, route_table_find(table, "h", "/b/x")->regions);
+	EXPECT_EQ(0u, route_table_find(table, "h", "/c/x")->regions->len);
+	EXPECT_STREQ("rabat",
+		     (const char *)route_table_find_organisation(table, "k")
+			     ->regions->pdata[0]);
+	route_table_unref(table);
+}
+
+TEST(Platform, ReadsTheRegionOfACaller)
+{
+	const struct {
+		const char *target;
+		const char *region;
+	} cases[] = {
+		{"/v1/resolve?name=h&region=casa&zone=z", "casa"},
+		{"/v1/resolve?name=h", nullptr},
+		{"/v1/resolve", nullptr},
+		{"/v1/resolve?region=%zz", nullptr},
+	};
+
+	for (const auto &row : cases) {
+		struct http_head *head = http_head_create();
+		char *region;
+
+		head->target = g_strdup(row.target);
+		region = platform_dialect.read_caller_region(head);
+		EXPECT_STREQ(row.region, region) << row.target;
+		g_free(region);
+		http_head_destroy(head);
+	}
+}
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -213,6 +213,19 @@
 			     "retry_window_s = 0.999"));
 }
 
+TEST(Settings, ReadsTheRegionsOfFailureDomains)
+{
+	EXPECT_EQ("line 7: [node] domain_regions: not a pair, expected a list "
+		  "of at most 1024 DOMAIN=REGION",
+		  load_error(minimal_with("[keys]", "domain_regions = [\"a\"]\n"
+						    "[keys]")));
+	EXPECT_EQ("line 7: [node] domain_regions: not a pair, expected a list "
+		  "of at most 1024 DOMAIN=REGION",
+		  load_error(minimal_with("[keys]",
+					  "domain_regions = [\"a=b=c\"]\n"
+					  "[keys]")));
+}
+
 TEST(Settings, RefusesDuplicateAddresses)
 {
 	EXPECT_EQ("peer_address: duplicate address 127.0.0.1:8080, expected "
