--- a/tests/soak/soak_check_state.h
+++ b/tests/soak/soak_check_state.h
@@ -50,6 +50,7 @@
 
 /* soak_check_times.c */
 void soak_check_leaving(struct soak_check *check);
+void soak_check_evacuations(struct soak_check *check);
 void soak_check_stops(struct soak_check *check);
 void soak_check_timeouts(struct soak_check *check);
 void soak_check_retry_budget(struct soak_check *check);
--- a/tests/soak/soak_check_times.c
+++ b/tests/soak/soak_check_times.c
@@ -5,8 +5,9 @@
 
 /* Checks of bounds on times, counts and sizes. */
 
-#define DRAIN_US (2000 * SOAK_MS_US) /* drain_ms */
-#define GRACE_US (8000 * SOAK_MS_US) /* grace_s */
+#define DRAIN_US (2000 * SOAK_MS_US)	/* drain_ms */
+#define EVACUATE_US (5000 * SOAK_MS_US) /* evacuate_ms */
+#define GRACE_US (8000 * SOAK_MS_US)	/* grace_s */
 /*
  * A request sent at most EARLY_SENT_US after SIGTERM may be aborted if it is
  * still unfinished in the last sixth of the grace period.
@@ -92,6 +93,43 @@
 			&g_array_index(leavings, struct soak_leaving, i));
 }
 
+static void check_evacuation(struct soak_check *check,
+			     const struct soak_evacuation *evacuation)
+{
+	const GPtrArray *entries = check->evidence->entries;
+	int64_t from_us = evacuation->acked_us + EVACUATE_US;
+
+	for (guint i = 0; i < entries->len; i++) {
+		const struct soak_entry *entry = g_ptr_array_index(entries, i);
+		const struct soak_life *life = soak_check_engine_life(
+			check, entry->engine, entry->at_us);
+		const struct soak_attempt *attempt;
+
+		if (entry->at_us < from_us || !is_work_start(entry) || !life ||
+		    !life->is_evacuated ||
+		    (evacuation->lifted_us &&
+		     entry->at_us > evacuation->lifted_us))
+			continue;
+		attempt = soak_check_attempt(check, entry->request);
+		if (attempt && !link_had_fault(check, entry) &&
+		    soak_check_is_stable(check, attempt->front, entry->at_us))
+			soak_check_add_finding(
+				check, attempt->id, entry->at_us,
+				"reached %s in an evacuated domain",
+				life->name);
+	}
+}
+
+/* Engines of an evacuated domain get no new work. */
+void soak_check_evacuations(struct soak_check *check)
+{
+	const GArray *rows = check->evidence->evacuations;
+
+	for (guint i = 0; i < rows->len; i++)
+		check_evacuation(
+			check, &g_array_index(rows, struct soak_evacuation, i));
+}
+
 /*
  * Whether the request's node had a fault in the meantime, or an engine that
  * worked on the request had a fault or ended.
--- a/tests/soak/soak_evidence.c
+++ b/tests/soak/soak_evidence.c
@@ -94,6 +94,8 @@
 		g_array_new(FALSE, TRUE, sizeof(struct soak_fault_record));
 	evidence->versions =
 		g_array_new(FALSE, TRUE, sizeof(struct soak_version));
+	evidence->evacuations =
+		g_array_new(FALSE, TRUE, sizeof(struct soak_evacuation));
 	evidence->leavings =
 		g_array_new(FALSE, TRUE, sizeof(struct soak_leaving));
 	g_array_set_clear_func(evidence->leavings, leaving_clear);
@@ -113,6 +115,7 @@
 	g_array_unref(evidence->fault_records);
 	g_array_unref(evidence->versions);
 	g_array_unref(evidence->leavings);
+	g_array_unref(evidence->evacuations);
 	g_free(evidence);
 }
 
--- a/tests/soak/soak_evidence.h
+++ b/tests/soak/soak_evidence.h
@@ -55,8 +55,9 @@
 /* One run of a process, from its start to its end. */
 struct soak_life {
 	char name[32];
-	char *front;  /* of a node; NULL: an engine */
-	char *engine; /* id of an engine; NULL: a node */
+	char *front;	   /* of a node; NULL: an engine */
+	char *engine;	   /* id of an engine; NULL: a node */
+	bool is_evacuated; /* an engine in the domain that is evacuated */
 	int64_t from_us;
 	int64_t to_us;	 /* 0: until the end of the run */
 	int64_t term_us; /* of SIGTERM; 0: none was sent */
@@ -89,6 +90,12 @@
 	int64_t acked_us;
 };
 
+/* A failure domain that the operator evacuated. */
+struct soak_evacuation {
+	int64_t acked_us;
+	int64_t lifted_us; /* when its end was requested; 0: never */
+};
+
 struct soak_evidence {
 	int64_t begun_us;
 	int64_t load_end_us;
@@ -100,6 +107,7 @@
 	GArray *fault_records;	/* struct soak_fault_record */
 	GArray *versions;	/* struct soak_version */
 	GArray *leavings;	/* struct soak_leaving */
+	GArray *evacuations;	/* struct soak_evacuation */
 	GPtrArray *failures;	/* char *: found by the soak itself */
 };
 
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -223,6 +223,37 @@
 #define DELAY_US (300 * G_TIME_SPAN_MILLISECOND)
 #define STRAY_IDLE_US (50 * G_TIME_SPAN_MILLISECOND)
 
+#define KEY_EVACUATED "op/evacuate/" SOAK_EVACUATED_DOMAIN
+
+/* Evacuates the domain, unless it is already. */
+static void domain_evacuate(struct soak_fleet *fleet)
+{
+	struct soak_evacuation row = {0};
+	struct error error = {0};
+
+	if (fleet->evacuations++ > 0)
+		return;
+	if (!soak_platform_put(fleet->store_address, KEY_EVACUATED, "{}",
+			       &error))
+		soak_fleet_note_failure(fleet, "evacuation: %s", error.detail);
+	row.acked_us = g_get_monotonic_time();
+	g_array_append_val(fleet->evidence->evacuations, row);
+}
+
+/* Takes the domain back at the end of its last evacuation. */
+static void domain_take_back(struct soak_fleet *fleet)
+{
+	GArray *rows = fleet->evidence->evacuations;
+	struct error error = {0};
+
+	if (--fleet->evacuations > 0)
+		return;
+	g_array_index(rows, struct soak_evacuation, rows->len - 1).lifted_us =
+		g_get_monotonic_time();
+	if (!soak_platform_delete(fleet->store_address, KEY_EVACUATED, &error))
+		soak_fleet_note_failure(fleet, "evacuation: %s", error.detail);
+}
+
 static const struct {
 	member_action begin;
 	member_action end;
@@ -385,6 +416,8 @@
 	proxy_set(fault_proxy(fleet, fault), &actions[fault->kind].link);
 	if (fault->kind == SOAK_STORE_REFUSES)
 		store_refuse_source(fleet, fault_proxy(fleet, fault));
+	if (fault->kind == SOAK_DOMAIN_EVACUATE)
+		domain_evacuate(fleet);
 	if (fault->kind == SOAK_CONFIG)
 		soak_fleet_configure(fleet);
 	for (int i = 0; fault->kind == SOAK_CONFIG_STORM && i < STORM_VERSIONS;
@@ -403,6 +436,8 @@
 	proxy_set(fault_proxy(fleet, fault), &normal);
 	if (fault->kind == SOAK_STORE_REFUSES)
 		store_mode(fleet, "{\"refused\":\"\"}");
+	if (fault->kind == SOAK_DOMAIN_EVACUATE)
+		domain_take_back(fleet);
 	if (fault->kind == SOAK_STORE_LAPSE)
 		entries_restore(fleet);
 	soak_fleet_record_fault_end(fleet, fault->kind,
--- a/tests/soak/soak_fleet_start.c
+++ b/tests/soak/soak_fleet_start.c
@@ -206,6 +206,7 @@
 	g_autofree char *key = g_strdup_printf("servers/%s", member->id);
 	g_autofree char *entry = soak_platform_entry(
 		member->role == SOAK_ROLE_PLAIN ? "portal" : "engines",
+		soak_platform_domain(member->index),
 		soak_member_connect_address(member), member->is_leaving,
 		member->born_ms);
 	struct error error = {0};
--- a/tests/soak/soak_fleet_state.h
+++ b/tests/soak/soak_fleet_state.h
@@ -23,6 +23,7 @@
 };
 
 struct soak_fleet {
+	int32_t evacuations; /* of the domain, that last now */
 	const struct soak_schedule *schedule;
 	struct soak_fleet_paths paths;
 	struct soak_view *view;
--- a/tests/soak/soak_member.c
+++ b/tests/soak/soak_member.c
@@ -1,4 +1,5 @@
 #include "tests/soak/soak_member.h"
+#include "tests/soak/soak_platform.h"
 
 #include <signal.h>
 
@@ -92,6 +93,9 @@
 		life->front = g_strdup(member->address);
 	else
 		life->engine = g_strdup(member->id);
+	life->is_evacuated =
+		life->engine && strcmp(soak_platform_domain(member->index),
+				       SOAK_EVACUATED_DOMAIN) == 0;
 	life->from_us = g_get_monotonic_time();
 	life->log_path = g_strdup(soak_process_log_path(member->process));
 	g_ptr_array_add(evidence->lives, life);
--- a/tests/soak/soak_platform.c
+++ b/tests/soak/soak_platform.c
@@ -62,15 +62,22 @@
 	return post(address, "/fake/mode", json, error);
 }
 
+/* Returns the failure domain of the endpoint with this index of its role. */
+const char *soak_platform_domain(int32_t index)
+{
+	return index % 2 ? SOAK_EVACUATED_DOMAIN : "z";
+}
+
 /* Formats an endpoint's registration in the store; the caller frees it. */
-char *soak_platform_entry(const char *service, const char *address,
-			  bool is_leaving, int64_t born_ms)
+char *soak_platform_entry(const char *service, const char *domain,
+			  const char *address, bool is_leaving, int64_t born_ms)
 {
 	return g_strdup_printf(
-		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
+		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
 		"\"version\":\"v1\",\"slots\":24,\"state\":\"%s\","
 		"\"warmup_left_ms\":0,\"sequence\":1,\"born\":%" PRId64 "}",
-		service, address, is_leaving ? "draining" : "ready", born_ms);
+		service, address, domain, is_leaving ? "draining" : "ready",
+		born_ms);
 }
 
 /*
--- a/tests/soak/soak_platform.h
+++ b/tests/soak/soak_platform.h
@@ -17,8 +17,13 @@
 			  struct error *error);
 bool soak_platform_set_mode(const char *address, const char *json,
 			    struct error *error);
-char *soak_platform_entry(const char *service, const char *address,
-			  bool is_leaving, int64_t born_ms);
+/* Every second endpoint is in this failure domain. */
+#define SOAK_EVACUATED_DOMAIN "y"
+
+const char *soak_platform_domain(int32_t index);
+char *soak_platform_entry(const char *service, const char *domain,
+			  const char *address, bool is_leaving,
+			  int64_t born_ms);
 char *soak_platform_configuration(int32_t index);
 char *soak_platform_route_prefix(int32_t index);
 
--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -186,6 +186,10 @@
 				   3000, false,
 				   "an endpoint sends unsolicited answers",
 				   true, false},
+	[SOAK_DOMAIN_EVACUATE] = {"domain_evacuate", SOAK_TARGET_OPERATOR, 6000,
+				  9000, true,
+				  "a failure domain of endpoints is evacuated",
+				  false, false},
 };
 
 /* Returns the static description of a kind of fault. */
@@ -316,7 +320,7 @@
 	for (int32_t i = 0; i < series_count(schedule); i++)
 		schedule_add_series(schedule, random,
 				    (enum soak_fault_kind)g_rand_int_range(
-					    random, 0, SOAK_FAULT_KINDS));
+					    random, 0, SOAK_DRAWN_KINDS));
 	g_array_sort(schedule->faults, fault_compare);
 	g_rand_free(random);
 	return schedule;
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -72,6 +72,9 @@
 	SOAK_PLAIN_LINK_CUT_BACK,
 	SOAK_PLAIN_LINK_TRICKLE,
 	SOAK_PLAIN_LINK_EXTRA,
+	/* Only by name: a seed keeps the faults that it has always drawn. */
+	SOAK_DRAWN_KINDS,
+	SOAK_DOMAIN_EVACUATE = SOAK_DRAWN_KINDS,
 	SOAK_FAULT_KINDS
 };
 
