The home grants the targets of moves

Each node chose by itself, and the engines that have room are the few that have just started.

Change: a node whose engine leaves asks the home for the target, as it does for a new request; the home counts each grant until the node announces it. If the home is silent the node chooses by itself; if it has no engine with room it is asked again after the delay between copies. PEER_CHOOSE says what an engine is for; a node of an earlier build rejects a request for a move, whose sender then chooses by itself.

Sites below home_from_nodes have no home.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -29,7 +29,8 @@
 {
 	struct exchange *exchange = data;
 
-	exchange_cancel_home_request(exchange);
+	exchange_cancel_home_request(exchange, &exchange->home_request);
+	exchange_cancel_home_request(exchange, &exchange->move.home_request);
 	g_free(exchange->home_backup_id);
 	exchange_drop_legs(exchange);
 	http_head_destroy(exchange->head);
--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -9,12 +9,6 @@
  * the link, and the caller would wait for it.
  */
 
-/*
- * Weight of a target in another failure domain. A copy there takes twice as
- * long, on a link over which all generations of an engine leave within 1.5 s.
- */
-#define OTHER_DOMAIN_WEIGHT 0.3
-
 #define STATUS_OK 200
 
 /*
@@ -32,6 +26,7 @@
 	target->own.copies += sign;
 	target->own.tokens += sign * exchange->move.tokens;
 	exchange->gateway->announce_pending = true;
+	exchange->gateway->home_announce_pending = true;
 }
 
 /* Gives up a copy; the next step tries another target. */
@@ -178,11 +173,24 @@
 		exchange_move_fail(exchange, error.detail);
 }
 
-/* Starts to copy the generation to another engine, if any has capacity. */
-void exchange_move_begin(struct exchange *exchange)
+/* Starts to copy the generation to the target. */
+static void move_start(struct exchange *exchange, struct endpoint *target)
 {
-	struct gateway *gateway = exchange->gateway;
 	struct move *move = &exchange->move;
+
+	move->target_id = g_strdup(target->last_registration->id);
+	move->target_address = g_strdup(target->last_registration->address);
+	move->target_known_us = target->known_us;
+	move->body = g_byte_array_new();
+	move->tokens = exchange->leg->tokens;
+	move_count_load(exchange, 1);
+	move_send(exchange);
+}
+
+/* Starts to copy to the engine that this node selects, if any has capacity. */
+static void move_start_local_choice(struct exchange *exchange)
+{
+	struct gateway *gateway = exchange->gateway;
 	struct endpoint_criteria criteria;
 	struct endpoint *target;
 
@@ -190,17 +198,48 @@
 	criteria.avoid_id = exchange->leg->endpoint_id;
 	criteria.failure_domain =
 		leg_endpoint(exchange->leg)->last_registration->failure_domain;
-	criteria.other_domain_weight = OTHER_DOMAIN_WEIGHT;
+	criteria.other_domain_weight = MOVE_OTHER_DOMAIN_WEIGHT;
 	target = endpoint_choose_for_move(gateway->registry, &criteria);
-	if (!target)
+	if (target)
+		move_start(exchange, target);
+}
+
+/*
+ * Starts to move the generation: to the engine that the home selects, or that
+ * this node does if there is no home or it does not answer. Called again while
+ * the answer is awaited. Engines of many nodes leave at the same moment, and
+ * each node by itself would select the same target.
+ */
+void exchange_move_begin(struct exchange *exchange)
+{
+	struct move *move = &exchange->move;
+
+	if (move->home_request.number) {
+		if (exchange_home_timed_out(exchange, &move->home_request))
+			move_start_local_choice(exchange);
 		return;
-	move->target_id = g_strdup(target->last_registration->id);
-	move->target_address = g_strdup(target->last_registration->address);
-	move->target_known_us = target->known_us;
-	move->body = g_byte_array_new();
-	move->tokens = exchange->leg->tokens;
-	move_count_load(exchange, 1);
-	move_send(exchange);
+	}
+	if (!exchange_request_move_target(exchange))
+		move_start_local_choice(exchange);
+}
+
+/*
+ * Starts to copy to the engine that the home selected. If it has none, or this
+ * node may not use it, the home is asked again after the delay between copies.
+ */
+void exchange_move_apply_target(struct exchange *exchange,
+				const char *endpoint_id)
+{
+	struct gateway *gateway = exchange->gateway;
+	struct endpoint *target = registry_find(gateway->registry, endpoint_id);
+
+	if (!exchange->leg || exchange->next ||
+	    exchange->move.state != COPY_NONE)
+		return;
+	gateway->now_us = gateway_now_us();
+	exchange->move.since_us = gateway->now_us;
+	if (target && endpoint_is_usable(target))
+		move_start(exchange, target);
 }
 
 /* Resets the move: closes its call and uncounts the copy at the target. */
@@ -208,6 +247,7 @@
 {
 	struct move *move = &exchange->move;
 
+	exchange_cancel_home_request(exchange, &move->home_request);
 	attempt_destroy(g_steal_pointer(&move->call));
 	if (move->target_id)
 		move_count_load(exchange, -1);
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -459,7 +459,8 @@
 		return;
 	}
 	if (!leg) {
-		exchange_check_home_timeout(exchange);
+		if (exchange_home_timed_out(exchange, &exchange->home_request))
+			exchange_send_local_choice(exchange);
 		return;
 	}
 	if (!attempt_is_connected(leg->attempt) &&
@@ -482,7 +483,8 @@
 {
 	struct leg *legs[] = {exchange->leg, exchange->next};
 
-	exchange->home_requested_us += paused_us;
+	exchange->home_request.sent_us += paused_us;
+	exchange->move.home_request.sent_us += paused_us;
 	for (size_t i = 0; i < G_N_ELEMENTS(legs); i++) {
 		if (!legs[i])
 			continue;
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -13,6 +13,13 @@
 
 G_BEGIN_DECLS
 
+/*
+ * Weight of a move's target in another failure domain. A copy there takes twice
+ * as long, on a link over which all generations of an engine leave within 1.5
+ * s.
+ */
+#define MOVE_OTHER_DOMAIN_WEIGHT 0.3
+
 /*
  * One dispatch of a request to one endpoint, with the load that this node
  * counts for it: at the endpoint, and for a copy at the backup engine.
@@ -38,6 +45,12 @@
 	bool has_timed_out;	  /* its connection timed out */
 };
 
+/* A request to the home that waits for its answer. */
+struct home_request {
+	uint64_t number; /* 0: none waits */
+	int64_t sent_us;
+};
+
 /* The copy of a generation's memory from a leaving engine to another one. */
 struct move {
 	enum evacuation_copy state;
@@ -51,6 +64,7 @@
 	char *handle;		 /* names the copy once it is complete */
 	int64_t tokens;		 /* counted at the target */
 	int32_t failures;	 /* copies that failed, for this leg */
+	struct home_request home_request; /* for the target */
 };
 
 /* A caller's request, from its last byte received to the end of its answer. */
@@ -69,9 +83,8 @@
 	int64_t deadline_us;
 	int64_t expected_tokens; /* of the answer; 0: no generation */
 
-	uint64_t home_request_id;  /* 0: none waits for an answer */
-	int64_t home_requested_us; /* when it was sent */
-	char *home_backup_id;	   /* from the home, for the next leg */
+	struct home_request home_request; /* for an engine */
+	char *home_backup_id;		  /* from the home, for the next leg */
 
 	struct leg *leg;  /* NULL between two dispatches */
 	struct leg *next; /* takes over while leg still runs, or NULL */
@@ -127,8 +140,11 @@
 
 /* gateway_home.c */
 bool exchange_request_home(struct exchange *exchange);
-void exchange_cancel_home_request(struct exchange *exchange);
-void exchange_check_home_timeout(struct exchange *exchange);
+bool exchange_request_move_target(struct exchange *exchange);
+void exchange_cancel_home_request(struct exchange *exchange,
+				  struct home_request *request);
+bool exchange_home_timed_out(struct exchange *exchange,
+			     struct home_request *request);
 
 /* exchange_recover.c */
 void exchange_fail_leg(struct exchange *exchange, enum attempt_result result,
@@ -145,6 +161,8 @@
 
 /* exchange_move.c */
 void exchange_move_begin(struct exchange *exchange);
+void exchange_move_apply_target(struct exchange *exchange,
+				const char *endpoint_id);
 void exchange_move_continue(struct exchange *exchange);
 void exchange_move_fail(struct exchange *exchange, const char *reason);
 struct endpoint *exchange_move_target(const struct exchange *exchange);
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -22,6 +22,12 @@
  */
 #define HOME_SKIP_US (2700 * 1000)
 
+/* What the home chose for another node; copy is the target of a move. */
+struct engine_choice {
+	struct endpoint *run;
+	struct endpoint *copy;
+};
+
 /* Least time between standings to the home; a prompt takes 0.2 to 0.4 s. */
 #define HOME_ANNOUNCE_INTERVAL_US (100 * 1000)
 
@@ -103,6 +109,7 @@
 	gateway->home_address = g_strdup(home->peer_address);
 }
 
+/* The request for an engine; the caller fills in what it is for. */
 static struct peer_message *home_request_create(const struct exchange *exchange,
 						uint64_t number)
 {
@@ -113,10 +120,7 @@
 
 	choose->number = number;
 	choose->service = g_strdup(exchange->service_name);
-	choose->failure_domain = g_strdup(gateway->options.failure_domain);
 	choose->tokens = exchange_held_tokens(exchange);
-	choose->prompt_tokens = exchange->parsed_request.prompt_tokens;
-	choose->wants_backup = exchange_wants_backup(exchange);
 	for (guint i = 0; i < exchange->avoided_ids->len; i++)
 		g_ptr_array_add(
 			choose->avoid,
@@ -131,56 +135,110 @@
 	       (exchange->organisation && exchange->organisation->regions);
 }
 
+/*
+ * Returns the home to ask for an engine, or NULL if this node has to choose
+ * locally.
+ */
+static const struct member *home_to_ask(const struct exchange *exchange)
+{
+	const struct gateway *gateway = exchange->gateway;
+
+	if (!exchange_is_generation(exchange) || exchange_is_bound(exchange) ||
+	    gateway->now_us < gateway->home_skipped_until_us)
+		return NULL;
+	return find_home(gateway, exchange->service_name);
+}
+
+/* Sends a request for an engine, whose answer is found by its number. */
+static void send_home_request(struct exchange *exchange,
+			      struct home_request *request,
+			      const struct member *home,
+			      struct peer_message *message)
+{
+	struct gateway *gateway = exchange->gateway;
+
+	set_home_address(gateway, home);
+	request->number = message->choose.number;
+	request->sent_us = gateway->now_us;
+	g_hash_table_insert(gateway->home_requests, &request->number, exchange);
+	gateway_send(gateway, home->peer_address, message);
+	counters_add(gateway->options.counters, COUNTER_GATEWAY_HOME_ASKED, 1);
+}
+
 /*
  * Requests an engine from the home; false if this node has to choose locally.
  */
 bool exchange_request_home(struct exchange *exchange)
 {
 	struct gateway *gateway = exchange->gateway;
-	const struct member *home;
+	const struct member *home = home_to_ask(exchange);
+	struct peer_message *message;
 
-	if (!exchange_is_generation(exchange) || exchange_is_bound(exchange) ||
-	    gateway->now_us < gateway->home_skipped_until_us)
-		return false;
-	home = find_home(gateway, exchange->service_name);
 	if (!home)
 		return false;
-	set_home_address(gateway, home);
-	exchange->home_request_id = ++gateway->home_request_count;
-	exchange->home_requested_us = gateway->now_us;
-	g_hash_table_insert(gateway->home_requests, &exchange->home_request_id,
-			    exchange);
-	gateway_send(gateway, home->peer_address,
-		     home_request_create(exchange, exchange->home_request_id));
-	counters_add(gateway->options.counters, COUNTER_GATEWAY_HOME_ASKED, 1);
+	message = home_request_create(exchange, ++gateway->home_request_count);
+	message->choose.failure_domain =
+		g_strdup(gateway->options.failure_domain);
+	message->choose.prompt_tokens = exchange->parsed_request.prompt_tokens;
+	message->choose.purpose = exchange_wants_backup(exchange)
+					  ? CHOOSE_RUN_AND_BACKUP
+					  : CHOOSE_RUN;
+	send_home_request(exchange, &exchange->home_request, home, message);
+	return true;
+}
+
+/*
+ * Requests the target of a move from the home; false if this node has to choose
+ * locally.
+ */
+bool exchange_request_move_target(struct exchange *exchange)
+{
+	const struct member *home = home_to_ask(exchange);
+	const struct endpoint *engine = leg_endpoint(exchange->leg);
+	struct peer_message *message;
+
+	if (!home || !engine)
+		return false;
+	message = home_request_create(exchange,
+				      ++exchange->gateway->home_request_count);
+	message->choose.failure_domain =
+		g_strdup(engine->last_registration->failure_domain);
+	message->choose.purpose = CHOOSE_MOVE;
+	g_ptr_array_add(message->choose.avoid,
+			g_strdup(exchange->leg->endpoint_id));
+	send_home_request(exchange, &exchange->move.home_request, home,
+			  message);
 	return true;
 }
 
-/* Stops waiting for the home's answer, if the exchange waits for one. */
-void exchange_cancel_home_request(struct exchange *exchange)
+/* Stops waiting for an answer of the home, if one is awaited. */
+void exchange_cancel_home_request(struct exchange *exchange,
+				  struct home_request *request)
 {
-	if (!exchange->home_request_id)
+	if (request->number == 0)
 		return;
-	g_hash_table_remove(exchange->gateway->home_requests,
-			    &exchange->home_request_id);
-	exchange->home_request_id = 0;
+	g_hash_table_remove(exchange->gateway->home_requests, &request->number);
+	request->number = 0;
 }
 
-/* Chooses an engine locally once the home's answer has timed out. */
-void exchange_check_home_timeout(struct exchange *exchange)
+/*
+ * Returns whether the home's answer has timed out, and stops waiting for it
+ * then. No requests go to the home for a while.
+ */
+bool exchange_home_timed_out(struct exchange *exchange,
+			     struct home_request *request)
 {
 	struct gateway *gateway = exchange->gateway;
 
-	if (gateway->now_us - exchange->home_requested_us <=
-	    HOME_ANSWER_TIMEOUT_US)
-		return;
+	if (gateway->now_us - request->sent_us <= HOME_ANSWER_TIMEOUT_US)
+		return false;
 	if (gateway->home_skipped_until_us < gateway->now_us)
 		log_write(gateway->log, LOG_LEVEL_WARN, "home_silent",
 			  "address", gateway->home_address, NULL);
 	gateway->home_skipped_until_us = gateway->now_us + HOME_SKIP_US;
 	counters_add(gateway->options.counters, COUNTER_GATEWAY_HOME_SILENT, 1);
-	exchange_cancel_home_request(exchange);
-	exchange_send_local_choice(exchange);
+	exchange_cancel_home_request(exchange, request);
+	return true;
 }
 
 /*
@@ -216,10 +274,10 @@
 		     gateway_create_standing(gateway));
 }
 
-static struct endpoint *choose_for(struct gateway *gateway,
-				   const struct peer_choose *choose,
-				   const struct config_service *service,
-				   struct endpoint **backup)
+/* Chooses what another node asked for; either engine may be NULL. */
+static struct engine_choice choose_for(struct gateway *gateway,
+				       const struct peer_choose *choose,
+				       const struct config_service *service)
 {
 	struct endpoint_criteria criteria = {
 		.service = choose->service,
@@ -230,19 +288,48 @@
 		.now_us = gateway->now_us,
 		.draw = g_rand_double(gateway->random),
 	};
-	struct endpoint *endpoint;
+	struct engine_choice choice = {NULL, NULL};
 
 	gateway_fill_warmup(gateway, service, &criteria.warmup);
-	endpoint = endpoint_choose(gateway->registry, &criteria);
-	if (endpoint)
-		endpoint_warmup_add(endpoint, &criteria.warmup,
-				    gateway->now_us);
-	*backup = NULL;
-	if (endpoint && choose->wants_backup) {
-		criteria.avoid_id = endpoint->last_registration->id;
-		*backup = endpoint_choose_backup(gateway->registry, &criteria);
+	if (choose->purpose == CHOOSE_MOVE) {
+		criteria.other_domain_weight = MOVE_OTHER_DOMAIN_WEIGHT;
+		choice.copy =
+			endpoint_choose_for_move(gateway->registry, &criteria);
+		return choice;
 	}
-	return endpoint;
+	choice.run = endpoint_choose(gateway->registry, &criteria);
+	if (!choice.run)
+		return choice;
+	endpoint_warmup_add(choice.run, &criteria.warmup, gateway->now_us);
+	if (choose->purpose == CHOOSE_RUN_AND_BACKUP) {
+		criteria.avoid_id = choice.run->last_registration->id;
+		choice.copy =
+			endpoint_choose_backup(gateway->registry, &criteria);
+	}
+	return choice;
+}
+
+/* Returns the id of an engine, or NULL without one. */
+static const char *engine_id(const struct endpoint *engine)
+{
+	return engine ? engine->last_registration->id : NULL;
+}
+
+static void send_choice(struct gateway *gateway,
+			const struct peer_message *request,
+			const struct engine_choice *choice)
+{
+	const struct peer_choose *choose = &request->choose;
+	struct peer_message *answer =
+		gateway->host.message(gateway->host.data, PEER_CHOSEN);
+	bool is_move = choose->purpose == CHOOSE_MOVE;
+	const char *endpoint = engine_id(is_move ? choice->copy : choice->run);
+	const char *backup = is_move ? NULL : engine_id(choice->copy);
+
+	answer->chosen.number = choose->number;
+	answer->chosen.endpoint = g_strdup(endpoint ? endpoint : "");
+	answer->chosen.backup = g_strdup(backup ? backup : "");
+	gateway_send(gateway, request->from_address, answer);
 }
 
 /*
@@ -258,28 +345,21 @@
 		gateway->table ? route_table_find_service(gateway->table,
 							  choose->service)
 			       : NULL;
-	struct endpoint *endpoint, *backup;
-	struct peer_message *answer;
+	struct engine_choice choice;
 	struct engine_grant grant;
 
 	if (!service || service->engine.slots == 0 ||
 	    registry_count_usable(gateway->registry, choose->service) == 0)
 		return;
-	endpoint = choose_for(gateway, choose, service, &backup);
-	answer = gateway->host.message(gateway->host.data, PEER_CHOSEN);
-	answer->chosen.number = choose->number;
-	answer->chosen.endpoint =
-		g_strdup(endpoint ? endpoint->last_registration->id : "");
-	answer->chosen.backup =
-		g_strdup(backup ? backup->last_registration->id : "");
-	gateway_send(gateway, message->from_address, answer);
-	if (!endpoint)
+	choice = choose_for(gateway, choose, service);
+	send_choice(gateway, message, &choice);
+	if (!choice.run && !choice.copy)
 		return;
 	grant = (struct engine_grant){
 		.node = message->from,
 		.number = choose->number,
-		.endpoint_id = endpoint->last_registration->id,
-		.backup_id = backup ? backup->last_registration->id : NULL,
+		.endpoint_id = engine_id(choice.run),
+		.backup_id = engine_id(choice.copy),
 		.tokens = choose->tokens,
 		.prompt_tokens = choose->prompt_tokens,
 	};
@@ -293,22 +373,16 @@
 }
 
 /*
- * Applies the home's answer. An engine that is unknown here, not usable or
- * already tried is replaced by a local choice, as this node's data on it may be
- * newer than the home's.
+ * Sends a request to the engine that the home chose. One that is unknown here,
+ * not usable or already tried is replaced by a local choice, as this node's
+ * data on it may be newer than the home's.
  */
-void gateway_home_receive_answer(struct gateway *gateway,
-				 const struct peer_message *message)
+static void apply_choice(struct exchange *exchange,
+			 const struct peer_chosen *chosen)
 {
-	const struct peer_chosen *chosen = &message->chosen;
-	struct exchange *exchange =
-		g_hash_table_lookup(gateway->home_requests, &chosen->number);
-	struct endpoint *endpoint;
+	struct endpoint *endpoint =
+		registry_find(exchange->gateway->registry, chosen->endpoint);
 
-	if (!exchange)
-		return;
-	exchange_cancel_home_request(exchange);
-	endpoint = registry_find(gateway->registry, chosen->endpoint);
 	if (!*chosen->endpoint) {
 		exchange_send_or_refuse(exchange, NULL);
 	} else if (!endpoint || !endpoint_is_usable(endpoint) ||
@@ -320,3 +394,23 @@
 		exchange_send_or_refuse(exchange, endpoint);
 	}
 }
+
+/* Applies the home's answer to a request of this node that still waits. */
+void gateway_home_receive_answer(struct gateway *gateway,
+				 const struct peer_message *message)
+{
+	const struct peer_chosen *chosen = &message->chosen;
+	struct exchange *exchange =
+		g_hash_table_lookup(gateway->home_requests, &chosen->number);
+
+	if (!exchange)
+		return;
+	if (exchange->move.home_request.number == chosen->number) {
+		exchange_cancel_home_request(exchange,
+					     &exchange->move.home_request);
+		exchange_move_apply_target(exchange, chosen->endpoint);
+		return;
+	}
+	exchange_cancel_home_request(exchange, &exchange->home_request);
+	apply_choice(exchange, chosen);
+}
--- a/codec/peer_choose.c
+++ b/codec/peer_choose.c
@@ -20,7 +20,7 @@
 		"(ttuuyssss@as)", message->incarnation, choose->number,
 		peer_field_tokens(choose->tokens),
 		peer_field_tokens(choose->prompt_tokens),
-		(guchar)choose->wants_backup, peer_field_text(message->from),
+		(guchar)choose->purpose, peer_field_text(message->from),
 		peer_field_text(message->from_address),
 		peer_field_text(choose->service),
 		peer_field_text(choose->failure_domain),
@@ -50,19 +50,20 @@
 {
 	GVariant *avoid = g_variant_get_child_value(body, CHILD_AVOID);
 	guint32 tokens, prompt_tokens;
-	guchar wants_backup;
+	guchar purpose;
 	bool valid;
 
 	g_variant_get_child(body, 1, "t", &choose->number);
 	g_variant_get_child(body, 2, "u", &tokens);
 	g_variant_get_child(body, 3, "u", &prompt_tokens);
-	g_variant_get_child(body, 4, "y", &wants_backup);
+	g_variant_get_child(body, 4, "y", &purpose);
 	g_variant_get_child(body, 7, "s", &choose->service);
 	g_variant_get_child(body, 8, "s", &choose->failure_domain);
 	choose->tokens = tokens;
 	choose->prompt_tokens = prompt_tokens;
-	choose->wants_backup = wants_backup;
-	valid = wants_backup <= 1 && tokens <= PEER_FIELD_MAX_TOKENS &&
+	choose->purpose = (enum choose_purpose)purpose;
+	valid = purpose < CHOOSE_PURPOSE_COUNT &&
+		tokens <= PEER_FIELD_MAX_TOKENS &&
 		prompt_tokens <= PEER_FIELD_MAX_TOKENS &&
 		peer_field_text_is_valid(choose->service, false) &&
 		peer_field_text_is_valid(choose->failure_domain, true) &&
--- a/core/gateway/engine_grants.c
+++ b/core/gateway/engine_grants.c
@@ -60,7 +60,9 @@
 			const struct entry *entry, int32_t sign)
 {
 	struct endpoint *endpoint =
-		registry_find(grants->registry, entry->endpoint_id);
+		entry->endpoint_id
+			? registry_find(grants->registry, entry->endpoint_id)
+			: NULL;
 	struct endpoint *backup =
 		entry->backup_id
 			? registry_find(grants->registry, entry->backup_id)
--- a/core/gateway/engine_grants.h
+++ b/core/gateway/engine_grants.h
@@ -22,10 +22,10 @@
 struct engine_grants;
 
 struct engine_grant {
-	const char *node; /* the requester */
-	uint64_t number;  /* of its request, increasing */
-	const char *endpoint_id;
-	const char *backup_id; /* keeps a copy; NULL: none */
+	const char *node;	 /* the requester */
+	uint64_t number;	 /* of its request, increasing */
+	const char *endpoint_id; /* runs the request; NULL: a move */
+	const char *backup_id;	 /* gets a copy; NULL: none */
 	int64_t tokens;
 	int64_t prompt_tokens;
 };
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -167,14 +167,22 @@
 	GPtrArray *registrations; /* struct registration: some of them */
 };
 
-/* Requests an engine, and maybe a backup, for one generation. */
+/* What an engine is requested for. */
+enum choose_purpose {
+	CHOOSE_RUN,
+	CHOOSE_RUN_AND_BACKUP, /* and another engine that keeps a copy */
+	CHOOSE_MOVE,	       /* a run whose engine is leaving */
+	CHOOSE_PURPOSE_COUNT
+};
+
+/* Requests an engine for one generation. */
 struct peer_choose {
 	uint64_t number; /* increasing for each sender */
 	char *service;
-	char *failure_domain; /* of the sender */
+	char *failure_domain; /* of the sender, or of the leaving engine */
 	int64_t tokens;	      /* held in memory at the expected end */
 	int64_t prompt_tokens;
-	bool wants_backup;
+	enum choose_purpose purpose;
 	GPtrArray *avoid; /* char *: ids of endpoints */
 };
 
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -801,6 +801,56 @@
 	done
 }
 
+# With a home, a node asks it for the engine that a report moves to when its own
+# one leaves and has no backup. The report goes on there: each event once.
+case_moves_by_the_word_of_a_home() {
+	local asks asked
+
+	home_from_nodes=2
+	for i in 0 1; do
+		kill -KILL "${node_pids[$i]}"
+		write_node "$i"
+		start_gateway "$i"
+	done
+	knows_both() {
+		curl -s "http://${directories[0]}/v1/resolve?name=$host" |
+			grep -q "${fronts[1]}"
+	}
+	until_true knows_both || fail "the nodes do not find each other"
+	for i in 0 1 2; do
+		mode "${backends[$i]}" '{"no_copy": true, "events": 300}'
+	done
+	asks=()
+	for i in 0 1; do
+		report "$i" "$work/granted-$i" "granted-$i" &
+		asks+=($!)
+	done
+	for i in 0 1; do
+		streams "$work/granted-$i" 5
+	done
+	victim=$(engine_of granted-0)
+	[ "$(counter 0 gateway_home_asked)" = 1 ] ||
+		victim=$(engine_of granted-1)
+	entry "$victim" engines draining
+	wait "${asks[@]}" || fail "a stream was cut"
+	for i in 0 1; do
+		whole "$work/granted-$i" "granted-$i" 300
+	done
+	asked=$(($(counter 0 gateway_home_asked) +
+		$(counter 1 gateway_home_asked)))
+	[ "$asked" -ge 2 ] || fail "$asked requests to the home, not 2"
+	home_from_nodes=16
+	for i in 0 1 2; do
+		mode "${backends[$i]}" '{"no_copy": false, "events": 60}'
+	done
+	entry "$victim" engines ready
+	for i in 0 1; do
+		kill -KILL "${node_pids[$i]}" 2>/dev/null || true
+		write_node "$i"
+		start_gateway "$i"
+	done
+}
+
 # The engine announces that it leaves and copies the run to another one, where
 # the copy waits for a prompt. The first engine is killed meanwhile. The run
 # continues from the copy, and the log names its engine.
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <string>
 #include <vector>
 
 /* A gateway on node n1 without listeners or a running loop; n0 is its peer. */
@@ -17,6 +18,7 @@
 	struct membership *members = nullptr;
 	struct gateway *gateway = nullptr;
 	std::vector<enum peer_message_type> sent; /* to n0 */
+	std::vector<std::string> chosen;	  /* engines, for n0 */
 
 	static void on_send(void *data, const GPtrArray *addresses,
 			    struct peer_message *message)
@@ -25,6 +27,8 @@
 
 		if (addresses->len > 0)
 			test->sent.push_back(message->type);
+		if (message->type == PEER_CHOSEN)
+			test->chosen.push_back(message->chosen.endpoint);
 		peer_message_destroy(message);
 	}
 
@@ -452,3 +456,82 @@
 		g_ptr_array_unref(addresses);
 	}
 }
+
+/* This node as the home of model engines, which it chooses for n0. */
+class GatewayHome : public Gateway
+{
+      protected:
+	GatewayHome()
+	{
+		struct config *config = config_create();
+		struct config_service *service = config_add_service(
+			config, "engines", SERVICE_GENERATION);
+		GBytes *document = g_bytes_new(nullptr, 0);
+		struct route_table *table;
+
+		service->engine.slots = 24;
+		service->engine.memory_tokens = 20000;
+		service->engine.can_move = true;
+		config->revision = 1;
+		table = route_table_create(config);
+		gateway_apply_table(gateway, table, document, "store");
+		route_table_unref(table);
+		config_unref(config);
+		g_bytes_unref(document);
+	}
+
+	std::string AskForMove(uint64_t number, int64_t tokens)
+	{
+		struct peer_message *message = peer_message_create(PEER_CHOOSE);
+
+		message->from = g_strdup("n0");
+		message->from_address = g_strdup("n0:1");
+		message->choose.number = number;
+		message->choose.service = g_strdup("engines");
+		message->choose.failure_domain = g_strdup("a");
+		message->choose.tokens = tokens;
+		message->choose.purpose = CHOOSE_MOVE;
+		g_ptr_array_add(message->choose.avoid, g_strdup("e0"));
+		gateway_receive_peer(gateway, message);
+		peer_message_destroy(message);
+		return chosen.empty() ? "no answer" : chosen.back();
+	}
+
+	struct endpoint *Engine(const char *id)
+	{
+		return registry_find(gateway->registry, id);
+	}
+};
+
+/*
+ * Guards against many generations that move to the same engine at once: it
+ * refuses all but the first, and the others are cut off with their engine.
+ */
+TEST_F(GatewayHome, SpreadsMovesOverEnginesThatHaveRoom)
+{
+	std::string first, second;
+
+	ReceiveListing(10, 3);
+	first = AskForMove(1, 8000);
+	second = AskForMove(2, 8000);
+	EXPECT_NE("e0", first) << "the engine that leaves";
+	EXPECT_NE("e0", second);
+	EXPECT_NE(first, second) << "the first one has no room for both";
+	EXPECT_EQ("", AskForMove(3, 8000)) << "no engine has room for it";
+	EXPECT_EQ(1, endpoint_total_load(Engine(first.c_str())).copies);
+	EXPECT_EQ(0, endpoint_total_load(Engine(first.c_str())).requests);
+}
+
+/* A grant that its node announces, or never uses, counts no longer. */
+TEST_F(GatewayHome, ForgetsGrantsOfMoves)
+{
+	std::string first;
+
+	ReceiveListing(10, 2);
+	first = AskForMove(1, 8000);
+	EXPECT_EQ("e1", first);
+	EXPECT_EQ("", AskForMove(2, 8000));
+	gateway->now_us += 2 * G_USEC_PER_SEC;
+	gateway_home_step(gateway);
+	EXPECT_EQ("e1", AskForMove(3, 8000));
+}
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -77,7 +77,7 @@
 		message->choose.failure_domain = g_strdup("casablanca-a");
 		message->choose.tokens = 3400;
 		message->choose.prompt_tokens = 3000;
-		message->choose.wants_backup = true;
+		message->choose.purpose = CHOOSE_RUN_AND_BACKUP;
 		g_ptr_array_add(message->choose.avoid, g_strdup("i-1"));
 		break;
 	case PEER_CHOSEN:
