Backups yield where generations fill the memory

Copies up to 0.65 of an engine took the room that the home then did not have for generations whose engines leave.

Change: the limit for backups falls from 0.65 to 0.35 of an engine's memory as generations, with those on leaving engines, fill from 0.5 to 0.75 of the memory of all engines.

The test KeepsBackupsOnlyWhereThereIsRoomToSpare gets a second engine, so that its service is not crowded; its bounds are as before.

--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -6,12 +6,20 @@
  * Largest load of an engine, as a fraction of its memory, counting the tokens
  * that generations hold and will add in the next seconds. A request that would
  * otherwise be refused is placed above PLANNED_FILL, up to the load at which
- * engines preempt. Backups have a lower limit: they are given up before they
- * take room from a generation.
+ * engines preempt.
  */
 #define PLANNED_FILL 0.95
 #define MAX_FILL 1.05
+
+/*
+ * Backups have a lower limit, which falls as generations fill the memory of all
+ * engines: a backup outlives a crash, but where memory is scarce, its room is
+ * worth more to new generations and to those whose engine leaves.
+ */
 #define BACKUP_FILL 0.65
+#define BACKUP_FILL_SCARCE 0.35
+#define SCARCE_FROM_LOAD 0.5
+#define SCARCE_AT_LOAD 0.75
 
 /*
  * A generation moves only to an engine with spare room, even if it is lost
@@ -83,7 +91,16 @@
 
 /* State of all endpoints of a service, computed once per choice. */
 struct summary {
-	double leaving_share; /* see leaving_share() */
+	/*
+	 * Memory that generations use on leaving engines, as a fraction of that
+	 * of all engines that stay. These generations move within a second or
+	 * two. If new requests take the room until then, one engine after the
+	 * other refuses the generations, and their streams are cut off. The
+	 * caller of a new request can retry it; a generation that is half done
+	 * can't be retried.
+	 */
+	double leaving_share;
+	double running_share; /* memory of all engines that generations use */
 	bool use_notices;     /* whether failure notices count */
 };
 
@@ -98,20 +115,14 @@
 	       (held.requests + MAX(held.copies, 0));
 }
 
-/*
- * Returns the memory that generations use on leaving engines, as a fraction of
- * the memory of all engines that stay. These generations move within a second
- * or two. If new requests take the room until then, one engine after the other
- * refuses the generations, and their streams are cut off. The caller of a new
- * request can retry it; a generation that is half done can't be retried.
- */
-static double leaving_share(const struct endpoint_criteria *criteria,
-			    guint usable, double leaving_tokens)
+/* Returns tokens as a fraction of the memory of all engines that stay. */
+static double memory_share(const struct endpoint_criteria *criteria,
+			   guint usable, double tokens)
 {
 	if (!criteria->engine || criteria->engine->memory_tokens == 0 ||
 	    usable == 0)
 		return 0;
-	return leaving_tokens /
+	return tokens /
 	       ((double)usable * (double)criteria->engine->memory_tokens);
 }
 
@@ -132,7 +143,7 @@
 {
 	const GPtrArray *endpoints = registry_endpoints(registry);
 	guint usable = 0, aside = 0;
-	double leaving_tokens = 0;
+	double leaving_tokens = 0, running = 0;
 
 	for (guint i = 0; i < endpoints->len; i++) {
 		const struct endpoint *endpoint =
@@ -145,13 +156,15 @@
 			leaving_tokens += running_tokens(endpoint);
 		if (!endpoint_is_usable(endpoint))
 			continue;
+		running += running_tokens(endpoint);
 		usable++;
 		aside += !endpoint_suspicion_allows(&endpoint->suspicion,
 						    criteria->now_us);
 	}
 	return (struct summary){
-		.leaving_share =
-			leaving_share(criteria, usable, leaving_tokens),
+		.leaving_share = memory_share(criteria, usable, leaving_tokens),
+		.running_share = memory_share(criteria, usable,
+					      leaving_tokens + running),
 		.use_notices = are_notices_plausible(usable, aside),
 	};
 }
@@ -342,6 +355,16 @@
 	return choose_best(registry, criteria, &summary, true, MOVE_FILL);
 }
 
+/* The load up to which an engine takes backups. */
+static double backup_fill(const struct summary *summary)
+{
+	double scarcity = (summary->running_share - SCARCE_FROM_LOAD) /
+			  (SCARCE_AT_LOAD - SCARCE_FROM_LOAD);
+
+	return BACKUP_FILL -
+	       CLAMP(scarcity, 0, 1) * (BACKUP_FILL - BACKUP_FILL_SCARCE);
+}
+
 /*
  * Returns an engine with spare room for a backup copy of a generation, or NULL
  * if there is none or the engines can't keep backups. The ids to avoid must
@@ -355,5 +378,6 @@
 
 	if (!criteria->engine || !criteria->engine->can_back_up)
 		return NULL;
-	return choose_best(registry, criteria, &summary, true, BACKUP_FILL);
+	return choose_best(registry, criteria, &summary, true,
+			   backup_fill(&summary));
 }
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -124,14 +124,36 @@
 {
 	struct endpoint *only = add("only", 18000, 4);
 
+	add("runner", 0, 0);
+	criteria.avoid_id = "runner";
 	EXPECT_EQ("only", backup());
 	only->others.tokens = 19000;
 	EXPECT_EQ("none", backup());
 	only->others.tokens = 0;
 	criteria.avoid_id = "only";
+	registry_find(registry, "runner")->full_until_us = criteria.now_us + 1;
 	EXPECT_EQ("none", backup());
 }
 
+/*
+ * Guards against backups that take the last room of a crowded service:
+ * generations whose engines leave then find none, and are cut off.
+ */
+TEST_F(EndpointChoice, KeepsFewerBackupsWhereMemoryIsScarce)
+{
+	struct endpoint *fresh = add("fresh", 8000, 2);
+
+	for (const char *id : {"b", "c", "d", "e", "f"})
+		add(id, 31000, 8);
+	EXPECT_EQ("fresh", backup());
+	fresh->others.tokens = 9000;
+	EXPECT_EQ("none", backup()) << "0.365 of its memory";
+	EXPECT_NE(nullptr, endpoint_choose_for_move(registry, &criteria));
+	for (const char *id : {"b", "c", "d", "e", "f"})
+		registry_find(registry, id)->others = {};
+	EXPECT_NE("none", backup()) << "the others are empty";
+}
+
 TEST_F(EndpointChoice, SkipsLeavingAndFullEngines)
 {
 	struct endpoint *leaving = add("leaving", 0, 0);
