--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -97,8 +97,7 @@
 	return input;
 }
 
-/* Whether the endpoint is warm, or may get one more request while it is cold.
- */
+/* Whether the endpoint is warm, or cold and may get one more request. */
 static bool warmup_allows(const struct exchange *exchange,
 			  const struct endpoint *endpoint)
 {
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -15,8 +15,7 @@
 
 /*
  * Weight of a move's target in another failure domain. A copy there takes twice
- * as long, on a link over which all generations of an engine leave within 1.5
- * s.
+ * as long, on a link over which all generations of an engine leave together.
  */
 #define MOVE_OTHER_DOMAIN_WEIGHT 0.3
 
--- a/core/gateway/warmup_limit.h
+++ b/core/gateway/warmup_limit.h
@@ -16,8 +16,7 @@
  * nodes that choose by themselves.
  */
 
-/* What the operators state: the bound for any second is rate x excess + slack.
- */
+/* The operators' bound for any second: rate x excess + slack requests. */
 struct warmup_bounds {
 	int64_t rate_per_ks; /* requests per 1,000 s; 0: no limit */
 	int64_t excess_percent;
