--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -756,12 +756,8 @@
 	curl -s "http://${https[$1]}/metrics" | awk -v n="$2" '$1 ~ n {print $2}'
 }
 
-# With enough nodes for a home, it chooses the engines of reports, also of
-# simultaneous ones. Then it is killed: the other node chooses locally, and no
-# caller is affected.
-case_places_by_the_word_of_a_home() {
-	local asks asked=0
-
+# Restarts both nodes, which are then enough for a home.
+restart_with_home() {
 	home_from_nodes=2
 	for i in 0 1; do
 		kill -KILL "${node_pids[$i]}"
@@ -773,6 +769,15 @@
 			grep -q "${fronts[1]}"
 	}
 	until_true knows_both || fail "the nodes do not find each other"
+}
+
+# With enough nodes for a home, it chooses the engines of reports, also of
+# simultaneous ones. Then it is killed: the other node chooses locally, and no
+# caller is affected.
+case_places_by_the_word_of_a_home() {
+	local asks asked=0
+
+	restart_with_home
 	asks=()
 	for i in 0 1; do
 		for k in 1 2 3; do
@@ -806,17 +811,7 @@
 case_moves_by_the_word_of_a_home() {
 	local asks asked
 
-	home_from_nodes=2
-	for i in 0 1; do
-		kill -KILL "${node_pids[$i]}"
-		write_node "$i"
-		start_gateway "$i"
-	done
-	knows_both() {
-		curl -s "http://${directories[0]}/v1/resolve?name=$host" |
-			grep -q "${fronts[1]}"
-	}
-	until_true knows_both || fail "the nodes do not find each other"
+	restart_with_home
 	for i in 0 1 2; do
 		mode "${backends[$i]}" '{"no_copy": true, "events": 300}'
 	done
