Nodes log the limits that endpoints state

platform/ reads Server-Limit of each answer, with a meaning for each value: rounded down to a thousandth, the lowest of several, 0 as none at all, too large as the largest, anything else as unreadable, which keeps what was known. core/gateway/endpoint_limit keeps what the newest answers said: a lower limit applies at once, a higher one or none after a second without the lower one. Events endpoint_limit and endpoint_limit_unreadable, counter gateway_limited.

No decision reads it yet.

--- a/adapters/gateway/dialect.h
+++ b/adapters/gateway/dialect.h
@@ -3,6 +3,7 @@
 
 #include "adapters/gateway/http_head.h"
 #include "core/base/error.h"
+#include "core/gateway/endpoint_limit.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -50,6 +51,7 @@
 	bool is_event_stream;
 	int64_t keep_alive_us; /* allowed idle time of the connection; -1: none
 				*/
+	struct answered_limit limit; /* on requests of all nodes together */
 };
 
 /* A copy of a generation's memory that its engine made on request. */
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -240,6 +240,9 @@
 	leg->status = head->status;
 	exchange->gateway->now_us = gateway_now_us();
 	exchange->gateway->dialect->read_answer(head, &exchange->said);
+	if (endpoint)
+		gateway_limits_note_answer(exchange->gateway, endpoint,
+					   &exchange->said.limit);
 	if (exchange->said.did_not_run) {
 		leg_handle_refusal(leg, head->status);
 		return;
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -25,6 +25,7 @@
  *   gateway_peers.c    announcements between nodes
  *   gateway_routes.c   fetching a newer configuration from other nodes
  *   gateway_cordons.c  failure domains that get no new requests
+ *   gateway_limits.c   limits that endpoints state
  *   gateway_home.c     one node chooses the engines for all nodes
  *   exchange.c         one request of a caller
  *   leg.c              the request at one endpoint
@@ -142,6 +143,11 @@
 void gateway_cordons_receive(struct gateway *gateway,
 			     const struct peer_message *message);
 
+/* gateway_limits.c */
+void gateway_limits_note_answer(struct gateway *gateway,
+				struct endpoint *endpoint,
+				const struct answered_limit *answer);
+
 /* gateway_home.c */
 void gateway_fill_warmup(const struct gateway *gateway,
 			 const struct config_service *service,
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -232,9 +232,12 @@
 	struct endpoint_warmup warmup;
 
 	gateway_fill_warmup(exchange->gateway, exchange->service, &warmup);
-	if (endpoint)
-		endpoint_warmup_add(endpoint, &warmup,
-				    exchange->gateway->now_us);
+	if (!endpoint)
+		return;
+	endpoint_warmup_add(endpoint, &warmup, exchange->gateway->now_us);
+	if (endpoint->limit.is_limited)
+		counters_add(exchange->gateway->options.counters,
+			     COUNTER_GATEWAY_LIMITED, 1);
 }
 
 /*
--- a/core/base/counters.c
+++ b/core/base/counters.c
@@ -60,6 +60,9 @@
 		 "generations whose engine another node was asked for"},
 	[COUNTER_GATEWAY_HOME_SILENT] = {"gateway_home_silent",
 					 "of these, not answered in time"},
+	[COUNTER_GATEWAY_LIMITED] =
+		{"gateway_limited",
+		 "requests sent to endpoints that state a limit"},
 	[COUNTER_GATEWAY_TAKE_OVERS] =
 		{"gateway_take_overs",
 		 "generations continued from a copy on another engine"},
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -230,6 +230,7 @@
 	endpoint->suspicion = (struct endpoint_suspicion){0};
 	endpoint->known_us = now_us;
 	endpoint->full_until_us = 0;
+	endpoint->limit = (struct endpoint_limit){0};
 	endpoint->warm_us = now_us + update->warmup_remaining_us;
 }
 
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -2,6 +2,7 @@
 #define CORE_GATEWAY_REGISTRY_H
 
 #include "core/gateway/cordon_set.h"
+#include "core/gateway/endpoint_limit.h"
 #include "core/gateway/endpoint_suspicion.h"
 #include "core/gateway/warmup_limit.h"
 #include "core/placement/endpoint_health.h"
@@ -54,6 +55,8 @@
 	int64_t uncordoned_us; /* when that last ended; 0: never */
 	int64_t full_until_us; /* it refused a request for lack of room */
 	double error_share;    /* of its last answers, moving average */
+	struct endpoint_limit limit; /* on requests of all nodes together */
+	bool limit_was_unreadable;   /* of its last answer, for logs */
 };
 
 struct registry;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -345,6 +345,101 @@
 	http_head_destroy(head);
 }
 
+/* Each value of the limit that an endpoint states has one meaning. */
+TEST(Platform, ReadsTheLimitOfAnEndpointWhateverItsValue)
+{
+	static const struct {
+		std::vector<const char *> values;
+		enum limit_statement statement;
+		int64_t per_ks;
+	} rows[] = {
+		{{}, LIMIT_UNSTATED, 0},
+		{{"4.8"}, LIMIT_STATED, 4800},
+		{{"3"}, LIMIT_STATED, 3000},
+		{{" 0.25 "}, LIMIT_STATED, 250},
+		{{".5"}, LIMIT_STATED, 500},
+		{{"7."}, LIMIT_STATED, 7000},
+		{{"0"}, LIMIT_STATED, 0},
+		{{"0.0004"}, LIMIT_STATED, 0},
+		{{"4.79999"}, LIMIT_STATED, 4799},
+		{{"999999"}, LIMIT_STATED, 999999000},
+		{{"1000001"}, LIMIT_STATED, LIMIT_MAX_PER_KS},
+		{{"99999999999999999999999999.9"},
+		 LIMIT_STATED,
+		 LIMIT_MAX_PER_KS},
+		{{"4.8", "4.8"}, LIMIT_STATED, 4800},
+		{{"4.8", "3"}, LIMIT_STATED, 3000},
+		{{"3, 4.8"}, LIMIT_STATED, 3000},
+		{{"slow", "6"}, LIMIT_STATED, 6000},
+		{{"6", "slow"}, LIMIT_STATED, 6000},
+		{{""}, LIMIT_UNREADABLE, 0},
+		{{" "}, LIMIT_UNREADABLE, 0},
+		{{"."}, LIMIT_UNREADABLE, 0},
+		{{"-3"}, LIMIT_UNREADABLE, 0},
+		{{"+3"}, LIMIT_UNREADABLE, 0},
+		{{"3/s"}, LIMIT_UNREADABLE, 0},
+		{{"1e3"}, LIMIT_UNREADABLE, 0},
+		{{"1.2.3"}, LIMIT_UNREADABLE, 0},
+		{{"0x10"}, LIMIT_UNREADABLE, 0},
+		{{"nan"}, LIMIT_UNREADABLE, 0},
+		{{"inf"}, LIMIT_UNREADABLE, 0},
+	};
+
+	for (const auto &row : rows) {
+		struct http_head *head = http_head_create();
+		struct endpoint_answer answer = {};
+		std::string text;
+
+		head->status = 200;
+		http_head_add(head, "X-Siskinlink-Engine-Stamp", 25, "s", 1);
+		for (const char *value : row.values) {
+			http_head_add(head, "server-limit", 12, value,
+				      strlen(value));
+			text += value;
+			text += "|";
+		}
+		platform_dialect.read_answer(head, &answer);
+		EXPECT_EQ(row.statement, answer.limit.statement) << text;
+		if (row.statement == LIMIT_STATED) {
+			EXPECT_EQ(row.per_ks, answer.limit.rate_per_ks) << text;
+		}
+		http_head_destroy(head);
+	}
+}
+
+/* Answers of proxies and of other engines say nothing about an endpoint. */
+TEST(Platform, ReadsLimitsOnlyFromTheEndpointItself)
+{
+	static const struct {
+		int32_t status;
+		const char *field;
+		bool has_limit;
+		enum limit_statement statement;
+	} rows[] = {
+		{200, "X-Siskinlink-Engine-Stamp", false, LIMIT_UNSTATED},
+		{500, "X-Siskinlink-Engine-Stamp", true, LIMIT_STATED},
+		{503, "X-Siskinlink-Not-Executed", true, LIMIT_STATED},
+		{503, "X-Siskinlink-Not-Executed", false, LIMIT_UNKNOWN},
+		{421, "X-Siskinlink-Not-Executed", true, LIMIT_UNKNOWN},
+		{200, "Via", true, LIMIT_UNKNOWN},
+		{502, "Via", false, LIMIT_UNKNOWN},
+	};
+
+	for (const auto &row : rows) {
+		struct http_head *head = http_head_create();
+		struct endpoint_answer answer = {};
+
+		head->status = row.status;
+		http_head_add(head, row.field, strlen(row.field), "1", 1);
+		if (row.has_limit)
+			http_head_add(head, "Server-Limit", 12, "4", 1);
+		platform_dialect.read_answer(head, &answer);
+		EXPECT_EQ(row.statement, answer.limit.statement)
+			<< row.status << row.field << row.has_limit;
+		http_head_destroy(head);
+	}
+}
+
 /*
  * Some statuses tell callers that nothing ran. If one comes from an endpoint
  * that may have run the request and is forwarded, the caller sends the request
