--- a/fakes/backend_state.h
+++ b/fakes/backend_state.h
@@ -45,6 +45,7 @@
 	int64_t move_count;
 	char *tenant; /* of the last request */
 	char *deadline;
+	char *server_limit; /* stated in answers; NULL or "": none */
 	bool saw_key;
 
 	int plain;
--- a/fakes/fake_backend.c
+++ b/fakes/fake_backend.c
@@ -132,6 +132,9 @@
 	save_request_headers(backend, message);
 	soup_message_headers_replace(headers, HEADER("Engine-Stamp"),
 				     backend->id);
+	if (backend->server_limit && *backend->server_limit)
+		soup_message_headers_replace(headers, "Server-Limit",
+					     backend->server_limit);
 	if (backend->leave_at_us)
 		soup_message_headers_replace(headers, "Connection", "close");
 	if (backend->crashing)
@@ -296,6 +299,7 @@
 	g_free(backend->id);
 	g_free(backend->tenant);
 	g_free(backend->deadline);
+	g_free(backend->server_limit);
 }
 
 int main(int argc, const char **argv)
@@ -342,6 +346,7 @@
 		{"answer_delay_ms", FAKE_MODE_INT, &backend.answer_delay_ms},
 		{"real_copies", FAKE_MODE_BOOL, &backend.real_copies},
 		{"leave_ms", FAKE_MODE_INT, &backend.leave_ms},
+		{"server_limit", FAKE_MODE_STRING, &backend.server_limit},
 	};
 	int status = 2;
 
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -348,6 +348,33 @@
 	EXPECT_EQ("none", choose());
 }
 
+/*
+ * Guards against a limit that an endpoint states and that nobody holds: of 50
+ * requests a second it gets, in any 4 s, no more than 1.5 times 3 a second and
+ * 5. The others go elsewhere.
+ */
+TEST_F(EndpointChoice, SendsALimitedEndpointNoMoreThanItStates)
+{
+	struct endpoint *limited = add("limited", 0, 0);
+	std::map<std::string, int> counts;
+
+	add("other", 20000, 5);
+	limited->limit = {true, 3000, criteria.now_us};
+	criteria.engine = nullptr;
+	criteria.warmup.fleet = {1, 1, 0};
+	criteria.warmup.is_settled = true;
+	for (int i = 0; i < 200; i++) {
+		criteria.now_us += G_USEC_PER_SEC / 50;
+		std::string id = choose();
+		endpoint_warmup_add(registry_find(registry, id.c_str()),
+				    &criteria.warmup, criteria.now_us);
+		counts[id]++;
+	}
+	EXPECT_LE(counts["limited"], 23);
+	EXPECT_GE(counts["limited"], 8) << "most of the limit is used";
+	EXPECT_EQ(0, counts["none"]);
+}
+
 /*
  * Guards against a request that runs outside the regions to which its route or
  * its organisation is bound, however full the endpoints there are.
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -325,6 +325,61 @@
 	until_true engines_know || fail "no engine heard of it"
 }
 
+# Sends requests to both nodes for a number of seconds, one after the other, and
+# writes their statuses.
+press() { # SECONDS FILE
+	local end=$((SECONDS + $1))
+
+	: >"$2"
+	while [ "$SECONDS" -lt "$end" ]; do
+		for i in 0 1; do
+			ask "$i" /lookup/a -o /dev/null >>"$2"
+			echo >>"$2"
+		done
+	done
+}
+
+# Guards against nodes that together send an endpoint more than the limit that it
+# states: 3 a second. What is above it goes to the other endpoint while that has
+# no limit, is rejected with a time to come back where both have one, and comes
+# back to the endpoint when it states none any more.
+case_holds_the_limit_of_an_endpoint() {
+	local before ran
+
+	mode "${backends[3]}" '{"server_limit": "3"}'
+	press 1 "$work/limit"
+	before=$(state 3 runs)
+	press 4 "$work/limit"
+	ran=$(($(state 3 runs) - before))
+	[ "$ran" -le 23 ] || fail "$ran requests in 4 s at 3 a second"
+	[ "$ran" -ge 1 ] || fail "it got no request"
+	[ "$(sort -u "$work/limit")" = 200 ] ||
+		fail "answered $(sort "$work/limit" | uniq -c | xargs)"
+	mode "${backends[4]}" '{"server_limit": "0.5"}'
+	press 1 "$work/limit"
+	before=$(($(state 3 runs) + $(state 4 runs)))
+	press 4 "$work/limit"
+	ran=$(($(state 3 runs) + $(state 4 runs) - before))
+	[ "$ran" -le 31 ] || fail "$ran requests in 4 s at 3.5 a second"
+	[ "$ran" -ge 7 ] || fail "$ran requests in 4 s, of 14"
+	[ "$(sort -u "$work/limit" | xargs)" = "200 503" ] ||
+		fail "answered $(sort "$work/limit" | uniq -c | xargs)"
+	ask 0 /lookup/a -D "$work/limit.head" >/dev/null
+	ask 0 /lookup/a -D "$work/limit.head" >/dev/null
+	grep -qi '^retry-after: ' "$work/limit.head" ||
+		fail "no time to come back: $(head -n 1 "$work/limit.head")"
+	grep -q 'outcome=refused reason=endpoint_limit' "$work/g0.out" ||
+		fail "no reason in the log"
+	for i in 3 4; do
+		mode "${backends[$i]}" '{"server_limit": ""}'
+	done
+	is_lifted() {
+		press 1 "$work/limit"
+		[ "$(sort -u "$work/limit")" = 200 ]
+	}
+	until_true is_lifted || fail "the limit stays"
+}
+
 # line REQUEST EVENT: the last log line of a request with this event, any node.
 line() {
 	grep -h "event=$2 " "$work"/g*.out | grep "request=$1 " | tail -n 1
