One module divides a rate among nodes: retries and cold endpoints use it

Cold endpoints (core/gateway/warmup_limit) and retries (core/limit/shared_budgets) divided what all nodes may send each in its own way. core/limit/rate_share now holds the parts of a home and of the nodes beside it, the peak of nodes that are not heard any more, and the settling of a node that has just started; core/limit/rate_window the times of requests in a sliding span.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -14,6 +14,9 @@
 
 #define MAX_STATUS_CALLERS 512
 
+/* How long shares are kept for nodes that are no longer heard. */
+#define PEAK_RETENTION_US (60 * G_USEC_PER_SEC)
+
 /*
  * Time in microseconds, independent of the time of day and counting while the
  * machine is suspended. CLOCK_MONOTONIC stops during a suspension, so that the
@@ -329,6 +332,8 @@
 		gateway_destroy(gateway);
 		return NULL;
 	}
+	rate_peak_init(&gateway->fleet_peak, 1, PEAK_RETENTION_US,
+		       gateway->now_us);
 	gateway_update_fleet(gateway);
 	gateway->tick = g_timeout_add(TICK_MS, on_tick, gateway);
 	return gateway;
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -49,8 +49,8 @@
 }
 
 /* Who chooses the endpoints of the service. */
-static enum warmup_chooser find_chooser(const struct gateway *gateway,
-					const struct config_service *service)
+static enum rate_chooser find_chooser(const struct gateway *gateway,
+				      const struct config_service *service)
 {
 	const struct membership *members =
 		gateway->host.members(gateway->host.data);
@@ -58,9 +58,8 @@
 	if (service->engine.slots == 0 ||
 	    (int64_t)membership_count(members) <
 		    gateway->options.home_from_nodes)
-		return WARMUP_EACH_NODE;
-	return find_home(gateway, service->name) ? WARMUP_BESIDE_HOME
-						 : WARMUP_HOME;
+		return RATE_EACH_NODE;
+	return find_home(gateway, service->name) ? RATE_BESIDE_HOME : RATE_HOME;
 }
 
 /* Fills in how the service's cold endpoints are limited; NULL: not at all. */
@@ -78,8 +77,8 @@
 			   .slack = gateway->options.warmup_slack},
 		.chooser = find_chooser(gateway, service),
 		.fleet = gateway->fleet,
-		.is_settled = warmup_peak_is_settled(&gateway->warmup_peak,
-						     gateway->now_us),
+		.is_settled = rate_peak_is_settled(&gateway->fleet_peak,
+						   gateway->now_us),
 		.cold_us = service->warmup_us,
 	};
 }
@@ -89,15 +88,17 @@
 {
 	const struct membership *members =
 		gateway->host.members(gateway->host.data);
-	struct warmup_fleet fleet = {.nodes = gateway_node_count(gateway)};
+	struct rate_fleet fleet = {.nodes = gateway_node_count(gateway)};
+
+	fleet.home_nodes = fleet.nodes;
 
 	for (size_t i = 0; i < membership_count(members); i++) {
 		if (strcmp(membership_get(members, i)->name,
 			   gateway->options.node_name) == 0)
 			fleet.index = i;
 	}
-	warmup_peak_update(&gateway->warmup_peak, fleet.nodes, gateway->now_us);
-	fleet.most_nodes = gateway->warmup_peak.nodes;
+	rate_peak_update(&gateway->fleet_peak, fleet.nodes, gateway->now_us);
+	fleet.most_nodes = gateway->fleet_peak.nodes;
 	gateway->fleet = fleet;
 }
 
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -71,8 +71,8 @@
 	bool home_announce_pending; /* changes not yet sent to the home */
 
 	struct region_map *region_map;
-	struct warmup_peak warmup_peak;
-	struct warmup_fleet fleet;
+	struct rate_peak fleet_peak;
+	struct rate_fleet fleet;
 
 	/* Engine choice by a home, which may be this node. */
 	struct engine_grants *grants;
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -242,15 +242,17 @@
 			    const struct endpoint_warmup *warmup,
 			    int64_t now_us)
 {
+	struct rate_parts parts;
+
 	if (warmup->bounds.rate_per_ks == 0 ||
 	    !endpoint_is_cold(endpoint, warmup->cold_us, now_us))
 		return true;
+	parts = warmup_parts(&warmup->bounds);
 	return warmup->is_settled &&
-	       warmup_window_allows(endpoint->warmup,
-				    warmup_quota(&warmup->bounds,
-						 warmup->chooser,
-						 &warmup->fleet, endpoint->key),
-				    now_us);
+	       rate_window_allows(endpoint->warmup,
+				  rate_share(&parts, warmup->chooser,
+					     &warmup->fleet, endpoint->key),
+				  WARMUP_WINDOW_US, now_us);
 }
 
 /* Counts a request that is sent to the endpoint now, if it is cold. */
@@ -259,7 +261,7 @@
 {
 	if (warmup->bounds.rate_per_ks > 0 &&
 	    endpoint_is_cold(endpoint, warmup->cold_us, now_us))
-		warmup_window_add(&endpoint->warmup, now_us);
+		rate_window_add(&endpoint->warmup, WARMUP_WINDOW_US, now_us);
 }
 
 static struct endpoint *choose_best(const struct registry *registry,
--- a/core/gateway/endpoint_choice.h
+++ b/core/gateway/endpoint_choice.h
@@ -4,6 +4,7 @@
 #include "core/gateway/region_limits.h"
 #include "core/gateway/registry.h"
 #include "core/gateway/route_table.h"
+#include "core/gateway/warmup_limit.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -14,8 +15,8 @@
 /* Limits on requests to endpoints of a service that are cold. */
 struct endpoint_warmup {
 	struct warmup_bounds bounds; /* rate 0: no limit */
-	enum warmup_chooser chooser;
-	struct warmup_fleet fleet;
+	enum rate_chooser chooser;
+	struct rate_fleet fleet;
 	bool is_settled; /* this node knows the fleet */
 	int64_t cold_us; /* how long an endpoint of the service is cold */
 };
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -24,7 +24,7 @@
 
 	registration_destroy(endpoint->last_registration);
 	registration_destroy(endpoint->held_back);
-	warmup_window_destroy(endpoint->warmup);
+	rate_window_destroy(endpoint->warmup);
 	g_free(endpoint);
 }
 
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -4,7 +4,7 @@
 #include "core/gateway/cordon_set.h"
 #include "core/gateway/endpoint_limit.h"
 #include "core/gateway/endpoint_suspicion.h"
-#include "core/gateway/warmup_limit.h"
+#include "core/limit/rate_window.h"
 #include "core/placement/endpoint_health.h"
 #include "ports/registration.h"
 
@@ -43,13 +43,13 @@
 	struct registration *held_back; /* to be applied once the store has
 					   settled; NULL: none */
 	int64_t since_us;		/* when the presence last changed */
-	int64_t known_us; /* when its current start was first seen */
-	int64_t warm_us;  /* answers slowly before this time */
-	struct warmup_window *warmup;  /* requests sent while cold, or NULL */
-	struct held own;	       /* load of this node */
-	struct held others;	       /* announced by all other nodes */
-	struct held granted;	       /* granted by this node, unconfirmed */
-	struct endpoint_health health; /* by requests of this node */
+	int64_t known_us;	    /* when its current start was first seen */
+	int64_t warm_us;	    /* answers slowly before this time */
+	struct rate_window *warmup; /* requests sent while cold, or NULL */
+	struct held own;	    /* load of this node */
+	struct held others;	    /* announced by all other nodes */
+	struct held granted;	    /* granted by this node, unconfirmed */
+	struct endpoint_health health;	     /* by requests of this node */
 	struct endpoint_suspicion suspicion; /* by notices of all nodes */
 	bool is_cordoned;      /* its failure domain gets no new requests */
 	int64_t uncordoned_us; /* when that last ended; 0: never */
--- a/core/limit/shared_budgets.c
+++ b/core/limit/shared_budgets.c
@@ -1,5 +1,7 @@
 #include "core/limit/shared_budgets.h"
 
+#include "core/limit/rate_share.h"
+
 /*
  * Number of nodes assumed until more are seen. After a start or in a network
  * partition, a node knows only itself and would use the parts of all nodes.
@@ -17,8 +19,8 @@
 
 struct shared_budgets {
 	struct shared_budgets_options options;
-	GHashTable *windows; /* service to struct retry_window */
-	size_t max_nodes;    /* most nodes seen at once */
+	GHashTable *windows;   /* service to struct retry_window */
+	struct rate_peak peak; /* of the nodes, since the start */
 	int64_t created_us;
 	int64_t now_us;
 };
@@ -39,7 +41,7 @@
 	struct shared_budgets *budgets = g_new0(struct shared_budgets, 1);
 
 	budgets->options = *options;
-	budgets->max_nodes = MIN_NODES;
+	rate_peak_init(&budgets->peak, MIN_NODES, 0, now_us);
 	budgets->created_us = now_us;
 	budgets->now_us = now_us;
 	budgets->windows = g_hash_table_new_full(g_str_hash, g_str_equal,
@@ -66,7 +68,7 @@
 
 	if (age_us < window_us)
 		share = FIRST_WINDOW_SHARE * (double)age_us / (double)window_us;
-	return share * all / (double)budgets->max_nodes;
+	return rate_peak_divide(&budgets->peak, share * all);
 }
 
 static void update_window(const struct shared_budgets *budgets,
@@ -96,26 +98,17 @@
 	update_all_windows(budgets);
 }
 
-/*
- * The extra retries are divided by the most nodes ever seen at once, because
- * partitioned nodes must not each use the parts of all nodes.
- */
-static void record_node_count(struct shared_budgets *budgets, size_t nodes)
-{
-	if (nodes <= budgets->max_nodes)
-		return;
-	budgets->max_nodes = nodes;
-}
-
 /*
  * Updates all budgets to now_us, which must never decrease. nodes is the number
- * of live nodes, including this one.
+ * of live nodes, including this one. The extra retries are divided by the most
+ * nodes ever seen at once, because partitioned nodes must not each use the
+ * parts of all nodes.
  */
 void shared_budgets_step(struct shared_budgets *budgets, size_t nodes,
 			 int64_t now_us)
 {
 	budgets->now_us = now_us;
-	record_node_count(budgets, nodes);
+	rate_peak_update(&budgets->peak, nodes, now_us);
 	update_all_windows(budgets);
 }
 
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -314,8 +314,8 @@
 
 	add("warm", 20000, 5);
 	criteria.warmup.bounds = {4000, 150, 5};
-	criteria.warmup.chooser = WARMUP_HOME;
-	criteria.warmup.fleet = {480, 480, 0};
+	criteria.warmup.chooser = RATE_HOME;
+	criteria.warmup.fleet = {480, 480, 480, 0};
 	criteria.warmup.is_settled = true;
 	cold->warm_us = criteria.now_us + G_USEC_PER_SEC;
 	for (int i = 0; i < 4; i++) {
@@ -324,7 +324,7 @@
 	}
 	EXPECT_EQ("warm", choose());
 	criteria.warmup.is_settled = false;
-	g_clear_pointer(&cold->warmup, warmup_window_destroy);
+	g_clear_pointer(&cold->warmup, rate_window_destroy);
 	EXPECT_EQ("warm", choose()) << "this node has just started";
 	cold->warm_us = 0;
 	EXPECT_EQ("cold", choose()) << "warm by now";
@@ -341,8 +341,8 @@
 	struct endpoint *cold = add("cold", 0, 0);
 
 	criteria.warmup.bounds = {500, 100, 0};
-	criteria.warmup.chooser = WARMUP_EACH_NODE;
-	criteria.warmup.fleet = {59, 59, 58};
+	criteria.warmup.chooser = RATE_EACH_NODE;
+	criteria.warmup.fleet = {59, 59, 59, 58};
 	criteria.warmup.is_settled = true;
 	cold->warm_us = criteria.now_us + G_USEC_PER_SEC;
 	EXPECT_EQ("none", choose());
@@ -361,7 +361,7 @@
 	add("other", 20000, 5);
 	limited->limit = {true, 3000, criteria.now_us};
 	criteria.engine = nullptr;
-	criteria.warmup.fleet = {1, 1, 0};
+	criteria.warmup.fleet = {1, 1, 1, 0};
 	criteria.warmup.is_settled = true;
 	for (int i = 0; i < 200; i++) {
 		criteria.now_us += G_USEC_PER_SEC / 50;
--- a/tests/warmup_limit_test.cc
+++ b/tests/warmup_limit_test.cc
@@ -1,4 +1,5 @@
 #include "core/gateway/warmup_limit.h"
+#include "core/limit/rate_window.h"
 
 #include <gtest/gtest.h>
 
@@ -7,6 +8,15 @@
 #include <vector>
 
 static constexpr int64_t second_us = 1000000;
+static constexpr uint64_t endpoint_key = 0x9e3779b97f4a7c15;
+
+static struct rate_parts parts_of(int64_t rate_per_ks, int64_t excess_percent,
+				  int64_t slack)
+{
+	struct warmup_bounds bounds = {rate_per_ks, excess_percent, slack};
+
+	return warmup_parts(&bounds);
+}
 
 /*
  * A fleet in virtual time in which every node has requests for one cold
@@ -16,25 +26,29 @@
 {
       protected:
 	struct warmup_bounds bounds = {4000, 150, 5};
-	std::vector<struct warmup_window *> windows;
+	std::vector<struct rate_window *> windows;
 	std::vector<int64_t> sent_us;
 	std::mt19937 random{7};
 
 	~WarmupFleet() override
 	{
-		for (struct warmup_window *window : windows)
-			warmup_window_destroy(window);
+		for (struct rate_window *window : windows)
+			rate_window_destroy(window);
 	}
 
-	void press(size_t node, enum warmup_chooser chooser, size_t nodes,
+	void press(size_t node, enum rate_chooser chooser, size_t nodes,
 		   size_t most_nodes, size_t index, int64_t now_us)
 	{
-		struct warmup_fleet fleet = {nodes, most_nodes, index};
-		int32_t quota = warmup_quota(&bounds, chooser, &fleet, 977);
+		struct rate_fleet fleet = {nodes, most_nodes, nodes, index};
+		struct rate_parts parts = warmup_parts(&bounds);
+		int64_t quota =
+			rate_share(&parts, chooser, &fleet, endpoint_key);
 
 		windows.resize(std::max(windows.size(), node + 1));
-		while (warmup_window_allows(windows[node], quota, now_us)) {
-			warmup_window_add(&windows[node], now_us);
+		while (rate_window_allows(windows[node], quota,
+					  WARMUP_WINDOW_US, now_us)) {
+			rate_window_add(&windows[node], WARMUP_WINDOW_US,
+					now_us);
 			sent_us.push_back(now_us);
 		}
 	}
@@ -70,9 +84,9 @@
 	while (now_us < 21 * second_us) {
 		size_t node = (size_t)draw_us(479);
 
-		press(node, node == 0 ? WARMUP_HOME : WARMUP_BESIDE_HOME, 480,
-		      480, node, now_us);
-		press(0, WARMUP_HOME, 480, 480, 0, now_us);
+		press(node, node == 0 ? RATE_HOME : RATE_BESIDE_HOME, 480, 480,
+		      node, now_us);
+		press(0, RATE_HOME, 480, 480, 0, now_us);
 		now_us += draw_us(2000);
 	}
 	EXPECT_LE(peak_rate(), 11u);
@@ -84,7 +98,7 @@
 {
 	for (int64_t now_us = second_us; now_us < 21 * second_us;
 	     now_us += 1000)
-		press(0, WARMUP_HOME, 478, 480, 0, now_us);
+		press(0, RATE_HOME, 478, 480, 0, now_us);
 	EXPECT_LE(peak_rate(), 5u);
 	EXPECT_GE(sent_us.size(), 20 * 4 * 8 / 10);
 }
@@ -97,8 +111,8 @@
 		size_t node = (size_t)draw_us(479);
 		bool is_home = node % 240 == 0;
 
-		press(node, is_home ? WARMUP_HOME : WARMUP_BESIDE_HOME, 240,
-		      480, node % 240, now_us);
+		press(node, is_home ? RATE_HOME : RATE_BESIDE_HOME, 240, 480,
+		      node % 240, now_us);
 	}
 	EXPECT_LE(peak_rate(), 11u);
 }
@@ -112,7 +126,7 @@
 		/* Every third node misses two nodes of the first half. */
 		size_t missing = node % 3 == 0 ? 2 : 0;
 
-		press(node, node == 0 ? WARMUP_HOME : WARMUP_BESIDE_HOME,
+		press(node, node == 0 ? RATE_HOME : RATE_BESIDE_HOME,
 		      480 - missing, 480, node > 240 ? node - missing : node,
 		      now_us);
 	}
@@ -126,7 +140,7 @@
 	     now_us += draw_us(400)) {
 		size_t node = (size_t)draw_us(58);
 
-		press(node, WARMUP_EACH_NODE, 59, 59, node, now_us);
+		press(node, RATE_EACH_NODE, 59, 59, node, now_us);
 	}
 	EXPECT_LE(peak_rate(), 11u);
 	EXPECT_GE(sent_us.size(), 10 * 4 * 8 / 10);
@@ -135,33 +149,17 @@
 /* A single node may use nearly all of it; a rate below 1 gives one request. */
 TEST(WarmupLimit, Quotas)
 {
-	const struct warmup_fleet one = {1, 1, 0};
-	const struct warmup_fleet many = {59, 59, 58};
-	const struct warmup_bounds sheet = {36000, 150, 5};
-	const struct warmup_bounds slow = {500, 150, 0};
-	const struct warmup_bounds exact = {4000, 100, 0};
-
-	EXPECT_EQ(54, warmup_quota(&sheet, WARMUP_EACH_NODE, &one, 0));
-	EXPECT_EQ(36, warmup_quota(&sheet, WARMUP_HOME, &many, 0));
-	EXPECT_LE(warmup_quota(&sheet, WARMUP_BESIDE_HOME, &many, 0), 1);
-	EXPECT_EQ(0, warmup_quota(&slow, WARMUP_HOME, &many, 0))
+	const struct rate_fleet one = {1, 1, 1, 0};
+	const struct rate_fleet many = {59, 59, 59, 58};
+	const struct rate_parts sheet = parts_of(36000, 150, 5);
+	const struct rate_parts slow = parts_of(500, 150, 0);
+	const struct rate_parts exact = parts_of(4000, 100, 0);
+
+	EXPECT_EQ(54, rate_share(&sheet, RATE_EACH_NODE, &one, 0));
+	EXPECT_EQ(36, rate_share(&sheet, RATE_HOME, &many, 0));
+	EXPECT_LE(rate_share(&sheet, RATE_BESIDE_HOME, &many, 0), 1);
+	EXPECT_EQ(0, rate_share(&slow, RATE_HOME, &many, 0))
 		<< "the bound for a second is 0.75 requests";
-	EXPECT_EQ(4, warmup_quota(&exact, WARMUP_HOME, &many, 0));
-	EXPECT_EQ(0, warmup_quota(&exact, WARMUP_BESIDE_HOME, &many, 0));
-}
-
-/* Nodes that died are counted for a minute, as they may be behind a cut. */
-TEST(WarmupLimit, RemembersTheMostNodes)
-{
-	struct warmup_peak peak = {};
-
-	EXPECT_FALSE(warmup_peak_is_settled(&peak, second_us));
-	warmup_peak_update(&peak, 1, second_us);
-	EXPECT_FALSE(warmup_peak_is_settled(&peak, 2 * second_us));
-	warmup_peak_update(&peak, 59, 2 * second_us);
-	EXPECT_TRUE(warmup_peak_is_settled(&peak, 4 * second_us));
-	warmup_peak_update(&peak, 30, 30 * second_us);
-	EXPECT_EQ(59u, peak.nodes);
-	warmup_peak_update(&peak, 30, 63 * second_us);
-	EXPECT_EQ(30u, peak.nodes);
+	EXPECT_EQ(4, rate_share(&exact, RATE_HOME, &many, 0));
+	EXPECT_EQ(0, rate_share(&exact, RATE_BESIDE_HOME, &many, 0));
 }
