Gossip of changes: its pace in a module of its own

Cordons are passed on to random nodes often while they are new and seldom later. The limits that endpoints state need the same, with other times.

--- a/core/gateway/cordon_set.c
+++ b/core/gateway/cordon_set.c
@@ -1,6 +1,7 @@
 #include "core/gateway/cordon_set.h"
 
 #include "core/base/store_position.h"
+#include "core/gateway/gossip_pace.h"
 
 /*
  * A cordon that the listing of a store that came back from a copy lacks is kept
@@ -9,11 +10,12 @@
  */
 #define ERA_SETTLES_US (6 * G_USEC_PER_SEC)
 
-/* News is passed on often for a while after a change, and seldom later. */
-#define FRESH_US (10 * G_USEC_PER_SEC)
-#define FRESH_PERIOD_US (500 * 1000)
-#define FRESH_RECEIVERS 3
-#define STALE_PERIOD_US (2 * G_USEC_PER_SEC)
+static const struct gossip_schedule schedule = {
+	.fresh_us = 10 * G_USEC_PER_SEC,
+	.fresh_period_us = 500 * 1000,
+	.fresh_receivers = 3,
+	.stale_period_us = 2 * G_USEC_PER_SEC,
+};
 
 /* A lifted cordon is kept for as long as older news may still arrive. */
 #define LIFTED_RETENTION_US (60 * G_USEC_PER_SEC)
@@ -28,7 +30,7 @@
 
 struct cordon_set {
 	GHashTable *entries; /* failure domain to struct entry */
-	int64_t passed_on_us;
+	struct gossip_pace pace;
 	bool is_known;
 };
 
@@ -81,6 +83,7 @@
 	entry->cordon->position = news->position;
 	entry->cordon->is_lifted = news->is_lifted;
 	entry->changed_us = now_us;
+	set->pace.changed_us = now_us;
 	entry->lift_us = 0;
 	entry->is_rewound = false;
 	return news->is_lifted != was_lifted;
@@ -97,19 +100,21 @@
 	return false;
 }
 
-static void entry_lift(struct entry *entry, int64_t position, int64_t now_us,
-		       GPtrArray *changed)
+static void entry_lift(struct cordon_set *set, struct entry *entry,
+		       int64_t position, int64_t now_us, GPtrArray *changed)
 {
 	entry->cordon->position = position;
 	entry->cordon->is_lifted = true;
 	entry->changed_us = now_us;
+	set->pace.changed_us = now_us;
 	entry->lift_us = 0;
 	entry->is_rewound = false;
 	g_ptr_array_add(changed, g_strdup(entry->cordon->failure_domain));
 }
 
-static void entry_note_missing(struct entry *entry, int64_t position,
-			       int64_t now_us, GPtrArray *changed)
+static void entry_note_missing(struct cordon_set *set, struct entry *entry,
+			       int64_t position, int64_t now_us,
+			       GPtrArray *changed)
 {
 	const struct cordon *cordon = entry->cordon;
 
@@ -118,7 +123,7 @@
 	if (!entry->is_rewound &&
 	    store_position_era(position) ==
 		    store_position_era(cordon->position)) {
-		entry_lift(entry, position, now_us, changed);
+		entry_lift(set, entry, position, now_us, changed);
 		return;
 	}
 	if (entry->lift_us == 0)
@@ -150,7 +155,8 @@
 		struct entry *entry = value;
 
 		if (!list_names(list, entry->cordon->failure_domain))
-			entry_note_missing(entry, position, now_us, changed);
+			entry_note_missing(set, entry, position, now_us,
+					   changed);
 	}
 	set->is_known = true;
 }
@@ -188,7 +194,7 @@
 		struct entry *entry = value;
 
 		if (entry->lift_us && now_us >= entry->lift_us)
-			entry_lift(entry, entry->lift_position, now_us,
+			entry_lift(set, entry, entry->lift_position, now_us,
 				   changed);
 		else if (entry->cordon->is_lifted &&
 			 now_us - entry->changed_us > LIFTED_RETENTION_US)
@@ -233,35 +239,14 @@
 	return list;
 }
 
-static bool set_is_fresh(const struct cordon_set *set, int64_t now_us)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, set->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (now_us - ((struct entry *)value)->changed_us < FRESH_US)
-			return true;
-	}
-	return false;
-}
-
 /*
  * Returns how many random nodes get the set now, and counts them as told. A
- * node that the store turns away learns of a change only from other nodes, and
- * a single record to it may be lost. The load does not depend on how many nodes
- * there are, and there is none without a cordon.
+ * node that the store turns away learns of a change only from other nodes.
+ * There is no load without a cordon.
  */
 size_t cordon_set_count_receivers(struct cordon_set *set, int64_t now_us)
 {
-	bool is_fresh;
-
 	if (g_hash_table_size(set->entries) == 0)
 		return 0;
-	is_fresh = set_is_fresh(set, now_us);
-	if (now_us - set->passed_on_us <
-	    (is_fresh ? FRESH_PERIOD_US : STALE_PERIOD_US))
-		return 0;
-	set->passed_on_us = now_us;
-	return is_fresh ? FRESH_RECEIVERS : 1;
+	return gossip_pace_count_receivers(&set->pace, &schedule, now_us);
 }
