Nodes hold the limits that endpoints state, together

Callers saw an endpoint that had asked for relief get as much as before: 54 requests in 4 s where it had stated 4.4 a second (31 allowed).

The class: a limit that belongs to all nodes together, known to some, divided by none.

- core/gateway/endpoint_rates: what may be sent to an endpoint now, by its limit and while it is cold.
Each node has a whole share that it uses without asking; the home (one for all regions) has the rest, for itself and for nodes that would have to reject a request, plain ones too.
While it does not answer, half of the limit is divided among the nodes by rank.
A fleet that is cut keeps shares for the nodes it no longer hears; a node that has just started sends nothing to a limited endpoint until it knows the fleet.
- gateway_limits: the first node that gets an answer with a limit tells all others at once, changes travel by gossip, a node that starts is told.
Held while answers disagree, given up a second after the last one that states it, and after 30 to 60 s without any answer.
- What has no room goes to other endpoints; otherwise it is refused at once with 503, endpoint_limit and the time until this node's share is free.
- Runs whose engine is lost may go on beyond the limit by a small number.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -171,7 +171,8 @@
 		.now_us = gateway->now_us,
 		.draw = g_rand_double(gateway->random),
 	};
-	gateway_fill_warmup(gateway, exchange->service, &criteria->warmup);
+	gateway_fill_rates(gateway, exchange->service_name, exchange->service,
+			   &criteria->rates);
 }
 
 static void exchange_log_placed(const struct exchange *exchange,
@@ -217,29 +218,45 @@
 	return "no_endpoint";
 }
 
+/* Refuses a request that no endpoint can take now; it has not run. */
+static void exchange_refuse_full(struct exchange *exchange,
+				 const struct endpoint_criteria *criteria)
+{
+	struct gateway *gateway = exchange->gateway;
+	double draw = g_rand_double(gateway->random);
+	int64_t wait_us;
+
+	if (!endpoint_choice_exists(gateway->registry, criteria))
+		exchange_refuse(exchange, 503, RETRY_LATER_US,
+				exchange_missing_reason(exchange));
+	else if (endpoint_choice_is_limited(gateway->registry, criteria,
+					    &wait_us))
+		exchange_refuse(exchange, 503,
+				retry_after_limited_us(wait_us, draw),
+				"endpoint_limit");
+	else
+		exchange_refuse(exchange, 503,
+				retry_after_full_us(
+					exchange->route->first_answer_us, draw),
+				"no_room");
+}
+
 /* Sends the request to the endpoint; refuses it if the endpoint is NULL. */
 void exchange_send_or_refuse(struct exchange *exchange,
 			     struct endpoint *endpoint)
 {
-	struct gateway *gateway = exchange->gateway;
 	struct endpoint_criteria criteria;
 
 	if (endpoint) {
 		exchange_send(exchange, endpoint);
 		return;
 	}
-	exchange_fill_criteria(exchange, &criteria);
-	if (exchange->runs > 0)
+	if (exchange->runs > 0) {
 		exchange_refuse(exchange, 502, -1, "no_other_endpoint");
-	else if (!endpoint_choice_exists(gateway->registry, &criteria))
-		exchange_refuse(exchange, 503, RETRY_LATER_US,
-				exchange_missing_reason(exchange));
-	else
-		exchange_refuse(
-			exchange, 503,
-			retry_after_full_us(exchange->route->first_answer_us,
-					    g_rand_double(gateway->random)),
-			"no_room");
+		return;
+	}
+	exchange_fill_criteria(exchange, &criteria);
+	exchange_refuse_full(exchange, &criteria);
 }
 
 /* Sends the request to the endpoint that this node selects itself. */
@@ -253,11 +270,27 @@
 		endpoint_choose(exchange->gateway->registry, &criteria));
 }
 
-/* Sends the request to an endpoint that the home or this node selects. */
+/*
+ * Sends the request to an endpoint that the home or this node selects. If only
+ * endpoints are left whose limits this node has used up its share of, another
+ * node may grant it one.
+ */
 void exchange_send_new(struct exchange *exchange)
 {
-	if (!exchange_request_home(exchange))
-		exchange_send_local_choice(exchange);
+	const struct registry *registry = exchange->gateway->registry;
+	struct endpoint_criteria criteria;
+	struct endpoint *endpoint;
+	int64_t wait_us;
+
+	if (exchange_request_home(exchange))
+		return;
+	exchange_fill_criteria(exchange, &criteria);
+	endpoint = endpoint_choose(registry, &criteria);
+	if (!endpoint &&
+	    endpoint_choice_is_limited(registry, &criteria, &wait_us) &&
+	    exchange_request_limited(exchange))
+		return;
+	exchange_send_or_refuse(exchange, endpoint);
 }
 
 static bool exchange_may_begin(const struct exchange *exchange)
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -97,15 +97,16 @@
 	return input;
 }
 
-/* Whether the endpoint is warm, or cold and may get one more request. */
-static bool warmup_allows(const struct exchange *exchange,
-			  const struct endpoint *endpoint)
+/* Whether the endpoint's limits allow one more request, to go on with a run. */
+static bool rates_allow(const struct exchange *exchange,
+			const struct endpoint *endpoint)
 {
-	struct endpoint_warmup warmup;
+	struct endpoint_rates rates;
 
-	gateway_fill_warmup(exchange->gateway, exchange->service, &warmup);
-	return endpoint_warmup_allows(endpoint, &warmup,
-				      exchange->gateway->now_us);
+	gateway_fill_rates(exchange->gateway, exchange->service_name,
+			   exchange->service, &rates);
+	return endpoint_rates_allow(endpoint, &rates, RATE_TAKE_OVER,
+				    exchange->gateway->now_us);
 }
 
 /* The copy from which a run can continue once its engine is lost. */
@@ -146,7 +147,7 @@
 	case EVACUATION_FROM_NOTHING:
 		break;
 	}
-	if (place.endpoint && !warmup_allows(exchange, place.endpoint))
+	if (place.endpoint && !rates_allow(exchange, place.endpoint))
 		place.endpoint = NULL;
 	return place;
 }
@@ -345,8 +346,8 @@
 /*
  * Asks another engine to continue a run while the current one still runs it.
  * The old leg is released when the new one answers. Without a retry in the
- * budget, or while the other engine is cold and gets no more requests, the run
- * stays at its engine, and the next step asks again.
+ * budget, or while the limits of the other engine allow no more requests, the
+ * run stays at its engine, and the next step asks again.
  */
 void exchange_hand_over(struct exchange *exchange, struct endpoint *to,
 			const char *copy_address, const char *copy_name,
@@ -354,7 +355,7 @@
 {
 	struct error error;
 
-	if (!warmup_allows(exchange, to) ||
+	if (!rates_allow(exchange, to) ||
 	    !retry_window_take(
 		    gateway_budget(exchange->gateway, exchange->service_name)))
 		return;
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -42,6 +42,7 @@
 	bool head_received;	  /* its head has been received */
 	bool has_continued;	  /* a takeover has sent an event */
 	bool has_timed_out;	  /* its connection timed out */
+	bool is_granted;	  /* counted against limits by the home */
 };
 
 /* A request to the home that waits for its answer. */
@@ -84,6 +85,7 @@
 
 	struct home_request home_request; /* for an engine */
 	char *home_backup_id;		  /* from the home, for the next leg */
+	bool is_granted;		  /* the home granted the next leg */
 
 	struct leg *leg;  /* NULL between two dispatches */
 	struct leg *next; /* takes over while leg still runs, or NULL */
@@ -139,6 +141,7 @@
 
 /* gateway_home.c */
 bool exchange_request_home(struct exchange *exchange);
+bool exchange_request_limited(struct exchange *exchange);
 bool exchange_request_move_target(struct exchange *exchange);
 void exchange_cancel_home_request(struct exchange *exchange,
 				  struct home_request *request);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -168,6 +168,7 @@
 	GHashTableIter iter;
 	gpointer exchange;
 
+	gateway_limits_excuse_pause(gateway);
 	g_hash_table_iter_init(&iter, gateway->exchanges);
 	while (g_hash_table_iter_next(&iter, &exchange, NULL))
 		exchange_excuse_pause(exchange, paused_us);
@@ -229,6 +230,7 @@
 	endpoint_pool_step(gateway->pool, gateway->now_us);
 	gateway_step_registry(gateway);
 	gateway_cordons_step(gateway);
+	gateway_limits_step(gateway);
 	gateway_step_reports(gateway);
 	gateway_home_step(gateway);
 	gateway_routes_step(gateway);
@@ -335,6 +337,7 @@
 	rate_peak_init(&gateway->fleet_peak, 1, PEAK_RETENTION_US,
 		       gateway->now_us);
 	gateway_update_fleet(gateway);
+	gateway_limits_init(gateway);
 	gateway->tick = g_timeout_add(TICK_MS, on_tick, gateway);
 	return gateway;
 }
--- a/adapters/gateway/gateway_cordons.c
+++ b/adapters/gateway/gateway_cordons.c
@@ -119,24 +119,6 @@
 	cordon_set_mark_known(registry_cordons(gateway->registry));
 }
 
-/* Adds the addresses of up to count random other nodes. */
-static void add_random_members(struct gateway *gateway, size_t count,
-			       GPtrArray *addresses)
-{
-	const struct membership *members =
-		gateway->host.members(gateway->host.data);
-	gint32 all = (gint32)membership_count(members);
-
-	for (size_t i = 0; all > 0 && i < count; i++) {
-		const struct member *member = membership_get(
-			members,
-			(size_t)g_rand_int_range(gateway->random, 0, all));
-
-		if (strcmp(member->name, gateway->options.node_name) != 0)
-			g_ptr_array_add(addresses, member->peer_address);
-	}
-}
-
 /* Lifts cordons that are due and passes cordons on to a few nodes. */
 void gateway_cordons_step(struct gateway *gateway)
 {
@@ -145,7 +127,7 @@
 
 	registry_step_cordons(gateway->registry, gateway->now_us, changed);
 	note_changes(gateway, changed, "store came back without it", false);
-	add_random_members(
+	gateway_add_random_members(
 		gateway,
 		cordon_set_count_receivers(registry_cordons(gateway->registry),
 					   gateway->now_us),
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -48,39 +48,68 @@
 	return home;
 }
 
-/* Who chooses the endpoints of the service. */
-static enum rate_chooser find_chooser(const struct gateway *gateway,
-				      const struct config_service *service)
+/* Who chooses the endpoints of the service while they are cold. */
+static enum rate_chooser
+find_warmup_chooser(const struct gateway *gateway,
+		    const struct config_service *service)
 {
-	const struct membership *members =
-		gateway->host.members(gateway->host.data);
-
 	if (service->engine.slots == 0 ||
-	    (int64_t)membership_count(members) <
+	    (int64_t)gateway_node_count(gateway) <
 		    gateway->options.home_from_nodes)
 		return RATE_EACH_NODE;
 	return find_home(gateway, service->name) ? RATE_BESIDE_HOME : RATE_HOME;
 }
 
-/* Fills in how the service's cold endpoints are limited; NULL: not at all. */
-void gateway_fill_warmup(const struct gateway *gateway,
-			 const struct config_service *service,
-			 struct endpoint_warmup *warmup)
+/*
+ * The node, of any region, that grants requests to limited endpoints; NULL:
+ * this node.
+ */
+static const struct member *find_limit_home(const struct gateway *gateway,
+					    const char *service)
 {
-	*warmup = (struct endpoint_warmup){0};
-	if (!service || service->warmup_per_ks == 0)
-		return;
-	*warmup = (struct endpoint_warmup){
-		.bounds = {.rate_per_ks = service->warmup_per_ks,
-			   .excess_percent =
-				   gateway->options.warmup_excess_percent,
-			   .slack = gateway->options.warmup_slack},
-		.chooser = find_chooser(gateway, service),
+	const struct member *home = home_find(
+		gateway->host.members(gateway->host.data), NULL, service, 0);
+
+	return home && strcmp(home->name, gateway->options.node_name) != 0
+		       ? home
+		       : NULL;
+}
+
+static enum rate_chooser find_limit_chooser(const struct gateway *gateway,
+					    const char *service)
+{
+	if (!gateway->knows_limits || gateway_node_count(gateway) < 2)
+		return RATE_EACH_NODE;
+	if (!find_limit_home(gateway, service))
+		return RATE_HOME;
+	return gateway->now_us < gateway->home_skipped_until_us
+		       ? RATE_HOME_SILENT
+		       : RATE_BESIDE_HOME;
+}
+
+/*
+ * Fills in how requests to the service's endpoints are limited. The description
+ * of the service may be NULL.
+ */
+void gateway_fill_rates(const struct gateway *gateway, const char *name,
+			const struct config_service *service,
+			struct endpoint_rates *rates)
+{
+	*rates = (struct endpoint_rates){
 		.fleet = gateway->fleet,
 		.is_settled = rate_peak_is_settled(&gateway->fleet_peak,
 						   gateway->now_us),
-		.cold_us = service->warmup_us,
+		.limit_chooser = find_limit_chooser(gateway, name),
+	};
+	if (!service || service->warmup_per_ks == 0)
+		return;
+	rates->warmup = (struct warmup_bounds){
+		.rate_per_ks = service->warmup_per_ks,
+		.excess_percent = gateway->options.warmup_excess_percent,
+		.slack = gateway->options.warmup_slack,
 	};
+	rates->warmup_chooser = find_warmup_chooser(gateway, service);
+	rates->cold_us = service->warmup_us;
 }
 
 /* Notes the live nodes, among which limits are divided. */
@@ -188,6 +217,31 @@
 	return true;
 }
 
+/*
+ * Requests an endpoint from the node that grants requests to limited ones.
+ * False if there is no other node to ask: this node has to refuse the request.
+ */
+bool exchange_request_limited(struct exchange *exchange)
+{
+	struct gateway *gateway = exchange->gateway;
+	const struct member *home;
+	struct peer_message *message;
+
+	if (exchange_is_bound(exchange) ||
+	    gateway->now_us < gateway->home_skipped_until_us)
+		return false;
+	home = find_limit_home(gateway, exchange->service_name);
+	if (!home)
+		return false;
+	message = home_request_create(exchange, ++gateway->home_request_count);
+	message->choose.failure_domain =
+		g_strdup(gateway->options.failure_domain);
+	message->choose.prompt_tokens = exchange->parsed_request.prompt_tokens;
+	message->choose.purpose = CHOOSE_RUN;
+	send_home_request(exchange, &exchange->home_request, home, message);
+	return true;
+}
+
 /*
  * Requests the target of a move from the home; false if this node has to choose
  * locally.
@@ -282,7 +336,7 @@
 {
 	struct endpoint_criteria criteria = {
 		.service = choose->service,
-		.engine = &service->engine,
+		.engine = service ? &service->engine : NULL,
 		.failure_domain = choose->failure_domain,
 		.avoid = choose->avoid,
 		.tokens = choose->tokens,
@@ -291,7 +345,7 @@
 	};
 	struct engine_choice choice = {NULL, NULL};
 
-	gateway_fill_warmup(gateway, service, &criteria.warmup);
+	gateway_fill_rates(gateway, choose->service, service, &criteria.rates);
 	if (choose->purpose == CHOOSE_MOVE) {
 		criteria.other_domain_weight = MOVE_OTHER_DOMAIN_WEIGHT;
 		choice.copy =
@@ -301,7 +355,7 @@
 	choice.run = endpoint_choose(gateway->registry, &criteria);
 	if (!choice.run)
 		return choice;
-	endpoint_warmup_add(choice.run, &criteria.warmup, gateway->now_us);
+	endpoint_rates_count(choice.run, &criteria.rates, gateway->now_us);
 	if (choose->purpose == CHOOSE_RUN_AND_BACKUP) {
 		criteria.avoid_id = choice.run->last_registration->id;
 		choice.copy =
@@ -349,8 +403,7 @@
 	struct engine_choice choice;
 	struct engine_grant grant;
 
-	if (!service || service->engine.slots == 0 ||
-	    registry_count_usable(gateway->registry, choose->service) == 0)
+	if (registry_count_usable(gateway->registry, choose->service) == 0)
 		return;
 	choice = choose_for(gateway, choose, service);
 	send_choice(gateway, message, &choice);
@@ -392,6 +445,7 @@
 	} else {
 		g_free(exchange->home_backup_id);
 		exchange->home_backup_id = g_strdup(chosen->backup);
+		exchange->is_granted = true;
 		exchange_send_or_refuse(exchange, endpoint);
 	}
 }
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -157,6 +157,24 @@
 	g_ptr_array_unref(addresses);
 }
 
+/* Adds the addresses of up to count random other nodes. */
+void gateway_add_random_members(struct gateway *gateway, size_t count,
+				GPtrArray *addresses)
+{
+	const struct membership *members =
+		gateway->host.members(gateway->host.data);
+	gint32 all = (gint32)membership_count(members);
+
+	for (size_t i = 0; all > 0 && i < count; i++) {
+		const struct member *member = membership_get(
+			members,
+			(size_t)g_rand_int_range(gateway->random, 0, all));
+
+		if (member_is_other(gateway, member))
+			g_ptr_array_add(addresses, member->peer_address);
+	}
+}
+
 /* Announces the state of an endpoint to all nodes without delay. */
 void gateway_peers_announce_endpoint(struct gateway *gateway,
 				     const char *endpoint_id)
@@ -446,6 +464,7 @@
 				 g_rand_double(gateway->random)))
 		return;
 	gateway_cordons_send(gateway, peer_address);
+	gateway_limits_send(gateway, peer_address);
 	send_registrations(gateway, peer_address);
 }
 
@@ -517,6 +536,10 @@
 		gateway_cordons_receive(gateway, message);
 		return;
 	}
+	if (message->type == PEER_ENDPOINT_LIMITS) {
+		gateway_limits_receive(gateway, message);
+		return;
+	}
 	if (message->type == PEER_QUARANTINE) {
 		quarantine_report_crash(
 			gateway->quarantine, message->quarantine.fingerprint,
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -8,6 +8,7 @@
 #include "core/gateway/endpoint_choice.h"
 #include "core/gateway/engine_grants.h"
 #include "core/gateway/announce_pace.h"
+#include "core/gateway/gossip_pace.h"
 #include "core/gateway/store_doubt.h"
 #include "core/gateway/table_fetch.h"
 #include "core/limit/quarantine.h"
@@ -69,11 +70,18 @@
 	uint32_t standings;
 	bool announce_pending;	    /* load or configuration; to be announced */
 	bool home_announce_pending; /* changes not yet sent to the home */
+	bool knows_limits;	    /* that at least one endpoint states */
 
 	struct region_map *region_map;
 	struct rate_peak fleet_peak;
 	struct rate_fleet fleet;
 
+	/* Limits that endpoints state. */
+	struct gossip_pace limits_pace;
+	int64_t limits_checked_us;
+	int64_t limits_retention_us; /* of one that no answer states */
+	int64_t limits_deaf_until_us;
+
 	/* Engine choice by a home, which may be this node. */
 	struct engine_grants *grants;
 	GHashTable *home_requests;     /* request number to struct exchange */
@@ -122,6 +130,8 @@
 void gateway_peer_destroy(gpointer data);
 bool gateway_is_informer(const struct gateway *gateway);
 void gateway_send_to_all(struct gateway *gateway, struct peer_message *message);
+void gateway_add_random_members(struct gateway *gateway, size_t count,
+				GPtrArray *addresses);
 size_t gateway_node_count(const struct gateway *gateway);
 
 void gateway_send(struct gateway *gateway, const char *peer_address,
@@ -147,11 +157,17 @@
 void gateway_limits_note_answer(struct gateway *gateway,
 				struct endpoint *endpoint,
 				const struct answered_limit *answer);
+void gateway_limits_init(struct gateway *gateway);
+void gateway_limits_step(struct gateway *gateway);
+void gateway_limits_excuse_pause(struct gateway *gateway);
+void gateway_limits_send(struct gateway *gateway, const char *peer_address);
+void gateway_limits_receive(struct gateway *gateway,
+			    const struct peer_message *message);
 
 /* gateway_home.c */
-void gateway_fill_warmup(const struct gateway *gateway,
-			 const struct config_service *service,
-			 struct endpoint_warmup *warmup);
+void gateway_fill_rates(const struct gateway *gateway, const char *name,
+			const struct config_service *service,
+			struct endpoint_rates *rates);
 void gateway_update_fleet(struct gateway *gateway);
 uint64_t gateway_home_answered(const struct gateway *gateway);
 void gateway_home_step(struct gateway *gateway);
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -158,6 +158,8 @@
 	leg->tokens = exchange_held_tokens(exchange);
 	leg->sent_us = exchange->gateway->now_us;
 	leg->is_takeover = copy_address != NULL;
+	leg->is_granted = exchange->is_granted;
+	exchange->is_granted = false;
 	if (!copy_address)
 		leg->unread_tokens = exchange->parsed_request.prompt_tokens;
 	leg_choose_backup(leg);
@@ -224,20 +226,27 @@
 	return out;
 }
 
-/* Counts the request against the limit of an endpoint that is cold. */
+/*
+ * Counts the request against the limits of its endpoint, unless the home
+ * counted it when it granted it.
+ */
 static void leg_count_send(const struct leg *leg)
 {
 	const struct exchange *exchange = leg->exchange;
+	struct gateway *gateway = exchange->gateway;
 	struct endpoint *endpoint = leg_endpoint(leg);
-	struct endpoint_warmup warmup;
+	struct endpoint_rates rates;
 
-	gateway_fill_warmup(exchange->gateway, exchange->service, &warmup);
 	if (!endpoint)
 		return;
-	endpoint_warmup_add(endpoint, &warmup, exchange->gateway->now_us);
+	if (!leg->is_granted) {
+		gateway_fill_rates(gateway, exchange->service_name,
+				   exchange->service, &rates);
+		endpoint_rates_count(endpoint, &rates, gateway->now_us);
+	}
 	if (endpoint->limit.is_limited)
-		counters_add(exchange->gateway->options.counters,
-			     COUNTER_GATEWAY_LIMITED, 1);
+		counters_add(gateway->options.counters, COUNTER_GATEWAY_LIMITED,
+			     1);
 }
 
 /*
--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -4,6 +4,7 @@
 #include "codec/peer_progress.h"
 #include "codec/peer_choose.h"
 #include "codec/peer_cordons.h"
+#include "codec/peer_endpoint_limits.h"
 #include "codec/peer_standing.h"
 
 #include <string.h>
@@ -55,6 +56,7 @@
 	[PEER_CHOSEN] = PEER_CHOSEN_FORMAT,
 	[PEER_ROUTES_REQUEST] = "(txssay)",
 	[PEER_CORDONS] = PEER_CORDONS_FORMAT,
+	[PEER_ENDPOINT_LIMITS] = PEER_ENDPOINT_LIMITS_FORMAT,
 };
 
 static GVariant *encode_members(const GPtrArray *members)
@@ -178,6 +180,8 @@
 		return peer_chosen_encode(message);
 	case PEER_CORDONS:
 		return peer_cordons_encode(message);
+	case PEER_ENDPOINT_LIMITS:
+		return peer_endpoint_limits_encode(message);
 	case PEER_LEAVING:
 		endpoints = message->leaving.endpoints;
 		return g_variant_new(
@@ -498,6 +502,11 @@
 		return check(error, message->from,
 			     peer_cordons_decode(body, &message->cordons),
 			     "cordon out of range");
+	case PEER_ENDPOINT_LIMITS:
+		return check(error, message->from,
+			     peer_endpoint_limits_decode(
+				     body, &message->endpoint_limits),
+			     "endpoint limit out of range");
 	case PEER_LEAVING:
 		return decode_leaving(body, message, error);
 	case PEER_QUARANTINE:
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -233,37 +233,6 @@
 	       slot_load(criteria, endpoint) < 1;
 }
 
-/*
- * Whether this node may send the endpoint a request, or let another node send
- * one, now. A node that has just started does not know its share yet and uses
- * no cold endpoint.
- */
-bool endpoint_warmup_allows(const struct endpoint *endpoint,
-			    const struct endpoint_warmup *warmup,
-			    int64_t now_us)
-{
-	struct rate_parts parts;
-
-	if (warmup->bounds.rate_per_ks == 0 ||
-	    !endpoint_is_cold(endpoint, warmup->cold_us, now_us))
-		return true;
-	parts = warmup_parts(&warmup->bounds);
-	return warmup->is_settled &&
-	       rate_window_allows(endpoint->warmup,
-				  rate_share(&parts, warmup->chooser,
-					     &warmup->fleet, endpoint->key),
-				  WARMUP_WINDOW_US, now_us);
-}
-
-/* Counts a request that is sent to the endpoint now, if it is cold. */
-void endpoint_warmup_add(struct endpoint *endpoint,
-			 const struct endpoint_warmup *warmup, int64_t now_us)
-{
-	if (warmup->bounds.rate_per_ks > 0 &&
-	    endpoint_is_cold(endpoint, warmup->cold_us, now_us))
-		rate_window_add(&endpoint->warmup, WARMUP_WINDOW_US, now_us);
-}
-
 static struct endpoint *choose_best(const struct registry *registry,
 				    const struct endpoint_criteria *criteria,
 				    const struct summary *summary,
@@ -282,8 +251,8 @@
 		    (healthy_only &&
 		     !looks_healthy(criteria, endpoint, summary)) ||
 		    !has_room(criteria, endpoint, fill) ||
-		    !endpoint_warmup_allows(endpoint, &criteria->warmup,
-					    criteria->now_us))
+		    !endpoint_rates_allow(endpoint, &criteria->rates,
+					  RATE_REQUEST, criteria->now_us))
 			continue;
 		score = endpoint_score(criteria, endpoint, i);
 		if (!best || score < best_score) {
@@ -313,6 +282,36 @@
 	return false;
 }
 
+/*
+ * Whether an endpoint that may get the request has used up its limit, at this
+ * node. Sets wait_us to the shortest time until one may get a request of this
+ * node; -1: not known.
+ */
+bool endpoint_choice_is_limited(const struct registry *registry,
+				const struct endpoint_criteria *criteria,
+				int64_t *wait_us)
+{
+	const GPtrArray *endpoints = registry_endpoints(registry);
+	bool is_limited = false;
+
+	*wait_us = -1;
+	for (guint i = 0; i < endpoints->len; i++) {
+		const struct endpoint *endpoint =
+			g_ptr_array_index(endpoints, i);
+		int64_t own_us;
+
+		if (!endpoint->limit.is_limited ||
+		    !is_candidate(criteria, endpoint))
+			continue;
+		own_us = endpoint_rates_wait_us(endpoint, &criteria->rates,
+						criteria->now_us);
+		is_limited |= own_us != 0;
+		if (own_us > 0 && (*wait_us < 0 || own_us < *wait_us))
+			*wait_us = own_us;
+	}
+	return is_limited;
+}
+
 /*
  * Returns the endpoint with the best score among those with room, or NULL if
  * none has room. If all endpoints with room look unhealthy, one of them is
--- a/core/gateway/endpoint_choice.h
+++ b/core/gateway/endpoint_choice.h
@@ -1,10 +1,10 @@
 #ifndef CORE_GATEWAY_ENDPOINT_CHOICE_H
 #define CORE_GATEWAY_ENDPOINT_CHOICE_H
 
+#include "core/gateway/endpoint_rates.h"
 #include "core/gateway/region_limits.h"
 #include "core/gateway/registry.h"
 #include "core/gateway/route_table.h"
-#include "core/gateway/warmup_limit.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -12,21 +12,6 @@
 
 G_BEGIN_DECLS
 
-/* Limits on requests to endpoints of a service that are cold. */
-struct endpoint_warmup {
-	struct warmup_bounds bounds; /* rate 0: no limit */
-	enum rate_chooser chooser;
-	struct rate_fleet fleet;
-	bool is_settled; /* this node knows the fleet */
-	int64_t cold_us; /* how long an endpoint of the service is cold */
-};
-
-bool endpoint_warmup_allows(const struct endpoint *endpoint,
-			    const struct endpoint_warmup *warmup,
-			    int64_t now_us);
-void endpoint_warmup_add(struct endpoint *endpoint,
-			 const struct endpoint_warmup *warmup, int64_t now_us);
-
 /*
  * Criteria for choosing the endpoint of a request, or the one that keeps a
  * backup of its generation. Each node decides by itself, from its own load and
@@ -41,13 +26,16 @@
 	const char *avoid_id;	    /* one more endpoint id, or NULL */
 	int64_t tokens; /* in memory at the expected end; 0: plain service */
 	struct region_limits regions;
-	struct endpoint_warmup warmup;
+	struct endpoint_rates rates;
 	int64_t now_us;
 	double draw; /* random, in [0, 1) */
 };
 
 bool endpoint_choice_exists(const struct registry *registry,
 			    const struct endpoint_criteria *criteria);
+bool endpoint_choice_is_limited(const struct registry *registry,
+				const struct endpoint_criteria *criteria,
+				int64_t *wait_us);
 struct endpoint *endpoint_choose(const struct registry *registry,
 				 const struct endpoint_criteria *criteria);
 struct endpoint *
--- a/core/gateway/endpoint_limit.h
+++ b/core/gateway/endpoint_limit.h
@@ -1,6 +1,8 @@
 #ifndef CORE_GATEWAY_ENDPOINT_LIMIT_H
 #define CORE_GATEWAY_ENDPOINT_LIMIT_H
 
+#include "core/limit/rate_share.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -34,6 +36,19 @@
 /* Higher rates are treated as this one. */
 #define LIMIT_MAX_PER_KS ((int64_t)1000 * 1000 * 1000)
 
+/* How the nodes divide the requests within a limit. */
+struct limit_division {
+	int64_t span_us; /* the parts are for any span of this length */
+	struct rate_parts parts;
+	struct rate_parts spare; /* take-overs in any LIMIT_SPARE_SPAN_US */
+};
+
+#define LIMIT_SPARE_SPAN_US (4 * G_USEC_PER_SEC)
+
+struct limit_division endpoint_limit_divide(const struct endpoint_limit *limit,
+					    size_t most_nodes);
+bool endpoint_limit_expire(struct endpoint_limit *limit, int64_t before_us);
+
 bool endpoint_limit_apply(struct endpoint_limit *limit,
 			  const struct endpoint_limit *news);
 bool endpoint_limit_apply_answer(struct endpoint_limit *limit,
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -24,7 +24,9 @@
 
 	registration_destroy(endpoint->last_registration);
 	registration_destroy(endpoint->held_back);
-	rate_window_destroy(endpoint->warmup);
+	rate_window_destroy(endpoint->sent_cold);
+	rate_window_destroy(endpoint->sent_limited);
+	rate_window_destroy(endpoint->sent_spare);
 	g_free(endpoint);
 }
 
@@ -63,6 +65,15 @@
 	return g_hash_table_lookup(registry->by_id, id);
 }
 
+/*
+ * Returns the endpoint that the records of other nodes name by this key, or
+ * NULL if none is known. The registry owns it.
+ */
+struct endpoint *registry_find_key(struct registry *registry, uint64_t key)
+{
+	return g_hash_table_lookup(registry->by_key, &key);
+}
+
 /* Returns the highest era of the store that any update named. */
 int64_t registry_era(const struct registry *registry)
 {
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -43,20 +43,23 @@
 	struct registration *held_back; /* to be applied once the store has
 					   settled; NULL: none */
 	int64_t since_us;		/* when the presence last changed */
-	int64_t known_us;	    /* when its current start was first seen */
-	int64_t warm_us;	    /* answers slowly before this time */
-	struct rate_window *warmup; /* requests sent while cold, or NULL */
-	struct held own;	    /* load of this node */
-	struct held others;	    /* announced by all other nodes */
-	struct held granted;	    /* granted by this node, unconfirmed */
-	struct endpoint_health health;	     /* by requests of this node */
+	int64_t known_us; /* when its current start was first seen */
+	int64_t warm_us;  /* answers slowly before this time */
+	struct rate_window *sent_cold;	  /* requests while cold, or NULL */
+	struct rate_window *sent_limited; /* within its limit, or NULL */
+	struct rate_window *sent_spare;	  /* take-overs beyond that, or NULL */
+	struct held own;		  /* load of this node */
+	struct held others;		  /* announced by all other nodes */
+	struct held granted;	       /* granted by this node, unconfirmed */
+	struct endpoint_health health; /* by requests of this node */
 	struct endpoint_suspicion suspicion; /* by notices of all nodes */
 	bool is_cordoned;      /* its failure domain gets no new requests */
 	int64_t uncordoned_us; /* when that last ended; 0: never */
 	int64_t full_until_us; /* it refused a request for lack of room */
 	double error_share;    /* of its last answers, moving average */
 	struct endpoint_limit limit; /* on requests of all nodes together */
-	bool limit_was_unreadable;   /* of its last answer, for logs */
+	int64_t limit_changed_us;
+	bool limit_was_unreadable; /* in its last answer, for logs */
 };
 
 struct registry;
@@ -90,6 +93,7 @@
 
 uint64_t endpoint_key(const char *id);
 struct endpoint *registry_find(struct registry *registry, const char *id);
+struct endpoint *registry_find_key(struct registry *registry, uint64_t key);
 int64_t registry_era(const struct registry *registry);
 const GPtrArray *registry_endpoints(const struct registry *registry);
 bool registry_has_usable(const struct registry *registry);
--- a/core/gateway/retry_after.c
+++ b/core/gateway/retry_after.c
@@ -21,3 +21,17 @@
 
 	return MAX((int64_t)(share * (double)first_answer_us), RETRY_SOON_US);
 }
+
+/*
+ * Returns how long the caller of a request should wait that only endpoints
+ * could take whose limits are used up. wait_us is the time until this node may
+ * send one a request, or -1 if it is not known; draw, random in [0, 1), spreads
+ * callers that are refused together.
+ */
+int64_t retry_after_limited_us(int64_t wait_us, double draw)
+{
+	if (wait_us < 0)
+		return RETRY_LATER_US;
+	return CLAMP((int64_t)((double)wait_us * (1 + draw)), RETRY_SOON_US,
+		     RETRY_LATER_US);
+}
--- a/core/gateway/warmup_limit.c
+++ b/core/gateway/warmup_limit.c
@@ -25,10 +25,12 @@
 	int64_t all = bound(bounds);
 	int64_t home = MIN(MAX(bounds->rate_per_ks / PER_KS, 1), all);
 	int64_t reserve = MAX(all / RESERVE_DIVISOR, RESERVE_MIN);
+	int64_t excess = MAX(all - home - reserve, 0);
 
 	return (struct rate_parts){
 		.home = home,
-		.beside_home = MAX(all - home - reserve, 0),
+		.beside_home = excess,
+		.home_silent = excess,
 		.each_node = MAX(all - reserve, 1),
 	};
 }
--- a/core/limit/rate_share.c
+++ b/core/limit/rate_share.c
@@ -39,6 +39,8 @@
 				(int64_t)fleet->most_nodes);
 	case RATE_BESIDE_HOME:
 		return divide(parts->beside_home, fleet, key);
+	case RATE_HOME_SILENT:
+		return divide(parts->home_silent, fleet, key);
 	case RATE_EACH_NODE:
 		return divide(parts->each_node, fleet, key);
 	}
--- a/core/limit/rate_share.h
+++ b/core/limit/rate_share.h
@@ -19,6 +19,7 @@
 enum rate_chooser {
 	RATE_HOME,	  /* this node, for all nodes */
 	RATE_BESIDE_HOME, /* another node; this one by its own share */
+	RATE_HOME_SILENT, /* another node, which does not answer this one */
 	RATE_EACH_NODE	  /* each node for itself */
 };
 
@@ -26,6 +27,7 @@
 struct rate_parts {
 	int64_t home;
 	int64_t beside_home; /* of all other nodes together */
+	int64_t home_silent; /* the same, of those that it does not answer */
 	int64_t each_node;   /* of all nodes together, where there is no home */
 };
 
--- a/core/message/peer_message.c
+++ b/core/message/peer_message.c
@@ -21,6 +21,7 @@
 	[PEER_CHOSEN] = "chosen",
 	[PEER_ROUTES_REQUEST] = "routes_ask",
 	[PEER_CORDONS] = "cordons",
+	[PEER_ENDPOINT_LIMITS] = "endpoint_limits",
 };
 
 static void member_free(gpointer data)
@@ -76,6 +77,10 @@
 	case PEER_CORDONS:
 		message->cordons.cordons = cordon_list_create();
 		break;
+	case PEER_ENDPOINT_LIMITS:
+		message->endpoint_limits.limits = g_array_new(
+			FALSE, FALSE, sizeof(struct peer_endpoint_limit));
+		break;
 	case PEER_CHOSEN:
 	case PEER_PLACE:
 	case PEER_PLACED:
@@ -138,6 +143,9 @@
 	case PEER_CORDONS:
 		g_ptr_array_unref(message->cordons.cordons);
 		break;
+	case PEER_ENDPOINT_LIMITS:
+		g_array_unref(message->endpoint_limits.limits);
+		break;
 	case PEER_QUARANTINE:
 		g_free(message->quarantine.endpoint);
 		break;
--- a/core/node/node.c
+++ b/core/node/node.c
@@ -213,6 +213,7 @@
 	case PEER_ROUTES_REQUEST:
 	case PEER_CHOOSE:
 	case PEER_CORDONS:
+	case PEER_ENDPOINT_LIMITS:
 	case PEER_CHOSEN: /* handled by the gateway */
 	case PEER_MESSAGE_TYPE_COUNT:
 		break;
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -157,6 +157,7 @@
 		event->peer->type == PEER_CHOOSE ||
 		event->peer->type == PEER_CHOSEN ||
 		event->peer->type == PEER_CORDONS ||
+		event->peer->type == PEER_ENDPOINT_LIMITS ||
 		event->peer->type == PEER_QUARANTINE);
 }
 
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -35,8 +35,9 @@
 	PEER_ROUTES,	   /* gateway: its configuration document */
 	PEER_CHOOSE,	   /* gateway: requests an engine from its home */
 	PEER_CHOSEN,	   /* home: answer to PEER_CHOOSE */
-	PEER_ROUTES_REQUEST, /* gateway: requests newer routes, if any */
-	PEER_CORDONS,	     /* gateway: failure domains under a cordon */
+	PEER_ROUTES_REQUEST,  /* gateway: requests newer routes, if any */
+	PEER_CORDONS,	      /* gateway: failure domains under a cordon */
+	PEER_ENDPOINT_LIMITS, /* gateway: limits that endpoints state */
 	PEER_MESSAGE_TYPE_COUNT
 };
 
@@ -197,6 +198,18 @@
 	GPtrArray *cordons; /* struct cordon */
 };
 
+/* The newest that the sender knows of a limit that an endpoint states. */
+struct peer_endpoint_limit {
+	uint64_t endpoint_key; /* hash of the endpoint's registration id */
+	bool is_limited;
+	int64_t rate_per_ks; /* requests of all nodes per 1,000 s */
+	int64_t age_us;	     /* of the answer that said so */
+};
+
+struct peer_endpoint_limits {
+	GArray *limits; /* struct peer_endpoint_limit */
+};
+
 struct peer_message {
 	enum peer_message_type type;
 	char *from;	    /* name of the sender; "": find it by incarnation */
@@ -214,6 +227,7 @@
 		struct peer_choose choose;
 		struct peer_chosen chosen;
 		struct peer_cordons cordons;
+		struct peer_endpoint_limits endpoint_limits;
 		struct peer_leaving leaving;
 		struct peer_quarantine quarantine;
 		struct peer_limits limits; /* LIMIT_REPORT, LIMIT_SHARE */
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -313,25 +313,25 @@
 	struct endpoint *cold = add("cold", 0, 0);
 
 	add("warm", 20000, 5);
-	criteria.warmup.bounds = {4000, 150, 5};
-	criteria.warmup.chooser = RATE_HOME;
-	criteria.warmup.fleet = {480, 480, 480, 0};
-	criteria.warmup.is_settled = true;
+	criteria.rates.warmup = {4000, 150, 5};
+	criteria.rates.warmup_chooser = RATE_HOME;
+	criteria.rates.fleet = {480, 480, 480, 0};
+	criteria.rates.is_settled = true;
 	cold->warm_us = criteria.now_us + G_USEC_PER_SEC;
 	for (int i = 0; i < 4; i++) {
 		ASSERT_EQ("cold", choose());
-		endpoint_warmup_add(cold, &criteria.warmup, criteria.now_us);
+		endpoint_rates_count(cold, &criteria.rates, criteria.now_us);
 	}
 	EXPECT_EQ("warm", choose());
-	criteria.warmup.is_settled = false;
-	g_clear_pointer(&cold->warmup, rate_window_destroy);
+	criteria.rates.is_settled = false;
+	g_clear_pointer(&cold->sent_cold, rate_window_destroy);
 	EXPECT_EQ("warm", choose()) << "this node has just started";
 	cold->warm_us = 0;
 	EXPECT_EQ("cold", choose()) << "warm by now";
-	criteria.warmup.cold_us = G_USEC_PER_SEC;
+	criteria.rates.cold_us = G_USEC_PER_SEC;
 	cold->uncordoned_us = criteria.now_us - 1000;
 	EXPECT_EQ("warm", choose()) << "its domain was just taken back";
-	criteria.warmup.bounds.rate_per_ks = 0;
+	criteria.rates.warmup.rate_per_ks = 0;
 	EXPECT_EQ("cold", choose()) << "the service states no rate";
 }
 
@@ -340,10 +340,10 @@
 {
 	struct endpoint *cold = add("cold", 0, 0);
 
-	criteria.warmup.bounds = {500, 100, 0};
-	criteria.warmup.chooser = RATE_EACH_NODE;
-	criteria.warmup.fleet = {59, 59, 59, 58};
-	criteria.warmup.is_settled = true;
+	criteria.rates.warmup = {500, 100, 0};
+	criteria.rates.warmup_chooser = RATE_EACH_NODE;
+	criteria.rates.fleet = {59, 59, 59, 58};
+	criteria.rates.is_settled = true;
 	cold->warm_us = criteria.now_us + G_USEC_PER_SEC;
 	EXPECT_EQ("none", choose());
 }
@@ -361,13 +361,14 @@
 	add("other", 20000, 5);
 	limited->limit = {true, 3000, criteria.now_us};
 	criteria.engine = nullptr;
-	criteria.warmup.fleet = {1, 1, 1, 0};
-	criteria.warmup.is_settled = true;
+	criteria.rates.fleet = {1, 1, 1, 0};
+	criteria.rates.limit_chooser = RATE_EACH_NODE;
+	criteria.rates.is_settled = true;
 	for (int i = 0; i < 200; i++) {
 		criteria.now_us += G_USEC_PER_SEC / 50;
 		std::string id = choose();
-		endpoint_warmup_add(registry_find(registry, id.c_str()),
-				    &criteria.warmup, criteria.now_us);
+		endpoint_rates_count(registry_find(registry, id.c_str()),
+				     &criteria.rates, criteria.now_us);
 		counts[id]++;
 	}
 	EXPECT_LE(counts["limited"], 23);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -535,3 +535,185 @@
 	gateway_home_step(gateway);
 	EXPECT_EQ("e1", AskForMove(3, 8000));
 }
+
+/* Endpoint e1 of a plain service states limits, to this node or to n0. */
+class GatewayLimit : public Gateway
+{
+      protected:
+	GatewayLimit()
+	{
+		gateway->fleet_peak.started_us -= 10 * G_USEC_PER_SEC;
+		ReceiveEntry(1, false);
+		sent.clear();
+	}
+
+	struct endpoint *Endpoint()
+	{
+		return registry_find(gateway->registry, "e1");
+	}
+
+	/* An answer to this node; a rate below 0 is none. */
+	void Answer(int64_t rate_per_ks)
+	{
+		struct answered_limit answer = {rate_per_ks < 0 ? LIMIT_UNSTATED
+								: LIMIT_STATED,
+						MAX(rate_per_ks, 0)};
+
+		gateway_limits_note_answer(gateway, Endpoint(), &answer);
+	}
+
+	void ReceiveLimit(int64_t rate_per_ks, int64_t age_us,
+			  const char *id = "e1")
+	{
+		struct peer_message *message =
+			peer_message_create(PEER_ENDPOINT_LIMITS);
+		struct peer_endpoint_limit record = {
+			endpoint_key(id), rate_per_ks >= 0, MAX(rate_per_ks, 0),
+			age_us};
+
+		message->from = g_strdup("n0");
+		message->from_address = g_strdup("n0:1");
+		g_array_append_val(message->endpoint_limits.limits, record);
+		gateway_receive_peer(gateway, message);
+		peer_message_destroy(message);
+	}
+
+	int64_t Rate()
+	{
+		return Endpoint()->limit.is_limited
+			       ? Endpoint()->limit.rate_per_ks
+			       : -1;
+	}
+
+	std::string AskForPlain(uint64_t number)
+	{
+		struct peer_message *message = peer_message_create(PEER_CHOOSE);
+
+		message->from = g_strdup("n0");
+		message->from_address = g_strdup("n0:1");
+		message->choose.number = number;
+		message->choose.service = g_strdup("engines");
+		message->choose.failure_domain = g_strdup("a");
+		message->choose.purpose = CHOOSE_RUN;
+		chosen.clear();
+		gateway_receive_peer(gateway, message);
+		peer_message_destroy(message);
+		return chosen.empty() ? "no answer" : chosen.back();
+	}
+};
+
+/* Guards against a limit that only the nodes know which got an answer. */
+TEST_F(GatewayLimit, PassesALimitOnAtOnceAndAgain)
+{
+	Answer(3000);
+	EXPECT_EQ(1u, SentCount(PEER_ENDPOINT_LIMITS));
+	Answer(3000);
+	Answer(2000);
+	EXPECT_EQ(1u, SentCount(PEER_ENDPOINT_LIMITS)) << "no first news";
+	for (int i = 0; i < 40; i++) {
+		gateway->now_us += G_USEC_PER_SEC / 20;
+		gateway_limits_step(gateway);
+	}
+	EXPECT_GT(SentCount(PEER_ENDPOINT_LIMITS), 8u);
+}
+
+TEST_F(GatewayLimit, HearsOfALimitAndOfItsEnd)
+{
+	ReceiveLimit(3000, 200 * 1000);
+	EXPECT_EQ(3000, Rate());
+	EXPECT_EQ(0u, SentCount(PEER_ENDPOINT_LIMITS))
+		<< "not passed on to all once more";
+	ReceiveLimit(-1, 500 * 1000);
+	EXPECT_EQ(3000, Rate()) << "about as old";
+	Endpoint()->limit.stated_us -= 2 * G_USEC_PER_SEC;
+	ReceiveLimit(-1, 500 * 1000);
+	EXPECT_EQ(-1, Rate());
+	ReceiveLimit(3000, 9 * G_USEC_PER_SEC);
+	EXPECT_EQ(-1, Rate()) << "older";
+	ReceiveLimit(3000, 0, "unknown");
+}
+
+/* Guards against a node that starts and sends to limited endpoints as it likes.
+ */
+TEST_F(GatewayLimit, TellsANodeThatStarts)
+{
+	Answer(3000);
+	sent.clear();
+	ReceiveStanding(5, true);
+	EXPECT_EQ(1u, SentCount(PEER_ENDPOINT_LIMITS));
+	sent.clear();
+	ReceiveStanding(5, true);
+	EXPECT_EQ(0u, SentCount(PEER_ENDPOINT_LIMITS)) << "known by now";
+}
+
+/* Guards against the limits of an endpoint's earlier start. */
+TEST_F(GatewayLimit, EndsWithTheStartOfTheEndpoint)
+{
+	GPtrArray *list = registration_list_create();
+	struct registration *said =
+		registration_copy(Endpoint()->last_registration);
+
+	Answer(3000);
+	said->position++;
+	said->started_ms++;
+	g_ptr_array_add(list, said);
+	gateway_apply_changes(gateway, list);
+	EXPECT_EQ(-1, Rate());
+	g_ptr_array_unref(list);
+}
+
+/* Guards against records that waited while this process stood still. */
+TEST_F(GatewayLimit, IgnoresRecordsAfterAPause)
+{
+	gateway_limits_excuse_pause(gateway);
+	ReceiveLimit(3000, 0);
+	EXPECT_EQ(-1, Rate());
+	Answer(3000);
+	EXPECT_EQ(3000, Rate()) << "its own answers are new";
+	gateway->limits_deaf_until_us = 0;
+	ReceiveLimit(2000, 0);
+	EXPECT_EQ(2000, Rate());
+}
+
+/* Guards against a limit that outlives every answer, as nobody may ask. */
+TEST_F(GatewayLimit, ForgetsALimitThatNoAnswerStates)
+{
+	Answer(0);
+	gateway->now_us += 29 * G_USEC_PER_SEC;
+	gateway_limits_step(gateway);
+	EXPECT_EQ(0, Rate());
+	Endpoint()->limit.stated_us -= 61 * G_USEC_PER_SEC;
+	gateway->now_us += 2 * G_USEC_PER_SEC;
+	gateway_limits_step(gateway);
+	EXPECT_EQ(-1, Rate());
+	ReceiveLimit(0, 61 * G_USEC_PER_SEC);
+	EXPECT_EQ(-1, Rate()) << "what other nodes remember is no newer";
+	Answer(0);
+	EXPECT_EQ(0, Rate());
+}
+
+/*
+ * Guards against a fleet in which most nodes have no share: they may ask, also
+ * for plain services, and get no more than there is.
+ */
+TEST_F(GatewayLimit, GrantsRequestsWithinTheLimit)
+{
+	Answer(3000);
+	EXPECT_EQ("e1", AskForPlain(1));
+	AskForPlain(2);
+	EXPECT_EQ("", AskForPlain(3)) << "a home has two of three a second";
+	Answer(-1);
+	EXPECT_EQ("", AskForPlain(4)) << "still held";
+	Endpoint()->limit.stated_us -= 2 * G_USEC_PER_SEC;
+	Answer(-1);
+	for (uint64_t number = 5; number < 50; number++)
+		EXPECT_EQ("e1", AskForPlain(number));
+}
+
+/* A node that has just started knows no share, so it grants nothing. */
+TEST_F(GatewayLimit, GrantsNothingAfterAStart)
+{
+	gateway->fleet_peak.started_us = gateway_now_us();
+	Answer(3000);
+	EXPECT_EQ("", AskForPlain(1));
+}
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -42,6 +42,18 @@
 	}
 }
 
+static void fill_endpoint_limits(struct peer_endpoint_limits *limits)
+{
+	const struct peer_endpoint_limit list[] = {
+		{UINT64_MAX - 7, true, 4800, 1234000},
+		{1, true, 0, 0},
+		{2, false, 0, 5000},
+		{3, true, 1000000000, 4294967295000},
+	};
+
+	g_array_append_vals(limits->limits, list, G_N_ELEMENTS(list));
+}
+
 static void fill_text_message(struct peer_message *message)
 {
 	switch (message->type) {
@@ -91,6 +103,9 @@
 		g_ptr_array_add(message->cordons.cordons,
 				cordon_create("casablanca-b", 813, true));
 		break;
+	case PEER_ENDPOINT_LIMITS:
+		fill_endpoint_limits(&message->endpoint_limits);
+		break;
 	case PEER_QUARANTINE:
 		message->quarantine.fingerprint = 5;
 		message->quarantine.endpoint = g_strdup("10.2.0.1:9000");
@@ -279,6 +294,55 @@
 	peer_message_destroy(message);
 }
 
+TEST(PeerCodec, DecodesEachEndpointLimitSeparately)
+{
+	struct error error;
+	struct peer_message *message =
+		decode(encode_type(PEER_ENDPOINT_LIMITS), &error);
+	struct peer_message *expected =
+		peer_message_create(PEER_ENDPOINT_LIMITS);
+
+	ASSERT_NE(nullptr, message) << error.detail;
+	fill_endpoint_limits(&expected->endpoint_limits);
+	ASSERT_EQ(expected->endpoint_limits.limits->len,
+		  message->endpoint_limits.limits->len);
+	for (guint i = 0; i < expected->endpoint_limits.limits->len; i++) {
+		const struct peer_endpoint_limit *a =
+			&g_array_index(message->endpoint_limits.limits,
+				       struct peer_endpoint_limit, i);
+		const struct peer_endpoint_limit *b =
+			&g_array_index(expected->endpoint_limits.limits,
+				       struct peer_endpoint_limit, i);
+
+		EXPECT_EQ(b->endpoint_key, a->endpoint_key);
+		EXPECT_EQ(b->is_limited, a->is_limited);
+		EXPECT_EQ(b->rate_per_ks, a->rate_per_ks);
+		EXPECT_EQ(b->age_us, a->age_us);
+	}
+	peer_message_destroy(expected);
+	peer_message_destroy(message);
+}
+
+/* A rate above the highest one is refused; the encoder clamps it. */
+TEST(PeerCodec, RefusesEndpointLimitsOutOfRange)
+{
+	std::vector<uint8_t> bytes = encode_type(PEER_ENDPOINT_LIMITS);
+	const uint8_t rate[] = {0xc0, 0x12, 0, 0}; /* 4800 */
+	auto at = std::search(bytes.begin(), bytes.end(), rate, rate + 4);
+	struct error error;
+
+	ASSERT_NE(bytes.end(), at);
+	at[3] = 0x80;
+	EXPECT_EQ(nullptr, decode(bytes, &error));
+	std::fill(at, at + 4, 0xff);
+	struct peer_message *message = decode(bytes, &error);
+	ASSERT_NE(nullptr, message) << "no limit";
+	EXPECT_FALSE(g_array_index(message->endpoint_limits.limits,
+				   struct peer_endpoint_limit, 0)
+			     .is_limited);
+	peer_message_destroy(message);
+}
+
 TEST(PeerCodec, DecodesEachHeldCountSeparately)
 {
 	struct peer_message *message = peer_message_create(PEER_STANDING);
--- a/tests/rate_share_test.cc
+++ b/tests/rate_share_test.cc
@@ -10,7 +10,7 @@
 static int64_t share(int64_t total, size_t nodes, size_t most, size_t index,
 		     uint64_t key)
 {
-	struct rate_parts parts = {total, total, total};
+	struct rate_parts parts = {total, total, total, total};
 	struct rate_fleet fleet = {nodes, most, nodes, index};
 
 	return rate_share(&parts, RATE_EACH_NODE, &fleet, key);
