--- a/tests/soak/soak_check_state.h
+++ b/tests/soak/soak_check_state.h
@@ -57,6 +57,9 @@
 void soak_check_poison(struct soak_check *check);
 void soak_check_resources(struct soak_check *check);
 
+/* soak_check_limits.c */
+void soak_check_limits(struct soak_check *check);
+
 /* soak_check_config.c */
 void soak_check_config_in_force(struct soak_check *check);
 void soak_check_config_monotonic(struct soak_check *check);
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -223,6 +223,8 @@
 #define DELAY_US (300 * G_TIME_SPAN_MILLISECOND)
 #define STRAY_IDLE_US (50 * G_TIME_SPAN_MILLISECOND)
 
+#define LIMIT_MODE "{\"server_limit\":\"" G_STRINGIFY(SOAK_LIMIT_PER_S) "\"}"
+
 #define KEY_EVACUATED "op/evacuate/" SOAK_EVACUATED_DOMAIN
 
 /* Evacuates the domain, unless it is already. */
@@ -287,6 +289,10 @@
 			      "{\"answer_delay_ms\":0}"},
 	[SOAK_PLAIN_SLOW] = {NULL, NULL, "{\"answer_delay_ms\":2000}",
 			     "{\"answer_delay_ms\":30}"},
+	[SOAK_PLAIN_LIMIT] = {NULL, NULL, LIMIT_MODE,
+			      "{\"server_limit\":\"\"}"},
+	[SOAK_ENGINE_LIMIT] = {NULL, NULL, LIMIT_MODE,
+			       "{\"server_limit\":\"\"}"},
 	[SOAK_PLAIN_KILL] = {endpoint_kill, member_restart, NULL, NULL},
 	[SOAK_PLAIN_FAIL] = {NULL, NULL, "{\"failing\":true}",
 			     "{\"failing\":false}"},
--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -190,6 +190,11 @@
 				  9000, true,
 				  "a failure domain of endpoints is evacuated",
 				  false, false},
+	[SOAK_PLAIN_LIMIT] = {"plain_limit", SOAK_TARGET_PLAIN, 6000, 9000,
+			      true, "a plain endpoint states a limit", false,
+			      false},
+	[SOAK_ENGINE_LIMIT] = {"engine_limit", SOAK_TARGET_ENGINE, 6000, 9000,
+			       true, "an engine states a limit", false, false},
 };
 
 /* Returns the static description of a kind of fault. */
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -75,9 +75,14 @@
 	/* Only by name: a seed keeps the faults that it has always drawn. */
 	SOAK_DRAWN_KINDS,
 	SOAK_DOMAIN_EVACUATE = SOAK_DRAWN_KINDS,
+	SOAK_PLAIN_LIMIT,
+	SOAK_ENGINE_LIMIT,
 	SOAK_FAULT_KINDS
 };
 
+/* Requests a second that a limited endpoint takes. */
+#define SOAK_LIMIT_PER_S 2
+
 struct soak_fault_type {
 	const char *name;
 	enum soak_target target;
