Homes of several regions share what a cold endpoint takes

With two regions all nodes together sent twice the rate and the shares beside it.

The homes' part is divided by the nodes of the regions; the parts add up exactly, however many regions there are. Gateway.HomesOfRegionsShareWhatAColdEndpointTakes failed before (4 of 4 at each of two homes, 2 expected) and passes now, with RateShare.HomesOfRegionsShareOnePart. Limits that endpoints state have one home for all regions.

--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -57,7 +57,8 @@
 	    (int64_t)gateway_node_count(gateway) <
 		    gateway->options.home_from_nodes)
 		return RATE_EACH_NODE;
-	return find_home(gateway, service->name) ? RATE_BESIDE_HOME : RATE_HOME;
+	return find_home(gateway, service->name) ? RATE_BESIDE_HOME
+						 : RATE_REGION_HOME;
 }
 
 /*
@@ -117,14 +118,17 @@
 {
 	const struct membership *members =
 		gateway->host.members(gateway->host.data);
+	const char *region = membership_self(members)->region;
 	struct rate_fleet fleet = {.nodes = gateway_node_count(gateway)};
 
-	fleet.home_nodes = fleet.nodes;
-
 	for (size_t i = 0; i < membership_count(members); i++) {
-		if (strcmp(membership_get(members, i)->name,
-			   gateway->options.node_name) == 0)
+		const struct member *member = membership_get(members, i);
+		int order = strcmp(member->region, region);
+
+		if (strcmp(member->name, gateway->options.node_name) == 0)
 			fleet.index = i;
+		fleet.region_nodes += order == 0;
+		fleet.region_before += order < 0;
 	}
 	rate_peak_update(&gateway->fleet_peak, fleet.nodes, gateway->now_us);
 	fleet.most_nodes = gateway->fleet_peak.nodes;
--- a/core/limit/rate_share.c
+++ b/core/limit/rate_share.c
@@ -3,10 +3,19 @@
 /* A node that has just started may not know most of the others yet. */
 #define SETTLE_US (3 * G_USEC_PER_SEC)
 
-/* a x b / c, rounded up; all at least 0, c above 0. */
-static int64_t scale_up(int64_t a, int64_t b, int64_t c)
+/*
+ * Returns the part of a total that belongs to the nodes from first on, of which
+ * there are count. The parts of ranges that follow each other add up to the
+ * part of all of them, rounded up once.
+ */
+static int64_t divide_range(int64_t total, const struct rate_fleet *fleet,
+			    size_t first, size_t count)
 {
-	return (a * b + c - 1) / c;
+	int64_t most = (int64_t)fleet->most_nodes;
+	int64_t before = total * (int64_t)first;
+	int64_t with = total * (int64_t)(first + count);
+
+	return (with + most - 1) / most - (before + most - 1) / most;
 }
 
 /*
@@ -35,8 +44,10 @@
 {
 	switch (chooser) {
 	case RATE_HOME:
-		return scale_up(parts->home, (int64_t)fleet->home_nodes,
-				(int64_t)fleet->most_nodes);
+		return divide_range(parts->home, fleet, 0, fleet->nodes);
+	case RATE_REGION_HOME:
+		return divide_range(parts->home, fleet, fleet->region_before,
+				    fleet->region_nodes);
 	case RATE_BESIDE_HOME:
 		return divide(parts->beside_home, fleet, key);
 	case RATE_HOME_SILENT:
--- a/core/limit/rate_share.h
+++ b/core/limit/rate_share.h
@@ -18,6 +18,7 @@
 /* Who decides on the requests, as this node sees it. */
 enum rate_chooser {
 	RATE_HOME,	  /* this node, for all nodes */
+	RATE_REGION_HOME, /* this node, for the nodes of its region */
 	RATE_BESIDE_HOME, /* another node; this one by its own share */
 	RATE_HOME_SILENT, /* another node, which does not answer this one */
 	RATE_EACH_NODE	  /* each node for itself */
@@ -33,10 +34,11 @@
 
 /* The fleet as this node sees it. */
 struct rate_fleet {
-	size_t nodes;	   /* live ones, with this one; at least 1 */
-	size_t most_nodes; /* that were live lately */
-	size_t home_nodes; /* live ones of which the home is the home */
-	size_t index;	   /* of this node among the live ones */
+	size_t nodes;	      /* live ones, with this one; at least 1 */
+	size_t most_nodes;    /* that were live lately */
+	size_t region_nodes;  /* live ones of its region */
+	size_t region_before; /* live ones of the regions before its own */
+	size_t index;	      /* of this node among the live ones */
 };
 
 int64_t rate_share(const struct rate_parts *parts, enum rate_chooser chooser,
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -315,7 +315,7 @@
 	add("warm", 20000, 5);
 	criteria.rates.warmup = {4000, 150, 5};
 	criteria.rates.warmup_chooser = RATE_HOME;
-	criteria.rates.fleet = {480, 480, 480, 0};
+	criteria.rates.fleet = {480, 480, 480, 0, 0};
 	criteria.rates.is_settled = true;
 	cold->warm_us = criteria.now_us + G_USEC_PER_SEC;
 	for (int i = 0; i < 4; i++) {
@@ -342,7 +342,7 @@
 
 	criteria.rates.warmup = {500, 100, 0};
 	criteria.rates.warmup_chooser = RATE_EACH_NODE;
-	criteria.rates.fleet = {59, 59, 59, 58};
+	criteria.rates.fleet = {59, 59, 59, 0, 58};
 	criteria.rates.is_settled = true;
 	cold->warm_us = criteria.now_us + G_USEC_PER_SEC;
 	EXPECT_EQ("none", choose());
@@ -361,7 +361,7 @@
 	add("other", 20000, 5);
 	limited->limit = {true, 3000, criteria.now_us};
 	criteria.engine = nullptr;
-	criteria.rates.fleet = {1, 1, 1, 0};
+	criteria.rates.fleet = {1, 1, 1, 0, 0};
 	criteria.rates.limit_chooser = RATE_EACH_NODE;
 	criteria.rates.is_settled = true;
 	for (int i = 0; i < 200; i++) {
--- a/tests/endpoint_rates_test.cc
+++ b/tests/endpoint_rates_test.cc
@@ -133,7 +133,7 @@
 					side.begin());
 
 		rate_peak_update(&nodes[i].peak, side.size(), now_us);
-		rates.fleet = {side.size(), nodes[i].peak.nodes, side.size(),
+		rates.fleet = {side.size(), nodes[i].peak.nodes, side.size(), 0,
 			       index};
 		rates.is_settled = rate_peak_is_settled(&nodes[i].peak, now_us);
 		rates.limit_chooser = side.size() == 1 ? RATE_EACH_NODE
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -717,3 +717,36 @@
 	Answer(3000);
 	EXPECT_EQ("", AskForPlain(1));
 }
+
+/*
+ * Guards against the homes of several regions that each send a cold endpoint as
+ * much as all nodes together may.
+ */
+TEST_F(Gateway, HomesOfRegionsShareWhatAColdEndpointTakes)
+{
+	const struct rate_parts parts = {4, 0, 0, 0};
+	struct config *config = config_create();
+	int homes = 0;
+
+	JoinMember("far1", "s");
+	JoinMember("far2", "s");
+	gateway_update_fleet(gateway);
+	ASSERT_EQ(4u, gateway_node_count(gateway));
+	for (int i = 0; i < 20; i++) {
+		std::string name = "engines" + std::to_string(i);
+		struct config_service *service = config_add_service(
+			config, name.c_str(), SERVICE_GENERATION);
+		struct endpoint_rates rates;
+
+		service->engine.slots = 24;
+		service->warmup_per_ks = 4000;
+		gateway_fill_rates(gateway, name.c_str(), service, &rates);
+		if (rates.warmup_chooser == RATE_BESIDE_HOME)
+			continue;
+		homes++;
+		EXPECT_EQ(2, rate_share(&parts, rates.warmup_chooser,
+					&rates.fleet, 0));
+	}
+	EXPECT_GT(homes, 0);
+	config_unref(config);
+}
--- a/tests/rate_share_test.cc
+++ b/tests/rate_share_test.cc
@@ -11,7 +11,7 @@
 		     uint64_t key)
 {
 	struct rate_parts parts = {total, total, total, total};
-	struct rate_fleet fleet = {nodes, most, nodes, index};
+	struct rate_fleet fleet = {nodes, most, nodes, 0, index};
 
 	return rate_share(&parts, RATE_EACH_NODE, &fleet, key);
 }
@@ -33,6 +33,30 @@
 	}
 }
 
+/*
+ * Guards against regions whose homes each round their part up: it adds up to
+ * the part of one home, however many regions there are.
+ */
+TEST(RateShare, HomesOfRegionsShareOnePart)
+{
+	for (size_t regions : {1, 2, 3, 10, 48}) {
+		for (int64_t total : {1, 4, 5, 36}) {
+			struct rate_parts parts = {total, 0, 0, 0};
+			int64_t sum = 0;
+
+			for (size_t i = 0; i < regions; i++) {
+				size_t nodes = 480 / regions;
+				struct rate_fleet fleet = {480, 480, nodes,
+							   i * nodes, 0};
+
+				sum += rate_share(&parts, RATE_REGION_HOME,
+						  &fleet, 0);
+			}
+			EXPECT_EQ(total, sum) << regions;
+		}
+	}
+}
+
 /* Guards against nodes behind a cut that use the shares of the others. */
 TEST(RateShare, NodesThatAreNotHeardKeepTheirShares)
 {
--- a/tests/warmup_limit_test.cc
+++ b/tests/warmup_limit_test.cc
@@ -39,7 +39,7 @@
 	void press(size_t node, enum rate_chooser chooser, size_t nodes,
 		   size_t most_nodes, size_t index, int64_t now_us)
 	{
-		struct rate_fleet fleet = {nodes, most_nodes, nodes, index};
+		struct rate_fleet fleet = {nodes, most_nodes, nodes, 0, index};
 		struct rate_parts parts = warmup_parts(&bounds);
 		int64_t quota =
 			rate_share(&parts, chooser, &fleet, endpoint_key);
@@ -149,8 +149,8 @@
 /* A single node may use nearly all of it; a rate below 1 gives one request. */
 TEST(WarmupLimit, Quotas)
 {
-	const struct rate_fleet one = {1, 1, 1, 0};
-	const struct rate_fleet many = {59, 59, 59, 58};
+	const struct rate_fleet one = {1, 1, 1, 0, 0};
+	const struct rate_fleet many = {59, 59, 59, 0, 58};
 	const struct rate_parts sheet = parts_of(36000, 150, 5);
 	const struct rate_parts slow = parts_of(500, 150, 0);
 	const struct rate_parts exact = parts_of(4000, 100, 0);
