A move that the home granted is handed over, and counts at the home

Callers: a report was cut off when its engine left, though its copy lay complete at another engine. Cause: the home granted the cold target without counting it, and the node then asked its own share of the target's rate, mostly none; a copy whose hand-over was not allowed in that moment was given up.

The home counts the grant, the node doesn't count it again, and a copy that may not be handed over yet (limits, retry budget) stays for the next step.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -66,13 +66,22 @@
 		       : NULL;
 }
 
-/* Asks the engine that has the complete copy to continue the run. */
+/*
+ * Asks the engine that has the complete copy to continue the run. If it may not
+ * be asked now, the copy stays there, and the next step asks again.
+ */
 void exchange_move_continue(struct exchange *exchange)
 {
 	struct endpoint *target = exchange_move_target(exchange);
-	char *source = g_strdup(exchange->leg->endpoint_address);
-	char *handle = g_steal_pointer(&exchange->move.handle);
+	char *source, *handle;
 
+	exchange->is_granted = exchange->move.is_granted;
+	if (!exchange_may_hand_over(exchange, target)) {
+		exchange->is_granted = false;
+		return;
+	}
+	source = g_strdup(exchange->leg->endpoint_address);
+	handle = g_steal_pointer(&exchange->move.handle);
 	counters_add(exchange->gateway->options.counters, COUNTER_GATEWAY_MOVES,
 		     1);
 	exchange_move_clear(exchange);
@@ -238,8 +247,10 @@
 		return;
 	gateway->now_us = gateway_now_us();
 	exchange->move.since_us = gateway->now_us;
-	if (target && endpoint_is_usable(target))
-		move_start(exchange, target);
+	if (!target || !endpoint_is_usable(target))
+		return;
+	exchange->move.is_granted = true;
+	move_start(exchange, target);
 }
 
 /* Resets the move: closes its call and uncounts the copy at the target. */
@@ -257,4 +268,5 @@
 	g_clear_pointer(&move->handle, g_free);
 	move->state = COPY_NONE;
 	move->tokens = 0;
+	move->is_granted = false;
 }
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -343,11 +343,22 @@
 	copy_place_clear(&place);
 }
 
+/*
+ * Whether the limits of another engine, unless the home has granted the
+ * request, and the retry budget allow to ask it to go on with the run.
+ */
+bool exchange_may_hand_over(const struct exchange *exchange,
+			    const struct endpoint *to)
+{
+	return (exchange->is_granted || rates_allow(exchange, to)) &&
+	       retry_window_remaining(gateway_budget(
+		       exchange->gateway, exchange->service_name)) > 0;
+}
+
 /*
  * Asks another engine to continue a run while the current one still runs it.
- * The old leg is released when the new one answers. Without a retry in the
- * budget, or while the limits of the other engine allow no more requests, the
- * run stays at its engine, and the next step asks again.
+ * The old leg is released when the new one answers. If it may not be asked now,
+ * the run stays at its engine, and the next step asks again.
  */
 void exchange_hand_over(struct exchange *exchange, struct endpoint *to,
 			const char *copy_address, const char *copy_name,
@@ -355,10 +366,10 @@
 {
 	struct error error;
 
-	if (!rates_allow(exchange, to) ||
-	    !retry_window_take(
-		    gateway_budget(exchange->gateway, exchange->service_name)))
+	if (!exchange_may_hand_over(exchange, to))
 		return;
+	retry_window_take(
+		gateway_budget(exchange->gateway, exchange->service_name));
 	log_take_over(exchange, to, reason);
 	exchange->next = leg_create(exchange, to, copy_address);
 	if (!leg_send(exchange->next, copy_address, copy_name, &error))
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -63,6 +63,7 @@
 	int64_t target_known_us; /* start of that engine that was asked */
 	char *handle;		 /* names the copy once it is complete */
 	int64_t tokens;		 /* counted at the target */
+	bool is_granted;	 /* the home counted its hand-over */
 	int32_t failures;	 /* copies that failed, for this leg */
 	struct home_request home_request; /* for the target */
 };
@@ -151,6 +152,8 @@
 /* exchange_recover.c */
 void exchange_fail_leg(struct exchange *exchange, enum attempt_result result,
 		       const char *detail);
+bool exchange_may_hand_over(const struct exchange *exchange,
+			    const struct endpoint *to);
 void exchange_hand_over(struct exchange *exchange, struct endpoint *to,
 			const char *copy_address, const char *copy_name,
 			const char *reason);
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -354,6 +354,9 @@
 		criteria.other_domain_weight = MOVE_OTHER_DOMAIN_WEIGHT;
 		choice.copy =
 			endpoint_choose_for_move(gateway->registry, &criteria);
+		if (choice.copy)
+			endpoint_rates_count(choice.copy, &criteria.rates,
+					     gateway->now_us);
 		return choice;
 	}
 	choice.run = endpoint_choose(gateway->registry, &criteria);
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -48,11 +48,12 @@
 }
 
 born=1780000000000 # of the engines that register
+warmup_ms=0 # for which they are cold
 
 entry() { # ENGINE SERVICE STATE
 	put "servers/i-$1" "$(jq -nc --arg s "$2" --arg a "${backends[$1]}" \
-		--arg st "$3" --argjson born "$born" '{service: $s, address: $a, zone: "z",
-		version: "v1", slots: 24, state: $st, warmup_left_ms: 0,
+		--arg st "$3" --argjson born "$born" --argjson cold "$warmup_ms" '{service: $s, address: $a, zone: "z",
+		version: "v1", slots: 24, state: $st, warmup_left_ms: $cold,
 		sequence: 1, born: $born}')"
 }
 
@@ -69,9 +70,10 @@
 		{name: "export", host: "'$host'", path_prefix: "/lookup/export/",
 		kind: "unsafe", timeout_ms: 1500, slo_ms: 150, priority: 2,
 		service: "portal", max_attempts: 1}],
-		services: [{name: "engines", engine: {slots: 24,
+		services: [{name: "engines",
+		warmup_per_s: '"${warmup_per_s:-0}"', engine: {slots: 24,
 		kv_cache_tokens: 34000, stride: 4, migrations: true,
-		backups: true, handle_ttl_s: 5}}, {name: "portal"}],
+		backups: '"${backups:-true}"', handle_ttl_s: 5}}, {name: "portal"}],
 		limits: {header_bytes: 4096, max_body_bytes: 65536,
 		header_timeout_ms: 800, idle_timeout_ms: 15000},
 		tenants: [{name: "atlas", keys: $ARGS.positional}]}' "$@")"
@@ -901,16 +903,63 @@
 	done
 }
 
+# Guards against a move that the home grants to a cold engine and that its node
+# may not use, as its own share of the engine's rate is none: the stream is cut
+# when the old engine ends.
+case_moves_to_a_cold_engine_by_the_word_of_a_home() {
+	local asks
+
+	warmup_per_s=2 backups=false document "$key"
+	restart_with_home
+	events 500
+	for i in 1 2; do
+		entry "$i" engines draining
+		until_true believed "$i" leaving || fail "engine $i stays"
+	done
+	asks=()
+	for i in 0 1; do
+		report "$i" "$work/cold-$i" "cold-$i" &
+		asks+=($!)
+	done
+	for i in 0 1; do
+		streams "$work/cold-$i" 5
+	done
+	sleep 3 # until the nodes know the fleet
+	warmup_ms=30000 born=1780000020000 entry 1 engines ready
+	until_true believed 1 ready || fail "engine 1 is not back"
+	entry 0 engines draining
+	sleep 4
+	kill -KILL "${backend_pids[0]}"
+	wait "${asks[@]}" || fail "a stream was cut"
+	for i in 0 1; do
+		whole "$work/cold-$i" "cold-$i" 500
+	done
+	start_backend 0 engines
+	events 60
+	born=1780000030000
+	entry 1 engines ready
+	entry 2 engines ready
+	home_from_nodes=16
+	document "$key"
+	for i in 0 1; do
+		kill -KILL "${node_pids[$i]}" 2>/dev/null || true
+		write_node "$i"
+		start_gateway "$i"
+	done
+}
+
+# believed ENGINE STATE: whether the first node's last line on it has this state.
+believed() {
+	grep -h "event=endpoint endpoint=i-$1 " "$work/g0.out" |
+		tail -n 1 | grep -q "state=$2"
+}
+
 # The engine announces that it leaves and copies the run to another one, where
 # the copy waits for a prompt. The first engine is killed meanwhile. The run
 # continues from the copy, and the log names its engine.
 case_goes_on_from_a_waiting_copy() {
 	save_up 2
 	events 600
-	believed() { # ENGINE STATE
-		grep -h "event=endpoint endpoint=i-$1 " "$work/g0.out" |
-			tail -n 1 | grep -q "state=$2"
-	}
 	for i in 1 2; do
 		entry "$i" engines draining
 		until_true believed "$i" leaving || fail "engine $i stays"
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -750,3 +750,15 @@
 	EXPECT_GT(homes, 0);
 	config_unref(config);
 }
+
+/* Guards against moves beyond the limit of the engine that they go to. */
+TEST_F(GatewayHome, CountsMovesAgainstALimit)
+{
+	struct answered_limit answer = {LIMIT_STATED, 1000};
+
+	gateway->fleet_peak.started_us -= 10 * G_USEC_PER_SEC;
+	ReceiveListing(10, 2);
+	gateway_limits_note_answer(gateway, Engine("e1"), &answer);
+	AskForMove(1, 100);
+	EXPECT_EQ("", AskForMove(2, 100)) << "one a second";
+}
