An endpoint's error is delivered if no other endpoint may take the request

Callers of idempotent requests got 502 of the node instead of the endpoint's own 500 when the only other endpoint had used up its limit (or was cold): the node dropped the answer it had, then found nobody to send the request to.

Before it drops an error, a node now looks whether it may send the request elsewhere. gateway.sh delivers_an_error_that_nobody_may_retry: three 502 and one 500 of five before; only 500 and answers of the other endpoint now.

--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -181,7 +181,21 @@
 				  "refused by the endpoint");
 }
 
-/* Returns true to forward the error; false: the leg was failed for recovery. */
+/* Whether another endpoint may get the request now, by this node's own choice.
+ */
+static bool exchange_has_other_endpoint(const struct exchange *exchange)
+{
+	struct endpoint_criteria criteria;
+
+	exchange_fill_criteria(exchange, &criteria);
+	criteria.avoid_id = exchange->leg->endpoint_id;
+	return endpoint_choose(exchange->gateway->registry, &criteria);
+}
+
+/*
+ * Returns true to forward the error; false: the leg was failed for recovery. An
+ * error that no other endpoint could replace is not dropped.
+ */
 static bool exchange_forwards_error(struct exchange *exchange)
 {
 	struct recovery_input input = {
@@ -195,7 +209,8 @@
 		.max_attempts = exchange->route->max_attempts,
 	};
 
-	if (recovery_decide(&input) == RECOVERY_FORWARD)
+	if (recovery_decide(&input) == RECOVERY_FORWARD ||
+	    !exchange_has_other_endpoint(exchange))
 		return true;
 	exchange_fail_leg(exchange, RESULT_ERROR, "endpoint's own error");
 	return false;
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -382,6 +382,35 @@
 	until_true is_lifted || fail "the limit stays"
 }
 
+# Guards against an endpoint's own error that is replaced by one of the node, as
+# the only other endpoint takes no requests: the caller learns less.
+case_delivers_an_error_that_nobody_may_retry() {
+	local errors=0
+
+	save_up 3
+	mode "${backends[4]}" '{"server_limit": "0.2"}'
+	limit_is() { # RATE
+		ask 0 /lookup/a >/dev/null
+		ask 1 /lookup/a >/dev/null
+		grep -h 'event=endpoint_limit endpoint=i-4 ' "$work/g0.out" |
+			tail -n 1 | grep -q "per_s=$1 "
+	}
+	until_true limit_is 0.200 || fail "the limit is not known"
+	mode "${backends[3]}" '{"failing": true}'
+	for _ in 1 2 3 4 5; do
+		out=$(ask 0 /lookup/a)
+		case $out in
+		failed500) errors=$((errors + 1)) ;;
+		i-4*200) ;;
+		*) fail "answered $out" ;;
+		esac
+	done
+	[ "$errors" -ge 3 ] || fail "$errors errors of 5"
+	mode "${backends[3]}" '{"failing": false}'
+	mode "${backends[4]}" '{"server_limit": ""}'
+	until_true limit_is none || fail "the limit stays"
+}
+
 # line REQUEST EVENT: the last log line of a request with this event, any node.
 line() {
 	grep -h "event=$2 " "$work"/g*.out | grep "request=$1 " | tail -n 1
