--- a/core/base/counters.c
+++ b/core/base/counters.c
@@ -57,7 +57,7 @@
 				  "of these, left by their callers"},
 	[COUNTER_GATEWAY_HOME_ASKED] =
 		{"gateway_home_asked",
-		 "generations whose engine another node was asked for"},
+		 "requests whose endpoint another node was asked for"},
 	[COUNTER_GATEWAY_HOME_SILENT] = {"gateway_home_silent",
 					 "of these, not answered in time"},
 	[COUNTER_GATEWAY_LIMITED] =
