--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -105,7 +105,7 @@
 
 	gateway_fill_rates(exchange->gateway, exchange->service_name,
 			   exchange->service, &rates);
-	return endpoint_rates_allow(endpoint, &rates, RATE_TAKE_OVER,
+	return endpoint_rates_allow(endpoint, &rates, RATE_FOR_TAKE_OVER,
 				    exchange->gateway->now_us);
 }
 
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -6,7 +6,9 @@
 /*
  * One node, the home, chooses the engines of generations for all nodes of its
  * region; core/gateway/engine_grants.h gives the reason. Its choice is a hint:
- * if the home does not answer, each node chooses locally.
+ * if the home does not answer, each node chooses locally. One home for all
+ * regions grants requests to endpoints of any kind that state a limit, to nodes
+ * that have used up their own shares of it.
  */
 
 /*
@@ -199,25 +201,33 @@
 	counters_add(gateway->options.counters, COUNTER_GATEWAY_HOME_ASKED, 1);
 }
 
+/* Requests an endpoint to run the request. */
+static void request_run(struct exchange *exchange, const struct member *home,
+			enum choose_purpose purpose)
+{
+	struct gateway *gateway = exchange->gateway;
+	struct peer_message *message =
+		home_request_create(exchange, ++gateway->home_request_count);
+
+	message->choose.failure_domain =
+		g_strdup(gateway->options.failure_domain);
+	message->choose.prompt_tokens = exchange->parsed_request.prompt_tokens;
+	message->choose.purpose = purpose;
+	send_home_request(exchange, &exchange->home_request, home, message);
+}
+
 /*
  * Requests an engine from the home; false if this node has to choose locally.
  */
 bool exchange_request_home(struct exchange *exchange)
 {
-	struct gateway *gateway = exchange->gateway;
 	const struct member *home = home_to_ask(exchange);
-	struct peer_message *message;
 
 	if (!home)
 		return false;
-	message = home_request_create(exchange, ++gateway->home_request_count);
-	message->choose.failure_domain =
-		g_strdup(gateway->options.failure_domain);
-	message->choose.prompt_tokens = exchange->parsed_request.prompt_tokens;
-	message->choose.purpose = exchange_wants_backup(exchange)
-					  ? CHOOSE_RUN_AND_BACKUP
-					  : CHOOSE_RUN;
-	send_home_request(exchange, &exchange->home_request, home, message);
+	request_run(exchange, home,
+		    exchange_wants_backup(exchange) ? CHOOSE_RUN_AND_BACKUP
+						    : CHOOSE_RUN);
 	return true;
 }
 
@@ -227,9 +237,8 @@
  */
 bool exchange_request_limited(struct exchange *exchange)
 {
-	struct gateway *gateway = exchange->gateway;
+	const struct gateway *gateway = exchange->gateway;
 	const struct member *home;
-	struct peer_message *message;
 
 	if (exchange_is_bound(exchange) ||
 	    gateway->now_us < gateway->home_skipped_until_us)
@@ -237,12 +246,7 @@
 	home = find_limit_home(gateway, exchange->service_name);
 	if (!home)
 		return false;
-	message = home_request_create(exchange, ++gateway->home_request_count);
-	message->choose.failure_domain =
-		g_strdup(gateway->options.failure_domain);
-	message->choose.prompt_tokens = exchange->parsed_request.prompt_tokens;
-	message->choose.purpose = CHOOSE_RUN;
-	send_home_request(exchange, &exchange->home_request, home, message);
+	request_run(exchange, home, CHOOSE_RUN);
 	return true;
 }
 
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -252,7 +252,7 @@
 		     !looks_healthy(criteria, endpoint, summary)) ||
 		    !has_room(criteria, endpoint, fill) ||
 		    !endpoint_rates_allow(endpoint, &criteria->rates,
-					  RATE_REQUEST, criteria->now_us))
+					  RATE_FOR_REQUEST, criteria->now_us))
 			continue;
 		score = endpoint_score(criteria, endpoint, i);
 		if (!best || score < best_score) {
--- a/core/gateway/endpoint_rates.c
+++ b/core/gateway/endpoint_rates.c
@@ -72,7 +72,8 @@
 		return false;
 	if (limit_wait_us(endpoint, rates, now_us) == 0)
 		return true;
-	return purpose == RATE_TAKE_OVER && has_spare(endpoint, rates, now_us);
+	return purpose == RATE_FOR_TAKE_OVER &&
+	       has_spare(endpoint, rates, now_us);
 }
 
 /*
--- a/core/gateway/endpoint_rates.h
+++ b/core/gateway/endpoint_rates.h
@@ -27,8 +27,8 @@
 
 /* What is sent to an endpoint. */
 enum rate_purpose {
-	RATE_REQUEST,
-	RATE_TAKE_OVER /* a run that is lost if it can't go on there */
+	RATE_FOR_REQUEST,
+	RATE_FOR_TAKE_OVER /* a run that is lost if it can't go on there */
 };
 
 bool endpoint_rates_allow(const struct endpoint *endpoint,
--- a/tests/endpoint_rates_test.cc
+++ b/tests/endpoint_rates_test.cc
@@ -171,7 +171,7 @@
 	{
 		size_t home = side_of(i).front();
 
-		if (allows(i, RATE_REQUEST))
+		if (allows(i, RATE_FOR_REQUEST))
 			send(i);
 		else if (home == i || now_us < nodes[i].home_silent_until_us)
 			rejected++;
@@ -179,12 +179,12 @@
 			at(100 * ms_us, [this, i] {
 				nodes[i].home_silent_until_us =
 					now_us + 2700 * ms_us;
-				allows(i, RATE_REQUEST) ? send(i)
-							: (void)rejected++;
+				allows(i, RATE_FOR_REQUEST) ? send(i)
+							    : (void)rejected++;
 			});
 		else
 			at(3 * ms_us, [this, i, home] {
-				bool granted = allows(home, RATE_REQUEST);
+				bool granted = allows(home, RATE_FOR_REQUEST);
 
 				at(3 * ms_us, [this, i, granted] {
 					granted ? send(i) : (void)rejected++;
@@ -418,7 +418,7 @@
 	run_until(8);
 	for (size_t round = 0; round < 10; round++) {
 		for (size_t i = 0; i < nodes.size(); i++) {
-			if (!allows(i, RATE_TAKE_OVER))
+			if (!allows(i, RATE_FOR_TAKE_OVER))
 				continue;
 			allowed++;
 			arrived_us.push_back(now_us);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -207,6 +207,26 @@
 		g_ptr_array_unref(list);
 	}
 
+	/* n0 asks this node for an endpoint, other than e0. */
+	std::string Ask(uint64_t number, enum choose_purpose purpose,
+			int64_t tokens)
+	{
+		struct peer_message *message = peer_message_create(PEER_CHOOSE);
+
+		message->from = g_strdup("n0");
+		message->from_address = g_strdup("n0:1");
+		message->choose.number = number;
+		message->choose.service = g_strdup("engines");
+		message->choose.failure_domain = g_strdup("a");
+		message->choose.tokens = tokens;
+		message->choose.purpose = purpose;
+		g_ptr_array_add(message->choose.avoid, g_strdup("e0"));
+		chosen.clear();
+		gateway_receive_peer(gateway, message);
+		peer_message_destroy(message);
+		return chosen.empty() ? "no answer" : chosen.back();
+	}
+
 	size_t SentCount(enum peer_message_type type) const
 	{
 		return (size_t)std::count(sent.begin(), sent.end(), type);
@@ -482,19 +502,7 @@
 
 	std::string AskForMove(uint64_t number, int64_t tokens)
 	{
-		struct peer_message *message = peer_message_create(PEER_CHOOSE);
-
-		message->from = g_strdup("n0");
-		message->from_address = g_strdup("n0:1");
-		message->choose.number = number;
-		message->choose.service = g_strdup("engines");
-		message->choose.failure_domain = g_strdup("a");
-		message->choose.tokens = tokens;
-		message->choose.purpose = CHOOSE_MOVE;
-		g_ptr_array_add(message->choose.avoid, g_strdup("e0"));
-		gateway_receive_peer(gateway, message);
-		peer_message_destroy(message);
-		return chosen.empty() ? "no answer" : chosen.back();
+		return Ask(number, CHOOSE_MOVE, tokens);
 	}
 
 	struct endpoint *Engine(const char *id)
@@ -587,18 +595,7 @@
 
 	std::string AskForPlain(uint64_t number)
 	{
-		struct peer_message *message = peer_message_create(PEER_CHOOSE);
-
-		message->from = g_strdup("n0");
-		message->from_address = g_strdup("n0:1");
-		message->choose.number = number;
-		message->choose.service = g_strdup("engines");
-		message->choose.failure_domain = g_strdup("a");
-		message->choose.purpose = CHOOSE_RUN;
-		chosen.clear();
-		gateway_receive_peer(gateway, message);
-		peer_message_destroy(message);
-		return chosen.empty() ? "no answer" : chosen.back();
+		return Ask(number, CHOOSE_RUN, 0);
 	}
 };
 
