Limits of organisations are divided among regions and the sides of a cut

A fleet that is cut, or in several regions, has several homes, and the fallback of a node without a share went by the nodes that are live now. docs/CAPACITY.md said so of regions.

Both go by core/limit/rate_share now: a home has the part of its region's nodes among all that were live in the last minute (core/limit/rate_fleet, used by the gateway too).

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -3,6 +3,7 @@
 #include "adapters/gateway/gateway_state.h"
 #include "adapters/gateway/listener.h"
 #include "core/gateway/drain.h"
+#include "core/limit/rate_fleet.h"
 
 #include <time.h>
 
@@ -14,9 +15,6 @@
 
 #define MAX_STATUS_CALLERS 512
 
-/* How long shares are kept for nodes that are no longer heard. */
-#define PEAK_RETENTION_US (60 * G_USEC_PER_SEC)
-
 /*
  * Time in microseconds, independent of the time of day and counting while the
  * machine is suspended. CLOCK_MONOTONIC stops during a suspension, so that the
@@ -334,7 +332,7 @@
 		gateway_destroy(gateway);
 		return NULL;
 	}
-	rate_peak_init(&gateway->fleet_peak, 1, PEAK_RETENTION_US,
+	rate_peak_init(&gateway->fleet_peak, 1, RATE_PEAK_RETENTION_US,
 		       gateway->now_us);
 	gateway_update_fleet(gateway);
 	gateway_limits_init(gateway);
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -1,4 +1,5 @@
 #include "adapters/gateway/exchange_state.h"
+#include "core/limit/rate_fleet.h"
 #include "core/placement/home.h"
 
 #include <string.h>
@@ -118,23 +119,9 @@
 /* Notes the live nodes, among which limits are divided. */
 void gateway_update_fleet(struct gateway *gateway)
 {
-	const struct membership *members =
-		gateway->host.members(gateway->host.data);
-	const char *region = membership_self(members)->region;
-	struct rate_fleet fleet = {.nodes = gateway_node_count(gateway)};
-
-	for (size_t i = 0; i < membership_count(members); i++) {
-		const struct member *member = membership_get(members, i);
-		int order = strcmp(member->region, region);
-
-		if (strcmp(member->name, gateway->options.node_name) == 0)
-			fleet.index = i;
-		fleet.region_nodes += order == 0;
-		fleet.region_before += order < 0;
-	}
-	rate_peak_update(&gateway->fleet_peak, fleet.nodes, gateway->now_us);
-	fleet.most_nodes = gateway->fleet_peak.nodes;
-	gateway->fleet = fleet;
+	gateway->fleet =
+		rate_fleet_read(gateway->host.members(gateway->host.data),
+				&gateway->fleet_peak, gateway->now_us);
 }
 
 static void set_home_address(struct gateway *gateway, const struct member *home)
--- a/core/limit/organisation_limits.c
+++ b/core/limit/organisation_limits.c
@@ -104,21 +104,20 @@
 
 static double usage_rate(const struct organisation_usage *usage,
 			 const struct config_organisation *organisation,
-			 size_t node_count, int64_t now_us)
+			 const struct rate_fleet *fleet, int64_t now_us)
 {
 	if (usage_has_fresh_share(usage, now_us))
 		return usage->share_rate;
-	return (double)organisation->requests_per_s /
-	       (double)MAX(node_count, 1);
+	return (double)organisation->requests_per_s / (double)fleet->most_nodes;
 }
 
 static int64_t usage_token_share(const struct organisation_usage *usage,
 				 const struct config_organisation *organisation,
-				 size_t node_count, int64_t now_us)
+				 const struct rate_fleet *fleet, int64_t now_us)
 {
 	if (usage_has_fresh_share(usage, now_us))
 		return usage->share_tokens;
-	return organisation->concurrent_tokens / (int64_t)MAX(node_count, 1);
+	return organisation->concurrent_tokens / (int64_t)fleet->most_nodes;
 }
 
 /* Credit accumulates up to one second of the rate, and at least 1 request. */
@@ -140,17 +139,17 @@
 enum refusal
 organisation_limits_admit(struct organisation_limits *limits,
 			  const struct config_organisation *organisation,
-			  int64_t tokens, size_t node_count, int64_t now_us,
-			  int64_t *retry_after_us)
+			  int64_t tokens, const struct rate_fleet *fleet,
+			  int64_t now_us, int64_t *retry_after_us)
 {
 	struct organisation_usage *usage =
 		limits_ensure_usage(limits, organisation->name);
-	double rate = usage_rate(usage, organisation, node_count, now_us);
+	double rate = usage_rate(usage, organisation, fleet, now_us);
 
 	usage->requests++;
 	if (organisation->concurrent_tokens > 0 && usage->tokens > 0 &&
-	    usage->tokens + tokens > usage_token_share(usage, organisation,
-						       node_count, now_us)) {
+	    usage->tokens + tokens >
+		    usage_token_share(usage, organisation, fleet, now_us)) {
 		*retry_after_us = TOKEN_RETRY_AFTER_US;
 		return REFUSAL_TOKEN_LIMIT;
 	}
@@ -317,14 +316,17 @@
 
 /*
  * Stores a node's report and computes that node's share of both limits from
- * the reports of all nodes that have not expired.
+ * the reports of all nodes that have not expired. The home divides the part of
+ * the nodes of its region, of all nodes that were live lately.
  */
 void organisation_limits_divide(struct organisation_limits *limits,
 				const struct config_organisation *organisation,
+				const struct rate_fleet *fleet,
 				const char *node,
 				const struct peer_limit *report, int64_t now_us,
 				struct peer_limit *share)
 {
+	double part = (double)fleet->region_nodes / (double)fleet->most_nodes;
 	GPtrArray *demands =
 		g_hash_table_lookup(limits->demands, organisation->name);
 	struct node_demand *demand;
@@ -342,12 +344,13 @@
 	demands_remove_expired(demands, now_us);
 	values = demands_copy_values(demands, false);
 	share->rate_per_ks =
-		(int64_t)(1000 * max_min_share(organisation->requests_per_s,
-					       values, demand->rate));
+		(int64_t)(1000 *
+			  max_min_share(part * organisation->requests_per_s,
+					values, demand->rate));
 	g_array_unref(values);
 	values = demands_copy_values(demands, true);
-	share->tokens =
-		(int64_t)max_min_share((double)organisation->concurrent_tokens,
-				       values, demand->tokens);
+	share->tokens = (int64_t)max_min_share(
+		part * (double)organisation->concurrent_tokens, values,
+		demand->tokens);
 	g_array_unref(values);
 }
--- a/core/limit/organisation_limits.h
+++ b/core/limit/organisation_limits.h
@@ -2,6 +2,7 @@
 #define CORE_LIMIT_ORGANISATION_LIMITS_H
 
 #include "core/config/config.h"
+#include "core/limit/rate_share.h"
 #include "ports/peer_message.h"
 #include "ports/refusal.h"
 
@@ -18,7 +19,8 @@
  * limit max-min fairly by these reports, and each node then admits requests by
  * its own share alone. A node without a fresh share uses an equal part of the
  * limit, so that losing the home neither blocks an organisation nor lifts its
- * limit.
+ * limit. The homes of several regions, or of the sides of a cut, share the
+ * limit by their nodes.
  */
 struct organisation_limits;
 
@@ -29,8 +31,8 @@
 enum refusal
 organisation_limits_admit(struct organisation_limits *limits,
 			  const struct config_organisation *organisation,
-			  int64_t tokens, size_t node_count, int64_t now_us,
-			  int64_t *retry_after_us);
+			  int64_t tokens, const struct rate_fleet *fleet,
+			  int64_t now_us, int64_t *retry_after_us);
 void organisation_limits_add_tokens(struct organisation_limits *limits,
 				    const char *organisation, int64_t tokens);
 void organisation_limits_report(struct organisation_limits *limits,
@@ -45,6 +47,7 @@
 /* Called on the home node. */
 void organisation_limits_divide(struct organisation_limits *limits,
 				const struct config_organisation *organisation,
+				const struct rate_fleet *fleet,
 				const char *node,
 				const struct peer_limit *report, int64_t now_us,
 				struct peer_limit *share);
--- a/core/node/node_create.c
+++ b/core/node/node_create.c
@@ -1,5 +1,6 @@
 #include "core/node/node_state.h"
 
+#include "core/limit/rate_fleet.h"
 #include "core/placement/length_estimate.h"
 
 #include <string.h>
@@ -105,6 +106,7 @@
 	quarantine_options_default(&quarantine);
 	node->quarantine = quarantine_create(&quarantine);
 	node->limits = organisation_limits_create();
+	rate_peak_init(&node->fleet_peak, 1, RATE_PEAK_RETENTION_US, 0);
 }
 
 static void node_create_plans(struct node *node)
--- a/core/node/node_limits.c
+++ b/core/node/node_limits.c
@@ -1,5 +1,7 @@
 #include "core/node/node_state.h"
 
+#include "core/limit/rate_fleet.h"
+
 #include <string.h>
 
 /*
@@ -12,6 +14,8 @@
 #define LIMITS_MAX_INTERVAL_US (5 * G_USEC_PER_SEC)
 #define LIMITS_PER_ORGANISATION_US 25000
 
+#define FLEET_INTERVAL_US (100 * 1000)
+
 static const struct member *organisation_home(const struct node *node,
 					      const char *organisation)
 {
@@ -19,6 +23,18 @@
 			 0);
 }
 
+/* The fleet among which limits are divided; not read anew for each call. */
+static const struct rate_fleet *node_fleet(struct node *node)
+{
+	if (node->fleet.nodes > 0 &&
+	    node->now_us - node->fleet_read_us < FLEET_INTERVAL_US)
+		return &node->fleet;
+	node->fleet = rate_fleet_read(node->membership, &node->fleet_peak,
+				      node->now_us);
+	node->fleet_read_us = node->now_us;
+	return &node->fleet;
+}
+
 /*
  * Counts the call's prompt against the limits of its organisation. Refuses the
  * call and returns false if a limit is exceeded.
@@ -32,8 +48,8 @@
 	enum refusal refusal;
 
 	refusal = organisation_limits_admit(node->limits, organisation, tokens,
-					    membership_count(node->membership),
-					    node->now_us, &retry_after_us);
+					    node_fleet(node), node->now_us,
+					    &retry_after_us);
 	if (refusal == REFUSAL_NONE) {
 		call->counted_tokens = tokens;
 		return true;
@@ -89,7 +105,7 @@
 {
 	struct peer_limit share = {0};
 
-	organisation_limits_divide(node->limits, organisation,
+	organisation_limits_divide(node->limits, organisation, node_fleet(node),
 				   node->options.name, report, node->now_us,
 				   &share);
 	organisation_limits_apply_share(node->limits, organisation->name,
@@ -184,8 +200,8 @@
 		share = peer_limits_add(&answer->limits);
 		share->organisation_hash = report->organisation_hash;
 		organisation_limits_divide(node->limits, organisation,
-					   message->from, report, node->now_us,
-					   share);
+					   node_fleet(node), message->from,
+					   report, node->now_us, share);
 	}
 	node_send(node, message->from_address, answer);
 }
--- a/core/node/node_state.h
+++ b/core/node/node_state.h
@@ -116,6 +116,9 @@
 	struct retry_budget *retries;
 	struct quarantine *quarantine;
 	struct organisation_limits *limits;
+	struct rate_peak fleet_peak;
+	struct rate_fleet fleet;
+	int64_t fleet_read_us;
 	struct plan_book *plans;
 	struct holder *rollout_holder;
 	GPtrArray *rollouts; /* struct node_rollout */
--- a/tests/organisation_limits_test.cc
+++ b/tests/organisation_limits_test.cc
@@ -19,6 +19,7 @@
 					       organisation_limits_create()};
 	struct organisation_limits *home = organisation_limits_create();
 	int64_t now_us = 100 * second_us;
+	struct rate_fleet two = {2, 2, 2, 0, 0};
 
 	~OrganisationLimits() override
 	{
@@ -36,7 +37,7 @@
 
 		for (int k = 0; k < count; k++)
 			admitted += organisation_limits_admit(
-					    node[i], atlas, 10, 2,
+					    node[i], atlas, 10, &two,
 					    now_us + k * second_us / count,
 					    &retry_after_us) == REFUSAL_NONE;
 		return admitted;
@@ -50,8 +51,8 @@
 		std::string name = "entry-" + std::to_string(i);
 
 		organisation_limits_report(node[i], "atlas", now_us, &report);
-		organisation_limits_divide(home, atlas, name.c_str(), &report,
-					   now_us, &share);
+		organisation_limits_divide(home, atlas, &two, name.c_str(),
+					   &report, now_us, &share);
 		organisation_limits_apply_share(node[i], "atlas", &share,
 						now_us);
 	}
@@ -99,6 +100,29 @@
 	EXPECT_NEAR(50, send_requests(0, 400), 2);
 }
 
+/*
+ * Guards against a fleet that is cut, or in two regions: each side has a home,
+ * and both would divide the whole limit.
+ */
+TEST_F(OrganisationLimits, TwoHomesShareTheLimit)
+{
+	struct organisation_limits *homes[] = {home, node[1]};
+	int64_t sum = 0;
+
+	atlas->requests_per_s = 100;
+	for (struct organisation_limits *side : homes) {
+		struct peer_limit report = {0, 90000, 0};
+		struct peer_limit share = {};
+		struct rate_fleet half = {1, 2, 1, 0, 0};
+
+		organisation_limits_divide(side, atlas, &half, "entry-0",
+					   &report, now_us, &share);
+		sum += share.rate_per_ks;
+	}
+	EXPECT_LE(sum, 100000);
+	EXPECT_GE(sum, 99000);
+}
+
 /* A refusal returns the time after which the next request is admitted. */
 TEST_F(OrganisationLimits, SaysWhenToComeBack)
 {
@@ -106,14 +130,14 @@
 
 	atlas->requests_per_s = 2;
 	ASSERT_EQ(REFUSAL_NONE,
-		  organisation_limits_admit(node[0], atlas, 1, 2, now_us,
+		  organisation_limits_admit(node[0], atlas, 1, &two, now_us,
 					    &retry_after_us));
 	EXPECT_EQ(REFUSAL_RATE_LIMIT,
-		  organisation_limits_admit(node[0], atlas, 1, 2, now_us,
+		  organisation_limits_admit(node[0], atlas, 1, &two, now_us,
 					    &retry_after_us));
 	EXPECT_EQ(second_us, retry_after_us);
 	EXPECT_EQ(REFUSAL_NONE,
-		  organisation_limits_admit(node[0], atlas, 1, 2,
+		  organisation_limits_admit(node[0], atlas, 1, &two,
 					    now_us + retry_after_us,
 					    &retry_after_us));
 }
@@ -125,15 +149,15 @@
 
 	atlas->concurrent_tokens = 200;
 	ASSERT_EQ(REFUSAL_NONE,
-		  organisation_limits_admit(node[0], atlas, 50, 2, now_us,
+		  organisation_limits_admit(node[0], atlas, 50, &two, now_us,
 					    &retry_after_us));
 	organisation_limits_add_tokens(node[0], "atlas", 45);
 	EXPECT_EQ(REFUSAL_TOKEN_LIMIT,
-		  organisation_limits_admit(node[0], atlas, 10, 2, now_us,
+		  organisation_limits_admit(node[0], atlas, 10, &two, now_us,
 					    &retry_after_us));
 	organisation_limits_add_tokens(node[0], "atlas", -95);
 	EXPECT_EQ(REFUSAL_NONE,
-		  organisation_limits_admit(node[0], atlas, 10, 2, now_us,
+		  organisation_limits_admit(node[0], atlas, 10, &two, now_us,
 					    &retry_after_us));
 }
 
