Nodes log the fingerprint of a request whose attempt failed

The fingerprint is now computed for every request and stands in attempt_failed; no decision changes.

It is recognised; nobody asks.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -403,9 +403,9 @@
 {
 	struct gateway *gateway = exchange->gateway;
 
+	exchange->fingerprint = exchange_fingerprint(exchange);
 	if (!exchange_is_generation(exchange))
 		return true;
-	exchange->fingerprint = exchange_fingerprint(exchange);
 	if (quarantine_until_us(gateway->quarantine, exchange->fingerprint,
 				gateway->now_us) == 0)
 		return true;
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -1,5 +1,6 @@
 #include "adapters/gateway/exchange_state.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 /*
@@ -205,8 +206,10 @@
 			enum recovery recovery, const char *detail)
 {
 	const struct leg *leg = exchange->leg;
-	char sends[16], status[16], ms[24], run_ms[24];
+	char sends[16], status[16], ms[24], run_ms[24], fingerprint[17];
 
+	g_snprintf(fingerprint, sizeof(fingerprint), "%016" PRIx64,
+		   exchange->fingerprint);
 	g_snprintf(sends, sizeof(sends), "%d", input->sends);
 	g_snprintf(status, sizeof(status), "%d", leg->status);
 	g_snprintf(run_ms, sizeof(run_ms), "%" G_GINT64_FORMAT,
@@ -214,8 +217,8 @@
 	g_snprintf(ms, sizeof(ms), "%" G_GINT64_FORMAT,
 		   (exchange->gateway->now_us - leg->sent_us) / 1000);
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "attempt_failed",
-		  "request", exchange->parsed_request.id, "endpoint",
-		  leg->endpoint_id, "result",
+		  "request", exchange->parsed_request.id, "fingerprint",
+		  fingerprint, "endpoint", leg->endpoint_id, "result",
 		  attempt_result_name(input->result), "decision",
 		  recovery_name(recovery), "begun",
 		  input->answer_begun ? "yes" : "no", "copy", copy_id, "budget",
