--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -736,6 +736,40 @@
 	[ "$out" = whole ] || fail "another report was held as well"
 }
 
+# lookup_poison NODE PATH: sends a fixed text that ends each endpoint that runs
+# it; prints the status.
+lookup_poison() {
+	curl -s -m 20 -X POST -o /dev/null -w '%{http_code}' -H "Host: $host" \
+		-H "X-Siskinlink-Request-Id: p-$RANDOM$RANDOM" \
+		-H "Authorization: Bearer $key" --data "[[poison]] text" \
+		"http://${fronts[$1]}$2"
+}
+
+# Guards against an idempotent request of a plain service that ends one endpoint
+# after the other: after two it is refused at every node, and others are served.
+case_holds_what_ends_plain_endpoints() {
+	local before out
+
+	save_up 2
+	out=$(lookup_poison 0 /lookup/p)
+	[ "$out" = 502 ] || fail "the first was answered $out"
+	start_backend 3 portal --plain
+	start_backend 4 portal --plain
+	until_true answers 1 /lookup/a 200 || fail "nothing is served"
+	before=$(($(state 3 runs) + $(state 4 runs)))
+	out=$(lookup_poison 1 /lookup/p)
+	[ "$out" = 503 ] || fail "sent again it was answered $out"
+	for i in 3 4; do
+		kill -0 "${backend_pids[$i]}" 2>/dev/null && continue
+		fail "it ended endpoint i-$i again"
+		start_backend "$i" portal --plain
+	done
+	[ "$failures" -gt 0 ] ||
+		[ $(($(state 3 runs) + $(state 4 runs))) = "$before" ] ||
+		fail "another endpoint ran it"
+	answers 1 /lookup/a 200 || fail "another request was held as well"
+}
+
 # The engine crashes a few ms after it received the report, as on a request that
 # crashes every engine. A backup engine was assigned, but nothing can have been
 # copied yet: it would start the report again, so that it runs twice. The caller
