--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -241,12 +241,46 @@
 				"no_room");
 }
 
+/* Whether the request may be sent to an endpoint, as far as quarantine goes. */
+bool exchange_is_admitted(struct exchange *exchange)
+{
+	if (exchange->is_admitted && exchange->sends == 0)
+		return true;
+	exchange->is_admitted =
+		gateway_losses_admit(exchange->gateway, exchange->fingerprint);
+	return exchange->is_admitted;
+}
+
+/*
+ * Refuses a request under which endpoints ended before. The answer says when it
+ * may be tried again, and promises that it has not run only if that is so.
+ */
+static void exchange_refuse_held(struct exchange *exchange)
+{
+	struct gateway *gateway = exchange->gateway;
+	int64_t until_us = quarantine_until_us(
+		gateway->quarantine, exchange->fingerprint, gateway->now_us);
+
+	counters_add(gateway->options.counters, COUNTER_QUARANTINED, 1);
+	if (exchange->runs > 0)
+		exchange_refuse(exchange, 502, -1, "quarantined");
+	else
+		exchange_refuse(exchange, 503,
+				until_us ? until_us - gateway->now_us
+					 : RETRY_LATER_US,
+				"quarantined");
+}
+
 /* Sends the request to the endpoint; refuses it if the endpoint is NULL. */
 void exchange_send_or_refuse(struct exchange *exchange,
 			     struct endpoint *endpoint)
 {
 	struct endpoint_criteria criteria;
 
+	if (!exchange_is_admitted(exchange)) {
+		exchange_refuse_held(exchange);
+		return;
+	}
 	if (endpoint) {
 		exchange_send(exchange, endpoint);
 		return;
@@ -398,21 +432,6 @@
 	return fingerprint;
 }
 
-/* Refuses a request that crashed engines before; returns false then. */
-static bool exchange_check_quarantine(struct exchange *exchange)
-{
-	struct gateway *gateway = exchange->gateway;
-
-	exchange->fingerprint = exchange_fingerprint(exchange);
-	if (!exchange_is_generation(exchange))
-		return true;
-	if (quarantine_until_us(gateway->quarantine, exchange->fingerprint,
-				gateway->now_us) == 0)
-		return true;
-	exchange_refuse(exchange, 503, -1, "quarantined");
-	return false;
-}
-
 static bool exchange_plan(struct exchange *exchange)
 {
 	struct gateway *gateway = exchange->gateway;
@@ -431,7 +450,11 @@
 						     exchange->service_name);
 	exchange->expected_tokens = exchange_estimate_tokens(exchange);
 	exchange_set_deadline(exchange);
-	return exchange_check_quarantine(exchange);
+	exchange->fingerprint = exchange_fingerprint(exchange);
+	if (exchange_is_admitted(exchange))
+		return true;
+	exchange_refuse_held(exchange);
+	return false;
 }
 
 /*
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -255,9 +255,12 @@
 	leg->status = head->status;
 	exchange->gateway->now_us = gateway_now_us();
 	exchange->gateway->dialect->read_answer(head, &exchange->said);
-	if (endpoint)
+	if (endpoint) {
 		gateway_limits_note_answer(exchange->gateway, endpoint,
 					   &exchange->said.limit);
+		gateway_losses_note_answer(exchange->gateway, endpoint,
+					   leg->sent_us);
+	}
 	if (exchange->said.did_not_run) {
 		leg_handle_refusal(leg, head->status);
 		return;
@@ -291,8 +294,12 @@
 {
 	struct exchange *exchange = leg->exchange;
 
+	struct endpoint *endpoint = leg_endpoint(leg);
+
 	exchange->gateway->now_us = gateway_now_us();
 	leg->last_received_us = exchange->gateway->now_us;
+	if (endpoint)
+		gateway_ends_note_heard(exchange->gateway, endpoint);
 	if (event_scanner_feed(leg->events, bytes, size))
 		return;
 	if (leg == exchange->next)
@@ -392,9 +399,9 @@
 		endpoint_health_report_success(&endpoint->health,
 					       exchange->gateway->now_us);
 	exchange_count_times(exchange);
-	if (exchange_is_generation(exchange))
-		quarantine_report_success(exchange->gateway->quarantine,
-					  exchange->fingerprint);
+	quarantine_report_success(exchange->gateway->quarantine,
+				  exchange->fingerprint,
+				  exchange->gateway->now_us);
 	exchange_keep_connection(exchange);
 	if (!exchange->answer_begun)
 		exchange_send_buffered(exchange);
@@ -415,6 +422,8 @@
 
 	exchange->gateway->now_us = gateway_now_us();
 	leg->has_timed_out = error->code == ERROR_TIMEOUT;
+	if (!was_sent)
+		gateway_ends_note_refused(exchange->gateway, leg->endpoint_id);
 	if (leg == exchange->next)
 		exchange_drop_next(exchange, error->detail);
 	else
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -1,4 +1,5 @@
 #include "adapters/gateway/exchange_state.h"
+#include "core/placement/home.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -153,23 +154,45 @@
 	return place;
 }
 
+/*
+ * Records a run that its endpoint may have lost by ending. An endpoint that has
+ * answered a plain request goes on; a generation may end its engine at any
+ * time. Silence is no evidence: a cut on the way looks the same.
+ */
+static void note_loss(const struct exchange *exchange,
+		      const struct endpoint *endpoint)
+{
+	const struct config_organisation *owner = exchange->organisation;
+	const struct quarantine_run run = {
+		.fingerprint = exchange->fingerprint,
+		.owner_key =
+			home_hash("organisation", owner ? owner->name : "", 0),
+		.endpoint_key = endpoint->key,
+	};
+
+	if (exchange->leg->has_timed_out ||
+	    (exchange->leg->head_received && !exchange_is_generation(exchange)))
+		return;
+	gateway_losses_note(exchange->gateway, &run, endpoint);
+}
+
 /*
  * A request may crash every engine that runs it, and each take-over would pass
  * it to the next engine. Counts the engines that failed without a notice during
- * the run and announces each to all nodes. After two such failures the request
- * is refused when the caller repeats it; the run itself gets no fourth engine.
+ * the run: the run itself gets no fourth engine.
  */
 static void count_crash(struct exchange *exchange, enum attempt_result result)
 {
 	struct gateway *gateway = exchange->gateway;
 	const struct endpoint *endpoint = leg_endpoint(exchange->leg);
 
-	if (result != RESULT_BROKEN || !exchange_is_generation(exchange) ||
-	    !endpoint || endpoint_is_leaving(endpoint))
+	if (result != RESULT_BROKEN || !endpoint ||
+	    endpoint_is_leaving(endpoint))
+		return;
+	note_loss(exchange, endpoint);
+	if (!exchange_is_generation(exchange))
 		return;
 	exchange->crashes++;
-	quarantine_report_crash(gateway->quarantine, exchange->fingerprint,
-				exchange->leg->endpoint_id, gateway->now_us);
 	gateway_peers_announce_crash(gateway, exchange->fingerprint,
 				     exchange->leg->endpoint_id);
 	gateway_add_failure_notice(gateway, OWN_REPORTER,
@@ -226,13 +249,14 @@
 		  status, "ms", ms, "run_ms", run_ms, "detail", detail, NULL);
 }
 
-static enum recovery decide(const struct exchange *exchange,
+static enum recovery decide(struct exchange *exchange,
 			    const struct copy_place *place,
 			    enum attempt_result result, const char *detail)
 {
 	struct retry_window *budget =
 		gateway_budget(exchange->gateway, exchange->service_name);
-	bool may_move = exchange->crashes < MAX_CRASHES;
+	bool may_move = exchange->crashes < MAX_CRASHES &&
+			exchange_is_admitted(exchange);
 	bool has_budget = retry_window_remaining(budget) > 0;
 	struct recovery_input input = {
 		.kind = exchange->route->kind,
@@ -348,14 +372,16 @@
 
 /*
  * Whether the limits of another engine, unless the home has granted the
- * request, and the retry budget allow to ask it to go on with the run.
+ * request, the retry budget and quarantine allow to ask it to go on with the
+ * run.
  */
-bool exchange_may_hand_over(const struct exchange *exchange,
+bool exchange_may_hand_over(struct exchange *exchange,
 			    const struct endpoint *to)
 {
 	return (exchange->is_granted || rates_allow(exchange, to)) &&
 	       retry_window_remaining(gateway_budget(
-		       exchange->gateway, exchange->service_name)) > 0;
+		       exchange->gateway, exchange->service_name)) > 0 &&
+	       exchange_is_admitted(exchange);
 }
 
 /*
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -98,6 +98,7 @@
 	bool copy_failed;     /* the backup engine had no copy */
 	int32_t crashes;      /* engines that failed while running it */
 	uint64_t fingerprint; /* the same when the request is repeated */
+	bool is_admitted;     /* by quarantine, for the first send */
 
 	struct endpoint_answer said;
 	int32_t status;
@@ -132,6 +133,7 @@
 void exchange_end(struct exchange *exchange, const char *outcome,
 		  const char *reason);
 bool exchange_is_generation(const struct exchange *exchange);
+bool exchange_is_admitted(struct exchange *exchange);
 void exchange_fill_criteria(const struct exchange *exchange,
 			    struct endpoint_criteria *criteria);
 void exchange_send_new(struct exchange *exchange);
@@ -152,7 +154,7 @@
 /* exchange_recover.c */
 void exchange_fail_leg(struct exchange *exchange, enum attempt_result result,
 		       const char *detail);
-bool exchange_may_hand_over(const struct exchange *exchange,
+bool exchange_may_hand_over(struct exchange *exchange,
 			    const struct endpoint *to);
 void exchange_hand_over(struct exchange *exchange, struct endpoint *to,
 			const char *copy_address, const char *copy_name,
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -229,6 +229,8 @@
 	gateway_step_registry(gateway);
 	gateway_cordons_step(gateway);
 	gateway_limits_step(gateway);
+	gateway_ends_step(gateway);
+	gateway_losses_step(gateway);
 	gateway_step_reports(gateway);
 	gateway_home_step(gateway);
 	gateway_routes_step(gateway);
@@ -289,7 +291,6 @@
 		.extra = options->retry_extra,
 		.window_us = options->retry_window_us,
 	};
-	struct quarantine_options quarantine;
 	const struct caller_handler requests = {
 		.request = on_request,
 		.gone = on_gone,
@@ -312,8 +313,8 @@
 	announce_pace_init(&gateway->pace, gateway->now_us);
 	gateway->registry = registry_create();
 	gateway->region_map = region_map_create(options->domain_regions);
-	quarantine_options_default(&quarantine);
-	gateway->quarantine = quarantine_create(&quarantine);
+	gateway_losses_init(gateway);
+	gateway_ends_init(gateway);
 	gateway->pool = endpoint_pool_create();
 	gateway->reports = report_poll_create(gateway->dialect,
 					      on_report_leaving, gateway);
@@ -356,6 +357,7 @@
 	report_poll_destroy(gateway->reports);
 	shared_budgets_destroy(gateway->budgets);
 	g_hash_table_unref(gateway->peers);
+	gateway_ends_clear(gateway);
 	quarantine_destroy(gateway->quarantine);
 	engine_grants_destroy(gateway->grants);
 	g_hash_table_unref(gateway->home_requests);
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -208,8 +208,8 @@
 }
 
 /*
- * Announces to all nodes that an engine crashed while it ran a request. They
- * need it at once, as the caller may send the request again to any node.
+ * Notifies all nodes that an engine broke off a generation: further notices may
+ * put it aside for a time.
  */
 void gateway_peers_announce_crash(struct gateway *gateway, uint64_t fingerprint,
 				  const char *endpoint_id)
@@ -465,6 +465,7 @@
 		return;
 	gateway_cordons_send(gateway, peer_address);
 	gateway_limits_send(gateway, peer_address);
+	gateway_losses_send(gateway, peer_address);
 	send_registrations(gateway, peer_address);
 }
 
@@ -540,10 +541,11 @@
 		gateway_limits_receive(gateway, message);
 		return;
 	}
+	if (message->type == PEER_LOSSES) {
+		gateway_losses_receive(gateway, message);
+		return;
+	}
 	if (message->type == PEER_QUARANTINE) {
-		quarantine_report_crash(
-			gateway->quarantine, message->quarantine.fingerprint,
-			message->quarantine.endpoint, gateway->now_us);
 		gateway_add_failure_notice(gateway, message->incarnation,
 					   message->quarantine.endpoint);
 		return;
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -18,6 +18,12 @@
 
 G_BEGIN_DECLS
 
+/* The last sign that an endpoint is alive. */
+struct heard_endpoint {
+	uint64_t key;
+	int64_t at_us;
+};
+
 /*
  * The gateway's state, shared by its parts:
  *
@@ -27,6 +33,8 @@
  *   gateway_routes.c   fetching a newer configuration from other nodes
  *   gateway_cordons.c  failure domains that get no new requests
  *   gateway_limits.c   limits that endpoints state
+ *   gateway_losses.c   requests under which endpoints end
+ *   gateway_ends.c     whether endpoints that broke off runs have ended
  *   gateway_home.c     one node chooses the engines for all nodes
  *   exchange.c         one request of a caller
  *   leg.c              the request at one endpoint
@@ -58,7 +66,6 @@
 	struct listener *listeners[3];
 	GHashTable *exchanges; /* set of struct exchange */
 	struct shared_budgets *budgets;
-	struct quarantine *quarantine; /* of requests that crash engines */
 	guint tick;
 	int64_t tick_us; /* time of the last tick */
 	int64_t now_us;
@@ -82,6 +89,16 @@
 	int64_t limits_retention_us; /* of one that no answer states */
 	int64_t limits_deaf_until_us;
 
+	/* Requests under which endpoints end. */
+	struct quarantine *quarantine;
+	struct gossip_pace losses_pace;
+
+	/* Whether endpoints that broke off runs have ended. */
+	GHashTable *lost_endpoints;	 /* id to struct lost_endpoint */
+	struct heard_endpoint heard[2];	 /* the last one, and another one */
+	struct reach_check *reach_check; /* under way, or NULL */
+	int64_t ends_checked_us;
+
 	/* Engine choice by a home, which may be this node. */
 	struct engine_grants *grants;
 	GHashTable *home_requests;     /* request number to struct exchange */
@@ -164,6 +181,31 @@
 void gateway_limits_receive(struct gateway *gateway,
 			    const struct peer_message *message);
 
+/* gateway_losses.c */
+void gateway_losses_init(struct gateway *gateway);
+void gateway_losses_note(struct gateway *gateway,
+			 const struct quarantine_run *run,
+			 const struct endpoint *endpoint);
+void gateway_losses_note_answer(struct gateway *gateway,
+				const struct endpoint *endpoint,
+				int64_t sent_us);
+void gateway_losses_send(struct gateway *gateway, const char *peer_address);
+void gateway_losses_receive(struct gateway *gateway,
+			    const struct peer_message *message);
+void gateway_losses_step(struct gateway *gateway);
+bool gateway_losses_admit(struct gateway *gateway, uint64_t fingerprint);
+
+/* gateway_ends.c */
+void gateway_ends_init(struct gateway *gateway);
+void gateway_ends_clear(struct gateway *gateway);
+void gateway_ends_watch(struct gateway *gateway,
+			const struct endpoint *endpoint);
+void gateway_ends_note_refused(struct gateway *gateway,
+			       const char *endpoint_id);
+void gateway_ends_note_heard(struct gateway *gateway,
+			     const struct endpoint *endpoint);
+void gateway_ends_step(struct gateway *gateway);
+
 /* gateway_home.c */
 void gateway_fill_rates(const struct gateway *gateway, const char *name,
 			const struct config_service *service,
--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -5,6 +5,7 @@
 #include "codec/peer_choose.h"
 #include "codec/peer_cordons.h"
 #include "codec/peer_endpoint_limits.h"
+#include "codec/peer_losses.h"
 #include "codec/peer_standing.h"
 
 #include <string.h>
@@ -57,6 +58,7 @@
 	[PEER_ROUTES_REQUEST] = "(txssay)",
 	[PEER_CORDONS] = PEER_CORDONS_FORMAT,
 	[PEER_ENDPOINT_LIMITS] = PEER_ENDPOINT_LIMITS_FORMAT,
+	[PEER_LOSSES] = PEER_LOSSES_FORMAT,
 };
 
 static GVariant *encode_members(const GPtrArray *members)
@@ -182,6 +184,8 @@
 		return peer_cordons_encode(message);
 	case PEER_ENDPOINT_LIMITS:
 		return peer_endpoint_limits_encode(message);
+	case PEER_LOSSES:
+		return peer_losses_encode(message);
 	case PEER_LEAVING:
 		endpoints = message->leaving.endpoints;
 		return g_variant_new(
@@ -507,6 +511,10 @@
 			     peer_endpoint_limits_decode(
 				     body, &message->endpoint_limits),
 			     "endpoint limit out of range");
+	case PEER_LOSSES:
+		return check(error, message->from,
+			     peer_losses_decode(body, &message->losses),
+			     "lost run out of range");
 	case PEER_LEAVING:
 		return decode_leaving(body, message, error);
 	case PEER_QUARANTINE:
--- a/core/limit/quarantine.c
+++ b/core/limit/quarantine.c
@@ -1,188 +1,471 @@
 #include "core/limit/quarantine.h"
 
+#include "core/limit/quarantine_state.h"
+
 #include <string.h>
 
-struct entry {
-	uint64_t fingerprint;
-	uint64_t endpoint_hash; /* of the last crash */
-	int64_t until_us;
-};
+/*
+ * A request that was answered whole ends no endpoint for this long afterwards:
+ * a popular one runs at each endpoint that another request ends.
+ */
+#define WHOLE_GRACE_US (10 * G_USEC_PER_SEC)
 
-/* Entries in order of expiry, indexed by fingerprint. */
-struct entry_table {
-	GHashTable *by_fingerprint; /* fingerprint -> GList of order */
-	GQueue order;		    /* struct entry */
-	int32_t max_entries;
-};
+/* Defaults: losses are remembered for 10 min, requests held for 30 min. */
+void quarantine_options_default(struct quarantine_options *options)
+{
+	options->suspect_us = 600 * G_USEC_PER_SEC;
+	options->hold_us = 1800 * G_USEC_PER_SEC;
+	options->trial_us = 60 * G_USEC_PER_SEC;
+	options->losses_to_hold = 2;
+	options->shared_losses_to_hold = 3;
+	options->max_entries = 4096;
+}
 
-struct quarantine {
-	struct quarantine_options options;
-	struct entry_table suspects;
-	struct entry_table held;
-};
+/*
+ * Creates an empty quarantine and copies the options. The caller frees it with
+ * quarantine_destroy.
+ */
+struct quarantine *quarantine_create(const struct quarantine_options *options)
+{
+	struct quarantine *quarantine = g_new0(struct quarantine, 1);
 
-static void entry_table_init(struct entry_table *table, int32_t max_entries)
+	quarantine->options = *options;
+	quarantine->suspects = suspect_table_create(options->max_entries);
+	quarantine->held = suspect_table_create(options->max_entries);
+	quarantine->endpoints = g_hash_table_new_full(
+		g_int64_hash, g_int64_equal, NULL, g_free);
+	return quarantine;
+}
+
+/* Frees the quarantine; NULL is allowed. */
+void quarantine_destroy(struct quarantine *quarantine)
+{
+	if (!quarantine)
+		return;
+	suspect_table_destroy(quarantine->suspects);
+	suspect_table_destroy(quarantine->held);
+	g_hash_table_unref(quarantine->endpoints);
+	g_free(quarantine);
+}
+
+static bool loss_counts(const struct suspect *suspect, const struct loss *loss)
 {
-	table->by_fingerprint = g_hash_table_new(g_int64_hash, g_int64_equal);
-	g_queue_init(&table->order);
-	table->max_entries = MAX(max_entries, 1);
+	return loss->state == LOSS_CONFIRMED &&
+	       (!suspect->cleared_us || loss->lost_us > suspect->cleared_us);
 }
 
-static void entry_table_clear(struct entry_table *table)
+static struct endpoint_losses *find_losses(const struct quarantine *quarantine,
+					   uint64_t endpoint_key)
 {
-	g_hash_table_unref(table->by_fingerprint);
-	g_queue_clear_full(&table->order, g_free);
+	return g_hash_table_lookup(quarantine->endpoints, &endpoint_key);
 }
 
-static struct entry *entry_table_find(const struct entry_table *table,
-				      uint64_t fingerprint, int64_t now_us)
+/* Adds the losses of a suspect to those of their endpoints, or subtracts them.
+ */
+static void count_losses(struct quarantine *quarantine,
+			 const struct suspect *suspect, int32_t sign)
 {
-	GList *link = g_hash_table_lookup(table->by_fingerprint, &fingerprint);
-	struct entry *entry = link ? link->data : NULL;
+	for (int32_t i = 0; i < suspect->loss_count; i++) {
+		const struct loss *loss = &suspect->losses[i];
+		struct endpoint_losses *losses =
+			find_losses(quarantine, loss->endpoint_key);
 
-	return entry && entry->until_us > now_us ? entry : NULL;
+		if (loss->state == LOSS_REFUTED)
+			continue;
+		if (!losses) {
+			losses = g_new0(struct endpoint_losses, 1);
+			losses->endpoint_key = loss->endpoint_key;
+			g_hash_table_insert(quarantine->endpoints,
+					    &losses->endpoint_key, losses);
+		}
+		losses->open += sign;
+		if (loss_counts(suspect, loss))
+			losses->counted += sign;
+		if (losses->open == 0)
+			g_hash_table_remove(quarantine->endpoints,
+					    &loss->endpoint_key);
+	}
 }
 
-static void entry_table_remove(struct entry_table *table, uint64_t fingerprint)
+/* When the quarantine that the losses bring about ends; 0: they bring none. */
+static int64_t held_until_us(const struct quarantine *quarantine,
+			     const struct suspect *suspect)
 {
-	GList *link = g_hash_table_lookup(table->by_fingerprint, &fingerprint);
+	const struct quarantine_options *options = &quarantine->options;
+	int32_t needed = options->shared_losses_to_hold;
+	int32_t count = 0;
+	int64_t newest_us = 0;
 
-	if (!link)
-		return;
-	g_hash_table_remove(table->by_fingerprint, &fingerprint);
-	g_free(link->data);
-	g_queue_delete_link(&table->order, link);
+	for (int32_t i = 0; i < suspect->loss_count; i++) {
+		const struct loss *loss = &suspect->losses[i];
+
+		if (!loss_counts(suspect, loss))
+			continue;
+		count++;
+		newest_us = MAX(newest_us, loss->lost_us);
+		if (find_losses(quarantine, loss->endpoint_key)->counted == 1)
+			needed = options->losses_to_hold;
+	}
+	return count >= needed ? newest_us + options->hold_us : 0;
+}
+
+/* Returns the suspect, or NULL if there is none or it has expired. */
+struct suspect *quarantine_find(const struct quarantine *quarantine,
+				uint64_t fingerprint, int64_t now_us)
+{
+	struct suspect *suspect =
+		suspect_table_find(quarantine->suspects, fingerprint);
+
+	if (!suspect)
+		suspect = suspect_table_find(quarantine->held, fingerprint);
+	return suspect && suspect->expires_us > now_us ? suspect : NULL;
+}
+
+static struct suspect_table *table_of(const struct quarantine *quarantine,
+				      uint64_t fingerprint)
+{
+	return suspect_table_find(quarantine->held, fingerprint)
+		       ? quarantine->held
+		       : quarantine->suspects;
+}
+
+/* Takes a suspect out of its table, to be changed. */
+static void begin_change(struct quarantine *quarantine, struct suspect *suspect)
+{
+	count_losses(quarantine, suspect, -1);
+	suspect_table_steal(table_of(quarantine, suspect->fingerprint),
+			    suspect);
+}
+
+static int64_t newest_loss_us(const struct suspect *suspect)
+{
+	int64_t newest_us = 0;
+
+	for (int32_t i = 0; i < suspect->loss_count; i++)
+		newest_us = MAX(newest_us, suspect->losses[i].lost_us);
+	return newest_us;
+}
+
+/* Puts a changed or new suspect into the table where it belongs now. */
+void quarantine_put(struct quarantine *quarantine, struct suspect *suspect,
+		    int64_t now_us)
+{
+	const struct quarantine_options *options = &quarantine->options;
+	struct suspect_table *table;
+	struct suspect *evicted;
+	int64_t until_us;
+
+	count_losses(quarantine, suspect, 1);
+	until_us = held_until_us(quarantine, suspect);
+	table = until_us > now_us ? quarantine->held : quarantine->suspects;
+	suspect->expires_us = MAX(newest_loss_us(suspect) + options->suspect_us,
+				  until_us ? until_us + options->hold_us : 0);
+	quarantine->has_news |= suspect->is_news;
+	evicted = suspect_table_evict(table, suspect->owner_key);
+	if (evicted) {
+		count_losses(quarantine, evicted, -1);
+		g_free(evicted);
+	}
+	suspect_table_add(table, suspect);
 }
 
 /*
- * Adds or renews an entry and evicts the oldest one if the table is full.
- * Callers control the fingerprints and could grow an unbounded table at will.
+ * Returns the suspect to be changed, a new one if there is none; after that
+ * quarantine_put is to be called.
  */
-static void entry_table_put(struct entry_table *table, uint64_t fingerprint,
-			    uint64_t endpoint_hash, int64_t until_us)
+struct suspect *quarantine_open(struct quarantine *quarantine,
+				uint64_t fingerprint, uint64_t owner_key,
+				int64_t now_us)
 {
-	struct entry *entry;
-
-	entry_table_remove(table, fingerprint);
-	if (g_queue_get_length(&table->order) >= (guint)table->max_entries) {
-		struct entry *oldest = g_queue_peek_head(&table->order);
+	struct suspect_table *table = table_of(quarantine, fingerprint);
+	struct suspect *suspect = suspect_table_find(table, fingerprint);
 
-		entry_table_remove(table, oldest->fingerprint);
+	if (!suspect) {
+		suspect = g_new0(struct suspect, 1);
+	} else {
+		begin_change(quarantine, suspect);
+		if (suspect->expires_us <= now_us)
+			memset(suspect, 0, sizeof(*suspect));
 	}
-	entry = g_new0(struct entry, 1);
-	entry->fingerprint = fingerprint;
-	entry->endpoint_hash = endpoint_hash;
-	entry->until_us = until_us;
-	g_queue_push_tail(&table->order, entry);
-	g_hash_table_insert(table->by_fingerprint, &entry->fingerprint,
-			    table->order.tail);
+	suspect->fingerprint = fingerprint;
+	if (suspect->owner_key == 0)
+		suspect->owner_key = owner_key;
+	return suspect;
 }
 
-/* Defaults: crashes are remembered for 10 min, fingerprints held for 30 min. */
-void quarantine_options_default(struct quarantine_options *options)
+struct loss *suspect_find_loss(struct suspect *suspect, uint64_t endpoint_key)
 {
-	options->suspect_us = 600 * G_USEC_PER_SEC;
-	options->hold_us = 1800 * G_USEC_PER_SEC;
-	options->max_entries = 4096;
+	for (int32_t i = 0; i < suspect->loss_count; i++)
+		if (suspect->losses[i].endpoint_key == endpoint_key)
+			return &suspect->losses[i];
+	return NULL;
+}
+
+/* Returns an empty loss; of a full list the oldest one is given up. */
+struct loss *suspect_add_loss(struct suspect *suspect)
+{
+	struct loss *oldest = &suspect->losses[0];
+
+	if (suspect->loss_count < SUSPECT_MAX_LOSSES)
+		return &suspect->losses[suspect->loss_count++];
+	for (int32_t i = 1; i < suspect->loss_count; i++)
+		if (suspect->losses[i].lost_us < oldest->lost_us)
+			oldest = &suspect->losses[i];
+	memset(oldest, 0, sizeof(*oldest));
+	return oldest;
+}
+
+static struct whole *whole_slot(struct quarantine *quarantine,
+				uint64_t fingerprint)
+{
+	return &quarantine->wholes[fingerprint % WHOLE_SLOTS];
+}
+
+void suspect_clear(struct suspect *suspect, int64_t cleared_us)
+{
+	suspect->cleared_us = MAX(suspect->cleared_us, cleared_us);
+}
+
+/* Applies that the request was answered whole lately, if it was. */
+void quarantine_clear_if_whole(struct quarantine *quarantine,
+			       struct suspect *suspect)
+{
+	const struct whole *whole =
+		whole_slot(quarantine, suspect->fingerprint);
+
+	if (whole->at_us && whole->fingerprint == suspect->fingerprint)
+		suspect_clear(suspect, whole->at_us + WHOLE_GRACE_US);
 }
 
 /*
- * Creates an empty quarantine and copies the options. The caller frees it with
- * quarantine_destroy.
+ * Records that an endpoint broke off a run. This counts for nothing until
+ * quarantine_report_end.
  */
-struct quarantine *quarantine_create(const struct quarantine_options *options)
+void quarantine_report_loss(struct quarantine *quarantine,
+			    const struct quarantine_run *run, int64_t now_us)
 {
-	struct quarantine *quarantine = g_new0(struct quarantine, 1);
+	struct suspect *suspect = quarantine_open(quarantine, run->fingerprint,
+						  run->owner_key, now_us);
+	struct loss *loss = suspect_find_loss(suspect, run->endpoint_key);
 
-	quarantine->options = *options;
-	entry_table_init(&quarantine->suspects, options->max_entries);
-	entry_table_init(&quarantine->held, options->max_entries);
-	return quarantine;
+	if (!loss)
+		loss = suspect_add_loss(suspect);
+	if (loss->state == LOSS_CONFIRMED)
+		loss->again_us = now_us;
+	else
+		*loss = (struct loss){.endpoint_key = run->endpoint_key,
+				      .lost_us = now_us,
+				      .state = LOSS_SUSPECTED};
+	quarantine_clear_if_whole(quarantine, suspect);
+	quarantine_put(quarantine, suspect, now_us);
 }
 
-/* Frees the quarantine; NULL is allowed. */
-void quarantine_destroy(struct quarantine *quarantine)
+/* Copies the suspects with a loss at the endpoint; the caller frees the array.
+ */
+static GPtrArray *suspects_at(const struct quarantine *quarantine,
+			      uint64_t endpoint_key)
 {
-	if (!quarantine)
-		return;
-	entry_table_clear(&quarantine->suspects);
-	entry_table_clear(&quarantine->held);
-	g_free(quarantine);
+	const GList *const lists[] = {
+		suspect_table_list(quarantine->suspects),
+		suspect_table_list(quarantine->held),
+	};
+	GPtrArray *found = g_ptr_array_new();
+
+	if (!find_losses(quarantine, endpoint_key))
+		return found;
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++)
+		for (const GList *link = lists[i]; link; link = link->next)
+			if (suspect_find_loss(link->data, endpoint_key))
+				g_ptr_array_add(found, link->data);
+	return found;
 }
 
 /*
- * Records that a request was in flight when an endpoint crashed. Returns true
- * if this crash puts the fingerprint in quarantine. One crash is not enough,
- * because every request that ran on the endpoint is recorded with it. The
- * second crash must be at another endpoint: otherwise an endpoint that crashes
- * on its own would quarantine its callers.
+ * Records that an endpoint has ended: the runs that it broke off count.
+ * Returns whether that is news for other nodes.
  */
-bool quarantine_report_crash(struct quarantine *quarantine,
-			     uint64_t fingerprint, const char *endpoint,
-			     int64_t now_us)
+bool quarantine_report_end(struct quarantine *quarantine, uint64_t endpoint_key,
+			   int64_t now_us)
 {
-	uint64_t hash = ((uint64_t)g_str_hash(endpoint) << 32) |
-			(uint64_t)strlen(endpoint);
-	const struct entry *suspect =
-		entry_table_find(&quarantine->suspects, fingerprint, now_us);
+	GPtrArray *found = suspects_at(quarantine, endpoint_key);
+	bool is_news = false;
 
-	if (entry_table_find(&quarantine->held, fingerprint, now_us))
-		return false;
-	if (suspect && suspect->endpoint_hash != hash) {
-		quarantine_hold(quarantine, fingerprint, now_us);
-		return true;
+	for (guint i = 0; i < found->len; i++) {
+		struct suspect *suspect = found->pdata[i];
+		struct loss *loss = suspect_find_loss(suspect, endpoint_key);
+
+		if (loss->state != LOSS_SUSPECTED && !loss->again_us)
+			continue;
+		begin_change(quarantine, suspect);
+		loss->state = LOSS_CONFIRMED;
+		loss->lost_us = MAX(loss->lost_us, loss->again_us);
+		loss->again_us = 0;
+		suspect->is_news = true;
+		is_news = true;
+		quarantine_put(quarantine, suspect, now_us);
+	}
+	g_ptr_array_unref(found);
+	return is_news;
+}
+
+/*
+ * Records that an endpoint answered: it had not ended between its start and the
+ * sending of the request. Returns whether another node may believe that it had.
+ */
+bool quarantine_report_answer(struct quarantine *quarantine,
+			      const struct quarantine_answer *answer,
+			      int64_t now_us)
+{
+	GPtrArray *found = suspects_at(quarantine, answer->endpoint_key);
+	bool is_news = false;
+
+	for (guint i = 0; i < found->len; i++) {
+		struct suspect *suspect = found->pdata[i];
+		struct loss *loss =
+			suspect_find_loss(suspect, answer->endpoint_key);
+
+		if (loss->again_us < answer->sent_us)
+			loss->again_us = 0;
+		if (loss->state == LOSS_REFUTED ||
+		    loss->lost_us >= answer->sent_us ||
+		    loss->lost_us <= answer->started_us)
+			continue;
+		begin_change(quarantine, suspect);
+		suspect->is_news |= loss->state == LOSS_CONFIRMED;
+		loss->state = LOSS_REFUTED;
+		is_news |= suspect->is_news;
+		quarantine_put(quarantine, suspect, now_us);
 	}
-	entry_table_put(&quarantine->suspects, fingerprint, hash,
-			now_us + quarantine->options.suspect_us);
+	g_ptr_array_unref(found);
+	return is_news;
+}
+
+static bool has_counted_loss(const struct suspect *suspect)
+{
+	for (int32_t i = 0; i < suspect->loss_count; i++)
+		if (loss_counts(suspect, &suspect->losses[i]))
+			return true;
 	return false;
 }
 
+static bool clear(struct quarantine *quarantine, uint64_t fingerprint,
+		  int64_t cleared_us, int64_t now_us)
+{
+	struct suspect *suspect =
+		quarantine_find(quarantine, fingerprint, now_us);
+
+	if (!suspect)
+		return false;
+	begin_change(quarantine, suspect);
+	suspect->is_news |= has_counted_loss(suspect);
+	suspect_clear(suspect, cleared_us);
+	quarantine_put(quarantine, suspect, now_us);
+	return true;
+}
+
 /*
- * Records that a request was answered completely, so it does not crash
- * endpoints. This clears requests that only shared an engine with one that
- * does, even those in quarantine: a generation may be continued elsewhere after
- * a second crash and then complete.
+ * Records that a request was answered whole: what it lost before was not its
+ * doing, even if it is in quarantine. A generation may be continued elsewhere
+ * after a second loss and then complete.
  */
 void quarantine_report_success(struct quarantine *quarantine,
-			       uint64_t fingerprint)
+			       uint64_t fingerprint, int64_t now_us)
 {
-	entry_table_remove(&quarantine->suspects, fingerprint);
-	entry_table_remove(&quarantine->held, fingerprint);
+	*whole_slot(quarantine, fingerprint) =
+		(struct whole){fingerprint, now_us};
+	clear(quarantine, fingerprint, now_us + WHOLE_GRACE_US, now_us);
 }
 
-/* Puts a fingerprint in quarantine for hold_us, starting at now_us. */
-void quarantine_hold(struct quarantine *quarantine, uint64_t fingerprint,
+/*
+ * Ends the quarantine of a request, as an operator asks for; losses after that
+ * count again. Returns false if nothing is known of the request.
+ */
+bool quarantine_lift(struct quarantine *quarantine, uint64_t fingerprint,
 		     int64_t now_us)
 {
-	entry_table_remove(&quarantine->suspects, fingerprint);
-	entry_table_put(&quarantine->held, fingerprint, 0,
-			now_us + quarantine->options.hold_us);
+	return clear(quarantine, fingerprint, now_us, now_us);
+}
+
+/*
+ * Records a loss at an endpoint, named by its address, that is known to have
+ * ended. Returns true if this puts the request in quarantine.
+ */
+bool quarantine_report_crash(struct quarantine *quarantine,
+			     uint64_t fingerprint, const char *endpoint,
+			     int64_t now_us)
+{
+	const struct quarantine_run run = {
+		.fingerprint = fingerprint,
+		.endpoint_key = ((uint64_t)g_str_hash(endpoint) << 32) |
+				(uint64_t)strlen(endpoint),
+	};
+
+	if (quarantine_until_us(quarantine, fingerprint, now_us))
+		return false;
+	quarantine_report_loss(quarantine, &run, now_us);
+	quarantine_report_end(quarantine, run.endpoint_key, now_us);
+	return quarantine_until_us(quarantine, fingerprint, now_us) != 0;
 }
 
-/* Returns when the quarantine of a fingerprint ends, in us; 0: it has none. */
+/* Returns when the quarantine of a request ends, in us; 0: it has none. */
 int64_t quarantine_until_us(const struct quarantine *quarantine,
 			    uint64_t fingerprint, int64_t now_us)
 {
-	const struct entry *entry =
-		entry_table_find(&quarantine->held, fingerprint, now_us);
+	const struct suspect *suspect =
+		quarantine_find(quarantine, fingerprint, now_us);
+	int64_t until_us = suspect ? held_until_us(quarantine, suspect) : 0;
+
+	return until_us > now_us ? until_us : 0;
+}
+
+/* Returns what a request that is to be sent now may do. */
+enum quarantine_verdict quarantine_judge(const struct quarantine *quarantine,
+					 uint64_t fingerprint, int64_t now_us)
+{
+	const struct suspect *suspect =
+		quarantine_find(quarantine, fingerprint, now_us);
+	int64_t until_us = suspect ? held_until_us(quarantine, suspect) : 0;
+
+	if (until_us == 0)
+		return QUARANTINE_NONE;
+	if (now_us < until_us ||
+	    (suspect->trial_us >= until_us &&
+	     now_us - suspect->trial_us < quarantine->options.trial_us))
+		return QUARANTINE_HELD;
+	return QUARANTINE_TRIAL;
+}
+
+/* Records that a run tries a request that was held; others are held again. */
+void quarantine_begin_trial(struct quarantine *quarantine, uint64_t fingerprint,
+			    int64_t now_us)
+{
+	struct suspect *suspect =
+		quarantine_find(quarantine, fingerprint, now_us);
 
-	return entry ? entry->until_us : 0;
+	if (!suspect)
+		return;
+	suspect->trial_us = now_us;
+	suspect->is_news = true;
+	quarantine->has_news = true;
 }
 
 /*
- * Returns whether the request was in flight at a crash and is neither cleared,
- * quarantined nor expired since.
+ * Returns whether the request has a loss that may count against it, without
+ * being held.
  */
 bool quarantine_is_suspect(const struct quarantine *quarantine,
 			   uint64_t fingerprint, int64_t now_us)
 {
-	return entry_table_find(&quarantine->suspects, fingerprint, now_us) !=
-	       NULL;
+	const struct suspect *suspect =
+		quarantine_find(quarantine, fingerprint, now_us);
+
+	return suspect && !held_until_us(quarantine, suspect) &&
+	       has_counted_loss(suspect);
 }
 
-/* Returns the number of suspects and held entries, for the dump. */
+/* Returns the number of suspects and held requests, for the dump. */
 size_t quarantine_count(const struct quarantine *quarantine)
 {
-	return g_queue_get_length((GQueue *)&quarantine->suspects.order) +
-	       g_queue_get_length((GQueue *)&quarantine->held.order);
+	return suspect_table_count(quarantine->suspects) +
+	       suspect_table_count(quarantine->held);
 }
--- /dev/null
+++ b/core/limit/suspect_table.h
@@ -0,0 +1,58 @@
+#ifndef CORE_LIMIT_SUSPECT_TABLE_H
+#define CORE_LIMIT_SUSPECT_TABLE_H
+
+#include "ports/peer_message.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/* Losses kept of one request; further ones replace the oldest. */
+#define SUSPECT_MAX_LOSSES 4
+
+/* A run that an endpoint didn't finish. */
+struct loss {
+	uint64_t endpoint_key;
+	int64_t lost_us;
+	int64_t again_us; /* a later one, not confirmed so far; 0: none */
+	enum loss_state state;
+};
+
+/* A request with lost runs, named by its fingerprint. */
+struct suspect {
+	uint64_t fingerprint;
+	uint64_t owner_key; /* of the organisation that sent it */
+	struct loss losses[SUSPECT_MAX_LOSSES];
+	int32_t loss_count;
+	int64_t cleared_us; /* losses up to this time don't count; 0: none */
+	int64_t trial_us;   /* start of the last trial; 0: none */
+	int64_t expires_us;
+	bool is_news; /* changed here since it was last announced */
+};
+
+/*
+ * A bounded table of suspects. When it is full, the oldest suspect of the owner
+ * with the most suspects is evicted: callers control the fingerprints, and one
+ * that varies its requests must not push out those of others.
+ */
+struct suspect_table;
+
+struct suspect_table *suspect_table_create(int32_t max_entries);
+void suspect_table_destroy(struct suspect_table *table);
+
+struct suspect *suspect_table_find(const struct suspect_table *table,
+				   uint64_t fingerprint);
+struct suspect *suspect_table_evict(struct suspect_table *table,
+				    uint64_t owner_key);
+void suspect_table_add(struct suspect_table *table, struct suspect *suspect);
+void suspect_table_steal(struct suspect_table *table, struct suspect *suspect);
+size_t suspect_table_count(const struct suspect_table *table);
+
+/* The suspects in the order in which they were added. */
+const GList *suspect_table_list(const struct suspect_table *table);
+
+G_END_DECLS
+
+#endif
--- a/core/message/peer_message.c
+++ b/core/message/peer_message.c
@@ -22,6 +22,7 @@
 	[PEER_ROUTES_REQUEST] = "routes_ask",
 	[PEER_CORDONS] = "cordons",
 	[PEER_ENDPOINT_LIMITS] = "endpoint_limits",
+	[PEER_LOSSES] = "losses",
 };
 
 static void member_free(gpointer data)
@@ -81,6 +82,10 @@
 		message->endpoint_limits.limits = g_array_new(
 			FALSE, FALSE, sizeof(struct peer_endpoint_limit));
 		break;
+	case PEER_LOSSES:
+		message->losses.losses =
+			g_array_new(FALSE, FALSE, sizeof(struct peer_loss));
+		break;
 	case PEER_CHOSEN:
 	case PEER_PLACE:
 	case PEER_PLACED:
@@ -146,6 +151,9 @@
 	case PEER_ENDPOINT_LIMITS:
 		g_array_unref(message->endpoint_limits.limits);
 		break;
+	case PEER_LOSSES:
+		g_array_unref(message->losses.losses);
+		break;
 	case PEER_QUARANTINE:
 		g_free(message->quarantine.endpoint);
 		break;
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -38,6 +38,7 @@
 	PEER_ROUTES_REQUEST,  /* gateway: requests newer routes, if any */
 	PEER_CORDONS,	      /* gateway: failure domains under a cordon */
 	PEER_ENDPOINT_LIMITS, /* gateway: limits that endpoints state */
+	PEER_LOSSES, /* gateway: requests under which endpoints ended */
 	PEER_MESSAGE_TYPE_COUNT
 };
 
@@ -210,6 +211,31 @@
 	GArray *limits; /* struct peer_endpoint_limit */
 };
 
+/* What is known of an endpoint that broke off a run, a later value over an
+ * earlier one. */
+enum loss_state {
+	LOSS_SUSPECTED, /* the run broke off; the endpoint may go on */
+	LOSS_CONFIRMED, /* the endpoint has ended */
+	LOSS_REFUTED,	/* it answered a request that was sent later */
+	LOSS_STATE_COUNT
+};
+
+/* A run of a request that its endpoint didn't finish. */
+struct peer_loss {
+	uint64_t fingerprint;
+	uint64_t owner_key;    /* of the organisation that sent the request */
+	uint64_t endpoint_key; /* 0: only tells cleared_age_us */
+	enum loss_state state;
+	int64_t age_us;
+	bool is_cleared;
+	int64_t cleared_age_us; /* older losses don't count; may be negative */
+	int64_t trial_age_us;	/* of the request's last trial; -1: none */
+};
+
+struct peer_losses {
+	GArray *losses; /* struct peer_loss */
+};
+
 struct peer_message {
 	enum peer_message_type type;
 	char *from;	    /* name of the sender; "": find it by incarnation */
@@ -228,6 +254,7 @@
 		struct peer_chosen chosen;
 		struct peer_cordons cordons;
 		struct peer_endpoint_limits endpoint_limits;
+		struct peer_losses losses;
 		struct peer_leaving leaving;
 		struct peer_quarantine quarantine;
 		struct peer_limits limits; /* LIMIT_REPORT, LIMIT_SHARE */
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -746,7 +746,8 @@
 }
 
 # Guards against an idempotent request of a plain service that ends one endpoint
-# after the other: after two it is refused at every node, and others are served.
+# after the other: a second after two it is refused at every node, and others are
+# served.
 case_holds_what_ends_plain_endpoints() {
 	local before out
 
@@ -756,6 +757,7 @@
 	start_backend 3 portal --plain
 	start_backend 4 portal --plain
 	until_true answers 1 /lookup/a 200 || fail "nothing is served"
+	sleep 1
 	before=$(($(state 3 runs) + $(state 4 runs)))
 	out=$(lookup_poison 1 /lookup/p)
 	[ "$out" = 503 ] || fail "sent again it was answered $out"
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -54,6 +54,17 @@
 	g_array_append_vals(limits->limits, list, G_N_ELEMENTS(list));
 }
 
+static void fill_losses(struct peer_losses *losses)
+{
+	const struct peer_loss list[] = {
+		{UINT64_MAX, 7, 9, LOSS_CONFIRMED, 1234000, false, 0, -1},
+		{1, 0, UINT64_MAX, LOSS_REFUTED, 0, true, -10000000, 0},
+		{2, 3, 4, LOSS_SUSPECTED, 4294967295000, true, 5000, 60000000},
+	};
+
+	g_array_append_vals(losses->losses, list, G_N_ELEMENTS(list));
+}
+
 static void fill_text_message(struct peer_message *message)
 {
 	switch (message->type) {
@@ -106,6 +117,9 @@
 	case PEER_ENDPOINT_LIMITS:
 		fill_endpoint_limits(&message->endpoint_limits);
 		break;
+	case PEER_LOSSES:
+		fill_losses(&message->losses);
+		break;
 	case PEER_QUARANTINE:
 		message->quarantine.fingerprint = 5;
 		message->quarantine.endpoint = g_strdup("10.2.0.1:9000");
@@ -323,6 +337,48 @@
 	peer_message_destroy(message);
 }
 
+TEST(PeerCodec, DecodesEachLossSeparately)
+{
+	struct error error;
+	struct peer_message *message = decode(encode_type(PEER_LOSSES), &error);
+	struct peer_message *expected = peer_message_create(PEER_LOSSES);
+
+	ASSERT_NE(nullptr, message) << error.detail;
+	fill_losses(&expected->losses);
+	ASSERT_EQ(expected->losses.losses->len, message->losses.losses->len);
+	for (guint i = 0; i < expected->losses.losses->len; i++) {
+		const struct peer_loss *a = &g_array_index(
+			message->losses.losses, struct peer_loss, i);
+		const struct peer_loss *b = &g_array_index(
+			expected->losses.losses, struct peer_loss, i);
+
+		EXPECT_EQ(b->fingerprint, a->fingerprint);
+		EXPECT_EQ(b->owner_key, a->owner_key);
+		EXPECT_EQ(b->endpoint_key, a->endpoint_key);
+		EXPECT_EQ(b->state, a->state);
+		EXPECT_EQ(b->age_us, a->age_us);
+		EXPECT_EQ(b->is_cleared, a->is_cleared);
+		EXPECT_EQ(b->cleared_age_us, a->cleared_age_us);
+		EXPECT_EQ(b->trial_age_us, a->trial_age_us);
+	}
+	peer_message_destroy(expected);
+	peer_message_destroy(message);
+}
+
+TEST(PeerCodec, RefusesALossInAnUnknownState)
+{
+	std::vector<uint8_t> bytes = encode_type(PEER_LOSSES);
+	/* The trial's age, "none", and the state of the first loss. */
+	const uint8_t state[] = {0xff,		 0xff, 0xff, 0xff,
+				 LOSS_CONFIRMED, 0,    0,    0};
+	auto at = std::search(bytes.begin(), bytes.end(), state, state + 8);
+	struct error error;
+
+	ASSERT_NE(bytes.end(), at);
+	at[4] = LOSS_STATE_COUNT;
+	EXPECT_EQ(nullptr, decode(bytes, &error));
+}
+
 /* A rate above the highest one is refused; the encoder clamps it. */
 TEST(PeerCodec, RefusesEndpointLimitsOutOfRange)
 {
--- /dev/null
+++ b/tests/quarantine_fleet_test.cc
@@ -0,0 +1,419 @@
+#include "core/gateway/endpoint_end.h"
+#include "core/gateway/gossip_pace.h"
+#include "core/limit/quarantine.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <functional>
+#include <random>
+#include <vector>
+
+static constexpr int64_t ms_us = 1000;
+static constexpr int64_t second_us = 1000 * ms_us;
+
+/* The bound within which each node that is reached knows what is held. */
+static constexpr int64_t known_within_us = 3 * second_us;
+
+static const struct gossip_schedule schedule = {
+	3 * second_us,
+	100 * ms_us,
+	3,
+	second_us,
+};
+
+/* Quarantines of many nodes in virtual time, over a network that loses news. */
+class QuarantineFleet
+{
+      public:
+	struct node {
+		struct quarantine *quarantine;
+		struct gossip_pace pace;
+		bool is_cut;
+	};
+
+	QuarantineFleet(size_t count, double loss_share)
+	    : loss_share(loss_share), random(count)
+	{
+		for (size_t i = 0; i < count; i++)
+			Join();
+	}
+
+	~QuarantineFleet()
+	{
+		for (struct node &node : nodes)
+			quarantine_destroy(node.quarantine);
+	}
+
+	void Join()
+	{
+		struct quarantine_options options;
+
+		quarantine_options_default(&options);
+		nodes.push_back({quarantine_create(&options), {}, false});
+	}
+
+	void Restart(size_t i)
+	{
+		struct quarantine_options options;
+
+		quarantine_options_default(&options);
+		quarantine_destroy(nodes[i].quarantine);
+		nodes[i] = {quarantine_create(&options), {}, false};
+	}
+
+	/* A request at a node ends an endpoint, and the node finds out. */
+	void End(size_t node, uint64_t fingerprint, uint64_t endpoint)
+	{
+		struct quarantine_run run = {fingerprint, 1, endpoint};
+
+		quarantine_report_loss(nodes[node].quarantine, &run, now_us);
+		quarantine_report_end(nodes[node].quarantine, endpoint, now_us);
+	}
+
+	void Run(int64_t for_us)
+	{
+		for (int64_t end_us = now_us + for_us; now_us < end_us;) {
+			now_us += 50 * ms_us;
+			for (size_t i = 0; i < nodes.size(); i++)
+				Step(i);
+		}
+	}
+
+	size_t HeldAt(uint64_t fingerprint)
+	{
+		size_t count = 0;
+
+		for (struct node &node : nodes)
+			count += !node.is_cut &&
+				 quarantine_until_us(node.quarantine,
+						     fingerprint, now_us) > 0;
+		return count;
+	}
+
+	std::vector<struct node> nodes;
+	int64_t now_us = second_us;
+	size_t sent = 0;
+
+      private:
+	void Step(size_t i)
+	{
+		struct node *node = &nodes[i];
+		GArray *news =
+			g_array_new(FALSE, FALSE, sizeof(struct peer_loss));
+		size_t receivers;
+
+		quarantine_take_news(node->quarantine, news, now_us);
+		if (news->len > 0) {
+			node->pace.changed_us = now_us;
+			for (size_t j = 0; j < nodes.size(); j++)
+				Send(i, j, news);
+		}
+		g_array_set_size(news, 0);
+		quarantine_add_known(node->quarantine, 28, Draw(), news,
+				     now_us);
+		receivers = news->len > 0
+				    ? gossip_pace_count_receivers(
+					      &node->pace, &schedule, now_us)
+				    : 0;
+		for (; receivers > 0; receivers--)
+			Send(i, (size_t)(Draw() * (double)nodes.size()), news);
+		g_array_unref(news);
+	}
+
+	void Send(size_t from, size_t to, const GArray *losses)
+	{
+		struct node *node = &nodes[to];
+
+		sent++;
+		if (from == to || nodes[from].is_cut != node->is_cut ||
+		    Draw() < loss_share)
+			return;
+		for (guint i = 0; i < losses->len; i++)
+			if (quarantine_merge(
+				    node->quarantine,
+				    &g_array_index(losses, struct peer_loss, i),
+				    now_us))
+				node->pace.changed_us = now_us;
+	}
+
+	double Draw()
+	{
+		return std::uniform_real_distribution<>(0, 1)(random);
+	}
+
+	double loss_share;
+	std::mt19937 random;
+};
+
+class QuarantineFleetSize : public testing::TestWithParam<size_t>
+{
+};
+
+/* Guards against a node that sends on what ended endpoints of other nodes. */
+TEST_P(QuarantineFleetSize, EachNodeHoldsWhatEndedEndpointsOfOthers)
+{
+	size_t count = GetParam();
+	QuarantineFleet fleet(count, 0.3);
+
+	fleet.End(0, 1, 1);
+	fleet.End(count / 2, 1, 2);
+	fleet.End(count - 1, 1, 3);
+	fleet.Run(known_within_us);
+	EXPECT_EQ(count, fleet.HeldAt(1));
+}
+
+/* Guards against a node behind a cut, restarted or new that never learns it. */
+TEST_P(QuarantineFleetSize, NodesThatReturnOrJoinLearnIt)
+{
+	size_t count = GetParam();
+	QuarantineFleet fleet(count, 0.3);
+	size_t cut = count / 3;
+
+	for (size_t i = 0; i < cut; i++)
+		fleet.nodes[i].is_cut = true;
+	for (uint64_t endpoint = 1; endpoint <= 3; endpoint++)
+		fleet.End(count - 1, 1, endpoint);
+	fleet.Run(20 * second_us);
+	EXPECT_EQ(count - cut, fleet.HeldAt(1));
+	for (size_t i = 0; i < cut; i++)
+		fleet.nodes[i].is_cut = false;
+	fleet.Restart(cut);
+	fleet.Join();
+	fleet.Run(known_within_us);
+	EXPECT_EQ(count + 1, fleet.HeldAt(1));
+}
+
+/* Guards against a request that is held at some nodes though it was answered
+ * whole at another. */
+TEST_P(QuarantineFleetSize, AWholeAnswerReleasesItEverywhere)
+{
+	size_t count = GetParam();
+	QuarantineFleet fleet(count, 0.3);
+
+	for (uint64_t endpoint = 1; endpoint <= 3; endpoint++)
+		fleet.End(0, 1, endpoint);
+	fleet.Run(known_within_us);
+	EXPECT_EQ(count, fleet.HeldAt(1));
+	quarantine_report_success(fleet.nodes[count - 1].quarantine, 1,
+				  fleet.now_us);
+	fleet.Run(known_within_us);
+	EXPECT_EQ(0u, fleet.HeldAt(1));
+}
+
+INSTANTIATE_TEST_SUITE_P(Nodes, QuarantineFleetSize,
+			 testing::Values(7, 30, 480));
+
+/* Guards against news that go round without end: a quiet fleet sends one record
+ * a node and second. */
+TEST(QuarantineFleetLoad, QuietNodesSendLittle)
+{
+	QuarantineFleet fleet(30, 0);
+
+	for (uint64_t endpoint = 1; endpoint <= 3; endpoint++)
+		fleet.End(0, 1, endpoint);
+	fleet.Run(10 * second_us);
+	fleet.sent = 0;
+	fleet.Run(10 * second_us);
+	EXPECT_LE(fleet.sent, 30u * 11);
+}
+
+/*
+ * Requests of a service whose endpoints end for several reasons. Each endpoint
+ * runs a few at once; a run that its endpoint breaks off is sent once more.
+ */
+class QuarantineInnocents : public testing::TestWithParam<uint64_t>
+{
+      protected:
+	static constexpr uint64_t poison = 1;
+	static constexpr uint64_t popular = 2;
+	static constexpr size_t endpoint_count = 6;
+	static constexpr size_t requests = 20000;
+
+	struct request {
+		uint64_t fingerprint;
+		int sends;
+		int64_t ends_us;
+	};
+
+	std::mt19937 random{GetParam()};
+	struct quarantine *quarantine;
+	std::vector<std::vector<struct request>> running{endpoint_count};
+	std::vector<uint64_t> keys;
+	std::vector<int64_t> back_us = std::vector<int64_t>(endpoint_count, 0);
+	uint64_t next_key = 100;
+	uint64_t next_fingerprint = 1000;
+	int64_t now_us = second_us;
+	size_t innocents = 0;
+	size_t refused = 0;
+	size_t ended_by_poison = 0;
+
+	void SetUp() override
+	{
+		struct quarantine_options options;
+
+		quarantine_options_default(&options);
+		quarantine = quarantine_create(&options);
+		for (size_t i = 0; i < endpoint_count; i++)
+			keys.push_back(next_key++);
+	}
+
+	void TearDown() override
+	{
+		quarantine_destroy(quarantine);
+	}
+
+	size_t Pick(size_t count)
+	{
+		return std::uniform_int_distribution<size_t>(0,
+							     count - 1)(random);
+	}
+
+	void Send(struct request request)
+	{
+		size_t i = Pick(endpoint_count);
+
+		if (quarantine_until_us(quarantine, request.fingerprint,
+					now_us)) {
+			refused += request.fingerprint != poison;
+			return;
+		}
+		for (size_t n = 0; n < endpoint_count && back_us[i] > now_us;
+		     n++)
+			i = (i + 1) % endpoint_count;
+		if (back_us[i] > now_us)
+			return;
+		request.sends++;
+		request.ends_us = now_us + 30 * ms_us + (int64_t)Pick(60000);
+		running[i].push_back(request);
+	}
+
+	/* The endpoint breaks off some runs; if it ends, all of them. */
+	void Break(size_t i, bool ends)
+	{
+		std::vector<struct request> lost;
+
+		lost.swap(running[i]);
+		for (const struct request &request : lost) {
+			struct quarantine_run run = {request.fingerprint, 1,
+						     keys[i]};
+
+			quarantine_report_loss(quarantine, &run, now_us);
+		}
+		if (ends) {
+			quarantine_report_end(quarantine, keys[i], now_us);
+			back_us[i] = now_us + 3 * second_us;
+			keys[i] = next_key++;
+		}
+		for (const struct request &request : lost)
+			if (request.sends < 2)
+				Send(request);
+	}
+
+	void Finish(size_t i)
+	{
+		std::vector<struct request> left;
+		bool crashes = false;
+
+		for (const struct request &request : running[i]) {
+			if (request.ends_us > now_us) {
+				left.push_back(request);
+				continue;
+			}
+			if (request.fingerprint == poison) {
+				left.push_back(request);
+				crashes = true;
+				continue;
+			}
+			struct quarantine_answer answer = {keys[i], 0, now_us};
+
+			quarantine_report_answer(quarantine, &answer, now_us);
+			quarantine_report_success(quarantine,
+						  request.fingerprint, now_us);
+		}
+		running[i].swap(left);
+		if (!crashes)
+			return;
+		ended_by_poison++;
+		Break(i, true);
+	}
+
+	void Play(const std::function<void()> &trouble)
+	{
+		for (size_t n = 0; n < requests; n++) {
+			uint64_t fingerprint = next_fingerprint++;
+
+			now_us += 5 * ms_us;
+			for (size_t i = 0; i < endpoint_count; i++)
+				Finish(i);
+			if (n % 200 == 7)
+				fingerprint = poison;
+			else if (n % 20 == 0)
+				fingerprint = popular;
+			innocents += fingerprint != poison;
+			Send({fingerprint, 0, 0});
+			trouble();
+		}
+		EXPECT_LE((double)refused, (double)innocents / 1000)
+			<< "refused though innocent";
+		EXPECT_LE(ended_by_poison, 3u + 3) << "three, and three more";
+		EXPECT_TRUE(quarantine_until_us(quarantine, poison, now_us));
+		EXPECT_FALSE(quarantine_until_us(quarantine, popular, now_us));
+	}
+};
+
+/* Guards against refusing what only ran beside a request that ends endpoints.
+ */
+TEST_P(QuarantineInnocents, BesideARequestThatEndsEndpoints)
+{
+	Play([] {});
+}
+
+/* Guards against refusing what was lost with a whole failure domain. */
+TEST_P(QuarantineInnocents, WhenAFailureDomainEnds)
+{
+	Play([this] {
+		if (Pick(1000) != 0)
+			return;
+		for (size_t i = 0; i < endpoint_count / 3; i++)
+			if (back_us[i] <= now_us)
+				Break(i, true);
+	});
+}
+
+/* Guards against refusing what endpoints that go on have reset. */
+TEST_P(QuarantineInnocents, WhenEndpointsResetHalfOfTheirRequests)
+{
+	Play([this] {
+		size_t i = Pick(endpoint_count / 2);
+
+		if (back_us[i] <= now_us && Pick(5) == 0)
+			Break(i, false);
+	});
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, QuarantineInnocents,
+			 testing::Range((uint64_t)1, (uint64_t)9));
+
+/* Guards against a node that is cut off and takes endpoints for ended. */
+TEST(EndpointEnd, ARefusalCountsOnlyIfAnotherEndpointIsHeard)
+{
+	struct endpoint_end_input input = {};
+
+	input.lost_us = 10 * second_us;
+	input.now_us = 11 * second_us;
+	input.is_registered = true;
+	EXPECT_EQ(ENDPOINT_END_UNKNOWN, endpoint_end_decide(&input));
+	input.refused_us = 10 * second_us + 1;
+	input.heard_other_us = 10 * second_us - 1;
+	EXPECT_EQ(ENDPOINT_END_UNKNOWN, endpoint_end_decide(&input));
+	input.heard_other_us = 10 * second_us + 1;
+	EXPECT_EQ(ENDPOINT_END_CONFIRMED, endpoint_end_decide(&input));
+	input.refused_us = 9 * second_us;
+	EXPECT_EQ(ENDPOINT_END_UNKNOWN, endpoint_end_decide(&input))
+		<< "refused before it broke off the run";
+	input.now_us = 26 * second_us;
+	EXPECT_EQ(ENDPOINT_END_GIVEN_UP, endpoint_end_decide(&input));
+	input.is_registered = false;
+	EXPECT_EQ(ENDPOINT_END_CONFIRMED, endpoint_end_decide(&input));
+}
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -30,7 +30,7 @@
 	EXPECT_FALSE(quarantine_report_crash(quarantine, 1, "a:1", 10));
 	EXPECT_FALSE(quarantine_report_crash(quarantine, 2, "a:1", 10));
 	EXPECT_TRUE(quarantine_is_suspect(quarantine, 2, 11));
-	quarantine_report_success(quarantine, 2);
+	quarantine_report_success(quarantine, 2, 11);
 	EXPECT_TRUE(quarantine_report_crash(quarantine, 1, "b:1", 20));
 	EXPECT_FALSE(quarantine_report_crash(quarantine, 2, "b:1", 20));
 	EXPECT_EQ(20 + options.hold_us, quarantine_until_us(quarantine, 1, 21));
@@ -62,6 +62,7 @@
 	for (uint64_t i = 0; i < 1000; i++) {
 		quarantine_report_crash(quarantine, i, "a:1", 0);
 		quarantine_report_crash(quarantine, i, "b:1", 0);
+		quarantine_report_crash(quarantine, i, "c:1", 0);
 		quarantine_report_crash(quarantine, 5000 + i, "a:1", 0);
 	}
 	EXPECT_EQ(16u, quarantine_count(quarantine));
@@ -77,6 +78,192 @@
 	EXPECT_FALSE(quarantine_report_crash(quarantine, 7, "e1", 1000));
 	EXPECT_TRUE(quarantine_report_crash(quarantine, 7, "e2", 2000));
 	EXPECT_NE(0, quarantine_until_us(quarantine, 7, 3000));
-	quarantine_report_success(quarantine, 7);
+	quarantine_report_success(quarantine, 7, 3000);
 	EXPECT_EQ(0, quarantine_until_us(quarantine, 7, 3000));
 }
+
+/* Losses and answers of one table, as a text of what is held. */
+class QuarantineEvidence : public Quarantine
+{
+      protected:
+	void lose(uint64_t fingerprint, uint64_t endpoint, double at_s,
+		  uint64_t owner = 1)
+	{
+		struct quarantine_run run = {fingerprint, owner, endpoint};
+
+		quarantine_report_loss(quarantine, &run, us(at_s));
+	}
+
+	void end(uint64_t endpoint, double at_s)
+	{
+		quarantine_report_end(quarantine, endpoint, us(at_s));
+	}
+
+	/* The endpoint, started at 0, answers what was sent at sent_s. */
+	void answer(uint64_t endpoint, double sent_s, double started_s = 0)
+	{
+		struct quarantine_answer answer = {endpoint, us(started_s),
+						   us(sent_s)};
+
+		quarantine_report_answer(quarantine, &answer, us(sent_s));
+	}
+
+	bool is_held(uint64_t fingerprint, double at_s)
+	{
+		return quarantine_until_us(quarantine, fingerprint, us(at_s)) >
+		       0;
+	}
+
+	static int64_t us(double s)
+	{
+		return (int64_t)(s * G_USEC_PER_SEC);
+	}
+};
+
+/* Guards against holding what broken connections, not ended endpoints, lost. */
+TEST_F(QuarantineEvidence, BrokenConnectionsHoldNothing)
+{
+	for (uint64_t endpoint = 1; endpoint <= 4; endpoint++)
+		lose(1, endpoint, 1);
+	EXPECT_FALSE(is_held(1, 2));
+	EXPECT_FALSE(quarantine_is_suspect(quarantine, 1, us(2)));
+	end(1, 2);
+	EXPECT_FALSE(is_held(1, 2));
+	end(2, 2);
+	EXPECT_TRUE(is_held(1, 2));
+}
+
+/* Guards against a node that is cut off and takes all endpoints for ended. */
+TEST_F(QuarantineEvidence, AnAnswerRefutesAnEnd)
+{
+	lose(1, 1, 1);
+	lose(1, 2, 1);
+	end(1, 1.1);
+	end(2, 1.1);
+	EXPECT_TRUE(is_held(1, 2));
+	answer(2, 0.9);
+	EXPECT_TRUE(is_held(1, 2)) << "sent before the end";
+	answer(2, 1.5, 1.2);
+	EXPECT_TRUE(is_held(1, 2)) << "of a new start under the same id";
+	answer(2, 1.5);
+	EXPECT_FALSE(is_held(1, 2));
+	lose(1, 2, 3);
+	end(2, 3.1);
+	EXPECT_TRUE(is_held(1, 4)) << "it ends later, under the request";
+}
+
+/* Guards against holding requests that ran beside one that ends endpoints. */
+TEST_F(QuarantineEvidence, SharedLossesNeedOneMore)
+{
+	for (uint64_t endpoint : {1, 2}) {
+		lose(1, endpoint, (double)endpoint);
+		lose(2, endpoint, (double)endpoint);
+		end(endpoint, (double)endpoint);
+	}
+	EXPECT_FALSE(is_held(1, 3)) << "either may have ended both";
+	EXPECT_FALSE(is_held(2, 3));
+	lose(1, 3, 3);
+	end(3, 3);
+	EXPECT_TRUE(is_held(1, 3));
+	EXPECT_FALSE(is_held(2, 3));
+}
+
+/* Guards against holding a popular request that runs at every endpoint. */
+TEST_F(QuarantineEvidence, WhatIsAnsweredWholeEndsNothing)
+{
+	quarantine_report_success(quarantine, 7, us(1));
+	for (uint64_t endpoint = 1; endpoint <= 4; endpoint++) {
+		lose(7, endpoint, 1 + (double)endpoint);
+		lose(8, endpoint, 1 + (double)endpoint);
+		end(endpoint, 1 + (double)endpoint);
+	}
+	EXPECT_FALSE(is_held(7, 6)) << "answered shortly before";
+	EXPECT_TRUE(is_held(8, 6));
+	for (uint64_t endpoint = 11; endpoint <= 13; endpoint++) {
+		lose(7, endpoint, 20);
+		end(endpoint, 20);
+	}
+	EXPECT_TRUE(is_held(7, 21)) << "long after its last whole answer";
+	quarantine_report_success(quarantine, 7, us(22));
+	EXPECT_FALSE(is_held(7, 22));
+}
+
+/* Guards against a request that ends two more endpoints after its quarantine.
+ */
+TEST_F(QuarantineEvidence, OneRunTriesAgainAfterTheHold)
+{
+	double hold_s = (double)options.hold_us / G_USEC_PER_SEC;
+
+	for (uint64_t endpoint : {1, 2}) {
+		lose(1, endpoint, 1);
+		end(endpoint, 1);
+	}
+	EXPECT_EQ(QUARANTINE_HELD, quarantine_judge(quarantine, 1, us(hold_s)));
+	EXPECT_EQ(QUARANTINE_TRIAL,
+		  quarantine_judge(quarantine, 1, us(hold_s + 2)));
+	quarantine_begin_trial(quarantine, 1, us(hold_s + 2));
+	EXPECT_EQ(QUARANTINE_HELD,
+		  quarantine_judge(quarantine, 1, us(hold_s + 3)))
+		<< "one run at a time";
+	lose(1, 3, hold_s + 4);
+	end(3, hold_s + 4);
+	EXPECT_TRUE(is_held(1, hold_s + 70)) << "one more end is enough";
+	EXPECT_EQ(QUARANTINE_TRIAL,
+		  quarantine_judge(quarantine, 1, us(2 * hold_s + 10)));
+	quarantine_begin_trial(quarantine, 1, us(2 * hold_s + 10));
+	quarantine_report_success(quarantine, 1, us(2 * hold_s + 11));
+	EXPECT_EQ(QUARANTINE_NONE,
+		  quarantine_judge(quarantine, 1, us(2 * hold_s + 11)));
+}
+
+/* Guards against an end that is counted twice where an endpoint restarts under
+ * its id, and against one that is forgotten there. */
+TEST_F(QuarantineEvidence, ARestartUnderTheSameIdIsTheSameEndpoint)
+{
+	lose(1, 1, 1);
+	end(1, 1.1);
+	lose(1, 1, 5);
+	EXPECT_TRUE(quarantine_is_suspect(quarantine, 1, us(5)));
+	end(1, 5.1);
+	EXPECT_FALSE(is_held(1, 6));
+	lose(1, 2, 6);
+	end(2, 6.1);
+	EXPECT_TRUE(is_held(1, 7));
+}
+
+TEST_F(QuarantineEvidence, AnOperatorLiftsIt)
+{
+	EXPECT_FALSE(quarantine_lift(quarantine, 1, us(1)));
+	for (uint64_t endpoint : {1, 2}) {
+		lose(1, endpoint, 1);
+		end(endpoint, 1);
+	}
+	EXPECT_TRUE(quarantine_lift(quarantine, 1, us(2)));
+	EXPECT_FALSE(is_held(1, 2));
+	for (uint64_t endpoint : {3, 4}) {
+		lose(1, endpoint, 2.5);
+		end(endpoint, 2.5);
+	}
+	EXPECT_TRUE(is_held(1, 3)) << "what comes after that counts";
+}
+
+/* Guards against a caller that varies its requests and so pushes out those of
+ * other organisations. */
+TEST_F(QuarantineEvidence, AFloodEvictsItsOwnOnly)
+{
+	lose(1, 1, 1, 1);
+	end(1, 1);
+	for (uint64_t i = 0; i < 1000; i++) {
+		lose(100 + i, 50, 2, 2);
+		end(50, 2);
+		for (uint64_t endpoint = 51; endpoint < 54; endpoint++) {
+			lose(2000 + i, endpoint, 2, 2);
+			end(endpoint, 2);
+		}
+	}
+	EXPECT_LE(quarantine_count(quarantine), 16u);
+	EXPECT_TRUE(quarantine_is_suspect(quarantine, 1, us(3)));
+	lose(1, 2, 3, 1);
+	end(2, 3);
+	EXPECT_TRUE(is_held(1, 3));
+}
