--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -9,6 +9,8 @@
 #include "core/gateway/store_watch.h"
 #include "core/gateway/route_table.h"
 #include "core/membership/membership.h"
+#include "ports/action.h"
+#include "ports/event.h"
 #include "ports/peer_message.h"
 
 #include <glib.h>
@@ -91,6 +93,11 @@
 void gateway_receive_peer(struct gateway *gateway,
 			  const struct peer_message *message);
 
+/* Queries of operators about requests in quarantine. */
+void gateway_answer_query(struct gateway *gateway,
+			  const struct event_query *query,
+			  struct action_list *actions);
+
 int64_t gateway_now_us(void);
 
 G_END_DECLS
--- a/adapters/gateway/gateway_losses.c
+++ b/adapters/gateway/gateway_losses.c
@@ -1,4 +1,5 @@
 #include "adapters/gateway/gateway_state.h"
+#include "core/limit/quarantine_query.h"
 #include "core/placement/home.h"
 
 #include <inttypes.h>
@@ -218,3 +219,17 @@
 	}
 	return false;
 }
+
+/* Appends the answer to a query, and logs what an operator changes. */
+void gateway_answer_query(struct gateway *gateway,
+			  const struct event_query *query,
+			  struct action_list *actions)
+{
+	gateway->now_us = gateway_now_us();
+	if (query->type == QUERY_LIFT)
+		log_write(gateway->log, LOG_LEVEL_INFO, "quarantine_lift",
+			  "fingerprint", query->fingerprint, "operator",
+			  query->operator_name, NULL);
+	quarantine_answer_query(gateway->quarantine, query, gateway->now_us,
+				actions);
+}
--- a/adapters/http_route.c
+++ b/adapters/http_route.c
@@ -11,6 +11,8 @@
 
 #define PLAN_PREFIX "/admin/v1/plans/"
 #define CONFIRM_SUFFIX "/confirm"
+#define QUARANTINE_PREFIX "/admin/v1/quarantine/"
+#define LIFT_SUFFIX "/lift"
 
 static void server_refuse_error(struct http_server *server,
 				SoupServerMessage *message,
@@ -43,16 +45,12 @@
 
 static void server_deliver_query(struct http_server *server,
 				 SoupServerMessage *message,
-				 enum query_type type, const char *plan_id,
-				 GBytes *body)
+				 const struct event_query *query)
 {
 	const char *name = http_request_operator(message);
-	struct event event = {.type = EVENT_QUERY};
+	struct event event = {.type = EVENT_QUERY, .query = *query};
 
-	event.query.type = type;
 	event.query.operator_name = name ? name : "";
-	event.query.plan_id = plan_id;
-	event.query.body = body;
 	event.query.call = http_server_open_call(server, message, false, false);
 	http_server_deliver(server, &event);
 }
@@ -81,39 +79,67 @@
 			   SoupServerMessage *message)
 {
 	GBytes *body = http_uploads_take_body(message);
+	const struct event_query query = {.type = QUERY_PLAN, .body = body};
 
 	if (http_request_operator(message))
-		server_deliver_query(server, message, QUERY_PLAN, NULL, body);
+		server_deliver_query(server, message, &query);
 	else
 		http_server_refuse(server, message,
 				   &http_problem_operator_name);
 	g_bytes_unref(body);
 }
 
-static void server_on_confirm(struct http_server *server,
-			      SoupServerMessage *message)
+/*
+ * Returns the id between prefix and suffix of the path, which the caller frees.
+ * Refuses the message and returns NULL if the path has none, or if no operator
+ * is named.
+ */
+static char *server_read_id(struct http_server *server,
+			    SoupServerMessage *message, const char *prefix,
+			    const char *suffix)
 {
 	const char *path = g_uri_get_path(soup_server_message_get_uri(message));
-	const char *start = path + strlen(PLAN_PREFIX);
+	const char *start = path + strlen(prefix);
 	char *escaped, *id;
 
-	if (!g_str_has_suffix(start, CONFIRM_SUFFIX)) {
+	if (!g_str_has_suffix(start, suffix)) {
 		http_server_refuse(server, message, &http_problem_not_found);
-		return;
+		return NULL;
 	}
 	if (!http_request_operator(message)) {
 		http_server_refuse(server, message,
 				   &http_problem_operator_name);
-		return;
+		return NULL;
 	}
-	escaped = g_strndup(start, strlen(start) - strlen(CONFIRM_SUFFIX));
+	escaped = g_strndup(start, strlen(start) - strlen(suffix));
 	id = g_uri_unescape_string(escaped, NULL);
-	if (id)
-		server_deliver_query(server, message, QUERY_CONFIRM, id, NULL);
-	else
+	if (!id)
 		http_server_refuse(server, message, &http_problem_not_found);
-	g_free(id);
 	g_free(escaped);
+	return id;
+}
+
+static void server_on_confirm(struct http_server *server,
+			      SoupServerMessage *message)
+{
+	char *id = server_read_id(server, message, PLAN_PREFIX, CONFIRM_SUFFIX);
+	struct event_query query = {.type = QUERY_CONFIRM, .plan_id = id};
+
+	if (id)
+		server_deliver_query(server, message, &query);
+	g_free(id);
+}
+
+static void server_on_lift(struct http_server *server,
+			   SoupServerMessage *message)
+{
+	char *id =
+		server_read_id(server, message, QUARANTINE_PREFIX, LIFT_SUFFIX);
+	struct event_query query = {.type = QUERY_LIFT, .fingerprint = id};
+
+	if (id)
+		server_deliver_query(server, message, &query);
+	g_free(id);
 }
 
 static void server_on_metrics(struct http_server *server,
@@ -145,6 +171,8 @@
 	{"GET", "/admin/v1/history", true, .query = QUERY_HISTORY},
 	{"POST", "/admin/v1/plans", true, .run = server_on_plan},
 	{"POST", PLAN_PREFIX, true, .run = server_on_confirm},
+	{"GET", "/admin/v1/quarantine", true, .query = QUERY_QUARANTINE},
+	{"POST", QUARANTINE_PREFIX, true, .run = server_on_lift},
 };
 
 static const struct route *route_find(const char *path)
@@ -209,11 +237,16 @@
 	const struct route *route = route_find(g_uri_get_path(uri));
 	const struct http_problem *problem =
 		server_check_route(server, message, route);
+	struct event_query query = {0};
 
-	if (problem)
+	if (problem) {
 		http_server_refuse(server, message, problem);
-	else if (route->run)
+		return;
+	}
+	if (route->run) {
 		route->run(server, message);
-	else
-		server_deliver_query(server, message, route->query, NULL, NULL);
+		return;
+	}
+	query.type = route->query;
+	server_deliver_query(server, message, &query);
 }
--- a/core/node/node_query.c
+++ b/core/node/node_query.c
@@ -1,6 +1,7 @@
 #include "core/node/node_state.h"
 
 #include "core/json/variant_json.h"
+#include "core/limit/quarantine_query.h"
 #include "core/once/request_id.h"
 
 #include <string.h>
@@ -100,5 +101,10 @@
 		plan_book_send_history(event->call, node->config,
 				       node->actions);
 		break;
+	case QUERY_QUARANTINE:
+	case QUERY_LIFT:
+		quarantine_answer_query(node->quarantine, event, node->now_us,
+					node->actions);
+		break;
 	}
 }
--- a/daemons/ctl_command.c
+++ b/daemons/ctl_command.c
@@ -116,6 +116,32 @@
 	}
 }
 
+static void print_held(JsonObject *answer, FILE *out)
+{
+	JsonArray *held = json_member_array(answer, "held");
+
+	for (guint i = 0; held && i < json_array_get_length(held); i++) {
+		JsonObject *request = json_element_object(held, i);
+
+		if (!request)
+			continue;
+		print_text(out, get_string(request, "fingerprint"));
+		fprintf(out,
+			"  ended %" G_GINT64_FORMAT
+			" endpoints, the last %" G_GINT64_FORMAT
+			" s ago; held for %" G_GINT64_FORMAT " s\n",
+			get_int(request, "ended_endpoints"),
+			get_int(request, "last_end_s_ago"),
+			get_int(request, "held_for_s"));
+	}
+}
+
+static void print_lifted(JsonObject *answer, FILE *out)
+{
+	print_text(out, get_string(answer, "fingerprint"));
+	fputs(" may run again; nodes tell each other within seconds\n", out);
+}
+
 static const struct ctl_command commands[] = {
 	{.name = "nodes",
 	 .method = "GET",
@@ -157,6 +183,21 @@
 	 .needs_key = true,
 	 .print = print_history,
 	 .help = "who confirmed what"},
+	{.name = "held",
+	 .method = "GET",
+	 .path = "/admin/v1/quarantine",
+	 .needs_key = true,
+	 .print = print_held,
+	 .help = "requests refused because endpoints ended under them"},
+	{.name = "lift",
+	 .argument = "FINGERPRINT",
+	 .method = "POST",
+	 .path = "/admin/v1/quarantine/%s/lift",
+	 .needs_key = true,
+	 .needs_operator = true,
+	 .may_change = true,
+	 .print = print_lifted,
+	 .help = "lets such a request run again, at all nodes"},
 };
 
 /* Returns the command with this name, or NULL. */
@@ -173,7 +214,7 @@
 void ctl_command_print_list(FILE *out)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
-		fprintf(out, "  %-8s %-8s %s\n", commands[i].name,
+		fprintf(out, "  %-8s %-11s %s\n", commands[i].name,
 			commands[i].argument ? commands[i].argument : "",
 			commands[i].help);
 }
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -426,3 +426,11 @@
 {
 	gateway_drain(wiring->gateway);
 }
+
+/* Appends the answer to an operator's query to the actions. */
+void gateway_wiring_answer_query(struct gateway_wiring *wiring,
+				 const struct event_query *query,
+				 struct action_list *actions)
+{
+	gateway_answer_query(wiring->gateway, query, actions);
+}
--- a/daemons/gateway_wiring.h
+++ b/daemons/gateway_wiring.h
@@ -7,6 +7,8 @@
 #include "core/base/counters.h"
 #include "core/base/error.h"
 #include "core/membership/membership.h"
+#include "ports/action.h"
+#include "ports/event.h"
 #include "ports/peer_message.h"
 
 #include <glib.h>
@@ -46,6 +48,9 @@
 				 const struct peer_message *message);
 void gateway_wiring_reload(struct gateway_wiring *wiring,
 			   const struct gateway_settings *settings);
+void gateway_wiring_answer_query(struct gateway_wiring *wiring,
+				 const struct event_query *query,
+				 struct action_list *actions);
 void gateway_wiring_drain(struct gateway_wiring *wiring);
 
 G_END_DECLS
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -1,5 +1,6 @@
 #include "daemons/node_loop_state.h"
 
+#include "core/limit/quarantine_query.h"
 #include "daemons/version.h"
 
 #include <glib-unix.h>
@@ -162,11 +163,25 @@
 		event->peer->type == PEER_QUARANTINE);
 }
 
+static void loop_answer_from_gateway(struct node_loop *loop,
+				     const struct event_query *query)
+{
+	g_assert(!loop->stepping);
+	loop->stepping = true;
+	gateway_wiring_answer_query(loop->gateway, query, loop->actions);
+	loop_apply(loop);
+	loop->stepping = false;
+}
+
 /* Delivers an adapter's event to the gateway, or to the core as a step. */
 void node_loop_deliver(void *data, const struct event *event)
 {
 	struct node_loop *loop = data;
 
+	if (loop->gateway && quarantine_is_query(event)) {
+		loop_answer_from_gateway(loop, &event->query);
+		return;
+	}
 	if (loop->gateway && event_is_for_gateway(event)) {
 		gateway_wiring_receive_peer(loop->gateway, event->peer);
 		return;
--- a/ports/event.h
+++ b/ports/event.h
@@ -56,12 +56,14 @@
 };
 
 enum query_type {
-	QUERY_NODES,   /* GET /v1/nodes */
-	QUERY_DUMP,    /* GET /admin/v1/dump */
-	QUERY_CONFIG,  /* GET /admin/v1/config */
-	QUERY_PLAN,    /* POST /admin/v1/plans, body: an intent in JSON */
-	QUERY_CONFIRM, /* POST /admin/v1/plans/ID/confirm */
-	QUERY_HISTORY  /* GET /admin/v1/history */
+	QUERY_NODES,	  /* GET /v1/nodes */
+	QUERY_DUMP,	  /* GET /admin/v1/dump */
+	QUERY_CONFIG,	  /* GET /admin/v1/config */
+	QUERY_PLAN,	  /* POST /admin/v1/plans, body: an intent in JSON */
+	QUERY_CONFIRM,	  /* POST /admin/v1/plans/ID/confirm */
+	QUERY_HISTORY,	  /* GET /admin/v1/history */
+	QUERY_QUARANTINE, /* GET /admin/v1/quarantine */
+	QUERY_LIFT	  /* POST /admin/v1/quarantine/FINGERPRINT/lift */
 };
 
 struct event_query {
@@ -69,6 +71,7 @@
 	enum query_type type;
 	const char *operator_name; /* "" if a caller queries */
 	const char *plan_id;	   /* QUERY_CONFIRM */
+	const char *fingerprint;   /* QUERY_LIFT: 16 hexadecimal digits */
 	GBytes *body;		   /* QUERY_PLAN: the intent; else NULL */
 };
 
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -99,6 +99,8 @@
 		http_address = "${https[$1]}"
 		peer_address = "${peers[$1]}"
 		seeds = [${seeds:-"\"${peers[0]}\", \"${peers[1]}\""}]
+		[keys]
+		operator_key = "$operator_key"
 		[gateway]
 		address = "${fronts[$1]}"
 		ready_address = "${readies[$1]}"
@@ -770,6 +772,40 @@
 		[ $(($(state 3 runs) + $(state 4 runs))) = "$before" ] ||
 		fail "another endpoint ran it"
 	answers 1 /lookup/a 200 || fail "another request was held as well"
+	lifts_quarantine /lookup/p
+}
+
+# An operator sees at one node what is held, lifts it there, and the other node
+# lets it run again.
+lifts_quarantine() { # PATH
+	local held
+
+	[ "$failures" = 0 ] || return 0
+	held=$(ctl 0 held)
+	case $held in
+	*"ended 2 endpoints"*) ;;
+	*) fail "held: $held" ;;
+	esac
+	held=${held%% *}
+	ctl 0 lift 0123456789abcdef 2>/dev/null &&
+		fail "lifted what is not held"
+	ctl 0 lift "$held" >/dev/null || fail "it can't be lifted"
+	ran() {
+		[ "$(lookup_poison 1 "$1")" = 502 ]
+	}
+	until_true ran "$1" || fail "it is still refused"
+	for i in 3 4; do
+		start_backend "$i" portal --plain
+	done
+	until_true answers 1 /lookup/a 200 || fail "nothing is served"
+}
+
+ctl() { # NODE COMMAND...
+	local node=$1
+
+	shift
+	SISKINLINK_OPERATOR_KEY=$operator_key "$bin/siskinlinkctl" \
+		--address "${https[$node]}" --operator tests "$@"
 }
 
 # The engine crashes a few ms after it received the report, as on a request that
