--- /dev/null
+++ b/tests/gateway_pair.cc
@@ -0,0 +1,374 @@
+#include "tests/gateway_pair.h"
+
+#include "adapters/gateway/listener.h"
+#include "platform/platform.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+static std::string free_address()
+{
+	Listener listener;
+
+	return listener.address();
+}
+
+static void on_endpoint_request(void *data, struct caller *caller,
+				struct http_head *head, GByteArray *body)
+{
+	PairEndpoint *endpoint = (PairEndpoint *)data;
+	const char *id = http_head_get(head, "X-Siskinlink-Request-Id");
+	std::string fields =
+		std::string("X-Siskinlink-Request-Id: ") + (id ? id : "") +
+		"\r\nX-Siskinlink-Engine-Stamp: " + endpoint->id + "\r\n";
+
+	endpoint->runs[id ? id : ""]++;
+	endpoint->seen.clear();
+	for (guint i = 0; i < head->fields->len; i++) {
+		const struct http_field *field =
+			&g_array_index(head->fields, struct http_field, i);
+
+		endpoint->seen +=
+			std::string(field->name) + ": " + field->value + "\n";
+	}
+	http_head_destroy(head);
+	g_byte_array_unref(body);
+	if (endpoint->events > 0) {
+		std::string text = "HTTP/1.1 200 OK\r\n" + fields +
+				   "Content-Type: text/event-stream\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n";
+
+		for (int i = 0; i < endpoint->events; i++) {
+			std::string event =
+				"id: " + std::to_string(i) + "\ndata: x\n\n";
+			char size[16];
+
+			snprintf(size, sizeof(size), "%zx\r\n", event.size());
+			text += size + event + "\r\n";
+		}
+		caller_send(caller, text.data(), text.size());
+		if (!endpoint->is_silent) {
+			caller_send(caller, "0\r\n\r\n", 5);
+			caller_end_answer(caller, false);
+			return;
+		}
+	}
+	if (endpoint->is_silent) {
+		endpoint->unanswered = caller;
+		caller_attach_request(caller, endpoint);
+		return;
+	}
+	caller_answer(caller, 200, fields.c_str(), "answer", 6);
+}
+
+static void on_endpoint_gone(void *data, void *request)
+{
+	(void)request;
+	((PairEndpoint *)data)->gone++;
+}
+
+PairEndpoint::PairEndpoint(const std::string &id)
+    : id(id), address(free_address())
+{
+	struct caller_handler handler = {};
+	struct error error;
+
+	handler.request = on_endpoint_request;
+	handler.gone = on_endpoint_gone;
+	handler.data = this;
+	callers = caller_set_create(&handler, 1000);
+	listener = listener_create(address.c_str(), callers, &error);
+	EXPECT_NE(nullptr, listener) << error.detail;
+}
+
+PairEndpoint::~PairEndpoint()
+{
+	listener_destroy(listener);
+	caller_set_destroy(callers);
+}
+
+/* Connections to a listener whose queue is full get no answer. */
+DeadAddress::DeadAddress(enum pair_cut cut) : address(free_address())
+{
+	struct sockaddr_in to = {};
+	int fd;
+
+	if (cut == CUT_REFUSED)
+		return;
+	to.sin_family = AF_INET;
+	to.sin_port = htons(
+		(uint16_t)std::stoi(address.substr(address.find(':') + 1)));
+	inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	sockets.push_back(fd);
+	EXPECT_EQ(0, bind(fd, (struct sockaddr *)&to, sizeof(to)));
+	EXPECT_EQ(0, listen(fd, 0));
+	for (int i = 0; i < 4; i++) {
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		sockets.push_back(fd);
+		(void)connect(fd, (struct sockaddr *)&to, sizeof(to));
+	}
+}
+
+DeadAddress::~DeadAddress()
+{
+	for (int fd : sockets)
+		close(fd);
+}
+
+void GatewayPair::on_send(void *data, const GPtrArray *addresses,
+			  struct peer_message *message)
+{
+	struct node *from = (struct node *)data;
+	std::vector<std::string> to;
+
+	message->from = g_strdup(from->name.c_str());
+	message->from_address = g_strdup(from->peer_address.c_str());
+	message->incarnation = 1;
+	for (guint i = 0; i < addresses->len; i++)
+		to.push_back((const char *)addresses->pdata[i]);
+	from->test->sent.push_back({to, message});
+}
+
+/* Delivers what was sent up to now; answers to it come with the next call. */
+gboolean GatewayPair::Deliver(gpointer data)
+{
+	GatewayPair *test = (GatewayPair *)data;
+	std::vector<struct sent_message> sent;
+
+	sent.swap(test->sent);
+	for (const struct sent_message &item : sent) {
+		for (const std::string &address : item.to)
+			for (auto &node : test->nodes)
+				if (node->gateway &&
+				    node->peer_address == address)
+					gateway_receive_peer(node->gateway,
+							     item.message);
+		peer_message_destroy(item.message);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+struct peer_message *GatewayPair::on_message(void *data,
+					     enum peer_message_type type)
+{
+	(void)data;
+	return peer_message_create(type);
+}
+
+const struct membership *GatewayPair::on_members(void *data)
+{
+	return ((struct node *)data)->members;
+}
+
+static struct member *pair_member_create(const std::string &name,
+					 const std::string &peer_address)
+{
+	struct member *member = g_new0(struct member, 1);
+
+	member->name = g_strdup(name.c_str());
+	member->incarnation = 1;
+	member->version = 1;
+	member->http_address = g_strdup("");
+	member->peer_address = g_strdup(peer_address.c_str());
+	member->region = g_strdup("r");
+	member->failure_domain = g_strdup("a");
+	return member;
+}
+
+/* Makes the node know all nodes that exist. */
+void GatewayPair::Join(struct node *node)
+{
+	static const char *const no_seeds[] = {nullptr};
+	struct member *self =
+		pair_member_create(node->name, node->peer_address);
+	struct membership_options options = {};
+
+	options.self = self;
+	options.seeds = no_seeds;
+	options.heartbeat_us = G_USEC_PER_SEC;
+	options.suspect_us = G_USEC_PER_SEC;
+	node->members = membership_create(&options);
+	member_destroy(self);
+	for (auto &other : nodes) {
+		struct action_list *actions = action_list_create();
+		struct peer_message *message = peer_message_create(PEER_PING);
+
+		if (other->name != node->name) {
+			message->from = g_strdup(other->name.c_str());
+			message->from_address =
+				g_strdup(other->peer_address.c_str());
+			message->incarnation = 1;
+			g_ptr_array_add(
+				message->probe.members,
+				pair_member_create(other->name,
+						   other->peer_address));
+			membership_receive(node->members, message, 1, actions);
+		}
+		peer_message_destroy(message);
+		action_list_destroy(actions);
+	}
+}
+
+void GatewayPair::ApplyRoutes(struct node *node)
+{
+	static const struct {
+		const char *name, *path, *service;
+		enum route_kind kind;
+	} wanted[] = {
+		{"lookup", "/lookup/", "portal", ROUTE_IDEMPOTENT},
+		{"export", "/export/", "portal", ROUTE_ONCE},
+		{"report", "/report/", "engines", ROUTE_STREAM},
+	};
+	GPtrArray *cordons = cordon_list_create();
+	struct config *config = config_create();
+	GBytes *document = g_bytes_new(nullptr, 0);
+	struct route_table *table;
+
+	config_add_service(config, "portal", SERVICE_PLAIN);
+	config_add_service(config, "engines", SERVICE_GENERATION)
+		->engine.slots = 24;
+	for (const auto &want : wanted) {
+		struct route *route =
+			config_add_route(config, want.name, "h", want.path);
+
+		route->kind = want.kind;
+		route->is_public = true;
+		route->max_attempts = want.kind == ROUTE_IDEMPOTENT ? 2 : 1;
+		route->timeout_us = 2500000;
+		route->first_answer_us = 150000;
+		route_add_target(route, want.service, 1);
+	}
+	config->revision = 1;
+	table = route_table_create(config);
+	gateway_apply_table(node->gateway, table, document, "store");
+	gateway_apply_cordon_listing(node->gateway, cordons, 1);
+	gateway_set_store_reached(node->gateway, true);
+	route_table_unref(table);
+	config_unref(config);
+	g_bytes_unref(document);
+	g_ptr_array_unref(cordons);
+}
+
+static void on_read_store(void *data)
+{
+	(void)data;
+}
+
+static bool on_is_reading(void *data)
+{
+	(void)data;
+	return false;
+}
+
+static void on_watch(void *data, const struct store_watch *watch)
+{
+	(void)data;
+	(void)watch;
+}
+
+void GatewayPair::Create(size_t count)
+{
+	struct error error;
+
+	delivery = g_timeout_add(1, Deliver, this);
+	for (size_t i = 0; i < count; i++) {
+		nodes.push_back(
+			std::unique_ptr<struct node>(new struct node()));
+		nodes[i]->test = this;
+		nodes[i]->name = "n" + std::to_string(i);
+		nodes[i]->address = free_address();
+		nodes[i]->peer_address = nodes[i]->name + ":1";
+	}
+	for (auto &node : nodes) {
+		struct gateway_options options = {};
+		struct gateway_host host = {};
+
+		Join(node.get());
+		host.send = on_send;
+		host.message = on_message;
+		host.members = on_members;
+		host.data = node.get();
+		host.read_store = on_read_store;
+		host.is_reading = on_is_reading;
+		host.watch = on_watch;
+		options.node_name = node->name.c_str();
+		options.failure_domain = "a";
+		options.address = node->address.c_str();
+		options.ready_address = "";
+		options.directory_address = "";
+		options.max_connections = 1000;
+		options.retry_percent = 20;
+		options.retry_extra = 60;
+		options.retry_window_us = 10 * G_USEC_PER_SEC;
+		options.home_from_nodes = 16;
+		options.directory_ttl_us = G_USEC_PER_SEC;
+		options.log = log;
+		options.counters = &node->counters;
+		options.dialect = &platform_dialect;
+		node->gateway = gateway_create(&options, &host, &error);
+		ASSERT_NE(nullptr, node->gateway) << error.detail;
+	}
+	for (auto &node : nodes)
+		ApplyRoutes(node.get());
+}
+
+void GatewayPair::TearDown()
+{
+	for (auto &node : nodes) {
+		struct gateway *gateway = node->gateway;
+
+		node->gateway = nullptr;
+		gateway_destroy(gateway);
+		membership_destroy(node->members);
+	}
+	Deliver(this);
+	g_source_remove(delivery);
+	log_destroy(log);
+}
+
+void GatewayPair::Register(size_t node, const std::string &service,
+			   const std::map<std::string, std::string> &endpoints)
+{
+	GPtrArray *list = registration_list_create();
+
+	position++;
+	for (const auto &endpoint : endpoints) {
+		struct registration *said = g_new0(struct registration, 1);
+
+		said->id = g_strdup(endpoint.first.c_str());
+		said->service = g_strdup(service.c_str());
+		said->address = g_strdup(endpoint.second.c_str());
+		said->failure_domain = g_strdup("a");
+		said->position = position;
+		g_ptr_array_add(list, said);
+	}
+	gateway_apply_changes(nodes[node]->gateway, list);
+	g_ptr_array_unref(list);
+}
+
+void GatewayPair::Wait(int ms)
+{
+	int64_t end_us = g_get_monotonic_time() + ms * 1000;
+
+	run_until([&] { return g_get_monotonic_time() >= end_us; });
+}
+
+int GatewayPair::Ask(size_t node, const std::string &path,
+		     const std::string &id, std::string *text)
+{
+	std::unique_ptr<Connection> caller(
+		Connection::open(nodes[node]->address));
+
+	caller->send("POST " + path +
+		     " HTTP/1.1\r\nHost: h\r\nX-Siskinlink-Request-Id: " + id +
+		     "\r\nX-Siskinlink-Deadline-Ms: 2500\r\n"
+		     "Connection: close\r\nContent-Length: 4\r\n\r\nbody");
+	caller->wait_closed();
+	if (text)
+		*text = caller->input;
+	return caller->input.size() > 12 ? std::stoi(caller->input.substr(9, 3))
+					 : 0;
+}
--- /dev/null
+++ b/tests/gateway_pair.h
@@ -0,0 +1,98 @@
+#ifndef TESTS_GATEWAY_PAIR_H
+#define TESTS_GATEWAY_PAIR_H
+
+#include "adapters/gateway/gateway_state.h"
+#include "tests/loopback.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/* An endpoint of a plain service or of engines on a free loopback port. */
+class PairEndpoint
+{
+      public:
+	explicit PairEndpoint(const std::string &id);
+	~PairEndpoint();
+	std::string id, address;
+	std::map<std::string, int> runs; /* by request id */
+	std::string seen;		 /* head of the last request */
+	int events = 0; /* of an answer in events; 0: a plain answer */
+	bool is_silent = false;
+	struct caller *unanswered = nullptr;
+	int gone = 0; /* callers that left before their answer */
+	struct caller_set *callers;
+
+      private:
+	struct listener *listener;
+};
+
+/* How a node's new connections to an endpoint fail. */
+enum pair_cut { CUT_REFUSED, CUT_SILENT };
+
+/* A loopback address at which connections fail. */
+class DeadAddress
+{
+      public:
+	explicit DeadAddress(enum pair_cut cut);
+	~DeadAddress();
+	std::string address;
+
+      private:
+	std::vector<int> sockets;
+};
+
+/*
+ * Several gateways in one process, on loopback, that exchange messages within
+ * ms. Each has its own registry, so that it alone may be cut from an endpoint.
+ */
+class GatewayPair : public testing::Test
+{
+      protected:
+	struct node {
+		GatewayPair *test;
+		std::string name, address, peer_address;
+		struct membership *members;
+		struct gateway *gateway;
+		struct counters counters;
+	};
+
+	void Create(size_t count);
+	void TearDown() override;
+
+	/* Endpoints as the node reaches them: id to address. */
+	void Register(size_t node, const std::string &service,
+		      const std::map<std::string, std::string> &endpoints);
+
+	/* Status of one request, and the whole answer in *text. */
+	int Ask(size_t node, const std::string &path, const std::string &id,
+		std::string *text = nullptr);
+	void Wait(int ms);
+
+	std::vector<std::unique_ptr<struct node>> nodes;
+	int64_t position = 1;
+
+      private:
+	struct sent_message {
+		std::vector<std::string> to;
+		struct peer_message *message;
+	};
+
+	static gboolean Deliver(gpointer data);
+	static void on_send(void *data, const GPtrArray *addresses,
+			    struct peer_message *message);
+	static struct peer_message *on_message(void *data,
+					       enum peer_message_type type);
+	static const struct membership *on_members(void *data);
+	void Join(struct node *node);
+	void ApplyRoutes(struct node *node);
+
+	struct log *log = log_create("test", LOG_LEVEL_ERROR);
+	std::vector<struct sent_message> sent;
+	guint delivery = 0;
+};
+
+#endif
