Brittle endpoints are kept from rejecting more than they bear

Nodes read Server-Brittle as they read Server-Limit (any value has a meaning and a log line). Nothing waits at a brittle endpoint of a plain service; its first rejection is told to all nodes, which pause and return one after the other, so spread that the bound holds without any news as well. That it is brittle no longer is told too and ends the pauses. The read rate isn't divided into shares as limits are: how many may wait is not stated, so what counts is who finds out.

--- a/adapters/gateway/dialect.h
+++ b/adapters/gateway/dialect.h
@@ -52,7 +52,8 @@
 	bool is_event_stream;
 	int64_t keep_alive_us; /* allowed idle time of the connection; -1: none
 				*/
-	struct answered_limit limit; /* on requests of all nodes together */
+	struct answered_limit limit;   /* on requests of all nodes together */
+	struct answered_limit brittle; /* rejections that it bears */
 };
 
 /* A copy of a generation's memory that its engine made on request. */
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -173,7 +173,10 @@
 
 	if (endpoint && status == STATUS_FULL && !leg->is_takeover)
 		endpoint->full_until_us =
-			exchange->gateway->now_us + FULL_PAUSE_US;
+			MAX(endpoint->full_until_us,
+			    exchange->gateway->now_us + FULL_PAUSE_US);
+	if (endpoint && status == STATUS_FULL)
+		gateway_brittle_note_rejection(exchange->gateway, endpoint);
 	if (leg == exchange->next)
 		exchange_drop_next(exchange, "no copy");
 	else
@@ -268,6 +271,8 @@
 	if (endpoint) {
 		gateway_limits_note_answer(exchange->gateway, endpoint,
 					   &exchange->said.limit);
+		gateway_brittle_note_answer(exchange->gateway, endpoint,
+					    &exchange->said.brittle);
 		gateway_losses_note_answer(exchange->gateway, endpoint,
 					   leg->sent_us);
 	}
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -570,6 +570,10 @@
 		gateway_limits_receive(gateway, message);
 		return;
 	}
+	if (message->type == PEER_ENDPOINT_FULL) {
+		gateway_brittle_receive(gateway, message);
+		return;
+	}
 	if (message->type == PEER_REACH) {
 		gateway_reach_receive(gateway, message);
 		return;
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -34,6 +34,7 @@
  *   gateway_routes.c   fetching a newer configuration from other nodes
  *   gateway_cordons.c  failure domains that get no new requests
  *   gateway_limits.c   limits that endpoints state
+ *   gateway_brittle.c  endpoints that end if they reject too much
  *   gateway_losses.c   requests under which endpoints end
  *   gateway_ends.c     whether endpoints that broke off runs have ended
  *   gateway_reach.c    which nodes reach which services
@@ -211,6 +212,15 @@
 void gateway_losses_step(struct gateway *gateway);
 bool gateway_losses_admit(struct gateway *gateway, uint64_t fingerprint);
 
+/* gateway_brittle.c */
+void gateway_brittle_note_answer(struct gateway *gateway,
+				 struct endpoint *endpoint,
+				 const struct answered_limit *answer);
+void gateway_brittle_note_rejection(struct gateway *gateway,
+				    struct endpoint *endpoint);
+void gateway_brittle_receive(struct gateway *gateway,
+			     const struct peer_message *message);
+
 /* gateway_reach.c */
 void gateway_reach_init(struct gateway *gateway);
 void gateway_reach_note_connected(struct gateway *gateway, const char *service);
--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -61,6 +61,7 @@
 	[PEER_ENDPOINT_LIMITS] = PEER_ENDPOINT_LIMITS_FORMAT,
 	[PEER_LOSSES] = PEER_LOSSES_FORMAT,
 	[PEER_REACH] = PEER_REACH_FORMAT,
+	[PEER_ENDPOINT_FULL] = "(ttbuss)",
 };
 
 static GVariant *encode_members(const GPtrArray *members)
@@ -190,6 +191,14 @@
 		return peer_losses_encode(message);
 	case PEER_REACH:
 		return peer_reach_encode(message);
+	case PEER_ENDPOINT_FULL:
+		return g_variant_new(
+			format, incarnation,
+			message->endpoint_full.endpoint_key,
+			message->endpoint_full.is_over,
+			(guint32)CLAMP(message->endpoint_full.rejections_per_ks,
+				       0, UINT32_MAX),
+			from, address);
 	case PEER_LEAVING:
 		endpoints = message->leaving.endpoints;
 		return g_variant_new(
@@ -437,6 +446,19 @@
 	return valid;
 }
 
+static void decode_endpoint_full(GVariant *body,
+				 struct peer_endpoint_full *full)
+{
+	guint32 rejections_per_ks;
+	gboolean is_over;
+
+	g_variant_get_child(body, 1, "t", &full->endpoint_key);
+	g_variant_get_child(body, 2, "b", &is_over);
+	g_variant_get_child(body, 3, "u", &rejections_per_ks);
+	full->is_over = is_over;
+	full->rejections_per_ks = rejections_per_ks;
+}
+
 static bool decode_quarantine(GVariant *body, struct peer_message *message,
 			      struct error *error)
 {
@@ -523,6 +545,9 @@
 		return check(error, message->from,
 			     peer_reach_decode(body, &message->reach),
 			     "too many services");
+	case PEER_ENDPOINT_FULL:
+		decode_endpoint_full(body, &message->endpoint_full);
+		return true;
 	case PEER_LEAVING:
 		return decode_leaving(body, message, error);
 	case PEER_QUARANTINE:
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -227,8 +227,10 @@
 static bool has_room(const struct endpoint_criteria *criteria,
 		     const struct endpoint *endpoint, double fill)
 {
+	/* A brittle endpoint lets little wait. */
 	if (!criteria->engine || criteria->engine->slots == 0)
-		return true;
+		return !endpoint->brittle.is_limited ||
+		       slot_load(criteria, endpoint) < 1;
 	return memory_load(criteria, endpoint) <= fill &&
 	       slot_load(criteria, endpoint) < 1;
 }
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -242,6 +242,7 @@
 	endpoint->known_us = now_us;
 	endpoint->full_until_us = 0;
 	endpoint->limit = (struct endpoint_limit){0};
+	endpoint->brittle = (struct endpoint_limit){0};
 	endpoint->warm_us = now_us + update->warmup_remaining_us;
 }
 
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -59,7 +59,9 @@
 	double error_share;    /* of its last answers, moving average */
 	struct endpoint_limit limit; /* on requests of all nodes together */
 	int64_t limit_changed_us;
-	bool limit_was_unreadable; /* in its last answer, for logs */
+	struct endpoint_limit brittle; /* on rejections, if it is brittle */
+	bool brittle_was_unreadable;   /* in its last answer, for logs */
+	bool limit_was_unreadable;     /* in its last answer, for logs */
 };
 
 struct registry;
--- a/core/message/peer_message.c
+++ b/core/message/peer_message.c
@@ -24,6 +24,7 @@
 	[PEER_ENDPOINT_LIMITS] = "endpoint_limits",
 	[PEER_LOSSES] = "losses",
 	[PEER_REACH] = "reach",
+	[PEER_ENDPOINT_FULL] = "endpoint_full",
 };
 
 static void member_free(gpointer data)
@@ -101,6 +102,7 @@
 	case PEER_ROUTES:
 	case PEER_ROUTES_REQUEST:
 	case PEER_QUARANTINE:
+	case PEER_ENDPOINT_FULL:
 	case PEER_MESSAGE_TYPE_COUNT:
 		break;
 	}
@@ -171,6 +173,7 @@
 		break;
 	case PEER_REFUSED:
 	case PEER_RELEASE:
+	case PEER_ENDPOINT_FULL:
 	case PEER_MESSAGE_TYPE_COUNT:
 		break;
 	}
--- a/core/node/node.c
+++ b/core/node/node.c
@@ -216,6 +216,7 @@
 	case PEER_ENDPOINT_LIMITS:
 	case PEER_LOSSES:
 	case PEER_REACH:
+	case PEER_ENDPOINT_FULL:
 	case PEER_CHOSEN: /* handled by the gateway */
 	case PEER_MESSAGE_TYPE_COUNT:
 		break;
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -40,6 +40,7 @@
 	PEER_ENDPOINT_LIMITS, /* gateway: limits that endpoints state */
 	PEER_LOSSES, /* gateway: requests under which endpoints ended */
 	PEER_REACH,  /* gateway: services that the sender doesn't reach */
+	PEER_ENDPOINT_FULL, /* gateway: a brittle endpoint rejects requests */
 	PEER_MESSAGE_TYPE_COUNT
 };
 
@@ -237,6 +238,16 @@
 	GArray *losses; /* struct peer_loss */
 };
 
+/*
+ * A brittle endpoint rejected a request, and how many rejections it bears; or
+ * it is brittle no longer.
+ */
+struct peer_endpoint_full {
+	uint64_t endpoint_key;
+	bool is_over;
+	int64_t rejections_per_ks; /* per 1,000 s */
+};
+
 /* What the sender reaches; services that are not listed it reaches. */
 struct peer_reach {
 	bool is_cut;	       /* it reaches no service that it used lately */
@@ -263,6 +274,7 @@
 		struct peer_endpoint_limits endpoint_limits;
 		struct peer_losses losses;
 		struct peer_reach reach;
+		struct peer_endpoint_full endpoint_full;
 		struct peer_leaving leaving;
 		struct peer_quarantine quarantine;
 		struct peer_limits limits; /* LIMIT_REPORT, LIMIT_SHARE */
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -376,6 +376,21 @@
 	EXPECT_EQ(0, counts["none"]);
 }
 
+/* Guards against requests that wait at a brittle endpoint, which would have to
+ * reject more of them. */
+TEST_F(EndpointChoice, LetsNothingWaitAtABrittleEndpoint)
+{
+	struct endpoint *brittle = add("brittle", 0, 23);
+
+	criteria.engine = nullptr;
+	brittle->brittle = {true, 2000, criteria.now_us};
+	EXPECT_EQ("brittle", choose()) << "it has a free slot";
+	brittle->own.requests++;
+	EXPECT_EQ("none", choose());
+	brittle->brittle.is_limited = false;
+	EXPECT_EQ("brittle", choose());
+}
+
 /*
  * Guards against a request that runs outside the regions to which its route or
  * its organisation is bound, however full the endpoints there are.
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -643,6 +643,38 @@
 	EXPECT_EQ(0u, SentCount(PEER_ENDPOINT_LIMITS)) << "known by now";
 }
 
+/* Guards against nodes that each find out by a rejection of their own that a
+ * brittle endpoint is full. */
+TEST_F(GatewayLimit, AllNodesPauseAfterARejectionByABrittleEndpoint)
+{
+	struct answered_limit answer = {LIMIT_STATED, 2000};
+	struct peer_message *message = peer_message_create(PEER_ENDPOINT_FULL);
+
+	gateway_brittle_note_rejection(gateway, Endpoint());
+	EXPECT_EQ(0u, SentCount(PEER_ENDPOINT_FULL)) << "it isn't brittle";
+	EXPECT_EQ(0, Endpoint()->full_until_us);
+	gateway_brittle_note_answer(gateway, Endpoint(), &answer);
+	gateway_brittle_note_rejection(gateway, Endpoint());
+	EXPECT_EQ(1u, SentCount(PEER_ENDPOINT_FULL));
+	EXPECT_GE(Endpoint()->full_until_us - gateway->now_us, G_USEC_PER_SEC);
+
+	Endpoint()->full_until_us = 0;
+	Endpoint()->brittle.is_limited = false;
+	message->from = g_strdup("n0");
+	message->from_address = g_strdup("n0:1");
+	message->endpoint_full = {Endpoint()->key, false, 2000};
+	gateway_receive_peer(gateway, message);
+	EXPECT_TRUE(Endpoint()->brittle.is_limited);
+	EXPECT_GE(Endpoint()->full_until_us - gateway->now_us, G_USEC_PER_SEC);
+	message->endpoint_full.is_over = true;
+	gateway_receive_peer(gateway, message);
+	EXPECT_EQ(0, Endpoint()->full_until_us) << "brittle no longer";
+	EXPECT_FALSE(Endpoint()->brittle.is_limited);
+	message->endpoint_full.endpoint_key = 1;
+	gateway_receive_peer(gateway, message);
+	peer_message_destroy(message);
+}
+
 /* Guards against the limits of an endpoint's earlier start. */
 TEST_F(GatewayLimit, EndsWithTheStartOfTheEndpoint)
 {
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -125,6 +125,9 @@
 		for (uint64_t key : {UINT64_MAX, (uint64_t)7})
 			g_array_append_val(message->reach.lost_services, key);
 		break;
+	case PEER_ENDPOINT_FULL:
+		message->endpoint_full = {UINT64_MAX - 3, true, 4500};
+		break;
 	case PEER_QUARANTINE:
 		message->quarantine.fingerprint = 5;
 		message->quarantine.endpoint = g_strdup("10.2.0.1:9000");
@@ -384,6 +387,19 @@
 	peer_message_destroy(message);
 }
 
+TEST(PeerCodec, DecodesAFullEndpoint)
+{
+	struct error error;
+	struct peer_message *message =
+		decode(encode_type(PEER_ENDPOINT_FULL), &error);
+
+	ASSERT_NE(nullptr, message) << error.detail;
+	EXPECT_EQ(UINT64_MAX - 3, message->endpoint_full.endpoint_key);
+	EXPECT_TRUE(message->endpoint_full.is_over);
+	EXPECT_EQ(4500, message->endpoint_full.rejections_per_ks);
+	peer_message_destroy(message);
+}
+
 TEST(PeerCodec, RefusesALossInAnUnknownState)
 {
 	std::vector<uint8_t> bytes = encode_type(PEER_LOSSES);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -395,6 +395,8 @@
 		for (const char *value : row.values) {
 			http_head_add(head, "server-limit", 12, value,
 				      strlen(value));
+			http_head_add(head, "server-brittle", 14, value,
+				      strlen(value));
 			text += value;
 			text += "|";
 		}
@@ -402,7 +404,10 @@
 		EXPECT_EQ(row.statement, answer.limit.statement) << text;
 		if (row.statement == LIMIT_STATED) {
 			EXPECT_EQ(row.per_ks, answer.limit.rate_per_ks) << text;
+			EXPECT_EQ(row.per_ks, answer.brittle.rate_per_ks)
+				<< text;
 		}
+		EXPECT_EQ(row.statement, answer.brittle.statement) << text;
 		http_head_destroy(head);
 	}
 }
@@ -433,9 +438,13 @@
 		http_head_add(head, row.field, strlen(row.field), "1", 1);
 		if (row.has_limit)
 			http_head_add(head, "Server-Limit", 12, "4", 1);
+		if (row.has_limit)
+			http_head_add(head, "Server-Brittle", 14, "2", 1);
 		platform_dialect.read_answer(head, &answer);
 		EXPECT_EQ(row.statement, answer.limit.statement)
 			<< row.status << row.field << row.has_limit;
+		EXPECT_EQ(row.statement, answer.brittle.statement)
+			<< row.status << row.field << row.has_limit;
 		http_head_destroy(head);
 	}
 }
