--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -207,7 +207,7 @@
 bool exchange_relay(struct exchange *exchange)
 {
 	struct gateway *gateway = exchange->gateway;
-	const struct gateway_peer *peer;
+	const struct gateway_peer *peer = NULL;
 	struct attempt_options options = {
 		.echo_field = gateway->dialect->id_field,
 		.echo_value = exchange->parsed_request.id,
@@ -221,6 +221,7 @@
 	if (!exchange_wants_relay(exchange))
 		return false;
 	node = pick_node(exchange, &peer);
+	g_assert(peer); /* as exchange_wants_relay found one */
 	options.address = peer->address;
 	options.request = relay_render(exchange);
 	relay = g_new0(struct relay, 1);
