Tests signal only programs that were started

~Daemon killed pid 0 where the program could not be started: SIGKILL to the whole process group of the tests, exit 137 without a summary. The other test programs and the soak hold no bare pid (GSubprocess; pids of the shell).

--- a/tests/siskinlinkd_test.cc
+++ b/tests/siskinlinkd_test.cc
@@ -31,20 +31,32 @@
 					 nullptr, &pid, nullptr, &out_fd,
 					 &err_fd, &failure);
 		EXPECT_EQ(nullptr, failure);
+		if (failure) {
+			ended = true;
+			g_error_free(failure);
+			return;
+		}
 		g_unix_set_fd_nonblocking(out_fd, TRUE, nullptr);
 		g_unix_set_fd_nonblocking(err_fd, TRUE, nullptr);
 	}
 
 	~Daemon()
 	{
-		if (!ended) {
-			kill(pid, SIGKILL);
+		signal(SIGKILL);
+		if (!ended)
 			waitpid(pid, &status, 0);
-		}
 		close(out_fd);
 		close(err_fd);
 	}
 
+	/* Sends a signal to a program that was started and has not ended: to
+	 * pid 0 it would go to the whole process group of the tests. */
+	void signal(int number)
+	{
+		if (!ended && pid > 0)
+			kill(pid, number);
+	}
+
 	void read()
 	{
 		take(out_fd, out);
@@ -214,17 +226,17 @@
 	std::unique_ptr<Connection> c(Connection::open(http));
 	c->send("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
 	EXPECT_TRUE(c->wait_for("siskinlink_calls_total 0"));
-	kill(daemon.pid, SIGUSR1);
+	daemon.signal(SIGUSR1);
 	EXPECT_TRUE(daemon.wait_for(daemon.err, "\"config_revision\":0"));
-	kill(daemon.pid, SIGTERM);
+	daemon.signal(SIGTERM);
 	EXPECT_EQ(0, daemon.wait_end());
 	EXPECT_NE(std::string::npos, daemon.out.find("event=stop"));
 
 	write("[times]\nanswer_keep_s = 600\n");
 	Daemon slow({"--config", file});
 	ASSERT_TRUE(slow.wait_for(slow.out, "listening")) << slow.err;
-	kill(slow.pid, SIGTERM);
+	slow.signal(SIGTERM);
 	ASSERT_TRUE(slow.wait_for(slow.out, "event=drain"));
-	kill(slow.pid, SIGTERM);
+	slow.signal(SIGTERM);
 	EXPECT_EQ(1, slow.wait_end());
 }
