--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -118,11 +118,6 @@
 static void relay_fail(struct relay *relay, bool may_have_run,
 		       const char *detail);
 
-static void on_opened(void *data)
-{
-	(void)data;
-}
-
 /* Whether the node's own answer promises that the request has not run. */
 static bool is_refusal(const struct exchange *exchange,
 		       const struct http_head *head)
@@ -182,7 +177,6 @@
 }
 
 static const struct attempt_events relay_events = {
-	.opened = on_opened,
 	.head = on_head,
 	.body = on_body,
 	.complete = on_complete,
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -549,56 +549,16 @@
 	}
 }
 
-/* Handles a message of another node's gateway; ignores other types. */
-void gateway_receive_peer(struct gateway *gateway,
+static void receive_crash(struct gateway *gateway,
 			  const struct peer_message *message)
 {
-	gateway->now_us = gateway_now_us();
-	if (message->type == PEER_ROUTES) {
-		gateway_routes_receive(gateway, message);
-		return;
-	}
-	if (message->type == PEER_ROUTES_REQUEST) {
-		gateway_routes_send(gateway, message);
-		return;
-	}
-	if (message->type == PEER_CORDONS) {
-		gateway_cordons_receive(gateway, message);
-		return;
-	}
-	if (message->type == PEER_ENDPOINT_LIMITS) {
-		gateway_limits_receive(gateway, message);
-		return;
-	}
-	if (message->type == PEER_ENDPOINT_FULL) {
-		gateway_brittle_receive(gateway, message);
-		return;
-	}
-	if (message->type == PEER_REACH) {
-		gateway_reach_receive(gateway, message);
-		return;
-	}
-	if (message->type == PEER_LOSSES) {
-		gateway_losses_receive(gateway, message);
-		return;
-	}
-	if (message->type == PEER_QUARANTINE) {
-		gateway_add_failure_notice(gateway, message->incarnation,
-					   message->quarantine.endpoint);
-		return;
-	}
-	if (!*message->from)
-		return;
-	if (message->type == PEER_CHOOSE) {
-		gateway_home_receive_request(gateway, message);
-		return;
-	}
-	if (message->type == PEER_CHOSEN) {
-		gateway_home_receive_answer(gateway, message);
-		return;
-	}
-	if (message->type != PEER_STANDING)
-		return;
+	gateway_add_failure_notice(gateway, message->incarnation,
+				   message->quarantine.endpoint);
+}
+
+static void receive_standing(struct gateway *gateway,
+			     const struct peer_message *message)
+{
 	peer_apply_standing(gateway, message);
 	engine_grants_confirm(gateway->grants, message->from,
 			      message->standing.answered);
@@ -608,3 +568,35 @@
 	apply_registrations(gateway, message);
 	gateway_routes_note_version(gateway, message->standing.table_version);
 }
+
+static const struct {
+	void (*receive)(struct gateway *gateway,
+			const struct peer_message *message);
+	bool needs_sender;
+} receivers[PEER_MESSAGE_TYPE_COUNT] = {
+	[PEER_ROUTES] = {gateway_routes_receive, false},
+	[PEER_ROUTES_REQUEST] = {gateway_routes_send, false},
+	[PEER_CORDONS] = {gateway_cordons_receive, false},
+	[PEER_ENDPOINT_LIMITS] = {gateway_limits_receive, false},
+	[PEER_ENDPOINT_FULL] = {gateway_brittle_receive, false},
+	[PEER_LOSSES] = {gateway_losses_receive, false},
+	[PEER_QUARANTINE] = {receive_crash, false},
+	[PEER_REACH] = {gateway_reach_receive, true},
+	[PEER_CHOOSE] = {gateway_home_receive_request, true},
+	[PEER_CHOSEN] = {gateway_home_receive_answer, true},
+	[PEER_STANDING] = {receive_standing, true},
+};
+
+/*
+ * Handles a message of another node's gateway; ignores other types, and those
+ * that need the name of their sender and don't have it.
+ */
+void gateway_receive_peer(struct gateway *gateway,
+			  const struct peer_message *message)
+{
+	gateway->now_us = gateway_now_us();
+	if (!receivers[message->type].receive ||
+	    (receivers[message->type].needs_sender && !*message->from))
+		return;
+	receivers[message->type].receive(gateway, message);
+}
