--- a/core/limit/quarantine.c
+++ b/core/limit/quarantine.c
@@ -109,15 +109,23 @@
 	return count >= needed ? newest_us + options->hold_us : 0;
 }
 
+/* Returns the suspect, or NULL; it may have expired. */
+static struct suspect *lookup(const struct quarantine *quarantine,
+			      uint64_t fingerprint)
+{
+	struct suspect *suspect =
+		suspect_table_find(quarantine->suspects, fingerprint);
+
+	return suspect ? suspect
+		       : suspect_table_find(quarantine->held, fingerprint);
+}
+
 /* Returns the suspect, or NULL if there is none or it has expired. */
 struct suspect *quarantine_find(const struct quarantine *quarantine,
 				uint64_t fingerprint, int64_t now_us)
 {
-	struct suspect *suspect =
-		suspect_table_find(quarantine->suspects, fingerprint);
+	struct suspect *suspect = lookup(quarantine, fingerprint);
 
-	if (!suspect)
-		suspect = suspect_table_find(quarantine->held, fingerprint);
 	return suspect && suspect->expires_us > now_us ? suspect : NULL;
 }
 
@@ -260,23 +268,29 @@
 	quarantine_put(quarantine, suspect, now_us);
 }
 
-/* Copies the suspects with a loss at the endpoint; the caller frees the array.
+/*
+ * Returns the fingerprints of the suspects with a loss at the endpoint, which
+ * the caller frees. A change of one may evict others.
  */
-static GPtrArray *suspects_at(const struct quarantine *quarantine,
-			      uint64_t endpoint_key)
+static GArray *suspects_at(const struct quarantine *quarantine,
+			   uint64_t endpoint_key)
 {
 	const GList *const lists[] = {
 		suspect_table_list(quarantine->suspects),
 		suspect_table_list(quarantine->held),
 	};
-	GPtrArray *found = g_ptr_array_new();
+	GArray *found = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 
 	if (!find_losses(quarantine, endpoint_key))
 		return found;
-	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++)
-		for (const GList *link = lists[i]; link; link = link->next)
-			if (suspect_find_loss(link->data, endpoint_key))
-				g_ptr_array_add(found, link->data);
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+		for (const GList *link = lists[i]; link; link = link->next) {
+			struct suspect *suspect = link->data;
+
+			if (suspect_find_loss(suspect, endpoint_key))
+				g_array_append_val(found, suspect->fingerprint);
+		}
+	}
 	return found;
 }
 
@@ -287,13 +301,18 @@
 bool quarantine_report_end(struct quarantine *quarantine, uint64_t endpoint_key,
 			   int64_t now_us)
 {
-	GPtrArray *found = suspects_at(quarantine, endpoint_key);
+	GArray *found = suspects_at(quarantine, endpoint_key);
 	bool is_news = false;
 
 	for (guint i = 0; i < found->len; i++) {
-		struct suspect *suspect = found->pdata[i];
-		struct loss *loss = suspect_find_loss(suspect, endpoint_key);
+		struct suspect *suspect =
+			lookup(quarantine, g_array_index(found, uint64_t, i));
+		struct loss *loss =
+			suspect ? suspect_find_loss(suspect, endpoint_key)
+				: NULL;
 
+		if (!loss)
+			continue;
 		if (loss->state != LOSS_SUSPECTED && !loss->again_us)
 			continue;
 		begin_change(quarantine, suspect);
@@ -304,7 +323,7 @@
 		is_news = true;
 		quarantine_put(quarantine, suspect, now_us);
 	}
-	g_ptr_array_unref(found);
+	g_array_unref(found);
 	return is_news;
 }
 
@@ -316,14 +335,19 @@
 			      const struct quarantine_answer *answer,
 			      int64_t now_us)
 {
-	GPtrArray *found = suspects_at(quarantine, answer->endpoint_key);
+	GArray *found = suspects_at(quarantine, answer->endpoint_key);
 	bool is_news = false;
 
 	for (guint i = 0; i < found->len; i++) {
-		struct suspect *suspect = found->pdata[i];
+		struct suspect *suspect =
+			lookup(quarantine, g_array_index(found, uint64_t, i));
 		struct loss *loss =
-			suspect_find_loss(suspect, answer->endpoint_key);
+			suspect ? suspect_find_loss(suspect,
+						    answer->endpoint_key)
+				: NULL;
 
+		if (!loss)
+			continue;
 		if (loss->again_us < answer->sent_us)
 			loss->again_us = 0;
 		if (loss->state == LOSS_REFUTED ||
@@ -336,7 +360,7 @@
 		is_news |= suspect->is_news;
 		quarantine_put(quarantine, suspect, now_us);
 	}
-	g_ptr_array_unref(found);
+	g_array_unref(found);
 	return is_news;
 }
 
