--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -274,7 +274,7 @@
 		gateway_brittle_note_answer(exchange->gateway, endpoint,
 					    &exchange->said.brittle);
 		gateway_losses_note_answer(exchange->gateway, endpoint,
-					   leg->sent_us);
+					   leg->sent_us, head->status);
 	}
 	if (exchange->said.did_not_run) {
 		leg_handle_refusal(leg, head->status);
--- a/adapters/gateway/gateway_losses.c
+++ b/adapters/gateway/gateway_losses.c
@@ -40,10 +40,24 @@
 	gateway_ends_watch(gateway, endpoint);
 }
 
-/* Records that the endpoint answers a request that was sent at sent_us. */
+static void log_refuted(const struct gateway *gateway,
+			const struct endpoint *endpoint, int32_t status)
+{
+	char text[16];
+
+	g_snprintf(text, sizeof(text), "%d", status);
+	log_write(gateway->log, LOG_LEVEL_INFO, "loss_refuted", "endpoint",
+		  endpoint->last_registration->id, "address",
+		  endpoint->last_registration->address, "status", text, NULL);
+}
+
+/*
+ * Records that the endpoint answers a request that was sent at sent_us, with
+ * that status.
+ */
 void gateway_losses_note_answer(struct gateway *gateway,
 				const struct endpoint *endpoint,
-				int64_t sent_us)
+				int64_t sent_us, int32_t status)
 {
 	const struct quarantine_answer answer = {
 		.endpoint_key = endpoint->key,
@@ -52,7 +66,9 @@
 	};
 
 	gateway_ends_note_heard(gateway, endpoint);
-	quarantine_report_answer(gateway->quarantine, &answer, gateway->now_us);
+	if (quarantine_report_answer(gateway->quarantine, &answer,
+				     gateway->now_us))
+		log_refuted(gateway, endpoint, status);
 }
 
 /* Logs what quarantine now says of a request. */
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -205,7 +205,7 @@
 			 const struct endpoint *endpoint);
 void gateway_losses_note_answer(struct gateway *gateway,
 				const struct endpoint *endpoint,
-				int64_t sent_us);
+				int64_t sent_us, int32_t status);
 void gateway_losses_send(struct gateway *gateway, const char *peer_address);
 void gateway_losses_receive(struct gateway *gateway,
 			    const struct peer_message *message);
