--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -775,6 +775,71 @@
 	lifts_quarantine /lookup/p
 }
 
+ended=0
+
+# Starts endpoints 3 and 4 again that have ended; each call is a check of the
+# supervisor. With new ids the entries of earlier starts stay.
+supervise() { # same|new
+	local i id
+
+	for i in 3 4; do
+		kill -0 "${backend_pids[$i]}" 2>/dev/null && continue
+		ended=$((ended + 1))
+		id=i-$i
+		[ "$1" = same ] || id=i-$i-$ended
+		sleep 0.1
+		start "backend$i" "$bin/fake_backend" --plain --id "$id" \
+			--address "${backends[$i]}"
+		backend_pids[$i]=$started
+		[ "$1" = same ] || put "servers/$id" "$(jq -nc \
+			--arg a "${backends[$i]}" '{service: "portal",
+			address: $a, zone: "z", version: "v1", slots: 24,
+			state: "ready", warmup_left_ms: 0, sequence: 1}')"
+	done
+}
+
+# A request that ends each plain endpoint comes five times a second, for as long
+# as ten ends take, while others are served.
+ends_under_restarts() { # same|new
+	local i
+
+	save_up 2
+	ended=0
+	for i in $(seq 40); do
+		lookup_poison $((i % 2)) /lookup/export/p-"$1" >/dev/null
+		ask $((i % 2)) "/lookup/a$i" >/dev/null
+		ask $(((i + 1) % 2)) "/lookup/b$i" >/dev/null
+		supervise "$1"
+		sleep 0.1
+	done
+	[ "$ended" -le 6 ] || fail "it ended $ended endpoints"
+	for i in 3 4; do
+		start_backend "$i" portal --plain
+	done
+	for i in $(seq "$ended"); do
+		for id in i-3-"$i" i-4-"$i"; do
+			unregister "$id"
+		done
+	done
+	until_true answers 1 /lookup/c 200 || fail "nothing is served"
+}
+
+unregister() { # ID
+	curl -sf -X POST --data "$(jq -nc --arg key "servers/$1" '{key: $key}')" \
+		"http://$store/fake/delete" >/dev/null || true
+}
+
+# Guards against a request that ends each next start of an endpoint, because its
+# answer releases what the start before has lost.
+case_holds_what_ends_endpoints_with_new_ids() {
+	ends_under_restarts new
+}
+
+# Guards against a request that ends the same endpoint again and again.
+case_holds_what_ends_endpoints_with_old_ids() {
+	ends_under_restarts same
+}
+
 # An operator sees at one node what is held, lifts it there, and the other node
 # lets it run again.
 lifts_quarantine() { # PATH
--- /dev/null
+++ b/tests/gateway_losses_test.cc
@@ -0,0 +1,130 @@
+#include "tests/gateway_pair.h"
+
+/* How endpoints come back that a request has ended. */
+struct restart {
+	int after_ms;
+	bool gets_new_id; /* and is registered at once, its old entry stays */
+	bool is_alone;	  /* no other endpoint of any service */
+};
+
+/* Sends after the third end that may reach endpoints, as the users allow. */
+static constexpr int sends_after_third = 3;
+
+/*
+ * Two nodes, and endpoints that a request ends and that start again at their
+ * addresses, while other requests are served.
+ */
+class GatewayLosses : public GatewayPair,
+		      public testing::WithParamInterface<struct restart>
+{
+      protected:
+	PairEndpoint one{"i-1"}, two{"i-2"}, engine{"i-3"};
+	std::map<std::string, std::vector<std::string>> entries;
+
+	/* No entry says when the start was born. */
+	void RegisterStarts()
+	{
+		RegisterStart(one);
+		if (!GetParam().is_alone)
+			RegisterStart(two);
+	}
+
+	/* The entry of the start before stays until the next one. */
+	void RegisterStart(const PairEndpoint &endpoint)
+	{
+		std::vector<std::string> &ids = entries[endpoint.address];
+
+		if (!ids.empty() && ids.back() == endpoint.id)
+			return;
+		position++;
+		ids.push_back(endpoint.id);
+		for (size_t i = 0; i < nodes.size(); i++)
+			Register(i, "portal",
+				 {{endpoint.id, endpoint.address}});
+		if (ids.size() > 2)
+			RemoveOldest(&ids);
+	}
+
+	void RemoveOldest(std::vector<std::string> *ids)
+	{
+		position++;
+		for (size_t i = 0; i < nodes.size(); i++)
+			Unregister(i, ids->front());
+		ids->erase(ids->begin());
+	}
+
+	void RemoveOldEntries()
+	{
+		for (auto &entry : entries)
+			while (entry.second.size() > 1)
+				RemoveOldest(&entry.second);
+	}
+
+	void Prepare()
+	{
+		for (PairEndpoint *endpoint : {&one, &two}) {
+			endpoint->deadly_path = "/export/deadly";
+			endpoint->restart_ms = GetParam().after_ms;
+			endpoint->gets_new_id = GetParam().gets_new_id;
+		}
+		Create(2);
+		RegisterStarts();
+		if (!GetParam().is_alone)
+			for (size_t i = 0; i < nodes.size(); i++)
+				Register(i, "engines",
+					 {{"i-3", engine.address}});
+	}
+
+	bool IsUp() const
+	{
+		return one.IsUp() && (GetParam().is_alone || two.IsUp());
+	}
+
+	/* Endpoints that failed are put aside for a moment. */
+	bool Serves(const std::string &path)
+	{
+		for (int i = 0; i < 30; i++) {
+			if (Ask(0, path, "s-" + std::to_string(i)) == 200)
+				return true;
+			Wait(100);
+		}
+		return false;
+	}
+
+	int Ends() const
+	{
+		return one.ends + two.ends;
+	}
+};
+
+/* Guards against a request that ends one start of its endpoints after the
+ * other, because what is known of an earlier start is applied to a later one.
+ */
+TEST_P(GatewayLosses, EndsAreCountedWhateverStartsThere)
+{
+	const int sends = 15;
+
+	Prepare();
+	for (int i = 0; i < sends; i++) {
+		std::string number = std::to_string(i);
+
+		run_until([&] { return IsUp(); });
+		RegisterStarts();
+		for (size_t node = 0; node < 2; node++)
+			Ask(node, "/lookup/a" + number, "a-" + number);
+		Ask(i % 2, "/export/deadly", "d-" + number);
+		Wait(100);
+	}
+	EXPECT_LE(Ends(), 3 + sends_after_third) << "of " << sends << " sends";
+	run_until([&] { return IsUp(); });
+	RegisterStarts();
+	RemoveOldEntries();
+	EXPECT_TRUE(Serves("/lookup/innocent"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Restarts, GatewayLosses,
+	testing::Values(restart{50, false, false}, restart{300, false, false},
+			restart{50, true, false}, restart{300, true, false},
+			restart{50, false, true}, restart{300, false, true},
+			restart{50, true, true}, restart{300, true, true}));
--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -15,6 +15,16 @@
 	return listener.address();
 }
 
+/* Whether the request names another id than the endpoint's. */
+static bool is_for_another(const PairEndpoint *endpoint,
+			   const struct http_head *head)
+{
+	const char *expected =
+		http_head_get(head, "X-Siskinlink-Expect-Instance");
+
+	return expected && endpoint->id != expected;
+}
+
 static void on_endpoint_request(void *data, struct caller *caller,
 				struct http_head *head, GByteArray *body)
 {
@@ -23,7 +33,17 @@
 	std::string fields =
 		std::string("X-Siskinlink-Request-Id: ") + (id ? id : "") +
 		"\r\nX-Siskinlink-Engine-Stamp: " + endpoint->id + "\r\n";
-
+	bool is_deadly = !endpoint->deadly_path.empty() &&
+			 endpoint->deadly_path == head->target;
+
+	if (is_for_another(endpoint, head)) {
+		fields = std::string("X-Siskinlink-Request-Id: ") + id +
+			 "\r\nX-Siskinlink-Not-Executed: 1\r\n";
+		http_head_destroy(head);
+		g_byte_array_unref(body);
+		caller_answer(caller, 421, fields.c_str(), "", 0);
+		return;
+	}
 	endpoint->runs[id ? id : ""]++;
 	endpoint->seen.clear();
 	for (guint i = 0; i < head->fields->len; i++) {
@@ -35,6 +55,11 @@
 	}
 	http_head_destroy(head);
 	g_byte_array_unref(body);
+	if (is_deadly) {
+		caller_attach_request(caller, endpoint);
+		endpoint->End();
+		return;
+	}
 	if (endpoint->events > 0) {
 		std::string text = "HTTP/1.1 200 OK\r\n" + fields +
 				   "Content-Type: text/event-stream\r\n"
@@ -71,6 +96,25 @@
 
 PairEndpoint::PairEndpoint(const std::string &id)
     : id(id), address(free_address())
+{
+	Start();
+}
+
+PairEndpoint::~PairEndpoint()
+{
+	if (timer)
+		g_source_remove(timer);
+	listener_destroy(listener);
+	caller_set_destroy(callers);
+}
+
+bool PairEndpoint::IsUp() const
+{
+	return listener;
+}
+
+/* Listens at the address, as a new process. */
+void PairEndpoint::Start()
 {
 	struct caller_handler handler = {};
 	struct error error;
@@ -78,15 +122,40 @@
 	handler.request = on_endpoint_request;
 	handler.gone = on_endpoint_gone;
 	handler.data = this;
+	if (gets_new_id && ends > 0)
+		id = id.substr(0, id.find('+')) + "+" + std::to_string(ends);
 	callers = caller_set_create(&handler, 1000);
 	listener = listener_create(address.c_str(), callers, &error);
 	EXPECT_NE(nullptr, listener) << error.detail;
 }
 
-PairEndpoint::~PairEndpoint()
+gboolean PairEndpoint::OnStart(gpointer data)
 {
-	listener_destroy(listener);
-	caller_set_destroy(callers);
+	((PairEndpoint *)data)->timer = 0;
+	((PairEndpoint *)data)->Start();
+	return G_SOURCE_REMOVE;
+}
+
+/* Closes all sockets at once, as a process that ends. */
+gboolean PairEndpoint::OnEnd(gpointer data)
+{
+	PairEndpoint *endpoint = (PairEndpoint *)data;
+
+	listener_destroy(endpoint->listener);
+	endpoint->listener = nullptr;
+	caller_set_destroy(endpoint->callers);
+	endpoint->callers = nullptr;
+	endpoint->ends++;
+	endpoint->timer =
+		g_timeout_add((guint)endpoint->restart_ms, OnStart, endpoint);
+	return G_SOURCE_REMOVE;
+}
+
+/* Ends the process, outside of its callbacks, and starts it again later. */
+void PairEndpoint::End()
+{
+	if (!timer)
+		timer = g_idle_add_full(G_PRIORITY_HIGH, OnEnd, this, nullptr);
 }
 
 /* Connections to a listener whose queue is full get no answer. */
@@ -356,6 +425,19 @@
 	g_ptr_array_unref(list);
 }
 
+void GatewayPair::Unregister(size_t node, const std::string &id)
+{
+	GPtrArray *list = registration_list_create();
+	struct registration *said = g_new0(struct registration, 1);
+
+	said->id = g_strdup(id.c_str());
+	said->position = position;
+	said->is_removed = true;
+	g_ptr_array_add(list, said);
+	gateway_apply_changes(nodes[node]->gateway, list);
+	g_ptr_array_unref(list);
+}
+
 void GatewayPair::Wait(int ms)
 {
 	int64_t end_us = g_get_monotonic_time() + ms * 1000;
--- a/tests/gateway_pair.h
+++ b/tests/gateway_pair.h
@@ -24,10 +24,24 @@
 	bool is_silent = false;
 	struct caller *unanswered = nullptr;
 	int gone = 0; /* callers that left before their answer */
-	struct caller_set *callers;
+	struct caller_set *callers = nullptr;
+
+	/* A request for this path ends the endpoint's process; "": none does.
+	 */
+	std::string deadly_path;
+	int ends = 0;
+	int restart_ms = 100;
+	bool gets_new_id = false; /* at each start */
+
+	bool IsUp() const;
+	void End();
+	void Start();
 
       private:
-	struct listener *listener;
+	static gboolean OnEnd(gpointer data);
+	static gboolean OnStart(gpointer data);
+	struct listener *listener = nullptr;
+	guint timer = 0;
 };
 
 /* How a node's new connections to an endpoint fail. */
@@ -67,6 +81,9 @@
 	void Register(size_t node, const std::string &service,
 		      const std::map<std::string, std::string> &endpoints);
 
+	/* Removes the entry of an endpoint that has left. */
+	void Unregister(size_t node, const std::string &id);
+
 	/* Status of one request, and the whole answer in *text. */
 	int Ask(size_t node, const std::string &path, const std::string &id,
 		std::string *text = nullptr);
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -231,6 +231,17 @@
 	EXPECT_TRUE(is_held(1, 7));
 }
 
+/* Guards against a request that ends one endpoint again and again, because the
+ * endpoint starts again under its id. */
+TEST_F(QuarantineEvidence, EndsOfOneIdEachCount)
+{
+	for (int i = 0; i < 12; i++) {
+		lose(1, 1, i);
+		end(1, i + 0.1);
+	}
+	EXPECT_TRUE(is_held(1, 13));
+}
+
 TEST_F(QuarantineEvidence, AnOperatorLiftsIt)
 {
 	EXPECT_FALSE(quarantine_lift(quarantine, 1, us(1)));
