Quarantine: the answer of another start refutes no end

What callers saw: a request that ends its endpoints was sent again once an endpoint was back at its address, until three more had ended.

Cause: any answer from the address of an endpoint that had ended counted as a sign that it goes on. A new start answers 421 to the id that it isn't, and 200 under the same id.

An answer now refutes an end only if its request was sent after the loss, over a connection that was established before it: then the same process goes on. An answer from another endpoint at the address is evidence that the one before has ended. Ruled out: comparing what the registry knows of starts, which lags by seconds or says nothing under the same id.

What is left, ends of one id, stays listed.

--- a/adapters/gateway/attempt.c
+++ b/adapters/gateway/attempt.c
@@ -256,6 +256,15 @@
 	return attempt->is_connected;
 }
 
+/*
+ * Returns when the connection was established, in us: for a reused one, before
+ * the attempt began. 0: not yet.
+ */
+int64_t attempt_connected_us(const struct attempt *attempt)
+{
+	return tcp_stream_opened_us(attempt->stream);
+}
+
 /*
  * Gives the connection to the pool after a complete answer, for reuse until
  * until_us. The attempt keeps it if the endpoint will close it, if bytes
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -258,6 +258,30 @@
 				     leg->exchange->service_name);
 }
 
+/* Records what the head says of the endpoint that was asked. */
+static void leg_note_answer(const struct leg *leg, int32_t status)
+{
+	struct gateway *gateway = leg->exchange->gateway;
+	const struct endpoint_answer *said = &leg->exchange->said;
+	struct endpoint *endpoint = leg_endpoint(leg);
+	struct quarantine_answer answer;
+
+	if (said->is_from_other) {
+		gateway_ends_note_replaced(gateway, leg->endpoint_id);
+		return;
+	}
+	if (!endpoint)
+		return;
+	gateway_limits_note_answer(gateway, endpoint, &said->limit);
+	gateway_brittle_note_answer(gateway, endpoint, &said->brittle);
+	answer = (struct quarantine_answer){
+		.endpoint_key = endpoint->key,
+		.connected_us = attempt_connected_us(leg->attempt),
+		.sent_us = leg->sent_us,
+	};
+	gateway_losses_note_answer(gateway, endpoint, &answer, status);
+}
+
 static void on_head(void *data, const struct http_head *head)
 {
 	struct leg *leg = data;
@@ -268,14 +292,7 @@
 	leg->status = head->status;
 	exchange->gateway->now_us = gateway_now_us();
 	exchange->gateway->dialect->read_answer(head, &exchange->said);
-	if (endpoint) {
-		gateway_limits_note_answer(exchange->gateway, endpoint,
-					   &exchange->said.limit);
-		gateway_brittle_note_answer(exchange->gateway, endpoint,
-					    &exchange->said.brittle);
-		gateway_losses_note_answer(exchange->gateway, endpoint,
-					   leg->sent_us, head->status);
-	}
+	leg_note_answer(leg, head->status);
 	if (exchange->said.did_not_run) {
 		leg_handle_refusal(leg, head->status);
 		return;
--- a/adapters/gateway/gateway_ends.c
+++ b/adapters/gateway/gateway_ends.c
@@ -26,6 +26,7 @@
 	int64_t known_us; /* start of the endpoint that ran the request */
 	int64_t lost_us;
 	int64_t refused_us;	  /* last refused connection; 0: none */
+	bool is_replaced;	  /* another one answers at its address */
 	struct tcp_stream *probe; /* NULL: not begun, or over */
 	bool is_probed;
 };
@@ -223,6 +224,19 @@
 		lost->refused_us = gateway->now_us;
 }
 
+/*
+ * Records that an answer from the address of the endpoint is not from it.
+ */
+void gateway_ends_note_replaced(struct gateway *gateway,
+				const char *endpoint_id)
+{
+	struct lost_endpoint *lost =
+		g_hash_table_lookup(gateway->lost_endpoints, endpoint_id);
+
+	if (lost)
+		lost->is_replaced = true;
+}
+
 /* Records that the endpoint is alive. */
 void gateway_ends_note_heard(struct gateway *gateway,
 			     const struct endpoint *endpoint)
@@ -263,6 +277,14 @@
 	return true;
 }
 
+static const char *evidence_name(const struct endpoint_end_input *input)
+{
+	if (input->is_replaced)
+		return "another one answers";
+	return input->is_registered ? "refuses connections"
+				    : "its registration";
+}
+
 static void log_endpoint_ended(const struct gateway *gateway,
 			       const struct lost_endpoint *lost,
 			       const struct endpoint_end_input *input)
@@ -272,10 +294,8 @@
 	g_snprintf(ms, sizeof(ms), "%" G_GINT64_FORMAT,
 		   (input->now_us - input->lost_us) / 1000);
 	log_write(gateway->log, LOG_LEVEL_INFO, "endpoint_ended", "endpoint",
-		  lost->id, "evidence",
-		  input->is_registered ? "refuses connections"
-				       : "its registration",
-		  "after_ms", ms, NULL);
+		  lost->id, "evidence", evidence_name(input), "after_ms", ms,
+		  NULL);
 }
 
 /* Returns whether nothing more is to be found out about the endpoint. */
@@ -287,6 +307,7 @@
 		.lost_us = lost->lost_us,
 		.refused_us = lost->refused_us,
 		.heard_other_us = heard_other_us(gateway, lost->key),
+		.is_replaced = lost->is_replaced,
 		.is_registered = is_registered(gateway, lost),
 		.now_us = gateway->now_us,
 	};
--- a/adapters/gateway/gateway_losses.c
+++ b/adapters/gateway/gateway_losses.c
@@ -51,22 +51,14 @@
 		  endpoint->last_registration->address, "status", text, NULL);
 }
 
-/*
- * Records that the endpoint answers a request that was sent at sent_us, with
- * that status.
- */
+/* Records that the endpoint answers, with that status. */
 void gateway_losses_note_answer(struct gateway *gateway,
 				const struct endpoint *endpoint,
-				int64_t sent_us, int32_t status)
+				const struct quarantine_answer *answer,
+				int32_t status)
 {
-	const struct quarantine_answer answer = {
-		.endpoint_key = endpoint->key,
-		.started_us = endpoint->known_us,
-		.sent_us = sent_us,
-	};
-
 	gateway_ends_note_heard(gateway, endpoint);
-	if (quarantine_report_answer(gateway->quarantine, &answer,
+	if (quarantine_report_answer(gateway->quarantine, answer,
 				     gateway->now_us))
 		log_refuted(gateway, endpoint, status);
 }
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -205,7 +205,8 @@
 			 const struct endpoint *endpoint);
 void gateway_losses_note_answer(struct gateway *gateway,
 				const struct endpoint *endpoint,
-				int64_t sent_us, int32_t status);
+				const struct quarantine_answer *answer,
+				int32_t status);
 void gateway_losses_send(struct gateway *gateway, const char *peer_address);
 void gateway_losses_receive(struct gateway *gateway,
 			    const struct peer_message *message);
@@ -243,6 +244,8 @@
 			const struct endpoint *endpoint);
 void gateway_ends_note_refused(struct gateway *gateway,
 			       const char *endpoint_id);
+void gateway_ends_note_replaced(struct gateway *gateway,
+				const char *endpoint_id);
 void gateway_ends_note_heard(struct gateway *gateway,
 			     const struct endpoint *endpoint);
 void gateway_ends_step(struct gateway *gateway);
--- a/adapters/gateway/tcp_stream.c
+++ b/adapters/gateway/tcp_stream.c
@@ -39,6 +39,7 @@
 	GByteArray *unsent;
 	size_t unsent_offset; /* bytes of it already sent */
 	bool connecting;
+	int64_t opened_us; /* when the connection was established */
 	bool reading;
 	bool has_sent;
 	bool finishing; /* without owner: sends the rest, then closes */
@@ -200,6 +201,7 @@
 			return;
 		}
 		stream->connecting = false;
+		stream->opened_us = g_get_monotonic_time();
 		if (stream->events && stream->events->opened)
 			stream->events->opened(stream->data);
 		if (stream->fd < 0)
@@ -414,6 +416,15 @@
 	return stream->has_sent;
 }
 
+/*
+ * Returns the monotonic time, in us, at which tcp_stream_connect established
+ * the connection; 0: not yet.
+ */
+int64_t tcp_stream_opened_us(const struct tcp_stream *stream)
+{
+	return stream->opened_us;
+}
+
 /* Stops or resumes reading; meanwhile TCP flow control stops the peer. */
 void tcp_stream_set_reading(struct tcp_stream *stream, bool reading)
 {
--- a/core/gateway/endpoint_end.c
+++ b/core/gateway/endpoint_end.c
@@ -6,7 +6,7 @@
 /* Returns what is known so far of an endpoint that broke off a run. */
 enum endpoint_end endpoint_end_decide(const struct endpoint_end_input *input)
 {
-	if (!input->is_registered)
+	if (input->is_replaced || !input->is_registered)
 		return ENDPOINT_END_CONFIRMED;
 	if (input->refused_us > input->lost_us &&
 	    input->heard_other_us > input->lost_us)
--- a/core/gateway/endpoint_end.h
+++ b/core/gateway/endpoint_end.h
@@ -10,7 +10,8 @@
 /*
  * Decides whether an endpoint that broke off a run has ended. A connection may
  * also break because the endpoint closed it, or on the way. An endpoint that
- * has ended refuses connections, and its registration goes or changes. A node
+ * has ended refuses connections, its registration goes or changes, and another
+ * one, such as its next start, may answer at its address. A node
  * that is cut off is refused by all endpoints, so a refusal counts only if the
  * node has heard another one since.
  */
@@ -18,6 +19,7 @@
 	int64_t lost_us;	/* when it broke off the run */
 	int64_t refused_us;	/* last connection that it refused; 0: none */
 	int64_t heard_other_us; /* last bytes of any other endpoint; 0: none */
+	bool is_replaced;	/* another endpoint answers at its address */
 	bool is_registered;	/* its registration is as before the loss */
 	int64_t now_us;
 };
--- a/core/limit/quarantine.c
+++ b/core/limit/quarantine.c
@@ -327,9 +327,17 @@
 	return is_news;
 }
 
+/* Whether the process that answered ran before that time and after it. */
+static bool answer_spans(const struct quarantine_answer *answer, int64_t at_us)
+{
+	return answer->connected_us < at_us && at_us < answer->sent_us;
+}
+
 /*
- * Records that an endpoint answered: it had not ended between its start and the
- * sending of the request. Returns whether another node may believe that it had.
+ * Records that an endpoint answered: the process that accepted the connection
+ * still ran when the request was sent. Over a newer connection it may be
+ * another start of the endpoint, which says nothing of the one before. Returns
+ * whether another node may believe that it had ended.
  */
 bool quarantine_report_answer(struct quarantine *quarantine,
 			      const struct quarantine_answer *answer,
@@ -348,11 +356,10 @@
 
 		if (!loss)
 			continue;
-		if (loss->again_us < answer->sent_us)
+		if (answer_spans(answer, loss->again_us))
 			loss->again_us = 0;
 		if (loss->state == LOSS_REFUTED ||
-		    loss->lost_us >= answer->sent_us ||
-		    loss->lost_us <= answer->started_us)
+		    !answer_spans(answer, loss->lost_us))
 			continue;
 		begin_change(quarantine, suspect);
 		suspect->is_news |= loss->state == LOSS_CONFIRMED;
--- a/core/limit/quarantine.h
+++ b/core/limit/quarantine.h
@@ -15,7 +15,8 @@
  * endpoint broke off is a loss; it counts against the request once the endpoint
  * is known to have ended, until
  *
- *   - the endpoint answers a request that was sent later: it had not ended;
+ *   - the endpoint answers a request that was sent later, over a connection
+ *     that was established before the loss: the same process goes on;
  *   - the request is answered whole anywhere: it ends no endpoint.
  *
  * A request is held after losses_to_hold losses at different endpoints, if at
@@ -47,8 +48,8 @@
 /* An endpoint's answer to any request. */
 struct quarantine_answer {
 	uint64_t endpoint_key;
-	int64_t started_us; /* when this start of the endpoint was first seen */
-	int64_t sent_us;    /* when the request was sent */
+	int64_t connected_us; /* when its connection was established */
+	int64_t sent_us;      /* when the request was sent */
 };
 
 void quarantine_options_default(struct quarantine_options *options);
--- a/tests/quarantine_fleet_test.cc
+++ b/tests/quarantine_fleet_test.cc
@@ -233,6 +233,7 @@
 	struct request {
 		uint64_t fingerprint;
 		int sends;
+		int64_t sent_us; /* over a connection of its own */
 		int64_t ends_us;
 	};
 
@@ -284,6 +285,7 @@
 		if (back_us[i] > now_us)
 			return;
 		request.sends++;
+		request.sent_us = now_us;
 		request.ends_us = now_us + 30 * ms_us + (int64_t)Pick(60000);
 		running[i].push_back(request);
 	}
@@ -325,7 +327,8 @@
 				crashes = true;
 				continue;
 			}
-			struct quarantine_answer answer = {keys[i], 0, now_us};
+			struct quarantine_answer answer = {
+				keys[i], request.sent_us, request.sent_us};
 
 			quarantine_report_answer(quarantine, &answer, now_us);
 			quarantine_report_success(quarantine,
@@ -351,7 +354,7 @@
 			else if (n % 20 == 0)
 				fingerprint = popular;
 			innocents += fingerprint != poison;
-			Send({fingerprint, 0, 0});
+			Send({fingerprint, 0, 0, 0});
 			trouble();
 		}
 		EXPECT_LE((double)refused, (double)innocents / 1000)
@@ -416,4 +419,7 @@
 	EXPECT_EQ(ENDPOINT_END_GIVEN_UP, endpoint_end_decide(&input));
 	input.is_registered = false;
 	EXPECT_EQ(ENDPOINT_END_CONFIRMED, endpoint_end_decide(&input));
+	input.is_registered = true;
+	input.is_replaced = true;
+	EXPECT_EQ(ENDPOINT_END_CONFIRMED, endpoint_end_decide(&input));
 }
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -99,10 +99,11 @@
 		quarantine_report_end(quarantine, endpoint, us(at_s));
 	}
 
-	/* The endpoint, started at 0, answers what was sent at sent_s. */
-	void answer(uint64_t endpoint, double sent_s, double started_s = 0)
+	/* Over a connection that was opened at connected_s, the endpoint
+	 * answers what was sent at sent_s. */
+	void answer(uint64_t endpoint, double connected_s, double sent_s)
 	{
-		struct quarantine_answer answer = {endpoint, us(started_s),
+		struct quarantine_answer answer = {endpoint, us(connected_s),
 						   us(sent_s)};
 
 		quarantine_report_answer(quarantine, &answer, us(sent_s));
@@ -141,11 +142,11 @@
 	end(1, 1.1);
 	end(2, 1.1);
 	EXPECT_TRUE(is_held(1, 2));
-	answer(2, 0.9);
+	answer(2, 0.8, 0.9);
 	EXPECT_TRUE(is_held(1, 2)) << "sent before the end";
-	answer(2, 1.5, 1.2);
-	EXPECT_TRUE(is_held(1, 2)) << "of a new start under the same id";
-	answer(2, 1.5);
+	answer(2, 1.2, 1.5);
+	EXPECT_TRUE(is_held(1, 2)) << "maybe of a new start";
+	answer(2, 0.9, 1.5);
 	EXPECT_FALSE(is_held(1, 2));
 	lose(1, 2, 3);
 	end(2, 3.1);
