Quarantine: each end of an endpoint counts, whatever it is called

Cause: a loss was kept under the hash of the id, one for each request, so that later ends of that id changed nothing. Where no other endpoint could be heard, no refused connection counted either; and the first probe came 30 to 80 ms after the loss, when an endpoint may be back. The class: a fact about one start of an endpoint kept under its id or its address.

core/base/endpoint_start names a start: id, birth, and the number of its ends that are known. Probes begin with the loss. A lone endpoint has ended once it refused and accepts again.

Replaced checks: ARestartUnderTheSameIdIsTheSameEndpoint demanded that a second end of one id holds nothing, which is the fault; RunsOfOneStartCountOnce demands that one end counts once however many runs it broke off, and the next one separately. ARefusalCountsOnlyIfAnotherEndpointIsHeard now names that there is another one; ALoneEndpointHasEndedOnceItAcceptsAgain is the rest.

--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -250,12 +250,18 @@
 		exchange_fail_leg(exchange, RESULT_BROKEN, "run not continued");
 }
 
+/* What is found out now of earlier starts tells which one is asked. */
 static void on_opened(void *data)
 {
-	const struct leg *leg = data;
+	struct leg *leg = data;
+	struct gateway *gateway = leg->exchange->gateway;
+	const struct endpoint *endpoint = leg_endpoint(leg);
 
-	gateway_reach_note_connected(leg->exchange->gateway,
-				     leg->exchange->service_name);
+	gateway->now_us = gateway_now_us();
+	gateway_reach_note_connected(gateway, leg->exchange->service_name);
+	gateway_ends_note_accepted(gateway, leg->endpoint_id);
+	if (endpoint)
+		leg->start = gateway_losses_start(gateway, endpoint);
 }
 
 /* Records what the head says of the endpoint that was asked. */
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -167,7 +167,7 @@
 		.fingerprint = exchange->fingerprint,
 		.owner_key =
 			home_hash("organisation", owner ? owner->name : "", 0),
-		.endpoint_key = endpoint->key,
+		.start = exchange->leg->start,
 	};
 
 	if (exchange->leg->has_timed_out ||
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -28,7 +28,8 @@
 	struct attempt *attempt; /* NULL if it could not start */
 	char *endpoint_id;
 	char *endpoint_address;
-	char *backup_id; /* engine that keeps a copy, or NULL */
+	struct endpoint_start start; /* that was asked, as far as is known */
+	char *backup_id;	     /* engine that keeps a copy, or NULL */
 	char *backup_address;
 	int64_t backup_known_us;      /* start of that engine that was asked */
 	struct event_scanner *events; /* NULL: no event stream */
--- a/adapters/gateway/gateway_ends.c
+++ b/adapters/gateway/gateway_ends.c
@@ -9,26 +9,30 @@
  * connections that they refuse, and their registrations.
  */
 
-/* A process that ends closes all its sockets within this time. */
-#define PROBE_AFTER_US (30 * 1000)
+/*
+ * A process that ends closes all its sockets within this time, and may be back
+ * soon after: the endpoint is asked at once, and again until then.
+ */
+#define PROBE_INTERVAL_US (30 * 1000)
+#define MAX_PROBES 3
 
 /* A reachable endpoint accepts a connection sooner. */
 #define REACH_TIMEOUT_US (600 * 1000)
 
-#define CHECK_INTERVAL_US (50 * 1000)
-
 /* An endpoint that broke off a run, until it is known whether it has ended. */
 struct lost_endpoint {
 	struct gateway *gateway;
 	char *id;
 	char *address;
-	uint64_t key;
-	int64_t known_us; /* start of the endpoint that ran the request */
+	struct endpoint_start start; /* that ran the request */
+	uint64_t start_key;
 	int64_t lost_us;
 	int64_t refused_us;	  /* last refused connection; 0: none */
+	int64_t accepted_us;	  /* last accepted connection; 0: none */
 	bool is_replaced;	  /* another one answers at its address */
 	struct tcp_stream *probe; /* NULL: not begun, or over */
-	bool is_probed;
+	int64_t probed_us;
+	int32_t probe_count;
 };
 
 static void note_heard(struct gateway *gateway, uint64_t endpoint_key)
@@ -40,6 +44,8 @@
 	*last = (struct heard_endpoint){endpoint_key, gateway_now_us()};
 }
 
+static void reach_check_step(struct gateway *gateway);
+
 static void lost_endpoint_destroy(gpointer data)
 {
 	struct lost_endpoint *lost = data;
@@ -56,6 +62,14 @@
 }
 
 static void on_probe_opened(void *data)
+{
+	struct lost_endpoint *lost = data;
+
+	lost->accepted_us = gateway_now_us();
+	probe_end(lost);
+}
+
+static void on_probe_ended(void *data)
 {
 	probe_end(data);
 }
@@ -67,6 +81,7 @@
 	(void)error;
 	lost->refused_us = gateway_now_us();
 	probe_end(lost);
+	reach_check_step(lost->gateway);
 }
 
 static void on_probe_received(void *data, const char *bytes, size_t size)
@@ -79,7 +94,7 @@
 static const struct tcp_stream_events probe_events = {
 	.opened = on_probe_opened,
 	.received = on_probe_received,
-	.ended = on_probe_opened,
+	.ended = on_probe_ended,
 	.failed = on_probe_failed,
 };
 
@@ -87,7 +102,8 @@
 {
 	struct error error;
 
-	lost->is_probed = true;
+	lost->probe_count++;
+	lost->probed_us = gateway_now_us();
 	lost->probe =
 		tcp_stream_connect(lost->address, &probe_events, lost, &error);
 }
@@ -114,8 +130,11 @@
 {
 	struct reach_check *check = data;
 
-	note_heard(check->gateway, check->endpoint_key);
-	reach_check_end(check->gateway);
+	struct gateway *gateway = check->gateway;
+
+	note_heard(gateway, check->endpoint_key);
+	reach_check_end(gateway);
+	gateway_ends_step(gateway);
 }
 
 static void on_reach_failed(void *data, const struct error *error)
@@ -136,6 +155,21 @@
 	.failed = on_reach_failed,
 };
 
+/* Whether a run was lost lately at any start of the endpoint. */
+static bool is_lost(const struct gateway *gateway,
+		    const struct endpoint *endpoint)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gateway->lost_endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((struct lost_endpoint *)value)->start.endpoint_key ==
+		    endpoint->key)
+			return true;
+	return false;
+}
+
 /* Returns a random endpoint that has broken off no run lately, or NULL. */
 static const struct endpoint *pick_reach_target(struct gateway *gateway)
 {
@@ -149,9 +183,7 @@
 		const struct endpoint *endpoint = g_ptr_array_index(
 			endpoints, (first + i) % endpoints->len);
 
-		if (endpoint_is_usable(endpoint) &&
-		    !g_hash_table_contains(gateway->lost_endpoints,
-					   endpoint->last_registration->id))
+		if (endpoint_is_usable(endpoint) && !is_lost(gateway, endpoint))
 			return endpoint;
 	}
 	return NULL;
@@ -183,7 +215,7 @@
 void gateway_ends_init(struct gateway *gateway)
 {
 	gateway->lost_endpoints = g_hash_table_new_full(
-		g_str_hash, g_str_equal, NULL, lost_endpoint_destroy);
+		g_int64_hash, g_int64_equal, NULL, lost_endpoint_destroy);
 }
 
 /* Frees what gateway_ends_init created. */
@@ -193,48 +225,80 @@
 	g_hash_table_unref(gateway->lost_endpoints);
 }
 
-/* Begins to find out whether the endpoint, which broke off a run, has ended. */
+/* Begins to find out whether the start, which broke off a run, has ended. */
 void gateway_ends_watch(struct gateway *gateway,
-			const struct endpoint *endpoint)
+			const struct endpoint *endpoint,
+			const struct endpoint_start *start)
 {
 	const struct registration *said = endpoint->last_registration;
+	uint64_t start_key = endpoint_start_key(start);
 	struct lost_endpoint *lost =
-		g_hash_table_lookup(gateway->lost_endpoints, said->id);
+		g_hash_table_lookup(gateway->lost_endpoints, &start_key);
 
 	if (!lost) {
 		lost = g_new0(struct lost_endpoint, 1);
 		lost->gateway = gateway;
 		lost->id = g_strdup(said->id);
 		lost->address = g_strdup(said->address);
-		lost->key = endpoint->key;
-		lost->known_us = endpoint->known_us;
-		g_hash_table_insert(gateway->lost_endpoints, lost->id, lost);
+		lost->start = *start;
+		lost->start_key = start_key;
+		g_hash_table_insert(gateway->lost_endpoints, &lost->start_key,
+				    lost);
 	}
 	lost->lost_us = gateway->now_us;
-	lost->is_probed = false;
+	lost->probe_count = 0;
+	if (!lost->probe)
+		probe_begin(lost);
+}
+
+/* What a connection to an endpoint tells of its starts that were lost. */
+enum connection_sign { SIGN_ACCEPTED, SIGN_REFUSED, SIGN_REPLACED };
+
+static void note_sign(struct gateway *gateway, const char *endpoint_id,
+		      enum connection_sign sign)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gateway->lost_endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct lost_endpoint *lost = value;
+
+		if (strcmp(lost->id, endpoint_id) != 0)
+			continue;
+		switch (sign) {
+		case SIGN_ACCEPTED:
+			lost->accepted_us = gateway->now_us;
+			break;
+		case SIGN_REFUSED:
+			lost->refused_us = gateway->now_us;
+			break;
+		case SIGN_REPLACED:
+			lost->is_replaced = true;
+			break;
+		}
+	}
+	gateway_ends_step(gateway);
+}
+
+/* Records that the endpoint accepted a connection. */
+void gateway_ends_note_accepted(struct gateway *gateway,
+				const char *endpoint_id)
+{
+	note_sign(gateway, endpoint_id, SIGN_ACCEPTED);
 }
 
 /* Records that the endpoint refused a connection. */
 void gateway_ends_note_refused(struct gateway *gateway, const char *endpoint_id)
 {
-	struct lost_endpoint *lost =
-		g_hash_table_lookup(gateway->lost_endpoints, endpoint_id);
-
-	if (lost)
-		lost->refused_us = gateway->now_us;
+	note_sign(gateway, endpoint_id, SIGN_REFUSED);
 }
 
-/*
- * Records that an answer from the address of the endpoint is not from it.
- */
+/* Records that an answer from the endpoint's address is not from it. */
 void gateway_ends_note_replaced(struct gateway *gateway,
 				const char *endpoint_id)
 {
-	struct lost_endpoint *lost =
-		g_hash_table_lookup(gateway->lost_endpoints, endpoint_id);
-
-	if (lost)
-		lost->is_replaced = true;
+	note_sign(gateway, endpoint_id, SIGN_REPLACED);
 }
 
 /* Records that the endpoint is alive. */
@@ -262,9 +326,13 @@
 	const GPtrArray *endpoints = registry_endpoints(gateway->registry);
 	const struct endpoint *endpoint =
 		registry_find(gateway->registry, lost->id);
+	struct endpoint_start registered = lost->start;
 
-	if (!endpoint || endpoint->presence == PRESENCE_GONE ||
-	    !endpoint_is_same_start(endpoint, lost->known_us))
+	if (!endpoint || !endpoint_is_usable(endpoint) ||
+	    strcmp(endpoint->last_registration->address, lost->address) != 0)
+		return false;
+	registered.born_ms = endpoint->last_registration->started_ms;
+	if (endpoint_start_compare(&lost->start, &registered) == START_EARLIER)
 		return false;
 	for (guint i = 0; i < endpoints->len; i++) {
 		const struct endpoint *other = g_ptr_array_index(endpoints, i);
@@ -277,6 +345,33 @@
 	return true;
 }
 
+/* Whether another address has an endpoint that this node may hear. */
+static bool has_other(const struct gateway *gateway,
+		      const struct lost_endpoint *lost)
+{
+	const GPtrArray *endpoints = registry_endpoints(gateway->registry);
+
+	for (guint i = 0; i < endpoints->len; i++) {
+		const struct endpoint *endpoint =
+			g_ptr_array_index(endpoints, i);
+
+		if (endpoint_is_usable(endpoint) &&
+		    strcmp(endpoint->last_registration->address,
+			   lost->address) != 0)
+			return true;
+	}
+	return false;
+}
+
+/* Asks the endpoint again, unless it has refused a connection since. */
+static void probe_step(struct lost_endpoint *lost)
+{
+	if (!lost->probe && lost->probe_count < MAX_PROBES &&
+	    lost->refused_us <= lost->lost_us &&
+	    lost->gateway->now_us - lost->probed_us >= PROBE_INTERVAL_US)
+		probe_begin(lost);
+}
+
 static const char *evidence_name(const struct endpoint_end_input *input)
 {
 	if (input->is_replaced)
@@ -306,16 +401,17 @@
 	const struct endpoint_end_input input = {
 		.lost_us = lost->lost_us,
 		.refused_us = lost->refused_us,
-		.heard_other_us = heard_other_us(gateway, lost->key),
+		.accepted_us = lost->accepted_us,
+		.heard_other_us =
+			heard_other_us(gateway, lost->start.endpoint_key),
+		.has_other = has_other(gateway, lost),
 		.is_replaced = lost->is_replaced,
 		.is_registered = is_registered(gateway, lost),
 		.now_us = gateway->now_us,
 	};
 
 	(void)id;
-	if (!lost->is_probed && !lost->probe &&
-	    gateway->now_us - lost->lost_us >= PROBE_AFTER_US)
-		probe_begin(lost);
+	probe_step(lost);
 	switch (endpoint_end_decide(&input)) {
 	case ENDPOINT_END_UNKNOWN:
 		if (input.refused_us > input.lost_us)
@@ -326,7 +422,7 @@
 	case ENDPOINT_END_CONFIRMED:
 		break;
 	}
-	if (quarantine_report_end(gateway->quarantine, lost->key,
+	if (quarantine_report_end(gateway->quarantine, &lost->start,
 				  gateway->now_us))
 		log_endpoint_ended(gateway, lost, &input);
 	return TRUE;
@@ -335,9 +431,7 @@
 /* Checks the evidence; quarantine learns of each endpoint that has ended. */
 void gateway_ends_step(struct gateway *gateway)
 {
-	if (gateway->now_us - gateway->ends_checked_us < CHECK_INTERVAL_US)
-		return;
-	gateway->ends_checked_us = gateway->now_us;
+	gateway->now_us = gateway_now_us();
 	g_hash_table_foreach_remove(gateway->lost_endpoints, step_lost_endpoint,
 				    gateway);
 }
--- a/adapters/gateway/gateway_losses.c
+++ b/adapters/gateway/gateway_losses.c
@@ -31,13 +31,24 @@
 	gateway->quarantine = quarantine_create(&options);
 }
 
+/* Returns the start of the endpoint that runs now, as far as is known. */
+struct endpoint_start gateway_losses_start(const struct gateway *gateway,
+					   const struct endpoint *endpoint)
+{
+	struct endpoint_start start =
+		quarantine_current_start(gateway->quarantine, endpoint->key);
+
+	start.born_ms = endpoint->last_registration->started_ms;
+	return start;
+}
+
 /* Records that the endpoint broke off a run. */
 void gateway_losses_note(struct gateway *gateway,
 			 const struct quarantine_run *run,
 			 const struct endpoint *endpoint)
 {
 	quarantine_report_loss(gateway->quarantine, run, gateway->now_us);
-	gateway_ends_watch(gateway, endpoint);
+	gateway_ends_watch(gateway, endpoint, &run->start);
 }
 
 static void log_refuted(const struct gateway *gateway,
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -98,10 +98,9 @@
 	struct gossip_pace losses_pace;
 
 	/* Whether endpoints that broke off runs have ended. */
-	GHashTable *lost_endpoints;	 /* id to struct lost_endpoint */
+	GHashTable *lost_endpoints;	 /* start key to struct lost_endpoint */
 	struct heard_endpoint heard[2];	 /* the last one, and another one */
 	struct reach_check *reach_check; /* under way, or NULL */
-	int64_t ends_checked_us;
 
 	/* Services that this node reaches, or passes on for others. */
 	GHashTable *reach; /* service to struct service_state */
@@ -200,6 +199,8 @@
 
 /* gateway_losses.c */
 void gateway_losses_init(struct gateway *gateway);
+struct endpoint_start gateway_losses_start(const struct gateway *gateway,
+					   const struct endpoint *endpoint);
 void gateway_losses_note(struct gateway *gateway,
 			 const struct quarantine_run *run,
 			 const struct endpoint *endpoint);
@@ -241,7 +242,10 @@
 void gateway_ends_init(struct gateway *gateway);
 void gateway_ends_clear(struct gateway *gateway);
 void gateway_ends_watch(struct gateway *gateway,
-			const struct endpoint *endpoint);
+			const struct endpoint *endpoint,
+			const struct endpoint_start *start);
+void gateway_ends_note_accepted(struct gateway *gateway,
+				const char *endpoint_id);
 void gateway_ends_note_refused(struct gateway *gateway,
 			       const char *endpoint_id);
 void gateway_ends_note_replaced(struct gateway *gateway,
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -155,6 +155,7 @@
 	leg->exchange = exchange;
 	leg->endpoint_id = g_strdup(endpoint->last_registration->id);
 	leg->endpoint_address = g_strdup(endpoint->last_registration->address);
+	leg->start = gateway_losses_start(exchange->gateway, endpoint);
 	leg->tokens = exchange_held_tokens(exchange);
 	leg->sent_us = exchange->gateway->now_us;
 	leg->is_takeover = copy_address != NULL;
--- a/codec/peer_losses.c
+++ b/codec/peer_losses.c
@@ -12,7 +12,7 @@
 struct loss_record {
 	uint64_t fingerprint;
 	uint64_t owner_key;
-	uint64_t endpoint_key;
+	uint64_t start_key;
 	uint32_t age_ms;
 	int32_t cleared_age_ms;
 	uint32_t trial_age_ms;
@@ -32,7 +32,7 @@
 	return (struct loss_record){
 		.fingerprint = loss->fingerprint,
 		.owner_key = loss->owner_key,
-		.endpoint_key = loss->endpoint_key,
+		.start_key = loss->start_key,
 		.age_ms = (uint32_t)age_ms,
 		.cleared_age_ms = loss->is_cleared ? (int32_t)cleared_age_ms
 						   : NOT_CLEARED,
@@ -70,7 +70,7 @@
 	return (struct peer_loss){
 		.fingerprint = record->fingerprint,
 		.owner_key = record->owner_key,
-		.endpoint_key = record->endpoint_key,
+		.start_key = record->start_key,
 		.state = (enum loss_state)record->state,
 		.age_us = (int64_t)record->age_ms * US_PER_MS,
 		.is_cleared = is_cleared,
--- a/core/gateway/endpoint_end.h
+++ b/core/gateway/endpoint_end.h
@@ -13,12 +13,16 @@
  * has ended refuses connections, its registration goes or changes, and another
  * one, such as its next start, may answer at its address. A node
  * that is cut off is refused by all endpoints, so a refusal counts only if the
- * node has heard another one since.
+ * node has heard another one since. If there is no other one, it counts once
+ * the endpoint accepts connections again: a cut that heals looks the same, but
+ * counts against a request only if the cut breaks off its run, each time anew.
  */
 struct endpoint_end_input {
 	int64_t lost_us;	/* when it broke off the run */
 	int64_t refused_us;	/* last connection that it refused; 0: none */
+	int64_t accepted_us;	/* last one that it accepted; 0: none */
 	int64_t heard_other_us; /* last bytes of any other endpoint; 0: none */
+	bool has_other;		/* there is another endpoint to be heard */
 	bool is_replaced;	/* another endpoint answers at its address */
 	bool is_registered;	/* its registration is as before the loss */
 	int64_t now_us;
--- a/core/limit/quarantine.c
+++ b/core/limit/quarantine.c
@@ -32,8 +32,8 @@
 	quarantine->options = *options;
 	quarantine->suspects = suspect_table_create(options->max_entries);
 	quarantine->held = suspect_table_create(options->max_entries);
-	quarantine->endpoints = g_hash_table_new_full(
-		g_int64_hash, g_int64_equal, NULL, g_free);
+	quarantine->starts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						   NULL, g_free);
 	return quarantine;
 }
 
@@ -44,7 +44,7 @@
 		return;
 	suspect_table_destroy(quarantine->suspects);
 	suspect_table_destroy(quarantine->held);
-	g_hash_table_unref(quarantine->endpoints);
+	g_hash_table_unref(quarantine->starts);
 	g_free(quarantine);
 }
 
@@ -54,36 +54,37 @@
 	       (!suspect->cleared_us || loss->lost_us > suspect->cleared_us);
 }
 
-static struct endpoint_losses *find_losses(const struct quarantine *quarantine,
-					   uint64_t endpoint_key)
+static struct start_losses *find_losses(const struct quarantine *quarantine,
+					uint64_t start_key)
 {
-	return g_hash_table_lookup(quarantine->endpoints, &endpoint_key);
+	return g_hash_table_lookup(quarantine->starts, &start_key);
 }
 
-/* Adds the losses of a suspect to those of their endpoints, or subtracts them.
- */
+/* Adds the losses of a suspect to those of their starts, or subtracts them. */
 static void count_losses(struct quarantine *quarantine,
 			 const struct suspect *suspect, int32_t sign)
 {
 	for (int32_t i = 0; i < suspect->loss_count; i++) {
 		const struct loss *loss = &suspect->losses[i];
-		struct endpoint_losses *losses =
-			find_losses(quarantine, loss->endpoint_key);
+		struct start_losses *losses =
+			find_losses(quarantine, loss->start_key);
 
 		if (loss->state == LOSS_REFUTED)
 			continue;
 		if (!losses) {
-			losses = g_new0(struct endpoint_losses, 1);
-			losses->endpoint_key = loss->endpoint_key;
-			g_hash_table_insert(quarantine->endpoints,
-					    &losses->endpoint_key, losses);
+			losses = g_new0(struct start_losses, 1);
+			losses->start_key = loss->start_key;
+			g_hash_table_insert(quarantine->starts,
+					    &losses->start_key, losses);
 		}
 		losses->open += sign;
+		if (loss->state == LOSS_CONFIRMED)
+			losses->confirmed += sign;
 		if (loss_counts(suspect, loss))
 			losses->counted += sign;
 		if (losses->open == 0)
-			g_hash_table_remove(quarantine->endpoints,
-					    &loss->endpoint_key);
+			g_hash_table_remove(quarantine->starts,
+					    &loss->start_key);
 	}
 }
 
@@ -103,7 +104,7 @@
 			continue;
 		count++;
 		newest_us = MAX(newest_us, loss->lost_us);
-		if (find_losses(quarantine, loss->endpoint_key)->counted == 1)
+		if (find_losses(quarantine, loss->start_key)->counted == 1)
 			needed = options->losses_to_hold;
 	}
 	return count >= needed ? newest_us + options->hold_us : 0;
@@ -201,10 +202,10 @@
 	return suspect;
 }
 
-struct loss *suspect_find_loss(struct suspect *suspect, uint64_t endpoint_key)
+struct loss *suspect_find_loss(struct suspect *suspect, uint64_t start_key)
 {
 	for (int32_t i = 0; i < suspect->loss_count; i++)
-		if (suspect->losses[i].endpoint_key == endpoint_key)
+		if (suspect->losses[i].start_key == start_key)
 			return &suspect->losses[i];
 	return NULL;
 }
@@ -245,6 +246,27 @@
 		suspect_clear(suspect, whole->at_us + WHOLE_GRACE_US);
 }
 
+/*
+ * Returns the start of the endpoint that runs now, as far as is known: the one
+ * after the last that is known to have ended under some request. Its birth is
+ * left open. A run belongs to the start that was current when its connection
+ * was established.
+ */
+struct endpoint_start
+quarantine_current_start(const struct quarantine *quarantine,
+			 uint64_t endpoint_key)
+{
+	struct endpoint_start start = {.endpoint_key = endpoint_key};
+	const struct start_losses *losses =
+		find_losses(quarantine, endpoint_start_key(&start));
+
+	while (losses && losses->confirmed > 0 && start.number < INT16_MAX) {
+		start.number++;
+		losses = find_losses(quarantine, endpoint_start_key(&start));
+	}
+	return start;
+}
+
 /*
  * Records that an endpoint broke off a run. This counts for nothing until
  * quarantine_report_end.
@@ -254,14 +276,15 @@
 {
 	struct suspect *suspect = quarantine_open(quarantine, run->fingerprint,
 						  run->owner_key, now_us);
-	struct loss *loss = suspect_find_loss(suspect, run->endpoint_key);
+	uint64_t start_key = endpoint_start_key(&run->start);
+	struct loss *loss = suspect_find_loss(suspect, start_key);
 
 	if (!loss)
 		loss = suspect_add_loss(suspect);
 	if (loss->state == LOSS_CONFIRMED)
 		loss->again_us = now_us;
 	else
-		*loss = (struct loss){.endpoint_key = run->endpoint_key,
+		*loss = (struct loss){.start_key = start_key,
 				      .lost_us = now_us,
 				      .state = LOSS_SUSPECTED};
 	quarantine_clear_if_whole(quarantine, suspect);
@@ -269,11 +292,11 @@
 }
 
 /*
- * Returns the fingerprints of the suspects with a loss at the endpoint, which
- * the caller frees. A change of one may evict others.
+ * Returns the fingerprints of the suspects with a loss at the start, which the
+ * caller frees. A change of one may evict others.
  */
 static GArray *suspects_at(const struct quarantine *quarantine,
-			   uint64_t endpoint_key)
+			   uint64_t start_key)
 {
 	const GList *const lists[] = {
 		suspect_table_list(quarantine->suspects),
@@ -281,13 +304,13 @@
 	};
 	GArray *found = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 
-	if (!find_losses(quarantine, endpoint_key))
+	if (!find_losses(quarantine, start_key))
 		return found;
 	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
 		for (const GList *link = lists[i]; link; link = link->next) {
 			struct suspect *suspect = link->data;
 
-			if (suspect_find_loss(suspect, endpoint_key))
+			if (suspect_find_loss(suspect, start_key))
 				g_array_append_val(found, suspect->fingerprint);
 		}
 	}
@@ -295,21 +318,21 @@
 }
 
 /*
- * Records that an endpoint has ended: the runs that it broke off count.
- * Returns whether that is news for other nodes.
+ * Records that a start of an endpoint has ended: the runs that it broke off
+ * count. Returns whether that is news for other nodes.
  */
-bool quarantine_report_end(struct quarantine *quarantine, uint64_t endpoint_key,
-			   int64_t now_us)
+bool quarantine_report_end(struct quarantine *quarantine,
+			   const struct endpoint_start *start, int64_t now_us)
 {
-	GArray *found = suspects_at(quarantine, endpoint_key);
+	uint64_t start_key = endpoint_start_key(start);
+	GArray *found = suspects_at(quarantine, start_key);
 	bool is_news = false;
 
 	for (guint i = 0; i < found->len; i++) {
 		struct suspect *suspect =
 			lookup(quarantine, g_array_index(found, uint64_t, i));
 		struct loss *loss =
-			suspect ? suspect_find_loss(suspect, endpoint_key)
-				: NULL;
+			suspect ? suspect_find_loss(suspect, start_key) : NULL;
 
 		if (!loss)
 			continue;
@@ -333,26 +356,19 @@
 	return answer->connected_us < at_us && at_us < answer->sent_us;
 }
 
-/*
- * Records that an endpoint answered: the process that accepted the connection
- * still ran when the request was sent. Over a newer connection it may be
- * another start of the endpoint, which says nothing of the one before. Returns
- * whether another node may believe that it had ended.
- */
-bool quarantine_report_answer(struct quarantine *quarantine,
-			      const struct quarantine_answer *answer,
-			      int64_t now_us)
+/* Applies an answer to the losses at one start of its endpoint. */
+static bool refute_losses(struct quarantine *quarantine, uint64_t start_key,
+			  const struct quarantine_answer *answer,
+			  int64_t now_us)
 {
-	GArray *found = suspects_at(quarantine, answer->endpoint_key);
+	GArray *found = suspects_at(quarantine, start_key);
 	bool is_news = false;
 
 	for (guint i = 0; i < found->len; i++) {
 		struct suspect *suspect =
 			lookup(quarantine, g_array_index(found, uint64_t, i));
 		struct loss *loss =
-			suspect ? suspect_find_loss(suspect,
-						    answer->endpoint_key)
-				: NULL;
+			suspect ? suspect_find_loss(suspect, start_key) : NULL;
 
 		if (!loss)
 			continue;
@@ -371,6 +387,28 @@
 	return is_news;
 }
 
+/*
+ * Records that an endpoint answered: the process that accepted the connection
+ * still ran when the request was sent. Over a newer connection it may be
+ * another start of the endpoint, which says nothing of the one before. Returns
+ * whether another node may believe that it had ended.
+ */
+bool quarantine_report_answer(struct quarantine *quarantine,
+			      const struct quarantine_answer *answer,
+			      int64_t now_us)
+{
+	struct endpoint_start start = {.endpoint_key = answer->endpoint_key};
+	uint64_t start_key = endpoint_start_key(&start);
+	bool is_news = false;
+
+	while (find_losses(quarantine, start_key)) {
+		is_news |= refute_losses(quarantine, start_key, answer, now_us);
+		start.number++;
+		start_key = endpoint_start_key(&start);
+	}
+	return is_news;
+}
+
 static bool has_counted_loss(const struct suspect *suspect)
 {
 	for (int32_t i = 0; i < suspect->loss_count; i++)
@@ -427,14 +465,13 @@
 {
 	const struct quarantine_run run = {
 		.fingerprint = fingerprint,
-		.endpoint_key = ((uint64_t)g_str_hash(endpoint) << 32) |
-				(uint64_t)strlen(endpoint),
+		.start.endpoint_key = (uint64_t)g_str_hash(endpoint) << 32,
 	};
 
 	if (quarantine_until_us(quarantine, fingerprint, now_us))
 		return false;
 	quarantine_report_loss(quarantine, &run, now_us);
-	quarantine_report_end(quarantine, run.endpoint_key, now_us);
+	quarantine_report_end(quarantine, &run.start, now_us);
 	return quarantine_until_us(quarantine, fingerprint, now_us) != 0;
 }
 
--- a/core/limit/quarantine.h
+++ b/core/limit/quarantine.h
@@ -1,6 +1,7 @@
 #ifndef CORE_LIMIT_QUARANTINE_H
 #define CORE_LIMIT_QUARANTINE_H
 
+#include "core/base/endpoint_start.h"
 #include "ports/peer_message.h"
 
 #include <glib.h>
@@ -19,8 +20,9 @@
  *     that was established before the loss: the same process goes on;
  *   - the request is answered whole anywhere: it ends no endpoint.
  *
- * A request is held after losses_to_hold losses at different endpoints, if at
- * one of them no other request lost a run, and otherwise after
+ * Each end of an endpoint counts once, however often the endpoint starts again
+ * under its id. A request is held after losses_to_hold losses at different
+ * starts, if at one of them no other request lost a run, and otherwise after
  * shared_losses_to_hold: requests that only ran beside one that ends endpoints
  * lose runs as well. After hold_us, one run at a time may try again, and a
  * single further loss holds the request again.
@@ -42,7 +44,7 @@
 struct quarantine_run {
 	uint64_t fingerprint;
 	uint64_t owner_key; /* of the organisation that sent it */
-	uint64_t endpoint_key;
+	struct endpoint_start start;
 };
 
 /* An endpoint's answer to any request. */
@@ -58,8 +60,11 @@
 
 void quarantine_report_loss(struct quarantine *quarantine,
 			    const struct quarantine_run *run, int64_t now_us);
-bool quarantine_report_end(struct quarantine *quarantine, uint64_t endpoint_key,
-			   int64_t now_us);
+struct endpoint_start
+quarantine_current_start(const struct quarantine *quarantine,
+			 uint64_t endpoint_key);
+bool quarantine_report_end(struct quarantine *quarantine,
+			   const struct endpoint_start *start, int64_t now_us);
 bool quarantine_report_answer(struct quarantine *quarantine,
 			      const struct quarantine_answer *answer,
 			      int64_t now_us);
--- a/core/limit/quarantine_peers.c
+++ b/core/limit/quarantine_peers.c
@@ -9,8 +9,8 @@
 static bool merge_loss(struct suspect *suspect, const struct peer_loss *news,
 		       int64_t now_us)
 {
-	struct loss *loss = suspect_find_loss(suspect, news->endpoint_key);
-	struct loss said = {.endpoint_key = news->endpoint_key,
+	struct loss *loss = suspect_find_loss(suspect, news->start_key);
+	struct loss said = {.start_key = news->start_key,
 			    .lost_us = now_us - news->age_us,
 			    .state = news->state};
 
@@ -96,7 +96,7 @@
 
 		if (loss->state == LOSS_SUSPECTED)
 			continue;
-		row.endpoint_key = loss->endpoint_key;
+		row.start_key = loss->start_key;
 		row.state = loss->state;
 		row.age_us = now_us - loss->lost_us;
 		g_array_append_val(losses, row);
--- a/core/limit/quarantine_state.h
+++ b/core/limit/quarantine_state.h
@@ -14,18 +14,19 @@
 	int64_t at_us;
 };
 
-/* The losses at one endpoint, of all suspects. */
-struct endpoint_losses {
-	uint64_t endpoint_key;
-	int32_t open;	 /* neither refuted */
-	int32_t counted; /* against requests */
+/* The losses at one start of an endpoint, of all suspects. */
+struct start_losses {
+	uint64_t start_key;
+	int32_t open;	   /* not refuted */
+	int32_t confirmed; /* by an end of the endpoint */
+	int32_t counted;   /* against requests */
 };
 
 struct quarantine {
 	struct quarantine_options options;
 	struct suspect_table *suspects;
 	struct suspect_table *held; /* a flood of suspects evicts none of it */
-	GHashTable *endpoints;	    /* key to struct endpoint_losses */
+	GHashTable *starts;	    /* start_key to struct start_losses */
 	struct whole wholes[WHOLE_SLOTS];
 	bool has_news;
 };
@@ -39,7 +40,7 @@
 		    int64_t now_us);
 void quarantine_clear_if_whole(struct quarantine *quarantine,
 			       struct suspect *suspect);
-struct loss *suspect_find_loss(struct suspect *suspect, uint64_t endpoint_key);
+struct loss *suspect_find_loss(struct suspect *suspect, uint64_t start_key);
 struct loss *suspect_add_loss(struct suspect *suspect);
 void suspect_clear(struct suspect *suspect, int64_t cleared_us);
 
--- a/core/limit/suspect_table.h
+++ b/core/limit/suspect_table.h
@@ -14,7 +14,7 @@
 
 /* A run that an endpoint didn't finish. */
 struct loss {
-	uint64_t endpoint_key;
+	uint64_t start_key; /* of the endpoint's start that broke it off */
 	int64_t lost_us;
 	int64_t again_us; /* a later one, not confirmed so far; 0: none */
 	enum loss_state state;
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -362,7 +362,7 @@
 
 		EXPECT_EQ(b->fingerprint, a->fingerprint);
 		EXPECT_EQ(b->owner_key, a->owner_key);
-		EXPECT_EQ(b->endpoint_key, a->endpoint_key);
+		EXPECT_EQ(b->start_key, a->start_key);
 		EXPECT_EQ(b->state, a->state);
 		EXPECT_EQ(b->age_us, a->age_us);
 		EXPECT_EQ(b->is_cleared, a->is_cleared);
--- a/tests/quarantine_fleet_test.cc
+++ b/tests/quarantine_fleet_test.cc
@@ -65,10 +65,14 @@
 	/* A request at a node ends an endpoint, and the node finds out. */
 	void End(size_t node, uint64_t fingerprint, uint64_t endpoint)
 	{
-		struct quarantine_run run = {fingerprint, 1, endpoint};
+		struct quarantine_run run = {
+			fingerprint, 1,
+			quarantine_current_start(nodes[node].quarantine,
+						 endpoint << 32)};
 
 		quarantine_report_loss(nodes[node].quarantine, &run, now_us);
-		quarantine_report_end(nodes[node].quarantine, endpoint, now_us);
+		quarantine_report_end(nodes[node].quarantine, &run.start,
+				      now_us);
 	}
 
 	void Run(int64_t for_us)
@@ -248,6 +252,8 @@
 	size_t innocents = 0;
 	size_t refused = 0;
 	size_t ended_by_poison = 0;
+	int64_t restart_us = 3 * second_us;
+	bool keeps_id = false; /* where endpoints start again */
 
 	void SetUp() override
 	{
@@ -294,18 +300,21 @@
 	void Break(size_t i, bool ends)
 	{
 		std::vector<struct request> lost;
+		struct endpoint_start start =
+			quarantine_current_start(quarantine, keys[i] << 32);
 
 		lost.swap(running[i]);
 		for (const struct request &request : lost) {
 			struct quarantine_run run = {request.fingerprint, 1,
-						     keys[i]};
+						     start};
 
 			quarantine_report_loss(quarantine, &run, now_us);
 		}
 		if (ends) {
-			quarantine_report_end(quarantine, keys[i], now_us);
-			back_us[i] = now_us + 3 * second_us;
-			keys[i] = next_key++;
+			quarantine_report_end(quarantine, &start, now_us);
+			back_us[i] = now_us + restart_us;
+			if (!keeps_id)
+				keys[i] = next_key++;
 		}
 		for (const struct request &request : lost)
 			if (request.sends < 2)
@@ -327,8 +336,9 @@
 				crashes = true;
 				continue;
 			}
-			struct quarantine_answer answer = {
-				keys[i], request.sent_us, request.sent_us};
+			struct quarantine_answer answer = {keys[i] << 32,
+							   request.sent_us,
+							   request.sent_us};
 
 			quarantine_report_answer(quarantine, &answer, now_us);
 			quarantine_report_success(quarantine,
@@ -395,6 +405,18 @@
 	});
 }
 
+/* Guards against refusing what was lost where an endpoint ends again and again
+ * with causes of its own, under its id or new ones. */
+TEST_P(QuarantineInnocents, WhenAnEndpointIsInACrashLoop)
+{
+	restart_us = (int64_t)50 * ms_us << (GetParam() % 8);
+	keeps_id = Pick(2) == 0;
+	Play([this] {
+		if (back_us[0] <= now_us && Pick(20) == 0)
+			Break(0, true);
+	});
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, QuarantineInnocents,
 			 testing::Range((uint64_t)1, (uint64_t)9));
 
@@ -406,6 +428,7 @@
 	input.lost_us = 10 * second_us;
 	input.now_us = 11 * second_us;
 	input.is_registered = true;
+	input.has_other = true;
 	EXPECT_EQ(ENDPOINT_END_UNKNOWN, endpoint_end_decide(&input));
 	input.refused_us = 10 * second_us + 1;
 	input.heard_other_us = 10 * second_us - 1;
@@ -423,3 +446,24 @@
 	input.is_replaced = true;
 	EXPECT_EQ(ENDPOINT_END_CONFIRMED, endpoint_end_decide(&input));
 }
+
+/* Guards against a lone endpoint that a request ends without end, as no other
+ * one can be heard. */
+TEST(EndpointEnd, ALoneEndpointHasEndedOnceItAcceptsAgain)
+{
+	struct endpoint_end_input input = {};
+
+	input.lost_us = 10 * second_us;
+	input.now_us = 11 * second_us;
+	input.is_registered = true;
+	input.refused_us = 10 * second_us + 2;
+	EXPECT_EQ(ENDPOINT_END_UNKNOWN, endpoint_end_decide(&input));
+	input.accepted_us = 10 * second_us + 1;
+	EXPECT_EQ(ENDPOINT_END_UNKNOWN, endpoint_end_decide(&input))
+		<< "accepted before it refused";
+	input.accepted_us = 10 * second_us + 3;
+	EXPECT_EQ(ENDPOINT_END_CONFIRMED, endpoint_end_decide(&input));
+	input.has_other = true;
+	EXPECT_EQ(ENDPOINT_END_UNKNOWN, endpoint_end_decide(&input))
+		<< "another one can tell whether this node is cut off";
+}
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 class Quarantine : public testing::Test
 {
       protected:
@@ -89,22 +91,36 @@
 	void lose(uint64_t fingerprint, uint64_t endpoint, double at_s,
 		  uint64_t owner = 1)
 	{
-		struct quarantine_run run = {fingerprint, owner, endpoint};
+		struct quarantine_run run = {fingerprint, owner,
+					     current(endpoint)};
 
 		quarantine_report_loss(quarantine, &run, us(at_s));
+		lost[endpoint] = run.start;
 	}
 
+	/* The start that lost a run last has ended. */
 	void end(uint64_t endpoint, double at_s)
 	{
-		quarantine_report_end(quarantine, endpoint, us(at_s));
+		quarantine_report_end(quarantine, &lost[endpoint], us(at_s));
+	}
+
+	struct endpoint_start current(uint64_t endpoint)
+	{
+		return quarantine_current_start(quarantine, key(endpoint));
+	}
+
+	/* Low bits of keys are of no meaning. */
+	static uint64_t key(uint64_t endpoint)
+	{
+		return endpoint << 32;
 	}
 
 	/* Over a connection that was opened at connected_s, the endpoint
 	 * answers what was sent at sent_s. */
 	void answer(uint64_t endpoint, double connected_s, double sent_s)
 	{
-		struct quarantine_answer answer = {endpoint, us(connected_s),
-						   us(sent_s)};
+		struct quarantine_answer answer = {key(endpoint),
+						   us(connected_s), us(sent_s)};
 
 		quarantine_report_answer(quarantine, &answer, us(sent_s));
 	}
@@ -119,6 +135,8 @@
 	{
 		return (int64_t)(s * G_USEC_PER_SEC);
 	}
+
+	std::map<uint64_t, struct endpoint_start> lost;
 };
 
 /* Guards against holding what broken connections, not ended endpoints, lost. */
@@ -217,19 +235,22 @@
 		  quarantine_judge(quarantine, 1, us(2 * hold_s + 11)));
 }
 
-/* Guards against an end that is counted twice where an endpoint restarts under
- * its id, and against one that is forgotten there. */
-TEST_F(QuarantineEvidence, ARestartUnderTheSameIdIsTheSameEndpoint)
+/* Guards against an end that is counted twice, because two runs that it broke
+ * off are lost one after the other, or two nodes saw it. */
+TEST_F(QuarantineEvidence, RunsOfOneStartCountOnce)
 {
-	lose(1, 1, 1);
-	end(1, 1.1);
-	lose(1, 1, 5);
-	EXPECT_TRUE(quarantine_is_suspect(quarantine, 1, us(5)));
-	end(1, 5.1);
+	struct quarantine_run run = {1, 1, current(1)};
+
+	for (double at_s : {1.0, 1.2, 5.0}) {
+		quarantine_report_loss(quarantine, &run, us(at_s));
+		quarantine_report_end(quarantine, &run.start, us(at_s + 0.1));
+	}
+	EXPECT_TRUE(quarantine_is_suspect(quarantine, 1, us(6)));
 	EXPECT_FALSE(is_held(1, 6));
-	lose(1, 2, 6);
-	end(2, 6.1);
-	EXPECT_TRUE(is_held(1, 7));
+	EXPECT_EQ(1, current(1).number);
+	lose(1, 1, 7);
+	end(1, 7.1);
+	EXPECT_TRUE(is_held(1, 8)) << "the next start";
 }
 
 /* Guards against a request that ends one endpoint again and again, because the
