Quarantine: an endpoint that announces to leave has not ended

What callers saw: a request whose connections two endpoints had reset was held when both announced to leave, or their failure domain was evacuated, within 15 s.

Cause: whether an endpoint is registered as before was asked of a function that also asks whether it may get new requests. Of the same class: what is said of an endpoint's use was taken for its end. Now only an entry that is gone, of a later birth or at another address counts.

GatewayLoss.LeavingIsNoEnd: 503 before, served now. CountsNothingUnderNotice states that a run that breaks off under notice counts against nobody: it can't be told from the planned end, and the endpoint gets no new requests. A leg that breaks while the next one was asked is such a run, as the next one is asked under notice only.

--- a/adapters/gateway/gateway_ends.c
+++ b/adapters/gateway/gateway_ends.c
@@ -328,7 +328,7 @@
 		registry_find(gateway->registry, lost->id);
 	struct endpoint_start registered = lost->start;
 
-	if (!endpoint || !endpoint_is_usable(endpoint) ||
+	if (!endpoint || endpoint->presence == PRESENCE_GONE ||
 	    strcmp(endpoint->last_registration->address, lost->address) != 0)
 		return false;
 	registered.born_ms = endpoint->last_registration->started_ms;
--- a/tests/gateway_losses_test.cc
+++ b/tests/gateway_losses_test.cc
@@ -128,3 +128,91 @@
 			restart{50, true, false}, restart{300, true, false},
 			restart{50, false, true}, restart{300, false, true},
 			restart{50, true, true}, restart{300, true, true}));
+
+/* Which broken runs count against their request. */
+class GatewayLoss : public GatewayPair
+{
+      protected:
+	PairEndpoint one{"i-1"}, two{"i-2"}, engine{"i-3"}, other{"i-4"};
+
+	void Prepare()
+	{
+		Create(1);
+		Register(0, "portal",
+			 {{"i-1", one.address}, {"i-2", two.address}});
+		Register(0, "engines",
+			 {{"i-3", engine.address}, {"i-4", other.address}});
+	}
+
+	size_t Suspects()
+	{
+		return quarantine_count(nodes[0]->gateway->quarantine);
+	}
+
+	int Ends() const
+	{
+		return one.ends + two.ends;
+	}
+};
+
+/* Guards against holding a request whose connections broke at endpoints that
+ * only announced to leave. */
+TEST_F(GatewayLoss, LeavingIsNoEnd)
+{
+	PairEndpoint three{"i-5"};
+
+	Prepare();
+	one.reset_path = two.reset_path = "/export/reset";
+	for (int i = 0; i < 6; i++)
+		Ask(0, "/export/reset", "r-" + std::to_string(i));
+	ASSERT_EQ(1u, Suspects());
+	position++;
+	Register(0, "portal", {{"i-1", one.address}, {"i-2", two.address}},
+		 true);
+	Register(0, "portal", {{"i-5", three.address}});
+	Wait(100);
+	EXPECT_EQ(200, Ask(0, "/export/reset", "r-6"));
+}
+
+/* Guards against a request that ends endpoints while they answer it. */
+TEST_F(GatewayLoss, CountsWhatEndsAfterTheHead)
+{
+	Prepare();
+	for (PairEndpoint *endpoint : {&one, &two}) {
+		endpoint->deadly_path = "/export/deadly";
+		endpoint->begins_answer = true;
+	}
+	for (int i = 0; i < 10; i++) {
+		run_until([&] { return one.IsUp() && two.IsUp(); });
+		Ask(0, "/export/deadly", "d-" + std::to_string(i));
+		Wait(100);
+	}
+	EXPECT_LE(Ends(), 3 + sends_after_third);
+}
+
+/* Guards against holding what ran where an engine ended as it had announced:
+ * its other requests, and what was handed over late, end alike. */
+TEST_F(GatewayLoss, CountsNothingUnderNotice)
+{
+	std::unique_ptr<Connection> caller;
+	PairEndpoint *runner;
+
+	Prepare();
+	engine.events = other.events = 200;
+	engine.is_silent = other.is_silent = true;
+	caller.reset(Connection::open(nodes[0]->address));
+	caller->send("POST /report/a HTTP/1.1\r\nHost: h\r\n"
+		     "X-Siskinlink-Request-Id: s-1\r\n"
+		     "X-Siskinlink-Token-Count: 100,400\r\n"
+		     "X-Siskinlink-Deadline-Ms: 2500\r\n"
+		     "Content-Length: 4\r\n\r\nbody");
+	run_until([&] { return engine.runs.size() + other.runs.size() == 1; });
+	runner = engine.runs.empty() ? &other : &engine;
+	Wait(50);
+	position++;
+	Register(0, "engines", {{runner->id, runner->address}}, true);
+	runner->End();
+	Wait(200);
+	EXPECT_EQ(1, runner->ends);
+	EXPECT_EQ(0u, Suspects());
+}
--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -35,6 +35,8 @@
 		"\r\nX-Siskinlink-Engine-Stamp: " + endpoint->id + "\r\n";
 	bool is_deadly = !endpoint->deadly_path.empty() &&
 			 endpoint->deadly_path == head->target;
+	bool is_reset = !endpoint->reset_path.empty() &&
+			endpoint->reset_path == head->target;
 
 	if (is_for_another(endpoint, head)) {
 		fields = std::string("X-Siskinlink-Request-Id: ") + id +
@@ -55,8 +57,17 @@
 	}
 	http_head_destroy(head);
 	g_byte_array_unref(body);
+	if (is_reset) {
+		caller_abort(caller);
+		return;
+	}
 	if (is_deadly) {
+		std::string part = "HTTP/1.1 200 OK\r\n" + fields +
+				   "Content-Length: 100\r\n\r\npart";
+
 		caller_attach_request(caller, endpoint);
+		if (endpoint->begins_answer)
+			caller_send(caller, part.data(), part.size());
 		endpoint->End();
 		return;
 	}
@@ -407,7 +418,8 @@
 }
 
 void GatewayPair::Register(size_t node, const std::string &service,
-			   const std::map<std::string, std::string> &endpoints)
+			   const std::map<std::string, std::string> &endpoints,
+			   bool is_leaving)
 {
 	GPtrArray *list = registration_list_create();
 
@@ -419,6 +431,7 @@
 		said->address = g_strdup(endpoint.second.c_str());
 		said->failure_domain = g_strdup("a");
 		said->position = position;
+		said->is_leaving = is_leaving;
 		g_ptr_array_add(list, said);
 	}
 	gateway_apply_changes(nodes[node]->gateway, list);
--- a/tests/gateway_pair.h
+++ b/tests/gateway_pair.h
@@ -29,6 +29,8 @@
 	/* A request for this path ends the endpoint's process; "": none does.
 	 */
 	std::string deadly_path;
+	bool begins_answer = false; /* of which a part comes before the end */
+	std::string reset_path;	    /* its connection breaks, no more */
 	int ends = 0;
 	int restart_ms = 100;
 	bool gets_new_id = false; /* at each start */
@@ -79,7 +81,8 @@
 
 	/* Endpoints as the node reaches them: id to address. */
 	void Register(size_t node, const std::string &service,
-		      const std::map<std::string, std::string> &endpoints);
+		      const std::map<std::string, std::string> &endpoints,
+		      bool is_leaving = false);
 
 	/* Removes the entry of an endpoint that has left. */
 	void Unregister(size_t node, const std::string &id);
