Quarantine: a plain run that ends its endpoint after the head counts

What callers saw: a request that ends its endpoint while it is answered was sent to one endpoint after the other (10 ends of 10 sends).

Cause: a guard from before there was evidence of ends took an endpoint that had sent a head for one that goes on. Whether it has ended is now found out in any case: a truncated answer of an endpoint that accepts connections counts for nothing. GatewayLoss.CountsWhatEndsAfterTheHead: red before, green now.

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -155,9 +155,8 @@
 }
 
 /*
- * Records a run that its endpoint may have lost by ending. An endpoint that has
- * answered a plain request goes on; a generation may end its engine at any
- * time. Silence is no evidence: a cut on the way looks the same.
+ * Records a run that its endpoint may have lost by ending. Silence is no
+ * evidence, and the run may have ended at any time before.
  */
 static void note_loss(const struct exchange *exchange,
 		      const struct endpoint *endpoint)
@@ -170,8 +169,7 @@
 		.start = exchange->leg->start,
 	};
 
-	if (exchange->leg->has_timed_out ||
-	    (exchange->leg->head_received && !exchange_is_generation(exchange)))
+	if (exchange->leg->has_timed_out)
 		return;
 	gateway_losses_note(exchange->gateway, &run, endpoint);
 }
