Soak kind poison_plain: a request ends plain endpoints that start again

The existing kinds ended engines only, back after two seconds under their id. The request is sent five times a second; a supervisor starts the endpoints again after 50 ms to 5 s, under their id or a new one whose old entry stays for 3 s; counted is what endpoints' journals saw after the third end.

--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -19,6 +19,8 @@
 #define POISON "[[poison]]"
 #define POISON_ATTEMPTS 5
 #define POISON_EVERY_US (300 * MS_US)
+#define POISON_PLAIN_ATTEMPTS 40
+#define POISON_PLAIN_EVERY_US (200 * MS_US)
 /* A route is removed this many versions after the one that added it. */
 #define ROUTE_LIFE_VERSIONS 2
 
@@ -97,7 +99,7 @@
 		       attempt->kind == SOAK_KIND_POISON;
 	/* Always the same body: the quarantine fingerprints requests by it. */
 	const char *body =
-		attempt->kind == SOAK_KIND_POISON ? POISON : attempt->id;
+		soak_kind_is_poison(attempt->kind) ? POISON : attempt->id;
 	bool has_body = attempt->kind != SOAK_KIND_IDEMPOTENT &&
 			attempt->kind != SOAK_KIND_PROBE;
 	int64_t left_us = attempt->deadline_us - g_get_monotonic_time();
@@ -325,22 +327,46 @@
 	return NULL;
 }
 
-/* Sends the request that crashes its engine several times, to any node. */
-static gpointer poison_run(gpointer data)
-{
-	struct caller *caller = data;
+/* A request that ends its endpoint, sent several times, to any node. */
+struct poison {
+	enum soak_kind kind;
+	const char *path;
+	int32_t attempts;
+	int64_t deadline_us;
+	int64_t every_us;
+};
 
-	for (int i = 0; i < POISON_ATTEMPTS; i++) {
+static void send_poison(struct caller *caller, const struct poison *poison)
+{
+	for (int i = 0; i < poison->attempts; i++) {
 		g_autofree char *front = soak_directory_pick(caller->directory);
 
 		if (front)
-			caller_attempt(caller, SOAK_KIND_POISON,
-				       "/report/poison", front,
-				       g_get_monotonic_time() +
-					       STREAM_DEADLINE_US);
-		g_usleep(POISON_EVERY_US);
+			caller_attempt(
+				caller, poison->kind, poison->path, front,
+				g_get_monotonic_time() + poison->deadline_us);
+		g_usleep(poison->every_us);
 	}
 	g_atomic_int_add(&caller->callers->running, -1);
+}
+
+static gpointer poison_run(gpointer data)
+{
+	static const struct poison poison = {
+		SOAK_KIND_POISON, "/report/poison", POISON_ATTEMPTS,
+		STREAM_DEADLINE_US, POISON_EVERY_US};
+
+	send_poison(data, &poison);
+	return NULL;
+}
+
+static gpointer poison_plain_run(gpointer data)
+{
+	static const struct poison poison = {
+		SOAK_KIND_POISON_PLAIN, "/export/poison", POISON_PLAIN_ATTEMPTS,
+		PLAIN_DEADLINE_US, POISON_PLAIN_EVERY_US};
+
+	send_poison(data, &poison);
 	return NULL;
 }
 
@@ -367,13 +393,15 @@
 	return callers;
 }
 
-/* Starts one more caller, whose request crashes the engines that run it. */
-void soak_callers_send_poison(struct soak_callers *callers)
+/* Starts one more caller, whose request ends the endpoints that run it. */
+void soak_callers_send_poison(struct soak_callers *callers,
+			      enum soak_fault_kind kind)
 {
 	struct caller *caller = caller_create(callers);
 
 	caller->behaviour = BEHAVIOUR_NEW_CONNECTION;
-	caller_start(caller, poison_run);
+	caller_start(caller,
+		     kind == SOAK_POISON_PLAIN ? poison_plain_run : poison_run);
 }
 
 /* Whether all threads have ended; soak_callers_finish does not block then. */
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -20,7 +20,8 @@
 
 struct soak_callers *soak_callers_create(const struct soak_schedule *schedule,
 					 struct soak_view *view);
-void soak_callers_send_poison(struct soak_callers *callers);
+void soak_callers_send_poison(struct soak_callers *callers,
+			      enum soak_fault_kind kind);
 bool soak_callers_have_ended(struct soak_callers *callers);
 void soak_callers_finish(struct soak_callers *callers,
 			 struct soak_evidence *evidence);
--- a/tests/soak/soak_check_requests.c
+++ b/tests/soak/soak_check_requests.c
@@ -275,7 +275,7 @@
 				"answered %d, which says that it has "
 				"not run; it ran",
 				answer->status);
-		if (attempt->kind != SOAK_KIND_POISON &&
+		if (!soak_kind_is_poison(attempt->kind) &&
 		    answer->status == 503 && !answer->has_engine_stamp &&
 		    answer->retry_after_us < 0)
 			soak_check_add_finding(
@@ -350,7 +350,7 @@
 			answer->status);
 	if (is_success && attempt->end == SOAK_END_COMPLETE &&
 	    attempt->kind != SOAK_KIND_STREAM &&
-	    attempt->kind != SOAK_KIND_POISON)
+	    !soak_kind_is_poison(attempt->kind))
 		check_plain_body(check, attempt);
 }
 
--- a/tests/soak/soak_check_times.c
+++ b/tests/soak/soak_check_times.c
@@ -354,11 +354,7 @@
 	check_service_budget(check, false);
 }
 
-/*
- * A request that has crashed three engines reaches at most three others from
- * nodes that had contact_ms to learn of the crashes.
- */
-void soak_check_poison(struct soak_check *check)
+static void check_poison_kind(struct soak_check *check, enum soak_kind kind)
 {
 	const GPtrArray *entries = check->evidence->entries;
 	int64_t third_us = 0;
@@ -370,8 +366,7 @@
 		const struct soak_attempt *attempt =
 			soak_check_attempt(check, entry->request);
 
-		if (!attempt || attempt->kind != SOAK_KIND_POISON ||
-		    !is_work_start(entry))
+		if (!attempt || attempt->kind != kind || !is_work_start(entry))
 			continue;
 		if (++runs == MAX_CRASHES)
 			third_us = entry->at_us;
@@ -383,11 +378,22 @@
 	if (later > MAX_CRASHES)
 		soak_check_add_finding(
 			check, NULL, third_us,
-			"a request that had crashed three engines "
+			"a request that had ended three endpoints "
 			"reached %d more",
 			later);
 }
 
+/*
+ * A request that has ended three endpoints reaches at most three others from
+ * nodes that had contact_ms to learn of the ends, also where endpoints start
+ * again at once.
+ */
+void soak_check_poison(struct soak_check *check)
+{
+	check_poison_kind(check, SOAK_KIND_POISON);
+	check_poison_kind(check, SOAK_KIND_POISON_PLAIN);
+}
+
 static int32_t count_attempts_at(const struct soak_check *check,
 				 const struct soak_life *life)
 {
--- a/tests/soak/soak_evidence.c
+++ b/tests/soak/soak_evidence.c
@@ -6,6 +6,11 @@
 #define STEP_JOURNAL "soak.journal"
 #define JOURNAL_FIELDS 5
 
+bool soak_kind_is_poison(enum soak_kind kind)
+{
+	return kind == SOAK_KIND_POISON || kind == SOAK_KIND_POISON_PLAIN;
+}
+
 /* Returns the static name of a kind, as records and logs write it. */
 const char *soak_kind_name(enum soak_kind kind)
 {
@@ -15,6 +20,7 @@
 		[SOAK_KIND_STREAM] = "stream",
 		[SOAK_KIND_PROBE] = "probe",
 		[SOAK_KIND_POISON] = "poison",
+		[SOAK_KIND_POISON_PLAIN] = "poison_plain",
 	};
 
 	return names[kind];
--- a/tests/soak/soak_evidence.h
+++ b/tests/soak/soak_evidence.h
@@ -25,9 +25,13 @@
 	SOAK_KIND_STREAM,
 	SOAK_KIND_PROBE, /* of a route that a version added or removed */
 	SOAK_KIND_POISON,
+	SOAK_KIND_POISON_PLAIN,
 	SOAK_KINDS
 };
 
+/* Whether the requests of this kind end the endpoints that run them. */
+bool soak_kind_is_poison(enum soak_kind kind);
+
 /* One attempt of a caller, with a unique request id. */
 struct soak_attempt {
 	char *id;
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -14,8 +14,6 @@
 /* Documented grace of a stop, and slack for a busy machine. */
 #define GRACE_US (8 * G_TIME_SPAN_SECOND)
 #define GRACE_SLACK_US G_TIME_SPAN_SECOND
-/* A killed engine's entry expires after three missed heartbeats of 1 s. */
-#define ENTRY_EXPIRY_US (3 * G_TIME_SPAN_SECOND)
 /*
  * Entries that expired during an outage of the store are written again within
  * two heartbeats of its return.
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -8,8 +8,12 @@
 #include <unistd.h>
 
 #define MS_US G_TIME_SPAN_MILLISECOND
-/* An endpoint that a request crashed is restarted after two seconds. */
+/* An engine that a request crashed is restarted after two seconds. */
 #define CRASH_RESTART_US (2 * G_TIME_SPAN_SECOND)
+/* A plain endpoint that a request ended is back after one of these times. */
+static const int64_t plain_restart_us[] = {
+	50 * MS_US, 100 * MS_US, 300 * MS_US, 1000 * MS_US, 5000 * MS_US,
+};
 #define SAMPLE_US (500 * MS_US)
 #define TERM_WAIT_US (10 * G_TIME_SPAN_SECOND)
 
@@ -114,11 +118,31 @@
 	return life->status == -SIGTERM && life->log_bytes == 0;
 }
 
+/*
+ * Starts a plain endpoint again that a request has ended, some under their ids,
+ * some under new ones.
+ */
+static void supervise_plain(struct soak_fleet *fleet,
+			    struct soak_member *member)
+{
+	uint32_t draw = fleet->schedule->seed + (uint32_t)fleet->plain_ends++;
+
+	soak_fleet_record_fault(fleet, SOAK_POISON_PLAIN, member->name);
+	member->start_us =
+		g_get_monotonic_time() +
+		plain_restart_us[draw % G_N_ELEMENTS(plain_restart_us)];
+	member->starts_with_new_id = draw / 2 % 2 == 0;
+}
+
 static void member_handle_end(struct soak_fleet *fleet,
 			      struct soak_member *member,
 			      const struct soak_life *life)
 {
-	if (member->role != SOAK_ROLE_NODE) {
+	if (member->role == SOAK_ROLE_PLAIN) {
+		supervise_plain(fleet, member);
+		return;
+	}
+	if (member->role == SOAK_ROLE_ENGINE) {
 		soak_fleet_record_fault(fleet, SOAK_POISON, member->name);
 		member->start_us = g_get_monotonic_time() + CRASH_RESTART_US;
 		return;
@@ -149,6 +173,8 @@
 			member->name);
 		soak_member_kill(member);
 	}
+	if (*member->earlier_id && now_us >= member->earlier_until_us)
+		soak_fleet_remove_earlier_entry(fleet, member);
 	if (!member->life && member->start_us && now_us >= member->start_us)
 		soak_fleet_start_member(fleet, member);
 }
--- a/tests/soak/soak_fleet_start.c
+++ b/tests/soak/soak_fleet_start.c
@@ -232,6 +232,31 @@
 					error.detail);
 }
 
+/* Removes the entry of the endpoint's id before the present one. */
+void soak_fleet_remove_earlier_entry(struct soak_fleet *fleet,
+				     struct soak_member *member)
+{
+	g_autofree char *key =
+		g_strdup_printf("servers/%s", member->earlier_id);
+	struct error error = {0};
+
+	*member->earlier_id = 0;
+	if (!soak_platform_delete(fleet->store_address, key, &error))
+		soak_fleet_note_failure(fleet, "%s: entry: %s", member->name,
+					error.detail);
+}
+
+/* Changes the id; the entry under the one before expires later. */
+static void member_take_new_id(struct soak_fleet *fleet,
+			       struct soak_member *member)
+{
+	if (*member->earlier_id)
+		soak_fleet_remove_earlier_entry(fleet, member);
+	g_strlcpy(member->earlier_id, member->id, sizeof(member->earlier_id));
+	member->earlier_until_us = g_get_monotonic_time() + ENTRY_EXPIRY_US;
+	soak_member_renew_id(member, fleet->renames++);
+}
+
 /*
  * Starts a member that does not run, under a new id and address if it is to be
  * renamed or has left. Records a failure if the start fails.
@@ -249,6 +274,8 @@
 		if (!is_node)
 			soak_fleet_unregister(fleet, member);
 		is_named = soak_fleet_rename(fleet, member, &error);
+	} else if (member->starts_with_new_id) {
+		member_take_new_id(fleet, member);
 	}
 	if (!is_named ||
 	    !(is_node ? fleet_start_node(fleet, member, &error)
--- a/tests/soak/soak_fleet_state.h
+++ b/tests/soak/soak_fleet_state.h
@@ -14,6 +14,9 @@
  * faults.
  */
 
+/* A killed engine's entry expires after three missed heartbeats of 1 s. */
+#define ENTRY_EXPIRY_US (3 * G_TIME_SPAN_SECOND)
+
 /* An action that is deferred for a member. */
 struct soak_deferred {
 	int64_t at_us;
@@ -32,6 +35,7 @@
 	int32_t range;
 	int32_t last_host;
 	int32_t renames;
+	int32_t plain_ends; /* by requests */
 	struct soak_process *store;
 	char store_address[48];
 	GPtrArray *nodes;     /* struct soak_member */
@@ -55,6 +59,8 @@
 void soak_fleet_register(struct soak_fleet *fleet, struct soak_member *member);
 void soak_fleet_unregister(struct soak_fleet *fleet,
 			   struct soak_member *member);
+void soak_fleet_remove_earlier_entry(struct soak_fleet *fleet,
+				     struct soak_member *member);
 bool soak_fleet_rename(struct soak_fleet *fleet, struct soak_member *member,
 		       struct error *error);
 char *soak_fleet_journal_path(const struct soak_fleet *fleet,
--- a/tests/soak/soak_member.c
+++ b/tests/soak/soak_member.c
@@ -44,6 +44,17 @@
 	g_free(member);
 }
 
+/* Gives the member a new id; its address stays. */
+void soak_member_renew_id(struct soak_member *member, int32_t generation)
+{
+	g_snprintf(member->id, sizeof(member->id), "i-%s%d-%d",
+		   member->role == SOAK_ROLE_NODE ? "n" : "e", member->index,
+		   generation);
+	if (member->role == SOAK_ROLE_PLAIN)
+		member->id[2] = 'p';
+	member->starts_with_new_id = false;
+}
+
 /*
  * Sets a new address and a new id for the next start. With has_proxy, other
  * processes connect to it through a new proxy; returns false and sets error
@@ -53,11 +64,7 @@
 			const char *ip, bool has_proxy, struct error *error)
 {
 	g_strlcpy(member->ip, ip, sizeof(member->ip));
-	g_snprintf(member->id, sizeof(member->id), "i-%s%d-%d",
-		   member->role == SOAK_ROLE_NODE ? "n" : "e", member->index,
-		   generation);
-	if (member->role == SOAK_ROLE_PLAIN)
-		member->id[2] = 'p';
+	soak_member_renew_id(member, generation);
 	g_snprintf(member->address, sizeof(member->address), "%s:%d", ip,
 		   member->role == SOAK_ROLE_NODE ? FRONT_PORT : ENGINE_PORT);
 	member->is_leaving = false;
--- a/tests/soak/soak_member.h
+++ b/tests/soak/soak_member.h
@@ -32,6 +32,9 @@
 	bool is_paused;
 	bool is_leaving;	   /* endpoint entry draining or deleted */
 	bool starts_renamed;	   /* new name and address at the next start */
+	bool starts_with_new_id;   /* at its address */
+	char earlier_id[32];	   /* whose entry is still there; "": none */
+	int64_t earlier_until_us;  /* when that entry expires */
 	GPtrArray *deferred_modes; /* char *: sent once it resumes */
 	int64_t born_ms;
 	int64_t start_us;	  /* time of the next start; 0: none */
@@ -43,6 +46,7 @@
 void soak_member_destroy(gpointer member);
 bool soak_member_rename(struct soak_member *member, int32_t generation,
 			const char *ip, bool has_proxy, struct error *error);
+void soak_member_renew_id(struct soak_member *member, int32_t generation);
 const char *soak_member_connect_address(const struct soak_member *member);
 bool soak_member_begin_life(struct soak_member *member, const char *const *argv,
 			    struct soak_evidence *evidence,
--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -195,6 +195,11 @@
 			      false},
 	[SOAK_ENGINE_LIMIT] = {"engine_limit", SOAK_TARGET_ENGINE, 6000, 9000,
 			       true, "an engine states a limit", false, false},
+	[SOAK_POISON_PLAIN] = {"poison_plain", SOAK_TARGET_CALLER, 100, 100,
+			       false,
+			       "a request that ends plain endpoints, which a "
+			       "supervisor starts again",
+			       false, false},
 };
 
 /* Returns the static description of a kind of fault. */
