Tests: ends across 7 to 480 nodes and restarts, relays, callers that left

The bound holds for fleets of 7, 30, 61 and 480 nodes with three records in ten lost: ends of one id seen at several nodes add up, nodes killed a quarter at a time learn again within 3 s. When all nodes restart at once, what was held is forgotten; two more ends hold it again. A request that reaches endpoints through another node is counted there. A run whose caller left counts for nothing: the node closed its connection itself.

--- a/tests/gateway_losses_test.cc
+++ b/tests/gateway_losses_test.cc
@@ -216,3 +216,27 @@
 	EXPECT_EQ(1, runner->ends);
 	EXPECT_EQ(0u, Suspects());
 }
+
+/* Guards against holding what its caller broke off itself: the node closed the
+ * connection, and the endpoint may have ended for any reason later. */
+TEST_F(GatewayLoss, CountsNothingOnceTheCallerHasLeft)
+{
+	std::unique_ptr<Connection> caller;
+	PairEndpoint *runner;
+
+	Prepare();
+	one.is_silent = two.is_silent = true;
+	caller.reset(Connection::open(nodes[0]->address));
+	caller->send("POST /export/a HTTP/1.1\r\nHost: h\r\n"
+		     "X-Siskinlink-Request-Id: l-1\r\n"
+		     "X-Siskinlink-Deadline-Ms: 2500\r\n"
+		     "Content-Length: 4\r\n\r\nbody");
+	run_until([&] { return one.runs.size() + two.runs.size() == 1; });
+	runner = one.runs.empty() ? &two : &one;
+	caller->close();
+	run_until([&] { return runner->gone == 1; });
+	runner->End();
+	Wait(200);
+	EXPECT_EQ(1, runner->ends);
+	EXPECT_EQ(0u, Suspects());
+}
--- a/tests/gateway_relay_test.cc
+++ b/tests/gateway_relay_test.cc
@@ -287,3 +287,21 @@
 	EXPECT_TRUE(service_reach_note_failure(&reach, 1, 1, 9300000))
 		<< "its only endpoint";
 }
+
+/* Guards against a request that ends endpoints through the node that passes it
+ * on, because neither node counts its ends. */
+TEST_F(GatewayRelay, HoldsWhatEndsEndpointsThroughAnotherNode)
+{
+	Create(2);
+	Cut({1}, CUT_REFUSED);
+	FindOut(1);
+	for (PairEndpoint *endpoint : {&one, &two})
+		endpoint->deadly_path = "/export/deadly";
+	for (int i = 0; i < 10; i++) {
+		run_until([&] { return one.IsUp() && two.IsUp(); });
+		Ask(1, "/export/deadly", "d-" + std::to_string(i));
+		Wait(100);
+	}
+	EXPECT_GE(one.ends + two.ends, 2);
+	EXPECT_LE(one.ends + two.ends, 6);
+}
--- a/tests/quarantine_fleet_test.cc
+++ b/tests/quarantine_fleet_test.cc
@@ -205,8 +205,69 @@
 	EXPECT_EQ(0u, fleet.HeldAt(1));
 }
 
+/* Guards against ends of one endpoint that nodes name differently, so that
+ * they don't add up, or one end counts as several. */
+TEST_P(QuarantineFleetSize, EndsOfOneEndpointAddUpAcrossNodes)
+{
+	size_t count = GetParam();
+	QuarantineFleet fleet(count, 0.3);
+
+	for (size_t i = 0; i < 3; i++) {
+		fleet.End(i * (count / 3), 1, 1);
+		fleet.End(count - 1, 2, 1);
+		fleet.Run(i ? 300 * ms_us : known_within_us);
+		if (i == 0) {
+			EXPECT_EQ(0u, fleet.HeldAt(1)) << "one end";
+		}
+	}
+	fleet.Run(known_within_us);
+	EXPECT_EQ(count, fleet.HeldAt(1));
+}
+
+/* Guards against a bound that holds only while no node restarts: killed one
+ * after the other, nodes learn again what is held. */
+TEST_P(QuarantineFleetSize, NodesKilledInTurnLearnItAgain)
+{
+	size_t count = GetParam();
+	QuarantineFleet fleet(count, 0.3);
+
+	for (uint64_t endpoint = 1; endpoint <= 3; endpoint++)
+		fleet.End(0, 1, endpoint);
+	fleet.Run(known_within_us);
+	for (size_t first = 0; first < count; first += (count + 3) / 4) {
+		for (size_t i = first; i < MIN(first + (count + 3) / 4, count);
+		     i++)
+			fleet.Restart(i);
+		fleet.Run(known_within_us);
+		EXPECT_EQ(count, fleet.HeldAt(1)) << "killed from " << first;
+	}
+}
+
+/* Guards against a fleet that never holds again what it forgot when all nodes
+ * restarted at once: as many ends as before are enough. */
+TEST_P(QuarantineFleetSize, AllNodesRestartedForgetItOnce)
+{
+	size_t count = GetParam();
+	QuarantineFleet fleet(count, 0.3);
+
+	for (int i = 0; i < 3; i++)
+		fleet.End(0, 1, 1);
+	fleet.Run(known_within_us);
+	EXPECT_EQ(count, fleet.HeldAt(1));
+	for (size_t i = 0; i < count; i++)
+		fleet.Restart(i);
+	fleet.Run(known_within_us);
+	EXPECT_EQ(0u, fleet.HeldAt(1));
+	for (int i = 0; i < 2; i++) {
+		fleet.End(count / 2, 1, 1);
+		fleet.Run(300 * ms_us);
+	}
+	fleet.Run(known_within_us);
+	EXPECT_EQ(count, fleet.HeldAt(1));
+}
+
 INSTANTIATE_TEST_SUITE_P(Nodes, QuarantineFleetSize,
-			 testing::Values(7, 30, 480));
+			 testing::Values(7, 30, 61, 480));
 
 /* Guards against news that go round without end: a quiet fleet sends one record
  * a node and second. */
