A run is not continued at a backup engine that has ended since

What callers saw: a report whose engine failed was asked of its backup engine, which had ended under another request and was back under its id: by the pages it has to refuse, or it runs the request from the beginning, a second time.

The leg and the move now keep the start that they asked, and compare it with the one that is current as far as ends are known.

GatewayLoss.AsksNoBackupThatHasEnded: one run at the backup before, none now.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -56,14 +56,16 @@
 struct endpoint *exchange_move_target(const struct exchange *exchange)
 {
 	const struct move *move = &exchange->move;
-	struct endpoint *target = NULL;
-
-	if (move->state == COPY_COMPLETE)
-		target = registry_find(exchange->gateway->registry,
-				       move->target_id);
-	return target && endpoint_is_same_start(target, move->target_known_us)
-		       ? target
-		       : NULL;
+	struct gateway *gateway = exchange->gateway;
+	struct endpoint *target;
+
+	if (move->state != COPY_COMPLETE)
+		return NULL;
+	target = registry_find(gateway->registry, move->target_id);
+	if (!target || !endpoint_is_same_start(target, move->target_known_us) ||
+	    !gateway_losses_is_current(gateway, target, &move->target_start))
+		return NULL;
+	return target;
 }
 
 /*
@@ -189,6 +191,7 @@
 
 	move->target_id = g_strdup(target->last_registration->id);
 	move->target_address = g_strdup(target->last_registration->address);
+	move->target_start = gateway_losses_start(exchange->gateway, target);
 	move->target_known_us = target->known_us;
 	move->body = g_byte_array_new();
 	move->tokens = exchange->leg->tokens;
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -30,6 +30,8 @@
 	const struct endpoint *backup = leg_backup(leg);
 
 	return backup && endpoint_is_same_start(backup, leg->backup_known_us) &&
+	       gateway_losses_is_current(exchange->gateway, backup,
+					 &leg->backup_start) &&
 	       !exchange->copy_failed;
 }
 
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -31,10 +31,11 @@
 	struct endpoint_start start; /* that was asked, as far as is known */
 	char *backup_id;	     /* engine that keeps a copy, or NULL */
 	char *backup_address;
-	int64_t backup_known_us;      /* start of that engine that was asked */
-	struct event_scanner *events; /* NULL: no event stream */
-	int64_t tokens;		      /* counted at both engines */
-	int64_t unread_tokens;	      /* of the prompt, not yet processed */
+	struct endpoint_start backup_start; /* of that engine */
+	int64_t backup_known_us;	    /* when that start was first seen */
+	struct event_scanner *events;	    /* NULL: no event stream */
+	int64_t tokens;			    /* counted at both engines */
+	int64_t unread_tokens; /* of the prompt, not yet processed */
 	int64_t sent_us;
 	int64_t begun_us;	  /* first event; 0: none yet */
 	int64_t last_received_us; /* last event bytes; 0: none yet */
@@ -62,11 +63,12 @@
 	int64_t since_us;
 	char *target_id;
 	char *target_address;
-	int64_t target_known_us; /* start of that engine that was asked */
-	char *handle;		 /* names the copy once it is complete */
-	int64_t tokens;		 /* counted at the target */
-	bool is_granted;	 /* the home counted its hand-over */
-	int32_t failures;	 /* copies that failed, for this leg */
+	struct endpoint_start target_start; /* of that engine */
+	int64_t target_known_us;	    /* when that start was first seen */
+	char *handle;	  /* names the copy once it is complete */
+	int64_t tokens;	  /* counted at the target */
+	bool is_granted;  /* the home counted its hand-over */
+	int32_t failures; /* copies that failed, for this leg */
 	struct home_request home_request; /* for the target */
 };
 
--- a/adapters/gateway/gateway_losses.c
+++ b/adapters/gateway/gateway_losses.c
@@ -42,6 +42,20 @@
 	return start;
 }
 
+/*
+ * Whether the endpoint has not ended since that start was current, as far as is
+ * known. Copies that it kept are gone otherwise.
+ */
+bool gateway_losses_is_current(const struct gateway *gateway,
+			       const struct endpoint *endpoint,
+			       const struct endpoint_start *start)
+{
+	const struct endpoint_start current =
+		gateway_losses_start(gateway, endpoint);
+
+	return endpoint_start_compare(start, &current) == START_SAME;
+}
+
 /* Records that the endpoint broke off a run. */
 void gateway_losses_note(struct gateway *gateway,
 			 const struct quarantine_run *run,
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -201,6 +201,9 @@
 void gateway_losses_init(struct gateway *gateway);
 struct endpoint_start gateway_losses_start(const struct gateway *gateway,
 					   const struct endpoint *endpoint);
+bool gateway_losses_is_current(const struct gateway *gateway,
+			       const struct endpoint *endpoint,
+			       const struct endpoint_start *start);
 void gateway_losses_note(struct gateway *gateway,
 			 const struct quarantine_run *run,
 			 const struct endpoint *endpoint);
--- a/tests/gateway_losses_test.cc
+++ b/tests/gateway_losses_test.cc
@@ -240,3 +240,37 @@
 	EXPECT_EQ(1, runner->ends);
 	EXPECT_EQ(0u, Suspects());
 }
+
+/* Guards against a run that begins again at its backup engine, which has
+ * started again under its id and kept no copy. */
+TEST_F(GatewayLoss, AsksNoBackupThatHasEnded)
+{
+	std::unique_ptr<Connection> caller;
+	PairEndpoint *runner, *backup;
+
+	backs_up = true;
+	Prepare();
+	Wait(2000); /* for retry budget */
+	engine.events = other.events = 200;
+	engine.is_silent = other.is_silent = true;
+	caller.reset(Connection::open(nodes[0]->address));
+	caller->send("POST /report/a HTTP/1.1\r\nHost: h\r\n"
+		     "X-Siskinlink-Request-Id: b-1\r\n"
+		     "X-Siskinlink-Token-Count: 100,900\r\n"
+		     "X-Siskinlink-Deadline-Ms: 9000\r\n"
+		     "Content-Length: 4\r\n\r\nbody");
+	run_until([&] { return engine.runs.size() + other.runs.size() == 1; });
+	runner = engine.runs.empty() ? &other : &engine;
+	backup = runner == &engine ? &other : &engine;
+	ASSERT_NE(std::string::npos, runner->seen.find("Kv-Backup"));
+	engine.is_silent = other.is_silent = false;
+	backup->deadly_path = "/report/deadly";
+	for (int i = 0; i < 10 && backup->ends == 0; i++)
+		Ask(0, "/report/deadly", "d-" + std::to_string(i));
+	ASSERT_EQ(1, backup->ends);
+	run_until([&] { return backup->IsUp(); });
+	Wait(800);
+	runner->End();
+	Wait(200);
+	EXPECT_EQ(0u, backup->runs.count("b-1"));
+}
--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -306,12 +306,15 @@
 	};
 	GPtrArray *cordons = cordon_list_create();
 	struct config *config = config_create();
+	struct config_service *engines;
 	GBytes *document = g_bytes_new(nullptr, 0);
 	struct route_table *table;
 
 	config_add_service(config, "portal", SERVICE_PLAIN);
-	config_add_service(config, "engines", SERVICE_GENERATION)
-		->engine.slots = 24;
+	engines = config_add_service(config, "engines", SERVICE_GENERATION);
+	engines->engine.slots = 24;
+	engines->engine.can_back_up = backs_up;
+	engines->engine.memory_tokens = backs_up ? 34000 : 0;
 	for (const auto &want : wanted) {
 		struct route *route =
 			config_add_route(config, want.name, "h", want.path);
--- a/tests/gateway_pair.h
+++ b/tests/gateway_pair.h
@@ -93,6 +93,7 @@
 	void Wait(int ms);
 
 	std::vector<std::unique_ptr<struct node>> nodes;
+	bool backs_up = false;	  /* engines keep copies of each other's runs */
 	bool loses_reach = false; /* what nodes say of their reach is lost */
 	int64_t position = 2;	  /* the same, so that none overrules another */
 
