Soak: ends of processes are recorded while callers finish

Traced in its logs: i-e1-1 had crashed at 190.12 s (its own line), i-e2-2 went on 5 ms later; the run wrote "engine1 ended" at 202.86 s, as it watched no process from the end of the load until the last caller had finished, so the engine was taken to live until then. Of the product nothing is at fault; the check stays as it is.

--- a/tests/soak/soak_run.c
+++ b/tests/soak/soak_run.c
@@ -139,8 +139,10 @@
 			  "the nodes did not serve within 10 s of their start");
 	}
 	soak_view_end_probes(run->view);
-	while (!soak_callers_have_ended(run->callers))
+	while (!soak_callers_have_ended(run->callers)) {
+		soak_fleet_tick(run->fleet);
 		soak_fleet_wait(TICK_US);
+	}
 	soak_callers_finish(run->callers, run->evidence);
 	run->evidence->ended_us = g_get_monotonic_time();
 	return is_ready;
