Quarantine: two losses among many ends of other causes hold nobody

Cause: two losses are enough where a request lost a run alone. The second loss now suffices only if at least half of all known ends came under the request, otherwise three as where runs were shared. A request alone in ending endpoints is held after two as before.

AFloodEvictsItsOwnOnly: the flood ends endpoints too, so the suspect that it may not evict now needs a third end, and the test demands that it is held then.

--- a/core/limit/quarantine.c
+++ b/core/limit/quarantine.c
@@ -60,6 +60,14 @@
 	return g_hash_table_lookup(quarantine->starts, &start_key);
 }
 
+static void count_confirmed(struct quarantine *quarantine,
+			    struct start_losses *losses, int32_t sign)
+{
+	quarantine->ended_starts -= losses->confirmed > 0;
+	losses->confirmed += sign;
+	quarantine->ended_starts += losses->confirmed > 0;
+}
+
 /* Adds the losses of a suspect to those of their starts, or subtracts them. */
 static void count_losses(struct quarantine *quarantine,
 			 const struct suspect *suspect, int32_t sign)
@@ -79,7 +87,7 @@
 		}
 		losses->open += sign;
 		if (loss->state == LOSS_CONFIRMED)
-			losses->confirmed += sign;
+			count_confirmed(quarantine, losses, sign);
 		if (loss_counts(suspect, loss))
 			losses->counted += sign;
 		if (losses->open == 0)
@@ -88,6 +96,13 @@
 	}
 }
 
+/* Whether more than half of the known ends came without the suspect. */
+static bool most_ends_are_others(const struct quarantine *quarantine,
+				 int32_t count)
+{
+	return quarantine->ended_starts - count > count;
+}
+
 /* When the quarantine that the losses bring about ends; 0: they bring none. */
 static int64_t held_until_us(const struct quarantine *quarantine,
 			     const struct suspect *suspect)
@@ -107,6 +122,8 @@
 		if (find_losses(quarantine, loss->start_key)->counted == 1)
 			needed = options->losses_to_hold;
 	}
+	if (most_ends_are_others(quarantine, count))
+		needed = options->shared_losses_to_hold;
 	return count >= needed ? newest_us + options->hold_us : 0;
 }
 
--- a/core/limit/quarantine.h
+++ b/core/limit/quarantine.h
@@ -22,10 +22,15 @@
  *
  * Each end of an endpoint counts once, however often the endpoint starts again
  * under its id. A request is held after losses_to_hold losses at different
- * starts, if at one of them no other request lost a run, and otherwise after
- * shared_losses_to_hold: requests that only ran beside one that ends endpoints
- * lose runs as well. After hold_us, one run at a time may try again, and a
- * single further loss holds the request again.
+ * starts if
+ *
+ *   - at one of them no other request lost a run: requests that only ran beside
+ *     one that ends endpoints lose runs as well;
+ *   - at least half of all known ends came under it: where endpoints end with
+ *     causes of their own, a request that is repeated soon loses runs alone;
+ *
+ * and otherwise after shared_losses_to_hold. After hold_us, one run at a time
+ * may try again, and a single further loss holds the request again.
  *
  * All nodes hold the same state: losses merge in any order.
  */
--- a/core/limit/quarantine_state.h
+++ b/core/limit/quarantine_state.h
@@ -27,6 +27,7 @@
 	struct suspect_table *suspects;
 	struct suspect_table *held; /* a flood of suspects evicts none of it */
 	GHashTable *starts;	    /* start_key to struct start_losses */
+	int32_t ended_starts;	    /* of them, those with confirmed losses */
 	struct whole wholes[WHOLE_SLOTS];
 	bool has_news;
 };
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -298,5 +298,29 @@
 	EXPECT_TRUE(quarantine_is_suspect(quarantine, 1, us(3)));
 	lose(1, 2, 3, 1);
 	end(2, 3);
+	EXPECT_FALSE(is_held(1, 3)) << "most ends came without it";
+	lose(1, 3, 3, 1);
+	end(3, 3);
 	EXPECT_TRUE(is_held(1, 3));
 }
+
+/* Guards against holding what was lost twice among many ends of other causes.
+ */
+TEST_F(QuarantineEvidence, AmongOtherEndsOneMoreIsNeeded)
+{
+	lose(1, 1, 1);
+	end(1, 1);
+	lose(2, 2, 1);
+	end(2, 1);
+	lose(3, 3, 1);
+	end(3, 1);
+	lose(1, 4, 2);
+	end(4, 2);
+	EXPECT_TRUE(is_held(1, 2)) << "two of four ends";
+	lose(4, 5, 3);
+	end(5, 3);
+	EXPECT_FALSE(is_held(1, 3)) << "two of five";
+	lose(1, 6, 4);
+	end(6, 4);
+	EXPECT_TRUE(is_held(1, 4));
+}
