--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -250,7 +250,10 @@
 		exchange_fail_leg(exchange, RESULT_BROKEN, "run not continued");
 }
 
-/* What is found out now of earlier starts tells which one is asked. */
+/*
+ * The run belongs to the start that accepted its connection: ends that are
+ * found out by this count first.
+ */
 static void on_opened(void *data)
 {
 	struct leg *leg = data;
--- a/adapters/gateway/gateway_ends.c
+++ b/adapters/gateway/gateway_ends.c
@@ -155,9 +155,9 @@
 	.failed = on_reach_failed,
 };
 
-/* Whether a run was lost lately at any start of the endpoint. */
-static bool is_lost(const struct gateway *gateway,
-		    const struct endpoint *endpoint)
+/* Whether any start of the endpoint has broken off a run lately. */
+static bool endpoint_is_lost(const struct gateway *gateway,
+			     const struct endpoint *endpoint)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -183,7 +183,8 @@
 		const struct endpoint *endpoint = g_ptr_array_index(
 			endpoints, (first + i) % endpoints->len);
 
-		if (endpoint_is_usable(endpoint) && !is_lost(gateway, endpoint))
+		if (endpoint_is_usable(endpoint) &&
+		    !endpoint_is_lost(gateway, endpoint))
 			return endpoint;
 	}
 	return NULL;
@@ -251,12 +252,13 @@
 		probe_begin(lost);
 }
 
-/* What a connection to an endpoint tells of its starts that were lost. */
+/* What a connection to an endpoint tells of its starts that broke off runs. */
 enum connection_sign { SIGN_ACCEPTED, SIGN_REFUSED, SIGN_REPLACED };
 
 static void note_sign(struct gateway *gateway, const char *endpoint_id,
 		      enum connection_sign sign)
 {
+	bool is_lost = false;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -266,6 +268,7 @@
 
 		if (strcmp(lost->id, endpoint_id) != 0)
 			continue;
+		is_lost = true;
 		switch (sign) {
 		case SIGN_ACCEPTED:
 			lost->accepted_us = gateway->now_us;
@@ -278,7 +281,8 @@
 			break;
 		}
 	}
-	gateway_ends_step(gateway);
+	if (is_lost)
+		gateway_ends_step(gateway);
 }
 
 /* Records that the endpoint accepted a connection. */
--- a/core/gateway/endpoint_end.h
+++ b/core/gateway/endpoint_end.h
@@ -11,11 +11,12 @@
  * Decides whether an endpoint that broke off a run has ended. A connection may
  * also break because the endpoint closed it, or on the way. An endpoint that
  * has ended refuses connections, its registration goes or changes, and another
- * one, such as its next start, may answer at its address. A node
- * that is cut off is refused by all endpoints, so a refusal counts only if the
- * node has heard another one since. If there is no other one, it counts once
- * the endpoint accepts connections again: a cut that heals looks the same, but
- * counts against a request only if the cut breaks off its run, each time anew.
+ * one, such as its next start, may answer at its address.
+ *
+ * A node that is cut off is refused by all endpoints, so a refusal counts only
+ * if the node has heard another one since. Where there is no other one, it
+ * counts once the endpoint accepts connections again: a cut that heals looks
+ * the same, but breaks off a run of the same request hardly twice.
  */
 struct endpoint_end_input {
 	int64_t lost_us;	/* when it broke off the run */
