Test: a request under way that is held by now is refused at its next send

The mutant that asks at the first send only is found out; a first version of the test was not able to, as the node had no retry budget yet (budget=no in its log).

--- a/tests/gateway_losses_test.cc
+++ b/tests/gateway_losses_test.cc
@@ -1,3 +1,4 @@
+#include "adapters/gateway/exchange_state.h"
 #include "tests/gateway_pair.h"
 
 /* How endpoints come back that a request has ended. */
@@ -149,6 +150,26 @@
 		return quarantine_count(nodes[0]->gateway->quarantine);
 	}
 
+	/* Two starts end under the only request that is under way. */
+	void HoldWhatIsUnderWay()
+	{
+		struct gateway *gateway = nodes[0]->gateway;
+		struct quarantine_run run = {};
+		GHashTableIter iter;
+		gpointer exchange = nullptr;
+
+		g_hash_table_iter_init(&iter, gateway->exchanges);
+		ASSERT_TRUE(g_hash_table_iter_next(&iter, &exchange, nullptr));
+		run.fingerprint = ((struct exchange *)exchange)->fingerprint;
+		for (const char *id : {"i-8", "i-9"}) {
+			run.start.endpoint_key = endpoint_key(id);
+			quarantine_report_loss(gateway->quarantine, &run,
+					       g_get_monotonic_time());
+			quarantine_report_end(gateway->quarantine, &run.start,
+					      g_get_monotonic_time());
+		}
+	}
+
 	int Ends() const
 	{
 		return one.ends + two.ends;
@@ -274,3 +295,23 @@
 	Wait(200);
 	EXPECT_EQ(0u, backup->runs.count("b-1"));
 }
+
+/* Guards against a retry of a request that was held after its first send. */
+TEST_F(GatewayLoss, RefusesWhatIsUnderWayAtItsNextSend)
+{
+	std::unique_ptr<Connection> caller;
+
+	Prepare();
+	Wait(3500); /* for retry budget */
+	one.is_silent = two.is_silent = true;
+	caller.reset(Connection::open(nodes[0]->address));
+	caller->send("POST /lookup/a HTTP/1.1\r\nHost: h\r\n"
+		     "X-Siskinlink-Request-Id: u-1\r\n"
+		     "X-Siskinlink-Deadline-Ms: 2500\r\n"
+		     "Connection: close\r\nContent-Length: 4\r\n\r\nbody");
+	run_until([&] { return one.runs.size() + two.runs.size() == 1; });
+	HoldWhatIsUnderWay();
+	caller->wait_closed();
+	EXPECT_EQ("502", caller->input.substr(9, 3));
+	EXPECT_EQ(1u, one.runs.size() + two.runs.size());
+}
