Quarantine: only ends about the same time tell of other causes

What callers saw: a request that ended two endpoints ended two more, as other requests had ended some within the last ten minutes.

Ends of a crash loop come beside the request's own, so only those within two seconds of its losses count.

--- a/core/limit/quarantine.c
+++ b/core/limit/quarantine.c
@@ -10,6 +10,9 @@
  */
 #define WHOLE_GRACE_US (10 * G_USEC_PER_SEC)
 
+/* Ends this close to a loss tell whether endpoints end without the request. */
+#define SAME_TIME_US (2 * G_USEC_PER_SEC)
+
 /* Defaults: losses are remembered for 10 min, requests held for 30 min. */
 void quarantine_options_default(struct quarantine_options *options)
 {
@@ -60,14 +63,6 @@
 	return g_hash_table_lookup(quarantine->starts, &start_key);
 }
 
-static void count_confirmed(struct quarantine *quarantine,
-			    struct start_losses *losses, int32_t sign)
-{
-	quarantine->ended_starts -= losses->confirmed > 0;
-	losses->confirmed += sign;
-	quarantine->ended_starts += losses->confirmed > 0;
-}
-
 /* Adds the losses of a suspect to those of their starts, or subtracts them. */
 static void count_losses(struct quarantine *quarantine,
 			 const struct suspect *suspect, int32_t sign)
@@ -86,8 +81,10 @@
 					    &losses->start_key, losses);
 		}
 		losses->open += sign;
-		if (loss->state == LOSS_CONFIRMED)
-			count_confirmed(quarantine, losses, sign);
+		if (loss->state == LOSS_CONFIRMED) {
+			losses->confirmed += sign;
+			losses->ended_us = MAX(losses->ended_us, loss->lost_us);
+		}
 		if (loss_counts(suspect, loss))
 			losses->counted += sign;
 		if (losses->open == 0)
@@ -96,11 +93,34 @@
 	}
 }
 
-/* Whether more than half of the known ends came without the suspect. */
+/*
+ * Whether more than half of the ends around the time of the suspect's counted
+ * losses came without it. Walks all starts with losses.
+ */
 static bool most_ends_are_others(const struct quarantine *quarantine,
-				 int32_t count)
+				 const struct suspect *suspect, int32_t count)
 {
-	return quarantine->ended_starts - count > count;
+	int64_t from_us = INT64_MAX, until_us = 0;
+	int32_t ends = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	for (int32_t i = 0; i < suspect->loss_count; i++) {
+		const struct loss *loss = &suspect->losses[i];
+
+		if (!loss_counts(suspect, loss))
+			continue;
+		from_us = MIN(from_us, loss->lost_us - SAME_TIME_US);
+		until_us = MAX(until_us, loss->lost_us + SAME_TIME_US);
+	}
+	g_hash_table_iter_init(&iter, quarantine->starts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct start_losses *losses = value;
+
+		ends += losses->confirmed > 0 && losses->ended_us >= from_us &&
+			losses->ended_us <= until_us;
+	}
+	return ends - count > count;
 }
 
 /* When the quarantine that the losses bring about ends; 0: they bring none. */
@@ -122,8 +142,9 @@
 		if (find_losses(quarantine, loss->start_key)->counted == 1)
 			needed = options->losses_to_hold;
 	}
-	if (most_ends_are_others(quarantine, count))
-		needed = options->shared_losses_to_hold;
+	if (count >= needed && count < options->shared_losses_to_hold &&
+	    most_ends_are_others(quarantine, suspect, count))
+		return 0;
 	return count >= needed ? newest_us + options->hold_us : 0;
 }
 
--- a/core/limit/quarantine.h
+++ b/core/limit/quarantine.h
@@ -26,8 +26,9 @@
  *
  *   - at one of them no other request lost a run: requests that only ran beside
  *     one that ends endpoints lose runs as well;
- *   - at least half of all known ends came under it: where endpoints end with
- *     causes of their own, a request that is repeated soon loses runs alone;
+ *   - at least half of the ends around that time came under it: where endpoints
+ *     end with causes of their own, a request that is repeated soon loses runs
+ *     alone;
  *
  * and otherwise after shared_losses_to_hold. After hold_us, one run at a time
  * may try again, and a single further loss holds the request again.
--- a/core/limit/quarantine_state.h
+++ b/core/limit/quarantine_state.h
@@ -20,6 +20,7 @@
 	int32_t open;	   /* not refuted */
 	int32_t confirmed; /* by an end of the endpoint */
 	int32_t counted;   /* against requests */
+	int64_t ended_us;  /* last confirmed loss */
 };
 
 struct quarantine {
@@ -27,7 +28,6 @@
 	struct suspect_table *suspects;
 	struct suspect_table *held; /* a flood of suspects evicts none of it */
 	GHashTable *starts;	    /* start_key to struct start_losses */
-	int32_t ended_starts;	    /* of them, those with confirmed losses */
 	struct whole wholes[WHOLE_SLOTS];
 	bool has_news;
 };
