Prompt parts are read once, and named where an attempt fails

Entries without an id are left out, ids are compared as hexadecimal numbers, tokens name no part; parts_incomplete says once a minute that a list could not be read whole. Platform.ReadsTheParts*, Platform.ReadsWhatItCan* and the fuzzer of the platform read such lists.

--- a/adapters/gateway/dialect.h
+++ b/adapters/gateway/dialect.h
@@ -4,6 +4,7 @@
 #include "adapters/gateway/http_head.h"
 #include "core/base/error.h"
 #include "core/gateway/endpoint_limit.h"
+#include "core/limit/prompt_parts.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -25,7 +26,8 @@
 	int64_t prompt_tokens;
 	int64_t max_tokens;	 /* of the answer; 0: not given */
 	int64_t expected_tokens; /* the caller's estimate; 0: not given */
-	const char *relayed_by;	 /* node that passes it on; NULL: none */
+	struct prompt_parts parts;
+	const char *relayed_by; /* node that passes it on; NULL: none */
 };
 
 /* Fields that are sent to an endpoint in addition to the caller's. */
--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -9,6 +9,9 @@
 /* Requests that are served for other nodes at a time. */
 #define MAX_RELAYED 256
 
+/* Between two log lines about prompt parts that can't be read. */
+#define PARTS_LOG_PAUSE_US (60 * G_USEC_PER_SEC)
+
 static int64_t elapsed_ms(const struct exchange *exchange, int64_t since_us)
 {
 	return since_us ? (exchange->gateway->now_us - since_us) / 1000 : -1;
@@ -487,6 +490,19 @@
 	return false;
 }
 
+/* Logs a list of prompt parts that can't be read whole, now and then. */
+static void exchange_check_parts(const struct exchange *exchange)
+{
+	struct gateway *gateway = exchange->gateway;
+
+	if (!exchange->parsed_request.parts.is_incomplete ||
+	    gateway->now_us < gateway->parts_silent_until_us)
+		return;
+	gateway->parts_silent_until_us = gateway->now_us + PARTS_LOG_PAUSE_US;
+	log_write(gateway->log, LOG_LEVEL_INFO, "parts_incomplete", "request",
+		  exchange->parsed_request.id, NULL);
+}
+
 /*
  * Starts to serve a caller's request; the exchange takes ownership of head and
  * body. The exchange may already be over and freed on return.
@@ -514,6 +530,7 @@
 		exchange_refuse(exchange, 400, -1, error.detail);
 		return;
 	}
+	exchange_check_parts(exchange);
 	if (!exchange_take_relayed(exchange) ||
 	    !exchange_find_route(exchange) || !exchange_plan(exchange))
 		return;
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -229,6 +229,7 @@
 			enum recovery recovery, const char *detail)
 {
 	const struct leg *leg = exchange->leg;
+	char *parts = prompt_parts_format(&exchange->parsed_request.parts);
 	char sends[16], status[16], ms[24], run_ms[24], fingerprint[17];
 
 	g_snprintf(fingerprint, sizeof(fingerprint), "%016" PRIx64,
@@ -241,12 +242,13 @@
 		   (exchange->gateway->now_us - leg->sent_us) / 1000);
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "attempt_failed",
 		  "request", exchange->parsed_request.id, "fingerprint",
-		  fingerprint, "endpoint", leg->endpoint_id, "result",
-		  attempt_result_name(input->result), "decision",
+		  fingerprint, "parts", parts, "endpoint", leg->endpoint_id,
+		  "result", attempt_result_name(input->result), "decision",
 		  recovery_name(recovery), "begun",
 		  input->answer_begun ? "yes" : "no", "copy", copy_id, "budget",
 		  input->budget_left ? "yes" : "no", "sends", sends, "status",
 		  status, "ms", ms, "run_ms", run_ms, "detail", detail, NULL);
+	g_free(parts);
 }
 
 static enum recovery decide(struct exchange *exchange,
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -96,6 +96,7 @@
 	/* Requests under which endpoints end. */
 	struct quarantine *quarantine;
 	struct gossip_pace losses_pace;
+	int64_t parts_silent_until_us;
 
 	/* Whether endpoints that broke off runs have ended. */
 	GHashTable *lost_endpoints;	 /* start key to struct lost_endpoint */
--- a/fuzz/platform_fuzz.c
+++ b/fuzz/platform_fuzz.c
@@ -16,6 +16,22 @@
 	store_page_clear(&page);
 }
 
+/* Reads the input as a caller's list of prompt parts. */
+static void read_parts(const uint8_t *data, size_t size)
+{
+	struct http_head *head = http_head_create();
+	struct caller_request request;
+	struct error error;
+
+	http_head_add(head, "X-Siskinlink-Request-Id", 23, "1", 1);
+	http_head_add(head, "X-Siskinlink-Prompt-Prefix", 26,
+		      (const char *)data, size);
+	if (!platform_dialect.read_request(head, &request, &error) ||
+	    request.parts.count > PROMPT_PARTS_MAX)
+		abort();
+	http_head_destroy(head);
+}
+
 static void read_entry(GBytes *bytes)
 {
 	char key[] = "servers/i-1";
@@ -77,6 +93,7 @@
 	if (config && config->revision < 0)
 		abort();
 	config_unref(config);
+	read_parts(data, size);
 	read_page(bytes);
 	read_entry(bytes);
 	read_engine_answers(bytes);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1,6 +1,7 @@
 #include "adapters/gateway/http_head.h"
 #include "core/gateway/route_table.h"
 #include "core/base/store_position.h"
+#include "core/limit/suspect_key.h"
 #include "platform/platform.h"
 
 #include <gtest/gtest.h>
@@ -8,6 +9,7 @@
 
 #include <cstring>
 #include <string>
+#include <vector>
 
 static GBytes *bytes_of(const std::string &text)
 {
@@ -202,6 +204,78 @@
 	http_head_destroy(head);
 }
 
+/* The parts of a request whose fields list these prompts. */
+static std::string read_parts(const std::vector<std::string> &prompts,
+			      bool *is_incomplete = nullptr)
+{
+	struct http_head *head = caller_head("9c41");
+	struct caller_request request;
+	struct error error;
+	std::string text;
+
+	for (const std::string &prompt : prompts)
+		http_head_add(head, "x-siskinlink-prompt-prefix", 26,
+			      prompt.data(), prompt.size());
+	EXPECT_TRUE(platform_dialect.read_request(head, &request, &error));
+	for (int32_t i = 0; i < request.parts.count; i++) {
+		char key[20];
+
+		EXPECT_EQ(SUSPECT_PART,
+			  suspect_key_kind(request.parts.keys[i]));
+		snprintf(key, sizeof(key), "%s%llx", i ? " " : "",
+			 (unsigned long long)request.parts.keys[i] &
+				 0xffffffffffff);
+		text += key;
+	}
+	if (is_incomplete)
+		*is_incomplete = request.parts.is_incomplete;
+	http_head_destroy(head);
+	return text;
+}
+
+TEST(Platform, ReadsThePartsThatRequestsShare)
+{
+	bool is_incomplete;
+
+	EXPECT_EQ("5c1e07a2 91bd3f06",
+		  read_parts({"5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+			     &is_incomplete));
+	EXPECT_FALSE(is_incomplete);
+	EXPECT_EQ("5c1e07a2", read_parts({" 5C1E07A2 : 8 , 5c1e07a2:8, 1:2"}))
+		<< "twice, in other case";
+	EXPECT_EQ("a b", read_parts({"0a:1,00b:2,c:3"})) << "leading zeros";
+	EXPECT_EQ("a b", read_parts({"a:1,b:1", "c:1"})) << "two fields";
+	EXPECT_EQ("", read_parts({"5c1e07a2:800"})) << "the last is its own";
+	EXPECT_EQ("b", read_parts({"a:1,b:1,a:1"})) << "the last one again";
+	EXPECT_EQ("", read_parts({}));
+	EXPECT_EQ("", read_parts({""}));
+}
+
+/* Guards against a caller whose lists of parts crash a node, fill it up, or
+ * hide the parts that can be read. */
+TEST(Platform, ReadsWhatItCanOfPoorLists)
+{
+	bool is_incomplete;
+	std::string many;
+
+	EXPECT_EQ("a b", read_parts({"a:-1,b:99999999999999999999,c:1"},
+				    &is_incomplete));
+	EXPECT_FALSE(is_incomplete) << "tokens name no part";
+	for (const char *poor : {"a:1,:5,b:1,c:1", "a:1,,b:1,c:1",
+				 "a:1,xyz:5,b:1,c:1", "a:1,\xff\x01,b:1,c:1"}) {
+		EXPECT_EQ("a b", read_parts({poor}, &is_incomplete)) << poor;
+		EXPECT_TRUE(is_incomplete) << poor;
+	}
+	EXPECT_EQ("", read_parts({std::string(65, 'a') + ":1,b:1"}));
+	EXPECT_NE("", read_parts({std::string(64, 'a') + ":1,b:1"}));
+	EXPECT_NE(read_parts({std::string(64, 'a') + ":1,b:1"}),
+		  read_parts({std::string(63, 'a') + ":1,b:1"}));
+	for (int i = 1; i <= 10000; i++)
+		many += "1" + std::to_string(i) + ":1,";
+	EXPECT_EQ(0u, read_parts({many}, &is_incomplete).find("11 12 13"));
+	EXPECT_TRUE(is_incomplete);
+}
+
 /* Fields that only the system may set never reach an engine from a caller. */
 TEST(Platform, WritesWhatAnEngineIsTold)
 {
