--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -257,31 +257,39 @@
 /* Whether the request may be sent to an endpoint, as far as quarantine goes. */
 bool exchange_is_admitted(struct exchange *exchange)
 {
-	if (exchange->is_admitted && exchange->sends == 0)
+	if (exchange->admission.is_trial && exchange->sends == 0)
 		return true;
-	exchange->is_admitted =
-		gateway_losses_admit(exchange->gateway, exchange->fingerprint);
-	return exchange->is_admitted;
+	return gateway_losses_admit(exchange->gateway, &exchange->suspects,
+				    &exchange->admission);
 }
 
+/* Why a request is refused, for logs. */
+static const char *const held_reasons[SUSPECT_KIND_COUNT] = {
+	[SUSPECT_REQUEST] = "quarantined",
+	[SUSPECT_PART] = "part_quarantined",
+};
+
 /*
- * Refuses a request under which endpoints ended before. The answer says when it
- * may be tried again, and promises that it has not run only if that is so.
+ * Refuses a request under which, or under a part of which, endpoints ended
+ * before. The answer says when it may be tried again, and promises that it has
+ * not run only if that is so.
  */
 static void exchange_refuse_held(struct exchange *exchange)
 {
 	struct gateway *gateway = exchange->gateway;
-	int64_t until_us = quarantine_until_us(
-		gateway->quarantine, exchange->fingerprint, gateway->now_us);
+	uint64_t key = exchange->admission.key;
+	const char *reason = held_reasons[suspect_key_kind(key)];
+	int64_t until_us =
+		quarantine_until_us(gateway->quarantine, key, gateway->now_us);
 
 	counters_add(gateway->options.counters, COUNTER_QUARANTINED, 1);
 	if (exchange->runs > 0)
-		exchange_refuse(exchange, 502, -1, "quarantined");
+		exchange_refuse(exchange, 502, -1, reason);
 	else
 		exchange_refuse(exchange, 503,
 				until_us ? until_us - gateway->now_us
 					 : RETRY_LATER_US,
-				"quarantined");
+				reason);
 }
 
 /* Sends the request to the endpoint; refuses it if the endpoint is NULL. */
@@ -465,6 +473,8 @@
 	exchange->expected_tokens = exchange_estimate_tokens(exchange);
 	exchange_set_deadline(exchange);
 	exchange->fingerprint = exchange_fingerprint(exchange);
+	suspect_list_init(&exchange->suspects, exchange->fingerprint,
+			  &exchange->parsed_request.parts);
 	if (exchange_is_admitted(exchange))
 		return true;
 	exchange_refuse_held(exchange);
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -331,16 +331,29 @@
 	exchange_store_head(exchange, head);
 }
 
+/* Records that the endpoint goes on with a run that it began a while ago. */
+static void leg_check_progress(struct leg *leg)
+{
+	struct gateway *gateway = leg->exchange->gateway;
+
+	if (leg->is_proven || !leg->begun_us ||
+	    gateway->now_us - leg->begun_us < LEG_PROVEN_US)
+		return;
+	leg->is_proven = true;
+	gateway_losses_note_progress(gateway, &leg->exchange->suspects,
+				     leg->begun_us);
+}
+
 static void leg_receive_events(struct leg *leg, const char *bytes, size_t size)
 {
 	struct exchange *exchange = leg->exchange;
-
 	struct endpoint *endpoint = leg_endpoint(leg);
 
 	exchange->gateway->now_us = gateway_now_us();
 	leg->last_received_us = exchange->gateway->now_us;
 	if (endpoint)
 		gateway_ends_note_heard(exchange->gateway, endpoint);
+	leg_check_progress(leg);
 	if (event_scanner_feed(leg->events, bytes, size))
 		return;
 	if (leg == exchange->next)
@@ -456,9 +469,8 @@
 		endpoint_health_report_success(&endpoint->health,
 					       exchange->gateway->now_us);
 	exchange_count_times(exchange);
-	quarantine_report_success(exchange->gateway->quarantine,
-				  exchange->fingerprint,
-				  exchange->gateway->now_us);
+	gateway_losses_note_whole(exchange->gateway, &exchange->suspects,
+				  leg->begun_us ? leg->begun_us : leg->sent_us);
 	exchange_keep_connection(exchange);
 	exchange_finish_answer(exchange);
 	exchange_end(exchange, "whole", "");
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -164,11 +164,12 @@
 		      const struct endpoint *endpoint)
 {
 	const struct config_organisation *owner = exchange->organisation;
-	const struct quarantine_run run = {
-		.fingerprint = exchange->fingerprint,
+	const struct lost_run run = {
+		.suspects = &exchange->suspects,
 		.owner_key =
 			home_hash("organisation", owner ? owner->name : "", 0),
 		.start = exchange->leg->start,
+		.is_young = !exchange->leg->is_proven,
 	};
 
 	if (exchange->leg->has_timed_out)
--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -156,9 +156,8 @@
 	struct caller *caller = exchange->caller;
 
 	if (exchange->said.is_from_endpoint)
-		quarantine_report_success(exchange->gateway->quarantine,
-					  exchange->fingerprint,
-					  exchange->gateway->now_us);
+		gateway_losses_note_whole(exchange->gateway,
+					  &exchange->suspects, relay->sent_us);
 	exchange_finish_answer(exchange);
 	exchange_end(exchange,
 		     exchange->said.is_from_endpoint ? "whole" : "refused",
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -19,6 +19,12 @@
  */
 #define MOVE_OTHER_DOMAIN_WEIGHT 0.3
 
+/*
+ * A run that has made events for this long does not end its endpoint by what it
+ * began with.
+ */
+#define LEG_PROVEN_US G_USEC_PER_SEC
+
 /*
  * One dispatch of a request to one endpoint, with the load that this node
  * counts for it: at the endpoint, and for a copy at the backup engine.
@@ -44,6 +50,7 @@
 	bool head_received;	  /* its head has been received */
 	bool has_continued;	  /* a takeover has sent an event */
 	bool has_timed_out;	  /* its connection timed out */
+	bool is_proven;		  /* has gone on for LEG_PROVEN_US */
 	bool is_granted;	  /* counted against limits by the home */
 	bool is_late; /* counted as not reached, while it connects */
 };
@@ -105,7 +112,8 @@
 	bool copy_failed;     /* the backup engine had no copy */
 	int32_t crashes;      /* engines that failed while running it */
 	uint64_t fingerprint; /* the same when the request is repeated */
-	bool is_admitted;     /* by quarantine, for the first send */
+	struct suspect_list suspects;
+	struct admission admission; /* by quarantine, when last asked */
 
 	struct endpoint_answer said;
 	int32_t status;
--- a/adapters/gateway/gateway_losses.c
+++ b/adapters/gateway/gateway_losses.c
@@ -5,8 +5,8 @@
 #include <inttypes.h>
 
 /*
- * Quarantine of requests under which endpoints end, and its exchange with the
- * other nodes: such a request may come again at any node.
+ * Quarantine of requests and prompt parts under which endpoints end, and its
+ * exchange with the other nodes: they may come again at any node.
  */
 
 /* As many losses fit into one datagram; with more, each record has others. */
@@ -57,14 +57,47 @@
 }
 
 /* Records that the endpoint broke off a run. */
-void gateway_losses_note(struct gateway *gateway,
-			 const struct quarantine_run *run,
+void gateway_losses_note(struct gateway *gateway, const struct lost_run *run,
 			 const struct endpoint *endpoint)
 {
-	quarantine_report_loss(gateway->quarantine, run, gateway->now_us);
+	/* A run that went on for a while was not ended by what it began with.
+	 */
+	int32_t count = run->is_young ? run->suspects->count : 1;
+
+	for (int32_t i = 0; i < count; i++) {
+		const struct quarantine_run lost = {
+			.key = run->suspects->keys[i],
+			.owner_key = run->owner_key,
+			.start = run->start,
+		};
+
+		quarantine_report_loss(gateway->quarantine, &lost,
+				       gateway->now_us);
+	}
 	gateway_ends_watch(gateway, endpoint, &run->start);
 }
 
+/* Records that the request was answered whole by a run begun at begun_us. */
+void gateway_losses_note_whole(struct gateway *gateway,
+			       const struct suspect_list *suspects,
+			       int64_t begun_us)
+{
+	quarantine_report_success(gateway->quarantine, suspects->keys[0],
+				  begun_us, gateway->now_us);
+	gateway_losses_note_progress(gateway, suspects, begun_us);
+}
+
+/* Records that a run begun at begun_us goes on: its parts end no endpoint. */
+void gateway_losses_note_progress(struct gateway *gateway,
+				  const struct suspect_list *suspects,
+				  int64_t begun_us)
+{
+	for (int32_t i = 1; i < suspects->count; i++)
+		quarantine_report_success(gateway->quarantine,
+					  suspects->keys[i], begun_us,
+					  gateway->now_us);
+}
+
 static void log_refuted(const struct gateway *gateway,
 			const struct endpoint *endpoint, int32_t status)
 {
@@ -88,26 +121,41 @@
 		log_refuted(gateway, endpoint, status);
 }
 
-/* Logs what quarantine now says of a request. */
-static void log_request(const struct gateway *gateway, uint64_t fingerprint,
+/* The names of log lines, for each kind of suspect. */
+static const struct {
+	const char *held;
+	const char *suspected;
+	const char *released;
+} log_names[SUSPECT_KIND_COUNT] = {
+	[SUSPECT_REQUEST] = {"request_held", "request_suspected",
+			     "request_released"},
+	[SUSPECT_PART] = {"part_held", "part_suspected", "part_released"},
+};
+
+/* Logs what quarantine now says of a suspect, and the ends that decide it. */
+static void log_suspect(const struct gateway *gateway, uint64_t key,
 			const char *source)
 {
-	int64_t until_us = quarantine_until_us(gateway->quarantine, fingerprint,
-					       gateway->now_us);
-	bool is_suspect = quarantine_is_suspect(gateway->quarantine,
-						fingerprint, gateway->now_us);
+	const struct quarantine *quarantine = gateway->quarantine;
+	const enum suspect_kind kind = suspect_key_kind(key);
+	int64_t until_us =
+		quarantine_until_us(quarantine, key, gateway->now_us);
+	bool is_suspect =
+		quarantine_is_suspect(quarantine, key, gateway->now_us);
+	char *starts = quarantine_format_ends(quarantine, key, gateway->now_us);
 	char name[17], seconds[24];
 
-	g_snprintf(name, sizeof(name), "%016" PRIx64, fingerprint);
+	g_snprintf(name, sizeof(name), "%016" PRIx64, key);
 	g_snprintf(seconds, sizeof(seconds), "%" G_GINT64_FORMAT,
 		   until_us ? (until_us - gateway->now_us) / G_USEC_PER_SEC
 			    : 0);
 	log_write(gateway->log, until_us ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
-		  until_us     ? "request_held"
-		  : is_suspect ? "request_suspected"
-			       : "request_released",
-		  "fingerprint", name, "for_s", seconds, "source", source,
-		  NULL);
+		  until_us     ? log_names[kind].held
+		  : is_suspect ? log_names[kind].suspected
+			       : log_names[kind].released,
+		  "fingerprint", name, "for_s", seconds, "ends", starts,
+		  "source", source, NULL);
+	g_free(starts);
 }
 
 static struct peer_message *create_message(struct gateway *gateway)
@@ -115,7 +163,7 @@
 	return gateway->host.message(gateway->host.data, PEER_LOSSES);
 }
 
-/* Sends news to all nodes and logs them, one line a request. */
+/* Sends news to all nodes and logs them, one line a suspect. */
 static void announce_news(struct gateway *gateway)
 {
 	GArray *news = g_array_new(FALSE, FALSE, sizeof(struct peer_loss));
@@ -128,9 +176,9 @@
 		const struct peer_loss *loss =
 			&g_array_index(news, struct peer_loss, i);
 
-		if (loss->fingerprint != logged)
-			log_request(gateway, loss->fingerprint, "this node");
-		logged = loss->fingerprint;
+		if (loss->key != logged)
+			log_suspect(gateway, loss->key, "this node");
+		logged = loss->key;
 	}
 	for (guint i = 0; i < MIN(news->len, MAX_ANNOUNCED);
 	     i += LOSSES_PER_RECORD) {
@@ -178,20 +226,18 @@
 	for (guint i = 0; i < losses->len; i++) {
 		const struct peer_loss *loss =
 			&g_array_index(losses, struct peer_loss, i);
-		int64_t before_us =
-			quarantine_until_us(gateway->quarantine,
-					    loss->fingerprint, gateway->now_us);
+		int64_t before_us = quarantine_until_us(
+			gateway->quarantine, loss->key, gateway->now_us);
 		int64_t until_us;
 
 		if (!quarantine_merge(gateway->quarantine, loss,
 				      gateway->now_us))
 			continue;
 		gateway->losses_pace.changed_us = gateway->now_us;
-		until_us =
-			quarantine_until_us(gateway->quarantine,
-					    loss->fingerprint, gateway->now_us);
+		until_us = quarantine_until_us(gateway->quarantine, loss->key,
+					       gateway->now_us);
 		if ((before_us > 0) != (until_us > 0))
-			log_request(gateway, loss->fingerprint, message->from);
+			log_suspect(gateway, loss->key, message->from);
 	}
 }
 
@@ -202,6 +248,8 @@
 	size_t count;
 
 	announce_news(gateway);
+	if (quarantine_take_changed(gateway->quarantine))
+		gateway->losses_pace.changed_us = gateway->now_us;
 	if (quarantine_count(gateway->quarantine) == 0)
 		return;
 	count = gossip_pace_count_receivers(&gateway->losses_pace, &schedule,
@@ -215,37 +263,41 @@
 }
 
 /*
- * Whether this node is the one that may let a request run again after its
+ * Whether this node is the one that may let a run try again after the
  * quarantine. The others refuse it, so that no two runs try it at once.
  */
-static bool is_trier(const struct gateway *gateway, uint64_t fingerprint)
+static bool is_trier(const struct gateway *gateway, uint64_t key)
 {
 	const struct membership *members =
 		gateway->host.members(gateway->host.data);
-	uint64_t own = home_hash(gateway->options.node_name, "", fingerprint);
+	uint64_t own = home_hash(gateway->options.node_name, "", key);
 
 	for (size_t i = 0; i < membership_count(members); i++)
-		if (home_hash(membership_get(members, i)->name, "",
-			      fingerprint) < own)
+		if (home_hash(membership_get(members, i)->name, "", key) < own)
 			return false;
 	return true;
 }
 
 /*
- * Whether the request may be sent to an endpoint now. In its trial it may be
- * sent once.
+ * Whether a request with these suspects may be sent to an endpoint now. If not,
+ * or if it is a trial, which may be sent once, the suspect that decides it is
+ * stored in admission.
  */
-bool gateway_losses_admit(struct gateway *gateway, uint64_t fingerprint)
+bool gateway_losses_admit(struct gateway *gateway,
+			  const struct suspect_list *suspects,
+			  struct admission *admission)
 {
-	switch (quarantine_judge(gateway->quarantine, fingerprint,
-				 gateway->now_us)) {
+	admission->is_trial = false;
+	switch (quarantine_judge(gateway->quarantine, suspects, gateway->now_us,
+				 &admission->key)) {
 	case QUARANTINE_NONE:
 		return true;
 	case QUARANTINE_TRIAL:
-		if (!is_trier(gateway, fingerprint))
+		if (!is_trier(gateway, admission->key))
 			return false;
-		quarantine_begin_trial(gateway->quarantine, fingerprint,
+		quarantine_begin_trial(gateway->quarantine, admission->key,
 				       gateway->now_us);
+		admission->is_trial = true;
 		return true;
 	case QUARANTINE_HELD:
 		break;
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -19,6 +19,20 @@
 
 G_BEGIN_DECLS
 
+/* A run that its endpoint broke off. */
+struct lost_run {
+	const struct suspect_list *suspects;
+	uint64_t owner_key; /* of the organisation that sent the request */
+	struct endpoint_start start;
+	bool is_young; /* it had not gone on for a while */
+};
+
+/* What quarantine allows for a request. */
+struct admission {
+	uint64_t key;  /* of the suspect that decides; 0: none */
+	bool is_trial; /* one run may try; it may be sent once */
+};
+
 /* The last sign that an endpoint is alive. */
 struct heard_endpoint {
 	uint64_t key;
@@ -205,9 +219,14 @@
 bool gateway_losses_is_current(const struct gateway *gateway,
 			       const struct endpoint *endpoint,
 			       const struct endpoint_start *start);
-void gateway_losses_note(struct gateway *gateway,
-			 const struct quarantine_run *run,
+void gateway_losses_note(struct gateway *gateway, const struct lost_run *run,
 			 const struct endpoint *endpoint);
+void gateway_losses_note_whole(struct gateway *gateway,
+			       const struct suspect_list *suspects,
+			       int64_t begun_us);
+void gateway_losses_note_progress(struct gateway *gateway,
+				  const struct suspect_list *suspects,
+				  int64_t begun_us);
 void gateway_losses_note_answer(struct gateway *gateway,
 				const struct endpoint *endpoint,
 				const struct quarantine_answer *answer,
@@ -216,7 +235,9 @@
 void gateway_losses_receive(struct gateway *gateway,
 			    const struct peer_message *message);
 void gateway_losses_step(struct gateway *gateway);
-bool gateway_losses_admit(struct gateway *gateway, uint64_t fingerprint);
+bool gateway_losses_admit(struct gateway *gateway,
+			  const struct suspect_list *suspects,
+			  struct admission *admission);
 
 /* gateway_brittle.c */
 void gateway_brittle_note_answer(struct gateway *gateway,
--- a/codec/peer_losses.c
+++ b/codec/peer_losses.c
@@ -10,7 +10,7 @@
 
 /* The layout of PEER_LOSS_FORMAT in memory and in the record. */
 struct loss_record {
-	uint64_t fingerprint;
+	uint64_t key;
 	uint64_t owner_key;
 	uint64_t start_key;
 	uint32_t age_ms;
@@ -30,7 +30,7 @@
 		CLAMP(loss->trial_age_us / US_PER_MS, 0, UINT32_MAX - 1);
 
 	return (struct loss_record){
-		.fingerprint = loss->fingerprint,
+		.key = loss->key,
 		.owner_key = loss->owner_key,
 		.start_key = loss->start_key,
 		.age_ms = (uint32_t)age_ms,
@@ -68,7 +68,7 @@
 	bool is_cleared = record->cleared_age_ms != NOT_CLEARED;
 
 	return (struct peer_loss){
-		.fingerprint = record->fingerprint,
+		.key = record->key,
 		.owner_key = record->owner_key,
 		.start_key = record->start_key,
 		.state = (enum loss_state)record->state,
--- a/core/limit/quarantine.c
+++ b/core/limit/quarantine.c
@@ -4,26 +4,33 @@
 
 #include <string.h>
 
-/*
- * A request that was answered whole ends no endpoint for this long afterwards:
- * a popular one runs at each endpoint that another request ends.
- */
-#define WHOLE_GRACE_US (10 * G_USEC_PER_SEC)
-
-/* Ends this close to a loss tell whether endpoints end without the request. */
-#define SAME_TIME_US (2 * G_USEC_PER_SEC)
-
-/* Defaults: losses are remembered for 10 min, requests held for 30 min. */
+/* Defaults: losses are remembered for 10 min, suspects held for 30 min. */
 void quarantine_options_default(struct quarantine_options *options)
 {
 	options->suspect_us = 600 * G_USEC_PER_SEC;
 	options->hold_us = 1800 * G_USEC_PER_SEC;
 	options->trial_us = 60 * G_USEC_PER_SEC;
-	options->losses_to_hold = 2;
-	options->shared_losses_to_hold = 3;
+	options->rules[SUSPECT_REQUEST] = (struct quarantine_rule){
+		.losses_to_hold = 2,
+		.shared_losses_to_hold = 3,
+		.grace_us = 10 * G_USEC_PER_SEC,
+	};
+	options->rules[SUSPECT_PART] = (struct quarantine_rule){
+		.losses_to_hold = 3,
+		.shared_losses_to_hold = 4,
+		.grace_us = 3 * G_USEC_PER_SEC,
+	};
 	options->max_entries = 4096;
 }
 
+static void start_losses_destroy(gpointer data)
+{
+	struct start_losses *losses = data;
+
+	g_ptr_array_unref(losses->suspects);
+	g_free(losses);
+}
+
 /*
  * Creates an empty quarantine and copies the options. The caller frees it with
  * quarantine_destroy.
@@ -36,7 +43,7 @@
 	quarantine->suspects = suspect_table_create(options->max_entries);
 	quarantine->held = suspect_table_create(options->max_entries);
 	quarantine->starts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						   NULL, g_free);
+						   NULL, start_losses_destroy);
 	return quarantine;
 }
 
@@ -51,142 +58,112 @@
 	g_free(quarantine);
 }
 
-static bool loss_counts(const struct suspect *suspect, const struct loss *loss)
-{
-	return loss->state == LOSS_CONFIRMED &&
-	       (!suspect->cleared_us || loss->lost_us > suspect->cleared_us);
-}
-
-static struct start_losses *find_losses(const struct quarantine *quarantine,
-					uint64_t start_key)
+/* Returns the losses at a start, or NULL. */
+struct start_losses *quarantine_find_start(const struct quarantine *quarantine,
+					   uint64_t start_key)
 {
 	return g_hash_table_lookup(quarantine->starts, &start_key);
 }
 
-/* Adds the losses of a suspect to those of their starts, or subtracts them. */
-static void count_losses(struct quarantine *quarantine,
-			 const struct suspect *suspect, int32_t sign)
+static struct start_losses *find_or_add_start(struct quarantine *quarantine,
+					      uint64_t start_key)
 {
-	for (int32_t i = 0; i < suspect->loss_count; i++) {
-		const struct loss *loss = &suspect->losses[i];
-		struct start_losses *losses =
-			find_losses(quarantine, loss->start_key);
+	struct start_losses *losses =
+		quarantine_find_start(quarantine, start_key);
 
-		if (loss->state == LOSS_REFUTED)
-			continue;
-		if (!losses) {
-			losses = g_new0(struct start_losses, 1);
-			losses->start_key = loss->start_key;
-			g_hash_table_insert(quarantine->starts,
-					    &losses->start_key, losses);
-		}
-		losses->open += sign;
-		if (loss->state == LOSS_CONFIRMED) {
-			losses->confirmed += sign;
-			losses->ended_us = MAX(losses->ended_us, loss->lost_us);
-		}
-		if (loss_counts(suspect, loss))
-			losses->counted += sign;
-		if (losses->open == 0)
-			g_hash_table_remove(quarantine->starts,
-					    &loss->start_key);
-	}
+	if (losses)
+		return losses;
+	losses = g_new0(struct start_losses, 1);
+	losses->start_key = start_key;
+	losses->suspects = g_ptr_array_new();
+	g_hash_table_insert(quarantine->starts, &losses->start_key, losses);
+	return losses;
 }
 
-/*
- * Whether more than half of the ends around the time of the suspect's counted
- * losses came without it. Walks all starts with losses.
- */
-static bool most_ends_are_others(const struct quarantine *quarantine,
-				 const struct suspect *suspect, int32_t count)
+/* Adds a loss of a suspect to those of its start. */
+static void add_loss(struct quarantine *quarantine, struct suspect *suspect,
+		     const struct loss *loss)
 {
-	int64_t from_us = INT64_MAX, until_us = 0;
-	int32_t ends = 0;
-	GHashTableIter iter;
-	gpointer value;
+	struct start_losses *losses;
 
-	for (int32_t i = 0; i < suspect->loss_count; i++) {
-		const struct loss *loss = &suspect->losses[i];
+	if (loss->state == LOSS_REFUTED)
+		return;
+	losses = find_or_add_start(quarantine, loss->start_key);
+	g_ptr_array_add(losses->suspects, suspect);
+	if (loss->state != LOSS_CONFIRMED)
+		return;
+	losses->confirmed++;
+	losses->ended_us = MAX(losses->ended_us, loss->lost_us);
+	losses->counted_requests +=
+		suspect_key_kind(suspect->key) == SUSPECT_REQUEST &&
+		suspect_loss_counts(suspect, loss);
+}
 
-		if (!loss_counts(suspect, loss))
-			continue;
-		from_us = MIN(from_us, loss->lost_us - SAME_TIME_US);
-		until_us = MAX(until_us, loss->lost_us + SAME_TIME_US);
-	}
-	g_hash_table_iter_init(&iter, quarantine->starts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct start_losses *losses = value;
+/* Takes a loss of a suspect, not changed since, from those of its start. */
+static void subtract_loss(struct quarantine *quarantine,
+			  struct suspect *suspect, const struct loss *loss)
+{
+	struct start_losses *losses =
+		quarantine_find_start(quarantine, loss->start_key);
 
-		ends += losses->confirmed > 0 && losses->ended_us >= from_us &&
-			losses->ended_us <= until_us;
-	}
-	return ends - count > count;
+	if (loss->state == LOSS_REFUTED)
+		return;
+	g_ptr_array_remove_fast(losses->suspects, suspect);
+	losses->confirmed -= loss->state == LOSS_CONFIRMED;
+	losses->counted_requests -=
+		suspect_key_kind(suspect->key) == SUSPECT_REQUEST &&
+		suspect_loss_counts(suspect, loss);
+	if (losses->suspects->len == 0)
+		g_hash_table_remove(quarantine->starts, &loss->start_key);
 }
 
-/* When the quarantine that the losses bring about ends; 0: they bring none. */
-static int64_t held_until_us(const struct quarantine *quarantine,
-			     const struct suspect *suspect)
+static void add_losses(struct quarantine *quarantine, struct suspect *suspect)
 {
-	const struct quarantine_options *options = &quarantine->options;
-	int32_t needed = options->shared_losses_to_hold;
-	int32_t count = 0;
-	int64_t newest_us = 0;
-
-	for (int32_t i = 0; i < suspect->loss_count; i++) {
-		const struct loss *loss = &suspect->losses[i];
+	for (int32_t i = 0; i < suspect->loss_count; i++)
+		add_loss(quarantine, suspect, &suspect->losses[i]);
+}
 
-		if (!loss_counts(suspect, loss))
-			continue;
-		count++;
-		newest_us = MAX(newest_us, loss->lost_us);
-		if (find_losses(quarantine, loss->start_key)->counted == 1)
-			needed = options->losses_to_hold;
-	}
-	if (count >= needed && count < options->shared_losses_to_hold &&
-	    most_ends_are_others(quarantine, suspect, count))
-		return 0;
-	return count >= needed ? newest_us + options->hold_us : 0;
+static void subtract_losses(struct quarantine *quarantine,
+			    struct suspect *suspect)
+{
+	for (int32_t i = 0; i < suspect->loss_count; i++)
+		subtract_loss(quarantine, suspect, &suspect->losses[i]);
 }
 
 /* Returns the suspect, or NULL; it may have expired. */
-static struct suspect *lookup(const struct quarantine *quarantine,
-			      uint64_t fingerprint)
+static struct suspect *lookup(const struct quarantine *quarantine, uint64_t key)
 {
-	struct suspect *suspect =
-		suspect_table_find(quarantine->suspects, fingerprint);
+	struct suspect *suspect = suspect_table_find(quarantine->suspects, key);
 
-	return suspect ? suspect
-		       : suspect_table_find(quarantine->held, fingerprint);
+	return suspect ? suspect : suspect_table_find(quarantine->held, key);
 }
 
 /* Returns the suspect, or NULL if there is none or it has expired. */
 struct suspect *quarantine_find(const struct quarantine *quarantine,
-				uint64_t fingerprint, int64_t now_us)
+				uint64_t key, int64_t now_us)
 {
-	struct suspect *suspect = lookup(quarantine, fingerprint);
+	struct suspect *suspect = lookup(quarantine, key);
 
 	return suspect && suspect->expires_us > now_us ? suspect : NULL;
 }
 
 static struct suspect_table *table_of(const struct quarantine *quarantine,
-				      uint64_t fingerprint)
+				      uint64_t key)
 {
-	return suspect_table_find(quarantine->held, fingerprint)
-		       ? quarantine->held
-		       : quarantine->suspects;
+	return suspect_table_find(quarantine->held, key) ? quarantine->held
+							 : quarantine->suspects;
 }
 
 /* Takes a suspect out of its table, to be changed. */
 static void begin_change(struct quarantine *quarantine, struct suspect *suspect)
 {
-	count_losses(quarantine, suspect, -1);
-	suspect_table_steal(table_of(quarantine, suspect->fingerprint),
-			    suspect);
+	subtract_losses(quarantine, suspect);
+	suspect_table_steal(table_of(quarantine, suspect->key), suspect);
 }
 
 static int64_t newest_loss_us(const struct suspect *suspect)
 {
-	int64_t newest_us = 0;
+	int64_t newest_us = suspect->losses[0].lost_us;
 
 	for (int32_t i = 0; i < suspect->loss_count; i++)
 		newest_us = MAX(newest_us, suspect->losses[i].lost_us);
@@ -198,19 +175,20 @@
 		    int64_t now_us)
 {
 	const struct quarantine_options *options = &quarantine->options;
+	int64_t newest_us = newest_loss_us(suspect);
 	struct suspect_table *table;
 	struct suspect *evicted;
 	int64_t until_us;
 
-	count_losses(quarantine, suspect, 1);
-	until_us = held_until_us(quarantine, suspect);
+	add_losses(quarantine, suspect);
+	until_us = quarantine_held_until_us(quarantine, suspect);
 	table = until_us > now_us ? quarantine->held : quarantine->suspects;
-	suspect->expires_us = MAX(newest_loss_us(suspect) + options->suspect_us,
-				  until_us ? until_us + options->hold_us : 0);
+	suspect->expires_us = MAX(newest_us + options->suspect_us,
+				  until_us ? 2 * until_us - newest_us : 0);
 	quarantine->has_news |= suspect->is_news;
 	evicted = suspect_table_evict(table, suspect->owner_key);
 	if (evicted) {
-		count_losses(quarantine, evicted, -1);
+		subtract_losses(quarantine, evicted);
 		g_free(evicted);
 	}
 	suspect_table_add(table, suspect);
@@ -220,12 +198,11 @@
  * Returns the suspect to be changed, a new one if there is none; after that
  * quarantine_put is to be called.
  */
-struct suspect *quarantine_open(struct quarantine *quarantine,
-				uint64_t fingerprint, uint64_t owner_key,
-				int64_t now_us)
+struct suspect *quarantine_open(struct quarantine *quarantine, uint64_t key,
+				uint64_t owner_key, int64_t now_us)
 {
-	struct suspect_table *table = table_of(quarantine, fingerprint);
-	struct suspect *suspect = suspect_table_find(table, fingerprint);
+	struct suspect_table *table = table_of(quarantine, key);
+	struct suspect *suspect = suspect_table_find(table, key);
 
 	if (!suspect) {
 		suspect = g_new0(struct suspect, 1);
@@ -234,7 +211,7 @@
 		if (suspect->expires_us <= now_us)
 			memset(suspect, 0, sizeof(*suspect));
 	}
-	suspect->fingerprint = fingerprint;
+	suspect->key = key;
 	if (suspect->owner_key == 0)
 		suspect->owner_key = owner_key;
 	return suspect;
@@ -248,24 +225,82 @@
 	return NULL;
 }
 
-/* Returns an empty loss; of a full list the oldest one is given up. */
-struct loss *suspect_add_loss(struct suspect *suspect)
+/* Whether another loss of the suspect came about the same time. */
+static bool has_neighbour(const struct suspect *suspect,
+			  const struct loss *loss)
+{
+	for (int32_t i = 0; i < suspect->loss_count; i++) {
+		const struct loss *other = &suspect->losses[i];
+
+		if (other != loss && other->state != LOSS_REFUTED &&
+		    ABS(other->lost_us - loss->lost_us) <= SUSPECT_MOMENT_US)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * How little is lost with a loss: refuted ones go first, then one of several
+ * of one moment.
+ */
+static int32_t dispensability(const struct suspect *suspect,
+			      const struct loss *loss)
+{
+	if (loss->state == LOSS_REFUTED)
+		return 2;
+	return has_neighbour(suspect, loss) ? 1 : 0;
+}
+
+/*
+ * Whether the loss is given up rather than the other one. All nodes choose
+ * alike, so that they don't tell each other the rest again and again.
+ */
+static bool goes_first(const struct suspect *suspect, const struct loss *loss,
+		       const struct loss *other)
+{
+	int32_t rank = dispensability(suspect, loss);
+	int32_t other_rank = dispensability(suspect, other);
+
+	if (rank != other_rank)
+		return rank > other_rank;
+	return rank == 0 ? loss->lost_us < other->lost_us
+			 : loss->start_key > other->start_key;
+}
+
+/*
+ * Adds a loss at a start where the suspect has none. Of a full list one is
+ * given up, never the oldest, which tells how long the suspect has ended
+ * endpoints. Returns NULL if it is this one.
+ */
+struct loss *suspect_add_loss(struct suspect *suspect, const struct loss *added)
 {
 	struct loss *oldest = &suspect->losses[0];
+	struct loss *given_up = NULL;
 
-	if (suspect->loss_count < SUSPECT_MAX_LOSSES)
-		return &suspect->losses[suspect->loss_count++];
+	suspect->losses[suspect->loss_count++] = *added;
+	if (suspect->loss_count <= SUSPECT_MAX_LOSSES)
+		return &suspect->losses[suspect->loss_count - 1];
 	for (int32_t i = 1; i < suspect->loss_count; i++)
 		if (suspect->losses[i].lost_us < oldest->lost_us)
 			oldest = &suspect->losses[i];
-	memset(oldest, 0, sizeof(*oldest));
-	return oldest;
+	for (int32_t i = 0; i < suspect->loss_count; i++) {
+		struct loss *loss = &suspect->losses[i];
+
+		if (loss != oldest &&
+		    (!given_up || goes_first(suspect, loss, given_up)))
+			given_up = loss;
+	}
+	*given_up = suspect->losses[--suspect->loss_count];
+	if (given_up == &suspect->losses[suspect->loss_count])
+		return NULL;
+	return given_up->start_key == added->start_key
+		       ? given_up
+		       : suspect_find_loss(suspect, added->start_key);
 }
 
-static struct whole *whole_slot(struct quarantine *quarantine,
-				uint64_t fingerprint)
+static struct whole *whole_slot(struct quarantine *quarantine, uint64_t key)
 {
-	return &quarantine->wholes[fingerprint % WHOLE_SLOTS];
+	return &quarantine->wholes[suspect_key_kind(key)][key % WHOLE_SLOTS];
 }
 
 void suspect_clear(struct suspect *suspect, int64_t cleared_us)
@@ -273,15 +308,19 @@
 	suspect->cleared_us = MAX(suspect->cleared_us, cleared_us);
 }
 
-/* Applies that the request was answered whole lately, if it was. */
-void quarantine_clear_if_whole(struct quarantine *quarantine,
+/*
+ * Applies that the suspect was answered whole lately, if it was. Returns
+ * whether that clears a loss that counted.
+ */
+bool quarantine_clear_if_whole(struct quarantine *quarantine,
 			       struct suspect *suspect)
 {
-	const struct whole *whole =
-		whole_slot(quarantine, suspect->fingerprint);
+	const struct whole *whole = whole_slot(quarantine, suspect->key);
+	bool counted = suspect_has_counted_loss(suspect);
 
-	if (whole->at_us && whole->fingerprint == suspect->fingerprint)
-		suspect_clear(suspect, whole->at_us + WHOLE_GRACE_US);
+	if (whole->cleared_us && whole->key == suspect->key)
+		suspect_clear(suspect, whole->cleared_us);
+	return counted && !suspect_has_counted_loss(suspect);
 }
 
 /*
@@ -296,11 +335,12 @@
 {
 	struct endpoint_start start = {.endpoint_key = endpoint_key};
 	const struct start_losses *losses =
-		find_losses(quarantine, endpoint_start_key(&start));
+		quarantine_find_start(quarantine, endpoint_start_key(&start));
 
 	while (losses && losses->confirmed > 0 && start.number < INT16_MAX) {
 		start.number++;
-		losses = find_losses(quarantine, endpoint_start_key(&start));
+		losses = quarantine_find_start(quarantine,
+					       endpoint_start_key(&start));
 	}
 	return start;
 }
@@ -312,45 +352,42 @@
 void quarantine_report_loss(struct quarantine *quarantine,
 			    const struct quarantine_run *run, int64_t now_us)
 {
-	struct suspect *suspect = quarantine_open(quarantine, run->fingerprint,
-						  run->owner_key, now_us);
+	struct suspect *suspect =
+		quarantine_open(quarantine, run->key, run->owner_key, now_us);
 	uint64_t start_key = endpoint_start_key(&run->start);
 	struct loss *loss = suspect_find_loss(suspect, start_key);
+	const struct loss lost = {
+		.start_key = start_key,
+		.lost_us = now_us,
+		.state = LOSS_SUSPECTED,
+	};
 
 	if (!loss)
-		loss = suspect_add_loss(suspect);
-	if (loss->state == LOSS_CONFIRMED)
+		suspect_add_loss(suspect, &lost);
+	else if (loss->state == LOSS_CONFIRMED)
 		loss->again_us = now_us;
 	else
-		*loss = (struct loss){.start_key = start_key,
-				      .lost_us = now_us,
-				      .state = LOSS_SUSPECTED};
+		*loss = lost;
 	quarantine_clear_if_whole(quarantine, suspect);
 	quarantine_put(quarantine, suspect, now_us);
 }
 
 /*
- * Returns the fingerprints of the suspects with a loss at the start, which the
- * caller frees. A change of one may evict others.
+ * Returns the keys of the suspects with a loss at the start, which the caller
+ * frees. A change of one may evict others.
  */
 static GArray *suspects_at(const struct quarantine *quarantine,
 			   uint64_t start_key)
 {
-	const GList *const lists[] = {
-		suspect_table_list(quarantine->suspects),
-		suspect_table_list(quarantine->held),
-	};
+	const struct start_losses *losses =
+		quarantine_find_start(quarantine, start_key);
 	GArray *found = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 
-	if (!find_losses(quarantine, start_key))
-		return found;
-	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
-		for (const GList *link = lists[i]; link; link = link->next) {
-			struct suspect *suspect = link->data;
+	for (guint i = 0; losses && i < losses->suspects->len; i++) {
+		const struct suspect *suspect =
+			g_ptr_array_index(losses->suspects, i);
 
-			if (suspect_find_loss(suspect, start_key))
-				g_array_append_val(found, suspect->fingerprint);
-		}
+		g_array_append_val(found, suspect->key);
 	}
 	return found;
 }
@@ -380,7 +417,11 @@
 		loss->state = LOSS_CONFIRMED;
 		loss->lost_us = MAX(loss->lost_us, loss->again_us);
 		loss->again_us = 0;
-		suspect->is_news = true;
+		/* That a sound part lost a run tells nobody anything. */
+		loss->is_news =
+			suspect_key_kind(suspect->key) == SUSPECT_REQUEST ||
+			suspect_loss_counts(suspect, loss);
+		suspect->is_news |= loss->is_news;
 		is_news = true;
 		quarantine_put(quarantine, suspect, now_us);
 	}
@@ -416,7 +457,8 @@
 		    !answer_spans(answer, loss->lost_us))
 			continue;
 		begin_change(quarantine, suspect);
-		suspect->is_news |= loss->state == LOSS_CONFIRMED;
+		loss->is_news = loss->state == LOSS_CONFIRMED;
+		suspect->is_news |= loss->is_news;
 		loss->state = LOSS_REFUTED;
 		is_news |= suspect->is_news;
 		quarantine_put(quarantine, suspect, now_us);
@@ -439,7 +481,7 @@
 	uint64_t start_key = endpoint_start_key(&start);
 	bool is_news = false;
 
-	while (find_losses(quarantine, start_key)) {
+	while (quarantine_find_start(quarantine, start_key)) {
 		is_news |= refute_losses(quarantine, start_key, answer, now_us);
 		start.number++;
 		start_key = endpoint_start_key(&start);
@@ -447,50 +489,73 @@
 	return is_news;
 }
 
-static bool has_counted_loss(const struct suspect *suspect)
+/* Whether a loss is later than what the suspect was cleared of so far. */
+static bool has_open_loss(const struct suspect *suspect)
 {
 	for (int32_t i = 0; i < suspect->loss_count; i++)
-		if (loss_counts(suspect, &suspect->losses[i]))
+		if (suspect->losses[i].state != LOSS_REFUTED &&
+		    suspect->losses[i].lost_us > suspect->cleared_us)
 			return true;
 	return false;
 }
 
-static bool clear(struct quarantine *quarantine, uint64_t fingerprint,
+/* Whether all nodes are to hear at once that the suspect is cleared. */
+static bool is_urgent_to_clear(const struct quarantine *quarantine,
+			       const struct suspect *suspect)
+{
+	switch (suspect_key_kind(suspect->key)) {
+	case SUSPECT_REQUEST:
+		return suspect_has_counted_loss(suspect);
+	case SUSPECT_PART:
+		/* Many nodes clear a popular part at once: gossip tells of it.
+		 */
+		return quarantine_held_until_us(quarantine, suspect);
+	}
+	return false;
+}
+
+static bool clear(struct quarantine *quarantine, uint64_t key,
 		  int64_t cleared_us, int64_t now_us)
 {
-	struct suspect *suspect =
-		quarantine_find(quarantine, fingerprint, now_us);
+	struct suspect *suspect = quarantine_find(quarantine, key, now_us);
 
-	if (!suspect)
-		return false;
+	if (!suspect || !has_open_loss(suspect))
+		return suspect != NULL;
+	quarantine->has_changed |= suspect_has_counted_loss(suspect);
+	suspect->is_news |= is_urgent_to_clear(quarantine, suspect);
 	begin_change(quarantine, suspect);
-	suspect->is_news |= has_counted_loss(suspect);
 	suspect_clear(suspect, cleared_us);
 	quarantine_put(quarantine, suspect, now_us);
 	return true;
 }
 
 /*
- * Records that a request was answered whole: what it lost before was not its
- * doing, even if it is in quarantine. A generation may be continued elsewhere
- * after a second loss and then complete.
+ * Records that a run which began to answer at begun_us went on to do so: what
+ * was lost before was not the suspect's doing, even if it is held. It counts
+ * for the rule's grace: a popular suspect runs at each endpoint that another
+ * one ends. A request is cleared by its whole answer only, up to now.
  */
-void quarantine_report_success(struct quarantine *quarantine,
-			       uint64_t fingerprint, int64_t now_us)
+void quarantine_report_success(struct quarantine *quarantine, uint64_t key,
+			       int64_t begun_us, int64_t now_us)
 {
-	*whole_slot(quarantine, fingerprint) =
-		(struct whole){fingerprint, now_us};
-	clear(quarantine, fingerprint, now_us + WHOLE_GRACE_US, now_us);
+	const enum suspect_kind kind = suspect_key_kind(key);
+	struct whole *whole = whole_slot(quarantine, key);
+	int64_t cleared_us = quarantine->options.rules[kind].grace_us +
+			     (kind == SUSPECT_REQUEST ? now_us : begun_us);
+
+	if (whole->key != key || whole->cleared_us < cleared_us)
+		*whole = (struct whole){key, cleared_us};
+	clear(quarantine, key, cleared_us, now_us);
 }
 
 /*
- * Ends the quarantine of a request, as an operator asks for; losses after that
- * count again. Returns false if nothing is known of the request.
+ * Ends the quarantine of a suspect, as an operator asks for; losses after that
+ * count again. Returns false if nothing is known of it.
  */
-bool quarantine_lift(struct quarantine *quarantine, uint64_t fingerprint,
+bool quarantine_lift(struct quarantine *quarantine, uint64_t key,
 		     int64_t now_us)
 {
-	return clear(quarantine, fingerprint, now_us, now_us);
+	return clear(quarantine, key, now_us, now_us);
 }
 
 /*
@@ -502,7 +567,7 @@
 			     int64_t now_us)
 {
 	const struct quarantine_run run = {
-		.fingerprint = fingerprint,
+		.key = fingerprint,
 		.start.endpoint_key = (uint64_t)g_str_hash(endpoint) << 32,
 	};
 
@@ -513,40 +578,11 @@
 	return quarantine_until_us(quarantine, fingerprint, now_us) != 0;
 }
 
-/* Returns when the quarantine of a request ends, in us; 0: it has none. */
-int64_t quarantine_until_us(const struct quarantine *quarantine,
-			    uint64_t fingerprint, int64_t now_us)
-{
-	const struct suspect *suspect =
-		quarantine_find(quarantine, fingerprint, now_us);
-	int64_t until_us = suspect ? held_until_us(quarantine, suspect) : 0;
-
-	return until_us > now_us ? until_us : 0;
-}
-
-/* Returns what a request that is to be sent now may do. */
-enum quarantine_verdict quarantine_judge(const struct quarantine *quarantine,
-					 uint64_t fingerprint, int64_t now_us)
-{
-	const struct suspect *suspect =
-		quarantine_find(quarantine, fingerprint, now_us);
-	int64_t until_us = suspect ? held_until_us(quarantine, suspect) : 0;
-
-	if (until_us == 0)
-		return QUARANTINE_NONE;
-	if (now_us < until_us ||
-	    (suspect->trial_us >= until_us &&
-	     now_us - suspect->trial_us < quarantine->options.trial_us))
-		return QUARANTINE_HELD;
-	return QUARANTINE_TRIAL;
-}
-
 /* Records that a run tries a request that was held; others are held again. */
-void quarantine_begin_trial(struct quarantine *quarantine, uint64_t fingerprint,
+void quarantine_begin_trial(struct quarantine *quarantine, uint64_t key,
 			    int64_t now_us)
 {
-	struct suspect *suspect =
-		quarantine_find(quarantine, fingerprint, now_us);
+	struct suspect *suspect = quarantine_find(quarantine, key, now_us);
 
 	if (!suspect)
 		return;
@@ -555,20 +591,6 @@
 	quarantine->has_news = true;
 }
 
-/*
- * Returns whether the request has a loss that may count against it, without
- * being held.
- */
-bool quarantine_is_suspect(const struct quarantine *quarantine,
-			   uint64_t fingerprint, int64_t now_us)
-{
-	const struct suspect *suspect =
-		quarantine_find(quarantine, fingerprint, now_us);
-
-	return suspect && !held_until_us(quarantine, suspect) &&
-	       has_counted_loss(suspect);
-}
-
 /* Returns the number of suspects and held requests, for the dump. */
 size_t quarantine_count(const struct quarantine *quarantine)
 {
--- a/core/limit/quarantine.h
+++ b/core/limit/quarantine.h
@@ -2,6 +2,7 @@
 #define CORE_LIMIT_QUARANTINE_H
 
 #include "core/base/endpoint_start.h"
+#include "core/limit/suspect_list.h"
 #include "ports/peer_message.h"
 
 #include <glib.h>
@@ -11,44 +12,51 @@
 G_BEGIN_DECLS
 
 /*
- * Quarantine of requests under which endpoints end. A request is named by a
- * fingerprint, which is the same when its caller sends it again. A run that its
- * endpoint broke off is a loss; it counts against the request once the endpoint
- * is known to have ended, until
+ * Quarantine of what endpoints end under: of requests, and of parts that are in
+ * the prompts of several requests. A run that its endpoint broke off is a loss
+ * of its suspects; it counts against them once the endpoint is known to have
+ * ended, until
  *
  *   - the endpoint answers a request that was sent later, over a connection
  *     that was established before the loss: the same process goes on;
- *   - the request is answered whole anywhere: it ends no endpoint.
+ *   - a run of the same suspect succeeds anywhere: it ends no endpoint.
  *
  * Each end of an endpoint counts once, however often the endpoint starts again
- * under its id. A request is held after losses_to_hold losses at different
- * starts if
+ * under its id. A suspect is held after losses_to_hold losses, if at least half
+ * of the ends around that time came under it: where endpoints end with causes
+ * of their own, what is repeated soon loses runs alone. Otherwise after
+ * shared_losses_to_hold. What counts as one depends on the kind:
  *
- *   - at one of them no other request lost a run: requests that only ran beside
- *     one that ends endpoints lose runs as well;
- *   - at least half of the ends around that time came under it: where endpoints
- *     end with causes of their own, a request that is repeated soon loses runs
- *     alone;
+ *   - for a request each start. At one of them no other request must have lost
+ *     a run, else it may only have run beside one that ends endpoints;
+ *   - for a part each moment: what ends endpoints together is one cause. A
+ *     part whose losses another held part explains is refused only together
+ *     with that one.
  *
- * and otherwise after shared_losses_to_hold. After hold_us, one run at a time
- * may try again, and a single further loss holds the request again.
+ * After hold_us, one run at a time may try again, and a single further loss
+ * holds the suspect again, for longer each time.
  *
  * All nodes hold the same state: losses merge in any order.
  */
+struct quarantine_rule {
+	int32_t losses_to_hold;
+	int32_t shared_losses_to_hold;
+	int64_t grace_us; /* how long a success clears what comes after it */
+};
+
 struct quarantine_options {
 	int64_t suspect_us; /* how long a loss is remembered */
-	int64_t hold_us;    /* how long a request is refused */
+	int64_t hold_us;    /* how long a suspect is refused at first */
 	int64_t trial_us;   /* a trial without a result ends after this time */
-	int32_t losses_to_hold;
-	int32_t shared_losses_to_hold;
+	struct quarantine_rule rules[SUSPECT_KIND_COUNT];
 	int32_t max_entries; /* limit of each: suspects, held */
 };
 
 struct quarantine;
 
-/* A run of a request at an endpoint. */
+/* A run at an endpoint, for one of its suspects. */
 struct quarantine_run {
-	uint64_t fingerprint;
+	uint64_t key;	    /* of the suspect */
 	uint64_t owner_key; /* of the organisation that sent it */
 	struct endpoint_start start;
 };
@@ -74,12 +82,12 @@
 bool quarantine_report_answer(struct quarantine *quarantine,
 			      const struct quarantine_answer *answer,
 			      int64_t now_us);
-void quarantine_report_success(struct quarantine *quarantine,
-			       uint64_t fingerprint, int64_t now_us);
+void quarantine_report_success(struct quarantine *quarantine, uint64_t key,
+			       int64_t begun_us, int64_t now_us);
 bool quarantine_report_crash(struct quarantine *quarantine,
 			     uint64_t fingerprint, const char *endpoint,
 			     int64_t now_us);
-bool quarantine_lift(struct quarantine *quarantine, uint64_t fingerprint,
+bool quarantine_lift(struct quarantine *quarantine, uint64_t key,
 		     int64_t now_us);
 
 /* What a request that arrives now may do. */
@@ -90,13 +98,16 @@
 };
 
 enum quarantine_verdict quarantine_judge(const struct quarantine *quarantine,
-					 uint64_t fingerprint, int64_t now_us);
-void quarantine_begin_trial(struct quarantine *quarantine, uint64_t fingerprint,
+					 const struct suspect_list *request,
+					 int64_t now_us, uint64_t *key);
+void quarantine_begin_trial(struct quarantine *quarantine, uint64_t key,
 			    int64_t now_us);
-int64_t quarantine_until_us(const struct quarantine *quarantine,
-			    uint64_t fingerprint, int64_t now_us);
-bool quarantine_is_suspect(const struct quarantine *quarantine,
-			   uint64_t fingerprint, int64_t now_us);
+int64_t quarantine_until_us(const struct quarantine *quarantine, uint64_t key,
+			    int64_t now_us);
+bool quarantine_is_suspect(const struct quarantine *quarantine, uint64_t key,
+			   int64_t now_us);
+char *quarantine_format_ends(const struct quarantine *quarantine, uint64_t key,
+			     int64_t now_us);
 size_t quarantine_count(const struct quarantine *quarantine);
 
 /* Exchange with other nodes: struct peer_loss in a GArray. */
@@ -104,6 +115,7 @@
 		      const struct peer_loss *news, int64_t now_us);
 void quarantine_take_news(struct quarantine *quarantine, GArray *losses,
 			  int64_t now_us);
+bool quarantine_take_changed(struct quarantine *quarantine);
 void quarantine_add_known(const struct quarantine *quarantine, guint max,
 			  double draw, GArray *losses, int64_t now_us);
 void quarantine_add_held(const struct quarantine *quarantine, GArray *losses,
--- a/core/limit/quarantine_query.c
+++ b/core/limit/quarantine_query.c
@@ -45,7 +45,7 @@
 		last_age_us = MIN(last_age_us, losses[i].age_us);
 	}
 	g_snprintf(fingerprint, sizeof(fingerprint), "%016" PRIx64,
-		   losses[0].fingerprint);
+		   losses[0].key);
 	g_variant_builder_open(list, G_VARIANT_TYPE_VARDICT);
 	g_variant_builder_add(list, "{sv}", "fingerprint",
 			      g_variant_new_string(fingerprint));
@@ -74,12 +74,11 @@
 			&g_array_index(losses, struct peer_loss, i);
 
 		for (end = i + 1; end < losses->len; end++)
-			if (g_array_index(losses, struct peer_loss, end)
-				    .fingerprint != first->fingerprint)
+			if (g_array_index(losses, struct peer_loss, end).key !=
+			    first->key)
 				break;
 		add_held(&list, first, end - i,
-			 quarantine_until_us(quarantine, first->fingerprint,
-					     now_us) -
+			 quarantine_until_us(quarantine, first->key, now_us) -
 				 now_us);
 	}
 	g_array_unref(losses);
--- a/core/limit/quarantine_state.h
+++ b/core/limit/quarantine_state.h
@@ -6,21 +6,25 @@
 
 /* Private to quarantine: its state, and changes of one suspect. */
 
-/* Fingerprints of requests answered whole lately; more replace older ones. */
+/* Ends this close to each other may have one cause, such as a failure domain.
+ */
+#define SUSPECT_MOMENT_US (500 * 1000)
+
+/* Suspects of a kind answered lately; more replace older ones. */
 #define WHOLE_SLOTS 1024
 
 struct whole {
-	uint64_t fingerprint;
-	int64_t at_us;
+	uint64_t key;
+	int64_t cleared_us; /* losses up to this time don't count; 0: none */
 };
 
-/* The losses at one start of an endpoint, of all suspects. */
+/* The losses at one start of an endpoint that are not refuted. */
 struct start_losses {
 	uint64_t start_key;
-	int32_t open;	   /* not refuted */
-	int32_t confirmed; /* by an end of the endpoint */
-	int32_t counted;   /* against requests */
-	int64_t ended_us;  /* last confirmed loss */
+	GPtrArray *suspects;	  /* struct suspect, of the tables */
+	int32_t confirmed;	  /* by an end of the endpoint */
+	int32_t counted_requests; /* requests against which it counts */
+	int64_t ended_us;	  /* last confirmed loss */
 };
 
 struct quarantine {
@@ -28,21 +32,32 @@
 	struct suspect_table *suspects;
 	struct suspect_table *held; /* a flood of suspects evicts none of it */
 	GHashTable *starts;	    /* start_key to struct start_losses */
-	struct whole wholes[WHOLE_SLOTS];
+	struct whole wholes[SUSPECT_KIND_COUNT][WHOLE_SLOTS];
 	bool has_news;
+	bool has_changed; /* what gossip is to tell soon */
 };
 
+/* quarantine.c */
+struct start_losses *quarantine_find_start(const struct quarantine *quarantine,
+					   uint64_t start_key);
 struct suspect *quarantine_find(const struct quarantine *quarantine,
-				uint64_t fingerprint, int64_t now_us);
-struct suspect *quarantine_open(struct quarantine *quarantine,
-				uint64_t fingerprint, uint64_t owner_key,
-				int64_t now_us);
+				uint64_t key, int64_t now_us);
+struct suspect *quarantine_open(struct quarantine *quarantine, uint64_t key,
+				uint64_t owner_key, int64_t now_us);
 void quarantine_put(struct quarantine *quarantine, struct suspect *suspect,
 		    int64_t now_us);
-void quarantine_clear_if_whole(struct quarantine *quarantine,
+bool quarantine_clear_if_whole(struct quarantine *quarantine,
 			       struct suspect *suspect);
 struct loss *suspect_find_loss(struct suspect *suspect, uint64_t start_key);
-struct loss *suspect_add_loss(struct suspect *suspect);
+struct loss *suspect_add_loss(struct suspect *suspect,
+			      const struct loss *added);
 void suspect_clear(struct suspect *suspect, int64_t cleared_us);
 
+/* quarantine_verdict.c */
+bool suspect_loss_counts(const struct suspect *suspect,
+			 const struct loss *loss);
+bool suspect_has_counted_loss(const struct suspect *suspect);
+int64_t quarantine_held_until_us(const struct quarantine *quarantine,
+				 const struct suspect *suspect);
+
 #endif
--- a/core/limit/suspect_key.h
+++ b/core/limit/suspect_key.h
@@ -13,10 +13,11 @@
  */
 enum suspect_kind {
 	SUSPECT_REQUEST, /* one request, by its fingerprint */
-	SUSPECT_PART,	 /* each request with this part in its prompt */
-	SUSPECT_KIND_COUNT
+	SUSPECT_PART	 /* each request with this part in its prompt */
 };
 
+#define SUSPECT_KIND_COUNT (SUSPECT_PART + 1)
+
 uint64_t suspect_key_of_request(uint64_t fingerprint);
 uint64_t suspect_key_of_part(const char *id, size_t size);
 enum suspect_kind suspect_key_kind(uint64_t key);
--- a/core/limit/suspect_table.c
+++ b/core/limit/suspect_table.c
@@ -1,9 +1,9 @@
 #include "core/limit/suspect_table.h"
 
 struct suspect_table {
-	GHashTable *by_fingerprint; /* fingerprint to GList of order */
-	GQueue order;		    /* struct suspect */
-	GHashTable *counts;	    /* owner_key to struct owner_count */
+	GHashTable *by_key; /* key to GList of order */
+	GQueue order;	    /* struct suspect */
+	GHashTable *counts; /* owner_key to struct owner_count */
 	size_t max_entries;
 };
 
@@ -17,7 +17,7 @@
 {
 	struct suspect_table *table = g_new0(struct suspect_table, 1);
 
-	table->by_fingerprint = g_hash_table_new(g_int64_hash, g_int64_equal);
+	table->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
 	table->counts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					      g_free);
 	table->max_entries = (size_t)MAX(max_entries, 1);
@@ -29,7 +29,7 @@
 {
 	if (!table)
 		return;
-	g_hash_table_unref(table->by_fingerprint);
+	g_hash_table_unref(table->by_key);
 	g_hash_table_unref(table->counts);
 	g_queue_clear_full(&table->order, g_free);
 	g_free(table);
@@ -37,9 +37,9 @@
 
 /* Returns the suspect, which the table owns, or NULL. */
 struct suspect *suspect_table_find(const struct suspect_table *table,
-				   uint64_t fingerprint)
+				   uint64_t key)
 {
-	GList *link = g_hash_table_lookup(table->by_fingerprint, &fingerprint);
+	GList *link = g_hash_table_lookup(table->by_key, &key);
 
 	return link ? link->data : NULL;
 }
@@ -97,8 +97,7 @@
 		g_hash_table_lookup(table->counts, &suspect->owner_key);
 
 	g_queue_push_tail(&table->order, suspect);
-	g_hash_table_insert(table->by_fingerprint, &suspect->fingerprint,
-			    table->order.tail);
+	g_hash_table_insert(table->by_key, &suspect->key, table->order.tail);
 	if (!count) {
 		count = g_new0(struct owner_count, 1);
 		count->owner_key = suspect->owner_key;
@@ -110,12 +109,11 @@
 /* Removes a suspect from the table without freeing it. */
 void suspect_table_steal(struct suspect_table *table, struct suspect *suspect)
 {
-	GList *link = g_hash_table_lookup(table->by_fingerprint,
-					  &suspect->fingerprint);
+	GList *link = g_hash_table_lookup(table->by_key, &suspect->key);
 	struct owner_count *count =
 		g_hash_table_lookup(table->counts, &suspect->owner_key);
 
-	g_hash_table_remove(table->by_fingerprint, &suspect->fingerprint);
+	g_hash_table_remove(table->by_key, &suspect->key);
 	g_queue_delete_link(&table->order, link);
 	if (--count->suspects == 0)
 		g_hash_table_remove(table->counts, &suspect->owner_key);
@@ -131,3 +129,8 @@
 {
 	return table->order.head;
 }
+
+const GList *suspect_table_list_last(const struct suspect_table *table)
+{
+	return table->order.tail;
+}
--- a/core/limit/suspect_table.h
+++ b/core/limit/suspect_table.h
@@ -9,8 +9,8 @@
 
 G_BEGIN_DECLS
 
-/* Losses kept of one request; further ones replace the oldest. */
-#define SUSPECT_MAX_LOSSES 4
+/* Losses kept of one suspect. */
+#define SUSPECT_MAX_LOSSES 16
 
 /* A run that an endpoint didn't finish. */
 struct loss {
@@ -18,13 +18,14 @@
 	int64_t lost_us;
 	int64_t again_us; /* a later one, not confirmed so far; 0: none */
 	enum loss_state state;
+	bool is_news; /* not announced so far */
 };
 
-/* A request with lost runs, named by its fingerprint. */
+/* What endpoints may have ended under. */
 struct suspect {
-	uint64_t fingerprint;
-	uint64_t owner_key; /* of the organisation that sent it */
-	struct loss losses[SUSPECT_MAX_LOSSES];
+	uint64_t key;
+	uint64_t owner_key; /* of the organisation that sent it first */
+	struct loss losses[SUSPECT_MAX_LOSSES + 1]; /* one more while adding */
 	int32_t loss_count;
 	int64_t cleared_us; /* losses up to this time don't count; 0: none */
 	int64_t trial_us;   /* start of the last trial; 0: none */
@@ -34,7 +35,7 @@
 
 /*
  * A bounded table of suspects. When it is full, the oldest suspect of the owner
- * with the most suspects is evicted: callers control the fingerprints, and one
+ * with the most suspects is evicted: callers control the keys, and one
  * that varies its requests must not push out those of others.
  */
 struct suspect_table;
@@ -43,7 +44,7 @@
 void suspect_table_destroy(struct suspect_table *table);
 
 struct suspect *suspect_table_find(const struct suspect_table *table,
-				   uint64_t fingerprint);
+				   uint64_t key);
 struct suspect *suspect_table_evict(struct suspect_table *table,
 				    uint64_t owner_key);
 void suspect_table_add(struct suspect_table *table, struct suspect *suspect);
@@ -52,6 +53,7 @@
 
 /* The suspects in the order in which they were added. */
 const GList *suspect_table_list(const struct suspect_table *table);
+const GList *suspect_table_list_last(const struct suspect_table *table);
 
 G_END_DECLS
 
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -224,7 +224,7 @@
 
 /* A run of a request that its endpoint didn't finish. */
 struct peer_loss {
-	uint64_t fingerprint;
+	uint64_t key;	    /* of the suspect */
 	uint64_t owner_key; /* of the organisation that sent the request */
 	uint64_t start_key; /* endpoint_start_key(); 0: only tells
 			       cleared_age_us */
--- a/tests/gateway_losses_test.cc
+++ b/tests/gateway_losses_test.cc
@@ -127,7 +127,7 @@
 
 		g_hash_table_iter_init(&iter, gateway->exchanges);
 		ASSERT_TRUE(g_hash_table_iter_next(&iter, &exchange, nullptr));
-		run.fingerprint = ((struct exchange *)exchange)->fingerprint;
+		run.key = ((struct exchange *)exchange)->fingerprint;
 		for (const char *id : {"i-8", "i-9"}) {
 			run.start.endpoint_key = endpoint_key(id);
 			quarantine_report_loss(gateway->quarantine, &run,
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -360,7 +360,7 @@
 		const struct peer_loss *b = &g_array_index(
 			expected->losses.losses, struct peer_loss, i);
 
-		EXPECT_EQ(b->fingerprint, a->fingerprint);
+		EXPECT_EQ(b->key, a->key);
 		EXPECT_EQ(b->owner_key, a->owner_key);
 		EXPECT_EQ(b->start_key, a->start_key);
 		EXPECT_EQ(b->state, a->state);
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -32,7 +32,7 @@
 	EXPECT_FALSE(quarantine_report_crash(quarantine, 1, "a:1", 10));
 	EXPECT_FALSE(quarantine_report_crash(quarantine, 2, "a:1", 10));
 	EXPECT_TRUE(quarantine_is_suspect(quarantine, 2, 11));
-	quarantine_report_success(quarantine, 2, 11);
+	quarantine_report_success(quarantine, 2, 11, 11);
 	EXPECT_TRUE(quarantine_report_crash(quarantine, 1, "b:1", 20));
 	EXPECT_FALSE(quarantine_report_crash(quarantine, 2, "b:1", 20));
 	EXPECT_EQ(20 + options.hold_us, quarantine_until_us(quarantine, 1, 21));
@@ -80,7 +80,7 @@
 	EXPECT_FALSE(quarantine_report_crash(quarantine, 7, "e1", 1000));
 	EXPECT_TRUE(quarantine_report_crash(quarantine, 7, "e2", 2000));
 	EXPECT_NE(0, quarantine_until_us(quarantine, 7, 3000));
-	quarantine_report_success(quarantine, 7, 3000);
+	quarantine_report_success(quarantine, 7, 3000, 3000);
 	EXPECT_EQ(0, quarantine_until_us(quarantine, 7, 3000));
 }
 
@@ -125,6 +125,13 @@
 		quarantine_report_answer(quarantine, &answer, us(sent_s));
 	}
 
+	enum quarantine_verdict judge(uint64_t fingerprint, int64_t now_us)
+	{
+		struct suspect_list request = {{fingerprint}, 1};
+
+		return quarantine_judge(quarantine, &request, now_us, nullptr);
+	}
+
 	bool is_held(uint64_t fingerprint, double at_s)
 	{
 		return quarantine_until_us(quarantine, fingerprint, us(at_s)) >
@@ -190,7 +197,7 @@
 /* Guards against holding a popular request that runs at every endpoint. */
 TEST_F(QuarantineEvidence, WhatIsAnsweredWholeEndsNothing)
 {
-	quarantine_report_success(quarantine, 7, us(1));
+	quarantine_report_success(quarantine, 7, us(1), us(1));
 	for (uint64_t endpoint = 1; endpoint <= 4; endpoint++) {
 		lose(7, endpoint, 1 + (double)endpoint);
 		lose(8, endpoint, 1 + (double)endpoint);
@@ -203,7 +210,7 @@
 		end(endpoint, 20);
 	}
 	EXPECT_TRUE(is_held(7, 21)) << "long after its last whole answer";
-	quarantine_report_success(quarantine, 7, us(22));
+	quarantine_report_success(quarantine, 7, us(22), us(22));
 	EXPECT_FALSE(is_held(7, 22));
 }
 
@@ -217,22 +224,19 @@
 		lose(1, endpoint, 1);
 		end(endpoint, 1);
 	}
-	EXPECT_EQ(QUARANTINE_HELD, quarantine_judge(quarantine, 1, us(hold_s)));
-	EXPECT_EQ(QUARANTINE_TRIAL,
-		  quarantine_judge(quarantine, 1, us(hold_s + 2)));
+	EXPECT_EQ(QUARANTINE_HELD, judge(1, us(hold_s)));
+	EXPECT_EQ(QUARANTINE_TRIAL, judge(1, us(hold_s + 2)));
 	quarantine_begin_trial(quarantine, 1, us(hold_s + 2));
-	EXPECT_EQ(QUARANTINE_HELD,
-		  quarantine_judge(quarantine, 1, us(hold_s + 3)))
+	EXPECT_EQ(QUARANTINE_HELD, judge(1, us(hold_s + 3)))
 		<< "one run at a time";
 	lose(1, 3, hold_s + 4);
 	end(3, hold_s + 4);
 	EXPECT_TRUE(is_held(1, hold_s + 70)) << "one more end is enough";
-	EXPECT_EQ(QUARANTINE_TRIAL,
-		  quarantine_judge(quarantine, 1, us(2 * hold_s + 10)));
+	EXPECT_EQ(QUARANTINE_TRIAL, judge(1, us(2 * hold_s + 10)));
 	quarantine_begin_trial(quarantine, 1, us(2 * hold_s + 10));
-	quarantine_report_success(quarantine, 1, us(2 * hold_s + 11));
-	EXPECT_EQ(QUARANTINE_NONE,
-		  quarantine_judge(quarantine, 1, us(2 * hold_s + 11)));
+	quarantine_report_success(quarantine, 1, us(2 * hold_s + 11),
+				  us(2 * hold_s + 11));
+	EXPECT_EQ(QUARANTINE_NONE, judge(1, us(2 * hold_s + 11)));
 }
 
 /* Guards against an end that is counted twice, because two runs that it broke
