An answer that ends with its connection clears nothing until its endpoint lived on

Cause: on_complete reports success whatever ended the answer, and a relaying node reported it once more for an answer it only passed on.

Now such an answer is kept (gateway_closes.c) while its endpoint is probed. The node that passes an answer on reports nothing, as the other one does.

A stream that ends within an event stays broken off, also through a relay (GatewayRelay.BreaksOff*).

--- a/adapters/gateway/attempt.c
+++ b/adapters/gateway/attempt.c
@@ -20,6 +20,7 @@
 	bool is_over;	     /* complete or failed was called, or destroyed */
 	bool is_connected;
 	bool has_trailing_bytes; /* received after the complete answer */
+	bool is_ended_by_close;	 /* the answer, complete or not */
 };
 
 static void attempt_fail(struct attempt *attempt, enum error_code code,
@@ -139,6 +140,7 @@
 	struct attempt *attempt = g_rc_box_acquire(data);
 	enum http_reader_result result = HTTP_READER_BAD;
 
+	attempt->is_ended_by_close = true;
 	if (http_reader_has_head(attempt->reader) && attempt->answer_matches)
 		result = http_reader_finish(attempt->reader);
 	if (!attempt->is_over && result == HTTP_READER_COMPLETE)
@@ -265,6 +267,15 @@
 	return tcp_stream_opened_us(attempt->stream);
 }
 
+/*
+ * Whether the answer ended with its connection. One that is complete says
+ * nothing of whether its endpoint has ended.
+ */
+bool attempt_is_ended_by_close(const struct attempt *attempt)
+{
+	return attempt->is_ended_by_close;
+}
+
 /*
  * Gives the connection to the pool after a complete answer, for reuse until
  * until_us. The attempt keeps it if the endpoint will close it, if bytes
--- a/adapters/gateway/attempt.h
+++ b/adapters/gateway/attempt.h
@@ -51,6 +51,7 @@
 void attempt_set_reading(struct attempt *attempt, bool reading);
 bool attempt_may_have_sent(const struct attempt *attempt);
 bool attempt_is_connected(const struct attempt *attempt);
+bool attempt_is_ended_by_close(const struct attempt *attempt);
 int64_t attempt_connected_us(const struct attempt *attempt);
 void attempt_pool_connection(struct attempt *attempt,
 			     struct endpoint_pool *pool, int64_t until_us);
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -453,6 +453,25 @@
 			     exchange->longest_pause_us);
 }
 
+/* Records what a whole answer says of the request and its parts. */
+static void leg_note_whole(const struct leg *leg,
+			   const struct endpoint *endpoint)
+{
+	struct gateway *gateway = leg->exchange->gateway;
+	int64_t begun_us = leg->begun_us ? leg->begun_us : leg->sent_us;
+	struct lost_run run;
+
+	if (!attempt_is_ended_by_close(leg->attempt)) {
+		gateway_losses_note_whole(gateway, &leg->exchange->suspects,
+					  begun_us);
+		return;
+	}
+	if (!endpoint)
+		return;
+	leg_describe_run(leg, &run);
+	gateway_closes_add(gateway, &run, begun_us, endpoint);
+}
+
 static void on_complete(void *data)
 {
 	struct leg *leg = data;
@@ -469,8 +488,7 @@
 		endpoint_health_report_success(&endpoint->health,
 					       exchange->gateway->now_us);
 	exchange_count_times(exchange);
-	gateway_losses_note_whole(exchange->gateway, &exchange->suspects,
-				  leg->begun_us ? leg->begun_us : leg->sent_us);
+	leg_note_whole(leg, endpoint);
 	exchange_keep_connection(exchange);
 	exchange_finish_answer(exchange);
 	exchange_end(exchange, "whole", "");
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -156,6 +156,20 @@
 	return place;
 }
 
+/* Describes the leg's run to quarantine. */
+void leg_describe_run(const struct leg *leg, struct lost_run *run)
+{
+	const struct config_organisation *owner = leg->exchange->organisation;
+
+	*run = (struct lost_run){
+		.suspects = &leg->exchange->suspects,
+		.owner_key =
+			home_hash("organisation", owner ? owner->name : "", 0),
+		.start = leg->start,
+		.is_young = !leg->is_proven,
+	};
+}
+
 /*
  * Records a run that its endpoint may have lost by ending. Silence is no
  * evidence, and the run may have ended at any time before.
@@ -163,17 +177,11 @@
 static void note_loss(const struct exchange *exchange,
 		      const struct endpoint *endpoint)
 {
-	const struct config_organisation *owner = exchange->organisation;
-	const struct lost_run run = {
-		.suspects = &exchange->suspects,
-		.owner_key =
-			home_hash("organisation", owner ? owner->name : "", 0),
-		.start = exchange->leg->start,
-		.is_young = !exchange->leg->is_proven,
-	};
+	struct lost_run run;
 
 	if (exchange->leg->has_timed_out)
 		return;
+	leg_describe_run(exchange->leg, &run);
 	gateway_losses_note(exchange->gateway, &run, endpoint);
 }
 
--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -155,9 +155,6 @@
 	struct exchange *exchange = relay->exchange;
 	struct caller *caller = exchange->caller;
 
-	if (exchange->said.is_from_endpoint)
-		gateway_losses_note_whole(exchange->gateway,
-					  &exchange->suspects, relay->sent_us);
 	exchange_finish_answer(exchange);
 	exchange_end(exchange,
 		     exchange->said.is_from_endpoint ? "whole" : "refused",
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -167,6 +167,7 @@
 			     struct home_request *request);
 
 /* exchange_recover.c */
+void leg_describe_run(const struct leg *leg, struct lost_run *run);
 void exchange_fail_leg(struct exchange *exchange, enum attempt_result result,
 		       const char *detail);
 bool exchange_may_hand_over(struct exchange *exchange,
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -230,6 +230,7 @@
 	gateway_cordons_step(gateway);
 	gateway_limits_step(gateway);
 	gateway_ends_step(gateway);
+	gateway_closes_step(gateway);
 	gateway_reach_step(gateway);
 	gateway_losses_step(gateway);
 	gateway_step_reports(gateway);
@@ -316,6 +317,7 @@
 	gateway->region_map = region_map_create(options->domain_regions);
 	gateway_losses_init(gateway);
 	gateway_ends_init(gateway);
+	gateway_closes_init(gateway);
 	gateway_reach_init(gateway);
 	gateway->pool = endpoint_pool_create();
 	gateway->reports = report_poll_create(gateway->dialect,
@@ -360,6 +362,7 @@
 	shared_budgets_destroy(gateway->budgets);
 	g_hash_table_unref(gateway->peers);
 	gateway_ends_clear(gateway);
+	gateway_closes_clear(gateway);
 	g_hash_table_unref(gateway->reach);
 	quarantine_destroy(gateway->quarantine);
 	engine_grants_destroy(gateway->grants);
--- a/adapters/gateway/gateway_ends.c
+++ b/adapters/gateway/gateway_ends.c
@@ -226,6 +226,14 @@
 	g_hash_table_unref(gateway->lost_endpoints);
 }
 
+static struct lost_endpoint *find_lost(const struct gateway *gateway,
+				       const struct endpoint_start *start)
+{
+	uint64_t start_key = endpoint_start_key(start);
+
+	return g_hash_table_lookup(gateway->lost_endpoints, &start_key);
+}
+
 /* Begins to find out whether the start, which broke off a run, has ended. */
 void gateway_ends_watch(struct gateway *gateway,
 			const struct endpoint *endpoint,
@@ -233,8 +241,7 @@
 {
 	const struct registration *said = endpoint->last_registration;
 	uint64_t start_key = endpoint_start_key(start);
-	struct lost_endpoint *lost =
-		g_hash_table_lookup(gateway->lost_endpoints, &start_key);
+	struct lost_endpoint *lost = find_lost(gateway, start);
 
 	if (!lost) {
 		lost = g_new0(struct lost_endpoint, 1);
@@ -252,6 +259,30 @@
 		probe_begin(lost);
 }
 
+/*
+ * Whether the start, which is watched, has accepted a connection since, and
+ * refused none.
+ */
+bool gateway_ends_has_lived_on(const struct gateway *gateway,
+			       const struct endpoint_start *start,
+			       int64_t since_us)
+{
+	const struct lost_endpoint *lost = find_lost(gateway, start);
+
+	return lost && lost->accepted_us > since_us &&
+	       lost->refused_us <= since_us;
+}
+
+/* Watches the start no longer, unless it has broken off a run after lost_us. */
+void gateway_ends_forget(struct gateway *gateway,
+			 const struct endpoint_start *start, int64_t lost_us)
+{
+	const struct lost_endpoint *lost = find_lost(gateway, start);
+
+	if (lost && lost->lost_us <= lost_us)
+		g_hash_table_remove(gateway->lost_endpoints, &lost->start_key);
+}
+
 /* What a connection to an endpoint tells of its starts that broke off runs. */
 enum connection_sign { SIGN_ACCEPTED, SIGN_REFUSED, SIGN_REPLACED };
 
@@ -426,6 +457,7 @@
 	case ENDPOINT_END_CONFIRMED:
 		break;
 	}
+	gateway_closes_note_end(gateway, &lost->start);
 	if (quarantine_report_end(gateway->quarantine, &lost->start,
 				  gateway->now_us))
 		log_endpoint_ended(gateway, lost, &input);
--- a/adapters/gateway/gateway_losses.c
+++ b/adapters/gateway/gateway_losses.c
@@ -56,9 +56,8 @@
 	return endpoint_start_compare(start, &current) == START_SAME;
 }
 
-/* Records that the endpoint broke off a run. */
-void gateway_losses_note(struct gateway *gateway, const struct lost_run *run,
-			 const struct endpoint *endpoint)
+/* Records a run that its endpoint broke off, without looking for its end. */
+void gateway_losses_record(struct gateway *gateway, const struct lost_run *run)
 {
 	/* A run that went on for a while was not ended by what it began with.
 	 */
@@ -74,6 +73,13 @@
 		quarantine_report_loss(gateway->quarantine, &lost,
 				       gateway->now_us);
 	}
+}
+
+/* Records that the endpoint broke off a run. */
+void gateway_losses_note(struct gateway *gateway, const struct lost_run *run,
+			 const struct endpoint *endpoint)
+{
+	gateway_losses_record(gateway, run);
 	gateway_ends_watch(gateway, endpoint, &run->start);
 }
 
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -51,6 +51,7 @@
  *   gateway_brittle.c  endpoints that end if they reject too much
  *   gateway_losses.c   requests under which endpoints end
  *   gateway_ends.c     whether endpoints that broke off runs have ended
+ *   gateway_closes.c   answers that end with their connections
  *   gateway_reach.c    which nodes reach which services
  *   gateway_home.c     one node chooses the engines for all nodes
  *   exchange.c         one request of a caller
@@ -116,6 +117,7 @@
 	GHashTable *lost_endpoints;	 /* start key to struct lost_endpoint */
 	struct heard_endpoint heard[2];	 /* the last one, and another one */
 	struct reach_check *reach_check; /* under way, or NULL */
+	GArray *closed_answers;		 /* struct closed_answer */
 
 	/* Services that this node reaches, or passes on for others. */
 	GHashTable *reach; /* service to struct service_state */
@@ -219,6 +221,7 @@
 bool gateway_losses_is_current(const struct gateway *gateway,
 			       const struct endpoint *endpoint,
 			       const struct endpoint_start *start);
+void gateway_losses_record(struct gateway *gateway, const struct lost_run *run);
 void gateway_losses_note(struct gateway *gateway, const struct lost_run *run,
 			 const struct endpoint *endpoint);
 void gateway_losses_note_whole(struct gateway *gateway,
@@ -239,6 +242,15 @@
 			  const struct suspect_list *suspects,
 			  struct admission *admission);
 
+/* gateway_closes.c */
+void gateway_closes_init(struct gateway *gateway);
+void gateway_closes_clear(struct gateway *gateway);
+void gateway_closes_add(struct gateway *gateway, const struct lost_run *run,
+			int64_t begun_us, const struct endpoint *endpoint);
+void gateway_closes_note_end(struct gateway *gateway,
+			     const struct endpoint_start *start);
+void gateway_closes_step(struct gateway *gateway);
+
 /* gateway_brittle.c */
 void gateway_brittle_note_answer(struct gateway *gateway,
 				 struct endpoint *endpoint,
@@ -277,6 +289,11 @@
 				const char *endpoint_id);
 void gateway_ends_note_heard(struct gateway *gateway,
 			     const struct endpoint *endpoint);
+bool gateway_ends_has_lived_on(const struct gateway *gateway,
+			       const struct endpoint_start *start,
+			       int64_t since_us);
+void gateway_ends_forget(struct gateway *gateway,
+			 const struct endpoint_start *start, int64_t lost_us);
 void gateway_ends_step(struct gateway *gateway);
 
 /* gateway_home.c */
--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -52,6 +52,8 @@
 			"id: " + std::to_string(i) + "\ndata: x\n\n";
 		char size[16];
 
+		if (endpoint->ends_within_event && i == count - 1)
+			event.resize(event.size() - 4);
 		snprintf(size, sizeof(size), "%zx\r\n", event.size());
 		text += endpoint->ends_by_close ? event : size + event + "\r\n";
 	}
--- a/tests/gateway_pair.h
+++ b/tests/gateway_pair.h
@@ -36,7 +36,8 @@
 	std::string deadly_part;
 	int events_before_end = 0;
 	bool ends_by_close = false; /* answers have neither length nor chunks */
-	std::string reset_path;	    /* its connection breaks, no more */
+	bool ends_within_event = false; /* answers in events, their last one */
+	std::string reset_path;		/* its connection breaks, no more */
 	int ends = 0;
 	int restart_ms = 100;
 	bool gets_new_id = false; /* at each start */
--- a/tests/gateway_relay_test.cc
+++ b/tests/gateway_relay_test.cc
@@ -1,3 +1,4 @@
+#include "core/limit/suspect_key.h"
 #include "tests/gateway_pair.h"
 
 #include <algorithm>
@@ -111,6 +112,57 @@
 	EXPECT_EQ(1, Runs("stream-1"));
 }
 
+/* Guards against a stream that its engine broke off within an event and that
+ * its caller takes for whole, as it ended with its connection. */
+TEST_F(GatewayRelay, BreaksOffWhatEndedWithinAnEvent)
+{
+	Create(2);
+	for (PairEndpoint *endpoint : {&engine, &other}) {
+		endpoint->events = 5;
+		endpoint->ends_by_close = true;
+		endpoint->ends_within_event = true;
+	}
+	Cut({1}, CUT_REFUSED);
+	FindOut(1);
+	for (size_t node = 0; node < 2; node++) {
+		std::string text;
+
+		EXPECT_EQ(200, Ask(node, "/report/a",
+				   "cut-" + std::to_string(node), &text));
+		EXPECT_NE(std::string::npos, text.find("id: 3\n"));
+		EXPECT_EQ(std::string::npos, text.find("\r\n0\r\n\r\n"));
+	}
+}
+
+/* Guards against a part that is cleared where a stream passes through, as it
+ * looked whole there too. */
+TEST_F(GatewayRelay, ClearsNothingByWhatIsPassedOn)
+{
+	const std::string parts =
+		"X-Siskinlink-Prompt-Prefix: aa:9,b2:9,c3:9\r\n";
+	uint64_t part = suspect_key_of_part("b2", 2);
+	struct quarantine *quarantine;
+
+	Create(2);
+	engine.events = other.events = 5;
+	engine.ends_by_close = other.ends_by_close = true;
+	Cut({1}, CUT_REFUSED);
+	FindOut(1);
+	quarantine = nodes[1]->gateway->quarantine;
+	for (uint64_t i = 1; i <= 2; i++) {
+		struct quarantine_run run = {part, 1, {i << 32, 0, 0}};
+
+		quarantine_report_loss(quarantine, &run,
+				       g_get_monotonic_time());
+		quarantine_report_end(quarantine, &run.start,
+				      g_get_monotonic_time());
+	}
+	EXPECT_EQ(200, Ask(1, "/report/a", "part-1", nullptr, parts));
+	EXPECT_EQ(1, Runs("part-1"));
+	EXPECT_TRUE(quarantine_is_suspect(quarantine, part,
+					  g_get_monotonic_time()));
+}
+
 /* Guards against requests that go round between nodes that reach nothing. */
 TEST_F(GatewayRelay, RefusesAtOnceWhatNobodyReaches)
 {
