Soak kind poison_part: one prompt part ends engines, requests no two alike

The stand-in engine crashes when it begins to answer a prompt with that part, at once or after one or two events; a supervisor starts it again after 2 s, every other one under a new id. All generations of the soak name parts now. Checked from what engines ran: at most three more later than 3 s after the fifth end; and streams with the same first part begin half as often as before at least, where there are 20.

--- a/fakes/backend_run.c
+++ b/fakes/backend_run.c
@@ -12,6 +12,12 @@
 #define BACKUP_INTERVAL_MS 200
 /* A request with this text in its body crashes each engine that runs it. */
 #define POISON "[[poison]]"
+/*
+ * A request with this part in its prompt, at any place but the last, crashes
+ * each engine that begins to answer it: at once, or after one or two events.
+ */
+#define POISON_PART "badbad01"
+#define POISON_PART_EVENTS 3
 
 static void crash(const char *reason, const char *request)
 {
@@ -133,6 +139,10 @@
 	struct backend_run *run = data;
 	const struct backend *backend = run->backend;
 
+	if (run->has_poison_part &&
+	    run->events_sent >= g_str_hash(run->id) % POISON_PART_EVENTS)
+		crash("poison part", run->id);
+
 	if (backend->crash_after_events &&
 	    run->events_sent >= backend->crash_after_events)
 		crash("after crash_after_events events", run->id);
@@ -246,6 +256,15 @@
 	return text && g_strstr_len(text, (gssize)size, POISON);
 }
 
+static bool has_poison_part(SoupServerMessage *message)
+{
+	const char *parts =
+		fake_message_header(message, HEADER("Prompt-Prefix"));
+	const char *part = parts ? strstr(parts, POISON_PART ":") : NULL;
+
+	return part && strchr(part, ',');
+}
+
 /* Runs a request, or continues another engine's run of it. */
 void backend_run_begin(struct backend *backend, SoupServerMessage *message,
 		       const char *id, const char *path)
@@ -259,6 +278,7 @@
 	run->backup_address =
 		g_strdup(fake_message_header(message, HEADER("Kv-Backup")));
 	run->from_copy = fake_message_header(message, "Kv-From") != NULL;
+	run->has_poison_part = has_poison_part(message);
 	g_ptr_array_add(backend->runs, run);
 	if (run->from_copy)
 		backend->takeover_count++;
--- a/fakes/backend_state.h
+++ b/fakes/backend_state.h
@@ -69,6 +69,7 @@
 	char *path;
 	char *backup_address; /* NULL: no backup copies */
 	bool from_copy;	      /* continues another engine's run */
+	bool has_poison_part; /* crashes the engine when it begins */
 	bool answered;	      /* the answer is complete */
 	int64_t next_event;   /* number of the next event */
 	int64_t events_sent;  /* by this engine */
--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -21,6 +21,13 @@
 #define POISON_EVERY_US (300 * MS_US)
 #define POISON_PLAIN_ATTEMPTS 40
 #define POISON_PLAIN_EVERY_US (200 * MS_US)
+/* The fake engine crashes when a prompt has this part. */
+#define POISON_PART "badbad01"
+#define POISON_PART_ATTEMPTS 60
+#define POISON_PART_EVERY_US (250 * MS_US)
+/* All prompts begin with one part; sound ones go on with one of a few. */
+#define FIRST_PART "5c1e07a2"
+#define SECOND_PARTS 8
 /* A route is removed this many versions after the one that added it. */
 #define ROUTE_LIFE_VERSIONS 2
 
@@ -93,13 +100,35 @@
 	caller->thread = g_thread_new("caller", run, caller);
 }
 
+/* Returns the fields of a generation; its last part is its own. */
+static char *generation_fields(const struct soak_attempt *attempt)
+{
+	guint hash = g_str_hash(attempt->id);
+	g_autofree char *second =
+		attempt->kind == SOAK_KIND_POISON_PART
+			? g_strdup(POISON_PART)
+			: g_strdup_printf("50%x", hash % SECOND_PARTS);
+
+	return g_strdup_printf("X-Siskinlink-Token-Count: 300,200\r\n"
+			       "X-Siskinlink-Prompt-Prefix: " FIRST_PART
+			       ":200,%s:60,%x:40\r\n",
+			       second, hash);
+}
+
 static char *request_text(const struct soak_attempt *attempt)
 {
 	bool streams = attempt->kind == SOAK_KIND_STREAM ||
-		       attempt->kind == SOAK_KIND_POISON;
-	/* Always the same body: the quarantine fingerprints requests by it. */
+		       attempt->kind == SOAK_KIND_POISON ||
+		       attempt->kind == SOAK_KIND_POISON_PART;
+	/* Poison comes again as it was, unless it is in a part of the prompt.
+	 */
 	const char *body =
-		soak_kind_is_poison(attempt->kind) ? POISON : attempt->id;
+		attempt->kind == SOAK_KIND_POISON ||
+				attempt->kind == SOAK_KIND_POISON_PLAIN
+			? POISON
+			: attempt->id;
+	g_autofree char *fields =
+		streams ? generation_fields(attempt) : g_strdup("");
 	bool has_body = attempt->kind != SOAK_KIND_IDEMPOTENT &&
 			attempt->kind != SOAK_KIND_PROBE;
 	int64_t left_us = attempt->deadline_us - g_get_monotonic_time();
@@ -111,9 +140,8 @@
 		"X-Siskinlink-Deadline-Ms: %" PRId64 "\r\n"
 		"%sContent-Length: %" G_GSIZE_FORMAT "\r\n\r\n%s",
 		has_body ? "POST" : "GET", attempt->path, attempt->id,
-		MAX(left_us / MS_US, 1),
-		streams ? "X-Siskinlink-Token-Count: 300,200\r\n" : "",
-		has_body ? strlen(body) : 0, has_body ? body : "");
+		MAX(left_us / MS_US, 1), fields, has_body ? strlen(body) : 0,
+		has_body ? body : "");
 }
 
 /* Reuses the kept connection to the front if it is usable, or connects. */
@@ -370,6 +398,16 @@
 	return NULL;
 }
 
+static gpointer poison_part_run(gpointer data)
+{
+	static const struct poison poison = {
+		SOAK_KIND_POISON_PART, "/report/part", POISON_PART_ATTEMPTS,
+		PLAIN_DEADLINE_US, POISON_PART_EVERY_US};
+
+	send_poison(data, &poison);
+	return NULL;
+}
+
 /*
  * Starts a prober for each node, and the callers of the schedule. The schedule
  * and the view must outlive the callers.
@@ -393,15 +431,25 @@
 	return callers;
 }
 
-/* Starts one more caller, whose request ends the endpoints that run it. */
+/*
+ * Starts one more caller, whose requests end the endpoints that run them, if
+ * the kind of fault is one of these.
+ */
 void soak_callers_send_poison(struct soak_callers *callers,
 			      enum soak_fault_kind kind)
 {
-	struct caller *caller = caller_create(callers);
+	static const GThreadFunc runs[SOAK_FAULT_KINDS] = {
+		[SOAK_POISON] = poison_run,
+		[SOAK_POISON_PLAIN] = poison_plain_run,
+		[SOAK_POISON_PART] = poison_part_run,
+	};
+	struct caller *caller;
 
+	if (!runs[kind])
+		return;
+	caller = caller_create(callers);
 	caller->behaviour = BEHAVIOUR_NEW_CONNECTION;
-	caller_start(caller,
-		     kind == SOAK_POISON_PLAIN ? poison_plain_run : poison_run);
+	caller_start(caller, runs[kind]);
 }
 
 /* Whether all threads have ended; soak_callers_finish does not block then. */
--- a/tests/soak/soak_check.c
+++ b/tests/soak/soak_check.c
@@ -16,6 +16,7 @@
 	soak_check_timeouts,
 	soak_check_retry_budget,
 	soak_check_poison,
+	soak_check_innocents,
 	soak_check_resources,
 	soak_check_config_in_force,
 	soak_check_config_monotonic,
--- a/tests/soak/soak_check_times.c
+++ b/tests/soak/soak_check_times.c
@@ -23,7 +23,10 @@
 #define BUDGET_PERCENT 20
 #define BUDGET_WINDOW_US (10 * G_TIME_SPAN_SECOND)
 #define BUDGET_EXTRA 54
-#define MAX_CRASHES 3
+/* Runs of what ends endpoints, from nodes that had time to learn of it. */
+#define MAX_LATER_RUNS 3
+/* Fewer streams say nothing of how many begin. */
+#define MIN_INNOCENTS 20
 /*
  * Limits of a node: its memory in the larger deployment, rounded down, and its
  * open descriptors in both deployments.
@@ -226,7 +229,8 @@
 		    const struct soak_attempt *attempt)
 {
 	return attempt->kind != SOAK_KIND_STREAM &&
-	       attempt->kind != SOAK_KIND_POISON && attempt->sent_us &&
+	       attempt->kind != SOAK_KIND_POISON &&
+	       attempt->kind != SOAK_KIND_POISON_PART && attempt->sent_us &&
 	       attempt->ended_us - attempt->sent_us >
 		       PLAIN_TIMEOUT_US + LATE_US + SOAK_SCHEDULING_DELAY_US &&
 	       soak_check_is_stable(check, attempt->front, attempt->begun_us) &&
@@ -259,7 +263,8 @@
 
 static bool goes_to_engines(enum soak_kind kind)
 {
-	return kind == SOAK_KIND_STREAM || kind == SOAK_KIND_POISON;
+	return kind == SOAK_KIND_STREAM || kind == SOAK_KIND_POISON ||
+	       kind == SOAK_KIND_POISON_PART;
 }
 
 static int32_t count_sent(const struct soak_check *check, bool to_engines,
@@ -354,11 +359,30 @@
 	check_service_budget(check, false);
 }
 
-static void check_poison_kind(struct soak_check *check, enum soak_kind kind)
+/* The start of the run with that number, of requests of a kind; 0: none. */
+static int64_t find_run_us(const struct soak_check *check, enum soak_kind kind,
+			   int32_t number)
 {
 	const GPtrArray *entries = check->evidence->entries;
-	int64_t third_us = 0;
 	int32_t runs = 0;
+
+	for (guint i = 0; i < entries->len; i++) {
+		const struct soak_entry *entry = g_ptr_array_index(entries, i);
+		const struct soak_attempt *attempt =
+			soak_check_attempt(check, entry->request);
+
+		if (attempt && attempt->kind == kind && is_work_start(entry) &&
+		    ++runs == number)
+			return entry->at_us;
+	}
+	return 0;
+}
+
+/* Runs of a kind that were sent later than contact_ms after from_us. */
+static int32_t count_later_runs(const struct soak_check *check,
+				enum soak_kind kind, int64_t from_us)
+{
+	const GPtrArray *entries = check->evidence->entries;
 	int32_t later = 0;
 
 	for (guint i = 0; i < entries->len; i++) {
@@ -366,32 +390,109 @@
 		const struct soak_attempt *attempt =
 			soak_check_attempt(check, entry->request);
 
-		if (!attempt || attempt->kind != kind || !is_work_start(entry))
-			continue;
-		if (++runs == MAX_CRASHES)
-			third_us = entry->at_us;
-		if (runs > MAX_CRASHES &&
-		    entry->at_us > third_us + SOAK_CONTACT_US &&
-		    soak_check_is_stable(check, attempt->front, entry->at_us))
-			later++;
+		later += attempt && attempt->kind == kind &&
+			 is_work_start(entry) &&
+			 entry->at_us > from_us + SOAK_CONTACT_US &&
+			 soak_check_is_stable(check, attempt->front,
+					      entry->at_us);
 	}
-	if (later > MAX_CRASHES)
+	return later;
+}
+
+static void check_poison_kind(struct soak_check *check, enum soak_kind kind,
+			      int32_t ends)
+{
+	int64_t last_us = find_run_us(check, kind, ends);
+	int32_t later = 0;
+
+	if (last_us)
+		later = count_later_runs(check, kind, last_us);
+	if (later > MAX_LATER_RUNS)
 		soak_check_add_finding(
-			check, NULL, third_us,
-			"a request that had ended three endpoints "
-			"reached %d more",
-			later);
+			check, NULL, last_us,
+			"%s that had ended %d endpoints reached %d more",
+			soak_kind_name(kind), ends, later);
 }
 
 /*
- * A request that has ended three endpoints reaches at most three others from
- * nodes that had contact_ms to learn of the ends, also where endpoints start
- * again at once.
+ * A request that has ended three endpoints, and a prompt part that has ended
+ * five, reach at most three others from nodes that had contact_ms to learn of
+ * the ends, also where endpoints start again at once.
  */
 void soak_check_poison(struct soak_check *check)
 {
-	check_poison_kind(check, SOAK_KIND_POISON);
-	check_poison_kind(check, SOAK_KIND_POISON_PLAIN);
+	check_poison_kind(check, SOAK_KIND_POISON, 3);
+	check_poison_kind(check, SOAK_KIND_POISON_PLAIN, 3);
+	check_poison_kind(check, SOAK_KIND_POISON_PART, 5);
+}
+
+/* Streams sent to stable nodes within a time, and those that began. */
+struct begun_share {
+	int32_t sent;
+	int32_t begun;
+};
+
+static struct begun_share count_begun(const struct soak_check *check,
+				      int64_t from_us, int64_t to_us)
+{
+	const GPtrArray *attempts = check->evidence->attempts;
+	struct begun_share share = {0, 0};
+
+	for (guint i = 0; i < attempts->len; i++) {
+		const struct soak_attempt *attempt =
+			g_ptr_array_index(attempts, i);
+
+		if (attempt->kind != SOAK_KIND_STREAM ||
+		    attempt->begun_us < from_us || attempt->begun_us > to_us ||
+		    !soak_check_is_stable(check, attempt->front,
+					  attempt->begun_us))
+			continue;
+		share.sent++;
+		share.begun += attempt->answer->status == 200;
+	}
+	return share;
+}
+
+/* When the first or the last attempt of a kind began; 0: none did. */
+static int64_t find_attempt_us(const struct soak_check *check,
+			       enum soak_kind kind, bool is_first)
+{
+	const GPtrArray *attempts = check->evidence->attempts;
+	int64_t found_us = 0;
+
+	for (guint i = 0; i < attempts->len; i++) {
+		const struct soak_attempt *attempt =
+			g_ptr_array_index(attempts, i);
+
+		if (attempt->kind == kind && !(is_first && found_us))
+			found_us = attempt->begun_us;
+	}
+	return found_us;
+}
+
+/*
+ * While requests with a part that ends engines still come, streams that share
+ * their first part begin at least half as often as before.
+ */
+void soak_check_innocents(struct soak_check *check)
+{
+	const enum soak_kind kind = SOAK_KIND_POISON_PART;
+	int64_t fifth_us = find_run_us(check, kind, 5);
+	struct begun_share before, later;
+
+	if (!fifth_us)
+		return;
+	before = count_begun(check, 0, find_attempt_us(check, kind, true));
+	later = count_begun(check, fifth_us + 2 * SOAK_CONTACT_US,
+			    find_attempt_us(check, kind, false));
+	if (before.sent < MIN_INNOCENTS || later.sent < MIN_INNOCENTS ||
+	    2 * later.begun * before.sent >= before.begun * later.sent)
+		return;
+	soak_check_add_finding(check, NULL, fifth_us,
+			       "%d of %d streams began beside a part that ends "
+			       "engines, %d of %d before",
+			       later.begun, later.sent, before.begun,
+			       before.sent);
 }
 
 static int32_t count_attempts_at(const struct soak_check *check,
--- a/tests/soak/soak_evidence.c
+++ b/tests/soak/soak_evidence.c
@@ -8,7 +8,8 @@
 
 bool soak_kind_is_poison(enum soak_kind kind)
 {
-	return kind == SOAK_KIND_POISON || kind == SOAK_KIND_POISON_PLAIN;
+	return kind == SOAK_KIND_POISON || kind == SOAK_KIND_POISON_PLAIN ||
+	       kind == SOAK_KIND_POISON_PART;
 }
 
 /* Returns the static name of a kind, as records and logs write it. */
@@ -21,6 +22,7 @@
 		[SOAK_KIND_PROBE] = "probe",
 		[SOAK_KIND_POISON] = "poison",
 		[SOAK_KIND_POISON_PLAIN] = "poison_plain",
+		[SOAK_KIND_POISON_PART] = "poison_part",
 	};
 
 	return names[kind];
--- a/tests/soak/soak_evidence.h
+++ b/tests/soak/soak_evidence.h
@@ -26,6 +26,7 @@
 	SOAK_KIND_PROBE, /* of a route that a version added or removed */
 	SOAK_KIND_POISON,
 	SOAK_KIND_POISON_PLAIN,
+	SOAK_KIND_POISON_PART, /* no two alike but for one part */
 	SOAK_KINDS
 };
 
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -134,6 +134,22 @@
 	member->starts_with_new_id = draw / 2 % 2 == 0;
 }
 
+/* Starts an engine again that a request has ended; some under new ids. */
+static void supervise_engine(struct soak_fleet *fleet,
+			     struct soak_member *member)
+{
+	const GArray *faults = fleet->schedule->faults;
+
+	soak_fleet_record_fault(fleet, SOAK_POISON, member->name);
+	member->start_us = g_get_monotonic_time() + CRASH_RESTART_US;
+	for (guint i = 0; i < faults->len; i++)
+		if (g_array_index(faults, struct soak_fault, i).kind ==
+		    SOAK_POISON_PART)
+			member->starts_with_new_id =
+				fleet->engine_ends % 2 == 0;
+	fleet->engine_ends++;
+}
+
 static void member_handle_end(struct soak_fleet *fleet,
 			      struct soak_member *member,
 			      const struct soak_life *life)
@@ -143,8 +159,7 @@
 		return;
 	}
 	if (member->role == SOAK_ROLE_ENGINE) {
-		soak_fleet_record_fault(fleet, SOAK_POISON, member->name);
-		member->start_us = g_get_monotonic_time() + CRASH_RESTART_US;
+		supervise_engine(fleet, member);
 		return;
 	}
 	if (!life->term_us) {
--- a/tests/soak/soak_fleet_state.h
+++ b/tests/soak/soak_fleet_state.h
@@ -35,7 +35,8 @@
 	int32_t range;
 	int32_t last_host;
 	int32_t renames;
-	int32_t plain_ends; /* by requests */
+	int32_t plain_ends;  /* by requests */
+	int32_t engine_ends; /* by requests */
 	struct soak_process *store;
 	char store_address[48];
 	GPtrArray *nodes;     /* struct soak_member */
--- a/tests/soak/soak_run.c
+++ b/tests/soak/soak_run.c
@@ -34,10 +34,7 @@
 		if (!run->has_begun[i] && elapsed_us >= fault->at_ms * MS_US) {
 			run->has_begun[i] = true;
 			soak_fleet_begin_fault(run->fleet, fault);
-			if (fault->kind == SOAK_POISON ||
-			    fault->kind == SOAK_POISON_PLAIN)
-				soak_callers_send_poison(run->callers,
-							 fault->kind);
+			soak_callers_send_poison(run->callers, fault->kind);
 		}
 		if (run->has_begun[i] && !run->has_ended[i] &&
 		    elapsed_us >= (fault->at_ms + fault->duration_ms) * MS_US) {
--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -200,6 +200,11 @@
 			       "a request that ends plain endpoints, which a "
 			       "supervisor starts again",
 			       false, false},
+	[SOAK_POISON_PART] = {"poison_part", SOAK_TARGET_CALLER, 100, 100,
+			      false,
+			      "a prompt part that ends the engines which begin "
+			      "to answer it, requests no two alike",
+			      false, false},
 };
 
 /* Returns the static description of a kind of fault. */
