--- a/core/limit/quarantine_query.c
+++ b/core/limit/quarantine_query.c
@@ -49,6 +49,9 @@
 	g_variant_builder_open(list, G_VARIANT_TYPE_VARDICT);
 	g_variant_builder_add(list, "{sv}", "fingerprint",
 			      g_variant_new_string(fingerprint));
+	g_variant_builder_add(list, "{sv}", "kind",
+			      g_variant_new_string(suspect_kind_name(
+				      suspect_key_kind(losses[0].key))));
 	g_variant_builder_add(list, "{sv}", "ended_endpoints",
 			      g_variant_new_int32(ends));
 	g_variant_builder_add(
@@ -59,7 +62,7 @@
 	g_variant_builder_close(list);
 }
 
-/* Lists the requests that are held; the losses of one follow each other. */
+/* Lists what is held; the losses of one follow each other. */
 static GVariant *format_held(const struct quarantine *quarantine,
 			     int64_t now_us)
 {
@@ -105,7 +108,7 @@
 			      g_variant_new_string("not_held"));
 	g_variant_builder_add(
 		&error, "{sv}", "message",
-		g_variant_new_string("no request with this fingerprint is in "
+		g_variant_new_string("nothing with this fingerprint is in "
 				     "quarantine"));
 	g_variant_builder_add(&answer, "{sv}", "error",
 			      g_variant_builder_end(&error));
--- a/core/limit/suspect_key.c
+++ b/core/limit/suspect_key.c
@@ -17,6 +17,17 @@
 	return key >> TAG_SHIFT == PART_TAG ? SUSPECT_PART : SUSPECT_REQUEST;
 }
 
+/* Returns the name of a kind, a static string for operators. */
+const char *suspect_kind_name(enum suspect_kind kind)
+{
+	static const char *const names[SUSPECT_KIND_COUNT] = {
+		[SUSPECT_REQUEST] = "request",
+		[SUSPECT_PART] = "part",
+	};
+
+	return names[kind];
+}
+
 /* Returns the key of a request; no fingerprint is taken for a part. */
 uint64_t suspect_key_of_request(uint64_t fingerprint)
 {
--- a/core/limit/suspect_key.h
+++ b/core/limit/suspect_key.h
@@ -21,6 +21,7 @@
 uint64_t suspect_key_of_request(uint64_t fingerprint);
 uint64_t suspect_key_of_part(const char *id, size_t size);
 enum suspect_kind suspect_key_kind(uint64_t key);
+const char *suspect_kind_name(enum suspect_kind kind);
 
 G_END_DECLS
 
--- a/daemons/ctl_command.c
+++ b/daemons/ctl_command.c
@@ -121,18 +121,20 @@
 	JsonArray *held = json_member_array(answer, "held");
 
 	for (guint i = 0; held && i < json_array_get_length(held); i++) {
-		JsonObject *request = json_element_object(held, i);
+		JsonObject *suspect = json_element_object(held, i);
 
-		if (!request)
+		if (!suspect)
 			continue;
-		print_text(out, get_string(request, "fingerprint"));
+		print_text(out, get_string(suspect, "fingerprint"));
+		fputs("  ", out);
+		print_field(out, get_string(suspect, "kind"), 8);
 		fprintf(out,
-			"  ended %" G_GINT64_FORMAT
+			" ended %" G_GINT64_FORMAT
 			" endpoints, the last %" G_GINT64_FORMAT
 			" s ago; held for %" G_GINT64_FORMAT " s\n",
-			get_int(request, "ended_endpoints"),
-			get_int(request, "last_end_s_ago"),
-			get_int(request, "held_for_s"));
+			get_int(suspect, "ended_endpoints"),
+			get_int(suspect, "last_end_s_ago"),
+			get_int(suspect, "held_for_s"));
 	}
 }
 
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -741,6 +741,60 @@
 	[ "$out" = whole ] || fail "another report was held as well"
 }
 
+# part_report NODE ID SECOND_PART: sends a report, no two alike, whose prompt
+# begins with a part that others have too; prints the status.
+part_report() {
+	curl -s -m 20 -N -X POST -o /dev/null -w '%{http_code}' \
+		-H "Host: $host" -H "X-Siskinlink-Request-Id: $2" \
+		-H "X-Siskinlink-Token-Count: 1000,400" \
+		-H "X-Siskinlink-Prompt-Prefix: 5c1e07a2:800,$3:60,$RANDOM:20" \
+		-H "Authorization: Bearer $key" --data "text of $2" \
+		"http://${fronts[$1]}/report/$2" || true
+}
+
+restart_engines() {
+	for i in 0 1 2; do
+		if kill -0 "${backend_pids[$i]}" 2>/dev/null; then
+			continue
+		fi
+		engine_ends=$((engine_ends + 1))
+		start_backend "$i" engines
+	done
+}
+
+# Guards against reports, no two alike, that end engine after engine by one part
+# of their prompts, and against an operator who can't see or lift what is held.
+case_holds_a_part_that_ends_engines() {
+	local i held
+
+	save_up 2
+	engine_ends=0
+	for i in $(seq 12); do
+		part_report $((i % 2)) "part-$i" badbad01 >/dev/null
+		sleep 0.6
+		restart_engines
+	done
+	[ "$engine_ends" -le 8 ] || fail "it ended $engine_ends engines"
+	[ "$(part_report 1 part-13 BADBAD01)" = 503 ] || fail "it is not held"
+	line part-13 request_end | grep -q 'reason=part_quarantined' ||
+		fail "no reason: $(line part-13 request_end)"
+	until_true sound 0 || fail "a report with the same first part is held"
+	held=$(ctl 0 held | grep ' part ' | grep badbad01)
+	[ -n "$held" ] || fail "held: $(ctl 0 held)"
+	ctl 0 lift "$(cut -d' ' -f1 <<<"$held")" >/dev/null || fail "can't lift"
+	lifted() {
+		[ "$(part_report 1 "part-$RANDOM" badbad01)" != 503 ]
+	}
+	until_true lifted || fail "it is still refused"
+	sleep 0.3
+	restart_engines
+	until_true sound 1 || fail "nothing is served"
+}
+
+sound() { # NODE
+	[ "$(part_report "$1" "sound-$RANDOM" 501)" = 200 ]
+}
+
 # lookup_poison NODE PATH: sends a fixed text that ends each endpoint that runs
 # it; prints the status.
 lookup_poison() {
