Quarantine: an end counts only the runs that it broke off

With parts as suspects, answers that break off now and then at an engine would each count against a sound part once that engine ends for a cause of its own. An end now counts what was lost within a second of the last run that it broke off. QuarantineEvidence.AnEndCountsOnlyWhatItBrokeOff failed before (its mutant is the old way).

--- a/core/limit/quarantine.c
+++ b/core/limit/quarantine.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+/* A process that ends breaks off all its runs within this time. */
+#define END_SPAN_US G_USEC_PER_SEC
+
 /* Defaults: losses are remembered for 10 min, suspects held for 30 min. */
 void quarantine_options_default(struct quarantine_options *options)
 {
@@ -161,21 +164,12 @@
 	suspect_table_steal(table_of(quarantine, suspect->key), suspect);
 }
 
-static int64_t newest_loss_us(const struct suspect *suspect)
-{
-	int64_t newest_us = suspect->losses[0].lost_us;
-
-	for (int32_t i = 0; i < suspect->loss_count; i++)
-		newest_us = MAX(newest_us, suspect->losses[i].lost_us);
-	return newest_us;
-}
-
 /* Puts a changed or new suspect into the table where it belongs now. */
 void quarantine_put(struct quarantine *quarantine, struct suspect *suspect,
 		    int64_t now_us)
 {
 	const struct quarantine_options *options = &quarantine->options;
-	int64_t newest_us = newest_loss_us(suspect);
+	int64_t newest_us = suspect_newest_loss_us(suspect);
 	struct suspect_table *table;
 	struct suspect *evicted;
 	int64_t until_us;
@@ -217,97 +211,11 @@
 	return suspect;
 }
 
-struct loss *suspect_find_loss(struct suspect *suspect, uint64_t start_key)
-{
-	for (int32_t i = 0; i < suspect->loss_count; i++)
-		if (suspect->losses[i].start_key == start_key)
-			return &suspect->losses[i];
-	return NULL;
-}
-
-/* Whether another loss of the suspect came about the same time. */
-static bool has_neighbour(const struct suspect *suspect,
-			  const struct loss *loss)
-{
-	for (int32_t i = 0; i < suspect->loss_count; i++) {
-		const struct loss *other = &suspect->losses[i];
-
-		if (other != loss && other->state != LOSS_REFUTED &&
-		    ABS(other->lost_us - loss->lost_us) <= SUSPECT_MOMENT_US)
-			return true;
-	}
-	return false;
-}
-
-/*
- * How little is lost with a loss: refuted ones go first, then one of several
- * of one moment.
- */
-static int32_t dispensability(const struct suspect *suspect,
-			      const struct loss *loss)
-{
-	if (loss->state == LOSS_REFUTED)
-		return 2;
-	return has_neighbour(suspect, loss) ? 1 : 0;
-}
-
-/*
- * Whether the loss is given up rather than the other one. All nodes choose
- * alike, so that they don't tell each other the rest again and again.
- */
-static bool goes_first(const struct suspect *suspect, const struct loss *loss,
-		       const struct loss *other)
-{
-	int32_t rank = dispensability(suspect, loss);
-	int32_t other_rank = dispensability(suspect, other);
-
-	if (rank != other_rank)
-		return rank > other_rank;
-	return rank == 0 ? loss->lost_us < other->lost_us
-			 : loss->start_key > other->start_key;
-}
-
-/*
- * Adds a loss at a start where the suspect has none. Of a full list one is
- * given up, never the oldest, which tells how long the suspect has ended
- * endpoints. Returns NULL if it is this one.
- */
-struct loss *suspect_add_loss(struct suspect *suspect, const struct loss *added)
-{
-	struct loss *oldest = &suspect->losses[0];
-	struct loss *given_up = NULL;
-
-	suspect->losses[suspect->loss_count++] = *added;
-	if (suspect->loss_count <= SUSPECT_MAX_LOSSES)
-		return &suspect->losses[suspect->loss_count - 1];
-	for (int32_t i = 1; i < suspect->loss_count; i++)
-		if (suspect->losses[i].lost_us < oldest->lost_us)
-			oldest = &suspect->losses[i];
-	for (int32_t i = 0; i < suspect->loss_count; i++) {
-		struct loss *loss = &suspect->losses[i];
-
-		if (loss != oldest &&
-		    (!given_up || goes_first(suspect, loss, given_up)))
-			given_up = loss;
-	}
-	*given_up = suspect->losses[--suspect->loss_count];
-	if (given_up == &suspect->losses[suspect->loss_count])
-		return NULL;
-	return given_up->start_key == added->start_key
-		       ? given_up
-		       : suspect_find_loss(suspect, added->start_key);
-}
-
 static struct whole *whole_slot(struct quarantine *quarantine, uint64_t key)
 {
 	return &quarantine->wholes[suspect_key_kind(key)][key % WHOLE_SLOTS];
 }
 
-void suspect_clear(struct suspect *suspect, int64_t cleared_us)
-{
-	suspect->cleared_us = MAX(suspect->cleared_us, cleared_us);
-}
-
 /*
  * Applies that the suspect was answered whole lately, if it was. Returns
  * whether that clears a loss that counted.
@@ -392,14 +300,33 @@
 	return found;
 }
 
+/* When the start broke off the last run of any suspect. */
+static int64_t find_end_us(const struct quarantine *quarantine,
+			   uint64_t start_key)
+{
+	const struct start_losses *losses =
+		quarantine_find_start(quarantine, start_key);
+	int64_t end_us = INT64_MIN;
+
+	for (guint i = 0; losses && i < losses->suspects->len; i++) {
+		struct suspect *suspect =
+			g_ptr_array_index(losses->suspects, i);
+
+		end_us = MAX(end_us, loss_last_us(suspect_find_loss(
+					     suspect, start_key)));
+	}
+	return end_us;
+}
+
 /*
- * Records that a start of an endpoint has ended: the runs that it broke off
- * count. Returns whether that is news for other nodes.
+ * Records that a start of an endpoint has ended: the runs that it broke off at
+ * its end count. Returns whether that is news for other nodes.
  */
 bool quarantine_report_end(struct quarantine *quarantine,
 			   const struct endpoint_start *start, int64_t now_us)
 {
 	uint64_t start_key = endpoint_start_key(start);
+	int64_t end_us = find_end_us(quarantine, start_key);
 	GArray *found = suspects_at(quarantine, start_key);
 	bool is_news = false;
 
@@ -409,13 +336,13 @@
 		struct loss *loss =
 			suspect ? suspect_find_loss(suspect, start_key) : NULL;
 
-		if (!loss)
+		if (!loss || loss_last_us(loss) < end_us - END_SPAN_US)
 			continue;
 		if (loss->state != LOSS_SUSPECTED && !loss->again_us)
 			continue;
 		begin_change(quarantine, suspect);
 		loss->state = LOSS_CONFIRMED;
-		loss->lost_us = MAX(loss->lost_us, loss->again_us);
+		loss->lost_us = loss_last_us(loss);
 		loss->again_us = 0;
 		/* That a sound part lost a run tells nobody anything. */
 		loss->is_news =
@@ -489,16 +416,6 @@
 	return is_news;
 }
 
-/* Whether a loss is later than what the suspect was cleared of so far. */
-static bool has_open_loss(const struct suspect *suspect)
-{
-	for (int32_t i = 0; i < suspect->loss_count; i++)
-		if (suspect->losses[i].state != LOSS_REFUTED &&
-		    suspect->losses[i].lost_us > suspect->cleared_us)
-			return true;
-	return false;
-}
-
 /* Whether all nodes are to hear at once that the suspect is cleared. */
 static bool is_urgent_to_clear(const struct quarantine *quarantine,
 			       const struct suspect *suspect)
@@ -519,7 +436,7 @@
 {
 	struct suspect *suspect = quarantine_find(quarantine, key, now_us);
 
-	if (!suspect || !has_open_loss(suspect))
+	if (!suspect || !suspect_has_open_loss(suspect))
 		return suspect != NULL;
 	quarantine->has_changed |= suspect_has_counted_loss(suspect);
 	suspect->is_news |= is_urgent_to_clear(quarantine, suspect);
--- a/core/limit/quarantine_state.h
+++ b/core/limit/quarantine_state.h
@@ -6,10 +6,6 @@
 
 /* Private to quarantine: its state, and changes of one suspect. */
 
-/* Ends this close to each other may have one cause, such as a failure domain.
- */
-#define SUSPECT_MOMENT_US (500 * 1000)
-
 /* Suspects of a kind answered lately; more replace older ones. */
 #define WHOLE_SLOTS 1024
 
@@ -48,15 +44,8 @@
 		    int64_t now_us);
 bool quarantine_clear_if_whole(struct quarantine *quarantine,
 			       struct suspect *suspect);
-struct loss *suspect_find_loss(struct suspect *suspect, uint64_t start_key);
-struct loss *suspect_add_loss(struct suspect *suspect,
-			      const struct loss *added);
-void suspect_clear(struct suspect *suspect, int64_t cleared_us);
 
 /* quarantine_verdict.c */
-bool suspect_loss_counts(const struct suspect *suspect,
-			 const struct loss *loss);
-bool suspect_has_counted_loss(const struct suspect *suspect);
 int64_t quarantine_held_until_us(const struct quarantine *quarantine,
 				 const struct suspect *suspect);
 
--- a/core/limit/quarantine_verdict.c
+++ b/core/limit/quarantine_verdict.c
@@ -10,22 +10,6 @@
 /* Within this time nodes tell each other which runs an end broke off. */
 #define SETTLE_US (200 * 1000)
 
-/* Returns whether the loss counts against the suspect. */
-bool suspect_loss_counts(const struct suspect *suspect, const struct loss *loss)
-{
-	return loss->state == LOSS_CONFIRMED &&
-	       (!suspect->cleared_us || loss->lost_us > suspect->cleared_us);
-}
-
-/* Returns whether any loss counts against the suspect. */
-bool suspect_has_counted_loss(const struct suspect *suspect)
-{
-	for (int32_t i = 0; i < suspect->loss_count; i++)
-		if (suspect_loss_counts(suspect, &suspect->losses[i]))
-			return true;
-	return false;
-}
-
 /* Returns how many losses count against the suspect. */
 static int32_t count_losses(const struct suspect *suspect)
 {
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -159,6 +159,17 @@
 	EXPECT_TRUE(is_held(1, 2));
 }
 
+/* Guards against counting a connection that broke long before its endpoint
+ * ended, with a cause of its own. */
+TEST_F(QuarantineEvidence, AnEndCountsOnlyWhatItBrokeOff)
+{
+	lose(1, 1, 1);
+	lose(2, 1, 9);
+	end(1, 9.1);
+	EXPECT_FALSE(quarantine_is_suspect(quarantine, 1, us(10)));
+	EXPECT_TRUE(quarantine_is_suspect(quarantine, 2, us(10)));
+}
+
 /* Guards against a node that is cut off and takes all endpoints for ended. */
 TEST_F(QuarantineEvidence, AnAnswerRefutesAnEnd)
 {
