Watching endpoints for their end is one pure module

Cause: what collects evidence of an end (signs of connections, what was heard of others, when to ask again) stood in adapters/gateway beside the sockets, so the product's own interface could not use it and counts crashes without evidence.

Change: core/limit/end_watch keeps the lost starts and decides; the gateway opens its probes and answers what registrations say. endpoint_end moves to core/limit and gossip_pace to core/membership, as both will be used by core/node. No behaviour changes. GatewayPart's look into the gateway's table ("watched no longer") asks end_watch_count instead.

--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -262,7 +262,7 @@
 
 	gateway->now_us = gateway_now_us();
 	gateway_reach_note_connected(gateway, leg->exchange->service_name);
-	gateway_ends_note_accepted(gateway, leg->endpoint_id);
+	gateway_ends_note(gateway, leg->endpoint_id, CONNECTION_ACCEPTED);
 	if (endpoint)
 		leg->start = gateway_losses_start(gateway, endpoint);
 }
@@ -276,7 +276,8 @@
 	struct quarantine_answer answer;
 
 	if (said->is_from_other) {
-		gateway_ends_note_replaced(gateway, leg->endpoint_id);
+		gateway_ends_note(gateway, leg->endpoint_id,
+				  CONNECTION_REPLACED);
 		return;
 	}
 	if (!endpoint)
@@ -500,7 +501,7 @@
 {
 	struct gateway *gateway = leg->exchange->gateway;
 
-	gateway_ends_note_refused(gateway, leg->endpoint_id);
+	gateway_ends_note(gateway, leg->endpoint_id, CONNECTION_REFUSED);
 	gateway_reach_note_failure(gateway, leg->exchange->service_name,
 				   endpoint_key(leg->endpoint_id));
 }
--- a/adapters/gateway/gateway_closes.c
+++ b/adapters/gateway/gateway_closes.c
@@ -89,11 +89,11 @@
 
 	if (age_us < SETTLE_US)
 		return false;
-	if (!gateway_ends_has_lived_on(gateway, &closed->start,
-				       closed->closed_us))
+	if (!end_watch_has_lived_on(gateway->ends, &closed->start,
+				    closed->closed_us))
 		return age_us > GIVE_UP_US;
 	gateway_losses_note_whole(gateway, &closed->suspects, closed->begun_us);
-	gateway_ends_forget(gateway, &closed->start, closed->closed_us);
+	end_watch_forget(gateway->ends, &closed->start, closed->closed_us);
 	return true;
 }
 
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -8,10 +8,11 @@
 #include "core/gateway/endpoint_choice.h"
 #include "core/gateway/engine_grants.h"
 #include "core/gateway/announce_pace.h"
-#include "core/gateway/gossip_pace.h"
+#include "core/membership/gossip_pace.h"
 #include "core/gateway/service_reach.h"
 #include "core/gateway/store_doubt.h"
 #include "core/gateway/table_fetch.h"
+#include "core/limit/end_watch.h"
 #include "core/limit/quarantine.h"
 #include "core/limit/shared_budgets.h"
 
@@ -33,12 +34,6 @@
 	bool is_trial; /* one run may try; it may be sent once */
 };
 
-/* The last sign that an endpoint is alive. */
-struct heard_endpoint {
-	uint64_t key;
-	int64_t at_us;
-};
-
 /*
  * The gateway's state, shared by its parts:
  *
@@ -114,8 +109,7 @@
 	int64_t parts_silent_until_us;
 
 	/* Whether endpoints that broke off runs have ended. */
-	GHashTable *lost_endpoints;	 /* start key to struct lost_endpoint */
-	struct heard_endpoint heard[2];	 /* the last one, and another one */
+	struct end_watch *ends;
 	struct reach_check *reach_check; /* under way, or NULL */
 	GArray *closed_answers;		 /* struct closed_answer */
 
@@ -281,19 +275,10 @@
 void gateway_ends_watch(struct gateway *gateway,
 			const struct endpoint *endpoint,
 			const struct endpoint_start *start);
-void gateway_ends_note_accepted(struct gateway *gateway,
-				const char *endpoint_id);
-void gateway_ends_note_refused(struct gateway *gateway,
-			       const char *endpoint_id);
-void gateway_ends_note_replaced(struct gateway *gateway,
-				const char *endpoint_id);
+void gateway_ends_note(struct gateway *gateway, const char *endpoint_id,
+		       enum connection_sign sign);
 void gateway_ends_note_heard(struct gateway *gateway,
 			     const struct endpoint *endpoint);
-bool gateway_ends_has_lived_on(const struct gateway *gateway,
-			       const struct endpoint_start *start,
-			       int64_t since_us);
-void gateway_ends_forget(struct gateway *gateway,
-			 const struct endpoint_start *start, int64_t lost_us);
 void gateway_ends_step(struct gateway *gateway);
 
 /* gateway_home.c */
--- a/core/gateway/cordon_set.c
+++ b/core/gateway/cordon_set.c
@@ -1,7 +1,7 @@
 #include "core/gateway/cordon_set.h"
 
 #include "core/base/store_position.h"
-#include "core/gateway/gossip_pace.h"
+#include "core/membership/gossip_pace.h"
 
 /*
  * A cordon that the listing of a store that came back from a copy lacks is kept
--- a/core/gateway/endpoint_end.c
+++ b/core/limit/endpoint_end.c
@@ -1,4 +1,4 @@
-#include "core/gateway/endpoint_end.h"
+#include "core/limit/endpoint_end.h"
 
 /* By then the registration of an endpoint that ended has gone or changed. */
 #define EVIDENCE_TIMEOUT_US (15 * G_USEC_PER_SEC)
--- a/core/gateway/endpoint_end.h
+++ b/core/limit/endpoint_end.h
@@ -1,5 +1,5 @@
-#ifndef CORE_GATEWAY_ENDPOINT_END_H
-#define CORE_GATEWAY_ENDPOINT_END_H
+#ifndef CORE_LIMIT_ENDPOINT_END_H
+#define CORE_LIMIT_ENDPOINT_END_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/core/gateway/gossip_pace.c
+++ b/core/membership/gossip_pace.c
@@ -1,4 +1,4 @@
-#include "core/gateway/gossip_pace.h"
+#include "core/membership/gossip_pace.h"
 
 /*
  * Returns how many random nodes get the state now, and counts them as told. To
--- a/core/gateway/gossip_pace.h
+++ b/core/membership/gossip_pace.h
@@ -1,5 +1,5 @@
-#ifndef CORE_GATEWAY_GOSSIP_PACE_H
-#define CORE_GATEWAY_GOSSIP_PACE_H
+#ifndef CORE_MEMBERSHIP_GOSSIP_PACE_H
+#define CORE_MEMBERSHIP_GOSSIP_PACE_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/tests/endpoint_rates_test.cc
+++ b/tests/endpoint_rates_test.cc
@@ -1,5 +1,5 @@
 #include "core/gateway/endpoint_rates.h"
-#include "core/gateway/gossip_pace.h"
+#include "core/membership/gossip_pace.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/gateway_parts_test.cc
+++ b/tests/gateway_parts_test.cc
@@ -248,7 +248,7 @@
 	EXPECT_TRUE(IsSuspect(part)) << "its engine may have ended";
 	Wait(800);
 	EXPECT_FALSE(IsSuspect(part));
-	EXPECT_EQ(0u, g_hash_table_size(nodes[0]->gateway->lost_endpoints))
+	EXPECT_EQ(0u, end_watch_count(nodes[0]->gateway->ends))
 		<< "it is watched no longer";
 }
 
--- a/tests/quarantine_fleet.h
+++ b/tests/quarantine_fleet.h
@@ -1,7 +1,7 @@
 #ifndef TESTS_QUARANTINE_FLEET_H
 #define TESTS_QUARANTINE_FLEET_H
 
-#include "core/gateway/gossip_pace.h"
+#include "core/membership/gossip_pace.h"
 #include "core/limit/quarantine.h"
 
 #include <deque>
--- a/tests/quarantine_fleet_test.cc
+++ b/tests/quarantine_fleet_test.cc
@@ -1,4 +1,4 @@
-#include "core/gateway/endpoint_end.h"
+#include "core/limit/endpoint_end.h"
 #include "tests/quarantine_fleet.h"
 
 #include <gtest/gtest.h>
