Exchange of losses and admission are told events, in core

Cause: what passes losses on (news to all, gossip), what a log line says of a suspect, and who may let a run try stood in adapters/gateway, so the product's own interface had a second record of its own for the same facts.

Change: core/limit/loss_gossip, core/limit/suspect_text and core/limit/admission; the gateway sends what they ask for. No behaviour changes.

--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 
 .PHONY: all demo demo-platform check unit gateway faults api soak \
 	soak-processes soak-known-red bench format format-check tidy pure spec \
-	mutants install-deps clean fuzz-short fuzz-run
+	mutants ablations install-deps clean fuzz-short fuzz-run
 .SECONDARY:
 
 all: $(PROGRAMS) $(SOAK_PROGRAM)
@@ -100,7 +100,7 @@
 	$(CXX) $(ALL_LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PACKAGE_LIBS)
 
 # Runs every test. The script tests read their scripts from tests/scripts.
-check: unit pure api faults gateway $(if $(filter 1,$(SANITIZE)),,spec mutants)
+check: unit pure api faults gateway $(if $(filter 1,$(SANITIZE)),,spec mutants ablations)
 
 # Tests listed in KNOWN-RED.txt run as well; their results are printed and
 # ignored. Line format: "unit PATTERN | cause | issue", or "gateway CASE | ...".
@@ -153,6 +153,10 @@
 mutants: $(TESTS)
 	tests/mutants.sh $(abspath $(B))
 
+# Checks that each ablation still applies to its source.
+ablations:
+	tests/ablations.sh $(abspath $(B))/ablations
+
 demo: install-deps
 	$(MAKE) all
 	./demo.sh $(abspath $(B)/bin)
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -364,7 +364,7 @@
 	gateway_ends_clear(gateway);
 	gateway_closes_clear(gateway);
 	g_hash_table_unref(gateway->reach);
-	quarantine_destroy(gateway->quarantine);
+	gateway_losses_clear(gateway);
 	engine_grants_destroy(gateway->grants);
 	g_hash_table_unref(gateway->home_requests);
 	g_free(gateway->home_address);
--- a/adapters/gateway/gateway_losses.c
+++ b/adapters/gateway/gateway_losses.c
@@ -1,36 +1,12 @@
 #include "adapters/gateway/gateway_state.h"
 #include "core/limit/quarantine_query.h"
-#include "core/placement/home.h"
-
-#include <inttypes.h>
+#include "core/limit/suspect_text.h"
 
 /*
  * Quarantine of requests and prompt parts under which endpoints end, and its
  * exchange with the other nodes: they may come again at any node.
  */
 
-/* As many losses fit into one datagram; with more, each record has others. */
-#define LOSSES_PER_RECORD 28
-
-/* Losses that are announced at once; gossip tells of further ones. */
-#define MAX_ANNOUNCED (8 * LOSSES_PER_RECORD)
-
-static const struct gossip_schedule schedule = {
-	.fresh_us = 3 * G_USEC_PER_SEC,
-	.fresh_period_us = 100 * 1000,
-	.fresh_receivers = 3,
-	.stale_period_us = G_USEC_PER_SEC,
-};
-
-/* To be called once, before any other function here. */
-void gateway_losses_init(struct gateway *gateway)
-{
-	struct quarantine_options options;
-
-	quarantine_options_default(&options);
-	gateway->quarantine = quarantine_create(&options);
-}
-
 /* Returns the start of the endpoint that runs now, as far as is known. */
 struct endpoint_start gateway_losses_start(const struct gateway *gateway,
 					   const struct endpoint *endpoint)
@@ -127,188 +103,112 @@
 		log_refuted(gateway, endpoint, status);
 }
 
-/* The names of log lines, for each kind of suspect. */
-static const struct {
-	const char *held;
-	const char *suspected;
-	const char *released;
-} log_names[SUSPECT_KIND_COUNT] = {
-	[SUSPECT_REQUEST] = {"request_held", "request_suspected",
-			     "request_released"},
-	[SUSPECT_PART] = {"part_held", "part_suspected", "part_released"},
-};
-
 /* Logs what quarantine now says of a suspect, and the ends that decide it. */
-static void log_suspect(const struct gateway *gateway, uint64_t key,
-			const char *source)
+static void log_suspect(void *data, uint64_t key, const char *source)
 {
-	const struct quarantine *quarantine = gateway->quarantine;
-	const enum suspect_kind kind = suspect_key_kind(key);
-	int64_t until_us =
-		quarantine_until_us(quarantine, key, gateway->now_us);
-	bool is_suspect =
-		quarantine_is_suspect(quarantine, key, gateway->now_us);
-	char *starts = quarantine_format_ends(quarantine, key, gateway->now_us);
-	char name[17], seconds[24];
+	const struct gateway *gateway = data;
+	struct suspect_text text;
 
-	g_snprintf(name, sizeof(name), "%016" PRIx64, key);
-	g_snprintf(seconds, sizeof(seconds), "%" G_GINT64_FORMAT,
-		   until_us ? (until_us - gateway->now_us) / G_USEC_PER_SEC
-			    : 0);
-	log_write(gateway->log, until_us ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
-		  until_us     ? log_names[kind].held
-		  : is_suspect ? log_names[kind].suspected
-			       : log_names[kind].released,
-		  "fingerprint", name, "for_s", seconds, "ends", starts,
+	suspect_text_init(&text, gateway->quarantine, key, gateway->now_us);
+	log_write(gateway->log, text.level, text.event, "fingerprint",
+		  text.fingerprint, "for_s", text.for_s, "ends", text.ends,
 		  "source", source, NULL);
-	g_free(starts);
+	suspect_text_clear(&text);
 }
 
-static struct peer_message *create_message(struct gateway *gateway)
+static struct peer_message *create_message(struct gateway *gateway,
+					   const struct peer_loss *losses,
+					   guint count)
 {
-	return gateway->host.message(gateway->host.data, PEER_LOSSES);
+	struct peer_message *message =
+		gateway->host.message(gateway->host.data, PEER_LOSSES);
+
+	g_array_append_vals(message->losses.losses, losses, count);
+	return message;
 }
 
-/* Sends news to all nodes and logs them, one line a suspect. */
-static void announce_news(struct gateway *gateway)
+static void send_to_all(void *data, const struct peer_loss *losses, guint count)
 {
-	GArray *news = g_array_new(FALSE, FALSE, sizeof(struct peer_loss));
-	uint64_t logged = 0;
+	struct gateway *gateway = data;
 
-	quarantine_take_news(gateway->quarantine, news, gateway->now_us);
-	if (news->len > 0)
-		gateway->losses_pace.changed_us = gateway->now_us;
-	for (guint i = 0; i < news->len; i++) {
-		const struct peer_loss *loss =
-			&g_array_index(news, struct peer_loss, i);
+	gateway_send_to_all(gateway, create_message(gateway, losses, count));
+}
 
-		if (loss->key != logged)
-			log_suspect(gateway, loss->key, "this node");
-		logged = loss->key;
-	}
-	for (guint i = 0; i < MIN(news->len, MAX_ANNOUNCED);
-	     i += LOSSES_PER_RECORD) {
-		struct peer_message *message = create_message(gateway);
+static void send_to_some(void *data, const GArray *losses, size_t receivers)
+{
+	struct gateway *gateway = data;
+	GPtrArray *addresses = g_ptr_array_new();
 
-		g_array_append_vals(message->losses.losses,
-				    &g_array_index(news, struct peer_loss, i),
-				    MIN(news->len - i, LOSSES_PER_RECORD));
-		gateway_send_to_all(gateway, message);
-	}
-	g_array_unref(news);
+	gateway_add_random_members(gateway, receivers, addresses);
+	if (addresses->len > 0)
+		gateway->host.send(
+			gateway->host.data, addresses,
+			create_message(gateway,
+				       (const struct peer_loss *)losses->data,
+				       losses->len));
+	g_ptr_array_unref(addresses);
 }
 
-/* Sends losses that this node knows to others, if it knows any. */
-static void send_known(struct gateway *gateway, GPtrArray *addresses)
+/* To be called once, before any other function here. */
+void gateway_losses_init(struct gateway *gateway)
 {
-	struct peer_message *message = create_message(gateway);
-	GArray *losses = message->losses.losses;
+	const struct loss_gossip_host host = {
+		.send_to_all = send_to_all,
+		.send_to_some = send_to_some,
+		.changed = log_suspect,
+		.data = gateway,
+	};
+	struct quarantine_options options;
 
-	quarantine_add_known(gateway->quarantine, LOSSES_PER_RECORD,
-			     g_rand_double(gateway->random), losses,
-			     gateway->now_us);
-	if (losses->len > 0 && addresses->len > 0)
-		gateway->host.send(gateway->host.data, addresses, message);
-	else
-		peer_message_destroy(message);
+	quarantine_options_default(&options);
+	gateway->quarantine = quarantine_create(&options);
+	gateway->loss_gossip =
+		loss_gossip_create(gateway->quarantine, gateway->random, &host);
+}
+
+/* Frees what gateway_losses_init created. */
+void gateway_losses_clear(struct gateway *gateway)
+{
+	loss_gossip_destroy(gateway->loss_gossip);
+	quarantine_destroy(gateway->quarantine);
 }
 
 /* Sends losses that this node knows to one node. */
 void gateway_losses_send(struct gateway *gateway, const char *peer_address)
 {
-	GPtrArray *addresses = g_ptr_array_new();
+	struct peer_message *message = create_message(gateway, NULL, 0);
 
-	g_ptr_array_add(addresses, (gpointer)peer_address);
-	send_known(gateway, addresses);
-	g_ptr_array_unref(addresses);
+	loss_gossip_add_known(gateway->loss_gossip, message->losses.losses,
+			      gateway->now_us);
+	if (message->losses.losses->len == 0) {
+		peer_message_destroy(message);
+		return;
+	}
+	gateway_send(gateway, peer_address, message);
 }
 
 /* Applies the losses that another node knows. */
 void gateway_losses_receive(struct gateway *gateway,
 			    const struct peer_message *message)
 {
-	const GArray *losses = message->losses.losses;
-
-	for (guint i = 0; i < losses->len; i++) {
-		const struct peer_loss *loss =
-			&g_array_index(losses, struct peer_loss, i);
-		int64_t before_us = quarantine_until_us(
-			gateway->quarantine, loss->key, gateway->now_us);
-		int64_t until_us;
-
-		if (!quarantine_merge(gateway->quarantine, loss,
-				      gateway->now_us))
-			continue;
-		gateway->losses_pace.changed_us = gateway->now_us;
-		until_us = quarantine_until_us(gateway->quarantine, loss->key,
-					       gateway->now_us);
-		if ((before_us > 0) != (until_us > 0))
-			log_suspect(gateway, loss->key, message->from);
-	}
+	loss_gossip_receive(gateway->loss_gossip, message->losses.losses,
+			    message->from, gateway->now_us);
 }
 
 /* Passes losses on. */
 void gateway_losses_step(struct gateway *gateway)
 {
-	GPtrArray *addresses;
-	size_t count;
-
-	announce_news(gateway);
-	if (quarantine_take_changed(gateway->quarantine))
-		gateway->losses_pace.changed_us = gateway->now_us;
-	if (quarantine_count(gateway->quarantine) == 0)
-		return;
-	count = gossip_pace_count_receivers(&gateway->losses_pace, &schedule,
-					    gateway->now_us);
-	if (count == 0)
-		return;
-	addresses = g_ptr_array_new();
-	gateway_add_random_members(gateway, count, addresses);
-	send_known(gateway, addresses);
-	g_ptr_array_unref(addresses);
+	loss_gossip_step(gateway->loss_gossip, gateway->now_us);
 }
 
-/*
- * Whether this node is the one that may let a run try again after the
- * quarantine. The others refuse it, so that no two runs try it at once.
- */
-static bool is_trier(const struct gateway *gateway, uint64_t key)
-{
-	const struct membership *members =
-		gateway->host.members(gateway->host.data);
-	uint64_t own = home_hash(gateway->options.node_name, "", key);
-
-	for (size_t i = 0; i < membership_count(members); i++)
-		if (home_hash(membership_get(members, i)->name, "", key) < own)
-			return false;
-	return true;
-}
-
-/*
- * Whether a request with these suspects may be sent to an endpoint now. If not,
- * or if it is a trial, which may be sent once, the suspect that decides it is
- * stored in admission.
- */
+/* Whether a request with these suspects may be sent to an endpoint now. */
 bool gateway_losses_admit(struct gateway *gateway,
 			  const struct suspect_list *suspects,
 			  struct admission *admission)
 {
-	admission->is_trial = false;
-	switch (quarantine_judge(gateway->quarantine, suspects, gateway->now_us,
-				 &admission->key)) {
-	case QUARANTINE_NONE:
-		return true;
-	case QUARANTINE_TRIAL:
-		if (!is_trier(gateway, admission->key))
-			return false;
-		quarantine_begin_trial(gateway->quarantine, admission->key,
-				       gateway->now_us);
-		admission->is_trial = true;
-		return true;
-	case QUARANTINE_HELD:
-		break;
-	}
-	return false;
+	return admission_ask(admission, gateway->quarantine, suspects,
+			     gateway->host.members(gateway->host.data),
+			     gateway->now_us);
 }
 
 /* Appends the answer to a query, and logs what an operator changes. */
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -12,7 +12,9 @@
 #include "core/gateway/service_reach.h"
 #include "core/gateway/store_doubt.h"
 #include "core/gateway/table_fetch.h"
+#include "core/limit/admission.h"
 #include "core/limit/end_watch.h"
+#include "core/limit/loss_gossip.h"
 #include "core/limit/quarantine.h"
 #include "core/limit/shared_budgets.h"
 
@@ -28,12 +30,6 @@
 	bool is_young; /* it had not gone on for a while */
 };
 
-/* What quarantine allows for a request. */
-struct admission {
-	uint64_t key;  /* of the suspect that decides; 0: none */
-	bool is_trial; /* one run may try; it may be sent once */
-};
-
 /*
  * The gateway's state, shared by its parts:
  *
@@ -105,7 +101,7 @@
 
 	/* Requests under which endpoints end. */
 	struct quarantine *quarantine;
-	struct gossip_pace losses_pace;
+	struct loss_gossip *loss_gossip;
 	int64_t parts_silent_until_us;
 
 	/* Whether endpoints that broke off runs have ended. */
@@ -210,6 +206,7 @@
 
 /* gateway_losses.c */
 void gateway_losses_init(struct gateway *gateway);
+void gateway_losses_clear(struct gateway *gateway);
 struct endpoint_start gateway_losses_start(const struct gateway *gateway,
 					   const struct endpoint *endpoint);
 bool gateway_losses_is_current(const struct gateway *gateway,
