The product's own interface counts ends by evidence, as the gateway does

What callers saw: a request whose stream the network broke off at two endpoints was refused for half an hour, at all nodes, though both endpoints went on (script reset_is_no_end: on the code before, call 1 gets 503 quarantined at its second broken stream). A request that did end endpoints was told to the other nodes once, to none that joined later, and never came back after its hold by one trial in the fleet.

Cause: two mechanisms for one fact. core/node recorded each broken attempt as a crash of its address (quarantine_report_crash), without evidence of an end and in a record of its own.

Change: core/node/node_losses uses end_watch, loss_gossip and admission. An endpoint that broke off an attempt is asked for its load at once; it has ended if it refuses while another one answers. Each send asks: on arrival, at a retry, and when an engine is granted. quarantine_report_crash is gone; the tests of the table record a loss and an end instead. EVENT_LOAD says whether a connection was made.

--- a/adapters/endpoint_client.c
+++ b/adapters/endpoint_client.c
@@ -91,13 +91,15 @@
 	return true;
 }
 
-static void control_deliver_load(struct control *control, bool complete)
+static void control_deliver_load(struct control *control,
+				 const struct error *error)
 {
 	struct endpoint_client *client = control->client;
 	struct event event = {.type = EVENT_LOAD};
 
 	event.load.endpoint = control->endpoint;
-	if (complete && control->ok)
+	event.load.is_refused = error && error->code == ERROR_UNREACHABLE;
+	if (!error && control->ok)
 		event.load.reached =
 			control_read_load(control, &event.load.report);
 	client->sink.deliver(client->sink.data, &event);
@@ -109,7 +111,7 @@
 
 	g_hash_table_steal(control->client->controls, control);
 	if (control->is_poll)
-		control_deliver_load(control, !error);
+		control_deliver_load(control, error);
 	control_free(control);
 }
 
--- a/bench/world_load.c
+++ b/bench/world_load.c
@@ -47,11 +47,12 @@
 	int64_t delay_us =
 		world_delay_us(world, world->options.endpoint_delay_us);
 
-	poll->event.load.reached =
-		endpoint->alive &&
-		endpoint->stalled_until_us <= world->now_us &&
-		!world_link_cut(world, request->node, party) &&
-		!world_link_cut(world, party, request->node);
+	bool is_cut = world_link_cut(world, request->node, party) ||
+		      world_link_cut(world, party, request->node);
+
+	poll->event.load.is_refused = !endpoint->alive || is_cut;
+	poll->event.load.reached = !poll->event.load.is_refused &&
+				   endpoint->stalled_until_us <= world->now_us;
 	if (poll->event.load.reached)
 		endpoint_report(world, request->endpoint,
 				&poll->event.load.report);
--- a/core/limit/quarantine.c
+++ b/core/limit/quarantine.c
@@ -475,26 +475,6 @@
 	return clear(quarantine, key, now_us, now_us);
 }
 
-/*
- * Records a loss at an endpoint, named by its address, that is known to have
- * ended. Returns true if this puts the request in quarantine.
- */
-bool quarantine_report_crash(struct quarantine *quarantine,
-			     uint64_t fingerprint, const char *endpoint,
-			     int64_t now_us)
-{
-	const struct quarantine_run run = {
-		.key = fingerprint,
-		.start.endpoint_key = (uint64_t)g_str_hash(endpoint) << 32,
-	};
-
-	if (quarantine_until_us(quarantine, fingerprint, now_us))
-		return false;
-	quarantine_report_loss(quarantine, &run, now_us);
-	quarantine_report_end(quarantine, &run.start, now_us);
-	return quarantine_until_us(quarantine, fingerprint, now_us) != 0;
-}
-
 /* Records that a run tries a request that was held; others are held again. */
 void quarantine_begin_trial(struct quarantine *quarantine, uint64_t key,
 			    int64_t now_us)
--- a/core/limit/quarantine.h
+++ b/core/limit/quarantine.h
@@ -84,9 +84,6 @@
 			      int64_t now_us);
 void quarantine_report_success(struct quarantine *quarantine, uint64_t key,
 			       int64_t begun_us, int64_t now_us);
-bool quarantine_report_crash(struct quarantine *quarantine,
-			     uint64_t fingerprint, const char *endpoint,
-			     int64_t now_us);
 bool quarantine_lift(struct quarantine *quarantine, uint64_t key,
 		     int64_t now_us);
 
--- a/core/node/call.h
+++ b/core/node/call.h
@@ -2,6 +2,7 @@
 #define CORE_NODE_CALL_H
 
 #include "core/config/config.h"
+#include "core/limit/admission.h"
 #include "core/once/outcome_store.h"
 #include "ports/request.h"
 
@@ -34,12 +35,13 @@
 	int32_t weight;
 	int64_t counted_tokens; /* counted against its organisation's limit */
 	uint64_t fingerprint;
-	struct outcome *outcome; /* owned by the store; NULL without an id */
-	bool awaits_lease;	 /* its claim waits for the claim lease */
-	bool caller_gone;	 /* disconnected; the call may run to its end */
-	bool begun;	/* the reply stream to the caller has started */
-	bool paused;	/* the caller reads too slowly; reading is stopped */
-	bool maybe_run; /* an earlier attempt may have run it */
+	struct admission admission; /* by quarantine, when last asked */
+	struct outcome *outcome;    /* owned by the store; NULL without an id */
+	bool awaits_lease;	    /* its claim waits for the claim lease */
+	bool caller_gone; /* disconnected; the call may run to its end */
+	bool begun;	  /* the reply stream to the caller has started */
+	bool paused;	  /* the caller reads too slowly; reading is stopped */
+	bool maybe_run;	  /* an earlier attempt may have run it */
 
 	int64_t arrived_us;
 	int64_t deadline_us;	/* absolute; 0: none */
@@ -60,6 +62,7 @@
 	int32_t attempts;
 	int32_t reattaches; /* since the last token */
 	char *endpoint;
+	struct endpoint_start start; /* that the attempt goes to */
 	char *generation;
 	int64_t next_token;
 	uint64_t avoid_hash; /* of the endpoint to avoid when placed again */
--- a/core/node/node.c
+++ b/core/node/node.c
@@ -201,8 +201,8 @@
 	case PEER_LEAVING:
 		node_leaving_peer(node, &message->leaving);
 		break;
-	case PEER_QUARANTINE:
-		node_attempt_receive_crash(node, &message->quarantine);
+	case PEER_LOSSES:
+		node_losses_receive(node, message);
 		break;
 	case PEER_LIMIT_REPORT:
 	case PEER_LIMIT_SHARE:
@@ -214,7 +214,7 @@
 	case PEER_CHOOSE:
 	case PEER_CORDONS:
 	case PEER_ENDPOINT_LIMITS:
-	case PEER_LOSSES:
+	case PEER_QUARANTINE:
 	case PEER_REACH:
 	case PEER_ENDPOINT_FULL:
 	case PEER_CHOSEN: /* handled by the gateway */
@@ -308,6 +308,7 @@
 		node_attempt_failed(node, &event->failed);
 		break;
 	case EVENT_LOAD:
+		node_losses_note_load(node, &event->load);
 		node_home_update_load(node, &event->load);
 		break;
 	case EVENT_ORDER:
@@ -460,6 +461,7 @@
 	node_rollout_step(node);
 	node_discovery_step(node);
 	node_run_periodic(node);
+	node_losses_step(node);
 	node_home_step(node);
 	node_share_step(node);
 	node_check_drained(node);
@@ -480,6 +482,7 @@
 	due_us = MIN(due_us, plan_book_next_due_us(node->plans));
 	due_us = MIN(due_us, node_rollout_next_due_us(node));
 	due_us = MIN(due_us, node_discovery_next_due_us(node));
+	due_us = MIN(due_us, end_watch_next_due_us(node->ends));
 	g_hash_table_iter_init(&iter, node->shares);
 	while (g_hash_table_iter_next(&iter, NULL, &share))
 		due_us = MIN(due_us, placement_next_due_us(share));
--- a/core/node/node_attempt.c
+++ b/core/node/node_attempt.c
@@ -43,6 +43,7 @@
 	struct action *action;
 
 	call_new_attempt(node, call);
+	node_losses_begin(node, call);
 	call->attempts++;
 	if (call->attempts == 1)
 		retry_budget_count_request(node->retries);
@@ -73,6 +74,7 @@
 	struct action *action;
 
 	call_new_attempt(node, call);
+	node_losses_begin(node, call);
 	call->last_active_us = node->now_us;
 	node_call_set_state(node, call, CALL_STREAMING);
 	action = action_list_add(node->actions, ACTION_ATTEMPT_RESUME);
@@ -102,51 +104,6 @@
 	call_end_attempt(node, call);
 }
 
-/*
- * Refuses the call if its request is in quarantine, and returns whether it did.
- * A request that was in flight when two endpoints crashed is not sent to a
- * third, since it could crash one engine after another.
- */
-bool node_attempt_is_quarantined(struct node *node, struct call *call)
-{
-	int64_t until_us = quarantine_until_us(node->quarantine,
-					       call->fingerprint, node->now_us);
-
-	if (!until_us)
-		return false;
-	counters_add(&node->counters, COUNTER_QUARANTINED, 1);
-	node_call_refuse(node, call, REFUSAL_QUARANTINED,
-			 call->maybe_run ? RUN_UNKNOWN : RUN_NO,
-			 until_us - node->now_us);
-	return true;
-}
-
-static void node_broadcast_crash(struct node *node, const struct call *call)
-{
-	quarantine_report_crash(node->quarantine, call->fingerprint,
-				call->endpoint, node->now_us);
-	for (size_t i = 0; i < membership_count(node->membership); i++) {
-		const struct member *member =
-			membership_get(node->membership, i);
-		struct peer_message *message;
-
-		if (strcmp(member->name, node->options.name) == 0)
-			continue;
-		message = node_message_create(node, PEER_QUARANTINE);
-		message->quarantine.fingerprint = call->fingerprint;
-		message->quarantine.endpoint = g_strdup(call->endpoint);
-		node_send(node, member->peer_address, message);
-	}
-}
-
-/* Records that another node had a request in flight at a failed endpoint. */
-void node_attempt_receive_crash(struct node *node,
-				const struct peer_quarantine *report)
-{
-	quarantine_report_crash(node->quarantine, report->fingerprint,
-				report->endpoint, node->now_us);
-}
-
 /*
  * Schedules another attempt after a backoff. Refuses the call at once if its
  * request is in quarantine, if the caller of an idempotent request is gone, or
@@ -156,7 +113,7 @@
 {
 	enum run run = call->maybe_run ? RUN_UNKNOWN : RUN_NO;
 
-	if (node_attempt_is_quarantined(node, call))
+	if (node_losses_refuse(node, call))
 		return;
 	if (call->caller_gone && !call->request->non_idempotent) {
 		node_call_refuse(node, call, REFUSAL_ENDPOINT_FAILED, run, 0);
@@ -229,6 +186,24 @@
 	return call->state == CALL_STREAMING || call->state == CALL_REATTACH;
 }
 
+/* What a failed attempt tells of its endpoint. */
+static void note_failure(struct node *node, const struct call *call,
+			 enum attempt_stage stage)
+{
+	switch (stage) {
+	case ATTEMPT_NOT_SENT:
+		node_losses_note_refused(node, call->endpoint);
+		break;
+	case ATTEMPT_SENT:
+		node_losses_record(node, call);
+		break;
+	case ATTEMPT_REFUSED:
+	case ATTEMPT_NOT_FOUND:
+		node_losses_note_heard(node, call->endpoint);
+		break;
+	}
+}
+
 /* Handles an attempt that ended without a complete answer. */
 void node_attempt_failed(struct node *node,
 			 const struct event_attempt_failed *event)
@@ -246,8 +221,7 @@
 				 RUN_UNKNOWN, NODE_RETRY_AFTER_US);
 		return;
 	}
-	if (event->stage == ATTEMPT_SENT)
-		node_broadcast_crash(node, call);
+	note_failure(node, call, event->stage);
 	if (call_has_tokens(call) && event->stage == ATTEMPT_NOT_FOUND) {
 		node_place_release(node, call, RELEASE_FAILED);
 		node_call_refuse(node, call, REFUSAL_GENERATION_GONE, RUN_YES,
@@ -340,6 +314,7 @@
 	if (!call)
 		return;
 	call->last_active_us = node->now_us;
+	node_losses_note_heard(node, call->endpoint);
 	if (!chunk_is_valid(call, event) ||
 	    event->first_token < call->next_token) {
 		counters_add(&node->counters, COUNTER_CHUNKS_DROPPED, 1);
@@ -380,6 +355,7 @@
 					      REFUSAL_ENDPOINT_FAILED);
 		return;
 	}
+	node_losses_note_whole(node, call);
 	node_place_release(node, call, RELEASE_COMPLETE);
 	node_call_end(node, call, REFUSAL_NONE, event->finish_reason);
 }
@@ -401,6 +377,8 @@
 		return;
 	}
 	call_end_attempt(node, call);
+	if (call->kind == SERVICE_PLAIN && call->state != CALL_FORWARDED)
+		node_losses_note_whole(node, call);
 	node_place_release(node, call,
 			   call->kind == SERVICE_PLAIN ? RELEASE_COMPLETE
 						       : RELEASE_CANCELLED);
--- a/core/node/node_call.c
+++ b/core/node/node_call.c
@@ -166,8 +166,8 @@
 		call_resume(node, call);
 		return;
 	}
-	if (!node_attempt_is_quarantined(node, call) &&
-	    node_limits_admit(node, call) && node_id_receive(node, call))
+	if (!node_losses_refuse(node, call) && node_limits_admit(node, call) &&
+	    node_id_receive(node, call))
 		node_place_call(node, call);
 }
 
--- a/core/node/node_create.c
+++ b/core/node/node_create.c
@@ -98,13 +98,10 @@
 static void node_create_limits(struct node *node)
 {
 	struct retry_budget_options retries;
-	struct quarantine_options quarantine;
 
 	retry_budget_options_default(&retries);
 	retries.percent = node->options.retry_percent;
 	node->retries = retry_budget_create(&retries);
-	quarantine_options_default(&quarantine);
-	node->quarantine = quarantine_create(&quarantine);
 	node->limits = organisation_limits_create();
 	rate_peak_init(&node->fleet_peak, 1, RATE_PEAK_RETENTION_US, 0);
 }
@@ -163,6 +160,7 @@
 		node_create_membership(&node->options, node->options.seeds);
 	node_create_tables(node);
 	node_create_limits(node);
+	node_losses_init(node);
 	node_create_plans(node);
 	node_rollout_create(node);
 	node_discovery_create(node);
@@ -198,7 +196,7 @@
 	g_hash_table_destroy(node->lengths);
 	outcome_store_destroy(node->outcomes);
 	retry_budget_destroy(node->retries);
-	quarantine_destroy(node->quarantine);
+	node_losses_clear(node);
 	organisation_limits_destroy(node->limits);
 	plan_book_destroy(node->plans);
 	node_rollout_destroy(node);
--- a/core/node/node_place.c
+++ b/core/node/node_place.c
@@ -303,6 +303,8 @@
 		return;
 	}
 	call_set_endpoint(call, endpoint);
+	if (node_losses_refuse(node, call))
+		return;
 	call->placed_us = node->now_us;
 	if (*call->home && !node_is_home(node, call->home))
 		node_share_hold(node, call);
--- a/core/node/node_state.h
+++ b/core/node/node_state.h
@@ -9,6 +9,8 @@
 #include "core/limit/organisation_limits.h"
 #include "core/once/outcome_store.h"
 #include "core/plan/plan_book.h"
+#include "core/limit/end_watch.h"
+#include "core/limit/loss_gossip.h"
 #include "core/limit/quarantine.h"
 #include "core/limit/retry_budget.h"
 #include "core/base/timer_heap.h"
@@ -33,6 +35,7 @@
  *   node_share.c      placement by the local share, without a home
  *   node_progress.c   progress reports to homes
  *   node_attempt.c    attempts at endpoints, retries
+ *   node_losses.c     requests under which endpoints end
  *   node_shard.c      shards of endpoints and their homes
  *   node_home.c       home's side of placement: grants, load
  *   node_leaving.c    endpoints that are leaving
@@ -115,6 +118,9 @@
 	struct outcome_store *outcomes;
 	struct retry_budget *retries;
 	struct quarantine *quarantine;
+	struct end_watch *ends;
+	struct loss_gossip *loss_gossip;
+	int64_t reach_checked_us;
 	struct organisation_limits *limits;
 	struct rate_peak fleet_peak;
 	struct rate_fleet fleet;
@@ -264,10 +270,20 @@
 void node_attempt_timeout(struct node *node, struct call *call);
 void node_attempt_cancel(struct node *node, struct call *call,
 			 bool keep_running);
-bool node_attempt_is_quarantined(struct node *node, struct call *call);
 void node_attempt_retry(struct node *node, struct call *call);
-void node_attempt_receive_crash(struct node *node,
-				const struct peer_quarantine *report);
+
+/* node_losses.c */
+void node_losses_init(struct node *node);
+void node_losses_clear(struct node *node);
+void node_losses_begin(struct node *node, struct call *call);
+void node_losses_record(struct node *node, const struct call *call);
+void node_losses_note_refused(struct node *node, const char *endpoint);
+void node_losses_note_heard(struct node *node, const char *endpoint);
+void node_losses_note_load(struct node *node, const struct event_load *event);
+void node_losses_note_whole(struct node *node, const struct call *call);
+void node_losses_receive(struct node *node, const struct peer_message *message);
+bool node_losses_refuse(struct node *node, struct call *call);
+void node_losses_step(struct node *node);
 
 /* node_shard.c */
 void node_shard_rebuild(struct node *node);
--- a/ports/event.h
+++ b/ports/event.h
@@ -116,7 +116,8 @@
 
 struct event_load {
 	const char *endpoint;
-	bool reached; /* false: no load report was received */
+	bool reached;	 /* false: no load report was received */
+	bool is_refused; /* no connection was made */
 	struct load_report report;
 };
 
--- a/tests/endpoint_client_test.cc
+++ b/tests/endpoint_client_test.cc
@@ -556,10 +556,12 @@
 	peer->send(full_answer(200, "engine_requests_running -3\n"));
 	ASSERT_TRUE(recorder.wait(EVENT_LOAD, 2));
 	EXPECT_FALSE(recorder.events[1].flag);
+	EXPECT_FALSE(recorder.events[1].refused);
 	EXPECT_EQ(1u, counters.value[COUNTER_LOAD_REJECTED]);
 	peer->close();
 	listener.close();
 	poll();
 	ASSERT_TRUE(recorder.wait(EVENT_LOAD, 3));
 	EXPECT_FALSE(recorder.events[2].flag);
+	EXPECT_TRUE(recorder.events[2].refused);
 }
--- a/tests/loopback.cc
+++ b/tests/loopback.cc
@@ -113,6 +113,7 @@
 	case EVENT_LOAD:
 		r.name = text_of(event->load.endpoint);
 		r.flag = event->load.reached;
+		r.refused = event->load.is_refused;
 		r.report = event->load.report;
 		break;
 	default:
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -28,6 +28,7 @@
 	enum event_type type;
 	uint64_t number; /* call or attempt */
 	bool flag;	 /* full, reached, replayed */
+	bool refused;	 /* of a load */
 	int64_t first_token;
 	int64_t token_count;
 	int32_t status;
--- a/tests/node_script.cc
+++ b/tests/node_script.cc
@@ -295,7 +295,8 @@
 	in >> endpoint >> used >> mark;
 	event.type = EVENT_LOAD;
 	event.load.endpoint = endpoint.c_str();
-	event.load.reached = mark != "unreached";
+	event.load.is_refused = mark == "refused";
+	event.load.reached = mark != "unreached" && mark != "refused";
 	event.load.report = {now_us, 0, 0, used, 10000, 0, mark == "leaving"};
 	step(node, event);
 }
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -16,6 +16,21 @@
 		options.max_entries = 8;
 		quarantine = quarantine_create(&options);
 	}
+	/* A loss at an endpoint that ends at once; whether that holds it. */
+	bool Crash(uint64_t key, const char *endpoint, int64_t now_us)
+	{
+		const struct quarantine_run run = {
+			.key = key,
+			.start = {.endpoint_key = (uint64_t)g_str_hash(endpoint)
+						  << 32},
+		};
+
+		if (quarantine_until_us(quarantine, key, now_us))
+			return false;
+		quarantine_report_loss(quarantine, &run, now_us);
+		quarantine_report_end(quarantine, &run.start, now_us);
+		return quarantine_until_us(quarantine, key, now_us) != 0;
+	}
 	void TearDown() override
 	{
 		quarantine_destroy(quarantine);
@@ -29,12 +44,12 @@
  */
 TEST_F(Quarantine, HoldsWhatWasInFlightAtTwoCrashes)
 {
-	EXPECT_FALSE(quarantine_report_crash(quarantine, 1, "a:1", 10));
-	EXPECT_FALSE(quarantine_report_crash(quarantine, 2, "a:1", 10));
+	EXPECT_FALSE(Crash(1, "a:1", 10));
+	EXPECT_FALSE(Crash(2, "a:1", 10));
 	EXPECT_TRUE(quarantine_is_suspect(quarantine, 2, 11));
 	quarantine_report_success(quarantine, 2, 11, 11);
-	EXPECT_TRUE(quarantine_report_crash(quarantine, 1, "b:1", 20));
-	EXPECT_FALSE(quarantine_report_crash(quarantine, 2, "b:1", 20));
+	EXPECT_TRUE(Crash(1, "b:1", 20));
+	EXPECT_FALSE(Crash(2, "b:1", 20));
 	EXPECT_EQ(20 + options.hold_us, quarantine_until_us(quarantine, 1, 21));
 	EXPECT_EQ(0, quarantine_until_us(quarantine, 2, 21));
 	EXPECT_EQ(0, quarantine_until_us(quarantine, 1, 20 + options.hold_us));
@@ -47,25 +62,24 @@
 TEST_F(Quarantine, OneCrashingEndpointHoldsNobody)
 {
 	for (int i = 0; i < 5; i++)
-		EXPECT_FALSE(quarantine_report_crash(quarantine, 1, "a:1", i));
+		EXPECT_FALSE(Crash(1, "a:1", i));
 	EXPECT_EQ(0, quarantine_until_us(quarantine, 1, 10));
 }
 
 TEST_F(Quarantine, ForgetsCrashesThatAreLongAgo)
 {
-	quarantine_report_crash(quarantine, 1, "a:1", 0);
-	EXPECT_FALSE(quarantine_report_crash(quarantine, 1, "b:1",
-					     options.suspect_us + 1));
+	Crash(1, "a:1", 0);
+	EXPECT_FALSE(Crash(1, "b:1", options.suspect_us + 1));
 }
 
 /* A caller that keeps sending new crashing bodies must not grow the table. */
 TEST_F(Quarantine, IsBounded)
 {
 	for (uint64_t i = 0; i < 1000; i++) {
-		quarantine_report_crash(quarantine, i, "a:1", 0);
-		quarantine_report_crash(quarantine, i, "b:1", 0);
-		quarantine_report_crash(quarantine, i, "c:1", 0);
-		quarantine_report_crash(quarantine, 5000 + i, "a:1", 0);
+		Crash(i, "a:1", 0);
+		Crash(i, "b:1", 0);
+		Crash(i, "c:1", 0);
+		Crash(5000 + i, "a:1", 0);
 	}
 	EXPECT_EQ(16u, quarantine_count(quarantine));
 	EXPECT_NE(0, quarantine_until_us(quarantine, 999, 1));
@@ -77,8 +91,8 @@
  */
 TEST_F(Quarantine, ReleasesWhatEndedWholeAfterTwoCrashes)
 {
-	EXPECT_FALSE(quarantine_report_crash(quarantine, 7, "e1", 1000));
-	EXPECT_TRUE(quarantine_report_crash(quarantine, 7, "e2", 2000));
+	EXPECT_FALSE(Crash(7, "e1", 1000));
+	EXPECT_TRUE(Crash(7, "e2", 2000));
 	EXPECT_NE(0, quarantine_until_us(quarantine, 7, 3000));
 	quarantine_report_success(quarantine, 7, 3000, 3000);
 	EXPECT_EQ(0, quarantine_until_us(quarantine, 7, 3000));
