peer messages: "quarantine" is a failure notice, and is called so

It told that a request was in flight at an endpoint's crash. Since both interfaces exchange losses it only lets nodes put an endpoint aside. The number on the wire and its fields stay, so nodes of both builds understand each other.

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -202,8 +202,8 @@
 	if (!exchange_is_generation(exchange))
 		return;
 	exchange->crashes++;
-	gateway_peers_announce_crash(gateway, exchange->fingerprint,
-				     exchange->leg->endpoint_id);
+	gateway_peers_announce_failure(gateway, exchange->fingerprint,
+				       exchange->leg->endpoint_id);
 	gateway_add_failure_notice(gateway, OWN_REPORTER,
 				   exchange->leg->endpoint_id);
 }
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -228,14 +228,15 @@
  * Notifies all nodes that an engine broke off a generation: further notices may
  * put it aside for a time.
  */
-void gateway_peers_announce_crash(struct gateway *gateway, uint64_t fingerprint,
-				  const char *endpoint_id)
+void gateway_peers_announce_failure(struct gateway *gateway,
+				    uint64_t fingerprint,
+				    const char *endpoint_id)
 {
 	struct peer_message *message =
-		gateway->host.message(gateway->host.data, PEER_QUARANTINE);
+		gateway->host.message(gateway->host.data, PEER_FAILURE_NOTICE);
 
-	message->quarantine.fingerprint = fingerprint;
-	message->quarantine.endpoint = g_strdup(endpoint_id);
+	message->failure_notice.fingerprint = fingerprint;
+	message->failure_notice.endpoint = g_strdup(endpoint_id);
 	gateway_send_to_all(gateway, message);
 }
 
@@ -549,11 +550,11 @@
 	}
 }
 
-static void receive_crash(struct gateway *gateway,
-			  const struct peer_message *message)
+static void receive_failure_notice(struct gateway *gateway,
+				   const struct peer_message *message)
 {
 	gateway_add_failure_notice(gateway, message->incarnation,
-				   message->quarantine.endpoint);
+				   message->failure_notice.endpoint);
 }
 
 static void receive_standing(struct gateway *gateway,
@@ -580,7 +581,7 @@
 	[PEER_ENDPOINT_LIMITS] = {gateway_limits_receive, false},
 	[PEER_ENDPOINT_FULL] = {gateway_brittle_receive, false},
 	[PEER_LOSSES] = {gateway_losses_receive, false},
-	[PEER_QUARANTINE] = {receive_crash, false},
+	[PEER_FAILURE_NOTICE] = {receive_failure_notice, false},
 	[PEER_REACH] = {gateway_reach_receive, true},
 	[PEER_CHOOSE] = {gateway_home_receive_request, true},
 	[PEER_CHOSEN] = {gateway_home_receive_answer, true},
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -155,8 +155,9 @@
 bool gateway_store_is_away(const struct gateway *gateway);
 void gateway_peers_step(struct gateway *gateway);
 void gateway_peers_announce_drain(struct gateway *gateway);
-void gateway_peers_announce_crash(struct gateway *gateway, uint64_t fingerprint,
-				  const char *endpoint_id);
+void gateway_peers_announce_failure(struct gateway *gateway,
+				    uint64_t fingerprint,
+				    const char *endpoint_id);
 void gateway_add_failure_notice(struct gateway *gateway, uint64_t reporter,
 				const char *endpoint_id);
 void gateway_peers_announce_changes(struct gateway *gateway,
--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -49,7 +49,7 @@
 	[PEER_CONFIG] = "(txssay)",
 	[PEER_CONFIG_REQUEST] = "(txssay)",
 	[PEER_LEAVING] = "(tssas)",
-	[PEER_QUARANTINE] = "(ttsss)",
+	[PEER_FAILURE_NOTICE] = "(ttsss)",
 	[PEER_LIMIT_REPORT] = "(tssa(uuu))",
 	[PEER_LIMIT_SHARE] = "(tssa(uuu))",
 	[PEER_STANDING] = PEER_STANDING_FORMAT,
@@ -206,11 +206,11 @@
 			g_variant_new_strv(
 				(const char *const *)endpoints->pdata,
 				endpoints->len));
-	case PEER_QUARANTINE:
+	case PEER_FAILURE_NOTICE:
 		return g_variant_new(
-			format, incarnation, message->quarantine.fingerprint,
-			from, address,
-			peer_field_text(message->quarantine.endpoint));
+			format, incarnation,
+			message->failure_notice.fingerprint, from, address,
+			peer_field_text(message->failure_notice.endpoint));
 	case PEER_LIMIT_REPORT:
 	case PEER_LIMIT_SHARE:
 		return encode_limits(message);
@@ -459,15 +459,15 @@
 	full->rejections_per_ks = rejections_per_ks;
 }
 
-static bool decode_quarantine(GVariant *body, struct peer_message *message,
-			      struct error *error)
+static bool decode_failure_notice(GVariant *body, struct peer_message *message,
+				  struct error *error)
 {
-	g_variant_get_child(body, 1, "t", &message->quarantine.fingerprint);
-	g_variant_get_child(body, 4, "s", &message->quarantine.endpoint);
-	return check(
-		error, message->from,
-		peer_field_text_is_valid(message->quarantine.endpoint, true),
-		"endpoint out of range");
+	g_variant_get_child(body, 1, "t", &message->failure_notice.fingerprint);
+	g_variant_get_child(body, 4, "s", &message->failure_notice.endpoint);
+	return check(error, message->from,
+		     peer_field_text_is_valid(message->failure_notice.endpoint,
+					      true),
+		     "endpoint out of range");
 }
 
 static bool decode_limits(GVariant *body, struct peer_message *message,
@@ -550,8 +550,8 @@
 		return true;
 	case PEER_LEAVING:
 		return decode_leaving(body, message, error);
-	case PEER_QUARANTINE:
-		return decode_quarantine(body, message, error);
+	case PEER_FAILURE_NOTICE:
+		return decode_failure_notice(body, message, error);
 	case PEER_LIMIT_REPORT:
 	case PEER_LIMIT_SHARE:
 		return decode_limits(body, message, error);
--- a/core/message/peer_message.c
+++ b/core/message/peer_message.c
@@ -12,7 +12,7 @@
 	[PEER_CONFIG] = "config",
 	[PEER_CONFIG_REQUEST] = "config_ask",
 	[PEER_LEAVING] = "leaving",
-	[PEER_QUARANTINE] = "quarantine",
+	[PEER_FAILURE_NOTICE] = "failure_notice",
 	[PEER_LIMIT_REPORT] = "limit_report",
 	[PEER_LIMIT_SHARE] = "limit_share",
 	[PEER_STANDING] = "standing",
@@ -101,7 +101,7 @@
 	case PEER_CONFIG_REQUEST:
 	case PEER_ROUTES:
 	case PEER_ROUTES_REQUEST:
-	case PEER_QUARANTINE:
+	case PEER_FAILURE_NOTICE:
 	case PEER_ENDPOINT_FULL:
 	case PEER_MESSAGE_TYPE_COUNT:
 		break;
@@ -164,8 +164,8 @@
 	case PEER_REACH:
 		g_array_unref(message->reach.lost_services);
 		break;
-	case PEER_QUARANTINE:
-		g_free(message->quarantine.endpoint);
+	case PEER_FAILURE_NOTICE:
+		g_free(message->failure_notice.endpoint);
 		break;
 	case PEER_LIMIT_REPORT:
 	case PEER_LIMIT_SHARE:
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -162,7 +162,7 @@
 		event->peer->type == PEER_LOSSES ||
 		event->peer->type == PEER_REACH ||
 		event->peer->type == PEER_ENDPOINT_FULL ||
-		event->peer->type == PEER_QUARANTINE);
+		event->peer->type == PEER_FAILURE_NOTICE);
 }
 
 static void loop_answer_from_gateway(struct node_loop *loop,
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -26,20 +26,20 @@
 	PEER_PROGRESS, /* entry node: grants it holds, tokens so far */
 	PEER_RELEASE,  /* entry node: a grant has ended */
 	PEER_CONFIG,   /* a configuration document and its revision */
-	PEER_CONFIG_REQUEST, /* requests a newer configuration, if any */
-	PEER_LEAVING,	     /* these endpoints take no new requests */
-	PEER_QUARANTINE,   /* request fingerprint seen at an endpoint's crash */
-	PEER_LIMIT_REPORT, /* sender's demand on organisations' limits */
-	PEER_LIMIT_SHARE,  /* receiver's shares of organisations' limits */
-	PEER_STANDING,	   /* gateway: its state and endpoint updates */
-	PEER_ROUTES,	   /* gateway: its configuration document */
-	PEER_CHOOSE,	   /* gateway: requests an engine from its home */
-	PEER_CHOSEN,	   /* home: answer to PEER_CHOOSE */
+	PEER_CONFIG_REQUEST,  /* requests a newer configuration, if any */
+	PEER_LEAVING,	      /* these endpoints take no new requests */
+	PEER_FAILURE_NOTICE,  /* an engine broke off a generation */
+	PEER_LIMIT_REPORT,    /* sender's demand on organisations' limits */
+	PEER_LIMIT_SHARE,     /* receiver's shares of organisations' limits */
+	PEER_STANDING,	      /* gateway: its state and endpoint updates */
+	PEER_ROUTES,	      /* gateway: its configuration document */
+	PEER_CHOOSE,	      /* gateway: requests an engine from its home */
+	PEER_CHOSEN,	      /* home: answer to PEER_CHOOSE */
 	PEER_ROUTES_REQUEST,  /* gateway: requests newer routes, if any */
 	PEER_CORDONS,	      /* gateway: failure domains under a cordon */
 	PEER_ENDPOINT_LIMITS, /* gateway: limits that endpoints state */
-	PEER_LOSSES, /* gateway: requests under which endpoints ended */
-	PEER_REACH,  /* gateway: services that the sender doesn't reach */
+	PEER_LOSSES,	      /* what endpoints ended under */
+	PEER_REACH, /* gateway: services that the sender doesn't reach */
 	PEER_ENDPOINT_FULL, /* gateway: a brittle endpoint rejects requests */
 	PEER_MESSAGE_TYPE_COUNT
 };
@@ -129,7 +129,7 @@
 	GPtrArray *endpoints; /* char * */
 };
 
-struct peer_quarantine {
+struct peer_failure_notice {
 	uint64_t fingerprint;
 	char *endpoint;
 };
@@ -277,7 +277,7 @@
 		struct peer_reach reach;
 		struct peer_endpoint_full endpoint_full;
 		struct peer_leaving leaving;
-		struct peer_quarantine quarantine;
+		struct peer_failure_notice failure_notice;
 		struct peer_limits limits; /* LIMIT_REPORT, LIMIT_SHARE */
 	};
 };
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -128,9 +128,9 @@
 	case PEER_ENDPOINT_FULL:
 		message->endpoint_full = {UINT64_MAX - 3, true, 4500};
 		break;
-	case PEER_QUARANTINE:
-		message->quarantine.fingerprint = 5;
-		message->quarantine.endpoint = g_strdup("10.2.0.1:9000");
+	case PEER_FAILURE_NOTICE:
+		message->failure_notice.fingerprint = 5;
+		message->failure_notice.endpoint = g_strdup("10.2.0.1:9000");
 		break;
 	default:
 		break;
