Tests of shortened holds make the quarantine anew, with what passes it on

GatewayPart replaced the gateway's quarantine alone; since loss_gossip refers to it, that left it with a freed one. gateway_losses_init takes the options, and the test clears and initialises both.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -303,7 +303,9 @@
 		.request = on_status_request,
 		.data = gateway,
 	};
+	struct quarantine_options quarantine;
 
+	quarantine_options_default(&quarantine);
 	gateway->options = *options;
 	gateway->host = *host;
 	gateway->dialect = options->dialect;
@@ -315,7 +317,7 @@
 	announce_pace_init(&gateway->pace, gateway->now_us);
 	gateway->registry = registry_create();
 	gateway->region_map = region_map_create(options->domain_regions);
-	gateway_losses_init(gateway);
+	gateway_losses_init(gateway, &quarantine);
 	gateway_ends_init(gateway);
 	gateway_closes_init(gateway);
 	gateway_reach_init(gateway);
--- a/adapters/gateway/gateway_losses.c
+++ b/adapters/gateway/gateway_losses.c
@@ -149,8 +149,9 @@
 	g_ptr_array_unref(addresses);
 }
 
-/* To be called once, before any other function here. */
-void gateway_losses_init(struct gateway *gateway)
+/* To be called once, before any other function here; copies the options. */
+void gateway_losses_init(struct gateway *gateway,
+			 const struct quarantine_options *options)
 {
 	const struct loss_gossip_host host = {
 		.send_to_all = send_to_all,
@@ -158,10 +159,8 @@
 		.changed = log_suspect,
 		.data = gateway,
 	};
-	struct quarantine_options options;
 
-	quarantine_options_default(&options);
-	gateway->quarantine = quarantine_create(&options);
+	gateway->quarantine = quarantine_create(options);
 	gateway->loss_gossip =
 		loss_gossip_create(gateway->quarantine, gateway->random, &host);
 }
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -206,7 +206,8 @@
 			    const struct peer_message *message);
 
 /* gateway_losses.c */
-void gateway_losses_init(struct gateway *gateway);
+void gateway_losses_init(struct gateway *gateway,
+			 const struct quarantine_options *options);
 void gateway_losses_clear(struct gateway *gateway);
 struct endpoint_start gateway_losses_start(const struct gateway *gateway,
 					   const struct endpoint *endpoint);
--- a/tests/gateway_parts_test.cc
+++ b/tests/gateway_parts_test.cc
@@ -155,8 +155,8 @@
 		quarantine_options_default(&options);
 		options.hold_us = hold_us;
 		for (auto &node : nodes) {
-			quarantine_destroy(node->gateway->quarantine);
-			node->gateway->quarantine = quarantine_create(&options);
+			gateway_losses_clear(node->gateway);
+			gateway_losses_init(node->gateway, &options);
 		}
 	}
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -55,6 +55,7 @@
 		1) report "$3" "found out" ;;
 		*) report "$3" "tests ended with status $code" && status=1 ;;
 		esac
+		[ "$status" = 0 ] || tail -n 10 "$2/out"
 	fi
 	cp -p "$file" "$2/$file"
 	cp -p "$1/$object" "$2/build/$object"
@@ -89,14 +90,17 @@
 fi
 printf '%s\n' "$@" | xargs -n 1 -P "${MUTANT_JOBS:-$(nproc)}" \
 	--process-slot-var=MUTANT_SLOT tests/mutants.sh --job "$build"
+# What failed is printed last, where it is read first.
 for mutant; do
 	name=$(basename "$mutant" .mutant)
-	cat "$work/$name.log"
 	if [ -e "$work/$name.passed" ]; then
+		cat "$work/$name.log"
 		passed=$((passed + 1))
 	else
+		cat "$work/$name.log" >>"$work/failed"
 		failed=$((failed + 1))
 	fi
 done
+[ "$failed" -eq 0 ] || cat "$work/failed"
 echo "mutants: $passed passed, $failed failed"
 [ "$failed" -eq 0 ]
