--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -106,7 +106,7 @@
 		ready_address = "${readies[$1]}"
 		directory_address = "${directories[$1]}"
 		store_address = "$store"
-		drain_s = 4
+		drain_s = ${drain_s:-4}
 		retry_ratio = 0.2
 		retry_extra = 60
 		home_from_nodes = ${home_from_nodes:-16}
@@ -664,6 +664,89 @@
 	start_gateway 1
 }
 
+# keep_asking NODE FILE COUNT: sends requests over one connection for as long as
+# the node keeps it, else over new ones; writes their statuses, 000 for none.
+keep_asking() {
+	local urls=()
+
+	for _ in $(seq "$3"); do
+		urls+=(-o /dev/null "http://${fronts[$1]}/lookup/a")
+	done
+	curl -s -m 20 -w '%{http_code}\n' -H "Host: $host" \
+		-H "X-Siskinlink-Request-Id: r-$RANDOM$RANDOM" \
+		-H "Authorization: Bearer $key" "${urls[@]}" >"$2" || true
+}
+
+# Guards against a node that ends at once when its signal comes again during a
+# drain: callers in the middle of a request get no answer.
+case_drains_though_its_signal_comes_again() {
+	local asking=()
+
+	for i in 3 4; do
+		mode "${backends[$i]}" '{"answer_delay_ms": 700}'
+	done
+	for i in 1 2 3 4 5 6; do
+		keep_asking 1 "$work/again.$i" 3 &
+		asking+=($!)
+	done
+	sleep 0.3
+	kill -TERM "${node_pids[1]}"
+	sleep 0.3
+	kill -TERM "${node_pids[1]}"
+	kill -INT "${node_pids[1]}"
+	wait "${asking[@]}"
+	[ "$(sort -u "$work"/again.?)" = 200 ] ||
+		fail "answered $(sort "$work"/again.? | uniq -c | xargs)"
+	wait "${node_pids[1]}" || fail "ended with status $?"
+	for i in 3 4; do
+		mode "${backends[$i]}" '{"answer_delay_ms": 0}'
+	done
+	start_gateway 1
+}
+
+# Guards against a drain that is shortened by settings which are read while it
+# lasts: what was to end within the time that it began with is cut off.
+case_drains_as_long_as_it_began() {
+	events 100
+	report 1 "$work/shortened" shortened-1 &
+	reader=$!
+	streams "$work/shortened" 5
+	kill -TERM "${node_pids[1]}"
+	drain_s=1 write_node 1
+	kill -HUP "${node_pids[1]}"
+	wait "$reader" || fail "the stream was cut"
+	whole "$work/shortened" shortened-1 100
+	wait "${node_pids[1]}" || fail "ended with status $?"
+	events 60
+	write_node 1
+	start_gateway 1
+}
+
+# Guards against requests that are left without an answer when the time of a
+# drain is over: their endpoint answers too late, and the caller is told so.
+case_answers_what_it_drops_at_the_end_of_a_drain() {
+	local asking=()
+
+	for i in 3 4; do
+		mode "${backends[$i]}" '{"answer_delay_ms": 3000}'
+	done
+	kill -TERM "${node_pids[1]}"
+	sleep 2.5
+	for i in 1 2 3 4; do
+		ask 1 /lookup/export/a -X POST -o /dev/null >"$work/drop.$i" &
+		asking+=($!)
+	done
+	wait "${asking[@]}" || fail "a request got no answer"
+	for i in 1 2 3 4; do
+		refused 504 "$(cat "$work/drop.$i")"
+	done
+	wait "${node_pids[1]}" || fail "ended with status $?"
+	for i in 3 4; do
+		mode "${backends[$i]}" '{"answer_delay_ms": 0}'
+	done
+	start_gateway 1
+}
+
 # All nodes are killed at once and restarted: with no state on disk they serve
 # within two seconds of their start.
 case_starts_cold() {
