A signal that comes again during a drain does not end the node

Cause: loop_on_term took it for a person at a terminal who gives up. A supervisor's stops may overlap, and the time that the first one promised still runs. The signal is logged and changes nothing; SIGKILL is what ends at once.

Same class, found beside it: while the node starts, and after its loop has ended, the default action of SIGHUP, SIGUSR1, SIGTERM and SIGINT was in force, so a reload that overlaps a restart ended the process. They are held back until the handlers are there, and again at the end (held_signals).

Tests: gateway.sh drains_though_its_signal_comes_again (its requests are of the route that may run once: with the idempotent one a slow answer is sent again, which is another matter), Siskinlinkd.DrainsThoughItsSignalComesAgain and TakesSignalsThatComeWhileItStarts. RunsTellsItsStateAndDrains demanded the fault in its second half; that half is replaced by DrainsThoughItsSignalComesAgain, which asks for an exit status of 0, for answers after each signal and for the whole of the promised time.

--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -1,6 +1,7 @@
 #include "daemons/node_loop_state.h"
 
 #include "core/limit/quarantine_query.h"
+#include "daemons/held_signals.h"
 #include "daemons/version.h"
 
 #include <glib-unix.h>
@@ -11,7 +12,6 @@
 
 #define FLUSH_CHECK_MS 10
 #define MAX_FLUSH_US 10000000 /* for callers to read their answers */
-#define EXIT_ABORTED 1
 #define FILE_CHECK_S 2
 
 static void apply_http(struct node_loop *loop, const struct action *action)
@@ -214,14 +214,17 @@
 	g_source_attach(loop->timer, NULL);
 }
 
+/*
+ * Begins to stop. A signal that comes again changes nothing: it may come from a
+ * supervisor whose stops overlap, and requests are still in progress.
+ */
 static gboolean loop_on_term(gpointer data)
 {
 	struct node_loop *loop = data;
 	struct event event = {.type = EVENT_SHUTDOWN};
 
 	if (loop->stopping) {
-		loop->exit_status = EXIT_ABORTED;
-		g_main_loop_quit(loop->main);
+		log_write(loop->log, LOG_LEVEL_INFO, "drain_goes_on", NULL);
 		return G_SOURCE_CONTINUE;
 	}
 	loop->stopping = true;
@@ -336,12 +339,13 @@
 }
 
 /*
- * Runs until the node has drained or a second SIGTERM or SIGINT arrives.
- * Returns the exit status of the process.
+ * Runs until the node has drained after a SIGTERM or SIGINT. Signals are held
+ * back on entry, and again on return.
  */
-int node_loop_run(struct node_loop *loop)
+void node_loop_run(struct node_loop *loop)
 {
 	loop_watch_signals(loop);
+	held_signals_release();
 	loop->file_source =
 		g_timeout_add_seconds(FILE_CHECK_S, loop_check_file, loop);
 	printf("listening %s\n", http_server_address(loop->http));
@@ -352,7 +356,6 @@
 		  NULL);
 	loop_start(loop);
 	g_main_loop_run(loop->main);
-	log_write(loop->log, LOG_LEVEL_INFO, "stop", "status",
-		  loop->exit_status ? "cut" : "drained", NULL);
-	return loop->exit_status;
+	held_signals_hold();
+	log_write(loop->log, LOG_LEVEL_INFO, "stop", "status", "drained", NULL);
 }
--- a/daemons/node_loop.h
+++ b/daemons/node_loop.h
@@ -15,7 +15,7 @@
 				   const char *config_path,
 				   struct error *error);
 void node_loop_destroy(struct node_loop *loop);
-int node_loop_run(struct node_loop *loop);
+void node_loop_run(struct node_loop *loop);
 
 G_END_DECLS
 
--- a/daemons/node_loop_state.h
+++ b/daemons/node_loop_state.h
@@ -47,7 +47,6 @@
 	char *config_path;
 	int64_t config_changed_us;
 	guint file_source;
-	int exit_status;
 };
 
 /* node_loop.c */
--- a/daemons/siskinlinkd.c
+++ b/daemons/siskinlinkd.c
@@ -1,5 +1,6 @@
 #include "adapters/settings.h"
 #include "adapters/settings_help.h"
+#include "daemons/held_signals.h"
 #include "daemons/node_loop.h"
 #include "daemons/version.h"
 
@@ -36,10 +37,13 @@
 static int node_run(const struct arguments *arguments)
 {
 	struct error error;
-	struct settings *settings = settings_load(arguments->config, &error);
+	struct settings *settings;
 	struct node_loop *loop;
 	int status = EXIT_SUCCESS;
 
+	if (!arguments->check_config)
+		held_signals_hold();
+	settings = settings_load(arguments->config, &error);
 	if (!settings) {
 		error_print(&error);
 		return EXIT_USAGE;
@@ -47,7 +51,7 @@
 	if (!arguments->check_config) {
 		loop = node_loop_create(settings, arguments->config, &error);
 		if (loop) {
-			status = node_loop_run(loop);
+			node_loop_run(loop);
 		} else {
 			error_print(&error);
 			status = EXIT_CANNOT_START;
