A drain in progress keeps the length that it began with

What callers saw: a stream was cut after 44 of 100 events when settings with a shorter drain_s were read 0.2 s into a drain. Cause: gateway_set_limits changed the length that drain_decide and drain_allows_request weigh, so less than 0.3 s were left at once. Requests had been accepted to end within the longer time; the process that will kill the node counts from the signal. The length is now taken at the start of the drain.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -356,7 +356,7 @@
 	return !gateway->drain_since_us ||
 	       drain_allows_request(exchange->route->kind,
 				    gateway->now_us - gateway->drain_since_us,
-				    gateway->options.drain_us);
+				    gateway->drain_length_us);
 }
 
 /* Finds the caller's organisation. Returns false if the request was refused. */
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -149,7 +149,7 @@
 	if (!gateway->drain_since_us || gateway->is_stopped)
 		return;
 	step = drain_decide(gateway->now_us - gateway->drain_since_us,
-			    gateway->options.drain_us,
+			    gateway->drain_length_us,
 			    caller_set_busy_count(gateway->callers));
 	if (step != DRAIN_SERVE)
 		caller_set_close_idle(gateway->callers);
@@ -379,7 +379,10 @@
 	g_free(gateway);
 }
 
-/* Applies changed settings. The retry limit is percent plus extra. */
+/*
+ * Applies changed settings. The retry limit is percent plus extra. A drain in
+ * progress keeps its length: requests were accepted to end within it.
+ */
 void gateway_set_limits(struct gateway *gateway, int64_t drain_us,
 			int64_t directory_ttl_us, int64_t retry_percent,
 			int64_t retry_extra)
@@ -403,6 +406,7 @@
 		return;
 	gateway->now_us = gateway_now_us();
 	gateway->drain_since_us = gateway->now_us;
+	gateway->drain_length_us = gateway->options.drain_us;
 	caller_set_drain(gateway->callers);
 	gateway_peers_announce_drain(gateway);
 }
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -79,7 +79,8 @@
 	guint tick;
 	int64_t tick_us; /* time of the last tick */
 	int64_t now_us;
-	int64_t drain_since_us; /* 0: not draining */
+	int64_t drain_since_us;	 /* 0: not draining */
+	int64_t drain_length_us; /* of the drain in progress */
 	bool is_stopped;
 
 	GHashTable *peers; /* name to struct gateway_peer */
