Requests in progress are answered before a drained node ends

Cause: drain_decide knew only to end. The loop ended in the same step, so the last bytes of an answer could be lost with a reset as well.

At 0.3 s every request gets an answer: 504, or 503 with a time to come back if it has not run; a stream that has begun is cut as before. The process ends once its connections are closed by their callers, 0.15 s before the kill at the latest. event=drain, event=drain_is_over and a request_end with its reason for each tell what was unanswered.

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -444,16 +444,34 @@
 	leg_destroy(g_steal_pointer(&exchange->next));
 }
 
-static void time_out(struct exchange *exchange)
+/* Whether the request may have begun to run anywhere. */
+static bool exchange_may_run(const struct exchange *exchange)
 {
 	const struct attempt *attempt = exchange_attempt(exchange);
-	bool may_run = exchange->runs > 0 ||
-		       (attempt && attempt_may_have_sent(attempt));
 
+	return exchange->runs > 0 ||
+	       (attempt && attempt_may_have_sent(attempt));
+}
+
+/* Ends the request because this node stops before its endpoint has answered. */
+void exchange_end_with_drain(struct exchange *exchange)
+{
+	if (exchange->answer_begun)
+		exchange_abort(exchange, "drain_is_over");
+	else if (exchange_may_run(exchange))
+		exchange_refuse(exchange, 504, -1, "drain_is_over");
+	else
+		exchange_refuse(exchange, 503, RETRY_SOON_US, "drain_is_over");
+}
+
+static void time_out(struct exchange *exchange)
+{
 	if (exchange->answer_begun)
 		exchange_abort(exchange, "deadline");
 	else
-		exchange_refuse(exchange, may_run ? 504 : 503, -1, "deadline");
+		exchange_refuse(exchange,
+				exchange_may_run(exchange) ? 504 : 503, -1,
+				"deadline");
 }
 
 static bool leg_is_slow(const struct leg *leg)
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -2,6 +2,7 @@
 
 #include "adapters/gateway/gateway_state.h"
 #include "adapters/gateway/listener.h"
+#include "adapters/gateway/tcp_stream.h"
 #include "core/gateway/drain.h"
 #include "core/limit/rate_fleet.h"
 
@@ -123,7 +124,9 @@
 	g_byte_array_unref(body);
 }
 
-static void gateway_step_exchanges(struct gateway *gateway)
+/* Calls step for each request; one may end others. */
+static void gateway_each_exchange(struct gateway *gateway,
+				  void (*step)(struct exchange *exchange))
 {
 	guint count;
 	gpointer *exchanges =
@@ -131,13 +134,34 @@
 
 	for (guint i = 0; i < count; i++) {
 		if (g_hash_table_contains(gateway->exchanges, exchanges[i]))
-			exchange_step(exchanges[i]);
+			step(exchanges[i]);
 	}
 	g_free(exchanges);
 }
 
+static void log_drain(const struct gateway *gateway, const char *event)
+{
+	char requests[24], ms[24];
+
+	g_snprintf(requests, sizeof(requests), "%u",
+		   g_hash_table_size(gateway->exchanges));
+	g_snprintf(ms, sizeof(ms), "%" G_GINT64_FORMAT,
+		   (gateway->now_us - gateway->drain_since_us) / 1000);
+	log_write(gateway->log, LOG_LEVEL_INFO, event, "in_progress", requests,
+		  "ms", ms, NULL);
+}
+
+/* Answers what is in progress; its callers learn that it ends here. */
+static void gateway_answer_rest(struct gateway *gateway)
+{
+	if (g_hash_table_size(gateway->exchanges) > 0)
+		log_drain(gateway, "drain_is_over");
+	gateway_each_exchange(gateway, exchange_end_with_drain);
+}
+
 static void gateway_stop(struct gateway *gateway)
 {
+	gateway_answer_rest(gateway);
 	gateway->is_stopped = true;
 	gateway->host.stopped(gateway->host.data);
 }
@@ -150,9 +174,12 @@
 		return;
 	step = drain_decide(gateway->now_us - gateway->drain_since_us,
 			    gateway->drain_length_us,
-			    caller_set_busy_count(gateway->callers));
+			    caller_set_busy_count(gateway->callers),
+			    tcp_stream_finishing_count());
 	if (step != DRAIN_SERVE)
 		caller_set_close_idle(gateway->callers);
+	if (step == DRAIN_ANSWER_REST)
+		gateway_answer_rest(gateway);
 	if (step == DRAIN_END)
 		gateway_stop(gateway);
 }
@@ -222,7 +249,7 @@
 	shared_budgets_step(gateway->budgets, gateway_node_count(gateway),
 			    gateway->now_us);
 	gateway_update_fleet(gateway);
-	gateway_step_exchanges(gateway);
+	gateway_each_exchange(gateway, exchange_step);
 	caller_set_step(gateway->callers, gateway->now_us);
 	caller_set_step(gateway->status_callers, gateway->now_us);
 	endpoint_pool_step(gateway->pool, gateway->now_us);
@@ -407,6 +434,7 @@
 	gateway->now_us = gateway_now_us();
 	gateway->drain_since_us = gateway->now_us;
 	gateway->drain_length_us = gateway->options.drain_us;
+	log_drain(gateway, "drain");
 	caller_set_drain(gateway->callers);
 	gateway_peers_announce_drain(gateway);
 }
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -299,6 +299,7 @@
 void exchange_begin(struct gateway *gateway, struct caller *caller,
 		    struct http_head *head, GByteArray *body);
 void exchange_step(struct exchange *exchange);
+void exchange_end_with_drain(struct exchange *exchange);
 void exchange_excuse_pause(struct exchange *exchange, int64_t paused_us);
 void exchange_caller_gone(struct exchange *exchange);
 void exchange_resume_reading(struct exchange *exchange);
--- a/adapters/gateway/tcp_stream.c
+++ b/adapters/gateway/tcp_stream.c
@@ -47,6 +47,9 @@
 	char peer[64];
 };
 
+/* Streams that nobody owns any more and that are not closed yet. */
+static size_t finishing_count;
+
 /* Splits IPv4:PORT into host and port. False if the address is invalid. */
 bool tcp_address_parse(const char *address, char *host, size_t host_size,
 		       uint16_t *port)
@@ -120,6 +123,8 @@
 
 static void stream_release(struct tcp_stream *stream)
 {
+	finishing_count -= stream->finishing;
+	stream->finishing = false;
 	stream_close(stream);
 	stream->events = NULL;
 	g_source_destroy(&stream->source);
@@ -376,6 +381,7 @@
 		return;
 	}
 	stream->finishing = true;
+	finishing_count++;
 	stream->events = NULL;
 	g_source_set_ready_time(&stream->source,
 				g_get_monotonic_time() + FLUSH_TIMEOUT_US);
@@ -383,6 +389,15 @@
 	stream_update_conditions(stream);
 }
 
+/*
+ * Returns the number of streams that were given to tcp_stream_finish and are
+ * not closed yet: their peers may still read the last bytes.
+ */
+size_t tcp_stream_finishing_count(void)
+{
+	return finishing_count;
+}
+
 /* Sends the bytes, or copies them until the peer accepts them. */
 void tcp_stream_write(struct tcp_stream *stream, const char *bytes, size_t size)
 {
--- a/core/gateway/drain.h
+++ b/core/gateway/drain.h
@@ -17,14 +17,15 @@
  */
 enum drain_step {
 	DRAIN_SERVE,
-	DRAIN_CLOSE_IDLE, /* close connections without a request */
-	DRAIN_END	  /* end the process */
+	DRAIN_CLOSE_IDLE,  /* close connections without a request */
+	DRAIN_ANSWER_REST, /* answer each request that is still in progress */
+	DRAIN_END	   /* end the process */
 };
 
 bool drain_allows_request(enum route_kind kind, int64_t drained_us,
 			  int64_t timeout_us);
 enum drain_step drain_decide(int64_t drained_us, int64_t timeout_us,
-			     size_t busy);
+			     size_t busy, size_t closing);
 
 G_END_DECLS
 
