Limits hold on kept connections as their callers were told

What callers could see (a class of LOST; not shown to be what the users saw): after a configuration with a lower idle_timeout_ms a node closed connections that callers may still use under the higher one, and a request on its way was read and dropped. Cause: caller_step weighed the limits in force, which the caller can't know yet. The same for a request that is arriving (time, size of its body), and the reverse for heads: a kept connection kept the limit at which it was accepted, so a head that a newer configuration allows was refused with 431.

Each connection now has the limits that held when its last answer ended, raised by any higher ones since. Tests Callers.KeepAnIdleConnectionAsLongAsWasPromised and TakeLongerHeadsOnKeptConnections fail without the change; two mutants.

--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -29,6 +29,11 @@
 	struct caller_set *set;
 	struct tcp_stream *stream; /* NULL: closed */
 	struct http_reader *reader;
+	/*
+	 * The limits that held when the last answer ended, and higher ones
+	 * since: the caller can't know of lower ones yet.
+	 */
+	struct caller_limits promised;
 	GByteArray *unparsed; /* received and not parsed yet */
 	GByteArray *body;
 	void *request; /* the handler's data for the current request */
@@ -134,7 +139,7 @@
 {
 	static const char continue_head[] = "HTTP/1.1 100 Continue\r\n\r\n";
 	struct caller *caller = data;
-	int64_t max_body_bytes = caller->set->limits.body_bytes;
+	int64_t max_body_bytes = caller->promised.body_bytes;
 
 	g_byte_array_set_size(caller->body, 0);
 	if (head->content_length > max_body_bytes) {
@@ -153,8 +158,7 @@
 
 	if (caller->is_refused)
 		return;
-	if ((int64_t)(caller->body->len + size) >
-	    caller->set->limits.body_bytes) {
+	if ((int64_t)(caller->body->len + size) > caller->promised.body_bytes) {
 		caller_refuse(caller, 413);
 		return;
 	}
@@ -293,14 +297,37 @@
 	g_free(set);
 }
 
+/* Raises what the caller was promised where the new limits are higher. */
+static void caller_raise_limits(struct caller *caller,
+				const struct caller_limits *limits)
+{
+	struct caller_limits *promised = &caller->promised;
+
+	promised->header_bytes =
+		MAX(promised->header_bytes, limits->header_bytes);
+	promised->body_bytes = MAX(promised->body_bytes, limits->body_bytes);
+	promised->header_timeout_us =
+		MAX(promised->header_timeout_us, limits->header_timeout_us);
+	promised->idle_timeout_us =
+		MAX(promised->idle_timeout_us, limits->idle_timeout_us);
+	http_reader_set_max_head(caller->reader,
+				 (size_t)promised->header_bytes);
+}
+
 /*
- * Applies new limits. Open connections keep the header size limit that was
- * in force when they were accepted.
+ * Applies new limits. On open connections, lower ones apply after the next
+ * answer: until then their callers may use them as they were told before.
  */
 void caller_set_apply_limits(struct caller_set *set,
 			     const struct caller_limits *limits)
 {
+	GHashTableIter iter;
+	gpointer caller;
+
 	set->limits = *limits;
+	g_hash_table_iter_init(&iter, set->callers);
+	while (g_hash_table_iter_next(&iter, &caller, NULL))
+		caller_raise_limits(caller, limits);
 }
 
 /* Takes over an accepted connection; closes it if max_callers are served. */
@@ -317,6 +344,7 @@
 	caller->unparsed = g_byte_array_new();
 	caller->body = g_byte_array_new();
 	caller->last_activity_us = now_us;
+	caller->promised = set->limits;
 	caller->reader = http_reader_create(HTTP_READER_REQUESTS,
 					    (size_t)set->limits.header_bytes,
 					    &reader_events, caller);
@@ -326,7 +354,7 @@
 
 static void caller_step(struct caller *caller, int64_t now_us)
 {
-	const struct caller_limits *limits = &caller->set->limits;
+	const struct caller_limits *limits = &caller->promised;
 
 	if (caller->is_busy)
 		return;
@@ -432,6 +460,9 @@
 	caller->is_busy = false;
 	set->busy--;
 	caller->last_activity_us = set->now_us;
+	caller->promised = set->limits;
+	http_reader_set_max_head(caller->reader,
+				 (size_t)set->limits.header_bytes);
 	if (must_close || caller->must_close || set->is_draining) {
 		caller_finish(caller);
 		return;
--- a/adapters/gateway/http_reader.c
+++ b/adapters/gateway/http_reader.c
@@ -206,6 +206,12 @@
 	g_free(reader);
 }
 
+/* Sets the limit on the size of heads, from the next byte on. */
+void http_reader_set_max_head(struct http_reader *reader, size_t max_head_bytes)
+{
+	reader->max_head_bytes = max_head_bytes;
+}
+
 static enum http_reader_result reader_result(const struct http_reader *reader)
 {
 	if (reader->too_large)
--- a/adapters/gateway/http_reader.h
+++ b/adapters/gateway/http_reader.h
@@ -40,6 +40,8 @@
 				       const struct http_reader_events *events,
 				       void *data);
 void http_reader_destroy(struct http_reader *reader);
+void http_reader_set_max_head(struct http_reader *reader,
+			      size_t max_head_bytes);
 enum http_reader_result http_reader_feed(struct http_reader *reader,
 					 const char *bytes, size_t size,
 					 size_t *consumed);
--- /dev/null
+++ b/tests/caller_test.cc
@@ -0,0 +1,134 @@
+#include "adapters/gateway/caller.h"
+#include "adapters/gateway/gateway.h"
+#include "adapters/gateway/listener.h"
+#include "tests/loopback.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+
+/* Connections of callers whose requests are answered at once with 200. */
+class Callers : public testing::Test
+{
+      protected:
+	static void on_request(void *data, struct caller *caller,
+			       struct http_head *head, GByteArray *body)
+	{
+		(void)data;
+		http_head_destroy(head);
+		g_byte_array_unref(body);
+		caller_answer(caller, 200, nullptr, "", 0);
+	}
+
+	void SetUp() override
+	{
+		struct caller_handler handler = {};
+		struct error error;
+
+		handler.request = on_request;
+		handler.data = this;
+		set = caller_set_create(&handler, 10);
+		address = Listener().address();
+		listener = listener_create(address.c_str(), set, &error);
+		ASSERT_NE(nullptr, listener) << error.detail;
+		Apply(1024, 15000);
+	}
+
+	void TearDown() override
+	{
+		listener_destroy(listener);
+		caller_set_destroy(set);
+	}
+
+	void Apply(int64_t header_bytes, int64_t idle_ms)
+	{
+		const struct caller_limits limits = {
+			.header_bytes = header_bytes,
+			.body_bytes = 1000,
+			.header_timeout_us = 800000,
+			.idle_timeout_us = idle_ms * 1000,
+		};
+
+		caller_set_apply_limits(set, &limits);
+	}
+
+	/* Time passes for the connections; it is what they were told last. */
+	void StepTo(int64_t ms)
+	{
+		run_idle();
+		caller_set_step(set, start_us + ms * 1000);
+		run_idle();
+	}
+
+	/* Sends a request and returns what comes until its answer is there. */
+	std::string Ask(Connection *caller, const std::string &field = "")
+	{
+		caller->input.clear();
+		caller->send("GET /a HTTP/1.1\r\nHost: h\r\n" + field + "\r\n");
+		caller->wait_for("\r\n\r\n");
+		return caller->input.substr(0, 12);
+	}
+
+	struct caller_set *set = nullptr;
+	struct listener *listener = nullptr;
+	std::string address;
+	int64_t start_us = gateway_now_us();
+};
+
+static const char OK[] = "HTTP/1.1 200";
+
+/*
+ * Guards against connections that close under a lower idle limit which came
+ * after their last answer: their callers may use them for the longer time.
+ */
+TEST_F(Callers, KeepAnIdleConnectionAsLongAsWasPromised)
+{
+	std::unique_ptr<Connection> caller(Connection::open(address));
+
+	StepTo(0);
+	EXPECT_EQ(OK, Ask(caller.get()));
+	Apply(1024, 250);
+	StepTo(14900);
+	caller->read();
+	EXPECT_FALSE(caller->closed);
+	EXPECT_EQ(OK, Ask(caller.get()));
+	StepTo(15100);
+	caller->read();
+	EXPECT_FALSE(caller->closed);
+	StepTo(15300);
+	EXPECT_TRUE(caller->wait_closed());
+}
+
+/* A higher idle limit holds at once, also for connections that idle already. */
+TEST_F(Callers, KeepAnIdleConnectionForAHigherLimit)
+{
+	std::unique_ptr<Connection> caller(Connection::open(address));
+
+	StepTo(0);
+	EXPECT_EQ(OK, Ask(caller.get()));
+	Apply(1024, 30000);
+	StepTo(29000);
+	caller->read();
+	EXPECT_FALSE(caller->closed);
+	StepTo(30100);
+	EXPECT_TRUE(caller->wait_closed());
+}
+
+/*
+ * Guards against heads that are refused on a kept connection by the limit that
+ * held when it was opened, though a higher one is in force.
+ */
+TEST_F(Callers, TakeLongerHeadsOnKeptConnections)
+{
+	std::unique_ptr<Connection> caller(Connection::open(address));
+	std::string longer = "Long: " + std::string(2000, 'x') + "\r\n";
+
+	StepTo(0);
+	EXPECT_EQ(OK, Ask(caller.get()));
+	Apply(4096, 15000);
+	EXPECT_EQ(OK, Ask(caller.get(), longer));
+	Apply(1024, 15000);
+	EXPECT_EQ(OK, Ask(caller.get(), longer));
+	EXPECT_EQ("HTTP/1.1 431", Ask(caller.get(), longer));
+}
