A silent endpoint ends no request that is at work there

A generation whose engine sent nothing for 0.9 s was dropped before the engine with its backup had answered: without a retry left, or with the copy missing, the stream was cut off.

Cause: silence was taken for failure. A sound endpoint may be silent for a second or so and go on. A late request now stays until another endpoint may get it; a generation stays at its engine until the one with its backup has taken it over, as one under notice does. So the decision give_up is gone.

--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -188,7 +188,7 @@
 
 /* Whether another endpoint may get the request now, by this node's own choice.
  */
-static bool exchange_has_other_endpoint(const struct exchange *exchange)
+bool exchange_has_other_endpoint(const struct exchange *exchange)
 {
 	struct endpoint_criteria criteria;
 
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -474,6 +474,11 @@
 				"deadline");
 }
 
+/*
+ * Whether the request is to be sent to another endpoint because its answer is
+ * late. If it can't be sent to another one, it waits: the endpoint may be
+ * silent for a moment and go on.
+ */
 static bool leg_is_slow(const struct leg *leg)
 {
 	const struct exchange *exchange = leg->exchange;
@@ -484,7 +489,10 @@
 	       exchange->runs + 1 < route->max_attempts &&
 	       exchange->sends < route->max_attempts &&
 	       exchange->gateway->now_us - leg->sent_us >
-		       SLOW_ANSWER_FACTOR * (double)route->first_answer_us;
+		       SLOW_ANSWER_FACTOR * (double)route->first_answer_us &&
+	       retry_window_remaining(gateway_budget(
+		       exchange->gateway, exchange->service_name)) > 0 &&
+	       exchange_has_other_endpoint(exchange);
 }
 
 static void step_generation(struct exchange *exchange)
@@ -507,9 +515,10 @@
 		exchange_move_continue(exchange);
 		break;
 	case EVACUATION_ASK_BACKUP:
-		exchange_hand_over(exchange, backup,
-				   backup->last_registration->address,
-				   exchange->parsed_request.id, "leaving");
+		exchange_hand_over(
+			exchange, backup, backup->last_registration->address,
+			exchange->parsed_request.id,
+			input.under_notice_us > 0 ? "leaving" : "silent");
 		break;
 	case EVACUATION_RELEASE_OLD:
 		exchange_promote_next(exchange);
@@ -517,9 +526,6 @@
 	case EVACUATION_DROP_ASKED:
 		exchange_drop_next(exchange, "connection not established");
 		break;
-	case EVACUATION_GIVE_UP:
-		exchange_fail_leg(exchange, RESULT_SLOW, "silent");
-		break;
 	}
 }
 
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -189,6 +189,7 @@
 void exchange_store_head(struct exchange *exchange,
 			 const struct http_head *head);
 void exchange_begin_chunked(struct exchange *exchange);
+bool exchange_has_other_endpoint(const struct exchange *exchange);
 void exchange_receive_body(struct exchange *exchange, const char *bytes,
 			   size_t size);
 void exchange_finish_answer(struct exchange *exchange);
--- a/bench/fleet_change.c
+++ b/bench/fleet_change.c
@@ -149,7 +149,6 @@
 
 	switch (evacuation_decide(&input)) {
 	case EVACUATION_STAY:
-	case EVACUATION_GIVE_UP:
 	case EVACUATION_DROP_ASKED:
 		break;
 	case EVACUATION_BEGIN_COPY:
--- a/core/gateway/evacuation.c
+++ b/core/gateway/evacuation.c
@@ -3,9 +3,9 @@
 #define MS_US 1000
 
 /*
- * An engine that sent events and then none for this long is given up for one
- * that holds a copy. This is five times the pause that callers notice, and
- * above any pause that another request's prompt causes.
+ * If an engine sent events and then none for this long, the one that holds the
+ * backup is asked to go on. This is five times the pause that callers notice,
+ * and above any pause that another request's prompt causes.
  */
 #define SILENT_US (900 * MS_US)
 
@@ -78,7 +78,6 @@
 	[EVACUATION_ASK_BACKUP] = "ask_backup",
 	[EVACUATION_RELEASE_OLD] = "let_old_go",
 	[EVACUATION_DROP_ASKED] = "drop_asked",
-	[EVACUATION_GIVE_UP] = "give_up",
 };
 
 /*
@@ -179,15 +178,15 @@
 {
 	if (may_ask_backup(input))
 		return EVACUATION_ASK_BACKUP;
-	if (is_silent(input) && backup_may_exist(input))
-		return EVACUATION_GIVE_UP;
+	if (is_silent(input) && backup_may_exist(input) && input->budget_left)
+		return EVACUATION_ASK_BACKUP;
 	return EVACUATION_STAY;
 }
 
 /*
- * Returns the next action for a running generation. A silent engine is given up
- * only where a backup may exist: without one no other engine can continue the
- * run, while the silent engine may still resume.
+ * Returns the next action for a running generation. Silence ends no run: it
+ * stays at its engine, which may go on, until the one with its backup has taken
+ * it over.
  */
 enum evacuation evacuation_decide(const struct evacuation_input *input)
 {
--- a/tests/evacuation_script.cc
+++ b/tests/evacuation_script.cc
@@ -85,7 +85,8 @@
 
 	void StepOld()
 	{
-		bool is_silent = scene.silent >= 0 && now >= scene.silent;
+		bool is_silent = scene.silent >= 0 && now >= scene.silent &&
+				 (scene.resumes < 0 || now < scene.resumes);
 
 		if (!OldWorks() || is_silent || now < scene.begun ||
 		    now - last_old_event < kEventMs)
@@ -250,10 +251,6 @@
 			takeover_requested = false;
 			backup_failed = backup_failed || asked_backup;
 			break;
-		case EVACUATION_GIVE_UP:
-			is_old = false;
-			Ask(true);
-			break;
 		}
 	}
 
@@ -282,6 +279,7 @@
 	const std::map<std::string, int64_t *> times = {
 		{"end", &scene->end},
 		{"silent", &scene->silent},
+		{"resumes", &scene->resumes},
 		{"prompts_until", &scene->prompts_until},
 		{"copy", &scene->copy},
 		{"target_gone", &scene->target_gone},
--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -60,10 +60,9 @@
 	return text;
 }
 
-static void on_endpoint_request(void *data, struct caller *caller,
-				struct http_head *head, GByteArray *body)
+static void answer_request(PairEndpoint *endpoint, struct caller *caller,
+			   struct http_head *head, GByteArray *body)
 {
-	PairEndpoint *endpoint = (PairEndpoint *)data;
 	const char *id = http_head_get(head, "X-Siskinlink-Request-Id");
 	std::string fields =
 		std::string("X-Siskinlink-Request-Id: ") + (id ? id : "") +
@@ -138,10 +137,59 @@
 	caller_answer(caller, 200, fields.c_str(), "answer", 6);
 }
 
+/* A request that waits for the end of its endpoint's silence. */
+struct late_request {
+	PairEndpoint *endpoint;
+	struct caller *caller;
+	struct http_head *head;
+	GByteArray *body;
+};
+
+static gboolean on_silence_over(gpointer data)
+{
+	struct late_request *late = (struct late_request *)data;
+
+	late->endpoint->late.erase(late->caller);
+	answer_request(late->endpoint, late->caller, late->head, late->body);
+	return G_SOURCE_REMOVE;
+}
+
+/* Frees a request; its head and body too, unless it was answered. */
+static void late_request_free(gpointer data)
+{
+	struct late_request *late = (struct late_request *)data;
+
+	if (late->endpoint->late.erase(late->caller) > 0) {
+		http_head_destroy(late->head);
+		g_byte_array_unref(late->body);
+	}
+	delete late;
+}
+
+static void on_endpoint_request(void *data, struct caller *caller,
+				struct http_head *head, GByteArray *body)
+{
+	PairEndpoint *endpoint = (PairEndpoint *)data;
+
+	if (endpoint->silence_ms == 0) {
+		answer_request(endpoint, caller, head, body);
+		return;
+	}
+	caller_attach_request(caller, caller);
+	endpoint->late[caller] = g_timeout_add_full(
+		G_PRIORITY_DEFAULT, (guint)endpoint->silence_ms,
+		on_silence_over, new late_request{endpoint, caller, head, body},
+		late_request_free);
+}
+
 static void on_endpoint_gone(void *data, void *request)
 {
-	(void)request;
-	((PairEndpoint *)data)->gone++;
+	PairEndpoint *endpoint = (PairEndpoint *)data;
+	auto late = endpoint->late.find(request);
+
+	endpoint->gone++;
+	if (late != endpoint->late.end())
+		g_source_remove(late->second);
 }
 
 PairEndpoint::PairEndpoint(const std::string &id)
--- a/tests/gateway_pair.h
+++ b/tests/gateway_pair.h
@@ -22,9 +22,11 @@
 	std::string seen;		 /* head of the last request */
 	int events = 0; /* of an answer in events; 0: a plain answer */
 	bool is_silent = false;
+	int silence_ms = 0; /* before an answer, in which it does nothing */
 	struct caller *unanswered = nullptr;
 	int misdirected = 0; /* requests for another one at its address */
 	int gone = 0;	     /* callers that left before their answer */
+	std::map<void *, guint> late; /* callers that wait out a silence */
 	struct caller_set *callers = nullptr;
 
 	/* A request for this path ends the endpoint's process; "": none does.
--- /dev/null
+++ b/tests/gateway_silence_test.cc
@@ -0,0 +1,80 @@
+#include "tests/gateway_pair.h"
+
+/*
+ * Sound endpoints that fall silent for a moment and go on: the request is at
+ * work there, so nothing ends it sooner.
+ */
+class GatewaySilence : public GatewayPair
+{
+      protected:
+	PairEndpoint one{"i-1"}, two{"i-2"};
+
+	void SetUp() override
+	{
+		Create(1);
+	}
+
+	/* A node that has just started may send nothing again for a while. */
+	void SaveRetries()
+	{
+		ASSERT_TRUE(run_until([&] {
+			return retry_window_remaining(gateway_budget(
+				       nodes[0]->gateway, "portal")) > 0;
+		}));
+	}
+
+	/* Uses up what the node may send again. */
+	void SpendRetries()
+	{
+		struct retry_window *budget =
+			gateway_budget(nodes[0]->gateway, "portal");
+
+		while (retry_window_remaining(budget) > 0)
+			retry_window_take(budget);
+	}
+};
+
+/* Guards against a 502 for a request that no other endpoint may get. */
+TEST_F(GatewaySilence, WaitsForTheOnlyEndpoint)
+{
+	Register(0, "portal", {{one.id, one.address}});
+	SaveRetries();
+	one.silence_ms = 1000;
+	EXPECT_EQ(200, Ask(0, "/lookup/a", "r-1"));
+	EXPECT_EQ(1, one.runs["r-1"]);
+	EXPECT_EQ(0, one.gone);
+}
+
+/* Guards against a 502 for a request that may not be sent again for now. */
+TEST_F(GatewaySilence, WaitsWithoutRetryBudget)
+{
+	Register(0, "portal", {{one.id, one.address}, {two.id, two.address}});
+	SpendRetries();
+	one.silence_ms = two.silence_ms = 1000;
+	EXPECT_EQ(200, Ask(0, "/lookup/a", "r-1"));
+	EXPECT_EQ(1, one.runs["r-1"] + two.runs["r-1"]);
+	EXPECT_EQ(0, one.gone + two.gone);
+}
+
+/* A late answer is still replaced by another endpoint's where that may be. */
+TEST_F(GatewaySilence, AsksAnotherEndpointWhereItMay)
+{
+	Register(0, "portal", {{one.id, one.address}, {two.id, two.address}});
+	one.silence_ms = two.silence_ms = 1000;
+	for (int i = 0; i < 20; i++) {
+		Ask(0, "/lookup/a", "r-" + std::to_string(i));
+		if (one.gone + two.gone > 0)
+			return;
+	}
+	FAIL() << "no request was sent to another endpoint";
+}
+
+/* Guards against streams that are given up before their first event. */
+TEST_F(GatewaySilence, WaitsForAGeneration)
+{
+	Register(0, "engines", {{one.id, one.address}});
+	one.events = 3;
+	one.silence_ms = 1200;
+	EXPECT_EQ(200, Ask(0, "/report/a", "r-1"));
+	EXPECT_EQ(0, one.gone);
+}
