Requests on connections that are too many are refused, not dropped

The requests of up to 64 further connections are now answered 503 with a time to come back, and the connection closes after that.

--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -9,6 +9,9 @@
 /* Bytes read beyond the current request; above this, reading pauses. */
 #define MAX_UNPARSED_BYTES 65536
 
+/* Connections beyond max_callers whose requests are refused. */
+#define MAX_EXCESS 64
+
 /* Limits until the first configuration is applied. */
 #define DEFAULT_HEADER_BYTES 16384
 #define DEFAULT_BODY_BYTES (1 << 20)
@@ -42,6 +45,7 @@
 	bool has_sent; /* part of the current answer */
 	bool is_parsing;
 	bool is_refused;
+	bool is_excess;		  /* beyond max_callers */
 	int64_t request_start_us; /* of the request being read; 0: none */
 	int64_t last_activity_us; /* last bytes received or answer ended */
 };
@@ -179,7 +183,8 @@
 	caller->is_busy = true;
 	caller->has_sent = false;
 	caller->request_start_us = 0;
-	caller->must_close = http_reader_must_close(caller->reader);
+	caller->must_close =
+		http_reader_must_close(caller->reader) || caller->is_excess;
 	set->busy++;
 	set->handler.request(set->handler.data, caller,
 			     http_reader_take_head(caller->reader), body);
@@ -330,17 +335,22 @@
 		caller_raise_limits(caller, limits);
 }
 
-/* Takes over an accepted connection; closes it if max_callers are served. */
+/*
+ * Takes over an accepted connection. While max_callers are served, the handler
+ * is to refuse what comes on it; if there are many of these too, it is closed.
+ */
 void caller_set_accept(struct caller_set *set, int fd, int64_t now_us)
 {
+	size_t count = g_hash_table_size(set->callers);
 	struct caller *caller;
 
-	if (g_hash_table_size(set->callers) >= set->max_callers) {
+	if (count >= set->max_callers + MAX_EXCESS) {
 		close(fd);
 		return;
 	}
 	caller = g_rc_box_new0(struct caller);
 	caller->set = set;
+	caller->is_excess = count >= set->max_callers;
 	caller->unparsed = g_byte_array_new();
 	caller->body = g_byte_array_new();
 	caller->last_activity_us = now_us;
@@ -486,6 +496,12 @@
 	return caller->must_close || caller->set->is_draining;
 }
 
+/* Whether max_callers were served when the connection was accepted. */
+bool caller_is_excess(const struct caller *caller)
+{
+	return caller->is_excess;
+}
+
 /* Bytes queued for the caller and not sent yet; 0 once closed. */
 size_t caller_waiting_bytes(const struct caller *caller)
 {
--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -540,6 +540,11 @@
 		exchange_refuse(exchange, 400, -1, error.detail);
 		return;
 	}
+	if (caller_is_excess(caller)) {
+		exchange_refuse(exchange, 503, RETRY_SOON_US,
+				"too_many_connections");
+		return;
+	}
 	exchange_check_parts(exchange);
 	if (!exchange_take_relayed(exchange) ||
 	    !exchange_find_route(exchange) || !exchange_plan(exchange))
--- a/tests/caller_test.cc
+++ b/tests/caller_test.cc
@@ -18,7 +18,8 @@
 		(void)data;
 		http_head_destroy(head);
 		g_byte_array_unref(body);
-		caller_answer(caller, 200, nullptr, "", 0);
+		caller_answer(caller, caller_is_excess(caller) ? 503 : 200,
+			      nullptr, "", 0);
 	}
 
 	void SetUp() override
@@ -132,3 +133,22 @@
 	EXPECT_EQ(OK, Ask(caller.get(), longer));
 	EXPECT_EQ("HTTP/1.1 431", Ask(caller.get(), longer));
 }
+
+/*
+ * Guards against connections that are closed without a word when too many are
+ * open: a request that is sent on one gets an answer.
+ */
+TEST_F(Callers, AnswerOnConnectionsThatAreTooMany)
+{
+	std::vector<std::unique_ptr<Connection>> open;
+
+	for (int i = 0; i < 10; i++) {
+		open.emplace_back(Connection::open(address));
+		EXPECT_EQ(OK, Ask(open.back().get()));
+	}
+	std::unique_ptr<Connection> excess(Connection::open(address));
+	EXPECT_EQ("HTTP/1.1 503", Ask(excess.get()));
+	EXPECT_NE(std::string::npos, excess->input.find("Connection: close"));
+	EXPECT_TRUE(excess->wait_closed());
+	EXPECT_EQ(OK, Ask(open[0].get()));
+}
