--- a/daemons/siskinlinkd.c
+++ b/daemons/siskinlinkd.c
@@ -1,5 +1,6 @@
 #include "adapters/settings.h"
 #include "adapters/settings_help.h"
+#include "daemons/crash_log.h"
 #include "daemons/held_signals.h"
 #include "daemons/node_loop.h"
 #include "daemons/version.h"
@@ -49,6 +50,7 @@
 		return EXIT_USAGE;
 	}
 	if (!arguments->check_config) {
+		crash_log_install(settings->node.name);
 		loop = node_loop_create(settings, arguments->config, &error);
 		if (loop) {
 			node_loop_run(loop);
--- a/tests/siskinlinkd_test.cc
+++ b/tests/siskinlinkd_test.cc
@@ -290,3 +290,17 @@
 	EXPECT_EQ(0, daemon.wait_end()) << daemon.err;
 	unlink(pipe.c_str());
 }
+
+/* Guards against a process that ends by a fault without a word in its log. */
+TEST_F(Siskinlinkd, TellsOfItsFault)
+{
+	write("");
+	Daemon daemon({"--config", file});
+
+	ASSERT_TRUE(daemon.wait_for(daemon.out, "event=start")) << daemon.err;
+	daemon.signal(SIGABRT);
+	EXPECT_EQ(-1, daemon.wait_end());
+	EXPECT_NE(std::string::npos,
+		  daemon.out.find(
+			  "level=error node=n1 event=crash signal=SIGABRT\n"));
+}
