Stand-ins say in answers that they leave or ask for rest

The fake endpoint's modes says_leaving and leaving_text put Server-Leaving into its answers to requests, refusals and streams included; rest_s turns requests away with 503, Not-Executed and Retry-After.

--- a/fakes/backend_state.h
+++ b/fakes/backend_state.h
@@ -46,6 +46,8 @@
 	char *tenant; /* of the last request */
 	char *deadline;
 	char *server_limit; /* stated in answers; NULL or "": none */
+	char *leaving_text; /* value of Server-Leaving; NULL: "1" */
+	char *rest_s; /* turns requests away, Retry-After; NULL or "": no */
 	bool saw_key;
 
 	int plain;
@@ -57,6 +59,7 @@
 	bool crashing;		  /* resets the connection of each request */
 	bool crash_before_answer; /* after the run, if it is a plain one */
 	bool shed_silently;	  /* runs nothing: 503, no Not-Executed */
+	bool says_leaving;	  /* Server-Leaving in answers to requests */
 	bool mute;		  /* accepts requests and never answers */
 	bool real_copies;	  /* false: each requested copy exists */
 };
--- a/fakes/fake_backend.c
+++ b/fakes/fake_backend.c
@@ -20,6 +20,15 @@
 	fake_message_answer_text(message, status, "");
 }
 
+/* Turns a request away and asks its sender for rest for so many seconds. */
+static void answer_rest(SoupServerMessage *message, const char *rest_s)
+{
+	soup_message_headers_replace(
+		soup_server_message_get_response_headers(message),
+		"Retry-After", rest_s);
+	answer_not_executed(message, 503);
+}
+
 /*
  * Removes the copy named IP:PORT/NAME from this engine's copies and returns
  * whether it existed. With no_copy no copy exists; otherwise, without
@@ -49,6 +58,8 @@
 		answer_not_executed(message, 421);
 	else if (backend->shed_silently)
 		fake_message_answer_text(message, 503, "shed");
+	else if (backend->rest_s && *backend->rest_s)
+		answer_rest(message, backend->rest_s);
 	else if (backend->full ||
 		 (from && !backend_take_copy(backend, from, id)))
 		answer_not_executed(message, 503);
@@ -115,6 +126,10 @@
 
 	backend_journal_write(backend->journal, BACKEND_ARRIVAL, id ? id : "-",
 			      from_copy);
+	if (backend->says_leaving)
+		soup_message_headers_replace(
+			headers, "Server-Leaving",
+			backend->leaving_text ? backend->leaving_text : "1");
 	if (!id) {
 		answer_not_executed(message, 400);
 		return;
@@ -300,6 +315,8 @@
 	g_free(backend->tenant);
 	g_free(backend->deadline);
 	g_free(backend->server_limit);
+	g_free(backend->leaving_text);
+	g_free(backend->rest_s);
 }
 
 int main(int argc, const char **argv)
@@ -347,6 +364,9 @@
 		{"real_copies", FAKE_MODE_BOOL, &backend.real_copies},
 		{"leave_ms", FAKE_MODE_INT, &backend.leave_ms},
 		{"server_limit", FAKE_MODE_STRING, &backend.server_limit},
+		{"says_leaving", FAKE_MODE_BOOL, &backend.says_leaving},
+		{"leaving_text", FAKE_MODE_STRING, &backend.leaving_text},
+		{"rest_s", FAKE_MODE_STRING, &backend.rest_s},
 	};
 	int status = 2;
 
--- a/tests/fake_backend_test.cc
+++ b/tests/fake_backend_test.cc
@@ -244,6 +244,55 @@
 	EXPECT_EQ("arrival r-1 0\nrefusal r-1 0\n", plain.events());
 }
 
+/* Answers, refusals and streams tell it, whatever the text is. */
+TEST_F(FakeBackend, SaysInItsAnswersThatItLeaves)
+{
+	Backend engine(folder, "i-1");
+	Backend plain(folder, "i-2", "--plain");
+	std::string answer;
+
+	for (const Backend *each : {&engine, &plain}) {
+		answer = Backend::read_answer(each->request("r-1"));
+		EXPECT_FALSE(contains(answer, "Server-Leaving")) << answer;
+		each->set_mode("{\"says_leaving\": true}");
+		answer = Backend::read_answer(each->request("r-2"));
+		EXPECT_EQ(0u, answer.find("HTTP/1.1 200")) << answer;
+		EXPECT_TRUE(contains(answer, "Server-Leaving: 1\r\n"))
+			<< answer;
+		each->set_mode("{\"full\": true}");
+		answer = Backend::read_answer(each->request("r-3"));
+		EXPECT_EQ(0u, answer.find("HTTP/1.1 503")) << answer;
+		EXPECT_TRUE(contains(answer, "Server-Leaving: 1\r\n"))
+			<< answer;
+		each->set_mode("{\"leaving_text\": \"\"}");
+		answer = Backend::read_answer(each->request("r-4"));
+		EXPECT_TRUE(contains(answer, "Server-Leaving: \r\n")) << answer;
+		each->set_mode("{\"says_leaving\": false}");
+		answer = Backend::read_answer(each->request("r-5"));
+		EXPECT_FALSE(contains(answer, "Server-Leaving")) << answer;
+	}
+}
+
+TEST_F(FakeBackend, AsksForRestUntilItEnds)
+{
+	Backend plain(folder, "i-1", "--plain");
+	std::string answer;
+
+	plain.set_mode("{\"rest_s\": \"2.5\"}");
+	answer = Backend::read_answer(plain.request("r-1"));
+	EXPECT_EQ(0u, answer.find("HTTP/1.1 503")) << answer;
+	EXPECT_TRUE(contains(answer, "Retry-After: 2.5\r\n")) << answer;
+	EXPECT_TRUE(contains(answer, "X-Siskinlink-Not-Executed: 1\r\n"))
+		<< answer;
+	plain.set_mode("{\"rest_s\": \"\"}");
+	answer = Backend::read_answer(plain.request("r-2"));
+	EXPECT_EQ(0u, answer.find("HTTP/1.1 200")) << answer;
+	EXPECT_FALSE(contains(answer, "Retry-After")) << answer;
+	EXPECT_EQ("arrival r-1 0\nrefusal r-1 0\n"
+		  "arrival r-2 0\nrun r-2 0\nend r-2 0\n",
+		  plain.events());
+}
+
 /* A request that fails at one engine also fails at every other engine. */
 TEST_F(FakeBackend, FailsTheSameRequestsAtEachEngine)
 {
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -84,7 +84,7 @@
 
 	shift 2
 	start "backend$i" "$bin/fake_backend" --address 127.0.0.1:0 \
-		--id "i-$i" "$@"
+		--id "i-$i" --journal "$work/backend$i.journal" "$@"
 	backends[$i]=$address
 	backend_pids[$i]=$started
 	entry "$i" "$service" ready
@@ -130,13 +130,14 @@
 		"http://${readies[$1]}/v1/ready")" = 200 ]
 }
 
-# ask NODE PATH [CURL OPTIONS]: prints status and body of one request.
+# ask NODE PATH [CURL OPTIONS]: prints status and body of one request, whose id
+# names the node.
 ask() {
 	local node=$1 path=$2
 
 	shift 2
 	curl -s -m 20 -w '%{http_code}' -H "Host: $host" \
-		-H "X-Siskinlink-Request-Id: r-$RANDOM$RANDOM" \
+		-H "X-Siskinlink-Request-Id: r-$node-$RANDOM$RANDOM" \
 		-H "Authorization: Bearer $key" "$@" \
 		"http://${fronts[$node]}$path"
 }
@@ -387,6 +388,289 @@
 	until_true is_lifted || fail "the limit stays"
 }
 
+# arrivals ENGINE LINE FROM_MS UNTIL_MS [IDS]: prints how many requests have
+# reached the endpoint in this time after the first one that its journal holds
+# after LINE; with IDS only those whose ids begin so, the first one too.
+arrivals() {
+	tail -n +$(($2 + 1)) "$work/backend$1.journal" |
+		awk -v from="$3" -v until="$4" -v ids="${5:-r-}" '
+		$2 == "arrival" && index($3, ids) == 1 {
+			if (!first)
+				first = $1
+			ms = ($1 - first) / 1000
+			n += ms >= from && ms < until
+		}
+		END { print n + 0 }'
+}
+
+# journaled ENGINE: the number of lines in the endpoint's journal.
+journaled() {
+	wc -l <"$work/backend$1.journal"
+}
+
+# start_anew ENGINE SERVICE [OPTIONS]: ends the endpoint and starts it under the
+# same id.
+start_anew() {
+	kill -KILL "${backend_pids[$1]}" 2>/dev/null || true
+	wait "${backend_pids[$1]}" 2>/dev/null || true
+	born=$((born + 1000))
+	start_backend "$@"
+}
+
+# reaches ENGINE NODE: whether a request by the node reaches the endpoint.
+reaches() {
+	local before
+
+	before=$(journaled "$1")
+	ask "$2" /lookup/a >/dev/null
+	[ "$(journaled "$1")" -gt "$before" ]
+}
+
+# Endpoint 3 says in its answers that it leaves: checks that both nodes send it
+# nothing after 2 s, and that callers are served by the other one.
+leaves_for_good() { # WHEN
+	local since late
+
+	since=$(journaled 3)
+	mode "${backends[3]}" '{"says_leaving": true}'
+	press 6 "$work/leaving"
+	[ "$(arrivals 3 "$since" 0 2000)" -ge 1 ] ||
+		fail "$1: it was not asked once"
+	late=$(arrivals 3 "$since" 2000 60000)
+	[ "$late" = 0 ] || fail "$1: $late requests later than 2 s"
+	[ "$(sort -u "$work/leaving")" = 200 ] ||
+		fail "$1: answered $(sort "$work/leaving" | uniq -c | xargs)"
+	grep 'event=endpoint endpoint=i-3 ' "$work/g0.out" | tail -n 1 |
+		grep -q 'state=leaving .*source="its answer"' ||
+		fail "$1: the log does not tell why it is not used"
+}
+
+# Guards against requests to an endpoint that tells only in its answers that it
+# leaves, also without the store, and as an older entry comes back with it.
+case_leaves_by_its_answers() {
+	local since late i
+
+	save_up 1
+	leaves_for_good "with the store"
+	start_anew 3 portal --plain
+	for i in 0 1; do
+		until_true reaches 3 "$i" ||
+			fail "node $i sends nothing to its next start"
+	done
+	mode "$store" '{"down": true}'
+	since=$(journaled 3)
+	leaves_for_good "without the store"
+	mode "$store" '{"down": false}'
+	press 4 "$work/leaving"
+	late=$(arrivals 3 "$since" 2000 60000)
+	[ "$late" = 0 ] || fail "$late requests as the store was back"
+	start_anew 3 portal --plain
+	for i in 0 1; do
+		until_true reaches 3 "$i" ||
+			fail "node $i sends nothing to the start after that"
+	done
+}
+
+# Guards against a report that stays at an engine until it ends, and new ones that
+# go there, as the engine tells only in its answers that it leaves. Reports begin
+# until one of them has such an answer.
+case_engine_leaves_by_its_answers() {
+	local victim since before i asks=() ids=(told-0)
+
+	save_up 1
+	events 400
+	report 0 "$work/told-0" told-0 &
+	asks+=($!)
+	streams "$work/told-0" 5
+	victim=$(engine_of told-0)
+	since=$(journaled "$victim")
+	mode "${backends[$victim]}" '{"says_leaving": true}'
+	for i in 1 2 3 4 5 6; do
+		report $((i % 2)) "$work/told-$i" "told-$i" &
+		asks+=($!)
+		ids+=("told-$i")
+		streams "$work/told-$i" 1
+		[ "$(arrivals "$victim" "$since" 0 1 told-)" = 0 ] || break
+	done
+	[ "$(arrivals "$victim" "$since" 0 1 told-)" = 1 ] ||
+		fail "engine $victim got no further report"
+	sleep 2
+	before=$(state "$victim" runs)
+	for i in 7 8 9 10 11 12; do
+		report $((i % 2)) "$work/told-$i" "told-$i" &
+		asks+=($!)
+		ids+=("told-$i")
+	done
+	wait "${asks[@]}" || fail "a stream was cut"
+	for i in "${ids[@]}"; do
+		whole "$work/$i" "$i" 400
+		[ "$(engine_of "$i")" != "$victim" ] || fail "$i stayed"
+	done
+	[ "$(state "$victim" runs)" = "$before" ] || fail "it got new work"
+	start_anew "$victim" engines
+	events 60
+}
+
+# head_field FILE FIELD: prints the field of an answer's head.
+head_field() {
+	tr -d '\r' <"$1" | awk -v name="$2:" 'tolower($1) == name { print $2 }'
+}
+
+# refuses_while_all_rest NODE EARLIEST LATEST: the node refuses a request at once
+# and tells what is left of a rest that ends between these times.
+refuses_while_all_rest() {
+	local out took told now
+
+	out=$(ask "$1" /lookup/a -D "$work/rest.head" -o /dev/null \
+		-w '%{time_total} %{http_code}')
+	now=$EPOCHREALTIME
+	out=${out% *}\ ${out: -3}
+	took=${out% *}
+	told=$(head_field "$work/rest.head" retry-after)
+	refused 503 "$out"
+	awk -v t="$took" 'BEGIN { exit !(t < 0.3) }' ||
+		fail "node $1 refuses after $took s"
+	awk -v told="${told:-none}" -v a="$2" -v b="$3" -v now="$now" 'BEGIN {
+		exit !(told + 0 > a - now - 0.3 && told + 0 < b - now + 0.6) }' ||
+		fail "node $1 tells ${told:-nothing} of a rest until $3, at $now"
+}
+
+# Guards against requests of a node to an endpoint that has turned one of its
+# requests away and asked it for rest; other nodes go on. With nobody else left
+# callers are refused at once and told what is left of the rest.
+case_rests_an_endpoint_that_asks() {
+	local since i earliest latest late
+
+	save_up 2
+	since=$(journaled 3)
+	mode "${backends[3]}" '{"rest_s": "3"}'
+	until_true reaches 3 0 || fail "it was not asked once"
+	mode "${backends[3]}" '{"rest_s": ""}'
+	press 4 "$work/rest"
+	late=$(arrivals 3 "$since" 500 3000 r-0-)
+	[ "$late" -le 2 ] || fail "node 0 sent $late requests in its rest"
+	[ "$(arrivals 3 "$since" 0 3000 r-1-)" -ge 1 ] ||
+		fail "node 1 sent nothing, though it was not asked for rest"
+	[ "$(sort -u "$work/rest")" = 200 ] ||
+		fail "answered $(sort "$work/rest" | uniq -c | xargs)"
+	logged 'event=endpoint_resting endpoint=i-3 service=portal for_ms=3000' ||
+		fail "the rest is not in the log"
+	until_true reaches 3 0 || fail "node 0 sends nothing after the rest"
+
+	for i in 3 4; do
+		mode "${backends[$i]}" '{"rest_s": "3"}'
+	done
+	for i in 0 1; do
+		since="$(journaled 3) $(journaled 4)"
+		earliest=$(awk -v now="$EPOCHREALTIME" 'BEGIN { printf "%.6f", now + 3 }')
+		both_rest() {
+			ask "$i" /lookup/a >/dev/null
+			[ "$(arrivals 3 "${since% *}" 0 1 "r-$i-")" = 1 ] &&
+				[ "$(arrivals 4 "${since#* }" 0 1 "r-$i-")" = 1 ]
+		}
+		until_true both_rest || fail "node $i did not ask both"
+		latest=$(awk -v now="$EPOCHREALTIME" 'BEGIN { printf "%.6f", now + 3 }')
+		sleep 0.7
+		refuses_while_all_rest "$i" "$earliest" "$latest"
+		grep -q 'outcome=refused reason=resting' "$work/g$i.out" ||
+			fail "node $i does not tell the reason"
+	done
+	for i in 3 4; do
+		mode "${backends[$i]}" '{"rest_s": ""}'
+	done
+	sleep 3
+	press 2 "$work/rest"
+	[ "$(sort -u "$work/rest")" = 200 ] ||
+		fail "after the rest: $(sort "$work/rest" | uniq -c | xargs)"
+
+	mode "${backends[3]}" '{"rest_s": "30"}'
+	until_true reaches 3 0 || fail "it was not asked before its end"
+	start_anew 3 portal --plain
+	sleep 1
+	since=$(journaled 3)
+	press 4 "$work/rest"
+	[ "$(arrivals 3 "$since" 0 60000 r-0-)" -ge 1 ] ||
+		fail "a rest outlasts the start of the endpoint that asked for it"
+}
+
+# asks_for_rest TEXT: endpoint 3 turns requests of node 0 away with this text
+# until it is asked once, and then takes them again; sets since and lines.
+asks_for_rest() {
+	save_up 1
+	since=$(journaled 3)
+	lines=$(rest_lines)
+	mode "${backends[3]}" "$(jq -nc --arg text "$1" '{rest_s: $text}')"
+	until_true reaches 3 0 || fail "'$1': it was not asked once"
+	ask 0 /lookup/a >/dev/null
+	ask 0 /lookup/a >/dev/null
+	mode "${backends[3]}" '{"rest_s": ""}'
+}
+
+# Prints the numbers of rests and of unreadable ones that node 0 has logged.
+rest_lines() {
+	echo "$(grep -c 'event=endpoint_resting endpoint=i-3 ' "$work/g0.out")" \
+		"$(grep -c 'event=endpoint_rest_unreadable .*endpoint=i-3' \
+			"$work/g0.out")"
+}
+
+# Guards against an endpoint that is put away by a slip in the time that it asks
+# for, for a day or for ever, and against one that is put away unseen. A text that
+# can't be read is told once.
+case_reads_odd_rests() {
+	local text since lines told=0
+
+	start_anew 3 portal --plain
+	until_true reaches 3 0 || fail "it is not used"
+	for text in -4 "Fri, 31 Dec 2038 23:59:59 GMT" soon 0; do
+		asks_for_rest "$text"
+		press 3 "$work/odd"
+		[ "$(arrivals 3 "$since" 500 2900 r-0-)" -ge 3 ] ||
+			fail "'$text' is taken for a rest"
+		[ "$(cut -d' ' -f1 <<<"$(rest_lines)")" = "${lines% *}" ] ||
+			fail "'$text' is logged as a rest"
+		told=$(($(cut -d' ' -f2 <<<"$(rest_lines)") - ${lines#* }))
+		case $text in
+		-4) [ "$told" = 1 ] || fail "'$text' is told $told times" ;;
+		0) [ "$told" = 0 ] || fail "0 is told as unreadable" ;;
+		*) [ "$told" -le 1 ] || fail "'$text' is told $told times" ;;
+		esac
+	done
+
+	asks_for_rest 1.7
+	press 4 "$work/odd"
+	[ "$(arrivals 3 "$since" 500 1700 r-0-)" -le 2 ] ||
+		fail "1.7: $(arrivals 3 "$since" 500 1700 r-0-) requests in the rest"
+	[ "$(arrivals 3 "$since" 1700 4000 r-0-)" -ge 1 ] ||
+		fail "1.7: nothing is sent after the rest"
+	logged 'event=endpoint_resting endpoint=i-3 service=portal for_ms=1700' ||
+		fail "1.7 is not in the log"
+
+	asks_for_rest 1000000000000
+	press 3 "$work/odd"
+	[ "$(arrivals 3 "$since" 500 3000 r-0-)" -le 2 ] ||
+		fail "10^12: $(arrivals 3 "$since" 500 3000 r-0-) requests in the rest"
+	logged 'event=endpoint_resting endpoint=i-3 service=portal for_ms=60000' ||
+		fail "10^12 is not bounded, or not in the log"
+	start_anew 3 portal --plain
+	until_true reaches 3 0 || fail "it does not come back from 10^12"
+}
+
+# Guards against an endpoint that is taken for leaving by another value of the
+# field than 1.
+case_stays_by_other_words() {
+	local text since
+
+	for text in 0 ""; do
+		mode "${backends[3]}" "$(jq -nc --arg text "$text" \
+			'{says_leaving: true, leaving_text: $text}')"
+		since=$(journaled 3)
+		press 4 "$work/stays"
+		[ "$(arrivals 3 "$since" 2000 60000)" -ge 1 ] ||
+			fail "'$text' is taken for leaving"
+	done
+	mode "${backends[3]}" '{"says_leaving": false, "leaving_text": "1"}'
+}
+
 # Guards against an endpoint's own error that is replaced by one of the node, as
 # the only other endpoint takes no requests: the caller learns less.
 case_delivers_an_error_that_nobody_may_retry() {
