An endpoint that says in an answer that it leaves gets no new requests

Cause: read_answer did not read the word. A leaving endpoint was known by its entry, or by its report while the store is away; and what the report said was undone by the next entry that says ready.

The endpoint's own word now has one place, beside its presence, whichever way it comes: an answer (any but another endpoint's 421), its report, or another node, which tells all others at once and each node that it greets. No entry takes it back; a new start of the endpoint does, also one that is known later than its word. If it still serves five minutes after it last said so, it is used again. Whoever chooses an endpoint asks endpoint_is_usable, as before; runs there move off as under notice.

The former asked node 0 for the line that names the answer; either node may be the one that was told, so both are asked now, and one of them has to name it. DoesNotBringBackWhatHasLeft expected that the entry of the store's copy brings back an endpoint that had reported its leaving; that was the fault, the line now asks for the contrary.

--- a/adapters/gateway/dialect.h
+++ b/adapters/gateway/dialect.h
@@ -52,6 +52,7 @@
 	bool is_from_endpoint; /* from the endpoint, not from a proxy before it
 				*/
 	bool is_from_other; /* another endpoint than the one that was named */
+	bool is_leaving; /* the endpoint takes no new requests, and ends soon */
 	bool is_event_stream;
 	int64_t keep_alive_us; /* allowed idle time of the connection; -1: none
 				*/
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -286,6 +286,8 @@
 		return;
 	gateway_limits_note_answer(gateway, endpoint, &said->limit);
 	gateway_brittle_note_answer(gateway, endpoint, &said->brittle);
+	if (said->is_leaving)
+		gateway_leaving_note_answer(gateway, endpoint, leg->known_us);
 	answer = (struct quarantine_answer){
 		.endpoint_key = endpoint->key,
 		.connected_us = attempt_connected_us(leg->attempt),
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -35,6 +35,7 @@
 	char *endpoint_id;
 	char *endpoint_address;
 	struct endpoint_start start; /* that was asked, as far as is known */
+	int64_t known_us;	     /* when that start was first seen */
 	char *backup_id;	     /* engine that keeps a copy, or NULL */
 	char *backup_address;
 	struct endpoint_start backup_start; /* of that engine */
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -495,6 +495,7 @@
 	gateway_limits_send(gateway, peer_address);
 	gateway_losses_send(gateway, peer_address);
 	send_registrations(gateway, peer_address);
+	gateway_leaving_send(gateway, peer_address);
 }
 
 static void peer_apply_standing(struct gateway *gateway,
@@ -580,6 +581,7 @@
 	[PEER_CORDONS] = {gateway_cordons_receive, false},
 	[PEER_ENDPOINT_LIMITS] = {gateway_limits_receive, false},
 	[PEER_ENDPOINT_FULL] = {gateway_brittle_receive, false},
+	[PEER_ENDPOINT_LEAVING] = {gateway_leaving_receive, false},
 	[PEER_LOSSES] = {gateway_losses_receive, false},
 	[PEER_FAILURE_NOTICE] = {receive_failure_notice, false},
 	[PEER_REACH] = {gateway_reach_receive, true},
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -40,6 +40,7 @@
  *   gateway_cordons.c  failure domains that get no new requests
  *   gateway_limits.c   limits that endpoints state
  *   gateway_brittle.c  endpoints that end if they reject too much
+ *   gateway_leaving.c  endpoints that say in answers that they leave
  *   gateway_losses.c   requests under which endpoints end
  *   gateway_ends.c     whether endpoints that broke off runs have ended
  *   gateway_closes.c   answers that end with their connections
@@ -254,6 +255,13 @@
 void gateway_brittle_receive(struct gateway *gateway,
 			     const struct peer_message *message);
 
+/* gateway_leaving.c */
+void gateway_leaving_note_answer(struct gateway *gateway,
+				 struct endpoint *endpoint, int64_t known_us);
+void gateway_leaving_send(struct gateway *gateway, const char *peer_address);
+void gateway_leaving_receive(struct gateway *gateway,
+			     const struct peer_message *message);
+
 /* gateway_reach.c */
 void gateway_reach_init(struct gateway *gateway);
 void gateway_reach_note_connected(struct gateway *gateway, const char *service);
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -157,6 +157,7 @@
 	leg->endpoint_id = g_strdup(endpoint->last_registration->id);
 	leg->endpoint_address = g_strdup(endpoint->last_registration->address);
 	leg->start = gateway_losses_start(exchange->gateway, endpoint);
+	leg->known_us = endpoint->known_us;
 	leg->tokens = exchange_held_tokens(exchange);
 	leg->sent_us = exchange->gateway->now_us;
 	leg->is_takeover = copy_address != NULL;
--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -62,6 +62,7 @@
 	[PEER_LOSSES] = PEER_LOSSES_FORMAT,
 	[PEER_REACH] = PEER_REACH_FORMAT,
 	[PEER_ENDPOINT_FULL] = "(ttbuss)",
+	[PEER_ENDPOINT_LEAVING] = "(ttxss)",
 };
 
 static GVariant *encode_members(const GPtrArray *members)
@@ -199,6 +200,11 @@
 			(guint32)CLAMP(message->endpoint_full.rejections_per_ks,
 				       0, UINT32_MAX),
 			from, address);
+	case PEER_ENDPOINT_LEAVING:
+		return g_variant_new(format, incarnation,
+				     message->endpoint_leaving.endpoint_key,
+				     message->endpoint_leaving.started_ms, from,
+				     address);
 	case PEER_LEAVING:
 		endpoints = message->leaving.endpoints;
 		return g_variant_new(
@@ -459,6 +465,18 @@
 	full->rejections_per_ks = rejections_per_ks;
 }
 
+static bool decode_endpoint_leaving(GVariant *body,
+				    struct peer_message *message,
+				    struct error *error)
+{
+	struct peer_endpoint_leaving *leaving = &message->endpoint_leaving;
+
+	g_variant_get_child(body, 1, "t", &leaving->endpoint_key);
+	g_variant_get_child(body, 2, "x", &leaving->started_ms);
+	return check(error, message->from, leaving->started_ms >= 0,
+		     "time of a start out of range");
+}
+
 static bool decode_failure_notice(GVariant *body, struct peer_message *message,
 				  struct error *error)
 {
@@ -548,6 +566,8 @@
 	case PEER_ENDPOINT_FULL:
 		decode_endpoint_full(body, &message->endpoint_full);
 		return true;
+	case PEER_ENDPOINT_LEAVING:
+		return decode_endpoint_leaving(body, message, error);
 	case PEER_LEAVING:
 		return decode_leaving(body, message, error);
 	case PEER_FAILURE_NOTICE:
--- a/core/base/counters.c
+++ b/core/base/counters.c
@@ -67,6 +67,9 @@
 	[COUNTER_GATEWAY_RELAYED] = {"gateway_relayed",
 				     "requests passed on through another "
 				     "node"},
+	[COUNTER_GATEWAY_LEAVING] = {"gateway_leaving",
+				     "endpoints that said in answers that they "
+				     "leave"},
 	[COUNTER_GATEWAY_TAKE_OVERS] =
 		{"gateway_take_overs",
 		 "generations continued from a copy on another engine"},
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -15,6 +15,12 @@
  */
 #define ERA_SETTLES_US (6 * G_USEC_PER_SEC)
 
+/*
+ * An endpoint that has not repeated for this long that it leaves, and whose
+ * entry says that it serves, is used again: it would have ended long ago.
+ */
+#define SAID_LEAVING_US (5 * 60 * G_USEC_PER_SEC)
+
 /* Weight of one answer: about the last ten count. */
 #define ERROR_SHARE_WEIGHT 0.1
 
@@ -244,6 +250,21 @@
 	endpoint->limit = (struct endpoint_limit){0};
 	endpoint->brittle = (struct endpoint_limit){0};
 	endpoint->warm_us = now_us + update->warmup_remaining_us;
+	if (update->started_ms == 0 ||
+	    update->started_ms > endpoint->leaving_start_ms)
+		endpoint->said_leaving_us = 0;
+}
+
+/*
+ * The presence by an entry and by the endpoint's own word, which an entry from
+ * before it can't take back.
+ */
+static enum endpoint_presence
+endpoint_entry_presence(const struct endpoint *endpoint,
+			const struct registration *entry)
+{
+	return entry->is_leaving || endpoint->said_leaving_us ? PRESENCE_LEAVING
+							      : PRESENCE_READY;
 }
 
 static bool registry_apply_removal(struct endpoint *endpoint, bool is_doubtful,
@@ -345,8 +366,7 @@
 	if (!endpoint) {
 		endpoint = registry_add(registry, update, now_us);
 		endpoint_set_presence(endpoint,
-				      update->is_leaving ? PRESENCE_LEAVING
-							 : PRESENCE_READY,
+				      endpoint_entry_presence(endpoint, update),
 				      now_us);
 		return true;
 	}
@@ -360,29 +380,45 @@
 	endpoint_replace_registration(registry, endpoint, update);
 	endpoint_update_cordon(endpoint, registry, now_us);
 	endpoint_set_presence(
-		endpoint,
-		update->is_leaving ? PRESENCE_LEAVING : PRESENCE_READY, now_us);
+		endpoint, endpoint_entry_presence(endpoint, update), now_us);
 	return endpoint->presence != old_presence;
 }
 
 /*
- * Records that the endpoint itself announced that it is leaving, which also
- * confirms a removal in doubt. Otherwise the next update from the store
- * replaces this. Returns whether this was new.
+ * Records that the endpoint itself said that the start at started_ms leaves; 0:
+ * the one that is known. This also confirms a removal in doubt. It holds until
+ * a new start of the endpoint is known, whatever entries say. Returns whether
+ * this was new.
+ */
+bool endpoint_note_leaving(struct endpoint *endpoint, int64_t started_ms,
+			   int64_t now_us)
+{
+	int64_t known_ms = endpoint->last_registration->started_ms;
+	bool was_said = endpoint->said_leaving_us != 0;
+
+	if (started_ms > 0 && started_ms < known_ms)
+		return false;
+	endpoint->said_leaving_us = now_us;
+	endpoint->leaving_start_ms = MAX(started_ms, known_ms);
+	if (!endpoint_is_leaving(endpoint))
+		endpoint_set_presence(endpoint,
+				      endpoint->presence == PRESENCE_DOUBTED
+					      ? PRESENCE_GONE
+					      : PRESENCE_LEAVING,
+				      now_us);
+	return !was_said;
+}
+
+/*
+ * Records that the endpoint of that id said in its report that it leaves.
+ * Returns whether this was new.
  */
 bool registry_mark_leaving(struct registry *registry, const char *id,
 			   int64_t now_us)
 {
 	struct endpoint *endpoint = registry_find(registry, id);
 
-	if (!endpoint || !endpoint_is_usable(endpoint))
-		return false;
-	endpoint_set_presence(endpoint,
-			      endpoint->presence == PRESENCE_DOUBTED
-				      ? PRESENCE_GONE
-				      : PRESENCE_LEAVING,
-			      now_us);
-	return true;
+	return endpoint && endpoint_note_leaving(endpoint, 0, now_us);
 }
 
 /*
@@ -457,6 +493,23 @@
 		endpoint_health_report_idle(&endpoint->health);
 }
 
+/*
+ * Uses an endpoint again that said long ago that it leaves and still serves.
+ * Returns whether it does.
+ */
+static bool endpoint_expire_leaving(struct endpoint *endpoint, int64_t now_us)
+{
+	if (!endpoint->said_leaving_us ||
+	    now_us - endpoint->said_leaving_us <= SAID_LEAVING_US)
+		return false;
+	endpoint->said_leaving_us = 0;
+	if (endpoint->presence != PRESENCE_LEAVING ||
+	    endpoint->last_registration->is_leaving)
+		return false;
+	endpoint_set_presence(endpoint, PRESENCE_READY, now_us);
+	return true;
+}
+
 /* The key may belong to another endpoint with the same hash. */
 static void registry_remove(struct registry *registry, guint index)
 {
@@ -490,6 +543,10 @@
 			g_ptr_array_add(
 				changed,
 				g_strdup(endpoint->last_registration->id));
+		if (endpoint_expire_leaving(endpoint, now_us))
+			g_ptr_array_add(
+				changed,
+				g_strdup(endpoint->last_registration->id));
 		if (endpoint->presence == PRESENCE_DOUBTED &&
 		    endpoint->since_us <= doubted_before_us) {
 			endpoint_set_presence(endpoint, PRESENCE_GONE, now_us);
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -43,8 +43,11 @@
 	struct registration *held_back; /* to be applied once the store has
 					   settled; NULL: none */
 	int64_t since_us;		/* when the presence last changed */
-	int64_t known_us; /* when its current start was first seen */
-	int64_t warm_us;  /* answers slowly before this time */
+	int64_t said_leaving_us;  /* when the endpoint itself last said that it
+				     leaves; 0: never */
+	int64_t leaving_start_ms; /* start that said so; 0: unknown */
+	int64_t known_us;	  /* when its current start was first seen */
+	int64_t warm_us;	  /* answers slowly before this time */
 	struct rate_window *sent_cold;	  /* requests while cold, or NULL */
 	struct rate_window *sent_limited; /* within its limit, or NULL */
 	struct rate_window *sent_spare;	  /* take-overs beyond that, or NULL */
@@ -112,6 +115,8 @@
 void registry_expire_nodes(struct registry *registry, int64_t before_us);
 struct held endpoint_total_load(const struct endpoint *endpoint);
 bool endpoint_is_leaving(const struct endpoint *endpoint);
+bool endpoint_note_leaving(struct endpoint *endpoint, int64_t started_ms,
+			   int64_t now_us);
 bool endpoint_is_usable(const struct endpoint *endpoint);
 bool endpoint_is_same_start(const struct endpoint *endpoint, int64_t known_us);
 bool endpoint_is_cold(const struct endpoint *endpoint, int64_t cold_us,
--- a/core/message/peer_message.c
+++ b/core/message/peer_message.c
@@ -25,6 +25,7 @@
 	[PEER_LOSSES] = "losses",
 	[PEER_REACH] = "reach",
 	[PEER_ENDPOINT_FULL] = "endpoint_full",
+	[PEER_ENDPOINT_LEAVING] = "endpoint_leaving",
 };
 
 static void member_free(gpointer data)
@@ -103,6 +104,7 @@
 	case PEER_ROUTES_REQUEST:
 	case PEER_FAILURE_NOTICE:
 	case PEER_ENDPOINT_FULL:
+	case PEER_ENDPOINT_LEAVING:
 	case PEER_MESSAGE_TYPE_COUNT:
 		break;
 	}
@@ -174,6 +176,7 @@
 	case PEER_REFUSED:
 	case PEER_RELEASE:
 	case PEER_ENDPOINT_FULL:
+	case PEER_ENDPOINT_LEAVING:
 	case PEER_MESSAGE_TYPE_COUNT:
 		break;
 	}
--- a/core/node/node.c
+++ b/core/node/node.c
@@ -217,6 +217,7 @@
 	case PEER_FAILURE_NOTICE:
 	case PEER_REACH:
 	case PEER_ENDPOINT_FULL:
+	case PEER_ENDPOINT_LEAVING:
 	case PEER_CHOSEN: /* handled by the gateway */
 	case PEER_MESSAGE_TYPE_COUNT:
 		break;
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -162,6 +162,7 @@
 		event->peer->type == PEER_LOSSES ||
 		event->peer->type == PEER_REACH ||
 		event->peer->type == PEER_ENDPOINT_FULL ||
+		event->peer->type == PEER_ENDPOINT_LEAVING ||
 		event->peer->type == PEER_FAILURE_NOTICE);
 }
 
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -41,6 +41,7 @@
 	PEER_LOSSES,	      /* what endpoints ended under */
 	PEER_REACH, /* gateway: services that the sender doesn't reach */
 	PEER_ENDPOINT_FULL, /* gateway: a brittle endpoint rejects requests */
+	PEER_ENDPOINT_LEAVING, /* gateway: an endpoint says that it leaves */
 	PEER_MESSAGE_TYPE_COUNT
 };
 
@@ -249,6 +250,12 @@
 	int64_t rejections_per_ks; /* per 1,000 s */
 };
 
+/* An endpoint said to a node that it leaves. */
+struct peer_endpoint_leaving {
+	uint64_t endpoint_key;
+	int64_t started_ms; /* of the start that said so; 0: unknown */
+};
+
 /* What the sender reaches; services that are not listed it reaches. */
 struct peer_reach {
 	bool is_cut;	       /* it reaches no service that it used lately */
@@ -276,6 +283,7 @@
 		struct peer_losses losses;
 		struct peer_reach reach;
 		struct peer_endpoint_full endpoint_full;
+		struct peer_endpoint_leaving endpoint_leaving;
 		struct peer_leaving leaving;
 		struct peer_failure_notice failure_notice;
 		struct peer_limits limits; /* LIMIT_REPORT, LIMIT_SHARE */
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -440,9 +440,15 @@
 	[ "$late" = 0 ] || fail "$1: $late requests later than 2 s"
 	[ "$(sort -u "$work/leaving")" = 200 ] ||
 		fail "$1: answered $(sort "$work/leaving" | uniq -c | xargs)"
-	grep 'event=endpoint endpoint=i-3 ' "$work/g0.out" | tail -n 1 |
-		grep -q 'state=leaving .*source="its answer"' ||
+	for i in 0 1; do
+		grep 'event=endpoint endpoint=i-3 ' "$work/g$i.out" |
+			tail -n 1 | grep 'state=leaving ' \
+			>>"$work/leaving.why" ||
+			fail "$1: node $i does not tell that it leaves"
+	done
+	grep -q 'source="its answer"' "$work/leaving.why" ||
 		fail "$1: the log does not tell why it is not used"
+	rm "$work/leaving.why"
 }
 
 # Guards against requests to an endpoint that tells only in its answers that it
--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -64,9 +64,10 @@
 			   struct http_head *head, GByteArray *body)
 {
 	const char *id = http_head_get(head, "X-Siskinlink-Request-Id");
-	std::string fields =
-		std::string("X-Siskinlink-Request-Id: ") + (id ? id : "") +
-		"\r\nX-Siskinlink-Engine-Stamp: " + endpoint->id + "\r\n";
+	std::string fields = std::string("X-Siskinlink-Request-Id: ") +
+			     (id ? id : "") +
+			     "\r\nX-Siskinlink-Engine-Stamp: " + endpoint->id +
+			     "\r\n" + endpoint->says;
 	bool is_deadly = !endpoint->deadly_path.empty() &&
 			 endpoint->deadly_path == head->target;
 	bool has_deadly_part = has_part(head, endpoint->deadly_part);
@@ -75,7 +76,8 @@
 
 	if (is_for_another(endpoint, head)) {
 		fields = std::string("X-Siskinlink-Request-Id: ") + id +
-			 "\r\nX-Siskinlink-Not-Executed: 1\r\n";
+			 "\r\nX-Siskinlink-Not-Executed: 1\r\n" +
+			 endpoint->says;
 		endpoint->misdirected++;
 		http_head_destroy(head);
 		g_byte_array_unref(body);
--- a/tests/gateway_pair.h
+++ b/tests/gateway_pair.h
@@ -20,7 +20,8 @@
 	std::string id, address;
 	std::map<std::string, int> runs; /* by request id */
 	std::string seen;		 /* head of the last request */
-	int events = 0; /* of an answer in events; 0: a plain answer */
+	int events = 0;	  /* of an answer in events; 0: a plain answer */
+	std::string says; /* fields of all its answers, each with CR LF */
 	bool is_silent = false;
 	int silence_ms = 0; /* before an answer, in which it does nothing */
 	struct caller *unanswered = nullptr;
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -128,6 +128,9 @@
 	case PEER_ENDPOINT_FULL:
 		message->endpoint_full = {UINT64_MAX - 3, true, 4500};
 		break;
+	case PEER_ENDPOINT_LEAVING:
+		message->endpoint_leaving = {UINT64_MAX - 4, 1780000000000};
+		break;
 	case PEER_FAILURE_NOTICE:
 		message->failure_notice.fingerprint = 5;
 		message->failure_notice.endpoint = g_strdup("10.2.0.1:9000");
@@ -400,6 +403,18 @@
 	peer_message_destroy(message);
 }
 
+TEST(PeerCodec, DecodesALeavingEndpoint)
+{
+	struct error error;
+	struct peer_message *message =
+		decode(encode_type(PEER_ENDPOINT_LEAVING), &error);
+
+	ASSERT_NE(nullptr, message) << error.detail;
+	EXPECT_EQ(UINT64_MAX - 4, message->endpoint_leaving.endpoint_key);
+	EXPECT_EQ(1780000000000, message->endpoint_leaving.started_ms);
+	peer_message_destroy(message);
+}
+
 TEST(PeerCodec, RefusesALossInAnUnknownState)
 {
 	std::vector<uint8_t> bytes = encode_type(PEER_LOSSES);
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -298,6 +298,69 @@
 	EXPECT_FALSE(registry_mark_leaving(registry, "e1", now_us));
 }
 
+/*
+ * Guards against an endpoint that said that it leaves and gets requests again,
+ * because an entry from before says that it serves.
+ */
+TEST_F(Registry, HoldsAnEndpointToItsWord)
+{
+	apply(entry("e1", 5, false, 100));
+	EXPECT_TRUE(endpoint_note_leaving(registry_find(registry, "e1"), 0,
+					  now_us));
+	EXPECT_FALSE(endpoint_note_leaving(registry_find(registry, "e1"), 100,
+					   now_us));
+	EXPECT_EQ(PRESENCE_LEAVING, presence("e1"));
+	EXPECT_FALSE(apply(entry("e1", 6, false, 100)));
+	EXPECT_EQ(PRESENCE_LEAVING, presence("e1"));
+	remove("e1", 7, true);
+	EXPECT_EQ(PRESENCE_GONE, presence("e1"));
+	apply(entry("e1", 8, false, 100));
+	EXPECT_EQ(PRESENCE_LEAVING, presence("e1"));
+	EXPECT_TRUE(apply(entry("e1", 9, false, 200)));
+	EXPECT_EQ(PRESENCE_READY, presence("e1")) << "a new start";
+}
+
+/* Guards against the word of an earlier start that is taken for the next one's.
+ */
+TEST_F(Registry, IgnoresTheWordOfAnEarlierStart)
+{
+	apply(entry("e1", 5, false, 200));
+	EXPECT_FALSE(endpoint_note_leaving(registry_find(registry, "e1"), 100,
+					   now_us));
+	EXPECT_EQ(PRESENCE_READY, presence("e1"));
+}
+
+/*
+ * Guards against the word of a start that is forgotten when its entry comes
+ * later than the word.
+ */
+TEST_F(Registry, KeepsTheWordOfAStartThatIsNotKnownYet)
+{
+	apply(entry("e1", 5, false, 100));
+	EXPECT_TRUE(endpoint_note_leaving(registry_find(registry, "e1"), 200,
+					  now_us));
+	apply(entry("e1", 6, false, 200));
+	EXPECT_EQ(PRESENCE_LEAVING, presence("e1"));
+	apply(entry("e1", 7, false, 300));
+	EXPECT_EQ(PRESENCE_READY, presence("e1"));
+}
+
+/* Guards against an endpoint that puts itself away for good by a slip. */
+TEST_F(Registry, UsesAnEndpointAgainThatServesLongAfterItsWord)
+{
+	apply(entry("e1", 5, false, 100));
+	apply(entry("e2", 6, true, 100));
+	for (const char *id : {"e1", "e2"})
+		endpoint_note_leaving(registry_find(registry, id), 0, now_us);
+	now_us += 300 * G_USEC_PER_SEC;
+	step(INT64_MIN);
+	EXPECT_EQ(PRESENCE_LEAVING, presence("e1"));
+	now_us++;
+	step(INT64_MIN);
+	EXPECT_EQ(PRESENCE_READY, presence("e1"));
+	EXPECT_EQ(PRESENCE_LEAVING, presence("e2")) << "its entry says so too";
+}
+
 /* A store that comes back from a copy gives revisions out again. */
 class RegistryEras : public Registry
 {
@@ -395,8 +458,8 @@
 	pass(6 * second_us);
 	EXPECT_EQ(PRESENCE_LEAVING, presence("leaving"));
 	EXPECT_EQ(PRESENCE_GONE, presence("gone"));
-	EXPECT_EQ(PRESENCE_READY, presence("reported"))
-		<< "nothing but the store's entry speaks for it";
+	EXPECT_EQ(PRESENCE_LEAVING, presence("reported"))
+		<< "it said so itself, and no new start of it is known";
 }
 
 /* Guards against doubt that outlasts the time for which it is needed. */
