Each field that an endpoint says has a row, and a check

Three times a field of an answer that the pages name was read by nobody. The tables in docs/PLATFORM.md list all that endpoints and the store say: what reads it, what it changes, and which of several channels wins; or why it is not read. tests/answer_fields.sh, in make check as fields, compares them with the code in both directions: a row's function must contain the field, and a field that platform/ reads must be in a row of that function. Members of struct endpoint_answer, move_answer and registration must be set in platform/ and read outside.

--- a/Makefile
+++ b/Makefile
@@ -52,8 +52,8 @@
 TESTS = $(B)/bin/tests
 
 .PHONY: all demo demo-platform check unit gateway faults api soak \
-	soak-processes soak-known-red bench format format-check tidy pure spec \
-	mutants ablations install-deps clean fuzz-short fuzz-run
+	soak-processes soak-known-red bench format format-check tidy pure fields \
+	spec mutants ablations install-deps clean fuzz-short fuzz-run
 .SECONDARY:
 
 all: $(PROGRAMS) $(SOAK_PROGRAM)
@@ -100,7 +100,7 @@
 	$(CXX) $(ALL_LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PACKAGE_LIBS)
 
 # Runs every test. The script tests read their scripts from tests/scripts.
-check: unit pure api faults gateway $(if $(filter 1,$(SANITIZE)),,spec mutants ablations)
+check: unit pure fields api faults gateway $(if $(filter 1,$(SANITIZE)),,spec mutants ablations)
 
 # Tests listed in KNOWN-RED.txt run as well; their results are printed and
 # ignored. Line format: "unit PATTERN | cause | issue", or "gateway CASE | ...".
@@ -148,6 +148,10 @@
 pure: $(LIBRARY)
 	tests/pure.sh $(call objects,$(PURE_SOURCES))
 
+# Checks that the table of what endpoints say is true of the code.
+fields:
+	tests/answer_fields.sh
+
 # Checks the models, and that each of their safeguards is needed.
 spec:
 	spec/run.sh $(abspath $(B)/spec)
