An endpoint that asks a node for rest gets nothing from it meanwhile

Cause: nothing read the Retry-After of an endpoint. A 503 set full_until_us for 0.25 s, which orders the choice of all nodes alike.

core/gateway/endpoint_rest keeps what one endpoint asked of one node: never shortened, at most 60 s, gone with a new start. The choice leaves it out (what a home chooses for another node does not ask it), the home is told which ids to avoid, and its answer, hand-overs and targets of moves are asked again before anything is sent. One run in each rest that would be lost may be taken over there. If all endpoints rest, requests are refused at once, and told when the first rest ends; what one endpoint asked for is no longer passed on as the Retry-After of the service. event=endpoint_resting and _unreadable, the counter gateway_rests, reason=resting.

--- a/adapters/gateway/dialect.h
+++ b/adapters/gateway/dialect.h
@@ -4,6 +4,7 @@
 #include "adapters/gateway/http_head.h"
 #include "core/base/error.h"
 #include "core/gateway/endpoint_limit.h"
+#include "core/gateway/endpoint_rest.h"
 #include "core/limit/prompt_parts.h"
 
 #include <glib.h>
@@ -58,6 +59,7 @@
 				*/
 	struct answered_limit limit;   /* on requests of all nodes together */
 	struct answered_limit brittle; /* rejections that it bears */
+	struct answered_rest rest;     /* that it wants from this node */
 };
 
 /* A copy of a generation's memory that its engine made on request. */
--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -231,6 +231,34 @@
 	return "no_endpoint";
 }
 
+/*
+ * Whether all endpoints that may get the request want rest from this node. Sets
+ * wait_us to the time until the first rest ends.
+ */
+bool exchange_is_resting(const struct exchange *exchange, int64_t *wait_us)
+{
+	struct endpoint_criteria criteria;
+
+	exchange_fill_criteria(exchange, &criteria);
+	return endpoint_choice_is_resting(exchange->gateway->registry,
+					  &criteria, wait_us);
+}
+
+/*
+ * Returns how long the caller of a request that an endpoint turned away should
+ * wait: until one of the service may be asked again.
+ */
+int64_t exchange_retry_after_us(const struct exchange *exchange)
+{
+	int64_t wait_us;
+
+	return exchange_is_resting(exchange, &wait_us)
+		       ? retry_after_resting_us(
+				 wait_us,
+				 g_rand_double(exchange->gateway->random))
+		       : RETRY_SOON_US;
+}
+
 /* Refuses a request that no endpoint can take now; it has not run. */
 static void exchange_refuse_full(struct exchange *exchange,
 				 const struct endpoint_criteria *criteria)
@@ -242,6 +270,11 @@
 	if (!endpoint_choice_exists(gateway->registry, criteria))
 		exchange_refuse(exchange, 503, RETRY_LATER_US,
 				exchange_missing_reason(exchange));
+	else if (endpoint_choice_is_resting(gateway->registry, criteria,
+					    &wait_us))
+		exchange_refuse(exchange, 503,
+				retry_after_resting_us(wait_us, draw),
+				"resting");
 	else if (endpoint_choice_is_limited(gateway->registry, criteria,
 					    &wait_us))
 		exchange_refuse(exchange, 503,
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -153,15 +153,17 @@
 	return true;
 }
 
+/* Stores the head for the caller, but for the excluded fields; NULL: none. */
 void exchange_store_head(struct exchange *exchange,
-			 const struct http_head *head)
+			 const struct http_head *head,
+			 const char *const *excluded)
 {
 	if (exchange->answer_head)
 		g_string_free(exchange->answer_head, TRUE);
 	exchange->answer_head = g_string_sized_new(512);
 	g_string_append_printf(exchange->answer_head, "HTTP/1.1 %d %s\r\n",
 			       head->status, head->reason);
-	http_head_append_end_to_end(head, NULL, exchange->answer_head);
+	http_head_append_end_to_end(head, excluded, exchange->answer_head);
 	exchange->answer_size = head->content_length;
 	g_byte_array_set_size(exchange->answer_body, 0);
 }
@@ -286,6 +288,7 @@
 		return;
 	gateway_limits_note_answer(gateway, endpoint, &said->limit);
 	gateway_brittle_note_answer(gateway, endpoint, &said->brittle);
+	gateway_rest_note_answer(gateway, endpoint, &said->rest, leg->known_us);
 	if (said->is_leaving)
 		gateway_leaving_note_answer(gateway, endpoint, leg->known_us);
 	answer = (struct quarantine_answer){
@@ -296,6 +299,25 @@
 	gateway_losses_note_answer(gateway, endpoint, &answer, status);
 }
 
+/*
+ * Stores the head of an endpoint's answer. What the endpoint wants of this node
+ * is no advice to the caller, whose next request goes to another one.
+ */
+static void leg_store_head(const struct leg *leg, const struct http_head *head)
+{
+	static const char *const replaced[] = {"Retry-After", NULL};
+	struct exchange *exchange = leg->exchange;
+
+	if (exchange->said.rest.statement == REST_UNSTATED) {
+		exchange_store_head(exchange, head, NULL);
+		return;
+	}
+	exchange_store_head(exchange, head, replaced);
+	g_string_append_printf(exchange->answer_head, "Retry-After: %.2f\r\n",
+			       (double)exchange_retry_after_us(exchange) /
+				       G_USEC_PER_SEC);
+}
+
 static void on_head(void *data, const struct http_head *head)
 {
 	struct leg *leg = data;
@@ -333,7 +355,7 @@
 		return;
 	if (endpoint)
 		endpoint_count_answer(endpoint, head->status >= STATUS_ERROR);
-	exchange_store_head(exchange, head);
+	leg_store_head(leg, head);
 }
 
 /* Records that the endpoint goes on with a run that it began a while ago. */
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -151,7 +151,10 @@
 	case EVACUATION_FROM_NOTHING:
 		break;
 	}
-	if (place.endpoint && !rates_allow(exchange, place.endpoint))
+	if (place.endpoint &&
+	    (!rates_allow(exchange, place.endpoint) ||
+	     !endpoint_rest_allows_take_over(&place.endpoint->rest,
+					     exchange->gateway->now_us)))
 		place.endpoint = NULL;
 	return place;
 }
@@ -326,6 +329,7 @@
 	struct error error;
 
 	log_take_over(exchange, place->endpoint, reason);
+	endpoint_rest_count_take_over(&place->endpoint->rest);
 	drop_leg(exchange);
 	exchange->take_overs++;
 	exchange->copy_failed = false;
@@ -334,6 +338,17 @@
 		exchange_fail_leg(exchange, RESULT_NOT_SENT, error.detail);
 }
 
+/* Refuses a request that has not run and is not sent again. */
+static void refuse_unrun(struct exchange *exchange, enum attempt_result result)
+{
+	int64_t wait_us;
+
+	exchange_refuse(exchange, 503, exchange_retry_after_us(exchange),
+			exchange_is_resting(exchange, &wait_us)
+				? "resting"
+				: attempt_result_name(result));
+}
+
 /*
  * The serving leg failed before a complete answer: continues with the next leg
  * if one was asked, else retries the request, takes the run over from a copy,
@@ -374,8 +389,7 @@
 		take_over(exchange, &place, attempt_result_name(result));
 		break;
 	case RECOVERY_REFUSE:
-		exchange_refuse(exchange, 503, RETRY_SOON_US,
-				attempt_result_name(result));
+		refuse_unrun(exchange, result);
 		break;
 	case RECOVERY_FORWARD:
 	case RECOVERY_FAIL:
@@ -390,13 +404,14 @@
 
 /*
  * Whether the limits of another engine, unless the home has granted the
- * request, the retry budget and quarantine allow to ask it to go on with the
- * run.
+ * request, its rest, the retry budget and quarantine allow to ask it to go on
+ * with the run.
  */
 bool exchange_may_hand_over(struct exchange *exchange,
 			    const struct endpoint *to)
 {
 	return (exchange->is_granted || rates_allow(exchange, to)) &&
+	       !endpoint_rest_is_on(&to->rest, exchange->gateway->now_us) &&
 	       retry_window_remaining(gateway_budget(
 		       exchange->gateway, exchange->service_name)) > 0 &&
 	       exchange_is_admitted(exchange);
--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -139,7 +139,7 @@
 	}
 	relay->head_received = true;
 	exchange->status = head->status;
-	exchange_store_head(exchange, head);
+	exchange_store_head(exchange, head, NULL);
 	if (exchange->answer_size < 0)
 		exchange_begin_chunked(exchange);
 }
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -148,6 +148,8 @@
 void exchange_abort(struct exchange *exchange, const char *reason);
 void exchange_end(struct exchange *exchange, const char *outcome,
 		  const char *reason);
+int64_t exchange_retry_after_us(const struct exchange *exchange);
+bool exchange_is_resting(const struct exchange *exchange, int64_t *wait_us);
 bool exchange_is_generation(const struct exchange *exchange);
 bool exchange_is_admitted(struct exchange *exchange);
 void exchange_fill_criteria(const struct exchange *exchange,
@@ -188,7 +190,8 @@
 
 /* exchange_answer.c */
 void exchange_store_head(struct exchange *exchange,
-			 const struct http_head *head);
+			 const struct http_head *head,
+			 const char *const *excluded);
 void exchange_begin_chunked(struct exchange *exchange);
 bool exchange_has_other_endpoint(const struct exchange *exchange);
 void exchange_receive_body(struct exchange *exchange, const char *bytes,
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -132,6 +132,23 @@
 	gateway->home_address = g_strdup(home->peer_address);
 }
 
+/* Adds the ids of endpoints that want nothing from this node. */
+static void add_resting(const struct exchange *exchange, GPtrArray *ids)
+{
+	const struct gateway *gateway = exchange->gateway;
+	const GPtrArray *endpoints = registry_endpoints(gateway->registry);
+
+	for (guint i = 0; i < endpoints->len; i++) {
+		const struct endpoint *endpoint =
+			g_ptr_array_index(endpoints, i);
+		const struct registration *entry = endpoint->last_registration;
+
+		if (endpoint_rest_is_on(&endpoint->rest, gateway->now_us) &&
+		    strcmp(entry->service, exchange->service_name) == 0)
+			g_ptr_array_add(ids, g_strdup(entry->id));
+	}
+}
+
 /* The request for an engine; the caller fills in what it is for. */
 static struct peer_message *home_request_create(const struct exchange *exchange,
 						uint64_t number)
@@ -148,6 +165,7 @@
 		g_ptr_array_add(
 			choose->avoid,
 			g_strdup(g_ptr_array_index(exchange->avoided_ids, i)));
+	add_resting(exchange, choose->avoid);
 	return message;
 }
 
@@ -334,6 +352,7 @@
 		.engine = service ? &service->engine : NULL,
 		.failure_domain = choose->failure_domain,
 		.avoid = choose->avoid,
+		.is_for_other = true,
 		.tokens = choose->tokens,
 		.now_us = gateway->now_us,
 		.draw = g_rand_double(gateway->random),
@@ -426,8 +445,8 @@
 
 /*
  * Sends a request to the engine that the home chose. One that is unknown here,
- * not usable or already tried is replaced by a local choice, as this node's
- * data on it may be newer than the home's.
+ * not usable, resting or already tried is replaced by a local choice, as this
+ * node's data on it may be newer than the home's.
  */
 static void apply_choice(struct exchange *exchange,
 			 const struct peer_chosen *chosen)
@@ -438,6 +457,8 @@
 	if (!*chosen->endpoint) {
 		exchange_send_or_refuse(exchange, NULL);
 	} else if (!endpoint || !endpoint_is_usable(endpoint) ||
+		   endpoint_rest_is_on(&endpoint->rest,
+				       exchange->gateway->now_us) ||
 		   is_tried(exchange, chosen->endpoint)) {
 		exchange_send_local_choice(exchange);
 	} else {
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -40,6 +40,7 @@
  *   gateway_cordons.c  failure domains that get no new requests
  *   gateway_limits.c   limits that endpoints state
  *   gateway_brittle.c  endpoints that end if they reject too much
+ *   gateway_rest.c     endpoints that ask this node for rest
  *   gateway_leaving.c  endpoints that say in answers that they leave
  *   gateway_losses.c   requests under which endpoints end
  *   gateway_ends.c     whether endpoints that broke off runs have ended
@@ -255,6 +256,12 @@
 void gateway_brittle_receive(struct gateway *gateway,
 			     const struct peer_message *message);
 
+/* gateway_rest.c */
+void gateway_rest_note_answer(struct gateway *gateway,
+			      struct endpoint *endpoint,
+			      const struct answered_rest *answer,
+			      int64_t known_us);
+
 /* gateway_leaving.c */
 void gateway_leaving_note_answer(struct gateway *gateway,
 				 struct endpoint *endpoint, int64_t known_us);
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -95,6 +95,14 @@
 	return endpoint->full_until_us > criteria->now_us;
 }
 
+/* Whether the endpoint wants nothing from the node that sends. */
+static bool is_resting(const struct endpoint_criteria *criteria,
+		       const struct endpoint *endpoint)
+{
+	return !criteria->is_for_other &&
+	       endpoint_rest_is_on(&endpoint->rest, criteria->now_us);
+}
+
 /* State of all endpoints of a service, computed once per choice. */
 struct summary {
 	/*
@@ -267,6 +275,7 @@
 
 		if (!is_candidate(criteria, endpoint) ||
 		    is_full(criteria, endpoint) ||
+		    is_resting(criteria, endpoint) ||
 		    (healthy_only &&
 		     !looks_healthy(criteria, endpoint, summary)) ||
 		    !has_room(criteria, endpoint, fill) ||
@@ -331,6 +340,35 @@
 	return is_limited;
 }
 
+/*
+ * Whether each endpoint that may get the request wants nothing from this node;
+ * endpoints to avoid count. Sets wait_us to the time until the first rest ends.
+ */
+bool endpoint_choice_is_resting(const struct registry *registry,
+				const struct endpoint_criteria *criteria,
+				int64_t *wait_us)
+{
+	const GPtrArray *endpoints = registry_endpoints(registry);
+	struct endpoint_criteria any = *criteria;
+
+	any.avoid = NULL;
+	any.avoid_id = NULL;
+	*wait_us = INT64_MAX;
+	for (guint i = 0; i < endpoints->len; i++) {
+		const struct endpoint *endpoint =
+			g_ptr_array_index(endpoints, i);
+
+		if (!is_candidate(&any, endpoint))
+			continue;
+		if (!is_resting(&any, endpoint))
+			return false;
+		*wait_us =
+			MIN(*wait_us, endpoint_rest_left_us(&endpoint->rest,
+							    criteria->now_us));
+	}
+	return *wait_us != INT64_MAX;
+}
+
 /*
  * Returns the endpoint with the best score among those with room, or NULL if
  * none has room. If all endpoints with room look unhealthy, one of them is
--- a/core/gateway/endpoint_choice.h
+++ b/core/gateway/endpoint_choice.h
@@ -24,7 +24,8 @@
 	double other_domain_weight; /* penalty of another one; 0: default */
 	const GPtrArray *avoid;	    /* char *: endpoint ids, or NULL */
 	const char *avoid_id;	    /* one more endpoint id, or NULL */
-	int64_t tokens; /* in memory at the expected end; 0: plain service */
+	bool is_for_other; /* another node sends: rests here don't matter */
+	int64_t tokens;	   /* in memory at the expected end; 0: plain service */
 	struct region_limits regions;
 	struct endpoint_rates rates;
 	int64_t now_us;
@@ -36,6 +37,9 @@
 bool endpoint_choice_is_limited(const struct registry *registry,
 				const struct endpoint_criteria *criteria,
 				int64_t *wait_us);
+bool endpoint_choice_is_resting(const struct registry *registry,
+				const struct endpoint_criteria *criteria,
+				int64_t *wait_us);
 struct endpoint *endpoint_choose(const struct registry *registry,
 				 const struct endpoint_criteria *criteria);
 struct endpoint *
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -247,6 +247,7 @@
 	endpoint->suspicion = (struct endpoint_suspicion){0};
 	endpoint->known_us = now_us;
 	endpoint->full_until_us = 0;
+	endpoint->rest = (struct endpoint_rest){0};
 	endpoint->limit = (struct endpoint_limit){0};
 	endpoint->brittle = (struct endpoint_limit){0};
 	endpoint->warm_us = now_us + update->warmup_remaining_us;
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -3,6 +3,7 @@
 
 #include "core/gateway/cordon_set.h"
 #include "core/gateway/endpoint_limit.h"
+#include "core/gateway/endpoint_rest.h"
 #include "core/gateway/endpoint_suspicion.h"
 #include "core/limit/rate_window.h"
 #include "core/placement/endpoint_health.h"
@@ -61,7 +62,9 @@
 	bool is_cordoned;      /* its failure domain gets no new requests */
 	int64_t uncordoned_us; /* when that last ended; 0: never */
 	int64_t full_until_us; /* it refused a request for lack of room */
-	double error_share;    /* of its last answers, moving average */
+	struct endpoint_rest rest;   /* that it asked this node for */
+	bool rest_was_unreadable;    /* in its last answer, for logs */
+	double error_share;	     /* of its last answers, moving average */
 	struct endpoint_limit limit; /* on requests of all nodes together */
 	int64_t limit_changed_us;
 	struct endpoint_limit brittle; /* on rejections, if it is brittle */
--- a/core/gateway/retry_after.c
+++ b/core/gateway/retry_after.c
@@ -35,3 +35,14 @@
 	return CLAMP((int64_t)((double)wait_us * (1 + draw)), RETRY_SOON_US,
 		     RETRY_LATER_US);
 }
+
+/*
+ * Returns how long the caller of a request should wait while all endpoints want
+ * rest from this node. wait_us is the time until the first rest ends; draw,
+ * random in [0, 1), spreads callers that are refused together: the first ones
+ * to return may find the endpoint as full as before.
+ */
+int64_t retry_after_resting_us(int64_t wait_us, double draw)
+{
+	return wait_us + (int64_t)(draw * (double)RETRY_SOON_US);
+}
--- a/core/gateway/retry_after.h
+++ b/core/gateway/retry_after.h
@@ -16,6 +16,7 @@
 #define RETRY_LATER_US (2 * G_USEC_PER_SEC)
 
 int64_t retry_after_limited_us(int64_t wait_us, double draw);
+int64_t retry_after_resting_us(int64_t wait_us, double draw);
 int64_t retry_after_full_us(int64_t first_answer_us, double draw);
 
 G_END_DECLS
--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -84,6 +84,16 @@
 		caller_answer(caller, 421, fields.c_str(), "", 0);
 		return;
 	}
+	if (!endpoint->rest.empty()) {
+		fields = std::string("X-Siskinlink-Request-Id: ") + id +
+			 "\r\nX-Siskinlink-Not-Executed: 1\r\n" +
+			 "Retry-After: " + endpoint->rest + "\r\n";
+		endpoint->turned_away++;
+		http_head_destroy(head);
+		g_byte_array_unref(body);
+		caller_answer(caller, 503, fields.c_str(), "", 0);
+		return;
+	}
 	endpoint->runs[id ? id : ""]++;
 	endpoint->seen.clear();
 	for (guint i = 0; i < head->fields->len; i++) {
@@ -483,7 +493,7 @@
 		options.retry_percent = 20;
 		options.retry_extra = 60;
 		options.retry_window_us = 10 * G_USEC_PER_SEC;
-		options.home_from_nodes = 16;
+		options.home_from_nodes = home_from_nodes;
 		options.directory_ttl_us = G_USEC_PER_SEC;
 		options.log = log;
 		options.counters = &node->counters;
--- a/tests/gateway_pair.h
+++ b/tests/gateway_pair.h
@@ -22,6 +22,8 @@
 	std::string seen;		 /* head of the last request */
 	int events = 0;	  /* of an answer in events; 0: a plain answer */
 	std::string says; /* fields of all its answers, each with CR LF */
+	std::string rest; /* turns requests away, Retry-After; "": serves */
+	int turned_away = 0;
 	bool is_silent = false;
 	int silence_ms = 0; /* before an answer, in which it does nothing */
 	struct caller *unanswered = nullptr;
@@ -112,6 +114,7 @@
 	void Wait(int ms);
 
 	std::vector<std::unique_ptr<struct node>> nodes;
+	int64_t home_from_nodes = 16; /* fewer nodes choose by themselves */
 	bool backs_up = false;	  /* engines keep copies of each other's runs */
 	bool loses_reach = false; /* what nodes say of their reach is lost */
 	int64_t position = 2;	  /* the same, so that none overrules another */
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -544,6 +544,14 @@
 	EXPECT_EQ("e1", AskForMove(3, 8000));
 }
 
+/* Guards against a home that keeps its own rests on behalf of other nodes. */
+TEST_F(GatewayHome, GrantsWhatRestsFromItselfOnly)
+{
+	ReceiveListing(10, 2);
+	Engine("e1")->rest.until_us = gateway->now_us + 10 * G_USEC_PER_SEC;
+	EXPECT_EQ("e1", AskForMove(1, 8000));
+}
+
 /* Endpoint e1 of a plain service states limits, to this node or to n0. */
 class GatewayLimit : public Gateway
 {
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -345,6 +345,17 @@
 	EXPECT_EQ(PRESENCE_READY, presence("e1"));
 }
 
+/* Guards against a rest that outlasts the start that asked for it. */
+TEST_F(Registry, ANewStartEndsARest)
+{
+	apply(entry("e1", 5, false, 100));
+	registry_find(registry, "e1")->rest.until_us = INT64_MAX;
+	apply(entry("e1", 6, false, 100));
+	EXPECT_NE(0, registry_find(registry, "e1")->rest.until_us);
+	apply(entry("e1", 7, false, 200));
+	EXPECT_EQ(0, registry_find(registry, "e1")->rest.until_us);
+}
+
 /* Guards against an endpoint that puts itself away for good by a slip. */
 TEST_F(Registry, UsesAnEndpointAgainThatServesLongAfterItsWord)
 {
