--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -15,6 +15,7 @@
 /* Callers that ignore Retry-After retry at once, and this many times. */
 #define IMPATIENT_RETRIES 4
 #define PROBE_EVERY_US (150 * MS_US)
+#define KEEPERS_PER_NODE 3
 /* The fake engine crashes when a request body contains this text. */
 #define POISON "[[poison]]"
 #define POISON_ATTEMPTS 5
@@ -52,6 +53,7 @@
 	char *kept_front;
 	GPtrArray *attempts;
 	int32_t number;
+	int32_t node; /* of a keeper */
 	int32_t sent;
 	enum behaviour behaviour;
 };
@@ -199,12 +201,14 @@
 	struct soak_attempt *attempt =
 		soak_attempt_create(kind, id, path, front);
 	int64_t until_us = deadline_us + DEADLINE_SLACK_US;
+	const struct soak_session *kept = caller->kept;
 	struct soak_session *connection = caller_connect(caller, front);
 	struct error error = {0};
 	int64_t disconnect_bytes;
 
 	g_ptr_array_add(caller->attempts, attempt);
 	attempt->deadline_us = deadline_us;
+	attempt->on_kept = connection && connection == kept;
 	if (connection) {
 		g_autofree char *text = request_text(attempt);
 
@@ -284,32 +288,37 @@
 	}
 }
 
-static void caller_send_any(struct caller *caller)
+/* A part of the requests that callers send; the percentages add up to 100. */
+struct load {
+	enum soak_kind kind;
+	const char *prefix;
+	int percent;
+};
+
+static const struct load *caller_draw_load(struct caller *caller)
 {
-	static const struct {
-		enum soak_kind kind;
-		const char *prefix;
-		int percent;
-	} mix[] = {
+	static const struct load mix[] = {
 		{SOAK_KIND_STREAM, "/report/", 25},
 		{SOAK_KIND_ONCE, "/export/", 40},
 		{SOAK_KIND_IDEMPOTENT, "/lookup/", 35},
 	};
 	int32_t draw = g_rand_int_range(caller->random, 0, 100);
+	size_t i = 0;
+
+	while (draw >= mix[i].percent)
+		draw -= mix[i++].percent;
+	return &mix[i];
+}
+
+static void caller_send_any(struct caller *caller)
+{
+	const struct load *load = caller_draw_load(caller);
 	int32_t key = caller->behaviour == BEHAVIOUR_ONE_KEY
 			      ? 0
 			      : g_rand_int_range(caller->random, 1, 1000);
+	g_autofree char *path = g_strdup_printf("%s%d", load->prefix, key);
 
-	for (size_t i = 0; i < G_N_ELEMENTS(mix); i++) {
-		g_autofree char *path =
-			g_strdup_printf("%s%d", mix[i].prefix, key);
-
-		if (draw < mix[i].percent) {
-			caller_send(caller, mix[i].kind, path);
-			return;
-		}
-		draw -= mix[i].percent;
-	}
+	caller_send(caller, load->kind, path);
 }
 
 static gpointer caller_run(gpointer data)
@@ -325,6 +334,33 @@
 	return NULL;
 }
 
+/*
+ * Stays with one node until its process is gone, whatever the directory says,
+ * and connects to it again as long as it accepts.
+ */
+static gpointer keeper_run(gpointer data)
+{
+	struct caller *caller = data;
+
+	while (soak_view_has_load(caller->view)) {
+		const struct load *load = caller_draw_load(caller);
+		g_autofree char *front =
+			soak_view_front(caller->view, caller->node);
+		g_autofree char *path =
+			g_strdup_printf("%s%d", load->prefix, caller->sent);
+		int64_t limit_us = load->kind == SOAK_KIND_STREAM
+					   ? STREAM_DEADLINE_US
+					   : PLAIN_DEADLINE_US;
+
+		caller_attempt(caller, load->kind, path, front,
+			       g_get_monotonic_time() + limit_us);
+		g_usleep((gulong)(g_rand_int_range(caller->random, 20, 300) *
+				  MS_US));
+	}
+	g_atomic_int_add(&caller->callers->running, -1);
+	return NULL;
+}
+
 /*
  * Requests from one node, in turn, the route that the newest configuration
  * added and the one that it removed.
@@ -408,9 +444,29 @@
 	return NULL;
 }
 
+/* Whether faults are about connections that callers keep to a node. */
+static bool needs_keepers(const struct soak_schedule *schedule)
+{
+	return soak_schedule_has_kind(schedule, SOAK_NODE_TERM_AGAIN) ||
+	       soak_schedule_has_kind(schedule, SOAK_CONFIG_IDLE);
+}
+
+static void start_keepers(struct soak_callers *callers)
+{
+	int32_t nodes = callers->schedule->nodes;
+
+	for (int32_t i = 0; i < nodes * KEEPERS_PER_NODE; i++) {
+		struct caller *caller = caller_create(callers);
+
+		caller->behaviour = BEHAVIOUR_KEEP_ALIVE;
+		caller->node = i % nodes;
+		caller_start(caller, keeper_run);
+	}
+}
+
 /*
- * Starts a prober for each node, and the callers of the schedule. The schedule
- * and the view must outlive the callers.
+ * Starts a prober for each node, the callers of the schedule, and keepers if
+ * its faults need them. The schedule and the view must outlive the callers.
  */
 struct soak_callers *soak_callers_create(const struct soak_schedule *schedule,
 					 struct soak_view *view)
@@ -428,6 +484,8 @@
 			caller->behaviour = BEHAVIOUR_NEW_CONNECTION;
 		caller_start(caller, is_prober ? prober_run : caller_run);
 	}
+	if (needs_keepers(schedule))
+		start_keepers(callers);
 	return callers;
 }
 
--- a/tests/soak/soak_check_state.h
+++ b/tests/soak/soak_check_state.h
@@ -58,6 +58,9 @@
 void soak_check_innocents(struct soak_check *check);
 void soak_check_resources(struct soak_check *check);
 
+/* soak_check_lost.c */
+void soak_check_lost(struct soak_check *check);
+
 /* soak_check_limits.c */
 void soak_check_limits(struct soak_check *check);
 
--- a/tests/soak/soak_evidence.h
+++ b/tests/soak/soak_evidence.h
@@ -38,7 +38,8 @@
 	char *id;
 	enum soak_kind kind;
 	char *path;
-	char *front; /* the address it was sent to */
+	char *front;  /* the address it was sent to */
+	bool on_kept; /* sent on a connection that had carried another one */
 	int64_t begun_us;
 	int64_t sent_us; /* of its last byte; 0: not sent completely */
 	int64_t ended_us;
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -19,9 +19,25 @@
  * two heartbeats of its return.
  */
 #define REREGISTER_US G_TIME_SPAN_SECOND
-/* Values of address_keep_s between which SIGHUP switches. */
-#define ADDRESS_TTL_S 2
-#define CHANGED_ADDRESS_TTL_S 3
+/* Settings to which SIGHUP switches. */
+static const struct soak_settings settings_changed = {.keep_s = 3,
+						      .drain_s = 8};
+static const struct soak_settings settings_shorter = {.keep_s = 2,
+						      .drain_s = 1};
+/* How often the signals of a stop come again, and when in the drain. */
+#define MAX_AGAIN 4
+#define FIRST_AGAIN_MS 50
+#define LAST_AGAIN_MS 6500
+/* Between a reload and the signal that overlaps it, and until the next one. */
+#define MAX_OVERLAP_MS 30
+#define MIN_RELOAD_MS 100
+#define MAX_RELOAD_MS 600
+/*
+ * A silence is a moment: the next one comes later, and none comes before an
+ * endpoint that has started is registered.
+ */
+#define SILENCE_REST_US (4 * G_TIME_SPAN_SECOND)
+#define SETTLE_US G_TIME_SPAN_SECOND
 
 typedef void (*member_action)(struct soak_fleet *fleet,
 			      struct soak_member *member);
@@ -103,6 +119,100 @@
 	soak_process_signal(member->process, SIGTERM);
 }
 
+static bool node_is_draining(const struct soak_member *member)
+{
+	return member->life && member->life->term_us;
+}
+
+static void node_signal_again(struct soak_fleet *fleet,
+			      const struct soak_member *member, int number)
+{
+	if (!node_is_draining(member))
+		return;
+	soak_fleet_record_fault(fleet, SOAK_NODE_TERM_AGAIN, member->name);
+	soak_process_signal(member->process, number);
+	soak_fleet_record_fault_end(fleet, SOAK_NODE_TERM_AGAIN, member->name);
+}
+
+static void node_term_repeat(struct soak_fleet *fleet,
+			     struct soak_member *member)
+{
+	node_signal_again(fleet, member, SIGTERM);
+}
+
+static void node_int_repeat(struct soak_fleet *fleet,
+			    struct soak_member *member)
+{
+	node_signal_again(fleet, member, SIGINT);
+}
+
+static void node_shorten_drain(struct soak_fleet *fleet,
+			       struct soak_member *member)
+{
+	if (!node_is_draining(member))
+		return;
+	soak_fleet_write_settings(fleet, member, &settings_shorter);
+	soak_process_signal(member->process, SIGHUP);
+}
+
+static void node_restore_drain(struct soak_fleet *fleet,
+			       struct soak_member *member)
+{
+	if (!node_is_draining(member))
+		return;
+	soak_fleet_write_settings(fleet, member, &soak_settings_usual);
+	soak_process_signal(member->process, SIGHUP);
+}
+
+/* A signal of a stop that comes again, maybe overlapping two reloads. */
+static void node_defer_again(struct soak_fleet *fleet,
+			     struct soak_member *member, GRand *random)
+{
+	int64_t at_ms = g_rand_int_range(random, FIRST_AGAIN_MS, LAST_AGAIN_MS);
+	int32_t overlap_ms = g_rand_int_range(random, 0, MAX_OVERLAP_MS);
+	int32_t reload_ms =
+		g_rand_int_range(random, MIN_RELOAD_MS, MAX_RELOAD_MS);
+	bool reloads = g_rand_boolean(random);
+	member_action repeat =
+		g_rand_boolean(random) ? node_term_repeat : node_int_repeat;
+
+	if (reloads) {
+		soak_fleet_defer(fleet, at_ms * G_TIME_SPAN_MILLISECOND,
+				 node_shorten_drain, member);
+		soak_fleet_defer(fleet,
+				 (at_ms + reload_ms) * G_TIME_SPAN_MILLISECOND,
+				 node_restore_drain, member);
+	}
+	soak_fleet_defer(fleet, (at_ms + overlap_ms) * G_TIME_SPAN_MILLISECOND,
+			 repeat, member);
+}
+
+/* A stop whose signal comes again, also as SIGINT, one to four times. */
+static void node_term_again(struct soak_fleet *fleet,
+			    struct soak_member *member)
+{
+	guint32 seeds[] = {fleet->schedule->seed, (guint32)fleet->drains++};
+	GRand *random = g_rand_new_with_seed_array(seeds, G_N_ELEMENTS(seeds));
+	int32_t count = g_rand_int_range(random, 1, MAX_AGAIN + 1);
+
+	node_term(fleet, member);
+	for (int32_t i = 0; node_is_draining(member) && i < count; i++)
+		node_defer_again(fleet, member, random);
+	g_rand_free(random);
+}
+
+static void endpoint_fall_silent(struct soak_fleet *fleet,
+				 struct soak_member *member)
+{
+	int64_t now_us = g_get_monotonic_time();
+
+	if (!member->life || now_us < member->life->from_us + SETTLE_US ||
+	    now_us < member->next_silence_us)
+		return;
+	member->next_silence_us = now_us + SILENCE_REST_US;
+	member_pause(fleet, member);
+}
+
 /* Restarts the member now, or as soon as its process has ended. */
 static void member_restart(struct soak_fleet *fleet, struct soak_member *member)
 {
@@ -114,7 +224,7 @@
 {
 	if (!member->life)
 		return;
-	soak_fleet_write_settings(fleet, member, CHANGED_ADDRESS_TTL_S);
+	soak_fleet_write_settings(fleet, member, &settings_changed);
 	soak_process_signal(member->process, SIGHUP);
 }
 
@@ -123,7 +233,7 @@
 {
 	if (!member->life)
 		return;
-	soak_fleet_write_settings(fleet, member, ADDRESS_TTL_S);
+	soak_fleet_write_settings(fleet, member, &soak_settings_usual);
 	soak_process_signal(member->process, SIGHUP);
 }
 
@@ -254,6 +364,20 @@
 		soak_fleet_note_failure(fleet, "evacuation: %s", error.detail);
 }
 
+/* Lowers how long connections may be idle, unless it is already low. */
+static void idle_limit_lower(struct soak_fleet *fleet)
+{
+	if (fleet->idle_lowered++ == 0)
+		soak_fleet_configure(fleet);
+}
+
+/* Takes the usual limit back at the end of its last lowering. */
+static void idle_limit_restore(struct soak_fleet *fleet)
+{
+	if (--fleet->idle_lowered == 0)
+		soak_fleet_configure(fleet);
+}
+
 static const struct {
 	member_action begin;
 	member_action end;
@@ -324,6 +448,11 @@
 	[SOAK_PLAIN_LINK_RESET] = {.link = {SOAK_LINK_RESET, 0}},
 	[SOAK_PLAIN_LINK_CUT_BACK] = {.link = {SOAK_LINK_CUT_BACKWARD, 0}},
 	[SOAK_PLAIN_LINK_TRICKLE] = {.link = {SOAK_LINK_TRICKLE, TRICKLE_US}},
+	[SOAK_NODE_TERM_AGAIN] = {node_term_again, member_restart, NULL, NULL},
+	[SOAK_PLAIN_SILENCE] = {endpoint_fall_silent, member_continue, NULL,
+				NULL},
+	[SOAK_ENGINE_SILENCE] = {endpoint_fall_silent, member_continue, NULL,
+				 NULL},
 	[SOAK_PLAIN_LINK_EXTRA] = {.link = {SOAK_LINK_UNSOLICITED,
 					    STRAY_IDLE_US}},
 };
@@ -422,6 +551,8 @@
 		store_refuse_source(fleet, fault_proxy(fleet, fault));
 	if (fault->kind == SOAK_DOMAIN_EVACUATE)
 		domain_evacuate(fleet);
+	if (fault->kind == SOAK_CONFIG_IDLE)
+		idle_limit_lower(fleet);
 	if (fault->kind == SOAK_CONFIG)
 		soak_fleet_configure(fleet);
 	for (int i = 0; fault->kind == SOAK_CONFIG_STORM && i < STORM_VERSIONS;
@@ -442,6 +573,8 @@
 		store_mode(fleet, "{\"refused\":\"\"}");
 	if (fault->kind == SOAK_DOMAIN_EVACUATE)
 		domain_take_back(fleet);
+	if (fault->kind == SOAK_CONFIG_IDLE)
+		idle_limit_restore(fleet);
 	if (fault->kind == SOAK_STORE_LAPSE)
 		entries_restore(fleet);
 	soak_fleet_record_fault_end(fleet, fault->kind,
--- a/tests/soak/soak_fleet_start.c
+++ b/tests/soak/soak_fleet_start.c
@@ -2,6 +2,8 @@
 #include "tests/soak/soak_fleet_state.h"
 #include "tests/soak/soak_platform.h"
 
+#include <errno.h>
+#include <glib/gstdio.h>
 #include <inttypes.h>
 #include <unistd.h>
 
@@ -23,8 +25,14 @@
 #define HOSTS_IN_RANGE 250
 #define STORE_PORT 8090
 #define SEEDS 3
-/* grace_s, budget_ratio and budget_extra of the smaller deployment. */
-#define SETTINGS_GATEWAY "drain_s = 8\nretry_ratio = 0.2\nretry_extra = 54\n"
+/* budget_ratio and budget_extra of the smaller deployment. */
+#define SETTINGS_GATEWAY "retry_ratio = 0.2\nretry_extra = 54\n"
+/* Times for which a caller's connection may be idle: the usual, the lower. */
+#define IDLE_TIMEOUT_MS 15000
+#define LOWER_IDLE_TIMEOUT_MS 150
+
+/* drain_s is grace_s of the smaller deployment. */
+const struct soak_settings soak_settings_usual = {.keep_s = 2, .drain_s = 8};
 
 /*
  * Reserves a range of loopback addresses that no other run uses, by listening
@@ -121,12 +129,34 @@
 }
 
 /*
- * Writes the settings that a node reads at its start and at SIGHUP, with keep_s
- * as address_keep_s. Returns false, after recording the failure, if the file
- * cannot be written.
+ * Replaces the file at once, so that no node reads a part of it. Nothing waits
+ * for the disk: while others write much, that holds up the run and its faults.
+ */
+static bool settings_replace(struct soak_fleet *fleet, const char *path,
+			     const char *text)
+{
+	g_autofree char *temporary = g_strdup_printf("%s.new", path);
+	g_autoptr(GError) failure = NULL;
+
+	if (!g_file_set_contents_full(temporary, text, -1,
+				      G_FILE_SET_CONTENTS_NONE, 0644,
+				      &failure)) {
+		soak_fleet_note_failure(fleet, "%s", failure->message);
+		return false;
+	}
+	if (g_rename(temporary, path) == 0)
+		return true;
+	soak_fleet_note_failure(fleet, "%s: %s", path, g_strerror(errno));
+	return false;
+}
+
+/*
+ * Writes the settings that a node reads at its start and at SIGHUP. Returns
+ * false, after recording the failure, if the file cannot be written.
  */
 bool soak_fleet_write_settings(struct soak_fleet *fleet,
-			       const struct soak_member *node, int32_t keep_s)
+			       const struct soak_member *node,
+			       const struct soak_settings *settings)
 {
 	g_autofree char *seeds = seeds_text(fleet);
 	g_autofree char *path = settings_path(fleet, node);
@@ -137,18 +167,14 @@
 		"peer_transport = \"%s\"\n"
 		"[gateway]\naddress = \"%s\"\nready_address = \"%s:8741\"\n"
 		"directory_address = \"%s:8742\"\nstore_address = \"%s\"\n"
-		"address_keep_s = %d\n" SETTINGS_GATEWAY,
+		"address_keep_s = %d\ndrain_s = %d\n" SETTINGS_GATEWAY,
 		node->id, node->ip, node->ip, seeds, peer_transport(node),
 		node->address, node->ip, node->ip,
 		node->store_proxy ? soak_proxy_address(node->store_proxy)
 				  : fleet->store_address,
-		keep_s);
-	g_autoptr(GError) failure = NULL;
+		settings->keep_s, settings->drain_s);
 
-	if (g_file_set_contents(path, text, -1, &failure))
-		return true;
-	soak_fleet_note_failure(fleet, "%s", failure->message);
-	return false;
+	return settings_replace(fleet, path, text);
 }
 
 static bool fleet_start_node(struct soak_fleet *fleet, struct soak_member *node,
@@ -160,7 +186,7 @@
 	g_autofree char *directory = g_strdup_printf("%s:8742", node->ip);
 	const char *argv[] = {program, "--config", path, NULL};
 
-	if (!soak_fleet_write_settings(fleet, node, 2))
+	if (!soak_fleet_write_settings(fleet, node, &soak_settings_usual))
 		return false;
 	soak_view_set_node(fleet->view, node->index, node->address,
 			   soak_member_connect_address(node), directory);
@@ -292,8 +318,9 @@
 /* Writes the next version of the configuration to the store, and records it. */
 void soak_fleet_configure(struct soak_fleet *fleet)
 {
-	g_autofree char *document =
-		soak_platform_configuration(++fleet->version);
+	g_autofree char *document = soak_platform_configuration(
+		++fleet->version,
+		fleet->idle_lowered ? LOWER_IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS);
 	struct soak_version row = {.index = fleet->version};
 	struct error error = {0};
 
--- a/tests/soak/soak_fleet_state.h
+++ b/tests/soak/soak_fleet_state.h
@@ -26,7 +26,9 @@
 };
 
 struct soak_fleet {
-	int32_t evacuations; /* of the domain, that last now */
+	int32_t evacuations;  /* of the domain, that last now */
+	int32_t idle_lowered; /* lower idle limits that last now */
+	int32_t drains;	      /* whose signals come again */
 	const struct soak_schedule *schedule;
 	struct soak_fleet_paths paths;
 	struct soak_view *view;
@@ -55,8 +57,19 @@
 void soak_fleet_defer(struct soak_fleet *fleet, int64_t after_us,
 		      void (*run)(struct soak_fleet *, struct soak_member *),
 		      struct soak_member *member);
+
+/* Seconds in a node's settings: address_keep_s and drain_s. */
+struct soak_settings {
+	int32_t keep_s;
+	int32_t drain_s;
+};
+
+/* The settings of a node at its start. */
+extern const struct soak_settings soak_settings_usual;
+
 bool soak_fleet_write_settings(struct soak_fleet *fleet,
-			       const struct soak_member *node, int32_t keep_s);
+			       const struct soak_member *node,
+			       const struct soak_settings *settings);
 void soak_fleet_register(struct soak_fleet *fleet, struct soak_member *member);
 void soak_fleet_unregister(struct soak_fleet *fleet,
 			   struct soak_member *member);
--- a/tests/soak/soak_member.h
+++ b/tests/soak/soak_member.h
@@ -39,6 +39,7 @@
 	int64_t born_ms;
 	int64_t start_us;	  /* time of the next start; 0: none */
 	int64_t exit_deadline_us; /* exit deadline after SIGTERM; 0: none */
+	int64_t next_silence_us;  /* it may fall silent again from then on */
 };
 
 struct soak_member *soak_member_create(enum soak_role role, int32_t index,
--- a/tests/soak/soak_platform.c
+++ b/tests/soak/soak_platform.c
@@ -105,9 +105,10 @@
 /*
  * Formats configuration number index; the caller frees it. It adds a route of
  * its own, keeps the route that configuration index - 1 added and removes the
- * one that index - 2 added.
+ * one that index - 2 added. Idle connections of callers stay for
+ * idle_timeout_ms.
  */
-char *soak_platform_configuration(int32_t index)
+char *soak_platform_configuration(int32_t index, int32_t idle_timeout_ms)
 {
 	GString *text = g_string_new(NULL);
 
@@ -130,14 +131,15 @@
 		VERSION_STEP * (index + 1));
 	for (int32_t i = MAX(index - 1, 0); i <= index; i++)
 		append_probe_route(text, i);
-	g_string_append(
+	g_string_append_printf(
 		text,
 		"],\"services\":[{\"name\":\"engines\",\"engine\":{"
 		"\"slots\":24,\"kv_cache_tokens\":34000,\"stride\":4,"
 		"\"migrations\":true,\"backups\":true,\"handle_ttl_s\":5}},"
 		"{\"name\":\"portal\"}],\"limits\":{\"header_bytes\":4096,"
 		"\"max_body_bytes\":65536,\"header_timeout_ms\":800,"
-		"\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"atlas\","
-		"\"keys\":[\"" SOAK_KEY "\"]}]}");
+		"\"idle_timeout_ms\":%d},\"tenants\":[{\"name\":\"atlas\","
+		"\"keys\":[\"" SOAK_KEY "\"]}]}",
+		idle_timeout_ms);
 	return g_string_free(text, FALSE);
 }
--- a/tests/soak/soak_platform.h
+++ b/tests/soak/soak_platform.h
@@ -24,7 +24,7 @@
 char *soak_platform_entry(const char *service, const char *domain,
 			  const char *address, bool is_leaving,
 			  int64_t born_ms);
-char *soak_platform_configuration(int32_t index);
+char *soak_platform_configuration(int32_t index, int32_t idle_timeout_ms);
 char *soak_platform_route_prefix(int32_t index);
 
 G_END_DECLS
--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -205,6 +205,22 @@
 			      "a prompt part that ends the engines which begin "
 			      "to answer it, requests no two alike",
 			      false, false},
+	[SOAK_NODE_TERM_AGAIN] = {"node_term_again", SOAK_TARGET_NODE, 1000,
+				  4000, true,
+				  "a node gets SIGTERM, and in its drain "
+				  "signals again and other settings",
+				  false, false},
+	[SOAK_CONFIG_IDLE] = {"config_idle", SOAK_TARGET_OPERATOR, 1000, 3000,
+			      true,
+			      "a configuration closes idle connections much "
+			      "sooner",
+			      false, false},
+	[SOAK_PLAIN_SILENCE] = {"plain_silence", SOAK_TARGET_PLAIN, 800, 1200,
+				true, "a plain endpoint is silent for a moment",
+				false, false},
+	[SOAK_ENGINE_SILENCE] = {"engine_silence", SOAK_TARGET_ENGINE, 800,
+				 1200, true, "an engine is silent for a moment",
+				 false, false},
 };
 
 /* Returns the static description of a kind of fault. */
@@ -371,6 +387,17 @@
 	g_rand_free(random);
 }
 
+/* Returns whether a fault is of that kind. */
+bool soak_schedule_has_kind(const struct soak_schedule *schedule,
+			    enum soak_fault_kind kind)
+{
+	for (guint i = 0; i < schedule->faults->len; i++)
+		if (g_array_index(schedule->faults, struct soak_fault, i)
+			    .kind == kind)
+			return true;
+	return false;
+}
+
 /* Returns whether a fault affects such a link, which then needs proxies. */
 bool soak_schedule_has_links(const struct soak_schedule *schedule,
 			     enum soak_target target, bool to_store)
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -79,6 +79,10 @@
 	SOAK_ENGINE_LIMIT,
 	SOAK_POISON_PLAIN,
 	SOAK_POISON_PART,
+	SOAK_NODE_TERM_AGAIN,
+	SOAK_CONFIG_IDLE,
+	SOAK_PLAIN_SILENCE,
+	SOAK_ENGINE_SILENCE,
 	SOAK_FAULT_KINDS
 };
 
@@ -130,6 +134,8 @@
 void soak_schedule_remove_faults(struct soak_schedule *schedule);
 void soak_schedule_set_kinds(struct soak_schedule *schedule,
 			     const GArray *kinds);
+bool soak_schedule_has_kind(const struct soak_schedule *schedule,
+			    enum soak_fault_kind kind);
 bool soak_schedule_has_links(const struct soak_schedule *schedule,
 			     enum soak_target target, bool to_store);
 char *soak_schedule_print(const struct soak_schedule *schedule);
