A request that waits in its socket is read before its connection closes

Callers saw a kept connection close without an answer to a request that they had sent in time, after a pause of the process, a late tick, or at the end of a drain.

Cause: the tick weighs the idle limit, and a drain closes idle connections, by what was read. A request that waits unread in the socket counted as silence, and tcp_stream_finish drops it.

A connection is now idle only if its socket holds no unread bytes either. The loop reads them right after the tick, and the request is answered or refused. A peer gains no time by it: bytes once read begin a request, which has the header timeout.

Failed before: Callers.ReadWhatCameBeforeTheIdleLimit and Callers.ReadWhatCameBeforeADrainClosesIdleConnections.

--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -362,6 +362,17 @@
 	g_hash_table_add(set->callers, caller);
 }
 
+/*
+ * Whether no request is being read or answered, and none waits in the socket.
+ * One may wait there when this process stood still: it came in time, and if the
+ * connection closed, it would get no answer.
+ */
+static bool caller_is_idle(const struct caller *caller)
+{
+	return !caller->is_busy && !caller->request_start_us &&
+	       !tcp_stream_has_unread(caller->stream);
+}
+
 static void caller_step(struct caller *caller, int64_t now_us)
 {
 	const struct caller_limits *limits = &caller->promised;
@@ -376,8 +387,8 @@
 		caller_finish(caller);
 		return;
 	}
-	if (!caller->request_start_us &&
-	    now_us - caller->last_activity_us > limits->idle_timeout_us)
+	if (now_us - caller->last_activity_us > limits->idle_timeout_us &&
+	    caller_is_idle(caller))
 		caller_finish(caller);
 }
 
@@ -413,7 +424,7 @@
 	while (g_hash_table_iter_next(&iter, &value, NULL)) {
 		struct caller *caller = value;
 
-		if (caller->is_busy || caller->request_start_us)
+		if (!caller_is_idle(caller))
 			continue;
 		tcp_stream_finish(g_steal_pointer(&caller->stream));
 		g_hash_table_iter_remove(&iter);
--- a/adapters/gateway/tcp_stream.c
+++ b/adapters/gateway/tcp_stream.c
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -425,6 +426,15 @@
 	return stream->unsent->len - stream->unsent_offset;
 }
 
+/* Whether bytes of the peer wait in the socket to be read. */
+bool tcp_stream_has_unread(const struct tcp_stream *stream)
+{
+	int size = 0;
+
+	return stream->fd >= 0 && ioctl(stream->fd, FIONREAD, &size) == 0 &&
+	       size > 0;
+}
+
 /* Whether any byte may have reached the peer. */
 bool tcp_stream_has_sent(const struct tcp_stream *stream)
 {
--- a/tests/caller_test.cc
+++ b/tests/caller_test.cc
@@ -152,3 +152,35 @@
 	EXPECT_TRUE(excess->wait_closed());
 	EXPECT_EQ(OK, Ask(open[0].get()));
 }
+
+/*
+ * Guards against a request that is dropped unread because the process was late:
+ * it came before the idle limit, and the limit was weighed before it was read.
+ */
+TEST_F(Callers, ReadWhatCameBeforeTheIdleLimit)
+{
+	std::unique_ptr<Connection> caller(Connection::open(address));
+
+	StepTo(0);
+	EXPECT_EQ(OK, Ask(caller.get()));
+	caller->input.clear();
+	caller->send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+	caller_set_step(set, start_us + 15100 * 1000);
+	caller->wait_for("\r\n\r\n");
+	EXPECT_EQ(OK, caller->input.substr(0, 12));
+}
+
+/* Guards against a request that is dropped unread when a drain closes. */
+TEST_F(Callers, ReadWhatCameBeforeADrainClosesIdleConnections)
+{
+	std::unique_ptr<Connection> caller(Connection::open(address));
+
+	StepTo(0);
+	EXPECT_EQ(OK, Ask(caller.get()));
+	caller_set_drain(set);
+	caller->input.clear();
+	caller->send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+	caller_set_close_idle(set);
+	caller->wait_for("\r\n\r\n");
+	EXPECT_EQ(OK, caller->input.substr(0, 12));
+}
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -75,7 +75,7 @@
 		kv_cache_tokens: 34000, stride: 4, migrations: true,
 		backups: '"${backups:-true}"', handle_ttl_s: 5}}, {name: "portal"}],
 		limits: {header_bytes: 4096, max_body_bytes: 65536,
-		header_timeout_ms: 800, idle_timeout_ms: 15000},
+		header_timeout_ms: 800, idle_timeout_ms: '"${idle_ms:-15000}"'},
 		tenants: [{name: "atlas", keys: $ARGS.positional}]}' "$@")"
 }
 
@@ -1054,6 +1054,36 @@
 	start_gateway 1
 }
 
+# Guards against a kept connection that is closed with a request unread in it:
+# the request came in time, while the node stood still for a moment.
+case_reads_what_came_while_it_stood_still() {
+	local line
+
+	idle_ms=1000 document "$key"
+	sleep 1
+	exec 9<>"/dev/tcp/${fronts[1]%:*}/${fronts[1]#*:}"
+	still_request() {
+		printf 'GET /lookup/a HTTP/1.1\r\nHost: %s\r\nX-Siskinlink-Request-Id: still-%s\r\nAuthorization: Bearer %s\r\n\r\n' \
+			"$host" "$1" "$key" >&9
+	}
+	still_request 1
+	read -r -t 2 line <&9
+	[[ "$line" == *200* ]] || fail "the first answer is $line"
+	sleep 0.4
+	kill -STOP "${node_pids[1]}"
+	sleep 0.3
+	timeout 0.1 cat <&9 >/dev/null || true
+	still_request 2
+	sleep 0.5
+	kill -CONT "${node_pids[1]}"
+	line=
+	read -r -t 2 line <&9 || true
+	[[ "$line" == *200* ]] || fail "no answer: ${line:-nothing}"
+	exec 9<&- 9>&-
+	document "$key"
+	sleep 1
+}
+
 # All nodes are killed at once and restarted: with no state on disk they serve
 # within two seconds of their start.
 case_starts_cold() {
