A drain closes connections only after an answer that says so

Callers whose answer had begun before a drain were closed after it without a word: their next request, on a connection that they had every reason to reuse, got no answer.

Cause: caller_end_answer closed because of the drain, while the head of the answer had been written before it and said nothing.

Whether the connection closes is now decided where the head is written (caller_decide_close), and caller_end_answer keeps to that.

Failed before: Callers.SayThatTheyCloseBeforeADrainCloses.

--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -114,12 +114,24 @@
 	g_hash_table_remove(caller->set->callers, caller);
 }
 
-static void caller_append_head(const struct caller *caller, int32_t status,
+/*
+ * Returns whether the head of the current answer is to say that the connection
+ * closes, and sees to it that it does. To be called when that head is written:
+ * a drain that begins later closes only after the next answer, as a caller that
+ * was told nothing may have sent its next request already.
+ */
+bool caller_decide_close(struct caller *caller)
+{
+	caller->must_close = caller->must_close || caller->set->is_draining;
+	return caller->must_close;
+}
+
+static void caller_append_head(struct caller *caller, int32_t status,
 			       const char *fields, GString *out)
 {
 	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n%s", status,
 			       http_status_text(status), fields ? fields : "");
-	if (caller->must_close || caller->set->is_draining)
+	if (caller_decide_close(caller))
 		g_string_append(out, "Connection: close\r\n");
 }
 
@@ -408,7 +420,7 @@
 	g_ptr_array_unref(callers);
 }
 
-/* From now on, each connection closes after its current answer. */
+/* From now on, each answer says that its connection closes. */
 void caller_set_drain(struct caller_set *set)
 {
 	set->is_draining = true;
@@ -471,7 +483,8 @@
 
 /*
  * Ends a complete answer. The connection then closes if must_close is set, if
- * the request asked for it or in a drain; else the next request is parsed.
+ * the request asked for it or if the answer's head said so; else the next
+ * request is parsed.
  */
 void caller_end_answer(struct caller *caller, bool must_close)
 {
@@ -484,7 +497,7 @@
 	caller->promised = set->limits;
 	http_reader_set_max_head(caller->reader,
 				 (size_t)set->limits.header_bytes);
-	if (must_close || caller->must_close || set->is_draining) {
+	if (must_close || caller->must_close) {
 		caller_finish(caller);
 		return;
 	}
@@ -501,12 +514,6 @@
 	caller_disconnect(caller);
 }
 
-/* Whether the connection closes after the current answer. */
-bool caller_will_close(const struct caller *caller)
-{
-	return caller->must_close || caller->set->is_draining;
-}
-
 /* Whether max_callers were served when the connection was accepted. */
 bool caller_is_excess(const struct caller *caller)
 {
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -29,7 +29,7 @@
 {
 	struct caller *caller = exchange->caller;
 
-	if (caller_will_close(caller))
+	if (caller_decide_close(caller))
 		g_string_append(exchange->answer_head, "Connection: close\r\n");
 	g_string_append(exchange->answer_head, "\r\n");
 	caller_send(caller, exchange->answer_head->str,
--- a/tests/caller_test.cc
+++ b/tests/caller_test.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <memory>
 #include <string>
 
@@ -15,9 +16,16 @@
 	static void on_request(void *data, struct caller *caller,
 			       struct http_head *head, GByteArray *body)
 	{
-		(void)data;
+		Callers *test = (Callers *)data;
+		bool is_long = strcmp(head->target, "/long") == 0;
+
 		http_head_destroy(head);
 		g_byte_array_unref(body);
+		if (is_long) {
+			test->begun = caller;
+			caller_send(caller, LONG_HEAD, strlen(LONG_HEAD));
+			return;
+		}
 		caller_answer(caller, caller_is_excess(caller) ? 503 : 200,
 			      nullptr, "", 0);
 	}
@@ -71,6 +79,10 @@
 		return caller->input.substr(0, 12);
 	}
 
+	static constexpr const char *LONG_HEAD =
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+
+	struct caller *begun = nullptr; /* whose answer has only a head yet */
 	struct caller_set *set = nullptr;
 	struct listener *listener = nullptr;
 	std::string address;
@@ -184,3 +196,26 @@
 	caller->wait_for("\r\n\r\n");
 	EXPECT_EQ(OK, caller->input.substr(0, 12));
 }
+
+/*
+ * Guards against a connection that a drain closes after an answer whose head
+ * said nothing of it: the caller's next request would get no answer.
+ */
+TEST_F(Callers, SayThatTheyCloseBeforeADrainCloses)
+{
+	std::unique_ptr<Connection> caller(Connection::open(address));
+
+	StepTo(0);
+	caller->send("GET /long HTTP/1.1\r\nHost: h\r\n\r\n");
+	ASSERT_TRUE(caller->wait_for("\r\n\r\n"));
+	ASSERT_NE(nullptr, begun);
+	caller_set_drain(set);
+	caller_send(begun, "text", 4);
+	caller_end_answer(begun, false);
+	ASSERT_TRUE(caller->wait_for("text"));
+	caller->input.clear();
+	caller->send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+	caller->wait_for("\r\n\r\n");
+	EXPECT_EQ(OK, caller->input.substr(0, 12));
+	EXPECT_NE(std::string::npos, caller->input.find("Connection: close"));
+}
