An idle connection stays open for all of the limit that its caller was told

Cause: the times of a connection are those of the last step before. The limit is counted 50 ms longer. Callers.KeepAnIdleConnectionUpToItsLimit fails without it (mutant caller_slack).

--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -12,6 +12,12 @@
 /* Connections beyond max_callers whose requests are refused. */
 #define MAX_EXCESS 64
 
+/*
+ * Times are those of the last step before, so a connection may have been active
+ * this much later than is known.
+ */
+#define STEP_SLACK_US (50 * 1000)
+
 /* Limits until the first configuration is applied. */
 #define DEFAULT_HEADER_BYTES 16384
 #define DEFAULT_BODY_BYTES (1 << 20)
@@ -399,7 +405,8 @@
 		caller_finish(caller);
 		return;
 	}
-	if (now_us - caller->last_activity_us > limits->idle_timeout_us &&
+	if (now_us - caller->last_activity_us >
+		    limits->idle_timeout_us + STEP_SLACK_US &&
 	    caller_is_idle(caller))
 		caller_finish(caller);
 }
--- a/tests/caller_test.cc
+++ b/tests/caller_test.cc
@@ -113,6 +113,23 @@
 	EXPECT_TRUE(caller->wait_closed());
 }
 
+/*
+ * Guards against connections that close before their limit, as the last answer
+ * ended later than the last step.
+ */
+TEST_F(Callers, KeepAnIdleConnectionUpToItsLimit)
+{
+	std::unique_ptr<Connection> caller(Connection::open(address));
+
+	StepTo(0);
+	EXPECT_EQ(OK, Ask(caller.get())); /* 25 ms later, at the next step */
+	StepTo(15024);
+	caller->read();
+	EXPECT_FALSE(caller->closed);
+	StepTo(15051);
+	EXPECT_TRUE(caller->wait_closed());
+}
+
 /* A higher idle limit holds at once, also for connections that idle already. */
 TEST_F(Callers, KeepAnIdleConnectionForAHigherLimit)
 {
