A node answers at its own interface before its gateway's drain ends it

Callers of a gateway node's own interface got a reset when the drain of the gateway ended: a call in progress, or one whose body was arriving, was cut.

Cause: node_loop_gateway_stopped quit the loop at once. Only the stop of the core waited for answers, and its count of exchanges began with the whole request.

The loop now waits as it does when the core stops, for at most the time that the gateway says is left before the process would be killed, less 50 ms. An exchange counts from the end of its head on. With nothing in progress the process ends 10 ms later than before. What takes longer than the time left is still cut.

Failed before: answers_at_its_own_interface_when_a_drain_ends of gateway.sh. New: ends_in_time_beside_a_request_that_never_arrives, and HttpServer.CountsRequestsThatArrive.

--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -161,9 +161,11 @@
 
 static void gateway_stop(struct gateway *gateway)
 {
+	int64_t end_us = gateway->drain_since_us + gateway->drain_length_us;
+
 	gateway_answer_rest(gateway);
 	gateway->is_stopped = true;
-	gateway->host.stopped(gateway->host.data);
+	gateway->host.stopped(gateway->host.data, end_us - gateway->now_us);
 }
 
 static void gateway_step_drain(struct gateway *gateway)
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -55,7 +55,8 @@
 	struct peer_message *(*message)(void *data,
 					enum peer_message_type type);
 	const struct membership *(*members)(void *data);
-	void (*stopped)(void *data);
+	/* The drain is over; in left_us the process would be killed. */
+	void (*stopped)(void *data, int64_t left_us);
 	void *data;
 	struct route_table *(*decode)(void *store_data, GBytes *document,
 				      int64_t revision);
--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -85,17 +85,26 @@
 {
 	struct http_server *server = data;
 
+	(void)message;
 	server->open_exchanges--;
-	http_listener_end_call(message);
 }
 
+/*
+ * Counts an exchange from the end of its head on: a process that ended while
+ * the body arrives would leave the request without an answer.
+ */
 static void server_begin_exchange(struct http_server *server,
 				  SoupServerMessage *message)
 {
 	g_signal_connect(message, "finished", G_CALLBACK(exchange_finished),
 			 server);
 	server->open_exchanges++;
-	http_listener_begin_call(message);
+}
+
+static void call_finished(SoupServerMessage *message, gpointer data)
+{
+	(void)data;
+	http_listener_end_call(message);
 }
 
 static void server_handle(SoupServer *soup, SoupServerMessage *message,
@@ -106,7 +115,8 @@
 	(void)soup;
 	(void)path;
 	(void)query;
-	server_begin_exchange(server, message);
+	g_signal_connect(message, "finished", G_CALLBACK(call_finished), NULL);
+	http_listener_begin_call(message);
 	http_route_dispatch(server, message);
 }
 
@@ -133,6 +143,7 @@
 	(void)soup;
 	(void)path;
 	(void)query;
+	server_begin_exchange(server, message);
 	message_close_after(message);
 	http_uploads_watch(server->uploads, message);
 }
@@ -223,7 +234,10 @@
 	return http_listener_address(server->listener);
 }
 
-/* Returns the number of exchanges whose answer is not completely written. */
+/*
+ * Returns the number of exchanges whose head has arrived and whose answer is
+ * not completely written.
+ */
 size_t http_server_count_exchanges(const struct http_server *server)
 {
 	return server->open_exchanges;
--- a/daemons/gateway_wiring.h
+++ b/daemons/gateway_wiring.h
@@ -29,7 +29,8 @@
 	/* Sends a message, which it frees, to all addresses (char *). */
 	void (*send)(void *data, const GPtrArray *peer_addresses,
 		     struct peer_message *message);
-	void (*stopped)(void *data);
+	/* The drain is over; in left_us the process would be killed. */
+	void (*stopped)(void *data, int64_t left_us);
 	void *data;
 };
 
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -12,6 +12,7 @@
 
 #define FLUSH_CHECK_MS 10
 #define MAX_FLUSH_US 10000000 /* for callers to read their answers */
+#define KILL_MARGIN_US 50000  /* to end before the process would be killed */
 #define FILE_CHECK_S 2
 
 static void apply_http(struct node_loop *loop, const struct action *action)
@@ -67,20 +68,25 @@
 }
 
 /*
- * Ends the loop once all answers are sent or MAX_FLUSH_US has passed. When the
- * core stops, the last bytes of an answer may still be unsent, and they would
- * be lost if the process ended at once.
+ * Ends the loop once all answers are sent or max_us has passed. When the core
+ * stops, the last bytes of an answer may still be unsent, and they would be
+ * lost if the process ended at once.
  */
-static void apply_stopped(struct node_loop *loop, const struct action *action)
+static void loop_flush(struct node_loop *loop, int64_t max_us)
 {
-	(void)action;
 	if (loop->flush_source)
 		return;
-	loop->flush_until_us = g_get_monotonic_time() + MAX_FLUSH_US;
+	loop->flush_until_us = g_get_monotonic_time() + max_us;
 	loop->flush_source =
 		g_timeout_add(FLUSH_CHECK_MS, loop_check_flush, loop);
 }
 
+static void apply_stopped(struct node_loop *loop, const struct action *action)
+{
+	(void)action;
+	loop_flush(loop, MAX_FLUSH_US);
+}
+
 typedef void (*apply_function)(struct node_loop *loop,
 			       const struct action *action);
 
@@ -238,10 +244,15 @@
 	return G_SOURCE_CONTINUE;
 }
 
-/* Ends the loop: the gateway has drained, so the node may stop. */
-void node_loop_gateway_stopped(void *data)
+/*
+ * Ends the loop: the gateway has drained, so the node may stop. The drain knows
+ * nothing of the node's own interface, whose callers would get a reset instead
+ * of their answer; they have the rest of left_us, and the process still ends by
+ * itself.
+ */
+void node_loop_gateway_stopped(void *data, int64_t left_us)
 {
-	g_main_loop_quit(((struct node_loop *)data)->main);
+	loop_flush(data, left_us - KILL_MARGIN_US);
 }
 
 static gboolean loop_on_dump(gpointer data)
--- a/daemons/node_loop_state.h
+++ b/daemons/node_loop_state.h
@@ -51,7 +51,7 @@
 
 /* node_loop.c */
 void node_loop_deliver(void *data, const struct event *event);
-void node_loop_gateway_stopped(void *data);
+void node_loop_gateway_stopped(void *data, int64_t left_us);
 void node_loop_create_timer(struct node_loop *loop);
 enum log_level node_loop_parse_level(const char *name);
 int64_t node_loop_file_changed_us(const char *path);
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -1054,6 +1054,49 @@
 	start_gateway 1
 }
 
+# send_late ADDRESS PATH FILE: sends a request whose body ends 0.6 s after its
+# head, and writes the answer.
+send_late() {
+	exec 9<>"/dev/tcp/${1%:*}/${1#*:}"
+	printf 'POST %s HTTP/1.1\r\nHost: %s\r\nX-Siskinlink-Request-Id: late-%s\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: 8\r\n\r\n"ab' \
+		"$2" "$host" "$RANDOM" "$key" >&9
+	sleep 0.6
+	printf 'cdef"' >&9 2>/dev/null
+	timeout 3 head -n 1 <&9 >"$3" 2>/dev/null
+	exec 9<&- 9>&-
+}
+
+# Guards against a process that ends while a request arrives at the node's own
+# interface.
+case_answers_at_its_own_interface_when_a_drain_ends() {
+	(send_late "${https[1]}" /v1/plans "$work/own")
+	[ -s "$work/own" ] || fail "no answer without a drain"
+	rm "$work/own"
+	kill -TERM "${node_pids[1]}"
+	sleep 2.6
+	(send_late "${https[1]}" /v1/plans "$work/own") || true
+	[ -s "$work/own" ] || fail "the request got no answer"
+	wait "${node_pids[1]}" || fail "ended with status $?"
+	start_gateway 1
+}
+
+# Guards against a process that is killed while it waits for a request that
+# never arrives whole at its own interface.
+case_ends_in_time_beside_a_request_that_never_arrives() {
+	local begun_us took_us
+
+	exec 9<>"/dev/tcp/${https[1]%:*}/${https[1]#*:}"
+	printf 'POST /v1/plans HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n' >&9
+	begun_us=${EPOCHREALTIME/./}
+	kill -TERM "${node_pids[1]}"
+	wait "${node_pids[1]}" || fail "ended with status $?"
+	took_us=$((${EPOCHREALTIME/./} - begun_us))
+	exec 9<&- 9>&-
+	[ "$took_us" -lt 4000000 ] || fail "ended after $took_us us"
+	[ "$took_us" -gt 3500000 ] || fail "didn't wait: $took_us us"
+	start_gateway 1
+}
+
 # Guards against a kept connection that is closed with a request unread in it:
 # the request came in time, while the node stood still for a moment.
 case_reads_what_came_while_it_stood_still() {
--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -453,9 +453,10 @@
 	(void)watch;
 }
 
-static void on_stopped(void *data)
+static void on_stopped(void *data, int64_t left_us)
 {
 	(void)data;
+	(void)left_us;
 }
 
 void GatewayPair::Create(size_t count)
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -532,6 +532,28 @@
 	EXPECT_EQ(0u, http_server_count_exchanges(server));
 }
 
+/*
+ * Guards against a process that ends while a body arrives: the request counts
+ * from the end of its head on, until it is answered or its caller is gone.
+ */
+TEST_F(HttpServer, CountsRequestsThatArrive)
+{
+	static const char head[] = "POST /v1/plans HTTP/1.1\r\nHost: "
+				   "h\r\nContent-Length: 4\r\n\r\n";
+
+	start("", 8);
+	std::unique_ptr<Connection> whole(open()), gone(open());
+	whole->send(head);
+	gone->send(head);
+	run_until([&] { return http_server_count_exchanges(server) == 2; });
+	EXPECT_EQ(2u, http_server_count_exchanges(server));
+	whole->send("abcd");
+	EXPECT_TRUE(whole->wait_for("HTTP/1.1 "));
+	gone->close();
+	run_until([&] { return http_server_count_exchanges(server) == 0; });
+	EXPECT_EQ(0u, http_server_count_exchanges(server));
+}
+
 TEST_F(HttpServer, AsksOperatorsForTheirKey)
 {
 	const std::string key = "Authorization: Bearer secret\r\n";
