A drain waits for a request that is arriving, and answers it

Callers whose request was arriving when a drain closed idle connections got no answer: with nothing else in progress the process ended at once, up to a second before it had to.

Cause: the end of a drain was weighed by requests that had arrived whole, and by the connections that were closing before the same tick closed the idle ones.

A request counts as in progress from its first byte on, read or not. When the drain answers what is left, one that is still arriving gets a 408. Idle connections are closed before the end is weighed, so that the process doesn't end in the tick that closes them. A request that never arrives whole keeps the process no longer than one in progress.

--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -391,6 +391,13 @@
 	       !tcp_stream_has_unread(caller->stream);
 }
 
+/* Refuses a request that took too long to arrive. */
+static void caller_time_out(struct caller *caller)
+{
+	caller_refuse(caller, 408);
+	caller_finish(caller);
+}
+
 static void caller_step(struct caller *caller, int64_t now_us)
 {
 	const struct caller_limits *limits = &caller->promised;
@@ -401,8 +408,7 @@
 	    now_us - caller->request_start_us > limits->header_timeout_us &&
 	    (!http_reader_has_head(caller->reader) ||
 	     now_us - caller->last_activity_us > limits->header_timeout_us)) {
-		caller_refuse(caller, 408);
-		caller_finish(caller);
+		caller_time_out(caller);
 		return;
 	}
 	if (now_us - caller->last_activity_us >
@@ -411,17 +417,25 @@
 		caller_finish(caller);
 }
 
-/* Closes connections that have been idle or slow for too long. */
-void caller_set_step(struct caller_set *set, int64_t now_us)
+/* Returns all callers, held: a step may close their connections. */
+static GPtrArray *caller_set_list(const struct caller_set *set)
 {
 	GPtrArray *callers = g_ptr_array_new_with_free_func(caller_release);
 	GHashTableIter iter;
 	gpointer caller;
 
-	set->now_us = now_us;
 	g_hash_table_iter_init(&iter, set->callers);
 	while (g_hash_table_iter_next(&iter, &caller, NULL))
 		g_ptr_array_add(callers, g_rc_box_acquire(caller));
+	return callers;
+}
+
+/* Closes connections that have been idle or slow for too long. */
+void caller_set_step(struct caller_set *set, int64_t now_us)
+{
+	GPtrArray *callers = caller_set_list(set);
+
+	set->now_us = now_us;
 	for (guint i = 0; i < callers->len; i++)
 		caller_step(g_ptr_array_index(callers, i), now_us);
 	g_ptr_array_unref(callers);
@@ -450,6 +464,36 @@
 	}
 }
 
+/* Answers requests that are still arriving with 408, and closes. */
+void caller_set_refuse_arriving(struct caller_set *set)
+{
+	GPtrArray *callers = caller_set_list(set);
+
+	for (guint i = 0; i < callers->len; i++) {
+		struct caller *caller = g_ptr_array_index(callers, i);
+
+		if (!caller->is_busy && caller->request_start_us)
+			caller_time_out(caller);
+	}
+	g_ptr_array_unref(callers);
+}
+
+/* The number of requests that have begun to arrive and are not whole yet. */
+size_t caller_set_arriving_count(const struct caller_set *set)
+{
+	GHashTableIter iter;
+	gpointer value;
+	size_t count = 0;
+
+	g_hash_table_iter_init(&iter, set->callers);
+	while (g_hash_table_iter_next(&iter, &value, NULL)) {
+		const struct caller *caller = value;
+
+		count += !caller->is_busy && !caller_is_idle(caller);
+	}
+	return count;
+}
+
 /* The number of requests that are not answered yet. */
 size_t caller_set_busy_count(const struct caller_set *set)
 {
--- a/adapters/gateway/caller.h
+++ b/adapters/gateway/caller.h
@@ -44,6 +44,8 @@
 void caller_set_step(struct caller_set *set, int64_t now_us);
 void caller_set_drain(struct caller_set *set);
 void caller_set_close_idle(struct caller_set *set);
+void caller_set_refuse_arriving(struct caller_set *set);
+size_t caller_set_arriving_count(const struct caller_set *set);
 size_t caller_set_busy_count(const struct caller_set *set);
 
 void caller_attach_request(struct caller *caller, void *request);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -157,6 +157,7 @@
 	if (g_hash_table_size(gateway->exchanges) > 0)
 		log_drain(gateway, "drain_is_over");
 	gateway_each_exchange(gateway, exchange_end_with_drain);
+	caller_set_refuse_arriving(gateway->callers);
 }
 
 static void gateway_stop(struct gateway *gateway)
@@ -168,18 +169,28 @@
 	gateway->host.stopped(gateway->host.data, end_us - gateway->now_us);
 }
 
+/*
+ * A request that is arriving keeps the process as one in progress does, or its
+ * caller would get no answer. Idle connections are closed before they are
+ * counted, so that the process doesn't end in the tick that closes them: their
+ * callers have time to see it.
+ */
 static void gateway_step_drain(struct gateway *gateway)
 {
+	int64_t drained_us = gateway->now_us - gateway->drain_since_us;
+	int64_t length_us = gateway->drain_length_us;
 	enum drain_step step;
 
 	if (!gateway->drain_since_us || gateway->is_stopped)
 		return;
-	step = drain_decide(gateway->now_us - gateway->drain_since_us,
-			    gateway->drain_length_us,
-			    caller_set_busy_count(gateway->callers),
+	/* While the gateway serves, nothing else matters. */
+	if (drain_decide(drained_us, length_us, 0, 0) == DRAIN_SERVE)
+		return;
+	caller_set_close_idle(gateway->callers);
+	step = drain_decide(drained_us, length_us,
+			    caller_set_busy_count(gateway->callers) +
+				    caller_set_arriving_count(gateway->callers),
 			    tcp_stream_finishing_count());
-	if (step != DRAIN_SERVE)
-		caller_set_close_idle(gateway->callers);
 	if (step == DRAIN_ANSWER_REST)
 		gateway_answer_rest(gateway);
 	if (step == DRAIN_END)
--- a/tests/caller_test.cc
+++ b/tests/caller_test.cc
@@ -236,3 +236,29 @@
 	EXPECT_EQ(OK, caller->input.substr(0, 12));
 	EXPECT_NE(std::string::npos, caller->input.find("Connection: close"));
 }
+
+/*
+ * Guards against a drain that ends while a request arrives: it is counted from
+ * its first byte on, read or not, and gets an answer though it is not whole.
+ */
+TEST_F(Callers, CountAndAnswerWhatArrives)
+{
+	std::unique_ptr<Connection> kept(Connection::open(address));
+	std::unique_ptr<Connection> caller(Connection::open(address));
+
+	StepTo(0);
+	EXPECT_EQ(OK, Ask(kept.get()));
+	EXPECT_EQ(OK, Ask(caller.get()));
+	EXPECT_EQ(0u, caller_set_arriving_count(set));
+	caller->input.clear();
+	caller->send("GET /a HTTP/1.1\r\n");
+	EXPECT_EQ(1u, caller_set_arriving_count(set));
+	run_idle();
+	EXPECT_EQ(1u, caller_set_arriving_count(set));
+	caller_set_refuse_arriving(set);
+	EXPECT_EQ(0u, caller_set_arriving_count(set));
+	EXPECT_TRUE(caller->wait_for("\r\n\r\n"));
+	EXPECT_EQ("HTTP/1.1 408", caller->input.substr(0, 12));
+	EXPECT_TRUE(caller->wait_closed());
+	EXPECT_EQ(OK, Ask(kept.get()));
+}
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -1066,6 +1066,20 @@
 	exec 9<&- 9>&-
 }
 
+# Guards against a process that ends with time left while a request arrives:
+# its body ends 0.1 s after the moment at which idle connections are closed.
+case_answers_what_arrives_when_a_drain_closes() {
+	(send_late "${fronts[1]}" /lookup/export/a "$work/arriving")
+	grep -q 200 "$work/arriving" || fail "no answer without a drain"
+	rm "$work/arriving"
+	kill -TERM "${node_pids[1]}"
+	sleep 2.5
+	(send_late "${fronts[1]}" /lookup/export/a "$work/arriving") || true
+	[ -s "$work/arriving" ] || fail "the request got no answer"
+	wait "${node_pids[1]}" || fail "ended with status $?"
+	start_gateway 1
+}
+
 # Guards against a process that ends while a request arrives at the node's own
 # interface.
 case_answers_at_its_own_interface_when_a_drain_ends() {
