Soak: endpoints that leave by their answers, and that ask for rest

Both words of answers were played by no kind, and judged by no check.

All four are planned, so they excuse nothing. A successor has a new id and address, or the same ones and is born later, in turn.

soak_check_leaving_said goes by the answers of callers, which keep the field with the stamp; soak_check_rest by the journals, in which an endpoint writes `rest` with the ms before the refusal. AsksForRestUntilItEnds expects that line too. The count of engines that a stream may reach takes an endpoint that says so in its answers as one that leaves, for this start of it.

--- a/fakes/backend_journal.c
+++ b/fakes/backend_journal.c
@@ -17,6 +17,7 @@
 	[BACKEND_ARRIVAL] = "arrival", [BACKEND_RUN] = "run",
 	[BACKEND_CONTINUE] = "go_on",  [BACKEND_END] = "end",
 	[BACKEND_DISCONNECT] = "left", [BACKEND_REFUSAL] = "refusal",
+	[BACKEND_REST] = "rest",
 };
 
 /*
@@ -50,22 +51,37 @@
 	g_free(journal);
 }
 
-/*
- * Appends a line in a single write(), so that a kill leaves no partial line.
- * Does nothing if the journal is NULL.
- */
-void backend_journal_write(struct backend_journal *journal,
+/* Appends a line in a single write(), so that a kill leaves no partial line. */
+static void journal_append(struct backend_journal *journal,
 			   enum backend_event event, const char *request,
-			   bool from_copy)
+			   int64_t value)
 {
-	g_autofree char *line = NULL;
+	g_autofree char *line = g_strdup_printf(
+		"%" G_GINT64_FORMAT " %s %s %s %" G_GINT64_FORMAT "\n",
+		g_get_monotonic_time(), event_names[event], request,
+		journal->engine, value);
 
-	if (!journal)
-		return;
-	line = g_strdup_printf("%" G_GINT64_FORMAT " %s %s %s %d\n",
-			       g_get_monotonic_time(), event_names[event],
-			       request, journal->engine, from_copy);
 	if (write(journal->fd, line, strlen(line)) != (ssize_t)strlen(line))
 		fprintf(stderr, "cannot write to the journal: %s\n",
 			strerror(errno));
 }
+
+/* Writes an event; does nothing if the journal is NULL. */
+void backend_journal_write(struct backend_journal *journal,
+			   enum backend_event event, const char *request,
+			   bool from_copy)
+{
+	if (journal)
+		journal_append(journal, event, request, from_copy);
+}
+
+/*
+ * Writes that the request is turned away and its sender asked for rest. Does
+ * nothing if the journal is NULL.
+ */
+void backend_journal_write_rest(struct backend_journal *journal,
+				const char *request, int64_t rest_ms)
+{
+	if (journal)
+		journal_append(journal, BACKEND_REST, request, rest_ms);
+}
--- a/fakes/backend_journal.h
+++ b/fakes/backend_journal.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 G_BEGIN_DECLS
 
@@ -10,7 +11,8 @@
  * A log of an engine's actions, from which tests determine which engine ran
  * which request. Each line, `time_us event request engine from_copy`, is
  * written to the file before the engine continues, so the journal of a killed
- * engine is complete. Times are from CLOCK_MONOTONIC.
+ * engine is complete. Times are from CLOCK_MONOTONIC. With the event rest the
+ * last field is the rest in ms; the refusal follows.
  */
 struct backend_journal;
 
@@ -20,7 +22,8 @@
 	BACKEND_CONTINUE,   /* it continues another engine's run */
 	BACKEND_END,	    /* the run has ended, its answer is complete */
 	BACKEND_DISCONNECT, /* the caller disconnected before the end */
-	BACKEND_REFUSAL	    /* the engine refused to run it */
+	BACKEND_REFUSAL,    /* the engine refused to run it */
+	BACKEND_REST	    /* with the refusal it asked for rest */
 };
 
 struct backend_journal *backend_journal_create(const char *path,
@@ -29,6 +32,8 @@
 void backend_journal_write(struct backend_journal *journal,
 			   enum backend_event event, const char *request,
 			   bool from_copy);
+void backend_journal_write_rest(struct backend_journal *journal,
+				const char *request, int64_t rest_ms);
 
 G_END_DECLS
 
--- a/fakes/fake_backend.c
+++ b/fakes/fake_backend.c
@@ -21,8 +21,14 @@
 }
 
 /* Turns a request away and asks its sender for rest for so many seconds. */
-static void answer_rest(SoupServerMessage *message, const char *rest_s)
+static void answer_rest(const struct backend *backend,
+			SoupServerMessage *message, const char *id)
 {
+	const char *rest_s = backend->rest_s;
+
+	backend_journal_write_rest(
+		backend->journal, id,
+		(int64_t)(g_ascii_strtod(rest_s, NULL) * 1000));
 	soup_message_headers_replace(
 		soup_server_message_get_response_headers(message),
 		"Retry-After", rest_s);
@@ -59,7 +65,7 @@
 	else if (backend->shed_silently)
 		fake_message_answer_text(message, 503, "shed");
 	else if (backend->rest_s && *backend->rest_s)
-		answer_rest(message, backend->rest_s);
+		answer_rest(backend, message, id);
 	else if (backend->full ||
 		 (from && !backend_take_copy(backend, from, id)))
 		answer_not_executed(message, 503);
--- a/tests/fake_backend_test.cc
+++ b/tests/fake_backend_test.cc
@@ -288,7 +288,7 @@
 	answer = Backend::read_answer(plain.request("r-2"));
 	EXPECT_EQ(0u, answer.find("HTTP/1.1 200")) << answer;
 	EXPECT_FALSE(contains(answer, "Retry-After")) << answer;
-	EXPECT_EQ("arrival r-1 0\nrefusal r-1 0\n"
+	EXPECT_EQ("arrival r-1 0\nrest r-1 2500\nrefusal r-1 0\n"
 		  "arrival r-2 0\nrun r-2 0\nend r-2 0\n",
 		  plain.events());
 }
--- a/tests/soak/soak_check.c
+++ b/tests/soak/soak_check.c
@@ -10,6 +10,8 @@
 	soak_check_answers,
 	soak_check_streams,
 	soak_check_leaving,
+	soak_check_leaving_said,
+	soak_check_rest,
 	soak_check_evacuations,
 	soak_check_limits,
 	soak_check_stops,
--- a/tests/soak/soak_check_requests.c
+++ b/tests/soak/soak_check_requests.c
@@ -34,8 +34,9 @@
 	return is_event(entry, "run") || is_event(entry, "go_on");
 }
 
+/* Whether the engine's start that began at from_us left until at_us. */
 static bool engine_has_left(const struct soak_check *check, const char *engine,
-			    int64_t at_us)
+			    int64_t from_us, int64_t at_us)
 {
 	const GArray *leavings = check->evidence->leavings;
 
@@ -44,6 +45,7 @@
 			&g_array_index(leavings, struct soak_leaving, i);
 
 		if (leaving->acked_us <= at_us &&
+		    leaving->acked_us >= from_us &&
 		    strcmp(leaving->engine, engine) == 0)
 			return true;
 	}
@@ -60,7 +62,8 @@
 	const struct soak_life *life =
 		soak_check_engine_life(check, begin->engine, begin->at_us);
 
-	return engine_has_left(check, begin->engine, until_us) ||
+	return engine_has_left(check, begin->engine, life ? life->from_us : 0,
+			       until_us) ||
 	       (life && life->to_us && life->to_us <= until_us) ||
 	       (life && soak_check_has_fault(check, life->name, begin->at_us,
 					     until_us));
--- a/tests/soak/soak_check_state.h
+++ b/tests/soak/soak_check_state.h
@@ -65,6 +65,12 @@
 /* soak_check_kept.c */
 void soak_check_kept(struct soak_check *check);
 
+/* soak_check_leaving_said.c */
+void soak_check_leaving_said(struct soak_check *check);
+
+/* soak_check_rest.c */
+void soak_check_rest(struct soak_check *check);
+
 /* soak_check_limits.c */
 void soak_check_limits(struct soak_check *check);
 
--- a/tests/soak/soak_check_times.c
+++ b/tests/soak/soak_check_times.c
@@ -90,10 +90,13 @@
 {
 	const GArray *leavings = check->evidence->leavings;
 
-	for (guint i = 0; i < leavings->len; i++)
-		check_engine_leaving(
-			check,
-			&g_array_index(leavings, struct soak_leaving, i));
+	for (guint i = 0; i < leavings->len; i++) {
+		const struct soak_leaving *leaving =
+			&g_array_index(leavings, struct soak_leaving, i);
+
+		if (!leaving->is_by_answer)
+			check_engine_leaving(check, leaving);
+	}
 }
 
 static void check_evacuation(struct soak_check *check,
--- a/tests/soak/soak_evidence.c
+++ b/tests/soak/soak_evidence.c
@@ -139,7 +139,11 @@
 	g_strlcpy(entry->event, fields[1], sizeof(entry->event));
 	entry->request = g_strdup(fields[2]);
 	entry->engine = g_strdup(fields[3]);
-	entry->from_copy = fields[4][0] == '1';
+	if (strcmp(entry->event, "rest") == 0)
+		entry->rest_us = g_ascii_strtoll(fields[4], NULL, 10) *
+				 G_TIME_SPAN_MILLISECOND;
+	else
+		entry->from_copy = fields[4][0] == '1';
 	return entry;
 }
 
--- a/tests/soak/soak_evidence.h
+++ b/tests/soak/soak_evidence.h
@@ -61,6 +61,7 @@
 	char *request;
 	char *engine;
 	bool from_copy;
+	int64_t rest_us; /* asked for, with the event "rest" */
 };
 
 /* One run of a process, from its start to its end. */
@@ -96,10 +97,14 @@
 	int64_t acked_us;
 };
 
-/* An engine that leaves; the store acknowledged its entry at acked_us. */
+/*
+ * An engine that leaves; the store acknowledged its entry at acked_us, or the
+ * engine says so in its answers only, from acked_us on.
+ */
 struct soak_leaving {
 	char *engine;
 	int64_t acked_us;
+	bool is_by_answer;
 };
 
 /* A failure domain that the operator evacuated. */
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -38,6 +38,8 @@
  */
 #define SILENCE_REST_US (4 * G_TIME_SPAN_SECOND)
 #define SETTLE_US G_TIME_SPAN_SECOND
+/* Endpoints ask for 1 s to this long. */
+#define MAX_REST_S 4
 
 typedef void (*member_action)(struct soak_fleet *fleet,
 			      struct soak_member *member);
@@ -213,6 +215,54 @@
 	member_pause(fleet, member);
 }
 
+/* The endpoint says in all answers that it leaves; its entry stays as it is. */
+static void endpoint_say_leaving(struct soak_fleet *fleet,
+				 struct soak_member *member)
+{
+	struct soak_leaving row = {.is_by_answer = true};
+
+	if (!member->life || member->is_paused || member->is_leaving ||
+	    member->says_leaving)
+		return;
+	member->says_leaving = true;
+	row.engine = g_strdup(member->id);
+	row.acked_us = g_get_monotonic_time();
+	g_array_append_val(fleet->evidence->leavings, row);
+	member_set_mode(fleet, member, "{\"says_leaving\":true}");
+}
+
+/*
+ * Ends an endpoint that has said so. Every other successor has its id and
+ * address and is born later; the others have new ones.
+ */
+static void endpoint_follow_word(struct soak_fleet *fleet,
+				 struct soak_member *member)
+{
+	if (!member->says_leaving || !member->life)
+		return;
+	soak_member_kill(member);
+	member->starts_renamed =
+		(fleet->schedule->seed + (uint32_t)fleet->successors++) % 2;
+	soak_fleet_start_member(fleet, member);
+}
+
+static void endpoint_ask_rest(struct soak_fleet *fleet,
+			      struct soak_member *member)
+{
+	uint32_t rest_s =
+		1 +
+		(fleet->schedule->seed + (uint32_t)fleet->rests++) % MAX_REST_S;
+	g_autofree char *json = g_strdup_printf("{\"rest_s\":\"%u\"}", rest_s);
+
+	member_set_mode(fleet, member, json);
+}
+
+static void endpoint_end_rest(struct soak_fleet *fleet,
+			      struct soak_member *member)
+{
+	member_set_mode(fleet, member, "{\"rest_s\":\"\"}");
+}
+
 /* Restarts the member now, or as soon as its process has ended. */
 static void member_restart(struct soak_fleet *fleet, struct soak_member *member)
 {
@@ -453,6 +503,14 @@
 				NULL},
 	[SOAK_ENGINE_SILENCE] = {endpoint_fall_silent, member_continue, NULL,
 				 NULL},
+	[SOAK_PLAIN_LEAVES_BY_ANSWER] = {endpoint_say_leaving,
+					 endpoint_follow_word, NULL, NULL},
+	[SOAK_ENGINE_LEAVES_BY_ANSWER] = {endpoint_say_leaving,
+					  endpoint_follow_word, NULL, NULL},
+	[SOAK_PLAIN_ASKS_REST] = {endpoint_ask_rest, endpoint_end_rest, NULL,
+				  NULL},
+	[SOAK_ENGINE_ASKS_REST] = {endpoint_ask_rest, endpoint_end_rest, NULL,
+				   NULL},
 	[SOAK_PLAIN_LINK_EXTRA] = {.link = {SOAK_LINK_UNSOLICITED,
 					    STRAY_IDLE_US}},
 };
--- a/tests/soak/soak_http.c
+++ b/tests/soak/soak_http.c
@@ -38,6 +38,7 @@
 	if (!answer)
 		return;
 	g_free(answer->request_id);
+	g_free(answer->engine_stamp);
 	g_string_free(answer->body, TRUE);
 	g_free(answer);
 }
@@ -176,6 +177,13 @@
 	return true;
 }
 
+static void store_stamp(struct soak_answer *answer, const char *value)
+{
+	answer->has_engine_stamp = true;
+	g_free(answer->engine_stamp);
+	answer->engine_stamp = g_strdup(value);
+}
+
 static void store_header(struct reader *reader)
 {
 	struct soak_answer *answer = reader->answer;
@@ -186,7 +194,9 @@
 		answer->retry_after_us =
 			(int64_t)(g_ascii_strtod(value, NULL) * G_USEC_PER_SEC);
 	else if (g_ascii_strcasecmp(name, "X-Siskinlink-Engine-Stamp") == 0)
-		answer->has_engine_stamp = true;
+		store_stamp(answer, value);
+	else if (g_ascii_strcasecmp(name, "Server-Leaving") == 0)
+		answer->leaving_us = g_get_monotonic_time();
 	else if (g_ascii_strcasecmp(name, "X-Siskinlink-Request-Id") == 0)
 		answer->request_id = g_strdup(value);
 	g_string_truncate(reader->field, 0);
--- a/tests/soak/soak_http.h
+++ b/tests/soak/soak_http.h
@@ -32,6 +32,8 @@
 	int64_t retry_after_us; /* -1: no Retry-After header */
 	bool keeps_alive;
 	bool has_engine_stamp; /* X-Siskinlink-Engine-Stamp is present */
+	char *engine_stamp;    /* its value; NULL: none */
+	int64_t leaving_us;    /* when Server-Leaving was read; 0: it was not */
 	char *request_id;
 	GString *body;
 };
--- a/tests/soak/soak_member.h
+++ b/tests/soak/soak_member.h
@@ -31,6 +31,7 @@
 	struct soak_life *life; /* NULL: not running */
 	bool is_paused;
 	bool is_leaving;	   /* endpoint entry draining or deleted */
+	bool says_leaving;	   /* its process says so in its answers */
 	bool starts_renamed;	   /* new name and address at the next start */
 	bool starts_with_new_id;   /* at its address */
 	char earlier_id[32];	   /* whose entry is still there; "": none */
--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -221,6 +221,25 @@
 	[SOAK_ENGINE_SILENCE] = {"engine_silence", SOAK_TARGET_ENGINE, 800,
 				 1200, true, "an engine is silent for a moment",
 				 false, false},
+	[SOAK_PLAIN_LEAVES_BY_ANSWER] =
+		{"plain_leaves_by_answer", SOAK_TARGET_PLAIN, 4000, 7000, true,
+		 "a plain endpoint says only in its answers that it leaves, "
+		 "then another start comes",
+		 false, false},
+	[SOAK_ENGINE_LEAVES_BY_ANSWER] =
+		{"engine_leaves_by_answer", SOAK_TARGET_ENGINE, 4000, 7000,
+		 true,
+		 "an engine says only in its answers that it leaves, then "
+		 "another start comes",
+		 false, false},
+	[SOAK_PLAIN_ASKS_REST] =
+		{"plain_asks_rest", SOAK_TARGET_PLAIN, 3000, 6000, true,
+		 "a plain endpoint turns requests away and asks for rest",
+		 false, false},
+	[SOAK_ENGINE_ASKS_REST] =
+		{"engine_asks_rest", SOAK_TARGET_ENGINE, 3000, 6000, true,
+		 "an engine turns requests away and asks for rest", false,
+		 false},
 };
 
 /* Returns the static description of a kind of fault. */
