Cases that restart the nodes write the configuration first

An earlier case leaves an older document without routes in the store. In a whole run nodes that rests_an_endpoint_that_asks restarted took it, and the case ended the run.

--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -418,10 +418,12 @@
 }
 
 # Restarts both nodes, so that neither prefers an endpoint for what it answered
-# in earlier cases.
+# in earlier cases; one of these leaves an older document in the store, which
+# nodes that start take.
 restart_nodes() {
 	local i
 
+	document "$key"
 	for i in 0 1; do
 		kill -KILL "${node_pids[$i]}"
 		wait "${node_pids[$i]}" 2>/dev/null || true
