A new start of an endpoint begins without the errors of the one before

error_share and replaced_us outlasted a start under the same id: a node sent an endpoint nothing for 80 s after errors of the start before (found with the cases on rest, at sequential load). Registry.ANewStartBeginsWithoutErrors fails without the change.

--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -246,6 +246,8 @@
 	endpoint_health_init(&endpoint->health);
 	endpoint->suspicion = (struct endpoint_suspicion){0};
 	endpoint->known_us = now_us;
+	endpoint->replaced_us = 0;
+	endpoint->error_share = 0;
 	endpoint->full_until_us = 0;
 	endpoint->rest = (struct endpoint_rest){0};
 	endpoint->limit = (struct endpoint_limit){0};
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -345,6 +345,20 @@
 	EXPECT_EQ(PRESENCE_READY, presence("e1"));
 }
 
+/* Guards against the errors of an earlier start that keep requests away. */
+TEST_F(Registry, ANewStartBeginsWithoutErrors)
+{
+	struct endpoint *endpoint;
+
+	apply(entry("e1", 5, false, 100));
+	endpoint = registry_find(registry, "e1");
+	endpoint_count_answer(endpoint, true);
+	endpoint->replaced_us = now_us;
+	apply(entry("e1", 6, false, 200));
+	EXPECT_EQ(0, endpoint->error_share);
+	EXPECT_EQ(0, endpoint->replaced_us);
+}
+
 /* Guards against a rest that outlasts the start that asked for it. */
 TEST_F(Registry, ANewStartEndsARest)
 {
