An engine that was silent and has gone on keeps its run

Callers lost runs whose engine had paused for a second and gone on: 250 ms after the engine with the backup was asked, theirs was released, although the asked one had not answered and may have had no copy.

Cause: decide_asked released the old engine by time alone.

An engine that is not under notice, has begun and is not silent any more keeps its run, and the asked one is dropped at that time. Under notice nothing changes: there the old engine ends anyway. Two engines still work on one run no longer than before.

--- a/core/gateway/evacuation.c
+++ b/core/gateway/evacuation.c
@@ -80,17 +80,39 @@
 	[EVACUATION_DROP_ASKED] = "drop_asked",
 };
 
+/*
+ * Before its first event an engine reads the prompt, queued behind other
+ * prompts for an unbounded time. While the connection is up, no other engine
+ * can hold a part of a run of which no event has arrived. A cut link is noticed
+ * when the connection times out after 3 s.
+ */
+static bool is_silent(const struct evacuation_input *input)
+{
+	return input->has_begun && input->silent_us > SILENT_US;
+}
+
+/*
+ * An engine that was silent and sends events again keeps its run: the asked one
+ * has not answered and may have no copy, and the run would be lost.
+ */
+static bool has_resumed(const struct evacuation_input *input)
+{
+	return input->under_notice_us == 0 && input->has_begun &&
+	       !is_silent(input);
+}
+
 /*
  * An asked engine that is connected may work on the run before it answers, so
- * the old engine is released. An asked engine that is not connected does not
- * work on the run, so it is dropped.
+ * the old engine is released, unless it has resumed. An asked engine that is
+ * not connected does not work on the run, so it is dropped.
  */
 static enum evacuation decide_asked(const struct evacuation_input *input)
 {
 	if (input->takeover_requested_us <= OVERLAP_US)
 		return EVACUATION_STAY;
-	return input->asked_is_connected ? EVACUATION_RELEASE_OLD
-					 : EVACUATION_DROP_ASKED;
+	if (!input->asked_is_connected || has_resumed(input))
+		return EVACUATION_DROP_ASKED;
+	return EVACUATION_RELEASE_OLD;
 }
 
 /* Whether the other engine reads no prompts now, or time is running out. */
@@ -131,17 +153,6 @@
 	return EVACUATION_STAY;
 }
 
-/*
- * Before its first event an engine reads the prompt, queued behind other
- * prompts for an unbounded time. While the connection is up, no other engine
- * can hold a part of a run of which no event has arrived. A cut link is noticed
- * when the connection times out after 3 s.
- */
-static bool is_silent(const struct evacuation_input *input)
-{
-	return input->has_begun && input->silent_us > SILENT_US;
-}
-
 static bool may_ask_backup(const struct evacuation_input *input)
 {
 	return input->has_begun && input->under_notice_us > LEAVE_FROM_US &&
--- a/core/gateway/evacuation.h
+++ b/core/gateway/evacuation.h
@@ -56,7 +56,7 @@
 	EVACUATION_ASK_COPY,	/* ask the target to continue from the copy */
 	EVACUATION_ASK_BACKUP,	/* ask an engine to continue from the backup */
 	EVACUATION_RELEASE_OLD, /* the asked engine takes the run over */
-	EVACUATION_DROP_ASKED	/* out of reach: the old engine continues */
+	EVACUATION_DROP_ASKED /* out of reach or late: the old one continues */
 };
 
 /* What a run continues from when its engine is lost. */
--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -157,4 +157,25 @@
 	}
 }
 
+/*
+ * Guards against a run that is taken from an engine that was silent and has
+ * gone on, by one that has not answered and may have no copy.
+ */
+TEST(Evacuation, KeepsAnEngineThatHasGoneOn)
+{
+	struct evacuation_input input = {};
+
+	input.has_begun = true;
+	input.begun_us = 3000000;
+	input.has_backup = true;
+	input.budget_left = true;
+	input.takeover_requested = true;
+	input.takeover_requested_us = 260000;
+	input.asked_is_connected = true;
+	input.silent_us = 10000;
+	EXPECT_EQ(EVACUATION_DROP_ASKED, evacuation_decide(&input));
+	input.silent_us = 1200000;
+	EXPECT_EQ(EVACUATION_RELEASE_OLD, evacuation_decide(&input));
+}
+
 } /* namespace */
