siskinlinkctl endpoints: why a gateway's endpoints are not used

An operator could read from the log that an endpoint left or rested, and could not ask a node what it believes now. GET /admin/v1/endpoints, with ?service=NAME, lists the registry: state and since when, the endpoint's own word that it leaves, cordon, rest, fullness, health, notices, stated limit and own requests; by service and id, 1,000 at most, with the total. A node without a gateway lists none.

The names of the states move from the log to registry.c, so that both say the same.

--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -94,7 +94,7 @@
 void gateway_receive_peer(struct gateway *gateway,
 			  const struct peer_message *message);
 
-/* Queries of operators about requests in quarantine. */
+/* Queries of operators about endpoints and requests in quarantine. */
 void gateway_answer_query(struct gateway *gateway,
 			  const struct event_query *query,
 			  struct action_list *actions);
--- a/adapters/gateway/gateway_losses.c
+++ b/adapters/gateway/gateway_losses.c
@@ -1,4 +1,5 @@
 #include "adapters/gateway/gateway_state.h"
+#include "core/gateway/registry_query.h"
 #include "core/limit/quarantine_query.h"
 #include "core/limit/suspect_text.h"
 
@@ -216,6 +217,11 @@
 			  struct action_list *actions)
 {
 	gateway->now_us = gateway_now_us();
+	if (query->type == QUERY_ENDPOINTS) {
+		registry_answer_query(gateway->registry, query, gateway->now_us,
+				      actions);
+		return;
+	}
 	if (query->type == QUERY_LIFT)
 		log_write(gateway->log, LOG_LEVEL_INFO, "quarantine_lift",
 			  "fingerprint", query->fingerprint, "operator",
--- a/adapters/gateway/gateway_store.c
+++ b/adapters/gateway/gateway_store.c
@@ -27,12 +27,6 @@
 void gateway_log_endpoint(struct gateway *gateway, const char *id,
 			  const char *source)
 {
-	static const char *const names[] = {
-		[PRESENCE_READY] = "ready",
-		[PRESENCE_DOUBTED] = "doubted",
-		[PRESENCE_LEAVING] = "leaving",
-		[PRESENCE_GONE] = "gone",
-	};
 	const struct endpoint *endpoint = registry_find(gateway->registry, id);
 	const char *doubt = "";
 	char revision[24];
@@ -44,8 +38,8 @@
 	log_write(gateway->log, LOG_LEVEL_INFO, "endpoint", "endpoint", id,
 		  "service", endpoint->last_registration->service, "address",
 		  endpoint->last_registration->address, "state",
-		  names[endpoint->presence], "revision", revision, "source",
-		  source, "doubt", doubt, NULL);
+		  endpoint_presence_name(endpoint->presence), "revision",
+		  revision, "source", source, "doubt", doubt, NULL);
 }
 
 /*
--- a/adapters/http_route.c
+++ b/adapters/http_route.c
@@ -142,6 +142,22 @@
 	g_free(id);
 }
 
+/* The query string may name a service; without one it is about all. */
+static void server_on_endpoints(struct http_server *server,
+				SoupServerMessage *message)
+{
+	const char *text =
+		g_uri_get_query(soup_server_message_get_uri(message));
+	GHashTable *fields = text ? soup_form_decode(text) : NULL;
+	const char *service =
+		fields ? g_hash_table_lookup(fields, "service") : NULL;
+	struct event_query query = {.type = QUERY_ENDPOINTS,
+				    .service = service ? service : ""};
+
+	server_deliver_query(server, message, &query);
+	g_clear_pointer(&fields, g_hash_table_unref);
+}
+
 static void server_on_metrics(struct http_server *server,
 			      SoupServerMessage *message)
 {
@@ -173,6 +189,7 @@
 	{"POST", PLAN_PREFIX, true, .run = server_on_confirm},
 	{"GET", "/admin/v1/quarantine", true, .query = QUERY_QUARANTINE},
 	{"POST", QUARANTINE_PREFIX, true, .run = server_on_lift},
+	{"GET", "/admin/v1/endpoints", true, .run = server_on_endpoints},
 };
 
 static const struct route *route_find(const char *path)
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -92,6 +92,19 @@
 	return registry->endpoints;
 }
 
+/* Returns the presence as logs and answers name it. */
+const char *endpoint_presence_name(enum endpoint_presence presence)
+{
+	static const char *const names[] = {
+		[PRESENCE_READY] = "ready",
+		[PRESENCE_DOUBTED] = "doubted",
+		[PRESENCE_LEAVING] = "leaving",
+		[PRESENCE_GONE] = "gone",
+	};
+
+	return names[presence];
+}
+
 /* Whether the endpoint ends soon, or has ended. */
 bool endpoint_is_leaving(const struct endpoint *endpoint)
 {
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -117,6 +117,7 @@
 			    int64_t now_us);
 void registry_expire_nodes(struct registry *registry, int64_t before_us);
 struct held endpoint_total_load(const struct endpoint *endpoint);
+const char *endpoint_presence_name(enum endpoint_presence presence);
 bool endpoint_is_leaving(const struct endpoint *endpoint);
 bool endpoint_note_leaving(struct endpoint *endpoint, int64_t started_ms,
 			   int64_t now_us);
--- a/core/node/node_query.c
+++ b/core/node/node_query.c
@@ -1,5 +1,6 @@
 #include "core/node/node_state.h"
 
+#include "core/gateway/registry_query.h"
 #include "core/json/variant_json.h"
 #include "core/limit/quarantine_query.h"
 #include "core/once/request_id.h"
@@ -106,5 +107,8 @@
 		quarantine_answer_query(node->quarantine, event, node->now_us,
 					node->actions);
 		break;
+	case QUERY_ENDPOINTS:
+		registry_answer_query(NULL, event, node->now_us, node->actions);
+		break;
 	}
 }
--- a/daemons/ctl_command.c
+++ b/daemons/ctl_command.c
@@ -144,6 +144,93 @@
 	fputs(" may run again; nodes tell each other within seconds\n", out);
 }
 
+/* Prints one more word on an endpoint, behind ": " or "; ". */
+static void print_word(FILE *out, bool *has_words, const char *what)
+{
+	fputs(*has_words ? "; " : ": ", out);
+	print_text(out, what);
+	*has_words = true;
+}
+
+static void print_time(FILE *out, bool *has_words, const char *what,
+		       gint64 time_ms, const char *end)
+{
+	char text[96];
+
+	g_snprintf(text, sizeof(text), "%s %" G_GINT64_FORMAT " ms%s", what,
+		   time_ms, end);
+	print_word(out, has_words, text);
+}
+
+/* Prints what keeps requests away from an endpoint, and its stated limit. */
+static void print_obstacles(JsonObject *endpoint, FILE *out)
+{
+	static const struct {
+		const char *name;
+		const char *text;
+		const char *end;
+	} times[] = {
+		{"said_leaving_ms_ago", "said that it leaves", " ago"},
+		{"replaced_ms_ago", "another one answered at its address",
+		 " ago"},
+		{"resting_ms", "resting for", ""},
+		{"full_ms", "full for", ""},
+		{"notices_aside_ms", "aside by notices for", ""},
+		{"health_aside_ms", "aside by health for", ""},
+	};
+	gint64 aside_ms = get_int(endpoint, "health_aside_ms");
+	bool has_words = false;
+	char limit[48];
+
+	if (json_object_get_boolean_member_with_default(endpoint, "cordoned",
+							FALSE))
+		print_word(out, &has_words, "under a cordon");
+	for (size_t i = 0; i < G_N_ELEMENTS(times); i++) {
+		gint64 time_ms = get_int(endpoint, times[i].name);
+
+		if (json_object_has_member(endpoint, times[i].name) &&
+		    (time_ms > 0 || *times[i].end))
+			print_time(out, &has_words, times[i].text, time_ms,
+				   times[i].end);
+	}
+	if (aside_ms == 0 && !json_object_get_boolean_member_with_default(
+				     endpoint, "health_allows", TRUE))
+		print_word(out, &has_words, "aside by health");
+	if (json_object_has_member(endpoint, "limit_per_s")) {
+		g_snprintf(limit, sizeof(limit), "takes %.3f requests a second",
+			   json_object_get_double_member_with_default(
+				   endpoint, "limit_per_s", 0));
+		print_word(out, &has_words, limit);
+	}
+}
+
+static void print_endpoints(JsonObject *answer, FILE *out)
+{
+	JsonArray *endpoints = json_member_array(answer, "endpoints");
+	guint count = endpoints ? json_array_get_length(endpoints) : 0;
+
+	for (guint i = 0; i < count; i++) {
+		JsonObject *endpoint = json_element_object(endpoints, i);
+
+		if (!endpoint)
+			continue;
+		print_field(out, get_string(endpoint, "id"), 16);
+		print_field(out, get_string(endpoint, "service"), 16);
+		print_field(out, get_string(endpoint, "address"), 22);
+		print_field(out, get_string(endpoint, "failure_domain"), 12);
+		print_field(out, get_string(endpoint, "state"), 8);
+		fprintf(out,
+			"for %" G_GINT64_FORMAT " ms, %" G_GINT64_FORMAT
+			" requests",
+			get_int(endpoint, "in_state_ms"),
+			get_int(endpoint, "own_requests"));
+		print_obstacles(endpoint, out);
+		fputc('\n', out);
+	}
+	fprintf(out, "%u of %" G_GINT64_FORMAT " endpoints\n", count,
+		get_int(answer, "total"));
+}
+
 static const struct ctl_command commands[] = {
 	{.name = "nodes",
 	 .method = "GET",
@@ -200,6 +287,14 @@
 	 .may_change = true,
 	 .print = print_lifted,
 	 .help = "lets such a request run again, at all nodes"},
+	{.name = "endpoints",
+	 .argument = "[SERVICE]",
+	 .argument_is_optional = true,
+	 .method = "GET",
+	 .path = "/admin/v1/endpoints?service=%s",
+	 .needs_key = true,
+	 .print = print_endpoints,
+	 .help = "a gateway's endpoints, and why they are not used"},
 };
 
 /* Returns the command with this name, or NULL. */
@@ -216,7 +311,7 @@
 void ctl_command_print_list(FILE *out)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
-		fprintf(out, "  %-8s %-11s %s\n", commands[i].name,
+		fprintf(out, "  %-9s %-11s %s\n", commands[i].name,
 			commands[i].argument ? commands[i].argument : "",
 			commands[i].help);
 }
--- a/daemons/ctl_command.h
+++ b/daemons/ctl_command.h
@@ -22,8 +22,9 @@
 	const char *name;
 	const char *argument; /* its name in the help; NULL: none */
 	const char *method;
-	const char *path; /* %s stands for the escaped argument */
-	bool reads_file;  /* the argument is the file with the body */
+	const char *path;	   /* %s stands for the escaped argument */
+	bool argument_is_optional; /* "" stands for one left out */
+	bool reads_file;	   /* the argument is the file with the body */
 	bool needs_key;
 	bool needs_operator;
 	bool may_change; /* a lost answer leaves the outcome unknown */
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -172,6 +172,14 @@
 		event->peer->type == PEER_FAILURE_NOTICE);
 }
 
+/* Whether a node with a gateway answers the query from there. */
+static bool event_is_query_for_gateway(const struct event *event)
+{
+	return quarantine_is_query(event) ||
+	       (event->type == EVENT_QUERY &&
+		event->query.type == QUERY_ENDPOINTS);
+}
+
 static void loop_answer_from_gateway(struct node_loop *loop,
 				     const struct event_query *query)
 {
@@ -187,7 +195,7 @@
 {
 	struct node_loop *loop = data;
 
-	if (loop->gateway && quarantine_is_query(event)) {
+	if (loop->gateway && event_is_query_for_gateway(event)) {
 		loop_answer_from_gateway(loop, &event->query);
 		return;
 	}
--- a/daemons/siskinlinkctl.c
+++ b/daemons/siskinlinkctl.c
@@ -243,6 +243,8 @@
 	arguments->command = command;
 	if (command->argument) {
 		arguments->argument = poptGetArg(context);
+		if (!arguments->argument && command->argument_is_optional)
+			arguments->argument = "";
 		if (!arguments->argument)
 			return command_usage_fail(command,
 						  "an argument is missing");
--- a/ports/event.h
+++ b/ports/event.h
@@ -63,7 +63,8 @@
 	QUERY_CONFIRM,	  /* POST /admin/v1/plans/ID/confirm */
 	QUERY_HISTORY,	  /* GET /admin/v1/history */
 	QUERY_QUARANTINE, /* GET /admin/v1/quarantine */
-	QUERY_LIFT	  /* POST /admin/v1/quarantine/FINGERPRINT/lift */
+	QUERY_LIFT,	  /* POST /admin/v1/quarantine/FINGERPRINT/lift */
+	QUERY_ENDPOINTS	  /* GET /admin/v1/endpoints */
 };
 
 struct event_query {
@@ -72,6 +73,7 @@
 	const char *operator_name; /* "" if a caller queries */
 	const char *plan_id;	   /* QUERY_CONFIRM */
 	const char *fingerprint;   /* QUERY_LIFT: 16 hexadecimal digits */
+	const char *service;	   /* QUERY_ENDPOINTS: "" for all of them */
 	GBytes *body;		   /* QUERY_PLAN: the intent; else NULL */
 };
 
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -151,6 +151,9 @@
 	EXPECT_STREQ("/admin/v1/plans/a%2Fb%20c/confirm", path);
 	EXPECT_STREQ("x: a?[2J", text);
 	g_free(path);
+	path = ctl_command_path(ctl_command_find("endpoints"), "a&b");
+	EXPECT_STREQ("/admin/v1/endpoints?service=a%26b", path);
+	g_free(path);
 	g_free(text);
 	text = ctl_command_refusal_text(500, "{\"error\":{\"code\":7}}");
 	EXPECT_STREQ(": ", text);
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -615,6 +615,54 @@
 		fail "a rest outlasts the start of the endpoint that asked for it"
 }
 
+# shows NODE ID STATE WORDS: whether the node lists the endpoint in this state,
+# with these words on it.
+shows() {
+	ctl "$1" endpoints portal | grep -qE "^$2 .* $3 +for .*$4"
+}
+
+# Guards against an operator who can't find out why an endpoint gets nothing: one
+# that asked for rest, and one that leaves by its own word. A request that nobody
+# takes then leads to them by its id, as docs/OPERATIONS.md says.
+case_shows_why_an_endpoint_is_not_used() {
+	local out
+
+	save_up 2
+	shows 0 i-3 ready ' requests$' || fail "at first: $(ctl 0 endpoints)"
+	[ "$(ctl 0 endpoints | tail -n 1)" = "5 of 5 endpoints" ] ||
+		fail "not all are listed: $(ctl 0 endpoints)"
+	[ "$(ctl 0 endpoints nobody)" = "0 of 0 endpoints" ] ||
+		fail "a service that nobody has: $(ctl 0 endpoints nobody)"
+	mode "${backends[3]}" '{"rest_s": "30"}'
+	until_true reaches 3 0 || fail "it was not asked before its rest"
+	until_true shows 0 i-3 ready 'resting for [1-9][0-9]* ms' ||
+		fail "the rest is not shown: $(ctl 0 endpoints portal)"
+	mode "${backends[3]}" '{"rest_s": ""}'
+	shows 1 i-3 ready ' requests$' ||
+		fail "node 1 shows a rest of node 0: $(ctl 1 endpoints portal)"
+	mode "${backends[4]}" '{"says_leaving": true}'
+	until_true reaches 4 0 || fail "it was not asked before it left"
+	until_true shows 0 i-4 leaving 'said that it leaves [0-9]+ ms ago' ||
+		fail "the leaving one is not shown: $(ctl 0 endpoints portal)"
+	out=$(curl -s -m 20 -o /dev/null -w '%{http_code}' -H "Host: $host" \
+		-H "X-Siskinlink-Request-Id: nobody-0" \
+		-H "Authorization: Bearer $key" "http://${fronts[0]}/lookup/a")
+	[ "$out" = 503 ] || fail "with nobody left: $out"
+	line nobody-0 request_end | grep -q 'reason=resting' ||
+		fail "its end: $(line nobody-0 request_end)"
+	logged 'event=endpoint_resting endpoint=i-3 service=portal ' ||
+		fail "the rest is not in the log"
+	logged 'event=endpoint endpoint=i-4 .*state=leaving .*source="its answer"' ||
+		fail "the log does not tell that it leaves"
+	for i in 3 4; do
+		start_anew "$i" portal --plain
+	done
+	for i in 3 4; do
+		until_true shows 0 "i-$i" ready ' requests$' ||
+			fail "the next start of i-$i: $(ctl 0 endpoints portal)"
+	done
+}
+
 # asks_for_rest TEXT: endpoint 3, the only one, turns requests of node 0 away with
 # this text, and then takes them again; sets since and lines.
 asks_for_rest() {
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -607,6 +607,41 @@
 	EXPECT_EQ("entry-1:7:0", recorder.events[0].text);
 }
 
+/*
+ * An operator asks for the endpoints of a service whose name the client escapes
+ * in the query string, or names none. Without unescaping, the name would match
+ * no service.
+ */
+TEST_F(HttpServer, ReadsTheServiceWhoseEndpointsAreAskedFor)
+{
+	static const struct {
+		const char *path;
+		const char *service;
+	} calls[] = {
+		{"/admin/v1/endpoints", ""},
+		{"/admin/v1/endpoints?service=", ""},
+		{"/admin/v1/endpoints?service=a%26b%20c", "a&b c"},
+		{"/admin/v1/endpoints?other=x", ""},
+	};
+	size_t count = 0;
+
+	start("operator-key", 10);
+	for (const auto &call : calls) {
+		std::unique_ptr<Connection> c(open());
+
+		c->send(get(call.path,
+			    "Authorization: Bearer operator-key\r\n"));
+		ASSERT_TRUE(recorder.wait(EVENT_QUERY, ++count));
+		EXPECT_EQ(QUERY_ENDPOINTS, recorder.events[count - 1].query);
+		EXPECT_EQ(call.service, recorder.events[count - 1].text);
+		answer(recorder.events[count - 1].number, 200, "listed");
+		EXPECT_TRUE(c->wait_for("listed"));
+	}
+	std::unique_ptr<Connection> stranger(open());
+	stranger->send(get("/admin/v1/endpoints"));
+	EXPECT_TRUE(stranger->wait_for("HTTP/1.1 401"));
+}
+
 TEST_F(HttpServer, TakesNoOperatorsWithoutAKey)
 {
 	start("", 10);
--- a/tests/loopback.cc
+++ b/tests/loopback.cc
@@ -107,8 +107,9 @@
 		r.number = event->query.call;
 		r.query = event->query.type;
 		r.name = text_of(event->query.operator_name);
-		r.text = event->query.plan_id ? text_of(event->query.plan_id)
-					      : text_of(event->query.body);
+		r.text = event->query.plan_id	? text_of(event->query.plan_id)
+			 : event->query.service ? text_of(event->query.service)
+						: text_of(event->query.body);
 		break;
 	case EVENT_LOAD:
 		r.name = text_of(event->load.endpoint);
