--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -490,7 +490,7 @@
 		options.address = node->address.c_str();
 		options.ready_address = "";
 		options.directory_address = "";
-		options.max_connections = 1000;
+		options.max_connections = max_connections;
 		options.retry_percent = 20;
 		options.retry_extra = 60;
 		options.retry_window_us = 10 * G_USEC_PER_SEC;
