Soak: endpoints say for at least 3.5 s that they leave

Of streams that engine_leaves_by_answer cut (seed 3, 5 in one run), all ended with an engine that had said for 0.5 s that it leaves: the end of an overlapping fault, begun at its earlier start, killed it. No check found them, as the end of an endpoint excuses what it had; but the kind did not play what it is to play.

An end now leaves a word younger than 3.5 s alone; its own fault, of 4 s at least, ends it. The log says "says that it leaves", not that the store took it.

--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -38,6 +38,8 @@
  */
 #define SILENCE_REST_US (4 * G_TIME_SPAN_SECOND)
 #define SETTLE_US G_TIME_SPAN_SECOND
+/* Below the shortest time for which endpoints say that they leave. */
+#define MIN_WORD_US (3500 * G_TIME_SPAN_MILLISECOND)
 /* Endpoints ask for 1 s to this long. */
 #define MAX_REST_S 4
 
@@ -222,23 +224,27 @@
 	struct soak_leaving row = {.is_by_answer = true};
 
 	if (!member->life || member->is_paused || member->is_leaving ||
-	    member->says_leaving)
+	    member->word_us)
 		return;
-	member->says_leaving = true;
 	row.engine = g_strdup(member->id);
 	row.acked_us = g_get_monotonic_time();
+	member->word_us = row.acked_us;
 	g_array_append_val(fleet->evidence->leavings, row);
 	member_set_mode(fleet, member, "{\"says_leaving\":true}");
 }
 
 /*
  * Ends an endpoint that has said so. Every other successor has its id and
- * address and is born later; the others have new ones.
+ * address and is born later; the others have new ones. Faults overlap: the end
+ * of one that began at an earlier start leaves a recent word alone.
  */
 static void endpoint_follow_word(struct soak_fleet *fleet,
 				 struct soak_member *member)
 {
-	if (!member->says_leaving || !member->life)
+	int64_t now_us = g_get_monotonic_time();
+
+	if (!member->life || !member->word_us ||
+	    now_us < member->word_us + MIN_WORD_US)
 		return;
 	soak_member_kill(member);
 	member->starts_renamed =
--- a/tests/soak/soak_member.c
+++ b/tests/soak/soak_member.c
@@ -111,7 +111,7 @@
 	member->start_us = 0;
 	member->exit_deadline_us = 0;
 	member->is_paused = false;
-	member->says_leaving = false;
+	member->word_us = 0;
 	g_ptr_array_set_size(member->deferred_modes, 0);
 	return true;
 }
--- a/tests/soak/soak_member.h
+++ b/tests/soak/soak_member.h
@@ -31,7 +31,6 @@
 	struct soak_life *life; /* NULL: not running */
 	bool is_paused;
 	bool is_leaving;	   /* endpoint entry draining or deleted */
-	bool says_leaving;	   /* its process says so in its answers */
 	bool starts_renamed;	   /* new name and address at the next start */
 	bool starts_with_new_id;   /* at its address */
 	char earlier_id[32];	   /* whose entry is still there; "": none */
@@ -40,6 +39,7 @@
 	int64_t born_ms;
 	int64_t start_us;	  /* time of the next start; 0: none */
 	int64_t exit_deadline_us; /* exit deadline after SIGTERM; 0: none */
+	int64_t word_us;	  /* since when it says that it leaves; 0: no */
 	int64_t next_silence_us;  /* it may fall silent again from then on */
 };
 
--- a/tests/soak/soak_report.c
+++ b/tests/soak/soak_report.c
@@ -131,7 +131,9 @@
 			evidence->leavings, struct soak_leaving, i);
 
 		add_line(lines, leaving->acked_us + offset_us,
-			 "soak: leaving of %s accepted", leaving->engine);
+			 leaving->is_by_answer ? "soak: %s says that it leaves"
+					       : "soak: leaving of %s accepted",
+			 leaving->engine);
 	}
 }
 
