--- a/tests/gateway_pair.h
+++ b/tests/gateway_pair.h
@@ -114,7 +114,7 @@
 	void Wait(int ms);
 
 	std::vector<std::unique_ptr<struct node>> nodes;
-	int64_t home_from_nodes = 16; /* fewer nodes choose by themselves */
+	int64_t home_from_nodes = 16;	/* fewer nodes choose by themselves */
 	int64_t max_connections = 1000; /* of callers, at each node */
 	bool backs_up = false;	  /* engines keep copies of each other's runs */
 	bool loses_reach = false; /* what nodes say of their reach is lost */
