A new start that is known by its address alone has not said that it leaves

Cause: ended the word only with a later birth. A restart that is recognised by its address ends it too; a word of a start whose entry comes later is kept, as before.

--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -251,7 +251,9 @@
 
 /*
  * Handles an endpoint that restarted under its old id. It has lost its state,
- * so earlier failures no longer count, and it has to warm up again.
+ * so earlier failures no longer count, and it has to warm up again. That it
+ * leaves still holds if the word came from this start, before its entry; one
+ * that is known by its address alone has said nothing yet.
  */
 static void endpoint_restart(struct endpoint *endpoint,
 			     const struct registration *update, int64_t now_us)
@@ -266,7 +268,7 @@
 	endpoint->limit = (struct endpoint_limit){0};
 	endpoint->brittle = (struct endpoint_limit){0};
 	endpoint->warm_us = now_us + update->warmup_remaining_us;
-	if (update->started_ms == 0 ||
+	if (update->started_ms <= endpoint->last_registration->started_ms ||
 	    update->started_ms > endpoint->leaving_start_ms)
 		endpoint->said_leaving_us = 0;
 }
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -370,6 +370,20 @@
 	EXPECT_EQ(0, registry_find(registry, "e1")->rest.until_us);
 }
 
+/* Guards against a new start, known by its address, that is taken for leaving.
+ */
+TEST_F(Registry, ANewAddressEndsTheWordOfTheOldOne)
+{
+	struct registration *moved = entry("e1", 6, false, 100);
+
+	apply(entry("e1", 5, false, 100));
+	endpoint_note_leaving(registry_find(registry, "e1"), 0, now_us);
+	g_free(moved->address);
+	moved->address = g_strdup("10.0.0.9:1");
+	apply(moved);
+	EXPECT_EQ(PRESENCE_READY, presence("e1"));
+}
+
 /* Guards against an endpoint that puts itself away for good by a slip. */
 TEST_F(Registry, UsesAnEndpointAgainThatServesLongAfterItsWord)
 {
