A case that shows endpoints begins with nodes that know nothing of them

shows_why_an_endpoint_is_not_used failed in a whole run of gateway.sh: node 0 sent endpoint 3 nothing in half a minute of single requests, as it had answered with errors in cases before (error_share falls with answers alone). The case starts the nodes anew, as its neighbours on rest do.

--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -627,6 +627,7 @@
 case_shows_why_an_endpoint_is_not_used() {
 	local out
 
+	restart_nodes
 	save_up 2
 	shows 0 i-3 ready ' requests$' || fail "at first: $(ctl 0 endpoints)"
 	[ "$(ctl 0 endpoints | tail -n 1)" = "5 of 5 endpoints" ] ||
