--- a/core/gateway/evacuation.c
+++ b/core/gateway/evacuation.c
@@ -195,9 +195,9 @@
 }
 
 /*
- * Returns the next action for a running generation. Silence ends no run: it
- * stays at its engine, which may go on, until the one with its backup has taken
- * it over.
+ * Returns the next action for a running generation. Silence alone ends no run:
+ * it stays at its engine, which may go on, until the one with its backup has
+ * answered, or has been connected for OVERLAP_US while the silence lasts.
  */
 enum evacuation evacuation_decide(const struct evacuation_input *input)
 {
