Streams that may be resumed go on after the caller's last event

Cause: `resumable` was read by no line, and the caller's Last-Event-Id was withheld from the endpoint, so the stream began again at its first event.

The number is passed on (one number without a sign, else 400; on other routes dropped as before); when an endpoint, or the node that a request is passed on through, breaks off, the node sends the request to another one with the last event that the caller has, within max_attempts and the retry budget. Such a stream counts as one that may repeat in retries, refusals and relays.

--- a/adapters/gateway/dialect.h
+++ b/adapters/gateway/dialect.h
@@ -28,6 +28,8 @@
 	int64_t max_tokens;	 /* of the answer; 0: not given */
 	int64_t expected_tokens; /* the caller's estimate; 0: not given */
 	struct prompt_parts parts;
+	int64_t last_event; /* that the caller has of its stream; -1: none */
+	bool last_event_is_bad; /* given, and no number */
 	const char *relayed_by; /* node that passes it on; NULL: none */
 };
 
@@ -42,7 +44,8 @@
 	const char *backup_address; /* keep a copy of the run there; or NULL */
 	const char *copy_address;   /* continue from the copy there; or NULL */
 	const char *copy_name;	    /* handle of that copy */
-	int64_t after_event;	    /* last event delivered; -1: none */
+	int64_t after_event; /* the answer goes on after this event; -1: it
+				begins */
 	bool keep_connection;
 };
 
@@ -77,8 +80,8 @@
 			      const GByteArray *body, GString *out);
 	/* Writes the request as node passes it on to another node. */
 	void (*write_relay)(const struct http_head *head, const char *node,
-			    int64_t patience_us, const GByteArray *body,
-			    GString *out);
+			    int64_t patience_us, int64_t after_event,
+			    const GByteArray *body, GString *out);
 	void (*read_answer)(const struct http_head *head,
 			    struct endpoint_answer *answer);
 	void (*write_move_request)(const char *address, const char *id,
--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -104,14 +104,20 @@
 /*
  * Answers the request with an error of this node and frees the exchange. The
  * statuses 503 and 408 promise that the request has not run and never will;
- * 502 and 504 leave that open. A negative retry_after_us omits Retry-After.
+ * 502 and 504 leave that open. A negative retry_after_us omits Retry-After. An
+ * answer that has begun is cut off instead.
  */
 void exchange_refuse(struct exchange *exchange, int32_t status,
 		     int64_t retry_after_us, const char *reason)
 {
 	struct caller *caller = exchange->caller;
-	GString *fields = g_string_new(NULL);
+	GString *fields;
 
+	if (exchange->answer_begun) {
+		exchange_abort(exchange, reason);
+		return;
+	}
+	fields = g_string_new(NULL);
 	exchange->status = status;
 	if (exchange->parsed_request.id)
 		g_string_append_printf(fields, "%s: %s\r\n",
@@ -487,6 +493,25 @@
 	return fingerprint;
 }
 
+/*
+ * Notes after which event the caller goes on with a resumable stream. Returns
+ * false if the request was refused: without a valid number the caller would get
+ * events that it has.
+ */
+static bool exchange_read_last_event(struct exchange *exchange)
+{
+	const struct caller_request *request = &exchange->parsed_request;
+
+	if (!exchange->route->is_resumable)
+		return true;
+	if (request->last_event_is_bad) {
+		exchange_refuse(exchange, 400, -1, "bad_last_event");
+		return false;
+	}
+	exchange->last_event = request->last_event;
+	return true;
+}
+
 static bool exchange_plan(struct exchange *exchange)
 {
 	struct gateway *gateway = exchange->gateway;
@@ -580,7 +605,8 @@
 	}
 	exchange_check_parts(exchange);
 	if (!exchange_take_relayed(exchange) ||
-	    !exchange_find_route(exchange) || !exchange_plan(exchange))
+	    !exchange_find_route(exchange) ||
+	    !exchange_read_last_event(exchange) || !exchange_plan(exchange))
 		return;
 	/* The node that passes a request on has counted it. */
 	if (!exchange->is_relayed)
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -120,6 +120,26 @@
 		exchange_update_tokens(exchange);
 }
 
+/* Whether the caller has an event of that id already. */
+bool exchange_event_is_known(const struct exchange *exchange, int64_t id)
+{
+	return id >= 0 && id <= exchange->last_event;
+}
+
+/*
+ * Whether an event is the next one for the caller; it then counts as sent. An
+ * event without an id, -1, always is.
+ */
+bool exchange_event_is_due(struct exchange *exchange, int64_t id)
+{
+	if (id < 0)
+		return true;
+	if (exchange->last_event >= 0 && id != exchange->last_event + 1)
+		return false;
+	exchange->last_event = id;
+	return true;
+}
+
 /*
  * Forwards one complete event to the caller. After a change of engines the id
  * shows whether it is the next one: an older event is dropped. Returns false on
@@ -133,15 +153,9 @@
 	/* Comments and partial events don't start a run: no copy exists yet. */
 	if (!leg->begun_us)
 		leg->begun_us = exchange->gateway->now_us;
-	if (id >= 0 && exchange->last_event >= 0) {
-		if (id <= exchange->last_event)
-			return true;
-		if (id != exchange->last_event + 1)
-			return false;
-	}
-	if (id >= 0)
-		exchange->last_event = id;
-	if (leg->is_takeover && !leg->has_continued) {
+	if (!exchange_event_is_due(exchange, id))
+		return exchange_event_is_known(exchange, id);
+	if ((leg->is_takeover || leg->is_resumed) && !leg->has_continued) {
 		leg->has_continued = true;
 		leg_log_takeover(leg);
 	}
@@ -207,6 +221,7 @@
 {
 	struct recovery_input input = {
 		.kind = exchange->route->kind,
+		.is_resumable = exchange->route->is_resumable,
 		.result = RESULT_ERROR,
 		.budget_left =
 			retry_window_remaining(gateway_budget(
@@ -230,12 +245,13 @@
 static bool exchange_has_unsafe_status(const struct exchange *exchange)
 {
 	return exchange->said.status_implies_not_run &&
-	       exchange->route->kind != ROUTE_IDEMPOTENT;
+	       !route_may_repeat(exchange->route);
 }
 
 /*
- * Handles the head of a run that was taken over; the caller already has the
- * first head. The previous engine is released now at the latest.
+ * Handles the head of a run that was taken over, or of another run that goes on
+ * after the last event; the caller already has the first head. The previous
+ * engine is released now at the latest.
  */
 static void leg_handle_takeover_head(struct leg *leg,
 				     const struct http_head *head)
@@ -340,6 +356,10 @@
 		return;
 	}
 	exchange->runs++;
+	if (leg->is_resumed) {
+		leg_handle_takeover_head(leg, head);
+		return;
+	}
 	exchange->status = head->status;
 	if (!exchange->said.is_from_endpoint) {
 		exchange_fail_leg(exchange, RESULT_BROKEN,
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -274,8 +274,10 @@
 	bool has_budget = retry_window_remaining(budget) > 0;
 	struct recovery_input input = {
 		.kind = exchange->route->kind,
+		.is_resumable = exchange->route->is_resumable,
 		.result = result,
 		.answer_begun = exchange->answer_begun,
+		.has_event_id = exchange->last_event >= 0,
 		.copy_is_ready = may_move && place->endpoint,
 		.budget_left = has_budget,
 		.runs = exchange->runs,
@@ -288,7 +290,8 @@
 		    input.copy_is_ready ? place->endpoint->last_registration->id
 					: "",
 		    recovery, detail);
-	if (recovery == RECOVERY_SEND_AGAIN || recovery == RECOVERY_TAKE_OVER)
+	if (recovery == RECOVERY_SEND_AGAIN || recovery == RECOVERY_TAKE_OVER ||
+	    recovery == RECOVERY_RESUME)
 		retry_window_take(budget);
 	return recovery;
 }
@@ -381,6 +384,7 @@
 	count_failure(exchange, result);
 	switch (recovery) {
 	case RECOVERY_SEND_AGAIN:
+	case RECOVERY_RESUME:
 		drop_leg(exchange);
 		exchange_send_new(exchange);
 		break;
@@ -499,7 +503,7 @@
 	const struct exchange *exchange = leg->exchange;
 	const struct route *route = exchange->route;
 
-	return route->kind == ROUTE_IDEMPOTENT && !leg->head_received &&
+	return route_may_repeat(route) && !leg->head_received &&
 	       route->first_answer_us > 0 &&
 	       exchange->runs + 1 < route->max_attempts &&
 	       exchange->sends < route->max_attempts &&
--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -14,11 +14,13 @@
 /* A node that accepts requests accepts a connection sooner. */
 #define CONNECT_TIMEOUT_US (300 * 1000)
 
+#define STATUS_OK 200
 #define STATUS_REFUSED 503
 
 struct relay {
 	struct exchange *exchange;
-	struct attempt *attempt; /* NULL if it could not start */
+	struct attempt *attempt;      /* NULL if it could not start */
+	struct event_scanner *events; /* of a resumable stream, or NULL */
 	char *node;
 	int64_t sent_us;
 	bool head_received;
@@ -30,6 +32,7 @@
 	if (!relay)
 		return;
 	attempt_destroy(relay->attempt);
+	event_scanner_destroy(relay->events);
 	g_free(relay->node);
 	g_free(relay);
 }
@@ -98,6 +101,12 @@
 	return node;
 }
 
+/* Whether the answer may go on after the last event that the caller has. */
+static bool exchange_may_resume(const struct exchange *exchange)
+{
+	return exchange->route->is_resumable && exchange->last_event >= 0;
+}
+
 /*
  * Whether the request is to be passed on through another node. A relayed one is
  * not passed on again, so that no request goes round.
@@ -106,10 +115,10 @@
 {
 	const struct gateway_peer *peer;
 
-	return !exchange->is_relayed && !exchange->answer_begun &&
+	return !exchange->is_relayed &&
+	       (!exchange->answer_begun || exchange_may_resume(exchange)) &&
 	       exchange->avoided_nodes->len < MAX_RELAYS &&
-	       (exchange->runs == 0 ||
-		exchange->route->kind == ROUTE_IDEMPOTENT) &&
+	       (exchange->runs == 0 || route_may_repeat(exchange->route)) &&
 	       gateway_reach_is_lost(exchange->gateway,
 				     exchange->service_name) &&
 	       pick_node(exchange, &peer) != NULL;
@@ -126,6 +135,27 @@
 	       !exchange->said.is_from_endpoint && exchange->runs == 0;
 }
 
+static bool is_stream(const struct exchange *exchange,
+		      const struct http_head *head)
+{
+	return head->status == STATUS_OK && exchange->said.is_from_endpoint &&
+	       exchange->said.is_event_stream;
+}
+
+/*
+ * Forwards an event of a resumable stream whole, so that the answer can go on
+ * elsewhere after it. Returns false on a gap in the ids.
+ */
+static bool on_event(void *data, const char *bytes, size_t size, int64_t id)
+{
+	struct exchange *exchange = ((struct relay *)data)->exchange;
+
+	if (!exchange_event_is_due(exchange, id))
+		return exchange_event_is_known(exchange, id);
+	exchange_receive_body(exchange, bytes, size);
+	return true;
+}
+
 static void on_head(void *data, const struct http_head *head)
 {
 	struct relay *relay = data;
@@ -138,15 +168,29 @@
 		return;
 	}
 	relay->head_received = true;
+	if (exchange->answer_begun && !is_stream(exchange, head)) {
+		relay_fail(relay, head->status != STATUS_REFUSED,
+			   "not continued by the node");
+		return;
+	}
+	if (exchange->route->is_resumable && is_stream(exchange, head))
+		relay->events = event_scanner_create(on_event, relay);
+	if (exchange->answer_begun)
+		return;
 	exchange->status = head->status;
 	exchange_store_head(exchange, head, NULL);
-	if (exchange->answer_size < 0)
+	if (exchange->answer_size < 0 || relay->events)
 		exchange_begin_chunked(exchange);
 }
 
 static void on_body(void *data, const char *bytes, size_t size)
 {
-	exchange_receive_body(((struct relay *)data)->exchange, bytes, size);
+	struct relay *relay = data;
+
+	if (!relay->events)
+		exchange_receive_body(relay->exchange, bytes, size);
+	else if (!event_scanner_feed(relay->events, bytes, size))
+		exchange_abort(relay->exchange, "events_do_not_follow");
 }
 
 static void on_complete(void *data)
@@ -155,6 +199,10 @@
 	struct exchange *exchange = relay->exchange;
 	struct caller *caller = exchange->caller;
 
+	if (relay->events && !event_scanner_at_boundary(relay->events)) {
+		relay_fail(relay, true, "ended within an event");
+		return;
+	}
 	exchange_finish_answer(exchange);
 	exchange_end(exchange,
 		     exchange->said.is_from_endpoint ? "whole" : "refused",
@@ -186,7 +234,9 @@
 
 	gateway->dialect->write_relay(
 		exchange->head, gateway->options.node_name,
-		exchange->deadline_us - gateway->now_us, exchange->body, out);
+		exchange->deadline_us - gateway->now_us,
+		exchange->route->is_resumable ? exchange->last_event : -1,
+		exchange->body, out);
 	return out;
 }
 
@@ -236,7 +286,7 @@
 	struct retry_window *budget =
 		gateway_budget(exchange->gateway, exchange->service_name);
 
-	if (exchange->route->kind != ROUTE_IDEMPOTENT ||
+	if (!route_may_repeat(exchange->route) ||
 	    exchange->runs >= exchange->route->max_attempts ||
 	    retry_window_remaining(budget) <= 0)
 		return false;
@@ -255,7 +305,7 @@
 		  "request", exchange->parsed_request.id, "node", relay->node,
 		  "may_have_run", may_have_run ? "yes" : "no", "detail", detail,
 		  NULL);
-	if (exchange->answer_begun) {
+	if (exchange->answer_begun && !exchange_may_resume(exchange)) {
 		exchange_abort(exchange, "relay_broken");
 		return;
 	}
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -48,12 +48,13 @@
 	int64_t last_received_us; /* last event bytes; 0: none yet */
 	int32_t status;		  /* of the endpoint; 0: no head yet */
 	bool is_takeover;	  /* continues a run from a copy */
-	bool head_received;	  /* its head has been received */
-	bool has_continued;	  /* a takeover has sent an event */
-	bool has_timed_out;	  /* its connection timed out */
-	bool is_proven;		  /* has gone on for LEG_PROVEN_US */
-	bool is_granted;	  /* counted against limits by the home */
-	bool is_late; /* counted as not reached, while it connects */
+	bool is_resumed;    /* a new run, after the last event of another one */
+	bool head_received; /* its head has been received */
+	bool has_continued; /* a takeover has sent an event */
+	bool has_timed_out; /* its connection timed out */
+	bool is_proven;	    /* has gone on for LEG_PROVEN_US */
+	bool is_granted;    /* counted against limits by the home */
+	bool is_late;	    /* counted as not reached, while it connects */
 };
 
 /* A request to the home that waits for its answer. */
@@ -198,6 +199,8 @@
 			   size_t size);
 void exchange_finish_answer(struct exchange *exchange);
 extern const struct attempt_events exchange_attempt_events;
+bool exchange_event_is_known(const struct exchange *exchange, int64_t id);
+bool exchange_event_is_due(struct exchange *exchange, int64_t id);
 bool exchange_on_event(void *data, const char *bytes, size_t size, int64_t id);
 
 /* exchange_move.c */
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -161,6 +161,7 @@
 	leg->tokens = exchange_held_tokens(exchange);
 	leg->sent_us = exchange->gateway->now_us;
 	leg->is_takeover = copy_address != NULL;
+	leg->is_resumed = !copy_address && exchange->answer_begun;
 	leg->is_granted = exchange->is_granted;
 	exchange->is_granted = false;
 	if (!copy_address)
@@ -221,7 +222,9 @@
 		.backup_address = leg->backup_address,
 		.copy_address = copy_address,
 		.copy_name = copy_name,
-		.after_event = exchange->last_event,
+		.after_event = copy_address || exchange->route->is_resumable
+				       ? exchange->last_event
+				       : -1,
 		.keep_connection = exchange->route->kind == ROUTE_IDEMPOTENT,
 	};
 
--- a/core/config/route.c
+++ b/core/config/route.c
@@ -32,6 +32,7 @@
 		route_create(other->name, other->host, other->path_prefix);
 
 	route->kind = other->kind;
+	route->is_resumable = other->is_resumable;
 	route->is_public = other->is_public;
 	route->priority = other->priority;
 	route->max_attempts = other->max_attempts;
@@ -132,8 +133,8 @@
 {
 	return strcmp(a->host, b->host) == 0 &&
 	       strcmp(a->path_prefix, b->path_prefix) == 0 &&
-	       a->kind == b->kind && a->is_public == b->is_public &&
-	       a->priority == b->priority &&
+	       a->kind == b->kind && a->is_resumable == b->is_resumable &&
+	       a->is_public == b->is_public && a->priority == b->priority &&
 	       a->max_attempts == b->max_attempts &&
 	       a->timeout_us == b->timeout_us &&
 	       a->first_answer_us == b->first_answer_us &&
@@ -142,6 +143,12 @@
 	       regions_are_equal(a->regions, b->regions);
 }
 
+/* Returns whether a request may run more than once. */
+bool route_may_repeat(const struct route *route)
+{
+	return route->kind == ROUTE_IDEMPOTENT || route->is_resumable;
+}
+
 /* Returns the name of the kind used in documents and intents. */
 const char *route_kind_name(enum route_kind kind)
 {
--- a/core/config/route_json.c
+++ b/core/config/route_json.c
@@ -105,6 +105,7 @@
 					    "host",
 					    "path_prefix",
 					    "kind",
+					    "resumable",
 					    "public",
 					    "priority",
 					    "max_attempts",
@@ -124,6 +125,10 @@
 	host = config_read_name(&fields, "host", 1);
 	route = config_add_route(config, name, host, read_path_prefix(&fields));
 	route->kind = read_kind(&fields);
+	route->is_resumable = json_fields_bool(&fields, "resumable", false);
+	if (route->is_resumable && route->kind != ROUTE_STREAM)
+		json_fields_fail(&fields, "resumable",
+				 "false, as the kind is not \"stream\"");
 	route->is_public = json_fields_bool(&fields, "public", false);
 	route->priority = (int32_t)json_fields_int(&fields, "priority", 0,
 						   MAX_ROUTE_PRIORITY, 0);
@@ -163,6 +168,7 @@
 	json_writer_add_nonempty(builder, "host", route->host);
 	json_writer_add_nonempty(builder, "path_prefix", route->path_prefix);
 	json_writer_add_nonempty(builder, "kind", route_kind_name(route->kind));
+	json_writer_add_if_true(builder, "resumable", route->is_resumable);
 	json_writer_add_if_true(builder, "public", route->is_public);
 	json_writer_add_nondefault(builder, "priority", route->priority, 0);
 	json_writer_add_nondefault(builder, "max_attempts", route->max_attempts,
--- a/core/gateway/recovery.c
+++ b/core/gateway/recovery.c
@@ -16,6 +16,7 @@
 static const char *const recovery_names[] = {
 	[RECOVERY_SEND_AGAIN] = "send_again",
 	[RECOVERY_TAKE_OVER] = "take_over",
+	[RECOVERY_RESUME] = "resume",
 	[RECOVERY_FORWARD] = "pass_on",
 	[RECOVERY_REFUSE] = "refuse",
 	[RECOVERY_FAIL] = "fail",
@@ -29,7 +30,8 @@
 
 static bool may_run_again(const struct recovery_input *input)
 {
-	return may_send_again(input) && input->kind == ROUTE_IDEMPOTENT &&
+	return may_send_again(input) &&
+	       (input->kind == ROUTE_IDEMPOTENT || input->is_resumable) &&
 	       input->runs < input->max_attempts;
 }
 
@@ -62,7 +64,8 @@
  * Returns the next step for a request without a complete answer. A stream that
  * has begun is only ever continued from a copy of its own memory: a new run
  * would generate other text after the part that the caller has, and nobody
- * could tell where the two were joined.
+ * could tell where the two were joined. A resumable stream has the same events
+ * in every run, so that it may go on elsewhere after any of them.
  */
 enum recovery recovery_decide(const struct recovery_input *input)
 {
@@ -71,6 +74,8 @@
 	if (input->kind == ROUTE_STREAM && input->copy_is_ready &&
 	    input->budget_left && input->result != RESULT_NO_COPY)
 		return RECOVERY_TAKE_OVER;
+	if (input->is_resumable && input->has_event_id && may_run_again(input))
+		return RECOVERY_RESUME;
 	return RECOVERY_ABORT;
 }
 
--- a/core/gateway/recovery.h
+++ b/core/gateway/recovery.h
@@ -28,7 +28,9 @@
 struct recovery_input {
 	enum route_kind kind;
 	enum attempt_result result;
+	bool is_resumable;  /* a stream that may run more than once */
 	bool answer_begun;  /* the caller has received a part of it */
+	bool has_event_id;  /* of the last event that the caller has */
 	bool copy_is_ready; /* at an endpoint that still serves */
 	bool budget_left;
 	int32_t runs;  /* endpoints that may have run the request */
@@ -39,6 +41,7 @@
 enum recovery {
 	RECOVERY_SEND_AGAIN, /* as a new run elsewhere */
 	RECOVERY_TAKE_OVER,  /* continue the same run from the copy */
+	RECOVERY_RESUME,     /* as a new run elsewhere, after the last event */
 	RECOVERY_FORWARD,    /* forward the endpoint's own answer */
 	RECOVERY_REFUSE,     /* it has not run: the caller may retry */
 	RECOVERY_FAIL,	     /* it may have run: the outcome is unknown */
--- a/core/plan/plan_route.c
+++ b/core/plan/plan_route.c
@@ -91,6 +91,8 @@
 			       after->path_prefix);
 	plan_add_string_change(changes, "kind", route_kind_name(before->kind),
 			       route_kind_name(after->kind));
+	plan_add_bool_change(changes, "resumable", before->is_resumable,
+			     after->is_resumable);
 	plan_add_bool_change(changes, "public", before->is_public,
 			     after->is_public);
 	plan_add_int_change(changes, "priority", before->priority,
@@ -118,7 +120,7 @@
 				     const struct route *before,
 				     const struct route *after)
 {
-	if (before->kind != ROUTE_IDEMPOTENT && after->kind == ROUTE_IDEMPOTENT)
+	if (!route_may_repeat(before) && route_may_repeat(after))
 		plan_add_line(plan->warnings,
 			      "route %s: its requests may run more than once",
 			      after->name);
--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -40,14 +40,15 @@
 
 /* The head and the first events of an answer. */
 static std::string begin_events(const PairEndpoint *endpoint,
-				const std::string &fields, int count)
+				const std::string &fields, int count,
+				int first = 0)
 {
 	std::string text = "HTTP/1.1 200 OK\r\n" + fields +
 			   "Content-Type: text/event-stream\r\n";
 
 	text += endpoint->ends_by_close ? "Connection: close\r\n\r\n"
 					: "Transfer-Encoding: chunked\r\n\r\n";
-	for (int i = 0; i < count; i++) {
+	for (int i = first; i < count; i++) {
 		std::string event =
 			"id: " + std::to_string(i) + "\ndata: x\n\n";
 		char size[16];
@@ -70,6 +71,7 @@
 			     "\r\n" + endpoint->says;
 	bool is_deadly = !endpoint->deadly_path.empty() &&
 			 endpoint->deadly_path == head->target;
+	int first = 0;
 	bool has_deadly_part = has_part(head, endpoint->deadly_part);
 	bool is_reset = !endpoint->reset_path.empty() &&
 			endpoint->reset_path == head->target;
@@ -94,6 +96,8 @@
 		caller_answer(caller, 503, fields.c_str(), "", 0);
 		return;
 	}
+	if (http_head_get(head, "Last-Event-Id"))
+		first = atoi(http_head_get(head, "Last-Event-Id")) + 1;
 	endpoint->runs[id ? id : ""]++;
 	endpoint->seen.clear();
 	for (guint i = 0; i < head->fields->len; i++) {
@@ -129,9 +133,18 @@
 		endpoint->End();
 		return;
 	}
+	if (endpoint->breaks_after > 0) {
+		std::string text =
+			begin_events(endpoint, fields,
+				     first + endpoint->breaks_after, first);
+
+		caller_send(caller, text.data(), text.size());
+		caller_end_answer(caller, true);
+		return;
+	}
 	if (endpoint->events > 0) {
 		std::string text =
-			begin_events(endpoint, fields, endpoint->events);
+			begin_events(endpoint, fields, endpoint->events, first);
 
 		caller_send(caller, text.data(), text.size());
 		if (!endpoint->is_silent) {
@@ -398,10 +411,12 @@
 	static const struct {
 		const char *name, *path, *service;
 		enum route_kind kind;
+		bool is_resumable;
 	} wanted[] = {
-		{"lookup", "/lookup/", "portal", ROUTE_IDEMPOTENT},
-		{"export", "/export/", "portal", ROUTE_ONCE},
-		{"report", "/report/", "engines", ROUTE_STREAM},
+		{"lookup", "/lookup/", "portal", ROUTE_IDEMPOTENT, false},
+		{"export", "/export/", "portal", ROUTE_ONCE, false},
+		{"report", "/report/", "engines", ROUTE_STREAM, false},
+		{"query", "/query/", "engines", ROUTE_STREAM, true},
 	};
 	GPtrArray *cordons = cordon_list_create();
 	struct config *config = config_create();
@@ -420,7 +435,8 @@
 
 		route->kind = want.kind;
 		route->is_public = true;
-		route->max_attempts = want.kind == ROUTE_IDEMPOTENT ? 2 : 1;
+		route->is_resumable = want.is_resumable;
+		route->max_attempts = route_may_repeat(route) ? 2 : 1;
 		route->timeout_us = 2500000;
 		route->first_answer_us = 150000;
 		route_add_target(route, want.service, 1);
@@ -492,7 +508,7 @@
 		options.directory_address = "";
 		options.max_connections = max_connections;
 		options.retry_percent = 20;
-		options.retry_extra = 60;
+		options.retry_extra = retry_extra;
 		options.retry_window_us = 10 * G_USEC_PER_SEC;
 		options.home_from_nodes = home_from_nodes;
 		options.directory_ttl_us = G_USEC_PER_SEC;
--- a/tests/gateway_pair.h
+++ b/tests/gateway_pair.h
@@ -20,9 +20,10 @@
 	std::string id, address;
 	std::map<std::string, int> runs; /* by request id */
 	std::string seen;		 /* head of the last request */
-	int events = 0;	  /* of an answer in events; 0: a plain answer */
-	std::string says; /* fields of all its answers, each with CR LF */
-	std::string rest; /* turns requests away, Retry-After; "": serves */
+	int events = 0;	      /* of an answer in events; 0: a plain answer */
+	int breaks_after = 0; /* events, then the connection ends; 0: never */
+	std::string says;     /* fields of all its answers, each with CR LF */
+	std::string rest;     /* turns requests away, Retry-After; "": serves */
 	int turned_away = 0;
 	bool is_silent = false;
 	int silence_ms = 0; /* before an answer, in which it does nothing */
@@ -116,6 +117,7 @@
 	std::vector<std::unique_ptr<struct node>> nodes;
 	int64_t home_from_nodes = 16;	/* fewer nodes choose by themselves */
 	int64_t max_connections = 1000; /* of callers, at each node */
+	int64_t retry_extra = 60;	/* retries in 10 s, of six nodes */
 	bool backs_up = false;	  /* engines keep copies of each other's runs */
 	bool loses_reach = false; /* what nodes say of their reach is lost */
 	int64_t position = 2;	  /* the same, so that none overrules another */
--- a/tests/recovery_test.cc
+++ b/tests/recovery_test.cc
@@ -96,3 +96,31 @@
 	input.sends = 3;
 	EXPECT_EQ("refuse", decide(input));
 }
+
+/* Guards against joining the events of two runs where they may differ. */
+TEST(Recovery, ResumesOnlyResumableStreams)
+{
+	struct recovery_input input = {};
+
+	input.kind = ROUTE_STREAM;
+	input.result = RESULT_BROKEN;
+	input.answer_begun = input.budget_left = true;
+	input.sends = input.runs = 1;
+	input.max_attempts = 2;
+	EXPECT_EQ("break", decide(input));
+	input.is_resumable = true;
+	EXPECT_EQ("break", decide(input)) << "after an event without an id";
+	input.has_event_id = true;
+	EXPECT_EQ("resume", decide(input));
+	input.copy_is_ready = true;
+	EXPECT_EQ("take_over", decide(input));
+	input.copy_is_ready = false;
+	input.runs = 2;
+	EXPECT_EQ("break", decide(input));
+	input.runs = 1;
+	input.budget_left = false;
+	EXPECT_EQ("break", decide(input));
+	input.budget_left = true;
+	input.answer_begun = false;
+	EXPECT_EQ("send_again", decide(input));
+}
