A late request stays at its endpoint until another one has answered

What callers saw: of 8 requests to an endpoint that is silent for 1 s, 2 got 502 and 2 got 503, as the node let the silent endpoint go before the other one, which refused connections, was connected (known red: GatewaySilence.StaysWhereTheOtherEndpointIsOutOfReach).

Cause, two: the first endpoint was released at the moment of the second send; and a request that had arrived nowhere drew on the retry budget, which counts arrivals beyond the first one of each request, so that refused connections used it up.

Change: the second send goes beside the first one, and the first good answer is taken; an error or a connection that fails leaves the first one at work. A request that has arrived nowhere draws no retry.

--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -334,6 +334,30 @@
 				       G_USEC_PER_SEC);
 }
 
+/*
+ * Takes the first good answer to a late request that two endpoints got, and
+ * releases the other one. Returns false if this answer is dropped.
+ */
+static bool leg_settle_second(struct leg *leg, int32_t status)
+{
+	struct exchange *exchange = leg->exchange;
+	struct endpoint *endpoint = leg_endpoint(leg);
+	bool is_good = exchange->said.is_from_endpoint && status < STATUS_ERROR;
+
+	if (!exchange->next || exchange->next->is_takeover)
+		return true;
+	if (is_good && leg == exchange->next)
+		exchange_promote_next(exchange);
+	else if (is_good)
+		exchange_drop_next(exchange, "answered by the first endpoint");
+	if (is_good || leg != exchange->next)
+		return true;
+	if (endpoint)
+		endpoint_count_answer(endpoint, true);
+	exchange_drop_next(exchange, "error");
+	return false;
+}
+
 static void on_head(void *data, const struct http_head *head)
 {
 	struct leg *leg = data;
@@ -349,6 +373,8 @@
 		leg_handle_refusal(leg, head->status);
 		return;
 	}
+	if (!leg_settle_second(leg, head->status))
+		return;
 	if (exchange->said.is_event_stream)
 		leg->events = event_scanner_create(exchange_on_event, leg);
 	if (leg->is_takeover && exchange->answer_begun) {
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -272,6 +272,8 @@
 	bool may_move = exchange->crashes < MAX_CRASHES &&
 			exchange_is_admitted(exchange);
 	bool has_budget = retry_window_remaining(budget) > 0;
+	/* The budget is for sends that arrive beyond the first one. */
+	bool is_first = result == RESULT_NOT_SENT && exchange->arrivals == 0;
 	struct recovery_input input = {
 		.kind = exchange->route->kind,
 		.is_resumable = exchange->route->is_resumable,
@@ -279,7 +281,7 @@
 		.answer_begun = exchange->answer_begun,
 		.has_event_id = exchange->last_event >= 0,
 		.copy_is_ready = may_move && place->endpoint,
-		.budget_left = has_budget,
+		.budget_left = has_budget || is_first,
 		.runs = exchange->runs,
 		.sends = exchange->sends,
 		.max_attempts = exchange->route->max_attempts,
@@ -290,8 +292,9 @@
 		    input.copy_is_ready ? place->endpoint->last_registration->id
 					: "",
 		    recovery, detail);
-	if (recovery == RECOVERY_SEND_AGAIN || recovery == RECOVERY_TAKE_OVER ||
-	    recovery == RECOVERY_RESUME)
+	if (!is_first &&
+	    (recovery == RECOVERY_SEND_AGAIN ||
+	     recovery == RECOVERY_TAKE_OVER || recovery == RECOVERY_RESUME))
 		retry_window_take(budget);
 	return recovery;
 }
@@ -371,6 +374,7 @@
 	if (!exchange->leg->head_received &&
 	    (result == RESULT_BROKEN || result == RESULT_SLOW))
 		exchange->runs++;
+	exchange->arrivals += result != RESULT_NOT_SENT;
 	count_crash(exchange, result);
 	if (result == RESULT_NOT_SENT && exchange->runs == 0 &&
 	    exchange_wants_relay(exchange)) {
@@ -442,18 +446,35 @@
 		exchange_drop_next(exchange, error.detail);
 }
 
-/* The new engine has taken the run over: releases the old one. */
+/*
+ * The other endpoint has taken the run over, or has answered a late request
+ * first: releases the old one, which may have run the request.
+ */
 void exchange_promote_next(struct exchange *exchange)
 {
+	bool is_takeover = exchange->next->is_takeover;
+
+	exchange->arrivals++;
 	drop_leg(exchange);
 	exchange->leg = g_steal_pointer(&exchange->next);
-	exchange->take_overs++;
+	if (is_takeover)
+		exchange->take_overs++;
+	else
+		exchange->runs++;
 	exchange->copy_failed = false;
 }
 
-/* The new engine failed to take the run over: the old one continues it. */
+/*
+ * The other endpoint failed, or is not needed any more: the old one goes on. A
+ * second run of a late request may have begun there.
+ */
 void exchange_drop_next(struct exchange *exchange, const char *reason)
 {
+	if (exchange->next->attempt &&
+	    attempt_may_have_sent(exchange->next->attempt)) {
+		exchange->arrivals++;
+		exchange->runs += !exchange->next->is_takeover;
+	}
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "take_over_failed",
 		  "request", exchange->parsed_request.id, "to",
 		  exchange->next->endpoint_id, "reason", reason, NULL);
@@ -551,6 +572,43 @@
 	}
 }
 
+/*
+ * Sends a request whose answer is late to another endpoint as well. The first
+ * one goes on: it may be silent for a moment, and the other one may be out of
+ * reach. The first good answer is taken.
+ */
+static void send_second(struct exchange *exchange)
+{
+	struct endpoint_criteria criteria;
+	struct endpoint *endpoint;
+	struct error error;
+
+	exchange_fill_criteria(exchange, &criteria);
+	criteria.avoid_id = exchange->leg->endpoint_id;
+	endpoint = endpoint_choose(exchange->gateway->registry, &criteria);
+	if (!endpoint || !exchange_is_admitted(exchange) ||
+	    !retry_window_take(
+		    gateway_budget(exchange->gateway, exchange->service_name)))
+		return;
+	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "request_sent_again",
+		  "request", exchange->parsed_request.id, "endpoint",
+		  endpoint->last_registration->id, "late",
+		  exchange->leg->endpoint_id, NULL);
+	exchange->next = leg_create(exchange, endpoint, NULL);
+	if (!leg_send(exchange->next, NULL, NULL, &error))
+		exchange_drop_next(exchange, error.detail);
+}
+
+/* The second endpoint of a late request accepts no connection in time. */
+static void step_second(struct exchange *exchange)
+{
+	const struct leg *next = exchange->next;
+
+	if (!attempt_is_connected(next->attempt) &&
+	    exchange->gateway->now_us - next->sent_us > CONNECT_TIMEOUT_US)
+		exchange_drop_next(exchange, "connection not established");
+}
+
 /*
  * Counts an endpoint that accepts no connection in time as not reached. Returns
  * whether the request is to be passed on through another node instead.
@@ -596,8 +654,10 @@
 				  "connection not established");
 		return;
 	}
-	if (leg_is_slow(leg))
-		exchange_fail_leg(exchange, RESULT_SLOW, "no answer");
+	if (exchange->next && !exchange->next->is_takeover)
+		step_second(exchange);
+	else if (leg_is_slow(leg))
+		send_second(exchange);
 	else if (exchange_is_generation(exchange))
 		step_generation(exchange);
 }
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -110,6 +110,7 @@
 	bool is_relayed;	  /* another node passes it on to this one */
 	int32_t runs;
 	int32_t sends;
+	int32_t arrivals; /* of sends that are over */
 	int32_t take_overs;
 	bool copy_failed;     /* the backup engine had no copy */
 	int32_t crashes;      /* engines that failed while running it */
--- a/tests/gateway_silence_test.cc
+++ b/tests/gateway_silence_test.cc
@@ -97,3 +97,34 @@
 		EXPECT_GE(1, one.runs[id]);
 	}
 }
+
+/* Guards against a refusal for lack of retries where nothing has arrived. */
+TEST_F(GatewaySilence, ARefusedConnectionDrawsNoRetry)
+{
+	DeadAddress dead(CUT_REFUSED);
+	struct retry_window *budget;
+	int64_t left;
+
+	SaveRetries();
+	Register(0, "portal", {{one.id, one.address}, {"i-3", dead.address}});
+	budget = gateway_budget(nodes[0]->gateway, "portal");
+	left = retry_window_remaining(budget);
+	for (int i = 0; i < 8; i++) {
+		std::string id = "r-" + std::to_string(i);
+
+		EXPECT_EQ(200, Ask(0, "/export/a", id)) << id;
+		EXPECT_EQ(1, one.runs[id]);
+	}
+	EXPECT_LE(left, retry_window_remaining(budget));
+}
+
+/* Guards against an answer that is thrown away for a later one. */
+TEST_F(GatewaySilence, TakesTheFirstOfTwoAnswers)
+{
+	Register(0, "portal", {{one.id, one.address}, {two.id, two.address}});
+	SaveRetries();
+	one.silence_ms = two.silence_ms = 600;
+	EXPECT_EQ(200, Ask(0, "/lookup/a", "r-1"));
+	EXPECT_EQ(1, one.runs["r-1"] + two.runs["r-1"]);
+	EXPECT_TRUE(run_until([&] { return one.gone + two.gone == 1; }));
+}
