Soak: modes wait for an endpoint that does not listen yet

Modes of an endpoint that started less than 1 s ago are tried again every 50 ms, in order; later ones are a failure as before.

--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -38,6 +38,8 @@
  */
 #define SILENCE_REST_US (4 * G_TIME_SPAN_SECOND)
 #define SETTLE_US G_TIME_SPAN_SECOND
+/* Between two tries to reach an endpoint that has just started. */
+#define MODE_RETRY_US (50 * G_TIME_SPAN_MILLISECOND)
 /* Below the shortest time for which endpoints say that they leave. */
 #define MIN_WORD_US (3500 * G_TIME_SPAN_MILLISECOND)
 /* Endpoints ask for 1 s to this long. */
@@ -68,10 +70,19 @@
 	soak_process_signal(member->process, SIGSTOP);
 }
 
+static void apply_waiting_modes(struct soak_fleet *fleet,
+				struct soak_member *member);
+
+/* Whether the endpoint's process may not listen yet. */
+static bool member_is_starting(const struct soak_member *member)
+{
+	return g_get_monotonic_time() < member->life->from_us + SETTLE_US;
+}
+
 /*
- * Sets modes of a fake endpoint. For a paused endpoint they are queued until it
- * continues: if they were dropped, the end of a fault would be lost, and the
- * endpoint would fail for the rest of the run.
+ * Sets modes of a fake endpoint. For an endpoint that is paused, or does not
+ * listen yet, they are queued, in order: if they were dropped, the end of a
+ * fault would be lost, and the endpoint would fail for the rest of the run.
  */
 static void member_set_mode(struct soak_fleet *fleet,
 			    struct soak_member *member, const char *json)
@@ -80,13 +91,20 @@
 
 	if (!member->life)
 		return;
-	if (member->is_paused) {
+	if (member->is_paused || member->deferred_modes->len > 0) {
 		g_ptr_array_add(member->deferred_modes, g_strdup(json));
 		return;
 	}
-	if (!soak_platform_set_mode(member->address, json, &error))
+	if (soak_platform_set_mode(member->address, json, &error))
+		return;
+	if (member_is_starting(member)) {
+		g_ptr_array_add(member->deferred_modes, g_strdup(json));
+		soak_fleet_defer(fleet, MODE_RETRY_US, apply_waiting_modes,
+				 member);
+	} else {
 		soak_fleet_note_failure(fleet, "%s: %s: %s", member->name, json,
 					error.detail);
+	}
 }
 
 static void apply_waiting_modes(struct soak_fleet *fleet,
