Deferrable requests leave room for the runs of engines that leave

Change, at services with mixed urgency only: the share of memory that left at once within the last 10 s is left free by requests of the less urgent route; moves may use it; the home asks all engines for their reports while the store is away, and tells the nodes of those that leave. Services whose routes don't ask for it decide as before: RouteTableUrgency.OtherServicesDecideAsBefore.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -169,6 +169,12 @@
 		attempt_set_reading(attempt, true);
 }
 
+/* Whether the request can wait in favour of others of its service. */
+bool exchange_is_deferrable(const struct exchange *exchange)
+{
+	return route_table_is_deferrable(exchange->table, exchange->route);
+}
+
 /* Fills the criteria by which endpoint_choose selects for this request. */
 void exchange_fill_criteria(const struct exchange *exchange,
 			    struct endpoint_criteria *criteria)
@@ -190,6 +196,11 @@
 		.now_us = gateway->now_us,
 		.draw = g_rand_double(gateway->random),
 	};
+	criteria->gives_way =
+		route_table_gives_way(exchange->table, exchange->service_name);
+	if (exchange_is_deferrable(exchange))
+		criteria->reserved_share =
+			gateway_headroom_share(gateway, exchange->service_name);
 	gateway_fill_rates(gateway, exchange->service_name, exchange->service,
 			   &criteria->rates);
 }
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -227,8 +227,9 @@
 
 /*
  * Polls the reports of endpoints that may be leaving without notice: those that
- * run requests or keep copies of this node while the store is unreachable, and
- * those whose removal is in doubt, as they still get requests.
+ * run requests or keep copies of this node while the store is unreachable, all
+ * of them if this node chooses where runs move, and those whose removal is in
+ * doubt, as they still get requests.
  */
 static void gateway_step_reports(struct gateway *gateway)
 {
@@ -239,7 +240,12 @@
 	for (guint i = 0; i < endpoints->len; i++) {
 		struct endpoint *endpoint = g_ptr_array_index(endpoints, i);
 		bool is_doubted = endpoint->presence == PRESENCE_DOUBTED;
-		bool is_needed = is_away && endpoint->own.tokens > 0;
+		bool is_needed =
+			is_away &&
+			(endpoint->own.tokens > 0 ||
+			 gateway_chooses_moves(
+				 gateway,
+				 endpoint->last_registration->service));
 
 		if ((is_doubted || is_needed) &&
 		    !endpoint_is_leaving(endpoint) &&
@@ -274,6 +280,7 @@
 	gateway_reach_step(gateway);
 	gateway_losses_step(gateway);
 	gateway_step_reports(gateway);
+	gateway_headroom_step(gateway);
 	gateway_home_step(gateway);
 	gateway_routes_step(gateway);
 	gateway_peers_step(gateway);
@@ -314,7 +321,9 @@
 		return;
 	gateway_log_endpoint(gateway, endpoint_id, "its report");
 	endpoint = registry_find(gateway->registry, endpoint_id);
-	if (endpoint->presence == PRESENCE_GONE)
+	if (endpoint->presence == PRESENCE_GONE ||
+	    gateway_chooses_moves(gateway,
+				  endpoint->last_registration->service))
 		gateway_peers_announce_endpoint(gateway, endpoint_id);
 }
 
@@ -369,6 +378,8 @@
 	gateway->status_callers =
 		caller_set_create(&status_requests, MAX_STATUS_CALLERS);
 	gateway->grants = engine_grants_create(gateway->registry);
+	gateway->forecasts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->home_requests = g_hash_table_new(g_int64_hash, g_int64_equal);
 	gateway->exchanges =
 		g_hash_table_new_full(NULL, NULL, exchange_destroy, NULL);
@@ -408,6 +419,7 @@
 	g_hash_table_unref(gateway->reach);
 	gateway_losses_clear(gateway);
 	engine_grants_destroy(gateway->grants);
+	g_hash_table_unref(gateway->forecasts);
 	g_hash_table_unref(gateway->home_requests);
 	g_free(gateway->home_address);
 	registry_destroy(gateway->registry);
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -51,6 +51,20 @@
 	return home;
 }
 
+/*
+ * Whether this node chooses where runs move for all nodes of its region. A copy
+ * to an engine that leaves itself is refused, and the time for the move is
+ * lost.
+ */
+bool gateway_chooses_moves(const struct gateway *gateway, const char *service)
+{
+	return gateway->table &&
+	       route_table_gives_way(gateway->table, service) &&
+	       (int64_t)gateway_node_count(gateway) >=
+		       gateway->options.home_from_nodes &&
+	       !find_home(gateway, service);
+}
+
 /* Who chooses the endpoints of the service while they are cold. */
 static enum rate_chooser
 find_warmup_chooser(const struct gateway *gateway,
@@ -221,6 +235,16 @@
 	send_home_request(exchange, &exchange->home_request, home, message);
 }
 
+static enum choose_purpose run_purpose(const struct exchange *exchange)
+{
+	bool is_deferrable = exchange_is_deferrable(exchange);
+
+	if (exchange_wants_backup(exchange))
+		return is_deferrable ? CHOOSE_DEFERRABLE_RUN_AND_BACKUP
+				     : CHOOSE_RUN_AND_BACKUP;
+	return is_deferrable ? CHOOSE_DEFERRABLE_RUN : CHOOSE_RUN;
+}
+
 /*
  * Requests an engine from the home; false if this node has to choose locally.
  */
@@ -230,9 +254,7 @@
 
 	if (!home)
 		return false;
-	request_run(exchange, home,
-		    exchange_wants_backup(exchange) ? CHOOSE_RUN_AND_BACKUP
-						    : CHOOSE_RUN);
+	request_run(exchange, home, run_purpose(exchange));
 	return true;
 }
 
@@ -342,6 +364,18 @@
 		     gateway_create_standing(gateway));
 }
 
+static bool is_deferrable(enum choose_purpose purpose)
+{
+	return purpose == CHOOSE_DEFERRABLE_RUN ||
+	       purpose == CHOOSE_DEFERRABLE_RUN_AND_BACKUP;
+}
+
+static bool wants_backup(enum choose_purpose purpose)
+{
+	return purpose == CHOOSE_RUN_AND_BACKUP ||
+	       purpose == CHOOSE_DEFERRABLE_RUN_AND_BACKUP;
+}
+
 /* Chooses what another node asked for; either engine may be NULL. */
 static struct engine_choice choose_for(struct gateway *gateway,
 				       const struct peer_choose *choose,
@@ -359,6 +393,12 @@
 	};
 	struct engine_choice choice = {NULL, NULL};
 
+	criteria.gives_way =
+		gateway->table &&
+		route_table_gives_way(gateway->table, choose->service);
+	if (is_deferrable(choose->purpose))
+		criteria.reserved_share =
+			gateway_headroom_share(gateway, choose->service);
 	gateway_fill_rates(gateway, choose->service, service, &criteria.rates);
 	if (choose->purpose == CHOOSE_MOVE) {
 		criteria.other_domain_weight = MOVE_OTHER_DOMAIN_WEIGHT;
@@ -373,7 +413,7 @@
 	if (!choice.run)
 		return choice;
 	endpoint_rates_count(choice.run, &criteria.rates, gateway->now_us);
-	if (choose->purpose == CHOOSE_RUN_AND_BACKUP) {
+	if (wants_backup(choose->purpose)) {
 		criteria.avoid_id = choice.run->last_registration->id;
 		choice.copy =
 			endpoint_choose_backup(gateway->registry, &criteria);
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -9,6 +9,7 @@
 #include "core/gateway/engine_grants.h"
 #include "core/gateway/announce_pace.h"
 #include "core/membership/gossip_pace.h"
+#include "core/gateway/leaving_forecast.h"
 #include "core/gateway/service_reach.h"
 #include "core/gateway/store_doubt.h"
 #include "core/gateway/table_fetch.h"
@@ -46,6 +47,7 @@
  *   gateway_ends.c     whether endpoints that broke off runs have ended
  *   gateway_closes.c   answers that end with their connections
  *   gateway_reach.c    which nodes reach which services
+ *   gateway_headroom.c memory kept free for engines that leave
  *   gateway_home.c     one node chooses the engines for all nodes
  *   exchange.c         one request of a caller
  *   leg.c              the request at one endpoint
@@ -118,6 +120,9 @@
 	bool is_cut;	       /* it reaches no service that it used lately */
 	int32_t relayed_count; /* requests under way for other nodes */
 
+	GHashTable *forecasts; /* service to struct leaving_forecast */
+	int64_t headroom_sampled_us;
+
 	/* Engine choice by a home, which may be this node. */
 	struct engine_grants *grants;
 	GHashTable *home_requests;     /* request number to struct exchange */
@@ -182,6 +187,13 @@
 		  struct peer_message *message);
 struct peer_message *gateway_create_standing(struct gateway *gateway);
 
+/* gateway_home.c */
+bool gateway_chooses_moves(const struct gateway *gateway, const char *service);
+
+/* gateway_headroom.c */
+void gateway_headroom_step(struct gateway *gateway);
+double gateway_headroom_share(struct gateway *gateway, const char *service);
+
 /* gateway_routes.c */
 void gateway_routes_note_version(struct gateway *gateway, int64_t version);
 void gateway_routes_step(struct gateway *gateway);
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -28,6 +28,12 @@
  */
 #define MOVE_FILL 0.7
 
+/*
+ * The same where new requests leave room for moves: this room is on all
+ * engines.
+ */
+#define MOVE_FILL_RESERVED 0.9
+
 /*
  * How long an entry that another endpoint answered for is passed over. It may
  * have been a start that is gone again, so it is tried from time to time.
@@ -291,6 +297,16 @@
 	return best;
 }
 
+/*
+ * Returns the memory that runs on leaving engines of the service use, as a
+ * fraction of that of all engines that stay.
+ */
+double endpoint_choice_leaving_share(const struct registry *registry,
+				     const struct endpoint_criteria *criteria)
+{
+	return service_summarise(registry, criteria).leaving_share;
+}
+
 /*
  * Whether any endpoint of the service may get the request, with room or not.
  * Endpoints to avoid count.
@@ -392,7 +408,8 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(passes); i++) {
 		struct endpoint *endpoint = choose_best(
 			registry, criteria, &summary, passes[i].healthy_only,
-			passes[i].fill - summary.leaving_share);
+			passes[i].fill - MAX(summary.leaving_share,
+					     criteria->reserved_share));
 
 		if (endpoint)
 			return endpoint;
@@ -410,7 +427,9 @@
 {
 	const struct summary summary = service_summarise(registry, criteria);
 
-	return choose_best(registry, criteria, &summary, true, MOVE_FILL);
+	return choose_best(registry, criteria, &summary, true,
+			   criteria->gives_way ? MOVE_FILL_RESERVED
+					       : MOVE_FILL);
 }
 
 /* The load up to which an engine takes backups. */
--- a/core/gateway/endpoint_choice.h
+++ b/core/gateway/endpoint_choice.h
@@ -26,6 +26,8 @@
 	const char *avoid_id;	    /* one more endpoint id, or NULL */
 	bool is_for_other; /* another node sends: rests here don't matter */
 	int64_t tokens;	   /* in memory at the expected end; 0: plain service */
+	double reserved_share; /* of all memory, kept free for moves */
+	bool gives_way;	       /* moves may use what new requests leave free */
 	struct region_limits regions;
 	struct endpoint_rates rates;
 	int64_t now_us;
@@ -40,6 +42,8 @@
 bool endpoint_choice_is_resting(const struct registry *registry,
 				const struct endpoint_criteria *criteria,
 				int64_t *wait_us);
+double endpoint_choice_leaving_share(const struct registry *registry,
+				     const struct endpoint_criteria *criteria);
 struct endpoint *endpoint_choose(const struct registry *registry,
 				 const struct endpoint_criteria *criteria);
 struct endpoint *
--- a/core/gateway/route_table.c
+++ b/core/gateway/route_table.c
@@ -5,9 +5,19 @@
 struct route_table {
 	gatomicrefcount references;
 	struct config *config;
-	GHashTable *hosts;    /* host to GPtrArray of struct route */
-	GHashTable *services; /* name to struct config_service */
-	GHashTable *keys;     /* key digest to struct config_organisation */
+	GHashTable *hosts;	/* host to GPtrArray of struct route */
+	GHashTable *services;	/* name to struct config_service */
+	GHashTable *keys;	/* key digest to struct config_organisation */
+	GHashTable *urgency;	/* service to struct urgency, of generations */
+	GHashTable *deferrable; /* set of struct route */
+	GHashTable *mixed;	/* set of services with a deferrable route */
+};
+
+/* The shortest first_answer_us of a service's streams, by priority. */
+enum { PRIORITY_LEVELS = 10 };
+
+struct urgency {
+	int64_t first_answer_us[PRIORITY_LEVELS]; /* 0: no such route */
 };
 
 static gint compare_prefix_length(gconstpointer a, gconstpointer b)
@@ -41,6 +51,70 @@
 		g_ptr_array_sort(host_routes, compare_prefix_length);
 }
 
+static int32_t priority_level(const struct route *route)
+{
+	return CLAMP(route->priority, 0, PRIORITY_LEVELS - 1);
+}
+
+static bool is_timed_stream(const struct route *route)
+{
+	return route->kind == ROUTE_STREAM && route->first_answer_us > 0;
+}
+
+/* Notes the route with each generation service that it leads to. */
+static void note_urgency(struct route_table *table, const struct route *route)
+{
+	for (guint i = 0; is_timed_stream(route) && i < route->targets->len;
+	     i++) {
+		const char *name =
+			g_array_index(route->targets, struct route_target, i)
+				.service;
+		const struct config_service *service =
+			route_table_find_service(table, name);
+		struct urgency *urgency =
+			g_hash_table_lookup(table->urgency, name);
+		int64_t *shortest_us;
+
+		if (!service || service->engine.slots == 0)
+			continue;
+		if (!urgency) {
+			urgency = g_new0(struct urgency, 1);
+			g_hash_table_insert(table->urgency, service->name,
+					    urgency);
+		}
+		shortest_us = &urgency->first_answer_us[priority_level(route)];
+		if (*shortest_us == 0 || route->first_answer_us < *shortest_us)
+			*shortest_us = route->first_answer_us;
+	}
+}
+
+static bool is_deferrable_at(const struct urgency *urgency,
+			     const struct route *route)
+{
+	for (int32_t i = 0; urgency && i < priority_level(route); i++) {
+		if (urgency->first_answer_us[i] > 0 &&
+		    urgency->first_answer_us[i] < route->first_answer_us)
+			return true;
+	}
+	return false;
+}
+
+static void note_deferrable(struct route_table *table, struct route *route)
+{
+	for (guint i = 0; is_timed_stream(route) && i < route->targets->len;
+	     i++) {
+		char *name =
+			g_array_index(route->targets, struct route_target, i)
+				.service;
+
+		if (!is_deferrable_at(g_hash_table_lookup(table->urgency, name),
+				      route))
+			continue;
+		g_hash_table_add(table->deferrable, route);
+		g_hash_table_add(table->mixed, name);
+	}
+}
+
 static void add_organisation(struct route_table *table,
 			     struct config_organisation *organisation)
 {
@@ -68,6 +142,10 @@
 					     (GDestroyNotify)g_ptr_array_unref);
 	table->services = g_hash_table_new(g_str_hash, g_str_equal);
 	table->keys = g_hash_table_new(g_str_hash, g_str_equal);
+	table->urgency =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	table->deferrable = g_hash_table_new(NULL, NULL);
+	table->mixed = g_hash_table_new(g_str_hash, g_str_equal);
 	for (guint i = 0; i < config->routes->len; i++)
 		add_route(table, g_ptr_array_index(config->routes, i));
 	sort_routes(table);
@@ -77,6 +155,10 @@
 
 		g_hash_table_insert(table->services, service->name, service);
 	}
+	for (guint i = 0; i < config->routes->len; i++)
+		note_urgency(table, g_ptr_array_index(config->routes, i));
+	for (guint i = 0; i < config->routes->len; i++)
+		note_deferrable(table, g_ptr_array_index(config->routes, i));
 	for (guint i = 0; i < config->organisations->len; i++)
 		add_organisation(table,
 				 g_ptr_array_index(config->organisations, i));
@@ -97,6 +179,9 @@
 		return;
 	g_hash_table_unref(table->hosts);
 	g_hash_table_unref(table->services);
+	g_hash_table_unref(table->urgency);
+	g_hash_table_unref(table->deferrable);
+	g_hash_table_unref(table->mixed);
 	g_hash_table_unref(table->keys);
 	config_unref(table->config);
 	g_free(table);
@@ -181,3 +266,19 @@
 	g_free(digest);
 	return organisation;
 }
+
+/*
+ * Returns whether requests of the route can wait in favour of others: a more
+ * urgent stream of the same generation service is due sooner.
+ */
+bool route_table_is_deferrable(const struct route_table *table,
+			       const struct route *route)
+{
+	return g_hash_table_contains(table->deferrable, route);
+}
+
+/* Returns whether the service has a deferrable route. */
+bool route_table_gives_way(const struct route_table *table, const char *service)
+{
+	return g_hash_table_contains(table->mixed, service);
+}
--- a/core/gateway/route_table.h
+++ b/core/gateway/route_table.h
@@ -28,6 +28,10 @@
 				     const char *host, const char *target);
 const struct config_service *
 route_table_find_service(const struct route_table *table, const char *name);
+bool route_table_is_deferrable(const struct route_table *table,
+			       const struct route *route);
+bool route_table_gives_way(const struct route_table *table,
+			   const char *service);
 const struct config_organisation *
 route_table_find_organisation(const struct route_table *table, const char *key);
 
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -177,6 +177,8 @@
 	CHOOSE_RUN,
 	CHOOSE_RUN_AND_BACKUP, /* and another engine that keeps a copy */
 	CHOOSE_MOVE,	       /* a run whose engine is leaving */
+	CHOOSE_DEFERRABLE_RUN, /* a run that leaves room for moves */
+	CHOOSE_DEFERRABLE_RUN_AND_BACKUP,
 	CHOOSE_PURPOSE_COUNT
 };
 
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -425,3 +425,29 @@
 	g_ptr_array_unref(both);
 	region_map_destroy(map);
 }
+
+/*
+ * Guards against runs that are lost with engines that leave in groups, because
+ * new requests have taken all memory by then.
+ */
+TEST_F(EndpointChoice, DeferrableRequestsLeaveRoomForMoves)
+{
+	add("one", 27500, 7);
+	add("two", 28500, 7);
+	EXPECT_EQ("one", choose());
+	criteria.reserved_share = 0.15;
+	EXPECT_EQ("none", choose());
+	criteria.reserved_share = 0.1;
+	EXPECT_EQ("one", choose());
+}
+
+/* Guards against moves that find no room where it was left for them. */
+TEST_F(EndpointChoice, MovesTakeTheRoomThatIsLeft)
+{
+	add("one", 24500, 7);
+	EXPECT_EQ(nullptr, endpoint_choose_for_move(registry, &criteria));
+	criteria.gives_way = true;
+	EXPECT_NE(nullptr, endpoint_choose_for_move(registry, &criteria));
+	add("one", 28000, 7);
+	EXPECT_EQ(nullptr, endpoint_choose_for_move(registry, &criteria));
+}
--- a/tests/route_table_test.cc
+++ b/tests/route_table_test.cc
@@ -101,3 +101,76 @@
 	EXPECT_FALSE(route_table_requires_keys(table));
 	EXPECT_EQ(9, route_table_version(table));
 }
+
+/* Routes of one engine service that differ in urgency. */
+class RouteTableUrgency : public RouteTable
+{
+      protected:
+	struct route *Stream(const char *name, int32_t priority,
+			     int64_t first_answer_ms,
+			     const char *service = "engines")
+	{
+		struct route *route = add(name, "a.example", name);
+
+		route->kind = ROUTE_STREAM;
+		route->priority = priority;
+		route->first_answer_us = first_answer_ms * 1000;
+		route_add_target(route, service, 1);
+		return route;
+	}
+
+	void SetUp() override
+	{
+		config_add_service(config, "engines", SERVICE_GENERATION)
+			->engine.slots = 24;
+		config_add_service(config, "portal", SERVICE_PLAIN);
+	}
+
+	std::string Deferrable()
+	{
+		std::string names;
+
+		table = route_table_create(config);
+		for (guint i = 0; i < config->routes->len; i++) {
+			struct route *route = (struct route *)g_ptr_array_index(
+				config->routes, i);
+
+			if (route_table_is_deferrable(table, route))
+				names += route->name;
+		}
+		return names;
+	}
+};
+
+/* Guards against long answers that take the room of more urgent short ones. */
+TEST_F(RouteTableUrgency, TheLessUrgentRouteWithMoreTimeIsDeferrable)
+{
+	Stream("/draft/", 2, 4000);
+	Stream("/check/", 0, 1500);
+	EXPECT_EQ("/draft/", Deferrable());
+	EXPECT_TRUE(route_table_gives_way(table, "engines"));
+	EXPECT_FALSE(route_table_gives_way(table, "portal"));
+}
+
+/* Guards against changes for services whose routes don't ask for any. */
+TEST_F(RouteTableUrgency, OtherServicesDecideAsBefore)
+{
+	Stream("/report/", 0, 1800);
+	Stream("/check/", 1, 1500);
+	Stream("/untimed/", 3, 0);
+	Stream("/plain-a/", 2, 4000, "portal");
+	Stream("/plain-b/", 0, 1500, "portal");
+	add("/empty/", "a.example", "/empty/")->kind = ROUTE_STREAM;
+	EXPECT_EQ("", Deferrable());
+	EXPECT_FALSE(route_table_gives_way(table, "engines"));
+	EXPECT_FALSE(route_table_gives_way(table, "portal"));
+}
+
+/* Guards against routes of equal urgency that wait for each other. */
+TEST_F(RouteTableUrgency, EqualUrgencyDefersNothing)
+{
+	Stream("/a/", 1, 4000);
+	Stream("/b/", 1, 1500);
+	Stream("/c/", 1, 1500);
+	EXPECT_EQ("", Deferrable());
+}
