Answers of endpoints are limited in size where the setting says so

Cause: a faulty endpoint that sends bytes until its peer closes was read until the request's deadline. Heads, header lines, chunk-size lines, extensions and trailers already ended by themselves. A listing of the store that always names one more page had no bound at all.

Change: gateway.max_answer_bytes (0 or absent: no limit, as before; also on a reload) limits the body of each answer. core/gateway/answer_limit decides, at the head or midway; the rest is the path of a broken answer: 502, another endpoint or a cut-off answer, lower health. Answers to other requests count up to the same limit. Copies and reports are bounded by 64 KB, an answer of the store by 8 MB, a listing by 32 MB, all always.

--- a/adapters/gateway/attempt.c
+++ b/adapters/gateway/attempt.c
@@ -16,6 +16,8 @@
 	char *echo_field;
 	char *echo_value;
 	bool has_no_body;
+	int64_t max_other_bytes;
+	int64_t other_bytes; /* received of answers to other requests */
 	bool answer_matches; /* the answer being read is for this request */
 	bool is_over;	     /* complete or failed was called, or destroyed */
 	bool is_connected;
@@ -113,6 +115,23 @@
 	g_rc_box_release_full(attempt, attempt_clear);
 }
 
+/*
+ * Counts bytes that were received before the answer's head. An endpoint may
+ * send interim answers, or answers to other requests, without end. Returns
+ * false if the attempt is over.
+ */
+static bool attempt_count_other(struct attempt *attempt, size_t size)
+{
+	if (attempt->max_other_bytes <= 0 || attempt->answer_matches)
+		return true;
+	attempt->other_bytes += (int64_t)size;
+	if (attempt->other_bytes <= attempt->max_other_bytes)
+		return true;
+	attempt_fail(attempt, ERROR_TOO_LARGE,
+		     "too many bytes that are not of this answer");
+	return false;
+}
+
 /*
  * The owner may destroy the attempt from inside any event. So this function
  * holds a reference while it reads, and checks is_over after each message.
@@ -129,7 +148,8 @@
 		bytes += consumed;
 		size -= consumed;
 		if (attempt->is_over ||
-		    !attempt_handle_result(attempt, result, size > 0))
+		    !attempt_handle_result(attempt, result, size > 0) ||
+		    !attempt_count_other(attempt, consumed))
 			break;
 	}
 	attempt_release(attempt);
@@ -213,6 +233,7 @@
 	attempt->echo_field = g_strdup(options->echo_field);
 	attempt->echo_value = g_strdup(options->echo_value);
 	attempt->has_no_body = options->has_no_body;
+	attempt->max_other_bytes = options->max_other_bytes;
 	attempt->reader = http_reader_create(
 		HTTP_READER_ANSWERS, MAX_HEAD_BYTES, &reader_events, attempt);
 	attempt->stream = attempt_open(attempt, options, error);
--- a/adapters/gateway/attempt.h
+++ b/adapters/gateway/attempt.h
@@ -25,6 +25,7 @@
 	GString *request;	    /* freed by attempt_start */
 	struct endpoint_pool *pool; /* NULL: always open a connection */
 	bool has_no_body;	    /* the answer has no body, as for HEAD */
+	int64_t max_other_bytes;    /* of other answers before it; 0: any */
 	int64_t now_us;
 };
 
--- a/adapters/gateway/event_scanner.c
+++ b/adapters/gateway/event_scanner.c
@@ -2,13 +2,11 @@
 
 #include <string.h>
 
-/* Bounds the memory an engine can use by never ending an event. */
-#define MAX_EVENT_BYTES (1 << 20)
-
 struct event_scanner {
 	event_scanner_callback on_event;
 	void *data;
 	GByteArray *partial; /* bytes of an event that has not ended */
+	bool is_overfull;    /* with more than MAX_EVENT_BYTES of them */
 };
 
 /* Creates a scanner that calls on_event for each complete event. */
@@ -110,7 +108,8 @@
 					  (guint)event_bytes);
 		from = 0;
 	}
-	return scanner->partial->len <= MAX_EVENT_BYTES;
+	scanner->is_overfull = scanner->partial->len > MAX_EVENT_BYTES;
+	return !scanner->is_overfull;
 }
 
 /* Discards a partial event before another connection continues the stream. */
@@ -119,6 +118,12 @@
 	g_byte_array_set_size(scanner->partial, 0);
 }
 
+/* Whether event_scanner_feed refused an event as too large. */
+bool event_scanner_is_overfull(const struct event_scanner *scanner)
+{
+	return scanner->is_overfull;
+}
+
 /* Whether the bytes so far end at the boundary of an event. */
 bool event_scanner_at_boundary(const struct event_scanner *scanner)
 {
--- a/adapters/gateway/event_scanner.h
+++ b/adapters/gateway/event_scanner.h
@@ -8,6 +8,9 @@
 
 G_BEGIN_DECLS
 
+/* Bounds the memory an engine can use by never ending an event. */
+#define MAX_EVENT_BYTES (1 << 20)
+
 /*
  * Splits the bytes of an event stream (text/event-stream) into complete events,
  * so that no partial event is forwarded: an engine may fail in the middle of an
@@ -25,6 +28,7 @@
 bool event_scanner_feed(struct event_scanner *scanner, const char *bytes,
 			size_t size);
 void event_scanner_reset(struct event_scanner *scanner);
+bool event_scanner_is_overfull(const struct event_scanner *scanner);
 bool event_scanner_at_boundary(const struct event_scanner *scanner);
 
 G_END_DECLS
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -1,3 +1,4 @@
+#include "adapters/gateway/answer_excess.h"
 #include "adapters/gateway/exchange_state.h"
 
 #include <string.h>
@@ -358,6 +359,74 @@
 	return false;
 }
 
+static bool status_has_no_length(int32_t status)
+{
+	return status == 204 || status == 304;
+}
+
+static bool exchange_is_for_head(const struct exchange *exchange)
+{
+	return strcmp(exchange->head->method, "HEAD") == 0;
+}
+
+/*
+ * Starts to count an answer, under the limit of this moment. Returns false if
+ * the body that its head states is too large; an answer without a body may
+ * state any length.
+ */
+bool exchange_accepts_stated_size(const struct exchange *exchange,
+				  const struct http_head *head,
+				  struct answer_limit *limit)
+{
+	answer_limit_init(limit, exchange->gateway->options.max_answer_bytes);
+	return exchange_is_for_head(exchange) ||
+	       status_has_no_length(head->status) ||
+	       answer_limit_check_head(limit, head->content_length) ==
+		       ANSWER_SIZE_OK;
+}
+
+/*
+ * Gives up an answer of more bytes than allowed: its endpoint may never end it.
+ * Closes the connection, and lets the request go on as after a broken answer.
+ */
+static void leg_fail_too_large(struct leg *leg, int64_t allowed)
+{
+	struct exchange *exchange = leg->exchange;
+	const struct answer_excess excess = {
+		.call = "request",
+		.request = exchange->parsed_request.id,
+		.peer_kind = "endpoint",
+		.peer = leg->endpoint_id,
+		.bytes = leg->limit.received,
+		.limit = allowed,
+	};
+
+	answer_excess_report(&excess, exchange->gateway->log,
+			     exchange->gateway->options.counters);
+	/* With another leg, the request goes on there without a verdict. */
+	if (exchange->next)
+		leg_count_failure(leg, RESULT_BROKEN);
+	if (leg == exchange->next)
+		exchange_drop_next(exchange, "answer too large");
+	else
+		exchange_fail_leg(exchange, RESULT_BROKEN, "answer too large");
+}
+
+/* Returns false if the leg was failed because its body would be too large. */
+static bool leg_accepts_stated_size(struct leg *leg,
+				    const struct http_head *head)
+{
+	struct exchange *exchange = leg->exchange;
+
+	if (exchange_accepts_stated_size(exchange, head, &leg->limit))
+		return true;
+	/* With a second leg, giving up one of the two counts the run. */
+	if (!exchange->next && !leg->is_takeover)
+		exchange->runs++;
+	leg_fail_too_large(leg, leg->limit.max);
+	return false;
+}
+
 static void on_head(void *data, const struct http_head *head)
 {
 	struct leg *leg = data;
@@ -373,6 +442,8 @@
 		leg_handle_refusal(leg, head->status);
 		return;
 	}
+	if (!leg_accepts_stated_size(leg, head))
+		return;
 	if (!leg_settle_second(leg, head->status))
 		return;
 	if (exchange->said.is_event_stream)
@@ -429,6 +500,10 @@
 	leg_check_progress(leg);
 	if (event_scanner_feed(leg->events, bytes, size))
 		return;
+	if (leg->limit.max > 0 && event_scanner_is_overfull(leg->events)) {
+		leg_fail_too_large(leg, MAX_EVENT_BYTES);
+		return;
+	}
 	if (leg == exchange->next)
 		exchange_drop_next(exchange, "gap in event ids");
 	else
@@ -457,7 +532,9 @@
 {
 	struct leg *leg = data;
 
-	if (leg->events)
+	if (answer_limit_add(&leg->limit, (int64_t)size) != ANSWER_SIZE_OK)
+		leg_fail_too_large(leg, leg->limit.max);
+	else if (leg->events)
 		leg_receive_events(leg, bytes, size);
 	else
 		exchange_receive_body(leg->exchange, bytes, size);
@@ -478,17 +555,11 @@
 					gateway->now_us + keep_us);
 }
 
-static bool status_has_no_length(int32_t status)
-{
-	return status == 204 || status == 304;
-}
-
 static void exchange_send_buffered(struct exchange *exchange)
 {
 	int64_t size = exchange->answer_body->len;
-	bool is_head = strcmp(exchange->head->method, "HEAD") == 0;
 
-	if (is_head)
+	if (exchange_is_for_head(exchange))
 		size = exchange->answer_size;
 	if (size >= 0 && !status_has_no_length(exchange->status))
 		g_string_append_printf(
--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -1,3 +1,4 @@
+#include "adapters/gateway/answer_excess.h"
 #include "adapters/gateway/exchange_state.h"
 
 /*
@@ -98,10 +99,31 @@
 	((struct exchange *)data)->move.status = head->status;
 }
 
+/* Gives up a copy whose answer may never end. */
+static void move_fail_too_large(struct exchange *exchange, size_t size)
+{
+	const struct answer_excess excess = {
+		.call = "move",
+		.request = exchange->parsed_request.id,
+		.peer_kind = "endpoint",
+		.peer = exchange->leg->endpoint_id,
+		.bytes = (int64_t)(exchange->move.body->len + size),
+		.limit = MAX_OWN_ANSWER_BYTES,
+	};
+
+	answer_excess_report(&excess, exchange->gateway->log,
+			     exchange->gateway->options.counters);
+	exchange_move_fail(exchange, "answer too large");
+}
+
 static void on_body(void *data, const char *bytes, size_t size)
 {
 	struct exchange *exchange = data;
 
+	if (exchange->move.body->len + size > MAX_OWN_ANSWER_BYTES) {
+		move_fail_too_large(exchange, size);
+		return;
+	}
 	g_byte_array_append(exchange->move.body, (const guint8 *)bytes,
 			    (guint)size);
 }
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -211,10 +211,11 @@
 				   exchange->leg->endpoint_id);
 }
 
-static void count_failure(struct exchange *exchange, enum attempt_result result)
+/* Lowers the health of the leg's endpoint, as the result requires. */
+void leg_count_failure(const struct leg *leg, enum attempt_result result)
 {
-	struct endpoint *endpoint = leg_endpoint(exchange->leg);
-	int64_t now_us = exchange->gateway->now_us;
+	struct endpoint *endpoint = leg_endpoint(leg);
+	int64_t now_us = leg->exchange->gateway->now_us;
 
 	if (!endpoint || result == RESULT_NOT_RUN || result == RESULT_NO_COPY)
 		return;
@@ -378,14 +379,14 @@
 	count_crash(exchange, result);
 	if (result == RESULT_NOT_SENT && exchange->runs == 0 &&
 	    exchange_wants_relay(exchange)) {
-		count_failure(exchange, result);
+		leg_count_failure(exchange->leg, result);
 		drop_leg(exchange);
 		exchange_send_new(exchange);
 		return;
 	}
 	place = find_copy(exchange, result);
 	recovery = decide(exchange, &place, result, detail);
-	count_failure(exchange, result);
+	leg_count_failure(exchange->leg, result);
 	switch (recovery) {
 	case RECOVERY_SEND_AGAIN:
 	case RECOVERY_RESUME:
--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -1,3 +1,4 @@
+#include "adapters/gateway/answer_excess.h"
 #include "adapters/gateway/exchange_state.h"
 
 #include <string.h>
@@ -21,6 +22,7 @@
 	struct exchange *exchange;
 	struct attempt *attempt;      /* NULL if it could not start */
 	struct event_scanner *events; /* of a resumable stream, or NULL */
+	struct answer_limit limit;    /* on the answer's body */
 	char *node;
 	int64_t sent_us;
 	bool head_received;
@@ -156,6 +158,24 @@
 	return true;
 }
 
+/* Gives up an answer of more bytes than allowed. */
+static void relay_fail_too_large(struct relay *relay, int64_t allowed)
+{
+	struct exchange *exchange = relay->exchange;
+	const struct answer_excess excess = {
+		.call = "relay",
+		.request = exchange->parsed_request.id,
+		.peer_kind = "node",
+		.peer = relay->node,
+		.bytes = relay->limit.received,
+		.limit = allowed,
+	};
+
+	answer_excess_report(&excess, exchange->gateway->log,
+			     exchange->gateway->options.counters);
+	relay_fail(relay, true, "answer too large");
+}
+
 static void on_head(void *data, const struct http_head *head)
 {
 	struct relay *relay = data;
@@ -168,6 +188,10 @@
 		return;
 	}
 	relay->head_received = true;
+	if (!exchange_accepts_stated_size(exchange, head, &relay->limit)) {
+		relay_fail_too_large(relay, relay->limit.max);
+		return;
+	}
 	if (exchange->answer_begun && !is_stream(exchange, head)) {
 		relay_fail(relay, head->status != STATUS_REFUSED,
 			   "not continued by the node");
@@ -187,9 +211,16 @@
 {
 	struct relay *relay = data;
 
-	if (!relay->events)
+	if (answer_limit_add(&relay->limit, (int64_t)size) != ANSWER_SIZE_OK)
+		relay_fail_too_large(relay, relay->limit.max);
+	else if (!relay->events)
 		exchange_receive_body(relay->exchange, bytes, size);
-	else if (!event_scanner_feed(relay->events, bytes, size))
+	else if (event_scanner_feed(relay->events, bytes, size))
+		return;
+	else if (relay->limit.max > 0 &&
+		 event_scanner_is_overfull(relay->events))
+		relay_fail_too_large(relay, MAX_EVENT_BYTES);
+	else
 		exchange_abort(relay->exchange, "events_do_not_follow");
 }
 
@@ -253,6 +284,7 @@
 		.echo_value = exchange->parsed_request.id,
 		.now_us = gateway->now_us,
 		.has_no_body = strcmp(exchange->head->method, "HEAD") == 0,
+		.max_other_bytes = exchange_max_other_bytes(exchange),
 	};
 	struct relay *relay;
 	struct error error;
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -4,6 +4,7 @@
 #include "adapters/gateway/attempt.h"
 #include "adapters/gateway/event_scanner.h"
 #include "adapters/gateway/gateway_state.h"
+#include "core/gateway/answer_limit.h"
 #include "core/gateway/endpoint_choice.h"
 #include "core/gateway/evacuation.h"
 #include "core/gateway/recovery.h"
@@ -41,6 +42,7 @@
 	struct endpoint_start backup_start; /* of that engine */
 	int64_t backup_known_us;	    /* when that start was first seen */
 	struct event_scanner *events;	    /* NULL: no event stream */
+	struct answer_limit limit;	    /* on the answer's body */
 	int64_t tokens;			    /* counted at both engines */
 	int64_t unread_tokens; /* of the prompt, not yet processed */
 	int64_t sent_us;
@@ -133,6 +135,7 @@
 };
 
 /* leg.c */
+int64_t exchange_max_other_bytes(const struct exchange *exchange);
 struct leg *leg_create(struct exchange *exchange, struct endpoint *endpoint,
 		       const char *copy_address);
 void leg_destroy(struct leg *leg);
@@ -174,6 +177,7 @@
 
 /* exchange_recover.c */
 void leg_describe_run(const struct leg *leg, struct lost_run *run);
+void leg_count_failure(const struct leg *leg, enum attempt_result result);
 void exchange_fail_leg(struct exchange *exchange, enum attempt_result result,
 		       const char *detail);
 bool exchange_may_hand_over(struct exchange *exchange,
@@ -196,6 +200,9 @@
 			 const struct http_head *head,
 			 const char *const *excluded);
 void exchange_begin_chunked(struct exchange *exchange);
+bool exchange_accepts_stated_size(const struct exchange *exchange,
+				  const struct http_head *head,
+				  struct answer_limit *limit);
 bool exchange_has_other_endpoint(const struct exchange *exchange);
 void exchange_receive_body(struct exchange *exchange, const char *bytes,
 			   size_t size);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -352,6 +352,13 @@
 		.request = on_status_request,
 		.data = gateway,
 	};
+	const struct report_poll_options reports = {
+		.dialect = options->dialect,
+		.log = options->log,
+		.counters = options->counters,
+		.on_leaving = on_report_leaving,
+		.data = gateway,
+	};
 	struct quarantine_options quarantine;
 
 	quarantine_options_default(&quarantine);
@@ -371,8 +378,7 @@
 	gateway_closes_init(gateway);
 	gateway_reach_init(gateway);
 	gateway->pool = endpoint_pool_create();
-	gateway->reports = report_poll_create(gateway->dialect,
-					      on_report_leaving, gateway);
+	gateway->reports = report_poll_create(&reports);
 	gateway->callers =
 		caller_set_create(&requests, (size_t)options->max_connections);
 	gateway->status_callers =
@@ -447,6 +453,15 @@
 				  retry_extra);
 }
 
+/*
+ * Applies a changed limit on the body of an answer; 0: none. An answer in
+ * progress keeps the limit that its head was read under.
+ */
+void gateway_set_answer_limit(struct gateway *gateway, int64_t max_answer_bytes)
+{
+	gateway->options.max_answer_bytes = max_answer_bytes;
+}
+
 /*
  * Begins to stop. Callers are directed to other nodes; requests that still
  * arrive are served until shortly before the end, and streams that would
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -41,6 +41,7 @@
 	int64_t home_from_nodes;       /* fewer nodes: no home */
 	int64_t warmup_excess_percent; /* see struct warmup_bounds */
 	int64_t warmup_slack;
+	int64_t max_answer_bytes; /* body of one answer; 0: not limited */
 	uint64_t seed;
 	struct log *log;
 	struct counters *counters;
@@ -76,6 +77,8 @@
 void gateway_set_limits(struct gateway *gateway, int64_t drain_us,
 			int64_t directory_ttl_us, int64_t retry_percent,
 			int64_t retry_extra);
+void gateway_set_answer_limit(struct gateway *gateway,
+			      int64_t max_answer_bytes);
 
 /* Input from the store. */
 void gateway_apply_table(struct gateway *gateway, struct route_table *table,
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -14,6 +14,12 @@
  */
 #define MIN_REMAINING_TOKENS 128
 
+/*
+ * Bytes of heads, and of the framing of bodies, of answers that are not to the
+ * request: a few interim answers and one late answer.
+ */
+#define MAX_OTHER_HEADS_BYTES (256 * 1024)
+
 /* Shorter answers end before a backup could be of use. */
 #define MIN_BACKUP_TOKENS 64
 
@@ -255,6 +261,17 @@
 			     1);
 }
 
+/*
+ * Bytes of other answers that may precede the one to a request: of a late
+ * answer to an earlier request, and of the heads around it. 0: any number.
+ */
+int64_t exchange_max_other_bytes(const struct exchange *exchange)
+{
+	int64_t max = exchange->gateway->options.max_answer_bytes;
+
+	return max > 0 ? max + MAX_OTHER_HEADS_BYTES : 0;
+}
+
 /*
  * Sends the request, as a new run or as one continued from a copy of its
  * memory. Returns false and sets error if no connection could be started.
@@ -275,6 +292,7 @@
 		.request = leg_render(leg, copy_address, copy_name),
 		.now_us = gateway->now_us,
 		.has_no_body = strcmp(exchange->head->method, "HEAD") == 0,
+		.max_other_bytes = exchange_max_other_bytes(exchange),
 		.pool = exchange->route->kind == ROUTE_IDEMPOTENT
 				? gateway->pool
 				: NULL,
--- a/adapters/gateway/report_poll.c
+++ b/adapters/gateway/report_poll.c
@@ -1,5 +1,6 @@
 #include "adapters/gateway/report_poll.h"
 
+#include "adapters/gateway/answer_excess.h"
 #include "adapters/gateway/attempt.h"
 
 #include <string.h>
@@ -26,9 +27,7 @@
 };
 
 struct report_poll {
-	const struct dialect *dialect;
-	report_poll_callback on_leaving;
-	void *data;
+	struct report_poll_options options;
 	GHashTable *requests; /* endpoint id to struct poll_request */
 };
 
@@ -47,10 +46,33 @@
 	((struct poll_request *)data)->status = head->status;
 }
 
+/* Closes the connection of a report that may never end. */
+static void poll_request_drop(struct poll_request *poll_request, size_t size)
+{
+	const struct report_poll_options *options =
+		&poll_request->poll->options;
+	const struct answer_excess excess = {
+		.call = "report",
+		.request = "",
+		.peer_kind = "endpoint",
+		.peer = poll_request->endpoint_id,
+		.bytes = (int64_t)(poll_request->body->len + size),
+		.limit = MAX_OWN_ANSWER_BYTES,
+	};
+
+	answer_excess_report(&excess, options->log, options->counters);
+	attempt_destroy(g_steal_pointer(&poll_request->attempt));
+	poll_request->is_done = true;
+}
+
 static void on_body(void *data, const char *bytes, size_t size)
 {
 	struct poll_request *poll_request = data;
 
+	if (poll_request->body->len + size > MAX_OWN_ANSWER_BYTES) {
+		poll_request_drop(poll_request, size);
+		return;
+	}
 	g_byte_array_append(poll_request->body, (const guint8 *)bytes,
 			    (guint)size);
 }
@@ -58,17 +80,17 @@
 static void on_complete(void *data)
 {
 	struct poll_request *poll_request = data;
+	const struct report_poll *poll = poll_request->poll;
 	GBytes *body =
 		g_bytes_new(poll_request->body->data, poll_request->body->len);
-	bool is_leaving =
-		poll_request->status == STATUS_OK &&
-		poll_request->poll->dialect->read_report_is_leaving(body);
+	bool is_leaving = poll_request->status == STATUS_OK &&
+			  poll->options.dialect->read_report_is_leaving(body);
 
 	g_bytes_unref(body);
 	poll_request->is_done = true;
 	if (is_leaving)
-		poll_request->poll->on_leaving(poll_request->poll->data,
-					       poll_request->endpoint_id);
+		poll->options.on_leaving(poll->options.data,
+					 poll_request->endpoint_id);
 }
 
 /* An engine that can't be polled is detected by the failure of its requests. */
@@ -86,18 +108,16 @@
 };
 
 /*
- * Calls on_leaving with data for each report of a leaving engine. The dialect
- * must outlive the poll; the caller owns the result.
+ * Calls on_leaving with data for each report of a leaving engine. The options
+ * are copied; what they point to must outlive the poll. The caller owns the
+ * result.
  */
-struct report_poll *report_poll_create(const struct dialect *dialect,
-				       report_poll_callback on_leaving,
-				       void *data)
+struct report_poll *
+report_poll_create(const struct report_poll_options *options)
 {
 	struct report_poll *poll = g_new0(struct report_poll, 1);
 
-	poll->dialect = dialect;
-	poll->on_leaving = on_leaving;
-	poll->data = data;
+	poll->options = *options;
 	poll->requests = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       poll_request_destroy);
 	return poll;
@@ -127,7 +147,8 @@
 	poll_request->endpoint_id = g_strdup(endpoint->last_registration->id);
 	poll_request->body = g_byte_array_new();
 	poll_request->sent_us = now_us;
-	poll->dialect->write_report_request(options.address, options.request);
+	poll->options.dialect->write_report_request(options.address,
+						    options.request);
 	poll_request->attempt = attempt_start(&options, &poll_request_events,
 					      poll_request, &error);
 	poll_request->is_done = !poll_request->attempt;
--- a/adapters/gateway/report_poll.h
+++ b/adapters/gateway/report_poll.h
@@ -2,6 +2,8 @@
 #define ADAPTERS_GATEWAY_REPORT_POLL_H
 
 #include "adapters/gateway/dialect.h"
+#include "adapters/log.h"
+#include "core/base/counters.h"
 #include "core/gateway/registry.h"
 
 #include <glib.h>
@@ -19,9 +21,16 @@
 /* The report of this engine says that the engine is leaving. */
 typedef void (*report_poll_callback)(void *data, const char *endpoint_id);
 
-struct report_poll *report_poll_create(const struct dialect *dialect,
-				       report_poll_callback on_leaving,
-				       void *data);
+struct report_poll_options {
+	const struct dialect *dialect;
+	struct log *log;
+	struct counters *counters;
+	report_poll_callback on_leaving;
+	void *data;
+};
+
+struct report_poll *
+report_poll_create(const struct report_poll_options *options);
 void report_poll_destroy(struct report_poll *poll);
 void report_poll_step(struct report_poll *poll, const GPtrArray *endpoints,
 		      int64_t now_us);
--- a/adapters/gateway/store_calls.c
+++ b/adapters/gateway/store_calls.c
@@ -1,5 +1,6 @@
 #include "adapters/gateway/store_calls.h"
 
+#include "adapters/gateway/answer_excess.h"
 #include "adapters/gateway/attempt.h"
 #include "core/base/store_position.h"
 #include "core/gateway/store_era.h"
@@ -96,8 +97,17 @@
 
 static void on_body(void *data, const char *bytes, size_t size)
 {
-	g_byte_array_append(((struct store_call *)data)->body,
-			    (const guint8 *)bytes, (guint)size);
+	struct store_call *call = data;
+	struct error error;
+
+	if (call->body->len + size > MAX_STORE_ANSWER_BYTES) {
+		error_set(&error, ERROR_TOO_LARGE, "kv.call",
+			  call->calls->address, "answer of more than %d bytes",
+			  MAX_STORE_ANSWER_BYTES);
+		call_fail(call, KV_ANSWER_LOST, &error);
+		return;
+	}
+	g_byte_array_append(call->body, (const guint8 *)bytes, (guint)size);
 }
 
 static void on_complete(void *data)
--- a/adapters/gateway/store_follower.c
+++ b/adapters/gateway/store_follower.c
@@ -1,5 +1,6 @@
 #include "adapters/gateway/store_follower.h"
 
+#include "adapters/gateway/answer_excess.h"
 #include "adapters/gateway/attempt.h"
 #include "core/base/store_position.h"
 #include "core/gateway/store_era.h"
@@ -27,6 +28,12 @@
 #define SILENCE_MS 1000
 #define MAX_ANSWER_US (15 * G_USEC_PER_SEC)
 
+/*
+ * Bounds the pages of one listing: the entries of 12,000 engines, of less than
+ * 1 KB each, take 12 MB. A store in trouble may always name one more page.
+ */
+#define MAX_LISTING_BYTES (32 * 1024 * 1024)
+
 /*
  * Wait time of the first watch after a failure, so that it is answered at once:
  * until then the node can't tell that the store is reachable again, and doubts
@@ -68,6 +75,7 @@
 	int32_t status;
 	struct store_page list; /* items of the pages read so far */
 	char *list_after;
+	int64_t list_bytes;    /* of the answers that hold these pages */
 	int64_t position;      /* changes are known up to this one; 0: none */
 	int64_t seen_position; /* of the last answer */
 	struct store_era era;
@@ -169,6 +177,7 @@
 	store_page_clear(&follower->list);
 	store_page_init(&follower->list);
 	g_clear_pointer(&follower->list_after, g_free);
+	follower->list_bytes = 0;
 }
 
 /* Drops what is known of the store's state, which is listed anew. */
@@ -330,6 +339,10 @@
 	struct store_follower *follower = data;
 
 	follower->received_us = g_get_monotonic_time();
+	if (follower->body->len + size > MAX_STORE_ANSWER_BYTES) {
+		follower_fail(follower, "answer too large");
+		return;
+	}
 	g_byte_array_append(follower->body, (const guint8 *)bytes, (guint)size);
 }
 
@@ -411,6 +424,15 @@
 	return is_read;
 }
 
+/* Counts the answer that is complete, if it is a page of a listing. */
+static bool follower_list_is_too_large(struct store_follower *follower)
+{
+	if (follower->state != FOLLOWER_LISTING)
+		return false;
+	follower->list_bytes += follower->body->len;
+	return follower->list_bytes > MAX_LISTING_BYTES;
+}
+
 static void on_complete(void *data)
 {
 	struct store_follower *follower = data;
@@ -434,6 +456,11 @@
 		follower_fail(follower, "refused");
 		return;
 	}
+	if (follower_list_is_too_large(follower)) {
+		follower_clear_list(follower);
+		follower_fail(follower, "listing too large");
+		return;
+	}
 	attempt_pool_connection(follower->attempt, follower->pool, INT64_MAX);
 	body = g_bytes_new(follower->body->data, follower->body->len);
 	is_read = follower_read(follower, body, &error);
--- a/adapters/settings.h
+++ b/adapters/settings.h
@@ -31,6 +31,7 @@
 	int64_t warmup_excess_percent;
 	int64_t warmup_slack;
 	int64_t retry_window_us;
+	int64_t max_answer_bytes; /* body of an endpoint's answer; 0: any */
 };
 
 struct settings {
--- a/core/base/counters.c
+++ b/core/base/counters.c
@@ -67,6 +67,9 @@
 	[COUNTER_GATEWAY_RELAYED] = {"gateway_relayed",
 				     "requests passed on through another "
 				     "node"},
+	[COUNTER_GATEWAY_ANSWERS_TOO_LARGE] =
+		{"gateway_answers_too_large",
+		 "answers cut off or refused as too large"},
 	[COUNTER_GATEWAY_RESTS] = {"gateway_rests",
 				   "rests that endpoints asked this node for"},
 	[COUNTER_GATEWAY_LEAVING] = {"gateway_leaving",
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -234,6 +234,7 @@
 			settings->gateway.warmup_excess_percent,
 		.warmup_slack = settings->gateway.warmup_slack,
 		.retry_window_us = settings->gateway.retry_window_us,
+		.max_answer_bytes = settings->gateway.max_answer_bytes,
 		.seed = options->seed,
 		.log = options->log,
 		.counters = options->counters,
@@ -412,13 +413,17 @@
 	gateway_receive_peer(wiring->gateway, message);
 }
 
-/* Applies the settings that a running gateway can change: times and retries. */
+/*
+ * Applies the settings that a running gateway can change: times, retries and
+ * the limit on answers.
+ */
 void gateway_wiring_reload(struct gateway_wiring *wiring,
 			   const struct gateway_settings *settings)
 {
 	gateway_set_limits(wiring->gateway, settings->drain_us,
 			   settings->directory_ttl_us, settings->retry_percent,
 			   settings->retry_extra);
+	gateway_set_answer_limit(wiring->gateway, settings->max_answer_bytes);
 }
 
 /* Begins to drain the gateway; the stopped callback is called at the end. */
--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -428,7 +428,8 @@
 	engines = config_add_service(config, "engines", SERVICE_GENERATION);
 	engines->engine.slots = 24;
 	engines->engine.can_back_up = backs_up;
-	engines->engine.memory_tokens = backs_up ? 34000 : 0;
+	engines->engine.memory_tokens = backs_up || moves ? 34000 : 0;
+	engines->engine.can_move = moves;
 	for (const auto &want : wanted) {
 		struct route *route =
 			config_add_route(config, want.name, "h", want.path);
@@ -512,6 +513,7 @@
 		options.retry_window_us = 10 * G_USEC_PER_SEC;
 		options.home_from_nodes = home_from_nodes;
 		options.directory_ttl_us = G_USEC_PER_SEC;
+		options.max_answer_bytes = max_answer_bytes;
 		options.log = log;
 		options.counters = &node->counters;
 		options.dialect = &platform_dialect;
--- a/tests/gateway_pair.h
+++ b/tests/gateway_pair.h
@@ -118,9 +118,13 @@
 	int64_t home_from_nodes = 16;	/* fewer nodes choose by themselves */
 	int64_t max_connections = 1000; /* of callers, at each node */
 	int64_t retry_extra = 60;	/* retries in 10 s, of six nodes */
+	int64_t max_answer_bytes = 0;	/* of an answer's body; 0: any */
+	bool moves = false;		/* engines copy runs to each other */
 	bool backs_up = false;	  /* engines keep copies of each other's runs */
 	bool loses_reach = false; /* what nodes say of their reach is lost */
 	int64_t position = 2;	  /* the same, so that none overrules another */
+	struct log *log = log_create(
+		"test", getenv("PAIR_LOG") ? LOG_LEVEL_INFO : LOG_LEVEL_ERROR);
 
       private:
 	struct sent_message {
@@ -140,8 +144,6 @@
 
 	std::map<std::string, std::vector<std::string>> entries;
 
-	struct log *log = log_create(
-		"test", getenv("PAIR_LOG") ? LOG_LEVEL_INFO : LOG_LEVEL_ERROR);
 	std::vector<struct sent_message> sent;
 	guint delivery = 0;
 };
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -169,6 +169,10 @@
 	EXPECT_EQ(90,
 		  load_gateway("warmup_excess = 0.9").warmup_excess_percent);
 	EXPECT_EQ(5, load_gateway("warmup_slack = 5.0").warmup_slack);
+	EXPECT_EQ(0, load_gateway("drain_s = 8").max_answer_bytes);
+	EXPECT_EQ(0, load_gateway("max_answer_bytes = 0").max_answer_bytes);
+	EXPECT_EQ(4097,
+		  load_gateway("max_answer_bytes = 4097.5").max_answer_bytes);
 
 	struct settings *settings =
 		load(std::string(gateway_node) +
@@ -184,7 +188,8 @@
 TEST(Settings, RefusesNumbersOutsideTheirRange)
 {
 	static const char *const keys[] = {"retry_extra", "retry_ratio",
-					   "retry_window_s", "drain_s"};
+					   "retry_window_s", "drain_s",
+					   "max_answer_bytes"};
 	static const char *const values[] = {"-1",   "-0.001", "nan",
 					     "inf",  "-inf",   "1e18",
 					     "true", "[1]",    "\"1\""};
