--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -159,7 +159,7 @@
 }
 
 /* Gives up an answer of more bytes than allowed. */
-static void relay_fail_too_large(struct relay *relay, int64_t allowed)
+static void relay_fail_too_large(struct relay *relay)
 {
 	struct exchange *exchange = relay->exchange;
 	const struct answer_excess excess = {
@@ -168,7 +168,7 @@
 		.peer_kind = "node",
 		.peer = relay->node,
 		.bytes = relay->limit.received,
-		.limit = allowed,
+		.limit = relay->limit.max,
 	};
 
 	answer_excess_report(&excess, exchange->gateway->log,
@@ -189,7 +189,7 @@
 	}
 	relay->head_received = true;
 	if (!exchange_accepts_stated_size(exchange, head, &relay->limit)) {
-		relay_fail_too_large(relay, relay->limit.max);
+		relay_fail_too_large(relay);
 		return;
 	}
 	if (exchange->answer_begun && !is_stream(exchange, head)) {
@@ -212,15 +212,10 @@
 	struct relay *relay = data;
 
 	if (answer_limit_add(&relay->limit, (int64_t)size) != ANSWER_SIZE_OK)
-		relay_fail_too_large(relay, relay->limit.max);
+		relay_fail_too_large(relay);
 	else if (!relay->events)
 		exchange_receive_body(relay->exchange, bytes, size);
-	else if (event_scanner_feed(relay->events, bytes, size))
-		return;
-	else if (relay->limit.max > 0 &&
-		 event_scanner_is_overfull(relay->events))
-		relay_fail_too_large(relay, MAX_EVENT_BYTES);
-	else
+	else if (!event_scanner_feed(relay->events, bytes, size))
 		exchange_abort(relay->exchange, "events_do_not_follow");
 }
 
