--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 
 .PHONY: all demo demo-platform check unit gateway faults api soak \
 	soak-processes soak-known-red bench format format-check tidy pure fields \
-	spec mutants ablations install-deps clean fuzz-short fuzz-run
+	causes spec mutants ablations install-deps clean fuzz-short fuzz-run
 .SECONDARY:
 
 all: $(PROGRAMS) $(SOAK_PROGRAM)
@@ -100,7 +100,7 @@
 	$(CXX) $(ALL_LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PACKAGE_LIBS)
 
 # Runs every test. The script tests read their scripts from tests/scripts.
-check: unit pure fields api faults gateway $(if $(filter 1,$(SANITIZE)),,spec mutants ablations)
+check: unit pure fields causes api faults gateway $(if $(filter 1,$(SANITIZE)),,spec mutants ablations)
 
 # Tests listed in KNOWN-RED.txt run as well; their results are printed and
 # ignored. Line format: "unit PATTERN | cause | issue", or "gateway CASE | ...".
@@ -152,6 +152,10 @@
 fields:
 	tests/answer_fields.sh
 
+# Compares the tables of bench/causes for a recorded log with the expected ones.
+causes:
+	tests/causes.sh
+
 # Checks the models, and that each of their safeguards is needed.
 spec:
 	spec/run.sh $(abspath $(B)/spec)
