Choose endpoints by how fast they are

Cause: engines of three speeds got the same load, and plain endpoints whose machine slows down went on to get as many calls as the others. What an endpoint says of its load was not read.

Change: X-Siskinlink-Engine-Load is read from an endpoint's own answer; figures without a meaning are logged once for each start. endpoint_speed compares the time of a token, or of a plain answer, with the median of the service at the same number of requests; what a request adds is learnt by comparing endpoints with themselves. The load part of the score is scaled by it, a stream avoids engines where its events would come too late, and a plain call goes to the better one of two random endpoints. All of this applies only at services whose endpoints stated a slowdown in the last 60 s.

--- a/adapters/gateway/dialect.h
+++ b/adapters/gateway/dialect.h
@@ -3,6 +3,7 @@
 
 #include "adapters/gateway/http_head.h"
 #include "core/base/error.h"
+#include "core/gateway/answered_load.h"
 #include "core/gateway/endpoint_limit.h"
 #include "core/gateway/endpoint_rest.h"
 #include "core/limit/prompt_parts.h"
@@ -63,6 +64,7 @@
 	struct answered_limit limit;   /* on requests of all nodes together */
 	struct answered_limit brittle; /* rejections that it bears */
 	struct answered_rest rest;     /* that it wants from this node */
+	struct answered_load load;     /* when it sent the head */
 };
 
 /* A copy of a generation's memory that its engine made on request. */
--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -203,6 +203,8 @@
 			gateway_headroom_share(gateway, exchange->service_name);
 	gateway_fill_rates(gateway, exchange->service_name, exchange->service,
 			   &criteria->rates);
+	gateway_speed_fill(gateway, criteria,
+			   exchange_pause_bound_us(exchange));
 }
 
 static void exchange_log_placed(const struct exchange *exchange,
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -76,8 +76,10 @@
 		caller_send(exchange->caller, "\r\n", 2);
 	attempt = exchange_attempt(exchange);
 	if (attempt &&
-	    caller_waiting_bytes(exchange->caller) > MAX_UNREAD_BYTES)
+	    caller_waiting_bytes(exchange->caller) > MAX_UNREAD_BYTES) {
 		attempt_set_reading(attempt, false);
+		gateway_speed_note_held(exchange->leg);
+	}
 }
 
 /* Logs how long the caller waited while the run changed engines. */
@@ -161,6 +163,7 @@
 		leg_log_takeover(leg);
 	}
 	leg_mark_prompt_read(leg);
+	gateway_speed_note_event(leg);
 	exchange_count_event(exchange);
 	if (!exchange->answer_begun)
 		exchange_begin_chunked(exchange);
@@ -306,6 +309,8 @@
 	gateway_limits_note_answer(gateway, endpoint, &said->limit);
 	gateway_brittle_note_answer(gateway, endpoint, &said->brittle);
 	gateway_rest_note_answer(gateway, endpoint, &said->rest, leg->known_us);
+	gateway_speed_note_answer(gateway, endpoint, &said->load,
+				  leg->known_us);
 	if (said->is_leaving)
 		gateway_leaving_note_answer(gateway, endpoint, leg->known_us);
 	answer = (struct quarantine_answer){
@@ -631,6 +636,7 @@
 	if (endpoint)
 		endpoint_health_report_success(&endpoint->health,
 					       exchange->gateway->now_us);
+	gateway_speed_note_complete(leg);
 	exchange_count_times(exchange);
 	leg_note_whole(leg, endpoint);
 	exchange_keep_connection(exchange);
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -679,5 +679,6 @@
 		legs[i]->sent_us += paused_us;
 		if (legs[i]->last_received_us)
 			legs[i]->last_received_us += paused_us;
+		gateway_speed_note_held(legs[i]);
 	}
 }
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -26,6 +26,13 @@
  */
 #define LEG_PROVEN_US G_USEC_PER_SEC
 
+/* Events of one answer since its speed was last observed. */
+struct gap_window {
+	int64_t since_us; /* first event; 0: none */
+	int32_t count;	  /* gaps between events since then */
+	bool is_void;	  /* this node did not read at times */
+};
+
 /*
  * One dispatch of a request to one endpoint, with the load that this node
  * counts for it: at the endpoint, and for a copy at the backup engine.
@@ -43,7 +50,8 @@
 	int64_t backup_known_us;	    /* when that start was first seen */
 	struct event_scanner *events;	    /* NULL: no event stream */
 	struct answer_limit limit;	    /* on the answer's body */
-	int64_t tokens;			    /* counted at both engines */
+	struct gap_window gaps;
+	int64_t tokens;	       /* counted at both engines */
 	int64_t unread_tokens; /* of the prompt, not yet processed */
 	int64_t sent_us;
 	int64_t begun_us;	  /* first event; 0: none yet */
@@ -175,6 +183,12 @@
 bool exchange_home_timed_out(struct exchange *exchange,
 			     struct home_request *request);
 
+/* gateway_speed.c */
+void gateway_speed_note_event(struct leg *leg);
+void gateway_speed_note_held(struct leg *leg);
+void gateway_speed_note_complete(const struct leg *leg);
+int64_t exchange_pause_bound_us(const struct exchange *exchange);
+
 /* exchange_recover.c */
 void leg_describe_run(const struct leg *leg, struct lost_run *run);
 void leg_count_failure(const struct leg *leg, enum attempt_result result);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -281,6 +281,7 @@
 	gateway_losses_step(gateway);
 	gateway_step_reports(gateway);
 	gateway_headroom_step(gateway);
+	gateway_speed_step(gateway);
 	gateway_home_step(gateway);
 	gateway_routes_step(gateway);
 	gateway_peers_step(gateway);
@@ -386,6 +387,8 @@
 	gateway->grants = engine_grants_create(gateway->registry);
 	gateway->forecasts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gateway->speeds =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->home_requests = g_hash_table_new(g_int64_hash, g_int64_equal);
 	gateway->exchanges =
 		g_hash_table_new_full(NULL, NULL, exchange_destroy, NULL);
@@ -426,6 +429,7 @@
 	gateway_losses_clear(gateway);
 	engine_grants_destroy(gateway->grants);
 	g_hash_table_unref(gateway->forecasts);
+	g_hash_table_unref(gateway->speeds);
 	g_hash_table_unref(gateway->home_requests);
 	g_free(gateway->home_address);
 	registry_destroy(gateway->registry);
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -400,6 +400,8 @@
 		criteria.reserved_share =
 			gateway_headroom_share(gateway, choose->service);
 	gateway_fill_rates(gateway, choose->service, service, &criteria.rates);
+	gateway_speed_fill(gateway, &criteria,
+			   gateway_speed_pause_bound_us(gateway, choose));
 	if (choose->purpose == CHOOSE_MOVE) {
 		criteria.other_domain_weight = MOVE_OTHER_DOMAIN_WEIGHT;
 		choice.copy =
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -48,6 +48,7 @@
  *   gateway_closes.c   answers that end with their connections
  *   gateway_reach.c    which nodes reach which services
  *   gateway_headroom.c memory kept free for engines that leave
+ *   gateway_speed.c    how fast endpoints are
  *   gateway_home.c     one node chooses the engines for all nodes
  *   exchange.c         one request of a caller
  *   leg.c              the request at one endpoint
@@ -123,6 +124,9 @@
 	GHashTable *forecasts; /* service to struct leaving_forecast */
 	int64_t headroom_sampled_us;
 
+	GHashTable *speeds; /* service to struct service_speed */
+	int64_t speeds_logged_us;
+
 	/* Engine choice by a home, which may be this node. */
 	struct engine_grants *grants;
 	GHashTable *home_requests;     /* request number to struct exchange */
@@ -274,6 +278,18 @@
 			      const struct answered_rest *answer,
 			      int64_t known_us);
 
+/* gateway_speed.c */
+void gateway_speed_note_answer(struct gateway *gateway,
+			       struct endpoint *endpoint,
+			       const struct answered_load *load,
+			       int64_t known_us);
+void gateway_speed_fill(const struct gateway *gateway,
+			struct endpoint_criteria *criteria,
+			int64_t longest_pause_us);
+int64_t gateway_speed_pause_bound_us(const struct gateway *gateway,
+				     const struct peer_choose *choose);
+void gateway_speed_step(struct gateway *gateway);
+
 /* gateway_leaving.c */
 void gateway_leaving_note_answer(struct gateway *gateway,
 				 struct endpoint *endpoint, int64_t known_us);
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -59,6 +59,13 @@
 #define COLD_WEIGHT 0.3
 #define ERROR_WEIGHT 3.0
 
+/*
+ * A stream whose events would come later than its route allows goes to any
+ * other engine with room. The margin is for steps that also read a prompt.
+ */
+#define PAUSE_WEIGHT 10.0
+#define PAUSE_MARGIN 0.8
+
 /*
  * Failure notices of other nodes are ignored while they put more than one
  * endpoint and more than one in this many of a service's endpoints aside.
@@ -237,6 +244,40 @@
 	       (double)criteria->engine->memory_tokens;
 }
 
+static bool is_plain(const struct endpoint_criteria *criteria)
+{
+	return !criteria->engine || criteria->engine->slots == 0;
+}
+
+/* Whether a stream's events would come later there than its route allows. */
+static bool would_pause(const struct endpoint_criteria *criteria,
+			const struct endpoint *endpoint, double ratio)
+{
+	double requests = endpoint_total_load(endpoint).requests + 1;
+	double event_us = ratio * criteria->engine->tokens_per_event *
+			  service_speed_expected_us(criteria->speed, requests);
+
+	return criteria->longest_pause_us &&
+	       event_us > PAUSE_MARGIN * (double)criteria->longest_pause_us;
+}
+
+/* How much of an endpoint its load takes, as a fraction of a usual engine. */
+static double load_score(const struct endpoint_criteria *criteria,
+			 const struct endpoint *endpoint)
+{
+	double load = memory_load(criteria, endpoint) +
+		      SLOT_WEIGHT * slot_load(criteria, endpoint) +
+		      (double)endpoint_total_load(endpoint).unread_tokens /
+			      UNREAD_FULL_TOKENS;
+	double ratio = endpoint_speed_ratio(&endpoint->speed, criteria->now_us);
+
+	/* The time until an answer, as a fraction of the usual one. */
+	if (is_plain(criteria))
+		return ratio * (endpoint_total_load(endpoint).requests + 1);
+	return ratio * load +
+	       PAUSE_WEIGHT * would_pause(criteria, endpoint, ratio);
+}
+
 static double endpoint_score(const struct endpoint_criteria *criteria,
 			     const struct endpoint *endpoint, guint i)
 {
@@ -244,14 +285,18 @@
 		       SLOT_WEIGHT * slot_load(criteria, endpoint);
 	double draw = criteria->draw * (double)(i + 1);
 
+	if (criteria->speed)
+		score = load_score(criteria, endpoint);
+
 	if (g_strcmp0(endpoint->last_registration->failure_domain,
 		      criteria->failure_domain))
 		score += MAX(criteria->other_domain_weight, FAR_WEIGHT);
 	if (endpoint->warm_us > criteria->now_us)
 		score += COLD_WEIGHT;
 	score += ERROR_WEIGHT * endpoint->error_share;
-	score += (double)endpoint_total_load(endpoint).unread_tokens /
-		 UNREAD_FULL_TOKENS;
+	if (!criteria->speed)
+		score += (double)endpoint_total_load(endpoint).unread_tokens /
+			 UNREAD_FULL_TOKENS;
 	return score + DRAW_WEIGHT * (draw - (double)(int64_t)draw);
 }
 
@@ -259,13 +304,75 @@
 		     const struct endpoint *endpoint, double fill)
 {
 	/* A brittle endpoint lets little wait. */
-	if (!criteria->engine || criteria->engine->slots == 0)
+	if (is_plain(criteria))
 		return !endpoint->brittle.is_limited ||
 		       slot_load(criteria, endpoint) < 1;
 	return memory_load(criteria, endpoint) <= fill &&
 	       slot_load(criteria, endpoint) < 1;
 }
 
+static bool is_eligible(const struct endpoint_criteria *criteria,
+			struct endpoint *endpoint,
+			const struct summary *summary, bool healthy_only,
+			double fill)
+{
+	return is_candidate(criteria, endpoint) &&
+	       !is_full(criteria, endpoint) &&
+	       !is_resting(criteria, endpoint) &&
+	       (!healthy_only || looks_healthy(criteria, endpoint, summary)) &&
+	       has_room(criteria, endpoint, fill) &&
+	       endpoint_rates_allow(endpoint, &criteria->rates,
+				    RATE_FOR_REQUEST, criteria->now_us);
+}
+
+/*
+ * Returns the better one of two random endpoints. All nodes choose the
+ * endpoints of plain services for themselves: if each took the best one of all,
+ * all would take the same one until they hear of its load, and then all the
+ * next one.
+ */
+static struct endpoint *better_of_two(const struct endpoint_criteria *criteria,
+				      const GPtrArray *endpoints)
+{
+	double place = criteria->draw * (double)endpoints->len;
+	guint first = MIN((guint)place, endpoints->len - 1);
+	double rest = CLAMP(place - first, 0, 1);
+	guint second = (guint)(rest * (double)(endpoints->len - 1));
+	struct endpoint *one = g_ptr_array_index(endpoints, first);
+	struct endpoint *other;
+
+	second += second >= first;
+	if (second >= endpoints->len)
+		return one;
+	other = g_ptr_array_index(endpoints, second);
+	return endpoint_score(criteria, other, second) <
+			       endpoint_score(criteria, one, first)
+		       ? other
+		       : one;
+}
+
+static struct endpoint *choose_of_two(const struct registry *registry,
+				      const struct endpoint_criteria *criteria,
+				      const struct summary *summary,
+				      bool healthy_only, double fill)
+{
+	const GPtrArray *endpoints = registry_endpoints(registry);
+	GPtrArray *eligible = g_ptr_array_new();
+	struct endpoint *chosen = NULL;
+
+	for (guint i = 0; i < endpoints->len; i++) {
+		struct endpoint *endpoint = g_ptr_array_index(endpoints, i);
+
+		if (is_eligible(criteria, endpoint, summary, healthy_only,
+				fill))
+			g_ptr_array_add(eligible, endpoint);
+	}
+	if (eligible->len > 0)
+		chosen = better_of_two(criteria, eligible);
+	g_ptr_array_unref(eligible);
+	return chosen;
+}
+
 static struct endpoint *choose_best(const struct registry *registry,
 				    const struct endpoint_criteria *criteria,
 				    const struct summary *summary,
@@ -275,18 +382,15 @@
 	struct endpoint *best = NULL;
 	double best_score = 0;
 
+	if (criteria->speed && is_plain(criteria))
+		return choose_of_two(registry, criteria, summary, healthy_only,
+				     fill);
 	for (guint i = 0; i < endpoints->len; i++) {
 		struct endpoint *endpoint = g_ptr_array_index(endpoints, i);
 		double score;
 
-		if (!is_candidate(criteria, endpoint) ||
-		    is_full(criteria, endpoint) ||
-		    is_resting(criteria, endpoint) ||
-		    (healthy_only &&
-		     !looks_healthy(criteria, endpoint, summary)) ||
-		    !has_room(criteria, endpoint, fill) ||
-		    !endpoint_rates_allow(endpoint, &criteria->rates,
-					  RATE_FOR_REQUEST, criteria->now_us))
+		if (!is_eligible(criteria, endpoint, summary, healthy_only,
+				 fill))
 			continue;
 		score = endpoint_score(criteria, endpoint, i);
 		if (!best || score < best_score) {
--- a/core/gateway/endpoint_choice.h
+++ b/core/gateway/endpoint_choice.h
@@ -28,6 +28,9 @@
 	int64_t tokens;	   /* in memory at the expected end; 0: plain service */
 	double reserved_share; /* of all memory, kept free for moves */
 	bool gives_way;	       /* moves may use what new requests leave free */
+	const struct service_speed *speed; /* NULL: the speed of endpoints does
+					      not count */
+	int64_t longest_pause_us;	   /* that the stream allows; 0: any */
 	struct region_limits regions;
 	struct endpoint_rates rates;
 	int64_t now_us;
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -267,6 +267,8 @@
 	endpoint->rest = (struct endpoint_rest){0};
 	endpoint->limit = (struct endpoint_limit){0};
 	endpoint->brittle = (struct endpoint_limit){0};
+	endpoint->speed = (struct endpoint_speed){0};
+	endpoint->load_was_unreadable = false;
 	endpoint->warm_us = now_us + update->warmup_remaining_us;
 	if (update->started_ms <= endpoint->last_registration->started_ms ||
 	    update->started_ms > endpoint->leaving_start_ms)
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -4,6 +4,7 @@
 #include "core/gateway/cordon_set.h"
 #include "core/gateway/endpoint_limit.h"
 #include "core/gateway/endpoint_rest.h"
+#include "core/gateway/endpoint_speed.h"
 #include "core/gateway/endpoint_suspicion.h"
 #include "core/limit/rate_window.h"
 #include "core/placement/endpoint_health.h"
@@ -70,6 +71,8 @@
 	struct endpoint_limit brittle; /* on rejections, if it is brittle */
 	bool brittle_was_unreadable;   /* in its last answer, for logs */
 	bool limit_was_unreadable;     /* in its last answer, for logs */
+	struct endpoint_speed speed;
+	bool load_was_unreadable; /* in any answer of this start, for logs */
 };
 
 struct registry;
--- a/core/gateway/route_table.c
+++ b/core/gateway/route_table.c
@@ -282,3 +282,37 @@
 {
 	return g_hash_table_contains(table->mixed, service);
 }
+
+static bool route_leads_to(const struct route *route, const char *service)
+{
+	for (guint i = 0; i < route->targets->len; i++) {
+		if (strcmp(g_array_index(route->targets, struct route_target, i)
+				   .service,
+			   service) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Returns the shortest longest_pause_us of the service's streams, for a request
+ * whose route is not known; 0: none has one.
+ */
+int64_t route_table_longest_pause_us(const struct route_table *table,
+				     const char *service)
+{
+	const GPtrArray *routes = table->config->routes;
+	int64_t shortest_us = 0;
+
+	for (guint i = 0; i < routes->len; i++) {
+		const struct route *route = g_ptr_array_index(routes, i);
+
+		if (route->kind != ROUTE_STREAM ||
+		    route->longest_pause_us == 0 ||
+		    !route_leads_to(route, service))
+			continue;
+		if (!shortest_us || route->longest_pause_us < shortest_us)
+			shortest_us = route->longest_pause_us;
+	}
+	return shortest_us;
+}
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 /*
  * Generations on engines with memory for 34,000 tokens and 24 slots, with the
@@ -451,3 +452,147 @@
 	add("one", 28000, 7);
 	EXPECT_EQ(nullptr, endpoint_choose_for_move(registry, &criteria));
 }
+
+/* Endpoints of known speeds; a token usually takes 7 ms and 0.12 per request.
+ */
+class EndpointChoiceBySpeed : public EndpointChoice
+{
+      protected:
+	struct service_speed speed = {};
+
+	EndpointChoiceBySpeed()
+	{
+		speed.centre_us = 7000;
+		speed.load_slope = 0.12 / 7;
+		speed.stated_us = criteria.now_us;
+		criteria.speed = &speed;
+		engine.tokens_per_event = 4;
+	}
+
+	void set_ratio(struct endpoint *endpoint, double ratio)
+	{
+		endpoint->speed.ratio = ratio;
+		endpoint->speed.observed_us = criteria.now_us;
+	}
+};
+
+/* Guards against a deployment without stated speeds that decides differently.
+ */
+TEST_F(EndpointChoiceBySpeed, DecidesAsBeforeWhereNoneIsStated)
+{
+	struct endpoint *slow = add("slow", 9000, 3);
+
+	add("usual", 9500, 3);
+	criteria.speed = nullptr;
+	criteria.longest_pause_us = 1;
+	EXPECT_EQ("slow", choose());
+	set_ratio(slow, 4);
+	EXPECT_EQ("slow", choose());
+	criteria.speed = &speed;
+	criteria.longest_pause_us = 0;
+	EXPECT_EQ("usual", choose());
+}
+
+/*
+ * 300 generations, without an end, on 15 engines of three speeds. Guards
+ * against slow engines with as much load as fast ones.
+ */
+TEST_F(EndpointChoiceBySpeed, LoadsEnginesInProportionToTheirSpeed)
+{
+	static const double ratios[] = {0.6, 1.0, 1.6};
+	double requests[3] = {};
+	std::vector<struct endpoint *> engines;
+
+	for (int i = 0; i < 15; i++) {
+		engines.push_back(
+			add(("e-" + std::to_string(i)).c_str(), 0, 0));
+		set_ratio(engines.back(), ratios[i % 3]);
+	}
+	criteria.tokens = 1000;
+	for (int i = 0; i < 200; i++) {
+		struct endpoint *chosen = endpoint_choose(registry, &criteria);
+
+		ASSERT_NE(nullptr, chosen);
+		chosen->own.requests++;
+		chosen->own.tokens += criteria.tokens;
+	}
+	for (int i = 0; i < 15; i++)
+		requests[i % 3] += engines[(size_t)i]->own.requests;
+	printf("requests by speed: %.0f %.0f %.0f\n", requests[0], requests[1],
+	       requests[2]);
+	EXPECT_NEAR(1 / 0.6, requests[0] / requests[1], 0.25);
+	EXPECT_NEAR(1 / 1.6, requests[2] / requests[1], 0.15);
+}
+
+/*
+ * An event of 4 tokens takes 4 x 4 x 7.24 ms = 116 ms at the slow engine.
+ * Guards against a stream where its pauses are too long while others have room,
+ * and against its refusal where none has.
+ */
+TEST_F(EndpointChoiceBySpeed, SendsStreamsWhereTheirPausesAreShort)
+{
+	struct endpoint *slow = add("slow", 0, 0);
+	struct endpoint *full = add("busy", 25000, 20);
+
+	set_ratio(slow, 4);
+	EXPECT_EQ("slow", choose());
+	criteria.longest_pause_us = 120000;
+	EXPECT_EQ("busy", choose());
+	criteria.longest_pause_us = 180000;
+	EXPECT_EQ("slow", choose()) << "116 of 180 ms";
+	criteria.longest_pause_us = 120000;
+	full->others.tokens = 33000;
+	EXPECT_EQ("slow", choose()) << "nobody else has room";
+}
+
+/* Guards against a pause bound that forgets the load of the engine. */
+TEST_F(EndpointChoiceBySpeed, CountsTheRequestsInTheExpectedPause)
+{
+	add("slots", 1000, 23);
+	add("memory", 25000, 2);
+	criteria.tokens = 1000;
+	/* 4 x 9.88 and 4 x 7.36 ms, each with a quarter more as a margin */
+	criteria.longest_pause_us = 0;
+	EXPECT_EQ("slots", choose());
+	criteria.longest_pause_us = 45000;
+	EXPECT_EQ("memory", choose());
+}
+
+/*
+ * Two plain endpoints, of which each choice compares both. Guards against calls
+ * that wait at a slow endpoint, or in a long queue at a fast one.
+ */
+TEST_F(EndpointChoiceBySpeed, SendsPlainCallsWhereTheyAreAnsweredFirst)
+{
+	struct endpoint *slow = add("slow", 0, 0);
+	struct endpoint *usual = add("usual", 0, 1);
+
+	criteria.engine = nullptr;
+	criteria.tokens = 0;
+	set_ratio(slow, 2.5);
+	for (criteria.draw = 0; criteria.draw < 1; criteria.draw += 0.05)
+		EXPECT_EQ("usual", choose()) << criteria.draw;
+	usual->others.requests = 2;
+	for (criteria.draw = 0; criteria.draw < 1; criteria.draw += 0.05)
+		EXPECT_EQ("slow", choose()) << criteria.draw;
+	usual->full_until_us = INT64_MAX;
+	slow->others.requests = 9;
+	EXPECT_EQ("slow", choose()) << "the only one";
+}
+
+/* Guards against nodes that all send a plain call to the same endpoint. */
+TEST_F(EndpointChoiceBySpeed, ComparesTwoPlainEndpointsOfAll)
+{
+	std::map<std::string, int> chosen;
+
+	for (int i = 0; i < 7; i++)
+		add(("p-" + std::to_string(i)).c_str(), 0, i == 0 ? 0 : 3);
+	criteria.engine = nullptr;
+	criteria.tokens = 0;
+	for (int i = 0; i < 700; i++) {
+		criteria.draw = (i + 0.5) / 700;
+		chosen[choose()]++;
+	}
+	EXPECT_EQ(7u, chosen.size());
+	EXPECT_NEAR(200, chosen["p-0"], 5) << "two of seven";
+}
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -667,3 +667,94 @@
 		http_head_destroy(head);
 	}
 }
+
+static struct answered_load read_load(const std::vector<std::string> &values,
+				      const char *field, int32_t status = 200)
+{
+	static const char name[] = "X-Siskinlink-Engine-Load";
+	struct http_head *head = http_head_create();
+	struct endpoint_answer answer = {};
+
+	head->status = status;
+	http_head_add(head, field, strlen(field), "1", 1);
+	for (const std::string &value : values)
+		http_head_add(head, name, strlen(name), value.data(),
+			      value.size());
+	platform_dialect.read_answer(head, &answer);
+	http_head_destroy(head);
+	return answer.load;
+}
+
+static const char stamp[] = "X-Siskinlink-Engine-Stamp";
+
+/* Guards against figures that are confused with each other. */
+TEST(Platform, ReadsTheLoadOfAnEndpoint)
+{
+	struct answered_load load = read_load({"3,1,24"}, stamp);
+
+	EXPECT_EQ(LOAD_STATED, load.statement);
+	EXPECT_EQ(3, load.running);
+	EXPECT_EQ(1, load.waiting);
+	EXPECT_EQ(24, load.slots);
+	EXPECT_EQ(0, load.slowdown_percent);
+	load = read_load({" 24, 7 ,24 , 250"}, stamp);
+	EXPECT_EQ(LOAD_STATED, load.statement);
+	EXPECT_EQ(24, load.running);
+	EXPECT_EQ(250, load.slowdown_percent);
+	EXPECT_EQ(LOAD_UNSTATED, read_load({}, stamp).statement);
+}
+
+/*
+ * Guards against a load that is believed although it is missing, malformed,
+ * negative, far too large or contradicts itself.
+ */
+TEST(Platform, ReadsALoadWithoutAMeaningAsNone)
+{
+	for (const char *value : {"",
+				  " ",
+				  ",",
+				  "3",
+				  "3,1",
+				  "3,1,",
+				  "3,,24",
+				  "3,1,24,",
+				  "a,b,c",
+				  "3;1;24",
+				  "3,1,24,100,5",
+				  "3,1,24,1e2",
+				  "3,1,24,1.5",
+				  "+3,1,24",
+				  "-3,1,24",
+				  "3,-1,24",
+				  "3,1,-24",
+				  "3,1,24,-100",
+				  "1000000000000,1,24",
+				  "3,1000000000000,24",
+				  "3,1,1000000000000",
+				  "3,1,24,1000000000000",
+				  "99999999999999999999999,1,24",
+				  "25,0,24",
+				  "0,0,0",
+				  "3,1,0",
+				  "3,1,24,0",
+				  "3 1,1,24",
+				  "0x3,1,24"}) {
+		struct answered_load load = read_load({value}, stamp);
+
+		EXPECT_EQ(LOAD_UNREADABLE, load.statement) << value;
+		EXPECT_EQ(0, load.running) << value;
+		EXPECT_EQ(0, load.slowdown_percent) << value;
+	}
+	EXPECT_EQ(LOAD_UNREADABLE,
+		  read_load({"3,1,24", "9,1,24"}, stamp).statement);
+}
+
+/* Guards against the load of a proxy or of another endpoint at the address. */
+TEST(Platform, ReadsTheLoadOnlyFromTheEndpointItself)
+{
+	EXPECT_EQ(LOAD_UNSTATED, read_load({"3,1,24"}, "Via").statement);
+	EXPECT_EQ(LOAD_UNSTATED,
+		  read_load({"3,1,24"}, "X-Siskinlink-Not-Executed", 421)
+			  .statement);
+	EXPECT_EQ(LOAD_STATED, read_load({"3,1,24"}, stamp, 500).statement);
+}
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -370,6 +370,23 @@
 	EXPECT_EQ(0, registry_find(registry, "e1")->rest.until_us);
 }
 
+/* Guards against a start that counts as slow because the one before was. */
+TEST_F(Registry, ANewStartHasAnUnknownSpeed)
+{
+	struct endpoint *endpoint;
+
+	apply(entry("e1", 5, false, 100));
+	endpoint = registry_find(registry, "e1");
+	endpoint->speed.ratio = 4;
+	endpoint->speed.observed_us = now_us;
+	endpoint->load_was_unreadable = true;
+	apply(entry("e1", 6, false, 100));
+	EXPECT_EQ(4, endpoint_speed_ratio(&endpoint->speed, now_us));
+	apply(entry("e1", 7, false, 200));
+	EXPECT_EQ(1, endpoint_speed_ratio(&endpoint->speed, now_us));
+	EXPECT_FALSE(endpoint->load_was_unreadable);
+}
+
 /* Guards against a new start, known by its address, that is taken for leaving.
  */
 TEST_F(Registry, ANewAddressEndsTheWordOfTheOldOne)
