Generations wait for an engine at services with mixed urgency

Cause: where no engine has room a generation was refused at once with 503, although its first event may be due seconds later.

Change: core/gateway/wait_room keeps the order, the latest start and a forecast; adapters/gateway/gateway_waiting.c queues at the home for all nodes, with PEER_AWAIT, PEER_WAITING, PEER_UNAVAILABLE and PEER_WITHDRAW, or at the node itself where it has no home. PEER_CHOOSE and PEER_CHOSEN keep their formats.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -36,6 +36,7 @@
 {
 	struct exchange *exchange = data;
 
+	exchange_stop_waiting(exchange);
 	exchange_cancel_home_request(exchange, &exchange->home_request);
 	exchange_cancel_home_request(exchange, &exchange->move.home_request);
 	g_free(exchange->home_backup_id);
@@ -278,7 +279,10 @@
 		       : RETRY_SOON_US;
 }
 
-/* Refuses a request that no endpoint can take now; it has not run. */
+/*
+ * Lets a request wait that no endpoint can take now, or refuses it; it has not
+ * run.
+ */
 static void exchange_refuse_full(struct exchange *exchange,
 				 const struct endpoint_criteria *criteria)
 {
@@ -299,7 +303,7 @@
 		exchange_refuse(exchange, 503,
 				retry_after_limited_us(wait_us, draw),
 				"endpoint_limit");
-	else
+	else if (!exchange_wait(exchange))
 		exchange_refuse(exchange, 503,
 				retry_after_full_us(
 					exchange->route->first_answer_us, draw),
@@ -392,6 +396,7 @@
 
 	if (exchange_relay(exchange) || exchange_request_home(exchange))
 		return;
+	gateway_waiting_grant(exchange->gateway, exchange->service_name);
 	exchange_fill_criteria(exchange, &criteria);
 	endpoint = endpoint_choose(registry, &criteria);
 	if (!endpoint &&
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -643,6 +643,8 @@
 		exchange_step_relay(exchange);
 		return;
 	}
+	if (exchange->waiter)
+		return;
 	if (!leg) {
 		if (exchange_home_timed_out(exchange, &exchange->home_request))
 			exchange_send_local_choice(exchange);
@@ -672,6 +674,7 @@
 	struct leg *legs[] = {exchange->leg, exchange->next};
 
 	exchange->home_request.sent_us += paused_us;
+	exchange_excuse_waiting(exchange, paused_us);
 	exchange->move.home_request.sent_us += paused_us;
 	for (size_t i = 0; i < G_N_ELEMENTS(legs); i++) {
 		if (!legs[i])
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -20,6 +20,12 @@
  */
 #define MOVE_OTHER_DOMAIN_WEIGHT 0.3
 
+/*
+ * No requests go to a silent home for this long: membership detects a dead node
+ * within 2.7 s.
+ */
+#define HOME_SKIP_US (2700 * 1000)
+
 /*
  * A run that has made events for this long does not end its endpoint by what it
  * began with.
@@ -110,6 +116,8 @@
 	struct home_request home_request; /* for an engine */
 	char *home_backup_id;		  /* from the home, for the next leg */
 	bool is_granted;		  /* the home granted the next leg */
+	struct waiter *waiter;		  /* waits for an engine, or NULL */
+	int64_t waits_since_us;		  /* 0: it never waited */
 
 	struct leg *leg;  /* NULL between two dispatches */
 	struct leg *next; /* takes over while leg still runs, or NULL */
@@ -182,6 +190,14 @@
 				  struct home_request *request);
 bool exchange_home_timed_out(struct exchange *exchange,
 			     struct home_request *request);
+const struct member *exchange_find_home(const struct exchange *exchange);
+void exchange_fill_run(struct exchange *exchange, struct peer_choose *choose,
+		       const struct member *home);
+
+/* gateway_waiting.c */
+bool exchange_wait(struct exchange *exchange);
+void exchange_stop_waiting(struct exchange *exchange);
+void exchange_excuse_waiting(struct exchange *exchange, int64_t paused_us);
 
 /* gateway_speed.c */
 void gateway_speed_note_event(struct leg *leg);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -283,6 +283,7 @@
 	gateway_headroom_step(gateway);
 	gateway_speed_step(gateway);
 	gateway_home_step(gateway);
+	gateway_waiting_step(gateway);
 	gateway_routes_step(gateway);
 	gateway_peers_step(gateway);
 	gateway_step_drain(gateway);
@@ -390,6 +391,7 @@
 	gateway->speeds =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->home_requests = g_hash_table_new(g_int64_hash, g_int64_equal);
+	gateway_waiting_init(gateway);
 	gateway->exchanges =
 		g_hash_table_new_full(NULL, NULL, exchange_destroy, NULL);
 	gateway->budgets = shared_budgets_create(&budgets, gateway->now_us);
@@ -416,6 +418,7 @@
 		g_source_remove(gateway->tick);
 	for (size_t i = 0; i < G_N_ELEMENTS(gateway->listeners); i++)
 		listener_destroy(gateway->listeners[i]);
+	gateway_waiting_clear(gateway);
 	g_hash_table_unref(gateway->exchanges);
 	caller_set_destroy(gateway->callers);
 	caller_set_destroy(gateway->status_callers);
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -19,12 +19,6 @@
  */
 #define HOME_ANSWER_TIMEOUT_US (100 * 1000)
 
-/*
- * No requests go to a silent home for this long: membership detects a dead node
- * within 2.7 s.
- */
-#define HOME_SKIP_US (2700 * 1000)
-
 /* What the home chose for another node; copy is the target of a move. */
 struct engine_choice {
 	struct endpoint *run;
@@ -163,15 +157,10 @@
 	}
 }
 
-/* The request for an engine; the caller fills in what it is for. */
-static struct peer_message *home_request_create(const struct exchange *exchange,
-						uint64_t number)
+/* Fills what a request for an engine tells of the generation. */
+static void fill_choose(const struct exchange *exchange,
+			struct peer_choose *choose, uint64_t number)
 {
-	struct gateway *gateway = exchange->gateway;
-	struct peer_message *message =
-		gateway->host.message(gateway->host.data, PEER_CHOOSE);
-	struct peer_choose *choose = &message->choose;
-
 	choose->number = number;
 	choose->service = g_strdup(exchange->service_name);
 	choose->tokens = exchange_held_tokens(exchange);
@@ -180,6 +169,17 @@
 			choose->avoid,
 			g_strdup(g_ptr_array_index(exchange->avoided_ids, i)));
 	add_resting(exchange, choose->avoid);
+}
+
+/* The request for an engine; the caller fills in what it is for. */
+static struct peer_message *home_request_create(const struct exchange *exchange,
+						uint64_t number)
+{
+	struct gateway *gateway = exchange->gateway;
+	struct peer_message *message =
+		gateway->host.message(gateway->host.data, PEER_CHOOSE);
+
+	fill_choose(exchange, &message->choose, number);
 	return message;
 }
 
@@ -194,7 +194,7 @@
  * Returns the home to ask for an engine, or NULL if this node has to choose
  * locally.
  */
-static const struct member *home_to_ask(const struct exchange *exchange)
+const struct member *exchange_find_home(const struct exchange *exchange)
 {
 	const struct gateway *gateway = exchange->gateway;
 
@@ -245,12 +245,28 @@
 	return is_deferrable ? CHOOSE_DEFERRABLE_RUN : CHOOSE_RUN;
 }
 
+/*
+ * Fills a request for an engine that waits at the home, which gets the number
+ * of the next request and this node's load from now on.
+ */
+void exchange_fill_run(struct exchange *exchange, struct peer_choose *choose,
+		       const struct member *home)
+{
+	struct gateway *gateway = exchange->gateway;
+
+	set_home_address(gateway, home);
+	fill_choose(exchange, choose, ++gateway->home_request_count);
+	choose->failure_domain = g_strdup(gateway->options.failure_domain);
+	choose->prompt_tokens = exchange->parsed_request.prompt_tokens;
+	choose->purpose = run_purpose(exchange);
+}
+
 /*
  * Requests an engine from the home; false if this node has to choose locally.
  */
 bool exchange_request_home(struct exchange *exchange)
 {
-	const struct member *home = home_to_ask(exchange);
+	const struct member *home = exchange_find_home(exchange);
 
 	if (!home)
 		return false;
@@ -283,7 +299,7 @@
  */
 bool exchange_request_move_target(struct exchange *exchange)
 {
-	const struct member *home = home_to_ask(exchange);
+	const struct member *home = exchange_find_home(exchange);
 	const struct endpoint *engine = leg_endpoint(exchange->leg);
 	struct peer_message *message;
 
@@ -429,11 +445,10 @@
 	return engine ? engine->last_registration->id : NULL;
 }
 
-static void send_choice(struct gateway *gateway,
-			const struct peer_message *request,
+static void send_choice(struct gateway *gateway, const char *address,
+			const struct peer_choose *choose,
 			const struct engine_choice *choice)
 {
-	const struct peer_choose *choose = &request->choose;
 	struct peer_message *answer =
 		gateway->host.message(gateway->host.data, PEER_CHOSEN);
 	bool is_move = choose->purpose == CHOOSE_MOVE;
@@ -443,7 +458,49 @@
 	answer->chosen.number = choose->number;
 	answer->chosen.endpoint = g_strdup(endpoint ? endpoint : "");
 	answer->chosen.backup = g_strdup(backup ? backup : "");
-	gateway_send(gateway, request->from_address, answer);
+	gateway_send(gateway, address, answer);
+}
+
+/* Counts what this node chose for another one. */
+static void count_choice(struct gateway *gateway, const char *node,
+			 const struct peer_choose *choose,
+			 const struct engine_choice *choice)
+{
+	const struct engine_grant grant = {
+		.node = node,
+		.number = choose->number,
+		.endpoint_id = engine_id(choice->run),
+		.backup_id = engine_id(choice->copy),
+		.tokens = choose->tokens,
+		.prompt_tokens = choose->prompt_tokens,
+	};
+
+	engine_grants_add(gateway->grants, &grant, gateway->now_us);
+}
+
+static const struct config_service *
+find_service(const struct gateway *gateway, const struct peer_choose *choose)
+{
+	return gateway->table ? route_table_find_service(gateway->table,
+							 choose->service)
+			      : NULL;
+}
+
+/*
+ * Grants an engine to another node's request that waits here. Returns false if
+ * none has room.
+ */
+bool gateway_home_grant(struct gateway *gateway, const char *node,
+			const char *address, const struct peer_choose *choose)
+{
+	const struct engine_choice choice =
+		choose_for(gateway, choose, find_service(gateway, choose));
+
+	if (!choice.run)
+		return false;
+	send_choice(gateway, address, choose, &choice);
+	count_choice(gateway, node, choose, &choice);
+	return true;
 }
 
 /*
@@ -455,28 +512,16 @@
 				  const struct peer_message *message)
 {
 	const struct peer_choose *choose = &message->choose;
-	const struct config_service *service =
-		gateway->table ? route_table_find_service(gateway->table,
-							  choose->service)
-			       : NULL;
 	struct engine_choice choice;
-	struct engine_grant grant;
 
 	if (registry_count_usable(gateway->registry, choose->service) == 0)
 		return;
-	choice = choose_for(gateway, choose, service);
-	send_choice(gateway, message, &choice);
-	if (!choice.run && !choice.copy)
-		return;
-	grant = (struct engine_grant){
-		.node = message->from,
-		.number = choose->number,
-		.endpoint_id = engine_id(choice.run),
-		.backup_id = engine_id(choice.copy),
-		.tokens = choose->tokens,
-		.prompt_tokens = choose->prompt_tokens,
-	};
-	engine_grants_add(gateway->grants, &grant, gateway->now_us);
+	if (choose->purpose != CHOOSE_MOVE)
+		gateway_waiting_grant(gateway, choose->service);
+	choice = choose_for(gateway, choose, find_service(gateway, choose));
+	send_choice(gateway, message->from_address, choose, &choice);
+	if (choice.run || choice.copy)
+		count_choice(gateway, message->from, choose, &choice);
 }
 
 static bool is_tried(const struct exchange *exchange, const char *id)
@@ -519,8 +564,12 @@
 	struct exchange *exchange =
 		g_hash_table_lookup(gateway->home_requests, &chosen->number);
 
-	if (!exchange)
+	if (!exchange) {
+		exchange = gateway_waiting_take(gateway, chosen->number);
+		if (exchange)
+			apply_choice(exchange, chosen);
 		return;
+	}
 	if (exchange->move.home_request.number == chosen->number) {
 		exchange_cancel_home_request(exchange,
 					     &exchange->move.home_request);
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -569,6 +569,7 @@
 			       gateway->now_us);
 	apply_registrations(gateway, message);
 	gateway_routes_note_version(gateway, message->standing.table_version);
+	gateway_waiting_note_load(gateway);
 }
 
 static const struct {
@@ -588,6 +589,10 @@
 	[PEER_REACH] = {gateway_reach_receive, true},
 	[PEER_CHOOSE] = {gateway_home_receive_request, true},
 	[PEER_CHOSEN] = {gateway_home_receive_answer, true},
+	[PEER_AWAIT] = {gateway_waiting_receive, true},
+	[PEER_WAITING] = {gateway_waiting_receive, true},
+	[PEER_UNAVAILABLE] = {gateway_waiting_receive, true},
+	[PEER_WITHDRAW] = {gateway_waiting_receive, true},
 	[PEER_STANDING] = {receive_standing, true},
 };
 
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -50,6 +50,7 @@
  *   gateway_headroom.c memory kept free for engines that leave
  *   gateway_speed.c    how fast endpoints are
  *   gateway_home.c     one node chooses the engines for all nodes
+ *   gateway_waiting.c  generations that wait until an engine has room
  *   exchange.c         one request of a caller
  *   leg.c              the request at one endpoint
  *   exchange_answer.c  the endpoint's answer
@@ -134,6 +135,8 @@
 	char *home_address;	       /* of the last request; NULL: none */
 	int64_t home_skipped_until_us; /* after a missed answer */
 	int64_t home_announced_us;
+
+	struct waiting *waiting; /* generations that wait for an engine */
 };
 
 /* The last announcement of another node. */
@@ -340,9 +343,26 @@
 void gateway_home_receive_answer(struct gateway *gateway,
 				 const struct peer_message *message);
 
-/* exchange.c */
+const struct member *gateway_find_home(const struct gateway *gateway,
+				       const char *service);
+bool gateway_home_grant(struct gateway *gateway, const char *node,
+			const char *address, const struct peer_choose *choose);
+
+/* gateway_waiting.c */
 struct exchange;
 
+void gateway_waiting_init(struct gateway *gateway);
+void gateway_waiting_clear(struct gateway *gateway);
+void gateway_waiting_step(struct gateway *gateway);
+void gateway_waiting_grant(struct gateway *gateway, const char *service);
+void gateway_waiting_note_load(struct gateway *gateway);
+void gateway_waiting_receive(struct gateway *gateway,
+			     const struct peer_message *message);
+guint gateway_waiting_count(const struct gateway *gateway);
+struct exchange *gateway_waiting_take(struct gateway *gateway, uint64_t number);
+
+/* exchange.c */
+
 void exchange_begin(struct gateway *gateway, struct caller *caller,
 		    struct http_head *head, GByteArray *body);
 void exchange_step(struct exchange *exchange);
--- a/codec/peer_choose.c
+++ b/codec/peer_choose.c
@@ -5,8 +5,6 @@
 /* Engines that a request was already sent to; each took one of its retries. */
 #define MAX_AVOIDED 16
 
-#define CHILD_AVOID 9
-
 /*
  * Returns the body of a PEER_CHOOSE record as a floating variant. Engines to
  * avoid beyond MAX_AVOIDED are omitted.
@@ -14,18 +12,23 @@
 GVariant *peer_choose_encode(const struct peer_message *message)
 {
 	const struct peer_choose *choose = &message->choose;
-	gssize count = (gssize)MIN(choose->avoid->len, MAX_AVOIDED);
 
-	return g_variant_new(
-		"(ttuuyssss@as)", message->incarnation, choose->number,
-		peer_field_tokens(choose->tokens),
-		peer_field_tokens(choose->prompt_tokens),
-		(guchar)choose->purpose, peer_field_text(message->from),
-		peer_field_text(message->from_address),
-		peer_field_text(choose->service),
-		peer_field_text(choose->failure_domain),
-		g_variant_new_strv((const char *const *)choose->avoid->pdata,
-				   count));
+	return g_variant_new("(ttuuyssss@as)", message->incarnation,
+			     choose->number, peer_field_tokens(choose->tokens),
+			     peer_field_tokens(choose->prompt_tokens),
+			     (guchar)choose->purpose,
+			     peer_field_text(message->from),
+			     peer_field_text(message->from_address),
+			     peer_field_text(choose->service),
+			     peer_field_text(choose->failure_domain),
+			     peer_choose_encode_avoid(choose->avoid));
+}
+
+/* Returns the list of engines to avoid, as a floating variant. */
+GVariant *peer_choose_encode_avoid(const GPtrArray *avoid)
+{
+	return g_variant_new_strv((const char *const *)avoid->pdata,
+				  (gssize)MIN(avoid->len, MAX_AVOIDED));
 }
 
 static bool decode_avoid(GVariant *list, GPtrArray *avoid)
@@ -45,10 +48,15 @@
 	return true;
 }
 
-/* Fills choose from a body. Returns false if a value is out of range. */
-bool peer_choose_decode(GVariant *body, struct peer_choose *choose)
+/*
+ * Fills choose from a body in which the engines to avoid are the child of this
+ * index, and the other fields are where PEER_CHOOSE has them. Returns false if
+ * a value is out of range.
+ */
+bool peer_choose_decode_fields(GVariant *body, gsize avoid_index,
+			       struct peer_choose *choose)
 {
-	GVariant *avoid = g_variant_get_child_value(body, CHILD_AVOID);
+	GVariant *avoid = g_variant_get_child_value(body, avoid_index);
 	guint32 tokens, prompt_tokens;
 	guchar purpose;
 	bool valid;
@@ -72,6 +80,12 @@
 	return valid;
 }
 
+/* Fills choose from a body. Returns false if a value is out of range. */
+bool peer_choose_decode(GVariant *body, struct peer_choose *choose)
+{
+	return peer_choose_decode_fields(body, 9, choose);
+}
+
 /*
  * Returns the body of a PEER_CHOSEN record as a floating variant. Texts are not
  * truncated; the decoder rejects a record with a text over 64 bytes.
--- a/codec/peer_choose.h
+++ b/codec/peer_choose.h
@@ -17,6 +17,9 @@
 #define PEER_CHOSEN_FORMAT "(ttssss)"
 
 GVariant *peer_choose_encode(const struct peer_message *message);
+GVariant *peer_choose_encode_avoid(const GPtrArray *avoid);
+bool peer_choose_decode_fields(GVariant *body, gsize avoid_index,
+			       struct peer_choose *choose);
 bool peer_choose_decode(GVariant *body, struct peer_choose *choose);
 GVariant *peer_chosen_encode(const struct peer_message *message);
 bool peer_chosen_decode(GVariant *body, struct peer_chosen *chosen);
--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -3,6 +3,7 @@
 #include "codec/peer_field.h"
 #include "codec/peer_progress.h"
 #include "codec/peer_choose.h"
+#include "codec/peer_await.h"
 #include "codec/peer_cordons.h"
 #include "codec/peer_endpoint_limits.h"
 #include "codec/peer_endpoint_speeds.h"
@@ -65,6 +66,10 @@
 	[PEER_ENDPOINT_FULL] = "(ttbuss)",
 	[PEER_ENDPOINT_LEAVING] = "(ttxss)",
 	[PEER_ENDPOINT_SPEEDS] = PEER_ENDPOINT_SPEEDS_FORMAT,
+	[PEER_AWAIT] = PEER_AWAIT_FORMAT,
+	[PEER_WAITING] = PEER_WAIT_NOTICE_FORMAT,
+	[PEER_UNAVAILABLE] = PEER_UNAVAILABLE_FORMAT,
+	[PEER_WITHDRAW] = PEER_WAIT_NOTICE_FORMAT,
 };
 
 static GVariant *encode_members(const GPtrArray *members)
@@ -186,6 +191,13 @@
 		return peer_choose_encode(message);
 	case PEER_CHOSEN:
 		return peer_chosen_encode(message);
+	case PEER_AWAIT:
+		return peer_await_encode(message);
+	case PEER_WAITING:
+	case PEER_WITHDRAW:
+		return peer_wait_notice_encode(message);
+	case PEER_UNAVAILABLE:
+		return peer_unavailable_encode(message);
 	case PEER_CORDONS:
 		return peer_cordons_encode(message);
 	case PEER_ENDPOINT_LIMITS:
@@ -550,6 +562,19 @@
 		return check(error, message->from,
 			     peer_chosen_decode(body, &message->chosen),
 			     "assigned engine out of range");
+	case PEER_AWAIT:
+		return check(error, message->from,
+			     peer_await_decode(body, &message->await),
+			     "waiting request out of range");
+	case PEER_WAITING:
+	case PEER_WITHDRAW:
+		peer_wait_notice_decode(body, &message->wait_notice);
+		return true;
+	case PEER_UNAVAILABLE:
+		return check(
+			error, message->from,
+			peer_unavailable_decode(body, &message->unavailable),
+			"time of a refusal out of range");
 	case PEER_CORDONS:
 		return check(error, message->from,
 			     peer_cordons_decode(body, &message->cordons),
--- a/core/base/counters.c
+++ b/core/base/counters.c
@@ -70,6 +70,17 @@
 	[COUNTER_GATEWAY_ANSWERS_TOO_LARGE] =
 		{"gateway_answers_too_large",
 		 "answers cut off or refused as too large"},
+	[COUNTER_GATEWAY_WAITS] =
+		{"gateway_waits",
+		 "times that a request began to wait for an engine with room"},
+	[COUNTER_GATEWAY_WAITS_OVER] =
+		{"gateway_waits_over",
+		 "of these, over; the difference is what waits now"},
+	[COUNTER_GATEWAY_WAITS_GRANTED] = {"gateway_waits_granted",
+					   "of these, granted an engine"},
+	[COUNTER_GATEWAY_NOT_IN_TIME] =
+		{"gateway_not_in_time",
+		 "requests refused because no engine would have room in time"},
 	[COUNTER_GATEWAY_RESTS] = {"gateway_rests",
 				   "rests that endpoints asked this node for"},
 	[COUNTER_GATEWAY_LEAVING] = {"gateway_leaving",
@@ -118,6 +129,8 @@
 				 "from a request to its first event"},
 	[LATENCY_PAUSE] = {"gateway_longest_pause",
 			   "longest pause between two events of a stream"},
+	[LATENCY_WAIT] = {"gateway_wait",
+			  "that a request waited until it was granted"},
 };
 
 /* Adds a latency to its histogram. */
--- a/core/base/counters.h
+++ b/core/base/counters.h
@@ -57,6 +57,10 @@
 	COUNTER_GATEWAY_LIMITED,
 	COUNTER_GATEWAY_RELAYED,
 	COUNTER_GATEWAY_ANSWERS_TOO_LARGE,
+	COUNTER_GATEWAY_WAITS,
+	COUNTER_GATEWAY_WAITS_OVER,
+	COUNTER_GATEWAY_WAITS_GRANTED,
+	COUNTER_GATEWAY_NOT_IN_TIME,
 	COUNTER_COUNT
 };
 
@@ -65,6 +69,7 @@
 	LATENCY_PLAIN,	     /* gateway: complete answer of a plain endpoint */
 	LATENCY_FIRST_EVENT, /* gateway: first event of a stream */
 	LATENCY_PAUSE,	     /* gateway: longest pause of a stream */
+	LATENCY_WAIT, /* gateway: until a request that waits is granted */
 	LATENCY_COUNT
 };
 
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -55,8 +55,9 @@
 	struct rate_window *sent_spare;	  /* take-overs beyond that, or NULL */
 	struct held own;		  /* load of this node */
 	struct held others;		  /* announced by all other nodes */
-	struct held granted;	       /* granted by this node, unconfirmed */
-	struct endpoint_health health; /* by requests of this node */
+	struct held granted;	/* granted by this node, unconfirmed */
+	int64_t sampled_tokens; /* of its load, for the forecast of waiting */
+	struct endpoint_health health;	     /* by requests of this node */
 	struct endpoint_suspicion suspicion; /* by notices of all nodes */
 	int64_t replaced_us;   /* when another one answered at its address; 0:
 				  never */
--- a/core/gateway/route_table.c
+++ b/core/gateway/route_table.c
@@ -267,6 +267,16 @@
 	return organisation;
 }
 
+/* Returns the organisation's share of a wait queue; 1 if it is unknown. */
+int32_t route_table_find_weight(const struct route_table *table,
+				const char *organisation)
+{
+	const struct config_organisation *known =
+		config_find_organisation(table->config, organisation);
+
+	return known ? known->weight : 1;
+}
+
 /*
  * Returns whether requests of the route can wait in favour of others: a more
  * urgent stream of the same generation service is due sooner.
--- a/core/gateway/route_table.h
+++ b/core/gateway/route_table.h
@@ -28,6 +28,8 @@
 				     const char *host, const char *target);
 const struct config_service *
 route_table_find_service(const struct route_table *table, const char *name);
+int32_t route_table_find_weight(const struct route_table *table,
+				const char *organisation);
 bool route_table_is_deferrable(const struct route_table *table,
 			       const struct route *route);
 bool route_table_gives_way(const struct route_table *table,
--- a/core/message/peer_message.c
+++ b/core/message/peer_message.c
@@ -27,6 +27,10 @@
 	[PEER_ENDPOINT_FULL] = "endpoint_full",
 	[PEER_ENDPOINT_LEAVING] = "endpoint_leaving",
 	[PEER_ENDPOINT_SPEEDS] = "endpoint_speeds",
+	[PEER_AWAIT] = "await",
+	[PEER_WAITING] = "waiting",
+	[PEER_UNAVAILABLE] = "unavailable",
+	[PEER_WITHDRAW] = "withdraw",
 };
 
 static void member_free(gpointer data)
@@ -79,6 +83,10 @@
 	case PEER_CHOOSE:
 		message->choose.avoid = g_ptr_array_new_with_free_func(g_free);
 		break;
+	case PEER_AWAIT:
+		message->await.choose.avoid =
+			g_ptr_array_new_with_free_func(g_free);
+		break;
 	case PEER_CORDONS:
 		message->cordons.cordons = cordon_list_create();
 		break;
@@ -110,6 +118,9 @@
 	case PEER_FAILURE_NOTICE:
 	case PEER_ENDPOINT_FULL:
 	case PEER_ENDPOINT_LEAVING:
+	case PEER_WAITING:
+	case PEER_UNAVAILABLE:
+	case PEER_WITHDRAW:
 	case PEER_MESSAGE_TYPE_COUNT:
 		break;
 	}
@@ -145,6 +156,12 @@
 		g_free(message->choose.failure_domain);
 		g_ptr_array_unref(message->choose.avoid);
 		break;
+	case PEER_AWAIT:
+		g_free(message->await.choose.service);
+		g_free(message->await.choose.failure_domain);
+		g_ptr_array_unref(message->await.choose.avoid);
+		g_free(message->await.organisation);
+		break;
 	case PEER_CHOSEN:
 		g_free(message->chosen.endpoint);
 		g_free(message->chosen.backup);
@@ -185,6 +202,9 @@
 	case PEER_RELEASE:
 	case PEER_ENDPOINT_FULL:
 	case PEER_ENDPOINT_LEAVING:
+	case PEER_WAITING:
+	case PEER_UNAVAILABLE:
+	case PEER_WITHDRAW:
 	case PEER_MESSAGE_TYPE_COUNT:
 		break;
 	}
--- a/core/node/node.c
+++ b/core/node/node.c
@@ -219,6 +219,10 @@
 	case PEER_REACH:
 	case PEER_ENDPOINT_FULL:
 	case PEER_ENDPOINT_LEAVING:
+	case PEER_AWAIT:
+	case PEER_WAITING:
+	case PEER_UNAVAILABLE:
+	case PEER_WITHDRAW:
 	case PEER_CHOSEN: /* handled by the gateway */
 	case PEER_MESSAGE_TYPE_COUNT:
 		break;
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -163,6 +163,10 @@
 		event->peer->type == PEER_ROUTES_REQUEST ||
 		event->peer->type == PEER_CHOOSE ||
 		event->peer->type == PEER_CHOSEN ||
+		event->peer->type == PEER_AWAIT ||
+		event->peer->type == PEER_WAITING ||
+		event->peer->type == PEER_UNAVAILABLE ||
+		event->peer->type == PEER_WITHDRAW ||
 		event->peer->type == PEER_CORDONS ||
 		event->peer->type == PEER_ENDPOINT_LIMITS ||
 		event->peer->type == PEER_ENDPOINT_SPEEDS ||
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -43,6 +43,10 @@
 	PEER_ENDPOINT_FULL, /* gateway: a brittle endpoint rejects requests */
 	PEER_ENDPOINT_LEAVING, /* gateway: an endpoint says that it leaves */
 	PEER_ENDPOINT_SPEEDS,  /* gateway: how fast endpoints are */
+	PEER_AWAIT,   /* gateway: waits at the home until an engine has room */
+	PEER_WAITING, /* home: the request waits */
+	PEER_UNAVAILABLE, /* home: the request can't be served in time */
+	PEER_WITHDRAW,	  /* gateway: the request waits no longer */
 	PEER_MESSAGE_TYPE_COUNT
 };
 
@@ -200,6 +204,24 @@
 	char *backup;	/* id; "": none */
 };
 
+/* Waits for an engine for one generation; granted by PEER_CHOSEN. */
+struct peer_await {
+	struct peer_choose choose;
+	char *organisation; /* "": none */
+	int32_t rank;	    /* 0 is the most urgent */
+	int64_t wait_us;    /* until its first event is due */
+};
+
+/* The request of this number waits, or waits no longer. */
+struct peer_wait_notice {
+	uint64_t number;
+};
+
+struct peer_unavailable {
+	uint64_t number;
+	int64_t retry_after_us; /* -1: not known */
+};
+
 /* All cordons that the sender knows, with those lifted lately. */
 struct peer_cordons {
 	GPtrArray *cordons; /* struct cordon */
@@ -294,6 +316,9 @@
 		struct peer_standing standing;
 		struct peer_choose choose;
 		struct peer_chosen chosen;
+		struct peer_await await;
+		struct peer_wait_notice wait_notice; /* WAITING, WITHDRAW */
+		struct peer_unavailable unavailable;
 		struct peer_cordons cordons;
 		struct peer_endpoint_limits endpoint_limits;
 		struct peer_endpoint_speeds endpoint_speeds;
--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -227,6 +227,8 @@
 {
 	if (timer)
 		g_source_remove(timer);
+	while (!late.empty())
+		g_source_remove(late.begin()->second);
 	listener_destroy(listener);
 	caller_set_destroy(callers);
 }
@@ -337,6 +339,10 @@
 				if (node->gateway &&
 				    !(test->loses_reach &&
 				      item.message->type == PEER_REACH) &&
+				    !(test->deaf_node >= 0 &&
+				      node == test->nodes
+						      [(size_t)test
+							       ->deaf_node]) &&
 				    node->peer_address == address)
 					gateway_receive_peer(node->gateway,
 							     item.message);
--- a/tests/gateway_pair.h
+++ b/tests/gateway_pair.h
@@ -122,6 +122,7 @@
 	bool moves = false;		/* engines copy runs to each other */
 	bool backs_up = false;	  /* engines keep copies of each other's runs */
 	bool loses_reach = false; /* what nodes say of their reach is lost */
+	int deaf_node = -1;	  /* gets no records; -1: none */
 	int64_t position = 2;	  /* the same, so that none overrules another */
 	struct log *log = log_create(
 		"test", getenv("PAIR_LOG") ? LOG_LEVEL_INFO : LOG_LEVEL_ERROR);
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -119,6 +119,25 @@
 		message->chosen.endpoint = g_strdup("i-7f3a91c2");
 		message->chosen.backup = g_strdup("");
 		break;
+	case PEER_AWAIT:
+		message->await.choose.number = 8;
+		message->await.choose.service = g_strdup("report-writer");
+		message->await.choose.failure_domain = g_strdup("casablanca-a");
+		message->await.choose.tokens = 3400;
+		message->await.choose.prompt_tokens = 3000;
+		message->await.choose.purpose = CHOOSE_DEFERRABLE_RUN;
+		g_ptr_array_add(message->await.choose.avoid, g_strdup("i-1"));
+		message->await.organisation = g_strdup("atlas");
+		message->await.rank = 9;
+		message->await.wait_us = 3600000000;
+		break;
+	case PEER_WAITING:
+	case PEER_WITHDRAW:
+		message->wait_notice.number = UINT64_MAX - 5;
+		break;
+	case PEER_UNAVAILABLE:
+		message->unavailable = {UINT64_MAX - 6, 3600000000};
+		break;
 	case PEER_CORDONS:
 		g_ptr_array_add(message->cordons.cordons,
 				cordon_create("casablanca-a", 812, false));
