Waiting generations: ranges of the records, and a node without a home

Tests that values out of range are refused in PEER_AWAIT and PEER_UNAVAILABLE, and that a node without a home grants from its own queue. The loads of engines are compared each 100 ms while nothing waits, as only the forecast needs them.

--- a/adapters/gateway/gateway_waiting.c
+++ b/adapters/gateway/gateway_waiting.c
@@ -14,8 +14,8 @@
 #define TELL_INTERVAL_US (500 * 1000)
 
 /*
- * A home that has said nothing for this long is lost. The link sends notices
- * again until they are confirmed, so one that is lost once is not enough.
+ * A home that has said nothing for this long is lost. One lost packet is no
+ * reason: the link sends notices again until they are confirmed.
  */
 #define HOME_SILENT_US (700 * 1000)
 
@@ -29,11 +29,17 @@
 #define ASK_NEXT_HOME_US (100 * 1000)
 
 /*
- * Loads are compared at most this often for reports of other nodes: at 480
- * nodes ten a second each, a comparison for each one would cost 0.02 cores.
+ * Loads are compared at most this often for reports of other nodes and for new
+ * requests: 480 nodes send ten reports a second each.
  */
 #define SAMPLE_INTERVAL_US (5 * 1000)
 
+/*
+ * The same while nothing waits: only the forecast needs the loads then, in
+ * slots of this length.
+ */
+#define IDLE_SAMPLE_INTERVAL_US (100 * 1000)
+
 /* The requests of one service that wait at this node. */
 struct service_queue {
 	struct wait_room *room;
@@ -548,6 +554,9 @@
 		g_hash_table_remove(gateway->waiting->queues, queue->service);
 		return;
 	}
+	if (wait_room_length(queue->room) == 0 &&
+	    gateway->now_us - queue->sampled_us < IDLE_SAMPLE_INTERVAL_US)
+		return;
 	sample_load(gateway, queue);
 	grant(gateway, queue);
 }
--- a/tests/gateway_waiting_test.cc
+++ b/tests/gateway_waiting_test.cc
@@ -148,6 +148,18 @@
 	EXPECT_EQ(0u, gateway_waiting_count(nodes[home]->gateway));
 }
 
+/* Guards against a node without a home that refuses what could have waited. */
+TEST_F(GatewayWaiting, ANodeWithoutAHomeHasItsOwnQueue)
+{
+	Prepare(1);
+	LetWait(0, "/report/a", "large");
+	Send(0, "/query/a", "urgent");
+	EXPECT_EQ(200, Status("urgent"));
+	EXPECT_EQ(0, one.runs["large"]);
+	EXPECT_EQ(200, Status("large"));
+	EXPECT_EQ(2u, Count(0, COUNTER_GATEWAY_WAITS_GRANTED));
+}
+
 /* Guards against a grant that is not counted until its node announces it. */
 TEST_F(GatewayWaiting, AGrantCountsAtOnce)
 {
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -1,3 +1,4 @@
+#include "codec/peer_await.h"
 #include "codec/peer_codec.h"
 
 #include <gtest/gtest.h>
@@ -688,6 +689,61 @@
 	EXPECT_EQ(nullptr, decode(bytes, &error));
 }
 
+static bool await_is_valid(int purpose, int rank, uint32_t wait_us,
+			   const char *organisation)
+{
+	struct peer_message *message = peer_message_create(PEER_AWAIT);
+	const char *const avoid[] = {"i-1", nullptr};
+	GVariant *body = g_variant_ref_sink(
+		g_variant_new("(ttuuyssssyus^as)", (guint64)1, (guint64)2, 100,
+			      50, (guchar)purpose, "n", "n:1", "service", "a",
+			      (guchar)rank, wait_us, organisation, avoid));
+	bool is_valid = peer_await_decode(body, &message->await);
+
+	g_variant_unref(body);
+	peer_message_destroy(message);
+	return is_valid;
+}
+
+/* Guards against a queue that another node fills with nonsense. */
+TEST(PeerCodec, RefusesWaitingRequestsOutOfRange)
+{
+	std::string text(64, 'x');
+
+	EXPECT_TRUE(await_is_valid(CHOOSE_RUN, 0, 0, ""));
+	EXPECT_TRUE(await_is_valid(CHOOSE_RUN, 9, 3600000000u, text.c_str()));
+	EXPECT_FALSE(await_is_valid(CHOOSE_RUN, 10, 0, ""));
+	EXPECT_FALSE(await_is_valid(CHOOSE_RUN, 0, 3600000001u, ""));
+	EXPECT_FALSE(await_is_valid(CHOOSE_MOVE, 0, 0, ""));
+	EXPECT_FALSE(await_is_valid(CHOOSE_PURPOSE_COUNT, 0, 0, ""));
+	text += 'x';
+	EXPECT_FALSE(await_is_valid(CHOOSE_RUN, 0, 0, text.c_str()));
+	EXPECT_FALSE(await_is_valid(CHOOSE_RUN, 0, 0, "a\nb"));
+}
+
+/* Guards against callers who are told to come back at an absurd time. */
+TEST(PeerCodec, RefusesTimesOfRefusalsOutOfRange)
+{
+	static const struct {
+		int64_t retry_after_us;
+		bool is_valid;
+	} cases[] = {
+		{-1, true},	     {0, true},	  {3600000000, true},
+		{3600000001, false}, {-2, false}, {INT64_MAX, false},
+	};
+
+	for (const auto &item : cases) {
+		struct peer_unavailable read = {};
+		GVariant *body = g_variant_ref_sink(
+			g_variant_new("(ttxss)", (guint64)1, (guint64)2,
+				      item.retry_after_us, "n", "n:1"));
+
+		EXPECT_EQ(item.is_valid, peer_unavailable_decode(body, &read))
+			<< item.retry_after_us;
+		g_variant_unref(body);
+	}
+}
+
 /*
  * An empty endpoint means that the home has queued the request. If the decoder
  * rejected it, the requester would treat the home as unreachable and use its
