--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -56,7 +56,7 @@
 	       route_table_gives_way(gateway->table, service) &&
 	       (int64_t)gateway_node_count(gateway) >=
 		       gateway->options.home_from_nodes &&
-	       !find_home(gateway, service);
+	       !gateway_find_home(gateway, service);
 }
 
 /* Who chooses the endpoints of the service while they are cold. */
