A late request that is held by now is refused, not left at its endpoint

GatewayLoss.RefusesWhatIsUnderWayAtItsNextSend got 504 instead of 502 since: a late request that quarantine held meanwhile was no longer taken from its silent endpoint. It is refused at its next send again, as before; the test passes as it stands.

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -576,7 +576,8 @@
 /*
  * Sends a request whose answer is late to another endpoint as well. The first
  * one goes on: it may be silent for a moment, and the other one may be out of
- * reach. The first good answer is taken.
+ * reach. The first good answer is taken. One that is held by now, as endpoints
+ * ended under it, is not left at its endpoint either.
  */
 static void send_second(struct exchange *exchange)
 {
@@ -587,9 +588,12 @@
 	exchange_fill_criteria(exchange, &criteria);
 	criteria.avoid_id = exchange->leg->endpoint_id;
 	endpoint = endpoint_choose(exchange->gateway->registry, &criteria);
-	if (!endpoint || !exchange_is_admitted(exchange) ||
-	    !retry_window_take(
-		    gateway_budget(exchange->gateway, exchange->service_name)))
+	if (!exchange_is_admitted(exchange)) {
+		exchange_fail_leg(exchange, RESULT_SLOW, "held");
+		return;
+	}
+	if (!endpoint || !retry_window_take(gateway_budget(
+				 exchange->gateway, exchange->service_name)))
 		return;
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "request_sent_again",
 		  "request", exchange->parsed_request.id, "endpoint",
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -342,9 +342,6 @@
 				  const struct peer_message *message);
 void gateway_home_receive_answer(struct gateway *gateway,
 				 const struct peer_message *message);
-
-const struct member *gateway_find_home(const struct gateway *gateway,
-				       const char *service);
 bool gateway_home_grant(struct gateway *gateway, const char *node,
 			const char *address, const struct peer_choose *choose);
 
