Waiting generations: many callers come and go while the home stops

A test with 200 requests at three nodes: callers that leave, deadlines, and a home that drains in the middle. Each request is answered once, 503 only if it did not run, and nothing is left in a queue.

--- a/tests/gateway_waiting_test.cc
+++ b/tests/gateway_waiting_test.cc
@@ -71,7 +71,7 @@
 		for (size_t i = 0; i < nodes.size(); i++)
 			if (!gateway_find_home(nodes[i]->gateway, "engines"))
 				home = i;
-		other = nodes.size() - 1 - home;
+		other = (home + 1) % nodes.size();
 	}
 
 	void Send(size_t node, const std::string &path, const std::string &id,
@@ -503,6 +503,63 @@
 	EXPECT_EQ(1, two.runs["there"]);
 }
 
+/*
+ * Guards against requests that are lost, answered twice, or refused with 503
+ * although they ran, while callers of three nodes come and go, deadlines pass
+ * and the home stops in the middle.
+ */
+TEST_F(GatewayWaiting, EachOfManyIsAnsweredOnce)
+{
+	GRand *random = g_rand_new_with_seed(7);
+	std::vector<std::string> ids, gone;
+	int whole = 0, refused = 0;
+
+	Prepare(3);
+	one.silence_ms = 20;
+	for (int i = 0; i < 200; i++) {
+		std::string id = "m-" + std::to_string(i);
+
+		Send((size_t)g_rand_int_range(random, 0, 3),
+		     g_rand_boolean(random) ? "/query/a" : "/report/a", id, "",
+		     g_rand_int_range(random, 100, 2500));
+		ids.push_back(id);
+		Wait(g_rand_int_range(random, 1, 10));
+		if (g_rand_int_range(random, 0, 5) == 0) {
+			gone.push_back(id);
+			callers[id]->close();
+			ids.pop_back();
+		}
+		if (i == 100) {
+			nodes[home]->gateway->options.drain_us =
+				10 * G_USEC_PER_SEC;
+			gateway_drain(nodes[home]->gateway);
+		}
+	}
+	for (const std::string &id : ids) {
+		int status = Status(id);
+
+		whole += status == 200;
+		refused += status == 503;
+		EXPECT_TRUE(status == 200 || status == 503 || status == 504)
+			<< id << " " << status;
+		/* The engine counts a run when it answers: 504 leaves open
+		 * whether the request ran. */
+		if (status == 504)
+			EXPECT_LE(one.runs[id], 1) << id;
+		else
+			EXPECT_EQ(status == 200, one.runs[id]) << id;
+	}
+	for (const std::string &id : gone)
+		EXPECT_LE(one.runs[id], 1) << id;
+	for (size_t i = 0; i < 3; i++) {
+		EXPECT_EQ(0u, WaitingNow(i));
+		EXPECT_EQ(0u, gateway_waiting_count(nodes[i]->gateway));
+	}
+	printf("whole %d, refused %d, left %zu\n", whole, refused, gone.size());
+	EXPECT_GT(whole, 20) << "one engine, 20 ms each";
+	g_rand_free(random);
+}
+
 /* Guards against a queue where the configuration asks for none. */
 TEST_F(GatewayWaiting, WithoutMixedUrgencyAllIsAsBefore)
 {
