Deferrable requests fill engines up to the planned load only

With the queue in place nobody is refused for lack of room, so that requests that can wait no longer fill engines above the planned load, and leave half a run on each engine besides the share that is about to leave: smaller gaps are of no use to a move. Moves may use the room up to the planned load.

--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -32,7 +32,13 @@
  * The same where new requests leave room for moves: this room is on all
  * engines.
  */
-#define MOVE_FILL_RESERVED 0.9
+#define MOVE_FILL_RESERVED PLANNED_FILL
+
+/*
+ * Room on an engine that is smaller than a run is of no use to a move. On
+ * average half a run of each engine is lost by that.
+ */
+#define MOVE_WASTE 0.5
 
 /*
  * How long an entry that another endpoint answered for is passed over. It may
@@ -537,6 +543,24 @@
 	return *wait_us != INT64_MAX;
 }
 
+/*
+ * Returns the load up to which a new request may fill an engine. One that can
+ * wait leaves room for the runs of engines that will leave, and never fills an
+ * engine above the planned load.
+ */
+static double usable_fill(const struct endpoint_criteria *criteria,
+			  const struct summary *summary, double fill)
+{
+	double reserved;
+
+	if (criteria->reserved_share <= 0)
+		return fill - summary->leaving_share;
+	reserved = criteria->reserved_share +
+		   MOVE_WASTE * (double)criteria->tokens /
+			   (double)MAX(criteria->engine->memory_tokens, 1);
+	return MIN(fill, PLANNED_FILL) - MAX(summary->leaving_share, reserved);
+}
+
 /*
  * Returns the endpoint with the best score among those with room, or NULL if
  * none has room. If all endpoints with room look unhealthy, one of them is
@@ -560,8 +584,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(passes); i++) {
 		struct endpoint *endpoint = choose_best(
 			registry, criteria, &summary, passes[i].healthy_only,
-			passes[i].fill - MAX(summary.leaving_share,
-					     criteria->reserved_share));
+			usable_fill(criteria, &summary, passes[i].fill));
 
 		if (endpoint)
 			return endpoint;
