Tests: a trial at each node is found out before word of the first one

The test asked one node after the other, and the first node's trial reached the second within 1 ms, before the next request, so that the trial held there and the rule had nothing to do.

GatewayPair can hold back messages between nodes; the first request at each node now comes before word of a trial, the others as before. Requests wait until all engines listen under known starts, as one that meets a closed port does not run. The wait of 100 ms until the other node knows the ends is now for what it knows.

The neighbours: IsHeldAtAllNodes had the same blind wait, and would have failed rather than passed; the others ask one node only and expect exact counts.

--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -332,6 +332,8 @@
 	GatewayPair *test = (GatewayPair *)data;
 	std::vector<struct sent_message> sent;
 
+	if (test->holds_messages)
+		return G_SOURCE_CONTINUE;
 	sent.swap(test->sent);
 	for (const struct sent_message &item : sent) {
 		for (const std::string &address : item.to)
--- a/tests/gateway_parts_test.cc
+++ b/tests/gateway_parts_test.cc
@@ -195,9 +195,43 @@
 					     g_get_monotonic_time());
 	}
 
-	size_t Runs() const
+	/* Waits until node n1 knows all ends under the part. */
+	void WaitUntilToldOf(uint64_t part)
 	{
-		return one.runs.size() + two.runs.size() + three.runs.size();
+		struct suspect_list list = {};
+		uint64_t key;
+
+		list.keys[0] = part;
+		list.count = 1;
+		EXPECT_TRUE(run_until([&] {
+			return quarantine_judge(nodes[1]->gateway->quarantine,
+						&list, g_get_monotonic_time(),
+						&key) != QUARANTINE_NONE;
+		}));
+	}
+
+	/* Waits until all engines listen and all nodes know just these starts,
+	 * so that a request that is sent runs. */
+	void WaitUntilUp()
+	{
+		EXPECT_TRUE(run_until([&] { return IsUp(); }));
+		RegisterStarts();
+		RemoveOldEntries();
+	}
+
+	/* Which requests ran where, "ENGINE REQUEST" each. Nodes poll the
+	 * report of an endpoint whose removal they doubt, without a request id.
+	 */
+	std::vector<std::string> Runs() const
+	{
+		std::vector<std::string> runs;
+
+		for (const PairEndpoint *engine : {&one, &two, &three})
+			for (const auto &run : engine->runs)
+				if (!run.first.empty())
+					runs.push_back(engine->id + " " +
+						       run.first);
+		return runs;
 	}
 };
 
@@ -252,16 +286,22 @@
 		<< "it is watched no longer";
 }
 
-/* Guards against a trial at each node once the hold of a part is over. */
+/* Guards against a trial at each node once the hold of a part is over. Word of
+ * a trial would keep the other node from another one: the first requests come
+ * before it. */
 TEST_P(GatewayPart, OneRunTriesInTheFleet)
 {
 	Prepare();
 	ShortenHolds(2 * G_USEC_PER_SEC);
 	EndSome(bad, 3);
-	Wait(100);
-	for (int i = 0; i < 6; i++)
+	WaitUntilToldOf(bad);
+	holds_messages = true;
+	for (int i = 0; i < 6; i++) {
+		WaitUntilUp();
 		AskWith((size_t)i % 2, "aa:100,bad1:50,");
-	EXPECT_EQ(1u, Runs());
+		holds_messages = i < 1;
+	}
+	EXPECT_EQ(1u, Runs().size()) << testing::PrintToString(Runs());
 	EXPECT_EQ(5, Refused());
 }
 
@@ -271,7 +311,7 @@
 {
 	Prepare();
 	EndSome(bad, 3);
-	Wait(100);
+	WaitUntilToldOf(bad);
 	for (size_t node = 0; node < 2; node++) {
 		EXPECT_EQ(503, AskWith(node, "aa:100,bad1:50,"));
 		EXPECT_EQ(503, AskWith(node, "aa:100,BAD1:50,")) << "its case";
