Soak: streams that may be resumed, with callers that go on

The soak had no route with resumable streams, so that going on after an event was judged by unit tests only.

A route /query/ (resumable, two attempts) takes ten of the 25 percent of the streams. A caller whose answer broke off sends the query again with the last event that it has. Judged: two runs at most; the first run begins just after the caller's event, a later one not before it; what each attempt gets begins with the next event and has no gap or repeat. All that holds for streams' ends, refusals and losses holds for queries too, except the 400 ms of two engines on one stream, which is not judged for them.

FakeBackend*, Soak* and GatewayPart* pass.

--- a/fakes/backend_journal.c
+++ b/fakes/backend_journal.c
@@ -75,6 +75,14 @@
 		journal_append(journal, event, request, from_copy);
 }
 
+/* Writes that a run has started; does nothing if the journal is NULL. */
+void backend_journal_write_run(struct backend_journal *journal,
+			       const char *request, int64_t first_event)
+{
+	if (journal)
+		journal_append(journal, BACKEND_RUN, request, first_event);
+}
+
 /*
  * Writes that the request is turned away and its sender asked for rest. Does
  * nothing if the journal is NULL.
--- a/fakes/backend_journal.h
+++ b/fakes/backend_journal.h
@@ -11,8 +11,9 @@
  * A log of an engine's actions, from which tests determine which engine ran
  * which request. Each line, `time_us event request engine from_copy`, is
  * written to the file before the engine continues, so the journal of a killed
- * engine is complete. Times are from CLOCK_MONOTONIC. With the event rest the
- * last field is the rest in ms; the refusal follows.
+ * engine is complete. Times are from CLOCK_MONOTONIC. With the event run the
+ * last field is the number of its first event; with the event rest it is the
+ * rest in ms, and the refusal follows.
  */
 struct backend_journal;
 
@@ -32,6 +33,8 @@
 void backend_journal_write(struct backend_journal *journal,
 			   enum backend_event event, const char *request,
 			   bool from_copy);
+void backend_journal_write_run(struct backend_journal *journal,
+			       const char *request, int64_t first_event);
 void backend_journal_write_rest(struct backend_journal *journal,
 				const char *request, int64_t rest_ms);
 
--- a/fakes/backend_run.c
+++ b/fakes/backend_run.c
@@ -174,12 +174,9 @@
 
 static void run_generate(struct backend_run *run)
 {
-	const char *last = fake_message_header(run->message, "Last-Event-Id");
 	SoupMessageHeaders *headers =
 		soup_server_message_get_response_headers(run->message);
 
-	if (last)
-		run->next_event = g_ascii_strtoll(last, NULL, 10) + 1;
 	soup_message_headers_set_encoding(
 		headers, run->backend->unframed ? SOUP_ENCODING_EOF
 						: SOUP_ENCODING_CHUNKED);
@@ -269,6 +266,7 @@
 void backend_run_begin(struct backend *backend, SoupServerMessage *message,
 		       const char *id, const char *path)
 {
+	const char *last = fake_message_header(message, "Last-Event-Id");
 	struct backend_run *run = g_new0(struct backend_run, 1);
 
 	run->backend = backend;
@@ -279,12 +277,18 @@
 		g_strdup(fake_message_header(message, HEADER("Kv-Backup")));
 	run->from_copy = fake_message_header(message, "Kv-From") != NULL;
 	run->has_poison_part = has_poison_part(message);
+	if (last)
+		run->next_event = g_ascii_strtoll(last, NULL, 10) + 1;
 	g_ptr_array_add(backend->runs, run);
 	if (run->from_copy)
 		backend->takeover_count++;
 	else
 		backend->run_count++;
-	run_journal(run, run->from_copy ? BACKEND_CONTINUE : BACKEND_RUN);
+	if (run->from_copy)
+		run_journal(run, BACKEND_CONTINUE);
+	else
+		backend_journal_write_run(backend->journal, id,
+					  run->next_event);
 	if (is_poison(message))
 		crash("poison", id);
 	g_signal_connect(message, "finished", G_CALLBACK(on_message_finished),
--- a/tests/fake_backend_test.cc
+++ b/tests/fake_backend_test.cc
@@ -367,6 +367,29 @@
 		  other.events());
 }
 
+/* Guards against a stand-in that starts a resumed stream from its beginning, or
+ * whose journal hides where it began. */
+TEST_F(FakeBackend, BeginsAfterTheLastEventOfItsCaller)
+{
+	Backend engine(folder, "i-1");
+	std::string answer;
+
+	engine.set_mode("{\"events\": 4, \"pace_ms\": 2}");
+	answer = Backend::read_answer(
+		engine.request("r-1", "Last-Event-Id: 1\r\n"));
+	EXPECT_EQ(0u, answer.find("HTTP/1.1 200")) << answer;
+	EXPECT_FALSE(contains(answer, "r-1.1\"")) << answer;
+	EXPECT_TRUE(contains(answer, "r-1.2\"") && contains(answer, "r-1.3\""))
+		<< answer;
+	answer = Backend::read_answer(
+		engine.request("r-2", "Last-Event-Id: 3\r\n"));
+	EXPECT_EQ(0u, answer.find("HTTP/1.1 200")) << answer;
+	EXPECT_FALSE(contains(answer, "data:")) << answer;
+	EXPECT_EQ("arrival r-1 0\nrun r-1 2\nend r-1 0\n"
+		  "arrival r-2 0\nrun r-2 4\nend r-2 0\n",
+		  engine.events());
+}
+
 TEST_F(FakeBackend, DropsTheCopyOfARunThatHasEnded)
 {
 	Backend one(folder, "i-1");
--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -124,7 +124,7 @@
 
 static char *request_text(const struct soak_attempt *attempt)
 {
-	bool streams = attempt->kind == SOAK_KIND_STREAM ||
+	bool streams = soak_kind_is_stream(attempt->kind) ||
 		       attempt->kind == SOAK_KIND_POISON ||
 		       attempt->kind == SOAK_KIND_POISON_PART;
 	/* Poison comes again as it was, unless it is in a part of the prompt.
@@ -136,6 +136,11 @@
 			: attempt->id;
 	g_autofree char *fields =
 		streams ? generation_fields(attempt) : g_strdup("");
+	g_autofree char *last =
+		attempt->after_event < 0
+			? g_strdup("")
+			: g_strdup_printf("Last-Event-Id: %" PRId64 "\r\n",
+					  attempt->after_event);
 	bool has_body = attempt->kind != SOAK_KIND_IDEMPOTENT &&
 			attempt->kind != SOAK_KIND_PROBE;
 	int64_t left_us = attempt->deadline_us - g_get_monotonic_time();
@@ -145,10 +150,10 @@
 		"Authorization: Bearer " SOAK_KEY "\r\n"
 		"X-Siskinlink-Request-Id: %s\r\n"
 		"X-Siskinlink-Deadline-Ms: %" PRId64 "\r\n"
-		"%sContent-Length: %" G_GSIZE_FORMAT "\r\n\r\n%s",
+		"%s%sContent-Length: %" G_GSIZE_FORMAT "\r\n\r\n%s",
 		has_body ? "POST" : "GET", attempt->path, attempt->id,
-		MAX(left_us / MS_US, 1), fields, has_body ? strlen(body) : 0,
-		has_body ? body : "");
+		MAX(left_us / MS_US, 1), fields, last,
+		has_body ? strlen(body) : 0, has_body ? body : "");
 }
 
 /*
@@ -210,11 +215,15 @@
 			    g_rand_int_range(caller->random, 5, 500) * MS_US;
 }
 
-/* Sends one attempt, reads its answer and records both. */
-static struct soak_attempt *caller_attempt(struct caller *caller,
-					   enum soak_kind kind,
-					   const char *path, const char *front,
-					   int64_t deadline_us)
+/*
+ * Sends one attempt, reads its answer and records both. It goes on after the
+ * last event of the attempt that broke off before, if that is not NULL.
+ */
+static struct soak_attempt *caller_resume(struct caller *caller,
+					  enum soak_kind kind, const char *path,
+					  const char *front,
+					  int64_t deadline_us,
+					  const struct soak_attempt *resumed)
 {
 	g_autofree char *id =
 		g_strdup_printf("s%u-%d-%d", caller->schedule->seed,
@@ -230,6 +239,8 @@
 
 	g_ptr_array_add(caller->attempts, attempt);
 	attempt->deadline_us = deadline_us;
+	if (resumed)
+		attempt->after_event = soak_attempt_last_event(resumed);
 	attempt->closed_since_us = closed_since_us;
 	attempt->on_kept = connection && connection == kept;
 	if (connection) {
@@ -252,6 +263,14 @@
 	return attempt;
 }
 
+static struct soak_attempt *caller_attempt(struct caller *caller,
+					   enum soak_kind kind,
+					   const char *path, const char *front,
+					   int64_t deadline_us)
+{
+	return caller_resume(caller, kind, path, front, deadline_us, NULL);
+}
+
 static bool is_not_executed_status(int32_t status)
 {
 	return status == 429 || status == 503 || status == 408 || status == 421;
@@ -266,7 +285,8 @@
 	if (attempt->end == SOAK_END_COMPLETE && is_not_executed_status(status))
 		return true;
 	if (attempt->end == SOAK_END_STOPPED ||
-	    attempt->kind != SOAK_KIND_IDEMPOTENT)
+	    (attempt->kind != SOAK_KIND_IDEMPOTENT &&
+	     attempt->kind != SOAK_KIND_QUERY))
 		return false;
 	return attempt->end != SOAK_END_COMPLETE || status >= 500;
 }
@@ -285,23 +305,24 @@
 			const char *path)
 {
 	int64_t deadline_us = g_get_monotonic_time() +
-			      (kind == SOAK_KIND_STREAM ? STREAM_DEADLINE_US
-							: PLAIN_DEADLINE_US);
+			      (soak_kind_is_stream(kind) ? STREAM_DEADLINE_US
+							 : PLAIN_DEADLINE_US);
 	int retries = caller->behaviour == BEHAVIOUR_IMPATIENT
 			      ? IMPATIENT_RETRIES
 			      : RETRIES;
+	const struct soak_attempt *attempt = NULL;
 
 	for (int i = 0; i <= retries; i++) {
 		g_autofree char *front =
 			caller->kept && caller->kept_front
 				? g_strdup(caller->kept_front)
 				: soak_directory_pick(caller->directory);
-		const struct soak_attempt *attempt;
 
 		if (!front || g_get_monotonic_time() >= deadline_us)
 			return;
 		attempt =
-			caller_attempt(caller, kind, path, front, deadline_us);
+			caller_resume(caller, kind, path, front, deadline_us,
+				      kind == SOAK_KIND_QUERY ? attempt : NULL);
 		if (attempt->end == SOAK_END_NOT_SENT ||
 		    attempt->end == SOAK_END_RESET)
 			soak_directory_note_failed(caller->directory, front);
@@ -313,17 +334,18 @@
 
 /* A part of the requests that callers send; the percentages add up to 100. */
 struct load {
-	enum soak_kind kind;
 	const char *prefix;
+	enum soak_kind kind;
 	int percent;
 };
 
 static const struct load *caller_draw_load(struct caller *caller)
 {
 	static const struct load mix[] = {
-		{SOAK_KIND_STREAM, "/report/", 25},
-		{SOAK_KIND_ONCE, "/export/", 40},
-		{SOAK_KIND_IDEMPOTENT, "/lookup/", 35},
+		{"/report/", SOAK_KIND_STREAM, 15},
+		{"/query/", SOAK_KIND_QUERY, 10},
+		{"/export/", SOAK_KIND_ONCE, 40},
+		{"/lookup/", SOAK_KIND_IDEMPOTENT, 35},
 	};
 	int32_t draw = g_rand_int_range(caller->random, 0, 100);
 	size_t i = 0;
@@ -371,7 +393,7 @@
 			soak_view_front(caller->view, caller->node);
 		g_autofree char *path =
 			g_strdup_printf("%s%d", load->prefix, caller->sent);
-		int64_t limit_us = load->kind == SOAK_KIND_STREAM
+		int64_t limit_us = soak_kind_is_stream(load->kind)
 					   ? STREAM_DEADLINE_US
 					   : PLAIN_DEADLINE_US;
 
--- a/tests/soak/soak_check.c
+++ b/tests/soak/soak_check.c
@@ -9,6 +9,7 @@
 	soak_check_refusals,
 	soak_check_answers,
 	soak_check_streams,
+	soak_check_queries,
 	soak_check_leaving,
 	soak_check_leaving_said,
 	soak_check_rest,
--- a/tests/soak/soak_check_lost.c
+++ b/tests/soak/soak_check_lost.c
@@ -65,7 +65,7 @@
 
 	return soak_check_has_fault(check, life->name, from_us, to_us) ||
 	       soak_check_has_fault(check, "nodes", from_us, to_us) ||
-	       (attempt->kind == SOAK_KIND_STREAM &&
+	       (soak_kind_is_stream(attempt->kind) &&
 		soak_check_has_fault(check, "store", from_us, to_us));
 }
 
@@ -114,7 +114,7 @@
 			 const struct soak_attempt *attempt,
 			 const struct soak_life *life)
 {
-	return attempt->kind == SOAK_KIND_STREAM &&
+	return soak_kind_is_stream(attempt->kind) &&
 	       attempt->answer->status == 200 && life->term_us &&
 	       attempt->sent_us <= life->term_us + EARLY_SENT_US &&
 	       was_at_work(check, attempt->id, life->term_us + GRACE_USED_US);
--- a/tests/soak/soak_check_requests.c
+++ b/tests/soak/soak_check_requests.c
@@ -9,6 +9,7 @@
 /* Time for which two engines may both work on one stream during a takeover. */
 #define MAX_OVERLAP_US (400 * SOAK_MS_US)
 #define ENGINE_ERROR_STATUS 500
+#define QUERY_RUNS 2 /* max_attempts of its route */
 
 static bool is_event(const struct soak_entry *entry, const char *event)
 {
@@ -17,7 +18,8 @@
 
 static bool runs_at_most_once(enum soak_kind kind)
 {
-	return kind != SOAK_KIND_IDEMPOTENT && kind != SOAK_KIND_PROBE;
+	return kind != SOAK_KIND_IDEMPOTENT && kind != SOAK_KIND_PROBE &&
+	       kind != SOAK_KIND_QUERY;
 }
 
 static int32_t count_event(const GPtrArray *entries, const char *event)
@@ -134,6 +136,11 @@
 				"a request that may run once ran %d "
 				"times",
 				runs);
+		if (attempt->kind == SOAK_KIND_QUERY && runs > QUERY_RUNS)
+			soak_check_add_finding(
+				check, request, first->at_us,
+				"a request that may run twice ran %d times",
+				runs);
 		if (engines > MAX_ENGINES)
 			soak_check_add_finding(check, request, first->at_us,
 					       "a request reached %d engines",
@@ -352,7 +359,7 @@
 			"it",
 			answer->status);
 	if (is_success && attempt->end == SOAK_END_COMPLETE &&
-	    attempt->kind != SOAK_KIND_STREAM &&
+	    !soak_kind_is_stream(attempt->kind) &&
 	    !soak_kind_is_poison(attempt->kind))
 		check_plain_body(check, attempt);
 }
@@ -366,12 +373,13 @@
 		check_answer(check, g_ptr_array_index(attempts, i));
 }
 
-/* Returns the complete body expected of the stream of that request. */
-static char *expected_stream(const struct soak_check *check, const char *id)
+/* Returns the complete body expected of that request, from that event on. */
+static char *expected_stream(const struct soak_check *check, const char *id,
+			     int64_t first_event)
 {
 	GString *text = g_string_new(NULL);
 
-	for (int64_t i = 0; i < check->schedule->events; i++)
+	for (int64_t i = first_event; i < check->schedule->events; i++)
 		g_string_append_printf(text,
 				       "id: %" PRId64
 				       "\ndata: {\"text\":\"%s.%" PRId64
@@ -391,7 +399,8 @@
 
 /*
  * A stream holds each event once, in order, all of one run, and every event if
- * it ended as complete.
+ * it ended as complete. That of a query which goes on begins after the last
+ * event that its caller had, so that the attempts together have no gap.
  */
 void soak_check_streams(struct soak_check *check)
 {
@@ -404,10 +413,11 @@
 		g_autofree char *text = NULL;
 		size_t common;
 
-		if (attempt->kind != SOAK_KIND_STREAM ||
+		if (!soak_kind_is_stream(attempt->kind) ||
 		    attempt->answer->status != 200)
 			continue;
-		text = expected_stream(check, attempt->id);
+		text = expected_stream(check, attempt->id,
+				       attempt->after_event + 1);
 		common = common_prefix_size(text, body->str);
 		if (common < body->len)
 			soak_check_add_finding(
@@ -423,3 +433,47 @@
 				common, strlen(text));
 	}
 }
+
+/*
+ * The first run of a query begins just after the last event that its caller had
+ * when the attempt began, a later one not before it. Whether that one skips or
+ * repeats what came between, soak_check_streams finds in the answer.
+ */
+static void check_query(struct soak_check *check,
+			const struct soak_attempt *attempt)
+{
+	const GPtrArray *entries = soak_check_entries(check, attempt->id);
+	int64_t first_event = attempt->after_event + 1;
+	bool has_run = false;
+
+	for (guint i = 0; entries && i < entries->len; i++) {
+		const struct soak_entry *entry = g_ptr_array_index(entries, i);
+
+		if (!is_event(entry, "run"))
+			continue;
+		if (entry->first_event < first_event ||
+		    (!has_run && entry->first_event > first_event))
+			soak_check_add_finding(check, attempt->id, entry->at_us,
+					       "a run began with event %" PRId64
+					       " instead of %" PRId64 "%s",
+					       entry->first_event, first_event,
+					       has_run ? " or a later one"
+						       : "");
+		first_event = MAX(first_event, entry->first_event);
+		has_run = true;
+	}
+}
+
+/* An endpoint that goes on with a query begins after the events known. */
+void soak_check_queries(struct soak_check *check)
+{
+	const GPtrArray *attempts = check->evidence->attempts;
+
+	for (guint i = 0; i < attempts->len; i++) {
+		const struct soak_attempt *attempt =
+			g_ptr_array_index(attempts, i);
+
+		if (attempt->kind == SOAK_KIND_QUERY)
+			check_query(check, attempt);
+	}
+}
--- a/tests/soak/soak_check_state.h
+++ b/tests/soak/soak_check_state.h
@@ -48,6 +48,7 @@
 void soak_check_refusals(struct soak_check *check);
 void soak_check_answers(struct soak_check *check);
 void soak_check_streams(struct soak_check *check);
+void soak_check_queries(struct soak_check *check);
 
 /* soak_check_times.c */
 void soak_check_leaving(struct soak_check *check);
--- a/tests/soak/soak_check_times.c
+++ b/tests/soak/soak_check_times.c
@@ -236,7 +236,7 @@
 static bool is_late(const struct soak_check *check,
 		    const struct soak_attempt *attempt)
 {
-	return attempt->kind != SOAK_KIND_STREAM &&
+	return !soak_kind_is_stream(attempt->kind) &&
 	       attempt->kind != SOAK_KIND_POISON &&
 	       attempt->kind != SOAK_KIND_POISON_PART && attempt->sent_us &&
 	       attempt->ended_us - attempt->sent_us >
@@ -271,7 +271,7 @@
 
 static bool goes_to_engines(enum soak_kind kind)
 {
-	return kind == SOAK_KIND_STREAM || kind == SOAK_KIND_POISON ||
+	return soak_kind_is_stream(kind) || kind == SOAK_KIND_POISON ||
 	       kind == SOAK_KIND_POISON_PART;
 }
 
--- a/tests/soak/soak_evidence.c
+++ b/tests/soak/soak_evidence.c
@@ -6,6 +6,11 @@
 #define STEP_JOURNAL "soak.journal"
 #define JOURNAL_FIELDS 5
 
+bool soak_kind_is_stream(enum soak_kind kind)
+{
+	return kind == SOAK_KIND_STREAM || kind == SOAK_KIND_QUERY;
+}
+
 bool soak_kind_is_poison(enum soak_kind kind)
 {
 	return kind == SOAK_KIND_POISON || kind == SOAK_KIND_POISON_PLAIN ||
@@ -19,6 +24,7 @@
 		[SOAK_KIND_IDEMPOTENT] = "idempotent",
 		[SOAK_KIND_ONCE] = "once",
 		[SOAK_KIND_STREAM] = "stream",
+		[SOAK_KIND_QUERY] = "query",
 		[SOAK_KIND_PROBE] = "probe",
 		[SOAK_KIND_POISON] = "poison",
 		[SOAK_KIND_POISON_PLAIN] = "poison_plain",
@@ -45,9 +51,28 @@
 	attempt->begun_us = g_get_monotonic_time();
 	attempt->answer = soak_answer_create();
 	attempt->end = SOAK_END_NOT_SENT;
+	attempt->after_event = -1;
 	return attempt;
 }
 
+/*
+ * Returns the id of the last event that the caller has after the attempt, -1 if
+ * none. An event is complete with its empty line.
+ */
+int64_t soak_attempt_last_event(const struct soak_attempt *attempt)
+{
+	const char *text = attempt->answer->body->str;
+	int64_t last = attempt->after_event;
+	const char *end;
+
+	if (attempt->answer->status != 200)
+		return last;
+	for (; (end = strstr(text, "\n\n")); text = end + 2)
+		if (g_str_has_prefix(text, "id: "))
+			last = g_ascii_strtoll(text + 4, NULL, 10);
+	return last;
+}
+
 /* Frees an attempt and its answer; NULL is allowed. */
 void soak_attempt_destroy(gpointer data)
 {
@@ -139,7 +164,9 @@
 	g_strlcpy(entry->event, fields[1], sizeof(entry->event));
 	entry->request = g_strdup(fields[2]);
 	entry->engine = g_strdup(fields[3]);
-	if (strcmp(entry->event, "rest") == 0)
+	if (strcmp(entry->event, "run") == 0)
+		entry->first_event = g_ascii_strtoll(fields[4], NULL, 10);
+	else if (strcmp(entry->event, "rest") == 0)
 		entry->rest_us = g_ascii_strtoll(fields[4], NULL, 10) *
 				 G_TIME_SPAN_MILLISECOND;
 	else
--- a/tests/soak/soak_evidence.h
+++ b/tests/soak/soak_evidence.h
@@ -23,6 +23,7 @@
 	SOAK_KIND_IDEMPOTENT,
 	SOAK_KIND_ONCE,
 	SOAK_KIND_STREAM,
+	SOAK_KIND_QUERY, /* a stream that may be resumed */
 	SOAK_KIND_PROBE, /* of a route that a version added or removed */
 	SOAK_KIND_POISON,
 	SOAK_KIND_POISON_PLAIN,
@@ -30,6 +31,9 @@
 	SOAK_KINDS
 };
 
+/* Whether complete answers to requests of this kind are streams of events. */
+bool soak_kind_is_stream(enum soak_kind kind);
+
 /* Whether the requests of this kind end the endpoints that run them. */
 bool soak_kind_is_poison(enum soak_kind kind);
 
@@ -51,7 +55,8 @@
 	int64_t deadline_us;
 	enum soak_end end;
 	struct soak_answer *answer;
-	int32_t version; /* of a probe: the version that added its route */
+	int64_t after_event; /* of a query: the last one that the caller has */
+	int32_t version;     /* of a probe: the version that added its route */
 };
 
 /* A line of an engine's journal. */
@@ -61,7 +66,8 @@
 	char *request;
 	char *engine;
 	bool from_copy;
-	int64_t rest_us; /* asked for, with the event "rest" */
+	int64_t first_event; /* with the event "run" */
+	int64_t rest_us;     /* asked for, with the event "rest" */
 };
 
 /* One run of a process, from its start to its end. */
@@ -141,6 +147,7 @@
 struct soak_attempt *soak_attempt_create(enum soak_kind kind, const char *id,
 					 const char *path, const char *front);
 void soak_attempt_destroy(gpointer attempt);
+int64_t soak_attempt_last_event(const struct soak_attempt *attempt);
 
 G_END_DECLS
 
