--- a/tests/gateway_speed_test.cc
+++ b/tests/gateway_speed_test.cc
@@ -273,3 +273,26 @@
 	EXPECT_TRUE(IsInUse());
 	peer_message_destroy(message);
 }
+
+/*
+ * Guards against a home that binds short answers by the pause of long ones, or
+ * long ones by none. 128 tokens are counted for the shortest answer.
+ */
+TEST_F(GatewaySpeedOfEngines, BindsWhatOthersAskForByTheRoutesPause)
+{
+	struct gateway *gateway = nodes[0]->gateway;
+	struct peer_choose choose = {};
+
+	const_cast<struct route *>(
+		route_table_find(gateway->table, "h", "/report/a"))
+		->longest_pause_us = 180000;
+	choose.service = const_cast<char *>("engines");
+	choose.prompt_tokens = 3000;
+	choose.tokens = 3384;
+	EXPECT_EQ(180000, gateway_speed_pause_bound_us(gateway, &choose));
+	choose.tokens = 3128;
+	EXPECT_EQ(0, gateway_speed_pause_bound_us(gateway, &choose));
+	choose.tokens = 3384;
+	choose.service = const_cast<char *>("portal");
+	EXPECT_EQ(0, gateway_speed_pause_bound_us(gateway, &choose));
+}
--- a/tests/route_table_test.cc
+++ b/tests/route_table_test.cc
@@ -174,3 +174,33 @@
 	Stream("/c/", 1, 1500);
 	EXPECT_EQ("", Deferrable());
 }
+
+/* Guards against the pause that a stream of another service allows. */
+TEST_F(RouteTable, FindsTheShortestPauseOfAService)
+{
+	const struct {
+		const char *name, *service;
+		enum route_kind kind;
+		int64_t pause_us;
+	} routes[] = {
+		{"draft", "engines", ROUTE_STREAM, 250000},
+		{"check", "engines", ROUTE_STREAM, 180000},
+		{"free", "engines", ROUTE_STREAM, 0},
+		{"lookup", "engines", ROUTE_IDEMPOTENT, 1000},
+		{"other", "others", ROUTE_STREAM, 2000},
+		{"unbound", "unbound", ROUTE_STREAM, 0},
+	};
+
+	for (const auto &wanted : routes) {
+		struct route *route = add(wanted.name, "a.example", "/");
+
+		route->kind = wanted.kind;
+		route->longest_pause_us = wanted.pause_us;
+		route_add_target(route, wanted.service, 1);
+	}
+	table = route_table_create(config);
+	EXPECT_EQ(180000, route_table_longest_pause_us(table, "engines"));
+	EXPECT_EQ(2000, route_table_longest_pause_us(table, "others"));
+	EXPECT_EQ(0, route_table_longest_pause_us(table, "unbound"));
+	EXPECT_EQ(0, route_table_longest_pause_us(table, "none"));
+}
