--- a/fuzz/platform_fuzz.c
+++ b/fuzz/platform_fuzz.c
@@ -32,6 +32,22 @@
 	http_head_destroy(head);
 }
 
+/* Reads the input as the last event that a caller has. */
+static void read_last_event(const uint8_t *data, size_t size)
+{
+	struct http_head *head = http_head_create();
+	struct caller_request request;
+	struct error error;
+
+	http_head_add(head, "X-Siskinlink-Request-Id", 23, "1", 1);
+	http_head_add(head, "Last-Event-Id", 13, (const char *)data, size);
+	if (!platform_dialect.read_request(head, &request, &error) ||
+	    request.last_event < -1 ||
+	    (request.last_event >= 0) == request.last_event_is_bad)
+		abort();
+	http_head_destroy(head);
+}
+
 static void read_entry(GBytes *bytes)
 {
 	char key[] = "servers/i-1";
@@ -94,6 +110,7 @@
 		abort();
 	config_unref(config);
 	read_parts(data, size);
+	read_last_event(data, size);
 	read_page(bytes);
 	read_entry(bytes);
 	read_engine_answers(bytes);
