--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -453,8 +453,10 @@
  */
 void exchange_promote_next(struct exchange *exchange)
 {
-	bool is_takeover = exchange->next->is_takeover;
+	bool is_takeover;
 
+	g_assert(exchange->next);
+	is_takeover = exchange->next->is_takeover;
 	exchange->arrivals++;
 	drop_leg(exchange);
 	exchange->leg = g_steal_pointer(&exchange->next);
@@ -471,10 +473,12 @@
  */
 void exchange_drop_next(struct exchange *exchange, const char *reason)
 {
-	if (exchange->next->attempt &&
-	    attempt_may_have_sent(exchange->next->attempt)) {
+	const struct leg *next = exchange->next;
+
+	g_assert(next);
+	if (next->attempt && attempt_may_have_sent(next->attempt)) {
 		exchange->arrivals++;
-		exchange->runs += !exchange->next->is_takeover;
+		exchange->runs += !next->is_takeover;
 	}
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "take_over_failed",
 		  "request", exchange->parsed_request.id, "to",
--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -145,13 +145,36 @@
 			     g_variant_builder_end(&builder));
 }
 
+static GVariant *encode_endpoint_full(const struct peer_message *message)
+{
+	return g_variant_new(
+		body_formats[message->type], message->incarnation,
+		message->endpoint_full.endpoint_key,
+		message->endpoint_full.is_over,
+		(guint32)CLAMP(message->endpoint_full.rejections_per_ks, 0,
+			       UINT32_MAX),
+		peer_field_text(message->from),
+		peer_field_text(message->from_address));
+}
+
+static GVariant *encode_leaving(const struct peer_message *message)
+{
+	const GPtrArray *endpoints = message->leaving.endpoints;
+
+	return g_variant_new(
+		"(tss@as)", message->incarnation,
+		peer_field_text(message->from),
+		peer_field_text(message->from_address),
+		g_variant_new_strv((const char *const *)endpoints->pdata,
+				   endpoints->len));
+}
+
 static GVariant *encode_body(const struct peer_message *message)
 {
 	const char *format = body_formats[message->type];
 	const char *from = peer_field_text(message->from);
 	const char *address = peer_field_text(message->from_address);
 	uint64_t incarnation = message->incarnation;
-	const GPtrArray *endpoints;
 
 	switch (message->type) {
 	case PEER_PING:
@@ -209,25 +232,14 @@
 	case PEER_REACH:
 		return peer_reach_encode(message);
 	case PEER_ENDPOINT_FULL:
-		return g_variant_new(
-			format, incarnation,
-			message->endpoint_full.endpoint_key,
-			message->endpoint_full.is_over,
-			(guint32)CLAMP(message->endpoint_full.rejections_per_ks,
-				       0, UINT32_MAX),
-			from, address);
+		return encode_endpoint_full(message);
 	case PEER_ENDPOINT_LEAVING:
 		return g_variant_new(format, incarnation,
 				     message->endpoint_leaving.endpoint_key,
 				     message->endpoint_leaving.started_ms, from,
 				     address);
 	case PEER_LEAVING:
-		endpoints = message->leaving.endpoints;
-		return g_variant_new(
-			"(tss@as)", incarnation, from, address,
-			g_variant_new_strv(
-				(const char *const *)endpoints->pdata,
-				endpoints->len));
+		return encode_leaving(message);
 	case PEER_FAILURE_NOTICE:
 		return g_variant_new(
 			format, incarnation,
