Soak: a request that begins after its node has ended is not cut by it

Trace: node4 ended at 254.0386, the request began at 254.0926 and was reset at 254.8702, when the next process had started (254.8610). No process was there that could have read it. A request that began before the end is judged as before.

--- a/tests/soak/soak_check_times.c
+++ b/tests/soak/soak_check_times.c
@@ -206,6 +206,7 @@
 
 		if (strcmp(attempt->front, life->front) != 0 ||
 		    attempt->begun_us < life->from_us ||
+		    (life->to_us && attempt->begun_us > life->to_us) ||
 		    attempt->ended_us < life->term_us ||
 		    attempt->ended_us > until_us || !is_aborted(attempt) ||
 		    !was_read(check, attempt) ||
@@ -220,7 +221,10 @@
 	}
 }
 
-/* A stop aborts no request that could end within the grace period. */
+/*
+ * A stop aborts no request that could end within the grace period. One that
+ * begins after the process has ended reaches nobody.
+ */
 void soak_check_stops(struct soak_check *check)
 {
 	const GPtrArray *lives = check->evidence->lives;
