--- a/tests/gateway_silence_test.cc
+++ b/tests/gateway_silence_test.cc
@@ -52,6 +52,7 @@
 	SpendRetries();
 	one.silence_ms = two.silence_ms = 1000;
 	EXPECT_EQ(200, Ask(0, "/lookup/a", "r-1"));
+	Wait(100);
 	EXPECT_EQ(1, one.runs["r-1"] + two.runs["r-1"]);
 	EXPECT_EQ(0, one.gone + two.gone);
 }
