Hold a part under which several endpoints end together twice

The second moment with several ends counts twice now, and ends at which no request with parts lost a run don't count against a part.

--- a/core/limit/quarantine.h
+++ b/core/limit/quarantine.h
@@ -29,9 +29,9 @@
  *
  *   - for a request each start. At one of them no other request must have lost
  *     a run, else it may only have run beside one that ends endpoints;
- *   - for a part each moment: what ends endpoints together is one cause. A
- *     part whose losses another held part explains is refused only together
- *     with that one.
+ *   - for a part each moment: what ends endpoints together is one cause, unless
+ *     several of them end together once more. A part whose losses another held
+ *     part explains is refused only together with that one.
  *
  * After hold_us, one run at a time may try again, and a single further loss
  * holds the suspect again, for longer each time.
--- a/core/limit/quarantine_verdict.c
+++ b/core/limit/quarantine_verdict.c
@@ -63,17 +63,27 @@
 	return next;
 }
 
-/* Counts the moments of the losses that count against the suspect. */
-static int32_t count_moments(const struct suspect *suspect,
+/*
+ * Counts the moments of a part's losses that count. Endpoints that end together
+ * under a part restart together and end again, so the second moment in which
+ * several of them end counts twice: a third one would cost as many again.
+ */
+static int32_t count_moments(const struct suspect *part,
 			     const struct loss_filter *filter)
 {
-	const struct loss *loss = next_loss(suspect, filter, INT64_MIN);
-	int32_t count = 0;
+	const struct loss *loss = next_loss(part, filter, INT64_MIN);
+	int32_t count = 0, of_several = 0;
 
-	for (; loss; count++)
-		loss = next_loss(suspect, filter,
-				 loss->lost_us + SUSPECT_MOMENT_US);
-	return count;
+	while (loss) {
+		int64_t until_us = loss->lost_us + SUSPECT_MOMENT_US;
+		const struct loss *next =
+			next_loss(part, filter, loss->lost_us);
+
+		of_several += next && next->lost_us <= until_us;
+		count++;
+		loss = next_loss(part, filter, until_us);
+	}
+	return count + (of_several >= 2);
 }
 
 /* Whether a loss that counts against the suspect came about that time. */
@@ -89,6 +99,22 @@
 	return false;
 }
 
+/*
+ * Whether requests with parts lost runs at the end. Ends of endpoints whose
+ * requests have none, such as plain services, tell nothing about a part.
+ */
+static bool has_part(const struct start_losses *end)
+{
+	for (guint i = 0; i < end->suspects->len; i++) {
+		const struct suspect *suspect =
+			g_ptr_array_index(end->suspects, i);
+
+		if (suspect_key_kind(suspect->key) == SUSPECT_PART)
+			return true;
+	}
+	return false;
+}
+
 /* Whether the suspect has no part in an end under which others lost runs. */
 static bool is_other_end(const struct suspect *suspect,
 			 const struct start_losses *end)
@@ -98,7 +124,7 @@
 		return !lost_at(suspect, end->start_key);
 	case SUSPECT_PART:
 		/* Of many losses of one moment some are not kept. */
-		return !lost_about(suspect, end->ended_us);
+		return has_part(end) && !lost_about(suspect, end->ended_us);
 	}
 	return false;
 }
--- a/tests/quarantine_parts_test.cc
+++ b/tests/quarantine_parts_test.cc
@@ -18,7 +18,8 @@
  *     try PARTS                 the next run tries after the hold
  *     lift PART                 an operator lifts it
  *
- * A part is a letter; each request has a fingerprint of its own.
+ * A part is a letter, and "-" are no parts; each request has a fingerprint of
+ * its own.
  */
 class QuarantineParts : public testing::Test
 {
@@ -59,7 +60,8 @@
 		struct suspect_list request;
 
 		for (char part : parts)
-			prompt_parts_add(&list, Key(part));
+			if (part != '-')
+				prompt_parts_add(&list, Key(part));
 		suspect_list_init(&request, requests++, &list);
 		return request;
 	}
@@ -201,6 +203,46 @@
 	     "4.20 ask A -> held by A\n");
 }
 
+/* Guards against endpoints that end together under one part, start again
+ * together and end a third time. */
+TEST_F(QuarantineParts, SeveralThatEndTwiceHoldIt)
+{
+	Play("1.00 lose A e1\n"
+	     "1.10 lose A e2\n"
+	     "1.40 end e1\n"
+	     "1.40 end e2\n"
+	     "1.70 ask A -> sent\n"
+	     "3.00 lose A e3\n"
+	     "3.10 end e3\n"
+	     "3.30 ask A -> sent\n"
+	     "3.40 lose A e4\n"
+	     "3.45 end e4\n"
+	     "3.70 ask A -> held by A\n");
+}
+
+/* Guards against a part that is not held because endpoints of a service whose
+ * requests have no parts end at the same time. */
+TEST_F(QuarantineParts, EndsWithoutPartsAreNoOthers)
+{
+	Play("0.5 lose - p1\n"
+	     "0.6 end p1\n"
+	     "1.0 lose A e1\n"
+	     "1.1 end e1\n"
+	     "1.6 lose - p2\n"
+	     "1.7 end p2\n"
+	     "2.2 lose - p3\n"
+	     "2.3 end p3\n"
+	     "3.0 lose A e2\n"
+	     "3.1 end e2\n"
+	     "3.6 lose - p4\n"
+	     "3.7 end p4\n"
+	     "4.4 lose - p5\n"
+	     "4.5 end p5\n"
+	     "5.0 lose A e3\n"
+	     "5.1 end e3\n"
+	     "5.3 ask A -> held by A\n");
+}
+
 /* Guards against holding the part that nearly all requests begin with. */
 TEST_F(QuarantineParts, WhatGoesOnElsewhereIsCleared)
 {
