A request that is passed on keeps to its route's attempts

The request now carries how many runs are left (Relayed-Attempts), less one if a third node may still be asked; if the helping node is lost, all that it was allowed count as begun. Its own 503 or 502 is replaced by another node, where one may be asked, and no promise is passed on after a run.

--- a/adapters/gateway/dialect.h
+++ b/adapters/gateway/dialect.h
@@ -30,8 +30,17 @@
 	int64_t expected_tokens; /* the caller's estimate; 0: not given */
 	struct prompt_parts parts;
 	int64_t last_event; /* that the caller has of its stream; -1: none */
-	bool last_event_is_bad; /* given, and no number */
-	const char *relayed_by; /* node that passes it on; NULL: none */
+	bool last_event_is_bad;	  /* given, and no number */
+	const char *relayed_by;	  /* node that passes it on; NULL: none */
+	int32_t relayed_attempts; /* runs that node allows; 0: not given */
+};
+
+/* What a node says when it passes a caller's request on to another node. */
+struct relay_request {
+	const char *node; /* that passes it on */
+	int64_t patience_us;
+	int64_t after_event; /* as in struct endpoint_request */
+	int32_t attempts;    /* runs that the other node may begin */
 };
 
 /* Fields that are sent to an endpoint in addition to the caller's. */
@@ -80,9 +89,8 @@
 	void (*write_request)(const struct http_head *head,
 			      const struct endpoint_request *request,
 			      const GByteArray *body, GString *out);
-	/* Writes the request as node passes it on to another node. */
-	void (*write_relay)(const struct http_head *head, const char *node,
-			    int64_t patience_us, int64_t after_event,
+	void (*write_relay)(const struct http_head *head,
+			    const struct relay_request *request,
 			    const GByteArray *body, GString *out);
 	void (*read_answer)(const struct http_head *head,
 			    struct endpoint_answer *answer);
--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -439,6 +439,16 @@
  * change answers 503 instead of 404 or 401, after which the caller would not
  * retry. Returns false if the request was refused.
  */
+/* The node that passes a request on may have begun some of its runs. */
+static int32_t exchange_max_attempts(const struct exchange *exchange)
+{
+	int32_t allowed = exchange->route->max_attempts;
+	int32_t relayed = exchange->parsed_request.relayed_attempts;
+
+	return exchange->is_relayed && relayed > 0 ? MIN(relayed, allowed)
+						   : allowed;
+}
+
 static bool exchange_find_route(struct exchange *exchange)
 {
 	struct gateway *gateway = exchange->gateway;
@@ -453,8 +463,10 @@
 	exchange->route =
 		route_table_find(exchange->table, exchange->parsed_request.host,
 				 exchange->head->target);
-	if (exchange->route)
+	if (exchange->route) {
+		exchange->max_attempts = exchange_max_attempts(exchange);
 		return exchange_authorise(exchange);
+	}
 	if (gateway_is_current(gateway))
 		exchange_refuse(exchange, 404, -1, "no_route");
 	else
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -232,7 +232,7 @@
 				exchange->gateway, exchange->service_name)) > 0,
 		.runs = exchange->runs,
 		.sends = exchange->sends,
-		.max_attempts = exchange->route->max_attempts,
+		.max_attempts = exchange->max_attempts,
 	};
 
 	if (recovery_decide(&input) == RECOVERY_FORWARD ||
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -285,7 +285,7 @@
 		.budget_left = has_budget || is_first,
 		.runs = exchange->runs,
 		.sends = exchange->sends,
-		.max_attempts = exchange->route->max_attempts,
+		.max_attempts = exchange->max_attempts,
 	};
 	enum recovery recovery = recovery_decide(&input);
 
@@ -531,8 +531,8 @@
 
 	return route_may_repeat(route) && !leg->head_received &&
 	       route->first_answer_us > 0 &&
-	       exchange->runs + 1 < route->max_attempts &&
-	       exchange->sends < route->max_attempts &&
+	       exchange->runs + 1 < exchange->max_attempts &&
+	       exchange->sends < exchange->max_attempts &&
 	       exchange->gateway->now_us - leg->sent_us >
 		       SLOW_ANSWER_FACTOR * (double)route->first_answer_us &&
 	       retry_window_remaining(gateway_budget(
--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -16,6 +16,7 @@
 #define CONNECT_TIMEOUT_US (300 * 1000)
 
 #define STATUS_OK 200
+#define STATUS_FAILED 502
 #define STATUS_REFUSED 503
 
 struct relay {
@@ -24,6 +25,7 @@
 	struct event_scanner *events; /* of a resumable stream, or NULL */
 	struct answer_limit limit;    /* on the answer's body */
 	char *node;
+	int32_t attempts; /* runs that the node may begin */
 	int64_t sent_us;
 	bool head_received;
 };
@@ -129,12 +131,20 @@
 static void relay_fail(struct relay *relay, bool may_have_run,
 		       const char *detail);
 
-/* Whether the node's own answer promises that the request has not run. */
-static bool is_refusal(const struct exchange *exchange,
-		       const struct http_head *head)
+/*
+ * Whether the caller does not get the node's own answer: a promise that the
+ * request has not run if it ran before, or one that another node may replace.
+ */
+static bool is_replaced(const struct exchange *exchange,
+			const struct http_head *head)
 {
-	return head->status == STATUS_REFUSED &&
-	       !exchange->said.is_from_endpoint && exchange->runs == 0;
+	if (exchange->said.is_from_endpoint)
+		return false;
+	if (exchange->said.status_implies_not_run && exchange->runs > 0)
+		return true;
+	return (head->status == STATUS_REFUSED ||
+		head->status == STATUS_FAILED) &&
+	       exchange_wants_relay(exchange);
 }
 
 static bool is_stream(const struct exchange *exchange,
@@ -183,8 +193,9 @@
 
 	exchange->gateway->now_us = gateway_now_us();
 	exchange->gateway->dialect->read_answer(head, &exchange->said);
-	if (is_refusal(exchange, head) && exchange_wants_relay(exchange)) {
-		relay_fail(relay, false, "refused by the node");
+	if (is_replaced(exchange, head)) {
+		relay_fail(relay, !exchange->said.status_implies_not_run,
+			   "not served by the node");
 		return;
 	}
 	relay->head_received = true;
@@ -256,16 +267,33 @@
 static GString *relay_render(const struct exchange *exchange)
 {
 	const struct gateway *gateway = exchange->gateway;
+	const struct relay_request request = {
+		.node = gateway->options.node_name,
+		.patience_us = exchange->deadline_us - gateway->now_us,
+		.after_event = exchange->route->is_resumable
+				       ? exchange->last_event
+				       : -1,
+		.attempts = exchange->relay->attempts,
+	};
 	GString *out = g_string_sized_new(1024 + exchange->body->len);
 
-	gateway->dialect->write_relay(
-		exchange->head, gateway->options.node_name,
-		exchange->deadline_us - gateway->now_us,
-		exchange->route->is_resumable ? exchange->last_event : -1,
-		exchange->body, out);
+	gateway->dialect->write_relay(exchange->head, &request, exchange->body,
+				      out);
 	return out;
 }
 
+/*
+ * Returns how many runs the node may begin. This node does not learn how many
+ * it began if it is lost, so one is kept for another node.
+ */
+static int32_t count_attempts(const struct exchange *exchange)
+{
+	int32_t left = exchange->max_attempts - exchange->runs;
+
+	return left > 1 && exchange_wants_relay(exchange) ? left - 1
+							  : MAX(left, 1);
+}
+
 /*
  * Sends the request to another node if exchange_wants_relay; returns whether it
  * did. The exchange may be over and freed on return.
@@ -289,14 +317,15 @@
 		return false;
 	node = pick_node(exchange, &peer);
 	g_assert(peer); /* as exchange_wants_relay found one */
-	options.address = peer->address;
-	options.request = relay_render(exchange);
 	relay = g_new0(struct relay, 1);
 	relay->exchange = exchange;
 	relay->node = g_strdup(node);
 	relay->sent_us = gateway->now_us;
-	exchange->relay = relay;
 	g_ptr_array_add(exchange->avoided_nodes, g_strdup(node));
+	relay->attempts = count_attempts(exchange);
+	exchange->relay = relay;
+	options.address = peer->address;
+	options.request = relay_render(exchange);
 	log_write(gateway->log, LOG_LEVEL_INFO, "request_relayed", "request",
 		  exchange->parsed_request.id, "service",
 		  exchange->service_name, "node", node, NULL);
@@ -314,7 +343,7 @@
 		gateway_budget(exchange->gateway, exchange->service_name);
 
 	if (!route_may_repeat(exchange->route) ||
-	    exchange->runs >= exchange->route->max_attempts ||
+	    exchange->runs >= exchange->max_attempts ||
 	    retry_window_remaining(budget) <= 0)
 		return false;
 	retry_window_take(budget);
@@ -336,10 +365,10 @@
 		exchange_abort(exchange, "relay_broken");
 		return;
 	}
+	if (may_have_run)
+		exchange->runs += relay->attempts;
 	relay_destroy(g_steal_pointer(&exchange->relay));
 	g_byte_array_set_size(exchange->answer_body, 0);
-	if (may_have_run)
-		exchange->runs++;
 	if (may_have_run && !may_repeat(exchange)) {
 		exchange_refuse(exchange, 502, -1, "relay_broken");
 		return;
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -126,6 +126,7 @@
 	struct relay *relay;	/* at another node instead of a leg, or NULL */
 	GPtrArray *avoided_nodes; /* char *: nodes it was passed on to */
 	bool is_relayed;	  /* another node passes it on to this one */
+	int32_t max_attempts;	  /* runs that this node may begin */
 	int32_t runs;
 	int32_t sends;
 	int32_t arrivals; /* of sends that are over */
--- a/tests/gateway_relay_test.cc
+++ b/tests/gateway_relay_test.cc
@@ -238,6 +238,62 @@
 	EXPECT_EQ(1, Runs("lost-1"));
 }
 
+/* Guards against more runs than the route allows, as the helping node repeats
+ * what this one has run. */
+TEST_F(GatewayRelay, TellsTheAttemptsThatAreLeft)
+{
+	retry_extra = 6000;
+	Create(2);
+	Cut({1}, CUT_REFUSED);
+	FindOut(1);
+	ASSERT_TRUE(run_until([&] {
+		return retry_window_remaining(
+			       gateway_budget(nodes[0]->gateway, "portal")) > 1;
+	}));
+	for (int attempts = 1; attempts <= 2; attempts++) {
+		std::string id = "left-" + std::to_string(attempts);
+		std::unique_ptr<Connection> caller(
+			Connection::open(nodes[0]->address));
+
+		one.reset_path = two.reset_path = "/lookup/reset";
+		caller->send("GET /lookup/reset HTTP/1.1\r\nHost: h\r\n"
+			     "Relayed-By: n1\r\nRelayed-Attempts: " +
+			     std::to_string(attempts) +
+			     "\r\nX-Siskinlink-Request-Id: " + id + "\r\n\r\n");
+		EXPECT_TRUE(caller->wait_for("HTTP/1.1 502")) << caller->input;
+		EXPECT_EQ(attempts, Runs(id));
+	}
+	EXPECT_EQ(std::string::npos, (one.seen + two.seen).find("Relayed"));
+}
+
+/* Guards against a promise of the helping node that the request has not run,
+ * which it knows for itself only. */
+TEST_F(GatewayRelay, PromisesNothingForAnother)
+{
+	retry_extra = 6000;
+	Create(2);
+	Cut({}, CUT_REFUSED);
+	ASSERT_TRUE(run_until([&] {
+		return retry_window_remaining(
+			       gateway_budget(nodes[1]->gateway, "portal")) > 1;
+	}));
+	one.is_silent = two.is_silent = true;
+	nodes[0]->gateway->relayed_count = 1000000;
+	std::unique_ptr<Connection> caller(Connection::open(nodes[1]->address));
+	caller->send("GET /lookup/a HTTP/1.1\r\nHost: h\r\n"
+		     "X-Siskinlink-Request-Id: promise-1\r\n\r\n");
+	ASSERT_TRUE(run_until([&] { return Runs("promise-1") == 1; }));
+	for (const char *id : {"i-1", "i-2"})
+		gateway_reach_note_failure(nodes[1]->gateway, "portal",
+					   endpoint_key(id));
+	for (PairEndpoint *endpoint : {&one, &two})
+		if (endpoint->unanswered)
+			caller_abort(endpoint->unanswered);
+	EXPECT_TRUE(caller->wait_for("HTTP/1.1 502")) << caller->input;
+	EXPECT_EQ(1u, nodes[1]->counters.value[COUNTER_GATEWAY_RELAYED]);
+	nodes[0]->gateway->relayed_count = 0;
+}
+
 /* Guards against a node that is gone, or refuses, and takes what others would
  * serve. */
 TEST_F(GatewayRelay, TriesAnotherNode)
--- a/tests/gateway_resume_test.cc
+++ b/tests/gateway_resume_test.cc
@@ -183,6 +183,29 @@
 	}
 }
 
+/*
+ * Guards against more runs than the route allows where a node that has begun
+ * one loses the endpoints, and the node that helps out repeats it as well.
+ */
+TEST_F(GatewayResume, NodesTogetherKeepToTheAttempts)
+{
+	DeadAddress dead(CUT_REFUSED);
+	std::string text;
+
+	one.breaks_after = two.breaks_after = 1;
+	Register(1, "engines",
+		 {{one.id, dead.address}, {two.id, dead.address}});
+	for (int i = 0; i < 4; i++)
+		Ask(1, "/query/a", "early-" + std::to_string(i));
+	Register(1, "engines", {{one.id, one.address}, {two.id, dead.address}});
+	for (int i = 0; i < 4; i++) {
+		std::string id = "r-" + std::to_string(i);
+
+		Ask(1, "/query/a", id, &text);
+		EXPECT_LE(Runs(id), 2) << text;
+	}
+}
+
 /* Guards against a second run that no retry is left for. */
 TEST_F(GatewayResume, StaysWithinTheBudget)
 {
