Send no report where prompts that are still read make it late

At services with mixed urgency a deferrable generation went to any engine with memory for it, also where 9,000 and more prompt tokens were still unread, and its first event came late. It now waits in the queue until an engine can begin it in time, weighed by the engine's speed where speeds are in use. One that would be late at each engine goes to any, as before.

Tests EndpointChoice.ALateFirstEvent*, .ASlowEngineReadsLonger, GatewayWaiting.WaitsWhilePromptsAreRead and .ItsPromptsHoldNoOther.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -176,6 +176,12 @@
 	return route_table_is_deferrable(exchange->table, exchange->route);
 }
 
+/* When the first event of a stream has to come, as its route says. */
+int64_t exchange_first_event_due_us(const struct exchange *exchange)
+{
+	return exchange->begun_us + exchange->route->first_answer_us;
+}
+
 /* Fills the criteria by which endpoint_choose selects for this request. */
 void exchange_fill_criteria(const struct exchange *exchange,
 			    struct endpoint_criteria *criteria)
@@ -199,9 +205,16 @@
 	};
 	criteria->gives_way =
 		route_table_gives_way(exchange->table, exchange->service_name);
-	if (exchange_is_deferrable(exchange))
+	if (exchange_is_deferrable(exchange)) {
 		criteria->reserved_share =
 			gateway_headroom_share(gateway, exchange->service_name);
+		criteria->prompt_tokens =
+			exchange->parsed_request.prompt_tokens;
+		if (!exchange->answer_begun)
+			criteria->begin_within_us =
+				exchange_first_event_due_us(exchange) -
+				gateway->now_us;
+	}
 	gateway_fill_rates(gateway, exchange->service_name, exchange->service,
 			   &criteria->rates);
 	gateway_speed_fill(gateway, criteria,
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -173,6 +173,7 @@
 int64_t exchange_retry_after_us(const struct exchange *exchange);
 bool exchange_is_resting(const struct exchange *exchange, int64_t *wait_us);
 bool exchange_is_deferrable(const struct exchange *exchange);
+int64_t exchange_first_event_due_us(const struct exchange *exchange);
 bool exchange_is_generation(const struct exchange *exchange);
 bool exchange_is_admitted(struct exchange *exchange);
 void exchange_fill_criteria(const struct exchange *exchange,
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -392,12 +392,17 @@
 	       purpose == CHOOSE_DEFERRABLE_RUN_AND_BACKUP;
 }
 
-/* Chooses what another node asked for; either engine may be NULL. */
-static struct engine_choice choose_for(struct gateway *gateway,
-				       const struct peer_choose *choose,
-				       const struct config_service *service)
+/*
+ * Fills the criteria for what another node asked for. A deferrable request is
+ * due within begin_within_us; 0: at any time.
+ */
+static void fill_criteria(struct gateway *gateway,
+			  const struct peer_choose *choose,
+			  const struct config_service *service,
+			  int64_t begin_within_us,
+			  struct endpoint_criteria *criteria)
 {
-	struct endpoint_criteria criteria = {
+	*criteria = (struct endpoint_criteria){
 		.service = choose->service,
 		.engine = service ? &service->engine : NULL,
 		.failure_domain = choose->failure_domain,
@@ -407,17 +412,38 @@
 		.now_us = gateway->now_us,
 		.draw = g_rand_double(gateway->random),
 	};
-	struct engine_choice choice = {NULL, NULL};
-
-	criteria.gives_way =
+	criteria->gives_way =
 		gateway->table &&
 		route_table_gives_way(gateway->table, choose->service);
-	if (is_deferrable(choose->purpose))
-		criteria.reserved_share =
+	if (is_deferrable(choose->purpose)) {
+		criteria->reserved_share =
 			gateway_headroom_share(gateway, choose->service);
-	gateway_fill_rates(gateway, choose->service, service, &criteria.rates);
-	gateway_speed_fill(gateway, &criteria,
+		criteria->prompt_tokens = choose->prompt_tokens;
+		criteria->begin_within_us = begin_within_us;
+	}
+	gateway_fill_rates(gateway, choose->service, service, &criteria->rates);
+	gateway_speed_fill(gateway, criteria,
 			   gateway_speed_pause_bound_us(gateway, choose));
+}
+
+static const struct config_service *
+find_service(const struct gateway *gateway, const struct peer_choose *choose)
+{
+	return gateway->table ? route_table_find_service(gateway->table,
+							 choose->service)
+			      : NULL;
+}
+
+/* Chooses what another node asked for; either engine may be NULL. */
+static struct engine_choice choose_for(struct gateway *gateway,
+				       const struct peer_choose *choose,
+				       int64_t begin_within_us)
+{
+	struct endpoint_criteria criteria;
+	struct engine_choice choice = {NULL, NULL};
+
+	fill_criteria(gateway, choose, find_service(gateway, choose),
+		      begin_within_us, &criteria);
 	if (choose->purpose == CHOOSE_MOVE) {
 		criteria.other_domain_weight = MOVE_OTHER_DOMAIN_WEIGHT;
 		choice.copy =
@@ -478,28 +504,32 @@
 	engine_grants_add(gateway->grants, &grant, gateway->now_us);
 }
 
-static const struct config_service *
-find_service(const struct gateway *gateway, const struct peer_choose *choose)
+/* Whether an engine has room for another node's request, in time or not. */
+bool gateway_home_has_room(struct gateway *gateway,
+			   const struct peer_choose *choose)
 {
-	return gateway->table ? route_table_find_service(gateway->table,
-							 choose->service)
-			      : NULL;
+	struct endpoint_criteria criteria;
+
+	fill_criteria(gateway, choose, find_service(gateway, choose), 0,
+		      &criteria);
+	return endpoint_choose(gateway->registry, &criteria) != NULL;
 }
 
 /*
- * Grants an engine to another node's request that waits here. Returns false if
- * none has room.
+ * Grants an engine to another node's request that waits, whose first event is
+ * due within wait_us. Returns false if there is none for it.
  */
-bool gateway_home_grant(struct gateway *gateway, const char *node,
-			const char *address, const struct peer_choose *choose)
+bool gateway_home_grant(struct gateway *gateway,
+			const struct peer_message *await, int64_t wait_us)
 {
+	const struct peer_choose *choose = &await->await.choose;
 	const struct engine_choice choice =
-		choose_for(gateway, choose, find_service(gateway, choose));
+		choose_for(gateway, choose, wait_us);
 
 	if (!choice.run)
 		return false;
-	send_choice(gateway, address, choose, &choice);
-	count_choice(gateway, node, choose, &choice);
+	send_choice(gateway, await->from_address, choose, &choice);
+	count_choice(gateway, await->from, choose, &choice);
 	return true;
 }
 
@@ -518,7 +548,11 @@
 		return;
 	if (choose->purpose != CHOOSE_MOVE)
 		gateway_waiting_grant(gateway, choose->service);
-	choice = choose_for(gateway, choose, find_service(gateway, choose));
+	choice = choose_for(gateway, choose,
+			    gateway->table
+				    ? route_table_deferrable_begin_us(
+					      gateway->table, choose->service)
+				    : 0);
 	send_choice(gateway, message->from_address, choose, &choice);
 	if (choice.run || choice.copy)
 		count_choice(gateway, message->from, choose, &choice);
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -342,8 +342,10 @@
 				  const struct peer_message *message);
 void gateway_home_receive_answer(struct gateway *gateway,
 				 const struct peer_message *message);
-bool gateway_home_grant(struct gateway *gateway, const char *node,
-			const char *address, const struct peer_choose *choose);
+bool gateway_home_has_room(struct gateway *gateway,
+			   const struct peer_choose *choose);
+bool gateway_home_grant(struct gateway *gateway,
+			const struct peer_message *await, int64_t wait_us);
 
 /* gateway_waiting.c */
 struct exchange;
--- a/adapters/gateway/gateway_waiting.c
+++ b/adapters/gateway/gateway_waiting.c
@@ -61,6 +61,7 @@
 	int64_t heard_us; /* of the home */
 	int64_t checked_us;
 	struct peer_message *request; /* of another node */
+	int64_t due_us;		      /* its first event */
 	int64_t told_us;	      /* that node, that it waits */
 };
 
@@ -232,11 +233,6 @@
 	return CLAMP(rank, 0, WAIT_ROOM_RANKS - 1);
 }
 
-static int64_t first_event_due_us(const struct exchange *exchange)
-{
-	return exchange->begun_us + exchange->route->first_answer_us;
-}
-
 static struct waiter *waiter_create(struct exchange *exchange)
 {
 	struct gateway *gateway = exchange->gateway;
@@ -259,7 +255,8 @@
 	char due[24];
 
 	g_snprintf(due, sizeof(due), "%" G_GINT64_FORMAT,
-		   (first_event_due_us(exchange) - exchange->gateway->now_us) /
+		   (exchange_first_event_due_us(exchange) -
+		    exchange->gateway->now_us) /
 			   1000);
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "request_waits",
 		  "request", exchange->parsed_request.id, "service",
@@ -277,7 +274,7 @@
 	message->await.organisation = g_strdup(organisation_name(exchange));
 	message->await.rank = find_rank(exchange);
 	message->await.wait_us =
-		MAX(first_event_due_us(exchange) - gateway->now_us, 0);
+		MAX(exchange_first_event_due_us(exchange) - gateway->now_us, 0);
 	waiter->home = g_strdup(home->name);
 	waiter->home_address = g_strdup(home->peer_address);
 	waiter->number = message->await.choose.number;
@@ -306,7 +303,7 @@
 				  exchange->organisation->regions),
 		.tokens = exchange_held_tokens(exchange),
 		.prompt_tokens = exchange->parsed_request.prompt_tokens,
-		.due_us = first_event_due_us(exchange),
+		.due_us = exchange_first_event_due_us(exchange),
 		.owner = waiter,
 	};
 	int64_t retry_after_us;
@@ -399,14 +396,27 @@
 	return accept_grant(exchange) ? exchange : NULL;
 }
 
-static struct endpoint *choose_engine(const struct exchange *exchange)
+static struct endpoint *choose_engine(const struct exchange *exchange,
+				      bool in_time)
 {
 	struct endpoint_criteria criteria;
 
 	exchange_fill_criteria(exchange, &criteria);
+	if (!in_time)
+		criteria.begin_within_us = 0;
 	return endpoint_choose(exchange->gateway->registry, &criteria);
 }
 
+/* Whether an engine has room for the request, in time or not. */
+static bool has_room(const struct waiter *waiter)
+{
+	const struct peer_message *request = waiter->request;
+
+	return request ? gateway_home_has_room(waiter->gateway,
+					       &request->await.choose)
+		       : choose_engine(waiter->exchange, false) != NULL;
+}
+
 /* Places the request if an engine has room; the waiter is gone then. */
 static bool place(struct waiter *waiter)
 {
@@ -417,11 +427,10 @@
 	struct endpoint *engine = NULL;
 
 	if (exchange)
-		engine = choose_engine(exchange);
+		engine = choose_engine(exchange, true);
 	if (exchange ? !engine
-		     : !gateway_home_grant(gateway, request->from,
-					   request->from_address,
-					   &request->await.choose))
+		     : !gateway_home_grant(gateway, request,
+					   waiter->due_us - gateway->now_us))
 		return false;
 	wait_room_grant(room, g_steal_pointer(&waiter->ticket));
 	waiter_end(waiter);
@@ -464,8 +473,12 @@
 	queue->is_granting = true;
 	wait_room_begin_round(queue->room);
 	while ((ticket = wait_room_next(queue->room, gateway->now_us))) {
-		if (place(wait_ticket_owner(ticket)))
+		struct waiter *waiter = wait_ticket_owner(ticket);
+
+		if (place(waiter))
 			is_granted = true;
+		else if (has_room(waiter))
+			wait_room_pass_over_one(queue->room, ticket);
 		else
 			wait_room_pass_over(queue->room, ticket);
 	}
@@ -734,6 +747,7 @@
 	waiter->gateway = gateway;
 	waiter->queue = queue;
 	waiter->request = copy_await(message);
+	waiter->due_us = request.due_us;
 	waiter->told_us = gateway->now_us;
 	g_ptr_array_add(gateway->waiting->others, waiter);
 	waiter->ticket = wait_room_admit(queue->room, &request, gateway->now_us,
@@ -762,8 +776,7 @@
 		return;
 	}
 	gateway_waiting_grant(gateway, choose->service);
-	if (gateway_home_grant(gateway, message->from, message->from_address,
-			       choose))
+	if (gateway_home_grant(gateway, message, message->await.wait_us))
 		return;
 	if (gives_way(gateway, choose->service))
 		admit_other(gateway, message);
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -1,5 +1,7 @@
 #include "core/gateway/endpoint_choice.h"
 
+#include "core/gateway/prompt_reading.h"
+
 #include <string.h>
 
 /*
@@ -317,6 +319,27 @@
 	       slot_load(criteria, endpoint) < 1;
 }
 
+/*
+ * Whether the first event can come in time there, after the prompts that the
+ * endpoint still reads. A request that would be late anywhere may go to any.
+ */
+static bool begins_in_time(const struct endpoint_criteria *criteria,
+			   const struct endpoint *endpoint)
+{
+	int64_t unread = endpoint_total_load(endpoint).unread_tokens;
+	double ratio = 1;
+
+	if (prompt_reading_us(criteria->prompt_tokens) >=
+	    criteria->begin_within_us)
+		return true;
+	if (criteria->speed)
+		ratio = endpoint_speed_ratio(&endpoint->speed,
+					     criteria->now_us);
+	return ratio * (double)prompt_reading_us(criteria->prompt_tokens +
+						 MAX(unread, 0)) <=
+	       (double)criteria->begin_within_us;
+}
+
 static bool is_eligible(const struct endpoint_criteria *criteria,
 			struct endpoint *endpoint,
 			const struct summary *summary, bool healthy_only,
@@ -327,6 +350,7 @@
 	       !is_resting(criteria, endpoint) &&
 	       (!healthy_only || looks_healthy(criteria, endpoint, summary)) &&
 	       has_room(criteria, endpoint, fill) &&
+	       begins_in_time(criteria, endpoint) &&
 	       endpoint_rates_allow(endpoint, &criteria->rates,
 				    RATE_FOR_REQUEST, criteria->now_us);
 }
@@ -601,8 +625,10 @@
 			 const struct endpoint_criteria *criteria)
 {
 	const struct summary summary = service_summarise(registry, criteria);
+	struct endpoint_criteria any = *criteria;
 
-	return choose_best(registry, criteria, &summary, true,
+	any.begin_within_us = 0;
+	return choose_best(registry, &any, &summary, true,
 			   criteria->gives_way ? MOVE_FILL_RESERVED
 					       : MOVE_FILL);
 }
@@ -627,9 +653,11 @@
 		       const struct endpoint_criteria *criteria)
 {
 	const struct summary summary = service_summarise(registry, criteria);
+	struct endpoint_criteria any = *criteria;
 
 	if (!criteria->engine || !criteria->engine->can_back_up)
 		return NULL;
-	return choose_best(registry, criteria, &summary, true,
+	any.begin_within_us = 0;
+	return choose_best(registry, &any, &summary, true,
 			   backup_fill(&summary));
 }
--- a/core/gateway/endpoint_choice.h
+++ b/core/gateway/endpoint_choice.h
@@ -26,8 +26,10 @@
 	const char *avoid_id;	    /* one more endpoint id, or NULL */
 	bool is_for_other; /* another node sends: rests here don't matter */
 	int64_t tokens;	   /* in memory at the expected end; 0: plain service */
-	double reserved_share; /* of all memory, kept free for moves */
-	bool gives_way;	       /* moves may use what new requests leave free */
+	int64_t prompt_tokens;
+	int64_t begin_within_us; /* time left for the first event; 0: any */
+	double reserved_share;	 /* of all memory, kept free for moves */
+	bool gives_way; /* moves may use what new requests leave free */
 	const struct service_speed *speed; /* NULL: the speed of endpoints does
 					      not count */
 	int64_t longest_pause_us;	   /* that the stream allows; 0: any */
--- a/core/gateway/route_table.c
+++ b/core/gateway/route_table.c
@@ -304,6 +304,28 @@
 	return false;
 }
 
+/*
+ * Returns the shortest first_answer_us of the service's deferrable routes, for
+ * a request whose route is not known; 0: it has none.
+ */
+int64_t route_table_deferrable_begin_us(const struct route_table *table,
+					const char *service)
+{
+	const GPtrArray *routes = table->config->routes;
+	int64_t shortest_us = 0;
+
+	for (guint i = 0; i < routes->len; i++) {
+		const struct route *route = g_ptr_array_index(routes, i);
+
+		if (!route_table_is_deferrable(table, route) ||
+		    !route_leads_to(route, service))
+			continue;
+		if (!shortest_us || route->first_answer_us < shortest_us)
+			shortest_us = route->first_answer_us;
+	}
+	return shortest_us;
+}
+
 /*
  * Returns the shortest longest_pause_us of the service's streams, for a request
  * whose route is not known; 0: none has one.
--- a/core/gateway/route_table.h
+++ b/core/gateway/route_table.h
@@ -34,6 +34,8 @@
 			       const struct route *route);
 bool route_table_gives_way(const struct route_table *table,
 			   const char *service);
+int64_t route_table_deferrable_begin_us(const struct route_table *table,
+					const char *service);
 int64_t route_table_longest_pause_us(const struct route_table *table,
 				     const char *service);
 const struct config_organisation *
--- a/core/gateway/wait_room.c
+++ b/core/gateway/wait_room.c
@@ -1,15 +1,9 @@
 #include "core/gateway/wait_room.h"
 
+#include "core/gateway/prompt_reading.h"
 #include "core/gateway/retry_after.h"
 #include "core/placement/wait_queue.h"
 
-/*
- * An engine reads about 7 prompt tokens per ms beside running generations, half
- * of what it reads when it does nothing else. A request that starts later than
- * its prompt needs gets its first event late even if nothing goes wrong.
- */
-#define PROMPT_TOKENS_PER_MS 7
-
 /*
  * A step of an engine with 24 running requests takes 10 ms and gives each of
  * them one token.
@@ -200,10 +194,13 @@
 	return CLAMP(wait_us, RETRY_SOON_US, MAX_RETRY_AFTER_US);
 }
 
+/*
+ * A request that starts later than its prompt needs gets its first event late
+ * even if nothing goes wrong.
+ */
 static int64_t latest_start_us(const struct wait_request *request)
 {
-	return request->due_us -
-	       request->prompt_tokens * 1000 / PROMPT_TOKENS_PER_MS;
+	return request->due_us - prompt_reading_us(request->prompt_tokens);
 }
 
 static gint compare_start(gconstpointer a, gconstpointer b,
@@ -304,6 +301,15 @@
 	return other->request.rank < urgent->request.rank ? other : urgent;
 }
 
+/*
+ * Notes that the request is not granted in this round. Tells nothing about
+ * others: its first event would be late at the engines that have room for it.
+ */
+void wait_room_pass_over_one(struct wait_room *room, struct wait_ticket *ticket)
+{
+	ticket->passed_round = room->round;
+}
+
 /*
  * Notes that the request does not fit now. Others that hold as much are not
  * tried in this round: deferrable ones leave more memory free than others do.
@@ -313,7 +319,7 @@
 {
 	int64_t tokens = ticket->request.tokens;
 
-	ticket->passed_round = room->round;
+	wait_room_pass_over_one(room, ticket);
 	if (ticket->request.is_restricted)
 		return;
 	for (size_t i = ticket->entry.lane; i < QUEUE_LANES; i++)
@@ -324,7 +330,7 @@
 static double expected_cost(const struct wait_request *request)
 {
 	int64_t answer = MAX(request->tokens - request->prompt_tokens, 0);
-	int64_t ms = request->prompt_tokens / PROMPT_TOKENS_PER_MS +
+	int64_t ms = prompt_reading_us(request->prompt_tokens) / 1000 +
 		     answer * ANSWER_MS_PER_TOKEN;
 
 	return (double)request->tokens * (double)ms / 1000;
--- a/core/gateway/wait_room.h
+++ b/core/gateway/wait_room.h
@@ -43,6 +43,8 @@
 void wait_room_begin_round(struct wait_room *room);
 struct wait_ticket *wait_room_next(struct wait_room *room, int64_t now_us);
 void wait_room_pass_over(struct wait_room *room, struct wait_ticket *ticket);
+void wait_room_pass_over_one(struct wait_room *room,
+			     struct wait_ticket *ticket);
 void wait_room_grant(struct wait_room *room, struct wait_ticket *ticket);
 void wait_room_withdraw(struct wait_room *room, struct wait_ticket *ticket);
 struct wait_ticket *wait_room_expired(const struct wait_room *room,
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -392,6 +392,48 @@
 	EXPECT_EQ("brittle", choose());
 }
 
+/*
+ * Guards against a report whose first event is late because it was sent to an
+ * engine that still reads the prompts of others.
+ */
+TEST_F(EndpointChoice, ALateFirstEventIsNoReasonToSend)
+{
+	struct endpoint *reading = add("reading", 12000, 3);
+
+	reading->others.unread_tokens = 12000;
+	criteria.prompt_tokens = 3000;
+	criteria.begin_within_us = 2000000;
+	EXPECT_EQ("none", choose()) << "15,000 tokens take 2.1 s";
+	criteria.begin_within_us = 2200000;
+	EXPECT_EQ("reading", choose());
+	criteria.begin_within_us = 400000;
+	EXPECT_EQ("reading", choose()) << "it is late at any engine";
+	criteria.begin_within_us = 2000000;
+	add("busy", 25000, 20);
+	EXPECT_EQ("busy", choose());
+	criteria.avoid_id = "busy";
+	criteria.tokens = 1000;
+	EXPECT_NE("none", backup()) << "a copy waits for no prompt";
+	EXPECT_NE(nullptr, endpoint_choose_for_move(registry, &criteria));
+}
+
+/* Guards against a slow engine that is taken to read as fast as others. */
+TEST_F(EndpointChoice, ASlowEngineReadsLonger)
+{
+	struct endpoint *slow = add("slow", 12000, 3);
+	struct service_speed speed = {};
+
+	slow->others.unread_tokens = 6000;
+	slow->speed.ratio = 2;
+	slow->speed.evidence = 8;
+	slow->speed.observed_us = criteria.now_us;
+	criteria.prompt_tokens = 3000;
+	criteria.begin_within_us = 2000000;
+	EXPECT_EQ("slow", choose()) << "speeds are not in use";
+	criteria.speed = &speed;
+	EXPECT_EQ("none", choose()) << "9,000 tokens take 2.6 s there";
+}
+
 /*
  * Guards against a request that runs outside the regions to which its route or
  * its organisation is bound, however full the endpoints there are.
--- a/tests/gateway_waiting_test.cc
+++ b/tests/gateway_waiting_test.cc
@@ -175,6 +175,42 @@
 		<< "both ran at the same time";
 }
 
+/*
+ * Guards against a report that is sent to an engine at which its first event
+ * would be late: it waits until prompts there have been read.
+ */
+TEST_F(GatewayWaiting, WaitsWhilePromptsAreRead)
+{
+	Prepare(2);
+	for (size_t node : {home, other}) {
+		std::string id = "w-" + std::to_string(node);
+		struct endpoint *engine =
+			registry_find(nodes[home]->gateway->registry, "i-1");
+
+		engine->others.unread_tokens = 20000;
+		Send(node, "/report/a", id);
+		ASSERT_TRUE(run_until([&] { return WaitingNow(node) == 1; }));
+		engine->others.unread_tokens = 0;
+		EXPECT_EQ(200, Status(id));
+		EXPECT_EQ(1, one.runs[id]);
+	}
+}
+
+/* Guards against an urgent request behind one that waits for prompts. */
+TEST_F(GatewayWaiting, ItsPromptsHoldNoOther)
+{
+	Prepare(1);
+	registry_find(nodes[0]->gateway->registry, "i-1")
+		->others.unread_tokens = 20000;
+	Send(0, "/report/a", "large");
+	ASSERT_TRUE(run_until([&] { return WaitingNow(0) == 1; }));
+	Send(0, "/query/a", "urgent");
+	EXPECT_EQ(200, Status("urgent"));
+	EXPECT_EQ(1u, WaitingNow(0));
+	EXPECT_EQ(503, Status("large")) << "at its latest start";
+	EXPECT_EQ(0, one.runs["large"]);
+}
+
 /* Guards against an urgent request behind one that can wait. */
 TEST_F(GatewayWaiting, TheUrgentOneGoesFirst)
 {
--- a/tests/wait_room_test.cc
+++ b/tests/wait_room_test.cc
@@ -127,6 +127,17 @@
 	EXPECT_EQ(2, Next());
 }
 
+/* Guards against one that is due too soon and holds back all that are not. */
+TEST_F(WaitRoom, OneThatWouldBeLateTellsNothingOfOthers)
+{
+	ASSERT_TRUE(Admit(1, "a", 0, false, 2500, 1000));
+	ASSERT_TRUE(Admit(2, "b", 0, false, 2500, 1500));
+	wait_room_begin_round(room);
+	ASSERT_EQ(1, Next());
+	wait_room_pass_over_one(room, tickets[1]);
+	EXPECT_EQ(2, Next());
+}
+
 /* Guards against an organisation that takes all by asking most. */
 TEST_F(WaitRoom, OrganisationsGetEqualShares)
 {
