An engine that was silent and goes on keeps its run, also under notice

The old engine was let go all the same, as it was under notice, and the stream was cut. It keeps the run now, and copies it.

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -53,6 +53,7 @@
 	if (!next)
 		return;
 	input->takeover_requested = true;
+	input->asked_for_silence = exchange->next_for_silence;
 	input->asked_is_connected = attempt_is_connected(next->attempt);
 	input->takeover_requested_us =
 		exchange->gateway->now_us - next->sent_us;
@@ -557,9 +558,11 @@
 						     : "timeout");
 		break;
 	case EVACUATION_ASK_COPY:
+		exchange->next_for_silence = false;
 		exchange_move_continue(exchange);
 		break;
 	case EVACUATION_ASK_BACKUP:
+		exchange->next_for_silence = input.under_notice_us == 0;
 		exchange_hand_over(
 			exchange, backup, backup->last_registration->address,
 			exchange->parsed_request.id,
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -119,8 +119,9 @@
 	struct waiter *waiter;		  /* waits for an engine, or NULL */
 	int64_t waits_since_us;		  /* 0: it never waited */
 
-	struct leg *leg;  /* NULL between two dispatches */
-	struct leg *next; /* takes over while leg still runs, or NULL */
+	struct leg *leg;       /* NULL between two dispatches */
+	struct leg *next;      /* takes over while leg still runs, or NULL */
+	bool next_for_silence; /* it was asked as leg's endpoint was silent */
 	struct move move;
 	GPtrArray *avoided_ids; /* char *: ids of endpoints to avoid */
 	struct relay *relay;	/* at another node instead of a leg, or NULL */
--- a/core/gateway/evacuation.c
+++ b/core/gateway/evacuation.c
@@ -93,12 +93,13 @@
 
 /*
  * An engine that was silent and sends events again keeps its run: the asked one
- * has not answered and may have no copy, and the run would be lost.
+ * has not answered and may have no copy, and the run would be lost. That the
+ * engine is under notice by now is a reason to copy the run, not to lose it.
  */
 static bool has_resumed(const struct evacuation_input *input)
 {
-	return input->under_notice_us == 0 && input->has_begun &&
-	       !is_silent(input);
+	return (input->under_notice_us == 0 || input->asked_for_silence) &&
+	       input->has_begun && !is_silent(input);
 }
 
 /*
--- a/core/gateway/evacuation.h
+++ b/core/gateway/evacuation.h
@@ -45,6 +45,8 @@
 
 	bool takeover_requested; /* another engine was asked to continue the run
 				  */
+	bool asked_for_silence;	 /* the old engine was silent, not under notice
+				  */
 	bool asked_is_connected;
 	int64_t takeover_requested_us; /* since that engine was asked */
 };
--- a/tests/evacuation_script.cc
+++ b/tests/evacuation_script.cc
@@ -46,6 +46,7 @@
 	int32_t refusals = 0;
 	bool takeover_requested = false;
 	bool asked_backup = false;
+	bool asked_for_silence = false;
 	int64_t asked_at = 0;
 	int64_t last_event = kStartMs; /* received by the caller */
 	int64_t last_old_event = kStartMs;
@@ -199,7 +200,9 @@
 		struct evacuation_input input = {};
 
 		input.under_notice_us =
-			scene.has_notice && now > 0 ? now * kUsPerMs : 0;
+			scene.has_notice && now > scene.notice_at
+				? (now - scene.notice_at) * kUsPerMs
+				: 0;
 		input.silent_us = (now - last_event) * kUsPerMs;
 		input.has_begun = now >= scene.begun;
 		input.begun_us = (now - scene.begun) * kUsPerMs;
@@ -214,6 +217,7 @@
 		input.target_serves = TargetServes();
 		input.target_reads_prompts = ReadsPrompts();
 		input.takeover_requested = takeover_requested;
+		input.asked_for_silence = asked_for_silence;
 		input.asked_is_connected = scene.connects;
 		input.takeover_requested_us = (now - asked_at) * kUsPerMs;
 		return input;
@@ -240,9 +244,11 @@
 		case EVACUATION_ASK_COPY:
 			copy = COPY_GIVEN_UP;
 			Ask(false);
+			asked_for_silence = false;
 			break;
 		case EVACUATION_ASK_BACKUP:
 			Ask(true);
+			asked_for_silence = input.under_notice_us == 0;
 			break;
 		case EVACUATION_RELEASE_OLD:
 			is_old = false;
@@ -278,6 +284,7 @@
 {
 	const std::map<std::string, int64_t *> times = {
 		{"end", &scene->end},
+		{"notice_at", &scene->notice_at},
 		{"silent", &scene->silent},
 		{"resumes", &scene->resumes},
 		{"prompts_until", &scene->prompts_until},
--- a/tests/evacuation_script.h
+++ b/tests/evacuation_script.h
@@ -7,15 +7,16 @@
 
 /*
  * Simulates one generation and its engines in virtual time, driven by the
- * decisions of the evacuation module. Times are in ms after the notice of the
- * generation's engine.
+ * decisions of the evacuation module. Times are in ms after the usual notice of
+ * the generation's engine.
  */
 struct evacuation_scene {
 	int64_t end = 1600;	/* the engine is gone */
 	bool has_notice = true; /* else the engine ends without one */
-	int64_t silent = -1;	/* the engine sends no events from then on */
-	int64_t resumes = -1;	/* it sends events again; -1: never */
-	int64_t begun = -2000;	/* first event of the run */
+	int64_t notice_at = 0;
+	int64_t silent = -1;   /* the engine sends no events from then on */
+	int64_t resumes = -1;  /* it sends events again; -1: never */
+	int64_t begun = -2000; /* first event of the run */
 	bool has_backup = false;
 	int64_t backup_takes = 550; /* from the first event until it exists */
 	bool backup_is_missing = false; /* dropped without an announcement */
