--- a/tests/gateway_silence_test.cc
+++ b/tests/gateway_silence_test.cc
@@ -119,6 +119,19 @@
 	EXPECT_LE(left, retry_window_remaining(budget));
 }
 
+/* The same where no retry is left. */
+TEST_F(GatewaySilence, ARefusedConnectionNeedsNoRetry)
+{
+	DeadAddress dead(CUT_REFUSED);
+
+	Register(0, "portal", {{one.id, one.address}, {"i-3", dead.address}});
+	for (int i = 0; i < 20; i++) {
+		SpendRetries();
+		registry_find(nodes[0]->gateway->registry, "i-3")->health = {};
+		EXPECT_EQ(200, Ask(0, "/export/a", "r-" + std::to_string(i)));
+	}
+}
+
 /* Guards against an answer that is thrown away for a later one. */
 TEST_F(GatewaySilence, TakesTheFirstOfTwoAnswers)
 {
