Soak: slow engines, engines that slow when they run much, mixed urgency

engine_slows, engine_bends and plain_slows play endpoints that work slower and state it; config_urgent makes queries more urgent than reports at engines with little memory, so that generations wait. A generation that began nowhere must be refused before its first event is due.

--- a/fakes/backend_run.c
+++ b/fakes/backend_run.c
@@ -19,6 +19,27 @@
 #define POISON_PART "badbad01"
 #define POISON_PART_EVENTS 3
 
+/*
+ * Returns how much longer work takes than usual; 0: the backend does not say.
+ * Each run above bends_at makes all others slower by a quarter.
+ */
+int64_t backend_slowdown_percent(const struct backend *backend)
+{
+	int64_t excess = (int64_t)backend->runs->len - backend->bends_at;
+	int64_t percent = backend->slowdown_percent;
+
+	if (backend->bends_at > 0)
+		percent = MAX(percent, 100) + 25 * MAX(excess, 0);
+	return percent;
+}
+
+static int64_t slowed_ms(const struct backend *backend, int64_t usual_ms)
+{
+	int64_t percent = backend_slowdown_percent(backend);
+
+	return percent > 0 ? usual_ms * percent / 100 : usual_ms;
+}
+
 static void crash(const char *reason, const char *request)
 {
 	fprintf(stderr, "crash: %s, request %s\n", reason, request);
@@ -88,8 +109,9 @@
 	soup_server_message_pause(run->message);
 	run->close_watch =
 		fake_message_on_disconnect(run->message, on_disconnect, run);
-	run->timer =
-		g_timeout_add((guint)run->backend->answer_delay_ms, step, run);
+	run->timer = g_timeout_add(
+		(guint)slowed_ms(run->backend, run->backend->answer_delay_ms),
+		step, run);
 }
 
 static gboolean run_send_copy(gpointer data)
@@ -134,6 +156,20 @@
 	run->events_sent++;
 }
 
+static gboolean generation_step(gpointer data);
+
+/* Returns whether the run's timer goes on; a new one may replace it. */
+static gboolean run_keep_pace(struct backend_run *run)
+{
+	int64_t pace_ms = slowed_ms(run->backend, run->backend->pace_ms);
+
+	if (run->timer && pace_ms == run->pace_ms)
+		return G_SOURCE_CONTINUE;
+	run->pace_ms = pace_ms;
+	run->timer = g_timeout_add((guint)pace_ms, generation_step, run);
+	return G_SOURCE_REMOVE;
+}
+
 static gboolean generation_step(gpointer data)
 {
 	struct backend_run *run = data;
@@ -152,7 +188,7 @@
 		    backend->real_copies)
 			run->copy_timer = g_timeout_add(BACKUP_START_MS,
 							run_send_copy, run);
-		return G_SOURCE_CONTINUE;
+		return run_keep_pace(run);
 	}
 	run_complete(run);
 	soup_message_body_complete(
@@ -167,9 +203,8 @@
 	struct backend_run *run = data;
 
 	run_stop_close_watch(run);
-	run->timer = g_timeout_add((guint)run->backend->pace_ms,
-				   generation_step, run);
-	return G_SOURCE_REMOVE;
+	run->timer = 0;
+	return run_keep_pace(run);
 }
 
 static void run_generate(struct backend_run *run)
--- a/fakes/backend_state.h
+++ b/fakes/backend_state.h
@@ -31,6 +31,8 @@
 
 	int64_t events;		    /* per generation */
 	int64_t pace_ms;	    /* between two events */
+	int64_t slowdown_percent;   /* of work, stated in answers; 0: not */
+	int64_t bends_at;	    /* runs above which work slows; 0: never */
 	int64_t crash_after_events; /* of a run; 0: never */
 	int64_t error_percent;	    /* of requests answered 500 */
 	int64_t crash_after_ms;	    /* delay of the reset if crashing */
@@ -70,6 +72,7 @@
 	SoupServerMessage *message;
 	char *id;
 	char *path;
+	int64_t pace_ms;      /* of its timer */
 	char *backup_address; /* NULL: no backup copies */
 	bool from_copy;	      /* continues another engine's run */
 	bool has_poison_part; /* crashes the engine when it begins */
@@ -82,6 +85,7 @@
 };
 
 /* backend_run.c */
+int64_t backend_slowdown_percent(const struct backend *backend);
 void backend_run_begin(struct backend *backend, SoupServerMessage *message,
 		       const char *id, const char *path);
 const struct backend_run *backend_run_find(const struct backend *backend,
--- a/fakes/fake_backend.c
+++ b/fakes/fake_backend.c
@@ -4,6 +4,9 @@
 #include <string.h>
 #include <unistd.h>
 
+/* Stated with the load; the backend runs all that it gets. */
+#define SLOTS 24
+
 /*
  * A fake of the platform's engines, plain and generating. Event I of a
  * generation depends only on I and the request's id, so any engine can continue
@@ -122,6 +125,19 @@
 			   g_object_unref);
 }
 
+static void state_load(const struct backend *backend,
+		       SoupMessageHeaders *headers)
+{
+	int64_t percent = backend_slowdown_percent(backend);
+	g_autofree char *text =
+		g_strdup_printf("%u,0,%d,%" G_GINT64_FORMAT,
+				MIN(backend->runs->len, SLOTS), SLOTS, percent);
+
+	if (percent > 0)
+		soup_message_headers_replace(headers, HEADER("Engine-Load"),
+					     text);
+}
+
 static void on_request(void *data, SoupServerMessage *message, const char *path)
 {
 	struct backend *backend = data;
@@ -153,6 +169,7 @@
 	save_request_headers(backend, message);
 	soup_message_headers_replace(headers, HEADER("Engine-Stamp"),
 				     backend->id);
+	state_load(backend, headers);
 	if (backend->server_limit && *backend->server_limit)
 		soup_message_headers_replace(headers, "Server-Limit",
 					     backend->server_limit);
@@ -351,6 +368,8 @@
 	const struct fake_mode modes[] = {
 		{"events", FAKE_MODE_INT, &backend.events},
 		{"pace_ms", FAKE_MODE_INT, &backend.pace_ms},
+		{"slowdown_percent", FAKE_MODE_INT, &backend.slowdown_percent},
+		{"bends_at", FAKE_MODE_INT, &backend.bends_at},
 		{"full", FAKE_MODE_BOOL, &backend.full},
 		{"failing", FAKE_MODE_BOOL, &backend.failing},
 		{"no_copy", FAKE_MODE_BOOL, &backend.no_copy},
--- a/tests/soak/soak_check.c
+++ b/tests/soak/soak_check.c
@@ -19,6 +19,7 @@
 	soak_check_lost,
 	soak_check_kept,
 	soak_check_timeouts,
+	soak_check_waits,
 	soak_check_retry_budget,
 	soak_check_poison,
 	soak_check_innocents,
--- a/tests/soak/soak_check_state.h
+++ b/tests/soak/soak_check_state.h
@@ -55,6 +55,7 @@
 void soak_check_evacuations(struct soak_check *check);
 void soak_check_stops(struct soak_check *check);
 void soak_check_timeouts(struct soak_check *check);
+void soak_check_waits(struct soak_check *check);
 void soak_check_retry_budget(struct soak_check *check);
 void soak_check_poison(struct soak_check *check);
 void soak_check_innocents(struct soak_check *check);
--- a/tests/soak/soak_check_times.c
+++ b/tests/soak/soak_check_times.c
@@ -1,4 +1,5 @@
 #include "tests/soak/soak_check_state.h"
+#include "tests/soak/soak_platform.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -273,6 +274,40 @@
 			count);
 }
 
+/* Whether a generation that began nowhere had to wait past its latest start. */
+static bool waited_too_long(const struct soak_check *check,
+			    const struct soak_attempt *attempt)
+{
+	const GPtrArray *entries = soak_check_entries(check, attempt->id);
+
+	return soak_kind_is_stream(attempt->kind) && attempt->sent_us &&
+	       (!entries || entries->len == 0) && attempt->answer->status &&
+	       attempt->ended_us - attempt->sent_us >
+		       SOAK_REPORT_DUE_MS * SOAK_MS_US + LATE_US +
+			       SOAK_SCHEDULING_DELAY_US &&
+	       soak_check_is_stable(check, attempt->front, attempt->begun_us) &&
+	       soak_check_is_stable(check, attempt->front, attempt->ended_us);
+}
+
+/* A generation that finds no engine is refused before its first event is due.
+ */
+void soak_check_waits(struct soak_check *check)
+{
+	const GPtrArray *attempts = check->evidence->attempts;
+
+	for (guint i = 0; i < attempts->len; i++) {
+		const struct soak_attempt *attempt =
+			g_ptr_array_index(attempts, i);
+
+		if (waited_too_long(check, attempt))
+			soak_check_add_finding(
+				check, attempt->id, attempt->ended_us,
+				"refused after %" PRId64 " ms",
+				(attempt->ended_us - attempt->sent_us) /
+					SOAK_MS_US);
+	}
+}
+
 static bool goes_to_engines(enum soak_kind kind)
 {
 	return soak_kind_is_stream(kind) || kind == SOAK_KIND_POISON ||
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -452,6 +452,20 @@
 		soak_fleet_configure(fleet);
 }
 
+/* Makes queries more urgent than reports, unless they are. */
+static void urgency_raise(struct soak_fleet *fleet)
+{
+	if (fleet->urgency_raised++ == 0)
+		soak_fleet_configure(fleet);
+}
+
+/* Takes the usual urgency back at the end of its last raise. */
+static void urgency_restore(struct soak_fleet *fleet)
+{
+	if (--fleet->urgency_raised == 0)
+		soak_fleet_configure(fleet);
+}
+
 static const struct {
 	member_action begin;
 	member_action end;
@@ -535,6 +549,12 @@
 				  NULL},
 	[SOAK_ENGINE_ASKS_REST] = {endpoint_ask_rest, endpoint_end_rest, NULL,
 				   NULL},
+	[SOAK_ENGINE_SLOWS] = {NULL, NULL, "{\"slowdown_percent\":250}",
+			       "{\"slowdown_percent\":100}"},
+	[SOAK_ENGINE_BENDS] = {NULL, NULL, "{\"bends_at\":3}",
+			       "{\"bends_at\":0,\"slowdown_percent\":100}"},
+	[SOAK_PLAIN_SLOWS] = {NULL, NULL, "{\"slowdown_percent\":250}",
+			      "{\"slowdown_percent\":100}"},
 	[SOAK_PLAIN_LINK_EXTRA] = {.link = {SOAK_LINK_UNSOLICITED,
 					    STRAY_IDLE_US}},
 };
@@ -635,6 +655,8 @@
 		domain_evacuate(fleet);
 	if (fault->kind == SOAK_CONFIG_IDLE)
 		idle_limit_lower(fleet);
+	if (fault->kind == SOAK_CONFIG_URGENT)
+		urgency_raise(fleet);
 	if (fault->kind == SOAK_CONFIG)
 		soak_fleet_configure(fleet);
 	for (int i = 0; fault->kind == SOAK_CONFIG_STORM && i < STORM_VERSIONS;
@@ -657,6 +679,8 @@
 		domain_take_back(fleet);
 	if (fault->kind == SOAK_CONFIG_IDLE)
 		idle_limit_restore(fleet);
+	if (fault->kind == SOAK_CONFIG_URGENT)
+		urgency_restore(fleet);
 	if (fault->kind == SOAK_STORE_LAPSE)
 		entries_restore(fleet);
 	soak_fleet_record_fault_end(fleet, fault->kind,
--- a/tests/soak/soak_fleet_start.c
+++ b/tests/soak/soak_fleet_start.c
@@ -320,8 +320,8 @@
 {
 	int32_t idle_ms =
 		fleet->idle_lowered ? LOWER_IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS;
-	g_autofree char *document =
-		soak_platform_configuration(++fleet->version, idle_ms);
+	g_autofree char *document = soak_platform_configuration(
+		++fleet->version, idle_ms, fleet->urgency_raised > 0);
 	struct soak_version row = {
 		.index = fleet->version,
 		.idle_us = idle_ms * G_TIME_SPAN_MILLISECOND,
--- a/tests/soak/soak_fleet_state.h
+++ b/tests/soak/soak_fleet_state.h
@@ -26,11 +26,12 @@
 };
 
 struct soak_fleet {
-	int32_t evacuations;  /* of the domain, that last now */
-	int32_t idle_lowered; /* lower idle limits that last now */
-	int32_t drains;	      /* whose signals come again */
-	int32_t successors;   /* of endpoints that left by their answers */
-	int32_t rests;	      /* asked for */
+	int32_t evacuations;	/* of the domain, that last now */
+	int32_t idle_lowered;	/* lower idle limits that last now */
+	int32_t urgency_raised; /* raises that last now */
+	int32_t drains;		/* whose signals come again */
+	int32_t successors;	/* of endpoints that left by their answers */
+	int32_t rests;		/* asked for */
 	const struct soak_schedule *schedule;
 	struct soak_fleet_paths paths;
 	struct soak_view *view;
--- a/tests/soak/soak_platform.c
+++ b/tests/soak/soak_platform.c
@@ -106,9 +106,11 @@
  * Formats configuration number index; the caller frees it. It adds a route of
  * its own, keeps the route that configuration index - 1 added and removes the
  * one that index - 2 added. Idle connections of callers stay for
- * idle_timeout_ms.
+ * idle_timeout_ms. If is_urgent, queries go before reports at engines with
+ * memory for a few generations.
  */
-char *soak_platform_configuration(int32_t index, int32_t idle_timeout_ms)
+char *soak_platform_configuration(int32_t index, int32_t idle_timeout_ms,
+				  bool is_urgent)
 {
 	GString *text = g_string_new(NULL);
 
@@ -117,7 +119,7 @@
 		"{\"version\":%d,\"routes\":["
 		"{\"name\":\"report\",\"host\":\"" SOAK_HOST "\","
 		"\"path_prefix\":\"/report/\",\"kind\":\"streaming\","
-		"\"timeout_ms\":20000,\"slo_ms\":1800,\"priority\":0,"
+		"\"timeout_ms\":20000,\"slo_ms\":%d,\"priority\":%d,"
 		"\"service\":\"engines\",\"max_attempts\":1,"
 		"\"gap_target_ms\":180},"
 		"{\"name\":\"query\",\"host\":\"" SOAK_HOST "\","
@@ -133,18 +135,19 @@
 		"\"path_prefix\":\"/export/\",\"kind\":\"unsafe\","
 		"\"timeout_ms\":1500,\"slo_ms\":150,\"priority\":2,"
 		"\"service\":\"portal\",\"max_attempts\":1}",
-		VERSION_STEP * (index + 1));
+		VERSION_STEP * (index + 1),
+		is_urgent ? SOAK_REPORT_DUE_MS : 1800, is_urgent ? 2 : 0);
 	for (int32_t i = MAX(index - 1, 0); i <= index; i++)
 		append_probe_route(text, i);
 	g_string_append_printf(
 		text,
 		"],\"services\":[{\"name\":\"engines\",\"engine\":{"
-		"\"slots\":24,\"kv_cache_tokens\":34000,\"stride\":4,"
+		"\"slots\":24,\"kv_cache_tokens\":%d,\"stride\":4,"
 		"\"migrations\":true,\"backups\":true,\"handle_ttl_s\":5}},"
 		"{\"name\":\"portal\"}],\"limits\":{\"header_bytes\":4096,"
 		"\"max_body_bytes\":65536,\"header_timeout_ms\":800,"
 		"\"idle_timeout_ms\":%d},\"tenants\":[{\"name\":\"atlas\","
 		"\"keys\":[\"" SOAK_KEY "\"]}]}",
-		idle_timeout_ms);
+		is_urgent ? 1300 : 34000, idle_timeout_ms);
 	return g_string_free(text, FALSE);
 }
--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -240,6 +240,24 @@
 		{"engine_asks_rest", SOAK_TARGET_ENGINE, 3000, 6000, true,
 		 "an engine turns requests away and asks for rest", false,
 		 false},
+	[SOAK_ENGINE_SLOWS] = {"engine_slows", SOAK_TARGET_ENGINE, 600, 4000,
+			       true,
+			       "an engine's work takes 2.5 times as long, as "
+			       "it states",
+			       false, false},
+	[SOAK_ENGINE_BENDS] = {"engine_bends", SOAK_TARGET_ENGINE, 2000, 6000,
+			       true,
+			       "an engine slows with each run above three",
+			       false, false},
+	[SOAK_PLAIN_SLOWS] = {"plain_slows", SOAK_TARGET_PLAIN, 600, 4000, true,
+			      "a plain endpoint's work takes 2.5 times as "
+			      "long, as it states",
+			      false, false},
+	[SOAK_CONFIG_URGENT] = {"config_urgent", SOAK_TARGET_OPERATOR, 2000,
+				6000, true,
+				"a configuration makes queries more urgent "
+				"than reports, at engines with little memory",
+				false, false},
 };
 
 /* Returns the static description of a kind of fault. */
