siskinlinkctl waiting: who waits, for how long, and each organisation's share

GET /admin/v1/waiting lists a node's queues with the requests of all nodes, what each organisation was granted in token seconds, and this node's requests at a home. The histogram of waiting time is split into urgent and deferrable requests.

--- a/adapters/gateway/gateway_losses.c
+++ b/adapters/gateway/gateway_losses.c
@@ -222,6 +222,10 @@
 				      actions);
 		return;
 	}
+	if (query->type == QUERY_WAITING) {
+		gateway_waiting_answer_query(gateway, query->call, actions);
+		return;
+	}
 	if (query->type == QUERY_LIFT)
 		log_write(gateway->log, LOG_LEVEL_INFO, "quarantine_lift",
 			  "fingerprint", query->fingerprint, "operator",
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -358,6 +358,8 @@
 void gateway_waiting_receive(struct gateway *gateway,
 			     const struct peer_message *message);
 guint gateway_waiting_count(const struct gateway *gateway);
+void gateway_waiting_answer_query(const struct gateway *gateway, uint64_t call,
+				  struct action_list *actions);
 struct exchange *gateway_waiting_take(struct gateway *gateway, uint64_t number);
 
 /* exchange.c */
--- a/adapters/gateway/gateway_waiting.c
+++ b/adapters/gateway/gateway_waiting.c
@@ -1,4 +1,5 @@
 #include "adapters/gateway/exchange_state.h"
+#include "core/gateway/wait_query.h"
 #include "core/gateway/wait_room.h"
 
 #include <string.h>
@@ -350,7 +351,10 @@
 		   waited_us / 1000);
 	counters_add(gateway->options.counters, COUNTER_GATEWAY_WAITS_GRANTED,
 		     1);
-	counters_add_latency(gateway->options.counters, LATENCY_WAIT,
+	counters_add_latency(gateway->options.counters,
+			     exchange_is_deferrable(exchange)
+				     ? LATENCY_WAIT_DEFERRABLE
+				     : LATENCY_WAIT_URGENT,
 			     waited_us);
 	log_write(gateway->log, LOG_LEVEL_INFO, "request_granted", "request",
 		  exchange->parsed_request.id, "waited_ms", waited, NULL);
@@ -850,3 +854,41 @@
 			wait_room_length(((struct service_queue *)queue)->room);
 	return count;
 }
+
+static struct wait_owner name_owner(const void *data)
+{
+	const struct waiter *waiter = data;
+
+	return waiter->exchange
+		       ? (struct wait_owner){waiter->exchange->parsed_request
+						     .id,
+					     waiter->gateway->options.node_name}
+		       : (struct wait_owner){"", waiter->request->from};
+}
+
+/* Appends to the actions what waits here, and this node's requests at homes. */
+void gateway_waiting_answer_query(const struct gateway *gateway, uint64_t call,
+				  struct action_list *actions)
+{
+	struct wait_query *query = wait_query_begin();
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, gateway->waiting->queues);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct service_queue *queue = item;
+
+		wait_query_add_room(query, queue->service, queue->room,
+				    name_owner, gateway->now_us);
+	}
+	g_hash_table_iter_init(&iter, gateway->waiting->asked);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct waiter *waiter = item;
+
+		wait_query_add_asked(query, waiter->exchange->parsed_request.id,
+				     waiter->home,
+				     gateway->now_us -
+					     waiter->exchange->waits_since_us);
+	}
+	wait_query_answer(query, call, actions);
+}
--- a/adapters/http_route.c
+++ b/adapters/http_route.c
@@ -190,6 +190,7 @@
 	{"GET", "/admin/v1/quarantine", true, .query = QUERY_QUARANTINE},
 	{"POST", QUARANTINE_PREFIX, true, .run = server_on_lift},
 	{"GET", "/admin/v1/endpoints", true, .run = server_on_endpoints},
+	{"GET", "/admin/v1/waiting", true, .query = QUERY_WAITING},
 };
 
 static const struct route *route_find(const char *path)
--- a/core/base/counters.c
+++ b/core/base/counters.c
@@ -129,8 +129,12 @@
 				 "from a request to its first event"},
 	[LATENCY_PAUSE] = {"gateway_longest_pause",
 			   "longest pause between two events of a stream"},
-	[LATENCY_WAIT] = {"gateway_wait",
-			  "that a request waited until it was granted"},
+	[LATENCY_WAIT_URGENT] = {"gateway_wait_urgent",
+				 "that an urgent request waited until it was "
+				 "granted"},
+	[LATENCY_WAIT_DEFERRABLE] = {"gateway_wait_deferrable",
+				     "that a request which gives way to others "
+				     "waited until it was granted"},
 };
 
 /* Adds a latency to its histogram. */
--- a/core/base/counters.h
+++ b/core/base/counters.h
@@ -69,7 +69,9 @@
 	LATENCY_PLAIN,	     /* gateway: complete answer of a plain endpoint */
 	LATENCY_FIRST_EVENT, /* gateway: first event of a stream */
 	LATENCY_PAUSE,	     /* gateway: longest pause of a stream */
-	LATENCY_WAIT, /* gateway: until a request that waits is granted */
+	/* gateway: until a request that waits is granted */
+	LATENCY_WAIT_URGENT,
+	LATENCY_WAIT_DEFERRABLE,
 	LATENCY_COUNT
 };
 
--- a/core/gateway/wait_room.c
+++ b/core/gateway/wait_room.c
@@ -4,6 +4,8 @@
 #include "core/gateway/retry_after.h"
 #include "core/placement/wait_queue.h"
 
+#include <string.h>
+
 /*
  * A step of an engine with 24 running requests takes 10 ms and gives each of
  * them one token.
@@ -35,6 +37,7 @@
 struct organisation {
 	struct queue_organisation *share;
 	double tokens[WAIT_ROOM_RANKS]; /* waiting */
+	double granted_token_s;
 };
 
 struct wait_ticket {
@@ -339,8 +342,10 @@
 /* Removes a request that was placed and charges it to its organisation. */
 void wait_room_grant(struct wait_room *room, struct wait_ticket *ticket)
 {
-	wait_queue_charge(room->queue, ticket->entry.organisation,
-			  expected_cost(&ticket->request), true);
+	double cost = expected_cost(&ticket->request);
+
+	ticket->organisation->granted_token_s += cost;
+	wait_queue_charge(room->queue, ticket->entry.organisation, cost, true);
 	wait_room_withdraw(room, ticket);
 }
 
@@ -392,6 +397,60 @@
 	return wait_queue_length(room->queue);
 }
 
+/* Returns how many tokens the engines freed per second lately; 0: not known. */
+double wait_room_freed_per_s(struct wait_room *room, int64_t now_us)
+{
+	return freed_per_us(room, now_us) * G_USEC_PER_SEC;
+}
+
+/* Visits the requests that wait, by the time until each is refused. */
+void wait_room_foreach(const struct wait_room *room, int64_t now_us,
+		       wait_entry_visit visit, void *data)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(room->by_start);
+
+	for (; !g_sequence_iter_is_end(iter);
+	     iter = g_sequence_iter_next(iter)) {
+		const struct wait_ticket *ticket = g_sequence_get(iter);
+		const struct wait_entry entry = {
+			.organisation = ticket->organisation->share->name,
+			.rank = ticket->request.rank,
+			.is_deferrable = ticket->request.is_deferrable,
+			.tokens = ticket->request.tokens,
+			.waited_us = now_us - ticket->entry.arrival_us,
+			.start_within_us = ticket->entry.start_by_us - now_us,
+			.owner = ticket->request.owner,
+		};
+
+		visit(&entry, data);
+	}
+}
+
+/* Visits the organisations whose requests wait or were granted, by name. */
+void wait_room_foreach_share(const struct wait_room *room,
+			     wait_share_visit visit, void *data)
+{
+	GList *names = g_list_sort(g_hash_table_get_keys(room->organisations),
+				   (GCompareFunc)strcmp);
+
+	for (GList *item = names; item; item = item->next) {
+		const struct organisation *organisation =
+			g_hash_table_lookup(room->organisations, item->data);
+		const struct wait_share share = {
+			.organisation = item->data,
+			.weight = organisation->share->weight,
+			.waiting = organisation->share->waiting,
+			.waiting_tokens =
+				(int64_t)organisation->share->waiting_tokens,
+			.granted_token_s = organisation->granted_token_s,
+		};
+
+		if (share.waiting > 0 || share.granted_token_s > 0)
+			visit(&share, data);
+	}
+	g_list_free(names);
+}
+
 /* Returns what the request's owner gave when it was admitted. */
 void *wait_ticket_owner(const struct wait_ticket *ticket)
 {
--- a/core/gateway/wait_room.h
+++ b/core/gateway/wait_room.h
@@ -32,6 +32,30 @@
 	void *owner;
 };
 
+/* A request that waits, as operators see it. */
+struct wait_entry {
+	const char *organisation; /* "": none */
+	int32_t rank;
+	bool is_deferrable;
+	int64_t tokens;
+	int64_t waited_us;
+	int64_t start_within_us; /* time until it is refused */
+	void *owner;
+};
+
+/* What an organisation has got of those that wait or waited. */
+struct wait_share {
+	const char *organisation;
+	int32_t weight;
+	uint32_t waiting;
+	int64_t waiting_tokens;
+	double granted_token_s; /* tokens times the seconds that they were
+				   expected to be held */
+};
+
+typedef void (*wait_entry_visit)(const struct wait_entry *entry, void *data);
+typedef void (*wait_share_visit)(const struct wait_share *share, void *data);
+
 struct wait_room;
 struct wait_ticket; /* a request that waits; the room owns it */
 
@@ -56,6 +80,11 @@
 				 const struct wait_ticket *ticket,
 				 int64_t now_us);
 uint32_t wait_room_length(const struct wait_room *room);
+double wait_room_freed_per_s(struct wait_room *room, int64_t now_us);
+void wait_room_foreach(const struct wait_room *room, int64_t now_us,
+		       wait_entry_visit visit, void *data);
+void wait_room_foreach_share(const struct wait_room *room,
+			     wait_share_visit visit, void *data);
 void *wait_ticket_owner(const struct wait_ticket *ticket);
 
 G_END_DECLS
--- a/core/node/node_query.c
+++ b/core/node/node_query.c
@@ -1,6 +1,7 @@
 #include "core/node/node_state.h"
 
 #include "core/gateway/registry_query.h"
+#include "core/gateway/wait_query.h"
 #include "core/json/variant_json.h"
 #include "core/limit/quarantine_query.h"
 #include "core/once/request_id.h"
@@ -110,5 +111,9 @@
 	case QUERY_ENDPOINTS:
 		registry_answer_query(NULL, event, node->now_us, node->actions);
 		break;
+	case QUERY_WAITING:
+		wait_query_answer(wait_query_begin(), event->call,
+				  node->actions);
+		break;
 	}
 }
--- a/daemons/ctl_command.c
+++ b/daemons/ctl_command.c
@@ -246,6 +246,84 @@
 		get_int(answer, "total"));
 }
 
+static void print_waiting_request(JsonObject *request, FILE *out)
+{
+	const char *id = get_string(request, "id");
+
+	fputs("  ", out);
+	print_field(out, *id ? id : "(of another node)", 18);
+	print_field(out, get_string(request, "node"), 16);
+	print_field(out, get_string(request, "organisation"), 16);
+	fprintf(out,
+		"rank %" G_GINT64_FORMAT "%s, %" G_GINT64_FORMAT
+		" tokens, waits for %" G_GINT64_FORMAT
+		" ms, refused in %" G_GINT64_FORMAT " ms\n",
+		get_int(request, "rank"),
+		json_object_get_boolean_member_with_default(request,
+							    "deferrable", FALSE)
+			? ", gives way"
+			: "",
+		get_int(request, "tokens"), get_int(request, "waited_ms"),
+		get_int(request, "start_within_ms"));
+}
+
+static void print_share(JsonObject *organisation, FILE *out)
+{
+	const char *name = get_string(organisation, "name");
+
+	fputs("  organisation ", out);
+	print_field(out, *name ? name : "(none)", 16);
+	fprintf(out,
+		"weight %" G_GINT64_FORMAT ", %" G_GINT64_FORMAT
+		" waiting with %" G_GINT64_FORMAT
+		" tokens, granted %" G_GINT64_FORMAT " token seconds\n",
+		get_int(organisation, "weight"),
+		get_int(organisation, "waiting"),
+		get_int(organisation, "waiting_tokens"),
+		get_int(organisation, "granted_token_s"));
+}
+
+static void print_each(JsonObject *object, const char *name,
+		       void (*print)(JsonObject *item, FILE *out), FILE *out)
+{
+	JsonArray *items = json_member_array(object, name);
+
+	for (guint i = 0; items && i < json_array_get_length(items); i++) {
+		JsonObject *item = json_element_object(items, i);
+
+		if (item)
+			print(item, out);
+	}
+}
+
+static void print_queue(JsonObject *queue, FILE *out)
+{
+	fputs("service ", out);
+	print_text(out, get_string(queue, "service"));
+	fprintf(out,
+		": %" G_GINT64_FORMAT " waiting, engines free %" G_GINT64_FORMAT
+		" tokens a second\n",
+		get_int(queue, "waiting"),
+		get_int(queue, "freed_tokens_per_s"));
+	print_each(queue, "requests", print_waiting_request, out);
+	print_each(queue, "organisations", print_share, out);
+}
+
+static void print_asked(JsonObject *request, FILE *out)
+{
+	fputs("at its home ", out);
+	print_field(out, get_string(request, "home"), 16);
+	print_field(out, get_string(request, "id"), 18);
+	fprintf(out, "waits for %" G_GINT64_FORMAT " ms\n",
+		get_int(request, "waited_ms"));
+}
+
+static void print_waiting(JsonObject *answer, FILE *out)
+{
+	print_each(answer, "queues", print_queue, out);
+	print_each(answer, "at_home", print_asked, out);
+}
+
 static const struct ctl_command commands[] = {
 	{.name = "nodes",
 	 .method = "GET",
@@ -310,6 +388,13 @@
 	 .needs_key = true,
 	 .print = print_endpoints,
 	 .help = "a gateway's endpoints, and why they are not used"},
+	{.name = "waiting",
+	 .method = "GET",
+	 .path = "/admin/v1/waiting",
+	 .needs_key = true,
+	 .print = print_waiting,
+	 .help = "generations that wait for an engine, and each "
+		 "organisation's share"},
 };
 
 /* Returns the command with this name, or NULL. */
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -182,7 +182,8 @@
 {
 	return quarantine_is_query(event) ||
 	       (event->type == EVENT_QUERY &&
-		event->query.type == QUERY_ENDPOINTS);
+		(event->query.type == QUERY_ENDPOINTS ||
+		 event->query.type == QUERY_WAITING));
 }
 
 static void loop_answer_from_gateway(struct node_loop *loop,
--- a/ports/event.h
+++ b/ports/event.h
@@ -64,7 +64,8 @@
 	QUERY_HISTORY,	  /* GET /admin/v1/history */
 	QUERY_QUARANTINE, /* GET /admin/v1/quarantine */
 	QUERY_LIFT,	  /* POST /admin/v1/quarantine/FINGERPRINT/lift */
-	QUERY_ENDPOINTS	  /* GET /admin/v1/endpoints */
+	QUERY_ENDPOINTS,  /* GET /admin/v1/endpoints */
+	QUERY_WAITING	  /* GET /admin/v1/waiting */
 };
 
 struct event_query {
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -159,3 +159,41 @@
 	EXPECT_STREQ(": ", text);
 	g_free(text);
 }
+
+/* Guards against a list of waiting requests that can't be read as text. */
+TEST(Ctl, PrintsWhatWaits)
+{
+	const char *body =
+		"{\"queues\":[{\"service\":\"llm\",\"waiting\":2,"
+		"\"freed_tokens_per_s\":5200,\"requests\":[{\"id\":\"r-1\","
+		"\"node\":\"n1\",\"organisation\":\"atlas\",\"rank\":0,"
+		"\"deferrable\":false,\"tokens\":430,\"waited_ms\":120,"
+		"\"start_within_ms\":900},{\"id\":\"\",\"node\":\"n2\","
+		"\"organisation\":\"\",\"rank\":2,\"deferrable\":true,"
+		"\"tokens\":3400,\"waited_ms\":800,"
+		"\"start_within_ms\":2700}],\"organisations\":[{\"name\":"
+		"\"atlas\",\"weight\":2,\"waiting\":1,"
+		"\"waiting_tokens\":430,\"granted_token_s\":9100}]}],"
+		"\"at_home\":[{\"id\":\"r-2\",\"home\":\"n3\","
+		"\"waited_ms\":40}]}";
+	char *text = nullptr;
+	size_t size = 0;
+	FILE *out = open_memstream(&text, &size);
+
+	ctl_command_print(ctl_command_find("waiting"), body, false, out);
+	fclose(out);
+	EXPECT_STREQ(
+		"service llm: 2 waiting, engines free 5200 tokens a second\n"
+		"  r-1               n1              atlas           rank "
+		"0, "
+		"430 tokens, waits for 120 ms, refused in 900 ms\n"
+		"  (of another node) n2                              rank "
+		"2, "
+		"gives way, 3400 tokens, waits for 800 ms, refused in 2700 ms\n"
+		"  organisation atlas           weight 2, 1 waiting with 430 "
+		"tokens, granted 9100 token seconds\n"
+		"at its home n3              r-2               waits for 40 "
+		"ms\n",
+		text);
+	free(text);
+}
--- a/tests/gateway_waiting_test.cc
+++ b/tests/gateway_waiting_test.cc
@@ -142,7 +142,9 @@
 		EXPECT_EQ(1, one.runs[id]);
 		EXPECT_EQ(1u, Count(node, COUNTER_GATEWAY_WAITS_GRANTED));
 		EXPECT_EQ(0u, WaitingNow(node));
-		EXPECT_GT(nodes[node]->counters.latency[LATENCY_WAIT].sum_us,
+		EXPECT_GT(nodes[node]
+				  ->counters.latency[LATENCY_WAIT_URGENT]
+				  .sum_us,
 			  100000u);
 	}
 	EXPECT_EQ(0u, gateway_waiting_count(nodes[home]->gateway));
@@ -171,7 +173,8 @@
 	EXPECT_EQ(200, Status("second"));
 	EXPECT_EQ(200, Status("busy"));
 	EXPECT_EQ(3u, one.runs.size());
-	EXPECT_GT(nodes[other]->counters.latency[LATENCY_WAIT].sum_us, 700000u)
+	EXPECT_GT(nodes[other]->counters.latency[LATENCY_WAIT_URGENT].sum_us,
+		  700000u)
 		<< "both ran at the same time";
 }
 
@@ -211,6 +214,37 @@
 	EXPECT_EQ(0, one.runs["large"]);
 }
 
+/* Guards against operators who can't see what waits. */
+TEST_F(GatewayWaiting, ListsWhatWaits)
+{
+	struct event_query query = {};
+	std::string texts[2];
+
+	Prepare(2);
+	LetWait(other, "/report/a", "large");
+	query.type = QUERY_WAITING;
+	for (size_t node : {home, other}) {
+		struct action_list *actions = action_list_create();
+
+		gateway_answer_query(nodes[node]->gateway, &query, actions);
+		gsize size;
+		const char *text = (const char *)g_bytes_get_data(
+			action_list_get(actions, 0)->answer.body, &size);
+		texts[node].assign(text, size);
+		action_list_destroy(actions);
+	}
+	EXPECT_NE(std::string::npos, texts[home].find("\"waiting\":1"));
+	EXPECT_NE(std::string::npos, texts[home].find("\"rank\":2"));
+	EXPECT_NE(std::string::npos,
+		  texts[home].find("\"node\":\"" + nodes[other]->name + "\""));
+	EXPECT_NE(std::string::npos,
+		  texts[other].find("\"at_home\":[{\"id\":\"large\","
+				    "\"home\":\"" +
+				    nodes[home]->name + "\""))
+		<< texts[other];
+	EXPECT_EQ(200, Status("large"));
+}
+
 /* Guards against an urgent request behind one that can wait. */
 TEST_F(GatewayWaiting, TheUrgentOneGoesFirst)
 {
