siskinlinkctl check: an intent is checked before it is sent

Errors with file, line and field (the first of each entry), entries that can have no effect, limits that contradict each other, and what would change of the configuration in force, as text or JSON. Works without a node: errors only.

--- a/adapters/settings_toml.cc
+++ b/adapters/settings_toml.cc
@@ -212,3 +212,28 @@
 	}
 	return nullptr;
 }
+
+/*
+ * Returns the line, from 1, of the value at a path such as "routes[2].host", or
+ * of the part of the path that is there; 0 if the text is no TOML.
+ */
+int32_t toml_reader_line_of(const char *text, const char *path)
+{
+	try {
+		toml::table table = toml::parse(std::string_view(text));
+		std::string rest = path;
+
+		while (!rest.empty()) {
+			auto found = toml::at_path(table, rest);
+			size_t end = rest.find_last_of(".[");
+
+			if (found)
+				return static_cast<int32_t>(
+					found.node()->source().begin.line);
+			rest.resize(end == std::string::npos ? 0 : end);
+		}
+		return 1;
+	} catch (const std::exception &) {
+		return 0;
+	}
+}
--- a/adapters/toml_reader.h
+++ b/adapters/toml_reader.h
@@ -38,6 +38,7 @@
 
 GPtrArray *toml_reader_load(const char *path, struct error *error);
 char *toml_reader_to_json(const char *text, struct error *error);
+int32_t toml_reader_line_of(const char *text, const char *path);
 
 G_END_DECLS
 
--- a/daemons/ctl_command.c
+++ b/daemons/ctl_command.c
@@ -345,6 +345,13 @@
 	 .print = print_plan,
 	 .help = "what an intent in TOML or JSON would change; \"-\" reads "
 		 "standard input"},
+	{.name = "check",
+	 .argument = "FILE",
+	 .method = "GET",
+	 .path = "/admin/v1/config",
+	 .is_check = true,
+	 .help = "errors of an intent, entries in vain and what it would "
+		 "change; without a key or node: errors only"},
 	{.name = "confirm",
 	 .argument = "PLAN_ID",
 	 .method = "POST",
--- a/daemons/ctl_command.h
+++ b/daemons/ctl_command.h
@@ -24,7 +24,10 @@
 	const char *method;
 	const char *path;	   /* %s stands for the escaped argument */
 	bool argument_is_optional; /* "" stands for one left out */
-	bool reads_file;	   /* the argument is the file with the body */
+	bool reads_file;
+	bool is_check;
+	/* compares a file with the answer */ /* the argument is the
+						 file with the body */
 	bool needs_key;
 	bool needs_operator;
 	bool may_change; /* a lost answer leaves the outcome unknown */
--- a/daemons/siskinlinkctl.c
+++ b/daemons/siskinlinkctl.c
@@ -1,5 +1,6 @@
 #include "adapters/toml_reader.h"
 #include "core/base/error.h"
+#include "daemons/ctl_check.h"
 #include "daemons/ctl_client.h"
 #include "daemons/ctl_command.h"
 #include "daemons/version.h"
@@ -22,6 +23,7 @@
 	char *node;
 	char *operator_name;
 	char *key_file;
+	char *base_file;
 	int json;
 	int timeout_s;
 	const struct ctl_command *command;
@@ -198,6 +200,59 @@
 	return status;
 }
 
+/*
+ * Returns the configuration in force, which the caller frees: of the base file
+ * or the node. NULL with a message if there is none.
+ */
+static char *read_base(const struct arguments *arguments, const char *key)
+{
+	struct ctl_call call = {
+		.address = arguments->address,
+		.method = "GET",
+		.path = arguments->command->path,
+		.key = key,
+		.timeout_s = (uint32_t)arguments->timeout_s,
+	};
+	struct ctl_answer answer;
+	struct error error;
+	char *base = NULL;
+
+	if (arguments->base_file)
+		return read_text(arguments->base_file);
+	if (!key || !*key)
+		return NULL;
+	if (!ctl_client_call(&call, &answer, &error))
+		fprintf(stderr, "siskinlinkctl: %s: %s\n", error.peer,
+			error.detail);
+	else if (answer.status != 200)
+		fprintf(stderr, "siskinlinkctl: %s: HTTP status %d\n",
+			arguments->address, answer.status);
+	else
+		base = g_strdup(answer.body);
+	ctl_answer_clear(&answer);
+	return base;
+}
+
+static enum ctl_exit command_check(const struct arguments *arguments,
+				   const char *key)
+{
+	char *text = read_text(arguments->argument);
+	char *base = text ? read_base(arguments, key) : NULL;
+	const struct ctl_check check = {
+		.path = arguments->argument,
+		.text = text,
+		.base = base,
+		.json = arguments->json != 0,
+	};
+	enum ctl_exit status = CTL_USAGE;
+
+	if (text && (base || !arguments->base_file))
+		status = ctl_check_run(&check, stdout);
+	g_free(base);
+	g_free(text);
+	return status;
+}
+
 static enum ctl_exit command_run(const struct arguments *arguments)
 {
 	const struct ctl_command *command = arguments->command;
@@ -210,6 +265,11 @@
 	key = read_key(arguments, &status);
 	if (status != CTL_OK)
 		return status;
+	if (command->is_check) {
+		status = command_check(arguments, key);
+		g_free(key);
+		return status;
+	}
 	if (command->needs_key && (!key || !*key)) {
 		g_free(key);
 		return usage_fail("%s needs the operator key: set --key-file "
@@ -255,6 +315,8 @@
 		return usage_fail("--node goes with dump only; use --address "
 				  "for %s",
 				  command->name);
+	if (arguments->base_file && !command->is_check)
+		return usage_fail("--base goes with check only");
 	if (arguments->timeout_s < 1 || arguments->timeout_s > MAX_TIMEOUT_S)
 		return usage_fail("--timeout-s: out of range, expected 1 to %d",
 				  MAX_TIMEOUT_S);
@@ -309,6 +371,9 @@
 		{"timeout-s", 't', POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT,
 		 &arguments.timeout_s, 0,
 		 "longest time without a byte of the answer", "S"},
+		{"base", 'b', POPT_ARG_STRING, &arguments.base_file, 0,
+		 "check: compare with this configuration, not the node's",
+		 "FILE"},
 		{"json", 'j', POPT_ARG_NONE, &arguments.json, 0,
 		 "print answers as the node sent them", NULL},
 		{"version", 0, POPT_ARG_NONE, NULL, OPTION_VERSION,
@@ -327,5 +392,6 @@
 	free(arguments.node);
 	free(arguments.operator_name);
 	free(arguments.key_file);
+	free(arguments.base_file);
 	return (int)status;
 }
--- a/tests/api.sh
+++ b/tests/api.sh
@@ -31,4 +31,13 @@
 	fi
 done < <(grep '^curl ' docs/API.md)
 echo "docs/API.md: $passed passed, $failed failed"
+
+# Compares an intent that is in force with the node's configuration.
+check=$("${ctl[@]}" check "$work/intent.toml")
+if [ "$(grep -c "^warning: nothing changes$" <<<"$check")" = 1 ]; then
+	echo "check: passed"
+else
+	echo "check: failed: $check"
+	failed=$((failed + 1))
+fi
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -8,6 +8,8 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <fstream>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -197,3 +199,78 @@
 		text);
 	free(text);
 }
+
+static std::string read_file(const std::string &path)
+{
+	std::ifstream in(path);
+	std::stringstream text;
+
+	text << in.rdbuf();
+	return text.str();
+}
+
+struct CheckCase {
+	const char *file;
+	bool has_base;
+	bool json;
+	enum ctl_exit status;
+	const char *expected; /* file with the output */
+};
+
+class CtlCheck : public testing::TestWithParam<CheckCase>
+{
+};
+
+/* Guards against a configuration whose faults are found only when it is sent.
+ * A check never changes anything and needs no node. */
+TEST_P(CtlCheck, PrintsWhatItsFileHolds)
+{
+	const CheckCase &checked = GetParam();
+	std::string folder = "tests/check/";
+	std::vector<std::string> arguments = {"check", folder + checked.file};
+
+	if (checked.has_base)
+		arguments.insert(arguments.begin(),
+				 {"--base", folder + "base.json"});
+	if (checked.json)
+		arguments.insert(arguments.begin(), "--json");
+	Outcome outcome = ctl(arguments, nullptr);
+
+	if (getenv("WRITE_SCRIPTS"))
+		std::ofstream(folder + checked.expected) << outcome.out;
+	EXPECT_EQ(checked.status, outcome.status) << outcome.err;
+	EXPECT_EQ(read_file(folder + checked.expected), outcome.out);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Files, CtlCheck,
+	testing::Values(CheckCase{"errors.toml", true, false, CTL_REFUSED,
+				  "errors.txt"},
+			CheckCase{"in_vain.toml", true, false, CTL_REFUSED,
+				  "in_vain.txt"},
+			CheckCase{"in_vain.toml", true, true, CTL_REFUSED,
+				  "in_vain_json.txt"},
+			CheckCase{"in_vain.toml", false, false, CTL_OK,
+				  "in_vain_alone.txt"},
+			CheckCase{"changes.json", true, false, CTL_OK,
+				  "changes.txt"},
+			CheckCase{"broken.toml", false, false, CTL_REFUSED,
+				  "broken.txt"},
+			CheckCase{"unknown_service.json", true, false,
+				  CTL_REFUSED, "unknown_service.txt"}));
+
+/* Guards against a base that is no configuration and counts as an empty one. */
+TEST(Ctl, ChecksAgainstAConfigurationOnly)
+{
+	EXPECT_EQ(CTL_USAGE, ctl({"--base", "tests/check/errors.toml", "check",
+				  "tests/check/changes.json"},
+				 nullptr)
+				     .status);
+	EXPECT_EQ(CTL_USAGE, ctl({"--base", "/nonexistent", "check",
+				  "tests/check/changes.json"},
+				 nullptr)
+				     .status);
+	EXPECT_EQ(CTL_USAGE, ctl({"check", "/nonexistent"}, nullptr).status);
+	EXPECT_EQ("siskinlinkctl: --base goes with check only\n",
+		  ctl({"--base", "x", "nodes"}, nullptr).err);
+}
