Answers with status 204 or 304 end with their head

A 304 that stated the length of the answer it stands for was read until the deadline, and its caller got 504. Found on reading; the test fails without it.

--- a/adapters/gateway/attempt.c
+++ b/adapters/gateway/attempt.c
@@ -51,6 +51,12 @@
 	       http_head_count(head, attempt->echo_field) == 1;
 }
 
+/* The length that a 304 states is that of the answer it stands for. */
+static bool status_has_body(int32_t status)
+{
+	return status != 204 && status != 304;
+}
+
 static bool on_head(void *data, const struct http_head *head)
 {
 	struct attempt *attempt = data;
@@ -58,7 +64,8 @@
 	attempt->answer_matches = head_matches_request(attempt, head);
 	if (attempt->answer_matches)
 		attempt->events->head(attempt->data, head);
-	return !attempt->has_no_body || head->status < 200;
+	return head->status < 200 ||
+	       (!attempt->has_no_body && status_has_body(head->status));
 }
 
 static void on_body(void *data, const char *bytes, size_t size)
--- a/tests/gateway_endless_test.cc
+++ b/tests/gateway_endless_test.cc
@@ -619,6 +619,34 @@
 		<< caller->input;
 }
 
+/*
+ * Guards against an answer without a body that lasts until the deadline, as the
+ * node waits for the bytes whose length it states.
+ */
+TEST_F(GatewayEndless, AnswersThatHaveNoBodyEndWithTheirHead)
+{
+	CreateOne();
+	for (const char *status : {"204 No Content", "304 Not Modified"}) {
+		std::string head = OK_HEAD;
+		std::unique_ptr<Connection> caller(
+			Connection::open(nodes[0]->address));
+		int64_t begun_us = g_get_monotonic_time();
+
+		head.replace(head.find("200 OK"), 6, status);
+		bad.scripts[""] = {head + "Content-Length: 5000\r\n\r\n", "",
+				   0};
+		caller->send("GET /lookup/a HTTP/1.1\r\nHost: h\r\n"
+			     "X-Siskinlink-Request-Id: r-1\r\n"
+			     "X-Siskinlink-Deadline-Ms: 2500\r\n"
+			     "Connection: close\r\n\r\n");
+		EXPECT_TRUE(caller->wait_closed());
+		EXPECT_EQ(0u,
+			  caller->input.find(std::string("HTTP/1.1 ") + status))
+			<< caller->input;
+		EXPECT_LT(g_get_monotonic_time() - begun_us, G_USEC_PER_SEC);
+	}
+}
+
 /* Without the setting, answers of any size pass on as before. */
 TEST_F(GatewayEndless, PassesAllWithoutTheSetting)
 {
