--- a/Makefile
+++ b/Makefile
@@ -152,9 +152,10 @@
 fields:
 	tests/answer_fields.sh
 
-# Compares the tables of bench/causes for a recorded log with the expected ones.
+# Compares the tables of bench/causes and bench/pairs with the expected ones.
 causes:
 	tests/causes.sh
+	tests/pairs.sh
 
 # Checks the models, and that each of their safeguards is needed.
 spec:
