A request that is passed on keeps the time that it has waited

The request now carries its age, and its first event is due counted from its arrival at the first node.

The test GatewayWaiting.ARelayedOneHasWaitedBefore fails without it.

--- a/adapters/gateway/dialect.h
+++ b/adapters/gateway/dialect.h
@@ -33,6 +33,7 @@
 	bool last_event_is_bad;	  /* given, and no number */
 	const char *relayed_by;	  /* node that passes it on; NULL: none */
 	int32_t relayed_attempts; /* runs that node allows; 0: not given */
+	int64_t relayed_age_us;	  /* time that the request was there */
 };
 
 /* What a node says when it passes a caller's request on to another node. */
@@ -41,6 +42,7 @@
 	int64_t patience_us;
 	int64_t after_event; /* as in struct endpoint_request */
 	int32_t attempts;    /* runs that the other node may begin */
+	int64_t age_us;	     /* time that the request was here */
 };
 
 /* Fields that are sent to an endpoint in addition to the caller's. */
--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -176,10 +176,17 @@
 	return route_table_is_deferrable(exchange->table, exchange->route);
 }
 
-/* When the first event of a stream has to come, as its route says. */
+/*
+ * When the first event of a stream has to come, as its route says, counted from
+ * the arrival at the first node.
+ */
 int64_t exchange_first_event_due_us(const struct exchange *exchange)
 {
-	return exchange->begun_us + exchange->route->first_answer_us;
+	int64_t begun_us = exchange->begun_us;
+
+	if (exchange->is_relayed)
+		begun_us -= exchange->parsed_request.relayed_age_us;
+	return begun_us + exchange->route->first_answer_us;
 }
 
 /* Fills the criteria by which endpoint_choose selects for this request. */
--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -274,6 +274,7 @@
 				       ? exchange->last_event
 				       : -1,
 		.attempts = exchange->relay->attempts,
+		.age_us = gateway->now_us - exchange->begun_us,
 	};
 	GString *out = g_string_sized_new(1024 + exchange->body->len);
 
--- a/tests/gateway_waiting_test.cc
+++ b/tests/gateway_waiting_test.cc
@@ -214,6 +214,25 @@
 	EXPECT_EQ(0, one.runs["large"]);
 }
 
+/* Guards against a request that waits its whole time anew at each node that it
+ * is passed on to. */
+TEST_F(GatewayWaiting, ARelayedOneHasWaitedBefore)
+{
+	int64_t begun_us;
+
+	Prepare(2);
+	one.silence_ms = 2000;
+	Send(home, "/query/a", "busy");
+	ASSERT_TRUE(run_until([&] { return !one.late.empty(); }));
+	begun_us = g_get_monotonic_time();
+	Send(home, "/query/a", "relayed",
+	     "Relayed-By: " + nodes[other]->name +
+		     "\r\nRelayed-Age-Ms: 900\r\n");
+	EXPECT_EQ(503, Status("relayed"));
+	EXPECT_LT(g_get_monotonic_time() - begun_us, 600000);
+	EXPECT_EQ(0, one.runs["relayed"]);
+}
+
 /* Guards against operators who can't see what waits. */
 TEST_F(GatewayWaiting, ListsWhatWaits)
 {
