--- a/tests/pairs.sh
+++ b/tests/pairs.sh
@@ -42,7 +42,7 @@
 EOF
 play='set -e; echo "$SITE $DAY $SEED" >>played
 awk -v seed="$SEED" "{ print \"worth\", \$1 + 0.01 * seed * seed * (\$1 > 0.6) }" base
-echo "late 3"; echo "not a figure"'
+echo "failed 3"; echo "not a figure"'
 
 run -c "$play" -r "$folder/results" old="$folder/old" new="$folder/new"
 expect 0 "" plays
@@ -50,15 +50,15 @@
 figure     site                     builds       pairs       mean     95% confidence interval
 worth      quito                    new-old          3    +0.0967    -0.0037 to +0.1971
 worth      all                      new-old          4    +0.0875    +0.0274 to +0.1476
-late       quito                    new-old          3    +0.0000    +0.0000 to +0.0000
-late       all                      new-old          4    +0.0000    +0.0000 to +0.0000
+failed     quito                    new-old          3    +0.0000    +0.0000 to +0.0000
+failed     all                      new-old          4    +0.0000    +0.0000 to +0.0000
 worth      amman                    new-old          1    +0.0600          one pair only
-late       amman                    new-old          1    +0.0000          one pair only
+failed     amman                    new-old          1    +0.0000          one pair only
 EOF
 diff -u "$folder/expected" "$folder/out" || fail "tables differ"
 
 # What stands in the results is not played again.
-sed -i '/^new amman scale 1 done/d' "$folder/results"
+sed -i '/^new amman scale 1 DONE/d' "$folder/results"
 run -c "$play" -r "$folder/results" old="$folder/old" new="$folder/new"
 expect 0 "" "goes on"
 [ "$(grep -c . "$folder/old/played")" = 4 ] || fail "a whole play was repeated"
