--- a/core/json/json_writer.c
+++ b/core/json/json_writer.c
@@ -42,6 +42,17 @@
 	json_builder_add_boolean_value(builder, TRUE);
 }
 
+/* Adds an array of strings, char *. */
+void json_writer_add_strings(JsonBuilder *builder, const char *name,
+			     const GPtrArray *strings)
+{
+	json_writer_begin_array(builder, name);
+	for (guint i = 0; i < strings->len; i++)
+		json_builder_add_string_value(builder,
+					      g_ptr_array_index(strings, i));
+	json_builder_end_array(builder);
+}
+
 /* Begins an array member, which the caller ends. */
 void json_writer_begin_array(JsonBuilder *builder, const char *name)
 {
--- a/core/json/json_writer.h
+++ b/core/json/json_writer.h
@@ -22,6 +22,8 @@
 			     bool value);
 
 /* Begin an array or object member; the caller ends it. */
+void json_writer_add_strings(JsonBuilder *builder, const char *name,
+			     const GPtrArray *strings);
 void json_writer_begin_array(JsonBuilder *builder, const char *name);
 void json_writer_begin_object(JsonBuilder *builder, const char *name);
 
--- a/core/plan/plan.c
+++ b/core/plan/plan.c
@@ -400,16 +400,6 @@
 	g_free(plan);
 }
 
-static void add_lines(JsonBuilder *builder, const char *name,
-		      const GPtrArray *lines)
-{
-	json_writer_begin_array(builder, name);
-	for (guint i = 0; i < lines->len; i++)
-		json_builder_add_string_value(builder,
-					      g_ptr_array_index(lines, i));
-	json_builder_end_array(builder);
-}
-
 static void add_capacities(JsonBuilder *builder, const GPtrArray *capacities)
 {
 	json_writer_begin_array(builder, "capacity");
@@ -447,8 +437,8 @@
 	if (plan->keep_us > 0)
 		json_writer_add_int(builder, "stale_after_s",
 				    plan->keep_us / G_USEC_PER_SEC);
-	add_lines(builder, "differences", plan->differences);
-	add_lines(builder, "warnings", plan->warnings);
+	json_writer_add_strings(builder, "differences", plan->differences);
+	json_writer_add_strings(builder, "warnings", plan->warnings);
 	add_capacities(builder, plan->capacities);
 	json_builder_end_object(builder);
 	return json_writer_finish(builder);
--- a/daemons/ctl_check.c
+++ b/daemons/ctl_check.c
@@ -61,16 +61,6 @@
 		fputs("not compared with a configuration in force\n", out);
 }
 
-static void add_lines(JsonBuilder *builder, const char *name,
-		      const GPtrArray *lines)
-{
-	json_writer_begin_array(builder, name);
-	for (guint i = 0; i < lines->len; i++)
-		json_builder_add_string_value(builder,
-					      g_ptr_array_index(lines, i));
-	json_builder_end_array(builder);
-}
-
 static void add_finding(const struct ctl_check *check,
 			const struct intent_finding *finding,
 			JsonBuilder *builder)
@@ -97,8 +87,8 @@
 		add_finding(check, g_ptr_array_index(result->findings, i),
 			    builder);
 	json_builder_end_array(builder);
-	add_lines(builder, "changes", result->differences);
-	add_lines(builder, "warnings", result->warnings);
+	json_writer_add_strings(builder, "changes", result->differences);
+	json_writer_add_strings(builder, "warnings", result->warnings);
 	json_builder_set_member_name(builder, "compared");
 	json_builder_add_boolean_value(builder, check->base != NULL);
 	json_builder_end_object(builder);
--- a/tests/causes.sh
+++ b/tests/causes.sh
@@ -4,32 +4,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 log=tests/expected/causes.log
-folder=$(mktemp -d)
-trap 'rm -rf "$folder"' EXIT
-trap 'exit 1' HUP INT TERM
-failed=0
-
-fail() { # MESSAGE
-	echo "causes: $1"
-	failed=1
-}
-
-# Runs bench/causes, with standard input from $folder/in.
-run() { # ARGUMENT...
-	code=0
-	bench/causes "$@" <"$folder/in" >"$folder/out" 2>"$folder/err" ||
-		code=$?
-}
-
-expect() { # STATUS ERROR_TEXT NAME
-	[ "$code" = "$1" ] || fail "$3: status $code instead of $1"
-	if [ -z "$2" ]; then
-		[ ! -s "$folder/err" ] || fail "$3: $(cat "$folder/err")"
-	else
-		grep -q -e "$2" "$folder/err" ||
-			fail "$3: no \"$2\" in: $(cat "$folder/err")"
-	fi
-}
+name=causes
+. tests/script_run.sh
 
 # Changes the recorded log, and expects this row of the table by cause.
 expect_cause() { # SED_SCRIPT COUNT CAUSE
--- a/tests/pairs.sh
+++ b/tests/pairs.sh
@@ -3,37 +3,13 @@
 # that was stopped and goes on, a build that does not start, and wrong use.
 set -eu
 cd "$(dirname "$0")/.."
-folder=$(mktemp -d)
-trap 'rm -rf "$folder"' EXIT
-trap 'exit 1' HUP INT TERM
-failed=0
-
-fail() { # MESSAGE
-	echo "pairs: $1"
-	failed=1
-}
-
-# Runs bench/pairs with $folder/days.
-run() { # ARGUMENT...
-	code=0
-	bench/pairs "$@" <"$folder/days" >"$folder/out" 2>"$folder/err" ||
-		code=$?
-}
-
-expect() { # STATUS ERROR_TEXT NAME
-	[ "$code" = "$1" ] || fail "$3: status $code instead of $1"
-	if [ -z "$2" ]; then
-		[ ! -s "$folder/err" ] || fail "$3: $(cat "$folder/err")"
-	else
-		grep -q -e "$2" "$folder/err" ||
-			fail "$3: no \"$2\" in: $(cat "$folder/err")"
-	fi
-}
+name=pairs
+. tests/script_run.sh
 
 mkdir "$folder/old" "$folder/new"
 echo 0.60 >"$folder/old/base"
 echo 0.65 >"$folder/new/base"
-cat >"$folder/days" <<EOF
+cat >"$folder/in" <<EOF
 # site day seed
 quito trouble 1
 quito trouble 2
@@ -71,7 +47,7 @@
 
 run -c "$play" -r "$folder/none" old="$folder/old" new="$folder/gone"
 expect 2 "new: no folder" "no folder"
-echo "quito trouble" >"$folder/days"
+echo "quito trouble" >"$folder/in"
 run -c "$play" -r "$folder/none" old="$folder/old" new="$folder/new"
 expect 2 "expected SITE DAY SEED" "a line without a seed"
 run -c "$play" old="$folder/old" new="$folder/new"
