Streams avoid engines where each later prompt makes them late

Nearly all of these pauses are 242 to 250 ms, on the engines of the slowest kind, where an event takes 50 to 80 ms otherwise: the time of an event while the engine reads a prompt. It is 94 and 154 ms on the other two kinds. Ruled out: load (the same with 2 and 8 requests), and stated slowdowns.

service_speed learns this time from the gaps beside prompts, which were thrown away so far. An engine where it exceeds the pause that the route allows gets long streams only if no other has room.

--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -35,6 +35,7 @@
 /* Events of one answer since its speed was last observed. */
 struct gap_window {
 	int64_t since_us; /* first event; 0: none */
+	int64_t last_us;  /* last event; 0: none */
 	int32_t count;	  /* gaps between events since then */
 	bool is_void;	  /* this node did not read at times */
 };
--- a/adapters/gateway/gateway_speed.c
+++ b/adapters/gateway/gateway_speed.c
@@ -116,9 +116,27 @@
 				       gateway->now_us);
 }
 
+/* Notes the gap before an event that arrives while the engine reads a prompt.
+ */
+static void note_reading(struct leg *leg, const struct endpoint *endpoint)
+{
+	const struct exchange *exchange = leg->exchange;
+	const struct gateway *gateway = exchange->gateway;
+	double gap_us = (double)(gateway->now_us - leg->gaps.last_us);
+	double tokens = MAX(exchange->service->engine.tokens_per_event, 1);
+
+	if (!leg->gaps.last_us)
+		return;
+	service_speed_add_reading(
+		find_service(gateway, exchange->service_name),
+		gap_us / tokens /
+			endpoint_speed_ratio(&endpoint->speed,
+					     gateway->now_us));
+}
+
 /*
  * Notes an event of a generation. Gaps while the engine reads a prompt are no
- * evidence: its steps are longer then, at any speed.
+ * evidence of its speed: its steps are longer then, at any speed.
  */
 void gateway_speed_note_event(struct leg *leg)
 {
@@ -132,11 +150,16 @@
 	    !is_in_use(gateway, exchange->service_name))
 		return;
 	endpoint = observable_endpoint(leg);
-	if (!endpoint || leg->status >= STATUS_REDIRECTION ||
-	    endpoint_has_unread_prompts(endpoint)) {
+	if (!endpoint || leg->status >= STATUS_REDIRECTION) {
 		*gaps = (struct gap_window){0};
 		return;
 	}
+	if (endpoint_has_unread_prompts(endpoint)) {
+		note_reading(leg, endpoint);
+		*gaps = (struct gap_window){.last_us = gateway->now_us};
+		return;
+	}
+	gaps->last_us = gateway->now_us;
 	if (!gaps->since_us) {
 		gaps->since_us = gateway->now_us;
 		return;
@@ -149,7 +172,8 @@
 	observe(gateway, endpoint,
 		(double)(gateway->now_us - gaps->since_us) / tokens,
 		endpoint_total_load(endpoint).requests);
-	*gaps = (struct gap_window){.since_us = gateway->now_us};
+	*gaps = (struct gap_window){.since_us = gateway->now_us,
+				    .last_us = gateway->now_us};
 }
 
 /*
--- a/core/gateway/endpoint_choice.c
+++ b/core/gateway/endpoint_choice.c
@@ -69,7 +69,8 @@
 
 /*
  * A stream whose events would come later than its route allows goes to any
- * other engine with room. The margin is for steps that also read a prompt.
+ * other engine with room. The margin is for steps that also read a prompt, as
+ * long as it is not known how long those take.
  */
 #define PAUSE_WEIGHT 10.0
 #define PAUSE_MARGIN 0.8
@@ -257,16 +258,25 @@
 	return !criteria->engine || criteria->engine->slots == 0;
 }
 
-/* Whether a stream's events would come later there than its route allows. */
+/*
+ * Whether a stream's events would come later there than its route allows: those
+ * beside the requests that run there, or those while the endpoint reads a
+ * prompt, as it does for each request that comes after.
+ */
 static bool would_pause(const struct endpoint_criteria *criteria,
 			const struct endpoint *endpoint, double ratio)
 {
 	double requests = endpoint_total_load(endpoint).requests + 1;
-	double event_us = ratio * criteria->engine->tokens_per_event *
-			  service_speed_expected_us(criteria->speed, requests);
+	double token_us = service_speed_expected_us(criteria->speed, requests);
+	double tokens = criteria->engine->tokens_per_event;
+	double longest_us = (double)criteria->longest_pause_us;
+	double reading_us = tokens * criteria->speed->reading_us *
+			    endpoint_speed_lasting_ratio(&endpoint->speed,
+							 criteria->now_us);
 
 	return criteria->longest_pause_us &&
-	       event_us > PAUSE_MARGIN * (double)criteria->longest_pause_us;
+	       (ratio * tokens * token_us > PAUSE_MARGIN * longest_us ||
+		reading_us > longest_us);
 }
 
 /* How much of an endpoint its load takes, as a fraction of a usual engine. */
--- a/core/gateway/endpoint_speed.c
+++ b/core/gateway/endpoint_speed.c
@@ -16,6 +16,13 @@
 #define FULL_US (2 * G_USEC_PER_SEC)
 #define FORGOTTEN_US (10 * G_USEC_PER_SEC)
 
+/*
+ * The hardware of one start doesn't change, so for streams that would pause too
+ * long there the last estimate holds for longer: an endpoint that they avoid is
+ * seldom observed, and with the estimate of above it gets them every 10 s.
+ */
+#define LASTING_US (30 * G_USEC_PER_SEC)
+
 /* A stated slowdown changes many times a second. */
 #define STATED_US (300 * 1000)
 
@@ -199,6 +206,18 @@
 	return ratio + (speed->stated_ratio - ratio) * (1 - age_us / STATED_US);
 }
 
+/*
+ * Returns how much longer work took there than is usual when that was last
+ * observed, in the last LASTING_US; 1 if it was not.
+ */
+double endpoint_speed_lasting_ratio(const struct endpoint_speed *speed,
+				    int64_t now_us)
+{
+	struct estimate best = best_estimate(speed, now_us);
+
+	return best.at_us && now_us - best.at_us < LASTING_US ? best.ratio : 1;
+}
+
 /*
  * Returns the requests in progress: those that the nodes counted, or more, if
  * the endpoint stated more a moment ago.
--- a/core/gateway/endpoint_speed.h
+++ b/core/gateway/endpoint_speed.h
@@ -58,6 +58,8 @@
 			      struct service_speed *service,
 			      const struct answered_load *load, int64_t now_us);
 double endpoint_speed_ratio(const struct endpoint_speed *speed, int64_t now_us);
+double endpoint_speed_lasting_ratio(const struct endpoint_speed *speed,
+				    int64_t now_us);
 double endpoint_speed_requests(const struct endpoint_speed *speed,
 			       int32_t counted, int64_t now_us);
 int32_t endpoint_speed_evidence(const struct endpoint_speed *speed,
--- a/core/gateway/service_speed.c
+++ b/core/gateway/service_speed.c
@@ -19,6 +19,13 @@
 #define SLOPE_KEEP 0.9995
 #define REQUESTS_WEIGHT 0.01
 
+/*
+ * Fewer gaps during prompts say little: many of them are in part before or
+ * after the prompt, and only the longest ones show what a whole step takes.
+ */
+#define READING_LEAST 8
+#define READING_QUANTILE 0.9
+
 /* A single request never adds more than a tenth of the time of an idle one. */
 #define SLOPE_MAX 0.1
 
@@ -64,12 +71,17 @@
 	return (left > right) - (left < right);
 }
 
+static void sort_samples(const double *samples, guint count, double *sorted)
+{
+	memcpy(sorted, samples, count * sizeof(*samples));
+	qsort(sorted, count, sizeof(*sorted), compare_times);
+}
+
 static double median(const double *samples, guint count)
 {
 	double sorted[SERVICE_SPEED_SAMPLES];
 
-	memcpy(sorted, samples, count * sizeof(*samples));
-	qsort(sorted, count, sizeof(*sorted), compare_times);
+	sort_samples(samples, count, sorted);
 	return (sorted[(count - 1) / 2] + sorted[count / 2]) / 2;
 }
 
@@ -83,6 +95,24 @@
 						      SERVICE_SPEED_SAMPLES));
 }
 
+/*
+ * Adds the time that a token took at an endpoint that read a prompt, divided by
+ * how much longer work takes there than is usual.
+ */
+void service_speed_add_reading(struct service_speed *speed, double time_us)
+{
+	double sorted[SERVICE_SPEED_SAMPLES];
+	guint count;
+
+	speed->reading_samples[speed->reading_count++ % SERVICE_SPEED_SAMPLES] =
+		time_us;
+	count = MIN(speed->reading_count, SERVICE_SPEED_SAMPLES);
+	if (count < READING_LEAST)
+		return;
+	sort_samples(speed->reading_samples, count, sorted);
+	speed->reading_us = sorted[(guint)((count - 1) * READING_QUANTILE)];
+}
+
 /*
  * Adds how far a time differs from the average of its endpoint, as a fraction,
  * and how many more requests than on average were in progress. Comparing an
--- a/core/gateway/service_speed.h
+++ b/core/gateway/service_speed.h
@@ -23,6 +23,11 @@
 	guint sample_count;		       /* of all time */
 	double centre_us;		       /* their median; 0: none */
 
+	/* The same while the endpoint reads a prompt beside the generation. */
+	double reading_samples[SERVICE_SPEED_SAMPLES];
+	guint reading_count; /* of all time */
+	double reading_us;   /* a high quantile of them; 0: none */
+
 	/* Regression of relative time on requests, within endpoints. */
 	double sum_squares;
 	double sum_products;
@@ -38,6 +43,7 @@
 				 double requests);
 void service_speed_add_sample(struct service_speed *speed, double time_us,
 			      double requests);
+void service_speed_add_reading(struct service_speed *speed, double time_us);
 void service_speed_add_deviation(struct service_speed *speed, double time_share,
 				 double more_requests, double requests);
 
--- a/tests/endpoint_choice_test.cc
+++ b/tests/endpoint_choice_test.cc
@@ -600,6 +600,37 @@
 	EXPECT_EQ("memory", choose());
 }
 
+/*
+ * While an engine reads a prompt, an event of 4 tokens takes 4 x 38.5 ms = 154
+ * ms at the usual speed, and 246 ms at the slow engine. Guards against streams
+ * that each later prompt there makes late, though their own events come in
+ * time, and against an engine that is tried again after 10 s only to be late
+ * again.
+ */
+TEST_F(EndpointChoiceBySpeed, SendsStreamsWherePromptsAreReadInTime)
+{
+	struct endpoint *slow = add("slow", 0, 0);
+	struct endpoint *full = add("busy", 20000, 12);
+
+	set_ratio(slow, 1.6);
+	criteria.longest_pause_us = 180000;
+	EXPECT_EQ("slow", choose()) << "not known how long a prompt takes";
+	speed.reading_us = 38500;
+	EXPECT_EQ("busy", choose());
+	criteria.now_us += 29 * G_USEC_PER_SEC;
+	EXPECT_EQ("busy", choose()) << "the same hardware";
+	criteria.now_us += 2 * G_USEC_PER_SEC;
+	EXPECT_EQ("slow", choose()) << "observed too long ago";
+	set_ratio(slow, 1.1);
+	EXPECT_EQ("slow", choose()) << "169 of 180 ms";
+	set_ratio(slow, 1.6);
+	criteria.longest_pause_us = 0;
+	EXPECT_EQ("slow", choose()) << "a short answer";
+	criteria.longest_pause_us = 180000;
+	full->others.tokens = 33000;
+	EXPECT_EQ("slow", choose()) << "nobody else has room";
+}
+
 /*
  * Two plain endpoints, of which each choice compares both. Guards against calls
  * that wait at a slow endpoint, or in a long queue at a fast one.
--- a/tests/endpoint_speed_test.cc
+++ b/tests/endpoint_speed_test.cc
@@ -188,6 +188,52 @@
 	EXPECT_LT(Ratio(1), 0.3);
 }
 
+/*
+ * Most gaps are in part before or after a prompt, and one is of an engine that
+ * hung. Guards against their average, and against few gaps, for what a step
+ * that reads a prompt takes.
+ */
+TEST_F(EndpointSpeed, KnowsTheStepsThatReadAPrompt)
+{
+	for (int i = 0; i < 7; i++)
+		service_speed_add_reading(&service, 38500);
+	EXPECT_EQ(0, service.reading_us);
+	service_speed_add_reading(&service, 38500);
+	EXPECT_EQ(38500, service.reading_us);
+	for (int i = 0; i < 62; i++)
+		service_speed_add_reading(&service,
+					  i == 40      ? 300000
+					  : i % 6 == 0 ? 38500
+						       : 10000 + 400.0 * i);
+	EXPECT_EQ(38500, service.reading_us);
+	for (int i = 0; i < 31; i++)
+		service_speed_add_reading(&service, 20000);
+	EXPECT_EQ(20000, service.reading_us) << "another service";
+}
+
+/*
+ * Guards against a slow engine that long streams get again as soon as they have
+ * avoided it for 10 s, and against one that they avoid for ever.
+ */
+TEST_F(EndpointSpeed, KeepsTheLastEstimateOfASilentEndpointLonger)
+{
+	double ratio;
+
+	engines.resize(6);
+	engines[0].factor = 3;
+	EXPECT_EQ(1, endpoint_speed_lasting_ratio(&engines[0].speed, now_us));
+	Run(4 * second);
+	ratio = endpoint_speed_lasting_ratio(&engines[0].speed, now_us);
+	EXPECT_NEAR(3, ratio, 0.4);
+	engines[0].is_silent = true;
+	Run(12 * second);
+	EXPECT_EQ(1, Ratio(0));
+	EXPECT_EQ(ratio,
+		  endpoint_speed_lasting_ratio(&engines[0].speed, now_us));
+	Run(19 * second);
+	EXPECT_EQ(1, endpoint_speed_lasting_ratio(&engines[0].speed, now_us));
+}
+
 /* Guards against a stated slowdown that counts after it has changed. */
 TEST_F(EndpointSpeed, CountsAStatedSlowdownByItsAge)
 {
--- a/tests/gateway_speed_test.cc
+++ b/tests/gateway_speed_test.cc
@@ -201,6 +201,27 @@
 	EXPECT_EQ(3, Evidence());
 }
 
+/*
+ * An event of the test's engine is one token. Guards against steps that read a
+ * prompt and are not known for it, and against the gap from an event before the
+ * prompt, or of a stream that its caller reads slowly.
+ */
+TEST_F(GatewaySpeedOfEngines, NotesTheGapsBesideAPrompt)
+{
+	struct gateway *gateway = nodes[0]->gateway;
+	const struct service_speed *speed;
+
+	EXPECT_EQ(200, AskForEvents(3));
+	speed = (const struct service_speed *)g_hash_table_lookup(
+		gateway->speeds, "engines");
+	ASSERT_NE(nullptr, speed);
+	EXPECT_EQ(0u, speed->reading_count);
+	At(one)->others.unread_tokens = 3000;
+	EXPECT_EQ(200, AskForEvents(11));
+	EXPECT_EQ(10u, speed->reading_count);
+	EXPECT_GE(speed->reading_us, 9000);
+}
+
 /* Three nodes, enough for a home of each service. */
 class GatewaySpeedNews : public GatewaySpeed
 {
