A log line for each decision to wait, with the figures that decided

An operator who looked for the cause of no_room_in_time found request_waits with the node that keeps the queue, and nothing there: the forecast was in no line. wait_decided gives its inputs: rank, tokens, tokens ahead, those that wait, what engines freed lately, the forecast and the longest wait, and what is reserved. request_waits has the number by which the two lines are found.

--- a/adapters/gateway/gateway_waiting.c
+++ b/adapters/gateway/gateway_waiting.c
@@ -1,4 +1,5 @@
 #include "adapters/gateway/exchange_state.h"
+#include "adapters/gateway/wait_log.h"
 #include "core/gateway/wait_query.h"
 #include "core/gateway/wait_room.h"
 
@@ -251,17 +252,20 @@
 	return waiter;
 }
 
-static void log_waits(const struct exchange *exchange, const char *at)
+static void log_waits(const struct exchange *exchange, const char *at,
+		      uint64_t number)
 {
-	char due[24];
+	char due[24], text[24];
 
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, number);
 	g_snprintf(due, sizeof(due), "%" G_GINT64_FORMAT,
 		   (exchange_first_event_due_us(exchange) -
 		    exchange->gateway->now_us) /
 			   1000);
 	log_write(exchange->gateway->log, LOG_LEVEL_INFO, "request_waits",
 		  "request", exchange->parsed_request.id, "service",
-		  exchange->service_name, "at", at, "due_in_ms", due, NULL);
+		  exchange->service_name, "at", at, "number", text, "due_in_ms",
+		  due, NULL);
 }
 
 static void ask_home(struct exchange *exchange, const struct member *home)
@@ -280,10 +284,35 @@
 	waiter->home_address = g_strdup(home->peer_address);
 	waiter->number = message->await.choose.number;
 	g_hash_table_insert(gateway->waiting->asked, &waiter->number, waiter);
-	log_waits(exchange, home->name);
+	log_waits(exchange, home->name, waiter->number);
 	gateway_send(gateway, waiter->home_address, message);
 }
 
+/* Asks the queue to admit the request; returns whether it waits. */
+static bool admit(struct waiter *waiter, const struct wait_request *request,
+		  int64_t *retry_after_us)
+{
+	struct gateway *gateway = waiter->gateway;
+	struct wait_room *room = waiter->queue->room;
+	const struct peer_message *asked = waiter->request;
+	struct wait_decision decision = {
+		.from = asked ? asked->from : gateway->options.node_name,
+		.number = asked ? asked->await.choose.number : 0,
+		.service = waiter->queue->service,
+		.request = request,
+	};
+
+	if (request->is_deferrable)
+		decision.reserved_share =
+			gateway_headroom_share(gateway, decision.service);
+	wait_room_forecast(room, request, gateway->now_us, &decision.forecast);
+	waiter->ticket =
+		wait_room_admit(room, request, gateway->now_us, retry_after_us);
+	decision.is_admitted = waiter->ticket != NULL;
+	wait_log_decision(&decision, gateway->log);
+	return decision.is_admitted;
+}
+
 /* Refuses the request at once if the forecast says that it is too late. */
 static void wait_here(struct exchange *exchange)
 {
@@ -310,10 +339,8 @@
 	int64_t retry_after_us;
 
 	waiter->queue = queue;
-	waiter->ticket = wait_room_admit(queue->room, &request, gateway->now_us,
-					 &retry_after_us);
-	if (waiter->ticket) {
-		log_waits(exchange, gateway->options.node_name);
+	if (admit(waiter, &request, &retry_after_us)) {
+		log_waits(exchange, gateway->options.node_name, 0);
 		return;
 	}
 	waiter_end(waiter);
@@ -754,9 +781,7 @@
 	waiter->due_us = request.due_us;
 	waiter->told_us = gateway->now_us;
 	g_ptr_array_add(gateway->waiting->others, waiter);
-	waiter->ticket = wait_room_admit(queue->room, &request, gateway->now_us,
-					 &retry_after_us);
-	if (waiter->ticket)
+	if (admit(waiter, &request, &retry_after_us))
 		send_notice(gateway, PEER_WAITING, message->from_address,
 			    await->choose.number);
 	else
--- a/core/gateway/wait_room.c
+++ b/core/gateway/wait_room.c
@@ -178,20 +178,6 @@
 	return ahead;
 }
 
-/* Time until a new request would be granted; -1: not known. */
-static int64_t forecast_us(struct wait_room *room,
-			   const struct organisation *organisation,
-			   int32_t rank, int64_t tokens, int64_t now_us)
-{
-	double rate = freed_per_us(room, now_us);
-	double ahead;
-
-	if (rate <= 0)
-		return -1;
-	ahead = tokens_ahead(room, organisation, rank, (double)tokens);
-	return (int64_t)MIN((ahead + (double)tokens) / rate, (double)INT32_MAX);
-}
-
 static int64_t retry_after_us(int64_t wait_us)
 {
 	return CLAMP(wait_us, RETRY_SOON_US, MAX_RETRY_AFTER_US);
@@ -206,6 +192,41 @@
 	return request->due_us - prompt_reading_us(request->prompt_tokens);
 }
 
+static void forecast_for(struct wait_room *room,
+			 const struct organisation *organisation,
+			 const struct wait_request *request, int64_t now_us,
+			 struct wait_forecast *forecast)
+{
+	double tokens = (double)request->tokens;
+	double rate = freed_per_us(room, now_us);
+	double ahead = tokens_ahead(room, organisation, request->rank, tokens);
+
+	*forecast = (struct wait_forecast){
+		.wait_us = -1,
+		.start_within_us = latest_start_us(request) - now_us,
+		.tokens_ahead = ahead,
+		.freed_per_s = rate * G_USEC_PER_SEC,
+		.waiting = wait_room_length(room),
+	};
+	if (rate > 0)
+		forecast->wait_us = (int64_t)MIN((ahead + tokens) / rate,
+						 (double)INT32_MAX);
+}
+
+/*
+ * Returns in forecast when the request would be granted if it were admitted
+ * now; its rank must be below WAIT_ROOM_RANKS.
+ */
+void wait_room_forecast(struct wait_room *room,
+			const struct wait_request *request, int64_t now_us,
+			struct wait_forecast *forecast)
+{
+	forecast_for(
+		room,
+		find_organisation(room, request->organisation, request->weight),
+		request, now_us, forecast);
+}
+
 static gint compare_start(gconstpointer a, gconstpointer b,
 			  G_GNUC_UNUSED gpointer data)
 {
@@ -253,12 +274,14 @@
 {
 	struct organisation *organisation =
 		find_organisation(room, request->organisation, request->weight);
-	int64_t wait_us = forecast_us(room, organisation, request->rank,
-				      request->tokens, now_us);
-
-	if (wait_room_length(room) >= WAIT_ROOM_MAX_REQUESTS ||
-	    now_us + MAX(wait_us, 0) > latest_start_us(request)) {
-		*retry_after = wait_us < 0 ? -1 : retry_after_us(wait_us);
+	struct wait_forecast forecast;
+
+	forecast_for(room, organisation, request, now_us, &forecast);
+	if (forecast.waiting >= WAIT_ROOM_MAX_REQUESTS ||
+	    MAX(forecast.wait_us, 0) > forecast.start_within_us) {
+		*retry_after = forecast.wait_us < 0
+				       ? -1
+				       : retry_after_us(forecast.wait_us);
 		return NULL;
 	}
 	return ticket_create(room, organisation, request, now_us);
@@ -385,10 +408,12 @@
 				 const struct wait_ticket *ticket,
 				 int64_t now_us)
 {
-	int64_t wait_us = forecast_us(room, ticket->organisation,
-				      ticket->request.rank, 0, now_us);
+	struct wait_request like = ticket->request;
+	struct wait_forecast forecast;
 
-	return wait_us < 0 ? -1 : retry_after_us(wait_us);
+	like.tokens = 0; /* its own are among those that wait */
+	forecast_for(room, ticket->organisation, &like, now_us, &forecast);
+	return forecast.wait_us < 0 ? -1 : retry_after_us(forecast.wait_us);
 }
 
 /* Number of requests that wait. */
--- a/core/gateway/wait_room.h
+++ b/core/gateway/wait_room.h
@@ -32,6 +32,15 @@
 	void *owner;
 };
 
+/* What decides whether a request may wait. */
+struct wait_forecast {
+	int64_t wait_us;	 /* until it is granted; -1: not known */
+	int64_t start_within_us; /* the longest that it can wait */
+	double tokens_ahead;	 /* of requests that are served before it */
+	double freed_per_s;	 /* tokens, lately; 0: not known */
+	uint32_t waiting;
+};
+
 /* A request that waits, as operators see it. */
 struct wait_entry {
 	const char *organisation; /* "": none */
@@ -61,6 +70,9 @@
 
 struct wait_room *wait_room_create(void);
 void wait_room_destroy(struct wait_room *room);
+void wait_room_forecast(struct wait_room *room,
+			const struct wait_request *request, int64_t now_us,
+			struct wait_forecast *forecast);
 struct wait_ticket *wait_room_admit(struct wait_room *room,
 				    const struct wait_request *request,
 				    int64_t now_us, int64_t *retry_after_us);
--- a/tests/gateway_waiting_test.cc
+++ b/tests/gateway_waiting_test.cc
@@ -2,6 +2,9 @@
 #include "platform/platform.h"
 #include "tests/gateway_pair.h"
 
+#include <cstdlib>
+#include <sstream>
+
 /*
  * One engine that runs one request at a time, at a service with mixed urgency.
  * One of the nodes is its home; in a single node's queue the same happens.
@@ -295,6 +298,80 @@
 	}
 }
 
+class GatewayWaitingLog : public GatewayWaiting
+{
+      protected:
+	static void SetUpTestSuite()
+	{
+		setenv("PAIR_LOG", "1", 1);
+	}
+
+	static void TearDownTestSuite()
+	{
+		unsetenv("PAIR_LOG");
+	}
+
+	/* Returns the lines of one event, without the time. */
+	static std::vector<std::string> Lines(const std::string &log,
+					      const std::string &event)
+	{
+		std::vector<std::string> lines;
+		std::istringstream text(log);
+
+		for (std::string line; std::getline(text, line);) {
+			size_t at = line.find("event=" + event + " ");
+
+			if (at != std::string::npos)
+				lines.push_back(line.substr(at));
+		}
+		return lines;
+	}
+
+	static std::string Field(const std::string &line,
+				 const std::string &name)
+	{
+		size_t at = line.find(" " + name + "=");
+
+		if (at == std::string::npos)
+			return "";
+		at += name.size() + 2;
+		return line.substr(at, line.find(' ', at) - at);
+	}
+};
+
+/*
+ * Guards against an operator who finds out that a request waited or was refused
+ * elsewhere, and can't find out why.
+ */
+TEST_F(GatewayWaitingLog, LeadsFromTheRequestToTheDecision)
+{
+	std::vector<std::string> asked, decided;
+	std::string log;
+
+	testing::internal::CaptureStdout();
+	Prepare(2);
+	LetWait(other, "/query/a", "w-1");
+	Send(other, "/query/a", "w-2", "X-Siskinlink-Token-Count: 9000,10\r\n");
+	EXPECT_EQ(503, Status("w-2"));
+	EXPECT_EQ(200, Status("w-1"));
+	log = testing::internal::GetCapturedStdout();
+	asked = Lines(log, "request_waits");
+	decided = Lines(log, "wait_decided");
+	ASSERT_EQ(2u, asked.size()) << log;
+	ASSERT_EQ(2u, decided.size()) << log;
+	for (size_t i = 0; i < 2; i++) {
+		EXPECT_NE("", Field(asked[i], "number"));
+		EXPECT_EQ(Field(asked[i], "number"),
+			  Field(decided[i], "number"));
+	}
+	EXPECT_EQ("w-1", Field(asked[0], "request"));
+	EXPECT_EQ("waits", Field(decided[0], "result"));
+	EXPECT_EQ("refused", Field(decided[1], "result"));
+	EXPECT_EQ("-1", Field(decided[1], "forecast_ms")) << "not known yet";
+	EXPECT_EQ("1", Field(decided[1], "waiting"));
+	EXPECT_LT(std::stoi(Field(decided[1], "start_within_ms")), 0);
+}
+
 /* Guards against a request that is held until its answer is late anyway. */
 TEST_F(GatewayWaiting, IsRefusedAtItsLatestStart)
 {
--- a/tests/wait_room_test.cc
+++ b/tests/wait_room_test.cc
@@ -179,6 +179,34 @@
 	EXPECT_FALSE(Admit(14, "b", 1, false, 1000, 1100)) << "a worse rank";
 }
 
+/* Guards against log lines whose figures are not those that decided. */
+TEST_F(WaitRoom, TellsWhatTheForecastIsMadeOf)
+{
+	struct wait_request request = {};
+	struct wait_forecast forecast = {};
+
+	request.organisation = "a";
+	request.weight = 1;
+	request.rank = 1;
+	request.tokens = 1000;
+	request.prompt_tokens = 700;
+	request.due_us = now_us + 2500 * ms;
+	wait_room_forecast(room, &request, now_us, &forecast);
+	EXPECT_EQ(-1, forecast.wait_us) << "not known";
+	EXPECT_EQ(0, forecast.freed_per_s);
+	EXPECT_EQ(2400 * ms, forecast.start_within_us);
+	Free(1000, 2000);
+	request.due_us = now_us + 2500 * ms;
+	ASSERT_TRUE(Admit(1, "a", 0, false, 3000, 2500));
+	ASSERT_TRUE(Admit(2, "a", 1, false, 2000, 2500));
+	ASSERT_TRUE(Admit(3, "a", 2, false, 4000, 2500));
+	wait_room_forecast(room, &request, now_us, &forecast);
+	EXPECT_EQ(5000, forecast.tokens_ahead) << "not those of a worse rank";
+	EXPECT_NEAR(10000, forecast.freed_per_s, 100);
+	EXPECT_NEAR(600 * ms, forecast.wait_us, 6 * ms);
+	EXPECT_EQ(3u, forecast.waiting);
+}
+
 /* Guards against refusals for which there is no evidence. */
 TEST_F(WaitRoom, WithoutEvidenceNothingIsRefused)
 {
