--- a/adapters/gateway/gateway_waiting.c
+++ b/adapters/gateway/gateway_waiting.c
@@ -730,26 +730,6 @@
 	return NULL;
 }
 
-static struct peer_message *copy_await(const struct peer_message *message)
-{
-	struct peer_message *copy = peer_message_create(PEER_AWAIT);
-	const struct peer_choose *choose = &message->await.choose;
-	GPtrArray *avoid = copy->await.choose.avoid;
-
-	copy->from = g_strdup(message->from);
-	copy->from_address = g_strdup(message->from_address);
-	copy->incarnation = message->incarnation;
-	copy->await = message->await;
-	copy->await.organisation = g_strdup(message->await.organisation);
-	copy->await.choose.service = g_strdup(choose->service);
-	copy->await.choose.failure_domain = g_strdup(choose->failure_domain);
-	copy->await.choose.avoid = avoid;
-	for (guint i = 0; i < choose->avoid->len; i++)
-		g_ptr_array_add(avoid,
-				g_strdup(g_ptr_array_index(choose->avoid, i)));
-	return copy;
-}
-
 /* Lets another node's request wait here, or refuses it. */
 static void admit_other(struct gateway *gateway,
 			const struct peer_message *message)
@@ -777,7 +757,7 @@
 
 	waiter->gateway = gateway;
 	waiter->queue = queue;
-	waiter->request = copy_await(message);
+	waiter->request = peer_message_copy_await(message);
 	waiter->due_us = request.due_us;
 	waiter->told_us = gateway->now_us;
 	g_ptr_array_add(gateway->waiting->others, waiter);
--- a/core/message/peer_message.c
+++ b/core/message/peer_message.c
@@ -221,6 +221,28 @@
 	g_free(message);
 }
 
+/* Returns a deep copy of a message of type PEER_AWAIT, which the caller owns.
+ */
+struct peer_message *peer_message_copy_await(const struct peer_message *message)
+{
+	struct peer_message *copy = peer_message_create(PEER_AWAIT);
+	const struct peer_choose *choose = &message->await.choose;
+	GPtrArray *avoid = copy->await.choose.avoid;
+
+	copy->from = g_strdup(message->from);
+	copy->from_address = g_strdup(message->from_address);
+	copy->incarnation = message->incarnation;
+	copy->await = message->await;
+	copy->await.organisation = g_strdup(message->await.organisation);
+	copy->await.choose.service = g_strdup(choose->service);
+	copy->await.choose.failure_domain = g_strdup(choose->failure_domain);
+	copy->await.choose.avoid = avoid;
+	for (guint i = 0; i < choose->avoid->len; i++)
+		g_ptr_array_add(avoid,
+				g_strdup(g_ptr_array_index(choose->avoid, i)));
+	return copy;
+}
+
 /* Returns the name of a type for log lines, or "unknown". */
 const char *peer_message_type_name(enum peer_message_type type)
 {
--- a/ports/peer_message.h
+++ b/ports/peer_message.h
@@ -333,6 +333,8 @@
 };
 
 struct peer_message *peer_message_create(enum peer_message_type type);
+struct peer_message *
+peer_message_copy_await(const struct peer_message *message);
 void peer_message_destroy(struct peer_message *message);
 const char *peer_message_type_name(enum peer_message_type type);
 
