Tests of processes end only processes that still run

At its end a script sent SIGTERM to each id that it had started, also of engines that had ended long before. Ids are reused after 32,768 processes here, and the scripts start some thousands of curl and jq: the signal reached processes of other scripts. Concluded from the logs and the times; the signal was not traced.

--- a/tests/processes.sh
+++ b/tests/processes.sh
@@ -21,11 +21,14 @@
 }
 
 finish() {
-	local status=$?
+	local status=$? running
 
 	trap - EXIT
+	# The id of a process that has ended may be that of another one by now.
+	running=" $(jobs -pr | tr '\n' ' ') "
 	for pid in "${pids[@]}"; do
-		kill -TERM "$pid" 2>/dev/null || true
+		[[ $running != *" $pid "* ]] ||
+			kill -TERM "$pid" 2>/dev/null || true
 	done
 	for pid in "${pids[@]}"; do
 		wait "$pid" 2>/dev/null || true
