--- a/tests/gateway_silence_test.cc
+++ b/tests/gateway_silence_test.cc
@@ -142,3 +142,27 @@
 	EXPECT_EQ(1, one.runs["r-1"] + two.runs["r-1"]);
 	EXPECT_TRUE(run_until([&] { return one.gone + two.gone == 1; }));
 }
+
+/*
+ * The body of the first answer is late. Guards against the other endpoint that
+ * works on, and whose answer then comes between.
+ */
+TEST_F(GatewaySilence, ReleasesTheOtherAtTheFirstHead)
+{
+	std::unique_ptr<Connection> caller;
+
+	Register(0, "portal", {{one.id, one.address}, {two.id, two.address}});
+	SaveRetries();
+	for (PairEndpoint *endpoint : {&one, &two}) {
+		endpoint->silence_ms = 600;
+		endpoint->events = 1;
+		endpoint->is_silent = true;
+	}
+	caller.reset(Connection::open(nodes[0]->address));
+	caller->send("GET /lookup/a HTTP/1.1\r\nHost: h\r\n"
+		     "X-Siskinlink-Request-Id: r-1\r\n"
+		     "X-Siskinlink-Deadline-Ms: 2500\r\n\r\n");
+	EXPECT_TRUE(run_until([&] { return one.gone + two.gone == 1; }));
+	EXPECT_EQ(1, one.runs["r-1"] + two.runs["r-1"]);
+	EXPECT_EQ(0, one.runs["r-1"] ? one.gone : two.gone);
+}
