A log line and a counter for each release of an engine from a run

run_taken_over has the moment of the question and run_goes_on that of the first event that is due; when and why the old engine was released, how long it had been silent, and what told that it had stopped, stood nowhere. No decision changes.

--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -265,7 +265,7 @@
 		head->status == STATUS_OK && exchange->said.is_from_endpoint;
 
 	if (leg == exchange->next && is_good)
-		exchange_promote_next(exchange);
+		exchange_promote_next(exchange, "answered");
 	else if (leg == exchange->next)
 		exchange_drop_next(exchange, "not an engine's answer");
 	else if (!is_good)
@@ -353,7 +353,7 @@
 	if (!exchange->next || exchange->next->is_takeover)
 		return true;
 	if (is_good && leg == exchange->next)
-		exchange_promote_next(exchange);
+		exchange_promote_next(exchange, "answered");
 	else if (is_good)
 		exchange_drop_next(exchange, "answered by the first endpoint");
 	if (is_good || leg != exchange->next)
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -330,6 +330,31 @@
 		     COUNTER_GATEWAY_TAKE_OVERS, 1);
 }
 
+/*
+ * Logs when and why an engine's part in a run ends, and what told that it has
+ * stopped the run. A negative asked_us: no other engine was asked before.
+ */
+static void log_released(const struct exchange *exchange, const char *to,
+			 const char *reason, int64_t asked_us)
+{
+	const struct leg *leg = exchange->leg;
+	struct gateway *gateway = exchange->gateway;
+	int64_t now_us = gateway_now_us();
+	char asked_ms[24], heard_ms[24];
+
+	g_snprintf(asked_ms, sizeof(asked_ms), "%" G_GINT64_FORMAT,
+		   asked_us < 0 ? -1 : (now_us - asked_us) / 1000);
+	g_snprintf(heard_ms, sizeof(heard_ms), "%" G_GINT64_FORMAT,
+		   leg->last_received_us
+			   ? (now_us - leg->last_received_us) / 1000
+			   : -1);
+	log_write(gateway->log, LOG_LEVEL_INFO, "run_released", "request",
+		  exchange->parsed_request.id, "endpoint", leg->endpoint_id,
+		  "to", to, "reason", reason, "asked_ms", asked_ms, "heard_ms",
+		  heard_ms, "stopped_by", "nothing", NULL);
+	counters_add(gateway->options.counters, COUNTER_GATEWAY_RELEASES, 1);
+}
+
 /* Continues a run from its copy after its engine was lost. */
 static void take_over(struct exchange *exchange, const struct copy_place *place,
 		      const char *reason)
@@ -338,6 +363,8 @@
 
 	log_take_over(exchange, place->endpoint, reason);
 	endpoint_rest_count_take_over(&place->endpoint->rest);
+	log_released(exchange, place->endpoint->last_registration->id, reason,
+		     -1);
 	drop_leg(exchange);
 	exchange->take_overs++;
 	exchange->copy_failed = false;
@@ -369,7 +396,7 @@
 	enum recovery recovery;
 
 	if (exchange->next) {
-		exchange_promote_next(exchange);
+		exchange_promote_next(exchange, "failed");
 		return;
 	}
 	/* It was sent and got no answer: it may have run. */
@@ -452,12 +479,14 @@
  * The other endpoint has taken the run over, or has answered a late request
  * first: releases the old one, which may have run the request.
  */
-void exchange_promote_next(struct exchange *exchange)
+void exchange_promote_next(struct exchange *exchange, const char *reason)
 {
 	bool is_takeover;
 
 	g_assert(exchange->next);
 	is_takeover = exchange->next->is_takeover;
+	log_released(exchange, exchange->next->endpoint_id, reason,
+		     exchange->next->created_us);
 	exchange->arrivals++;
 	drop_leg(exchange);
 	exchange->leg = g_steal_pointer(&exchange->next);
@@ -569,7 +598,7 @@
 			input.under_notice_us > 0 ? "leaving" : "silent");
 		break;
 	case EVACUATION_RELEASE_OLD:
-		exchange_promote_next(exchange);
+		exchange_promote_next(exchange, "overlap_over");
 		break;
 	case EVACUATION_DROP_ASKED:
 		exchange_drop_next(exchange,
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -61,6 +61,7 @@
 	int64_t tokens;	       /* counted at both engines */
 	int64_t unread_tokens; /* of the prompt, not yet processed */
 	int64_t sent_us;
+	int64_t created_us;	  /* unlike sent_us, no pause is left out */
 	int64_t begun_us;	  /* first event; 0: none yet */
 	int64_t last_received_us; /* last event bytes; 0: none yet */
 	int32_t status;		  /* of the endpoint; 0: no head yet */
@@ -219,7 +220,7 @@
 void exchange_hand_over(struct exchange *exchange, struct endpoint *to,
 			const char *copy_address, const char *copy_name,
 			const char *reason);
-void exchange_promote_next(struct exchange *exchange);
+void exchange_promote_next(struct exchange *exchange, const char *reason);
 void exchange_drop_next(struct exchange *exchange, const char *reason);
 
 /* exchange_relay.c */
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -166,6 +166,7 @@
 	leg->known_us = endpoint->known_us;
 	leg->tokens = exchange_held_tokens(exchange);
 	leg->sent_us = exchange->gateway->now_us;
+	leg->created_us = exchange->gateway->now_us;
 	leg->is_takeover = copy_address != NULL;
 	leg->is_resumed = !copy_address && exchange->answer_begun;
 	leg->is_granted = exchange->is_granted;
--- a/core/base/counters.c
+++ b/core/base/counters.c
@@ -89,6 +89,9 @@
 	[COUNTER_GATEWAY_TAKE_OVERS] =
 		{"gateway_take_overs",
 		 "generations continued from a copy on another engine"},
+	[COUNTER_GATEWAY_RELEASES] =
+		{"gateway_releases",
+		 "endpoints released from a request that another one has"},
 	[COUNTER_GATEWAY_MOVES] =
 		{"gateway_moves",
 		 "generations moved off an engine that leaves"},
