--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -447,7 +447,7 @@
 		route->is_public = true;
 		route->is_resumable = want.is_resumable;
 		route->max_attempts = route_may_repeat(route) ? 2 : 1;
-		route->timeout_us = 2500000;
+		route->timeout_us = timeout_us;
 		route->first_answer_us = 150000;
 		route_add_target(route, want.service, 1);
 	}
--- /dev/null
+++ b/tests/model_engine.h
@@ -0,0 +1,76 @@
+#ifndef TESTS_MODEL_ENGINE_H
+#define TESTS_MODEL_ENGINE_H
+
+#include "adapters/gateway/http_head.h"
+
+#include <glib.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/* When an engine notices that the connection of a run was closed. */
+enum close_notice { NOTICES_AT_ONCE, NOTICES_AT_NEXT_EVENT, NOTICES_NEVER };
+
+/* What an engine does with a call to stop a run. */
+enum stop_answer {
+	STOPS,		    /* stops the run and keeps it under a handle */
+	STOPS_WITHOUT_ROOM, /* the same; the target has no room for a copy */
+	REFUSES_TO_STOP,    /* works on */
+	IGNORES_STOP	    /* works on, and never answers */
+};
+
+/*
+ * A model engine on a free loopback port, whose runs take time. Event I of a
+ * run depends on I alone, so that any engine can continue it.
+ */
+class ModelEngine
+{
+      public:
+	explicit ModelEngine(const std::string &id);
+	~ModelEngine();
+	std::string id, address;
+
+	int events = 20, pace_ms = 50;
+	int answer_ms = 0; /* from a request to its head, while it works */
+	enum close_notice notices = NOTICES_AT_ONCE;
+	enum stop_answer stop = STOPS;
+	bool has_copies = true;	    /* continues any run; else refuses, 503 */
+	bool ends_by_close = false; /* streams have neither length nor chunks */
+	int silent_from = -1;	    /* no events from that one on */
+	int silence_ms = 0;	    /* for that long */
+	int breaks_at = -1; /* the connection is lost there, the run goes on */
+
+	/* Times between which the engine worked on a request; to_us 0: still */
+	struct span {
+		int64_t from_us, to_us;
+	};
+	std::map<std::string, std::vector<struct span>> work;
+	std::map<std::string, int> runs;      /* begun anew */
+	std::map<std::string, int> continued; /* from a copy */
+	int stops = 0;			      /* calls to stop a run */
+
+	bool IsAtWork(const std::string &request) const;
+
+      private:
+	struct run;
+	struct late;
+	static void on_request(void *data, struct caller *caller,
+			       struct http_head *head, GByteArray *body);
+	static void on_gone(void *data, void *request);
+	static gboolean on_event(gpointer data);
+	static gboolean on_answer(gpointer data);
+	void AnswerMove(struct caller *caller, const std::string &body);
+	void Begin(struct caller *caller, const std::string &request,
+		   bool is_continued, int first);
+	void SendHead(struct run *run);
+	void Send(struct run *run, const std::string &text);
+	void End(struct run *run);
+
+	std::set<struct run *> active;
+	struct caller_set *callers;
+	struct listener *listener;
+};
+
+#endif
