The stand-in of the hand-over tests closes nothing that it does not notice

It closed its side of a connection that the node had closed for sending, while its run went on; an engine that does not look at its connections does neither.

--- a/tests/model_engine.cc
+++ b/tests/model_engine.cc
@@ -1,21 +1,33 @@
 #include "tests/model_engine.h"
 
 #include "adapters/gateway/caller.h"
-#include "adapters/gateway/listener.h"
 #include "tests/loopback.h"
 
+#include <glib-unix.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <cstring>
 
 #define HEADER(name) "X-Siskinlink-" name
 
+/* One connection, for one request, whose body has a length. */
+struct ModelEngine::connection {
+	ModelEngine *engine;
+	struct tcp_stream *stream;
+	struct run *run; /* NULL: none, or it has ended */
+	std::string input;
+	bool is_read; /* the whole request */
+};
+
 /* A run, or a request that is refused after answer_ms. */
 struct ModelEngine::run {
 	ModelEngine *engine;
-	struct caller *caller; /* NULL: its connection is closed */
+	struct connection *connection; /* NULL: closed by the engine */
 	std::string request;
 	int next;
 	bool is_refused;
-	bool is_closed; /* and the engine has not noticed yet */
+	bool is_closed; /* by the caller, and the engine works on */
 	guint timer;
 };
 
@@ -26,33 +38,104 @@
 	return listener.address();
 }
 
-static std::string text_of(const struct http_head *head, const char *name)
+/* Value of a field of a request's head, "" if there is none. */
+static std::string field_of(const std::string &input, const std::string &name)
 {
-	const char *value = http_head_get(head, name);
+	size_t at = input.find("\r\n" + name + ": ");
 
-	return value ? value : "";
+	if (at == std::string::npos || at > input.find("\r\n\r\n"))
+		return "";
+	at += name.size() + 4;
+	return input.substr(at, input.find("\r\n", at) - at);
 }
 
 ModelEngine::ModelEngine(const std::string &id)
     : id(id), address(free_address())
 {
-	struct caller_handler handler = {};
 	struct error error;
 
-	handler.request = on_request;
-	handler.gone = on_gone;
-	handler.data = this;
-	callers = caller_set_create(&handler, 1000);
-	listener = listener_create(address.c_str(), callers, &error);
-	EXPECT_NE(nullptr, listener) << error.detail;
+	fd = tcp_listen(address.c_str(), &error);
+	EXPECT_LE(0, fd) << error.detail;
+	source = g_unix_fd_add(fd, G_IO_IN, on_connection, this);
 }
 
 ModelEngine::~ModelEngine()
 {
 	while (!active.empty())
 		End(*active.begin());
-	listener_destroy(listener);
-	caller_set_destroy(callers);
+	while (!connections.empty())
+		Close(*connections.begin());
+	g_source_remove(source);
+	close(fd);
+}
+
+gboolean ModelEngine::on_connection(gint fd, GIOCondition condition,
+				    gpointer data)
+{
+	static const struct tcp_stream_events events = {
+		nullptr, on_received, on_ended, on_failed, nullptr};
+	ModelEngine *engine = (ModelEngine *)data;
+	int accepted =
+		accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	struct connection *connection;
+
+	(void)condition;
+	if (accepted < 0)
+		return G_SOURCE_CONTINUE;
+	connection = new struct connection();
+	connection->engine = engine;
+	connection->stream = tcp_stream_adopt(accepted, &events, connection);
+	engine->connections.insert(connection);
+	return G_SOURCE_CONTINUE;
+}
+
+/* Closes a connection once what was sent has arrived. */
+void ModelEngine::Close(struct connection *connection)
+{
+	if (connection->run)
+		connection->run->connection = nullptr;
+	tcp_stream_finish(connection->stream);
+	connections.erase(connection);
+	delete connection;
+}
+
+void ModelEngine::on_received(void *data, const char *bytes, size_t size)
+{
+	struct connection *connection = (struct connection *)data;
+	size_t head_size;
+
+	connection->input.append(bytes, size);
+	head_size = connection->input.find("\r\n\r\n");
+	if (connection->is_read || head_size == std::string::npos ||
+	    connection->input.size() <
+		    head_size + 4 +
+			    (size_t)atoi(field_of(connection->input,
+						  "Content-Length")
+						 .c_str()))
+		return;
+	connection->is_read = true;
+	connection->engine->Handle(connection);
+}
+
+void ModelEngine::on_ended(void *data)
+{
+	struct connection *connection = (struct connection *)data;
+	ModelEngine *engine = connection->engine;
+	struct run *run = connection->run;
+
+	if (run)
+		run->is_closed = true;
+	if (run && !run->is_refused && engine->notices != NOTICES_AT_ONCE)
+		return;
+	if (run)
+		engine->End(run);
+	engine->Close(connection);
+}
+
+void ModelEngine::on_failed(void *data, const struct error *error)
+{
+	(void)error;
+	on_ended(data);
 }
 
 /* Whether the engine works on the request now. */
@@ -68,6 +151,8 @@
 {
 	if (run->timer)
 		g_source_remove(run->timer);
+	if (run->connection)
+		run->connection->run = nullptr;
 	if (!run->is_refused)
 		work[run->request].back().to_us = g_get_monotonic_time();
 	active.erase(run);
@@ -78,50 +163,43 @@
 {
 	char size[16];
 
-	if (!run->caller)
+	if (!run->connection)
 		return;
 	snprintf(size, sizeof(size), "%zx\r\n", text.size());
 	std::string chunk = ends_by_close ? text : size + text + "\r\n";
-	caller_send(run->caller, chunk.data(), chunk.size());
+	tcp_stream_write(run->connection->stream, chunk.data(), chunk.size());
 }
 
 gboolean ModelEngine::on_event(gpointer data)
 {
 	struct run *run = (struct run *)data;
 	ModelEngine *engine = run->engine;
-	struct caller *caller = run->caller;
+	struct connection *connection = run->connection;
+	bool notices_close =
+		run->is_closed && engine->notices == NOTICES_AT_NEXT_EVENT;
 
-	if (run->is_closed && engine->notices == NOTICES_AT_NEXT_EVENT) {
-		run->timer = 0;
-		engine->End(run);
-		return G_SOURCE_REMOVE;
-	}
-	if (run->next == engine->silent_from) {
+	if (!notices_close && run->next == engine->silent_from) {
 		engine->silent_from = -1;
 		run->timer =
 			g_timeout_add((guint)engine->silence_ms, on_event, run);
 		return G_SOURCE_REMOVE;
 	}
-	if (run->next < engine->events) {
+	if (!notices_close && run->next < engine->events) {
 		engine->Send(run, "id: " + std::to_string(run->next) +
 					  "\ndata: x\n\n");
 		run->next++;
-		if (run->next == engine->breaks_at && run->caller) {
-			run->caller = nullptr;
-			run->is_closed = true;
-			caller_abort(caller);
-		}
+		if (run->next == engine->breaks_at && connection)
+			engine->Close(connection);
 		run->timer =
 			g_timeout_add((guint)engine->pace_ms, on_event, run);
 		return G_SOURCE_REMOVE;
 	}
 	run->timer = 0;
+	if (connection && !notices_close && !engine->ends_by_close)
+		tcp_stream_write(connection->stream, "0\r\n\r\n", 5);
 	engine->End(run);
-	if (!caller)
-		return G_SOURCE_REMOVE;
-	if (!engine->ends_by_close)
-		caller_send(caller, "0\r\n\r\n", 5);
-	caller_end_answer(caller, true);
+	if (connection)
+		engine->Close(connection);
 	return G_SOURCE_REMOVE;
 }
 
@@ -133,8 +211,21 @@
 
 	text += ends_by_close ? "Connection: close\r\n\r\n"
 			      : "Transfer-Encoding: chunked\r\n\r\n";
-	if (run->caller)
-		caller_send(run->caller, text.data(), text.size());
+	if (run->connection)
+		tcp_stream_write(run->connection->stream, text.data(),
+				 text.size());
+}
+
+void ModelEngine::Answer(struct connection *connection, int status,
+			 const std::string &fields, const std::string &body)
+{
+	std::string text = "HTTP/1.1 " + std::to_string(status) + " " +
+			   http_status_text(status) + "\r\n" + fields +
+			   "Connection: close\r\nContent-Length: " +
+			   std::to_string(body.size()) + "\r\n\r\n" + body;
+
+	tcp_stream_write(connection->stream, text.data(), text.size());
+	Close(connection);
 }
 
 /* Sends the head of a run, or the refusal of a request. */
@@ -142,15 +233,15 @@
 {
 	struct run *run = (struct run *)data;
 	ModelEngine *engine = run->engine;
-	struct caller *caller = run->caller;
+	struct connection *connection = run->connection;
 	std::string fields = HEADER("Request-Id") ": " + run->request +
 			     "\r\n" HEADER("Not-Executed") ": 1\r\n";
 
 	run->timer = 0;
 	if (run->is_refused) {
 		engine->End(run);
-		if (caller)
-			caller_answer(caller, 503, fields.c_str(), "", 0);
+		if (connection)
+			engine->Answer(connection, 503, fields);
 		return G_SOURCE_REMOVE;
 	}
 	engine->SendHead(run);
@@ -158,18 +249,19 @@
 	return G_SOURCE_REMOVE;
 }
 
-void ModelEngine::Begin(struct caller *caller, const std::string &request,
-			bool is_continued, int first)
+void ModelEngine::Begin(struct connection *connection,
+			const std::string &request, bool is_continued,
+			int first)
 {
 	struct run *run = new struct run();
 
 	run->engine = this;
-	run->caller = caller;
+	run->connection = connection;
+	connection->run = run;
 	run->request = request;
 	run->next = first;
 	run->is_refused = is_continued && !has_copies;
 	active.insert(run);
-	caller_attach_request(caller, run);
 	if (!run->is_refused) {
 		work[request].push_back({g_get_monotonic_time(), 0});
 		(is_continued ? continued : runs)[request]++;
@@ -189,71 +281,51 @@
 }
 
 /* Answers a call to copy a run, which stops it if the copy is the last one. */
-void ModelEngine::AnswerMove(struct caller *caller, const std::string &body)
+void ModelEngine::AnswerMove(struct connection *connection,
+			     const std::string &body)
 {
 	bool is_last = member(body, "last") == "true";
 	std::string handle = "{\"handle\":\"h-" + id + "\",\"created\":1}";
 	struct run *run = nullptr;
-	struct caller *stream;
+	struct connection *stream;
 
 	for (struct run *each : active)
 		if (each->request == member(body, "id") && !each->is_refused)
 			run = each;
 	stops += is_last;
-	if (is_last && stop == IGNORES_STOP) {
-		caller_attach_request(caller, nullptr);
+	if (is_last && stop == IGNORES_STOP)
 		return;
-	}
 	if (!run) {
-		caller_answer(caller, 404, "", "", 0);
+		Answer(connection, 404, "");
 		return;
 	}
 	if (!is_last) {
-		caller_answer(caller, 200, "", handle.data(), handle.size());
+		Answer(connection, 200, "", handle);
 		return;
 	}
 	if (stop == REFUSES_TO_STOP) {
-		caller_answer(caller, 503, "", "", 0);
+		Answer(connection, 503, "");
 		return;
 	}
-	stream = run->caller;
+	stream = run->connection;
 	End(run);
 	if (stream)
-		caller_abort(stream);
-	caller_answer(caller, stop == STOPS ? 200 : 503, "", handle.data(),
-		      handle.size());
+		Close(stream);
+	Answer(connection, stop == STOPS ? 200 : 503, "", handle);
 }
 
-void ModelEngine::on_request(void *data, struct caller *caller,
-			     struct http_head *head, GByteArray *body)
+void ModelEngine::Handle(struct connection *connection)
 {
-	ModelEngine *engine = (ModelEngine *)data;
-	std::string request = text_of(head, HEADER("Request-Id"));
-	std::string last = text_of(head, "Last-Event-Id");
-	bool is_continued = !text_of(head, "Kv-From").empty();
-	std::string text((const char *)body->data, body->len);
-	std::string target = head->target;
-
-	http_head_destroy(head);
-	g_byte_array_unref(body);
-	if (target == "/v1/kv-move")
-		engine->AnswerMove(caller, text);
+	const std::string &input = connection->input;
+	std::string request = field_of(input, HEADER("Request-Id"));
+	std::string last = field_of(input, "Last-Event-Id");
+
+	if (input.find(" /v1/kv-move ") != std::string::npos)
+		AnswerMove(connection,
+			   input.substr(input.find("\r\n\r\n") + 4));
 	else if (request.empty())
-		caller_answer(caller, 404, "", "", 0);
+		Answer(connection, 404, "");
 	else
-		engine->Begin(caller, request, is_continued,
-			      last.empty() ? 0 : std::stoi(last) + 1);
-}
-
-void ModelEngine::on_gone(void *data, void *request)
-{
-	ModelEngine *engine = (ModelEngine *)data;
-	struct run *run = (struct run *)request;
-
-	if (!run || !engine->active.count(run))
-		return;
-	run->caller = nullptr;
-	run->is_closed = true;
-	if (engine->notices == NOTICES_AT_ONCE || run->is_refused)
-		engine->End(run);
+		Begin(connection, request, !field_of(input, "Kv-From").empty(),
+		      last.empty() ? 0 : std::stoi(last) + 1);
 }
--- a/tests/model_engine.h
+++ b/tests/model_engine.h
@@ -1,7 +1,7 @@
 #ifndef TESTS_MODEL_ENGINE_H
 #define TESTS_MODEL_ENGINE_H
 
-#include "adapters/gateway/http_head.h"
+#include "adapters/gateway/tcp_stream.h"
 
 #include <glib.h>
 
@@ -55,22 +55,29 @@
 
       private:
 	struct run;
-	struct late;
-	static void on_request(void *data, struct caller *caller,
-			       struct http_head *head, GByteArray *body);
-	static void on_gone(void *data, void *request);
+	struct connection;
+	static gboolean on_connection(gint fd, GIOCondition condition,
+				      gpointer data);
 	static gboolean on_event(gpointer data);
 	static gboolean on_answer(gpointer data);
-	void AnswerMove(struct caller *caller, const std::string &body);
-	void Begin(struct caller *caller, const std::string &request,
+	static void on_received(void *data, const char *bytes, size_t size);
+	static void on_ended(void *data);
+	static void on_failed(void *data, const struct error *error);
+	void Handle(struct connection *connection);
+	void AnswerMove(struct connection *connection, const std::string &body);
+	void Begin(struct connection *connection, const std::string &request,
 		   bool is_continued, int first);
 	void SendHead(struct run *run);
 	void Send(struct run *run, const std::string &text);
 	void End(struct run *run);
+	void Answer(struct connection *connection, int status,
+		    const std::string &fields, const std::string &body = "");
+	void Close(struct connection *connection);
 
 	std::set<struct run *> active;
-	struct caller_set *callers;
-	struct listener *listener;
+	std::set<struct connection *> connections;
+	int fd;
+	guint source;
 };
 
 #endif
