Stand-in engine: stops a run for the last copy, notices closes in four ways

Cause: the stand-in ignored last in POST /v1/kv-move and noticed a closed connection only at its next write, so no test of processes could show two engines on one run.

Change: with last the run stops, is journaled as stopped, its stream is closed without its end and the copy is sent; a copy that is not stored, a target known to be full and a missing run are answered as the platform does. What was stopped is kept and may be continued once at its own engine, also where copies of other engines' runs are lost. DELETE /v1/kv-handle frees a copy. Modes choose when a closed connection ends the run and what becomes of a stop.

--- a/fakes/backend_copy.c
+++ b/fakes/backend_copy.c
@@ -13,7 +13,9 @@
 #define CONNECTIONS_MAX 64
 
 struct copy {
+	bool is_own; /* of a run that this engine has stopped */
 	char *request;
+	char *target; /* of a run kept here: where it was copied to; or NULL */
 	int64_t events;
 	int64_t expires_at_us;
 };
@@ -27,6 +29,7 @@
 	struct copy *copy = data;
 
 	g_free(copy->request);
+	g_free(copy->target);
 	g_free(copy);
 }
 
@@ -71,12 +74,19 @@
 	return g_hash_table_size(copies->by_name);
 }
 
-static void copies_set(struct backend_copies *copies, const char *name,
-		       const char *request, int64_t events)
+/*
+ * Creates or updates a copy; the strings are copied. is_own: it is of a run
+ * that this engine has stopped, and target is where it was copied to, or NULL.
+ */
+void backend_copies_keep(struct backend_copies *copies, const char *name,
+			 const char *request, int64_t events, bool is_own,
+			 const char *target)
 {
 	struct copy *copy = g_new0(struct copy, 1);
 
+	copy->is_own = is_own;
 	copy->request = g_strdup(request);
+	copy->target = g_strdup(target);
 	copy->events = events;
 	copy->expires_at_us = g_get_monotonic_time() + COPY_TTL_US;
 	g_hash_table_replace(copies->by_name, g_strdup(name), copy);
@@ -98,25 +108,28 @@
 	if (json_object_get_boolean_member_with_default(object, "ended", FALSE))
 		g_hash_table_remove(copies->by_name, name);
 	else
-		copies_set(copies, name, request,
-			   json_object_get_int_member_with_default(
-				   object, "events", 0));
+		backend_copies_keep(copies, name, request,
+				    json_object_get_int_member_with_default(
+					    object, "events", 0),
+				    false, NULL);
 	json_object_unref(object);
 	fake_message_answer_text(message, 200, "ok\n");
 }
 
 /*
  * Removes the named copy and returns true if it is a copy of this request's
- * run; returns false otherwise.
+ * run, and with only_own of one that this engine has stopped; returns false
+ * otherwise.
  */
 bool backend_copies_take(struct backend_copies *copies, const char *name,
-			 const char *request)
+			 const char *request, bool only_own)
 {
 	const struct copy *copy;
 
 	copies_drop_expired(copies);
 	copy = g_hash_table_lookup(copies->by_name, name);
-	if (!copy || strcmp(copy->request, request) != 0)
+	if (!copy || strcmp(copy->request, request) != 0 ||
+	    (only_own && !copy->is_own))
 		return false;
 	g_hash_table_remove(copies->by_name, name);
 	return true;
@@ -124,9 +137,12 @@
 
 struct backend_copy_sender {
 	SoupSession *session;
+	GHashTable *full; /* targets that rejected their newest copy */
 };
 
 struct upload {
+	struct backend_copy_sender *sender;
+	char *target;
 	SoupMessage *message;
 	backend_copy_done done; /* NULL: no callback */
 	void *data;
@@ -142,6 +158,8 @@
 		"proxy-resolver", NULL, "timeout", SEND_TIMEOUT_S,
 		"max-conns-per-host", CONNECTIONS_MAX, "max-conns",
 		CONNECTIONS_MAX * 4, NULL);
+	sender->full =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return sender;
 }
 
@@ -152,9 +170,17 @@
 		return;
 	soup_session_abort(sender->session);
 	g_object_unref(sender->session);
+	g_hash_table_unref(sender->full);
 	g_free(sender);
 }
 
+/* Whether the target rejected the newest copy that reached it. */
+bool backend_copy_target_is_full(const struct backend_copy_sender *sender,
+				 const char *target)
+{
+	return g_hash_table_contains(sender->full, target);
+}
+
 static void on_uploaded(GObject *source, GAsyncResult *result, gpointer data)
 {
 	struct upload *upload = data;
@@ -167,10 +193,16 @@
 	if (!is_stored)
 		fprintf(stderr, "copy not stored: %s\n",
 			error ? error->message : "rejected by the receiver");
+	if (is_stored)
+		g_hash_table_remove(upload->sender->full, upload->target);
+	else if (bytes)
+		g_hash_table_add(upload->sender->full,
+				 g_strdup(upload->target));
 	g_clear_pointer(&bytes, g_bytes_unref);
 	if (upload->done)
 		upload->done(upload->data, is_stored);
 	g_object_unref(upload->message);
+	g_free(upload->target);
 	g_free(upload);
 }
 
@@ -197,7 +229,8 @@
 						 body);
 	g_bytes_unref(body);
 	upload = g_new0(struct upload, 1);
-	*upload = (struct upload){message, done, data};
+	*upload =
+		(struct upload){sender, g_strdup(target), message, done, data};
 	soup_session_send_and_read_async(sender->session, message,
 					 G_PRIORITY_DEFAULT, NULL, on_uploaded,
 					 upload);
@@ -242,3 +275,14 @@
 	json_builder_end_object(builder);
 	sender_post(sender, target, builder, NULL, NULL);
 }
+
+/* Removes a copy, or a run that is kept here and its copy at the target. */
+void backend_copies_free(struct backend_copies *copies,
+			 struct backend_copy_sender *sender, const char *name)
+{
+	const struct copy *copy = g_hash_table_lookup(copies->by_name, name);
+
+	if (copy && copy->target)
+		backend_copy_send_end(sender, copy->target, name);
+	g_hash_table_remove(copies->by_name, name);
+}
--- a/fakes/backend_journal.c
+++ b/fakes/backend_journal.c
@@ -17,7 +17,7 @@
 	[BACKEND_ARRIVAL] = "arrival", [BACKEND_RUN] = "run",
 	[BACKEND_CONTINUE] = "go_on",  [BACKEND_END] = "end",
 	[BACKEND_DISCONNECT] = "left", [BACKEND_REFUSAL] = "refusal",
-	[BACKEND_REST] = "rest",
+	[BACKEND_REST] = "rest",       [BACKEND_STOP] = "stopped",
 };
 
 /*
--- a/fakes/backend_journal.h
+++ b/fakes/backend_journal.h
@@ -24,7 +24,8 @@
 	BACKEND_END,	    /* the run has ended, its answer is complete */
 	BACKEND_DISCONNECT, /* the caller disconnected before the end */
 	BACKEND_REFUSAL,    /* the engine refused to run it */
-	BACKEND_REST	    /* with the refusal it asked for rest */
+	BACKEND_REST,	    /* with the refusal it asked for rest */
+	BACKEND_STOP	    /* stopped by a move, or by a reset of the engine */
 };
 
 struct backend_journal *backend_journal_create(const char *path,
--- a/fakes/backend_run.c
+++ b/fakes/backend_run.c
@@ -67,6 +67,8 @@
 		g_source_remove(run->timer);
 	if (run->copy_timer)
 		g_source_remove(run->copy_timer);
+	if (run->close_timer)
+		g_source_remove(run->close_timer);
 	g_ptr_array_remove_fast(run->backend->runs, run);
 	g_object_unref(run->message);
 	g_free(run->id);
@@ -75,40 +77,83 @@
 	g_free(run);
 }
 
+/* Ends a run before its answer is complete, and closes its connection. */
+static void run_end_early(struct backend_run *run, enum backend_event event)
+{
+	run_journal(run, event);
+	if (!run->is_detached) {
+		g_signal_handlers_disconnect_by_data(run->message, run);
+		fake_message_close_connection(run->message);
+	}
+	run_free(run);
+}
+
+static void run_leave(struct backend_run *run)
+{
+	run->backend->disconnect_count++;
+	run_end_early(run, BACKEND_DISCONNECT);
+}
+
+static gboolean on_close_time(gpointer data)
+{
+	struct backend_run *run = data;
+
+	run->close_timer = 0;
+	run_leave(run);
+	return G_SOURCE_REMOVE;
+}
+
+/* Ends a run whose caller has disconnected, or lets it go on for a while. */
+static void run_apply_close(struct backend_run *run)
+{
+	int64_t notice_ms = run->backend->close_notice_ms;
+
+	if (notice_ms == 0)
+		run_leave(run);
+	else if (notice_ms > 0 && !run->close_timer)
+		run->close_timer =
+			g_timeout_add((guint)notice_ms, on_close_time, run);
+}
+
 static void on_message_finished(SoupServerMessage *message G_GNUC_UNUSED,
 				gpointer data)
 {
 	struct backend_run *run = data;
 
-	if (!run->answered) {
-		run->backend->disconnect_count++;
-		run_journal(run, BACKEND_DISCONNECT);
+	if (run->answered) {
+		run_free(run);
+		return;
 	}
-	run_free(run);
+	run->is_detached = true;
+	run_apply_close(run);
 }
 
 /*
- * Ends the run of a caller that disconnected before anything was sent, which
- * libsoup would notice only at the first write.
+ * The caller has disconnected, which libsoup would notice only at a write that
+ * fails. A stream that has begun waits for that write unless a mode is set.
  */
 static void on_disconnect(void *data)
 {
 	struct backend_run *run = data;
 
 	run_stop_close_watch(run);
-	if (run->timer)
-		g_source_remove(run->timer);
-	run->timer = 0;
-	fake_message_answer_text(run->message, 500, "left");
-	soup_server_message_unpause(run->message);
+	if (run->is_waiting || run->backend->watches_close ||
+	    run->backend->close_notice_ms != 0)
+		run_apply_close(run);
+}
+
+static void run_watch_close(struct backend_run *run)
+{
+	run->close_watch =
+		fake_message_on_disconnect(run->message, on_disconnect, run);
 }
 
 /* Calls step after answer_delay_ms, unless the caller disconnects first. */
 static void run_delay(struct backend_run *run, GSourceFunc step)
 {
 	soup_server_message_pause(run->message);
-	run->close_watch =
-		fake_message_on_disconnect(run->message, on_disconnect, run);
+	run_watch_close(run);
+	run->is_waiting = true;
 	run->timer = g_timeout_add(
 		(guint)slowed_ms(run->backend, run->backend->answer_delay_ms),
 		step, run);
@@ -132,6 +177,9 @@
 {
 	run->answered = true;
 	run_journal(run, BACKEND_END);
+	if (run->close_timer)
+		g_source_remove(run->close_timer);
+	run->close_timer = 0;
 	if (!run->copy_timer)
 		return;
 	g_source_remove(run->copy_timer);
@@ -144,6 +192,11 @@
 {
 	char event[160];
 
+	run->events_sent++;
+	if (run->is_detached) {
+		run->next_event++;
+		return;
+	}
 	g_snprintf(event, sizeof(event),
 		   "id: %" G_GINT64_FORMAT
 		   "\ndata: {\"text\":\"%s.%" G_GINT64_FORMAT "\"}\n\n",
@@ -153,7 +206,6 @@
 		SOUP_MEMORY_COPY, event, strlen(event));
 	soup_server_message_unpause(run->message);
 	run->next_event++;
-	run->events_sent++;
 }
 
 static gboolean generation_step(gpointer data);
@@ -161,7 +213,9 @@
 /* Returns whether the run's timer goes on; a new one may replace it. */
 static gboolean run_keep_pace(struct backend_run *run)
 {
-	int64_t pace_ms = slowed_ms(run->backend, run->backend->pace_ms);
+	const struct backend *backend = run->backend;
+	int64_t pace_ms =
+		MAX(slowed_ms(backend, backend->pace_ms), backend->min_pace_ms);
 
 	if (run->timer && pace_ms == run->pace_ms)
 		return G_SOURCE_CONTINUE;
@@ -191,10 +245,14 @@
 		return run_keep_pace(run);
 	}
 	run_complete(run);
+	run->timer = 0;
+	if (run->is_detached) {
+		run_free(run);
+		return G_SOURCE_REMOVE;
+	}
 	soup_message_body_complete(
 		soup_server_message_get_response_body(run->message));
 	soup_server_message_unpause(run->message);
-	run->timer = 0;
 	return G_SOURCE_REMOVE;
 }
 
@@ -202,7 +260,7 @@
 {
 	struct backend_run *run = data;
 
-	run_stop_close_watch(run);
+	run->is_waiting = false;
 	run->timer = 0;
 	return run_keep_pace(run);
 }
@@ -225,6 +283,7 @@
 		return;
 	}
 	soup_server_message_pause(run->message);
+	run_watch_close(run);
 	generation_start(run);
 }
 
@@ -335,15 +394,20 @@
 }
 
 /* Returns the unfinished run of a request, or NULL; the backend owns it. */
-const struct backend_run *backend_run_find(const struct backend *backend,
-					   const char *id)
+struct backend_run *backend_run_find(const struct backend *backend,
+				     const char *id)
 {
 	for (guint i = 0; i < backend->runs->len; i++) {
-		const struct backend_run *run =
-			g_ptr_array_index(backend->runs, i);
+		struct backend_run *run = g_ptr_array_index(backend->runs, i);
 
 		if (!run->answered && strcmp(run->id, id) == 0)
 			return run;
 	}
 	return NULL;
 }
+
+/* Stops a run; its stream is closed without its end. */
+void backend_run_stop(struct backend_run *run)
+{
+	run_end_early(run, BACKEND_STOP);
+}
--- a/fakes/backend_state.h
+++ b/fakes/backend_state.h
@@ -13,8 +13,9 @@
 
 /*
  * State shared by the parts of the fake backend. fake_backend.c: requests and
- * the modes. backend_run.c: runs, from start to end. backend_report.c: the load
- * report and the state for tests.
+ * the modes. backend_run.c: runs, from start to end. backend_move.c: copies of
+ * runs to other engines. backend_report.c: the load report and the state for
+ * tests.
  */
 
 #define HEADER(name) "X-Siskinlink-" name
@@ -40,6 +41,9 @@
 	int64_t answer_delay_ms;    /* before an answer or its first event */
 	int64_t leave_ms;	    /* until the exit; the first value counts */
 	int64_t leave_at_us;	    /* 0: not leaving */
+	int64_t min_pace_ms;	    /* raises a shorter pace_ms; 0: no */
+	int64_t close_notice_ms;    /* from a close; 0: see watches_close */
+	int64_t stop_delay_ms;	    /* until a move that is the last stops */
 
 	int64_t run_count;
 	int64_t takeover_count;	  /* runs continued from a copy */
@@ -64,9 +68,15 @@
 	bool says_leaving;	  /* Server-Leaving in answers to requests */
 	bool mute;		  /* accepts requests and never answers */
 	bool real_copies;	  /* false: each requested copy exists */
+	bool watches_close;	  /* ends a closed run without a write */
+	bool stop_refused;	  /* 503 to a move that is the last */
+	bool stop_crashes;	  /* a move that is the last ends it */
 };
 
-/* A running request, plain or generating, until its message is finished. */
+/*
+ * A running request, plain or generating, until its message is finished, or
+ * until its end if it goes on without its caller.
+ */
 struct backend_run {
 	struct backend *backend;
 	SoupServerMessage *message;
@@ -77,19 +87,26 @@
 	bool from_copy;	      /* continues another engine's run */
 	bool has_poison_part; /* crashes the engine when it begins */
 	bool answered;	      /* the answer is complete */
+	bool is_waiting;      /* for answer_delay_ms */
+	bool is_detached;     /* its message is finished */
 	int64_t next_event;   /* number of the next event */
 	int64_t events_sent;  /* by this engine */
 	guint timer;
 	guint copy_timer;
-	GSource *close_watch; /* while the answer is delayed; else NULL */
+	guint close_timer;
+	GSource *close_watch; /* NULL: no watch, or it has fired */
 };
 
 /* backend_run.c */
 int64_t backend_slowdown_percent(const struct backend *backend);
 void backend_run_begin(struct backend *backend, SoupServerMessage *message,
 		       const char *id, const char *path);
-const struct backend_run *backend_run_find(const struct backend *backend,
-					   const char *id);
+struct backend_run *backend_run_find(const struct backend *backend,
+				     const char *id);
+void backend_run_stop(struct backend_run *run);
+
+/* backend_move.c */
+void backend_move_answer(struct backend *backend, SoupServerMessage *message);
 
 /* backend_report.c */
 void backend_report_answer(const struct backend *backend,
--- a/fakes/fake_backend.c
+++ b/fakes/fake_backend.c
@@ -6,6 +6,7 @@
 
 /* Stated with the load; the backend runs all that it gets. */
 #define SLOTS 24
+#define HANDLE_PATH "/v1/kv-handle"
 
 /*
  * A fake of the platform's engines, plain and generating. Event I of a
@@ -13,6 +14,16 @@
  * it and a test can detect missing or duplicate events. GET /fake/state shows
  * the last request's fields and the number of runs; the journal keeps the runs
  * after the process has ended. Faults are switched by POST /fake/mode.
+ *
+ * When a closed connection ends its run: at the write of an event that fails;
+ * with watches_close at once, also if only the caller's side is closed; with
+ * close_notice_ms so many ms after the close, or never if it is negative. A run
+ * whose answer has not begun ends at once except with close_notice_ms.
+ *
+ * POST /v1/kv-move with last stops the run before its copy is sent. With
+ * stop_refused the answer is 503 and the run goes on, with stop_delay_ms it
+ * goes on for so long before it stops, with stop_crashes the process ends
+ * instead.
  */
 
 static void answer_not_executed(SoupServerMessage *message, unsigned status)
@@ -40,19 +51,18 @@
 
 /*
  * Removes the copy named IP:PORT/NAME from this engine's copies and returns
- * whether it existed. With no_copy no copy exists; otherwise, without
- * real_copies, every copy does.
+ * whether it existed. With no_copy no copy of another engine's run exists;
+ * otherwise, without real_copies, every copy does.
  */
 static bool backend_take_copy(struct backend *backend, const char *from,
 			      const char *id)
 {
 	const char *slash = strchr(from, '/');
 
-	if (backend->no_copy)
-		return false;
-	if (!backend->real_copies)
+	if (slash && backend_copies_take(backend->copies, slash + 1, id,
+					 backend->no_copy))
 		return true;
-	return slash && backend_copies_take(backend->copies, slash + 1, id);
+	return !backend->real_copies && !backend->no_copy;
 }
 
 /* Answers with a refusal and returns false if the request must not run here. */
@@ -94,9 +104,30 @@
 		fake_message_header(message, "Authorization") != NULL;
 }
 
-static gboolean reset_delayed(gpointer data)
+/* A request that is journaled as running until its connection is reset. */
+struct reset {
+	struct backend *backend;
+	SoupServerMessage *message;
+	char *id;
+	bool from_copy;
+};
+
+static void reset_free(gpointer data)
 {
-	fake_message_reset_connection(data);
+	struct reset *reset = data;
+
+	g_object_unref(reset->message);
+	g_free(reset->id);
+	g_free(reset);
+}
+
+static gboolean reset_run(gpointer data)
+{
+	const struct reset *reset = data;
+
+	backend_journal_write(reset->backend->journal, BACKEND_STOP, reset->id,
+			      reset->from_copy);
+	fake_message_reset_connection(reset->message);
 	return G_SOURCE_REMOVE;
 }
 
@@ -108,6 +139,8 @@
 			      SoupServerMessage *message, const char *id,
 			      bool from_copy)
 {
+	struct reset *reset = g_new0(struct reset, 1);
+
 	backend_journal_write(backend->journal,
 			      from_copy ? BACKEND_CONTINUE : BACKEND_RUN, id,
 			      from_copy);
@@ -115,14 +148,16 @@
 		backend->takeover_count++;
 	else
 		backend->run_count++;
+	*reset = (struct reset){backend, g_object_ref(message), g_strdup(id),
+				from_copy};
 	if (backend->crash_after_ms == 0) {
-		fake_message_reset_connection(message);
+		reset_run(reset);
+		reset_free(reset);
 		return;
 	}
 	soup_server_message_pause(message);
 	g_timeout_add_full(G_PRIORITY_DEFAULT, (guint)backend->crash_after_ms,
-			   reset_delayed, g_object_ref(message),
-			   g_object_unref);
+			   reset_run, reset, reset_free);
 }
 
 static void state_load(const struct backend *backend,
@@ -181,67 +216,6 @@
 		backend_run_begin(backend, message, id, path);
 }
 
-/* A POST /v1/kv-move that is answered once the target has stored the copy. */
-struct move {
-	SoupServerMessage *message;
-	char *handle;
-	int64_t event_count; /* events in the copy */
-};
-
-static void answer_move(SoupServerMessage *message, const char *handle,
-			int64_t event_count)
-{
-	g_autofree char *text = g_strdup_printf(
-		"{\"handle\":\"%s\",\"created\":%" G_GINT64_FORMAT "}", handle,
-		event_count);
-
-	fake_message_answer_text(message, 200, text);
-}
-
-static void on_move_done(void *data, bool is_stored)
-{
-	struct move *move = data;
-
-	if (is_stored)
-		answer_move(move->message, move->handle, move->event_count);
-	else
-		fake_message_answer_text(move->message, 503, "no room");
-	soup_server_message_unpause(move->message);
-	g_object_unref(move->message);
-	g_free(move->handle);
-	g_free(move);
-}
-
-static void move_run(struct backend *backend, SoupServerMessage *message)
-{
-	JsonObject *object = fake_message_read_json(message);
-	const struct backend_run *run;
-	const char *target;
-	struct move *move;
-
-	if (!object)
-		return;
-	run = backend_run_find(
-		backend,
-		json_object_get_string_member_with_default(object, "id", ""));
-	target = json_object_get_string_member_with_default(object, "target",
-							    "");
-	if (run) {
-		move = g_new0(struct move, 1);
-		move->message = g_object_ref(message);
-		move->handle =
-			g_strdup_printf("%s-h%" G_GINT64_FORMAT, backend->id,
-					backend->move_count);
-		move->event_count = run->next_event;
-		soup_server_message_pause(message);
-		backend_copy_send(backend->sender, target, move->handle,
-				  run->id, run->next_event, on_move_done, move);
-	} else {
-		fake_message_answer_text(message, 404, "no such run");
-	}
-	json_object_unref(object);
-}
-
 static void on_move(void *data, SoupServerMessage *message, const char *path)
 {
 	struct backend *backend = data;
@@ -252,10 +226,18 @@
 		soup_server_message_pause(message);
 	else if (backend->no_room)
 		fake_message_answer_text(message, 503, "no room");
-	else if (backend->real_copies)
-		move_run(backend, message);
 	else
-		answer_move(message, "h1", 1);
+		backend_move_answer(backend, message);
+}
+
+/* DELETE /v1/kv-handle/NAME frees a copy, whether or not it exists. */
+static void on_handle(void *data, SoupServerMessage *message, const char *path)
+{
+	const struct backend *backend = data;
+
+	backend_copies_free(backend->copies, backend->sender,
+			    path + strlen(HANDLE_PATH "/"));
+	fake_message_answer_text(message, 200, "ok\n");
 }
 
 static void on_copy(void *data, SoupServerMessage *message, const char *path)
@@ -310,6 +292,7 @@
 				 struct fake_server *server)
 {
 	fake_server_add_handler(server, "/v1/kv-move", on_move, backend);
+	fake_server_add_handler(server, HANDLE_PATH "/", on_handle, backend);
 	fake_server_add_handler(server, "/v1/report", on_report, backend);
 	fake_server_add_handler(server, "/fake/copy", on_copy, backend);
 	fake_server_add_handler(server, "/fake/state", on_state, backend);
@@ -388,6 +371,12 @@
 		{"answer_delay_ms", FAKE_MODE_INT, &backend.answer_delay_ms},
 		{"real_copies", FAKE_MODE_BOOL, &backend.real_copies},
 		{"leave_ms", FAKE_MODE_INT, &backend.leave_ms},
+		{"min_pace_ms", FAKE_MODE_INT, &backend.min_pace_ms},
+		{"watches_close", FAKE_MODE_BOOL, &backend.watches_close},
+		{"close_notice_ms", FAKE_MODE_INT, &backend.close_notice_ms},
+		{"stop_refused", FAKE_MODE_BOOL, &backend.stop_refused},
+		{"stop_delay_ms", FAKE_MODE_INT, &backend.stop_delay_ms},
+		{"stop_crashes", FAKE_MODE_BOOL, &backend.stop_crashes},
 		{"server_limit", FAKE_MODE_STRING, &backend.server_limit},
 		{"says_leaving", FAKE_MODE_BOOL, &backend.says_leaving},
 		{"leaving_text", FAKE_MODE_STRING, &backend.leaving_text},
--- a/fakes/fake_server.c
+++ b/fakes/fake_server.c
@@ -400,6 +400,27 @@
 		soup_server_message_get_request_headers(message), name);
 }
 
+static void message_close_stream(SoupServerMessage *message)
+{
+	GIOStream *stream = soup_server_message_steal_connection(message);
+
+	if (!stream)
+		return;
+	g_io_stream_close(stream, NULL, NULL);
+	g_object_unref(stream);
+}
+
+/*
+ * Closes the connection of a message, whose answer then lacks its end. libsoup
+ * would write the end of a chunked body first.
+ */
+void fake_message_close_connection(SoupServerMessage *message)
+{
+	g_socket_shutdown(soup_server_message_get_socket(message), FALSE, TRUE,
+			  NULL);
+	message_close_stream(message);
+}
+
 /*
  * Resets the connection of a message, as a host does after its server process
  * has ended.
@@ -408,13 +429,10 @@
 {
 	GSocket *socket = soup_server_message_get_socket(message);
 	struct linger linger = {1, 0};
-	GIOStream *stream;
 
 	setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &linger,
 		   sizeof(linger));
-	stream = soup_server_message_steal_connection(message);
-	g_io_stream_close(stream, NULL, NULL);
-	g_object_unref(stream);
+	message_close_stream(message);
 }
 
 struct close_watch {
--- a/tests/fake_backend_test.cc
+++ b/tests/fake_backend_test.cc
@@ -222,6 +222,20 @@
 	EXPECT_EQ("arrival r-1 0\nrun r-1 0\nend r-1 0\n", plain.events());
 }
 
+/* Guards against a journal in which a run that was reset never ends. */
+TEST_F(FakeBackend, JournalsTheEndOfARunThatItResets)
+{
+	Backend engine(folder, "i-1");
+
+	engine.set_mode("{\"crashing\": true}");
+	EXPECT_EQ("", Backend::read_answer(engine.request("r-1")));
+	engine.set_mode("{\"crash_after_ms\": 20}");
+	EXPECT_EQ("", Backend::read_answer(engine.request("r-2")));
+	EXPECT_EQ("arrival r-1 0\nrun r-1 0\nstopped r-1 0\n"
+		  "arrival r-2 0\nrun r-2 0\nstopped r-2 0\n",
+		  engine.events());
+}
+
 TEST_F(FakeBackend, CrashesOnAPoisonRequest)
 {
 	Backend engine(folder, "i-1");
@@ -471,4 +485,295 @@
 	EXPECT_TRUE(caller->wait_closed());
 }
 
+/* Starts a stream and reads its first events. */
+std::unique_ptr<Connection> begin_stream(const Backend &engine)
+{
+	std::unique_ptr<Connection> caller = engine.request("r-1");
+
+	EXPECT_TRUE(caller->wait_for("r-1.1\""));
+	return caller;
+}
+
+/* Runs pending events for a time within which something must not happen. */
+void run_for_ms(int64_t ms)
+{
+	int64_t until_us = g_get_monotonic_time() + ms * 1000;
+
+	while (g_get_monotonic_time() < until_us) {
+		run_pending_events();
+		g_usleep(1000);
+	}
+}
+
+const char *const stream_begun = "arrival r-1 0\nrun r-1 0\n";
+
+/* Guards against a stand-in that ends a closed stream only when it writes. */
+TEST_F(FakeBackend, EndsAWatchedStreamAtTheClose)
+{
+	Backend engine(folder, "i-1");
+	std::unique_ptr<Connection> caller;
+
+	engine.set_mode("{\"events\": 100000, \"watches_close\": true}");
+	caller = begin_stream(engine);
+	engine.set_mode("{\"min_pace_ms\": 600000}");
+	caller->close();
+	EXPECT_TRUE(engine.wait_for_events(std::string(stream_begun) +
+					   "left r-1 0\n"));
+}
+
+/* Guards against a stand-in that overlooks a caller that only stops sending. */
+TEST_F(FakeBackend, ClosesAWatchedStreamThatIsHalfClosed)
+{
+	Backend engine(folder, "i-1");
+	std::unique_ptr<Connection> caller;
+
+	engine.set_mode("{\"events\": 100000, \"watches_close\": true}");
+	caller = begin_stream(engine);
+	g_socket_shutdown(caller->socket, FALSE, TRUE, nullptr);
+	EXPECT_TRUE(caller->wait_closed());
+	EXPECT_EQ(std::string::npos, caller->input.find("\r\n0\r\n"));
+	EXPECT_EQ(std::string(stream_begun) + "left r-1 0\n", engine.events());
+}
+
+/* Guards against a journal that ends a run while its engine works on it. */
+TEST_F(FakeBackend, WorksOnForAWhileAfterTheClose)
+{
+	Backend engine(folder, "i-1");
+	std::unique_ptr<Connection> caller;
+
+	engine.set_mode("{\"events\": 100000, \"close_notice_ms\": 300}");
+	caller = begin_stream(engine);
+	caller->close();
+	run_for_ms(150);
+	EXPECT_EQ(stream_begun, engine.events());
+	EXPECT_TRUE(state_contains(engine, "\"left\":0"));
+	EXPECT_TRUE(engine.wait_for_events(std::string(stream_begun) +
+					   "left r-1 0\n"));
+}
+
+/* Guards against a stand-in that ends a run though it notices no close. */
+TEST_F(FakeBackend, WorksOnToTheEndAfterTheClose)
+{
+	Backend engine(folder, "i-1");
+	Backend plain(folder, "i-2", "--plain");
+	std::unique_ptr<Connection> caller;
+
+	engine.set_mode("{\"events\": 30, \"close_notice_ms\": -1}");
+	caller = begin_stream(engine);
+	caller->close();
+	EXPECT_TRUE(engine.wait_for_events(std::string(stream_begun) +
+					   "end r-1 0\n"));
+	plain.set_mode("{\"answer_delay_ms\": 100, \"close_notice_ms\": -1}");
+	caller = plain.request("r-1");
+	EXPECT_TRUE(plain.wait_for_events(stream_begun));
+	caller->close();
+	EXPECT_TRUE(plain.wait_for_events(std::string(stream_begun) +
+					  "end r-1 0\n"));
+}
+
+/* The stop of a run, with its copy to another engine. */
+class FakeBackendStop : public FakeBackend
+{
+      protected:
+	std::unique_ptr<Backend> one;
+	std::unique_ptr<Backend> other;
+
+	void start()
+	{
+		one = std::make_unique<Backend>(folder, "i-1");
+		other = std::make_unique<Backend>(folder, "i-2");
+		one->set_mode("{\"real_copies\": true, \"events\": 100000}");
+		other->set_mode(
+			"{\"real_copies\": true, \"events\": 1, \"pace_ms\": "
+			"2}");
+	}
+
+	std::unique_ptr<Connection> send_stop() const
+	{
+		return one->send("POST /v1/kv-move", "",
+				 "{\"id\":\"r-1\",\"target\":\"" +
+					 other->address + "\",\"last\":true}");
+	}
+
+	std::string stop() const
+	{
+		return Backend::read_answer(send_stop());
+	}
+
+	/* Continues the run at an engine from what a handle names. */
+	std::string go_on(const Backend &engine, const char *handle) const
+	{
+		return Backend::read_answer(engine.request(
+			"r-1", "Last-Event-Id: 99998\r\nKv-From: " +
+				       one->address + "/" + handle + "\r\n"));
+	}
+};
+
+/* Guards against a copy that is sent while the run still grows. */
+TEST_F(FakeBackendStop, StopsBeforeTheCopy)
+{
+	std::unique_ptr<Connection> caller;
+	std::string answer;
+
+	start();
+	EXPECT_EQ(0u, stop().find("HTTP/1.1 404"));
+	caller = begin_stream(*one);
+	answer = stop();
+	EXPECT_EQ(0u, answer.find("HTTP/1.1 200")) << answer;
+	EXPECT_TRUE(contains(answer, "\"handle\":\"i-1-h2\"")) << answer;
+	EXPECT_TRUE(contains(answer, "\"created\":")) << answer;
+	EXPECT_TRUE(caller->wait_closed());
+	EXPECT_EQ(std::string::npos, caller->input.find("\r\n0\r\n"));
+	EXPECT_EQ(std::string(stream_begun) + "stopped r-1 0\n", one->events());
+	EXPECT_TRUE(state_contains(*other, "\"copies\":1"));
+	EXPECT_EQ(0u, go_on(*other, "i-1-h2").find("HTTP/1.1 200"));
+	EXPECT_EQ(0u, stop().find("HTTP/1.1 404"));
+}
+
+/* Guards against a source that forgets a run which it has stopped. */
+TEST_F(FakeBackendStop, ContinuesAKeptRunOnce)
+{
+	std::unique_ptr<Connection> caller;
+	std::string answer;
+
+	start();
+	other->set_mode("{\"no_room\": true}");
+	caller = begin_stream(*one);
+	answer = stop();
+	EXPECT_EQ(0u, answer.find("HTTP/1.1 503")) << answer;
+	EXPECT_TRUE(contains(answer, "\"handle\":\"i-1-h1\"")) << answer;
+	EXPECT_TRUE(caller->wait_closed());
+	one->set_mode("{\"pace_ms\": 2}");
+	answer = go_on(*one, "i-1-h1");
+	EXPECT_EQ(0u, answer.find("HTTP/1.1 200")) << answer;
+	EXPECT_TRUE(contains(answer, "r-1.99999\"")) << answer;
+	EXPECT_EQ(0u, go_on(*one, "i-1-h1").find("HTTP/1.1 503"));
+	EXPECT_EQ(std::string(stream_begun) +
+			  "stopped r-1 0\narrival r-1 1\ngo_on r-1 1\n"
+			  "end r-1 1\narrival r-1 1\nrefusal r-1 1\n",
+		  one->events());
+}
+
+/* Guards against copies that outlive the call which frees them. */
+TEST_F(FakeBackendStop, FreesTheCopyAtBothEnds)
+{
+	std::unique_ptr<Connection> caller;
+	std::string answer;
+
+	start();
+	caller = begin_stream(*one);
+	stop();
+	EXPECT_TRUE(state_contains(*one, "\"copies\":1"));
+	EXPECT_TRUE(state_contains(*other, "\"copies\":1"));
+	answer = Backend::read_answer(one->send("DELETE /v1/kv-handle/i-1-h1"));
+	EXPECT_EQ(0u, answer.find("HTTP/1.1 200")) << answer;
+	EXPECT_TRUE(state_contains(*one, "\"copies\":0"));
+	EXPECT_TRUE(run_until(
+		[&] { return state_contains(*other, "\"copies\":0"); }));
+	EXPECT_EQ(0u, go_on(*one, "i-1-h1").find("HTTP/1.1 503"));
+	EXPECT_EQ(0u, go_on(*other, "i-1-h1").find("HTTP/1.1 503"));
+}
+
+/* Guards against a stop for a copy that has no place, once that is known. */
+TEST_F(FakeBackendStop, GoesOnIfTheTargetIsKnownToBeFull)
+{
+	std::unique_ptr<Connection> caller;
+	std::string answer;
+
+	start();
+	other->set_mode("{\"no_room\": true}");
+	caller = begin_stream(*one);
+	answer = Backend::read_answer(one->send(
+		"POST /v1/kv-move", "",
+		"{\"id\":\"r-1\",\"target\":\"" + other->address + "\"}"));
+	EXPECT_EQ(0u, answer.find("HTTP/1.1 503")) << answer;
+	answer = stop();
+	EXPECT_EQ(0u, answer.find("HTTP/1.1 503")) << answer;
+	EXPECT_FALSE(contains(answer, "handle")) << answer;
+	EXPECT_EQ(stream_begun, one->events());
+}
+
+/* Guards against a refused stop that stops the run all the same. */
+TEST_F(FakeBackendStop, WorksOnAfterItRefused)
+{
+	std::unique_ptr<Connection> caller;
+
+	start();
+	caller = begin_stream(*one);
+	for (const char *mode : {"no_room", "stop_refused"}) {
+		std::string name = std::string("{\"") + mode + "\": ";
+		std::string answer;
+
+		one->set_mode(name + "true}");
+		answer = stop();
+		EXPECT_EQ(0u, answer.find("HTTP/1.1 503")) << answer;
+		EXPECT_FALSE(contains(answer, "handle")) << answer;
+		one->set_mode(name + "false}");
+	}
+	caller->input.clear();
+	EXPECT_TRUE(caller->wait_for("data:"));
+	EXPECT_EQ(stream_begun, one->events());
+}
+
+/* Guards against a late answer whose run stopped when it was asked. */
+TEST_F(FakeBackendStop, WorksUntilALateStop)
+{
+	std::unique_ptr<Connection> caller;
+	std::unique_ptr<Connection> call;
+
+	start();
+	one->set_mode("{\"stop_delay_ms\": 300}");
+	caller = begin_stream(*one);
+	call = send_stop();
+	run_for_ms(150);
+	EXPECT_EQ(stream_begun, one->events());
+	EXPECT_EQ("", call->input);
+	EXPECT_EQ(0u,
+		  Backend::read_answer(std::move(call)).find("HTTP/1.1 200"));
+	EXPECT_EQ(std::string(stream_begun) + "stopped r-1 0\n", one->events());
+}
+
+/* Guards against an engine that dies in a stop and journals the stop. */
+TEST_F(FakeBackendStop, EndsWhenItIsAskedToStop)
+{
+	std::unique_ptr<Connection> caller;
+
+	start();
+	one->set_mode("{\"stop_crashes\": true}");
+	caller = begin_stream(*one);
+	EXPECT_EQ("", stop());
+	EXPECT_EQ(3, one->wait_exit());
+	EXPECT_TRUE(caller->wait_closed());
+	EXPECT_EQ(stream_begun, one->events());
+}
+
+/* Guards against a stand-in without real copies that works on after a stop. */
+TEST_F(FakeBackendStop, StopsWithoutRealCopies)
+{
+	std::unique_ptr<Connection> caller;
+	std::string answer;
+
+	start();
+	one->set_mode("{\"real_copies\": false}");
+	EXPECT_EQ(0u, stop().find("HTTP/1.1 404"));
+	caller = begin_stream(*one);
+	answer = stop();
+	EXPECT_EQ(0u, answer.find("HTTP/1.1 200")) << answer;
+	EXPECT_TRUE(contains(answer, "\"handle\":\"h1\"")) << answer;
+	EXPECT_TRUE(caller->wait_closed());
+	EXPECT_EQ(std::string(stream_begun) + "stopped r-1 0\n", one->events());
+}
+
+/* Guards against a long gap between events that a mode does not bring. */
+TEST_F(FakeBackend, PausesBetweenItsEvents)
+{
+	Backend engine(folder, "i-1");
+	std::unique_ptr<Connection> caller;
+	int64_t begun_us = g_get_monotonic_time();
+
+	engine.set_mode("{\"events\": 2, \"min_pace_ms\": 100}");
+	Backend::read_answer(engine.request("r-1"));
+	EXPECT_GE(g_get_monotonic_time() - begun_us, 200000);
+}
+
 } // namespace
