Soak: engines that notice closes late or never, and stops that are refused, late or end them

Cause: all engines of the soak make an event every 20 ms and notice a close with it, and any fault of an engine excused it from the check of overlaps.

Change: seven kinds, and engines with 0.7 s between events. The check holds for streams and queries, above 400 ms without slack; the only excuse is an earlier engine that is paused or whose link is cut or silent.

--- a/tests/soak/soak_check_requests.c
+++ b/tests/soak/soak_check_requests.c
@@ -6,7 +6,8 @@
 /* Checks of single requests: how often each ran, and the answer it got. */
 
 #define MAX_ENGINES 3
-/* Time for which two engines may both work on one stream during a takeover. */
+/* Time for which two engines may both work on one stream, from the second on.
+ */
 #define MAX_OVERLAP_US (400 * SOAK_MS_US)
 #define ENGINE_ERROR_STATUS 500
 #define QUERY_RUNS 2 /* max_attempts of its route */
@@ -155,22 +156,33 @@
 	int64_t to_us;
 };
 
-/* When the engine ended the work that it began with that entry. */
+static bool is_work_end(const struct soak_entry *entry)
+{
+	return is_event(entry, "end") || is_event(entry, "left") ||
+	       is_event(entry, "stopped");
+}
+
+/*
+ * When the engine ended the work that it began with that entry: at the first
+ * end that its journal has, at the latest when its process ended.
+ */
 static int64_t work_end_us(const struct soak_check *check,
 			   const GPtrArray *entries, guint begun)
 {
 	const struct soak_entry *begin = g_ptr_array_index(entries, begun);
-	const struct soak_life *life;
+	const struct soak_life *life =
+		soak_check_engine_life(check, begin->engine, begin->at_us);
+	int64_t to_us =
+		life && life->to_us ? life->to_us : check->evidence->ended_us;
 
 	for (guint i = begun + 1; i < entries->len; i++) {
 		const struct soak_entry *entry = g_ptr_array_index(entries, i);
 
-		if ((is_event(entry, "end") || is_event(entry, "left")) &&
+		if (is_work_end(entry) &&
 		    strcmp(entry->engine, begin->engine) == 0)
-			return entry->at_us;
+			return MIN(entry->at_us, to_us);
 	}
-	life = soak_check_engine_life(check, begin->engine, begin->at_us);
-	return life && life->to_us ? life->to_us : check->evidence->ended_us;
+	return to_us;
 }
 
 static GArray *spans_create(const struct soak_check *check,
@@ -192,37 +204,60 @@
 }
 
 /*
- * Whether a fault may have kept the engine from noticing that its request was
- * closed: the engine was paused, or its link became silent after the work
- * began. Connections open at that time stay silent after the link recovers, so
- * the close is lost.
+ * Whether a node may have been unable to reach the engine when another one
+ * began: its link was cut or silent, or its process paused. Other faults of an
+ * engine, and what it does with a closed connection, excuse nothing.
  */
-static bool engine_had_fault(const struct soak_check *check,
-			     const struct span *span, int64_t from_us,
-			     int64_t to_us)
+static bool was_out_of_reach(const struct soak_check *check,
+			     const struct span *span, int64_t at_us)
 {
 	const struct soak_life *life =
 		soak_check_engine_life(check, span->engine, span->from_us);
+	const GArray *rows = check->evidence->fault_records;
+	int64_t from_us = MAX(span->from_us, at_us - SOAK_CONTACT_US);
+
+	for (guint i = 0; life && i < rows->len; i++) {
+		const struct soak_fault_record *row =
+			&g_array_index(rows, struct soak_fault_record, i);
+
+		if (soak_fault_type_at(row->kind)->is_out_of_reach &&
+		    strcmp(row->who, life->name) == 0 &&
+		    row->from_us <= at_us + MAX_OVERLAP_US &&
+		    (!row->to_us || row->to_us >= from_us))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether the node at that address had run without a fault, and the store too,
+ * for all of contact_ms before that time. A node that drains is in touch.
+ */
+static bool is_in_touch(const struct soak_check *check, const char *front,
+			int64_t at_us)
+{
+	const struct soak_life *life =
+		soak_evidence_life_at(check->evidence, front, at_us);
+	int64_t from_us = at_us - SOAK_CONTACT_US;
 
-	return life &&
-	       soak_check_has_fault(
-		       check, life->name,
-		       MAX(span->from_us, from_us - SOAK_CONTACT_US), to_us);
+	return life && life->from_us < from_us &&
+	       !soak_check_has_fault(check, life->name, from_us, at_us) &&
+	       !soak_check_has_fault(check, "nodes", from_us, at_us) &&
+	       !soak_check_has_fault(check, "store", from_us, at_us);
 }
 
+/* The spans are in the order of their beginnings. */
 static void check_pair(struct soak_check *check,
 		       const struct soak_attempt *attempt,
 		       const struct span *one, const struct span *other)
 {
-	int64_t from_us = MAX(one->from_us, other->from_us);
+	int64_t from_us = other->from_us;
 	int64_t to_us = MIN(one->to_us, other->to_us);
 
 	if (strcmp(one->engine, other->engine) == 0 ||
-	    to_us - from_us <= MAX_OVERLAP_US + SOAK_SCHEDULING_DELAY_US ||
-	    engine_had_fault(check, one, from_us, to_us) ||
-	    engine_had_fault(check, other, from_us, to_us) ||
-	    !soak_check_is_stable(check, attempt->front,
-				  from_us + MAX_OVERLAP_US))
+	    to_us - from_us <= MAX_OVERLAP_US ||
+	    was_out_of_reach(check, one, from_us) ||
+	    !is_in_touch(check, attempt->front, from_us + MAX_OVERLAP_US))
 		return;
 	soak_check_add_finding(
 		check, attempt->id, from_us,
@@ -242,7 +277,7 @@
 			soak_check_attempt(check, request);
 		g_autoptr(GArray) spans = NULL;
 
-		if (!attempt || attempt->kind != SOAK_KIND_STREAM)
+		if (!attempt || !soak_kind_is_stream(attempt->kind))
 			continue;
 		spans = spans_create(check, list);
 		for (guint one = 0; one < spans->len; one++) {
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -97,6 +97,9 @@
 	}
 	if (soak_platform_set_mode(member->address, json, &error))
 		return;
+	soak_fleet_wait(MODE_RETRY_US); /* it may have ended just now */
+	if (!soak_process_is_running(member->process))
+		return;
 	if (member_is_starting(member)) {
 		g_ptr_array_add(member->deferred_modes, g_strdup(json));
 		soak_fleet_defer(fleet, MODE_RETRY_US, apply_waiting_modes,
@@ -555,6 +558,20 @@
 			       "{\"bends_at\":0,\"slowdown_percent\":100}"},
 	[SOAK_PLAIN_SLOWS] = {NULL, NULL, "{\"slowdown_percent\":250}",
 			      "{\"slowdown_percent\":100}"},
+	[SOAK_ENGINE_CLOSE_AT_ONCE] = {NULL, NULL, "{\"watches_close\":true}",
+				       "{\"watches_close\":false}"},
+	[SOAK_ENGINE_CLOSE_LATE] = {NULL, NULL, "{\"close_notice_ms\":900}",
+				    "{\"close_notice_ms\":0}"},
+	[SOAK_ENGINE_CLOSE_NEVER] = {NULL, NULL, "{\"close_notice_ms\":-1}",
+				     "{\"close_notice_ms\":0}"},
+	[SOAK_ENGINE_STOP_REFUSED] = {NULL, NULL, "{\"stop_refused\":true}",
+				      "{\"stop_refused\":false}"},
+	[SOAK_ENGINE_STOP_LATE] = {NULL, NULL, "{\"stop_delay_ms\":700}",
+				   "{\"stop_delay_ms\":0}"},
+	[SOAK_ENGINE_STOP_DIES] = {NULL, NULL, "{\"stop_crashes\":true}",
+				   "{\"stop_crashes\":false}"},
+	[SOAK_ENGINE_GAPS] = {NULL, NULL, "{\"min_pace_ms\":700}",
+			      "{\"min_pace_ms\":0}"},
 	[SOAK_PLAIN_LINK_EXTRA] = {.link = {SOAK_LINK_UNSOLICITED,
 					    STRAY_IDLE_US}},
 };
--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -55,7 +55,8 @@
 				 "an engine is killed; another one starts",
 				 false, false},
 	[SOAK_ENGINE_PAUSE] = {"engine_pause", SOAK_TARGET_ENGINE, 300, 3000,
-			       false, "an engine is paused", false, false},
+			       false, "an engine is paused", false, false,
+			       true},
 	[SOAK_ENGINE_LEAVE] = {"engine_leave", SOAK_TARGET_ENGINE, 3000, 5000,
 			       true, "an engine announces its stop and stops",
 			       false, false},
@@ -158,15 +159,15 @@
 				    false},
 	[SOAK_ENGINE_LINK_CUT] = {"engine_link_cut", SOAK_TARGET_ENGINE, 200,
 				  4000, false, "an engine is unreachable", true,
-				  false},
+				  false, true},
 	[SOAK_ENGINE_LINK_CUT_BACK] = {"engine_link_cut_back",
 				       SOAK_TARGET_ENGINE, 200, 4000, false,
 				       "bytes from an engine are held back",
-				       true, false},
+				       true, false, true},
 	[SOAK_ENGINE_LINK_SILENT] = {"engine_link_silent", SOAK_TARGET_ENGINE,
 				     200, 4000, false,
 				     "open connections to an engine go silent",
-				     true, false},
+				     true, false, true},
 	[SOAK_ENGINE_LINK_DELAY] = {"engine_link_delay", SOAK_TARGET_ENGINE,
 				    300, 3000, false,
 				    "an engine's bytes are delayed", true,
@@ -258,6 +259,32 @@
 				"a configuration makes queries more urgent "
 				"than reports, at engines with little memory",
 				false, false},
+	[SOAK_ENGINE_CLOSE_AT_ONCE] =
+		{"engine_close_at_once", SOAK_TARGET_ENGINE, 3000, 6000, true,
+		 "an engine notices closed connections at once", false, false},
+	[SOAK_ENGINE_CLOSE_LATE] =
+		{"engine_close_late", SOAK_TARGET_ENGINE, 3000, 6000, true,
+		 "an engine works on for 0.9 s after a connection is closed",
+		 false, false},
+	[SOAK_ENGINE_CLOSE_NEVER] =
+		{"engine_close_never", SOAK_TARGET_ENGINE, 3000, 6000, true,
+		 "an engine works on to the end after a connection is closed",
+		 false, false},
+	[SOAK_ENGINE_STOP_REFUSED] = {"engine_stop_refused", SOAK_TARGET_ENGINE,
+				      3000, 6000, true,
+				      "an engine refuses to stop its runs",
+				      false, false},
+	[SOAK_ENGINE_STOP_LATE] =
+		{"engine_stop_late", SOAK_TARGET_ENGINE, 3000, 6000, true,
+		 "an engine stops its runs 0.7 s after it was asked", false,
+		 false},
+	[SOAK_ENGINE_STOP_DIES] =
+		{"engine_stop_dies", SOAK_TARGET_ENGINE, 3000, 6000, false,
+		 "an engine ends when it is asked to stop a run, and restarts",
+		 false, false},
+	[SOAK_ENGINE_GAPS] = {"engine_gaps", SOAK_TARGET_ENGINE, 3000, 6000,
+			      true, "an engine makes an event in 0.7 s", false,
+			      false},
 };
 
 /* Returns the static description of a kind of fault. */
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -91,6 +91,13 @@
 	SOAK_ENGINE_BENDS,
 	SOAK_PLAIN_SLOWS,
 	SOAK_CONFIG_URGENT,
+	SOAK_ENGINE_CLOSE_AT_ONCE,
+	SOAK_ENGINE_CLOSE_LATE,
+	SOAK_ENGINE_CLOSE_NEVER,
+	SOAK_ENGINE_STOP_REFUSED,
+	SOAK_ENGINE_STOP_LATE,
+	SOAK_ENGINE_STOP_DIES,
+	SOAK_ENGINE_GAPS,
 	SOAK_FAULT_KINDS
 };
 
@@ -104,8 +111,10 @@
 	int64_t max_duration_ms;
 	bool is_planned; /* planned work; must not affect callers */
 	const char *description;
-	bool is_link;	  /* affects connections to the target */
-	bool is_to_store; /* or from the target to the store */
+	bool is_link;	      /* affects connections to the target */
+	bool is_to_store;     /* or from the target to the store */
+	bool is_out_of_reach; /* no node can have a call to the engine answered
+			       */
 };
 
 struct soak_fault {
