--- /dev/null
+++ b/tests/run_stop_test.cc
@@ -0,0 +1,348 @@
+#include "core/gateway/run_stop.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <random>
+#include <sstream>
+
+namespace
+{
+
+const char *const script_folder = "tests/run_stop";
+constexpr int64_t kStepMs = 25;
+constexpr int64_t kUsPerMs = 1000;
+
+const char *const action_names[] = {
+	"wait", "ask", "close", "go_on", "stay", "give_up",
+};
+
+const enum run_stop_event all_events[] = {
+	RUN_STOP_STREAM_ENDED, RUN_STOP_STREAM_LOST, RUN_STOP_ACCEPTED,
+	RUN_STOP_NO_RUN,       RUN_STOP_REFUSED,     RUN_STOP_NO_ENGINE,
+	RUN_STOP_NO_ANSWER,
+};
+
+std::vector<std::string> script_names()
+{
+	std::vector<std::string> names;
+
+	for (auto &entry : std::filesystem::directory_iterator(script_folder))
+		names.push_back(entry.path().stem().string());
+	std::sort(names.begin(), names.end());
+	return names;
+}
+
+std::optional<enum run_stop_cause> find_cause(const std::string &name)
+{
+	for (auto cause : {RUN_STOP_LEAVING, RUN_STOP_SILENCE, RUN_STOP_BREAK})
+		if (name == run_stop_cause_name(cause))
+			return cause;
+	return {};
+}
+
+std::optional<enum run_stop_event> find_event(const std::string &name)
+{
+	for (auto event : all_events)
+		if (name == run_stop_event_name(event))
+			return event;
+	return {};
+}
+
+/*
+ * Runs the commands of a script, in virtual time:
+ *
+ *     begin CAUSE open|lost asked|unasked
+ *     EVENT               what run_stop_apply is told
+ *     event               an event of the run arrives
+ *     connected           the engine has accepted the call's connection
+ *     until MS            time passes, in steps
+ */
+class Script
+{
+      public:
+	/* Returns what the command brings about. */
+	std::string Run(const std::string &command)
+	{
+		std::istringstream in(command);
+		std::string name;
+
+		in >> name;
+		if (name == "begin")
+			return Begin(in);
+		if (name == "until")
+			return Until(in);
+		if (name == "event") {
+			run_stop_note_event(&stop);
+			return State();
+		}
+		if (name == "connected") {
+			run_stop_note_connected(&stop);
+			return State();
+		}
+		auto event = find_event(name);
+
+		if (!event)
+			return "unknown command";
+		return Seen(run_stop_apply(&stop, *event));
+	}
+
+      private:
+	struct run_stop stop = {};
+	int64_t now_ms = 0;
+
+	std::string State() const
+	{
+		return run_stop_state_name(stop.state);
+	}
+
+	std::string Seen(enum run_stop_action action) const
+	{
+		return std::string(action_names[action]) + ", " + State();
+	}
+
+	std::string Begin(std::istringstream &in)
+	{
+		std::string cause, stream, call;
+
+		in >> cause >> stream >> call;
+		if (!find_cause(cause))
+			return "unknown cause";
+		now_ms = 0;
+		return Seen(run_stop_begin(&stop, *find_cause(cause),
+					   stream == "open", call == "asked",
+					   0));
+	}
+
+	std::string Until(std::istringstream &in)
+	{
+		std::string seen;
+		int64_t end_ms = 0;
+
+		for (in >> end_ms; now_ms < end_ms;) {
+			now_ms += kStepMs;
+			auto action = run_stop_step(&stop, now_ms * kUsPerMs);
+
+			if (action != RUN_STOP_WAIT)
+				seen += std::to_string(now_ms) + " " +
+					action_names[action] + ", ";
+		}
+		return seen + State();
+	}
+};
+
+class RunStopScript : public testing::TestWithParam<std::string>
+{
+};
+
+/* Behind the arrow of each line stands what the command brings about. */
+TEST_P(RunStopScript, MatchesItsFile)
+{
+	std::string path =
+		std::string(script_folder) + "/" + GetParam() + ".txt";
+	std::ifstream in(path);
+	std::string line, expected, seen;
+	Script script;
+
+	while (std::getline(in, line)) {
+		std::string command = line.substr(0, line.find(" ->"));
+
+		expected += line + "\n";
+		seen += command;
+		if (!command.empty() && command[0] != '#')
+			seen += " -> " + script.Run(command);
+		seen += "\n";
+	}
+	if (getenv("WRITE_SCRIPTS")) {
+		std::ofstream(path) << seen;
+		return;
+	}
+	EXPECT_EQ(expected, seen);
+}
+
+INSTANTIATE_TEST_SUITE_P(Scripts, RunStopScript,
+			 testing::ValuesIn(script_names()),
+			 [](const testing::TestParamInfo<std::string> &info) {
+				 return info.param;
+			 });
+
+/*
+ * Plays random events on a run that is to stop, and judges each RUN_STOP_GO_ON
+ * by what the engine has told: independent of the fields of struct run_stop.
+ */
+class RandomStop
+{
+      public:
+	explicit RandomStop(uint32_t seed) : random(seed)
+	{
+	}
+
+	/* Returns "" or the trace of what was wrong. */
+	std::string Play()
+	{
+		can_ask = Below(4) != 0;
+		cause = (enum run_stop_cause)Below(3);
+		is_open = cause != RUN_STOP_BREAK;
+		trace = std::string(run_stop_cause_name(cause)) +
+			(can_ask ? " asked" : " unasked");
+		Judge(run_stop_begin(&stop, cause, is_open, can_ask, 0));
+		while (now_ms < 9000 && wrong.empty()) {
+			now_ms += kStepMs;
+			trace_at = " " + std::to_string(now_ms) + " ";
+			if (Below(frequency) == 0)
+				Tell();
+			Judge(run_stop_step(&stop, now_ms * kUsPerMs));
+		}
+		if (wrong.empty() && run_stop_is_pending(&stop))
+			wrong = "still pending";
+		return wrong.empty() ? "" : wrong + ": " + trace;
+	}
+
+	int32_t goes_on = 0;
+
+      private:
+	std::mt19937 random;
+	std::string trace, trace_at, wrong;
+	struct run_stop stop = {};
+	enum run_stop_cause cause = RUN_STOP_LEAVING;
+	bool can_ask = false, is_open = false, has_call = false;
+	bool has_accepted = false, is_gone = false, has_ended = false;
+	bool works = false;	  /* the newest word: an event, a refusal */
+	bool has_refused = false; /* ever */
+	bool is_connected = false;
+	int64_t now_ms = 0;
+	int64_t heard_ms = 0; /* the newest word */
+	int64_t asked_ms = 0;
+	int64_t frequency = 1 + (int64_t)(random() % 40);
+
+	int64_t Below(int64_t n)
+	{
+		return (int64_t)(random() % n);
+	}
+
+	void Apply(enum run_stop_event event)
+	{
+		trace += trace_at + run_stop_event_name(event);
+		Judge(run_stop_apply(&stop, event));
+	}
+
+	void TellOfStream()
+	{
+		switch (Below(4)) {
+		case 0:
+			is_open = false;
+			has_ended = true;
+			Apply(RUN_STOP_STREAM_ENDED);
+			break;
+		case 1:
+			is_open = false;
+			Apply(RUN_STOP_STREAM_LOST);
+			break;
+		default:
+			/* Events after ACCEPTED were made before it. */
+			works = !has_accepted;
+			is_gone = false;
+			heard_ms = now_ms;
+			trace += trace_at + "event";
+			run_stop_note_event(&stop);
+		}
+	}
+
+	void TellOfCall()
+	{
+		enum run_stop_event event = all_events[2 + Below(5)];
+
+		has_call = false;
+		if (event != RUN_STOP_NO_ANSWER) {
+			works = event == RUN_STOP_REFUSED;
+			has_refused |= works;
+			has_accepted = event == RUN_STOP_ACCEPTED;
+			is_gone = event == RUN_STOP_NO_RUN ||
+				  event == RUN_STOP_NO_ENGINE;
+			heard_ms = now_ms;
+		}
+		Apply(event);
+	}
+
+	/* Something that can arrive now: one call at a time, one stream. */
+	void Tell()
+	{
+		if (!run_stop_is_pending(&stop))
+			return;
+		if (has_call && !is_connected && Below(3) == 0) {
+			trace += trace_at + "connected";
+			is_connected = true;
+			run_stop_note_connected(&stop);
+		} else if (has_call && (!is_open || Below(2))) {
+			TellOfCall();
+		} else if (is_open) {
+			TellOfStream();
+		}
+	}
+
+	void Judge(enum run_stop_action action)
+	{
+		if (action != RUN_STOP_WAIT)
+			trace += trace_at + "-> " + action_names[action];
+		if (action == RUN_STOP_ASK) {
+			if (!can_ask || (has_call && now_ms - asked_ms < 1200))
+				wrong = "asks an engine twice at a time";
+			has_call = true;
+			is_connected = false;
+			asked_ms = now_ms;
+		}
+		if (action == RUN_STOP_STAY && !is_open)
+			wrong = "stays without a stream";
+		if (action == RUN_STOP_GO_ON)
+			JudgeGoOn();
+	}
+
+	void JudgeGoOn()
+	{
+		/* Without a call, only the stream can tell. */
+		bool is_told = has_ended || has_accepted ||
+			       (!is_open && (is_gone || !can_ask));
+		const int64_t patience_ms = 1200;
+
+		if (goes_on++ > 0)
+			wrong = "goes on twice";
+		if (is_told)
+			return;
+		if (works)
+			JudgeUnreached(patience_ms);
+		else if (now_ms - heard_ms < patience_ms)
+			wrong = "goes on too early";
+	}
+
+	/*
+	 * An engine that refused works on. One that sent events may be out of
+	 * reach once its stream was lost and nothing came for the patience.
+	 */
+	void JudgeUnreached(int64_t patience_ms)
+	{
+		if (is_open || has_refused || now_ms - heard_ms < patience_ms)
+			wrong = "goes on while the engine works";
+	}
+};
+
+/*
+ * Guards against two engines on one run: in any order of events it goes on only
+ * once its engine has told that the run has stopped, or was out of reach.
+ */
+TEST(RunStop, GoesOnOnlyOnceItsEngineHasStopped)
+{
+	int32_t goes_on = 0;
+
+	for (uint32_t seed = 1; seed <= 50000; seed++) {
+		RandomStop stop(seed);
+
+		ASSERT_EQ("", stop.Play()) << "seed " << seed;
+		goes_on += stop.goes_on;
+	}
+	EXPECT_GT(goes_on, 10000);
+}
+
+} /* namespace */
