--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -531,9 +531,14 @@
 			engine->has_copies = false;
 	});
 	budget = gateway_budget(nodes[asked]->gateway, "engines");
-	while (retry_window_remaining(budget) > 1)
-		retry_window_take(budget);
+	Each([](ModelEngine *engine) { engine->answer_ms = 200; });
 	Leave(from);
+	ASSERT_TRUE(run_until([&] { return from->stops > 0; }));
+	EXPECT_TRUE(run_until([&] {
+		while (retry_window_remaining(budget) > 0)
+			retry_window_take(budget);
+		return from->continued[id] > 0 || caller->closed;
+	}));
 	Finish();
 	ExpectWhole();
 }
