--- a/tests/soak/soak_check_requests.c
+++ b/tests/soak/soak_check_requests.c
@@ -231,7 +231,7 @@
 
 /*
  * Whether the node at that address had run without a fault, and the store too,
- * for all of contact_ms before that time. A node that drains is in touch.
+ * for all of contact_ms before that time. A node that drains is no excuse.
  */
 static bool is_in_touch(const struct soak_check *check, const char *front,
 			int64_t at_us)
