Review case 3: reports cut after the entry of their engine is removed

Callers' reports end in the middle: the node stops them at an engine whose entry is gone, the others turn them away, and the node does not return.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,64 @@
+#!/usr/bin/env bash
+# An engine is emptied and taken away: its entry is removed, and it serves on.
+# The other engines turn requests away for a moment. Do the reports that ran at
+# the leaving engine come to their end?
+set -euo pipefail
+here=$(cd "$(dirname "$0")" && pwd)
+. "$here/../common.sh"
+
+reports=64
+engines=8 # one of them leaves: a share of 0.125
+start_store
+write_document
+for i in $(seq $engines); do
+	rest=()
+	[ $i = 1 ] || rest=(--rest-file "$work/rest")
+	start_engine $i redacteur 24 --gap-ms 25 "${rest[@]}"
+done
+for i in 21 22 23; do
+	start_engine $i guichet 6 --plain --delay-ms 30
+done
+start_nodes 2
+sleep 3
+
+for i in $(seq $reports); do
+	send $((i % 2 + 1)) "report-$i" /nar/a --tokens 1000,932 \
+		--body-bytes 2600 --kept /sta/a
+	sleep 0.02
+done
+sleep 1.2
+if [ "$trouble" != 0 ]; then
+	say "the entry of engine 1 is removed; it serves on"
+	if [ "${VARIANT:-}" = draining ]; then
+		sed 's/"ready"/"draining"/; s/"sequence":1/"sequence":2/' \
+			"$work/entry1" >"$work/entry"
+		put servers/i-1 "$work/entry"
+	else
+		$client delete "$store" servers/i-1 || cannot_run "delete"
+	fi
+	sleep 0.2
+	touch "$work/rest"
+	say "the other engines turn requests away"
+	sleep 1
+	rm "$work/rest"
+	say "the other engines take requests again"
+fi
+wait_for_senders
+write_record
+grep -h 'run_stop\|attempt_failed\|request_end' "$work"/node*.out \
+	>>"$record" || true
+
+# The rule: a request from a kept channel was passed on to a sound engine, and
+# the channel ended without an answer, more than three times.
+lost=$(awk '
+$3 == "runs" { ran[$4] = 1 }
+$2 == "client" && $13 != "whole" { ended[$3] = 1 }
+END {
+	for (id in ended)
+		lost += ran[id]
+	print lost + 0
+}' "$record")
+whole=$(grep -c ' end whole' "$record" || true)
+echo "$whole of $reports reports whole; $lost lost" | tee -a "$record"
+[ "$lost" -le 3 ] || exit 1
+[ "$whole" -eq $reports ] || cannot_run "not all requests are answered"
