Review case 5: consumers that stop reading for some seconds are reset

Callers that pause for 5 s get the first third of their report and then a reset, while its engine made all of it and the log says that it was whole.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,45 @@
+#!/usr/bin/env bash
+# Consumers read slowly: each stops for some seconds in the middle of its
+# answer. Do they get the rest when they read on?
+set -euo pipefail
+here=$(cd "$(dirname "$0")" && pwd)
+. "$here/../common.sh"
+
+# Less than the 7.2 s after which a consumer itself gives a stream up.
+pause_ms=5000
+[ "$trouble" != 0 ] || pause_ms=0
+reports=8
+
+start_store
+write_document
+for i in 1 2 3; do
+	start_engine $i redacteur 24 --gap-ms 15 --event-bytes 260
+	start_engine $((i + 3)) guichet 6 --plain --delay-ms 30
+done
+start_nodes 2
+sleep 1
+
+for i in $(seq $reports); do
+	send $((i % 2 + 1)) "report-$i" /nar/a --tokens 3079,932 \
+		--body-bytes 2600 --kept /sta/a --receive-buffer 8192 \
+		--pause-at 12000 --pause-ms $pause_ms
+	sleep 0.05
+done
+wait_for_senders
+write_record
+grep -h 'event=request_end' "$work"/node*.out | grep -v before >>"$record" || true
+
+# The rule: a request from a kept channel was passed on to a sound engine, and
+# the channel ended without an answer, more than three times.
+lost=$(awk '
+$3 == "runs" { ran[$4] = 1 }
+$2 == "client" && $13 != "whole" { ended[$3] = 1 }
+END {
+	for (id in ended)
+		lost += ran[id]
+	print lost + 0
+}' "$record")
+whole=$(grep -c ' end whole' "$record" || true)
+echo "$whole of $reports reports whole; $lost lost" | tee -a "$record"
+[ "$lost" -le 3 ] || exit 1
+[ "$whole" -eq $reports ] || cannot_run "not all requests are answered"
