--- a/review/common.sh
+++ b/review/common.sh
@@ -11,6 +11,9 @@
 fi
 client=$standins/client
 trouble=${TROUBLE:-1}
+# The names of services are drawn anew each day.
+model_service=${model_service:-redacteur}
+plain_service=${plain_service:-guichet}
 work=$(mktemp -d -t siskinlink-review.XXXXXX)
 record=$here/record.txt
 pids=()
@@ -94,7 +97,8 @@
 
 # The desired state: the routes, limits and times of the sheet of agrc-siskin.
 write_document() {
-	cat >"$work/document" <<-'JSON'
+	sed "s/redacteur/$model_service/; s/guichet/$plain_service/" \
+		>"$work/document" <<-'JSON'
 		{"version":7,"routes":[
 		{"name":"narrative","host":"h.example","path_prefix":"/nar/",
 		"kind":"streaming","timeout_ms":39000,"slo_ms":1800,
--- a/review/standins/engine.c
+++ b/review/standins/engine.c
@@ -5,6 +5,7 @@
  *   engine --ip IP --id ID --journal FILE [--plain] [--delay-ms N]
  *          [--events N] [--gap-ms N] [--event-bytes N]
  *          [--spoil-run N --spoil-event N --busy-ms N] [--rest-file FILE]
+ *          [--limit N]
  *
  * It keeps copies of running requests (X-Siskinlink-Kv-Backup), goes on from
  * them (Kv-From), stops a run at POST /v1/kv-move with last, and is one of the
@@ -13,7 +14,8 @@
  * no answer. For --busy-ms from then on it accepts no further channels: it
  * resets them. A request with X-Siskinlink-Token-Count: IN,OUT gets OUT / 4
  * events, others --events; only runs of at least LONG_EVENTS count for N. While
- * FILE exists, it turns requests away with 503 and asks for rest.
+ * FILE exists, it turns requests away with 503 and asks for rest. With --limit,
+ * its answers name a Server-Limit.
  */
 #define _GNU_SOURCE
 #include "http.h"
@@ -50,6 +52,7 @@
 static int spoil_event;
 static int64_t busy_ms;
 static const char *rest_file = "";
+static char limit_field[64]; /* a line of each answer's head, or empty */
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct run runs[MAX_RUNS];
@@ -152,9 +155,9 @@
 	send_text(fd,
 		  "HTTP/1.1 200 OK\r\nX-Siskinlink-Request-Id: %s\r\n"
 		  "X-Siskinlink-Engine-Stamp: stamp-%s\r\n"
-		  "Content-Type: text/event-stream\r\n"
+		  "%sContent-Type: text/event-stream\r\n"
 		  "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n",
-		  run->id, engine_id);
+		  run->id, engine_id, limit_field);
 	run->is_active = true;
 	for (int i = first; i < count && !run->must_stop; i++) {
 		if (is_spoilt && i == spoil_event) {
@@ -201,8 +204,8 @@
 	send_text(fd,
 		  "HTTP/1.1 200 OK\r\nX-Siskinlink-Request-Id: %s\r\n"
 		  "X-Siskinlink-Engine-Stamp: stamp-%s\r\n"
-		  "Content-Length: %zu\r\n\r\n%s %s",
-		  id, engine_id, strlen(engine_id) + strlen(id) + 1, engine_id,
+		  "%sContent-Length: %zu\r\n\r\n%s %s",
+		  id, engine_id, limit_field, strlen(engine_id) + strlen(id) + 1, engine_id,
 		  id);
 }
 
@@ -401,6 +404,9 @@
 			spoil_run = atoi(value);
 		else if (strcmp(name, "--spoil-event") == 0)
 			spoil_event = atoi(value);
+		else if (strcmp(name, "--limit") == 0)
+			snprintf(limit_field, sizeof(limit_field),
+				 "Server-Limit: %s\r\n", value);
 		else if (strcmp(name, "--rest-file") == 0)
 			rest_file = value;
 		else if (strcmp(name, "--busy-ms") == 0)
--- a/review/5/run.sh
+++ b/review/t5/run.sh
@@ -13,8 +13,8 @@
 start_store
 write_document
 for i in 1 2 3; do
-	start_engine $i redacteur 24 --gap-ms 15 --event-bytes 260
-	start_engine $((i + 3)) guichet 6 --plain --delay-ms 30
+	start_engine $i $model_service 24 --gap-ms 15 --event-bytes 260
+	start_engine $((i + 3)) $plain_service 6 --plain --delay-ms 30
 done
 start_nodes 2
 sleep 1
