--- a/review/t5/run.sh
+++ b/review/t5/run.sh
@@ -8,7 +8,7 @@
 # Less than the 7.2 s after which a consumer itself gives a stream up.
 pause_ms=5000
 [ "$trouble" != 0 ] || pause_ms=0
-reports=8
+reports=12
 
 start_store
 write_document
@@ -16,14 +16,14 @@
 	start_engine $i $model_service 24 --gap-ms 15 --event-bytes 260
 	start_engine $((i + 3)) $plain_service 6 --plain --delay-ms 30
 done
-start_nodes 2
+start_nodes 4
 sleep 1
 
 hup_ms=$(now_ms)
 say "SIGHUP of node 1"
 kill -HUP "${nodes[1]}"
 for i in $(seq $reports); do
-	send $((i % 2 + 1)) "report-$i" /nar/a --tokens 3079,932 \
+	send $((i % 4 + 1)) "report-$i" /nar/a --tokens 3079,932 \
 		--body-bytes 2600 --kept /sta/a --receive-buffer 8192 \
 		--pause-at 12000 --pause-ms $pause_ms
 	sleep 0.05
@@ -44,7 +44,7 @@
 		number = id
 		sub(/.*-/, "", number)
 		lost += ran[id]
-		if (ran[id] && number % 2 == 0 && ended[id] <= hup + 2000)
+		if (ran[id] && number % 4 == 0 && ended[id] <= hup + 2000)
 			planned++
 	}
 	print lost + 0, planned + 0
