--- a/review/standins/engine.c
+++ b/review/standins/engine.c
@@ -5,7 +5,7 @@
  *   engine --ip IP --id ID --journal FILE [--plain] [--delay-ms N]
  *          [--events N] [--gap-ms N] [--event-bytes N]
  *          [--spoil-run N --spoil-event N --busy-ms N] [--rest-file FILE]
- *          [--limit N]
+ *          [--refusal-ms N] [--limit N]
  *
  * It keeps copies of running requests (X-Siskinlink-Kv-Backup), goes on from
  * them (Kv-From), stops a run at POST /v1/kv-move with last, and is one of the
@@ -14,8 +14,8 @@
  * no answer. For --busy-ms from then on it accepts no further channels: it
  * resets them. A request with X-Siskinlink-Token-Count: IN,OUT gets OUT / 4
  * events, others --events; only runs of at least LONG_EVENTS count for N. While
- * FILE exists, it turns requests away with 503 and asks for rest. With --limit,
- * its answers name a Server-Limit.
+ * FILE exists, it turns requests away with 503 and asks for rest, each after the
+ * time of --refusal-ms. With --limit, its answers name a Server-Limit.
  */
 #define _GNU_SOURCE
 #include "http.h"
@@ -52,6 +52,7 @@
 static int spoil_event;
 static int64_t busy_ms;
 static const char *rest_file = "";
+static int64_t refusal_ms;
 static char limit_field[64]; /* a line of each answer's head, or empty */
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -278,6 +279,7 @@
 	note("arrival %s", id);
 	if (*rest_file && access(rest_file, F_OK) == 0) {
 		note("turns away %s", id);
+		sleep_ms(refusal_ms);
 		refuse(fd, id, 503, "Retry-After: 2\r\n");
 		return true;
 	}
@@ -404,6 +406,8 @@
 			spoil_run = atoi(value);
 		else if (strcmp(name, "--spoil-event") == 0)
 			spoil_event = atoi(value);
+		else if (strcmp(name, "--refusal-ms") == 0)
+			refusal_ms = atoll(value);
 		else if (strcmp(name, "--limit") == 0)
 			snprintf(limit_field, sizeof(limit_field),
 				 "Server-Limit: %s\r\n", value);
