review: a process ends at a 230 kB answer of a safe route

A consumer that looks something up on a channel that it keeps gets 80 kB of the answer and a closed channel: the process has ended with SIGSEGV, and the reports that streamed there are cut. leg_complete() hands the endpoint's stream to the pool before it writes the buffered body; what does not fit into the caller's socket then makes it pause a stream that is NULL.

--- a/review/standins/client.c
+++ b/review/standins/client.c
@@ -10,6 +10,7 @@
  *   client send FRONT ID PATH [--method M] [--tokens IN,OUT]
  *          [--deadline-ms N] [--body-bytes N] [--kept PATH]
  *          [--pause-at BYTES --pause-ms N] [--receive-buffer N] [--at MS]
+ *          [--segment-bytes N]
  *
  * send makes one request and prints a line: what came, and how it ended. With
  * --kept, a short request goes before it on the same channel; with --at, it is
@@ -30,6 +31,7 @@
 struct request {
 	const char *front, *id, *path, *method, *tokens, *kept_path;
 	long deadline_ms, body_bytes, pause_at, pause_ms, receive_buffer, at_ms;
+	long segment_bytes;
 };
 
 struct answer {
@@ -263,7 +265,7 @@
 	if (request->at_ms > sent_ms)
 		sleep_ms(request->at_ms - sent_ms);
 	sent_ms = now_ms();
-	fd = connect_to(request->front);
+	fd = connect_with(request->front, (int)request->segment_bytes);
 	if (fd >= 0 && buffer > 0)
 		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
 	if (fd >= 0 && request->kept_path && !send_kept(fd, request)) {
@@ -306,6 +308,8 @@
 			request->pause_ms = atol(value);
 		else if (strcmp(name, "--at") == 0)
 			request->at_ms = atol(value);
+		else if (strcmp(name, "--segment-bytes") == 0)
+			request->segment_bytes = atol(value);
 		else if (strcmp(name, "--receive-buffer") == 0)
 			request->receive_buffer = atol(value);
 		else
--- a/review/standins/engine.c
+++ b/review/standins/engine.c
@@ -5,7 +5,8 @@
  *   engine --ip IP --id ID --journal FILE [--plain] [--delay-ms N]
  *          [--events N] [--gap-ms N] [--event-bytes N]
  *          [--spoil-run N --spoil-event N --busy-ms N] [--rest-file FILE]
- *          [--refusal-ms N] [--limit N]
+ *          [--refusal-ms N] [--limit N] [--answer-bytes N]
+ *          [--long-path PREFIX]
  *
  * It keeps copies of running requests (X-Siskinlink-Kv-Backup), goes on from
  * them (Kv-From), stops a run at POST /v1/kv-move with last, and is one of the
@@ -15,7 +16,9 @@
  * resets them. A request with X-Siskinlink-Token-Count: IN,OUT gets OUT / 4
  * events, others --events; only runs of at least LONG_EVENTS count for N. While
  * FILE exists, it turns requests away with 503 and asks for rest, each after the
- * time of --refusal-ms. With --limit, its answers name a Server-Limit.
+ * time of --refusal-ms. With --limit, its answers name a Server-Limit. With
+ * --answer-bytes, a plain answer has that many bytes more, to all paths or to
+ * those that begin with PREFIX.
  */
 #define _GNU_SOURCE
 #include "http.h"
@@ -53,6 +56,8 @@
 static int64_t busy_ms;
 static const char *rest_file = "";
 static int64_t refusal_ms;
+static size_t answer_bytes; /* further ones of a plain answer's body */
+static const char *long_path = ""; /* to paths that begin so */
 static char limit_field[64]; /* a line of each answer's head, or empty */
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -197,8 +202,14 @@
 		  status, id, fields);
 }
 
-static void serve_plain(int fd, const char *id)
+static void serve_plain(int fd, const char *head, const char *id)
 {
+	const char *path = strchr(head, ' ');
+	size_t more = path && strncmp(path + 1, long_path,
+				      strlen(long_path)) == 0
+			      ? answer_bytes
+			      : 0;
+
 	note("runs %s", id);
 	sleep_ms(delay_ms);
 	note("ended %s", id);
@@ -206,8 +217,16 @@
 		  "HTTP/1.1 200 OK\r\nX-Siskinlink-Request-Id: %s\r\n"
 		  "X-Siskinlink-Engine-Stamp: stamp-%s\r\n"
 		  "%sContent-Length: %zu\r\n\r\n%s %s",
-		  id, engine_id, limit_field, strlen(engine_id) + strlen(id) + 1, engine_id,
+		  id, engine_id, limit_field,
+		  strlen(engine_id) + strlen(id) + 1 + more, engine_id,
 		  id);
+	if (more > 0) {
+		char *rest = malloc(more);
+
+		memset(rest, 'a', more);
+		send_all(fd, rest, more);
+		free(rest);
+	}
 }
 
 /* POST /v1/kv-move: copies nothing unless it is the last call. */
@@ -284,7 +303,7 @@
 		return true;
 	}
 	if (is_plain) {
-		serve_plain(fd, id);
+		serve_plain(fd, message->head, id);
 		return true;
 	}
 	field_get(message->head, "X-Siskinlink-Kv-Backup", backup,
@@ -408,6 +427,10 @@
 			spoil_event = atoi(value);
 		else if (strcmp(name, "--refusal-ms") == 0)
 			refusal_ms = atoll(value);
+		else if (strcmp(name, "--answer-bytes") == 0)
+			answer_bytes = strtoul(value, NULL, 10);
+		else if (strcmp(name, "--long-path") == 0)
+			long_path = value;
 		else if (strcmp(name, "--limit") == 0)
 			snprintf(limit_field, sizeof(limit_field),
 				 "Server-Limit: %s\r\n", value);
--- a/review/standins/http.c
+++ b/review/standins/http.c
@@ -49,8 +49,12 @@
 	return fd;
 }
 
-/* Connects to IP:PORT; -1 if it can't. */
-int connect_to(const char *address)
+/*
+ * Connects to IP:PORT; -1 if it can't. With a segment_bytes above 0, the channel
+ * carries no larger segments, as on an Ethernet: those of the loopback device
+ * hold 64 kB, and its sockets buffer megabytes.
+ */
+int connect_with(const char *address, int segment_bytes)
 {
 	struct sockaddr_in to = {.sin_family = AF_INET};
 	char ip[64];
@@ -67,12 +71,20 @@
 	if (fd < 0)
 		return -1;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	if (segment_bytes > 0)
+		setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes,
+			   sizeof(segment_bytes));
 	if (connect(fd, (struct sockaddr *)&to, sizeof(to)) == 0)
 		return fd;
 	close(fd);
 	return -1;
 }
 
+int connect_to(const char *address)
+{
+	return connect_with(address, 0);
+}
+
 bool send_all(int fd, const void *bytes, size_t size)
 {
 	const char *at = bytes;
--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -19,6 +19,7 @@
 void sleep_ms(int64_t ms);
 int listen_loopback(const char *ip, char *address, size_t size);
 int connect_to(const char *address);
+int connect_with(const char *address, int segment_bytes);
 bool send_all(int fd, const void *bytes, size_t size);
 bool send_text(int fd, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
