Logs tell an end by itself from a planned one, and an answer that was not read

The record of the incident could not tell its hypotheses apart: a process that is killed or runs out of memory writes no last line, and the other nodes logged its return like any other; an answer counted as whole once its last byte was given to the socket; a caller that closed and a connection that failed looked the same.

member_restarted names both processes and whether the first had announced that it leaves; answer_unread counts the bytes that the caller's system has not acknowledged when a connection fails after its answer; caller_gone has the reason. No decision changes.

MembershipInput.TellsAnEndByItselfFromAnAnnouncedOne and Callers.SayHowTheirConnectionEnded, both new.

--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -98,7 +98,7 @@
 }
 
 /* Calls gone if a request is unanswered, and closes the connection. */
-static void caller_disconnect(struct caller *caller)
+static void caller_disconnect(struct caller *caller, const char *detail)
 {
 	struct caller_set *set = caller->set;
 	void *request = g_steal_pointer(&caller->request);
@@ -107,7 +107,7 @@
 		caller->is_busy = false;
 		set->busy--;
 		if (request && set->handler.gone)
-			set->handler.gone(set->handler.data, request);
+			set->handler.gone(set->handler.data, request, detail);
 	}
 	tcp_stream_destroy(g_steal_pointer(&caller->stream));
 	g_hash_table_remove(set->callers, caller);
@@ -264,13 +264,18 @@
 /* The caller closed its connection: nobody would read the answer. */
 static void on_ended(void *data)
 {
-	caller_disconnect(data);
+	caller_disconnect(data, "closed");
 }
 
 static void on_failed(void *data, const struct error *error)
 {
-	(void)error;
-	caller_disconnect(data);
+	struct caller *caller = data;
+	const struct caller_handler *handler = &caller->set->handler;
+	size_t bytes = tcp_stream_unread_bytes(caller->stream);
+
+	if (!caller->is_busy && bytes > 0 && handler->unread)
+		handler->unread(handler->data, bytes, error->detail);
+	caller_disconnect(caller, error->detail);
 }
 
 static void on_drained(void *data)
@@ -562,7 +567,7 @@
 void caller_abort(struct caller *caller)
 {
 	caller->request = NULL;
-	caller_disconnect(caller);
+	caller_disconnect(caller, "");
 }
 
 /* Whether max_callers were served when the connection was accepted. */
--- a/adapters/gateway/caller.h
+++ b/adapters/gateway/caller.h
@@ -25,8 +25,16 @@
 	 */
 	void (*request)(void *data, struct caller *caller,
 			struct http_head *head, GByteArray *body);
-	/* The connection closed before the answer ended. May be NULL. */
-	void (*gone)(void *data, void *request);
+	/*
+	 * The connection ended before the answer did: detail says whether the
+	 * caller closed it or how it failed. May be NULL.
+	 */
+	void (*gone)(void *data, void *request, const char *detail);
+	/*
+	 * The connection failed after its last answer had ended, with bytes
+	 * that the caller has not read. May be NULL.
+	 */
+	void (*unread)(void *data, size_t bytes, const char *detail);
 	/* All queued bytes are sent; the answer may continue. May be NULL. */
 	void (*drained)(void *data, void *request);
 	void *data;
--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -154,12 +154,15 @@
 	caller_abort(caller);
 }
 
-/* The caller disconnected: closing the engine's connection cancels the run. */
-void exchange_caller_gone(struct exchange *exchange)
+/*
+ * The caller's connection ended, as detail says: closing the engine's
+ * connection cancels the run.
+ */
+void exchange_caller_gone(struct exchange *exchange, const char *detail)
 {
 	counters_add(exchange->gateway->options.counters, COUNTER_GATEWAY_GONE,
 		     1);
-	exchange_end(exchange, "caller_gone", "");
+	exchange_end(exchange, "caller_gone", detail);
 }
 
 /* The caller's send buffer is empty: reads from the endpoint again. */
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -69,10 +69,21 @@
 	exchange_begin(gateway, caller, head, body);
 }
 
-static void on_gone(void *data, void *request)
+static void on_gone(void *data, void *request, const char *detail)
 {
 	(void)data;
-	exchange_caller_gone(request);
+	exchange_caller_gone(request, detail);
+}
+
+/* An answer that counts as whole was not read to its end. */
+static void on_unread(void *data, size_t bytes, const char *detail)
+{
+	const struct gateway *gateway = data;
+	char number[24];
+
+	g_snprintf(number, sizeof(number), "%zu", bytes);
+	log_write(gateway->log, LOG_LEVEL_INFO, "answer_unread", "bytes",
+		  number, "reason", detail, NULL);
 }
 
 static void on_drained(void *data, void *request)
@@ -347,6 +358,7 @@
 	const struct caller_handler requests = {
 		.request = on_request,
 		.gone = on_gone,
+		.unread = on_unread,
 		.drained = on_drained,
 		.data = gateway,
 	};
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -369,7 +369,7 @@
 void exchange_step(struct exchange *exchange);
 void exchange_end_with_drain(struct exchange *exchange);
 void exchange_excuse_pause(struct exchange *exchange, int64_t paused_us);
-void exchange_caller_gone(struct exchange *exchange);
+void exchange_caller_gone(struct exchange *exchange, const char *detail);
 void exchange_resume_reading(struct exchange *exchange);
 void exchange_destroy(gpointer data);
 
--- a/adapters/gateway/tcp_stream.c
+++ b/adapters/gateway/tcp_stream.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <linux/sockios.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -45,6 +46,7 @@
 	bool has_sent;
 	bool finishing; /* without owner: sends the rest, then closes */
 	bool write_closed;
+	size_t unread_bytes; /* see tcp_stream_unread_bytes; once failed */
 	char peer[64];
 };
 
@@ -155,6 +157,7 @@
 		stream_release(stream);
 		return;
 	}
+	stream->unread_bytes = tcp_stream_unread_bytes(stream);
 	stream_close(stream);
 	error_set(&error, stream_error_code(stream, number), step, stream->peer,
 		  "%s", g_strerror(number));
@@ -426,6 +429,22 @@
 	return stream->unsent->len - stream->unsent_offset;
 }
 
+/*
+ * Number of bytes written to the stream that the peer's system has not
+ * acknowledged: the peer can't have read them. Also valid once the stream has
+ * failed.
+ */
+size_t tcp_stream_unread_bytes(const struct tcp_stream *stream)
+{
+	int queued = 0;
+
+	if (stream->fd < 0)
+		return stream->unread_bytes;
+	if (ioctl(stream->fd, SIOCOUTQ, &queued) != 0)
+		queued = 0;
+	return tcp_stream_unsent_bytes(stream) + (size_t)MAX(queued, 0);
+}
+
 /* Whether bytes of the peer wait in the socket to be read. */
 bool tcp_stream_has_unread(const struct tcp_stream *stream)
 {
--- a/adapters/gateway/tcp_stream.h
+++ b/adapters/gateway/tcp_stream.h
@@ -39,6 +39,7 @@
 		      size_t size);
 size_t tcp_stream_finishing_count(void);
 size_t tcp_stream_unsent_bytes(const struct tcp_stream *stream);
+size_t tcp_stream_unread_bytes(const struct tcp_stream *stream);
 bool tcp_stream_has_unread(const struct tcp_stream *stream);
 bool tcp_stream_has_sent(const struct tcp_stream *stream);
 int64_t tcp_stream_opened_us(const struct tcp_stream *stream);
--- a/core/membership/membership_merge.c
+++ b/core/membership/membership_merge.c
@@ -85,6 +85,29 @@
 		membership_log_dead(membership, peer, by);
 }
 
+/*
+ * Logs that another process has taken a member's place, and whether the one
+ * before had announced that it leaves. One that had not has crashed or was
+ * killed, even if no line of its own says so.
+ */
+static void membership_log_restarted(struct membership *membership,
+				     const struct peer *peer,
+				     uint64_t incarnation)
+{
+	char before[24], after[24];
+
+	g_snprintf(before, sizeof(before), "%016" G_GINT64_MODIFIER "x",
+		   peer->member->incarnation);
+	g_snprintf(after, sizeof(after), "%016" G_GINT64_MODIFIER "x",
+		   incarnation);
+	action_list_log(membership->actions,
+			peer->left_voluntarily ? LOG_LEVEL_INFO
+					       : LOG_LEVEL_WARN,
+			"member_restarted", "member", peer->member->name,
+			"before", before, "after", after, "announced",
+			peer->left_voluntarily ? "yes" : "no", NULL);
+}
+
 /* Merges a sender's record of itself, whose incarnation is already known. */
 static void membership_merge_sender(struct membership *membership,
 				    struct peer *peer,
@@ -177,6 +200,8 @@
 		member_table_supersede(
 			membership->table, peer->member->incarnation,
 			membership->now_us + MEMBERSHIP_DEAD_TTL_US);
+		membership_log_restarted(membership, peer,
+					 message->incarnation);
 		peer->left_voluntarily = false;
 		membership_replace(membership, peer, record, "itself");
 		return peer;
--- a/tests/caller_test.cc
+++ b/tests/caller_test.cc
@@ -18,24 +18,47 @@
 	{
 		Callers *test = (Callers *)data;
 		bool is_long = strcmp(head->target, "/long") == 0;
+		bool is_large = strcmp(head->target, "/large") == 0;
 
 		http_head_destroy(head);
 		g_byte_array_unref(body);
 		if (is_long) {
 			test->begun = caller;
+			caller_attach_request(caller, test);
 			caller_send(caller, LONG_HEAD, strlen(LONG_HEAD));
 			return;
 		}
+		if (is_large) {
+			std::string body(32 << 20, 'x');
+
+			caller_answer(caller, 200, nullptr, body.data(),
+				      body.size());
+			return;
+		}
 		caller_answer(caller, caller_is_excess(caller) ? 503 : 200,
 			      nullptr, "", 0);
 	}
 
+	static void on_gone(void *data, void *request, const char *detail)
+	{
+		(void)request;
+		((Callers *)data)->ended += std::string("gone: ") + detail;
+	}
+
+	static void on_unread(void *data, size_t bytes, const char *detail)
+	{
+		((Callers *)data)->unread_bytes = bytes;
+		((Callers *)data)->ended += std::string("unread: ") + detail;
+	}
+
 	void SetUp() override
 	{
 		struct caller_handler handler = {};
 		struct error error;
 
 		handler.request = on_request;
+		handler.gone = on_gone;
+		handler.unread = on_unread;
 		handler.data = this;
 		set = caller_set_create(&handler, 10);
 		address = Listener().address();
@@ -83,6 +106,8 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
 
 	struct caller *begun = nullptr; /* whose answer has only a head yet */
+	std::string ended;	 /* what was told of ends of connections */
+	size_t unread_bytes = 0; /* of an answer that had ended */
 	struct caller_set *set = nullptr;
 	struct listener *listener = nullptr;
 	std::string address;
@@ -199,6 +224,31 @@
 	EXPECT_EQ(OK, caller->input.substr(0, 12));
 }
 
+/*
+ * Guards against an answer that counts as whole although its end was never
+ * read, and against an end that can't be told from a close by the caller.
+ */
+TEST_F(Callers, SayHowTheirConnectionEnded)
+{
+	std::unique_ptr<Connection> caller(Connection::open(address));
+
+	StepTo(0);
+	caller->send("GET /long HTTP/1.1\r\nHost: h\r\n\r\n");
+	ASSERT_TRUE(caller->wait_for("\r\n\r\n"));
+	caller->close();
+	EXPECT_TRUE(run_until([&] { return !ended.empty(); }));
+	EXPECT_EQ("gone: closed", ended);
+
+	ended.clear();
+	caller.reset(Connection::open(address));
+	caller->send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_idle();
+	caller->reset();
+	EXPECT_TRUE(run_until([&] { return !ended.empty(); }));
+	EXPECT_EQ("unread: Connection reset by peer", ended);
+	EXPECT_LT(10u << 20, unread_bytes);
+}
+
 /* Guards against a request that is dropped unread when a drain closes. */
 TEST_F(Callers, ReadWhatCameBeforeADrainClosesIdleConnections)
 {
--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -208,11 +208,12 @@
 		late_request_free);
 }
 
-static void on_endpoint_gone(void *data, void *request)
+static void on_endpoint_gone(void *data, void *request, const char *detail)
 {
 	PairEndpoint *endpoint = (PairEndpoint *)data;
 	auto late = endpoint->late.find(request);
 
+	(void)detail;
 	endpoint->gone++;
 	if (late != endpoint->late.end())
 		g_source_remove(late->second);
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -626,6 +626,48 @@
 	member_destroy(old);
 }
 
+/*
+ * Guards against a process that ends by itself and leaves no trace: its node
+ * comes back without having said that it leaves, and the others log that.
+ */
+TEST_F(MembershipInput, TellsAnEndByItselfFromAnAnnouncedOne)
+{
+	const enum member_state last[] = {MEMBER_LIVE, MEMBER_LEAVING};
+	const char *const expected[] = {"no", "yes"};
+	uint64_t incarnation = 1000;
+
+	for (size_t i = 0; i < 2; i++) {
+		std::string announced;
+
+		for (enum member_state state : {last[i], MEMBER_LIVE}) {
+			struct member *member = copy_of(1);
+			struct peer_message *message = make(PEER_PING);
+
+			g_free(message->from);
+			message->from = g_strdup(member->name);
+			g_free(message->from_address);
+			message->from_address = g_strdup(member->peer_address);
+			member->version++;
+			if (state == MEMBER_LIVE)
+				member->incarnation = ++incarnation;
+			member->state = state;
+			message->incarnation = member->incarnation;
+			g_ptr_array_add(message->probe.members, member);
+			receive(message);
+		}
+		for (size_t k = 0; k < action_list_count(actions); k++) {
+			const struct action *action =
+				action_list_get(actions, k);
+
+			if (action->type != ACTION_LOG ||
+			    strcmp(action->log.event, "member_restarted") != 0)
+				continue;
+			announced = (const char *)action->log.fields->pdata[7];
+		}
+		EXPECT_EQ(expected[i], announced);
+	}
+}
+
 TEST_F(MembershipInput, RefutesRecordsOfItselfWithinBounds)
 {
 	uint64_t version = membership_self(membership)->version;
