LOST: an answer that its caller reads late ended the process

Cause: leg_complete() gave the attempt's connection to the pool before the buffered answer was written. If more than 128 kB of it stayed unsent, the attempt was told to stop reading, and used the connection that it had given away. attempt_may_have_sent() and attempt_connected_us() had the same fault.

Change: an attempt notes the pool, and gives the connection away when it is destroyed, the one place that ends its use; the other order can't be written any more. Calls of the store use the same function.

--- a/adapters/gateway/attempt.c
+++ b/adapters/gateway/attempt.c
@@ -21,8 +21,10 @@
 	bool answer_matches; /* the answer being read is for this request */
 	bool is_over;	     /* complete or failed was called, or destroyed */
 	bool is_connected;
-	bool has_trailing_bytes; /* received after the complete answer */
-	bool is_ended_by_close;	 /* the answer, complete or not */
+	bool has_trailing_bytes;    /* received after the complete answer */
+	bool is_ended_by_close;	    /* the answer, complete or not */
+	struct endpoint_pool *pool; /* gets the connection, or NULL */
+	int64_t pooled_until_us;
 };
 
 static void attempt_fail(struct attempt *attempt, enum error_code code,
@@ -256,15 +258,35 @@
 }
 
 /*
- * Ends the attempt and frees it; NULL is allowed. The connection is closed,
- * which makes the endpoint stop working on the request.
+ * Whether the connection can serve another request. Not if the endpoint will
+ * close it, if bytes followed the answer, or if part of the request is still
+ * unsent: the endpoint would read the next request as the rest of this one.
+ */
+static bool attempt_may_reuse(const struct attempt *attempt)
+{
+	return !attempt->has_trailing_bytes &&
+	       !http_reader_must_close(attempt->reader) &&
+	       tcp_stream_unsent_bytes(attempt->stream) == 0;
+}
+
+/*
+ * Ends the attempt and frees it; NULL is allowed. The connection goes to the
+ * pool that attempt_keep_connection named. Else it is closed, which makes the
+ * endpoint stop working on the request.
  */
 void attempt_destroy(struct attempt *attempt)
 {
+	struct tcp_stream *stream;
+
 	if (!attempt)
 		return;
 	attempt->is_over = true;
-	tcp_stream_destroy(g_steal_pointer(&attempt->stream));
+	stream = g_steal_pointer(&attempt->stream);
+	if (stream && attempt->pool)
+		endpoint_pool_put(attempt->pool, attempt->address, stream,
+				  attempt->pooled_until_us);
+	else
+		tcp_stream_destroy(stream);
 	attempt_release(attempt);
 }
 
@@ -314,18 +336,15 @@
 }
 
 /*
- * Gives the connection to the pool after a complete answer, for reuse until
- * until_us. The attempt keeps it if the endpoint will close it, if bytes
- * followed the answer, or if part of the request is still unsent: the endpoint
- * would read the next request as the rest of this one.
+ * After a complete answer: gives the connection to the pool, for reuse until
+ * until_us, once the attempt is destroyed. The attempt can be used as before
+ * until then: its owner may still deliver the answer.
  */
-void attempt_pool_connection(struct attempt *attempt,
+void attempt_keep_connection(struct attempt *attempt,
 			     struct endpoint_pool *pool, int64_t until_us)
 {
-	if (attempt->has_trailing_bytes ||
-	    http_reader_must_close(attempt->reader) ||
-	    tcp_stream_unsent_bytes(attempt->stream) > 0)
+	if (!attempt_may_reuse(attempt))
 		return;
-	endpoint_pool_put(pool, attempt->address,
-			  g_steal_pointer(&attempt->stream), until_us);
+	attempt->pool = pool;
+	attempt->pooled_until_us = until_us;
 }
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -555,7 +555,7 @@
 		keep_us = MIN(keep_us,
 			      exchange->said.keep_alive_us - KEEP_MARGIN_US);
 	if (keep_us > 0)
-		attempt_pool_connection(exchange->leg->attempt, gateway->pool,
+		attempt_keep_connection(exchange->leg->attempt, gateway->pool,
 					gateway->now_us + keep_us);
 }
 
--- a/adapters/gateway/store_calls.c
+++ b/adapters/gateway/store_calls.c
@@ -129,7 +129,7 @@
 	}
 	body = g_bytes_new(call->body->data, call->body->len);
 	if (op_is_read(call->request.op))
-		attempt_pool_connection(call->attempt, calls->pool, INT64_MAX);
+		attempt_keep_connection(call->attempt, calls->pool, INT64_MAX);
 	is_read = calls->options.dialect->read_call(
 		&call->request, call->status, call->era, body, &answer, &error);
 	g_bytes_unref(body);
--- a/adapters/gateway/store_follower.c
+++ b/adapters/gateway/store_follower.c
@@ -461,7 +461,7 @@
 		follower_fail(follower, "listing too large");
 		return;
 	}
-	attempt_pool_connection(follower->attempt, follower->pool, INT64_MAX);
+	attempt_keep_connection(follower->attempt, follower->pool, INT64_MAX);
 	body = g_bytes_new(follower->body->data, follower->body->len);
 	is_read = follower_read(follower, body, &error);
 	g_bytes_unref(body);
--- a/tests/gateway_endless_test.cc
+++ b/tests/gateway_endless_test.cc
@@ -77,6 +77,7 @@
 	std::map<std::string, endless_script> scripts; /* by path */
 	std::map<std::string, int> requests;	       /* by path */
 	int64_t sent = 0;			       /* bytes, of all */
+	int accepted = 0;			       /* connections */
 
       private:
 	struct connection {
@@ -101,6 +102,7 @@
 		if (fd >= 0) {
 			int size = 65536;
 
+			accepted++;
 			fcntl(fd, F_SETFL, O_NONBLOCK);
 			setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size,
 				   sizeof(size));
@@ -601,6 +603,39 @@
 	EXPECT_EQ(0, Failures("i-1"));
 }
 
+/*
+ * Guards against the use of a connection that the pool has already: the process
+ * ended at an answer that its caller did not read at once.
+ */
+TEST_F(GatewayEndless, DeliversAnswersToACallerThatReadsThemLater)
+{
+	const int count = 64;
+	const std::string body(200 * 1024, 'b');
+	std::unique_ptr<Connection> caller;
+	size_t ends = 0;
+
+	CreateOne();
+	bad.scripts[""] = {OK_HEAD + "Content-Length: 204800\r\n\r\n", body, 1};
+	caller.reset(Connection::open(nodes[0]->address));
+	for (int i = 0; i < count; i++)
+		caller->send("GET /lookup/a HTTP/1.1\r\nHost: h\r\n"
+			     "X-Siskinlink-Request-Id: r-" +
+			     std::to_string(i) + "\r\n\r\n");
+	ASSERT_TRUE(run_until([&] {
+		return nodes[0]->counters.value[COUNTER_GATEWAY_WHOLE] == count;
+	}));
+	ASSERT_TRUE(run_until([&] {
+		caller->read();
+		return caller->input.size() > count * body.size();
+	}));
+	for (size_t at = 0;
+	     (at = caller->input.find("200 OK", at)) != std::string::npos; at++)
+		ends++;
+	EXPECT_EQ((size_t)count, ends);
+	/* The connection is still kept for the next request. */
+	EXPECT_GT(count, bad.accepted);
+}
+
 /* Guards against a refusal for the length of a body that HEAD leaves out. */
 TEST_F(GatewayEndless, PassesStatedLengthsWithoutABody)
 {
