LOST: one entry of deeply nested JSON ended all nodes, again at each start

Cause: texts of the store, its writers and the engines went to a parser that recurses for each level; only the product's own texts had a limit on the depth before. About 100,000 levels overflow the stack, in an entry that is bad as well as in one that is good but for a field that nobody reads.

Change: one reader for both, json_reader, which looks at the text first: plain JSON, at most 32 levels. Extensions of the parser (comments, quotes of another kind) could hide brackets and are not accepted from the platform any more; a byte order mark still is.

--- a/adapters/engine_event.c
+++ b/adapters/engine_event.c
@@ -116,8 +116,8 @@
 			    const struct sse_event *sse, struct error *error)
 {
 	GBytes *data = g_bytes_new_static(sse->data, sse->data_length);
-	JsonNode *root = json_reader_parse_event(data, sse->data_length,
-						 "engine.event", error);
+	JsonNode *root = json_reader_parse_lax(data, sse->data_length,
+					       "engine.event", error);
 	bool ok = root && event_read_object(event, root, error);
 
 	g_clear_pointer(&root, json_node_unref);
--- a/adapters/http_collect.c
+++ b/adapters/http_collect.c
@@ -108,8 +108,8 @@
 bool http_collect_add(struct http_collect *collect, GBytes *data)
 {
 	struct error error;
-	JsonNode *root = json_reader_parse_event(data, g_bytes_get_size(data),
-						 "http.collect", &error);
+	JsonNode *root = json_reader_parse_lax(data, g_bytes_get_size(data),
+					       "http.collect", &error);
 	bool ok = root && collect_add_root(collect, root);
 
 	g_clear_pointer(&root, json_node_unref);
--- a/core/json/json_reader.c
+++ b/core/json/json_reader.c
@@ -5,6 +5,25 @@
 
 enum { MAX_DEPTH = 32 };
 
+/* Whether a character may stand outside of strings, besides brackets. */
+static bool is_plain(char c)
+{
+	switch (c) {
+	case ' ':
+	case '\t':
+	case '\r':
+	case '\n':
+	case ',':
+	case ':':
+	case '+':
+	case '-':
+	case '.':
+		return true;
+	default:
+		return g_ascii_isdigit(c) || (c && strchr("Etruefalsn", c));
+	}
+}
+
 /*
  * Scans a text before it is parsed and returns what was expected, or NULL. The
  * parser recurses for each level, so deep nesting would overflow the stack and
@@ -13,10 +32,15 @@
  */
 static const char *json_reader_scan(const char *text, size_t size)
 {
+	static const char byte_order_mark[] = "\xef\xbb\xbf";
 	int depth = 0;
 	bool in_string = false;
+	size_t i = 0;
 
-	for (size_t i = 0; i < size; i++) {
+	if (size >= strlen(byte_order_mark) &&
+	    memcmp(text, byte_order_mark, strlen(byte_order_mark)) == 0)
+		i = strlen(byte_order_mark);
+	for (; i < size; i++) {
 		char c = text[i];
 
 		if (c == '\0')
@@ -34,7 +58,7 @@
 			depth++;
 		else if (c == '}' || c == ']')
 			depth--;
-		else if (!strchr(" \t\r\n,:+-.eE0123456789truefalsn", c))
+		else if (!is_plain(c))
 			return "plain JSON";
 		if (depth > MAX_DEPTH)
 			return "at most 32 levels";
@@ -158,12 +182,11 @@
 
 /*
  * Parses like json_reader_parse(), but of two members with the same name the
- * last one is used. This takes less than half the time and is meant for the
- * many small texts of a stream, where no other reader's view of the text
- * matters.
+ * last one is used. This takes less than half the time and is meant for texts
+ * that no other reader has reviewed: those of a stream or of the platform.
  */
-JsonNode *json_reader_parse_event(GBytes *document, size_t max_bytes,
-				  const char *step, struct error *error)
+JsonNode *json_reader_parse_lax(GBytes *document, size_t max_bytes,
+				const char *step, struct error *error)
 {
 	return json_reader_check_and_load(document, max_bytes, false, step,
 					  error);
--- a/core/json/json_reader.h
+++ b/core/json/json_reader.h
@@ -26,8 +26,8 @@
 
 JsonNode *json_reader_parse(GBytes *document, size_t max_bytes,
 			    const char *step, struct error *error);
-JsonNode *json_reader_parse_event(GBytes *document, size_t max_bytes,
-				  const char *step, struct error *error);
+JsonNode *json_reader_parse_lax(GBytes *document, size_t max_bytes,
+				const char *step, struct error *error);
 
 bool json_fields_begin(struct json_fields *fields, JsonNode *node,
 		       const char *step, struct error *error,
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -83,6 +83,88 @@
 	EXPECT_EQ(nullptr, read_entry(entry, "other/i-1"));
 }
 
+/* A text of count levels, closed or not. */
+static std::string nested(size_t count, const char *open, const char *close)
+{
+	std::string text;
+
+	for (size_t i = 0; i < count; i++)
+		text += open;
+	for (size_t i = 0; i < count && *close; i++)
+		text += close;
+	return text;
+}
+
+/*
+ * Guards against the end of the process at a text of another program: the
+ * parser recurses for each level and overflows the stack.
+ */
+TEST(Platform, RejectsTextsThatAreNestedTooDeeply)
+{
+	const size_t count = 300000;
+	const std::string start =
+		std::string(entry).substr(0, strlen(entry) - 3);
+	const std::string texts[] = {
+		nested(count, "[", ""),
+		nested(count, "[", "]"),
+		"{\"a\":" + nested(count, "{\"a\":", ""),
+		start + nested(count, "[", "]") + "}",
+		start + nested(33, "[", "]") + "}",
+		/* In an extension of the parser, a quote that hides what
+		   follows. */
+		"/* \" */" + nested(count, "[", ""),
+		"{'\"':" + nested(count, "[", "]") + "}",
+		start + "\"\\\\\"," + nested(count, "[", ""),
+	};
+
+	for (const std::string &text : texts) {
+		struct registration *record = read_entry(text);
+		struct kv_request request = {};
+		struct kv_answer answer = {};
+		struct move_answer move = {};
+		struct store_page page;
+		struct error error;
+		GBytes *bytes = bytes_of(text);
+
+		ASSERT_NE(nullptr, record);
+		EXPECT_TRUE(record->is_removed) << text.substr(0, 20);
+		registration_destroy(record);
+		EXPECT_EQ(nullptr, platform_read_document(bytes, &error));
+		store_page_init(&page);
+		EXPECT_FALSE(platform_store_dialect.read_list(bytes, 1, &page,
+							      &error));
+		store_page_clear(&page);
+		EXPECT_FALSE(platform_dialect.read_move_answer(bytes, &move));
+		EXPECT_FALSE(platform_dialect.read_report_is_leaving(bytes));
+		request.op = KV_CAS;
+		EXPECT_FALSE(platform_kv_dialect.read_call(
+			&request, 200, 1, bytes, &answer, &error));
+		kv_answer_clear(&answer);
+		g_bytes_unref(bytes);
+	}
+}
+
+/* What stands in strings is no nesting, and some levels are allowed. */
+TEST(Platform, ReadsTextsWithBracketsInStringsAndSomeLevels)
+{
+	const std::string start =
+		std::string(entry).substr(0, strlen(entry) - 3);
+	const std::string texts[] = {
+		start + nested(30, "[", "]") + "}",
+		start + "\"" + nested(300000, "[", "") + "\"}",
+		start + "\"\\\"" + nested(300000, "{", "") + "\"}",
+		"\xef\xbb\xbf" + std::string(entry),
+	};
+
+	for (const std::string &text : texts) {
+		struct registration *record = read_entry(text);
+
+		ASSERT_NE(nullptr, record);
+		EXPECT_FALSE(record->is_removed) << text.substr(0, 20);
+		registration_destroy(record);
+	}
+}
+
 static struct route_table *read_document(const std::string &text)
 {
 	GBytes *document = bytes_of(text);
