ROUTE: a restarted node took its home's answers to the process before as its own

Cause: a request to a home is matched by a number that began at 0 in each process, and the endpoint that the answer names was used whatever service it belongs to. A home that had stood still answered the four requests of a killed process to the one that had its address next.

Change: the numbers of a process begin at a random place of 63 bits, which nothing between the nodes changes, so that they name the process too: also for requests that wait at the home, their withdrawal and their repetition. An endpoint, a backup and the target of a move that a home names must be of the request's service, else this node chooses by itself. The tickets of the product's own interface have a random part already.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -222,7 +222,8 @@
 		return;
 	gateway->now_us = gateway_now_us();
 	exchange->move.since_us = gateway->now_us;
-	if (!target || !endpoint_is_usable(target) ||
+	if (!target || !endpoint_serves(target, exchange->service_name) ||
+	    !endpoint_is_usable(target) ||
 	    endpoint_rest_is_on(&target->rest, gateway->now_us))
 		return;
 	exchange->move.is_granted = true;
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -381,6 +381,8 @@
 	gateway->dialect = options->dialect;
 	gateway->log = options->log;
 	gateway->random = g_rand_new_with_seed((guint32)options->seed);
+	/* Answers to requests of the process before may still arrive. */
+	gateway->home_request_count = options->seed >> 1;
 	gateway->now_us = gateway_now_us();
 	gateway->store_watch.entries = true;
 	gateway->newest_version = -1;
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -566,8 +566,8 @@
 
 /*
  * Sends a request to the engine that the home chose. One that is unknown here,
- * not usable, resting or already tried is replaced by a local choice, as this
- * node's data on it may be newer than the home's.
+ * of another service, not usable, resting or already tried is replaced by a
+ * local choice, as this node's data on it may be newer than the home's.
  */
 static void apply_choice(struct exchange *exchange,
 			 const struct peer_chosen *chosen)
@@ -577,7 +577,9 @@
 
 	if (!*chosen->endpoint) {
 		exchange_send_or_refuse(exchange, NULL);
-	} else if (!endpoint || !endpoint_is_usable(endpoint) ||
+	} else if (!endpoint ||
+		   !endpoint_serves(endpoint, exchange->service_name) ||
+		   !endpoint_is_usable(endpoint) ||
 		   endpoint_rest_is_on(&endpoint->rest,
 				       exchange->gateway->now_us) ||
 		   is_tried(exchange, chosen->endpoint)) {
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -117,7 +117,10 @@
 	struct endpoint *backup = registry_find(exchange->gateway->registry,
 						exchange->home_backup_id);
 
-	return backup && endpoint_is_usable(backup) ? backup : NULL;
+	return backup && endpoint_serves(backup, exchange->service_name) &&
+			       endpoint_is_usable(backup)
+		       ? backup
+		       : NULL;
 }
 
 static struct endpoint *leg_pick_backup(const struct leg *leg)
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -121,6 +121,12 @@
 	return !endpoint_is_leaving(endpoint) && !endpoint->is_cordoned;
 }
 
+/* Whether the newest entry of the endpoint names this service. */
+bool endpoint_serves(const struct endpoint *endpoint, const char *service)
+{
+	return strcmp(endpoint->last_registration->service, service) == 0;
+}
+
 static void held_add(struct held *to, const struct held *held, int32_t sign)
 {
 	to->requests += sign * held->requests;
--- a/tests/gateway_pair.h
+++ b/tests/gateway_pair.h
@@ -129,6 +129,8 @@
 	struct log *log = log_create(
 		"test", getenv("PAIR_LOG") ? LOG_LEVEL_INFO : LOG_LEVEL_ERROR);
 	bool holds_messages = false; /* between nodes, until it is reset */
+	uint64_t seed = 0;
+	uint32_t starts = 0; /* of nodes, each with a seed of its own */
 
       private:
 	struct sent_message {
--- a/tests/gateway_waiting_test.cc
+++ b/tests/gateway_waiting_test.cc
@@ -575,6 +575,50 @@
 	EXPECT_EQ(1, one.runs["there"]);
 }
 
+/*
+ * Guards against a request that an endpoint of another service runs: an answer
+ * of the home names it, to a request that another process had sent.
+ */
+TEST_F(GatewayWaiting, AnAnswerForAnotherServiceIsNotUsed)
+{
+	struct peer_message *message = peer_message_create(PEER_CHOSEN);
+
+	Prepare(2);
+	Register(other, "portal", {{two.id, two.address}});
+	holds_messages = true;
+	Send(other, "/query/a", "there");
+	ASSERT_TRUE(run_until(
+		[&] { return Count(other, COUNTER_GATEWAY_HOME_ASKED) == 1; }));
+	message->from = g_strdup(nodes[home]->name.c_str());
+	message->from_address = g_strdup(nodes[home]->peer_address.c_str());
+	message->incarnation = 1;
+	message->chosen.number = nodes[other]->gateway->home_request_count;
+	message->chosen.endpoint = g_strdup(two.id.c_str());
+	message->chosen.backup = g_strdup("");
+	gateway_receive_peer(nodes[other]->gateway, message);
+	peer_message_destroy(message);
+	EXPECT_EQ(200, Status("there"));
+	EXPECT_EQ(0u, two.runs.size());
+	EXPECT_EQ(1, one.runs["there"]);
+	holds_messages = false;
+}
+
+/*
+ * Guards against an answer to a process that is gone: the one after it would
+ * take it for the answer to a request of its own.
+ */
+TEST_F(GatewayWaiting, RequestsOfEachProcessHaveTheirOwnNumbers)
+{
+	seed = 0x0123456789abcdef;
+	Prepare(2);
+	EXPECT_LT((uint64_t)1 << 32, nodes[0]->gateway->home_request_count);
+	EXPECT_NE(nodes[0]->gateway->home_request_count,
+		  nodes[1]->gateway->home_request_count);
+	LetWait(other, "/query/a", "there");
+	EXPECT_EQ(200, Status("there"));
+	EXPECT_EQ(1, one.runs["there"]);
+}
+
 /* Guards against a queue that stands still without the store. */
 TEST_F(GatewayWaiting, GoesOnWithoutTheStore)
 {
