Tests: the endless endpoint answers a request that came before its last one had ended

Seen: GatewayEndless.PassesLargeAnswersBelowTheLimit fails in some runs with sanitizers, an answer standing still until its deadline.

Cause, in the stand-in: it sends 64 pieces a tick. If the last piece of an answer with a length is the last of a tick, the node has the whole answer, and its next request over the kept connection arrives while the script still counts as running. It was read and never looked at again, as only newly read bytes were.

No check changes.

--- a/tests/gateway_endless_test.cc
+++ b/tests/gateway_endless_test.cc
@@ -111,6 +111,7 @@
 		}
 		for (struct connection &item : connections) {
 			Read(&item);
+			Take(&item);
 			for (int i = 0; i < 64 && Write(&item); i++)
 				;
 		}
@@ -122,19 +123,23 @@
 		}
 	}
 
-	void Read(struct connection *item)
+	static void Read(struct connection *item)
 	{
 		char bytes[4096];
 		ssize_t size = recv(item->fd, bytes, sizeof(bytes), 0);
-		size_t end, length, at;
-		std::string path, id;
 
 		if (size == 0 || (size < 0 && errno != EAGAIN))
 			item->is_closed = true;
-		if (size <= 0)
-			return;
-		item->input.append(bytes, (size_t)size);
-		end = item->input.find("\r\n\r\n");
+		if (size > 0)
+			item->input.append(bytes, (size_t)size);
+	}
+
+	/* Begins to answer a whole request; one that came earlier waits. */
+	void Take(struct connection *item)
+	{
+		size_t end = item->input.find("\r\n\r\n"), length, at;
+		std::string path, id;
+
 		if (item->script || end == std::string::npos)
 			return;
 		at = item->input.find("Content-Length: ");
@@ -636,6 +641,24 @@
 	EXPECT_GT(count, bad.accepted);
 }
 
+/*
+ * Guards against a request that this endpoint never reads: it came over a kept
+ * connection before the endpoint had seen the end of its own answer before.
+ */
+TEST_F(GatewayEndless, AnswersEachRequestOfAKeptConnection)
+{
+	const endless_script script = {OK_HEAD +
+					       "Content-Length: 63000\r\n\r\n",
+				       std::string(1000, 'b'), 63};
+
+	CreateOne();
+	bad.scripts[""] = script;
+	for (int number = 0; number < 20; number++)
+		EXPECT_EQ(200, AskFor(0, "/lookup/a",
+				      "r-" + std::to_string(number)));
+	EXPECT_EQ(1, bad.accepted);
+}
+
 /* Guards against a refusal for the length of a body that HEAD leaves out. */
 TEST_F(GatewayEndless, PassesStatedLengthsWithoutABody)
 {
