Tests: the endless endpoint sends the end of an answer also where the socket is full

Cause, in the stand-in: all 256 events had arrived and the last chunk had not. The end of a script was queued, the script forgotten, and if the socket took none of it at that moment, it was never sent, as only a script was looked at.

No check changes.

--- a/tests/gateway_endless_test.cc
+++ b/tests/gateway_endless_test.cc
@@ -140,7 +140,8 @@
 		size_t end = item->input.find("\r\n\r\n"), length, at;
 		std::string path, id;
 
-		if (item->script || end == std::string::npos)
+		if (item->script || !item->unsent.empty() ||
+		    end == std::string::npos)
 			return;
 		at = item->input.find("Content-Length: ");
 		length = at < end ? std::stoul(item->input.substr(at + 16)) : 0;
@@ -178,17 +179,17 @@
 	{
 		ssize_t size;
 
-		if (!item->script || item->is_closed)
+		if (item->is_closed)
 			return false;
-		if (item->unsent.empty() && item->pieces == 0) {
+		if (item->script && item->unsent.empty() && item->pieces == 0) {
 			item->unsent = item->script->end;
 			item->script = nullptr;
-			if (item->unsent.empty())
-				return false;
-		} else if (item->unsent.empty()) {
+		} else if (item->script && item->unsent.empty()) {
 			item->unsent = item->script->piece;
 			item->pieces -= item->pieces > 0;
 		}
+		if (item->unsent.empty())
+			return false;
 		size = send(item->fd, item->unsent.data(), item->unsent.size(),
 			    MSG_NOSIGNAL);
 		if (size < 0 && errno != EAGAIN)
