One odd number of another writer read as another number

What could be seen: an entry with "slots": - was used, with 24 slots; one with 5,000 digits below zero was used with 1. Ports 0 and 080, 0.0.0.0 and multicast addresses named an endpoint, to which calls were made.

Cause: the parser takes whole numbers modulo 2^64 and negates them afterwards, so the range was checked on a number that nobody wrote. It also reads 010 as 8 and 24. and .5, which are no JSON.

Change: json_reader's scan reads each number: the spelling of JSON, whole ones within 64 bits; the error tells the byte. What can't be read names no endpoint, as before.

plan_test: two messages tell the byte now, and the one for a number of 20 digits tells the byte in place of the member: it is refused before it is parsed.

--- a/core/json/json_reader.c
+++ b/core/json/json_reader.c
@@ -5,49 +5,88 @@
 
 enum { MAX_DEPTH = 32 };
 
-/* Whether a character may stand outside of strings, besides brackets. */
+static const char largest_number[] = "9223372036854775807";
+
+/* Whether a character may stand outside of strings, numbers and brackets. */
 static bool is_plain(char c)
 {
-	switch (c) {
-	case ' ':
-	case '\t':
-	case '\r':
-	case '\n':
-	case ',':
-	case ':':
-	case '+':
-	case '-':
-	case '.':
-		return true;
-	default:
-		return g_ascii_isdigit(c) || (c && strchr("Etruefalsn", c));
+	return c && strchr(" \t\r\n,:truefalsn", c);
+}
+
+static size_t skip_digits(const char *text, size_t size, size_t *at)
+{
+	size_t start = *at;
+
+	while (*at < size && g_ascii_isdigit(text[*at]))
+		(*at)++;
+	return *at - start;
+}
+
+static bool skip_char(const char *text, size_t size, size_t *at,
+		      const char *choice)
+{
+	if (*at >= size || !text[*at] || !strchr(choice, text[*at]))
+		return false;
+	(*at)++;
+	return true;
+}
+
+/*
+ * Moves at behind a number. Returns false if JSON has no such spelling, or if
+ * it is a whole number that does not fit into 64 bits: the parser would read it
+ * as some other number, one below -2^64 even as a positive one.
+ */
+static bool skip_number(const char *text, size_t size, size_t *at)
+{
+	size_t start, digits;
+	bool is_whole = true;
+
+	skip_char(text, size, at, "-");
+	start = *at;
+	digits = skip_digits(text, size, at);
+	if (digits == 0 || (digits > 1 && text[start] == '0'))
+		return false;
+	if (skip_char(text, size, at, ".")) {
+		is_whole = false;
+		if (skip_digits(text, size, at) == 0)
+			return false;
 	}
+	if (skip_char(text, size, at, "eE")) {
+		is_whole = false;
+		skip_char(text, size, at, "+-");
+		if (skip_digits(text, size, at) == 0)
+			return false;
+	}
+	return !is_whole || digits < strlen(largest_number) ||
+	       (digits == strlen(largest_number) &&
+		memcmp(text + start, largest_number, digits) <= 0);
 }
 
 /*
- * Scans a text before it is parsed and returns what was expected, or NULL. The
- * parser recurses for each level, so deep nesting would overflow the stack and
- * end the process. It also accepts comments and other extensions, within which
- * brackets would be miscounted, so only plain JSON is allowed outside strings.
+ * Scans a text before it is parsed. Returns NULL, or what was expected at a
+ * byte. The parser recurses for each level, so deep nesting would overflow the
+ * stack and end the process. It also accepts comments and other extensions,
+ * within which brackets would be miscounted, so only plain JSON is allowed
+ * outside strings.
  */
-static const char *json_reader_scan(const char *text, size_t size)
+static const char *json_reader_scan(const char *text, size_t size, size_t *at)
 {
 	static const char byte_order_mark[] = "\xef\xbb\xbf";
 	int depth = 0;
 	bool in_string = false;
-	size_t i = 0;
 
+	*at = 0;
 	if (size >= strlen(byte_order_mark) &&
 	    memcmp(text, byte_order_mark, strlen(byte_order_mark)) == 0)
-		i = strlen(byte_order_mark);
-	for (; i < size; i++) {
-		char c = text[i];
+		*at = strlen(byte_order_mark);
+	for (; *at < size; (*at)++) {
+		char c = text[*at];
 
 		if (c == '\0')
 			return "no NUL byte";
 		if (in_string) {
 			if (c == '\\')
-				i++;
+				(*at)++;
 			else if (c == '"')
 				in_string = false;
 			continue;
@@ -58,8 +97,14 @@
 			depth++;
 		else if (c == '}' || c == ']')
 			depth--;
-		else if (!is_plain(c))
+		else if (c == '-' || g_ascii_isdigit(c)) {
+			if (!skip_number(text, size, at))
+				return "a number of JSON within 64 bits";
+			(*at)--;
+		} else if (!is_plain(c))
 			return "plain JSON";
+		if (depth < 0)
+			return "no closing bracket";
 		if (depth > MAX_DEPTH)
 			return "at most 32 levels";
 	}
@@ -147,6 +192,7 @@
 	size_t size = 0;
 	const char *text = g_bytes_get_data(document, &size);
 	const char *expected;
+	size_t at;
 
 	if (size > max_bytes) {
 		error_set(error, ERROR_TOO_LARGE, step, "",
@@ -158,10 +204,10 @@
 			  "expected JSON in UTF-8");
 		return NULL;
 	}
-	expected = json_reader_scan(text, size);
+	expected = json_reader_scan(text, size, &at);
 	if (expected) {
-		error_set(error, ERROR_INVALID, step, "", "expected %s",
-			  expected);
+		error_set(error, ERROR_INVALID, step, "",
+			  "expected %s at byte %zu", expected, at);
 		return NULL;
 	}
 	return json_reader_load(text, size, unique_members, step, error);
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -115,7 +115,7 @@
 		{"{\"sevices\":[]}", "invalid: sevices: expected no such key"},
 		{"{\"services\":[],\"services\":[]}",
 		 "invalid: an object has two members of one name"},
-		{"/* */{}", "invalid: expected plain JSON"},
+		{"/* */{}", "invalid: expected plain JSON at byte 0"},
 		{R"({"services":[{"name":"a","kind":"x"}]})",
 		 "invalid: services[0].kind: expected \"generation\" or "
 		 "\"plain\""},
@@ -138,8 +138,8 @@
 		 "invalid: organisations[0].priority: expected a whole number "
 		 "from 0 to 9"},
 		{R"({"organisations":[{"name":"a","priority":99999999999999999999}]})",
-		 "invalid: organisations[0].priority: expected a whole number "
-		 "from 0 to 9"},
+		 "invalid: expected a number of JSON within 64 bits at byte "
+		 "61"},
 		{R"({"organisations":[{"name":"a","key":"clear-text"}]})",
 		 "invalid: organisations[0].key: expected no such key"},
 		{R"({"organisations":[{"name":"a"},{"name":"a"}]})",
@@ -158,7 +158,7 @@
  */
 TEST(ConfigJson, RefusesDeepAndLargeDocuments)
 {
-	EXPECT_EQ("invalid: expected at most 32 levels",
+	EXPECT_EQ("invalid: expected at most 32 levels at byte 32",
 		  parse_error(std::string(1000000, '[')));
 	EXPECT_EQ("too_large: 1048577 bytes, at most 1048576 allowed",
 		  parse_error(std::string((1 << 20) + 1, ' ')));
--- /dev/null
+++ b/tests/platform_odd_test.cc
@@ -0,0 +1,205 @@
+#include "platform/platform.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+/*
+ * Entries of other writers that stand among those of endpoints, one field odd
+ * at a time.
+ */
+
+typedef std::unique_ptr<struct registration, void (*)(struct registration *)>
+	owned_registration;
+
+static owned_registration read_value(const std::string &value,
+				     const std::string &key)
+{
+	std::string name = key;
+	struct store_item item = {};
+	struct registration *record;
+
+	item.key = &name[0];
+	item.value = g_bytes_new(value.data(), value.size());
+	item.position = 9;
+	record = platform_read_entry(&item);
+	g_bytes_unref(item.value);
+	return owned_registration(record, registration_destroy);
+}
+
+/* An entry in which one field has this literal. */
+static std::string entry_with(const std::string &field,
+			      const std::string &literal)
+{
+	const std::vector<std::vector<std::string>> fields = {
+		{"service", "\"s\""},	 {"address", "\"10.0.0.1:8080\""},
+		{"zone", "\"z\""},	 {"version", "\"v1\""},
+		{"slots", "24"},	 {"state", "\"ready\""},
+		{"warmup_left_ms", "0"}, {"sequence", "4"},
+		{"born", "7"},		 {"more", "[]"}};
+	std::string text;
+
+	for (const auto &member : fields) {
+		text += text.empty() ? "{\"" : ",\"";
+		text += member[0] + "\":";
+		text += member[0] == field ? literal : member[1];
+	}
+	return text + "}";
+}
+
+static bool names_endpoint(const std::string &value,
+			   const std::string &key = "servers/i-1")
+{
+	owned_registration record = read_value(value, key);
+
+	return record && !record->is_removed;
+}
+
+static std::string quoted(const std::string &text)
+{
+	return "\"" + text + "\"";
+}
+
+static const std::string odd_numbers[] = {
+	"1e400",
+	"-1e400",
+	"1e19",
+	std::string(5000, '9'),
+	"-" + std::string(5000, '9'),
+	"NaN",
+	"Infinity",
+	"-Infinity",
+	"-1",
+	"-0.5",
+	"9e15",
+	"9000000000000000",
+	"9223372036854775807",
+	"9223372036854775808",
+	"-9223372036854775808",
+	"18446744073709551615",
+	"18446744073709551640",
+	"-18446744073709551592",
+	"024",
+	"0x18",
+	"24.",
+	".5",
+	"2e",
+	"+24",
+	"- 24",
+	"\"24\"",
+	"true",
+	"null",
+	"[24]",
+	"{}",
+	"",
+};
+
+/*
+ * Guards against a number of another writer that reads as another one, such as
+ * one below -2^64 as a small one, and against arithmetic on it that overflows.
+ */
+TEST(PlatformOdd, NumbersNameNoEndpoint)
+{
+	for (const char *field :
+	     {"slots", "warmup_left_ms", "sequence", "born"})
+		for (const std::string &number : odd_numbers)
+			EXPECT_FALSE(names_endpoint(entry_with(field, number)))
+				<< field << " " << number.substr(0, 40);
+	for (const char *number : {"0", "32768", "65560", "4294967320", "1.5"})
+		EXPECT_FALSE(names_endpoint(entry_with("slots", number)))
+			<< number;
+	for (const char *number : {"9e12", "9007199254740992", "8.9e15"})
+		EXPECT_FALSE(
+			names_endpoint(entry_with("warmup_left_ms", number)))
+			<< number;
+	EXPECT_FALSE(names_endpoint(entry_with("sequence", "4.5")));
+	EXPECT_FALSE(names_endpoint(entry_with("born", "4.5")));
+}
+
+TEST(PlatformOdd, LargeAndFractionalNumbersAreRead)
+{
+	owned_registration record = read_value(
+		entry_with("warmup_left_ms", "250.75"), "servers/i-1");
+
+	ASSERT_TRUE(record);
+	EXPECT_FALSE(record->is_removed);
+	EXPECT_EQ(250750, record->warmup_remaining_us);
+	EXPECT_TRUE(names_endpoint(entry_with("slots", "32767")));
+	EXPECT_TRUE(names_endpoint(entry_with("slots", "2.4e1")));
+	EXPECT_TRUE(names_endpoint(entry_with("sequence", "8999999999999999")));
+	EXPECT_TRUE(names_endpoint(entry_with("born", "1780000000000")));
+	EXPECT_TRUE(names_endpoint(entry_with("more", "-1.5E+3")));
+}
+
+/* Guards against calls to an address at which no endpoint can listen. */
+TEST(PlatformOdd, AddressesNameNoEndpoint)
+{
+	const std::string odd[] = {
+		"10.0.0.1:65536",
+		"10.0.0.1:99999",
+		"10.0.0.1:0",
+		"10.0.0.1:00",
+		"10.0.0.1:-1",
+		"10.0.0.1:",
+		"10.0.0.1",
+		"10.0.0.1:80x",
+		"10.0.0.1:4294967376",
+		"10.0.0.1:18446744073709551696",
+		"10.0.0.1:+80",
+		"10.0.0.1: 80",
+		"10.0.0.1:80 ",
+		"10.0.0.1:080",
+		"10.0.0.1:0x50",
+		"10.0.0.1:" + std::string(60, '0') + "80",
+		"10.0.0.1:80/",
+		"10.0.0.1:80\\r\\nX: y",
+		"0.0.0.0:80",
+		"0.1.2.3:80",
+		"224.0.0.1:80",
+		"255.255.255.255:80",
+		"256.1.1.1:80",
+		"10.0.1:80",
+		"010.0.0.1:80",
+		" 10.0.0.1:80",
+		":80",
+		":",
+		"",
+		"host:80",
+		"host.example:80",
+		"localhost:80",
+		"[::1]:80",
+		"::1:80",
+		"10.0.0.1:80:80",
+		std::string(100, '1') + ":80",
+	};
+
+	for (const std::string &address : odd)
+		EXPECT_FALSE(
+			names_endpoint(entry_with("address", quoted(address))))
+			<< address;
+	EXPECT_FALSE(names_endpoint(entry_with("address", "80")));
+	EXPECT_TRUE(
+		names_endpoint(entry_with("address", "\"127.0.0.1:65535\"")));
+}
+
+TEST(PlatformOdd, ReadsTheLastOfTwoMembersAndLargeValues)
+{
+	std::string twice = entry_with("", "");
+	owned_registration record(nullptr, registration_destroy);
+
+	twice.replace(twice.size() - 1, 1, ",\"slots\":7,\"zone\":\"y\"}");
+	record = read_value(twice, "servers/i-1");
+	ASSERT_TRUE(record);
+	EXPECT_FALSE(record->is_removed);
+	EXPECT_EQ(7, record->slots);
+	EXPECT_STREQ("y", record->failure_domain);
+	EXPECT_TRUE(names_endpoint(
+		entry_with("more", quoted(std::string(1 << 20, 'a')))));
+	EXPECT_FALSE(names_endpoint(std::string(1 << 20, '\0')));
+	EXPECT_FALSE(names_endpoint(std::string(1 << 20, '{')));
+	EXPECT_FALSE(names_endpoint(std::string(1 << 20, '9')));
+	EXPECT_FALSE(names_endpoint(std::string(1 << 20, '"')));
+	EXPECT_FALSE(names_endpoint(std::string(1 << 20, '\\')));
+}
