A name of the store put a header field into requests, or was rejected by nodes

Half of a surrogate pair in an escape gave bytes that are no UTF-8, of which GVariant makes no string (a critical, and a broken record).

Cause: the store's reader looked at the length of a name only; the record's also at control characters. The parser takes an escaped NUL for the end of a string, so that "s\u0000x" named service s.

Change: one rule, core/base/plain_text, for names from the store (id, service, zone, key of an evacuated zone) and for texts of records; the store's limit is 63 bytes, the records' 64. json_reader's scan reads escapes: those of JSON, pairs of surrogates, no NUL.

Tests: PlatformOdd.TextsNameNoEndpoint; WhatIsReadIsAcceptedBetweenNodes sends what is read of each odd entry through the codec.

--- a/codec/peer_field.c
+++ b/codec/peer_field.c
@@ -1,6 +1,6 @@
 #include "codec/peer_field.h"
 
-#include <string.h>
+#include "core/base/plain_text.h"
 
 /* Returns the text to encode: text itself, or "" for NULL. */
 const char *peer_field_text(const char *text)
@@ -20,14 +20,6 @@
  */
 bool peer_field_text_is_valid(const char *text, bool may_be_empty)
 {
-	size_t length = strlen(text);
-
-	if (length > PEER_FIELD_MAX_TEXT_BYTES ||
-	    (length == 0 && !may_be_empty))
-		return false;
-	for (const char *p = text; *p; p++) {
-		if (g_ascii_iscntrl(*p))
-			return false;
-	}
-	return true;
+	return (*text || may_be_empty) &&
+	       plain_text_is_valid(text, PEER_FIELD_MAX_TEXT_BYTES);
 }
--- a/core/json/json_reader.c
+++ b/core/json/json_reader.c
@@ -3,7 +3,13 @@
 #include <stdarg.h>
 #include <string.h>
 
-enum { MAX_DEPTH = 32 };
+enum {
+	MAX_DEPTH = 32,
+	UNIT_DIGITS = 4,
+	FIRST_SURROGATE = 0xd800,
+	FIRST_LOW_SURROGATE = 0xdc00,
+	LAST_SURROGATE = 0xdfff
+};
 
 static const char largest_number[] = "9223372036854775807";
 
@@ -62,6 +68,49 @@
 		memcmp(text + start, largest_number, digits) <= 0);
 }
 
+/* Reads the four digits of an escaped UTF-16 unit; false if there are none. */
+static bool read_unit(const char *text, size_t size, size_t at, gunichar *unit)
+{
+	*unit = 0;
+	if (at + UNIT_DIGITS > size)
+		return false;
+	for (size_t i = at; i < at + UNIT_DIGITS; i++) {
+		if (!g_ascii_isxdigit(text[i]))
+			return false;
+		*unit = *unit << 4 | (gunichar)g_ascii_xdigit_value(text[i]);
+	}
+	return true;
+}
+
+/*
+ * Moves at behind an escape, of which it points to the backslash. Returns false
+ * if it stands for no character, or for NUL: the parser would make bytes of it
+ * that are not UTF-8, or cut the string short.
+ */
+static bool skip_escape(const char *text, size_t size, size_t *at)
+{
+	gunichar unit, second;
+
+	if (*at + 1 >= size || !strchr("\"\\/bfnrtu", text[*at + 1]))
+		return false;
+	if (text[*at + 1] != 'u') {
+		*at += 2;
+		return true;
+	}
+	if (!read_unit(text, size, *at + 2, &unit) || unit == 0)
+		return false;
+	*at += 2 + UNIT_DIGITS;
+	if (unit < FIRST_SURROGATE || unit > LAST_SURROGATE)
+		return true;
+	if (unit >= FIRST_LOW_SURROGATE || *at + 2 > size ||
+	    memcmp(text + *at, "\\u", 2) != 0 ||
+	    !read_unit(text, size, *at + 2, &second) ||
+	    second < FIRST_LOW_SURROGATE || second > LAST_SURROGATE)
+		return false;
+	*at += 2 + UNIT_DIGITS;
+	return true;
+}
+
 /*
  * Scans a text before it is parsed. Returns NULL, or what was expected at a
  * byte. The parser recurses for each level, so deep nesting would overflow the
@@ -85,10 +134,13 @@
 		if (c == '\0')
 			return "no NUL byte";
 		if (in_string) {
-			if (c == '\\')
-				(*at)++;
-			else if (c == '"')
+			if (c == '"')
 				in_string = false;
+			if (c != '\\')
+				continue;
+			if (!skip_escape(text, size, at))
+				return "a character of JSON";
+			(*at)--;
 			continue;
 		}
 		if (c == '"')
--- a/tests/platform_odd_test.cc
+++ b/tests/platform_odd_test.cc
@@ -1,3 +1,4 @@
+#include "codec/peer_codec.h"
 #include "platform/platform.h"
 
 #include <gtest/gtest.h>
@@ -184,6 +185,112 @@
 		names_endpoint(entry_with("address", "\"127.0.0.1:65535\"")));
 }
 
+static const std::string odd_texts[] = {
+	"",
+	"a\\nb",
+	"a\\r\\nX-Field: y",
+	"\\t",
+	"a\\u0001",
+	"a\\u007f",
+	"a\\u0000b",
+	"a\tb",
+	"a\\ud800b",
+	"a\\udc00",
+	"a\\ud800\\u0041",
+	"a\\uzzzz",
+	"a\\q",
+	"a\xff",
+	"a\xc0\x80",
+	"a\xed\xa0\x80",
+	std::string(64, 'a'),
+	std::string(100000, 'a'),
+};
+
+/*
+ * Guards against texts of another writer in header fields of requests, and in
+ * records to other nodes, which reject the whole record for one such text.
+ */
+TEST(PlatformOdd, TextsNameNoEndpoint)
+{
+	for (const std::string &text : odd_texts) {
+		for (const char *field : {"service", "zone", "state"})
+			EXPECT_FALSE(
+				names_endpoint(entry_with(field, quoted(text))))
+				<< field << " " << text.substr(0, 40);
+	}
+	for (const char *id :
+	     {"", "a\nb", "a\r\nX-Field: y", "\t", "a\x01", "a\x7f", "a\xff"})
+		EXPECT_FALSE(names_endpoint(entry_with("", ""),
+					    std::string("servers/") + id))
+			<< id;
+	EXPECT_FALSE(names_endpoint(entry_with("", ""),
+				    "servers/" + std::string(64, 'a')));
+	EXPECT_TRUE(names_endpoint(entry_with("", ""),
+				   "servers/" + std::string(63, 'a')));
+	EXPECT_TRUE(names_endpoint(
+		entry_with("zone", quoted("\\u00e9\\ud83d\\ude00"))));
+	EXPECT_TRUE(names_endpoint(entry_with("more", quoted("a\\n\\/\\b"))));
+	EXPECT_FALSE(names_endpoint(entry_with("more", quoted("a\\ud800b"))));
+}
+
+static bool nodes_accept(const struct registration *entry)
+{
+	struct peer_message *message = peer_message_create(PEER_STANDING);
+	struct peer_message *decoded = nullptr;
+	struct error error;
+	GBytes *record;
+
+	message->incarnation = 1;
+	message->from = g_strdup("entry-1");
+	message->from_address = g_strdup("10.0.0.9:7200");
+	message->standing.callers_address = g_strdup("10.0.0.9:80");
+	g_ptr_array_add(message->standing.registrations,
+			registration_copy(entry));
+	record = peer_codec_encode(message);
+	decoded = peer_codec_decode(record, &error);
+	g_bytes_unref(record);
+	peer_message_destroy(message);
+	if (!decoded)
+		return false;
+	peer_message_destroy(decoded);
+	return true;
+}
+
+/*
+ * Guards against an entry that this node accepts and other nodes don't: they
+ * reject the record with all other entries in it.
+ */
+TEST(PlatformOdd, WhatIsReadIsAcceptedBetweenNodes)
+{
+	std::vector<std::string> values;
+	int accepted = 0;
+
+	for (const char *field :
+	     {"slots", "warmup_left_ms", "sequence", "born"})
+		for (const std::string &number : odd_numbers)
+			values.push_back(entry_with(field, number));
+	for (const char *field : {"service", "address", "zone", "version"})
+		for (const std::string &text : odd_texts)
+			values.push_back(entry_with(field, quoted(text)));
+	values.push_back(entry_with(
+		"address", quoted("10.0.0.1:" + std::string(60, '0') + "80")));
+	for (const std::string &value : values) {
+		owned_registration record = read_value(value, "servers/i-1");
+
+		ASSERT_TRUE(record);
+		EXPECT_TRUE(nodes_accept(record.get())) << value.substr(0, 160);
+		accepted += !record->is_removed;
+	}
+	/* The version of the software is not used, so odd ones are read. */
+	EXPECT_GT(accepted, 5);
+	for (const char *id : {"a\nb", "a\x01", "a\xff", "a\xed\xa0\x80"}) {
+		owned_registration record =
+			read_value("", std::string("servers/") + id);
+
+		EXPECT_FALSE(record) << id;
+	}
+}
+
 TEST(PlatformOdd, ReadsTheLastOfTwoMembersAndLargeValues)
 {
 	std::string twice = entry_with("", "");
