An engine's handle put a header field into requests; a large Keep-Alive overflowed

What could be seen: an engine that answers a call to move with a handle that holds CR LF puts header fields of its choice into the request that goes on from the copy (Kv-From), to the next engine. "Keep-Alive: timeout=" overflowed int64, one of 5,000 digits or of -5 read as a time below 0.

--- a/tests/platform_odd_test.cc
+++ b/tests/platform_odd_test.cc
@@ -1,8 +1,10 @@
+#include "adapters/gateway/http_head.h"
 #include "codec/peer_codec.h"
 #include "platform/platform.h"
 
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <memory>
 #include <string>
 #include <vector>
@@ -310,3 +312,84 @@
 	EXPECT_FALSE(names_endpoint(std::string(1 << 20, '"')));
 	EXPECT_FALSE(names_endpoint(std::string(1 << 20, '\\')));
 }
+
+static std::string read_handle(const std::string &literal)
+{
+	const std::string text = "{\"handle\":" + literal + "}";
+	GBytes *body = g_bytes_new(text.data(), text.size());
+	struct move_answer answer = {};
+	std::string handle = "none";
+
+	if (platform_dialect.read_move_answer(body, &answer))
+		handle = answer.handle;
+	g_free(answer.handle);
+	g_bytes_unref(body);
+	return handle;
+}
+
+/*
+ * Guards against a handle of an engine that puts a header field of its choice
+ * into the request that goes on from the copy.
+ */
+TEST(PlatformOdd, HandlesNameNoCopy)
+{
+	for (const std::string &text : odd_texts) {
+		if (text.size() == 64)
+			continue;
+		EXPECT_EQ("none", read_handle(quoted(text)))
+			<< text.substr(0, 40);
+	}
+	for (const char *number : {"-1", "1.5", "9e15", "1e400", "null", "[]"})
+		EXPECT_EQ("none", read_handle(number)) << number;
+	EXPECT_EQ("none", read_handle(quoted(std::string(129, 'a'))));
+	EXPECT_EQ("h-1/2", read_handle(quoted("h-1/2")));
+	EXPECT_EQ("17", read_handle("17"));
+}
+
+static struct endpoint_answer read_answer(int32_t status, const char *name,
+					  const std::string &value)
+{
+	struct http_head *head = http_head_create();
+	struct endpoint_answer answer = {};
+
+	head->status = status;
+	http_head_add(head, "X-Siskinlink-Engine-Stamp", 25, "s", 1);
+	http_head_add(head, name, strlen(name), value.data(), value.size());
+	platform_dialect.read_answer(head, &answer);
+	http_head_destroy(head);
+	return answer;
+}
+
+/* Guards against arithmetic on an engine's header fields that overflows. */
+TEST(PlatformOdd, ReadsOddNumbersOfAnswers)
+{
+	const std::string nines(5000, '9');
+
+	for (const std::string &text :
+	     {nines, std::string("9223372036854775807"),
+	      std::string("18446744073709551615"), std::string("9300000000000"),
+	      std::string("86401")})
+		EXPECT_EQ(INT64_C(86400) * G_USEC_PER_SEC,
+			  read_answer(200, "Keep-Alive", "timeout=" + text)
+				  .keep_alive_us)
+			<< text.substr(0, 40);
+	for (const char *text : {"timeout=-5", "timeout=", "timeout=x",
+				 "timeout= 5", "timeout=+5", "max=5"})
+		EXPECT_EQ(-1,
+			  read_answer(200, "Keep-Alive", text).keep_alive_us)
+			<< text;
+	EXPECT_EQ(5 * G_USEC_PER_SEC,
+		  read_answer(200, "Keep-Alive", "timeout=5, max=9")
+			  .keep_alive_us);
+	EXPECT_EQ(INT64_C(1000000) * G_USEC_PER_SEC,
+		  read_answer(503, "Retry-After", nines).rest.rest_us);
+	EXPECT_EQ(REST_UNREADABLE,
+		  read_answer(503, "Retry-After", "1e400").rest.statement);
+	EXPECT_EQ(LIMIT_MAX_PER_KS,
+		  read_answer(200, "Server-Limit", nines).limit.rate_per_ks);
+	EXPECT_EQ(LIMIT_UNREADABLE,
+		  read_answer(200, "Server-Limit", "-1").limit.statement);
+	EXPECT_EQ(LOAD_UNREADABLE,
+		  read_answer(200, "X-Siskinlink-Engine-Load", "1,1," + nines)
+			  .load.statement);
+}
