An odd desired state took force in part, in the worst case without keys

What could be seen: a desired state with "tenants": {} was taken, and asked for no keys; one with "routes": {} had no routes, so that all requests got 404. A part of a split that can't be read was left out, and its share went to the others. A number that can't be read was replaced by a default: no time-out objective, one attempt, no limit on connections. handle_ttl_s of 9e12 and more overflowed int64. A tenant's name with a line break put a header field into requests (X-Siskinlink-Tenant).

Cause: the reader knew two answers to an odd member, to leave it out or to take a default, where the right one is to reject the whole and keep the state before.

Unchanged, as tests state them: a key that is no text is left out, a region that can't be read allows nothing, a warm-up rate that can't be read sets no limit, unknown members are ignored.

--- a/tests/platform_odd_test.cc
+++ b/tests/platform_odd_test.cc
@@ -393,3 +393,110 @@
 		  read_answer(200, "X-Siskinlink-Engine-Load", "1,1," + nines)
 			  .load.statement);
 }
+
+/* A desired state in which one place is odd, or none: place "". */
+static std::string document_with(const std::string &place,
+				 const std::string &literal)
+{
+	const std::string text =
+		"{\"version\":<version 7>,\"routes\":<routes [{"
+		"\"name\":<route \"r\">,\"host\":\"h\",\"path_prefix\":\"/\","
+		"\"kind\":\"streaming\",\"priority\":<priority 1>,"
+		"\"max_attempts\":<attempts 2>,\"timeout_ms\":<timeout 900>,"
+		"\"slo_ms\":<slo 90>,\"gap_target_ms\":<gap 9>,"
+		"\"traffic_split\":<split [{\"service\":<target \"s\">,"
+		"\"weight\":<weight 1>}]>}]>,\"services\":<services [{"
+		"\"name\":<service \"s\">,\"max_conns\":<conns 9>,"
+		"\"cold_start_s\":<cold 3>,\"warmup_per_s\":<warmup 5>,"
+		"\"engine\":<engine {\"slots\":<slots 8>,\"stride\":<stride "
+		"4>,\"kv_cache_tokens\":<tokens 900>,"
+		"\"handle_ttl_s\":<keep 5>}>}]>,\"limits\":<limits {"
+		"\"header_bytes\":<header 4096>,\"max_body_bytes\":<body 99>,"
+		"\"header_timeout_ms\":<reading 800>,\"idle_timeout_ms\":<idle "
+		"900>}>,\"tenants\":<tenants [{\"name\":<tenant \"t\">,"
+		"\"priority\":<rank 2>,\"keys\":<keys [\"k\"]>}]>}";
+	std::vector<bool> odd; /* of the places that are open */
+	std::string out;
+
+	for (size_t i = 0; i < text.size(); i++) {
+		bool skips = false;
+
+		if (text[i] == '<') {
+			size_t end = text.find(' ', i);
+
+			odd.push_back(text.substr(i + 1, end - i - 1) == place);
+			if (odd.back())
+				out += literal;
+			i = end;
+			continue;
+		}
+		if (text[i] == '>') {
+			odd.pop_back();
+			continue;
+		}
+		for (bool is_odd : odd)
+			skips = skips || is_odd;
+		if (!skips)
+			out += text[i];
+	}
+	return out;
+}
+
+static bool is_document(const std::string &text)
+{
+	GBytes *document = g_bytes_new(text.data(), text.size());
+	struct error error;
+	struct config *config = platform_read_document(document, &error);
+	bool is_read = config != nullptr;
+
+	config_unref(config);
+	g_bytes_unref(document);
+	return is_read;
+}
+
+/*
+ * Guards against a desired state of which a part is in force: a list that can't
+ * be read as an empty one, so that no key is asked for, a part of a split that
+ * is left out, or a default in the place of an odd number.
+ */
+TEST(PlatformOdd, DocumentsAreRejectedAsAWhole)
+{
+	ASSERT_TRUE(is_document(document_with("", "")))
+		<< document_with("", "");
+	for (const char *place :
+	     {"version", "priority", "attempts", "timeout", "slo", "gap",
+	      "weight", "conns", "cold", "slots", "stride", "tokens", "keep",
+	      "header", "body", "reading", "idle", "rank"})
+		for (const std::string &number : odd_numbers) {
+			bool is_missing = number == "null" &&
+					  std::string(place) != "version" &&
+					  std::string(place) != "timeout";
+
+			EXPECT_EQ(is_missing,
+				  is_document(document_with(place, number)))
+				<< place << " " << number.substr(0, 40);
+		}
+	for (const char *place : {"route", "target", "service", "tenant"})
+		for (const std::string &text : odd_texts)
+			EXPECT_EQ(
+				text.size() == 64,
+				is_document(document_with(place, quoted(text))))
+				<< place << " " << text.substr(0, 40);
+	for (const char *place : {"routes", "split", "services", "limits",
+				  "tenants", "keys", "engine"})
+		for (const char *value :
+		     {"7", "\"x\"", "true", "[7]", "[null]"})
+			EXPECT_EQ(std::string(place) == "keys" && *value == '[',
+				  is_document(document_with(place, value)))
+				<< place << " " << value;
+	for (const char *place :
+	     {"routes", "split", "services", "tenants", "keys"})
+		for (const char *value : {"{}", "null"})
+			EXPECT_FALSE(is_document(document_with(place, value)))
+				<< place << " " << value;
+	EXPECT_FALSE(is_document(document_with("version", "7.5")));
+	EXPECT_FALSE(is_document(document_with("keep", "9e9")));
+	EXPECT_TRUE(is_document(document_with("keep", "8e9")));
+	EXPECT_TRUE(is_document(document_with("weight", "8e15")));
+	EXPECT_TRUE(is_document(document_with("timeout", "8e12")));
+}
