One odd item of the store's page stopped the node from following the list

What could be seen: with one item whose key holds an escaped NUL or half of a surrogate pair, bytes that are no UTF-8, or an item without a key, value or revision, the whole answer counted as invalid. The node asked again and got the same answer, for as long as the item was there: no new endpoint was used, and a removed one was kept until the doubt about the store decided.

Cause: a page was read as a whole or not at all.

What stands for no character in the strings of a page reads as U+FFFD (json_reader_replace_invalid), so a key cut at NUL can't pass for that of another endpoint, and no such id is used by mistake. The scan also took a backslash before a NUL byte for an escape; it names the NUL now.

--- a/core/json/json_reader.c
+++ b/core/json/json_reader.c
@@ -91,7 +91,8 @@
 {
 	gunichar unit, second;
 
-	if (*at + 1 >= size || !strchr("\"\\/bfnrtu", text[*at + 1]))
+	if (*at + 1 >= size || !text[*at + 1] ||
+	    !strchr("\"\\/bfnrtu", text[*at + 1]))
 		return false;
 	if (text[*at + 1] != 'u') {
 		*at += 2;
@@ -163,6 +164,41 @@
 	return in_string || depth != 0 ? "a whole JSON text" : NULL;
 }
 
+/*
+ * Returns the text with U+FFFD for what stands for no character in its strings,
+ * so that a list with one odd string can be read. The caller owns the result.
+ */
+GBytes *json_reader_replace_invalid(GBytes *document)
+{
+	size_t size, at = 0;
+	const char *text = g_bytes_get_data(document, &size);
+	gunichar unit;
+	char *copy;
+
+	if (size == 0 || (g_utf8_validate(text, (gssize)size, NULL) &&
+			  !g_strstr_len(text, (gssize)size, "\\u")))
+		return g_bytes_ref(document);
+	copy = g_utf8_make_valid(text, (gssize)size);
+	size = strlen(copy);
+	while (at < size) {
+		size_t start = at;
+
+		if (copy[at] != '\\') {
+			at++;
+			continue;
+		}
+		if (skip_escape(copy, size, &at))
+			continue;
+		at = start + 2;
+		if (copy[start + 1] == 'u' &&
+		    read_unit(copy, size, at, &unit)) {
+			memcpy(copy + at, "fffd", UNIT_DIGITS);
+			at += UNIT_DIGITS;
+		}
+	}
+	return g_bytes_new_take(copy, size);
+}
+
 struct member_counts {
 	GHashTable *counts; /* JsonObject * to number of members parsed */
 	bool duplicate_found;
--- a/tests/platform_odd_test.cc
+++ b/tests/platform_odd_test.cc
@@ -500,3 +500,71 @@
 	EXPECT_TRUE(is_document(document_with("weight", "8e15")));
 	EXPECT_TRUE(is_document(document_with("timeout", "8e12")));
 }
+
+/* The keys that are read of a watch's answer with these changes, or "none". */
+static std::string read_changes(const std::string &changes)
+{
+	const std::string text = "{\"events\":[" + changes + "],\"as_of\":9}";
+	GBytes *body = g_bytes_new(text.data(), text.size());
+	struct store_page page;
+	struct error error;
+	std::string keys;
+
+	store_page_init(&page);
+	if (!platform_store_dialect.read_watch(body, 0, &page, &error))
+		keys = "none";
+	for (guint i = 0; i < page.items->len; i++) {
+		auto *item =
+			(struct store_item *)g_ptr_array_index(page.items, i);
+
+		EXPECT_TRUE(g_utf8_validate(item->key, -1, nullptr));
+		EXPECT_GT(item->position, 0);
+		keys += std::string(item->key) + (item->value ? "+ " : "- ");
+	}
+	store_page_clear(&page);
+	g_bytes_unref(body);
+	return keys;
+}
+
+/*
+ * Guards against a list that is not followed any more because of one odd item:
+ * each answer that holds the item was invalid as a whole.
+ */
+TEST(PlatformOdd, PagesAreReadBesideOddItems)
+{
+	const std::string good = "{\"key\":\"a\",\"value\":\"aGk=\","
+				 "\"revision\":5}";
+	const char *const odd[][2] = {
+		{"7", ""},
+		{"null", ""},
+		{"{}", ""},
+		{"{\"key\":7,\"value\":\"\",\"revision\":6}", ""},
+		{"{\"key\":\"b\",\"revision\":6}", "b+ "},
+		{"{\"key\":\"b\",\"value\":7,\"revision\":6}", "b+ "},
+		{"{\"key\":\"b\",\"value\":\"\",\"revision\":6}", "b+ "},
+		{"{\"key\":\"b\",\"value\":\"?\",\"revision\":6}", "b+ "},
+		{"{\"key\":\"b\",\"value\":\"\"}", "b+ "},
+		{"{\"key\":\"b\",\"value\":\"\",\"revision\":\"6\"}", "b+ "},
+		{"{\"key\":\"b\",\"value\":\"\",\"revision\":-6}", "b+ "},
+		{"{\"key\":\"b\",\"deleted\":true}", "b- "},
+		{"{\"key\":\"b\\u0000\",\"revision\":6}", "b\xef\xbf\xbd+ "},
+		{"{\"key\":\"b\\ud800c\",\"revision\":6}", "b\xef\xbf\xbd"
+							   "c+ "},
+		{"{\"key\":\"b\\udc00\\ud800\",\"revision\":6}",
+		 "b\xef\xbf\xbd\xef\xbf\xbd+ "},
+		{"{\"key\":\"b\\\\u0000\",\"revision\":6}", "b\\u0000+ "},
+		{"{\"key\":\"b\\ud83d\\ude00\",\"revision\":6}",
+		 "b\xf0\x9f\x98\x80+ "},
+		{"{\"key\":\"b\xff\",\"revision\":6}", "b\xef\xbf\xbd+ "},
+		{"{\"key\":\"b\\r\\nc\",\"revision\":6}", "b\r\nc+ "},
+	};
+
+	for (const auto &row : odd) {
+		EXPECT_EQ(std::string("a+ ") + row[1] + "a+ ",
+			  read_changes(good + "," + row[0] + "," + good))
+			<< row[0];
+	}
+	EXPECT_EQ("none", read_changes(good + ",{\"key\":\"b\\uzzzz\"}"));
+	EXPECT_EQ("none", read_changes(good + ",{\"key\":\"b\\"));
+	EXPECT_EQ("none", read_changes(good + ",{\"key\":\"b\\u"));
+}
