DRAIN: an endpoint whose entry is removed was kept beside three odd entries

What could be seen: an answer of the store with three or more odd entries of another writer and the removal of an endpoint's entry: the node keeps the endpoint and sends it requests for seconds, until the doubt ends.

Cause: an odd entry reads as the removal of an endpoint. Three removals in one answer, of half of all endpoints or more, are taken for an outage of the store in which leases lapsed (changes_look_expired); removals of ids that nobody knew counted as well.

Change: only removals of known endpoints that aren't leaving count, which is what they are compared with.

The case follows_the_list_beside_odd_entries is new too: 62 odd entries one after another and four odd ids, then an endpoint added and two removed; both nodes use the one and not the others by the watch, and after a restart by a listing, and no process has ended. The stand-in of the store takes values as base64, so that any bytes can be written.

--- a/adapters/gateway/gateway_store.c
+++ b/adapters/gateway/gateway_store.c
@@ -106,6 +106,7 @@
  * Whether the number of removals at once suggests a short outage of the store
  * in which leases expired. Endpoints normally leave a few at a time; removing
  * all of them would refuse every request until they have registered again.
+ * Entries that name no known endpoint, such as odd ones, don't count.
  */
 static bool changes_look_expired(const struct gateway *gateway,
 				 const GPtrArray *list)
@@ -113,9 +114,14 @@
 	const GPtrArray *endpoints = registry_endpoints(gateway->registry);
 	guint removed = 0, serving = 0;
 
-	for (guint i = 0; i < list->len; i++)
-		removed += ((struct registration *)g_ptr_array_index(list, i))
-				   ->is_removed;
+	for (guint i = 0; i < list->len; i++) {
+		const struct registration *news = g_ptr_array_index(list, i);
+		const struct endpoint *endpoint =
+			registry_find(gateway->registry, news->id);
+
+		removed += news->is_removed && endpoint &&
+			   !endpoint_is_leaving(endpoint);
+	}
 	for (guint i = 0; i < endpoints->len; i++)
 		serving +=
 			!endpoint_is_leaving(g_ptr_array_index(endpoints, i));
--- a/fakes/platform_store.c
+++ b/fakes/platform_store.c
@@ -287,7 +287,8 @@
 {
 	struct platform_store *store = data;
 	JsonObject *object = fake_message_read_json(message);
-	const char *value;
+	const char *value, *base64;
+	char *bytes = NULL;
 
 	if (!object || !json_object_has_member(object, "key")) {
 		fake_message_answer_text(message, 400, "key and value");
@@ -295,12 +296,16 @@
 	}
 	value = json_object_get_string_member_with_default(object, "value",
 							   NULL);
+	base64 = json_object_get_string_member_with_default(object, "base64",
+							    NULL);
+	if (!g_str_has_suffix(path, "/put"))
+		bytes = NULL;
+	else if (base64)
+		bytes = g_strdup(base64);
+	else if (value)
+		bytes = g_base64_encode((const guchar *)value, strlen(value));
 	platform_store_write(
-		store, json_object_get_string_member(object, "key"),
-		value && g_str_has_suffix(path, "/put")
-			? g_base64_encode((const guchar *)value, strlen(value))
-			: NULL,
-		0);
+		store, json_object_get_string_member(object, "key"), bytes, 0);
 	json_object_unref(object);
 	fake_message_answer_text(message, 200, "written");
 }
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -974,6 +974,145 @@
 	done
 }
 
+# put_bytes KEY FILE: writes any bytes, of which the last line break is left out.
+put_bytes() {
+	printf %s "$(cat "$2")" | base64 -w 0 | jq -Rs --arg key "$1" \
+		'{key: $key, base64: .}' |
+		curl -sf -X POST --data @- "http://$store/fake/put" >/dev/null
+}
+
+# odd_entry FIELD LITERAL: an entry of a plain endpoint with one odd field. Its
+# members that come later count.
+odd_entry() {
+	printf '{"service":"portal","address":"127.0.0.1:9","zone":"z",'
+	printf '"version":"v1","slots":4,"state":"ready","warmup_left_ms":0,'
+	printf '"sequence":1,"born":1,"%s":%s}\n' "$1" "$2"
+}
+
+# repeat COUNT TEXT
+repeat() {
+	awk -v n="$1" -v t="$2" 'BEGIN { while (n-- > 0) printf "%s", t }'
+}
+
+# Prints odd entries, one a line.
+odd_entries() {
+	local field value
+
+	for value in 1e400 -1e400 "$(repeat 5000 9)" "-$(repeat 5000 9)" NaN \
+		Infinity -1 1.5 9e15 9007199254740992 9223372036854775808 \
+		-18446744073709551612 04 '"4"' null '[]'; do
+		odd_entry slots "$value"
+	done
+	for field in warmup_left_ms sequence born; do
+		for value in 1e400 -1 "-$(repeat 5000 9)" 9e15 '"4"'; do
+			odd_entry "$field" "$value"
+		done
+	done
+	for value in 65536 99999 0 -1 '' 80x 4294967376 +80 ' 80'; do
+		odd_entry address "\"127.0.0.1:$value\""
+	done
+	for value in 0.0.0.0:80 :80 localhost:80 '[::1]:80' 256.1.1.1:80 \
+		224.0.0.1:80 ''; do
+		odd_entry address "\"$value\""
+	done
+	for value in 'a\u0001b' 'a\r\nX-Odd: 1' 'a\u0000b' 'a\ud800b' '' \
+		"$(repeat 64 a)" "$(repeat 100000 a)" $'a\xff'; do
+		odd_entry zone "\"$value\""
+	done
+	printf '%s\n' 'not json' '[]' '{' $'\xff\xfe'
+	odd_entry more "$(repeat 60000 '{"a":')1$(repeat 60000 '}')"
+	repeat 200000 '['
+	echo
+	repeat 1000000 ' '
+	echo
+}
+
+journaled_by_others() { # ENGINE
+	local i
+
+	for i in 3 4; do
+		[ "$i" = "$1" ] || journaled "$i"
+	done
+}
+
+# serves_only ENGINE WHEN: whether both nodes send requests there alone.
+serves_only() {
+	local i other before
+
+	for i in 0 1; do
+		until_true reaches "$1" "$i" ||
+			fail "$2: node $i doesn't use engine $1"
+	done
+	before=$(journaled_by_others "$1")
+	for i in 0 1 0 1 0 1 0 1 0 1 0 1; do
+		other=$(ask "$i" /lookup/a)
+		[ "${other: -3}" = 200 ] || fail "$2: answered $other"
+	done
+	[ "$before" = "$(journaled_by_others "$1")" ] ||
+		fail "$2: an engine that is removed is used"
+}
+
+# Guards against a node that ends by an odd entry of another writer, or no longer
+# follows the list: an endpoint that is added afterwards is used and those that
+# are removed are not, by the watch as by a listing.
+case_follows_the_list_beside_odd_entries() {
+	local number=0 i id before=("${node_pids[@]}")
+
+	while IFS= read -r value; do
+		number=$((number + 1))
+		printf '%s' "$value" >"$work/odd"
+		put_bytes "servers/odd-$number" "$work/odd"
+	done < <(odd_entries)
+	for id in $'a\r\nX-Odd: 1' $'\001' "$(repeat 64 a)" ''; do
+		put "servers/$id" "$(odd_entry more 1)"
+	done
+	for i in $(seq "$number"); do
+		until_true logged "entry_rejected endpoint=odd-$i key" ||
+			fail "odd-$i is not rejected"
+	done
+	start_backend 5 portal --plain
+	unregister i-3
+	unregister i-4
+	serves_only 5 "by the watch"
+	for i in 0 1; do
+		kill -0 "${before[$i]}" 2>/dev/null || fail "node $i has ended"
+	done
+	restart_nodes
+	serves_only 5 "by a listing"
+	for i in $(seq "$number"); do
+		unregister "odd-$i"
+	done
+	for id in $'a\r\nX-Odd: 1' $'\001' "$(repeat 64 a)" ''; do
+		unregister "$id"
+	done
+	entry 3 portal ready
+	entry 4 portal ready
+	until_true reaches 3 0 || fail "an engine that is back is not used"
+	unregister i-5
+	kill -KILL "${backend_pids[5]}"
+	wait "${backend_pids[5]}" 2>/dev/null || true
+	until_true answers 1 /lookup/c 200 || fail "nothing is served"
+}
+
+# Guards against a node that keeps an endpoint whose entry is removed, because it
+# takes odd entries, in the same answer of the store, for the loss of many.
+case_drops_an_endpoint_beside_odd_entries() {
+	save_up 2 # and the doubt after the start of the nodes
+	local i
+
+	jq -n '{writes: [range(1; 9) | {key: "servers/odd-\(.)",
+		value: "bm90IGpzb24="}], remove: ["servers/i-3"]}' |
+		curl -sf -X POST --data @- "http://$store/v1/kv-txn" >/dev/null
+	until_true logged "entry_rejected endpoint=odd-8 key" ||
+		fail "odd-8 is not rejected"
+	serves_only 4 "beside odd entries"
+	entry 3 portal ready
+	until_true reaches 3 0 || fail "an engine that is back is not used"
+	for i in $(seq 8); do
+		unregister "odd-$i"
+	done
+}
+
 # The reader of a node's log stops reading. The node keeps serving: lines beyond
 # its buffer are dropped and counted.
 case_never_waits_for_the_log() {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -280,6 +280,32 @@
 	EXPECT_EQ(1u, SentCount(PEER_STANDING));
 }
 
+/*
+ * Guards against odd entries of another writer that pass for the loss of many
+ * endpoints, so that one that is removed in the same answer is kept.
+ */
+TEST_F(Gateway, AppliesARemovalBesideOddEntries)
+{
+	GPtrArray *list = registration_list_create();
+
+	ApplyTableVersion(5);
+	gateway_set_store_reached(gateway, true);
+	gateway->store_doubt.doubt_until_us = 0;
+	ReceiveEntry(1, false);
+	for (int i = 0; i < 8; i++) {
+		struct registration *said = g_new0(struct registration, 1);
+
+		said->id =
+			i == 7 ? g_strdup("e1") : g_strdup_printf("odd-%d", i);
+		said->position = 2 + i;
+		said->is_removed = true;
+		g_ptr_array_add(list, said);
+	}
+	gateway_apply_changes(gateway, list);
+	g_ptr_array_unref(list);
+	EXPECT_FALSE(registry_has_usable(gateway->registry));
+}
+
 /* Guards against a start that announces each endpoint to each node. */
 TEST_F(Gateway, AnnouncesNoneOfTheFirstEndpointsItReads)
 {
