ORDER: a stream without an event was answered 200 with an empty body

What callers saw: an engine sends the head of a stream with neither a length nor chunks, and its connection closes before the first event. The caller got 200 with Content-Length: 0, or a chunked answer with a comment alone, framed as whole. The engine may have ended, and its kernel closes for it.

Cause: http_reader takes the close for the end of such an answer, as HTTP has it, and on_complete asked only whether a stream ends within an event. Before the first event nothing is half read, so it passed.

Evidence: tests/gateway_cut_short_test.cc sends answers cut at 69 places, by close and by reset, on routes of each kind.

Change: core/gateway/answer_end decides whether an answer that has ended is whole. A success that comes in events, or is due to a stream route, and ends by a close alone, needs a complete event. Without one it counts as broken: sent anew on resumable routes, taken over from a copy, else 502.

Why it works: each run that succeeds makes an event, so an empty stream by close is never one. A stream whose length or last chunk says that it is whole is passed on as sent.

--- a/adapters/gateway/event_scanner.c
+++ b/adapters/gateway/event_scanner.c
@@ -7,6 +7,7 @@
 	void *data;
 	GByteArray *partial; /* bytes of an event that has not ended */
 	bool is_overfull;    /* with more than MAX_EVENT_BYTES of them */
+	bool has_event;	     /* a complete one, no mere comment */
 };
 
 /* Creates a scanner that calls on_event for each complete event. */
@@ -66,6 +67,21 @@
 	return id;
 }
 
+/* Whether the event has no line but comments. */
+static bool event_is_comment(const char *bytes, size_t size)
+{
+	while (size > 0) {
+		const char *end = memchr(bytes, '\n', size);
+		size_t line = end ? (size_t)(end - bytes) + 1 : size;
+
+		if (bytes[0] != ':' && bytes[0] != '\r' && bytes[0] != '\n')
+			return false;
+		bytes += line;
+		size -= line;
+	}
+	return true;
+}
+
 /*
  * Bytes up to the end of the first complete event; 0: there is none. The
  * search for the empty line starts at offset from.
@@ -101,6 +117,8 @@
 					 scanner->partial->len, from))) {
 		const char *event = (const char *)scanner->partial->data;
 
+		if (!event_is_comment(event, event_bytes))
+			scanner->has_event = true;
 		if (!scanner->on_event(scanner->data, event, event_bytes,
 				       event_id(event, event_bytes)))
 			return false;
@@ -129,3 +147,9 @@
 {
 	return scanner->partial->len == 0;
 }
+
+/* Whether the stream has had a complete event, other than comments. */
+bool event_scanner_has_event(const struct event_scanner *scanner)
+{
+	return scanner->has_event;
+}
--- a/adapters/gateway/event_scanner.h
+++ b/adapters/gateway/event_scanner.h
@@ -30,6 +30,7 @@
 void event_scanner_reset(struct event_scanner *scanner);
 bool event_scanner_is_overfull(const struct event_scanner *scanner);
 bool event_scanner_at_boundary(const struct event_scanner *scanner);
+bool event_scanner_has_event(const struct event_scanner *scanner);
 
 G_END_DECLS
 
--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -1,5 +1,6 @@
 #include "adapters/gateway/answer_excess.h"
 #include "adapters/gateway/exchange_state.h"
+#include "core/gateway/answer_end.h"
 
 #include <string.h>
 
@@ -639,14 +640,34 @@
 	caller_end_answer(caller, false);
 }
 
+/* How the answer ended that the attempt takes for complete. */
+static enum answer_end leg_answer_end(const struct leg *leg)
+{
+	bool is_success = leg->status / 100 == 2;
+	struct answer_end_input input = {
+		.is_ended_by_close = attempt_is_ended_by_close(leg->attempt),
+		.expects_events = is_success &&
+				  (leg->events ||
+				   leg->exchange->route->kind == ROUTE_STREAM),
+		.has_event = leg->limit.received > 0,
+	};
+
+	if (leg->events) {
+		input.is_within_event = !event_scanner_at_boundary(leg->events);
+		input.has_event = event_scanner_has_event(leg->events);
+	}
+	return answer_end_decide(&input);
+}
+
 static void on_complete(void *data)
 {
 	struct leg *leg = data;
 	struct exchange *exchange = leg->exchange;
+	enum answer_end end = leg_answer_end(leg);
 
-	if (leg->events && !event_scanner_at_boundary(leg->events)) {
+	if (end != ANSWER_WHOLE) {
 		exchange_fail_leg(exchange, RESULT_BROKEN,
-				  "answer ended within an event");
+				  answer_end_name(end));
 		return;
 	}
 	/* A run that was stopped and one that is whole end alike by a close. */
--- /dev/null
+++ b/tests/gateway_cut_short_test.cc
@@ -0,0 +1,571 @@
+#include "core/gateway/answer_end.h"
+#include "tests/gateway_pair.h"
+
+/*
+ * Endpoints that stop in the middle of an answer: no caller may get one that
+ * looks whole where the endpoint's was not.
+ */
+
+enum cut_by { CUT_BY_CLOSE, CUT_BY_RESET };
+
+/* Iterations of the loop in which the peer reads before the end. */
+static constexpr int ticks_before_end = 6;
+
+static const std::string id_field = "X-Siskinlink-Request-Id: ";
+
+/* An endpoint that sends a part of an answer to each request and stops. */
+class CutEndpoint
+{
+      public:
+	CutEndpoint()
+	{
+		timer = g_timeout_add(1, OnTick, this);
+	}
+
+	~CutEndpoint()
+	{
+		g_source_remove(timer);
+	}
+
+	std::string address() const
+	{
+		return listener.address();
+	}
+
+	std::string bytes;     /* sent in answer to a request; %ID is its id */
+	std::string continued; /* the same, where it goes on after an event */
+	enum cut_by cut = CUT_BY_CLOSE;
+	int first_whole = 0; /* answers to a connection's first requests */
+	int accepted = 0;
+	std::map<std::string, int> requests; /* by id */
+	std::string heads;		     /* of all requests */
+
+      private:
+	struct link {
+		std::unique_ptr<Connection> peer;
+		int answered = 0;
+		int ticks = -1; /* since the cut answer was sent */
+	};
+
+	static gboolean OnTick(gpointer data)
+	{
+		((CutEndpoint *)data)->Step();
+		return G_SOURCE_CONTINUE;
+	}
+
+	void Step()
+	{
+		GSocket *socket =
+			g_socket_accept(listener.socket, nullptr, nullptr);
+
+		if (socket) {
+			accepted++;
+			links.push_back({});
+			links.back().peer.reset(new Connection(socket));
+		}
+		for (struct link &item : links)
+			if (!item.peer->closed)
+				Serve(&item);
+	}
+
+	void Serve(struct link *item)
+	{
+		Connection *peer = item->peer.get();
+		std::string id, answer;
+		size_t end, at;
+
+		peer->read();
+		if (item->ticks >= 0 && ++item->ticks > ticks_before_end) {
+			if (cut == CUT_BY_RESET)
+				peer->reset();
+			else
+				peer->close();
+			return;
+		}
+		end = peer->input.find("\r\n\r\n");
+		if (item->ticks >= 0 || end == std::string::npos)
+			return;
+		at = peer->input.find("Content-Length: ");
+		end += 4 +
+		       (at < end ? std::stoul(peer->input.substr(at + 16)) : 0);
+		if (peer->input.size() < end)
+			return;
+		at = peer->input.find(id_field) + id_field.size();
+		id = peer->input.substr(at, peer->input.find('\r', at) - at);
+		heads += peer->input.substr(0, end);
+		answer = Choose(item, peer->input.substr(0, end));
+		peer->input.erase(0, end);
+		requests[id]++;
+		while ((at = answer.find("%ID")) != std::string::npos)
+			answer.replace(at, 3, id);
+		peer->send(answer);
+	}
+
+	std::string Choose(struct link *item, const std::string &request) const
+	{
+		if (item->answered++ < first_whole)
+			return "HTTP/1.1 200 OK\r\n" + id_field +
+			       "%ID\r\nX-Siskinlink-Engine-Stamp: i-1\r\n"
+			       "Content-Length: 2\r\n\r\nok";
+		item->ticks = 0;
+		if (!continued.empty() &&
+		    request.find("Last-Event-Id: ") != std::string::npos)
+			return continued;
+		return bytes;
+	}
+
+	Listener listener;
+	std::vector<struct link> links;
+	guint timer;
+};
+
+/* What a caller may get of an answer that was cut short. */
+enum cut_outcome {
+	NEVER_WHOLE,	 /* 502, or an answer without the end of its framing */
+	WHOLE_IF_CLOSED, /* the close is the end of the answer, a reset not */
+	ALWAYS_WHOLE	 /* it had ended before */
+};
+
+struct cut_case {
+	const char *name;
+	std::string bytes;
+	enum cut_outcome outcome;
+};
+
+static const std::string status_line = "HTTP/1.1 200 OK\r\n";
+static const std::string own =
+	id_field + "%ID\r\n" + "X-Siskinlink-Engine-Stamp: i-1\r\n";
+static const std::string head = status_line + own;
+static const std::string of_length = "Content-Length: 12\r\n";
+static const std::string chunked = "Transfer-Encoding: chunked\r\n";
+static const std::string event_type = "Content-Type: text/event-stream\r\n";
+static const std::string event_0 = "id: 0\ndata: x\n\n";
+static const std::string event_1 = "id: 1\ndata: x\n\n";
+static const std::string early = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n";
+static const std::string other =
+	status_line + id_field + "another\r\n" +
+	"X-Siskinlink-Engine-Stamp: i-1\r\nContent-Length: 2\r\n\r\nno";
+
+/* Places in heads, of answers of any kind. */
+static const std::vector<cut_case> &head_cases()
+{
+	static const std::vector<cut_case> cases = {
+		{"before any byte", "", NEVER_WHOLE},
+		{"within the version", "HTTP/1.", NEVER_WHOLE},
+		{"within the status", "HTTP/1.1 2", NEVER_WHOLE},
+		{"after the status", "HTTP/1.1 200", NEVER_WHOLE},
+		{"within the reason", "HTTP/1.1 200 O", NEVER_WHOLE},
+		{"after the reason's CR", "HTTP/1.1 200 OK\r", NEVER_WHOLE},
+		{"after the status line", status_line, NEVER_WHOLE},
+		{"within a name", head + "Content-Le", NEVER_WHOLE},
+		{"after a name", head + "Content-Length:", NEVER_WHOLE},
+		{"within a value", head + "Content-Length: 1", NEVER_WHOLE},
+		{"after a field's CR", head + "Content-Length: 12\r",
+		 NEVER_WHOLE},
+		{"after a length", head + of_length, NEVER_WHOLE},
+		{"after no length", head, NEVER_WHOLE},
+		{"after a length of 0", head + "Content-Length: 0\r\n",
+		 NEVER_WHOLE},
+		{"after the chunked field", head + chunked, NEVER_WHOLE},
+		{"within the empty line", head + of_length + "\r", NEVER_WHOLE},
+		{"within the empty line of no length", head + "\r",
+		 NEVER_WHOLE},
+		{"after an interim answer", early + "\r\n", NEVER_WHOLE},
+		{"within an interim answer", early, NEVER_WHOLE},
+		{"within the status line after an interim answer",
+		 early + "\r\nHTTP/1.1 200", NEVER_WHOLE},
+		{"within the head after an interim answer",
+		 early + "\r\n" + head, NEVER_WHOLE},
+		{"after two interim answers",
+		 "HTTP/1.1 100 Continue\r\n\r\n" + early + "\r\n", NEVER_WHOLE},
+		{"after another request's answer", other, NEVER_WHOLE},
+		{"within the head after another request's answer", other + head,
+		 NEVER_WHOLE},
+	};
+
+	return cases;
+}
+
+/* Places in bodies of plain answers. */
+static const std::vector<cut_case> &body_cases()
+{
+	static const std::string begun = head + chunked + "\r\n";
+	static const std::vector<cut_case> cases = {
+		{"after the head with a length", head + of_length + "\r\n",
+		 NEVER_WHOLE},
+		{"within the length", head + of_length + "\r\nhello world",
+		 NEVER_WHOLE},
+		{"after the length", head + of_length + "\r\nhello world!",
+		 ALWAYS_WHOLE},
+		{"after a length of 0", head + "Content-Length: 0\r\n\r\n",
+		 ALWAYS_WHOLE},
+		{"after the head with chunks", begun, NEVER_WHOLE},
+		{"within the size line", begun + "1", NEVER_WHOLE},
+		{"after the size line's CR", begun + "c\r", NEVER_WHOLE},
+		{"after the size line", begun + "c\r\n", NEVER_WHOLE},
+		{"within the chunk", begun + "c\r\nhello", NEVER_WHOLE},
+		{"after the chunk's bytes", begun + "c\r\nhello world!",
+		 NEVER_WHOLE},
+		{"after the chunk", begun + "c\r\nhello world!\r\n",
+		 NEVER_WHOLE},
+		{"after the last size", begun + "c\r\nhello world!\r\n0",
+		 NEVER_WHOLE},
+		{"before the last empty line",
+		 begun + "c\r\nhello world!\r\n0\r\n", NEVER_WHOLE},
+		{"within the last empty line",
+		 begun + "c\r\nhello world!\r\n0\r\n\r", NEVER_WHOLE},
+		{"within a trailer",
+		 begun + "c\r\nhello world!\r\n0\r\nX-A: b\r\n", NEVER_WHOLE},
+		{"after the last chunk",
+		 begun + "c\r\nhello world!\r\n0\r\n\r\n", ALWAYS_WHOLE},
+		{"within a large body with a length",
+		 head + "Content-Length: 400000\r\n\r\n" +
+			 std::string(300000, 'b'),
+		 NEVER_WHOLE},
+		{"within a large chunk",
+		 begun + "61a80\r\n" + std::string(300000, 'b'), NEVER_WHOLE},
+		/* The protocol ends such an answer by its close alone. */
+		{"after the head without a length", head + "\r\n",
+		 WHOLE_IF_CLOSED},
+		{"after a body without a length", head + "\r\nhello world!",
+		 WHOLE_IF_CLOSED},
+		{"after a large body without a length",
+		 head + "\r\n" + std::string(300000, 'b'), WHOLE_IF_CLOSED},
+	};
+
+	return cases;
+}
+
+static std::string chunk(const std::string &bytes)
+{
+	char size[16];
+
+	snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+	return size + bytes + "\r\n";
+}
+
+/* Places in streams of events. */
+static const std::vector<cut_case> &stream_cases()
+{
+	static const std::string events = head + event_type;
+	static const std::string begun = events + chunked + "\r\n";
+	static const std::string sized = events + "Content-Length: 30\r\n\r\n";
+	static const std::vector<cut_case> cases = {
+		{"after the head", events + "\r\n", NEVER_WHOLE},
+		{"after a head that announces the close",
+		 events + "Connection: close\r\n\r\n", NEVER_WHOLE},
+		{"after an empty line", events + "\r\n\n", NEVER_WHOLE},
+		{"after a comment", events + "\r\n: wait\n\n", NEVER_WHOLE},
+		{"within the first event", events + "\r\nid: 0\ndata: x\n",
+		 NEVER_WHOLE},
+		{"after an event", events + "\r\n" + event_0, WHOLE_IF_CLOSED},
+		{"within an event", events + "\r\n" + event_0 + "id: 1\nda",
+		 NEVER_WHOLE},
+		{"after an event's line",
+		 events + "\r\n" + event_0 + "id: 1\ndata: x\n", NEVER_WHOLE},
+		{"after the head with chunks", begun, NEVER_WHOLE},
+		{"within the first size line", begun + "f", NEVER_WHOLE},
+		{"within the first chunk", begun + "f\r\nid: 0\n", NEVER_WHOLE},
+		{"within the first event, after a chunk",
+		 begun + chunk("id: 0\n"), NEVER_WHOLE},
+		{"after the first event's bytes", begun + "f\r\n" + event_0,
+		 NEVER_WHOLE},
+		{"after an event's chunk", begun + chunk(event_0), NEVER_WHOLE},
+		{"within an event, after its chunk",
+		 begun + chunk(event_0) + chunk("id: 1\nda"), NEVER_WHOLE},
+		{"within an event, after the last chunk",
+		 begun + chunk(event_0) + chunk("id: 1\nda") + "0\r\n\r\n",
+		 NEVER_WHOLE},
+		{"before the last empty line",
+		 begun + chunk(event_0) + chunk(event_1) + "0\r\n",
+		 NEVER_WHOLE},
+		{"after the last chunk", begun + chunk(event_0) + "0\r\n\r\n",
+		 ALWAYS_WHOLE},
+		{"after the last chunk, without an event", begun + "0\r\n\r\n",
+		 ALWAYS_WHOLE},
+		{"after the head with a length", sized, NEVER_WHOLE},
+		{"after an event within the length", sized + event_0,
+		 NEVER_WHOLE},
+		{"within an event within the length",
+		 sized + event_0 + "id: 1\n", NEVER_WHOLE},
+		{"after the length", sized + event_0 + event_1, ALWAYS_WHOLE},
+		{"after a head without a type", head + "\r\n", NEVER_WHOLE},
+	};
+
+	return cases;
+}
+
+/* Whether the framing of the bytes, of one answer to a POST, is complete. */
+static bool is_framed_whole(const std::string &answer)
+{
+	size_t end = answer.find("\r\n\r\n");
+	size_t at = answer.find("\r\nContent-Length: ");
+
+	if (end == std::string::npos)
+		return false;
+	if (at < end)
+		return answer.size() - end - 4 ==
+		       std::stoull(answer.substr(at + 18));
+	if (answer.find("\r\nTransfer-Encoding: chunked") < end)
+		return answer.size() > end + 8 &&
+		       answer.substr(answer.size() - 5) == "0\r\n\r\n";
+	return true;
+}
+
+class GatewayCutShort : public GatewayPair
+{
+      protected:
+	CutEndpoint portal[2], engines[2];
+	int asked = 0;
+
+	GatewayCutShort()
+	{
+		retry_extra = 60000;
+	}
+
+	/* Starts with endpoints that no request before has made suspect. */
+	void CreateNode(const std::string &bytes, enum cut_by cut)
+	{
+		Create(1);
+		RegisterAll(0);
+		Script(bytes, cut);
+		SaveRetries(0);
+	}
+
+	/* Waits until the budgets allow retries. */
+	void SaveRetries(size_t node)
+	{
+		for (const char *service : {"portal", "engines"})
+			ASSERT_TRUE(run_until([&] {
+				return retry_window_remaining(gateway_budget(
+					       nodes[node]->gateway, service)) >
+				       4;
+			}));
+	}
+
+	void RegisterAll(size_t node)
+	{
+		Register(node, "portal",
+			 {{"i-1", portal[0].address()},
+			  {"i-2", portal[1].address()}});
+		Register(node, "engines",
+			 {{"i-3", engines[0].address()},
+			  {"i-4", engines[1].address()}});
+	}
+
+	void Script(const std::string &bytes, enum cut_by cut)
+	{
+		for (CutEndpoint *list : {portal, engines})
+			for (int i = 0; i < 2; i++) {
+				list[i].bytes = bytes;
+				list[i].cut = cut;
+			}
+	}
+
+	/* Times that endpoints got the request. */
+	int Sends(const std::string &id)
+	{
+		int sends = 0;
+
+		for (CutEndpoint *list : {portal, engines})
+			for (int i = 0; i < 2; i++)
+				sends += list[i].requests.count(id)
+						 ? list[i].requests[id]
+						 : 0;
+		return sends;
+	}
+
+	/* One request to the one endpoint, on the connection it has kept. */
+	void ExpectOf(CutEndpoint *kept, const std::string &path, bool is_whole)
+	{
+		std::string id = "r-" + std::to_string(asked++), answer;
+		int status = Ask(0, path, id, &answer);
+
+		ExpectEnd(answer, status, is_whole);
+		EXPECT_EQ(1, kept->requests[id]);
+	}
+
+	static void ExpectEnd(const std::string &answer, int status,
+			      bool is_whole)
+	{
+		if (is_whole) {
+			EXPECT_EQ(200, status) << answer;
+			EXPECT_TRUE(is_framed_whole(answer)) << answer;
+			return;
+		}
+		EXPECT_TRUE(status == 502 || status == 200) << answer;
+		EXPECT_EQ(status == 502, is_framed_whole(answer)) << answer;
+	}
+
+	/* One request, and what holds for an answer cut short in that way. */
+	void Expect(const std::string &path, const std::string &bytes,
+		    enum cut_by cut, bool is_whole, size_t node = 0)
+	{
+		std::string id = "r-" + std::to_string(asked++), answer;
+		bool may_repeat = path[1] == 'l' || path[1] == 'q';
+		int status;
+
+		Script(bytes, cut);
+		status = Ask(node, path, id, &answer);
+		ExpectEnd(answer, status, is_whole);
+		/* An answer that has begun is not sent anew. */
+		if (is_whole || !may_repeat)
+			EXPECT_EQ(1, Sends(id));
+		else if (status == 502)
+			EXPECT_EQ(2, Sends(id));
+		else
+			EXPECT_GE(2, Sends(id));
+	}
+
+	void TearDownNodes()
+	{
+		GatewayPair::TearDown();
+		nodes.clear();
+		log = log_create("test", LOG_LEVEL_ERROR);
+	}
+
+	/* Plays the cases on each of the routes, each on a node of its own. */
+	void Play(const std::vector<cut_case> &cases,
+		  const std::vector<std::string> &paths)
+	{
+		for (const cut_case &item : cases)
+			for (enum cut_by cut : {CUT_BY_CLOSE, CUT_BY_RESET}) {
+				SCOPED_TRACE(item.name);
+				SCOPED_TRACE(cut == CUT_BY_CLOSE ? "close"
+								 : "reset");
+				CreateNode(item.bytes, cut);
+				for (const std::string &path : paths) {
+					SCOPED_TRACE(path);
+					Expect(path, item.bytes, cut,
+					       IsWhole(item, cut));
+				}
+				TearDownNodes();
+			}
+		Create(1);
+	}
+
+	static bool IsWhole(const cut_case &item, enum cut_by cut)
+	{
+		return item.outcome == ALWAYS_WHOLE ||
+		       (item.outcome == WHOLE_IF_CLOSED && cut == CUT_BY_CLOSE);
+	}
+};
+
+/* Guards against a 200 that is made of a part of an endpoint's head. */
+TEST_F(GatewayCutShort, HeadsAreNoAnswers)
+{
+	Play(head_cases(), {"/lookup/a", "/export/a", "/report/a", "/query/a"});
+}
+
+/* Guards against a part of a body that its caller takes for all of it. */
+TEST_F(GatewayCutShort, PartsOfBodiesAreNotWhole)
+{
+	Play(body_cases(), {"/lookup/a", "/export/a"});
+}
+
+/* Guards against a stream that its caller takes for whole though its engine
+ * stopped before the last event, or before the first one. */
+TEST_F(GatewayCutShort, PartsOfStreamsAreNotWhole)
+{
+	Play(stream_cases(), {"/report/a", "/query/a"});
+}
+
+/*
+ * Guards against an endpoint's idle connection that it closes under a request:
+ * its answer is cut short like that of a new one.
+ */
+TEST_F(GatewayCutShort, KeptConnectionsAreCutTheSame)
+{
+	for (const std::vector<cut_case> *cases :
+	     {&head_cases(), &body_cases()})
+		for (const cut_case &item : *cases)
+			for (enum cut_by cut : {CUT_BY_CLOSE, CUT_BY_RESET}) {
+				CutEndpoint kept;
+
+				SCOPED_TRACE(item.name);
+				Create(1);
+				Register(0, "portal",
+					 {{"i-1", kept.address()}});
+				kept.bytes = item.bytes;
+				kept.cut = cut;
+				kept.first_whole = 1;
+				EXPECT_EQ(200, Ask(0, "/lookup/a", "first"));
+				ExpectOf(&kept, "/lookup/a",
+					 IsWhole(item, cut));
+				EXPECT_EQ(1, kept.accepted);
+				TearDownNodes();
+			}
+	Create(1);
+}
+
+/*
+ * Guards against an error where an endpoint closes an idle connection before it
+ * has read the request, which may run elsewhere.
+ */
+TEST_F(GatewayCutShort, LostIdleConnectionsAreMadeUpFor)
+{
+	for (enum cut_by cut : {CUT_BY_CLOSE, CUT_BY_RESET}) {
+		CutEndpoint kept, sound;
+		int lost = 0;
+
+		Create(1);
+		Register(0, "portal",
+			 {{"i-1", kept.address()}, {"i-2", sound.address()}});
+		SaveRetries(0);
+		kept.cut = cut;
+		kept.first_whole = 1;
+		sound.first_whole = 1000;
+		for (int i = 0; i < 40 && !lost; i++) {
+			std::string id = "r-" + std::to_string(i);
+
+			EXPECT_EQ(200, Ask(0, "/lookup/a", id));
+			lost = kept.requests.count(id) &&
+			       sound.requests.count(id);
+			EXPECT_EQ(1 + lost, kept.requests.count(id) +
+						    sound.requests.count(id));
+		}
+		EXPECT_EQ(1, lost);
+		TearDownNodes();
+	}
+	Create(1);
+}
+
+/* Guards against requests that may run once on a connection used before. */
+TEST_F(GatewayCutShort, OnlyRepeatableRequestsUseIdleConnections)
+{
+	int requests = 0;
+
+	CreateNode("", CUT_BY_CLOSE);
+	for (CutEndpoint *list : {portal, engines})
+		for (int i = 0; i < 2; i++)
+			list[i].first_whole = 1;
+	for (const char *path : {"/export/a", "/report/a", "/query/a"})
+		for (int i = 0; i < 6; i++)
+			EXPECT_EQ(200,
+				  Ask(0, path, std::to_string(requests++)));
+	EXPECT_EQ(requests, portal[0].accepted + portal[1].accepted +
+				    engines[0].accepted + engines[1].accepted);
+}
+
+/* The decision itself, for each input. */
+TEST(AnswerEnd, Decides)
+{
+	static const char *const ends[] = {"whole", "within", "before"};
+	std::string table;
+
+	for (int bits = 0; bits < 16; bits++) {
+		struct answer_end_input input = {};
+
+		input.is_ended_by_close = bits & 8;
+		input.expects_events = bits & 4;
+		input.is_within_event = bits & 2;
+		input.has_event = bits & 1;
+		table += ends[answer_end_decide(&input)];
+		table += bits % 4 == 3 ? "\n" : " ";
+	}
+	EXPECT_EQ("whole whole within within\n"
+		  "whole whole within within\n"
+		  "whole whole within within\n"
+		  "before whole within within\n",
+		  table);
+}
--- a/tests/http_reader_test.cc
+++ b/tests/http_reader_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cstring>
+
 #include <string>
 #include <vector>
 
@@ -184,6 +186,36 @@
 	}
 }
 
+/* Comments keep a stream open, and are no event that its run has made. */
+TEST(EventScanner, TellsEventsFromComments)
+{
+	const struct {
+		const char *bytes;
+		bool has_event;
+	} cases[] = {
+		{"", false},
+		{"id: 0\ndata: x\n", false},
+		{": wait\n\n", false},
+		{": wait\r\n: on\r\n\r\n", false},
+		{"\n\n", false},
+		{": wait\n\nid: 0\ndata: x\n\n", true},
+		{": wait\ndata: x\r\n\r\n", true},
+		{"id: 0\ndata: x\n\n: wait", true},
+	};
+
+	for (const auto &item : cases) {
+		std::string found;
+		struct event_scanner *scanner =
+			event_scanner_create(collect, &found);
+
+		EXPECT_TRUE(event_scanner_feed(scanner, item.bytes,
+					       strlen(item.bytes)));
+		EXPECT_EQ(item.has_event, event_scanner_has_event(scanner))
+			<< item.bytes;
+		event_scanner_destroy(scanner);
+	}
+}
+
 TEST(EventScanner, BoundsAnEventWithoutEnd)
 {
 	std::string found, piece(1 << 19, 'x');
