--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -371,6 +371,13 @@
 	return strcmp(exchange->head->method, "HEAD") == 0;
 }
 
+/* Whether an answer may have a body; without one, its head may still state the
+ * length of another answer's. */
+bool exchange_may_have_body(const struct exchange *exchange, int32_t status)
+{
+	return !exchange_is_for_head(exchange) && !status_has_no_length(status);
+}
+
 /*
  * Starts to count an answer, under the limit of this moment. Returns false if
  * the body that its head states is too large; an answer without a body may
@@ -381,8 +388,7 @@
 				  struct answer_limit *limit)
 {
 	answer_limit_init(limit, exchange->gateway->options.max_answer_bytes);
-	return exchange_is_for_head(exchange) ||
-	       status_has_no_length(head->status) ||
+	return !exchange_may_have_body(exchange, head->status) ||
 	       answer_limit_check_head(limit, head->content_length) ==
 		       ANSWER_SIZE_OK;
 }
--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -214,7 +214,8 @@
 		return;
 	exchange->status = head->status;
 	exchange_store_head(exchange, head, NULL);
-	if (exchange->answer_size < 0 || relay->events)
+	if (exchange_may_have_body(exchange, head->status) &&
+	    (exchange->answer_size < 0 || relay->events))
 		exchange_begin_chunked(exchange);
 }
 
--- a/tests/gateway_cut_short_test.cc
+++ b/tests/gateway_cut_short_test.cc
@@ -547,6 +547,131 @@
 				    engines[0].accepted + engines[1].accepted);
 }
 
+/* Node n1 reaches no endpoint, and passes its requests on through n0. */
+class GatewayCutShortRelay : public GatewayCutShort
+{
+      protected:
+	DeadAddress dead{CUT_REFUSED};
+
+	void CreatePair()
+	{
+		Create(2);
+		RegisterAll(0);
+		Register(1, "portal",
+			 {{"i-1", dead.address}, {"i-2", dead.address}});
+		Register(1, "engines",
+			 {{"i-3", dead.address}, {"i-4", dead.address}});
+		Script(head + "Content-Length: 0\r\n\r\n", CUT_BY_CLOSE);
+		Wait(300);
+		for (int i = 0; i < 3; i++)
+			for (const char *path : {"/lookup/a", "/report/a"})
+				Ask(1, path, "found-" + std::to_string(i));
+		SaveRetries(0);
+		SaveRetries(1);
+	}
+
+	/* Forgets what broken answers say of the endpoints. */
+	void ForgetFailures()
+	{
+		for (const char *id : {"i-1", "i-2", "i-3", "i-4"})
+			endpoint_health_init(
+				&registry_find(nodes[0]->gateway->registry, id)
+					 ->health);
+	}
+};
+
+/* Guards against a part of an answer that a second node makes a whole one. */
+TEST_F(GatewayCutShortRelay, PartsOfAnswersAreNotWhole)
+{
+	CreatePair();
+	for (const cut_case &item : head_cases())
+		for (const char *path : {"/export/a", "/report/a"}) {
+			SCOPED_TRACE(item.name);
+			ForgetFailures();
+			Expect(path, item.bytes, CUT_BY_CLOSE, false, 1);
+		}
+	for (enum cut_by cut : {CUT_BY_CLOSE, CUT_BY_RESET}) {
+		for (const cut_case &item : body_cases()) {
+			SCOPED_TRACE(item.name);
+			ForgetFailures();
+			Expect("/export/a", item.bytes, cut, IsWhole(item, cut),
+			       1);
+		}
+		for (const cut_case &item : stream_cases()) {
+			SCOPED_TRACE(item.name);
+			ForgetFailures();
+			Expect("/report/a", item.bytes, cut, IsWhole(item, cut),
+			       1);
+		}
+	}
+}
+
+/* What a caller gets for two requests on one connection. */
+static std::string converse(const std::string &address,
+			    const std::string &method)
+{
+	std::unique_ptr<Connection> caller(Connection::open(address));
+	const std::string request = " /lookup/a HTTP/1.1\r\nHost: h\r\n"
+				    "X-Siskinlink-Deadline-Ms: 2500\r\n";
+
+	caller->send(method + request + id_field + "r-1\r\n\r\n");
+	EXPECT_TRUE(caller->wait_for("\r\n\r\n"));
+	caller->send(method + request + id_field +
+		     "r-2\r\nConnection: close\r\n\r\n");
+	EXPECT_TRUE(caller->wait_closed());
+	return caller->input;
+}
+
+/* Answers that have no body, whatever their fields say of one. */
+struct bodyless_case {
+	const char *method, *status, *fields;
+};
+
+static const bodyless_case bodyless_cases[] = {
+	{"HEAD", "200 OK", ""},
+	{"HEAD", "200 OK", "Content-Length: 12\r\n"},
+	{"HEAD", "200 OK", "Transfer-Encoding: chunked\r\n"},
+	{"HEAD", "200 OK", "Content-Type: text/event-stream\r\n"},
+	{"GET", "204 No Content", ""},
+	{"GET", "304 Not Modified", ""},
+	{"GET", "304 Not Modified", "Content-Length: 12\r\n"},
+};
+
+/* Guards against bytes after an answer without a body, which its caller takes
+ * for the begin of the next one. */
+TEST_F(GatewayCutShortRelay, AnswersWithoutABodyEndWithTheirHead)
+{
+	CreatePair();
+	for (size_t i = 0; i < 2; i++)
+		for (const bodyless_case &item : bodyless_cases) {
+			std::string text = std::string("HTTP/1.1 ") +
+					   item.status + "\r\n" + own +
+					   item.fields;
+			std::string answers;
+
+			SCOPED_TRACE(text);
+			Script(text + "\r\n", CUT_BY_CLOSE);
+			answers = converse(nodes[i]->address, item.method);
+			EXPECT_EQ(0u, answers.find(std::string("HTTP/1.1 ") +
+						   item.status));
+			EXPECT_EQ(answers.find("\r\n\r\n") + 4,
+				  answers.find("HTTP/1.1", 1))
+				<< answers;
+			EXPECT_EQ(answers.size() - 4, answers.rfind("\r\n\r\n"))
+				<< answers;
+			EXPECT_EQ(
+				answers.npos,
+				answers.find("\r\nTransfer-Encoding: chunked"))
+				<< answers;
+			/* Cut within the head, it is none. */
+			Script(text, CUT_BY_CLOSE);
+			ForgetFailures();
+			EXPECT_EQ(0u, converse(nodes[i]->address, item.method)
+					      .find("HTTP/1.1 502"));
+			ForgetFailures();
+		}
+}
+
 /* The decision itself, for each input. */
 TEST(AnswerEnd, Decides)
 {
