LOST: a run stopped at an engine without an entry could not return there

Callers saw: reports cut midway.

Cause: PRESENCE_GONE says that the entry is gone, and was taken for an engine that is gone. The runs were given up without a way back before they were stopped.

Change: a removed entry is a notice that begins at its removal, with the same bound for the return as any other notice. An endpoint has one notice per start: an entry that is removed after it said that the endpoint leaves does not begin a second one, which would let requests reach it long after. A start that has ended (quarantine, another start, another endpoint at its address) still gets nothing. A return no longer counts as one more endpoint that was asked: a resumable stream whose own engine refuses as well is resumed, as it was without the return.

Why it works: an engine whose entry is removed serves on as long as one that reports draining, and one that has stopped a run keeps it.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -341,7 +341,8 @@
 
 /*
  * Returns the engine that keeps the run and may be asked again, or NULL. Under
- * notice it may be, for a while: the run has not gone on anywhere else.
+ * notice, or without its entry, it may be for a while: it serves on, and the
+ * run has not gone on anywhere else. A start that has ended keeps nothing.
  */
 struct endpoint *exchange_kept_at(const struct exchange *exchange)
 {
@@ -352,12 +353,11 @@
 	if (!kept->endpoint_id)
 		return NULL;
 	endpoint = registry_find(gateway->registry, kept->endpoint_id);
-	if (!endpoint || endpoint->presence == PRESENCE_GONE ||
-	    endpoint->is_cordoned || endpoint->known_us != kept->known_us ||
-	    !gateway_losses_is_current(gateway, endpoint, &kept->start))
-		return NULL;
-	if (endpoint_is_leaving(endpoint) &&
-	    gateway->now_us - endpoint->since_us > RETURN_UNTIL_US)
+	if (!endpoint || endpoint->is_cordoned ||
+	    endpoint->known_us != kept->known_us ||
+	    !gateway_losses_is_current(gateway, endpoint, &kept->start) ||
+	    endpoint_under_notice_us(endpoint, gateway->now_us) >
+		    RETURN_UNTIL_US)
 		return NULL;
 	return endpoint;
 }
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -39,9 +39,9 @@
 {
 	const struct endpoint *endpoint = leg_endpoint(leg);
 
-	if (!endpoint || !endpoint_is_leaving(endpoint))
-		return 0;
-	return MAX(leg->exchange->gateway->now_us - endpoint->since_us, 1);
+	return endpoint ? endpoint_under_notice_us(
+				  endpoint, leg->exchange->gateway->now_us)
+			: 0;
 }
 
 static void read_copy(const struct exchange *exchange,
@@ -303,7 +303,8 @@
 		.copy_is_ready = may_move && place->endpoint,
 		.budget_left = has_budget || is_first,
 		.runs = exchange->runs,
-		.sends = exchange->sends,
+		/* A run that returns asks no further endpoint. */
+		.sends = exchange->sends - exchange->handover.returns,
 		.max_attempts = exchange->max_attempts,
 	};
 	enum recovery recovery = recovery_decide(&input);
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -112,6 +112,18 @@
 	       endpoint->presence == PRESENCE_GONE;
 }
 
+/*
+ * Returns the time in us since this start of the endpoint was first known to
+ * leave; 0: it serves. An entry that is removed without such word is a notice
+ * too, as the endpoint serves on for a while; one that is removed after it
+ * begins no new one.
+ */
+int64_t endpoint_under_notice_us(const struct endpoint *endpoint,
+				 int64_t now_us)
+{
+	return endpoint->notice_us ? MAX(now_us - endpoint->notice_us, 1) : 0;
+}
+
 /*
  * Whether the endpoint may get new requests. One under a cordon may not, but
  * goes on with those that it has.
@@ -222,6 +234,10 @@
 		return;
 	endpoint->presence = presence;
 	endpoint->since_us = now_us;
+	if (!endpoint_is_leaving(endpoint))
+		endpoint->notice_us = 0;
+	else if (!endpoint->notice_us)
+		endpoint->notice_us = now_us;
 }
 
 static struct endpoint *registry_add(struct registry *registry,
@@ -267,6 +283,8 @@
 	endpoint_health_init(&endpoint->health);
 	endpoint->suspicion = (struct endpoint_suspicion){0};
 	endpoint->known_us = now_us;
+	if (endpoint->notice_us)
+		endpoint->notice_us = now_us;
 	endpoint->replaced_us = 0;
 	endpoint->error_share = 0;
 	endpoint->full_until_us = 0;
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -45,6 +45,8 @@
 	struct registration *held_back; /* to be applied once the store has
 					   settled; NULL: none */
 	int64_t since_us;		/* when the presence last changed */
+	int64_t notice_us; /* when it first was known to leave, or that its
+			      entry is gone; 0: it serves */
 	int64_t said_leaving_us;  /* when the endpoint itself last said that it
 				     leaves; 0: never */
 	int64_t leaving_start_ms; /* start that said so; 0: unknown */
@@ -123,6 +125,8 @@
 struct held endpoint_total_load(const struct endpoint *endpoint);
 const char *endpoint_presence_name(enum endpoint_presence presence);
 bool endpoint_is_leaving(const struct endpoint *endpoint);
+int64_t endpoint_under_notice_us(const struct endpoint *endpoint,
+				 int64_t now_us);
 bool endpoint_note_leaving(struct endpoint *endpoint, int64_t started_ms,
 			   int64_t now_us);
 bool endpoint_is_usable(const struct endpoint *endpoint);
--- a/tests/gateway_handover_test.cc
+++ b/tests/gateway_handover_test.cc
@@ -51,6 +51,13 @@
 		Register(0, "engines", {{from->id, from->address}}, true);
 	}
 
+	/* The engine leaves without a word, and serves on. */
+	void RemoveEntry()
+	{
+		position++;
+		Unregister(0, from->id);
+	}
+
 	/* Waits until the caller's answer and all work on it have ended. */
 	void Finish()
 	{
@@ -226,6 +233,37 @@
 	EXPECT_TRUE(IsWhole());
 }
 
+/* The same where the entry of its own engine is removed, and says nothing. */
+TEST_F(GatewayHandover, ReturnsWhereItsEntryIsRemoved)
+{
+	SetPace(50, 40);
+	Start(true, false);
+	to->answer_ms = 400;
+	to->has_copies = false;
+	RemoveEntry();
+	Finish();
+	EXPECT_LE(Overlap(), max_overlap_us);
+	EXPECT_EQ(AllEvents(), Events());
+	EXPECT_TRUE(IsWhole());
+}
+
+/* Guards against a request to an engine that has been leaving for a while, as
+ * its entry is removed and the other engine refuses. */
+TEST_F(GatewayHandover, AsksNoEngineThatHasLeft)
+{
+	SetPace(50, 60);
+	Start(true, false);
+	to->answer_ms = 2100;
+	to->has_copies = false;
+	Leave();
+	Wait(1700);
+	RemoveEntry();
+	Finish();
+	EXPECT_EQ(0, from->continued[id]);
+	EXPECT_EQ(0u, AllEvents().find(Events()));
+	EXPECT_FALSE(IsWhole());
+}
+
 /* The same where the engine has nowhere to copy the run to. */
 TEST_F(GatewayHandover, ReturnsWhatWasNotCopied)
 {
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -107,6 +107,43 @@
 	EXPECT_EQ(PRESENCE_GONE, presence("e1"));
 }
 
+/* Guards against requests to an endpoint long after it said that it leaves, as
+ * the removal of its entry counts as a second notice. */
+TEST_F(Registry, ALeavingEndpointHasOneNotice)
+{
+	const struct endpoint *endpoint;
+
+	apply(entry("e1", 4));
+	endpoint = registry_find(registry, "e1");
+	EXPECT_EQ(0, endpoint_under_notice_us(endpoint, now_us));
+	apply(entry("e1", 5, true));
+	EXPECT_LT(0, endpoint_under_notice_us(endpoint, now_us));
+	now_us += 2 * second_us;
+	remove("e1", 6);
+	EXPECT_EQ(2 * second_us, endpoint_under_notice_us(endpoint, now_us));
+	apply(entry("e1", 7, true, 100));
+	EXPECT_LT(endpoint_under_notice_us(endpoint, now_us), second_us)
+		<< "another start";
+	apply(entry("e1", 8, false, 200));
+	EXPECT_EQ(0, endpoint_under_notice_us(endpoint, now_us));
+}
+
+/* Guards against an endpoint that leaves without a word and seems to have ended
+ * at once: the removal of its entry is its notice. */
+TEST_F(Registry, ARemovedEntryIsANotice)
+{
+	const struct endpoint *endpoint;
+
+	apply(entry("e1", 4));
+	endpoint = registry_find(registry, "e1");
+	remove("e1", 5, true);
+	now_us += second_us;
+	EXPECT_EQ(0, endpoint_under_notice_us(endpoint, now_us)) << "in doubt";
+	remove("e1", 5);
+	now_us += second_us;
+	EXPECT_EQ(second_us, endpoint_under_notice_us(endpoint, now_us));
+}
+
 /*
  * The store was away and the leases of its writers expired, but the endpoints
  * still serve. Callers must not be refused until the endpoints have registered
