siskinlinkctl ended at an answer or an intent that is nested deeply

What could be seen: siskinlinkctl ends with SIGSEGV when what listens at a node's address answers with deeply nested JSON, or when it checks such an intent.

Cause: the parser that recurses for each level, used directly; the one reader with a limit on the depth was not used in these two places.

Change: both read with json_reader; no other place calls the parser. An answer that can't be read counts as none, as before ("unknown" after a change). The check of an intent tells what the reader expected and at which byte, in place of the parser's line and column for what the scan refuses.

Test: Ctl.RefusesDeepTexts ended the test program with SIGSEGV before.

--- a/core/plan/intent_check.c
+++ b/core/plan/intent_check.c
@@ -2,11 +2,14 @@
 
 #include "core/config/config_lint.h"
 #include "core/config/intent_json.h"
+#include "core/json/json_reader.h"
 #include "core/plan/plan.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#define STEP "intent.check"
+
 static const char *const lists[] = {"services", "organisations", "rollouts",
 				    "routes"};
 
@@ -223,24 +226,23 @@
 					 const char *intent)
 {
 	struct intent_check *check = g_new0(struct intent_check, 1);
-	JsonParser *parser = json_parser_new();
-	JsonNode *root = NULL;
-	GError *failure = NULL;
+	GBytes *document = g_bytes_new(intent, strlen(intent));
+	struct error error = {.detail = "no JSON object"};
+	JsonNode *root;
 
 	check->findings = g_ptr_array_new_with_free_func(finding_destroy);
 	check->differences = g_ptr_array_new_with_free_func(g_free);
 	check->warnings = g_ptr_array_new_with_free_func(g_free);
-	if (json_parser_load_from_data(parser, intent, -1, &failure))
-		root = json_parser_get_root(parser);
+	root = json_reader_parse_lax(document, g_bytes_get_size(document), STEP,
+				     &error);
 	if (root && JSON_NODE_HOLDS_OBJECT(root)) {
 		check_entries(check, json_node_get_object(root));
 		check_whole(check, json_node_get_object(root), base, intent);
 	} else {
-		add_finding(check, INTENT_ERROR, g_strdup(""),
-			    failure ? failure->message : "no JSON object");
+		add_finding(check, INTENT_ERROR, g_strdup(""), error.detail);
 	}
-	g_clear_error(&failure);
-	g_object_unref(parser);
+	g_clear_pointer(&root, json_node_unref);
+	g_bytes_unref(document);
 	return check;
 }
 
--- a/daemons/ctl_command.c
+++ b/daemons/ctl_command.c
@@ -1,6 +1,7 @@
 #include "daemons/ctl_command.h"
 
 #include "core/json/json_member.h"
+#include "core/json/json_reader.h"
 
 #include <string.h>
 
@@ -438,20 +439,23 @@
 	return path;
 }
 
-/*
- * Parses an answer; NULL if it is not a JSON object. The parser owns the
- * result, and the caller releases the parser in either case.
- */
-static JsonObject *parse_object(const char *body, JsonParser **parser)
+/* Parses an answer; NULL if it is not a JSON object. The caller owns it. */
+static JsonNode *parse_answer(const char *body)
+{
+	GBytes *bytes = g_bytes_new(body, strlen(body));
+	struct error error;
+	JsonNode *node = json_reader_parse_lax(bytes, g_bytes_get_size(bytes),
+					       "ctl.answer", &error);
+
+	g_bytes_unref(bytes);
+	if (node && !JSON_NODE_HOLDS_OBJECT(node))
+		g_clear_pointer(&node, json_node_unref);
+	return node;
+}
+
+static JsonObject *answer_object(JsonNode *node)
 {
-	JsonNode *root;
-
-	*parser = json_parser_new();
-	if (!json_parser_load_from_data(*parser, body, -1, NULL))
-		return NULL;
-	root = json_parser_get_root(*parser);
-	return root && JSON_NODE_HOLDS_OBJECT(root) ? json_node_get_object(root)
-						    : NULL;
+	return node ? json_node_get_object(node) : NULL;
 }
 
 /*
@@ -461,20 +465,20 @@
 void ctl_command_print(const struct ctl_command *command, const char *body,
 		       bool json, FILE *out)
 {
-	JsonParser *parser;
-	JsonObject *answer = parse_object(body, &parser);
+	JsonNode *node = parse_answer(body);
+	JsonObject *answer = answer_object(node);
 
 	if (json || !answer) {
 		fprintf(out, "%s\n", body);
 	} else if (command->print) {
 		command->print(answer, out);
 	} else {
-		char *text = json_to_string(json_parser_get_root(parser), TRUE);
+		char *text = json_to_string(node, TRUE);
 
 		fprintf(out, "%s\n", text);
 		g_free(text);
 	}
-	g_object_unref(parser);
+	g_clear_pointer(&node, json_node_unref);
 }
 
 /*
@@ -485,8 +489,8 @@
 enum ctl_exit ctl_command_exit_status(const struct ctl_command *command,
 				      int status, const char *body)
 {
-	JsonParser *parser;
-	JsonObject *answer = parse_object(body, &parser);
+	JsonNode *node = parse_answer(body);
+	JsonObject *answer = answer_object(node);
 	enum ctl_exit result = status == 200 ? CTL_OK : CTL_REFUSED;
 	const char *effect = "";
 
@@ -499,22 +503,19 @@
 	else if (command->may_change && (!answer || !*effect) &&
 		 (status == 200 || status >= 500))
 		result = CTL_UNKNOWN;
-	g_object_unref(parser);
+	g_clear_pointer(&node, json_node_unref);
 	return result;
 }
 
 /* Returns one line with the reason for a refusal; the caller frees it. */
 char *ctl_command_refusal_text(int status, const char *body)
 {
-	JsonParser *parser;
-	JsonObject *answer = parse_object(body, &parser);
-	JsonNode *node =
-		answer ? json_object_get_member(answer, "error") : NULL;
+	JsonNode *node = parse_answer(body);
+	JsonObject *answer = answer_object(node);
+	JsonObject *error = answer ? json_member_object(answer, "error") : NULL;
 	char *text;
 
-	if (node && JSON_NODE_HOLDS_OBJECT(node)) {
-		JsonObject *error = json_node_get_object(node);
-
+	if (error) {
 		text = g_strdup_printf("%s: %s", get_string(error, "code"),
 				       get_string(error, "message"));
 	} else {
@@ -524,6 +525,6 @@
 		if (g_ascii_iscntrl(*p))
 			*p = '?';
 	}
-	g_object_unref(parser);
+	g_clear_pointer(&node, json_node_unref);
 	return text;
 }
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -1,3 +1,4 @@
+#include "core/plan/intent_check.h"
 #include "daemons/ctl_command.h"
 
 #include <gtest/gtest.h>
@@ -143,6 +144,28 @@
 	EXPECT_EQ(CTL_OK, ctl_command_exit_status(show, 200, "[1]"));
 }
 
+/*
+ * Guards against the end of the client by a text that is nested deeply: what a
+ * node, or something else at its address, answers, and what is to be checked.
+ */
+TEST(Ctl, RefusesDeepTexts)
+{
+	const struct ctl_command *confirm = ctl_command_find("confirm");
+	const std::string deep(300000, '[');
+	struct intent_check *check = intent_check_create(nullptr, deep.c_str());
+	char *text = ctl_command_refusal_text(500, deep.c_str());
+
+	EXPECT_EQ(CTL_UNKNOWN,
+		  ctl_command_exit_status(confirm, 200, deep.c_str()));
+	EXPECT_STREQ("HTTP status 500", text);
+	ASSERT_EQ(1u, check->findings->len);
+	EXPECT_STREQ(
+		"expected at most 32 levels at byte 32",
+		((struct intent_finding *)check->findings->pdata[0])->text);
+	intent_check_destroy(check);
+	g_free(text);
+}
+
 TEST(Ctl, EscapesPlanIdsAndRefusals)
 {
 	char *path = ctl_command_path(ctl_command_find("confirm"), "a/b c");
