--- a/fuzz/platform_fuzz.c
+++ b/fuzz/platform_fuzz.c
@@ -1,8 +1,13 @@
 #include "platform/platform.h"
 
+#include <pthread.h>
 #include <stdint.h>
 #include <stdlib.h>
 
+#define MAX_TOKEN_BYTES ((size_t)8)
+#define NESTED_LEVELS 8192
+#define SMALL_STACK_BYTES (256 * 1024)
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static void read_page(GBytes *bytes)
@@ -96,25 +101,82 @@
 		}
 }
 
-/*
- * Parses the input as each kind of message that the store, its writers or the
- * engines may send.
- */
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+static void read_texts(GBytes *bytes)
 {
-	GBytes *bytes = g_bytes_new(data, size);
 	struct error error;
 	struct config *config = platform_read_document(bytes, &error);
 
 	if (config && config->revision < 0)
 		abort();
 	config_unref(config);
-	read_parts(data, size);
-	read_last_event(data, size);
 	read_page(bytes);
 	read_entry(bytes);
 	read_engine_answers(bytes);
+}
+
+static void *read_on_small_stack(void *bytes)
+{
+	read_texts(bytes);
+	return NULL;
+}
+
+/* The size of the start of the input that begins a level; 0: none does. */
+static size_t first_token_size(const uint8_t *data, size_t size)
+{
+	bool is_object = false;
+
+	for (size_t i = 0; i < MIN(size, MAX_TOKEN_BYTES); i++) {
+		if (data[i] == '[' || (is_object && data[i] == ':'))
+			return i + 1;
+		is_object = is_object || data[i] == '{';
+	}
+	return 0;
+}
+
+/*
+ * Reads the input with its first token repeated, as inputs of the usual size
+ * are not nested deeply enough to overflow a stack. On a small stack few levels
+ * do.
+ */
+static void read_nested(const uint8_t *data, size_t size)
+{
+	size_t token_size = first_token_size(data, size);
+	GByteArray *text;
+	GBytes *bytes;
+	pthread_attr_t attributes;
+	pthread_t thread;
+
+	if (token_size == 0)
+		return;
+	text = g_byte_array_new();
+	for (int i = 0; i < NESTED_LEVELS; i++)
+		g_byte_array_append(text, data, (guint)token_size);
+	g_byte_array_append(text, data + token_size,
+			    (guint)(size - token_size));
+	bytes = g_byte_array_free_to_bytes(text);
+	pthread_attr_init(&attributes);
+	pthread_attr_setstacksize(&attributes, SMALL_STACK_BYTES);
+	if (pthread_create(&thread, &attributes, read_on_small_stack, bytes) !=
+	    0)
+		abort();
+	pthread_join(thread, NULL);
+	pthread_attr_destroy(&attributes);
+	g_bytes_unref(bytes);
+}
+
+/*
+ * Parses the input as each kind of message that the store, its writers or the
+ * engines may send.
+ */
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	GBytes *bytes = g_bytes_new(data, size);
+
+	read_parts(data, size);
+	read_last_event(data, size);
+	read_texts(bytes);
 	read_kv_answers(bytes);
 	g_bytes_unref(bytes);
+	read_nested(data, size);
 	return 0;
 }
