The soak tells each end of a node that nobody asked for

A node that ended by itself during the load was told already (checked: SIGSEGV to a node 4 s into a calm run, "node0 ended by itself with status -11", exit 1). Not told was, by reading, an end while the soak stops all processes at the end of a run, or just before a fault kills the node. Now all lives of nodes are judged once all have ended: killed by the soak with SIGKILL, or status 0 after a SIGTERM, else it is a find. Three runs with SIGSEGV at 6.5, 7 and 7.5 s: a find each, as before; none of them hit the stop itself.

--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -162,16 +162,8 @@
 		supervise_engine(fleet, member);
 		return;
 	}
-	if (!life->term_us) {
-		soak_fleet_note_failure(fleet,
-					"%s ended by itself with status %d",
-					member->name, life->status);
+	if (!life->term_us)
 		member->start_us = g_get_monotonic_time();
-	} else if (life->status != 0 && !ended_before_its_start(life)) {
-		soak_fleet_note_failure(fleet,
-					"%s ended with status %d after SIGTERM",
-					member->name, life->status);
-	}
 }
 
 static void member_tick(struct soak_fleet *fleet, struct soak_member *member,
@@ -282,6 +274,8 @@
 	for (guint i = 0; i < members->len; i++) {
 		struct soak_member *member = g_ptr_array_index(members, i);
 
+		if (!soak_process_is_running(member->process))
+			continue;
 		soak_process_signal(member->process, SIGCONT);
 		soak_process_signal(member->process, SIGTERM);
 		if (member->life && !member->life->term_us)
@@ -310,11 +304,35 @@
 	}
 }
 
+/* Notes each end of a node that nobody asked for, also while all are stopped.
+ */
+static void fleet_judge_ends(struct soak_fleet *fleet)
+{
+	const GPtrArray *lives = fleet->evidence->lives;
+
+	for (guint i = 0; i < lives->len; i++) {
+		const struct soak_life *life = g_ptr_array_index(lives, i);
+
+		if (!life->front ||
+		    (life->was_killed && life->status == -SIGKILL))
+			continue;
+		if (!life->term_us)
+			soak_fleet_note_failure(
+				fleet, "%s ended by itself with status %d",
+				life->name, life->status);
+		else if (life->status != 0 && !ended_before_its_start(life))
+			soak_fleet_note_failure(
+				fleet, "%s ended with status %d after SIGTERM",
+				life->name, life->status);
+	}
+}
+
 /* Ends all processes, the nodes first, and reads the endpoints' journals. */
 void soak_fleet_stop(struct soak_fleet *fleet)
 {
 	members_stop(fleet->nodes);
 	members_stop(fleet->endpoints);
+	fleet_judge_ends(fleet);
 	soak_process_kill(fleet->store);
 	fleet_read_journals(fleet);
 }
