--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -1,5 +1,6 @@
 #include "adapters/gateway/answer_excess.h"
 #include "adapters/gateway/exchange_state.h"
+#include "core/gateway/answer_end.h"
 
 #include <string.h>
 
@@ -236,9 +237,16 @@
 	struct relay *relay = data;
 	struct exchange *exchange = relay->exchange;
 	struct caller *caller = exchange->caller;
+	const struct answer_end_input input = {
+		.is_from_node = true,
+		.is_ended_by_close = attempt_is_ended_by_close(relay->attempt),
+		.is_within_event = relay->events &&
+				   !event_scanner_at_boundary(relay->events),
+	};
+	enum answer_end end = answer_end_decide(&input);
 
-	if (relay->events && !event_scanner_at_boundary(relay->events)) {
-		relay_fail(relay, true, "ended within an event");
+	if (end != ANSWER_WHOLE) {
+		relay_fail(relay, true, answer_end_name(end));
 		return;
 	}
 	exchange_finish_answer(exchange);
--- a/core/gateway/answer_end.h
+++ b/core/gateway/answer_end.h
@@ -16,9 +16,11 @@
 	ANSWER_WHOLE,
 	ANSWER_CUT_WITHIN_EVENT,
 	ANSWER_CUT_BEFORE_EVENT, /* the first one */
+	ANSWER_CUT_UNFRAMED,	 /* nodes send no answer that a close ends */
 };
 
 struct answer_end_input {
+	bool is_from_node;	/* relayed by another node */
 	bool is_ended_by_close; /* no length or last chunk ended it */
 	bool expects_events;	/* a success that comes in events */
 	bool is_within_event;
--- a/tests/gateway_cut_short_test.cc
+++ b/tests/gateway_cut_short_test.cc
@@ -552,6 +552,7 @@
 {
       protected:
 	DeadAddress dead{CUT_REFUSED};
+	CutEndpoint node; /* in place of n0, once it is named */
 
 	void CreatePair()
 	{
@@ -570,6 +571,26 @@
 		SaveRetries(1);
 	}
 
+	/* Makes n1 connect to the stand-in for n0. */
+	void NameStandIn()
+	{
+		struct gateway_peer *peer =
+			(struct gateway_peer *)g_hash_table_lookup(
+				nodes[1]->gateway->peers, "n0");
+
+		g_free(peer->address);
+		peer->address = g_strdup(node.address().c_str());
+	}
+
+	void AskStandIn(const std::string &path, bool is_whole)
+	{
+		std::string answer;
+		int status =
+			Ask(1, path, "n-" + std::to_string(asked++), &answer);
+
+		ExpectEnd(answer, status, is_whole);
+	}
+
 	/* Forgets what broken answers say of the endpoints. */
 	void ForgetFailures()
 	{
@@ -606,6 +627,39 @@
 	}
 }
 
+/*
+ * Guards against an answer that the connection between two nodes cuts short.
+ * What a node sends to its end is whole: it has looked for cut events itself.
+ */
+TEST_F(GatewayCutShortRelay, NodesEndNoAnswerByAClose)
+{
+	const std::string last = "\r\n0\r\n\r\n";
+
+	CreatePair();
+	for (const std::vector<cut_case> *cases :
+	     {&head_cases(), &body_cases(), &stream_cases()})
+		for (const cut_case &item : *cases)
+			for (enum cut_by cut : {CUT_BY_CLOSE, CUT_BY_RESET})
+				for (const char *path :
+				     {"/export/a", "/report/a", "/query/a"}) {
+					size_t size = item.bytes.size();
+					bool is_ended =
+						size > 7 &&
+						item.bytes.substr(size - 7) ==
+							last;
+					bool is_whole =
+						item.outcome == ALWAYS_WHOLE ||
+						(is_ended && path[1] != 'q');
+
+					SCOPED_TRACE(item.name);
+					SCOPED_TRACE(path);
+					NameStandIn();
+					node.bytes = item.bytes;
+					node.cut = cut;
+					AskStandIn(path, is_whole);
+				}
+}
+
 /* What a caller gets for two requests on one connection. */
 static std::string converse(const std::string &address,
 			    const std::string &method)
@@ -675,12 +729,14 @@
 /* The decision itself, for each input. */
 TEST(AnswerEnd, Decides)
 {
-	static const char *const ends[] = {"whole", "within", "before"};
+	static const char *const ends[] = {"whole", "within", "before",
+					   "unframed"};
 	std::string table;
 
-	for (int bits = 0; bits < 16; bits++) {
+	for (int bits = 0; bits < 32; bits++) {
 		struct answer_end_input input = {};
 
+		input.is_from_node = bits & 16;
 		input.is_ended_by_close = bits & 8;
 		input.expects_events = bits & 4;
 		input.is_within_event = bits & 2;
@@ -691,6 +747,10 @@
 	EXPECT_EQ("whole whole within within\n"
 		  "whole whole within within\n"
 		  "whole whole within within\n"
-		  "before whole within within\n",
+		  "before whole within within\n"
+		  "whole whole within within\n"
+		  "whole whole within within\n"
+		  "unframed unframed unframed unframed\n"
+		  "unframed unframed unframed unframed\n",
 		  table);
 }
