Continuations that are cut short: 12 places, by take-over and by resume

Guards: a stream that goes on from a backup, or in a new run, and is cut short there by close or reset never looks whole.

--- a/tests/gateway_cut_short_test.cc
+++ b/tests/gateway_cut_short_test.cc
@@ -11,6 +11,9 @@
 /* Iterations of the loop in which the peer reads before the end. */
 static constexpr int ticks_before_end = 6;
 
+/* From a run's first event until its backup may exist. */
+static constexpr int ms_until_backup = 500;
+
 static const std::string id_field = "X-Siskinlink-Request-Id: ";
 
 /* An endpoint that sends a part of an answer to each request and stops. */
@@ -32,9 +35,11 @@
 		return listener.address();
 	}
 
-	std::string bytes;     /* sent in answer to a request; %ID is its id */
-	std::string continued; /* the same, where it goes on after an event */
+	std::string bytes;    /* sent in answer to a request; %ID is its id */
+	bool goes_on = false; /* continued is sent after an event */
+	std::string continued;
 	enum cut_by cut = CUT_BY_CLOSE;
+	int first_ticks = ticks_before_end; /* where nothing goes on */
 	int first_whole = 0; /* answers to a connection's first requests */
 	int accepted = 0;
 	std::map<std::string, int> requests; /* by id */
@@ -45,6 +50,7 @@
 		std::unique_ptr<Connection> peer;
 		int answered = 0;
 		int ticks = -1; /* since the cut answer was sent */
+		int last_tick = ticks_before_end;
 	};
 
 	static gboolean OnTick(gpointer data)
@@ -75,7 +81,7 @@
 		size_t end, at;
 
 		peer->read();
-		if (item->ticks >= 0 && ++item->ticks > ticks_before_end) {
+		if (item->ticks >= 0 && ++item->ticks > item->last_tick) {
 			if (cut == CUT_BY_RESET)
 				peer->reset();
 			else
@@ -108,9 +114,10 @@
 			       "%ID\r\nX-Siskinlink-Engine-Stamp: i-1\r\n"
 			       "Content-Length: 2\r\n\r\nok";
 		item->ticks = 0;
-		if (!continued.empty() &&
+		if (goes_on &&
 		    request.find("Last-Event-Id: ") != std::string::npos)
 			return continued;
+		item->last_tick = first_ticks;
 		return bytes;
 	}
 
@@ -417,6 +424,26 @@
 			EXPECT_GE(2, Sends(id));
 	}
 
+	/* One stream that breaks after event 0 and goes on elsewhere. */
+	void ExpectContinued(const std::string &path, bool is_whole)
+	{
+		std::string answer;
+		int status =
+			Ask(0, path, "r-" + std::to_string(asked++), &answer,
+			    "X-Siskinlink-Token-Count: 100,2000\r\n");
+		std::string heads = engines[0].heads + engines[1].heads;
+
+		EXPECT_EQ(200, status) << answer;
+		EXPECT_EQ(is_whole, is_framed_whole(answer)) << answer;
+		EXPECT_NE(answer.npos, answer.find(event_0)) << answer;
+		EXPECT_EQ(answer.npos, answer.find("id: 2")) << answer;
+		if (is_whole)
+			EXPECT_NE(answer.npos, answer.find(event_1)) << answer;
+		EXPECT_NE(heads.npos, heads.find("Last-Event-Id: 0")) << heads;
+		EXPECT_EQ(path[1] == 'r', heads.find("Kv-From: ") != heads.npos)
+			<< heads;
+	}
+
 	void TearDownNodes()
 	{
 		GatewayPair::TearDown();
@@ -547,6 +574,62 @@
 				    engines[0].accepted + engines[1].accepted);
 }
 
+/* What is left of a stream after its first event, cut short or not. */
+static const std::vector<cut_case> &continued_cases()
+{
+	static const std::string events = head + event_type;
+	static const std::string begun = events + chunked + "\r\n";
+	static const std::vector<cut_case> cases = {
+		{"before any byte", "", NEVER_WHOLE},
+		{"within the status line", "HTTP/1.1 200", NEVER_WHOLE},
+		{"within a value", head + "Content-Length: 1", NEVER_WHOLE},
+		{"after no length", events, NEVER_WHOLE},
+		{"within the head after an interim answer",
+		 early + "\r\n" + events, NEVER_WHOLE},
+		{"after the head", events + "\r\n", NEVER_WHOLE},
+		{"after a comment", events + "\r\n: wait\n\n", NEVER_WHOLE},
+		{"within an event", events + "\r\n" + event_1 + "id: 2\nda",
+		 NEVER_WHOLE},
+		{"after an event", events + "\r\n" + event_1, WHOLE_IF_CLOSED},
+		{"after the head with chunks", begun, NEVER_WHOLE},
+		{"after an event's chunk", begun + chunk(event_1), NEVER_WHOLE},
+		{"after the last chunk", begun + chunk(event_1) + "0\r\n\r\n",
+		 ALWAYS_WHOLE},
+	};
+
+	return cases;
+}
+
+/*
+ * Guards against a stream that goes on at another engine, is cut short there
+ * and looks whole: taken over from a backup, or resumed in a new run.
+ */
+TEST_F(GatewayCutShort, ContinuationsAreCutTheSame)
+{
+	backs_up = true;
+	for (const cut_case &item : continued_cases())
+		for (enum cut_by cut : {CUT_BY_CLOSE, CUT_BY_RESET})
+			for (const char *path : {"/report/a", "/query/a"}) {
+				SCOPED_TRACE(item.name);
+				SCOPED_TRACE(path);
+				CreateNode(head + event_type + chunked +
+						   "\r\n" + chunk(event_0),
+					   cut);
+				for (CutEndpoint &engine : engines) {
+					engine.heads.clear();
+					engine.continued = item.bytes;
+					engine.goes_on = true;
+					engine.first_ticks =
+						path[1] == 'r'
+							? ms_until_backup
+							: ticks_before_end;
+				}
+				ExpectContinued(path, IsWhole(item, cut));
+				TearDownNodes();
+			}
+	Create(1);
+}
+
 /* Node n1 reaches no endpoint, and passes its requests on through n0. */
 class GatewayCutShortRelay : public GatewayCutShort
 {
