TWICE: a reset call counted as an engine that is gone

What callers saw: nothing; each event came once.

Cause: a call to stop a run that failed before its first byte was sent, by whatever error, told "no engine", and the run went on at once. An engine that has as many connections as it takes resets further ones, and works on. What was known of one call was taken for knowledge of the engine.

Change: a call tells "no listener" only if its connection was refused (ECONNREFUSED), and the engine counts as ended only if no other request has a connection to that start of it: a process that ends closes all of them. All else that was not sent is asked again, like a call without an answer, but leaves no doubt whether the run was stopped. A connection that was accepted and reset shows that the engine is in reach, and so does an event for another request; neither is taken for out of reach when the patience is over. A call that can't be started locally is not "may have been done" either.

An engine that has ended is left at once, as before (GoesOnAtOnceWhereItsEngineEnds).

Tests: AsksAnEngineThatResetsItsCalls and AsksAnEngineThatListensNoMore failed on the code before: 2.9 s and 3.1 s of two engines, no call to stop. They don't depend on a race: the engine's listener comes first in the loop, and resets before the node looks. Scripts in tests/run_stop; the random test draws the new event as well. Model: MUTANT_9 of spec/handover.pml is found out.

--- a/adapters/gateway/attempt.c
+++ b/adapters/gateway/attempt.c
@@ -311,6 +311,19 @@
 	return attempt->is_connected || tcp_stream_has_sent(attempt->stream);
 }
 
+/* Whether no process listens at the endpoint's address. */
+bool attempt_is_refused(const struct attempt *attempt)
+{
+	return tcp_stream_is_refused(attempt->stream);
+}
+
+/* Whether the endpoint has accepted the connection, and may have reset it. */
+bool attempt_was_accepted(const struct attempt *attempt)
+{
+	return attempt->is_connected ||
+	       tcp_stream_was_accepted(attempt->stream);
+}
+
 /* Whether the connection has been established. */
 bool attempt_is_connected(const struct attempt *attempt)
 {
--- a/adapters/gateway/copy_call.c
+++ b/adapters/gateway/copy_call.c
@@ -19,9 +19,13 @@
 };
 
 static const char *const result_names[] = {
-	[COPY_RESULT_COPIED] = "copied",     [COPY_RESULT_KEPT] = "kept",
-	[COPY_RESULT_NO_RUN] = "no_run",     [COPY_RESULT_REFUSED] = "refused",
-	[COPY_RESULT_NOT_SENT] = "not_sent", [COPY_RESULT_FAILED] = "failed",
+	[COPY_RESULT_COPIED] = "copied",
+	[COPY_RESULT_KEPT] = "kept",
+	[COPY_RESULT_NO_RUN] = "no_run",
+	[COPY_RESULT_REFUSED] = "refused",
+	[COPY_RESULT_NO_LISTENER] = "no_listener",
+	[COPY_RESULT_NOT_SENT] = "not_sent",
+	[COPY_RESULT_FAILED] = "failed",
 };
 
 static void call_finish(struct copy_call *call, enum copy_result result,
@@ -110,14 +114,24 @@
 	g_free(answer.handle);
 }
 
+/*
+ * Only a refused connection tells of the engine. One that is reset before the
+ * call was sent tells that it lives, as engines reset those they have no room
+ * for.
+ */
 static void on_failed(void *data, const struct error *error)
 {
 	struct copy_call *call = data;
-	bool was_sent = error->code != ERROR_UNREACHABLE ||
-			attempt_may_have_sent(call->attempt);
-
-	call_finish(call, was_sent ? COPY_RESULT_FAILED : COPY_RESULT_NOT_SENT,
-		    NULL, error->detail);
+	enum copy_result result = COPY_RESULT_NOT_SENT;
+
+	if (attempt_was_accepted(call->attempt))
+		on_opened(call);
+	if (attempt_is_refused(call->attempt))
+		result = COPY_RESULT_NO_LISTENER;
+	else if (error->code != ERROR_UNREACHABLE ||
+		 attempt_may_have_sent(call->attempt))
+		result = COPY_RESULT_FAILED;
+	call_finish(call, result, NULL, error->detail);
 }
 
 static const struct attempt_events call_events = {
--- a/adapters/gateway/copy_call.h
+++ b/adapters/gateway/copy_call.h
@@ -22,8 +22,9 @@
 				engine keeps the memory under the handle */
 	COPY_RESULT_NO_RUN,  /* the engine has no such run */
 	COPY_RESULT_REFUSED, /* nothing was copied, the run goes on */
-	COPY_RESULT_NOT_SENT, /* no connection to the engine */
-	COPY_RESULT_FAILED    /* no answer that can be read */
+	COPY_RESULT_NO_LISTENER, /* no process listens at its address */
+	COPY_RESULT_NOT_SENT,	 /* no byte was sent to the engine */
+	COPY_RESULT_FAILED	 /* no answer that can be read */
 };
 
 struct copy_answer {
@@ -34,7 +35,7 @@
 };
 
 struct copy_call_events {
-	/* The engine has accepted the connection; may be NULL. */
+	/* The engine has accepted the connection; may be NULL, or repeated. */
 	void (*connected)(void *data);
 	/* The call is over; its owner then destroys it. */
 	void (*done)(void *data, const struct copy_answer *answer);
--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -394,8 +394,49 @@
 	       exchange_kept_at(exchange);
 }
 
+/*
+ * When the leg's engine last sent an event to another request that it has a
+ * connection with; -1: there is none.
+ */
+static int64_t other_received_us(const struct exchange *exchange)
+{
+	const struct leg *leg = exchange->leg;
+	int64_t received_us = -1;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, exchange->gateway->exchanges);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct leg *other = ((const struct exchange *)key)->leg;
+
+		if (other && other != leg && other->attempt &&
+		    attempt_is_connected(other->attempt) &&
+		    other->known_us == leg->known_us &&
+		    strcmp(other->endpoint_id, leg->endpoint_id) == 0)
+			received_us = MAX(received_us, other->last_received_us);
+	}
+	return received_us;
+}
+
+/*
+ * The engine's port refuses connections. A process that ends closes all of its
+ * connections, while one that takes no more of them works on.
+ */
+static enum run_stop_event refused_event(struct exchange *exchange)
+{
+	struct run_stop *stop = &exchange->handover.stop;
+	int64_t received_us = exchange->leg ? other_received_us(exchange) : -1;
+
+	if (received_us < 0)
+		return RUN_STOP_NO_ENGINE;
+	if (received_us > stop->begun_us)
+		run_stop_note_reached(stop);
+	return RUN_STOP_NOT_ASKED;
+}
+
 /* What the end of a call tells of the run at the engine that was asked. */
-static enum run_stop_event stop_event(enum copy_result result)
+static enum run_stop_event stop_event(struct exchange *exchange,
+				      enum copy_result result)
 {
 	switch (result) {
 	case COPY_RESULT_COPIED:
@@ -405,8 +446,10 @@
 		return RUN_STOP_NO_RUN;
 	case COPY_RESULT_REFUSED:
 		return RUN_STOP_REFUSED;
+	case COPY_RESULT_NO_LISTENER:
+		return refused_event(exchange);
 	case COPY_RESULT_NOT_SENT:
-		return RUN_STOP_NO_ENGINE;
+		return RUN_STOP_NOT_ASKED;
 	case COPY_RESULT_FAILED:
 		break;
 	}
@@ -426,7 +469,7 @@
 {
 	struct exchange *exchange = data;
 
-	run_stop_note_connected(&exchange->handover.stop);
+	run_stop_note_reached(&exchange->handover.stop);
 }
 
 static void log_answer(const struct exchange *exchange,
@@ -470,7 +513,8 @@
 		 !exchange_is_stopping(exchange))
 		handover_free_kept(exchange);
 	else
-		exchange_apply_stop(exchange, stop_event(answer->result));
+		exchange_apply_stop(exchange,
+				    stop_event(exchange, answer->result));
 }
 
 static const struct copy_call_events stop_events = {
@@ -520,7 +564,7 @@
 	handover->call = start_call(exchange, stop_target_address(exchange),
 				    true, &stop_events, &error);
 	if (!handover->call)
-		exchange_apply_stop(exchange, RUN_STOP_NO_ANSWER);
+		exchange_apply_stop(exchange, RUN_STOP_NOT_ASKED);
 }
 
 /* Logs what became of a stop, and what told so. */
--- a/adapters/gateway/tcp_stream.c
+++ b/adapters/gateway/tcp_stream.c
@@ -44,7 +44,8 @@
 	int64_t opened_us; /* when the connection was established */
 	bool reading;
 	bool has_sent;
-	bool finishing; /* without owner: sends the rest, then closes */
+	int connect_errno; /* why it failed to connect; 0: it did not */
+	bool finishing;	   /* without owner: sends the rest, then closes */
 	bool write_closed;
 	size_t unread_bytes; /* see tcp_stream_unread_bytes; once failed */
 	char peer[64];
@@ -206,6 +207,7 @@
 	if (stream->connecting) {
 		getsockopt(stream->fd, SOL_SOCKET, SO_ERROR, &number, &size);
 		if (number) {
+			stream->connect_errno = number;
 			stream_fail(stream, STEP_CONNECT, number);
 			return;
 		}
@@ -460,6 +462,25 @@
 	return stream->has_sent;
 }
 
+/*
+ * Whether no process listens at the peer's address. Its host refuses such a
+ * connection; a process that has too many resets it once it is established.
+ */
+bool tcp_stream_is_refused(const struct tcp_stream *stream)
+{
+	return stream->connect_errno == ECONNREFUSED;
+}
+
+/*
+ * Whether a process has accepted the connection, also if it has reset it before
+ * this one noticed.
+ */
+bool tcp_stream_was_accepted(const struct tcp_stream *stream)
+{
+	return stream->opened_us || stream->connect_errno == ECONNRESET ||
+	       stream->connect_errno == EPIPE;
+}
+
 /*
  * Returns the monotonic time, in us, at which tcp_stream_connect established
  * the connection; 0: not yet.
--- a/core/gateway/run_stop.c
+++ b/core/gateway/run_stop.c
@@ -33,6 +33,7 @@
 	[RUN_STOP_NO_RUN] = "no_run",
 	[RUN_STOP_REFUSED] = "refused",
 	[RUN_STOP_NO_ENGINE] = "no_engine",
+	[RUN_STOP_NOT_ASKED] = "not_asked",
 	[RUN_STOP_NO_ANSWER] = "no_answer",
 };
 
@@ -112,8 +113,9 @@
 {
 	if (!run_stop_is_pending(stop))
 		return RUN_STOP_WAIT;
-	stop->was_heard |=
-		event != RUN_STOP_STREAM_LOST && event != RUN_STOP_NO_ANSWER;
+	stop->was_heard |= event != RUN_STOP_STREAM_LOST &&
+			   event != RUN_STOP_NOT_ASKED &&
+			   event != RUN_STOP_NO_ANSWER;
 	switch (event) {
 	case RUN_STOP_STREAM_ENDED:
 		return go_on(stop);
@@ -129,6 +131,7 @@
 	case RUN_STOP_REFUSED:
 		stop->was_refused = true;
 		return apply_not_stopped(stop);
+	case RUN_STOP_NOT_ASKED:
 	case RUN_STOP_NO_ANSWER:
 		stop->is_unanswered = true;
 		return RUN_STOP_WAIT;
@@ -142,10 +145,13 @@
 	stop->was_heard = true;
 }
 
-/* Notes that the engine has accepted the connection of the call. */
-void run_stop_note_connected(struct run_stop *stop)
+/*
+ * Notes that the engine has accepted the connection of the call, even if it
+ * then reset it, or has sent something to another request meanwhile.
+ */
+void run_stop_note_reached(struct run_stop *stop)
 {
-	stop->is_connected = true;
+	stop->is_reached = true;
 }
 
 static bool is_out_of_patience(const struct run_stop *stop, int64_t now_us)
@@ -159,7 +165,7 @@
 	if (++stop->calls_ignored >= MAX_IGNORED_CALLS)
 		return set_state(stop, RUN_STOP_NONE, RUN_STOP_GIVE_UP);
 	stop->is_unanswered = false;
-	stop->is_connected = false;
+	stop->is_reached = false;
 	stop->begun_us = now_us;
 	stop->asked_us = now_us;
 	return RUN_STOP_ASK;
@@ -173,7 +179,7 @@
 static enum run_stop_action run_stop_expire(struct run_stop *stop,
 					    int64_t now_us)
 {
-	bool is_reached = stop->was_heard || stop->is_connected ||
+	bool is_reached = stop->was_heard || stop->is_reached ||
 			  stop->state == RUN_STOP_CLOSING;
 
 	if (stop->was_accepted)
@@ -182,7 +188,7 @@
 		return stay(stop);
 	if (stop->was_refused)
 		return set_state(stop, RUN_STOP_NONE, RUN_STOP_GIVE_UP);
-	if (!stop->is_connected)
+	if (!stop->is_reached)
 		return set_state(stop, RUN_STOP_UNREACHED, RUN_STOP_GO_ON);
 	if (!stop->is_unanswered && now_us - stop->asked_us <= PATIENCE_US)
 		return RUN_STOP_WAIT;
--- a/core/gateway/run_stop.h
+++ b/core/gateway/run_stop.h
@@ -38,6 +38,7 @@
 	RUN_STOP_NO_RUN,       /* the engine has no such run */
 	RUN_STOP_REFUSED,      /* the engine works on */
 	RUN_STOP_NO_ENGINE,    /* no process accepts connections there */
+	RUN_STOP_NOT_ASKED,    /* the call was not sent */
 	RUN_STOP_NO_ANSWER     /* the call failed, and may have been done */
 };
 
@@ -54,13 +55,13 @@
 struct run_stop {
 	enum run_stop_state state;
 	enum run_stop_cause cause;
-	bool is_open;	    /* the stream of its engine */
-	bool can_ask;	    /* the engine takes calls to stop a run */
-	bool was_accepted;  /* the engine says that it has stopped the run */
-	bool was_refused;   /* the engine says that it works on */
-	bool is_unanswered; /* the newest call failed, or changed nothing */
-	bool was_heard;	    /* the engine has answered or sent an event */
-	bool is_connected;  /* the engine has accepted the call's connection */
+	bool is_open;	       /* the stream of its engine */
+	bool can_ask;	       /* the engine takes calls to stop a run */
+	bool was_accepted;     /* the engine says that it has stopped the run */
+	bool was_refused;      /* the engine says that it works on */
+	bool is_unanswered;    /* the newest call failed, or changed nothing */
+	bool was_heard;	       /* the engine has answered or sent an event */
+	bool is_reached;       /* it accepts connections, or uses another one */
 	int32_t calls_ignored; /* accepted, and not answered in time */
 	bool waits_anew;       /* the patience begins again */
 	int64_t begun_us;      /* of the patience */
@@ -73,7 +74,7 @@
 enum run_stop_action run_stop_apply(struct run_stop *stop,
 				    enum run_stop_event event);
 void run_stop_note_event(struct run_stop *stop);
-void run_stop_note_connected(struct run_stop *stop);
+void run_stop_note_reached(struct run_stop *stop);
 enum run_stop_action run_stop_step(struct run_stop *stop, int64_t now_us);
 bool run_stop_is_pending(const struct run_stop *stop);
 const char *run_stop_state_name(enum run_stop_state state);
--- a/spec/handover.pml
+++ b/spec/handover.pml
@@ -196,8 +196,14 @@
 	if
 	:: call[at & 1] ! calls;
 		has_call = true
+	/* Lost before it was sent: a connection that is reset tells nothing. */
 	:: losses < LOSSES -> losses++;
+#ifdef MUTANT_9 /* counts as an engine that is gone */
+		has_call = true;
+		reply[at & 1] ! no_engine, calls
+#else
 		has_call = false
+#endif
 	fi
 }
 
--- a/tests/evacuation_script.cc
+++ b/tests/evacuation_script.cc
@@ -209,7 +209,7 @@
 			return;
 		}
 		if (is_reached)
-			run_stop_note_connected(&stop);
+			run_stop_note_reached(&stop);
 		if (now >= scene.end)
 			Act(run_stop_apply(&stop, RUN_STOP_STREAM_ENDED));
 		else if (is_reached && !scene.stops &&
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -452,6 +452,69 @@
 	ExpectWhole();
 }
 
+/* Guards against two engines on one run where its engine has no room for the
+ * call to stop it, and resets that connection before a byte was sent. */
+TEST_F(GatewayHandoverMore, AsksAnEngineThatResetsItsCalls)
+{
+	SetPace(50, 80);
+	Start(true, true);
+	from->busy_ms = 2000;
+	from->busy_at = 20;
+	Finish();
+	ExpectWhole();
+	EXPECT_EQ(1, from->stops);
+}
+
+/* The same where the engine listens no more, and works on for others. */
+TEST_F(GatewayHandoverMore, AsksAnEngineThatListensNoMore)
+{
+	std::vector<std::unique_ptr<Connection>> others;
+	auto has_other = [&] {
+		bool found = false;
+
+		for (const auto &run : from->work)
+			found |= run.first != id && from->IsAtWork(run.first);
+		return found;
+	};
+
+	SetPace(50, 80);
+	Start(true, true);
+	from->busy_refuses = true;
+	from->busy_ms = 2000;
+	for (int i = 2; i < 6; i++) {
+		others.emplace_back(Connection::open(nodes[asked]->address));
+		others.back()->send("POST " + path +
+				    " HTTP/1.1\r\nHost: h\r\n"
+				    "X-Siskinlink-Request-Id: r-" +
+				    std::to_string(i) +
+				    "\r\nX-Siskinlink-Token-Count: 100,2000\r\n"
+				    "Content-Length: 0\r\n\r\n");
+	}
+	ASSERT_TRUE(run_until(has_other));
+	from->busy_at = 20;
+	Finish();
+	ExpectWhole();
+	EXPECT_EQ(1, from->stops);
+}
+
+/* Guards against a stream that waits for an engine that has ended. */
+TEST_F(GatewayHandoverMore, GoesOnAtOnceWhereItsEngineEnds)
+{
+	int64_t ended_us, begun_us = 0;
+
+	SetPace(50, 60);
+	Start(true, true);
+	Wait(700);
+	ended_us = g_get_monotonic_time();
+	from->Crash();
+	Finish();
+	for (ModelEngine *engine : engines)
+		if (engine != from && !engine->work[id].empty())
+			begun_us = engine->work[id].back().from_us;
+	EXPECT_LE(begun_us - ended_us, 600000);
+	ExpectWhole();
+}
+
 /* Guards against a stream that is lost where the last copy is complete after
  * the time at which its own engine may get requests. */
 TEST_F(GatewayHandoverMore, GoesOnWithTheLastCopy)
--- a/tests/model_engine.cc
+++ b/tests/model_engine.cc
@@ -78,21 +78,41 @@
 		g_source_remove(call->timer);
 		delete call;
 	}
-	g_source_remove(source);
+	StopListening();
+	if (listens_again)
+		g_source_remove(listens_again);
 	close(fd);
 }
 
+/* Resets all new connections, before their callers see that they are open. */
+static void reset_all(int fd)
+{
+	const struct linger at_once = {1, 0};
+	int accepted;
+
+	while ((accepted = accept4(fd, nullptr, nullptr, SOCK_CLOEXEC)) >= 0) {
+		setsockopt(accepted, SOL_SOCKET, SO_LINGER, &at_once,
+			   sizeof(at_once));
+		close(accepted);
+	}
+	g_usleep(5000);
+}
+
 gboolean ModelEngine::on_connection(gint fd, GIOCondition condition,
 				    gpointer data)
 {
 	static const struct tcp_stream_events events = {
 		nullptr, on_received, on_ended, on_failed, nullptr};
 	ModelEngine *engine = (ModelEngine *)data;
-	int accepted =
-		accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
 	struct connection *connection;
+	int accepted;
 
 	(void)condition;
+	if (g_get_monotonic_time() < engine->resets_until_us) {
+		reset_all(fd);
+		return G_SOURCE_CONTINUE;
+	}
+	accepted = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
 	if (accepted < 0)
 		return G_SOURCE_CONTINUE;
 	connection = new struct connection();
@@ -102,6 +122,49 @@
 	return G_SOURCE_CONTINUE;
 }
 
+gboolean ModelEngine::on_listening(gpointer data)
+{
+	ModelEngine *engine = (ModelEngine *)data;
+
+	engine->listens_again = 0;
+	EXPECT_EQ(0, listen(engine->fd, 512));
+	engine->source =
+		g_unix_fd_add(engine->fd, G_IO_IN, on_connection, engine);
+	return G_SOURCE_REMOVE;
+}
+
+/* Keeps the port, which refuses connections from now on. */
+void ModelEngine::StopListening()
+{
+	if (source)
+		g_source_remove(source);
+	source = 0;
+	shutdown(fd, SHUT_RDWR);
+}
+
+/* Takes no new connections for busy_ms. */
+void ModelEngine::BeBusy()
+{
+	busy_at = -1;
+	if (!busy_refuses) {
+		resets_until_us =
+			g_get_monotonic_time() + busy_ms * (int64_t)1000;
+		return;
+	}
+	StopListening();
+	listens_again = g_timeout_add((guint)busy_ms, on_listening, this);
+}
+
+/* Ends as a process does: its runs, its connections and its port. */
+void ModelEngine::Crash()
+{
+	StopListening();
+	while (!active.empty())
+		End(*active.begin());
+	while (!connections.empty())
+		Close(*connections.begin());
+}
+
 /* Closes a connection once what was sent has arrived. */
 void ModelEngine::Close(struct connection *connection)
 {
@@ -204,8 +267,12 @@
 		engine->Send(run, "id: " + std::to_string(run->next) +
 					  "\ndata: x\n\n");
 		run->next++;
-		if (run->next == engine->breaks_at && connection)
+		if (run->next == engine->busy_at) {
+			engine->BeBusy();
+			engine->Close(connection);
+		} else if (run->next == engine->breaks_at && connection) {
 			engine->Close(connection);
+		}
 		run->timer =
 			g_timeout_add((guint)engine->pace_ms, on_event, run);
 		return G_SOURCE_REMOVE;
--- a/tests/model_engine.h
+++ b/tests/model_engine.h
@@ -45,6 +45,9 @@
 	int silent_from = -1;	    /* no events from that one on */
 	int silence_ms = 0;	    /* for that long */
 	int breaks_at = -1; /* the connection is lost there, the run goes on */
+	int busy_at = -1; /* the same, once; new connections fail for a while */
+	int busy_ms = 0;
+	bool busy_refuses = false; /* no process listens; else they are reset */
 
 	/* Times between which the engine worked on a request; to_us 0: still */
 	struct span {
@@ -57,6 +60,7 @@
 	int copies_freed = 0;
 
 	bool IsAtWork(const std::string &request) const;
+	void Crash();
 
       private:
 	struct run;
@@ -66,6 +70,9 @@
 				      gpointer data);
 	static gboolean on_event(gpointer data);
 	static gboolean on_answer(gpointer data);
+	static gboolean on_listening(gpointer data);
+	void StopListening();
+	void BeBusy();
 	static gboolean on_late_call(gpointer data);
 	static void on_received(void *data, const char *bytes, size_t size);
 	static void on_ended(void *data);
@@ -88,8 +95,10 @@
 	std::set<struct connection *> connections;
 	std::set<struct late_call *> late_calls;
 	int64_t busy_until_us = 0;
+	int64_t resets_until_us = 0;
 	int fd;
 	guint source;
+	guint listens_again = 0;
 };
 
 #endif
--- a/tests/run_stop_test.cc
+++ b/tests/run_stop_test.cc
@@ -23,7 +23,7 @@
 const enum run_stop_event all_events[] = {
 	RUN_STOP_STREAM_ENDED, RUN_STOP_STREAM_LOST, RUN_STOP_ACCEPTED,
 	RUN_STOP_NO_RUN,       RUN_STOP_REFUSED,     RUN_STOP_NO_ENGINE,
-	RUN_STOP_NO_ANSWER,
+	RUN_STOP_NOT_ASKED,    RUN_STOP_NO_ANSWER,
 };
 
 std::vector<std::string> script_names()
@@ -60,6 +60,7 @@
  *     event               an event of the run arrives
  *     connected           the engine has accepted the call's connection
  *     until MS            time passes, in steps
+ *     reset_until MS      the same; each call's connection is reset at once
  */
 class Script
 {
@@ -74,13 +75,15 @@
 		if (name == "begin")
 			return Begin(in);
 		if (name == "until")
-			return Until(in);
+			return Until(in, false);
+		if (name == "reset_until")
+			return Until(in, true);
 		if (name == "event") {
 			run_stop_note_event(&stop);
 			return State();
 		}
 		if (name == "connected") {
-			run_stop_note_connected(&stop);
+			run_stop_note_reached(&stop);
 			return State();
 		}
 		auto event = find_event(name);
@@ -117,19 +120,28 @@
 					   0));
 	}
 
-	std::string Until(std::istringstream &in)
+	std::string Until(std::istringstream &in, bool resets_calls)
 	{
 		std::string seen;
 		int64_t end_ms = 0;
+		int resets = 0;
 
 		for (in >> end_ms; now_ms < end_ms;) {
 			now_ms += kStepMs;
 			auto action = run_stop_step(&stop, now_ms * kUsPerMs);
 
+			if (action == RUN_STOP_ASK && resets_calls) {
+				resets++;
+				run_stop_note_reached(&stop);
+				action = run_stop_apply(&stop,
+							RUN_STOP_NOT_ASKED);
+			}
 			if (action != RUN_STOP_WAIT)
 				seen += std::to_string(now_ms) + " " +
 					action_names[action] + ", ";
 		}
+		if (resets_calls)
+			seen += std::to_string(resets) + " resets, ";
 		return seen + State();
 	}
 };
@@ -253,10 +265,11 @@
 
 	void TellOfCall()
 	{
-		enum run_stop_event event = all_events[2 + Below(5)];
+		enum run_stop_event event = all_events[2 + Below(6)];
 
 		has_call = false;
-		if (event != RUN_STOP_NO_ANSWER) {
+		if (event != RUN_STOP_NOT_ASKED &&
+		    event != RUN_STOP_NO_ANSWER) {
 			works = event == RUN_STOP_REFUSED;
 			has_refused |= works;
 			has_accepted = event == RUN_STOP_ACCEPTED;
@@ -275,7 +288,7 @@
 		if (has_call && !is_connected && Below(3) == 0) {
 			trace += trace_at + "connected";
 			is_connected = true;
-			run_stop_note_connected(&stop);
+			run_stop_note_reached(&stop);
 		} else if (has_call && (!is_open || Below(2))) {
 			TellOfCall();
 		} else if (is_open) {
