--- a/tests/gateway_cut_short_test.cc
+++ b/tests/gateway_cut_short_test.cc
@@ -437,8 +437,9 @@
 		EXPECT_EQ(is_whole, is_framed_whole(answer)) << answer;
 		EXPECT_NE(answer.npos, answer.find(event_0)) << answer;
 		EXPECT_EQ(answer.npos, answer.find("id: 2")) << answer;
-		if (is_whole)
+		if (is_whole) {
 			EXPECT_NE(answer.npos, answer.find(event_1)) << answer;
+		}
 		EXPECT_NE(heads.npos, heads.find("Last-Event-Id: 0")) << heads;
 		EXPECT_EQ(path[1] == 'r', heads.find("Kv-From: ") != heads.npos)
 			<< heads;
