Soak fault entry_odd: a stranger writes odd entries among the endpoints'

They are removed at the end of the fault. The promises hold as without them: the kind is planned work.

--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -1,5 +1,6 @@
 #include "tests/soak/soak_fleet.h"
 #include "tests/soak/soak_fleet_state.h"
+#include "tests/soak/soak_odd.h"
 #include "tests/soak/soak_platform.h"
 
 #include <signal.h>
@@ -469,6 +470,27 @@
 		soak_fleet_configure(fleet);
 }
 
+/* Writes odd entries, unless they are there already. */
+static void odd_entries_write(struct soak_fleet *fleet)
+{
+	struct error error = {0};
+
+	if (fleet->odd_entries++ == 0 &&
+	    !soak_odd_write(fleet->store_address, fleet->schedule->seed,
+			    &error))
+		soak_fleet_note_failure(fleet, "odd entries: %s", error.detail);
+}
+
+/* Removes them at the end of the last fault of the kind. */
+static void odd_entries_remove(struct soak_fleet *fleet)
+{
+	struct error error = {0};
+
+	if (--fleet->odd_entries == 0 &&
+	    !soak_odd_remove(fleet->store_address, &error))
+		soak_fleet_note_failure(fleet, "odd entries: %s", error.detail);
+}
+
 static const struct {
 	member_action begin;
 	member_action end;
@@ -674,6 +696,8 @@
 		idle_limit_lower(fleet);
 	if (fault->kind == SOAK_CONFIG_URGENT)
 		urgency_raise(fleet);
+	if (fault->kind == SOAK_ENTRY_ODD)
+		odd_entries_write(fleet);
 	if (fault->kind == SOAK_CONFIG)
 		soak_fleet_configure(fleet);
 	for (int i = 0; fault->kind == SOAK_CONFIG_STORM && i < STORM_VERSIONS;
@@ -698,6 +722,8 @@
 		idle_limit_restore(fleet);
 	if (fault->kind == SOAK_CONFIG_URGENT)
 		urgency_restore(fleet);
+	if (fault->kind == SOAK_ENTRY_ODD)
+		odd_entries_remove(fleet);
 	if (fault->kind == SOAK_STORE_LAPSE)
 		entries_restore(fleet);
 	soak_fleet_record_fault_end(fleet, fault->kind,
--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -285,6 +285,10 @@
 	[SOAK_ENGINE_GAPS] = {"engine_gaps", SOAK_TARGET_ENGINE, 3000, 6000,
 			      true, "an engine makes an event in 0.7 s", false,
 			      false},
+	[SOAK_ENTRY_ODD] = {"entry_odd", SOAK_TARGET_OPERATOR, 500, 4000, true,
+			    "a stranger writes odd entries among the "
+			    "endpoints'",
+			    false, false},
 };
 
 /* Returns the static description of a kind of fault. */
