LOST: an engine that resets connections counted as ended by its request

What callers saw: nothing yet; found by looking for the cause of the reset stop call elsewhere. A request whose runs broke off at engines that reset new connections was counted as one that ends engines, and may be held.

Cause: a connection that failed by any error before its first byte, a reset and a time-out too, was recorded as refused. With another engine heard, one refusal confirms that the engine has ended.

Change: only ECONNREFUSED is recorded as refused. A connection that was accepted and reset is recorded as accepted; other errors show nothing, and the registration decides, as it does for hosts that don't answer.

Test: AnEngineThatResetsHasNotEnded; with the mutant gateway_ends_reset, which records a reset as before, it fails. For the connection of a request (leg_note_unconnected) there is no test of its own.

--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -691,12 +691,20 @@
 	leg_complete(leg);
 }
 
-/* The endpoint accepted no connection. */
-static void leg_note_refused(const struct leg *leg)
+/*
+ * No connection to the endpoint could be used. Only a refused one may show that
+ * it has ended.
+ */
+static void leg_note_unconnected(const struct leg *leg)
 {
 	struct gateway *gateway = leg->exchange->gateway;
 
-	gateway_ends_note(gateway, leg->endpoint_id, CONNECTION_REFUSED);
+	if (attempt_is_refused(leg->attempt))
+		gateway_ends_note(gateway, leg->endpoint_id,
+				  CONNECTION_REFUSED);
+	else if (attempt_was_accepted(leg->attempt))
+		gateway_ends_note(gateway, leg->endpoint_id,
+				  CONNECTION_ACCEPTED);
 	gateway_reach_note_failure(gateway, leg->exchange->service_name,
 				   endpoint_key(leg->endpoint_id));
 }
@@ -711,7 +719,7 @@
 	exchange->gateway->now_us = gateway_now_us();
 	leg->has_timed_out = error->code == ERROR_TIMEOUT;
 	if (!was_sent)
-		leg_note_refused(leg);
+		leg_note_unconnected(leg);
 	if (leg == exchange->next)
 		exchange_drop_next(exchange, error->detail);
 	else
--- a/adapters/gateway/gateway_ends.c
+++ b/adapters/gateway/gateway_ends.c
@@ -48,15 +48,26 @@
 	end_probe_end(data);
 }
 
+/*
+ * A reset connection shows that the endpoint lives: it takes no more of them.
+ * One that failed otherwise shows nothing.
+ */
 static void on_probe_failed(void *data, const struct error *error)
 {
 	struct end_probe *probe = data;
 	struct gateway *gateway = probe->gateway;
+	bool is_refused = tcp_stream_is_refused(probe->stream);
 
 	(void)error;
-	lost_endpoint_note(probe->lost, CONNECTION_REFUSED, gateway_now_us());
+	if (is_refused)
+		lost_endpoint_note(probe->lost, CONNECTION_REFUSED,
+				   gateway_now_us());
+	else if (tcp_stream_was_accepted(probe->stream))
+		lost_endpoint_note(probe->lost, CONNECTION_ACCEPTED,
+				   gateway_now_us());
 	end_probe_end(probe);
-	reach_check_step(gateway);
+	if (is_refused)
+		reach_check_step(gateway);
 }
 
 static void on_received(void *data, const char *bytes, size_t size)
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -497,6 +497,19 @@
 	EXPECT_EQ(1, from->stops);
 }
 
+/* Guards against holding a request as if it had ended an engine that only
+ * resets connections. */
+TEST_F(GatewayHandoverMore, AnEngineThatResetsHasNotEnded)
+{
+	Start(true, true);
+	from->busy_ms = 800;
+	from->busy_at = 20;
+	ASSERT_TRUE(run_until([&] { return from->busy_at < 0; }));
+	Wait(500);
+	EXPECT_EQ(1u, end_watch_count(nodes[asked]->gateway->ends));
+	Finish();
+}
+
 /* Guards against a stream that waits for an engine that has ended. */
 TEST_F(GatewayHandoverMore, GoesOnAtOnceWhereItsEngineEnds)
 {
