LOST: runs were stopped so late that they could not return to their engine

Callers saw: streams cut where the next engine refuses.

Cause: the bound for the return was looked at when it was too late, after the stop. The refusals themselves were quick.

Change: a run is stopped at an engine under notice up to 1.4 s after the notice, while it can return; later it stays to its engine's end, and goes on from its copy or backup then, as after any other end. An engine that is silent is left at any time, as before.

Why it works: a leaving engine serves on, many runs end there; when it ends, the copy is still there and nothing has to be stopped. What it costs: a run that would have been accepted late moves at the engine's end, with a pause of a few events (scripts copied_late_and_engine_gone, stop_is_too_late).

--- a/core/gateway/evacuation.c
+++ b/core/gateway/evacuation.c
@@ -23,6 +23,13 @@
  */
 #define LEAVE_UNTIL_US (1200 * MS_US)
 
+/*
+ * Later after the notice, no run is stopped at an engine that works on: the
+ * other engine may refuse it, and a leaving one gets no request after a while.
+ * It stays to the engine's end, and goes on from its copy then.
+ */
+#define STOP_UNTIL_US (1400 * MS_US)
+
 /*
  * Time after a run's first event by which its backup usually exists. If the
  * backup engine is asked earlier, the backup is taken for missing, and the
@@ -86,6 +93,12 @@
 	return input->under_notice_us > LEAVE_UNTIL_US || !reads_prompts;
 }
 
+/* Whether a run that its engine stops now could still return there. */
+static bool could_return(const struct evacuation_input *input)
+{
+	return input->under_notice_us <= STOP_UNTIL_US;
+}
+
 static bool wants_copy(const struct evacuation_input *input)
 {
 	return input->can_copy && input->has_begun && !input->ends_in_time &&
@@ -108,6 +121,8 @@
 		if (!input->target_serves)
 			return EVACUATION_DROP_COPY;
 		return input->budget_left && input->may_stop &&
+				       (could_return(input) ||
+					is_silent(input)) &&
 				       may_move(input,
 						input->target_reads_prompts)
 			       ? EVACUATION_TO_COPY
@@ -121,8 +136,9 @@
 static bool may_go_to_backup(const struct evacuation_input *input)
 {
 	return input->has_begun && input->under_notice_us > LEAVE_FROM_US &&
-	       input->begun_us >= BACKUP_AGE_US && input->budget_left &&
-	       input->may_stop && may_move(input, input->backup_reads_prompts);
+	       could_return(input) && input->begun_us >= BACKUP_AGE_US &&
+	       input->budget_left && input->may_stop &&
+	       may_move(input, input->backup_reads_prompts);
 }
 
 /* Whether the backup will exist before it is too late to ask for it. */
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -1765,6 +1765,7 @@
 	local asks asked
 
 	restart_with_home
+	save_up 2
 	for i in 0 1 2; do
 		mode "${backends[$i]}" '{"no_copy": true, "events": 300}'
 	done
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -595,6 +595,29 @@
 	EXPECT_FALSE(IsWhole());
 }
 
+/* Guards against a stream that is lost as the other engine wants no request
+ * until its own one, which would have served it to its end, may not take it
+ * back. */
+TEST_F(GatewayHandoverMore, StaysWhereItCouldNotReturn)
+{
+	SetPace(50, 70);
+	Start(true, true);
+	Wait(700);
+	for (ModelEngine *engine : engines) {
+		struct endpoint *endpoint = registry_find(
+			nodes[asked]->gateway->registry, engine->id.c_str());
+
+		if (engine == from)
+			continue;
+		engine->has_copies = false;
+		endpoint->rest.until_us = gateway_now_us() + 1600000;
+	}
+	Leave(from);
+	Finish();
+	ExpectWhole();
+	EXPECT_EQ(0, from->stops);
+}
+
 /* Guards against a stream that is lost for want of a retry, as the other engine
  * refuses a run that its own one has stopped. */
 TEST_F(GatewayHandoverMore, ReturnsWithoutARetry)
