--- a/adapters/http_answer.c
+++ b/adapters/http_answer.c
@@ -10,6 +10,13 @@
 #define US_PER_MS 1000
 #define US_PER_S 1000000
 
+const struct http_problem http_problem_incomplete = {
+	SOUP_STATUS_BAD_REQUEST,
+	"incomplete_request",
+	"the connection was closed within the request",
+	NULL,
+	RUN_NO,
+	0};
 const struct http_problem http_problem_not_found = {
 	404, "not_found", "nothing is served under this path", NULL, RUN_NO, 0};
 const struct http_problem http_problem_method_not_allowed = {
--- a/adapters/http_answer.h
+++ b/adapters/http_answer.h
@@ -24,6 +24,7 @@
 };
 
 /* Refusals that the HTTP server sends before a call reaches the core. */
+extern const struct http_problem http_problem_incomplete;
 extern const struct http_problem http_problem_not_found;
 extern const struct http_problem http_problem_method_not_allowed;
 extern const struct http_problem http_problem_header_too_large;
--- a/adapters/http_server.c
+++ b/adapters/http_server.c
@@ -7,6 +7,8 @@
 #include "adapters/http_server_state.h"
 #include "adapters/http_upload.h"
 
+#include <sys/socket.h>
+
 /* A collected answer may have this size even if max_body_bytes is smaller. */
 #define COLLECT_BYTES_MIN 1048576
 #define IDLE_TIMEOUT_MS 60000 /* without a byte in either direction */
@@ -107,6 +109,20 @@
 	http_listener_end_call(message);
 }
 
+/*
+ * Whether the caller has closed its sending side. libsoup takes a close within
+ * a head or after the last chunk's size for their end, so that the request may
+ * be a part of one. A whole one whose caller has closed would be abandoned.
+ */
+static bool message_is_closed(SoupServerMessage *message)
+{
+	GSocket *socket = http_listener_socket(message);
+	char byte;
+
+	return !socket || recv(g_socket_get_fd(socket), &byte, sizeof(byte),
+			       MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void server_handle(SoupServer *soup, SoupServerMessage *message,
 			  const char *path, GHashTable *query, gpointer data)
 {
@@ -117,7 +133,10 @@
 	(void)query;
 	g_signal_connect(message, "finished", G_CALLBACK(call_finished), NULL);
 	http_listener_begin_call(message);
-	http_route_dispatch(server, message);
+	if (message_is_closed(message))
+		http_server_refuse(server, message, &http_problem_incomplete);
+	else
+		http_route_dispatch(server, message);
 }
 
 /*
--- a/tests/gateway_cut_short_test.cc
+++ b/tests/gateway_cut_short_test.cc
@@ -631,6 +631,65 @@
 	Create(1);
 }
 
+/* How a caller ends its side in the middle of a request. */
+enum caller_end { HALF_CLOSES, CLOSES, RESETS };
+
+/* Guards against a part of a request that is passed on as a whole one. */
+TEST_F(GatewayCutShort, PartsOfRequestsReachNoEndpoint)
+{
+	static const std::string line = "POST /export/a HTTP/1.1\r\n";
+	static const std::string fields = "Host: h\r\n" + id_field + "r-1\r\n";
+	static const std::string sized = "Content-Length: 4\r\n";
+	static const std::string begun = line + fields + chunked + "\r\n";
+	const std::string cuts[] = {
+		"PO",
+		"POST /export/a",
+		line,
+		line + fields,
+		line + fields + "Content-Le",
+		line + fields + "Content-Length: 0",
+		line + fields + "Content-Length: 0\r",
+		line + fields + "Content-Length: 0\r\n",
+		line + fields + "Content-Length: 0\r\n\r",
+		line + fields + sized + "\r\n",
+		line + fields + sized + "\r\nbod",
+		begun,
+		begun + "4",
+		begun + "4\r\nbo",
+		begun + "4\r\nbody",
+		begun + "4\r\nbody\r\n",
+		begun + "4\r\nbody\r\n0",
+		begun + "4\r\nbody\r\n0\r\n",
+		begun + "4\r\nbody\r\n0\r\n\r",
+		"GET /lookup/a HTTP/1.1\r\n" + fields,
+	};
+
+	CreateNode("", CUT_BY_CLOSE);
+	for (const std::string &text : cuts)
+		for (enum caller_end end : {HALF_CLOSES, CLOSES, RESETS}) {
+			std::unique_ptr<Connection> caller(
+				Connection::open(nodes[0]->address));
+
+			SCOPED_TRACE(text);
+			caller->send(text);
+			run_idle();
+			if (end == HALF_CLOSES)
+				g_socket_shutdown(caller->socket, FALSE, TRUE,
+						  nullptr);
+			else if (end == CLOSES)
+				caller->close();
+			else
+				caller->reset();
+			EXPECT_TRUE(caller->wait_closed());
+			EXPECT_NE(0u, caller->input.find("HTTP/1.1 2"));
+			EXPECT_EQ(0, Sends("r-1"));
+		}
+	/* Whole, the request is passed on. */
+	Script(head + "Content-Length: 0\r\n\r\n", CUT_BY_CLOSE);
+	EXPECT_EQ(200, Ask(0, "/export/a", "r-1"));
+	EXPECT_EQ(1, Sends("r-1"));
+}
+
 /* Node n1 reaches no endpoint, and passes its requests on through n0. */
 class GatewayCutShortRelay : public GatewayCutShort
 {
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -384,6 +384,51 @@
 	EXPECT_EQ(0u, recorder.events.size());
 }
 
+/* Guards against a part of a request that is served as a whole one. */
+TEST_F(HttpServer, ServesNoPartsOfRequests)
+{
+	const std::string line = "POST /svc/s/orders HTTP/1.1\r\n";
+	const std::string fields = line + "Host: h\r\nX-Organisation: o\r\n";
+	const std::string begun = fields + "Transfer-Encoding: chunked\r\n\r\n";
+	const std::string cuts[] = {
+		"PO",
+		line,
+		fields,
+		fields + "Content-Le",
+		fields + "Content-Length: 0",
+		fields + "Content-Length: 0\r",
+		fields + "Content-Length: 0\r\n",
+		fields + "Content-Length: 4\r\n\r\nbod",
+		"GET /svc/s/orders HTTP/1.1\r\nHost: h\r\n",
+		begun,
+		begun + "4\r\nbo",
+		begun + "4\r\nbody\r\n",
+		begun + "4\r\nbody\r\n0\r\n",
+	};
+
+	for (const std::string &text : cuts)
+		for (int end = 0; end < 3; end++) {
+			std::unique_ptr<Connection> caller(open());
+
+			SCOPED_TRACE(text);
+			SCOPED_TRACE(end);
+			recorder.events.clear();
+			caller->send(text);
+			run_idle();
+			if (end == 0)
+				g_socket_shutdown(caller->socket, FALSE, TRUE,
+						  nullptr);
+			else if (end == 1)
+				caller->close();
+			else
+				caller->reset();
+			run_idle();
+			caller->read();
+			EXPECT_EQ(0u, recorder.count(EVENT_CALL));
+			EXPECT_NE(0u, caller->input.find("HTTP/1.1 2"));
+		}
+}
+
 /*
  * Many callers send large bodies at once and finish none. The node refuses
  * bodies above the limit on their total size, and releases the memory when the
