An endpoint that closes within a head: guards for the own interface, one known red

Known red: a head that ends after a line which says that no body follows (a length of 0, 204, HEAD) counts as whole where its endpoint closes there (FailsHeadsWithoutTheirEnd, 3 of 3 cases). libsoup ends the head at the close. It tells neither whether the empty line came nor the socket of a connection that it has kept, and a sound endpoint may close after such an answer as well. What is left is a reader of our own for plain answers, as routes have it.

--- a/tests/endpoint_client_test.cc
+++ b/tests/endpoint_client_test.cc
@@ -488,6 +488,135 @@
 	expect_failed(ATTEMPT_SENT);
 }
 
+struct cut_answer {
+	const char *name;
+	std::string bytes;
+	bool is_whole; /* of a plain request */
+};
+
+static const std::vector<cut_answer> &cut_answers()
+{
+	static const std::string ok = "HTTP/1.1 200 OK\r\n";
+	static const std::string events =
+		ok + "Content-Type: text/event-stream\r\nX-Generation: g1\r\n";
+	static const std::string chunked = "Transfer-Encoding: chunked\r\n";
+	static const std::string data = "id: g1:1\ndata: {\"choices\":[{"
+					"\"index\":0,\"text\":\"a\"}],"
+					"\"tokens\":1}\n";
+	static const std::vector<cut_answer> answers = {
+		{"before any byte", "", false},
+		{"within the status", "HTTP/1.1 2", false},
+		{"after the status", "HTTP/1.1 200", false},
+		{"after the status line", ok, false},
+		{"within a name", ok + "Content-Le", false},
+		{"within a value", ok + "Content-Length: 1", false},
+		{"after a field's CR", ok + "Content-Length: 12\r", false},
+		{"after a length", ok + "Content-Length: 12\r\n", false},
+		{"within the empty line", ok + "Content-Length: 0\r\n\r",
+		 false},
+		{"after the chunked field", ok + chunked, false},
+		{"after an interim answer", "HTTP/1.1 100 Continue\r\n\r\n",
+		 false},
+		{"within the head after an interim answer",
+		 "HTTP/1.1 100 Continue\r\n\r\n" + ok, false},
+		{"after the head", ok + "Content-Length: 12\r\n\r\n", false},
+		{"within the length",
+		 ok + "Content-Length: 12\r\n\r\nhello world", false},
+		{"after the head with chunks", ok + chunked + "\r\n", false},
+		{"within the size line", ok + chunked + "\r\n1", false},
+		{"within the chunk", ok + chunked + "\r\nc\r\nhello", false},
+		{"after the chunk", ok + chunked + "\r\n5\r\nhello\r\n", false},
+		{"before the last empty line",
+		 ok + chunked + "\r\n5\r\nhello\r\n0\r\n", false},
+		{"after the head without a length", ok + "\r\n", false},
+		{"after a body without a length", ok + "\r\nhello", false},
+		{"after a stream's head", events + chunked + "\r\n", false},
+		{"after a stream's head without a length", events + "\r\n",
+		 false},
+		{"after a stream without an event",
+		 events + chunked + "\r\n0\r\n\r\n", false},
+		{"within an event", events + "\r\n" + data, false},
+		{"after an event", events + "\r\n" + data + "\n", false},
+		{"within [DONE]", events + "\r\n" + data + "\ndata: [DONE]",
+		 false},
+		{"after [DONE], within its event",
+		 events + "\r\n" + data + "\ndata: [DONE]\n", false},
+		{"after the length",
+		 ok + "Content-Length: 12\r\n\r\nhello world!", true},
+	};
+
+	return answers;
+}
+
+/*
+ * Guards against an answer made of a part of one: the endpoint stops anywhere
+ * in its head or body, and closes or resets the connection.
+ */
+TEST_F(EndpointClient, FailsAnswersCutAnywhere)
+{
+	uint64_t attempt = 0;
+
+	for (const cut_answer &cut : cut_answers())
+		for (int way = 0; way < 4; way++) {
+			bool is_plain = way & 1, is_reset = way & 2;
+
+			SCOPED_TRACE(cut.name);
+			SCOPED_TRACE(is_plain ? "plain" : "generation");
+			SCOPED_TRACE(is_reset ? "reset" : "close");
+			recorder.events.clear();
+			if (is_plain)
+				send(++attempt,
+				     make(REQUEST_PLAIN, "POST", "/", "{}"));
+			else
+				send_generation(++attempt);
+			auto peer = accept("}");
+			peer->send(cut.bytes);
+			run_idle();
+			if (is_reset)
+				peer->reset();
+			else
+				peer->close();
+			if (is_plain && cut.is_whole) {
+				ASSERT_TRUE(
+					recorder.wait(EVENT_ATTEMPT_ANSWER));
+				continue;
+			}
+			expect_failed(ATTEMPT_SENT);
+			EXPECT_EQ(0u, recorder.count(EVENT_ATTEMPT_DONE));
+			EXPECT_EQ(0u, recorder.count(EVENT_ATTEMPT_ANSWER));
+		}
+}
+
+/*
+ * Guards against a head that is taken for whole where its endpoint closed
+ * before the empty line, and its lines so far state that no body follows.
+ */
+TEST_F(EndpointClient, FailsHeadsWithoutTheirEnd)
+{
+	const struct {
+		const char *method, *bytes;
+	} cases[] = {
+		{"POST", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"},
+		{"POST", "HTTP/1.1 204 No Content\r\n"},
+		{"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n"},
+	};
+	uint64_t attempt = 0;
+
+	for (const auto &cut : cases) {
+		SCOPED_TRACE(cut.bytes);
+		recorder.events.clear();
+		send(++attempt, make(REQUEST_PLAIN, cut.method, "/", ""));
+		auto peer = accept("\r\n\r\n");
+		peer->send(cut.bytes);
+		run_idle();
+		peer->close();
+		ASSERT_TRUE(
+			run_until([&] { return !recorder.events.empty(); }));
+		EXPECT_EQ(0u, recorder.count(EVENT_ATTEMPT_ANSWER));
+		EXPECT_EQ(1u, recorder.count(EVENT_ATTEMPT_FAILED));
+	}
+}
+
 TEST_F(EndpointClient, MarksWhatItForwardsToANode)
 {
 	struct request *r = make(REQUEST_PLAIN, "POST", "/orders?x", "{}");
