LOST: a caller that did not read for 3 s was reset

The same held for an endpoint that reads a long body late, and for the rest of an answer that the kernel still held when the node had closed.

Cause: TCP_USER_TIMEOUT is 3 s on each connection, to find out a vanished peer. With a closed window Linux counts the time since it closed, whether or not the peer's system answers the probes. tcp_stream_finish() waited 2 s for the peer's close from the moment in which all was sent, not read.

Change: while bytes are unacknowledged, a stream looks each 0.5 s (all streams at the same moments) at TCP_INFO. The first look takes the user timeout away; from then on the stream ends a connection whose peer has left a packet, data or probe, unanswered for 3 s (core/gateway/peer_silence). This holds for callers, endpoints, relays and calls of the store alike: each reads and writes, and a dead one is found out as before. Where TCP_INFO can't be had, the user timeout stays. Linux lets the time between probes of a closed window grow, and only they show that such a peer has vanished: TCP_RTO_MAX_MS (6.15) limits it to 1 s, only while the window is closed. On older systems such a peer is found out after the next probe. tcp_stream_finish() waits until all is read, as long as the peer takes a byte in 30 s; before, 30 s in all.

A stopped process is slow, not gone: its system answers. On the code before, TcpStream.KeepsAPeerThatDoesNotRead, SendsTheRestToAPeerThatReadsLater and FindsOutThatAPeerIsGoneThatDidNotRead fail, the two others pass. What the looks cost was not measured.

--- a/adapters/gateway/tcp_stream.c
+++ b/adapters/gateway/tcp_stream.c
@@ -1,10 +1,14 @@
 #include "adapters/gateway/tcp_stream.h"
 
+#include "core/gateway/peer_silence.h"
+#include "core/gateway/read_progress.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <linux/sockios.h>
+#include <stddef.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -28,8 +32,25 @@
 #define KEEPALIVE_PROBES 2
 #define UNSENT_TIMEOUT_MS 3000
 
-/* Time limits for the peer to read the unsent bytes, and then to close. */
-#define FLUSH_TIMEOUT_US (30 * G_USEC_PER_SEC)
+/*
+ * The kernel resets a connection after UNSENT_TIMEOUT_MS also if its peer
+ * answers all probes and just doesn't read. So where bytes wait, this time is
+ * taken by the stream itself, from packets without an answer.
+ */
+#define SILENCE_TIMEOUT_US (UNSENT_TIMEOUT_MS * (int64_t)1000)
+#define CHECK_INTERVAL_US (500 * 1000)
+
+/*
+ * Probes of a closed window come at growing intervals, and only they show that
+ * the peer has vanished meanwhile. Linux 6.15 and later can limit them.
+ */
+#ifndef TCP_RTO_MAX_MS
+#define TCP_RTO_MAX_MS 44
+#endif
+#define PROBE_INTERVAL_MS 1000
+#define PROBE_INTERVAL_DEFAULT_MS 120000
+
+/* Time limit for the peer to close, once it has read all bytes. */
 #define CLOSE_TIMEOUT_US (2 * G_USEC_PER_SEC)
 
 struct tcp_stream {
@@ -47,6 +68,12 @@
 	int connect_errno; /* why it failed to connect; 0: it did not */
 	bool finishing;	   /* without owner: sends the rest, then closes */
 	bool write_closed;
+	bool is_checked;    /* bytes may be unread; see stream_check */
+	bool times_silence; /* itself, in place of the kernel */
+	bool limits_probes; /* see PROBE_INTERVAL_MS */
+	struct peer_silence silence;
+	struct read_progress progress; /* once finishing */
+	int64_t written_bytes;
 	size_t unread_bytes; /* see tcp_stream_unread_bytes; once failed */
 	char peer[64];
 };
@@ -116,6 +143,31 @@
 				wanted | G_IO_HUP | G_IO_ERR);
 }
 
+/*
+ * Lets a check follow while bytes may be unread. The times of all streams fall
+ * on the same moments, so that one wake-up serves many.
+ */
+static void stream_schedule_check(struct tcp_stream *stream)
+{
+	int64_t slot = g_get_monotonic_time() / CHECK_INTERVAL_US;
+
+	if (!stream->is_checked)
+		peer_silence_begin(&stream->silence, g_get_monotonic_time());
+	stream->is_checked = true;
+	g_source_set_ready_time(&stream->source,
+				(slot + 1) * CHECK_INTERVAL_US);
+}
+
+/* Lets the close drop what the peer has not read: it no longer takes memory. */
+static void stream_drop_unread(struct tcp_stream *stream)
+{
+	const struct linger none = {.l_onoff = 1};
+
+	if (stream->fd >= 0)
+		(void)setsockopt(stream->fd, SOL_SOCKET, SO_LINGER, &none,
+				 sizeof(none));
+}
+
 static void stream_close(struct tcp_stream *stream)
 {
 	if (stream->fd < 0)
@@ -166,6 +218,87 @@
 		stream->events->failed(stream->data, &error);
 }
 
+/* Sees to it that a peer with a closed window is probed often enough. */
+static void stream_limit_probes(struct tcp_stream *stream,
+				const struct tcp_info *info)
+{
+	bool is_closed = info->tcpi_unacked == 0 && info->tcpi_backoff > 0;
+
+	if (!is_closed || stream->limits_probes || stream->finishing)
+		return;
+	stream->limits_probes = true;
+	socket_set_int(stream->fd, IPPROTO_TCP, TCP_RTO_MAX_MS,
+		       PROBE_INTERVAL_MS);
+}
+
+/*
+ * Returns for how long, in us, the peer's system has left packets unanswered.
+ * The first sample that can be had takes the kernel's timeout away; where there
+ * is none, that timeout stays.
+ */
+static int64_t stream_silence_us(struct tcp_stream *stream)
+{
+	struct tcp_info info = {0};
+	socklen_t size = sizeof(info);
+	struct peer_sample sample;
+
+	if (getsockopt(stream->fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+	    size < offsetof(struct tcp_info, tcpi_pmtu) || !info.tcpi_state)
+		return 0;
+	if (!stream->times_silence) {
+		stream->times_silence = true;
+		socket_set_int(stream->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
+	}
+	stream_limit_probes(stream, &info);
+	sample = (struct peer_sample){
+		.has_probe = info.tcpi_probes > 0,
+		.has_unacked = info.tcpi_unacked > 0,
+		.ack_age_us = (int64_t)info.tcpi_last_ack_recv * 1000,
+		.sent_age_us = (int64_t)info.tcpi_last_data_sent * 1000,
+	};
+	return peer_silence_update(&stream->silence, &sample,
+				   g_get_monotonic_time());
+}
+
+/* Whether a peer that is to read the rest takes no byte of it for too long. */
+static bool stream_is_stalled(struct tcp_stream *stream)
+{
+	int64_t taken_bytes = tcp_stream_taken_bytes(stream);
+
+	return stream->finishing &&
+	       read_progress_note(&stream->progress, taken_bytes,
+				  g_get_monotonic_time()) > READ_STALL_US;
+}
+
+/* All is read; a stream that is finishing waits for its peer's close. */
+static void stream_end_checks(struct tcp_stream *stream)
+{
+	stream->is_checked = false;
+	g_source_set_ready_time(&stream->source,
+				stream->write_closed ? g_get_monotonic_time() +
+							       CLOSE_TIMEOUT_US
+						     : -1);
+}
+
+/*
+ * Ends a connection whose peer has vanished, or that nobody owns any more and
+ * whose peer doesn't read.
+ */
+static void stream_check(struct tcp_stream *stream)
+{
+	if (stream->fd < 0 || tcp_stream_unread_bytes(stream) == 0) {
+		stream_end_checks(stream);
+		return;
+	}
+	stream_schedule_check(stream);
+	if (stream->connecting ||
+	    (stream_silence_us(stream) < SILENCE_TIMEOUT_US &&
+	     !stream_is_stalled(stream)))
+		return;
+	stream_drop_unread(stream);
+	stream_fail(stream, STEP_WRITE, ETIMEDOUT);
+}
+
 /* Sends as much as the socket accepts; false on a broken connection. */
 static bool stream_flush(struct tcp_stream *stream)
 {
@@ -194,8 +327,6 @@
 		return;
 	stream->write_closed = true;
 	shutdown(stream->fd, SHUT_WR);
-	g_source_set_ready_time(&stream->source,
-				g_get_monotonic_time() + CLOSE_TIMEOUT_US);
 }
 
 static void stream_on_writable(struct tcp_stream *stream)
@@ -253,6 +384,13 @@
 	stream->events->ended(stream->data);
 }
 
+static bool stream_is_due(struct tcp_stream *stream)
+{
+	int64_t ready_us = g_source_get_ready_time(&stream->source);
+
+	return ready_us >= 0 && g_get_monotonic_time() >= ready_us;
+}
+
 static gboolean stream_dispatch(GSource *source, GSourceFunc callback,
 				gpointer data)
 {
@@ -261,10 +399,16 @@
 
 	(void)callback;
 	(void)data;
-	if (stream->finishing && g_source_get_ready_time(source) >= 0 &&
-	    g_get_monotonic_time() >= g_source_get_ready_time(source)) {
-		stream_release(stream);
-		return G_SOURCE_REMOVE;
+	if (stream_is_due(stream)) {
+		if (!stream->is_checked) {
+			stream_release(stream);
+			return G_SOURCE_REMOVE;
+		}
+		stream_check(stream);
+		if (g_source_is_destroyed(source))
+			return G_SOURCE_REMOVE;
+		if (stream->fd < 0)
+			return G_SOURCE_CONTINUE;
 	}
 	if (stream->connecting ? got : got & G_IO_OUT)
 		stream_on_writable(stream);
@@ -372,9 +516,20 @@
 		stream_release(stream);
 }
 
+/*
+ * Closes at once with a reset: bytes that the peer has not read are dropped,
+ * and no longer take memory. Delivers no further event.
+ */
+void tcp_stream_reset(struct tcp_stream *stream)
+{
+	stream_drop_unread(stream);
+	stream_release(stream);
+}
+
 /*
  * Sends the unsent bytes, then closes; the owner must not use the stream any
- * more. NULL is allowed. Closing a socket with unread bytes sends a reset,
+ * more. Gives up if the peer takes none of them for READ_STALL_US. NULL is
+ * allowed. Closing a socket with unread bytes sends a reset,
  * which may make the peer discard the last answer: so the peer's bytes are read
  * and dropped until it closes, for a bounded time.
  */
@@ -389,8 +544,14 @@
 	stream->finishing = true;
 	finishing_count++;
 	stream->events = NULL;
-	g_source_set_ready_time(&stream->source,
-				g_get_monotonic_time() + FLUSH_TIMEOUT_US);
+	/*
+	 * What is left when the process ends is sent on by the kernel, which
+	 * gives up at the longest interval.
+	 */
+	if (stream->limits_probes)
+		socket_set_int(stream->fd, IPPROTO_TCP, TCP_RTO_MAX_MS,
+			       PROBE_INTERVAL_DEFAULT_MS);
+	stream_schedule_check(stream);
 	stream_finish_step(stream);
 	stream_update_conditions(stream);
 }
@@ -411,6 +572,9 @@
 
 	if (stream->fd < 0 || size == 0)
 		return;
+	stream->written_bytes += (int64_t)size;
+	if (!stream->is_checked)
+		stream_schedule_check(stream);
 	if (!stream->connecting && stream->unsent->len == 0) {
 		sent = send(stream->fd, bytes, size, MSG_NOSIGNAL);
 		if (sent > 0)
@@ -447,6 +611,15 @@
 	return tcp_stream_unsent_bytes(stream) + (size_t)MAX(queued, 0);
 }
 
+/*
+ * Number of bytes written to the stream since its begin that the peer's system
+ * has acknowledged.
+ */
+int64_t tcp_stream_taken_bytes(const struct tcp_stream *stream)
+{
+	return stream->written_bytes - (int64_t)tcp_stream_unread_bytes(stream);
+}
+
 /* Whether bytes of the peer wait in the socket to be read. */
 bool tcp_stream_has_unread(const struct tcp_stream *stream)
 {
--- a/adapters/gateway/tcp_stream.h
+++ b/adapters/gateway/tcp_stream.h
@@ -13,7 +13,8 @@
 /*
  * A TCP connection on the thread's main loop. Never blocks: bytes that the peer
  * does not accept yet are kept in memory, and their number tells the owner when
- * to stop reading elsewhere. Keep-alive probes detect a dead peer.
+ * to stop reading elsewhere. A peer that vanished without closing is detected,
+ * idle or not; one that just doesn't read is left to the owner.
  */
 struct tcp_stream;
 
@@ -33,6 +34,7 @@
 void tcp_stream_set_owner(struct tcp_stream *stream,
 			  const struct tcp_stream_events *events, void *data);
 void tcp_stream_destroy(struct tcp_stream *stream);
+void tcp_stream_reset(struct tcp_stream *stream);
 void tcp_stream_finish(struct tcp_stream *stream);
 
 void tcp_stream_write(struct tcp_stream *stream, const char *bytes,
@@ -40,6 +42,7 @@
 size_t tcp_stream_finishing_count(void);
 size_t tcp_stream_unsent_bytes(const struct tcp_stream *stream);
 size_t tcp_stream_unread_bytes(const struct tcp_stream *stream);
+int64_t tcp_stream_taken_bytes(const struct tcp_stream *stream);
 bool tcp_stream_has_unread(const struct tcp_stream *stream);
 bool tcp_stream_has_sent(const struct tcp_stream *stream);
 bool tcp_stream_is_refused(const struct tcp_stream *stream);
--- /dev/null
+++ b/tests/tcp_stream_test.cc
@@ -0,0 +1,251 @@
+#include "adapters/gateway/tcp_stream.h"
+#include "tests/loopback.h"
+
+#include <gtest/gtest.h>
+#include <linux/filter.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <memory>
+#include <string>
+
+#ifndef TCP_RTO_MAX_MS
+#define TCP_RTO_MAX_MS 44
+#endif
+
+static void shrink_buffer(int fd)
+{
+	int bytes = 8192;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
+/*
+ * A stream to a peer on loopback, whose window is closed after some kilobytes
+ * that it doesn't read.
+ */
+struct side {
+	struct tcp_stream *stream = nullptr;
+	std::unique_ptr<Connection> peer;
+	std::string end;
+	int64_t end_us = 0;
+	enum error_code code = {};
+};
+
+/* Two streams: one connects, as to an endpoint, one is a caller's. */
+class TcpStream : public testing::Test
+{
+      protected:
+	static void on_received(void *, const char *, size_t)
+	{
+	}
+
+	static void note_end(struct side *side, const std::string &end)
+	{
+		side->end = end;
+		side->end_us = g_get_monotonic_time();
+	}
+
+	static void on_ended(void *data)
+	{
+		note_end((struct side *)data, "ended");
+	}
+
+	static void on_failed(void *data, const struct error *error)
+	{
+		note_end((struct side *)data, error->detail);
+		((struct side *)data)->code = error->code;
+	}
+
+	static constexpr struct tcp_stream_events EVENTS = {
+		.opened = nullptr,
+		.received = on_received,
+		.ended = on_ended,
+		.failed = on_failed,
+		.drained = nullptr,
+	};
+
+	void SetUp() override
+	{
+		shrink_buffer(g_socket_get_fd(listener.socket));
+		Connect(&sides[0]);
+		Adopt(&sides[1]);
+		run_idle();
+	}
+
+	void TearDown() override
+	{
+		for (struct side &side : sides)
+			tcp_stream_destroy(side.stream);
+	}
+
+	void Connect(struct side *side)
+	{
+		struct error error;
+
+		side->stream = tcp_stream_connect(listener.address().c_str(),
+						  &EVENTS, side, &error);
+		ASSERT_NE(nullptr, side->stream) << error.detail;
+		side->peer.reset(listener.accept());
+	}
+
+	void Adopt(struct side *side)
+	{
+		std::string text = listener.address();
+		struct sockaddr_in to = {};
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		std::unique_ptr<Connection> accepted;
+
+		to.sin_family = AF_INET;
+		to.sin_port = htons(
+			(uint16_t)std::stoi(text.substr(text.find(':') + 1)));
+		to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		shrink_buffer(fd);
+		ASSERT_EQ(0, connect(fd, (struct sockaddr *)&to, sizeof(to)));
+		side->peer.reset(
+			new Connection(g_socket_new_from_fd(fd, nullptr)));
+		g_socket_set_blocking(side->peer->socket, FALSE);
+		accepted.reset(listener.accept());
+		side->stream = tcp_stream_adopt(
+			dup(g_socket_get_fd(accepted->socket)), &EVENTS, side);
+	}
+
+	/*
+	 * The peers' system drops all that comes before TCP sees it, as if the
+	 * peers had vanished; they still can send.
+	 */
+	void Vanish()
+	{
+		struct sock_filter drop = {BPF_RET | BPF_K, 0, 0, 0};
+		struct sock_fprog program = {1, &drop};
+
+		for (struct side &side : sides)
+			ASSERT_EQ(0,
+				  setsockopt(g_socket_get_fd(side.peer->socket),
+					     SOL_SOCKET, SO_ATTACH_FILTER,
+					     &program, sizeof(program)));
+		vanished_us = g_get_monotonic_time();
+	}
+
+	void Write(size_t size)
+	{
+		std::string bytes(size, 'x');
+
+		written += size;
+		for (struct side &side : sides)
+			tcp_stream_write(side.stream, bytes.data(), size);
+	}
+
+	/* In real time: the kernel's timers know no other. */
+	void Wait(int64_t ms)
+	{
+		int64_t until_us = g_get_monotonic_time() + ms * 1000;
+
+		run_until([&] { return g_get_monotonic_time() >= until_us; });
+	}
+
+	void ExpectOpen()
+	{
+		for (const struct side &side : sides)
+			EXPECT_EQ("", side.end);
+	}
+
+	void ExpectAllRead()
+	{
+		for (const struct side &side : sides) {
+			run_until([&] {
+				side.peer->read();
+				return side.peer->input.size() >= written ||
+				       side.peer->closed;
+			});
+			EXPECT_EQ(written, side.peer->input.size());
+		}
+	}
+
+	/* Whether the system can limit the time between probes. */
+	bool LimitsProbes()
+	{
+		int ms = 1000;
+
+		return setsockopt(g_socket_get_fd(sides[0].peer->socket),
+				  IPPROTO_TCP, TCP_RTO_MAX_MS, &ms,
+				  sizeof(ms)) == 0;
+	}
+
+	/* Both are found out, sooner than any other limit would do it. */
+	void ExpectGone(int64_t limit_s = 6)
+	{
+		run_until([&] {
+			return !sides[0].end.empty() && !sides[1].end.empty();
+		});
+		for (const struct side &side : sides) {
+			EXPECT_EQ("Connection timed out", side.end);
+			EXPECT_EQ(ERROR_TIMEOUT, side.code);
+			EXPECT_GT(limit_s * G_USEC_PER_SEC,
+				  side.end_us - vanished_us);
+		}
+	}
+
+	Listener listener;
+	struct side sides[2];
+	size_t written = 0;
+	int64_t vanished_us = 0;
+};
+
+/*
+ * Guards against a peer that is taken for gone because it doesn't read: its
+ * window stays closed for longer than a vanished peer is given.
+ */
+TEST_F(TcpStream, KeepsAPeerThatDoesNotRead)
+{
+	Write(200000);
+	Wait(4500);
+	ExpectOpen();
+	ExpectAllRead();
+	Write(1000);
+	ExpectAllRead();
+}
+
+/* The same where the owner has given the stream up with bytes to send. */
+TEST_F(TcpStream, SendsTheRestToAPeerThatReadsLater)
+{
+	Write(200000);
+	for (struct side &side : sides)
+		tcp_stream_finish(g_steal_pointer(&side.stream));
+	Wait(5500);
+	ExpectAllRead();
+	for (struct side &side : sides)
+		EXPECT_TRUE(side.peer->wait_closed());
+}
+
+/* Guards against a vanished peer that is waited for while bytes are unread. */
+TEST_F(TcpStream, FindsOutThatAPeerIsGone)
+{
+	Vanish();
+	Write(1000);
+	ExpectGone();
+	for (const struct side &side : sides)
+		EXPECT_EQ(1000u, tcp_stream_unread_bytes(side.stream));
+}
+
+/* The same for a peer that has stopped reading before it vanishes. */
+TEST_F(TcpStream, FindsOutThatAPeerIsGoneThatDidNotRead)
+{
+	Write(200000);
+	Wait(7000);
+	ExpectOpen();
+	Vanish();
+	ExpectGone(LimitsProbes() ? 6 : 15);
+}
+
+/* The same for a peer that owes nothing: keep-alive probes tell it. */
+TEST_F(TcpStream, FindsOutThatAnIdlePeerIsGone)
+{
+	Write(200000);
+	Wait(600);
+	ExpectAllRead();
+	Wait(1000);
+	Vanish();
+	ExpectGone();
+}
