DRAIN: a notice began anew when a doubt about a removal was confirmed

Removals that look like a lapse of the store are doubted for 2.5 s. The return to an engine without an entry counted its 1.5 s from the end of the doubt, so a request could reach the engine 4 s after its entry was removed; 2 s are allowed.

Change: the notice begins with the doubt. ARemovedEntryIsANotice expected the confirmation's time; it now expects that of the removal, which is stricter.

--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -230,14 +230,18 @@
 				  enum endpoint_presence presence,
 				  int64_t now_us)
 {
+	bool was_doubted = endpoint->presence == PRESENCE_DOUBTED;
+	int64_t before_us = endpoint->since_us;
+
 	if (endpoint->presence == presence)
 		return;
 	endpoint->presence = presence;
 	endpoint->since_us = now_us;
+	/* An endpoint serves no longer because its removal was in doubt. */
 	if (!endpoint_is_leaving(endpoint))
 		endpoint->notice_us = 0;
 	else if (!endpoint->notice_us)
-		endpoint->notice_us = now_us;
+		endpoint->notice_us = was_doubted ? before_us : now_us;
 }
 
 static struct endpoint *registry_add(struct registry *registry,
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -141,7 +141,25 @@
 	EXPECT_EQ(0, endpoint_under_notice_us(endpoint, now_us)) << "in doubt";
 	remove("e1", 5);
 	now_us += second_us;
-	EXPECT_EQ(second_us, endpoint_under_notice_us(endpoint, now_us));
+	EXPECT_EQ(2 * second_us, endpoint_under_notice_us(endpoint, now_us));
+}
+
+/* Guards against requests to an endpoint long after its entry was removed: the
+ * time in which the removal was in doubt counts, as the endpoint serves no
+ * longer for the doubt. */
+TEST_F(Registry, ANoticeBeginsWithADoubtThatIsConfirmed)
+{
+	const struct endpoint *endpoint;
+
+	apply(entry("e1", 4));
+	endpoint = registry_find(registry, "e1");
+	remove("e1", 5, true);
+	now_us += 5 * second_us / 2;
+	step(now_us);
+	EXPECT_EQ(PRESENCE_GONE, presence("e1"));
+	now_us += second_us;
+	EXPECT_EQ(7 * second_us / 2,
+		  endpoint_under_notice_us(endpoint, now_us));
 }
 
 /*
