A copy of an engine's next start was freed in place of a kept run

When a run has gone on elsewhere, what its engine keeps of it is freed under its handle, at the engine's address. An engine that has started again keeps nothing of the run, and may have given the handle to a copy of another one, which then has to be read anew.

Change: nothing is freed at another start of the engine, by the same check as for the return. GatewayHandover.FreesNothingOfAnotherStart failed before (one copy freed).

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -290,17 +290,38 @@
 	.failed = on_free_failed,
 };
 
-/* Frees what the engine before keeps of a run that has gone on elsewhere. */
+/* Whether the start of the engine that keeps the run is still the current one.
+ */
+static bool kept_start_is_current(const struct exchange *exchange)
+{
+	const struct kept_run *kept = &exchange->handover.kept;
+	const struct endpoint *endpoint =
+		registry_find(exchange->gateway->registry, kept->endpoint_id);
+
+	return endpoint && endpoint->known_us == kept->known_us &&
+	       gateway_losses_is_current(exchange->gateway, endpoint,
+					 &kept->start);
+}
+
+/*
+ * Frees what the engine before keeps of a run that has gone on elsewhere.
+ * Another start of it keeps nothing of the run, and may have given the handle
+ * to a copy of another one.
+ */
 static void handover_free_kept(struct exchange *exchange)
 {
 	struct kept_run *kept = &exchange->handover.kept;
 	struct attempt_options options = {
 		.address = kept->endpoint_address,
-		.request = g_string_new(NULL),
 		.now_us = exchange->gateway->now_us,
 	};
 	struct error error;
 
+	if (!kept_start_is_current(exchange)) {
+		kept_run_clear(kept);
+		return;
+	}
+	options.request = g_string_new(NULL);
 	exchange->gateway->dialect->write_free_request(
 		kept->endpoint_address, kept->handle, options.request);
 	attempt_destroy(g_steal_pointer(&exchange->handover.free_call));
@@ -353,9 +374,7 @@
 	if (!kept->endpoint_id)
 		return NULL;
 	endpoint = registry_find(gateway->registry, kept->endpoint_id);
-	if (!endpoint || endpoint->is_cordoned ||
-	    endpoint->known_us != kept->known_us ||
-	    !gateway_losses_is_current(gateway, endpoint, &kept->start) ||
+	if (!kept_start_is_current(exchange) || endpoint->is_cordoned ||
 	    endpoint_under_notice_us(endpoint, gateway->now_us) >
 		    RETURN_UNTIL_US)
 		return NULL;
--- a/tests/gateway_handover_test.cc
+++ b/tests/gateway_handover_test.cc
@@ -158,6 +158,35 @@
 	EXPECT_EQ(0, to->copies_freed);
 }
 
+/* Guards against the memory of another run that is freed: an engine that
+ * started again under its id names its copies anew. */
+TEST_F(GatewayHandover, FreesNothingOfAnotherStart)
+{
+	GPtrArray *list = registration_list_create();
+	struct registration *said = g_new0(struct registration, 1);
+
+	SetPace(50, 60);
+	Start(true, true);
+	Wait(700);
+	to->answer_ms = 800;
+	Leave();
+	ASSERT_TRUE(run_until([&] { return from->stops > 0; }));
+	Wait(200);
+	ASSERT_EQ(0, from->copies_freed);
+	said->id = g_strdup(from->id.c_str());
+	said->service = g_strdup("engines");
+	said->address = g_strdup(from->address.c_str());
+	said->failure_domain = g_strdup("a");
+	said->position = ++position;
+	said->started_ms = 7;
+	g_ptr_array_add(list, said);
+	gateway_apply_changes(nodes[0]->gateway, list);
+	g_ptr_array_unref(list);
+	Finish();
+	EXPECT_EQ(0, from->copies_freed);
+	EXPECT_EQ(AllEvents(), Events());
+}
+
 /* Guards against two engines on one run where the engine that leaves works on
  * without its connection. */
 TEST_F(GatewayHandover, LeavesAnEngineThatNeverNotices)
