A caller that reads slowly or never has bounds of its own

Seen: 64 lookups of 200 KB sent at once on one connection were all run and kept for a caller that reads none of them; each kept connection could hold that much. A kept connection with an answer that is still being read counted as idle and was closed by the idle limit; one whose caller never reads had no other bound.

Change: no request is begun while more than 128 kB wait to be sent on its connection; it is begun when these are sent. Until then it counts as arriving, so a drain waits for it and answers it with 408, which is true. A connection with unread bytes isn't idle; after the end of the answer its caller is given up if it takes no byte in 30 s (read_progress), with a reset that frees the memory: log answer_unread reason="not read", counter gateway_unread. A request under way stays bound by its deadline and its route's timeout.

Tests, all seen failing on the code before: Callers.GiveUpACallerThatReadsNothing, BeginNoRequestBehindUnreadAnswers, AnswerRequestsBehindUnreadAnswersWhenADrainEnds.

Open: no bound on the sum over all callers.

--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -2,6 +2,7 @@
 
 #include "adapters/gateway/http_reader.h"
 #include "adapters/gateway/tcp_stream.h"
+#include "core/gateway/read_progress.h"
 
 #include <string.h>
 #include <unistd.h>
@@ -9,6 +10,15 @@
 /* Bytes read beyond the current request; above this, reading pauses. */
 #define MAX_UNPARSED_BYTES 65536
 
+/*
+ * While more bytes than this wait to be sent, no further request is begun: the
+ * answers to many that were sent at once would be kept in memory.
+ */
+#define MAX_WAITING_BYTES (128 * 1024)
+
+/* How often it is looked whether the last answer has been read. */
+#define UNREAD_INTERVAL_US (500 * 1000)
+
 /* Connections beyond max_callers whose requests are refused. */
 #define MAX_EXCESS 64
 
@@ -51,9 +61,12 @@
 	bool has_sent; /* part of the current answer */
 	bool is_parsing;
 	bool is_refused;
-	bool is_excess;		  /* beyond max_callers */
+	bool is_excess;	    /* beyond max_callers */
+	bool may_be_unread; /* bytes were sent since it was looked */
+	struct read_progress progress;
 	int64_t request_start_us; /* of the request being read; 0: none */
-	int64_t last_activity_us; /* last bytes received or answer ended */
+	int64_t last_activity_us; /* last bytes received, answer ended or unread
+				   */
 };
 
 static const struct {
@@ -192,6 +205,17 @@
 	.body = on_body,
 };
 
+/*
+ * Whether what was received may be parsed on. A request that has begun to
+ * arrive is always read to its end.
+ */
+static bool caller_may_parse(const struct caller *caller)
+{
+	return caller->unparsed->len > 0 &&
+	       (caller->request_start_us ||
+		caller_waiting_bytes(caller) <= MAX_WAITING_BYTES);
+}
+
 static void caller_dispatch(struct caller *caller)
 {
 	struct caller_set *set = caller->set;
@@ -220,7 +244,7 @@
 	caller->is_parsing = true;
 	g_rc_box_acquire(caller);
 	while (caller->stream && !caller->is_busy && !caller->is_refused &&
-	       caller->unparsed->len > 0) {
+	       caller_may_parse(caller)) {
 		size_t consumed = 0;
 		enum http_reader_result result;
 
@@ -285,6 +309,8 @@
 
 	if (caller->request && handler->drained)
 		handler->drained(handler->data, caller->request);
+	else if (!caller->is_busy)
+		caller_parse(caller);
 }
 
 static const struct tcp_stream_events stream_events = {
@@ -386,13 +412,14 @@
 }
 
 /*
- * Whether no request is being read or answered, and none waits in the socket.
- * One may wait there when this process stood still: it came in time, and if the
- * connection closed, it would get no answer.
+ * Whether no request is being read or answered, and none waits here or in the
+ * socket. One may wait there when this process stood still: it came in time,
+ * and if the connection closed, it would get no answer.
  */
 static bool caller_is_idle(const struct caller *caller)
 {
 	return !caller->is_busy && !caller->request_start_us &&
+	       caller->unparsed->len == 0 &&
 	       !tcp_stream_has_unread(caller->stream);
 }
 
@@ -403,9 +430,44 @@
 	caller_finish(caller);
 }
 
+static void caller_give_up(struct caller *caller)
+{
+	const struct caller_handler *handler = &caller->set->handler;
+
+	if (handler->unread)
+		handler->unread(handler->data,
+				tcp_stream_unread_bytes(caller->stream),
+				"not read");
+	tcp_stream_reset(g_steal_pointer(&caller->stream));
+	g_hash_table_remove(caller->set->callers, caller);
+}
+
+/*
+ * Looks whether the last answer has been read: until then the connection isn't
+ * idle. Gives it up if its caller reads nothing for too long; returns false
+ * then.
+ */
+static bool caller_check_read(struct caller *caller, int64_t now_us)
+{
+	int64_t stalled_us;
+
+	caller->may_be_unread = tcp_stream_unread_bytes(caller->stream) > 0;
+	if (!caller->may_be_unread)
+		return true;
+	caller->last_activity_us = now_us;
+	stalled_us = read_progress_note(&caller->progress,
+					tcp_stream_taken_bytes(caller->stream),
+					now_us);
+	if (stalled_us <= READ_STALL_US)
+		return true;
+	caller_give_up(caller);
+	return false;
+}
+
 static void caller_step(struct caller *caller, int64_t now_us)
 {
 	const struct caller_limits *limits = &caller->promised;
+	int64_t idle_us;
 
 	if (caller->is_busy)
 		return;
@@ -416,6 +478,11 @@
 		caller_time_out(caller);
 		return;
 	}
+	idle_us = MIN(limits->idle_timeout_us, UNREAD_INTERVAL_US);
+	if (caller->may_be_unread && !caller->request_start_us &&
+	    now_us - caller->last_activity_us > idle_us &&
+	    !caller_check_read(caller, now_us))
+		return;
 	if (now_us - caller->last_activity_us >
 		    limits->idle_timeout_us + STEP_SLACK_US &&
 	    caller_is_idle(caller))
@@ -477,7 +544,8 @@
 	for (guint i = 0; i < callers->len; i++) {
 		struct caller *caller = g_ptr_array_index(callers, i);
 
-		if (!caller->is_busy && caller->request_start_us)
+		if (!caller->is_busy &&
+		    (caller->request_start_us || caller->unparsed->len > 0))
 			caller_time_out(caller);
 	}
 	g_ptr_array_unref(callers);
@@ -534,6 +602,7 @@
 	if (!caller->stream)
 		return;
 	caller->has_sent = true;
+	caller->may_be_unread = true;
 	tcp_stream_write(caller->stream, bytes, size);
 }
 
--- a/adapters/gateway/caller.h
+++ b/adapters/gateway/caller.h
@@ -14,7 +14,8 @@
 /*
  * A caller's connection. Its requests are read one at a time, and each goes to
  * the handler when it is complete. The limits on the size of a request and on
- * the time it takes to arrive are enforced here.
+ * the time it takes to arrive are enforced here, and a bound on the time in
+ * which a caller reads nothing of an answer that has ended.
  */
 struct caller;
 
@@ -32,7 +33,8 @@
 	void (*gone)(void *data, void *request, const char *detail);
 	/*
 	 * The connection failed after its last answer had ended, with bytes
-	 * that the caller has not read. May be NULL.
+	 * that the caller has not read, or was given up as it reads none of
+	 * them. May be NULL.
 	 */
 	void (*unread)(void *data, size_t bytes, const char *detail);
 	/* All queued bytes are sent; the answer may continue. May be NULL. */
--- a/core/base/counters.c
+++ b/core/base/counters.c
@@ -49,6 +49,9 @@
 	[COUNTER_GATEWAY_REQUESTS] = {"gateway_requests",
 				      "requests passed on by routes"},
 	[COUNTER_GATEWAY_WHOLE] = {"gateway_whole", "of these, answered whole"},
+	[COUNTER_GATEWAY_UNREAD] = {"gateway_unread",
+				    "ends of connections with an answer that "
+				    "its caller has not read"},
 	[COUNTER_GATEWAY_REFUSED] = {"gateway_refused",
 				     "of these, answered by the node itself"},
 	[COUNTER_GATEWAY_BROKEN] =
--- a/tests/caller_test.cc
+++ b/tests/caller_test.cc
@@ -20,6 +20,7 @@
 		bool is_long = strcmp(head->target, "/long") == 0;
 		bool is_large = strcmp(head->target, "/large") == 0;
 
+		test->begun_count++;
 		http_head_destroy(head);
 		g_byte_array_unref(body);
 		if (is_long) {
@@ -106,6 +107,7 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
 
 	struct caller *begun = nullptr; /* whose answer has only a head yet */
+	int begun_count = 0;		/* requests that the handler got */
 	std::string ended;	 /* what was told of ends of connections */
 	size_t unread_bytes = 0; /* of an answer that had ended */
 	struct caller_set *set = nullptr;
@@ -249,6 +251,80 @@
 	EXPECT_LT(10u << 20, unread_bytes);
 }
 
+/*
+ * Guards against a connection that is kept, or sends on, without a bound for a
+ * caller that reads nothing. One that reads slowly makes progress and is kept,
+ * longer than an idle one would be.
+ */
+TEST_F(Callers, GiveUpACallerThatReadsNothing)
+{
+	std::unique_ptr<Connection> caller(Connection::open(address));
+	static char bytes[1 << 20];
+	int64_t ms = 0;
+
+	StepTo(0);
+	caller->send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+	for (; ms <= 60000; ms += 10000) {
+		StepTo(ms);
+		EXPECT_LT(0, g_socket_receive(caller->socket, bytes,
+					      sizeof(bytes), nullptr, nullptr))
+			<< ms;
+	}
+	for (; ms <= 90000; ms += 5000)
+		StepTo(ms);
+	EXPECT_EQ("", ended);
+	/* A window that opened may be used some steps later. */
+	for (; ms < 200000 && ended.empty(); ms += 5000)
+		StepTo(ms);
+	EXPECT_EQ("unread: not read", ended);
+	EXPECT_LT(1u << 20, unread_bytes);
+	EXPECT_TRUE(caller->wait_closed());
+	EXPECT_GT(32u << 20, caller->input.size());
+}
+
+/*
+ * Guards against memory for the answers to requests that a caller sends without
+ * reading: a request is begun when the answers before it are almost sent.
+ */
+TEST_F(Callers, BeginNoRequestBehindUnreadAnswers)
+{
+	std::unique_ptr<Connection> caller(Connection::open(address));
+
+	StepTo(0);
+	caller->send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n"
+		     "GET /large HTTP/1.1\r\nHost: h\r\n\r\n"
+		     "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+	StepTo(1000);
+	EXPECT_EQ(1, begun_count);
+	EXPECT_TRUE(run_until([&] {
+		caller->read();
+		return caller->input.size() > 64u << 20;
+	}));
+	EXPECT_TRUE(run_until([&] {
+		caller->read();
+		return begun_count == 3;
+	}));
+	EXPECT_EQ("", ended);
+}
+
+/* Guards against a drain that closes on a request behind unread answers. */
+TEST_F(Callers, AnswerRequestsBehindUnreadAnswersWhenADrainEnds)
+{
+	std::unique_ptr<Connection> caller(Connection::open(address));
+
+	StepTo(0);
+	caller->send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n"
+		     "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+	StepTo(1000);
+	caller_set_drain(set);
+	caller_set_close_idle(set);
+	EXPECT_EQ(1u, caller_set_arriving_count(set));
+	caller_set_refuse_arriving(set);
+	EXPECT_TRUE(caller->wait_closed());
+	EXPECT_EQ(1, begun_count);
+	EXPECT_NE(std::string::npos, caller->input.find("HTTP/1.1 408"));
+}
+
 /* Guards against a request that is dropped unread when a drain closes. */
 TEST_F(Callers, ReadWhatCameBeforeADrainClosesIdleConnections)
 {
