A request of 4 MB is held once when it is sent, not twice until its end

Seen: one node with 16 requests of 4.1 MB at a time needs 147 MB at its peak, more than its machine's 110 MB; with 8, 79 MB.

Cause: the rendered request was copied into the send buffer, and the send buffer kept its memory after all was sent, until the answer ended.

Change: a stream takes ownership of a rendered request (tcp_stream_take) and frees its send buffer once it is sent.

The memory itself has no test.

Open: no bound on the sum of all bodies, 20 or so of 4 MB still exceed the machine (not run); the body is kept until the answer ends, also where no retry can need it.

--- a/adapters/gateway/attempt.c
+++ b/adapters/gateway/attempt.c
@@ -251,9 +251,7 @@
 		attempt_destroy(attempt);
 		return NULL;
 	}
-	tcp_stream_write(attempt->stream, options->request->str,
-			 options->request->len);
-	g_string_free(options->request, TRUE);
+	tcp_stream_take(attempt->stream, options->request);
 	return attempt;
 }
 
--- a/adapters/gateway/tcp_stream.c
+++ b/adapters/gateway/tcp_stream.c
@@ -299,6 +299,16 @@
 	stream_fail(stream, STEP_WRITE, ETIMEDOUT);
 }
 
+/* Frees bytes that are sent: an emptied array would keep its memory. */
+static void stream_clear_unsent(struct tcp_stream *stream)
+{
+	stream->unsent_offset = 0;
+	if (stream->unsent->len == 0)
+		return;
+	g_byte_array_unref(stream->unsent);
+	stream->unsent = g_byte_array_new();
+}
+
 /* Sends as much as the socket accepts; false on a broken connection. */
 static bool stream_flush(struct tcp_stream *stream)
 {
@@ -316,8 +326,7 @@
 		stream->has_sent = true;
 		stream->unsent_offset += (size_t)sent;
 	}
-	g_byte_array_set_size(stream->unsent, 0);
-	stream->unsent_offset = 0;
+	stream_clear_unsent(stream);
 	return true;
 }
 
@@ -565,13 +574,12 @@
 	return finishing_count;
 }
 
-/* Sends the bytes, or copies them until the peer accepts them. */
-void tcp_stream_write(struct tcp_stream *stream, const char *bytes, size_t size)
+/* Sends as many of new bytes as the socket accepts; returns their number. */
+static size_t stream_send_first(struct tcp_stream *stream, const char *bytes,
+				size_t size)
 {
 	ssize_t sent = 0;
 
-	if (stream->fd < 0 || size == 0)
-		return;
 	stream->written_bytes += (int64_t)size;
 	if (!stream->is_checked)
 		stream_schedule_check(stream);
@@ -582,10 +590,43 @@
 		/* The next poll detects a broken connection. */
 		sent = MAX(sent, 0);
 	}
-	if ((size_t)sent == size)
+	return (size_t)sent;
+}
+
+/* Sends the bytes, or copies them until the peer accepts them. */
+void tcp_stream_write(struct tcp_stream *stream, const char *bytes, size_t size)
+{
+	size_t sent;
+
+	if (stream->fd < 0 || size == 0)
+		return;
+	sent = stream_send_first(stream, bytes, size);
+	if (sent == size)
 		return;
 	g_byte_array_append(stream->unsent, (const guint8 *)bytes + sent,
-			    (guint)(size - (size_t)sent));
+			    (guint)(size - sent));
+	stream_update_conditions(stream);
+}
+
+/*
+ * Sends the bytes as tcp_stream_write does, and takes ownership of them: those
+ * of a large request are kept until they are sent, and not copied.
+ */
+void tcp_stream_take(struct tcp_stream *stream, GString *bytes)
+{
+	size_t size = bytes->len;
+
+	if (stream->fd < 0 || size == 0 || stream->unsent->len > 0) {
+		tcp_stream_write(stream, bytes->str, size);
+		g_string_free(bytes, TRUE);
+		return;
+	}
+	stream->unsent_offset = stream_send_first(stream, bytes->str, size);
+	g_byte_array_unref(stream->unsent);
+	stream->unsent = g_byte_array_new_take(
+		(guint8 *)g_string_free(bytes, FALSE), size);
+	if (stream->unsent_offset == size)
+		stream_clear_unsent(stream);
 	stream_update_conditions(stream);
 }
 
--- a/adapters/gateway/tcp_stream.h
+++ b/adapters/gateway/tcp_stream.h
@@ -39,6 +39,7 @@
 
 void tcp_stream_write(struct tcp_stream *stream, const char *bytes,
 		      size_t size);
+void tcp_stream_take(struct tcp_stream *stream, GString *bytes);
 size_t tcp_stream_finishing_count(void);
 size_t tcp_stream_unsent_bytes(const struct tcp_stream *stream);
 size_t tcp_stream_unread_bytes(const struct tcp_stream *stream);
--- a/tests/tcp_stream_test.cc
+++ b/tests/tcp_stream_test.cc
@@ -219,6 +219,30 @@
 		EXPECT_TRUE(side.peer->wait_closed());
 }
 
+/* Guards against bytes of a large request that come twice or not at all. */
+TEST_F(TcpStream, SendsWhatItTakesOnce)
+{
+	std::string all;
+
+	for (size_t size : {10, 300000, 20, 200000}) {
+		std::string bytes(size, (char)('a' + all.size() % 26));
+
+		for (struct side &side : sides)
+			tcp_stream_take(
+				side.stream,
+				g_string_new_len(bytes.data(), (gssize)size));
+		all += bytes;
+		written = all.size();
+		if (size == 20)
+			ExpectAllRead();
+	}
+	ExpectAllRead();
+	for (const struct side &side : sides) {
+		EXPECT_EQ(all, side.peer->input);
+		EXPECT_EQ(0u, tcp_stream_unsent_bytes(side.stream));
+	}
+}
+
 /* Guards against a vanished peer that is waited for while bytes are unread. */
 TEST_F(TcpStream, FindsOutThatAPeerIsGone)
 {
