LOST: runs were stopped at engines that would not be asked to take them back

Callers saw: streams cut where the next engine refuses, and the node knew before the stop that the engine of the run wants no request: in a rest it lets one run return there, and had all others stopped as well.

Change: a run under notice is stopped only while its own engine would be asked to take it back: not in a rest, nor beyond its limits. It stays there, as one for which it is too late does.

GatewayHandoverMore.StaysWhereItsEngineRests: the stream was cut without the condition (1 stop).

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -59,6 +59,30 @@
 		target && endpoint_has_unread_prompts(target);
 }
 
+/* Whether the endpoint's limits allow one more request, to go on with a run. */
+static bool rates_allow(const struct exchange *exchange,
+			const struct endpoint *endpoint)
+{
+	struct endpoint_rates rates;
+
+	gateway_fill_rates(exchange->gateway, exchange->service_name,
+			   exchange->service, &rates);
+	return endpoint_rates_allow(endpoint, &rates, RATE_FOR_TAKE_OVER,
+				    exchange->gateway->now_us);
+}
+
+/*
+ * Whether the leg's engine would be asked to take the run back after it has
+ * stopped it: in a rest it may get one run only, and others leave as well.
+ */
+static bool leg_may_return(const struct exchange *exchange)
+{
+	const struct endpoint *endpoint = leg_endpoint(exchange->leg);
+
+	return endpoint && rates_allow(exchange, endpoint) &&
+	       !endpoint_rest_is_on(&endpoint->rest, exchange->gateway->now_us);
+}
+
 static struct evacuation_input read_input(const struct exchange *exchange)
 {
 	const struct leg *leg = exchange->leg;
@@ -79,6 +103,7 @@
 			retry_window_remaining(gateway_budget(
 				exchange->gateway, exchange->service_name)) > 0,
 		.may_stop = exchange_may_stop(exchange),
+		.may_return = leg_may_return(exchange),
 		.has_backup = has_backup(exchange),
 		.backup_refused = exchange->handover.backup_refused,
 		.backup_reads_prompts =
@@ -89,18 +114,6 @@
 	return input;
 }
 
-/* Whether the endpoint's limits allow one more request, to go on with a run. */
-static bool rates_allow(const struct exchange *exchange,
-			const struct endpoint *endpoint)
-{
-	struct endpoint_rates rates;
-
-	gateway_fill_rates(exchange->gateway, exchange->service_name,
-			   exchange->service, &rates);
-	return endpoint_rates_allow(endpoint, &rates, RATE_FOR_TAKE_OVER,
-				    exchange->gateway->now_us);
-}
-
 /* The copy from which a run can continue once its engine is lost. */
 struct copy_place {
 	struct endpoint *endpoint; /* NULL: nowhere */
--- a/core/gateway/evacuation.c
+++ b/core/gateway/evacuation.c
@@ -96,7 +96,7 @@
 /* Whether a run that its engine stops now could still return there. */
 static bool could_return(const struct evacuation_input *input)
 {
-	return input->under_notice_us <= STOP_UNTIL_US;
+	return input->may_return && input->under_notice_us <= STOP_UNTIL_US;
 }
 
 static bool wants_copy(const struct evacuation_input *input)
--- a/core/gateway/evacuation.h
+++ b/core/gateway/evacuation.h
@@ -33,6 +33,7 @@
 	bool failed_in_reach; /* the engine failed while it was in reach */
 
 	bool may_stop;	     /* the engine may be asked to stop the run now */
+	bool may_return;     /* its engine would be asked to take it back */
 	bool has_backup;     /* at a serving engine */
 	bool backup_refused; /* its engine has no room to take the run over */
 	bool backup_reads_prompts;
--- a/tests/evacuation_script.cc
+++ b/tests/evacuation_script.cc
@@ -339,6 +339,7 @@
 		input.target_serves = TargetServes();
 		input.target_reads_prompts = ReadsPrompts();
 		input.may_stop = now >= again_at;
+		input.may_return = true;
 		input.backup_refused = backup_refused;
 		return input;
 	}
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -618,6 +618,28 @@
 	EXPECT_EQ(0, from->stops);
 }
 
+/* Guards against a stream that is lost as the other engine refuses, and its own
+ * one wants no request, which its node knew before. */
+TEST_F(GatewayHandoverMore, StaysWhereItsEngineRests)
+{
+	struct endpoint *endpoint;
+
+	SetPace(50, 60);
+	Start(true, false);
+	Each([this](ModelEngine *engine) {
+		if (engine != from)
+			engine->has_copies = false;
+	});
+	endpoint = registry_find(nodes[asked]->gateway->registry,
+				 from->id.c_str());
+	endpoint->rest.until_us = gateway_now_us() + 10000000;
+	endpoint->rest.spare_used = true;
+	Leave(from);
+	Finish();
+	ExpectWhole();
+	EXPECT_EQ(0, from->stops);
+}
+
 /* Guards against a stream that is lost for want of a retry, as the other engine
  * refuses a run that its own one has stopped. */
 TEST_F(GatewayHandoverMore, ReturnsWithoutARetry)
