Tests: the removal of ReturnsWhereItsEntryIsRemoved is in no doubt

Since a notice begins with the doubt, the run of this test was not stopped any more: removals are in doubt for two seconds after a start, and that is too late. It waits for the end of that time, and also requires the stop. The mutant handover_entry, which had not been found out, is.

--- a/tests/gateway_handover_test.cc
+++ b/tests/gateway_handover_test.cc
@@ -265,13 +265,15 @@
 /* The same where the entry of its own engine is removed, and says nothing. */
 TEST_F(GatewayHandover, ReturnsWhereItsEntryIsRemoved)
 {
-	SetPace(50, 40);
+	SetPace(50, 90);
 	Start(true, false);
 	to->answer_ms = 400;
 	to->has_copies = false;
+	Wait(2500); /* removals are in doubt before */
 	RemoveEntry();
 	Finish();
 	EXPECT_LE(Overlap(), max_overlap_us);
+	EXPECT_EQ(1, from->stops);
 	EXPECT_EQ(AllEvents(), Events());
 	EXPECT_TRUE(IsWhole());
 }
