--- a/core/json/json_reader.c
+++ b/core/json/json_reader.c
@@ -5,6 +5,8 @@
 
 enum {
 	MAX_DEPTH = 32,
+	/* The parser takes some 300 bytes for each. */
+	MAX_VALUES = 1 << 17,
 	UNIT_DIGITS = 4,
 	FIRST_SURROGATE = 0xd800,
 	FIRST_LOW_SURROGATE = 0xdc00,
@@ -119,11 +121,13 @@
  * within which brackets would be miscounted, so only plain JSON is allowed
  * outside strings.
  */
-static const char *json_reader_scan(const char *text, size_t size, size_t *at)
+static const char *json_reader_scan(const char *text, size_t size,
+				    int max_values, size_t *at)
 {
 	static const char byte_order_mark[] = "\xef\xbb\xbf";
 	int depth = 0;
 	bool in_string = false;
+	int values = 0;
 
 	*at = 0;
 	if (size >= strlen(byte_order_mark) &&
@@ -160,30 +164,62 @@
 			return "no closing bracket";
 		if (depth > MAX_DEPTH)
 			return "at most 32 levels";
+		values += c == ',' || c == '{' || c == '[';
+		if (values > max_values)
+			return "fewer values";
 	}
 	return in_string || depth != 0 ? "a whole JSON text" : NULL;
 }
 
+/*
+ * Moves at behind a number. A whole one that does not fit into 64 bits is
+ * replaced by one that is as large and that the parser reads as a fraction.
+ */
+static void replace_large_number(char *text, size_t size, size_t *at)
+{
+	static const char large[] = "9e300";
+	size_t start = *at + (text[*at] == '-'), digits;
+
+	if (skip_number(text, size, at))
+		return;
+	*at = start;
+	digits = skip_digits(text, size, at);
+	if (digits < strlen(largest_number) ||
+	    (*at < size && strchr(".eE", text[*at])))
+		return;
+	memset(text + start, ' ', digits);
+	memcpy(text + start, large, strlen(large));
+}
+
 /*
  * Returns the text with U+FFFD for what stands for no character in its strings,
- * so that a list with one odd string can be read. The caller owns the result.
+ * and with other numbers for those beyond 64 bits, so that one that nobody
+ * reads does no harm. A name with U+FFFD and a number of that size are refused
+ * where they are read. The caller owns the result.
  */
 GBytes *json_reader_replace_invalid(GBytes *document)
 {
+	bool in_string = false;
 	size_t size, at = 0;
 	const char *text = g_bytes_get_data(document, &size);
 	gunichar unit;
 	char *copy;
 
-	if (size == 0 || (g_utf8_validate(text, (gssize)size, NULL) &&
-			  !g_strstr_len(text, (gssize)size, "\\u")))
+	if (size == 0)
 		return g_bytes_ref(document);
 	copy = g_utf8_make_valid(text, (gssize)size);
 	size = strlen(copy);
 	while (at < size) {
 		size_t start = at;
 
+		if (!in_string &&
+		    (copy[at] == '-' || g_ascii_isdigit(copy[at]))) {
+			replace_large_number(copy, size, &at);
+			at += at == start;
+			continue;
+		}
 		if (copy[at] != '\\') {
+			in_string ^= copy[at] == '"';
 			at++;
 			continue;
 		}
@@ -273,7 +309,7 @@
 }
 
 static JsonNode *json_reader_check_and_load(GBytes *document, size_t max_bytes,
-					    bool unique_members,
+					    int max_values, bool unique_members,
 					    const char *step,
 					    struct error *error)
 {
@@ -292,7 +328,7 @@
 			  "expected JSON in UTF-8");
 		return NULL;
 	}
-	expected = json_reader_scan(text, size, &at);
+	expected = json_reader_scan(text, size, max_values, &at);
 	if (expected) {
 		error_set(error, ERROR_INVALID, step, "",
 			  "expected %s at byte %zu", expected, at);
@@ -310,8 +346,8 @@
 JsonNode *json_reader_parse(GBytes *document, size_t max_bytes,
 			    const char *step, struct error *error)
 {
-	return json_reader_check_and_load(document, max_bytes, true, step,
-					  error);
+	return json_reader_check_and_load(document, max_bytes, MAX_VALUES, true,
+					  step, error);
 }
 
 /*
@@ -322,8 +358,19 @@
 JsonNode *json_reader_parse_lax(GBytes *document, size_t max_bytes,
 				const char *step, struct error *error)
 {
-	return json_reader_check_and_load(document, max_bytes, false, step,
-					  error);
+	return json_reader_check_and_load(document, max_bytes, MAX_VALUES,
+					  false, step, error);
+}
+
+/*
+ * Parses like json_reader_parse_lax() a text of few values, as of a writer that
+ * is not known: with more of them it takes a hundred times the text to parse.
+ */
+JsonNode *json_reader_parse_small(GBytes *document, int max_values,
+				  const char *step, struct error *error)
+{
+	return json_reader_check_and_load(document, g_bytes_get_size(document),
+					  max_values, false, step, error);
 }
 
 /*
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -1097,6 +1097,26 @@
 	until_true answers 1 /lookup/c 200 || fail "nothing is served"
 }
 
+# Guards against nodes that are ended by one flat entry, which takes many times its
+# size to read: machines have 110 MB for a node.
+case_reads_a_flat_entry_within_its_memory() {
+	local i size
+
+	odd_entry more "[$(repeat 340000 '{},'){}]" >"$work/odd"
+	put_bytes servers/odd-flat "$work/odd"
+	until_true logged "entry_rejected endpoint=odd-flat key" ||
+		logged "endpoint endpoint=odd-flat" || true
+	sleep 2
+	for i in 0 1; do
+		size=$(sed -n 's/^VmHWM:[[:space:]]*\([0-9]*\) kB/\1/p' \
+			"/proc/${node_pids[$i]}/status")
+		echo "node $i: peak $size kB"
+		[ "${size:-999999}" -lt $((64 * 1024)) ] ||
+			fail "node $i has used $size kB"
+	done
+	unregister odd-flat
+}
+
 # Guards against a node that keeps an endpoint whose entry is removed, because it
 # takes odd entries, in the same answer of the store, for the loss of many.
 case_drops_an_endpoint_beside_odd_entries() {
--- a/tests/platform_odd_test.cc
+++ b/tests/platform_odd_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -568,3 +569,95 @@
 	EXPECT_EQ("none", read_changes(good + ",{\"key\":\"b\\"));
 	EXPECT_EQ("none", read_changes(good + ",{\"key\":\"b\\u"));
 }
+
+/* Kilobytes of a field of this process's status, such as VmHWM. */
+static long status_kb(const std::string &field)
+{
+	std::ifstream status("/proc/self/status");
+	std::string line;
+
+	while (std::getline(status, line))
+		if (line.compare(0, field.size() + 1, field + ":") == 0)
+			return std::stol(line.substr(field.size() + 1));
+	return 0;
+}
+
+/* Most memory, in kB, that the reading of this entry takes beyond the text. */
+static long reading_kb(const std::string &value)
+{
+	owned_registration record(nullptr, registration_destroy);
+	long before;
+
+	std::ofstream("/proc/self/clear_refs") << 5;
+	before = status_kb("VmRSS");
+	record = read_value(value, "servers/i-1");
+	return status_kb("VmHWM") - before;
+}
+
+/*
+ * Guards against an entry of another writer that is small and flat, but takes
+ * more memory to read than the machine has: each node would be ended by it, and
+ * again at each start.
+ */
+TEST(PlatformOdd, ReadsFlatEntriesInBoundedMemory)
+{
+	static constexpr size_t max_value_bytes = 1 << 20;
+	static constexpr long max_kb = 24 * 1024;
+
+	for (const char *unit : {"{}", "[]", "0", "{\"\":0}"}) {
+		std::string list = "[";
+
+		while (list.size() + strlen(unit) + 300 < max_value_bytes)
+			list += std::string(unit) + ",";
+		list += std::string(unit) + "]";
+		EXPECT_LT(reading_kb(entry_with("more", list)), max_kb) << unit;
+	}
+}
+
+/* 2^bits names with the same value of GLib's hash for strings. */
+static std::string colliding_members(int bits)
+{
+	std::string members;
+
+	for (int i = 0; i < 1 << bits; i++) {
+		members += i ? ",\"" : "\"";
+		for (int bit = 0; bit < bits; bit++)
+			members += i >> bit & 1 ? "Ab" : "BA";
+		members += "\":0";
+	}
+	return members;
+}
+
+/*
+ * Guards against an entry of another writer that stops the node for seconds, as
+ * its members have equal hashes.
+ */
+TEST(PlatformOdd, ReadsMembersOfEqualHashesInTime)
+{
+	int64_t begun_us = g_get_monotonic_time();
+
+	read_value(entry_with("more", "{" + colliding_members(14) + "}"),
+		   "servers/i-1");
+	EXPECT_LT(g_get_monotonic_time() - begun_us, 500000);
+}
+
+/*
+ * Guards against a list that is not followed, or a configuration that is
+ * rejected, for a number or a text that nothing reads.
+ */
+TEST(PlatformOdd, UnreadNumbersAndTextsDoNoHarm)
+{
+	for (const char *literal :
+	     {"9223372036854775808", "18446744073709551615", "\"a\\u0000\""}) {
+		const std::string item =
+			"{\"key\":\"servers/b\",\"revision\":6,"
+			"\"value\":\"e30=\",\"lease\":";
+
+		EXPECT_EQ("servers/b+ ", read_changes(item + literal + "}"))
+			<< literal;
+		EXPECT_TRUE(
+			is_document("{\"version\":3,\"limits\":{},\"more\":" +
+				    std::string(literal) + "}"))
+			<< literal;
+	}
+}
