--- a/core/json/json_reader.c
+++ b/core/json/json_reader.c
@@ -188,7 +188,7 @@
 	    (*at < size && strchr(".eE", text[*at])))
 		return;
 	memset(text + start, ' ', digits);
-	memcpy(text + start, large, strlen(large));
+	memcpy(text + start, large, sizeof(large) - 1);
 }
 
 /*
