--- a/tests/platform_odd_test.cc
+++ b/tests/platform_odd_test.cc
@@ -395,7 +395,7 @@
 			  .load.statement);
 }
 
-/* A desired state in which one place is odd, or none: place "". */
+/* A configuration in which one place is odd, or none: place "". */
 static std::string document_with(const std::string &place,
 				 const std::string &literal)
 {
@@ -456,7 +456,7 @@
 }
 
 /*
- * Guards against a desired state of which a part is in force: a list that can't
+ * Guards against a configuration of which a part is in force: a list that can't
  * be read as an empty one, so that no key is asked for, a part of a split that
  * is left out, or a default in the place of an odd number.
  */
