--- a/core/json/json_reader.h
+++ b/core/json/json_reader.h
@@ -30,7 +30,6 @@
 				const char *step, struct error *error);
 JsonNode *json_reader_parse_small(GBytes *document, int max_values,
 				  const char *step, struct error *error);
-GBytes *json_reader_replace_invalid(GBytes *document);
 
 bool json_fields_begin(struct json_fields *fields, JsonNode *node,
 		       const char *step, struct error *error,
