A last answer that was not read left no line

Found by the review of the fixes: a connection that closes after its answer, as all do while a node drains, has no owner while the rest is sent.

Change: tcp_stream notes what such streams lost, and the callers' step tells it. Callers.SayThatALastAnswerWasNotRead, of the reviewer (red before), now with a step of the set and the number of bytes.

--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -325,7 +325,11 @@
 				     size_t max_callers)
 {
 	struct caller_set *set = g_new0(struct caller_set, 1);
+	struct tcp_stream_loss earlier;
 
+	/* What was lost before is no loss of this set's callers. */
+	if (handler->unread)
+		tcp_stream_take_loss(&earlier);
 	set->handler = *handler;
 	set->max_callers = max_callers;
 	set->limits = (struct caller_limits){
@@ -502,12 +506,19 @@
 	return callers;
 }
 
-/* Closes connections that have been idle or slow for too long. */
+/*
+ * Closes connections that have been idle or slow for too long, and calls unread
+ * for last answers that were not read.
+ */
 void caller_set_step(struct caller_set *set, int64_t now_us)
 {
 	GPtrArray *callers = caller_set_list(set);
+	const struct caller_handler *handler = &set->handler;
+	struct tcp_stream_loss loss;
 
 	set->now_us = now_us;
+	if (handler->unread && tcp_stream_take_loss(&loss))
+		handler->unread(handler->data, loss.bytes, loss.detail);
 	for (guint i = 0; i < callers->len; i++)
 		caller_step(g_ptr_array_index(callers, i), now_us);
 	g_ptr_array_unref(callers);
--- a/adapters/gateway/caller.h
+++ b/adapters/gateway/caller.h
@@ -32,9 +32,9 @@
 	 */
 	void (*gone)(void *data, void *request, const char *detail);
 	/*
-	 * The connection failed after its last answer had ended, with bytes
-	 * that the caller has not read, or was given up as it reads none of
-	 * them. May be NULL.
+	 * A connection failed after its last answer had ended, with bytes that
+	 * the caller has not read, or was given up as it reads none of them.
+	 * Several that were closing are told as one. May be NULL.
 	 */
 	void (*unread)(void *data, size_t bytes, const char *detail);
 	/* All queued bytes are sent; the answer may continue. May be NULL. */
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -82,7 +82,6 @@
 	char number[24];
 
 	counters_add(gateway->options.counters, COUNTER_GATEWAY_UNREAD, 1);
-
 	g_snprintf(number, sizeof(number), "%zu", bytes);
 	log_write(gateway->log, LOG_LEVEL_INFO, "answer_unread", "bytes",
 		  number, "reason", detail, NULL);
--- a/adapters/gateway/tcp_stream.c
+++ b/adapters/gateway/tcp_stream.c
@@ -81,6 +81,9 @@
 /* Streams that nobody owns any more and that are not closed yet. */
 static size_t finishing_count;
 
+/* What such streams lost since tcp_stream_take_loss() was last called. */
+static struct tcp_stream_loss loss;
+
 /* Splits IPv4:PORT into host and port. False if the address is invalid. */
 bool tcp_address_parse(const char *address, char *host, size_t host_size,
 		       uint16_t *port)
@@ -202,12 +205,24 @@
 	return errno_is_unreachable(number) ? ERROR_TIMEOUT : ERROR_CLOSED;
 }
 
+/* Releases a stream that nobody owns, and notes what its peer has not read. */
+static void stream_abandon(struct tcp_stream *stream, const char *detail)
+{
+	size_t bytes = tcp_stream_unread_bytes(stream);
+
+	if (bytes > 0) {
+		loss.bytes += bytes;
+		loss.detail = detail;
+	}
+	stream_release(stream);
+}
+
 static void stream_fail(struct tcp_stream *stream, const char *step, int number)
 {
 	struct error error;
 
 	if (stream->finishing) {
-		stream_release(stream);
+		stream_abandon(stream, g_strerror(number));
 		return;
 	}
 	stream->unread_bytes = tcp_stream_unread_bytes(stream);
@@ -382,7 +397,7 @@
 	}
 	if (stream->finishing) {
 		if (size == 0)
-			stream_release(stream);
+			stream_abandon(stream, "closed");
 		return;
 	}
 	if (size > 0) {
@@ -574,6 +589,18 @@
 	return finishing_count;
 }
 
+/*
+ * Takes what streams that were given to tcp_stream_finish lost since the last
+ * call: bytes that their peers had not read when the connection failed or was
+ * closed, and why the last one did. Returns false if they lost none.
+ */
+bool tcp_stream_take_loss(struct tcp_stream_loss *taken)
+{
+	*taken = loss;
+	loss = (struct tcp_stream_loss){0};
+	return taken->bytes > 0;
+}
+
 /* Sends as many of new bytes as the socket accepts; returns their number. */
 static size_t stream_send_first(struct tcp_stream *stream, const char *bytes,
 				size_t size)
--- a/adapters/gateway/tcp_stream.h
+++ b/adapters/gateway/tcp_stream.h
@@ -18,6 +18,12 @@
  */
 struct tcp_stream;
 
+/* Bytes of finished streams that were not read. */
+struct tcp_stream_loss {
+	size_t bytes;
+	const char *detail; /* a static string */
+};
+
 struct tcp_stream_events {
 	void (*opened)(void *data); /* only after tcp_stream_connect */
 	void (*received)(void *data, const char *bytes, size_t size);
@@ -41,6 +47,7 @@
 		      size_t size);
 void tcp_stream_take(struct tcp_stream *stream, GString *bytes);
 size_t tcp_stream_finishing_count(void);
+bool tcp_stream_take_loss(struct tcp_stream_loss *taken);
 size_t tcp_stream_unsent_bytes(const struct tcp_stream *stream);
 size_t tcp_stream_unread_bytes(const struct tcp_stream *stream);
 int64_t tcp_stream_taken_bytes(const struct tcp_stream *stream);
--- a/tests/caller_test.cc
+++ b/tests/caller_test.cc
@@ -325,6 +325,22 @@
 	EXPECT_NE(std::string::npos, caller->input.find("HTTP/1.1 408"));
 }
 
+/* Guards against an answer that is lost without a trace where its connection
+ * was to close after it, as all do while a node drains. */
+TEST_F(Callers, SayThatALastAnswerWasNotRead)
+{
+	std::unique_ptr<Connection> caller(Connection::open(address));
+
+	StepTo(0);
+	caller->send("GET /large HTTP/1.1\r\nHost: h\r\n"
+		     "Connection: close\r\n\r\n");
+	run_idle();
+	caller->reset();
+	StepTo(100);
+	EXPECT_EQ("unread: Connection reset by peer", ended);
+	EXPECT_LT(10u << 20, unread_bytes);
+}
+
 /* Guards against a request that is dropped unread when a drain closes. */
 TEST_F(Callers, ReadWhatCameBeforeADrainClosesIdleConnections)
 {
