BUDGET: the end of an engine behind a forwarder was known seconds late

What callers saw: nothing.

Cause: since a reset connection counted as one that was accepted, so as a sign of life. So no end was known by its connections any more, only by registrations, up to 3.8 s later; by then the engine's next start was there, and its losses were counted for the one before.

Change: what tells the two apart is the endpoint's other connections. A process that ends closes all of them, one that has too many keeps them. So a reset counts as a refusal, unless a request has a connection to the endpoint.

Tests: AnEngineWithoutConnectionsHasEnded fails without the change (mutant gateway_ends_forwarder). AnEngineThatResetsHasNotEnded demanded that an engine without any connection counts as living, which the forwarder's does too; now the engine works on for another request meanwhile, and the check is as before. It fails with the mutant gateway_ends_reset.

--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -691,10 +691,7 @@
 	leg_complete(leg);
 }
 
-/*
- * No connection to the endpoint could be used. Only a refused one may show that
- * it has ended.
- */
+/* No connection to the endpoint could be used. */
 static void leg_note_unconnected(const struct leg *leg)
 {
 	struct gateway *gateway = leg->exchange->gateway;
@@ -703,8 +700,7 @@
 		gateway_ends_note(gateway, leg->endpoint_id,
 				  CONNECTION_REFUSED);
 	else if (attempt_was_accepted(leg->attempt))
-		gateway_ends_note(gateway, leg->endpoint_id,
-				  CONNECTION_ACCEPTED);
+		gateway_ends_note_reset(gateway, leg->endpoint_id);
 	gateway_reach_note_failure(gateway, leg->exchange->service_name,
 				   endpoint_key(leg->endpoint_id));
 }
--- a/adapters/gateway/gateway_ends.c
+++ b/adapters/gateway/gateway_ends.c
@@ -1,4 +1,4 @@
-#include "adapters/gateway/gateway_state.h"
+#include "adapters/gateway/exchange_state.h"
 #include "adapters/gateway/tcp_stream.h"
 
 #include <string.h>
@@ -48,26 +48,51 @@
 	end_probe_end(data);
 }
 
+/* Whether a request has a connection to the endpoint. */
+static bool endpoint_is_connected(const struct gateway *gateway,
+				  const char *endpoint_id)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, gateway->exchanges);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct leg *leg = ((const struct exchange *)key)->leg;
+
+		if (leg && leg->attempt && attempt_is_connected(leg->attempt) &&
+		    strcmp(leg->endpoint_id, endpoint_id) == 0)
+			return true;
+	}
+	return false;
+}
+
 /*
- * A reset connection shows that the endpoint lives: it takes no more of them.
- * One that failed otherwise shows nothing.
+ * What a reset connection shows. An endpoint that has too many resets new ones,
+ * and so does a forwarder whose endpoint has ended; but a process that ends
+ * closes all of its connections.
  */
+static enum connection_sign reset_sign(const struct gateway *gateway,
+				       const char *endpoint_id)
+{
+	return endpoint_is_connected(gateway, endpoint_id) ? CONNECTION_ACCEPTED
+							   : CONNECTION_REFUSED;
+}
+
+/* A connection that was neither refused nor reset shows nothing. */
 static void on_probe_failed(void *data, const struct error *error)
 {
 	struct end_probe *probe = data;
 	struct gateway *gateway = probe->gateway;
-	bool is_refused = tcp_stream_is_refused(probe->stream);
+	struct lost_endpoint *lost = probe->lost;
 
 	(void)error;
-	if (is_refused)
-		lost_endpoint_note(probe->lost, CONNECTION_REFUSED,
-				   gateway_now_us());
+	if (tcp_stream_is_refused(probe->stream))
+		lost_endpoint_note(lost, CONNECTION_REFUSED, gateway_now_us());
 	else if (tcp_stream_was_accepted(probe->stream))
-		lost_endpoint_note(probe->lost, CONNECTION_ACCEPTED,
+		lost_endpoint_note(lost, reset_sign(gateway, lost->id),
 				   gateway_now_us());
 	end_probe_end(probe);
-	if (is_refused)
-		reach_check_step(gateway);
+	reach_check_step(gateway);
 }
 
 static void on_received(void *data, const char *bytes, size_t size)
@@ -306,6 +331,13 @@
 		gateway_ends_step(gateway);
 }
 
+/* Records that a connection to the endpoint was reset before its first byte. */
+void gateway_ends_note_reset(struct gateway *gateway, const char *endpoint_id)
+{
+	gateway_ends_note(gateway, endpoint_id,
+			  reset_sign(gateway, endpoint_id));
+}
+
 /* Records that the endpoint is alive. */
 void gateway_ends_note_heard(struct gateway *gateway,
 			     const struct endpoint *endpoint)
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -325,6 +325,7 @@
 			const struct endpoint_start *start);
 void gateway_ends_note(struct gateway *gateway, const char *endpoint_id,
 		       enum connection_sign sign);
+void gateway_ends_note_reset(struct gateway *gateway, const char *endpoint_id);
 void gateway_ends_note_heard(struct gateway *gateway,
 			     const struct endpoint *endpoint);
 void gateway_ends_step(struct gateway *gateway);
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -17,6 +17,7 @@
 	std::vector<ModelEngine *> engines = {&one, &two};
 	ModelEngine *from = nullptr;
 	std::unique_ptr<Connection> caller;
+	std::vector<std::unique_ptr<Connection>> others;
 	std::string id = "r-1", path = "/report/a";
 	size_t node_count = 1, asked = 0;
 	DeadAddress dead{CUT_REFUSED};
@@ -37,6 +38,30 @@
 		}
 	}
 
+	/* Sends requests until the stream's engine runs another one. */
+	bool SendOthers()
+	{
+		for (int i = 2; i < 6; i++) {
+			others.emplace_back(
+				Connection::open(nodes[asked]->address));
+			others.back()->send(
+				"POST " + path +
+				" HTTP/1.1\r\nHost: h\r\n"
+				"X-Siskinlink-Request-Id: r-" +
+				std::to_string(i) +
+				"\r\nX-Siskinlink-Token-Count: 100,2000\r\n"
+				"Content-Length: 0\r\n\r\n");
+		}
+		return run_until([&] {
+			bool found = false;
+
+			for (const auto &run : from->work)
+				found |= run.first != id &&
+					 from->IsAtWork(run.first);
+			return found;
+		});
+	}
+
 	/* Applies a change to each engine. */
 	template <typename Change> void Each(Change change)
 	{
@@ -468,40 +493,24 @@
 /* The same where the engine listens no more, and works on for others. */
 TEST_F(GatewayHandoverMore, AsksAnEngineThatListensNoMore)
 {
-	std::vector<std::unique_ptr<Connection>> others;
-	auto has_other = [&] {
-		bool found = false;
-
-		for (const auto &run : from->work)
-			found |= run.first != id && from->IsAtWork(run.first);
-		return found;
-	};
-
 	SetPace(50, 80);
 	Start(true, true);
 	from->busy_refuses = true;
 	from->busy_ms = 2000;
-	for (int i = 2; i < 6; i++) {
-		others.emplace_back(Connection::open(nodes[asked]->address));
-		others.back()->send("POST " + path +
-				    " HTTP/1.1\r\nHost: h\r\n"
-				    "X-Siskinlink-Request-Id: r-" +
-				    std::to_string(i) +
-				    "\r\nX-Siskinlink-Token-Count: 100,2000\r\n"
-				    "Content-Length: 0\r\n\r\n");
-	}
-	ASSERT_TRUE(run_until(has_other));
+	ASSERT_TRUE(SendOthers());
 	from->busy_at = 20;
 	Finish();
 	ExpectWhole();
 	EXPECT_EQ(1, from->stops);
 }
 
-/* Guards against holding a request as if it had ended an engine that only
- * resets connections. */
+/* Guards against holding a request as if it had ended an engine that resets new
+ * connections, and works on for others. */
 TEST_F(GatewayHandoverMore, AnEngineThatResetsHasNotEnded)
 {
+	SetPace(50, 80);
 	Start(true, true);
+	ASSERT_TRUE(SendOthers());
 	from->busy_ms = 800;
 	from->busy_at = 20;
 	ASSERT_TRUE(run_until([&] { return from->busy_at < 0; }));
@@ -510,6 +519,19 @@
 	Finish();
 }
 
+/* Guards against requests that end engine after engine where a forwarder
+ * accepts connections in their place, and resets them. */
+TEST_F(GatewayHandoverMore, AnEngineWithoutConnectionsHasEnded)
+{
+	Start(true, true);
+	from->busy_ms = 800;
+	from->busy_at = 20;
+	ASSERT_TRUE(run_until([&] { return from->busy_at < 0; }));
+	Wait(200);
+	EXPECT_EQ(0u, end_watch_count(nodes[asked]->gateway->ends));
+	Finish();
+}
+
 /* Guards against a stream that waits for an engine that has ended. */
 TEST_F(GatewayHandoverMore, GoesOnAtOnceWhereItsEngineEnds)
 {
