LOST: a stream ended with the node that passed it on, beside engines in reach

What callers saw: a resumable stream was closed within, though their node was up and reached its engines.

Cause: a node that reaches no engine passes requests on to another one. When that one was lost, this node only looked for a third one to pass them on to, not whether its own engines were in reach again by then, and gave up.

Of 43 such requests 42 ended within 5 ms of the kill of the node that had them, and one was passed on once more, to an engine that reset it. One was traced whole: the asked node logs service_reached at 26.409, and the end at 26.807.

Change: the node sends the request itself, after the last event, if the service is in reach again and the route's attempts allow another run.

The check of lost requests counted a request whose other node was killed, which the users' rule on planned work doesn't: a kill is an unplanned disturbance. What can't go on, a stream that isn't resumable, can't be saved there. It now excuses a request that is in the log of a node that was killed or had a fault meanwhile, as it does for the asked node and for engines.

Test: GoesOnByItselfAfterALostNode, which fails without the change (mutant relay_itself).

--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -360,7 +360,20 @@
 	return true;
 }
 
-/* The node gave no answer: tries another one, or ends the request. */
+/* Whether this node reaches the service again, and may begin a run. */
+static bool may_send_itself(const struct exchange *exchange)
+{
+	return !gateway_reach_is_lost(exchange->gateway,
+				      exchange->service_name) &&
+	       (exchange->runs == 0 ||
+		(route_may_repeat(exchange->route) &&
+		 exchange->runs < exchange->max_attempts));
+}
+
+/*
+ * The node gave no answer: tries another one, or the endpoints that are in
+ * reach again, or ends the request.
+ */
 static void relay_fail(struct relay *relay, bool may_have_run,
 		       const char *detail)
 {
@@ -385,7 +398,9 @@
 	}
 	if (exchange_relay(exchange))
 		return;
-	if (exchange->runs > 0)
+	if (may_send_itself(exchange))
+		exchange_send_new(exchange);
+	else if (exchange->runs > 0)
 		exchange_refuse(exchange, 502, -1, "relay_broken");
 	else
 		exchange_refuse(exchange, 503, RETRY_SOON_US, "no_connection");
--- a/tests/gateway_relay_test.cc
+++ b/tests/gateway_relay_test.cc
@@ -312,6 +312,50 @@
 	nodes[2]->gateway->relayed_count = 0;
 }
 
+/* Guards against a request that ends with the node it was passed on to, where
+ * its own node reaches the endpoints again. */
+TEST_F(GatewayRelay, GoesOnByItselfAfterALostNode)
+{
+	PairEndpoint node{"n0"};
+	std::vector<std::unique_ptr<Connection>> callers;
+
+	retry_extra = 6000;
+	Create(3);
+	engine.events = other.events = 10;
+	node.is_silent = true;
+	Cut({1}, CUT_REFUSED);
+	FindOut(1);
+	for (const char *path : {"/query/a", "/lookup/a", "/report/a"}) {
+		for (const char *name : {"n0", "n2"}) {
+			struct gateway_peer *peer =
+				(struct gateway_peer *)g_hash_table_lookup(
+					nodes[1]->gateway->peers, name);
+
+			g_free(peer->address);
+			peer->address = g_strdup(node.address.c_str());
+		}
+		node.events = strcmp(path, "/lookup/a") == 0 ? 0 : 5;
+		callers.emplace_back(Connection::open(nodes[1]->address));
+		callers.back()->send(std::string("POST ") + path +
+				     " HTTP/1.1\r\nHost: h\r\n"
+				     "X-Siskinlink-Request-Id: " +
+				     path + "\r\nContent-Length: 0\r\n\r\n");
+		ASSERT_TRUE(run_until([&] { return node.runs[path] == 1; }));
+	}
+	position++;
+	Reach(1, true);
+	Wait(1000);
+	node.End();
+	ASSERT_TRUE(callers[0]->wait_for("id: 9")) << callers[0]->input;
+	ASSERT_TRUE(callers[0]->wait_for("\r\n0\r\n\r\n"));
+	EXPECT_EQ(callers[0]->input.find("id: 5"),
+		  callers[0]->input.rfind("id: 5"));
+	EXPECT_EQ(1, Runs("/query/a"));
+	ASSERT_TRUE(callers[1]->wait_for("HTTP/1.1 200"));
+	ASSERT_TRUE(callers[2]->wait_closed());
+	EXPECT_EQ(0, Runs("/report/a")) << "it can't go on after an event";
+}
+
 /* Guards against passing on for ever, and against going back and forth. */
 TEST_F(GatewayRelay, ServesByItselfAgain)
 {
--- a/tests/soak/soak_check_lost.c
+++ b/tests/soak/soak_check_lost.c
@@ -95,6 +95,26 @@
 	return false;
 }
 
+/* Whether another node that had the request was killed or had a fault. */
+static bool relay_is_excused(const struct soak_check *check,
+			     const struct soak_attempt *attempt)
+{
+	const GPtrArray *lives = check->evidence->lives;
+
+	for (guint i = 0; i < lives->len; i++) {
+		const struct soak_life *life = g_ptr_array_index(lives, i);
+
+		if (life->front && strcmp(life->front, attempt->front) != 0 &&
+		    life->from_us <= attempt->ended_us &&
+		    (!life->to_us || life->to_us >= attempt->begun_us) &&
+		    soak_check_has_fault(check, life->name, attempt->begun_us,
+					 attempt->ended_us) &&
+		    log_names(life, attempt->id))
+			return true;
+	}
+	return false;
+}
+
 /* Whether an engine still worked on the request at that time. */
 static bool was_at_work(const struct soak_check *check, const char *request,
 			int64_t at_us)
@@ -127,6 +147,7 @@
 	return !reached_its_limit(attempt) && was_read(check, attempt, life) &&
 	       !node_is_excused(check, attempt, life) &&
 	       !endpoint_is_excused(check, attempt) &&
+	       !relay_is_excused(check, attempt) &&
 	       !was_too_long(check, attempt, life);
 }
 
