LOST: a run did not return to its engine, which had answered and counted as ended

A stream was cut whose engine had stopped it and kept it.

Cause: since a reset connection counts as an engine's end where this node has no other connection to it. An engine has as many connections as it takes from all nodes, so one whose last stream of this node is lost may live on and reset the next ones. It is asked to stop the run, names what it keeps, and the other engine refuses: by then its start counts as ended, of which nothing is kept, and the stream is cut.

Change: what a call names is kept by the start that accepts the call's connection, as a request's run belongs to the start that accepts its own. A process that has ended accepts no call, and another start has no such run. A start that ends after the call was accepted keeps nothing, as before.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -484,11 +484,26 @@
 	exchange_stop_and_recover(exchange, handover->result, handover->detail);
 }
 
+/*
+ * What a call names is kept by the start that accepts it. The one that ran the
+ * stream may have counted as ended before, as it reset other connections.
+ */
 static void on_stop_connected(void *data)
 {
 	struct exchange *exchange = data;
+	struct handover *handover = &exchange->handover;
+	struct kept_run *kept = &handover->kept;
+	struct gateway *gateway = exchange->gateway;
+	const struct endpoint *endpoint;
 
-	run_stop_note_reached(&exchange->handover.stop);
+	run_stop_note_reached(&handover->stop);
+	if (!handover->call_is_for_kept || !kept->endpoint_id || kept->handle)
+		return;
+	endpoint = registry_find(gateway->registry, kept->endpoint_id);
+	if (!endpoint)
+		return;
+	kept->start = gateway_losses_start(gateway, endpoint);
+	kept->known_us = endpoint->known_us;
 }
 
 static void log_answer(const struct exchange *exchange,
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -504,6 +504,23 @@
 	EXPECT_EQ(1, from->stops);
 }
 
+/* Guards against a stream that is lost as its engine counts as ended while it
+ * resets connections, though it has answered the call to stop since. */
+TEST_F(GatewayHandoverMore, ReturnsToAnEngineThatResetItsCalls)
+{
+	SetPace(50, 80);
+	Start(true, true);
+	Each([this](ModelEngine *engine) {
+		if (engine != from)
+			engine->has_copies = false;
+	});
+	from->busy_ms = 600;
+	from->busy_at = 20;
+	Finish();
+	ExpectWhole();
+	EXPECT_EQ(1, from->continued[id]);
+}
+
 /* Guards against holding a request as if it had ended an engine that resets new
  * connections, and works on for others. */
 TEST_F(GatewayHandoverMore, AnEngineThatResetsHasNotEnded)
