LOST: the target of the last copy was not asked after it had refused an older one

What callers saw: a stream was closed within, where its leaving engine had stopped it, the other engine refused, and the call's answer came later than 1.5 s after the notice, so that the run might not return.

Cause: the call that stops a run also copies all of it to the other engine, and its answer names both. The node used the handle for the way back only. The engine that had refused the first copy, or had had none, was not asked for the last one, though the protocol lets the request be sent to "the engine that holds the copy or to a source that stopped".

Change: the node notes to which start of which engine the last copy goes. If the answer is 200 and the run may not return, it goes on there, once, under the same limits, rests and budget as any take-over. The way back comes first, as before.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -249,6 +249,7 @@
 
 static void kept_run_clear(struct kept_run *kept)
 {
+	g_free(kept->last_copy.endpoint_id);
 	g_free(kept->endpoint_id);
 	g_free(kept->endpoint_address);
 	g_free(kept->handle);
@@ -381,6 +382,26 @@
 	return endpoint;
 }
 
+/*
+ * Returns the engine that has got the last copy of the run and still serves, or
+ * NULL. It may have refused the copy before, which was another one.
+ */
+struct endpoint *exchange_last_copy_at(const struct exchange *exchange)
+{
+	const struct last_copy *copy = &exchange->handover.kept.last_copy;
+	struct gateway *gateway = exchange->gateway;
+	struct endpoint *endpoint;
+
+	if (!copy->is_complete)
+		return NULL;
+	endpoint = registry_find(gateway->registry, copy->endpoint_id);
+	if (!endpoint || !endpoint_is_same_start(endpoint, copy->known_us) ||
+	    !endpoint_serves(endpoint, exchange->service_name) ||
+	    !gateway_losses_is_current(gateway, endpoint, &copy->start))
+		return NULL;
+	return endpoint;
+}
+
 /*
  * Whether what an engine keeps of the run is of use: the engine before, to a
  * leg that has not continued it, or the leg's own one, which has stopped it. A
@@ -539,6 +560,9 @@
 	if (answer->handle && handover->call_is_for_kept) {
 		g_free(handover->kept.handle);
 		handover->kept.handle = g_strdup(answer->handle);
+		handover->kept.last_copy.is_complete =
+			handover->kept.last_copy.endpoint_id &&
+			answer->result == COPY_RESULT_COPIED;
 	}
 	copy_call_destroy(g_steal_pointer(&handover->call));
 	if (handover->waits_for_handle)
@@ -556,35 +580,59 @@
 	.done = on_stop_answered,
 };
 
-/* An engine that may take a copy; the leg's own one if there is none. */
-static const char *other_address(const struct exchange *exchange)
+/* An engine that may take a copy, or NULL. */
+static const struct endpoint *other_endpoint(const struct exchange *exchange)
 {
 	struct endpoint_criteria criteria;
-	const struct endpoint *endpoint;
 
 	exchange_fill_criteria(exchange, &criteria);
 	criteria.avoid_id = exchange->leg->endpoint_id;
-	endpoint = endpoint_choose_for_move(exchange->gateway->registry,
-					    &criteria);
-	return endpoint ? endpoint->last_registration->address
-			: exchange->leg->endpoint_address;
+	return endpoint_choose_for_move(exchange->gateway->registry, &criteria);
 }
 
 /*
- * The engine with the copy or the backup, whichever the run would go on at. The
- * call needs some other one where a new run goes on.
+ * The engine with the copy or the backup, whichever the run would go on at, or
+ * some other one where a new run goes on. NULL: none is known.
  */
-static const char *stop_target_address(const struct exchange *exchange)
+static const struct endpoint *stop_target(const struct exchange *exchange)
 {
-	const struct kept_run *kept = &exchange->handover.kept;
+	const struct endpoint *target = exchange_move_target(exchange);
 
-	if (exchange->leg->is_takeover && kept->endpoint_id &&
-	    strcmp(kept->endpoint_id, exchange->leg->endpoint_id) != 0)
-		return kept->endpoint_address;
-	if (exchange_move_target(exchange))
+	if (target)
+		return target;
+	return exchange->leg->backup_address ? leg_backup(exchange->leg)
+					     : other_endpoint(exchange);
+}
+
+/* Its address; the call needs one, be it the leg's own. */
+static const char *stop_target_address(const struct exchange *exchange,
+				       const struct endpoint *target)
+{
+	if (target && target == exchange_move_target(exchange))
 		return exchange->move.target_address;
-	return exchange->leg->backup_address ? exchange->leg->backup_address
-					     : other_address(exchange);
+	if (exchange->leg->backup_address)
+		return exchange->leg->backup_address;
+	return target ? target->last_registration->address
+		      : exchange->leg->endpoint_address;
+}
+
+/* Asks the engine to stop its run, and to copy all of it to another one. */
+static struct copy_call *start_last_copy(struct exchange *exchange,
+					 struct error *error)
+{
+	struct last_copy *copy = &exchange->handover.kept.last_copy;
+	const struct endpoint *target = stop_target(exchange);
+	const char *address = stop_target_address(exchange, target);
+
+	g_free(copy->endpoint_id);
+	*copy = (struct last_copy){0};
+	if (target &&
+	    strcmp(target->last_registration->address, address) == 0) {
+		copy->endpoint_id = g_strdup(target->last_registration->id);
+		copy->known_us = target->known_us;
+		copy->start = gateway_losses_start(exchange->gateway, target);
+	}
+	return start_call(exchange, address, true, &stop_events, error);
 }
 
 static void handover_ask(struct exchange *exchange)
@@ -595,8 +643,11 @@
 	copy_call_destroy(g_steal_pointer(&handover->call));
 	handover->call_is_for_kept = strcmp(exchange->leg->endpoint_id,
 					    handover->kept.endpoint_id) == 0;
-	handover->call = start_call(exchange, stop_target_address(exchange),
-				    true, &stop_events, &error);
+	handover->call =
+		handover->call_is_for_kept
+			? start_last_copy(exchange, &error)
+			: start_call(exchange, handover->kept.endpoint_address,
+				     true, &stop_events, &error);
 	if (!handover->call)
 		exchange_apply_stop(exchange, RUN_STOP_NOT_ASKED);
 }
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -119,6 +119,7 @@
 	struct endpoint *endpoint; /* NULL: nowhere */
 	char *address;		   /* names the copy together with handle */
 	char *handle;
+	bool is_last_copy;
 };
 
 static void copy_place_clear(struct copy_place *place)
@@ -139,25 +140,30 @@
 
 /*
  * What an engine keeps of a run that the leg has not continued, or of one that
- * the leg's own engine has stopped.
+ * the leg's own engine has stopped. One that may not get it back has copied all
+ * of it to another engine.
  */
 static struct copy_place find_kept(const struct exchange *exchange)
 {
 	const struct kept_run *kept = &exchange->handover.kept;
-	struct copy_place place = {NULL, NULL, NULL};
+	struct copy_place place = {0};
 
 	if (!kept->handle || !exchange_needs_kept(exchange))
 		return place;
 	place.endpoint = exchange_kept_at(exchange);
 	place.address = g_strdup(kept->endpoint_address);
 	place.handle = g_strdup(kept->handle);
+	if (place_is_open(exchange, &place))
+		return place;
+	place.endpoint = exchange_last_copy_at(exchange);
+	place.is_last_copy = true;
 	return place;
 }
 
 static struct copy_place find_copy(const struct exchange *exchange,
 				   enum attempt_result result)
 {
-	struct copy_place place = {NULL, NULL, NULL};
+	struct copy_place place = {0};
 	struct evacuation_input input;
 
 	if (!exchange_is_generation(exchange))
@@ -407,6 +413,8 @@
 	handover->backup_refused =
 		place->endpoint == exchange_kept_at(exchange);
 	handover->returns += handover->backup_refused;
+	if (place->is_last_copy)
+		handover->kept.last_copy.is_complete = false;
 	drop_leg(exchange);
 	exchange->take_overs++;
 	exchange->leg = leg_create(exchange, place->endpoint, place->address);
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -101,6 +101,14 @@
 	struct home_request home_request; /* for the target */
 };
 
+/* The engine to which another one, as it stops a run, copies all of it. */
+struct last_copy {
+	char *endpoint_id; /* NULL: none */
+	int64_t known_us;  /* when the start that it is for was first seen */
+	struct endpoint_start start; /* of that engine */
+	bool is_complete;	     /* and no leg has been sent to it */
+};
+
 /* What an engine that has stopped a run keeps of it. */
 struct kept_run {
 	char *endpoint_id; /* NULL: nothing is kept */
@@ -108,6 +116,7 @@
 	struct endpoint_start start; /* of that engine */
 	int64_t known_us;	     /* when that start was first seen */
 	char *handle;		     /* NULL: not known, or not yet */
+	struct last_copy last_copy;  /* under the same handle */
 };
 
 /*
@@ -305,6 +314,7 @@
 void exchange_wait_for_handle(struct exchange *exchange,
 			      enum attempt_result result, const char *detail);
 struct endpoint *exchange_kept_at(const struct exchange *exchange);
+struct endpoint *exchange_last_copy_at(const struct exchange *exchange);
 bool exchange_needs_kept(const struct exchange *exchange);
 bool exchange_may_return(const struct exchange *exchange);
 void exchange_end_handover(struct exchange *exchange);
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -583,6 +583,38 @@
 	ExpectWhole();
 }
 
+/* Guards against an engine that is asked without end as it refuses the last
+ * copy as well, after the run's own engine may get no request. */
+TEST_F(GatewayHandoverMore, AsksForTheLastCopyOnce)
+{
+	Each([](ModelEngine *engine) { engine->copy_ms = 1700; });
+	Start(true, false);
+	Each([this](ModelEngine *engine) {
+		engine->has_copies = engine == from;
+	});
+	Leave(from);
+	Finish();
+	ExpectNoFalseEnd();
+	EXPECT_EQ(2, one.refused[id] + two.refused[id]);
+}
+
+/* Guards against a request for a last copy that found no room. */
+TEST_F(GatewayHandoverMore, AsksForNoLastCopyThatFailed)
+{
+	Each([](ModelEngine *engine) {
+		engine->copy_ms = 1700;
+		engine->stop = STOPS_WITHOUT_ROOM;
+	});
+	Start(true, false);
+	Each([this](ModelEngine *engine) {
+		engine->has_copies = engine == from;
+	});
+	Leave(from);
+	Finish();
+	ExpectNoFalseEnd();
+	EXPECT_EQ(1, one.refused[id] + two.refused[id]);
+}
+
 /* Guards against a request to an engine that has been leaving for a while, as
  * it holds the backup of a run. */
 TEST_F(GatewayHandoverMore, LeavesABackupThatLeaves)
--- a/tests/model_engine.cc
+++ b/tests/model_engine.cc
@@ -347,7 +347,9 @@
 	run->next = first;
 	run->is_refused = is_continued && !has_copies;
 	active.insert(run);
-	if (!run->is_refused) {
+	if (run->is_refused) {
+		refused[request]++;
+	} else {
 		work[request].push_back({g_get_monotonic_time(), 0});
 		(is_continued ? continued : runs)[request]++;
 	}
--- a/tests/model_engine.h
+++ b/tests/model_engine.h
@@ -56,6 +56,7 @@
 	std::map<std::string, std::vector<struct span>> work;
 	std::map<std::string, int> runs;      /* begun anew */
 	std::map<std::string, int> continued; /* from a copy */
+	std::map<std::string, int> refused;   /* for want of a copy */
 	int stops = 0;			      /* calls to stop a run */
 	int copies_freed = 0;
 
