Requests that were answered whole were held as if they ended engines

A request that two engines had answered whole was refused for half an hour at every node, 503 "quarantined".

Cause: an answer that ends by its close looks whole also if its engine has ended under it, so the engine is probed. Since a reset of that probe counts as an end where this node has no other connection to the engine, and then its whole answers count as runs that it broke off. An engine that is full resets probes as well, and lives: an answer that is whole says nothing else.

Evidence: the log of the new test: request_end outcome=whole twice, endpoint_ended evidence="refuses connections" after 262 and 5 ms, request_held for_s=1799, then reason=quarantined.

Change: a reset is a sign of its own. It counts as a refusal only for a start that broke off a run; after whole answers alone it shows nothing, and the registration decides, as it does for hosts that don't answer. A refused connection counts as before.

EndWatch*, GatewayLosses*, GatewayParts*, GatewaySilence*, Quarantine*, PartFleet*, GatewayCutShort*: 58 pass.

--- a/adapters/gateway/gateway_closes.c
+++ b/adapters/gateway/gateway_closes.c
@@ -54,7 +54,7 @@
 	if (gateway->closed_answers->len >= MAX_CLOSED)
 		return;
 	g_array_append_val(gateway->closed_answers, closed);
-	gateway_ends_watch(gateway, endpoint, &run->start);
+	gateway_ends_watch(gateway, endpoint, &run->start, false);
 }
 
 /* Counts the answers of a start that has ended as runs that it broke off. */
--- a/adapters/gateway/gateway_ends.c
+++ b/adapters/gateway/gateway_ends.c
@@ -75,7 +75,7 @@
 				       const char *endpoint_id)
 {
 	return endpoint_is_connected(gateway, endpoint_id) ? CONNECTION_ACCEPTED
-							   : CONNECTION_REFUSED;
+							   : CONNECTION_RESET;
 }
 
 /* A connection that was neither refused nor reset shows nothing. */
@@ -311,14 +311,17 @@
 	end_watch_destroy(gateway->ends);
 }
 
-/* Begins to find out whether the start, which broke off a run, has ended. */
+/*
+ * Begins to find out whether the start has ended, which broke off a run, or
+ * closed the connection of one that looks whole.
+ */
 void gateway_ends_watch(struct gateway *gateway,
 			const struct endpoint *endpoint,
-			const struct endpoint_start *start)
+			const struct endpoint_start *start, bool is_broken)
 {
 	const struct registration *said = endpoint->last_registration;
 
-	end_watch_add(gateway->ends, said->id, said->address, start,
+	end_watch_add(gateway->ends, said->id, said->address, start, is_broken,
 		      gateway->now_us);
 }
 
--- a/adapters/gateway/gateway_losses.c
+++ b/adapters/gateway/gateway_losses.c
@@ -57,7 +57,7 @@
 			 const struct endpoint *endpoint)
 {
 	gateway_losses_record(gateway, run);
-	gateway_ends_watch(gateway, endpoint, &run->start);
+	gateway_ends_watch(gateway, endpoint, &run->start, true);
 }
 
 /* Records that the request was answered whole by a run begun at begun_us. */
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -322,7 +322,7 @@
 void gateway_ends_clear(struct gateway *gateway);
 void gateway_ends_watch(struct gateway *gateway,
 			const struct endpoint *endpoint,
-			const struct endpoint_start *start);
+			const struct endpoint_start *start, bool is_broken);
 void gateway_ends_note(struct gateway *gateway, const char *endpoint_id,
 		       enum connection_sign sign);
 void gateway_ends_note_reset(struct gateway *gateway, const char *endpoint_id);
--- a/core/limit/end_watch.c
+++ b/core/limit/end_watch.c
@@ -86,9 +86,13 @@
 	lost->probe = watch->host.probe(watch->host.data, lost);
 }
 
-/* Begins to find out whether the start, which broke off a run, has ended. */
+/*
+ * Begins to find out whether the start has ended, which broke off a run, or
+ * closed the connection of one that looks whole.
+ */
 void end_watch_add(struct end_watch *watch, const char *id, const char *address,
-		   const struct endpoint_start *start, int64_t now_us)
+		   const struct endpoint_start *start, bool is_broken,
+		   int64_t now_us)
 {
 	struct lost_endpoint *lost = find_lost(watch, start);
 
@@ -101,6 +105,7 @@
 		g_hash_table_insert(watch->lost, &lost->start_key, lost);
 	}
 	lost->lost_us = now_us;
+	lost->is_broken |= is_broken;
 	lost->probe_count = 0;
 	if (!lost->probe)
 		probe_begin(watch, lost, now_us);
@@ -118,7 +123,10 @@
 	g_hash_table_remove(watch->lost, &lost->start_key);
 }
 
-/* Records what a connection to the endpoint shows of this start. */
+/*
+ * Records what a connection to the endpoint shows of this start. One that has
+ * answered by a close and then has no room for a connection may live on.
+ */
 void lost_endpoint_note(struct lost_endpoint *lost, enum connection_sign sign,
 			int64_t now_us)
 {
@@ -129,6 +137,10 @@
 	case CONNECTION_REFUSED:
 		lost->refused_us = now_us;
 		break;
+	case CONNECTION_RESET:
+		if (lost->is_broken)
+			lost->refused_us = now_us;
+		break;
 	case CONNECTION_REPLACED:
 		lost->is_replaced = true;
 		break;
--- a/core/limit/end_watch.h
+++ b/core/limit/end_watch.h
@@ -26,6 +26,7 @@
 	int64_t lost_us;
 	int64_t refused_us;  /* last refused connection; 0: none */
 	int64_t accepted_us; /* last accepted connection; 0: none */
+	bool is_broken;	     /* it broke off a run, not just closed after one */
 	bool is_replaced;    /* another one answers at its address */
 	gpointer probe;	     /* of the host; NULL: not begun, or over */
 	int64_t probed_us;
@@ -60,6 +61,7 @@
 enum connection_sign {
 	CONNECTION_ACCEPTED,
 	CONNECTION_REFUSED,
+	CONNECTION_RESET,   /* and no other connection to it is left */
 	CONNECTION_REPLACED /* an answer from its address is not from it */
 };
 
@@ -70,7 +72,8 @@
 void end_watch_destroy(struct end_watch *watch);
 
 void end_watch_add(struct end_watch *watch, const char *id, const char *address,
-		   const struct endpoint_start *start, int64_t now_us);
+		   const struct endpoint_start *start, bool is_broken,
+		   int64_t now_us);
 void end_watch_forget(struct end_watch *watch,
 		      const struct endpoint_start *start, int64_t lost_us);
 bool end_watch_note_connection(struct end_watch *watch, const char *id,
--- a/core/node/node_losses.c
+++ b/core/node/node_losses.c
@@ -221,7 +221,7 @@
 
 	quarantine_report_loss(node->quarantine, &run, node->now_us);
 	end_watch_add(node->ends, call->endpoint, call->endpoint, &call->start,
-		      node->now_us);
+		      true, node->now_us);
 }
 
 /* Records that the endpoint refused a connection. */
--- a/tests/end_watch_test.cc
+++ b/tests/end_watch_test.cc
@@ -37,7 +37,7 @@
 
 	void Lose(int64_t at_us)
 	{
-		end_watch_add(watch, "i-7", "10.0.0.7:80", &start, at_us);
+		end_watch_add(watch, "i-7", "10.0.0.7:80", &start, true, at_us);
 	}
 
 	/* Ends the open probe with what it shows. */
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -549,6 +549,24 @@
 	Finish();
 }
 
+/* Guards against requests that are held as if they ended engines, which have
+ * answered them whole, by a close, and then had no room for a connection. */
+TEST_F(GatewayHandoverMore, HoldsNoRequestThatWasAnsweredWhole)
+{
+	SetPace(10, 20);
+	Each([](ModelEngine *engine) { engine->ends_by_close = true; });
+	Start(false, false);
+	Finish();
+	for (int i = 0; i < 3; i++) {
+		Each([](ModelEngine *engine) {
+			engine->busy_ms = 300;
+			engine->busy_at = engine->events;
+		});
+		EXPECT_EQ(200, Ask(asked, path, "again-" + std::to_string(i)));
+		Wait(800);
+	}
+}
+
 /* Guards against a stream that waits for an engine that has ended. */
 TEST_F(GatewayHandoverMore, GoesOnAtOnceWhereItsEngineEnds)
 {
