MIXED: the answers of two endpoints were joined

A caller got 300,000 bytes of an error of 400,000, then five bytes of another endpoint's whole answer, on a connection that stays open: the head of its next answer would have counted as the rest of the body.

Cause: a late request is sent to a second endpoint, and the first good answer is taken. An error of the first endpoint that nothing may replace is passed on, and from 256 KB on as it arrives; the second endpoint's answer still counted, as it was better. That an answer may be replaced was known of one that is kept, not of one that has begun. The same where the first one breaks off then.

Evidence: the new test; the log says request_sent_again, run_released reason=answered, outcome=whole status=200, after a head of 500 was sent.

Change: the second endpoint is released where the head of an answer is sent.

--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -31,6 +31,8 @@
 {
 	struct caller *caller = exchange->caller;
 
+	if (exchange->next)
+		exchange_drop_next(exchange, "another answer has begun");
 	if (caller_decide_close(caller))
 		g_string_append(exchange->answer_head, "Connection: close\r\n");
 	g_string_append(exchange->answer_head, "\r\n");
--- a/tests/gateway_endless_test.cc
+++ b/tests/gateway_endless_test.cc
@@ -1035,3 +1035,80 @@
 	EXPECT_EQ(ANSWER_SIZE_OK, answer_limit_add(&limit, INT64_MAX));
 	EXPECT_EQ(ANSWER_SIZE_OK, answer_limit_add(&limit, INT64_MAX));
 }
+
+/* Accepts a connection within the loop's turns; -1: none came. */
+static int accept_one(const Listener &listener)
+{
+	int fd = -1;
+
+	run_until([&] {
+		fd = accept(g_socket_get_fd(listener.socket), nullptr, nullptr);
+		return fd >= 0;
+	});
+	if (fd >= 0)
+		fcntl(fd, F_SETFL, O_NONBLOCK);
+	return fd;
+}
+
+static bool send_all(int fd, std::string bytes)
+{
+	return run_until([&] {
+		ssize_t size =
+			send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+
+		if (size > 0)
+			bytes.erase(0, (size_t)size);
+		return bytes.empty();
+	});
+}
+
+/* Guards against an answer in which two endpoints' bytes are joined: a large
+ * error of the first one goes to the caller when the second one answers. */
+TEST_F(GatewayEndless, AnswersWithOneOfTwoEndpoints)
+{
+	const std::string fields = "X-Siskinlink-Request-Id: late-1\r\n"
+				   "X-Siskinlink-Engine-Stamp: ";
+	Listener one, two;
+	int first, second;
+	struct retry_window *budget;
+
+	retry_extra = 6000;
+	Create(1);
+	Register(0, "portal", {{"i-1", one.address()}});
+	SaveRetries("portal");
+	std::unique_ptr<Connection> caller(Connection::open(nodes[0]->address));
+	caller->send("GET /lookup/a HTTP/1.1\r\nHost: h\r\n"
+		     "X-Siskinlink-Request-Id: late-1\r\n\r\n");
+	first = accept_one(one);
+	Register(0, "portal", {{"i-2", two.address()}});
+	second = accept_one(two);
+	ASSERT_LE(0, second);
+	budget = gateway_budget(nodes[0]->gateway, "portal");
+	while (retry_window_remaining(budget) > 0)
+		retry_window_take(budget);
+	ASSERT_TRUE(send_all(first, "HTTP/1.1 500 Error\r\n" + fields +
+					    "i-1\r\nContent-Length: 400000"
+					    "\r\n\r\n" +
+					    std::string(300000, 'b')));
+	ASSERT_TRUE(run_until([&] {
+		caller->read();
+		return caller->input.size() > 256 * 1024;
+	}));
+	ASSERT_TRUE(send_all(second, "HTTP/1.1 200 OK\r\n" + fields +
+					     "i-2\r\nContent-Length: 5\r\n"
+					     "\r\nwhole"));
+	Wait(200);
+	send_all(first, std::string(100000, 'b'));
+	run_until([&] {
+		caller->read();
+		return caller->input.size() >= 400000 ||
+		       caller->input.find("whole") != std::string::npos;
+	});
+	Wait(100);
+	caller->read();
+	EXPECT_EQ(std::string::npos, caller->input.find("whole"));
+	EXPECT_EQ(400000u,
+		  caller->input.size() - caller->input.find("\r\n\r\n") - 4);
+	close(first);
+	close(second);
+}
