Known red: a stream ends with the only other node, beside engines in reach

Cause: a node keeps one run of the route back only where a third node may help. Where none may (two nodes, or one that is left in reach), the other node gets all runs, and the loss of it counts as all of them.

The same with a third node is GoesOnByItselfAfterALostNode.

Not repaired: a run that is kept back would be missing to the other node, whose engine may end as well. It needs a decision.

--- a/tests/gateway_relay_test.cc
+++ b/tests/gateway_relay_test.cc
@@ -356,6 +356,37 @@
 	EXPECT_EQ(0, Runs("/report/a")) << "it can't go on after an event";
 }
 
+/* The same where there is no third node, which would have taken the rest. */
+TEST_F(GatewayRelay, GoesOnByItselfAfterTheOnlyOtherNode)
+{
+	PairEndpoint node{"n0"};
+	struct gateway_peer *peer;
+
+	retry_extra = 6000;
+	Create(2);
+	engine.events = other.events = 10;
+	node.is_silent = true;
+	node.events = 5;
+	Cut({1}, CUT_REFUSED);
+	FindOut(1);
+	peer = (struct gateway_peer *)g_hash_table_lookup(
+		nodes[1]->gateway->peers, "n0");
+	g_free(peer->address);
+	peer->address = g_strdup(node.address.c_str());
+	std::unique_ptr<Connection> caller(Connection::open(nodes[1]->address));
+	caller->send("POST /query/a HTTP/1.1\r\nHost: h\r\n"
+		     "X-Siskinlink-Request-Id: only-1\r\n"
+		     "Content-Length: 0\r\n\r\n");
+	ASSERT_TRUE(run_until([&] { return node.runs["only-1"] == 1; }));
+	position++;
+	Reach(1, true);
+	Wait(1000);
+	node.End();
+	ASSERT_TRUE(caller->wait_for("id: 9")) << caller->input;
+	ASSERT_TRUE(caller->wait_for("\r\n0\r\n\r\n"));
+	EXPECT_EQ(1, Runs("only-1"));
+}
+
 /* Guards against passing on for ever, and against going back and forth. */
 TEST_F(GatewayRelay, ServesByItselfAgain)
 {
