TWICE: a resumable stream began anew while its first engine worked on

What callers saw: nothing.

Cause: an engine was asked to stop a run whose connection was lost only if the caller had an event of it. Before its first event a resumable stream was sent to another engine at once, as the idempotent requests are. They may run more than once; a stream may not, a second run of it may only follow the first.

Change: before its first event too the engine is asked to stop the run, also where another node passed the request on. It goes on from what its engine keeps, as after an event. Where the engine refuses that, a new run begins elsewhere, as before; and what is kept is freed where a new run begins without asking for it.

Evidence: AsksBeforeAnotherRun and AsksBeforeAnotherRunThroughAnotherNode lose the connection between the request and the head, 200 ms after it: two engines for 2.07 s before. BeginsAnewWhereNothingIsKept had two engines as well, and was lost with the stop alone; FreesWhatARunThatBeginsAnewLeaves.

Left: idempotent requests are sent again without a stop, as their kind allows.

--- a/adapters/gateway/exchange_answer.c
+++ b/adapters/gateway/exchange_answer.c
@@ -93,7 +93,9 @@
 	char pause[24], sent[24], event[24];
 
 	g_snprintf(pause, sizeof(pause), "%" G_GINT64_FORMAT,
-		   (now_us - exchange->forwarded_us) / 1000);
+		   exchange->forwarded_us
+			   ? (now_us - exchange->forwarded_us) / 1000
+			   : -1);
 	g_snprintf(sent, sizeof(sent), "%" G_GINT64_FORMAT,
 		   (now_us - leg->sent_us) / 1000);
 	g_snprintf(event, sizeof(event), "%" G_GINT64_FORMAT,
@@ -146,6 +148,12 @@
 	return true;
 }
 
+/* Whether the run, or a run of the same request, was at another leg before. */
+static bool leg_follows_another(const struct leg *leg)
+{
+	return leg->is_takeover || leg->is_resumed || leg->is_rerun;
+}
+
 /*
  * Forwards one complete event to the caller. After a change of engines the id
  * shows whether it is the next one: an older event is dropped. Returns false on
@@ -161,7 +169,7 @@
 		leg->begun_us = exchange->gateway->now_us;
 	if (!exchange_event_is_due(exchange, id))
 		return exchange_event_is_known(exchange, id);
-	if ((leg->is_takeover || leg->is_resumed) && !leg->has_continued) {
+	if (leg_follows_another(leg) && !leg->has_continued) {
 		leg->has_continued = true;
 		leg_log_takeover(leg);
 		exchange_end_handover(exchange);
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -499,13 +499,13 @@
 }
 
 /*
- * Whether a new run may go on after the last event that the caller has, at this
- * node or at the one that passed the request on.
+ * Whether a new run may begin, or go on after the last event that the caller
+ * has, at this node or at the one that passed the request on.
  */
-static bool may_resume(const struct exchange *exchange)
+static bool may_run_anew(const struct exchange *exchange)
 {
-	return exchange->route->is_resumable && exchange->answer_begun &&
-	       exchange->last_event >= 0 &&
+	return exchange->route->is_resumable &&
+	       (!exchange->answer_begun || exchange->last_event >= 0) &&
 	       (exchange->is_relayed ||
 		(exchange->runs < exchange->max_attempts &&
 		 exchange_has_other_endpoint(exchange)));
@@ -526,7 +526,7 @@
 	place = find_copy(leg->exchange, result);
 	has_place = place.endpoint != NULL;
 	copy_place_clear(&place);
-	return has_place || may_resume(leg->exchange);
+	return has_place || may_run_anew(leg->exchange);
 }
 
 /*
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -69,8 +69,9 @@
 	int32_t status;		  /* of the endpoint; 0: no head yet */
 	bool is_takeover;	  /* continues a run from a copy */
 	bool is_resumed;    /* a new run, after the last event of another one */
+	bool is_rerun;	    /* a new run, instead of one that was stopped */
 	bool head_received; /* its head has been received */
-	bool has_continued; /* a takeover has sent an event */
+	bool has_continued; /* a leg that follows another has sent an event */
 	bool ends_by_close; /* nothing else ends its answer */
 	bool has_timed_out; /* its connection timed out */
 	bool is_proven;	    /* has gone on for LEG_PROVEN_US */
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -172,6 +172,8 @@
 	leg->created_us = exchange->gateway->now_us;
 	leg->is_takeover = copy_address != NULL;
 	leg->is_resumed = !copy_address && exchange->answer_begun;
+	leg->is_rerun = !copy_address && !exchange->answer_begun &&
+			exchange->handover.kept.endpoint_id;
 	leg->is_granted = exchange->is_granted;
 	exchange->is_granted = false;
 	if (!copy_address)
--- a/core/gateway/recovery.c
+++ b/core/gateway/recovery.c
@@ -55,7 +55,9 @@
 		return may_run_again(input) ? RECOVERY_SEND_AGAIN
 					    : RECOVERY_FAIL;
 	case RESULT_NO_COPY:
-		return RECOVERY_FAIL;
+		return input->is_resumable && may_run_again(input)
+			       ? RECOVERY_SEND_AGAIN
+			       : RECOVERY_FAIL;
 	}
 	return RECOVERY_FAIL;
 }
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -69,8 +69,15 @@
 			change(engine);
 	}
 
-	/* Starts a stream, and waits until its engine has begun. */
+	/* Starts a stream, and waits for its first event. */
 	void Start(bool with_moves, bool with_backups)
+	{
+		Send(with_moves, with_backups);
+		ASSERT_TRUE(caller->wait_for("id: 0\n"));
+	}
+
+	/* Sends a stream's request, and waits until its engine has begun. */
+	void Send(bool with_moves, bool with_backups)
 	{
 		std::map<std::string, std::string> addresses;
 
@@ -103,7 +110,6 @@
 			     "Connection: close\r\nContent-Length: 0\r\n\r\n");
 		ASSERT_TRUE(run_until([&] { return AtWork() != nullptr; }));
 		from = AtWork();
-		ASSERT_TRUE(caller->wait_for("id: 0\n"));
 	}
 
 	/* The engines as a node sees them that reaches none. */
@@ -290,6 +296,68 @@
 	ExpectWhole();
 }
 
+/* Guards against two engines on one resumable stream where its connection is
+ * lost before the answer begins. */
+TEST_F(GatewayHandoverMore, AsksBeforeAnotherRun)
+{
+	path = "/query/a";
+	Each([](ModelEngine *engine) { engine->answer_ms = 200; });
+	Send(true, false);
+	from->breaks_unanswered = true;
+	Finish();
+	ExpectWhole();
+	EXPECT_EQ(1, from->stops);
+}
+
+/* The same where another node passes the stream on, and sends it again. */
+TEST_F(GatewayHandoverMore, AsksBeforeAnotherRunThroughAnotherNode)
+{
+	node_count = 3;
+	is_cut = true;
+	path = "/query/a";
+	Each([](ModelEngine *engine) { engine->answer_ms = 200; });
+	Send(true, false);
+	from->breaks_unanswered = true;
+	Finish();
+	ExpectWhole();
+	EXPECT_EQ(1, from->stops);
+}
+
+/* Guards against a resumable stream that is lost as its engine refuses to go on
+ * with what it has stopped. */
+TEST_F(GatewayHandoverMore, BeginsAnewWhereNothingIsKept)
+{
+	path = "/query/a";
+	Each([](ModelEngine *engine) {
+		engine->answer_ms = 200;
+		engine->has_copies = false;
+	});
+	Send(true, false);
+	from->breaks_unanswered = true;
+	Finish();
+	ExpectWhole();
+	EXPECT_EQ(1, from->stops);
+}
+
+/* Guards against memory that is held for a run which begins anew elsewhere, as
+ * its engine wants no request after it has stopped it. */
+TEST_F(GatewayHandoverMore, FreesWhatARunThatBeginsAnewLeaves)
+{
+	struct endpoint *endpoint;
+
+	path = "/query/a";
+	Each([](ModelEngine *engine) { engine->answer_ms = 200; });
+	Send(true, false);
+	from->breaks_unanswered = true;
+	endpoint = registry_find(nodes[asked]->gateway->registry,
+				 from->id.c_str());
+	endpoint->rest.until_us = gateway_now_us() + 10000000;
+	endpoint->rest.spare_used = true;
+	Finish();
+	ExpectWhole();
+	EXPECT_EQ(1, from->copies_freed);
+}
+
 /* Guards against two engines on one run where the engine that leaves loses the
  * stream's connection before it answers the call to stop. */
 TEST_F(GatewayHandoverMore, LosesTheConnectionWhileItIsAsked)
--- a/tests/model_engine.cc
+++ b/tests/model_engine.cc
@@ -329,6 +329,10 @@
 			engine->Answer(connection, 503, fields);
 		return G_SOURCE_REMOVE;
 	}
+	if (engine->breaks_unanswered && connection) {
+		engine->breaks_unanswered = false;
+		engine->Close(connection);
+	}
 	engine->SendHead(run);
 	run->timer = g_timeout_add((guint)engine->pace_ms, on_event, run);
 	return G_SOURCE_REMOVE;
--- a/tests/model_engine.h
+++ b/tests/model_engine.h
@@ -45,6 +45,7 @@
 	int silent_from = -1;	    /* no events from that one on */
 	int silence_ms = 0;	    /* for that long */
 	int breaks_at = -1; /* the connection is lost there, the run goes on */
+	bool breaks_unanswered = false; /* the same, once, before the head */
 	int busy_at = -1; /* the same, once; new connections fail for a while */
 	int busy_ms = 0;
 	bool busy_refuses = false; /* no process listens; else they are reset */
