LOST: a stream ended with its engine as its backup's engine rested

What callers saw: a stream of a leaving engine was cut at the engine's end, 2.7 s after its notice, beside an engine that took others over at that time.

Cause: a run with a backup begins no copy elsewhere unless the backup's engine has refused. One that rests is not asked, so it does not refuse: the run waited for it. When its own engine had ended it was asked at last, and refused.

Change: while the backup's engine rests, the run is copied to another one, as without a backup. A backup whose engine rests no more is used as before.

Tests: LeavesForACopyWhereItsBackupRests and the scene backup_rests fail without the change (mutant evacuation_backup_rests).

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -106,6 +106,9 @@
 		.may_return = leg_may_return(exchange),
 		.has_backup = has_backup(exchange),
 		.backup_refused = exchange->handover.backup_refused,
+		.backup_rests = backup &&
+				endpoint_rest_is_on(&backup->rest,
+						    exchange->gateway->now_us),
 		.backup_reads_prompts =
 			backup && endpoint_has_unread_prompts(backup),
 	};
--- a/core/gateway/evacuation.c
+++ b/core/gateway/evacuation.c
@@ -179,16 +179,16 @@
 /*
  * Returns the next action for a running generation. No run continues elsewhere
  * before its engine has stopped it: run_stop tells when. A backup whose engine
- * has no room for the rest of the run is left for the case that the run's
- * engine ends.
+ * has no room for the rest of the run, or rests, is left for the case that the
+ * run's engine ends.
  */
 enum evacuation evacuation_decide(const struct evacuation_input *input)
 {
 	bool has_copy =
 		input->copy == COPY_IN_PROGRESS || input->copy == COPY_COMPLETE;
 
-	if (input->has_backup && !input->backup_refused && !has_copy &&
-	    backup_ready_in_time(input))
+	if (input->has_backup && !input->backup_refused &&
+	    !input->backup_rests && !has_copy && backup_ready_in_time(input))
 		return decide_backup(input);
 	return decide_copy(input);
 }
--- a/core/gateway/evacuation.h
+++ b/core/gateway/evacuation.h
@@ -36,6 +36,7 @@
 	bool may_return;     /* its engine would be asked to take it back */
 	bool has_backup;     /* at a serving engine */
 	bool backup_refused; /* its engine has no room to take the run over */
+	bool backup_rests;   /* its engine wants no request for a while */
 	bool backup_reads_prompts;
 
 	bool can_copy;
--- a/tests/evacuation_script.cc
+++ b/tests/evacuation_script.cc
@@ -236,10 +236,16 @@
 		asked_at = now;
 	}
 
+	/* Whether the backup's engine refuses requests, as its node knows. */
+	bool BackupRests() const
+	{
+		return now < scene.backup_rests;
+	}
+
 	bool AskedHasCopy() const
 	{
 		return asked_kept || !asked_backup ||
-		       (!scene.backup_is_missing &&
+		       (!scene.backup_is_missing && !BackupRests() &&
 			asked_at >= scene.begun + scene.backup_takes);
 	}
 
@@ -283,10 +289,12 @@
 		Log("broken");
 	}
 
-	/* Whether the engine named for the backup holds it by now. */
+	/* Whether the engine named for the backup holds it by now, and would
+	 * go on with it. */
 	bool BackupExists() const
 	{
 		return HasBackup() && !scene.backup_is_missing &&
+		       !BackupRests() &&
 		       now >= scene.begun + scene.backup_takes;
 	}
 
@@ -341,6 +349,7 @@
 		input.may_stop = now >= again_at;
 		input.may_return = true;
 		input.backup_refused = backup_refused;
+		input.backup_rests = BackupRests();
 		return input;
 	}
 
@@ -352,6 +361,9 @@
 		if (finished || !is_old || !OldWorks() || takeover_requested ||
 		    run_stop_is_pending(&stop) || evacuation == EVACUATION_STAY)
 			return;
+		/* The node asks no engine that rests. */
+		if (evacuation == EVACUATION_TO_BACKUP && BackupRests())
+			return;
 		Log(evacuation_name(evacuation));
 		switch (evacuation) {
 		case EVACUATION_STAY:
@@ -408,6 +420,7 @@
 		{"answer", &scene->answer},
 		{"stop", &scene->stop},
 		{"run_ends", &scene->run_ends},
+		{"backup_rests", &scene->backup_rests},
 		{"begun", &scene->begun},
 	};
 	const std::map<std::string, bool *> flags = {
--- a/tests/evacuation_script.h
+++ b/tests/evacuation_script.h
@@ -21,6 +21,7 @@
 	int64_t backup_takes = 550; /* from the first event until it exists */
 	bool backup_is_missing = false; /* dropped without an announcement */
 	int64_t prompts_until = -1; /* other engines read prompts until then */
+	int64_t backup_rests = -1;  /* its engine refuses until then */
 	int64_t copy = 300;	    /* duration; -1: always refused */
 	int32_t refusals = 0;	    /* copies refused before one is accepted */
 	int64_t target_gone = -1;   /* the first copy's engine leaves as well */
--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -117,6 +117,7 @@
 	/* A sound engine is not silent for longer than the patience. */
 	if (scene.silent >= 0 && below(2))
 		scene.resumes = scene.silent + below(2000);
+	scene.backup_rests = below(4) == 0 ? below(3000) : -1;
 	return scene;
 }
 
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -823,6 +823,32 @@
 	EXPECT_EQ(0, from->stops);
 }
 
+/* Guards against a stream that ends with its engine as the one with its backup
+ * wants no request, beside one that could take a copy. */
+TEST_F(GatewayHandoverMore, LeavesForACopyWhereItsBackupRests)
+{
+	ModelEngine *backup;
+	struct endpoint *endpoint;
+
+	SetPace(50, 80);
+	Start(true, true);
+	backup = from == &one ? &two : &one;
+	backup->has_copies = false;
+	endpoint = registry_find(nodes[asked]->gateway->registry,
+				 backup->id.c_str());
+	endpoint->rest.until_us = gateway_now_us() + 10000000;
+	position++;
+	Register(asked, "engines", {{three.id, three.address}});
+	engines.push_back(&three);
+	Wait(700);
+	Leave(from);
+	Wait(2000);
+	from->Crash();
+	Finish();
+	ExpectWhole();
+	EXPECT_EQ(1, three.continued[id]);
+}
+
 /* Guards against a stream that is lost for want of a retry, as the other engine
  * refuses a run that its own one has stopped. */
 TEST_F(GatewayHandoverMore, ReturnsWithoutARetry)
