LOST: a resumable stream was given up where no other engine was left

What callers saw: a resumable stream that lost its connection ended with 502, or was cut, if no other engine could take a request at that moment, though its own engine worked on.

Cause: an engine is asked to stop a run, and to go on with it, only if another one could get the request. That is a condition for a new run, not for this one; the engine also worked on for nobody.

Change: the engine is asked as long as the route's attempts allow another run.

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -510,8 +510,7 @@
 	return exchange->route->is_resumable &&
 	       (!exchange->answer_begun || exchange->last_event >= 0) &&
 	       (exchange->is_relayed ||
-		(exchange->runs < exchange->max_attempts &&
-		 exchange_has_other_endpoint(exchange)));
+		exchange->runs < exchange->max_attempts);
 }
 
 /*
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -323,6 +323,28 @@
 	EXPECT_EQ(1, from->stops);
 }
 
+/* Guards against a resumable stream that is lost as no other engine wants a
+ * request, though its own one works on. */
+TEST_F(GatewayHandoverMore, GoesOnWhereNoOtherEngineIsLeft)
+{
+	path = "/query/a";
+	Each([](ModelEngine *engine) { engine->answer_ms = 200; });
+	Send(true, false);
+	from->breaks_unanswered = true;
+	for (ModelEngine *engine : engines) {
+		struct endpoint *endpoint = registry_find(
+			nodes[asked]->gateway->registry, engine->id.c_str());
+
+		if (engine == from)
+			continue;
+		endpoint->rest.until_us = gateway_now_us() + 600000;
+		endpoint->rest.spare_used = true;
+	}
+	Finish();
+	ExpectWhole();
+	EXPECT_EQ(1, from->stops);
+}
+
 /* Guards against a resumable stream that is lost as its engine refuses to go on
  * with what it has stopped. */
 TEST_F(GatewayHandoverMore, BeginsAnewWhereNothingIsKept)
