A stream paused for 2.4 s where its engine's other streams had ended with it

Cause: both ask whether another request has a connection to an engine, as a process that ends closes all of them. What they looked at says that one was established once. A stream that may be whole, as it ended by its close while its engine was asked to stop it, keeps its attempt: two such streams show each other that their engine lives, whose port refuses each call.

Change: a connection counts while its answer has not ended.

--- a/adapters/gateway/attempt.c
+++ b/adapters/gateway/attempt.c
@@ -328,6 +328,15 @@
 	return attempt->is_connected;
 }
 
+/*
+ * Whether the endpoint has a connection for the answer now: it was established,
+ * and the answer has not ended.
+ */
+bool attempt_is_open(const struct attempt *attempt)
+{
+	return attempt->is_connected && !attempt->is_over;
+}
+
 /*
  * Returns when the connection was established, in us: for a reused one, before
  * the attempt began. 0: not yet.
--- a/adapters/gateway/attempt.h
+++ b/adapters/gateway/attempt.h
@@ -55,6 +55,7 @@
 bool attempt_is_refused(const struct attempt *attempt);
 bool attempt_was_accepted(const struct attempt *attempt);
 bool attempt_is_connected(const struct attempt *attempt);
+bool attempt_is_open(const struct attempt *attempt);
 bool attempt_is_ended_by_close(const struct attempt *attempt);
 int64_t attempt_connected_us(const struct attempt *attempt);
 void attempt_keep_connection(struct attempt *attempt,
--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -450,7 +450,7 @@
 		const struct leg *other = ((const struct exchange *)key)->leg;
 
 		if (other && other != leg && other->attempt &&
-		    attempt_is_connected(other->attempt) &&
+		    attempt_is_open(other->attempt) &&
 		    other->known_us == leg->known_us &&
 		    strcmp(other->endpoint_id, leg->endpoint_id) == 0)
 			received_us = MAX(received_us, other->last_received_us);
--- a/adapters/gateway/gateway_ends.c
+++ b/adapters/gateway/gateway_ends.c
@@ -59,7 +59,7 @@
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		const struct leg *leg = ((const struct exchange *)key)->leg;
 
-		if (leg && leg->attempt && attempt_is_connected(leg->attempt) &&
+		if (leg && leg->attempt && attempt_is_open(leg->attempt) &&
 		    strcmp(leg->endpoint_id, endpoint_id) == 0)
 			return true;
 	}
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -701,6 +701,34 @@
 	ExpectWhole();
 }
 
+/* The same where it is asked to stop two streams, both of which end by its
+ * close: neither shows that it lives. */
+TEST_F(GatewayHandoverMore, GoesOnAtOnceWhereItsStreamsAreClosed)
+{
+	int64_t ended_us, begun_us = 0;
+
+	SetPace(50, 60);
+	Each([](ModelEngine *engine) {
+		engine->ends_by_close = true;
+		engine->stop = IGNORES_STOP;
+	});
+	Start(true, true);
+	ASSERT_TRUE(SendOthers());
+	Wait(300);
+	Leave(from);
+	ASSERT_TRUE(run_until([&] { return from->stops >= 2; }));
+	Wait(100);
+	ended_us = g_get_monotonic_time();
+	from->Crash();
+	Finish();
+	for (ModelEngine *engine : engines)
+		if (engine != from && !engine->work[id].empty())
+			begun_us = engine->work[id].back().from_us;
+	EXPECT_LE(ended_us, begun_us);
+	EXPECT_LE(begun_us - ended_us, 600000);
+	EXPECT_EQ(AllEvents(), Events());
+}
+
 /* Guards against a stream that is lost where the last copy is complete after
  * the time at which its own engine may get requests. */
 TEST_F(GatewayHandoverMore, GoesOnWithTheLastCopy)
