--- a/adapters/http_exchange.c
+++ b/adapters/http_exchange.c
@@ -1,5 +1,7 @@
 #include "adapters/http_exchange.h"
 
+#include "adapters/http_head_guard.h"
+
 #define READ_BYTES 4096
 #define CONNECTIONS_MAX 100000
 #define IDLE_TIMEOUT_S 30
@@ -115,10 +117,12 @@
 
 static void exchange_fail(struct http_exchange *exchange, GError *problem)
 {
+	char *text = http_head_guard_error_text(problem);
 	struct error error;
 
 	error_set(&error, exchange_error_code(exchange, problem),
-		  exchange->step, exchange->peer, "%s", problem->message);
+		  exchange->step, exchange->peer, "%s", text);
+	g_free(text);
 	g_error_free(problem);
 	exchange_end(exchange, &error);
 }
@@ -347,7 +351,7 @@
 		CONNECTIONS_MAX, "idle-timeout", IDLE_TIMEOUT_S, "timeout", 0,
 		"user-agent", "siskinlink", NULL);
 
-	soup_session_set_proxy_resolver(session, NULL);
+	http_head_guard_add(session);
 	soup_session_remove_feature_by_type(session, SOUP_TYPE_AUTH_MANAGER);
 	soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
 	return session;
