TWICE: a late resumable stream ran at two engines at once

What callers saw: nothing.

Cause: a request whose head is late is sent to a second endpoint beside the first. That holds for what may run more than once, and resumable streams were counted among that. A second run of them may only follow the first one, and an engine may notice late that its connection was closed.

Change: only idempotent requests are sent to a second endpoint. A resumable stream waits, as other streams do; if its connection is lost it goes on elsewhere once its engine has stopped it.

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -680,15 +680,16 @@
 
 /*
  * Whether the request is to be sent to another endpoint because its answer is
- * late. If it can't be sent to another one, it waits: the endpoint may be
- * silent for a moment and go on.
+ * late. A second run of a stream may only follow the first one. If it can't be
+ * sent to another one, it waits: the endpoint may be silent for a moment and go
+ * on.
  */
 static bool leg_is_slow(const struct leg *leg)
 {
 	const struct exchange *exchange = leg->exchange;
 	const struct route *route = exchange->route;
 
-	return route_may_repeat(route) && !leg->head_received &&
+	return route->kind == ROUTE_IDEMPOTENT && !leg->head_received &&
 	       route->first_answer_us > 0 &&
 	       exchange->runs + 1 < exchange->max_attempts &&
 	       exchange->sends < exchange->max_attempts &&
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -323,6 +323,17 @@
 	EXPECT_EQ(1, from->stops);
 }
 
+/* Guards against two engines on one resumable stream whose first event is late.
+ */
+TEST_F(GatewayHandoverMore, StaysWhereItsFirstEventIsLate)
+{
+	path = "/query/a";
+	Each([](ModelEngine *engine) { engine->answer_ms = 1500; });
+	Send(true, false);
+	Finish();
+	ExpectWhole();
+}
+
 /* Guards against a resumable stream that is lost as no other engine wants a
  * request, though its own one works on. */
 TEST_F(GatewayHandoverMore, GoesOnWhereNoOtherEngineIsLeft)
