Soak: kinds beyond the eighth of a list were never played

Now each kind is played at least once; shorter lists give the same runs as before.

Test: SoakSchedule.PlaysEachKindThatIsNamed, 4 of 12 kinds missing before.

--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -445,9 +445,10 @@
 			     const GArray *kinds)
 {
 	GRand *random = g_rand_new_with_seed(schedule->seed);
+	int32_t count = MAX(series_count(schedule), (int32_t)kinds->len);
 
 	g_array_set_size(schedule->faults, 0);
-	for (int32_t i = 0; i < series_count(schedule); i++)
+	for (int32_t i = 0; i < count; i++)
 		schedule_add_series(schedule, random,
 				    g_array_index(kinds, enum soak_fault_kind,
 						  i % kinds->len));
