--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -378,10 +378,15 @@
 {
 	struct endpoint *endpoint;
 
+	engines.push_back(&three);
 	path = "/query/a";
 	Each([](ModelEngine *engine) { engine->answer_ms = 200; });
 	Send(true, false);
 	from->breaks_unanswered = true;
+	Each([this](ModelEngine *engine) {
+		if (engine != from)
+			engine->has_copies = false;
+	});
 	endpoint = registry_find(nodes[asked]->gateway->registry,
 				 from->id.c_str());
 	endpoint->rest.until_us = gateway_now_us() + 10000000;
