Known red: a resumable stream is lost where its last copy is refused

What callers would see: 502 for a resumable stream whose connection was lost before its first event, where its engine rests and the only other one refuses the last copy. Cause: an engine that refused is avoided from then on, a refused copy too, though it says nothing of a new run.

--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -396,6 +396,28 @@
 	EXPECT_EQ(1, from->copies_freed);
 }
 
+/* Guards against a resumable stream that is lost as the only other engine has
+ * refused its last copy, and is not asked for a new run. */
+TEST_F(GatewayHandoverMore, BeginsAnewWhereTheLastCopyIsRefused)
+{
+	struct endpoint *endpoint;
+
+	path = "/query/a";
+	Each([](ModelEngine *engine) { engine->answer_ms = 200; });
+	Send(true, false);
+	from->breaks_unanswered = true;
+	Each([this](ModelEngine *engine) {
+		if (engine != from)
+			engine->has_copies = false;
+	});
+	endpoint = registry_find(nodes[asked]->gateway->registry,
+				 from->id.c_str());
+	endpoint->rest.until_us = gateway_now_us() + 10000000;
+	endpoint->rest.spare_used = true;
+	Finish();
+	ExpectWhole();
+}
+
 /* Guards against two engines on one run where the engine that leaves loses the
  * stream's connection before it answers the call to stop. */
 TEST_F(GatewayHandoverMore, LosesTheConnectionWhileItIsAsked)
