--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -62,6 +62,26 @@
 		});
 	}
 
+	/* Starts a resumable stream that loses its connection before its first
+	 * event. Its engine then rests, and the others refuse the last copy. */
+	void LoseWhereNobodyGoesOn()
+	{
+		struct endpoint *endpoint;
+
+		path = "/query/a";
+		Each([](ModelEngine *engine) { engine->answer_ms = 200; });
+		Send(true, false);
+		from->breaks_unanswered = true;
+		Each([this](ModelEngine *engine) {
+			if (engine != from)
+				engine->has_copies = false;
+		});
+		endpoint = registry_find(nodes[asked]->gateway->registry,
+					 from->id.c_str());
+		endpoint->rest.until_us = gateway_now_us() + 10000000;
+		endpoint->rest.spare_used = true;
+	}
+
 	/* Applies a change to each engine. */
 	template <typename Change> void Each(Change change)
 	{
@@ -376,21 +396,8 @@
  * its engine wants no request after it has stopped it. */
 TEST_F(GatewayHandoverMore, FreesWhatARunThatBeginsAnewLeaves)
 {
-	struct endpoint *endpoint;
-
 	engines.push_back(&three);
-	path = "/query/a";
-	Each([](ModelEngine *engine) { engine->answer_ms = 200; });
-	Send(true, false);
-	from->breaks_unanswered = true;
-	Each([this](ModelEngine *engine) {
-		if (engine != from)
-			engine->has_copies = false;
-	});
-	endpoint = registry_find(nodes[asked]->gateway->registry,
-				 from->id.c_str());
-	endpoint->rest.until_us = gateway_now_us() + 10000000;
-	endpoint->rest.spare_used = true;
+	LoseWhereNobodyGoesOn();
 	Finish();
 	ExpectWhole();
 	EXPECT_EQ(1, from->copies_freed);
@@ -400,20 +407,7 @@
  * refused its last copy, and is not asked for a new run. */
 TEST_F(GatewayHandoverMore, BeginsAnewWhereTheLastCopyIsRefused)
 {
-	struct endpoint *endpoint;
-
-	path = "/query/a";
-	Each([](ModelEngine *engine) { engine->answer_ms = 200; });
-	Send(true, false);
-	from->breaks_unanswered = true;
-	Each([this](ModelEngine *engine) {
-		if (engine != from)
-			engine->has_copies = false;
-	});
-	endpoint = registry_find(nodes[asked]->gateway->registry,
-				 from->id.c_str());
-	endpoint->rest.until_us = gateway_now_us() + 10000000;
-	endpoint->rest.spare_used = true;
+	LoseWhereNobodyGoesOn();
 	Finish();
 	ExpectWhole();
 }
