--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -416,6 +416,9 @@
 		gateway_destroy(gateway);
 		return NULL;
 	}
+	if (!tcp_tells_ages())
+		log_write(gateway->log, LOG_LEVEL_WARN, "tcp_info_missing",
+			  NULL);
 	rate_peak_init(&gateway->fleet_peak, 1, RATE_PEAK_RETENTION_US,
 		       gateway->now_us);
 	gateway_update_fleet(gateway);
--- a/adapters/gateway/tcp_stream.c
+++ b/adapters/gateway/tcp_stream.c
@@ -30,14 +30,13 @@
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
-#define UNSENT_TIMEOUT_MS 3000
 
 /*
- * The kernel resets a connection after UNSENT_TIMEOUT_MS also if its peer
- * answers all probes and just doesn't read. So where bytes wait, this time is
- * taken by the stream itself, from packets without an answer.
+ * Limits a connect only: the kernel would also reset an established connection
+ * whose peer answers all probes and just doesn't read. So where bytes wait, the
+ * stream itself looks for a peer that is gone.
  */
-#define SILENCE_TIMEOUT_US (UNSENT_TIMEOUT_MS * (int64_t)1000)
+#define CONNECT_TIMEOUT_MS 3000
 #define CHECK_INTERVAL_US (500 * 1000)
 
 /*
@@ -69,7 +68,6 @@
 	bool finishing;	   /* without owner: sends the rest, then closes */
 	bool write_closed;
 	bool is_checked;    /* bytes may be unread; see stream_check */
-	bool times_silence; /* itself, in place of the kernel */
 	bool limits_probes; /* see PROBE_INTERVAL_MS */
 	struct peer_silence silence;
 	struct read_progress progress; /* once finishing */
@@ -128,7 +126,6 @@
 	socket_set_int(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
 	socket_set_int(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
 	socket_set_int(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
-	socket_set_int(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNSENT_TIMEOUT_MS);
 }
 
 /* Sets the conditions to poll for; to be called at each change of state. */
@@ -246,33 +243,40 @@
 		       PROBE_INTERVAL_MS);
 }
 
-/*
- * Returns for how long, in us, the peer's system has left packets unanswered.
- * The first sample that can be had takes the kernel's timeout away; where there
- * is none, that timeout stays.
- */
-static int64_t stream_silence_us(struct tcp_stream *stream)
+/* Reads what the kernel tells of a socket; false if it lacks fields. */
+static bool socket_read_info(int fd, struct tcp_info *info)
 {
-	struct tcp_info info = {0};
-	socklen_t size = sizeof(info);
-	struct peer_sample sample;
+	socklen_t size = sizeof(*info);
 
-	if (getsockopt(stream->fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
-	    size < offsetof(struct tcp_info, tcpi_pmtu) || !info.tcpi_state)
-		return 0;
-	if (!stream->times_silence) {
-		stream->times_silence = true;
-		socket_set_int(stream->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
-	}
+	*info = (struct tcp_info){0};
+	return getsockopt(fd, IPPROTO_TCP, TCP_INFO, info, &size) == 0 &&
+	       size >= offsetof(struct tcp_info, tcpi_pmtu);
+}
+
+/* Takes a sample of the connection; zeros where the kernel tells nothing. */
+static struct peer_sample stream_sample(struct tcp_stream *stream)
+{
+	struct tcp_info info;
+
+	if (!socket_read_info(stream->fd, &info))
+		return (struct peer_sample){0};
 	stream_limit_probes(stream, &info);
-	sample = (struct peer_sample){
+	return (struct peer_sample){
 		.has_probe = info.tcpi_probes > 0,
 		.has_unacked = info.tcpi_unacked > 0,
 		.ack_age_us = (int64_t)info.tcpi_last_ack_recv * 1000,
 		.sent_age_us = (int64_t)info.tcpi_last_data_sent * 1000,
 	};
-	return peer_silence_update(&stream->silence, &sample,
-				   g_get_monotonic_time());
+}
+
+/* Whether the peer's system has vanished, as far as can be told. */
+static bool stream_peer_is_gone(struct tcp_stream *stream)
+{
+	const struct peer_sample sample = stream_sample(stream);
+
+	return peer_silence_is_over_limit(&stream->silence, &sample,
+					  tcp_stream_taken_bytes(stream),
+					  g_get_monotonic_time());
 }
 
 /* Whether a peer that is to read the rest takes no byte of it for too long. */
@@ -307,8 +311,7 @@
 	}
 	stream_schedule_check(stream);
 	if (stream->connecting ||
-	    (stream_silence_us(stream) < SILENCE_TIMEOUT_US &&
-	     !stream_is_stalled(stream)))
+	    (!stream_peer_is_gone(stream) && !stream_is_stalled(stream)))
 		return;
 	stream_drop_unread(stream);
 	stream_fail(stream, STEP_WRITE, ETIMEDOUT);
@@ -368,6 +371,7 @@
 		}
 		stream->connecting = false;
 		stream->opened_us = g_get_monotonic_time();
+		socket_set_int(stream->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
 		if (stream->events && stream->events->opened)
 			stream->events->opened(stream->data);
 		if (stream->fd < 0)
@@ -500,6 +504,9 @@
 		return NULL;
 	}
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd >= 0)
+		socket_set_int(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+			       CONNECT_TIMEOUT_MS);
 	if (fd < 0 || (connect(fd, (struct sockaddr *)&to, sizeof(to)) != 0 &&
 		       errno != EINPROGRESS)) {
 		error_set(error, ERROR_UNREACHABLE, STEP_CONNECT, address, "%s",
@@ -750,6 +757,23 @@
 	stream_update_conditions(stream);
 }
 
+/*
+ * Whether the system tells when a peer last answered. Where it doesn't, a peer
+ * that has vanished with bytes unread is found out after READ_STALL_US.
+ */
+bool tcp_tells_ages(void)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	struct tcp_info info;
+	bool tells;
+
+	if (fd < 0)
+		return false;
+	tells = socket_read_info(fd, &info);
+	close(fd);
+	return tells;
+}
+
 /*
  * Opens a non-blocking listening socket at IPv4:PORT, owned by the caller. -1
  * and an error if the address is invalid or can't be bound.
--- a/tests/peer_silence_test.cc
+++ b/tests/peer_silence_test.cc
@@ -74,6 +74,49 @@
 			{12000, false, false, 20, 12400, 0}});
 }
 
+/* What a transport tells of a peer that takes no byte, and when it is gone. */
+static int64_t gone_after_ms(const struct peer_sample &sample)
+{
+	struct peer_silence silence;
+
+	peer_silence_begin(&silence, 0);
+	for (int64_t ms = 500; ms <= 60000; ms += 500) {
+		if (peer_silence_is_over_limit(&silence, &sample, 7, ms * MS))
+			return ms;
+	}
+	return -1;
+}
+
+/* Guards against a slow reader that is taken for gone where nothing is told. */
+TEST(PeerSilence, HasTheTimeOfASlowReaderWithoutAges)
+{
+	const struct peer_sample nothing = {};
+	const struct peer_sample no_ages = {.has_probe = true,
+					    .has_unacked = true};
+	const struct peer_sample no_ack_age = {.has_unacked = true,
+					       .sent_age_us = 9 * MS};
+	const struct peer_sample no_sent_age = {.has_unacked = true,
+						.ack_age_us = 90000 * MS};
+	const struct peer_sample both_ages = {.has_unacked = true,
+					      .ack_age_us = 90000 * MS,
+					      .sent_age_us = 9 * MS};
+
+	EXPECT_EQ(31000, gone_after_ms(nothing));
+	EXPECT_EQ(31000, gone_after_ms(no_ages));
+	EXPECT_EQ(31000, gone_after_ms(no_ack_age));
+	EXPECT_EQ(31000, gone_after_ms(no_sent_age));
+	EXPECT_EQ(3000, gone_after_ms(both_ages));
+}
+
+/* Guards against an answering peer that is given up as it reads nothing. */
+TEST(PeerSilence, EndsNoPeerThatAnswersProbes)
+{
+	const struct peer_sample answered = {.ack_age_us = 300 * MS,
+					     .sent_age_us = 400 * MS};
+
+	EXPECT_EQ(-1, gone_after_ms(answered));
+}
+
 /* A slow reader makes progress, one that doesn't read makes none. */
 TEST(ReadProgress, LastsSinceTheLastByteTaken)
 {
--- a/tests/tcp_stream_test.cc
+++ b/tests/tcp_stream_test.cc
@@ -6,7 +6,11 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
+#include <unistd.h>
 
+#include <cerrno>
+#include <cstring>
 #include <memory>
 #include <string>
 
@@ -14,6 +18,35 @@
 #define TCP_RTO_MAX_MS 44
 #endif
 
+/* What the kernel tells of a connection. */
+enum info_told {
+	TOLD_ALL,
+	TOLD_NO_TIMES,	 /* zeros but for the state */
+	TOLD_FIRST_WORD, /* as a system does that knows only whole numbers */
+	TOLD_NOTHING,
+};
+
+static enum info_told told = TOLD_ALL;
+
+/* Takes the place of the C library's for the whole test program. */
+extern "C" int getsockopt(int fd, int level, int name, void *value,
+			  socklen_t *size) noexcept
+{
+	bool is_info = level == IPPROTO_TCP && name == TCP_INFO;
+	int status;
+
+	if (is_info && told == TOLD_NOTHING) {
+		errno = ENOPROTOOPT;
+		return -1;
+	}
+	status = (int)syscall(SYS_getsockopt, fd, level, name, value, size);
+	if (is_info && told == TOLD_NO_TIMES)
+		memset((char *)value + 1, 0, *size - 1);
+	if (is_info && told == TOLD_FIRST_WORD)
+		*size = sizeof(int);
+	return status;
+}
+
 static void shrink_buffer(int fd)
 {
 	int bytes = 8192;
@@ -207,6 +240,49 @@
 	ExpectAllRead();
 }
 
+/* The same on systems that don't tell when the peer answered. */
+class TcpStreamTold : public TcpStream,
+		      public testing::WithParamInterface<info_told>
+{
+      protected:
+	void SetUp() override
+	{
+		told = GetParam();
+		TcpStream::SetUp();
+	}
+
+	void TearDown() override
+	{
+		TcpStream::TearDown();
+		told = TOLD_ALL;
+	}
+};
+
+INSTANTIATE_TEST_SUITE_P(Each, TcpStreamTold,
+			 testing::Values(TOLD_NO_TIMES, TOLD_FIRST_WORD,
+					 TOLD_NOTHING));
+
+TEST_P(TcpStreamTold, KeepsAPeerThatDoesNotRead)
+{
+	Write(200000);
+	Wait(4500);
+	ExpectOpen();
+	ExpectAllRead();
+	Write(1000);
+	ExpectAllRead();
+}
+
+/* Guards against a vanished peer that is kept for ever on such a system. */
+TEST_F(TcpStream, FindsOutThatAPeerIsGoneWhereNothingIsTold)
+{
+	told = TOLD_NOTHING;
+	Vanish();
+	Write(1000);
+	Wait(32500);
+	told = TOLD_ALL;
+	ExpectGone(32);
+}
+
 /* The same where the owner has given the stream up with bytes to send. */
 TEST_F(TcpStream, SendsTheRestToAPeerThatReadsLater)
 {
