Refused though engines stood idle: a home of limited endpoints that starts

Cause: one node, the home, has the part of a stated limit that does not divide, at 6 requests a second and seven nodes all of it. A process that has just started grants nothing for 3 s, and for this time nobody else had its part. A node whose home did not answer in 0.1 s fell back to a share of its own, which it does not know in its first 3 s either, and refused.

Change: while the home has just started (core/limit/recent_starts, by incarnations), the next node in the order of homes has its part, also for its own callers and for those of the home itself. A request whose home is silent asks the next node once; that one grants from what it holds itself, so a silent home that lives keeps its part.

LimitFleet has the new rule, and a home that restarts every 3.5 s: at most 41 in 4 s, 0.9 of the limit used.

--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -40,6 +40,7 @@
 	exchange_stop_waiting(exchange);
 	exchange_cancel_home_request(exchange, &exchange->home_request);
 	exchange_cancel_home_request(exchange, &exchange->move.home_request);
+	g_free(exchange->asked_home);
 	g_free(exchange->home_backup_id);
 	exchange_drop_legs(exchange);
 	http_head_destroy(exchange->head);
@@ -406,28 +407,45 @@
 }
 
 /*
- * Sends the request to an endpoint that the home or this node selects, or to
- * another node if this one reaches no endpoint of the service. If only
- * endpoints are left whose limits this node has used up its share of, another
- * node may grant it one.
+ * If only endpoints are left whose limits this node has used up its share of,
+ * asks the node that may grant one. Returns false if there is nothing to ask.
  */
-void exchange_send_new(struct exchange *exchange)
+bool exchange_asks_other_home(struct exchange *exchange)
 {
-	const struct registry *registry = exchange->gateway->registry;
 	struct endpoint_criteria criteria;
-	struct endpoint *endpoint;
 	int64_t wait_us;
 
+	exchange_fill_criteria(exchange, &criteria);
+	return endpoint_choice_is_limited(exchange->gateway->registry,
+					  &criteria, &wait_us) &&
+	       exchange_request_limited(exchange);
+}
+
+/*
+ * Sends the request to the endpoint that this node selects itself, or that
+ * another node grants if only limited ones are left.
+ */
+void exchange_send_here(struct exchange *exchange)
+{
+	struct endpoint_criteria criteria;
+	struct endpoint *endpoint;
+
+	exchange_fill_criteria(exchange, &criteria);
+	endpoint = endpoint_choose(exchange->gateway->registry, &criteria);
+	if (endpoint || !exchange_asks_other_home(exchange))
+		exchange_send_or_refuse(exchange, endpoint);
+}
+
+/*
+ * Sends the request to an endpoint that the home or this node selects, or to
+ * another node if this one reaches no endpoint of the service.
+ */
+void exchange_send_new(struct exchange *exchange)
+{
 	if (exchange_relay(exchange) || exchange_request_home(exchange))
 		return;
 	gateway_waiting_grant(exchange->gateway, exchange->service_name);
-	exchange_fill_criteria(exchange, &criteria);
-	endpoint = endpoint_choose(registry, &criteria);
-	if (!endpoint &&
-	    endpoint_choice_is_limited(registry, &criteria, &wait_us) &&
-	    exchange_request_limited(exchange))
-		return;
-	exchange_send_or_refuse(exchange, endpoint);
+	exchange_send_here(exchange);
 }
 
 static bool exchange_may_begin(const struct exchange *exchange)
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -812,7 +812,7 @@
 		return;
 	if (!leg) {
 		if (exchange_home_timed_out(exchange, &exchange->home_request))
-			exchange_send_local_choice(exchange);
+			exchange_send_here(exchange);
 		return;
 	}
 	if (exchange_is_handed_over(exchange)) {
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -160,10 +160,12 @@
 	int64_t expected_tokens; /* of the answer; 0: no generation */
 
 	struct home_request home_request; /* for an engine */
-	char *home_backup_id;		  /* from the home, for the next leg */
-	bool is_granted;		  /* the home granted the next leg */
-	struct waiter *waiter;		  /* waits for an engine, or NULL */
-	int64_t waits_since_us;		  /* 0: it never waited */
+	char *asked_home;	/* name of the one asked last; NULL: none yet */
+	int32_t homes_asked;	/* for this request, one after another */
+	char *home_backup_id;	/* from the home, for the next leg */
+	bool is_granted;	/* the home granted the next leg */
+	struct waiter *waiter;	/* waits for an engine, or NULL */
+	int64_t waits_since_us; /* 0: it never waited */
 
 	struct leg *leg;  /* NULL between two dispatches */
 	struct leg *next; /* got a late request as well, or NULL */
@@ -226,6 +228,8 @@
 			    struct endpoint_criteria *criteria);
 void exchange_send_new(struct exchange *exchange);
 void exchange_send_local_choice(struct exchange *exchange);
+void exchange_send_here(struct exchange *exchange);
+bool exchange_asks_other_home(struct exchange *exchange);
 void exchange_send_or_refuse(struct exchange *exchange,
 			     struct endpoint *endpoint);
 bool exchange_wants_backup(const struct exchange *exchange);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -5,6 +5,7 @@
 #include "adapters/gateway/tcp_stream.h"
 #include "core/gateway/drain.h"
 #include "core/limit/rate_fleet.h"
+#include "core/limit/recent_starts.h"
 
 #include <time.h>
 
@@ -421,6 +422,7 @@
 			  NULL);
 	rate_peak_init(&gateway->fleet_peak, 1, RATE_PEAK_RETENTION_US,
 		       gateway->now_us);
+	gateway->recent_starts = recent_starts_create(gateway->now_us);
 	gateway_update_fleet(gateway);
 	gateway_limits_init(gateway);
 	gateway->tick = g_timeout_add(TICK_MS, on_tick, gateway);
@@ -453,6 +455,8 @@
 	g_hash_table_unref(gateway->speeds);
 	g_hash_table_unref(gateway->home_requests);
 	g_free(gateway->home_address);
+	g_free(gateway->silent_home);
+	recent_starts_destroy(gateway->recent_starts);
 	registry_destroy(gateway->registry);
 	region_map_destroy(gateway->region_map);
 	route_table_unref(gateway->table);
--- a/adapters/gateway/gateway_home.c
+++ b/adapters/gateway/gateway_home.c
@@ -1,5 +1,6 @@
 #include "adapters/gateway/exchange_state.h"
 #include "core/limit/rate_fleet.h"
+#include "core/limit/recent_starts.h"
 #include "core/placement/home.h"
 
 #include <string.h>
@@ -19,6 +20,9 @@
  */
 #define HOME_ANSWER_TIMEOUT_US (100 * 1000)
 
+/* A request asks so many nodes for a limited endpoint, one after another. */
+#define MAX_HOMES_ASKED 2
+
 /* What the home chose for another node; copy is the target of a move. */
 struct engine_choice {
 	struct endpoint *run;
@@ -72,19 +76,59 @@
 							 : RATE_REGION_HOME;
 }
 
+static bool has_just_started(const struct gateway *gateway,
+			     const struct member *member)
+{
+	return recent_starts_has(gateway->recent_starts, member->name,
+				 gateway->now_us);
+}
+
+/* Returns the member unless it is this node. */
+static const struct member *other_node(const struct gateway *gateway,
+				       const struct member *member)
+{
+	return member && strcmp(member->name, gateway->options.node_name) != 0
+		       ? member
+		       : NULL;
+}
+
 /*
  * The node, of any region, that grants requests to limited endpoints; NULL:
- * this node.
+ * this node. The next one takes the place of a home that has just started,
+ * unless it has too: the place doesn't move on from node to node, as each of
+ * them would begin with all of the limit.
  */
 static const struct member *find_limit_home(const struct gateway *gateway,
 					    const char *service)
 {
-	const struct member *home = home_find(
-		gateway->host.members(gateway->host.data), NULL, service, 0);
+	const struct membership *members =
+		gateway->host.members(gateway->host.data);
+	const struct member *home = home_find(members, NULL, service, 0);
+	const struct member *next;
 
-	return home && strcmp(home->name, gateway->options.node_name) != 0
-		       ? home
-		       : NULL;
+	if (!home || !has_just_started(gateway, home))
+		return other_node(gateway, home);
+	next = home_find_next(members, service, home->name);
+	return other_node(gateway, next && !has_just_started(gateway, next)
+					   ? next
+					   : home);
+}
+
+/*
+ * The node to ask for a limited endpoint: the one that grants them, or the next
+ * one while that one is silent; NULL: none.
+ */
+static const struct member *
+find_limit_home_to_ask(const struct gateway *gateway, const char *service)
+{
+	const struct member *home = find_limit_home(gateway, service);
+
+	if (!home || gateway->now_us >= gateway->home_skipped_until_us ||
+	    g_strcmp0(home->name, gateway->silent_home) != 0)
+		return home;
+	return other_node(gateway, home_find_next(gateway->host.members(
+							  gateway->host.data),
+						  service, home->name));
 }
 
 static enum rate_chooser find_limit_chooser(const struct gateway *gateway,
@@ -130,6 +174,9 @@
 	gateway->fleet =
 		rate_fleet_read(gateway->host.members(gateway->host.data),
 				&gateway->fleet_peak, gateway->now_us);
+	recent_starts_update(gateway->recent_starts,
+			     gateway->host.members(gateway->host.data),
+			     gateway->now_us);
 }
 
 static void set_home_address(struct gateway *gateway, const struct member *home)
@@ -213,6 +260,11 @@
 	struct gateway *gateway = exchange->gateway;
 
 	set_home_address(gateway, home);
+	if (request == &exchange->home_request) {
+		g_free(exchange->asked_home);
+		exchange->asked_home = g_strdup(home->name);
+		exchange->homes_asked++;
+	}
 	request->number = message->choose.number;
 	request->sent_us = gateway->now_us;
 	g_hash_table_insert(gateway->home_requests, &request->number, exchange);
@@ -276,18 +328,19 @@
 
 /*
  * Requests an endpoint from the node that grants requests to limited ones.
- * False if there is no other node to ask: this node has to refuse the request.
+ * False if there is no other node to ask, or none that this request has not
+ * asked: this node has to refuse the request.
  */
 bool exchange_request_limited(struct exchange *exchange)
 {
-	const struct gateway *gateway = exchange->gateway;
 	const struct member *home;
 
 	if (exchange_is_bound(exchange) ||
-	    gateway->now_us < gateway->home_skipped_until_us)
+	    exchange->homes_asked >= MAX_HOMES_ASKED)
 		return false;
-	home = find_limit_home(gateway, exchange->service_name);
-	if (!home)
+	home = find_limit_home_to_ask(exchange->gateway,
+				      exchange->service_name);
+	if (!home || g_strcmp0(home->name, exchange->asked_home) == 0)
 		return false;
 	request_run(exchange, home, CHOOSE_RUN);
 	return true;
@@ -341,6 +394,10 @@
 	if (gateway->home_skipped_until_us < gateway->now_us)
 		log_write(gateway->log, LOG_LEVEL_WARN, "home_silent",
 			  "address", gateway->home_address, NULL);
+	if (request == &exchange->home_request) {
+		g_free(gateway->silent_home);
+		gateway->silent_home = g_strdup(exchange->asked_home);
+	}
 	gateway->home_skipped_until_us = gateway->now_us + HOME_SKIP_US;
 	counters_add(gateway->options.counters, COUNTER_GATEWAY_HOME_SILENT, 1);
 	exchange_cancel_home_request(exchange, request);
@@ -576,7 +633,8 @@
 		registry_find(exchange->gateway->registry, chosen->endpoint);
 
 	if (!*chosen->endpoint) {
-		exchange_send_or_refuse(exchange, NULL);
+		if (!exchange_asks_other_home(exchange))
+			exchange_send_or_refuse(exchange, NULL);
 	} else if (!endpoint ||
 		   !endpoint_serves(endpoint, exchange->service_name) ||
 		   !endpoint_is_usable(endpoint) ||
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -99,6 +99,7 @@
 	struct region_map *region_map;
 	struct rate_peak fleet_peak;
 	struct rate_fleet fleet;
+	struct recent_starts *recent_starts;
 
 	/* Limits that endpoints state. */
 	struct gossip_pace limits_pace;
@@ -134,6 +135,7 @@
 	uint64_t home_request_count;   /* number of the last request */
 	char *home_address;	       /* of the last request; NULL: none */
 	int64_t home_skipped_until_us; /* after a missed answer */
+	char *silent_home;	       /* that missed it; NULL: none yet */
 	int64_t home_announced_us;
 
 	struct waiting *waiting; /* generations that wait for an engine */
--- a/core/limit/rate_share.c
+++ b/core/limit/rate_share.c
@@ -1,8 +1,5 @@
 #include "core/limit/rate_share.h"
 
-/* A node that has just started may not know most of the others yet. */
-#define SETTLE_US (3 * G_USEC_PER_SEC)
-
 /*
  * Returns the part of a total that belongs to the nodes from first on, of which
  * there are count. The parts of ranges that follow each other add up to the
@@ -87,7 +84,7 @@
 /* Whether this node has run for long enough to know most other nodes. */
 bool rate_peak_is_settled(const struct rate_peak *peak, int64_t now_us)
 {
-	return now_us - peak->started_us >= SETTLE_US;
+	return now_us - peak->started_us >= RATE_SETTLE_US;
 }
 
 /* Returns an equal part of a total for each of the most nodes. */
--- a/core/limit/rate_share.h
+++ b/core/limit/rate_share.h
@@ -15,6 +15,9 @@
  * that they send requests without asking, and also while they reach no home.
  */
 
+/* A node that has just started may not know most of the others yet. */
+#define RATE_SETTLE_US (3 * G_USEC_PER_SEC)
+
 /* Who decides on the requests, as this node sees it. */
 enum rate_chooser {
 	RATE_HOME,	  /* this node, for all nodes */
--- a/core/placement/home.c
+++ b/core/placement/home.c
@@ -53,9 +53,10 @@
 	return !region || strcmp(member->region, region) == 0;
 }
 
+/* Passes the member with the name except over; NULL: none. */
 static const struct member *
 home_find_highest(const struct membership *membership, const char *region,
-		  const char *service, uint32_t shard)
+		  const char *service, uint32_t shard, const char *except)
 {
 	const struct member *best = NULL;
 	uint64_t best_hash = 0;
@@ -64,7 +65,8 @@
 		const struct member *member = membership_get(membership, i);
 		uint64_t hash;
 
-		if (!member_is_eligible(member, region))
+		if (!member_is_eligible(member, region) ||
+		    (except && strcmp(member->name, except) == 0))
 			continue;
 		hash = home_hash(member->name, service, shard);
 		if (!best || hash > best_hash) {
@@ -86,8 +88,19 @@
 			       uint32_t shard)
 {
 	const struct member *best =
-		home_find_highest(membership, region, service, shard);
+		home_find_highest(membership, region, service, shard, NULL);
 
 	return best ? best
-		    : home_find_highest(membership, NULL, service, shard);
+		    : home_find_highest(membership, NULL, service, shard, NULL);
+}
+
+/*
+ * Returns the node of any region that would be the home of a service if the
+ * node with this name were gone. Returns NULL when no node is eligible; the
+ * member belongs to the membership.
+ */
+const struct member *home_find_next(const struct membership *membership,
+				    const char *service, const char *name)
+{
+	return home_find_highest(membership, NULL, service, 0, name);
 }
--- a/core/placement/home.h
+++ b/core/placement/home.h
@@ -21,6 +21,8 @@
 const struct member *home_find(const struct membership *membership,
 			       const char *region, const char *service,
 			       uint32_t shard);
+const struct member *home_find_next(const struct membership *membership,
+				    const char *service, const char *name);
 
 G_END_DECLS
 
--- a/tests/endpoint_rates_test.cc
+++ b/tests/endpoint_rates_test.cc
@@ -114,7 +114,7 @@
 		now_us = end_us;
 	}
 
-	/* The nodes of a side, in order; the first one is its home. */
+	/* The nodes of a side, in order. */
 	std::vector<size_t> side_of(size_t i) const
 	{
 		std::vector<size_t> list;
@@ -126,6 +126,23 @@
 		return list;
 	}
 
+	bool has_just_started(size_t i) const
+	{
+		return !rate_peak_is_settled(&nodes[i].peak, now_us);
+	}
+
+	/* The first node of a side, or the second while that one starts. */
+	size_t home_of(size_t i) const
+	{
+		std::vector<size_t> side = side_of(i);
+		size_t home = side.front();
+
+		if (side.size() > 1 && has_just_started(home) &&
+		    !has_just_started(side[1]))
+			return side[1];
+		return home;
+	}
+
 	struct endpoint_rates rates_of(size_t i)
 	{
 		struct endpoint_rates rates = {};
@@ -137,8 +154,8 @@
 		rates.fleet = {side.size(), nodes[i].peak.nodes, side.size(), 0,
 			       index};
 		rates.is_settled = rate_peak_is_settled(&nodes[i].peak, now_us);
-		rates.limit_chooser = side.size() == 1 ? RATE_EACH_NODE
-				      : index == 0     ? RATE_HOME
+		rates.limit_chooser = side.size() == 1	? RATE_EACH_NODE
+				      : home_of(i) == i ? RATE_HOME
 				      : now_us < nodes[i].home_silent_until_us
 					      ? RATE_HOME_SILENT
 					      : RATE_BESIDE_HOME;
@@ -170,7 +187,7 @@
 
 	void choose(size_t i)
 	{
-		size_t home = side_of(i).front();
+		size_t home = home_of(i);
 
 		if (allows(i, RATE_FOR_REQUEST))
 			send(i);
@@ -359,6 +376,25 @@
 	EXPECT_GE(rate(6, 36), 6 * 0.6);
 }
 
+/*
+ * Guards against a part of the limit that nobody uses while a home starts, and
+ * against two homes that each use all of it.
+ */
+TEST_F(LimitFleet, TheNextNodeHasThePartOfAHomeThatStarts)
+{
+	start(7, 50);
+	stated = {LIMIT_STATED, 6000};
+	run_until(6);
+	for (double s = 6; s < 40; s += 3.5) {
+		restart(0);
+		tell(1, 0);
+		tell(2, 0);
+		run_until(s + 3.5);
+	}
+	EXPECT_LE(most_in_4_s(1), 41u);
+	EXPECT_GE(rate(6, 40), 6 * 0.9);
+}
+
 /* A lower limit applies at once, a higher one soon, to what all nodes send. */
 TEST_F(LimitFleet, FollowsALimitThatChanges)
 {
--- a/tests/tcp_stream_test.cc
+++ b/tests/tcp_stream_test.cc
@@ -290,6 +290,7 @@
 	for (struct side &side : sides)
 		tcp_stream_finish(g_steal_pointer(&side.stream));
 	Wait(5500);
+	EXPECT_EQ(2u, tcp_stream_finishing_count());
 	ExpectAllRead();
 	for (struct side &side : sides)
 		EXPECT_TRUE(side.peer->wait_closed());
