LOST: a node that ends reset callers that had just connected

Callers saw: a whole request on a new connection, then a reset or a close without an answer, from a node that was told to end once. Kept connections lost none that had been answered before.

Cause, two of them, told apart by what the caller got. Resets: connections that waited at the listening socket when the process ended. Closes: in its last second a node closes idle connections every 25 ms, also one that it had accepted a moment before and whose request was on the way.

A connection without a request is left open for its first 200 ms, and keeps the process as a request that arrives does.

--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -28,6 +28,12 @@
  */
 #define STEP_SLACK_US (50 * 1000)
 
+/*
+ * A drain doesn't close a connection so soon after its begin: its first request
+ * may be on the way.
+ */
+#define FIRST_REQUEST_US (200 * 1000)
+
 /* Limits until the first configuration is applied. */
 #define DEFAULT_HEADER_BYTES 16384
 #define DEFAULT_BODY_BYTES (1 << 20)
@@ -58,12 +64,14 @@
 	void *request; /* the handler's data for the current request */
 	bool is_busy;  /* the handler has a request that isn't answered yet */
 	bool must_close;
-	bool has_sent; /* part of the current answer */
+	bool has_asked; /* a whole request has arrived */
+	bool has_sent;	/* part of the current answer */
 	bool is_parsing;
 	bool is_refused;
 	bool is_excess;	    /* beyond max_callers */
 	bool may_be_unread; /* bytes were sent since it was looked */
 	struct read_progress progress;
+	int64_t accepted_us;
 	int64_t request_start_us; /* of the request being read; 0: none */
 	int64_t last_activity_us; /* last bytes received, answer ended or unread
 				   */
@@ -223,6 +231,7 @@
 
 	caller->body = g_byte_array_new();
 	caller->is_busy = true;
+	caller->has_asked = true;
 	caller->has_sent = false;
 	caller->request_start_us = 0;
 	caller->must_close =
@@ -406,6 +415,7 @@
 	caller->is_excess = count >= set->max_callers;
 	caller->unparsed = g_byte_array_new();
 	caller->body = g_byte_array_new();
+	caller->accepted_us = now_us;
 	caller->last_activity_us = now_us;
 	caller->promised = set->limits;
 	caller->reader = http_reader_create(HTTP_READER_REQUESTS,
@@ -427,6 +437,13 @@
 	       !tcp_stream_has_unread(caller->stream);
 }
 
+/* Whether the first request on the connection is to be expected yet. */
+static bool caller_is_new(const struct caller *caller)
+{
+	return !caller->has_asked &&
+	       caller->set->now_us - caller->accepted_us < FIRST_REQUEST_US;
+}
+
 /* Refuses a request that took too long to arrive. */
 static void caller_time_out(struct caller *caller)
 {
@@ -530,7 +547,10 @@
 	set->is_draining = true;
 }
 
-/* Closes connections on which no request is being read or answered. */
+/*
+ * Closes connections on which no request is being read or answered, but for
+ * those that have just begun.
+ */
 void caller_set_close_idle(struct caller_set *set)
 {
 	GHashTableIter iter;
@@ -540,7 +560,7 @@
 	while (g_hash_table_iter_next(&iter, &value, NULL)) {
 		struct caller *caller = value;
 
-		if (!caller_is_idle(caller))
+		if (!caller_is_idle(caller) || caller_is_new(caller))
 			continue;
 		tcp_stream_finish(g_steal_pointer(&caller->stream));
 		g_hash_table_iter_remove(&iter);
@@ -562,7 +582,10 @@
 	g_ptr_array_unref(callers);
 }
 
-/* The number of requests that have begun to arrive and are not whole yet. */
+/*
+ * The number of requests that have begun to arrive and are not whole yet, or
+ * that are to be expected on connections that have just begun.
+ */
 size_t caller_set_arriving_count(const struct caller_set *set)
 {
 	GHashTableIter iter;
@@ -573,7 +596,8 @@
 	while (g_hash_table_iter_next(&iter, &value, NULL)) {
 		const struct caller *caller = value;
 
-		count += !caller->is_busy && !caller_is_idle(caller);
+		count += !caller->is_busy &&
+			 (!caller_is_idle(caller) || caller_is_new(caller));
 	}
 	return count;
 }
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -182,6 +182,21 @@
 	gateway->host.stopped(gateway->host.data, end_us - gateway->now_us);
 }
 
+/*
+ * Closes the listening sockets. Returns whether they were open: requests may
+ * arrive on the connections that waited there.
+ */
+static bool gateway_stop_listening(struct gateway *gateway)
+{
+	bool was_open = false;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(gateway->listeners); i++) {
+		was_open = was_open || gateway->listeners[i];
+		listener_finish(g_steal_pointer(&gateway->listeners[i]));
+	}
+	return was_open;
+}
+
 /*
  * A request that is arriving keeps the process as one in progress does, or its
  * caller would get no answer. Idle connections are closed before they are
@@ -206,6 +221,8 @@
 			    tcp_stream_finishing_count());
 	if (step == DRAIN_ANSWER_REST)
 		gateway_answer_rest(gateway);
+	if (step == DRAIN_CLOSE_IDLE || gateway_stop_listening(gateway))
+		return;
 	if (step == DRAIN_END)
 		gateway_stop(gateway);
 }
--- a/adapters/gateway/listener.c
+++ b/adapters/gateway/listener.c
@@ -17,18 +17,25 @@
 	guint source;
 };
 
-static gboolean on_connection(gint fd, GIOCondition condition, gpointer data)
+/* Accepts one connection; false if none waits. */
+static bool listener_accept(struct listener *listener)
 {
-	struct listener *listener = data;
+	int accepted =
+		accept4(listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (accepted < 0)
+		return false;
+	caller_set_accept(listener->set, accepted, gateway_now_us());
+	return true;
+}
 
+static gboolean on_connection(gint fd, GIOCondition condition, gpointer data)
+{
+	(void)fd;
 	(void)condition;
 	for (int i = 0; i < MAX_ACCEPTS; i++) {
-		int accepted =
-			accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-		if (accepted < 0)
+		if (!listener_accept(data))
 			break;
-		caller_set_accept(listener->set, accepted, gateway_now_us());
 	}
 	return G_SOURCE_CONTINUE;
 }
@@ -52,6 +59,20 @@
 	return listener;
 }
 
+/*
+ * Stops listening and frees the listener. Connections that wait to be accepted
+ * go to the set first: a close would reset them. NULL is allowed.
+ */
+void listener_finish(struct listener *listener)
+{
+	int count = 0;
+
+	while (listener && count++ < TCP_LISTEN_BACKLOG &&
+	       listener_accept(listener))
+		continue;
+	listener_destroy(listener);
+}
+
 /* Stops listening; open connections stay. NULL is allowed. */
 void listener_destroy(struct listener *listener)
 {
--- a/adapters/gateway/listener.h
+++ b/adapters/gateway/listener.h
@@ -13,6 +13,7 @@
 
 struct listener *listener_create(const char *address, struct caller_set *set,
 				 struct error *error);
+void listener_finish(struct listener *listener);
 void listener_destroy(struct listener *listener);
 
 G_END_DECLS
--- a/adapters/gateway/tcp_stream.c
+++ b/adapters/gateway/tcp_stream.c
@@ -20,7 +20,6 @@
 #define STEP_LISTEN "tcp.listen"
 
 #define READ_BYTES 16384
-#define BACKLOG 512
 
 /*
  * A peer that vanished without closing is detected after about three seconds:
@@ -792,7 +791,7 @@
 	if (fd >= 0)
 		socket_set_int(fd, SOL_SOCKET, SO_REUSEADDR, 1);
 	if (fd >= 0 && bind(fd, (struct sockaddr *)&at, sizeof(at)) == 0 &&
-	    listen(fd, BACKLOG) == 0)
+	    listen(fd, TCP_LISTEN_BACKLOG) == 0)
 		return fd;
 	error_set(error, ERROR_UNREACHABLE, STEP_LISTEN, address, "%s",
 		  g_strerror(errno));
--- a/adapters/gateway/tcp_stream.h
+++ b/adapters/gateway/tcp_stream.h
@@ -59,6 +59,9 @@
 void tcp_stream_set_reading(struct tcp_stream *stream, bool reading);
 void tcp_stream_close_sending(struct tcp_stream *stream);
 
+/* Connections that may wait at a listening socket to be accepted. */
+#define TCP_LISTEN_BACKLOG 512
+
 bool tcp_tells_ages(void);
 int tcp_listen(const char *address, struct error *error);
 bool tcp_address_parse(const char *address, char *host, size_t host_size,
--- a/tests/gateway_drain_test.cc
+++ b/tests/gateway_drain_test.cc
@@ -1,3 +1,4 @@
+#include "adapters/gateway/listener.h"
 #include "adapters/gateway/tcp_stream.h"
 #include "tests/gateway_pair.h"
 
@@ -57,7 +58,8 @@
 
 	ASSERT_TRUE(
 		run_until([&] { return tcp_stream_finishing_count() > 0; }));
-	EXPECT_FALSE(IsStopped());
+	Wait(100);
+	EXPECT_FALSE(IsStopped()) << "its caller has not closed it yet";
 	EXPECT_TRUE(kept->wait_closed());
 	EXPECT_TRUE(run_until([&] { return IsStopped(); }));
 }
@@ -71,3 +73,38 @@
 	Wait(300);
 	EXPECT_FALSE(IsStopped());
 }
+
+/* Guards against a new connection that is closed before its first request. */
+TEST_F(GatewayDrain, AnswersTheFirstRequestOfANewConnection)
+{
+	Begin(1500000);
+	Wait(450);
+	std::unique_ptr<Connection> late(Connection::open(nodes[0]->address));
+
+	Wait(110);
+	late->send("GET /lookup/a HTTP/1.1\r\nHost: h\r\n\r\n");
+	EXPECT_TRUE(late->wait_for("HTTP/1.1 "));
+	EXPECT_TRUE(late->wait_closed());
+	EXPECT_TRUE(run_until([&] { return IsStopped(); }));
+}
+
+/* Guards against a reset of connections that wait as a node stops to listen. */
+TEST_F(GatewayDrain, AnswersConnectionsThatWaitToBeAccepted)
+{
+	Begin(1500000);
+	std::unique_ptr<Connection> late(Connection::open(nodes[0]->address));
+
+	late->send("GET /lookup/a HTTP/1.1\r\nHost: h\r\n\r\n");
+	listener_finish(g_steal_pointer(&nodes[0]->gateway->listeners[0]));
+	EXPECT_TRUE(late->wait_for("HTTP/1.1 "));
+}
+
+/* Guards against callers that connect to a node that will not answer them. */
+TEST_F(GatewayDrain, StopsToListenBeforeItEnds)
+{
+	Begin(1300000);
+	ASSERT_TRUE(run_until(
+		[&] { return nodes[0]->gateway->listeners[0] == nullptr; }));
+	EXPECT_FALSE(IsStopped());
+	EXPECT_TRUE(run_until([&] { return IsStopped(); }));
+}
