--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	libpopt-dev liblog4c-dev libsodium-dev libtomlplusplus-dev \
 	libhttp-parser-dev \
 	libgtest-dev spin gnuplot-nox clang clang-format clang-tidy \
-	libclang-rt-14-dev
+	libclang-rt-14-dev lld
 
 WARNINGS = -Wall -Wextra -Werror
 OPTIMIZE ?= -O2 -g
@@ -52,7 +52,7 @@
 TESTS = $(B)/bin/tests
 
 .PHONY: all demo demo-platform check unit gateway faults api soak \
-	soak-processes soak-known-red bench format format-check tidy pure fields \
+	soak-processes soak-plays soak-known-red bench format format-check tidy pure fields \
 	causes spec mutants ablations install-deps clean fuzz-short fuzz-run
 .SECONDARY:
 
@@ -99,6 +99,9 @@
 	@mkdir -p $(@D)
 	$(CXX) $(ALL_LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PACKAGE_LIBS)
 
+# How many tests that mostly wait run side by side.
+SIDE_BY_SIDE ?= $(shell expr $(shell nproc) \* 3 / 2)
+
 # Runs every test. The script tests read their scripts from tests/scripts.
 check: unit pure fields causes api faults gateway $(if $(filter 1,$(SANITIZE)),,spec mutants ablations)
 
@@ -107,8 +110,7 @@
 RED_UNITS := $(shell sed -n 's/^unit \([^ ]*\) .*/\1/p' KNOWN-RED.txt 2>/dev/null \
 	| paste -sd:)
 unit: $(TESTS) $(PROGRAMS)
-	SISKINLINK_BIN=$(abspath $(B)/bin) $(TESTS) $(TEST_ARGS) \
-		$(if $(RED_UNITS),--gtest_filter='-$(RED_UNITS)')
+	tests/unit.sh $(B)/bin $(SIDE_BY_SIDE) '*$(if $(RED_UNITS),-$(RED_UNITS))'
 	$(if $(RED_UNITS),SISKINLINK_BIN=$(abspath $(B)/bin) $(TESTS) \
 		--gtest_filter='$(RED_UNITS)' || echo "known red: $(RED_UNITS)")
 
@@ -123,26 +125,32 @@
 	$(SOAK_PROGRAM) --programs $(abspath $(B)/bin) \
 		--folder $(abspath $(B)/soak) --seeds $(SOAK_SEEDS) $(SOAK_ARGS)
 
+# The seeds of the CI, side by side.
+soak-plays: $(PROGRAMS) $(SOAK_PROGRAM)
+	$(SOAK_PROGRAM) --programs $(abspath $(B)/bin) \
+		--folder $(abspath $(B)/soak) --plays tests/soak/ci.plays \
+		--jobs $(SIDE_BY_SIDE)
+
 # Seeds listed in KNOWN-RED.txt as "soak SEED [ARGS] | ...": results are ignored.
 soak-known-red: $(PROGRAMS) $(SOAK_PROGRAM)
-	@sed -n 's/^soak \([0-9]*\)\([^|]*\)|.*/\1 \2/p' \
-		KNOWN-RED.txt | while read -r seed arguments; do \
-		$(SOAK_PROGRAM) --programs $(abspath $(B)/bin) \
-			--folder $(abspath $(B)/soak) --seconds 12 \
-			--seeds $$seed $$arguments </dev/null || \
-			echo "known red: soak $$seed"; \
-	done
+	@sed -n 's/^soak \([0-9]*\)\([^|]*\)|.*/--seeds \1 \2/p' \
+		KNOWN-RED.txt >$(B)/known-red.plays
+	@$(SOAK_PROGRAM) --programs $(abspath $(B)/bin) \
+		--folder $(abspath $(B)/soak) --plays $(B)/known-red.plays \
+		--jobs $(SIDE_BY_SIDE) || \
+		{ echo "known red: soak"; cat $(B)/known-red.plays; }
 
 # Runs the curl lines of docs/API.md, and the tests of process faults.
 api: $(PROGRAMS)
-	tests/api.sh $(abspath $(B)/bin)
+	PORT_SLOT=22 tests/api.sh $(abspath $(B)/bin)
 
 faults: $(PROGRAMS)
-	tests/faults.sh $(abspath $(B)/bin)
+	PORT_SLOT=23 tests/faults.sh $(abspath $(B)/bin)
 
 # Tests the gateway as a process against fakes of the platform.
 gateway: $(PROGRAMS)
-	tests/gateway.sh $(abspath $(B)/bin)
+	tests/side_by_side.sh $(SIDE_BY_SIDE) 0 tests/gateway.sh \
+		$(abspath $(B)/bin)
 
 # Checks that the core uses no clock, socket, thread or randomness.
 pure: $(LIBRARY)
--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -1,10 +1,12 @@
 #!/bin/sh
 # run.sh RUNS TARGET...: runs each fuzz target on its corpus and on RUNS
-# inputs mutated from it with a fixed seed; stops at the first failing input.
-runs=$1
-shift
-seeds=$(dirname "$0")/corpus
-for target in "$@"; do
+# inputs mutated from it with a fixed seed, one target for each processor at a
+# time; fails if one finds a failing input.
+set -u
+if [ "$1" = --one ]; then
+	runs=$2
+	target=$3
+	seeds=$(dirname "$0")/corpus
 	name=$(basename "$target" _fuzz)
 	found=$(dirname "$target")/../corpus/$name
 	rm -rf "$found"
@@ -17,4 +19,8 @@
 		exit 1
 	fi
 	echo "fuzz: $name, $runs inputs"
-done
+	exit 0
+fi
+runs=$1
+shift
+printf '%s\n' "$@" | xargs -n 1 -P "$(nproc)" "$0" --one "$runs"
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -5,7 +5,12 @@
 # callers received and what the engines report to have run.
 #
 #     tests/gateway.sh BIN [CASE...]
+#     tests/gateway.sh --list
 set -eu
+if [ "$1" = --list ]; then
+	sed -n 's/^case_\([a-z0-9_]*\)() {$/\1/p' "$0" | sort
+	exit 0
+fi
 bin=$(cd "$1" && pwd)
 shift
 cd "$(dirname "$0")/.."
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -7,7 +7,8 @@
 # A file of tests/mutants names the safeguard, its source file and the tests,
 # then gives text sections: "--- with" quotes source text that occurs exactly
 # once, and "--- without" its replacement. MUTANT_JOBS mutants run at a time, by
-# default one for each processor; each has a copy in BUILD_FOLDER of its own.
+# default two for each processor, as most tests wait; each has a copy in
+# BUILD_FOLDER of its own.
 set -eu
 cd "$(dirname "$0")/.."
 . tests/mutate.sh
@@ -27,7 +28,6 @@
 	done
 	cp -pR -l "$1/tests" "$2/build/"
 	cp -p "$1"/*.a "$2/build/"
-	cp -p "$1/bin/tests" "$2/build/bin/"
 }
 
 # Returns 0 if the tests detect the mutant. Restores the source and its object.
@@ -41,7 +41,7 @@
 		cat "$2/out"
 		report "$3" "does not apply to $file"
 		status=1
-	elif ! make -s -C "$2" CFLAGS=-w build/bin/tests >"$2/out" 2>&1; then
+	elif ! make -s -C "$2" CFLAGS=-w LDFLAGS=-fuse-ld=lld build/bin/tests >"$2/out" 2>&1; then
 		cat "$2/out"
 		report "$3" "does not build"
 		status=1
@@ -83,12 +83,13 @@
 rm -rf "$work"
 mkdir -p "$work"
 filters=$(for mutant; do field "$mutant" fails; done | sort -u | paste -sd:)
-if ! "$build/bin/tests" --gtest_filter="$filters" >"$work/out" 2>&1; then
+jobs=${MUTANT_JOBS:-$(($(nproc) * 2))}
+if ! tests/unit.sh "$build/bin" "$jobs" "$filters" >"$work/out" 2>&1; then
 	cat "$work/out"
 	echo "mutants: the tests fail with all safeguards in place"
 	exit 1
 fi
-printf '%s\n' "$@" | xargs -n 1 -P "${MUTANT_JOBS:-$(nproc)}" \
+printf '%s\n' "$@" | xargs -n 1 -P "$jobs" \
 	--process-slot-var=MUTANT_SLOT tests/mutants.sh --job "$build"
 # What failed is printed last, where it is read first.
 for mutant; do
--- a/tests/processes.sh
+++ b/tests/processes.sh
@@ -94,12 +94,13 @@
 }
 
 # Prints a port that is free at present, a new one on each call; a node reports
-# an error if the port is no longer free when it binds.
+# an error if the port is no longer free when it binds. Scripts that run side by
+# side have different PORT_SLOT, 0 to 23, and so different ports.
 free_port() {
 	local port
 
 	for _ in $(seq 100); do
-		port=$((20000 + RANDOM % 12000))
+		port=$((20000 + 500 * ${PORT_SLOT:-0} + RANDOM % 500))
 		! grep -qx "$port" "$work/ports" 2>/dev/null || continue
 		if ! (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
 			echo "$port" | tee -a "$work/ports"
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -2,12 +2,16 @@
 #include "tests/soak/soak_report.h"
 #include "tests/soak/soak_run.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <glib/gstdio.h>
 #include <inttypes.h>
 #include <popt.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #define STEP_OPTIONS "soak.options"
 #define DEFAULT_SECONDS 12
@@ -16,13 +20,19 @@
 #define STATUS_USAGE 2
 #define STATUS_NOT_RUN 3
 
+/* Memory of the processes of one run, at most; half of the machine's is used.
+ */
+#define RUN_MEMORY_MB 512
+
 struct options {
 	char *seeds;
 	char *only;
 	char *folder;
 	char *programs;
+	char *plays; /* a file with the options of a run in each line */
 	int seconds;
 	int nodes;
+	int jobs; /* runs at a time */
 	int wants_list;
 	int wants_plan;
 	int keeps_logs;
@@ -33,6 +43,14 @@
 	struct soak_sizes sizes;
 };
 
+/* One run; in a process of its own if several go on at a time. */
+struct play {
+	struct options *options;
+	uint32_t seed;
+	pid_t pid; /* 0: not begun, or ended */
+	int status;
+};
+
 static volatile sig_atomic_t interrupted;
 
 static void on_signal(int number)
@@ -118,6 +136,20 @@
 	return false;
 }
 
+/* Fewer runs at a time than are wanted, if memory doesn't suffice for them. */
+static void jobs_limit(struct options *options)
+{
+	int64_t memory_mb = (int64_t)sysconf(_SC_PHYS_PAGES) *
+			    sysconf(_SC_PAGESIZE) / (1 << 20);
+	int most = (int)MAX(memory_mb / 2 / RUN_MEMORY_MB, 1);
+
+	if (options->jobs > most)
+		printf("soak: %d runs at a time, not %d: memory of %" PRId64
+		       " MB\n",
+		       most, options->jobs, memory_mb);
+	options->jobs = CLAMP(options->jobs, 1, most);
+}
+
 static bool options_check(struct options *options, struct error *error)
 {
 	options->sizes.nodes = options->nodes;
@@ -199,13 +231,28 @@
 	return findings->len == 0;
 }
 
-static int run_seed(const struct options *options, uint32_t seed)
+/* Returns the folder of a run's logs; the caller frees it. */
+static char *play_folder(const struct play *play)
 {
-	struct soak_schedule *schedule = schedule_build(options, seed);
+	const struct options *options = play->options;
+	g_autofree char *name = NULL;
+	g_autofree char *nodes =
+		options->nodes ? g_strdup_printf("-%d", options->nodes)
+			       : g_strdup("");
+
+	name = g_strdup_printf("%s-%u%s",
+			       options->only ? options->only : "mixed",
+			       play->seed, nodes);
+	return g_build_filename(options->folder, name, NULL);
+}
+
+/* Plays the faults of a seed; returns the status of the run. */
+static int play_run(const struct play *play)
+{
+	const struct options *options = play->options;
+	struct soak_schedule *schedule = schedule_build(options, play->seed);
 	g_autofree char *plan = soak_schedule_print(schedule);
-	g_autofree char *name = g_strdup_printf(
-		"%s-%u", options->only ? options->only : "mixed", seed);
-	g_autofree char *folder = g_build_filename(options->folder, name, NULL);
+	g_autofree char *folder = play_folder(play);
 	struct soak_fleet_paths paths = {options->programs, folder};
 	struct soak_evidence *evidence;
 	struct error error = {0};
@@ -217,10 +264,10 @@
 	g_mkdir_with_parents(folder, 0755);
 	evidence = soak_run(schedule, &paths, &interrupted, &error);
 	if (interrupted)
-		fprintf(stderr, "soak: seed %u: interrupted\n", seed);
+		fprintf(stderr, "soak: seed %u: interrupted\n", play->seed);
 	else if (!evidence)
-		fprintf(stderr, "soak: seed %u: %s %s: %s\n", seed, error.step,
-			error.peer, error.detail);
+		fprintf(stderr, "soak: seed %u: %s %s: %s\n", play->seed,
+			error.step, error.peer, error.detail);
 	else
 		status = check_run(options, schedule, evidence, folder)
 				 ? 0
@@ -230,18 +277,127 @@
 	return status;
 }
 
-static int run_seeds(const struct options *options)
+static char *play_output(const struct play *play)
+{
+	g_autofree char *folder = play_folder(play);
+
+	return g_strconcat(folder, ".out", NULL);
+}
+
+/* Begins a run in a process of its own, whose output goes to a file. */
+static void play_start(struct play *play)
+{
+	g_autofree char *path = play_output(play);
+	int fd;
+
+	fflush(stdout);
+	play->pid = fork();
+	if (play->pid < 0) {
+		play->pid = 0;
+		play->status = STATUS_NOT_RUN;
+	}
+	if (play->pid != 0)
+		return;
+	fd = open(path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+	if (fd < 0 || dup2(fd, STDOUT_FILENO) < 0 ||
+	    dup2(fd, STDERR_FILENO) < 0)
+		_exit(STATUS_NOT_RUN);
+	play->status = play_run(play);
+	fflush(stdout);
+	_exit(play->status);
+}
+
+/* Prints what a run in a process of its own has written. */
+static void play_print(const struct play *play)
 {
-	int32_t counts[STATUS_NOT_RUN + 1] = {0};
-
-	for (uint64_t seed = options->first_seed;
-	     seed <= options->last_seed && !interrupted; seed++)
-		counts[run_seed(options, (uint32_t)seed)]++;
-	printf("soak: %d seeds clean, %d with finds, %d not run\n", counts[0],
-	       counts[STATUS_FINDINGS], counts[STATUS_NOT_RUN]);
-	if (counts[STATUS_FINDINGS])
+	g_autofree char *path = play_output(play);
+	g_autofree char *text = NULL;
+
+	if (g_file_get_contents(path, &text, NULL, NULL))
+		fputs(text, stdout);
+	fflush(stdout);
+	g_remove(path);
+}
+
+/* Waits for one of the runs to end. */
+static void plays_reap(GArray *plays)
+{
+	int code;
+	pid_t pid = waitpid(-1, &code, 0);
+
+	if (pid < 0 && errno != EINTR)
+		return;
+	for (guint i = 0; pid > 0 && i < plays->len; i++) {
+		struct play *play = &g_array_index(plays, struct play, i);
+
+		if (play->pid != pid)
+			continue;
+		play->pid = 0;
+		play->status =
+			WIFEXITED(code) ? WEXITSTATUS(code) : STATUS_NOT_RUN;
+		play_print(play);
+	}
+}
+
+static int plays_running(const GArray *plays)
+{
+	int running = 0;
+
+	for (guint i = 0; i < plays->len; i++)
+		running += g_array_index(plays, struct play, i).pid != 0;
+	return running;
+}
+
+/* Runs all, so many at a time; each has a range of loopback addresses. */
+static void plays_run(GArray *plays, int jobs)
+{
+	for (guint i = 0; i < plays->len && !interrupted; i++) {
+		struct play *play = &g_array_index(plays, struct play, i);
+
+		if (jobs == 1) {
+			play->status = play_run(play);
+			continue;
+		}
+		play_start(play);
+		while (plays_running(plays) >= jobs)
+			plays_reap(plays);
+	}
+	while (plays_running(plays) > 0)
+		plays_reap(plays);
+}
+
+static void plays_add(GArray *plays, struct options *options)
+{
+	for (uint64_t seed = options->first_seed; seed <= options->last_seed;
+	     seed++) {
+		const struct play play = {.options = options,
+					  .seed = (uint32_t)seed,
+					  .status = STATUS_NOT_RUN};
+
+		g_array_append_val(plays, play);
+	}
+}
+
+static int plays_count(const GArray *plays, int status)
+{
+	int count = 0;
+
+	for (guint i = 0; i < plays->len; i++)
+		count += g_array_index(plays, struct play, i).status == status;
+	return count;
+}
+
+static int plays_report(const GArray *plays)
+{
+	int finds = plays_count(plays, STATUS_FINDINGS);
+	int clean = plays_count(plays, 0);
+	int rest = (int)plays->len - finds - clean;
+
+	printf("soak: %d seeds clean, %d with finds, %d not run\n", clean,
+	       finds, rest);
+	if (finds)
 		return STATUS_FINDINGS;
-	return counts[STATUS_NOT_RUN] ? STATUS_NOT_RUN : 0;
+	return rest ? STATUS_NOT_RUN : 0;
 }
 
 static bool options_parse(struct options *options, int argc, const char **argv)
@@ -256,6 +412,11 @@
 		 "KIND[,KIND]"},
 		{"seconds", 0, POPT_ARG_INT, &options->seconds, 0,
 		 "duration of the load in each run", "S"},
+		{"jobs", 0, POPT_ARG_INT, &options->jobs, 0,
+		 "runs at a time (default: 1)", "COUNT"},
+		{"plays", 0, POPT_ARG_STRING, &options->plays, 0,
+		 "run what the lines of this file say: --seeds, --only, ...",
+		 "FILE"},
 		{"nodes", 0, POPT_ARG_INT, &options->nodes, 0,
 		 "number of nodes (default: 3 to 9, by seed)", "COUNT"},
 		{"folder", 0, POPT_ARG_STRING, &options->folder, 0,
@@ -286,9 +447,89 @@
 	return rc == 0;
 }
 
-static int soak(struct options *options)
+static void options_free(gpointer data)
+{
+	struct options *options = data;
+
+	g_array_unref(options->kinds);
+	free(options->seeds);
+	free(options->only);
+	free(options->folder);
+	free(options->programs);
+	free(options->plays);
+	g_free(options);
+}
+
+/* Returns options with defaults, or with the places of others if there are. */
+static struct options *options_create(const struct options *others)
+{
+	struct options *options = g_new0(struct options, 1);
+
+	options->seconds = DEFAULT_SECONDS;
+	options->jobs = 1;
+	options->kinds =
+		g_array_new(FALSE, FALSE, sizeof(enum soak_fault_kind));
+	if (!others)
+		return options;
+	options->programs = strdup(others->programs);
+	options->folder = strdup(others->folder);
+	options->wants_plan = others->wants_plan;
+	options->keeps_logs = others->keeps_logs;
+	return options;
+}
+
+/* Reads a line of a file of plays: options, or "#" and a comment. */
+static bool line_parse(struct options *options, const char *line)
+{
+	g_autofree char *command = g_strconcat("soak ", line, NULL);
+	const char **argv;
+	int argc;
+	bool is_good;
+
+	if (poptParseArgvString(command, &argc, &argv) != 0)
+		return false;
+	is_good = options_parse(options, argc, argv);
+	free(argv);
+	return is_good;
+}
+
+/* Adds the runs of each line; false if the file or a line is not good. */
+static bool plays_read(GArray *plays, GPtrArray *all,
+		       const struct options *base)
+{
+	g_autofree char *text = NULL;
+	g_auto(GStrv) lines = NULL;
+	struct error error = {0};
+
+	if (!g_file_get_contents(base->plays, &text, NULL, NULL)) {
+		fprintf(stderr, "soak: --plays %s: cannot be read\n",
+			base->plays);
+		return false;
+	}
+	lines = g_strsplit(text, "\n", -1);
+	for (guint i = 0; lines[i]; i++) {
+		struct options *options;
+
+		if (!*g_strstrip(lines[i]) || *lines[i] == '#')
+			continue;
+		options = options_create(base);
+		g_ptr_array_add(all, options);
+		if (!line_parse(options, lines[i]) ||
+		    !options_check(options, &error)) {
+			fprintf(stderr, "soak: %s, line %u: %s\n", base->plays,
+				i + 1, error.detail);
+			return false;
+		}
+		plays_add(plays, options);
+	}
+	return true;
+}
+
+static int soak(struct options *options, GPtrArray *all)
 {
 	struct sigaction action = {.sa_handler = on_signal};
+	g_autoptr(GArray) plays =
+		g_array_new(FALSE, FALSE, sizeof(struct play));
 	struct error error = {0};
 
 	if (options->wants_list) {
@@ -299,29 +540,29 @@
 		fprintf(stderr, "soak: %s\n", error.detail);
 		return STATUS_USAGE;
 	}
+	if (!options->plays)
+		plays_add(plays, options);
+	else if (!plays_read(plays, all, options))
+		return STATUS_USAGE;
+	jobs_limit(options);
 	sigaction(SIGINT, &action, NULL);
 	sigaction(SIGTERM, &action, NULL);
 	signal(SIGPIPE, SIG_IGN);
-	return run_seeds(options);
+	plays_run(plays, options->jobs);
+	return plays_report(plays);
 }
 
 int main(int argc, const char **argv)
 {
-	struct options options = {.seconds = DEFAULT_SECONDS};
-	int status = STATUS_USAGE;
-
-	options.kinds = g_array_new(FALSE, FALSE, sizeof(enum soak_fault_kind));
-	if (options_parse(&options, argc, argv)) {
-		if (!options.programs)
-			options.programs = strdup("build/bin");
-		if (!options.folder)
-			options.folder = strdup("build/soak");
-		status = soak(&options);
-	}
-	g_array_unref(options.kinds);
-	free(options.seeds);
-	free(options.only);
-	free(options.folder);
-	free(options.programs);
-	return status;
+	g_autoptr(GPtrArray) all = g_ptr_array_new_with_free_func(options_free);
+	struct options *options = options_create(NULL);
+
+	g_ptr_array_add(all, options);
+	if (!options_parse(options, argc, argv))
+		return STATUS_USAGE;
+	if (!options->programs)
+		options->programs = strdup("build/bin");
+	if (!options->folder)
+		options->folder = strdup("build/soak");
+	return soak(options, all);
 }
