LOST: a backup was given up as its engine had reset other connections

Callers saw: a stream cut as its engine ended, though another one kept its backup.

Cause: an engine that has too many connections resets new ones. Where this node has no other connection to it, a reset after a lost run counts as its end, which is right for the requests under which engines end; but then all that it kept counted as gone too. What one connection showed was taken for knowledge of the engine.

--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -56,6 +56,7 @@
 	char *backup_id;	     /* engine that keeps a copy, or NULL */
 	char *backup_address;
 	struct endpoint_start backup_start; /* of that engine */
+	int32_t backup_doubtful_ends;	    /* of it, when it was chosen */
 	int64_t backup_known_us;	    /* when that start was first seen */
 	struct event_scanner *events;	    /* NULL: no event stream */
 	struct answer_limit limit;	    /* on the answer's body */
--- a/adapters/gateway/gateway_ends.c
+++ b/adapters/gateway/gateway_ends.c
@@ -282,10 +282,16 @@
 {
 	struct gateway *gateway = data;
 
+	struct endpoint *endpoint = registry_find(gateway->registry, lost->id);
+
 	gateway_closes_note_end(gateway, &lost->start);
-	if (quarantine_report_end(gateway->quarantine, &lost->start,
-				  gateway->now_us))
-		log_endpoint_ended(gateway, lost, evidence);
+	if (!quarantine_report_end(gateway->quarantine, &lost->start,
+				   gateway->now_us))
+		return;
+	log_endpoint_ended(gateway, lost, evidence);
+	if (endpoint &&
+	    lost_endpoint_may_live(lost, is_registered(gateway, lost)))
+		endpoint->doubtful_ends++;
 }
 
 /* To be called once, before any other function here. */
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -61,6 +61,7 @@
 	int64_t sampled_tokens; /* of its load, for the forecast of waiting */
 	struct endpoint_health health;	     /* by requests of this node */
 	struct endpoint_suspicion suspicion; /* by notices of all nodes */
+	int32_t doubtful_ends; /* that only resets of connections tell of */
 	int64_t replaced_us;   /* when another one answered at its address; 0:
 				  never */
 	bool is_cordoned;      /* its failure domain gets no new requests */
--- a/core/limit/end_watch.c
+++ b/core/limit/end_watch.c
@@ -136,10 +136,13 @@
 		break;
 	case CONNECTION_REFUSED:
 		lost->refused_us = now_us;
+		lost->is_reset = false;
 		break;
 	case CONNECTION_RESET:
-		if (lost->is_broken)
-			lost->refused_us = now_us;
+		if (!lost->is_broken)
+			break;
+		lost->refused_us = now_us;
+		lost->is_reset = true;
 		break;
 	case CONNECTION_REPLACED:
 		lost->is_replaced = true;
@@ -215,6 +218,16 @@
 	       lost->refused_us <= since_us;
 }
 
+/*
+ * Whether only resets say that the start has ended. It may live, and have had
+ * too many connections.
+ */
+bool lost_endpoint_may_live(const struct lost_endpoint *lost,
+			    bool is_registered)
+{
+	return lost->is_reset && !lost->is_replaced && is_registered;
+}
+
 /* When an endpoint other than this one was heard last; 0: never. */
 static int64_t heard_other_us(const struct end_watch *watch, uint64_t key)
 {
--- a/core/limit/end_watch.h
+++ b/core/limit/end_watch.h
@@ -27,6 +27,7 @@
 	int64_t refused_us;  /* last refused connection; 0: none */
 	int64_t accepted_us; /* last accepted connection; 0: none */
 	bool is_broken;	     /* it broke off a run, not just closed after one */
+	bool is_reset;	     /* the last refusal was a reset */
 	bool is_replaced;    /* another one answers at its address */
 	gpointer probe;	     /* of the host; NULL: not begun, or over */
 	int64_t probed_us;
@@ -67,6 +68,8 @@
 
 void lost_endpoint_note(struct lost_endpoint *lost, enum connection_sign sign,
 			int64_t now_us);
+bool lost_endpoint_may_live(const struct lost_endpoint *lost,
+			    bool is_registered);
 
 struct end_watch *end_watch_create(const struct end_watch_host *host);
 void end_watch_destroy(struct end_watch *watch);
--- a/tests/end_watch_test.cc
+++ b/tests/end_watch_test.cc
@@ -135,6 +135,22 @@
 	EXPECT_EQ(0u, end_watch_count(watch));
 }
 
+/* Guards against a reset that is taken for as sure a sign as a refusal. */
+TEST(LostEndpoint, OnlyResetsLeaveADoubt)
+{
+	struct lost_endpoint lost = {};
+
+	lost.is_broken = true;
+	lost_endpoint_note(&lost, CONNECTION_RESET, 1);
+	EXPECT_TRUE(lost_endpoint_may_live(&lost, true));
+	EXPECT_FALSE(lost_endpoint_may_live(&lost, false));
+	lost_endpoint_note(&lost, CONNECTION_REFUSED, 2);
+	EXPECT_FALSE(lost_endpoint_may_live(&lost, true));
+	lost_endpoint_note(&lost, CONNECTION_RESET, 3);
+	lost_endpoint_note(&lost, CONNECTION_REPLACED, 4);
+	EXPECT_FALSE(lost_endpoint_may_live(&lost, true));
+}
+
 /* Guards against an end that is never known, where there is one endpoint. */
 TEST_F(EndWatch, ALoneEndpointHasEndedOnceItIsBack)
 {
