LOST: a resumable stream had no run left for the node that had passed it on

Callers saw: a resumable stream cut as the only other node was lost, though this node reached its engines again. Known red, GatewayRelay.GoesOnByItselfAfterTheOnlyOtherNode, 2 of 2.

Cause: a node that helps gets all runs of the route that are left, unless a third node may help, and all of them count as begun once it is lost.

Change: one run of a resumable stream is kept. It would have been missing where the helping node loses an engine: so a node that has sent events is asked again, with the run that was kept. Each such call uses up a run, so their number is bounded as before.

The test passes. GatewayRelay.GoesOnAtTheSameNodeAfterItsEngine is new: two runs of two, the second at the same node.

--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -26,7 +26,8 @@
 	struct event_scanner *events; /* of a resumable stream, or NULL */
 	struct answer_limit limit;    /* on the answer's body */
 	char *node;
-	int32_t attempts; /* runs that the node may begin */
+	int32_t attempts;   /* runs that the node may begin */
+	int64_t last_event; /* that the caller had before */
 	int64_t sent_us;
 	bool head_received;
 };
@@ -294,14 +295,16 @@
 
 /*
  * Returns how many runs the node may begin. This node does not learn how many
- * it began if it is lost, so one is kept for another node.
+ * it began if it is lost, so one is kept for another node, or for this one,
+ * which can go on with a resumable stream once it reaches an endpoint.
  */
 static int32_t count_attempts(const struct exchange *exchange)
 {
 	int32_t left = exchange->max_attempts - exchange->runs;
+	bool keeps_one =
+		exchange->route->is_resumable || exchange_wants_relay(exchange);
 
-	return left > 1 && exchange_wants_relay(exchange) ? left - 1
-							  : MAX(left, 1);
+	return left > 1 && keeps_one ? left - 1 : MAX(left, 1);
 }
 
 /*
@@ -333,6 +336,7 @@
 	relay->sent_us = gateway->now_us;
 	g_ptr_array_add(exchange->avoided_nodes, g_strdup(node));
 	relay->attempts = count_attempts(exchange);
+	relay->last_event = exchange->last_event;
 	exchange->relay = relay;
 	options.address = peer->address;
 	options.request = relay_render(exchange);
@@ -360,6 +364,22 @@
 	return true;
 }
 
+/*
+ * A node that has sent events of a resumable stream has lost an endpoint, not
+ * its use: it may be asked for the run that was kept.
+ */
+static void forgive_node(const struct relay *relay)
+{
+	struct exchange *exchange = relay->exchange;
+	guint i;
+
+	if (exchange_may_resume(exchange) &&
+	    exchange->last_event > relay->last_event &&
+	    g_ptr_array_find_with_equal_func(exchange->avoided_nodes,
+					     relay->node, g_str_equal, &i))
+		g_ptr_array_remove_index(exchange->avoided_nodes, i);
+}
+
 /* Whether this node reaches the service again, and may begin a run. */
 static bool may_send_itself(const struct exchange *exchange)
 {
@@ -390,6 +410,7 @@
 	}
 	if (may_have_run)
 		exchange->runs += relay->attempts;
+	forgive_node(relay);
 	relay_destroy(g_steal_pointer(&exchange->relay));
 	g_byte_array_set_size(exchange->answer_body, 0);
 	if (may_have_run && !may_repeat(exchange)) {
--- a/tests/gateway_relay_test.cc
+++ b/tests/gateway_relay_test.cc
@@ -387,6 +387,29 @@
 	EXPECT_EQ(1, Runs("only-1"));
 }
 
+/*
+ * Guards against a stream that is cut as the only helping node loses the engine
+ * of its one run: it has another engine, and this node has another run.
+ */
+TEST_F(GatewayRelay, GoesOnAtTheSameNodeAfterItsEngine)
+{
+	std::string text;
+
+	retry_extra = 6000;
+	Create(2);
+	engine.events = other.events = 10;
+	engine.breaks_after = other.breaks_after = 4;
+	Cut({1}, CUT_REFUSED);
+	FindOut(1);
+	Wait(2000); /* for retry budget */
+	std::unique_ptr<Connection> caller(Connection::open(nodes[1]->address));
+	caller->send("POST /query/a HTTP/1.1\r\nHost: h\r\n"
+		     "X-Siskinlink-Request-Id: same-1\r\n"
+		     "Content-Length: 0\r\n\r\n");
+	ASSERT_TRUE(run_until([&] { return Runs("same-1") == 2; }));
+	EXPECT_TRUE(caller->wait_for("id: 7")) << caller->input;
+}
+
 /* Guards against passing on for ever, and against going back and forth. */
 TEST_F(GatewayRelay, ServesByItselfAgain)
 {
