LOST: an engine that lacked a copy was not asked for a new run

Callers saw: 502 on a resumable stream that had sent nothing, though an engine with room was there.

Cause: an engine that refuses a copy was put among those that the request is not sent to any more. What it said of the copy was taken for its answer to the request. The other engine rests, so none was left.

Change: after a missing copy the leg ends without that.

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -348,15 +348,21 @@
 	return recovery;
 }
 
-static void drop_leg(struct exchange *exchange)
+static void release_leg(struct exchange *exchange)
 {
-	g_ptr_array_add(exchange->avoided_ids,
-			g_strdup(exchange->leg->endpoint_id));
 	exchange_move_clear(exchange);
 	exchange->move.failures = 0;
 	leg_destroy(g_steal_pointer(&exchange->leg));
 }
 
+/* Ends the leg; the request goes to its endpoint no more. */
+static void drop_leg(struct exchange *exchange)
+{
+	g_ptr_array_add(exchange->avoided_ids,
+			g_strdup(exchange->leg->endpoint_id));
+	release_leg(exchange);
+}
+
 static void log_take_over(const struct exchange *exchange,
 			  const struct endpoint *to, const char *reason)
 {
@@ -486,7 +492,11 @@
 	switch (recovery) {
 	case RECOVERY_SEND_AGAIN:
 	case RECOVERY_RESUME:
-		drop_leg(exchange);
+		/* An endpoint that lacks a copy may begin a run. */
+		if (result == RESULT_NO_COPY)
+			release_leg(exchange);
+		else
+			drop_leg(exchange);
 		exchange_send_new(exchange);
 		break;
 	case RECOVERY_TAKE_OVER:
