Tests: two test programs side by side could take each other's ports

Seen once in a run of the units in twelve processes at a time: a gateway could not bind (Address already in use), and the next test of another process ended with SIGSEGV, as it went on without one.

Cause: a port that was free on 127.0.0.1 was bound later; by then another test program, or a connection to 127.0.0.1, may have had it.

Change: free_address, one in place of three, gives ports of an address that is the process's own, 127.100 to 127.199, each port once.

--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -10,13 +10,6 @@
 
 #include <cstring>
 
-static std::string free_address()
-{
-	Listener listener;
-
-	return listener.address();
-}
-
 /* Whether the request names another id than the endpoint's. */
 static bool is_for_another(const PairEndpoint *endpoint,
 			   const struct http_head *head)
@@ -296,7 +289,8 @@
 	to.sin_family = AF_INET;
 	to.sin_port = htons(
 		(uint16_t)std::stoi(address.substr(address.find(':') + 1)));
-	inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
+	inet_pton(AF_INET, address.substr(0, address.find(':')).c_str(),
+		  &to.sin_addr);
 	fd = socket(AF_INET, SOCK_STREAM, 0);
 	sockets.push_back(fd);
 	EXPECT_EQ(0, bind(fd, (struct sockaddr *)&to, sizeof(to)));
--- a/tests/loopback.cc
+++ b/tests/loopback.cc
@@ -1,8 +1,10 @@
 #include "tests/loopback.h"
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <cstdio>
 
 static const int MAX_ITERATIONS = 20000;
 
@@ -257,6 +259,21 @@
 	close();
 }
 
+#define FIRST_PORT 20000
+#define PORTS 40000
+
+std::string free_address()
+{
+	static int count;
+	int pid = (int)getpid();
+	char address[32];
+
+	snprintf(address, sizeof(address), "127.%d.%d.1:%d",
+		 100 + pid / 256 % 100, pid % 256,
+		 FIRST_PORT + count++ % PORTS);
+	return address;
+}
+
 Listener::Listener()
 {
 	GSocketAddress *any =
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -72,6 +72,13 @@
 	bool closed;
 };
 
+/*
+ * A loopback address and port at which nothing listens, another one at each
+ * call. The address is this process's own, as a port that is free on 127.0.0.1
+ * may be taken by then: by another test program, or by a connection.
+ */
+std::string free_address();
+
 /* A listening socket on a free loopback port. */
 class Listener
 {
--- a/tests/model_engine.cc
+++ b/tests/model_engine.cc
@@ -40,13 +40,6 @@
 	guint timer;
 };
 
-static std::string free_address()
-{
-	Listener listener;
-
-	return listener.address();
-}
-
 /* Value of a field of a request's head, "" if there is none. */
 static std::string field_of(const std::string &input, const std::string &name)
 {
--- a/tests/siskinlinkd_test.cc
+++ b/tests/siskinlinkd_test.cc
@@ -124,12 +124,6 @@
 		unlink(file.c_str());
 	}
 
-	/* The address stays free, since nothing else here opens ports. */
-	static std::string free_address()
-	{
-		return Listener().address();
-	}
-
 	void write(const std::string &more)
 	{
 		std::string text = "[node]\nname = \"n1\"\nregion = \"r\"\n"
