Tests: a stand-in for a node lost its name to that node's own records

Cause: the test sets the address that one node knows of another to that of its stand-in; a record of the real node, which comes now and then, sets it back, and then the real node answers. Nothing of the product is at fault.

Change: the real node's records name the stand-in too.

--- a/tests/gateway_cut_short_test.cc
+++ b/tests/gateway_cut_short_test.cc
@@ -695,7 +695,8 @@
 {
       protected:
 	DeadAddress dead{CUT_REFUSED};
-	CutEndpoint node; /* in place of n0, once it is named */
+	CutEndpoint node;     /* in place of n0, once it is named */
+	std::string stand_in; /* its address */
 
 	void CreatePair()
 	{
@@ -714,15 +715,17 @@
 		SaveRetries(1);
 	}
 
-	/* Makes n1 connect to the stand-in for n0. */
+	/* Makes n1 connect to the stand-in for n0, also after n0's records. */
 	void NameStandIn()
 	{
 		struct gateway_peer *peer =
 			(struct gateway_peer *)g_hash_table_lookup(
 				nodes[1]->gateway->peers, "n0");
 
+		stand_in = node.address();
+		nodes[0]->gateway->options.address = stand_in.c_str();
 		g_free(peer->address);
-		peer->address = g_strdup(node.address().c_str());
+		peer->address = g_strdup(stand_in.c_str());
 	}
 
 	void AskStandIn(const std::string &path, bool is_whole)
