LOST: a stopped run was given up where the engines that keep it want rest

Cause, from the logs: the other engine refuses with a rest, which its node learns by that answer only; the run returns to the engine that has stopped it, which turns it away with a rest too, and that was taken for a handle that is used up. Beside it: the last copy was not asked for want of a retry (budget=no), and not waited for where only the leaving engine's answer to the stop, still under way, names it.

Change: an engine that turns a run away in a rest still has what it keeps. If the rest ends before engines forget a stopped run, counted from the stop, the run waits for its end; else it ends as before. A last copy needs no retry, as a return needs none. No engine is asked in a rest for what can be waited for.

GatewayHandoverMore.WaitsForAnEngineThatRests failed before (24 of 60 events) and passes, with a pause of 1.0 s; WaitsForNoLongRest passes before and after, and holds the bound.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -29,6 +29,9 @@
 /* Time for which a run that no engine has waits for what its own one kept. */
 #define HANDLE_PATIENCE_US (2 * G_USEC_PER_SEC)
 
+/* Engines keep what is left of a stopped run for longer. */
+#define KEPT_PATIENCE_US (4 * G_USEC_PER_SEC)
+
 /*
  * Counts the copy at its target from the start of the move. All generations of
  * one engine leave together; without the count they would all select the same
@@ -382,17 +385,14 @@
 	return endpoint;
 }
 
-/*
- * Returns the engine that has got the last copy of the run and still serves, or
- * NULL. It may have refused the copy before, which was another one.
- */
-struct endpoint *exchange_last_copy_at(const struct exchange *exchange)
+/* The engine that is to get the last copy of the run, if it still serves. */
+static struct endpoint *last_copy_engine(const struct exchange *exchange)
 {
 	const struct last_copy *copy = &exchange->handover.kept.last_copy;
 	struct gateway *gateway = exchange->gateway;
 	struct endpoint *endpoint;
 
-	if (!copy->is_complete)
+	if (!copy->endpoint_id)
 		return NULL;
 	endpoint = registry_find(gateway->registry, copy->endpoint_id);
 	if (!endpoint || !endpoint_is_same_start(endpoint, copy->known_us) ||
@@ -402,19 +402,33 @@
 	return endpoint;
 }
 
+/*
+ * Returns the engine that has got the last copy of the run and still serves, or
+ * NULL. It may have refused the copy before, which was another one.
+ */
+struct endpoint *exchange_last_copy_at(const struct exchange *exchange)
+{
+	return exchange->handover.kept.last_copy.is_complete
+		       ? last_copy_engine(exchange)
+		       : NULL;
+}
+
 /*
  * Whether what an engine keeps of the run is of use: the engine before, to a
  * leg that has not continued it, or the leg's own one, which has stopped it. A
- * leg that has returned there has used it.
+ * leg that has returned there has used it, unless it was turned away in a rest.
  */
 bool exchange_needs_kept(const struct exchange *exchange)
 {
 	const struct leg *leg = exchange->leg;
-	const char *kept_id = exchange->handover.kept.endpoint_id;
+	const struct kept_run *kept = &exchange->handover.kept;
 	bool is_unbegun = leg->is_takeover && !leg->has_continued;
 
-	return kept_id &&
-	       (strcmp(kept_id, leg->endpoint_id) == 0) != is_unbegun;
+	if (!kept->endpoint_id)
+		return false;
+	if (strcmp(kept->endpoint_id, leg->endpoint_id) != 0)
+		return is_unbegun;
+	return !is_unbegun || kept->was_turned_away;
 }
 
 /*
@@ -431,7 +445,35 @@
 bool exchange_may_return(const struct exchange *exchange)
 {
 	return exchange_needs_kept(exchange) && exchange->handover.call &&
-	       exchange_kept_at(exchange);
+	       (exchange_kept_at(exchange) || last_copy_engine(exchange));
+}
+
+/*
+ * Whether the endpoint wants no request until a time at which engines still
+ * keep what is left of the run. The endpoint may be NULL.
+ */
+bool exchange_rest_is_brief(const struct exchange *exchange,
+			    const struct endpoint *endpoint)
+{
+	int64_t now_us = exchange->gateway->now_us;
+
+	return endpoint && endpoint_rest_is_on(&endpoint->rest, now_us) &&
+	       now_us + endpoint_rest_left_us(&endpoint->rest, now_us) <
+		       exchange->handover.begun_us + KEPT_PATIENCE_US;
+}
+
+/*
+ * Whether an engine that keeps a stopped run wants no request, and may be asked
+ * before it forgets the run.
+ */
+bool exchange_kept_rests(const struct exchange *exchange)
+{
+	return exchange_is_generation(exchange) && exchange->leg &&
+	       exchange->handover.kept.handle &&
+	       exchange_needs_kept(exchange) &&
+	       (exchange_rest_is_brief(exchange, exchange_kept_at(exchange)) ||
+		exchange_rest_is_brief(exchange,
+				       exchange_last_copy_at(exchange)));
 }
 
 /*
@@ -798,7 +840,7 @@
 
 /*
  * The continuation failed before it began: waits until the engine before names
- * what it keeps of the run.
+ * what it keeps of the run, or until one that keeps it takes requests again.
  */
 void exchange_wait_for_handle(struct exchange *exchange,
 			      enum attempt_result result, const char *detail)
@@ -824,7 +866,8 @@
 			     "timeout");
 		return;
 	}
-	if (now_us - handover->begun_us <= HANDLE_PATIENCE_US)
+	if (handover->call ? now_us - handover->begun_us <= HANDLE_PATIENCE_US
+			   : exchange_kept_rests(exchange))
 		return;
 	copy_call_destroy(g_steal_pointer(&handover->call));
 	handover_resume_recovery(exchange);
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -147,6 +147,16 @@
 					      exchange->gateway->now_us);
 }
 
+/* Whether the end of the engine's rest is waited for, in place of asking it. */
+static bool place_is_awaited(const struct exchange *exchange,
+			     const struct copy_place *place)
+{
+	return place->endpoint &&
+	       endpoint_rest_is_on(&place->endpoint->rest,
+				   exchange->gateway->now_us) &&
+	       exchange_kept_rests(exchange);
+}
+
 /*
  * What an engine keeps of a run that the leg has not continued, or of one that
  * the leg's own engine has stopped. One that may not get it back has copied all
@@ -162,10 +172,13 @@
 	place.endpoint = exchange_kept_at(exchange);
 	place.address = g_strdup(kept->endpoint_address);
 	place.handle = g_strdup(kept->handle);
-	if (place_is_open(exchange, &place))
+	if (place_is_open(exchange, &place) &&
+	    !place_is_awaited(exchange, &place))
 		return place;
 	place.endpoint = exchange_last_copy_at(exchange);
 	place.is_last_copy = true;
+	if (place_is_awaited(exchange, &place))
+		place.endpoint = NULL;
 	return place;
 }
 
@@ -318,7 +331,8 @@
 			exchange_is_admitted(exchange);
 	/* A run that its engine has stopped is not lost for want of a retry. */
 	bool is_return = place->endpoint &&
-			 place->endpoint == exchange_kept_at(exchange);
+			 (place->is_last_copy ||
+			  place->endpoint == exchange_kept_at(exchange));
 	bool has_budget = is_return || retry_window_remaining(budget) > 0;
 	/* The budget is for sends that arrive beyond the first one. */
 	bool is_first = result == RESULT_NOT_SENT && exchange->arrivals == 0;
@@ -428,8 +442,11 @@
 	handover->backup_refused =
 		place->endpoint == exchange_kept_at(exchange);
 	handover->returns += handover->backup_refused;
+	handover->asked_last_copy = place->is_last_copy;
 	if (place->is_last_copy)
 		handover->kept.last_copy.is_complete = false;
+	if (place->endpoint == exchange_kept_at(exchange))
+		handover->kept.was_turned_away = false;
 	drop_leg(exchange);
 	exchange->take_overs++;
 	exchange->leg = leg_create(exchange, place->endpoint, place->address);
@@ -468,6 +485,22 @@
 				: attempt_result_name(result));
 }
 
+/* An engine that turns a run away in a rest still has what it keeps of it. */
+static void note_turned_away(struct exchange *exchange,
+			     enum attempt_result result)
+{
+	struct handover *handover = &exchange->handover;
+	struct kept_run *kept = &handover->kept;
+
+	if (result != RESULT_NO_COPY || !kept->endpoint_id ||
+	    !exchange_rest_is_brief(exchange, leg_endpoint(exchange->leg)))
+		return;
+	if (handover->asked_last_copy)
+		kept->last_copy.is_complete = true;
+	else if (strcmp(kept->endpoint_id, exchange->leg->endpoint_id) == 0)
+		kept->was_turned_away = true;
+}
+
 /*
  * Takes the next step for a request whose leg failed and works on it no more:
  * retries it, takes the run over from a copy, or ends the request and frees the
@@ -476,10 +509,13 @@
 void exchange_recover(struct exchange *exchange, enum attempt_result result,
 		      const char *detail)
 {
-	struct copy_place place = find_copy(exchange, result);
+	struct copy_place place;
 	enum recovery recovery;
 
-	if (!place.endpoint && exchange_may_return(exchange)) {
+	note_turned_away(exchange, result);
+	place = find_copy(exchange, result);
+	if (!place.endpoint &&
+	    (exchange_may_return(exchange) || exchange_kept_rests(exchange))) {
 		copy_place_clear(&place);
 		exchange_wait_for_handle(exchange, result, detail);
 		return;
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -118,6 +118,7 @@
 	struct endpoint_start start; /* of that engine */
 	int64_t known_us;	     /* when that start was first seen */
 	char *handle;		     /* NULL: not known, or not yet */
+	bool was_turned_away;	     /* as the engine rested; it is kept on */
 	struct last_copy last_copy;  /* under the same handle */
 };
 
@@ -131,15 +132,16 @@
 	struct attempt *free_call; /* frees what it keeps, or NULL */
 	bool call_is_for_kept;	   /* it was sent to the engine that keeps */
 	struct kept_run kept;
-	const char *reason;  /* for logs */
-	int64_t begun_us;    /* no pause of this process is left out */
-	int64_t again_us;    /* the engine is not asked again before */
-	bool is_paid;	     /* a retry was taken for it */
-	int32_t returns;     /* of the run to an engine that had stopped it */
-	bool backup_refused; /* the backup's engine has no room */
-	bool is_maybe_whole; /* the answer ended as a whole one may */
+	const char *reason;   /* for logs */
+	int64_t begun_us;     /* no pause of this process is left out */
+	int64_t again_us;     /* the engine is not asked again before */
+	bool is_paid;	      /* a retry was taken for it */
+	int32_t returns;      /* of the run to an engine that had stopped it */
+	bool backup_refused;  /* the backup's engine has no room */
+	bool asked_last_copy; /* the leg goes on from the last copy */
+	bool is_maybe_whole;  /* the answer ended as a whole one may */
 
-	bool waits_for_handle; /* the continuation failed, see result */
+	bool waits_for_handle; /* or for the end of a rest; see result */
 	enum attempt_result result;
 	char detail[192];
 };
@@ -322,6 +324,9 @@
 struct endpoint *exchange_kept_at(const struct exchange *exchange);
 struct endpoint *exchange_last_copy_at(const struct exchange *exchange);
 bool exchange_needs_kept(const struct exchange *exchange);
+bool exchange_rest_is_brief(const struct exchange *exchange,
+			    const struct endpoint *endpoint);
+bool exchange_kept_rests(const struct exchange *exchange);
 bool exchange_may_return(const struct exchange *exchange);
 void exchange_end_handover(struct exchange *exchange);
 bool exchange_may_stop(const struct exchange *exchange);
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -42,6 +42,7 @@
 	uint64_t key; /* endpoint_key() of its id */
 	struct registration *last_registration;
 	enum endpoint_presence presence;
+	int32_t doubtful_ends; /* that only resets of connections tell of */
 	struct registration *held_back; /* to be applied once the store has
 					   settled; NULL: none */
 	int64_t since_us;		/* when the presence last changed */
@@ -61,7 +62,6 @@
 	int64_t sampled_tokens; /* of its load, for the forecast of waiting */
 	struct endpoint_health health;	     /* by requests of this node */
 	struct endpoint_suspicion suspicion; /* by notices of all nodes */
-	int32_t doubtful_ends; /* that only resets of connections tell of */
 	int64_t replaced_us;   /* when another one answered at its address; 0:
 				  never */
 	bool is_cordoned;      /* its failure domain gets no new requests */
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -905,6 +905,41 @@
 	EXPECT_EQ(0, from->stops);
 }
 
+/*
+ * Guards against a stream that is cut in a rest that its node learns of as it
+ * asks: the engines that keep the stopped run take it a little later.
+ */
+TEST_F(GatewayHandoverMore, WaitsForAnEngineThatRests)
+{
+	SetPace(50, 60);
+	Start(true, true);
+	Wait(700);
+	Each([](ModelEngine *engine) { engine->rest_ms = 900; });
+	Leave(from);
+	Finish();
+	ExpectWhole();
+	EXPECT_EQ(1, from->stops);
+}
+
+/* Guards against a stream that waits for a rest longer than its run is kept. */
+TEST_F(GatewayHandoverMore, WaitsForNoLongRest)
+{
+	int64_t begun_us;
+
+	SetPace(50, 60);
+	Start(true, true);
+	Wait(700);
+	Each([](ModelEngine *engine) { engine->rest_ms = 30000; });
+	begun_us = g_get_monotonic_time();
+	Leave(from);
+	EXPECT_TRUE(run_until([&] {
+		caller->read();
+		return caller->closed;
+	}));
+	EXPECT_LT(g_get_monotonic_time() - begun_us, 2500000);
+	ExpectNoFalseEnd();
+}
+
 /* Guards against a stream that ends with its engine as the one with its backup
  * wants no request, beside one that could take a copy. */
 TEST_F(GatewayHandoverMore, LeavesForACopyWhereItsBackupRests)
--- a/tests/model_engine.cc
+++ b/tests/model_engine.cc
@@ -317,6 +317,13 @@
 
 	run->timer = 0;
 	if (run->is_refused) {
+		int64_t rest_us =
+			engine->rests_until_us - g_get_monotonic_time();
+
+		if (rest_us > 0)
+			fields += "Retry-After: " +
+				  std::to_string((double)rest_us / 1e6) +
+				  "\r\n";
 		engine->End(run);
 		if (connection)
 			engine->Answer(connection, 503, fields);
@@ -342,7 +349,11 @@
 	connection->run = run;
 	run->request = request;
 	run->next = first;
-	run->is_refused = is_continued && !has_copies;
+	if (rest_ms > 0 && !rests_until_us)
+		rests_until_us =
+			g_get_monotonic_time() + rest_ms * (int64_t)1000;
+	run->is_refused = (is_continued && !has_copies) ||
+			  g_get_monotonic_time() < rests_until_us;
 	active.insert(run);
 	if (run->is_refused) {
 		refused[request]++;
--- a/tests/model_engine.h
+++ b/tests/model_engine.h
@@ -40,7 +40,9 @@
 	int calls_wait_ms =
 		0;	 /* copy calls wait from the first one that stops */
 	int copy_ms = 0; /* from the stop of a run to the call's answer */
-	bool has_copies = true;	    /* continues any run; else refuses, 503 */
+	bool has_copies = true; /* continues any run; else refuses, 503 */
+	int rest_ms =
+		0; /* from its first request on it wants none for so long */
 	bool ends_by_close = false; /* streams have neither length nor chunks */
 	int silent_from = -1;	    /* no events from that one on */
 	int silence_ms = 0;	    /* for that long */
@@ -57,8 +59,8 @@
 	std::map<std::string, std::vector<struct span>> work;
 	std::map<std::string, int> runs;      /* begun anew */
 	std::map<std::string, int> continued; /* from a copy */
-	std::map<std::string, int> refused;   /* for want of a copy */
-	int stops = 0;			      /* calls to stop a run */
+	std::map<std::string, int> refused; /* for want of a copy, or to rest */
+	int stops = 0;			    /* calls to stop a run */
 	int copies_freed = 0;
 
 	bool IsAtWork(const std::string &request) const;
@@ -97,6 +99,7 @@
 	std::set<struct connection *> connections;
 	std::set<struct late_call *> late_calls;
 	int64_t busy_until_us = 0;
+	int64_t rests_until_us = 0;
 	int64_t resets_until_us = 0;
 	int fd;
 	guint source;
