--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -1,6 +1,7 @@
 #include "adapters/gateway/gateway_state.h"
 #include "core/gateway/route_table.h"
 #include "core/gateway/sentinels.h"
+#include "core/limit/recent_starts.h"
 #include "platform/platform.h"
 
 #include <gtest/gtest.h>
@@ -126,6 +127,17 @@
 		gateway = gateway_create(&options, &host, &error);
 	}
 
+	/* As if this process and all members had run for a while. */
+	void LetRunForLong()
+	{
+		int64_t start_us = gateway->now_us - 10 * G_USEC_PER_SEC;
+
+		gateway->fleet_peak.started_us = start_us;
+		recent_starts_destroy(gateway->recent_starts);
+		gateway->recent_starts = recent_starts_create(start_us);
+		recent_starts_update(gateway->recent_starts, members, start_us);
+	}
+
 	~Gateway() override
 	{
 		gateway_destroy(gateway);
@@ -584,7 +596,7 @@
       protected:
 	GatewayLimit()
 	{
-		gateway->fleet_peak.started_us -= 10 * G_USEC_PER_SEC;
+		LetRunForLong();
 		ReceiveEntry(1, false);
 		sent.clear();
 	}
@@ -819,9 +831,9 @@
 {
 	struct answered_limit answer = {LIMIT_STATED, 1000};
 
-	gateway->fleet_peak.started_us -= 10 * G_USEC_PER_SEC;
+	LetRunForLong();
 	ReceiveListing(10, 2);
 	gateway_limits_note_answer(gateway, Engine("e1"), &answer);
-	AskForMove(1, 100);
+	EXPECT_EQ("e1", AskForMove(1, 100));
 	EXPECT_EQ("", AskForMove(2, 100)) << "one a second";
 }
