A stopped run asked an engine again in the moment in which its rest ends

Cause, from that run's log: the run was asked for again 899 ms after a rest of 899 ms (the engine counts in smaller parts, and from before its answer). It refused once more, by then without a rest to name, and that was taken for a used handle.

Change: such a run waits 50 ms longer than the rest.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -32,6 +32,9 @@
 /* Engines keep what is left of a stopped run for longer. */
 #define KEPT_PATIENCE_US (4 * G_USEC_PER_SEC)
 
+/* An engine counts its rest by its own clock, from before its answer. */
+#define REST_MARGIN_US (50 * 1000)
+
 /*
  * Counts the copy at its target from the start of the move. All generations of
  * one engine leave together; without the count they would all select the same
@@ -455,11 +458,11 @@
 bool exchange_rest_is_brief(const struct exchange *exchange,
 			    const struct endpoint *endpoint)
 {
-	int64_t now_us = exchange->gateway->now_us;
+	int64_t until_us =
+		endpoint ? endpoint->rest.until_us + REST_MARGIN_US : 0;
 
-	return endpoint && endpoint_rest_is_on(&endpoint->rest, now_us) &&
-	       now_us + endpoint_rest_left_us(&endpoint->rest, now_us) <
-		       exchange->handover.begun_us + KEPT_PATIENCE_US;
+	return exchange->gateway->now_us < until_us &&
+	       until_us < exchange->handover.begun_us + KEPT_PATIENCE_US;
 }
 
 /*
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -152,8 +152,9 @@
 			     const struct copy_place *place)
 {
 	return place->endpoint &&
-	       endpoint_rest_is_on(&place->endpoint->rest,
-				   exchange->gateway->now_us) &&
+	       (endpoint_rest_is_on(&place->endpoint->rest,
+				    exchange->gateway->now_us) ||
+		exchange_rest_is_brief(exchange, place->endpoint)) &&
 	       exchange_kept_rests(exchange);
 }
 
