--- a/core/limit/recent_starts.c
+++ b/core/limit/recent_starts.c
@@ -4,7 +4,7 @@
 
 #include <string.h>
 
-/* The process of a node that was seen last. */
+/* The newest known process of a node. */
 struct seen_start {
 	uint64_t incarnation;
 	int64_t until_us; /* it counts as recent; 0: it does not */
