LOST: an end in doubt, or refuted since, voided the copies that an engine keeps

Callers saw: a stream cut as its engine ended, though another one kept its backup; the same as its engine stopped it for another one that had the copy.

Cause: let ends that only resets tell of void no backup, by a difference of two counts. Where such an end is refuted, as any node that hears the engine does, one count falls and the other stays: the backup counted as void again. And copies and last copies were not looked at: each of the four places that ask whether an engine still has what it kept compared starts by itself.

Change: one type, core/gateway/known_start, holds what is known of a start and decides whether it may live: not if its registration has changed, or if more ends are known than those in doubt. Backups, copies and last copies ask it. What a stopped engine keeps is named by a handle that its next start may give out again; there an end in doubt counts, as before.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -84,8 +84,9 @@
 	if (move->state != COPY_COMPLETE)
 		return NULL;
 	target = registry_find(gateway->registry, move->target_id);
-	if (!target || !endpoint_is_same_start(target, move->target_known_us) ||
-	    !gateway_losses_is_current(gateway, target, &move->target_start))
+	if (!target || !endpoint_is_usable(target) ||
+	    !known_start_may_live(&move->target_start, target,
+				  gateway->quarantine))
 		return NULL;
 	return target;
 }
@@ -170,8 +171,8 @@
 
 	move->target_id = g_strdup(target->last_registration->id);
 	move->target_address = g_strdup(target->last_registration->address);
-	move->target_start = gateway_losses_start(exchange->gateway, target);
-	move->target_known_us = target->known_us;
+	move->target_start =
+		known_start_read(target, exchange->gateway->quarantine);
 	move->tokens = exchange->leg->tokens;
 	move_count_load(exchange, 1);
 	move_send(exchange);
@@ -305,9 +306,9 @@
 	const struct endpoint *endpoint =
 		registry_find(exchange->gateway->registry, kept->endpoint_id);
 
-	return endpoint && endpoint->known_us == kept->known_us &&
-	       gateway_losses_is_current(exchange->gateway, endpoint,
-					 &kept->start);
+	return endpoint &&
+	       known_start_is_current(&kept->start, endpoint,
+				      exchange->gateway->quarantine);
 }
 
 /*
@@ -398,9 +399,9 @@
 	if (!copy->endpoint_id)
 		return NULL;
 	endpoint = registry_find(gateway->registry, copy->endpoint_id);
-	if (!endpoint || !endpoint_is_same_start(endpoint, copy->known_us) ||
+	if (!endpoint || !endpoint_is_usable(endpoint) ||
 	    !endpoint_serves(endpoint, exchange->service_name) ||
-	    !gateway_losses_is_current(gateway, endpoint, &copy->start))
+	    !known_start_may_live(&copy->start, endpoint, gateway->quarantine))
 		return NULL;
 	return endpoint;
 }
@@ -568,8 +569,7 @@
 	endpoint = registry_find(gateway->registry, kept->endpoint_id);
 	if (!endpoint)
 		return;
-	kept->start = gateway_losses_start(gateway, endpoint);
-	kept->known_us = endpoint->known_us;
+	kept->start = known_start_read(endpoint, gateway->quarantine);
 }
 
 static void log_answer(const struct exchange *exchange,
@@ -674,8 +674,8 @@
 	if (target &&
 	    strcmp(target->last_registration->address, address) == 0) {
 		copy->endpoint_id = g_strdup(target->last_registration->id);
-		copy->known_us = target->known_us;
-		copy->start = gateway_losses_start(exchange->gateway, target);
+		copy->start =
+			known_start_read(target, exchange->gateway->quarantine);
 	}
 	return start_call(exchange, address, true, &stop_events, error);
 }
@@ -800,8 +800,7 @@
 	handover->kept = (struct kept_run){
 		.endpoint_id = g_strdup(leg->endpoint_id),
 		.endpoint_address = g_strdup(leg->endpoint_address),
-		.start = leg->start,
-		.known_us = leg->known_us,
+		.start = {.start = leg->start, .known_us = leg->known_us},
 	};
 }
 
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -24,20 +24,15 @@
 /* Engines that may crash during a run before it is given up. */
 #define MAX_CRASHES 3
 
-/*
- * Whether the leg's backup is kept, as far as is known. An engine that has
- * reset connections may live and keep it: it is asked, and says if it doesn't.
- */
+/* Whether the leg's backup may be kept: its engine says if it isn't. */
 static bool has_backup(const struct exchange *exchange)
 {
 	const struct leg *leg = exchange->leg;
 	const struct endpoint *backup = leg_backup(leg);
-	struct endpoint_start start = leg->backup_start;
 
-	if (!backup || !endpoint_is_same_start(backup, leg->backup_known_us))
-		return false;
-	start.number += backup->doubtful_ends - leg->backup_doubtful_ends;
-	return gateway_losses_is_current(exchange->gateway, backup, &start);
+	return backup && endpoint_is_usable(backup) &&
+	       known_start_may_live(&leg->backup_start, backup,
+				    exchange->gateway->quarantine);
 }
 
 /* Time since the engine announced that it leaves; 0: it has not. */
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -8,6 +8,7 @@
 #include "core/gateway/answer_limit.h"
 #include "core/gateway/endpoint_choice.h"
 #include "core/gateway/evacuation.h"
+#include "core/gateway/known_start.h"
 #include "core/gateway/recovery.h"
 #include "core/gateway/retry_after.h"
 #include "core/gateway/run_stop.h"
@@ -55,11 +56,9 @@
 	int64_t known_us;	     /* when that start was first seen */
 	char *backup_id;	     /* engine that keeps a copy, or NULL */
 	char *backup_address;
-	struct endpoint_start backup_start; /* of that engine */
-	int32_t backup_doubtful_ends;	    /* of it, when it was chosen */
-	int64_t backup_known_us;	    /* when that start was first seen */
-	struct event_scanner *events;	    /* NULL: no event stream */
-	struct answer_limit limit;	    /* on the answer's body */
+	struct known_start backup_start; /* of that engine */
+	struct event_scanner *events;	 /* NULL: no event stream */
+	struct answer_limit limit;	 /* on the answer's body */
 	struct gap_window gaps;
 	int64_t tokens;	       /* counted at both engines */
 	int64_t unread_tokens; /* of the prompt, not yet processed */
@@ -94,8 +93,7 @@
 	int64_t since_us;
 	char *target_id;
 	char *target_address;
-	struct endpoint_start target_start; /* of that engine */
-	int64_t target_known_us;	    /* when that start was first seen */
+	struct known_start target_start; /* of that engine */
 	char *handle;	  /* names the copy once it is complete */
 	int64_t tokens;	  /* counted at the target */
 	bool is_granted;  /* the home counted its hand-over */
@@ -105,21 +103,19 @@
 
 /* The engine to which another one, as it stops a run, copies all of it. */
 struct last_copy {
-	char *endpoint_id; /* NULL: none */
-	int64_t known_us;  /* when the start that it is for was first seen */
-	struct endpoint_start start; /* of that engine */
-	bool is_complete;	     /* and no leg has been sent to it */
+	char *endpoint_id;	  /* NULL: none */
+	struct known_start start; /* of that engine */
+	bool is_complete;	  /* and no leg has been sent to it */
 };
 
 /* What an engine that has stopped a run keeps of it. */
 struct kept_run {
 	char *endpoint_id; /* NULL: nothing is kept */
 	char *endpoint_address;
-	struct endpoint_start start; /* of that engine */
-	int64_t known_us;	     /* when that start was first seen */
-	char *handle;		     /* NULL: not known, or not yet */
-	bool was_turned_away;	     /* as the engine rested; it is kept on */
-	struct last_copy last_copy;  /* under the same handle */
+	struct known_start start;   /* of that engine */
+	char *handle;		    /* NULL: not known, or not yet */
+	bool was_turned_away;	    /* as the engine rested; it is kept on */
+	struct last_copy last_copy; /* under the same handle */
 };
 
 /*
--- a/adapters/gateway/gateway_losses.c
+++ b/adapters/gateway/gateway_losses.c
@@ -1,4 +1,5 @@
 #include "adapters/gateway/gateway_state.h"
+#include "core/gateway/known_start.h"
 #include "core/gateway/registry_query.h"
 #include "core/limit/quarantine_query.h"
 #include "core/limit/suspect_text.h"
@@ -12,25 +13,7 @@
 struct endpoint_start gateway_losses_start(const struct gateway *gateway,
 					   const struct endpoint *endpoint)
 {
-	struct endpoint_start start =
-		quarantine_current_start(gateway->quarantine, endpoint->key);
-
-	start.born_ms = endpoint->last_registration->started_ms;
-	return start;
-}
-
-/*
- * Whether the endpoint has not ended since that start was current, as far as is
- * known. Copies that it kept are gone otherwise.
- */
-bool gateway_losses_is_current(const struct gateway *gateway,
-			       const struct endpoint *endpoint,
-			       const struct endpoint_start *start)
-{
-	const struct endpoint_start current =
-		gateway_losses_start(gateway, endpoint);
-
-	return endpoint_start_compare(start, &current) == START_SAME;
+	return known_start_read(endpoint, gateway->quarantine).start;
 }
 
 /* Records a run that its endpoint broke off, without looking for its end. */
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -235,9 +235,6 @@
 void gateway_losses_clear(struct gateway *gateway);
 struct endpoint_start gateway_losses_start(const struct gateway *gateway,
 					   const struct endpoint *endpoint);
-bool gateway_losses_is_current(const struct gateway *gateway,
-			       const struct endpoint *endpoint,
-			       const struct endpoint_start *start);
 void gateway_losses_record(struct gateway *gateway, const struct lost_run *run);
 void gateway_losses_note(struct gateway *gateway, const struct lost_run *run,
 			 const struct endpoint *endpoint);
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -149,9 +149,8 @@
 		return;
 	leg->backup_id = g_strdup(backup->last_registration->id);
 	leg->backup_address = g_strdup(backup->last_registration->address);
-	leg->backup_start = gateway_losses_start(exchange->gateway, backup);
-	leg->backup_doubtful_ends = backup->doubtful_ends;
-	leg->backup_known_us = backup->known_us;
+	leg->backup_start =
+		known_start_read(backup, exchange->gateway->quarantine);
 }
 
 /*
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -157,17 +157,6 @@
 	return held;
 }
 
-/*
- * Whether the endpoint is usable and has not restarted since the caller read
- * known_us from it. An endpoint that restarts under its old id loses the copies
- * that it kept: asked to continue from such a copy, it has to refuse, or it
- * starts the run from the beginning.
- */
-bool endpoint_is_same_start(const struct endpoint *endpoint, int64_t known_us)
-{
-	return endpoint_is_usable(endpoint) && endpoint->known_us == known_us;
-}
-
 /*
  * Whether the endpoint is still cold after a start, or may be because nothing
  * was sent to it while its failure domain was under a cordon. cold_us is how
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -132,7 +132,6 @@
 			   int64_t now_us);
 bool endpoint_is_usable(const struct endpoint *endpoint);
 bool endpoint_serves(const struct endpoint *endpoint, const char *service);
-bool endpoint_is_same_start(const struct endpoint *endpoint, int64_t known_us);
 bool endpoint_is_cold(const struct endpoint *endpoint, int64_t cold_us,
 		      int64_t now_us);
 bool endpoint_has_unread_prompts(const struct endpoint *endpoint);
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -82,6 +82,30 @@
 		endpoint->rest.spare_used = true;
 	}
 
+	/* The engine of two that the stream does not run at. */
+	ModelEngine *Other()
+	{
+		return from == &one ? &two : &one;
+	}
+
+	/* Another stream ends at the other engine, which then resets
+	 * connections for a while. */
+	void LoseConnectionsAtTheOther()
+	{
+		ModelEngine *other = Other();
+
+		others.emplace_back(Connection::open(nodes[asked]->address));
+		others.back()->send("POST " + path +
+				    " HTTP/1.1\r\nHost: h\r\n"
+				    "X-Siskinlink-Request-Id: r-2\r\n"
+				    "X-Siskinlink-Token-Count: 100,2000\r\n"
+				    "Content-Length: 0\r\n\r\n");
+		ASSERT_TRUE(run_until([&] { return other->IsAtWork("r-2"); }));
+		other->busy_ms = 300;
+		other->busy_at = 10;
+		ASSERT_TRUE(run_until([&] { return other->busy_at < 0; }));
+	}
+
 	/* Applies a change to each engine. */
 	template <typename Change> void Each(Change change)
 	{
@@ -693,28 +717,51 @@
  * reset connections before, and lives. */
 TEST_F(GatewayHandoverMore, GoesOnAtABackupThatResetConnections)
 {
-	std::unique_ptr<Connection> other;
-	ModelEngine *backup = nullptr;
+	SetPace(50, 60);
+	Start(true, true);
+	LoseConnectionsAtTheOther();
+	Wait(500);
+	from->Crash();
+	Finish();
+	ExpectWhole();
+}
+
+/* The same where that engine has been heard again since. */
+TEST_F(GatewayHandoverMore, GoesOnAtABackupThatIsHeardAgain)
+{
+	struct gateway *gateway;
+	struct quarantine_answer answer = {.connected_us = 1};
 
 	SetPace(50, 60);
 	Start(true, true);
-	backup = from == &one ? &two : &one;
-	other.reset(Connection::open(nodes[asked]->address));
-	other->send("POST " + path +
-		    " HTTP/1.1\r\nHost: h\r\n"
-		    "X-Siskinlink-Request-Id: r-2\r\n"
-		    "X-Siskinlink-Token-Count: 100,2000\r\n"
-		    "Content-Length: 0\r\n\r\n");
-	ASSERT_TRUE(run_until([&] { return backup->IsAtWork("r-2"); }));
-	backup->busy_ms = 300;
-	backup->busy_at = 10;
-	ASSERT_TRUE(run_until([&] { return backup->busy_at < 0; }));
+	LoseConnectionsAtTheOther();
 	Wait(500);
+	gateway = nodes[asked]->gateway;
+	answer.endpoint_key =
+		registry_find(gateway->registry, Other()->id.c_str())->key;
+	answer.sent_us = gateway_now_us();
+	EXPECT_TRUE(quarantine_report_answer(gateway->quarantine, &answer,
+					     answer.sent_us));
 	from->Crash();
 	Finish();
 	ExpectWhole();
 }
 
+/* Guards against a stream that is lost as the engine with its copy resets other
+ * connections while its own engine is asked to stop. */
+TEST_F(GatewayHandoverMore, GoesOnAtACopyWhoseEngineResetConnections)
+{
+	SetPace(50, 60);
+	Start(true, false);
+	from->calls_wait_ms = 1400;
+	from->has_copies = false;
+	Leave(from);
+	LoseConnectionsAtTheOther();
+	Finish();
+	ExpectWhole();
+	EXPECT_EQ(1, Other()->continued[id]);
+}
+
 /* Guards against a stream that waits for an engine that has ended. */
 TEST_F(GatewayHandoverMore, GoesOnAtOnceWhereItsEngineEnds)
 {
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -1,4 +1,5 @@
 #include "core/base/store_position.h"
+#include "core/gateway/known_start.h"
 #include "core/gateway/registry.h"
 #include "ports/peer_message.h"
 
@@ -13,13 +14,31 @@
 {
       protected:
 	struct registry *registry = registry_create();
+	struct quarantine *quarantine;
 	int64_t now_us = second_us;
 
+	Registry()
+	{
+		struct quarantine_options options;
+
+		quarantine_options_default(&options);
+		quarantine = quarantine_create(&options);
+	}
+
 	~Registry() override
 	{
+		quarantine_destroy(quarantine);
 		registry_destroy(registry);
 	}
 
+	/* Whether a copy that was kept at that start may be used. */
+	bool is_same_start(const struct endpoint *engine,
+			   const struct known_start &known)
+	{
+		return endpoint_is_usable(engine) &&
+		       known_start_may_live(&known, engine, quarantine);
+	}
+
 	static struct registration *entry(const char *id, int64_t revision,
 					  bool leaving = false,
 					  int64_t started_ms = 0)
@@ -78,18 +97,18 @@
 TEST_F(Registry, RestartedEngineHasLostItsCopies)
 {
 	const struct endpoint *engine;
-	int64_t known_us;
+	struct known_start known;
 
 	apply(entry("e1", 5, false, 100));
 	engine = registry_find(registry, "e1");
-	known_us = engine->known_us;
+	known = known_start_read(engine, quarantine);
 	now_us += second_us;
 	apply(entry("e1", 6, false, 100));
-	EXPECT_TRUE(endpoint_is_same_start(engine, known_us));
+	EXPECT_TRUE(is_same_start(engine, known));
 	now_us += second_us;
 	apply(entry("e1", 7, false, 200));
 	EXPECT_TRUE(endpoint_is_usable(engine));
-	EXPECT_FALSE(endpoint_is_same_start(engine, known_us));
+	EXPECT_FALSE(is_same_start(engine, known));
 }
 
 /*
@@ -616,14 +635,14 @@
 {
 	struct cordon *cordon = cordon_create("a", 10, false);
 	const struct endpoint *engine;
-	int64_t known_us;
+	struct known_start known;
 
 	apply(entry("e1", 5));
 	engine = registry_find(registry, "e1");
-	known_us = engine->known_us;
+	known = known_start_read(engine, quarantine);
 	EXPECT_TRUE(registry_apply_cordon(registry, cordon, now_us));
 	EXPECT_FALSE(endpoint_is_usable(engine));
-	EXPECT_FALSE(endpoint_is_same_start(engine, known_us));
+	EXPECT_FALSE(is_same_start(engine, known));
 	EXPECT_FALSE(endpoint_is_leaving(engine));
 	EXPECT_EQ(0u, registry_count_usable(registry, "engines"));
 	EXPECT_TRUE(registry_has_cordoned(registry, "engines"));
