LOST: an end that another node reports voided the copies that an engine keeps

Callers saw: a stream cut as its engine ended, though another one kept its backup and had only reset connections of another node.

Cause: nodes exchange the ends of endpoints, without what they have seen of them.

Evidence: GatewayHandoverMore.GoesOnAtABackupThatResetAnotherNode, two nodes, fails on the code before (20 of 60 events) and passes.

Change: a start may live until this node has seen its end for certain, which is counted at the endpoint, or its registration changes. That needs no difference of counts any more. A backup whose engine has ended unseen by this node costs one call that is refused or answered by 503; GatewayLoss.AsksNoBackupThatHasEnded holds for what it has seen.

176 tests of hand-overs, relays, losses, ends and the registry pass.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -85,8 +85,7 @@
 		return NULL;
 	target = registry_find(gateway->registry, move->target_id);
 	if (!target || !endpoint_is_usable(target) ||
-	    !known_start_may_live(&move->target_start, target,
-				  gateway->quarantine))
+	    !known_start_may_live(&move->target_start, target))
 		return NULL;
 	return target;
 }
@@ -401,7 +400,7 @@
 	endpoint = registry_find(gateway->registry, copy->endpoint_id);
 	if (!endpoint || !endpoint_is_usable(endpoint) ||
 	    !endpoint_serves(endpoint, exchange->service_name) ||
-	    !known_start_may_live(&copy->start, endpoint, gateway->quarantine))
+	    !known_start_may_live(&copy->start, endpoint))
 		return NULL;
 	return endpoint;
 }
--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -31,8 +31,7 @@
 	const struct endpoint *backup = leg_backup(leg);
 
 	return backup && endpoint_is_usable(backup) &&
-	       known_start_may_live(&leg->backup_start, backup,
-				    exchange->gateway->quarantine);
+	       known_start_may_live(&leg->backup_start, backup);
 }
 
 /* Time since the engine announced that it leaves; 0: it has not. */
--- a/adapters/gateway/gateway_ends.c
+++ b/adapters/gateway/gateway_ends.c
@@ -285,13 +285,12 @@
 	struct endpoint *endpoint = registry_find(gateway->registry, lost->id);
 
 	gateway_closes_note_end(gateway, &lost->start);
-	if (!quarantine_report_end(gateway->quarantine, &lost->start,
-				   gateway->now_us))
-		return;
-	log_endpoint_ended(gateway, lost, evidence);
 	if (endpoint &&
-	    lost_endpoint_may_live(lost, is_registered(gateway, lost)))
-		endpoint->doubtful_ends++;
+	    !lost_endpoint_may_live(lost, is_registered(gateway, lost)))
+		endpoint->certain_ends++;
+	if (quarantine_report_end(gateway->quarantine, &lost->start,
+				  gateway->now_us))
+		log_endpoint_ended(gateway, lost, evidence);
 }
 
 /* To be called once, before any other function here. */
--- a/core/gateway/known_start.c
+++ b/core/gateway/known_start.c
@@ -7,14 +7,14 @@
 	struct known_start known = {
 		.start = quarantine_current_start(quarantine, endpoint->key),
 		.known_us = endpoint->known_us,
-		.doubtful_ends = endpoint->doubtful_ends,
+		.certain_ends = endpoint->certain_ends,
 	};
 
 	known.start.born_ms = endpoint->last_registration->started_ms;
 	return known;
 }
 
-/* Whether no end of the start is known, nor one in doubt. */
+/* Whether no end of the start is known, be it in doubt. */
 bool known_start_is_current(const struct known_start *known,
 			    const struct endpoint *endpoint,
 			    const struct quarantine *quarantine)
@@ -26,21 +26,13 @@
 }
 
 /*
- * Whether no end of the start is known for certain. The count of ends falls
- * where one is refuted, which is no sign of another end. The next
- * start under the same id keeps nothing: asked to go on with a run, it has to
- * refuse, or it begins the run anew.
+ * Whether no end of the start is known for certain. The next start under the
+ * same id keeps nothing: asked to go on with a run, it has to refuse, or it
+ * begins the run anew.
  */
 bool known_start_may_live(const struct known_start *known,
-			  const struct endpoint *endpoint,
-			  const struct quarantine *quarantine)
+			  const struct endpoint *endpoint)
 {
-	const struct known_start now = known_start_read(endpoint, quarantine);
-	struct endpoint_start latest = known->start;
-	enum start_order order;
-
-	latest.number += now.doubtful_ends - known->doubtful_ends;
-	order = endpoint_start_compare(&now.start, &latest);
-	return known->known_us == now.known_us &&
-	       (order == START_SAME || order == START_EARLIER);
+	return known->known_us == endpoint->known_us &&
+	       known->certain_ends == endpoint->certain_ends;
 }
--- a/core/gateway/known_start.h
+++ b/core/gateway/known_start.h
@@ -17,12 +17,13 @@
  *
  * A refused connection, another process at its address, or its registration
  * tell that a start has ended. A reset connection tells of that connection
- * alone: the end that it counts as is in doubt.
+ * alone, and other nodes don't say what they have seen: the ends that these
+ * count as are in doubt.
  */
 struct known_start {
 	struct endpoint_start start;
-	int64_t known_us;      /* when it was first seen */
-	int32_t doubtful_ends; /* of the endpoint, counted up to that moment */
+	int64_t known_us;     /* when it was first seen */
+	int32_t certain_ends; /* of the endpoint, counted up to that moment */
 };
 
 struct known_start known_start_read(const struct endpoint *endpoint,
@@ -31,8 +32,7 @@
 			    const struct endpoint *endpoint,
 			    const struct quarantine *quarantine);
 bool known_start_may_live(const struct known_start *known,
-			  const struct endpoint *endpoint,
-			  const struct quarantine *quarantine);
+			  const struct endpoint *endpoint);
 
 G_END_DECLS
 
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -42,7 +42,7 @@
 	uint64_t key; /* endpoint_key() of its id */
 	struct registration *last_registration;
 	enum endpoint_presence presence;
-	int32_t doubtful_ends; /* that only resets of connections tell of */
+	int32_t certain_ends; /* that this node has seen; resets tell of none */
 	struct registration *held_back; /* to be applied once the store has
 					   settled; NULL: none */
 	int64_t since_us;		/* when the presence last changed */
