LOST: a run that was stopped late waited for no rest, though it was kept

Cause, from both logs: the engine with the last copy wants a rest of 4 s, and what engines keep counted as gone 4 s after the call to stop. One engine had stopped the run 701 ms after the call, so it was kept until well after the rest; in the other run the rest ended 1 ms after the 4 s, while the service states 5 s (handle_ttl_s), which was read and used by nothing.

Change: a run counts as kept from the moment in which it last sent an event, as it ran until then, for the time that the service states; 4 s where it states none. An engine is asked for a copy no later than before if the service states less.

WaitsForARestAfterALateStop and WaitsForNoRestBeyondTheStatedTime fail on the code before and pass; 238 gateway tests pass.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -29,8 +29,8 @@
 /* Time for which a run that no engine has waits for what its own one kept. */
 #define HANDLE_PATIENCE_US (2 * G_USEC_PER_SEC)
 
-/* Engines keep what is left of a stopped run for longer. */
-#define KEPT_PATIENCE_US (4 * G_USEC_PER_SEC)
+/* How long engines keep a stopped run where the service does not state it. */
+#define DEFAULT_KEEP_US (4 * G_USEC_PER_SEC)
 
 /* An engine counts its rest by its own clock, from before its answer. */
 #define REST_MARGIN_US (50 * 1000)
@@ -451,6 +451,15 @@
 	       (exchange_kept_at(exchange) || last_copy_engine(exchange));
 }
 
+/* Until when engines keep what is left of the run. */
+static int64_t kept_until_us(const struct exchange *exchange)
+{
+	int64_t keep_us = exchange->service->engine.copy_keep_us;
+
+	return exchange->handover.kept.stopped_us +
+	       (keep_us > 0 ? keep_us : DEFAULT_KEEP_US);
+}
+
 /*
  * Whether the endpoint wants no request until a time at which engines still
  * keep what is left of the run. The endpoint may be NULL.
@@ -462,7 +471,7 @@
 		endpoint ? endpoint->rest.until_us + REST_MARGIN_US : 0;
 
 	return exchange->gateway->now_us < until_us &&
-	       until_us < exchange->handover.begun_us + KEPT_PATIENCE_US;
+	       until_us < kept_until_us(exchange);
 }
 
 /*
@@ -728,11 +737,24 @@
 				    exchange->move.state != COPY_COMPLETE;
 }
 
+/* Notes since when engines keep what is left of the leg's run. */
+static void handover_note_stopped(struct exchange *exchange)
+{
+	struct handover *handover = &exchange->handover;
+	struct kept_run *kept = &handover->kept;
+	const struct leg *leg = exchange->leg;
+
+	if (strcmp(kept->endpoint_id, leg->endpoint_id) == 0)
+		kept->stopped_us =
+			MAX(handover->begun_us, leg->last_received_us);
+}
+
 static void handover_go_on(struct exchange *exchange, const char *told_by)
 {
 	struct handover *handover = &exchange->handover;
 	bool is_unreached = handover->stop.state == RUN_STOP_UNREACHED;
 
+	handover_note_stopped(exchange);
 	handover_log(exchange, "run_stopped", told_by);
 	counters_add(exchange->gateway->options.counters,
 		     is_unreached ? COUNTER_GATEWAY_STOPS_UNREACHED
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -112,9 +112,10 @@
 struct kept_run {
 	char *endpoint_id; /* NULL: nothing is kept */
 	char *endpoint_address;
-	struct known_start start;   /* of that engine */
-	char *handle;		    /* NULL: not known, or not yet */
-	bool was_turned_away;	    /* as the engine rested; it is kept on */
+	struct known_start start; /* of that engine */
+	char *handle;		  /* NULL: not known, or not yet */
+	int64_t stopped_us;	  /* it ran until then, or longer; 0: it runs */
+	bool was_turned_away;	  /* as the engine rested; it is kept on */
 	struct last_copy last_copy; /* under the same handle */
 };
 
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -997,6 +997,40 @@
 	EXPECT_EQ(1, from->stops);
 }
 
+/* The same where the run is stopped late, and kept from then on. */
+TEST_F(GatewayHandoverMore, WaitsForARestAfterALateStop)
+{
+	SetPace(50, 70);
+	Start(true, true);
+	Wait(700);
+	from->calls_wait_ms = 900;
+	Each([](ModelEngine *engine) { engine->rest_ms = 3600; });
+	Leave(from);
+	Finish();
+	ExpectWhole();
+}
+
+/* Guards against a stream that waits for a rest, though the service states that
+ * its run is kept for less. */
+TEST_F(GatewayHandoverMore, WaitsForNoRestBeyondTheStatedTime)
+{
+	int64_t begun_us;
+
+	copy_keep_us = 1000000;
+	SetPace(50, 60);
+	Start(true, true);
+	Wait(700);
+	Each([](ModelEngine *engine) { engine->rest_ms = 2500; });
+	begun_us = g_get_monotonic_time();
+	Leave(from);
+	EXPECT_TRUE(run_until([&] {
+		caller->read();
+		return caller->closed;
+	}));
+	EXPECT_LT(g_get_monotonic_time() - begun_us, 2000000);
+	ExpectNoFalseEnd();
+}
+
 /* Guards against a stream that waits for a rest longer than its run is kept. */
 TEST_F(GatewayHandoverMore, WaitsForNoLongRest)
 {
--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -434,6 +434,7 @@
 	engines->engine.can_back_up = backs_up;
 	engines->engine.memory_tokens = backs_up || moves ? 34000 : 0;
 	engines->engine.can_move = moves;
+	engines->engine.copy_keep_us = copy_keep_us;
 	for (const auto &want : wanted) {
 		struct route *route =
 			config_add_route(config, want.name, "h", want.path);
--- a/tests/gateway_pair.h
+++ b/tests/gateway_pair.h
@@ -122,6 +122,7 @@
 	int64_t max_answer_bytes = 0;	/* of an answer's body; 0: any */
 	int64_t timeout_us = 2500000;	/* of all routes */
 	bool moves = false;		/* engines copy runs to each other */
+	int64_t copy_keep_us = 0;	/* that the service states; 0: none */
 	bool backs_up = false;	  /* engines keep copies of each other's runs */
 	bool loses_reach = false; /* what nodes say of their reach is lost */
 	int deaf_node = -1;	  /* gets no records; -1: none */
