LOST: the engine with a run's last copy was not asked as it leaves too

Cause, from its log: the engine is asked to stop the run and to copy all of it to another one, which announces 94 ms later that it leaves. 0.7 s after the call the run has stopped. Its engine is under notice for 1.7 s and may not take it back; the other one counted as not usable, so the stream was cut before the answer to the call, which would have named the copy.

Change: the engine with the last copy may be asked under the same conditions as the one that keeps the run: no cordon, and under notice for 1.5 s at most.

--- a/adapters/gateway/exchange_move.c
+++ b/adapters/gateway/exchange_move.c
@@ -368,9 +368,21 @@
 }
 
 /*
- * Returns the engine that keeps the run and may be asked again, or NULL. Under
- * notice, or without its entry, it may be for a while: it serves on, and the
- * run has not gone on anywhere else. A start that has ended keeps nothing.
+ * Whether an engine that has part of a stopped run may be asked to go on with
+ * it. Under notice, or without its entry, it may be for a while: it serves on,
+ * and the run has not gone on anywhere else.
+ */
+static bool may_take_back(const struct exchange *exchange,
+			  const struct endpoint *endpoint)
+{
+	return !endpoint->is_cordoned &&
+	       endpoint_under_notice_us(endpoint, exchange->gateway->now_us) <=
+		       RETURN_UNTIL_US;
+}
+
+/*
+ * Returns the engine that keeps the run and may be asked again, or NULL. A
+ * start that has ended keeps nothing.
  */
 struct endpoint *exchange_kept_at(const struct exchange *exchange)
 {
@@ -381,14 +393,13 @@
 	if (!kept->endpoint_id)
 		return NULL;
 	endpoint = registry_find(gateway->registry, kept->endpoint_id);
-	if (!kept_start_is_current(exchange) || endpoint->is_cordoned ||
-	    endpoint_under_notice_us(endpoint, gateway->now_us) >
-		    RETURN_UNTIL_US)
+	if (!kept_start_is_current(exchange) ||
+	    !may_take_back(exchange, endpoint))
 		return NULL;
 	return endpoint;
 }
 
-/* The engine that is to get the last copy of the run, if it still serves. */
+/* The engine that is to get the last copy of the run, if it may be asked. */
 static struct endpoint *last_copy_engine(const struct exchange *exchange)
 {
 	const struct last_copy *copy = &exchange->handover.kept.last_copy;
@@ -398,7 +409,7 @@
 	if (!copy->endpoint_id)
 		return NULL;
 	endpoint = registry_find(gateway->registry, copy->endpoint_id);
-	if (!endpoint || !endpoint_is_usable(endpoint) ||
+	if (!endpoint || !may_take_back(exchange, endpoint) ||
 	    !endpoint_serves(endpoint, exchange->service_name) ||
 	    !known_start_may_live(&copy->start, endpoint))
 		return NULL;
@@ -406,8 +417,8 @@
 }
 
 /*
- * Returns the engine that has got the last copy of the run and still serves, or
- * NULL. It may have refused the copy before, which was another one.
+ * Returns the engine that has got the last copy of the run and may be asked for
+ * it, or NULL. It may have refused the copy before, which was another one.
  */
 struct endpoint *exchange_last_copy_at(const struct exchange *exchange)
 {
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -981,6 +981,25 @@
 	EXPECT_EQ(0, from->stops);
 }
 
+/* Guards against a stream that is cut as the engine with its last copy leaves
+ * as well, while its own one is asked to stop. */
+TEST_F(GatewayHandoverMore, GoesOnAtALastCopyWhoseEngineLeaves)
+{
+	SetPace(50, 60);
+	Start(true, true);
+	Wait(700);
+	from->calls_wait_ms = 500;
+	Leave(from);
+	Wait(800);
+	Leave(Other());
+	/* It is too late for a return to the engine before. */
+	registry_find(nodes[asked]->gateway->registry, from->id.c_str())
+		->notice_us -= 1500000;
+	Finish();
+	ExpectWhole();
+	EXPECT_EQ(1, Other()->continued[id]);
+}
+
 /*
  * Guards against a stream that is cut in a rest that its node learns of as it
  * asks: the engines that keep the stopped run take it a little later.
