Stand-in: a queued run that is reset was journaled as begun at event 0

Callers saw no wrong event.

The line now tells the event at which the answer would begin. The check stays as it is, and now looks at these runs too.

--- a/fakes/backend_run.c
+++ b/fakes/backend_run.c
@@ -356,11 +356,18 @@
 	return part && strchr(part, ',');
 }
 
+/* The event with which an answer to the request begins. */
+int64_t backend_first_event(SoupServerMessage *message)
+{
+	const char *last = fake_message_header(message, "Last-Event-Id");
+
+	return last ? g_ascii_strtoll(last, NULL, 10) + 1 : 0;
+}
+
 /* Runs a request, or continues another engine's run of it. */
 void backend_run_begin(struct backend *backend, SoupServerMessage *message,
 		       const char *id, const char *path)
 {
-	const char *last = fake_message_header(message, "Last-Event-Id");
 	struct backend_run *run = g_new0(struct backend_run, 1);
 
 	run->backend = backend;
@@ -371,8 +378,7 @@
 		g_strdup(fake_message_header(message, HEADER("Kv-Backup")));
 	run->from_copy = fake_message_header(message, "Kv-From") != NULL;
 	run->has_poison_part = has_poison_part(message);
-	if (last)
-		run->next_event = g_ascii_strtoll(last, NULL, 10) + 1;
+	run->next_event = backend_first_event(message);
 	g_ptr_array_add(backend->runs, run);
 	if (run->from_copy)
 		backend->takeover_count++;
--- a/fakes/backend_state.h
+++ b/fakes/backend_state.h
@@ -99,6 +99,7 @@
 
 /* backend_run.c */
 int64_t backend_slowdown_percent(const struct backend *backend);
+int64_t backend_first_event(SoupServerMessage *message);
 void backend_run_begin(struct backend *backend, SoupServerMessage *message,
 		       const char *id, const char *path);
 struct backend_run *backend_run_find(const struct backend *backend,
--- a/fakes/fake_backend.c
+++ b/fakes/fake_backend.c
@@ -141,13 +141,15 @@
 {
 	struct reset *reset = g_new0(struct reset, 1);
 
-	backend_journal_write(backend->journal,
-			      from_copy ? BACKEND_CONTINUE : BACKEND_RUN, id,
-			      from_copy);
-	if (from_copy)
+	if (from_copy) {
+		backend_journal_write(backend->journal, BACKEND_CONTINUE, id,
+				      true);
 		backend->takeover_count++;
-	else
+	} else {
+		backend_journal_write_run(backend->journal, id,
+					  backend_first_event(message));
 		backend->run_count++;
+	}
 	*reset = (struct reset){backend, g_object_ref(message), g_strdup(id),
 				from_copy};
 	if (backend->crash_after_ms == 0) {
