LOST: a run stopped at a call that was given up was lost for want of a retry

Cause, from its log: the engine is asked to stop a run that leaves it, and answers nothing for 1,207 ms, so the run stays there and the call is given up. 15 ms later the engine handles it and stops the run. Another one keeps the backup, but no retry is left in the budget (budget=no): the one that was taken for this very hand-over did not count.

Change: a run that may have been stopped by a call of ours goes on with the retry that was taken for it.

GatewayHandoverMore.GoesOnAfterALateStopWithoutARetry fails on the code before (38 of 70 events) and passes; 325 tests of the gateway and the stand-ins pass.

--- a/adapters/gateway/exchange_recover.c
+++ b/adapters/gateway/exchange_recover.c
@@ -328,7 +328,11 @@
 	bool is_return = place->endpoint &&
 			 (place->is_last_copy ||
 			  place->endpoint == exchange_kept_at(exchange));
-	bool has_budget = is_return || retry_window_remaining(budget) > 0;
+	/* It may have stopped it at a call that was given up, and is paid. */
+	bool is_paid =
+		exchange->leg->may_be_stopped && exchange->handover.is_paid;
+	bool has_budget =
+		is_return || is_paid || retry_window_remaining(budget) > 0;
 	/* The budget is for sends that arrive beyond the first one. */
 	bool is_first = result == RESULT_NOT_SENT && exchange->arrivals == 0;
 	struct recovery_input input = {
--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -981,6 +981,28 @@
 	EXPECT_EQ(0, from->stops);
 }
 
+/* Guards against a stream that is lost for want of a retry, as its engine stops
+ * it at a call that was given up. */
+TEST_F(GatewayHandoverMore, GoesOnAfterALateStopWithoutARetry)
+{
+	struct retry_window *budget;
+
+	SetPace(50, 70);
+	Start(true, true);
+	from->calls_wait_ms = 1300;
+	Leave(from);
+	budget = gateway_budget(nodes[asked]->gateway, "engines");
+	ASSERT_TRUE(run_until([&] { return from->CallsWait(); }));
+	EXPECT_TRUE(run_until([&] {
+		while (retry_window_take(budget))
+			continue;
+		caller->read();
+		return caller->closed || !from->IsAtWork(id);
+	}));
+	Finish();
+	ExpectWhole();
+}
+
 /* Guards against a stream that is cut as the engine with its last copy leaves
  * as well, while its own one is asked to stop. */
 TEST_F(GatewayHandoverMore, GoesOnAtALastCopyWhoseEngineLeaves)
--- a/tests/model_engine.cc
+++ b/tests/model_engine.cc
@@ -218,6 +218,12 @@
 	return found != work.end() && found->second.back().to_us == 0;
 }
 
+/* Whether a call to copy a run has arrived and is not handled yet. */
+bool ModelEngine::CallsWait() const
+{
+	return !late_calls.empty();
+}
+
 /* Ends the engine's work on a run, and frees it. */
 void ModelEngine::End(struct run *run)
 {
--- a/tests/model_engine.h
+++ b/tests/model_engine.h
@@ -64,6 +64,7 @@
 	int copies_freed = 0;
 
 	bool IsAtWork(const std::string &request) const;
+	bool CallsWait() const;
 	void Crash();
 
       private:
