Tests: the first request met two kept connections that their endpoints close

Cause, from the log of such a run: the endpoints of the test answer six requests while the pair is set up, don't say that they close, and close some ms later. The first request of the test is sent on a kept connection of one of them, is sent again on a kept connection of the other, and gets 502, as both close unanswered. What the test is about, answers without a body, is not concerned.

The pair is ready once these connections are closed. The test says what it got and where, and checks what it checked before.

--- a/tests/gateway_cut_short_test.cc
+++ b/tests/gateway_cut_short_test.cc
@@ -711,6 +711,7 @@
 		for (int i = 0; i < 3; i++)
 			for (const char *path : {"/lookup/a", "/report/a"})
 				Ask(1, path, "found-" + std::to_string(i));
+		Wait(50); /* The endpoints close what they answered on. */
 		SaveRetries(0);
 		SaveRetries(1);
 	}
@@ -849,11 +850,13 @@
 					   item.fields;
 			std::string answers;
 
+			SCOPED_TRACE(nodes[i]->address);
 			SCOPED_TRACE(text);
 			Script(text + "\r\n", CUT_BY_CLOSE);
 			answers = converse(nodes[i]->address, item.method);
 			EXPECT_EQ(0u, answers.find(std::string("HTTP/1.1 ") +
-						   item.status));
+						   item.status))
+				<< answers;
 			EXPECT_EQ(answers.find("\r\n\r\n") + 4,
 				  answers.find("HTTP/1.1", 1))
 				<< answers;
