--- a/tests/gateway_handover_more_test.cc
+++ b/tests/gateway_handover_more_test.cc
@@ -281,6 +281,26 @@
 		EXPECT_TRUE(IsWhole());
 	}
 
+	/* A stream's engine leaves as all want rest for rest_ms; the stream
+	 * ends within limit_us of that, in place of waiting. */
+	void ExpectEndInRest(int rest_ms, int64_t limit_us)
+	{
+		int64_t begun_us;
+
+		SetPace(50, 60);
+		Start(true, true);
+		Wait(700);
+		Each([=](ModelEngine *engine) { engine->rest_ms = rest_ms; });
+		begun_us = g_get_monotonic_time();
+		Leave(from);
+		EXPECT_TRUE(run_until([&] {
+			caller->read();
+			return caller->closed;
+		}));
+		EXPECT_LT(g_get_monotonic_time() - begun_us, limit_us);
+		ExpectNoFalseEnd();
+	}
+
 	/* No answer counts as complete without its last events. */
 	void ExpectNoFalseEnd()
 	{
@@ -1055,40 +1075,14 @@
  * its run is kept for less. */
 TEST_F(GatewayHandoverMore, WaitsForNoRestBeyondTheStatedTime)
 {
-	int64_t begun_us;
-
 	copy_keep_us = 1000000;
-	SetPace(50, 60);
-	Start(true, true);
-	Wait(700);
-	Each([](ModelEngine *engine) { engine->rest_ms = 2500; });
-	begun_us = g_get_monotonic_time();
-	Leave(from);
-	EXPECT_TRUE(run_until([&] {
-		caller->read();
-		return caller->closed;
-	}));
-	EXPECT_LT(g_get_monotonic_time() - begun_us, 2000000);
-	ExpectNoFalseEnd();
+	ExpectEndInRest(2500, 2000000);
 }
 
 /* Guards against a stream that waits for a rest longer than its run is kept. */
 TEST_F(GatewayHandoverMore, WaitsForNoLongRest)
 {
-	int64_t begun_us;
-
-	SetPace(50, 60);
-	Start(true, true);
-	Wait(700);
-	Each([](ModelEngine *engine) { engine->rest_ms = 30000; });
-	begun_us = g_get_monotonic_time();
-	Leave(from);
-	EXPECT_TRUE(run_until([&] {
-		caller->read();
-		return caller->closed;
-	}));
-	EXPECT_LT(g_get_monotonic_time() - begun_us, 2500000);
-	ExpectNoFalseEnd();
+	ExpectEndInRest(30000, 2500000);
 }
 
 /* Guards against a stream that ends with its engine as the one with its backup
