--- a/review/standins-2/common.sh
+++ b/review/standins-2/common.sh
@@ -54,6 +54,10 @@
 	"$tools/put" "$store" "$1" "$2" || cannot "the store refuses $1"
 }
 
+remove() { # KEY
+	"$tools/put" "$store" "$1" || cannot "the store keeps $1"
+}
+
 entry() { # ID SERVICE PORT SLOTS
 	put "servers/$1" "{\"service\":\"$2\",\"address\":\"127.0.0.1:$3\",\"zone\":\"casa-ain\",\"version\":\"v1\",\"slots\":$4,\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":1,\"born\":1780000000000}"
 }
@@ -86,7 +90,8 @@
 	local out=$work/engines.$RANDOM
 
 	"$tools/engine" "$record" "$@" >"$out" 2>&1 &
-	pids+=($!)
+	engine_pid=$!
+	pids+=("$engine_pid")
 	for _ in $(seq 100); do
 		grep -q ready "$out" && return
 		sleep 0.05
@@ -124,7 +129,7 @@
 			address = "${fronts[i]}"
 			ready_address = "${readies[i]}"
 			directory_address = "${directories[i]}"
-			store_address = "$store"
+			store_address = "${store_for_nodes:-$store}"
 			drain_s = 8
 			retry_ratio = 0.2
 			retry_extra = 54
--- a/review/standins-2/engine.c
+++ b/review/standins-2/engine.c
@@ -10,12 +10,15 @@
 
 /*
  * engine RECORD MODE EVENTS GAP_MS ID:PORT...: engines of the users' platform,
- * each at its own port, in one process. It records each request that it runs.
+ * each at its own port, in one process. It records each request that it runs,
+ * and for which tenant.
  *
- * MODE plain: one body as the answer. stream: EVENTS events, GAP_MS apart, with
- * the ids 0, 1, 2 and so on.
+ * MODE stream: EVENTS events, GAP_MS apart, with the ids 0, 1, 2 and so on.
+ * plain: one body as the answer, after GAP_MS of work, or 220 ms for each tenth
+ * request. garble: the same, but each EVENTS-th answer has a head that is none:
+ * there is a space between a field's name and the colon.
  */
-enum mode { MODE_PLAIN, MODE_STREAM };
+enum mode { MODE_PLAIN, MODE_STREAM, MODE_GARBLE };
 
 static struct {
 	enum mode mode;
@@ -23,6 +26,8 @@
 	int gap_ms;
 } options;
 
+static int answers; /* so far, of all engines of this process */
+
 struct engine {
 	const char *id;
 	int listener;
@@ -41,11 +46,23 @@
 			  id, id, more);
 }
 
+/* An answer in chunks whose coding is named in a line that is no field. */
+static bool answer_garbled(int fd, const char *id, const char *body)
+{
+	record("engine spoils the head of its answer to %s", id);
+	return answer_head(fd, id, "Transfer-Encoding : chunked\r\n") &&
+	       wire_sendf(fd, "%zx\r\n%s\r\n0\r\n\r\n", strlen(body), body);
+}
+
 static bool answer_plain(int fd, const char *id)
 {
+	int number = __atomic_add_fetch(&answers, 1, __ATOMIC_RELAXED);
 	char body[256], more[64];
 
+	wire_sleep_ms(number % 10 ? options.gap_ms : 220);
 	snprintf(body, sizeof(body), "answer to %s", id);
+	if (options.mode == MODE_GARBLE && number % options.events == 0)
+		return answer_garbled(fd, id, body);
 	snprintf(more, sizeof(more), "Content-Length: %zu\r\n", strlen(body));
 	return answer_head(fd, id, more) && wire_send(fd, body, strlen(body));
 }
@@ -92,7 +109,7 @@
 static bool serve(const struct connection *connection, struct wire *wire)
 {
 	static __thread struct head head;
-	const char *id, *size;
+	const char *id, *size, *tenant;
 	bool is_done;
 
 	if (!wire_read_head(wire, &head))
@@ -108,7 +125,9 @@
 				  "HTTP/1.1 %s\r\nX-Siskinlink-Not-Executed: 1"
 				  "\r\nContent-Length: 0\r\n\r\n",
 				  id ? "421 Misdirected" : "400 Bad Request");
-	record("engine %s runs %s", connection->engine->id, id);
+	tenant = head_get(&head, "X-Siskinlink-Tenant");
+	record("engine %s runs %s for tenant %s", connection->engine->id, id,
+	       tenant ? tenant : "none");
 	is_done = options.mode == MODE_STREAM ? answer_stream(wire->fd, id)
 					      : answer_plain(wire->fd, id);
 	record("engine %s %s %s", connection->engine->id,
@@ -158,8 +177,9 @@
 	if (argc < 6)
 		return 2;
 	record_open(argv[1]);
-	options.mode = strcmp(argv[2], "stream") == 0 ? MODE_STREAM
-						      : MODE_PLAIN;
+	options.mode = strcmp(argv[2], "stream") == 0	? MODE_STREAM
+		       : strcmp(argv[2], "garble") == 0 ? MODE_GARBLE
+							: MODE_PLAIN;
 	options.events = atoi(argv[3]);
 	options.gap_ms = atoi(argv[4]);
 	for (int i = 5; i < argc; i++) {
--- a/review/standins-2/put.c
+++ b/review/standins-2/put.c
@@ -5,8 +5,8 @@
 #include <unistd.h>
 
 /*
- * put STORE KEY VALUE: writes a key of the project's stand-in of the store, as
- * the operator or an engine does.
+ * put STORE KEY [VALUE]: writes a key of the project's stand-in of the store, as
+ * the operator or an engine does; without a value it is removed.
  */
 int main(int argc, char **argv)
 {
@@ -15,11 +15,12 @@
 	static struct head answer;
 	size_t size;
 
-	if (argc != 4)
+	if (argc != 3 && argc != 4)
 		return 2;
 	size = (size_t)snprintf(body, sizeof(body),
 				"{\"key\":\"%s\",\"value\":\"", argv[2]);
-	for (const char *at = argv[3]; *at && size < sizeof(body) - 8; at++) {
+	for (const char *at = argc == 4 ? argv[3] : "";
+	     *at && size < sizeof(body) - 8; at++) {
 		if (*at == '"' || *at == '\\')
 			body[size++] = '\\';
 		body[size++] = *at;
@@ -29,9 +30,9 @@
 	if (wire.fd < 0)
 		return 1;
 	snprintf(head, sizeof(head),
-		 "POST /fake/put HTTP/1.1\r\nHost: store\r\n"
+		 "POST /fake/%s HTTP/1.1\r\nHost: store\r\n"
 		 "Connection: close\r\nContent-Length: %zu\r\n\r\n",
-		 strlen(body));
+		 argc == 4 ? "put" : "delete", strlen(body));
 	if (!wire_send(wire.fd, head, strlen(head)) ||
 	    !wire_send(wire.fd, body, strlen(body)) ||
 	    !wire_read_head(&wire, &answer))
