--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,16 +1,18 @@
 #!/usr/bin/env bash
-# One of three engines spoils each 50th of its answers: a space stands between
-# the name of a field and its colon. Consumers get that head as a success.
-# TROUBLE=0: it spoils none.
+# One of three engines repeats itself in the head of each 50th of its answers. The
+# machine that reads such a head stands still for seconds, and none of its
+# consumers gets an answer. TROUBLE=0: no engine does.
 set -eu
 . "$(dirname "$0")/../standins-2/common.sh"
 
+timeout_ms=1200 # of both routes
+
 start_store
 config 10
 for i in 0 1 2; do
 	next_port
 	mode=plain
-	[ "$i$trouble" != 01 ] || mode=garble
+	[ "$i$trouble" != 01 ] || mode=repeat
 	start_engines "$mode" 50 30 "i-$i:$port"
 	entry "i-$i" guichet "$port" 6
 done
@@ -19,19 +21,26 @@
 start_node 1
 await_nodes
 note "the machines are ready"
+sleep 4 # contact_ms, and more
 
 # filing-status and ledger-export, as often as on the sheet.
-"$tools/caller" "$record" status 40 11.9 GET /s/x "" "${fronts[@]}" &
+"$tools/caller" "$record" status 25 11.9 GET /s/x "" "${fronts[@]}" &
 one=$!
-"$tools/caller" "$record" export 40 29.7 POST /e/x "" "${fronts[@]}" &
+"$tools/caller" "$record" export 25 29.7 POST /e/x "" "${fronts[@]}" &
 other=$!
 pids+=("$one" "$other")
 wait "$one" && wait "$other" || cannot "the consumers failed"
 
-spoiled=$(grep -c "engine spoils" "$record") || true
-invalid=$(grep -c "INVALID" "$record") || true
+waited_longer() { # MS
+	awk -v ms="$1" '$2 == "caller" && $4 == "waited" && $5 > ms' "$record" |
+		wc -l
+}
+spoiled=$(grep -c "engine repeats" "$record") || true
 whole=$(grep -c "gets: 200$" "$record") || true
-note "$spoiled answers spoiled, $invalid invalid answers at consumers, $whole whole"
-echo "$spoiled answers spoiled, $invalid invalid answers at consumers, $whole whole"
-[ "$whole" -gt 1000 ] || cannot "hardly a request was served"
-[ "$invalid" = 0 ] || exit 1
+unanswered=$(waited_longer "$timeout_ms")
+late=$(waited_longer $((timeout_ms + 500)))
+note "$spoiled heads; $whole answered whole; $unanswered without an answer at their timeout, $late half a second later"
+echo "$spoiled heads; $whole answered whole; $unanswered without an answer at their timeout, $late half a second later"
+[ "$whole" -gt 100 ] || cannot "hardly a request was served"
+# CONFIG: more than half of those that are still unanswered.
+[ "$late" -le $((unanswered / 2)) ] || exit 1
--- a/review/standins-2/engine.c
+++ b/review/standins-2/engine.c
@@ -16,9 +16,11 @@
  * MODE stream: EVENTS events, GAP_MS apart, with the ids 0, 1, 2 and so on.
  * plain: one body as the answer, after GAP_MS of work, or 220 ms for each tenth
  * request. garble: the same, but each EVENTS-th answer has a head that is none:
- * there is a space between a field's name and the colon.
+ * there is a space between a field's name and the colon. repeat: the same, but in
+ * each EVENTS-th answer the engine writes on and on in the head, 60 KB, before the
+ * answer's length and its body.
  */
-enum mode { MODE_PLAIN, MODE_STREAM, MODE_GARBLE };
+enum mode { MODE_PLAIN, MODE_STREAM, MODE_GARBLE, MODE_REPEAT };
 
 static struct {
 	enum mode mode;
@@ -54,6 +56,32 @@
 	       wire_sendf(fd, "%zx\r\n%s\r\n0\r\n\r\n", strlen(body), body);
 }
 
+/* A head in which a separator and then a line are repeated. */
+static bool answer_repeating(int fd, const char *id, const char *body)
+{
+	static __thread char head[65536];
+	size_t size;
+
+	record("engine repeats itself in the head of its answer to %s", id);
+	size = (size_t)snprintf(head, sizeof(head),
+				"HTTP/1.1 200 OK\r\n"
+				"X-Siskinlink-Request-Id: %s\r\n"
+				"X-Siskinlink-Engine-Stamp: stamp.%s\r\n"
+				"Connection: close",
+				id, id);
+	memset(head + size, ',', 16000);
+	size += 16000;
+	memcpy(head + size, "\r\n", 2);
+	size += 2;
+	for (int i = 0; i < 7000; i++) {
+		memcpy(head + size, "b:c\r\n", 5);
+		size += 5;
+	}
+	return wire_send(fd, head, size) &&
+	       wire_sendf(fd, "Content-Length: %zu\r\n\r\n%s", strlen(body),
+			  body);
+}
+
 static bool answer_plain(int fd, const char *id)
 {
 	int number = __atomic_add_fetch(&answers, 1, __ATOMIC_RELAXED);
@@ -63,6 +91,8 @@
 	snprintf(body, sizeof(body), "answer to %s", id);
 	if (options.mode == MODE_GARBLE && number % options.events == 0)
 		return answer_garbled(fd, id, body);
+	if (options.mode == MODE_REPEAT && number % options.events == 0)
+		return answer_repeating(fd, id, body);
 	snprintf(more, sizeof(more), "Content-Length: %zu\r\n", strlen(body));
 	return answer_head(fd, id, more) && wire_send(fd, body, strlen(body));
 }
@@ -179,6 +209,7 @@
 	record_open(argv[1]);
 	options.mode = strcmp(argv[2], "stream") == 0	? MODE_STREAM
 		       : strcmp(argv[2], "garble") == 0 ? MODE_GARBLE
+		       : strcmp(argv[2], "repeat") == 0 ? MODE_REPEAT
 							: MODE_PLAIN;
 	options.events = atoi(argv[3]);
 	options.gap_ms = atoi(argv[4]);
