--- a/review/standins-2/caller.c
+++ b/review/standins-2/caller.c
@@ -12,7 +12,9 @@
 /*
  * caller RECORD NAME SECONDS PER_S METHOD PATH FIELD ADDRESS...: consumers that
  * send PER_S plain requests a second, each on a new channel, to one address
- * after the other. FIELD is one more line of the head, or empty. An answer
+ * after the other. FIELD is one more line of the head, or empty. With the METHOD
+ * HIDE the request is a POST, whose body is one chunk that holds the end of a body
+ * in chunks and then another request; FIELD is to name the coding. An answer
  * counts as invalid if a line of its head is no field (RFC 9112, 5: no space
  * before the colon), if its length is not stated once, or if the body of a
  * success is not the one that the engine makes for this request. A consumer leaves
@@ -71,6 +73,27 @@
 	       fault ? fault : "");
 }
 
+/* Appends what follows the head's last field but FIELD. */
+static void write_body(char *to, size_t room, const char *id)
+{
+	char hidden[256];
+
+	if (strcmp(options.method, "POST") == 0) {
+		snprintf(to, room, "Content-Length: 3\r\n\r\nabc");
+		return;
+	}
+	snprintf(to, room, "\r\n");
+	if (strcmp(options.method, "HIDE") != 0)
+		return;
+	snprintf(hidden, sizeof(hidden),
+		 "0\r\n\r\nPOST /e/hidden HTTP/1.1\r\nHost: h.example\r\n"
+		 "X-Siskinlink-Request-Id: hidden-in-%s\r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 id);
+	snprintf(to, room, "\r\n%zx\r\n%s\r\n0\r\n\r\n", strlen(hidden),
+		 hidden);
+}
+
 static void *request_run(void *data)
 {
 	int number = (int)(intptr_t)data;
@@ -79,9 +102,10 @@
 				      .tv_usec = DEADLINE_MS % 1000 * 1000};
 	struct wire *wire = calloc(1, sizeof(*wire));
 	int64_t begun_ms = wire_now_ms();
-	char id[64];
+	char id[64], rest[512];
 
 	snprintf(id, sizeof(id), "%s-%d", options.name, number);
+	write_body(rest, sizeof(rest), id);
 	wire->fd = wire_connect(address);
 	if (wire->fd >= 0)
 		setsockopt(wire->fd, SOL_SOCKET, SO_RCVTIMEO, &limit,
@@ -92,14 +116,10 @@
 		       "%s %s HTTP/1.1\r\nHost: h.example\r\n"
 		       "X-Siskinlink-Request-Id: %s\r\n"
 		       "Authorization: Bearer k1\r\n"
-		       "X-Siskinlink-Deadline-Ms: %d\r\n%s%s%s\r\n%s",
-		       options.method, options.path, id, DEADLINE_MS,
-		       options.field,
-		       *options.field ? "\r\n" : "",
-		       strcmp(options.method, "POST") == 0
-			       ? "Content-Length: 3\r\n"
-			       : "",
-		       strcmp(options.method, "POST") == 0 ? "abc" : ""))
+		       "X-Siskinlink-Deadline-Ms: %d\r\n%s%s%s",
+		       strcmp(options.method, "GET") == 0 ? "GET" : "POST",
+		       options.path, id, DEADLINE_MS, options.field,
+		       *options.field ? "\r\n" : "", rest))
 		read_answer(wire, id);
 	else
 		record("caller %s gets: no channel", id);
--- a/review/standins-2/engine.c
+++ b/review/standins-2/engine.c
@@ -123,6 +123,34 @@
 	return expected && strcmp(expected, engine->id) != 0;
 }
 
+/* Drops a body in chunks. */
+static bool drop_chunks(struct wire *wire)
+{
+	char line[256];
+	size_t size;
+
+	do {
+		if (!wire_read_line(wire, line, sizeof(line)))
+			return false;
+		size = strtoul(line, NULL, 16);
+		if (!wire_read_body(wire, NULL, size) ||
+		    !wire_read_line(wire, line, sizeof(line)))
+			return false;
+	} while (size > 0);
+	return true;
+}
+
+/* Drops the body. Chunks go before a length (RFC 9112, 6.3). */
+static bool drop_body(struct wire *wire, const struct head *head)
+{
+	const char *coding = head_get(head, "Transfer-Encoding");
+	const char *size = head_get(head, "Content-Length");
+
+	if (coding && strcasecmp(coding, "chunked") == 0)
+		return drop_chunks(wire);
+	return !size || wire_read_body(wire, NULL, strtoul(size, NULL, 10));
+}
+
 /* What the engine says of itself; it never leaves. */
 static bool answer_report(int fd)
 {
@@ -139,13 +167,10 @@
 static bool serve(const struct connection *connection, struct wire *wire)
 {
 	static __thread struct head head;
-	const char *id, *size, *tenant;
+	const char *id, *tenant;
 	bool is_done;
 
-	if (!wire_read_head(wire, &head))
-		return false;
-	size = head_get(&head, "Content-Length");
-	if (size && !wire_read_body(wire, NULL, strtoul(size, NULL, 10)))
+	if (!wire_read_head(wire, &head) || !drop_body(wire, &head))
 		return false;
 	if (strncmp(head.start, "GET /v1/report", 14) == 0)
 		return answer_report(wire->fd);
