Log: the start and the count of reports of the entry that a node believes

The line endpoint gave the position only, by which an older report that is written late looks like the newest word. The entry's count of reports is read now; no decision uses it yet.

--- a/adapters/gateway/gateway_store.c
+++ b/adapters/gateway/gateway_store.c
@@ -17,25 +17,30 @@
 }
 
 /*
- * Logs the state of an endpoint, the source of the change, and the reason if
- * its removal is in doubt.
+ * Logs the state of an endpoint, the newest entry it is based on, the source of
+ * the change, and the reason if its removal is in doubt.
  */
 void gateway_log_endpoint(struct gateway *gateway, const char *id,
 			  const char *source)
 {
 	const struct endpoint *endpoint = registry_find(gateway->registry, id);
+	const struct registration *last = endpoint->last_registration;
+	char revision[24], started[24], reports[24];
 	const char *doubt = "";
-	char revision[24];
 
 	if (endpoint->presence == PRESENCE_DOUBTED)
 		doubt = gateway_doubt_cause(gateway);
 	g_snprintf(revision, sizeof(revision), "%" G_GINT64_FORMAT,
-		   endpoint->last_registration->position);
+		   last->position);
+	g_snprintf(started, sizeof(started), "%" G_GINT64_FORMAT,
+		   last->started_ms);
+	g_snprintf(reports, sizeof(reports), "%" G_GINT64_FORMAT,
+		   last->report_count);
 	log_write(gateway->log, LOG_LEVEL_INFO, "endpoint", "endpoint", id,
-		  "service", endpoint->last_registration->service, "address",
-		  endpoint->last_registration->address, "state",
+		  "service", last->service, "address", last->address, "state",
 		  endpoint_presence_name(endpoint->presence), "revision",
-		  revision, "source", source, "doubt", doubt, NULL);
+		  revision, "started_ms", started, "reports", reports, "source",
+		  source, "doubt", doubt, NULL);
 }
 
 /*
--- a/ports/registration.h
+++ b/ports/registration.h
@@ -13,7 +13,8 @@
 	char *service;
 	char *address;
 	char *failure_domain;
-	int64_t started_ms; /* 0: unknown */
+	int64_t started_ms;   /* 0: unknown */
+	int64_t report_count; /* of this start up to this one; 0: unknown */
 	int64_t warmup_remaining_us;
 	int64_t position; /* in the store's history, of its last change */
 	int32_t slots;	  /* concurrent requests; 0: unknown */
