--- a/fakes/backend_state.h
+++ b/fakes/backend_state.h
@@ -68,6 +68,7 @@
 	bool crash_before_answer; /* after the run, if it is a plain one */
 	bool shed_silently;	  /* runs nothing: 503, no Not-Executed */
 	bool says_leaving;	  /* Server-Leaving in answers to requests */
+	bool draining;		  /* only the status check tells of it */
 	bool mute;		  /* accepts requests and never answers */
 	bool real_copies;	  /* false: each requested copy exists */
 	bool watches_close;	  /* ends a closed run without a write */
--- a/fakes/fake_backend.c
+++ b/fakes/fake_backend.c
@@ -266,6 +266,28 @@
 		backend_report_answer(backend, message);
 }
 
+/* The status check: 200 with the engine's id, 503 as it drains. */
+static void on_status(void *data, SoupServerMessage *message, const char *path)
+{
+	const struct backend *backend = data;
+	bool serves = !backend->draining && !backend->says_leaving &&
+		      !backend->leave_at_us;
+
+	(void)path;
+	if (backend->mute) {
+		soup_server_message_pause(message);
+		return;
+	}
+	if (backend->full) {
+		answer_not_executed(message, 503);
+		return;
+	}
+	soup_message_headers_replace(
+		soup_server_message_get_response_headers(message),
+		HEADER("Instance-Id"), backend->id);
+	fake_message_answer_text(message, serves ? 200 : 503, "");
+}
+
 static void on_state(void *data, SoupServerMessage *message, const char *path)
 {
 	(void)path;
@@ -298,6 +320,7 @@
 	fake_server_add_handler(server, "/v1/kv-move", on_move, backend);
 	fake_server_add_handler(server, HANDLE_PATH "/", on_handle, backend);
 	fake_server_add_handler(server, "/v1/report", on_report, backend);
+	fake_server_add_handler(server, "/health", on_status, backend);
 	fake_server_add_handler(server, "/fake/copy", on_copy, backend);
 	fake_server_add_handler(server, "/fake/state", on_state, backend);
 	fake_server_add_handler(server, "/", on_request, backend);
@@ -386,6 +409,7 @@
 		{"stop_crashes", FAKE_MODE_BOOL, &backend.stop_crashes},
 		{"server_limit", FAKE_MODE_STRING, &backend.server_limit},
 		{"says_leaving", FAKE_MODE_BOOL, &backend.says_leaving},
+		{"draining", FAKE_MODE_BOOL, &backend.draining},
 		{"leaving_text", FAKE_MODE_STRING, &backend.leaving_text},
 		{"rest_s", FAKE_MODE_STRING, &backend.rest_s},
 	};
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -65,6 +65,15 @@
 		sequence: 1, born: $born}')"
 }
 
+# written ENGINE SERVICE STATE COUNT BORN: writes what this report of the start
+# says.
+written() {
+	put "servers/i-$1" "$(jq -nc --arg s "$2" --arg a "${backends[$1]}" \
+		--arg st "$3" --argjson n "$4" --argjson born "$5" \
+		'{service: $s, address: $a, zone: "z", version: "v1", slots: 24,
+		state: $st, warmup_left_ms: 0, sequence: $n, born: $born}')"
+}
+
 document() { # KEYS...
 	version=$((version + 1))
 	put op/config "$(jq -nc --argjson v "$version" --args '{version: $v,
@@ -78,10 +87,11 @@
 		{name: "export", host: "'$host'", path_prefix: "/lookup/export/",
 		kind: "unsafe", timeout_ms: 1500, slo_ms: 150, priority: 2,
 		service: "portal", max_attempts: 1}],
-		services: [{name: "engines",
+		services: [{name: "engines", health_path: "/health",
 		warmup_per_s: '"${warmup_per_s:-0}"', engine: {slots: 24,
 		kv_cache_tokens: 34000, stride: 4, migrations: true,
-		backups: '"${backups:-true}"', handle_ttl_s: 5}}, {name: "portal"}],
+		backups: '"${backups:-true}"', handle_ttl_s: 5}},
+		{name: "portal", health_path: "/health"}],
 		limits: {header_bytes: 4096, max_body_bytes: 65536,
 		header_timeout_ms: 800, idle_timeout_ms: '"${idle_ms:-15000}"'},
 		tenants: [{name: "atlas", keys: $ARGS.positional}]}' "$@")"
@@ -500,6 +510,79 @@
 	done
 }
 
+# keeps_out WHAT WRITE...: starts endpoint 3 anew, which drains as these reports
+# are written, STATE:COUNT:EARLIER_MS or "removed", and checks that nodes send it
+# nothing from 1 s after the last one.
+keeps_out() {
+	local what=$1 write state count earlier before i
+
+	shift
+	start_anew 3 portal --plain
+	for i in 0 1; do
+		until_true reaches 3 "$i" || fail "$what: node $i doesn't use it"
+	done
+	mode "${backends[3]}" '{"draining": true}'
+	for write; do
+		if [ "$write" = removed ]; then
+			unregister i-3
+		else
+			IFS=: read -r state count earlier <<<"$write"
+			written 3 portal "$state" "$count" $((born - earlier))
+		fi
+		sleep 0.3
+	done
+	sleep 0.7
+	before=$(journaled 3)
+	press 1 "$work/older"
+	[ "$(journaled 3)" = "$before" ] || fail "$what: it is used again"
+	[ "$(sort -u "$work/older")" = 200 ] ||
+		fail "$what: answered $(sort "$work/older" | uniq -c | xargs)"
+}
+
+# Guards against requests to an engine that has said that it leaves, or whose
+# entry is gone, as an older report of it is written late.
+case_keeps_to_the_last_word_of_an_engine() {
+	restart_nodes
+	save_up 1
+	keeps_out "an older report" draining:8:0 ready:6:0
+	keeps_out "after a removal" draining:8:0 removed ready:6:0
+	keeps_out "without a word" ready:7:0 removed ready:6:0
+	keeps_out "the same report" ready:7:0 removed ready:7:0
+	keeps_out "a later report" removed ready:49:0
+	keeps_out "a start before" draining:8:0 ready:50:10000
+	start_anew 3 portal --plain
+	for i in 0 1; do
+		until_true reaches 3 "$i" || fail "node $i doesn't use its next start"
+	done
+}
+
+# Guards against an engine that gets nothing, as a report of its start before is
+# written late, or as its entry is back after an outage.
+case_uses_an_engine_whose_start_before_left() {
+	local i
+
+	restart_nodes
+	save_up 1
+	start_anew 3 portal --plain
+	for i in 0 1; do
+		until_true reaches 3 "$i" || fail "node $i doesn't use it"
+	done
+	written 3 portal draining 9 $((born - 10000))
+	sleep 0.5
+	for i in 0 1; do
+		until_true reaches 3 "$i" || fail "node $i takes the word for its own"
+	done
+	! grep -qE 'endpoint=i-3 .*state=(leaving|gone)' <(tail -n 20 "$work"/g?.out) ||
+		fail "it is called leaving"
+	unregister i-3
+	sleep 0.3
+	written 3 portal ready 49 "$born"
+	sleep 2
+	for i in 0 1; do
+		until_true reaches 3 "$i" || fail "node $i doesn't use it again"
+	done
+}
+
 # Guards against a report that stays at an engine until it ends, and new ones that
 # go there, as the engine tells only in its answers that it leaves. Reports begin
 # until one of them has such an answer; the other engines are cold meanwhile, as
