DRAIN: an older report that was written later made an engine that had left ready

The record holds no word of what the nodes believed; this cause gives what it shows.

Cause: entries were ordered by the store's position alone. That is the order of the writes, not of the reports: a write that got no answer may be done seconds later. A ready entry behind the word of the same start, or behind the removal of its entry, was the newest and so believed, by all nodes. The same order let the word of a start before end the present one.

Change: core/gateway/entry_order says of two entries which is the later, by start, then count of reports, then position, and what to do: an earlier start is set aside, that a start leaves is its last word, and behind a word or a removal of the same start only the endpoint itself can tell. It is asked at its status check, at once, then each 0.3 s, later up to 10 s apart, at most 32 at a time; an engine without room tells by its report after three calls; one that can't be asked needs a higher count. A removal of an earlier start's entry is in doubt; a node that is told of a removal older than the entry it knows asks as well. What is set aside is logged (entry_set_aside). docs/PLATFORM.md had said that sequence is not read.

--- a/adapters/gateway/dialect.h
+++ b/adapters/gateway/dialect.h
@@ -6,6 +6,7 @@
 #include "core/gateway/answered_load.h"
 #include "core/gateway/endpoint_limit.h"
 #include "core/gateway/endpoint_rest.h"
+#include "core/gateway/registry.h"
 #include "core/limit/prompt_parts.h"
 
 #include <glib.h>
@@ -107,6 +108,11 @@
 				   GString *out);
 	void (*write_report_request)(const char *address, GString *out);
 	bool (*read_report_is_leaving)(GBytes *body);
+	/* Asks whether the endpoint serves; path is its service's. */
+	void (*write_status_request)(const char *address, const char *path,
+				     GString *out);
+	enum endpoint_status (*read_status)(const struct http_head *head,
+					    const char *endpoint_id);
 	/* Requests about the nodes themselves; any other one gets a 404. */
 	GBytes *(*write_addresses)(const GPtrArray *addresses, int64_t keep_us);
 	bool (*is_ready_request)(const struct http_head *head);
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -307,6 +307,7 @@
 	gateway_reach_step(gateway);
 	gateway_losses_step(gateway);
 	gateway_step_reports(gateway);
+	gateway_leaving_step(gateway);
 	gateway_headroom_step(gateway);
 	gateway_speed_step(gateway);
 	gateway_home_step(gateway);
@@ -434,6 +435,7 @@
 	gateway_reach_init(gateway);
 	gateway->pool = endpoint_pool_create();
 	gateway->reports = report_poll_create(&reports);
+	gateway_leaving_init(gateway);
 	gateway->callers =
 		caller_set_create(&requests, (size_t)options->max_connections);
 	gateway->status_callers =
@@ -485,6 +487,7 @@
 	caller_set_destroy(gateway->status_callers);
 	endpoint_pool_destroy(gateway->pool);
 	report_poll_destroy(gateway->reports);
+	report_poll_destroy(gateway->statuses);
 	shared_budgets_destroy(gateway->budgets);
 	g_hash_table_unref(gateway->peers);
 	gateway_ends_clear(gateway);
--- a/adapters/gateway/gateway_leaving.c
+++ b/adapters/gateway/gateway_leaving.c
@@ -1,11 +1,15 @@
 #include "adapters/gateway/gateway_state.h"
 
 /*
- * Endpoints that say in their answers that they leave. Their entries say so
- * too, but may come late or not at all, as while the store is away. A node that
- * hears of it first tells the others, and nodes that start later.
+ * Endpoints that say themselves whether they leave. Their entries say so too,
+ * but may come late, out of order or not at all, as while the store is away. A
+ * node that hears of it first in an answer tells the others, and nodes that
+ * start later. An endpoint whose entries contradict each other is asked.
  */
 
+/* A report may be older than an entry for as long as these calls take. */
+#define ASKS_BEFORE_REPORT 3
+
 static struct peer_message *create_message(struct gateway *gateway,
 					   const struct endpoint *endpoint)
 {
@@ -63,3 +67,70 @@
 		gateway_log_endpoint(gateway, endpoint->last_registration->id,
 				     message->from);
 }
+
+static void on_status(void *data, const char *endpoint_id,
+		      enum endpoint_status status)
+{
+	struct gateway *gateway = data;
+
+	if (!registry_note_status(gateway->registry, endpoint_id, status,
+				  gateway->now_us))
+		return;
+	gateway_log_endpoint(gateway, endpoint_id, "its status");
+	gateway_peers_announce_endpoint(gateway, endpoint_id);
+}
+
+/* Creates what asks endpoints for their status. */
+void gateway_leaving_init(struct gateway *gateway)
+{
+	const struct report_poll_options statuses = {
+		.dialect = gateway->dialect,
+		.log = gateway->log,
+		.counters = gateway->options.counters,
+		.on_status = on_status,
+		.data = gateway,
+	};
+
+	gateway->statuses = report_poll_create(&statuses);
+}
+
+/*
+ * Asks an endpoint whether it serves. A busy one turns the check away; if it is
+ * an engine, its report tells, which takes no slot.
+ */
+static void ask_status(struct gateway *gateway, struct endpoint *endpoint,
+		       const struct config_service *service)
+{
+	bool asks_report = service->kind == SERVICE_GENERATION &&
+			   (!service->status_path ||
+			    endpoint->status_asks >= ASKS_BEFORE_REPORT);
+
+	endpoint_note_status_ask(endpoint, gateway->now_us);
+	if (!asks_report && !service->status_path)
+		on_status(gateway, endpoint->last_registration->id,
+			  ENDPOINT_NOT_ASKED);
+	else
+		report_poll_ask(gateway->statuses, endpoint,
+				asks_report ? NULL : service->status_path,
+				gateway->now_us);
+}
+
+/* Asks the endpoints that have to confirm their entries. */
+void gateway_leaving_step(struct gateway *gateway)
+{
+	const GPtrArray *endpoints = registry_endpoints(gateway->registry);
+
+	for (guint i = 0; gateway->table && i < endpoints->len; i++) {
+		struct endpoint *endpoint = g_ptr_array_index(endpoints, i);
+		const struct config_service *service;
+
+		if (!endpoint_wants_status(endpoint, gateway->now_us))
+			continue;
+		if (!report_poll_has_room(gateway->statuses, gateway->now_us))
+			return;
+		service = route_table_find_service(
+			gateway->table, endpoint->last_registration->service);
+		if (service)
+			ask_status(gateway, endpoint, service);
+	}
+}
--- a/adapters/gateway/gateway_peers.c
+++ b/adapters/gateway/gateway_peers.c
@@ -541,8 +541,8 @@
 		/* A node of an earlier build names no era. */
 		said->position = store_position_in_era(
 			said->position, registry_era(gateway->registry));
-		if (registry_apply(gateway->registry, said, false,
-				   gateway->now_us))
+		if (registry_apply_vouched(gateway->registry, said,
+					   gateway->now_us))
 			log_write(gateway->log, LOG_LEVEL_INFO, "endpoint",
 				  "endpoint", said->id, "state",
 				  said->is_removed   ? "gone"
@@ -550,6 +550,7 @@
 						     : "ready",
 				  "source", message->from, NULL);
 	}
+	gateway_log_set_aside(gateway, list, message->from);
 }
 
 static void receive_failure_notice(struct gateway *gateway,
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -43,7 +43,7 @@
  *   gateway_limits.c   limits that endpoints state
  *   gateway_brittle.c  endpoints that end if they reject too much
  *   gateway_rest.c     endpoints that ask this node for rest
- *   gateway_leaving.c  endpoints that say in answers that they leave
+ *   gateway_leaving.c  endpoints that say themselves whether they leave
  *   gateway_losses.c   requests under which endpoints end
  *   gateway_ends.c     whether endpoints that broke off runs have ended
  *   gateway_closes.c   answers that end with their connections
@@ -78,6 +78,7 @@
 
 	struct endpoint_pool *pool;
 	struct report_poll *reports;
+	struct report_poll *statuses; /* of endpoints in doubt */
 	struct caller_set *callers;
 	struct caller_set *status_callers; /* readiness and addresses */
 	struct listener *listeners[3];
@@ -166,6 +167,8 @@
 int64_t gateway_table_version(const struct gateway *gateway);
 
 /* gateway_store.c */
+void gateway_log_set_aside(struct gateway *gateway, const GPtrArray *list,
+			   const char *source);
 void gateway_log_endpoint(struct gateway *gateway, const char *id,
 			  const char *source);
 void gateway_step_registry(struct gateway *gateway);
@@ -299,6 +302,8 @@
 			   const struct peer_message *message);
 
 /* gateway_leaving.c */
+void gateway_leaving_init(struct gateway *gateway);
+void gateway_leaving_step(struct gateway *gateway);
 void gateway_leaving_note_answer(struct gateway *gateway,
 				 struct endpoint *endpoint, int64_t known_us);
 void gateway_leaving_send(struct gateway *gateway, const char *peer_address);
--- a/adapters/gateway/gateway_store.c
+++ b/adapters/gateway/gateway_store.c
@@ -43,6 +43,58 @@
 		  source, "doubt", doubt, NULL);
 }
 
+static void log_set_aside(struct gateway *gateway, struct endpoint *endpoint,
+			  const char *source)
+{
+	const struct registration *last = endpoint->last_registration;
+	const struct entry_aside *aside = &endpoint->aside;
+	char revision[24], started[24], reports[24], known_started[24],
+		known_reports[24];
+
+	g_snprintf(revision, sizeof(revision), "%" G_GINT64_FORMAT,
+		   aside->position);
+	g_snprintf(started, sizeof(started), "%" G_GINT64_FORMAT,
+		   aside->started_ms);
+	g_snprintf(reports, sizeof(reports), "%" G_GINT64_FORMAT,
+		   aside->report_count);
+	g_snprintf(known_started, sizeof(known_started), "%" G_GINT64_FORMAT,
+		   last->started_ms);
+	g_snprintf(known_reports, sizeof(known_reports), "%" G_GINT64_FORMAT,
+		   last->report_count);
+	log_write(gateway->log, LOG_LEVEL_INFO, "entry_set_aside", "endpoint",
+		  last->id, "reason", aside->reason, "revision", revision,
+		  "started_ms", started, "reports", reports, "state",
+		  endpoint_presence_name(endpoint->presence),
+		  "known_started_ms", known_started, "known_reports",
+		  known_reports, "asked",
+		  endpoint_is_unconfirmed(endpoint) ? "true" : "false",
+		  "source", source, NULL);
+}
+
+/*
+ * Logs which of these entries (struct registration) were not applied: one of an
+ * endpoint in a second.
+ */
+void gateway_log_set_aside(struct gateway *gateway, const GPtrArray *list,
+			   const char *source)
+{
+	for (guint i = 0; i < list->len; i++) {
+		const struct registration *entry = g_ptr_array_index(list, i);
+		struct endpoint *endpoint =
+			registry_find(gateway->registry, entry->id);
+
+		if (!endpoint || entry->is_removed ||
+		    endpoint->aside.position != entry->position ||
+		    endpoint->aside.logged_position == entry->position ||
+		    gateway->now_us - endpoint->aside.logged_us <
+			    G_USEC_PER_SEC)
+			continue;
+		endpoint->aside.logged_position = entry->position;
+		endpoint->aside.logged_us = gateway->now_us;
+		log_set_aside(gateway, endpoint, source);
+	}
+}
+
 /*
  * Resolves doubts: removes endpoints that did not register again in time.
  * Endpoints that left long ago are dropped from the registry.
@@ -164,6 +216,7 @@
 				   gateway->now_us))
 			g_ptr_array_add(changed, news->id);
 	}
+	gateway_log_set_aside(gateway, list, "store");
 	gateway_note_changes(gateway, changed, is_first);
 	g_ptr_array_unref(changed);
 }
@@ -186,6 +239,7 @@
 		gateway->registry, list, position,
 		store_doubt_is_active(&gateway->store_doubt, gateway->now_us),
 		gateway->now_us, changed);
+	gateway_log_set_aside(gateway, list, "store");
 	gateway_note_changes(gateway, changed, is_first);
 	g_ptr_array_unref(changed);
 }
--- a/adapters/gateway/report_poll.c
+++ b/adapters/gateway/report_poll.c
@@ -14,6 +14,9 @@
 #define POLL_PERIOD_US (300 * 1000)
 #define REPORT_TIMEOUT_US (600 * 1000)
 
+/* Calls of report_poll_ask at a time: half of a fleet may come back at once. */
+#define MAX_ASKED 32
+
 #define STATUS_OK 200
 
 struct poll_request {
@@ -22,6 +25,8 @@
 	struct attempt *attempt;
 	GByteArray *body;
 	int32_t status;
+	bool asks_status; /* not the report */
+	enum endpoint_status answer;
 	int64_t sent_us;
 	bool is_done;
 };
@@ -43,7 +48,13 @@
 
 static void on_head(void *data, const struct http_head *head)
 {
-	((struct poll_request *)data)->status = head->status;
+	struct poll_request *poll_request = data;
+	const struct dialect *dialect = poll_request->poll->options.dialect;
+
+	poll_request->status = head->status;
+	if (poll_request->asks_status)
+		poll_request->answer =
+			dialect->read_status(head, poll_request->endpoint_id);
 }
 
 /* Closes the connection of a report that may never end. */
@@ -77,20 +88,35 @@
 			    (guint)size);
 }
 
-static void on_complete(void *data)
+static enum endpoint_status read_report(const struct poll_request *poll_request)
 {
-	struct poll_request *poll_request = data;
-	const struct report_poll *poll = poll_request->poll;
+	const struct dialect *dialect = poll_request->poll->options.dialect;
+	enum endpoint_status answer = ENDPOINT_UNCLEAR;
 	GBytes *body =
 		g_bytes_new(poll_request->body->data, poll_request->body->len);
-	bool is_leaving = poll_request->status == STATUS_OK &&
-			  poll->options.dialect->read_report_is_leaving(body);
 
+	if (poll_request->status == STATUS_OK)
+		answer = dialect->read_report_is_leaving(body)
+				 ? ENDPOINT_LEAVES
+				 : ENDPOINT_SERVES;
 	g_bytes_unref(body);
+	return answer;
+}
+
+static void on_complete(void *data)
+{
+	struct poll_request *poll_request = data;
+	const struct report_poll_options *options =
+		&poll_request->poll->options;
+
 	poll_request->is_done = true;
-	if (is_leaving)
-		poll->options.on_leaving(poll->options.data,
-					 poll_request->endpoint_id);
+	if (!poll_request->asks_status)
+		poll_request->answer = read_report(poll_request);
+	if (options->on_status)
+		options->on_status(options->data, poll_request->endpoint_id,
+				   poll_request->answer);
+	else if (poll_request->answer == ENDPOINT_LEAVES)
+		options->on_leaving(options->data, poll_request->endpoint_id);
 }
 
 /* An engine that can't be polled is detected by the failure of its requests. */
@@ -108,7 +134,8 @@
 };
 
 /*
- * Calls on_leaving with data for each report of a leaving engine. The options
+ * Calls on_status with data for each answer, or without it on_leaving for each
+ * report of a leaving engine. The options
  * are copied; what they point to must outlive the poll. The caller owns the
  * result.
  */
@@ -132,8 +159,10 @@
 	g_free(poll);
 }
 
+/* Asks for the report, or with a path for the status. */
 static void poll_send_request(struct report_poll *poll,
-			      const struct endpoint *endpoint, int64_t now_us)
+			      const struct endpoint *endpoint,
+			      const char *status_path, int64_t now_us)
 {
 	struct poll_request *poll_request = g_new0(struct poll_request, 1);
 	struct attempt_options options = {
@@ -147,13 +176,19 @@
 	poll_request->endpoint_id = g_strdup(endpoint->last_registration->id);
 	poll_request->body = g_byte_array_new();
 	poll_request->sent_us = now_us;
-	poll->options.dialect->write_report_request(options.address,
-						    options.request);
+	poll_request->answer = ENDPOINT_UNCLEAR;
+	poll_request->asks_status = status_path != NULL;
+	if (status_path)
+		poll->options.dialect->write_status_request(
+			options.address, status_path, options.request);
+	else
+		poll->options.dialect->write_report_request(options.address,
+							    options.request);
 	poll_request->attempt = attempt_start(&options, &poll_request_events,
 					      poll_request, &error);
 	poll_request->is_done = !poll_request->attempt;
-	g_hash_table_insert(poll->requests, poll_request->endpoint_id,
-			    poll_request);
+	g_hash_table_replace(poll->requests, poll_request->endpoint_id,
+			     poll_request);
 }
 
 static gboolean poll_request_is_expired(gpointer id, gpointer value,
@@ -182,6 +217,28 @@
 
 		if (!g_hash_table_contains(poll->requests,
 					   endpoint->last_registration->id))
-			poll_send_request(poll, endpoint, now_us);
+			poll_send_request(poll, endpoint, NULL, now_us);
 	}
 }
+
+/* Whether report_poll_ask may be called, for one endpoint more. */
+bool report_poll_has_room(struct report_poll *poll, int64_t now_us)
+{
+	g_hash_table_foreach_remove(poll->requests, poll_request_is_expired,
+				    &now_us);
+	return g_hash_table_size(poll->requests) < MAX_ASKED;
+}
+
+/*
+ * Asks one endpoint for its status at the path, or without one for its report,
+ * unless an answer is due.
+ */
+void report_poll_ask(struct report_poll *poll, const struct endpoint *endpoint,
+		     const char *status_path, int64_t now_us)
+{
+	const struct poll_request *last = g_hash_table_lookup(
+		poll->requests, endpoint->last_registration->id);
+
+	if (!last || last->is_done)
+		poll_send_request(poll, endpoint, status_path, now_us);
+}
--- a/core/config/config.c
+++ b/core/config/config.c
@@ -17,6 +17,7 @@
 	struct config_service *service = data;
 
 	g_free(service->name);
+	g_free(service->status_path);
 	g_ptr_array_unref(service->endpoints);
 	g_free(service);
 }
--- a/core/config/config.h
+++ b/core/config/config.h
@@ -41,7 +41,9 @@
 struct config_service {
 	char *name; /* for engines, the name of their model */
 	enum service_kind kind;
-	GPtrArray *endpoints;	 /* struct config_endpoint */
+	char *status_path;    /* endpoints tell there whether they serve; NULL:
+				 they can't be asked */
+	GPtrArray *endpoints; /* struct config_endpoint */
 	int32_t max_connections; /* per endpoint, all nodes; 0: no limit */
 	int64_t warmup_us;	 /* how long an endpoint is cold */
 	int64_t warmup_per_ks;	 /* requests per 1,000 s to a cold one, all
--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -30,6 +30,7 @@
 
 	registration_destroy(endpoint->last_registration);
 	registration_destroy(endpoint->held_back);
+	registration_destroy(endpoint->unconfirmed);
 	rate_window_destroy(endpoint->sent_cold);
 	rate_window_destroy(endpoint->sent_limited);
 	rate_window_destroy(endpoint->sent_spare);
@@ -257,9 +258,15 @@
 					  struct endpoint *endpoint,
 					  const struct registration *update)
 {
+	struct registration *last = registration_copy(update);
+
+	/* An entry that lacks them is of the start that is known. */
+	if (strcmp(last->address, endpoint->last_registration->address) == 0 &&
+	    !last->started_ms)
+		last->started_ms = endpoint->last_registration->started_ms;
 	g_hash_table_steal(registry->by_id, endpoint->last_registration->id);
 	registration_destroy(endpoint->last_registration);
-	endpoint->last_registration = registration_copy(update);
+	endpoint->last_registration = last;
 	g_hash_table_insert(registry->by_id, endpoint->last_registration->id,
 			    endpoint);
 }
@@ -304,11 +311,21 @@
 							      : PRESENCE_READY;
 }
 
+/*
+ * Applies the removal of the entry. That of an earlier start had replaced the
+ * one of this start, which may only be missing.
+ */
 static bool registry_apply_removal(struct endpoint *endpoint, bool is_doubtful,
 				   int64_t now_us)
 {
 	enum endpoint_presence old_presence = endpoint->presence;
 
+	endpoint_drop_unconfirmed(endpoint);
+	if (endpoint->is_overwritten) {
+		is_doubtful = true;
+		endpoint_check_status(endpoint, now_us);
+	}
+	endpoint->is_overwritten = false;
 	if (old_presence == PRESENCE_GONE || old_presence == PRESENCE_LEAVING)
 		endpoint_set_presence(endpoint, PRESENCE_GONE, now_us);
 	else
@@ -369,24 +386,46 @@
 }
 
 /*
- * Applies an update of one endpoint from the store or a peer, unless a newer
- * one is known. A removal is doubtful if the entry may have expired because the
- * store was away: the endpoint stays in use until registry_step treats it as
- * gone. Returns whether the endpoint is new or its presence changed.
+ * Applies an entry of an endpoint that is known. Returns whether its presence
+ * changed.
  */
-bool registry_apply(struct registry *registry,
-		    const struct registration *update, bool is_doubtful,
-		    int64_t now_us)
+bool registry_apply_entry(struct registry *registry, struct endpoint *endpoint,
+			  const struct registration *entry, int64_t now_us)
+{
+	enum endpoint_presence old_presence = endpoint->presence;
+	int64_t report_count = endpoint->last_registration->report_count;
+	enum entry_order order = endpoint_compare_entry(endpoint, entry);
+
+	if (order == ENTRY_LATER_START)
+		endpoint_restart(endpoint, entry, now_us);
+	else if (entry->warmup_remaining_us > 0)
+		endpoint->warm_us = MAX(endpoint->warm_us,
+					now_us + entry->warmup_remaining_us);
+	endpoint_replace_registration(registry, endpoint, entry);
+	if (order != ENTRY_LATER_START)
+		endpoint->last_registration->report_count =
+			MAX(entry->report_count, report_count);
+	endpoint_update_cordon(endpoint, registry, now_us);
+	endpoint_set_presence(endpoint,
+			      endpoint_entry_presence(endpoint, entry), now_us);
+	return endpoint->presence != old_presence;
+}
+
+static bool registry_apply_update(struct registry *registry,
+				  const struct registration *update,
+				  bool is_doubtful, bool is_vouched,
+				  int64_t now_us)
 {
 	struct endpoint *endpoint = registry_find(registry, update->id);
-	enum endpoint_presence old_presence;
 
 	registry_note_position(registry, update->position, now_us);
 	is_doubtful |= registry_is_settling(registry, now_us);
 	if (endpoint &&
 	    update->position <= endpoint->last_registration->position &&
-	    !confirms_removal(endpoint, update, is_doubtful))
+	    !confirms_removal(endpoint, update, is_doubtful)) {
+		endpoint_consider_old_notice(endpoint, update, now_us);
 		return false;
+	}
 	if (endpoint) {
 		g_clear_pointer(&endpoint->held_back, registration_destroy);
 		if (registry_holds_back(registry, endpoint, update, now_us)) {
@@ -407,18 +446,35 @@
 				      now_us);
 		return true;
 	}
-	old_presence = endpoint->presence;
-	if (update->started_ms > endpoint->last_registration->started_ms ||
-	    strcmp(update->address, endpoint->last_registration->address) != 0)
-		endpoint_restart(endpoint, update, now_us);
-	else if (update->warmup_remaining_us > 0)
-		endpoint->warm_us = MAX(endpoint->warm_us,
-					now_us + update->warmup_remaining_us);
-	endpoint_replace_registration(registry, endpoint, update);
-	endpoint_update_cordon(endpoint, registry, now_us);
-	endpoint_set_presence(
-		endpoint, endpoint_entry_presence(endpoint, update), now_us);
-	return endpoint->presence != old_presence;
+	if (!endpoint_accepts_entry(endpoint, update, is_vouched, now_us))
+		return false;
+	endpoint_drop_unconfirmed(endpoint);
+	return registry_apply_entry(registry, endpoint, update, now_us);
+}
+
+/*
+ * Applies an update of one endpoint from the store, unless a newer one is known
+ * or only the endpoint can say whether it holds. A removal is doubtful if the
+ * entry may have expired because the store was away: the endpoint stays in use
+ * until registry_step treats it as gone. Returns whether the endpoint is new or
+ * its presence changed.
+ */
+bool registry_apply(struct registry *registry,
+		    const struct registration *update, bool is_doubtful,
+		    int64_t now_us)
+{
+	return registry_apply_update(registry, update, is_doubtful, false,
+				     now_us);
+}
+
+/*
+ * Applies an update that another node believes, and has confirmed if it had to.
+ * Returns as registry_apply.
+ */
+bool registry_apply_vouched(struct registry *registry,
+			    const struct registration *update, int64_t now_us)
+{
+	return registry_apply_update(registry, update, false, true, now_us);
 }
 
 /*
@@ -483,10 +539,12 @@
 			g_ptr_array_index(registry->endpoints, i);
 
 		if (endpoint->last_registration->position > position ||
-		    endpoint->presence == PRESENCE_GONE ||
 		    g_hash_table_contains(listed,
 					  endpoint->last_registration->id))
 			continue;
+		endpoint_drop_unconfirmed(endpoint);
+		if (endpoint->presence == PRESENCE_GONE)
+			continue;
 		endpoint->last_registration->position = position;
 		if (registry_apply_removal(endpoint, is_doubtful, now_us))
 			g_ptr_array_add(
@@ -580,7 +638,8 @@
 			g_ptr_array_add(
 				changed,
 				g_strdup(endpoint->last_registration->id));
-		if (endpoint_expire_leaving(endpoint, now_us))
+		if (endpoint_expire_leaving(endpoint, now_us) ||
+		    registry_expire_unconfirmed(registry, endpoint, now_us))
 			g_ptr_array_add(
 				changed,
 				g_strdup(endpoint->last_registration->id));
@@ -592,6 +651,7 @@
 				g_strdup(endpoint->last_registration->id));
 		}
 		if (endpoint->presence == PRESENCE_GONE &&
+		    !endpoint_is_unconfirmed(endpoint) &&
 		    endpoint->own.requests == 0 && endpoint->own.copies == 0 &&
 		    now_us - endpoint->since_us > GONE_RETENTION_US)
 			registry_remove(registry, i);
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -6,6 +6,7 @@
 #include "core/gateway/endpoint_rest.h"
 #include "core/gateway/endpoint_speed.h"
 #include "core/gateway/endpoint_suspicion.h"
+#include "core/gateway/entry_order.h"
 #include "core/limit/rate_window.h"
 #include "core/placement/endpoint_health.h"
 #include "ports/registration.h"
@@ -30,6 +31,25 @@
 	PRESENCE_GONE	  /* kept, so that an old update can't restore it */
 };
 
+/* What an endpoint answers when it is asked whether it serves. */
+enum endpoint_status {
+	ENDPOINT_SERVES,
+	ENDPOINT_LEAVES,     /* or fails its own check */
+	ENDPOINT_IS_ANOTHER, /* that listens at its address */
+	ENDPOINT_UNCLEAR,    /* no answer, or one that doesn't tell */
+	ENDPOINT_NOT_ASKED   /* its service has no such call */
+};
+
+/* The last entry that was not applied, for logs. */
+struct entry_aside {
+	const char *reason;
+	int64_t position; /* 0: there was none */
+	int64_t started_ms;
+	int64_t report_count;
+	int64_t logged_position;
+	int64_t logged_us;
+};
+
 /* Load of one or more nodes on an endpoint. */
 struct held {
 	int32_t requests;
@@ -43,9 +63,17 @@
 	struct registration *last_registration;
 	enum endpoint_presence presence;
 	int32_t certain_ends; /* that this node has seen; resets tell of none */
-	struct registration *held_back; /* to be applied once the store has
-					   settled; NULL: none */
-	int64_t since_us;		/* when the presence last changed */
+	struct registration *held_back;	  /* to be applied once the store has
+					     settled; NULL: none */
+	struct registration *unconfirmed; /* to be applied once the endpoint
+					     says that it serves; or NULL */
+	int64_t unconfirmed_us;		  /* when the first such one came */
+	bool is_checked;       /* asked for its status while it is used */
+	bool is_overwritten;   /* the store has an entry of an earlier start */
+	int32_t status_asks;   /* since the last reason to ask */
+	int64_t ask_status_us; /* when to ask for its status next */
+	struct entry_aside aside;
+	int64_t since_us;  /* when the presence last changed */
 	int64_t notice_us; /* when it first was known to leave, or that its
 			      entry is gone; 0: it serves */
 	int64_t said_leaving_us;  /* when the endpoint itself last said that it
@@ -87,12 +115,20 @@
 bool registry_apply(struct registry *registry,
 		    const struct registration *update, bool is_doubtful,
 		    int64_t now_us);
+bool registry_apply_vouched(struct registry *registry,
+			    const struct registration *update, int64_t now_us);
 void registry_apply_listing(struct registry *registry, const GPtrArray *list,
 			    int64_t position, bool is_doubtful, int64_t now_us,
 			    GPtrArray *changed);
 void registry_step(struct registry *registry, int64_t doubted_before_us,
 		   int64_t now_us, GPtrArray *changed);
 
+bool endpoint_is_unconfirmed(const struct endpoint *endpoint);
+bool endpoint_wants_status(const struct endpoint *endpoint, int64_t now_us);
+void endpoint_note_status_ask(struct endpoint *endpoint, int64_t now_us);
+bool registry_note_status(struct registry *registry, const char *id,
+			  enum endpoint_status status, int64_t now_us);
+
 void registry_rewind(struct registry *registry, int64_t now_us);
 bool registry_mark_leaving(struct registry *registry, const char *id,
 			   int64_t now_us);
--- a/core/gateway/registry_state.h
+++ b/core/gateway/registry_state.h
@@ -16,6 +16,23 @@
 			       hold those of endpoints that have left */
 };
 
+bool registry_apply_entry(struct registry *registry, struct endpoint *endpoint,
+			  const struct registration *entry, int64_t now_us);
+
+/* Entries that their endpoint has to confirm. */
+enum entry_order endpoint_compare_entry(const struct endpoint *endpoint,
+					const struct registration *entry);
+bool endpoint_accepts_entry(struct endpoint *endpoint,
+			    const struct registration *entry, bool is_vouched,
+			    int64_t now_us);
+void endpoint_drop_unconfirmed(struct endpoint *endpoint);
+void endpoint_check_status(struct endpoint *endpoint, int64_t now_us);
+void endpoint_consider_old_notice(struct endpoint *endpoint,
+				  const struct registration *notice,
+				  int64_t now_us);
+bool registry_expire_unconfirmed(struct registry *registry,
+				 struct endpoint *endpoint, int64_t now_us);
+
 GHashTable *holder_nodes_create(void);
 void registry_add_key(struct registry *registry, struct endpoint *endpoint);
 void endpoint_update_cordon(struct endpoint *endpoint,
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -524,6 +524,37 @@
 	http_head_destroy(head);
 }
 
+/* Guards against an endpoint that is used because a full one, or the next one
+ * at its address, answered its status check. */
+TEST(Platform, ReadsWhetherAnEndpointServes)
+{
+	static const struct {
+		int status;
+		const char *field, *value;
+		enum endpoint_status expected;
+	} answers[] = {
+		{200, "X-Siskinlink-Instance-Id", "i-1", ENDPOINT_SERVES},
+		{200, "X-Siskinlink-Instance-Id", "i-2", ENDPOINT_IS_ANOTHER},
+		{200, "Server-Leaving", "1", ENDPOINT_LEAVES},
+		{503, "X-Siskinlink-Instance-Id", "i-1", ENDPOINT_LEAVES},
+		{503, "X-Siskinlink-Not-Executed", "1", ENDPOINT_UNCLEAR},
+		{429, "X-Siskinlink-Not-Executed", "1", ENDPOINT_UNCLEAR},
+		{404, "X-Siskinlink-Instance-Id", "i-1", ENDPOINT_UNCLEAR},
+	};
+
+	for (const auto &answer : answers) {
+		struct http_head *head = http_head_create();
+
+		head->status = answer.status;
+		http_head_add(head, answer.field, strlen(answer.field),
+			      answer.value, strlen(answer.value));
+		EXPECT_EQ(answer.expected,
+			  platform_dialect.read_status(head, "i-1"))
+			<< answer.status << " " << answer.field;
+		http_head_destroy(head);
+	}
+}
+
 /* Each value of the limit that an endpoint states has one meaning. */
 TEST(Platform, ReadsTheLimitOfAnEndpointWhateverItsValue)
 {
