DRAIN: a report that may be older overruled a clear status check

The report is asked only where three calls in a row had no clear answer, as those of an engine without room.

--- a/adapters/gateway/gateway_leaving.c
+++ b/adapters/gateway/gateway_leaving.c
@@ -103,7 +103,7 @@
 {
 	bool asks_report = service->kind == SERVICE_GENERATION &&
 			   (!service->status_path ||
-			    endpoint->status_asks >= ASKS_BEFORE_REPORT);
+			    endpoint->unclear_asks >= ASKS_BEFORE_REPORT);
 
 	endpoint_note_status_ask(endpoint, gateway->now_us);
 	if (!asks_report && !service->status_path)
--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -71,6 +71,7 @@
 	bool is_checked;       /* asked for its status while it is used */
 	bool is_overwritten;   /* the store has an entry of an earlier start */
 	int32_t status_asks;   /* since the last reason to ask */
+	int32_t unclear_asks;  /* since its last clear answer */
 	int64_t ask_status_us; /* when to ask for its status next */
 	struct entry_aside aside;
 	int64_t since_us;  /* when the presence last changed */
--- a/core/gateway/registry_confirm.c
+++ b/core/gateway/registry_confirm.c
@@ -58,6 +58,7 @@
 static void endpoint_ask_anew(struct endpoint *endpoint, int64_t now_us)
 {
 	endpoint->status_asks = 0;
+	endpoint->unclear_asks = 0;
 	endpoint->ask_status_us = now_us;
 }
 
@@ -157,6 +158,7 @@
 	int32_t doublings = endpoint->status_asks - FIRST_ASKS;
 
 	endpoint->status_asks++;
+	endpoint->unclear_asks++;
 	if (endpoint->status_asks >= ASKS_IN_USE)
 		endpoint->is_checked = false;
 	endpoint->ask_status_us =
@@ -215,6 +217,8 @@
 	if (!endpoint)
 		return false;
 	was_checked = endpoint->is_checked;
+	if (status != ENDPOINT_UNCLEAR)
+		endpoint->unclear_asks = 0;
 	switch (status) {
 	case ENDPOINT_SERVES:
 		endpoint->is_checked = false;
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -556,6 +556,21 @@
 	done
 }
 
+# Guards against an engine that is used again by its report, which may be older
+# than its answer to the status check.
+case_believes_the_status_before_the_report() {
+	start_anew 0 engines
+	mode "${backends[0]}" '{"draining": true}'
+	written 0 engines draining 8 "$born"
+	written 0 engines ready 6 "$born"
+	until_true logged "entry_set_aside endpoint=i-0 " ||
+		fail "the older report is not set aside"
+	sleep 3
+	! grep -h 'endpoint=i-0 .*state=ready .*source="its status"' \
+		"$work"/g?.out || fail "it is ready again"
+	start_anew 0 engines
+}
+
 # Guards against an engine that gets nothing, as a report of its start before is
 # written late, or as its entry is back after an outage.
 case_uses_an_engine_whose_start_before_left() {
