--- a/fakes/platform_store.c
+++ b/fakes/platform_store.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #define MAX_PAGE_ITEMS 500
+/* How long a watch waits before "cut_watches" resets it. */
+#define CUT_WATCH_MS 300
 #define MAX_WAIT_MS 30000
 
 static void item_free(gpointer data)
@@ -119,6 +121,30 @@
 	return G_SOURCE_REMOVE;
 }
 
+static void watch_cut(struct watch *watch)
+{
+	g_autoptr(SoupServerMessage) message = g_object_ref(watch->message);
+
+	g_ptr_array_remove(watch->store->watches, watch);
+	fake_message_reset_connection(message);
+}
+
+static gboolean on_watch_cut(gpointer data)
+{
+	struct watch *watch = data;
+
+	watch->timer = 0;
+	watch_cut(watch);
+	return G_SOURCE_REMOVE;
+}
+
+/* Resets the connections of all watches that wait. */
+void platform_store_cut_watches(struct platform_store *store)
+{
+	while (store->watches->len > 0)
+		watch_cut(g_ptr_array_index(store->watches, 0));
+}
+
 /* Returns the last change of a key up to a revision; NULL if there is none. */
 static const struct item *latest_at(const struct platform_store *store,
 				    const char *key, int64_t revision)
@@ -253,6 +279,8 @@
 	g_ptr_array_add(store->watches, watch);
 	if (count_after(store, watch->prefix, watch->after_revision) > 0)
 		watch_answer(watch);
+	else if (store->cuts_watches && wait_ms > CUT_WATCH_MS)
+		watch->timer = g_timeout_add(CUT_WATCH_MS, on_watch_cut, watch);
 	else
 		watch->timer = g_timeout_add(wait_ms, on_watch_timeout, watch);
 }
--- a/fakes/platform_store_fault.c
+++ b/fakes/platform_store_fault.c
@@ -211,6 +211,8 @@
 	struct platform_store *store = data;
 
 	abort_refused_watches(store);
+	if (store->cuts_watches)
+		platform_store_cut_watches(store);
 	if (store->down)
 		platform_store_abort_watches(store, 503);
 	if (store->expire_all) {
@@ -243,6 +245,7 @@
 	const struct fake_mode modes[MODE_COUNT] = {
 		{"down", FAKE_MODE_BOOL, &store->down},
 		{"silent", FAKE_MODE_BOOL, &store->silent},
+		{"cut_watches", FAKE_MODE_BOOL, &store->cuts_watches},
 		{"forget", FAKE_MODE_BOOL, &store->drop_history},
 		{"lose", FAKE_MODE_BOOL, &store->lose_answers},
 		{"hold", FAKE_MODE_BOOL, &store->hold_next},
--- a/fakes/platform_store_state.h
+++ b/fakes/platform_store_state.h
@@ -17,7 +17,7 @@
  * that they inject into calls.
  */
 
-#define MODE_COUNT 15
+#define MODE_COUNT 16
 
 /* One write or deletion of a key. */
 struct item {
@@ -57,6 +57,7 @@
 	int64_t last_wait_ms;	 /* that the last watch asked for */
 	bool down;		 /* all calls get 503 */
 	bool silent;		 /* calls are accepted and never answered */
+	bool cuts_watches;	 /* "cut_watches": resets those that wait */
 	bool drop_history;	 /* "forget", once: old changes are dropped */
 	bool lose_answers;	 /* "lose": applies changes without an answer */
 	bool hold_next;		 /* "hold", once: holds the next change */
@@ -111,6 +112,7 @@
 			     SoupServerMessage *message);
 void platform_store_write(struct platform_store *store, const char *key,
 			  char *value, int64_t lease_id);
+void platform_store_cut_watches(struct platform_store *store);
 void platform_store_abort_watches(struct platform_store *store,
 				  unsigned status);
 void platform_store_add_item(JsonBuilder *builder, const struct item *item);
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -395,6 +395,34 @@
 	record_leaving(fleet, member);
 }
 
+/*
+ * The endpoint leaves, and a report that it wrote before arrives after that.
+ */
+static void endpoint_leave_overtaken(struct soak_fleet *fleet,
+				     struct soak_member *member)
+{
+	if (!member->life || member->is_leaving || member->is_paused)
+		return;
+	member_set_mode(fleet, member, "{\"draining\":true}");
+	endpoint_leave(fleet, member);
+	member->is_leaving = false;
+	soak_fleet_register(fleet, member);
+	member->is_leaving = true;
+}
+
+/* The same without a word: its entry is removed, and is there again. */
+static void endpoint_vanish_overtaken(struct soak_fleet *fleet,
+				      struct soak_member *member)
+{
+	if (!member->life || member->is_leaving || member->is_paused)
+		return;
+	member_set_mode(fleet, member, "{\"draining\":true}");
+	endpoint_vanish(fleet, member);
+	member->is_leaving = false;
+	soak_fleet_register(fleet, member);
+	member->is_leaving = true;
+}
+
 /* Kills an endpoint that has left, and starts one with a new id instead. */
 static void endpoint_start_successor(struct soak_fleet *fleet,
 				     struct soak_member *member)
@@ -635,6 +663,14 @@
 	[SOAK_ENGINE_STOP_ANSWER_LOST] = {NULL, NULL,
 					  "{\"stop_answer\":\"lost\"}",
 					  "{\"stop_answer\":\"\"}"},
+	[SOAK_STORE_CUT_WATCHES] = {NULL, NULL, "{\"cut_watches\":true}",
+				    "{\"cut_watches\":false}"},
+	[SOAK_PLAIN_VANISH] = {endpoint_vanish, endpoint_start_successor, NULL,
+			       NULL},
+	[SOAK_ENGINE_LATE_ENTRY] = {endpoint_leave_overtaken,
+				    endpoint_start_successor, NULL, NULL},
+	[SOAK_PLAIN_LATE_ENTRY] = {endpoint_vanish_overtaken,
+				   endpoint_start_successor, NULL, NULL},
 	[SOAK_PLAIN_LINK_EXTRA] = {.link = {SOAK_LINK_UNSOLICITED,
 					    STRAY_IDLE_US}},
 };
--- a/tests/soak/soak_platform.c
+++ b/tests/soak/soak_platform.c
@@ -141,10 +141,12 @@
 		append_probe_route(text, i);
 	g_string_append_printf(
 		text,
-		"],\"services\":[{\"name\":\"engines\",\"engine\":{"
+		"],\"services\":[{\"name\":\"engines\","
+		"\"health_path\":\"/health\",\"engine\":{"
 		"\"slots\":24,\"kv_cache_tokens\":%d,\"stride\":4,"
 		"\"migrations\":true,\"backups\":true,\"handle_ttl_s\":5}},"
-		"{\"name\":\"portal\"}],\"limits\":{\"header_bytes\":4096,"
+		"{\"name\":\"portal\",\"health_path\":\"/health\"}],"
+		"\"limits\":{\"header_bytes\":4096,"
 		"\"max_body_bytes\":65536,\"header_timeout_ms\":800,"
 		"\"idle_timeout_ms\":%d},\"tenants\":[{\"name\":\"atlas\","
 		"\"keys\":[\"" SOAK_KEY "\"]}]}",
--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -310,6 +310,25 @@
 		 "an engine stops its runs when asked, and resets the "
 		 "connection of the call",
 		 false, false},
+	[SOAK_STORE_CUT_WATCHES] = {"store_cut_watches", SOAK_TARGET_STORE,
+				    4000, 8000, true,
+				    "the store cuts each watch that waits",
+				    false, false},
+	[SOAK_PLAIN_VANISH] = {"plain_vanish", SOAK_TARGET_PLAIN, 3000, 5000,
+			       true,
+			       "a plain endpoint's entry is deleted, then it "
+			       "stops",
+			       false, false},
+	[SOAK_ENGINE_LATE_ENTRY] =
+		{"engine_late_entry", SOAK_TARGET_ENGINE, 3000, 5000, true,
+		 "an engine leaves, and a report from before is written after "
+		 "that",
+		 false, false},
+	[SOAK_PLAIN_LATE_ENTRY] =
+		{"plain_late_entry", SOAK_TARGET_PLAIN, 3000, 5000, true,
+		 "a plain endpoint's entry is deleted, and a report from "
+		 "before is written after that",
+		 false, false},
 };
 
 /* Returns the static description of a kind of fault. */
