Status checks: more at a time, and none believed unasked while it says no

64 calls under way instead of 32 in each 0.3 s: a node that follows 12,000 entries would else need a minute for 6,000 that come back after the doubt. By calculation only.

--- a/adapters/gateway/report_poll.c
+++ b/adapters/gateway/report_poll.c
@@ -15,7 +15,7 @@
 #define REPORT_TIMEOUT_US (600 * 1000)
 
 /* Calls of report_poll_ask at a time: half of a fleet may come back at once. */
-#define MAX_ASKED 32
+#define MAX_ASKED 64
 
 #define STATUS_OK 200
 
@@ -224,9 +224,16 @@
 /* Whether report_poll_ask may be called, for one endpoint more. */
 bool report_poll_has_room(struct report_poll *poll, int64_t now_us)
 {
+	guint asked = 0;
+	GHashTableIter iter;
+	gpointer value;
+
 	g_hash_table_foreach_remove(poll->requests, poll_request_is_expired,
 				    &now_us);
-	return g_hash_table_size(poll->requests) < MAX_ASKED;
+	g_hash_table_iter_init(&iter, poll->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		asked += !((const struct poll_request *)value)->is_done;
+	return asked < MAX_ASKED;
 }
 
 /*
--- a/core/gateway/registry_confirm.c
+++ b/core/gateway/registry_confirm.c
@@ -184,13 +184,12 @@
  */
 static bool registry_note_absence(struct endpoint *endpoint, int64_t now_us)
 {
+	endpoint->unconfirmed_us = now_us;
 	if (endpoint_is_leaving(endpoint))
 		return false;
-	if (!endpoint->unconfirmed && endpoint->presence == PRESENCE_READY) {
+	if (!endpoint->unconfirmed && endpoint->presence == PRESENCE_READY)
 		endpoint->unconfirmed =
 			registration_copy(endpoint->last_registration);
-		endpoint->unconfirmed_us = now_us;
-	}
 	endpoint_note_leaving(endpoint, 0, now_us);
 	return true;
 }
