DRAIN: an engine that keeps saying no was used after five minutes; a count anew

Found as this work was read over. What an endpoint said itself was forgotten after five minutes although each status check since had said the same: a checked engine in use was used again (script words: ready instead of leaving). And one that states no start and serves again with a lower count kept the higher one, so that its next entries counted as older (script known_before: doubted instead of ready).

Its word is renewed by each check; a start without a name begins its count, and all that is known of its process, anew. Both scripts failed before and pass now; a mutant each.

--- a/core/gateway/registry.c
+++ b/core/gateway/registry.c
@@ -277,8 +277,8 @@
  * leaves still holds if the word came from this start, before its entry; one
  * that is known by its address alone has said nothing yet.
  */
-static void endpoint_restart(struct endpoint *endpoint,
-			     const struct registration *update, int64_t now_us)
+void endpoint_begin_start(struct endpoint *endpoint,
+			  const struct registration *update, int64_t now_us)
 {
 	endpoint_health_init(&endpoint->health);
 	endpoint->suspicion = (struct endpoint_suspicion){0};
@@ -294,6 +294,7 @@
 	endpoint->speed = (struct endpoint_speed){0};
 	endpoint->load_was_unreadable = false;
 	endpoint->warm_us = now_us + update->warmup_remaining_us;
+	endpoint->last_registration->report_count = 0;
 	if (update->started_ms <= endpoint->last_registration->started_ms ||
 	    update->started_ms > endpoint->leaving_start_ms)
 		endpoint->said_leaving_us = 0;
@@ -397,7 +398,7 @@
 	enum entry_order order = endpoint_compare_entry(endpoint, entry);
 
 	if (order == ENTRY_LATER_START)
-		endpoint_restart(endpoint, entry, now_us);
+		endpoint_begin_start(endpoint, entry, now_us);
 	else if (entry->warmup_remaining_us > 0)
 		endpoint->warm_us = MAX(endpoint->warm_us,
 					now_us + entry->warmup_remaining_us);
--- a/core/gateway/registry_confirm.c
+++ b/core/gateway/registry_confirm.c
@@ -148,7 +148,8 @@
 /* Whether the endpoint is to be asked for its status now. */
 bool endpoint_wants_status(const struct endpoint *endpoint, int64_t now_us)
 {
-	return (endpoint->unconfirmed || endpoint->is_checked) &&
+	return (endpoint->unconfirmed ||
+		(endpoint->is_checked && !endpoint_is_leaving(endpoint))) &&
 	       now_us >= endpoint->ask_status_us;
 }
 
@@ -173,6 +174,10 @@
 	struct registration *entry = g_steal_pointer(&endpoint->unconfirmed);
 
 	endpoint->said_leaving_us = 0;
+	/* It serves, so the lower count is that of a start without a name. */
+	if (!endpoint->last_registration->started_ms &&
+	    endpoint_compare_entry(endpoint, entry) == ENTRY_FEWER_REPORTS)
+		endpoint_begin_start(endpoint, entry, now_us);
 	registry_apply_entry(registry, endpoint, entry, now_us);
 	registration_destroy(entry);
 	return true;
@@ -185,6 +190,8 @@
 static bool registry_note_absence(struct endpoint *endpoint, int64_t now_us)
 {
 	endpoint->unconfirmed_us = now_us;
+	if (endpoint->said_leaving_us)
+		endpoint->said_leaving_us = now_us;
 	if (endpoint_is_leaving(endpoint))
 		return false;
 	if (!endpoint->unconfirmed && endpoint->presence == PRESENCE_READY)
--- a/core/gateway/registry_state.h
+++ b/core/gateway/registry_state.h
@@ -16,6 +16,8 @@
 			       hold those of endpoints that have left */
 };
 
+void endpoint_begin_start(struct endpoint *endpoint,
+			  const struct registration *update, int64_t now_us);
 bool registry_apply_entry(struct registry *registry, struct endpoint *endpoint,
 			  const struct registration *entry, int64_t now_us);
 
