--- a/core/gateway/registry.h
+++ b/core/gateway/registry.h
@@ -68,11 +68,9 @@
 	struct registration *unconfirmed; /* to be applied once the endpoint
 					     says that it serves; or NULL */
 	int64_t unconfirmed_us;		  /* when the first such one came */
-	bool is_checked;       /* asked for its status while it is used */
-	bool is_overwritten;   /* the store has an entry of an earlier start */
-	int32_t status_asks;   /* since the last reason to ask */
-	int32_t unclear_asks;  /* since its last clear answer */
-	int64_t ask_status_us; /* when to ask for its status next */
+	int64_t ask_status_us;		  /* when to ask for its status next */
+	int32_t status_asks;		  /* since the last reason to ask */
+	int32_t unclear_asks;		  /* since its last clear answer */
 	struct entry_aside aside;
 	int64_t since_us;  /* when the presence last changed */
 	int64_t notice_us; /* when it first was known to leave, or that its
@@ -106,6 +104,8 @@
 	bool limit_was_unreadable;     /* in its last answer, for logs */
 	struct endpoint_speed speed;
 	bool load_was_unreadable; /* in any answer of this start, for logs */
+	bool is_checked;	  /* asked for its status while it is used */
+	bool is_overwritten; /* the store has an entry of an earlier start */
 };
 
 struct registry;
