--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -124,6 +124,8 @@
 	EXPECT_TRUE(remove("e1", 7));
 	EXPECT_FALSE(apply(entry("e1", 6)));
 	EXPECT_EQ(PRESENCE_GONE, presence("e1"));
+	EXPECT_FALSE(apply(entry("e1", 6, true)));
+	EXPECT_EQ(PRESENCE_GONE, presence("e1"));
 }
 
 /* Guards against requests to an endpoint long after it said that it leaves, as
@@ -581,6 +583,10 @@
 	EXPECT_EQ(PRESENCE_LEAVING, presence("leaving"));
 	EXPECT_EQ(PRESENCE_GONE, presence("gone"));
 	EXPECT_EQ(PRESENCE_LEAVING, presence("reported"));
+	for (const char *id : {"leaving", "gone", "reported"})
+		EXPECT_FALSE(
+			endpoint_is_unconfirmed(registry_find(registry, id)))
+			<< id << " is asked because of a copy";
 
 	/* The engines and the store write again. */
 	pass(second_us);
