--- a/adapters/gateway/report_poll.h
+++ b/adapters/gateway/report_poll.h
@@ -15,7 +15,7 @@
 /*
  * Asks endpoints themselves whether they leave, while the store that would
  * announce it can't be reached or their entries are in doubt: engines by their
- * reports, any endpoint by its status check.
+ * reports, any endpoint by its health check.
  */
 struct report_poll;
 
--- a/core/gateway/registry_confirm.c
+++ b/core/gateway/registry_confirm.c
@@ -185,7 +185,7 @@
 
 /*
  * The endpoint does not serve. It keeps being asked, as it may only fail its
- * status check for a while.
+ * health check for a while.
  */
 static bool registry_note_absence(struct endpoint *endpoint, int64_t now_us)
 {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -525,7 +525,7 @@
 }
 
 /* Guards against an endpoint that is used because a full one, or the next one
- * at its address, answered its status check. */
+ * at its address, answered its health check. */
 TEST(Platform, ReadsWhetherAnEndpointServes)
 {
 	static const struct {
