--- a/adapters/gateway/attempt.c
+++ b/adapters/gateway/attempt.c
@@ -7,6 +7,9 @@
 #define STEP_ANSWER "attempt.answer"
 #define MAX_HEAD_BYTES 65536
 
+/* Smaller bodies are copied, and leave with their head in one packet. */
+#define MAX_COPIED_BYTES 16384
+
 struct attempt {
 	struct tcp_stream *stream;
 	struct http_reader *reader;
@@ -225,6 +228,20 @@
 				  error);
 }
 
+static void attempt_send(struct attempt *attempt,
+			 const struct attempt_options *options)
+{
+	GByteArray *body = options->body;
+	bool copies = body && body->len <= MAX_COPIED_BYTES;
+
+	if (copies)
+		g_string_append_len(options->request, (const char *)body->data,
+				    body->len);
+	tcp_stream_take(attempt->stream, options->request);
+	if (body && !copies)
+		tcp_stream_share(attempt->stream, body);
+}
+
 /*
  * Sends the request, over an idle connection of the pool if there is one.
  * Returns NULL and sets error if no connection can be opened. Takes ownership
@@ -251,7 +268,7 @@
 		attempt_destroy(attempt);
 		return NULL;
 	}
-	tcp_stream_take(attempt->stream, options->request);
+	attempt_send(attempt, options);
 	return attempt;
 }
 
--- a/adapters/gateway/attempt.h
+++ b/adapters/gateway/attempt.h
@@ -23,6 +23,7 @@
 	const char *echo_field;	    /* this answer field must hold echo_value */
 	const char *echo_value;	    /* NULL: accept any answer */
 	GString *request;	    /* freed by attempt_start */
+	GByteArray *body;	    /* sent after it, not copied; or NULL */
 	struct endpoint_pool *pool; /* NULL: always open a connection */
 	bool has_no_body;	    /* the answer has no body, as for HEAD */
 	int64_t max_other_bytes;    /* of other answers before it; 0: any */
--- a/adapters/gateway/caller.c
+++ b/adapters/gateway/caller.c
@@ -62,6 +62,8 @@
 	struct caller_limits promised;
 	GByteArray *unparsed; /* received and not parsed yet */
 	GByteArray *body;
+	const struct http_head *head; /* of the request that arrives */
+	struct memory_grant *grant;   /* of that request, or NULL */
 	void *request; /* the handler's data for the current request */
 	bool is_busy;  /* the handler has a request that isn't answered yet */
 	bool must_close;
@@ -112,6 +114,7 @@
 	http_reader_destroy(caller->reader);
 	g_byte_array_unref(caller->unparsed);
 	g_byte_array_unref(caller->body);
+	memory_grant_destroy(caller->grant, caller->set->now_us);
 }
 
 static void caller_release(gpointer data)
@@ -167,29 +170,97 @@
  * Refuses input that is malformed, too large or too slow. Where the next
  * request would begin is then unknown, so the connection closes.
  */
-static void caller_refuse(struct caller *caller, int32_t status)
+static void caller_refuse_with(struct caller *caller, int32_t status,
+			       const char *fields)
 {
 	GString *out = g_string_new(NULL);
 
 	caller->is_refused = true;
 	caller->must_close = true;
-	caller_append_head(caller, status, "Content-Length: 0\r\n", out);
-	g_string_append(out, "\r\n");
+	caller_append_head(caller, status, fields, out);
+	g_string_append(out, "Content-Length: 0\r\n\r\n");
 	tcp_stream_write(caller->stream, out->str, out->len);
 	g_string_free(out, TRUE);
 }
 
+static void caller_refuse(struct caller *caller, int32_t status)
+{
+	caller_refuse_with(caller, status, NULL);
+}
+
+/* Drops what has arrived of a request, and the memory that it was granted. */
+static void caller_drop_request(struct caller *caller)
+{
+	g_byte_array_unref(caller->body);
+	caller->body = g_byte_array_new();
+	memory_grant_destroy(g_steal_pointer(&caller->grant),
+			     caller->set->now_us);
+}
+
+static void caller_refuse_memory(struct caller *caller, size_t bytes)
+{
+	const struct caller_handler *handler = &caller->set->handler;
+	GString *fields = g_string_new(NULL);
+	int32_t status =
+		handler->no_memory(handler->data, caller->head, bytes, fields);
+
+	caller_drop_request(caller);
+	caller_refuse_with(caller, status, fields->str);
+	g_string_free(fields, TRUE);
+}
+
+/*
+ * Gets the memory of the request whose head has been read, before its body is.
+ * Refuses the request and returns false if there is no room.
+ */
+static bool caller_get_grant(struct caller *caller)
+{
+	const struct caller_handler *handler = &caller->set->handler;
+	int64_t body_bytes = MAX(caller->head->content_length, 0);
+	size_t bytes =
+		http_reader_head_bytes(caller->reader) + (size_t)body_bytes;
+
+	caller_drop_request(caller);
+	if (!handler->grant)
+		return true;
+	caller->grant = handler->grant(handler->data, caller->head, bytes);
+	if (!caller->grant) {
+		caller_refuse_memory(caller, bytes);
+		return false;
+	}
+	if (body_bytes > (int64_t)MAX_UNPARSED_BYTES) {
+		g_byte_array_unref(caller->body);
+		caller->body = g_byte_array_sized_new((guint)body_bytes);
+	}
+	return true;
+}
+
+/* Makes room for more of a body whose size the head doesn't say. */
+static bool caller_grow_grant(struct caller *caller, size_t size)
+{
+	size_t bytes = http_reader_head_bytes(caller->reader) +
+		       caller->body->len + size;
+
+	if (!caller->grant || caller->head->content_length >= 0 ||
+	    memory_grant_resize(caller->grant, bytes))
+		return true;
+	caller_refuse_memory(caller, bytes);
+	return false;
+}
+
 static bool on_head(void *data, const struct http_head *head)
 {
 	static const char continue_head[] = "HTTP/1.1 100 Continue\r\n\r\n";
 	struct caller *caller = data;
 	int64_t max_body_bytes = caller->promised.body_bytes;
 
-	g_byte_array_set_size(caller->body, 0);
 	if (head->content_length > max_body_bytes) {
 		caller_refuse(caller, 413);
 		return true;
 	}
+	caller->head = head;
+	if (!caller_get_grant(caller))
+		return true;
 	if (http_head_has_token(head, "Expect", "100-continue"))
 		tcp_stream_write(caller->stream, continue_head,
 				 sizeof(continue_head) - 1);
@@ -206,7 +277,9 @@
 		caller_refuse(caller, 413);
 		return;
 	}
-	g_byte_array_append(caller->body, (const guint8 *)bytes, (guint)size);
+	if (caller_grow_grant(caller, size))
+		g_byte_array_append(caller->body, (const guint8 *)bytes,
+				    (guint)size);
 }
 
 static const struct http_reader_events reader_events = {
@@ -720,6 +793,15 @@
 	caller_disconnect(caller, "");
 }
 
+/*
+ * Hands the memory of the current request over to its handler, which frees the
+ * grant; NULL if none is counted. To be called before the answer ends.
+ */
+struct memory_grant *caller_take_grant(struct caller *caller)
+{
+	return g_steal_pointer(&caller->grant);
+}
+
 /* Whether max_callers were served when the connection was accepted. */
 bool caller_is_excess(const struct caller *caller)
 {
--- a/adapters/gateway/caller.h
+++ b/adapters/gateway/caller.h
@@ -2,6 +2,7 @@
 #define ADAPTERS_GATEWAY_CALLER_H
 
 #include "adapters/gateway/http_head.h"
+#include "core/gateway/memory_budget.h"
 #include "core/gateway/route_table.h"
 
 #include <glib.h>
@@ -20,6 +21,19 @@
 struct caller;
 
 struct caller_handler {
+	/*
+	 * Grants the memory of a request whose head has been read; bytes are
+	 * its head and the body that it announces. NULL: there is no room. May
+	 * be NULL: nothing is counted.
+	 */
+	struct memory_grant *(*grant)(void *data, const struct http_head *head,
+				      size_t bytes);
+	/*
+	 * A request is refused for want of memory. Returns the status, and
+	 * appends header lines that end with CR LF to fields.
+	 */
+	int32_t (*no_memory)(void *data, const struct http_head *head,
+			     size_t bytes, GString *fields);
 	/*
 	 * A complete request. The handler owns head and body, and answers with
 	 * caller_answer, or with caller_send and caller_end_answer.
@@ -67,6 +81,7 @@
 void caller_abort(struct caller *caller);
 void caller_end_by_close(struct caller *caller);
 bool caller_is_excess(const struct caller *caller);
+struct memory_grant *caller_take_grant(struct caller *caller);
 bool caller_decide_close(struct caller *caller);
 size_t caller_waiting_bytes(const struct caller *caller);
 const char *http_status_text(int32_t status);
--- a/adapters/gateway/dialect.h
+++ b/adapters/gateway/dialect.h
@@ -90,12 +90,15 @@
 	bool (*read_request)(const struct http_head *head,
 			     struct caller_request *request,
 			     struct error *error);
+	/* The caller's key; NULL: none. */
+	const char *(*read_key)(const struct http_head *head);
+	/* Write the head of a request whose body has so many bytes. */
 	void (*write_request)(const struct http_head *head,
 			      const struct endpoint_request *request,
-			      const GByteArray *body, GString *out);
+			      size_t body_bytes, GString *out);
 	void (*write_relay)(const struct http_head *head,
 			    const struct relay_request *request,
-			    const GByteArray *body, GString *out);
+			    size_t body_bytes, GString *out);
 	void (*read_answer)(const struct http_head *head,
 			    struct endpoint_answer *answer);
 	/* With is_last the engine stops the run before it copies it. */
--- a/adapters/gateway/exchange.c
+++ b/adapters/gateway/exchange.c
@@ -46,6 +46,7 @@
 	exchange_drop_legs(exchange);
 	http_head_destroy(exchange->head);
 	g_byte_array_unref(exchange->body);
+	memory_grant_destroy(exchange->grant, exchange->gateway->now_us);
 	exchange_clear_body(exchange);
 	g_byte_array_unref(exchange->answer_body);
 	if (exchange->answer_head)
@@ -724,6 +725,7 @@
 	exchange->caller = caller;
 	exchange->head = head;
 	exchange->body = body;
+	exchange->grant = caller_take_grant(caller);
 	exchange->begun_us = gateway->now_us;
 	exchange->last_event = -1;
 	exchange->avoided_ids = g_ptr_array_new_with_free_func(g_free);
--- a/adapters/gateway/exchange_relay.c
+++ b/adapters/gateway/exchange_relay.c
@@ -288,10 +288,10 @@
 		.attempts = exchange->relay->attempts,
 		.age_us = gateway->now_us - exchange->begun_us,
 	};
-	GString *out = g_string_sized_new(1024 + exchange->body->len);
+	GString *out = g_string_sized_new(1024);
 
-	gateway->dialect->write_relay(exchange->head, &request, exchange->body,
-				      out);
+	gateway->dialect->write_relay(exchange->head, &request,
+				      exchange->body->len, out);
 	return out;
 }
 
@@ -342,6 +342,7 @@
 	exchange->relay = relay;
 	options.address = peer->address;
 	options.request = relay_render(exchange);
+	options.body = exchange->body;
 	log_write(gateway->log, LOG_LEVEL_INFO, "request_relayed", "request",
 		  exchange->parsed_request.id, "service",
 		  exchange->service_name, "node", node, NULL);
--- a/adapters/gateway/exchange_state.h
+++ b/adapters/gateway/exchange_state.h
@@ -152,6 +152,7 @@
 	struct caller *caller;
 	struct http_head *head;
 	GByteArray *body;
+	struct memory_grant *grant; /* of head and body, or NULL */
 	struct caller_request parsed_request;
 	struct route_table *table;
 	const struct route *route;
--- a/adapters/gateway/gateway.c
+++ b/adapters/gateway/gateway.c
@@ -61,6 +61,21 @@
 	return shared_budgets_get(gateway->budgets, service);
 }
 
+static struct memory_grant *on_grant(void *data, const struct http_head *head,
+				     size_t bytes)
+{
+	struct gateway *gateway = data;
+
+	gateway->now_us = gateway_now_us();
+	return gateway_grant_memory(gateway, head, bytes);
+}
+
+static int32_t on_no_memory(void *data, const struct http_head *head,
+			    size_t bytes, GString *fields)
+{
+	return gateway_refuse_memory(data, head, bytes, fields);
+}
+
 static void on_request(void *data, struct caller *caller,
 		       struct http_head *head, GByteArray *body)
 {
@@ -308,6 +323,7 @@
 	gateway_losses_step(gateway);
 	gateway_step_reports(gateway);
 	gateway_leaving_step(gateway);
+	gateway_memory_step(gateway);
 	gateway_headroom_step(gateway);
 	gateway_speed_step(gateway);
 	gateway_home_step(gateway);
@@ -396,6 +412,8 @@
 		.window_us = options->retry_window_us,
 	};
 	const struct caller_handler requests = {
+		.grant = on_grant,
+		.no_memory = on_no_memory,
 		.request = on_request,
 		.gone = on_gone,
 		.unread = on_unread,
@@ -436,6 +454,7 @@
 	gateway->pool = endpoint_pool_create();
 	gateway->reports = report_poll_create(&reports);
 	gateway_leaving_init(gateway);
+	gateway_memory_init(gateway);
 	gateway->callers =
 		caller_set_create(&requests, (size_t)options->max_connections);
 	gateway->status_callers =
@@ -485,6 +504,7 @@
 	g_hash_table_unref(gateway->exchanges);
 	caller_set_destroy(gateway->callers);
 	caller_set_destroy(gateway->status_callers);
+	memory_budget_destroy(gateway->memory);
 	endpoint_pool_destroy(gateway->pool);
 	report_poll_destroy(gateway->reports);
 	report_poll_destroy(gateway->statuses);
--- a/adapters/gateway/gateway.h
+++ b/adapters/gateway/gateway.h
@@ -42,6 +42,7 @@
 	int64_t warmup_excess_percent; /* see struct warmup_bounds */
 	int64_t warmup_slack;
 	int64_t max_answer_bytes; /* body of one answer; 0: not limited */
+	int64_t memory_bytes;	  /* of the process; 0: not limited */
 	uint64_t seed;
 	struct log *log;
 	struct counters *counters;
@@ -79,6 +80,7 @@
 			int64_t retry_extra);
 void gateway_set_answer_limit(struct gateway *gateway,
 			      int64_t max_answer_bytes);
+void gateway_set_memory(struct gateway *gateway, int64_t memory_bytes);
 
 /* Input from the store. */
 void gateway_apply_table(struct gateway *gateway, struct route_table *table,
--- a/adapters/gateway/gateway_state.h
+++ b/adapters/gateway/gateway_state.h
@@ -44,6 +44,7 @@
  *   gateway_brittle.c  endpoints that end if they reject too much
  *   gateway_rest.c     endpoints that ask this node for rest
  *   gateway_leaving.c  endpoints that say themselves whether they leave
+ *   gateway_memory.c   memory that callers' requests hold
  *   gateway_losses.c   requests under which endpoints end
  *   gateway_ends.c     whether endpoints that broke off runs have ended
  *   gateway_closes.c   answers that end with their connections
@@ -124,8 +125,9 @@
 	/* Services that this node reaches, or passes on for others. */
 	GHashTable *reach; /* service to struct service_state */
 	bool reach_is_complete;
-	bool is_cut;	       /* it reaches no service that it used lately */
-	int32_t relayed_count; /* requests under way for other nodes */
+	bool is_cut; /* it reaches no service that it used lately */
+	struct memory_budget *memory; /* of callers' requests */
+	int32_t relayed_count;	      /* requests under way for other nodes */
 
 	GHashTable *forecasts; /* service to struct leaving_forecast */
 	GHashTable *answers;   /* service to struct answer_forecast */
@@ -301,6 +303,16 @@
 void gateway_speed_receive(struct gateway *gateway,
 			   const struct peer_message *message);
 
+/* gateway_memory.c */
+void gateway_memory_init(struct gateway *gateway);
+void gateway_memory_step(struct gateway *gateway);
+struct memory_grant *gateway_grant_memory(struct gateway *gateway,
+					  const struct http_head *head,
+					  size_t bytes);
+int32_t gateway_refuse_memory(struct gateway *gateway,
+			      const struct http_head *head, size_t bytes,
+			      GString *fields);
+
 /* gateway_leaving.c */
 void gateway_leaving_init(struct gateway *gateway);
 void gateway_leaving_step(struct gateway *gateway);
--- a/adapters/gateway/http_reader.c
+++ b/adapters/gateway/http_reader.c
@@ -389,6 +389,12 @@
 	return reader->has_head;
 }
 
+/* Bytes of the head that is being read, or was read last. */
+size_t http_reader_head_bytes(const struct http_reader *reader)
+{
+	return reader->head_bytes;
+}
+
 /* Whether the connection must close after the last message. */
 bool http_reader_must_close(const struct http_reader *reader)
 {
--- a/adapters/gateway/http_reader.h
+++ b/adapters/gateway/http_reader.h
@@ -48,6 +48,7 @@
 enum http_reader_result http_reader_finish(struct http_reader *reader);
 bool http_reader_has_head(const struct http_reader *reader);
 bool http_reader_must_close(const struct http_reader *reader);
+size_t http_reader_head_bytes(const struct http_reader *reader);
 struct http_head *http_reader_take_head(struct http_reader *reader);
 
 G_END_DECLS
--- a/adapters/gateway/leg.c
+++ b/adapters/gateway/leg.c
@@ -220,7 +220,7 @@
 {
 	const struct exchange *exchange = leg->exchange;
 	const struct dialect *dialect = exchange->gateway->dialect;
-	GString *out = g_string_sized_new(1024 + exchange->body->len);
+	GString *out = g_string_sized_new(1024);
 	struct endpoint_request to = {
 		.endpoint_id = leg->endpoint_id,
 		.organisation = exchange->organisation
@@ -240,7 +240,7 @@
 		.keep_connection = exchange->route->kind == ROUTE_IDEMPOTENT,
 	};
 
-	dialect->write_request(exchange->head, &to, exchange->body, out);
+	dialect->write_request(exchange->head, &to, exchange->body->len, out);
 	return out;
 }
 
@@ -327,6 +327,7 @@
 		.echo_field = gateway->dialect->id_field,
 		.echo_value = exchange->parsed_request.id,
 		.request = leg_render(leg, copy_address, copy_name),
+		.body = exchange->body,
 		.now_us = gateway->now_us,
 		.has_no_body = strcmp(exchange->head->method, "HEAD") == 0,
 		.max_other_bytes = exchange_max_other_bytes(exchange),
--- a/adapters/gateway/tcp_stream.c
+++ b/adapters/gateway/tcp_stream.c
@@ -49,8 +49,13 @@
 #define PROBE_INTERVAL_MS 1000
 #define PROBE_INTERVAL_DEFAULT_MS 120000
 
-/* Time limit for the peer to close, once it has read all bytes. */
+/*
+ * Time limit for the peer to close, once it has read all bytes, or to send more
+ * of a body that was refused: on a slow link it may not notice for a while that
+ * nobody wants the rest. The second limit holds for all of it.
+ */
 #define CLOSE_TIMEOUT_US (2 * G_USEC_PER_SEC)
+#define MAX_CLOSE_US (15 * G_USEC_PER_SEC)
 
 struct tcp_stream {
 	GSource source; /* must be first: GLib allocates and counts it */
@@ -60,6 +65,8 @@
 	void *data;
 	GByteArray *unsent;
 	size_t unsent_offset; /* bytes of it already sent */
+	GByteArray *shared;   /* sent after them, and not copied; or NULL */
+	size_t shared_offset; /* bytes of it already sent */
 	size_t held_bytes;    /* counted in the answers' memory */
 	bool is_accepted;     /* what it sends are answers */
 	bool connecting;
@@ -69,6 +76,7 @@
 	int connect_errno; /* why it failed to connect; 0: it did not */
 	bool finishing;	   /* without owner: sends the rest, then closes */
 	bool write_closed;
+	int64_t all_read_us; /* when the peer had read all bytes; 0: not yet */
 	bool resets_unless_finished;
 	bool is_checked;    /* bytes may be unread; see stream_check */
 	bool limits_probes; /* see PROBE_INTERVAL_MS */
@@ -131,6 +139,11 @@
 	socket_set_int(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
 }
 
+static bool stream_has_unsent(const struct tcp_stream *stream)
+{
+	return tcp_stream_unsent_bytes(stream) > 0;
+}
+
 /* Sets the conditions to poll for; to be called at each change of state. */
 static void stream_update_conditions(struct tcp_stream *stream)
 {
@@ -140,7 +153,7 @@
 		return;
 	if (stream->reading || stream->write_closed)
 		wanted |= G_IO_IN;
-	if (stream->connecting || stream->unsent->len > stream->unsent_offset)
+	if (stream->connecting || stream_has_unsent(stream))
 		wanted |= G_IO_OUT;
 	g_source_modify_unix_fd(&stream->source, stream->tag,
 				wanted | G_IO_HUP | G_IO_ERR);
@@ -301,10 +314,25 @@
 static void stream_end_checks(struct tcp_stream *stream)
 {
 	stream->is_checked = false;
+	if (!stream->write_closed) {
+		g_source_set_ready_time(&stream->source, -1);
+		return;
+	}
+	stream->all_read_us = g_get_monotonic_time();
 	g_source_set_ready_time(&stream->source,
-				stream->write_closed ? g_get_monotonic_time() +
-							       CLOSE_TIMEOUT_US
-						     : -1);
+				stream->all_read_us + CLOSE_TIMEOUT_US);
+}
+
+/* The peer of a stream that nobody owns has sent bytes, which are dropped. */
+static void stream_prolong_close(struct tcp_stream *stream)
+{
+	int64_t now_us = g_get_monotonic_time();
+
+	if (stream->all_read_us)
+		g_source_set_ready_time(
+			&stream->source,
+			MIN(now_us + CLOSE_TIMEOUT_US,
+			    stream->all_read_us + MAX_CLOSE_US));
 }
 
 /*
@@ -345,30 +373,55 @@
 	stream_count_held(stream);
 }
 
-/* Sends as much as the socket accepts; false on a broken connection. */
-static bool stream_flush(struct tcp_stream *stream)
+/*
+ * Sends as much of size bytes as the socket accepts, and adds it to offset.
+ * False on a broken connection.
+ */
+static bool stream_send(struct tcp_stream *stream, const uint8_t *bytes,
+			size_t size, size_t *offset)
 {
-	while (stream->unsent->len > stream->unsent_offset) {
-		ssize_t sent =
-			send(stream->fd,
-			     stream->unsent->data + stream->unsent_offset,
-			     stream->unsent->len - stream->unsent_offset,
-			     MSG_NOSIGNAL);
+	while (size > *offset) {
+		ssize_t sent = send(stream->fd, bytes + *offset, size - *offset,
+				    MSG_NOSIGNAL);
 
 		if (sent < 0 && errno == EINTR)
 			continue;
 		if (sent < 0)
 			return errno == EAGAIN || errno == EWOULDBLOCK;
 		stream->has_sent = true;
-		stream->unsent_offset += (size_t)sent;
+		*offset += (size_t)sent;
 	}
+	return true;
+}
+
+static void stream_clear_shared(struct tcp_stream *stream)
+{
+	g_clear_pointer(&stream->shared, g_byte_array_unref);
+	stream->shared_offset = 0;
+}
+
+/* Sends as much as the socket accepts; false on a broken connection. */
+static bool stream_flush(struct tcp_stream *stream)
+{
+	if (!stream_send(stream, stream->unsent->data, stream->unsent->len,
+			 &stream->unsent_offset))
+		return false;
+	if (stream->unsent->len > stream->unsent_offset)
+		return true;
 	stream_clear_unsent(stream);
+	if (!stream->shared)
+		return true;
+	if (!stream_send(stream, stream->shared->data, stream->shared->len,
+			 &stream->shared_offset))
+		return false;
+	if (stream->shared_offset == stream->shared->len)
+		stream_clear_shared(stream);
 	return true;
 }
 
 static void stream_finish_step(struct tcp_stream *stream)
 {
-	if (stream->write_closed || stream->unsent->len > stream->unsent_offset)
+	if (stream->write_closed || stream_has_unsent(stream))
 		return;
 	stream->write_closed = true;
 	if (stream->resets_unless_finished)
@@ -380,7 +433,7 @@
 {
 	int number = 0;
 	socklen_t size = sizeof(number);
-	bool waited = stream->unsent->len > stream->unsent_offset;
+	bool waited = stream_has_unsent(stream);
 
 	if (stream->connecting) {
 		getsockopt(stream->fd, SOL_SOCKET, SO_ERROR, &number, &size);
@@ -403,7 +456,7 @@
 	}
 	if (stream->finishing)
 		stream_finish_step(stream);
-	else if (waited && stream->unsent->len == 0 && stream->events &&
+	else if (waited && !stream_has_unsent(stream) && stream->events &&
 		 stream->events->drained)
 		stream->events->drained(stream->data);
 }
@@ -422,6 +475,8 @@
 	if (stream->finishing) {
 		if (size == 0)
 			stream_abandon(stream, "closed");
+		else
+			stream_prolong_close(stream);
 		return;
 	}
 	if (size > 0) {
@@ -477,6 +532,7 @@
 		close(stream->fd);
 	answer_memory_change(stream->held_bytes, 0);
 	g_byte_array_unref(stream->unsent);
+	stream_clear_shared(stream);
 }
 
 static GSourceFuncs stream_functions = {
@@ -649,7 +705,7 @@
 	stream->written_bytes += (int64_t)size;
 	if (!stream->is_checked)
 		stream_schedule_check(stream);
-	if (!stream->connecting && stream->unsent->len == 0) {
+	if (!stream->connecting && !stream_has_unsent(stream)) {
 		sent = send(stream->fd, bytes, size, MSG_NOSIGNAL);
 		if (sent > 0)
 			stream->has_sent = true;
@@ -659,6 +715,17 @@
 	return (size_t)sent;
 }
 
+/* Copies shared bytes that are still unsent, as others are to follow them. */
+static void stream_copy_shared(struct tcp_stream *stream)
+{
+	if (!stream->shared)
+		return;
+	g_byte_array_append(stream->unsent,
+			    stream->shared->data + stream->shared_offset,
+			    stream->shared->len - (guint)stream->shared_offset);
+	stream_clear_shared(stream);
+}
+
 /* Sends the bytes, or copies them until the peer accepts them. */
 void tcp_stream_write(struct tcp_stream *stream, const char *bytes, size_t size)
 {
@@ -666,6 +733,7 @@
 
 	if (stream->fd < 0 || size == 0)
 		return;
+	stream_copy_shared(stream);
 	sent = stream_send_first(stream, bytes, size);
 	if (sent == size)
 		return;
@@ -683,7 +751,8 @@
 {
 	size_t size = bytes->len;
 
-	if (stream->fd < 0 || size == 0 || stream->unsent->len > 0) {
+	if (stream->fd < 0 || size == 0 || stream->unsent->len > 0 ||
+	    stream->shared) {
 		tcp_stream_write(stream, bytes->str, size);
 		g_string_free(bytes, TRUE);
 		return;
@@ -698,10 +767,32 @@
 	stream_update_conditions(stream);
 }
 
+/*
+ * Sends the bytes as tcp_stream_write does, and holds a reference to them
+ * instead of a copy until all are sent: nobody may change them before.
+ */
+void tcp_stream_share(struct tcp_stream *stream, GByteArray *bytes)
+{
+	if (stream->fd < 0 || bytes->len == 0)
+		return;
+	stream_copy_shared(stream);
+	stream->shared_offset = stream_send_first(
+		stream, (const char *)bytes->data, bytes->len);
+	if (stream->shared_offset < bytes->len)
+		stream->shared = g_byte_array_ref(bytes);
+	else
+		stream->shared_offset = 0;
+	stream_update_conditions(stream);
+}
+
 /* Number of bytes written to the stream but not yet sent. */
 size_t tcp_stream_unsent_bytes(const struct tcp_stream *stream)
 {
-	return stream->unsent->len - stream->unsent_offset;
+	size_t bytes = stream->unsent->len - stream->unsent_offset;
+
+	return stream->shared
+		       ? bytes + stream->shared->len - stream->shared_offset
+		       : bytes;
 }
 
 /*
@@ -710,7 +801,7 @@
  */
 size_t tcp_stream_kept_bytes(const struct tcp_stream *stream)
 {
-	return stream->unsent->len;
+	return stream->unsent->len + (stream->shared ? stream->shared->len : 0);
 }
 
 /*
--- a/adapters/gateway/tcp_stream.h
+++ b/adapters/gateway/tcp_stream.h
@@ -47,6 +47,7 @@
 void tcp_stream_write(struct tcp_stream *stream, const char *bytes,
 		      size_t size);
 void tcp_stream_take(struct tcp_stream *stream, GString *bytes);
+void tcp_stream_share(struct tcp_stream *stream, GByteArray *bytes);
 size_t tcp_stream_finishing_count(void);
 bool tcp_stream_take_loss(struct tcp_stream_loss *taken);
 size_t tcp_stream_unsent_bytes(const struct tcp_stream *stream);
--- a/adapters/http_metrics.c
+++ b/adapters/http_metrics.c
@@ -13,6 +13,19 @@
 			       counters->value[id]);
 }
 
+static void append_gauge(GString *text, const struct counters *counters,
+			 enum gauge id)
+{
+	const char *name = gauge_name(id);
+
+	g_string_append_printf(text,
+			       "# HELP siskinlink_%s %s\n"
+			       "# TYPE siskinlink_%s gauge\n"
+			       "siskinlink_%s %" G_GUINT64_FORMAT "\n",
+			       name, gauge_help(id), name, name,
+			       counters->gauge[id]);
+}
+
 /* Buckets are cumulative, as Prometheus expects. */
 static void append_histogram(GString *text, const struct counters *counters,
 			     enum latency id)
@@ -54,6 +67,8 @@
 
 	for (int i = 0; i < COUNTER_COUNT; i++)
 		append_counter(text, counters, (enum counter)i);
+	for (int i = 0; i < GAUGE_COUNT; i++)
+		append_gauge(text, counters, (enum gauge)i);
 	for (int i = 0; i < LATENCY_COUNT; i++)
 		append_histogram(text, counters, (enum latency)i);
 	return g_string_free_to_bytes(text);
--- a/adapters/settings.c
+++ b/adapters/settings.c
@@ -335,6 +335,7 @@
 	settings->max_answer_bytes = 16 << 20;
 	settings->stream_buffer_bytes = 256 << 10;
 	settings->max_connections = 4096;
+	settings->memory_mb = 96;
 	settings->max_peer_record_bytes = 2 << 20;
 	settings->connect_timeout_ms = 1000;
 	settings->gateway.drain_us = 8 * G_USEC_PER_SEC;
--- a/adapters/settings.h
+++ b/adapters/settings.h
@@ -48,6 +48,7 @@
 	int64_t max_answer_bytes;    /* of a plain endpoint's answer */
 	int64_t stream_buffer_bytes; /* buffered for a slow caller */
 	int64_t max_connections;
+	int64_t memory_mb;
 	int64_t max_open_files; /* 0: only the system's limit */
 	int64_t max_peer_record_bytes;
 	enum peer_transport peer_transport;
--- a/core/base/counters.c
+++ b/core/base/counters.c
@@ -84,6 +84,10 @@
 	[COUNTER_GATEWAY_NOT_IN_TIME] =
 		{"gateway_not_in_time",
 		 "requests refused because no engine would have room in time"},
+	[COUNTER_GATEWAY_NO_MEMORY] =
+		{"gateway_no_memory",
+		 "requests refused because this process has no memory left for "
+		 "them"},
 	[COUNTER_GATEWAY_RESTS] = {"gateway_rests",
 				   "rests that endpoints asked this node for"},
 	[COUNTER_GATEWAY_LEAVING] = {"gateway_leaving",
@@ -132,6 +136,33 @@
 	return descriptions[id].help;
 }
 
+static const struct counter_description gauges[GAUGE_COUNT] = {
+	[GAUGE_REQUEST_MEMORY] = {"gateway_request_bytes",
+				  "bytes of heads and bodies that requests "
+				  "hold"},
+	[GAUGE_REQUEST_MEMORY_MAX] = {"gateway_request_max_bytes",
+				      "bytes that they may hold together"},
+};
+
+/* Sets a gauge. */
+void counters_set_gauge(struct counters *counters, enum gauge id,
+			uint64_t value)
+{
+	counters->gauge[id] = value;
+}
+
+/* Returns the name of a gauge, as in the dump; a static string. */
+const char *gauge_name(enum gauge id)
+{
+	return gauges[id].name;
+}
+
+/* Returns one line on what a gauge shows, a static string. */
+const char *gauge_help(enum gauge id)
+{
+	return gauges[id].help;
+}
+
 /* The buckets range from a plain call of a few ms to a deadline of 39 s. */
 static const int64_t bounds_us[LATENCY_BUCKETS - 1] = {
 	5000,	10000,	25000,	 50000,	  100000,   180000,
--- a/core/base/counters.h
+++ b/core/base/counters.h
@@ -66,9 +66,13 @@
 	COUNTER_GATEWAY_WAITS_OVER,
 	COUNTER_GATEWAY_WAITS_GRANTED,
 	COUNTER_GATEWAY_NOT_IN_TIME,
+	COUNTER_GATEWAY_NO_MEMORY,
 	COUNTER_COUNT
 };
 
+/* Values of one process that rise and fall. */
+enum gauge { GAUGE_REQUEST_MEMORY, GAUGE_REQUEST_MEMORY_MAX, GAUGE_COUNT };
+
 /* Latency histograms of one process, with fixed upper bounds. */
 enum latency {
 	LATENCY_PLAIN,	     /* gateway: complete answer of a plain endpoint */
@@ -89,6 +93,7 @@
 
 struct counters {
 	uint64_t value[COUNTER_COUNT];
+	uint64_t gauge[GAUGE_COUNT];
 	struct latency_histogram latency[LATENCY_COUNT];
 };
 
@@ -96,6 +101,11 @@
 const char *counter_name(enum counter id);
 const char *counter_help(enum counter id);
 
+void counters_set_gauge(struct counters *counters, enum gauge id,
+			uint64_t value);
+const char *gauge_name(enum gauge id);
+const char *gauge_help(enum gauge id);
+
 void counters_add_latency(struct counters *counters, enum latency id,
 			  int64_t us);
 const char *latency_name(enum latency id);
--- a/core/gateway/retry_after.c
+++ b/core/gateway/retry_after.c
@@ -46,3 +46,16 @@
 {
 	return wait_us + (int64_t)(draw * (double)RETRY_SOON_US);
 }
+
+/*
+ * Returns how long the caller of a request should wait that found no memory in
+ * this process. wait_us is the estimated time until enough is free, or -1 if it
+ * is not known; draw, random in [0, 1), spreads callers that are refused
+ * together.
+ */
+int64_t retry_after_memory_us(int64_t wait_us, double draw)
+{
+	if (wait_us < 0)
+		return RETRY_LATER_US;
+	return MAX((int64_t)((double)wait_us * (1 + draw)), RETRY_SOON_US);
+}
--- a/core/gateway/retry_after.h
+++ b/core/gateway/retry_after.h
@@ -17,6 +17,7 @@
 
 int64_t retry_after_limited_us(int64_t wait_us, double draw);
 int64_t retry_after_resting_us(int64_t wait_us, double draw);
+int64_t retry_after_memory_us(int64_t wait_us, double draw);
 int64_t retry_after_full_us(int64_t first_answer_us, double draw);
 
 G_END_DECLS
--- a/core/node/node_dump.c
+++ b/core/node/node_dump.c
@@ -24,6 +24,10 @@
 		g_variant_builder_add(
 			&builder, "{sv}", counter_name((enum counter)i),
 			g_variant_new_uint64(node->counters.value[i]));
+	for (int i = 0; i < GAUGE_COUNT; i++)
+		g_variant_builder_add(
+			&builder, "{sv}", gauge_name((enum gauge)i),
+			g_variant_new_uint64(node->counters.gauge[i]));
 	return g_variant_builder_end(&builder);
 }
 
--- a/daemons/gateway_wiring.c
+++ b/daemons/gateway_wiring.c
@@ -6,6 +6,8 @@
 #include "core/gateway/route_table.h"
 #include "platform/platform.h"
 
+#define MIB (INT64_C(1) << 20)
+
 struct gateway_wiring {
 	struct gateway *gateway;
 	struct store_follower *document;
@@ -235,6 +237,7 @@
 		.warmup_slack = settings->gateway.warmup_slack,
 		.retry_window_us = settings->gateway.retry_window_us,
 		.max_answer_bytes = settings->gateway.max_answer_bytes,
+		.memory_bytes = settings->memory_mb * MIB,
 		.seed = options->seed,
 		.log = options->log,
 		.counters = options->counters,
@@ -418,12 +421,15 @@
  * the limit on answers.
  */
 void gateway_wiring_reload(struct gateway_wiring *wiring,
-			   const struct gateway_settings *settings)
+			   const struct settings *settings)
 {
-	gateway_set_limits(wiring->gateway, settings->drain_us,
-			   settings->directory_ttl_us, settings->retry_percent,
-			   settings->retry_extra);
-	gateway_set_answer_limit(wiring->gateway, settings->max_answer_bytes);
+	const struct gateway_settings *gateway = &settings->gateway;
+
+	gateway_set_limits(wiring->gateway, gateway->drain_us,
+			   gateway->directory_ttl_us, gateway->retry_percent,
+			   gateway->retry_extra);
+	gateway_set_answer_limit(wiring->gateway, gateway->max_answer_bytes);
+	gateway_set_memory(wiring->gateway, settings->memory_mb * MIB);
 }
 
 /* Begins to drain the gateway; the stopped callback is called at the end. */
--- a/daemons/gateway_wiring.h
+++ b/daemons/gateway_wiring.h
@@ -48,7 +48,7 @@
 void gateway_wiring_receive_peer(struct gateway_wiring *wiring,
 				 const struct peer_message *message);
 void gateway_wiring_reload(struct gateway_wiring *wiring,
-			   const struct gateway_settings *settings);
+			   const struct settings *settings);
 void gateway_wiring_answer_query(struct gateway_wiring *wiring,
 				 const struct event_query *query,
 				 struct action_list *actions);
--- a/daemons/node_loop.c
+++ b/daemons/node_loop.c
@@ -319,7 +319,7 @@
 	}
 	log_set_level(loop->log, node_loop_parse_level(settings->log_level));
 	if (loop->gateway)
-		gateway_wiring_reload(loop->gateway, &settings->gateway);
+		gateway_wiring_reload(loop->gateway, settings);
 	log_write(loop->log, LOG_LEVEL_INFO, "reload", "file",
 		  loop->config_path, NULL);
 	settings_destroy(settings);
--- a/daemons/siskinlinkd.c
+++ b/daemons/siskinlinkd.c
@@ -5,11 +5,18 @@
 #include "daemons/node_loop.h"
 #include "daemons/version.h"
 
+#include <malloc.h>
 #include <popt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
+/*
+ * Larger blocks, such as bodies, go back to the system as they are freed. By
+ * default the allocator raises its threshold at the first one, and keeps them.
+ */
+#define MMAP_THRESHOLD_BYTES (128 * 1024)
+
 #define EXIT_CANNOT_START 1
 #define EXIT_USAGE 2
 
@@ -108,6 +115,7 @@
 	int status;
 
 	signal(SIGPIPE, SIG_IGN);
+	mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
 	status = arguments_run(context, &arguments);
 	poptFreeContext(context);
 	free(arguments.config);
--- a/tests/gateway_pair.cc
+++ b/tests/gateway_pair.cc
@@ -532,6 +532,7 @@
 		options.home_from_nodes = home_from_nodes;
 		options.directory_ttl_us = G_USEC_PER_SEC;
 		options.max_answer_bytes = max_answer_bytes;
+		options.memory_bytes = memory_bytes;
 		options.seed = seed * (uint64_t)++starts;
 		options.log = log;
 		options.counters = &node->counters;
--- a/tests/gateway_pair.h
+++ b/tests/gateway_pair.h
@@ -121,6 +121,7 @@
 	int64_t retry_extra = 60;	/* retries in 10 s, of six nodes */
 	int32_t slots = 24;	      /* streams that an engine runs at once */
 	int64_t max_answer_bytes = 0; /* of an answer's body; 0: any */
+	int64_t memory_bytes = 0;     /* of each node; 0: any */
 	int64_t timeout_us = 2500000; /* of all routes */
 	bool moves = false;	      /* engines copy runs to each other */
 	int64_t copy_keep_us = 0;     /* that the service states; 0: none */
--- a/tests/operations_page_test.cc
+++ b/tests/operations_page_test.cc
@@ -42,3 +42,16 @@
 		EXPECT_NE(std::string::npos, page.find(row)) << row;
 	}
 }
+
+TEST(OperationsPage, ListsEveryGauge)
+{
+	std::string page = read_page();
+
+	for (int i = 0; i < GAUGE_COUNT; i++) {
+		auto id = static_cast<enum gauge>(i);
+		std::string row = std::string("| `") + gauge_name(id) + "` | " +
+				  gauge_help(id) + " |";
+
+		EXPECT_NE(std::string::npos, page.find(row)) << row;
+	}
+}
--- a/tests/tcp_stream_test.cc
+++ b/tests/tcp_stream_test.cc
@@ -355,6 +355,59 @@
 	}
 }
 
+/*
+ * Guards against a reset, which may cost the peer its answer, while it still
+ * sends a body that was refused; and against one that sends for ever.
+ */
+TEST_F(TcpStream, ReadsOnWhileAPeerSendsWhatNobodyWants)
+{
+	Write(10);
+	ExpectAllRead();
+	for (struct side &side : sides)
+		tcp_stream_finish(g_steal_pointer(&side.stream));
+	for (int i = 0; i < 14; i++) {
+		for (struct side &side : sides)
+			side.peer->send("x");
+		Wait(250);
+	}
+	EXPECT_EQ(2u, tcp_stream_finishing_count());
+	run_until([] { return tcp_stream_finishing_count() == 0; });
+	EXPECT_EQ(0u, tcp_stream_finishing_count());
+}
+
+/*
+ * Guards against a body that is in memory twice while it is sent, and against
+ * its bytes out of order beside others.
+ */
+TEST_F(TcpStream, SharesWhatIsNotSentYet)
+{
+	std::string all;
+
+	for (size_t size : {6000000, 20, 3000000}) {
+		std::string head(10, (char)('a' + all.size() % 26));
+		std::string body(size, (char)('A' + all.size() % 26));
+		GByteArray *shared = g_byte_array_new();
+
+		g_byte_array_append(shared, (const guint8 *)body.data(),
+				    (guint)size);
+		for (struct side &side : sides) {
+			tcp_stream_write(side.stream, head.data(), head.size());
+			tcp_stream_share(side.stream, shared);
+		}
+		g_byte_array_unref(shared);
+		all += head + body;
+		written = all.size();
+		if (size == 20)
+			ExpectAllRead();
+	}
+	ExpectAllRead();
+	for (const struct side &side : sides) {
+		EXPECT_EQ(all, side.peer->input);
+		EXPECT_EQ(0u, tcp_stream_unsent_bytes(side.stream));
+		EXPECT_EQ(0u, tcp_stream_kept_bytes(side.stream));
+	}
+}
+
 /* Guards against a vanished peer that is waited for while bytes are unread. */
 TEST_F(TcpStream, FindsOutThatAPeerIsGone)
 {
