--- a/tests/gateway_memory_test.cc
+++ b/tests/gateway_memory_test.cc
@@ -145,6 +145,7 @@
 	gateway_set_memory(nodes[0]->gateway, 1 << 20);
 	second = Send(Sized("second", 100000));
 	ExpectRefused(second.get(), "503");
+	first->read();
 	EXPECT_FALSE(first->closed);
 	gateway_set_memory(nodes[0]->gateway, 4 << 20);
 	Begin("third", 100000);
